--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterKey.java
@@ -0,0 +1,38 @@
+package org.banyanstair.configuration;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import org.banyanstair.model.AdapterId;
+import org.banyanstair.model.ModelName;
+import org.banyanstair.model.ServiceId;
+
+/**
+ * An adapter within its service.
+ *
+ * @param service the service
+ * @param adapter the adapter
+ */
+public record AdapterKey(ServiceId service, AdapterId adapter) implements Comparable<AdapterKey> {
+    /**
+     * Parses the written form.
+     *
+     * @param text {@code service/adapter}
+     * @return the key
+     */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public static AdapterKey parse(String text) {
+        ModelName name = ModelName.parse(text);
+        return new AdapterKey(name.service(), name.adapter());
+    }
+
+    @Override
+    public int compareTo(AdapterKey other) {
+        return toString().compareTo(other.toString());
+    }
+
+    @JsonValue
+    @Override
+    public String toString() {
+        return service + "/" + adapter;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
@@ -0,0 +1,45 @@
+package org.banyanstair.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.banyanstair.platform.LogEntry;
+
+/**
+ * One part of a configuration checkpoint; a checkpoint is split so that each part fits a log record and a frame.
+ *
+ * @param version version of the configuration
+ * @param nextOffset offset of the stream {@code configuration} from which changes are not contained
+ * @param part number of the part, from 0
+ * @param parts number of parts
+ * @param operations operations of this part; all parts in order build the configuration
+ */
+public record CheckpointPart(long version, long nextOffset, int part, int parts, List<Operation> operations)
+        implements LogEntry {
+    private static final int OPERATIONS_PER_PART = 2_000;
+
+    /** Copies the list. */
+    public CheckpointPart {
+        operations = List.copyOf(operations);
+    }
+
+    /**
+     * Splits a configuration into parts.
+     *
+     * @param configuration the configuration
+     * @param nextOffset offset from which changes are not contained
+     * @return the parts in order
+     */
+    public static List<CheckpointPart> of(Configuration configuration, long nextOffset) {
+        List<Operation> operations = configuration.operations();
+        int parts = Math.max(1, (operations.size() + OPERATIONS_PER_PART - 1) / OPERATIONS_PER_PART);
+        List<CheckpointPart> result = new ArrayList<>();
+        for (int part = 0; part < parts; part++) {
+            int from = part * OPERATIONS_PER_PART;
+            int to = Math.min(operations.size(), from + OPERATIONS_PER_PART);
+            result.add(
+                    new CheckpointPart(configuration.version(), nextOffset, part, parts, operations.subList(from, to)));
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Configuration.java
@@ -0,0 +1,205 @@
+package org.banyanstair.configuration;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.ModelName;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.PresetId;
+import org.banyanstair.model.ServiceId;
+
+/**
+ * Everything that operators have declared, at one version. Immutable.
+ *
+ * @param version offset of the change that made it, -1 before the first change
+ * @param services services by id
+ * @param adapters adapters by key
+ * @param pools store shares by pool
+ * @param presets presets by id
+ * @param presetInForce id of the one preset in force; always among the presets
+ */
+public record Configuration(
+        long version,
+        Map<ServiceId, ServiceDeclaration> services,
+        Map<AdapterKey, AdapterDeclaration> adapters,
+        Map<PoolId, PoolDeclaration> pools,
+        Map<PresetId, Preset> presets,
+        PresetId presetInForce) {
+    /** Version before the first change. */
+    public static final long INITIAL_VERSION = -1;
+
+    /** The configuration before the first change: the built-in presets with {@code ordinary} in force. */
+    public static final Configuration INITIAL = initial();
+
+    /** Makes the maps unmodifiable. */
+    public Configuration {
+        services = Collections.unmodifiableMap(services);
+        adapters = Collections.unmodifiableMap(adapters);
+        pools = Collections.unmodifiableMap(pools);
+        presets = Collections.unmodifiableMap(presets);
+    }
+
+    private static Configuration initial() {
+        Map<PresetId, Preset> presets = new TreeMap<>();
+        Preset.BUILT_IN.forEach(preset -> presets.put(preset.id(), preset));
+        return new Configuration(INITIAL_VERSION, Map.of(), Map.of(), Map.of(), presets, Preset.ORDINARY.id());
+    }
+
+    /**
+     * Returns the preset in force.
+     *
+     * @return the preset
+     */
+    public Preset preset() {
+        return presets.get(presetInForce);
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param id the service
+     * @return its declaration, empty if there is none
+     */
+    public Optional<ServiceDeclaration> service(ServiceId id) {
+        return Optional.ofNullable(services.get(id));
+    }
+
+    /**
+     * Returns the store share of a pool.
+     *
+     * @param id the pool
+     * @return its declaration, or the default
+     */
+    public PoolDeclaration pool(PoolId id) {
+        return Optional.ofNullable(pools.get(id)).orElseGet(() -> PoolDeclaration.defaultFor(id));
+    }
+
+    /**
+     * Finds the adapter version that a model name stands for.
+     *
+     * @param name the model name
+     * @return the version, the default one if the name has none; empty if it is not registered
+     */
+    public Optional<AdapterVersion> resolve(ModelName name) {
+        return Optional.ofNullable(adapters.get(new AdapterKey(name.service(), name.adapter())))
+                .map(adapter -> new Resolution(adapter, name.version().orElse(adapter.defaultVersion())))
+                .filter(resolution -> resolution.adapter().versions().contains(resolution.version()))
+                .map(resolution -> new AdapterVersion(name.service(), name.adapter(), resolution.version()));
+    }
+
+    private record Resolution(AdapterDeclaration adapter, String version) {}
+
+    /**
+     * Applies the operations of a change, all or none.
+     *
+     * @param newVersion version of the result
+     * @param operations steps, in order
+     * @return the new configuration
+     * @throws FailureException with {@link Failure.InvalidChange} if a step cannot be applied
+     */
+    public Configuration apply(long newVersion, List<Operation> operations) {
+        Draft draft = new Draft(this);
+        operations.forEach(draft::apply);
+        return draft.finish(newVersion);
+    }
+
+    /**
+     * Lists the operations that build this configuration from {@link #INITIAL}.
+     *
+     * @return operations in an order in which each can be applied
+     */
+    public List<Operation> operations() {
+        List<Operation> operations = new ArrayList<>();
+        presets.values().forEach(preset -> operations.add(new Operation.PutPreset(preset)));
+        operations.add(new Operation.UsePreset(presetInForce));
+        INITIAL.presets.keySet().stream()
+                .filter(id -> !presets.containsKey(id))
+                .forEach(id -> operations.add(new Operation.RemovePreset(id)));
+        pools.values().forEach(pool -> operations.add(new Operation.PutPool(pool)));
+        services.values().forEach(service -> operations.add(new Operation.PutService(service)));
+        adapters.values().forEach(adapter -> operations.add(new Operation.PutAdapter(adapter)));
+        return operations;
+    }
+
+    /** Mutable copy in which one change is built up. Only the maps that change are copied. */
+    private static final class Draft {
+        private Map<ServiceId, ServiceDeclaration> services;
+        private Map<AdapterKey, AdapterDeclaration> adapters;
+        private Map<PoolId, PoolDeclaration> pools;
+        private Map<PresetId, Preset> presets;
+        private PresetId presetInForce;
+        private boolean adaptersCopied;
+
+        Draft(Configuration base) {
+            services = new TreeMap<>(base.services);
+            adapters = base.adapters;
+            pools = new TreeMap<>(base.pools);
+            presets = new TreeMap<>(base.presets);
+            presetInForce = base.presetInForce;
+        }
+
+        void apply(Operation operation) {
+            if (operation instanceof Operation.PutService put) {
+                services.put(put.service().id(), put.service());
+            } else if (operation instanceof Operation.RemoveService remove) {
+                removeService(remove.id());
+            } else if (operation instanceof Operation.PutAdapter put) {
+                putAdapter(put.adapter());
+            } else if (operation instanceof Operation.RemoveAdapter remove) {
+                require(writableAdapters().remove(remove.key()) != null, "adapter.id", "a registered adapter");
+            } else if (operation instanceof Operation.PutPool put) {
+                pools.put(put.pool().id(), put.pool());
+            } else if (operation instanceof Operation.RemovePool remove) {
+                require(pools.remove(remove.id()) != null, "pool.id", "a declared pool");
+            } else if (operation instanceof Operation.PutPreset put) {
+                presets.put(put.preset().id(), put.preset());
+            } else if (operation instanceof Operation.RemovePreset remove) {
+                require(!remove.id().equals(presetInForce), "preset.id", "a preset that is not in force");
+                require(presets.remove(remove.id()) != null, "preset.id", "a declared preset");
+            } else if (operation instanceof Operation.UsePreset use) {
+                require(presets.containsKey(use.id()), "preset", "one of " + presets.keySet());
+                presetInForce = use.id();
+            }
+        }
+
+        private void removeService(ServiceId id) {
+            require(services.remove(id) != null, "service.id", "a declared service");
+            boolean empty =
+                    adapters.keySet().stream().noneMatch(key -> key.service().equals(id));
+            require(empty, "service.id", "a service without adapters");
+        }
+
+        private void putAdapter(AdapterDeclaration adapter) {
+            ServiceDeclaration service = services.get(adapter.key().service());
+            require(service != null, "adapter.service", "a declared service");
+            require(service.kind() == ServiceKind.GENERATION, "adapter.service", "a service of kind generation");
+            writableAdapters().put(adapter.key(), adapter);
+        }
+
+        private Map<AdapterKey, AdapterDeclaration> writableAdapters() {
+            if (!adaptersCopied) {
+                adapters = new HashMap<>(adapters);
+                adaptersCopied = true;
+            }
+            return adapters;
+        }
+
+        private static void require(boolean condition, String field, String accepted) {
+            if (!condition) {
+                throw new FailureException(new Failure.InvalidChange(field, accepted));
+            }
+        }
+
+        Configuration finish(long version) {
+            return new Configuration(version, services, adapters, pools, presets, presetInForce);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationHistory.java
@@ -0,0 +1,148 @@
+package org.banyanstair.configuration;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+
+/**
+ * Folds the stream {@code configuration} into the configuration in force.
+ *
+ * <p>Every host folds the same records in the same order and so reaches the same verdicts. The fold never goes back: a
+ * record below the next offset and a checkpoint that contains less than what is known have no effect. Not safe for use
+ * by several threads.
+ */
+public final class ConfigurationHistory {
+    private static final int REMEMBERED_VERDICTS = 4_096;
+
+    private Configuration current = Configuration.INITIAL;
+    private long nextOffset = -1;
+    private final List<CheckpointPart> parts = new ArrayList<>();
+    private final Map<String, ChangeVerdict> verdicts = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, ChangeVerdict> eldest) {
+            return size() > REMEMBERED_VERDICTS;
+        }
+    };
+
+    /**
+     * Tells whether a configuration is known.
+     *
+     * @return false until the start of the stream or a checkpoint was seen
+     */
+    public boolean isKnown() {
+        return nextOffset >= 0;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration; {@link Configuration#INITIAL} until one is known
+     */
+    public Configuration current() {
+        return current;
+    }
+
+    /**
+     * Returns the offset of the next change to apply.
+     *
+     * @return the offset, -1 until a configuration is known
+     */
+    public long nextOffset() {
+        return nextOffset;
+    }
+
+    /** Starts from the beginning of the stream, if nothing is known yet. */
+    public void startEmpty() {
+        if (!isKnown()) {
+            nextOffset = 0;
+        }
+    }
+
+    /**
+     * Applies the next record of the stream.
+     *
+     * @param offset offset of the record
+     * @param change the change
+     * @return the verdict; empty if the record was applied before or does not follow what is known
+     */
+    public Optional<ChangeVerdict> apply(long offset, ConfigurationChange change) {
+        if (!isKnown() || offset != nextOffset) {
+            return Optional.empty();
+        }
+        nextOffset = offset + 1;
+        ChangeVerdict verdict = verdicts.computeIfAbsent(change.changeId(), id -> decide(offset, change));
+        return Optional.of(verdict);
+    }
+
+    private ChangeVerdict decide(long offset, ConfigurationChange change) {
+        if (change.baseVersion() != current.version()) {
+            return new ChangeVerdict.Refused(
+                    new Failure.ConfigurationConflict(change.baseVersion(), current.version()));
+        }
+        try {
+            current = current.apply(offset, change.operations());
+            return new ChangeVerdict.Accepted(offset);
+        } catch (FailureException exception) {
+            return new ChangeVerdict.Refused(exception.failure());
+        }
+    }
+
+    /** Passes over a record of the stream that is not a change. */
+    public void skip(long offset) {
+        if (isKnown() && offset == nextOffset) {
+            nextOffset = offset + 1;
+        }
+    }
+
+    /**
+     * Takes one part of a checkpoint; applies the checkpoint once all parts have come in order.
+     *
+     * @param part the part
+     * @return true if the configuration moved forward
+     */
+    public boolean offer(CheckpointPart part) {
+        if (part.part() == 0) {
+            parts.clear();
+        }
+        boolean follows =
+                parts.size() == part.part() && (parts.isEmpty() || parts.get(0).nextOffset() == part.nextOffset());
+        if (!follows) {
+            parts.clear();
+            return false;
+        }
+        parts.add(part);
+        if (parts.size() < part.parts()) {
+            return false;
+        }
+        List<Operation> operations =
+                parts.stream().flatMap(each -> each.operations().stream()).toList();
+        parts.clear();
+        return restore(part.version(), part.nextOffset(), operations);
+    }
+
+    private boolean restore(long version, long checkpointOffset, List<Operation> operations) {
+        if (checkpointOffset <= nextOffset) {
+            return false;
+        }
+        current = Configuration.INITIAL.apply(version, operations);
+        nextOffset = checkpointOffset;
+        return true;
+    }
+
+    /**
+     * Finds the verdict on a change.
+     *
+     * @param changeId id of the change
+     * @return the verdict, empty if the change was not seen or was seen too long ago
+     */
+    public Optional<ChangeVerdict> verdict(String changeId) {
+        return Optional.ofNullable(verdicts.get(changeId));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Declarations.java
@@ -0,0 +1,30 @@
+package org.banyanstair.configuration;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.banyanstair.model.PresetId;
+
+/**
+ * The content of a declarations file: the whole configuration that an operator wants.
+ *
+ * @param services services
+ * @param adapters adapters
+ * @param pools store shares
+ * @param presets presets; built-in presets that are not declared stay as they are
+ * @param preset preset to put in force, empty to keep the present one
+ */
+public record Declarations(
+        List<ServiceDeclaration> services,
+        List<AdapterDeclaration> adapters,
+        List<PoolDeclaration> pools,
+        List<Preset> presets,
+        Optional<PresetId> preset) {
+    /** Copies the lists. */
+    public Declarations {
+        services = List.copyOf(services);
+        adapters = List.copyOf(adapters);
+        pools = List.copyOf(pools);
+        presets = List.copyOf(presets);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/FailureText.java
@@ -0,0 +1,33 @@
+package org.banyanstair.errors;
+
+import java.lang.reflect.RecordComponent;
+import java.util.ResourceBundle;
+
+/** Turns failures into sentences for people, from the message bundle of this package. */
+public final class FailureText {
+    private static final ResourceBundle MESSAGES = ResourceBundle.getBundle("org.banyanstair.errors.messages");
+
+    private FailureText() {}
+
+    /**
+     * Returns the sentence for a failure.
+     *
+     * @param failure the failure, not null
+     * @return the text of the bundle with {@code {component}} replaced by the values of the record
+     */
+    public static String of(Failure failure) {
+        String text = MESSAGES.getString(failure.code());
+        for (RecordComponent component : failure.getClass().getRecordComponents()) {
+            text = text.replace("{" + component.getName() + "}", String.valueOf(value(failure, component)));
+        }
+        return text;
+    }
+
+    private static Object value(Failure failure, RecordComponent component) {
+        try {
+            return component.getAccessor().invoke(failure);
+        } catch (ReflectiveOperationException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
@@ -0,0 +1,40 @@
+package org.banyanstair.idempotency;
+
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.ServiceId;
+import org.banyanstair.platform.Streams;
+
+/**
+ * The scope in which an idempotency key is unique.
+ *
+ * @param caller the caller
+ * @param service the service
+ * @param key value of the header {@code Idempotency-Key}: 1 to 128 printable ASCII characters without blanks
+ */
+public record CallKey(CallerId caller, ServiceId service, String key) {
+    private static final Pattern FORM = Pattern.compile("[!-~]{1,128}");
+
+    /** Checks the key. */
+    public CallKey {
+        if (key == null || !FORM.matcher(key).matches()) {
+            throw new FailureException(
+                    new Failure.InvalidField("Idempotency-Key", "1 to 128 printable ASCII characters without blanks"));
+        }
+    }
+
+    /**
+     * Returns the partition of the key.
+     *
+     * @return number from 0 to {@link Streams#CALL_PARTITIONS} - 1
+     */
+    public int partition() {
+        byte[] bytes = (caller + "\n" + service + "\n" + key).getBytes(StandardCharsets.UTF_8);
+        return Math.floorMod(MurmurHash3.hash32x86(bytes, 0, bytes.length, 0), Streams.CALL_PARTITIONS);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/AdapterVersion.java
@@ -0,0 +1,48 @@
+package org.banyanstair.model;
+
+/**
+ * One version of one adapter of a service.
+ *
+ * @param service service that the adapter belongs to
+ * @param adapter the adapter
+ * @param version version label, of the form that {@link Names#check} accepts
+ */
+public record AdapterVersion(ServiceId service, AdapterId adapter, String version)
+        implements Comparable<AdapterVersion> {
+    /** Checks the version label. */
+    public AdapterVersion {
+        Names.check("version", version);
+    }
+
+    /**
+     * Returns the name under which engines know this adapter version.
+     *
+     * @return {@code service/adapter@version}
+     */
+    public String engineName() {
+        return service + "/" + adapter + "@" + version;
+    }
+
+    /**
+     * Parses an engine name.
+     *
+     * @param name {@code service/adapter@version}
+     * @return the adapter version
+     * @throws org.banyanstair.errors.FailureException if the name is malformed
+     */
+    public static AdapterVersion parse(String name) {
+        ModelName model = ModelName.parse(name);
+        return new AdapterVersion(
+                model.service(), model.adapter(), model.version().orElse(""));
+    }
+
+    @Override
+    public int compareTo(AdapterVersion other) {
+        return engineName().compareTo(other.engineName());
+    }
+
+    @Override
+    public String toString() {
+        return engineName();
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Fingerprint.java
@@ -0,0 +1,20 @@
+package org.banyanstair.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Digest of what a request asks for (caller, model and body), equal when a caller sends the same request again.
+ *
+ * @param value hexadecimal digest
+ */
+public record Fingerprint(@JsonValue String value) {
+    /** Creates the fingerprint. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public Fingerprint {}
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
@@ -0,0 +1,37 @@
+package org.banyanstair.model;
+
+import java.util.Optional;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+
+/**
+ * The {@code model} field of a caller's request: service, adapter and, if given, version.
+ *
+ * @param service the service
+ * @param adapter the adapter
+ * @param version version label, empty if the caller leaves the choice to the configuration
+ */
+public record ModelName(ServiceId service, AdapterId adapter, Optional<String> version) {
+    /** Accepted form, as shown in error messages. */
+    public static final String ACCEPTED = "service/adapter or service/adapter@version";
+
+    /**
+     * Parses the written form.
+     *
+     * @param text {@code service/adapter} or {@code service/adapter@version}
+     * @return the parsed name
+     * @throws FailureException with {@link Failure.InvalidField} if the text is malformed
+     */
+    public static ModelName parse(String text) {
+        int slash = text == null ? -1 : text.indexOf('/');
+        if (slash < 0) {
+            throw new FailureException(new Failure.InvalidField("model", ACCEPTED));
+        }
+        int at = text.indexOf('@', slash);
+        String adapter = at < 0 ? text.substring(slash + 1) : text.substring(slash + 1, at);
+        Optional<String> version =
+                at < 0 ? Optional.empty() : Optional.of(Names.check("version", text.substring(at + 1)));
+        return new ModelName(new ServiceId(text.substring(0, slash)), new AdapterId(adapter), version);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and small values that all other packages share. */
+package org.banyanstair.model;
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipHistory.java
@@ -0,0 +1,126 @@
+package org.banyanstair.ownership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.model.PoolId;
+
+/**
+ * Folds the stream {@code ownership}: the highest claim owns a pool, and announced unloads stay pending until their
+ * end.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class OwnershipHistory {
+    private final Map<PoolId, Ownership> owners = new HashMap<>();
+    private final Map<PoolId, Set<PendingUnload>> pending = new HashMap<>();
+    private long nextOffset;
+
+    /**
+     * Applies one record.
+     *
+     * @param offset offset of the record
+     * @param record the record
+     * @return true if an owner changed
+     */
+    public boolean apply(long offset, OwnershipRecord record) {
+        if (offset < nextOffset) {
+            return false;
+        }
+        nextOffset = offset + 1;
+        if (record instanceof OwnershipRecord.Claim claim) {
+            return own(claim.pool(), new Ownership(claim.owner(), offset));
+        }
+        if (record instanceof OwnershipRecord.Renewal renewal) {
+            return own(renewal.pool(), new Ownership(renewal.owner(), renewal.term()));
+        }
+        if (record instanceof OwnershipRecord.UnloadAnnouncement announcement) {
+            announce(announcement);
+        } else if (record instanceof OwnershipRecord.UnloadEnd end) {
+            end(end);
+        }
+        return false;
+    }
+
+    private boolean own(PoolId pool, Ownership ownership) {
+        Ownership present = owners.get(pool);
+        if (present != null && present.term() >= ownership.term()) {
+            return false;
+        }
+        owners.put(pool, ownership);
+        return true;
+    }
+
+    private void announce(OwnershipRecord.UnloadAnnouncement announcement) {
+        owner(announcement.pool())
+                .filter(ownership -> ownership.term() == announcement.term())
+                .ifPresent(ownership -> pending.computeIfAbsent(announcement.pool(), pool -> new LinkedHashSet<>())
+                        .add(new PendingUnload(
+                                ownership.owner(),
+                                announcement.endpoint(),
+                                announcement.incarnation(),
+                                announcement.adapter())));
+    }
+
+    private void end(OwnershipRecord.UnloadEnd end) {
+        pending.getOrDefault(end.pool(), Collections.emptySet())
+                .removeIf(unload -> unload.endpoint().equals(end.endpoint())
+                        && unload.incarnation() == end.incarnation()
+                        && unload.adapter().equals(end.adapter()));
+    }
+
+    /**
+     * Learns an owner from a peer, for a host that cannot read the stream.
+     *
+     * @param pool the pool
+     * @param ownership owner and term
+     * @return true if the owner was not known or has a higher term than the known one
+     */
+    public boolean learn(PoolId pool, Ownership ownership) {
+        return own(pool, ownership);
+    }
+
+    /**
+     * Finds the owner of a pool.
+     *
+     * @param pool the pool
+     * @return owner and term, empty if there is no claim
+     */
+    public Optional<Ownership> owner(PoolId pool) {
+        return Optional.ofNullable(owners.get(pool));
+    }
+
+    /**
+     * Returns all owners.
+     *
+     * @return unmodifiable view
+     */
+    public Map<PoolId, Ownership> owners() {
+        return Collections.unmodifiableMap(owners);
+    }
+
+    /**
+     * Lists the unloads of a pool that were announced and whose end was not seen.
+     *
+     * @param pool the pool
+     * @return copy of the list
+     */
+    public List<PendingUnload> pendingUnloads(PoolId pool) {
+        return new ArrayList<>(pending.getOrDefault(pool, Collections.emptySet()));
+    }
+
+    /**
+     * Returns the offset of the next record to apply.
+     *
+     * @return the offset
+     */
+    public long nextOffset() {
+        return nextOffset;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -0,0 +1,123 @@
+package org.banyanstair.peer;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.banyanstair.configuration.CheckpointPart;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.idempotency.AttemptId;
+import org.banyanstair.idempotency.CallAnswer;
+import org.banyanstair.idempotency.CallKey;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.Fingerprint;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.PriorityClass;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.ownership.Ownership;
+import org.banyanstair.platform.ServiceCall;
+
+/** A message from one entry host to another. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
+public sealed interface PeerMessage {
+    /** First message on each connection, in both directions. */
+    record Hello(int protocolVersion, HostIdentity sender, String cluster) implements PeerMessage {}
+
+    /** Asks for a {@link Pong}; sent every second on each open connection. */
+    record Ping(long sequence) implements PeerMessage {}
+
+    /** Answers a {@link Ping}. */
+    record Pong(long sequence) implements PeerMessage {}
+
+    /**
+     * Asks the pool owner for permission to run a request on an endpoint.
+     *
+     * @param request the request
+     * @param attempt number of the attempt, from 1
+     * @param pool the pool
+     * @param adapter adapter to run on
+     * @param caller the caller
+     * @param callerLimit most requests of the caller that may run or wait
+     * @param queueLimit most requests that may wait for the service
+     * @param priority priority class
+     * @param deadline instant after which nobody waits for the answer
+     * @param prefix hash of the first part of the prompt, for affinity to cached prefixes
+     * @param fingerprint fingerprint of the request
+     * @param tried endpoints that failed this request
+     */
+    record PermitRequest(
+            RequestId request,
+            int attempt,
+            PoolId pool,
+            AdapterVersion adapter,
+            CallerId caller,
+            int callerLimit,
+            int queueLimit,
+            PriorityClass priority,
+            Instant deadline,
+            long prefix,
+            Fingerprint fingerprint,
+            Set<EndpointId> tried)
+            implements PeerMessage {}
+
+    /** Permits one attempt on an endpoint. */
+    record PermitGrant(RequestId request, int attempt, PoolId pool, long term, Endpoint endpoint)
+            implements PeerMessage {}
+
+    /** Refuses an attempt; it did not run. */
+    record PermitRefusal(RequestId request, int attempt, PoolId pool, long term, Failure failure)
+            implements PeerMessage {}
+
+    /** Tells the sender of a {@link PermitRequest} that this host does not own the pool. */
+    record NotOwner(RequestId request, int attempt, PoolId pool, long knownTerm) implements PeerMessage {}
+
+    /** Gives a permit back, or withdraws a request that still waits. */
+    record PermitRelease(RequestId request, int attempt, PoolId pool, AttemptOutcome outcome) implements PeerMessage {}
+
+    /** A new owner asks for the permits held in its pool; from then on grants of older terms are refused. */
+    record InventoryRequest(PoolId pool, long term) implements PeerMessage {}
+
+    /** Answers an {@link InventoryRequest}. */
+    record InventoryReply(PoolId pool, long term, List<HeldPermit> permits) implements PeerMessage {}
+
+    /**
+     * Submits a call that may not be repeated to the writer of its partition.
+     *
+     * @param attempt the attempt
+     * @param key scope and idempotency key
+     * @param bodyDigest digest of method, path and body
+     * @param pool pool of the plain service
+     * @param call the call
+     * @param voided earlier attempts of the same request that must never run
+     */
+    record CallSubmit(
+            AttemptId attempt, CallKey key, String bodyDigest, PoolId pool, ServiceCall call, Set<AttemptId> voided)
+            implements PeerMessage {}
+
+    /** Answers a {@link CallSubmit}. */
+    record CallOutcome(AttemptId attempt, CallAnswer answer) implements PeerMessage {}
+
+    /** Asks for the configuration, if the receiver has applied more than the sender. */
+    record ConfigurationRequest(long nextOffset) implements PeerMessage {}
+
+    /** One part of the configuration that the sender has, and the pool owners that it knows. */
+    record ConfigurationReply(CheckpointPart part, Map<PoolId, Ownership> owners) implements PeerMessage {}
+
+    /** Asks for the state of the receiver. */
+    record StatusRequest(long query) implements PeerMessage {}
+
+    /** Answers a {@link StatusRequest}; the endpoints are those of the pools that the sender owns. */
+    record StatusReply(long query, HostStatus status, List<EndpointReport> endpoints) implements PeerMessage {}
+
+    /** Asks the receiver to drain and stop. */
+    record DrainRequest() implements PeerMessage {}
+
+    /** The sender leaves; its pools and partitions need new owners. */
+    record HostLeaving(HostIdentity host) implements PeerMessage {}
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/AppendResult.java
@@ -0,0 +1,27 @@
+package org.banyanstair.platform;
+
+import org.banyanstair.errors.Failure;
+
+/** What is known after an append to the log. */
+public sealed interface AppendResult {
+    /**
+     * The records are in the log.
+     *
+     * @param firstOffset offset of the first record
+     */
+    record Appended(long firstOffset) implements AppendResult {}
+
+    /**
+     * The records are certainly not in the log.
+     *
+     * @param failure why
+     */
+    record Rejected(Failure failure) implements AppendResult {}
+
+    /**
+     * The records may or may not be in the log; only reading it settles that.
+     *
+     * @param failure why
+     */
+    record Unknown(Failure failure) implements AppendResult {}
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/GenerationEnd.java
@@ -0,0 +1,23 @@
+package org.banyanstair.platform;
+
+import org.banyanstair.errors.Failure;
+
+/** How a generation at an engine ended. */
+public sealed interface GenerationEnd {
+    /** All tokens were delivered. */
+    record Complete() implements GenerationEnd {}
+
+    /**
+     * The engine did not start the request.
+     *
+     * @param failure why
+     */
+    record NotStarted(Failure failure) implements GenerationEnd {}
+
+    /**
+     * The stream ended early; the engine may still run the request.
+     *
+     * @param failure why
+     */
+    record Broken(Failure failure) implements GenerationEnd {}
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/HostListSource.java
@@ -0,0 +1,16 @@
+package org.banyanstair.platform;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.banyanstair.membership.HostListing;
+
+/** Reads the platform's host list. Implementations are safe for use by several threads. */
+public interface HostListSource {
+    /**
+     * Reads the whole list.
+     *
+     * @return the list; completes exceptionally with {@link org.banyanstair.errors.FailureException} if it cannot be
+     *     read
+     */
+    CompletableFuture<HostListing> read();
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/ServiceCallResult.java
@@ -0,0 +1,27 @@
+package org.banyanstair.platform;
+
+import org.banyanstair.errors.Failure;
+
+/** What is known after a call of a plain service. */
+public sealed interface ServiceCallResult {
+    /**
+     * The service answered.
+     *
+     * @param answer the whole answer
+     */
+    record Answered(ServiceAnswer answer) implements ServiceCallResult {}
+
+    /**
+     * Proved that no byte of the call reached the service.
+     *
+     * @param failure why
+     */
+    record NotSent(Failure failure) implements ServiceCallResult {}
+
+    /**
+     * The call may have run.
+     *
+     * @param failure why
+     */
+    record OutcomeUnknown(Failure failure) implements ServiceCallResult {}
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/Streams.java
@@ -0,0 +1,64 @@
+package org.banyanstair.platform;
+
+import java.util.stream.IntStream;
+
+/** Names of the log streams. */
+public final class Streams {
+    /** Configuration changes. */
+    public static final String CONFIGURATION = "configuration";
+
+    /** Checkpoints of the configuration. */
+    public static final String CHECKPOINTS = "configuration-checkpoints";
+
+    /** Claims of pools and announced unloads. */
+    public static final String OWNERSHIP = "ownership";
+
+    /** Crash suspects. */
+    public static final String SUSPECTS = "suspects";
+
+    /** Number of partitions of the non-idempotent calls. */
+    public static final int CALL_PARTITIONS = 8;
+
+    private static final String CALLS = "calls-";
+
+    private Streams() {}
+
+    /**
+     * Returns the stream of a partition of the non-idempotent calls.
+     *
+     * @param partition number of the partition
+     * @return name of its stream
+     */
+    public static String calls(int partition) {
+        return CALLS + partition;
+    }
+
+    /**
+     * Tells whether a stream holds records of non-idempotent calls.
+     *
+     * @param stream name of a stream
+     * @return whether it is one of {@link #calls}
+     */
+    public static boolean isCalls(String stream) {
+        return stream.startsWith(CALLS);
+    }
+
+    /**
+     * Returns the partition that a stream of non-idempotent calls belongs to.
+     *
+     * @param stream name of the stream
+     * @return number of the partition
+     */
+    public static int partition(String stream) {
+        return Integer.parseInt(stream.substring(CALLS.length()));
+    }
+
+    /**
+     * Lists the partitions.
+     *
+     * @return numbers from 0
+     */
+    public static IntStream partitions() {
+        return IntStream.range(0, CALL_PARTITIONS);
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/PlainCall.java
@@ -0,0 +1,27 @@
+package org.banyanstair.server.service;
+
+import java.util.Optional;
+
+import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.idempotency.CallKey;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.PriorityClass;
+import org.banyanstair.platform.ServiceCall;
+
+/**
+ * A checked call of a plain service.
+ *
+ * @param service service as declared at the moment of arrival
+ * @param caller the caller
+ * @param priority priority class
+ * @param call the call
+ * @param key key of a call that may not be repeated; empty for an idempotent call, which may be retried
+ * @param bodyDigest digest of method, path and body
+ */
+public record PlainCall(
+        ServiceDeclaration service,
+        CallerId caller,
+        PriorityClass priority,
+        ServiceCall call,
+        Optional<CallKey> key,
+        String bodyDigest) {}
