--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnSnapshot.java
@@ -0,0 +1,20 @@
+package org.banyanstair.burn;
+
+import java.time.Instant;
+import java.util.List;
+
+import org.banyanstair.model.HostId;
+
+/**
+ * The burn samples of one host.
+ *
+ * @param host the host
+ * @param takenAt when they were taken
+ * @param samples one for each service and window
+ */
+public record BurnSnapshot(HostId host, Instant takenAt, List<BurnSample> samples) {
+    /** Copies the list. */
+    public BurnSnapshot {
+        samples = List.copyOf(samples);
+    }
+}
