--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
@@ -0,0 +1,328 @@
+package org.banyanstair.configuration;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.HostId;
+import org.banyanstair.ownership.RendezvousHash;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.Notice;
+import org.banyanstair.reducer.ReducerSettings;
+import org.banyanstair.reducer.Sequence;
+
+/**
+ * Keeps the configuration of one host: follows the log, catches up from checkpoints and peers, writes checkpoints, and
+ * carries operators' changes to their verdict.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class ConfigurationKeeper {
+    private static final String CHECKPOINT_WRITER = "configuration-checkpoint";
+
+    /** A checkpoint is renewed this many times within the retention of the log. */
+    private static final int CHECKPOINTS_PER_RETENTION = 3;
+
+    private final Membership membership;
+    private final ReducerSettings settings;
+    private final Sequence sequence;
+    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final Map<String, PendingChange> pending = new HashMap<>();
+    private boolean checkpointsRead;
+    private boolean following;
+    private boolean logReachable;
+    private Optional<Instant> lastCheckpoint = Optional.empty();
+    private Instant nextCheckpoint = Instant.MIN;
+    private Instant nextPeerRequest = Instant.MIN;
+
+    private record PendingChange(long append, Instant giveUpAt) {}
+
+    /**
+     * Creates a keeper that knows no configuration.
+     *
+     * @param membership hosts
+     * @param settings settings of the host
+     * @param sequence source of numbers for appends
+     */
+    public ConfigurationKeeper(Membership membership, ReducerSettings settings, Sequence sequence) {
+        this.membership = membership;
+        this.settings = settings;
+        this.sequence = sequence;
+    }
+
+    /**
+     * Returns the fold of the stream.
+     *
+     * @return the history, to be read only
+     */
+    public ConfigurationHistory history() {
+        return history;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration
+     */
+    public Configuration current() {
+        return history.current();
+    }
+
+    /**
+     * Tells whether the last read of the configuration stream succeeded.
+     *
+     * @return whether the log can be reached
+     */
+    public boolean isLogReachable() {
+        return logReachable;
+    }
+
+    /**
+     * Begins to read the checkpoints.
+     *
+     * @param effects collects what to do
+     */
+    public void start(Effects effects) {
+        effects.add(new Effect.FollowStream(Streams.CHECKPOINTS, 0));
+    }
+
+    /**
+     * Takes a record of the checkpoint stream.
+     *
+     * @param appendedAt when the log service took it
+     * @param part the part
+     * @param effects collects what to do
+     */
+    public void checkpointRead(Instant appendedAt, CheckpointPart part, Effects effects) {
+        if (part.part() == part.parts() - 1) {
+            lastCheckpoint = Optional.of(appendedAt);
+        }
+        offer(part, effects);
+    }
+
+    private void offer(CheckpointPart part, Effects effects) {
+        if (history.offer(part)) {
+            effects.report(new Notice.ConfigurationInForce(current().version()));
+            follow(effects);
+        }
+    }
+
+    /**
+     * Takes the news that the checkpoint stream was read to its end.
+     *
+     * @param effects collects what to do
+     */
+    public void checkpointsEnded(Effects effects) {
+        logReachable = true;
+        if (!checkpointsRead) {
+            checkpointsRead = true;
+            follow(effects);
+        }
+    }
+
+    private void follow(Effects effects) {
+        following = true;
+        effects.add(new Effect.FollowStream(Streams.CONFIGURATION, Math.max(0, history.nextOffset())));
+    }
+
+    /**
+     * Takes a change of the configuration stream.
+     *
+     * @param offset offset of the record
+     * @param change the change, empty if it could not be decoded
+     * @param effects collects what to do
+     */
+    public void changeRead(long offset, Optional<ConfigurationChange> change, Effects effects) {
+        if (!history.isKnown() && offset == 0) {
+            history.startEmpty();
+        }
+        if (change.isEmpty()) {
+            history.skip(offset);
+            return;
+        }
+        long before = current().version();
+        Optional<ChangeVerdict> verdict = history.apply(offset, change.get());
+        if (current().version() != before) {
+            effects.report(new Notice.ConfigurationInForce(current().version()));
+        }
+        verdict.ifPresent(value -> settle(change.get().changeId(), value, effects));
+    }
+
+    private void settle(String changeId, ChangeVerdict verdict, Effects effects) {
+        if (pending.remove(changeId) != null) {
+            effects.add(new Effect.AnswerChange(changeId, verdict));
+        }
+    }
+
+    /**
+     * Takes the news that the configuration stream was read to its end.
+     *
+     * @param end offset that the next change will get
+     */
+    public void changesEnded(long end) {
+        logReachable = true;
+        if (end == 0) {
+            history.startEmpty();
+        }
+    }
+
+    /**
+     * Takes the news that changes have expired before this host read them.
+     *
+     * @param earliest lowest offset that can still be read
+     * @param effects collects what to do
+     */
+    public void changesExpired(long earliest, Effects effects) {
+        effects.report(new Notice.ConfigurationGap(history.nextOffset(), earliest));
+        nextPeerRequest = Instant.MIN;
+    }
+
+    /** Takes the news that the log cannot be read. */
+    public void logUnavailable() {
+        logReachable = false;
+    }
+
+    /**
+     * Submits a change of an operator.
+     *
+     * @param change the change
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void submit(ConfigurationChange change, Instant now, Effects effects) {
+        Optional<ChangeVerdict> known = history.verdict(change.changeId());
+        if (known.isPresent()) {
+            effects.add(new Effect.AnswerChange(change.changeId(), known.get()));
+        } else if (!history.isKnown()) {
+            refuse(change, new Failure.NotReady(membership.self().host()), effects);
+        } else if (change.baseVersion() < current().version()) {
+            // Versions only grow, so log order cannot decide otherwise.
+            refuse(
+                    change,
+                    new Failure.ConfigurationConflict(
+                            change.baseVersion(), current().version()),
+                    effects);
+        } else {
+            append(change, now, effects);
+        }
+    }
+
+    private void append(ConfigurationChange change, Instant now, Effects effects) {
+        long append = sequence.next();
+        pending.put(change.changeId(), new PendingChange(append, now.plus(settings.changeLimit())));
+        effects.add(new Effect.AppendToLog(append, Streams.CONFIGURATION, List.of(change)));
+    }
+
+    private static void refuse(ConfigurationChange change, Failure failure, Effects effects) {
+        effects.add(new Effect.AnswerChange(change.changeId(), new ChangeVerdict.Refused(failure)));
+    }
+
+    /**
+     * Takes the news that the log did not take an append.
+     *
+     * @param append number of the append
+     * @param failure why
+     * @param effects collects what to do
+     */
+    public void appendRejected(long append, Failure failure, Effects effects) {
+        Iterator<Map.Entry<String, PendingChange>> iterator = pending.entrySet().iterator();
+        while (iterator.hasNext()) {
+            Map.Entry<String, PendingChange> entry = iterator.next();
+            if (entry.getValue().append() == append) {
+                iterator.remove();
+                effects.add(new Effect.AnswerChange(entry.getKey(), new ChangeVerdict.Refused(failure)));
+            }
+        }
+    }
+
+    /**
+     * Answers a peer that may have applied less.
+     *
+     * @param peer the peer
+     * @param request its question
+     * @param owners the pool owners that this host knows
+     * @param effects collects what to do
+     */
+    public void answer(
+            HostId peer,
+            PeerMessage.ConfigurationRequest request,
+            Map<org.banyanstair.model.PoolId, org.banyanstair.ownership.Ownership> owners,
+            Effects effects) {
+        if (history.isKnown() && history.nextOffset() > request.nextOffset()) {
+            CheckpointPart.of(current(), history.nextOffset())
+                    .forEach(part -> effects.send(peer, new PeerMessage.ConfigurationReply(part, owners)));
+        }
+    }
+
+    /**
+     * Takes a part of a peer's configuration.
+     *
+     * @param part the part
+     * @param effects collects what to do
+     */
+    public void peerReplied(CheckpointPart part, Effects effects) {
+        offer(part, effects);
+    }
+
+    /**
+     * Asks peers, writes checkpoints and ends changes without a verdict, when due.
+     *
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void tick(Instant now, Effects effects) {
+        giveUp(now, effects);
+        boolean needsPeers = !logReachable || !history.isKnown() || !following;
+        if (needsPeers && !now.isBefore(nextPeerRequest)) {
+            nextPeerRequest = now.plus(settings.repeatInterval());
+            askPeers(now, effects);
+        }
+        if (!now.isBefore(nextCheckpoint)) {
+            nextCheckpoint = now.plus(settings.repeatInterval().multipliedBy(10));
+            writeCheckpointIfDue(now, effects);
+        }
+    }
+
+    private void giveUp(Instant now, Effects effects) {
+        for (String changeId : new ArrayList<>(pending.keySet())) {
+            if (!now.isBefore(pending.get(changeId).giveUpAt())) {
+                settle(changeId, new ChangeVerdict.Refused(new Failure.ChangeOutcomeUnknown(changeId)), effects);
+            }
+        }
+    }
+
+    /** A host without a configuration asks everyone; one that only lost the log asks one peer at a time. */
+    private void askPeers(Instant now, Effects effects) {
+        List<HostId> others = membership.others();
+        List<HostId> asked = others;
+        if (history.isKnown() && !others.isEmpty()) {
+            asked = List.of(others.get((int) Math.floorMod(now.getEpochSecond(), (long) others.size())));
+        }
+        asked.forEach(peer -> effects.send(peer, new PeerMessage.ConfigurationRequest(history.nextOffset())));
+    }
+
+    private void writeCheckpointIfDue(Instant now, Effects effects) {
+        boolean due = lastCheckpoint
+                .map(at -> at.plus(settings.logRetention().dividedBy(CHECKPOINTS_PER_RETENTION)))
+                .map(at -> !now.isBefore(at))
+                .orElse(current().version() >= 0);
+        boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.candidates())
+                .filter(membership.self().host()::equals)
+                .isPresent();
+        if (due && responsible && logReachable && history.isKnown()) {
+            CheckpointPart.of(current(), history.nextOffset())
+                    .forEach(part -> effects.add(
+                            new Effect.AppendToLog(sequence.next(), Streams.CHECKPOINTS, List.<LogEntry>of(part))));
+        }
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -71,6 +71,14 @@
     /** The deadline has passed. */
     record DeadlinePassed(Instant deadline) implements Failure {}
 
+    /** The deadline passed while the request ran. */
+    record DeadlineExceeded(Instant deadline) implements Failure {
+        @Override
+        public Outcome outcome() {
+            return Outcome.UNKNOWN;
+        }
+    }
+
     /** The deadline is further off than accepted. */
     record DeadlineTooFar(Instant deadline, Instant latest) implements Failure {}
 
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -0,0 +1,216 @@
+package org.banyanstair.idempotency;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.ownership.RendezvousHash;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.reducer.CallRequest;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.ReducerSettings;
+import org.banyanstair.reducer.Sequence;
+
+/**
+ * The entry host's side of calls that may not be repeated: submits each to the writer of its partition and answers the
+ * caller.
+ *
+ * <p>"Not run" is told only if every attempt that was ever submitted for the request is proved dead. Not safe for use by
+ * several threads.
+ */
+public final class CallTracker {
+    private final Membership membership;
+    private final ReducerSettings settings;
+    private final Sequence sequence;
+    private final Map<RequestId, TrackedCall> calls = new LinkedHashMap<>();
+    private final Map<AttemptId, TrackedCall> attempts = new HashMap<>();
+
+    /** One request of a caller of this host. */
+    private static final class TrackedCall {
+        private final CallRequest request;
+        private final CallKey key;
+        private final Set<AttemptId> unsettled = new HashSet<>();
+        private Optional<AttemptId> current = Optional.empty();
+        private Optional<HostId> writer = Optional.empty();
+        private Instant repeatAt = Instant.MIN;
+
+        TrackedCall(CallRequest request, CallKey key) {
+            this.request = request;
+            this.key = key;
+        }
+
+        RequestId id() {
+            return request.call().requestId();
+        }
+
+        Instant deadline() {
+            return request.call().deadline();
+        }
+    }
+
+    /**
+     * Creates a tracker without calls.
+     *
+     * @param membership hosts
+     * @param settings settings of the host
+     * @param sequence source of numbers for attempts
+     */
+    public CallTracker(Membership membership, ReducerSettings settings, Sequence sequence) {
+        this.membership = membership;
+        this.settings = settings;
+        this.sequence = sequence;
+    }
+
+    /**
+     * Returns the number of calls in flight.
+     *
+     * @return calls without an answer
+     */
+    public int size() {
+        return calls.size();
+    }
+
+    /**
+     * Takes a call from a caller.
+     *
+     * @param request the call
+     * @param key its key
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void arrived(CallRequest request, CallKey key, Instant now, Effects effects) {
+        TrackedCall call = new TrackedCall(request, key);
+        calls.put(call.id(), call);
+        submit(call, now, effects);
+    }
+
+    private void submit(TrackedCall call, Instant now, Effects effects) {
+        Optional<HostId> writer = RendezvousHash.first(Streams.calls(call.key.partition()), membership.candidates());
+        if (writer.isEmpty()) {
+            return;
+        }
+        if (call.current.isEmpty() || !writer.equals(call.writer)) {
+            AttemptId attempt = new AttemptId(membership.self() + "-" + sequence.next());
+            call.current = Optional.of(attempt);
+            call.writer = writer;
+            attempts.put(attempt, call);
+        }
+        send(call, now, effects);
+    }
+
+    private void send(TrackedCall call, Instant now, Effects effects) {
+        AttemptId attempt = call.current.orElseThrow();
+        Set<AttemptId> voided = new HashSet<>(call.unsettled);
+        voided.remove(attempt);
+        call.unsettled.add(attempt);
+        call.repeatAt = now.plus(settings.repeatInterval());
+        effects.send(
+                call.writer.orElseThrow(),
+                new PeerMessage.CallSubmit(
+                        attempt,
+                        call.key,
+                        call.request.bodyDigest(),
+                        call.request.pool(),
+                        call.request.call(),
+                        voided));
+    }
+
+    /**
+     * Takes the answer of a writer.
+     *
+     * @param outcome the answer
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void outcome(PeerMessage.CallOutcome outcome, Instant now, Effects effects) {
+        TrackedCall call = attempts.get(outcome.attempt());
+        if (call == null) {
+            return;
+        }
+        if (outcome.answer() instanceof CallAnswer.NotRun notRun) {
+            notRun(call, outcome, notRun, now, effects);
+        } else if (outcome.answer() instanceof CallAnswer.Answered) {
+            answer(call, outcome.answer(), effects);
+        } else if (isCurrent(call, outcome.attempt())) {
+            answer(call, outcome.answer(), effects);
+        }
+    }
+
+    private static boolean isCurrent(TrackedCall call, AttemptId attempt) {
+        return call.current.filter(attempt::equals).isPresent();
+    }
+
+    private void notRun(
+            TrackedCall call, PeerMessage.CallOutcome outcome, CallAnswer.NotRun notRun, Instant now, Effects effects) {
+        call.unsettled.remove(outcome.attempt());
+        boolean isCurrent = isCurrent(call, outcome.attempt());
+        if (isCurrent && outcome.voidsRecorded()) {
+            call.unsettled.clear();
+        }
+        if (!isCurrent) {
+            return;
+        }
+        if (call.unsettled.isEmpty()) {
+            answer(call, notRun, effects);
+        } else {
+            call.current = Optional.empty();
+            call.repeatAt = now.plus(settings.repeatInterval());
+        }
+    }
+
+    private void answer(TrackedCall call, CallAnswer answer, Effects effects) {
+        calls.remove(call.id());
+        attempts.values().removeIf(each -> each == call);
+        effects.add(new Effect.AnswerCall(call.id(), answer));
+    }
+
+    /**
+     * Repeats submissions, moves them to other writers, and ends late calls.
+     *
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void tick(Instant now, Effects effects) {
+        for (TrackedCall call : List.copyOf(calls.values())) {
+            if (!now.isBefore(call.deadline().plus(settings.answerGrace()))) {
+                answer(call, lateAnswer(call), effects);
+            } else if (needsNewWriter(call) || !now.isBefore(call.repeatAt)) {
+                resubmit(call, now, effects);
+            }
+        }
+    }
+
+    private boolean needsNewWriter(TrackedCall call) {
+        return call.writer.filter(membership::isCandidate).isEmpty() && call.current.isPresent();
+    }
+
+    private void resubmit(TrackedCall call, Instant now, Effects effects) {
+        if (!now.isBefore(call.deadline())) {
+            return;
+        }
+        boolean keepsWriter = call.current.isPresent()
+                && call.writer.filter(membership::isCandidate).isPresent();
+        if (keepsWriter) {
+            send(call, now, effects);
+        } else {
+            submit(call, now, effects);
+        }
+    }
+
+    private static CallAnswer lateAnswer(TrackedCall call) {
+        return call.unsettled.isEmpty()
+                ? new CallAnswer.NotRun(new Failure.WriterUnavailable(call.key.partition()))
+                : new CallAnswer.Unknown(new Failure.OutcomeUnknown());
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -0,0 +1,483 @@
+package org.banyanstair.idempotency;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.idempotency.SubmittedCall.Stage;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.ServiceAnswer;
+import org.banyanstair.platform.ServiceCallResult;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.ReducerSettings;
+import org.banyanstair.reducer.Sequence;
+import org.banyanstair.routing.EndpointPicker;
+
+/**
+ * Writes the intents of one partition of non-idempotent calls and dispatches those that hold their key.
+ *
+ * <p>An attempt is dispatched only when this host reads its intent back from the log and finds that it holds the key.
+ * That settles lost answers to appends and races between writers alike. Before an attempt is reported as not run it is
+ * marked dead in memory, and no other host may dispatch it, so it can never run. Not safe for use by several threads.
+ */
+public final class CallWriter {
+    /** Recorded answers above this size are not kept in the log; a repeated request then gets an unknown outcome. */
+    static final int MAXIMUM_RECORDED_BODY_BYTES = 64 * 1024;
+
+    private final int partition;
+    private final Membership membership;
+    private final ReducerSettings settings;
+    private final Sequence sequence;
+    private final EndpointPicker picker;
+    private final CallLedger ledger;
+    private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
+    private final Map<Long, AttemptId> dispatches = new HashMap<>();
+    private final Map<Long, List<SubmittedCall>> appends = new HashMap<>();
+    private final Map<AttemptId, CallRecord> unconfirmedEnds = new LinkedHashMap<>();
+    private Optional<Instant> batchDue = Optional.empty();
+    private Instant nextRepeat = Instant.MIN;
+
+    /**
+     * Creates the writer of a partition.
+     *
+     * @param partition the partition
+     * @param membership hosts and endpoints
+     * @param settings settings of the host
+     * @param sequence source of numbers for appends and dispatches
+     */
+    public CallWriter(int partition, Membership membership, ReducerSettings settings, Sequence sequence) {
+        this.partition = partition;
+        this.membership = membership;
+        this.settings = settings;
+        this.sequence = sequence;
+        this.picker = new EndpointPicker(membership);
+        this.ledger = new CallLedger(settings.keyRetention());
+    }
+
+    /**
+     * Returns what the log says about the keys of the partition.
+     *
+     * @return the ledger, to be read only
+     */
+    public CallLedger ledger() {
+        return ledger;
+    }
+
+    /**
+     * Tells whether there is work that needs the stream.
+     *
+     * @return true while an attempt waits for the log or an endpoint, or an end is not in the log
+     */
+    public boolean isBusy() {
+        return !unconfirmedEnds.isEmpty()
+                || calls.values().stream()
+                        .anyMatch(call -> call.stage() != Stage.ANSWERED && call.stage() != Stage.DEAD);
+    }
+
+    /**
+     * Passes over a record that could not be decoded.
+     *
+     * @param offset offset of the record
+     */
+    public void skip(long offset) {
+        ledger.skip(offset);
+    }
+
+    /**
+     * Takes an attempt from an entry host.
+     *
+     * @param submitter the entry host
+     * @param submit the attempt
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void submit(HostId submitter, PeerMessage.CallSubmit submit, Instant now, Effects effects) {
+        SubmittedCall known = calls.get(submit.attempt());
+        if (known != null) {
+            known.resubmittedBy(submitter);
+            Optional.ofNullable(known.answer()).ifPresent(answer -> reply(known, effects));
+            return;
+        }
+        SubmittedCall call = new SubmittedCall(submit, submitter);
+        calls.put(submit.attempt(), call);
+        if (!now.isBefore(submit.call().deadline())) {
+            refuse(call, new Failure.DeadlinePassed(submit.call().deadline()), effects);
+        } else if (ledger.isDead(submit.key(), submit.attempt())) {
+            refuse(call, new Failure.WriterUnavailable(partition), effects);
+        } else {
+            admit(call, now, effects);
+        }
+    }
+
+    private void admit(SubmittedCall call, Instant now, Effects effects) {
+        if (settle(call, effects)) {
+            return;
+        }
+        boolean joins = isKeyPending(call) && call.voidsRecorded();
+        if (joins || ledger.state(call.submit().key()) instanceof CallState.Held) {
+            call.moveTo(Stage.JOINED);
+            return;
+        }
+        if (batchDue.isEmpty()) {
+            batchDue = Optional.of(now.plus(settings.callBatch()));
+        }
+    }
+
+    /** Another attempt for the same key is on its way to the log; appending a second intent would only lose. */
+    private boolean isKeyPending(SubmittedCall call) {
+        return calls.values().stream()
+                .anyMatch(other -> other != call
+                        && other.submit().key().equals(call.submit().key())
+                        && (other.stage() == Stage.QUEUED
+                                || other.stage() == Stage.APPENDED
+                                || other.stage() == Stage.DISPATCHED));
+    }
+
+    /** Answers the call from the ledger if the key has its final state. */
+    private boolean settle(SubmittedCall call, Effects effects) {
+        CallState state = ledger.state(call.submit().key());
+        if (state instanceof CallState.Answered answered) {
+            settleAnswered(call, answered, effects);
+            return true;
+        }
+        if (state instanceof CallState.OutcomeUnknown unknown) {
+            CallAnswer answer = unknown.bodyDigest().equals(call.submit().bodyDigest())
+                    ? new CallAnswer.Unknown(new Failure.OutcomeUnknown())
+                    : new CallAnswer.NotRun(keyReused(call));
+            finish(call, answer, effects);
+            return true;
+        }
+        if (state instanceof CallState.Held held
+                && !held.bodyDigest().equals(call.submit().bodyDigest())) {
+            finish(call, new CallAnswer.NotRun(keyReused(call)), effects);
+            return true;
+        }
+        return false;
+    }
+
+    private void settleAnswered(SubmittedCall call, CallState.Answered answered, Effects effects) {
+        if (!answered.bodyDigest().equals(call.submit().bodyDigest())) {
+            finish(call, new CallAnswer.NotRun(keyReused(call)), effects);
+            return;
+        }
+        boolean repeated = !answered.attempt().equals(call.submit().attempt());
+        finish(call, new CallAnswer.Answered(answered.answer(), repeated), effects);
+    }
+
+    private static Failure keyReused(SubmittedCall call) {
+        return new Failure.IdempotencyKeyReused(call.submit().key().key());
+    }
+
+    /**
+     * Applies a record of the partition's stream.
+     *
+     * @param offset offset of the record
+     * @param appendedAt when the log service took it
+     * @param record the record
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void read(long offset, Instant appendedAt, CallRecord record, Instant now, Effects effects) {
+        if (!ledger.apply(offset, appendedAt, record)) {
+            return;
+        }
+        confirmEnd(record);
+        SubmittedCall call = calls.get(record.attempt());
+        if (record instanceof CallRecord.Intent intent && intent.writer().equals(membership.self()) && call != null) {
+            intentRead(call, now, effects);
+        }
+        if (record instanceof CallRecord.Void) {
+            giveUpVoided(record, effects);
+        }
+        wakeJoined(record.key(), now, effects);
+    }
+
+    private void confirmEnd(CallRecord record) {
+        boolean isEnd = record instanceof CallRecord.Result
+                || record instanceof CallRecord.Unknown
+                || record instanceof CallRecord.NotRun;
+        if (isEnd) {
+            unconfirmedEnds.remove(record.attempt());
+        }
+    }
+
+    private void intentRead(SubmittedCall call, Instant now, Effects effects) {
+        PeerMessage.CallSubmit submit = call.submit();
+        boolean voided = submit.voided().stream().allMatch(attempt -> ledger.isDead(submit.key(), attempt));
+        if (voided) {
+            call.markVoidsRecorded();
+        }
+        boolean holds = ledger.state(submit.key()) instanceof CallState.Held held
+                && held.attempt().equals(submit.attempt());
+        if (call.stage() == Stage.DEAD || call.stage() == Stage.ANSWERED) {
+            if (holds) {
+                appendEnd(new CallRecord.NotRun(submit.key(), submit.attempt()), effects);
+            }
+        } else if (!holds) {
+            call.moveTo(Stage.JOINED);
+        } else if (!now.isBefore(submit.call().deadline())) {
+            giveUp(call, new Failure.DeadlinePassed(submit.call().deadline()), effects);
+        } else {
+            dispatch(call, effects);
+        }
+    }
+
+    private void giveUpVoided(CallRecord record, Effects effects) {
+        SubmittedCall call = calls.get(record.attempt());
+        boolean waits = call != null && (call.stage() == Stage.QUEUED || call.stage() == Stage.APPENDED);
+        if (waits && ledger.isDead(record.key(), record.attempt())) {
+            refuse(call, new Failure.WriterUnavailable(partition), effects);
+        }
+    }
+
+    private void dispatch(SubmittedCall call, Effects effects) {
+        Optional<Endpoint> endpoint =
+                picker.pick(call.submit().pool(), call.submit().call().requestId(), List.of());
+        if (endpoint.isEmpty()) {
+            giveUp(call, new Failure.NoEndpoint(call.submit().pool()), effects);
+            return;
+        }
+        call.moveTo(Stage.DISPATCHED);
+        call.countDispatch();
+        long dispatch = sequence.next();
+        dispatches.put(dispatch, call.submit().attempt());
+        picker.started(dispatch, endpoint.get().id());
+        effects.add(
+                new Effect.DispatchCall(dispatch, endpoint.get(), call.submit().call()));
+    }
+
+    /**
+     * Takes the end of a dispatch.
+     *
+     * @param dispatch number of the dispatch
+     * @param result how it ended
+     * @param now present instant
+     * @param effects collects what to do
+     * @return false if the dispatch is not one of this writer
+     */
+    public boolean dispatchEnded(long dispatch, ServiceCallResult result, Instant now, Effects effects) {
+        AttemptId attempt = dispatches.remove(dispatch);
+        if (attempt == null) {
+            return false;
+        }
+        picker.ended(dispatch);
+        SubmittedCall call = calls.get(attempt);
+        CallKey key = call.submit().key();
+        if (result instanceof ServiceCallResult.Answered answered) {
+            appendEnd(endRecord(key, attempt, answered.answer()), effects);
+            finish(call, new CallAnswer.Answered(answered.answer(), false), effects);
+        } else if (result instanceof ServiceCallResult.NotSent notSent) {
+            dispatchAgain(call, notSent.failure(), now, effects);
+        } else if (result instanceof ServiceCallResult.OutcomeUnknown) {
+            appendEnd(new CallRecord.Unknown(key, attempt), effects);
+            finish(call, new CallAnswer.Unknown(new Failure.OutcomeUnknown()), effects);
+        }
+        wakeJoined(key, now, effects);
+        return true;
+    }
+
+    private static CallRecord endRecord(CallKey key, AttemptId attempt, ServiceAnswer answer) {
+        return answer.body().length <= MAXIMUM_RECORDED_BODY_BYTES
+                ? new CallRecord.Result(key, attempt, answer)
+                : new CallRecord.Unknown(key, attempt);
+    }
+
+    /** Nothing was sent, so the same attempt may be sent to another endpoint. */
+    private void dispatchAgain(SubmittedCall call, Failure failure, Instant now, Effects effects) {
+        boolean late = !now.isBefore(call.submit().call().deadline());
+        if (late || call.dispatches() >= settings.maximumDispatches()) {
+            giveUp(call, failure, effects);
+        } else {
+            dispatch(call, effects);
+        }
+    }
+
+    /** Marks a call that holds its key as dead, records that, and answers "not run". */
+    private void giveUp(SubmittedCall call, Failure failure, Effects effects) {
+        appendEnd(new CallRecord.NotRun(call.submit().key(), call.submit().attempt()), effects);
+        refuse(call, failure, effects);
+    }
+
+    private void refuse(SubmittedCall call, Failure failure, Effects effects) {
+        call.moveTo(Stage.DEAD);
+        finish(call, new CallAnswer.NotRun(failure), effects);
+    }
+
+    private void finish(SubmittedCall call, CallAnswer answer, Effects effects) {
+        call.answer(answer);
+        reply(call, effects);
+    }
+
+    private static void reply(SubmittedCall call, Effects effects) {
+        effects.send(
+                call.submitter(),
+                new PeerMessage.CallOutcome(call.submit().attempt(), call.answer(), call.voidsRecorded()));
+    }
+
+    private void wakeJoined(CallKey key, Instant now, Effects effects) {
+        for (SubmittedCall call : List.copyOf(calls.values())) {
+            if (call.stage() == Stage.JOINED && call.submit().key().equals(key) && !settle(call, effects)) {
+                requeue(call, now, effects);
+            }
+        }
+    }
+
+    /** A joined attempt whose intent is not in the log runs on its own once the key is free again. */
+    private void requeue(SubmittedCall call, Instant now, Effects effects) {
+        if (!(ledger.state(call.submit().key()) instanceof CallState.Free) || isKeyPending(call)) {
+            return;
+        }
+        if (ledger.isDead(call.submit().key(), call.submit().attempt())) {
+            refuse(call, new Failure.WriterUnavailable(partition), effects);
+            return;
+        }
+        call.moveTo(Stage.QUEUED);
+        if (batchDue.isEmpty()) {
+            batchDue = Optional.of(now.plus(settings.callBatch()));
+        }
+    }
+
+    /**
+     * Appends what is due, ends what is late, and repeats ends that are not in the log.
+     *
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void tick(Instant now, Effects effects) {
+        if (batchDue.filter(due -> !now.isBefore(due)).isPresent()) {
+            appendBatch(effects);
+        }
+        endLate(now, effects);
+        settleAbandoned(effects);
+        if (!now.isBefore(nextRepeat)) {
+            nextRepeat = now.plus(settings.repeatInterval());
+            repeatEnds(effects);
+            forgetOld(now);
+            ledger.expire(now);
+        }
+    }
+
+    private void appendBatch(Effects effects) {
+        batchDue = Optional.empty();
+        List<SubmittedCall> batch = calls.values().stream()
+                .filter(call -> call.stage() == Stage.QUEUED)
+                .toList();
+        if (batch.isEmpty()) {
+            return;
+        }
+        List<LogEntry> entries = new ArrayList<>();
+        for (SubmittedCall call : batch) {
+            PeerMessage.CallSubmit submit = call.submit();
+            submit.voided().forEach(attempt -> entries.add(new CallRecord.Void(submit.key(), attempt)));
+            entries.add(new CallRecord.Intent(
+                    submit.key(),
+                    submit.attempt(),
+                    membership.self(),
+                    submit.bodyDigest(),
+                    submit.call().deadline()));
+            call.moveTo(Stage.APPENDED);
+        }
+        long append = sequence.next();
+        appends.put(append, batch);
+        effects.add(new Effect.AppendToLog(append, Streams.calls(partition), entries));
+    }
+
+    /**
+     * Takes the news that the log did not take an append.
+     *
+     * @param append number of the append
+     * @param failure why
+     * @param effects collects what to do
+     */
+    public void appendRejected(long append, Failure failure, Effects effects) {
+        List<SubmittedCall> batch = Optional.ofNullable(appends.remove(append)).orElse(List.of());
+        batch.stream().filter(call -> call.stage() == Stage.APPENDED).forEach(call -> refuse(call, failure, effects));
+    }
+
+    /**
+     * Takes the news that an append has ended otherwise.
+     *
+     * @param append number of the append
+     */
+    public void appendEnded(long append) {
+        appends.remove(append);
+    }
+
+    private void endLate(Instant now, Effects effects) {
+        for (SubmittedCall call : List.copyOf(calls.values())) {
+            if (now.isBefore(call.submit().call().deadline())) {
+                continue;
+            }
+            if (call.stage() == Stage.QUEUED || call.stage() == Stage.APPENDED) {
+                refuse(call, new Failure.DeadlinePassed(call.submit().call().deadline()), effects);
+            } else if (call.stage() == Stage.JOINED) {
+                endLateJoined(call, effects);
+            }
+        }
+    }
+
+    private void endLateJoined(SubmittedCall call, Effects effects) {
+        boolean held = ledger.state(call.submit().key()) instanceof CallState.Held;
+        if (held) {
+            finish(call, new CallAnswer.Unknown(new Failure.OutcomeUnknown()), effects);
+        } else {
+            refuse(call, new Failure.DeadlinePassed(call.submit().call().deadline()), effects);
+        }
+    }
+
+    /** A key held by a daemon that has ended will get no result; nobody can tell whether it was dispatched. */
+    private void settleAbandoned(Effects effects) {
+        for (SubmittedCall call : List.copyOf(calls.values())) {
+            if (call.stage() != Stage.JOINED || !(ledger.state(call.submit().key()) instanceof CallState.Held held)) {
+                continue;
+            }
+            if (isAbandoned(held.writer())) {
+                appendEnd(new CallRecord.Unknown(call.submit().key(), held.attempt()), effects);
+                finish(call, new CallAnswer.Unknown(new Failure.OutcomeUnknown()), effects);
+            }
+        }
+    }
+
+    private boolean isAbandoned(HostIdentity writer) {
+        return !writer.equals(membership.self()) && membership.isGone(writer);
+    }
+
+    private void appendEnd(CallRecord record, Effects effects) {
+        unconfirmedEnds.put(record.attempt(), record);
+        appendEnds(List.of(record), effects);
+    }
+
+    private void repeatEnds(Effects effects) {
+        if (!unconfirmedEnds.isEmpty()) {
+            appendEnds(unconfirmedEnds.values(), effects);
+        }
+    }
+
+    private void appendEnds(Collection<CallRecord> records, Effects effects) {
+        effects.add(new Effect.AppendToLog(sequence.next(), Streams.calls(partition), List.copyOf(records)));
+    }
+
+    private void forgetOld(Instant now) {
+        calls.values()
+                .removeIf(call -> call.answer() != null
+                        && call.submit()
+                                .call()
+                                .deadline()
+                                .plus(settings.attemptRetention())
+                                .isBefore(now)
+                        && !unconfirmedEnds.containsKey(call.submit().attempt()));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -0,0 +1,185 @@
+package org.banyanstair.membership;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+
+/**
+ * What one host knows about the other entry hosts: the host list, and who can be reached.
+ *
+ * <p>Reachability only steers choices, such as who should own a pool. That a host is gone for good is believed only
+ * from the host list or from a newer incarnation. Not safe for use by several threads.
+ */
+public final class Membership {
+    private final HostIdentity self;
+    private HostListing listing = HostListing.EMPTY;
+    private boolean listingRead;
+    private boolean draining;
+    private final Map<HostId, Instant> unreachableSince = new HashMap<>();
+    private final Map<HostId, Long> incarnations = new HashMap<>();
+    private final Set<HostIdentity> leaving = new HashSet<>();
+
+    /**
+     * Creates the state of a host that has read no list yet.
+     *
+     * @param self this host
+     */
+    public Membership(HostIdentity self) {
+        this.self = self;
+        incarnations.put(self.host(), self.incarnation());
+    }
+
+    /**
+     * Returns this host.
+     *
+     * @return its identity
+     */
+    public HostIdentity self() {
+        return self;
+    }
+
+    /**
+     * Takes a new reading of the host list.
+     *
+     * @param newListing the list
+     */
+    public void update(HostListing newListing) {
+        listing = newListing;
+        listingRead = true;
+    }
+
+    /**
+     * Returns the last reading of the host list.
+     *
+     * @return the list, empty before the first reading
+     */
+    public HostListing listing() {
+        return listing;
+    }
+
+    /**
+     * Tells whether the host list was read.
+     *
+     * @return false before the first reading
+     */
+    public boolean isListingRead() {
+        return listingRead;
+    }
+
+    /**
+     * Notes that a peer can be reached.
+     *
+     * @param peer the peer
+     */
+    public void connected(HostIdentity peer) {
+        unreachableSince.remove(peer.host());
+        incarnations.merge(peer.host(), peer.incarnation(), Math::max);
+    }
+
+    /**
+     * Notes that a peer cannot be reached.
+     *
+     * @param peer the peer
+     * @param at when that was found
+     */
+    public void unreachable(HostId peer, Instant at) {
+        unreachableSince.putIfAbsent(peer, at);
+    }
+
+    /**
+     * Notes that a peer leaves.
+     *
+     * @param peer the peer
+     */
+    public void leaving(HostIdentity peer) {
+        leaving.add(peer);
+    }
+
+    /** Notes that this host leaves. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether this host leaves.
+     *
+     * @return true once {@link #drain} was called
+     */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /**
+     * Tells whether a peer is known as unreachable.
+     *
+     * @param peer the peer
+     * @return true from a failed connection to the next success
+     */
+    public boolean isUnreachable(HostId peer) {
+        return unreachableSince.containsKey(peer);
+    }
+
+    /**
+     * Tells whether a run of a daemon has certainly ended.
+     *
+     * @param identity the run
+     * @return true if the host list does not show its host, or a newer incarnation was seen
+     */
+    public boolean isGone(HostIdentity identity) {
+        if (!listingRead) {
+            return false;
+        }
+        long newest = incarnations.getOrDefault(identity.host(), Long.MIN_VALUE);
+        return newest > identity.incarnation() || listing.host(identity.host()).isEmpty();
+    }
+
+    /**
+     * Lists the hosts that should take work: live in the host list, reachable, and not leaving.
+     *
+     * @return their ids, with this one unless it is draining
+     */
+    public List<HostId> candidates() {
+        return listing.liveHosts().stream().filter(this::isCandidate).toList();
+    }
+
+    /**
+     * Tells whether a host should take work.
+     *
+     * @param host the host
+     * @return whether it is live in the host list, reachable, and not leaving
+     */
+    public boolean isCandidate(HostId host) {
+        if (host.equals(self.host())) {
+            return !draining;
+        }
+        boolean live = listing.host(host)
+                .filter(entry -> entry.presence() == Presence.LIVE)
+                .isPresent();
+        return live && !isUnreachable(host) && !isLeaving(host);
+    }
+
+    private boolean isLeaving(HostId host) {
+        return Optional.ofNullable(incarnations.get(host))
+                .filter(incarnation -> leaving.contains(new HostIdentity(host, incarnation)))
+                .isPresent();
+    }
+
+    /**
+     * Lists the other hosts that the host list shows, live or leaving.
+     *
+     * @return their ids
+     */
+    public List<HostId> others() {
+        return listing.hosts().stream()
+                .map(EntryHost::id)
+                .filter(host -> !host.equals(self.host()))
+                .toList();
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/model/Fingerprint.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Fingerprint.java
@@ -8,11 +8,16 @@
  *
  * @param value hexadecimal digest
  */
-public record Fingerprint(@JsonValue String value) {
+public record Fingerprint(@JsonValue String value) implements Comparable<Fingerprint> {
     /** Creates the fingerprint. */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public Fingerprint {}
 
+    @Override
+    public int compareTo(Fingerprint other) {
+        return value.compareTo(other.value);
+    }
+
     @Override
     public String toString() {
         return value;
--- a/banyanstair-core/src/main/java/org/banyanstair/model/RequestId.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/RequestId.java
@@ -8,11 +8,16 @@
  *
  * @param value text that the entry host assigns, of at most 80 characters
  */
-public record RequestId(@JsonValue String value) {
+public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
     /** Creates the id. */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public RequestId {}
 
+    @Override
+    public int compareTo(RequestId other) {
+        return value.compareTo(other.value);
+    }
+
     @Override
     public String toString() {
         return value;
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -0,0 +1,209 @@
+package org.banyanstair.ownership;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EndpointKind;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.ReducerSettings;
+import org.banyanstair.reducer.Sequence;
+
+/**
+ * Decides when this host claims a pool: when the pool's owner is gone, leaving or unreachable and this host ranks first
+ * among the others.
+ *
+ * <p>Two hosts may claim at the same moment; the later claim in the log wins. Not safe for use by several threads.
+ */
+public final class OwnershipCoordinator {
+    /** Hosts that keep a connection to the owner of a pool: the first two that would succeed it. */
+    private static final int WATCHING_SUCCESSORS = 2;
+
+    /** Peers that every host watches, so that it can tell a failed owner from being cut off itself. */
+    private static final int WATCHED_PEERS = 2;
+
+    private static final int RENEWALS_PER_RETENTION = 3;
+
+    private final Membership membership;
+    private final ReducerSettings settings;
+    private final Sequence sequence;
+    private final OwnershipHistory history = new OwnershipHistory();
+    private final Map<PoolId, Instant> claimAgainAt = new HashMap<>();
+    private final Map<PoolId, Instant> unownedSince = new HashMap<>();
+    private Set<HostId> watched = Set.of();
+    private boolean caughtUp;
+    private Instant nextRenewal = Instant.MIN;
+
+    /**
+     * Creates a coordinator that knows no claim.
+     *
+     * @param membership hosts and endpoints
+     * @param settings settings of the host
+     * @param sequence source of numbers for appends
+     */
+    public OwnershipCoordinator(Membership membership, ReducerSettings settings, Sequence sequence) {
+        this.membership = membership;
+        this.settings = settings;
+        this.sequence = sequence;
+    }
+
+    /**
+     * Returns the fold of the stream.
+     *
+     * @return the history
+     */
+    public OwnershipHistory history() {
+        return history;
+    }
+
+    /**
+     * Begins to read the stream.
+     *
+     * @param effects collects what to do
+     */
+    public void start(Effects effects) {
+        effects.add(new Effect.FollowStream(Streams.OWNERSHIP, 0));
+    }
+
+    /** Takes the news that the stream was read to its end. */
+    public void caughtUp() {
+        caughtUp = true;
+    }
+
+    /**
+     * Tells whether the stream was read to its end once.
+     *
+     * @return whether claims are known
+     */
+    public boolean isCaughtUp() {
+        return caughtUp;
+    }
+
+    /**
+     * Lists the pools of engines that the host list shows.
+     *
+     * @return their ids
+     */
+    public Set<PoolId> pools() {
+        Set<PoolId> pools = new LinkedHashSet<>();
+        membership.listing().endpoints().stream()
+                .filter(endpoint -> endpoint.kind() == EndpointKind.ENGINE)
+                .map(Endpoint::pool)
+                .forEach(pools::add);
+        return pools;
+    }
+
+    /**
+     * Claims, renews and watches, when due.
+     *
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void tick(Instant now, Effects effects) {
+        if (!caughtUp || !membership.isListingRead()) {
+            return;
+        }
+        pools().forEach(pool -> claimIfDue(pool, now, effects));
+        watch(effects);
+        renewIfDue(now, effects);
+    }
+
+    private void claimIfDue(PoolId pool, Instant now, Effects effects) {
+        if (isOwned(pool)) {
+            unownedSince.remove(pool);
+            return;
+        }
+        Instant since = unownedSince.computeIfAbsent(pool, id -> now);
+        boolean late = now.isBefore(claimAgainAt.getOrDefault(pool, Instant.MIN));
+        boolean first = RendezvousHash.first(pool.value(), membership.candidates())
+                .filter(membership.self().host()::equals)
+                .isPresent();
+        if (first && !late && isDue(pool, since, now) && !isCutOff()) {
+            claimAgainAt.put(pool, now.plus(settings.repeatInterval().multipliedBy(2)));
+            effects.add(new Effect.AppendToLog(
+                    sequence.next(),
+                    Streams.OWNERSHIP,
+                    List.<LogEntry>of(new OwnershipRecord.Claim(pool, membership.self()))));
+        }
+    }
+
+    /** An owner that is gone or leaving is replaced at once, an unreachable one after a limit. */
+    private boolean isDue(PoolId pool, Instant since, Instant now) {
+        Optional<Ownership> ownership = history.owner(pool);
+        boolean onlyUnreachable = ownership
+                .filter(owner -> !membership.isGone(owner.owner())
+                        && membership.isUnreachable(owner.owner().host()))
+                .isPresent();
+        return !onlyUnreachable || !now.isBefore(since.plus(settings.ownerLimit()));
+    }
+
+    private boolean isOwned(PoolId pool) {
+        return history.owner(pool)
+                .filter(ownership -> !membership.isGone(ownership.owner()))
+                .filter(ownership -> membership.isCandidate(ownership.owner().host()))
+                .isPresent();
+    }
+
+    /** A host that reaches none of the peers that it watches is probably cut off itself and must not claim. */
+    private boolean isCutOff() {
+        return !watched.isEmpty() && watched.stream().allMatch(membership::isUnreachable);
+    }
+
+    private void watch(Effects effects) {
+        Set<HostId> wanted = new HashSet<>();
+        HostId self = membership.self().host();
+        List<HostId> live = membership.listing().liveHosts();
+        List<HostId> others = live.stream().filter(host -> !host.equals(self)).toList();
+        RendezvousHash.rank("watched by " + self, others).stream()
+                .limit(WATCHED_PEERS)
+                .forEach(wanted::add);
+        for (PoolId pool : pools()) {
+            history.owner(pool)
+                    .map(ownership -> ownership.owner().host())
+                    .filter(owner -> !owner.equals(self) && succeeds(pool, owner, live))
+                    .ifPresent(wanted::add);
+        }
+        wanted.stream()
+                .filter(host -> !watched.contains(host))
+                .forEach(host -> effects.add(new Effect.WatchPeer(host)));
+        watched.stream()
+                .filter(host -> !wanted.contains(host))
+                .forEach(host -> effects.add(new Effect.UnwatchPeer(host)));
+        watched = wanted;
+    }
+
+    private boolean succeeds(PoolId pool, HostId owner, List<HostId> live) {
+        List<HostId> successors =
+                live.stream().filter(host -> !host.equals(owner)).toList();
+        return RendezvousHash.rank(pool.value(), successors).stream()
+                .limit(WATCHING_SUCCESSORS)
+                .anyMatch(membership.self().host()::equals);
+    }
+
+    private void renewIfDue(Instant now, Effects effects) {
+        if (now.isBefore(nextRenewal)) {
+            return;
+        }
+        nextRenewal = now.plus(settings.logRetention().dividedBy(RENEWALS_PER_RETENTION));
+        List<LogEntry> renewals = history.owners().entrySet().stream()
+                .filter(entry -> entry.getValue().owner().equals(membership.self()))
+                .map(entry -> (LogEntry) new OwnershipRecord.Renewal(
+                        entry.getKey(), membership.self(), entry.getValue().term()))
+                .toList();
+        if (!renewals.isEmpty()) {
+            effects.add(new Effect.AppendToLog(sequence.next(), Streams.OWNERSHIP, renewals));
+        }
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -66,8 +66,12 @@
             Set<EndpointId> tried)
             implements PeerMessage {}
 
-    /** Permits one attempt on an endpoint. */
-    record PermitGrant(RequestId request, int attempt, PoolId pool, long term, Endpoint endpoint)
+    /**
+     * Permits one attempt on an endpoint.
+     *
+     * @param sequence number that grows with each grant and inventory of the owner
+     */
+    record PermitGrant(RequestId request, int attempt, PoolId pool, long term, long sequence, Endpoint endpoint)
             implements PeerMessage {}
 
     /** Refuses an attempt; it did not run. */
@@ -80,11 +84,14 @@
     /** Gives a permit back, or withdraws a request that still waits. */
     record PermitRelease(RequestId request, int attempt, PoolId pool, AttemptOutcome outcome) implements PeerMessage {}
 
-    /** A new owner asks for the permits held in its pool; from then on grants of older terms are refused. */
-    record InventoryRequest(PoolId pool, long term) implements PeerMessage {}
+    /**
+     * The owner asks for the permits held in its pool. From then on the receiver refuses grants of older terms and
+     * grants with a lower sequence, so that a late grant cannot escape the inventory.
+     */
+    record InventoryRequest(PoolId pool, long term, long sequence) implements PeerMessage {}
 
     /** Answers an {@link InventoryRequest}. */
-    record InventoryReply(PoolId pool, long term, List<HeldPermit> permits) implements PeerMessage {}
+    record InventoryReply(PoolId pool, long term, long sequence, List<HeldPermit> permits) implements PeerMessage {}
 
     /**
      * Submits a call that may not be repeated to the writer of its partition.
@@ -100,8 +107,12 @@
             AttemptId attempt, CallKey key, String bodyDigest, PoolId pool, ServiceCall call, Set<AttemptId> voided)
             implements PeerMessage {}
 
-    /** Answers a {@link CallSubmit}. */
-    record CallOutcome(AttemptId attempt, CallAnswer answer) implements PeerMessage {}
+    /**
+     * Answers a {@link CallSubmit}.
+     *
+     * @param voidsRecorded whether the log shows that none of the voided attempts can run
+     */
+    record CallOutcome(AttemptId attempt, CallAnswer answer, boolean voidsRecorded) implements PeerMessage {}
 
     /** Asks for the configuration, if the receiver has applied more than the sender. */
     record ConfigurationRequest(long nextOffset) implements PeerMessage {}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -0,0 +1,338 @@
+package org.banyanstair.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.banyanstair.configuration.PoolDeclaration;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.ownership.PendingUnload;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.OrderResult;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.Notice;
+
+/** Decides which adapters are loaded and unloaded, within the pool's share of the weight store. */
+final class LoadPlanner {
+    /** Failed loads of an adapter in a row after which its waiting requests are refused. */
+    private static final int MAXIMUM_LOAD_FAILURES = 4;
+
+    private static final Duration PAUSE_AFTER_FAILED_LOAD = Duration.ofSeconds(2);
+
+    private static final Duration ANNOUNCEMENT_LIMIT = Duration.ofSeconds(5);
+
+    private final Pool pool;
+    private final Takeover takeover;
+    private final LoadBudget budget = new LoadBudget();
+    private final Map<AdapterVersion, Integer> failures = new HashMap<>();
+    private final Map<Target, Instant> pausedUntil = new HashMap<>();
+    private final Map<Long, Target> announcements = new HashMap<>();
+
+    private record Target(EndpointId endpoint, AdapterVersion adapter) {}
+
+    LoadPlanner(Pool pool, Takeover takeover) {
+        this.pool = pool;
+        this.takeover = takeover;
+    }
+
+    /** Orders the loads that are needed most urgently, and evictions where they need a slot. */
+    void plan(Instant now, Effects effects) {
+        PoolDeclaration share = pool.configuration().pool(pool.id());
+        long freeing = slots(SlotState.ANNOUNCED) + slots(SlotState.UNLOADING);
+        List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
+        for (Map.Entry<AdapterVersion, WaitingRequest> need : needs(now).entrySet()) {
+            if (!budget.allows(share, (int) slots(SlotState.LOADING), now)) {
+                return;
+            }
+            Optional<EngineState> target = loadTarget(need.getKey(), need.getValue(), pendingUnloads, now);
+            if (target.isPresent()) {
+                load(target.get(), need.getKey(), now, effects);
+            } else if (freeing > 0) {
+                freeing--;
+            } else {
+                evictFor(need.getKey(), need.getValue(), now, effects);
+            }
+        }
+    }
+
+    /** Adapters that a waiting request needs in a further slot, most urgent first. */
+    private Map<AdapterVersion, WaitingRequest> needs(Instant now) {
+        Map<AdapterVersion, WaitingRequest> needs = new LinkedHashMap<>();
+        for (WaitingRequest waiting : pool.queue().inOrder()) {
+            if (!needs.containsKey(waiting.adapter()) && needsLoad(waiting, now)) {
+                needs.put(waiting.adapter(), waiting);
+            }
+        }
+        return needs;
+    }
+
+    private boolean needsLoad(WaitingRequest waiting, Instant now) {
+        AdapterVersion adapter = waiting.adapter();
+        boolean loading = pool.engines().values().stream()
+                .map(engine -> engine.slots().get(adapter))
+                .anyMatch(slot -> slot != null && slot.state() == SlotState.LOADING);
+        if (loading || pool.isUnderVerification(waiting.message().fingerprint())) {
+            return false;
+        }
+        boolean loaded = pool.engines().values().stream()
+                .anyMatch(engine -> engine.takesPermits()
+                        && engine.isLoaded(adapter)
+                        && !waiting.message().tried().contains(engine.endpoint().id()));
+        Duration patience = Duration.ofMillis(pool.configuration().preset().copyAfterMilliseconds());
+        return !loaded || !now.isBefore(waiting.arrivedAt().plus(patience));
+    }
+
+    private Optional<EngineState> loadTarget(
+            AdapterVersion adapter, WaitingRequest waiting, List<PendingUnload> pendingUnloads, Instant now) {
+        return usable(adapter, waiting, now)
+                .filter(EngineState::hasFreeSlot)
+                .filter(engine -> pendingUnloads.stream()
+                        .noneMatch(unload ->
+                                unload.endpoint().equals(engine.endpoint().id())
+                                        && unload.adapter().equals(adapter)))
+                .min(Comparator.comparingDouble(EngineState::fullness)
+                        .thenComparingInt(engine -> engine.slots().size())
+                        .thenComparing(engine -> engine.endpoint().id()));
+    }
+
+    private java.util.stream.Stream<EngineState> usable(AdapterVersion adapter, WaitingRequest waiting, Instant now) {
+        return pool.engines().values().stream()
+                .filter(EngineState::takesLoads)
+                .filter(engine -> !engine.slots().containsKey(adapter))
+                .filter(engine ->
+                        !waiting.message().tried().contains(engine.endpoint().id()))
+                .filter(engine -> !now.isBefore(
+                        pausedUntil.getOrDefault(new Target(engine.endpoint().id(), adapter), Instant.MIN)));
+    }
+
+    private void load(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
+        budget.take();
+        engine.slots().put(adapter, new Slot(SlotState.LOADING, now, false));
+        effects.add(new Effect.LoadAdapter(engine.endpoint(), adapter, pool.term()));
+    }
+
+    private long slots(SlotState state) {
+        return pool.engines().values().stream()
+                .flatMap(engine -> engine.slots().values().stream())
+                .filter(slot -> slot.state() == state)
+                .count();
+    }
+
+    /** Evicts the least popular adapter that nobody uses or waits for. */
+    private void evictFor(AdapterVersion adapter, WaitingRequest waiting, Instant now, Effects effects) {
+        record Victim(EngineState engine, AdapterVersion adapter, double score) {}
+        usable(adapter, waiting, now)
+                .flatMap(engine -> engine.slots().keySet().stream()
+                        .filter(candidate -> isEvictable(engine, candidate))
+                        .map(candidate ->
+                                new Victim(engine, candidate, pool.popularity().score(candidate, now))))
+                .min(Comparator.comparingDouble(Victim::score).thenComparing(Victim::adapter))
+                .ifPresent(victim -> beginUnload(victim.engine(), victim.adapter(), now, effects));
+    }
+
+    private boolean isEvictable(EngineState engine, AdapterVersion adapter) {
+        Slot slot = engine.slots().get(adapter);
+        return slot.state() == SlotState.LOADED
+                && engine.permitsOn(adapter) == 0
+                && !pool.queue().isWanted(adapter)
+                && (takeover.isComplete() || !slot.inherited());
+    }
+
+    private void beginUnload(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
+        Slot slot = engine.slots().get(adapter);
+        if (engine.endpoint().checksFencing()) {
+            engine.slots().put(adapter, slot.to(SlotState.UNLOADING, now));
+            effects.add(new Effect.UnloadAdapter(engine.endpoint(), adapter, pool.term()));
+            return;
+        }
+        // An engine that ignores fencing numbers would obey this order even after a takeover, so a new owner has to
+        // know of it beforehand.
+        engine.slots().put(adapter, slot.to(SlotState.ANNOUNCED, now));
+        long append = pool.sequence().next();
+        announcements.put(append, new Target(engine.endpoint().id(), adapter));
+        LogEntry announcement = new OwnershipRecord.UnloadAnnouncement(
+                pool.id(),
+                pool.term(),
+                engine.endpoint().id(),
+                engine.incarnation().orElseThrow(),
+                adapter);
+        effects.add(new Effect.AppendToLog(append, Streams.OWNERSHIP, List.of(announcement)));
+    }
+
+    /** Orders an announced unload once the log shows it under the present term. */
+    void announcementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
+        if (announcement.term() != pool.term()) {
+            return;
+        }
+        EngineState engine = pool.engines().get(announcement.endpoint());
+        Slot slot = engine == null ? null : engine.slots().get(announcement.adapter());
+        boolean wanted = slot != null
+                && slot.state() == SlotState.ANNOUNCED
+                && engine.incarnation().orElse(-1) == announcement.incarnation();
+        if (wanted) {
+            engine.slots().put(announcement.adapter(), slot.to(SlotState.UNLOADING, now));
+            effects.add(new Effect.UnloadAdapter(engine.endpoint(), announcement.adapter(), pool.term()));
+        } else {
+            appendEnd(announcement.endpoint(), announcement.incarnation(), announcement.adapter(), effects);
+        }
+    }
+
+    private void appendEnd(EndpointId endpoint, long incarnation, AdapterVersion adapter, Effects effects) {
+        LogEntry end = new OwnershipRecord.UnloadEnd(pool.id(), endpoint, incarnation, adapter);
+        effects.add(new Effect.AppendToLog(pool.sequence().next(), Streams.OWNERSHIP, List.of(end)));
+    }
+
+    void appendRejected(long append, Instant now) {
+        Target target = announcements.remove(append);
+        if (target != null) {
+            pool.engine(target.endpoint()).ifPresent(engine -> keep(engine, target.adapter(), now));
+        }
+    }
+
+    void appendEnded(long append) {
+        announcements.remove(append);
+    }
+
+    private static void keep(EngineState engine, AdapterVersion adapter, Instant now) {
+        engine.slots()
+                .computeIfPresent(
+                        adapter,
+                        (key, slot) -> slot.state() == SlotState.ANNOUNCED ? slot.to(SlotState.LOADED, now) : slot);
+    }
+
+    void loadEnded(EngineState engine, AdapterVersion adapter, OrderResult result, Instant now, Effects effects) {
+        Slot slot = engine.slots().get(adapter);
+        if (slot == null || slot.state() != SlotState.LOADING) {
+            return;
+        }
+        if (result instanceof OrderResult.Done) {
+            failures.remove(adapter);
+            engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
+        } else if (result instanceof OrderResult.Refused refused) {
+            engine.slots().remove(adapter);
+            loadFailed(engine, adapter, refused.failure(), now, effects);
+        }
+        engine.nextStatusAt(now);
+    }
+
+    private void loadFailed(EngineState engine, AdapterVersion adapter, Failure failure, Instant now, Effects effects) {
+        effects.report(new Notice.LoadFailed(engine.endpoint().id(), adapter, failure));
+        pausedUntil.put(new Target(engine.endpoint().id(), adapter), now.plus(PAUSE_AFTER_FAILED_LOAD));
+        failures.merge(adapter, 1, Integer::sum);
+    }
+
+    void unloadEnded(EngineState engine, AdapterVersion adapter, OrderResult result, Instant now, Effects effects) {
+        Slot slot = engine.slots().get(adapter);
+        if (slot == null || slot.state() != SlotState.UNLOADING) {
+            return;
+        }
+        if (result instanceof OrderResult.Unknown) {
+            engine.nextStatusAt(now);
+            return;
+        }
+        if (result instanceof OrderResult.Done) {
+            engine.removeSlot(adapter, now);
+        } else {
+            engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
+        }
+        announceEnd(engine, adapter, effects);
+    }
+
+    private void announceEnd(EngineState engine, AdapterVersion adapter, Effects effects) {
+        if (!engine.endpoint().checksFencing()) {
+            appendEnd(engine.endpoint().id(), engine.incarnation().orElseThrow(), adapter, effects);
+        }
+    }
+
+    /** Takes what an engine reports; a report shows what was true at some time in the last {@code statusLag}. */
+    void reconcile(EngineState engine, Set<AdapterVersion> reported, Instant askedAt, Instant now, Effects effects) {
+        Duration lag = pool.settings().statusLag();
+        for (AdapterVersion adapter : List.copyOf(engine.slots().keySet())) {
+            Slot slot = engine.slots().get(adapter);
+            boolean settled = !askedAt.isBefore(slot.since().plus(lag));
+            if (reported.contains(adapter)) {
+                confirmLoaded(engine, adapter, slot, settled, now, effects);
+            } else if (settled) {
+                confirmAbsent(engine, adapter, slot, now, effects);
+            }
+        }
+        reported.stream()
+                .filter(adapter -> !engine.slots().containsKey(adapter))
+                .filter(adapter -> engine.unloadedAt(adapter)
+                        .filter(at -> askedAt.isBefore(at.plus(lag)))
+                        .isEmpty())
+                .forEach(adapter -> engine.slots().put(adapter, new Slot(SlotState.LOADED, now, true)));
+    }
+
+    private void confirmLoaded(
+            EngineState engine, AdapterVersion adapter, Slot slot, boolean settled, Instant now, Effects effects) {
+        if (slot.state() == SlotState.LOADING) {
+            engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
+        } else if (slot.state() == SlotState.UNLOADING && settled) {
+            engine.slots().put(adapter, slot.to(SlotState.UNLOADING, now));
+            effects.add(new Effect.UnloadAdapter(engine.endpoint(), adapter, pool.term()));
+        }
+    }
+
+    private void confirmAbsent(EngineState engine, AdapterVersion adapter, Slot slot, Instant now, Effects effects) {
+        engine.removeSlot(adapter, now);
+        if (slot.state() == SlotState.UNLOADING) {
+            announceEnd(engine, adapter, effects);
+        } else if (slot.state() == SlotState.LOADING) {
+            loadFailed(
+                    engine,
+                    adapter,
+                    new Failure.AdapterNotLoaded(engine.endpoint().id(), adapter),
+                    now,
+                    effects);
+        }
+    }
+
+    /** Takes back announcements that the log does not show, and forgets old pauses. */
+    void tick(Instant now) {
+        for (EngineState engine : pool.engines().values()) {
+            Set<AdapterVersion> late = engine.slots().entrySet().stream()
+                    .filter(entry -> entry.getValue().state() == SlotState.ANNOUNCED)
+                    .filter(entry -> !now.isBefore(entry.getValue().since().plus(ANNOUNCEMENT_LIMIT)))
+                    .map(Map.Entry::getKey)
+                    .collect(Collectors.toSet());
+            late.forEach(adapter -> keep(engine, adapter, now));
+        }
+        pausedUntil.values().removeIf(until -> !now.isBefore(until));
+    }
+
+    /** Whether so many loads of the adapter failed in a row that its requests should be refused. */
+    boolean hasGivenUp(AdapterVersion adapter) {
+        return failures.getOrDefault(adapter, 0) >= MAXIMUM_LOAD_FAILURES;
+    }
+
+    void resetFailures(AdapterVersion adapter) {
+        failures.remove(adapter);
+    }
+
+    /** Earliest instant by which the budget allows a load of the adapter, given the more urgent loads before it. */
+    Instant earliestLoad(AdapterVersion adapter, Instant deadline, Instant now) {
+        long before = pool.queue().inOrder().stream()
+                .filter(waiting -> waiting.message().deadline().isBefore(deadline))
+                .map(WaitingRequest::adapter)
+                .distinct()
+                .filter(other -> !other.equals(adapter))
+                .filter(other -> pool.engines().values().stream()
+                        .noneMatch(engine -> engine.slots().containsKey(other)))
+                .count();
+        double seconds = before / pool.configuration().pool(pool.id()).loadsPerSecond();
+        return now.plusMillis((long) (seconds * 1000));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Popularity.java
@@ -0,0 +1,38 @@
+package org.banyanstair.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.banyanstair.model.AdapterVersion;
+
+/** Counts requests for each adapter with exponential decay, so that the ranking follows shifts. Not thread-safe. */
+final class Popularity {
+    private static final Duration HALF_LIFE = Duration.ofMinutes(2);
+
+    /** Scores below this are forgotten, which bounds the map to adapters that were asked for in the last half hour. */
+    private static final double NEGLIGIBLE = 0.00002;
+
+    private final Map<AdapterVersion, Score> scores = new HashMap<>();
+
+    private record Score(double value, Instant at) {
+        double at(Instant now) {
+            double halfLives = Duration.between(at, now).toMillis() / (double) HALF_LIFE.toMillis();
+            return value * Math.pow(0.5, Math.max(0, halfLives));
+        }
+    }
+
+    void count(AdapterVersion adapter, Instant now) {
+        scores.put(adapter, new Score(score(adapter, now) + 1, now));
+    }
+
+    double score(AdapterVersion adapter, Instant now) {
+        Score score = scores.get(adapter);
+        return score == null ? 0 : score.at(now);
+    }
+
+    void forget(Instant now) {
+        scores.values().removeIf(score -> score.at(now) < NEGLIGIBLE);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
@@ -0,0 +1,79 @@
+package org.banyanstair.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.RequestId;
+
+/** Requests that wait for a permit, in the order in which they should get one. Not safe for use by several threads. */
+final class WaitingQueue {
+    private final TreeSet<WaitingRequest> order = new TreeSet<>(WaitingRequest.URGENCY);
+    private final Map<RequestId, WaitingRequest> byRequest = new HashMap<>();
+    private final Map<AdapterVersion, Integer> byAdapter = new HashMap<>();
+    private final Map<CallerId, Integer> byCaller = new HashMap<>();
+
+    void add(WaitingRequest waiting) {
+        remove(waiting.message().request());
+        order.add(waiting);
+        byRequest.put(waiting.message().request(), waiting);
+        byAdapter.merge(waiting.adapter(), 1, Integer::sum);
+        byCaller.merge(waiting.message().caller(), 1, Integer::sum);
+    }
+
+    Optional<WaitingRequest> remove(RequestId request) {
+        WaitingRequest removed = byRequest.remove(request);
+        if (removed != null) {
+            order.remove(removed);
+            byAdapter.computeIfPresent(removed.adapter(), WaitingQueue::decrement);
+            byCaller.computeIfPresent(removed.message().caller(), WaitingQueue::decrement);
+        }
+        return Optional.ofNullable(removed);
+    }
+
+    private static <K> Integer decrement(K key, Integer count) {
+        return count == 1 ? null : count - 1;
+    }
+
+    Optional<WaitingRequest> find(RequestId request) {
+        return Optional.ofNullable(byRequest.get(request));
+    }
+
+    List<WaitingRequest> inOrder() {
+        return List.copyOf(order);
+    }
+
+    List<WaitingRequest> removeIf(Predicate<WaitingRequest> condition) {
+        List<WaitingRequest> removed = order.stream().filter(condition).toList();
+        removed.forEach(waiting -> remove(waiting.message().request()));
+        return removed;
+    }
+
+    /** Promotes standard requests that have waited long enough, so that premium traffic cannot starve them. */
+    void age(Duration limit, Instant now) {
+        order.stream()
+                .filter(waiting -> !waiting.isFirstClass())
+                .filter(waiting -> !now.isBefore(waiting.arrivedAt().plus(limit)))
+                .toList()
+                .forEach(waiting -> add(waiting.age()));
+    }
+
+    boolean isWanted(AdapterVersion adapter) {
+        return byAdapter.containsKey(adapter);
+    }
+
+    int size() {
+        return byRequest.size();
+    }
+
+    int ofCaller(CallerId caller) {
+        return byCaller.getOrDefault(caller, 0);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingRequest.java
@@ -0,0 +1,39 @@
+package org.banyanstair.placement;
+
+import java.time.Instant;
+import java.util.Comparator;
+
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.PriorityClass;
+import org.banyanstair.peer.PeerMessage;
+
+/**
+ * A request that waits for a permit.
+ *
+ * @param holder daemon that asked
+ * @param message what it asked for
+ * @param arrivedAt when it asked first
+ * @param order order of arrival
+ * @param aged whether it has waited for the ageing limit and counts as premium
+ */
+record WaitingRequest(
+        HostIdentity holder, PeerMessage.PermitRequest message, Instant arrivedAt, long order, boolean aged) {
+    /** Premium and aged requests first, then by deadline. */
+    static final Comparator<WaitingRequest> URGENCY = Comparator.comparing(WaitingRequest::isFirstClass)
+            .reversed()
+            .thenComparing(waiting -> waiting.message().deadline())
+            .thenComparingLong(WaitingRequest::order);
+
+    boolean isFirstClass() {
+        return aged || message.priority() == PriorityClass.PREMIUM;
+    }
+
+    AdapterVersion adapter() {
+        return message.adapter();
+    }
+
+    WaitingRequest age() {
+        return new WaitingRequest(holder, message, arrivedAt, order, true);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of a pool owner: queueing, permits, adapter slots, loads, and crash suspects. */
+package org.banyanstair.placement;
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
@@ -0,0 +1,17 @@
+package org.banyanstair.reducer;
+
+import java.util.Optional;
+
+import org.banyanstair.idempotency.CallKey;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.platform.ServiceCall;
+
+/**
+ * A call of a plain service.
+ *
+ * @param call the call
+ * @param pool pool of the service
+ * @param key key of a call that may not be repeated, empty for an idempotent one
+ * @param bodyDigest digest of method, path and body
+ */
+public record CallRequest(ServiceCall call, PoolId pool, Optional<CallKey> key, String bodyDigest) {}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -0,0 +1,461 @@
+package org.banyanstair.reducer;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.banyanstair.configuration.CheckpointPart;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.configuration.ConfigurationKeeper;
+import org.banyanstair.idempotency.CallRecord;
+import org.banyanstair.idempotency.CallTracker;
+import org.banyanstair.idempotency.CallWriters;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.ownership.Ownership;
+import org.banyanstair.ownership.OwnershipCoordinator;
+import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.peer.EndpointReport;
+import org.banyanstair.peer.HostStatus;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.placement.CrashSuspects;
+import org.banyanstair.placement.PoolContext;
+import org.banyanstair.placement.PoolOwner;
+import org.banyanstair.placement.SuspectRecord;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.routing.GenerationTracker;
+import org.banyanstair.routing.IdempotentCalls;
+
+/**
+ * The one reducer over all events of a host.
+ *
+ * <p>It owns all state, reads no clock and does no I/O: the same events in the same order always give the same effects.
+ * Not safe for use by several threads.
+ */
+public final class HostReducer {
+    private final Membership membership;
+    private final Sequence sequence = new Sequence();
+    private final Effects effects = new Effects();
+    private final ConfigurationKeeper configuration;
+    private final OwnershipCoordinator ownership;
+    private final CrashSuspects suspects = new CrashSuspects();
+    private final Map<PoolId, PoolOwner> owned = new HashMap<>();
+    private final GenerationTracker generations;
+    private final CallTracker calls;
+    private final CallWriters writers;
+    private final IdempotentCalls idempotentCalls;
+    private final StatusCollector statuses;
+    private final PoolContext poolContext;
+    private final Instant startedAt;
+
+    /**
+     * Creates the reducer of a host that has seen nothing yet.
+     *
+     * @param self this host
+     * @param settings settings of the host
+     * @param startedAt when the daemon started
+     */
+    public HostReducer(HostIdentity self, ReducerSettings settings, Instant startedAt) {
+        this.membership = new Membership(self);
+        this.startedAt = startedAt;
+        this.configuration = new ConfigurationKeeper(membership, settings, sequence);
+        this.ownership = new OwnershipCoordinator(membership, settings, sequence);
+        this.generations = new GenerationTracker(ownership.history(), settings);
+        this.calls = new CallTracker(membership, settings, sequence);
+        this.writers = new CallWriters(membership, settings, sequence);
+        this.idempotentCalls = new IdempotentCalls(membership, sequence);
+        this.poolContext =
+                new PoolContext(membership, settings, sequence, ownership.history(), suspects, configuration::current);
+        this.statuses = new StatusCollector(membership, settings);
+    }
+
+    /**
+     * Returns the first effects: the streams to follow.
+     *
+     * @return effects in order
+     */
+    public List<Effect> start() {
+        configuration.start(effects);
+        ownership.start(effects);
+        effects.add(new Effect.FollowStream(Streams.SUSPECTS, 0));
+        return effects.drain();
+    }
+
+    /**
+     * Applies an event.
+     *
+     * @param event the event
+     * @return effects in order
+     */
+    public List<Effect> apply(Event event) {
+        if (event instanceof Event.Tick tick) {
+            tick(tick.at());
+        } else if (event instanceof Event.PeerMessageReceived received) {
+            received(received.sender(), received.message(), received.at());
+        } else if (!applyCallerEvent(event) && !applyEngineEvent(event) && !applyLogEvent(event)) {
+            applyHostEvent(event);
+        }
+        return effects.drain();
+    }
+
+    private boolean applyCallerEvent(Event event) {
+        if (event instanceof Event.GenerationArrived arrived) {
+            generations.arrived(arrived.request(), configuration.current(), arrived.at(), effects);
+        } else if (event instanceof Event.GenerationWithdrawn withdrawn) {
+            generations.withdrawn(withdrawn.request(), effects);
+        } else if (event instanceof Event.AttemptEnded ended) {
+            generations.attemptEnded(ended.request(), ended.attempt(), ended.outcome(), ended.at(), effects);
+        } else if (event instanceof Event.CallArrived arrived) {
+            callArrived(arrived.call(), arrived.at());
+        } else if (event instanceof Event.DispatchEnded ended) {
+            dispatchEnded(ended);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void callArrived(CallRequest call, Instant now) {
+        if (call.key().isPresent()) {
+            calls.arrived(call, call.key().get(), now, effects);
+        } else {
+            idempotentCalls.arrived(call, now, effects);
+        }
+    }
+
+    private void dispatchEnded(Event.DispatchEnded ended) {
+        double retryShare = configuration.current().preset().retryShare();
+        if (!idempotentCalls.dispatchEnded(ended.dispatch(), ended.result(), retryShare, ended.at(), effects)) {
+            writers.dispatchEnded(ended.dispatch(), ended.result(), ended.at(), effects);
+        }
+    }
+
+    private boolean applyEngineEvent(Event event) {
+        if (event instanceof Event.LoadEnded ended) {
+            withTerm(
+                    ended.endpoint(),
+                    ended.term(),
+                    owner -> owner.loadEnded(ended.endpoint(), ended.adapter(), ended.result(), ended.at(), effects));
+        } else if (event instanceof Event.UnloadEnded ended) {
+            withTerm(
+                    ended.endpoint(),
+                    ended.term(),
+                    owner -> owner.unloadEnded(ended.endpoint(), ended.adapter(), ended.result(), ended.at(), effects));
+        } else if (event instanceof Event.FenceEnded ended) {
+            withTerm(
+                    ended.endpoint(),
+                    ended.term(),
+                    owner -> owner.fenceEnded(ended.endpoint(), ended.result(), ended.at(), effects));
+        } else if (event instanceof Event.EngineStatusRead read) {
+            withOwner(
+                    read.endpoint(),
+                    owner -> owner.statusRead(read.endpoint(), read.askedAt(), read.status(), read.at(), effects));
+        } else if (event instanceof Event.EngineStatusFailed failed) {
+            withOwner(failed.endpoint(), owner -> owner.statusFailed(failed.endpoint(), failed.at(), effects));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void withTerm(EndpointId endpoint, long term, Consumer<PoolOwner> action) {
+        withOwner(endpoint, owner -> {
+            if (owner.term() == term) {
+                action.accept(owner);
+            }
+        });
+    }
+
+    private void withOwner(EndpointId endpoint, Consumer<PoolOwner> action) {
+        membership
+                .listing()
+                .endpoint(endpoint)
+                .map(entry -> owned.get(entry.pool()))
+                .ifPresent(action);
+    }
+
+    private boolean applyLogEvent(Event event) {
+        if (event instanceof Event.StreamRead read) {
+            streamRead(read);
+        } else if (event instanceof Event.StreamExpired expired) {
+            streamExpired(expired);
+        } else if (event instanceof Event.StreamUnavailable unavailable) {
+            if (unavailable.stream().equals(Streams.CONFIGURATION)
+                    || unavailable.stream().equals(Streams.CHECKPOINTS)) {
+                configuration.logUnavailable();
+            }
+        } else if (event instanceof Event.AppendRejected rejected) {
+            configuration.appendRejected(rejected.append(), rejected.failure(), effects);
+            writers.appendRejected(rejected.append(), rejected.failure(), effects);
+            owned.values().forEach(owner -> owner.appendRejected(rejected.append(), rejected.at()));
+        } else if (event instanceof Event.AppendEnded ended) {
+            writers.appendEnded(ended.append());
+            owned.values().forEach(owner -> owner.appendEnded(ended.append()));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void streamRead(Event.StreamRead read) {
+        for (StreamEntry entry : read.entries()) {
+            if (entry.entry().isEmpty()) {
+                effects.report(new Notice.UndecodableRecord(read.stream(), entry.offset()));
+            }
+            entryRead(read.stream(), entry, read.at());
+        }
+        if (read.next() >= read.end()) {
+            streamEnded(read);
+        }
+    }
+
+    private void entryRead(String stream, StreamEntry entry, Instant now) {
+        Optional<LogEntry> value = entry.entry();
+        if (stream.equals(Streams.CONFIGURATION)) {
+            configuration.changeRead(entry.offset(), value.map(ConfigurationChange.class::cast), effects);
+        } else if (value.isPresent() && value.get() instanceof CheckpointPart part) {
+            configuration.checkpointRead(entry.appendedAt(), part, effects);
+        } else if (value.isPresent() && value.get() instanceof OwnershipRecord record) {
+            ownershipRead(entry.offset(), record, now);
+        } else if (value.isPresent() && value.get() instanceof SuspectRecord record) {
+            suspects.apply(record);
+        } else if (Streams.isCalls(stream)) {
+            writers.read(stream, entry, value.map(CallRecord.class::cast), now, effects);
+        }
+    }
+
+    private void streamEnded(Event.StreamRead read) {
+        if (read.stream().equals(Streams.CONFIGURATION)) {
+            configuration.changesEnded(read.end());
+        } else if (read.stream().equals(Streams.CHECKPOINTS)) {
+            configuration.checkpointsEnded(effects);
+        } else if (read.stream().equals(Streams.OWNERSHIP)) {
+            boolean first = !ownership.isCaughtUp();
+            ownership.caughtUp();
+            if (first) {
+                ownership.history().owners().keySet().forEach(pool -> takeOrDrop(pool, read.at()));
+            }
+        }
+    }
+
+    private void streamExpired(Event.StreamExpired expired) {
+        if (expired.stream().equals(Streams.CONFIGURATION)) {
+            configuration.changesExpired(expired.earliest(), effects);
+        }
+    }
+
+    private void ownershipRead(long offset, OwnershipRecord record, Instant now) {
+        boolean changed = ownership.history().apply(offset, record);
+        if (record instanceof OwnershipRecord.UnloadAnnouncement announcement) {
+            Optional.ofNullable(owned.get(announcement.pool()))
+                    .ifPresent(owner -> owner.announcementRead(announcement, now, effects));
+        } else if (changed && ownership.isCaughtUp()) {
+            takeOrDrop(poolOf(record), now);
+        }
+    }
+
+    private static PoolId poolOf(OwnershipRecord record) {
+        return record instanceof OwnershipRecord.Claim claim ? claim.pool() : ((OwnershipRecord.Renewal) record).pool();
+    }
+
+    /** Begins or ends to decide for a pool, after its owner changed. */
+    private void takeOrDrop(PoolId pool, Instant now) {
+        Optional<Ownership> current = ownership.history().owner(pool);
+        if (current.isEmpty()) {
+            return;
+        }
+        Ownership ownershipNow = current.get();
+        PoolOwner present = owned.get(pool);
+        if (!ownershipNow.owner().equals(membership.self())) {
+            owned.remove(pool);
+        } else if (present == null || present.term() != ownershipNow.term()) {
+            owned.put(pool, new PoolOwner(pool, ownershipNow.term(), poolContext, now));
+            effects.report(new Notice.PoolTaken(pool, ownershipNow.term()));
+        }
+        effects.report(new Notice.PoolOwned(pool, ownershipNow.owner(), ownershipNow.term()));
+        generations.ownerChanged(pool, now, effects);
+    }
+
+    private void applyHostEvent(Event event) {
+        if (event instanceof Event.HostListRead read) {
+            membership.update(read.listing());
+        } else if (event instanceof Event.PeerConnected connected) {
+            membership.connected(connected.peer());
+        } else if (event instanceof Event.PeerUnreachable unreachable) {
+            membership.unreachable(unreachable.peer(), unreachable.at());
+        } else if (event instanceof Event.ChangeSubmitted submitted) {
+            configuration.submit(submitted.change(), submitted.at(), effects);
+        } else if (event instanceof Event.StatusQueried queried) {
+            statuses.query(queried.query(), queried.at(), effects);
+        } else if (event instanceof Event.DrainOrdered ordered) {
+            effects.send(ordered.host(), new PeerMessage.DrainRequest());
+        } else if (event instanceof Event.DrainStarted) {
+            drain();
+        }
+    }
+
+    private void drain() {
+        membership.drain();
+        membership.others().forEach(peer -> effects.send(peer, new PeerMessage.HostLeaving(membership.self())));
+    }
+
+    private void received(HostIdentity sender, PeerMessage message, Instant now) {
+        membership.connected(sender);
+        HostId peer = sender.host();
+        if (message instanceof PeerMessage.PermitRequest request) {
+            Optional<PoolOwner> owner = Optional.ofNullable(owned.get(request.pool()));
+            owner.ifPresentOrElse(
+                    present -> present.requested(sender, request, now, effects), () -> notOwner(peer, request));
+        } else if (message instanceof PeerMessage.PermitRelease release) {
+            Optional.ofNullable(owned.get(release.pool())).ifPresent(owner -> owner.released(release, now, effects));
+        } else if (message instanceof PeerMessage.InventoryReply reply) {
+            Optional.ofNullable(owned.get(reply.pool()))
+                    .ifPresent(owner -> owner.inventoried(sender, reply, now, effects));
+        } else if (!receivedAsHolder(sender, message, now) && !receivedCall(peer, message, now)) {
+            receivedHostMessage(sender, message, now);
+        }
+    }
+
+    private void notOwner(HostId peer, PeerMessage.PermitRequest request) {
+        long knownTerm =
+                ownership.history().owner(request.pool()).map(Ownership::term).orElse(-1L);
+        effects.send(peer, new PeerMessage.NotOwner(request.request(), request.attempt(), request.pool(), knownTerm));
+    }
+
+    private boolean receivedAsHolder(HostIdentity sender, PeerMessage message, Instant now) {
+        if (message instanceof PeerMessage.PermitGrant grant) {
+            generations.granted(sender.host(), grant, effects);
+        } else if (message instanceof PeerMessage.PermitRefusal refusal) {
+            generations.refused(refusal, effects);
+        } else if (message instanceof PeerMessage.NotOwner notOwner) {
+            generations.notOwner(notOwner, now);
+        } else if (message instanceof PeerMessage.InventoryRequest request) {
+            learn(request.pool(), new Ownership(sender, request.term()), now);
+            generations.inventory(sender.host(), request, effects);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean receivedCall(HostId peer, PeerMessage message, Instant now) {
+        if (message instanceof PeerMessage.CallSubmit submit) {
+            writers.submit(peer, submit, now, effects);
+        } else if (message instanceof PeerMessage.CallOutcome outcome) {
+            calls.outcome(outcome, now, effects);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void receivedHostMessage(HostIdentity sender, PeerMessage message, Instant now) {
+        HostId peer = sender.host();
+        if (message instanceof PeerMessage.ConfigurationRequest request) {
+            configuration.answer(peer, request, ownership.history().owners(), effects);
+        } else if (message instanceof PeerMessage.ConfigurationReply reply) {
+            configuration.peerReplied(reply.part(), effects);
+            reply.owners().forEach((pool, owner) -> learn(pool, owner, now));
+        } else if (message instanceof PeerMessage.StatusRequest request) {
+            effects.send(peer, new PeerMessage.StatusReply(request.query(), status(), reports()));
+        } else if (message instanceof PeerMessage.StatusReply reply) {
+            statuses.replied(peer, reply, effects);
+        } else if (message instanceof PeerMessage.HostLeaving leaving) {
+            membership.leaving(leaving.host());
+        } else if (message instanceof PeerMessage.DrainRequest) {
+            effects.add(new Effect.BeginDrain(now));
+        }
+    }
+
+    private void learn(PoolId pool, Ownership owner, Instant now) {
+        if (ownership.history().learn(pool, owner)) {
+            takeOrDrop(pool, now);
+        }
+    }
+
+    private void tick(Instant now) {
+        configuration.tick(now, effects);
+        ownership.tick(now, effects);
+        owned.values().forEach(owner -> owner.tick(now, effects));
+        generations.tick(now, effects);
+        calls.tick(now, effects);
+        writers.tick(now, effects);
+        statuses.tick(now, effects);
+    }
+
+    private List<EndpointReport> reports() {
+        return owned.values().stream()
+                .flatMap(owner -> owner.reports().stream())
+                .toList();
+    }
+
+    /**
+     * Describes this host.
+     *
+     * @return its status
+     */
+    public HostStatus status() {
+        return new HostStatus(
+                membership.self(),
+                isReady(),
+                membership.isDraining(),
+                configuration.current().version(),
+                configuration.current().presetInForce(),
+                List.copyOf(owned.keySet()),
+                inFlight(),
+                configuration.isLogReachable(),
+                startedAt);
+    }
+
+    /**
+     * Tells whether this host serves.
+     *
+     * @return true once the configuration and the host list are known
+     */
+    public boolean isReady() {
+        return configuration.history().isKnown() && membership.isListingRead();
+    }
+
+    /**
+     * Counts what has to end before this host may stop.
+     *
+     * @return requests of callers and dispatches in flight
+     */
+    public int inFlight() {
+        return generations.size() + calls.size() + idempotentCalls.size() + (writers.isBusy() ? 1 : 0);
+    }
+
+    /**
+     * Tells whether other hosts decide for all pools, so that this host is not needed for new permits.
+     *
+     * @return true if this host owns no pool
+     */
+    public boolean ownsNothing() {
+        return owned.isEmpty();
+    }
+
+    /**
+     * Returns the hosts and endpoints that this host knows.
+     *
+     * @return the membership, to be read only
+     */
+    public Membership membership() {
+        return membership;
+    }
+
+    /**
+     * Returns the configuration that this host keeps.
+     *
+     * @return the keeper, to be read only
+     */
+    public ConfigurationKeeper configuration() {
+        return configuration;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Sequence.java
@@ -0,0 +1,16 @@
+package org.banyanstair.reducer;
+
+/** Counts up from 1. Not safe for use by several threads. */
+public final class Sequence {
+    private long last;
+
+    /**
+     * Returns the next number.
+     *
+     * @return a number that was not returned before
+     */
+    public long next() {
+        last++;
+        return last;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -0,0 +1,338 @@
+package org.banyanstair.routing;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.ownership.Ownership;
+import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.peer.AttemptOutcome;
+import org.banyanstair.peer.HeldPermit;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.GenerationRequest;
+import org.banyanstair.reducer.ReducerSettings;
+
+/**
+ * The entry host's side of generations: asks pool owners for permits, starts attempts, and gives permits back.
+ *
+ * <p>A permit is used only if it is of the newest term and sequence that this host has heard of. Not safe for use by
+ * several threads.
+ */
+public final class GenerationTracker {
+    private final OwnershipHistory owners;
+    private final ReducerSettings settings;
+    private final Map<RequestId, Tracked> requests = new LinkedHashMap<>();
+    private final Map<PoolId, Barrier> barriers = new LinkedHashMap<>();
+
+    /** Grants below it are refused. */
+    private record Barrier(long term, long sequence) {
+        boolean refuses(PeerMessage.PermitGrant grant) {
+            return grant.term() < term || grant.term() == term && grant.sequence() < sequence;
+        }
+    }
+
+    /** One request of a caller of this host. */
+    private static final class Tracked {
+        private final GenerationRequest request;
+        private final Set<EndpointId> tried = new HashSet<>();
+        private int attempt = 1;
+        private boolean ranBefore;
+        private Optional<Endpoint> running = Optional.empty();
+        private Instant askAgainAt = Instant.MIN;
+        private Optional<Ownership> asked = Optional.empty();
+
+        Tracked(GenerationRequest request) {
+            this.request = request;
+        }
+
+        PoolId pool() {
+            return request.service().pool();
+        }
+    }
+
+    /**
+     * Creates a tracker without requests.
+     *
+     * @param owners who owns which pool
+     * @param settings settings of the host
+     */
+    public GenerationTracker(OwnershipHistory owners, ReducerSettings settings) {
+        this.owners = owners;
+        this.settings = settings;
+    }
+
+    /**
+     * Returns the number of requests in flight.
+     *
+     * @return requests that wait or run
+     */
+    public int size() {
+        return requests.size();
+    }
+
+    /**
+     * Takes a request from a caller.
+     *
+     * @param request the request
+     * @param configuration configuration in force
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void arrived(GenerationRequest request, Configuration configuration, Instant now, Effects effects) {
+        if (!configuration.preset().admitsRequests()) {
+            effects.add(new Effect.FailGeneration(
+                    request.id(), new Failure.InMaintenance(request.service().id())));
+            return;
+        }
+        Tracked tracked = new Tracked(request);
+        requests.put(request.id(), tracked);
+        ask(tracked, now, effects);
+    }
+
+    private void ask(Tracked tracked, Instant now, Effects effects) {
+        tracked.askAgainAt = now.plus(settings.repeatInterval());
+        tracked.asked = owners.owner(tracked.pool());
+        tracked.asked.ifPresent(ownership -> effects.send(ownership.owner().host(), permitRequest(tracked)));
+    }
+
+    private static PeerMessage.PermitRequest permitRequest(Tracked tracked) {
+        GenerationRequest request = tracked.request;
+        return new PeerMessage.PermitRequest(
+                request.id(),
+                tracked.attempt,
+                tracked.pool(),
+                request.adapter(),
+                request.caller(),
+                request.service().callerLimit(),
+                request.service().queueLimit(),
+                request.priority(),
+                request.deadline(),
+                request.prefix(),
+                request.fingerprint(),
+                tracked.tried);
+    }
+
+    /**
+     * Takes a grant of a pool owner.
+     *
+     * @param sender the host that sent it
+     * @param grant the grant
+     * @param effects collects what to do
+     */
+    public void granted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
+        Tracked tracked = requests.get(grant.request());
+        boolean wanted = tracked != null && tracked.attempt == grant.attempt();
+        if (wanted && tracked.running.filter(grant.endpoint()::equals).isPresent()) {
+            return;
+        }
+        if (isRefused(grant) || !wanted || tracked.running.isPresent()) {
+            effects.send(
+                    sender,
+                    new PeerMessage.PermitRelease(
+                            grant.request(), grant.attempt(), grant.pool(), new AttemptOutcome.Cancelled()));
+            return;
+        }
+        tracked.running = Optional.of(grant.endpoint());
+        effects.add(new Effect.StartAttempt(grant.request(), grant.attempt(), grant.endpoint()));
+    }
+
+    private boolean isRefused(PeerMessage.PermitGrant grant) {
+        long known = owners.owner(grant.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
+        Barrier barrier = barriers.get(grant.pool());
+        return grant.term() < known || barrier != null && barrier.refuses(grant);
+    }
+
+    /**
+     * Takes a refusal of a pool owner.
+     *
+     * @param refusal the refusal
+     * @param effects collects what to do
+     */
+    public void refused(PeerMessage.PermitRefusal refusal, Effects effects) {
+        Tracked tracked = requests.get(refusal.request());
+        long known = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
+        boolean current = tracked != null
+                && tracked.attempt == refusal.attempt()
+                && tracked.running.isEmpty()
+                && refusal.term() >= known;
+        if (current) {
+            requests.remove(refusal.request());
+            fail(tracked, refusal.failure(), effects);
+        }
+    }
+
+    /** Once an attempt has produced output, a failure must not be reported as "not run". */
+    private static void fail(Tracked tracked, Failure failure, Effects effects) {
+        Failure reported = tracked.ranBefore && !(failure instanceof Failure.RequestCrashesEndpoints)
+                ? new Failure.OutcomeUnknown()
+                : failure;
+        effects.add(new Effect.FailGeneration(tracked.request.id(), reported));
+    }
+
+    /**
+     * Takes the news that a host does not own a pool; the request is sent again when the owner is known.
+     *
+     * @param message the message
+     * @param now present instant
+     */
+    public void notOwner(PeerMessage.NotOwner message, Instant now) {
+        Tracked tracked = requests.get(message.request());
+        if (tracked != null && tracked.running.isEmpty()) {
+            tracked.askAgainAt = now.plus(settings.repeatInterval().dividedBy(5));
+        }
+    }
+
+    /**
+     * Takes the end of an attempt.
+     *
+     * @param id the request
+     * @param attempt number of the attempt
+     * @param outcome how it ended
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void attemptEnded(RequestId id, int attempt, AttemptOutcome outcome, Instant now, Effects effects) {
+        Tracked tracked = requests.get(id);
+        if (tracked == null || tracked.attempt != attempt || tracked.running.isEmpty()) {
+            return;
+        }
+        release(tracked, outcome, effects);
+        EndpointId endpoint = tracked.running.get().id();
+        tracked.running = Optional.empty();
+        if (outcome instanceof AttemptOutcome.Completed) {
+            requests.remove(id);
+            effects.add(new Effect.CompleteGeneration(id));
+        } else if (outcome instanceof AttemptOutcome.Cancelled) {
+            requests.remove(id);
+            effects.add(new Effect.FailGeneration(id, new Failure.Cancelled()));
+        } else {
+            tracked.ranBefore |= outcome instanceof AttemptOutcome.Broken;
+            tryElsewhere(tracked, endpoint, outcome, now, effects);
+        }
+    }
+
+    private void tryElsewhere(
+            Tracked tracked, EndpointId endpoint, AttemptOutcome outcome, Instant now, Effects effects) {
+        boolean adapterMissing = outcome instanceof AttemptOutcome.NotStarted notStarted
+                && notStarted.failure() instanceof Failure.AdapterNotLoaded;
+        if (!adapterMissing) {
+            tracked.tried.add(endpoint);
+        }
+        tracked.attempt++;
+        ask(tracked, now, effects);
+    }
+
+    private void release(Tracked tracked, AttemptOutcome outcome, Effects effects) {
+        owners.owner(tracked.pool())
+                .ifPresent(ownership -> effects.send(
+                        ownership.owner().host(),
+                        new PeerMessage.PermitRelease(tracked.request.id(), tracked.attempt, tracked.pool(), outcome)));
+    }
+
+    /**
+     * Withdraws a request whose caller has gone.
+     *
+     * @param id the request
+     * @param effects collects what to do
+     */
+    public void withdrawn(RequestId id, Effects effects) {
+        Tracked tracked = requests.remove(id);
+        if (tracked != null) {
+            stop(tracked, effects);
+        }
+    }
+
+    private void stop(Tracked tracked, Effects effects) {
+        if (tracked.running.isPresent()) {
+            effects.add(new Effect.CancelAttempt(tracked.request.id(), tracked.attempt));
+        }
+        release(tracked, new AttemptOutcome.Cancelled(), effects);
+    }
+
+    /**
+     * Answers an owner's question for the permits that this host holds.
+     *
+     * @param owner the owner
+     * @param request its question
+     * @param effects collects what to do
+     */
+    public void inventory(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
+        Barrier barrier = barriers.get(request.pool());
+        long known = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
+        if (request.term() < known || barrier != null && request.term() < barrier.term()) {
+            return;
+        }
+        barriers.put(request.pool(), new Barrier(request.term(), request.sequence()));
+        List<HeldPermit> permits = requests.values().stream()
+                .filter(tracked -> tracked.pool().equals(request.pool()))
+                .filter(tracked -> tracked.running.isPresent())
+                .map(tracked -> new HeldPermit(
+                        tracked.request.id(),
+                        tracked.attempt,
+                        tracked.running.get().id(),
+                        tracked.request.adapter(),
+                        tracked.request.fingerprint()))
+                .toList();
+        effects.send(
+                owner, new PeerMessage.InventoryReply(request.pool(), request.term(), request.sequence(), permits));
+    }
+
+    /**
+     * Asks the new owner of a pool for the permits that are still wanted.
+     *
+     * @param pool the pool
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void ownerChanged(PoolId pool, Instant now, Effects effects) {
+        requests.values().stream()
+                .filter(tracked -> tracked.running.isEmpty() && tracked.pool().equals(pool))
+                .forEach(tracked -> ask(tracked, now, effects));
+    }
+
+    /**
+     * Repeats unanswered questions and ends late requests.
+     *
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void tick(Instant now, Effects effects) {
+        for (Tracked tracked : List.copyOf(requests.values())) {
+            if (!now.isBefore(tracked.request.deadline())) {
+                requests.remove(tracked.request.id());
+                failLate(tracked, effects);
+            } else if (tracked.running.isEmpty() && !now.isBefore(tracked.askAgainAt)) {
+                ask(tracked, now, effects);
+            }
+        }
+    }
+
+    private static Failure lateFailure(Tracked tracked) {
+        Instant deadline = tracked.request.deadline();
+        if (tracked.running.isPresent() || tracked.ranBefore) {
+            return new Failure.DeadlineExceeded(deadline);
+        }
+        return tracked.asked.isPresent()
+                ? new Failure.DeadlinePassed(deadline)
+                : new Failure.OwnerUnavailable(tracked.pool());
+    }
+
+    private void failLate(Tracked tracked, Effects effects) {
+        Failure failure = lateFailure(tracked);
+        stop(tracked, effects);
+        effects.add(new Effect.FailGeneration(tracked.request.id(), failure));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCalls.java
@@ -0,0 +1,134 @@
+package org.banyanstair.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.idempotency.CallAnswer;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.platform.ServiceCall;
+import org.banyanstair.platform.ServiceCallResult;
+import org.banyanstair.reducer.CallRequest;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.Sequence;
+
+/**
+ * Idempotent calls of plain services: each is sent to an endpoint and, if that fails, to others, within its deadline
+ * and within the retry share.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class IdempotentCalls {
+    /** A dispatch gets at most this part of the remaining time, so that a silent endpoint leaves time for another. */
+    private static final int DISPATCHES_IN_REMAINING_TIME = 3;
+
+    private final EndpointPicker picker;
+    private final Sequence sequence;
+    private final RetryBudget budget = new RetryBudget();
+    private final Map<Long, Running> running = new HashMap<>();
+
+    private record Running(CallRequest request, Endpoint endpoint, Set<EndpointId> tried) {}
+
+    /**
+     * Creates the state without calls.
+     *
+     * @param membership the endpoints
+     * @param sequence source of numbers for dispatches
+     */
+    public IdempotentCalls(Membership membership, Sequence sequence) {
+        this.picker = new EndpointPicker(membership);
+        this.sequence = sequence;
+    }
+
+    /**
+     * Returns the number of calls in flight.
+     *
+     * @return calls without an answer
+     */
+    public int size() {
+        return running.size();
+    }
+
+    /**
+     * Takes a call from a caller.
+     *
+     * @param request the call
+     * @param now present instant
+     * @param effects collects what to do
+     */
+    public void arrived(CallRequest request, Instant now, Effects effects) {
+        budget.countFirst(now);
+        dispatch(request, new HashSet<>(), now, effects);
+    }
+
+    private void dispatch(CallRequest request, Set<EndpointId> tried, Instant now, Effects effects) {
+        Optional<Endpoint> endpoint = picker.pick(request.pool(), request.call().requestId(), tried);
+        if (endpoint.isEmpty()) {
+            answer(request, new CallAnswer.NotRun(new Failure.NoEndpoint(request.pool())), effects);
+            return;
+        }
+        long dispatch = sequence.next();
+        running.put(dispatch, new Running(request, endpoint.get(), tried));
+        picker.started(dispatch, endpoint.get().id());
+        effects.add(new Effect.DispatchCall(dispatch, endpoint.get(), limited(request.call(), now)));
+    }
+
+    private static ServiceCall limited(ServiceCall call, Instant now) {
+        Duration remaining = Duration.between(now, call.deadline());
+        Instant deadline = now.plus(remaining.dividedBy(DISPATCHES_IN_REMAINING_TIME));
+        return new ServiceCall(call.requestId(), call.method(), call.path(), call.contentType(), call.body(), deadline);
+    }
+
+    /**
+     * Takes the end of a dispatch.
+     *
+     * @param dispatch number of the dispatch
+     * @param result how it ended
+     * @param retryShare retries as a share of calls
+     * @param now present instant
+     * @param effects collects what to do
+     * @return false if the dispatch is not one of an idempotent call
+     */
+    public boolean dispatchEnded(
+            long dispatch, ServiceCallResult result, double retryShare, Instant now, Effects effects) {
+        Running ended = running.remove(dispatch);
+        if (ended == null) {
+            return false;
+        }
+        picker.ended(dispatch);
+        if (result instanceof ServiceCallResult.Answered answered) {
+            answer(ended.request(), new CallAnswer.Answered(answered.answer(), false), effects);
+            return true;
+        }
+        ended.tried().add(ended.endpoint().id());
+        CallAnswer failed = failedAnswer(result);
+        boolean late = !now.isBefore(ended.request().call().deadline());
+        boolean elsewhere = picker.pick(
+                        ended.request().pool(), ended.request().call().requestId(), ended.tried())
+                .isPresent();
+        if (late || !elsewhere || !budget.tryRetry(retryShare, now)) {
+            answer(ended.request(), failed, effects);
+        } else {
+            dispatch(ended.request(), ended.tried(), now, effects);
+        }
+        return true;
+    }
+
+    private static CallAnswer failedAnswer(ServiceCallResult result) {
+        return result instanceof ServiceCallResult.NotSent notSent
+                ? new CallAnswer.NotRun(notSent.failure())
+                : new CallAnswer.Unknown(new Failure.OutcomeUnknown());
+    }
+
+    private static void answer(CallRequest request, CallAnswer answer, Effects effects) {
+        effects.add(new Effect.AnswerCall(request.call().requestId(), answer));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -0,0 +1,55 @@
+package org.banyanstair.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Limits retries to a share of the first tries of the last seconds, so that retries cannot multiply an overload.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class RetryBudget {
+    /** Retries that are allowed in a window even without traffic, so that a single failure can be retried. */
+    public static final int MINIMUM_RETRIES = 20;
+
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+
+    private final Deque<Instant> firstTries = new ArrayDeque<>();
+    private final Deque<Instant> retries = new ArrayDeque<>();
+
+    /**
+     * Counts a first try.
+     *
+     * @param now present instant
+     */
+    public void countFirst(Instant now) {
+        firstTries.addLast(now);
+        forget(firstTries, now);
+    }
+
+    /**
+     * Takes a retry from the budget.
+     *
+     * @param share retries as a share of first tries
+     * @param now present instant
+     * @return false if the budget is used up
+     */
+    public boolean tryRetry(double share, Instant now) {
+        forget(firstTries, now);
+        forget(retries, now);
+        if (retries.size() >= Math.max(MINIMUM_RETRIES, share * firstTries.size())) {
+            return false;
+        }
+        retries.addLast(now);
+        return true;
+    }
+
+    private static void forget(Deque<Instant> instants, Instant now) {
+        Instant start = now.minus(WINDOW);
+        while (!instants.isEmpty() && instants.peekFirst().isBefore(start)) {
+            instants.removeFirst();
+        }
+    }
+}
