Add the shell around the reducer

Cause: effects need I/O and events need a thread. Excluded: passing tokens through the reducer, which would put 1.5 M events a second on its one thread at the target size.

--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 
 import org.banyanstair.configuration.ChangeVerdict;
 import org.banyanstair.errors.Failure;
@@ -69,6 +70,9 @@
     /** Answer an operator's change. */
     record AnswerChange(String changeId, ChangeVerdict verdict) implements Effect {}
 
+    /** Answer an operator's question about a change. */
+    record AnswerVerdict(long query, Optional<ChangeVerdict> verdict) implements Effect {}
+
     /** Answer an operator's question for the state of all hosts. */
     record AnswerStatus(long query, List<HostStatus> states, List<EndpointReport> endpoints) implements Effect {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
@@ -91,6 +91,9 @@
     /** An operator submits a change on this host. */
     record ChangeSubmitted(Instant at, ConfigurationChange change) implements Event {}
 
+    /** An operator asks what became of a change. */
+    record VerdictQueried(Instant at, long query, String changeId) implements Event {}
+
     /** An operator asks for the state of all hosts. */
     record StatusQueried(Instant at, long query) implements Event {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -292,6 +292,9 @@
             membership.unreachable(unreachable.peer(), unreachable.at());
         } else if (event instanceof Event.ChangeSubmitted submitted) {
             configuration.submit(submitted.change(), submitted.at(), effects);
+        } else if (event instanceof Event.VerdictQueried queried) {
+            effects.add(new Effect.AnswerVerdict(
+                    queried.query(), configuration.history().verdict(queried.changeId())));
         } else if (event instanceof Event.StatusQueried queried) {
             statuses.query(queried.query(), queried.at(), effects);
         } else if (event instanceof Event.DrainOrdered ordered) {
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EntryCodec.java
@@ -0,0 +1,50 @@
+package org.banyanstair.server.daemon;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.configuration.CheckpointPart;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.idempotency.CallRecord;
+import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.placement.SuspectRecord;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.LogRecord;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.reducer.StreamEntry;
+
+/** Encodes and decodes the values of the log streams. */
+final class EntryCodec {
+    private static final Map<String, Class<? extends LogEntry>> TYPES = Map.of(
+            Streams.CONFIGURATION, ConfigurationChange.class,
+            Streams.CHECKPOINTS, CheckpointPart.class,
+            Streams.OWNERSHIP, OwnershipRecord.class,
+            Streams.SUSPECTS, SuspectRecord.class);
+
+    private EntryCodec() {}
+
+    static byte[] encode(LogEntry entry) {
+        try {
+            return Mappers.MESSAGE_PACK.writeValueAsBytes(entry);
+        } catch (JsonProcessingException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    static StreamEntry decode(String stream, LogRecord record) {
+        return new StreamEntry(record.offset(), record.appendedAt(), value(stream, record.payload()));
+    }
+
+    private static Optional<LogEntry> value(String stream, byte[] payload) {
+        Class<? extends LogEntry> type = Streams.isCalls(stream) ? CallRecord.class : TYPES.get(stream);
+        try {
+            return Optional.ofNullable(Mappers.MESSAGE_PACK.readValue(payload, type));
+        } catch (IOException exception) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
@@ -0,0 +1,110 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Event;
+import org.banyanstair.reducer.HostReducer;
+import org.tinylog.Logger;
+
+/**
+ * The one thread that feeds events to the reducer and hands its effects to the shell.
+ *
+ * <p>{@link #submit} is safe for use by several threads.
+ */
+final class EventLoop {
+    /** Time between two ticks; the finest grain of all deadlines in the reducer. */
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
+
+    private final HostReducer reducer;
+    private final InstantSource clock;
+    private final Consumer<Effect> effects;
+    private final Consumer<HostReducer> publisher;
+    private final BlockingQueue<Function<Instant, Event>> queue = new LinkedBlockingQueue<>();
+    private final Thread thread;
+    private volatile boolean stopping;
+
+    /**
+     * Creates the loop.
+     *
+     * @param reducer the reducer; from {@link #start} on only the loop may use it
+     * @param clock gives the instant of each event
+     * @param effects carries out an effect; must not block
+     * @param publisher publishes a view of the reducer's state, before the effects of the event are carried out
+     */
+    EventLoop(HostReducer reducer, InstantSource clock, Consumer<Effect> effects, Consumer<HostReducer> publisher) {
+        this.reducer = reducer;
+        this.clock = clock;
+        this.effects = effects;
+        this.publisher = publisher;
+        this.thread = new Thread(this::run, "reducer");
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    void stop() {
+        stopping = true;
+        thread.interrupt();
+    }
+
+    /** Queues an event; it gets its instant when the reducer takes it, so that instants never go back. */
+    void submit(Function<Instant, Event> event) {
+        queue.add(event);
+    }
+
+    private void run() {
+        carryOut(reducer.start());
+        Instant nextTick = clock.instant();
+        while (!stopping) {
+            try {
+                nextTick = step(nextTick);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException exception) {
+                // The loop must outlive a fault in the handling of one event.
+                Logger.error(exception, "event failed");
+            }
+        }
+    }
+
+    private Instant step(Instant nextTick) throws InterruptedException {
+        long waitNanos = Duration.between(clock.instant(), nextTick).toNanos();
+        Function<Instant, Event> event = waitNanos > 0 ? queue.poll(waitNanos, TimeUnit.NANOSECONDS) : null;
+        Instant now = clock.instant();
+        if (event != null) {
+            apply(event.apply(now));
+        }
+        if (now.isBefore(nextTick)) {
+            return nextTick;
+        }
+        apply(new Event.Tick(now));
+        return now.plus(TICK_INTERVAL);
+    }
+
+    private void apply(Event event) {
+        List<Effect> result = reducer.apply(event);
+        publisher.accept(reducer);
+        carryOut(result);
+    }
+
+    private void carryOut(List<Effect> result) {
+        for (Effect effect : result) {
+            try {
+                effects.accept(effect);
+            } catch (RuntimeException exception) {
+                Logger.error(exception, "effect failed: {}", effect.getClass().getSimpleName());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
@@ -0,0 +1,182 @@
+package org.banyanstair.server.daemon;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.peer.AttemptOutcome;
+import org.banyanstair.platform.EngineClient;
+import org.banyanstair.platform.EngineRequest;
+import org.banyanstair.platform.GenerationEnd;
+import org.banyanstair.platform.TokenListener;
+import org.banyanstair.reducer.Event;
+import org.banyanstair.server.service.Generation;
+import org.banyanstair.server.service.GenerationSink;
+
+/**
+ * Runs the attempts of generations on engines and passes their tokens to the callers.
+ *
+ * <p>Tokens do not pass through the reducer. A stream that breaks is first resumed on the same engine, for which the
+ * permit still holds; only then the attempt is reported as broken. Safe for use by several threads.
+ */
+final class GenerationRunner {
+    private static final int RESUMES_PER_ATTEMPT = 2;
+
+    private final EngineClient engines;
+    private final Consumer<Function<Instant, Event>> events;
+    private final Map<RequestId, RunningGeneration> generations = new ConcurrentHashMap<>();
+
+    GenerationRunner(EngineClient engines, Consumer<Function<Instant, Event>> events) {
+        this.engines = engines;
+        this.events = events;
+    }
+
+    void add(Generation generation, GenerationSink sink) {
+        generations.put(generation.id(), new RunningGeneration(generation, sink));
+    }
+
+    /** Starts an attempt, from the first token that was not delivered by an earlier one. */
+    void start(RequestId request, int attempt, Endpoint endpoint) {
+        RunningGeneration running = generations.get(request);
+        if (running == null) {
+            ended(request, attempt, new AttemptOutcome.Cancelled());
+            return;
+        }
+        running.begin(attempt);
+        long delivered = running.nextToken();
+        byte[] body = delivered == 0 ? running.generation().body() : continuation(running);
+        generate(running, new Attempt(attempt, endpoint, delivered, body, RESUMES_PER_ATTEMPT), 0);
+    }
+
+    /**
+     * One attempt.
+     *
+     * @param base number of tokens that earlier attempts delivered; the engine counts from 0 after them
+     */
+    private record Attempt(int number, Endpoint endpoint, long base, byte[] body, int resumesLeft) {
+        Attempt resumed() {
+            return new Attempt(number, endpoint, base, body, resumesLeft - 1);
+        }
+    }
+
+    private void generate(RunningGeneration running, Attempt attempt, long nextToken) {
+        Generation generation = running.generation();
+        EngineRequest request = new EngineRequest(
+                engineRequestId(generation.id(), attempt.number()),
+                generation.path(),
+                attempt.body(),
+                generation.adapter(),
+                generation.priority(),
+                generation.deadline(),
+                nextToken);
+        TokenListener listener = new TokenListener() {
+            @Override
+            public void token(long index, String json) {
+                running.deliver(attempt.number(), attempt.base() + index, json);
+            }
+
+            @Override
+            public void end(GenerationEnd end) {
+                attemptEnded(running, attempt, end);
+            }
+        };
+        running.cancellation(attempt.number(), engines.generate(attempt.endpoint(), request, listener));
+    }
+
+    /** Attempts have ids of their own, because an engine may still know a broken earlier one. */
+    private static RequestId engineRequestId(RequestId request, int attempt) {
+        return attempt == 1 ? request : new RequestId(request.value() + "." + attempt);
+    }
+
+    private void attemptEnded(RunningGeneration running, Attempt attempt, GenerationEnd end) {
+        if (!running.isCurrent(attempt.number())) {
+            return;
+        }
+        RequestId id = running.generation().id();
+        long produced = running.nextToken() - attempt.base();
+        if (end instanceof GenerationEnd.Complete) {
+            ended(id, attempt.number(), new AttemptOutcome.Completed());
+        } else if (end instanceof GenerationEnd.NotStarted notStarted) {
+            boolean first = attempt.resumesLeft() == RESUMES_PER_ATTEMPT;
+            ended(id, attempt.number(), first ? notStarted(notStarted) : broken(notStarted.failure(), produced));
+        } else if (end instanceof GenerationEnd.Broken broken) {
+            if (produced > 0 && attempt.resumesLeft() > 0) {
+                generate(running, attempt.resumed(), produced);
+            } else {
+                ended(id, attempt.number(), broken(broken.failure(), produced));
+            }
+        }
+    }
+
+    private static AttemptOutcome notStarted(GenerationEnd.NotStarted notStarted) {
+        return new AttemptOutcome.NotStarted(notStarted.failure());
+    }
+
+    private static AttemptOutcome broken(Failure failure, long produced) {
+        return new AttemptOutcome.Broken(failure, produced);
+    }
+
+    private void ended(RequestId request, int attempt, AttemptOutcome outcome) {
+        events.accept(at -> new Event.AttemptEnded(at, request, attempt, outcome));
+    }
+
+    void cancelAttempt(RequestId request, int attempt) {
+        Optional.ofNullable(generations.get(request)).ifPresent(running -> running.cancelAttempt(attempt));
+    }
+
+    void complete(RequestId request) {
+        remove(request).ifPresent(running -> running.sink().completed());
+    }
+
+    void fail(RequestId request, Failure failure) {
+        remove(request).ifPresent(running -> running.sink().failed(failure));
+    }
+
+    private Optional<RunningGeneration> remove(RequestId request) {
+        Optional<RunningGeneration> removed = Optional.ofNullable(generations.remove(request));
+        removed.ifPresent(RunningGeneration::end);
+        return removed;
+    }
+
+    /** Takes the caller's side away; the reducer cancels the attempt. */
+    void withdraw(RequestId request) {
+        Optional.ofNullable(generations.remove(request))
+                .ifPresent(running -> running.end().cancel());
+        events.accept(at -> new Event.GenerationWithdrawn(at, request));
+    }
+
+    /** Builds the body that lets another engine go on after the text that the caller has received. */
+    private static byte[] continuation(RunningGeneration running) {
+        try {
+            ObjectNode body =
+                    (ObjectNode) Mappers.JSON.readTree(running.generation().body());
+            List<String> delivered = running.delivered();
+            body.put("continue_from", text(delivered));
+            return Mappers.JSON.writeValueAsBytes(body);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static String text(List<String> chunks) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (String chunk : chunks) {
+            JsonNode choice = Mappers.JSON.readTree(chunk).path("choices").path(0);
+            text.append(choice.path("text").asText(""));
+            text.append(choice.path("delta").path("content").asText(""));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -0,0 +1,210 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.banyanstair.configuration.ChangeVerdict;
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.idempotency.CallAnswer;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.peer.EndpointReport;
+import org.banyanstair.platform.Cancellation;
+import org.banyanstair.reducer.CallRequest;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Event;
+import org.banyanstair.reducer.GenerationRequest;
+import org.banyanstair.reducer.HostReducer;
+import org.banyanstair.server.service.CallerService;
+import org.banyanstair.server.service.ClusterStatus;
+import org.banyanstair.server.service.EntryAddresses;
+import org.banyanstair.server.service.Generation;
+import org.banyanstair.server.service.GenerationSink;
+import org.banyanstair.server.service.OperatorService;
+import org.banyanstair.server.service.PlainCall;
+
+/** Connects the HTTP interfaces to the event loop. Safe for use by several threads. */
+final class HostService implements CallerService, OperatorService {
+    private final HostId self;
+    private final Duration addressKeep;
+    private final InstantSource clock;
+    private final GenerationRunner generations;
+    private final Consumer<Function<Instant, Event>> events;
+    private final AtomicReference<HostView> view;
+    private final AtomicLong queries = new AtomicLong();
+    private final Map<RequestId, CompletableFuture<CallAnswer>> calls = new ConcurrentHashMap<>();
+    private final Map<String, CompletableFuture<ChangeVerdict>> changes = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Effect.AnswerStatus>> statuses = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Optional<ChangeVerdict>>> verdicts = new ConcurrentHashMap<>();
+    private long publishedVersion = Long.MIN_VALUE;
+    private Instant nextView = Instant.MIN;
+
+    HostService(
+            HostId self,
+            Duration addressKeep,
+            InstantSource clock,
+            GenerationRunner generations,
+            Consumer<Function<Instant, Event>> events) {
+        this.self = self;
+        this.addressKeep = addressKeep;
+        this.clock = clock;
+        this.generations = generations;
+        this.events = events;
+        this.view = new AtomicReference<>(new HostView(
+                Optional.of(new Failure.NotReady(self)), Configuration.INITIAL, List.of(), List.of(), false, 0, 0));
+    }
+
+    /** Registers the effects that answer callers and operators. */
+    void answerThrough(EffectRunner effects) {
+        effects.on(Effect.AnswerCall.class, effect -> Optional.ofNullable(calls.remove(effect.request()))
+                .ifPresent(answer -> answer.complete(effect.answer())));
+        effects.on(Effect.AnswerChange.class, effect -> Optional.ofNullable(changes.remove(effect.changeId()))
+                .ifPresent(answer -> answer.complete(effect.verdict())));
+        effects.on(Effect.AnswerVerdict.class, effect -> Optional.ofNullable(verdicts.remove(effect.query()))
+                .ifPresent(answer -> answer.complete(effect.verdict())));
+        effects.on(Effect.AnswerStatus.class, effect -> Optional.ofNullable(statuses.remove(effect.query()))
+                .ifPresent(answer -> answer.complete(effect)));
+    }
+
+    /** Publishes the reducer's state; a new configuration at once, the rest at most every few milliseconds. */
+    void publish(HostReducer reducer) {
+        Instant now = clock.instant();
+        long version = reducer.configuration().current().version();
+        if (version == publishedVersion && now.isBefore(nextView)) {
+            return;
+        }
+        publishedVersion = version;
+        nextView = now.plusMillis(20);
+        view.set(viewOf(reducer));
+    }
+
+    private HostView viewOf(HostReducer reducer) {
+        Membership membership = reducer.membership();
+        List<EntryHost> listed = membership.listing().hosts();
+        List<EntryHost> usable = listed.stream()
+                .filter(host -> membership.isCandidate(host.id()))
+                .toList();
+        return new HostView(
+                reducer.isReady() ? Optional.empty() : Optional.of(new Failure.NotReady(self)),
+                reducer.configuration().current(),
+                listed,
+                usable,
+                membership.isDraining(),
+                reducer.inFlight(),
+                reducer.ownsNothing() ? 0 : 1);
+    }
+
+    HostView view() {
+        return view.get();
+    }
+
+    @Override
+    public Optional<Failure> unreadiness() {
+        return view().unreadiness();
+    }
+
+    @Override
+    public Configuration configuration() {
+        return view().configuration();
+    }
+
+    @Override
+    public Cancellation generate(Generation generation, GenerationSink sink) {
+        generations.add(generation, sink);
+        GenerationRequest request = new GenerationRequest(
+                generation.id(),
+                generation.service(),
+                generation.adapter(),
+                generation.caller(),
+                generation.priority(),
+                generation.deadline(),
+                generation.prefix(),
+                generation.fingerprint());
+        events.accept(at -> new Event.GenerationArrived(at, request));
+        return () -> generations.withdraw(generation.id());
+    }
+
+    @Override
+    public CompletableFuture<CallAnswer> call(PlainCall call) {
+        CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
+        calls.put(call.call().requestId(), answer);
+        CallRequest request = new CallRequest(call.call(), call.service().pool(), call.key(), call.bodyDigest());
+        events.accept(at -> new Event.CallArrived(at, request));
+        return answer;
+    }
+
+    @Override
+    public EntryAddresses entryAddresses() {
+        List<EntryHost> hosts = new ArrayList<>(view().usable());
+        // Each answer has another order, which spreads callers over the hosts without a balancer.
+        Collections.shuffle(hosts, ThreadLocalRandom.current());
+        return new EntryAddresses(
+                hosts.stream()
+                        .map(host ->
+                                new EntryAddresses.EntryAddress(host.id(), host.dataCentre(), host.callerAddress()))
+                        .toList(),
+                clock.instant().plus(addressKeep));
+    }
+
+    @Override
+    public CompletableFuture<ChangeVerdict> submit(ConfigurationChange change) {
+        CompletableFuture<ChangeVerdict> verdict = new CompletableFuture<>();
+        changes.put(change.changeId(), verdict);
+        events.accept(at -> new Event.ChangeSubmitted(at, change));
+        return verdict;
+    }
+
+    @Override
+    public CompletableFuture<Optional<ChangeVerdict>> verdict(String changeId) {
+        long query = queries.incrementAndGet();
+        CompletableFuture<Optional<ChangeVerdict>> answer = new CompletableFuture<>();
+        verdicts.put(query, answer);
+        events.accept(at -> new Event.VerdictQueried(at, query, changeId));
+        return answer;
+    }
+
+    private CompletableFuture<Effect.AnswerStatus> queryStatus() {
+        long query = queries.incrementAndGet();
+        CompletableFuture<Effect.AnswerStatus> answer = new CompletableFuture<>();
+        statuses.put(query, answer);
+        events.accept(at -> new Event.StatusQueried(at, query));
+        return answer;
+    }
+
+    @Override
+    public CompletableFuture<ClusterStatus> status() {
+        return queryStatus().thenApply(answer -> new ClusterStatus(view().listed(), answer.states()));
+    }
+
+    @Override
+    public CompletableFuture<List<EndpointReport>> endpoints() {
+        return queryStatus().thenApply(Effect.AnswerStatus::endpoints);
+    }
+
+    @Override
+    public CompletableFuture<Optional<Failure>> drain(HostId host) {
+        boolean listed = view().listed().stream().anyMatch(entry -> entry.id().equals(host));
+        if (!listed) {
+            return CompletableFuture.completedFuture(Optional.of(new Failure.HostUnreachable(host)));
+        }
+        events.accept(at -> new Event.DrainOrdered(at, host));
+        return CompletableFuture.completedFuture(Optional.empty());
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostView.java
@@ -0,0 +1,28 @@
+package org.banyanstair.server.daemon;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.EntryHost;
+
+/**
+ * What the threads outside the event loop may know of the reducer's state.
+ *
+ * @param unreadiness why the host does not serve yet, empty once it does
+ * @param configuration configuration in force
+ * @param listed all entry hosts of the host list
+ * @param usable entry hosts that callers should use
+ * @param draining whether this host leaves
+ * @param inFlight what has to end before this host may stop
+ * @param pools number of pools that this host decides for
+ */
+record HostView(
+        Optional<Failure> unreadiness,
+        Configuration configuration,
+        List<EntryHost> listed,
+        List<EntryHost> usable,
+        boolean draining,
+        int inFlight,
+        int pools) {}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -0,0 +1,86 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.banyanstair.platform.LogService;
+import org.banyanstair.platform.ReadResult;
+import org.banyanstair.reducer.Event;
+import org.banyanstair.reducer.StreamEntry;
+
+/** Reads log streams continuously and turns what comes into events. Safe for use by several threads. */
+final class LogFollowers {
+    private static final int RECORDS_PER_READ = 500;
+
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(10);
+
+    private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(250);
+
+    private final LogService log;
+    private final InstantSource clock;
+    private final ScheduledExecutorService timer;
+    private final Consumer<Function<Instant, Event>> events;
+    private final Map<String, Object> followed = new ConcurrentHashMap<>();
+
+    LogFollowers(
+            LogService log,
+            InstantSource clock,
+            ScheduledExecutorService timer,
+            Consumer<Function<Instant, Event>> events) {
+        this.log = log;
+        this.clock = clock;
+        this.timer = timer;
+        this.events = events;
+    }
+
+    /** Starts to read a stream; an earlier reading of the same stream ends. */
+    void follow(String stream, long fromOffset) {
+        Object token = new Object();
+        followed.put(stream, token);
+        read(stream, token, fromOffset);
+    }
+
+    void unfollow(String stream) {
+        followed.remove(stream);
+    }
+
+    void stop() {
+        followed.clear();
+    }
+
+    private void read(String stream, Object token, long offset) {
+        if (followed.get(stream) != token) {
+            return;
+        }
+        Instant waitUntil = clock.instant().plus(LONGEST_WAIT);
+        log.read(stream, offset, RECORDS_PER_READ, waitUntil)
+                .thenAccept(result -> ended(stream, token, offset, result));
+    }
+
+    private void ended(String stream, Object token, long offset, ReadResult result) {
+        if (followed.get(stream) != token) {
+            return;
+        }
+        if (result instanceof ReadResult.Records records) {
+            List<StreamEntry> entries = records.records().stream()
+                    .map(record -> EntryCodec.decode(stream, record))
+                    .toList();
+            events.accept(at -> new Event.StreamRead(at, stream, records.next(), records.end(), entries));
+            read(stream, token, records.next());
+        } else if (result instanceof ReadResult.Expired expired) {
+            events.accept(at -> new Event.StreamExpired(at, stream, expired.earliest()));
+            read(stream, token, expired.earliest());
+        } else {
+            events.accept(at -> new Event.StreamUnavailable(at, stream));
+            timer.schedule(() -> read(stream, token, offset), PAUSE_AFTER_FAILURE.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
@@ -0,0 +1,78 @@
+package org.banyanstair.server.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.banyanstair.platform.Cancellation;
+import org.banyanstair.server.service.Generation;
+import org.banyanstair.server.service.GenerationSink;
+
+/** A generation of a caller of this host; guarded by its own lock. */
+final class RunningGeneration {
+    private final Generation generation;
+    private final GenerationSink sink;
+    private final List<String> delivered = new ArrayList<>();
+    private int attempt;
+    private boolean ended;
+    private Cancellation cancellation = () -> {};
+
+    RunningGeneration(Generation generation, GenerationSink sink) {
+        this.generation = generation;
+        this.sink = sink;
+    }
+
+    Generation generation() {
+        return generation;
+    }
+
+    /** Makes an attempt the current one; events of earlier attempts are ignored from now on. */
+    synchronized void begin(int number) {
+        attempt = number;
+        cancellation = () -> {};
+    }
+
+    synchronized boolean isCurrent(int number) {
+        return !ended && attempt == number;
+    }
+
+    synchronized void cancellation(int number, Cancellation value) {
+        if (isCurrent(number)) {
+            cancellation = value;
+        } else {
+            value.cancel();
+        }
+    }
+
+    /** Delivers a chunk if it belongs to the current attempt and is the next one. */
+    synchronized boolean deliver(int number, long index, String json) {
+        if (!isCurrent(number) || index != delivered.size()) {
+            return false;
+        }
+        delivered.add(json);
+        sink.token(index, json);
+        return true;
+    }
+
+    synchronized long nextToken() {
+        return delivered.size();
+    }
+
+    synchronized List<String> delivered() {
+        return List.copyOf(delivered);
+    }
+
+    synchronized Cancellation end() {
+        ended = true;
+        return cancellation;
+    }
+
+    synchronized void cancelAttempt(int number) {
+        if (attempt == number) {
+            cancellation.cancel();
+        }
+    }
+
+    GenerationSink sink() {
+        return sink;
+    }
+}
