Add peer connections over TCP with heartbeats

Cause: entry hosts had the interfaces PeerTransport and PeerListener but no implementation.

Change: NettyPeerTransport frames MessagePack messages, checks the hello in both directions, pings, replaces a connection that is silent or cut and reports a peer as unreachable only when the new connection fails too. The state of one peer lives on one event loop, so its events reach the listener in order. Messages are encoded on the caller's thread and wait in a queue of at most 4096 messages and 32 MiB; an overflow drops the connection. Lengths inside a frame are checked before Jackson reads it, because the parser allocates what a length field claims.

Excluded: back-off between attempts to an unreachable peer. There is one attempt at a time; a watched peer is tried once per heartbeat interval.

--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
@@ -0,0 +1,258 @@
+package org.banyanstair.transport.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureText;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.transport.NettyPeerTransport;
+import org.tinylog.Logger;
+
+/** One TCP connection to a peer: handshake, heartbeats, decoding. Runs on the event loop of its channel. */
+public final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
+    /** Small frames are merged into writes of about this size, to save system calls. */
+    private static final int BATCH_BYTES = 64 << 10;
+
+    private final TransportContext transport;
+    private final Optional<PeerLink> dialled;
+    private volatile ChannelHandlerContext channel;
+    private volatile HostIdentity peer;
+    private volatile Instant lastUsed;
+    private volatile boolean closing;
+    private volatile boolean silent;
+    private PeerLink link;
+    private List<PeerMessage> inbox = new ArrayList<>();
+    private Future<?> handshakeTimer;
+    private Future<?> heartbeatTimer;
+    private long pings;
+    private long readyNanos;
+
+    /**
+     * Creates the handler of a connection.
+     *
+     * @param transport what all connections share
+     * @param dialled the peer that this host connects to, empty for an accepted connection
+     */
+    public Connection(TransportContext transport, Optional<PeerLink> dialled) {
+        this.transport = transport;
+        this.dialled = dialled;
+        this.lastUsed = transport.instants().instant();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        transport.counters().opened();
+        write(new PeerMessage.Hello(
+                NettyPeerTransport.PROTOCOL_VERSION,
+                transport.settings().identity(),
+                transport.settings().cluster()));
+        long timeout = transport.settings().connectTimeout().toMillis();
+        long interval = transport.settings().heartbeatInterval().toMillis();
+        handshakeTimer = context.executor().schedule(() -> reject("no hello in time"), timeout, TimeUnit.MILLISECONDS);
+        heartbeatTimer =
+                context.executor().scheduleWithFixedDelay(this::heartbeat, interval, interval, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+        if (closing) {
+            return;
+        }
+        byte[] body = new byte[frame.readableBytes()];
+        frame.readBytes(body);
+        transport.counters().frameIn(body.length + FrameCodec.LENGTH_BYTES);
+        FrameCodec.decode(body).ifPresentOrElse(this::accept, () -> malformed(body.length));
+    }
+
+    private void accept(PeerMessage message) {
+        if (message instanceof PeerMessage.Hello hello) {
+            greet(hello);
+        } else if (peer == null) {
+            reject("message before hello");
+        } else if (message instanceof PeerMessage.Ping ping) {
+            // A peer that does not read must not make the write buffer grow without bound.
+            if (isWritable()) {
+                write(new PeerMessage.Pong(ping.sequence()));
+            }
+        } else if (!(message instanceof PeerMessage.Pong)) {
+            inbox.add(message);
+        }
+    }
+
+    private void greet(PeerMessage.Hello hello) {
+        HostIdentity sender = hello.sender();
+        if (sender == null || sender.host() == null || peer != null) {
+            reject("incomplete or repeated hello");
+        } else if (hello.protocolVersion() != NettyPeerTransport.PROTOCOL_VERSION) {
+            reject("protocol version " + hello.protocolVersion());
+        } else if (!transport.settings().cluster().equals(hello.cluster())) {
+            reject("another cluster");
+        } else if (sender.host().equals(transport.settings().identity().host())
+                || dialled.filter(expected -> !expected.host().equals(sender.host()))
+                        .isPresent()) {
+            reject("unexpected host " + sender);
+        } else {
+            handshakeTimer.cancel(false);
+            readyNanos = System.nanoTime();
+            peer = sender;
+            link = dialled.orElseGet(() ->
+                    transport.links().apply(sender.host(), channel.channel().eventLoop()));
+            link.run(() -> link.ready(this));
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!inbox.isEmpty()) {
+            List<PeerMessage> messages = inbox;
+            inbox = new ArrayList<>();
+            link.run(() -> link.received(this, messages));
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (link != null && isWritable()) {
+            link.run(link::drain);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && !closing) {
+            Logger.warn(
+                    "connection to {} closed: nothing received for {}",
+                    name(),
+                    transport.settings().silenceLimit());
+            silent = true;
+            close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof DecoderException && !closing) {
+            Logger.warn("connection to {} closed: {}", name(), cause.getMessage());
+            transport.counters().malformed();
+        } else {
+            Logger.debug("connection to {} failed: {}", name(), cause.getMessage());
+        }
+        close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        transport.counters().closed();
+        handshakeTimer.cancel(false);
+        heartbeatTimer.cancel(false);
+        Optional<PeerLink> owner = Optional.ofNullable(link).or(() -> dialled);
+        owner.ifPresent(peerLink -> peerLink.run(() -> peerLink.ended(this)));
+    }
+
+    private void heartbeat() {
+        if (link == null || closing) {
+            return;
+        }
+        // Only the host that opened a connection closes it when it is idle: the other one may watch it.
+        if (dialled.isPresent() && link.isIdle(this)) {
+            close();
+        } else if (isWritable()) {
+            write(new PeerMessage.Ping(++pings));
+        }
+    }
+
+    private void malformed(int lengthBytes) {
+        Logger.warn("connection to {} closed: {}", name(), FailureText.of(new Failure.MalformedFrame(lengthBytes)));
+        transport.counters().malformed();
+        close();
+    }
+
+    private void reject(String reason) {
+        Logger.warn("connection to {} closed: {}", name(), reason);
+        transport.counters().rejected();
+        close();
+    }
+
+    private Object name() {
+        return peer != null ? peer : channel.channel().remoteAddress();
+    }
+
+    private void write(PeerMessage message) {
+        byte[] body = FrameCodec.encode(message);
+        ByteBuf buffer = channel.alloc().ioBuffer(FrameCodec.LENGTH_BYTES + body.length);
+        write(buffer.writeInt(body.length).writeBytes(body), 1);
+    }
+
+    private void write(ByteBuf frames, int count) {
+        transport.counters().framesOut(count, frames.readableBytes());
+        channel.writeAndFlush(frames, channel.voidPromise());
+    }
+
+    /** Writes queued frames until the queue is empty or the write buffer is full. Runs on the peer's event loop. */
+    void writeFrom(OutboundQueue queue) {
+        while (!queue.isEmpty() && isWritable()) {
+            ByteBuf batch = channel.alloc().ioBuffer();
+            int count = 0;
+            byte[] frame = queue.poll();
+            while (frame != null) {
+                batch.writeInt(frame.length).writeBytes(frame);
+                count++;
+                frame = batch.readableBytes() < BATCH_BYTES ? queue.poll() : null;
+            }
+            write(batch, count);
+            markUsed();
+        }
+    }
+
+    private boolean isWritable() {
+        return channel.channel().isWritable();
+    }
+
+    void markUsed() {
+        lastUsed = transport.instants().instant();
+    }
+
+    /** Returns whether a message went over this connection within the given time. */
+    boolean isUsedWithin(Duration time) {
+        return lastUsed.plus(time).isAfter(transport.instants().instant());
+    }
+
+    /** Returns whether the connection ended sooner after the handshake than one heartbeat interval. */
+    boolean isShortLived() {
+        return System.nanoTime() - readyNanos
+                < transport.settings().heartbeatInterval().toNanos();
+    }
+
+    boolean isSilent() {
+        return silent;
+    }
+
+    HostIdentity peer() {
+        return peer;
+    }
+
+    /** Closes the connection; what it still receives is ignored. May be called from any thread. */
+    void close() {
+        closing = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/CounterSet.java
@@ -0,0 +1,66 @@
+package org.banyanstair.transport.internal;
+
+import java.util.concurrent.atomic.LongAdder;
+
+import org.banyanstair.transport.TransportCounters;
+
+/** The running totals behind {@link TransportCounters}. Safe for use by several threads. */
+public final class CounterSet {
+    private final LongAdder framesIn = new LongAdder();
+    private final LongAdder framesOut = new LongAdder();
+    private final LongAdder bytesIn = new LongAdder();
+    private final LongAdder bytesOut = new LongAdder();
+    private final LongAdder malformedFrames = new LongAdder();
+    private final LongAdder rejectedHandshakes = new LongAdder();
+    private final LongAdder connectionsOpened = new LongAdder();
+    private final LongAdder connectionsClosed = new LongAdder();
+    private final LongAdder droppedMessages = new LongAdder();
+
+    /**
+     * Reads all totals.
+     *
+     * @return the totals; not a consistent cut while frames are in flight
+     */
+    public TransportCounters snapshot() {
+        return new TransportCounters(
+                framesIn.sum(),
+                framesOut.sum(),
+                bytesIn.sum(),
+                bytesOut.sum(),
+                malformedFrames.sum(),
+                rejectedHandshakes.sum(),
+                connectionsOpened.sum(),
+                connectionsClosed.sum(),
+                droppedMessages.sum());
+    }
+
+    void frameIn(int bytes) {
+        framesIn.increment();
+        bytesIn.add(bytes);
+    }
+
+    void framesOut(int frames, int bytes) {
+        framesOut.add(frames);
+        bytesOut.add(bytes);
+    }
+
+    void malformed() {
+        malformedFrames.increment();
+    }
+
+    void rejected() {
+        rejectedHandshakes.increment();
+    }
+
+    void opened() {
+        connectionsOpened.increment();
+    }
+
+    void closed() {
+        connectionsClosed.increment();
+    }
+
+    void dropped(long messages) {
+        droppedMessages.add(messages);
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/FrameCodec.java
@@ -0,0 +1,60 @@
+package org.banyanstair.transport.internal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.peer.PeerMessage;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Converts messages to frame bodies and back. */
+public final class FrameCodec {
+    /** Size of the big-endian length field before each frame body. */
+    public static final int LENGTH_BYTES = 4;
+
+    private static final ObjectWriter WRITER = Mappers.MESSAGE_PACK.writerFor(PeerMessage.class);
+    private static final ObjectReader READER = Mappers.MESSAGE_PACK.readerFor(PeerMessage.class);
+
+    private FrameCodec() {}
+
+    /**
+     * Encodes a message.
+     *
+     * @param message the message
+     * @return the frame body without its length field
+     */
+    public static byte[] encode(PeerMessage message) {
+        try {
+            return WRITER.writeValueAsBytes(message);
+        } catch (JsonProcessingException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /**
+     * Decodes a frame body.
+     *
+     * @param body the frame body without its length field
+     * @return the message, empty if the body is malformed
+     */
+    public static Optional<PeerMessage> decode(byte[] body) {
+        try {
+            return isWellFormed(body) ? Optional.ofNullable(READER.readValue(body)) : Optional.empty();
+        } catch (IOException | RuntimeException exception) {
+            return Optional.empty();
+        }
+    }
+
+    /** Checks all lengths first, because the Jackson parser allocates what a length field claims before it reads. */
+    private static boolean isWellFormed(byte[] body) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            unpacker.skipValue();
+            return !unpacker.hasNext();
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/OutboundQueue.java
@@ -0,0 +1,54 @@
+package org.banyanstair.transport.internal;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Bounded queue of encoded messages to one peer: many threads add, the peer's event loop removes. */
+final class OutboundQueue {
+    /** More than the requests of the whole cluster in a second of its peak, 3,200; a peer further behind has failed. */
+    static final int MAXIMUM_MESSAGES = 4_096;
+
+    /** Bounds the memory for long messages, but admits the whole configuration of 96,000 adapters in parts. */
+    static final long MAXIMUM_BYTES = 32L << 20;
+
+    private final Queue<byte[]> frames = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger size = new AtomicInteger();
+    private final AtomicLong bytes = new AtomicLong();
+
+    /** Adds a frame, or returns false if the queue is full. */
+    boolean offer(byte[] frame) {
+        long newBytes = bytes.addAndGet(frame.length);
+        if (size.incrementAndGet() > MAXIMUM_MESSAGES || newBytes > MAXIMUM_BYTES) {
+            size.decrementAndGet();
+            bytes.addAndGet(-frame.length);
+            return false;
+        }
+        frames.add(frame);
+        return true;
+    }
+
+    /** Removes the oldest frame, or returns null if there is none. */
+    byte[] poll() {
+        byte[] frame = frames.poll();
+        if (frame != null) {
+            size.decrementAndGet();
+            bytes.addAndGet(-frame.length);
+        }
+        return frame;
+    }
+
+    boolean isEmpty() {
+        return frames.isEmpty();
+    }
+
+    /** Removes all frames and returns their number. */
+    int clear() {
+        int removed = 0;
+        while (poll() != null) {
+            removed++;
+        }
+        return removed;
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Connections, framing and per-peer state of the Netty transport; may change without notice. */
+package org.banyanstair.transport.internal;
--- /dev/null
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
@@ -0,0 +1,84 @@
+package org.banyanstair.transport;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ConnectionFaultTest {
+    /** Guards against waiting on a connection that went silent for good while a new one would work. */
+    @Test
+    void replacesSilentConnectionWithoutReport() throws Exception {
+        try (TestHost first = TestHost.impatient("entry-1");
+                TestHost second = TestHost.impatient("entry-2");
+                TcpRelay relay = new TcpRelay(second.address.port())) {
+            first.addresses.put(second.id(), relay.address());
+            first.send(second.id(), 1);
+            assertEquals(1, second.listener.awaitQuery());
+            first.listener.awaitEvent("connected entry-2#1");
+            relay.silence(false);
+            first.send(second.id(), 2);
+            TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
+            first.send(second.id(), 3);
+            assertEquals(3, second.listener.awaitQuery());
+            second.send(first.id(), 4);
+            assertEquals(4, first.listener.awaitQuery());
+            assertTrue(first.listener.events.isEmpty(), "a replaced connection is no failure of the peer");
+        }
+    }
+
+    /** Guards against a report before a new connection was tried, and against none when that is silent as well. */
+    @Test
+    void reportsPeerWhoseNewConnectionIsSilentToo() throws Exception {
+        try (TestHost first = TestHost.impatient("entry-1");
+                TestHost second = TestHost.impatient("entry-2");
+                TcpRelay relay = new TcpRelay(second.address.port())) {
+            first.addresses.put(second.id(), relay.address());
+            first.transport.watch(second.id());
+            first.listener.awaitEvent("connected entry-2#1");
+            relay.silence(true);
+            first.listener.awaitEvent("unreachable entry-2");
+            assertTrue(first.transport.counters().connectionsOpened() >= 2, "no new connection was tried");
+            assertNull(first.listener.events.poll(1, TimeUnit.SECONDS), "the same failure is reported once");
+            relay.silence(false);
+            first.listener.awaitEvent("connected entry-2#1");
+        }
+    }
+
+    /** Guards against a cut connection that stays down although its peer is alive. */
+    @Test
+    void reconnectsAfterCut() throws Exception {
+        try (TestHost first = TestHost.patient("entry-1");
+                TestHost second = TestHost.patient("entry-2");
+                TcpRelay relay = new TcpRelay(second.address.port())) {
+            first.addresses.put(second.id(), relay.address());
+            first.send(second.id(), 1);
+            assertEquals(1, second.listener.awaitQuery());
+            first.listener.awaitEvent("connected entry-2#1");
+            relay.cut();
+            TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
+            first.send(second.id(), 2);
+            assertEquals(2, second.listener.awaitQuery());
+            assertTrue(first.listener.events.isEmpty());
+        }
+    }
+
+    /** Guards against a stopped peer that nobody hears of, although nothing was being sent. */
+    @Test
+    void reportsStoppedPeer() throws Exception {
+        try (TestHost first = TestHost.impatient("entry-1")) {
+            TestHost second = TestHost.impatient("entry-2");
+            first.knows(second);
+            first.send(second.id(), 1);
+            first.listener.awaitEvent("connected entry-2#1");
+            assertEquals(1, second.listener.awaitQuery());
+            second.close();
+            first.listener.awaitEvent("unreachable entry-2");
+            first.send(second.id(), 2);
+            first.listener.awaitEvent("unreachable entry-2");
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/RecordingListener.java
@@ -0,0 +1,44 @@
+package org.banyanstair.transport;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerMessage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+/** Keeps what a transport reports, so that a test can wait for it. */
+final class RecordingListener implements PeerListener {
+    final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    final BlockingQueue<PeerMessage> messages = new LinkedBlockingQueue<>();
+
+    @Override
+    public void connected(HostIdentity peer) {
+        events.add("connected " + peer);
+    }
+
+    @Override
+    public void unreachable(HostId peer) {
+        events.add("unreachable " + peer);
+    }
+
+    @Override
+    public void received(HostIdentity sender, PeerMessage message) {
+        messages.add(message);
+    }
+
+    void awaitEvent(String expected) throws InterruptedException {
+        assertEquals(expected, events.poll(5, TimeUnit.SECONDS));
+    }
+
+    /** Waits for a message and returns the number that it carries. */
+    long awaitQuery() throws InterruptedException {
+        PeerMessage message = messages.poll(5, TimeUnit.SECONDS);
+        assertNotNull(message, "no message within 5 s");
+        return ((PeerMessage.StatusRequest) message).query();
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TcpRelay.java
@@ -0,0 +1,87 @@
+package org.banyanstair.transport;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.banyanstair.model.NetworkAddress;
+
+/** Forwards TCP connections and can make them go silent or end. */
+final class TcpRelay implements AutoCloseable {
+    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final int target;
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private volatile AtomicBoolean silence = new AtomicBoolean();
+
+    TcpRelay(int target) throws IOException {
+        this.target = target;
+        start(this::accept);
+    }
+
+    NetworkAddress address() {
+        return new NetworkAddress("127.0.0.1", server.getLocalPort());
+    }
+
+    /** Discards everything on the open connections; new connections work, unless they are silenced too. */
+    void silence(boolean alsoNew) {
+        silence.set(true);
+        silence = new AtomicBoolean(alsoNew);
+    }
+
+    void cut() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() throws IOException {
+        while (!server.isClosed()) {
+            Socket inner = server.accept();
+            Socket outer = new Socket(InetAddress.getLoopbackAddress(), target);
+            sockets.addAll(List.of(inner, outer));
+            AtomicBoolean discards = silence;
+            start(() -> pump(inner, outer, discards));
+            start(() -> pump(outer, inner, discards));
+        }
+    }
+
+    private static void pump(Socket from, Socket to, AtomicBoolean discards) throws IOException {
+        try (from;
+                to) {
+            byte[] buffer = new byte[8192];
+            InputStream input = from.getInputStream();
+            for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+                if (!discards.get()) {
+                    to.getOutputStream().write(buffer, 0, count);
+                }
+            }
+        }
+    }
+
+    private static void start(IoTask task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException exception) {
+                // The connection has ended.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private interface IoTask {
+        void run() throws IOException;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        cut();
+    }
+}
