Add banyanstairctl, its scripts and examples

Operators need to check, compare and apply declarations, switch presets, see hosts and endpoints, drain a host and report burned error budgets.

Commands are classes with setters and call(). Changes above 1 MiB are split into parts of at most 4,000 operations. A change whose request was begun is never sent again; its verdict is asked for by id on all hosts. Two failures are added to the core, because none fits: OperatorUnreachable and UnexpectedResponse. Declarations are read with duplicates and dangling references located.

Excluded: a [[pool]] is not required for the pool of a service, because the core has defaults for undeclared pools.

--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandLineTool.java
@@ -0,0 +1,104 @@
+package org.banyanstair.cli;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+
+/** Parses a command line and runs the command. */
+public final class CommandLineTool {
+    private final Function<String, Optional<String>> environment;
+    private final PrintStream out;
+    private final PrintStream err;
+    private final boolean terminal;
+
+    /**
+     * Creates the tool.
+     *
+     * @param environment environment variables by name
+     * @param out standard output
+     * @param err standard error
+     * @param terminal whether a person watches the output
+     */
+    public CommandLineTool(
+            Function<String, Optional<String>> environment, PrintStream out, PrintStream err, boolean terminal) {
+        this.environment = environment;
+        this.out = out;
+        this.err = err;
+        this.terminal = terminal;
+    }
+
+    /**
+     * Runs one command.
+     *
+     * @param arguments the command line
+     * @return the exit code
+     */
+    public ExitCode run(String... arguments) {
+        Console console = new Console(out, err, requestedFormat(arguments), terminal);
+        try {
+            return execute(console, arguments);
+        } catch (FailureException exception) {
+            console.failures(List.of(exception.failure()));
+            return ExitCode.of(exception.failure());
+        }
+    }
+
+    private ExitCode execute(Console console, String... arguments) {
+        CommandLine global = parse(GlobalOptions.options(), arguments, true);
+        List<String> words = global.getArgList();
+        Optional<CommandDefinition> found = CommandDefinition.find(words);
+        if (global.hasOption(GlobalOptions.HELP) || global.hasOption(GlobalOptions.VERSION)) {
+            return help(global, found);
+        }
+        CommandDefinition definition = found.orElseThrow(() -> new FailureException(
+                new Failure.InvalidField("command", "one of " + String.join(", ", CommandDefinition.names()))));
+        String[] rest = words.subList(definition.words().size(), words.size()).toArray(String[]::new);
+        CommandLine own = parse(definition.allOptions(), rest, false);
+        if (own.hasOption(GlobalOptions.HELP) || own.hasOption(GlobalOptions.VERSION)) {
+            return help(own, found);
+        }
+        definition.checkArguments(own.getArgList());
+        return definition
+                .create(new Invocation(console, global, own, environment))
+                .call();
+    }
+
+    private ExitCode help(CommandLine line, Optional<CommandDefinition> definition) {
+        Help help = new Help(out);
+        if (line.hasOption(GlobalOptions.HELP)) {
+            help.print(definition);
+        } else {
+            help.printVersion();
+        }
+        return ExitCode.DONE;
+    }
+
+    private static CommandLine parse(Options options, String[] arguments, boolean stopAtCommand) {
+        try {
+            return DefaultParser.builder()
+                    .setAllowPartialMatching(false)
+                    .setStripLeadingAndTrailingQuotes(false)
+                    .build()
+                    .parse(options, arguments, stopAtCommand);
+        } catch (ParseException exception) {
+            throw new FailureException(UsageFailure.of(exception, options));
+        }
+    }
+
+    /** Finds the output format before the command line is parsed, so that errors in it are printed in this format. */
+    private static Console.Format requestedFormat(String... arguments) {
+        String joined = String.join(" ", Arrays.asList(arguments)).toLowerCase(Locale.ROOT);
+        return joined.matches(".*--output[ =]json( .*|$)") ? Console.Format.JSON : Console.Format.TEXT;
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnPage.java
@@ -0,0 +1,111 @@
+package org.banyanstair.cli.burn;
+
+import java.io.IOException;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+import org.banyanstair.burn.BurnSample;
+import org.banyanstair.cli.output.Texts;
+import org.banyanstair.model.ServiceId;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+
+/** Formats a burn report as one HTML page that needs no other file. */
+public final class BurnPage {
+    private static final int WIDTH_PIXELS = 900;
+    private static final int HEIGHT_PIXELS = 450;
+
+    private final BurnReport report;
+
+    /**
+     * Creates a page.
+     *
+     * @param report the report
+     */
+    public BurnPage(BurnReport report) {
+        this.report = report;
+    }
+
+    /**
+     * Formats the page.
+     *
+     * @return the HTML text
+     * @throws IOException if the chart cannot be drawn
+     */
+    public String html() throws IOException {
+        String rows = report.samples().stream().map(BurnPage::row).collect(Collectors.joining("\n"));
+        String missing = report.hostsWithoutAnswer().isEmpty()
+                ? ""
+                : "<p>" + Texts.of("burn.incomplete", report.hostsWithoutAnswer()) + "</p>\n";
+        return "<!DOCTYPE html>\n<html lang=\"en\">\n<head><meta charset=\"utf-8\"><title>" + Texts.of("burn.title")
+                + "</title>\n<style>body{font-family:sans-serif}td,th{padding:0.2em 0.8em;text-align:left}</style>"
+                + "</head>\n<body>\n<h1>" + Texts.of("burn.title") + "</h1>\n<p>"
+                + Texts.of("burn.taken-at", report.takenAt()) + "</p>\n" + missing + chart() + "<table>\n" + header()
+                + rows + "\n</table>\n</body>\n</html>\n";
+    }
+
+    private static String header() {
+        return List.of(
+                        "column.service",
+                        "column.window",
+                        "column.requests",
+                        "column.good-share",
+                        "column.objective",
+                        "column.burn-rate",
+                        "column.failures")
+                .stream()
+                .map(key -> "<th>" + Texts.of(key) + "</th>")
+                .collect(Collectors.joining("", "<tr>", "</tr>\n"));
+    }
+
+    private static String row(BurnSample sample) {
+        return BurnRow.cells(sample).stream()
+                .map(cell -> "<td>" + escape(cell) + "</td>")
+                .collect(Collectors.joining("", "<tr>", "</tr>"));
+    }
+
+    private static String escape(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
+    }
+
+    private String chart() throws IOException {
+        List<ServiceId> services =
+                report.samples().stream().map(BurnSample::service).distinct().toList();
+        if (services.isEmpty()) {
+            return "";
+        }
+        CategoryChart chart = new CategoryChartBuilder()
+                .width(WIDTH_PIXELS)
+                .height(HEIGHT_PIXELS)
+                .title(Texts.of("burn.title"))
+                .xAxisTitle(Texts.of("column.service"))
+                .yAxisTitle(Texts.of("column.burn-rate"))
+                .build();
+        chart.getStyler().setLocale(Locale.ROOT);
+        List<String> names = services.stream().map(ServiceId::value).toList();
+        report.samples().stream()
+                .map(BurnSample::windowMinutes)
+                .distinct()
+                .sorted()
+                .forEach(window -> chart.addSeries(
+                        Texts.of("burn.window", window),
+                        names,
+                        services.stream()
+                                .map(service -> burnRate(service, window))
+                                .toList()));
+        String image =
+                Base64.getEncoder().encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG));
+        return "<img alt=\"" + Texts.of("burn.title") + "\" src=\"data:image/png;base64," + image + "\">\n";
+    }
+
+    private double burnRate(ServiceId service, int window) {
+        return report.samples().stream()
+                .filter(sample -> sample.service().equals(service) && sample.windowMinutes() == window)
+                .mapToDouble(BurnSample::burnRate)
+                .findFirst()
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnReport.java
@@ -0,0 +1,84 @@
+package org.banyanstair.cli.burn;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.ServiceId;
+
+/**
+ * Burn samples of all hosts, added up.
+ *
+ * @param takenAt when the latest snapshot was taken
+ * @param samples one for each service and window, by service and then by length of the window
+ * @param hostsWithoutAnswer hosts whose samples are missing
+ */
+public record BurnReport(Instant takenAt, List<BurnSample> samples, List<HostId> hostsWithoutAnswer) {
+    /** Copies the lists. */
+    public BurnReport {
+        samples = List.copyOf(samples);
+        hostsWithoutAnswer = List.copyOf(hostsWithoutAnswer);
+    }
+
+    private record Key(ServiceId service, int windowMinutes) {}
+
+    /**
+     * Adds up snapshots.
+     *
+     * @param snapshots one for each host that answered; at least one
+     * @param hostsWithoutAnswer the other hosts
+     * @return the report
+     */
+    public static BurnReport merge(List<BurnSnapshot> snapshots, List<HostId> hostsWithoutAnswer) {
+        Map<Key, BurnSample> merged =
+                new TreeMap<>(Comparator.comparing(Key::service).thenComparing(Key::windowMinutes));
+        // The objective of the latest snapshot stays: an objective that was changed lately differs between hosts.
+        List<BurnSnapshot> sorted = snapshots.stream()
+                .sorted(Comparator.comparing(BurnSnapshot::takenAt))
+                .toList();
+        sorted.stream()
+                .flatMap(snapshot -> snapshot.samples().stream())
+                .forEach(sample ->
+                        merged.merge(new Key(sample.service(), sample.windowMinutes()), sample, BurnReport::add));
+        return new BurnReport(
+                sorted.get(sorted.size() - 1).takenAt(), List.copyOf(merged.values()), hostsWithoutAnswer);
+    }
+
+    private static BurnSample add(BurnSample first, BurnSample second) {
+        Map<String, Long> failures = new HashMap<>(first.failures());
+        second.failures().forEach((code, count) -> failures.merge(code, count, Long::sum));
+        return new BurnSample(
+                second.service(),
+                second.objective(),
+                second.windowMinutes(),
+                first.requests() + second.requests(),
+                first.good() + second.good(),
+                failures);
+    }
+
+    /**
+     * Lists the services that miss their objective in their longest window.
+     *
+     * @return the services; a service without requests misses nothing
+     */
+    public List<ServiceId> missedObjectives() {
+        Map<ServiceId, BurnSample> longest = new TreeMap<>();
+        // Samples of a service are in the order of their windows, so that the longest one comes last.
+        samples.forEach(sample -> longest.put(sample.service(), sample));
+        return missed(longest.values());
+    }
+
+    private static List<ServiceId> missed(Collection<BurnSample> samples) {
+        return samples.stream()
+                .filter(sample -> sample.good() < sample.objective().share() * sample.requests())
+                .map(BurnSample::service)
+                .toList();
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRow.java
@@ -0,0 +1,45 @@
+package org.banyanstair.cli.burn;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+import org.banyanstair.burn.BurnSample;
+import org.banyanstair.cli.output.Texts;
+
+/** Formats a sample as cells of a table. */
+public final class BurnRow {
+    private BurnRow() {}
+
+    /**
+     * Formats a sample.
+     *
+     * @param sample the sample
+     * @return service, window, requests, good share, objective, burn rate and failures
+     */
+    public static List<String> cells(BurnSample sample) {
+        return List.of(
+                sample.service().value(),
+                Texts.of("burn.window", sample.windowMinutes()),
+                String.valueOf(sample.requests()),
+                sample.requests() == 0 ? "-" : share((double) sample.good() / sample.requests()),
+                Texts.of(
+                        "burn.objective",
+                        share(sample.objective().share()),
+                        sample.objective().latencyMilliseconds()),
+                String.format(Locale.ROOT, "%.2f", sample.burnRate()),
+                failures(sample.failures()));
+    }
+
+    private static String share(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+
+    private static String failures(Map<String, Long> failures) {
+        return failures.entrySet().stream()
+                .sorted(Map.Entry.<String, Long>comparingByValue().reversed().thenComparing(Map.Entry.comparingByKey()))
+                .map(entry -> entry.getKey() + "=" + entry.getValue())
+                .collect(Collectors.joining(" "));
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/package-info.java
@@ -0,0 +1,2 @@
+/** The service-level burn report. */
+package org.banyanstair.cli.burn;
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ApplyCommand.java
@@ -0,0 +1,103 @@
+package org.banyanstair.cli.command;
+
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.banyanstair.cli.ExitCode;
+import org.banyanstair.cli.operator.OperatorClient;
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.configuration.ConfigurationDifference;
+import org.banyanstair.configuration.Declarations;
+import org.banyanstair.configuration.Operation;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+
+/** Changes the configuration to that of a declarations file. */
+public final class ApplyCommand extends ChangeCommand {
+    private static final long POLL_MILLISECONDS = 200;
+
+    private Path file;
+    private OptionalLong base = OptionalLong.empty();
+    private boolean dryRun;
+
+    /**
+     * Creates the command.
+     *
+     * @param console receives the result
+     * @param client client of the operator API
+     */
+    public ApplyCommand(Console console, OperatorClient client) {
+        super(console, client);
+    }
+
+    /**
+     * Sets the file.
+     *
+     * @param file declarations file
+     */
+    public void setFile(Path file) {
+        this.file = file;
+    }
+
+    /**
+     * Sets the version that must be in force.
+     *
+     * @param version the version
+     */
+    public void setBase(long version) {
+        this.base = OptionalLong.of(version);
+    }
+
+    /**
+     * Sets whether the change is only shown.
+     *
+     * @param dryRun false by default
+     */
+    public void setDryRun(boolean dryRun) {
+        this.dryRun = dryRun;
+    }
+
+    @Override
+    public ExitCode call() {
+        return ValidateCommand.read(console(), file).map(this::apply).orElse(ExitCode.INVALID_INPUT);
+    }
+
+    private ExitCode apply(Declarations declarations) {
+        Configuration configuration = configuration();
+        List<Operation> operations = ConfigurationDifference.between(configuration, declarations);
+        if (dryRun || operations.isEmpty()) {
+            new DifferenceView(configuration).print(console(), operations);
+            return ExitCode.DONE;
+        }
+        return submit(configuration.version(), operations);
+    }
+
+    private Configuration configuration() {
+        Configuration configuration = client().configuration();
+        if (base.isEmpty()) {
+            return configuration;
+        }
+        Instant deadline = deadline();
+        // A host may not have read the change yet that made the base version.
+        while (configuration.version() < base.getAsLong() && Instant.now().isBefore(deadline)) {
+            pause();
+            configuration = client().configuration();
+        }
+        if (configuration.version() != base.getAsLong()) {
+            throw new FailureException(new Failure.ConfigurationConflict(base.getAsLong(), configuration.version()));
+        }
+        return configuration;
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLISECONDS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new FailureException(new Failure.Cancelled());
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferenceView.java
@@ -0,0 +1,54 @@
+package org.banyanstair.cli.command;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.Texts;
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.configuration.Operation;
+
+/** Prints operations as additions, changes and removals compared with a configuration. */
+final class DifferenceView {
+    private final Configuration from;
+
+    DifferenceView(Configuration from) {
+        this.from = from;
+    }
+
+    void print(Console console, List<Operation> operations) {
+        Map<String, Object> document = new LinkedHashMap<>();
+        document.put("version", from.version());
+        document.put("operations", operations);
+        List<String> lines = operations.isEmpty()
+                ? List.of(Texts.of("diff.none", from.version()))
+                : operations.stream().map(this::line).toList();
+        console.result(document, lines);
+    }
+
+    private String line(Operation operation) {
+        if (operation instanceof Operation.PutService put) {
+            return put("service", put.service().id(), from.services());
+        } else if (operation instanceof Operation.PutAdapter put) {
+            return put("adapter", put.adapter().key(), from.adapters());
+        } else if (operation instanceof Operation.PutPool put) {
+            return put("pool", put.pool().id(), from.pools());
+        } else if (operation instanceof Operation.PutPreset put) {
+            return put("preset-settings", put.preset().id(), from.presets());
+        } else if (operation instanceof Operation.RemoveService remove) {
+            return Texts.of("diff.remove", "service", remove.id());
+        } else if (operation instanceof Operation.RemoveAdapter remove) {
+            return Texts.of("diff.remove", "adapter", remove.key());
+        } else if (operation instanceof Operation.RemovePool remove) {
+            return Texts.of("diff.remove", "pool", remove.id());
+        } else if (operation instanceof Operation.RemovePreset remove) {
+            return Texts.of("diff.remove", "preset-settings", remove.id());
+        }
+        return Texts.of("diff.use", from.presetInForce(), ((Operation.UsePreset) operation).id());
+    }
+
+    private static String put(String kind, Object id, Map<?, ?> present) {
+        return Texts.of(present.containsKey(id) ? "diff.change" : "diff.add", kind, id);
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DrainCommand.java
@@ -0,0 +1,44 @@
+package org.banyanstair.cli.command;
+
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstair.cli.ExitCode;
+import org.banyanstair.cli.operator.OperatorClient;
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.Texts;
+import org.banyanstair.model.HostId;
+
+/** Asks a host to drain and stop. */
+public final class DrainCommand implements Command {
+    private final Console console;
+    private final OperatorClient client;
+    private HostId host;
+
+    /**
+     * Creates the command.
+     *
+     * @param console receives the result
+     * @param client client of the operator API
+     */
+    public DrainCommand(Console console, OperatorClient client) {
+        this.console = console;
+        this.client = client;
+    }
+
+    /**
+     * Sets the host.
+     *
+     * @param host host to drain
+     */
+    public void setHost(HostId host) {
+        this.host = host;
+    }
+
+    @Override
+    public ExitCode call() {
+        client.drain(host);
+        console.result(Map.of("host", host, "draining", true), List.of(Texts.of("drain.requested", host)));
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/EndpointsCommand.java
@@ -0,0 +1,57 @@
+package org.banyanstair.cli.command;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.banyanstair.cli.ExitCode;
+import org.banyanstair.cli.operator.OperatorClient;
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.TextTable;
+import org.banyanstair.cli.output.Texts;
+import org.banyanstair.peer.EndpointReport;
+
+/** Shows the state of the endpoints. */
+public final class EndpointsCommand implements Command {
+    private final Console console;
+    private final OperatorClient client;
+
+    /**
+     * Creates the command.
+     *
+     * @param console receives the result
+     * @param client client of the operator API
+     */
+    public EndpointsCommand(Console console, OperatorClient client) {
+        this.console = console;
+        this.client = client;
+    }
+
+    @Override
+    public ExitCode call() {
+        List<EndpointReport> reports = client.endpoints().stream()
+                .sorted(Comparator.comparing(
+                                (EndpointReport report) -> report.pool().value())
+                        .thenComparing(report -> report.endpoint().value()))
+                .toList();
+        TextTable table = new TextTable(
+                "column.pool",
+                "column.endpoint",
+                "column.presence",
+                "column.state",
+                "column.owner",
+                "column.running",
+                "column.slots",
+                "column.loaded");
+        reports.forEach(report -> table.row(
+                report.pool(),
+                report.endpoint(),
+                Texts.of("presence." + report.presence()),
+                Texts.of(report.reachable() ? "status.reachable" : "status.unreachable"),
+                report.owner(),
+                report.running() + "/" + report.batchLimit(),
+                report.loaded().size() + "/" + report.slots(),
+                String.join(" ", report.loaded())));
+        console.result(reports, table.lines());
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/StatusCommand.java
@@ -0,0 +1,70 @@
+package org.banyanstair.cli.command;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.banyanstair.cli.ExitCode;
+import org.banyanstair.cli.operator.ClusterStatus;
+import org.banyanstair.cli.operator.OperatorClient;
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.TextTable;
+import org.banyanstair.cli.output.Texts;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.peer.HostStatus;
+
+/** Shows the state of the entry hosts. */
+public final class StatusCommand implements Command {
+    private final Console console;
+    private final OperatorClient client;
+
+    /**
+     * Creates the command.
+     *
+     * @param console receives the result
+     * @param client client of the operator API
+     */
+    public StatusCommand(Console console, OperatorClient client) {
+        this.console = console;
+        this.client = client;
+    }
+
+    @Override
+    public ExitCode call() {
+        ClusterStatus status = client.status();
+        TextTable table = new TextTable(
+                "column.host",
+                "column.data-centre",
+                "column.presence",
+                "column.state",
+                "column.version",
+                "column.preset",
+                "column.running",
+                "column.log",
+                "column.pools");
+        for (EntryHost host : status.hosts()) {
+            table.row(cells(host, status.state(host.id())).toArray());
+        }
+        console.result(status, table.lines());
+        return ExitCode.DONE;
+    }
+
+    private static List<Object> cells(EntryHost host, Optional<HostStatus> answer) {
+        List<Object> cells = new ArrayList<>();
+        cells.add(host.id());
+        cells.add(host.dataCentre());
+        cells.add(Texts.of("presence." + host.presence()));
+        if (answer.isEmpty()) {
+            cells.addAll(List.of(Texts.of("status.no-answer"), "-", "-", "-", "-", "-"));
+            return cells;
+        }
+        HostStatus state = answer.get();
+        cells.add(Texts.of(state.draining() ? "status.draining" : state.ready() ? "status.ready" : "status.not-ready"));
+        cells.add(state.configurationVersion());
+        cells.add(state.preset());
+        cells.add(state.running());
+        cells.add(Texts.of(state.logReachable() ? "status.reachable" : "status.unreachable"));
+        cells.add(state.ownedPools());
+        return cells;
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of the tool. */
+package org.banyanstair.cli.command;
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of declarations files. */
+package org.banyanstair.cli.declarations;
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
@@ -0,0 +1,167 @@
+package org.banyanstair.cli.operator;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+
+import okhttp3.HttpUrl;
+import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.Texts;
+import org.banyanstair.configuration.ChangeVerdict;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.configuration.Operation;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.HostId;
+
+/** Submits operations as changes, resolves unknown outcomes, and waits until a version is in force. */
+public final class ChangeSubmitter {
+    private static final long POLL_MILLISECONDS = 200;
+
+    private final OperatorClient client;
+    private final Console console;
+    private final Duration wait;
+
+    /**
+     * Creates a submitter.
+     *
+     * @param client client of the operator API
+     * @param console shows progress
+     * @param wait how long an unknown outcome and a version are each waited for
+     */
+    public ChangeSubmitter(OperatorClient client, Console console, Duration wait) {
+        this.client = client;
+        this.console = console;
+        this.wait = wait;
+    }
+
+    /**
+     * Submits operations, in several changes if they do not fit into one.
+     *
+     * @param baseVersion version that the operations start from
+     * @param operations the operations
+     * @return the version that the last change made
+     * @throws FailureException with the failure of the first change that was not accepted
+     */
+    public long submit(long baseVersion, List<Operation> operations) {
+        List<List<Operation>> parts = ChangeParts.split(operations);
+        if (parts.size() > 1) {
+            console.note(Texts.of("apply.parts", operations.size(), parts.size()));
+        }
+        long version = baseVersion;
+        for (int part = 0; part < parts.size(); part++) {
+            try {
+                version = submitPart(version, parts.get(part));
+            } catch (FailureException exception) {
+                if (part > 0) {
+                    console.note(Texts.of("apply.stopped", part, parts.size(), version));
+                }
+                throw exception;
+            }
+            console.progress(Texts.of("apply.progress", part + 1, parts.size(), version));
+        }
+        return version;
+    }
+
+    private long submitPart(long baseVersion, List<Operation> operations) {
+        String changeId = UUID.randomUUID().toString();
+        String author = System.getProperty("user.name", "unknown");
+        ChangeVerdict verdict;
+        try {
+            verdict = client.submit(new ConfigurationChange(changeId, baseVersion, author, operations));
+        } catch (FailureException exception) {
+            if (!(exception.failure() instanceof Failure.ChangeOutcomeUnknown)) {
+                throw exception;
+            }
+            verdict = new ChangeVerdict.Refused(exception.failure());
+        }
+        return accepted(isUnknown(verdict) ? resolve(changeId) : verdict);
+    }
+
+    private static boolean isUnknown(ChangeVerdict verdict) {
+        return verdict instanceof ChangeVerdict.Refused refused
+                && refused.failure() instanceof Failure.ChangeOutcomeUnknown;
+    }
+
+    private static long accepted(ChangeVerdict verdict) {
+        if (verdict instanceof ChangeVerdict.Refused refused) {
+            throw new FailureException(refused.failure());
+        }
+        return ((ChangeVerdict.Accepted) verdict).version();
+    }
+
+    /** Asks all hosts for the verdict. A change is never submitted again: the first submission may still be accepted. */
+    private ChangeVerdict resolve(String changeId) {
+        console.note(Texts.of("apply.unknown", changeId));
+        Instant deadline = Instant.now().plus(wait);
+        do {
+            for (HttpUrl address : allAddresses()) {
+                Optional<ChangeVerdict> verdict =
+                        client.verdict(address, changeId).filter(found -> !isUnknown(found));
+                if (verdict.isPresent()) {
+                    return verdict.get();
+                }
+            }
+        } while (pause(deadline));
+        return new ChangeVerdict.Refused(new Failure.ChangeOutcomeUnknown(changeId));
+    }
+
+    private Set<HttpUrl> allAddresses() {
+        Set<HttpUrl> addresses = new LinkedHashSet<>(client.addresses());
+        try {
+            client.status().hosts().forEach(host -> addresses.add(HostAddress.of(host)));
+        } catch (FailureException exception) {
+            // The given addresses are asked in any case; the next round tries the host list again.
+            return addresses;
+        }
+        return addresses;
+    }
+
+    /**
+     * Waits until all live hosts report a version.
+     *
+     * @param version the version
+     * @return live hosts that did not report it before the deadline; empty if all did
+     * @throws FailureException if the state of the hosts could not be read before the deadline
+     */
+    public List<HostId> awaitEverywhere(long version) {
+        Instant deadline = Instant.now().plus(wait);
+        FailureException lastFailure;
+        List<HostId> missing = List.of();
+        do {
+            try {
+                ClusterStatus status = client.status();
+                missing = status.hostsBelow(version);
+                lastFailure = null;
+                if (missing.isEmpty()) {
+                    return missing;
+                }
+                console.progress(Texts.of("apply.waiting", version, missing.size(), missing));
+            } catch (FailureException exception) {
+                lastFailure = exception;
+            }
+        } while (pause(deadline));
+        if (lastFailure != null) {
+            throw lastFailure;
+        }
+        return missing;
+    }
+
+    /** Waits for the next poll; returns false after the deadline. */
+    private boolean pause(Instant deadline) {
+        if (!Instant.now().isBefore(deadline)) {
+            return false;
+        }
+        try {
+            Thread.sleep(POLL_MILLISECONDS);
+            return true;
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ErrorBody.java
@@ -0,0 +1,23 @@
+package org.banyanstair.cli.operator;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.banyanstair.errors.Failure;
+
+/** Reads the error envelope of the operator API: {@code {"error":{..., "details":{...}}}}. */
+final class ErrorBody {
+    private ErrorBody() {}
+
+    /** Returns the failure in the details, empty if the body has none that this release knows. */
+    static Optional<Failure> failure(ObjectMapper mapper, byte[] body) {
+        try {
+            JsonNode details = mapper.readTree(body).path("error").path("details");
+            return details.isObject() ? Optional.of(mapper.treeToValue(details, Failure.class)) : Optional.empty();
+        } catch (IOException exception) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the operator protocol, and how changes are submitted through it. */
+package org.banyanstair.cli.operator;
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
@@ -0,0 +1,119 @@
+package org.banyanstair.cli.output;
+
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureText;
+
+/** Prints results to standard output, and errors, warnings and progress to standard error. For use by one thread. */
+public final class Console {
+    /** Form of the output. */
+    public enum Format {
+        /** For people. */
+        TEXT,
+        /** One JSON document per result. */
+        JSON
+    }
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final Format format;
+    private final boolean terminal;
+    private boolean progressShown;
+
+    /**
+     * Creates a console.
+     *
+     * @param out standard output
+     * @param err standard error
+     * @param format form of the output
+     * @param terminal whether a person watches, so that progress is worth showing
+     */
+    public Console(PrintStream out, PrintStream err, Format format, boolean terminal) {
+        this.out = out;
+        this.err = err;
+        this.format = format;
+        this.terminal = terminal;
+    }
+
+    /**
+     * Prints a result.
+     *
+     * @param document value for JSON output
+     * @param lines lines for text output
+     */
+    public void result(Object document, List<String> lines) {
+        endProgress();
+        if (format == Format.JSON) {
+            out.println(json(document));
+        } else {
+            lines.forEach(out::println);
+        }
+    }
+
+    /**
+     * Prints a note that is not part of the result.
+     *
+     * @param text the note
+     */
+    public void note(String text) {
+        endProgress();
+        err.println(format == Format.JSON ? json(Map.of("note", text)) : text);
+    }
+
+    /**
+     * Shows progress on a terminal, in place of the progress shown before.
+     *
+     * @param text the progress
+     */
+    public void progress(String text) {
+        if (terminal && format == Format.TEXT) {
+            err.print("\r" + text + "\u001b[K");
+            err.flush();
+            progressShown = true;
+        }
+    }
+
+    /**
+     * Prints errors with their codes.
+     *
+     * @param failures the errors
+     */
+    public void failures(List<Failure> failures) {
+        endProgress();
+        if (format == Format.JSON) {
+            err.println(json(
+                    Map.of("errors", failures.stream().map(Console::document).toList())));
+        } else {
+            failures.forEach(failure -> err.println(Texts.of("error", failure.code(), FailureText.of(failure))));
+        }
+    }
+
+    private static Map<String, Object> document(Failure failure) {
+        Map<String, Object> document = new LinkedHashMap<>();
+        document.put("code", failure.code());
+        document.put("text", FailureText.of(failure));
+        document.put("details", failure);
+        return document;
+    }
+
+    private void endProgress() {
+        if (progressShown) {
+            err.println();
+            progressShown = false;
+        }
+    }
+
+    private static String json(Object document) {
+        try {
+            return Mappers.JSON.writeValueAsString(document);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException("a result cannot be written as JSON", exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/TextTable.java
@@ -0,0 +1,54 @@
+package org.banyanstair.cli.output;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** A table in plain text with aligned columns. */
+public final class TextTable {
+    private static final String GAP = "  ";
+
+    private final List<List<String>> rows = new ArrayList<>();
+
+    /**
+     * Creates a table.
+     *
+     * @param headerKeys keys of the column headers in the message bundle
+     */
+    public TextTable(String... headerKeys) {
+        rows.add(Stream.of(headerKeys).map(Texts::of).toList());
+    }
+
+    /**
+     * Adds a row.
+     *
+     * @param cells one value for each column
+     * @return this table
+     */
+    public TextTable row(Object... cells) {
+        rows.add(Stream.of(cells).map(String::valueOf).toList());
+        return this;
+    }
+
+    /**
+     * Formats the table.
+     *
+     * @return one line for the header and one for each row
+     */
+    public List<String> lines() {
+        return rows.stream().map(this::line).toList();
+    }
+
+    private String line(List<String> row) {
+        StringBuilder line = new StringBuilder();
+        for (int column = 0; column < row.size(); column++) {
+            String cell = row.get(column);
+            line.append(cell).append(" ".repeat(width(column) - cell.length())).append(GAP);
+        }
+        return line.toString().stripTrailing();
+    }
+
+    private int width(int column) {
+        return rows.stream().mapToInt(row -> row.get(column).length()).max().orElse(0);
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Texts.java
@@ -0,0 +1,27 @@
+package org.banyanstair.cli.output;
+
+import java.text.MessageFormat;
+import java.util.ResourceBundle;
+
+/** The texts for people, from the message bundle of the tool. */
+public final class Texts {
+    private static final ResourceBundle MESSAGES = ResourceBundle.getBundle("org.banyanstair.cli.messages");
+
+    private Texts() {}
+
+    /**
+     * Returns a text.
+     *
+     * @param key key in the bundle
+     * @param values values for the places {0}, {1} and so on; printed with their toString
+     * @return the text
+     */
+    public static String of(String key, Object... values) {
+        Object[] texts = new Object[values.length];
+        for (int index = 0; index < values.length; index++) {
+            // MessageFormat would print the number 4000 as 4,000.
+            texts[index] = String.valueOf(values[index]);
+        }
+        return MessageFormat.format(MESSAGES.getString(key), texts);
+    }
+}
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/package-info.java
@@ -0,0 +1,2 @@
+/** Output for people and as JSON. */
+package org.banyanstair.cli.output;
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool {@code banyanstairctl}. */
+package org.banyanstair.cli;
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -166,6 +166,12 @@
     /** A host could not be reached. */
     record HostUnreachable(HostId host) implements Failure {}
 
+    /** None of the operator addresses could be reached; nothing was sent, or the request may be repeated. */
+    record OperatorUnreachable(String addresses) implements Failure {}
+
+    /** The operator API answered in a way that its protocol does not know. */
+    record UnexpectedResponse(int status) implements Failure {}
+
     /** The peer sent a frame that could not be decoded. */
     record MalformedFrame(int lengthBytes) implements Failure {}
 }
