Add the stand-ins of engines and plain services

Tests and the clients need endpoints that speak the published protocol and can be made to fail.

Adds an engine with continuous batching, adapter slots, resumable streams and faults that are set at run time, and a plain service with an order desk and a stock lookup. Both run in the test's process or as a process of their own. One scheduler thread owns the state of an engine.

Left out: export and import of KV cache, which no requirement of the clients uses yet.

--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/StandInServer.java
@@ -0,0 +1,190 @@
+package org.banyanstair.testsupport.endpoint;
+
+import java.net.BindException;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.Route;
+import io.jooby.ServerOptions;
+import io.jooby.netty.NettyServer;
+import io.netty.channel.Channel;
+import org.banyanstair.model.NetworkAddress;
+
+/**
+ * HTTP server of a stand-in. It can close all its connections and refuse new ones for a while.
+ *
+ * <p>Handlers run on the event loop and must not block.
+ */
+public final class StandInServer {
+    private static final String HOST = "127.0.0.1";
+    private static final int MAX_REQUEST_BYTES = 4 << 20;
+    private static final int START_ATTEMPTS = 20;
+
+    private final Consumer<Routes> routes;
+    private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+
+    // Not a daemon thread: the threads of the server are, so this one keeps a stand-in process alive.
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private volatile int port;
+    private NettyServer server;
+    private boolean stopped;
+
+    /**
+     * Creates the server.
+     *
+     * @param port port to listen on, 0 for a free one
+     * @param routes declares the routes
+     */
+    public StandInServer(int port, Consumer<Routes> routes) {
+        this.port = port;
+        this.routes = routes;
+    }
+
+    /** Declares the routes of a stand-in. */
+    public static final class Routes {
+        private final Jooby application;
+        private final Set<Channel> channels;
+
+        private Routes(Jooby application, Set<Channel> channels) {
+            this.application = application;
+            this.channels = channels;
+        }
+
+        /**
+         * Declares a route.
+         *
+         * @param method HTTP method
+         * @param path path pattern of Jooby
+         * @param action answers the request, at once or later; an {@link IllegalArgumentException} becomes 400
+         */
+        public void on(String method, String path, Consumer<Exchange> action) {
+            Route.Handler handler = context -> {
+                Exchange exchange = new Exchange(context);
+                Channel channel = exchange.channel();
+                if (channels.add(channel)) {
+                    channel.closeFuture().addListener(future -> channels.remove(channel));
+                }
+                try {
+                    action.accept(exchange);
+                } catch (IllegalArgumentException exception) {
+                    exchange.refuse(400, "invalid_field", String.valueOf(exception.getMessage()));
+                }
+                return context;
+            };
+            application.route(method, path, handler);
+        }
+    }
+
+    /** Starts to listen; returns when the server accepts connections. */
+    public synchronized void start() {
+        timer.execute(() -> {});
+        RuntimeException last = null;
+        for (int attempt = 0; attempt < START_ATTEMPTS && !stopped && server == null; attempt++) {
+            try {
+                listen();
+                return;
+            } catch (RuntimeException exception) {
+                if (!isAddressInUse(exception)) {
+                    throw exception;
+                }
+                // A free port that was picked can be taken, and a port that was just closed needs a moment.
+                last = exception;
+                sleep();
+            }
+        }
+        if (last != null) {
+            throw last;
+        }
+    }
+
+    /** Closes all connections and stops to listen. */
+    public synchronized void stop() {
+        stopped = true;
+        timer.shutdownNow();
+        close();
+    }
+
+    /**
+     * Closes all connections and refuses new ones for a while, on the same port.
+     *
+     * @param pause how long connections are refused
+     * @param beforeReturn runs just before the server listens again
+     */
+    public void suspend(Duration pause, Runnable beforeReturn) {
+        channels.forEach(Channel::close);
+        timer.execute(this::closeUnlessStopped);
+        timer.schedule(
+                () -> {
+                    beforeReturn.run();
+                    start();
+                },
+                pause.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns the address on which the server listens.
+     *
+     * @return the address, known once {@link #start} has returned
+     */
+    public NetworkAddress address() {
+        return new NetworkAddress(HOST, port);
+    }
+
+    private void listen() {
+        Jooby application = new Jooby();
+        application.setExecutionMode(ExecutionMode.EVENT_LOOP);
+        application.error(
+                (context, cause, code) -> new Exchange(context).refuse(code.value(), "not_served", code.reason()));
+        routes.accept(new Routes(application, channels));
+        ServerOptions options = new ServerOptions();
+        options.setHost(HOST);
+        options.setPort(port);
+        options.setIoThreads(2);
+        options.setWorkerThreads(1);
+        options.setMaxRequestSize(MAX_REQUEST_BYTES);
+        application.setServerOptions(options);
+        NettyServer next = new NettyServer();
+        next.setOptions(options);
+        next.start(application);
+        server = next;
+        port = options.getPort();
+    }
+
+    private synchronized void closeUnlessStopped() {
+        if (!stopped) {
+            close();
+        }
+    }
+
+    private void close() {
+        if (server != null) {
+            server.stop();
+            server = null;
+        }
+    }
+
+    private static boolean isAddressInUse(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof BindException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void sleep() {
+        try {
+            Thread.sleep(20);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
@@ -0,0 +1,177 @@
+package org.banyanstair.testsupport.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.testsupport.endpoint.Exchange;
+import org.banyanstair.testsupport.endpoint.FaultSettings;
+
+/**
+ * Adapter slots of one incarnation and the commands that change them.
+ *
+ * <p>Everything runs on the scheduler thread of the engine.
+ */
+final class AdapterSlots {
+    private final EngineSettings settings;
+    private final FaultSettings<EngineFault> faults;
+    private final ScheduledExecutorService scheduler;
+    private final WeightStoreFetch weights;
+    private final Counts counts;
+    private final RunLog runLog;
+    private final Set<String> loaded = new LinkedHashSet<>();
+    private final Map<String, List<Exchange>> loading = new LinkedHashMap<>();
+    private long fence;
+    private int incarnation;
+
+    AdapterSlots(EngineResources resources) {
+        this.settings = resources.settings();
+        this.faults = resources.faults();
+        this.scheduler = resources.scheduler();
+        this.counts = resources.counts();
+        this.runLog = resources.runLog();
+        this.weights = new WeightStoreFetch(settings.weightStore());
+    }
+
+    boolean isLoaded(String adapter) {
+        return loaded.contains(adapter);
+    }
+
+    Set<String> loaded() {
+        return loaded;
+    }
+
+    long fence() {
+        return fence;
+    }
+
+    /** Forgets everything, as the loss of the process does; loads in transit have no effect any more. */
+    void clear() {
+        incarnation++;
+        loaded.clear();
+        loading.clear();
+        fence = 0;
+    }
+
+    void close() {
+        weights.close();
+    }
+
+    void load(Exchange exchange) {
+        String adapter = adapterOf(exchange);
+        if (isFenced(exchange)) {
+            return;
+        }
+        if (loaded.contains(adapter)) {
+            finishLoad(exchange, adapter);
+        } else if (loading.containsKey(adapter)) {
+            loading.get(adapter).add(exchange);
+        } else if (loaded.size() + loading.size() >= settings.slots()) {
+            exchange.refuse(409, "no_free_slot", "all adapter slots are taken");
+        } else {
+            loading.put(adapter, new ArrayList<>(List.of(exchange)));
+            fetch(adapter);
+        }
+    }
+
+    void unload(Exchange exchange, Batch batch) {
+        String adapter = adapterOf(exchange);
+        if (isFenced(exchange)) {
+            return;
+        }
+        if (loaded.remove(adapter)) {
+            counts.unloads++;
+            recordUsers("unloaded_in_use", adapter, batch.usersOf(adapter, true));
+            recordUsers("unloaded_while_waiting", adapter, batch.usersOf(adapter, false));
+            batch.usersOf(adapter, true).forEach(each -> batch.end(each, RunOutcome.UNLOADED));
+        }
+        answer(exchange, adapter, EngineFault.LOSE_UNLOAD_ANSWERS);
+    }
+
+    void role(Exchange exchange) {
+        if (!"serve".equals(exchange.json().path("role").asText())) {
+            throw new IllegalArgumentException("role must be serve");
+        }
+        if (!isFenced(exchange)) {
+            exchange.answer(200, Map.of("role", "serve", "fence", fence));
+        }
+    }
+
+    private static String adapterOf(Exchange exchange) {
+        JsonNode name = exchange.json().path("lora_name");
+        try {
+            return AdapterVersion.parse(name.asText()).engineName();
+        } catch (FailureException exception) {
+            throw new IllegalArgumentException("lora_name must be service/adapter@version", exception);
+        }
+    }
+
+    /** Answers a command with an old fencing number; a command without a number counts as number 0. */
+    private boolean isFenced(Exchange exchange) {
+        if (!settings.checksFencing() || faults.isSet(EngineFault.IGNORE_FENCING)) {
+            return false;
+        }
+        long number = Long.parseLong(exchange.header("X-Fencing-Number").orElse("0"));
+        if (number < fence) {
+            counts.fenced++;
+            exchange.refuse(409, "fenced", "the engine has seen fencing number " + fence);
+            return true;
+        }
+        fence = number;
+        return false;
+    }
+
+    private void fetch(String adapter) {
+        int startedIn = incarnation;
+        boolean fails = faults.take(EngineFault.FAIL_LOADS);
+        if (settings.weightStore().isEmpty() || fails) {
+            scheduler.schedule(
+                    () -> fetched(adapter, startedIn, !fails), settings.loadMilliseconds(), TimeUnit.MILLISECONDS);
+        } else {
+            weights.fetch(adapter, success -> scheduler.execute(() -> fetched(adapter, startedIn, success)));
+        }
+    }
+
+    private void fetched(String adapter, int startedIn, boolean success) {
+        if (startedIn != incarnation) {
+            return;
+        }
+        List<Exchange> exchanges = loading.remove(adapter);
+        if (success) {
+            counts.loads++;
+            loaded.add(adapter);
+            exchanges.forEach(each -> finishLoad(each, adapter));
+        } else {
+            counts.failedLoads++;
+            exchanges.forEach(each -> each.refuse(424, "load_failed", "the adapter could not be loaded"));
+        }
+    }
+
+    private void finishLoad(Exchange exchange, String adapter) {
+        answer(exchange, adapter, EngineFault.LOSE_LOAD_ANSWERS);
+    }
+
+    private void answer(Exchange exchange, String adapter, EngineFault loss) {
+        if (faults.take(loss)) {
+            exchange.breakConnection();
+        } else {
+            exchange.answer(200, Map.of("lora_name", adapter));
+        }
+    }
+
+    private void recordUsers(String kind, String adapter, List<Generation> users) {
+        if (!users.isEmpty()) {
+            List<String> ids = users.stream().map(each -> each.requestId).toList();
+            runLog.add(new EngineViolation(kind, adapter, ids, Instant.now()));
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
@@ -0,0 +1,226 @@
+package org.banyanstair.testsupport.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import org.banyanstair.testsupport.endpoint.FaultSettings;
+
+/**
+ * The continuous batch: waiting and running generations and the streams that can be resumed.
+ *
+ * <p>Everything runs on the scheduler thread of the engine.
+ */
+final class Batch {
+    private static final long KEEP_ENDED_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long HOUSEKEEPING_MILLISECONDS = 20;
+
+    private final EngineSettings settings;
+    private final FaultSettings<EngineFault> faults;
+    private final ScheduledExecutorService scheduler;
+    private final Predicate<String> isLoaded;
+    private final Runnable crash;
+    private final Counts counts;
+    private final PrefixCache cache;
+    private final TreeSet<Generation> waiting = new TreeSet<>(
+            Comparator.comparing((Generation each) -> !each.premium).thenComparing(each -> each.arrival));
+    private final List<Generation> running = new ArrayList<>();
+    private final Map<String, Generation> streams = new HashMap<>();
+    private final RunLog runLog;
+    private long arrivals;
+    private boolean stepping;
+    private long nextStepNanos;
+
+    Batch(EngineResources resources, PrefixCache cache, Predicate<String> isLoaded, Runnable crash) {
+        this.settings = resources.settings();
+        this.faults = resources.faults();
+        this.scheduler = resources.scheduler();
+        this.counts = resources.counts();
+        this.runLog = resources.runLog();
+        this.cache = cache;
+        this.isLoaded = isLoaded;
+        this.crash = crash;
+    }
+
+    void startHousekeeping() {
+        scheduler.scheduleWithFixedDelay(
+                this::housekeep, HOUSEKEEPING_MILLISECONDS, HOUSEKEEPING_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    List<Generation> running() {
+        return running;
+    }
+
+    int waitingCount() {
+        return waiting.size();
+    }
+
+    Optional<Generation> stream(String requestId) {
+        return Optional.ofNullable(streams.get(requestId));
+    }
+
+    void submit(Generation generation) {
+        streams.put(generation.requestId, generation);
+        enqueue(generation);
+    }
+
+    /** Puts a stream that was broken off back into the queue. */
+    void requeue(Generation generation) {
+        generation.outcome = RunOutcome.RUNNING;
+        generation.ended = Optional.empty();
+        enqueue(generation);
+    }
+
+    void disconnected(Generation generation) {
+        generation.detach();
+        generation.brokenAtNanos = System.nanoTime();
+        if (settings.keepBrokenStreamsSeconds() == 0) {
+            end(generation, RunOutcome.DISCONNECTED);
+        }
+    }
+
+    /** Takes a generation out of the batch or the queue; no effect if it has ended. */
+    void end(Generation generation, RunOutcome outcome) {
+        boolean wasWaiting = waiting.remove(generation);
+        if (!wasWaiting && !running.remove(generation)) {
+            return;
+        }
+        generation.outcome = outcome;
+        generation.endedAtNanos = System.nanoTime();
+        generation.ended = Optional.of(Instant.now());
+        if (generation.started != null) {
+            runLog.update(generation);
+        }
+        if (outcome != RunOutcome.COMPLETED) {
+            generation.breakReader();
+        }
+        if (outcome == RunOutcome.CANCELLED || outcome == RunOutcome.UNLOADED) {
+            streams.remove(generation.requestId, generation);
+        }
+    }
+
+    /** Ends everything without an answer, as the loss of the process does. */
+    void clear() {
+        List.copyOf(waiting).forEach(each -> end(each, RunOutcome.CRASHED));
+        List.copyOf(running).forEach(each -> end(each, RunOutcome.CRASHED));
+        streams.clear();
+    }
+
+    List<Generation> usersOf(String adapter, boolean inBatch) {
+        return (inBatch ? running.stream() : waiting.stream())
+                .filter(each -> each.adapter.equals(adapter))
+                .toList();
+    }
+
+    private void enqueue(Generation generation) {
+        generation.arrival = arrivals++;
+        waiting.add(generation);
+        if (!stepping) {
+            stepping = true;
+            nextStepNanos = System.nanoTime();
+            scheduler.execute(this::step);
+        }
+    }
+
+    private void step() {
+        admit();
+        if (running.isEmpty()) {
+            stepping = false;
+            return;
+        }
+        nextStepNanos = Math.max(System.nanoTime(), nextStepNanos + stepNanos());
+        counts.steps++;
+        for (Generation generation : List.copyOf(running)) {
+            advance(generation);
+        }
+        long pause = nextStepNanos - System.nanoTime();
+        if (pause > 0) {
+            scheduler.schedule(this::step, pause, TimeUnit.NANOSECONDS);
+        } else {
+            scheduler.execute(this::step);
+        }
+    }
+
+    private long stepNanos() {
+        long others = running.size() - 1L;
+        long micros = settings.stepMicroseconds() + others * settings.stepMicrosecondsPerRequest();
+        long slow = faults.value(EngineFault.SLOW_STEP_MILLISECONDS) * 1_000;
+        return settings.stepMicroseconds() == 0 ? slow * 1_000 : (micros + slow) * 1_000;
+    }
+
+    private void advance(Generation generation) {
+        if (!generation.isComplete()) {
+            generation.produced++;
+            counts.tokens++;
+        }
+        generation.deliver();
+        if (generation.isComplete()) {
+            end(generation, RunOutcome.COMPLETED);
+        }
+    }
+
+    private void admit() {
+        while (running.size() < settings.batchLimit() && !waiting.isEmpty()) {
+            Generation next = waiting.first();
+            if (!isLoaded.test(next.adapter)) {
+                refuse(next, 404, "adapter_not_loaded", "the adapter is not loaded");
+            } else if (next.deadline.isBefore(Instant.now())) {
+                refuse(next, 408, "deadline_passed", "the deadline passed before the request ran");
+            } else {
+                waiting.remove(next);
+                begin(next);
+            }
+        }
+    }
+
+    private void begin(Generation generation) {
+        running.add(generation);
+        boolean first = generation.started == null;
+        if (first) {
+            generation.started = Instant.now();
+            counts.generations++;
+            runLog.add(generation);
+        }
+        cache.use(EngineText.prefixHash(generation.adapter, generation.prompt), System.nanoTime());
+        if (!settings.crashMarker().isEmpty() && generation.prompt.contains(settings.crashMarker())) {
+            crash.run();
+        } else if (first && faults.take(EngineFault.LOSE_GENERATION_ANSWERS)) {
+            generation.breakReader();
+            disconnected(generation);
+        }
+    }
+
+    /** Answers a waiting request that did not run. A stream that had started before is broken off instead. */
+    private void refuse(Generation generation, int status, String code, String message) {
+        waiting.remove(generation);
+        streams.remove(generation.requestId, generation);
+        if (generation.reader != null) {
+            generation.reader.refuse(status, code, message);
+            generation.detach();
+        }
+    }
+
+    private void housekeep() {
+        long now = System.nanoTime();
+        Instant time = Instant.now();
+        List<Generation> active = new ArrayList<>(running);
+        active.addAll(waiting);
+        for (Generation each : active) {
+            long broken = now - each.brokenAtNanos;
+            if (each.reader == null && broken >= TimeUnit.SECONDS.toNanos(settings.keepBrokenStreamsSeconds())) {
+                end(each, RunOutcome.DISCONNECTED);
+            } else if (each.started != null && each.deadline.isBefore(time)) {
+                end(each, RunOutcome.DEADLINE_PASSED);
+            }
+        }
+        streams.values().removeIf(each -> each.ended.isPresent() && now - each.endedAtNanos >= KEEP_ENDED_NANOS);
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineResources.java
@@ -0,0 +1,13 @@
+package org.banyanstair.testsupport.engine;
+
+import java.util.concurrent.ScheduledExecutorService;
+
+import org.banyanstair.testsupport.endpoint.FaultSettings;
+
+/** What the parts of one engine share. */
+record EngineResources(
+        EngineSettings settings,
+        FaultSettings<EngineFault> faults,
+        ScheduledExecutorService scheduler,
+        Counts counts,
+        RunLog runLog) {}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
@@ -0,0 +1,291 @@
+package org.banyanstair.testsupport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.endpoint.Exchange;
+import org.banyanstair.testsupport.endpoint.FaultSettings;
+import org.banyanstair.testsupport.endpoint.SettingsArguments;
+import org.banyanstair.testsupport.endpoint.StandInServer;
+
+/**
+ * Model engine that produces a known text instead of running a model.
+ *
+ * <p>One scheduler thread owns all state; HTTP handlers and the methods of this class pass their work to it.
+ */
+public final class EngineStandIn {
+    private final EngineSettings settings;
+    private final FaultSettings<EngineFault> faults = new FaultSettings<>(EngineFault.class);
+    private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "engine-scheduler");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Counts counts = new Counts();
+    private final RunLog runLog = new RunLog();
+    private final StandInServer server;
+    private final AdapterSlots slots;
+    private final Batch batch;
+    private final PrefixCache cache;
+    private final StatusReport status;
+    private long incarnation = System.currentTimeMillis();
+    private boolean down;
+
+    /**
+     * Creates an engine.
+     *
+     * @param settings its settings
+     */
+    public EngineStandIn(EngineSettings settings) {
+        this.settings = settings;
+        this.cache = new PrefixCache(settings);
+        EngineResources resources = new EngineResources(settings, faults, scheduler, counts, runLog);
+        this.slots = new AdapterSlots(resources);
+        this.batch = new Batch(resources, cache, slots::isLoaded, this::crash);
+        this.status = new StatusReport(settings.statusLagMilliseconds(), this::currentStatus);
+        this.server = new StandInServer(settings.port(), this::declare);
+    }
+
+    /**
+     * Runs the engine as a process until it is killed.
+     *
+     * @param arguments {@code --set name=value} for each setting that differs from the default
+     */
+    public static void main(String[] arguments) {
+        // The only line on standard output is the address, so that a launcher can wait for it.
+        System.setProperty("tinylog.level", "warn");
+        EngineStandIn engine = new EngineStandIn(SettingsArguments.parse(arguments, EngineSettings.DEFAULT));
+        engine.start();
+        System.out.println("ready " + engine.address());
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        server.start();
+        batch.startHousekeeping();
+        status.start(scheduler);
+    }
+
+    /** Closes all connections and stops. */
+    public void stop() {
+        server.stop();
+        scheduler.shutdownNow();
+        slots.close();
+    }
+
+    /**
+     * Returns the address on which the engine listens.
+     *
+     * @return the address
+     */
+    public NetworkAddress address() {
+        return server.address();
+    }
+
+    /**
+     * Returns what ran so far.
+     *
+     * @return the record
+     */
+    public EngineRecord record() {
+        return onScheduler(() -> runLog.snapshot(batch.running()));
+    }
+
+    /**
+     * Returns the totals so far.
+     *
+     * @return the counters
+     */
+    public EngineCounters counters() {
+        return onScheduler(counts::snapshot);
+    }
+
+    /**
+     * Sets a fault.
+     *
+     * @param fault the fault
+     * @param value its number, 0 to end the fault
+     */
+    public void setFault(EngineFault fault, long value) {
+        if (fault == EngineFault.REFUSE_CONNECTIONS_MILLISECONDS) {
+            server.suspend(Duration.ofMillis(value), () -> {});
+        } else if (fault == EngineFault.RESTART) {
+            onScheduler(() -> {
+                crash();
+                return true;
+            });
+        } else {
+            faults.set(fault, value);
+        }
+    }
+
+    private <T> T onScheduler(Callable<T> action) {
+        Future<T> result = scheduler.submit(action);
+        try {
+            return result.get();
+        } catch (InterruptedException | ExecutionException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private void declare(StandInServer.Routes routes) {
+        command(routes, "POST", "/v1/chat/completions", exchange -> generate(exchange, true));
+        command(routes, "POST", "/v1/completions", exchange -> generate(exchange, false));
+        command(routes, "POST", "/v1/cancel", this::cancel);
+        command(routes, "POST", "/v1/load_lora_adapter", slots::load);
+        command(routes, "POST", "/v1/unload_lora_adapter", exchange -> slots.unload(exchange, batch));
+        command(routes, "POST", "/v1/role", slots::role);
+        command(routes, "GET", "/v1/status", exchange -> exchange.answer(200, status.read()));
+        command(routes, "GET", "/v1/cache_events", this::cacheEvents);
+        command(routes, "GET", "/record", exchange -> exchange.answer(200, runLog.snapshot(batch.running())));
+        command(routes, "GET", "/counters", exchange -> exchange.answer(200, counts.snapshot()));
+        routes.on("PUT", "/faults", exchange -> {
+            Map<EngineFault, Long> parsed = faults.parse(exchange.json());
+            exchange.answer(200, parsed);
+            scheduler.execute(() -> parsed.forEach(this::setFaultOnScheduler));
+        });
+    }
+
+    private void setFaultOnScheduler(EngineFault fault, long value) {
+        if (fault == EngineFault.RESTART) {
+            crash();
+        } else {
+            setFault(fault, value);
+        }
+    }
+
+    private void command(StandInServer.Routes routes, String method, String path, Consumer<Exchange> action) {
+        routes.on(method, path, exchange -> {
+            try {
+                scheduler.execute(() -> run(exchange, action));
+            } catch (RejectedExecutionException exception) {
+                exchange.breakConnection();
+            }
+        });
+    }
+
+    private void run(Exchange exchange, Consumer<Exchange> action) {
+        if (down) {
+            // A process that crashed takes the commands that it had received with it.
+            exchange.breakConnection();
+            return;
+        }
+        try {
+            action.accept(exchange);
+        } catch (IllegalArgumentException exception) {
+            exchange.refuse(400, "invalid_field", String.valueOf(exception.getMessage()));
+        }
+    }
+
+    private void generate(Exchange exchange, boolean chat) {
+        JsonNode body = exchange.json();
+        if (!body.path("stream").asBoolean()) {
+            throw new IllegalArgumentException("stream must be true");
+        }
+        String requestId = exchange.header("X-Request-Id")
+                .orElseThrow(() -> new IllegalArgumentException("X-Request-Id is missing"));
+        Optional<Integer> lastEvent = exchange.header("Last-Event-ID").map(Integer::parseInt);
+        if (lastEvent.isPresent() && resume(exchange, requestId, lastEvent.get())) {
+            return;
+        }
+        if (!slots.isLoaded(body.path("model").asText())) {
+            exchange.refuse(404, "adapter_not_loaded", "the adapter is not loaded");
+            return;
+        }
+        Generation generation = new Generation(
+                requestId,
+                body,
+                chat,
+                exchange.header("X-Priority").map("premium"::equals).orElse(false),
+                exchange.header("X-Request-Deadline").map(Instant::parse).orElse(Instant.MAX));
+        if (lastEvent.isPresent() && lastEvent.get() != generation.firstToken - 1) {
+            exchange.refuse(404, "stream_not_found", "the engine does not have the stream");
+            return;
+        }
+        attach(exchange, generation);
+        batch.submit(generation);
+    }
+
+    /** Goes on with a stream that the engine still has; false if it has none that reached the event. */
+    private boolean resume(Exchange exchange, String requestId, int lastEvent) {
+        Optional<Generation> found = batch.stream(requestId).filter(each -> each.hasEvent(lastEvent));
+        if (found.isEmpty()) {
+            return false;
+        }
+        Generation generation = found.get();
+        boolean brokenOff = generation.outcome == RunOutcome.DISCONNECTED;
+        if (brokenOff && !slots.isLoaded(generation.adapter)) {
+            return false;
+        }
+        counts.resumed++;
+        generation.breakReader();
+        generation.nextEvent = lastEvent + 1;
+        attach(exchange, generation);
+        if (brokenOff) {
+            batch.requeue(generation);
+        } else {
+            generation.deliver();
+        }
+        return true;
+    }
+
+    private void attach(Exchange exchange, Generation generation) {
+        generation.reader = exchange;
+        generation.brokenAtNanos = Long.MAX_VALUE;
+        exchange.onClose(() -> scheduler.execute(() -> {
+            if (generation.reader == exchange) {
+                batch.disconnected(generation);
+            }
+        }));
+    }
+
+    private void cancel(Exchange exchange) {
+        Optional<Generation> found =
+                batch.stream(exchange.json().path("request_id").asText());
+        found.ifPresent(generation -> batch.end(generation, RunOutcome.CANCELLED));
+        exchange.answer(200, Map.of("cancelled", found.isPresent()));
+    }
+
+    private void cacheEvents(Exchange exchange) {
+        long from = Long.parseLong(exchange.context().query("from").value("0"));
+        exchange.answer(200, cache.published(from, System.nanoTime()));
+    }
+
+    private Map<String, Object> currentStatus() {
+        Map<String, Integer> loaded = new LinkedHashMap<>();
+        slots.loaded()
+                .forEach(adapter ->
+                        loaded.put(adapter, batch.usersOf(adapter, true).size()));
+        return Map.of(
+                "incarnation", incarnation,
+                "slots", settings.slots(),
+                "batch_limit", settings.batchLimit(),
+                "loaded", loaded,
+                "running", batch.running().size(),
+                "waiting", batch.waitingCount(),
+                "fence", slots.fence());
+    }
+
+    private void crash() {
+        counts.crashes++;
+        down = true;
+        incarnation++;
+        server.suspend(Duration.ofMillis(settings.restartMilliseconds()), () -> scheduler.execute(() -> down = false));
+        batch.clear();
+        slots.clear();
+        cache.clear();
+        status.clear();
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/PrefixCache.java
@@ -0,0 +1,68 @@
+package org.banyanstair.testsupport.engine;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Prompt prefixes that the engine holds, least recently used first out, and the events that it publishes of them. */
+final class PrefixCache {
+    private static final int EVENTS_KEPT = 10_000;
+
+    private final EngineSettings settings;
+    private final LinkedHashMap<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<Event> events = new ArrayList<>();
+    private long nextNumber;
+
+    PrefixCache(EngineSettings settings) {
+        this.settings = settings;
+    }
+
+    private record Event(long number, long prefix, String kind, long atNanos) {}
+
+    /** Forgets everything, as the loss of the process does; event numbers start again at 0. */
+    void clear() {
+        prefixes.clear();
+        events.clear();
+        nextNumber = 0;
+    }
+
+    void use(long prefix, long now) {
+        if (prefixes.put(prefix, true) == null) {
+            add(prefix, "stored", now);
+        }
+        if (prefixes.size() > settings.cachedPrefixes()) {
+            long oldest = prefixes.keySet().iterator().next();
+            prefixes.remove(oldest);
+            add(oldest, "evicted", now);
+        }
+    }
+
+    /** The published events from a number on. The hash is text because not every JSON reader keeps 64 bits. */
+    Map<String, Object> published(long from, long now) {
+        List<Map<String, Object>> list = new ArrayList<>();
+        long next = from;
+        for (Event event : events) {
+            boolean old = now - event.atNanos >= settings.cacheEventLagMilliseconds() * 1_000_000L;
+            if (event.number >= from && old) {
+                next = event.number + 1;
+                if (!isGap(event.number)) {
+                    list.add(Map.of("number", event.number, "prefix", Long.toString(event.prefix), "kind", event.kind));
+                }
+            }
+        }
+        return Map.of("events", list, "next", next);
+    }
+
+    private boolean isGap(long number) {
+        int every = settings.cacheEventGapEvery();
+        return every > 0 && number % every == every - 1;
+    }
+
+    private void add(long prefix, String kind, long now) {
+        events.add(new Event(nextNumber++, prefix, kind, now));
+        if (events.size() > EVENTS_KEPT) {
+            events.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunLog.java
@@ -0,0 +1,28 @@
+package org.banyanstair.testsupport.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The record of an engine, which outlives its incarnations. Used by the scheduler thread alone. */
+final class RunLog {
+    private final List<EngineRun> runs = new ArrayList<>();
+    private final List<EngineViolation> violations = new ArrayList<>();
+
+    void add(Generation generation) {
+        generation.recordPosition = runs.size();
+        runs.add(generation.toRun());
+    }
+
+    void update(Generation generation) {
+        runs.set(generation.recordPosition, generation.toRun());
+    }
+
+    void add(EngineViolation violation) {
+        violations.add(violation);
+    }
+
+    EngineRecord snapshot(List<Generation> running) {
+        running.forEach(this::update);
+        return new EngineRecord(List.copyOf(runs), List.copyOf(violations));
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/StatusReport.java
@@ -0,0 +1,58 @@
+package org.banyanstair.testsupport.engine;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** Status reports with a lag. Used by the scheduler thread alone. */
+final class StatusReport {
+    private static final int REPORTS_PER_LAG = 10;
+
+    private final long lagNanos;
+    private final Supplier<Map<String, Object>> source;
+    private final Deque<Entry> entries = new ArrayDeque<>();
+
+    StatusReport(long lagMilliseconds, Supplier<Map<String, Object>> source) {
+        this.lagNanos = TimeUnit.MILLISECONDS.toNanos(lagMilliseconds);
+        this.source = source;
+    }
+
+    private record Entry(long atNanos, Map<String, Object> status) {}
+
+    void start(ScheduledExecutorService scheduler) {
+        if (lagNanos > 0) {
+            scheduler.scheduleAtFixedRate(this::take, 0, lagNanos / REPORTS_PER_LAG, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Forgets the reports of an earlier incarnation. */
+    void clear() {
+        entries.clear();
+    }
+
+    Map<String, Object> read() {
+        if (lagNanos == 0) {
+            return source.get();
+        }
+        if (entries.isEmpty()) {
+            take();
+        }
+        return entries.getFirst().status();
+    }
+
+    private void take() {
+        long now = System.nanoTime();
+        entries.addLast(new Entry(now, source.get()));
+        Entry last = entries.getFirst();
+        while (now - entries.getFirst().atNanos() >= lagNanos) {
+            last = entries.removeFirst();
+        }
+        // The newest report that is older than the lag stays the one that is read.
+        if (now - last.atNanos() >= lagNanos) {
+            entries.addFirst(last);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/WeightStoreFetch.java
@@ -0,0 +1,60 @@
+package org.banyanstair.testsupport.engine;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import okio.Okio;
+
+/** Fetches adapters from the weight store. */
+final class WeightStoreFetch {
+    /** Longer than a load takes when the store is overloaded, so that a silent store ends the load. */
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+
+    private final String address;
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .callTimeout(LIMIT)
+            .readTimeout(LIMIT)
+            .retryOnConnectionFailure(false)
+            .build();
+
+    WeightStoreFetch(String address) {
+        this.address = address;
+    }
+
+    /** Fetches {@code service/adapter@version}; the result comes on another thread. */
+    void fetch(String adapter, Consumer<Boolean> whenDone) {
+        String url = "http://" + address + "/adapters/" + adapter.replace('@', '/');
+        client.newCall(new Request.Builder().url(url).build()).enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                whenDone.accept(false);
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                whenDone.accept(isWhole(response));
+            }
+        });
+    }
+
+    void close() {
+        client.dispatcher().cancelAll();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    private static boolean isWhole(Response response) {
+        try (response) {
+            response.body().source().readAll(Okio.blackhole());
+            return response.isSuccessful();
+        } catch (IOException exception) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
@@ -0,0 +1,165 @@
+package org.banyanstair.testsupport.service;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.endpoint.Exchange;
+import org.banyanstair.testsupport.endpoint.FaultSettings;
+import org.banyanstair.testsupport.endpoint.SettingsArguments;
+import org.banyanstair.testsupport.endpoint.StandInServer;
+
+/**
+ * Plain service with an order desk and a stock lookup; it never recognises a repeated order.
+ *
+ * <p>All calls run on one thread, in the order in which they arrive.
+ */
+public final class PlainServiceStandIn {
+    private final PlainServiceSettings settings;
+    private final FaultSettings<PlainServiceFault> faults = new FaultSettings<>(PlainServiceFault.class);
+    private final List<ServiceRun> runs = new ArrayList<>();
+    private final StandInServer server;
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread created = new Thread(task, "plain-service");
+        created.setDaemon(true);
+        return created;
+    });
+    private int orders;
+
+    /**
+     * Creates the service.
+     *
+     * @param settings its settings
+     */
+    public PlainServiceStandIn(PlainServiceSettings settings) {
+        this.settings = settings;
+        this.server = new StandInServer(settings.port(), this::declare);
+    }
+
+    /**
+     * Runs the service as a process until it is killed.
+     *
+     * @param arguments {@code --set name=value} for each setting that differs from the default
+     */
+    public static void main(String[] arguments) {
+        // The only line on standard output is the address, so that a launcher can wait for it.
+        System.setProperty("tinylog.level", "warn");
+        PlainServiceStandIn service =
+                new PlainServiceStandIn(SettingsArguments.parse(arguments, PlainServiceSettings.DEFAULT));
+        service.start();
+        System.out.println("ready " + service.address());
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        server.start();
+    }
+
+    /** Closes all connections and stops. */
+    public void stop() {
+        server.stop();
+        thread.shutdownNow();
+    }
+
+    /**
+     * Returns the address on which the service listens.
+     *
+     * @return the address
+     */
+    public NetworkAddress address() {
+        return server.address();
+    }
+
+    /**
+     * Returns what ran so far.
+     *
+     * @return the runs in order
+     */
+    public List<ServiceRun> record() {
+        synchronized (runs) {
+            return List.copyOf(runs);
+        }
+    }
+
+    /**
+     * Sets a fault.
+     *
+     * @param fault the fault
+     * @param value its number, 0 to end the fault
+     */
+    public void setFault(PlainServiceFault fault, long value) {
+        if (fault == PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS) {
+            server.suspend(Duration.ofMillis(value), () -> {});
+        } else {
+            faults.set(fault, value);
+        }
+    }
+
+    private void declare(StandInServer.Routes routes) {
+        routes.on("GET", "/record", exchange -> exchange.answer(200, Map.of("runs", record())));
+        routes.on("PUT", "/faults", exchange -> {
+            Map<PlainServiceFault, Long> parsed = faults.parse(exchange.json());
+            exchange.answer(200, parsed);
+            parsed.forEach(this::setFault);
+        });
+        routes.on("POST", "/orders", exchange -> thread.execute(() -> order(exchange)));
+        routes.on("GET", "/stock/{item}", exchange -> thread.execute(() -> stock(exchange)));
+        for (String method : List.of("GET", "POST", "PUT", "DELETE", "PATCH")) {
+            routes.on(method, "/*", exchange -> thread.execute(() -> echo(exchange)));
+        }
+    }
+
+    private void order(Exchange exchange) {
+        run(exchange, 201, () -> Map.of("order", "order-" + ++orders));
+    }
+
+    private void stock(Exchange exchange) {
+        String item = exchange.context().path("item").value();
+        run(exchange, 200, () -> Map.of("item", item, "quantity", settings.stock()));
+    }
+
+    private void echo(Exchange exchange) {
+        String body = new String(exchange.body(), StandardCharsets.UTF_8);
+        String method = exchange.context().getMethod();
+        run(exchange, 200, () -> Map.of("method", method, "path", path(exchange), "body", body));
+    }
+
+    private static String path(Exchange exchange) {
+        return exchange.context().getRequestPath() + exchange.context().queryString();
+    }
+
+    private void run(Exchange exchange, int status, java.util.function.Supplier<Object> call) {
+        if (faults.isSet(PlainServiceFault.OUTAGE)) {
+            exchange.refuse(503, "outage", "the service is down and did not run the call");
+            return;
+        }
+        Object answer = call.get();
+        boolean lost = faults.take(PlainServiceFault.LOSE_ANSWERS);
+        long delay = faults.value(PlainServiceFault.DELAY_MILLISECONDS);
+        Instant now = Instant.now();
+        ServiceRun run = new ServiceRun(
+                exchange.header("X-Request-Id").orElse(""),
+                exchange.context().getMethod(),
+                path(exchange),
+                new String(exchange.body(), StandardCharsets.UTF_8),
+                now,
+                now.plusMillis(delay),
+                !lost);
+        synchronized (runs) {
+            runs.add(run);
+        }
+        Runnable reply = lost ? exchange::breakConnection : () -> exchange.answer(status, answer);
+        if (delay > 0) {
+            thread.schedule(reply, delay, TimeUnit.MILLISECONDS);
+        } else {
+            reply.run();
+        }
+    }
+}
