Add HTTP listeners with limits, keys and error envelopes

The caller and operator interfaces need a listener that reports disconnects, bounds what it buffers and times out slow senders. Jooby's own server reports none of these, so its request handler runs behind a Netty pipeline of this repository; routing and responses stay with Jooby. Requests are passed to Jooby without their body because it decodes forms, while plain services need the body as it came.

The core gets the failures unknown_path, unknown_change and internal_error, because these HTTP answers had no failure type.

Excluded: TLS, HTTP/2 and compression.

HttpListenerTest passes over real sockets: 8 tests for flushing, slow readers and senders, disconnects, pipelining, envelopes and stopping.

--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -168,4 +168,18 @@
 
     /** The peer sent a frame that could not be decoded. */
     record MalformedFrame(int lengthBytes) implements Failure {}
+
+    /** The interface has no such path, or the path does not take the method. */
+    record UnknownPath(String method, String path) implements Failure {}
+
+    /** This host has not seen a change with this id. */
+    record UnknownChange(String changeId) implements Failure {}
+
+    /** A fault in this software; the request may have run. */
+    record InternalError() implements Failure {
+        @Override
+        public Outcome outcome() {
+            return Outcome.UNKNOWN;
+        }
+    }
 }
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BodyAggregator.java
@@ -0,0 +1,21 @@
+package org.banyanstair.server.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import org.banyanstair.errors.Failure;
+
+/** Collects request bodies and answers 413 with the error envelope once a body exceeds the limit. */
+final class BodyAggregator extends HttpObjectAggregator {
+    private final int limitBytes;
+
+    BodyAggregator(int limitBytes) {
+        super(limitBytes);
+        this.limitBytes = limitBytes;
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+        RawResponse.sendAndClose(context, new Failure.BodyTooLarge(limitBytes));
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
@@ -0,0 +1,153 @@
+package org.banyanstair.server.http;
+
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.banyanstair.errors.Failure;
+
+/**
+ * Passes the requests of one connection to Jooby, one at a time, and notices when the connection closes before the
+ * response has ended.
+ *
+ * <p>Jooby gets the request without its body, because it would decode forms; the body is kept as it came.
+ */
+final class ConnectionHandler extends ChannelDuplexHandler {
+    /** A client that pipelines more requests than this is cut off, which bounds the memory of a connection. */
+    private static final int PIPELINE_LIMIT = 4;
+
+    private static final ThreadLocal<IncomingRequest> DISPATCHED = new ThreadLocal<>();
+
+    private final ListenerState state;
+    private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+    private IncomingRequest current;
+    private boolean closeAfterResponse;
+
+    ConnectionHandler(ListenerState state) {
+        this.state = state;
+    }
+
+    /** Returns the request that the calling event loop is dispatching. */
+    static IncomingRequest dispatched() {
+        return Optional.ofNullable(DISPATCHED.get()).orElseThrow();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        state.connections().add(context.channel());
+        context.fireChannelActive();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (!(message instanceof FullHttpRequest request)) {
+            context.fireChannelRead(message);
+        } else if (current == null) {
+            dispatch(context, request);
+        } else if (waiting.size() < PIPELINE_LIMIT) {
+            waiting.add(request);
+        } else {
+            request.release();
+            context.close();
+        }
+    }
+
+    private void dispatch(ChannelHandlerContext context, FullHttpRequest request) {
+        try {
+            if (request.decoderResult().isFailure()) {
+                Failure failure = new Failure.InvalidField(
+                        "request head", "well-formed and at most " + HttpListenerOptions.HEADER_LIMIT_BYTES + " bytes");
+                RawResponse.sendAndClose(context, failure);
+                return;
+            }
+            current = new IncomingRequest(context.channel(), request);
+            closeAfterResponse = !HttpUtil.isKeepAlive(request);
+            state.requestStarted();
+            passOn(context, request);
+        } finally {
+            request.release();
+        }
+    }
+
+    private void passOn(ChannelHandlerContext context, FullHttpRequest request) {
+        HttpHeaders headers = request.headers()
+                .copy()
+                .remove(HttpHeaderNames.CONTENT_LENGTH)
+                .remove(HttpHeaderNames.TRANSFER_ENCODING)
+                .remove(HttpHeaderNames.CONTENT_TYPE);
+        DISPATCHED.set(current);
+        try {
+            context.fireChannelRead(
+                    new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), headers));
+            context.fireChannelRead(LastHttpContent.EMPTY_LAST_CONTENT);
+            context.fireChannelReadComplete();
+        } finally {
+            DISPATCHED.remove();
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (message instanceof HttpResponse response && state.isDraining()) {
+            closeAfterResponse = true;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        ChannelPromise flushed = promise;
+        if (message instanceof LastHttpContent) {
+            IncomingRequest answered = current;
+            flushed = promise.unvoid();
+            flushed.addListener(done -> responseEnded(context, answered));
+        }
+        context.write(message, flushed);
+    }
+
+    private void responseEnded(ChannelHandlerContext context, IncomingRequest answered) {
+        if (answered == null || answered != current || !context.channel().isActive()) {
+            return;
+        }
+        if (answered.end()) {
+            state.requestEnded();
+        }
+        current = null;
+        if (closeAfterResponse) {
+            context.close();
+        } else if (!waiting.isEmpty()) {
+            context.executor().execute(() -> dispatchWaiting(context));
+        }
+    }
+
+    private void dispatchWaiting(ChannelHandlerContext context) {
+        if (current == null && !waiting.isEmpty()) {
+            dispatch(context, waiting.remove());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        waiting.forEach(FullHttpRequest::release);
+        waiting.clear();
+        if (current != null) {
+            IncomingRequest interrupted = current;
+            current = null;
+            interrupted.disconnect();
+            state.requestEnded();
+        }
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
@@ -0,0 +1,130 @@
+package org.banyanstair.server.http;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.jooby.Jooby;
+import io.jooby.Server;
+import io.jooby.ServerOptions;
+import io.jooby.internal.netty.NettyHandler;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
+import io.netty.handler.timeout.WriteTimeoutHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/**
+ * Jooby server whose Netty pipeline reports disconnects and enforces the limits of {@link HttpListenerOptions}.
+ *
+ * <p>The server that Jooby brings has neither timeouts nor header limits, does not report a caller that disconnects
+ * while nothing is written, and may choose io_uring.
+ */
+final class JoobyNettyServer extends Server.Base {
+    private static final int CHUNK_BYTES = 8 * 1024;
+    private static final int SHUTDOWN_SECONDS = 5;
+
+    private final HttpListenerOptions options;
+    private final ListenerState state;
+    private ServerOptions serverOptions = new ServerOptions();
+    private EventLoopGroup eventLoops;
+    private Channel acceptor;
+    private Jooby application;
+
+    JoobyNettyServer(HttpListenerOptions options, ListenerState state) {
+        this.options = options;
+        this.state = state;
+    }
+
+    @Override
+    public Server setOptions(ServerOptions newOptions) {
+        serverOptions = newOptions;
+        return this;
+    }
+
+    @Override
+    public String getName() {
+        return "netty";
+    }
+
+    @Override
+    public ServerOptions getOptions() {
+        return serverOptions;
+    }
+
+    @Override
+    public Server start(Jooby jooby) {
+        application = jooby;
+        eventLoops = new NioEventLoopGroup(options.eventLoopThreads(), new DefaultThreadFactory("http", true));
+        fireStart(List.of(jooby), eventLoops);
+        acceptor = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Initializer())
+                .bind(options.ip(), options.port())
+                .syncUninterruptibly()
+                .channel();
+        fireReady(List.of(jooby));
+        return this;
+    }
+
+    int port() {
+        return ((InetSocketAddress) acceptor.localAddress()).getPort();
+    }
+
+    void stopAccepting() {
+        if (acceptor.isOpen()) {
+            acceptor.close().syncUninterruptibly();
+        }
+    }
+
+    @Override
+    public Server stop() {
+        if (eventLoops.isShuttingDown()) {
+            return this;
+        }
+        stopAccepting();
+        state.connections().close().awaitUninterruptibly(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+        fireStop(List.of(application));
+        eventLoops
+                .shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+        return this;
+    }
+
+    private final class Initializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            int headerLimit = HttpListenerOptions.HEADER_LIMIT_BYTES;
+            channel.pipeline()
+                    .addLast(
+                            "write-timeout",
+                            new WriteTimeoutHandler(options.requestTimeout().toMillis(), TimeUnit.MILLISECONDS))
+                    .addLast("codec", new HttpServerCodec(headerLimit, headerLimit, CHUNK_BYTES))
+                    .addLast("timeout", new RequestTimeoutHandler(options.requestTimeout(), options.idleTimeout()))
+                    .addLast("aggregator", new BodyAggregator(options.bodyLimitBytes()))
+                    .addLast("connection", new ConnectionHandler(state))
+                    .addLast("handler", joobyHandler());
+        }
+
+        private NettyHandler joobyHandler() {
+            return new NettyHandler(
+                    eventLoops,
+                    application,
+                    options.bodyLimitBytes(),
+                    CHUNK_BYTES,
+                    new DefaultHttpDataFactory(false),
+                    false,
+                    false);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ListenerState.java
@@ -0,0 +1,38 @@
+package org.banyanstair.server.http;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+
+/** What the connections of one listener share. Safe for use by several threads. */
+final class ListenerState {
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile boolean draining;
+
+    void requestStarted() {
+        inFlight.incrementAndGet();
+    }
+
+    void requestEnded() {
+        inFlight.decrementAndGet();
+    }
+
+    int inFlight() {
+        return inFlight.get();
+    }
+
+    ChannelGroup connections() {
+        return connections;
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP listeners of the daemon: Jooby routes on Netty connections, error envelopes and bearer keys. */
+package org.banyanstair.server.http;
--- /dev/null
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -0,0 +1,185 @@
+package org.banyanstair.server.http;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.banyanstair.errors.Failure;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class HttpListenerTest {
+    private final CountDownLatch disconnected = new CountDownLatch(1);
+    private final AtomicReference<EventStream> stream = new AtomicReference<>();
+    private final CountDownLatch streaming = new CountDownLatch(1);
+    private HttpListener listener;
+
+    @BeforeEach
+    void start() {
+        HttpListenerOptions options = new HttpListenerOptions(
+                "127.0.0.1", 0, 2, 1000, 100_000, Duration.ofMillis(300), Duration.ofMillis(600));
+        listener = new HttpListener("test", options)
+                .routeAll(
+                        "/echo/{name}/*path",
+                        exchange -> exchange.respond(
+                                201,
+                                exchange.header("Content-Type"),
+                                (exchange.method() + " " + exchange.uri() + " " + exchange.pathVariable("name") + " "
+                                                + new String(exchange.body(), StandardCharsets.UTF_8))
+                                        .getBytes(StandardCharsets.UTF_8)))
+                .route("GET", "/fault", exchange -> {
+                    throw new IllegalStateException("fault of the test");
+                })
+                .route("POST", "/hang", exchange -> exchange.onDisconnect(disconnected::countDown))
+                .route("GET", "/stream", exchange -> {
+                    exchange.onDisconnect(disconnected::countDown);
+                    stream.set(exchange.stream());
+                    streaming.countDown();
+                })
+                .healthRoutes(() -> Optional.of(new Failure.HostListUnavailable()));
+        listener.start();
+    }
+
+    @AfterEach
+    void stop() {
+        listener.stop(Instant.now());
+    }
+
+    private HttpResponse<String> send(String method, String path, String body, String... headers) throws Exception {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + listener.port() + path))
+                .timeout(Duration.ofSeconds(5))
+                .method(method, HttpRequest.BodyPublishers.ofString(body));
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        return HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Guards against bodies that Jooby decodes as forms instead of leaving them as they came. */
+    @Test
+    void formBodyArrivesUnchanged() throws Exception {
+        HttpResponse<String> response =
+                send("POST", "/echo/desk/a/b?c=%20d", "x=1&y=%41", "Content-Type", "application/x-www-form-urlencoded");
+        assertEquals("POST /echo/desk/a/b?c=%20d desk x=1&y=%41", response.body());
+        assertEquals(201, response.statusCode());
+        assertEquals(
+                "application/x-www-form-urlencoded",
+                response.headers().firstValue("Content-Type").orElse(""));
+    }
+
+    /** Guards against error answers that clients cannot read because they are not the JSON envelope. */
+    @Test
+    void errorsHaveTheEnvelope() throws Exception {
+        HttpResponse<String> unknown = send("GET", "/nowhere", "");
+        assertEquals(404, unknown.statusCode());
+        assertTrue(unknown.body().contains("\"code\":\"unknown_path\""), unknown.body());
+        assertEquals(404, send("GET", "/hang", "").statusCode());
+        HttpResponse<String> fault = send("GET", "/fault", "");
+        assertEquals(500, fault.statusCode());
+        assertFalse(fault.body().contains("fault of the test"), fault.body());
+        HttpResponse<String> large = send("POST", "/hang", "x".repeat(1001));
+        assertEquals(413, large.statusCode());
+        assertTrue(large.body().contains("\"code\":\"body_too_large\""), large.body());
+        HttpResponse<String> unready = send("GET", "/ready", "");
+        assertEquals(503, unready.statusCode());
+        assertEquals("not-run", unready.headers().firstValue("X-Outcome").orElse(""));
+        assertEquals("1", unready.headers().firstValue("Retry-After").orElse(""));
+        HttpResponse<String> head = send("GET", "/health", "", "X-Long", "y".repeat(20_000));
+        assertEquals(400, head.statusCode());
+    }
+
+    /** Guards against answers that overtake each other when a client sends requests without waiting. */
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.send("GET /echo/a/1 HTTP/1.1\r\nHost: x\r\n\r\nGET /echo/b/2 HTTP/1.1\r\nHost: x\r\n\r\n");
+            String answers = client.readUntil("/echo/b/2 b");
+            assertTrue(answers.contains("/echo/a/1 a"), answers);
+        }
+    }
+
+    /** Guards against work that goes on after the caller has gone while nothing is being written. */
+    @Test
+    void disconnectIsNoticedBeforeTheResponseBegins() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.request("POST", "/hang", "", "{}");
+            assertFalse(disconnected.await(100, TimeUnit.MILLISECONDS));
+        }
+        assertTrue(disconnected.await(5, TimeUnit.SECONDS));
+    }
+
+    /** Guards against events that wait in a buffer until the response ends. */
+    @Test
+    void eventsAreFlushedAtOnce() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.request("GET", "/stream", "", "");
+            assertTrue(streaming.await(5, TimeUnit.SECONDS));
+            for (int i = 0; i < 3; i++) {
+                stream.get().send(("data: " + i + "\n\n").getBytes(StandardCharsets.UTF_8));
+                client.readUntil("data: " + i + "\n\n");
+            }
+            stream.get().end();
+            client.readUntil("0\r\n\r\n");
+        }
+    }
+
+    /** Guards against a reader that stops and makes the host buffer its stream without limit. */
+    @Test
+    void slowReaderIsCut() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.request("GET", "/stream", "", "");
+            assertTrue(streaming.await(5, TimeUnit.SECONDS));
+            byte[] event = new byte[50_000];
+            for (int i = 0; i < 1_000 && disconnected.getCount() > 0; i++) {
+                stream.get().send(event);
+                Thread.sleep(1);
+            }
+            assertEquals(0, disconnected.getCount());
+        }
+    }
+
+    /** Guards against connections held open by senders that never finish a request. */
+    @Test
+    void slowSenderAndIdleConnectionAreClosed() throws Exception {
+        try (RawClient slow = new RawClient(listener.port());
+                RawClient idle = new RawClient(listener.port())) {
+            slow.send("POST /hang HTTP/1.1\r\nContent-Length: 10\r\n\r\n");
+            idle.request("GET", "/echo/a/1", "", "");
+            assertEquals("", slow.readAll());
+            assertTrue(idle.readAll().endsWith("/echo/a/1 a "));
+        }
+    }
+
+    /** Guards against a stop that cuts off requests in flight before its deadline, or that waits for ever. */
+    @Test
+    void stopWaitsForRequestsInFlight() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.request("GET", "/stream", "", "");
+            assertTrue(streaming.await(5, TimeUnit.SECONDS));
+            assertEquals(1, listener.inFlight());
+            Thread end = new Thread(() -> {
+                stream.get().send("data: last\n\n".getBytes(StandardCharsets.UTF_8));
+                stream.get().end();
+            });
+            end.start();
+            assertTrue(listener.stop(Instant.now().plusSeconds(5)));
+            assertTrue(client.readAll().contains("data: last"));
+            end.join();
+            assertThrows(java.io.IOException.class, () -> new RawClient(listener.port()));
+        }
+    }
+}
