Add request metrics, burn recorder and request log lines

Operators need outcomes per service, and the burn report needs counts of good and failed requests in windows of 5, 60 and 360 minutes. Dropwizard metrics have no labels, so service and code are carried in the metric names and turned into Prometheus labels when exported. Errors of callers and disconnects do not count as burn.

--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
@@ -0,0 +1,83 @@
+package org.banyanstair.server.http.metrics;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.ServiceId;
+import org.banyanstair.server.http.FailureStatus;
+
+/** Counts good and failed requests per service and minute. Safe for use by several threads. */
+public final class BurnRecorder {
+    /** Lengths of the windows that are reported, in minutes. */
+    public static final List<Integer> WINDOWS_MINUTES = List.of(5, 60, 360);
+
+    /**
+     * Errors of the caller, which say nothing about the service. A caller that disconnects is no failure either.
+     */
+    private static final Set<Integer> NOT_COUNTED = Set.of(400, 401, 403, 404, 413, FailureStatus.CALLER_GONE);
+
+    private final HostId host;
+    private final Clock clock;
+    private final Supplier<Configuration> configuration;
+    private final Map<ServiceId, MinuteBuckets> services = new ConcurrentHashMap<>();
+
+    /**
+     * Creates the recorder.
+     *
+     * @param host this host
+     * @param clock tells the minute
+     * @param configuration configuration in force, with the services to report and their objectives
+     */
+    public BurnRecorder(HostId host, Clock clock, Supplier<Configuration> configuration) {
+        this.host = host;
+        this.clock = clock;
+        this.configuration = configuration;
+    }
+
+    void ended(EndedRequest request) {
+        if (NOT_COUNTED.contains(request.status())) {
+            return;
+        }
+        request.service().ifPresent(service -> services.computeIfAbsent(service.id(), id -> new MinuteBuckets())
+                .add(minute(), isGood(request, service), request));
+    }
+
+    private static boolean isGood(EndedRequest request, ServiceDeclaration service) {
+        Duration latency = request.untilFirstToken().orElse(request.duration());
+        return request.succeeded()
+                && latency.toNanos()
+                        <= Duration.ofMillis(service.objective().latencyMilliseconds())
+                                .toNanos();
+    }
+
+    private long minute() {
+        return clock.millis() / Duration.ofMinutes(1).toMillis();
+    }
+
+    /**
+     * Reports all declared services and all windows; a window includes the current minute.
+     *
+     * @return the samples
+     */
+    public BurnSnapshot snapshot() {
+        Map<ServiceId, ServiceDeclaration> declared = configuration.get().services();
+        services.keySet().retainAll(declared.keySet());
+        List<BurnSample> samples = new ArrayList<>();
+        for (ServiceDeclaration service : declared.values()) {
+            MinuteBuckets buckets = services.getOrDefault(service.id(), new MinuteBuckets());
+            WINDOWS_MINUTES.forEach(window -> samples.add(buckets.sample(service, minute(), window)));
+        }
+        return new BurnSnapshot(host, clock.instant(), samples);
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/EndedRequest.java
@@ -0,0 +1,42 @@
+package org.banyanstair.server.http.metrics;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.RequestId;
+
+/**
+ * What is recorded about a request that has ended.
+ *
+ * @param id id of the request
+ * @param caller the caller, empty if the key is unknown
+ * @param service the service, empty if the request named none that exists
+ * @param model name of the adapter version, empty if none was chosen
+ * @param status HTTP status, 499 if the caller disconnected
+ * @param code {@code ok} or the code of the failure
+ * @param duration time from the arrival of the request to its end
+ * @param untilFirstToken time to the first token, empty if there was none
+ */
+public record EndedRequest(
+        RequestId id,
+        Optional<CallerId> caller,
+        Optional<ServiceDeclaration> service,
+        Optional<String> model,
+        int status,
+        String code,
+        Duration duration,
+        Optional<Duration> untilFirstToken) {
+    /** Code of a request that succeeded. */
+    public static final String OK = "ok";
+
+    /**
+     * Tells whether the request succeeded.
+     *
+     * @return whether it was answered
+     */
+    public boolean succeeded() {
+        return code.equals(OK);
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/LabelledName.java
@@ -0,0 +1,42 @@
+package org.banyanstair.server.http.metrics;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.prometheus.client.Collector.MetricFamilySamples.Sample;
+import io.prometheus.client.dropwizard.samplebuilder.SampleBuilder;
+
+/**
+ * Carries Prometheus labels in the names of Dropwizard metrics, which have none, as {@code name|label=value|...}.
+ *
+ * <p>Label values must not contain {@code |} or {@code =}; names of services and failure codes do not.
+ */
+final class LabelledName {
+    private LabelledName() {}
+
+    static String of(String name, String... labels) {
+        StringBuilder text = new StringBuilder(name);
+        for (int i = 0; i < labels.length; i += 2) {
+            text.append('|').append(labels[i]).append('=').append(labels[i + 1]);
+        }
+        return text.toString();
+    }
+
+    /** Returns the builder that turns the names back into samples with labels. */
+    static SampleBuilder sampleBuilder() {
+        return (name, suffix, extraNames, extraValues, value) -> {
+            String[] parts = name.split("\\|");
+            List<String> names = new ArrayList<>();
+            List<String> values = new ArrayList<>();
+            for (int i = 1; i < parts.length; i++) {
+                int equals = parts[i].indexOf('=');
+                names.add(parts[i].substring(0, equals));
+                values.add(parts[i].substring(equals + 1));
+            }
+            names.addAll(extraNames);
+            values.addAll(extraValues);
+            String plain = parts[0].replaceAll("[^a-zA-Z0-9_:]", "_");
+            return new Sample(plain + (suffix == null ? "" : suffix), names, values, value);
+        };
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
@@ -0,0 +1,81 @@
+package org.banyanstair.server.http.metrics;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import org.banyanstair.model.ServiceId;
+
+/** Counters and timers of caller requests, per service and outcome. Safe for use by several threads. */
+public final class RequestMetrics {
+    private static final String NO_SERVICE = "none";
+
+    private final MetricRegistry registry;
+    private final Map<ServiceId, Timer> firstTokens = new ConcurrentHashMap<>();
+    private final Map<ServiceId, Timer> tokenGaps = new ConcurrentHashMap<>();
+
+    /**
+     * Creates the metrics.
+     *
+     * @param registry registry to add them to
+     */
+    public RequestMetrics(MetricRegistry registry) {
+        this.registry = registry;
+    }
+
+    /**
+     * Adds the gauge of requests in flight.
+     *
+     * @param inFlight counts them
+     */
+    public void gaugeInFlight(IntSupplier inFlight) {
+        registry.gauge("banyanstair_requests_in_flight", () -> (Gauge<Integer>) inFlight::getAsInt);
+    }
+
+    /**
+     * Records that the first token of a request came.
+     *
+     * @param service service of the request
+     * @param sinceArrival time since the request arrived
+     */
+    public void firstToken(ServiceId service, Duration sinceArrival) {
+        firstTokens
+                .computeIfAbsent(service, id -> timer("banyanstair_first_token", label(id)))
+                .update(sinceArrival);
+    }
+
+    /**
+     * Records that a further token of a request came.
+     *
+     * @param service service of the request
+     * @param sincePrevious time since its previous token
+     */
+    public void tokenGap(ServiceId service, Duration sincePrevious) {
+        tokenGaps
+                .computeIfAbsent(service, id -> timer("banyanstair_token_gap", label(id)))
+                .update(sincePrevious);
+    }
+
+    void ended(EndedRequest request) {
+        String service =
+                request.service().map(declared -> declared.id().value()).orElse(NO_SERVICE);
+        String[] labels = {"service", service, "code", request.code()};
+        registry.counter(LabelledName.of("banyanstair_requests", labels)).inc();
+        timer("banyanstair_request_time", labels).update(request.duration());
+    }
+
+    private static String[] label(ServiceId service) {
+        return new String[] {"service", service.value()};
+    }
+
+    private Timer timer(String name, String... labels) {
+        return registry.timer(
+                LabelledName.of(name, labels),
+                () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
@@ -0,0 +1,53 @@
+package org.banyanstair.server.http.metrics;
+
+import org.banyanstair.model.HostId;
+import org.tinylog.Logger;
+
+/** Records ended requests in the metrics, in the burn samples and in the log. Safe for use by several threads. */
+public final class RequestRecorder {
+    private final HostId host;
+    private final RequestMetrics metrics;
+    private final BurnRecorder burn;
+
+    /**
+     * Creates the recorder.
+     *
+     * @param host this host
+     * @param metrics metrics to update
+     * @param burn burn samples to update
+     */
+    public RequestRecorder(HostId host, RequestMetrics metrics, BurnRecorder burn) {
+        this.host = host;
+        this.metrics = metrics;
+        this.burn = burn;
+    }
+
+    /**
+     * Returns the metrics.
+     *
+     * @return metrics that are updated
+     */
+    public RequestMetrics metrics() {
+        return metrics;
+    }
+
+    /**
+     * Records a request.
+     *
+     * @param request the request
+     */
+    public void ended(EndedRequest request) {
+        metrics.ended(request);
+        burn.ended(request);
+        Logger.info(
+                "request={} host={} caller={} service={} model={} status={} code={} milliseconds={}",
+                request.id(),
+                host,
+                request.caller().map(Object::toString).orElse("-"),
+                request.service().map(service -> service.id().value()).orElse("-"),
+                request.model().orElse("-"),
+                request.status(),
+                request.code(),
+                request.duration().toMillis());
+    }
+}
