Add the HTTP clients of engines and plain services

The daemon needs clients that never repeat a call and that say whether a failed call can have run.

Adds both clients on OkHttp without retries, redirects or proxies. An event listener notes when the first byte of a call may be sent; only a failure before that, or an answer with a code that the protocol defines, counts as not run. The pause between tokens is watched by one scan over all streams, because a read timeout per stream enters okio's sorted list of timeouts for every token.

--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/EndpointCalls.java
@@ -0,0 +1,125 @@
+package org.banyanstair.platform.http;
+
+import java.io.IOException;
+import java.net.Proxy;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.Call;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.EventListener;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+
+/** Sends HTTP calls to endpoints, each at most once, and knows which calls had a byte sent. */
+final class EndpointCalls {
+    /** One thread per running call; the limit is well above the 1,000 streams that a daemon serves. */
+    static final int MAX_CALLS = 8_192;
+
+    /** Enough for OkHttp and a listener; the default of 1 MiB would reserve 1 GiB for 1,000 streams. */
+    private static final long STACK_BYTES = 128 * 1024;
+
+    private static final int IDLE_CONNECTIONS = 256;
+    private static final long IDLE_SECONDS = 30;
+
+    private final OkHttpClient client;
+
+    EndpointCalls(String threadName, Duration connectLimit) {
+        ThreadPoolExecutor threads =
+                new ThreadPoolExecutor(0, Integer.MAX_VALUE, 10, TimeUnit.SECONDS, new SynchronousQueue<>(), task -> {
+                    Thread thread = new Thread(null, task, threadName, STACK_BYTES);
+                    thread.setDaemon(true);
+                    return thread;
+                });
+        Dispatcher dispatcher = new Dispatcher(threads);
+        dispatcher.setMaxRequests(MAX_CALLS);
+        dispatcher.setMaxRequestsPerHost(MAX_CALLS);
+        client = new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+                .protocols(List.of(Protocol.HTTP_1_1))
+                .proxy(Proxy.NO_PROXY)
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                .followSslRedirects(false)
+                .connectTimeout(connectLimit)
+                // The time of each call is limited as a whole, see newCall.
+                .readTimeout(Duration.ZERO)
+                .writeTimeout(Duration.ZERO)
+                // OkHttp repeats a call that was answered with 503 and "Retry-After: 0".
+                .addNetworkInterceptor(chain -> chain.proceed(chain.request())
+                        .newBuilder()
+                        .removeHeader("Retry-After")
+                        .build())
+                .eventListener(new SendListener())
+                .build();
+    }
+
+    /** Whether a byte of a call may have been sent. A call on a kept-alive connection counts as sent from its start. */
+    static final class SendWatch {
+        private volatile boolean sent;
+
+        boolean isSent() {
+            return sent;
+        }
+    }
+
+    private static final class SendListener extends EventListener {
+        @Override
+        public void requestHeadersStart(Call call) {
+            SendWatch watch = call.request().tag(SendWatch.class);
+            if (watch != null) {
+                watch.sent = true;
+            }
+        }
+    }
+
+    /** Creates a call that ends at the deadline, including the wait for its whole answer. */
+    Call newCall(Request request, SendWatch watch, Instant deadline) {
+        Call call = client.newCall(request.newBuilder()
+                .tag(SendWatch.class, watch)
+                .header("Accept-Encoding", "identity")
+                .build());
+        long left = Math.max(1, millisecondsLeft(deadline));
+        call.timeout().timeout(left, TimeUnit.MILLISECONDS);
+        return call;
+    }
+
+    /** Returns whether all threads are taken. A call would then wait in the dispatcher, which has no time limit. */
+    boolean isFull() {
+        return client.dispatcher().runningCallsCount() >= MAX_CALLS;
+    }
+
+    void stop() {
+        client.dispatcher().cancelAll();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+
+    static boolean isPast(Instant deadline) {
+        return millisecondsLeft(deadline) <= 0;
+    }
+
+    /** A year stands for all longer waits, so that no distant instant overflows. */
+    private static long millisecondsLeft(Instant deadline) {
+        Instant now = Instant.now();
+        Instant latest = now.plus(Duration.ofDays(365));
+        return Duration.between(now, deadline.isAfter(latest) ? latest : deadline)
+                .toMillis();
+    }
+
+    /** Reads at most a number of bytes of an answer. */
+    static byte[] readBody(okhttp3.Response response, long limit) throws IOException {
+        okio.BufferedSource source = response.body().source();
+        if (source.request(limit + 1)) {
+            throw new IOException("the answer is longer than " + limit + " bytes");
+        }
+        return source.readByteArray();
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/EngineClientLimits.java
@@ -0,0 +1,20 @@
+package org.banyanstair.platform.http;
+
+import java.time.Duration;
+
+/**
+ * Limits on the waits of {@link HttpEngineClient}. The wait for a generation is limited by its deadline.
+ *
+ * @param connect longest wait for a connection
+ * @param order longest wait for the answer to a load, an unload or a fence
+ * @param status longest wait for a status report
+ * @param silence longest pause between two tokens of a stream; the first one may come until the deadline
+ */
+public record EngineClientLimits(Duration connect, Duration order, Duration status, Duration silence) {
+    /**
+     * Limits for a network of one region. The order limit leaves room for a load while the weight store is overloaded;
+     * the silence limit is far above the target of 48 ms between tokens.
+     */
+    public static final EngineClientLimits DEFAULT = new EngineClientLimits(
+            Duration.ofSeconds(1), Duration.ofSeconds(20), Duration.ofSeconds(2), Duration.ofSeconds(3));
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
@@ -0,0 +1,271 @@
+package org.banyanstair.platform.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.platform.Cancellation;
+import org.banyanstair.platform.EngineClient;
+import org.banyanstair.platform.EngineRequest;
+import org.banyanstair.platform.EngineStatus;
+import org.banyanstair.platform.GenerationEnd;
+import org.banyanstair.platform.OrderResult;
+import org.banyanstair.platform.TokenListener;
+
+/**
+ * Engine client over HTTP with OkHttp. It sends each command and each request at most once.
+ *
+ * <p>Listeners run on threads with a stack of 128 KiB, one thread per stream. The threads end on their own when idle,
+ * and {@link #stop} ends all calls.
+ */
+public final class HttpEngineClient implements EngineClient {
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final long STATUS_LIMIT_BYTES = 4 << 20;
+
+    private final EngineClientLimits limits;
+    private final EndpointCalls calls;
+    private final Set<GenerationCall> generations = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService silenceWatch = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "engine-silence-watch");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /**
+     * Creates the client.
+     *
+     * @param limits limits on the waits
+     */
+    public HttpEngineClient(EngineClientLimits limits) {
+        this.limits = limits;
+        this.calls = new EndpointCalls("engine-call", limits.connect());
+        // One scan over all streams costs less than a read timeout per stream, which okio enters for every token.
+        long period = Math.max(10, Math.min(250, limits.silence().toMillis() / 8));
+        silenceWatch.scheduleWithFixedDelay(this::closeSilent, period, period, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends all calls and the threads of the client. */
+    public void stop() {
+        calls.stop();
+        silenceWatch.shutdownNow();
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> load(Endpoint endpoint, AdapterVersion adapter, long term) {
+        return order(endpoint, "/v1/load_lora_adapter", Map.of("lora_name", adapter.engineName()), term, answer -> {
+            return "load_failed".equals(answer.code())
+                    ? new Failure.AdapterLoadFailed(adapter)
+                    : refusal(endpoint, term, answer);
+        });
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> unload(Endpoint endpoint, AdapterVersion adapter, long term) {
+        Map<String, String> body = Map.of("lora_name", adapter.engineName());
+        return order(endpoint, "/v1/unload_lora_adapter", body, term, answer -> refusal(endpoint, term, answer));
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> raiseFence(Endpoint endpoint, long term) {
+        return order(endpoint, "/v1/role", Map.of("role", "serve"), term, answer -> refusal(endpoint, term, answer));
+    }
+
+    @Override
+    public CompletableFuture<EngineStatus> status(Endpoint endpoint) {
+        CompletableFuture<EngineStatus> future = new CompletableFuture<>();
+        Request request = request(endpoint, "/v1/status").build();
+        Consumer<Failure> fail = failure -> future.completeExceptionally(new FailureException(failure));
+        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        enqueue(request, watch, limits.status(), new Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                fail.accept(
+                        watch.isSent()
+                                ? new Failure.EndpointFailed(endpoint.id())
+                                : new Failure.EndpointUnreachable(endpoint.id()));
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    byte[] body = EndpointCalls.readBody(response, STATUS_LIMIT_BYTES);
+                    if (response.code() == 200) {
+                        future.complete(parseStatus(Mappers.JSON.readTree(body)));
+                    } else {
+                        fail.accept(new Failure.EndpointRefused(endpoint.id(), response.code()));
+                    }
+                } catch (IOException | FailureException exception) {
+                    fail.accept(new Failure.EndpointFailed(endpoint.id()));
+                }
+            }
+        });
+        return future;
+    }
+
+    @Override
+    public Cancellation generate(Endpoint endpoint, EngineRequest request, TokenListener listener) {
+        if (EndpointCalls.isPast(request.deadline())) {
+            listener.end(new GenerationEnd.NotStarted(new Failure.DeadlinePassed(request.deadline())));
+            return () -> {};
+        }
+        if (calls.isFull()) {
+            listener.end(new GenerationEnd.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
+            return () -> {};
+        }
+        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        GenerationCall[] self = new GenerationCall[1];
+        GenerationCall generation =
+                new GenerationCall(endpoint, request, listener, watch, () -> generations.remove(self[0]));
+        self[0] = generation;
+        generations.add(generation);
+        generation.start(calls.newCall(toHttp(endpoint, request), watch, request.deadline()));
+        return () -> {
+            if (generations.contains(generation) && generation.cancel()) {
+                cancelAtEngine(endpoint, request);
+            }
+        };
+    }
+
+    private static Request toHttp(Endpoint endpoint, EngineRequest request) {
+        Request.Builder builder = request(endpoint, request.path())
+                .header("X-Request-Id", request.requestId().value())
+                .header("X-Priority", request.priority().name().toLowerCase(Locale.ROOT))
+                .header("X-Request-Deadline", request.deadline().toString())
+                .header("Accept", "text/event-stream")
+                .post(RequestBody.create(request.body(), JSON));
+        if (request.nextToken() > 0) {
+            builder.header("Last-Event-ID", Long.toString(request.nextToken() - 1));
+        }
+        return builder.build();
+    }
+
+    /** Best effort: an engine that does not get the command cancels the stream some time after the connection ends. */
+    private void cancelAtEngine(Endpoint endpoint, EngineRequest request) {
+        Request cancel = request(endpoint, "/v1/cancel")
+                .post(json(Map.of("request_id", request.requestId().value())))
+                .build();
+        enqueue(cancel, new EndpointCalls.SendWatch(), limits.status(), new Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                // Nothing depends on the answer.
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                response.close();
+            }
+        });
+    }
+
+    private CompletableFuture<OrderResult> order(
+            Endpoint endpoint,
+            String path,
+            Map<String, String> body,
+            long term,
+            Function<EngineAnswer, Failure> refusal) {
+        CompletableFuture<OrderResult> future = new CompletableFuture<>();
+        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        Request request = request(endpoint, path)
+                .header("X-Fencing-Number", Long.toString(term))
+                .post(json(body))
+                .build();
+        enqueue(request, watch, limits.order(), new Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                future.complete(
+                        watch.isSent()
+                                ? new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id()))
+                                : new OrderResult.Refused(new Failure.EndpointUnreachable(endpoint.id())));
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    future.complete(result(endpoint, EngineAnswer.read(response), refusal));
+                } catch (IOException exception) {
+                    onFailure(call, exception);
+                }
+            }
+        });
+        return future;
+    }
+
+    private static OrderResult result(Endpoint endpoint, EngineAnswer answer, Function<EngineAnswer, Failure> refusal) {
+        if (answer.isDone()) {
+            return new OrderResult.Done();
+        }
+        return answer.isWithoutEffect()
+                ? new OrderResult.Refused(refusal.apply(answer))
+                : new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
+    }
+
+    private static Failure refusal(Endpoint endpoint, long term, EngineAnswer answer) {
+        return "fenced".equals(answer.code())
+                ? new Failure.OrderFenced(endpoint.id(), term)
+                : new Failure.EndpointRefused(endpoint.id(), answer.status());
+    }
+
+    private void enqueue(Request request, EndpointCalls.SendWatch watch, Duration limit, Callback callback) {
+        calls.newCall(request, watch, Instant.now().plus(limit)).enqueue(callback);
+    }
+
+    private void closeSilent() {
+        long now = System.nanoTime();
+        long limit = limits.silence().toNanos();
+        generations.forEach(each -> each.closeIfSilent(now, limit));
+    }
+
+    private static Request.Builder request(Endpoint endpoint, String path) {
+        return new Request.Builder().url("http://" + endpoint.address() + path);
+    }
+
+    private static RequestBody json(Map<String, String> body) {
+        try {
+            return RequestBody.create(Mappers.JSON.writeValueAsBytes(body), JSON);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private static EngineStatus parseStatus(JsonNode json) throws IOException {
+        if (!json.path("incarnation").isIntegralNumber() || !json.path("loaded").isObject()) {
+            throw new IOException("the status report is malformed");
+        }
+        Map<AdapterVersion, Integer> loaded = new HashMap<>();
+        json.path("loaded")
+                .fields()
+                .forEachRemaining(each -> loaded.put(
+                        AdapterVersion.parse(each.getKey()), each.getValue().asInt()));
+        return new EngineStatus(
+                json.path("incarnation").asLong(),
+                json.path("slots").asInt(),
+                json.path("batch_limit").asInt(),
+                loaded,
+                json.path("running").asInt(),
+                json.path("fence").asLong());
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpPlainServiceClient.java
@@ -0,0 +1,111 @@
+package org.banyanstair.platform.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.platform.PlainServiceClient;
+import org.banyanstair.platform.ServiceAnswer;
+import org.banyanstair.platform.ServiceCall;
+import org.banyanstair.platform.ServiceCallResult;
+
+/** Plain service client over HTTP with OkHttp. It sends each call at most once and follows no redirects. */
+public final class HttpPlainServiceClient implements PlainServiceClient {
+    /** Methods for which OkHttp wants a body, if only an empty one. */
+    private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
+
+    private final long answerLimitBytes;
+    private final EndpointCalls calls;
+
+    /**
+     * Creates the client.
+     *
+     * @param connectLimit longest wait for a connection; the wait for the answer is limited by the call's deadline
+     * @param answerLimitBytes longest body of an answer; the outcome of a call with a longer one is unknown
+     */
+    public HttpPlainServiceClient(Duration connectLimit, long answerLimitBytes) {
+        this.answerLimitBytes = answerLimitBytes;
+        this.calls = new EndpointCalls("service-call", connectLimit);
+    }
+
+    /** Ends all calls and the threads of the client. */
+    public void stop() {
+        calls.stop();
+    }
+
+    @Override
+    public CompletableFuture<ServiceCallResult> call(Endpoint endpoint, ServiceCall request) {
+        if (EndpointCalls.isPast(request.deadline())) {
+            return notSent(new Failure.DeadlinePassed(request.deadline()));
+        }
+        if (calls.isFull()) {
+            return notSent(new Failure.EndpointUnreachable(endpoint.id()));
+        }
+        Request http;
+        try {
+            http = toHttp(endpoint, request);
+        } catch (IllegalArgumentException exception) {
+            return notSent(new Failure.InvalidField("call", "an HTTP method, path and content type"));
+        }
+        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        CompletableFuture<ServiceCallResult> future = new CompletableFuture<>();
+        calls.newCall(http, watch, request.deadline()).enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException exception) {
+                future.complete(failed(endpoint, request, watch));
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    future.complete(new ServiceCallResult.Answered(answer(response)));
+                } catch (IOException exception) {
+                    future.complete(failed(endpoint, request, watch));
+                }
+            }
+        });
+        return future;
+    }
+
+    private ServiceAnswer answer(Response response) throws IOException {
+        Optional<String> contentType = Optional.ofNullable(response.header("Content-Type"));
+        return new ServiceAnswer(response.code(), contentType, EndpointCalls.readBody(response, answerLimitBytes));
+    }
+
+    private static ServiceCallResult failed(Endpoint endpoint, ServiceCall request, EndpointCalls.SendWatch watch) {
+        boolean late = EndpointCalls.isPast(request.deadline());
+        if (watch.isSent()) {
+            return new ServiceCallResult.OutcomeUnknown(
+                    late ? new Failure.OutcomeUnknown() : new Failure.EndpointFailed(endpoint.id()));
+        }
+        return new ServiceCallResult.NotSent(
+                late ? new Failure.DeadlinePassed(request.deadline()) : new Failure.EndpointUnreachable(endpoint.id()));
+    }
+
+    private static Request toHttp(Endpoint endpoint, ServiceCall request) {
+        if (!request.path().startsWith("/")) {
+            // Without the slash, the text would become part of the address.
+            throw new IllegalArgumentException("the path must start with '/'");
+        }
+        boolean withBody = request.body().length > 0 || METHODS_WITH_BODY.contains(request.method());
+        Request.Builder builder = new Request.Builder()
+                .url("http://" + endpoint.address() + request.path())
+                .header("X-Request-Id", request.requestId().value())
+                .method(request.method(), withBody ? RequestBody.create(request.body()) : null);
+        request.contentType().ifPresent(type -> builder.header("Content-Type", type));
+        return builder.build();
+    }
+
+    private static CompletableFuture<ServiceCallResult> notSent(Failure failure) {
+        return CompletableFuture.completedFuture(new ServiceCallResult.NotSent(failure));
+    }
+}
