Tell a resumed stream from a continued one

Cause: a stream that goes on at another engine starts at the index of the next token as well, but must not ask that engine to resume. Change: EngineRequest.resumes; the runner counts tokens over all attempts.

--- a/banyanstair-core/src/main/java/org/banyanstair/platform/EngineRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/EngineRequest.java
@@ -15,7 +15,8 @@
  * @param adapter adapter to run on
  * @param priority priority class
  * @param deadline instant after which nobody waits for the answer
- * @param nextToken index of the first token wanted; above 0 the engine resumes a stream that it still has
+ * @param nextToken index of the first token wanted
+ * @param resumes whether the engine still has the stream and only sends it again from the first token wanted
  */
 public record EngineRequest(
         RequestId requestId,
@@ -24,4 +25,5 @@
         AdapterVersion adapter,
         PriorityClass priority,
         Instant deadline,
-        long nextToken) {}
+        long nextToken,
+        boolean resumes) {}
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
@@ -57,21 +57,25 @@
         running.begin(attempt);
         long delivered = running.nextToken();
         byte[] body = delivered == 0 ? running.generation().body() : continuation(running);
-        generate(running, new Attempt(attempt, endpoint, delivered, body, RESUMES_PER_ATTEMPT), 0);
+        generate(running, new Attempt(attempt, endpoint, delivered, body, RESUMES_PER_ATTEMPT));
     }
 
     /**
      * One attempt.
      *
-     * @param base number of tokens that earlier attempts delivered; the engine counts from 0 after them
+     * @param base number of tokens that earlier attempts delivered
      */
     private record Attempt(int number, Endpoint endpoint, long base, byte[] body, int resumesLeft) {
+        boolean isResumed() {
+            return resumesLeft < RESUMES_PER_ATTEMPT;
+        }
+
         Attempt resumed() {
             return new Attempt(number, endpoint, base, body, resumesLeft - 1);
         }
     }
 
-    private void generate(RunningGeneration running, Attempt attempt, long nextToken) {
+    private void generate(RunningGeneration running, Attempt attempt) {
         Generation generation = running.generation();
         EngineRequest request = new EngineRequest(
                 engineRequestId(generation.id(), attempt.number()),
@@ -80,11 +84,12 @@
                 generation.adapter(),
                 generation.priority(),
                 generation.deadline(),
-                nextToken);
+                running.nextToken(),
+                attempt.isResumed());
         TokenListener listener = new TokenListener() {
             @Override
             public void token(long index, String json) {
-                running.deliver(attempt.number(), attempt.base() + index, json);
+                running.deliver(attempt.number(), index, json);
             }
 
             @Override
@@ -109,11 +114,13 @@
         if (end instanceof GenerationEnd.Complete) {
             ended(id, attempt.number(), new AttemptOutcome.Completed());
         } else if (end instanceof GenerationEnd.NotStarted notStarted) {
-            boolean first = attempt.resumesLeft() == RESUMES_PER_ATTEMPT;
-            ended(id, attempt.number(), first ? notStarted(notStarted) : broken(notStarted.failure(), produced));
+            ended(
+                    id,
+                    attempt.number(),
+                    attempt.isResumed() ? broken(notStarted.failure(), produced) : notStarted(notStarted));
         } else if (end instanceof GenerationEnd.Broken broken) {
             if (produced > 0 && attempt.resumesLeft() > 0) {
-                generate(running, attempt.resumed(), produced);
+                generate(running, attempt.resumed());
             } else {
                 ended(id, attempt.number(), broken(broken.failure(), produced));
             }
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
@@ -157,7 +157,7 @@
                 .header("X-Request-Deadline", request.deadline().toString())
                 .header("Accept", "text/event-stream")
                 .post(RequestBody.create(request.body(), JSON));
-        if (request.nextToken() > 0) {
+        if (request.resumes()) {
             builder.header("Last-Event-ID", Long.toString(request.nextToken() - 1));
         }
         return builder.build();
