Add the HTTP server and the faults that stand-ins share

While connections are refused the port stays bound without listening, so that no other process takes it. PUT /faults demands an end for this outage, because the request that would lift it is refused as well. Excluded: faults of a single stand-in; they come with the stand-in. Conclusion: other stand-ins can be built on it.

--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Counters.java
@@ -0,0 +1,43 @@
+package org.banyanstair.testsupport.fault;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Named operation counts of a stand-in. Safe for use by several threads. */
+public final class Counters {
+    private final Map<String, LongAdder> values = new ConcurrentHashMap<>();
+
+    /**
+     * Adds to a count.
+     *
+     * @param name name of the count
+     * @param amount number to add
+     */
+    public void add(String name, long amount) {
+        values.computeIfAbsent(name, key -> new LongAdder()).add(amount);
+    }
+
+    /**
+     * Returns one count.
+     *
+     * @param name name of the count
+     * @return its value, 0 if nothing was added
+     */
+    public long get(String name) {
+        LongAdder adder = values.get(name);
+        return adder == null ? 0 : adder.sum();
+    }
+
+    /**
+     * Returns all counts.
+     *
+     * @return values by name, in the order of the names
+     */
+    public Map<String, Long> snapshot() {
+        Map<String, Long> result = new TreeMap<>();
+        values.forEach((name, adder) -> result.put(name, adder.sum()));
+        return result;
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
@@ -0,0 +1,64 @@
+package org.banyanstair.testsupport.fault;
+
+import java.util.Map;
+import java.util.function.Function;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.banyanstair.model.NetworkAddress;
+import org.tinylog.configuration.Configuration;
+
+/** Shared part of the main methods of the stand-ins. */
+public final class StandInMain {
+    private static final int USAGE_ERROR = 2;
+
+    private StandInMain() {}
+
+    /**
+     * Parses the arguments, starts the stand-in and prints {@code ready ADDRESS} on standard output. Log lines go to
+     * standard error, so that standard output holds nothing else.
+     *
+     * @param arguments arguments of the main method
+     * @param options long options of the stand-in by name, with their descriptions; {@code --port} is added
+     * @param starter starts the stand-in and returns its address
+     */
+    public static void run(
+            String[] arguments, Map<String, String> options, Function<CommandLine, NetworkAddress> starter) {
+        Configuration.set("level", "info");
+        Configuration.set("writer", "console");
+        Configuration.set("writer.stream", "err");
+        try {
+            NetworkAddress address = starter.apply(new DefaultParser().parse(declare(options), arguments));
+            System.out.println("ready " + address);
+        } catch (ParseException | IllegalArgumentException exception) {
+            System.err.println(exception.getMessage());
+            System.exit(USAGE_ERROR);
+        }
+    }
+
+    private static Options declare(Map<String, String> descriptions) {
+        Options options = new Options();
+        options.addOption(option("port", "TCP port, 0 for a free one"));
+        descriptions.forEach((name, description) -> options.addOption(option(name, description)));
+        return options;
+    }
+
+    private static Option option(String name, String description) {
+        return Option.builder().longOpt(name).hasArg().desc(description).build();
+    }
+
+    /**
+     * Returns a whole number from the command line.
+     *
+     * @param line the command line
+     * @param name name of the option
+     * @param absent value if the option is absent
+     * @return the number
+     */
+    public static int number(CommandLine line, String name, int absent) {
+        return Integer.parseInt(line.getOptionValue(name, Integer.toString(absent)));
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
@@ -0,0 +1,316 @@
+package org.banyanstair.testsupport.fault;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.netty.NettyServer;
+import org.banyanstair.model.NetworkAddress;
+
+/**
+ * HTTP server of a stand-in; applies the faults to its operations.
+ *
+ * <p>Routes are added before {@link #start}. Control requests ({@code /faults}, {@code /counters}) are never hit by
+ * delays, lost answers or {@link Outage#UNAVAILABLE}.
+ */
+public final class StandInServer {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int IO_THREADS = 4;
+
+    /** The previous server closes its socket asynchronously, so a restart on the same port may have to wait. */
+    private static final int BIND_ATTEMPTS = 100;
+
+    private static final long BIND_PAUSE_MILLIS = 20;
+
+    private final FaultInjector injector = new FaultInjector(Clock.systemUTC());
+    private final Counters counters = new Counters();
+    private final List<Consumer<Jooby>> routes = new ArrayList<>();
+    private final ScheduledExecutorService timer;
+    private final OperationRunner runner;
+    private final int requestedPort;
+    private int port;
+    private NettyServer server;
+    private Socket portHolder;
+    private ScheduledFuture<?> outageEnd;
+
+    /**
+     * Creates a server that is not started.
+     *
+     * @param port TCP port on the loopback interface, 0 for a free one
+     */
+    public StandInServer(int port) {
+        requestedPort = port;
+        timer = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "stand-in-timer");
+            thread.setDaemon(true);
+            return thread;
+        });
+        runner = new OperationRunner(injector, counters, timer);
+    }
+
+    /**
+     * Adds an operation that the faults apply to.
+     *
+     * @param method HTTP method
+     * @param pattern path with variables in braces
+     * @param operation the operation
+     * @return this server
+     */
+    public StandInServer operation(String method, String pattern, Operation operation) {
+        routes.add(app -> app.route(method, pattern, context -> runner.withFaults(context, operation)));
+        return this;
+    }
+
+    /**
+     * Adds a control request, which the faults do not apply to.
+     *
+     * @param method HTTP method
+     * @param pattern path with variables in braces
+     * @param operation the request
+     * @return this server
+     */
+    public StandInServer control(String method, String pattern, Operation operation) {
+        routes.add(app -> app.route(method, pattern, context -> runner.withoutFaults(context, operation)));
+        return this;
+    }
+
+    /**
+     * Adds routes of any kind, for streamed answers. Their handlers consult {@link #injector} themselves and run on an
+     * event loop.
+     *
+     * @param registration adds the routes
+     * @return this server
+     */
+    public StandInServer routes(Consumer<Jooby> registration) {
+        routes.add(registration);
+        return this;
+    }
+
+    /**
+     * Adds {@code GET /faults}, {@code PUT /faults} and {@code GET /counters}.
+     *
+     * @param type record of the stand-in's faults
+     * @param shared returns the part of the record that is common to all stand-ins
+     * @param reader returns the faults in force
+     * @param writer puts faults in force; an {@link IllegalArgumentException} is answered with status 400
+     * @param <F> type of the faults
+     * @return this server
+     */
+    public <F> StandInServer controls(
+            Class<F> type, Function<F, Faults> shared, Supplier<F> reader, Consumer<F> writer) {
+        control("GET", "/faults", request -> CompletableFuture.completedFuture(Reply.json(200, reader.get())));
+        control("PUT", "/faults", request -> {
+            F faults = request.json(type);
+            requireEnd(shared.apply(faults));
+            writer.accept(faults);
+            return CompletableFuture.completedFuture(Reply.json(200, reader.get()));
+        });
+        return control(
+                "GET", "/counters", request -> CompletableFuture.completedFuture(Reply.json(200, counters.snapshot())));
+    }
+
+    private static void requireEnd(Faults faults) {
+        if (faults.outage() == Outage.REFUSED && faults.outageUntil().isEmpty()) {
+            throw new IllegalArgumentException("outageUntil is required, because PUT /faults is refused as well");
+        }
+    }
+
+    /**
+     * Returns the decisions about faults.
+     *
+     * @return the injector
+     */
+    public FaultInjector injector() {
+        return injector;
+    }
+
+    /**
+     * Returns the operation counts.
+     *
+     * @return the counters
+     */
+    public Counters counters() {
+        return counters;
+    }
+
+    /**
+     * Returns the thread that delays operations; tasks on it must be short.
+     *
+     * @return the timer
+     */
+    public ScheduledExecutorService timer() {
+        return timer;
+    }
+
+    /**
+     * Puts faults in force. Opening and closing the listening socket happens in the background; see {@link #applied}.
+     *
+     * @param faults the faults
+     */
+    public void setFaults(Faults faults) {
+        injector.set(faults);
+        timer.execute(this::reconcile);
+    }
+
+    /** Waits until the listening socket is in the state that the faults ask for. Not to be called by an operation. */
+    public void applied() {
+        CompletableFuture.runAsync(this::reconcile, timer).join();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return address that it listens on
+     */
+    public NetworkAddress start() {
+        CompletableFuture.runAsync(this::listen, timer).join();
+        return address();
+    }
+
+    /** Closes the listening socket and all connections. The server cannot be started again. */
+    public void stop() {
+        CompletableFuture.runAsync(this::close, timer).join();
+        timer.shutdownNow();
+    }
+
+    /**
+     * Returns the address, which stays the same through outages.
+     *
+     * @return address that it listens on
+     */
+    public synchronized NetworkAddress address() {
+        return new NetworkAddress(LOOPBACK, port);
+    }
+
+    private synchronized void reconcile() {
+        boolean refuses = injector.get().outage() == Outage.REFUSED;
+        if (refuses && server != null) {
+            close();
+            holdPort();
+        } else if (!refuses && portHolder != null) {
+            releasePort();
+            listen();
+        }
+        scheduleOutageEnd();
+    }
+
+    private void scheduleOutageEnd() {
+        if (outageEnd != null) {
+            outageEnd.cancel(false);
+        }
+        injector.get().outageUntil().ifPresent(until -> {
+            long delay = Math.max(
+                    1, Duration.between(Clock.systemUTC().instant(), until).toMillis() + 1);
+            outageEnd = timer.schedule(this::reconcile, delay, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private synchronized void listen() {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                tryToListen();
+                return;
+            } catch (RuntimeException exception) {
+                if (attempt == BIND_ATTEMPTS || !isAddressInUse(exception)) {
+                    throw exception;
+                }
+                pause();
+            }
+        }
+    }
+
+    private void tryToListen() {
+        ServerOptions options = new ServerOptions()
+                .setPort(port == 0 ? requestedPort : port)
+                .setIoThreads(IO_THREADS)
+                .setWorkerThreads(1);
+        options.setHost(LOOPBACK);
+        Jooby app = new Jooby();
+        app.setExecutionMode(ExecutionMode.EVENT_LOOP);
+        app.setStartupSummary(List.of(StartupSummary.NONE));
+        routes.forEach(registration -> registration.accept(app));
+        NettyServer candidate = new NettyServer();
+        candidate.setOptions(options);
+        try {
+            candidate.start(app);
+        } catch (RuntimeException exception) {
+            candidate.stop();
+            throw exception;
+        }
+        server = candidate;
+        port = options.getPort();
+    }
+
+    private static boolean isAddressInUse(Throwable exception) {
+        for (Throwable cause = exception; cause != null; cause = cause.getCause()) {
+            if (cause instanceof BindException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(BIND_PAUSE_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private synchronized void close() {
+        releasePort();
+        if (server != null) {
+            server.stop();
+            server = null;
+        }
+    }
+
+    /** Binds the port without listening on it, so that no other process gets it while connections are refused. */
+    private void holdPort() {
+        portHolder = new Socket();
+        for (int attempt = 1; ; attempt++) {
+            try {
+                portHolder.setReuseAddress(true);
+                portHolder.bind(new InetSocketAddress(LOOPBACK, port));
+                return;
+            } catch (IOException exception) {
+                if (attempt == BIND_ATTEMPTS) {
+                    throw new UncheckedIOException(exception);
+                }
+                pause();
+            }
+        }
+    }
+
+    private void releasePort() {
+        if (portHolder == null) {
+            return;
+        }
+        try {
+            portHolder.close();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+        portHolder = null;
+    }
+}
