Add stand-ins for log service, host list and weight store

Cause: tests need the platform's services with their limits and faults. Each has a main class. Lost answers can be limited to one HTTP method, so that they hit appends while long polls run. An outage ends waiting reads. Closing a stand-in now waits for its connections, because Jooby closes them in the background.

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ConnectionCloser.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ConnectionCloser.java
@@ -33,7 +33,7 @@
     }
 
     /** Jooby has no public way to close a connection without an answer, so its field is read by reflection. */
-    private static Channel channel(Context context) {
+    static Channel channel(Context context) {
         Object inner = context;
         while (inner instanceof Context) {
             inner = ctxField(inner);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/FaultInjector.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/FaultInjector.java
@@ -55,9 +55,13 @@
      * Decides whether the operation that has just taken effect loses its answer. Each call consumes one of the lost
      * answers or one random number, so call it once per operation.
      *
+     * @param method HTTP method of the operation
      * @return whether the connection is to be closed without an answer
      */
-    public synchronized boolean takeLostAnswer() {
+    public synchronized boolean takeLostAnswer(String method) {
+        if (faults.lostAnswerMethod().filter(limit -> !limit.equals(method)).isPresent()) {
+            return false;
+        }
         if (faults.lostAnswers() > 0) {
             faults = faults.withLostAnswers(faults.lostAnswers() - 1);
             return true;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Faults.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Faults.java
@@ -13,6 +13,7 @@
  * @param answerDelayMillis time between the effect of a request and its answer
  * @param lostAnswers number of operations from now on that take effect and whose connection is then closed without an
  *     answer
+ * @param lostAnswerMethod HTTP method of the operations that can lose their answer, all methods if empty
  * @param lostAnswerProbability probability that an operation beyond those loses its answer, 0 to 1
  * @param seed seed of the random numbers behind the probability
  */
@@ -22,15 +23,17 @@
         long delayMillis,
         long answerDelayMillis,
         int lostAnswers,
+        Optional<String> lostAnswerMethod,
         double lostAnswerProbability,
         long seed) {
     /** No faults. */
-    public static final Faults NONE = new Faults(Outage.NONE, Optional.empty(), 0, 0, 0, 0, 0);
+    public static final Faults NONE = new Faults(Outage.NONE, Optional.empty(), 0, 0, 0, Optional.empty(), 0, 0);
 
     /** Replaces absent values by their defaults and checks the ranges. */
     public Faults {
         outage = outage == null ? Outage.NONE : outage;
         outageUntil = outageUntil == null ? Optional.empty() : outageUntil;
+        lostAnswerMethod = lostAnswerMethod == null ? Optional.empty() : lostAnswerMethod;
         if (delayMillis < 0 || answerDelayMillis < 0 || lostAnswers < 0) {
             throw new IllegalArgumentException("delays and counts must not be negative");
         }
@@ -47,7 +50,14 @@
      */
     public Faults withOutage(Outage value) {
         return new Faults(
-                value, Optional.empty(), delayMillis, answerDelayMillis, lostAnswers, lostAnswerProbability, seed);
+                value,
+                Optional.empty(),
+                delayMillis,
+                answerDelayMillis,
+                lostAnswers,
+                lostAnswerMethod,
+                lostAnswerProbability,
+                seed);
     }
 
     /**
@@ -59,7 +69,14 @@
      */
     public Faults withOutage(Outage value, Instant until) {
         return new Faults(
-                value, Optional.of(until), delayMillis, answerDelayMillis, lostAnswers, lostAnswerProbability, seed);
+                value,
+                Optional.of(until),
+                delayMillis,
+                answerDelayMillis,
+                lostAnswers,
+                lostAnswerMethod,
+                lostAnswerProbability,
+                seed);
     }
 
     /**
@@ -70,7 +87,15 @@
      * @return the faults
      */
     public Faults withDelays(long beforeMillis, long afterMillis) {
-        return new Faults(outage, outageUntil, beforeMillis, afterMillis, lostAnswers, lostAnswerProbability, seed);
+        return new Faults(
+                outage,
+                outageUntil,
+                beforeMillis,
+                afterMillis,
+                lostAnswers,
+                lostAnswerMethod,
+                lostAnswerProbability,
+                seed);
     }
 
     /**
@@ -80,7 +105,15 @@
      * @return the faults
      */
     public Faults withLostAnswers(int count) {
-        return new Faults(outage, outageUntil, delayMillis, answerDelayMillis, count, lostAnswerProbability, seed);
+        return new Faults(
+                outage,
+                outageUntil,
+                delayMillis,
+                answerDelayMillis,
+                count,
+                lostAnswerMethod,
+                lostAnswerProbability,
+                seed);
     }
 
     /**
@@ -91,6 +124,33 @@
      * @return the faults
      */
     public Faults withRandomLostAnswers(double probability, long randomSeed) {
-        return new Faults(outage, outageUntil, delayMillis, answerDelayMillis, lostAnswers, probability, randomSeed);
+        return new Faults(
+                outage,
+                outageUntil,
+                delayMillis,
+                answerDelayMillis,
+                lostAnswers,
+                lostAnswerMethod,
+                probability,
+                randomSeed);
+    }
+
+    /**
+     * Returns these faults with lost answers limited to one HTTP method, so that they hit appends and not the long polls
+     * that run at the same time.
+     *
+     * @param method HTTP method
+     * @return the faults
+     */
+    public Faults withLostAnswerMethod(String method) {
+        return new Faults(
+                outage,
+                outageUntil,
+                delayMillis,
+                answerDelayMillis,
+                lostAnswers,
+                Optional.of(method),
+                lostAnswerProbability,
+                seed);
     }
 }
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OpenConnections.java
@@ -0,0 +1,42 @@
+package org.banyanstair.testsupport.fault;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.jooby.Context;
+import io.jooby.Route;
+import io.netty.channel.Channel;
+
+/**
+ * The connections that requests came in on.
+ *
+ * <p>The Netty server of Jooby closes its connections in the background, so a client could still send on one after the
+ * server was stopped. Closing them here makes the moment definite.
+ */
+final class OpenConnections {
+    private static final long CLOSE_LIMIT_MILLIS = 1_000;
+
+    private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+
+    Route.Filter filter() {
+        return next -> context -> {
+            track(context);
+            return next.apply(context);
+        };
+    }
+
+    private void track(Context context) {
+        Channel channel = ConnectionCloser.channel(context);
+        if (channels.add(channel)) {
+            channel.closeFuture().addListener(closed -> channels.remove(channel));
+        }
+    }
+
+    void closeAll() {
+        List<Channel> open = List.copyOf(channels);
+        open.forEach(Channel::close);
+        open.forEach(channel -> channel.closeFuture().awaitUninterruptibly(CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+}
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
@@ -24,6 +24,7 @@
 import io.jooby.StartupSummary;
 import io.jooby.netty.NettyServer;
 import org.banyanstair.model.NetworkAddress;
+import org.tinylog.Logger;
 
 /**
  * HTTP server of a stand-in; applies the faults to its operations.
@@ -43,6 +44,7 @@
     private final FaultInjector injector = new FaultInjector(Clock.systemUTC());
     private final Counters counters = new Counters();
     private final List<Consumer<Jooby>> routes = new ArrayList<>();
+    private final OpenConnections connections = new OpenConnections();
     private final ScheduledExecutorService timer;
     private final OperationRunner runner;
     private final int requestedPort;
@@ -167,7 +169,7 @@
      */
     public void setFaults(Faults faults) {
         injector.set(faults);
-        timer.execute(this::reconcile);
+        timer.execute(this::reconcileInBackground);
     }
 
     /** Waits until the listening socket is in the state that the faults ask for. Not to be called by an operation. */
@@ -200,6 +202,14 @@
         return new NetworkAddress(LOOPBACK, port);
     }
 
+    private void reconcileInBackground() {
+        try {
+            reconcile();
+        } catch (RuntimeException exception) {
+            Logger.error(exception, "stand-in on port {} could not apply its outage", port);
+        }
+    }
+
     private synchronized void reconcile() {
         boolean refuses = injector.get().outage() == Outage.REFUSED;
         if (refuses && server != null) {
@@ -219,7 +229,7 @@
         injector.get().outageUntil().ifPresent(until -> {
             long delay = Math.max(
                     1, Duration.between(Clock.systemUTC().instant(), until).toMillis() + 1);
-            outageEnd = timer.schedule(this::reconcile, delay, TimeUnit.MILLISECONDS);
+            outageEnd = timer.schedule(this::reconcileInBackground, delay, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -246,6 +256,7 @@
         Jooby app = new Jooby();
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.setStartupSummary(List.of(StartupSummary.NONE));
+        app.use(connections.filter());
         routes.forEach(registration -> registration.accept(app));
         NettyServer candidate = new NettyServer();
         candidate.setOptions(options);
@@ -281,6 +292,7 @@
         releasePort();
         if (server != null) {
             server.stop();
+            connections.closeAll();
             server = null;
         }
     }
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/DelayedListing.java
@@ -0,0 +1,68 @@
+package org.banyanstair.testsupport.hosts;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.HostListing;
+
+/**
+ * The host list with its history, so that readers can be shown an earlier state.
+ *
+ * <p>What readers see never goes back, even when the lag is raised. Safe for use by several threads.
+ */
+final class DelayedListing {
+    private final Map<String, EntryHost> hosts = new TreeMap<>();
+    private final Map<String, Endpoint> endpoints = new TreeMap<>();
+    private final Deque<Change> waiting = new ArrayDeque<>();
+    private HostListing visible = HostListing.EMPTY;
+    private long version;
+
+    synchronized void putHost(EntryHost host, Instant now) {
+        hosts.put(host.id().toString(), host);
+        changed(now);
+    }
+
+    synchronized void putEndpoint(Endpoint endpoint, Instant now) {
+        endpoints.put(endpoint.id().toString(), endpoint);
+        changed(now);
+    }
+
+    synchronized boolean removeHost(String id, Instant now) {
+        return removed(hosts.remove(id), now);
+    }
+
+    synchronized boolean removeEndpoint(String id, Instant now) {
+        return removed(endpoints.remove(id), now);
+    }
+
+    private boolean removed(Object entry, Instant now) {
+        if (entry == null) {
+            return false;
+        }
+        changed(now);
+        return true;
+    }
+
+    private void changed(Instant now) {
+        version++;
+        waiting.addLast(new Change(
+                now, new HostListing(version, List.copyOf(hosts.values()), List.copyOf(endpoints.values()))));
+    }
+
+    /** Returns the state that readers see. */
+    synchronized HostListing visible(Instant now, Duration lag) {
+        while (!waiting.isEmpty() && !waiting.peekFirst().at().plus(lag).isAfter(now)) {
+            visible = waiting.removeFirst().listing();
+        }
+        return visible;
+    }
+
+    private record Change(Instant at, HostListing listing) {}
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -0,0 +1,195 @@
+package org.banyanstair.testsupport.hosts;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.HostListing;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.fault.Counters;
+import org.banyanstair.testsupport.fault.Faults;
+import org.banyanstair.testsupport.fault.Reply;
+import org.banyanstair.testsupport.fault.Request;
+import org.banyanstair.testsupport.fault.StandInServer;
+
+/** Stand-in for the platform's host list. Safe for use by several threads. */
+public final class HostListStandIn {
+    private final InstantSource clock = Clock.systemUTC();
+    private final DelayedListing listing = new DelayedListing();
+    private final Duration configuredLag;
+    private final StandInServer server;
+    private volatile Duration lag;
+
+    /**
+     * Creates a host list that is empty and not started.
+     *
+     * @param port TCP port on the loopback interface, 0 for a free one
+     * @param lag time after which readers see a change
+     */
+    public HostListStandIn(int port, Duration lag) {
+        configuredLag = lag;
+        this.lag = lag;
+        server = new StandInServer(port)
+                .operation("GET", "/hosts", request -> read())
+                .control("PUT", "/hosts/{id}", this::putHost)
+                .control(
+                        "DELETE",
+                        "/hosts/{id}",
+                        request -> removed(listing.removeHost(request.path("id"), clock.instant())))
+                .control("PUT", "/endpoints/{id}", this::putEndpoint)
+                .control(
+                        "DELETE",
+                        "/endpoints/{id}",
+                        request -> removed(listing.removeEndpoint(request.path("id"), clock.instant())))
+                .controls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return address that it listens on
+     */
+    public NetworkAddress start() {
+        return server.start();
+    }
+
+    /** Closes the listening socket and all connections. */
+    public void stop() {
+        server.stop();
+    }
+
+    /**
+     * Returns the server, for its address and for waiting until faults are applied.
+     *
+     * @return the server
+     */
+    public StandInServer server() {
+        return server;
+    }
+
+    /**
+     * Returns the operation counts: {@code reads}, {@code changes}.
+     *
+     * @return the counters
+     */
+    public Counters counters() {
+        return server.counters();
+    }
+
+    /**
+     * Adds or replaces an entry host.
+     *
+     * @param host the host
+     */
+    public void put(EntryHost host) {
+        counters().add("changes", 1);
+        listing.putHost(host, clock.instant());
+    }
+
+    /**
+     * Adds or replaces an endpoint.
+     *
+     * @param endpoint the endpoint
+     */
+    public void put(Endpoint endpoint) {
+        counters().add("changes", 1);
+        listing.putEndpoint(endpoint, clock.instant());
+    }
+
+    /**
+     * Removes an entry host; does nothing if there is none of this name.
+     *
+     * @param id the host
+     */
+    public void remove(HostId id) {
+        listing.removeHost(id.toString(), clock.instant());
+    }
+
+    /**
+     * Removes an endpoint; does nothing if there is none of this name.
+     *
+     * @param id the endpoint
+     */
+    public void remove(EndpointId id) {
+        listing.removeEndpoint(id.toString(), clock.instant());
+    }
+
+    /**
+     * Returns what readers see.
+     *
+     * @return the list, behind the changes by the lag
+     */
+    public HostListing visible() {
+        return listing.visible(clock.instant(), lag);
+    }
+
+    /**
+     * Returns the faults in force.
+     *
+     * @return the faults
+     */
+    public HostListFaults faults() {
+        Optional<Long> changed = lag.equals(configuredLag) ? Optional.empty() : Optional.of(lag.toMillis());
+        return new HostListFaults(server.injector().get(), changed);
+    }
+
+    /**
+     * Replaces the faults in force.
+     *
+     * @param faults the faults
+     */
+    public void setFaults(HostListFaults faults) {
+        lag = faults.lagMillis().map(Duration::ofMillis).orElse(configuredLag);
+        server.setFaults(faults.shared());
+    }
+
+    /**
+     * Replaces the faults that all stand-ins share and keeps the lag.
+     *
+     * @param faults the faults
+     */
+    public void setFaults(Faults faults) {
+        setFaults(new HostListFaults(faults, faults().lagMillis()));
+    }
+
+    private CompletableFuture<Reply> read() {
+        counters().add("reads", 1);
+        return CompletableFuture.completedFuture(Reply.json(200, visible()));
+    }
+
+    private CompletableFuture<Reply> putHost(Request request) {
+        EntryHost host = request.json(EntryHost.class);
+        requireName(request, host.id());
+        put(host);
+        return done();
+    }
+
+    private CompletableFuture<Reply> putEndpoint(Request request) {
+        Endpoint endpoint = request.json(Endpoint.class);
+        requireName(request, endpoint.id());
+        put(endpoint);
+        return done();
+    }
+
+    private static void requireName(Request request, Object id) {
+        if (id == null || !request.path("id").equals(id.toString())) {
+            throw new IllegalArgumentException("the id in the body must be that of the path");
+        }
+    }
+
+    private CompletableFuture<Reply> removed(boolean found) {
+        counters().add("changes", found ? 1 : 0);
+        return found ? done() : CompletableFuture.completedFuture(Reply.error(404, "unknown_entry"));
+    }
+
+    private static CompletableFuture<Reply> done() {
+        return CompletableFuture.completedFuture(Reply.json(200, Map.of()));
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/AppendLimit.java
@@ -0,0 +1,33 @@
+package org.banyanstair.testsupport.log;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Admits at most a number of appends in any second.
+ *
+ * <p>A sliding window is used because a fixed window would admit twice the limit around its boundary.
+ */
+final class AppendLimit {
+    private static final Duration WINDOW = Duration.ofSeconds(1);
+
+    private final int limit;
+    private final Deque<Instant> admitted = new ArrayDeque<>();
+
+    AppendLimit(int limit) {
+        this.limit = limit;
+    }
+
+    synchronized boolean admit(Instant now) {
+        while (!admitted.isEmpty() && !admitted.peekFirst().plus(WINDOW).isAfter(now)) {
+            admitted.removeFirst();
+        }
+        if (admitted.size() >= limit) {
+            return false;
+        }
+        admitted.addLast(now);
+        return true;
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -0,0 +1,212 @@
+package org.banyanstair.testsupport.log;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.time.format.DateTimeParseException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.platform.ReadResult;
+import org.banyanstair.testsupport.fault.Counters;
+import org.banyanstair.testsupport.fault.Faults;
+import org.banyanstair.testsupport.fault.Reply;
+import org.banyanstair.testsupport.fault.Request;
+import org.banyanstair.testsupport.fault.StandInServer;
+
+/**
+ * Stand-in for the platform's log service: append-only streams in memory, read by long polls.
+ *
+ * <p>A read that waits does not count against the append limit. Safe for use by several threads.
+ */
+public final class LogServiceStandIn {
+    /** Appends a second that are admitted unless another limit is given. */
+    public static final int DEFAULT_APPENDS_PER_SECOND = 400;
+
+    /** Most records in one answer, so that a read from offset 0 of a long stream stays small. */
+    private static final int MAX_RECORDS = 1_000;
+
+    private final InstantSource clock = Clock.systemUTC();
+    private final Map<String, StreamLog> streams = new ConcurrentHashMap<>();
+    private final Duration configuredRetention;
+    private final AppendLimit appendLimit;
+    private final StandInServer server;
+    private volatile Duration retention;
+
+    /**
+     * Creates a log service that is not started.
+     *
+     * @param port TCP port on the loopback interface, 0 for a free one
+     * @param retention time for which records are kept, at least 1 s
+     * @param appendsPerSecond most appends in any second
+     */
+    public LogServiceStandIn(int port, Duration retention, int appendsPerSecond) {
+        configuredRetention = retention;
+        this.retention = retention;
+        appendLimit = new AppendLimit(appendsPerSecond);
+        server = new StandInServer(port)
+                .operation("POST", "/streams/{name}/records", this::append)
+                .operation("GET", "/streams/{name}/records", this::read)
+                .controls(LogFaults.class, LogFaults::shared, this::faults, this::setFaults);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return address that it listens on
+     */
+    public NetworkAddress start() {
+        return server.start();
+    }
+
+    /** Closes the listening socket and all connections; the records are lost. */
+    public void stop() {
+        server.stop();
+    }
+
+    /**
+     * Returns the server, for its address and for waiting until faults are applied.
+     *
+     * @return the server
+     */
+    public StandInServer server() {
+        return server;
+    }
+
+    /**
+     * Returns the operation counts: {@code appends}, {@code appendedRecords}, {@code reads}, {@code refused},
+     * {@code bytes}.
+     *
+     * @return the counters
+     */
+    public Counters counters() {
+        return server.counters();
+    }
+
+    /**
+     * Returns the faults in force.
+     *
+     * @return the faults
+     */
+    public LogFaults faults() {
+        Optional<Integer> changed = retention.equals(configuredRetention)
+                ? Optional.empty()
+                : Optional.of(Math.toIntExact(retention.toSeconds()));
+        return new LogFaults(server.injector().get(), changed);
+    }
+
+    /**
+     * Replaces the faults in force. An outage also ends the reads that wait.
+     *
+     * @param faults the faults
+     */
+    public void setFaults(LogFaults faults) {
+        retention = faults.retentionSeconds().map(Duration::ofSeconds).orElse(configuredRetention);
+        server.setFaults(faults.shared());
+        if (server.injector().isUnavailable()) {
+            streams.values().forEach(stream -> stream.takePending().forEach(PendingRead::answer));
+        }
+    }
+
+    /**
+     * Replaces the faults that all stand-ins share and keeps the retention.
+     *
+     * @param faults the faults
+     */
+    public void setFaults(Faults faults) {
+        setFaults(new LogFaults(faults, faults().retentionSeconds()));
+    }
+
+    private CompletableFuture<Reply> append(Request request) {
+        List<byte[]> records = request.json(AppendRequest.class).records();
+        Instant now = clock.instant();
+        if (!appendLimit.admit(now)) {
+            counters().add("refused", 1);
+            return CompletableFuture.completedFuture(Reply.error(429, "append_limit_reached"));
+        }
+        long first = stream(request).append(records, now);
+        counters().add("appends", 1);
+        counters().add("appendedRecords", records.size());
+        counters()
+                .add(
+                        "bytes",
+                        records.stream().mapToLong(record -> record.length).sum());
+        return CompletableFuture.completedFuture(Reply.json(200, Map.of("firstOffset", first)));
+    }
+
+    private CompletableFuture<Reply> read(Request request) {
+        StreamLog stream = stream(request);
+        long from = number(request, "from", 0);
+        int limit = (int) Math.min(MAX_RECORDS, number(request, "limit", 1));
+        Instant waitUntil =
+                request.query("waitUntil").map(LogServiceStandIn::instant).orElse(Instant.EPOCH);
+        counters().add("reads", 1);
+        PendingRead pending = new PendingRead(from, () -> answer(stream, from, limit));
+        if (!clock.instant().isBefore(waitUntil) || hasExpired(stream, from) || !stream.await(pending)) {
+            pending.answer();
+            return pending.reply();
+        }
+        answerAt(waitUntil, stream, pending);
+        return pending.reply();
+    }
+
+    private boolean hasExpired(StreamLog stream, long from) {
+        stream.expire(clock.instant(), retention);
+        return stream.read(from, 1) instanceof ReadResult.Expired;
+    }
+
+    private void answerAt(Instant waitUntil, StreamLog stream, PendingRead pending) {
+        long delay = Math.max(1, Duration.between(clock.instant(), waitUntil).toMillis() + 1);
+        ScheduledFuture<?> timeout = server.timer()
+                .schedule(
+                        () -> {
+                            if (stream.cancel(pending)) {
+                                pending.answer();
+                            }
+                        },
+                        delay,
+                        TimeUnit.MILLISECONDS);
+        pending.reply().thenRun(() -> timeout.cancel(false));
+    }
+
+    private Reply answer(StreamLog stream, long from, int limit) {
+        if (server.injector().isUnavailable()) {
+            return Reply.error(503, "unavailable");
+        }
+        stream.expire(clock.instant(), retention);
+        ReadResult result = stream.read(from, limit);
+        if (result instanceof ReadResult.Expired) {
+            return Reply.json(410, Map.of("earliest", ((ReadResult.Expired) result).earliest()));
+        }
+        return Reply.json(200, result);
+    }
+
+    private StreamLog stream(Request request) {
+        return streams.computeIfAbsent(request.path("name"), name -> new StreamLog());
+    }
+
+    private static long number(Request request, String name, long least) {
+        long value = request.query(name)
+                .map(Long::parseLong)
+                .orElseThrow(() -> new IllegalArgumentException(name + " is required"));
+        if (value < least) {
+            throw new IllegalArgumentException(name + " must be at least " + least);
+        }
+        return value;
+    }
+
+    private static Instant instant(String text) {
+        try {
+            return Instant.parse(text);
+        } catch (DateTimeParseException exception) {
+            throw new IllegalArgumentException("waitUntil must be an RFC 3339 instant", exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/PendingRead.java
@@ -0,0 +1,31 @@
+package org.banyanstair.testsupport.log;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.banyanstair.testsupport.fault.Reply;
+
+/** A read that waits for its first record. */
+final class PendingRead {
+    private final long from;
+    private final Supplier<Reply> reader;
+    private final CompletableFuture<Reply> reply = new CompletableFuture<>();
+
+    PendingRead(long from, Supplier<Reply> reader) {
+        this.from = from;
+        this.reader = reader;
+    }
+
+    long from() {
+        return from;
+    }
+
+    CompletableFuture<Reply> reply() {
+        return reply;
+    }
+
+    /** Completes the reply with the state of the stream at this moment. */
+    void answer() {
+        reply.complete(reader.get());
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
@@ -0,0 +1,140 @@
+package org.banyanstair.testsupport.weights;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.fault.Counters;
+import org.banyanstair.testsupport.fault.Reply;
+import org.banyanstair.testsupport.fault.Request;
+import org.banyanstair.testsupport.fault.StandInServer;
+
+/** Stand-in for the platform's rate-limited weight store. Safe for use by several threads. */
+public final class WeightStoreStandIn {
+    private final WeightStoreSettings settings;
+    private final LoadQueue queue;
+    private final StandInServer server;
+    private WeightStoreFaults faults = WeightStoreFaults.NONE;
+    private SplittableRandom random = new SplittableRandom(0);
+
+    /**
+     * Creates a weight store that is not started.
+     *
+     * @param port TCP port on the loopback interface, 0 for a free one
+     * @param settings its capacity
+     */
+    public WeightStoreStandIn(int port, WeightStoreSettings settings) {
+        this.settings = settings;
+        queue = new LoadQueue(settings, System.nanoTime());
+        server = new StandInServer(port)
+                .operation("GET", "/adapters/{service}/{adapter}/{version}", this::load)
+                .controls(WeightStoreFaults.class, WeightStoreFaults::shared, this::faults, this::setFaults);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return address that it listens on
+     */
+    public NetworkAddress start() {
+        return server.start();
+    }
+
+    /** Closes the listening socket and all connections. */
+    public void stop() {
+        server.stop();
+    }
+
+    /**
+     * Returns the server, for its address and for waiting until faults are applied.
+     *
+     * @return the server
+     */
+    public StandInServer server() {
+        return server;
+    }
+
+    /**
+     * Returns the operation counts: {@code loads}, {@code failedLoads}, {@code bytes}.
+     *
+     * @return the counters
+     */
+    public Counters counters() {
+        return server.counters();
+    }
+
+    /**
+     * Returns the faults in force.
+     *
+     * @return the faults, with the number of failing loads that are still to come
+     */
+    public synchronized WeightStoreFaults faults() {
+        return faults.withShared(server.injector().get());
+    }
+
+    /**
+     * Replaces the faults in force. Starts the random numbers anew from their seeds.
+     *
+     * @param value the faults
+     */
+    public synchronized void setFaults(WeightStoreFaults value) {
+        faults = value;
+        random = new SplittableRandom(value.seed());
+        server.setFaults(value.shared());
+    }
+
+    private CompletableFuture<Reply> load(Request request) {
+        String name = name(request);
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        schedule(queue.enqueue(System.nanoTime()), () -> transfer(name, reply));
+        return reply;
+    }
+
+    private void transfer(String name, CompletableFuture<Reply> reply) {
+        schedule(queue.begin(), () -> {
+            queue.end();
+            reply.complete(finish(name));
+        });
+    }
+
+    private Reply finish(String name) {
+        counters().add("loads", 1);
+        if (takeFailure(name)) {
+            counters().add("failedLoads", 1);
+            return Reply.error(500, "load_failed");
+        }
+        counters().add("bytes", settings.adapterBytes());
+        byte[] body = Arrays.copyOf(name.getBytes(StandardCharsets.UTF_8), settings.adapterBytes());
+        return new Reply(200, "application/octet-stream", body);
+    }
+
+    private synchronized boolean takeFailure(String name) {
+        if (faults.failingAdapters().contains(name)) {
+            return true;
+        }
+        if (faults.failingLoads() > 0) {
+            faults = faults.withFailingLoads(faults.failingLoads() - 1);
+            return true;
+        }
+        return faults.failureProbability() > 0 && random.nextDouble() < faults.failureProbability();
+    }
+
+    private void schedule(long nanos, Runnable task) {
+        server.timer().schedule(task, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private static String name(Request request) {
+        try {
+            return AdapterVersion.parse(
+                            request.path("service") + "/" + request.path("adapter") + "@" + request.path("version"))
+                    .engineName();
+        } catch (FailureException exception) {
+            throw new IllegalArgumentException(exception);
+        }
+    }
+}
