Add HTTP clients of the log service and the host list

Cause: the daemon reaches the platform over HTTP and must know whether an append took effect. Change: HttpLogService and HttpHostListSource on OkHttp. An append is rejected if no byte was sent or the status is 4xx or 503; every other failure is unknown. Appends and long polls have separate dispatchers. OkHttp enforces a deadline in the background, so an interceptor keeps calls from being sent after it. Missing properties of an answer are refused, because firstOffset would default to 0. Excluded: probing a pooled connection before an append; after a restart of the log service an append on such a connection is unknown.

--- /dev/null
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpLogServiceTest.java
@@ -0,0 +1,204 @@
+package org.banyanstair.platform.http;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.platform.AppendResult;
+import org.banyanstair.platform.ReadResult;
+import org.banyanstair.testsupport.fault.Faults;
+import org.banyanstair.testsupport.fault.Outage;
+import org.banyanstair.testsupport.fault.StandInServer;
+import org.banyanstair.testsupport.log.LogFaults;
+import org.banyanstair.testsupport.log.LogServiceStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against appends that are reported as not applied although they may be in the log, and against lost records. */
+class HttpLogServiceTest {
+    private static final Duration DEADLINE = Duration.ofSeconds(1);
+
+    private LogServiceStandIn log;
+    private HttpLogService client;
+
+    @BeforeEach
+    void start() {
+        log = new LogServiceStandIn(0, Duration.ofHours(1), 50);
+        client = new HttpLogService(log.start(), DEADLINE);
+    }
+
+    @AfterEach
+    void stop() {
+        client.stop();
+        log.stop();
+    }
+
+    @Test
+    void appendedRecordsAreReadBackInOrder() throws Exception {
+        assertEquals(new AppendResult.Appended(0), append("a", "b"));
+        assertEquals(new AppendResult.Appended(2), append("c"));
+        ReadResult.Records read = records(1, 10);
+        assertEquals(3, read.next());
+        assertEquals(3, read.end());
+        assertEquals("b", new String(read.records().get(0).payload(), UTF_8));
+        assertEquals("c", new String(read.records().get(1).payload(), UTF_8));
+        assertEquals(2, records(1, 1).next());
+        assertEquals(0, ((ReadResult.Records) read("never-written", 0, Instant.EPOCH)).end());
+    }
+
+    @Test
+    void waitingReadsEndWithARecordOrAtTheirInstant() throws Exception {
+        Instant start = Instant.now();
+        CompletableFuture<ReadResult> waiting = client.read("s", 0, 10, start.plusSeconds(5));
+        Thread.sleep(100);
+        append("a");
+        assertEquals(1, ((ReadResult.Records) waiting.get(2, TimeUnit.SECONDS)).next());
+        // Longer than the deadline of a call, which must not cut off a wait that was asked for.
+        ReadResult.Records empty =
+                (ReadResult.Records) read("s", 1, Instant.now().plusMillis(1_200));
+        assertEquals(List.of(), empty.records());
+        assertEquals(1, empty.next());
+    }
+
+    @Test
+    void longPollsDoNotDelayAppends() throws Exception {
+        List<CompletableFuture<ReadResult>> polls = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            polls.add(client.read("poll", 0, 1, Instant.now().plusSeconds(2)));
+        }
+        Instant start = Instant.now();
+        assertInstanceOf(AppendResult.Appended.class, append("a"));
+        assertTrue(Duration.between(start, Instant.now()).compareTo(DEADLINE) < 0);
+        client.stop();
+        for (CompletableFuture<ReadResult> poll : polls) {
+            assertInstanceOf(ReadResult.Unavailable.class, poll.get(2, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void expiredOffsetsNameTheEarliest() throws Exception {
+        log.setFaults(new LogFaults(Faults.NONE, java.util.Optional.of(1)));
+        append("a", "b");
+        Thread.sleep(1_100);
+        append("c");
+        assertEquals(new ReadResult.Expired(2), read("s", 0, Instant.EPOCH));
+        assertEquals(3, records(2, 10).next());
+    }
+
+    @Test
+    void outagesRejectAppends() throws Exception {
+        log.setFaults(Faults.NONE.withOutage(Outage.UNAVAILABLE));
+        assertEquals(new AppendResult.Rejected(new Failure.LogUnavailable("s")), append("a"));
+        assertInstanceOf(ReadResult.Unavailable.class, read("s", 0, Instant.EPOCH));
+        log.setFaults(Faults.NONE.withOutage(Outage.REFUSED));
+        log.server().applied();
+        // The pooled connection is dead, but whether the server has read from it cannot be known.
+        assertInstanceOf(AppendResult.Unknown.class, append("a"));
+        assertInstanceOf(AppendResult.Rejected.class, append("a"));
+        log.setFaults(Faults.NONE);
+        log.server().applied();
+        assertEquals(new AppendResult.Appended(0), append("a"));
+        assertEquals(1, log.counters().get("appendedRecords"));
+    }
+
+    @Test
+    void outageEndsWaitingReads() throws Exception {
+        CompletableFuture<ReadResult> waiting =
+                client.read("s", 0, 10, Instant.now().plusSeconds(5));
+        Thread.sleep(200);
+        log.setFaults(Faults.NONE.withOutage(Outage.UNAVAILABLE));
+        assertInstanceOf(ReadResult.Unavailable.class, waiting.get(1, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void lostAnswerIsUnknownAndAppliedOnce() throws Exception {
+        append("a");
+        log.setFaults(Faults.NONE.withLostAnswers(1));
+        assertInstanceOf(AppendResult.Unknown.class, append("b"));
+        assertEquals(2, records(0, 10).end());
+    }
+
+    @Test
+    void lateAnswerIsUnknownAtTheDeadline() throws Exception {
+        log.setFaults(Faults.NONE.withDelays(1_500, 0));
+        assertInstanceOf(AppendResult.Unknown.class, append("a"));
+        log.setFaults(Faults.NONE);
+        assertEquals(0, records(0, 10).end());
+        Thread.sleep(800);
+        assertEquals(1, records(0, 10).end());
+    }
+
+    @Test
+    void appendsAboveTheLimitAreRejected() throws Exception {
+        int rejected = 0;
+        for (int i = 0; i < 60; i++) {
+            rejected += append("a") instanceof AppendResult.Rejected ? 1 : 0;
+        }
+        assertEquals(60 - rejected, records(0, 100).end());
+        assertEquals(rejected, log.counters().get("refused"));
+        assertTrue(rejected > 0, "no append was refused");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"400,true", "404,true", "429,true", "503,true", "500,false", "502,false", "504,false", "302,false"})
+    void statusDecidesWhetherAnAppendWasApplied(int status, boolean rejected) throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        StandInServer server = new StandInServer(0)
+                .routes(app -> app.post("/streams/s/records", context -> {
+                    requests.incrementAndGet();
+                    return context.setResponseCode(status)
+                            .setResponseHeader("Retry-After", "0")
+                            .setResponseHeader("Location", "/elsewhere")
+                            .send("");
+                }));
+        HttpLogService other = new HttpLogService(server.start(), DEADLINE);
+        AppendResult result = other.append("s", List.of(new byte[1])).get(2, TimeUnit.SECONDS);
+        assertEquals(rejected, result instanceof AppendResult.Rejected);
+        assertEquals(!rejected, result instanceof AppendResult.Unknown);
+        assertEquals(1, requests.get(), "the client repeated the append by itself");
+        other.stop();
+        server.stop();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{}", "{\"firstOffset\":null}", "{\"firstOffset\":3}x"})
+    void malformedAnswerIsUnknown(String answer) throws Exception {
+        StandInServer server =
+                new StandInServer(0).routes(app -> app.post("/streams/s/records", context -> context.send(answer)));
+        HttpLogService other = new HttpLogService(server.start(), DEADLINE);
+        assertInstanceOf(
+                AppendResult.Unknown.class,
+                other.append("s", List.of(new byte[1])).get(2, TimeUnit.SECONDS));
+        other.stop();
+        server.stop();
+    }
+
+    private AppendResult append(String... payloads) throws Exception {
+        List<byte[]> records = java.util.Arrays.stream(payloads)
+                .map(payload -> payload.getBytes(UTF_8))
+                .toList();
+        return client.append("s", records).get(3, TimeUnit.SECONDS);
+    }
+
+    private ReadResult.Records records(long from, int limit) throws Exception {
+        return (ReadResult.Records) client.read("s", from, limit, Instant.EPOCH).get(3, TimeUnit.SECONDS);
+    }
+
+    private ReadResult read(String stream, long from, Instant waitUntil) throws Exception {
+        return client.read(stream, from, 10, waitUntil).get(3, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/DeadlineClient.java
@@ -0,0 +1,108 @@
+package org.banyanstair.platform.http;
+
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.Proxy;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.EventListener;
+import okhttp3.Interceptor;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Request;
+import okhttp3.Response;
+
+/** OkHttp client with a deadline on every call and without repeats. Safe for use by several threads. */
+final class DeadlineClient {
+    private static final Duration IDLE_CONNECTION_LIFETIME = Duration.ofSeconds(30);
+
+    private final OkHttpClient client;
+
+    /**
+     * Creates a client.
+     *
+     * @param maxCalls most calls in progress; further ones wait, and the wait counts against their deadline
+     */
+    DeadlineClient(int maxCalls) {
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(maxCalls);
+        dispatcher.setMaxRequestsPerHost(maxCalls);
+        client = new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectionPool(
+                        new ConnectionPool(maxCalls, IDLE_CONNECTION_LIFETIME.toMillis(), TimeUnit.MILLISECONDS))
+                .eventListenerFactory(DeadlineClient::tracker)
+                .addInterceptor(DeadlineClient::requireTimeLeft)
+                .protocols(List.of(Protocol.HTTP_1_1))
+                .proxy(Proxy.NO_PROXY)
+                // A pooled connection that the server has closed would otherwise cause a silent repeat.
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                // The deadline of the call covers these phases.
+                .connectTimeout(Duration.ZERO)
+                .readTimeout(Duration.ZERO)
+                .writeTimeout(Duration.ZERO)
+                .build();
+    }
+
+    private static EventListener tracker(Call call) {
+        return call.request().tag(SendTracker.class);
+    }
+
+    /** OkHttp enforces a deadline in the background, so a call that waited too long would still be sent. */
+    private static Response requireTimeLeft(Interceptor.Chain chain) throws IOException {
+        if (chain.call().timeout().deadlineNanoTime() - System.nanoTime() <= 0) {
+            throw new InterruptedIOException("the deadline passed before the call was sent");
+        }
+        return chain.proceed(chain.request());
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param builder the request
+     * @param timeLeft time until the deadline, counted from now and including the wait for a free place
+     * @return the result; never completes exceptionally
+     */
+    CompletableFuture<CallResult> call(Request.Builder builder, Duration timeLeft) {
+        SendTracker tracker = new SendTracker();
+        Call call = client.newCall(builder.tag(SendTracker.class, tracker).build());
+        call.timeout().deadlineNanoTime(System.nanoTime() + timeLeft.toNanos());
+        CompletableFuture<CallResult> result = new CompletableFuture<>();
+        call.enqueue(new Callback() {
+            @Override
+            public void onFailure(Call failed, IOException cause) {
+                result.complete(tracker.mayHaveSent() ? new CallResult.NoAnswer(cause) : new CallResult.NotSent(cause));
+            }
+
+            @Override
+            public void onResponse(Call answered, Response response) {
+                result.complete(new CallResult.Answered(response.code(), body(response)));
+            }
+        });
+        return result;
+    }
+
+    private static Optional<byte[]> body(Response response) {
+        try (response) {
+            return Optional.of(response.body().bytes());
+        } catch (IOException exception) {
+            return Optional.empty();
+        }
+    }
+
+    /** Cancels the calls in progress and releases threads and connections. */
+    void stop() {
+        client.dispatcher().cancelAll();
+        client.dispatcher().executorService().shutdown();
+        client.connectionPool().evictAll();
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpHostListSource.java
@@ -0,0 +1,68 @@
+package org.banyanstair.platform.http;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.membership.HostListing;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.platform.HostListSource;
+
+/**
+ * Client of the host list over HTTP; {@code docs/protocols.md} describes the protocol.
+ *
+ * <p>Safe for use by several threads. Futures complete on threads of the client, so dependent stages must not block.
+ */
+public final class HttpHostListSource implements HostListSource {
+    private static final int MAX_READS = 4;
+    private static final int OK = 200;
+
+    private final HttpUrl hosts;
+    private final Duration callDeadline;
+    private final DeadlineClient client = new DeadlineClient(MAX_READS);
+
+    /**
+     * Creates a client.
+     *
+     * @param address where the host list listens
+     * @param callDeadline time after which a read is given up
+     */
+    public HttpHostListSource(NetworkAddress address, Duration callDeadline) {
+        hosts = HttpUrl.get("http://" + address + "/hosts");
+        this.callDeadline = callDeadline;
+    }
+
+    /** Cancels the reads in progress and releases threads and connections. Later reads fail. */
+    public void stop() {
+        client.stop();
+    }
+
+    @Override
+    public CompletableFuture<HostListing> read() {
+        return client.call(new Request.Builder().url(hosts), callDeadline).thenApply(HttpHostListSource::listing);
+    }
+
+    private static HostListing listing(CallResult result) {
+        if (result instanceof CallResult.Answered && ((CallResult.Answered) result).status() == OK) {
+            try {
+                byte[] body = ((CallResult.Answered) result)
+                        .body()
+                        .orElseThrow(() -> new IOException("the answer is cut off"));
+                return AnswerReader.JSON.readValue(body, HostListing.class);
+            } catch (IOException exception) {
+                throw unavailable(exception);
+            }
+        }
+        throw unavailable(null);
+    }
+
+    private static FailureException unavailable(Throwable cause) {
+        FailureException exception = new FailureException(new Failure.HostListUnavailable());
+        exception.initCause(cause);
+        return exception;
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/SendTracker.java
@@ -0,0 +1,23 @@
+package org.banyanstair.platform.http;
+
+import okhttp3.Call;
+import okhttp3.EventListener;
+
+/**
+ * Remembers whether a byte of a request may have been sent.
+ *
+ * <p>OkHttp reports the start of the headers before it writes the first byte, so a call that fails earlier has
+ * certainly not reached the server.
+ */
+final class SendTracker extends EventListener {
+    private volatile boolean sending;
+
+    @Override
+    public void requestHeadersStart(Call call) {
+        sending = true;
+    }
+
+    boolean mayHaveSent() {
+        return sending;
+    }
+}
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients of the platform's services. */
+package org.banyanstair.platform.http;
