Add the HTTP interface for callers

Callers use the OpenAI protocol, calls of plain services and entry addresses. Engines always stream; answers are assembled from the chunks unless the caller streams too. A response begins with the first token, so that earlier failures get their own status.

Paths of plain calls with dot segments are refused: the service would resolve them after the routes decided whether the call may be repeated.

--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerSink.java
@@ -0,0 +1,67 @@
+package org.banyanstair.server.http.caller;
+
+import java.io.IOException;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.Outcome;
+import org.banyanstair.server.service.GenerationSink;
+import org.tinylog.Logger;
+
+/** Common part of the sinks: counts tokens, guards against unreadable chunks and ignores what comes after the end. */
+abstract class AnswerSink implements GenerationSink {
+    private final CallerRequest request;
+    private boolean tokensArrived;
+
+    AnswerSink(CallerRequest request) {
+        this.request = request;
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    @Override
+    public final void token(long index, String json) {
+        if (request.isEnded()) {
+            return;
+        }
+        tokensArrived = true;
+        request.tokenArrived();
+        try {
+            accept(json);
+        } catch (IOException exception) {
+            unreadable(exception);
+        }
+    }
+
+    @Override
+    public final void completed() {
+        if (request.isEnded()) {
+            return;
+        }
+        try {
+            finish();
+        } catch (IOException exception) {
+            unreadable(exception);
+        }
+    }
+
+    @Override
+    public final void failed(Failure failure) {
+        if (!request.isEnded()) {
+            // A request whose tokens have arrived did run, whatever ended it.
+            fail(failure, tokensArrived ? Outcome.UNKNOWN : failure.outcome());
+        }
+    }
+
+    private void unreadable(IOException exception) {
+        Logger.warn(exception, "request {} got a chunk that cannot be read", request.id());
+        fail(new Failure.InternalError(), Outcome.UNKNOWN);
+    }
+
+    abstract void accept(String json) throws IOException;
+
+    abstract void finish() throws IOException;
+
+    abstract void fail(Failure failure, Outcome outcome);
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallPath.java
@@ -0,0 +1,61 @@
+package org.banyanstair.server.http.caller;
+
+import java.nio.charset.StandardCharsets;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.ServiceId;
+
+/**
+ * Target of a call of a plain service.
+ *
+ * @param service the service
+ * @param path path below the service, as the caller sent it, starting with a slash
+ * @param query query with its question mark, empty for none
+ */
+record CallPath(ServiceId service, String path, String query) {
+    private static final String PREFIX = "/services/";
+
+    /**
+     * Splits a request target.
+     *
+     * <p>Paths with dot segments, also encoded ones, are refused: the service would resolve them after the routes have
+     * been matched, so a call could reach a path that must not be repeated under the rule of another.
+     */
+    static CallPath parse(String uri) {
+        int question = uri.indexOf('?');
+        String whole = question < 0 ? uri : uri.substring(0, question);
+        String query = question < 0 ? "" : uri.substring(question);
+        if (!whole.startsWith(PREFIX)) {
+            throw refused();
+        }
+        int slash = whole.indexOf('/', PREFIX.length());
+        String service = whole.substring(PREFIX.length(), slash < 0 ? whole.length() : slash);
+        String path = slash < 0 ? "/" : whole.substring(slash);
+        checkSegments(path);
+        return new CallPath(new ServiceId(service), path, query);
+    }
+
+    private static void checkSegments(String path) {
+        for (String segment : decode(path).split("[/\\\\]")) {
+            int parameter = segment.indexOf(';');
+            String name = parameter < 0 ? segment : segment.substring(0, parameter);
+            if (name.equals(".") || name.equals("..")) {
+                throw refused();
+            }
+        }
+    }
+
+    private static String decode(String path) {
+        try {
+            return java.net.URLDecoder.decode(path, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException exception) {
+            throw refused();
+        }
+    }
+
+    private static FailureException refused() {
+        return new FailureException(
+                new Failure.InvalidField("path", "/services/{service}/... with valid escapes and no dot segments"));
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -0,0 +1,160 @@
+package org.banyanstair.server.http.caller;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.ServiceId;
+import org.banyanstair.server.http.Exchange;
+import org.banyanstair.server.http.HttpListener;
+import org.banyanstair.server.http.HttpListenerOptions;
+import org.banyanstair.server.http.KeyRing;
+import org.banyanstair.server.http.metrics.RequestRecorder;
+import org.banyanstair.server.service.CallerService;
+import org.banyanstair.server.service.EntryAddresses;
+import org.tinylog.Logger;
+
+/**
+ * The HTTP interface for callers.
+ *
+ * <p>Methods of the {@link CallerService} are called on event loops and must not block.
+ */
+public final class CallerHttpServer {
+    private final CallerService service;
+    private final RequestRecorder recorder;
+    private final KeyRing<CallerId> keys;
+    private final RequestIds ids;
+    private final HttpListener listener;
+    /** Lists of models can be large, and writing one on an event loop would delay the streams on it. */
+    private final ExecutorService modelWriter = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "model-list");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /**
+     * Creates the server.
+     *
+     * @param identity this host
+     * @param options address and limits
+     * @param callerKeys bearer keys of the callers
+     * @param service serves the requests
+     * @param recorder records ended requests
+     * @param clock clock that deadlines are compared with
+     * @param defaultWait time until the deadline of a request that names none
+     */
+    public CallerHttpServer(
+            HostIdentity identity,
+            HttpListenerOptions options,
+            CallerKeys callerKeys,
+            CallerService service,
+            RequestRecorder recorder,
+            Clock clock,
+            Duration defaultWait) {
+        this.service = service;
+        this.recorder = recorder;
+        keys = new KeyRing<>(callerKeys.keys());
+        ids = new RequestIds(identity);
+        listener = new HttpListener("callers", options).healthRoutes(service::unreadiness);
+        recorder.metrics().gaugeInFlight(listener::inFlight);
+        GenerationRoute generation = new GenerationRoute(service, clock, defaultWait);
+        PlainCallRoute plainCall = new PlainCallRoute(service, clock, defaultWait);
+        ModelsRoute models = new ModelsRoute(service, modelWriter);
+        listener.route("POST", GenerationRoute.CHAT, exchange -> serve(exchange, generation::chat))
+                .route("POST", GenerationRoute.COMPLETIONS, exchange -> serve(exchange, generation::completion))
+                .route("GET", "/v1/models", exchange -> serve(exchange, models::list))
+                .route("GET", "/v1/entry", exchange -> serve(exchange, (request, caller) -> entry(request)))
+                .routeAll("/services/{service}", exchange -> serve(exchange, plainCall::call))
+                .routeAll("/services/{service}/*path", exchange -> serve(exchange, plainCall::call));
+    }
+
+    private void serve(Exchange exchange, CallerRequestHandler handler) {
+        CallerRequest request = new CallerRequest(exchange, ids.next(), recorder);
+        try {
+            CallerId caller = keys.authenticate(exchange);
+            request.setCaller(caller);
+            service.unreadiness().ifPresent(failure -> {
+                throw new FailureException(failure);
+            });
+            handler.handle(request, caller);
+        } catch (FailureException exception) {
+            request.refuse(exception.failure());
+        } catch (RuntimeException exception) {
+            Logger.error(exception, "unexpected exception in request {}", request.id());
+            request.refuse(new Failure.InternalError());
+        }
+    }
+
+    /** Finds a service and checks that it answers the caller. */
+    static ServiceDeclaration serviceFor(CallerService service, ServiceId id, CallerRequest request, CallerId caller) {
+        ServiceDeclaration declared = service.configuration()
+                .service(id)
+                .orElseThrow(() -> new FailureException(new Failure.UnknownService(id)));
+        request.setService(declared);
+        if (!declared.callers().contains(caller)) {
+            throw new FailureException(new Failure.CallerNotAllowed(caller, id));
+        }
+        return declared;
+    }
+
+    private void entry(CallerRequest request) {
+        EntryAddresses entry = service.entryAddresses();
+        request.exchange()
+                .respondJson(
+                        200,
+                        Map.of(
+                                "addresses",
+                                entry.addresses().stream()
+                                        .map(address -> Map.of(
+                                                "host", address.host(),
+                                                "data_centre", address.dataCentre(),
+                                                "address", address.address()))
+                                        .toList(),
+                                "keep_until",
+                                entry.keepUntil()));
+        request.succeeded(200);
+    }
+
+    /** Binds the port and starts to serve. */
+    public void start() {
+        listener.start();
+    }
+
+    /**
+     * Stops: accepts no further connections, waits for the requests in flight and closes all connections.
+     *
+     * @param deadline instant at which requests still in flight are cut off
+     * @return whether all requests ended before the deadline
+     */
+    public boolean stop(Instant deadline) {
+        boolean drained = listener.stop(deadline);
+        modelWriter.shutdownNow();
+        return drained;
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the bound port
+     */
+    public int port() {
+        return listener.port();
+    }
+
+    /**
+     * Returns the number of requests in flight.
+     *
+     * @return requests that have arrived and whose response has not been sent completely
+     */
+    public int inFlight() {
+        return listener.inFlight();
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerKeys.java
@@ -0,0 +1,19 @@
+package org.banyanstair.server.http.caller;
+
+import java.util.List;
+import java.util.Map;
+
+import org.banyanstair.model.CallerId;
+import org.banyanstair.server.http.BearerKey;
+
+/**
+ * The bearer keys of the callers.
+ *
+ * @param keys keys by caller; a caller may have several, so that keys can be changed without an interruption
+ */
+public record CallerKeys(Map<CallerId, List<BearerKey>> keys) {
+    /** Copies the map. */
+    public CallerKeys {
+        keys = Map.copyOf(keys);
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -0,0 +1,124 @@
+package org.banyanstair.server.http.caller;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.Outcome;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.server.http.ErrorResponse;
+import org.banyanstair.server.http.Exchange;
+import org.banyanstair.server.http.FailureStatus;
+import org.banyanstair.server.http.metrics.EndedRequest;
+import org.banyanstair.server.http.metrics.RequestRecorder;
+
+/**
+ * One request of a caller with what is known about it so far; records its end exactly once.
+ *
+ * <p>Caller, service and model are set on the event loop before the request is handed over; the methods that end the
+ * request may be called from any thread.
+ */
+final class CallerRequest {
+    private final Exchange exchange;
+    private final RequestId id;
+    private final RequestRecorder recorder;
+    private final long arrivedNanos = System.nanoTime();
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private Optional<CallerId> caller = Optional.empty();
+    private Optional<ServiceDeclaration> service = Optional.empty();
+    private Optional<AdapterVersion> adapter = Optional.empty();
+    private long previousTokenNanos;
+    private Optional<Duration> untilFirstToken = Optional.empty();
+
+    CallerRequest(Exchange exchange, RequestId id, RequestRecorder recorder) {
+        this.exchange = exchange;
+        this.id = id;
+        this.recorder = recorder;
+        exchange.responseHeader("X-Request-Id", id.value());
+        exchange.onDisconnect(() -> end(FailureStatus.CALLER_GONE, new Failure.Cancelled().code()));
+    }
+
+    Exchange exchange() {
+        return exchange;
+    }
+
+    RequestId id() {
+        return id;
+    }
+
+    void setCaller(CallerId newCaller) {
+        caller = Optional.of(newCaller);
+    }
+
+    void setService(ServiceDeclaration newService) {
+        service = Optional.of(newService);
+    }
+
+    void setAdapter(AdapterVersion newAdapter) {
+        adapter = Optional.of(newAdapter);
+    }
+
+    /** Adds the version that ran to the response; called once tokens prove that it runs. */
+    void announceAdapter() {
+        adapter.ifPresent(version -> exchange.responseHeader("X-Adapter-Version", version.engineName()));
+    }
+
+    boolean isEnded() {
+        return ended.get();
+    }
+
+    /** Notes a token for the metrics. Called by one thread at a time. */
+    void tokenArrived() {
+        long now = System.nanoTime();
+        if (untilFirstToken.isEmpty()) {
+            Duration latency = Duration.ofNanos(now - arrivedNanos);
+            untilFirstToken = Optional.of(latency);
+            service.ifPresent(declared -> recorder.metrics().firstToken(declared.id(), latency));
+        } else {
+            Duration gap = Duration.ofNanos(now - previousTokenNanos);
+            service.ifPresent(declared -> recorder.metrics().tokenGap(declared.id(), gap));
+        }
+        previousTokenNanos = now;
+    }
+
+    /** Answers with a whole response. */
+    void answer(int status, Optional<String> contentType, byte[] body) {
+        exchange.respond(status, contentType, body);
+        succeeded(status);
+    }
+
+    /** Records that the answer has been handed to the connection. */
+    void succeeded(int status) {
+        end(status, EndedRequest.OK);
+    }
+
+    /** Refuses a request that was not handed over. */
+    void refuse(Failure failure) {
+        exchange.fail(failure);
+        end(FailureStatus.of(failure), failure.code());
+    }
+
+    /** Answers a failure after the request was handed over. */
+    void fail(Failure failure, Outcome outcome) {
+        int status = outcome == Outcome.NOT_RUN ? FailureStatus.ofNotRun(failure) : FailureStatus.ofUnknown();
+        exchange.respond(ErrorResponse.of(failure, status, outcome));
+        end(status, failure.code());
+    }
+
+    /** Records a failure that the event stream of the response has reported. */
+    void failedWhileStreaming(Failure failure) {
+        end(FailureStatus.ofUnknown(), failure.code());
+    }
+
+    private void end(int status, String code) {
+        if (ended.compareAndSet(false, true)) {
+            Duration duration = Duration.ofNanos(System.nanoTime() - arrivedNanos);
+            Optional<String> model = adapter.map(AdapterVersion::engineName);
+            recorder.ended(new EndedRequest(id, caller, service, model, status, code, duration, untilFirstToken));
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkRewriter.java
@@ -0,0 +1,93 @@
+package org.banyanstair.server.http.caller;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import org.banyanstair.codec.Mappers;
+
+/**
+ * Turns engine chunks into events for the caller, with the id of the request and the name of the version that ran.
+ *
+ * <p>Works on tokens instead of trees, because it runs once for each generated token.
+ */
+final class ChunkRewriter {
+    private static final byte[] PREFIX = "data: ".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] SUFFIX = "\n\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int ADDED_BYTES = 160;
+
+    private final JsonFactory factory = Mappers.JSON.getFactory();
+    private final String id;
+    private final String model;
+    private final boolean usageWanted;
+
+    ChunkRewriter(String id, String model, boolean usageWanted) {
+        this.id = id;
+        this.model = model;
+        this.usageWanted = usageWanted;
+    }
+
+    /**
+     * Rewrites one chunk.
+     *
+     * @param json chunk of the engine
+     * @return the event; empty for the usage chunk if the caller did not ask for it
+     * @throws IOException if the chunk is not a JSON object
+     */
+    Optional<byte[]> rewrite(String json) throws IOException {
+        ByteArrayOutputStream event = new ByteArrayOutputStream(json.length() + ADDED_BYTES);
+        event.write(PREFIX);
+        boolean usageOnly;
+        try (JsonParser parser = factory.createParser(json);
+                JsonGenerator generator = factory.createGenerator(event)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("the engine sent a chunk that is not a JSON object");
+            }
+            generator.writeStartObject();
+            generator.writeStringField("id", id);
+            generator.writeStringField("model", model);
+            usageOnly = copyFields(parser, generator);
+            generator.writeEndObject();
+        }
+        event.write(SUFFIX);
+        return usageOnly && !usageWanted ? Optional.empty() : Optional.of(event.toByteArray());
+    }
+
+    private boolean copyFields(JsonParser parser, JsonGenerator generator) throws IOException {
+        boolean hasUsage = false;
+        boolean hasChoices = false;
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String field = parser.currentName();
+            JsonToken value = parser.nextToken();
+            hasUsage |= field.equals("usage") && value == JsonToken.START_OBJECT;
+            if (field.equals("id") || field.equals("model") || field.equals("usage") && !usageWanted) {
+                parser.skipChildren();
+                continue;
+            }
+            generator.writeFieldName(field);
+            if (field.equals("choices") && value == JsonToken.START_ARRAY) {
+                hasChoices |= copyArray(parser, generator);
+            } else {
+                generator.copyCurrentStructure(parser);
+            }
+        }
+        return hasUsage && !hasChoices;
+    }
+
+    /** Copies an array and tells whether it has elements. */
+    private static boolean copyArray(JsonParser parser, JsonGenerator generator) throws IOException {
+        boolean hasElements = false;
+        generator.writeStartArray();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            generator.copyCurrentStructure(parser);
+            hasElements = true;
+        }
+        generator.writeEndArray();
+        return hasElements;
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
@@ -0,0 +1,34 @@
+package org.banyanstair.server.http.caller;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.Outcome;
+import org.banyanstair.server.http.Exchange;
+
+/** Collects the tokens into one answer. */
+final class CollectingSink extends AnswerSink {
+    private final AnswerAssembler assembler;
+
+    CollectingSink(CallerRequest request, AnswerAssembler assembler) {
+        super(request);
+        this.assembler = assembler;
+    }
+
+    @Override
+    void accept(String json) throws IOException {
+        assembler.add(json);
+    }
+
+    @Override
+    void finish() throws IOException {
+        request().announceAdapter();
+        request().answer(200, Optional.of(Exchange.JSON), assembler.finish());
+    }
+
+    @Override
+    void fail(Failure failure, Outcome outcome) {
+        request().fail(failure, outcome);
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
@@ -0,0 +1,98 @@
+package org.banyanstair.server.http.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+
+import org.apache.commons.codec.binary.Hex;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.configuration.ServiceKind;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.errors.Outcome;
+import org.banyanstair.idempotency.CallAnswer;
+import org.banyanstair.idempotency.CallKey;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.platform.ServiceAnswer;
+import org.banyanstair.platform.ServiceCall;
+import org.banyanstair.server.http.Exchange;
+import org.banyanstair.server.service.CallerService;
+import org.banyanstair.server.service.PlainCall;
+
+/** Passes calls through to plain services. */
+final class PlainCallRoute {
+    private final CallerService service;
+    private final Clock clock;
+    private final Duration defaultWait;
+
+    PlainCallRoute(CallerService service, Clock clock, Duration defaultWait) {
+        this.service = service;
+        this.clock = clock;
+        this.defaultWait = defaultWait;
+    }
+
+    void call(CallerRequest request, CallerId caller) {
+        Exchange exchange = request.exchange();
+        CallPath target = CallPath.parse(exchange.uri());
+        ServiceDeclaration declared = CallerHttpServer.serviceFor(service, target.service(), request, caller);
+        if (declared.kind() != ServiceKind.PLAIN) {
+            throw new FailureException(new Failure.UnknownService(target.service()));
+        }
+        ServiceCall call = new ServiceCall(
+                request.id(),
+                exchange.method(),
+                target.path() + target.query(),
+                exchange.header("Content-Type"),
+                exchange.body(),
+                RequestHeaders.deadline(exchange, clock.instant(), defaultWait));
+        PlainCall plainCall = new PlainCall(
+                declared,
+                caller,
+                RequestHeaders.priority(exchange),
+                call,
+                key(exchange, caller, declared, target),
+                digest(call));
+        service.call(plainCall).whenComplete((answer, fault) -> end(request, answer, fault));
+    }
+
+    private static Optional<CallKey> key(
+            Exchange exchange, CallerId caller, ServiceDeclaration declared, CallPath target) {
+        if (declared.isRepeatable(exchange.method(), target.path())) {
+            return Optional.empty();
+        }
+        String key = exchange.header(RequestHeaders.IDEMPOTENCY_KEY)
+                .orElseThrow(() -> new FailureException(new Failure.MissingIdempotencyKey(declared.id())));
+        return Optional.of(new CallKey(caller, declared.id(), key));
+    }
+
+    private static String digest(ServiceCall call) {
+        MessageDigest digest = DigestUtils.getSha256Digest();
+        digest.update((call.method() + "\n" + call.path() + "\n").getBytes(StandardCharsets.UTF_8));
+        return Hex.encodeHexString(digest.digest(call.body()));
+    }
+
+    private static void end(CallerRequest request, CallAnswer answer, Throwable fault) {
+        if (answer instanceof CallAnswer.Answered answered) {
+            answer(request, answered);
+        } else if (answer instanceof CallAnswer.NotRun notRun) {
+            request.fail(notRun.failure(), Outcome.NOT_RUN);
+        } else if (answer instanceof CallAnswer.Unknown unknown) {
+            request.fail(unknown.failure(), Outcome.UNKNOWN);
+        } else {
+            org.tinylog.Logger.error(fault, "call of request {} ended without an answer", request.id());
+            request.fail(new Failure.InternalError(), Outcome.UNKNOWN);
+        }
+    }
+
+    private static void answer(CallerRequest request, CallAnswer.Answered answered) {
+        ServiceAnswer answer = answered.answer();
+        if (answered.repeated()) {
+            request.exchange().responseHeader("Idempotent-Replayed", "true");
+        }
+        boolean head = request.exchange().method().equals("HEAD");
+        request.answer(answer.status(), answer.contentType(), head ? new byte[0] : answer.body());
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
@@ -0,0 +1,59 @@
+package org.banyanstair.server.http.caller;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.Outcome;
+import org.banyanstair.server.http.ErrorResponse;
+import org.banyanstair.server.http.EventStream;
+
+/**
+ * Passes the tokens on as server-sent events.
+ *
+ * <p>The response begins with the first event, so that a failure before it still gets its own status.
+ */
+final class StreamingSink extends AnswerSink {
+    private static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final ChunkRewriter rewriter;
+    private Optional<EventStream> stream = Optional.empty();
+
+    StreamingSink(CallerRequest request, ChunkRewriter rewriter) {
+        super(request);
+        this.rewriter = rewriter;
+    }
+
+    private EventStream stream() {
+        if (stream.isEmpty()) {
+            request().announceAdapter();
+            stream = Optional.of(request().exchange().stream());
+        }
+        return stream.get();
+    }
+
+    @Override
+    void accept(String json) throws IOException {
+        rewriter.rewrite(json).ifPresent(event -> stream().send(event));
+    }
+
+    @Override
+    void finish() {
+        stream().send(DONE);
+        stream().end();
+        request().succeeded(200);
+    }
+
+    @Override
+    void fail(Failure failure, Outcome outcome) {
+        if (stream.isEmpty()) {
+            request().fail(failure, outcome);
+            return;
+        }
+        String event = "data: " + new String(ErrorResponse.event(failure), StandardCharsets.UTF_8) + "\n\n";
+        stream().send(event.getBytes(StandardCharsets.UTF_8));
+        stream().endAndClose();
+        request().failedWhileStreaming(failure);
+    }
+}
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -110,6 +110,7 @@
     @Test
     void metricsCarryLabels() {
         end(429, "queue_full", 10, Optional.empty());
+        end(200, EndedRequest.OK, 10, Optional.empty());
         recorder.metrics().firstToken(SERVICE.id(), Duration.ofMillis(100));
         recorder.metrics().tokenGap(SERVICE.id(), Duration.ofMillis(40));
         recorder.metrics().gaugeInFlight(() -> 7);
@@ -117,6 +118,7 @@
         assertTrue(text.contains("banyanstair_requests{service=\"order.desk\",code=\"queue_full\",} 1.0"), text);
         assertTrue(text.contains("banyanstair_first_token{service=\"order.desk\",quantile=\"0.95\",} 0.1"), text);
         assertTrue(text.contains("banyanstair_token_gap_count{service=\"order.desk\",} 1.0"), text);
+        assertEquals(2, text.split("# TYPE banyanstair_requests ").length, text);
         assertTrue(text.contains("banyanstair_requests_in_flight 7.0"), text);
     }
 }
