Add the HTTP interface for operators

banyanstairctl needs the configuration, changes, cluster state, burn samples and drains. The author of a change comes from the key, whatever the body says. Errors carry the failure record as details.

OperatorHttpServerTest passes over real sockets: author, statuses of all refusals, malformed changes and every route.

--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -0,0 +1,153 @@
+package org.banyanstair.server.http.operator;
+
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.configuration.ChangeVerdict;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.model.HostId;
+import org.banyanstair.server.http.ErrorResponse;
+import org.banyanstair.server.http.Exchange;
+import org.banyanstair.server.http.HttpListener;
+import org.banyanstair.server.http.HttpListenerOptions;
+import org.banyanstair.server.http.KeyRing;
+import org.banyanstair.server.http.metrics.PrometheusText;
+import org.banyanstair.server.service.OperatorService;
+import org.tinylog.Logger;
+
+/** The HTTP interface for operators. All routes but health, readiness and metrics need an operator's key. */
+public final class OperatorHttpServer {
+    private static final String API = "/operator/v1";
+
+    private final OperatorService service;
+    private final KeyRing<String> keys;
+    private final HttpListener listener;
+
+    /**
+     * Creates the server.
+     *
+     * @param options address and limits
+     * @param operatorKeys bearer keys of the operators
+     * @param service serves the requests
+     * @param unreadiness why the host does not serve yet, empty once it does
+     * @param burn takes the burn samples of this host
+     * @param registry metrics of this host
+     */
+    public OperatorHttpServer(
+            HttpListenerOptions options,
+            OperatorKeys operatorKeys,
+            OperatorService service,
+            Supplier<Optional<Failure>> unreadiness,
+            Supplier<BurnSnapshot> burn,
+            MetricRegistry registry) {
+        this.service = service;
+        keys = new KeyRing<>(operatorKeys.keys());
+        PrometheusText metrics = new PrometheusText(registry);
+        listener = new HttpListener("operators", options).healthRoutes(unreadiness);
+        listener.route(
+                "GET",
+                "/metrics",
+                exchange -> exchange.respond(200, Optional.of(PrometheusText.CONTENT_TYPE), metrics.write()));
+        route("GET", "/configuration", (exchange, operator) -> exchange.respondJson(200, service.configuration()));
+        route("POST", "/changes", this::submit);
+        route("GET", "/changes/{id}", (exchange, operator) -> verdict(exchange));
+        route("GET", "/status", (exchange, operator) -> answer(exchange, service.status()));
+        route("GET", "/endpoints", (exchange, operator) -> answer(exchange, service.endpoints()));
+        route("POST", "/hosts/{host}/drain", this::drain);
+        route("GET", "/burn", (exchange, operator) -> exchange.respondJson(200, burn.get()));
+    }
+
+    private void route(String method, String path, BiConsumer<Exchange, String> handler) {
+        listener.route(method, API + path, exchange -> {
+            try {
+                handler.accept(exchange, keys.authenticate(exchange));
+            } catch (FailureException exception) {
+                fail(exchange, exception.failure());
+            }
+        });
+    }
+
+    private void submit(Exchange exchange, String operator) {
+        ConfigurationChange change = ChangeBody.parse(exchange.body(), operator);
+        whenDone(exchange, service.submit(change), verdict -> {
+            Logger.info("change={} operator={} verdict={}", change.changeId(), operator, verdict);
+            if (verdict instanceof ChangeVerdict.Refused refused) {
+                fail(exchange, refused.failure());
+            } else {
+                exchange.respondJson(200, verdict);
+            }
+        });
+    }
+
+    private void verdict(Exchange exchange) {
+        String id = exchange.pathVariable("id");
+        whenDone(
+                exchange,
+                service.verdict(id),
+                found -> found.ifPresentOrElse(
+                        verdict -> exchange.respondJson(200, verdict),
+                        () -> fail(exchange, new Failure.UnknownChange(id))));
+    }
+
+    private void drain(Exchange exchange, String operator) {
+        HostId host = new HostId(exchange.pathVariable("host"));
+        Logger.info("drain of host={} requested by operator={}", host, operator);
+        whenDone(
+                exchange,
+                service.drain(host),
+                failure -> failure.ifPresentOrElse(
+                        reason -> fail(exchange, reason), () -> exchange.respondJson(202, Map.of("host", host))));
+    }
+
+    private static void answer(Exchange exchange, CompletableFuture<?> value) {
+        whenDone(exchange, value, result -> exchange.respondJson(200, result));
+    }
+
+    private static <T> void whenDone(Exchange exchange, CompletableFuture<T> future, Consumer<T> consumer) {
+        future.whenComplete((value, fault) -> {
+            if (fault == null) {
+                consumer.accept(value);
+            } else {
+                Logger.error(fault, "{} {} ended without an answer", exchange.method(), exchange.uri());
+                fail(exchange, new Failure.InternalError());
+            }
+        });
+    }
+
+    private static void fail(Exchange exchange, Failure failure) {
+        exchange.respond(ErrorResponse.withDetails(failure));
+    }
+
+    /** Binds the port and starts to serve. */
+    public void start() {
+        listener.start();
+    }
+
+    /**
+     * Stops: accepts no further connections, waits for the requests in flight and closes all connections.
+     *
+     * @param deadline instant at which requests still in flight are cut off
+     * @return whether all requests ended before the deadline
+     */
+    public boolean stop(Instant deadline) {
+        return listener.stop(deadline);
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the bound port
+     */
+    public int port() {
+        return listener.port();
+    }
+}
