--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -0,0 +1,205 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Function;
+
+import com.codahale.metrics.MetricRegistry;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.http.HttpEngineClient;
+import org.banyanstair.platform.http.HttpHostListSource;
+import org.banyanstair.platform.http.HttpLogService;
+import org.banyanstair.platform.http.HttpPlainServiceClient;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Event;
+import org.banyanstair.reducer.HostReducer;
+import org.banyanstair.server.http.caller.CallerHttpServer;
+import org.banyanstair.server.http.metrics.BurnRecorder;
+import org.banyanstair.server.http.metrics.RequestMetrics;
+import org.banyanstair.server.http.metrics.RequestRecorder;
+import org.banyanstair.server.http.operator.OperatorHttpServer;
+import org.banyanstair.server.settings.DaemonSettings;
+import org.banyanstair.transport.PeerListener;
+import org.banyanstair.transport.PeerTransport;
+import org.tinylog.Logger;
+
+/** One entry host: all parts of the daemon, started and stopped in order. */
+public final class Daemon {
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+
+    private final DaemonSettings settings;
+    private final Clock clock = Clock.systemUTC();
+    private final HostIdentity identity;
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final CountDownLatch stopRequested = new CountDownLatch(1);
+    private final HttpLogService log;
+    private final HttpHostListSource hostList;
+    private final HttpEngineClient engines;
+    private final HttpPlainServiceClient services;
+    private final EventLoop loop;
+    private final LogFollowers followers;
+    private final HostListPoller hostListPoller;
+    private final PeerTransport peers;
+    private final HostService service;
+    private final CallerHttpServer callerServer;
+    private final OperatorHttpServer operatorServer;
+
+    /**
+     * Creates the daemon; nothing runs before {@link #start}.
+     *
+     * @param settings checked settings
+     */
+    public Daemon(DaemonSettings settings) {
+        this.settings = settings;
+        Instant startedAt = clock.instant();
+        this.identity = new HostIdentity(settings.host().id(), startedAt.toEpochMilli());
+        ServerParts parts = new ServerParts(settings, identity, clock);
+        this.log = parts.log();
+        this.hostList = parts.hostList();
+        this.engines = parts.engines();
+        this.services = parts.services();
+        HostReducer reducer = new HostReducer(identity, parts.reducerSettings(), startedAt);
+        EffectRunner effects = new EffectRunner(clock, event -> submit(event));
+        GenerationRunner generations = new GenerationRunner(engines, event -> submit(event));
+        this.service = new HostService(
+                identity.host(),
+                Duration.ofMillis(settings.limits().entryAddressKeepMilliseconds()),
+                clock,
+                generations,
+                event -> submit(event));
+        this.loop = new EventLoop(reducer, clock, effects, service::publish);
+        this.followers = new LogFollowers(log, clock, timer, loop::submit);
+        this.hostListPoller = new HostListPoller(
+                hostList, Duration.ofMillis(settings.timing().hostListPollMilliseconds()), timer, loop::submit);
+        this.peers = parts.peers(hostListPoller::peerAddress, peerListener());
+        wire(effects, generations);
+        MetricRegistry registry = new MetricRegistry();
+        RequestMetrics metrics = new RequestMetrics(registry);
+        BurnRecorder burn = new BurnRecorder(identity.host(), clock, service::configuration);
+        RequestRecorder recorder = new RequestRecorder(identity.host(), metrics, burn);
+        this.callerServer = parts.callerServer(service, recorder);
+        this.operatorServer = parts.operatorServer(service, burn, registry);
+    }
+
+    private void submit(Function<Instant, Event> event) {
+        loop.submit(event);
+    }
+
+    private void wire(EffectRunner effects, GenerationRunner generations) {
+        effects.usePeers(peers);
+        effects.useLog(log, followers);
+        effects.useEngines(engines);
+        effects.useServices(services);
+        effects.useGenerations(generations);
+        service.answerThrough(effects);
+        effects.on(Effect.Report.class, new NoticeLog(identity.host())::write);
+        effects.on(Effect.BeginDrain.class, effect -> stopRequested.countDown());
+    }
+
+    private PeerListener peerListener() {
+        return new PeerListener() {
+            @Override
+            public void connected(HostIdentity peer) {
+                loop.submit(at -> new Event.PeerConnected(at, peer));
+            }
+
+            @Override
+            public void unreachable(HostId peer) {
+                loop.submit(at -> new Event.PeerUnreachable(at, peer));
+            }
+
+            @Override
+            public void received(HostIdentity sender, PeerMessage message) {
+                loop.submit(at -> new Event.PeerMessageReceived(at, sender, message));
+            }
+        };
+    }
+
+    /** Starts all parts; the HTTP interfaces answer at once and report readiness. */
+    public void start() {
+        peers.start();
+        loop.start();
+        hostListPoller.start();
+        callerServer.start();
+        operatorServer.start();
+        Logger.info(
+                "host={} started, callers on {}, operators on {}",
+                identity,
+                settings.listen().caller(),
+                settings.listen().operator());
+    }
+
+    /**
+     * Waits until the host serves or a stop is requested.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitReady() throws InterruptedException {
+        while (stopRequested.getCount() > 0 && service.unreadiness().isPresent()) {
+            Thread.sleep(POLL_INTERVAL.toMillis());
+        }
+    }
+
+    /** Asks {@link #awaitStop} to return; used for SIGTERM. */
+    public void requestStop() {
+        stopRequested.countDown();
+    }
+
+    /**
+     * Waits until a stop is requested, by a signal or by an operator.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitStop() throws InterruptedException {
+        stopRequested.await();
+    }
+
+    /**
+     * Drains and stops: tells the other hosts, serves callers that still hold this host's address, hands pools over, and
+     * ends when nothing is in flight or the drain limit has come.
+     *
+     * @return true if nothing was cut off
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public boolean drainAndStop() throws InterruptedException {
+        Instant limit = clock.instant().plusMillis(settings.limits().drainLimitMilliseconds());
+        Instant addressesExpired = clock.instant().plusMillis(settings.limits().entryAddressKeepMilliseconds());
+        Logger.info("host={} drains until {}", identity, limit);
+        loop.submit(Event.DrainStarted::new);
+        while (clock.instant().isBefore(limit) && !isDrained(addressesExpired)) {
+            Thread.sleep(POLL_INTERVAL.toMillis());
+        }
+        boolean clean = callerServer.stop(limit) && service.view().inFlight() == 0;
+        stop();
+        Logger.info("host={} stopped, clean={}", identity, clean);
+        return clean;
+    }
+
+    private boolean isDrained(Instant addressesExpired) {
+        HostView view = service.view();
+        boolean alone = view.usable().isEmpty();
+        boolean handedOver = view.pools() == 0 || alone;
+        return view.draining()
+                && handedOver
+                && view.inFlight() == 0
+                && (alone || !clock.instant().isBefore(addressesExpired));
+    }
+
+    private void stop() {
+        operatorServer.stop(clock.instant());
+        followers.stop();
+        timer.shutdownNow();
+        loop.stop();
+        peers.stop();
+        engines.stop();
+        services.stop();
+        log.stop();
+        hostList.stop();
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
@@ -0,0 +1,57 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.HostListing;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.platform.HostListSource;
+import org.banyanstair.reducer.Event;
+
+/** Reads the host list again and again; keeps the last reading while the list is down. Safe for use by several threads. */
+final class HostListPoller {
+    private final HostListSource source;
+    private final Duration interval;
+    private final ScheduledExecutorService timer;
+    private final Consumer<Function<Instant, Event>> events;
+    private final AtomicReference<HostListing> last = new AtomicReference<>(HostListing.EMPTY);
+
+    HostListPoller(
+            HostListSource source,
+            Duration interval,
+            ScheduledExecutorService timer,
+            Consumer<Function<Instant, Event>> events) {
+        this.source = source;
+        this.interval = interval;
+        this.timer = timer;
+        this.events = events;
+    }
+
+    void start() {
+        poll();
+    }
+
+    Optional<NetworkAddress> peerAddress(HostId host) {
+        return last.get().host(host).map(EntryHost::peerAddress);
+    }
+
+    private void poll() {
+        source.read().whenComplete((listing, failure) -> {
+            if (failure == null) {
+                last.set(listing);
+                events.accept(at -> new Event.HostListRead(at, listing));
+            }
+            if (!timer.isShutdown()) {
+                timer.schedule(this::poll, interval.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+}
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -45,7 +45,7 @@
     void follow(String stream, long fromOffset) {
         Object token = new Object();
         followed.put(stream, token);
-        read(stream, token, fromOffset);
+        read(stream, token, fromOffset, false);
     }
 
     void unfollow(String stream) {
@@ -74,13 +74,14 @@
                     .map(record -> EntryCodec.decode(stream, record))
                     .toList();
             events.accept(at -> new Event.StreamRead(at, stream, records.next(), records.end(), entries));
-            read(stream, token, records.next());
+            read(stream, token, records.next(), records.next() >= records.end());
         } else if (result instanceof ReadResult.Expired expired) {
             events.accept(at -> new Event.StreamExpired(at, stream, expired.earliest()));
-            read(stream, token, expired.earliest());
+            read(stream, token, expired.earliest(), false);
         } else {
             events.accept(at -> new Event.StreamUnavailable(at, stream));
-            timer.schedule(() -> read(stream, token, offset), PAUSE_AFTER_FAILURE.toMillis(), TimeUnit.MILLISECONDS);
+            timer.schedule(
+                    () -> read(stream, token, offset, false), PAUSE_AFTER_FAILURE.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 }
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
@@ -0,0 +1,141 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import com.codahale.metrics.MetricRegistry;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.platform.http.EngineClientLimits;
+import org.banyanstair.platform.http.HttpEngineClient;
+import org.banyanstair.platform.http.HttpHostListSource;
+import org.banyanstair.platform.http.HttpLogService;
+import org.banyanstair.platform.http.HttpPlainServiceClient;
+import org.banyanstair.reducer.ReducerSettings;
+import org.banyanstair.server.http.BearerKey;
+import org.banyanstair.server.http.HttpListenerOptions;
+import org.banyanstair.server.http.caller.CallerHttpServer;
+import org.banyanstair.server.http.caller.CallerKeys;
+import org.banyanstair.server.http.metrics.BurnRecorder;
+import org.banyanstair.server.http.metrics.RequestRecorder;
+import org.banyanstair.server.http.operator.OperatorHttpServer;
+import org.banyanstair.server.http.operator.OperatorKeys;
+import org.banyanstair.server.settings.DaemonSettings;
+import org.banyanstair.transport.NettyPeerTransport;
+import org.banyanstair.transport.PeerListener;
+import org.banyanstair.transport.PeerTransport;
+import org.banyanstair.transport.PeerTransportSettings;
+
+/** Creates the parts of the daemon from its settings. */
+final class ServerParts {
+    private final DaemonSettings settings;
+    private final HostIdentity identity;
+    private final Clock clock;
+
+    ServerParts(DaemonSettings settings, HostIdentity identity, Clock clock) {
+        this.settings = settings;
+        this.identity = identity;
+        this.clock = clock;
+    }
+
+    private Duration callTimeout() {
+        return Duration.ofMillis(settings.platform().callTimeoutMilliseconds());
+    }
+
+    HttpLogService log() {
+        return new HttpLogService(settings.platform().log(), callTimeout());
+    }
+
+    HttpHostListSource hostList() {
+        return new HttpHostListSource(settings.platform().hostList(), callTimeout());
+    }
+
+    HttpEngineClient engines() {
+        EngineClientLimits defaults = EngineClientLimits.DEFAULT;
+        return new HttpEngineClient(new EngineClientLimits(
+                defaults.connect(),
+                defaults.order(),
+                defaults.status(),
+                Duration.ofMillis(settings.limits().tokenSilenceLimitMilliseconds())));
+    }
+
+    HttpPlainServiceClient services() {
+        return new HttpPlainServiceClient(
+                EngineClientLimits.DEFAULT.connect(), settings.limits().maximumBodyBytes());
+    }
+
+    ReducerSettings reducerSettings() {
+        ReducerSettings defaults = ReducerSettings.DEFAULT;
+        return new ReducerSettings(
+                Duration.ofMillis(settings.timing().callBatchMilliseconds()),
+                defaults.keyRetention(),
+                defaults.attemptRetention(),
+                defaults.repeatInterval(),
+                defaults.answerGrace(),
+                defaults.maximumDispatches(),
+                defaults.changeLimit(),
+                defaults.ownerLimit(),
+                Duration.ofMillis(settings.timing().statusPollMilliseconds()),
+                defaults.statusLag(),
+                defaults.hostListLag(),
+                defaults.logRetention());
+    }
+
+    PeerTransport peers(Function<HostId, Optional<NetworkAddress>> addresses, PeerListener listener) {
+        Duration heartbeat = Duration.ofMillis(settings.timing().heartbeatMilliseconds());
+        Duration limit = Duration.ofMillis(settings.timing().heartbeatLimitMilliseconds());
+        PeerTransportSettings transport = new PeerTransportSettings(
+                identity,
+                settings.host().cluster(),
+                settings.listen().peer(),
+                heartbeat,
+                limit,
+                heartbeat,
+                PeerTransportSettings.DEFAULT_MAXIMUM_FRAME_BYTES);
+        return new NettyPeerTransport(transport, addresses, listener, clock);
+    }
+
+    private HttpListenerOptions listener(NetworkAddress address) {
+        HttpListenerOptions defaults = HttpListenerOptions.of(address.ip(), address.port());
+        return new HttpListenerOptions(
+                defaults.ip(),
+                defaults.port(),
+                defaults.eventLoopThreads(),
+                settings.limits().maximumBodyBytes(),
+                defaults.streamBufferBytes(),
+                defaults.requestTimeout(),
+                defaults.idleTimeout());
+    }
+
+    CallerHttpServer callerServer(HostService service, RequestRecorder recorder) {
+        Map<CallerId, List<BearerKey>> keys = new LinkedHashMap<>();
+        settings.callers().forEach((caller, key) -> keys.put(caller, List.of(BearerKey.ofPlain(key.value()))));
+        return new CallerHttpServer(
+                identity,
+                listener(settings.listen().caller()),
+                new CallerKeys(keys),
+                service,
+                recorder,
+                clock,
+                Duration.ofMillis(settings.limits().defaultDeadlineMilliseconds()));
+    }
+
+    OperatorHttpServer operatorServer(HostService service, BurnRecorder burn, MetricRegistry registry) {
+        Map<String, List<BearerKey>> keys = new LinkedHashMap<>();
+        settings.operators().forEach((operator, key) -> keys.put(operator, List.of(BearerKey.ofPlain(key.value()))));
+        return new OperatorHttpServer(
+                listener(settings.listen().operator()),
+                new OperatorKeys(keys),
+                service,
+                service::unreadiness,
+                burn::snapshot,
+                registry);
+    }
+}
--- /dev/null
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon {@code banyanstaird}. */
+package org.banyanstair.server;
