Add a TCP proxy that injects network faults

Cause: history checks need cut, refused, silent and slow connections between real processes. Change: FaultProxy on Netty with one event loop. A blocked direction stops reading instead of dropping bytes, as a partitioned network does, so a connection is intact when the partition ends; a connection that was made silent stays silent. The port stays bound while connections are refused; StandInServer uses the same HeldPort. Excluded: passing on a half-closed connection; either close ends both sides after the data before it was forwarded. A refusing target shows as a reset after the proxy has accepted.

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
@@ -1,10 +1,6 @@
 package org.banyanstair.testsupport.fault;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.BindException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -50,7 +46,7 @@
     private final int requestedPort;
     private int port;
     private NettyServer server;
-    private Socket portHolder;
+    private HeldPort heldPort;
     private ScheduledFuture<?> outageEnd;
 
     /**
@@ -214,8 +210,8 @@
         boolean refuses = injector.get().outage() == Outage.REFUSED;
         if (refuses && server != null) {
             close();
-            holdPort();
-        } else if (!refuses && portHolder != null) {
+            heldPort = HeldPort.hold(port);
+        } else if (!refuses && heldPort != null) {
             releasePort();
             listen();
         }
@@ -297,32 +293,10 @@
         }
     }
 
-    /** Binds the port without listening on it, so that no other process gets it while connections are refused. */
-    private void holdPort() {
-        portHolder = new Socket();
-        for (int attempt = 1; ; attempt++) {
-            try {
-                portHolder.setReuseAddress(true);
-                portHolder.bind(new InetSocketAddress(LOOPBACK, port));
-                return;
-            } catch (IOException exception) {
-                if (attempt == BIND_ATTEMPTS) {
-                    throw new UncheckedIOException(exception);
-                }
-                pause();
-            }
-        }
-    }
-
     private void releasePort() {
-        if (portHolder == null) {
-            return;
-        }
-        try {
-            portHolder.close();
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
+        if (heldPort != null) {
+            heldPort.close();
+            heldPort = null;
         }
-        portHolder = null;
     }
 }
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
@@ -0,0 +1,231 @@
+package org.banyanstair.testsupport.network;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.fault.HeldPort;
+
+/**
+ * TCP proxy on the loopback interface whose connections can be cut, refused, silenced and delayed.
+ *
+ * <p>If the target refuses a connection, the proxy has accepted it already and resets it. Methods return when the change
+ * is in force; they are safe for use by several threads, but not from an event loop.
+ */
+public final class FaultProxy {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int CONNECT_LIMIT_MILLIS = 2_000;
+
+    private final NetworkAddress target;
+    private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("fault-proxy", true));
+    // The following three are used only on the event loop.
+    private final Set<Direction> silentDirections = EnumSet.noneOf(Direction.class);
+    private final List<ProxiedConnection> connections = new ArrayList<>();
+    private long latencyNanos;
+    private int port;
+    private Channel listener;
+    private HeldPort heldPort;
+
+    /**
+     * Creates a proxy that is not started.
+     *
+     * @param port TCP port to listen on, 0 for a free one
+     * @param target address that connections are forwarded to
+     */
+    public FaultProxy(int port, NetworkAddress target) {
+        this.port = port;
+        this.target = target;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return address that it listens on
+     */
+    public synchronized NetworkAddress start() {
+        listen();
+        return address();
+    }
+
+    /** Closes the listening socket and resets all connections. The proxy cannot be started again. */
+    public synchronized void stop() {
+        if (heldPort != null) {
+            heldPort.close();
+        }
+        if (listener != null) {
+            listener.close().syncUninterruptibly();
+        }
+        cutConnections();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /**
+     * Returns the address, which stays the same while connections are refused.
+     *
+     * @return address that it listens on
+     */
+    public synchronized NetworkAddress address() {
+        return new NetworkAddress(LOOPBACK, port);
+    }
+
+    /** Resets all open connections on both sides; new ones work. */
+    public void cutConnections() {
+        onEventLoop(() -> {
+            forEachConnection(ProxiedConnection::cut);
+            return null;
+        });
+    }
+
+    /** Refuses new connections; open ones go on. */
+    public synchronized void refuseConnections() {
+        if (heldPort == null) {
+            listener.close().syncUninterruptibly();
+            heldPort = HeldPort.hold(port);
+        }
+    }
+
+    /** Accepts new connections again. */
+    public synchronized void acceptConnections() {
+        if (heldPort != null) {
+            heldPort.close();
+            heldPort = null;
+            listen();
+        }
+    }
+
+    /** Makes all open connections silent for good: nothing is forwarded and nothing is closed. New ones work. */
+    public void silenceOpenConnections() {
+        onEventLoop(() -> {
+            forEachConnection(ProxiedConnection::silence);
+            return null;
+        });
+    }
+
+    /**
+     * Stops or resumes one direction of all open and future connections. Data sent in between arrives when it is resumed.
+     *
+     * @param direction direction to change
+     * @param silent whether nothing is forwarded
+     */
+    public void setSilent(Direction direction, boolean silent) {
+        onEventLoop(() -> {
+            if (silent) {
+                silentDirections.add(direction);
+            } else {
+                silentDirections.remove(direction);
+            }
+            applyToAll();
+            return null;
+        });
+    }
+
+    /**
+     * Changes the latency.
+     *
+     * @param oneWay time by which data is delayed in each direction
+     */
+    public void setLatency(Duration oneWay) {
+        onEventLoop(() -> {
+            latencyNanos = oneWay.toNanos();
+            applyToAll();
+            return null;
+        });
+    }
+
+    /**
+     * Counts the open connections, including silent ones.
+     *
+     * @return number of connections
+     */
+    public int openConnections() {
+        return onEventLoop(connections::size);
+    }
+
+    private void applyToAll() {
+        forEachConnection(connection -> connection.apply(latencyNanos, silentDirections));
+    }
+
+    /** Works on a copy, because a connection that is closed by the action is removed at once. */
+    private void forEachConnection(Consumer<ProxiedConnection> action) {
+        List.copyOf(connections).forEach(action);
+    }
+
+    private <T> T onEventLoop(Callable<T> task) {
+        return group.next().submit(task).syncUninterruptibly().getNow();
+    }
+
+    private void listen() {
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer(this::accepted))
+                .bind(LOOPBACK, port)
+                .syncUninterruptibly()
+                .channel();
+        port = ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    private void accepted(SocketChannel client) {
+        ChannelFuture connecting = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+                .handler(initializer(channel -> {}))
+                .connect(target.ip(), target.port());
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                connected(client, connecting.channel());
+            } else {
+                ProxiedConnection.reset(client);
+            }
+        });
+    }
+
+    private void connected(Channel client, Channel targetChannel) {
+        ProxiedConnection connection = new ProxiedConnection(client, targetChannel);
+        connections.add(connection);
+        client.closeFuture().addListener(closed -> removeIfClosed(connection));
+        targetChannel.closeFuture().addListener(closed -> removeIfClosed(connection));
+        connection.apply(latencyNanos, silentDirections);
+    }
+
+    private void removeIfClosed(ProxiedConnection connection) {
+        if (connection.isClosed()) {
+            connections.remove(connection);
+            connection.release();
+        }
+    }
+
+    private static ChannelInitializer<SocketChannel> initializer(Consumer<SocketChannel> action) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                action.accept(channel);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/package-info.java
@@ -0,0 +1,2 @@
+/** Faults of the network between processes. */
+package org.banyanstair.testsupport.network;
