Add a launcher for child processes of tests

Cause: quick start, history checks and benchmarks run real processes. Change: ProcessLauncher starts a main class or script, appends its output to a file and waits for its ready line; ManagedProcess terminates, kills, pauses and resumes it. Only processes that the launcher started and that are alive get signals. Output goes straight to the file, so that a child never blocks on a pipe that nobody reads. Excluded: signals to descendants; a script has to end with exec.

--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ManagedProcess.java
@@ -0,0 +1,141 @@
+package org.banyanstair.testsupport.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.model.NetworkAddress;
+
+/** A child process that a {@link ProcessLauncher} has started and that has reported to be ready. */
+public final class ManagedProcess {
+    private static final long SIGNAL_LIMIT_SECONDS = 5;
+
+    private final String name;
+    private final Process process;
+    private final OutputFile output;
+    private final String ready;
+
+    ManagedProcess(String name, Process process, OutputFile output, String ready) {
+        this.name = name;
+        this.process = process;
+        this.output = output;
+        this.ready = ready;
+    }
+
+    /**
+     * Returns the name that it was started under.
+     *
+     * @return the name
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Returns what the process printed after {@code ready }.
+     *
+     * @return the rest of the line
+     */
+    public String ready() {
+        return ready;
+    }
+
+    /**
+     * Returns the address that the process printed as its first word after {@code ready }.
+     *
+     * @return the address
+     */
+    public NetworkAddress address() {
+        return NetworkAddress.parse(ready.split(" ", 2)[0]);
+    }
+
+    /**
+     * Returns the process id.
+     *
+     * @return the id
+     */
+    public long pid() {
+        return process.pid();
+    }
+
+    /**
+     * Returns the file with standard output and standard error.
+     *
+     * @return path of the file
+     */
+    public Path output() {
+        return output.path();
+    }
+
+    /**
+     * Tells whether the process runs or is paused.
+     *
+     * @return whether it has not ended
+     */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Sends SIGTERM; does nothing if the process has ended. A paused process gets it when it is resumed. */
+    public void terminate() {
+        process.destroy();
+    }
+
+    /** Sends SIGKILL; does nothing if the process has ended. */
+    public void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Sends SIGSTOP; does nothing if the process has ended. */
+    public void pause() {
+        signal("STOP");
+    }
+
+    /** Sends SIGCONT; does nothing if the process has ended. */
+    public void resume() {
+        signal("CONT");
+    }
+
+    /**
+     * Waits for the end of the process.
+     *
+     * @param deadline instant at which the wait ends
+     * @return exit status, empty if the process has not ended by then
+     */
+    public OptionalInt waitFor(Instant deadline) {
+        try {
+            long left = Math.max(0, Duration.between(Instant.now(), deadline).toMillis());
+            return process.waitFor(left, TimeUnit.MILLISECONDS)
+                    ? OptionalInt.of(process.exitValue())
+                    : OptionalInt.empty();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /** The id of an ended process may belong to another one, so it is not signalled. */
+    private void signal(String signal) {
+        if (!process.isAlive()) {
+            return;
+        }
+        try {
+            Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start();
+            if (!kill.waitFor(SIGNAL_LIMIT_SECONDS, TimeUnit.SECONDS) || kill.exitValue() != 0 && process.isAlive()) {
+                throw new IllegalStateException("signal " + signal + " could not be sent to process " + name);
+            }
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessLauncher.java
@@ -0,0 +1,142 @@
+package org.banyanstair.testsupport.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Starts child processes of a test and ends those that are left.
+ *
+ * <p>Processes that are left when this process ends are killed. Safe for use by several threads.
+ */
+public final class ProcessLauncher {
+    private static final long POLL_MILLIS = 5;
+    private static final long KILL_LIMIT_SECONDS = 5;
+
+    private final Path directory;
+    private final Set<Process> started = ConcurrentHashMap.newKeySet();
+    private final Thread shutdownHook = new Thread(this::killAll, "process-launcher-shutdown");
+
+    /**
+     * Creates a launcher.
+     *
+     * @param directory directory for the output files {@code NAME.log}, created if necessary
+     */
+    public ProcessLauncher(Path directory) {
+        this.directory = directory;
+        try {
+            Files.createDirectories(directory);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+        Runtime.getRuntime().addShutdownHook(shutdownHook);
+    }
+
+    /**
+     * Starts a Java main class and waits until it is ready.
+     *
+     * @param name name of the process and of its output file; output of a later process of this name is added
+     * @param command the main class and its arguments
+     * @param deadline instant by which the process must have printed a line that starts with {@code ready }
+     * @return the process
+     * @throws ProcessStartException if it ends or is not ready in time; it is killed then
+     */
+    public ManagedProcess startJava(String name, JavaCommand command, Instant deadline) {
+        return start(name, command.commandLine(), deadline);
+    }
+
+    /**
+     * Starts a program or script and waits until it is ready. A script must end with {@code exec}, because signals go to
+     * the process of the script only.
+     *
+     * @param name name of the process and of its output file; output of a later process of this name is added
+     * @param script path of the program
+     * @param arguments its arguments
+     * @param deadline instant by which the process must have printed a line that starts with {@code ready }
+     * @return the process
+     * @throws ProcessStartException if it ends or is not ready in time; it is killed then
+     */
+    public ManagedProcess startScript(String name, Path script, List<String> arguments, Instant deadline) {
+        List<String> line = new ArrayList<>();
+        line.add(script.toAbsolutePath().toString());
+        line.addAll(arguments);
+        return start(name, line, deadline);
+    }
+
+    /** Kills the processes that are left and waits for their end. The launcher can be used again. */
+    public void stop() {
+        killAll();
+        for (Process process : started) {
+            try {
+                process.waitFor(KILL_LIMIT_SECONDS, TimeUnit.SECONDS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException(exception);
+            }
+        }
+        started.clear();
+    }
+
+    private void killAll() {
+        started.forEach(Process::destroyForcibly);
+    }
+
+    private ManagedProcess start(String name, List<String> line, Instant deadline) {
+        OutputFile output = new OutputFile(directory.resolve(name + ".log"));
+        Process process = launch(line, output.path());
+        started.add(process);
+        process.onExit().thenAccept(started::remove);
+        try {
+            return new ManagedProcess(name, process, output, awaitReady(name, process, output, deadline));
+        } catch (ProcessStartException exception) {
+            process.destroyForcibly();
+            throw exception;
+        }
+    }
+
+    private static Process launch(List<String> line, Path output) {
+        try {
+            return new ProcessBuilder(line)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+                    .start();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static String awaitReady(String name, Process process, OutputFile output, Instant deadline) {
+        while (true) {
+            boolean ended = !process.isAlive();
+            Optional<String> ready = output.ready();
+            if (ready.isPresent()) {
+                return ready.get();
+            }
+            if (ended) {
+                throw new ProcessStartException(
+                        name, "ended with status " + process.exitValue() + " before it was ready", output.tail());
+            }
+            if (!Instant.now().isBefore(deadline)) {
+                throw new ProcessStartException(name, "was not ready in time", output.tail());
+            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/package-info.java
@@ -0,0 +1,2 @@
+/** Child processes of a test. */
+package org.banyanstair.testsupport.process;
