--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
@@ -1,5 +1,9 @@
 package org.banyanstair.testsupport.fault;
 
+import java.io.IOException;
+import java.net.Proxy;
+import java.net.URI;
+import java.net.URLConnection;
 import java.util.Map;
 import java.util.function.Function;
 
@@ -9,11 +13,13 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.banyanstair.model.NetworkAddress;
+import org.tinylog.Logger;
 import org.tinylog.configuration.Configuration;
 
 /** Shared part of the main methods of the stand-ins. */
 public final class StandInMain {
     private static final int USAGE_ERROR = 2;
+    private static final int WARM_UP_LIMIT_MILLIS = 5_000;
 
     private StandInMain() {}
 
@@ -32,6 +38,7 @@
         Configuration.set("writer.stream", "err");
         try {
             NetworkAddress address = starter.apply(new DefaultParser().parse(declare(options), arguments));
+            warmUp(address);
             System.out.println("ready " + address);
         } catch (ParseException | IllegalArgumentException exception) {
             System.err.println(exception.getMessage());
@@ -39,6 +46,19 @@
         }
     }
 
+    /** The first answer of a new process takes several hundred milliseconds, longer than some deadlines under test. */
+    private static void warmUp(NetworkAddress address) {
+        try {
+            URLConnection connection =
+                    URI.create("http://" + address + "/faults").toURL().openConnection(Proxy.NO_PROXY);
+            connection.setConnectTimeout(WARM_UP_LIMIT_MILLIS);
+            connection.setReadTimeout(WARM_UP_LIMIT_MILLIS);
+            connection.getInputStream().readAllBytes();
+        } catch (IOException exception) {
+            Logger.warn(exception, "warm-up request failed");
+        }
+    }
+
     private static Options declare(Map<String, String> descriptions) {
         Options options = new Options();
         options.addOption(option("port", "TCP port, 0 for a free one"));
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -131,7 +131,9 @@
             counters().add("refused", 1);
             return CompletableFuture.completedFuture(Reply.error(429, "append_limit_reached"));
         }
-        long first = stream(request).append(records, now);
+        StreamLog stream = stream(request);
+        stream.expire(now, retention);
+        long first = stream.append(records, now);
         counters().add("appends", 1);
         counters().add("appendedRecords", records.size());
         counters()
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 
 import org.banyanstair.platform.LogRecord;
@@ -12,20 +10,21 @@
 
 /** Records of one stream and the reads that wait for more. */
 final class StreamLog {
-    private final Deque<LogRecord> records = new ArrayDeque<>();
+    /** Expired records are removed in runs of at least this length, because removal copies the rest of the list. */
+    private static final int COMPACTION_LENGTH = 1_000;
+
+    private final List<LogRecord> records = new ArrayList<>();
     private final List<PendingRead> pending = new ArrayList<>();
-    private long end;
+    private long firstOffset;
+    private int expired;
 
     /** Appends records at consecutive offsets and returns the first of them. */
     long append(List<byte[]> payloads, Instant now) {
         List<PendingRead> ready;
         long first;
         synchronized (this) {
-            first = end;
-            for (byte[] payload : payloads) {
-                records.addLast(new LogRecord(end, now, payload));
-                end++;
-            }
+            first = end();
+            payloads.forEach(payload -> records.add(new LogRecord(end(), now, payload)));
             ready = takeReady();
         }
         ready.forEach(PendingRead::answer);
@@ -34,33 +33,43 @@
 
     private List<PendingRead> takeReady() {
         List<PendingRead> ready =
-                pending.stream().filter(read -> read.from() < end).toList();
+                pending.stream().filter(read -> read.from() < end()).toList();
         pending.removeAll(ready);
         return ready;
     }
 
-    /** Removes the records that were appended before an instant. */
+    private long end() {
+        return firstOffset + records.size();
+    }
+
+    /** Hides the records whose retention has ended. */
     synchronized void expire(Instant now, Duration retention) {
-        while (!records.isEmpty()
-                && !records.peekFirst().appendedAt().plus(retention).isAfter(now)) {
-            records.removeFirst();
+        while (expired < records.size()
+                && !records.get(expired).appendedAt().plus(retention).isAfter(now)) {
+            expired++;
+        }
+        if (expired >= COMPACTION_LENGTH && expired * 2 >= records.size()) {
+            records.subList(0, expired).clear();
+            firstOffset += expired;
+            expired = 0;
         }
     }
 
     /** Returns the answer to a read, which has no records if it would have to wait. */
     synchronized ReadResult read(long from, int limit) {
-        long earliest = records.isEmpty() ? end : records.peekFirst().offset();
+        long earliest = firstOffset + expired;
         if (from < earliest) {
             return new ReadResult.Expired(earliest);
         }
-        List<LogRecord> found =
-                records.stream().skip(from - earliest).limit(limit).toList();
-        return new ReadResult.Records(from + found.size(), end, found);
+        int start = (int) Math.min(records.size(), from - firstOffset);
+        int stop = (int) Math.min(records.size(), (long) start + limit);
+        List<LogRecord> found = List.copyOf(records.subList(start, stop));
+        return new ReadResult.Records(from + found.size(), end(), found);
     }
 
     /** Remembers a read until its offset exists; false if the offset exists already. */
     synchronized boolean await(PendingRead read) {
-        return read.from() >= end && pending.add(read);
+        return read.from() >= end() && pending.add(read);
     }
 
     /** Removes a read that waits; false if it does not wait any more. */
