--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.Optional;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
 import io.jooby.Context;
 import org.banyanstair.codec.Mappers;
 
@@ -13,6 +15,12 @@
  * @param body the body, not to be changed
  */
 public record Request(Context context, byte[] body) {
+    private static final ObjectReader COMPLETE = Mappers.JSON
+            .reader()
+            .with(
+                    DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES,
+                    DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
+
     /**
      * Returns a variable of the path.
      *
@@ -34,7 +42,7 @@
     }
 
     /**
-     * Parses the body.
+     * Parses the body; absent properties get the defaults of the type.
      *
      * @param type type to parse it as
      * @param <T> the type
@@ -42,8 +50,28 @@
      * @throws IllegalArgumentException if the body is malformed
      */
     public <T> T json(Class<T> type) {
+        return parse(Mappers.JSON.reader(), type);
+    }
+
+    /**
+     * Parses the body; absent properties are refused.
+     *
+     * @param type type to parse it as
+     * @param <T> the type
+     * @return the value
+     * @throws IllegalArgumentException if the body is malformed or incomplete
+     */
+    public <T> T completeJson(Class<T> type) {
+        return parse(COMPLETE, type);
+    }
+
+    private <T> T parse(ObjectReader reader, Class<T> type) {
         try {
-            return Mappers.JSON.readValue(body, type);
+            T value = reader.forType(type).readValue(body);
+            if (value == null) {
+                throw new IllegalArgumentException("the body must not be null");
+            }
+            return value;
         } catch (IOException exception) {
             throw new IllegalArgumentException("malformed body", exception);
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -165,14 +165,14 @@
     }
 
     private CompletableFuture<Reply> putHost(Request request) {
-        EntryHost host = request.json(EntryHost.class);
+        EntryHost host = request.completeJson(EntryHost.class);
         requireName(request, host.id());
         put(host);
         return done();
     }
 
     private CompletableFuture<Reply> putEndpoint(Request request) {
-        Endpoint endpoint = request.json(Endpoint.class);
+        Endpoint endpoint = request.completeJson(Endpoint.class);
         requireName(request, endpoint.id());
         put(endpoint);
         return done();
