List all counters of a stand-in before its first operation

Cause: a test that reads GET /counters had to treat absent counts as 0. Conclusion: counts can be compared before and after a fault.

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Counters.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Counters.java
@@ -19,6 +19,17 @@
         values.computeIfAbsent(name, key -> new LongAdder()).add(amount);
     }
 
+    /**
+     * Creates counts with the value 0, so that they are listed before the first operation.
+     *
+     * @param names names of the counts
+     */
+    public void declare(String... names) {
+        for (String name : names) {
+            add(name, 0);
+        }
+    }
+
     /**
      * Returns one count.
      *
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
@@ -62,6 +62,7 @@
             return thread;
         });
         runner = new OperationRunner(injector, counters, timer);
+        counters.declare("unavailable", "lostAnswers");
     }
 
     /**
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -49,6 +49,7 @@
                         "/endpoints/{id}",
                         request -> removed(listing.removeEndpoint(request.path("id"), clock.instant())))
                 .controls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
+        counters().declare("reads", "changes");
     }
 
     /**
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -55,6 +55,7 @@
                 .operation("POST", "/streams/{name}/records", this::append)
                 .operation("GET", "/streams/{name}/records", this::read)
                 .controls(LogFaults.class, LogFaults::shared, this::faults, this::setFaults);
+        counters().declare("appends", "appendedRecords", "reads", "refused", "bytes");
     }
 
     /**
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
@@ -34,6 +34,7 @@
         server = new StandInServer(port)
                 .operation("GET", "/adapters/{service}/{adapter}/{version}", this::load)
                 .controls(WeightStoreFaults.class, WeightStoreFaults::shared, this::faults, this::setFaults);
+        counters().declare("loads", "failedLoads", "bytes");
     }
 
     /**
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/StandInServerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/StandInServerTest.java
@@ -43,7 +43,9 @@
     @Test
     void operationsAndCountersAreServed() throws Exception {
         assertEquals("\"a3\"", post("/things/a", "xyz").body());
-        assertEquals("{\"things\":1}", get("/counters").body());
+        assertEquals(
+                "{\"lostAnswers\":0,\"things\":1,\"unavailable\":0}",
+                get("/counters").body());
     }
 
     @Test
