--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -49,6 +49,7 @@
                         "/endpoints/{id}",
                         request -> removed(listing.removeEndpoint(request.path("id"), clock.instant())))
                 .controls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
+        counters().declare("reads", "changes");
     }
 
     /**
@@ -165,14 +166,14 @@
     }
 
     private CompletableFuture<Reply> putHost(Request request) {
-        EntryHost host = request.json(EntryHost.class);
+        EntryHost host = request.completeJson(EntryHost.class);
         requireName(request, host.id());
         put(host);
         return done();
     }
 
     private CompletableFuture<Reply> putEndpoint(Request request) {
-        Endpoint endpoint = request.json(Endpoint.class);
+        Endpoint endpoint = request.completeJson(Endpoint.class);
         requireName(request, endpoint.id());
         put(endpoint);
         return done();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -55,6 +55,7 @@
                 .operation("POST", "/streams/{name}/records", this::append)
                 .operation("GET", "/streams/{name}/records", this::read)
                 .controls(LogFaults.class, LogFaults::shared, this::faults, this::setFaults);
+        counters().declare("appends", "appendedRecords", "reads", "refused", "bytes");
     }
 
     /**
@@ -131,7 +132,9 @@
             counters().add("refused", 1);
             return CompletableFuture.completedFuture(Reply.error(429, "append_limit_reached"));
         }
-        long first = stream(request).append(records, now);
+        StreamLog stream = stream(request);
+        stream.expire(now, retention);
+        long first = stream.append(records, now);
         counters().add("appends", 1);
         counters().add("appendedRecords", records.size());
         counters()
