Add the history recorder and its checks

Change: HistoryRecorder collects what callers sent and saw. HistoryChecker compares it with the runs and unloads that endpoints recorded and returns typed violations: another version, wrong text, a refused request that ran, a key that ran twice, an acknowledged order that never ran, an unload in use. A run belongs to a refused request if it carries its request id, or if every request with its key that had been sent by then was refused.

Excluded: a file format for histories; the checks assume complete records and the clock of one machine.

Conclusion: the integration tests can use the checker as soon as the stand-ins keep EndpointRun and EndpointUnload records.

--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryChecker.java
@@ -0,0 +1,200 @@
+package org.banyanstair.testsupport.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.ModelName;
+
+/**
+ * Checks the promises of the system on a recorded history.
+ *
+ * <p>The history and the endpoints' records must be complete and use clocks of one machine.
+ */
+public final class HistoryChecker {
+    private final List<HistoryEvent> events;
+    private final List<EndpointRun> runs;
+    private final List<EndpointUnload> unloads;
+    private final AnswerOracle oracle;
+    private final Map<String, List<EndpointRun>> runsByKey;
+    private final Map<String, List<EndpointRun>> runsByRequest;
+    private final Map<String, List<HistoryEvent.Sent>> sentByKey;
+    private final Map<HistoryEvent.Sent, HistoryEvent.NotRun> notRun = new HashMap<>();
+
+    /**
+     * Creates a checker.
+     *
+     * @param events what the callers saw
+     * @param runs what the endpoints ran
+     * @param unloads what the engines unloaded
+     * @param oracle computes the right answers
+     */
+    public HistoryChecker(
+            List<HistoryEvent> events, List<EndpointRun> runs, List<EndpointUnload> unloads, AnswerOracle oracle) {
+        this.events = List.copyOf(events);
+        this.runs = List.copyOf(runs);
+        this.unloads = List.copyOf(unloads);
+        this.oracle = oracle;
+        this.runsByKey = index(this.runs, EndpointRun::key);
+        this.runsByRequest = index(this.runs, EndpointRun::requestId);
+        this.sentByKey = index(
+                only(HistoryEvent.Sent.class).toList(), sent -> sent.context().key());
+        only(HistoryEvent.NotRun.class).forEach(event -> notRun.put(event.sent(), event));
+    }
+
+    /**
+     * Runs all checks.
+     *
+     * @return the violations, empty if there are none
+     */
+    public List<Violation> check() {
+        return Stream.of(versions(), texts(), notRunThatRan(), runsOfOneKey(), lostOrders(), unloadsInUse())
+                .flatMap(List::stream)
+                .toList();
+    }
+
+    /**
+     * Checks that requests are answered by the adapter version that they name.
+     *
+     * @return the violations
+     */
+    public List<Violation> versions() {
+        List<Violation> violations = new ArrayList<>();
+        only(HistoryEvent.Answered.class).filter(this::isGenerated).forEach(answered -> {
+            if (!answered.adapter()
+                    .filter(adapter -> names(answered.sent(), adapter))
+                    .isPresent()) {
+                violations.add(new Violation.AnsweredByAnotherVersion(answered));
+            }
+            runsOf(answered).stream()
+                    .flatMap(run -> run.adapter().stream())
+                    .filter(adapter -> !answered.adapter().equals(Optional.of(adapter)))
+                    .forEach(adapter -> violations.add(new Violation.RanOnAnotherVersion(answered, adapter)));
+        });
+        return violations;
+    }
+
+    private boolean isGenerated(HistoryEvent.Answered answered) {
+        return answered.isAcknowledged() && answered.sent().model().isPresent();
+    }
+
+    private static boolean names(HistoryEvent.Sent sent, AdapterVersion adapter) {
+        ModelName model = sent.model().orElseThrow();
+        return model.service().equals(adapter.service())
+                && model.adapter().equals(adapter.adapter())
+                && model.version().map(adapter.version()::equals).orElse(true);
+    }
+
+    /** Returns the runs of exactly this request; none if only its key is known, which other requests may share. */
+    private List<EndpointRun> runsOf(HistoryEvent.Answered answered) {
+        return answered.requestId()
+                .map(id -> runsByRequest.getOrDefault(id, List.of()))
+                .orElse(List.of());
+    }
+
+    /**
+     * Checks the texts of successful answers against the oracle.
+     *
+     * @return the violations
+     */
+    public List<Violation> texts() {
+        List<Violation> violations = new ArrayList<>();
+        only(HistoryEvent.Answered.class)
+                .filter(HistoryEvent.Answered::isAcknowledged)
+                .forEach(answered -> oracle.expected(answered)
+                        .filter(right -> right.tokens() != answered.tokens()
+                                || !right.textDigest().equals(answered.textDigest()))
+                        .ifPresent(right -> violations.add(new Violation.WrongText(answered, right))));
+        return violations;
+    }
+
+    /**
+     * Checks that no request ran whose caller was told "not run".
+     *
+     * <p>A run belongs to a refused request if it carries its request id, or if all requests with its key that had been
+     * sent when it started were refused.
+     *
+     * @return the violations, one for each run
+     */
+    public List<Violation> notRunThatRan() {
+        List<Violation> violations = new ArrayList<>();
+        for (EndpointRun run : runs) {
+            refusalOf(run).ifPresent(refusal -> violations.add(new Violation.RanAlthoughNotRun(refusal, run)));
+        }
+        return violations;
+    }
+
+    private Optional<HistoryEvent.NotRun> refusalOf(EndpointRun run) {
+        List<HistoryEvent.Sent> sent = sentByKey.getOrDefault(run.key(), List.of()).stream()
+                .filter(event -> !event.context().start().isAfter(run.start()))
+                .toList();
+        Optional<HistoryEvent.NotRun> sameRequest = sent.stream()
+                .flatMap(event -> Stream.ofNullable(notRun.get(event)))
+                .filter(refusal -> refusal.requestId().equals(Optional.of(run.requestId())))
+                .findFirst();
+        if (sameRequest.isPresent() || sent.isEmpty() || !sent.stream().allMatch(notRun::containsKey)) {
+            return sameRequest;
+        }
+        return Optional.of(notRun.get(sent.get(sent.size() - 1)));
+    }
+
+    /**
+     * Checks that non-idempotent requests ran at most once for each key.
+     *
+     * @return the violations, one for each key
+     */
+    public List<Violation> runsOfOneKey() {
+        return sentByKey.entrySet().stream()
+                .filter(entry -> entry.getValue().stream().anyMatch(sent -> !sent.repeatable()))
+                .filter(entry ->
+                        runsByKey.getOrDefault(entry.getKey(), List.of()).size() > 1)
+                .<Violation>map(entry -> new Violation.RanMoreThanOnce(entry.getKey(), runsByKey.get(entry.getKey())))
+                .toList();
+    }
+
+    /**
+     * Checks that acknowledged non-idempotent requests ran.
+     *
+     * @return the violations
+     */
+    public List<Violation> lostOrders() {
+        return only(HistoryEvent.Answered.class)
+                .filter(answered ->
+                        answered.isAcknowledged() && !answered.sent().repeatable())
+                .filter(answered -> !runsByKey.containsKey(answered.context().key()))
+                .<Violation>map(Violation.AcknowledgedButNeverRan::new)
+                .toList();
+    }
+
+    /**
+     * Checks that no adapter was unloaded while a request ran on it.
+     *
+     * @return the violations
+     */
+    public List<Violation> unloadsInUse() {
+        List<Violation> violations = new ArrayList<>();
+        for (EndpointUnload unload : unloads) {
+            runs.stream()
+                    .filter(run -> run.endpoint().equals(unload.endpoint())
+                            && run.adapter().equals(Optional.of(unload.adapter()))
+                            && run.start().isBefore(unload.at())
+                            && run.end().isAfter(unload.at()))
+                    .forEach(run -> violations.add(new Violation.UnloadedInUse(unload, run)));
+        }
+        return violations;
+    }
+
+    private <T extends HistoryEvent> Stream<T> only(Class<T> type) {
+        return events.stream().filter(type::isInstance).map(type::cast);
+    }
+
+    private static <T> Map<String, List<T>> index(List<T> items, Function<T, String> key) {
+        return items.stream().collect(Collectors.groupingBy(key));
+    }
+}
