--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load, adapter popularity and a client of the caller protocol. */
+package org.banyanstair.testsupport.load;
--- /dev/null
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/OpenLoopLoadTest.java
@@ -0,0 +1,84 @@
+package org.banyanstair.testsupport.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class OpenLoopLoadTest {
+    private static final LoadResult ANSWERED = new LoadResult(LoadOutcome.ANSWERED, "", List.of());
+
+    /** Guards against coordinated omission: a stall of the system must show in the requests that it delayed. */
+    @Test
+    void countsLatencyFromIntendedStart() throws Exception {
+        LoadReport report = new OpenLoopLoad(plan(200, 100, 2_000), (sequence, random, intended) -> {
+                    if (sequence == 10) {
+                        sleep(300);
+                    }
+                    return CompletableFuture.completedFuture(ANSWERED);
+                })
+                .run();
+        assertEquals(100, report.count(LoadOutcome.ANSWERED));
+        long delayed =
+                report.latency().getCountBetweenValues(50_000, report.latency().getMaxValue());
+        assertTrue(delayed > 20, "only " + delayed + " requests show the stall");
+    }
+
+    /** Guards against a closed loop: arrivals must not wait for answers, and what never ends must be reported. */
+    @Test
+    void startsRequestsWhileOthersAreOutstanding() throws Exception {
+        LoadReport report = new OpenLoopLoad(
+                        plan(1_000, 50, 2_000), (sequence, random, intended) -> new CompletableFuture<>())
+                .run();
+        assertEquals(50, report.started());
+        assertEquals(50, report.unfinished());
+        assertEquals(0, report.latency().getTotalCount());
+    }
+
+    /** Guards against loads that run on after their time, and against a wrong rate. */
+    @Test
+    void endsAfterItsTime() throws Exception {
+        LoadReport report = new OpenLoopLoad(
+                        plan(500, 1_000_000, 1_000),
+                        (sequence, random, intended) -> CompletableFuture.completedFuture(ANSWERED))
+                .run();
+        // 500 arrivals have a standard deviation of 22; the seed is fixed.
+        assertTrue(report.started() > 400 && report.started() < 600, "started " + report.started());
+    }
+
+    /** Guards against runs that cannot be repeated, and against a failing operation that ends the load. */
+    @Test
+    void repeatsWithSameSeedAndSurvivesExceptions() throws Exception {
+        assertEquals(numbers(), numbers());
+    }
+
+    private static List<Integer> numbers() throws InterruptedException {
+        List<Integer> numbers = Collections.synchronizedList(new ArrayList<>());
+        LoadReport report = new OpenLoopLoad(plan(5_000, 20, 2_000), (sequence, random, intended) -> {
+                    numbers.add(random.nextInt());
+                    throw new IllegalStateException("sequence " + sequence);
+                })
+                .run();
+        assertEquals(20, report.codes().get("IllegalStateException"));
+        return numbers;
+    }
+
+    private static LoadPlan plan(double rate, long requests, long millis) {
+        return new LoadPlan(rate, requests, Duration.ofMillis(millis), Duration.ofMillis(100), 7);
+    }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
