Add a client of the caller protocol

Excluded: /v1/completions and /v1/models. The event stream is read line by line, because okhttp-sse is not declared in the root pom.

--- /dev/null
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
@@ -0,0 +1,135 @@
+package org.banyanstair.testsupport.load;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.model.AdapterVersion;
+
+/** Reads one response of the caller protocol. */
+final class ResponseReader {
+    static final String CONNECTION_LOST = "connection_lost";
+
+    private static final String DATA = "data:";
+    private static final String DONE = "[DONE]";
+    private static final int OK = 200;
+
+    private final Response response;
+    private final Instant sentAt;
+    private final InstantSource instants;
+    private final List<Instant> tokenTimes = new ArrayList<>();
+    private final StringBuilder text = new StringBuilder();
+    private String model = "";
+
+    ResponseReader(Response response, Instant sentAt, InstantSource instants) {
+        this.response = response;
+        this.sentAt = sentAt;
+        this.instants = instants;
+    }
+
+    /** Reads an answer of a plain service; only the header tells a refusal from an error status of the service. */
+    CallerResult readService() {
+        try {
+            byte[] body = response.body().bytes();
+            return isRefusal()
+                    ? refusal(new String(body, StandardCharsets.UTF_8))
+                    : new CallerResult.ServiceAnswered(requestId(), response.code(), body);
+        } catch (IOException exception) {
+            return broken(CONNECTION_LOST);
+        }
+    }
+
+    CallerResult readChat() {
+        try {
+            if (isRefusal() || response.code() != OK) {
+                return refusal(response.body().string());
+            }
+            String type = response.header("Content-Type", "");
+            return type.startsWith("text/event-stream")
+                    ? readEvents(response.body().source())
+                    : readWhole(response.body().string());
+        } catch (IOException exception) {
+            return broken(CONNECTION_LOST);
+        }
+    }
+
+    private CallerResult readWhole(String body) throws JsonProcessingException {
+        JsonNode json = Mappers.JSON.readTree(body);
+        String content = json.at("/choices/0/message/content").asText();
+        int tokens = json.at("/usage/completion_tokens").asInt();
+        return new CallerResult.Generated(
+                requestId(), adapter(), json.path("model").asText(), content, tokens, sentAt, List.of());
+    }
+
+    private CallerResult readEvents(BufferedSource source) throws IOException {
+        for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
+            if (!line.startsWith(DATA)) {
+                continue;
+            }
+            String data = line.substring(DATA.length()).strip();
+            if (data.equals(DONE)) {
+                return new CallerResult.Generated(
+                        requestId(), adapter(), model, text.toString(), tokenTimes.size(), sentAt, tokenTimes);
+            }
+            JsonNode chunk = Mappers.JSON.readTree(data);
+            if (chunk.has("error")) {
+                return broken(code(chunk));
+            }
+            append(chunk);
+        }
+        return broken(CONNECTION_LOST);
+    }
+
+    private void append(JsonNode chunk) {
+        model = chunk.path("model").asText(model);
+        String token = chunk.at("/choices/0/delta/content").asText("");
+        if (!token.isEmpty()) {
+            tokenTimes.add(instants.instant());
+            text.append(token);
+        }
+    }
+
+    private boolean isRefusal() {
+        return response.header("X-Outcome") != null;
+    }
+
+    private CallerResult refusal(String body) {
+        String code = code(body);
+        return "not-run".equals(response.header("X-Outcome"))
+                ? new CallerResult.NotRun(requestId(), response.code(), code)
+                : broken(code);
+    }
+
+    private CallerResult broken(String code) {
+        return new CallerResult.Unknown(requestId(), response.code(), code, tokenTimes);
+    }
+
+    private static String code(String body) {
+        try {
+            return code(Mappers.JSON.readTree(body));
+        } catch (JsonProcessingException exception) {
+            return "malformed_error";
+        }
+    }
+
+    private static String code(JsonNode envelope) {
+        return envelope.at("/error/code").asText("malformed_error");
+    }
+
+    private Optional<String> requestId() {
+        return Optional.ofNullable(response.header("X-Request-Id"));
+    }
+
+    private Optional<AdapterVersion> adapter() {
+        return Optional.ofNullable(response.header("X-Adapter-Version")).map(AdapterVersion::parse);
+    }
+}
