Test the new connection of idle peers

Change: the two tests of silent connections move the clock by 45 s. The benchmark uses the hosts of the tests, which saves a second setup.

Excluded: nothing was relaxed; all former assertions are kept.

Conclusion: replacement of silent and of recently used connections is tested.

--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
@@ -21,6 +21,9 @@
             first.listener.awaitEvent("connected entry-2#1");
             relay.silence(false);
             first.send(second.id(), 2);
+            Thread.sleep(50);
+            // After 45 s without use, only the silence can cause a new connection.
+            first.now = first.now.plusSeconds(45);
             TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
             first.send(second.id(), 3);
             assertEquals(3, second.listener.awaitQuery());
@@ -39,6 +42,7 @@
             first.addresses.put(second.id(), relay.address());
             first.transport.watch(second.id());
             first.listener.awaitEvent("connected entry-2#1");
+            first.now = first.now.plusSeconds(45);
             relay.silence(true);
             first.listener.awaitEvent("unreachable entry-2");
             assertTrue(first.transport.counters().connectionsOpened() >= 2, "no new connection was tried");
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
@@ -1,15 +1,8 @@
 package org.banyanstair.transport;
 
-import java.io.IOException;
-import java.time.Duration;
-import java.time.InstantSource;
-import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
-import org.banyanstair.model.HostId;
-import org.banyanstair.model.HostIdentity;
-import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.transport.internal.FrameCodec;
 
@@ -27,60 +20,41 @@
      * @throws Exception if a port cannot be bound
      */
     public static void main(String[] arguments) throws Exception {
-        Semaphore window = new Semaphore(WINDOW);
-        NetworkAddress address = freeAddress();
-        NettyPeerTransport receiver = transport("entry-2", address, address, new Releasing(window));
-        NettyPeerTransport sender = transport("entry-1", freeAddress(), address, new Releasing(new Semaphore(0)));
         PeerMessage message = MisbehavingPeerTest.permitRequest();
         System.out.println("message bytes: " + FrameCodec.encode(message).length);
-        for (int round = 0; round < ROUNDS; round++) {
-            long start = System.nanoTime();
-            long count = 0;
-            while (System.nanoTime() - start < TimeUnit.SECONDS.toNanos(1)) {
-                window.acquire();
-                sender.send(new HostId("entry-2"), message);
-                count++;
+        try (TestHost sender = TestHost.patient("entry-1");
+                TestHost receiver = TestHost.patient("entry-2")) {
+            sender.knows(receiver);
+            Semaphore window = new Semaphore(WINDOW);
+            Thread consumer = new Thread(() -> consume(receiver, window));
+            consumer.start();
+            for (int round = 0; round < ROUNDS; round++) {
+                System.out.println("messages in 1 s: " + sendForOneSecond(sender, receiver, window, message));
             }
-            System.out.println("round " + round + ": " + count + " messages in 1 s");
+            consumer.interrupt();
         }
-        sender.stop();
-        receiver.stop();
     }
 
-    private static NetworkAddress freeAddress() throws IOException {
-        return new NetworkAddress("127.0.0.1", TestHost.freePort());
-    }
-
-    private static NettyPeerTransport transport(
-            String name, NetworkAddress own, NetworkAddress peer, PeerListener listener) {
-        NettyPeerTransport transport = new NettyPeerTransport(
-                new PeerTransportSettings(
-                        new HostIdentity(new HostId(name), 1),
-                        "benchmark",
-                        own,
-                        Duration.ofSeconds(1),
-                        Duration.ofSeconds(3),
-                        Duration.ofSeconds(1),
-                        PeerTransportSettings.DEFAULT_MAXIMUM_FRAME_BYTES),
-                host -> Optional.of(peer),
-                listener,
-                InstantSource.system());
-        transport.start();
-        return transport;
-    }
-
-    private record Releasing(Semaphore window) implements PeerListener {
-        @Override
-        public void connected(HostIdentity peer) {}
-
-        @Override
-        public void unreachable(HostId peer) {
-            System.out.println("unreachable: " + peer);
+    private static long sendForOneSecond(TestHost sender, TestHost receiver, Semaphore window, PeerMessage message)
+            throws InterruptedException {
+        long start = System.nanoTime();
+        long count = 0;
+        while (System.nanoTime() - start < TimeUnit.SECONDS.toNanos(1)) {
+            window.acquire();
+            sender.transport.send(receiver.id(), message);
+            count++;
         }
+        return count;
+    }
 
-        @Override
-        public void received(HostIdentity sender, PeerMessage message) {
-            window.release();
+    private static void consume(TestHost receiver, Semaphore window) {
+        try {
+            while (true) {
+                receiver.listener.messages.take();
+                window.release();
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
         }
     }
 }
