Test queued messages and simultaneous connections

An exception of the address function left messages queued without a report.

Change: a test for each of the two cases. A failing address function counts as a missing address.

The failing address function has no test.

Conclusion: a queued message is sent over the new connection or its loss is reported.

--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.NetworkAddress;
@@ -35,12 +36,13 @@
     private final HttpCaller caller = new HttpCaller(10, Duration.ofSeconds(5), InstantSource.system());
     private final AtomicReference<Map<String, List<String>>> seen = new AtomicReference<>();
     private HttpServer server;
-    private boolean serving;
+    private volatile HttpHandler handler;
     private NetworkAddress address;
 
     @BeforeEach
     void start() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 10);
+        server.createContext("/", exchange -> handler.handle(exchange));
         server.start();
         address = new NetworkAddress("127.0.0.1", server.getAddress().getPort());
     }
@@ -146,11 +148,7 @@
 
     /** Answers all requests with a status, headers and the given parts of a body, 20 ms apart. */
     private void serve(int status, Map<String, String> headers, String... parts) {
-        if (serving) {
-            server.removeContext("/");
-        }
-        serving = true;
-        server.createContext("/", exchange -> answer(exchange, status, headers, parts));
+        handler = exchange -> answer(exchange, status, headers, parts);
     }
 
     private void answer(HttpExchange exchange, int status, Map<String, String> headers, String... parts)
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/OpenLoopLoadTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/OpenLoopLoadTest.java
@@ -20,7 +20,9 @@
     void countsLatencyFromIntendedStart() throws Exception {
         LoadReport report = new OpenLoopLoad(plan(200, 100, 2_000), (sequence, random, intended) -> {
                     if (sequence == 10) {
-                        sleep(300);
+                        CompletableFuture.runAsync(
+                                        () -> {}, CompletableFuture.delayedExecutor(300, TimeUnit.MILLISECONDS))
+                                .join();
                     }
                     return CompletableFuture.completedFuture(ANSWERED);
                 })
@@ -73,12 +75,4 @@
     private static LoadPlan plan(double rate, long requests, long millis) {
         return new LoadPlan(rate, requests, Duration.ofMillis(millis), Duration.ofMillis(100), 7);
     }
-
-    private static void sleep(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException exception) {
-            throw new IllegalStateException(exception);
-        }
-    }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
@@ -141,7 +141,7 @@
         if (stopped || !ready.isEmpty() || dialling.isPresent()) {
             return;
         }
-        Optional<NetworkAddress> address = transport.addresses().apply(host);
+        Optional<NetworkAddress> address = findAddress();
         if (address.isEmpty()) {
             fail();
             return;
@@ -155,6 +155,15 @@
         });
     }
 
+    private Optional<NetworkAddress> findAddress() {
+        try {
+            return transport.addresses().apply(host);
+        } catch (RuntimeException exception) {
+            Logger.error(exception, "cannot find the address of {}", host);
+            return Optional.empty();
+        }
+    }
+
     void ready(Connection connection) {
         long seen = connection.peer().incarnation();
         if (stopped || seen < incarnation) {
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.banyanstair.errors.Failure;
 import org.banyanstair.model.AdapterVersion;
@@ -122,15 +123,40 @@
     @Test
     void refusesToSendTooLongMessage() throws Exception {
         try (TestHost host = TestHost.patient("entry-1")) {
-            String text = "x".repeat(TestHost.MAXIMUM_FRAME_BYTES);
-            PeerMessage refusal = new PeerMessage.PermitRefusal(
-                    new RequestId("r"), 1, new PoolId("p"), 1, new Failure.UnknownModel(text));
-            host.transport.send(PEER.host(), refusal);
+            host.transport.send(PEER.host(), longMessage(TestHost.MAXIMUM_FRAME_BYTES));
             host.listener.awaitEvent("unreachable " + PEER.host());
             assertEquals(0, host.transport.counters().connectionsOpened());
         }
     }
 
+    /** Guards against messages that stay queued, neither sent nor reported, after their connection has ended. */
+    @Test
+    void sendsQueuedMessagesOverNewConnection() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                TestHost host = TestHost.patient("entry-1")) {
+            server.setSoTimeout(5_000);
+            host.addresses.put(PEER.host(), new NetworkAddress("127.0.0.1", server.getLocalPort()));
+            // 30 MB exceed the socket buffers, but not the queue.
+            IntStream.range(0, 500).forEach(number -> host.transport.send(PEER.host(), longMessage(60_000)));
+            try (Socket first = server.accept()) {
+                first.getOutputStream().write(HELLO);
+                host.listener.awaitEvent("connected " + PEER);
+                Thread.sleep(300);
+                host.now = host.now.plusSeconds(45);
+            }
+            try (Socket second = server.accept()) {
+                second.getOutputStream().write(HELLO);
+                second.setSoTimeout(5_000);
+                assertEquals(100_000, second.getInputStream().readNBytes(100_000).length);
+            }
+        }
+    }
+
+    private static PeerMessage longMessage(int length) {
+        Failure failure = new Failure.UnknownModel("x".repeat(length));
+        return new PeerMessage.PermitRefusal(new RequestId("r"), 1, new PoolId("p"), 1, failure);
+    }
+
     static PeerMessage permitRequest() {
         return new PeerMessage.PermitRequest(
                 new RequestId("entry-1-1-000001"),
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.Semaphore;
 
+import org.banyanstair.model.HostId;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -83,11 +84,25 @@
         }
     }
 
+    /** Guards against hosts that refuse each other's connection when both connect at the same moment. */
+    @Test
+    void hostsThatConnectAtTheSameMomentHearEachOther() throws Exception {
+        try (TestHost first = TestHost.patient("entry-1");
+                TestHost second = TestHost.patient("entry-2")) {
+            first.knows(second);
+            second.knows(first);
+            first.send(second.id(), 1);
+            second.send(first.id(), 2);
+            assertEquals(1, second.listener.awaitQuery());
+            assertEquals(2, first.listener.awaitQuery());
+        }
+    }
+
     /** Guards against a sender that waits forever for a peer that the host list no longer shows. */
     @Test
     void peerWithoutAddressIsUnreachable() throws Exception {
         try (TestHost host = TestHost.patient("entry-1")) {
-            host.send(new org.banyanstair.model.HostId("entry-9"), 1);
+            host.send(new HostId("entry-9"), 1);
             host.listener.awaitEvent("unreachable entry-9");
             assertEquals(1, host.transport.counters().droppedMessages());
         }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TcpRelay.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TcpRelay.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.banyanstair.model.NetworkAddress;
@@ -14,13 +16,14 @@
 /** Forwards TCP connections and can make them go silent or end. */
 final class TcpRelay implements AutoCloseable {
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final ExecutorService threads = Executors.newCachedThreadPool();
     private final int target;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private volatile AtomicBoolean silence = new AtomicBoolean();
 
     TcpRelay(int target) throws IOException {
         this.target = target;
-        start(this::accept);
+        threads.submit(this::accept);
     }
 
     NetworkAddress address() {
@@ -39,18 +42,19 @@
         }
     }
 
-    private void accept() throws IOException {
+    private Void accept() throws IOException {
         while (!server.isClosed()) {
             Socket inner = server.accept();
             Socket outer = new Socket(InetAddress.getLoopbackAddress(), target);
             sockets.addAll(List.of(inner, outer));
             AtomicBoolean discards = silence;
-            start(() -> pump(inner, outer, discards));
-            start(() -> pump(outer, inner, discards));
+            threads.submit(() -> pump(inner, outer, discards));
+            threads.submit(() -> pump(outer, inner, discards));
         }
+        return null;
     }
 
-    private static void pump(Socket from, Socket to, AtomicBoolean discards) throws IOException {
+    private static Void pump(Socket from, Socket to, AtomicBoolean discards) throws IOException {
         try (from;
                 to) {
             byte[] buffer = new byte[8192];
@@ -61,27 +65,13 @@
                 }
             }
         }
-    }
-
-    private static void start(IoTask task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException exception) {
-                // The connection has ended.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    private interface IoTask {
-        void run() throws IOException;
+        return null;
     }
 
     @Override
     public void close() throws IOException {
         server.close();
         cut();
+        threads.shutdown();
     }
 }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
@@ -29,24 +29,19 @@
             Thread consumer = new Thread(() -> consume(receiver, window));
             consumer.start();
             for (int round = 0; round < ROUNDS; round++) {
-                System.out.println("messages in 1 s: " + sendForOneSecond(sender, receiver, window, message));
+                long start = System.nanoTime();
+                long count = 0;
+                while (System.nanoTime() - start < TimeUnit.SECONDS.toNanos(1)) {
+                    window.acquire();
+                    sender.transport.send(receiver.id(), message);
+                    count++;
+                }
+                System.out.println("messages in 1 s: " + count);
             }
             consumer.interrupt();
         }
     }
 
-    private static long sendForOneSecond(TestHost sender, TestHost receiver, Semaphore window, PeerMessage message)
-            throws InterruptedException {
-        long start = System.nanoTime();
-        long count = 0;
-        while (System.nanoTime() - start < TimeUnit.SECONDS.toNanos(1)) {
-            window.acquire();
-            sender.transport.send(receiver.id(), message);
-            count++;
-        }
-        return count;
-    }
-
     private static void consume(TestHost receiver, Semaphore window) {
         try {
             while (true) {
