--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/StandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/StandInServer.java
@@ -26,6 +26,7 @@
     private static final String HOST = "127.0.0.1";
     private static final int MAX_REQUEST_BYTES = 4 << 20;
     private static final int START_ATTEMPTS = 20;
+    private static final long CLOSE_LIMIT_MILLISECONDS = 1_000;
 
     private final Consumer<Routes> routes;
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
@@ -33,6 +34,10 @@
     // Not a daemon thread: the threads of the server are, so this one keeps a stand-in process alive.
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private volatile int port;
+
+    /** The listening channel, known once a request has come. */
+    private volatile Channel listener;
+
     private NettyServer server;
     private boolean stopped;
 
@@ -50,11 +55,11 @@
     /** Declares the routes of a stand-in. */
     public static final class Routes {
         private final Jooby application;
-        private final Set<Channel> channels;
+        private final Consumer<Channel> whenUsed;
 
-        private Routes(Jooby application, Set<Channel> channels) {
+        private Routes(Jooby application, Consumer<Channel> whenUsed) {
             this.application = application;
-            this.channels = channels;
+            this.whenUsed = whenUsed;
         }
 
         /**
@@ -67,10 +72,7 @@
         public void on(String method, String path, Consumer<Exchange> action) {
             Route.Handler handler = context -> {
                 Exchange exchange = new Exchange(context);
-                Channel channel = exchange.channel();
-                if (channels.add(channel)) {
-                    channel.closeFuture().addListener(future -> channels.remove(channel));
-                }
+                whenUsed.accept(exchange.channel());
                 try {
                     action.accept(exchange);
                 } catch (IllegalArgumentException exception) {
@@ -114,10 +116,17 @@
     /**
      * Closes all connections and refuses new ones for a while, on the same port.
      *
+     * <p>The listener closes first, so that a peer that sees its connection end cannot connect again at once. Not for
+     * threads of the server, because it waits for the listener.
+     *
      * @param pause how long connections are refused
      * @param beforeReturn runs just before the server listens again
      */
     public void suspend(Duration pause, Runnable beforeReturn) {
+        Channel listening = listener;
+        if (listening != null) {
+            listening.close().awaitUninterruptibly(CLOSE_LIMIT_MILLISECONDS);
+        }
         channels.forEach(Channel::close);
         timer.execute(this::closeUnlessStopped);
         timer.schedule(
@@ -143,7 +152,7 @@
         application.setExecutionMode(ExecutionMode.EVENT_LOOP);
         application.error(
                 (context, cause, code) -> new Exchange(context).refuse(code.value(), "not_served", code.reason()));
-        routes.accept(new Routes(application, channels));
+        routes.accept(new Routes(application, this::watch));
         ServerOptions options = new ServerOptions();
         options.setHost(HOST);
         options.setPort(port);
@@ -158,6 +167,13 @@
         port = options.getPort();
     }
 
+    private void watch(Channel channel) {
+        listener = channel.parent();
+        if (channels.add(channel)) {
+            channel.closeFuture().addListener(future -> channels.remove(channel));
+        }
+    }
+
     private synchronized void closeUnlessStopped() {
         if (!stopped) {
             close();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 
 import org.banyanstair.testsupport.endpoint.FaultSettings;
+import org.tinylog.Logger;
 
 /**
  * The continuous batch: waiting and running generations and the streams that can be resumed.
@@ -139,7 +140,13 @@
         nextStepNanos = Math.max(System.nanoTime(), nextStepNanos + stepNanos());
         counts.steps++;
         for (Generation generation : List.copyOf(running)) {
-            advance(generation);
+            try {
+                advance(generation);
+            } catch (RuntimeException exception) {
+                // One stream that cannot be written must not stop the batch.
+                Logger.error(exception, "request {} could not be served", generation.requestId);
+                end(generation, RunOutcome.DISCONNECTED);
+            }
         }
         long pause = nextStepNanos - System.nanoTime();
         if (pause > 0) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
@@ -1,5 +1,6 @@
 package org.banyanstair.testsupport.engine;
 
+import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
@@ -119,18 +120,34 @@
      * @param value its number, 0 to end the fault
      */
     public void setFault(EngineFault fault, long value) {
-        if (fault == EngineFault.REFUSE_CONNECTIONS_MILLISECONDS) {
-            server.suspend(Duration.ofMillis(value), () -> {});
-        } else if (fault == EngineFault.RESTART) {
-            onScheduler(() -> {
-                crash();
-                return true;
-            });
-        } else {
+        onScheduler(() -> {
+            applyFault(fault, value);
+            return true;
+        });
+    }
+
+    private void applyFault(EngineFault fault, long value) {
+        if (!isAction(fault)) {
             faults.set(fault, value);
+        } else if (value > 0 && fault == EngineFault.RESTART) {
+            crash();
+        } else if (value > 0) {
+            server.suspend(Duration.ofMillis(value), () -> {});
         }
     }
 
+    private static boolean isAction(EngineFault fault) {
+        return fault == EngineFault.RESTART || fault == EngineFault.REFUSE_CONNECTIONS_MILLISECONDS;
+    }
+
+    /** Settings are in force when the answer is sent; actions follow it, because they close its connection. */
+    private void putFaults(Exchange exchange) {
+        Map<EngineFault, Long> parsed = faults.parse(exchange.json());
+        parsed.forEach((fault, value) -> applyFault(fault, isAction(fault) ? 0 : value));
+        exchange.answer(200, parsed);
+        parsed.forEach(this::applyFault);
+    }
+
     private <T> T onScheduler(Callable<T> action) {
         Future<T> result = scheduler.submit(action);
         try {
@@ -151,19 +168,7 @@
         command(routes, "GET", "/v1/cache_events", this::cacheEvents);
         command(routes, "GET", "/record", exchange -> exchange.answer(200, runLog.snapshot(batch.running())));
         command(routes, "GET", "/counters", exchange -> exchange.answer(200, counts.snapshot()));
-        routes.on("PUT", "/faults", exchange -> {
-            Map<EngineFault, Long> parsed = faults.parse(exchange.json());
-            exchange.answer(200, parsed);
-            scheduler.execute(() -> parsed.forEach(this::setFaultOnScheduler));
-        });
-    }
-
-    private void setFaultOnScheduler(EngineFault fault, long value) {
-        if (fault == EngineFault.RESTART) {
-            crash();
-        } else {
-            setFault(fault, value);
-        }
+        command(routes, "PUT", "/faults", this::putFaults);
     }
 
     private void command(StandInServer.Routes routes, String method, String path, Consumer<Exchange> action) {
@@ -184,7 +189,7 @@
         }
         try {
             action.accept(exchange);
-        } catch (IllegalArgumentException exception) {
+        } catch (IllegalArgumentException | DateTimeException exception) {
             exchange.refuse(400, "invalid_field", String.valueOf(exception.getMessage()));
         }
     }
@@ -244,11 +249,17 @@
     private void attach(Exchange exchange, Generation generation) {
         generation.reader = exchange;
         generation.brokenAtNanos = Long.MAX_VALUE;
-        exchange.onClose(() -> scheduler.execute(() -> {
-            if (generation.reader == exchange) {
-                batch.disconnected(generation);
+        exchange.onClose(() -> {
+            if (!scheduler.isShutdown()) {
+                scheduler.execute(() -> disconnected(exchange, generation));
             }
-        }));
+        });
+    }
+
+    private void disconnected(Exchange exchange, Generation generation) {
+        if (generation.reader == exchange) {
+            batch.disconnected(generation);
+        }
     }
 
     private void cancel(Exchange exchange) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
@@ -95,19 +95,26 @@
      * @param value its number, 0 to end the fault
      */
     public void setFault(PlainServiceFault fault, long value) {
-        if (fault == PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS) {
-            server.suspend(Duration.ofMillis(value), () -> {});
-        } else {
+        if (fault != PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS) {
             faults.set(fault, value);
+        } else if (value > 0) {
+            server.suspend(Duration.ofMillis(value), () -> {});
         }
     }
 
+    /** Settings are in force when the answer is sent; a refusal of connections follows it. */
+    private void putFaults(Exchange exchange, Map<PlainServiceFault, Long> parsed) {
+        long refusal = parsed.getOrDefault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, 0L);
+        parsed.forEach(faults::set);
+        exchange.answer(200, parsed);
+        setFault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, refusal);
+    }
+
     private void declare(StandInServer.Routes routes) {
         routes.on("GET", "/record", exchange -> exchange.answer(200, Map.of("runs", record())));
         routes.on("PUT", "/faults", exchange -> {
             Map<PlainServiceFault, Long> parsed = faults.parse(exchange.json());
-            exchange.answer(200, parsed);
-            parsed.forEach(this::setFault);
+            thread.execute(() -> putFaults(exchange, parsed));
         });
         routes.on("POST", "/orders", exchange -> thread.execute(() -> order(exchange)));
         routes.on("GET", "/stock/{item}", exchange -> thread.execute(() -> stock(exchange)));
--- /dev/null
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/Endpoints.java
@@ -0,0 +1,53 @@
+package org.banyanstair.platform.http;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Instant;
+
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EndpointKind;
+import org.banyanstair.membership.Presence;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.DataCentre;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.PriorityClass;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.platform.EngineRequest;
+import org.banyanstair.testsupport.engine.EngineProbe;
+
+/** Endpoints and requests for the tests of the clients. */
+final class Endpoints {
+    static final EndpointId ID = new EndpointId("runner-1");
+    static final AdapterVersion ADAPTER = AdapterVersion.parse(EngineProbe.ADAPTER);
+
+    private Endpoints() {}
+
+    static Endpoint at(NetworkAddress address) {
+        return new Endpoint(
+                ID,
+                EndpointKind.ENGINE,
+                Presence.LIVE,
+                new DataCentre("ub-east"),
+                new PoolId("assistant"),
+                address,
+                4,
+                8,
+                true);
+    }
+
+    /** An address on which nothing listens. */
+    static Endpoint closed() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return at(new NetworkAddress("127.0.0.1", socket.getLocalPort()));
+        }
+    }
+
+    static EngineRequest request(String id, int maxTokens, long nextToken, Instant deadline) {
+        byte[] body = EngineProbe.body("p", maxTokens).getBytes();
+        RequestId requestId = new RequestId(id);
+        return new EngineRequest(
+                requestId, "/v1/completions", body, ADAPTER, PriorityClass.STANDARD, deadline, nextToken);
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpEngineClientProtocolTest.java
@@ -0,0 +1,130 @@
+package org.banyanstair.platform.http;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.platform.GenerationEnd;
+import org.banyanstair.platform.OrderResult;
+import org.banyanstair.testsupport.endpoint.Exchange;
+import org.banyanstair.testsupport.endpoint.StandInServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a client that passes on a stream with gaps or trusts answers that the protocol does not define. */
+class HttpEngineClientProtocolTest {
+    private final HttpEngineClient client = new HttpEngineClient(EngineClientLimits.DEFAULT);
+    private final AtomicInteger received = new AtomicInteger();
+    private StandInServer server;
+
+    @AfterEach
+    void stop() {
+        client.stop();
+        server.stop();
+    }
+
+    private Recorder generate(Consumer<Exchange> answer) {
+        server = new StandInServer(
+                0,
+                routes -> routes.on("POST", "/*", exchange -> {
+                    received.incrementAndGet();
+                    answer.accept(exchange);
+                }));
+        server.start();
+        Recorder recorder = new Recorder();
+        client.generate(
+                Endpoints.at(server.address()),
+                Endpoints.request("r", 3, 0, Instant.now().plusSeconds(5)),
+                recorder);
+        return recorder;
+    }
+
+    private Recorder stream(String events) {
+        return generate(exchange -> {
+            exchange.startEvents();
+            exchange.sendEvents(events);
+            exchange.endEvents();
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "id: 0\ndata: {}\n\nid: 2\ndata: {}\n\ndata: [DONE]\n\n",
+                "id: 0\ndata: {}\n\nid: 0\ndata: {}\n\ndata: [DONE]\n\n",
+                "id: 0\ndata: {}\n\ndata: {}\n\ndata: [DONE]\n\n",
+                "id: 0\ndata: {}\n\nid: x\ndata: {}\n\ndata: [DONE]\n\n",
+                "id: 0\ndata: {}\n\nid: 1\ndata: {}\n\n",
+                "id: 0\ndata: {}\n\ndata: [DONE]",
+            })
+    void streamWithAGapARepeatOrNoEndIsBroken(String events) throws Exception {
+        Recorder recorder = stream(events);
+        assertEquals(new GenerationEnd.Broken(new Failure.EndpointFailed(Endpoints.ID)), recorder.end());
+        assertEquals(0L, recorder.indexes().get(0));
+    }
+
+    @Test
+    void allFormsOfTheEventStreamAreRead() throws Exception {
+        Recorder recorder = stream(
+                ": comment\n\nevent: x\r\nid:0\r\ndata:{\"a\":1}\r\n\r\nid: 1\ndata: {\ndata: }\n\ndata: [DONE]\n\n");
+        assertEquals(new GenerationEnd.Complete(), recorder.end());
+        assertEquals(List.of(0L, 1L), recorder.indexes());
+        assertEquals("{\"a\":1}{\n}", recorder.json());
+    }
+
+    @Test
+    void headersTellTheEngineWhatItNeeds() throws Exception {
+        Map<String, String> headers = new ConcurrentHashMap<>();
+        generate(exchange -> {
+                    headers.putAll(exchange.context().headerMap());
+                    exchange.refuse(404, "stream_not_found", "text");
+                })
+                .end();
+        assertEquals("r", headers.get("X-Request-Id"));
+        assertEquals("standard", headers.get("X-Priority"));
+        assertTrue(Instant.parse(headers.get("X-Request-Deadline")).isAfter(Instant.now()));
+        assertTrue(headers.get("Content-Type").startsWith("application/json"));
+        assertFalse(headers.containsKey("Last-Event-ID"));
+        Recorder resumed = new Recorder();
+        client.generate(
+                Endpoints.at(server.address()),
+                Endpoints.request("r", 9, 5, Instant.now().plusSeconds(5)),
+                resumed);
+        resumed.end();
+        assertEquals("4", headers.get("Last-Event-ID"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "500,load_failed",
+        "503,overloaded",
+        "404,unheard_of",
+        "307,moved",
+        "409,adapter_not_loaded",
+        "202,accepted"
+    })
+    void undefinedAnswerIsNeitherTrustedNorRepeated(int status, String code) throws Exception {
+        Recorder recorder = generate(exchange -> {
+            exchange.context().setResponseHeader("Retry-After", "0");
+            exchange.context().setResponseHeader("Location", "/elsewhere");
+            exchange.refuse(status, code, "text");
+        });
+        assertTrue(recorder.end() instanceof GenerationEnd.Broken);
+        assertEquals(1, received.get());
+        OrderResult load = client.load(Endpoints.at(server.address()), Endpoints.ADAPTER, 1)
+                .get();
+        assertTrue(load instanceof OrderResult.Unknown, load.toString());
+        assertEquals(2, received.get());
+    }
+}
--- /dev/null
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/Recorder.java
@@ -0,0 +1,46 @@
+package org.banyanstair.platform.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.banyanstair.platform.GenerationEnd;
+import org.banyanstair.platform.TokenListener;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Keeps the indexes that a generation delivered and counts its ends. */
+final class Recorder implements TokenListener {
+    private final List<Long> indexes = new ArrayList<>();
+    private final CompletableFuture<GenerationEnd> end = new CompletableFuture<>();
+    private final AtomicInteger ends = new AtomicInteger();
+    private final StringBuilder json = new StringBuilder();
+
+    @Override
+    public synchronized void token(long index, String chunk) {
+        indexes.add(index);
+        json.append(chunk);
+    }
+
+    @Override
+    public void end(GenerationEnd how) {
+        ends.incrementAndGet();
+        end.complete(how);
+    }
+
+    synchronized List<Long> indexes() {
+        return List.copyOf(indexes);
+    }
+
+    synchronized String json() {
+        return json.toString();
+    }
+
+    GenerationEnd end() throws Exception {
+        GenerationEnd how = end.get(8, TimeUnit.SECONDS);
+        assertEquals(1, ends.get(), "a generation has exactly one end");
+        return how;
+    }
+}
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
@@ -136,13 +136,25 @@
             listener.end(new GenerationEnd.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
             return () -> {};
         }
+        Request http;
+        try {
+            http = toHttp(endpoint, request);
+        } catch (IllegalArgumentException exception) {
+            Failure failure = new Failure.InvalidField("request", "a request id and a path that HTTP can carry");
+            listener.end(new GenerationEnd.NotStarted(failure));
+            return () -> {};
+        }
+        return start(endpoint, request, http, listener);
+    }
+
+    private Cancellation start(Endpoint endpoint, EngineRequest request, Request http, TokenListener listener) {
         EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
         GenerationCall[] self = new GenerationCall[1];
         GenerationCall generation =
                 new GenerationCall(endpoint, request, listener, watch, () -> generations.remove(self[0]));
         self[0] = generation;
         generations.add(generation);
-        generation.start(calls.newCall(toHttp(endpoint, request), watch, request.deadline()));
+        generation.start(calls.newCall(http, watch, request.deadline()));
         return () -> {
             if (generations.contains(generation) && generation.cancel()) {
                 cancelAtEngine(endpoint, request);
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpPlainServiceClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpPlainServiceClient.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
 
 import okhttp3.Call;
 import okhttp3.Callback;
@@ -23,6 +24,8 @@
     /** Methods for which OkHttp wants a body, if only an empty one. */
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
+    private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
+
     private final long answerLimitBytes;
     private final EndpointCalls calls;
 
@@ -92,9 +95,9 @@
     }
 
     private static Request toHttp(Endpoint endpoint, ServiceCall request) {
-        if (!request.path().startsWith("/")) {
-            // Without the slash, the text would become part of the address.
-            throw new IllegalArgumentException("the path must start with '/'");
+        // Without the slash, the path would become part of the address; OkHttp does not check the method.
+        if (!request.path().startsWith("/") || !METHOD.matcher(request.method()).matches()) {
+            throw new IllegalArgumentException("the method or the path is malformed");
         }
         boolean withBody = request.body().length > 0 || METHODS_WITH_BODY.contains(request.method());
         Request.Builder builder = new Request.Builder()
