Test banyanstairctl against a stand-in of the operator API

Failures inside a map were written as JSON without the name of their type, so a reader could not tell them apart; the same held for the operations of diff. Both are now fields of records with declared types.

--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferenceView.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferenceView.java
@@ -1,6 +1,5 @@
 package org.banyanstair.cli.command;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -11,6 +10,8 @@
 
 /** Prints operations as additions, changes and removals compared with a configuration. */
 final class DifferenceView {
+    private record Document(long version, List<Operation> operations) {}
+
     private final Configuration from;
 
     DifferenceView(Configuration from) {
@@ -18,13 +19,10 @@
     }
 
     void print(Console console, List<Operation> operations) {
-        Map<String, Object> document = new LinkedHashMap<>();
-        document.put("version", from.version());
-        document.put("operations", operations);
         List<String> lines = operations.isEmpty()
                 ? List.of(Texts.of("diff.none", from.version()))
                 : operations.stream().map(this::line).toList();
-        console.result(document, lines);
+        console.result(new Document(from.version(), operations), lines);
     }
 
     private String line(Operation operation) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
@@ -1,7 +1,6 @@
 package org.banyanstair.cli.output;
 
 import java.io.PrintStream;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -20,6 +19,13 @@
         JSON
     }
 
+    /** The declared type of the details makes Jackson write the name of the failure; a value in a map has none. */
+    private record ErrorDocument(String code, String text, Failure details) {
+        static ErrorDocument of(Failure failure) {
+            return new ErrorDocument(failure.code(), FailureText.of(failure), failure);
+        }
+    }
+
     private final PrintStream out;
     private final PrintStream err;
     private final Format format;
@@ -88,20 +94,12 @@
         endProgress();
         if (format == Format.JSON) {
             err.println(json(
-                    Map.of("errors", failures.stream().map(Console::document).toList())));
+                    Map.of("errors", failures.stream().map(ErrorDocument::of).toList())));
         } else {
             failures.forEach(failure -> err.println(Texts.of("error", failure.code(), FailureText.of(failure))));
         }
     }
 
-    private static Map<String, Object> document(Failure failure) {
-        Map<String, Object> document = new LinkedHashMap<>();
-        document.put("code", failure.code());
-        document.put("text", FailureText.of(failure));
-        document.put("details", failure);
-        return document;
-    }
-
     private void endProgress() {
         if (progressShown) {
             err.println();
--- /dev/null
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
@@ -0,0 +1,180 @@
+package org.banyanstair.cli;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.cli.operator.ClusterStatus;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.configuration.ChangeVerdict;
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.configuration.Objective;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.banyanstair.errors.FailureText;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.Presence;
+import org.banyanstair.model.DataCentre;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.ServiceId;
+import org.banyanstair.peer.EndpointReport;
+import org.banyanstair.peer.HostStatus;
+
+/** A small operator API of one host, with faults that a test can switch on. */
+final class FakeOperatorApi implements AutoCloseable {
+    static final String KEY = "operator-key-0123456";
+
+    /** What happens to a submitted change. */
+    enum Fault {
+        NONE,
+        /** The change is accepted, and the response is lost. */
+        RESPONSE_LOST,
+        /** The connection closes before the change is read, and the change is never accepted. */
+        REQUEST_LOST,
+        /** Another operator's change is accepted first. */
+        CONFLICT,
+        /** The log is down. */
+        LOG_DOWN
+    }
+
+    final List<ConfigurationChange> changes = new CopyOnWriteArrayList<>();
+    final List<String> drained = new CopyOnWriteArrayList<>();
+    final AtomicInteger submissions = new AtomicInteger();
+    volatile Configuration configuration = Configuration.INITIAL;
+    volatile Fault fault = Fault.NONE;
+    /** How far the host's reported version is behind the version in force. */
+    volatile long versionLag;
+
+    private final Map<String, ChangeVerdict> verdicts = new HashMap<>();
+    private final HttpServer server;
+
+    private record Envelope(Details error) {}
+
+    private record Details(String message, String type, String code, Failure details) {}
+
+    private record Answer(int status, Object body) {}
+
+    FakeOperatorApi() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext("/operator/v1/", this::handle);
+        server.start();
+    }
+
+    String url() {
+        return "http://127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        boolean known = ("Bearer " + KEY).equals(exchange.getRequestHeaders().getFirst("Authorization"));
+        Answer answer = known ? answer(exchange) : refusal(401, new Failure.Unauthenticated());
+        if (answer.status() > 0) {
+            byte[] body = Mappers.JSON.writeValueAsBytes(answer.body());
+            exchange.sendResponseHeaders(answer.status(), body.length);
+            exchange.getResponseBody().write(body);
+        }
+        exchange.close();
+    }
+
+    private Answer answer(HttpExchange exchange) throws IOException {
+        String path = exchange.getRequestURI().getPath().substring("/operator/v1/".length());
+        if (path.equals("changes")) {
+            return submit(Mappers.JSON.readValue(exchange.getRequestBody(), ConfigurationChange.class));
+        } else if (path.startsWith("changes/")) {
+            ChangeVerdict verdict = verdicts.get(path.substring("changes/".length()));
+            return verdict == null ? new Answer(404, Map.of()) : new Answer(200, verdict);
+        } else if (path.startsWith("hosts/")) {
+            drained.add(path);
+            return new Answer(202, Map.of());
+        }
+        return new Answer(200, document(path));
+    }
+
+    private Object document(String path) {
+        return switch (path) {
+            case "configuration" -> configuration;
+            case "status" -> status();
+            case "endpoints" -> List.of(new EndpointReport(
+                    new EndpointId("runner-1"),
+                    new PoolId("assistant"),
+                    Presence.LIVE,
+                    new HostId("entry-1"),
+                    7,
+                    true,
+                    4,
+                    List.of("assistant/tender@v1"),
+                    2,
+                    8));
+            default -> new BurnSnapshot(
+                    new HostId("entry-1"),
+                    Instant.EPOCH,
+                    List.of(new BurnSample(
+                            new ServiceId("assistant"), Objective.DEFAULT, 60, 100, 90, Map.of("queue_full", 10L))));
+        };
+    }
+
+    private ClusterStatus status() {
+        NetworkAddress address =
+                new NetworkAddress("127.0.0.1", server.getAddress().getPort());
+        HostId host = new HostId("entry-1");
+        long version = configuration.version() - versionLag;
+        return new ClusterStatus(
+                List.of(new EntryHost(host, Presence.LIVE, new DataCentre("ub-east"), address, address, address)),
+                List.of(new HostStatus(
+                        new HostIdentity(host, 1),
+                        true,
+                        false,
+                        version,
+                        configuration.presetInForce(),
+                        List.of(),
+                        0,
+                        true,
+                        Instant.EPOCH)));
+    }
+
+    private Answer submit(ConfigurationChange change) {
+        submissions.incrementAndGet();
+        if (fault == Fault.REQUEST_LOST) {
+            return new Answer(0, null);
+        }
+        if (fault == Fault.LOG_DOWN) {
+            return refusal(503, new Failure.LogUnavailable("configuration"));
+        }
+        if (fault == Fault.CONFLICT || change.baseVersion() != configuration.version()) {
+            return refusal(409, new Failure.ConfigurationConflict(change.baseVersion(), 99));
+        }
+        try {
+            configuration = configuration.apply(configuration.version() + 1, change.operations());
+        } catch (FailureException exception) {
+            return refusal(400, exception.failure());
+        }
+        changes.add(change);
+        ChangeVerdict verdict = new ChangeVerdict.Accepted(configuration.version());
+        verdicts.put(change.changeId(), verdict);
+        return new Answer(fault == Fault.RESPONSE_LOST ? 0 : 200, verdict);
+    }
+
+    private static Answer refusal(int status, Failure failure) {
+        Details details = new Details(FailureText.of(failure), "refused", failure.code(), failure);
+        return new Answer(status, new Envelope(details));
+    }
+}
