--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnReportCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnReportCommand.java
@@ -3,17 +3,19 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import okhttp3.HttpUrl;
 import org.banyanstair.burn.BurnSnapshot;
 import org.banyanstair.cli.ExitCode;
 import org.banyanstair.cli.burn.BurnPage;
 import org.banyanstair.cli.burn.BurnReport;
 import org.banyanstair.cli.burn.BurnRow;
 import org.banyanstair.cli.operator.HostAddress;
+import org.banyanstair.cli.operator.HostQueries;
 import org.banyanstair.cli.operator.OperatorClient;
 import org.banyanstair.cli.output.Console;
 import org.banyanstair.cli.output.TextTable;
@@ -71,12 +73,15 @@
 
     private BurnReport collect() {
         List<EntryHost> hosts = client.status().hosts();
-        List<BurnSnapshot> snapshots = new ArrayList<>();
-        List<HostId> missing = new ArrayList<>();
-        for (EntryHost host : hosts) {
-            console.progress(Texts.of("burn.progress", snapshots.size() + missing.size() + 1, hosts.size()));
-            client.burn(HostAddress.of(host)).ifPresentOrElse(snapshots::add, () -> missing.add(host.id()));
-        }
+        console.progress(Texts.of("burn.progress", hosts.size()));
+        Map<HttpUrl, Optional<BurnSnapshot>> answers =
+                HostQueries.ask(hosts.stream().map(HostAddress::of).toList(), client::burn);
+        List<BurnSnapshot> snapshots =
+                answers.values().stream().flatMap(Optional::stream).toList();
+        List<HostId> missing = hosts.stream()
+                .filter(host -> answers.get(HostAddress.of(host)).isEmpty())
+                .map(EntryHost::id)
+                .toList();
         if (snapshots.isEmpty()) {
             throw new FailureException(new Failure.OperatorUnreachable(hosts.stream()
                     .map(host -> host.operatorAddress().toString())
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
@@ -99,12 +99,13 @@
         console.note(Texts.of("apply.unknown", changeId));
         Instant deadline = Instant.now().plus(wait);
         do {
-            for (HttpUrl address : allAddresses()) {
-                Optional<ChangeVerdict> verdict =
-                        client.verdict(address, changeId).filter(found -> !isUnknown(found));
-                if (verdict.isPresent()) {
-                    return verdict.get();
-                }
+            Optional<ChangeVerdict> verdict =
+                    HostQueries.ask(allAddresses(), address -> client.verdict(address, changeId)).values().stream()
+                            .flatMap(Optional::stream)
+                            .filter(found -> !isUnknown(found))
+                            .findFirst();
+            if (verdict.isPresent()) {
+                return verdict.get();
             }
         } while (pause(deadline));
         return new ChangeVerdict.Refused(new Failure.ChangeOutcomeUnknown(changeId));
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/HostQueries.java
@@ -0,0 +1,51 @@
+package org.banyanstair.cli.operator;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Function;
+
+import okhttp3.HttpUrl;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+
+/** Asks many hosts at a time, because each unreachable host costs a timeout. */
+public final class HostQueries {
+    private static final int HOSTS_AT_A_TIME = 16;
+
+    private HostQueries() {}
+
+    /**
+     * Asks all hosts.
+     *
+     * @param addresses addresses of the hosts
+     * @param query asks one host; safe for use by several threads
+     * @param <T> type of an answer
+     * @return answers by address, in the given order; empty for a host that did not answer
+     */
+    public static <T> Map<HttpUrl, Optional<T>> ask(
+            Collection<HttpUrl> addresses, Function<HttpUrl, Optional<T>> query) {
+        ExecutorService executor = Executors.newFixedThreadPool(HOSTS_AT_A_TIME);
+        try {
+            Map<HttpUrl, Future<Optional<T>>> futures = new LinkedHashMap<>();
+            addresses.forEach(address -> futures.put(address, executor.submit(() -> query.apply(address))));
+            Map<HttpUrl, Optional<T>> answers = new LinkedHashMap<>();
+            for (Map.Entry<HttpUrl, Future<Optional<T>>> future : futures.entrySet()) {
+                answers.put(future.getKey(), future.getValue().get());
+            }
+            return answers;
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new FailureException(new Failure.Cancelled());
+        } catch (ExecutionException exception) {
+            throw new IllegalStateException("a query of a host failed", exception);
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+}
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
@@ -36,6 +36,9 @@
     /** The configuration of 96,000 adapters is read with one call, which takes seconds on a slow connection. */
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
+    /** Bounds the time that a silent host costs when all hosts are asked. */
+    private static final Duration ONE_HOST_TIMEOUT = Duration.ofSeconds(5);
+
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
 
     /** A host of a newer release may send fields that this release does not know. */
@@ -45,6 +48,7 @@
     private final List<HttpUrl> addresses;
     private final String key;
     private final OkHttpClient http;
+    private final OkHttpClient oneHostHttp;
 
     /**
      * Creates a client.
@@ -65,6 +69,7 @@
                 .followRedirects(false)
                 .eventListenerFactory(SendWatch.FACTORY)
                 .build();
+        this.oneHostHttp = http.newBuilder().callTimeout(ONE_HOST_TIMEOUT).build();
     }
 
     /**
@@ -129,7 +134,7 @@
                         .tag(SendWatch.class, watch)
                         .post(RequestBody.create(MAPPER.writeValueAsBytes(change), JSON_TYPE))
                         .build();
-                Reply reply = execute(request);
+                Reply reply = execute(http, request);
                 return verdict(reply, unknown);
             } catch (IOException exception) {
                 if (watch.isStarted()) {
@@ -175,7 +180,7 @@
 
     private <T> Optional<T> askOne(HttpUrl address, String path, Class<T> type) {
         try {
-            Reply reply = execute(authorized(address, path).build());
+            Reply reply = execute(oneHostHttp, authorized(address, path).build());
             return reply.isSuccess() ? Optional.of(MAPPER.readValue(reply.body(), type)) : Optional.empty();
         } catch (IOException exception) {
             return Optional.empty();
@@ -186,7 +191,7 @@
     private byte[] send(Request.Builder request, String path) {
         for (HttpUrl address : addresses) {
             try {
-                Reply reply = execute(authorize(request, address, path).build());
+                Reply reply = execute(http, authorize(request, address, path).build());
                 if (!reply.isSuccess()) {
                     throw new FailureException(
                             ErrorBody.failure(MAPPER, reply.body()).orElseGet(() -> refusal(reply)));
@@ -223,8 +228,8 @@
         }
     }
 
-    private Reply execute(Request request) throws IOException {
-        try (Response response = http.newCall(request).execute()) {
+    private static Reply execute(OkHttpClient client, Request request) throws IOException {
+        try (Response response = client.newCall(request).execute()) {
             return new Reply(response.code(), response.body().bytes());
         }
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlLocator.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlLocator.java
@@ -126,7 +126,7 @@
         if (peek() == '"' || peek() == '\'') {
             string();
             String literal = text.substring(from, offset);
-            return new Key(mapper.readTree("key=" + literal).get("key").asText(), start);
+            return new Key(mapper.readTree("key=" + literal).path("key").asText(), start);
         }
         skipUntil(".=] \t");
         return new Key(text.substring(from, offset), start);
@@ -229,7 +229,7 @@
             line++;
             lineStart = offset + 1;
         }
-        offset++;
+        offset = Math.min(offset + 1, text.length());
     }
 
     private Position position() {
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
@@ -146,7 +146,7 @@
      * @return the type
      */
     public static <T> TomlType<List<T>> list(TomlType<T> type, int minimumSize) {
-        String accepted = "a list of at least " + minimumSize + " elements, each " + type.accepted();
+        String accepted = "a list of at least " + minimumSize + " elements, each of them " + type.accepted();
         return described(accepted, value -> {
             if (!value.node().isArray() || value.node().size() < minimumSize) {
                 return value.reject(accepted);
