--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
@@ -102,12 +102,9 @@
     }
 
     private void checkService(TomlTable table, String service) {
-        Optional<ServiceKind> kind = services.get(service);
-        if (kind == null) {
-            table.reject("service", "a service of this file");
-        } else {
-            rejectIf(kind.equals(Optional.of(ServiceKind.PLAIN)), table, "service", "a service of kind generation");
-        }
+        boolean plain = services.getOrDefault(service, Optional.empty()).equals(Optional.of(ServiceKind.PLAIN));
+        rejectIf(!services.containsKey(service), table, "service", "a service of this file");
+        rejectIf(plain, table, "service", "a service of kind generation");
     }
 
     private static void checkVersions(TomlTable table, List<String> versions, Optional<String> defaultVersion) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
@@ -131,23 +131,23 @@
      */
     public List<HostId> awaitEverywhere(long version) {
         Instant deadline = Instant.now().plus(wait);
-        FailureException lastFailure;
+        Optional<FailureException> lastFailure;
         List<HostId> missing = List.of();
         do {
             try {
                 ClusterStatus status = client.status();
                 missing = status.hostsBelow(version);
-                lastFailure = null;
+                lastFailure = Optional.empty();
                 if (missing.isEmpty()) {
                     return missing;
                 }
                 console.progress(Texts.of("apply.waiting", version, missing.size(), missing));
             } catch (FailureException exception) {
-                lastFailure = exception;
+                lastFailure = Optional.of(exception);
             }
         } while (pause(deadline));
-        if (lastFailure != null) {
-            throw lastFailure;
+        if (lastFailure.isPresent()) {
+            throw lastFailure.get();
         }
         return missing;
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
@@ -36,6 +36,9 @@
     /** The configuration of 96,000 adapters is read with one call, which takes seconds on a slow connection. */
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
+    /** A host that sends nothing for this long counts as unreachable, and the next address is tried. */
+    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(10);
+
     /** Bounds the time that a silent host costs when all hosts are asked. */
     private static final Duration ONE_HOST_TIMEOUT = Duration.ofSeconds(5);
 
@@ -61,8 +64,8 @@
         this.key = key;
         this.http = new OkHttpClient.Builder()
                 .connectTimeout(CONNECT_TIMEOUT)
-                .readTimeout(CALL_TIMEOUT)
-                .writeTimeout(CALL_TIMEOUT)
+                .readTimeout(SILENCE_TIMEOUT)
+                .writeTimeout(SILENCE_TIMEOUT)
                 .callTimeout(CALL_TIMEOUT)
                 // A change must not be sent twice by a layer that does not know its meaning.
                 .retryOnConnectionFailure(false)
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
@@ -22,6 +22,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -110,9 +112,10 @@
         assertEquals(ExitCode.DONE, run("diff", "-f", file));
     }
 
-    @Test
-    void lostResponseIsResolvedWithoutASecondSubmission() throws IOException {
-        api.fault = Fault.RESPONSE_LOST;
+    @ParameterizedTest
+    @EnumSource(names = {"RESPONSE_LOST", "VERDICT_LATE"})
+    void unknownOutcomeIsResolvedWithoutASecondSubmission(Fault fault) throws IOException {
+        api.fault = fault;
         assertEquals(ExitCode.DONE, run("apply", "-f", file(SERVICE)));
         assertEquals(1, api.submissions.get());
         assertEquals(1, api.changes.size());
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
@@ -44,6 +44,8 @@
         NONE,
         /** The change is accepted, and the response is lost. */
         RESPONSE_LOST,
+        /** The change is accepted, and the host answers that it does not know this yet. */
+        VERDICT_LATE,
         /** The connection closes before the change is read, and the change is never accepted. */
         REQUEST_LOST,
         /** Another operator's change is accepted first. */
@@ -170,6 +172,9 @@
         changes.add(change);
         ChangeVerdict verdict = new ChangeVerdict.Accepted(configuration.version());
         verdicts.put(change.changeId(), verdict);
+        if (fault == Fault.VERDICT_LATE) {
+            return refusal(504, new Failure.ChangeOutcomeUnknown(change.changeId()));
+        }
         return new Answer(fault == Fault.RESPONSE_LOST ? 0 : 200, verdict);
     }
 
