Wake up every read that waits for the log stand-in

Cause: one of four reads waiting on a stream was answered only at its time-out (seen as orders and changes that took 10 s). Jooby does not flush a response that is written on the connection's own event loop from the handler of another connection. Excluded: a lost wake-up in StreamLog; its lists are consistent. Change: wake-ups run on the timer thread. A follower's first read does not wait, so a start is not delayed by empty streams. Conclusion: mended at the stand-in; the daemon's own HTTP writes are flushed by its exchange.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -56,11 +56,13 @@
         followed.clear();
     }
 
-    private void read(String stream, Object token, long offset) {
+    /** Reads on; waits for new records only after the end was seen, so that a start is not delayed. */
+    private void read(String stream, Object token, long offset, boolean atEnd) {
         if (followed.get(stream) != token) {
             return;
         }
-        Instant waitUntil = clock.instant().plus(LONGEST_WAIT);
+        Instant now = clock.instant();
+        Instant waitUntil = atEnd ? now.plus(LONGEST_WAIT) : now;
         log.read(stream, offset, RECORDS_PER_READ, waitUntil)
                 .thenAccept(result -> ended(stream, token, offset, result));
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -112,7 +112,8 @@
         retention = faults.retentionSeconds().map(Duration::ofSeconds).orElse(configuredRetention);
         server.setFaults(faults.shared());
         if (server.injector().isUnavailable()) {
-            streams.values().forEach(stream -> stream.takePending().forEach(PendingRead::answer));
+            streams.values().forEach(stream -> stream.takePending()
+                    .forEach(read -> server.timer().execute(read::answer)));
         }
     }
 
@@ -192,7 +193,7 @@
     }
 
     private StreamLog stream(Request request) {
-        return streams.computeIfAbsent(request.path("name"), name -> new StreamLog());
+        return streams.computeIfAbsent(request.path("name"), name -> new StreamLog(server.timer()));
     }
 
     private static long number(Request request, String name, long least) {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/Endpoints.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/Endpoints.java
@@ -48,6 +48,13 @@
         byte[] body = EngineProbe.body("p", maxTokens).getBytes();
         RequestId requestId = new RequestId(id);
         return new EngineRequest(
-                requestId, "/v1/completions", body, ADAPTER, PriorityClass.STANDARD, deadline, nextToken);
+                requestId,
+                "/v1/completions",
+                body,
+                ADAPTER,
+                PriorityClass.STANDARD,
+                deadline,
+                nextToken,
+                nextToken > 0);
     }
 }
