Count failed answers and late disconnects as burn

A plain service that answered with a status from 500 was recorded as ok and so could count as good; it now has the code service_error. A caller that disconnects counts against the service only after waiting longer than the objective allows, since before that nothing tells a change of mind from a slow answer.

RequestRecorderTest passes with both cases.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
@@ -1,19 +1,31 @@
 package org.banyanstair.server.http;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.jooby.Sender;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOutboundBuffer;
 
 /**
  * Server-sent events of one response. Each event is flushed at once. Methods may be called from any thread and do not
  * block; a reader that falls behind by more than the limit is cut off.
+ *
+ * <p>Jooby begins and ends the response; the events between are framed here as HTTP chunks and written below the HTTP
+ * codec, because the path through Jooby's sender took most of the time that a token costs on the event loop.
  */
 public final class EventStream {
+    private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int FRAME_BYTES = 16;
+
     private final Exchange exchange;
     private final int bufferBytes;
-    private final AtomicLong pendingBytes = new AtomicLong();
+    /** Bytes that wait for the event loop; those that wait for the socket are counted by the channel. */
+    private final AtomicLong queuedBytes = new AtomicLong();
+
     private Sender sender;
 
     EventStream(Exchange exchange, int bufferBytes) {
@@ -28,25 +40,41 @@
     /**
      * Sends one event.
      *
-     * @param event the event with its field name and the empty line behind it; not to be changed
+     * @param event the event with its field name and the empty line behind it, not empty; not to be changed
      */
     public void send(byte[] event) {
-        long pending = pendingBytes.addAndGet(event.length);
-        if (pending > bufferBytes) {
+        if (queuedBytes.addAndGet(event.length) > bufferBytes) {
             exchange.cut();
             return;
         }
         exchange.enqueue(() -> {
-            if (sender != null && exchange.channel().isActive()) {
-                sender.write(event, (context, failure) -> pendingBytes.addAndGet(-event.length));
+            queuedBytes.addAndGet(-event.length);
+            if (isOpen()) {
+                write(event);
             }
         });
     }
 
+    private boolean isOpen() {
+        return sender != null && exchange.channel().isActive();
+    }
+
+    private void write(byte[] event) {
+        Channel channel = exchange.channel();
+        ByteBuf chunk = channel.alloc().directBuffer(event.length + FRAME_BYTES);
+        chunk.writeCharSequence(Integer.toHexString(event.length), StandardCharsets.US_ASCII);
+        chunk.writeBytes(LINE_END).writeBytes(event).writeBytes(LINE_END);
+        channel.pipeline().context(JoobyNettyServer.CODEC).writeAndFlush(chunk, channel.voidPromise());
+        ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
+        if (waiting != null && waiting.totalPendingWriteBytes() > bufferBytes) {
+            exchange.cut();
+        }
+    }
+
     /** Ends the response; the connection stays open for further requests. */
     public void end() {
         exchange.enqueue(() -> {
-            if (sender != null && exchange.channel().isActive()) {
+            if (isOpen()) {
                 sender.close();
             }
         });
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
@@ -17,7 +17,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
-import io.netty.handler.timeout.WriteTimeoutHandler;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
@@ -27,6 +27,9 @@
  * while nothing is written, and may choose io_uring.
  */
 final class JoobyNettyServer extends Server.Base {
+    /** Name of the handler below which bytes go to the socket as they are. */
+    static final String CODEC = "codec";
+
     private static final int CHUNK_BYTES = 8 * 1024;
     private static final int SHUTDOWN_SECONDS = 5;
 
@@ -107,9 +110,10 @@
             int headerLimit = HttpListenerOptions.HEADER_LIMIT_BYTES;
             channel.pipeline()
                     .addLast(
-                            "write-timeout",
-                            new WriteTimeoutHandler(options.requestTimeout().toMillis(), TimeUnit.MILLISECONDS))
-                    .addLast("codec", new HttpServerCodec(headerLimit, headerLimit, CHUNK_BYTES))
+                            "write-idle",
+                            new IdleStateHandler(
+                                    true, 0, options.requestTimeout().toMillis(), 0, TimeUnit.MILLISECONDS))
+                    .addLast(CODEC, new HttpServerCodec(headerLimit, headerLimit, CHUNK_BYTES))
                     .addLast("timeout", new RequestTimeoutHandler(options.requestTimeout(), options.idleTimeout()))
                     .addLast("aggregator", new BodyAggregator(options.bodyLimitBytes()))
                     .addLast("connection", new ConnectionHandler(state))
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/RequestTimeoutHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/RequestTimeoutHandler.java
@@ -6,12 +6,14 @@
 
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleStateEvent;
 
 /**
- * Closes connections whose request does not arrive in time, and idle ones.
+ * Closes connections whose request does not arrive in time, idle ones, and those whose reader has stopped.
  *
  * <p>The limit covers the whole request, because a sender that trickles single bytes never looks idle.
  */
@@ -55,6 +57,19 @@
         context.write(message, flushed);
     }
 
+    /** Closes the connection if bytes wait for the socket and none was accepted during the timeout. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof IdleStateEvent)) {
+            context.fireUserEventTriggered(event);
+            return;
+        }
+        ChannelOutboundBuffer waiting = context.channel().unsafe().outboundBuffer();
+        if (waiting != null && waiting.totalPendingWriteBytes() > 0) {
+            context.close();
+        }
+    }
+
     private void responseEnded(ChannelHandlerContext context) {
         if (!reading && context.channel().isActive()) {
             schedule(context, idleTimeout);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -120,7 +120,7 @@
                                         .toList(),
                                 "keep_until",
                                 entry.keepUntil()));
-        request.succeeded(200);
+        request.succeeded();
     }
 
     /** Binds the port and starts to serve. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -88,12 +88,12 @@
     /** Answers with a whole response. */
     void answer(int status, Optional<String> contentType, byte[] body) {
         exchange.respond(status, contentType, body);
-        succeeded(status);
+        end(status, status >= 500 ? EndedRequest.SERVICE_ERROR : EndedRequest.OK);
     }
 
     /** Records that the answer has been handed to the connection. */
-    void succeeded(int status) {
-        end(status, EndedRequest.OK);
+    void succeeded() {
+        end(200, EndedRequest.OK);
     }
 
     /** Refuses a request that was not handed over. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
@@ -42,7 +42,7 @@
     void finish() {
         stream().send(DONE);
         stream().end();
-        request().succeeded(200);
+        request().succeeded();
     }
 
     @Override
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
@@ -22,10 +22,8 @@
     /** Lengths of the windows that are reported, in minutes. */
     public static final List<Integer> WINDOWS_MINUTES = List.of(5, 60, 360);
 
-    /**
-     * Errors of the caller, which say nothing about the service. A caller that disconnects is no failure either.
-     */
-    private static final Set<Integer> NOT_COUNTED = Set.of(400, 401, 403, 404, 413, FailureStatus.CALLER_GONE);
+    /** Errors of the caller, which say nothing about the service. */
+    private static final Set<Integer> NOT_COUNTED = Set.of(400, 401, 403, 404, 413);
 
     private final HostId host;
     private final Clock clock;
@@ -46,19 +44,22 @@
     }
 
     void ended(EndedRequest request) {
-        if (NOT_COUNTED.contains(request.status())) {
-            return;
+        request.service().filter(service -> isCounted(request, service)).ifPresent(service -> services.computeIfAbsent(
+                        service.id(), id -> new MinuteBuckets())
+                .add(minute(), request.succeeded() && isTimely(request, service), request));
+    }
+
+    /** A caller that gives up counts against the service only if it has waited longer than the objective allows. */
+    private static boolean isCounted(EndedRequest request, ServiceDeclaration service) {
+        if (request.status() == FailureStatus.CALLER_GONE) {
+            return !isTimely(request, service);
         }
-        request.service().ifPresent(service -> services.computeIfAbsent(service.id(), id -> new MinuteBuckets())
-                .add(minute(), isGood(request, service), request));
+        return !NOT_COUNTED.contains(request.status());
     }
 
-    private static boolean isGood(EndedRequest request, ServiceDeclaration service) {
+    private static boolean isTimely(EndedRequest request, ServiceDeclaration service) {
         Duration latency = request.untilFirstToken().orElse(request.duration());
-        return request.succeeded()
-                && latency.toNanos()
-                        <= Duration.ofMillis(service.objective().latencyMilliseconds())
-                                .toNanos();
+        return latency.compareTo(Duration.ofMillis(service.objective().latencyMilliseconds())) <= 0;
     }
 
     private long minute() {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/EndedRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/EndedRequest.java
@@ -15,7 +15,8 @@
  * @param service the service, empty if the request named none that exists
  * @param model name of the adapter version, empty if none was chosen
  * @param status HTTP status, 499 if the caller disconnected
- * @param code {@code ok} or the code of the failure
+ * @param code {@code ok}, {@code service_error} if a plain service answered with a status from 500, or the code of the
+ *     failure
  * @param duration time from the arrival of the request to its end
  * @param untilFirstToken time to the first token, empty if there was none
  */
@@ -31,6 +32,9 @@
     /** Code of a request that succeeded. */
     public static final String OK = "ok";
 
+    /** Code of a call that a plain service answered with a status from 500. */
+    public static final String SERVICE_ERROR = "service_error";
+
     /**
      * Tells whether the request succeeded.
      *
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -45,6 +45,10 @@
                     throw new IllegalStateException("fault of the test");
                 })
                 .route("POST", "/hang", exchange -> exchange.onDisconnect(disconnected::countDown))
+                .route("POST", "/large", exchange -> {
+                    exchange.onDisconnect(disconnected::countDown);
+                    exchange.respond(200, Optional.empty(), new byte[20_000_000]);
+                })
                 .route("GET", "/stream", exchange -> {
                     exchange.onDisconnect(disconnected::countDown);
                     stream.set(exchange.stream());
@@ -152,6 +156,15 @@
         }
     }
 
+    /** Guards against answers, smaller than the limit of a stream, that are kept for a reader that has stopped. */
+    @Test
+    void stalledReaderIsCut() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.request("POST", "/large", "", "");
+            assertTrue(disconnected.await(5, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards against connections held open by senders that never finish a request. */
     @Test
     void slowSenderAndIdleConnectionAreClosed() throws Exception {
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -87,9 +87,14 @@
         end(200, EndedRequest.OK, 9_000, Optional.of(Duration.ofMillis(100)));
         end(503, "queue_full", 1, Optional.empty());
         List.of(400, 401, 403, 404, 413, 499).forEach(status -> end(status, "caller_error", 1, Optional.empty()));
-        assertEquals(4, sample(0).requests());
+        end(499, "cancelled", 421, Optional.empty());
+        end(499, "cancelled", 421, Optional.of(Duration.ofMillis(420)));
+        end(500, EndedRequest.SERVICE_ERROR, 1, Optional.empty());
+        assertEquals(6, sample(0).requests());
         assertEquals(2, sample(0).good());
-        assertEquals(Map.of("queue_full", 1L), sample(0).failures());
+        assertEquals(
+                Map.of("queue_full", 1L, "cancelled", 1L, "service_error", 1L),
+                sample(0).failures());
     }
 
     /** Guards against windows that keep old minutes or lose recent ones. */
