--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
@@ -90,7 +90,10 @@
     }
 
     private static boolean isStop(JsonNode node) {
-        return node.isTextual() || isListOf(node, JsonNode::isTextual) && node.size() <= MAXIMUM_STOP_SEQUENCES;
+        boolean emptyList = node.isArray() && node.isEmpty();
+        return node.isTextual()
+                || emptyList
+                || isListOf(node, JsonNode::isTextual) && node.size() <= MAXIMUM_STOP_SEQUENCES;
     }
 
     private static boolean isPrompt(JsonNode node) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationBody.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationBody.java
@@ -13,7 +13,7 @@
 
 /** The checked JSON body of a generation request. */
 final class GenerationBody {
-    /** Engines cache prompts in blocks of about this size; a longer prefix would tell apart what they share. */
+    /** A longer prefix would distinguish prompts that share the beginning that an engine has cached. */
     private static final int PREFIX_BYTES = 256;
 
     private final ObjectNode json;
