--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -45,6 +45,10 @@
                     throw new IllegalStateException("fault of the test");
                 })
                 .route("POST", "/hang", exchange -> exchange.onDisconnect(disconnected::countDown))
+                .route("POST", "/large", exchange -> {
+                    exchange.onDisconnect(disconnected::countDown);
+                    exchange.respond(200, Optional.empty(), new byte[20_000_000]);
+                })
                 .route("GET", "/stream", exchange -> {
                     exchange.onDisconnect(disconnected::countDown);
                     stream.set(exchange.stream());
@@ -152,6 +156,15 @@
         }
     }
 
+    /** Guards against answers, smaller than the limit of a stream, that are kept for a reader that has stopped. */
+    @Test
+    void stalledReaderIsCut() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.request("POST", "/large", "", "");
+            assertTrue(disconnected.await(5, TimeUnit.SECONDS));
+        }
+    }
+
     /** Guards against connections held open by senders that never finish a request. */
     @Test
     void slowSenderAndIdleConnectionAreClosed() throws Exception {
@@ -182,4 +195,31 @@
             assertThrows(java.io.IOException.class, () -> new RawClient(listener.port()));
         }
     }
+
+    /** Guards against a stop that drops a request of which only a part has arrived, and that keeps idle connections. */
+    @Test
+    void stopServesRequestThatIsArriving() throws Exception {
+        try (RawClient client = new RawClient(listener.port());
+                RawClient idle = new RawClient(listener.port())) {
+            idle.request("GET", "/echo/a/1", "", "");
+            idle.readUntil("/echo/a/1 a ");
+            client.send("POST /echo/a/1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
+            Thread.sleep(50);
+            Thread end = new Thread(() -> {
+                try {
+                    Thread.sleep(100);
+                    client.send("y");
+                } catch (Exception exception) {
+                    throw new IllegalStateException(exception);
+                }
+            });
+            end.start();
+            assertTrue(listener.stop(Instant.now().plusSeconds(5)));
+            String answer = client.readAll();
+            assertTrue(answer.endsWith("/echo/a/1 a xy"), answer);
+            assertTrue(answer.contains("connection: close"), answer);
+            assertEquals("", idle.readAll());
+            end.join();
+        }
+    }
 }
