Add a cluster fixture with daemons as processes

Cause: quick start, history checks and benchmarks need the same system. Change: stand-ins in the test's process, daemons as processes, a fault proxy before each peer address, log connection and endpoint; the command-line tool applies declarations. Conclusion: base for the checks under failure.

--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -0,0 +1,405 @@
+package org.banyanstair.integration.cluster;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.banyanstair.cli.CommandLineTool;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EndpointKind;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.Presence;
+import org.banyanstair.model.DataCentre;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.server.Main;
+import org.banyanstair.testsupport.engine.EngineSettings;
+import org.banyanstair.testsupport.engine.EngineStandIn;
+import org.banyanstair.testsupport.hosts.HostListStandIn;
+import org.banyanstair.testsupport.log.LogServiceStandIn;
+import org.banyanstair.testsupport.network.FaultProxy;
+import org.banyanstair.testsupport.process.JavaCommand;
+import org.banyanstair.testsupport.process.ManagedProcess;
+import org.banyanstair.testsupport.process.ProcessLauncher;
+import org.banyanstair.testsupport.service.PlainServiceSettings;
+import org.banyanstair.testsupport.service.PlainServiceStandIn;
+
+/**
+ * A system on loopback. Callers are {@link #CALLER}, {@link #OTHER_CALLER} and {@link #STRANGER}.
+ *
+ * <p>Not safe for use by several threads, except for the stand-ins and proxies themselves.
+ */
+public final class Cluster implements AutoCloseable {
+    /** Caller that all services of the test declarations answer. */
+    public static final String CALLER = "clerk";
+
+    /** A second such caller. */
+    public static final String OTHER_CALLER = "member";
+
+    /** Caller with a key that no service answers. */
+    public static final String STRANGER = "stranger";
+
+    /** Bearer key of the operator. */
+    public static final String OPERATOR_KEY = "operator-key-of-the-test";
+
+    private static final List<String> DATA_CENTRES = List.of("ub-east", "ub-west", "darkhan");
+
+    private static final int HEAP_MEGABYTES = 160;
+
+    private static final int START_SECONDS = 30;
+
+    private final ClusterPlan plan;
+    private final Path directory;
+    private final ProcessLauncher launcher;
+    private final FreePorts ports = new FreePorts();
+    private final LogServiceStandIn log;
+    private final HostListStandIn hostList;
+    private NetworkAddress logAddress;
+    private NetworkAddress hostListAddress;
+    private final List<ClusterHost> hosts = new ArrayList<>();
+    private final List<ClusterEngine> engines = new ArrayList<>();
+    private final List<ClusterDesk> desks = new ArrayList<>();
+    private int hostsStarted;
+
+    /**
+     * Creates a cluster; nothing runs before {@link #start}.
+     *
+     * @param plan what it consists of
+     * @param directory directory for settings files and the output of the daemons
+     */
+    public Cluster(ClusterPlan plan, Path directory) {
+        this.plan = plan;
+        this.directory = directory;
+        this.launcher = new ProcessLauncher(directory);
+        this.log = new LogServiceStandIn(0, plan.logRetention(), LogServiceStandIn.DEFAULT_APPENDS_PER_SECOND);
+        this.hostList = new HostListStandIn(0, plan.hostListLag());
+    }
+
+    /**
+     * Returns the bearer key of a caller.
+     *
+     * @param caller name of the caller
+     * @return its key
+     */
+    public static String key(String caller) {
+        return caller + "-key-of-the-test";
+    }
+
+    /** Starts the stand-ins and the hosts; returns when all hosts are ready. */
+    public void start() {
+        startStandIns();
+        List<PendingHost> pending = new ArrayList<>();
+        for (int number = 0; number < plan.hosts(); number++) {
+            pending.add(prepareHost());
+        }
+        pending.parallelStream().map(this::launch).toList().forEach(hosts::add);
+    }
+
+    /** Starts the platform and the endpoints, but no host. */
+    public void startStandIns() {
+        logAddress = log.start();
+        hostListAddress = hostList.start();
+        plan.pools().forEach(this::startPool);
+        for (int number = 0; number < plan.deskEndpoints(); number++) {
+            startDesk(number);
+        }
+    }
+
+    private void startPool(ClusterPlan.PoolPlan pool) {
+        for (EngineSettings settings : pool.engines()) {
+            startEngine(pool.name(), settings);
+        }
+    }
+
+    /**
+     * Starts a further engine.
+     *
+     * @param pool its pool
+     * @param settings its settings
+     * @return the engine
+     */
+    public ClusterEngine startEngine(String pool, EngineSettings settings) {
+        EngineStandIn engine = new EngineStandIn(settings);
+        engine.start();
+        FaultProxy proxy = new FaultProxy(0, engine.address());
+        Endpoint endpoint = new Endpoint(
+                new EndpointId(pool + "-" + (engines.size() + 1)),
+                EndpointKind.ENGINE,
+                Presence.LIVE,
+                dataCentre(engines.size()),
+                new PoolId(pool),
+                proxy.start(),
+                settings.slots(),
+                settings.batchLimit(),
+                settings.checksFencing());
+        ClusterEngine started = new ClusterEngine(endpoint, engine, proxy);
+        engines.add(started);
+        hostList.put(endpoint);
+        return started;
+    }
+
+    private void startDesk(int number) {
+        PlainServiceStandIn service = new PlainServiceStandIn(PlainServiceSettings.DEFAULT);
+        service.start();
+        FaultProxy proxy = new FaultProxy(0, service.address());
+        Endpoint endpoint = new Endpoint(
+                new EndpointId("desk-" + (number + 1)),
+                EndpointKind.SERVICE,
+                Presence.LIVE,
+                dataCentre(number),
+                new PoolId("order-desk"),
+                proxy.start(),
+                0,
+                100,
+                false);
+        desks.add(new ClusterDesk(endpoint, service, proxy));
+        hostList.put(endpoint);
+    }
+
+    private static DataCentre dataCentre(int number) {
+        return new DataCentre(DATA_CENTRES.get(number % DATA_CENTRES.size()));
+    }
+
+    private record PendingHost(EntryHost entry, Path settings, FaultProxy logProxy, FaultProxy peerProxy) {}
+
+    private PendingHost prepareHost() {
+        hostsStarted++;
+        NetworkAddress peer = ports.next();
+        FaultProxy logProxy = new FaultProxy(0, logAddress);
+        FaultProxy peerProxy = new FaultProxy(0, peer);
+        EntryHost entry = new EntryHost(
+                new HostId("entry-" + hostsStarted),
+                Presence.LIVE,
+                dataCentre(hostsStarted - 1),
+                peerProxy.start(),
+                ports.next(),
+                ports.next());
+        Path settings = directory.resolve(entry.id() + ".toml");
+        write(settings, settingsOf(entry, peer, logProxy.start()));
+        hostList.put(entry);
+        return new PendingHost(entry, settings, logProxy, peerProxy);
+    }
+
+    private String settingsOf(EntryHost entry, NetworkAddress peer, NetworkAddress logThroughProxy) {
+        String callers = List.of(CALLER, OTHER_CALLER, STRANGER).stream()
+                .map(caller -> caller + " = \"" + key(caller) + "\"")
+                .collect(Collectors.joining("\n"));
+        return String.join(
+                "\n",
+                "[host]",
+                "id = \"" + entry.id() + "\"",
+                "data-centre = \"" + entry.dataCentre() + "\"",
+                "cluster = \"test\"",
+                "[listen]",
+                "caller = \"" + entry.callerAddress() + "\"",
+                "operator = \"" + entry.operatorAddress() + "\"",
+                "peer = \"" + peer + "\"",
+                "[platform]",
+                "log = \"" + logThroughProxy + "\"",
+                "host-list = \"" + hostListAddress + "\"",
+                "[callers]",
+                callers,
+                "[operators]",
+                "operator = \"" + OPERATOR_KEY + "\"",
+                String.join("\n", plan.settingsLines()),
+                "");
+    }
+
+    private ClusterHost launch(PendingHost pending) {
+        ManagedProcess process = launcher.startJava(
+                pending.entry().id().value(),
+                JavaCommand.of(
+                        Main.class,
+                        HEAP_MEGABYTES,
+                        "--settings",
+                        pending.settings().toString()),
+                Instant.now().plusSeconds(START_SECONDS));
+        return new ClusterHost(pending.entry(), process, pending.settings(), pending.logProxy(), pending.peerProxy());
+    }
+
+    /**
+     * Starts a further host, with a new id, and waits until it is ready.
+     *
+     * @return the host
+     */
+    public ClusterHost startHost() {
+        ClusterHost host = launch(prepareHost());
+        hosts.add(host);
+        return host;
+    }
+
+    /**
+     * Kills a host; the host list shows that after its lag.
+     *
+     * @param host the host
+     */
+    public void kill(ClusterHost host) {
+        host.process().kill();
+        forget(host);
+    }
+
+    /**
+     * Takes a host that has ended out of the cluster and the host list.
+     *
+     * @param host the host
+     */
+    public void forget(ClusterHost host) {
+        hostList.remove(host.id());
+        hosts.remove(host);
+        host.logProxy().stop();
+        host.peerProxy().stop();
+    }
+
+    /**
+     * Returns the hosts that were started and not killed.
+     *
+     * @return copy of the list
+     */
+    public List<ClusterHost> hosts() {
+        return List.copyOf(hosts);
+    }
+
+    /**
+     * Returns the engines.
+     *
+     * @return copy of the list
+     */
+    public List<ClusterEngine> engines() {
+        return List.copyOf(engines);
+    }
+
+    /**
+     * Returns the endpoints of the plain service.
+     *
+     * @return copy of the list
+     */
+    public List<ClusterDesk> desks() {
+        return List.copyOf(desks);
+    }
+
+    /**
+     * Returns the log service.
+     *
+     * @return the stand-in
+     */
+    public LogServiceStandIn log() {
+        return log;
+    }
+
+    /**
+     * Returns the host list.
+     *
+     * @return the stand-in
+     */
+    public HostListStandIn hostList() {
+        return hostList;
+    }
+
+    /**
+     * Runs the command-line tool against all hosts.
+     *
+     * @param arguments the command
+     * @return exit code and output
+     */
+    public ToolResult tool(String... arguments) {
+        return tool(hosts, arguments);
+    }
+
+    /**
+     * Runs the command-line tool against some hosts.
+     *
+     * @param targets hosts to try in turn
+     * @param arguments the command
+     * @return exit code and output
+     */
+    public ToolResult tool(List<ClusterHost> targets, String... arguments) {
+        String addresses =
+                targets.stream().map(host -> "http://" + host.operator()).collect(Collectors.joining(","));
+        Map<String, String> environment =
+                Map.of("BANYANSTAIR_OPERATOR", addresses, "BANYANSTAIR_OPERATOR_KEY", OPERATOR_KEY);
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        CommandLineTool tool = new CommandLineTool(
+                name -> Optional.ofNullable(environment.get(name)), print(output), print(errors), false);
+        int code = tool.run(arguments).value();
+        return new ToolResult(code, output.toString(StandardCharsets.UTF_8), errors.toString(StandardCharsets.UTF_8));
+    }
+
+    private static PrintStream print(ByteArrayOutputStream stream) {
+        return new PrintStream(stream, true, StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Applies declarations and waits until all hosts report them.
+     *
+     * @param declarations declarations in TOML
+     * @return exit code and output
+     */
+    public ToolResult apply(String declarations) {
+        Path file = directory.resolve("declarations.toml");
+        write(file, declarations);
+        return tool("apply", "-f", file.toString());
+    }
+
+    /**
+     * Writes declarations with the services {@code assistant} and {@code order-desk} and a number of adapters.
+     *
+     * @param adapters number of adapters, named {@code adapter-0} and so on, each with versions v1 and v2, default v2
+     * @return declarations in TOML
+     */
+    public static String declarations(int adapters) {
+        StringBuilder text = new StringBuilder();
+        text.append("[[service]]\nid = \"assistant\"\nkind = \"generation\"\npool = \"assistant\"\n");
+        text.append("callers = [\"clerk\", \"member\"]\n");
+        text.append("[[service]]\nid = \"order-desk\"\nkind = \"plain\"\npool = \"order-desk\"\n");
+        text.append("callers = [\"clerk\", \"member\"]\n");
+        text.append("[[service.route]]\nmethod = \"POST\"\npath-prefix = \"/orders\"\nrepeatable = false\n");
+        text.append("[[service.route]]\nmethod = \"GET\"\npath-prefix = \"/stock\"\nrepeatable = true\n");
+        text.append("[[pool]]\nid = \"assistant\"\nloads-per-second = 20\nloads-in-transit = 8\n");
+        for (int adapter = 0; adapter < adapters; adapter++) {
+            text.append("[[adapter]]\nservice = \"assistant\"\nid = \"adapter-").append(adapter);
+            text.append("\"\nversions = [\"v1\", \"v2\"]\ndefault = \"v2\"\n");
+        }
+        return text.toString();
+    }
+
+    private static void write(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Stops the daemons and the stand-ins. */
+    @Override
+    public void close() {
+        launcher.stop();
+        hosts.forEach(host -> {
+            host.logProxy().stop();
+            host.peerProxy().stop();
+        });
+        engines.forEach(engine -> {
+            engine.proxy().stop();
+            engine.engine().stop();
+        });
+        desks.forEach(desk -> {
+            desk.proxy().stop();
+            desk.service().stop();
+        });
+        hostList.stop();
+        log.stop();
+    }
+}
