Make placement exchangeable and measure load stalls

Cause: the policy has to be compared with baselines under the same load, and operators weigh load stalls and batch efficiency. Change: PlacementPolicy with the standard policy and three baselines, the setting [placement] policy; permits carry the time that a request waited for its adapter, which goes to the metrics and the request's log line. Excluded: a separate implementation of the baselines, which would compare two programs instead of two policies.

--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -70,8 +70,16 @@
      * Permits one attempt on an endpoint.
      *
      * @param sequence number that grows with each grant and inventory of the owner
+     * @param loadStallMilliseconds time that the request waited because no engine had its adapter, 0 if one had it
      */
-    record PermitGrant(RequestId request, int attempt, PoolId pool, long term, long sequence, Endpoint endpoint)
+    record PermitGrant(
+            RequestId request,
+            int attempt,
+            PoolId pool,
+            long term,
+            long sequence,
+            Endpoint endpoint,
+            long loadStallMilliseconds)
             implements PeerMessage {}
 
     /** Refuses an attempt; it did not run. */
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.banyanstair.placement;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -29,7 +30,8 @@
         Set<AdapterVersion> without = new HashSet<>();
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
         for (WaitingRequest waiting : pool.queue().inOrder()) {
-            boolean ordinary = waiting.message().tried().isEmpty() && crashes(waiting) == 0;
+            boolean ordinary =
+                    waiting.message().tried().isEmpty() && waiting.bound().isEmpty() && crashes(waiting) == 0;
             if (ordinary && without.contains(waiting.adapter())) {
                 continue;
             }
@@ -53,8 +55,7 @@
         }
         List<EngineState> withAdapter = pool.engines().values().stream()
                 .filter(engine -> engine.takesPermits() && engine.isLoaded(waiting.adapter()))
-                .filter(engine ->
-                        !waiting.message().tried().contains(engine.endpoint().id()))
+                .filter(engine -> waiting.mayUse(engine.endpoint().id()))
                 .filter(engine -> !isUnloadPending(engine, waiting.adapter(), pendingUnloads))
                 .toList();
         Optional<EngineState> chosen = withAdapter.stream()
@@ -144,8 +145,10 @@
                 Optional.of(message.caller()),
                 message.fingerprint(),
                 pool.sequence().next(),
-                now);
+                now,
+                waiting.needsLoad() ? Duration.between(waiting.arrivedAt(), now).toMillis() : 0);
         pool.addPermit(permit);
+        engine.used(message.adapter(), now);
         engine.prefixes().sent(message.adapter(), message.prefix());
         engine.reserveFor(engine.reservedFor().filter(reserved -> !reserved.equals(message.fingerprint())));
         send(permit, engine.endpoint(), effects);
@@ -156,6 +159,12 @@
         effects.send(
                 permit.holder().host(),
                 new PeerMessage.PermitGrant(
-                        permit.request(), permit.attempt(), pool.id(), pool.term(), permit.sequence(), endpoint));
+                        permit.request(),
+                        permit.attempt(),
+                        pool.id(),
+                        pool.term(),
+                        permit.sequence(),
+                        endpoint,
+                        permit.loadStallMilliseconds()));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -35,6 +35,7 @@
     private final Map<RequestId, Permit> permits = new LinkedHashMap<>();
     private final Map<RequestId, Instant> orphans = new HashMap<>();
     private final List<Permit> broken = new ArrayList<>();
+    private final Map<AdapterVersion, Instant> usedAt = new HashMap<>();
     private final PrefixMemory prefixes = new PrefixMemory();
     private Optional<Fingerprint> reservedFor = Optional.empty();
 
@@ -69,6 +70,7 @@
         incarnation = OptionalLong.of(newIncarnation);
         slots.clear();
         unloadedAt.clear();
+        usedAt.clear();
         permits.clear();
         orphans.clear();
         broken.clear();
@@ -139,8 +141,17 @@
         return slot != null && slot.state() == SlotState.LOADED;
     }
 
+    void used(AdapterVersion adapter, Instant now) {
+        usedAt.put(adapter, now);
+    }
+
+    Instant usedAt(AdapterVersion adapter) {
+        return usedAt.getOrDefault(adapter, Instant.MIN);
+    }
+
     void removeSlot(AdapterVersion adapter, Instant now) {
         slots.remove(adapter);
+        usedAt.remove(adapter);
         unloadedAt.put(adapter, now);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.banyanstair.configuration.PoolDeclaration;
 import org.banyanstair.errors.Failure;
@@ -52,35 +54,42 @@
         PoolDeclaration share = pool.configuration().pool(pool.id());
         long freeing = slots(SlotState.ANNOUNCED) + slots(SlotState.UNLOADING);
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
-        for (Map.Entry<AdapterVersion, WaitingRequest> need : needs(now).entrySet()) {
-            if (!budget.allows(share, (int) slots(SlotState.LOADING), now)) {
+        for (WaitingRequest need : needs(now)) {
+            if (policy().budgetsLoads() && !budget.allows(share, (int) slots(SlotState.LOADING), now)) {
                 return;
             }
-            Optional<EngineState> target = loadTarget(need.getKey(), need.getValue(), pendingUnloads, now);
+            Optional<EngineState> target = loadTarget(need, pendingUnloads, now);
             if (target.isPresent()) {
-                load(target.get(), need.getKey(), now, effects);
+                load(target.get(), need.adapter(), now, effects);
             } else if (freeing > 0) {
                 freeing--;
             } else {
-                evictFor(need.getKey(), need.getValue(), now, effects);
+                evictFor(need, now, effects);
             }
         }
     }
 
-    /** Adapters that a waiting request needs in a further slot, most urgent first. */
-    private Map<AdapterVersion, WaitingRequest> needs(Instant now) {
-        Map<AdapterVersion, WaitingRequest> needs = new LinkedHashMap<>();
+    private PlacementPolicy policy() {
+        return pool.settings().placement();
+    }
+
+    /** The most urgent waiting request for each adapter that is needed in a further slot. */
+    private Collection<WaitingRequest> needs(Instant now) {
+        record Need(AdapterVersion adapter, Optional<EndpointId> bound) {}
+        Map<Need, WaitingRequest> needs = new LinkedHashMap<>();
         for (WaitingRequest waiting : pool.queue().inOrder()) {
-            if (!needs.containsKey(waiting.adapter()) && needsLoad(waiting, now)) {
-                needs.put(waiting.adapter(), waiting);
+            Need need = new Need(waiting.adapter(), waiting.bound());
+            if (!needs.containsKey(need) && needsLoad(waiting, now)) {
+                needs.put(need, waiting);
             }
         }
-        return needs;
+        return needs.values();
     }
 
     private boolean needsLoad(WaitingRequest waiting, Instant now) {
         AdapterVersion adapter = waiting.adapter();
         boolean loading = pool.engines().values().stream()
+                .filter(engine -> waiting.mayUse(engine.endpoint().id()))
                 .map(engine -> engine.slots().get(adapter))
                 .anyMatch(slot -> slot != null && slot.state() == SlotState.LOADING);
         if (loading || pool.isUnderVerification(waiting.message().fingerprint())) {
@@ -89,32 +98,30 @@
         boolean loaded = pool.engines().values().stream()
                 .anyMatch(engine -> engine.takesPermits()
                         && engine.isLoaded(adapter)
-                        && !waiting.message().tried().contains(engine.endpoint().id()));
+                        && waiting.mayUse(engine.endpoint().id()));
         Duration patience = Duration.ofMillis(pool.configuration().preset().copyAfterMilliseconds());
         return !loaded || !now.isBefore(waiting.arrivedAt().plus(patience));
     }
 
-    private Optional<EngineState> loadTarget(
-            AdapterVersion adapter, WaitingRequest waiting, List<PendingUnload> pendingUnloads, Instant now) {
-        return usable(adapter, waiting, now)
+    private Optional<EngineState> loadTarget(WaitingRequest waiting, List<PendingUnload> pendingUnloads, Instant now) {
+        return usable(waiting, now)
                 .filter(EngineState::hasFreeSlot)
                 .filter(engine -> pendingUnloads.stream()
                         .noneMatch(unload ->
                                 unload.endpoint().equals(engine.endpoint().id())
-                                        && unload.adapter().equals(adapter)))
+                                        && unload.adapter().equals(waiting.adapter())))
                 .min(Comparator.comparingDouble(EngineState::fullness)
                         .thenComparingInt(engine -> engine.slots().size())
                         .thenComparing(engine -> engine.endpoint().id()));
     }
 
-    private java.util.stream.Stream<EngineState> usable(AdapterVersion adapter, WaitingRequest waiting, Instant now) {
+    private Stream<EngineState> usable(WaitingRequest waiting, Instant now) {
         return pool.engines().values().stream()
                 .filter(EngineState::takesLoads)
-                .filter(engine -> !engine.slots().containsKey(adapter))
-                .filter(engine ->
-                        !waiting.message().tried().contains(engine.endpoint().id()))
+                .filter(engine -> !engine.slots().containsKey(waiting.adapter()))
+                .filter(engine -> waiting.mayUse(engine.endpoint().id()))
                 .filter(engine -> !now.isBefore(
-                        pausedUntil.getOrDefault(new Target(engine.endpoint().id(), adapter), Instant.MIN)));
+                        pausedUntil.getOrDefault(new Target(engine.endpoint().id(), waiting.adapter()), Instant.MIN)));
     }
 
     private void load(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
@@ -130,16 +137,23 @@
                 .count();
     }
 
-    /** Evicts the least popular adapter that nobody uses or waits for. */
-    private void evictFor(AdapterVersion adapter, WaitingRequest waiting, Instant now, Effects effects) {
-        record Victim(EngineState engine, AdapterVersion adapter, double score) {}
-        usable(adapter, waiting, now)
+    /** Evicts the adapter that the policy prefers, of those that nobody uses or waits for. */
+    private void evictFor(WaitingRequest waiting, Instant now, Effects effects) {
+        record Candidate(EngineState engine, VictimOrder.Victim victim) {}
+        usable(waiting, now)
                 .flatMap(engine -> engine.slots().keySet().stream()
-                        .filter(candidate -> isEvictable(engine, candidate))
-                        .map(candidate ->
-                                new Victim(engine, candidate, pool.popularity().score(candidate, now))))
-                .min(Comparator.comparingDouble(Victim::score).thenComparing(Victim::adapter))
-                .ifPresent(victim -> beginUnload(victim.engine(), victim.adapter(), now, effects));
+                        .filter(adapter -> isEvictable(engine, adapter))
+                        .map(adapter -> new Candidate(engine, victim(engine, adapter, now))))
+                .min(Comparator.comparing(Candidate::victim, policy().victims().order())
+                        .thenComparing(candidate -> candidate.victim().adapter())
+                        .thenComparing(
+                                candidate -> candidate.engine().endpoint().id()))
+                .ifPresent(
+                        chosen -> beginUnload(chosen.engine(), chosen.victim().adapter(), now, effects));
+    }
+
+    private VictimOrder.Victim victim(EngineState engine, AdapterVersion adapter, Instant now) {
+        return new VictimOrder.Victim(adapter, pool.popularity().score(adapter, now), engine.usedAt(adapter));
     }
 
     private boolean isEvictable(EngineState engine, AdapterVersion adapter) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Permit.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Permit.java
@@ -22,6 +22,7 @@
  * @param fingerprint fingerprint of the request
  * @param sequence sequence of the grant
  * @param grantedAt when it was granted or learned
+ * @param loadStallMilliseconds time that the request waited for a load
  */
 record Permit(
         RequestId request,
@@ -32,4 +33,5 @@
         Optional<CallerId> caller,
         Fingerprint fingerprint,
         long sequence,
-        Instant grantedAt) {}
+        Instant grantedAt,
+        long loadStallMilliseconds) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
@@ -96,11 +98,32 @@
             pool.popularity().count(message.adapter(), now);
             retries.countFirst(now);
         }
-        pool.queue()
-                .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false));
+        enqueue(sender, message, now);
         decide(now, effects);
     }
 
+    private void enqueue(HostIdentity sender, PeerMessage.PermitRequest message, Instant now) {
+        Optional<EndpointId> bound = bind(message);
+        boolean loaded = pool.engines().values().stream()
+                .filter(engine -> bound.map(engine.endpoint().id()::equals).orElse(true))
+                .anyMatch(engine -> engine.takesPermits() && engine.isLoaded(message.adapter()));
+        pool.queue()
+                .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false, bound, !loaded));
+    }
+
+    private Optional<EndpointId> bind(PeerMessage.PermitRequest message) {
+        Map<EndpointId, Integer> bound = new HashMap<>();
+        pool.queue().inOrder().forEach(waiting -> waiting.bound().ifPresent(id -> bound.merge(id, 1, Integer::sum)));
+        List<EngineBinding.Load> loads = pool.engines().values().stream()
+                .filter(EngineState::takesPermits)
+                .map(engine -> engine.endpoint().id())
+                .filter(id -> !message.tried().contains(id))
+                .map(id -> new EngineBinding.Load(
+                        id, pool.engines().get(id).permits().size() + bound.getOrDefault(id, 0)))
+                .toList();
+        return pool.settings().placement().binding().bind(message.request(), loads);
+    }
+
     /** Repeats a grant under a new sequence, so that the holder does not take it for one from before an inventory. */
     private void repeatGrant(Permit present, PeerMessage.PermitRequest message, Effects effects) {
         if (present.attempt() == message.attempt()) {
@@ -113,7 +136,8 @@
                     Optional.of(message.caller()),
                     present.fingerprint(),
                     pool.sequence().next(),
-                    present.grantedAt());
+                    present.grantedAt(),
+                    present.loadStallMilliseconds());
             pool.addPermit(renewed);
             pool.engine(present.endpoint()).ifPresent(engine -> dispatcher.send(renewed, engine.endpoint(), effects));
         }
@@ -149,6 +173,9 @@
         if (pool.queue().size() >= message.queueLimit()) {
             return Optional.of(new Failure.QueueFull(pool.id(), message.queueLimit()));
         }
+        if (!pool.settings().placement().admits()) {
+            return Optional.empty();
+        }
         boolean known = pool.engines().values().stream()
                 .anyMatch(engine -> engine.slots().containsKey(message.adapter()));
         Instant earliest = known ? now : loads.earliestLoad(message.adapter(), message.deadline(), now);
@@ -222,7 +249,8 @@
                         Optional.empty(),
                         permit.fingerprint(),
                         reply.sequence(),
-                        now)));
+                        now,
+                        0)));
         takeover.replied(sender.host());
         decide(now, effects);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
@@ -38,7 +38,8 @@
     record UnfollowStream(String stream) implements Effect {}
 
     /** Start an attempt of a generation on an engine. */
-    record StartAttempt(RequestId request, int attempt, Endpoint endpoint) implements Effect {}
+    record StartAttempt(RequestId request, int attempt, Endpoint endpoint, long loadStallMilliseconds)
+            implements Effect {}
 
     /** Cancel the running attempt of a generation. */
     record CancelAttempt(RequestId request, int attempt) implements Effect {}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.banyanstair.placement.PlacementPolicy;
+
 /**
  * Intervals and limits of the decisions; turned into deadlines where they are used.
  *
@@ -17,6 +19,7 @@
  * @param statusLag time by which an engine's status may lag behind
  * @param hostListLag time by which the host list may lag behind
  * @param logRetention time that the log service keeps records
+ * @param placement policy of pool owners
  */
 public record ReducerSettings(
         Duration callBatch,
@@ -30,7 +33,8 @@
         Duration statusInterval,
         Duration statusLag,
         Duration hostListLag,
-        Duration logRetention) {
+        Duration logRetention,
+        PlacementPolicy placement) {
     /** Defaults for small clusters. */
     public static final ReducerSettings DEFAULT = new ReducerSettings(
             Duration.ofMillis(25),
@@ -44,5 +48,6 @@
             Duration.ofSeconds(1),
             Duration.ofSeconds(3),
             Duration.ofSeconds(5),
-            Duration.ofHours(1));
+            Duration.ofHours(1),
+            PlacementPolicy.STANDARD);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -146,7 +146,8 @@
             return;
         }
         tracked.running = Optional.of(grant.endpoint());
-        effects.add(new Effect.StartAttempt(grant.request(), grant.attempt(), grant.endpoint()));
+        effects.add(new Effect.StartAttempt(
+                grant.request(), grant.attempt(), grant.endpoint(), grant.loadStallMilliseconds()));
     }
 
     private boolean isRefused(PeerMessage.PermitGrant grant) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
@@ -120,7 +120,8 @@
     void useGenerations(GenerationRunner generations) {
         on(
                 Effect.StartAttempt.class,
-                effect -> generations.start(effect.request(), effect.attempt(), effect.endpoint()));
+                effect -> generations.start(
+                        effect.request(), effect.attempt(), effect.endpoint(), effect.loadStallMilliseconds()));
         on(Effect.CancelAttempt.class, effect -> generations.cancelAttempt(effect.request(), effect.attempt()));
         on(Effect.CompleteGeneration.class, effect -> generations.complete(effect.request()));
         on(Effect.FailGeneration.class, effect -> generations.fail(effect.request(), effect.failure()));
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
@@ -48,13 +48,14 @@
     }
 
     /** Starts an attempt, from the first token that was not delivered by an earlier one. */
-    void start(RequestId request, int attempt, Endpoint endpoint) {
+    void start(RequestId request, int attempt, Endpoint endpoint, long loadStallMilliseconds) {
         RunningGeneration running = generations.get(request);
         if (running == null) {
             ended(request, attempt, new AttemptOutcome.Cancelled());
             return;
         }
         running.begin(attempt);
+        running.sink().granted(loadStallMilliseconds);
         long delivered = running.nextToken();
         byte[] body = delivered == 0 ? running.generation().body() : continuation(running);
         generate(running, new Attempt(attempt, endpoint, delivered, body, RESUMES_PER_ATTEMPT));
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
@@ -85,7 +85,8 @@
                 Duration.ofMillis(settings.timing().statusPollMilliseconds()),
                 defaults.statusLag(),
                 defaults.hostListLag(),
-                defaults.logRetention());
+                defaults.logRetention(),
+                settings.placement());
     }
 
     PeerTransport peers(Function<HostId, Optional<NetworkAddress>> addresses, PeerListener listener) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerSink.java
@@ -20,6 +20,11 @@
         return request;
     }
 
+    @Override
+    public final void granted(long loadStallMilliseconds) {
+        request.loadStalled(loadStallMilliseconds);
+    }
+
     @Override
     public final void token(long index, String json) {
         if (request.isEnded()) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -33,6 +33,7 @@
     private Optional<AdapterVersion> adapter = Optional.empty();
     private long previousTokenNanos;
     private Optional<Duration> untilFirstToken = Optional.empty();
+    private volatile long loadStallMilliseconds;
 
     CallerRequest(Exchange exchange, RequestId id, RequestRecorder recorder) {
         this.exchange = exchange;
@@ -71,6 +72,11 @@
         return ended.get();
     }
 
+    /** Notes the time that the request waited for its adapter to load, over all attempts. */
+    void loadStalled(long milliseconds) {
+        loadStallMilliseconds += milliseconds;
+    }
+
     /** Notes a token for the metrics. Called by one thread at a time. */
     void tokenArrived() {
         long now = System.nanoTime();
@@ -118,7 +124,16 @@
         if (ended.compareAndSet(false, true)) {
             Duration duration = Duration.ofNanos(System.nanoTime() - arrivedNanos);
             Optional<String> model = adapter.map(AdapterVersion::engineName);
-            recorder.ended(new EndedRequest(id, caller, service, model, status, code, duration, untilFirstToken));
+            recorder.ended(new EndedRequest(
+                    id,
+                    caller,
+                    service,
+                    model,
+                    status,
+                    code,
+                    duration,
+                    untilFirstToken,
+                    Duration.ofMillis(loadStallMilliseconds)));
         }
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/EndedRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/EndedRequest.java
@@ -19,6 +19,7 @@
  *     failure
  * @param duration time from the arrival of the request to its end
  * @param untilFirstToken time to the first token, empty if there was none
+ * @param loadStall time that the request waited for its adapter to load
  */
 public record EndedRequest(
         RequestId id,
@@ -28,7 +29,8 @@
         int status,
         String code,
         Duration duration,
-        Optional<Duration> untilFirstToken) {
+        Optional<Duration> untilFirstToken,
+        Duration loadStall) {
     /** Code of a request that succeeded. */
     public static final String OK = "ok";
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
@@ -67,6 +67,9 @@
         String[] labels = {"service", service, "code", request.code()};
         registry.counter(LabelledName.of("banyanstair_requests", labels)).inc();
         timer("banyanstair_request_time", labels).update(request.duration());
+        if (request.untilFirstToken().isPresent()) {
+            timer("banyanstair_load_stall", "service", service).update(request.loadStall());
+        }
     }
 
     private static String[] label(ServiceId service) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
@@ -40,7 +40,7 @@
         metrics.ended(request);
         burn.ended(request);
         Logger.info(
-                "request={} host={} caller={} service={} model={} status={} code={} milliseconds={}",
+                "request={} host={} caller={} service={} model={} status={} code={} milliseconds={} first-token={} load-stall={}",
                 request.id(),
                 host,
                 request.caller().map(Object::toString).orElse("-"),
@@ -48,6 +48,10 @@
                 request.model().orElse("-"),
                 request.status(),
                 request.code(),
-                request.duration().toMillis());
+                request.duration().toMillis(),
+                request.untilFirstToken()
+                        .map(time -> Long.toString(time.toMillis()))
+                        .orElse("-"),
+                request.loadStall().toMillis());
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/GenerationSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/GenerationSink.java
@@ -4,6 +4,13 @@
 
 /** Receives the answer of a generation. */
 public interface GenerationSink {
+    /**
+     * An attempt on an engine is about to start.
+     *
+     * @param loadStallMilliseconds time that the request waited for a load of its adapter
+     */
+    default void granted(long loadStallMilliseconds) {}
+
     /**
      * A chunk came.
      *
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
@@ -10,6 +10,7 @@
 import org.banyanstair.model.DataCentre;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.placement.PlacementPolicy;
 
 /**
  * Settings of one daemon. {@code docs/settings.md} documents each key with its default and range.
@@ -21,6 +22,7 @@
  * @param operators key of each operator, by name
  * @param limits limits on requests
  * @param timing intervals of periodic work
+ * @param placement policy by which pool owners place adapters and requests
  * @param log log output
  */
 public record DaemonSettings(
@@ -31,6 +33,7 @@
         Map<String, BearerKey> operators,
         Limits limits,
         Timing timing,
+        PlacementPolicy placement,
         Log log) {
     /** Copies the maps. */
     public DaemonSettings {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -17,6 +17,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.Names;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.placement.PlacementPolicy;
 import org.banyanstair.toml.StrictToml;
 import org.banyanstair.toml.TomlField;
 import org.banyanstair.toml.TomlResult;
@@ -57,6 +58,7 @@
         TomlField<Map<String, BearerKey>> operators = table.tableOrDefaults("operators", keys());
         TomlField<DaemonSettings.Limits> limits = table.tableOrDefaults("limits", limits());
         TomlField<DaemonSettings.Timing> timing = table.tableOrDefaults("timing", timing());
+        TomlField<PlacementPolicy> placement = table.tableOrDefaults("placement", placement());
         TomlField<DaemonSettings.Log> log = table.tableOrDefaults("log", log());
         return () -> new DaemonSettings(
                 host.get(),
@@ -66,6 +68,7 @@
                 operators.get(),
                 limits.get(),
                 timing.get(),
+                placement.get(),
                 log.get());
     }
 
@@ -176,6 +179,16 @@
         });
     }
 
+    private static TomlType<PlacementPolicy> placement() {
+        Map<String, PlacementPolicy> policies = new LinkedHashMap<>();
+        PlacementPolicy.NAMES.forEach(name -> policies.put(name, PlacementPolicy.named(name)));
+        return TomlTypes.table(table -> {
+            TomlField<PlacementPolicy> policy =
+                    table.optional("policy", TomlTypes.oneOf(policies), PlacementPolicy.STANDARD);
+            return policy::get;
+        });
+    }
+
     private static TomlType<DaemonSettings.Log> log() {
         Map<String, DaemonSettings.Log.Level> levels = Stream.of(DaemonSettings.Log.Level.values())
                 .collect(Collectors.toMap(level -> level.name().toLowerCase(Locale.ROOT), level -> level));
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -72,7 +72,8 @@
                 status,
                 code,
                 Duration.ofMillis(milliseconds),
-                untilFirstToken));
+                untilFirstToken,
+                Duration.ZERO));
     }
 
     private BurnSample sample(int index) {
