--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
@@ -0,0 +1,42 @@
+package org.banyanstair.integration.policies;
+
+import java.time.Duration;
+
+/**
+ * The load of one customer.
+ *
+ * @param name name in reports
+ * @param engines number of engines
+ * @param loadsPerSecond loads a second that the weight store takes
+ * @param adapters registered adapters
+ * @param zipfExponent exponent of the popularity
+ * @param requestsPerSecond arrivals
+ * @param premiumShare share of premium requests
+ * @param urgentShare share of requests for any adapter, popular or not, with a tight deadline
+ * @param tokens tokens of an answer
+ * @param preset preset in force
+ */
+public record Customer(
+        String name,
+        int engines,
+        double loadsPerSecond,
+        int adapters,
+        double zipfExponent,
+        double requestsPerSecond,
+        double premiumShare,
+        double urgentShare,
+        int tokens,
+        String preset) {
+    /** Tender replies and safety-code answers: rare adapters with tight deadlines. */
+    public static final Customer COOPERATIVE =
+            new Customer("cooperative", 8, 3, 3_000, 1.2, 12, 0.2, 0.1, 32, "ordinary");
+
+    /** Proof reviews in a rush: many requests on fewer adapters, premium ones first. */
+    public static final Customer ASSOCIATION = new Customer("association", 6, 2, 3_000, 1.5, 60, 0.3, 0.01, 32, "peak");
+
+    /** Time to the deadline of an urgent request. */
+    static final Duration URGENT = Duration.ofSeconds(3);
+
+    /** Time to the deadline of any other request. */
+    static final Duration ORDINARY = Duration.ofSeconds(10);
+}
--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/OfflineBound.java
@@ -0,0 +1,49 @@
+package org.banyanstair.integration.policies;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The fewest loads that any policy needs for a sequence of adapters, with perfect knowledge of the future: evict the
+ * adapter whose next use is furthest off (Belady 1966). Batches, deadlines and the rate of the store are left out, so
+ * the bound is below what can be reached.
+ */
+final class OfflineBound {
+    private OfflineBound() {}
+
+    static long fewestLoads(List<Integer> adapters, int slots) {
+        Map<Integer, Deque<Integer>> uses = new HashMap<>();
+        for (int position = 0; position < adapters.size(); position++) {
+            uses.computeIfAbsent(adapters.get(position), adapter -> new ArrayDeque<>())
+                    .addLast(position);
+        }
+        Set<Integer> loaded = new HashSet<>();
+        long loads = 0;
+        for (int adapter : adapters) {
+            uses.get(adapter).removeFirst();
+            if (!loaded.contains(adapter)) {
+                loads++;
+                if (loaded.size() == slots) {
+                    loaded.remove(furthest(loaded, uses));
+                }
+                loaded.add(adapter);
+            }
+        }
+        return loads;
+    }
+
+    private static Integer furthest(Set<Integer> loaded, Map<Integer, Deque<Integer>> uses) {
+        return loaded.stream()
+                .max((first, second) -> Integer.compare(nextUse(uses.get(first)), nextUse(uses.get(second))))
+                .orElseThrow();
+    }
+
+    private static int nextUse(Deque<Integer> positions) {
+        return positions.isEmpty() ? Integer.MAX_VALUE : positions.peekFirst();
+    }
+}
