Add the setting log-retention-seconds

The daemon renews checkpoints and claims by the retention of the log service, but the retention was fixed at one hour. The key in [platform] sets it, from 5 s (three renewals and their appends must fit) to a year; default 3600 as before.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
@@ -85,7 +85,7 @@
                 Duration.ofMillis(settings.timing().statusPollMilliseconds()),
                 defaults.statusLag(),
                 defaults.hostListLag(),
-                defaults.logRetention());
+                Duration.ofSeconds(settings.platform().logRetentionSeconds()));
     }
 
     PeerTransport peers(Function<HostId, Optional<NetworkAddress>> addresses, PeerListener listener) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
@@ -62,8 +62,10 @@
      * @param log address of the log service
      * @param hostList address of the host list
      * @param callTimeoutMilliseconds time after which a call to either counts as failed
+     * @param logRetentionSeconds time that the log service keeps records
      */
-    public record Platform(NetworkAddress log, NetworkAddress hostList, int callTimeoutMilliseconds) {}
+    public record Platform(
+            NetworkAddress log, NetworkAddress hostList, int callTimeoutMilliseconds, int logRetentionSeconds) {}
 
     /**
      * Limits on requests.
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -37,6 +37,13 @@
     /** Keys of non-idempotent calls are kept for a limited time, which is based on this longest deadline. */
     private static final int LONGEST_DEADLINE = 600_000;
 
+    /** Checkpoints and claims are renewed three times within the retention, and an append may take a second. */
+    private static final int SHORTEST_RETENTION = 5;
+
+    private static final int DEFAULT_RETENTION = 3_600;
+
+    private static final int LONGEST_RETENTION = 31_536_000;
+
     private DaemonSettingsReader() {}
 
     /**
@@ -104,7 +111,11 @@
             TomlField<NetworkAddress> log = table.required("log", TomlTypes.address());
             TomlField<NetworkAddress> hostList = table.required("host-list", TomlTypes.address());
             TomlField<Integer> timeout = milliseconds(table, "call-timeout-milliseconds", 2_000, 100, 60_000);
-            return () -> new DaemonSettings.Platform(log.get(), hostList.get(), timeout.get());
+            TomlField<Integer> retention = table.optional(
+                    "log-retention-seconds",
+                    TomlTypes.smallInteger(SHORTEST_RETENTION, LONGEST_RETENTION),
+                    DEFAULT_RETENTION);
+            return () -> new DaemonSettings.Platform(log.get(), hostList.get(), timeout.get(), retention.get());
         });
     }
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/settings/DaemonSettingsReaderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/settings/DaemonSettingsReaderTest.java
@@ -52,6 +52,7 @@
         DaemonSettings settings = (DaemonSettings)
                 assertInstanceOf(TomlResult.Valid.class, read(MINIMAL + keys)).value();
         assertEquals(new DaemonSettings.Timing(1_000, 3_000, 1_000, 1_000, 25), settings.timing());
+        assertEquals(3_600, settings.platform().logRetentionSeconds());
         assertEquals(600_000, settings.limits().maximumDeadlineMilliseconds());
         assertEquals(new BearerKey("caller-key-0123456"), settings.callers().get(new CallerId("clerk")));
         assertFalse(settings.toString().contains("caller-key"), settings.toString());
