Decide each change by its base version alone

Cause: a repeated change id kept its remembered verdict and was not decided again. A host that began at a checkpoint does not remember the id, accepted the second record when its base had become current, and differed from the others for good. Change: every record is decided by its base version; an id that was accepted keeps that verdict for its operator. Excluded: storing verdicts in checkpoints, which would grow them by the number of changes. Conclusion: the configuration is a function of the log alone.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationHistory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationHistory.java
@@ -77,7 +77,13 @@
             return Optional.empty();
         }
         nextOffset = offset + 1;
-        ChangeVerdict verdict = verdicts.computeIfAbsent(change.changeId(), id -> decide(offset, change));
+        // The decision must not depend on remembered ids: a host that began at a checkpoint does not know the earlier
+        // ones.
+        ChangeVerdict decided = decide(offset, change);
+        ChangeVerdict verdict = verdicts.merge(
+                change.changeId(),
+                decided,
+                (earlier, later) -> later instanceof ChangeVerdict.Accepted ? later : earlier);
         return Optional.of(verdict);
     }
 
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
@@ -0,0 +1,59 @@
+package org.banyanstair.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.banyanstair.model.PresetId;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards promise 8: hosts that begin at different checkpoints of the same log have the same configuration. */
+class CheckpointConvergenceTest {
+    private static final List<String> PRESETS = List.of("ordinary", "peak", "maintenance");
+
+    /** A log with repeated change ids and with base versions that no host had when the change was written. */
+    private static List<ConfigurationChange> randomLog(Random random, int length) {
+        List<ConfigurationChange> log = new ArrayList<>();
+        for (int offset = 0; offset < length; offset++) {
+            if (offset > 0 && random.nextInt(4) == 0) {
+                log.add(log.get(random.nextInt(offset)));
+            } else {
+                PresetId preset = new PresetId(PRESETS.get(random.nextInt(3)));
+                log.add(new ConfigurationChange(
+                        "change-" + offset,
+                        random.nextInt(length) - 1L,
+                        "operator",
+                        List.of(new Operation.UsePreset(preset))));
+            }
+        }
+        return log;
+    }
+
+    private static void apply(ConfigurationHistory history, List<ConfigurationChange> log, int from, int to) {
+        for (int offset = from; offset < to; offset++) {
+            history.apply(offset, log.get(offset));
+        }
+    }
+
+    @Property(seed = "8103", tries = 500)
+    void aHostThatBeganAtACheckpointAgreesWithOneThatReadEverything(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int length) {
+        Random random = new Random(seed);
+        List<ConfigurationChange> log = randomLog(random, length);
+        int checkpoint = random.nextInt(length + 1);
+        ConfigurationHistory whole = new ConfigurationHistory();
+        whole.startEmpty();
+        apply(whole, log, 0, checkpoint);
+        ConfigurationHistory late = new ConfigurationHistory();
+        CheckpointPart.of(whole.current(), checkpoint).forEach(late::offer);
+        apply(whole, log, checkpoint, length);
+        apply(late, log, checkpoint, length);
+        if (checkpoint > 0) {
+            assertEquals(whole.current(), late.current());
+        }
+    }
+}
