Keep checkpoints and claims through a log outage

Cause, three faults: (1) a claim renewal that was due during an outage was next tried after a third of the retention, so that the claim could expire and a joining host could take the pool; (2) checkpoints were checked every 10 s, too rare for a retention of a few seconds; (3) a host that missed expired changes asked no peer while the log could be reached and stayed behind until the next checkpoint. Change: renew claims when the ownership stream can be read again; check checkpoints twice per renewal, at most every 10 s; ask peers while changes before the earliest readable offset are missing. Excluded: repeating a rejected renewal by itself, because its outcome may be unknown.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
@@ -1,5 +1,6 @@
 package org.banyanstair.configuration;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -44,6 +45,7 @@
     private Optional<Instant> lastCheckpoint = Optional.empty();
     private Instant nextCheckpoint = Instant.MIN;
     private Instant nextPeerRequest = Instant.MIN;
+    private long earliestInLog;
 
     private record PendingChange(long append, Instant giveUpAt) {}
 
@@ -184,6 +186,7 @@
      */
     public void changesExpired(long earliest, Effects effects) {
         effects.report(new Notice.ConfigurationGap(history.nextOffset(), earliest));
+        earliestInLog = earliest;
         nextPeerRequest = Instant.MIN;
     }
 
@@ -282,13 +285,15 @@
      */
     public void tick(Instant now, Effects effects) {
         giveUp(now, effects);
-        boolean needsPeers = !logReachable || !history.isKnown() || !following;
+        // Changes that expired unread are in no later record, only in checkpoints and in what peers know.
+        boolean missesChanges = history.nextOffset() < earliestInLog;
+        boolean needsPeers = !logReachable || !history.isKnown() || !following || missesChanges;
         if (needsPeers && !now.isBefore(nextPeerRequest)) {
             nextPeerRequest = now.plus(settings.repeatInterval());
             askPeers(now, effects);
         }
         if (!now.isBefore(nextCheckpoint)) {
-            nextCheckpoint = now.plus(settings.repeatInterval().multipliedBy(10));
+            nextCheckpoint = now.plus(checkpointCheckInterval());
             writeCheckpointIfDue(now, effects);
         }
     }
@@ -311,6 +316,13 @@
         asked.forEach(peer -> effects.send(peer, new PeerMessage.ConfigurationRequest(history.nextOffset())));
     }
 
+    /** Short enough for each renewal, and long enough for the previous append to be read back. */
+    private Duration checkpointCheckInterval() {
+        Duration usual = settings.repeatInterval().multipliedBy(10);
+        Duration halfRenewal = settings.logRetention().dividedBy(2L * CHECKPOINTS_PER_RETENTION);
+        return halfRenewal.compareTo(usual) < 0 ? halfRenewal : usual;
+    }
+
     private void writeCheckpointIfDue(Instant now, Effects effects) {
         boolean due = lastCheckpoint
                 .map(at -> at.plus(settings.logRetention().dividedBy(CHECKPOINTS_PER_RETENTION)))
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -44,6 +44,7 @@
     private final Map<PoolId, Instant> unownedSince = new HashMap<>();
     private Set<HostId> watched = Set.of();
     private boolean caughtUp;
+    private boolean logUnavailable;
     private Instant nextRenewal = Instant.MIN;
 
     /**
@@ -80,6 +81,16 @@
     /** Takes the news that the stream was read to its end. */
     public void caughtUp() {
         caughtUp = true;
+        if (logUnavailable) {
+            // A renewal may have been due during the outage, and the claims may have expired in it.
+            logUnavailable = false;
+            nextRenewal = Instant.MIN;
+        }
+    }
+
+    /** Takes the news that the stream cannot be read. */
+    public void logUnavailable() {
+        logUnavailable = true;
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -190,6 +190,8 @@
             if (unavailable.stream().equals(Streams.CONFIGURATION)
                     || unavailable.stream().equals(Streams.CHECKPOINTS)) {
                 configuration.logUnavailable();
+            } else if (unavailable.stream().equals(Streams.OWNERSHIP)) {
+                ownership.logUnavailable();
             }
         } else if (event instanceof Event.AppendRejected rejected) {
             configuration.appendRejected(rejected.append(), rejected.failure(), effects);
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -0,0 +1,197 @@
+package org.banyanstair.reducer;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.configuration.CheckpointPart;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.configuration.Operation;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EndpointKind;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.HostListing;
+import org.banyanstair.membership.Presence;
+import org.banyanstair.model.DataCentre;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.PresetId;
+import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.LogEntry;
+import org.banyanstair.platform.Streams;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against state that is lost from the log because an outage or the retention outlasted its last copy. */
+class LogOutageReducerTest {
+    private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
+    private static final DataCentre DATA_CENTRE = new DataCentre("ub-east");
+    private static final HostIdentity SELF = new HostIdentity(new HostId("entry-1"), 7);
+    private static final PoolId POOL = new PoolId("assistant");
+
+    private final List<Effect> effects = new ArrayList<>();
+    private Instant now = START;
+
+    private HostReducer reducer(Duration retention, String... otherHosts) {
+        ReducerSettings defaults = ReducerSettings.DEFAULT;
+        HostReducer reducer = new HostReducer(
+                SELF,
+                new ReducerSettings(
+                        defaults.callBatch(),
+                        defaults.keyRetention(),
+                        defaults.attemptRetention(),
+                        defaults.repeatInterval(),
+                        defaults.answerGrace(),
+                        defaults.maximumDispatches(),
+                        defaults.changeLimit(),
+                        defaults.ownerLimit(),
+                        defaults.statusInterval(),
+                        defaults.statusLag(),
+                        defaults.hostListLag(),
+                        retention),
+                START);
+        List<EntryHost> hosts = new ArrayList<>(List.of(host("entry-1")));
+        List.of(otherHosts).forEach(other -> hosts.add(host(other)));
+        Endpoint engine = new Endpoint(
+                new EndpointId("engine"),
+                EndpointKind.ENGINE,
+                Presence.LIVE,
+                DATA_CENTRE,
+                POOL,
+                address(9),
+                4,
+                8,
+                true);
+        reducer.start();
+        effects.addAll(reducer.apply(new Event.HostListRead(START, new HostListing(1, hosts, List.of(engine)))));
+        return reducer;
+    }
+
+    private static EntryHost host(String id) {
+        return new EntryHost(new HostId(id), Presence.LIVE, DATA_CENTRE, address(1), address(2), address(3));
+    }
+
+    private static NetworkAddress address(int port) {
+        return new NetworkAddress("127.0.0.1", port);
+    }
+
+    private void read(HostReducer reducer, String stream, long end, LogEntry... entries) {
+        List<StreamEntry> records = new ArrayList<>();
+        for (int index = 0; index < entries.length; index++) {
+            records.add(new StreamEntry(end - entries.length + index, now, Optional.of(entries[index])));
+        }
+        effects.addAll(reducer.apply(new Event.StreamRead(now, stream, end, end, records)));
+    }
+
+    private void tickFor(HostReducer reducer, Duration time) {
+        Instant end = now.plus(time);
+        while (now.isBefore(end)) {
+            now = now.plusMillis(50);
+            effects.addAll(reducer.apply(new Event.Tick(now)));
+        }
+    }
+
+    private static ConfigurationChange change(String id, long base) {
+        return new ConfigurationChange(id, base, "operator", List.of(new Operation.UsePreset(new PresetId("peak"))));
+    }
+
+    private List<Effect.AppendToLog> appends(String stream) {
+        return effects.stream()
+                .filter(Effect.AppendToLog.class::isInstance)
+                .map(Effect.AppendToLog.class::cast)
+                .filter(append -> append.stream().equals(stream))
+                .toList();
+    }
+
+    /** A claim that expires during an outage lets a host that joins take the pool from its healthy owner. */
+    @Test
+    void claimsAreWrittenAgainAtOnceAfterAnOutage() {
+        HostReducer reducer = reducer(Duration.ofHours(1));
+        read(reducer, Streams.OWNERSHIP, 1, new OwnershipRecord.Claim(POOL, SELF));
+        tickFor(reducer, Duration.ofSeconds(1));
+        effects.clear();
+        effects.addAll(reducer.apply(new Event.StreamUnavailable(now, Streams.OWNERSHIP)));
+        tickFor(reducer, Duration.ofSeconds(5));
+        assertEquals(List.of(), appends(Streams.OWNERSHIP), "nothing can be appended during the outage");
+        read(reducer, Streams.OWNERSHIP, 1);
+        tickFor(reducer, Duration.ofSeconds(1));
+        assertEquals(1, appends(Streams.OWNERSHIP).size());
+        assertEquals(
+                List.of(new OwnershipRecord.Renewal(POOL, SELF, 0)),
+                appends(Streams.OWNERSHIP).get(0).entries());
+    }
+
+    /** With a check every 10 s, no checkpoint exists for most of a retention of a few seconds. */
+    @Test
+    void checkpointsAreRenewedWithinAShortRetention() {
+        Duration retention = Duration.ofSeconds(6);
+        HostReducer reducer = reducer(retention);
+        read(reducer, Streams.CHECKPOINTS, 0);
+        read(reducer, Streams.CONFIGURATION, 1, change("change", -1));
+        Instant last = now;
+        int written = 0;
+        while (now.isBefore(START.plusSeconds(30))) {
+            effects.clear();
+            tickFor(reducer, Duration.ofMillis(50));
+            List<Effect.AppendToLog> appends = appends(Streams.CHECKPOINTS);
+            if (!appends.isEmpty()) {
+                written++;
+                last = now;
+                read(
+                        reducer,
+                        Streams.CHECKPOINTS,
+                        written,
+                        appends.get(0).entries().get(0));
+            }
+            assertTrue(
+                    Duration.between(last, now).compareTo(retention) < 0,
+                    "no checkpoint for " + Duration.between(last, now));
+        }
+        assertTrue(written <= 30 / 2 + 1, "more checkpoints than three for each retention: " + written);
+    }
+
+    /** Without help from its peers, a host that missed expired changes stays behind until the next checkpoint. */
+    @Test
+    void aHostThatMissedExpiredChangesAsksItsPeers() {
+        HostReducer reducer = reducer(Duration.ofHours(1), "entry-2", "entry-3");
+        read(reducer, Streams.CHECKPOINTS, 0);
+        read(reducer, Streams.CONFIGURATION, 1, change("first", -1));
+        tickFor(reducer, Duration.ofSeconds(2));
+        effects.clear();
+        effects.addAll(reducer.apply(new Event.StreamExpired(now, Streams.CONFIGURATION, 3)));
+        read(reducer, Streams.CONFIGURATION, 4, change("fourth", 2));
+        assertEquals(0, reducer.configuration().current().version());
+        tickFor(reducer, Duration.ofSeconds(2));
+        assertTrue(
+                effects.stream()
+                        .anyMatch(effect -> effect instanceof Effect.SendToPeer send
+                                && send.message() instanceof PeerMessage.ConfigurationRequest),
+                "no peer was asked");
+        HostReducer ahead = reducer(Duration.ofHours(1));
+        read(ahead, Streams.CHECKPOINTS, 0);
+        read(ahead, Streams.CONFIGURATION, 4, change("a", -1), change("b", 0), change("c", 1), change("d", 2));
+        CheckpointPart.of(ahead.configuration().current(), 4)
+                .forEach(part -> effects.addAll(reducer.apply(new Event.PeerMessageReceived(
+                        now,
+                        new HostIdentity(new HostId("entry-2"), 1),
+                        new PeerMessage.ConfigurationReply(part, Map.of())))));
+        assertEquals(3, reducer.configuration().current().version());
+        effects.clear();
+        tickFor(reducer, Duration.ofSeconds(3));
+        assertFalse(
+                effects.stream()
+                        .anyMatch(effect -> effect instanceof Effect.SendToPeer send
+                                && send.message() instanceof PeerMessage.ConfigurationRequest),
+                "the gap is closed, but peers are still asked");
+    }
+}
