--- /dev/null
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
@@ -0,0 +1,235 @@
+package org.banyanstair.integration.hosts;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CyclicBarrier;
+
+import org.HdrHistogram.Histogram;
+import org.banyanstair.configuration.AdapterDeclaration;
+import org.banyanstair.configuration.AdapterKey;
+import org.banyanstair.configuration.ChangeVerdict;
+import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.configuration.Operation;
+import org.banyanstair.errors.Failure;
+import org.banyanstair.integration.cluster.Cluster;
+import org.banyanstair.integration.cluster.ClusterHost;
+import org.banyanstair.integration.cluster.ClusterPlan;
+import org.banyanstair.model.AdapterId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.PresetId;
+import org.banyanstair.model.ServiceId;
+import org.banyanstair.testsupport.engine.EngineSettings;
+import org.banyanstair.testsupport.fault.Faults;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards promise 8 against operators who change configuration and preset on several hosts at the same moment. */
+class ConcurrentChangeTest {
+    private static final long SEED = 8201;
+
+    /** An accepted change is in force on all live hosts within this time (section 1.7). */
+    private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(9);
+
+    private static final Duration RESOLVE_LIMIT = Duration.ofSeconds(2);
+
+    private static final List<String> PRESETS = List.of("ordinary", "peak", "maintenance");
+
+    private final Map<Long, PresetId> presetOfVersion = new TreeMap<>();
+    private final Map<Long, Instant> acceptedAt = new TreeMap<>();
+    private final Random random = new Random(Seeds.of("ConcurrentChangeTest", SEED));
+    private int conflicts;
+    private int resolved;
+    private int withoutLog;
+    private final List<String> unknown = new ArrayList<>();
+    private HostId cutOffHost = new HostId("none");
+
+    private record Submission(ConfigurationChange change, ClusterHost host, ChangeVerdict verdict) {}
+
+    @Test
+    void oneChangeWinsForEachBaseVersionAndIsInForceEverywhere(@TempDir Path directory) throws Exception {
+        try (Cluster cluster = new Cluster(ClusterPlan.of(4, 1, EngineSettings.DEFAULT), directory)) {
+            cluster.start();
+            assertEquals(0, cluster.apply(Cluster.declarations(3)).code());
+            List<ClusterHost> hosts = cluster.hosts();
+            long version = new HostOperator(hosts.get(0)).configuration().version();
+            PresetId preset = new HostOperator(hosts.get(0)).configuration().presetInForce();
+            presetOfVersion.put(version, preset);
+            try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
+                version = rounds(cluster, hosts.subList(0, 3), version, 25);
+                cluster.log()
+                        .setFaults(Faults.NONE.withRandomLostAnswers(0.3, SEED).withLostAnswerMethod("POST"));
+                version = rounds(cluster, hosts.subList(0, 3), version, 15);
+                cluster.log().setFaults(Faults.NONE);
+                ClusterHost cutOff = hosts.get(3);
+                cutOffHost = cutOff.id();
+                cutOff.logProxy().refuseConnections();
+                cutOff.logProxy().cutConnections();
+                version = rounds(cluster, hosts.subList(1, 4), version, 10);
+                long last = version;
+                assertTrue(
+                        Sleep.untilTrue(IN_FORCE_LIMIT, () -> poller.firstSeen(cutOff.id(), last)
+                                .isPresent()),
+                        "the host without the log does not have version " + last);
+                cutOff.logProxy().acceptConnections();
+                assertTrue(Sleep.untilTrue(IN_FORCE_LIMIT, () -> logReachable(cutOff)));
+                cutOffHost = new HostId("none");
+                version = rounds(cluster, hosts.subList(1, 4), version, 5);
+                long end = version;
+                assertTrue(Sleep.untilTrue(IN_FORCE_LIMIT, () -> hosts.stream()
+                        .allMatch(host -> poller.firstSeen(host.id(), end).isPresent())));
+                checkUnknown(hosts);
+                check(poller, hosts);
+            }
+        }
+    }
+
+    private long rounds(Cluster cluster, List<ClusterHost> hosts, long version, int count) throws Exception {
+        long base = version;
+        for (int round = 0; round < count; round++) {
+            base = round(cluster, hosts, base);
+        }
+        return base;
+    }
+
+    private long round(Cluster cluster, List<ClusterHost> hosts, long base) throws Exception {
+        int operators = 2 + random.nextInt(2);
+        CyclicBarrier barrier = new CyclicBarrier(operators);
+        List<CompletableFuture<Submission>> submissions = new ArrayList<>();
+        for (int operator = 0; operator < operators; operator++) {
+            ClusterHost host = hosts.get(hosts.size() - 1 - operator);
+            ConfigurationChange change = change(base, operator);
+            submissions.add(CompletableFuture.supplyAsync(() -> submit(cluster, host, change, barrier)));
+        }
+        List<Submission> ended = new ArrayList<>();
+        for (CompletableFuture<Submission> submission : submissions) {
+            ended.add(submission.get());
+        }
+        return judge(base, ended);
+    }
+
+    private ConfigurationChange change(long base, int operator) {
+        Operation operation = new Operation.UsePreset(new PresetId(PRESETS.get(random.nextInt(PRESETS.size()))));
+        if (random.nextInt(3) == 0) {
+            AdapterKey key = new AdapterKey(new ServiceId("assistant"), new AdapterId("adapter-" + random.nextInt(9)));
+            operation = new Operation.PutAdapter(new AdapterDeclaration(key, List.of("v1", "v2"), "v2"));
+        }
+        return new ConfigurationChange("change-" + base + "-" + operator, base, "operator", List.of(operation));
+    }
+
+    private Submission submit(Cluster cluster, ClusterHost host, ConfigurationChange change, CyclicBarrier barrier) {
+        try {
+            barrier.await();
+        } catch (Exception exception) {
+            throw new IllegalStateException(exception);
+        }
+        HostOperator operator = new HostOperator(host);
+        ChangeVerdict verdict = operator.submit(change);
+        if (HostOperator.isUnknown(verdict)) {
+            verdict = operator.resolve(cluster.hosts(), change.changeId(), RESOLVE_LIMIT)
+                    .orElse(verdict);
+            note(change, verdict);
+        }
+        return new Submission(change, host, verdict);
+    }
+
+    private synchronized void note(ConfigurationChange change, ChangeVerdict verdict) {
+        if (HostOperator.isUnknown(verdict)) {
+            unknown.add(change.changeId());
+        } else {
+            resolved++;
+        }
+    }
+
+    private long judge(long base, List<Submission> submissions) {
+        List<Submission> accepted = submissions.stream()
+                .filter(submission -> submission.verdict() instanceof ChangeVerdict.Accepted)
+                .toList();
+        assertEquals(1, accepted.size(), "winners for base version " + base + ": " + submissions);
+        Submission winner = accepted.get(0);
+        long version = ((ChangeVerdict.Accepted) winner.verdict()).version();
+        assertTrue(version > base);
+        acceptedAt.put(version, Instant.now());
+        Operation operation = winner.change().operations().get(0);
+        PresetId preset = operation instanceof Operation.UsePreset use ? use.id() : presetOfVersion.get(base);
+        presetOfVersion.put(version, preset);
+        for (Submission submission : submissions) {
+            if (submission != winner) {
+                boolean cutOff = submission.host().id().equals(cutOffHost);
+                judgeLoser(base, version, ((ChangeVerdict.Refused) submission.verdict()).failure(), cutOff);
+            }
+        }
+        return version;
+    }
+
+    private void judgeLoser(long base, long winning, Failure failure, boolean cutOff) {
+        if (failure instanceof Failure.ConfigurationConflict) {
+            conflicts++;
+            assertEquals(new Failure.ConfigurationConflict(base, winning), failure);
+        } else {
+            // Only a host without the log may refuse a change unread, or lose it on a connection that was cut.
+            assertTrue(cutOff, failure.toString());
+            assertTrue(
+                    failure instanceof Failure.LogUnavailable || failure instanceof Failure.ChangeOutcomeUnknown,
+                    failure.toString());
+            withoutLog++;
+        }
+    }
+
+    private static boolean logReachable(ClusterHost host) {
+        return new HostOperator(host).status().state(host.id()).orElseThrow().logReachable();
+    }
+
+    /** A change with an unknown outcome was lost, because another one won for its base version. */
+    private void checkUnknown(List<ClusterHost> hosts) {
+        for (String changeId : unknown) {
+            Optional<ChangeVerdict> verdict =
+                    new HostOperator(hosts.get(0)).resolve(hosts, changeId, Duration.ofMillis(200));
+            assertFalse(verdict.orElse(null) instanceof ChangeVerdict.Accepted, changeId);
+        }
+    }
+
+    private void check(ConfigurationPoller poller, List<ClusterHost> hosts) {
+        Map<HostId, Long> last = new HashMap<>();
+        List<Observation> observations = poller.observations();
+        for (Observation seen : observations) {
+            long before = last.getOrDefault(seen.host(), Long.MIN_VALUE);
+            assertTrue(seen.version() >= before, seen.host() + " went from version " + before + " to " + seen);
+            last.put(seen.host(), seen.version());
+            assertEquals(presetOfVersion.get(seen.version()), seen.preset(), seen.toString());
+        }
+        Histogram delays = new Histogram(3);
+        acceptedAt.forEach((version, at) -> hosts.forEach(host -> delays.recordValue(Math.max(
+                0,
+                Duration.between(at, poller.firstSeen(host.id(), version).orElseThrow())
+                        .toMillis()))));
+        System.out.printf(
+                "ConcurrentChangeTest: %d versions, %d conflicts, %d outcomes resolved by id, %d refused without the log,"
+                        + " %d unknown, %d observations;"
+                        + " milliseconds from acceptance to each host: p50 %d, p90 %d, p99 %d, most %d%n",
+                acceptedAt.size(),
+                conflicts,
+                resolved,
+                withoutLog,
+                unknown.size(),
+                observations.size(),
+                delays.getValueAtPercentile(50),
+                delays.getValueAtPercentile(90),
+                delays.getValueAtPercentile(99),
+                delays.getMaxValue());
+        assertTrue(delays.getMaxValue() < IN_FORCE_LIMIT.toMillis());
+        assertFalse(conflicts == 0, "no changes met");
+    }
+}
