Send the caller's key when addresses are asked for

Cause: entry hosts answer GET /v1/entry with 401 without a bearer key, and the test client sent none. Change: HttpCaller.entryAddresses takes headers; the variant without them stays for a server without keys. Conclusion: found by LogOutageTest, whose callers got no addresses (0 of 697 requests answered).

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
@@ -95,9 +95,23 @@
      * @return the addresses; completes exceptionally if they cannot be read
      */
     public CompletableFuture<EntryList> entryAddresses(NetworkAddress entry) {
+        return entryAddresses(
+                new Request.Builder().url("http://" + entry + "/v1/entry").build());
+    }
+
+    /**
+     * Reads the addresses of the entry hosts, as a caller with a key.
+     *
+     * @param entry caller address of an entry host
+     * @param headers the headers; entry hosts require a bearer key
+     * @return the addresses; completes exceptionally if they cannot be read
+     */
+    public CompletableFuture<EntryList> entryAddresses(NetworkAddress entry, CallerHeaders headers) {
+        return entryAddresses(request(entry, "/v1/entry", headers).build());
+    }
+
+    private CompletableFuture<EntryList> entryAddresses(Request request) {
         CompletableFuture<EntryList> result = new CompletableFuture<>();
-        Request request =
-                new Request.Builder().url("http://" + entry + "/v1/entry").build();
         client.newCall(request).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
@@ -128,6 +128,9 @@
                         + "\"keep_until\":\"1970-01-01T00:00:00Z\"}");
         EntryList expected = new EntryList(List.of(new NetworkAddress("127.0.0.1", 80)), Instant.EPOCH);
         assertEquals(expected, caller.entryAddresses(address).get(5, TimeUnit.SECONDS));
+        // An entry host answers 401 without a key.
+        assertEquals(expected, caller.entryAddresses(address, HEADERS).get(5, TimeUnit.SECONDS));
+        assertTrue(seen.get().get("Authorization").get(0).startsWith("Bearer "));
     }
 
     private CallerResult chat(boolean stream) throws Exception {
