Check log outages that outlast the retention

Change: LogOutageTest over real hosts, retention 6 s, outage 8 s, with 60 idempotent requests a second; a host that starts during the outage, one that starts after all changes expired, and a cluster that starts without the log. The cluster fixture tells the daemons the retention of its log. Not tried: an outage in combination with the failure of a pool owner.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -58,6 +58,9 @@
 
     private static final int HEAP_MEGABYTES = 160;
 
+    /** Lowest accepted value of the daemon's setting. */
+    private static final int SHORTEST_RETENTION = 5;
+
     private static final int START_SECONDS = 30;
 
     private final ClusterPlan plan;
@@ -209,6 +212,8 @@
                 "[platform]",
                 "log = \"" + logThroughProxy + "\"",
                 "host-list = \"" + hostListAddress + "\"",
+                "log-retention-seconds = "
+                        + Math.max(SHORTEST_RETENTION, plan.logRetention().toSeconds()),
                 "[callers]",
                 callers,
                 "[operators]",
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryDirectory.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryDirectory.java
@@ -4,10 +4,13 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 
+import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.load.CallerHeaders;
 import org.banyanstair.testsupport.load.EntryList;
 import org.banyanstair.testsupport.load.HttpCaller;
 
@@ -17,6 +20,9 @@
  * <p>Safe for use by several threads.
  */
 public final class EntryDirectory {
+    private static final CallerHeaders HEADERS =
+            new CallerHeaders(Cluster.key(Cluster.CALLER), Optional.empty(), Optional.empty(), Optional.empty());
+
     private final HttpCaller caller;
     private final Set<NetworkAddress> known = new LinkedHashSet<>();
     private EntryList kept = new EntryList(List.of(), Instant.MIN);
@@ -51,7 +57,7 @@
         known.stream().filter(address -> !candidates.contains(address)).forEach(candidates::add);
         for (NetworkAddress candidate : candidates) {
             try {
-                EntryList answer = caller.entryAddresses(candidate).join();
+                EntryList answer = caller.entryAddresses(candidate, HEADERS).join();
                 if (!answer.addresses().isEmpty()) {
                     kept = answer;
                     known.addAll(answer.addresses());
--- /dev/null
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -0,0 +1,215 @@
+package org.banyanstair.integration.hosts;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.configuration.CheckpointPart;
+import org.banyanstair.integration.cluster.Cluster;
+import org.banyanstair.integration.cluster.ClusterHost;
+import org.banyanstair.integration.cluster.ClusterPlan;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.platform.LogRecord;
+import org.banyanstair.platform.ReadResult;
+import org.banyanstair.platform.Streams;
+import org.banyanstair.platform.http.HttpLogService;
+import org.banyanstair.testsupport.engine.EngineSettings;
+import org.banyanstair.testsupport.fault.Faults;
+import org.banyanstair.testsupport.fault.Outage;
+import org.banyanstair.testsupport.load.CallerResult;
+import org.banyanstair.testsupport.load.LoadOutcome;
+import org.banyanstair.testsupport.load.LoadPlan;
+import org.banyanstair.testsupport.load.LoadReport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards promise 8 and the idempotent requests against outages of the log that outlast its retention. */
+class LogOutageTest {
+    private static final long SEED = 8202;
+
+    private static final Duration RETENTION = Duration.ofSeconds(6);
+
+    private static final Duration OUTAGE = RETENTION.plusSeconds(2);
+
+    private static final Faults DOWN = Faults.NONE.withOutage(Outage.UNAVAILABLE);
+
+    private static ClusterPlan plan(int hosts) {
+        ClusterPlan plan = ClusterPlan.of(hosts, 2, EngineSettings.DEFAULT);
+        return new ClusterPlan(
+                plan.hosts(),
+                plan.pools(),
+                plan.deskEndpoints(),
+                RETENTION,
+                plan.hostListLag(),
+                List.of("[timing]", "host-list-poll-milliseconds = 500"));
+    }
+
+    @Test
+    void hostsKeepTheirStateAndServeThroughAnOutageLongerThanTheRetention(@TempDir Path directory) throws Exception {
+        long seed = Seeds.of("LogOutageTest", SEED);
+        try (Cluster cluster = new Cluster(plan(3), directory);
+                Traffic traffic = new Traffic()) {
+            cluster.start();
+            assertEquals(
+                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+            assertEquals(0, cluster.tool("preset", "use", "peak").code());
+            List<ClusterHost> hosts = cluster.hosts();
+            long version = new HostOperator(hosts.get(0)).configuration().version();
+            loadAdapters(traffic, hosts.get(0).caller());
+            try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
+                EntryDirectory entries = new EntryDirectory(
+                        traffic.caller(),
+                        hosts.stream().map(ClusterHost::caller).toList());
+                LoadPlan load = new LoadPlan(60, 5_000, OUTAGE.plusSeconds(4), Duration.ofSeconds(15), seed);
+                CompletableFuture<LoadReport> report = traffic.start(load, entries::choose);
+                Sleep.of(Duration.ofSeconds(1));
+                cluster.log().setFaults(DOWN);
+                Instant downUntil = Instant.now().plus(OUTAGE);
+                Sleep.of(Duration.ofSeconds(2));
+                ClusterHost learner = cluster.startHost();
+                servesVersion(traffic, learner, version, "a host that started while the log was down");
+                Sleep.until(downUntil);
+                cluster.log().setFaults(Faults.NONE);
+                Instant upAt = Instant.now();
+                checkWrittenAgain(cluster.log().server().address(), upAt, version);
+                LoadReport ended = report.get(60, TimeUnit.SECONDS);
+                System.out.printf(
+                        "LogOutageTest: %d of %d idempotent requests answered%n",
+                        ended.count(LoadOutcome.ANSWERED), ended.started());
+                assertEquals(List.of(), traffic.failures());
+                assertEquals(ended.started(), ended.count(LoadOutcome.ANSWERED));
+                checkExpired(cluster.log().server().address());
+                ClusterHost fresh = cluster.startHost();
+                servesVersion(traffic, fresh, version, "a host that started after the changes expired");
+                checkNeverBack(poller, version);
+            }
+            assertEquals(0, cluster.tool("preset", "use", "ordinary").code());
+        }
+    }
+
+    private static void loadAdapters(Traffic traffic, NetworkAddress entry) throws Exception {
+        for (int adapter = 0; adapter < Traffic.ADAPTERS; adapter++) {
+            CallerResult result =
+                    traffic.chat(entry, adapter, 4, Duration.ofSeconds(10)).get();
+            assertTrue(result instanceof CallerResult.Generated, result.toString());
+        }
+    }
+
+    private static void servesVersion(Traffic traffic, ClusterHost host, long version, String which) throws Exception {
+        assertEquals(version, new HostOperator(host).configuration().version(), which);
+        CallerResult chat =
+                traffic.chat(host.caller(), 1, 8, Duration.ofSeconds(10)).get();
+        assertTrue(chat instanceof CallerResult.Generated, which + ": " + chat);
+    }
+
+    private static void checkWrittenAgain(NetworkAddress address, Instant upAt, long version) {
+        HttpLogService log = new HttpLogService(address, Duration.ofSeconds(2));
+        try {
+            // The renewal is written at once, the checkpoint with the next of two checks per renewal.
+            Duration limit = RETENTION.dividedBy(6).plusSeconds(2);
+            assertTrue(
+                    Sleep.untilTrue(limit, () -> records(log, Streams.CHECKPOINTS).stream()
+                            .filter(record -> !record.appendedAt().isBefore(upAt))
+                            .map(record -> decode(record, CheckpointPart.class))
+                            .anyMatch(part -> part.version() == version)),
+                    "no checkpoint after the outage");
+            assertTrue(
+                    Sleep.untilTrue(limit, () -> records(log, Streams.OWNERSHIP).stream()
+                            .filter(record -> !record.appendedAt().isBefore(upAt))
+                            .map(record -> decode(record, OwnershipRecord.class))
+                            .anyMatch(OwnershipRecord.Renewal.class::isInstance)),
+                    "no claim after the outage");
+            System.out.printf(
+                    "LogOutageTest: checkpoint and claim written %d ms after the outage at the latest%n",
+                    Duration.between(upAt, Instant.now()).toMillis());
+        } finally {
+            log.stop();
+        }
+    }
+
+    private static void checkExpired(NetworkAddress address) {
+        HttpLogService log = new HttpLogService(address, Duration.ofSeconds(2));
+        try {
+            ReadResult first =
+                    log.read(Streams.CONFIGURATION, 0, 1, Instant.EPOCH).join();
+            assertTrue(first instanceof ReadResult.Expired, "the changes are still in the log: " + first);
+        } finally {
+            log.stop();
+        }
+    }
+
+    private static List<LogRecord> records(HttpLogService log, String stream) {
+        ReadResult result = log.read(stream, 0, 500, Instant.EPOCH).join();
+        if (result instanceof ReadResult.Expired expired) {
+            result = log.read(stream, expired.earliest(), 500, Instant.EPOCH).join();
+        }
+        return result instanceof ReadResult.Records records ? records.records() : List.of();
+    }
+
+    private static <T> T decode(LogRecord record, Class<T> type) {
+        try {
+            return Mappers.MESSAGE_PACK.readValue(record.payload(), type);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static void checkNeverBack(ConfigurationPoller poller, long version) {
+        Map<HostId, Long> last = new HashMap<>();
+        for (Observation seen : poller.observations()) {
+            assertTrue(seen.version() >= last.getOrDefault(seen.host(), version), seen.toString());
+            assertEquals("peak", seen.preset().value(), seen.toString());
+            last.put(seen.host(), seen.version());
+        }
+    }
+
+    @Test
+    void hostsThatAllStartWithoutTheLogAreReadyWhenItReturns(@TempDir Path directory) throws Exception {
+        try (Cluster cluster = new Cluster(plan(2), directory);
+                Traffic traffic = new Traffic()) {
+            cluster.startStandIns();
+            cluster.log().setFaults(DOWN);
+            CompletableFuture<ClusterHost> first = CompletableFuture.supplyAsync(cluster::startHost);
+            assertTrue(Sleep.untilTrue(
+                    Duration.ofSeconds(5),
+                    () -> !cluster.hostList().visible().hosts().isEmpty()));
+            NetworkAddress entry = cluster.hostList().visible().hosts().get(0).callerAddress();
+            assertTrue(
+                    Sleep.untilTrue(Duration.ofSeconds(10), () -> isNotReady(traffic, entry)),
+                    "no answer not_ready while the log is down");
+            Sleep.of(Duration.ofSeconds(3));
+            assertTrue(isNotReady(traffic, entry), "the host serves without a configuration");
+            assertTrue(!first.isDone(), "the host reported that it is ready");
+            cluster.log().setFaults(Faults.NONE);
+            Instant upAt = Instant.now();
+            first.get(10, TimeUnit.SECONDS);
+            System.out.printf(
+                    "LogOutageTest: ready %d ms after the log returned%n",
+                    Duration.between(upAt, Instant.now()).toMillis());
+            assertEquals(0, cluster.apply(Cluster.declarations(1)).code());
+            CallerResult chat =
+                    traffic.chat(entry, 0, 4, Duration.ofSeconds(10)).get();
+            assertTrue(chat instanceof CallerResult.Generated, chat.toString());
+        }
+    }
+
+    private static boolean isNotReady(Traffic traffic, NetworkAddress entry) {
+        CallerResult result = traffic.chat(entry, 0, 4, Duration.ofSeconds(5)).join();
+        return result instanceof CallerResult.NotRun notRun
+                && notRun.status() == 503
+                && notRun.code().equals("not_ready");
+    }
+}
