--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Traffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Traffic.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.banyanstair.integration.cluster.Cluster;
@@ -18,7 +19,6 @@
 import org.banyanstair.testsupport.load.ChatCall;
 import org.banyanstair.testsupport.load.HttpCaller;
 import org.banyanstair.testsupport.load.LoadPlan;
-import org.banyanstair.testsupport.load.LoadReport;
 import org.banyanstair.testsupport.load.LoadResult;
 import org.banyanstair.testsupport.load.OpenLoopLoad;
 import org.banyanstair.testsupport.load.ServiceRequest;
@@ -30,10 +30,17 @@
 
     private static final int TOKENS = 8;
 
+    private static final int LONGEST_LOAD_SECONDS = 90;
+
+    private static final int LARGEST_PART = 1_000;
+
     private static final Duration DEADLINE = Duration.ofSeconds(10);
 
     private final HttpCaller caller = new HttpCaller(200, Duration.ofSeconds(20), Clock.systemUTC());
-    private final List<String> failures = new ArrayList<>();
+    private final List<FailedRequest> failures = new ArrayList<>();
+    private final List<CompletableFuture<LoadResult>> results = new ArrayList<>();
+    private Thread thread;
+    private volatile boolean stopped;
 
     /**
      * A chat that ends within a few hundred milliseconds.
@@ -66,7 +73,7 @@
                         new byte[0]));
     }
 
-    private static CallerHeaders headers(Duration limit) {
+    static CallerHeaders headers(Duration limit) {
         return new CallerHeaders(
                 Cluster.key(Cluster.CALLER),
                 Optional.of(Instant.now().plus(limit)),
@@ -84,57 +91,89 @@
     }
 
     /**
-     * Starts load in the background.
+     * Starts load in the background, which ends with {@link #finish}.
      *
-     * @param plan how much
+     * @param requestsPerSecond mean rate of arrivals
+     * @param seed seed of arrivals and requests
      * @param entries chooses the host for each request
-     * @return the report once all requests have ended
      */
-    public CompletableFuture<LoadReport> start(LoadPlan plan, Supplier<NetworkAddress> entries) {
-        OpenLoopLoad load = new OpenLoopLoad(plan, (sequence, random, intended) -> one(random, entries.get()));
-        CompletableFuture<LoadReport> report = new CompletableFuture<>();
-        Thread thread = new Thread(
-                () -> {
-                    try {
-                        report.complete(load.run());
-                    } catch (InterruptedException | RuntimeException exception) {
-                        report.completeExceptionally(exception);
-                    }
-                },
-                "traffic");
+    public void start(double requestsPerSecond, long seed, Supplier<NetworkAddress> entries) {
+        thread = new Thread(() -> run(requestsPerSecond, seed, entries), "traffic");
         thread.setDaemon(true);
         thread.start();
-        return report;
     }
 
-    private CompletableFuture<LoadResult> one(Random random, NetworkAddress entry) {
+    private void run(double requestsPerSecond, long seed, Supplier<NetworkAddress> entries) {
+        try {
+            for (int second = 0; second < LONGEST_LOAD_SECONDS && !stopped; second++) {
+                // No part of the load waits for the end of an earlier one, so the rate does not drop in between.
+                LoadPlan plan = new LoadPlan(
+                        requestsPerSecond, LARGEST_PART, Duration.ofSeconds(1), Duration.ZERO, seed + second);
+                new OpenLoopLoad(plan, (sequence, random, intended) -> one(random, entries)).run();
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Ends the load and waits for the requests in flight.
+     *
+     * @return number of requests, all of which have ended
+     * @throws Exception if a request has no result after 20 s, or one could not be sent for lack of an address
+     */
+    public int finish() throws Exception {
+        stopped = true;
+        thread.join(Duration.ofSeconds(5).toMillis());
+        List<CompletableFuture<LoadResult>> all;
+        synchronized (this) {
+            all = List.copyOf(results);
+        }
+        CompletableFuture.allOf(all.toArray(CompletableFuture[]::new)).get(20, TimeUnit.SECONDS);
+        return all.size();
+    }
+
+    private CompletableFuture<LoadResult> one(Random random, Supplier<NetworkAddress> entries) {
+        CompletableFuture<LoadResult> result;
+        try {
+            result = send(random, entries.get());
+        } catch (RuntimeException exception) {
+            result = CompletableFuture.failedFuture(exception);
+        }
+        synchronized (this) {
+            results.add(result);
+        }
+        return result;
+    }
+
+    private CompletableFuture<LoadResult> send(Random random, NetworkAddress entry) {
         boolean chat = random.nextBoolean();
         int adapter = random.nextInt(ADAPTERS);
         Instant sentAt = Instant.now();
         CompletableFuture<CallerResult> result = chat ? chat(entry, adapter, TOKENS, DEADLINE) : stock(entry);
         return result.thenApply(ended -> {
-            note((chat ? "chat" : "stock") + " sent at " + sentAt + " to " + entry, ended);
+            note(entry, sentAt, ended);
             return ended.toLoadResult();
         });
     }
 
-    private synchronized void note(String request, CallerResult result) {
+    private synchronized void note(NetworkAddress entry, Instant sentAt, CallerResult result) {
         boolean wrongLength = result instanceof CallerResult.Generated generated && generated.tokens() != TOKENS;
         boolean wrongStatus = result instanceof CallerResult.ServiceAnswered answered && answered.status() != 200;
         if (wrongLength
                 || wrongStatus
                 || result instanceof CallerResult.NotRun
                 || result instanceof CallerResult.Unknown) {
-            failures.add(request + " ended at " + Instant.now() + " as " + result);
+            failures.add(new FailedRequest(entry, sentAt, Instant.now(), result));
         }
     }
 
     /**
      * Lists requests that were not answered whole.
      *
-     * @return a line for each
+     * @return copy of the list
      */
-    public synchronized List<String> failures() {
+    public synchronized List<FailedRequest> failures() {
         return List.copyOf(failures);
     }
 
--- /dev/null
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -0,0 +1,156 @@
+package org.banyanstair.integration.hosts;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.banyanstair.integration.cluster.Cluster;
+import org.banyanstair.integration.cluster.ClusterHost;
+import org.banyanstair.integration.cluster.ClusterPlan;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.server.ExitCode;
+import org.banyanstair.testsupport.engine.EngineSettings;
+import org.banyanstair.testsupport.load.CallerResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards promise 7: a planned stop cuts off no request. */
+class ReplacementTest {
+    private static final long SEED = 8203;
+
+    private static final Duration KEEP = Duration.ofSeconds(1);
+
+    private static final int LONG_STREAM_TOKENS = 600;
+
+    private static ClusterPlan plan(int hosts, int drainLimitMilliseconds) {
+        ClusterPlan plan = ClusterPlan.of(hosts, 2, EngineSettings.DEFAULT);
+        return new ClusterPlan(
+                plan.hosts(),
+                plan.pools(),
+                plan.deskEndpoints(),
+                plan.logRetention(),
+                plan.hostListLag(),
+                List.of(
+                        "[limits]",
+                        "entry-address-keep-milliseconds = " + KEEP.toMillis(),
+                        "drain-limit-milliseconds = " + drainLimitMilliseconds));
+    }
+
+    @Test
+    void allHostsAreReplacedUnderLoadWithoutCuttingOffARequest(@TempDir Path directory) throws Exception {
+        long seed = Seeds.of("ReplacementTest", SEED);
+        try (Cluster cluster = new Cluster(plan(3, 20_000), directory);
+                Traffic traffic = new Traffic()) {
+            cluster.start();
+            assertEquals(
+                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+            List<ClusterHost> old = cluster.hosts();
+            EntryDirectory entries = new EntryDirectory(
+                    traffic.caller(), old.stream().map(ClusterHost::caller).toList());
+            traffic.start(60, seed, entries::choose);
+            Sleep.of(Duration.ofSeconds(1));
+            Map<NetworkAddress, Instant> readyAt = new HashMap<>();
+            for (int index = 0; index < old.size(); index++) {
+                ClusterHost started = cluster.startHost();
+                readyAt.put(started.caller(), Instant.now());
+                replace(cluster, old.get(index), index == old.size() - 1);
+            }
+            int requests = traffic.finish();
+            // The host list of the test shows a host before its daemon listens; such requests certainly did not run.
+            List<FailedRequest> others = traffic.failures().stream()
+                    .filter(failed -> !(failed.result() instanceof CallerResult.NotRun)
+                            || !readyAt.containsKey(failed.entry())
+                            || failed.sentAt().isAfter(readyAt.get(failed.entry())))
+                    .toList();
+            System.out.printf(
+                    "ReplacementTest: %d of %d requests answered, %d not run on hosts that were starting%n",
+                    requests - traffic.failures().size(),
+                    requests,
+                    traffic.failures().size() - others.size());
+            assertEquals(List.of(), others);
+            assertTrue(requests > 300, "too little load: " + requests);
+        }
+    }
+
+    private static void replace(Cluster cluster, ClusterHost host, boolean byOperator) {
+        Instant stoppedAt = Instant.now();
+        if (byOperator) {
+            assertEquals(0, cluster.tool("drain", host.id().value()).code());
+        } else {
+            host.process().terminate();
+        }
+        OptionalInt code = host.process().waitFor(Instant.now().plusSeconds(15));
+        System.out.printf(
+                "ReplacementTest: %s stopped by %s after %d ms with %s%n",
+                host.id(),
+                byOperator ? "drain" : "SIGTERM",
+                Duration.between(stoppedAt, Instant.now()).toMillis(),
+                code);
+        assertEquals(OptionalInt.of(ExitCode.STOPPED.value()), code);
+        cluster.forget(host);
+    }
+
+    @Test
+    void aLongStreamEndsWholeBeforeItsHostStops(@TempDir Path directory) throws Exception {
+        try (Cluster cluster = new Cluster(plan(2, 20_000), directory);
+                Traffic traffic = new Traffic()) {
+            cluster.start();
+            assertEquals(
+                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+            for (ClusterHost host : cluster.hosts()) {
+                CompletableFuture<CallerResult> stream = startLongStream(traffic, host);
+                ClusterHost successor = cluster.startHost();
+                host.process().terminate();
+                CallerResult result = stream.get(20, TimeUnit.SECONDS);
+                assertTrue(result instanceof CallerResult.Generated, result.toString());
+                assertEquals(LONG_STREAM_TOKENS, ((CallerResult.Generated) result).tokens());
+                assertEquals(
+                        OptionalInt.of(ExitCode.STOPPED.value()),
+                        host.process().waitFor(Instant.now().plusSeconds(10)));
+                cluster.forget(host);
+                assertTrue(successor.process().isAlive());
+            }
+        }
+    }
+
+    private static CompletableFuture<CallerResult> startLongStream(Traffic traffic, ClusterHost host) throws Exception {
+        CallerResult loaded =
+                traffic.chat(host.caller(), 0, 2, Duration.ofSeconds(10)).get();
+        assertTrue(loaded instanceof CallerResult.Generated, loaded.toString());
+        CompletableFuture<CallerResult> stream =
+                traffic.chat(host.caller(), 0, LONG_STREAM_TOKENS, Duration.ofSeconds(20));
+        Sleep.of(Duration.ofMillis(300));
+        assertTrue(!stream.isDone(), "the stream is too short for the test");
+        return stream;
+    }
+
+    @Test
+    void theDrainLimitEndsAStopWithItsOwnExitCode(@TempDir Path directory) throws Exception {
+        try (Cluster cluster = new Cluster(plan(2, 1_000), directory);
+                Traffic traffic = new Traffic()) {
+            cluster.start();
+            assertEquals(
+                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+            ClusterHost host = cluster.hosts().get(0);
+            CompletableFuture<CallerResult> stream = startLongStream(traffic, host);
+            Instant stoppedAt = Instant.now();
+            host.process().terminate();
+            OptionalInt code = host.process().waitFor(Instant.now().plusSeconds(10));
+            System.out.printf(
+                    "ReplacementTest: stopped by the drain limit of 1000 ms after %d ms%n",
+                    Duration.between(stoppedAt, Instant.now()).toMillis());
+            assertEquals(OptionalInt.of(ExitCode.CUT_OFF.value()), code);
+            CallerResult result = stream.get(20, TimeUnit.SECONDS);
+            assertTrue(result instanceof CallerResult.Unknown, "a cut stream must not look whole: " + result);
+        }
+    }
+}
