Bind an attempt to one run of the writer's daemon

Cause: a daemon that restarts keeps its host id. The new run took a repeated CallSubmit as its own, read the intent of the earlier run as its own hold and dispatched the call a second time; and its "not run" was believed although the earlier run had dispatched.

Change: CallSubmit names the run that may take it, another run ignores it, and the tracker voids the attempt when a newer run is seen. A "not run" settles an attempt only if it comes from the run that it names. A writer dispatches only if the hold names its own run. Attempts that name no run, because none is known yet, are settled by voids only.

CallGuaranteesTest runs hosts in random schedules.

Excluded: asking for the run before the first submission, which costs a round trip.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -12,6 +12,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
@@ -43,6 +44,7 @@
         private final Set<AttemptId> unsettled = new HashSet<>();
         private Optional<AttemptId> current = Optional.empty();
         private Optional<HostId> writer = Optional.empty();
+        private final Map<AttemptId, HostIdentity> writers = new HashMap<>();
         private Instant repeatAt = Instant.MIN;
 
         TrackedCall(CallRequest request, CallKey key) {
@@ -100,11 +102,12 @@
         if (writer.isEmpty()) {
             return;
         }
-        if (call.current.isEmpty() || !writer.equals(call.writer)) {
+        if (call.current.isEmpty() || !writer.equals(call.writer) || hasWriterRestarted(call)) {
             AttemptId attempt = new AttemptId(membership.self() + "-" + sequence.next());
             call.current = Optional.of(attempt);
             call.writer = writer;
             attempts.put(attempt, call);
+            membership.run(writer.get()).ifPresent(run -> call.writers.put(attempt, run));
         }
         send(call, now, effects);
     }
@@ -123,23 +126,25 @@
                         call.request.bodyDigest(),
                         call.request.pool(),
                         call.request.call(),
-                        voided));
+                        voided,
+                        Optional.ofNullable(call.writers.get(attempt))));
     }
 
     /**
      * Takes the answer of a writer.
      *
+     * @param sender the writer
      * @param outcome the answer
      * @param now present instant
      * @param effects collects what to do
      */
-    public void outcome(PeerMessage.CallOutcome outcome, Instant now, Effects effects) {
+    public void outcome(HostIdentity sender, PeerMessage.CallOutcome outcome, Instant now, Effects effects) {
         TrackedCall call = attempts.get(outcome.attempt());
         if (call == null) {
             return;
         }
         if (outcome.answer() instanceof CallAnswer.NotRun notRun) {
-            notRun(call, outcome, notRun, now, effects);
+            notRun(call, sender, outcome, notRun, now, effects);
         } else if (outcome.answer() instanceof CallAnswer.Answered) {
             answer(call, outcome.answer(), effects);
         } else if (isCurrent(call, outcome.attempt())) {
@@ -152,11 +157,19 @@
     }
 
     private void notRun(
-            TrackedCall call, PeerMessage.CallOutcome outcome, CallAnswer.NotRun notRun, Instant now, Effects effects) {
-        call.unsettled.remove(outcome.attempt());
+            TrackedCall call,
+            HostIdentity sender,
+            PeerMessage.CallOutcome outcome,
+            CallAnswer.NotRun notRun,
+            Instant now,
+            Effects effects) {
+        // An attempt that names no run may have reached several runs of the writer's daemon; one cannot speak for all.
+        if (sender.equals(call.writers.get(outcome.attempt()))) {
+            call.unsettled.remove(outcome.attempt());
+        }
         boolean isCurrent = isCurrent(call, outcome.attempt());
         if (isCurrent && outcome.voidsRecorded()) {
-            call.unsettled.clear();
+            call.unsettled.retainAll(Set.of(outcome.attempt()));
         }
         if (!isCurrent) {
             return;
@@ -192,16 +205,27 @@
     }
 
     private boolean needsNewWriter(TrackedCall call) {
-        return call.writer.filter(membership::isCandidate).isEmpty() && call.current.isPresent();
+        return call.current.isPresent() && !keepsWriter(call);
+    }
+
+    private boolean keepsWriter(TrackedCall call) {
+        return call.current.isPresent()
+                && call.writer.filter(membership::isCandidate).isPresent()
+                && !hasWriterRestarted(call);
+    }
+
+    private boolean hasWriterRestarted(TrackedCall call) {
+        return call.current
+                .map(call.writers::get)
+                .filter(membership::isSuperseded)
+                .isPresent();
     }
 
     private void resubmit(TrackedCall call, Instant now, Effects effects) {
         if (!now.isBefore(call.deadline())) {
             return;
         }
-        boolean keepsWriter = call.current.isPresent()
-                && call.writer.filter(membership::isCandidate).isPresent();
-        if (keepsWriter) {
+        if (keepsWriter(call)) {
             send(call, now, effects);
         } else {
             submit(call, now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -105,6 +105,9 @@
      * @param effects collects what to do
      */
     public void submit(HostId submitter, PeerMessage.CallSubmit submit, Instant now, Effects effects) {
+        if (submit.writer().filter(run -> !run.equals(membership.self())).isPresent()) {
+            return;
+        }
         SubmittedCall known = calls.get(submit.attempt());
         if (known != null) {
             known.resubmittedBy(submitter);
@@ -220,8 +223,10 @@
         if (voided) {
             call.markVoidsRecorded();
         }
+        // An earlier run of this daemon may hold the key with the same attempt, and may have dispatched it.
         boolean holds = ledger.state(submit.key()) instanceof CallState.Held held
-                && held.attempt().equals(submit.attempt());
+                && held.attempt().equals(submit.attempt())
+                && held.writer().equals(membership.self());
         if (call.stage() == Stage.DEAD || call.stage() == Stage.ANSWERED) {
             if (holds) {
                 appendEnd(new CallRecord.NotRun(submit.key(), submit.attempt()), effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -136,8 +136,27 @@
         if (!listingRead) {
             return false;
         }
-        long newest = incarnations.getOrDefault(identity.host(), Long.MIN_VALUE);
-        return newest > identity.incarnation() || listing.host(identity.host()).isEmpty();
+        return isSuperseded(identity) || listing.host(identity.host()).isEmpty();
+    }
+
+    /**
+     * Tells whether a newer run of a host's daemon was seen.
+     *
+     * @param identity the run
+     * @return true if a higher incarnation of the host is known
+     */
+    public boolean isSuperseded(HostIdentity identity) {
+        return incarnations.getOrDefault(identity.host(), Long.MIN_VALUE) > identity.incarnation();
+    }
+
+    /**
+     * Returns the newest run of a host's daemon that was seen.
+     *
+     * @param host the host
+     * @return its identity, empty if no connection to the host was ever open
+     */
+    public Optional<HostIdentity> run(HostId host) {
+        return Optional.ofNullable(incarnations.get(host)).map(incarnation -> new HostIdentity(host, incarnation));
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -102,9 +103,16 @@
      * @param pool pool of the plain service
      * @param call the call
      * @param voided earlier attempts of the same request that must never run
+     * @param writer the only run of a daemon that may take the attempt; empty if the submitter knows none yet
      */
     record CallSubmit(
-            AttemptId attempt, CallKey key, String bodyDigest, PoolId pool, ServiceCall call, Set<AttemptId> voided)
+            AttemptId attempt,
+            CallKey key,
+            String bodyDigest,
+            PoolId pool,
+            ServiceCall call,
+            Set<AttemptId> voided,
+            Optional<HostIdentity> writer)
             implements PeerMessage {}
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -321,7 +321,7 @@
         } else if (message instanceof PeerMessage.InventoryReply reply) {
             Optional.ofNullable(owned.get(reply.pool()))
                     .ifPresent(owner -> owner.inventoried(sender, reply, now, effects));
-        } else if (!receivedAsHolder(sender, message, now) && !receivedCall(peer, message, now)) {
+        } else if (!receivedAsHolder(sender, message, now) && !receivedCall(sender, message, now)) {
             receivedHostMessage(sender, message, now);
         }
     }
@@ -348,11 +348,11 @@
         return true;
     }
 
-    private boolean receivedCall(HostId peer, PeerMessage message, Instant now) {
+    private boolean receivedCall(HostIdentity sender, PeerMessage message, Instant now) {
         if (message instanceof PeerMessage.CallSubmit submit) {
-            writers.submit(peer, submit, now, effects);
+            writers.submit(sender.host(), submit, now, effects);
         } else if (message instanceof PeerMessage.CallOutcome outcome) {
-            calls.outcome(outcome, now, effects);
+            calls.outcome(sender, outcome, now, effects);
         } else {
             return false;
         }
--- a/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
@@ -105,10 +105,12 @@
                 "digest",
                 new PoolId("desk"),
                 call,
-                Set.of());
+                Set.of(),
+                Optional.of(new HostIdentity(new HostId("entry-1"), 7)));
         PeerMessage.CallSubmit read =
                 (PeerMessage.CallSubmit) mapper.readValue(mapper.writeValueAsBytes(submit), PeerMessage.class);
         assertEquals(submit.key(), read.key());
+        assertEquals(submit.writer(), read.writer());
         assertEquals(2, read.call().body().length);
         assertEquals(call.contentType(), read.call().contentType());
     }
