Ignore submissions of attempts that may be forgotten

Cause: a writer forgets an attempt some time after its deadline. A duplicate CallSubmit that arrived later was answered "not run" because its deadline had passed, and a paused entry host believed that, although the attempt had run.

Change: such a submission gets no answer. The entry host ends the call at its own deadline.

Excluded: keeping attempts for longer, which only makes the fault rarer.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -114,6 +114,10 @@
             Optional.ofNullable(known.answer()).ifPresent(answer -> reply(known, effects));
             return;
         }
+        if (isForgettable(submit, now)) {
+            // The attempt may have run and been forgotten since, so "not run" could be wrong.
+            return;
+        }
         SubmittedCall call = new SubmittedCall(submit, submitter);
         calls.put(submit.attempt(), call);
         if (!now.isBefore(submit.call().deadline())) {
@@ -478,11 +482,11 @@
     private void forgetOld(Instant now) {
         calls.values()
                 .removeIf(call -> call.answer() != null
-                        && call.submit()
-                                .call()
-                                .deadline()
-                                .plus(settings.attemptRetention())
-                                .isBefore(now)
+                        && isForgettable(call.submit(), now)
                         && !unconfirmedEnds.containsKey(call.submit().attempt()));
     }
+
+    private boolean isForgettable(PeerMessage.CallSubmit submit, Instant now) {
+        return submit.call().deadline().plus(settings.attemptRetention()).isBefore(now);
+    }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -32,6 +33,12 @@
         assertEquals(List.of(), violations, "schedule of seed " + seed);
     }
 
+    /** A duplicate of a submission that arrived after the writer had forgotten the attempt was answered "not run". */
+    @Example
+    void duplicateOfAForgottenAttemptIsNotAnswered() {
+        assertEquals(List.of(), new CallSimulation(-5370945664325229284L).run());
+    }
+
     @Provide
     Arbitrary<Long> seeds() {
         return Arbitraries.randomValue(Random::nextLong);
