Index open calls and end those that wait for nothing

Cause: a call that joined another attempt for its key stayed joined when that attempt was refused because the log rejected its append or its deadline passed. Each tick and each record also scanned all calls that a writer keeps.

Change: calls without an answer are indexed by attempt and key. A rejected append refuses the calls that joined its attempts too; a late attempt wakes them, and they are appended on their own.

Excluded: appending a joined call at once after a rejection, which costs one append for each call while the log is down. The scan that forgets old calls once a second stays.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -44,6 +44,7 @@
     private final EndpointPicker picker;
     private final CallLedger ledger;
     private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
+    private final OpenCalls open = new OpenCalls();
     private final Map<Long, AttemptId> dispatches = new HashMap<>();
     private final Map<Long, List<SubmittedCall>> appends = new HashMap<>();
     private final Map<AttemptId, CallRecord> unconfirmedEnds = new LinkedHashMap<>();
@@ -82,9 +83,7 @@
      * @return true while an attempt waits for the log or an endpoint, or an end is not in the log
      */
     public boolean isBusy() {
-        return !unconfirmedEnds.isEmpty()
-                || calls.values().stream()
-                        .anyMatch(call -> call.stage() != Stage.ANSWERED && call.stage() != Stage.DEAD);
+        return !unconfirmedEnds.isEmpty() || !open.isEmpty();
     }
 
     /**
@@ -120,6 +119,7 @@
         }
         SubmittedCall call = new SubmittedCall(submit, submitter);
         calls.put(submit.attempt(), call);
+        open.add(call);
         if (!now.isBefore(submit.call().deadline())) {
             refuse(call, new Failure.DeadlinePassed(submit.call().deadline()), effects);
         } else if (ledger.isDead(submit.key(), submit.attempt())) {
@@ -133,7 +133,8 @@
         if (settle(call, effects)) {
             return;
         }
-        boolean joins = isKeyPending(call) && call.voidsRecorded();
+        // A second intent for a key that is on its way to the log would only lose.
+        boolean joins = open.isKeyPending(call) && call.voidsRecorded();
         if (joins || ledger.state(call.submit().key()) instanceof CallState.Held) {
             call.moveTo(Stage.JOINED);
             return;
@@ -143,16 +144,6 @@
         }
     }
 
-    /** Another attempt for the same key is on its way to the log; appending a second intent would only lose. */
-    private boolean isKeyPending(SubmittedCall call) {
-        return calls.values().stream()
-                .anyMatch(other -> other != call
-                        && other.submit().key().equals(call.submit().key())
-                        && (other.stage() == Stage.QUEUED
-                                || other.stage() == Stage.APPENDED
-                                || other.stage() == Stage.DISPATCHED));
-    }
-
     /** Answers the call from the ledger if the key has its final state. */
     private boolean settle(SubmittedCall call, Effects effects) {
         CallState state = ledger.state(call.submit().key());
@@ -327,6 +318,7 @@
 
     private void finish(SubmittedCall call, CallAnswer answer, Effects effects) {
         call.answer(answer);
+        open.remove(call);
         reply(call, effects);
     }
 
@@ -337,8 +329,8 @@
     }
 
     private void wakeJoined(CallKey key, Instant now, Effects effects) {
-        for (SubmittedCall call : List.copyOf(calls.values())) {
-            if (call.stage() == Stage.JOINED && call.submit().key().equals(key) && !settle(call, effects)) {
+        for (SubmittedCall call : open.joined(key)) {
+            if (!settle(call, effects)) {
                 requeue(call, now, effects);
             }
         }
@@ -346,7 +338,7 @@
 
     /** A joined attempt whose intent is not in the log runs on its own once the key is free again. */
     private void requeue(SubmittedCall call, Instant now, Effects effects) {
-        if (!(ledger.state(call.submit().key()) instanceof CallState.Free) || isKeyPending(call)) {
+        if (!(ledger.state(call.submit().key()) instanceof CallState.Free) || open.isKeyPending(call)) {
             return;
         }
         if (ledger.isDead(call.submit().key(), call.submit().attempt())) {
@@ -381,9 +373,8 @@
 
     private void appendBatch(Effects effects) {
         batchDue = Optional.empty();
-        List<SubmittedCall> batch = calls.values().stream()
-                .filter(call -> call.stage() == Stage.QUEUED)
-                .toList();
+        List<SubmittedCall> batch =
+                open.all().stream().filter(call -> call.stage() == Stage.QUEUED).toList();
         if (batch.isEmpty()) {
             return;
         }
@@ -413,7 +404,21 @@
      */
     public void appendRejected(long append, Failure failure, Effects effects) {
         List<SubmittedCall> batch = Optional.ofNullable(appends.remove(append)).orElse(List.of());
-        batch.stream().filter(call -> call.stage() == Stage.APPENDED).forEach(call -> refuse(call, failure, effects));
+        for (SubmittedCall call : batch) {
+            if (call.stage() == Stage.APPENDED) {
+                refuse(call, failure, effects);
+                refuseJoined(call.submit().key(), failure, effects);
+            }
+        }
+    }
+
+    /** No record of the attempt that these calls wait for can come, and their own appends would fail alike. */
+    private void refuseJoined(CallKey key, Failure failure, Effects effects) {
+        if (ledger.state(key) instanceof CallState.Free) {
+            open.joined(key).stream()
+                    .filter(call -> !open.isKeyPending(call))
+                    .forEach(call -> refuse(call, failure, effects));
+        }
     }
 
     /**
@@ -426,12 +431,13 @@
     }
 
     private void endLate(Instant now, Effects effects) {
-        for (SubmittedCall call : List.copyOf(calls.values())) {
+        for (SubmittedCall call : open.all()) {
             if (now.isBefore(call.submit().call().deadline())) {
                 continue;
             }
             if (call.stage() == Stage.QUEUED || call.stage() == Stage.APPENDED) {
                 refuse(call, new Failure.DeadlinePassed(call.submit().call().deadline()), effects);
+                wakeJoined(call.submit().key(), now, effects);
             } else if (call.stage() == Stage.JOINED) {
                 endLateJoined(call, effects);
             }
@@ -449,7 +455,7 @@
 
     /** A key held by a daemon that has ended will get no result; nobody can tell whether it was dispatched. */
     private void settleAbandoned(Effects effects) {
-        for (SubmittedCall call : List.copyOf(calls.values())) {
+        for (SubmittedCall call : open.all()) {
             if (call.stage() != Stage.JOINED || !(ledger.state(call.submit().key()) instanceof CallState.Held held)) {
                 continue;
             }
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/OpenCalls.java
@@ -0,0 +1,56 @@
+package org.banyanstair.idempotency;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.banyanstair.idempotency.SubmittedCall.Stage;
+
+/**
+ * Index of the attempts of a writer that have no answer yet, so that the work on each tick and record does not grow with
+ * the answered attempts that are kept. Not safe for use by several threads.
+ */
+final class OpenCalls {
+    private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
+    private final Map<CallKey, Set<SubmittedCall>> byKey = new HashMap<>();
+
+    void add(SubmittedCall call) {
+        calls.put(call.submit().attempt(), call);
+        byKey.computeIfAbsent(call.submit().key(), key -> new LinkedHashSet<>()).add(call);
+    }
+
+    void remove(SubmittedCall call) {
+        calls.remove(call.submit().attempt());
+        byKey.computeIfPresent(call.submit().key(), (key, present) -> {
+            present.remove(call);
+            return present.isEmpty() ? null : present;
+        });
+    }
+
+    boolean isEmpty() {
+        return calls.isEmpty();
+    }
+
+    /** Returns a copy, in the order of submission. */
+    List<SubmittedCall> all() {
+        return List.copyOf(calls.values());
+    }
+
+    /** Returns a copy, in the order of submission. */
+    List<SubmittedCall> joined(CallKey key) {
+        return of(key).stream().filter(call -> call.stage() == Stage.JOINED).toList();
+    }
+
+    /** Tells whether another attempt for the key of a call is on its way to the log or to an endpoint. */
+    boolean isKeyPending(SubmittedCall call) {
+        return of(call.submit().key()).stream().anyMatch(other -> other != call && other.stage() != Stage.JOINED);
+    }
+
+    private Collection<SubmittedCall> of(CallKey key) {
+        return byKey.getOrDefault(key, Set.of());
+    }
+}
