Free a key whose intent appears after it was forgotten

Cause: an append of unknown outcome may take effect long after its deadline. If the writer had forgotten the attempt by then, the intent held the key and nobody ended it, so later orders with the key waited until their deadlines and were answered "outcome unknown".

Change: a writer that reads an intent of its own run for an attempt that it does not know records NotRun. It cannot have dispatched it, because it dispatches only after reading the intent.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -194,8 +194,8 @@
         }
         confirmEnd(record);
         SubmittedCall call = calls.get(record.attempt());
-        if (record instanceof CallRecord.Intent intent && intent.writer().equals(membership.self()) && call != null) {
-            intentRead(call, now, effects);
+        if (record instanceof CallRecord.Intent intent && intent.writer().equals(membership.self())) {
+            ownIntentRead(intent, Optional.ofNullable(call), now, effects);
         }
         if (record instanceof CallRecord.Void) {
             giveUpVoided(record, effects);
@@ -203,6 +203,22 @@
         wakeJoined(record.key(), now, effects);
     }
 
+    private void ownIntentRead(CallRecord.Intent intent, Optional<SubmittedCall> call, Instant now, Effects effects) {
+        if (call.isPresent()) {
+            intentRead(call.get(), now, effects);
+        } else if (isHeldHere(intent.key(), intent.attempt())) {
+            // The append took effect after the attempt was refused and forgotten; nobody else frees the key.
+            appendEnd(new CallRecord.NotRun(intent.key(), intent.attempt()), effects);
+        }
+    }
+
+    /** An earlier run of this daemon may hold a key with the same attempt, and may have dispatched it. */
+    private boolean isHeldHere(CallKey key, AttemptId attempt) {
+        return ledger.state(key) instanceof CallState.Held held
+                && held.attempt().equals(attempt)
+                && held.writer().equals(membership.self());
+    }
+
     private void confirmEnd(CallRecord record) {
         boolean isEnd = record instanceof CallRecord.Result
                 || record instanceof CallRecord.Unknown
@@ -218,10 +234,7 @@
         if (voided) {
             call.markVoidsRecorded();
         }
-        // An earlier run of this daemon may hold the key with the same attempt, and may have dispatched it.
-        boolean holds = ledger.state(submit.key()) instanceof CallState.Held held
-                && held.attempt().equals(submit.attempt())
-                && held.writer().equals(membership.self());
+        boolean holds = isHeldHere(submit.key(), submit.attempt());
         if (call.stage() == Stage.DEAD || call.stage() == Stage.ANSWERED) {
             if (holds) {
                 appendEnd(new CallRecord.NotRun(submit.key(), submit.attempt()), effects);
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
@@ -85,6 +85,22 @@
         append(drained);
     }
 
+    @Test
+    void intentThatTakesEffectAfterItsAttemptWasForgottenFreesTheKey() {
+        submit("first", "order", NOW.plusSeconds(1));
+        writer.tick(NOW.plusMillis(500), effects);
+        CallRecord intent = (CallRecord) effects.drain().stream()
+                .filter(Effect.AppendToLog.class::isInstance)
+                .flatMap(effect -> ((Effect.AppendToLog) effect).entries().stream())
+                .findFirst()
+                .orElseThrow();
+        writer.tick(NOW.plusSeconds(2), effects);
+        writer.tick(NOW.plusSeconds(100), effects);
+        effects.drain();
+        writer.read(0, NOW.plusSeconds(101), intent, NOW.plusSeconds(101), effects);
+        append(effects.drain());
+    }
+
     @Test
     void answeredCallsCostNothingOnEachTick() {
         for (int call = 0; call < KEPT_CALLS; call++) {
