--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -44,6 +44,7 @@
     private final EndpointPicker picker;
     private final CallLedger ledger;
     private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
+    private final OpenCalls open = new OpenCalls();
     private final Map<Long, AttemptId> dispatches = new HashMap<>();
     private final Map<Long, List<SubmittedCall>> appends = new HashMap<>();
     private final Map<AttemptId, CallRecord> unconfirmedEnds = new LinkedHashMap<>();
@@ -82,9 +83,7 @@
      * @return true while an attempt waits for the log or an endpoint, or an end is not in the log
      */
     public boolean isBusy() {
-        return !unconfirmedEnds.isEmpty()
-                || calls.values().stream()
-                        .anyMatch(call -> call.stage() != Stage.ANSWERED && call.stage() != Stage.DEAD);
+        return !unconfirmedEnds.isEmpty() || !open.isEmpty();
     }
 
     /**
@@ -105,14 +104,22 @@
      * @param effects collects what to do
      */
     public void submit(HostId submitter, PeerMessage.CallSubmit submit, Instant now, Effects effects) {
+        if (submit.writer().filter(run -> !run.equals(membership.self())).isPresent()) {
+            return;
+        }
         SubmittedCall known = calls.get(submit.attempt());
         if (known != null) {
             known.resubmittedBy(submitter);
             Optional.ofNullable(known.answer()).ifPresent(answer -> reply(known, effects));
             return;
         }
+        if (isForgettable(submit, now)) {
+            // The attempt may have run and been forgotten since, so "not run" could be wrong.
+            return;
+        }
         SubmittedCall call = new SubmittedCall(submit, submitter);
         calls.put(submit.attempt(), call);
+        open.add(call);
         if (!now.isBefore(submit.call().deadline())) {
             refuse(call, new Failure.DeadlinePassed(submit.call().deadline()), effects);
         } else if (ledger.isDead(submit.key(), submit.attempt())) {
@@ -126,7 +133,8 @@
         if (settle(call, effects)) {
             return;
         }
-        boolean joins = isKeyPending(call) && call.voidsRecorded();
+        // A second intent for a key that is on its way to the log would only lose.
+        boolean joins = open.isKeyPending(call) && call.voidsRecorded();
         if (joins || ledger.state(call.submit().key()) instanceof CallState.Held) {
             call.moveTo(Stage.JOINED);
             return;
@@ -136,16 +144,6 @@
         }
     }
 
-    /** Another attempt for the same key is on its way to the log; appending a second intent would only lose. */
-    private boolean isKeyPending(SubmittedCall call) {
-        return calls.values().stream()
-                .anyMatch(other -> other != call
-                        && other.submit().key().equals(call.submit().key())
-                        && (other.stage() == Stage.QUEUED
-                                || other.stage() == Stage.APPENDED
-                                || other.stage() == Stage.DISPATCHED));
-    }
-
     /** Answers the call from the ledger if the key has its final state. */
     private boolean settle(SubmittedCall call, Effects effects) {
         CallState state = ledger.state(call.submit().key());
@@ -196,8 +194,8 @@
         }
         confirmEnd(record);
         SubmittedCall call = calls.get(record.attempt());
-        if (record instanceof CallRecord.Intent intent && intent.writer().equals(membership.self()) && call != null) {
-            intentRead(call, now, effects);
+        if (record instanceof CallRecord.Intent intent && intent.writer().equals(membership.self())) {
+            ownIntentRead(intent, Optional.ofNullable(call), now, effects);
         }
         if (record instanceof CallRecord.Void) {
             giveUpVoided(record, effects);
@@ -205,6 +203,22 @@
         wakeJoined(record.key(), now, effects);
     }
 
+    private void ownIntentRead(CallRecord.Intent intent, Optional<SubmittedCall> call, Instant now, Effects effects) {
+        if (call.isPresent()) {
+            intentRead(call.get(), now, effects);
+        } else if (isHeldHere(intent.key(), intent.attempt())) {
+            // The append took effect after the attempt was refused and forgotten; nobody else frees the key.
+            appendEnd(new CallRecord.NotRun(intent.key(), intent.attempt()), effects);
+        }
+    }
+
+    /** An earlier run of this daemon may hold a key with the same attempt, and may have dispatched it. */
+    private boolean isHeldHere(CallKey key, AttemptId attempt) {
+        return ledger.state(key) instanceof CallState.Held held
+                && held.attempt().equals(attempt)
+                && held.writer().equals(membership.self());
+    }
+
     private void confirmEnd(CallRecord record) {
         boolean isEnd = record instanceof CallRecord.Result
                 || record instanceof CallRecord.Unknown
@@ -220,8 +234,7 @@
         if (voided) {
             call.markVoidsRecorded();
         }
-        boolean holds = ledger.state(submit.key()) instanceof CallState.Held held
-                && held.attempt().equals(submit.attempt());
+        boolean holds = isHeldHere(submit.key(), submit.attempt());
         if (call.stage() == Stage.DEAD || call.stage() == Stage.ANSWERED) {
             if (holds) {
                 appendEnd(new CallRecord.NotRun(submit.key(), submit.attempt()), effects);
@@ -318,6 +331,7 @@
 
     private void finish(SubmittedCall call, CallAnswer answer, Effects effects) {
         call.answer(answer);
+        open.remove(call);
         reply(call, effects);
     }
 
@@ -328,8 +342,8 @@
     }
 
     private void wakeJoined(CallKey key, Instant now, Effects effects) {
-        for (SubmittedCall call : List.copyOf(calls.values())) {
-            if (call.stage() == Stage.JOINED && call.submit().key().equals(key) && !settle(call, effects)) {
+        for (SubmittedCall call : open.joined(key)) {
+            if (!settle(call, effects)) {
                 requeue(call, now, effects);
             }
         }
@@ -337,7 +351,7 @@
 
     /** A joined attempt whose intent is not in the log runs on its own once the key is free again. */
     private void requeue(SubmittedCall call, Instant now, Effects effects) {
-        if (!(ledger.state(call.submit().key()) instanceof CallState.Free) || isKeyPending(call)) {
+        if (!(ledger.state(call.submit().key()) instanceof CallState.Free) || open.isKeyPending(call)) {
             return;
         }
         if (ledger.isDead(call.submit().key(), call.submit().attempt())) {
@@ -372,9 +386,8 @@
 
     private void appendBatch(Effects effects) {
         batchDue = Optional.empty();
-        List<SubmittedCall> batch = calls.values().stream()
-                .filter(call -> call.stage() == Stage.QUEUED)
-                .toList();
+        List<SubmittedCall> batch =
+                open.all().stream().filter(call -> call.stage() == Stage.QUEUED).toList();
         if (batch.isEmpty()) {
             return;
         }
@@ -404,7 +417,21 @@
      */
     public void appendRejected(long append, Failure failure, Effects effects) {
         List<SubmittedCall> batch = Optional.ofNullable(appends.remove(append)).orElse(List.of());
-        batch.stream().filter(call -> call.stage() == Stage.APPENDED).forEach(call -> refuse(call, failure, effects));
+        for (SubmittedCall call : batch) {
+            if (call.stage() == Stage.APPENDED) {
+                refuse(call, failure, effects);
+                refuseJoined(call.submit().key(), failure, effects);
+            }
+        }
+    }
+
+    /** No record of the attempt that these calls wait for can come, and their own appends would fail alike. */
+    private void refuseJoined(CallKey key, Failure failure, Effects effects) {
+        if (ledger.state(key) instanceof CallState.Free) {
+            open.joined(key).stream()
+                    .filter(call -> !open.isKeyPending(call))
+                    .forEach(call -> refuse(call, failure, effects));
+        }
     }
 
     /**
@@ -417,12 +444,13 @@
     }
 
     private void endLate(Instant now, Effects effects) {
-        for (SubmittedCall call : List.copyOf(calls.values())) {
+        for (SubmittedCall call : open.all()) {
             if (now.isBefore(call.submit().call().deadline())) {
                 continue;
             }
             if (call.stage() == Stage.QUEUED || call.stage() == Stage.APPENDED) {
                 refuse(call, new Failure.DeadlinePassed(call.submit().call().deadline()), effects);
+                wakeJoined(call.submit().key(), now, effects);
             } else if (call.stage() == Stage.JOINED) {
                 endLateJoined(call, effects);
             }
@@ -440,7 +468,7 @@
 
     /** A key held by a daemon that has ended will get no result; nobody can tell whether it was dispatched. */
     private void settleAbandoned(Effects effects) {
-        for (SubmittedCall call : List.copyOf(calls.values())) {
+        for (SubmittedCall call : open.all()) {
             if (call.stage() != Stage.JOINED || !(ledger.state(call.submit().key()) instanceof CallState.Held held)) {
                 continue;
             }
@@ -473,11 +501,11 @@
     private void forgetOld(Instant now) {
         calls.values()
                 .removeIf(call -> call.answer() != null
-                        && call.submit()
-                                .call()
-                                .deadline()
-                                .plus(settings.attemptRetention())
-                                .isBefore(now)
+                        && isForgettable(call.submit(), now)
                         && !unconfirmedEnds.containsKey(call.submit().attempt()));
     }
+
+    private boolean isForgettable(PeerMessage.CallSubmit submit, Instant now) {
+        return submit.call().deadline().plus(settings.attemptRetention()).isBefore(now);
+    }
 }
