Keep late messages from admitting or ending permits

Cause: an inventory request that arrived after a newer one lowered the barrier, so a grant that the owner had dropped was accepted. A refused grant was answered with a release, which could arrive after a repeated grant of the same attempt and end the permit of a running request. Change: the barrier only rises; a refused grant is answered only if its attempt is over. The inventory corrects the owner otherwise. Excluded: a sequence in the release message, which would change the protocol.

--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -42,6 +42,12 @@
         boolean refuses(PeerMessage.PermitGrant grant) {
             return grant.term() < term || grant.term() == term && grant.sequence() < sequence;
         }
+
+        /** Requests may arrive out of order; an older one must not admit grants that a newer one has excluded. */
+        private Barrier later(Barrier other) {
+            boolean newer = other.term > term || other.term == term && other.sequence > sequence;
+            return newer ? other : this;
+        }
     }
 
     /** One request of a caller of this host. */
@@ -138,13 +144,18 @@
         if (wanted && tracked.running.filter(grant.endpoint()::equals).isPresent()) {
             return;
         }
-        if (isRefused(grant) || !wanted || tracked.running.isPresent()) {
+        if (!wanted) {
             effects.send(
                     sender,
                     new PeerMessage.PermitRelease(
                             grant.request(), grant.attempt(), grant.pool(), new AttemptOutcome.Cancelled()));
             return;
         }
+        // A release for a refused grant could arrive after a later grant of the same attempt and end that one. The
+        // inventory and the repeated request correct what the owner knows.
+        if (isRefused(grant) || tracked.running.isPresent()) {
+            return;
+        }
         tracked.running = Optional.of(grant.endpoint());
         effects.add(new Effect.StartAttempt(grant.request(), grant.attempt(), grant.endpoint()));
     }
@@ -275,7 +286,7 @@
         if (request.term() < known || barrier != null && request.term() < barrier.term()) {
             return;
         }
-        barriers.put(request.pool(), new Barrier(request.term(), request.sequence()));
+        barriers.merge(request.pool(), new Barrier(request.term(), request.sequence()), Barrier::later);
         List<HeldPermit> permits = requests.values().stream()
                 .filter(tracked -> tracked.pool().equals(request.pool()))
                 .filter(tracked -> tracked.running.isPresent())
