Keep adapters of requests whose end is not confirmed

Cause: a permit ended with the release of its holder or with the restart of its engine. A cancellation in transit, a stream that the engine kept after its connection broke, or a grant used after a restart still ran, and the adapter could be evicted below it. A crash of a request that had just been cancelled was not recorded, and a status asked for before a broken request ended the verification of the engine. Change: the adapter stays and the request stays a possible cause of a crash until a status that was asked for after the lag shows no more running requests than permits; permits outlive a restart until their holders give them back; inherited adapters get the same check when the takeover completes. A verification ends with a later status only. An attempt whose release is lost counts as broken. Excluded: confirmation by the cancel answer, which may be lost as well.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
@@ -83,7 +83,7 @@
         if (reservedForOther) {
             return false;
         }
-        int highest = engine.permits().values().stream()
+        int highest = engine.occupants()
                 .mapToInt(permit -> pool.suspects().crashes(permit.fingerprint()))
                 .max()
                 .orElse(0);
@@ -91,7 +91,7 @@
             return false;
         }
         if (crashes >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
-            return engine.permits().isEmpty();
+            return engine.occupants().findAny().isEmpty();
         }
         return crashes == 0 || highest == 0;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -1,5 +1,6 @@
 package org.banyanstair.placement;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,13 +29,16 @@
     private OptionalLong incarnation = OptionalLong.empty();
     private int failures;
     private boolean fenceRaised;
-    private boolean verifying;
+    private Optional<Instant> verifyingSince = Optional.empty();
     private Instant nextStatusAt = Instant.MIN;
     private final Map<AdapterVersion, Slot> slots = new LinkedHashMap<>();
     private final Map<AdapterVersion, Instant> unloadedAt = new HashMap<>();
     private final Map<RequestId, Permit> permits = new LinkedHashMap<>();
     private final Map<RequestId, Instant> orphans = new HashMap<>();
     private final List<Permit> broken = new ArrayList<>();
+    private final Map<AdapterVersion, Instant> unconfirmedEnds = new HashMap<>();
+    private final Map<Permit, Instant> unconfirmedPermits = new LinkedHashMap<>();
+    private Instant incarnationSince = Instant.MIN;
     private final PrefixMemory prefixes = new PrefixMemory();
     private Optional<Fingerprint> reservedFor = Optional.empty();
 
@@ -65,15 +69,17 @@
     }
 
     /** Forgets everything that a restart of the engine has ended. */
-    void restarted(long newIncarnation) {
+    void restarted(long newIncarnation, Instant now) {
         incarnation = OptionalLong.of(newIncarnation);
         slots.clear();
         unloadedAt.clear();
-        permits.clear();
         orphans.clear();
         broken.clear();
+        unconfirmedEnds.clear();
+        unconfirmedPermits.clear();
+        incarnationSince = now;
         prefixes.clear();
-        verifying = false;
+        verifyingSince = Optional.empty();
         fenceRaised = !endpoint.checksFencing();
     }
 
@@ -83,7 +89,7 @@
                 && incarnation.isPresent()
                 && isReachable()
                 && fenceRaised
-                && !verifying;
+                && !verifying();
     }
 
     boolean takesLoads() {
@@ -111,11 +117,20 @@
     }
 
     boolean verifying() {
-        return verifying;
+        return verifyingSince.isPresent();
     }
 
-    void verifying(boolean value) {
-        verifying = value;
+    /** Whether a status that was asked for at this instant shows if the engine survived the last broken request. */
+    boolean isVerifiedBy(Instant askedAt) {
+        return verifyingSince.filter(since -> !askedAt.isBefore(since)).isPresent();
+    }
+
+    void verifySince(Instant now) {
+        verifyingSince = Optional.of(now);
+    }
+
+    void endVerification() {
+        verifyingSince = Optional.empty();
     }
 
     Instant nextStatusAt() {
@@ -160,6 +175,38 @@
         return broken;
     }
 
+    /** Whether the permit is from before the last restart. Its holder may still start an attempt with it. */
+    boolean isInterrupted(Permit permit) {
+        return permit.grantedAt().isBefore(incarnationSince);
+    }
+
+    /** Notes that a request ended for its holder although the engine may still run it. */
+    void endUnconfirmed(AdapterVersion adapter, Instant now) {
+        unconfirmedEnds.put(adapter, now);
+    }
+
+    /** Notes that the holder gave a permit back although the engine may still run the request. */
+    void endUnconfirmed(Permit permit, Instant now) {
+        endUnconfirmed(permit.adapter(), now);
+        if (!isInterrupted(permit)) {
+            unconfirmedPermits.put(permit, now);
+        }
+    }
+
+    /** Takes a report, which shows the state at some time in the {@code lag} before it was asked for. */
+    void confirmEnds(Map<AdapterVersion, Integer> running, Instant askedAt, Duration lag) {
+        unconfirmedEnds
+                .entrySet()
+                .removeIf(end -> !askedAt.isBefore(end.getValue().plus(lag))
+                        && running.getOrDefault(end.getKey(), 0) <= permitsOn(end.getKey()));
+        unconfirmedPermits.keySet().removeIf(permit -> !unconfirmedEnds.containsKey(permit.adapter()));
+    }
+
+    /** Whether a request holds a permit for the adapter or may still run on it. */
+    boolean isInUse(AdapterVersion adapter) {
+        return permitsOn(adapter) > 0 || unconfirmedEnds.containsKey(adapter);
+    }
+
     PrefixMemory prefixes() {
         return prefixes;
     }
@@ -178,9 +225,14 @@
                 .count();
     }
 
+    /** Permits in use, and those given back whose requests the engine may still run. */
+    Stream<Permit> occupants() {
+        return Stream.concat(permits.values().stream(), unconfirmedPermits.keySet().stream());
+    }
+
     /** The requests that may have been running when the engine crashed. */
     Set<Fingerprint> runningFingerprints() {
-        return Stream.concat(permits.values().stream(), broken.stream())
+        return Stream.concat(occupants(), broken.stream())
                 .map(Permit::fingerprint)
                 .collect(Collectors.toCollection(java.util.TreeSet::new));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
@@ -10,7 +10,6 @@
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.Fingerprint;
-import org.banyanstair.model.RequestId;
 import org.banyanstair.platform.EngineStatus;
 import org.banyanstair.platform.LogEntry;
 import org.banyanstair.platform.Streams;
@@ -73,27 +72,27 @@
         }
         engine.statusSucceeded();
         if (engine.incarnation().isEmpty()) {
-            engine.restarted(status.incarnation());
+            engine.restarted(status.incarnation(), now);
             pool.permits().values().stream()
                     .filter(permit -> permit.endpoint().equals(endpoint))
                     .forEach(permit -> engine.permits().put(permit.request(), permit));
             raiseFence(engine, effects);
         } else if (engine.incarnation().getAsLong() != status.incarnation()) {
-            restarted(engine, status.incarnation(), effects);
-        } else if (engine.verifying()) {
+            restarted(engine, status.incarnation(), now, effects);
+        } else if (engine.isVerifiedBy(askedAt)) {
             engine.broken().clear();
-            engine.verifying(false);
+            engine.endVerification();
         }
         loads.reconcile(engine, status.loaded().keySet(), askedAt, now, effects);
         endOrphans(engine, status, askedAt);
+        engine.confirmEnds(status.loaded(), askedAt, pool.settings().statusLag());
     }
 
-    private void restarted(EngineState engine, long incarnation, Effects effects) {
+    /** Permits stay in use until their holders give them back, because a grant may reach its holder late. */
+    private void restarted(EngineState engine, long incarnation, Instant now, Effects effects) {
         effects.report(new Notice.EngineRestarted(engine.endpoint().id(), incarnation));
         suspect(engine, effects);
-        List<RequestId> ended = List.copyOf(engine.permits().keySet());
-        engine.restarted(incarnation);
-        ended.forEach(request -> pool.removePermit(request));
+        engine.restarted(incarnation, now);
         raiseFence(engine, effects);
     }
 
@@ -148,7 +147,7 @@
         if (engine.verifying() && engine.incarnation().isPresent() && !engine.isReachable()) {
             suspect(engine, effects);
             engine.broken().clear();
-            engine.verifying(false);
+            engine.endVerification();
         } else if (engine.verifying()) {
             readStatus(engine, now, effects);
         }
@@ -163,11 +162,13 @@
     }
 
     void broken(Permit permit, Instant now, Effects effects) {
-        pool.engine(permit.endpoint()).ifPresent(engine -> {
-            engine.broken().add(permit);
-            engine.verifying(true);
-            readStatus(engine, now, effects);
-        });
+        pool.engine(permit.endpoint())
+                .filter(engine -> !engine.isInterrupted(permit))
+                .ifPresent(engine -> {
+                    engine.broken().add(permit);
+                    engine.verifySince(now);
+                    readStatus(engine, now, effects);
+                });
     }
 
     void notStarted(Permit permit, Failure failure, Instant now, Effects effects) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -145,7 +145,7 @@
     private boolean isEvictable(EngineState engine, AdapterVersion adapter) {
         Slot slot = engine.slots().get(adapter);
         return slot.state() == SlotState.LOADED
-                && engine.permitsOn(adapter) == 0
+                && !engine.isInUse(adapter)
                 && !pool.queue().isWanted(adapter)
                 && (takeover.isComplete() || !slot.inherited());
     }
@@ -273,7 +273,19 @@
                 .filter(adapter -> engine.unloadedAt(adapter)
                         .filter(at -> askedAt.isBefore(at.plus(lag)))
                         .isEmpty())
-                .forEach(adapter -> engine.slots().put(adapter, new Slot(SlotState.LOADED, now, true)));
+                .forEach(adapter -> {
+                    engine.slots().put(adapter, new Slot(SlotState.LOADED, now, true));
+                    engine.endUnconfirmed(adapter, now);
+                });
+    }
+
+    /** Requests that ended for their hosts before these replied were released to the earlier owner only. */
+    void takeoverCompleted(Instant now) {
+        for (EngineState engine : pool.engines().values()) {
+            engine.slots().entrySet().stream()
+                    .filter(entry -> entry.getValue().inherited())
+                    .forEach(entry -> engine.endUnconfirmed(entry.getKey(), now));
+        }
     }
 
     private void confirmLoaded(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -37,6 +37,7 @@
     private final EngineWatcher engines;
     private final RetryBudget retries = new RetryBudget();
     private Instant nextInventoryAt = Instant.MIN;
+    private Instant nextInterruptedAt = Instant.MIN;
     private Instant nextReconciliationAt;
 
     /**
@@ -79,7 +80,7 @@
             repeatGrant(present, message, effects);
             return;
         }
-        pool.removePermit(message.request());
+        pool.removePermit(message.request()).ifPresent(earlier -> endedUnreported(earlier, now, effects));
         boolean waits = pool.queue()
                 .find(message.request())
                 .filter(waiting -> waiting.message().attempt() >= message.attempt())
@@ -183,16 +184,41 @@
         decide(now, effects);
     }
 
+    /** The release of an earlier attempt may be lost, so the attempt counts as broken. */
+    private void endedUnreported(Permit permit, Instant now, Effects effects) {
+        permitEnded(permit, new AttemptOutcome.Broken(new Failure.EndpointFailed(permit.endpoint()), 0), now, effects);
+    }
+
     private void permitEnded(Permit permit, AttemptOutcome outcome, Instant now, Effects effects) {
         if (outcome instanceof AttemptOutcome.Completed) {
             engines.completed(permit, effects);
         } else if (outcome instanceof AttemptOutcome.Broken) {
+            endUnconfirmed(permit, now);
             engines.broken(permit, now, effects);
+        } else if (outcome instanceof AttemptOutcome.Cancelled) {
+            endUnconfirmed(permit, now);
         } else if (outcome instanceof AttemptOutcome.NotStarted notStarted) {
             engines.notStarted(permit, notStarted.failure(), now, effects);
         }
     }
 
+    /** A host that runs an attempt elsewhere, under a grant of an earlier term, will refuse the present grant. */
+    private boolean isUnknown(HeldPermit held) {
+        Permit present = pool.permits().get(held.request());
+        return present == null
+                || present.attempt() <= held.attempt() && !present.endpoint().equals(held.endpoint());
+    }
+
+    private void replacePermit(Permit permit) {
+        pool.removePermit(permit.request());
+        pool.addPermit(permit);
+    }
+
+    /** The engine may run the request until the cancellation or the loss of the connection has reached it. */
+    private void endUnconfirmed(Permit permit, Instant now) {
+        pool.engine(permit.endpoint()).ifPresent(engine -> engine.endUnconfirmed(permit, now));
+    }
+
     /**
      * Takes the permits that a host holds.
      *
@@ -210,10 +236,13 @@
                 .filter(permit -> permit.holder().equals(sender))
                 .filter(permit -> permit.sequence() < reply.sequence() && !held.contains(permit.request()))
                 .toList()
-                .forEach(permit -> pool.removePermit(permit.request()));
+                .forEach(permit -> {
+                    pool.removePermit(permit.request());
+                    endUnconfirmed(permit, now);
+                });
         reply.permits().stream()
-                .filter(permit -> !pool.permits().containsKey(permit.request()))
-                .forEach(permit -> pool.addPermit(new Permit(
+                .filter(this::isUnknown)
+                .forEach(permit -> replacePermit(new Permit(
                         permit.request(),
                         permit.attempt(),
                         sender,
@@ -337,7 +366,10 @@
     public void tick(Instant now, Effects effects) {
         engines.tick(now, effects);
         loads.tick(now);
-        takeover.update(pool.membership(), now);
+        if (takeover.update(pool.membership(), now)) {
+            loads.takeoverCompleted(now);
+        }
+        askForInterrupted(now, effects);
         if (!takeover.isComplete() && !now.isBefore(nextInventoryAt)) {
             nextInventoryAt = now.plus(pool.settings().repeatInterval());
             takeover.missing(pool.membership()).forEach(host -> askInventory(host, effects));
@@ -352,6 +384,19 @@
         decide(now, effects);
     }
 
+    /** A holder that was paused or whose grant is late could use a permit from before a restart of the engine. */
+    private void askForInterrupted(Instant now, Effects effects) {
+        if (now.isBefore(nextInterruptedAt)) {
+            return;
+        }
+        nextInterruptedAt = now.plus(pool.settings().repeatInterval());
+        pool.engines().values().stream()
+                .flatMap(engine -> engine.permits().values().stream().filter(engine::isInterrupted))
+                .map(permit -> permit.holder().host())
+                .distinct()
+                .forEach(host -> askInventory(host, effects));
+    }
+
     private void askInventory(HostId host, Effects effects) {
         effects.send(
                 host,
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Takeover.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Takeover.java
@@ -35,10 +35,15 @@
                 .toList();
     }
 
-    /** A host may hold permits before the host list shows it, so the lag of the list has to pass as well. */
-    void update(Membership membership, Instant now) {
+    /**
+     * A host may hold permits before the host list shows it, so the lag of the list has to pass as well. Returns true
+     * at the moment of completion.
+     */
+    boolean update(Membership membership, Instant now) {
         boolean lagPassed = !now.isBefore(takenAt.plus(settings.hostListLag()));
-        complete = complete || lagPassed && missing(membership).isEmpty();
+        boolean completes = !complete && lagPassed && missing(membership).isEmpty();
+        complete |= completes;
+        return completes;
     }
 
     boolean isComplete() {
