Add properties for generations over simulated hosts

Cause: promises 1 to 3 and the crash bound had no property checks. Change: three reducers are joined by a log, a network, a host list and engines that delay, lose, repeat and reorder; hosts pause before their effects, engines restart empty, hosts are killed, the log goes down. Excluded: a host that the host list drops while it is only paused.

--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
@@ -0,0 +1,225 @@
+package org.banyanstair.placement;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.Fingerprint;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.peer.AttemptOutcome;
+import org.banyanstair.platform.EngineStatus;
+import org.banyanstair.platform.OrderResult;
+import org.banyanstair.reducer.Event;
+
+/** An engine that loses answers, reports late, restarts empty, and reports unloads of adapters in use. */
+final class SimulatedEngine {
+    /** Below the {@code statusLag} of the settings, which is what the owner may rely on. */
+    private static final int STATUS_LAG_MILLIS = 700;
+
+    private static final int LOSS_PERCENT = 5;
+    private static final int DOWN_MILLIS = 300;
+
+    private final SimulatedCluster cluster;
+    private final Endpoint endpoint;
+    private final Set<AdapterVersion> loaded = new LinkedHashSet<>();
+    private final Map<RunId, AdapterVersion> running = new LinkedHashMap<>();
+    private final Deque<Snapshot> snapshots = new ArrayDeque<>();
+    private final Map<Fingerprint, Integer> crashes = new HashMap<>();
+    private long incarnation = 1;
+    private long fence;
+    private boolean down;
+    private boolean crashed;
+
+    record RunId(HostIdentity holder, RequestId request, int attempt) {}
+
+    private record Snapshot(Instant at, EngineStatus status) {}
+
+    SimulatedEngine(SimulatedCluster cluster, Endpoint endpoint) {
+        this.cluster = cluster;
+        this.endpoint = endpoint;
+        snapshot();
+    }
+
+    Endpoint endpoint() {
+        return endpoint;
+    }
+
+    boolean hasCrashed() {
+        return crashed;
+    }
+
+    int crashesOf(Fingerprint fingerprint) {
+        return crashes.getOrDefault(fingerprint, 0);
+    }
+
+    private void snapshot() {
+        Map<AdapterVersion, Integer> users = new HashMap<>();
+        loaded.forEach(adapter -> users.put(
+                adapter, (int) running.values().stream().filter(adapter::equals).count()));
+        snapshots.addLast(new Snapshot(
+                cluster.now(),
+                new EngineStatus(incarnation, endpoint.slots(), endpoint.batchLimit(), users, running.size(), fence)));
+    }
+
+    EngineStatus laggingStatus() {
+        Instant wanted = cluster.now().minusMillis(cluster.random(STATUS_LAG_MILLIS));
+        while (snapshots.size() > 1
+                && snapshots.peekFirst().at().isBefore(cluster.now().minusMillis(STATUS_LAG_MILLIS))) {
+            Snapshot first = snapshots.removeFirst();
+            if (snapshots.peekFirst().at().isAfter(wanted)) {
+                snapshots.addFirst(first);
+                break;
+            }
+        }
+        EngineStatus status = snapshots.peekFirst().status();
+        for (Snapshot each : snapshots) {
+            if (!each.at().isAfter(wanted)) {
+                status = each.status();
+            }
+        }
+        return status;
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    void load(AdapterVersion adapter, long term, Consumer<OrderResult> result) {
+        order(term, result, answer -> {
+            if (loaded.contains(adapter)) {
+                answer.accept(new OrderResult.Done());
+            } else if (loaded.size() >= endpoint.slots() || cluster.chance(LOSS_PERCENT)) {
+                answer.accept(new OrderResult.Refused(new Failure.EndpointRefused(endpoint.id(), 409)));
+            } else {
+                long before = incarnation;
+                cluster.after(100 + cluster.random(300), () -> loadEnded(adapter, before, answer));
+            }
+        });
+    }
+
+    private void loadEnded(AdapterVersion adapter, long startedIn, Consumer<OrderResult> answer) {
+        if (incarnation != startedIn || loaded.size() >= endpoint.slots()) {
+            answer.accept(new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id())));
+            return;
+        }
+        loaded.add(adapter);
+        snapshot();
+        answer.accept(new OrderResult.Done());
+    }
+
+    void unload(AdapterVersion adapter, long term, Consumer<OrderResult> result) {
+        order(term, result, answer -> {
+            List<RunId> users = running.keySet().stream()
+                    .filter(run -> running.get(run).equals(adapter))
+                    .toList();
+            if (loaded.remove(adapter) && !users.isEmpty()) {
+                cluster.violated("unload of " + adapter + " in use by " + users + " at " + endpoint.id());
+            }
+            snapshot();
+            answer.accept(new OrderResult.Done());
+        });
+    }
+
+    void raiseFence(long term, Consumer<OrderResult> result) {
+        order(term, result, answer -> answer.accept(new OrderResult.Done()));
+    }
+
+    /** Delivers an order after a delay; its answer may be lost, and the order then often takes effect even later. */
+    private void order(long term, Consumer<OrderResult> result, Consumer<Consumer<OrderResult>> action) {
+        boolean lost = cluster.chance(LOSS_PERCENT);
+        Consumer<OrderResult> answer = end -> cluster.after(cluster.delay(), () -> result.accept(end));
+        OrderResult unknown = new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
+        if (lost) {
+            cluster.after(200, () -> result.accept(unknown));
+        }
+        cluster.after(lost ? cluster.random(1_000) : cluster.delay(), () -> {
+            Consumer<OrderResult> given = lost ? end -> {} : answer;
+            if (down) {
+                given.accept(unknown);
+            } else if (endpoint.checksFencing() && term < fence) {
+                given.accept(new OrderResult.Refused(new Failure.OrderFenced(endpoint.id(), term)));
+            } else {
+                fence = endpoint.checksFencing() ? Math.max(fence, term) : 0;
+                action.accept(given);
+            }
+        });
+    }
+
+    void start(SimulatedHost host, RunId run, AdapterVersion adapter, Fingerprint fingerprint) {
+        if (host.isDead()) {
+            return;
+        }
+        if (down) {
+            end(host, run, new AttemptOutcome.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
+        } else if (!loaded.contains(adapter)) {
+            end(host, run, new AttemptOutcome.NotStarted(new Failure.AdapterNotLoaded(endpoint.id(), adapter)));
+        } else {
+            running.put(run, adapter);
+            snapshot();
+            if (cluster.isPoison(fingerprint)) {
+                crashes.merge(fingerprint, 1, Integer::sum);
+                restart();
+            } else {
+                cluster.after(100 + cluster.random(1_500), () -> complete(host, run));
+                if (cluster.chance(cluster.cutPercent())) {
+                    // The connection breaks, and the engine keeps the stream for a while for a resumption.
+                    cluster.after(cluster.random(500), () -> end(host, run, broken()));
+                }
+            }
+        }
+    }
+
+    private AttemptOutcome broken() {
+        return new AttemptOutcome.Broken(new Failure.EndpointFailed(endpoint.id()), 1);
+    }
+
+    private void complete(SimulatedHost host, RunId run) {
+        if (running.remove(run) != null) {
+            snapshot();
+            end(host, run, new AttemptOutcome.Completed());
+        }
+    }
+
+    void cancel(RunId run) {
+        if (running.remove(run) != null) {
+            snapshot();
+        }
+    }
+
+    void cancelAllOf(HostIdentity holder) {
+        running.keySet().removeIf(run -> run.holder().equals(holder));
+        snapshot();
+    }
+
+    private void end(SimulatedHost host, RunId run, AttemptOutcome outcome) {
+        Function<Instant, Event> event = at -> new Event.AttemptEnded(at, run.request(), run.attempt(), outcome);
+        cluster.after(cluster.delay(), () -> host.deliver(event));
+    }
+
+    /** Ends the incarnation: everything that it ran or had loaded is gone. */
+    void restart() {
+        crashed = true;
+        down = true;
+        incarnation++;
+        List<RunId> ended = List.copyOf(running.keySet());
+        running.clear();
+        loaded.clear();
+        snapshots.clear();
+        fence = 0;
+        snapshot();
+        ended.forEach(run -> cluster.host(run.holder()).ifPresent(host -> end(host, run, broken())));
+        cluster.after(DOWN_MILLIS, () -> down = false);
+    }
+}
