Publish the totals of the peer transport as metrics

Cause: the cost of control per host could not be read from outside. Excluded: counters of the HTTP clients; the stand-ins count those calls.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -25,8 +25,8 @@
 import org.banyanstair.server.http.metrics.RequestRecorder;
 import org.banyanstair.server.http.operator.OperatorHttpServer;
 import org.banyanstair.server.settings.DaemonSettings;
+import org.banyanstair.transport.NettyPeerTransport;
 import org.banyanstair.transport.PeerListener;
-import org.banyanstair.transport.PeerTransport;
 import org.tinylog.Logger;
 
 /** One entry host: all parts of the daemon, started and stopped in order. */
@@ -45,7 +45,7 @@
     private final EventLoop loop;
     private final LogFollowers followers;
     private final HostListPoller hostListPoller;
-    private final PeerTransport peers;
+    private final NettyPeerTransport peers;
     private final HostService service;
     private final CallerHttpServer callerServer;
     private final OperatorHttpServer operatorServer;
@@ -80,6 +80,7 @@
         this.peers = parts.peers(hostListPoller::peerAddress, peerListener());
         wire(effects, generations);
         MetricRegistry registry = new MetricRegistry();
+        new TransportMetrics(registry, peers::counters).register();
         RequestMetrics metrics = new RequestMetrics(registry);
         BurnRecorder burn = new BurnRecorder(identity.host(), clock, service::configuration);
         RequestRecorder recorder = new RequestRecorder(identity.host(), metrics, burn);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
@@ -30,7 +30,6 @@
 import org.banyanstair.server.settings.DaemonSettings;
 import org.banyanstair.transport.NettyPeerTransport;
 import org.banyanstair.transport.PeerListener;
-import org.banyanstair.transport.PeerTransport;
 import org.banyanstair.transport.PeerTransportSettings;
 
 /** Creates the parts of the daemon from its settings. */
@@ -88,7 +87,7 @@
                 defaults.logRetention());
     }
 
-    PeerTransport peers(Function<HostId, Optional<NetworkAddress>> addresses, PeerListener listener) {
+    NettyPeerTransport peers(Function<HostId, Optional<NetworkAddress>> addresses, PeerListener listener) {
         Duration heartbeat = Duration.ofMillis(settings.timing().heartbeatMilliseconds());
         Duration limit = Duration.ofMillis(settings.timing().heartbeatLimitMilliseconds());
         PeerTransportSettings transport = new PeerTransportSettings(
