--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkRun.java
@@ -0,0 +1,24 @@
+package org.banyanstair.integration.bench;
+
+import java.nio.file.Path;
+import java.time.Duration;
+
+/**
+ * Options of one run.
+ *
+ * @param brief whether to run only long enough to check the benchmark itself
+ * @param seed seed of all random numbers
+ * @param results directory for results
+ * @param work directory for settings files and output of the daemons
+ */
+record BenchmarkRun(boolean brief, long seed, Path results, Path work) {
+    /** Returns the time for a measurement. */
+    Duration time(int seconds, int briefSeconds) {
+        return Duration.ofSeconds(brief ? briefSeconds : seconds);
+    }
+
+    /** Returns where to write a file that belongs to the results of a benchmark. */
+    Path file(String name, String extension) {
+        return results.resolve(name + (brief ? "-brief." : ".") + extension);
+    }
+}
--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/Series.java
@@ -0,0 +1,16 @@
+package org.banyanstair.integration.bench;
+
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+
+/** One figure of all steps of a benchmark. */
+final class Series {
+    private Series() {}
+
+    static double[] of(ArrayNode steps, String figure) {
+        return StreamSupport.stream(steps.spliterator(), false)
+                .mapToDouble(step -> step.required(figure).asDouble())
+                .toArray();
+    }
+}
--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
@@ -0,0 +1,126 @@
+package org.banyanstair.integration.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.integration.cluster.ClusterHost;
+import org.banyanstair.testsupport.load.LoadOutcome;
+import org.banyanstair.testsupport.load.LoadPlan;
+import org.banyanstair.testsupport.load.LoadReport;
+import org.banyanstair.testsupport.load.OpenLoopLoad;
+
+/** Raises the rate of streams through one daemon on one core until it cannot keep up. */
+final class StreamsPerCoreBenchmark implements Benchmark {
+    private static final Path TASKSET = Path.of("/usr/bin/taskset");
+    private static final int ENGINES = 8;
+    private static final int ADAPTERS = 4;
+    private static final int TOKENS = 32;
+    private static final long STEP_MICROSECONDS = 1_000;
+    private static final int CORE = 0;
+    private static final List<Integer> RATES = List.of(50, 100, 200, 400, 600, 800, 1_000, 1_200, 1_500, 2_000);
+    private static final double KEEPS_UP_SHARE = 0.98;
+    private static final int LISTED_THREADS = 8;
+    private static final int AIM = 1_000;
+
+    @Override
+    public ObjectNode run(BenchmarkRun run) throws Exception {
+        try (BenchmarkCluster cluster = new BenchmarkCluster(
+                run,
+                "streams-per-core",
+                1,
+                List.of(ENGINES),
+                BenchmarkCluster.engine(ADAPTERS, 512, STEP_MICROSECONDS))) {
+            // The virtual machine sizes its thread pools and collector when it starts, before it can be pinned.
+            cluster.cluster().javaOptions(List.of("-XX:ActiveProcessorCount=1"));
+            cluster.cluster().start();
+            ClusterHost host = cluster.cluster().hosts().get(0);
+            boolean pinned = pin(host.process().pid());
+            cluster.apply(BenchmarkDeclarations.of(1, ADAPTERS));
+            step(cluster, host, 50, run.time(10, 5), run.seed() - 1);
+            ObjectNode json = Mappers.JSON.createObjectNode();
+            json.put("pinned", pinned).put("engines", ENGINES).put("tokens", TOKENS);
+            json.put("stepMicros", STEP_MICROSECONDS).put("aimStreamsPerSecond", AIM);
+            ramp(cluster, host, run, json);
+            return json;
+        }
+    }
+
+    private static void ramp(BenchmarkCluster cluster, ClusterHost host, BenchmarkRun run, ObjectNode json)
+            throws Exception {
+        ArrayNode steps = json.putArray("steps");
+        int sustained = 0;
+        for (int rate : RATES) {
+            ObjectNode step = step(cluster, host, rate, run.time(8, 3), run.seed() + rate);
+            steps.add(step);
+            System.err.println(step);
+            if (!step.path("keepsUp").asBoolean()) {
+                break;
+            }
+            sustained = rate;
+        }
+        json.put("sustainedStreamsPerSecond", sustained);
+    }
+
+    private static boolean pin(long pid) throws IOException, InterruptedException {
+        if (!Files.isExecutable(TASKSET)) {
+            return false;
+        }
+        Process process = new ProcessBuilder(
+                        TASKSET.toString(), "-a", "-p", "-c", Integer.toString(CORE), Long.toString(pid))
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        return process.waitFor(10, TimeUnit.SECONDS) && process.exitValue() == 0;
+    }
+
+    private static ObjectNode step(BenchmarkCluster cluster, ClusterHost host, int rate, Duration time, long seed)
+            throws Exception {
+        ProcessUsage usage = new ProcessUsage(host.process().pid());
+        double before = usage.processorSeconds();
+        Map<String, Double> threadsBefore = usage.processorSecondsByThread();
+        long begin = System.nanoTime();
+        LoadPlan plan = new LoadPlan(rate, rate * time.toSeconds() * 2, time, Duration.ofSeconds(3), seed);
+        StreamLatency latency = new StreamLatency();
+        LoadReport report = new OpenLoopLoad(plan, (sequence, random, intended) -> cluster.generate(
+                                host.caller(), 0, random.nextInt(ADAPTERS), "request " + sequence, TOKENS)
+                        .thenApply(result -> {
+                            latency.add(intended, result.toLoadResult());
+                            return result.toLoadResult();
+                        }))
+                .run();
+        double wall = (System.nanoTime() - begin) / 1e9;
+        ObjectNode json = latency.json();
+        double processor = usage.processorSeconds() - before;
+        long answered = report.count(LoadOutcome.ANSWERED);
+        json.put("streamsPerSecond", rate).put("started", report.started()).put("unfinished", report.unfinished());
+        json.put("wallSeconds", wall).put("processorSeconds", processor);
+        json.put("processorMicrosPerStream", answered == 0 ? 0 : processor * 1e6 / answered);
+        // A daemon that falls behind leaves streams unfinished or delays them without bound.
+        boolean keepsUp = answered >= KEEPS_UP_SHARE * report.started()
+                && report.latency().getValueAtPercentile(99)
+                        < Duration.ofSeconds(1).toNanos() / 1_000;
+        json.put("keepsUp", keepsUp);
+        json.set("startDelayMicros", StreamLatency.percentiles(report.startDelay()));
+        json.set("processorSecondsByThread", topThreads(threadsBefore, usage.processorSecondsByThread()));
+        return json;
+    }
+
+    private static ObjectNode topThreads(Map<String, Double> before, Map<String, Double> after) {
+        List<Map.Entry<String, Double>> used = new ArrayList<>();
+        after.forEach((name, seconds) -> used.add(Map.entry(name, seconds - before.getOrDefault(name, 0.0))));
+        used.sort(Map.Entry.<String, Double>comparingByValue(Comparator.reverseOrder()));
+        ObjectNode json = Mappers.JSON.createObjectNode();
+        used.stream().limit(LISTED_THREADS).forEach(entry -> json.put(entry.getKey(), entry.getValue()));
+        return json;
+    }
+}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -72,6 +72,7 @@
     private final List<ClusterEngine> engines = new ArrayList<>();
     private final List<ClusterDesk> desks = new ArrayList<>();
     private int hostsStarted;
+    private List<String> javaOptions = List.of();
 
     /**
      * Creates a cluster; nothing runs before {@link #start}.
@@ -97,6 +98,15 @@
         return caller + "-key-of-the-test";
     }
 
+    /**
+     * Sets options of the Java virtual machine for hosts that are started from now on.
+     *
+     * @param options the options
+     */
+    public void javaOptions(List<String> options) {
+        javaOptions = List.copyOf(options);
+    }
+
     /** Starts the stand-ins and the hosts; returns when all hosts are ready. */
     public void start() {
         startStandIns();
@@ -220,11 +230,11 @@
     private ClusterHost launch(PendingHost pending) {
         ManagedProcess process = launcher.startJava(
                 pending.entry().id().value(),
-                JavaCommand.of(
-                        Main.class,
+                new JavaCommand(
+                        Main.class.getName(),
                         HEAP_MEGABYTES,
-                        "--settings",
-                        pending.settings().toString()),
+                        javaOptions,
+                        List.of("--settings", pending.settings().toString())),
                 Instant.now().plusSeconds(START_SECONDS));
         return new ClusterHost(pending.entry(), process, pending.settings(), pending.logProxy(), pending.peerProxy());
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
@@ -72,6 +72,22 @@
         return execute(request, ResponseReader::readChat);
     }
 
+    /**
+     * Generates a chat answer at an engine, without an entry host.
+     *
+     * @param engine address of the engine
+     * @param requestId id of the request, not used before at this engine
+     * @param call the call; its model is the engine's name of a loaded adapter
+     * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
+     */
+    public CompletableFuture<CallerResult> chatWithEngine(NetworkAddress engine, String requestId, ChatCall call) {
+        Request request = request(engine, "/v1/chat/completions", call.headers())
+                .header("X-Request-Id", requestId)
+                .post(RequestBody.create(body(call), JSON))
+                .build();
+        return execute(request, ResponseReader::readChat);
+    }
+
     /**
      * Calls a plain service.
      *
