Warm the daemon up before it is pinned to one core

Cause: compilation took a third of the core during all steps of a short run, so the rate was that of a starting daemon. Change: the warm-up of streams-per-core runs on all cores; each step reports which share of the core the daemon had. Excluded: a fixed delay instead of a load; compilation needs the load.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
@@ -27,6 +27,7 @@
     private static final int TOKENS = 32;
     private static final long STEP_MICROSECONDS = 1_000;
     private static final int CORE = 0;
+    private static final int WARM_UP_RATE = 300;
     private static final List<Integer> RATES = List.of(50, 100, 200, 400, 600, 800, 1_000, 1_200, 1_500, 2_000);
     private static final double KEEPS_UP_SHARE = 0.98;
     private static final int LISTED_THREADS = 8;
@@ -44,9 +45,11 @@
             cluster.cluster().javaOptions(List.of("-XX:ActiveProcessorCount=1"));
             cluster.cluster().start();
             ClusterHost host = cluster.cluster().hosts().get(0);
-            boolean pinned = pin(host.process().pid());
             cluster.apply(BenchmarkDeclarations.of(1, ADAPTERS));
-            step(cluster, host, 50, run.time(10, 5), run.seed() - 1);
+            // Compilation would take most of a single core for the first half minute, so the warm-up is not pinned.
+            step(cluster, host, WARM_UP_RATE, run.time(20, 10), run.seed() - 1);
+            boolean pinned = pin(host.process().pid());
+            step(cluster, host, WARM_UP_RATE, run.time(5, 3), run.seed() - 2);
             ObjectNode json = Mappers.JSON.createObjectNode();
             json.put("pinned", pinned).put("engines", ENGINES).put("tokens", TOKENS);
             json.put("stepMicros", STEP_MICROSECONDS).put("aimStreamsPerSecond", AIM);
@@ -104,6 +107,8 @@
         long answered = report.count(LoadOutcome.ANSWERED);
         json.put("streamsPerSecond", rate).put("started", report.started()).put("unfinished", report.unfinished());
         json.put("wallSeconds", wall).put("processorSeconds", processor);
+        // Below 1 in a step that does not keep up, other processes had a share of the core.
+        json.put("coreShare", processor / wall);
         json.put("processorMicrosPerStream", answered == 0 ? 0 : processor * 1e6 / answered);
         // A daemon that falls behind leaves streams unfinished or delays them without bound.
         boolean keepsUp = answered >= KEEPS_UP_SHARE * report.started()
