Rank hosts only when the host list or an owner changes

Cause: each tick, every 10 ms, ranked all hosts for each call partition and each pool, with two hashes in each comparison. Change: Membership counts changes of the list; the followed partitions and the watched peers are worked out again after a change. Excluded: a longer tick, which would delay all deadlines; caching of weights alone, which keeps the growth with hosts times pools.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.banyanstair.errors.Failure;
 import org.banyanstair.membership.Membership;
@@ -31,6 +32,8 @@
     private final Membership membership;
     private final List<CallWriter> writers;
     private final Set<Integer> followed = new HashSet<>();
+    private Set<Integer> wanted = Set.of();
+    private long rankedAtChange = -1;
 
     /**
      * Creates the writers.
@@ -138,18 +141,33 @@
      */
     public void tick(Instant now, Effects effects) {
         if (membership.isListingRead()) {
+            rankIfChanged();
             Streams.partitions().forEach(partition -> followOrNot(partition, effects));
         }
         writers.forEach(writer -> writer.tick(now, effects));
     }
 
-    private void followOrNot(int partition, Effects effects) {
-        boolean wanted = RendezvousHash.rank(
-                        Streams.calls(partition), membership.listing().liveHosts())
-                .stream()
+    /** Ranking all hosts at each tick would take more than a core with a few hundred hosts. */
+    private void rankIfChanged() {
+        if (rankedAtChange == membership.listingChanges()) {
+            return;
+        }
+        rankedAtChange = membership.listingChanges();
+        List<HostId> live = membership.listing().liveHosts();
+        wanted = Streams.partitions()
+                .filter(partition -> isRanked(partition, live))
+                .boxed()
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private boolean isRanked(int partition, List<HostId> live) {
+        return RendezvousHash.rank(Streams.calls(partition), live).stream()
                 .limit(FOLLOWED_RANKS)
                 .anyMatch(membership.self().host()::equals);
-        if (wanted) {
+    }
+
+    private void followOrNot(int partition, Effects effects) {
+        if (wanted.contains(partition)) {
             follow(partition, effects);
         } else if (followed.contains(partition) && !writers.get(partition).isBusy()) {
             followed.remove(partition);
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -20,6 +20,7 @@
 public final class Membership {
     private final HostIdentity self;
     private HostListing listing = HostListing.EMPTY;
+    private long listingChanges;
     private boolean listingRead;
     private boolean draining;
     private final Map<HostId, Instant> unreachableSince = new HashMap<>();
@@ -51,10 +52,23 @@
      * @param newListing the list
      */
     public void update(HostListing newListing) {
-        listing = newListing;
+        if (!newListing.equals(listing)) {
+            listing = newListing;
+            listingChanges++;
+        }
         listingRead = true;
     }
 
+    /**
+     * Returns how often a reading differed from the one before. Decisions that depend on the list alone hold until this
+     * number changes.
+     *
+     * @return the number, 0 before the first reading
+     */
+    public long listingChanges() {
+        return listingChanges;
+    }
+
     /**
      * Returns the last reading of the host list.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -43,6 +43,8 @@
     private final Map<PoolId, Instant> claimAgainAt = new HashMap<>();
     private final Map<PoolId, Instant> unownedSince = new HashMap<>();
     private Set<HostId> watched = Set.of();
+    private long watchedAtChange = -1;
+    private Map<PoolId, Ownership> watchedOwners = Map.of();
     private boolean caughtUp;
     private Instant nextRenewal = Instant.MIN;
 
@@ -116,7 +118,7 @@
             return;
         }
         pools().forEach(pool -> claimIfDue(pool, now, effects));
-        watch(effects);
+        watchIfChanged(effects);
         renewIfDue(now, effects);
     }
 
@@ -161,6 +163,15 @@
         return !watched.isEmpty() && watched.stream().allMatch(membership::isUnreachable);
     }
 
+    /** Ranking all hosts for each pool at each tick would take more than a core with a few hundred hosts. */
+    private void watchIfChanged(Effects effects) {
+        if (watchedAtChange != membership.listingChanges() || !watchedOwners.equals(history.owners())) {
+            watchedAtChange = membership.listingChanges();
+            watchedOwners = Map.copyOf(history.owners());
+            watch(effects);
+        }
+    }
+
     private void watch(Effects effects) {
         Set<HostId> wanted = new HashSet<>();
         HostId self = membership.self().host();
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
@@ -0,0 +1,31 @@
+package org.banyanstair.membership;
+
+import java.util.List;
+
+import org.banyanstair.model.DataCentre;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class MembershipTest {
+    private static EntryHost host(String id, Presence presence) {
+        NetworkAddress address = new NetworkAddress("127.0.0.1", 1);
+        return new EntryHost(new HostId(id), presence, new DataCentre("ub-east"), address, address, address);
+    }
+
+    /** Guards against decisions that are made again at each reading, or not made again after a change. */
+    @Test
+    void onlyADifferentListIsAChange() {
+        Membership membership = new Membership(new HostIdentity(new HostId("a"), 1));
+        membership.update(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
+        assertEquals(1, membership.listingChanges());
+        membership.update(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
+        assertEquals(1, membership.listingChanges());
+        membership.update(new HostListing(2, List.of(host("a", Presence.LEAVING)), List.of()));
+        assertEquals(2, membership.listingChanges());
+        assertEquals(Presence.LEAVING, membership.listing().hosts().get(0).presence());
+    }
+}
