End a stream of the engine stand-in whose reader is gone

Cause: when a connection closed before the first token, Jooby found no handler in the emptied pipeline and threw. The stand-in logged a stack trace and ended the run at once, although a stream whose connection broke goes on for keepBrokenStreamsSeconds. Change: startEvents returns false for a closed connection, and the generation goes on until the close listener handles it. Excluded: other uses of closed connections; writes to them are ignored already. Conclusion: early disconnects follow the documented rule.

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/Exchange.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/Exchange.java
@@ -131,10 +131,23 @@
         answer(status, Map.of("error", Map.of("message", message, "type", "endpoint_error", "code", code)));
     }
 
-    /** Starts an answer of server-sent events. */
-    public void startEvents() {
+    /**
+     * Starts an answer of server-sent events.
+     *
+     * @return false if the connection has closed; nothing was started then
+     */
+    public boolean startEvents() {
         context.setResponseType(MediaType.valueOf("text/event-stream"));
-        sender = context.responseSender();
+        try {
+            sender = context.responseSender();
+            return true;
+        } catch (IllegalStateException exception) {
+            // Jooby finds no handler once Netty has emptied the pipeline of a closed connection.
+            if (channel.isActive()) {
+                throw exception;
+            }
+            return false;
+        }
     }
 
     /**
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
@@ -76,8 +76,8 @@
         if (reader == null || produced == nextEvent && !isComplete()) {
             return;
         }
-        if (!reader.hasStartedEvents()) {
-            reader.startEvents();
+        if (!reader.hasStartedEvents() && !reader.startEvents()) {
+            return;
         }
         StringBuilder events = new StringBuilder();
         while (nextEvent < produced) {
