Send text completions with the test client

Cause: the load client spoke only chat, so no run over real processes sent POST /v1/completions. Change: HttpCaller.complete sends a prompt; the reader takes the text of the choice when there is no message. Excluded: several choices, which the daemon does not serve.

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
@@ -66,8 +66,26 @@
      * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
      */
     public CompletableFuture<CallerResult> chat(NetworkAddress entry, ChatCall call) {
+        ObjectNode body = body(call);
+        body.putArray("messages").addObject().put("role", "user").put("content", call.prompt());
         Request request = request(entry, "/v1/chat/completions", call.headers())
-                .post(RequestBody.create(body(call), JSON))
+                .post(RequestBody.create(bytes(body), JSON))
+                .build();
+        return execute(request, ResponseReader::readChat);
+    }
+
+    /**
+     * Generates a text completion; the prompt of the call is the field {@code prompt}.
+     *
+     * @param entry caller address of an entry host
+     * @param call the call
+     * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
+     */
+    public CompletableFuture<CallerResult> complete(NetworkAddress entry, ChatCall call) {
+        ObjectNode body = body(call);
+        body.put("prompt", call.prompt());
+        Request request = request(entry, "/v1/completions", call.headers())
+                .post(RequestBody.create(bytes(body), JSON))
                 .build();
         return execute(request, ResponseReader::readChat);
     }
@@ -137,10 +155,14 @@
         return builder;
     }
 
-    private static byte[] body(ChatCall call) {
+    private static ObjectNode body(ChatCall call) {
         ObjectNode body = Mappers.JSON.createObjectNode();
-        body.put("model", call.model()).put("max_tokens", call.maximumTokens()).put("stream", call.stream());
-        body.putArray("messages").addObject().put("role", "user").put("content", call.prompt());
+        return body.put("model", call.model())
+                .put("max_tokens", call.maximumTokens())
+                .put("stream", call.stream());
+    }
+
+    private static byte[] bytes(ObjectNode body) {
         try {
             return Mappers.JSON.writeValueAsBytes(body);
         } catch (IOException exception) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
@@ -64,7 +64,7 @@
 
     private CallerResult readWhole(String body) throws JsonProcessingException {
         JsonNode json = Mappers.JSON.readTree(body);
-        String content = json.at("/choices/0/message/content").asText();
+        String content = content(json, "/choices/0/message/content");
         int tokens = json.at("/usage/completion_tokens").asInt();
         return new CallerResult.Generated(
                 requestId(), adapter(), json.path("model").asText(), content, tokens, sentAt, List.of());
@@ -91,13 +91,18 @@
 
     private void append(JsonNode chunk) {
         model = chunk.path("model").asText(model);
-        String token = chunk.at("/choices/0/delta/content").asText("");
+        String token = content(chunk, "/choices/0/delta/content");
         if (!token.isEmpty()) {
             tokenTimes.add(instants.instant());
             text.append(token);
         }
     }
 
+    /** Text completions have the text directly in the choice. */
+    private static String content(JsonNode json, String chatPath) {
+        return json.at(chatPath).asText(json.at("/choices/0/text").asText(""));
+    }
+
     private boolean isRefusal() {
         return response.header("X-Outcome") != null;
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
@@ -95,6 +95,25 @@
         assertEquals(1, result.tokens());
     }
 
+    @Test
+    void readsTextCompletionInBothForms() throws Exception {
+        ChatCall call = new ChatCall(HEADERS, "assistant/tender", "Draft a reply", 16, true);
+        serve(
+                200,
+                Map.of("Content-Type", "text/event-stream"),
+                "data: {\"choices\":[{\"text\":\"Dear \"}]}\n\n",
+                "data: [DONE]\n\n");
+        CallerResult streamed = caller.complete(address, call).get(5, TimeUnit.SECONDS);
+        assertEquals("Dear ", ((CallerResult.Generated) streamed).text());
+        serve(
+                200,
+                Map.of("Content-Type", "application/json"),
+                "{\"choices\":[{\"text\":\"Dear school\"}],\"usage\":{\"completion_tokens\":2}}");
+        CallerResult whole = caller.complete(address, call).get(5, TimeUnit.SECONDS);
+        assertEquals("Dear school", ((CallerResult.Generated) whole).text());
+        assertEquals(2, ((CallerResult.Generated) whole).tokens());
+    }
+
     @Test
     void headerTellsNotRunFromUnknown() throws Exception {
         serve(503, Map.of("X-Outcome", "not-run"), ERROR);
