Prove a reused key refused when its first writer is gone

Cause: a request that reuses a key with another body and whose first writer was killed was refused by the next writer without proof that the first attempt can never run. The entry host therefore asked again until the deadline and answered outcome_unknown after 20 s instead of idempotency_key_reused. A run of QuickStartTest showed it. Change: a key that is answered or has an unknown outcome is never held again, so the refusal reports the voided attempts as dead. Excluded: a key that is only held; it can become free, so the proof still needs the final state. Conclusion: "not run" is told as soon as the log proves it.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -154,10 +154,11 @@
             return true;
         }
         if (state instanceof CallState.OutcomeUnknown unknown) {
-            CallAnswer answer = unknown.bodyDigest().equals(call.submit().bodyDigest())
-                    ? new CallAnswer.Unknown(new Failure.OutcomeUnknown())
-                    : new CallAnswer.NotRun(keyReused(call));
-            finish(call, answer, effects);
+            if (unknown.bodyDigest().equals(call.submit().bodyDigest())) {
+                finish(call, new CallAnswer.Unknown(new Failure.OutcomeUnknown()), effects);
+            } else {
+                refuseReused(call, effects);
+            }
             return true;
         }
         if (state instanceof CallState.Held held
@@ -170,13 +171,19 @@
 
     private void settleAnswered(SubmittedCall call, CallState.Answered answered, Effects effects) {
         if (!answered.bodyDigest().equals(call.submit().bodyDigest())) {
-            finish(call, new CallAnswer.NotRun(keyReused(call)), effects);
+            refuseReused(call, effects);
             return;
         }
         boolean repeated = !answered.attempt().equals(call.submit().attempt());
         finish(call, new CallAnswer.Answered(answered.answer(), repeated), effects);
     }
 
+    /** A key with a final state is never held again, so no earlier attempt of the refused request can run either. */
+    private void refuseReused(SubmittedCall call, Effects effects) {
+        call.markVoidsRecorded();
+        finish(call, new CallAnswer.NotRun(keyReused(call)), effects);
+    }
+
     private static Failure keyReused(SubmittedCall call) {
         return new Failure.IdempotencyKeyReused(call.submit().key().key());
     }
