Add the quick start

Cause: nobody could see the system work without writing a test. Change: bin/quickstart starts stand-ins and 3 entry hosts, applies examples/quickstart.toml, sends requests of every kind, kills one host while requests run, and checks the promises from the endpoints' records. Exit code 1 names a broken promise. Excluded: further faults (log, engines); the history checks cover them. Conclusion: a newcomer gets a whole run with one command.

--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/EndpointRecords.java
@@ -0,0 +1,84 @@
+package org.banyanstair.integration.quickstart;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.codec.Mappers;
+import org.banyanstair.integration.cluster.Cluster;
+import org.banyanstair.integration.cluster.ClusterDesk;
+import org.banyanstair.integration.cluster.ClusterEngine;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.testsupport.engine.EngineRun;
+import org.banyanstair.testsupport.engine.EngineViolation;
+import org.banyanstair.testsupport.history.EndpointRun;
+import org.banyanstair.testsupport.service.ServiceRun;
+
+/** Reads what the endpoints of a cluster ran, in the form that the history check takes. */
+final class EndpointRecords {
+    private static final String REFERENCE = "reference";
+
+    private EndpointRecords() {}
+
+    /** Returns the body of an order, with a mark by which the record of the endpoint shows it. */
+    static byte[] orderBody(String mark) {
+        try {
+            return Mappers.JSON.writeValueAsBytes(Map.of("item", "fire-blanket", "quantity", 1, REFERENCE, mark));
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    static List<EndpointRun> runs(Cluster cluster) {
+        List<EndpointRun> runs = new ArrayList<>();
+        for (ClusterEngine engine : cluster.engines()) {
+            engine.engine().record().runs().forEach(run -> runs.add(run(engine, run)));
+        }
+        for (ClusterDesk desk : cluster.desks()) {
+            desk.service().record().forEach(run -> runs.add(run(desk, run)));
+        }
+        return runs;
+    }
+
+    static List<EngineViolation> violations(Cluster cluster) {
+        return cluster.engines().stream()
+                .flatMap(engine -> engine.engine().record().violations().stream())
+                .toList();
+    }
+
+    private static EndpointRun run(ClusterEngine engine, EngineRun run) {
+        return new EndpointRun(
+                engine.endpoint().id(),
+                run.requestId(),
+                run.promptDigest(),
+                Optional.of(AdapterVersion.parse(run.adapter())),
+                run.tokens(),
+                "",
+                run.started(),
+                run.ended().orElseGet(Instant::now));
+    }
+
+    private static EndpointRun run(ClusterDesk desk, ServiceRun run) {
+        return new EndpointRun(
+                desk.endpoint().id(), run.requestId(), key(run), Optional.empty(), 0, "", run.started(), run.ended());
+    }
+
+    private static String key(ServiceRun run) {
+        if (!run.path().equals("/orders")) {
+            return run.path();
+        }
+        try {
+            return Mappers.JSON
+                    .readTree(run.body().getBytes(StandardCharsets.UTF_8))
+                    .path(REFERENCE)
+                    .asText();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartResult.java
@@ -0,0 +1,23 @@
+package org.banyanstair.integration.quickstart;
+
+import java.util.List;
+
+import org.banyanstair.model.HostId;
+import org.banyanstair.testsupport.history.EndpointRun;
+
+/**
+ * What a run of the sample traffic gave.
+ *
+ * @param results how each request ended
+ * @param killed the host that was killed
+ * @param runs what the endpoints ran
+ * @param broken promises that did not hold
+ */
+record QuickStartResult(List<SampleResult> results, HostId killed, List<EndpointRun> runs, List<BrokenPromise> broken) {
+    /** Copies the lists. */
+    QuickStartResult {
+        results = List.copyOf(results);
+        runs = List.copyOf(runs);
+        broken = List.copyOf(broken);
+    }
+}
--- /dev/null
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleTraffic.java
@@ -0,0 +1,188 @@
+package org.banyanstair.integration.quickstart;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
+import org.banyanstair.integration.cluster.Cluster;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.ModelName;
+import org.banyanstair.model.PriorityClass;
+import org.banyanstair.model.ServiceId;
+import org.banyanstair.testsupport.engine.EngineText;
+import org.banyanstair.testsupport.load.CallerHeaders;
+import org.banyanstair.testsupport.load.ChatCall;
+import org.banyanstair.testsupport.load.ServiceRequest;
+
+/** Creates the sample requests; the same sequence in each run. Not safe for use by several threads. */
+final class SampleTraffic {
+    private static final List<String> MODELS = List.of(
+            "assistant/tender-schools",
+            "proof-review/artwork-proof",
+            "assistant/tender-schools@v1",
+            "proof-review/artwork-proof@v3",
+            "assistant/tender-kindergartens",
+            "proof-review/colour-match-standard",
+            "assistant/safety-code-kitchens@2026.1",
+            "proof-review/colour-match-metallic@v1");
+    private static final List<RequestKind> MIX = List.of(
+            RequestKind.CHAT_STREAMED,
+            RequestKind.STOCK,
+            RequestKind.CHAT,
+            RequestKind.ORDER,
+            RequestKind.COMPLETION_STREAMED,
+            RequestKind.COMPLETION,
+            RequestKind.STOCK);
+    private static final int FEWEST_TOKENS = 20;
+    private static final int TOKEN_LIMITS = 40;
+    /** Coprime with the sizes of the lists and the number of hosts, so that each host gets premium requests. */
+    private static final int PREMIUM_EVERY = 5;
+
+    private static final String ORDER_DESK = "order-desk";
+
+    private int number;
+
+    /** Returns the next request of the mix. */
+    SampleRequest next() {
+        RequestKind kind = MIX.get(number % MIX.size());
+        return switch (kind) {
+            case STOCK -> stock();
+            case ORDER -> order();
+            default -> generation(kind);
+        };
+    }
+
+    /** Returns an order with a key of its own. */
+    SampleRequest order() {
+        return order(RequestKind.ORDER, "order-" + ++number);
+    }
+
+    /** Returns the same order several times. */
+    List<SampleRequest> sameOrder(int copies) {
+        String key = "shared-order-" + ++number;
+        return Collections.nCopies(copies, order(RequestKind.SAME_KEY_ORDER, key));
+    }
+
+    private SampleRequest order(RequestKind kind, String key) {
+        byte[] body = EndpointRecords.orderBody(key);
+        return plain(
+                kind,
+                key,
+                Optional.empty(),
+                (client, host, deadline) -> client.call(
+                        host, service("POST", "/orders", headers(clerk(), deadline, Optional.of(key)), body)));
+    }
+
+    private SampleRequest stock() {
+        String path = "/stock/fire-blanket?request=" + ++number;
+        return plain(
+                RequestKind.STOCK,
+                path,
+                Optional.empty(),
+                (client, host, deadline) -> client.call(
+                        host, service("GET", path, headers(clerk(), deadline, Optional.empty()), new byte[0])));
+    }
+
+    private SampleRequest generation(RequestKind kind) {
+        number++;
+        return generation(kind, MODELS.get(number % MODELS.size()), FEWEST_TOKENS + number % TOKEN_LIMITS);
+    }
+
+    private SampleRequest generation(RequestKind kind, String model, int tokens) {
+        boolean chat = kind == RequestKind.CHAT || kind == RequestKind.CHAT_STREAMED;
+        boolean stream = kind == RequestKind.CHAT_STREAMED || kind == RequestKind.COMPLETION_STREAMED;
+        CallerId caller = new CallerId(number % 2 == 0 ? Cluster.CALLER : Cluster.OTHER_CALLER);
+        PriorityClass priority = number % PREMIUM_EVERY == 0 ? PriorityClass.PREMIUM : PriorityClass.STANDARD;
+        String text = "Answer enquiry " + number + ".";
+        String prompt = chat ? "user: " + text + "\n" : text;
+        SampleRequest.Call call = (client, host, deadline) -> {
+            CallerHeaders headers = new CallerHeaders(
+                    Cluster.key(caller.value()), Optional.of(deadline), Optional.of(priority), Optional.empty());
+            ChatCall body = new ChatCall(headers, model, text, tokens, stream);
+            return chat ? client.chat(host, body) : client.complete(host, body);
+        };
+        return new SampleRequest(
+                kind,
+                EngineText.digest(prompt),
+                caller,
+                priority,
+                Optional.of(ModelName.parse(model)),
+                Optional.of(new SampleRequest.Prompt(prompt, tokens)),
+                Optional.empty(),
+                call);
+    }
+
+    /**
+     * Returns one request for each error of a caller that the report shows.
+     *
+     * @param used an order that was answered, whose key is used again with another body
+     */
+    List<SampleRequest> badRequests(SampleRequest used) {
+        List<SampleRequest> requests = new ArrayList<>();
+        requests.add(badChat("unknown_model", clerk(), "assistant/no-such-adapter", 8));
+        requests.add(badChat("invalid_field", clerk(), "assistant/tender-schools", 0));
+        requests.add(badChat("caller_not_allowed", new CallerId(Cluster.STRANGER), "assistant/tender-schools", 8));
+        requests.add(badChat("unauthenticated", new CallerId("nobody"), "assistant/tender-schools", 8));
+        requests.add(badOrder("missing_idempotency_key", Optional.empty()));
+        requests.add(badOrder("idempotency_key_reused", Optional.of(used.key())));
+        requests.add(late());
+        return requests;
+    }
+
+    private SampleRequest badChat(String code, CallerId caller, String model, int tokens) {
+        String text = "Bad request " + ++number + ".";
+        return new SampleRequest(
+                RequestKind.BAD,
+                EngineText.digest("user: " + text + "\n"),
+                caller,
+                PriorityClass.STANDARD,
+                Optional.of(ModelName.parse(model)),
+                Optional.empty(),
+                Optional.of(code),
+                (client, host, deadline) -> client.chat(
+                        host, new ChatCall(headers(caller, deadline, Optional.empty()), model, text, tokens, true)));
+    }
+
+    private SampleRequest badOrder(String code, Optional<String> idempotencyKey) {
+        String mark = "bad-order-" + ++number;
+        byte[] body = EndpointRecords.orderBody(mark);
+        return plain(
+                RequestKind.BAD,
+                mark,
+                Optional.of(code),
+                (client, host, deadline) -> client.call(
+                        host, service("POST", "/orders", headers(clerk(), deadline, idempotencyKey), body)));
+    }
+
+    private SampleRequest late() {
+        String mark = "late-order-" + ++number;
+        byte[] body = EndpointRecords.orderBody(mark);
+        return plain(
+                RequestKind.BAD,
+                mark,
+                Optional.of("deadline_passed"),
+                (client, host, deadline) -> client.call(
+                        host, service("POST", "/orders", headers(clerk(), Instant.EPOCH, Optional.of(mark)), body)));
+    }
+
+    private static SampleRequest plain(
+            RequestKind kind, String key, Optional<String> refusal, SampleRequest.Call call) {
+        return new SampleRequest(
+                kind, key, clerk(), PriorityClass.STANDARD, Optional.empty(), Optional.empty(), refusal, call);
+    }
+
+    private static CallerId clerk() {
+        return new CallerId(Cluster.CALLER);
+    }
+
+    private static CallerHeaders headers(CallerId caller, Instant deadline, Optional<String> key) {
+        return new CallerHeaders(Cluster.key(caller.value()), Optional.of(deadline), Optional.empty(), key);
+    }
+
+    private static ServiceRequest service(String method, String path, CallerHeaders headers, byte[] body) {
+        Optional<String> type = body.length == 0 ? Optional.empty() : Optional.of("application/json");
+        return new ServiceRequest(headers, new ServiceId(ORDER_DESK), method, path, type, body);
+    }
+}
