--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
@@ -8,6 +8,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.placement.PlacementPolicy;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
 import org.banyanstair.reducer.Sequence;
@@ -27,7 +28,8 @@
             Duration.ofSeconds(1),
             Duration.ofSeconds(3),
             Duration.ofSeconds(5),
-            Duration.ofHours(1));
+            Duration.ofHours(1),
+            PlacementPolicy.STANDARD);
 
     final HostIdentity identity;
     final Membership membership;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
@@ -36,7 +36,8 @@
             Duration.ofMillis(500),
             Duration.ofMillis(1_500),
             Duration.ofMillis(1_500),
-            Duration.ofHours(1));
+            Duration.ofHours(1),
+            PlacementPolicy.STANDARD);
 
     private final SimulatedCluster cluster;
     private final HostIdentity identity;
--- a/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -24,6 +24,7 @@
 import org.banyanstair.model.PresetId;
 import org.banyanstair.ownership.OwnershipRecord;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.placement.PlacementPolicy;
 import org.banyanstair.platform.LogEntry;
 import org.banyanstair.platform.Streams;
 import org.junit.jupiter.api.Test;
@@ -58,7 +59,8 @@
                         defaults.statusInterval(),
                         defaults.statusLag(),
                         defaults.hostListLag(),
-                        retention),
+                        retention,
+                        PlacementPolicy.STANDARD),
                 START);
         List<EntryHost> hosts = new ArrayList<>(List.of(host("entry-1")));
         List.of(otherHosts).forEach(other -> hosts.add(host(other)));
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
@@ -66,10 +66,8 @@
      * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
      */
     public CompletableFuture<CallerResult> chat(NetworkAddress entry, ChatCall call) {
-        ObjectNode body = body(call);
-        body.putArray("messages").addObject().put("role", "user").put("content", call.prompt());
         Request request = request(entry, "/v1/chat/completions", call.headers())
-                .post(RequestBody.create(bytes(body), JSON))
+                .post(RequestBody.create(chatBody(call), JSON))
                 .build();
         return execute(request, ResponseReader::readChat);
     }
@@ -101,7 +99,7 @@
     public CompletableFuture<CallerResult> chatWithEngine(NetworkAddress engine, String requestId, ChatCall call) {
         Request request = request(engine, "/v1/chat/completions", call.headers())
                 .header("X-Request-Id", requestId)
-                .post(RequestBody.create(body(call), JSON))
+                .post(RequestBody.create(chatBody(call), JSON))
                 .build();
         return execute(request, ResponseReader::readChat);
     }
@@ -185,6 +183,12 @@
         return builder;
     }
 
+    private static byte[] chatBody(ChatCall call) {
+        ObjectNode body = body(call);
+        body.putArray("messages").addObject().put("role", "user").put("content", call.prompt());
+        return bytes(body);
+    }
+
     private static ObjectNode body(ChatCall call) {
         ObjectNode body = Mappers.JSON.createObjectNode();
         return body.put("model", call.model())
