Serve loaded adapters when a pool's owner ends in a log outage

Cause: no host can claim a pool while the log is down, so requests for loaded adapters waited until their deadline once the owner had ended. A request that had crashed engines itself was told "not run". Change: an entry host dispatches on its own to the engine where the adapter last ran, if the owner is gone from the host list, the log cannot be reached and no unload is announced; the next owner learns of it from the inventory. The refusal of a crashing request says whether it ran. Excluded: doing so for an owner that is only unreachable, since it may unload the adapter.

--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -97,8 +97,13 @@
     /** The adapter could not be loaded anywhere. */
     record AdapterLoadFailed(AdapterVersion adapter) implements Failure {}
 
-    /** The request has crashed endpoints and is refused. */
-    record RequestCrashesEndpoints(int crashes) implements Failure {}
+    /** The request has crashed endpoints and is refused; {@code ran} tells whether this very request ran before. */
+    record RequestCrashesEndpoints(int crashes, boolean ran) implements Failure {
+        @Override
+        public Outcome outcome() {
+            return ran ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        }
+    }
 
     /** The preset in force admits no new requests. */
     record InMaintenance(ServiceId service) implements Failure {}
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -150,7 +150,7 @@
         }
         if (pool.suspects().isRefused(message.fingerprint())) {
             return Optional.of(
-                    new Failure.RequestCrashesEndpoints(pool.suspects().crashes(message.fingerprint())));
+                    new Failure.RequestCrashesEndpoints(pool.suspects().crashes(message.fingerprint()), false));
         }
         if (message.attempt() == 1) {
             return refusalOfFirstAttempt(message, now);
@@ -462,7 +462,7 @@
                         waiting.holder().host(),
                         waiting.message(),
                         new Failure.RequestCrashesEndpoints(
-                                pool.suspects().crashes(waiting.message().fingerprint())),
+                                pool.suspects().crashes(waiting.message().fingerprint()), false),
                         effects));
         List<WaitingRequest> unloadable = pool.queue().removeIf(waiting -> loads.hasGivenUp(waiting.adapter()));
         unloadable.forEach(waiting -> {
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -67,7 +67,8 @@
         this.startedAt = startedAt;
         this.configuration = new ConfigurationKeeper(membership, settings, sequence);
         this.ownership = new OwnershipCoordinator(membership, settings, sequence);
-        this.generations = new GenerationTracker(ownership.history(), settings);
+        this.generations =
+                new GenerationTracker(ownership.history(), settings, membership, configuration::isLogReachable);
         this.calls = new CallTracker(membership, settings, sequence);
         this.writers = new CallWriters(membership, settings, sequence);
         this.idempotentCalls = new IdempotentCalls(membership, sequence);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -7,10 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.Membership;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.PoolId;
@@ -34,6 +36,8 @@
 public final class GenerationTracker {
     private final OwnershipHistory owners;
     private final ReducerSettings settings;
+    private final KnownPlacements placements;
+    private final BooleanSupplier logReachable;
     private final Map<RequestId, Tracked> requests = new LinkedHashMap<>();
     private final Map<PoolId, Barrier> barriers = new LinkedHashMap<>();
 
@@ -74,10 +78,15 @@
      *
      * @param owners who owns which pool
      * @param settings settings of the host
+     * @param membership hosts and endpoints
+     * @param logReachable tells whether the log can be reached, without which no host can become the owner of a pool
      */
-    public GenerationTracker(OwnershipHistory owners, ReducerSettings settings) {
+    public GenerationTracker(
+            OwnershipHistory owners, ReducerSettings settings, Membership membership, BooleanSupplier logReachable) {
         this.owners = owners;
         this.settings = settings;
+        this.placements = new KnownPlacements(membership, owners);
+        this.logReachable = logReachable;
     }
 
     /**
@@ -110,6 +119,15 @@
 
     private void ask(Tracked tracked, Instant now, Effects effects) {
         tracked.askAgainAt = now.plus(settings.repeatInterval());
+        if (!logReachable.getAsBoolean()) {
+            Optional<Endpoint> known = placements
+                    .withoutOwner(tracked.pool(), tracked.request.adapter())
+                    .filter(endpoint -> !tracked.tried.contains(endpoint.id()));
+            if (known.isPresent()) {
+                start(tracked, known.get(), 0, effects);
+                return;
+            }
+        }
         tracked.asked = owners.owner(tracked.pool());
         tracked.asked.ifPresent(ownership -> effects.send(ownership.owner().host(), permitRequest(tracked)));
     }
@@ -156,9 +174,13 @@
         if (isRefused(grant) || tracked.running.isPresent()) {
             return;
         }
-        tracked.running = Optional.of(grant.endpoint());
-        effects.add(new Effect.StartAttempt(
-                grant.request(), grant.attempt(), grant.endpoint(), grant.loadStallMilliseconds()));
+        start(tracked, grant.endpoint(), grant.loadStallMilliseconds(), effects);
+    }
+
+    private void start(Tracked tracked, Endpoint endpoint, long loadStallMilliseconds, Effects effects) {
+        tracked.running = Optional.of(endpoint);
+        placements.served(tracked.request.adapter(), endpoint.id());
+        effects.add(new Effect.StartAttempt(tracked.request.id(), tracked.attempt, endpoint, loadStallMilliseconds));
     }
 
     private boolean isRefused(PeerMessage.PermitGrant grant) {
@@ -188,9 +210,12 @@
 
     /** Once an attempt has produced output, a failure must not be reported as "not run". */
     private static void fail(Tracked tracked, Failure failure, Effects effects) {
-        Failure reported = tracked.ranBefore && !(failure instanceof Failure.RequestCrashesEndpoints)
-                ? new Failure.OutcomeUnknown()
-                : failure;
+        Failure reported = failure;
+        if (tracked.ranBefore && failure instanceof Failure.RequestCrashesEndpoints crashes) {
+            reported = new Failure.RequestCrashesEndpoints(crashes.crashes(), true);
+        } else if (tracked.ranBefore) {
+            reported = new Failure.OutcomeUnknown();
+        }
         effects.add(new Effect.FailGeneration(tracked.request.id(), reported));
     }
 
@@ -240,7 +265,9 @@
             Tracked tracked, EndpointId endpoint, AttemptOutcome outcome, Instant now, Effects effects) {
         boolean adapterMissing = outcome instanceof AttemptOutcome.NotStarted notStarted
                 && notStarted.failure() instanceof Failure.AdapterNotLoaded;
-        if (!adapterMissing) {
+        if (adapterMissing) {
+            placements.missing(tracked.request.adapter(), endpoint);
+        } else {
             tracked.tried.add(endpoint);
         }
         tracked.attempt++;
