Place new adapters by the preset's weight

Cause: loads always went to the emptiest engine, so a preset that fills batches could not gather the requests of several adapters on few engines. Change: the engine of a load is chosen by the same weight as the engine of a request, and never one without room if another has some.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
@@ -46,6 +46,15 @@
         checkMilliseconds("preset.copy-after-milliseconds", copyAfterMilliseconds);
     }
 
+    /**
+     * Returns the weight of an engine's fullness when the emptiest is wanted.
+     *
+     * @return 1 if requests are spread, -1 if batches are filled first
+     */
+    public double spreadWeight() {
+        return 1 - 2 * fullness;
+    }
+
     private static void checkShare(String field, double value) {
         if (!(value >= 0 && value <= 1)) {
             throw new FailureException(new Failure.InvalidField(field, "a number from 0 to 1"));
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.banyanstair.configuration.Preset;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.Fingerprint;
@@ -125,8 +124,7 @@
 
     /** A cached prefix first; then the preset decides between the emptiest and the fullest engine. */
     private Comparator<EngineState> preference(WaitingRequest waiting) {
-        Preset preset = pool.configuration().preset();
-        double weight = 1 - 2 * preset.fullness();
+        double weight = pool.configuration().preset().spreadWeight();
         long prefix = waiting.message().prefix();
         return Comparator.comparing((EngineState engine) -> !engine.prefixes().contains(waiting.adapter(), prefix))
                 .thenComparingDouble(engine -> weight * engine.fullness())
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -110,9 +110,16 @@
                         .noneMatch(unload ->
                                 unload.endpoint().equals(engine.endpoint().id())
                                         && unload.adapter().equals(waiting.adapter())))
-                .min(Comparator.comparingDouble(EngineState::fullness)
-                        .thenComparingInt(engine -> engine.slots().size())
-                        .thenComparing(engine -> engine.endpoint().id()));
+                .min(loadPreference());
+    }
+
+    /** The preset decides whether adapters are spread over the engines or gathered where batches can be filled. */
+    private Comparator<EngineState> loadPreference() {
+        double weight = pool.configuration().preset().spreadWeight();
+        return Comparator.comparing((EngineState engine) -> !engine.hasRoom())
+                .thenComparingDouble(engine -> weight * engine.fullness())
+                .thenComparingDouble(engine -> weight * engine.slots().size())
+                .thenComparing(engine -> engine.endpoint().id());
     }
 
     private Stream<EngineState> usable(WaitingRequest waiting, Instant now) {
