Let a request that tried all engines try them again

Cause: an engine that refused a connection while it restarted counted as tried. Change: when a retry has tried every engine of the pool, all may be tried again, within the retry budget and the deadline. Excluded: not counting refused connections as tried, because a host that cannot reach an engine would then ask for the same engine in a loop.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -4,8 +4,10 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -98,7 +100,8 @@
             retries.countFirst(now);
         }
         pool.queue()
-                .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false));
+                .add(new WaitingRequest(
+                        sender, renewed(message), now, pool.sequence().next(), false));
         decide(now, effects);
     }
 
@@ -139,6 +142,32 @@
                 : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
     }
 
+    /** A request that has tried all engines may try them again, because some may have restarted since. */
+    private PeerMessage.PermitRequest renewed(PeerMessage.PermitRequest message) {
+        if (!isTriedEverywhere(message)) {
+            return message;
+        }
+        return new PeerMessage.PermitRequest(
+                message.request(),
+                message.attempt(),
+                message.pool(),
+                message.adapter(),
+                message.caller(),
+                message.callerLimit(),
+                message.queueLimit(),
+                message.priority(),
+                message.deadline(),
+                message.prefix(),
+                message.fingerprint(),
+                Set.of());
+    }
+
+    private boolean isTriedEverywhere(PeerMessage.PermitRequest message) {
+        return pool.membership().listing().endpointsOf(pool.id()).stream()
+                .filter(endpoint -> endpoint.kind() == EndpointKind.ENGINE)
+                .allMatch(endpoint -> message.tried().contains(endpoint.id()));
+    }
+
     private Optional<Failure> refusalOfFirstAttempt(PeerMessage.PermitRequest message, Instant now) {
         long running = pool.permits().values().stream()
                 .filter(permit ->
