--- /dev/null
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/package-info.java
@@ -0,0 +1,2 @@
+/** History checks of orders that may not be repeated, over real processes. */
+package org.banyanstair.integration.orders;
