Make two host checks independent of start times

Cause: on a busy machine a host took longer to start than the long stream lasted, so the stream had ended before the stop; a trial without draining passed. In LogOutageTest callers got the address of a host that was listed but not started and counted its refusals against the outage. Change: the successor starts before the stream and the test requires that the stream still runs; the load of LogOutageTest uses the three running hosts.

--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.configuration.CheckpointPart;
@@ -67,10 +68,10 @@
             long version = new HostOperator(hosts.get(0)).configuration().version();
             loadAdapters(traffic, hosts.get(0).caller());
             try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
-                EntryDirectory entries = new EntryDirectory(
-                        traffic.caller(),
-                        hosts.stream().map(ClusterHost::caller).toList());
-                traffic.start(60, seed, entries::choose);
+                // Fixed hosts, so that requests to hosts that are starting do not count against the outage.
+                AtomicInteger turn = new AtomicInteger();
+                traffic.start(60, seed, () -> hosts.get(turn.getAndIncrement() % hosts.size())
+                        .caller());
                 Sleep.of(Duration.ofSeconds(1));
                 cluster.log().setFaults(DOWN);
                 Instant downUntil = Instant.now().plus(OUTAGE);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -107,9 +107,10 @@
             assertEquals(
                     0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
             for (ClusterHost host : cluster.hosts()) {
-                CompletableFuture<CallerResult> stream = startLongStream(traffic, host);
                 ClusterHost successor = cluster.startHost();
+                CompletableFuture<CallerResult> stream = startLongStream(traffic, host);
                 host.process().terminate();
+                assertTrue(!stream.isDone(), "the stream ended before the stop");
                 CallerResult result = stream.get(20, TimeUnit.SECONDS);
                 assertTrue(result instanceof CallerResult.Generated, result.toString());
                 assertEquals(LONG_STREAM_TOKENS, ((CallerResult.Generated) result).tokens());
