--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -20,7 +20,8 @@
 final class LogFollowers {
     private static final int RECORDS_PER_READ = 500;
 
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(10);
+    /** A connection that has gone silent is noticed only when a read ends, and orders wait for the log until then. */
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
 
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(250);
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/EndpointCalls.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/EndpointCalls.java
@@ -96,6 +96,10 @@
         return client.dispatcher().runningCallsCount() >= MAX_CALLS;
     }
 
+    void evictIdleConnections() {
+        client.connectionPool().evictAll();
+    }
+
     void stop() {
         client.dispatcher().cancelAll();
         client.dispatcher().executorService().shutdown();
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/EngineClientLimits.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/EngineClientLimits.java
@@ -8,7 +8,7 @@
  * @param connect longest wait for a connection
  * @param order longest wait for the answer to a load, an unload or a fence
  * @param status longest wait for a status report
- * @param silence longest pause between two tokens of a stream; the first one may come until the deadline
+ * @param silence longest wait for the first token and longest pause between two tokens of a stream
  */
 public record EngineClientLimits(Duration connect, Duration order, Duration status, Duration silence) {
     /**
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/GenerationCall.java
@@ -26,7 +26,7 @@
     private final Runnable whenEnded;
     private volatile Call call;
 
-    /** Time of the last token; 0 before the first one, when only the deadline limits the wait. */
+    /** Time of the last token or of the start; 0 before the start. */
     private volatile long lastNanos;
 
     GenerationCall(
@@ -44,6 +44,7 @@
 
     void start(Call started) {
         call = started;
+        lastNanos = System.nanoTime() | 1;
         started.enqueue(this);
     }
 
@@ -56,12 +57,14 @@
         return first;
     }
 
-    /** Closes the connection if no token came for too long. */
-    void closeIfSilent(long now, long limitNanos) {
+    /** Closes the connection if no token came for too long; returns whether it did. */
+    boolean closeIfSilent(long now, long limitNanos) {
         long last = lastNanos;
-        if (last != 0 && now - last > limitNanos) {
+        boolean silent = last != 0 && now - last > limitNanos;
+        if (silent) {
             call.cancel();
         }
+        return silent;
     }
 
     @Override
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
@@ -249,7 +249,14 @@
     private void closeSilent() {
         long now = System.nanoTime();
         long limit = limits.silence().toNanos();
-        generations.forEach(each -> each.closeIfSilent(now, limit));
+        boolean anySilent = false;
+        for (GenerationCall generation : generations) {
+            anySilent |= generation.closeIfSilent(now, limit);
+        }
+        if (anySilent) {
+            // What silenced one connection has probably silenced the idle ones as well, and each would cost a wait.
+            calls.evictIdleConnections();
+        }
     }
 
     private static Request.Builder request(Endpoint endpoint, String path) {
