Gather ends of calls with the next batch of intents

Cause: each result was an append of its own, so 320 orders a second at the target would need 320 appends besides the batches of intents, above the several hundred that the log takes. Change: PartitionAppender gathers intents and ends into one append; Admission and PermitInventory leave PoolOwner; one type of bearer key; the setting maximum-deadline-milliseconds is obeyed; a reused key does not count as burn. Excluded: answering only after the end is in the log, which would delay every order by a log round trip. Conclusion: an order costs at most two shares of a batch; a writer that dies within 25 ms after an answer leaves its key with an unknown outcome.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -1,8 +1,6 @@
 package org.banyanstair.idempotency;
 
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,10 +14,8 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.LogEntry;
 import org.banyanstair.platform.ServiceAnswer;
 import org.banyanstair.platform.ServiceCallResult;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
@@ -46,9 +42,7 @@
     private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
     private final OpenCalls open = new OpenCalls();
     private final Map<Long, AttemptId> dispatches = new HashMap<>();
-    private final Map<Long, List<SubmittedCall>> appends = new HashMap<>();
-    private final Map<AttemptId, CallRecord> unconfirmedEnds = new LinkedHashMap<>();
-    private Optional<Instant> batchDue = Optional.empty();
+    private final PartitionAppender appender;
     private Instant nextRepeat = Instant.MIN;
 
     /**
@@ -66,6 +60,7 @@
         this.sequence = sequence;
         this.picker = new EndpointPicker(membership);
         this.ledger = new CallLedger(settings.keyRetention());
+        this.appender = new PartitionAppender(partition, membership.self(), settings.callBatch(), sequence);
     }
 
     /**
@@ -83,7 +78,7 @@
      * @return true while an attempt waits for the log or an endpoint, or an end is not in the log
      */
     public boolean isBusy() {
-        return !unconfirmedEnds.isEmpty() || !open.isEmpty();
+        return appender.hasUnconfirmedEnds() || !open.isEmpty();
     }
 
     /**
@@ -139,9 +134,7 @@
             call.moveTo(Stage.JOINED);
             return;
         }
-        if (batchDue.isEmpty()) {
-            batchDue = Optional.of(now.plus(settings.callBatch()));
-        }
+        appender.schedule(now);
     }
 
     /** Answers the call from the ledger if the key has its final state. */
@@ -199,7 +192,7 @@
         if (!ledger.apply(offset, appendedAt, record)) {
             return;
         }
-        confirmEnd(record);
+        appender.read(record);
         SubmittedCall call = calls.get(record.attempt());
         if (record instanceof CallRecord.Intent intent && intent.writer().equals(membership.self())) {
             ownIntentRead(intent, Optional.ofNullable(call), now, effects);
@@ -215,7 +208,7 @@
             intentRead(call.get(), now, effects);
         } else if (isHeldHere(intent.key(), intent.attempt())) {
             // The append took effect after the attempt was refused and forgotten; nobody else frees the key.
-            appendEnd(new CallRecord.NotRun(intent.key(), intent.attempt()), effects);
+            appender.end(new CallRecord.NotRun(intent.key(), intent.attempt()), now);
         }
     }
 
@@ -226,15 +219,6 @@
                 && held.writer().equals(membership.self());
     }
 
-    private void confirmEnd(CallRecord record) {
-        boolean isEnd = record instanceof CallRecord.Result
-                || record instanceof CallRecord.Unknown
-                || record instanceof CallRecord.NotRun;
-        if (isEnd) {
-            unconfirmedEnds.remove(record.attempt());
-        }
-    }
-
     private void intentRead(SubmittedCall call, Instant now, Effects effects) {
         PeerMessage.CallSubmit submit = call.submit();
         boolean voided = submit.voided().stream().allMatch(attempt -> ledger.isDead(submit.key(), attempt));
@@ -244,14 +228,14 @@
         boolean holds = isHeldHere(submit.key(), submit.attempt());
         if (call.stage() == Stage.DEAD || call.stage() == Stage.ANSWERED) {
             if (holds) {
-                appendEnd(new CallRecord.NotRun(submit.key(), submit.attempt()), effects);
+                appender.end(new CallRecord.NotRun(submit.key(), submit.attempt()), now);
             }
         } else if (!holds) {
             call.moveTo(Stage.JOINED);
         } else if (!now.isBefore(submit.call().deadline())) {
-            giveUp(call, new Failure.DeadlinePassed(submit.call().deadline()), effects);
+            giveUp(call, new Failure.DeadlinePassed(submit.call().deadline()), now, effects);
         } else {
-            dispatch(call, effects);
+            dispatch(call, now, effects);
         }
     }
 
@@ -263,11 +247,11 @@
         }
     }
 
-    private void dispatch(SubmittedCall call, Effects effects) {
+    private void dispatch(SubmittedCall call, Instant now, Effects effects) {
         Optional<Endpoint> endpoint =
                 picker.pick(call.submit().pool(), call.submit().call().requestId(), List.of());
         if (endpoint.isEmpty()) {
-            giveUp(call, new Failure.NoEndpoint(call.submit().pool()), effects);
+            giveUp(call, new Failure.NoEndpoint(call.submit().pool()), now, effects);
             return;
         }
         call.moveTo(Stage.DISPATCHED);
@@ -297,12 +281,12 @@
         SubmittedCall call = calls.get(attempt);
         CallKey key = call.submit().key();
         if (result instanceof ServiceCallResult.Answered answered) {
-            appendEnd(endRecord(key, attempt, answered.answer()), effects);
+            appender.end(endRecord(key, attempt, answered.answer()), now);
             finish(call, new CallAnswer.Answered(answered.answer(), false), effects);
         } else if (result instanceof ServiceCallResult.NotSent notSent) {
             dispatchAgain(call, notSent.failure(), now, effects);
         } else if (result instanceof ServiceCallResult.OutcomeUnknown) {
-            appendEnd(new CallRecord.Unknown(key, attempt), effects);
+            appender.end(new CallRecord.Unknown(key, attempt), now);
             finish(call, new CallAnswer.Unknown(new Failure.OutcomeUnknown()), effects);
         }
         wakeJoined(key, now, effects);
@@ -319,15 +303,15 @@
     private void dispatchAgain(SubmittedCall call, Failure failure, Instant now, Effects effects) {
         boolean late = !now.isBefore(call.submit().call().deadline());
         if (late || call.dispatches() >= settings.maximumDispatches()) {
-            giveUp(call, failure, effects);
+            giveUp(call, failure, now, effects);
         } else {
-            dispatch(call, effects);
+            dispatch(call, now, effects);
         }
     }
 
     /** Marks a call that holds its key as dead, records that, and answers "not run". */
-    private void giveUp(SubmittedCall call, Failure failure, Effects effects) {
-        appendEnd(new CallRecord.NotRun(call.submit().key(), call.submit().attempt()), effects);
+    private void giveUp(SubmittedCall call, Failure failure, Instant now, Effects effects) {
+        appender.end(new CallRecord.NotRun(call.submit().key(), call.submit().attempt()), now);
         refuse(call, failure, effects);
     }
 
@@ -366,9 +350,7 @@
             return;
         }
         call.moveTo(Stage.QUEUED);
-        if (batchDue.isEmpty()) {
-            batchDue = Optional.of(now.plus(settings.callBatch()));
-        }
+        appender.schedule(now);
     }
 
     /**
@@ -378,43 +360,19 @@
      * @param effects collects what to do
      */
     public void tick(Instant now, Effects effects) {
-        if (batchDue.filter(due -> !now.isBefore(due)).isPresent()) {
-            appendBatch(effects);
+        if (appender.isDue(now)) {
+            appender.append(open.queued(), effects);
         }
         endLate(now, effects);
-        settleAbandoned(effects);
+        settleAbandoned(now, effects);
         if (!now.isBefore(nextRepeat)) {
             nextRepeat = now.plus(settings.repeatInterval());
-            repeatEnds(effects);
+            appender.repeatEnds(effects);
             forgetOld(now);
             ledger.expire(now);
         }
     }
 
-    private void appendBatch(Effects effects) {
-        batchDue = Optional.empty();
-        List<SubmittedCall> batch =
-                open.all().stream().filter(call -> call.stage() == Stage.QUEUED).toList();
-        if (batch.isEmpty()) {
-            return;
-        }
-        List<LogEntry> entries = new ArrayList<>();
-        for (SubmittedCall call : batch) {
-            PeerMessage.CallSubmit submit = call.submit();
-            submit.voided().forEach(attempt -> entries.add(new CallRecord.Void(submit.key(), attempt)));
-            entries.add(new CallRecord.Intent(
-                    submit.key(),
-                    submit.attempt(),
-                    membership.self(),
-                    submit.bodyDigest(),
-                    submit.call().deadline()));
-            call.moveTo(Stage.APPENDED);
-        }
-        long append = sequence.next();
-        appends.put(append, batch);
-        effects.add(new Effect.AppendToLog(append, Streams.calls(partition), entries));
-    }
-
     /**
      * Takes the news that the log did not take an append.
      *
@@ -423,7 +381,7 @@
      * @param effects collects what to do
      */
     public void appendRejected(long append, Failure failure, Effects effects) {
-        List<SubmittedCall> batch = Optional.ofNullable(appends.remove(append)).orElse(List.of());
+        List<SubmittedCall> batch = appender.ended(append);
         for (SubmittedCall call : batch) {
             if (call.stage() == Stage.APPENDED) {
                 refuse(call, failure, effects);
@@ -447,7 +405,7 @@
      * @param append number of the append
      */
     public void appendEnded(long append) {
-        appends.remove(append);
+        appender.ended(append);
     }
 
     private void endLate(Instant now, Effects effects) {
@@ -474,13 +432,13 @@
     }
 
     /** A key held by a daemon that has ended will get no result; nobody can tell whether it was dispatched. */
-    private void settleAbandoned(Effects effects) {
+    private void settleAbandoned(Instant now, Effects effects) {
         for (SubmittedCall call : open.all()) {
             if (call.stage() != Stage.JOINED || !(ledger.state(call.submit().key()) instanceof CallState.Held held)) {
                 continue;
             }
             if (isAbandoned(held.writer())) {
-                appendEnd(new CallRecord.Unknown(call.submit().key(), held.attempt()), effects);
+                appender.end(new CallRecord.Unknown(call.submit().key(), held.attempt()), now);
                 finish(call, new CallAnswer.Unknown(new Failure.OutcomeUnknown()), effects);
             }
         }
@@ -490,26 +448,11 @@
         return !writer.equals(membership.self()) && membership.isGone(writer);
     }
 
-    private void appendEnd(CallRecord record, Effects effects) {
-        unconfirmedEnds.put(record.attempt(), record);
-        appendEnds(List.of(record), effects);
-    }
-
-    private void repeatEnds(Effects effects) {
-        if (!unconfirmedEnds.isEmpty()) {
-            appendEnds(unconfirmedEnds.values(), effects);
-        }
-    }
-
-    private void appendEnds(Collection<CallRecord> records, Effects effects) {
-        effects.add(new Effect.AppendToLog(sequence.next(), Streams.calls(partition), List.copyOf(records)));
-    }
-
     private void forgetOld(Instant now) {
         calls.values()
                 .removeIf(call -> call.answer() != null
                         && isForgettable(call.submit(), now)
-                        && !unconfirmedEnds.containsKey(call.submit().attempt()));
+                        && !appender.isUnconfirmed(call.submit().attempt()));
     }
 
     private boolean isForgettable(PeerMessage.CallSubmit submit, Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/OpenCalls.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/OpenCalls.java
@@ -40,6 +40,13 @@
         return List.copyOf(calls.values());
     }
 
+    /** Returns the calls that wait for the next append, in the order of submission. */
+    List<SubmittedCall> queued() {
+        return calls.values().stream()
+                .filter(call -> call.stage() == Stage.QUEUED)
+                .toList();
+    }
+
     /** Returns a copy, in the order of submission. */
     List<SubmittedCall> joined(CallKey key) {
         return of(key).stream().filter(call -> call.stage() == Stage.JOINED).toList();
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
@@ -0,0 +1,167 @@
+package org.banyanstair.placement;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.membership.EndpointKind;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.routing.RetryBudget;
+
+/** Decides which requests may wait for a permit, and refuses the others as not run. */
+final class Admission {
+    private final Pool pool;
+    private final LoadPlanner loads;
+    private final RetryBudget retries = new RetryBudget();
+
+    Admission(Pool pool, LoadPlanner loads) {
+        this.pool = pool;
+        this.loads = loads;
+    }
+
+    /** Puts a request into the queue or refuses it. */
+    void admit(HostIdentity sender, PeerMessage.PermitRequest message, Instant now, Effects effects) {
+        Optional<Failure> refusal = refusal(message, now);
+        if (refusal.isPresent()) {
+            refuse(sender.host(), message, refusal.get(), effects);
+            return;
+        }
+        if (message.attempt() == 1) {
+            pool.popularity().count(message.adapter(), now);
+            retries.countFirst(now);
+        }
+        enqueue(sender, renewed(message), now);
+    }
+
+    private void enqueue(HostIdentity sender, PeerMessage.PermitRequest message, Instant now) {
+        Optional<EndpointId> bound = bind(message);
+        boolean loaded = pool.engines().values().stream()
+                .filter(engine -> bound.map(engine.endpoint().id()::equals).orElse(true))
+                .anyMatch(engine -> engine.takesPermits() && engine.isLoaded(message.adapter()));
+        pool.queue()
+                .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false, bound, !loaded));
+    }
+
+    private Optional<EndpointId> bind(PeerMessage.PermitRequest message) {
+        Map<EndpointId, Integer> bound = new HashMap<>();
+        pool.queue().inOrder().forEach(waiting -> waiting.bound().ifPresent(id -> bound.merge(id, 1, Integer::sum)));
+        List<EngineBinding.Load> loads = pool.engines().values().stream()
+                .filter(EngineState::takesPermits)
+                .map(engine -> engine.endpoint().id())
+                .filter(id -> !message.tried().contains(id))
+                .map(id -> new EngineBinding.Load(
+                        id, pool.engines().get(id).permits().size() + bound.getOrDefault(id, 0)))
+                .toList();
+        return pool.settings().placement().binding().bind(message.request(), loads);
+    }
+
+    private Optional<Failure> refusal(PeerMessage.PermitRequest message, Instant now) {
+        if (!now.isBefore(message.deadline())) {
+            return Optional.of(new Failure.DeadlinePassed(message.deadline()));
+        }
+        if (pool.suspects().isRefused(message.fingerprint())) {
+            return Optional.of(
+                    new Failure.RequestCrashesEndpoints(pool.suspects().crashes(message.fingerprint()), false));
+        }
+        if (message.attempt() == 1) {
+            return refusalOfFirstAttempt(message, now);
+        }
+        double share = pool.configuration().preset().retryShare();
+        boolean free = pool.suspects().crashes(message.fingerprint()) > 0
+                || message.tried().isEmpty();
+        return free || retries.tryRetry(share, now)
+                ? Optional.empty()
+                : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
+    }
+
+    /** A request that has tried all engines may try them again, because some may have restarted since. */
+    private PeerMessage.PermitRequest renewed(PeerMessage.PermitRequest message) {
+        if (!isTriedEverywhere(message)) {
+            return message;
+        }
+        return new PeerMessage.PermitRequest(
+                message.request(),
+                message.attempt(),
+                message.pool(),
+                message.adapter(),
+                message.caller(),
+                message.callerLimit(),
+                message.queueLimit(),
+                message.priority(),
+                message.deadline(),
+                message.prefix(),
+                message.fingerprint(),
+                Set.of());
+    }
+
+    private boolean isTriedEverywhere(PeerMessage.PermitRequest message) {
+        return pool.membership().listing().endpointsOf(pool.id()).stream()
+                .filter(endpoint -> endpoint.kind() == EndpointKind.ENGINE)
+                .allMatch(endpoint -> message.tried().contains(endpoint.id()));
+    }
+
+    private Optional<Failure> refusalOfFirstAttempt(PeerMessage.PermitRequest message, Instant now) {
+        long running = pool.permits().values().stream()
+                .filter(permit ->
+                        permit.caller().filter(message.caller()::equals).isPresent())
+                .count();
+        if (running + pool.queue().ofCaller(message.caller()) >= message.callerLimit()) {
+            return Optional.of(new Failure.CallerLimitReached(message.caller(), message.callerLimit()));
+        }
+        if (pool.queue().size() >= message.queueLimit()) {
+            return Optional.of(new Failure.QueueFull(pool.id(), message.queueLimit()));
+        }
+        if (!pool.settings().placement().admits()) {
+            return Optional.empty();
+        }
+        boolean known = pool.engines().values().stream()
+                .anyMatch(engine -> engine.slots().containsKey(message.adapter()));
+        Instant earliest = known ? now : loads.earliestLoad(message.adapter(), message.deadline(), now);
+        return earliest.isBefore(message.deadline())
+                ? Optional.empty()
+                : Optional.of(new Failure.DeadlineUnreachable(message.deadline(), earliest));
+    }
+
+    private void refuse(HostId host, PeerMessage.PermitRequest message, Failure failure, Effects effects) {
+        effects.send(
+                host,
+                new PeerMessage.PermitRefusal(message.request(), message.attempt(), pool.id(), pool.term(), failure));
+    }
+
+    /** Refuses the waiting requests that have become hopeless. */
+    void refuseHopeless(Instant now, Effects effects) {
+        pool.queue().removeIf(waiting -> pool.membership().isGone(waiting.holder()));
+        pool.queue()
+                .removeIf(waiting -> !now.isBefore(waiting.message().deadline()))
+                .forEach(waiting -> refuse(
+                        waiting.holder().host(),
+                        waiting.message(),
+                        new Failure.DeadlinePassed(waiting.message().deadline()),
+                        effects));
+        pool.queue()
+                .removeIf(waiting -> pool.suspects().isRefused(waiting.message().fingerprint()))
+                .forEach(waiting -> refuse(
+                        waiting.holder().host(),
+                        waiting.message(),
+                        new Failure.RequestCrashesEndpoints(
+                                pool.suspects().crashes(waiting.message().fingerprint()), false),
+                        effects));
+        List<WaitingRequest> unloadable = pool.queue().removeIf(waiting -> loads.hasGivenUp(waiting.adapter()));
+        unloadable.forEach(waiting -> {
+            loads.resetFailures(waiting.adapter());
+            refuse(
+                    waiting.holder().host(),
+                    waiting.message(),
+                    new Failure.AdapterLoadFailed(waiting.adapter()),
+                    effects);
+        });
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitInventory.java
@@ -0,0 +1,114 @@
+package org.banyanstair.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.peer.HeldPermit;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.reducer.Effects;
+
+/** Compares the permits of a pool with what their holders report: after a takeover, after restarts, and regularly. */
+final class PermitInventory {
+    private static final Duration RECONCILIATION_INTERVAL = Duration.ofSeconds(10);
+
+    private final Pool pool;
+    private final Takeover takeover;
+    private Instant nextTakeoverAt = Instant.MIN;
+    private Instant nextInterruptedAt = Instant.MIN;
+    private Instant nextReconciliationAt;
+
+    PermitInventory(Pool pool, Takeover takeover, Instant now) {
+        this.pool = pool;
+        this.takeover = takeover;
+        this.nextReconciliationAt = now.plus(RECONCILIATION_INTERVAL);
+    }
+
+    /** Takes the permits that a host reports. */
+    void replied(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now) {
+        if (reply.term() != pool.term()) {
+            return;
+        }
+        List<RequestId> held = reply.permits().stream().map(HeldPermit::request).toList();
+        pool.permits().values().stream()
+                .filter(permit -> permit.holder().equals(sender))
+                .filter(permit -> permit.sequence() < reply.sequence() && !held.contains(permit.request()))
+                .toList()
+                .forEach(permit -> {
+                    pool.removePermit(permit.request());
+                    pool.endUnconfirmed(permit, now);
+                });
+        reply.permits().stream()
+                .filter(this::isUnknown)
+                .forEach(permit -> replacePermit(new Permit(
+                        permit.request(),
+                        permit.attempt(),
+                        sender,
+                        permit.endpoint(),
+                        permit.adapter(),
+                        Optional.empty(),
+                        permit.fingerprint(),
+                        reply.sequence(),
+                        now,
+                        0)));
+        takeover.replied(sender.host());
+    }
+
+    /** Asks the hosts whose permits have to be known, when due. */
+    void tick(Instant now, Effects effects) {
+        askForInterrupted(now, effects);
+        if (!takeover.isComplete() && !now.isBefore(nextTakeoverAt)) {
+            nextTakeoverAt = now.plus(pool.settings().repeatInterval());
+            takeover.missing(pool.membership()).forEach(host -> askInventory(host, effects));
+        }
+        if (!now.isBefore(nextReconciliationAt)) {
+            nextReconciliationAt = now.plus(RECONCILIATION_INTERVAL);
+            reconcilePermits(now, effects);
+        }
+    }
+
+    /** A host that runs an attempt elsewhere, under a grant of an earlier term, will refuse the present grant. */
+    private boolean isUnknown(HeldPermit held) {
+        Permit present = pool.permits().get(held.request());
+        return present == null
+                || present.attempt() <= held.attempt() && !present.endpoint().equals(held.endpoint());
+    }
+
+    private void replacePermit(Permit permit) {
+        pool.removePermit(permit.request());
+        pool.addPermit(permit);
+    }
+
+    /** A holder that was paused or whose grant is late could use a permit from before a restart of the engine. */
+    private void askForInterrupted(Instant now, Effects effects) {
+        if (now.isBefore(nextInterruptedAt)) {
+            return;
+        }
+        nextInterruptedAt = now.plus(pool.settings().repeatInterval());
+        pool.engines().values().stream()
+                .flatMap(engine -> engine.permits().values().stream().filter(engine::isInterrupted))
+                .map(permit -> permit.holder().host())
+                .distinct()
+                .forEach(host -> askInventory(host, effects));
+    }
+
+    private void askInventory(HostId host, Effects effects) {
+        effects.send(
+                host,
+                new PeerMessage.InventoryRequest(
+                        pool.id(), pool.term(), pool.sequence().next()));
+    }
+
+    /** Releases may be lost, so holders of old permits are asked which ones they still hold. */
+    private void reconcilePermits(Instant now, Effects effects) {
+        pool.permits().values().stream()
+                .filter(permit -> !now.isBefore(permit.grantedAt().plus(RECONCILIATION_INTERVAL)))
+                .map(permit -> permit.holder().host())
+                .distinct()
+                .forEach(host -> askInventory(host, effects));
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Pool.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Pool.java
@@ -1,5 +1,6 @@
 package org.banyanstair.placement;
 
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -99,6 +100,11 @@
         return Optional.of(permit);
     }
 
+    /** The engine may run the request until the cancellation or the loss of the connection has reached it. */
+    void endUnconfirmed(Permit permit, Instant now) {
+        engine(permit.endpoint()).ifPresent(engine -> engine.endUnconfirmed(permit, now));
+    }
+
     /** Whether the request ran on an engine that may have crashed and whose status is not known yet. */
     boolean isUnderVerification(Fingerprint fingerprint) {
         return engines.values().stream().filter(EngineState::verifying).anyMatch(engine -> engine.runningFingerprints()
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Popularity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Popularity.java
@@ -16,6 +16,8 @@
 
     private final Map<AdapterVersion, Score> scores = new HashMap<>();
 
+    private Instant nextCleanUpAt = Instant.MIN;
+
     private record Score(double value, Instant at) {
         double at(Instant now) {
             double halfLives = Duration.between(at, now).toMillis() / (double) HALF_LIFE.toMillis();
@@ -32,7 +34,11 @@
         return score == null ? 0 : score.at(now);
     }
 
+    /** Removes negligible scores from time to time; may be called often. */
     void forget(Instant now) {
-        scores.values().removeIf(score -> score.at(now) < NEGLIGIBLE);
+        if (!now.isBefore(nextCleanUpAt)) {
+            nextCleanUpAt = now.plus(HALF_LIFE);
+            scores.values().removeIf(score -> score.at(now) < NEGLIGIBLE);
+        }
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
@@ -23,6 +23,7 @@
 import org.banyanstair.server.http.HttpListenerOptions;
 import org.banyanstair.server.http.caller.CallerHttpServer;
 import org.banyanstair.server.http.caller.CallerKeys;
+import org.banyanstair.server.http.caller.DeadlineRule;
 import org.banyanstair.server.http.metrics.BurnRecorder;
 import org.banyanstair.server.http.metrics.RequestRecorder;
 import org.banyanstair.server.http.operator.OperatorHttpServer;
@@ -116,20 +117,22 @@
 
     CallerHttpServer callerServer(HostService service, RequestRecorder recorder) {
         Map<CallerId, List<BearerKey>> keys = new LinkedHashMap<>();
-        settings.callers().forEach((caller, key) -> keys.put(caller, List.of(BearerKey.ofPlain(key.value()))));
+        settings.callers().forEach((caller, key) -> keys.put(caller, List.of(key)));
         return new CallerHttpServer(
                 identity,
                 listener(settings.listen().caller()),
                 new CallerKeys(keys),
                 service,
                 recorder,
-                clock,
-                Duration.ofMillis(settings.limits().defaultDeadlineMilliseconds()));
+                new DeadlineRule(
+                        clock,
+                        Duration.ofMillis(settings.limits().defaultDeadlineMilliseconds()),
+                        Duration.ofMillis(settings.limits().maximumDeadlineMilliseconds())));
     }
 
     OperatorHttpServer operatorServer(HostService service, BurnRecorder burn, MetricRegistry registry) {
         Map<String, List<BearerKey>> keys = new LinkedHashMap<>();
-        settings.operators().forEach((operator, key) -> keys.put(operator, List.of(BearerKey.ofPlain(key.value()))));
+        settings.operators().forEach((operator, key) -> keys.put(operator, List.of(key)));
         return new OperatorHttpServer(
                 listener(settings.listen().operator()),
                 new OperatorKeys(keys),
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerKey.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerKey.java
@@ -1,6 +1,8 @@
 package org.banyanstair.server.http;
 
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.HexFormat;
 
 import org.apache.commons.codec.digest.DigestUtils;
@@ -50,6 +52,16 @@
         return digest;
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof BearerKey key && MessageDigest.isEqual(digest, key.digest);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(digest);
+    }
+
     @Override
     public String toString() {
         return "BearerKey";
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -1,7 +1,5 @@
 package org.banyanstair.server.http.caller;
 
-import java.time.Clock;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -48,8 +46,7 @@
      * @param callerKeys bearer keys of the callers
      * @param service serves the requests
      * @param recorder records ended requests
-     * @param clock clock that deadlines are compared with
-     * @param defaultWait time until the deadline of a request that names none
+     * @param deadlines which deadlines are accepted
      */
     public CallerHttpServer(
             HostIdentity identity,
@@ -57,16 +54,15 @@
             CallerKeys callerKeys,
             CallerService service,
             RequestRecorder recorder,
-            Clock clock,
-            Duration defaultWait) {
+            DeadlineRule deadlines) {
         this.service = service;
         this.recorder = recorder;
         keys = new KeyRing<>(callerKeys.keys());
         ids = new RequestIds(identity);
         listener = new HttpListener("callers", options).healthRoutes(service::unreadiness);
         recorder.metrics().gaugeInFlight(listener::inFlight);
-        GenerationRoute generation = new GenerationRoute(service, clock, defaultWait);
-        PlainCallRoute plainCall = new PlainCallRoute(service, clock, defaultWait);
+        GenerationRoute generation = new GenerationRoute(service, deadlines);
+        PlainCallRoute plainCall = new PlainCallRoute(service, deadlines);
         ModelsRoute models = new ModelsRoute(service, modelWriter);
         listener.route("POST", GenerationRoute.CHAT, exchange -> serve(exchange, generation::chat))
                 .route("POST", GenerationRoute.COMPLETIONS, exchange -> serve(exchange, generation::completion))
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
@@ -2,8 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.time.Clock;
-import java.time.Duration;
 import java.time.Instant;
 
 import org.apache.commons.codec.binary.Hex;
@@ -27,13 +25,11 @@
     private static final int FINGERPRINT_CHARACTERS = 32;
 
     private final CallerService service;
-    private final Clock clock;
-    private final Duration defaultWait;
+    private final DeadlineRule deadlines;
 
-    GenerationRoute(CallerService service, Clock clock, Duration defaultWait) {
+    GenerationRoute(CallerService service, DeadlineRule deadlines) {
         this.service = service;
-        this.clock = clock;
-        this.defaultWait = defaultWait;
+        this.deadlines = deadlines;
     }
 
     void chat(CallerRequest request, CallerId caller) {
@@ -51,7 +47,7 @@
         ServiceDeclaration declared = CallerHttpServer.serviceFor(service, model.service(), request, caller);
         AdapterVersion adapter = service.configuration().resolve(model).orElseThrow(() -> unknown(model));
         request.setAdapter(adapter);
-        Instant deadline = RequestHeaders.deadline(request.exchange(), clock.instant(), defaultWait);
+        Instant deadline = RequestHeaders.deadline(request.exchange(), deadlines);
         Generation generation = new Generation(
                 request.id(),
                 declared,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
@@ -2,8 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.time.Clock;
-import java.time.Duration;
 import java.util.Optional;
 
 import org.apache.commons.codec.binary.Hex;
@@ -25,13 +23,11 @@
 /** Passes calls through to plain services. */
 final class PlainCallRoute {
     private final CallerService service;
-    private final Clock clock;
-    private final Duration defaultWait;
+    private final DeadlineRule deadlines;
 
-    PlainCallRoute(CallerService service, Clock clock, Duration defaultWait) {
+    PlainCallRoute(CallerService service, DeadlineRule deadlines) {
         this.service = service;
-        this.clock = clock;
-        this.defaultWait = defaultWait;
+        this.deadlines = deadlines;
     }
 
     void call(CallerRequest request, CallerId caller) {
@@ -47,7 +43,7 @@
                 target.path() + target.query(),
                 exchange.header("Content-Type"),
                 exchange.body(),
-                RequestHeaders.deadline(exchange, clock.instant(), defaultWait));
+                RequestHeaders.deadline(exchange, deadlines));
         PlainCall plainCall = new PlainCall(
                 declared,
                 caller,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
@@ -1,10 +1,8 @@
 package org.banyanstair.server.http.caller;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.time.OffsetDateTime;
 import java.time.format.DateTimeParseException;
-import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
@@ -17,25 +15,10 @@
     static final String PRIORITY = "X-Priority";
     static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-    /** The retention of the log streams is chosen for this limit. */
-    private static final Duration LONGEST_WAIT = Duration.ofMinutes(10);
-
     private RequestHeaders() {}
 
-    static Instant deadline(Exchange exchange, Instant now, Duration defaultWait) {
-        Optional<String> header = exchange.header(DEADLINE);
-        if (header.isEmpty()) {
-            return now.plus(defaultWait);
-        }
-        Instant deadline = parse(header.get());
-        if (!deadline.isAfter(now)) {
-            throw new FailureException(new Failure.DeadlinePassed(deadline));
-        }
-        Instant latest = now.plus(LONGEST_WAIT);
-        if (deadline.isAfter(latest)) {
-            throw new FailureException(new Failure.DeadlineTooFar(deadline, latest));
-        }
-        return deadline;
+    static Instant deadline(Exchange exchange, DeadlineRule rule) {
+        return exchange.header(DEADLINE).map(text -> rule.check(parse(text))).orElseGet(rule::byDefault);
     }
 
     private static Instant parse(String text) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
@@ -23,7 +23,7 @@
     public static final List<Integer> WINDOWS_MINUTES = List.of(5, 60, 360);
 
     /** Errors of the caller, which say nothing about the service. */
-    private static final Set<Integer> NOT_COUNTED = Set.of(400, 401, 403, 404, 413);
+    private static final Set<Integer> NOT_COUNTED = Set.of(400, 401, 403, 404, 409, 413);
 
     private final HostId host;
     private final Clock clock;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
@@ -11,6 +11,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.placement.PlacementPolicy;
+import org.banyanstair.server.http.BearerKey;
 
 /**
  * Settings of one daemon. {@code docs/settings.md} documents each key with its default and range.
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -18,6 +18,7 @@
 import org.banyanstair.model.Names;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.placement.PlacementPolicy;
+import org.banyanstair.server.http.BearerKey;
 import org.banyanstair.toml.StrictToml;
 import org.banyanstair.toml.TomlField;
 import org.banyanstair.toml.TomlResult;
@@ -131,7 +132,7 @@
                 if (!values.add(value)) {
                     table.reject(name, "a key that no other name of this table has");
                 }
-                keys.put(name, new BearerKey(value));
+                keys.put(name, BearerKey.ofPlain(value));
             });
             return () -> keys;
         });
--- /dev/null
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/DeadlineRuleTest.java
@@ -0,0 +1,35 @@
+package org.banyanstair.server.http.caller;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+
+import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureException;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Guards against a longest accepted deadline that ignores the settings. */
+class DeadlineRuleTest {
+    private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
+
+    private final DeadlineRule rule =
+            new DeadlineRule(Clock.fixed(NOW, ZoneOffset.UTC), Duration.ofSeconds(2), Duration.ofSeconds(5));
+
+    @Test
+    void deadlineUpToTheLongestWaitIsAccepted() {
+        assertEquals(NOW.plusSeconds(5), rule.check(NOW.plusSeconds(5)));
+        assertEquals(NOW.plusSeconds(2), rule.byDefault());
+    }
+
+    @Test
+    void laterAndPassedDeadlinesAreRefusedWithTheAcceptedRange() {
+        FailureException far = assertThrows(FailureException.class, () -> rule.check(NOW.plusSeconds(6)));
+        assertEquals(new Failure.DeadlineTooFar(NOW.plusSeconds(6), NOW.plusSeconds(5)), far.failure());
+        FailureException passed = assertThrows(FailureException.class, () -> rule.check(NOW));
+        assertEquals(new Failure.DeadlinePassed(NOW), passed.failure());
+    }
+}
