Read checkpoints only where they are needed

Cause: every host went on reading the checkpoint stream, 9.8 KB a second at 96,000 adapters against a budget of 3 KB for all control. Change: a host ends that reading once it follows the changes, unless it is the one that writes checkpoints; it reads them again when changes expired unread. Excluded: a wait of 2 s for all streams, which costs two and a half times as many reads on every node. Figures: two reducer tests fail without the change (no unfollow, no second follow in the effects) and pass with it.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
@@ -40,6 +40,9 @@
     private final ConfigurationHistory history = new ConfigurationHistory();
     private final Map<String, PendingChange> pending = new HashMap<>();
     private boolean checkpointsRead;
+    private boolean followsCheckpoints;
+    private boolean checkpointsAtEnd;
+    private long nextCheckpointOffset;
     private boolean following;
     private boolean logReachable;
     private Optional<Instant> lastCheckpoint = Optional.empty();
@@ -95,7 +98,13 @@
      * @param effects collects what to do
      */
     public void start(Effects effects) {
-        effects.add(new Effect.FollowStream(Streams.CHECKPOINTS, 0));
+        followCheckpoints(effects);
+    }
+
+    private void followCheckpoints(Effects effects) {
+        followsCheckpoints = true;
+        checkpointsAtEnd = false;
+        effects.add(new Effect.FollowStream(Streams.CHECKPOINTS, nextCheckpointOffset));
     }
 
     /**
@@ -122,10 +131,13 @@
     /**
      * Takes the news that the checkpoint stream was read to its end.
      *
+     * @param next offset of the next checkpoint part
      * @param effects collects what to do
      */
-    public void checkpointsEnded(Effects effects) {
+    public void checkpointsEnded(long next, Effects effects) {
         logReachable = true;
+        checkpointsAtEnd = true;
+        nextCheckpointOffset = next;
         if (!checkpointsRead) {
             checkpointsRead = true;
             follow(effects);
@@ -287,6 +299,9 @@
         giveUp(now, effects);
         // Changes that expired unread are in no later record, only in checkpoints and in what peers know.
         boolean missesChanges = history.nextOffset() < earliestInLog;
+        if (missesChanges && !followsCheckpoints) {
+            followCheckpoints(effects);
+        }
         boolean needsPeers = !logReachable || !history.isKnown() || !following || missesChanges;
         if (needsPeers && !now.isBefore(nextPeerRequest)) {
             nextPeerRequest = now.plus(settings.repeatInterval());
@@ -294,7 +309,7 @@
         }
         if (!now.isBefore(nextCheckpoint)) {
             nextCheckpoint = now.plus(checkpointCheckInterval());
-            writeCheckpointIfDue(now, effects);
+            maintainCheckpoints(missesChanges, now, effects);
         }
     }
 
@@ -323,15 +338,28 @@
         return halfRenewal.compareTo(usual) < 0 ? halfRenewal : usual;
     }
 
+    /** Checkpoints are large, so only the host that writes them and hosts that miss changes go on reading them. */
+    private void maintainCheckpoints(boolean missesChanges, Instant now, Effects effects) {
+        boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.candidates())
+                .filter(membership.self().host()::equals)
+                .isPresent();
+        boolean needed = responsible || missesChanges || !history.isKnown();
+        if (needed && !followsCheckpoints) {
+            followCheckpoints(effects);
+        } else if (!needed && followsCheckpoints && checkpointsAtEnd) {
+            followsCheckpoints = false;
+            effects.add(new Effect.UnfollowStream(Streams.CHECKPOINTS));
+        } else if (responsible && checkpointsAtEnd) {
+            writeCheckpointIfDue(now, effects);
+        }
+    }
+
     private void writeCheckpointIfDue(Instant now, Effects effects) {
         boolean due = lastCheckpoint
                 .map(at -> at.plus(settings.logRetention().dividedBy(CHECKPOINTS_PER_RETENTION)))
                 .map(at -> !now.isBefore(at))
                 .orElse(current().version() >= 0);
-        boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.candidates())
-                .filter(membership.self().host()::equals)
-                .isPresent();
-        if (due && responsible && logReachable && history.isKnown()) {
+        if (due && logReachable && history.isKnown()) {
             CheckpointPart.of(current(), history.nextOffset())
                     .forEach(part -> effects.add(
                             new Effect.AppendToLog(sequence.next(), Streams.CHECKPOINTS, List.<LogEntry>of(part))));
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -238,7 +238,7 @@
         if (read.stream().equals(Streams.CONFIGURATION)) {
             configuration.changesEnded(read.end());
         } else if (read.stream().equals(Streams.CHECKPOINTS)) {
-            configuration.checkpointsEnded(effects);
+            configuration.checkpointsEnded(read.next(), effects);
         } else if (read.stream().equals(Streams.OWNERSHIP)) {
             boolean first = !ownership.isCaughtUp();
             ownership.caughtUp();
--- a/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -23,6 +23,7 @@
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.PresetId;
 import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.placement.PlacementPolicy;
 import org.banyanstair.platform.LogEntry;
@@ -196,4 +197,35 @@
                                 && send.message() instanceof PeerMessage.ConfigurationRequest),
                 "the gap is closed, but peers are still asked");
     }
+
+    /** A host that does not write the checkpoints. */
+    private HostReducer follower() {
+        String other = "entry-2";
+        while (!RendezvousHash.first("configuration-checkpoint", List.of(SELF.host(), new HostId(other)))
+                .equals(Optional.of(new HostId(other)))) {
+            other += "0";
+        }
+        HostReducer reducer = reducer(Duration.ofHours(1), other);
+        read(reducer, Streams.CHECKPOINTS, 0);
+        read(reducer, Streams.CONFIGURATION, 1, change("first", -1));
+        return reducer;
+    }
+
+    /** Checkpoints of 96,000 adapters would cost every host more than its 3 KB a second. */
+    @Test
+    void hostThatDoesNotWriteCheckpointsEndsReadingThem() {
+        HostReducer reducer = follower();
+        tickFor(reducer, Duration.ofSeconds(11));
+        assertTrue(effects.contains(new Effect.UnfollowStream(Streams.CHECKPOINTS)));
+    }
+
+    @Test
+    void hostThatMissedChangesReadsTheCheckpointsAgain() {
+        HostReducer reducer = follower();
+        tickFor(reducer, Duration.ofSeconds(11));
+        effects.clear();
+        effects.addAll(reducer.apply(new Event.StreamExpired(now, Streams.CONFIGURATION, 7)));
+        tickFor(reducer, Duration.ofSeconds(1));
+        assertTrue(effects.contains(new Effect.FollowStream(Streams.CHECKPOINTS, 0)));
+    }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -13,6 +13,7 @@
 
 import org.banyanstair.platform.LogService;
 import org.banyanstair.platform.ReadResult;
+import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.StreamEntry;
 
@@ -20,8 +21,14 @@
 final class LogFollowers {
     private static final int RECORDS_PER_READ = 500;
 
-    /** A connection that has gone silent is noticed only when a read ends, and orders wait for the log until then. */
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+    /**
+     * A connection that has gone silent is noticed only when a read ends. With the time-out of a call on top, this
+     * leaves a configuration change within its 9 s.
+     */
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(5);
+
+    /** Orders wait for the log, and only two hosts follow each partition of them. */
+    private static final Duration LONGEST_WAIT_FOR_CALLS = Duration.ofSeconds(2);
 
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(250);
 
@@ -63,7 +70,7 @@
             return;
         }
         Instant now = clock.instant();
-        Instant waitUntil = atEnd ? now.plus(LONGEST_WAIT) : now;
+        Instant waitUntil = atEnd ? now.plus(Streams.isCalls(stream) ? LONGEST_WAIT_FOR_CALLS : LONGEST_WAIT) : now;
         log.read(stream, offset, RECORDS_PER_READ, waitUntil)
                 .thenAccept(result -> ended(stream, token, offset, result));
     }
