Send the host list only when it has changed

Change: a read names the version that it knows; the list answers 304 without a body while that version holds. Excluded: answers with changes only, since 0.9 KB a second on average remains by calculation, which fits the budget.

--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -37,7 +37,7 @@
         configuredLag = lag;
         this.lag = lag;
         server = new StandInServer(port)
-                .operation("GET", "/hosts", request -> read())
+                .operation("GET", "/hosts", this::read)
                 .control("PUT", "/hosts/{id}", this::putHost)
                 .control(
                         "DELETE",
@@ -49,7 +49,7 @@
                         "/endpoints/{id}",
                         request -> removed(listing.removeEndpoint(request.path("id"), clock.instant())))
                 .controls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
-        counters().declare("reads", "changes");
+        counters().declare("reads", "changes", "unchangedReads");
     }
 
     /**
@@ -160,9 +160,17 @@
         setFaults(new HostListFaults(faults, faults().lagMillis()));
     }
 
-    private CompletableFuture<Reply> read() {
+    private CompletableFuture<Reply> read(Request request) {
         counters().add("reads", 1);
-        return CompletableFuture.completedFuture(Reply.json(200, visible()));
+        HostListing listing = visible();
+        boolean known = request.query("known")
+                .filter(Long.toString(listing.version())::equals)
+                .isPresent();
+        if (known) {
+            counters().add("unchangedReads", 1);
+            return CompletableFuture.completedFuture(new Reply(304, "application/json", new byte[0]));
+        }
+        return CompletableFuture.completedFuture(Reply.json(200, listing));
     }
 
     private CompletableFuture<Reply> putHost(Request request) {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpHostListSourceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpHostListSourceTest.java
@@ -70,6 +70,18 @@
         assertEquals(new HostListing(3, List.of(), List.of(ENDPOINT)), read());
     }
 
+    /** A whole list of 970 entries each second would cost a host 57 times its budget for control. */
+    @Test
+    void unchangedListIsNotSentAgain() throws Exception {
+        hosts.put(HOST);
+        HostListing first = read();
+        assertEquals(first, read());
+        assertEquals(1, hosts.counters().get("unchangedReads"));
+        hosts.put(ENDPOINT);
+        assertEquals(new HostListing(2, List.of(HOST), List.of(ENDPOINT)), read());
+        assertEquals(1, hosts.counters().get("unchangedReads"));
+    }
+
     @Test
     void changesAppearAfterTheLagAndNeverGoBack() throws Exception {
         hosts.put(HOST);
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpHostListSource.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpHostListSource.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 
 import okhttp3.HttpUrl;
 import okhttp3.Request;
@@ -20,10 +21,12 @@
 public final class HttpHostListSource implements HostListSource {
     private static final int MAX_READS = 4;
     private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
 
     private final HttpUrl hosts;
     private final Duration callDeadline;
     private final DeadlineClient client = new DeadlineClient(MAX_READS);
+    private final AtomicReference<HostListing> last = new AtomicReference<>(HostListing.EMPTY);
 
     /**
      * Creates a client.
@@ -43,10 +46,23 @@
 
     @Override
     public CompletableFuture<HostListing> read() {
-        return client.call(new Request.Builder().url(hosts), callDeadline).thenApply(HttpHostListSource::listing);
+        HostListing known = last.get();
+        HttpUrl url = known.version() == 0
+                ? hosts
+                : hosts.newBuilder()
+                        .addQueryParameter("known", Long.toString(known.version()))
+                        .build();
+        return client.call(new Request.Builder().url(url), callDeadline).thenApply(result -> {
+            HostListing listing = listing(result, known);
+            last.set(listing);
+            return listing;
+        });
     }
 
-    private static HostListing listing(CallResult result) {
+    private static HostListing listing(CallResult result, HostListing known) {
+        if (result instanceof CallResult.Answered answered && answered.status() == NOT_MODIFIED) {
+            return known;
+        }
         if (result instanceof CallResult.Answered && ((CallResult.Answered) result).status() == OK) {
             try {
                 byte[] body = ((CallResult.Answered) result)
