Keep ports of test daemons free and exit when one is taken

The daemon then stayed up without an HTTP port, since Netty throws a BindException that it does not declare.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/FreePorts.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/FreePorts.java
@@ -1,28 +1,35 @@
 package org.banyanstair.integration.cluster;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
 
 import org.banyanstair.model.NetworkAddress;
 
-/** Finds free ports on loopback and never gives the same one twice. Safe for use by several threads. */
+/**
+ * Finds free ports on loopback and never gives the same one twice. Safe for use by several threads.
+ *
+ * <p>The ports lie below the range from which the operating system takes ports for outgoing connections; a port of that
+ * range was once taken by such a connection before its daemon could bind it.
+ */
 final class FreePorts {
     static final String LOOPBACK = "127.0.0.1";
 
-    private final Set<Integer> given = new HashSet<>();
+    private static final int FIRST = 10_000;
+
+    private static final int COUNT = 20_000;
+
+    /** Processes that run at the same time begin at different places. */
+    private int offset = (int) (ProcessHandle.current().pid() * 61 % COUNT);
 
     synchronized NetworkAddress next() {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-                if (given.add(socket.getLocalPort())) {
-                    return new NetworkAddress(LOOPBACK, socket.getLocalPort());
-                }
+            offset = (offset + 1) % COUNT;
+            int port = FIRST + offset;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+                return new NetworkAddress(LOOPBACK, socket.getLocalPort());
             } catch (IOException exception) {
-                throw new UncheckedIOException(exception);
+                continue;
             }
         }
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/Main.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/Main.java
@@ -117,7 +117,8 @@
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             return ExitCode.FAILED;
-        } catch (RuntimeException exception) {
+        } catch (Exception exception) {
+            // Netty throws checked exceptions that it does not declare, such as that an address is in use.
             System.err.println(exception.getMessage());
             return ExitCode.FAILED;
         }
