Remove an alias and a count that was a flag

Cause: EngineState.takesLoads only repeated takesPermits, and HostView.pools held 0 or 1 under the description of a number of pools. Change: the alias is gone; the flag is a boolean, ownsPools. Excluded: merging the two StandInServer classes and the copies in Faults, ReducerSettings of the simulated hosts and the list commands of the tool, which need a whole test run. Conclusion: behaviour stays as it is.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -94,10 +94,6 @@
                 && !verifying();
     }
 
-    boolean takesLoads() {
-        return takesPermits();
-    }
-
     boolean isReachable() {
         return failures < FAILURES_BEFORE_UNREACHABLE;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -124,7 +124,7 @@
 
     private Stream<EngineState> usable(WaitingRequest waiting, Instant now) {
         return pool.engines().values().stream()
-                .filter(EngineState::takesLoads)
+                .filter(EngineState::takesPermits)
                 .filter(engine -> !engine.slots().containsKey(waiting.adapter()))
                 .filter(engine -> waiting.mayUse(engine.endpoint().id()))
                 .filter(engine -> !now.isBefore(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -185,7 +185,7 @@
     private boolean isDrained(Instant addressesExpired) {
         HostView view = service.view();
         boolean alone = view.usable().isEmpty();
-        boolean handedOver = view.pools() == 0 || alone;
+        boolean handedOver = !view.ownsPools() || alone;
         return view.draining()
                 && handedOver
                 && view.inFlight() == 0
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -68,7 +68,7 @@
         this.generations = generations;
         this.events = events;
         this.view = new AtomicReference<>(new HostView(
-                Optional.of(new Failure.NotReady(self)), Configuration.INITIAL, List.of(), List.of(), false, 0, 0));
+                Optional.of(new Failure.NotReady(self)), Configuration.INITIAL, List.of(), List.of(), false, 0, false));
     }
 
     /** Registers the effects that answer callers and operators. */
@@ -108,7 +108,7 @@
                 usable,
                 membership.isDraining(),
                 reducer.inFlight(),
-                reducer.ownsNothing() ? 0 : 1);
+                !reducer.ownsNothing());
     }
 
     HostView view() {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostView.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostView.java
@@ -16,7 +16,7 @@
  * @param usable entry hosts that callers should use
  * @param draining whether this host leaves
  * @param inFlight what has to end before this host may stop
- * @param pools number of pools that this host decides for
+ * @param ownsPools whether this host decides for any pool
  */
 record HostView(
         Optional<Failure> unreadiness,
@@ -25,4 +25,4 @@
         List<EntryHost> usable,
         boolean draining,
         int inFlight,
-        int pools) {}
+        boolean ownsPools) {}
