--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -0,0 +1,244 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.ToLongFunction;
+
+import org.banyanstair.peer.HeldAdapter;
+import org.banyanstair.peer.PeerMessage;
+
+/**
+ * Decides which adapters one runner loads and unloads, for the host that commands it.
+ *
+ * <p>Answers load of many adapters that are asked for rarely: what is waited for is loaded in the order of its deadline,
+ * and makes way for what has been used least lately. An adapter in use or waited for is never unloaded. One command is
+ * under way at a time, each with the number of commands before it, so a command that arrives late is refused by the
+ * runner.
+ */
+final class AdapterCommander {
+    /** Time after which a command without an answer counts as lost. */
+    private static final Duration ANSWER_LIMIT = Duration.ofMillis(700);
+
+    /** Pause before the runner is asked for its state again. */
+    private static final Duration INSPECTION_PAUSE = Duration.ofMillis(400);
+
+    /** Time in which the use of an adapter counts half. */
+    private static final double HALF_LIFE_MILLISECONDS = 6000;
+
+    private final EndpointState runner;
+    private final int slots;
+    private final Map<AdapterName, Instant> wanted = new HashMap<>();
+    private final Map<AdapterName, Demand> demand = new HashMap<>();
+    private OptionalLong sequence = OptionalLong.empty();
+    private Optional<AdapterCommand> underWay = Optional.empty();
+    private Instant answerBy = Instant.MAX;
+    private Instant inspectAt = Instant.MIN;
+    private boolean inspecting;
+    private boolean changed = true;
+
+    private record Demand(double value, Instant at) {
+        double at(Instant now) {
+            return value * Math.pow(0.5, Duration.between(at, now).toMillis() / HALF_LIFE_MILLISECONDS);
+        }
+    }
+
+    AdapterCommander(EndpointState runner, int slots) {
+        this.runner = runner;
+        this.slots = slots;
+    }
+
+    /** Asks for an adapter until an instant. */
+    void want(AdapterName adapter, Instant until) {
+        wanted.merge(adapter, until, (known, newer) -> newer.isAfter(known) ? newer : known);
+    }
+
+    /** Counts requests for an adapter. */
+    void countUse(AdapterName adapter, Instant now) {
+        demand.merge(adapter, new Demand(1, now), (known, one) -> new Demand(known.at(now) + 1, now));
+    }
+
+    /** The runner's process is a new one, or this host has just taken command. */
+    void reset() {
+        sequence = OptionalLong.empty();
+        underWay = Optional.empty();
+        inspecting = false;
+        inspectAt = Instant.MIN;
+        changed = true;
+    }
+
+    void inspected(Optional<RunnerState> answer, Instant now) {
+        inspecting = false;
+        inspectAt = now.plus(INSPECTION_PAUSE);
+        if (answer.isEmpty()) {
+            return;
+        }
+        RunnerState state = answer.get();
+        sequence = OptionalLong.of(state.commandSequence());
+        Map<AdapterName, AdapterPlace> known = new HashMap<>(runner.adapters());
+        runner.adapters().clear();
+        state.loading().forEach(loading -> {
+            AdapterPlace before = known.get(loading.name());
+            Instant readyAt = before != null && before.version() == loading.version() && !before.isReady(now)
+                    ? before.readyAt()
+                    : now.plus(ServiceTimes.ADAPTER_LOAD);
+            runner.adapters().put(loading.name(), new AdapterPlace(loading.version(), readyAt));
+        });
+        state.loaded().forEach(loaded -> runner.adapters()
+                .putIfAbsent(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN)));
+        changed = true;
+    }
+
+    /** Takes the answer to a command; returns whether the state of the runner is known. */
+    void answered(
+            AdapterCommand command,
+            CommandResult result,
+            ToLongFunction<AdapterName> newestVersion,
+            double loadsWaiting,
+            Instant now) {
+        if (underWay.isEmpty() || !underWay.get().equals(command)) {
+            return;
+        }
+        underWay = Optional.empty();
+        if (result == CommandResult.ACCEPTED || result == CommandResult.DONE && !command.load()) {
+            sequence = OptionalLong.of(command.expectedSequence() + 1);
+        } else {
+            sequence = OptionalLong.empty();
+            inspectAt = now;
+        }
+        if (result == CommandResult.ACCEPTED || result == CommandResult.DONE) {
+            changed = true;
+            if (command.load()) {
+                Instant readyAt = result == CommandResult.DONE
+                        ? now
+                        : now.plusMillis((long) (ServiceTimes.ADAPTER_LOAD.toMillis() * Math.max(1, loadsWaiting)));
+                long version = command.version().orElseGet(() -> newestVersion.applyAsLong(command.adapter()));
+                runner.adapters().put(command.adapter(), new AdapterPlace(version, readyAt));
+                wanted.remove(command.adapter());
+            } else {
+                runner.adapters().remove(command.adapter());
+            }
+        }
+    }
+
+    /** A request found that the runner lacks an adapter which it should have. */
+    void missing(AdapterName adapter) {
+        if (runner.adapters().remove(adapter) != null) {
+            sequence = OptionalLong.empty();
+            changed = true;
+        }
+    }
+
+    int loading(Instant now) {
+        int count = 0;
+        for (AdapterPlace place : runner.adapters().values()) {
+            count += place.isReady(now) ? 0 : 1;
+        }
+        return count;
+    }
+
+    /** Returns whether a load could start soon. */
+    boolean canLoad(Instant now) {
+        return sequence.isPresent()
+                && (runner.adapters().size() < slots || victim(now).isPresent());
+    }
+
+    /**
+     * Goes on with what is wanted.
+     *
+     * @param fence fence of this host's claim
+     * @param newestVersion newest version of an adapter
+     * @param mayLoad whether another load may start, over all runners
+     * @param now present instant
+     * @return what to do
+     */
+    List<ForwardingEffect> step(long fence, ToLongFunction<AdapterName> newestVersion, boolean mayLoad, Instant now) {
+        if (underWay.isPresent() && !now.isBefore(answerBy)) {
+            underWay = Optional.empty();
+            sequence = OptionalLong.empty();
+        }
+        if (underWay.isPresent()) {
+            return List.of();
+        }
+        if (sequence.isEmpty()) {
+            if (inspecting || now.isBefore(inspectAt)) {
+                return List.of();
+            }
+            inspecting = true;
+            return List.of(
+                    new ForwardingEffect.Inspect(runner.id(), runner.listing().address()));
+        }
+        wanted.values().removeIf(now::isAfter);
+        wanted.keySet().removeIf(adapter -> isCurrent(adapter, newestVersion));
+        Optional<AdapterName> next =
+                wanted.entrySet().stream().min(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+        if (next.isEmpty() || !mayLoad || loading(now) >= ServiceTimes.LOADS_PER_RUNNER) {
+            return List.of();
+        }
+        if (runner.adapters().containsKey(next.get()) || runner.adapters().size() < slots) {
+            return command(true, next.get(), newestVersion, fence, now);
+        }
+        return victim(now)
+                .map(adapter -> command(false, adapter, newestVersion, fence, now))
+                .orElse(List.of());
+    }
+
+    private boolean isCurrent(AdapterName adapter, ToLongFunction<AdapterName> newestVersion) {
+        AdapterPlace place = runner.adapters().get(adapter);
+        return place != null && place.version() >= newestVersion.applyAsLong(adapter);
+    }
+
+    private List<ForwardingEffect> command(
+            boolean load, AdapterName adapter, ToLongFunction<AdapterName> newestVersion, long fence, Instant now) {
+        long version = newestVersion.applyAsLong(adapter);
+        AdapterCommand command = new AdapterCommand(
+                runner.id(),
+                runner.listing().address(),
+                load,
+                adapter,
+                load && version > 0 ? OptionalLong.of(version) : OptionalLong.empty(),
+                sequence.getAsLong(),
+                fence);
+        underWay = Optional.of(command);
+        answerBy = now.plus(ANSWER_LIMIT);
+        return List.of(new ForwardingEffect.Command(command));
+    }
+
+    /** Returns the adapter that has been asked for least lately among those that no request needs. */
+    private Optional<AdapterName> victim(Instant now) {
+        return runner.adapters().entrySet().stream()
+                .filter(entry -> entry.getValue().isReady(now)
+                        && !wanted.containsKey(entry.getKey())
+                        && !runner.isUsed(entry.getKey()))
+                .map(Map.Entry::getKey)
+                .min(Comparator.comparingDouble(adapter ->
+                        demand.containsKey(adapter) ? demand.get(adapter).at(now) : 0));
+    }
+
+    /** Returns the message for peers if something changed since the last one. */
+    Optional<PeerMessage> news(long fence, Instant now) {
+        if (!changed) {
+            return Optional.empty();
+        }
+        changed = false;
+        return Optional.of(message(fence, now));
+    }
+
+    PeerMessage message(long fence, Instant now) {
+        List<HeldAdapter> adapters = new ArrayList<>();
+        runner.adapters()
+                .forEach((name, place) -> adapters.add(new HeldAdapter(
+                        name,
+                        place.version(),
+                        place.isReady(now)
+                                ? 0
+                                : Duration.between(now, place.readyAt()).toMillis())));
+        return new PeerMessage.HeldRunner(runner.id(), runner.listing().started(), fence, adapters);
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterName.java
@@ -0,0 +1,22 @@
+package org.banyanstair.forwarding;
+
+import java.util.Objects;
+
+/**
+ * Names a LoRA adapter of a base model, without its version.
+ *
+ * @param baseModel the base model
+ * @param adapter the adapter
+ */
+public record AdapterName(String baseModel, String adapter) {
+    /** Checks that both parts are present. */
+    public AdapterName {
+        Objects.requireNonNull(baseModel, "baseModel");
+        Objects.requireNonNull(adapter, "adapter");
+    }
+
+    @Override
+    public String toString() {
+        return baseModel + "/" + adapter;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -0,0 +1,38 @@
+package org.banyanstair.forwarding;
+
+import java.util.Optional;
+
+/** How sending a request to an endpoint ended. */
+public sealed interface AttemptResult {
+    /**
+     * The whole answer has arrived; a stream has been passed on to its end.
+     *
+     * @param status HTTP status
+     */
+    record Answered(int status) implements AttemptResult {}
+
+    /**
+     * The endpoint did not run the request.
+     *
+     * @param cause how this is known
+     */
+    record NotRun(NotRunCause cause) implements AttemptResult {}
+
+    /**
+     * The connection ended early or what came was no answer; the request may have run.
+     *
+     * @param outputPassedOn whether the caller has got a part of the answer
+     * @param lastEvent id of the last event that was passed on whole
+     */
+    record Broken(boolean outputPassedOn, Optional<Long> lastEvent) implements AttemptResult {}
+
+    /** How it is known that a request has not run. */
+    enum NotRunCause {
+        /** No connection could be opened, so no byte was sent. */
+        NOT_CONNECTED,
+        /** The endpoint said that it is full. */
+        FULL,
+        /** Another process has the address, or it lacks the adapter version. */
+        NOT_HERE
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
@@ -0,0 +1,27 @@
+package org.banyanstair.forwarding;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.banyanstair.model.EndpointId;
+
+/**
+ * What an endpoint is chosen for.
+ *
+ * @param request the request
+ * @param route its route
+ * @param engine capacity of a runner; empty for a plain service
+ * @param tried endpoints that have failed the request
+ * @param canLoad whether an adapter can be loaded on a runner now
+ * @param neededVersion lowest version of the adapter that may be used
+ * @param loadsWaiting loads on their way over all runners, as a multiple of what the store carries without delay
+ */
+record ChoiceQuery(
+        ForwardRequest request,
+        Route route,
+        Optional<EngineCapacity> engine,
+        Set<EndpointId> tried,
+        Predicate<EndpointState> canLoad,
+        long neededVersion,
+        double loadsWaiting) {}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -0,0 +1,136 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.ownership.RendezvousHash;
+
+/**
+ * Decides which host commands each runner, with claims in the platform's log.
+ *
+ * <p>The offset of a claim is its fence. A claim counts only while this host has read the topic of claims lately; a
+ * host that takes a runner over from another waits until the other cannot have sent a command for the lease term, and
+ * then settles its claim with a second record. Claims name machines, so a daemon that restarts goes on at once under a
+ * settled claim of its earlier run.
+ */
+final class ClaimKeeper {
+    /** How long a claim counts after the start of the last read of the topic; above the time that a read waits. */
+    static final Duration VALIDITY = Duration.ofMillis(2200);
+
+    /** Silence after which another host takes a runner over; a killed daemon is usually back before. */
+    private static final Duration TAKEOVER_SILENCE = Duration.ofMillis(2500);
+
+    /** Time after the start in which hosts get to know each other before they claim runners that nobody has. */
+    private static final Duration SETTLING = Duration.ofMillis(1500);
+
+    /** Time after which an append whose answer did not come may be followed by another. */
+    private static final Duration APPEND_LIMIT = Duration.ofSeconds(2);
+
+    private final HostId self;
+    private final Duration leaseTerm;
+    private final Map<EndpointId, Claim> claims = new HashMap<>();
+    private Instant validUntil = Instant.MIN;
+    private Instant startedAt = Instant.MAX;
+    private Instant appendingUntil = Instant.MIN;
+    private Instant distrustedBefore = Instant.MIN;
+
+    private record Claim(HostId host, boolean settled, long offset, Instant usableAt) {}
+
+    ClaimKeeper(HostId self, Duration leaseTerm) {
+        this.self = self;
+        this.leaseTerm = leaseTerm;
+    }
+
+    /** Takes a claim in the order of the log. */
+    void claimed(Fact.Claimed fact, long offset, Instant now) {
+        Claim before = claims.get(fact.endpoint());
+        if (before != null && before.offset() >= offset) {
+            return;
+        }
+        Instant usable = fact.settled() ? now : now.plus(VALIDITY).plus(leaseTerm);
+        claims.put(fact.endpoint(), new Claim(fact.host(), fact.settled(), offset, usable));
+    }
+
+    /** The topic was read; nothing that came before the start of the read is unknown. */
+    void read(Instant readStartedAt) {
+        if (readStartedAt.isAfter(distrustedBefore)) {
+            Instant until = readStartedAt.plus(VALIDITY);
+            validUntil = until.isAfter(validUntil) ? until : validUntil;
+        }
+    }
+
+    /** This process stood still, so what it read before no longer counts. */
+    void distrust(Instant now) {
+        validUntil = Instant.MIN;
+        distrustedBefore = now;
+    }
+
+    void appended() {
+        appendingUntil = Instant.MIN;
+    }
+
+    /** Returns the fence under which this host may command a runner now. */
+    Optional<Long> fence(EndpointId endpoint, Instant now) {
+        Claim claim = claims.get(endpoint);
+        return claim != null && claim.host().equals(self) && now.isBefore(validUntil) && !now.isBefore(claim.usableAt())
+                ? Optional.of(claim.offset())
+                : Optional.empty();
+    }
+
+    /** Returns the endpoints that this host has claimed. */
+    List<EndpointId> own() {
+        List<EndpointId> result = new ArrayList<>();
+        claims.forEach((endpoint, claim) -> {
+            if (claim.host().equals(self)) {
+                result.add(endpoint);
+            }
+        });
+        return result;
+    }
+
+    void forget(EndpointId endpoint) {
+        claims.remove(endpoint);
+    }
+
+    /** Claims a runner that nobody commands, if this host ranks first for it. */
+    Optional<ForwardingEffect> tick(
+            Collection<EndpointState> runners, PeerTable peers, TopicFollower topic, boolean stopping, Instant now) {
+        if (startedAt.equals(Instant.MAX)) {
+            startedAt = now;
+        }
+        if (stopping
+                || !topic.isAvailable()
+                || now.isBefore(appendingUntil)
+                || now.isBefore(startedAt.plus(SETTLING))
+                || now.isAfter(validUntil)
+                || !peers.hearsMost(now)) {
+            return Optional.empty();
+        }
+        List<HostId> live = peers.live(now);
+        for (EndpointState runner : runners) {
+            Claim claim = claims.get(runner.id());
+            boolean orphaned = claim == null
+                    || !claim.host().equals(self)
+                            && peers.silence(claim.host(), now).compareTo(TAKEOVER_SILENCE) > 0;
+            boolean settles =
+                    claim != null && claim.host().equals(self) && !claim.settled() && !now.isBefore(claim.usableAt());
+            boolean takes = orphaned
+                    && runner.takesRequests(now)
+                    && RendezvousHash.first(runner.id().value(), live).equals(Optional.of(self));
+            if (settles || takes) {
+                appendingUntil = now.plus(APPEND_LIMIT);
+                Fact.Claimed fact = new Fact.Claimed(runner.id(), self, settles || claim == null);
+                return Optional.of(new ForwardingEffect.AppendClaim(fact, topic.end()));
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
@@ -0,0 +1,53 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.banyanstair.model.EndpointId;
+
+/**
+ * Counts the endpoints that ended while a request ran there alone or with few others, to stop one that crashes them.
+ *
+ * <p>A crash is reported by each host that had a request there; only requests that were on each of three crashed
+ * endpoints are refused, which a neighbour is practically never.
+ */
+final class CrashHistory {
+    /** Crashes after which a request is refused; the users allow three more runs after the third. */
+    private static final int LIMIT = 3;
+
+    private static final Duration RETENTION = Duration.ofMinutes(2);
+
+    private static final int CAPACITY = 4096;
+
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+
+    private static final class Entry {
+        private final Set<Crash> crashes = new HashSet<>();
+        private Instant until = Instant.MIN;
+    }
+
+    private record Crash(EndpointId endpoint, long started) {}
+
+    void add(long fingerprint, EndpointId endpoint, long started, Instant now) {
+        entries.values().removeIf(entry -> now.isAfter(entry.until));
+        if (entries.size() >= CAPACITY) {
+            entries.remove(entries.keySet().iterator().next());
+        }
+        Entry entry = entries.computeIfAbsent(fingerprint, key -> new Entry());
+        entry.crashes.add(new Crash(endpoint, started));
+        entry.until = now.plus(RETENTION);
+    }
+
+    void completed(long fingerprint) {
+        entries.remove(fingerprint);
+    }
+
+    boolean isRefused(long fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        return entry != null && entry.crashes.size() >= LIMIT;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -0,0 +1,146 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Chooses the endpoint of a request by the time until its first output.
+ *
+ * <p>Answers load of two kinds. On runners, reading prompts is what binds on the heaviest days, so the estimate counts
+ * the tokens that wait there for all hosts, less the parts that the runner has cached, and the load of the adapter. On
+ * plain services it counts the requests beyond the slots.
+ */
+final class EndpointChooser {
+    /** Added where an adapter has to be loaded though another runner has it: it evicts one and prompts are read again. */
+    private static final double COPY_MILLISECONDS = 120;
+
+    /** Added for an endpoint in another data centre; bytes between data centres are paid for. */
+    private static final double DISTANCE_MILLISECONDS = 8;
+
+    /** Added for an endpoint that fails all of its requests, in proportion for fewer. */
+    private static final double FAILURE_MILLISECONDS = 800;
+
+    /** Added when the memory of a runner is full, so that it would take another request's place. */
+    private static final double MEMORY_MILLISECONDS = 600;
+
+    /** Added for each place further down the order of runners for an adapter, so that hosts agree on where to load. */
+    private static final double ORDER_MILLISECONDS = 6;
+
+    /** Share of the memory of a runner that requests may fill before it counts as full. */
+    private static final double MEMORY_SHARE = 0.95;
+
+    /** Time of a request of a plain service, until the objective tells better. */
+    private static final double PLAIN_SHARE_OF_OBJECTIVE = 0.25;
+
+    private final String dataCentre;
+
+    EndpointChooser(String dataCentre) {
+        this.dataCentre = dataCentre;
+    }
+
+    /**
+     * Chooses an endpoint.
+     *
+     * @param query what it is for
+     * @param endpoints endpoints of the service
+     * @param now present instant
+     * @return the choice; empty if no endpoint takes the request
+     */
+    Optional<Choice> choose(ChoiceQuery query, Collection<EndpointState> endpoints, Instant now) {
+        ForwardRequest request = query.request();
+        long neededVersion = query.neededVersion();
+        List<EndpointState> candidates = endpoints.stream()
+                .filter(endpoint ->
+                        endpoint.takesRequests(now) && !query.tried().contains(endpoint.id()))
+                .toList();
+        if (query.engine().isEmpty()
+                || request.prompt().isEmpty() && request.adapter().isEmpty()) {
+            return candidates.stream()
+                    .map(endpoint -> new Choice(endpoint, false, plainCost(endpoint, query.route(), now)))
+                    .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
+        }
+        long[] hashes = PrefixIndex.hashes(request);
+        boolean loadedSomewhere = request.adapter().isPresent()
+                && candidates.stream().anyMatch(endpoint -> usable(endpoint, request, neededVersion));
+        Choice best = null;
+        for (EndpointState endpoint : candidates) {
+            boolean load = request.adapter().isPresent() && !usable(endpoint, request, neededVersion);
+            if (load && !query.canLoad().test(endpoint)) {
+                continue;
+            }
+            double cost = runnerCost(endpoint, request, hashes, query.engine().get(), now);
+            if (load) {
+                cost += ServiceTimes.ADAPTER_LOAD.toMillis() * Math.max(1, query.loadsWaiting())
+                        + (loadedSomewhere ? COPY_MILLISECONDS : 0)
+                        + ORDER_MILLISECONDS * place(endpoint, request, candidates);
+            } else if (request.adapter().isPresent()) {
+                AdapterPlace adapter = endpoint.adapters().get(request.adapter().get());
+                if (!adapter.isReady(now)) {
+                    cost += Duration.between(now, adapter.readyAt()).toMillis();
+                }
+            }
+            if (best == null || cost < best.startMilliseconds()) {
+                best = new Choice(endpoint, load, cost);
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    static boolean usable(EndpointState endpoint, ForwardRequest request, long neededVersion) {
+        AdapterPlace place = endpoint.adapters().get(request.adapter().orElseThrow());
+        return place != null && place.version() >= neededVersion;
+    }
+
+    /** Estimates the time that a runner needs for the prompt of a request and for those that wait before it. */
+    static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes) {
+        int own = Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
+        return (endpoint.waitingTokens() + own) / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowness()
+                + 2 * ServiceTimes.STEP_MILLISECONDS;
+    }
+
+    private double runnerCost(
+            EndpointState endpoint, ForwardRequest request, long[] hashes, EngineCapacity engine, Instant now) {
+        double cost = promptMilliseconds(endpoint, request, hashes) + commonCost(endpoint, now);
+        long needed = endpoint.cacheTokens() + request.inputTokens() + request.outputTokens();
+        if (needed > engine.cacheTokens() * MEMORY_SHARE
+                || endpoint.running() >= endpoint.listing().slots()) {
+            cost += MEMORY_MILLISECONDS;
+        }
+        return cost;
+    }
+
+    private double plainCost(EndpointState endpoint, Route route, Instant now) {
+        double each = route.objective().toMillis() * PLAIN_SHARE_OF_OBJECTIVE;
+        int slots = Math.max(1, endpoint.listing().slots());
+        int running = endpoint.running();
+        // Some endpoints slow down when nearly full, so the load counts before the slots are taken.
+        double load = each * running / slots + (running >= slots ? each * (running - slots + 1) / slots + each : 0);
+        return load + commonCost(endpoint, now);
+    }
+
+    private double commonCost(EndpointState endpoint, Instant now) {
+        return (dataCentre.equals(endpoint.listing().dataCentre()) ? 0 : DISTANCE_MILLISECONDS)
+                + FAILURE_MILLISECONDS * endpoint.failureShare(now);
+    }
+
+    private static int place(EndpointState endpoint, ForwardRequest request, List<EndpointState> candidates) {
+        long own = weight(endpoint, request);
+        int place = 0;
+        for (EndpointState other : candidates) {
+            if (weight(other, request) > own) {
+                place++;
+            }
+        }
+        return place;
+    }
+
+    private static long weight(EndpointState endpoint, ForwardRequest request) {
+        long hash = endpoint.id().value().hashCode() * 0x9E3779B97F4A7C15L
+                ^ request.adapter().hashCode() * 0xC2B2AE3D27D4EB4FL;
+        hash = (hash ^ hash >>> 29) * 0xBF58476D1CE4E5B9L;
+        return hash ^ hash >>> 32;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -0,0 +1,207 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.peer.EndpointUse;
+
+/** What a host believes of one endpoint. Not safe for use by several threads. */
+final class EndpointState {
+    /** Time for which an endpoint that refused a connection gets no requests, doubled with each further failure. */
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
+
+    /** Longest such time; an endpoint that crashed is back after some seconds. */
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
+
+    /** Weight of the newest outcome in the share of failures. */
+    private static final double OUTCOME_WEIGHT = 0.2;
+
+    /** Weight of the newest measurement of the speed. */
+    private static final double SPEED_WEIGHT = 0.15;
+
+    private EndpointListing listing;
+    private Instant removeAt = Instant.MAX;
+    private Instant avoidUntil = Instant.MIN;
+    private Duration pause = FIRST_PAUSE;
+    private double failureShare;
+    private Instant lastFailureAt = Instant.MIN;
+    private double slowness = 1;
+    private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
+    private final Map<HostId, EndpointUse> use = new HashMap<>();
+    private final PrefixIndex prefixes = new PrefixIndex();
+    private Optional<HostId> commander = Optional.empty();
+    private Instant commanderHeardAt = Instant.MIN;
+
+    EndpointState(EndpointListing listing) {
+        this.listing = listing;
+        takeAdapters();
+    }
+
+    EndpointListing listing() {
+        return listing;
+    }
+
+    EndpointId id() {
+        return listing.id();
+    }
+
+    /** Takes a newer entry of the endpoint; returns whether its process is a new one. */
+    boolean update(EndpointListing newer) {
+        boolean restarted = newer.started() != listing.started();
+        boolean commandsChanged = newer.commandSequence() != listing.commandSequence();
+        listing = newer;
+        removeAt = Instant.MAX;
+        if (restarted) {
+            forget();
+        }
+        if (restarted || commandsChanged && commander.isEmpty()) {
+            takeAdapters();
+        }
+        return restarted;
+    }
+
+    private void forget() {
+        adapters.clear();
+        prefixes.clear();
+        use.clear();
+        failureShare = 0;
+        slowness = 1;
+        avoidUntil = Instant.MIN;
+        pause = FIRST_PAUSE;
+        commander = Optional.empty();
+    }
+
+    private void takeAdapters() {
+        adapters.clear();
+        for (LoadedAdapter loaded : listing.adapters()) {
+            adapters.put(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN));
+        }
+    }
+
+    void removeAt(Instant instant) {
+        removeAt = instant;
+    }
+
+    Instant removeAt() {
+        return removeAt;
+    }
+
+    Map<AdapterName, AdapterPlace> adapters() {
+        return adapters;
+    }
+
+    PrefixIndex prefixes() {
+        return prefixes;
+    }
+
+    void setCommander(HostId host, Instant now) {
+        commander = Optional.of(host);
+        commanderHeardAt = now;
+    }
+
+    /** Returns the host that commands the runner, if it told so lately. */
+    Optional<HostId> commander() {
+        return commander;
+    }
+
+    boolean takesRequests(Instant now) {
+        return !listing.draining() && now.isBefore(removeAt) && !now.isBefore(avoidUntil);
+    }
+
+    void notConnected(Instant now) {
+        avoidUntil = now.plus(pause);
+        pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause.multipliedBy(2);
+    }
+
+    void avoidUntil(Instant instant) {
+        avoidUntil = instant;
+    }
+
+    void countOutcome(boolean success, Instant now) {
+        failureShare += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureShare);
+        if (success) {
+            pause = FIRST_PAUSE;
+        } else {
+            lastFailureAt = now;
+        }
+    }
+
+    /** Returns the share of failures among the last answers; it halves with each second without one. */
+    double failureShare(Instant now) {
+        if (failureShare == 0) {
+            return 0;
+        }
+        double seconds = Duration.between(lastFailureAt, now).toMillis() / 1000.0;
+        return failureShare * Math.pow(0.5, Math.max(0, seconds));
+    }
+
+    void countSpeed(double measuredOverPredicted) {
+        double bounded = Math.min(4, Math.max(0.5, measuredOverPredicted));
+        slowness += SPEED_WEIGHT * (bounded * slowness - slowness);
+        slowness = Math.min(4, Math.max(0.5, slowness));
+    }
+
+    double slowness() {
+        return slowness;
+    }
+
+    void setUse(HostId host, EndpointUse newer) {
+        if (newer.running() == 0) {
+            use.remove(host);
+        } else {
+            use.put(host, newer);
+        }
+        newer.newPrefixes().forEach(prefixes::add);
+    }
+
+    void forgetUse(HostId host) {
+        use.remove(host);
+    }
+
+    int running() {
+        int sum = 0;
+        for (EndpointUse one : use.values()) {
+            sum += one.running();
+        }
+        return sum;
+    }
+
+    int waitingTokens() {
+        int sum = 0;
+        for (EndpointUse one : use.values()) {
+            sum += one.waitingTokens();
+        }
+        return sum;
+    }
+
+    long cacheTokens() {
+        long sum = 0;
+        for (EndpointUse one : use.values()) {
+            sum += one.cacheTokens();
+        }
+        return sum;
+    }
+
+    boolean isUsed(AdapterName adapter) {
+        for (EndpointUse one : use.values()) {
+            if (one.adapters().contains(adapter)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns adapters of requests that run, one entry a request. */
+    List<AdapterName> adaptersInUse() {
+        List<AdapterName> result = new ArrayList<>();
+        use.values().forEach(one -> result.addAll(one.adapters()));
+        return result;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/FactDecoder.java
@@ -0,0 +1,18 @@
+package org.banyanstair.forwarding;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/** Reads what a record says; pure. */
+@FunctionalInterface
+public interface FactDecoder {
+    /**
+     * Decodes a record that has a value.
+     *
+     * @param topic its topic
+     * @param entry the record
+     * @param now present instant, for times that the record gives as remaining
+     * @return the fact; empty if the record cannot be read or concerns nothing that is known here
+     */
+    Optional<Fact> decode(Topic topic, TopicRecord entry, Instant now);
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
@@ -0,0 +1,52 @@
+package org.banyanstair.forwarding;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import org.banyanstair.model.EndpointId;
+
+/** A request that this host passes on. Not safe for use by several threads. */
+final class Forwarding {
+    final ForwardRequest request;
+    final Route route;
+    final ServiceDefinition service;
+    final Instant arrivedAt;
+    final Instant deadline;
+    final long[] prefixes;
+    final Set<EndpointId> tried = new HashSet<>();
+    final Set<EndpointId> noLoad = new HashSet<>();
+    Optional<EndpointState> endpoint = Optional.empty();
+    boolean sent;
+    boolean firstOutput;
+    boolean mayHaveRun;
+    int attempts;
+    int runs;
+    int rejections;
+    int cachedTokens;
+    Instant sentAt = Instant.MIN;
+    double predictedMilliseconds;
+    Instant recheckAt = Instant.MIN;
+    Optional<Long> lastEvent;
+
+    Forwarding(ForwardRequest request, Route route, ServiceDefinition service, Instant now) {
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.arrivedAt = now;
+        Instant limit = now.plus(route.timeout());
+        this.deadline = request.callerDeadline().filter(limit::isAfter).orElse(limit);
+        this.prefixes = PrefixIndex.hashes(request);
+        this.lastEvent = request.resumeAfter();
+    }
+
+    /** Returns the tokens that the runner reads for this request alone. */
+    int ownTokens() {
+        return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
+    }
+
+    int cacheTokens() {
+        return service.engine().isPresent() ? request.inputTokens() + request.outputTokens() : 0;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -0,0 +1,351 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.RelayedRecord;
+
+/**
+ * Folds all events of a host that passes requests on to endpoints, and says what to do.
+ *
+ * <p>Reads no clock and does no I/O. Not safe for use by several threads.
+ */
+public final class ForwardingReducer {
+    /** Time between two messages by which peers know that this host lives, in a small deployment. */
+    private static final Duration STATE_INTERVAL = Duration.ofMillis(300);
+
+    /** Time between two reports of what the requests of this host use, in a small deployment. */
+    private static final Duration USE_INTERVAL = Duration.ofMillis(30);
+
+    /** Added to the interval of states for each peer, so that messages to peers stay under a hundred a second. */
+    private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(10);
+
+    /** Added to the interval of use reports for each peer. */
+    private static final Duration USE_INTERVAL_PER_PEER = Duration.ofMillis(4);
+
+    /** Silence after which the requests of a peer are taken to have ended. */
+    private static final Duration USE_RETENTION = Duration.ofSeconds(3);
+
+    /** Time that this host waits for its own read before it asks a peer that has read further. */
+    private static final Duration RELAY_DELAY = Duration.ofMillis(400);
+
+    /** Longest time between two events of a process that was not held up. */
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(600);
+
+    private final Turn turn = new Turn();
+    private final ForwardingSettings settings;
+    private final PlatformView view;
+    private final PeerTable peers;
+    private final ClaimKeeper claims;
+    private final RunnerDesk desk;
+    private final CrashWatch crashes;
+    private final RequestForwarder requests;
+    private final Map<Topic, Instant> behindSince = new EnumMap<>(Topic.class);
+    private Instant lastEventAt = Instant.MAX;
+    private Instant nextStateAt = Instant.MIN;
+    private Instant nextReportAt = Instant.MIN;
+    private boolean announced;
+    private boolean stopping;
+
+    /**
+     * Creates the reducer of one run of a host.
+     *
+     * @param settings the settings
+     * @param decoder reads the records of the platform's topics
+     */
+    public ForwardingReducer(ForwardingSettings settings, FactDecoder decoder) {
+        this.settings = settings;
+        HostId self = settings.identity().host();
+        this.view = new PlatformView(turn, decoder);
+        this.peers = new PeerTable(settings.announcement());
+        this.claims = new ClaimKeeper(self, settings.leaseTerm());
+        this.desk = new RunnerDesk(turn, self, view, peers, claims);
+        this.crashes = new CrashWatch(turn, peers);
+        this.requests = new RequestForwarder(turn, settings, view, peers, desk, crashes);
+    }
+
+    /**
+     * Takes an event.
+     *
+     * @param event the event
+     * @param now when it was noticed, on a clock that never goes back
+     * @return what to do, in order
+     */
+    public List<ForwardingEffect> apply(ForwardingEvent event, Instant now) {
+        turn.begin(now);
+        if (event instanceof ForwardingEvent.ClockGap
+                || now.isAfter(lastEventAt)
+                        && Duration.between(lastEventAt, now).compareTo(LONGEST_PAUSE) > 0) {
+            claims.distrust(now);
+            turn.log(DecisionRecord.important("clock-gap", "since-last-event-ms", millisecondsSinceLastEvent(now)));
+        }
+        lastEventAt = now;
+        applyToRequests(event);
+        applyToPlatform(event);
+        applyToPeers(event);
+        return turn.effects();
+    }
+
+    private long millisecondsSinceLastEvent(Instant now) {
+        return lastEventAt.equals(Instant.MAX)
+                ? 0
+                : Duration.between(lastEventAt, now).toMillis();
+    }
+
+    private void applyToRequests(ForwardingEvent event) {
+        if (event instanceof ForwardingEvent.Arrived arrived) {
+            requests.arrived(arrived.request());
+        } else if (event instanceof ForwardingEvent.FirstOutput output) {
+            requests.firstOutput(output.exchange(), output.attempt());
+        } else if (event instanceof ForwardingEvent.AttemptEnded ended) {
+            requests.ended(ended.exchange(), ended.attempt(), ended.result());
+        } else if (event instanceof ForwardingEvent.CallerLeft left) {
+            requests.callerLeft(left.exchange());
+        } else if (event instanceof ForwardingEvent.CommandAnswered answered) {
+            desk.answered(answered.command(), answered.result());
+            requests.checkWaiting();
+        } else if (event instanceof ForwardingEvent.Inspected inspected) {
+            desk.inspected(inspected.endpoint(), inspected.state());
+            requests.checkWaiting();
+        } else if (event instanceof ForwardingEvent.Tick) {
+            tick();
+        } else if (event instanceof ForwardingEvent.StopRequested) {
+            stopping = true;
+            nextStateAt = turn.now();
+            turn.log(DecisionRecord.important("stopping", "open-requests", requests.size()));
+            tick();
+        }
+    }
+
+    private void applyToPlatform(ForwardingEvent event) {
+        if (event instanceof ForwardingEvent.TopicRead read) {
+            view.read(read, new ChangeListener());
+            if (read.topic() == Topic.CLAIMS) {
+                claims.read(read.startedAt());
+            }
+            view.tick();
+        } else if (event instanceof ForwardingEvent.TopicExpired expired) {
+            view.expired(expired.topic());
+            view.tick();
+        } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
+            view.unavailable(unavailable.topic());
+        } else if (event instanceof ForwardingEvent.Appended appended && appended.topic() == Topic.CLAIMS) {
+            claims.appended();
+        }
+    }
+
+    private void applyToPeers(ForwardingEvent event) {
+        if (event instanceof ForwardingEvent.PeerConnected connected) {
+            HostId host = connected.peer().host();
+            turn.log(DecisionRecord.important("peer-connected", "peer", connected.peer()));
+            turn.emit(new ForwardingEffect.ToPeer(host, state()));
+            desk.introduce(host);
+        } else if (event instanceof ForwardingEvent.PeerUnreachable unreachable) {
+            turn.log(DecisionRecord.important("peer-unreachable", "peer", unreachable.peer()));
+        } else if (event instanceof ForwardingEvent.PeerReceived received) {
+            received(received.sender().host(), received.message());
+        }
+    }
+
+    private void received(HostId sender, PeerMessage message) {
+        peers.heard(sender, turn.now());
+        if (message instanceof PeerMessage.HostState state) {
+            announced(state.announcement());
+            peers.state(state, turn.now());
+            catchUp(sender, Topic.CONFIGURATION);
+            catchUp(sender, Topic.ENDPOINTS);
+        } else if (message instanceof PeerMessage.UseReport report) {
+            requests.reported(sender, report);
+        } else if (message instanceof PeerMessage.HeldRunner held) {
+            desk.heard(sender, held);
+            requests.checkWaiting();
+        } else if (message instanceof PeerMessage.AdapterWanted wanted) {
+            desk.wanted(wanted);
+        } else if (message instanceof PeerMessage.RecordsRequest request) {
+            TopicFollower follower = view.follower(request.topic());
+            List<RelayedRecord> records = follower.recordsFrom(request.offset()).stream()
+                    .map(entry -> new RelayedRecord(
+                            entry.key(),
+                            entry.value().orElse(new byte[0]),
+                            entry.value().isEmpty(),
+                            entry.offset()))
+                    .toList();
+            turn.emit(new ForwardingEffect.ToPeer(
+                    sender, new PeerMessage.RecordsReply(request.topic(), records, follower.end())));
+        } else if (message instanceof PeerMessage.RecordsReply reply) {
+            List<TopicRecord> records = reply.records().stream()
+                    .map(entry -> new TopicRecord(
+                            entry.key(),
+                            entry.removed() ? Optional.empty() : Optional.of(entry.value()),
+                            entry.offset()))
+                    .toList();
+            view.relayed(reply.topic(), records, reply.end(), sender, new ChangeListener());
+        } else if (message instanceof PeerMessage.CrashReport report) {
+            crashes.reported(report);
+        }
+    }
+
+    /** Asks a peer that has read further, if this host's own read does not get there. */
+    private void catchUp(HostId peer, Topic topic) {
+        TopicFollower follower = view.follower(topic);
+        boolean behind = peers.find(peer)
+                .filter(known -> known.offset(topic) > follower.end())
+                .isPresent();
+        if (!behind) {
+            behindSince.remove(topic);
+            return;
+        }
+        Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
+        if (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY))) {
+            turn.emit(new ForwardingEffect.ToPeer(
+                    peer, new PeerMessage.RecordsRequest(topic, Math.max(0, follower.end()))));
+            behindSince.put(topic, turn.now());
+        }
+    }
+
+    private void announced(HostAnnouncement announcement) {
+        if (peers.announced(announcement, turn.now())) {
+            turn.emit(new ForwardingEffect.Watch(announcement.host()));
+            turn.emit(new ForwardingEffect.ToPeer(announcement.host(), state()));
+        }
+    }
+
+    private PeerMessage state() {
+        return new PeerMessage.HostState(
+                settings.announcement(),
+                stopping,
+                view.follower(Topic.CONFIGURATION).end(),
+                view.follower(Topic.ENDPOINTS).end());
+    }
+
+    private void tick() {
+        view.tick();
+        if (!announced && view.follower(Topic.HOSTS).isKnown()) {
+            announced = true;
+            turn.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
+        }
+        desk.tick(stopping);
+        requests.tick();
+        Instant now = turn.now();
+        int count = peers.size();
+        if (!now.isBefore(nextReportAt)) {
+            nextReportAt = now.plus(USE_INTERVAL).plus(USE_INTERVAL_PER_PEER.multipliedBy(count));
+            requests.report();
+        }
+        if (!now.isBefore(nextStateAt)) {
+            nextStateAt = now.plus(STATE_INTERVAL).plus(STATE_INTERVAL_PER_PEER.multipliedBy(count));
+            PeerMessage message = state();
+            peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+            forgetSilentPeers();
+        }
+    }
+
+    private void forgetSilentPeers() {
+        for (HostId host : peers.all()) {
+            if (peers.silence(host, turn.now()).compareTo(USE_RETENTION) > 0) {
+                view.endpoints().forEach(endpoint -> endpoint.forgetUse(host));
+            }
+        }
+    }
+
+    /**
+     * Returns whether a request waits for something that only the passing of time brings.
+     *
+     * @return whether ticks are to come often
+     */
+    public boolean isWaiting() {
+        return requests.hasWaiting();
+    }
+
+    /**
+     * Returns whether this host can serve callers.
+     *
+     * @return whether it knows a configuration and does not stop
+     */
+    public boolean isReady() {
+        return view.configuration().isPresent() && !stopping;
+    }
+
+    /**
+     * Returns the number of requests of callers that have not ended.
+     *
+     * @return the number
+     */
+    public int openRequests() {
+        return requests.size();
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration; empty before the first one is known
+     */
+    public Optional<ForwardingConfiguration> configuration() {
+        return view.configuration();
+    }
+
+    /**
+     * Returns the addresses that callers may use.
+     *
+     * @param now present instant
+     * @return at least one address
+     */
+    public List<NetworkAddress> callerAddresses(Instant now) {
+        return peers.callerAddresses(stopping, now);
+    }
+
+    /**
+     * Finds the address of a peer.
+     *
+     * @param host the peer
+     * @return its address for other hosts; empty if it is not known
+     */
+    public Optional<NetworkAddress> peerAddress(HostId host) {
+        return peers.find(host).map(peer -> peer.announcement().peers());
+    }
+
+    private final class ChangeListener implements PlatformView.Listener {
+        @Override
+        public void restarted(EndpointState endpoint) {
+            desk.restarted(endpoint);
+            crashes.unreachable(endpoint);
+        }
+
+        @Override
+        public void removed(EndpointState endpoint) {
+            crashes.unreachable(endpoint);
+        }
+
+        @Override
+        public void claimed(Fact.Claimed claim, long offset) {
+            claims.claimed(claim, offset, turn.now());
+            turn.log(DecisionRecord.important(
+                    "claim",
+                    "endpoint",
+                    claim.endpoint(),
+                    "host",
+                    claim.host(),
+                    "settled",
+                    claim.settled(),
+                    "offset",
+                    offset));
+        }
+
+        @Override
+        public void announced(HostAnnouncement announcement) {
+            ForwardingReducer.this.announced(announcement);
+        }
+
+        @Override
+        public void versionNamed(AdapterName adapter, long version) {
+            desk.versionNamed(adapter, settings.versionTerm());
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadedAdapter.java
@@ -0,0 +1,9 @@
+package org.banyanstair.forwarding;
+
+/**
+ * An adapter version that a runner says it holds.
+ *
+ * @param name the adapter
+ * @param version its version
+ */
+public record LoadedAdapter(AdapterName name, long version) {}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -0,0 +1,541 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.peer.EndpointUse;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.routing.RetryBudget;
+
+/** The requests of this host's callers, from their arrival to their end. */
+final class RequestForwarder {
+    /** Time in which the commander of a runner starts a wanted load or tells nothing of it. */
+    private static final Duration LOAD_START_LIMIT = Duration.ofMillis(120);
+
+    /** Times that a load is asked for again on one runner before another is tried. */
+    private static final int LOAD_REMINDERS = 2;
+
+    /** Rejections after which a request is refused; more would use up the retries of others. */
+    private static final int REJECTION_LIMIT = 3;
+
+    /** Pause for an endpoint that said that it is full. */
+    private static final Duration FULL_PAUSE = Duration.ofMillis(40);
+
+    /** Share of the objective after which an idempotent call is given to another endpoint. */
+    private static final double SILENCE_SHARE = 0.6;
+
+    /** Multiple of the expected time of a stream's first event after which it is given to another endpoint. */
+    private static final double SILENCE_MULTIPLE = 4;
+
+    /** Shortest such time. */
+    private static final Duration SHORTEST_SILENCE = Duration.ofMillis(700);
+
+    private final Turn turn;
+    private final ForwardingSettings settings;
+    private final PlatformView view;
+    private final PeerTable peers;
+    private final RunnerDesk desk;
+    private final CrashWatch crashes;
+    private final EndpointChooser chooser;
+    private final Map<Long, Forwarding> open = new TreeMap<>();
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final Set<EndpointState> dirty = new LinkedHashSet<>();
+    private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
+    private final Map<EndpointId, EndpointUse> unreported = new TreeMap<>();
+
+    RequestForwarder(
+            Turn turn,
+            ForwardingSettings settings,
+            PlatformView view,
+            PeerTable peers,
+            RunnerDesk desk,
+            CrashWatch crashes) {
+        this.turn = turn;
+        this.settings = settings;
+        this.view = view;
+        this.peers = peers;
+        this.desk = desk;
+        this.crashes = crashes;
+        this.chooser = new EndpointChooser(settings.announcement().dataCentre());
+    }
+
+    boolean hasWaiting() {
+        return open.values().stream().anyMatch(forwarding -> !forwarding.sent);
+    }
+
+    int size() {
+        return open.size();
+    }
+
+    void arrived(ForwardRequest request) {
+        Optional<ForwardingConfiguration> configuration = view.configuration();
+        if (configuration.isEmpty()) {
+            refuseUnrouted(request, RefusalReason.NOT_READY);
+            return;
+        }
+        Optional<Route> route = configuration.get().findRoute(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuseUnrouted(request, RefusalReason.NO_ROUTE);
+            return;
+        }
+        double point = (request.fingerprint() * 31 + request.exchange() >>> 11 & 0xFFFF) / 65536.0;
+        String serviceName = route.get().serviceFor(point);
+        ServiceDefinition service = configuration
+                .get()
+                .service(serviceName)
+                .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
+        Forwarding forwarding = new Forwarding(request, route.get(), service, turn.now());
+        open.put(request.exchange(), forwarding);
+        budget(forwarding).countFirst(turn.now());
+        if (!turn.now().isBefore(forwarding.deadline)) {
+            refuse(forwarding, RefusalReason.DEADLINE_PASSED, 0);
+        } else if (crashes.isRefused(request.fingerprint())) {
+            refuse(forwarding, RefusalReason.CRASHES_ENDPOINTS, 0);
+        } else {
+            plan(forwarding);
+        }
+    }
+
+    private void refuseUnrouted(ForwardRequest request, RefusalReason reason) {
+        turn.log(DecisionRecord.important(
+                "refused", "request", request.id(), "reason", reason, "host", request.host(), "path", request.path()));
+        turn.emit(new ForwardingEffect.Refuse(
+                request.exchange(),
+                reason,
+                reason == RefusalReason.NOT_READY ? Optional.of(RetryTimes.NOT_READY) : Optional.empty()));
+    }
+
+    private RetryBudget budget(Forwarding forwarding) {
+        return budgets.computeIfAbsent(forwarding.service.name(), name -> new RetryBudget());
+    }
+
+    private boolean takeRetry(Forwarding forwarding) {
+        double slack = (double) settings.retrySlack() / (peers.size() + 1);
+        return budget(forwarding).tryRetry(settings.retryShare(), slack, turn.now());
+    }
+
+    private void plan(Forwarding forwarding) {
+        ForwardRequest request = forwarding.request;
+        Instant now = turn.now();
+        long needed = request.adapter()
+                .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), now))
+                .orElse(0L);
+        ChoiceQuery query = new ChoiceQuery(
+                request,
+                forwarding.route,
+                forwarding.service.engine(),
+                forwarding.tried,
+                endpoint -> !forwarding.noLoad.contains(endpoint.id()) && desk.canLoad(endpoint),
+                needed,
+                desk.loadsWaiting());
+        Optional<Choice> choice = chooser.choose(query, view.endpointsOf(forwarding.service.name()), now);
+        if (choice.isEmpty()) {
+            boolean any = view.endpointsOf(forwarding.service.name()).stream()
+                    .anyMatch(endpoint -> endpoint.takesRequests(now));
+            giveUp(forwarding, any ? RefusalReason.ADAPTER_UNAVAILABLE : RefusalReason.NO_ENDPOINT, 0);
+            return;
+        }
+        EndpointState endpoint = choice.get().endpoint();
+        double start = choice.get().startMilliseconds();
+        if (start > Duration.between(now, forwarding.deadline).toMillis()) {
+            giveUp(forwarding, RefusalReason.OVERLOADED, start);
+            return;
+        }
+        forwarding.endpoint = Optional.of(endpoint);
+        forwarding.predictedMilliseconds = start;
+        if (choice.get().load()) {
+            forwarding.recheckAt = now.plus(LOAD_START_LIMIT);
+            desk.want(endpoint, request.adapter().orElseThrow(), forwarding.deadline);
+            turn.log(DecisionRecord.of(
+                    "load-wanted",
+                    "request",
+                    request.id(),
+                    "endpoint",
+                    endpoint.id(),
+                    "adapter",
+                    request.adapter().orElseThrow(),
+                    "needed-version",
+                    needed,
+                    "expected-start-ms",
+                    (long) start));
+        } else {
+            check(forwarding);
+        }
+    }
+
+    private void giveUp(Forwarding forwarding, RefusalReason reason, double startMilliseconds) {
+        if (forwarding.mayHaveRun) {
+            fail(forwarding, FailureReason.ENDPOINT_FAILED);
+        } else {
+            refuse(forwarding, reason, startMilliseconds);
+        }
+    }
+
+    /** Looks again at the requests that wait for an adapter. */
+    void checkWaiting() {
+        List<Forwarding> waiting =
+                open.values().stream().filter(forwarding -> !forwarding.sent).toList();
+        waiting.forEach(this::check);
+    }
+
+    private void check(Forwarding forwarding) {
+        Instant now = turn.now();
+        if (forwarding.sent || !open.containsKey(forwarding.request.exchange())) {
+            return;
+        }
+        if (!now.isBefore(forwarding.deadline)) {
+            giveUp(forwarding, RefusalReason.DEADLINE_PASSED, 0);
+            return;
+        }
+        EndpointState endpoint = forwarding.endpoint.orElseThrow();
+        if (!endpoint.takesRequests(now)) {
+            plan(forwarding);
+            return;
+        }
+        Optional<AdapterName> adapter = forwarding.request.adapter();
+        AdapterPlace place = adapter.map(endpoint.adapters()::get).orElse(null);
+        long needed = adapter.map(name -> view.neededVersion(name, settings.versionTerm(), now))
+                .orElse(0L);
+        if (adapter.isEmpty() || place != null && place.version() >= needed && place.isReady(now)) {
+            send(forwarding, endpoint, place);
+        } else if ((place == null || place.version() < needed) && !now.isBefore(forwarding.recheckAt)) {
+            if (++forwarding.rejections > LOAD_REMINDERS) {
+                forwarding.noLoad.add(endpoint.id());
+                forwarding.rejections = 0;
+            }
+            plan(forwarding);
+        }
+    }
+
+    private void send(Forwarding forwarding, EndpointState endpoint, AdapterPlace place) {
+        ForwardRequest request = forwarding.request;
+        forwarding.sent = true;
+        forwarding.firstOutput = false;
+        forwarding.attempts++;
+        forwarding.sentAt = turn.now();
+        forwarding.predictedMilliseconds = forwarding.service.engine().isPresent()
+                ? EndpointChooser.promptMilliseconds(endpoint, request, forwarding.prefixes)
+                : 0;
+        forwarding.tried.add(endpoint.id());
+        forwarding.cachedTokens = endpoint.prefixes().cachedTokens(request, forwarding.prefixes);
+        for (long hash : forwarding.prefixes) {
+            endpoint.prefixes().add(hash);
+            newPrefixes.computeIfAbsent(endpoint.id(), id -> new ArrayList<>()).add(hash);
+        }
+        request.adapter().ifPresent(adapter -> desk.countUse(endpoint, adapter));
+        dirty.add(endpoint);
+        refreshUse();
+        turn.log(DecisionRecord.of(
+                "sent",
+                "request",
+                request.id(),
+                "attempt",
+                forwarding.attempts,
+                "endpoint",
+                endpoint.id(),
+                "waited-ms",
+                Duration.between(forwarding.arrivedAt, turn.now()).toMillis(),
+                "expected-start-ms",
+                (long) forwarding.predictedMilliseconds,
+                "running",
+                endpoint.running(),
+                "waiting-tokens",
+                endpoint.waitingTokens()));
+        turn.emit(new ForwardingEffect.Send(
+                request.exchange(),
+                forwarding.attempts,
+                endpoint.id(),
+                endpoint.listing().address(),
+                forwarding.deadline,
+                forwarding.route.rank(),
+                place == null || place.version() == 0 ? OptionalLong.empty() : OptionalLong.of(place.version()),
+                forwarding.lastEvent,
+                forwarding.route.mayRunAgain()));
+    }
+
+    void firstOutput(long exchange, int attempt) {
+        Forwarding forwarding = open.get(exchange);
+        if (forwarding == null || forwarding.attempts != attempt || forwarding.firstOutput) {
+            return;
+        }
+        forwarding.firstOutput = true;
+        EndpointState endpoint = forwarding.endpoint.orElseThrow();
+        if (forwarding.predictedMilliseconds > 0) {
+            endpoint.countSpeed(
+                    Duration.between(forwarding.sentAt, turn.now()).toMillis() / forwarding.predictedMilliseconds);
+        }
+        dirty.add(endpoint);
+        refreshUse();
+    }
+
+    void ended(long exchange, int attempt, AttemptResult result) {
+        Forwarding forwarding = open.get(exchange);
+        if (forwarding == null || forwarding.attempts != attempt || !forwarding.sent) {
+            return;
+        }
+        EndpointState endpoint = forwarding.endpoint.orElseThrow();
+        forwarding.sent = false;
+        dirty.add(endpoint);
+        refreshUse();
+        turn.log(DecisionRecord.of(
+                "attempt-ended",
+                "request",
+                forwarding.request.id(),
+                "attempt",
+                attempt,
+                "endpoint",
+                endpoint.id(),
+                "result",
+                result,
+                "after-ms",
+                Duration.between(forwarding.sentAt, turn.now()).toMillis()));
+        if (result instanceof AttemptResult.Answered answered) {
+            answered(forwarding, endpoint, answered.status());
+        } else if (result instanceof AttemptResult.NotRun notRun) {
+            notRun(forwarding, endpoint, notRun.cause());
+        } else if (result instanceof AttemptResult.Broken broken) {
+            broken(forwarding, endpoint, broken);
+        }
+    }
+
+    private void answered(Forwarding forwarding, EndpointState endpoint, int status) {
+        forwarding.runs++;
+        forwarding.mayHaveRun = true;
+        boolean failed = status >= 500;
+        endpoint.countOutcome(!failed, turn.now());
+        if (!failed) {
+            crashes.completed(forwarding.request.fingerprint());
+        }
+        if (failed && forwarding.route.idempotent() && !forwarding.route.streaming() && retry(forwarding)) {
+            return;
+        }
+        close(forwarding);
+        turn.log(DecisionRecord.of(
+                "answered",
+                "request",
+                forwarding.request.id(),
+                "status",
+                status,
+                "attempts",
+                forwarding.attempts,
+                "after-ms",
+                Duration.between(forwarding.arrivedAt, turn.now()).toMillis()));
+        turn.emit(new ForwardingEffect.Deliver(forwarding.request.exchange()));
+    }
+
+    /** Sends a request again that may run again; returns false if limits forbid it or nothing would take it. */
+    private boolean retry(Forwarding forwarding) {
+        boolean anyOther = view.endpointsOf(forwarding.service.name()).stream()
+                .anyMatch(endpoint -> endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()));
+        if (!anyOther
+                || forwarding.runs >= forwarding.route.maximumAttempts()
+                || !turn.now().isBefore(forwarding.deadline)
+                || crashes.isRefused(forwarding.request.fingerprint())
+                || !takeRetry(forwarding)) {
+            return false;
+        }
+        plan(forwarding);
+        return true;
+    }
+
+    private void notRun(Forwarding forwarding, EndpointState endpoint, AttemptResult.NotRunCause cause) {
+        if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
+            endpoint.notConnected(turn.now());
+            crashes.unreachable(endpoint);
+        } else if (cause == AttemptResult.NotRunCause.FULL) {
+            endpoint.avoidUntil(turn.now().plus(FULL_PAUSE));
+        } else {
+            forwarding
+                    .request
+                    .adapter()
+                    .ifPresentOrElse(
+                            adapter -> desk.missing(endpoint, adapter),
+                            () -> endpoint.avoidUntil(turn.now().plus(FULL_PAUSE)));
+        }
+        forwarding.tried.remove(endpoint.id());
+        boolean arrived = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
+        if (++forwarding.rejections > REJECTION_LIMIT || arrived && !takeRetry(forwarding)) {
+            giveUp(forwarding, RefusalReason.OVERLOADED, 0);
+        } else {
+            plan(forwarding);
+        }
+    }
+
+    private void broken(Forwarding forwarding, EndpointState endpoint, AttemptResult.Broken result) {
+        forwarding.runs++;
+        forwarding.mayHaveRun = true;
+        endpoint.countOutcome(false, turn.now());
+        crashes.broken(forwarding.request.fingerprint(), endpoint);
+        if (result.lastEvent().isPresent()) {
+            forwarding.lastEvent = result.lastEvent();
+        }
+        boolean mayGoOn = forwarding.route.mayRunAgain() && (forwarding.route.streaming() || !result.outputPassedOn());
+        if (!mayGoOn || !retry(forwarding)) {
+            fail(forwarding, FailureReason.ENDPOINT_FAILED);
+        }
+    }
+
+    void callerLeft(long exchange) {
+        Forwarding forwarding = open.get(exchange);
+        if (forwarding != null) {
+            turn.log(DecisionRecord.of("caller-left", "request", forwarding.request.id(), "sent", forwarding.sent));
+            cancel(forwarding);
+            close(forwarding);
+        }
+    }
+
+    private void cancel(Forwarding forwarding) {
+        if (forwarding.sent) {
+            forwarding.sent = false;
+            forwarding.endpoint.ifPresent(dirty::add);
+            refreshUse();
+            turn.emit(new ForwardingEffect.CancelAttempt(forwarding.request.exchange()));
+        }
+    }
+
+    private void refuse(Forwarding forwarding, RefusalReason reason, double startMilliseconds) {
+        close(forwarding);
+        Optional<Duration> retryAfter = RetryTimes.after(
+                reason, startMilliseconds, forwarding.route.objective(), forwarding.request.fingerprint());
+        turn.log(DecisionRecord.important(
+                "refused",
+                "request",
+                forwarding.request.id(),
+                "reason",
+                reason,
+                "service",
+                forwarding.service.name(),
+                "expected-start-ms",
+                (long) startMilliseconds,
+                "waited-ms",
+                Duration.between(forwarding.arrivedAt, turn.now()).toMillis(),
+                "attempts",
+                forwarding.attempts));
+        turn.emit(new ForwardingEffect.Refuse(forwarding.request.exchange(), reason, retryAfter));
+    }
+
+    private void fail(Forwarding forwarding, FailureReason reason) {
+        close(forwarding);
+        turn.log(DecisionRecord.important(
+                "failed",
+                "request",
+                forwarding.request.id(),
+                "reason",
+                reason,
+                "endpoint",
+                forwarding.endpoint.map(endpoint -> endpoint.id().value()).orElse(""),
+                "attempts",
+                forwarding.attempts,
+                "after-ms",
+                Duration.between(forwarding.arrivedAt, turn.now()).toMillis()));
+        turn.emit(new ForwardingEffect.Fail(forwarding.request.exchange(), reason));
+    }
+
+    private void close(Forwarding forwarding) {
+        open.remove(forwarding.request.exchange());
+        forwarding.endpoint.ifPresent(dirty::add);
+        refreshUse();
+    }
+
+    void tick() {
+        checkWaiting();
+        for (Forwarding forwarding : List.copyOf(open.values())) {
+            if (!forwarding.sent) {
+                continue;
+            }
+            if (!turn.now().isBefore(forwarding.deadline)) {
+                cancel(forwarding);
+                fail(forwarding, FailureReason.TIMED_OUT);
+            } else if (!forwarding.firstOutput && isSilent(forwarding) && forwarding.route.mayRunAgain()) {
+                moveOn(forwarding);
+            }
+        }
+    }
+
+    private boolean isSilent(Forwarding forwarding) {
+        long waited = Duration.between(forwarding.sentAt, turn.now()).toMillis();
+        return forwarding.route.streaming()
+                ? waited > Math.max(SHORTEST_SILENCE.toMillis(), SILENCE_MULTIPLE * forwarding.predictedMilliseconds)
+                : waited > SILENCE_SHARE * forwarding.route.objective().toMillis();
+    }
+
+    private void moveOn(Forwarding forwarding) {
+        boolean anyOther = view.endpointsOf(forwarding.service.name()).stream()
+                .anyMatch(endpoint -> endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()));
+        if (anyOther && forwarding.runs + 1 < forwarding.route.maximumAttempts() && takeRetry(forwarding)) {
+            forwarding.endpoint.ifPresent(endpoint -> endpoint.countOutcome(false, turn.now()));
+            cancel(forwarding);
+            forwarding.runs++;
+            forwarding.mayHaveRun = true;
+            plan(forwarding);
+        }
+    }
+
+    private void refreshUse() {
+        for (EndpointState endpoint : dirty) {
+            EndpointUse use = useOf(endpoint);
+            endpoint.setUse(settings.identity().host(), use);
+            unreported.put(endpoint.id(), use);
+        }
+        dirty.clear();
+    }
+
+    private EndpointUse useOf(EndpointState endpoint) {
+        int running = 0;
+        int waitingTokens = 0;
+        int cacheTokens = 0;
+        List<AdapterName> adapters = new ArrayList<>();
+        for (Forwarding forwarding : open.values()) {
+            if (forwarding.sent && forwarding.endpoint.filter(endpoint::equals).isPresent()) {
+                running++;
+                cacheTokens += forwarding.cacheTokens();
+                forwarding.request.adapter().ifPresent(adapters::add);
+                if (!forwarding.firstOutput && forwarding.service.engine().isPresent()) {
+                    waitingTokens += forwarding.ownTokens();
+                }
+            }
+        }
+        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
+    }
+
+    /** Tells peers what has changed since the last report. */
+    void report() {
+        if (unreported.isEmpty()) {
+            return;
+        }
+        List<EndpointUse> uses = unreported.values().stream()
+                .map(use -> new EndpointUse(
+                        use.endpoint(),
+                        use.running(),
+                        use.waitingTokens(),
+                        use.cacheTokens(),
+                        use.adapters(),
+                        newPrefixes.getOrDefault(use.endpoint(), List.of())))
+                .toList();
+        unreported.clear();
+        newPrefixes.clear();
+        PeerMessage message = new PeerMessage.UseReport(uses);
+        peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+    }
+
+    /** Takes what the requests of a peer use. */
+    void reported(HostId sender, PeerMessage.UseReport message) {
+        for (EndpointUse use : message.uses()) {
+            view.endpoint(use.endpoint()).ifPresent(endpoint -> {
+                endpoint.setUse(sender, use);
+                use.adapters().forEach(adapter -> desk.countUse(endpoint, adapter));
+            });
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -0,0 +1,217 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.peer.HeldAdapter;
+import org.banyanstair.peer.PeerMessage;
+
+/** The runners that this host commands, and what the commanders of the others say of them. */
+final class RunnerDesk {
+    private final Turn turn;
+    private final HostId self;
+    private final PlatformView view;
+    private final PeerTable peers;
+    private final ClaimKeeper claims;
+    private final Map<EndpointId, AdapterCommander> commanders = new TreeMap<>();
+    private final Map<EndpointId, Long> fences = new TreeMap<>();
+
+    RunnerDesk(Turn turn, HostId self, PlatformView view, PeerTable peers, ClaimKeeper claims) {
+        this.turn = turn;
+        this.self = self;
+        this.view = view;
+        this.peers = peers;
+        this.claims = claims;
+    }
+
+    void tick(boolean stopping) {
+        claims.tick(view.runners(), peers, view.follower(Topic.CLAIMS), stopping, turn.now())
+                .ifPresent(turn::emit);
+        for (EndpointId id : claims.own()) {
+            Optional<EndpointState> runner = view.endpoint(id);
+            Optional<Long> fence = claims.fence(id, turn.now());
+            if (fence.isEmpty() || stopping || runner.isEmpty()) {
+                if (commanders.remove(id) != null) {
+                    turn.log(DecisionRecord.important("command-suspended", "endpoint", id, "stopping", stopping));
+                }
+            } else {
+                step(runner.get(), fence.get());
+            }
+        }
+        commanders.keySet().removeIf(id -> claims.fence(id, turn.now()).isEmpty());
+    }
+
+    private void step(EndpointState runner, long fence) {
+        if (!runner.takesRequests(turn.now())) {
+            return;
+        }
+        Optional<EngineCapacity> capacity = view.capacityOf(runner);
+        if (capacity.isEmpty()) {
+            return;
+        }
+        AdapterCommander commander = commanders.get(runner.id());
+        if (commander == null) {
+            commander = new AdapterCommander(runner, capacity.get().adapterSlots());
+            commanders.put(runner.id(), commander);
+            turn.log(DecisionRecord.important("command-taken", "endpoint", runner.id(), "fence", fence));
+        }
+        runner.setCommander(self, turn.now());
+        fences.put(runner.id(), fence);
+        boolean mayLoad = loading() < ServiceTimes.loadsInTransit(view.runners().size());
+        turn.emit(commander.step(fence, view::newestVersion, mayLoad, turn.now()));
+        commander.news(fence, turn.now()).ifPresent(this::tellAll);
+    }
+
+    private void tellAll(PeerMessage message) {
+        peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+    }
+
+    /** Sends all that this host knows of its runners to a peer that has just come. */
+    void introduce(HostId peer) {
+        commanders.forEach((id, commander) -> turn.emit(
+                new ForwardingEffect.ToPeer(peer, commander.message(fences.getOrDefault(id, 0L), turn.now()))));
+    }
+
+    /** Returns the adapters that are on their way to any runner. */
+    private int loading() {
+        int count = 0;
+        for (EndpointState runner : view.runners()) {
+            for (AdapterPlace place : runner.adapters().values()) {
+                count += place.isReady(turn.now()) ? 0 : 1;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the loads on their way as a multiple of what the store carries without delay. */
+    double loadsWaiting() {
+        return (double) (loading() + 1)
+                / ServiceTimes.loadsInTransit(view.runners().size());
+    }
+
+    boolean canLoad(EndpointState runner) {
+        AdapterCommander own = commanders.get(runner.id());
+        if (own != null) {
+            return own.canLoad(turn.now());
+        }
+        return runner.commander()
+                .filter(host -> !host.equals(self) && peers.isLive(host, turn.now()))
+                .isPresent();
+    }
+
+    /** Asks for an adapter on a runner; the news of its load comes as a change of the runner's adapters. */
+    void want(EndpointState runner, AdapterName adapter, Instant until) {
+        AdapterCommander own = commanders.get(runner.id());
+        if (own != null) {
+            own.want(adapter, until);
+            claims.fence(runner.id(), turn.now()).ifPresent(fence -> step(runner, fence));
+        } else {
+            long remaining = Duration.between(turn.now(), until).toMillis();
+            runner.commander()
+                    .ifPresent(host -> turn.emit(new ForwardingEffect.ToPeer(
+                            host, new PeerMessage.AdapterWanted(runner.id(), adapter, remaining))));
+        }
+    }
+
+    void wanted(PeerMessage.AdapterWanted message) {
+        AdapterCommander own = commanders.get(message.endpoint());
+        Optional<EndpointState> runner = view.endpoint(message.endpoint());
+        if (own != null && runner.isPresent()) {
+            want(runner.get(), message.adapter(), turn.now().plusMillis(message.remainingMilliseconds()));
+        }
+    }
+
+    void countUse(EndpointState runner, AdapterName adapter) {
+        AdapterCommander own = commanders.get(runner.id());
+        if (own != null) {
+            own.countUse(adapter, turn.now());
+        }
+    }
+
+    /** A request found that a runner lacks an adapter. */
+    void missing(EndpointState runner, AdapterName adapter) {
+        AdapterCommander own = commanders.get(runner.id());
+        if (own != null) {
+            own.missing(adapter);
+        } else {
+            runner.adapters().remove(adapter);
+        }
+    }
+
+    void heard(HostId sender, PeerMessage.HeldRunner message) {
+        Optional<EndpointState> known = view.endpoint(message.endpoint());
+        if (known.isEmpty()
+                || commanders.containsKey(message.endpoint())
+                || known.get().listing().started() != message.started()
+                || fences.getOrDefault(message.endpoint(), -1L) > message.fence()) {
+            return;
+        }
+        EndpointState runner = known.get();
+        fences.put(runner.id(), message.fence());
+        runner.setCommander(sender, turn.now());
+        runner.adapters().clear();
+        for (HeldAdapter adapter : message.adapters()) {
+            Instant readyAt = adapter.readyInMilliseconds() == 0
+                    ? Instant.MIN
+                    : turn.now().plusMillis(adapter.readyInMilliseconds());
+            runner.adapters().put(adapter.name(), new AdapterPlace(adapter.version(), readyAt));
+        }
+    }
+
+    void answered(AdapterCommand command, CommandResult result) {
+        turn.log(DecisionRecord.important(
+                "command",
+                "endpoint",
+                command.endpoint(),
+                "load",
+                command.load(),
+                "adapter",
+                command.adapter(),
+                "sequence",
+                command.expectedSequence(),
+                "fence",
+                command.fence(),
+                "result",
+                result));
+        AdapterCommander own = commanders.get(command.endpoint());
+        if (own != null) {
+            own.answered(command, result, view::newestVersion, loadsWaiting(), turn.now());
+            stepNow(command.endpoint());
+        }
+    }
+
+    void inspected(EndpointId id, Optional<RunnerState> state) {
+        AdapterCommander own = commanders.get(id);
+        if (own != null) {
+            own.inspected(state, turn.now());
+            stepNow(id);
+        }
+    }
+
+    private void stepNow(EndpointId id) {
+        Optional<EndpointState> runner = view.endpoint(id);
+        Optional<Long> fence = claims.fence(id, turn.now());
+        if (runner.isPresent() && fence.isPresent()) {
+            step(runner.get(), fence.get());
+        }
+    }
+
+    void restarted(EndpointState runner) {
+        AdapterCommander own = commanders.get(runner.id());
+        if (own != null) {
+            own.reset();
+        }
+    }
+
+    /** Replaces an adapter that a runner of this host holds and that has been used lately. */
+    void versionNamed(AdapterName adapter, Duration term) {
+        commanders.forEach((id, commander) -> view.endpoint(id)
+                .filter(runner -> runner.adapters().containsKey(adapter))
+                .ifPresent(runner -> commander.want(adapter, turn.now().plus(term))));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceTimes.java
@@ -0,0 +1,30 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+
+/** Times of runners and of the weight store that estimates start from. */
+final class ServiceTimes {
+    /** Prompt tokens that a runner reads in a millisecond; from the users' sheet of engines. */
+    static final double PROMPT_TOKENS_PER_MILLISECOND = 38.7;
+
+    /** Step of a batch in milliseconds; from the users' sheet of engines. */
+    static final double STEP_MILLISECONDS = 5.47;
+
+    /** Time to load an adapter; from the users' sheet of models, 250 ms and 288 ms. */
+    static final Duration ADAPTER_LOAD = Duration.ofMillis(260);
+
+    /** Adapters on their way to one runner at once; from the protocol of runners. */
+    static final int LOADS_PER_RUNNER = 4;
+
+    /** Adapters on their way to all runners at once for which loads are not slowed down; from the users' sheets. */
+    static final int LOADS_IN_TRANSIT = 8;
+
+    /** Runners for each load in transit where there are many; the larger sheets give 40 for 63 runners. */
+    static final double RUNNERS_PER_LOAD = 1.6;
+
+    private ServiceTimes() {}
+
+    static int loadsInTransit(int runners) {
+        return Math.max(LOADS_IN_TRANSIT, (int) (runners / RUNNERS_PER_LOAD));
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -0,0 +1,147 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Follows a compacted topic: the newest record of each key first, then the records as they come.
+ *
+ * <p>Never goes back: a record with a lower offset than the one known for its key is ignored.
+ */
+final class TopicFollower {
+    /** Pause after a failed read. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
+
+    /** Longest time between two lost reads and the end of the outage that counts as its aftermath. */
+    private static final Duration AFTERMATH = Duration.ofSeconds(3);
+
+    private final Topic topic;
+    private final Duration wait;
+    private final Duration gap;
+    private final Map<String, TopicRecord> newest = new TreeMap<>();
+    private long end = -1;
+    private boolean reading;
+    private boolean needSnapshot = true;
+    private Instant nextReadAt = Instant.MIN;
+    private Optional<Instant> unavailableSince = Optional.empty();
+    private Instant recoveredAt = Instant.MIN;
+
+    /**
+     * Creates a follower.
+     *
+     * @param topic the topic
+     * @param wait how long a read waits for a record
+     * @param gap time between the end of a read and the next, to gather records
+     */
+    TopicFollower(Topic topic, Duration wait, Duration gap) {
+        this.topic = topic;
+        this.wait = wait;
+        this.gap = gap;
+    }
+
+    Topic topic() {
+        return topic;
+    }
+
+    long end() {
+        return end;
+    }
+
+    boolean isKnown() {
+        return end >= 0;
+    }
+
+    boolean isAvailable() {
+        return unavailableSince.isEmpty() && isKnown();
+    }
+
+    /** Returns whether entries may be missing only because their writers could not reach the platform. */
+    boolean isRecovering(Instant now) {
+        return unavailableSince.isPresent() || now.isBefore(recoveredAt.plus(AFTERMATH));
+    }
+
+    List<TopicRecord> recordsFrom(long offset) {
+        return newest.values().stream()
+                .filter(entry -> entry.offset() >= offset)
+                .toList();
+    }
+
+    List<ForwardingEffect> tick(Instant now) {
+        if (reading || now.isBefore(nextReadAt)) {
+            return List.of();
+        }
+        reading = true;
+        return List.of(
+                needSnapshot
+                        ? new ForwardingEffect.ReadNewest(topic)
+                        : new ForwardingEffect.ReadFrom(topic, end, now.plus(wait)));
+    }
+
+    /** Takes what a read returned; returns the records that are news. */
+    List<TopicRecord> read(ForwardingEvent.TopicRead event, Instant now) {
+        reading = false;
+        nextReadAt = now.plus(gap);
+        if (unavailableSince.isPresent()) {
+            recoveredAt = now;
+            unavailableSince = Optional.empty();
+        }
+        List<TopicRecord> news = new ArrayList<>();
+        if (event.snapshot()) {
+            needSnapshot = false;
+            List<String> present =
+                    event.records().stream().map(TopicRecord::key).toList();
+            List<String> missing = newest.values().stream()
+                    .filter(known -> known.value().isPresent() && known.offset() < event.end())
+                    .map(TopicRecord::key)
+                    .filter(key -> !present.contains(key))
+                    .toList();
+            for (String key : missing) {
+                TopicRecord removed =
+                        new TopicRecord(key, Optional.empty(), newest.get(key).offset());
+                newest.put(key, removed);
+                news.add(removed);
+            }
+        }
+        news.addAll(take(event.records()));
+        end = Math.max(end, event.end());
+        return news;
+    }
+
+    /** Takes records that a peer has read; returns those that are news. */
+    List<TopicRecord> relayed(List<TopicRecord> records, long endOfPeer) {
+        List<TopicRecord> news = take(records);
+        end = Math.max(end, endOfPeer);
+        return news;
+    }
+
+    private List<TopicRecord> take(List<TopicRecord> records) {
+        List<TopicRecord> news = new ArrayList<>();
+        for (TopicRecord entry : records) {
+            TopicRecord known = newest.get(entry.key());
+            if (known == null || known.offset() < entry.offset()) {
+                newest.put(entry.key(), entry);
+                news.add(entry);
+            }
+        }
+        return news;
+    }
+
+    void expired(Instant now) {
+        reading = false;
+        needSnapshot = true;
+        nextReadAt = now;
+    }
+
+    void unavailable(Instant now) {
+        reading = false;
+        nextReadAt = now.plus(RETRY_PAUSE);
+        if (unavailableSince.isEmpty()) {
+            unavailableSince = Optional.of(now);
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Turn.java
@@ -0,0 +1,36 @@
+package org.banyanstair.forwarding;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The handling of one event: its instant and the effects so far. */
+final class Turn {
+    private Instant now = Instant.MIN;
+    private List<ForwardingEffect> effects = new ArrayList<>();
+
+    void begin(Instant instant) {
+        now = instant;
+        effects = new ArrayList<>();
+    }
+
+    Instant now() {
+        return now;
+    }
+
+    void emit(ForwardingEffect effect) {
+        effects.add(effect);
+    }
+
+    void emit(List<ForwardingEffect> more) {
+        effects.addAll(more);
+    }
+
+    void log(DecisionRecord decision) {
+        effects.add(new ForwardingEffect.Log(decision));
+    }
+
+    List<ForwardingEffect> effects() {
+        return effects;
+    }
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
@@ -0,0 +1,12 @@
+package org.banyanstair.peer;
+
+import org.banyanstair.forwarding.AdapterName;
+
+/**
+ * An adapter of a runner, as the host that commands the runner knows it.
+ *
+ * @param name the adapter
+ * @param version its version
+ * @param readyInMilliseconds time until it can be used, 0 if it can
+ */
+public record HeldAdapter(AdapterName name, long version, long readyInMilliseconds) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -9,6 +9,9 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.forwarding.AdapterName;
+import org.banyanstair.forwarding.HostAnnouncement;
+import org.banyanstair.forwarding.Topic;
 import org.banyanstair.idempotency.AttemptId;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.idempotency.CallKey;
@@ -147,4 +150,42 @@
 
     /** The sender leaves; its pools and partitions need new owners. */
     record HostLeaving(HostIdentity host) implements PeerMessage {}
+
+    /**
+     * Tells that the sender lives, where it is, and how far it has read the platform's topics.
+     *
+     * @param leaving whether it stops soon and takes no new callers
+     * @param configurationOffset end of what it has read of the configuration
+     * @param endpointsOffset end of what it has read of the endpoints' entries
+     */
+    record HostState(HostAnnouncement announcement, boolean leaving, long configurationOffset, long endpointsOffset)
+            implements PeerMessage {}
+
+    /** What the sender's requests use; endpoints that are not listed are unchanged since the last message. */
+    record UseReport(List<EndpointUse> uses) implements PeerMessage {}
+
+    /**
+     * The adapters of a runner that the sender commands.
+     *
+     * @param started start of the runner's process, as in its entry
+     * @param fence number of the sender's claim
+     */
+    record HeldRunner(EndpointId endpoint, long started, long fence, List<HeldAdapter> adapters)
+            implements PeerMessage {}
+
+    /**
+     * Asks the host that commands a runner to load an adapter there.
+     *
+     * @param remainingMilliseconds time in which it is of use
+     */
+    record AdapterWanted(EndpointId endpoint, AdapterName adapter, long remainingMilliseconds) implements PeerMessage {}
+
+    /** Asks for the records of a topic from an offset on. */
+    record RecordsRequest(Topic topic, long offset) implements PeerMessage {}
+
+    /** Answers a {@link RecordsRequest}. */
+    record RecordsReply(Topic topic, List<RelayedRecord> records, long end) implements PeerMessage {}
+
+    /** A request has crashed an endpoint. */
+    record CrashReport(long fingerprint, EndpointId endpoint, long started) implements PeerMessage {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -37,9 +37,21 @@
      * @return false if the budget is used up
      */
     public boolean tryRetry(double share, Instant now) {
+        return tryRetry(share, MINIMUM_RETRIES, now);
+    }
+
+    /**
+     * Takes a retry from the budget.
+     *
+     * @param share retries as a share of first tries
+     * @param minimum retries that are allowed in a window whatever the first tries
+     * @param now present instant
+     * @return false if the budget is used up
+     */
+    public boolean tryRetry(double share, double minimum, Instant now) {
         forget(firstTries, now);
         forget(retries, now);
-        if (retries.size() >= Math.max(MINIMUM_RETRIES, share * firstTries.size())) {
+        if (retries.size() + 1 > Math.max(minimum, share * firstTries.size())) {
             return false;
         }
         retries.addLast(now);
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DecisionLog.java
@@ -0,0 +1,151 @@
+package org.banyanstair.forwarder;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.banyanstair.forwarding.DecisionRecord;
+import org.tinylog.Logger;
+
+/**
+ * Writes one JSON object a line for each decision, from a thread of its own.
+ *
+ * <p>Never blocks the caller: lines that do not fit into a bounded queue are counted and dropped, those of served
+ * requests long before those of refusals, failures and changes of state. Safe for use by several threads.
+ */
+public final class DecisionLog {
+    /** Lines that may wait; about 2 MB. */
+    private static final int QUEUE_LINES = 8192;
+
+    /** Lines of served requests are dropped when more than this many lines wait. */
+    private static final int ORDINARY_LINES = 2048;
+
+    /** Lines are gathered for this long, because each write costs a system call. */
+    private static final Duration GATHERING = Duration.ofMillis(100);
+
+    private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final String host;
+    private final OutputStream output;
+    private final JsonFactory factory = new JsonFactory();
+    private final Thread thread = new Thread(this::run, "decision-log");
+    private volatile boolean stopping;
+
+    private record Line(Instant at, DecisionRecord decision) {}
+
+    /**
+     * Creates a log.
+     *
+     * @param host name of this host, in each line
+     * @param output where lines go
+     */
+    public DecisionLog(String host, OutputStream output) {
+        this.host = host;
+        this.output = output;
+        thread.setDaemon(true);
+    }
+
+    /** Starts writing. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Writes what waits, for a second at most, and ends. */
+    public void stop() {
+        stopping = true;
+        thread.interrupt();
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(1));
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Queues a line.
+     *
+     * @param decision what the line says
+     */
+    public void write(DecisionRecord decision) {
+        boolean fits = decision.important() || queue.size() < ORDINARY_LINES;
+        if (!fits || !queue.offer(new Line(Instant.now(), decision))) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    /**
+     * Returns the lines that were dropped.
+     *
+     * @return total since the start
+     */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    private void run() {
+        long reported = 0;
+        while (!stopping || !queue.isEmpty()) {
+            try {
+                Line first = queue.poll(1, TimeUnit.SECONDS);
+                if (!stopping) {
+                    Thread.sleep(GATHERING.toMillis());
+                }
+                if (first != null) {
+                    writeFrom(first);
+                }
+                if (dropped.get() > reported) {
+                    long total = dropped.get();
+                    writeFrom(new Line(
+                            Instant.now(), DecisionRecord.important("log-lines-dropped", "lines", total - reported)));
+                    reported = total;
+                }
+            } catch (InterruptedException exception) {
+                // Only stop() interrupts; the loop ends once the queue is empty.
+                Logger.debug("the decision log stops");
+            } catch (IOException | UncheckedIOException exception) {
+                Logger.error(exception, "the decision log cannot be written");
+                return;
+            }
+        }
+    }
+
+    private void writeFrom(Line first) throws IOException {
+        ByteArrayOutputStream buffer = new ByteArrayOutputStream(4096);
+        for (Line line = first; line != null; line = queue.poll()) {
+            encode(line, buffer);
+        }
+        buffer.writeTo(output);
+        output.flush();
+    }
+
+    private void encode(Line line, ByteArrayOutputStream buffer) throws IOException {
+        try (JsonGenerator json = factory.createGenerator(buffer)) {
+            json.writeStartObject();
+            json.writeStringField("at", line.at().toString());
+            json.writeStringField("host", host);
+            json.writeStringField("kind", line.decision().kind());
+            for (Map.Entry<String, Object> field : line.decision().fields().entrySet()) {
+                Object value = field.getValue();
+                if (value instanceof Boolean flag) {
+                    json.writeBooleanField(field.getKey(), flag);
+                } else if (value instanceof Number number) {
+                    json.writeNumberField(field.getKey(), number.longValue());
+                } else {
+                    json.writeStringField(field.getKey(), String.valueOf(value));
+                }
+            }
+            json.writeEndObject();
+        }
+        buffer.write('\n');
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallListener.java
@@ -0,0 +1,35 @@
+package org.banyanstair.forwarder.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** Hears the answers to a call, on the thread of the connections. */
+public interface CallListener {
+    /**
+     * The head of an answer came.
+     *
+     * @param head the head
+     */
+    void head(HttpResponse head);
+
+    /**
+     * A part of the body came.
+     *
+     * @param bytes the bytes; not to be released
+     */
+    void content(ByteBuf bytes);
+
+    /**
+     * The answer is complete.
+     *
+     * @return whether the call is over; otherwise the next answer on the connection is awaited
+     */
+    boolean end();
+
+    /**
+     * The call failed before its answer was complete.
+     *
+     * @param mayHaveRun whether anything may have been sent
+     */
+    void failed(boolean mayHaveRun);
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -0,0 +1,286 @@
+package org.banyanstair.forwarder.internal;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.banyanstair.forwarder.RequestReading;
+import org.banyanstair.forwarding.ForwardingEvent;
+import org.tinylog.Logger;
+
+/**
+ * One connection of a caller: reads requests one after the other and answers them in order.
+ *
+ * <p>Used on the thread of its event loop only.
+ */
+public final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Requests that a caller may send before their turn; more are read when there is room again. */
+    private static final int PIPELINED_REQUESTS = 8;
+
+    private final Shell shell;
+    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private Channel channel;
+    private HttpRequest head;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private Optional<CallerExchange> current = Optional.empty();
+    private boolean keepAlive = true;
+    private boolean closing;
+    private Optional<ScheduledFuture<?>> timer = Optional.empty();
+
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param shell the daemon
+     */
+    public CallerConnection(Shell shell) {
+        this.shell = shell;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        startTimer(shell.limits().idleTimeout());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            HttpObject part = (HttpObject) message;
+            if (closing) {
+                return;
+            }
+            if (part.decoderResult().isFailure()) {
+                malformed(part.decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                add(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void malformed(Throwable cause) {
+        Logger.info("caller {} sent a malformed request: {}", channel.remoteAddress(), cause.getMessage());
+        boolean tooLong = cause instanceof TooLongFrameException;
+        reject(
+                tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
+                tooLong ? "the headers are too long" : "the request is malformed");
+    }
+
+    private void begin(HttpRequest request) {
+        boolean chunked = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean framedTwice = chunked
+                && (request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                        || !HttpUtil.isTransferEncodingChunked(request)
+                        || request.headers()
+                                        .getAll(HttpHeaderNames.TRANSFER_ENCODING)
+                                        .size()
+                                > 1
+                        || !request.headers()
+                                .get(HttpHeaderNames.TRANSFER_ENCODING)
+                                .trim()
+                                .equalsIgnoreCase("chunked"));
+        if (framedTwice || !request.protocolVersion().equals(HttpVersion.HTTP_1_1) && chunked) {
+            Logger.info("caller {} sent a request whose length is in doubt", channel.remoteAddress());
+            reject(HttpResponseStatus.BAD_REQUEST, "the length of the body is in doubt");
+            return;
+        }
+        if (HttpUtil.getContentLength(request, 0L) > shell.limits().bodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+            return;
+        }
+        head = request;
+        body = Unpooled.buffer();
+        startTimer(shell.limits().headerTimeout().plus(shell.limits().idleTimeout()));
+        if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void add(HttpContent content) {
+        if (body.readableBytes() + content.content().readableBytes()
+                > shell.limits().bodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+            return;
+        }
+        body.writeBytes(
+                content.content(),
+                content.content().readerIndex(),
+                content.content().readableBytes());
+        if (content instanceof LastHttpContent) {
+            stopTimer();
+            FullHttpRequest whole = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body);
+            whole.headers().set(head.headers());
+            if (!HttpUtil.isKeepAlive(head)) {
+                whole.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            head = null;
+            body = Unpooled.EMPTY_BUFFER;
+            waiting.addLast(whole);
+            channel.config().setAutoRead(waiting.size() < PIPELINED_REQUESTS);
+            next();
+        }
+    }
+
+    private void next() {
+        if (closing || current.isPresent() || waiting.isEmpty()) {
+            if (!closing && current.isEmpty()) {
+                startTimer(shell.limits().idleTimeout());
+            }
+            return;
+        }
+        FullHttpRequest request = waiting.pollFirst();
+        channel.config().setAutoRead(true);
+        keepAlive = HttpUtil.isKeepAlive(request);
+        String caller = channel.remoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "";
+        long number = shell.nextExchange();
+        RequestReading reading = shell.protocols().callers().read(number, caller, request, shell.now());
+        if (reading instanceof RequestReading.Understood understood) {
+            CallerExchange exchange =
+                    new CallerExchange(number, understood.request().id().value(), request, this, shell);
+            current = Optional.of(exchange);
+            shell.open(exchange);
+            shell.submit(new ForwardingEvent.Arrived(understood.request()));
+        } else if (reading instanceof RequestReading.Malformed malformed) {
+            request.release();
+            Logger.info("request of {} has a malformed {}", caller, malformed.field());
+            finish(
+                    shell.protocols().callers().error(400, malformed.field() + " must be " + malformed.accepted()),
+                    false);
+        }
+    }
+
+    private void reject(HttpResponseStatus status, String message) {
+        if (current.isPresent()) {
+            // The answer to the request before is not to be followed by one that nobody can match.
+            closing = true;
+            return;
+        }
+        finish(shell.protocols().callers().error(status.code(), message), true);
+    }
+
+    void writeHead(HttpResponse response) {
+        HttpUtil.setTransferEncodingChunked(response, true);
+        noteConnection(response);
+        channel.write(response);
+    }
+
+    void write(HttpContent content) {
+        channel.write(content);
+    }
+
+    void flush() {
+        channel.flush();
+    }
+
+    /** Writes the last part of an answer and goes on with the next request. */
+    void finish(HttpObject last, boolean close) {
+        current = Optional.empty();
+        boolean end = close || closing || !keepAlive || shell.isStopping();
+        if (last instanceof FullHttpResponse response) {
+            if (end) {
+                keepAlive = false;
+            }
+            noteConnection(response);
+        }
+        if (end) {
+            closing = true;
+            channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            channel.writeAndFlush(last);
+            // Answers of one caller must not recurse through all requests that it has sent ahead.
+            channel.eventLoop().execute(this::next);
+        }
+    }
+
+    private void noteConnection(HttpResponse response) {
+        if (!keepAlive || shell.isStopping()) {
+            keepAlive = false;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    /** Closes the connection so that the answer does not look complete. */
+    void abort() {
+        current = Optional.empty();
+        closing = true;
+        channel.close();
+    }
+
+    private void startTimer(Duration limit) {
+        stopTimer();
+        timer = Optional.of(channel.eventLoop().schedule(this::timedOut, limit.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    private void stopTimer() {
+        timer.ifPresent(future -> future.cancel(false));
+        timer = Optional.empty();
+    }
+
+    private void timedOut() {
+        if (current.isEmpty() && channel.isActive()) {
+            if (head != null) {
+                reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
+            } else {
+                closing = true;
+                channel.close();
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        current.ifPresent(exchange -> exchange.setWritable(channel.isWritable()));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        stopTimer();
+        closing = true;
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        current.ifPresent(CallerExchange::callerLeft);
+        current = Optional.empty();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Logger.debug("connection of caller {} failed: {}", context.channel().remoteAddress(), cause.toString());
+        context.close();
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -0,0 +1,297 @@
+package org.banyanstair.forwarder.internal;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.banyanstair.forwarder.AnswerKind;
+import org.banyanstair.forwarder.CallerProtocol;
+import org.banyanstair.forwarder.EndpointProtocol;
+import org.banyanstair.forwarding.AttemptResult;
+import org.banyanstair.forwarding.FailureReason;
+import org.banyanstair.forwarding.ForwardingEffect;
+import org.banyanstair.forwarding.ForwardingEvent;
+
+/**
+ * A request of a caller, the attempt that runs for it and the answer as far as it came.
+ *
+ * <p>Used on the thread of the connections only.
+ */
+public final class CallerExchange {
+    /** Longest answer of a call that is kept until it is whole. */
+    private static final int ANSWER_BYTES = 16 << 20;
+
+    private final long number;
+    private final String requestId;
+    private final FullHttpRequest request;
+    private final CallerConnection connection;
+    private final Shell shell;
+    private Optional<Attempt> current = Optional.empty();
+    private boolean headWritten;
+    private boolean over;
+    private long lastEvent = -1;
+
+    CallerExchange(long number, String requestId, FullHttpRequest request, CallerConnection connection, Shell shell) {
+        this.number = number;
+        this.requestId = requestId;
+        this.request = request;
+        this.connection = connection;
+        this.shell = shell;
+    }
+
+    /**
+     * Returns the number of the request.
+     *
+     * @return the number that this host gave to it
+     */
+    public long number() {
+        return number;
+    }
+
+    /**
+     * Sends the request to an endpoint.
+     *
+     * @param send how
+     */
+    public void send(ForwardingEffect.Send send) {
+        Attempt attempt = new Attempt(send);
+        current = Optional.of(attempt);
+        send.resumeAfter().filter(after -> after > lastEvent).ifPresent(after -> lastEvent = after);
+        FullHttpRequest outgoing = endpoints().forward(request, send, shell.now());
+        attempt.call = shell.connections().call(send.address(), outgoing, attempt);
+    }
+
+    /** Gives the answer of the attempt to the caller. */
+    public void deliver() {
+        Attempt attempt = current.orElseThrow();
+        if (attempt.streaming) {
+            if (attempt.splitter.isPresent()) {
+                writeHead(attempt);
+                ByteBuf rest = attempt.splitter.get().rest();
+                connection.write(new DefaultHttpContent(rest));
+            }
+            finish();
+            connection.finish(LastHttpContent.EMPTY_LAST_CONTENT, false);
+        } else {
+            FullHttpResponse answer =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, attempt.head.status(), attempt.body);
+            callers().copyAnswerHeaders(attempt.head.headers(), answer.headers());
+            HttpUtil.setContentLength(answer, attempt.body.readableBytes());
+            attempt.body = Unpooled.EMPTY_BUFFER;
+            finish();
+            connection.finish(answer, false);
+        }
+    }
+
+    /**
+     * Refuses the request.
+     *
+     * @param refuse why
+     */
+    public void refuse(ForwardingEffect.Refuse refuse) {
+        answer(callers().refusal(refuse.reason(), refuse.retryAfter()));
+    }
+
+    /**
+     * Ends the request without an answer of an endpoint.
+     *
+     * @param reason why
+     */
+    public void fail(FailureReason reason) {
+        answer(callers().failure(reason));
+    }
+
+    private void answer(FullHttpResponse response) {
+        finish();
+        if (headWritten) {
+            response.release();
+            connection.abort();
+        } else {
+            connection.finish(response, false);
+        }
+    }
+
+    /** Ends the attempt at the endpoint. */
+    public void cancelAttempt() {
+        current.ifPresent(Attempt::cancel);
+        current = Optional.empty();
+    }
+
+    /** The caller has gone. */
+    void callerLeft() {
+        if (!over) {
+            shell.submit(new ForwardingEvent.CallerLeft(number));
+            finish();
+        }
+    }
+
+    /** The caller reads slowly, or again. */
+    void setWritable(boolean writable) {
+        current.ifPresent(attempt -> attempt.call.setReading(writable));
+    }
+
+    private void finish() {
+        if (!over) {
+            over = true;
+            current.ifPresent(Attempt::cancel);
+            shell.forget(number);
+            request.release();
+        }
+    }
+
+    private CallerProtocol callers() {
+        return shell.protocols().callers();
+    }
+
+    private EndpointProtocol endpoints() {
+        return shell.protocols().endpoints();
+    }
+
+    private void writeHead(Attempt attempt) {
+        if (!headWritten) {
+            headWritten = true;
+            HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, attempt.head.status());
+            callers().copyAnswerHeaders(attempt.head.headers(), head.headers());
+            connection.writeHead(head);
+        }
+    }
+
+    /** One attempt at an endpoint. */
+    private final class Attempt implements CallListener {
+        private final ForwardingEffect.Send send;
+        private EndpointCall call;
+        private HttpResponse head;
+        private AnswerKind kind;
+        private boolean streaming;
+        private Optional<EventSplitter> splitter = Optional.empty();
+        private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        private boolean output;
+        private boolean ended;
+
+        Attempt(ForwardingEffect.Send send) {
+            this.send = send;
+        }
+
+        @Override
+        public void head(HttpResponse response) {
+            kind = endpoints().classify(response, requestId);
+            if (kind == AnswerKind.INVALID) {
+                cancel();
+                end(broken());
+                return;
+            }
+            if (kind != AnswerKind.ANSWER) {
+                return;
+            }
+            head = response;
+            streaming = headWritten
+                    || response.status().code() == 200
+                            && response.headers()
+                                    .get(HttpHeaderNames.CONTENT_TYPE, "")
+                                    .startsWith("text/event-stream");
+            if (streaming) {
+                splitter = Optional.of(new EventSplitter());
+            } else {
+                body = Unpooled.buffer();
+            }
+        }
+
+        @Override
+        public void content(ByteBuf bytes) {
+            if (kind != AnswerKind.ANSWER) {
+                return;
+            }
+            if (!output) {
+                output = true;
+                shell.submit(new ForwardingEvent.FirstOutput(number, send.attempt()));
+            }
+            if (!streaming) {
+                if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
+                    cancel();
+                    end(broken());
+                } else {
+                    body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+                }
+                return;
+            }
+            for (EventSplitter.StreamEvent event : splitter.orElseThrow().feed(bytes)) {
+                pass(event);
+            }
+            connection.flush();
+        }
+
+        private void pass(EventSplitter.StreamEvent event) {
+            long id = event.id().orElse(lastEvent);
+            boolean repeated = event.id().isPresent() && id <= lastEvent;
+            boolean gap = event.id().isPresent() && lastEvent >= 0 && id > lastEvent + 1;
+            if (ended || repeated || gap) {
+                event.bytes().release();
+                if (gap && !ended) {
+                    cancel();
+                    end(broken());
+                }
+                return;
+            }
+            lastEvent = id;
+            writeHead(this);
+            connection.write(new DefaultHttpContent(event.bytes()));
+        }
+
+        @Override
+        public boolean end() {
+            if (kind == AnswerKind.FOREIGN) {
+                return false;
+            }
+            if (kind == AnswerKind.ANSWER) {
+                end(new AttemptResult.Answered(head.status().code()));
+            } else {
+                end(new AttemptResult.NotRun(
+                        kind == AnswerKind.FULL ? AttemptResult.NotRunCause.FULL : AttemptResult.NotRunCause.NOT_HERE));
+            }
+            return true;
+        }
+
+        @Override
+        public void failed(boolean mayHaveRun) {
+            boolean rejected = kind == AnswerKind.FULL || kind == AnswerKind.NOT_HERE;
+            if (rejected) {
+                end();
+            } else if (mayHaveRun) {
+                end(broken());
+            } else {
+                end(new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED));
+            }
+        }
+
+        private AttemptResult broken() {
+            splitter.ifPresent(EventSplitter::clear);
+            return new AttemptResult.Broken(headWritten, lastEvent >= 0 ? Optional.of(lastEvent) : Optional.empty());
+        }
+
+        private void end(AttemptResult result) {
+            if (!ended) {
+                ended = true;
+                shell.submit(new ForwardingEvent.AttemptEnded(number, send.attempt(), result));
+            }
+        }
+
+        private void cancel() {
+            ended = ended || over;
+            if (call != null) {
+                call.cancel();
+            }
+            body.release();
+            body = Unpooled.EMPTY_BUFFER;
+        }
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -0,0 +1,159 @@
+package org.banyanstair.forwarder.internal;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.banyanstair.model.NetworkAddress;
+import org.tinylog.Logger;
+
+/** One connection to an endpoint. Used on the thread of its event loop only. */
+final class EndpointConnection extends ChannelInboundHandlerAdapter {
+    /** Time for which a connection is kept when the endpoint does not say how long it keeps it. */
+    private static final Duration DEFAULT_IDLE = Duration.ofSeconds(2);
+
+    /** Kept connections are given up this long before the endpoint closes them, so that no request crosses that. */
+    private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
+
+    private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
+
+    private final EndpointConnections owner;
+    private final NetworkAddress address;
+    private Optional<Channel> channel = Optional.empty();
+    private EndpointCall call;
+    private boolean answering;
+    private boolean mayKeep;
+    private Duration idleLimit = DEFAULT_IDLE;
+    private long idleSinceNanos;
+
+    EndpointConnection(EndpointConnections owner, NetworkAddress address) {
+        this.owner = owner;
+        this.address = address;
+    }
+
+    NetworkAddress address() {
+        return address;
+    }
+
+    boolean isUsable() {
+        return channel.isPresent()
+                && channel.get().isActive()
+                && System.nanoTime() - idleSinceNanos < idleLimit.toNanos();
+    }
+
+    void close() {
+        channel.ifPresent(Channel::close);
+    }
+
+    void begin(EndpointCall newCall, FullHttpRequest request) {
+        call = newCall;
+        answering = false;
+        Channel used = channel.orElseThrow();
+        newCall.connecting(used);
+        used.writeAndFlush(request).addListener(future -> {
+            if (!future.isSuccess()) {
+                broken();
+            }
+        });
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = Optional.of(context.channel());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (call == null
+                    || call.isOver()
+                    || ((HttpObject) message).decoderResult().isFailure()) {
+                if (call != null && !call.isOver()) {
+                    Logger.debug("{} sent what is no answer", address);
+                }
+                broken();
+                return;
+            }
+            EndpointCall current = call;
+            if (message instanceof HttpResponse head) {
+                answering = true;
+                mayKeep = HttpUtil.isKeepAlive(head)
+                        && (HttpUtil.isContentLengthSet(head)
+                                || HttpUtil.isTransferEncodingChunked(head)
+                                || head.status().code() == 204
+                                || head.status().code() == 304);
+                noteIdleLimit(head);
+                current.listener().head(head);
+            }
+            if (message instanceof HttpContent content && !current.isOver()) {
+                if (content.content().isReadable()) {
+                    current.listener().content(content.content());
+                }
+                if (message instanceof LastHttpContent && !current.isOver()) {
+                    end(current);
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void end(EndpointCall current) {
+        answering = false;
+        if (!current.listener().end()) {
+            // An answer to an earlier request; after it the connection is not used for another one.
+            idleLimit = Duration.ZERO;
+            return;
+        }
+        current.finished();
+        call = null;
+        if (mayKeep && !idleLimit.isZero()) {
+            idleSinceNanos = System.nanoTime();
+            owner.keep(this);
+        } else {
+            close();
+        }
+    }
+
+    private void noteIdleLimit(HttpResponse head) {
+        String text = head.headers().get("Keep-Alive", "");
+        Matcher matcher = KEEP_ALIVE.matcher(text);
+        if (matcher.find() && !idleLimit.isZero()) {
+            Duration limit =
+                    Duration.ofSeconds(Long.parseLong(matcher.group(1))).minus(IDLE_MARGIN);
+            idleLimit = limit.isNegative() ? Duration.ZERO : limit;
+        }
+    }
+
+    private void broken() {
+        owner.forget(this);
+        EndpointCall current = call;
+        call = null;
+        close();
+        if (current != null) {
+            current.broken();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        broken();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Logger.debug("connection to {} failed: {}", address, cause.toString());
+        broken();
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
@@ -0,0 +1,92 @@
+package org.banyanstair.forwarder.internal;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/**
+ * Cuts the bytes of an event stream into whole events, so that a stream that goes on elsewhere has no half event.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class EventSplitter {
+    private static final byte LINE_FEED = '\n';
+
+    private static final byte CARRIAGE_RETURN = '\r';
+
+    private static final String ID_FIELD = "id:";
+
+    private final ByteBuf pending = Unpooled.buffer();
+
+    /**
+     * A whole event.
+     *
+     * @param bytes its bytes with the empty line at its end; the receiver releases them
+     * @param id its id; empty if it has none that is a number
+     */
+    public record StreamEvent(ByteBuf bytes, Optional<Long> id) {}
+
+    /**
+     * Takes bytes.
+     *
+     * @param bytes the bytes; not released
+     * @return the events that are now whole
+     */
+    public List<StreamEvent> feed(ByteBuf bytes) {
+        pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        List<StreamEvent> events = new ArrayList<>();
+        int length = eventLength();
+        while (length > 0) {
+            ByteBuf event = pending.readBytes(length);
+            events.add(new StreamEvent(event, idOf(event)));
+            length = eventLength();
+        }
+        pending.discardReadBytes();
+        return events;
+    }
+
+    /**
+     * Returns the bytes of an event that is not whole.
+     *
+     * @return the bytes; the receiver releases them
+     */
+    public ByteBuf rest() {
+        return pending.readBytes(pending.readableBytes());
+    }
+
+    /** Forgets the bytes of an event that is not whole. */
+    public void clear() {
+        pending.clear();
+    }
+
+    /** Returns the length of the first event with its empty line, 0 if it is not whole. */
+    private int eventLength() {
+        int lineStart = pending.readerIndex();
+        int end = pending.writerIndex();
+        for (int index = lineStart; index < end; index++) {
+            if (pending.getByte(index) == LINE_FEED) {
+                boolean empty =
+                        index == lineStart || index == lineStart + 1 && pending.getByte(lineStart) == CARRIAGE_RETURN;
+                if (empty && index > pending.readerIndex() + 1) {
+                    return index + 1 - pending.readerIndex();
+                }
+                lineStart = index + 1;
+            }
+        }
+        return 0;
+    }
+
+    private static Optional<Long> idOf(ByteBuf event) {
+        return event.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.startsWith(ID_FIELD))
+                .map(line -> line.substring(ID_FIELD.length()).trim())
+                .filter(text -> text.matches("\\d{1,18}"))
+                .map(Long::valueOf)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/Listeners.java
@@ -0,0 +1,103 @@
+package org.banyanstair.forwarder.internal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.banyanstair.model.NetworkAddress;
+
+/** The addresses on which a host listens. */
+public final class Listeners {
+    /** Callers of a lost host come to the others at the same moment. */
+    private static final int BACKLOG = 1024;
+
+    private static final int LINE_BYTES = 8 << 10;
+
+    private static final int CHUNK_BYTES = 64 << 10;
+
+    private static final int QUESTION_HEADER_BYTES = 8 << 10;
+
+    /** Seconds after which a connection without a question is closed. */
+    private static final int QUESTION_IDLE_SECONDS = 30;
+
+    private final EventLoopGroup group;
+    private final List<Channel> channels = new ArrayList<>();
+
+    /**
+     * Creates the listeners.
+     *
+     * @param group threads of the connections
+     */
+    public Listeners(EventLoopGroup group) {
+        this.group = group;
+    }
+
+    /**
+     * Listens for callers.
+     *
+     * @param address the address
+     * @param headerBytes longest headers, asked for each new connection
+     * @param handlers creates the handler of a connection
+     */
+    public void callers(NetworkAddress address, Supplier<Integer> headerBytes, Supplier<ChannelHandler> handlers) {
+        listen(address, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new HttpServerCodec(LINE_BYTES, headerBytes.get(), CHUNK_BYTES))
+                        .addLast(handlers.get());
+            }
+        });
+    }
+
+    /**
+     * Listens for short questions.
+     *
+     * @param address the address
+     * @param handlers creates the handler of a connection
+     */
+    public void questions(NetworkAddress address, Supplier<ChannelHandler> handlers) {
+        listen(address, new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new IdleStateHandler(0, 0, QUESTION_IDLE_SECONDS))
+                        .addLast(new HttpServerCodec(LINE_BYTES, QUESTION_HEADER_BYTES, CHUNK_BYTES))
+                        .addLast(handlers.get());
+            }
+        });
+    }
+
+    private void listen(NetworkAddress address, ChannelHandler initializer) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer)
+                .bind(address.ip(), address.port())
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new UncheckedIOException(new IOException("cannot listen on " + address, bound.cause()));
+        }
+        channels.add(bound.channel());
+    }
+
+    /** Closes all listeners. */
+    public void close() {
+        channels.forEach(Channel::close);
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QuestionConnection.java
@@ -0,0 +1,67 @@
+package org.banyanstair.forwarder.internal;
+
+import java.util.Optional;
+import java.util.function.Function;
+
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import org.tinylog.Logger;
+
+/** A connection on which short questions without a body are answered. */
+public final class QuestionConnection extends ChannelInboundHandlerAdapter {
+    private final Function<HttpRequest, Optional<FullHttpResponse>> answers;
+
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param answers answers a question; empty for an unknown one
+     */
+    public QuestionConnection(Function<HttpRequest, Optional<FullHttpResponse>> answers) {
+        this.answers = answers;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (((HttpObject) message).decoderResult().isFailure()) {
+                context.close();
+            } else if (message instanceof HttpRequest request) {
+                FullHttpResponse answer = answers.apply(request)
+                        .orElseGet(
+                                () -> new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NOT_FOUND));
+                HttpUtil.setContentLength(answer, answer.content().readableBytes());
+                if (HttpUtil.isKeepAlive(request)) {
+                    context.writeAndFlush(answer);
+                } else {
+                    HttpUtil.setKeepAlive(answer, false);
+                    context.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Logger.debug("connection {} failed: {}", context.channel().remoteAddress(), cause.toString());
+        context.close();
+    }
+}
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
@@ -0,0 +1,98 @@
+package org.banyanstair.forwarder.internal;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.banyanstair.model.NetworkAddress;
+
+/** Gathers a whole answer within a time limit. Used on the thread of the connections only. */
+public final class WholeAnswer implements CallListener {
+    private final Consumer<Optional<FullHttpResponse>> receiver;
+    private final ByteBuf body = Unpooled.buffer();
+    private Optional<HttpResponse> head = Optional.empty();
+    private Optional<EndpointCall> call = Optional.empty();
+    private Optional<ScheduledFuture<?>> timer = Optional.empty();
+    private boolean over;
+
+    private WholeAnswer(Consumer<Optional<FullHttpResponse>> receiver) {
+        this.receiver = receiver;
+    }
+
+    /**
+     * Sends a request and waits for its answer.
+     *
+     * @param connections the connections
+     * @param loop their thread
+     * @param address where to
+     * @param request the request
+     * @param limit time after which the connection is given up
+     * @param receiver gets the answer, empty if none came in time
+     */
+    public static void request(
+            EndpointConnections connections,
+            EventLoop loop,
+            NetworkAddress address,
+            FullHttpRequest request,
+            Duration limit,
+            Consumer<Optional<FullHttpResponse>> receiver) {
+        WholeAnswer answer = new WholeAnswer(receiver);
+        answer.timer = Optional.of(loop.schedule(answer::timedOut, limit.toMillis(), TimeUnit.MILLISECONDS));
+        answer.call = Optional.of(connections.call(address, request, answer));
+    }
+
+    private void timedOut() {
+        call.ifPresent(EndpointCall::cancel);
+        finish(Optional.empty());
+    }
+
+    private void finish(Optional<FullHttpResponse> response) {
+        if (over) {
+            response.ifPresent(FullHttpResponse::release);
+            return;
+        }
+        over = true;
+        timer.ifPresent(future -> future.cancel(false));
+        try {
+            receiver.accept(response);
+        } finally {
+            body.release();
+        }
+    }
+
+    @Override
+    public void head(HttpResponse response) {
+        head = Optional.of(response);
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+        if (!over) {
+            body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        }
+    }
+
+    @Override
+    public boolean end() {
+        HttpResponse known = head.orElseThrow();
+        FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, known.status(), body);
+        whole.headers().set(known.headers());
+        finish(Optional.of(whole));
+        return true;
+    }
+
+    @Override
+    public void failed(boolean mayHaveRun) {
+        finish(Optional.empty());
+    }
+}
