Reuse connections and load adapters where they were held lately

Cause: the answer of an attempt was delivered before its connection was kept, so each request opened one (1118 for 1133 requests); every host read the entries of endpoints itself (1770 calls); unloads of adapters just loaded for another host's request conflicted 308 times.

Change: the call is over before its listener hears of the end; a runner that held an adapter lately is preferred for its load; one host reads the entries for all; a runner's room is counted before a load is asked for.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -29,6 +29,12 @@
     /** Pause before the runner is asked for its state again. */
     private static final Duration INSPECTION_PAUSE = Duration.ofMillis(400);
 
+    /** Age of what a runner says of itself; from the users' protocol, some hundred milliseconds. */
+    private static final Duration REPORT_LAG = Duration.ofMillis(250);
+
+    /** Time in which an adapter that waits for its last request before it is unloaded is not counted on. */
+    private static final Duration UNLOAD_LIMIT = Duration.ofSeconds(10);
+
     /** Time in which the use of an adapter counts half. */
     private static final double HALF_LIFE_MILLISECONDS = 6000;
 
@@ -56,7 +62,9 @@
 
     /** Asks for an adapter until an instant. */
     void want(AdapterName adapter, Instant until) {
+        changed |= !wanted.containsKey(adapter);
         wanted.merge(adapter, until, (known, newer) -> newer.isAfter(known) ? newer : known);
+        runner.setWaitingLoads(wanted.size());
     }
 
     /** Counts requests for an adapter. */
@@ -81,17 +89,18 @@
         }
         RunnerState state = answer.get();
         sequence = OptionalLong.of(state.commandSequence());
-        Map<AdapterName, AdapterPlace> known = new HashMap<>(runner.adapters());
-        runner.adapters().clear();
+        Map<AdapterName, AdapterPlace> known = runner.adapters();
+        Map<AdapterName, AdapterPlace> told = new HashMap<>();
         state.loading().forEach(loading -> {
             AdapterPlace before = known.get(loading.name());
             Instant readyAt = before != null && before.version() == loading.version() && !before.isReady(now)
                     ? before.readyAt()
                     : now.plus(ServiceTimes.ADAPTER_LOAD);
-            runner.adapters().put(loading.name(), new AdapterPlace(loading.version(), readyAt));
+            told.put(loading.name(), new AdapterPlace(loading.version(), readyAt));
         });
-        state.loaded().forEach(loaded -> runner.adapters()
-                .putIfAbsent(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN)));
+        state.loaded()
+                .forEach(loaded -> told.putIfAbsent(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN)));
+        runner.replaceAdapters(told);
         changed = true;
     }
 
@@ -106,30 +115,35 @@
             return;
         }
         underWay = Optional.empty();
-        if (result == CommandResult.ACCEPTED || result == CommandResult.DONE && !command.load()) {
+        if (result == CommandResult.ACCEPTED && command.load()) {
             sequence = OptionalLong.of(command.expectedSequence() + 1);
-        } else {
-            sequence = OptionalLong.empty();
-            inspectAt = now;
-        }
-        if (result == CommandResult.ACCEPTED || result == CommandResult.DONE) {
+            long version = command.version().orElseGet(() -> newestVersion.applyAsLong(command.adapter()));
+            Duration time = runner.heldLately(command.adapter(), version)
+                    ? ServiceTimes.ADAPTER_RELOAD
+                    : ServiceTimes.ADAPTER_LOAD;
+            Instant readyAt = now.plusMillis((long) (time.toMillis() * Math.max(1, loadsWaiting)));
+            runner.adapters().put(command.adapter(), new AdapterPlace(version, readyAt));
+            wanted.remove(command.adapter());
             changed = true;
-            if (command.load()) {
-                Instant readyAt = result == CommandResult.DONE
-                        ? now
-                        : now.plusMillis((long) (ServiceTimes.ADAPTER_LOAD.toMillis() * Math.max(1, loadsWaiting)));
-                long version = command.version().orElseGet(() -> newestVersion.applyAsLong(command.adapter()));
-                runner.adapters().put(command.adapter(), new AdapterPlace(version, readyAt));
-                wanted.remove(command.adapter());
-            } else {
-                runner.adapters().remove(command.adapter());
+        } else if (result == CommandResult.DONE && !command.load()) {
+            sequence = OptionalLong.of(command.expectedSequence() + 1);
+            runner.removeAdapter(command.adapter());
+            changed = true;
+        } else {
+            if (result == CommandResult.ACCEPTED) {
+                // The unload waits for a request that came meanwhile; the place is taken until the runner says so.
+                runner.adapters().put(command.adapter(), AdapterPlace.leaving(now.plus(UNLOAD_LIMIT)));
+                changed = true;
             }
+            sequence = OptionalLong.empty();
+            inspectAt = now.plus(REPORT_LAG);
         }
     }
 
     /** A request found that the runner lacks an adapter which it should have. */
     void missing(AdapterName adapter) {
-        if (runner.adapters().remove(adapter) != null) {
+        if (runner.adapters().containsKey(adapter)) {
+            runner.adapters().remove(adapter);
             sequence = OptionalLong.empty();
             changed = true;
         }
@@ -176,6 +190,7 @@
         }
         wanted.values().removeIf(now::isAfter);
         wanted.keySet().removeIf(adapter -> isCurrent(adapter, newestVersion));
+        runner.setWaitingLoads(wanted.size());
         Optional<AdapterName> next =
                 wanted.entrySet().stream().min(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
         if (next.isEmpty() || !mayLoad || loading(now) >= ServiceTimes.LOADS_PER_RUNNER) {
@@ -213,7 +228,7 @@
     /** Returns the adapter that has been asked for least lately among those that no request needs. */
     private Optional<AdapterName> victim(Instant now) {
         return runner.adapters().entrySet().stream()
-                .filter(entry -> entry.getValue().isReady(now)
+                .filter(entry -> entry.getValue().isSettled(now)
                         && !wanted.containsKey(entry.getKey())
                         && !runner.isUsed(entry.getKey()))
                 .map(Map.Entry::getKey)
@@ -239,6 +254,6 @@
                         place.isReady(now)
                                 ? 0
                                 : Duration.between(now, place.readyAt()).toMillis())));
-        return new PeerMessage.HeldRunner(runner.id(), runner.listing().started(), fence, adapters);
+        return new PeerMessage.HeldRunner(runner.id(), runner.listing().started(), fence, adapters, wanted.size());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterPlace.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterPlace.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarding;
 
+import java.time.Duration;
 import java.time.Instant;
 
 /**
@@ -9,7 +10,22 @@
  * @param readyAt when it can be used; past if it can
  */
 record AdapterPlace(long version, Instant readyAt) {
+    /** Time from the load of an adapter for a request of another host until that request is seen in its use. */
+    private static final Duration FIRST_USE = Duration.ofMillis(250);
+
+    /** Version of an adapter that is being unloaded; lower than any that a request needs. */
+    private static final long LEAVING = -1;
+
+    static AdapterPlace leaving(Instant until) {
+        return new AdapterPlace(LEAVING, until);
+    }
+
     boolean isReady(Instant now) {
         return !now.isBefore(readyAt);
     }
+
+    /** Returns whether a request for which it was loaded would have been seen by now. */
+    boolean isSettled(Instant now) {
+        return readyAt.equals(Instant.MIN) || now.isAfter(readyAt.plus(FIRST_USE));
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
@@ -15,6 +15,7 @@
  * @param tried endpoints that have failed the request
  * @param canLoad whether an adapter can be loaded on a runner now
  * @param neededVersion lowest version of the adapter that may be used
+ * @param newestVersion version of the adapter that a load brings
  * @param loadsWaiting loads on their way over all runners, as a multiple of what the store carries without delay
  */
 record ChoiceQuery(
@@ -24,4 +25,5 @@
         Set<EndpointId> tried,
         Predicate<EndpointState> canLoad,
         long neededVersion,
+        long newestVersion,
         double loadsWaiting) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -23,7 +23,7 @@
  */
 final class ClaimKeeper {
     /** How long a claim counts after the start of the last read of the topic; above the time that a read waits. */
-    static final Duration VALIDITY = Duration.ofMillis(2200);
+    static final Duration VALIDITY = Duration.ofMillis(3000);
 
     /** Silence after which another host takes a runner over; a killed daemon is usually back before. */
     private static final Duration TAKEOVER_SILENCE = Duration.ofMillis(2500);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -15,7 +15,10 @@
  */
 final class EndpointChooser {
     /** Added where an adapter has to be loaded though another runner has it: it evicts one and prompts are read again. */
-    private static final double COPY_MILLISECONDS = 120;
+    private static final double COPY_MILLISECONDS = 300;
+
+    /** Added where an adapter has to be brought from the weight store, which is paid for and slows down others. */
+    private static final double FETCH_MILLISECONDS = 200;
 
     /** Added for an endpoint in another data centre; bytes between data centres are paid for. */
     private static final double DISTANCE_MILLISECONDS = 8;
@@ -73,7 +76,10 @@
             }
             double cost = runnerCost(endpoint, request, hashes, query.engine().get(), now);
             if (load) {
-                cost += ServiceTimes.ADAPTER_LOAD.toMillis() * Math.max(1, query.loadsWaiting())
+                boolean atHand = endpoint.heldLately(request.adapter().get(), query.newestVersion());
+                Duration time = atHand ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
+                cost += time.toMillis() * Math.max(1, query.loadsWaiting())
+                        + (atHand ? 0 : FETCH_MILLISECONDS)
                         + (loadedSomewhere ? COPY_MILLISECONDS : 0)
                         + ORDER_MILLISECONDS * place(endpoint, request, candidates);
             } else if (request.adapter().isPresent()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,9 @@
     /** Longest such time; an endpoint that crashed is back after some seconds. */
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
 
+    /** Adapters that a runner is taken to have at hand after it gave up their places; a part of what runners keep. */
+    private static final int FORMER_ADAPTERS = 36;
+
     /** Weight of the newest outcome in the share of failures. */
     private static final double OUTCOME_WEIGHT = 0.2;
 
@@ -36,6 +40,15 @@
     private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
     private final Map<HostId, EndpointUse> use = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex();
+    private final Map<LoadedAdapter, Boolean> formerAdapters = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<LoadedAdapter, Boolean> eldest) {
+            return size() > FORMER_ADAPTERS;
+        }
+    };
+    private int waitingLoads;
     private Optional<HostId> commander = Optional.empty();
     private Instant commanderHeardAt = Instant.MIN;
 
@@ -76,13 +89,15 @@
         avoidUntil = Instant.MIN;
         pause = FIRST_PAUSE;
         commander = Optional.empty();
+        waitingLoads = 0;
     }
 
     private void takeAdapters() {
-        adapters.clear();
+        Map<AdapterName, AdapterPlace> listed = new HashMap<>();
         for (LoadedAdapter loaded : listing.adapters()) {
-            adapters.put(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN));
+            listed.put(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN));
         }
+        replaceAdapters(listed);
     }
 
     void removeAt(Instant instant) {
@@ -97,6 +112,36 @@
         return adapters;
     }
 
+    /** Takes the adapters that the runner now has, and remembers those that made way. */
+    void replaceAdapters(Map<AdapterName, AdapterPlace> newer) {
+        adapters.forEach((name, place) -> {
+            if (!newer.containsKey(name)) {
+                noteFormer(name, place.version());
+            }
+        });
+        adapters.clear();
+        adapters.putAll(newer);
+    }
+
+    /** Removes an adapter that made way. */
+    void removeAdapter(AdapterName name) {
+        AdapterPlace place = adapters.remove(name);
+        if (place != null) {
+            noteFormer(name, place.version());
+        }
+    }
+
+    private void noteFormer(AdapterName name, long version) {
+        LoadedAdapter former = new LoadedAdapter(name, version);
+        formerAdapters.remove(former);
+        formerAdapters.put(former, Boolean.TRUE);
+    }
+
+    /** Returns whether the runner held an adapter version lately, so that it loads without the weight store. */
+    boolean heldLately(AdapterName name, long version) {
+        return formerAdapters.containsKey(new LoadedAdapter(name, version));
+    }
+
     PrefixIndex prefixes() {
         return prefixes;
     }
@@ -189,6 +234,19 @@
         return sum;
     }
 
+    /** Returns how many adapters could be loaded now, into free places or those of adapters that nobody needs. */
+    int room(int slots, Instant now) {
+        int room = slots - adapters.size();
+        for (Map.Entry<AdapterName, AdapterPlace> entry : adapters.entrySet()) {
+            room += entry.getValue().isSettled(now) && !isUsed(entry.getKey()) ? 1 : 0;
+        }
+        return room - waitingLoads;
+    }
+
+    void setWaitingLoads(int loads) {
+        waitingLoads = loads;
+    }
+
     boolean isUsed(AdapterName adapter) {
         for (EndpointUse one : use.values()) {
             if (one.adapters().contains(adapter)) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -9,6 +9,7 @@
 
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
 
@@ -126,7 +127,12 @@
 
     private void applyToPlatform(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.TopicRead read) {
-            view.read(read, new ChangeListener());
+            List<TopicRecord> news = view.read(read, new ChangeListener());
+            if (read.topic() == Topic.ENDPOINTS && !news.isEmpty() && readsForAll()) {
+                PeerMessage message = new PeerMessage.RecordsReply(
+                        read.topic(), relayed(news), view.follower(read.topic()).end());
+                peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+            }
             if (read.topic() == Topic.CLAIMS) {
                 claims.read(read.startedAt());
             }
@@ -141,6 +147,22 @@
         }
     }
 
+    /** Returns whether this host reads the entries of endpoints for its peers, since each read is paid for. */
+    private boolean readsForAll() {
+        return RendezvousHash.first(Topic.ENDPOINTS.name(), peers.live(turn.now()))
+                .equals(Optional.of(settings.identity().host()));
+    }
+
+    private static List<RelayedRecord> relayed(List<TopicRecord> records) {
+        return records.stream()
+                .map(entry -> new RelayedRecord(
+                        entry.key(),
+                        entry.value().orElse(new byte[0]),
+                        entry.value().isEmpty(),
+                        entry.offset()))
+                .toList();
+    }
+
     private void applyToPeers(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.PeerConnected connected) {
             HostId host = connected.peer().host();
@@ -170,13 +192,7 @@
             desk.wanted(wanted);
         } else if (message instanceof PeerMessage.RecordsRequest request) {
             TopicFollower follower = view.follower(request.topic());
-            List<RelayedRecord> records = follower.recordsFrom(request.offset()).stream()
-                    .map(entry -> new RelayedRecord(
-                            entry.key(),
-                            entry.value().orElse(new byte[0]),
-                            entry.value().isEmpty(),
-                            entry.offset()))
-                    .toList();
+            List<RelayedRecord> records = relayed(follower.recordsFrom(request.offset()));
             turn.emit(new ForwardingEffect.ToPeer(
                     sender, new PeerMessage.RecordsReply(request.topic(), records, follower.end())));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -20,7 +20,7 @@
  */
 final class PlatformView {
     /** Time that a read of the configuration waits for a change. */
-    private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(3);
+    private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(6);
 
     /** Time that a read of the entries of endpoints waits for a change. */
     private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
@@ -29,7 +29,7 @@
     private static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
 
     /** Time that a read of the claims waits; below the time that a claim counts after a read. */
-    private static final Duration CLAIMS_WAIT = Duration.ofMillis(1000);
+    private static final Duration CLAIMS_WAIT = Duration.ofMillis(1800);
 
     /** Time that a read of the announcements of hosts waits. */
     private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
@@ -140,19 +140,22 @@
         }
     }
 
-    void read(ForwardingEvent.TopicRead event, Listener listener) {
+    /** Takes what a read returned; returns the records that are news. */
+    List<TopicRecord> read(ForwardingEvent.TopicRead event, Listener listener) {
         TopicFollower follower = followers.get(event.topic());
         boolean wasAvailable = follower.isAvailable();
-        take(event.topic(), follower.read(event, turn.now()), listener);
+        List<TopicRecord> news = follower.read(event, turn.now());
+        take(event.topic(), news, listener);
         if (!wasAvailable) {
             turn.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
         }
+        return news;
     }
 
     void relayed(Topic topic, List<TopicRecord> records, long end, HostId from, Listener listener) {
-        List<TopicRecord> news = followers.get(topic).relayed(records, end);
+        List<TopicRecord> news = followers.get(topic).relayed(records, end, turn.now());
         if (!news.isEmpty()) {
-            turn.log(DecisionRecord.important(
+            turn.log(DecisionRecord.of(
                     "topic-relayed", "topic", topic, "from", from, "records", news.size(), "end", end));
             take(topic, news, listener);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -138,6 +138,7 @@
                 forwarding.tried,
                 endpoint -> !forwarding.noLoad.contains(endpoint.id()) && desk.canLoad(endpoint),
                 needed,
+                request.adapter().map(view::newestVersion).orElse(0L),
                 desk.loadsWaiting());
         Optional<Choice> choice = chooser.choose(query, view.endpointsOf(forwarding.service.name()), now);
         if (choice.isEmpty()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -99,9 +100,13 @@
         if (own != null) {
             return own.canLoad(turn.now());
         }
-        return runner.commander()
-                .filter(host -> !host.equals(self) && peers.isLive(host, turn.now()))
+        boolean room = view.capacityOf(runner)
+                .filter(capacity -> runner.room(capacity.adapterSlots(), turn.now()) > 0)
                 .isPresent();
+        return room
+                && runner.commander()
+                        .filter(host -> !host.equals(self) && peers.isLive(host, turn.now()))
+                        .isPresent();
     }
 
     /** Asks for an adapter on a runner; the news of its load comes as a change of the runner's adapters. */
@@ -154,13 +159,15 @@
         EndpointState runner = known.get();
         fences.put(runner.id(), message.fence());
         runner.setCommander(sender, turn.now());
-        runner.adapters().clear();
+        Map<AdapterName, AdapterPlace> held = new HashMap<>();
         for (HeldAdapter adapter : message.adapters()) {
             Instant readyAt = adapter.readyInMilliseconds() == 0
                     ? Instant.MIN
                     : turn.now().plusMillis(adapter.readyInMilliseconds());
-            runner.adapters().put(adapter.name(), new AdapterPlace(adapter.version(), readyAt));
+            held.put(adapter.name(), new AdapterPlace(adapter.version(), readyAt));
         }
+        runner.replaceAdapters(held);
+        runner.setWaitingLoads(message.waitingLoads());
     }
 
     void answered(AdapterCommand command, CommandResult result) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceTimes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceTimes.java
@@ -13,6 +13,9 @@
     /** Time to load an adapter; from the users' sheet of models, 250 ms and 288 ms. */
     static final Duration ADAPTER_LOAD = Duration.ofMillis(260);
 
+    /** Time to load an adapter that the runner held lately; a tenth, from the protocol of runners, and an answer. */
+    static final Duration ADAPTER_RELOAD = Duration.ofMillis(32);
+
     /** Adapters on their way to one runner at once; from the protocol of runners. */
     static final int LOADS_PER_RUNNER = 4;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -17,6 +17,9 @@
     /** Pause after a failed read. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
 
+    /** Time without news from the host that reads for all after which a host reads itself. */
+    private static final Duration RELAY_PATIENCE = Duration.ofMillis(1100);
+
     /** Longest time between two lost reads and the end of the outage that counts as its aftermath. */
     private static final Duration AFTERMATH = Duration.ofSeconds(3);
 
@@ -112,8 +115,11 @@
         return news;
     }
 
-    /** Takes records that a peer has read; returns those that are news. */
-    List<TopicRecord> relayed(List<TopicRecord> records, long endOfPeer) {
+    /** Takes records that a peer has read; returns those that are news. The own read is put off while they come. */
+    List<TopicRecord> relayed(List<TopicRecord> records, long endOfPeer, Instant now) {
+        if (endOfPeer > end && isAvailable()) {
+            nextReadAt = now.plus(RELAY_PATIENCE);
+        }
         List<TopicRecord> news = take(records);
         end = Math.max(end, endOfPeer);
         return news;
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -169,8 +169,9 @@
      *
      * @param started start of the runner's process, as in its entry
      * @param fence number of the sender's claim
+     * @param waitingLoads adapters that are wanted there and not yet on their way
      */
-    record HeldRunner(EndpointId endpoint, long started, long fence, List<HeldAdapter> adapters)
+    record HeldRunner(EndpointId endpoint, long started, long fence, List<HeldAdapter> adapters, int waitingLoads)
             implements PeerMessage {}
 
     /**
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallListener.java
@@ -20,11 +20,14 @@
     void content(ByteBuf bytes);
 
     /**
-     * The answer is complete.
+     * Tells whether the answer that is now complete belongs to an earlier request, so that the next one is awaited.
      *
-     * @return whether the call is over; otherwise the next answer on the connection is awaited
+     * @return whether it is not the answer to this call
      */
-    boolean end();
+    boolean isForeign();
+
+    /** The answer is complete and the call is over. */
+    void end();
 
     /**
      * The call failed before its answer was complete.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -248,17 +248,18 @@
         }
 
         @Override
-        public boolean end() {
-            if (kind == AnswerKind.FOREIGN) {
-                return false;
-            }
+        public boolean isForeign() {
+            return kind == AnswerKind.FOREIGN;
+        }
+
+        @Override
+        public void end() {
             if (kind == AnswerKind.ANSWER) {
                 end(new AttemptResult.Answered(head.status().code()));
             } else {
                 end(new AttemptResult.NotRun(
                         kind == AnswerKind.FULL ? AttemptResult.NotRunCause.FULL : AttemptResult.NotRunCause.NOT_HERE));
             }
-            return true;
         }
 
         @Override
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -111,8 +111,8 @@
 
     private void end(EndpointCall current) {
         answering = false;
-        if (!current.listener().end()) {
-            // An answer to an earlier request; after it the connection is not used for another one.
+        if (current.listener().isForeign()) {
+            // After an answer to an earlier request, the connection is not used for another one.
             idleLimit = Duration.ZERO;
             return;
         }
@@ -124,6 +124,7 @@
         } else {
             close();
         }
+        current.listener().end();
     }
 
     private void noteIdleLimit(HttpResponse head) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
@@ -83,12 +83,16 @@
     }
 
     @Override
-    public boolean end() {
+    public boolean isForeign() {
+        return false;
+    }
+
+    @Override
+    public void end() {
         HttpResponse known = head.orElseThrow();
         FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, known.status(), body);
         whole.headers().set(known.headers());
         finish(Optional.of(whole));
-        return true;
     }
 
     @Override
