Count the place of a slow load as taken

Cause: a request that was told that its adapter is not there made the commander drop the adapter from its list, though the load was only slower than expected. Excluded by the log lines that are new here: a replaced version, a stale report after a restart.

Change: the place stays taken and the runner is asked before the next command.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -40,13 +40,14 @@
 
     private final EndpointState runner;
     private final int slots;
-    private final Map<AdapterName, Instant> wanted = new HashMap<>();
+    private final Map<AdapterName, WantedLoad> wanted = new HashMap<>();
     private final Map<AdapterName, Demand> demand = new HashMap<>();
     private OptionalLong sequence = OptionalLong.empty();
     private Optional<AdapterCommand> underWay = Optional.empty();
     private Instant answerBy = Instant.MAX;
     private Instant inspectAt = Instant.MIN;
     private boolean inspecting;
+    private boolean doubtful;
     private boolean changed = true;
 
     private record Demand(double value, Instant at) {
@@ -60,11 +61,11 @@
         this.slots = slots;
     }
 
-    /** Asks for an adapter until an instant. */
-    void want(AdapterName adapter, Instant until) {
-        changed |= !wanted.containsKey(adapter);
-        wanted.merge(adapter, until, (known, newer) -> newer.isAfter(known) ? newer : known);
-        runner.setWaitingLoads(wanted.size());
+    /** Asks for an adapter. */
+    void want(WantedLoad load) {
+        changed |= !wanted.containsKey(load.adapter());
+        wanted.merge(load.adapter(), load, WantedLoad::and);
+        runner.setWaitingLoads(wanted.keySet());
     }
 
     /** Counts requests for an adapter. */
@@ -77,6 +78,7 @@
         sequence = OptionalLong.empty();
         underWay = Optional.empty();
         inspecting = false;
+        doubtful = false;
         inspectAt = Instant.MIN;
         changed = true;
     }
@@ -87,8 +89,10 @@
         if (answer.isEmpty()) {
             return;
         }
+        doubtful = false;
         RunnerState state = answer.get();
-        sequence = OptionalLong.of(state.commandSequence());
+        sequence = state.busy() ? OptionalLong.empty() : OptionalLong.of(state.commandSequence());
+        runner.setBaseModels(state.baseModels());
         Map<AdapterName, AdapterPlace> known = runner.adapters();
         Map<AdapterName, AdapterPlace> told = new HashMap<>();
         state.loading().forEach(loading -> {
@@ -115,24 +119,28 @@
             return;
         }
         underWay = Optional.empty();
-        if (result == CommandResult.ACCEPTED && command.load()) {
+        Optional<AdapterName> adapter = command.adapterName();
+        if (adapter.isEmpty()) {
+            // The runner is busy for seconds now, or holds the model already; its state tells.
+            sequence = OptionalLong.empty();
+            inspectAt = now.plus(INSPECTION_PAUSE);
+        } else if (result == CommandResult.ACCEPTED && command.load()) {
             sequence = OptionalLong.of(command.expectedSequence() + 1);
-            long version = command.version().orElseGet(() -> newestVersion.applyAsLong(command.adapter()));
-            Duration time = runner.heldLately(command.adapter(), version)
-                    ? ServiceTimes.ADAPTER_RELOAD
-                    : ServiceTimes.ADAPTER_LOAD;
+            long version = command.version().orElseGet(() -> newestVersion.applyAsLong(adapter.get()));
+            Duration time =
+                    runner.heldLately(adapter.get(), version) ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
             Instant readyAt = now.plusMillis((long) (time.toMillis() * Math.max(1, loadsWaiting)));
-            runner.adapters().put(command.adapter(), new AdapterPlace(version, readyAt));
-            wanted.remove(command.adapter());
+            runner.adapters().put(adapter.get(), new AdapterPlace(version, readyAt));
+            wanted.remove(adapter.get());
             changed = true;
         } else if (result == CommandResult.DONE && !command.load()) {
             sequence = OptionalLong.of(command.expectedSequence() + 1);
-            runner.removeAdapter(command.adapter());
+            runner.removeAdapter(adapter.get());
             changed = true;
         } else {
             if (result == CommandResult.ACCEPTED) {
                 // The unload waits for a request that came meanwhile; the place is taken until the runner says so.
-                runner.adapters().put(command.adapter(), AdapterPlace.leaving(now.plus(UNLOAD_LIMIT)));
+                runner.adapters().put(adapter.get(), AdapterPlace.leaving(now.plus(UNLOAD_LIMIT)));
                 changed = true;
             }
             sequence = OptionalLong.empty();
@@ -140,11 +148,14 @@
         }
     }
 
-    /** A request found that the runner lacks an adapter which it should have. */
-    void missing(AdapterName adapter) {
-        if (runner.adapters().containsKey(adapter)) {
-            runner.adapters().remove(adapter);
-            sequence = OptionalLong.empty();
+    /**
+     * A request found that the runner lacks an adapter which it should have. Its place stays taken until the runner
+     * says otherwise, since the load may only be slow.
+     */
+    void missing(AdapterName adapter, Instant now) {
+        if (runner.noteLate(adapter, now)) {
+            doubtful = true;
+            inspectAt = now;
             changed = true;
         }
     }
@@ -157,22 +168,27 @@
         return count;
     }
 
-    /** Returns whether a load could start soon. */
-    boolean canLoad(Instant now) {
-        return sequence.isPresent()
-                && (runner.adapters().size() < slots || victim(now).isPresent());
+    /** Returns whether this host knows enough of the runner to command it. */
+    boolean isReady() {
+        return sequence.isPresent() || underWay.isPresent();
     }
 
     /**
      * Goes on with what is wanted.
      *
+     * @param capacity what the runner can hold
      * @param fence fence of this host's claim
      * @param newestVersion newest version of an adapter
      * @param mayLoad whether another load may start, over all runners
      * @param now present instant
      * @return what to do
      */
-    List<ForwardingEffect> step(long fence, ToLongFunction<AdapterName> newestVersion, boolean mayLoad, Instant now) {
+    List<ForwardingEffect> step(
+            EngineCapacity capacity,
+            long fence,
+            ToLongFunction<AdapterName> newestVersion,
+            boolean mayLoad,
+            Instant now) {
         if (underWay.isPresent() && !now.isBefore(answerBy)) {
             underWay = Optional.empty();
             sequence = OptionalLong.empty();
@@ -180,7 +196,7 @@
         if (underWay.isPresent()) {
             return List.of();
         }
-        if (sequence.isEmpty()) {
+        if (sequence.isEmpty() || doubtful) {
             if (inspecting || now.isBefore(inspectAt)) {
                 return List.of();
             }
@@ -188,11 +204,14 @@
             return List.of(
                     new ForwardingEffect.Inspect(runner.id(), runner.listing().address()));
         }
-        wanted.values().removeIf(now::isAfter);
+        Optional<BaseModel> model = missingModel(capacity);
+        if (model.isPresent()) {
+            return loadModel(model.get(), fence, now);
+        }
+        wanted.values().removeIf(load -> now.isAfter(load.until()));
         wanted.keySet().removeIf(adapter -> isCurrent(adapter, newestVersion));
-        runner.setWaitingLoads(wanted.size());
-        Optional<AdapterName> next =
-                wanted.entrySet().stream().min(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+        runner.setWaitingLoads(wanted.keySet());
+        Optional<AdapterName> next = wanted.values().stream().min(urgency(now)).map(WantedLoad::adapter);
         if (next.isEmpty() || !mayLoad || loading(now) >= ServiceTimes.LOADS_PER_RUNNER) {
             return List.of();
         }
@@ -204,11 +223,41 @@
                 .orElse(List.of());
     }
 
+    /** Orders what can still be on time first, by when it is due; what is late anyway waits for a quiet moment. */
+    static Comparator<WantedLoad> urgency(Instant now) {
+        return Comparator.comparing((WantedLoad load) -> !load.canBeOnTime(now)).thenComparing(WantedLoad::dueAt);
+    }
+
     private boolean isCurrent(AdapterName adapter, ToLongFunction<AdapterName> newestVersion) {
         AdapterPlace place = runner.adapters().get(adapter);
         return place != null && place.version() >= newestVersion.applyAsLong(adapter);
     }
 
+    /** Returns the base model to load: a runner that starts again holds none. */
+    private Optional<BaseModel> missingModel(EngineCapacity capacity) {
+        if (!runner.baseModels().isEmpty()) {
+            return Optional.empty();
+        }
+        return capacity.baseModels().stream()
+                .filter(model -> model.megabytes() <= capacity.weightMegabytes())
+                .findFirst();
+    }
+
+    private List<ForwardingEffect> loadModel(BaseModel model, long fence, Instant now) {
+        AdapterCommand command = new AdapterCommand(
+                runner.id(),
+                runner.listing().address(),
+                true,
+                model.name(),
+                Optional.empty(),
+                OptionalLong.empty(),
+                sequence.getAsLong(),
+                fence);
+        underWay = Optional.of(command);
+        answerBy = now.plus(ANSWER_LIMIT);
+        return List.of(new ForwardingEffect.Command(command));
+    }
+
     private List<ForwardingEffect> command(
             boolean load, AdapterName adapter, ToLongFunction<AdapterName> newestVersion, long fence, Instant now) {
         long version = newestVersion.applyAsLong(adapter);
@@ -216,7 +265,8 @@
                 runner.id(),
                 runner.listing().address(),
                 load,
-                adapter,
+                adapter.baseModel(),
+                Optional.of(adapter.adapter()),
                 load && version > 0 ? OptionalLong.of(version) : OptionalLong.empty(),
                 sequence.getAsLong(),
                 fence);
@@ -254,6 +304,12 @@
                         place.isReady(now)
                                 ? 0
                                 : Duration.between(now, place.readyAt()).toMillis())));
-        return new PeerMessage.HeldRunner(runner.id(), runner.listing().started(), fence, adapters, wanted.size());
+        return new PeerMessage.HeldRunner(
+                runner.id(),
+                runner.listing().started(),
+                fence,
+                runner.baseModels(),
+                adapters,
+                List.copyOf(wanted.keySet()));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
@@ -1,8 +1,9 @@
 package org.banyanstair.forwarding;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.function.Function;
 
 import org.banyanstair.model.EndpointId;
 
@@ -13,7 +14,7 @@
  * @param route its route
  * @param engine capacity of a runner; empty for a plain service
  * @param tried endpoints that have failed the request
- * @param canLoad whether an adapter can be loaded on a runner now
+ * @param loadDelay milliseconds until a load can start on a runner; empty if none can
  * @param neededVersion lowest version of the adapter that may be used
  * @param newestVersion version of the adapter that a load brings
  * @param loadsWaiting loads on their way over all runners, as a multiple of what the store carries without delay
@@ -23,7 +24,7 @@
         Route route,
         Optional<EngineCapacity> engine,
         Set<EndpointId> tried,
-        Predicate<EndpointState> canLoad,
+        Function<EndpointState, OptionalDouble> loadDelay,
         long neededVersion,
         long newestVersion,
         double loadsWaiting) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Chooses the endpoint of a request by the time until its first output.
@@ -58,6 +59,7 @@
         List<EndpointState> candidates = endpoints.stream()
                 .filter(endpoint ->
                         endpoint.takesRequests(now) && !query.tried().contains(endpoint.id()))
+                .filter(endpoint -> query.engine().isEmpty() || endpoint.holdsBaseModelOf(request))
                 .toList();
         if (query.engine().isEmpty()
                 || request.prompt().isEmpty() && request.adapter().isEmpty()) {
@@ -71,17 +73,20 @@
         Choice best = null;
         for (EndpointState endpoint : candidates) {
             boolean load = request.adapter().isPresent() && !usable(endpoint, request, neededVersion);
-            if (load && !query.canLoad().test(endpoint)) {
+            OptionalDouble delay = load ? query.loadDelay().apply(endpoint) : OptionalDouble.of(0);
+            if (delay.isEmpty()) {
                 continue;
             }
-            double cost = runnerCost(endpoint, request, hashes, query.engine().get(), now);
+            double cost = delay.getAsDouble()
+                    + runnerCost(endpoint, request, hashes, query.engine().get(), now);
             if (load) {
+                boolean asked = endpoint.isWaitingFor(request.adapter().get());
                 boolean atHand = endpoint.heldLately(request.adapter().get(), query.newestVersion());
                 Duration time = atHand ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
                 cost += time.toMillis() * Math.max(1, query.loadsWaiting())
-                        + (atHand ? 0 : FETCH_MILLISECONDS)
-                        + (loadedSomewhere ? COPY_MILLISECONDS : 0)
-                        + ORDER_MILLISECONDS * place(endpoint, request, candidates);
+                        + (atHand || asked ? 0 : FETCH_MILLISECONDS)
+                        + (loadedSomewhere && !asked ? COPY_MILLISECONDS : 0)
+                        + (asked ? 0 : ORDER_MILLISECONDS * place(endpoint, request, candidates));
             } else if (request.adapter().isPresent()) {
                 AdapterPlace adapter = endpoint.adapters().get(request.adapter().get());
                 if (!adapter.isReady(now)) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.NetworkAddress;
@@ -18,6 +19,7 @@
  * @param draining whether it is leaving
  * @param leavesAt when it will be gone whatever it still runs, on the local steady clock; empty if not announced
  * @param started milliseconds since 1970 at which the process started; another value means that it forgot everything
+ * @param baseModels base models that it held when it wrote this
  * @param adapters adapters that it held when it wrote this
  * @param commandSequence number of commands that it had accepted
  */
@@ -30,10 +32,12 @@
         boolean draining,
         Optional<Instant> leavesAt,
         long started,
+        Set<String> baseModels,
         List<LoadedAdapter> adapters,
         long commandSequence) {
     /** Copies the adapters. */
     public EndpointListing {
+        baseModels = Set.copyOf(baseModels);
         adapters = List.copyOf(adapters);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -3,11 +3,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -24,6 +27,9 @@
     /** Adapters that a runner is taken to have at hand after it gave up their places; a part of what runners keep. */
     private static final int FORMER_ADAPTERS = 36;
 
+    /** Time after which a load that took longer than expected is counted on again. */
+    private static final Duration LATE_LOAD = Duration.ofMillis(150);
+
     /** Weight of the newest outcome in the share of failures. */
     private static final double OUTCOME_WEIGHT = 0.2;
 
@@ -37,6 +43,7 @@
     private double failureShare;
     private Instant lastFailureAt = Instant.MIN;
     private double slowness = 1;
+    private Set<String> baseModels = Set.of();
     private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
     private final Map<HostId, EndpointUse> use = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex();
@@ -48,7 +55,7 @@
             return size() > FORMER_ADAPTERS;
         }
     };
-    private int waitingLoads;
+    private final Set<AdapterName> waitingLoads = new HashSet<>();
     private Optional<HostId> commander = Optional.empty();
     private Instant commanderHeardAt = Instant.MIN;
 
@@ -81,6 +88,7 @@
     }
 
     private void forget() {
+        baseModels = Set.of();
         adapters.clear();
         prefixes.clear();
         use.clear();
@@ -89,7 +97,7 @@
         avoidUntil = Instant.MIN;
         pause = FIRST_PAUSE;
         commander = Optional.empty();
-        waitingLoads = 0;
+        waitingLoads.clear();
     }
 
     private void takeAdapters() {
@@ -98,6 +106,21 @@
             listed.put(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN));
         }
         replaceAdapters(listed);
+        baseModels = listing.baseModels();
+    }
+
+    Set<String> baseModels() {
+        return baseModels;
+    }
+
+    void setBaseModels(Set<String> models) {
+        baseModels = models;
+    }
+
+    /** Returns whether the runner holds the base model of a request, if it names one. */
+    boolean holdsBaseModelOf(ForwardRequest request) {
+        return request.baseModel().isEmpty()
+                || baseModels.contains(request.baseModel().get());
     }
 
     void removeAt(Instant instant) {
@@ -240,11 +263,27 @@
         for (Map.Entry<AdapterName, AdapterPlace> entry : adapters.entrySet()) {
             room += entry.getValue().isSettled(now) && !isUsed(entry.getKey()) ? 1 : 0;
         }
-        return room - waitingLoads;
+        return room - waitingLoads.size();
+    }
+
+    void setWaitingLoads(Collection<AdapterName> loads) {
+        waitingLoads.clear();
+        waitingLoads.addAll(loads);
     }
 
-    void setWaitingLoads(int loads) {
-        waitingLoads = loads;
+    /** Returns whether the commander of the runner has been asked for an adapter and will load it. */
+    boolean isWaitingFor(AdapterName adapter) {
+        return waitingLoads.contains(adapter);
+    }
+
+    /** A request found an adapter missing that should be there; returns whether that is news. */
+    boolean noteLate(AdapterName adapter, Instant now) {
+        AdapterPlace place = adapters.get(adapter);
+        if (place == null) {
+            return false;
+        }
+        adapters.put(adapter, new AdapterPlace(place.version(), now.plus(LATE_LOAD)));
+        return true;
     }
 
     boolean isUsed(AdapterName adapter) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -13,6 +13,7 @@
  * @param id identifies this attempt of the caller
  * @param host host name that the caller used
  * @param path path without the query
+ * @param baseModel base model to run on; empty for a plain service
  * @param adapter adapter to run on; empty for the base model or a plain service
  * @param prompt parts of the prompt in order, the last one belongs to this request; empty for a plain service
  * @param inputTokens tokens of the prompt
@@ -26,6 +27,7 @@
         RequestId id,
         String host,
         String path,
+        Optional<String> baseModel,
         Optional<AdapterName> adapter,
         List<PromptPart> prompt,
         int inputTokens,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
@@ -24,6 +24,7 @@
     int attempts;
     int runs;
     int rejections;
+    int reminders;
     int cachedTokens;
     Instant sentAt = Instant.MIN;
     double predictedMilliseconds;
@@ -46,6 +47,11 @@
         return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
     }
 
+    /** Returns when the first output is due to be on time. */
+    Instant dueAt() {
+        return arrivedAt.plus(route.objective());
+    }
+
     int cacheTokens() {
         return service.engine().isPresent() ? request.inputTokens() + request.outputTokens() : 0;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadedAdapter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadedAdapter.java
@@ -6,4 +6,9 @@
  * @param name the adapter
  * @param version its version
  */
-public record LoadedAdapter(AdapterName name, long version) {}
+public record LoadedAdapter(AdapterName name, long version) {
+    @Override
+    public String toString() {
+        return name + "@" + version;
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -23,8 +24,11 @@
     /** Time in which the commander of a runner starts a wanted load or tells nothing of it. */
     private static final Duration LOAD_START_LIMIT = Duration.ofMillis(120);
 
-    /** Times that a load is asked for again on one runner before another is tried. */
-    private static final int LOAD_REMINDERS = 2;
+    /** Time for which a load is asked for; renewed while the request waits. */
+    private static final Duration WANT_TERM = Duration.ofMillis(300);
+
+    /** Renewals after which another runner may be chosen. */
+    private static final int REMINDERS_BEFORE_PLAN = 5;
 
     /** Rejections after which a request is refused; more would use up the retries of others. */
     private static final int REJECTION_LIMIT = 3;
@@ -136,7 +140,8 @@
                 forwarding.route,
                 forwarding.service.engine(),
                 forwarding.tried,
-                endpoint -> !forwarding.noLoad.contains(endpoint.id()) && desk.canLoad(endpoint),
+                endpoint ->
+                        forwarding.noLoad.contains(endpoint.id()) ? OptionalDouble.empty() : desk.loadDelay(endpoint),
                 needed,
                 request.adapter().map(view::newestVersion).orElse(0L),
                 desk.loadsWaiting());
@@ -156,8 +161,7 @@
         forwarding.endpoint = Optional.of(endpoint);
         forwarding.predictedMilliseconds = start;
         if (choice.get().load()) {
-            forwarding.recheckAt = now.plus(LOAD_START_LIMIT);
-            desk.want(endpoint, request.adapter().orElseThrow(), forwarding.deadline);
+            want(forwarding, endpoint);
             turn.log(DecisionRecord.of(
                     "load-wanted",
                     "request",
@@ -175,6 +179,14 @@
         }
     }
 
+    /** Asks for the adapter of a request for a short time, so that a load that nobody waits for any more is not made. */
+    private void want(Forwarding forwarding, EndpointState endpoint) {
+        forwarding.recheckAt = turn.now().plus(LOAD_START_LIMIT);
+        Instant term = turn.now().plus(WANT_TERM);
+        Instant until = term.isBefore(forwarding.deadline) ? term : forwarding.deadline;
+        desk.want(endpoint, new WantedLoad(forwarding.request.adapter().orElseThrow(), forwarding.dueAt(), until));
+    }
+
     private void giveUp(Forwarding forwarding, RefusalReason reason, double startMilliseconds) {
         if (forwarding.mayHaveRun) {
             fail(forwarding, FailureReason.ENDPOINT_FAILED);
@@ -211,11 +223,15 @@
         if (adapter.isEmpty() || place != null && place.version() >= needed && place.isReady(now)) {
             send(forwarding, endpoint, place);
         } else if ((place == null || place.version() < needed) && !now.isBefore(forwarding.recheckAt)) {
-            if (++forwarding.rejections > LOAD_REMINDERS) {
-                forwarding.noLoad.add(endpoint.id());
-                forwarding.rejections = 0;
+            boolean heard = endpoint.isWaitingFor(adapter.orElseThrow());
+            if (heard && ++forwarding.reminders % REMINDERS_BEFORE_PLAN != 0) {
+                want(forwarding, endpoint);
+            } else {
+                if (!heard) {
+                    forwarding.noLoad.add(endpoint.id());
+                }
+                plan(forwarding);
             }
-            plan(forwarding);
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.TreeMap;
 
 import org.banyanstair.model.EndpointId;
@@ -64,7 +66,7 @@
         runner.setCommander(self, turn.now());
         fences.put(runner.id(), fence);
         boolean mayLoad = loading() < ServiceTimes.loadsInTransit(view.runners().size());
-        turn.emit(commander.step(fence, view::newestVersion, mayLoad, turn.now()));
+        turn.emit(commander.step(capacity.get(), fence, view::newestVersion, mayLoad, turn.now()));
         commander.news(fence, turn.now()).ifPresent(this::tellAll);
     }
 
@@ -95,31 +97,35 @@
                 / ServiceTimes.loadsInTransit(view.runners().size());
     }
 
-    boolean canLoad(EndpointState runner) {
+    /** Returns the milliseconds until a load can start on a runner; empty if nobody commands it now. */
+    OptionalDouble loadDelay(EndpointState runner) {
         AdapterCommander own = commanders.get(runner.id());
-        if (own != null) {
-            return own.canLoad(turn.now());
-        }
-        boolean room = view.capacityOf(runner)
-                .filter(capacity -> runner.room(capacity.adapterSlots(), turn.now()) > 0)
-                .isPresent();
-        return room
-                && runner.commander()
+        boolean commanded = own != null
+                ? own.isReady()
+                : runner.commander()
                         .filter(host -> !host.equals(self) && peers.isLive(host, turn.now()))
                         .isPresent();
+        Optional<EngineCapacity> capacity = view.capacityOf(runner);
+        if (!commanded || capacity.isEmpty() || capacity.get().adapterSlots() == 0) {
+            return OptionalDouble.empty();
+        }
+        int slots = capacity.get().adapterSlots();
+        int missing = 1 - runner.room(slots, turn.now());
+        return OptionalDouble.of(missing <= 0 ? 0 : missing * ServiceTimes.RUN.toMillis() / (double) slots);
     }
 
     /** Asks for an adapter on a runner; the news of its load comes as a change of the runner's adapters. */
-    void want(EndpointState runner, AdapterName adapter, Instant until) {
+    void want(EndpointState runner, WantedLoad load) {
         AdapterCommander own = commanders.get(runner.id());
         if (own != null) {
-            own.want(adapter, until);
+            own.want(load);
             claims.fence(runner.id(), turn.now()).ifPresent(fence -> step(runner, fence));
         } else {
-            long remaining = Duration.between(turn.now(), until).toMillis();
+            long due = Duration.between(turn.now(), load.dueAt()).toMillis();
+            long remaining = Duration.between(turn.now(), load.until()).toMillis();
             runner.commander()
                     .ifPresent(host -> turn.emit(new ForwardingEffect.ToPeer(
-                            host, new PeerMessage.AdapterWanted(runner.id(), adapter, remaining))));
+                            host, new PeerMessage.AdapterWanted(runner.id(), load.adapter(), due, remaining))));
         }
     }
 
@@ -127,7 +133,12 @@
         AdapterCommander own = commanders.get(message.endpoint());
         Optional<EndpointState> runner = view.endpoint(message.endpoint());
         if (own != null && runner.isPresent()) {
-            want(runner.get(), message.adapter(), turn.now().plusMillis(message.remainingMilliseconds()));
+            want(
+                    runner.get(),
+                    new WantedLoad(
+                            message.adapter(),
+                            turn.now().plusMillis(message.dueInMilliseconds()),
+                            turn.now().plusMillis(message.remainingMilliseconds())));
         }
     }
 
@@ -141,10 +152,12 @@
     /** A request found that a runner lacks an adapter. */
     void missing(EndpointState runner, AdapterName adapter) {
         AdapterCommander own = commanders.get(runner.id());
+        turn.log(DecisionRecord.important(
+                "adapter-missing", "endpoint", runner.id(), "adapter", adapter, "commander", own != null));
         if (own != null) {
-            own.missing(adapter);
+            own.missing(adapter, turn.now());
         } else {
-            runner.adapters().remove(adapter);
+            runner.noteLate(adapter, turn.now());
         }
     }
 
@@ -167,6 +180,7 @@
             held.put(adapter.name(), new AdapterPlace(adapter.version(), readyAt));
         }
         runner.replaceAdapters(held);
+        runner.setBaseModels(message.baseModels());
         runner.setWaitingLoads(message.waitingLoads());
     }
 
@@ -177,8 +191,10 @@
                 command.endpoint(),
                 "load",
                 command.load(),
+                "model",
+                command.baseModel(),
                 "adapter",
-                command.adapter(),
+                command.adapter().orElse(""),
                 "sequence",
                 command.expectedSequence(),
                 "fence",
@@ -196,6 +212,18 @@
         AdapterCommander own = commanders.get(id);
         if (own != null) {
             own.inspected(state, turn.now());
+            turn.log(DecisionRecord.important(
+                    "runner-inspected",
+                    "endpoint",
+                    id,
+                    "answered",
+                    state.isPresent(),
+                    "sequence",
+                    state.map(RunnerState::commandSequence).orElse(-1L),
+                    "loaded",
+                    state.map(RunnerState::loaded).orElse(List.of()),
+                    "loading",
+                    state.map(RunnerState::loading).orElse(List.of())));
             stepNow(id);
         }
     }
@@ -219,6 +247,7 @@
     void versionNamed(AdapterName adapter, Duration term) {
         commanders.forEach((id, commander) -> view.endpoint(id)
                 .filter(runner -> runner.adapters().containsKey(adapter))
-                .ifPresent(runner -> commander.want(adapter, turn.now().plus(term))));
+                .ifPresent(runner -> commander.want(new WantedLoad(
+                        adapter, turn.now().plus(term.dividedBy(2)), turn.now().plus(term)))));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceTimes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceTimes.java
@@ -16,6 +16,9 @@
     /** Time to load an adapter that the runner held lately; a tenth, from the protocol of runners, and an answer. */
     static final Duration ADAPTER_RELOAD = Duration.ofMillis(32);
 
+    /** Time for which a usual request uses its adapter; from the users' sheet, 13 to 73 events of 4 tokens. */
+    static final Duration RUN = Duration.ofMillis(1800);
+
     /** Adapters on their way to one runner at once; from the protocol of runners. */
     static final int LOADS_PER_RUNNER = 4;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -169,17 +169,26 @@
      *
      * @param started start of the runner's process, as in its entry
      * @param fence number of the sender's claim
+     * @param baseModels base models that it holds
      * @param waitingLoads adapters that are wanted there and not yet on their way
      */
-    record HeldRunner(EndpointId endpoint, long started, long fence, List<HeldAdapter> adapters, int waitingLoads)
+    record HeldRunner(
+            EndpointId endpoint,
+            long started,
+            long fence,
+            Set<String> baseModels,
+            List<HeldAdapter> adapters,
+            List<AdapterName> waitingLoads)
             implements PeerMessage {}
 
     /**
      * Asks the host that commands a runner to load an adapter there.
      *
+     * @param dueInMilliseconds time in which its first request has to start to be on time
      * @param remainingMilliseconds time in which it is of use
      */
-    record AdapterWanted(EndpointId endpoint, AdapterName adapter, long remainingMilliseconds) implements PeerMessage {}
+    record AdapterWanted(EndpointId endpoint, AdapterName adapter, long dueInMilliseconds, long remainingMilliseconds)
+            implements PeerMessage {}
 
     /** Asks for the records of a topic from an offset on. */
     record RecordsRequest(Topic topic, long offset) implements PeerMessage {}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -55,6 +56,7 @@
                 false,
                 Optional.empty(),
                 1,
+                Set.of(),
                 List.of(),
                 0));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -87,7 +88,8 @@
     }
 
     void configure(long version, Route... routes) {
-        ServiceDefinition engine = new ServiceDefinition(SERVICE, Optional.of(new EngineCapacity(2, 100_000)));
+        ServiceDefinition engine = new ServiceDefinition(
+                SERVICE, Optional.of(new EngineCapacity(2, 100_000, 80_000, List.of(new BaseModel("base", 70_000)))));
         ServiceDefinition desk = new ServiceDefinition(DESK, Optional.empty());
         fact(
                 Topic.CONFIGURATION,
@@ -125,6 +127,7 @@
                 draining,
                 Optional.empty(),
                 started,
+                Set.of("base"),
                 loaded,
                 0);
         fact(Topic.ENDPOINTS, id, new Fact.Listed(listing));
@@ -139,6 +142,7 @@
                 new RequestId("request-" + exchanges),
                 "shop",
                 path,
+                adapter.map(AdapterName::baseModel),
                 adapter,
                 prompt,
                 adapter.isPresent() ? 3500 : 0,
