Let peers confirm claims while the log cannot be read

Change: a host that cannot read the claims asks a peer for what it has read and how long ago that read began; a claim counts for 8 s after a read, so commands also go on in most outages of the whole log. A takeover waits for that time, the lease term and a second for commands on their way.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -22,8 +22,14 @@
  * settled claim of its earlier run.
  */
 final class ClaimKeeper {
-    /** How long a claim counts after the start of the last read of the topic; above twice the time that a read waits. */
-    static final Duration VALIDITY = Duration.ofMillis(3000);
+    /**
+     * How long a claim counts after the start of the last read of the topic: twice the time that a read waits, and
+     * longer than most outages of the platform's log, in which loads go on that long.
+     */
+    static final Duration VALIDITY = Duration.ofMillis(8000);
+
+    /** Added to the time before a runner is taken over, for commands on their way and pauses too short to notice. */
+    private static final Duration MARGIN = Duration.ofSeconds(1);
 
     /** Silence after which another host takes a runner over; a killed daemon is usually back before. */
     private static final Duration TAKEOVER_SILENCE = Duration.ofMillis(2500);
@@ -55,7 +61,8 @@
         if (before != null && before.offset() >= offset) {
             return;
         }
-        Instant usable = fact.settled() ? now : now.plus(VALIDITY).plus(leaseTerm);
+        Instant usable =
+                fact.settled() ? now : now.plus(VALIDITY).plus(leaseTerm).plus(MARGIN);
         claims.put(fact.endpoint(), new Claim(fact.host(), fact.settled(), offset, usable));
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -37,6 +37,12 @@
     /** Time that this host waits for its own read before it asks a peer that has read further. */
     private static final Duration RELAY_DELAY = Duration.ofMillis(400);
 
+    /** Age of the last read of the claims at which a host asks its peers; above the time that a read waits. */
+    private static final Duration CLAIMS_AGE = Duration.ofMillis(4500);
+
+    /** Time between two such questions. */
+    private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(400);
+
     /** Longest time between two events of a process that was not held up. */
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(600);
 
@@ -52,6 +58,8 @@
     private Instant lastEventAt = Instant.MAX;
     private Instant nextStateAt = Instant.MIN;
     private Instant nextReportAt = Instant.MIN;
+    private Instant nextConfirmationAt = Instant.MIN;
+    private long confirmations;
     private boolean announced;
     private boolean stopping;
 
@@ -85,6 +93,7 @@
                 || now.isAfter(lastEventAt)
                         && Duration.between(lastEventAt, now).compareTo(LONGEST_PAUSE) > 0) {
             claims.distrust(now);
+            view.follower(Topic.CLAIMS).readAgain(now);
             turn.log(DecisionRecord.important("clock-gap", "since-last-event-ms", millisecondsSinceLastEvent(now)));
         }
         lastEventAt = now;
@@ -130,7 +139,7 @@
             List<TopicRecord> news = view.read(read, new ChangeListener());
             if (read.topic() == Topic.ENDPOINTS && !news.isEmpty() && readsForAll()) {
                 PeerMessage message = new PeerMessage.RecordsReply(
-                        read.topic(), relayed(news), view.follower(read.topic()).end());
+                        read.topic(), relayed(news), view.follower(read.topic()).end(), Optional.empty(), 0);
                 peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
             }
             if (read.topic() == Topic.CLAIMS) {
@@ -193,8 +202,15 @@
         } else if (message instanceof PeerMessage.RecordsRequest request) {
             TopicFollower follower = view.follower(request.topic());
             List<RelayedRecord> records = relayed(follower.recordsFrom(request.offset()));
+            Duration age = follower.age(turn.now()).orElse(ClaimKeeper.VALIDITY);
             turn.emit(new ForwardingEffect.ToPeer(
-                    sender, new PeerMessage.RecordsReply(request.topic(), records, follower.end())));
+                    sender,
+                    new PeerMessage.RecordsReply(
+                            request.topic(),
+                            records,
+                            follower.end(),
+                            Optional.of(request.askedAtMilliseconds()),
+                            age.toMillis() + 1)));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
             List<TopicRecord> records = reply.records().stream()
                     .map(entry -> new TopicRecord(
@@ -203,6 +219,10 @@
                             entry.offset()))
                     .toList();
             view.relayed(reply.topic(), records, reply.end(), sender, new ChangeListener());
+            if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
+                // The peer's read began that long before it answered, which was after this host asked.
+                claims.read(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
+            }
         } else if (message instanceof PeerMessage.CrashReport report) {
             crashes.reported(report);
         }
@@ -221,11 +241,38 @@
         Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
         if (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY))) {
             turn.emit(new ForwardingEffect.ToPeer(
-                    peer, new PeerMessage.RecordsRequest(topic, Math.max(0, follower.end()))));
+                    peer,
+                    new PeerMessage.RecordsRequest(topic, Math.max(0, follower.end()), milliseconds(turn.now()))));
             behindSince.put(topic, turn.now());
         }
     }
 
+    /** Has a peer confirm that no other host has taken a runner over, when this host cannot read the claims itself. */
+    private void confirmClaims() {
+        TopicFollower follower = view.follower(Topic.CLAIMS);
+        boolean needed = !claims.own().isEmpty()
+                && follower.isKnown()
+                && follower.age(turn.now())
+                        .filter(age -> age.compareTo(CLAIMS_AGE) < 0)
+                        .isEmpty();
+        if (needed && !turn.now().isBefore(nextConfirmationAt)) {
+            nextConfirmationAt = turn.now().plus(CONFIRMATION_INTERVAL);
+            List<HostId> live = peers.live(turn.now());
+            // Another peer each time, since this one may not reach the log either.
+            HostId peer = live.get((int) (++confirmations % live.size()));
+            if (!peer.equals(settings.identity().host())) {
+                turn.emit(new ForwardingEffect.ToPeer(
+                        peer,
+                        new PeerMessage.RecordsRequest(
+                                Topic.CLAIMS, Math.max(0, follower.end()), milliseconds(turn.now()))));
+            }
+        }
+    }
+
+    private static long milliseconds(Instant instant) {
+        return instant.toEpochMilli();
+    }
+
     private void announced(HostAnnouncement announcement) {
         if (peers.announced(announcement, turn.now())) {
             turn.emit(new ForwardingEffect.Watch(announcement.host()));
@@ -247,6 +294,7 @@
             announced = true;
             turn.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
         }
+        confirmClaims();
         desk.tick(stopping);
         requests.tick();
         Instant now = turn.now();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -29,7 +29,7 @@
     private static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
 
     /** Time that a read of the claims waits; two of them and an answer fit into the time that a claim counts. */
-    static final Duration CLAIMS_WAIT = Duration.ofMillis(1300);
+    static final Duration CLAIMS_WAIT = Duration.ofMillis(3000);
 
     /** Time that a read of the announcements of hosts waits. */
     private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -28,6 +28,7 @@
     private final Duration gap;
     private final Map<String, TopicRecord> newest = new TreeMap<>();
     private long end = -1;
+    private Instant readStartedAt = Instant.MIN;
     private boolean reading;
     private boolean needSnapshot = true;
     private Instant nextReadAt = Instant.MIN;
@@ -59,6 +60,18 @@
         return end >= 0;
     }
 
+    /** Returns how long ago the last read that was answered began; empty if there was none. */
+    Optional<Duration> age(Instant now) {
+        return readStartedAt.equals(Instant.MIN) ? Optional.empty() : Optional.of(Duration.between(readStartedAt, now));
+    }
+
+    /** Reads again at once, beside a read that may be under way; what was read before has no known age any more. */
+    void readAgain(Instant now) {
+        readStartedAt = Instant.MIN;
+        reading = false;
+        nextReadAt = now;
+    }
+
     boolean isAvailable() {
         return unavailableSince.isEmpty() && isKnown();
     }
@@ -89,6 +102,7 @@
     List<TopicRecord> read(ForwardingEvent.TopicRead event, Instant now) {
         reading = false;
         nextReadAt = now.plus(gap);
+        readStartedAt = event.startedAt().isAfter(readStartedAt) ? event.startedAt() : readStartedAt;
         if (unavailableSince.isPresent()) {
             recoveredAt = now;
             unavailableSince = Optional.empty();
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -190,11 +190,26 @@
     record AdapterWanted(EndpointId endpoint, AdapterName adapter, long dueInMilliseconds, long remainingMilliseconds)
             implements PeerMessage {}
 
-    /** Asks for the records of a topic from an offset on. */
-    record RecordsRequest(Topic topic, long offset) implements PeerMessage {}
+    /**
+     * Asks for the records of a topic from an offset on.
+     *
+     * @param askedAtMilliseconds when it was sent, on the sender's own clock
+     */
+    record RecordsRequest(Topic topic, long offset, long askedAtMilliseconds) implements PeerMessage {}
 
-    /** Answers a {@link RecordsRequest}. */
-    record RecordsReply(Topic topic, List<RelayedRecord> records, long end) implements PeerMessage {}
+    /**
+     * Records of a topic, as an answer to a {@link RecordsRequest} or as news.
+     *
+     * @param askedAtMilliseconds the time in the request; empty if this is news
+     * @param ageMilliseconds time since the start of the last read of the topic by the sender
+     */
+    record RecordsReply(
+            Topic topic,
+            List<RelayedRecord> records,
+            long end,
+            Optional<Long> askedAtMilliseconds,
+            long ageMilliseconds)
+            implements PeerMessage {}
 
     /** A request has crashed an endpoint. */
     record CrashReport(long fingerprint, EndpointId endpoint, long started) implements PeerMessage {}
