--- /dev/null
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
@@ -0,0 +1,66 @@
+package org.banyanstair.forwarder.internal;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class EventSplitterTest {
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    private static String text(ByteBuf bytes) {
+        String result = bytes.toString(StandardCharsets.UTF_8);
+        bytes.release();
+        return result;
+    }
+
+    @Property(tries = 300, seed = "881")
+    void piecesOfAnySizeGiveTheSameEvents(@ForAll long seed) {
+        Random random = new Random(seed);
+        StringBuilder stream = new StringBuilder();
+        List<Optional<Long>> ids = new ArrayList<>();
+        for (int index = 0; index < 12; index++) {
+            String end = random.nextBoolean() ? "\n" : "\r\n";
+            boolean numbered = random.nextInt(4) > 0;
+            stream.append(numbered ? "id: " + index + end : "weight-versions: 3" + end)
+                    .append("data: ü ")
+                    .append("x".repeat(random.nextInt(40)))
+                    .append(end)
+                    .append(end);
+            ids.add(numbered ? Optional.of((long) index) : Optional.empty());
+        }
+        byte[] all = stream.toString().getBytes(StandardCharsets.UTF_8);
+        EventSplitter splitter = new EventSplitter();
+        StringBuilder passed = new StringBuilder();
+        List<Optional<Long>> seen = new ArrayList<>();
+        int from = 0;
+        while (from < all.length) {
+            int length = Math.min(all.length - from, 1 + random.nextInt(30));
+            for (EventSplitter.StreamEvent event : splitter.feed(Unpooled.wrappedBuffer(all, from, length))) {
+                seen.add(event.id());
+                passed.append(text(event.bytes()));
+            }
+            from += length;
+        }
+        assertEquals(stream.toString(), passed.toString());
+        assertEquals(ids, seen);
+    }
+
+    @Test
+    void halfEventIsKeptBack() {
+        EventSplitter splitter = new EventSplitter();
+        assertEquals(0, splitter.feed(bytes("id: 1\ndata: a\n")).size());
+        assertEquals("id: 1\ndata: a\n", text(splitter.rest()));
+    }
+}
