--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -31,6 +31,7 @@
     private Instant readStartedAt = Instant.MIN;
     private boolean reading;
     private boolean needSnapshot = true;
+    private boolean atOnce;
     private Instant nextReadAt = Instant.MIN;
     private Optional<Instant> unavailableSince = Optional.empty();
     private Instant recoveredAt = Instant.MIN;
@@ -69,6 +70,7 @@
     void readAgain(Instant now) {
         readStartedAt = Instant.MIN;
         reading = false;
+        atOnce = true;
         nextReadAt = now;
     }
 
@@ -95,12 +97,13 @@
         return List.of(
                 needSnapshot
                         ? new ForwardingEffect.ReadNewest(topic)
-                        : new ForwardingEffect.ReadFrom(topic, end, now.plus(wait)));
+                        : new ForwardingEffect.ReadFrom(topic, end, atOnce ? now : now.plus(wait)));
     }
 
     /** Takes what a read returned; returns the records that are news. */
     List<TopicRecord> read(ForwardingEvent.TopicRead event, Instant now) {
         reading = false;
+        atOnce = false;
         nextReadAt = now.plus(gap);
         readStartedAt = event.startedAt().isAfter(readStartedAt) ? event.startedAt() : readStartedAt;
         if (unavailableSince.isPresent()) {
@@ -159,6 +162,8 @@
 
     void unavailable(Instant now) {
         reading = false;
+        // The first read after a failure must not wait for news before it shows that the log answers again.
+        atOnce = true;
         nextReadAt = now.plus(RETRY_PAUSE);
         if (unavailableSince.isEmpty()) {
             unavailableSince = Optional.of(now);
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
@@ -0,0 +1,73 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class TopicFollowerTest {
+    private static final Duration WAIT = Duration.ofSeconds(3);
+
+    private final TopicFollower follower = new TopicFollower(Topic.CLAIMS, WAIT, Duration.ZERO);
+    private Instant now = Instant.ofEpochSecond(50);
+
+    private static TopicRecord entry(String key, long offset) {
+        return new TopicRecord(key, Optional.of(new byte[] {1}), offset);
+    }
+
+    private List<TopicRecord> read(boolean snapshot, long end, TopicRecord... records) {
+        return follower.read(new ForwardingEvent.TopicRead(Topic.CLAIMS, now, snapshot, List.of(records), end), now);
+    }
+
+    private ForwardingEffect.ReadFrom nextRead() {
+        now = now.plusMillis(200);
+        return (ForwardingEffect.ReadFrom) follower.tick(now).get(0);
+    }
+
+    @Test
+    void newestRecordsComeFirstAndThenTheRest() {
+        assertEquals(List.of(new ForwardingEffect.ReadNewest(Topic.CLAIMS)), follower.tick(now));
+        read(true, 5, entry("a", 3), entry("b", 4));
+        ForwardingEffect.ReadFrom next = nextRead();
+        assertEquals(5, next.offset());
+        assertEquals(now.plus(WAIT), next.waitUntil());
+    }
+
+    /** Commands stood still for 1.7 s after the log had dropped its reads, because the next read waited for news. */
+    @Test
+    void readAfterAFailureDoesNotWaitForNews() {
+        follower.tick(now);
+        read(true, 5);
+        nextRead();
+        follower.unavailable(now);
+        assertEquals(now.plusMillis(200), nextRead().waitUntil());
+        read(false, 5);
+        assertEquals(now.plusMillis(200).plus(WAIT), nextRead().waitUntil());
+    }
+
+    @Test
+    void lateRecordsChangeNothing() {
+        follower.tick(now);
+        read(true, 5, entry("a", 4));
+        assertTrue(read(false, 5, entry("a", 2)).isEmpty());
+        assertTrue(follower.relayed(List.of(entry("a", 4)), 5, now).isEmpty());
+        assertEquals(1, follower.relayed(List.of(entry("a", 6)), 7, now).size());
+        assertEquals(7, follower.end());
+    }
+
+    @Test
+    void keysThatVanishFromASnapshotAreRemoved() {
+        follower.tick(now);
+        read(true, 5, entry("a", 3), entry("b", 4));
+        follower.expired(now);
+        List<TopicRecord> news = read(true, 9, entry("b", 4));
+        assertEquals(1, news.size());
+        assertEquals("a", news.get(0).key());
+        assertTrue(news.get(0).value().isEmpty());
+    }
+}
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -61,8 +61,11 @@
     /** Longest time to open a connection; a few round trips in one region. */
     private static final Duration CONNECT_LIMIT = Duration.ofMillis(250);
 
-    /** Longest time for a runner's answer to a command or a question for its state. */
-    private static final Duration COMMAND_LIMIT = Duration.ofMillis(500);
+    /**
+     * Longest time for a runner's answer to a command or a question for its state; tens of round trips in one region.
+     * A command that is carried out later is refused by its sequence.
+     */
+    private static final Duration COMMAND_LIMIT = Duration.ofMillis(150);
 
     /** Time between two messages that keep a connection between hosts. */
     private static final Duration HEARTBEAT = Duration.ofSeconds(1);
