--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
@@ -18,6 +18,7 @@
  * @param neededVersion lowest version of the adapter that may be used
  * @param newestVersion version of the adapter that a load brings
  * @param loadsWaiting loads on their way over all runners, as a multiple of what the store carries without delay
+ * @param late whether the request is late anyway and goes behind others
  */
 record ChoiceQuery(
         ForwardRequest request,
@@ -27,4 +28,11 @@
         Function<EndpointState, OptionalDouble> loadDelay,
         long neededVersion,
         long newestVersion,
-        double loadsWaiting) {}
+        double loadsWaiting,
+        boolean late) {
+    /** Returns the query for a request that goes behind those that can be on time. */
+    ChoiceQuery behindOthers() {
+        return new ChoiceQuery(
+                request, route, engine, tried, loadDelay, neededVersion, newestVersion, loadsWaiting, true);
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -21,6 +21,12 @@
 
 /** The requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
+    /**
+     * Ranks by which a request that is late anyway goes behind those that can be on time. It answers bursts: without it,
+     * all requests wait for those that have lost already.
+     */
+    private static final int LATE_RANKS = 4;
+
     /** Time in which the commander of a runner starts a wanted load or tells nothing of it. */
     private static final Duration LOAD_START_LIMIT = Duration.ofMillis(120);
 
@@ -144,8 +150,18 @@
                         forwarding.noLoad.contains(endpoint.id()) ? OptionalDouble.empty() : desk.loadDelay(endpoint),
                 needed,
                 request.adapter().map(view::newestVersion).orElse(0L),
-                desk.loadsWaiting());
-        Optional<Choice> choice = chooser.choose(query, view.endpointsOf(forwarding.service.name()), now);
+                desk.loadsWaiting(),
+                false);
+        List<EndpointState> endpoints = view.endpointsOf(forwarding.service.name());
+        Optional<Choice> choice = chooser.choose(query, endpoints, now);
+        double millisecondsToBeOnTime =
+                Duration.between(now, forwarding.dueAt()).toMillis();
+        forwarding.late = forwarding.service.engine().isPresent()
+                && choice.filter(best -> best.startMilliseconds() > millisecondsToBeOnTime)
+                        .isPresent();
+        if (forwarding.late) {
+            choice = chooser.choose(query.behindOthers(), endpoints, now);
+        }
         if (choice.isEmpty()) {
             boolean any = view.endpointsOf(forwarding.service.name()).stream()
                     .anyMatch(endpoint -> endpoint.takesRequests(now));
@@ -242,7 +258,7 @@
         forwarding.attempts++;
         forwarding.sentAt = turn.now();
         forwarding.predictedMilliseconds = forwarding.service.engine().isPresent()
-                ? EndpointChooser.promptMilliseconds(endpoint, request, forwarding.prefixes)
+                ? EndpointChooser.promptMilliseconds(endpoint, request, forwarding.prefixes, forwarding.late)
                 : 0;
         forwarding.tried.add(endpoint.id());
         forwarding.cachedTokens = endpoint.prefixes().cachedTokens(request, forwarding.prefixes);
@@ -275,7 +291,7 @@
                 endpoint.id(),
                 endpoint.listing().address(),
                 forwarding.deadline,
-                forwarding.route.rank(),
+                forwarding.route.rank() + (forwarding.late ? LATE_RANKS : 0),
                 place == null || place.version() == 0 ? OptionalLong.empty() : OptionalLong.of(place.version()),
                 forwarding.lastEvent,
                 forwarding.route.mayRunAgain()));
@@ -511,6 +527,7 @@
     private EndpointUse useOf(EndpointState endpoint) {
         int running = 0;
         int waitingTokens = 0;
+        int lateTokens = 0;
         int cacheTokens = 0;
         List<AdapterName> adapters = new ArrayList<>();
         for (Forwarding forwarding : open.values()) {
@@ -519,11 +536,12 @@
                 cacheTokens += forwarding.cacheTokens();
                 forwarding.request.adapter().ifPresent(adapters::add);
                 if (!forwarding.firstOutput && forwarding.service.engine().isPresent()) {
-                    waitingTokens += forwarding.ownTokens();
+                    waitingTokens += forwarding.late ? 0 : forwarding.ownTokens();
+                    lateTokens += forwarding.late ? forwarding.ownTokens() : 0;
                 }
             }
         }
-        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
+        return new EndpointUse(endpoint.id(), running, waitingTokens, lateTokens, cacheTokens, adapters, List.of());
     }
 
     /** Tells peers what has changed since the last report. */
@@ -536,6 +554,7 @@
                         use.endpoint(),
                         use.running(),
                         use.waitingTokens(),
+                        use.lateTokens(),
                         use.cacheTokens(),
                         use.adapters(),
                         newPrefixes.getOrDefault(use.endpoint(), List.of())))
