--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
@@ -18,7 +18,6 @@
  * @param neededVersion lowest version of the adapter that may be used
  * @param newestVersion version of the adapter that a load brings
  * @param loadsWaiting loads on their way over all runners, as a multiple of what the store carries without delay
- * @param late whether the request is late anyway and goes behind others
  */
 record ChoiceQuery(
         ForwardRequest request,
@@ -28,11 +27,4 @@
         Function<EndpointState, OptionalDouble> loadDelay,
         long neededVersion,
         long newestVersion,
-        double loadsWaiting,
-        boolean late) {
-    /** Returns the query for a request that goes behind those that can be on time. */
-    ChoiceQuery behindOthers() {
-        return new ChoiceQuery(
-                request, route, engine, tried, loadDelay, neededVersion, newestVersion, loadsWaiting, true);
-    }
-}
+        double loadsWaiting) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -77,7 +77,8 @@
             if (delay.isEmpty()) {
                 continue;
             }
-            double cost = delay.getAsDouble() + runnerCost(endpoint, query, hashes, now);
+            double cost = delay.getAsDouble()
+                    + runnerCost(endpoint, request, hashes, query.engine().get(), now);
             if (load) {
                 boolean asked = endpoint.isWaitingFor(request.adapter().get());
                 boolean atHand = endpoint.heldLately(request.adapter().get(), query.newestVersion());
@@ -105,19 +106,15 @@
     }
 
     /** Estimates the time that a runner needs for the prompt of a request and for those that wait before it. */
-    static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes, boolean late) {
+    static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes) {
         int own = Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
-        return (endpoint.waitingTokens() + (late ? endpoint.lateTokens() : 0) + own)
-                        / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND
-                        * endpoint.slowness()
+        return (endpoint.waitingTokens() + own) / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowness()
                 + 2 * ServiceTimes.STEP_MILLISECONDS;
     }
 
-    private double runnerCost(EndpointState endpoint, ChoiceQuery query, long[] hashes, Instant now) {
-        ForwardRequest request = query.request();
-        EngineCapacity engine = query.engine().orElseThrow();
-        boolean late = query.late();
-        double cost = promptMilliseconds(endpoint, request, hashes, late) + commonCost(endpoint, now);
+    private double runnerCost(
+            EndpointState endpoint, ForwardRequest request, long[] hashes, EngineCapacity engine, Instant now) {
+        double cost = promptMilliseconds(endpoint, request, hashes) + commonCost(endpoint, now);
         long needed = endpoint.cacheTokens() + request.inputTokens() + request.outputTokens();
         if (needed > engine.cacheTokens() * MEMORY_SHARE
                 || endpoint.running() >= endpoint.listing().slots()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -249,14 +249,6 @@
         return sum;
     }
 
-    int lateTokens() {
-        int sum = 0;
-        for (EndpointUse one : use.values()) {
-            sum += one.lateTokens();
-        }
-        return sum;
-    }
-
     long cacheTokens() {
         long sum = 0;
         for (EndpointUse one : use.values()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
@@ -19,7 +19,6 @@
     final Set<EndpointId> noLoad = new HashSet<>();
     Optional<EndpointState> endpoint = Optional.empty();
     boolean sent;
-    boolean late;
     boolean firstOutput;
     boolean mayHaveRun;
     int attempts;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -21,12 +21,6 @@
 
 /** The requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
-    /**
-     * Ranks by which a request that is late anyway goes behind those that can be on time. It answers bursts: without it,
-     * all requests wait for those that have lost already.
-     */
-    private static final int LATE_RANKS = 4;
-
     /** Time in which the commander of a runner starts a wanted load or tells nothing of it. */
     private static final Duration LOAD_START_LIMIT = Duration.ofMillis(120);
 
@@ -150,18 +144,8 @@
                         forwarding.noLoad.contains(endpoint.id()) ? OptionalDouble.empty() : desk.loadDelay(endpoint),
                 needed,
                 request.adapter().map(view::newestVersion).orElse(0L),
-                desk.loadsWaiting(),
-                false);
-        List<EndpointState> endpoints = view.endpointsOf(forwarding.service.name());
-        Optional<Choice> choice = chooser.choose(query, endpoints, now);
-        double millisecondsToBeOnTime =
-                Duration.between(now, forwarding.dueAt()).toMillis();
-        forwarding.late = forwarding.service.engine().isPresent()
-                && choice.filter(best -> best.startMilliseconds() > millisecondsToBeOnTime)
-                        .isPresent();
-        if (forwarding.late) {
-            choice = chooser.choose(query.behindOthers(), endpoints, now);
-        }
+                desk.loadsWaiting());
+        Optional<Choice> choice = chooser.choose(query, view.endpointsOf(forwarding.service.name()), now);
         if (choice.isEmpty()) {
             boolean any = view.endpointsOf(forwarding.service.name()).stream()
                     .anyMatch(endpoint -> endpoint.takesRequests(now));
@@ -258,7 +242,7 @@
         forwarding.attempts++;
         forwarding.sentAt = turn.now();
         forwarding.predictedMilliseconds = forwarding.service.engine().isPresent()
-                ? EndpointChooser.promptMilliseconds(endpoint, request, forwarding.prefixes, forwarding.late)
+                ? EndpointChooser.promptMilliseconds(endpoint, request, forwarding.prefixes)
                 : 0;
         forwarding.tried.add(endpoint.id());
         forwarding.cachedTokens = endpoint.prefixes().cachedTokens(request, forwarding.prefixes);
@@ -291,7 +275,7 @@
                 endpoint.id(),
                 endpoint.listing().address(),
                 forwarding.deadline,
-                forwarding.route.rank() + (forwarding.late ? LATE_RANKS : 0),
+                forwarding.route.rank(),
                 place == null || place.version() == 0 ? OptionalLong.empty() : OptionalLong.of(place.version()),
                 forwarding.lastEvent,
                 forwarding.route.mayRunAgain()));
@@ -527,7 +511,6 @@
     private EndpointUse useOf(EndpointState endpoint) {
         int running = 0;
         int waitingTokens = 0;
-        int lateTokens = 0;
         int cacheTokens = 0;
         List<AdapterName> adapters = new ArrayList<>();
         for (Forwarding forwarding : open.values()) {
@@ -536,12 +519,11 @@
                 cacheTokens += forwarding.cacheTokens();
                 forwarding.request.adapter().ifPresent(adapters::add);
                 if (!forwarding.firstOutput && forwarding.service.engine().isPresent()) {
-                    waitingTokens += forwarding.late ? 0 : forwarding.ownTokens();
-                    lateTokens += forwarding.late ? forwarding.ownTokens() : 0;
+                    waitingTokens += forwarding.ownTokens();
                 }
             }
         }
-        return new EndpointUse(endpoint.id(), running, waitingTokens, lateTokens, cacheTokens, adapters, List.of());
+        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
     }
 
     /** Tells peers what has changed since the last report. */
@@ -554,7 +536,6 @@
                         use.endpoint(),
                         use.running(),
                         use.waitingTokens(),
-                        use.lateTokens(),
                         use.cacheTokens(),
                         use.adapters(),
                         newPrefixes.getOrDefault(use.endpoint(), List.of())))
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
@@ -10,8 +10,7 @@
  *
  * @param endpoint the endpoint
  * @param running requests that were sent and have not ended
- * @param waitingTokens prompt tokens of those without a first output that can be on time
- * @param lateTokens prompt tokens of those without a first output that are late anyway and go behind the others
+ * @param waitingTokens prompt tokens of those without a first output
  * @param cacheTokens tokens of memory that all of them need
  * @param adapters adapters of those requests, one entry a request
  * @param newPrefixes hashes of prompt prefixes that were sent there since the last message
@@ -20,7 +19,6 @@
         EndpointId endpoint,
         int running,
         int waitingTokens,
-        int lateTokens,
         int cacheTokens,
         List<AdapterName> adapters,
         List<Long> newPrefixes) {
