Refuse what cannot start while its caller waits

The wait for a place was estimated with a fixed run time though runs took 3.5 s there (8 of 8 places in use on each runner, 52 different adapters in use over 60 places).

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -29,6 +29,9 @@
     /** Pause before the runner is asked for its state again. */
     private static final Duration INSPECTION_PAUSE = Duration.ofMillis(400);
 
+    /** Pause before the runner is asked again when it did not answer. */
+    private static final Duration FAILED_INSPECTION_PAUSE = Duration.ofMillis(100);
+
     /** Age of what a runner says of itself; from the users' protocol, some hundred milliseconds. */
     private static final Duration REPORT_LAG = Duration.ofMillis(250);
 
@@ -85,7 +88,7 @@
 
     void inspected(Optional<RunnerState> answer, Instant now) {
         inspecting = false;
-        inspectAt = now.plus(INSPECTION_PAUSE);
+        inspectAt = now.plus(answer.isEmpty() ? FAILED_INSPECTION_PAUSE : INSPECTION_PAUSE);
         if (answer.isEmpty()) {
             return;
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -43,6 +43,7 @@
     private double failureShare;
     private Instant lastFailureAt = Instant.MIN;
     private double slowness = 1;
+    private double runMilliseconds = ServiceTimes.RUN.toMillis();
     private Set<String> baseModels = Set.of();
     private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
     private final Map<HostId, EndpointUse> use = new HashMap<>();
@@ -216,6 +217,15 @@
         slowness = Math.min(4, Math.max(0.5, slowness));
     }
 
+    void countRun(Duration time) {
+        runMilliseconds += OUTCOME_WEIGHT * (time.toMillis() - runMilliseconds);
+    }
+
+    /** Returns the usual time for which a request uses its adapter here. */
+    double runMilliseconds() {
+        return runMilliseconds;
+    }
+
     double slowness() {
         return slowness;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
@@ -47,6 +47,12 @@
         return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
     }
 
+    /** Returns when the caller gives up if there is no output. */
+    Instant firstOutputBy() {
+        Instant limit = arrivedAt.plus(route.patience());
+        return limit.isBefore(deadline) ? limit : deadline;
+    }
+
     /** Returns when the first output is due to be on time. */
     Instant dueAt() {
         return arrivedAt.plus(route.objective());
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -154,7 +154,7 @@
         }
         EndpointState endpoint = choice.get().endpoint();
         double start = choice.get().startMilliseconds();
-        if (start > Duration.between(now, forwarding.deadline).toMillis()) {
+        if (start > Duration.between(now, forwarding.firstOutputBy()).toMillis()) {
             giveUp(forwarding, RefusalReason.OVERLOADED, start);
             return;
         }
@@ -170,6 +170,8 @@
                     endpoint.id(),
                     "adapter",
                     request.adapter().orElseThrow(),
+                    "load-delay-ms",
+                    (long) desk.loadDelay(endpoint).orElse(-1),
                     "needed-version",
                     needed,
                     "expected-start-ms",
@@ -183,7 +185,7 @@
     private void want(Forwarding forwarding, EndpointState endpoint) {
         forwarding.recheckAt = turn.now().plus(LOAD_START_LIMIT);
         Instant term = turn.now().plus(WANT_TERM);
-        Instant until = term.isBefore(forwarding.deadline) ? term : forwarding.deadline;
+        Instant until = term.isBefore(forwarding.firstOutputBy()) ? term : forwarding.firstOutputBy();
         desk.want(endpoint, new WantedLoad(forwarding.request.adapter().orElseThrow(), forwarding.dueAt(), until));
     }
 
@@ -207,8 +209,8 @@
         if (forwarding.sent || !open.containsKey(forwarding.request.exchange())) {
             return;
         }
-        if (!now.isBefore(forwarding.deadline)) {
-            giveUp(forwarding, RefusalReason.DEADLINE_PASSED, 0);
+        if (!now.isBefore(forwarding.firstOutputBy())) {
+            giveUp(forwarding, RefusalReason.OVERLOADED, 0);
             return;
         }
         EndpointState endpoint = forwarding.endpoint.orElseThrow();
@@ -261,6 +263,8 @@
                 forwarding.attempts,
                 "endpoint",
                 endpoint.id(),
+                "adapter",
+                request.adapter().map(AdapterName::toString).orElse(""),
                 "waited-ms",
                 Duration.between(forwarding.arrivedAt, turn.now()).toMillis(),
                 "expected-start-ms",
@@ -331,6 +335,9 @@
         forwarding.mayHaveRun = true;
         boolean failed = status >= 500;
         endpoint.countOutcome(!failed, turn.now());
+        if (!failed && forwarding.request.adapter().isPresent()) {
+            endpoint.countRun(Duration.between(forwarding.sentAt, turn.now()));
+        }
         if (!failed) {
             crashes.completed(forwarding.request.fingerprint());
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
@@ -14,6 +14,7 @@
  * @param resumable whether a stream may continue on another endpoint
  * @param timeout longest time that a caller is kept waiting
  * @param objective time in which an answer (or the first event) is on time
+ * @param patience longest time that a caller waits for the first output
  * @param maximumAttempts most endpoints that may run one request
  * @param rank urgency, 0 is the most urgent
  * @param targets services that share the requests
@@ -27,6 +28,7 @@
         boolean resumable,
         Duration timeout,
         Duration objective,
+        Duration patience,
         int maximumAttempts,
         int rank,
         List<RouteTarget> targets) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -111,7 +111,7 @@
         }
         int slots = capacity.get().adapterSlots();
         int missing = 1 - runner.room(slots, turn.now());
-        return OptionalDouble.of(missing <= 0 ? 0 : missing * ServiceTimes.RUN.toMillis() / (double) slots);
+        return OptionalDouble.of(missing <= 0 ? 0 : missing * runner.runMilliseconds() / slots);
     }
 
     /** Asks for an adapter on a runner; the news of its load comes as a change of the runner's adapters. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -108,6 +108,7 @@
                 resumable,
                 Duration.ofSeconds(6),
                 Duration.ofSeconds(1),
+                Duration.ofSeconds(4),
                 2,
                 1,
                 List.of(new RouteTarget(service, 1)));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -62,11 +62,14 @@
     private static final Duration CONNECT_LIMIT = Duration.ofMillis(250);
 
     /**
-     * Longest time for a runner's answer to a command or a question for its state; tens of round trips in one region.
+     * Longest time for a runner's answer to a command; tens of round trips in one region.
      * A command that is carried out later is refused by its sequence.
      */
     private static final Duration COMMAND_LIMIT = Duration.ofMillis(150);
 
+    /** Longest time for a runner's answer to a question for its state; a host that has just started is slow itself. */
+    private static final Duration INSPECTION_LIMIT = Duration.ofMillis(500);
+
     /** Time between two messages that keep a connection between hosts. */
     private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
@@ -281,7 +284,7 @@
                 loop,
                 inspect.address(),
                 protocols.endpoints().inspection(inspect),
-                COMMAND_LIMIT,
+                INSPECTION_LIMIT,
                 answer -> shell.submit(new ForwardingEvent.Inspected(
                         inspect.endpoint(), answer.flatMap(protocols.endpoints()::runnerState))));
     }
