Split the ledger of use from the request forwarder

RequestForwarder had 565 lines and asked twice in the same words whether another endpoint is left. Behaviour is the same but for one fault found while reading: an adapter that waits to be unloaded counted for up to 10 s as one of the 8 on their way from the weight store.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -166,7 +166,7 @@
     int loading(Instant now) {
         int count = 0;
         for (AdapterPlace place : runner.adapters().values()) {
-            count += place.isReady(now) ? 0 : 1;
+            count += place.isLoading(now) ? 1 : 0;
         }
         return count;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterPlace.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterPlace.java
@@ -24,6 +24,11 @@
         return !now.isBefore(readyAt);
     }
 
+    /** Returns whether the adapter is on its way from the weight store. */
+    boolean isLoading(Instant now) {
+        return version != LEAVING && !isReady(now);
+    }
+
     /** Returns whether a request for which it was loaded would have been seen by now. */
     boolean isSettled(Instant now) {
         return readyAt.equals(Instant.MIN) || now.isAfter(readyAt.plus(FIRST_USE));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -193,7 +193,7 @@
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
         } else if (message instanceof PeerMessage.UseReport report) {
-            requests.reported(sender, report);
+            requests.ledger().reported(sender, report);
         } else if (message instanceof PeerMessage.HeldRunner held) {
             desk.heard(sender, held);
             requests.checkWaiting();
@@ -303,7 +303,7 @@
         int count = peers.size();
         if (!now.isBefore(nextReportAt)) {
             nextReportAt = now.plus(USE_INTERVAL).plus(USE_INTERVAL_PER_PEER.multipliedBy(count));
-            requests.report();
+            requests.ledger().report();
         }
         if (!now.isBefore(nextStateAt)) {
             nextStateAt = now.plus(STATE_INTERVAL).plus(STATE_INTERVAL_PER_PEER.multipliedBy(count));
@@ -316,7 +316,7 @@
     private void forgetSilentPeers() {
         for (HostId host : peers.all()) {
             if (peers.silence(host, turn.now()).compareTo(USE_RETENTION) > 0) {
-                view.endpoints().forEach(endpoint -> endpoint.forgetUse(host));
+                requests.ledger().forget(host);
             }
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -2,21 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 
-import org.banyanstair.model.EndpointId;
-import org.banyanstair.model.HostId;
-import org.banyanstair.peer.EndpointUse;
-import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.routing.RetryBudget;
 
 /** The requests of this host's callers, from their arrival to their end. */
@@ -54,9 +47,7 @@
     private final EndpointChooser chooser;
     private final Map<Long, Forwarding> open = new TreeMap<>();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
-    private final Set<EndpointState> dirty = new LinkedHashSet<>();
-    private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
-    private final Map<EndpointId, EndpointUse> unreported = new TreeMap<>();
+    private final UseLedger ledger;
 
     RequestForwarder(
             Turn turn,
@@ -71,9 +62,14 @@
         this.peers = peers;
         this.desk = desk;
         this.crashes = crashes;
+        this.ledger = new UseLedger(turn, settings.identity().host(), view, peers, desk, open.values());
         this.chooser = new EndpointChooser(settings.announcement().dataCentre());
     }
 
+    UseLedger ledger() {
+        return ledger;
+    }
+
     boolean hasWaiting() {
         return open.values().stream().anyMatch(forwarding -> !forwarding.sent);
     }
@@ -248,13 +244,9 @@
                 : 0;
         forwarding.tried.add(endpoint.id());
         forwarding.cachedTokens = endpoint.prefixes().cachedTokens(request, forwarding.prefixes);
-        for (long hash : forwarding.prefixes) {
-            endpoint.prefixes().add(hash);
-            newPrefixes.computeIfAbsent(endpoint.id(), id -> new ArrayList<>()).add(hash);
-        }
+        ledger.addPrefixes(endpoint, forwarding.prefixes);
         request.adapter().ifPresent(adapter -> desk.countUse(endpoint, adapter));
-        dirty.add(endpoint);
-        refreshUse();
+        ledger.changed(endpoint);
         turn.log(DecisionRecord.of(
                 "sent",
                 "request",
@@ -296,8 +288,7 @@
             endpoint.countSpeed(
                     Duration.between(forwarding.sentAt, turn.now()).toMillis() / forwarding.predictedMilliseconds);
         }
-        dirty.add(endpoint);
-        refreshUse();
+        ledger.changed(endpoint);
     }
 
     void ended(long exchange, int attempt, AttemptResult result) {
@@ -307,8 +298,7 @@
         }
         EndpointState endpoint = forwarding.endpoint.orElseThrow();
         forwarding.sent = false;
-        dirty.add(endpoint);
-        refreshUse();
+        ledger.changed(endpoint);
         turn.log(DecisionRecord.of(
                 "attempt-ended",
                 "request",
@@ -358,10 +348,14 @@
         turn.emit(new ForwardingEffect.Deliver(forwarding.request.exchange()));
     }
 
+    private boolean hasUntried(Forwarding forwarding) {
+        return view.endpointsOf(forwarding.service.name()).stream()
+                .anyMatch(endpoint -> endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()));
+    }
+
     /** Sends a request again that may run again; returns false if limits forbid it or nothing would take it. */
     private boolean retry(Forwarding forwarding) {
-        boolean anyOther = view.endpointsOf(forwarding.service.name()).stream()
-                .anyMatch(endpoint -> endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()));
+        boolean anyOther = hasUntried(forwarding);
         if (!anyOther
                 || forwarding.runs >= forwarding.route.maximumAttempts()
                 || !turn.now().isBefore(forwarding.deadline)
@@ -422,8 +416,7 @@
     private void cancel(Forwarding forwarding) {
         if (forwarding.sent) {
             forwarding.sent = false;
-            forwarding.endpoint.ifPresent(dirty::add);
-            refreshUse();
+            forwarding.endpoint.ifPresent(ledger::changed);
             turn.emit(new ForwardingEffect.CancelAttempt(forwarding.request.exchange()));
         }
     }
@@ -468,8 +461,7 @@
 
     private void close(Forwarding forwarding) {
         open.remove(forwarding.request.exchange());
-        forwarding.endpoint.ifPresent(dirty::add);
-        refreshUse();
+        forwarding.endpoint.ifPresent(ledger::changed);
     }
 
     void tick() {
@@ -495,8 +487,7 @@
     }
 
     private void moveOn(Forwarding forwarding) {
-        boolean anyOther = view.endpointsOf(forwarding.service.name()).stream()
-                .anyMatch(endpoint -> endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()));
+        boolean anyOther = hasUntried(forwarding);
         if (anyOther && forwarding.runs + 1 < forwarding.route.maximumAttempts() && takeRetry(forwarding)) {
             forwarding.endpoint.ifPresent(endpoint -> endpoint.countOutcome(false, turn.now()));
             cancel(forwarding);
@@ -505,61 +496,4 @@
             plan(forwarding);
         }
     }
-
-    private void refreshUse() {
-        for (EndpointState endpoint : dirty) {
-            EndpointUse use = useOf(endpoint);
-            endpoint.setUse(settings.identity().host(), use);
-            unreported.put(endpoint.id(), use);
-        }
-        dirty.clear();
-    }
-
-    private EndpointUse useOf(EndpointState endpoint) {
-        int running = 0;
-        int waitingTokens = 0;
-        int cacheTokens = 0;
-        List<AdapterName> adapters = new ArrayList<>();
-        for (Forwarding forwarding : open.values()) {
-            if (forwarding.sent && forwarding.endpoint.filter(endpoint::equals).isPresent()) {
-                running++;
-                cacheTokens += forwarding.cacheTokens();
-                forwarding.request.adapter().ifPresent(adapters::add);
-                if (!forwarding.firstOutput && forwarding.service.engine().isPresent()) {
-                    waitingTokens += forwarding.ownTokens();
-                }
-            }
-        }
-        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
-    }
-
-    /** Tells peers what has changed since the last report. */
-    void report() {
-        if (unreported.isEmpty()) {
-            return;
-        }
-        List<EndpointUse> uses = unreported.values().stream()
-                .map(use -> new EndpointUse(
-                        use.endpoint(),
-                        use.running(),
-                        use.waitingTokens(),
-                        use.cacheTokens(),
-                        use.adapters(),
-                        newPrefixes.getOrDefault(use.endpoint(), List.of())))
-                .toList();
-        unreported.clear();
-        newPrefixes.clear();
-        PeerMessage message = new PeerMessage.UseReport(uses);
-        peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
-    }
-
-    /** Takes what the requests of a peer use. */
-    void reported(HostId sender, PeerMessage.UseReport message) {
-        for (EndpointUse use : message.uses()) {
-            view.endpoint(use.endpoint()).ifPresent(endpoint -> {
-                endpoint.setUse(sender, use);
-                use.adapters().forEach(adapter -> desk.countUse(endpoint, adapter));
-            });
-        }
-    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -85,7 +85,7 @@
         int count = 0;
         for (EndpointState runner : view.runners()) {
             for (AdapterPlace place : runner.adapters().values()) {
-                count += place.isReady(turn.now()) ? 0 : 1;
+                count += place.isLoading(turn.now()) ? 1 : 0;
             }
         }
         return count;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
@@ -113,6 +113,21 @@
         assertEquals(Optional.of("a2"), unload.adapter());
     }
 
+    /** Such an adapter counted for 10 s as one of the few that may be on their way to all runners. */
+    @Test
+    void adapterThatWaitsToBeUnloadedIsNotOnItsWay() {
+        LoadedAdapter[] full = {
+            new LoadedAdapter(adapter(1), 1), new LoadedAdapter(adapter(2), 1), new LoadedAdapter(adapter(3), 1)
+        };
+        begin(Set.of("base"), full);
+        step();
+        inspect(0, false, Set.of("base"), full);
+        want(4);
+        answer(command(), CommandResult.ACCEPTED);
+        assertEquals(0, commander.loading(now));
+        assertEquals(3, runner.adapters().size(), "its place stays taken");
+    }
+
     @Test
     void loadThatCanBeOnTimeGoesBeforeOneThatIsLateAnyway() {
         WantedLoad late = new WantedLoad(adapter(1), now.plusMillis(100), now.plusSeconds(3));
