--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -54,18 +54,14 @@
         return reducer.apply(event, now);
     }
 
-    /** Lets time pass in ticks and returns all effects. */
+    /** Lets time pass in ticks and returns all effects; the log answers each read of the claims. */
     List<ForwardingEffect> pass(Duration time) {
         List<ForwardingEffect> effects = new ArrayList<>();
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
             now = now.plusMillis(20);
             effects.addAll(apply(new ForwardingEvent.Tick()));
-            for (ForwardingEffect effect : List.copyOf(effects)) {
-                if (effect instanceof ForwardingEffect.ReadFrom read && read.topic() == Topic.CLAIMS) {
-                    read(Topic.CLAIMS, List.of());
-                }
-            }
+            effects.addAll(apply(new ForwardingEvent.TopicRead(Topic.CLAIMS, now, false, List.of(), offset)));
         }
         return effects;
     }
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -0,0 +1,173 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.banyanstair.model.EndpointId;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Plays a load of many rare adapters against one host and three runners, and checks what callers get. */
+class LoadTest {
+    private static final int RUNNERS = 3;
+
+    private static final int PLACES = 2;
+
+    private static final Duration RUN = Duration.ofMillis(600);
+
+    private static final Duration PATIENCE = Duration.ofSeconds(4);
+
+    private final Fixture fixture = new Fixture();
+    private final Map<EndpointId, Runner> runners = new HashMap<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
+    private final Map<Long, Instant> arrivedAt = new HashMap<>();
+    private int onTime;
+    private int late;
+    private int refused;
+    private int held;
+
+    private record Due(Instant at, ForwardingEvent event) {}
+
+    /** A runner that reads one prompt after the other and loads adapters in the usual time. */
+    private static final class Runner {
+        private final Map<AdapterName, Instant> places = new HashMap<>();
+        private int sequence;
+        private Instant freeAt = Instant.MIN;
+    }
+
+    private void begin() {
+        fixture.configure(1, Fixture.route("/x/", Fixture.SERVICE, true, false, false));
+        for (int index = 1; index <= RUNNERS; index++) {
+            String id = "runner-" + index;
+            fixture.endpoint(id, Fixture.SERVICE, false, 1);
+            fixture.fact(Topic.CLAIMS, id, new Fact.Claimed(new EndpointId(id), Fixture.HOST, true));
+            runners.put(new EndpointId(id), new Runner());
+        }
+        run(fixture.pass(Duration.ofMillis(200)));
+    }
+
+    private void run(List<ForwardingEffect> effects) {
+        for (ForwardingEffect effect : effects) {
+            if (effect instanceof ForwardingEffect.Inspect inspect) {
+                Runner runner = runners.get(inspect.endpoint());
+                List<LoadedAdapter> loaded = runner.places.keySet().stream()
+                        .map(name -> new LoadedAdapter(name, 0))
+                        .toList();
+                later(
+                        0,
+                        new ForwardingEvent.Inspected(
+                                inspect.endpoint(),
+                                Optional.of(
+                                        new RunnerState(runner.sequence, false, Set.of("base"), loaded, List.of()))));
+            } else if (effect instanceof ForwardingEffect.Command sent) {
+                later(0, new ForwardingEvent.CommandAnswered(sent.command(), take(sent.command())));
+            } else if (effect instanceof ForwardingEffect.Send send) {
+                start(send);
+            } else if (effect instanceof ForwardingEffect.Refuse refuse) {
+                refused++;
+                held += Duration.between(arrivedAt.get(refuse.exchange()), fixture.now())
+                                        .compareTo(PATIENCE)
+                                >= 0
+                        ? 1
+                        : 0;
+            }
+        }
+    }
+
+    private CommandResult take(AdapterCommand command) {
+        Runner runner = runners.get(command.endpoint());
+        assertEquals(runner.sequence, command.expectedSequence());
+        runner.sequence++;
+        AdapterName name = command.adapterName().orElseThrow();
+        if (!command.load()) {
+            runner.places.remove(name);
+            return CommandResult.DONE;
+        }
+        runner.places.put(name, fixture.now().plus(ServiceTimes.ADAPTER_LOAD));
+        assertTrue(runner.places.size() <= PLACES, "over its places");
+        return CommandResult.ACCEPTED;
+    }
+
+    private void start(ForwardingEffect.Send send) {
+        Runner runner = runners.get(send.endpoint());
+        Instant from = runner.freeAt.isAfter(fixture.now()) ? runner.freeAt : fixture.now();
+        runner.freeAt = from.plusMillis((long) (3500 / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND));
+        due.add(new Due(runner.freeAt, new ForwardingEvent.FirstOutput(send.exchange(), send.attempt())));
+        due.add(new Due(
+                runner.freeAt.plus(RUN),
+                new ForwardingEvent.AttemptEnded(send.exchange(), send.attempt(), new AttemptResult.Answered(200))));
+    }
+
+    private void later(int milliseconds, ForwardingEvent event) {
+        due.add(new Due(fixture.now().plusMillis(milliseconds), event));
+    }
+
+    private void deliver() {
+        while (!due.isEmpty() && !due.peek().at().isAfter(fixture.now())) {
+            ForwardingEvent event = due.poll().event();
+            if (event instanceof ForwardingEvent.FirstOutput output) {
+                Duration wait = Duration.between(arrivedAt.get(output.exchange()), fixture.now());
+                if (wait.compareTo(Duration.ofSeconds(1)) <= 0) {
+                    onTime++;
+                } else {
+                    late++;
+                }
+            }
+            run(fixture.apply(event));
+        }
+    }
+
+    private void play(int requestsPerSecond, int seconds, int adapters, long seed) {
+        Random random = new Random(seed);
+        int steps = seconds * 50;
+        for (int step = 0; step < steps; step++) {
+            run(fixture.pass(Duration.ofMillis(20)));
+            deliver();
+            if (random.nextInt(50) < requestsPerSecond) {
+                // The square favours low numbers, so that a few adapters get most of the requests.
+                double place = random.nextDouble();
+                AdapterName adapter = new AdapterName("base", "a" + (int) (place * place * place * adapters));
+                ForwardRequest request = fixture.request("/x/1", Optional.of(adapter), Duration.ofSeconds(6));
+                arrivedAt.put(request.exchange(), fixture.now());
+                run(fixture.apply(new ForwardingEvent.Arrived(request)));
+                deliver();
+            }
+        }
+        for (int step = 0; step < 400; step++) {
+            run(fixture.pass(Duration.ofMillis(20)));
+            deliver();
+        }
+    }
+
+    /** The users' aim for calm load: 95 of 100 within the objective. */
+    @Test
+    void calmLoadIsServedOnTime() {
+        begin();
+        play(2, 60, 12, 11);
+        List<Integer> figures = new ArrayList<>(List.of(onTime, late, refused));
+        assertTrue(onTime >= 0.95 * (onTime + late + refused), "on time, late, refused: " + figures);
+        assertEquals(arrivedAt.size(), onTime + late + refused, "each request ends once");
+    }
+
+    /** Four times what the places can carry: nobody is held until giving up, and the places stay in use. */
+    @Test
+    void overloadIsRefusedEarlyAndNotHeld() {
+        begin();
+        play(30, 30, 200, 12);
+        String figures = "on time " + onTime + ", late " + late + ", refused " + refused + ", held " + held;
+        assertEquals(0, held, figures);
+        assertTrue(refused > 0 && onTime > 0, figures);
+        assertEquals(arrivedAt.size(), onTime + late + refused, "each request ends once: " + figures);
+    }
+}
