Bound two maps and remove unused members

Found while reading the diff: suspicions of crashes were dropped only when an endpoint became unreachable, and the use of each adapter that a runner ever held was remembered for ever. Both are bounded now. Removed: EndpointState.adaptersInUse, ClaimKeeper.forget, Send.repeatable, which nothing used.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -38,6 +38,12 @@
     /** Time in which an adapter that waits for its last request before it is unloaded is not counted on. */
     private static final Duration UNLOAD_LIMIT = Duration.ofSeconds(10);
 
+    /** Adapters whose use is remembered before the negligible ones are forgotten. */
+    private static final int DEMAND_ENTRIES = 1024;
+
+    /** Use that is forgotten: that of one request seven half-lives ago. */
+    private static final double NEGLIGIBLE_DEMAND = 0.01;
+
     /** Time in which the use of an adapter counts half. */
     private static final double HALF_LIFE_MILLISECONDS = 6000;
 
@@ -73,6 +79,9 @@
 
     /** Counts requests for an adapter. */
     void countUse(AdapterName adapter, Instant now) {
+        if (demand.size() >= DEMAND_ENTRIES) {
+            demand.values().removeIf(known -> known.at(now) < NEGLIGIBLE_DEMAND);
+        }
         demand.merge(adapter, new Demand(1, now), (known, one) -> new Demand(known.at(now) + 1, now));
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -108,10 +108,6 @@
         return result;
     }
 
-    void forget(EndpointId endpoint) {
-        claims.remove(endpoint);
-    }
-
     /** Claims a runner that nobody commands, if this host ranks first for it. */
     Optional<ForwardingEffect> tick(
             Collection<EndpointState> runners, PeerTable peers, TopicFollower topic, boolean stopping, Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
@@ -35,6 +35,10 @@
     }
 
     void broken(long fingerprint, EndpointState endpoint) {
+        while (!suspicions.isEmpty()
+                && turn.now().isAfter(suspicions.peekFirst().until())) {
+            suspicions.removeFirst();
+        }
         suspicions.addLast(new Suspicion(
                 fingerprint,
                 endpoint.id(),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -2,12 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -304,11 +302,4 @@
         }
         return false;
     }
-
-    /** Returns adapters of requests that run, one entry a request. */
-    List<AdapterName> adaptersInUse() {
-        List<AdapterName> result = new ArrayList<>();
-        use.values().forEach(one -> result.addAll(one.adapters()));
-        return result;
-    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -23,7 +23,6 @@
      * @param rank urgency, 0 is the most urgent
      * @param adapterVersion version that the runner must have; empty without an adapter
      * @param resumeAfter id of the event after which a stream goes on
-     * @param repeatable whether the request may run again if this attempt fails
      */
     record Send(
             long exchange,
@@ -33,8 +32,7 @@
             Instant deadline,
             int rank,
             OptionalLong adapterVersion,
-            Optional<Long> resumeAfter,
-            boolean repeatable)
+            Optional<Long> resumeAfter)
             implements ForwardingEffect {}
 
     /** Gives the answer of the current attempt to the caller. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -273,8 +273,7 @@
                 forwarding.deadline,
                 forwarding.route.rank(),
                 place == null || place.version() == 0 ? OptionalLong.empty() : OptionalLong.of(place.version()),
-                forwarding.lastEvent,
-                forwarding.route.mayRunAgain()));
+                forwarding.lastEvent));
     }
 
     void firstOutput(long exchange, int attempt) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -135,7 +135,7 @@
             run(fixture.pass(Duration.ofMillis(20)));
             deliver();
             if (random.nextInt(50) < requestsPerSecond) {
-                // The square favours low numbers, so that a few adapters get most of the requests.
+                // The cube favours low numbers, so that a few adapters get most of the requests.
                 double place = random.nextDouble();
                 AdapterName adapter = new AdapterName("base", "a" + (int) (place * place * place * adapters));
                 ForwardRequest request = fixture.request("/x/1", Optional.of(adapter), Duration.ofSeconds(6));
