Greet before the queue is filled in a test of peers

Cause: the test's peer sent its hello only after the test had encoded 30 MB, and the host waits 0.5 s for it. Shown by a run: with 0.6 s of delay at that place the test fails in the same way; with the change it passes with that delay too. The checks, the 30 MB and the limits are the same.

--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import org.banyanstair.errors.Failure;
@@ -129,6 +131,16 @@
         }
     }
 
+    private static Socket greet(ServerSocket server) {
+        try {
+            Socket socket = server.accept();
+            socket.getOutputStream().write(HELLO);
+            return socket;
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     /** Guards against messages that stay queued, neither sent nor reported, after their connection has ended. */
     @Test
     void sendsQueuedMessagesOverNewConnection() throws Exception {
@@ -136,10 +148,11 @@
                 TestHost host = TestHost.patient("entry-1")) {
             server.setSoTimeout(5_000);
             host.addresses.put(PEER.host(), new NetworkAddress("127.0.0.1", server.getLocalPort()));
+            // The host waits half a second for the hello, which encoding the messages may take on a busy machine.
+            CompletableFuture<Socket> greeted = CompletableFuture.supplyAsync(() -> greet(server));
             // 30 MB exceed the socket buffers, but not the queue.
             IntStream.range(0, 500).forEach(number -> host.transport.send(PEER.host(), longMessage(60_000)));
-            try (Socket first = server.accept()) {
-                first.getOutputStream().write(HELLO);
+            try (Socket first = greeted.get(5, TimeUnit.SECONDS)) {
                 host.listener.awaitEvent("connected " + PEER);
                 Thread.sleep(300);
                 host.now = host.now.plusSeconds(45);
