Keep peers live between states in large meshes

Cause: a host counted as not live after 1.2 s without a message, while the time between two states grows by 10 ms for each peer: 1.03 s at 72 peers, 3.99 s at 369. One lost state (or, at 369, none) made a live peer vanish from the directory, from the ranking of hosts and from takeover decisions.

Change: the limit follows from the interval (three missing states and 0.2 s), the interval grows by 7 ms a peer up to 0.9 s, and a takeover waits at least as long as it takes to count as not live. PeerTable sends to all peers now, instead of four copies of that loop; the list of runners and the host that reads for all are no longer worked out on each tick. AdapterName, HostAnnouncement and Topic move out of forwarding, which peer messages referred to in a cycle.

Test: PeerLivenessTest fails on the old code at 72 and 369 peers ("expected 73 but was 72", "expected 370 but was 1"), passes now for 1, 8, 72 and 369.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommand.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommand.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.NetworkAddress;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.function.ToLongFunction;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.PeerMessage;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -108,6 +108,12 @@
         return result;
     }
 
+    /** A host is silent for longer than it takes to count as not live, so that the others rank alike. */
+    private static Duration takeoverSilence(PeerTable peers) {
+        Duration live = peers.liveLimit();
+        return live.compareTo(TAKEOVER_SILENCE) > 0 ? live : TAKEOVER_SILENCE;
+    }
+
     /** Claims a runner that nobody commands, if this host ranks first for it. */
     Optional<ForwardingEffect> tick(
             Collection<EndpointState> runners, PeerTable peers, TopicFollower topic, boolean stopping, Instant now) {
@@ -123,11 +129,12 @@
             return Optional.empty();
         }
         List<HostId> live = peers.live(now);
+        Duration silenceLimit = takeoverSilence(peers);
         for (EndpointState runner : runners) {
             Claim claim = claims.get(runner.id());
             boolean orphaned = claim == null
                     || !claim.host().equals(self)
-                            && peers.silence(claim.host(), now).compareTo(TAKEOVER_SILENCE) > 0;
+                            && peers.silence(claim.host(), now).compareTo(silenceLimit) > 0;
             boolean settles =
                     claim != null && claim.host().equals(self) && !claim.settled() && !now.isBefore(claim.usableAt());
             boolean takes = orphaned
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
@@ -58,9 +58,8 @@
                 history.add(suspicion.fingerprint(), suspicion.endpoint(), suspicion.started(), turn.now());
                 turn.log(DecisionRecord.important(
                         "endpoint-crashed", "endpoint", suspicion.endpoint(), "fingerprint", suspicion.fingerprint()));
-                PeerMessage message =
-                        new PeerMessage.CrashReport(suspicion.fingerprint(), suspicion.endpoint(), suspicion.started());
-                peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+                peers.sendToAll(new PeerMessage.CrashReport(
+                        suspicion.fingerprint(), suspicion.endpoint(), suspicion.started()));
             }
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.EndpointUse;
@@ -56,7 +57,6 @@
     };
     private final Set<AdapterName> waitingLoads = new HashSet<>();
     private Optional<HostId> commander = Optional.empty();
-    private Instant commanderHeardAt = Instant.MIN;
 
     EndpointState(EndpointListing listing) {
         this.listing = listing;
@@ -168,12 +168,11 @@
         return prefixes;
     }
 
-    void setCommander(HostId host, Instant now) {
+    void setCommander(HostId host) {
         commander = Optional.of(host);
-        commanderHeardAt = now;
     }
 
-    /** Returns the host that commands the runner, if it told so lately. */
+    /** Returns the host that said last that it commands the runner. */
     Optional<HostId> commander() {
         return commander;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Fact.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Fact.java
@@ -1,5 +1,7 @@
 package org.banyanstair.forwarding;
 
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/FactDecoder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/FactDecoder.java
@@ -3,6 +3,8 @@
 import java.time.Instant;
 import java.util.Optional;
 
+import org.banyanstair.platform.Topic;
+
 /** Reads what a record says; pure. */
 @FunctionalInterface
 public interface FactDecoder {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.RequestId;
 
 /**
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -8,6 +8,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
 
 /** Something that happened, with the instant on the host's steady clock at which it was noticed. */
 public sealed interface ForwardingEvent {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -7,11 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.platform.Topic;
 
 /**
  * Folds all events of a host that passes requests on to endpoints, and says what to do.
@@ -19,15 +22,9 @@
  * <p>Reads no clock and does no I/O. Not safe for use by several threads.
  */
 public final class ForwardingReducer {
-    /** Time between two messages by which peers know that this host lives, in a small deployment. */
-    private static final Duration STATE_INTERVAL = Duration.ofMillis(300);
-
     /** Time between two reports of what the requests of this host use, in a small deployment. */
     private static final Duration USE_INTERVAL = Duration.ofMillis(30);
 
-    /** Added to the interval of states for each peer, so that messages to peers stay under a hundred a second. */
-    private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(10);
-
     /** Added to the interval of use reports for each peer. */
     private static final Duration USE_INTERVAL_PER_PEER = Duration.ofMillis(4);
 
@@ -43,6 +40,9 @@
     /** Time between two such questions. */
     private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(500);
 
+    /** Time between two looks at which host reads for all; short beside the time in which a host counts as not live. */
+    private static final Duration READER_CHECK_INTERVAL = Duration.ofMillis(100);
+
     /** Longest time between two events of a process that was not held up. */
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(600);
 
@@ -59,6 +59,8 @@
     private Instant nextStateAt = Instant.MIN;
     private Instant nextReportAt = Instant.MIN;
     private Instant nextConfirmationAt = Instant.MIN;
+    private Instant nextReaderCheckAt = Instant.MIN;
+    private boolean readsForAll;
     private long confirmations;
     private boolean announced;
     private boolean stopping;
@@ -73,7 +75,7 @@
         this.settings = settings;
         HostId self = settings.identity().host();
         this.view = new PlatformView(turn, decoder);
-        this.peers = new PeerTable(settings.announcement());
+        this.peers = new PeerTable(turn, settings.announcement());
         this.claims = new ClaimKeeper(self, settings.leaseTerm());
         this.desk = new RunnerDesk(turn, self, view, peers, claims);
         this.crashes = new CrashWatch(turn, peers);
@@ -138,9 +140,8 @@
         if (event instanceof ForwardingEvent.TopicRead read) {
             List<TopicRecord> news = view.read(read, new ChangeListener());
             if (read.topic() == Topic.ENDPOINTS && !news.isEmpty() && readsForAll()) {
-                PeerMessage message = new PeerMessage.RecordsReply(
-                        read.topic(), relayed(news), view.follower(read.topic()).end(), Optional.empty(), 0);
-                peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+                peers.sendToAll(new PeerMessage.RecordsReply(
+                        read.topic(), relayed(news), view.follower(read.topic()).end(), Optional.empty(), 0));
             }
             if (read.topic() == Topic.CLAIMS) {
                 claims.read(read.startedAt());
@@ -158,8 +159,11 @@
 
     /** Returns whether this host reads the entries of endpoints for its peers, since each read is paid for. */
     private boolean readsForAll() {
-        return RendezvousHash.first(Topic.ENDPOINTS.name(), peers.live(turn.now()))
-                .equals(Optional.of(settings.identity().host()));
+        if (!turn.now().isBefore(nextReaderCheckAt)) {
+            nextReaderCheckAt = turn.now().plus(READER_CHECK_INTERVAL);
+            readsForAll = peers.isFirst(Topic.ENDPOINTS.name(), turn.now());
+        }
+        return readsForAll;
     }
 
     private static List<RelayedRecord> relayed(List<TopicRecord> records) {
@@ -300,15 +304,13 @@
         desk.tick(stopping);
         requests.tick();
         Instant now = turn.now();
-        int count = peers.size();
         if (!now.isBefore(nextReportAt)) {
-            nextReportAt = now.plus(USE_INTERVAL).plus(USE_INTERVAL_PER_PEER.multipliedBy(count));
+            nextReportAt = now.plus(USE_INTERVAL).plus(USE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
             requests.ledger().report();
         }
         if (!now.isBefore(nextStateAt)) {
-            nextStateAt = now.plus(STATE_INTERVAL).plus(STATE_INTERVAL_PER_PEER.multipliedBy(count));
-            PeerMessage message = state();
-            peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+            nextStateAt = now.plus(peers.stateInterval());
+            peers.sendToAll(state());
             forgetSilentPeers();
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 
+import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostIdentity;
 
 /**
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadedAdapter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadedAdapter.java
@@ -1,5 +1,7 @@
 package org.banyanstair.forwarding;
 
+import org.banyanstair.model.AdapterName;
+
 /**
  * An adapter version that a runner says it holds.
  *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -9,18 +9,34 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
 
 /** The other entry hosts and when they were last heard. */
 final class PeerTable {
-    /** Silence after which callers are no longer sent to a host; a few intervals between its messages. */
-    static final Duration LIVE_LIMIT = Duration.ofMillis(1200);
+    /** Shortest time between two states that a host sends to its peers; each peer hears it three times a second. */
+    private static final Duration SHORTEST_STATE_INTERVAL = Duration.ofMillis(300);
+
+    /** Share of an interval that each peer adds, so that a host sends no more than about 140 states a second. */
+    private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(7);
+
+    /** Longest such time; three of them fit into the users' limit for callers to be sent to other hosts. */
+    private static final Duration LONGEST_STATE_INTERVAL = Duration.ofMillis(900);
+
+    /** States that may be missing in a row before a host counts as not live. */
+    private static final int MISSED_STATES = 3;
+
+    /** Added to them for states that are late. */
+    private static final Duration STATE_DELAY = Duration.ofMillis(200);
 
     /** Silence after which a host is forgotten for the question whether most hosts are heard. */
     private static final Duration GONE_LIMIT = Duration.ofSeconds(30);
 
+    private final Turn turn;
     private final HostAnnouncement self;
     private final Map<HostId, Peer> peers = new TreeMap<>();
     private Instant since = Instant.MAX;
@@ -43,10 +59,27 @@
         }
     }
 
-    PeerTable(HostAnnouncement self) {
+    PeerTable(Turn turn, HostAnnouncement self) {
+        this.turn = turn;
         this.self = self;
     }
 
+    /** Sends a message to all peers. */
+    void sendToAll(PeerMessage message) {
+        peers.keySet().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+    }
+
+    /** Returns the time between two states that this host sends, which grows with the number of peers. */
+    Duration stateInterval() {
+        Duration interval = SHORTEST_STATE_INTERVAL.plus(STATE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
+        return interval.compareTo(LONGEST_STATE_INTERVAL) < 0 ? interval : LONGEST_STATE_INTERVAL;
+    }
+
+    /** Returns the silence after which callers are no longer sent to a host. */
+    Duration liveLimit() {
+        return stateInterval().multipliedBy(MISSED_STATES).plus(STATE_DELAY);
+    }
+
     /** Takes an announcement from the log or a peer; returns whether its address is news. */
     boolean announced(HostAnnouncement announcement, Instant now) {
         if (announcement.host().equals(self.host())) {
@@ -94,13 +127,18 @@
         return peers.keySet();
     }
 
+    /** Returns the host, among those that live, that does a task for all of them, such as reading a topic. */
+    boolean isFirst(String task, Instant now) {
+        return RendezvousHash.first(task, live(now)).equals(Optional.of(self.host()));
+    }
+
     int size() {
         return peers.size();
     }
 
     boolean isLive(HostId host, Instant now) {
         Peer peer = peers.get(host);
-        return peer != null && !peer.leaving && now.isBefore(plus(peer.heardAt, LIVE_LIMIT));
+        return peer != null && !peer.leaving && now.isBefore(plus(peer.heardAt, liveLimit()));
     }
 
     /** Returns this host and the peers that were heard lately and do not leave. */
@@ -128,7 +166,7 @@
         for (Map.Entry<HostId, Peer> entry : peers.entrySet()) {
             if (silence(entry.getKey(), now).compareTo(GONE_LIMIT) < 0) {
                 expected++;
-                heard += now.isBefore(plus(entry.getValue().heardAt, LIVE_LIMIT)) ? 1 : 0;
+                heard += now.isBefore(plus(entry.getValue().heardAt, liveLimit())) ? 1 : 0;
             }
         }
         return heard * 2 >= expected;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -11,8 +11,11 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.platform.Topic;
 
 /**
  * What a host believes of the configuration, the adapter versions and the endpoints, from the topics of the platform's
@@ -53,6 +56,7 @@
     private final Map<String, List<EndpointState>> byService = new HashMap<>();
     private final Map<AdapterName, NamedVersion> versions = new HashMap<>();
     private Optional<ForwardingConfiguration> configuration = Optional.empty();
+    private List<EndpointState> runners = List.of();
 
     private record NamedVersion(long version, long before, Instant namedAt) {}
 
@@ -104,13 +108,7 @@
 
     /** Returns the endpoints of services with adapters. */
     List<EndpointState> runners() {
-        List<EndpointState> result = new ArrayList<>();
-        for (EndpointState endpoint : endpoints.values()) {
-            if (capacityOf(endpoint).isPresent()) {
-                result.add(endpoint);
-            }
-        }
-        return result;
+        return runners;
     }
 
     Optional<EngineCapacity> capacityOf(EndpointState endpoint) {
@@ -226,6 +224,7 @@
             return;
         }
         configuration = Optional.of(newer);
+        group();
         turn.log(DecisionRecord.important("configuration", "version", newer.version(), "offset", offset));
     }
 
@@ -277,5 +276,8 @@
         endpoints.values().forEach(endpoint -> byService
                 .computeIfAbsent(endpoint.listing().service(), service -> new ArrayList<>())
                 .add(endpoint));
+        runners = endpoints.values().stream()
+                .filter(endpoint -> capacityOf(endpoint).isPresent())
+                .toList();
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.routing.RetryBudget;
 
 /** The requests of this host's callers, from their arrival to their end. */
@@ -62,7 +63,7 @@
         this.peers = peers;
         this.desk = desk;
         this.crashes = crashes;
-        this.ledger = new UseLedger(turn, settings.identity().host(), view, peers, desk, open.values());
+        this.ledger = new UseLedger(settings.identity().host(), view, peers, desk, open.values());
         this.chooser = new EndpointChooser(settings.announcement().dataCentre());
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -9,10 +9,12 @@
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
 
 /** The runners that this host commands, and what the commanders of the others say of them. */
 final class RunnerDesk {
@@ -63,15 +65,11 @@
             commanders.put(runner.id(), commander);
             turn.log(DecisionRecord.important("command-taken", "endpoint", runner.id(), "fence", fence));
         }
-        runner.setCommander(self, turn.now());
+        runner.setCommander(self);
         fences.put(runner.id(), fence);
         boolean mayLoad = loading() < ServiceTimes.loadsInTransit(view.runners().size());
         turn.emit(commander.step(capacity.get(), fence, view::newestVersion, mayLoad, turn.now()));
-        commander.news(fence, turn.now()).ifPresent(this::tellAll);
-    }
-
-    private void tellAll(PeerMessage message) {
-        peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+        commander.news(fence, turn.now()).ifPresent(peers::sendToAll);
     }
 
     /** Sends all that this host knows of its runners to a peer that has just come. */
@@ -171,7 +169,7 @@
         }
         EndpointState runner = known.get();
         fences.put(runner.id(), message.fence());
-        runner.setCommander(sender, turn.now());
+        runner.setCommander(sender);
         Map<AdapterName, AdapterPlace> held = new HashMap<>();
         for (HeldAdapter adapter : message.adapters()) {
             Instant readyAt = adapter.readyInMilliseconds() == 0
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.platform.Topic;
+
 /**
  * Follows a compacted topic: the newest record of each key first, then the records as they come.
  *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.EndpointUse;
@@ -14,7 +15,6 @@
 
 /** What the requests of all hosts use at the endpoints; those of this host are reported to its peers. */
 final class UseLedger {
-    private final Turn turn;
     private final HostId self;
     private final PlatformView view;
     private final PeerTable peers;
@@ -28,9 +28,7 @@
      *
      * @param open the requests of this host, as they are at each call
      */
-    UseLedger(
-            Turn turn, HostId self, PlatformView view, PeerTable peers, RunnerDesk desk, Collection<Forwarding> open) {
-        this.turn = turn;
+    UseLedger(HostId self, PlatformView view, PeerTable peers, RunnerDesk desk, Collection<Forwarding> open) {
         this.self = self;
         this.view = view;
         this.peers = peers;
@@ -87,8 +85,7 @@
                 .toList();
         unreported.clear();
         newPrefixes.clear();
-        PeerMessage message = new PeerMessage.UseReport(uses);
-        peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+        peers.sendToAll(new PeerMessage.UseReport(uses));
     }
 
     /** Takes what the requests of a peer use. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/WantedLoad.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/WantedLoad.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 
+import org.banyanstair.model.AdapterName;
+
 /**
  * An adapter that requests wait for.
  *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/HostAnnouncement.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.membership;
 
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterName.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/AdapterName.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.model;
 
 import java.util.Objects;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.banyanstair.forwarding.AdapterName;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 
 /**
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
@@ -1,6 +1,6 @@
 package org.banyanstair.peer;
 
-import org.banyanstair.forwarding.AdapterName;
+import org.banyanstair.model.AdapterName;
 
 /**
  * An adapter of a runner, as the host that commands the runner knows it.
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -9,13 +9,12 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.errors.Failure;
-import org.banyanstair.forwarding.AdapterName;
-import org.banyanstair.forwarding.HostAnnouncement;
-import org.banyanstair.forwarding.Topic;
 import org.banyanstair.idempotency.AttemptId;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.idempotency.CallKey;
 import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.EndpointId;
@@ -26,6 +25,7 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.Ownership;
 import org.banyanstair.platform.ServiceCall;
+import org.banyanstair.platform.Topic;
 
 /** A message from one entry host to another. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Topic.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/platform/Topic.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.platform;
 
 /** A compacted topic of the platform's log that hosts follow. */
 public enum Topic {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
@@ -13,10 +13,12 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -79,7 +81,7 @@
         SimulatedHost(int index) {
             this.index = index;
             this.keeper = new ClaimKeeper(announcement(index).host(), LEASE_TERM);
-            this.peers = new PeerTable(announcement(index));
+            this.peers = new PeerTable(new Turn(), announcement(index));
             for (int other = 1; other <= HOSTS; other++) {
                 peers.announced(announcement(other), start);
             }
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -0,0 +1,91 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.PeerMessage;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Callers are sent to all hosts that live, and soon to none that does not, whatever the number of hosts. */
+class PeerLivenessTest {
+    /** Time after which the users' platform counts callers sent to a host that has gone as failures. */
+    private static final Duration CONTACT_LIMIT = Duration.ofMillis(4000);
+
+    private static HostAnnouncement peer(int number) {
+        return new HostAnnouncement(
+                new HostId("peer-" + number),
+                1,
+                NetworkAddress.parse("10.1." + number / 250 + "." + (1 + number % 250) + ":80"),
+                NetworkAddress.parse("10.2." + number / 250 + "." + (1 + number % 250) + ":81"),
+                "east");
+    }
+
+    private static PeerMessage state(int number, boolean leaving) {
+        return new PeerMessage.HostState(peer(number), leaving, 0, 0);
+    }
+
+    private static void send(Fixture fixture, int number) {
+        fixture.apply(
+                new ForwardingEvent.PeerReceived(new HostIdentity(peer(number).host(), 1), state(number, false)));
+    }
+
+    private static Fixture withPeers(int peers) {
+        Fixture fixture = new Fixture();
+        IntStream.range(0, peers).forEach(number -> send(fixture, number));
+        return fixture;
+    }
+
+    /** Returns the longest time between two states that a host sends to one of its peers. */
+    private static Duration longestInterval(int peers) {
+        Fixture fixture = withPeers(peers);
+        List<Instant> sentAt = new ArrayList<>();
+        for (int step = 0; step < 500; step++) {
+            boolean sent = Fixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.ToPeer.class).stream()
+                    .anyMatch(effect ->
+                            effect.peer().equals(peer(0).host()) && effect.message() instanceof PeerMessage.HostState);
+            if (sent) {
+                sentAt.add(fixture.now());
+            }
+        }
+        return IntStream.range(1, sentAt.size())
+                .mapToObj(index -> Duration.between(sentAt.get(index - 1), sentAt.get(index)))
+                .max(Duration::compareTo)
+                .orElseThrow();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8, 72, 369})
+    void peerWhoseStateIsLostOnceStaysLive(int peers) {
+        Duration interval = longestInterval(peers);
+        Fixture fixture = withPeers(peers);
+        for (int round = 0; round < 10; round++) {
+            fixture.pass(interval);
+            assertEquals(
+                    peers + 1, fixture.reducer().callerAddresses(fixture.now()).size(), "round " + round);
+            boolean lost = round % 2 == 0;
+            IntStream.range(lost ? 1 : 0, peers).forEach(number -> send(fixture, number));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8, 72, 369})
+    void silentPeerIsNamedToCallersNoLonger(int peers) {
+        Fixture fixture = withPeers(peers);
+        for (Duration passed = Duration.ZERO; passed.compareTo(CONTACT_LIMIT) < 0; passed = passed.plusMillis(200)) {
+            fixture.pass(Duration.ofMillis(200));
+            IntStream.range(1, peers).forEach(number -> send(fixture, number));
+        }
+        assertTrue(fixture.reducer().callerAddresses(fixture.now()).stream().noneMatch(peer(0).callers()::equals));
+    }
+}
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -10,11 +10,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -267,9 +269,7 @@
     }
 
     private void command(AdapterCommand command) {
-        WholeAnswer.request(
-                connections,
-                loop,
+        ask(
                 command.address(),
                 protocols.endpoints().command(command),
                 COMMAND_LIMIT,
@@ -279,9 +279,7 @@
     }
 
     private void inspect(ForwardingEffect.Inspect inspect) {
-        WholeAnswer.request(
-                connections,
-                loop,
+        ask(
                 inspect.address(),
                 protocols.endpoints().inspection(inspect),
                 INSPECTION_LIMIT,
@@ -289,6 +287,14 @@
                         inspect.endpoint(), answer.flatMap(protocols.endpoints()::runnerState))));
     }
 
+    private void ask(
+            NetworkAddress address,
+            FullHttpRequest request,
+            Duration limit,
+            Consumer<Optional<FullHttpResponse>> handler) {
+        WholeAnswer.request(connections, loop, address, request, limit, handler);
+    }
+
     private final class ShellOfDaemon implements Shell {
         @Override
         public void submit(ForwardingEvent event) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
@@ -5,15 +5,18 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import org.banyanstair.forwarder.LogProtocol;
 import org.banyanstair.forwarder.TopicPage;
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.ForwardingEvent;
-import org.banyanstair.forwarding.Topic;
 import org.banyanstair.forwarding.TopicRecord;
+import org.banyanstair.platform.Topic;
 import org.tinylog.Logger;
 
 /** Carries out reads of topics and appends to them. Used on the thread of the connections only. */
@@ -48,29 +51,23 @@
 
     private void readPage(
             Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long knownEnd) {
-        WholeAnswer.request(
-                shell.connections(),
-                loop,
-                protocol.address(),
-                protocol.readNewest(topic, after),
-                ANSWER_LIMIT,
-                answer -> {
-                    Optional<TopicPage.Records> page = answer.map(protocol::newest)
-                            .filter(TopicPage.Records.class::isInstance)
-                            .map(TopicPage.Records.class::cast);
-                    if (page.isEmpty()) {
-                        unavailable(topic, answer);
-                        return;
-                    }
-                    records.addAll(page.get().records());
-                    // Pages are no snapshot: what was appended after the first page is read again from there.
-                    long end = Math.min(knownEnd, page.get().end());
-                    if (page.get().continueAfter().isPresent()) {
-                        readPage(topic, startedAt, page.get().continueAfter(), records, end);
-                    } else {
-                        shell.submit(new ForwardingEvent.TopicRead(topic, startedAt, true, records, end));
-                    }
-                });
+        ask(protocol.readNewest(topic, after), ANSWER_LIMIT, answer -> {
+            Optional<TopicPage.Records> page = answer.map(protocol::newest)
+                    .filter(TopicPage.Records.class::isInstance)
+                    .map(TopicPage.Records.class::cast);
+            if (page.isEmpty()) {
+                unavailable(topic, answer);
+                return;
+            }
+            records.addAll(page.get().records());
+            // Pages are no snapshot: what was appended after the first page is read again from there.
+            long end = Math.min(knownEnd, page.get().end());
+            if (page.get().continueAfter().isPresent()) {
+                readPage(topic, startedAt, page.get().continueAfter(), records, end);
+            } else {
+                shell.submit(new ForwardingEvent.TopicRead(topic, startedAt, true, records, end));
+            }
+        });
     }
 
     /**
@@ -81,23 +78,21 @@
     public void readFrom(ForwardingEffect.ReadFrom read) {
         Instant startedAt = shell.now();
         Duration wait = Duration.between(startedAt, read.waitUntil());
-        WholeAnswer.request(
-                shell.connections(),
-                loop,
-                protocol.address(),
-                protocol.readFrom(read.topic(), read.offset(), wait),
-                wait.plus(ANSWER_LIMIT),
-                answer -> {
-                    Optional<TopicPage> page = answer.map(response -> protocol.records(response, read.offset()));
-                    if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
-                        shell.submit(new ForwardingEvent.TopicRead(
-                                read.topic(), startedAt, false, found.records(), found.end()));
-                    } else if (page.isPresent() && page.get() instanceof TopicPage.Expired) {
-                        shell.submit(new ForwardingEvent.TopicExpired(read.topic()));
-                    } else {
-                        unavailable(read.topic(), answer);
-                    }
-                });
+        ask(protocol.readFrom(read.topic(), read.offset(), wait), wait.plus(ANSWER_LIMIT), answer -> {
+            Optional<TopicPage> page = answer.map(response -> protocol.records(response, read.offset()));
+            if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
+                shell.submit(
+                        new ForwardingEvent.TopicRead(read.topic(), startedAt, false, found.records(), found.end()));
+            } else if (page.isPresent() && page.get() instanceof TopicPage.Expired) {
+                shell.submit(new ForwardingEvent.TopicExpired(read.topic()));
+            } else {
+                unavailable(read.topic(), answer);
+            }
+        });
+    }
+
+    private void ask(FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> handler) {
+        WholeAnswer.request(shell.connections(), loop, protocol.address(), request, limit, handler);
     }
 
     private void unavailable(Topic topic, Optional<FullHttpResponse> answer) {
@@ -114,17 +109,11 @@
      * @param append what to append
      */
     public void append(ForwardingEffect.AppendClaim append) {
-        WholeAnswer.request(
-                shell.connections(),
-                loop,
-                protocol.address(),
-                protocol.appendClaim(append.claim(), append.expectedEnd()),
-                ANSWER_LIMIT,
-                answer -> {
-                    if (answer.isPresent()) {
-                        shell.submit(new ForwardingEvent.Appended(Topic.CLAIMS));
-                    }
-                });
+        ask(protocol.appendClaim(append.claim(), append.expectedEnd()), ANSWER_LIMIT, answer -> {
+            if (answer.isPresent()) {
+                shell.submit(new ForwardingEvent.Appended(Topic.CLAIMS));
+            }
+        });
     }
 
     /**
@@ -133,18 +122,12 @@
      * @param append what to append
      */
     public void append(ForwardingEffect.AppendAnnouncement append) {
-        WholeAnswer.request(
-                shell.connections(),
-                loop,
-                protocol.address(),
-                protocol.appendAnnouncement(append.announcement()),
-                ANSWER_LIMIT,
-                answer -> {
-                    boolean done = answer.filter(response -> response.status().code() == 200)
-                            .isPresent();
-                    if (!done) {
-                        loop.schedule(() -> append(append), 1, java.util.concurrent.TimeUnit.SECONDS);
-                    }
-                });
+        ask(protocol.appendAnnouncement(append.announcement()), ANSWER_LIMIT, answer -> {
+            boolean done =
+                    answer.filter(response -> response.status().code() == 200).isPresent();
+            if (!done) {
+                loop.schedule(() -> append(append), 1, TimeUnit.SECONDS);
+            }
+        });
     }
 }
