--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -114,7 +114,7 @@
         return live.compareTo(TAKEOVER_SILENCE) > 0 ? live : TAKEOVER_SILENCE;
     }
 
-    /** Claims a runner that nobody commands, if this host ranks first for it. */
+    /** Assigns a runner that nobody commands, or settles the claim of one that this host took over. */
     Optional<ForwardingEffect> tick(
             Collection<EndpointState> runners, PeerTable peers, TopicFollower topic, boolean stopping, Instant now) {
         if (startedAt.equals(Instant.MAX)) {
@@ -129,6 +129,7 @@
             return Optional.empty();
         }
         List<HostId> live = peers.live(now);
+        boolean appendsForAll = peers.firstAtLog(true, now).equals(Optional.of(self));
         Duration silenceLimit = takeoverSilence(peers);
         for (EndpointState runner : runners) {
             Claim claim = claims.get(runner.id());
@@ -137,12 +138,14 @@
                             && peers.silence(claim.host(), now).compareTo(silenceLimit) > 0;
             boolean settles =
                     claim != null && claim.host().equals(self) && !claim.settled() && !now.isBefore(claim.usableAt());
-            boolean takes = orphaned
-                    && runner.takesRequests(now)
-                    && RendezvousHash.first(runner.id().value(), live).equals(Optional.of(self));
-            if (settles || takes) {
+            // One host appends for all, since appends at the same time would refuse each other.
+            boolean assigns = orphaned && appendsForAll && runner.takesRequests(now);
+            if (settles || assigns) {
                 appendingUntil = now.plus(APPEND_LIMIT);
-                Fact.Claimed fact = new Fact.Claimed(runner.id(), self, settles || claim == null);
+                HostId host = settles
+                        ? self
+                        : RendezvousHash.first(runner.id().value(), live).orElse(self);
+                Fact.Claimed fact = new Fact.Claimed(runner.id(), host, settles || claim == null);
                 return Optional.of(new ForwardingEffect.AppendClaim(fact, topic.end()));
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
@@ -15,15 +15,15 @@
     private static final Duration SIGN_LIMIT = Duration.ofSeconds(4);
 
     private final Turn turn;
-    private final PeerTable peers;
+    private final PeerMail mail;
     private final CrashHistory history = new CrashHistory();
     private final Deque<Suspicion> suspicions = new ArrayDeque<>();
 
     private record Suspicion(long fingerprint, EndpointId endpoint, long started, Instant until) {}
 
-    CrashWatch(Turn turn, PeerTable peers) {
+    CrashWatch(Turn turn, PeerMail mail) {
         this.turn = turn;
-        this.peers = peers;
+        this.mail = mail;
     }
 
     boolean isRefused(long fingerprint) {
@@ -58,7 +58,7 @@
                 history.add(suspicion.fingerprint(), suspicion.endpoint(), suspicion.started(), turn.now());
                 turn.log(DecisionRecord.important(
                         "endpoint-crashed", "endpoint", suspicion.endpoint(), "fingerprint", suspicion.fingerprint()));
-                peers.sendToAll(new PeerMessage.CrashReport(
+                mail.sendToAll(new PeerMessage.CrashReport(
                         suspicion.fingerprint(), suspicion.endpoint(), suspicion.started()));
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -74,6 +74,9 @@
     /** Keeps a connection to a peer. */
     record Watch(HostId peer) implements ForwardingEffect {}
 
+    /** Keeps a connection to a peer no longer. */
+    record Unwatch(HostId peer) implements ForwardingEffect {}
+
     /** Sends a message to a peer. */
     record ToPeer(HostId peer, PeerMessage message) implements ForwardingEffect {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -11,7 +11,6 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
 import org.banyanstair.platform.Topic;
@@ -37,6 +36,9 @@
     /** Age of the last known read of the claims at which a host asks its peers; above the wait of the one that reads. */
     private static final Duration CLAIMS_AGE = Duration.ofMillis(1500);
 
+    /** The same age in a large deployment, where such questions meet at one host; half of the time that a claim counts. */
+    private static final Duration CLAIMS_AGE_OVER_RELAYS = Duration.ofMillis(4000);
+
     /** Time between two such questions. */
     private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(500);
 
@@ -50,6 +52,7 @@
     private final ForwardingSettings settings;
     private final PlatformView view;
     private final PeerTable peers;
+    private final PeerMail mail;
     private final ClaimKeeper claims;
     private final RunnerDesk desk;
     private final CrashWatch crashes;
@@ -75,11 +78,12 @@
         this.settings = settings;
         HostId self = settings.identity().host();
         this.view = new PlatformView(turn, decoder);
-        this.peers = new PeerTable(turn, settings.announcement());
+        this.peers = new PeerTable(settings.announcement());
+        this.mail = new PeerMail(turn, settings, peers);
         this.claims = new ClaimKeeper(self, settings.leaseTerm());
-        this.desk = new RunnerDesk(turn, self, view, peers, claims);
-        this.crashes = new CrashWatch(turn, peers);
-        this.requests = new RequestForwarder(turn, settings, view, peers, desk, crashes);
+        this.desk = new RunnerDesk(turn, self, view, peers, mail, claims);
+        this.crashes = new CrashWatch(turn, mail);
+        this.requests = new RequestForwarder(turn, settings, view, peers, mail, desk, crashes);
     }
 
     /**
@@ -138,10 +142,19 @@
 
     private void applyToPlatform(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.TopicRead read) {
+            TopicFollower follower = view.follower(read.topic());
+            long before = Math.max(0, follower.end());
             List<TopicRecord> news = view.read(read, new ChangeListener());
-            if (read.topic() == Topic.ENDPOINTS && !news.isEmpty() && readsForAll()) {
-                peers.sendToAll(new PeerMessage.RecordsReply(
-                        read.topic(), relayed(news), view.follower(read.topic()).end(), Optional.empty(), 0));
+            boolean othersDoNotRead = read.topic() == Topic.ENDPOINTS || peers.isLarge();
+            if (othersDoNotRead && !news.isEmpty() && readsForAll()) {
+                mail.sendToAll(new PeerMessage.RecordsReply(
+                        read.topic(),
+                        before,
+                        relayed(news),
+                        follower.end(),
+                        follower.isRecovering(turn.now()),
+                        Optional.empty(),
+                        0));
             }
             if (read.topic() == Topic.CLAIMS) {
                 claims.read(read.startedAt());
@@ -157,11 +170,16 @@
         }
     }
 
+    private boolean reachesLog() {
+        return view.follower(Topic.ENDPOINTS).isAvailable();
+    }
+
     /** Returns whether this host reads the entries of endpoints for its peers, since each read is paid for. */
     private boolean readsForAll() {
         if (!turn.now().isBefore(nextReaderCheckAt)) {
             nextReaderCheckAt = turn.now().plus(READER_CHECK_INTERVAL);
-            readsForAll = peers.isFirst(Topic.ENDPOINTS.name(), turn.now());
+            readsForAll = peers.firstAtLog(reachesLog(), turn.now())
+                    .equals(Optional.of(settings.identity().host()));
         }
         return readsForAll;
     }
@@ -181,10 +199,13 @@
             HostId host = connected.peer().host();
             turn.log(DecisionRecord.important("peer-connected", "peer", connected.peer()));
             turn.emit(new ForwardingEffect.ToPeer(host, state()));
-            desk.introduce(host);
+            if (!peers.isLarge()) {
+                desk.introduce(host);
+            }
         } else if (event instanceof ForwardingEvent.PeerUnreachable unreachable) {
             turn.log(DecisionRecord.important("peer-unreachable", "peer", unreachable.peer()));
         } else if (event instanceof ForwardingEvent.PeerReceived received) {
+            mail.heard(received.sender().host());
             received(received.sender().host(), received.message());
         }
     }
@@ -196,6 +217,15 @@
             peers.state(state, turn.now());
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
+        } else if (message instanceof PeerMessage.Bundle bundle) {
+            mail.received(sender, bundle).forEach(news -> news.messages()
+                    .forEach(each -> received(news.origin().host(), each)));
+        } else if (message instanceof PeerMessage.Routed routed) {
+            if (routed.target().equals(settings.identity().host())) {
+                received(routed.origin().host(), routed.message());
+            } else {
+                mail.passOn(routed);
+            }
         } else if (message instanceof PeerMessage.UseReport report) {
             requests.ledger().reported(sender, report);
         } else if (message instanceof PeerMessage.HeldRunner held) {
@@ -207,22 +237,18 @@
             TopicFollower follower = view.follower(request.topic());
             List<RelayedRecord> records = relayed(follower.recordsFrom(request.offset()));
             Duration age = follower.age(turn.now()).orElse(ClaimKeeper.VALIDITY);
-            turn.emit(new ForwardingEffect.ToPeer(
+            mail.send(
                     sender,
                     new PeerMessage.RecordsReply(
                             request.topic(),
+                            request.offset(),
                             records,
                             follower.end(),
+                            follower.isRecovering(turn.now()),
                             Optional.of(request.askedAtMilliseconds()),
-                            age.toMillis() + 1)));
+                            age.toMillis() + 1));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
-            List<TopicRecord> records = reply.records().stream()
-                    .map(entry -> new TopicRecord(
-                            entry.key(),
-                            entry.removed() ? Optional.empty() : Optional.of(entry.value()),
-                            entry.offset()))
-                    .toList();
-            view.relayed(reply.topic(), records, reply.end(), sender, new ChangeListener());
+            view.relayed(reply, sender, new ChangeListener());
             if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
                 // The peer's read began that long before it answered, which was after this host asked.
                 claims.read(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
@@ -244,9 +270,8 @@
         }
         Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
         if (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY))) {
-            turn.emit(new ForwardingEffect.ToPeer(
-                    peer,
-                    new PeerMessage.RecordsRequest(topic, Math.max(0, follower.end()), milliseconds(turn.now()))));
+            mail.send(
+                    peer, new PeerMessage.RecordsRequest(topic, Math.max(0, follower.end()), milliseconds(turn.now())));
             behindSince.put(topic, turn.now());
         }
     }
@@ -254,23 +279,23 @@
     /** Has a peer confirm that no other host has taken a runner over, when this host cannot read the claims itself. */
     private void confirmClaims() {
         TopicFollower follower = view.follower(Topic.CLAIMS);
-        follower.setWait(readsForAll() ? PlatformView.CLAIMS_WAIT_FOR_ALL : PlatformView.CLAIMS_WAIT);
+        Duration limit = peers.isLarge() ? CLAIMS_AGE_OVER_RELAYS : CLAIMS_AGE;
         boolean needed = !claims.own().isEmpty()
                 && follower.isKnown()
-                && claims.age(turn.now()).compareTo(CLAIMS_AGE) > 0;
+                && claims.age(turn.now()).compareTo(limit) > 0;
         if (needed && !turn.now().isBefore(nextConfirmationAt)) {
             nextConfirmationAt = turn.now().plus(CONFIRMATION_INTERVAL);
             List<HostId> live = peers.live(turn.now());
             // Every second time another peer, since the one that reads for all may not reach the log either.
             confirmations++;
             HostId peer = confirmations % 2 == 1
-                    ? RendezvousHash.first(Topic.ENDPOINTS.name(), live).orElseThrow()
+                    ? peers.firstAtLog(reachesLog(), turn.now()).orElse(live.get(0))
                     : live.get((int) (confirmations / 2 % live.size()));
             if (!peer.equals(settings.identity().host())) {
-                turn.emit(new ForwardingEffect.ToPeer(
+                mail.send(
                         peer,
                         new PeerMessage.RecordsRequest(
-                                Topic.CLAIMS, Math.max(0, follower.end()), milliseconds(turn.now()))));
+                                Topic.CLAIMS, Math.max(0, follower.end()), milliseconds(turn.now())));
             }
         }
     }
@@ -281,8 +306,9 @@
 
     private void announced(HostAnnouncement announcement) {
         if (peers.announced(announcement, turn.now())) {
-            turn.emit(new ForwardingEffect.Watch(announcement.host()));
-            turn.emit(new ForwardingEffect.ToPeer(announcement.host(), state()));
+            if (!peers.isLarge()) {
+                turn.emit(new ForwardingEffect.ToPeer(announcement.host(), state()));
+            }
         }
     }
 
@@ -290,11 +316,13 @@
         return new PeerMessage.HostState(
                 settings.announcement(),
                 stopping,
+                reachesLog(),
                 view.follower(Topic.CONFIGURATION).end(),
                 view.follower(Topic.ENDPOINTS).end());
     }
 
     private void tick() {
+        view.setPace(peers.isLarge(), readsForAll());
         view.tick();
         if (!announced && view.follower(Topic.HOSTS).isKnown()) {
             announced = true;
@@ -305,14 +333,18 @@
         requests.tick();
         Instant now = turn.now();
         if (!now.isBefore(nextReportAt)) {
-            nextReportAt = now.plus(USE_INTERVAL).plus(USE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
+            nextReportAt = now.plus(
+                    peers.isLarge()
+                            ? PeerMail.BUNDLE_INTERVAL
+                            : USE_INTERVAL.plus(USE_INTERVAL_PER_PEER.multipliedBy(peers.size())));
             requests.ledger().report();
         }
         if (!now.isBefore(nextStateAt)) {
             nextStateAt = now.plus(peers.stateInterval());
-            peers.sendToAll(state());
+            mail.sendToAll(state());
             forgetSilentPeers();
         }
+        mail.tick();
     }
 
     private void forgetSilentPeers() {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -21,11 +21,14 @@
     /** Shortest time between two states that a host sends to its peers; each peer hears it three times a second. */
     private static final Duration SHORTEST_STATE_INTERVAL = Duration.ofMillis(300);
 
-    /** Share of an interval that each peer adds, so that a host sends no more than about 140 states a second. */
+    /** Added to it for each peer, so that a host sends no more than about forty states a second. */
     private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(7);
 
-    /** Longest such time; three of them fit into the users' limit for callers to be sent to other hosts. */
-    private static final Duration LONGEST_STATE_INTERVAL = Duration.ofMillis(900);
+    /** The same time over relays; a new relay is found between two of them. */
+    private static final Duration RELAYED_STATE_INTERVAL = Duration.ofMillis(500);
+
+    /** Peers up to which each host sends to each; beyond, messages go over relays. */
+    private static final int DIRECT_LIMIT = 16;
 
     /** States that may be missing in a row before a host counts as not live. */
     private static final int MISSED_STATES = 3;
@@ -36,7 +39,9 @@
     /** Silence after which a host is forgotten for the question whether most hosts are heard. */
     private static final Duration GONE_LIMIT = Duration.ofSeconds(30);
 
-    private final Turn turn;
+    /** Name by which hosts are ranked for the use of the log. */
+    private static final String LOG_TASK = "log";
+
     private final HostAnnouncement self;
     private final Map<HostId, Peer> peers = new TreeMap<>();
     private Instant since = Instant.MAX;
@@ -47,6 +52,7 @@
         private Instant heardAt = Instant.MIN;
         private Instant knownSince;
         private boolean leaving;
+        private boolean reachesLog;
         private long configurationOffset = -1;
         private long endpointsOffset = -1;
 
@@ -59,20 +65,20 @@
         }
     }
 
-    PeerTable(Turn turn, HostAnnouncement self) {
-        this.turn = turn;
+    PeerTable(HostAnnouncement self) {
         this.self = self;
     }
 
-    /** Sends a message to all peers. */
-    void sendToAll(PeerMessage message) {
-        peers.keySet().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+    /** Returns whether there are too many hosts for each to send to each. */
+    boolean isLarge() {
+        return peers.size() > DIRECT_LIMIT;
     }
 
     /** Returns the time between two states that this host sends, which grows with the number of peers. */
     Duration stateInterval() {
-        Duration interval = SHORTEST_STATE_INTERVAL.plus(STATE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
-        return interval.compareTo(LONGEST_STATE_INTERVAL) < 0 ? interval : LONGEST_STATE_INTERVAL;
+        return isLarge()
+                ? RELAYED_STATE_INTERVAL
+                : SHORTEST_STATE_INTERVAL.plus(STATE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
     }
 
     /** Returns the silence after which callers are no longer sent to a host. */
@@ -114,6 +120,7 @@
                 && peer.announcement.incarnation() == state.announcement().incarnation()) {
             peer.heardAt = now;
             peer.leaving = state.leaving();
+            peer.reachesLog = state.reachesLog();
             peer.configurationOffset = state.configurationOffset();
             peer.endpointsOffset = state.endpointsOffset();
         }
@@ -127,9 +134,26 @@
         return peers.keySet();
     }
 
-    /** Returns the host, among those that live, that does a task for all of them, such as reading a topic. */
-    boolean isFirst(String task, Instant now) {
-        return RendezvousHash.first(task, live(now)).equals(Optional.of(self.host()));
+    /** Returns the peers that have been heard of lately. */
+    List<HostAnnouncement> present(Instant now) {
+        return peers.entrySet().stream()
+                .filter(entry -> silence(entry.getKey(), now).compareTo(GONE_LIMIT) < 0)
+                .map(entry -> entry.getValue().announcement)
+                .toList();
+    }
+
+    /** Returns whether a peer lives or is so new that it may not have been heard yet. */
+    boolean mayLive(HostId host, Instant now) {
+        Peer peer = peers.get(host);
+        return peer != null && !peer.leaving && silence(host, now).compareTo(liveLimit()) < 0;
+    }
+
+    /** Returns the host that uses the log for all, among those that live and reach it. */
+    Optional<HostId> firstAtLog(boolean selfReachesLog, Instant now) {
+        List<HostId> hosts = live(now).stream()
+                .filter(host -> host.equals(self.host()) ? selfReachesLog : peers.get(host).reachesLog)
+                .toList();
+        return RendezvousHash.first(LOG_TASK, hosts);
     }
 
     int size() {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -15,6 +15,7 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.platform.Topic;
 
 /**
@@ -23,13 +24,13 @@
  */
 final class PlatformView {
     /** Time that a read of the configuration waits for a change. */
-    private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(6);
+    static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(6);
 
     /** Time that a read of the entries of endpoints waits for a change. */
-    private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
+    static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
 
     /** Time in which changes of endpoints are gathered, since each read is paid for; a part of the draining limit. */
-    private static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
+    static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
 
     /** Time that a read of the claims waits; two of them and an answer fit into the time that a claim counts. */
     static final Duration CLAIMS_WAIT = Duration.ofMillis(3000);
@@ -40,8 +41,11 @@
      */
     static final Duration CLAIMS_WAIT_FOR_ALL = Duration.ofMillis(900);
 
+    /** Time between reads of a topic that another host reads for this one; each read is paid for. */
+    private static final Duration POLLING_INTERVAL = Duration.ofSeconds(15);
+
     /** Time that a read of the announcements of hosts waits. */
-    private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
+    static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
 
     /** Time after an outage in which the entries of live endpoints come back; from the users' protocol. */
     private static final Duration ENTRY_RETURN = Duration.ofMillis(2000);
@@ -86,6 +90,24 @@
         followers.put(follower.topic(), follower);
     }
 
+    /**
+     * Lets one host of a large deployment wait for records for all; the others look now and then whether they heard all.
+     *
+     * @param large whether there are many hosts
+     * @param readsForAll whether this host is that one
+     */
+    void setPace(boolean large, boolean readsForAll) {
+        if (large && !readsForAll) {
+            followers.values().forEach(follower -> follower.setPace(Duration.ZERO, POLLING_INTERVAL, turn.now()));
+            return;
+        }
+        Duration claimsWait = readsForAll ? CLAIMS_WAIT_FOR_ALL : CLAIMS_WAIT;
+        followers.get(Topic.CONFIGURATION).setPace(CONFIGURATION_WAIT, Duration.ZERO, turn.now());
+        followers.get(Topic.ENDPOINTS).setPace(ENDPOINTS_WAIT, ENDPOINTS_GAP, turn.now());
+        followers.get(Topic.CLAIMS).setPace(claimsWait, Duration.ZERO, turn.now());
+        followers.get(Topic.HOSTS).setPace(HOSTS_WAIT, Duration.ZERO, turn.now());
+    }
+
     TopicFollower follower(Topic topic) {
         return followers.get(topic);
     }
@@ -156,11 +178,20 @@
         return news;
     }
 
-    void relayed(Topic topic, List<TopicRecord> records, long end, HostId from, Listener listener) {
-        List<TopicRecord> news = followers.get(topic).relayed(records, end, turn.now());
+    void relayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
+        Topic topic = message.topic();
+        TopicFollower follower = followers.get(topic);
+        if (message.afterOutage()) {
+            follower.noteOutage(turn.now());
+        }
+        List<TopicRecord> records = message.records().stream()
+                .map(entry -> new TopicRecord(
+                        entry.key(), entry.removed() ? Optional.empty() : Optional.of(entry.value()), entry.offset()))
+                .toList();
+        List<TopicRecord> news = follower.relayed(message.offset(), records, message.end(), turn.now());
         if (!news.isEmpty()) {
             turn.log(DecisionRecord.of(
-                    "topic-relayed", "topic", topic, "from", from, "records", news.size(), "end", end));
+                    "topic-relayed", "topic", topic, "from", from, "records", news.size(), "end", message.end()));
             take(topic, news, listener);
         }
     }
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -0,0 +1,133 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.HostId;
+import org.banyanstair.ownership.RendezvousHash;
+
+/**
+ * Divides the hosts of a large deployment into groups within data centres, each with one host that relays messages.
+ *
+ * <p>Hosts need not agree: a host relays whatever it is asked to, so a difference costs a message and loses none.
+ */
+final class RelayGroups {
+    /** Members of a group; near the square root of the number of hosts, where the load of a relay is least. */
+    private static final int GROUP_SIZE = 9;
+
+    /** Silence of a relay after which another one is chosen: three of its intervals between messages. */
+    private static final Duration SILENCE_LIMIT = Duration.ofMillis(600);
+
+    /** Time for which a silent relay is not chosen again; by then it is heard again or counts as not live. */
+    private static final Duration SUSPICION = Duration.ofSeconds(3);
+
+    private final HostAnnouncement self;
+    private final PeerTable peers;
+    private final Map<HostId, String> groupOf = new HashMap<>();
+    private final Map<String, List<HostId>> members = new TreeMap<>();
+    private final Map<String, Relay> relays = new HashMap<>();
+    private final Map<HostId, Instant> heardAt = new HashMap<>();
+    private final Map<HostId, Instant> suspectedUntil = new HashMap<>();
+
+    private record Relay(HostId host, Instant since) {}
+
+    RelayGroups(HostAnnouncement self, PeerTable peers) {
+        this.self = self;
+        this.peers = peers;
+    }
+
+    /** A message came from a host itself, over no relay. */
+    void heard(HostId host, Instant now) {
+        heardAt.put(host, now);
+    }
+
+    /** Divides the hosts that are known now and chooses the relays. */
+    void refresh(Instant now) {
+        Map<String, Integer> sizes = new HashMap<>();
+        List<HostAnnouncement> hosts = new ArrayList<>(peers.present(now));
+        hosts.add(self);
+        hosts.forEach(host -> sizes.merge(host.dataCentre(), 1, Integer::sum));
+        groupOf.clear();
+        members.clear();
+        for (HostAnnouncement host : hosts) {
+            int size = sizes.get(host.dataCentre());
+            int groups = Math.max(1, Math.round((float) size / GROUP_SIZE));
+            String group =
+                    host.dataCentre() + "/" + Math.floorMod(host.host().value().hashCode(), groups);
+            groupOf.put(host.host(), group);
+            members.computeIfAbsent(group, name -> new ArrayList<>()).add(host.host());
+        }
+        relays.keySet().retainAll(members.keySet());
+        suspectedUntil.values().removeIf(now::isAfter);
+        boolean wasRelay = isRelay();
+        choose(groupOf.get(self.host()), true, now);
+        boolean isRelay = isRelay();
+        if (isRelay && !wasRelay) {
+            // Other relays send to this host only from now on.
+            relays.replaceAll((group, relay) -> new Relay(relay.host(), now));
+        }
+        members.keySet().stream()
+                .filter(group -> !group.equals(groupOf.get(self.host())))
+                .forEach(group -> choose(group, isRelay, now));
+    }
+
+    private void choose(String group, boolean hearsFromRelay, Instant now) {
+        Relay relay = relays.get(group);
+        if (relay != null && hearsFromRelay && !relay.host().equals(self.host())) {
+            Instant heard = heardAt.getOrDefault(relay.host(), Instant.MIN);
+            Instant last = heard.isAfter(relay.since()) ? heard : relay.since();
+            if (now.isAfter(last.plus(SILENCE_LIMIT))) {
+                suspectedUntil.put(relay.host(), now.plus(SUSPICION));
+            }
+        }
+        List<HostId> candidates = members.get(group).stream()
+                .filter(host ->
+                        host.equals(self.host()) || peers.mayLive(host, now) && !suspectedUntil.containsKey(host))
+                .toList();
+        Optional<HostId> chosen = RendezvousHash.first(group, candidates);
+        if (chosen.isEmpty()) {
+            relays.remove(group);
+        } else if (relay == null || !relay.host().equals(chosen.get())) {
+            relays.put(group, new Relay(chosen.get(), now));
+        }
+    }
+
+    boolean isRelay() {
+        return relay(groupOf.get(self.host())).equals(Optional.of(self.host()));
+    }
+
+    private Optional<HostId> relay(String group) {
+        return Optional.ofNullable(relays.get(group)).map(Relay::host);
+    }
+
+    /** Returns the relay of the group of a host; empty if the host or a relay is not known. */
+    Optional<HostId> relayOf(HostId host) {
+        return Optional.ofNullable(groupOf.get(host)).flatMap(this::relay);
+    }
+
+    boolean isOwnGroup(HostId host) {
+        return groupOf.get(self.host()) != null && groupOf.get(self.host()).equals(groupOf.get(host));
+    }
+
+    /** Returns the other members of this host's group that may live. */
+    List<HostId> ownMembers(Instant now) {
+        return members.getOrDefault(groupOf.get(self.host()), List.of()).stream()
+                .filter(host -> !host.equals(self.host()) && peers.mayLive(host, now))
+                .toList();
+    }
+
+    /** Returns the relays of the other groups. */
+    List<HostId> otherRelays() {
+        return relays.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(groupOf.get(self.host())))
+                .map(entry -> entry.getValue().host())
+                .toList();
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -55,6 +55,7 @@
             ForwardingSettings settings,
             PlatformView view,
             PeerTable peers,
+            PeerMail mail,
             RunnerDesk desk,
             CrashWatch crashes) {
         this.turn = turn;
@@ -63,7 +64,7 @@
         this.peers = peers;
         this.desk = desk;
         this.crashes = crashes;
-        this.ledger = new UseLedger(settings.identity().host(), view, peers, desk, open.values());
+        this.ledger = new UseLedger(turn, settings.identity().host(), view, mail, desk, open.values());
         this.chooser = new EndpointChooser(settings.announcement().dataCentre());
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -18,19 +18,25 @@
 
 /** The runners that this host commands, and what the commanders of the others say of them. */
 final class RunnerDesk {
+    /** Time between two messages on a runner without change, for peers that missed one or are new. */
+    private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(3);
+
     private final Turn turn;
     private final HostId self;
     private final PlatformView view;
     private final PeerTable peers;
+    private final PeerMail mail;
     private final ClaimKeeper claims;
     private final Map<EndpointId, AdapterCommander> commanders = new TreeMap<>();
     private final Map<EndpointId, Long> fences = new TreeMap<>();
+    private Instant nextRepeatAt = Instant.MIN;
 
-    RunnerDesk(Turn turn, HostId self, PlatformView view, PeerTable peers, ClaimKeeper claims) {
+    RunnerDesk(Turn turn, HostId self, PlatformView view, PeerTable peers, PeerMail mail, ClaimKeeper claims) {
         this.turn = turn;
         this.self = self;
         this.view = view;
         this.peers = peers;
+        this.mail = mail;
         this.claims = claims;
     }
 
@@ -49,6 +55,11 @@
             }
         }
         commanders.keySet().removeIf(id -> claims.fence(id, turn.now()).isEmpty());
+        if (!turn.now().isBefore(nextRepeatAt)) {
+            nextRepeatAt = turn.now().plus(REPEAT_INTERVAL);
+            commanders.forEach(
+                    (id, commander) -> mail.sendToAll(commander.message(fences.getOrDefault(id, 0L), turn.now())));
+        }
     }
 
     private void step(EndpointState runner, long fence) {
@@ -69,7 +80,7 @@
         fences.put(runner.id(), fence);
         boolean mayLoad = loading() < ServiceTimes.loadsInTransit(view.runners().size());
         turn.emit(commander.step(capacity.get(), fence, view::newestVersion, mayLoad, turn.now()));
-        commander.news(fence, turn.now()).ifPresent(peers::sendToAll);
+        commander.news(fence, turn.now()).ifPresent(mail::sendToAll);
     }
 
     /** Sends all that this host knows of its runners to a peer that has just come. */
@@ -122,8 +133,8 @@
             long due = Duration.between(turn.now(), load.dueAt()).toMillis();
             long remaining = Duration.between(turn.now(), load.until()).toMillis();
             runner.commander()
-                    .ifPresent(host -> turn.emit(new ForwardingEffect.ToPeer(
-                            host, new PeerMessage.AdapterWanted(runner.id(), load.adapter(), due, remaining))));
+                    .ifPresent(host -> mail.send(
+                            host, new PeerMessage.AdapterWanted(runner.id(), load.adapter(), due, remaining)));
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -19,6 +19,12 @@
     /** Pause after a failed read. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
 
+    /** Time between reads above which a host only makes sure that it hears all from the one that reads for it. */
+    private static final Duration POLLING_GAP = Duration.ofSeconds(2);
+
+    /** Pause after a failed read of such a host. */
+    private static final Duration POLLING_RETRY_PAUSE = Duration.ofSeconds(1);
+
     /** Time without news from the host that reads for all after which a host reads itself. */
     private static final Duration RELAY_PATIENCE = Duration.ofMillis(1100);
 
@@ -27,7 +33,7 @@
 
     private final Topic topic;
     private Duration wait;
-    private final Duration gap;
+    private Duration gap;
     private final Map<String, TopicRecord> newest = new TreeMap<>();
     private long end = -1;
     private Instant readStartedAt = Instant.MIN;
@@ -51,9 +57,13 @@
         this.gap = gap;
     }
 
-    /** Changes how long the next reads wait for a record. */
-    void setWait(Duration newWait) {
+    /** Changes how long the next reads wait for a record, and the time between two reads. */
+    void setPace(Duration newWait, Duration newGap, Instant now) {
+        if (newGap.compareTo(gap) < 0 && now.plus(newGap).isBefore(nextReadAt)) {
+            nextReadAt = now.plus(newGap);
+        }
         wait = newWait;
+        gap = newGap;
     }
 
     Topic topic() {
@@ -139,10 +149,19 @@
         return news;
     }
 
-    /** Takes records that a peer has read; returns those that are news. The own read is put off while they come. */
-    List<TopicRecord> relayed(List<TopicRecord> records, long endOfPeer, Instant now) {
-        if (endOfPeer > end && isAvailable()) {
-            nextReadAt = now.plus(RELAY_PATIENCE);
+    /**
+     * Takes records that a peer has read; returns those that are news. The own read is put off while they come.
+     *
+     * @param offset the records are all that the topic has from here on; if some before are unknown, none are taken
+     * @param endOfPeer end of the peer's read
+     */
+    List<TopicRecord> relayed(long offset, List<TopicRecord> records, long endOfPeer, Instant now) {
+        if (offset > Math.max(0, end)) {
+            return List.of();
+        }
+        Instant ownReadAt = now.plus(gap.compareTo(RELAY_PATIENCE) > 0 ? gap : RELAY_PATIENCE);
+        if (endOfPeer > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
+            nextReadAt = ownReadAt;
         }
         List<TopicRecord> news = take(records);
         end = Math.max(end, endOfPeer);
@@ -161,6 +180,11 @@
         return news;
     }
 
+    /** A peer that reads for this host lost the log and found it again. */
+    void noteOutage(Instant now) {
+        recoveredAt = now;
+    }
+
     void expired(Instant now) {
         reading = false;
         needSnapshot = true;
@@ -171,7 +195,7 @@
         reading = false;
         // The first read after a failure must not wait for news before it shows that the log answers again.
         atOnce = true;
-        nextReadAt = now.plus(RETRY_PAUSE);
+        nextReadAt = now.plus(gap.compareTo(POLLING_GAP) > 0 ? POLLING_RETRY_PAUSE : RETRY_PAUSE);
         if (unavailableSince.isEmpty()) {
             unavailableSince = Optional.of(now);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
@@ -1,5 +1,7 @@
 package org.banyanstair.forwarding;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -15,23 +17,29 @@
 
 /** What the requests of all hosts use at the endpoints; those of this host are reported to its peers. */
 final class UseLedger {
+    /** Time between two reports of all that is used; a missed end of a request counts no longer than that. */
+    private static final Duration COMPLETE_INTERVAL = Duration.ofSeconds(3);
+
+    private final Turn turn;
     private final HostId self;
     private final PlatformView view;
-    private final PeerTable peers;
+    private final PeerMail mail;
     private final RunnerDesk desk;
     private final Collection<Forwarding> open;
     private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
     private final Map<EndpointId, EndpointUse> unreported = new TreeMap<>();
+    private Instant nextCompleteAt = Instant.MIN;
 
     /**
      * Creates a ledger.
      *
      * @param open the requests of this host, as they are at each call
      */
-    UseLedger(HostId self, PlatformView view, PeerTable peers, RunnerDesk desk, Collection<Forwarding> open) {
+    UseLedger(Turn turn, HostId self, PlatformView view, PeerMail mail, RunnerDesk desk, Collection<Forwarding> open) {
+        this.turn = turn;
         this.self = self;
         this.view = view;
-        this.peers = peers;
+        this.mail = mail;
         this.desk = desk;
         this.open = open;
     }
@@ -69,9 +77,19 @@
         return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
     }
 
-    /** Tells peers what has changed since the last report. */
+    /** Tells peers what has changed since the last report, and all of it now and then for those that missed one. */
     void report() {
-        if (unreported.isEmpty()) {
+        boolean complete = !turn.now().isBefore(nextCompleteAt);
+        if (complete) {
+            nextCompleteAt = turn.now().plus(COMPLETE_INTERVAL);
+            view.endpoints().forEach(endpoint -> {
+                EndpointUse use = useOf(endpoint);
+                if (use.running() > 0) {
+                    unreported.put(endpoint.id(), use);
+                }
+            });
+        }
+        if (unreported.isEmpty() && !complete) {
             return;
         }
         List<EndpointUse> uses = unreported.values().stream()
@@ -85,11 +103,14 @@
                 .toList();
         unreported.clear();
         newPrefixes.clear();
-        peers.sendToAll(new PeerMessage.UseReport(uses));
+        mail.sendToAll(new PeerMessage.UseReport(uses, complete));
     }
 
     /** Takes what the requests of a peer use. */
     void reported(HostId sender, PeerMessage.UseReport message) {
+        if (message.complete()) {
+            forget(sender);
+        }
         for (EndpointUse use : message.uses()) {
             view.endpoint(use.endpoint()).ifPresent(endpoint -> {
                 endpoint.setUse(sender, use);
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 
@@ -15,6 +16,7 @@
  * @param adapters adapters of those requests, one entry a request
  * @param newPrefixes hashes of prompt prefixes that were sent there since the last message
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record EndpointUse(
         EndpointId endpoint,
         int running,
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
@@ -1,5 +1,6 @@
 package org.banyanstair.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.banyanstair.model.AdapterName;
 
 /**
@@ -9,4 +10,5 @@
  * @param version its version
  * @param readyInMilliseconds time until it can be used, 0 if it can
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record HeldAdapter(AdapterName name, long version, long readyInMilliseconds) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -19,6 +19,7 @@
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.Fingerprint;
+import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.PriorityClass;
@@ -155,14 +156,41 @@
      * Tells that the sender lives, where it is, and how far it has read the platform's topics.
      *
      * @param leaving whether it stops soon and takes no new callers
+     * @param reachesLog whether its last read of the log was answered
      * @param configurationOffset end of what it has read of the configuration
      * @param endpointsOffset end of what it has read of the endpoints' entries
      */
-    record HostState(HostAnnouncement announcement, boolean leaving, long configurationOffset, long endpointsOffset)
+    record HostState(
+            HostAnnouncement announcement,
+            boolean leaving,
+            boolean reachesLog,
+            long configurationOffset,
+            long endpointsOffset)
             implements PeerMessage {}
 
-    /** What the sender's requests use; endpoints that are not listed are unchanged since the last message. */
-    record UseReport(List<EndpointUse> uses) implements PeerMessage {}
+    /**
+     * News of several hosts, on their way through relays.
+     *
+     * @param news the news
+     * @param passOn whether the receiver is to pass them on to its group
+     */
+    record Bundle(List<PeerNews> news, boolean passOn) implements PeerMessage {}
+
+    /**
+     * A message for one host, on its way through relays.
+     *
+     * @param origin where it is from
+     * @param target where it goes
+     * @param hops relays that it may still pass
+     */
+    record Routed(HostIdentity origin, HostId target, int hops, PeerMessage message) implements PeerMessage {}
+
+    /**
+     * What the sender's requests use.
+     *
+     * @param complete whether endpoints that are not listed are unused; else they are as in the last message
+     */
+    record UseReport(List<EndpointUse> uses, boolean complete) implements PeerMessage {}
 
     /**
      * The adapters of a runner that the sender commands.
@@ -200,13 +228,17 @@
     /**
      * Records of a topic, as an answer to a {@link RecordsRequest} or as news.
      *
+     * @param offset the records are all that the topic has from here on
      * @param askedAtMilliseconds the time in the request; empty if this is news
+     * @param afterOutage whether the sender has just lost and found the log, so that entries may have lapsed meanwhile
      * @param ageMilliseconds time since the start of the last read of the topic by the sender
      */
     record RecordsReply(
             Topic topic,
+            long offset,
             List<RelayedRecord> records,
             long end,
+            boolean afterOutage,
             Optional<Long> askedAtMilliseconds,
             long ageMilliseconds)
             implements PeerMessage {}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
@@ -81,7 +81,7 @@
         SimulatedHost(int index) {
             this.index = index;
             this.keeper = new ClaimKeeper(announcement(index).host(), LEASE_TERM);
-            this.peers = new PeerTable(new Turn(), announcement(index));
+            this.peers = new PeerTable(announcement(index));
             for (int other = 1; other <= HOSTS; other++) {
                 peers.announced(announcement(other), start);
             }
@@ -120,8 +120,10 @@
             hosts.stream()
                     .filter(other ->
                             other != this && !cut && !now.isBefore(other.cutUntil) && !now.isBefore(other.stillUntil))
-                    .forEach(other ->
-                            peers.state(new PeerMessage.HostState(announcement(other.index), false, 0, 0), now));
+                    .forEach(other -> peers.state(
+                            new PeerMessage.HostState(
+                                    announcement(other.index), false, !now.isBefore(other.withoutLogUntil), 0, 0),
+                            now));
             if (cut) {
                 readStartedAt = Optional.empty();
                 topic.unavailable(now);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -212,8 +212,8 @@
         HostIdentity sender = new HostIdentity(peer, 1);
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
-            fixture.apply(
-                    new ForwardingEvent.PeerReceived(sender, new PeerMessage.HostState(announcement, false, 0, 0)));
+            fixture.apply(new ForwardingEvent.PeerReceived(
+                    sender, new PeerMessage.HostState(announcement, false, true, 0, 0)));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(100)));
         }
         List<PeerMessage.RecordsRequest> questions = Fixture.only(effects, ForwardingEffect.ToPeer.class).stream()
@@ -227,8 +227,10 @@
                 sender,
                 new PeerMessage.RecordsReply(
                         Topic.CLAIMS,
+                        1,
                         List.of(),
                         1,
+                        false,
                         Optional.of(questions.get(questions.size() - 1).askedAtMilliseconds()),
                         10)));
         List<ForwardingEffect> after = fixture.passWithoutReads(Duration.ofMillis(900));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
@@ -32,7 +33,7 @@
     }
 
     private static PeerMessage state(int number, boolean leaving) {
-        return new PeerMessage.HostState(peer(number), leaving, 0, 0);
+        return new PeerMessage.HostState(peer(number), leaving, true, 0, 0);
     }
 
     private static void send(Fixture fixture, int number) {
@@ -46,14 +47,20 @@
         return fixture;
     }
 
-    /** Returns the longest time between two states that a host sends to one of its peers. */
+    private static Stream<PeerMessage> newsIn(PeerMessage message) {
+        return message instanceof PeerMessage.Bundle bundle
+                ? bundle.news().stream().flatMap(news -> news.messages().stream())
+                : Stream.of(message);
+    }
+
+    /** Returns the longest time between two states that a host sends. */
     private static Duration longestInterval(int peers) {
         Fixture fixture = withPeers(peers);
         List<Instant> sentAt = new ArrayList<>();
         for (int step = 0; step < 500; step++) {
             boolean sent = Fixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.ToPeer.class).stream()
-                    .anyMatch(effect ->
-                            effect.peer().equals(peer(0).host()) && effect.message() instanceof PeerMessage.HostState);
+                    .flatMap(effect -> newsIn(effect.message()))
+                    .anyMatch(PeerMessage.HostState.class::isInstance);
             if (sent) {
                 sentAt.add(fixture.now());
             }
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
@@ -0,0 +1,181 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Messages between the reducers of many hosts. */
+class PeerMailTest {
+    private static final Duration STEP = Duration.ofMillis(20);
+
+    /** Messages that a host may send a second, from its share of a slow processor: 2% of a core at 0.2 ms each. */
+    private static final int MESSAGES_PER_SECOND = 100;
+
+    private final Map<HostId, ForwardingReducer> hosts = new TreeMap<>();
+    private final Set<HostId> stopped = new HashSet<>();
+    private Instant now = Instant.ofEpochSecond(100);
+    private Deque<Parcel> underWay = new ArrayDeque<>();
+    private int sent;
+    private final List<Parcel> delivered = new ArrayList<>();
+
+    private record Parcel(HostId from, HostId to, PeerMessage message) {}
+
+    private static HostAnnouncement announcement(int number) {
+        return new HostAnnouncement(
+                new HostId("host-" + number),
+                1,
+                NetworkAddress.parse("10.1." + number / 200 + "." + (1 + number % 200) + ":80"),
+                NetworkAddress.parse("10.2." + number / 200 + "." + (1 + number % 200) + ":81"),
+                "centre-" + number % 3);
+    }
+
+    private void begin(int count) {
+        for (int number = 0; number < count; number++) {
+            HostAnnouncement own = announcement(number);
+            ForwardingSettings settings = new ForwardingSettings(
+                    new HostIdentity(own.host(), 1), own, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
+            hosts.put(
+                    own.host(),
+                    new ForwardingReducer(
+                            settings,
+                            (topic, entry, at) ->
+                                    Optional.of(new Fact.Announced(announcement(Integer.parseInt(entry.key()))))));
+        }
+        List<TopicRecord> records = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            records.add(new TopicRecord("" + number, Optional.of(new byte[1]), number));
+        }
+        for (HostId host : hosts.keySet()) {
+            apply(host, new ForwardingEvent.TopicRead(Topic.HOSTS, now, true, records, count));
+            apply(host, new ForwardingEvent.TopicRead(Topic.CLAIMS, now, true, List.of(), 0));
+            apply(host, new ForwardingEvent.TopicRead(Topic.ENDPOINTS, now, true, List.of(), 0));
+        }
+    }
+
+    private void apply(HostId host, ForwardingEvent event) {
+        for (ForwardingEffect effect : hosts.get(host).apply(event, now)) {
+            if (effect instanceof ForwardingEffect.ToPeer toPeer) {
+                sent++;
+                underWay.add(new Parcel(host, toPeer.peer(), toPeer.message()));
+            }
+        }
+    }
+
+    private void pass(Duration time) {
+        Instant end = now.plus(time);
+        while (now.isBefore(end)) {
+            now = now.plus(STEP);
+            Deque<Parcel> arriving = underWay;
+            underWay = new ArrayDeque<>();
+            for (Parcel parcel : arriving) {
+                if (!stopped.contains(parcel.to())) {
+                    delivered.add(parcel);
+                    apply(
+                            parcel.to(),
+                            new ForwardingEvent.PeerReceived(new HostIdentity(parcel.from(), 1), parcel.message()));
+                }
+            }
+            for (HostId host : hosts.keySet()) {
+                if (!stopped.contains(host)) {
+                    apply(host, new ForwardingEvent.Tick());
+                }
+            }
+        }
+    }
+
+    private void assertAllSee(int count) {
+        hosts.forEach((host, reducer) -> {
+            if (!stopped.contains(host)) {
+                assertEquals(count, reducer.callerAddresses(now).size(), host + " at " + now);
+            }
+        });
+    }
+
+    private HostId busiestReceiver() {
+        Map<HostId, Integer> counts = new TreeMap<>();
+        delivered.forEach(parcel -> counts.merge(parcel.to(), 1, Integer::sum));
+        return counts.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .orElseThrow()
+                .getKey();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {9, 17, 73, 200})
+    void allHostsSeeEachOtherWithFewMessages(int count) {
+        begin(count);
+        pass(Duration.ofSeconds(3));
+        assertAllSee(count);
+        sent = 0;
+        pass(Duration.ofSeconds(4));
+        assertAllSee(count);
+        assertTrue(sent <= 4 * MESSAGES_PER_SECOND * count, sent / 4 / count + " messages a second and host");
+    }
+
+    /** The hosts behind a relay that has gone stay in use; the relay itself does not. */
+    @Test
+    void lossOfARelayHidesNoOtherHost() {
+        begin(73);
+        pass(Duration.ofSeconds(5));
+        stopped.add(busiestReceiver());
+        for (int step = 0; step < 40; step++) {
+            pass(Duration.ofMillis(100));
+            hosts.forEach((host, reducer) -> {
+                if (!stopped.contains(host)) {
+                    assertTrue(reducer.callerAddresses(now).size() >= 72, host + " at " + now);
+                }
+            });
+        }
+        assertAllSee(72);
+    }
+
+    @Test
+    void thirdOfTheHostsIsLostAtOnce() {
+        begin(73);
+        pass(Duration.ofSeconds(5));
+        hosts.keySet().stream().limit(24).forEach(stopped::add);
+        pass(Duration.ofSeconds(4));
+        assertAllSee(49);
+    }
+
+    /** A message for one host goes over relays, since connections from each to each are too many. */
+    @Test
+    void questionAndAnswerPassRelays() {
+        begin(73);
+        pass(Duration.ofSeconds(5));
+        HostId asking = new HostId("host-1");
+        HostId asked = new HostId("host-2");
+        delivered.clear();
+        apply(
+                asked,
+                new ForwardingEvent.PeerReceived(
+                        new HostIdentity(asking, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 7)));
+        pass(Duration.ofMillis(100));
+        boolean answered = delivered.stream()
+                .filter(parcel -> parcel.to().equals(asking))
+                .anyMatch(parcel -> parcel.message() instanceof PeerMessage.Routed routed
+                        && routed.message() instanceof PeerMessage.RecordsReply);
+        assertTrue(answered);
+    }
+}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
@@ -56,11 +56,21 @@
         follower.tick(now);
         read(true, 5, entry("a", 4));
         assertTrue(read(false, 5, entry("a", 2)).isEmpty());
-        assertTrue(follower.relayed(List.of(entry("a", 4)), 5, now).isEmpty());
-        assertEquals(1, follower.relayed(List.of(entry("a", 6)), 7, now).size());
+        assertTrue(follower.relayed(4, List.of(entry("a", 4)), 5, now).isEmpty());
+        assertEquals(1, follower.relayed(5, List.of(entry("a", 6)), 7, now).size());
         assertEquals(7, follower.end());
     }
 
+    /** A lost message between hosts must not hide the records in it. */
+    @Test
+    void relayedRecordsAfterAGapAreLeftToAnOwnRead() {
+        follower.tick(now);
+        read(true, 5, entry("a", 4));
+        assertTrue(follower.relayed(6, List.of(entry("b", 6)), 7, now).isEmpty());
+        assertEquals(5, follower.end());
+        assertEquals(2, read(false, 7, entry("c", 5), entry("b", 6)).size());
+    }
+
     @Test
     void keysThatVanishFromASnapshotAreRemoved() {
         follower.tick(now);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -229,10 +229,13 @@
                     .inc();
             decisions.write(log.decision());
         } else if (effect instanceof ForwardingEffect.ToPeer toPeer) {
+            findAddress(toPeer.peer());
             peers.send(toPeer.peer(), toPeer.message());
         } else if (effect instanceof ForwardingEffect.Watch watch) {
-            reducer.peerAddress(watch.peer()).ifPresent(address -> peerAddresses.put(watch.peer(), address));
+            findAddress(watch.peer());
             peers.watch(watch.peer());
+        } else if (effect instanceof ForwardingEffect.Unwatch unwatch) {
+            peers.unwatch(unwatch.peer());
         } else if (effect instanceof ForwardingEffect.Command command) {
             command(command.command());
         } else if (effect instanceof ForwardingEffect.Inspect inspect) {
@@ -264,6 +267,10 @@
         }
     }
 
+    private void findAddress(HostId peer) {
+        reducer.peerAddress(peer).ifPresent(address -> peerAddresses.put(peer, address));
+    }
+
     private Optional<CallerExchange> exchange(long number) {
         return Optional.ofNullable(exchanges.get(number));
     }
