Add latency and state metrics to the forwarding daemon

Change: timers for queueing, first output, gaps of streams, calls to the log and to runners; gauges for open and waiting requests, endpoints by condition, configuration version, commanded runners, live peers, and for each topic whether it is available, its end and its age. The writer of the Prometheus format moves from the server module to the transport module, which both daemons use.

Checked by hand on a host without a platform; HostTest and the tests of the forwarder pass. The share of processor time is not measured.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -178,7 +178,17 @@
     }
 
     boolean takesRequests(Instant now) {
-        return !listing.draining() && now.isBefore(removeAt) && !now.isBefore(avoidUntil);
+        return condition(now) == EndpointCondition.IN_USE;
+    }
+
+    EndpointCondition condition(Instant now) {
+        if (!now.isBefore(removeAt)) {
+            return EndpointCondition.GONE;
+        }
+        if (listing.draining()) {
+            return EndpointCondition.LEAVING;
+        }
+        return now.isBefore(avoidUntil) ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
     }
 
     void notConnected(Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
@@ -382,6 +383,35 @@
         return requests.size();
     }
 
+    /**
+     * Returns what this host has to do and what it believes.
+     *
+     * @param now present instant
+     * @return the status
+     */
+    public ForwardingStatus status(Instant now) {
+        Map<EndpointCondition, Long> endpoints = view.endpoints().stream()
+                .collect(Collectors.groupingBy(endpoint -> endpoint.condition(now), Collectors.counting()));
+        Map<Topic, ForwardingStatus.TopicStatus> topics = new EnumMap<>(Topic.class);
+        for (Topic topic : Topic.values()) {
+            TopicFollower follower = view.follower(topic);
+            topics.put(
+                    topic,
+                    new ForwardingStatus.TopicStatus(
+                            follower.isAvailable(),
+                            follower.end(),
+                            follower.age(now).orElse(Duration.ZERO)));
+        }
+        return new ForwardingStatus(
+                requests.size(),
+                requests.waiting(),
+                view.configuration().map(ForwardingConfiguration::version).orElse(-1L),
+                endpoints,
+                desk.commanded(),
+                peers.live(now).size() - 1,
+                topics);
+    }
+
     /**
      * Returns the configuration in force.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -80,6 +80,11 @@
         return open.size();
     }
 
+    int waiting() {
+        return (int)
+                open.values().stream().filter(forwarding -> !forwarding.sent).count();
+    }
+
     void arrived(ForwardRequest request) {
         Optional<ForwardingConfiguration> configuration = view.configuration();
         if (configuration.isEmpty()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -151,6 +151,10 @@
         }
     }
 
+    int commanded() {
+        return commanders.size();
+    }
+
     void countUse(EndpointState runner, AdapterName adapter) {
         AdapterCommander own = commanders.get(runner.id());
         if (own != null) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -1,6 +1,5 @@
 package org.banyanstair.forwarder;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -12,12 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -25,6 +24,7 @@
 import org.banyanstair.forwarder.internal.CallerConnection;
 import org.banyanstair.forwarder.internal.CallerExchange;
 import org.banyanstair.forwarder.internal.EndpointConnections;
+import org.banyanstair.forwarder.internal.ForwarderMetrics;
 import org.banyanstair.forwarder.internal.Listeners;
 import org.banyanstair.forwarder.internal.QuestionConnection;
 import org.banyanstair.forwarder.internal.Shell;
@@ -38,6 +38,7 @@
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.ForwardingReducer;
 import org.banyanstair.forwarding.RequestLimits;
+import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
@@ -83,7 +84,7 @@
     private final DecisionLog decisions;
     private final ForwardingReducer reducer;
     private final SteadyClock clock = new SteadyClock();
-    private final MetricRegistry metrics = new MetricRegistry();
+    private final ForwarderMetrics metrics = new ForwarderMetrics();
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, new DefaultThreadFactory("banyanstair-forwarder", false));
     private final EventLoop loop = group.next();
@@ -113,6 +114,9 @@
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
         this.topics = new TopicReader(shell, loop);
+        metrics.observe(() -> reducer.status(shell.now()));
+        metrics.gauge("endpoint_connections_total", connections::opened);
+        metrics.gauge("log_lines_dropped_total", decisions::dropped);
         this.peers = new NettyPeerTransport(
                 new PeerTransportSettings(
                         settings.forwarding().identity(),
@@ -195,21 +199,9 @@
         if (!request.uri().equals("/metrics")) {
             return Optional.empty();
         }
-        StringBuilder text = new StringBuilder();
-        metrics.getCounters().forEach((name, counter) -> text.append("banyanstair_")
-                .append(name)
-                .append(' ')
-                .append(counter.getCount())
-                .append('\n'));
-        text.append("banyanstair_open_requests ").append(reducer.openRequests()).append('\n');
-        text.append("banyanstair_endpoint_connections_total ")
-                .append(connections.opened())
-                .append('\n');
-        text.append("banyanstair_log_lines_dropped_total ")
-                .append(decisions.dropped())
-                .append('\n');
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-        response.content().writeBytes(text.toString().getBytes(StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusText.CONTENT_TYPE);
+        response.content().writeBytes(metrics.write());
         return Optional.of(response);
     }
 
@@ -225,8 +217,7 @@
 
     private void carryOut(ForwardingEffect effect) {
         if (effect instanceof ForwardingEffect.Log log) {
-            metrics.counter("decisions_total{kind=\"" + log.decision().kind() + "\"}")
-                    .inc();
+            metrics.countDecision(log.decision().kind());
             decisions.write(log.decision());
         } else if (effect instanceof ForwardingEffect.ToPeer toPeer) {
             findAddress(toPeer.peer());
@@ -277,6 +268,7 @@
 
     private void command(AdapterCommand command) {
         ask(
+                command.load() ? "load" : "unload",
                 command.address(),
                 protocols.endpoints().command(command),
                 COMMAND_LIMIT,
@@ -287,6 +279,7 @@
 
     private void inspect(ForwardingEffect.Inspect inspect) {
         ask(
+                "inspect",
                 inspect.address(),
                 protocols.endpoints().inspection(inspect),
                 INSPECTION_LIMIT,
@@ -295,11 +288,16 @@
     }
 
     private void ask(
+            String operation,
             NetworkAddress address,
             FullHttpRequest request,
             Duration limit,
-            Consumer<Optional<FullHttpResponse>> handler) {
-        WholeAnswer.request(connections, loop, address, request, limit, handler);
+            Consumer<Optional<FullHttpResponse>> receiver) {
+        Instant startedAt = shell.now();
+        WholeAnswer.request(connections, loop, address, request, limit, answer -> {
+            metrics.runnerCall(operation, Duration.between(startedAt, shell.now()), answer.isPresent());
+            receiver.accept(answer);
+        });
     }
 
     private final class ShellOfDaemon implements Shell {
@@ -321,6 +319,11 @@
             return protocols;
         }
 
+        @Override
+        public ForwarderMetrics metrics() {
+            return metrics;
+        }
+
         @Override
         public EndpointConnections connections() {
             return connections;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -1,5 +1,7 @@
 package org.banyanstair.forwarder.internal;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -40,6 +42,8 @@
     private boolean headWritten;
     private boolean over;
     private long lastEvent = -1;
+    private final Instant arrivedAt;
+    private Optional<Instant> lastOutputAt = Optional.empty();
 
     CallerExchange(long number, String requestId, FullHttpRequest request, CallerConnection connection, Shell shell) {
         this.number = number;
@@ -47,6 +51,7 @@
         this.request = request;
         this.connection = connection;
         this.shell = shell;
+        this.arrivedAt = shell.now();
     }
 
     /**
@@ -64,6 +69,9 @@
      * @param send how
      */
     public void send(ForwardingEffect.Send send) {
+        if (current.isEmpty()) {
+            shell.metrics().sent(Duration.between(arrivedAt, shell.now()));
+        }
         Attempt attempt = new Attempt(send);
         current = Optional.of(attempt);
         send.resumeAfter().filter(after -> after > lastEvent).ifPresent(after -> lastEvent = after);
@@ -85,6 +93,7 @@
         } else {
             FullHttpResponse answer =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, attempt.head.status(), attempt.body);
+            countOutput();
             callers().copyAnswerHeaders(attempt.head.headers(), answer.headers());
             HttpUtil.setContentLength(answer, attempt.body.readableBytes());
             attempt.body = Unpooled.EMPTY_BUFFER;
@@ -166,6 +175,14 @@
         }
     }
 
+    private void countOutput() {
+        Instant now = shell.now();
+        lastOutputAt.ifPresentOrElse(
+                before -> shell.metrics().output(Duration.between(before, now)),
+                () -> shell.metrics().firstOutput(Duration.between(arrivedAt, now)));
+        lastOutputAt = Optional.of(now);
+    }
+
     /** One attempt at an endpoint. */
     private final class Attempt implements CallListener {
         private final ForwardingEffect.Send send;
@@ -224,6 +241,7 @@
                 }
                 return;
             }
+            countOutput();
             for (EventSplitter.StreamEvent event : splitter.orElseThrow().feed(bytes)) {
                 pass(event);
             }
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -0,0 +1,149 @@
+package org.banyanstair.forwarder.internal;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import org.banyanstair.forwarding.EndpointCondition;
+import org.banyanstair.forwarding.ForwardingStatus;
+import org.banyanstair.metrics.LabelledName;
+import org.banyanstair.metrics.PrometheusText;
+import org.banyanstair.platform.Topic;
+
+/** The metrics of a daemon that passes requests on. Latencies are in seconds. Safe for use by several threads. */
+public final class ForwarderMetrics {
+    private static final String PREFIX = "banyanstair_";
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final PrometheusText text = new PrometheusText(registry);
+    private final Timer queueing = timer("queue_seconds");
+    private final Timer firstOutput = timer("first_output_seconds");
+    private final Timer outputGap = timer("output_gap_seconds");
+
+    private Timer timer(String name, String... labels) {
+        return registry.timer(
+                LabelledName.of(PREFIX + name, labels),
+                () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
+    }
+
+    /**
+     * Counts a decision.
+     *
+     * @param kind kind of the decision
+     */
+    public void countDecision(String kind) {
+        registry.counter(LabelledName.of(PREFIX + "decisions_total", "kind", kind))
+                .inc();
+    }
+
+    /**
+     * A request was sent to an endpoint for the first time.
+     *
+     * @param waited time since it arrived
+     */
+    public void sent(Duration waited) {
+        record(queueing, waited);
+    }
+
+    /**
+     * The first output of a request was passed on.
+     *
+     * @param waited time since the request arrived
+     */
+    public void firstOutput(Duration waited) {
+        record(firstOutput, waited);
+    }
+
+    /**
+     * More output of a stream was passed on.
+     *
+     * @param gap time since the output before it
+     */
+    public void output(Duration gap) {
+        record(outputGap, gap);
+    }
+
+    /**
+     * The platform's log answered or did not in time.
+     *
+     * @param operation what was asked; reads include the time in which they wait for records
+     * @param taken time that it took
+     * @param answered whether there was an answer
+     */
+    public void logCall(String operation, Duration taken, boolean answered) {
+        record(timer("log_call_seconds", "operation", operation, "answered", Boolean.toString(answered)), taken);
+    }
+
+    /**
+     * A runner answered a command or a question, or did not in time.
+     *
+     * @param operation what was asked
+     * @param taken time that it took
+     * @param answered whether there was an answer
+     */
+    public void runnerCall(String operation, Duration taken, boolean answered) {
+        record(timer("runner_call_seconds", "operation", operation, "answered", Boolean.toString(answered)), taken);
+    }
+
+    private static void record(Timer timer, Duration time) {
+        timer.update(time.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Adds the gauges of what the daemon believes.
+     *
+     * @param status reads it
+     */
+    public void observe(Supplier<ForwardingStatus> status) {
+        gauge("open_requests", () -> status.get().openRequests());
+        gauge("waiting_requests", () -> status.get().waitingRequests());
+        gauge("configuration_version", () -> status.get().configurationVersion());
+        gauge("commanded_runners", () -> status.get().commandedRunners());
+        gauge("live_peers", () -> status.get().livePeers());
+        for (EndpointCondition condition : EndpointCondition.values()) {
+            gauge(
+                    LabelledName.of("endpoints", "condition", lowerCase(condition)),
+                    () -> status.get().endpoints().getOrDefault(condition, 0L));
+        }
+        for (Topic topic : Topic.values()) {
+            String name = lowerCase(topic);
+            gauge(
+                    LabelledName.of("topic_available", "topic", name),
+                    () -> status.get().topics().get(topic).available() ? 1 : 0);
+            gauge(
+                    LabelledName.of("topic_age_seconds", "topic", name),
+                    () -> status.get().topics().get(topic).age().toMillis() / 1000.0);
+            gauge(
+                    LabelledName.of("topic_end", "topic", name),
+                    () -> status.get().topics().get(topic).end());
+        }
+    }
+
+    private static String lowerCase(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Adds a gauge.
+     *
+     * @param name its name without the prefix of the product
+     * @param value reads it
+     */
+    public void gauge(String name, Gauge<Number> value) {
+        registry.register(PREFIX + name, value);
+    }
+
+    /**
+     * Writes the current values.
+     *
+     * @return the text in UTF-8
+     */
+    public byte[] write() {
+        return text.write();
+    }
+}
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/Shell.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/Shell.java
@@ -36,6 +36,8 @@
      */
     EndpointConnections connections();
 
+    ForwarderMetrics metrics();
+
     /**
      * Returns the limits for requests in force.
      *
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
@@ -51,7 +51,7 @@
 
     private void readPage(
             Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long knownEnd) {
-        ask(protocol.readNewest(topic, after), ANSWER_LIMIT, answer -> {
+        ask("snapshot", protocol.readNewest(topic, after), ANSWER_LIMIT, answer -> {
             Optional<TopicPage.Records> page = answer.map(protocol::newest)
                     .filter(TopicPage.Records.class::isInstance)
                     .map(TopicPage.Records.class::cast);
@@ -78,7 +78,7 @@
     public void readFrom(ForwardingEffect.ReadFrom read) {
         Instant startedAt = shell.now();
         Duration wait = Duration.between(startedAt, read.waitUntil());
-        ask(protocol.readFrom(read.topic(), read.offset(), wait), wait.plus(ANSWER_LIMIT), answer -> {
+        ask("read", protocol.readFrom(read.topic(), read.offset(), wait), wait.plus(ANSWER_LIMIT), answer -> {
             Optional<TopicPage> page = answer.map(response -> protocol.records(response, read.offset()));
             if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
                 shell.submit(
@@ -91,8 +91,13 @@
         });
     }
 
-    private void ask(FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> handler) {
-        WholeAnswer.request(shell.connections(), loop, protocol.address(), request, limit, handler);
+    private void ask(
+            String operation, FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> receiver) {
+        Instant startedAt = shell.now();
+        WholeAnswer.request(shell.connections(), loop, protocol.address(), request, limit, answer -> {
+            shell.metrics().logCall(operation, Duration.between(startedAt, shell.now()), answer.isPresent());
+            receiver.accept(answer);
+        });
     }
 
     private void unavailable(Topic topic, Optional<FullHttpResponse> answer) {
@@ -109,7 +114,7 @@
      * @param append what to append
      */
     public void append(ForwardingEffect.AppendClaim append) {
-        ask(protocol.appendClaim(append.claim(), append.expectedEnd()), ANSWER_LIMIT, answer -> {
+        ask("append", protocol.appendClaim(append.claim(), append.expectedEnd()), ANSWER_LIMIT, answer -> {
             if (answer.isPresent()) {
                 shell.submit(new ForwardingEvent.Appended(Topic.CLAIMS));
             }
@@ -122,7 +127,7 @@
      * @param append what to append
      */
     public void append(ForwardingEffect.AppendAnnouncement append) {
-        ask(protocol.appendAnnouncement(append.announcement()), ANSWER_LIMIT, answer -> {
+        ask("append", protocol.appendAnnouncement(append.announcement()), ANSWER_LIMIT, answer -> {
             boolean done =
                     answer.filter(response -> response.status().code() == 200).isPresent();
             if (!done) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
@@ -9,6 +9,7 @@
 import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import org.banyanstair.metrics.LabelledName;
 import org.banyanstair.model.ServiceId;
 
 /** Counters and timers of caller requests, per service and outcome. Safe for use by several threads. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -14,13 +14,13 @@
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
+import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.model.HostId;
 import org.banyanstair.server.http.ErrorResponse;
 import org.banyanstair.server.http.Exchange;
 import org.banyanstair.server.http.HttpListener;
 import org.banyanstair.server.http.HttpListenerOptions;
 import org.banyanstair.server.http.KeyRing;
-import org.banyanstair.server.http.metrics.PrometheusText;
 import org.banyanstair.server.service.OperatorService;
 import org.tinylog.Logger;
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/daemon/TransportMetricsTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/daemon/TransportMetricsTest.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import com.codahale.metrics.MetricRegistry;
-import org.banyanstair.server.http.metrics.PrometheusText;
+import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.transport.TransportCounters;
 import org.junit.jupiter.api.Test;
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -17,6 +17,7 @@
 import org.banyanstair.configuration.Operation;
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.configuration.ServiceKind;
+import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.PoolId;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/LabelledName.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/LabelledName.java
@@ -1,4 +1,4 @@
-package org.banyanstair.server.http.metrics;
+package org.banyanstair.metrics;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,10 +11,17 @@
  *
  * <p>Label values must not contain {@code |} or {@code =}; names of services and failure codes do not.
  */
-final class LabelledName {
+public final class LabelledName {
     private LabelledName() {}
 
-    static String of(String name, String... labels) {
+    /**
+     * Builds the name of a metric with labels.
+     *
+     * @param name the name
+     * @param labels names and values of labels by turns
+     * @return the name under which the metric is registered
+     */
+    public static String of(String name, String... labels) {
         StringBuilder text = new StringBuilder(name);
         for (int i = 0; i < labels.length; i += 2) {
             text.append('|').append(labels[i]).append('=').append(labels[i + 1]);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/PrometheusText.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/PrometheusText.java
@@ -1,4 +1,4 @@
-package org.banyanstair.server.http.metrics;
+package org.banyanstair.metrics;
 
 import java.io.IOException;
 import java.io.StringWriter;
--- /dev/null
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Writes metrics as text. */
+package org.banyanstair.metrics;
