Wake up less often without requests

What costs are the wake-ups: a tick every 30 ms, a ping and a pong a second on each connection in both directions, and an encoding of the same message for each receiver.

Excluded: options of the virtual machine for fewer compilations (by hand: 0.72 to 0.79 s with the present ones, 0.71 to 0.73 s with CompileThresholdScaling=3).

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -31,6 +31,15 @@
     /** Silence after which the requests of a peer are taken to have ended. */
     private static final Duration USE_RETENTION = Duration.ofSeconds(3);
 
+    /** Time between ticks while a request waits; a small part of the shortest objective. */
+    private static final Duration WAITING_TICK = Duration.ofMillis(15);
+
+    /** Time between ticks while requests are open; half of the time between two reports of what they use. */
+    private static final Duration OPEN_TICK = Duration.ofMillis(30);
+
+    /** Time between ticks without requests, well under the pause that counts as having stood still. */
+    private static final Duration IDLE_TICK = Duration.ofMillis(100);
+
     /** Time that this host waits for its own read before it asks a peer that has read further. */
     private static final Duration RELAY_DELAY = Duration.ofMillis(400);
 
@@ -357,12 +366,17 @@
     }
 
     /**
-     * Returns whether a request waits for something that only the passing of time brings.
+     * Returns the time until the next tick is due.
      *
-     * @return whether ticks are to come often
+     * @return short while a request waits for something that only the passing of time brings, long while there is none
      */
-    public boolean isWaiting() {
-        return requests.hasWaiting();
+    public Duration tickInterval() {
+        if (requests.size() == 0) {
+            return IDLE_TICK;
+        }
+        return requests.hasWaiting()
+                ? WAITING_TICK
+                : peers.isLarge() ? PeerMail.BUNDLE_INTERVAL.dividedBy(2) : OPEN_TICK;
     }
 
     /**
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -55,12 +55,6 @@
  * <p>Started and stopped once.
  */
 public final class ForwarderDaemon {
-    /** Time between ticks while a request waits. */
-    private static final Duration SHORT_TICK = Duration.ofMillis(15);
-
-    /** Time between ticks otherwise. */
-    private static final Duration LONG_TICK = Duration.ofMillis(30);
-
     /** Longest time to open a connection; a few round trips in one region. */
     private static final Duration CONNECT_LIMIT = Duration.ofMillis(250);
 
@@ -191,8 +185,7 @@
             stopped.countDown();
             return;
         }
-        Duration wait = reducer.isWaiting() ? SHORT_TICK : LONG_TICK;
-        loop.schedule(this::tick, wait.toMillis(), TimeUnit.MILLISECONDS);
+        loop.schedule(this::tick, reducer.tickInterval().toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private Optional<FullHttpResponse> answerMetrics(HttpRequest request) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
@@ -67,6 +67,9 @@
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final EventLoop ownLoop = group.next();
     private final TransportContext context;
+    private volatile Encoded lastEncoded;
+
+    private record Encoded(PeerMessage message, byte[] frame) {}
 
     /**
      * Creates a transport.
@@ -128,8 +131,18 @@
         if (peer.equals(settings.identity().host())) {
             deliverToSelf(message);
         } else {
-            link(peer).send(FrameCodec.encode(message));
+            link(peer).send(frameOf(message));
+        }
+    }
+
+    /** Encodes a message that goes to several peers in a row only once. */
+    private byte[] frameOf(PeerMessage message) {
+        Encoded known = lastEncoded;
+        if (known == null || known.message() != message) {
+            known = new Encoded(message, FrameCodec.encode(message));
+            lastEncoded = known;
         }
+        return known.frame();
     }
 
     private void deliverToSelf(PeerMessage message) {
