Add banyanstairctl explain

The command reads any number of logs, puts the request's lines in order with those on its endpoints, its hosts and their dependencies at that time, and names the cause; as text or JSON, without a connection.

--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandDefinition.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandDefinition.java
@@ -15,6 +15,7 @@
 import org.banyanstair.cli.command.DiffCommand;
 import org.banyanstair.cli.command.DrainCommand;
 import org.banyanstair.cli.command.EndpointsCommand;
+import org.banyanstair.cli.command.ExplainCommand;
 import org.banyanstair.cli.command.PresetListCommand;
 import org.banyanstair.cli.command.PresetUseCommand;
 import org.banyanstair.cli.command.StatusCommand;
@@ -41,6 +42,7 @@
     private static final String NO_WAIT = "no-wait";
     private static final String WAIT_SECONDS = "wait-seconds";
     private static final String HTML = "html";
+    private static final String LOGS = "logs";
 
     private static final int MAXIMUM_WAIT_SECONDS = 3_600;
 
@@ -82,7 +84,8 @@
                     "report burn",
                     Optional.empty(),
                     List.of(GlobalOptions.withValue(HTML, "FILE")),
-                    CommandDefinition::reportBurn));
+                    CommandDefinition::reportBurn),
+            new CommandDefinition("explain", Optional.of("REQUEST"), List.of(logs()), CommandDefinition::explain));
 
     static List<CommandDefinition> all() {
         return ALL;
@@ -137,6 +140,26 @@
                 .build();
     }
 
+    private static Option logs() {
+        return Option.builder()
+                .longOpt(LOGS)
+                .hasArgs()
+                .argName("FILE")
+                .desc(Texts.of("option.logs"))
+                .build();
+    }
+
+    private static Command explain(Invocation invocation) {
+        ExplainCommand command = new ExplainCommand(invocation.console());
+        command.setRequest(invocation.argument());
+        List<Path> files = invocation.values(LOGS).stream().map(Path::of).toList();
+        if (files.isEmpty()) {
+            throw new FailureException(new Failure.InvalidField("--" + LOGS, "present"));
+        }
+        command.setLogs(files);
+        return command;
+    }
+
     private static Command validate(Invocation invocation) {
         ValidateCommand command = new ValidateCommand(invocation.console());
         command.setFile(path(invocation, FILE));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/Invocation.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/Invocation.java
@@ -56,6 +56,11 @@
                 .or(() -> Optional.ofNullable(global.getOptionValue(option)));
     }
 
+    /** Returns all values of an option of the command. */
+    List<String> values(String option) {
+        return own.hasOption(option) ? List.of(own.getOptionValues(option)) : List.of();
+    }
+
     Optional<Long> number(String option, long minimum, long maximum) {
         return value(option).map(text -> {
             try {
--- /dev/null
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
@@ -0,0 +1,94 @@
+package org.banyanstair.cli.explain;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * What the logs of the hosts say of one request, and what else was decided on its endpoints meanwhile.
+ *
+ * @param request the request's id
+ * @param lines the lines in the order of their time
+ * @param cause how it ended
+ */
+public record RequestHistory(String request, List<LogLine> lines, RequestCause cause) {
+    /** Lines on an endpoint that explain a failure there. */
+    private static final Set<String> ENDPOINT_KINDS =
+            Set.of("endpoint-removed", "endpoint-restarted", "endpoint-leaving", "endpoint-crashed");
+
+    /** Lines on a host that explain why a request has no end. */
+    private static final Set<String> HOST_KINDS = Set.of("started", "stopping", "stopped");
+
+    /** Lines on what hosts depend on. */
+    private static final Set<String> DEPENDENCY_KINDS =
+            Set.of("topic-unavailable", "topic-available", "clock-gap", "command-suspended");
+
+    /** Time after the failure in which the sign of an endpoint's crash comes; twice the time of a runner's lease. */
+    private static final Duration SIGN_LIMIT = Duration.ofSeconds(6);
+
+    /** Copies the lines. */
+    public RequestHistory {
+        lines = List.copyOf(lines);
+    }
+
+    /**
+     * Collects the history of a request.
+     *
+     * @param request its id
+     * @param log lines of any number of hosts, in any order
+     * @return the history; without lines if the logs do not have the request
+     */
+    public static RequestHistory of(String request, List<LogLine> log) {
+        List<LogLine> own = log.stream()
+                .filter(line -> line.text("request").equals(Optional.of(request)))
+                .sorted(Comparator.comparing(LogLine::at))
+                .toList();
+        if (own.isEmpty()) {
+            return new RequestHistory(request, List.of(), RequestCause.NO_END);
+        }
+        Instant from = own.get(0).at();
+        Instant until = own.get(own.size() - 1).at().plus(SIGN_LIMIT);
+        Set<String> hosts = own.stream().map(LogLine::host).collect(Collectors.toSet());
+        Set<String> endpoints =
+                own.stream().flatMap(line -> line.text("endpoint").stream()).collect(Collectors.toSet());
+        List<LogLine> lines = new ArrayList<>(own);
+        log.stream()
+                .filter(line -> !line.at().isBefore(from) && line.at().isBefore(until) && hosts.contains(line.host()))
+                .filter(line -> HOST_KINDS.contains(line.kind())
+                        || DEPENDENCY_KINDS.contains(line.kind())
+                        || ENDPOINT_KINDS.contains(line.kind())
+                                && line.text("endpoint")
+                                        .filter(endpoints::contains)
+                                        .isPresent())
+                .forEach(lines::add);
+        lines.sort(Comparator.comparing(LogLine::at));
+        return new RequestHistory(request, lines, causeOf(own, lines));
+    }
+
+    private static RequestCause causeOf(List<LogLine> own, List<LogLine> lines) {
+        Optional<LogLine> end = own.stream()
+                .filter(line ->
+                        Set.of("answered", "refused", "failed", "caller-left").contains(line.kind()))
+                .reduce((first, last) -> last);
+        if (end.isEmpty()) {
+            return has(lines, HOST_KINDS) ? RequestCause.HOST_LOST : RequestCause.NO_END;
+        }
+        return switch (end.get().kind()) {
+            case "answered" -> RequestCause.ANSWERED;
+            case "refused" -> RequestCause.REFUSED;
+            case "caller-left" -> RequestCause.CALLER_LEFT;
+            default -> end.get().text("reason").equals(Optional.of("TIMED_OUT"))
+                    ? RequestCause.TIMED_OUT
+                    : has(lines, ENDPOINT_KINDS) ? RequestCause.ENDPOINT_LOST : RequestCause.ENDPOINT_FAILED;
+        };
+    }
+
+    private static boolean has(List<LogLine> lines, Set<String> kinds) {
+        return lines.stream().anyMatch(line -> kinds.contains(line.kind()));
+    }
+}
