Share work among hosts by what each can carry

Hosts with 0.36 cores were relays and readers, and got as many callers as those with 1.5.

Change: three hosts read for all and confirm claims; a host that misses the answer of any topic says so.

Tests: PeerTableTest.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -116,7 +116,7 @@
 
     /** Returns whether this host assigns runners, since appends of several hosts at a time would refuse each other. */
     private boolean appendsForAll(PeerTable peers, Instant now) {
-        return peers.firstAtLog(true, now).equals(Optional.of(self));
+        return peers.firstAtLog(true, now).stream().findFirst().equals(Optional.of(self));
     }
 
     /** Assigns a runner that nobody commands, or settles the claim of one that this host took over. */
@@ -146,7 +146,7 @@
                 appendingUntil = now.plus(APPEND_LIMIT);
                 HostId host = settles
                         ? self
-                        : RendezvousHash.first(runner.id().value(), peers.live(now))
+                        : RendezvousHash.first(runner.id().value(), peers.strong(peers.live(now)))
                                 .orElse(self);
                 Fact.Claimed fact = new Fact.Claimed(runner.id(), host, settles || claim == null);
                 return Optional.of(new ForwardingEffect.AppendClaim(fact, topic.end()));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -46,8 +46,8 @@
     /** Age of the last known read of the claims at which a host asks its peers; above the wait of the one that reads. */
     private static final Duration CLAIMS_AGE = Duration.ofMillis(1500);
 
-    /** The same age in a large deployment, where such questions meet at one host; half of the time that a claim counts. */
-    private static final Duration CLAIMS_AGE_OVER_RELAYS = Duration.ofMillis(4000);
+    /** The same age in a large deployment, where such questions meet at one host; under half of the time that a claim counts. */
+    private static final Duration CLAIMS_AGE_OVER_RELAYS = Duration.ofMillis(3000);
 
     /** Time between two such questions. */
     private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(500);
@@ -181,15 +181,15 @@
     }
 
     private boolean reachesLog() {
-        return view.follower(Topic.ENDPOINTS).isAvailable();
+        return view.reachesLog();
     }
 
     /** Returns whether this host reads the entries of endpoints for its peers, since each read is paid for. */
     private boolean readsForAll() {
         if (!turn.now().isBefore(nextReaderCheckAt)) {
             nextReaderCheckAt = turn.now().plus(READER_CHECK_INTERVAL);
-            readsForAll = peers.firstAtLog(reachesLog(), turn.now())
-                    .equals(Optional.of(settings.identity().host()));
+            List<HostId> readers = peers.firstAtLog(reachesLog(), turn.now());
+            readsForAll = readers.contains(settings.identity().host());
         }
         return readsForAll;
     }
@@ -296,10 +296,11 @@
         if (needed && !turn.now().isBefore(nextConfirmationAt)) {
             nextConfirmationAt = turn.now().plus(CONFIRMATION_INTERVAL);
             List<HostId> live = peers.live(turn.now());
-            // Every second time another peer, since the one that reads for all may not reach the log either.
+            // Every second time another peer, since those that read for all may not reach the log either.
             confirmations++;
-            HostId peer = confirmations % 2 == 1
-                    ? peers.firstAtLog(reachesLog(), turn.now()).orElse(live.get(0))
+            List<HostId> readers = peers.firstAtLog(reachesLog(), turn.now());
+            HostId peer = confirmations % 2 == 1 && !readers.isEmpty()
+                    ? readers.get((int) (confirmations / 2 % readers.size()))
                     : live.get((int) (confirmations / 2 % live.size()));
             if (!peer.equals(settings.identity().host())) {
                 mail.send(
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -39,12 +39,22 @@
     /** Silence after which a host is forgotten for the question whether most hosts are heard. */
     private static final Duration GONE_LIMIT = Duration.ofSeconds(30);
 
+    /** Share of the strongest host's cores that a host needs to do work for others. */
+    private static final double STRONG_SHARE = 0.7;
+
+    /** Hosts of a large deployment that read the log for all, so that two may lose it at once. */
+    private static final int LOG_READERS = 3;
+
+    /** Spreads the answers that name a host; has no divisor in common with a thousand. */
+    private static final int ANSWER_STEP = 619;
+
     /** Name by which hosts are ranked for the use of the log. */
     private static final String LOG_TASK = "log";
 
     private final HostAnnouncement self;
     private final Map<HostId, Peer> peers = new TreeMap<>();
     private Instant since = Instant.MAX;
+    private long answers;
 
     /** What is known of a peer. */
     static final class Peer {
@@ -148,12 +158,25 @@
         return peer != null && !peer.leaving && silence(host, now).compareTo(liveLimit()) < 0;
     }
 
-    /** Returns the host that uses the log for all, among those that live and reach it. */
-    Optional<HostId> firstAtLog(boolean selfReachesLog, Instant now) {
+    private double cores(HostId host) {
+        Peer peer = peers.get(host);
+        return peer == null ? self.cores() : peer.announcement.cores();
+    }
+
+    /** Returns those of some hosts that can do work for others: the strongest, and those that are not much weaker. */
+    List<HostId> strong(List<HostId> hosts) {
+        double most = hosts.stream().mapToDouble(this::cores).max().orElse(0);
+        return hosts.stream().filter(host -> cores(host) >= most * STRONG_SHARE).toList();
+    }
+
+    /** Returns the hosts that use the log for all, in order, among those that live and reach it. */
+    List<HostId> firstAtLog(boolean selfReachesLog, Instant now) {
         List<HostId> hosts = live(now).stream()
                 .filter(host -> host.equals(self.host()) ? selfReachesLog : peers.get(host).reachesLog)
                 .toList();
-        return RendezvousHash.first(LOG_TASK, hosts);
+        return RendezvousHash.rank(LOG_TASK, strong(hosts)).stream()
+                .limit(isLarge() ? LOG_READERS : 1)
+                .toList();
     }
 
     int size() {
@@ -199,11 +222,15 @@
     /** Returns the addresses that callers may use, this host first unless it leaves. */
     List<NetworkAddress> callerAddresses(boolean selfLeaves, Instant now) {
         List<NetworkAddress> result = new ArrayList<>();
-        if (!selfLeaves) {
+        double most = Math.max(
+                self.cores(),
+                peers.keySet().stream().mapToDouble(this::cores).max().orElse(0));
+        answers++;
+        if (!selfLeaves && isNamed(self.host(), most)) {
             result.add(self.callers());
         }
         peers.forEach((host, peer) -> {
-            if (isLive(host, now)) {
+            if (isLive(host, now) && isNamed(host, most)) {
                 result.add(peer.announcement.callers());
             }
         });
@@ -213,6 +240,12 @@
         return result;
     }
 
+    /** Names a weak host in a part of the answers, since callers choose alike among the hosts in an answer. */
+    private boolean isNamed(HostId host, double most) {
+        double share = cores(host) / most;
+        return share >= STRONG_SHARE || Math.floorMod(answers * ANSWER_STEP + host.hashCode(), 1000) < share * 1000;
+    }
+
     private static Instant plus(Instant instant, Duration duration) {
         return instant.equals(Instant.MIN) ? instant : instant.plus(duration);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -108,6 +108,11 @@
         followers.get(Topic.HOSTS).setPace(HOSTS_WAIT, Duration.ZERO, turn.now());
     }
 
+    /** Returns whether the last reads of all topics were answered. */
+    boolean reachesLog() {
+        return followers.values().stream().allMatch(TopicFollower::isAvailable);
+    }
+
     TopicFollower follower(Topic topic) {
         return followers.get(topic);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -91,7 +91,7 @@
                 .filter(host ->
                         host.equals(self.host()) || peers.mayLive(host, now) && !suspectedUntil.containsKey(host))
                 .toList();
-        Optional<HostId> chosen = RendezvousHash.first(group, candidates);
+        Optional<HostId> chosen = RendezvousHash.first(group, peers.strong(candidates));
         if (chosen.isEmpty()) {
             relays.remove(group);
         } else if (relay == null || !relay.host().equals(chosen.get())) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
@@ -45,7 +45,8 @@
                 1,
                 NetworkAddress.parse("10.0.0." + index + ":80"),
                 NetworkAddress.parse("10.0.0." + index + ":81"),
-                "east");
+                "east",
+                1);
     }
 
     private static EndpointState runner() {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -36,7 +36,7 @@
 
     Fixture() {
         HostAnnouncement announcement = new HostAnnouncement(
-                HOST, 1, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east");
+                HOST, 1, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
         ForwardingSettings settings = new ForwardingSettings(
                 new HostIdentity(HOST, 1), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
         reducer = new ForwardingReducer(
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -207,7 +207,7 @@
     void claimsAreConfirmedByThePeerThatReadsForAll() {
         HostId peer = new HostId("host-2");
         HostAnnouncement announcement = new HostAnnouncement(
-                peer, 1, NetworkAddress.parse("10.0.0.2:80"), NetworkAddress.parse("10.0.0.2:81"), "east");
+                peer, 1, NetworkAddress.parse("10.0.0.2:80"), NetworkAddress.parse("10.0.0.2:81"), "east", 1);
         fixture.fact(Topic.CLAIMS, "runner-1", new Fact.Claimed(new EndpointId("runner-1"), Fixture.HOST, true));
         HostIdentity sender = new HostIdentity(peer, 1);
         List<ForwardingEffect> effects = new ArrayList<>();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -29,7 +29,8 @@
                 1,
                 NetworkAddress.parse("10.1." + number / 250 + "." + (1 + number % 250) + ":80"),
                 NetworkAddress.parse("10.2." + number / 250 + "." + (1 + number % 250) + ":81"),
-                "east");
+                "east",
+                1);
     }
 
     private static PeerMessage state(int number, boolean leaving) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
@@ -47,7 +47,8 @@
                 1,
                 NetworkAddress.parse("10.1." + number / 200 + "." + (1 + number % 200) + ":80"),
                 NetworkAddress.parse("10.2." + number / 200 + "." + (1 + number % 200) + ":81"),
-                "centre-" + number % 3);
+                "centre-" + number % 3,
+                1);
     }
 
     private void begin(int count) {
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -0,0 +1,67 @@
+package org.banyanstair.forwarding;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.PeerMessage;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Work is shared by what each host can carry. */
+class PeerTableTest {
+    private static final double WEAK_CORES = 0.3;
+
+    private static final double STRONG_CORES = 1.5;
+
+    private final Instant now = Instant.ofEpochSecond(100);
+    private final PeerTable peers = new PeerTable(announcement(0));
+
+    private static HostAnnouncement announcement(int number) {
+        return new HostAnnouncement(
+                new HostId("host-" + number),
+                1,
+                NetworkAddress.parse("10.1.0." + (1 + number) + ":80"),
+                NetworkAddress.parse("10.2.0." + (1 + number) + ":81"),
+                "east",
+                number % 4 == 3 ? WEAK_CORES : STRONG_CORES);
+    }
+
+    private void begin(int count) {
+        for (int number = 1; number < count; number++) {
+            peers.announced(announcement(number), now);
+            peers.state(new PeerMessage.HostState(announcement(number), false, true, 0, 0), now);
+        }
+    }
+
+    @Test
+    void weakHostIsNamedInItsShareOfTheAnswers() {
+        begin(24);
+        int answers = 2000;
+        List<NetworkAddress> named = IntStream.range(0, answers)
+                .mapToObj(answer -> peers.callerAddresses(false, now))
+                .flatMap(List::stream)
+                .toList();
+        for (int number = 0; number < 24; number++) {
+            NetworkAddress callers = announcement(number).callers();
+            long times = named.stream().filter(callers::equals).count();
+            double share = Math.min(1, announcement(number).cores() / STRONG_CORES);
+            assertEquals(share, (double) times / answers, 0.02, callers.toString());
+        }
+    }
+
+    @Test
+    void workForOthersGoesToStrongHosts() {
+        begin(24);
+        List<HostId> readers = peers.firstAtLog(true, now);
+        assertEquals(3, readers.size());
+        assertTrue(readers.stream().allMatch(host -> IntStream.range(0, 24)
+                .mapToObj(PeerTableTest::announcement)
+                .anyMatch(known -> known.host().equals(host) && known.cores() == STRONG_CORES)));
+    }
+}
