--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
@@ -52,7 +52,8 @@
             return new RequestHistory(request, List.of(), RequestCause.NO_END);
         }
         Instant from = own.get(0).at();
-        Instant until = own.get(own.size() - 1).at().plus(SIGN_LIMIT);
+        Instant end = own.get(own.size() - 1).at();
+        Instant until = end.plus(SIGN_LIMIT);
         Set<String> hosts = own.stream().map(LogLine::host).collect(Collectors.toSet());
         Set<String> endpoints =
                 own.stream().flatMap(line -> line.text("endpoint").stream()).collect(Collectors.toSet());
@@ -60,7 +61,7 @@
         log.stream()
                 .filter(line -> !line.at().isBefore(from) && line.at().isBefore(until) && hosts.contains(line.host()))
                 .filter(line -> HOST_KINDS.contains(line.kind())
-                        || DEPENDENCY_KINDS.contains(line.kind())
+                        || DEPENDENCY_KINDS.contains(line.kind()) && !line.at().isAfter(end)
                         || ENDPOINT_KINDS.contains(line.kind())
                                 && line.text("endpoint")
                                         .filter(endpoints::contains)
