Keep failed resumptions out of streams

The second endpoint had answered 500, and once the head of a stream was written every answer was passed on as if it were one.

Change: an answer to a resumption that is no event stream breaks the attempt, so the request is resumed again if limits allow, or its connection is cut.

Test: failedResumptionAddsNothingToAStream failed before and passes now; HostTest passes.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -210,12 +210,16 @@
             if (kind != AnswerKind.ANSWER) {
                 return;
             }
+            boolean stream = response.status().code() == 200
+                    && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
+            if (headWritten && !stream) {
+                // What is no event must not end up between the events that the caller already has.
+                cancel();
+                end(broken());
+                return;
+            }
             head = response;
-            streaming = headWritten
-                    || response.status().code() == 200
-                            && response.headers()
-                                    .get(HttpHeaderNames.CONTENT_TYPE, "")
-                                    .startsWith("text/event-stream");
+            streaming = stream;
             if (streaming) {
                 splitter = Optional.of(new EventSplitter());
             } else {
