Learn by how much loads of adapters are late

Change: a host that meets a late load expects the next ones up to 90 ms later, and forgets it with a half-life of 20 s.

Test: LoadLatenessTest plays loads that take 28 ms longer; at most 15% of the requests come too early.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -303,6 +303,15 @@
         return true;
     }
 
+    /** Returns whether the load of an adapter was expected to end within the last moments. */
+    boolean becameReadyWithin(AdapterName adapter, Duration limit, Instant now) {
+        AdapterPlace place = adapters.get(adapter);
+        return place != null
+                && !place.readyAt().equals(Instant.MIN)
+                && place.isReady(now)
+                && now.isBefore(place.readyAt().plus(limit));
+    }
+
     boolean isUsed(AdapterName adapter) {
         for (EndpointUse one : use.values()) {
             if (one.adapters().contains(adapter)) {
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadLateness.java
@@ -0,0 +1,40 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Learns by how much loads of adapters take longer than expected.
+ *
+ * <p>Answers load of requests that reach a runner just before their adapter: each is rejected and costs a retry that
+ * all share. Loads take longer with the size of the adapters and with the loads of others, and no message tells.
+ */
+final class LoadLateness {
+    /** Added when a load was late; a few of the steps of an engine. */
+    private static final Duration STEP = Duration.ofMillis(30);
+
+    /** Most that is added; later ones are looked up at the runner. */
+    private static final Duration LIMIT = Duration.ofMillis(90);
+
+    /** Time without a late load in which the margin halves. */
+    private static final Duration HALF_LIFE = Duration.ofSeconds(20);
+
+    private Duration margin = Duration.ZERO;
+    private Instant countedAt = Instant.MIN;
+
+    /** A load was late. */
+    void count(Instant now) {
+        Duration more = margin(now).plus(STEP);
+        margin = more.compareTo(LIMIT) < 0 ? more : LIMIT;
+        countedAt = now;
+    }
+
+    /** Returns the time to add to the expected end of a load. */
+    Duration margin(Instant now) {
+        if (margin.isZero()) {
+            return margin;
+        }
+        double halvings = (double) Duration.between(countedAt, now).toMillis() / HALF_LIFE.toMillis();
+        return Duration.ofMillis((long) (margin.toMillis() * Math.pow(0.5, halvings)));
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -18,6 +18,9 @@
 
 /** The runners that this host commands, and what the commanders of the others say of them. */
 final class RunnerDesk {
+    /** Time after its expected end in which a missing adapter means that its load is late. */
+    private static final Duration LATE_LIMIT = Duration.ofMillis(200);
+
     /** Time between two messages on a runner without change, for peers that missed one or are new. */
     private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(3);
 
@@ -31,6 +34,7 @@
     private final PeerMail mail;
     private final ClaimKeeper claims;
     private final Map<EndpointId, AdapterCommander> commanders = new TreeMap<>();
+    private final LoadLateness lateness = new LoadLateness();
     private final Map<EndpointId, Long> fences = new TreeMap<>();
     private final Map<EndpointId, Map<HostId, Instant>> askers = new HashMap<>();
     private Instant nextRepeatAt = Instant.MIN;
@@ -189,6 +193,9 @@
         if (own != null) {
             own.missing(adapter, turn.now());
         } else {
+            if (runner.becameReadyWithin(adapter, LATE_LIMIT, turn.now())) {
+                lateness.count(turn.now());
+            }
             runner.noteLate(adapter, turn.now());
         }
     }
@@ -208,7 +215,7 @@
         for (HeldAdapter adapter : message.adapters()) {
             Instant readyAt = adapter.readyInMilliseconds() == 0
                     ? Instant.MIN
-                    : turn.now().plusMillis(adapter.readyInMilliseconds());
+                    : turn.now().plusMillis(adapter.readyInMilliseconds()).plus(lateness.margin(turn.now()));
             held.put(adapter.name(), new AdapterPlace(adapter.version(), readyAt));
         }
         runner.replaceAdapters(held);
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadLatenessTest.java
@@ -0,0 +1,44 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LoadLatenessTest {
+    private static final Duration LONGER_BY = Duration.ofMillis(28);
+
+    private final LoadLateness lateness = new LoadLateness();
+    private Instant now = Instant.ofEpochSecond(100);
+
+    /** Plays four loads a second that all take longer than expected; returns the requests that came too early. */
+    private int early(int seconds) {
+        int early = 0;
+        for (int load = 0; load < seconds * 4; load++) {
+            now = now.plusMillis(250);
+            if (lateness.margin(now).compareTo(LONGER_BY) < 0) {
+                lateness.count(now);
+                early++;
+            }
+        }
+        return early;
+    }
+
+    @Test
+    void mostRequestsWaitLongEnoughForLargerAdapters() {
+        int early = early(60);
+        assertTrue(early <= 0.15 * 240, early + " of 240 requests were rejected");
+    }
+
+    @Test
+    void marginIsBoundedAndForgotten() {
+        for (int count = 0; count < 50; count++) {
+            lateness.count(now);
+        }
+        assertEquals(Duration.ofMillis(90), lateness.margin(now));
+        assertEquals(0, lateness.margin(now.plusSeconds(300)).toMillis());
+    }
+}
