--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -30,6 +30,7 @@
 import org.banyanstair.testsupport.hosts.HostListStandIn;
 import org.banyanstair.testsupport.log.LogServiceStandIn;
 import org.banyanstair.testsupport.network.FaultProxy;
+import org.banyanstair.testsupport.network.FreePorts;
 import org.banyanstair.testsupport.process.JavaCommand;
 import org.banyanstair.testsupport.process.ManagedProcess;
 import org.banyanstair.testsupport.process.ProcessLauncher;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/FreePorts.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FreePorts.java
@@ -1,4 +1,4 @@
-package org.banyanstair.integration.cluster;
+package org.banyanstair.testsupport.network;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -12,8 +12,9 @@
  * <p>The ports lie below the range from which the operating system takes ports for outgoing connections; a port of that
  * range was once taken by such a connection before its daemon could bind it.
  */
-final class FreePorts {
-    static final String LOOPBACK = "127.0.0.1";
+public final class FreePorts {
+    /** The address of the ports. */
+    public static final String LOOPBACK = "127.0.0.1";
 
     private static final int FIRST = 10_000;
 
@@ -22,7 +23,12 @@
     /** Processes that run at the same time begin at different places. */
     private int offset = (int) (ProcessHandle.current().pid() * 61 % COUNT);
 
-    synchronized NetworkAddress next() {
+    /**
+     * Finds a port.
+     *
+     * @return an address whose port was free a moment ago
+     */
+    public synchronized NetworkAddress next() {
         while (true) {
             offset = (offset + 1) % COUNT;
             int port = FIRST + offset;
