Send heartbeats beside other messages again

A heartbeat was skipped if anything was written since the last one, so a message right after a heartbeat left up to two intervals without any: 2 s of the 2.5 s after which a connection counts as silent.

Excluded: the peer transport on the daemon's thread (the test uses threads of its own).

Change: the skipping is reverted; over relays a host has few connections anyway.

--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
@@ -37,7 +37,6 @@
     private Future<?> handshakeTimer;
     private Future<?> heartbeatTimer;
     private long pings;
-    private boolean written;
     private long readyNanos;
 
     /**
@@ -167,7 +166,6 @@
         owner.ifPresent(peerLink -> peerLink.run(() -> peerLink.ended(this)));
     }
 
-    /** Shows the peer that this host lives, unless other messages did so since the last heartbeat. */
     private void heartbeat() {
         if (link == null || closing) {
             return;
@@ -175,10 +173,9 @@
         // Only the host that opened a connection closes it when it is idle: the other one may watch it.
         if (dialled.isPresent() && link.isIdle(this)) {
             close();
-        } else if (isWritable() && !written) {
+        } else if (isWritable()) {
             write(new PeerMessage.Ping(++pings));
         }
-        written = false;
     }
 
     private void malformed(int lengthBytes) {
@@ -204,7 +201,6 @@
     }
 
     private void write(ByteBuf frames, int count) {
-        written = true;
         transport.counters().framesOut(count, frames.readableBytes());
         channel.writeAndFlush(frames, channel.voidPromise());
     }
