Remove twins and repeated work from the forwarding path

Cause: a last reading of the whole change found the same thing written more than once, or worked out more often than needed. Behaviour is meant to stay as it is.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -140,8 +140,7 @@
         } else if (result == CommandResult.ACCEPTED && command.load()) {
             sequence = OptionalLong.of(command.expectedSequence() + 1);
             long version = command.version().orElseGet(() -> newestVersion.applyAsLong(adapter.get()));
-            Duration time =
-                    runner.heldLately(adapter.get(), version) ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
+            Duration time = runner.loadTime(adapter.get(), version);
             Instant readyAt = now.plusMillis((long) (time.toMillis() * Math.max(1, loadsWaiting)));
             runner.adapters().put(adapter.get(), new AdapterPlace(version, readyAt));
             wanted.remove(adapter.get());
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
@@ -11,6 +11,7 @@
  * What an endpoint is chosen for.
  *
  * @param request the request
+ * @param prefixes hashes of its prompt prefixes that other requests may share, shortest first
  * @param route its route
  * @param engine capacity of a runner; empty for a plain service
  * @param tried endpoints that have failed the request
@@ -21,6 +22,7 @@
  */
 record ChoiceQuery(
         ForwardRequest request,
+        long[] prefixes,
         Route route,
         Optional<EngineCapacity> engine,
         Set<EndpointId> tried,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -133,13 +133,17 @@
             return Optional.empty();
         }
         Duration silenceLimit = takeoverSilence(peers);
+        Optional<Boolean> appendsForAll = Optional.empty();
         for (EndpointState runner : runners) {
             Claim claim = claims.get(runner.id());
             boolean own = claim != null && claim.host().equals(self);
             boolean settles = own && !claim.settled() && !now.isBefore(claim.usableAt());
             boolean orphaned =
                     claim == null || !own && peers.silence(claim.host(), now).compareTo(silenceLimit) > 0;
-            if (settles || orphaned && runner.takesRequests(now) && appendsForAll(peers, now)) {
+            if (orphaned && appendsForAll.isEmpty()) {
+                appendsForAll = Optional.of(appendsForAll(peers, now));
+            }
+            if (settles || orphaned && runner.takesRequests(now) && appendsForAll.get()) {
                 if (!peers.hearsMost(now)) {
                     return Optional.empty();
                 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -67,7 +67,6 @@
                     .map(endpoint -> new Choice(endpoint, false, plainCost(endpoint, query.route(), now)))
                     .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
         }
-        long[] hashes = PrefixIndex.hashes(request);
         boolean loadedSomewhere = request.adapter().isPresent()
                 && candidates.stream().anyMatch(endpoint -> usable(endpoint, request, neededVersion));
         long[] weights = candidates.stream()
@@ -82,11 +81,12 @@
                 continue;
             }
             double cost = delay.getAsDouble()
-                    + runnerCost(endpoint, request, hashes, query.engine().get(), now);
+                    + runnerCost(
+                            endpoint, request, query.prefixes(), query.engine().get(), now);
             if (load) {
                 boolean asked = endpoint.isWaitingFor(request.adapter().get());
                 boolean atHand = endpoint.heldLately(request.adapter().get(), query.newestVersion());
-                Duration time = atHand ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
+                Duration time = endpoint.loadTime(request.adapter().get(), query.newestVersion());
                 cost += time.toMillis() * Math.max(1, query.loadsWaiting())
                         + (atHand || asked ? 0 : FETCH_MILLISECONDS)
                         + (loadedSomewhere && !asked ? COPY_MILLISECONDS : 0)
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -164,6 +164,11 @@
         return formerAdapters.containsKey(new LoadedAdapter(name, version));
     }
 
+    /** Returns how long a load takes if no others are on their way. */
+    Duration loadTime(AdapterName name, long version) {
+        return heldLately(name, version) ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
+    }
+
     PrefixIndex prefixes() {
         return prefixes;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -157,14 +157,7 @@
             List<TopicRecord> news = view.read(read, new ChangeListener());
             boolean othersDoNotRead = read.topic() == Topic.ENDPOINTS || peers.isLarge();
             if (othersDoNotRead && !news.isEmpty() && readsForAll()) {
-                mail.sendToAll(new PeerMessage.RecordsReply(
-                        read.topic(),
-                        before,
-                        relayed(news),
-                        follower.end(),
-                        follower.isRecovering(turn.now()),
-                        Optional.empty(),
-                        0));
+                mail.sendToAll(records(follower, before, news, Optional.empty(), 0));
             }
             if (read.topic() == Topic.CLAIMS) {
                 claims.read(read.startedAt());
@@ -180,28 +173,37 @@
         }
     }
 
-    private boolean reachesLog() {
-        return view.reachesLog();
-    }
-
-    /** Returns whether this host reads the entries of endpoints for its peers, since each read is paid for. */
+    /** Returns whether this host reads topics for its peers, since each read is paid for. */
     private boolean readsForAll() {
         if (!turn.now().isBefore(nextReaderCheckAt)) {
             nextReaderCheckAt = turn.now().plus(READER_CHECK_INTERVAL);
-            List<HostId> readers = peers.firstAtLog(reachesLog(), turn.now());
+            List<HostId> readers = peers.firstAtLog(view.reachesLog(), turn.now());
             readsForAll = readers.contains(settings.identity().host());
         }
         return readsForAll;
     }
 
-    private static List<RelayedRecord> relayed(List<TopicRecord> records) {
-        return records.stream()
+    private PeerMessage records(
+            TopicFollower follower,
+            long offset,
+            List<TopicRecord> records,
+            Optional<Long> askedAtMilliseconds,
+            long ageMilliseconds) {
+        List<RelayedRecord> relayed = records.stream()
                 .map(entry -> new RelayedRecord(
                         entry.key(),
                         entry.value().orElse(new byte[0]),
                         entry.value().isEmpty(),
                         entry.offset()))
                 .toList();
+        return new PeerMessage.RecordsReply(
+                follower.topic(),
+                offset,
+                relayed,
+                follower.end(),
+                follower.isRecovering(turn.now()),
+                askedAtMilliseconds,
+                ageMilliseconds);
     }
 
     private void applyToPeers(ForwardingEvent event) {
@@ -245,18 +247,15 @@
             desk.wanted(sender, wanted);
         } else if (message instanceof PeerMessage.RecordsRequest request) {
             TopicFollower follower = view.follower(request.topic());
-            List<RelayedRecord> records = relayed(follower.recordsFrom(request.offset()));
-            Duration age = follower.age(turn.now()).orElse(ClaimKeeper.VALIDITY);
+            long age = follower.age(turn.now()).orElse(ClaimKeeper.VALIDITY).toMillis() + 1;
             mail.send(
                     sender,
-                    new PeerMessage.RecordsReply(
-                            request.topic(),
+                    records(
+                            follower,
                             request.offset(),
-                            records,
-                            follower.end(),
-                            follower.isRecovering(turn.now()),
+                            follower.recordsFrom(request.offset()),
                             Optional.of(request.askedAtMilliseconds()),
-                            age.toMillis() + 1));
+                            age));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
             view.relayed(reply, sender, new ChangeListener());
             if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
@@ -280,8 +279,7 @@
         }
         Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
         if (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY))) {
-            mail.send(
-                    peer, new PeerMessage.RecordsRequest(topic, Math.max(0, follower.end()), milliseconds(turn.now())));
+            askForRecords(peer, follower);
             behindSince.put(topic, turn.now());
         }
     }
@@ -298,28 +296,28 @@
             List<HostId> live = peers.live(turn.now());
             // Every second time another peer, since those that read for all may not reach the log either.
             confirmations++;
-            List<HostId> readers = peers.firstAtLog(reachesLog(), turn.now());
+            List<HostId> readers = peers.firstAtLog(view.reachesLog(), turn.now());
             HostId peer = confirmations % 2 == 1 && !readers.isEmpty()
                     ? readers.get((int) (confirmations / 2 % readers.size()))
                     : live.get((int) (confirmations / 2 % live.size()));
             if (!peer.equals(settings.identity().host())) {
-                mail.send(
-                        peer,
-                        new PeerMessage.RecordsRequest(
-                                Topic.CLAIMS, Math.max(0, follower.end()), milliseconds(turn.now())));
+                askForRecords(peer, follower);
             }
         }
     }
 
-    private static long milliseconds(Instant instant) {
-        return instant.toEpochMilli();
+    private void askForRecords(HostId peer, TopicFollower follower) {
+        mail.send(
+                peer,
+                new PeerMessage.RecordsRequest(
+                        follower.topic(),
+                        Math.max(0, follower.end()),
+                        turn.now().toEpochMilli()));
     }
 
     private void announced(HostAnnouncement announcement) {
-        if (peers.announced(announcement, turn.now())) {
-            if (!peers.isLarge()) {
-                turn.emit(new ForwardingEffect.ToPeer(announcement.host(), state()));
-            }
+        if (peers.announced(announcement, turn.now()) && !peers.isLarge()) {
+            turn.emit(new ForwardingEffect.ToPeer(announcement.host(), state()));
         }
     }
 
@@ -327,7 +325,7 @@
         return new PeerMessage.HostState(
                 settings.announcement(),
                 stopping,
-                reachesLog(),
+                view.reachesLog(),
                 view.follower(Topic.CONFIGURATION).end(),
                 view.follower(Topic.ENDPOINTS).end());
     }
@@ -376,7 +374,7 @@
         if (requests.size() == 0) {
             return IDLE_TICK;
         }
-        Duration tick = requests.hasWaiting() ? WAITING_TICK : OPEN_TICK;
+        Duration tick = requests.waiting().isEmpty() ? OPEN_TICK : WAITING_TICK;
         return peers.isLarge() ? tick.multipliedBy(2) : tick;
     }
 
@@ -419,7 +417,7 @@
         }
         return new ForwardingStatus(
                 requests.size(),
-                requests.waiting(),
+                requests.waiting().size(),
                 view.configuration().map(ForwardingConfiguration::version).orElse(-1L),
                 endpoints,
                 desk.commanded(),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -70,6 +70,10 @@
             return announcement;
         }
 
+        boolean isLiveSince(Instant earliest) {
+            return !leaving && heardAt.isAfter(earliest);
+        }
+
         long offset(Topic topic) {
             return topic == Topic.CONFIGURATION ? configurationOffset : endpointsOffset;
         }
@@ -185,14 +189,19 @@
 
     boolean isLive(HostId host, Instant now) {
         Peer peer = peers.get(host);
-        return peer != null && !peer.leaving && now.isBefore(plus(peer.heardAt, liveLimit()));
+        return peer != null && peer.isLiveSince(now.minus(liveLimit()));
     }
 
     /** Returns this host and the peers that were heard lately and do not leave. */
     List<HostId> live(Instant now) {
+        Instant earliest = now.minus(liveLimit());
         List<HostId> result = new ArrayList<>();
         result.add(self.host());
-        peers.keySet().stream().filter(host -> isLive(host, now)).forEach(result::add);
+        peers.forEach((host, peer) -> {
+            if (peer.isLiveSince(earliest)) {
+                result.add(host);
+            }
+        });
         return result;
     }
 
@@ -208,12 +217,13 @@
 
     /** Returns whether this host hears at least half of the peers that lived lately, so that it is not cut off itself. */
     boolean hearsMost(Instant now) {
+        Instant earliest = now.minus(liveLimit());
         int heard = 0;
         int expected = 0;
         for (Map.Entry<HostId, Peer> entry : peers.entrySet()) {
             if (silence(entry.getKey(), now).compareTo(GONE_LIMIT) < 0) {
                 expected++;
-                heard += now.isBefore(plus(entry.getValue().heardAt, liveLimit())) ? 1 : 0;
+                heard += entry.getValue().heardAt.isAfter(earliest) ? 1 : 0;
             }
         }
         return heard * 2 >= expected;
@@ -229,8 +239,9 @@
         if (!selfLeaves && isNamed(self.host(), most)) {
             result.add(self.callers());
         }
+        Instant earliest = now.minus(liveLimit());
         peers.forEach((host, peer) -> {
-            if (isLive(host, now) && isNamed(host, most)) {
+            if (peer.isLiveSince(earliest) && isNamed(host, most)) {
                 result.add(peer.announcement.callers());
             }
         });
@@ -245,8 +256,4 @@
         double share = cores(host) / most;
         return share >= STRONG_SHARE || Math.floorMod(answers * ANSWER_STEP + host.hashCode(), 1000) < share * 1000;
     }
-
-    private static Instant plus(Instant instant, Duration duration) {
-        return instant.equals(Instant.MIN) ? instant : instant.plus(duration);
-    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -24,13 +24,13 @@
  */
 final class PlatformView {
     /** Time that a read of the configuration waits for a change. */
-    static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(6);
+    private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(6);
 
     /** Time that a read of the entries of endpoints waits for a change. */
-    static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
+    private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
 
     /** Time in which changes of endpoints are gathered, since each read is paid for; a part of the draining limit. */
-    static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
+    private static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
 
     /** Time that a read of the claims waits; two of them and an answer fit into the time that a claim counts. */
     static final Duration CLAIMS_WAIT = Duration.ofMillis(3000);
@@ -39,13 +39,13 @@
      * The same for the host that reads for all, whose reads confirm the claims of its peers: the shorter, the longer
      * commands go on in an outage of the log.
      */
-    static final Duration CLAIMS_WAIT_FOR_ALL = Duration.ofMillis(900);
+    private static final Duration CLAIMS_WAIT_FOR_ALL = Duration.ofMillis(900);
 
     /** Time between reads of a topic that another host reads for this one; each read is paid for. */
     private static final Duration POLLING_INTERVAL = Duration.ofSeconds(15);
 
     /** Time that a read of the announcements of hosts waits. */
-    static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
+    private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
 
     /** Time after an outage in which the entries of live endpoints come back; from the users' protocol. */
     private static final Duration ENTRY_RETURN = Duration.ofMillis(2000);
@@ -80,14 +80,22 @@
     PlatformView(Turn turn, FactDecoder decoder) {
         this.turn = turn;
         this.decoder = decoder;
-        add(new TopicFollower(Topic.CONFIGURATION, CONFIGURATION_WAIT, Duration.ZERO));
-        add(new TopicFollower(Topic.ENDPOINTS, ENDPOINTS_WAIT, ENDPOINTS_GAP));
-        add(new TopicFollower(Topic.CLAIMS, CLAIMS_WAIT, Duration.ZERO));
-        add(new TopicFollower(Topic.HOSTS, HOSTS_WAIT, Duration.ZERO));
+        for (Topic topic : Topic.values()) {
+            followers.put(topic, new TopicFollower(topic, waitOf(topic, false), gapOf(topic)));
+        }
+    }
+
+    private static Duration waitOf(Topic topic, boolean readsForAll) {
+        return switch (topic) {
+            case CONFIGURATION -> CONFIGURATION_WAIT;
+            case ENDPOINTS -> ENDPOINTS_WAIT;
+            case CLAIMS -> readsForAll ? CLAIMS_WAIT_FOR_ALL : CLAIMS_WAIT;
+            case HOSTS -> HOSTS_WAIT;
+        };
     }
 
-    private void add(TopicFollower follower) {
-        followers.put(follower.topic(), follower);
+    private static Duration gapOf(Topic topic) {
+        return topic == Topic.ENDPOINTS ? ENDPOINTS_GAP : Duration.ZERO;
     }
 
     /**
@@ -97,15 +105,11 @@
      * @param readsForAll whether this host is that one
      */
     void setPace(boolean large, boolean readsForAll) {
-        if (large && !readsForAll) {
-            followers.values().forEach(follower -> follower.setPace(Duration.ZERO, POLLING_INTERVAL, turn.now()));
-            return;
-        }
-        Duration claimsWait = readsForAll ? CLAIMS_WAIT_FOR_ALL : CLAIMS_WAIT;
-        followers.get(Topic.CONFIGURATION).setPace(CONFIGURATION_WAIT, Duration.ZERO, turn.now());
-        followers.get(Topic.ENDPOINTS).setPace(ENDPOINTS_WAIT, ENDPOINTS_GAP, turn.now());
-        followers.get(Topic.CLAIMS).setPace(claimsWait, Duration.ZERO, turn.now());
-        followers.get(Topic.HOSTS).setPace(HOSTS_WAIT, Duration.ZERO, turn.now());
+        boolean polls = large && !readsForAll;
+        followers.forEach((topic, follower) -> follower.setPace(
+                polls ? Duration.ZERO : waitOf(topic, readsForAll),
+                polls ? POLLING_INTERVAL : gapOf(topic),
+                turn.now()));
     }
 
     /** Returns whether the last reads of all topics were answered. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,7 +10,6 @@
 import java.util.TreeMap;
 
 import org.banyanstair.model.AdapterName;
-import org.banyanstair.routing.RetryBudget;
 
 /** The requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
@@ -47,7 +45,7 @@
     private final CrashWatch crashes;
     private final EndpointChooser chooser;
     private final Map<Long, Forwarding> open = new TreeMap<>();
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final SharedRetries retries;
     private final UseLedger ledger;
 
     RequestForwarder(
@@ -65,6 +63,7 @@
         this.desk = desk;
         this.crashes = crashes;
         this.ledger = new UseLedger(turn, settings.identity().host(), view, mail, desk, open.values());
+        this.retries = new SharedRetries(settings, peers);
         this.chooser = new EndpointChooser(settings.announcement().dataCentre());
     }
 
@@ -72,17 +71,13 @@
         return ledger;
     }
 
-    boolean hasWaiting() {
-        return open.values().stream().anyMatch(forwarding -> !forwarding.sent);
-    }
-
     int size() {
         return open.size();
     }
 
-    int waiting() {
-        return (int)
-                open.values().stream().filter(forwarding -> !forwarding.sent).count();
+    /** Returns the requests that no endpoint works on. */
+    List<Forwarding> waiting() {
+        return open.values().stream().filter(forwarding -> !forwarding.sent).toList();
     }
 
     void arrived(ForwardRequest request) {
@@ -104,7 +99,7 @@
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
         Forwarding forwarding = new Forwarding(request, route.get(), service, turn.now());
         open.put(request.exchange(), forwarding);
-        budget(forwarding).countFirst(turn.now());
+        retries.countFirst(service.name(), turn.now());
         if (!turn.now().isBefore(forwarding.deadline)) {
             refuse(forwarding, RefusalReason.DEADLINE_PASSED, 0);
         } else if (crashes.isRefused(request.fingerprint())) {
@@ -123,23 +118,13 @@
                 reason == RefusalReason.NOT_READY ? Optional.of(RetryTimes.NOT_READY) : Optional.empty()));
     }
 
-    private RetryBudget budget(Forwarding forwarding) {
-        return budgets.computeIfAbsent(forwarding.service.name(), name -> new RetryBudget());
-    }
-
-    private boolean takeRetry(Forwarding forwarding) {
-        double slack = (double) settings.retrySlack() / (peers.size() + 1);
-        return budget(forwarding).tryRetry(settings.retryShare(), slack, turn.now());
-    }
-
     private void plan(Forwarding forwarding) {
         ForwardRequest request = forwarding.request;
         Instant now = turn.now();
-        long needed = request.adapter()
-                .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), now))
-                .orElse(0L);
+        long needed = neededVersion(request);
         ChoiceQuery query = new ChoiceQuery(
                 request,
+                forwarding.prefixes,
                 forwarding.route,
                 forwarding.service.engine(),
                 forwarding.tried,
@@ -184,6 +169,12 @@
         }
     }
 
+    private long neededVersion(ForwardRequest request) {
+        return request.adapter()
+                .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), turn.now()))
+                .orElse(0L);
+    }
+
     /** Asks for the adapter of a request for a short time, so that a load that nobody waits for any more is not made. */
     private void want(Forwarding forwarding, EndpointState endpoint) {
         forwarding.recheckAt = turn.now().plus(overRelays(LOAD_START_LIMIT));
@@ -207,9 +198,7 @@
 
     /** Looks again at the requests that wait for an adapter. */
     void checkWaiting() {
-        List<Forwarding> waiting =
-                open.values().stream().filter(forwarding -> !forwarding.sent).toList();
-        waiting.forEach(this::check);
+        waiting().forEach(this::check);
     }
 
     private void check(Forwarding forwarding) {
@@ -228,8 +217,7 @@
         }
         Optional<AdapterName> adapter = forwarding.request.adapter();
         AdapterPlace place = adapter.map(endpoint.adapters()::get).orElse(null);
-        long needed = adapter.map(name -> view.neededVersion(name, settings.versionTerm(), now))
-                .orElse(0L);
+        long needed = neededVersion(forwarding.request);
         if (adapter.isEmpty() || place != null && place.version() >= needed && place.isReady(now)) {
             send(forwarding, endpoint, place);
         } else if ((place == null || place.version() < needed) && !now.isBefore(forwarding.recheckAt)) {
@@ -270,7 +258,7 @@
                 "adapter",
                 request.adapter().map(AdapterName::toString).orElse(""),
                 "waited-ms",
-                Duration.between(forwarding.arrivedAt, turn.now()).toMillis(),
+                turn.millisecondsSince(forwarding.arrivedAt),
                 "expected-start-ms",
                 (long) forwarding.predictedMilliseconds,
                 "running",
@@ -296,8 +284,7 @@
         forwarding.firstOutput = true;
         EndpointState endpoint = forwarding.endpoint.orElseThrow();
         if (forwarding.predictedMilliseconds > 0) {
-            endpoint.countSpeed(
-                    Duration.between(forwarding.sentAt, turn.now()).toMillis() / forwarding.predictedMilliseconds);
+            endpoint.countSpeed(turn.millisecondsSince(forwarding.sentAt) / forwarding.predictedMilliseconds);
         }
         ledger.changed(endpoint);
     }
@@ -321,7 +308,7 @@
                 "result",
                 result,
                 "after-ms",
-                Duration.between(forwarding.sentAt, turn.now()).toMillis()));
+                turn.millisecondsSince(forwarding.sentAt)));
         if (result instanceof AttemptResult.Answered answered) {
             answered(forwarding, endpoint, answered.status());
         } else if (result instanceof AttemptResult.NotRun notRun) {
@@ -336,13 +323,12 @@
         forwarding.mayHaveRun = true;
         boolean failed = status >= 500;
         endpoint.countOutcome(!failed, turn.now());
-        if (!failed && forwarding.request.adapter().isPresent()) {
-            endpoint.countRun(Duration.between(forwarding.sentAt, turn.now()));
-        }
         if (!failed) {
             crashes.completed(forwarding.request.fingerprint());
-        }
-        if (failed && forwarding.route.idempotent() && !forwarding.route.streaming() && retry(forwarding)) {
+            if (forwarding.request.adapter().isPresent()) {
+                endpoint.countRun(Duration.between(forwarding.sentAt, turn.now()));
+            }
+        } else if (forwarding.route.idempotent() && !forwarding.route.streaming() && retry(forwarding)) {
             return;
         }
         close(forwarding);
@@ -355,7 +341,7 @@
                 "attempts",
                 forwarding.attempts,
                 "after-ms",
-                Duration.between(forwarding.arrivedAt, turn.now()).toMillis()));
+                turn.millisecondsSince(forwarding.arrivedAt)));
         turn.emit(new ForwardingEffect.Deliver(forwarding.request.exchange()));
     }
 
@@ -367,7 +353,7 @@
                 && view.endpointsOf(forwarding.service.name()).stream()
                         .anyMatch(endpoint ->
                                 endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()))
-                && takeRetry(forwarding);
+                && retries.take(forwarding.service.name(), turn.now());
     }
 
     private boolean retry(Forwarding forwarding) {
@@ -394,7 +380,8 @@
         }
         forwarding.tried.remove(endpoint.id());
         boolean arrived = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
-        if (++forwarding.rejections > REJECTION_LIMIT || arrived && !takeRetry(forwarding)) {
+        if (++forwarding.rejections > REJECTION_LIMIT
+                || arrived && !retries.take(forwarding.service.name(), turn.now())) {
             giveUp(forwarding, RefusalReason.OVERLOADED, 0);
         } else {
             plan(forwarding);
@@ -447,7 +434,7 @@
                 "expected-start-ms",
                 (long) startMilliseconds,
                 "waited-ms",
-                Duration.between(forwarding.arrivedAt, turn.now()).toMillis(),
+                turn.millisecondsSince(forwarding.arrivedAt),
                 "attempts",
                 forwarding.attempts));
         turn.emit(new ForwardingEffect.Refuse(forwarding.request.exchange(), reason, retryAfter));
@@ -466,7 +453,7 @@
                 "attempts",
                 forwarding.attempts,
                 "after-ms",
-                Duration.between(forwarding.arrivedAt, turn.now()).toMillis()));
+                turn.millisecondsSince(forwarding.arrivedAt)));
         turn.emit(new ForwardingEffect.Fail(forwarding.request.exchange(), reason));
     }
 
@@ -491,7 +478,7 @@
     }
 
     private boolean isSilent(Forwarding forwarding) {
-        long waited = Duration.between(forwarding.sentAt, turn.now()).toMillis();
+        long waited = turn.millisecondsSince(forwarding.sentAt);
         return forwarding.route.streaming()
                 ? waited > Math.max(SHORTEST_SILENCE.toMillis(), SILENCE_MULTIPLE * forwarding.predictedMilliseconds)
                 : waited > SILENCE_SHARE * forwarding.route.objective().toMillis();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -94,9 +94,9 @@
     /** Tells all hosts of a runner; those that wait for a load there hear it at once in a large deployment, too. */
     private void tell(EndpointId runner, PeerMessage news) {
         mail.sendToAll(news);
-        Map<HostId, Instant> waiting = askers.getOrDefault(runner, Map.of());
-        waiting.values().removeIf(until -> !turn.now().isBefore(until));
-        if (peers.isLarge()) {
+        Map<HostId, Instant> waiting = askers.get(runner);
+        if (waiting != null) {
+            waiting.values().removeIf(until -> !turn.now().isBefore(until));
             waiting.keySet().forEach(host -> mail.send(host, news));
         }
     }
@@ -160,8 +160,10 @@
         AdapterCommander own = commanders.get(message.endpoint());
         Optional<EndpointState> runner = view.endpoint(message.endpoint());
         if (own != null && runner.isPresent()) {
-            askers.computeIfAbsent(message.endpoint(), id -> new HashMap<>())
-                    .put(sender, turn.now().plus(ASKER_TERM));
+            if (peers.isLarge()) {
+                askers.computeIfAbsent(message.endpoint(), id -> new HashMap<>())
+                        .put(sender, turn.now().plus(ASKER_TERM));
+            }
             want(
                     runner.get(),
                     new WantedLoad(
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Turn.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Turn.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarding;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,10 @@
         return now;
     }
 
+    long millisecondsSince(Instant instant) {
+        return Duration.between(instant, now).toMillis();
+    }
+
     void emit(ForwardingEffect effect) {
         effects.add(effect);
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -85,7 +84,6 @@
     private final EndpointConnections connections = new EndpointConnections(loop, CONNECT_LIMIT);
     private final Listeners listeners = new Listeners(group);
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
-    private final Map<HostId, NetworkAddress> peerAddresses = new ConcurrentHashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final ShellOfDaemon shell = new ShellOfDaemon();
     private final TopicReader topics;
@@ -120,7 +118,7 @@
                         PEER_SILENCE,
                         CONNECT_LIMIT.multipliedBy(2),
                         PeerTransportSettings.DEFAULT_MAXIMUM_FRAME_BYTES),
-                host -> Optional.ofNullable(peerAddresses.get(host)),
+                reducer::peerAddress,
                 new Peers(),
                 clock,
                 group);
@@ -214,10 +212,8 @@
             metrics.countDecision(log.decision().kind());
             decisions.write(log.decision());
         } else if (effect instanceof ForwardingEffect.ToPeer toPeer) {
-            findAddress(toPeer.peer());
             peers.send(toPeer.peer(), toPeer.message());
         } else if (effect instanceof ForwardingEffect.Watch watch) {
-            findAddress(watch.peer());
             peers.watch(watch.peer());
         } else if (effect instanceof ForwardingEffect.Unwatch unwatch) {
             peers.unwatch(unwatch.peer());
@@ -252,10 +248,6 @@
         }
     }
 
-    private void findAddress(HostId peer) {
-        reducer.peerAddress(peer).ifPresent(address -> peerAddresses.put(peer, address));
-    }
-
     private Optional<CallerExchange> exchange(long number) {
         return Optional.ofNullable(exchanges.get(number));
     }
@@ -287,11 +279,8 @@
             FullHttpRequest request,
             Duration limit,
             Consumer<Optional<FullHttpResponse>> receiver) {
-        Instant startedAt = shell.now();
-        WholeAnswer.request(connections, loop, address, request, limit, answer -> {
-            metrics.runnerCall(operation, Duration.between(startedAt, shell.now()), answer.isPresent());
-            receiver.accept(answer);
-        });
+        WholeAnswer.request(
+                connections, loop, address, request, limit, metrics.timeRunnerCall(operation, clock, receiver));
     }
 
     private final class ShellOfDaemon implements Shell {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -203,8 +203,7 @@
         public void head(HttpResponse response) {
             kind = endpoints().classify(response, requestId);
             if (kind == AnswerKind.INVALID) {
-                cancel();
-                end(broken());
+                breakOff();
                 return;
             }
             if (kind != AnswerKind.ANSWER) {
@@ -214,8 +213,7 @@
                     && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
             if (headWritten && !stream) {
                 // What is no event must not end up between the events that the caller already has.
-                cancel();
-                end(broken());
+                breakOff();
                 return;
             }
             head = response;
@@ -238,8 +236,7 @@
             }
             if (!streaming) {
                 if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
-                    cancel();
-                    end(broken());
+                    breakOff();
                 } else {
                     body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
                 }
@@ -259,8 +256,7 @@
             if (ended || repeated || gap) {
                 event.bytes().release();
                 if (gap && !ended) {
-                    cancel();
-                    end(broken());
+                    breakOff();
                 }
                 return;
             }
@@ -296,6 +292,12 @@
             }
         }
 
+        /** Ends the attempt on account of what the endpoint sent. */
+        private void breakOff() {
+            cancel();
+            end(broken());
+        }
+
         private AttemptResult broken() {
             splitter.ifPresent(EventSplitter::clear);
             return new AttemptResult.Broken(headWritten, lastEvent >= 0 ? Optional.of(lastEvent) : Optional.empty());
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -1,8 +1,12 @@
 package org.banyanstair.forwarder.internal;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Gauge;
@@ -15,12 +19,14 @@
 import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.platform.Topic;
 
-/** The metrics of a daemon that passes requests on. Latencies are in seconds. Safe for use by several threads. */
+/** The metrics of a daemon that passes requests on. Latencies are in seconds. Not safe for use by several threads. */
 public final class ForwarderMetrics {
     private static final String PREFIX = "banyanstair_";
 
     private final MetricRegistry registry = new MetricRegistry();
     private final PrometheusText text = new PrometheusText(registry);
+    private Optional<Supplier<ForwardingStatus>> status = Optional.empty();
+    private ForwardingStatus observed;
     private final Timer queueing = timer("queue_seconds");
     private final Timer firstOutput = timer("first_output_seconds");
     private final Timer outputGap = timer("output_gap_seconds");
@@ -69,25 +75,43 @@
     }
 
     /**
-     * The platform's log answered or did not in time.
+     * Measures a call to the platform's log.
      *
-     * @param operation what was asked; reads include the time in which they wait for records
-     * @param taken time that it took
-     * @param answered whether there was an answer
+     * @param operation what is asked; reads include the time in which they wait for records
+     * @param clock the clock
+     * @param receiver takes the answer, empty if there is none in time
+     * @param <T> the answer
+     * @return what is to be called with the answer
      */
-    public void logCall(String operation, Duration taken, boolean answered) {
-        record(timer("log_call_seconds", "operation", operation, "answered", Boolean.toString(answered)), taken);
+    public <T> Consumer<Optional<T>> timeLogCall(
+            String operation, InstantSource clock, Consumer<Optional<T>> receiver) {
+        return timeCall("log_call_seconds", operation, clock, receiver);
     }
 
     /**
-     * A runner answered a command or a question, or did not in time.
+     * Measures a command or a question to a runner.
      *
-     * @param operation what was asked
-     * @param taken time that it took
-     * @param answered whether there was an answer
+     * @param operation what is asked
+     * @param clock the clock
+     * @param receiver takes the answer, empty if there is none in time
+     * @param <T> the answer
+     * @return what is to be called with the answer
      */
-    public void runnerCall(String operation, Duration taken, boolean answered) {
-        record(timer("runner_call_seconds", "operation", operation, "answered", Boolean.toString(answered)), taken);
+    public <T> Consumer<Optional<T>> timeRunnerCall(
+            String operation, InstantSource clock, Consumer<Optional<T>> receiver) {
+        return timeCall("runner_call_seconds", operation, clock, receiver);
+    }
+
+    private <T> Consumer<Optional<T>> timeCall(
+            String name, String operation, InstantSource clock, Consumer<Optional<T>> receiver) {
+        Instant startedAt = clock.instant();
+        return answer -> {
+            String answered = Boolean.toString(answer.isPresent());
+            record(
+                    timer(name, "operation", operation, "answered", answered),
+                    Duration.between(startedAt, clock.instant()));
+            receiver.accept(answer);
+        };
     }
 
     private static void record(Timer timer, Duration time) {
@@ -100,27 +124,27 @@
      * @param status reads it
      */
     public void observe(Supplier<ForwardingStatus> status) {
-        gauge("open_requests", () -> status.get().openRequests());
-        gauge("waiting_requests", () -> status.get().waitingRequests());
-        gauge("configuration_version", () -> status.get().configurationVersion());
-        gauge("commanded_runners", () -> status.get().commandedRunners());
-        gauge("live_peers", () -> status.get().livePeers());
+        this.status = Optional.of(status);
+        gauge("open_requests", () -> observed.openRequests());
+        gauge("waiting_requests", () -> observed.waitingRequests());
+        gauge("configuration_version", () -> observed.configurationVersion());
+        gauge("commanded_runners", () -> observed.commandedRunners());
+        gauge("live_peers", () -> observed.livePeers());
         for (EndpointCondition condition : EndpointCondition.values()) {
-            gauge(
-                    LabelledName.of("endpoints", "condition", lowerCase(condition)),
-                    () -> status.get().endpoints().getOrDefault(condition, 0L));
+            gauge(LabelledName.of("endpoints", "condition", lowerCase(condition)), () -> observed.endpoints()
+                    .getOrDefault(condition, 0L));
         }
         for (Topic topic : Topic.values()) {
             String name = lowerCase(topic);
             gauge(
                     LabelledName.of("topic_available", "topic", name),
-                    () -> status.get().topics().get(topic).available() ? 1 : 0);
+                    () -> observed.topics().get(topic).available() ? 1 : 0);
             gauge(
                     LabelledName.of("topic_age_seconds", "topic", name),
-                    () -> status.get().topics().get(topic).age().toMillis() / 1000.0);
+                    () -> observed.topics().get(topic).age().toMillis() / 1000.0);
             gauge(
                     LabelledName.of("topic_end", "topic", name),
-                    () -> status.get().topics().get(topic).end());
+                    () -> observed.topics().get(topic).end());
         }
     }
 
@@ -144,6 +168,7 @@
      * @return the text in UTF-8
      */
     public byte[] write() {
+        status.ifPresent(supplier -> observed = supplier.get());
         return text.write();
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
@@ -93,11 +93,13 @@
 
     private void ask(
             String operation, FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> receiver) {
-        Instant startedAt = shell.now();
-        WholeAnswer.request(shell.connections(), loop, protocol.address(), request, limit, answer -> {
-            shell.metrics().logCall(operation, Duration.between(startedAt, shell.now()), answer.isPresent());
-            receiver.accept(answer);
-        });
+        WholeAnswer.request(
+                shell.connections(),
+                loop,
+                protocol.address(),
+                request,
+                limit,
+                shell.metrics().timeLogCall(operation, shell::now, receiver));
     }
 
     private void unavailable(Topic topic, Optional<FullHttpResponse> answer) {
