Unload adapters that no waiting request can use there

Two requests whose adapters are held only where they failed kept each other's places, with all engines idle: a trace shows 10 s without a single load, until the first deadline ended the wait.

Excluded: orders on silent connections (answered or given up within 2 s in the trace), runs that go on at the engine (none were reported).

Change: an adapter counts as waited for on an engine only if a waiting request may use that engine. PoolOwnerTest plays two such requests; it failed before and passes now.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -144,7 +144,7 @@
                 .count();
     }
 
-    /** Evicts the adapter that the policy prefers, of those that nobody uses or waits for. */
+    /** Evicts the adapter that the policy prefers, of those that nobody uses or can use there. */
     private void evictFor(WaitingRequest waiting, Instant now, Effects effects) {
         record Candidate(EngineState engine, VictimOrder.Victim victim) {}
         usable(waiting, now)
@@ -167,7 +167,7 @@
         Slot slot = engine.slots().get(adapter);
         return slot.state() == SlotState.LOADED
                 && !engine.isInUse(adapter)
-                && !pool.queue().isWanted(adapter)
+                && !pool.queue().isWanted(adapter, engine.endpoint().id())
                 && (takeover.isComplete() || !slot.inherited());
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
@@ -11,6 +11,7 @@
 
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.CallerId;
+import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.RequestId;
 
 /** Requests that wait for a permit, in the order in which they should get one. Not safe for use by several threads. */
@@ -65,8 +66,10 @@
                 .forEach(waiting -> add(waiting.age()));
     }
 
-    boolean isWanted(AdapterVersion adapter) {
-        return byAdapter.containsKey(adapter);
+    /** Whether a waiting request could run with the copy of the adapter that this engine holds. */
+    boolean isWanted(AdapterVersion adapter, EndpointId engine) {
+        return byAdapter.containsKey(adapter)
+                && order.stream().anyMatch(waiting -> waiting.adapter().equals(adapter) && waiting.mayUse(engine));
     }
 
     int size() {
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -0,0 +1,211 @@
+package org.banyanstair.placement;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.banyanstair.configuration.Configuration;
+import org.banyanstair.membership.Endpoint;
+import org.banyanstair.membership.EndpointKind;
+import org.banyanstair.membership.EntryHost;
+import org.banyanstair.membership.HostListing;
+import org.banyanstair.membership.Membership;
+import org.banyanstair.membership.Presence;
+import org.banyanstair.model.AdapterVersion;
+import org.banyanstair.model.CallerId;
+import org.banyanstair.model.DataCentre;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.Fingerprint;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.model.PoolId;
+import org.banyanstair.model.PriorityClass;
+import org.banyanstair.model.RequestId;
+import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.EngineStatus;
+import org.banyanstair.platform.OrderResult;
+import org.banyanstair.reducer.Effect;
+import org.banyanstair.reducer.Effects;
+import org.banyanstair.reducer.ReducerSettings;
+import org.banyanstair.reducer.Sequence;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards decisions of the owner of a pool that depend on several waiting requests. */
+class PoolOwnerTest {
+    private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
+    private static final PoolId POOL = new PoolId("assistant");
+    private static final HostIdentity SELF = new HostIdentity(new HostId("entry-1"), 7);
+    private static final long TERM = 5;
+    private static final Duration TAKEOVER =
+            ReducerSettings.DEFAULT.hostListLag().plusSeconds(3);
+
+    private final Effects effects = new Effects();
+    private final List<Effect> seen = new ArrayList<>();
+    private Instant now = START;
+    private PoolOwner owner;
+
+    @BeforeEach
+    void createOwner() {
+        Membership membership = new Membership(SELF);
+        membership.update(new HostListing(1, List.of(self()), List.of(engine(1), engine(2))));
+        owner = new PoolOwner(
+                POOL,
+                TERM,
+                new PoolContext(
+                        membership,
+                        ReducerSettings.DEFAULT,
+                        new Sequence(),
+                        new OwnershipHistory(),
+                        new CrashSuspects(),
+                        () -> Configuration.INITIAL),
+                now);
+        tick();
+        for (int number = 1; number <= 2; number++) {
+            owner.fenceEnded(engine(number).id(), new OrderResult.Done(), now, effects);
+        }
+    }
+
+    private static Endpoint engine(int number) {
+        return new Endpoint(
+                new EndpointId("engine-" + number),
+                EndpointKind.ENGINE,
+                Presence.LIVE,
+                new DataCentre("ub-east"),
+                POOL,
+                new NetworkAddress("127.0.0.1", number),
+                1,
+                8,
+                true);
+    }
+
+    private static EntryHost self() {
+        NetworkAddress address = new NetworkAddress("127.0.0.1", 9);
+        return new EntryHost(SELF.host(), Presence.LIVE, new DataCentre("ub-east"), address, address, address);
+    }
+
+    private static AdapterVersion adapter(String name) {
+        return AdapterVersion.parse("assistant/" + name + "@v1");
+    }
+
+    private static PeerMessage.PermitRequest request(String id, String adapter, int... tried) {
+        Set<EndpointId> engines = new HashSet<>();
+        for (int number : tried) {
+            engines.add(new EndpointId("engine-" + number));
+        }
+        return new PeerMessage.PermitRequest(
+                new RequestId(id),
+                1 + tried.length,
+                POOL,
+                adapter(adapter),
+                new CallerId("caller"),
+                100,
+                100,
+                PriorityClass.STANDARD,
+                START.plus(TAKEOVER).plusSeconds(14),
+                0,
+                new Fingerprint(id),
+                engines);
+    }
+
+    private void tick() {
+        now = now.plusMillis(50);
+        owner.tick(now, effects);
+        collect();
+    }
+
+    private void collect() {
+        seen.addAll(effects.drain());
+    }
+
+    /** Carries out the commands of the owner and reports what the engines hold, as undisturbed engines do. */
+    private void run(Map<EndpointId, Set<AdapterVersion>> held, Duration time) {
+        Instant end = now.plus(time);
+        while (now.isBefore(end)) {
+            tick();
+            List<Effect> commands = List.copyOf(seen);
+            seen.removeIf(effect -> !isGrant(effect));
+            commands.forEach(command -> carryOut(held, command));
+            collect();
+        }
+    }
+
+    private void carryOut(Map<EndpointId, Set<AdapterVersion>> held, Effect command) {
+        if (command instanceof Effect.LoadAdapter load) {
+            held.get(load.endpoint().id()).add(load.adapter());
+            owner.loadEnded(load.endpoint().id(), load.adapter(), new OrderResult.Done(), now, effects);
+        } else if (command instanceof Effect.UnloadAdapter unload) {
+            held.get(unload.endpoint().id()).remove(unload.adapter());
+            owner.unloadEnded(unload.endpoint().id(), unload.adapter(), new OrderResult.Done(), now, effects);
+        } else if (command instanceof Effect.ReadEngineStatus read) {
+            Map<AdapterVersion, Integer> loaded = new HashMap<>();
+            held.get(read.endpoint().id()).forEach(each -> loaded.put(each, 0));
+            owner.statusRead(read.endpoint().id(), now, new EngineStatus(3, 1, 8, loaded, 0, TERM), now, effects);
+        } else if (command instanceof Effect.RaiseFence raise) {
+            owner.fenceEnded(raise.endpoint().id(), new OrderResult.Done(), now, effects);
+        } else if (command instanceof Effect.SendToPeer send
+                && send.message() instanceof PeerMessage.InventoryRequest request) {
+            owner.inventoried(
+                    SELF,
+                    new PeerMessage.InventoryReply(POOL, request.term(), request.sequence(), List.of()),
+                    now,
+                    effects);
+        }
+    }
+
+    private static boolean isGrant(Effect effect) {
+        return effect instanceof Effect.SendToPeer send && send.message() instanceof PeerMessage.PermitGrant;
+    }
+
+    private List<String> granted() {
+        return seen.stream()
+                .filter(PoolOwnerTest::isGrant)
+                .map(effect -> ((PeerMessage.PermitGrant) ((Effect.SendToPeer) effect).message()).request())
+                .map(RequestId::value)
+                .sorted()
+                .toList();
+    }
+
+    /**
+     * Two requests have each failed on the engine that holds their adapter, so each needs the place that the other's
+     * adapter takes. Both waited until their deadlines while the engines were idle. They arrive during the takeover,
+     * when nothing is unloaded, so that both wait before the first decision.
+     */
+    @Test
+    void requestsThatHaveTriedTheHoldersOfTheirAdaptersDoNotKeepEachOtherWaiting() {
+        Map<EndpointId, Set<AdapterVersion>> held = new HashMap<>();
+        held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
+        run(held, Duration.ofSeconds(2));
+        owner.requested(SELF, request("first", "a", 1), now, effects);
+        owner.requested(SELF, request("second", "b", 2), now, effects);
+        collect();
+        run(held, TAKEOVER);
+        assertEquals(List.of("first", "second"), granted());
+    }
+
+    /** An adapter that a waiting request can still use where it is loaded stays loaded. */
+    @Test
+    void adapterThatAWaitingRequestCanUseIsNotUnloaded() {
+        Map<EndpointId, Set<AdapterVersion>> held = new HashMap<>();
+        held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
+        run(held, TAKEOVER);
+        owner.requested(SELF, request("runs", "a"), now, effects);
+        owner.requested(SELF, request("waits", "c"), now, effects);
+        collect();
+        run(held, Duration.ofSeconds(2));
+        assertTrue(held.get(engine(1).id()).contains(adapter("a")), "the adapter of a running request was unloaded");
+        assertEquals(List.of("runs", "waits"), granted());
+    }
+}
