--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -73,7 +73,6 @@
                 .mapToLong(endpoint -> weight(endpoint, request))
                 .toArray();
         Choice best = null;
-        double lowest = Double.MAX_VALUE;
         for (int index = 0; index < candidates.size(); index++) {
             EndpointState endpoint = candidates.get(index);
             boolean load = request.adapter().isPresent() && !usable(endpoint, request, neededVersion);
@@ -98,11 +97,7 @@
                     cost += Duration.between(now, adapter.readyAt()).toMillis();
                 }
             }
-            double total = cost
-                    + Interference.milliseconds(
-                            endpoint, ownTokens(endpoint, request, query.prefixes()), request.outputTokens(), now);
-            if (total < lowest) {
-                lowest = total;
+            if (best == null || cost < best.startMilliseconds()) {
                 best = new Choice(endpoint, load, cost);
             }
         }
@@ -116,16 +111,11 @@
 
     /** Estimates the time that a runner needs for the prompt of a request and for those that wait before it. */
     static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes) {
-        return (endpoint.waitingTokens() + ownTokens(endpoint, request, hashes))
-                        / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND
-                        * endpoint.slowness()
+        int own = Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
+        return (endpoint.waitingTokens() + own) / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowness()
                 + 2 * ServiceTimes.STEP_MILLISECONDS;
     }
 
-    private static int ownTokens(EndpointState endpoint, ForwardRequest request, long[] hashes) {
-        return Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
-    }
-
     private double runnerCost(
             EndpointState endpoint, ForwardRequest request, long[] hashes, EngineCapacity engine, Instant now) {
         double cost = promptMilliseconds(endpoint, request, hashes) + commonCost(endpoint, now);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -47,7 +47,6 @@
     private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
     private final Map<HostId, EndpointUse> use = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex();
-    private final ReadingMeter reading = new ReadingMeter();
     private final Map<LoadedAdapter, Boolean> formerAdapters = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -91,7 +90,6 @@
         baseModels = Set.of();
         adapters.clear();
         prefixes.clear();
-        reading.clear();
         use.clear();
         failureShare = 0;
         slowness = 1;
@@ -265,24 +263,6 @@
         return sum;
     }
 
-    /** Returns the requests of all hosts that have had a first output and go on. */
-    int generating() {
-        int sum = 0;
-        for (EndpointUse one : use.values()) {
-            sum += one.generating();
-        }
-        return sum;
-    }
-
-    void countReading(int tokens, Instant now) {
-        reading.add(tokens, now);
-    }
-
-    /** Returns the share of its time that the runner has spent lately on reading prompts, below 1. */
-    double readingShare(Instant now) {
-        return reading.share(slowness, now);
-    }
-
     int waitingTokens() {
         int sum = 0;
         for (EndpointUse one : use.values()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -244,9 +244,6 @@
                 : 0;
         forwarding.tried.add(endpoint.id());
         forwarding.cachedTokens = endpoint.prefixes().cachedTokens(request, forwarding.prefixes);
-        if (forwarding.service.engine().isPresent()) {
-            ledger.addReading(endpoint, forwarding.ownTokens());
-        }
         ledger.addPrefixes(endpoint, forwarding.prefixes);
         request.adapter().ifPresent(adapter -> desk.countUse(endpoint, adapter));
         ledger.changed(endpoint);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
@@ -27,7 +27,6 @@
     private final RunnerDesk desk;
     private final Collection<Forwarding> open;
     private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
-    private final Map<EndpointId, Integer> readTokens = new HashMap<>();
     private final Map<EndpointId, EndpointUse> unreported = new TreeMap<>();
     private Instant nextCompleteAt = Instant.MIN;
 
@@ -60,15 +59,8 @@
         }
     }
 
-    /** A prompt was sent to an endpoint, which reads this many tokens for it. */
-    void addReading(EndpointState endpoint, int tokens) {
-        endpoint.countReading(tokens, turn.now());
-        readTokens.merge(endpoint.id(), tokens, Integer::sum);
-    }
-
     private EndpointUse useOf(EndpointState endpoint) {
         int running = 0;
-        int generating = 0;
         int waitingTokens = 0;
         int cacheTokens = 0;
         List<AdapterName> adapters = new ArrayList<>();
@@ -79,12 +71,10 @@
                 forwarding.request.adapter().ifPresent(adapters::add);
                 if (!forwarding.firstOutput && forwarding.service.engine().isPresent()) {
                     waitingTokens += forwarding.ownTokens();
-                } else {
-                    generating++;
                 }
             }
         }
-        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, generating, 0, adapters, List.of());
+        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
     }
 
     /** Tells peers what has changed since the last report, and all of it now and then for those that missed one. */
@@ -108,14 +98,11 @@
                         use.running(),
                         use.waitingTokens(),
                         use.cacheTokens(),
-                        use.generating(),
-                        readTokens.getOrDefault(use.endpoint(), 0),
                         use.adapters(),
                         newPrefixes.getOrDefault(use.endpoint(), List.of())))
                 .toList();
         unreported.clear();
         newPrefixes.clear();
-        readTokens.clear();
         mail.sendToAll(new PeerMessage.UseReport(uses, complete));
     }
 
@@ -127,7 +114,6 @@
         for (EndpointUse use : message.uses()) {
             view.endpoint(use.endpoint()).ifPresent(endpoint -> {
                 endpoint.setUse(sender, use);
-                endpoint.countReading(use.readTokens(), turn.now());
                 use.adapters().forEach(adapter -> desk.countUse(endpoint, adapter));
             });
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
@@ -13,8 +13,6 @@
  * @param running requests that were sent and have not ended
  * @param waitingTokens prompt tokens of those without a first output
  * @param cacheTokens tokens of memory that all of them need
- * @param generating requests that have had a first output
- * @param readTokens prompt tokens that were sent there since the last message
  * @param adapters adapters of those requests, one entry a request
  * @param newPrefixes hashes of prompt prefixes that were sent there since the last message
  */
@@ -24,8 +22,6 @@
         int running,
         int waitingTokens,
         int cacheTokens,
-        int generating,
-        int readTokens,
         List<AdapterName> adapters,
         List<Long> newPrefixes) {
     /** Copies the lists. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
@@ -107,7 +107,7 @@
         begin(Set.of("base"), full);
         step();
         inspect(0, false, Set.of("base"), full);
-        runner.setUse(OTHER, new EndpointUse(runner.id(), 2, 0, 0, 2, 0, List.of(adapter(1), adapter(3)), List.of()));
+        runner.setUse(OTHER, new EndpointUse(runner.id(), 2, 0, 0, List.of(adapter(1), adapter(3)), List.of()));
         want(4);
         AdapterCommand unload = command();
         assertFalse(unload.load());
