Ask peers for news while other peers are behind too

A host that is behind waits 0.4 s for its own read before it asks a peer that is ahead. The wait began anew with each state of a peer that was not ahead, so where several hosts are behind nobody is ever asked until the next look at the log (15 s in a large deployment).

Excluded: lost messages alone (states repeat every second).

Change: a host is behind as long as any peer was ever ahead of it; the wait ends only when it has caught up with the furthest one.

Test: hostThatIsBehindAsksAlsoIfOtherPeersAreBehindToo failed before and passes.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -68,6 +68,7 @@
     private final CrashWatch crashes;
     private final RequestForwarder requests;
     private final Map<Topic, Instant> behindSince = new EnumMap<>(Topic.class);
+    private final Map<Topic, Long> furthestEnds = new EnumMap<>(Topic.class);
     private Instant lastEventAt = Instant.MAX;
     private Instant nextStateAt = Instant.MIN;
     private Instant nextReportAt = Instant.MIN;
@@ -270,15 +271,14 @@
     /** Asks a peer that has read further, if this host's own read does not get there. */
     private void catchUp(HostId peer, Topic topic) {
         TopicFollower follower = view.follower(topic);
-        boolean behind = peers.find(peer)
-                .filter(known -> known.offset(topic) > follower.end())
-                .isPresent();
-        if (!behind) {
+        long end = peers.find(peer).map(known -> known.offset(topic)).orElse(-1L);
+        if (follower.end() >= furthestEnds.merge(topic, end, Math::max)) {
             behindSince.remove(topic);
             return;
         }
         Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
-        if (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY))) {
+        boolean canTell = end > follower.end();
+        if (canTell && (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY)))) {
             askForRecords(peer, follower);
             behindSince.put(topic, turn.now());
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -240,6 +240,41 @@
                 "the answer counts as a read");
     }
 
+    private static HostAnnouncement announcement(String host, int port) {
+        return new HostAnnouncement(
+                new HostId(host),
+                1,
+                new NetworkAddress("10.0.0.2", port),
+                new NetworkAddress("10.0.0.2", port + 1),
+                "east",
+                1);
+    }
+
+    private List<ForwardingEffect> told(String host, int port, long configurationEnd) {
+        return fixture.apply(new ForwardingEvent.PeerReceived(
+                new HostIdentity(new HostId(host), 1),
+                new PeerMessage.HostState(announcement(host, port), false, true, configurationEnd, 0)));
+    }
+
+    /** Where many hosts are behind, news of one that is ahead came between theirs and nobody was ever asked. */
+    @Test
+    void hostThatIsBehindAsksAlsoIfOtherPeersAreBehindToo() {
+        desks(false);
+        List<ForwardingEffect> effects = new ArrayList<>();
+        for (int step = 0; step < 20; step++) {
+            effects.addAll(told("ahead", 80, 1_000));
+            effects.addAll(told("behind", 82, 0));
+            effects.addAll(fixture.passWithoutReads(Duration.ofMillis(50)));
+        }
+        List<HostId> asked = Fixture.only(effects, ForwardingEffect.ToPeer.class).stream()
+                .filter(effect -> effect.message() instanceof PeerMessage.RecordsRequest request
+                        && request.topic() == Topic.CONFIGURATION)
+                .map(ForwardingEffect.ToPeer::peer)
+                .toList();
+        assertTrue(asked.contains(new HostId("ahead")), "nobody was asked within 1 s");
+        assertTrue(asked.size() <= 3, "asked " + asked.size() + " times");
+    }
+
     @Test
     void retriesStayWithinTheShareOfAllHosts() {
         desks(true);
