Free places sooner after a takeover of a pool

Change: the hosts whose report is missing after a takeover are asked every 250 ms, and engines are asked again as soon as their report can confirm.

Test: PoolOwnerTest#placesAreFreedSoonAfterTheLastHostHasReported failed before and passes now.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -306,6 +306,8 @@
             engine.slots().entrySet().stream()
                     .filter(entry -> entry.getValue().inherited())
                     .forEach(entry -> engine.endUnconfirmed(entry.getKey(), now));
+            // A report that is asked for any earlier cannot confirm that these ends have happened.
+            engine.nextStatusAt(now.plus(pool.settings().statusLag()));
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitInventory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitInventory.java
@@ -16,6 +16,9 @@
 final class PermitInventory {
     private static final Duration RECONCILIATION_INTERVAL = Duration.ofSeconds(10);
 
+    /** Time between two questions after a takeover, during which nothing is unloaded; a few round trips to a peer. */
+    private static final Duration TAKEOVER_INTERVAL = Duration.ofMillis(250);
+
     private final Pool pool;
     private final Takeover takeover;
     private Instant nextTakeoverAt = Instant.MIN;
@@ -62,7 +65,7 @@
     void tick(Instant now, Effects effects) {
         askForInterrupted(now, effects);
         if (!takeover.isComplete() && !now.isBefore(nextTakeoverAt)) {
-            nextTakeoverAt = now.plus(pool.settings().repeatInterval());
+            nextTakeoverAt = now.plus(TAKEOVER_INTERVAL);
             takeover.missing(pool.membership()).forEach(host -> askInventory(host, effects));
         }
         if (!now.isBefore(nextReconciliationAt)) {
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -53,6 +53,7 @@
     private final Effects effects = new Effects();
     private final List<Effect> seen = new ArrayList<>();
     private Instant now = START;
+    private boolean paused;
     private PoolOwner owner;
 
     @BeforeEach
@@ -153,7 +154,8 @@
             owner.statusRead(read.endpoint().id(), now, new EngineStatus(3, 1, 8, loaded, 0, TERM), now, effects);
         } else if (command instanceof Effect.RaiseFence raise) {
             owner.fenceEnded(raise.endpoint().id(), new OrderResult.Done(), now, effects);
-        } else if (command instanceof Effect.SendToPeer send
+        } else if (!paused
+                && command instanceof Effect.SendToPeer send
                 && send.message() instanceof PeerMessage.InventoryRequest request) {
             owner.inventoried(
                     SELF,
@@ -194,6 +196,23 @@
         assertEquals(List.of("first", "second"), granted());
     }
 
+    /** A paused host holds up the takeover; requests wait for places until the first unload, some until too late. */
+    @Test
+    void placesAreFreedSoonAfterTheLastHostHasReported() {
+        Map<EndpointId, Set<AdapterVersion>> held = new HashMap<>();
+        held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
+        paused = true;
+        run(held, ReducerSettings.DEFAULT.hostListLag().plusMillis(1600));
+        owner.requested(SELF, request("waits", "c"), now, effects);
+        collect();
+        run(held, Duration.ofMillis(300));
+        paused = false;
+        Duration promptly = ReducerSettings.DEFAULT.statusLag().plusMillis(600);
+        run(held, promptly);
+        assertEquals(List.of("waits"), granted());
+    }
+
     /** An adapter that a waiting request can still use where it is loaded stays loaded. */
     @Test
     void adapterThatAWaitingRequestCanUseIsNotUnloaded() {
