Have only strong hosts relay where there are some

Two hosts of a data centre have 140 Mbit/s and 1.5 cores, the others 7 Mbit/s and 0.36 cores. Groups were cut by names, so some had no strong host, and a weak one sent all news of 73 hosts to eight members and seven relays.

Excluded: processor time of the hosts that are late (their requests are passed on at once); the look at the log, which the store refused.

Change: strong hosts are dealt out to the groups, and a data centre has as many groups as have a strong relay and one in reserve.

Test: weakHostsDoNotRelay: a weak host sent 120 messages a second, its share of a core is good for 36. The fixture of PeerMailTest gave all hosts of a data centre the same group by accident of their names; it does not any more, and the other tests pass with that too.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -16,12 +16,16 @@
 /**
  * Divides the hosts of a large deployment into groups within data centres, each with one host that relays messages.
  *
- * <p>Hosts need not agree: a host relays whatever it is asked to, so a difference costs a message and loses none.
+ * <p>Answers load of many unequal hosts: a relay sends all news to each member, which is more than a narrow network
+ * carries. So each group has at least two strong hosts, if its data centre has them. Hosts need not agree: a host relays whatever it is asked to, so a difference costs a message and loses none.
  */
 final class RelayGroups {
     /** Members of a group; near the square root of the number of hosts, where the load of a relay is least. */
     private static final int GROUP_SIZE = 9;
 
+    /** Strong hosts of a group: a relay, and one that takes its place. */
+    private static final int STRONG_MEMBERS = 2;
+
     /** Silence of a relay after which another one is chosen: three of its intervals between messages. */
     private static final Duration SILENCE_LIMIT = Duration.ofMillis(600);
 
@@ -50,20 +54,14 @@
 
     /** Divides the hosts that are known now and chooses the relays. */
     void refresh(Instant now) {
-        Map<String, Integer> sizes = new HashMap<>();
+        Map<String, List<HostId>> centres = new TreeMap<>();
         List<HostAnnouncement> hosts = new ArrayList<>(peers.present(now));
         hosts.add(self);
-        hosts.forEach(host -> sizes.merge(host.dataCentre(), 1, Integer::sum));
+        hosts.forEach(host -> centres.computeIfAbsent(host.dataCentre(), name -> new ArrayList<>())
+                .add(host.host()));
         groupOf.clear();
         members.clear();
-        for (HostAnnouncement host : hosts) {
-            int size = sizes.get(host.dataCentre());
-            int groups = Math.max(1, Math.round((float) size / GROUP_SIZE));
-            String group =
-                    host.dataCentre() + "/" + Math.floorMod(host.host().value().hashCode(), groups);
-            groupOf.put(host.host(), group);
-            members.computeIfAbsent(group, name -> new ArrayList<>()).add(host.host());
-        }
+        centres.forEach(this::divide);
         relays.keySet().retainAll(members.keySet());
         suspectedUntil.values().removeIf(now::isAfter);
         boolean wasRelay = isRelay();
@@ -78,6 +76,20 @@
                 .forEach(group -> choose(group, isRelay, now));
     }
 
+    /** Deals out the strong hosts of a data centre in turn, and the others by their names. */
+    private void divide(String centre, List<HostId> hosts) {
+        List<HostId> strong = RendezvousHash.rank(centre, peers.strong(hosts));
+        int groups =
+                Math.max(1, Math.min(Math.round((float) hosts.size() / GROUP_SIZE), strong.size() / STRONG_MEMBERS));
+        for (HostId host : hosts) {
+            int place = strong.size() < hosts.size() ? strong.indexOf(host) : -1;
+            int number = Math.floorMod(place >= 0 ? place : host.value().hashCode(), groups);
+            String group = centre + "/" + number;
+            groupOf.put(host, group);
+            members.computeIfAbsent(group, name -> new ArrayList<>()).add(host);
+        }
+    }
+
     private void choose(String group, boolean hearsFromRelay, Instant now) {
         Relay relay = relays.get(group);
         if (relay != null && hearsFromRelay && !relay.host().equals(self.host())) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.IntToDoubleFunction;
 
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
@@ -32,23 +33,36 @@
     /** Messages that a host may send a second, from its share of a slow processor: 2% of a core at 0.2 ms each. */
     private static final int MESSAGES_PER_SECOND = 100;
 
+    /** Cores of the strongest and the weakest hosts of the users' larger deployments. */
+    private static final double STRONG_CORES = 1.5;
+
+    private static final double WEAK_CORES = 0.36;
+
+    /** One strong host in so many, as there. */
+    private static final int STRONG_EVERY = 12;
+
+    /** Neighbours by name in one data centre, so that names say nothing about data centres. */
+    private static final int HOSTS_IN_A_ROW = 5;
+
     private final Map<HostId, ForwardingReducer> hosts = new TreeMap<>();
     private final Set<HostId> stopped = new HashSet<>();
     private Instant now = Instant.ofEpochSecond(100);
     private Deque<Parcel> underWay = new ArrayDeque<>();
     private int sent;
+    private final Map<HostId, Integer> sentBy = new TreeMap<>();
+    private IntToDoubleFunction cores = number -> 1;
     private final List<Parcel> delivered = new ArrayList<>();
 
     private record Parcel(HostId from, HostId to, PeerMessage message) {}
 
-    private static HostAnnouncement announcement(int number) {
+    private HostAnnouncement announcement(int number) {
         return new HostAnnouncement(
                 new HostId("host-" + number),
                 1,
                 NetworkAddress.parse("10.1." + number / 200 + "." + (1 + number % 200) + ":80"),
                 NetworkAddress.parse("10.2." + number / 200 + "." + (1 + number % 200) + ":81"),
-                "centre-" + number % 3,
-                1);
+                "centre-" + number / HOSTS_IN_A_ROW % 3,
+                cores.applyAsDouble(number));
     }
 
     private void begin(int count) {
@@ -78,6 +92,7 @@
         for (ForwardingEffect effect : hosts.get(host).apply(event, now)) {
             if (effect instanceof ForwardingEffect.ToPeer toPeer) {
                 sent++;
+                sentBy.merge(host, 1, Integer::sum);
                 underWay.add(new Parcel(host, toPeer.peer(), toPeer.message()));
             }
         }
@@ -160,6 +175,24 @@
         assertAllSee(49);
     }
 
+    /** A weak host that relayed sent more than its network carries, so its members heard of changes seconds late. */
+    @Test
+    void weakHostsDoNotRelay() {
+        cores = number -> number % STRONG_EVERY == 0 ? STRONG_CORES : WEAK_CORES;
+        begin(73);
+        pass(Duration.ofSeconds(3));
+        sentBy.clear();
+        pass(Duration.ofSeconds(4));
+        hosts.values().forEach(reducer -> assertEquals(72, reducer.status(now).livePeers()));
+        for (int number = 0; number < 73; number++) {
+            HostId host = new HostId("host-" + number);
+            int each = sentBy.getOrDefault(host, 0) / 4;
+            assertTrue(
+                    number % STRONG_EVERY == 0 || each <= MESSAGES_PER_SECOND * WEAK_CORES,
+                    host + " sends " + each + " messages a second");
+        }
+    }
+
     /** A message for one host goes over relays, since connections from each to each are too many. */
     @Test
     void questionAndAnswerPassRelays() {
