--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarding;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /** How sending a request to an endpoint ended. */
@@ -8,8 +9,9 @@
      * The whole answer has arrived; a stream has been passed on to its end.
      *
      * @param status HTTP status
+     * @param longestPause longest time between two outputs of a stream; zero for an answer in one piece
      */
-    record Answered(int status) implements AttemptResult {}
+    record Answered(int status, Duration longestPause) implements AttemptResult {}
 
     /**
      * The endpoint did not run the request.
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarding;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
@@ -20,6 +21,7 @@
     Optional<EndpointState> endpoint = Optional.empty();
     boolean sent;
     boolean firstOutput;
+    long firstOutputMilliseconds = -1;
     boolean mayHaveRun;
     int attempts;
     int runs;
@@ -61,4 +63,22 @@
     int cacheTokens() {
         return service.engine().isPresent() ? request.inputTokens() + request.outputTokens() : 0;
     }
+
+    /** Returns what the log says of the whole answer at an instant. */
+    DecisionRecord answerRecord(AttemptResult.Answered result, Instant now) {
+        return DecisionRecord.of(
+                "answered",
+                "request",
+                request.id(),
+                "status",
+                result.status(),
+                "attempts",
+                attempts,
+                "first-output-ms",
+                firstOutputMilliseconds,
+                "longest-pause-ms",
+                result.longestPause().toMillis(),
+                "after-ms",
+                Duration.between(arrivedAt, now).toMillis());
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -282,6 +282,9 @@
             return;
         }
         forwarding.firstOutput = true;
+        if (forwarding.firstOutputMilliseconds < 0) {
+            forwarding.firstOutputMilliseconds = turn.millisecondsSince(forwarding.arrivedAt);
+        }
         EndpointState endpoint = forwarding.endpoint.orElseThrow();
         if (forwarding.predictedMilliseconds > 0) {
             endpoint.countSpeed(turn.millisecondsSince(forwarding.sentAt) / forwarding.predictedMilliseconds);
@@ -310,7 +313,7 @@
                 "after-ms",
                 turn.millisecondsSince(forwarding.sentAt)));
         if (result instanceof AttemptResult.Answered answered) {
-            answered(forwarding, endpoint, answered.status());
+            answered(forwarding, endpoint, answered);
         } else if (result instanceof AttemptResult.NotRun notRun) {
             notRun(forwarding, endpoint, notRun.cause());
         } else if (result instanceof AttemptResult.Broken broken) {
@@ -318,10 +321,10 @@
         }
     }
 
-    private void answered(Forwarding forwarding, EndpointState endpoint, int status) {
+    private void answered(Forwarding forwarding, EndpointState endpoint, AttemptResult.Answered result) {
         forwarding.runs++;
         forwarding.mayHaveRun = true;
-        boolean failed = status >= 500;
+        boolean failed = result.status() >= 500;
         endpoint.countOutcome(!failed, turn.now());
         if (!failed) {
             crashes.completed(forwarding.request.fingerprint());
@@ -332,16 +335,7 @@
             return;
         }
         close(forwarding);
-        turn.log(DecisionRecord.of(
-                "answered",
-                "request",
-                forwarding.request.id(),
-                "status",
-                status,
-                "attempts",
-                forwarding.attempts,
-                "after-ms",
-                turn.millisecondsSince(forwarding.arrivedAt)));
+        turn.log(forwarding.answerRecord(result, turn.now()));
         turn.emit(new ForwardingEffect.Deliver(forwarding.request.exchange()));
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -91,10 +91,10 @@
         desks(true);
         ForwardingEffect.Send send = arrive(deskRequest());
         ForwardingEffect.Send again = Fixture.only(
-                        end(send, new AttemptResult.Answered(500)), ForwardingEffect.Send.class)
+                        end(send, new AttemptResult.Answered(500, Duration.ZERO)), ForwardingEffect.Send.class)
                 .get(0);
         assertNotEquals(send.endpoint(), again.endpoint());
-        List<ForwardingEffect> effects = end(again, new AttemptResult.Answered(500));
+        List<ForwardingEffect> effects = end(again, new AttemptResult.Answered(500, Duration.ZERO));
         assertTrue(Fixture.only(effects, ForwardingEffect.Send.class).isEmpty(), "two attempts are allowed");
         assertEquals(1, Fixture.only(effects, ForwardingEffect.Deliver.class).size());
     }
@@ -281,10 +281,10 @@
         int retries = 0;
         for (int index = 0; index < 400; index++) {
             ForwardingEffect.Send send = arrive(deskRequest());
-            List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(500));
+            List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(500, Duration.ZERO));
             for (ForwardingEffect.Send again : Fixture.only(effects, ForwardingEffect.Send.class)) {
                 retries++;
-                end(again, new AttemptResult.Answered(200));
+                end(again, new AttemptResult.Answered(200, Duration.ZERO));
             }
         }
         assertTrue(retries <= 0.2 * 400 + 50, "retries: " + retries);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -108,7 +108,8 @@
         due.add(new Due(runner.freeAt, new ForwardingEvent.FirstOutput(send.exchange(), send.attempt())));
         due.add(new Due(
                 runner.freeAt.plus(RUN),
-                new ForwardingEvent.AttemptEnded(send.exchange(), send.attempt(), new AttemptResult.Answered(200))));
+                new ForwardingEvent.AttemptEnded(
+                        send.exchange(), send.attempt(), new AttemptResult.Answered(200, Duration.ZERO))));
     }
 
     private void later(int milliseconds, ForwardingEvent event) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -44,6 +44,7 @@
     private long lastEvent = -1;
     private final Instant arrivedAt;
     private Optional<Instant> lastOutputAt = Optional.empty();
+    private Duration longestPause = Duration.ZERO;
 
     CallerExchange(long number, String requestId, FullHttpRequest request, CallerConnection connection, Shell shell) {
         this.number = number;
@@ -177,9 +178,13 @@
 
     private void countOutput() {
         Instant now = shell.now();
-        lastOutputAt.ifPresentOrElse(
-                before -> shell.metrics().output(Duration.between(before, now)),
-                () -> shell.metrics().firstOutput(Duration.between(arrivedAt, now)));
+        if (lastOutputAt.isPresent()) {
+            Duration pause = Duration.between(lastOutputAt.get(), now);
+            shell.metrics().output(pause);
+            longestPause = pause.compareTo(longestPause) > 0 ? pause : longestPause;
+        } else {
+            shell.metrics().firstOutput(Duration.between(arrivedAt, now));
+        }
         lastOutputAt = Optional.of(now);
     }
 
@@ -273,7 +278,7 @@
         @Override
         public void end() {
             if (kind == AnswerKind.ANSWER) {
-                end(new AttemptResult.Answered(head.status().code()));
+                end(new AttemptResult.Answered(head.status().code(), longestPause));
             } else {
                 end(new AttemptResult.NotRun(
                         kind == AnswerKind.FULL ? AttemptResult.NotRunCause.FULL : AttemptResult.NotRunCause.NOT_HERE));
