Prefer runners where prompts hold up no streams

Prompts have to be spaced at a runner, which needs what all hosts send there sooner than reports tell.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -73,6 +73,7 @@
                 .mapToLong(endpoint -> weight(endpoint, request))
                 .toArray();
         Choice best = null;
+        double lowest = Double.MAX_VALUE;
         for (int index = 0; index < candidates.size(); index++) {
             EndpointState endpoint = candidates.get(index);
             boolean load = request.adapter().isPresent() && !usable(endpoint, request, neededVersion);
@@ -97,7 +98,11 @@
                     cost += Duration.between(now, adapter.readyAt()).toMillis();
                 }
             }
-            if (best == null || cost < best.startMilliseconds()) {
+            double total = cost
+                    + StreamPauses.milliseconds(
+                            endpoint, query.route(), promptMilliseconds(endpoint, request, query.prefixes()));
+            if (total < lowest) {
+                lowest = total;
                 best = new Choice(endpoint, load, cost);
             }
         }
