--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointChooser.java
@@ -73,7 +73,6 @@
                 .mapToLong(endpoint -> weight(endpoint, request))
                 .toArray();
         Choice best = null;
-        double lowest = Double.MAX_VALUE;
         for (int index = 0; index < candidates.size(); index++) {
             EndpointState endpoint = candidates.get(index);
             boolean load = request.adapter().isPresent() && !usable(endpoint, request, neededVersion);
@@ -98,11 +97,7 @@
                     cost += Duration.between(now, adapter.readyAt()).toMillis();
                 }
             }
-            double total = cost
-                    + StreamPauses.milliseconds(
-                            endpoint, query.route(), promptMilliseconds(endpoint, request, query.prefixes()));
-            if (total < lowest) {
-                lowest = total;
+            if (best == null || cost < best.startMilliseconds()) {
                 best = new Choice(endpoint, load, cost);
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
@@ -14,7 +14,6 @@
  * @param resumable whether a stream may continue on another endpoint
  * @param timeout longest time that a caller is kept waiting
  * @param objective time in which an answer (or the first event) is on time
- * @param longestPause longest time between two outputs of a stream that is on time; zero if none was said
  * @param patience longest time that a caller waits for the first output
  * @param maximumAttempts most endpoints that may run one request
  * @param rank urgency, 0 is the most urgent
@@ -29,7 +28,6 @@
         boolean resumable,
         Duration timeout,
         Duration objective,
-        Duration longestPause,
         Duration patience,
         int maximumAttempts,
         int rank,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -118,7 +118,6 @@
                 resumable,
                 Duration.ofSeconds(6),
                 Duration.ofSeconds(1),
-                Duration.ofMillis(600),
                 Duration.ofSeconds(4),
                 2,
                 1,
