--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -272,13 +272,14 @@
     private void catchUp(HostId peer, Topic topic) {
         TopicFollower follower = view.follower(topic);
         long end = peers.find(peer).map(known -> known.offset(topic)).orElse(-1L);
+        // One peer that is no further must not end the wait while another one is.
         if (follower.end() >= furthestEnds.merge(topic, end, Math::max)) {
             behindSince.remove(topic);
             return;
         }
         Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
-        boolean canTell = end > follower.end();
-        if (canTell && (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY)))) {
+        boolean peerIsAhead = end > follower.end();
+        if (peerIsAhead && (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY)))) {
             askForRecords(peer, follower);
             behindSince.put(topic, turn.now());
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -17,7 +17,9 @@
  * Divides the hosts of a large deployment into groups within data centres, each with one host that relays messages.
  *
  * <p>Answers load of many unequal hosts: a relay sends all news to each member, which is more than a narrow network
- * carries. So each group has at least two strong hosts, if its data centre has them. Hosts need not agree: a host relays whatever it is asked to, so a difference costs a message and loses none.
+ * carries. So each group has at least two strong hosts, if its data centre has them.
+ *
+ * <p>Hosts need not agree: a host relays whatever it is asked to, so a difference costs a message and loses none.
  */
 final class RelayGroups {
     /** Members of a group; near the square root of the number of hosts, where the load of a relay is least. */
@@ -76,15 +78,18 @@
                 .forEach(group -> choose(group, isRelay, now));
     }
 
-    /** Deals out the strong hosts of a data centre in turn, and the others by their names. */
+    /**
+     * Deals out the strong hosts of a data centre in turn, so that no group is without them, and the others by their
+     * names, which stay the same when hosts come and go. Where all are equally strong, names decide for all.
+     */
     private void divide(String centre, List<HostId> hosts) {
         List<HostId> strong = RendezvousHash.rank(centre, peers.strong(hosts));
         int groups =
                 Math.max(1, Math.min(Math.round((float) hosts.size() / GROUP_SIZE), strong.size() / STRONG_MEMBERS));
         for (HostId host : hosts) {
-            int place = strong.size() < hosts.size() ? strong.indexOf(host) : -1;
-            int number = Math.floorMod(place >= 0 ? place : host.value().hashCode(), groups);
-            String group = centre + "/" + number;
+            boolean dealtOut = strong.size() < hosts.size() && strong.contains(host);
+            int number = dealtOut ? strong.indexOf(host) : host.value().hashCode();
+            String group = centre + "/" + Math.floorMod(number, groups);
             groupOf.put(host, group);
             members.computeIfAbsent(group, name -> new ArrayList<>()).add(host);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -144,7 +144,7 @@
                 .count();
     }
 
-    /** Evicts the adapter that the policy prefers, of those that nobody uses or can use there. */
+    /** Evicts the adapter that the policy prefers, of those that no request uses or could use there. */
     private void evictFor(WaitingRequest waiting, Instant now, Effects effects) {
         record Candidate(EngineState engine, VictimOrder.Victim victim) {}
         usable(waiting, now)
