Carry out held effects before later events in the simulation

Cause, from a trace of the held actions: the simulated host paused for a second time while it worked off 38 held events, and put the effects of the event at hand behind them. So an attempt was started after the deadline of its request, which stood among those events, had ended it. It is the only such pause in all samples. The daemon carries out the effects of an event before it takes the next one, whatever pauses it, so the schedule cannot happen.

Change: the simulated host keeps that order too.

--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -134,7 +135,19 @@
         if (!effects.isEmpty() && cluster.pausesBeforeEffects(this)) {
             pause();
         }
-        effects.forEach(effect -> whenRunning(() -> execute(effect)));
+        if (paused) {
+            holdBeforeOtherEvents(effects);
+        } else {
+            effects.forEach(effect -> whenRunning(() -> execute(effect)));
+        }
+    }
+
+    /** A host that pauses again while it works off what it held carries out these effects before the next event. */
+    private void holdBeforeOtherEvents(List<Effect> effects) {
+        for (int index = effects.size() - 1; index >= 0; index--) {
+            Effect effect = effects.get(index);
+            held.addFirst(() -> execute(effect));
+        }
     }
 
     private void execute(Effect effect) {
