Rank strong hosts only where they are dealt out

Cause, found in a last reading of the change: the division of relay groups, worked out every 100 ms, ranked the strong hosts of each data centre also where all hosts are equally strong and the ranks are not used; at 370 equal hosts that is a hash for each comparison of a sort of all of them. It also looked each host up twice.

Change: the ranks are made only where they are used. Behaviour stays as it is. Checked: format, style and 36 tests of relays, peers and the reducer pass.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -83,12 +83,13 @@
      * names, which stay the same when hosts come and go. Where all are equally strong, names decide for all.
      */
     private void divide(String centre, List<HostId> hosts) {
-        List<HostId> strong = RendezvousHash.rank(centre, peers.strong(hosts));
+        List<HostId> strong = peers.strong(hosts);
+        List<HostId> dealtOut = strong.size() == hosts.size() ? List.of() : RendezvousHash.rank(centre, strong);
         int groups =
                 Math.max(1, Math.min(Math.round((float) hosts.size() / GROUP_SIZE), strong.size() / STRONG_MEMBERS));
         for (HostId host : hosts) {
-            boolean dealtOut = strong.size() < hosts.size() && strong.contains(host);
-            int number = dealtOut ? strong.indexOf(host) : host.value().hashCode();
+            int place = dealtOut.indexOf(host);
+            int number = place >= 0 ? place : host.value().hashCode();
             String group = centre + "/" + Math.floorMod(number, groups);
             groupOf.put(host, group);
             members.computeIfAbsent(group, name -> new ArrayList<>()).add(host);
