Log why an attempt counts as broken

An incident showed an answer of two endpoints that was framed as complete. The line "attempt-ended" said Broken for a lost connection, an unsigned head, a failed resumption, a gap in the events and an answer over the limit alike, so those could not be told apart.

Change: AttemptResult.Broken carries a BrokenCause, which the line shows. No decision depends on it.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -23,10 +23,11 @@
     /**
      * The connection ended early or what came was no answer; the request may have run.
      *
+     * @param cause what ended the attempt
      * @param outputPassedOn whether the caller has got a part of the answer
      * @param lastEvent id of the last event that was passed on whole
      */
-    record Broken(boolean outputPassedOn, Optional<Long> lastEvent) implements AttemptResult {}
+    record Broken(BrokenCause cause, boolean outputPassedOn, Optional<Long> lastEvent) implements AttemptResult {}
 
     /** How it is known that a request has not run. */
     enum NotRunCause {
@@ -37,4 +38,18 @@
         /** Another process has the address, or it lacks the adapter version. */
         NOT_HERE
     }
+
+    /** What ended an attempt whose request may have run. */
+    enum BrokenCause {
+        /** The connection ended, or what came on it is not HTTP, before the answer was complete. */
+        CONNECTION_LOST,
+        /** The head is not that of an answer to this request, for example a success without a signature. */
+        INVALID_HEAD,
+        /** The answer to a resumption is not an event stream. */
+        NOT_A_STREAM,
+        /** The id of an event does not follow that of the event before it. */
+        EVENT_GAP,
+        /** The answer is longer than what is kept of one. */
+        TOO_LONG
+    }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -48,7 +48,8 @@
     void requestThatMayHaveRunIsNotSentAgain() {
         desks(false);
         ForwardingEffect.Send send = arrive(deskRequest());
-        List<ForwardingEffect> effects = end(send, new AttemptResult.Broken(false, Optional.empty()));
+        List<ForwardingEffect> effects =
+                end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, false, Optional.empty()));
         assertTrue(Fixture.only(effects, ForwardingEffect.Send.class).isEmpty());
         assertTrue(Fixture.only(effects, ForwardingEffect.Refuse.class).isEmpty(), "may have run, so no promise");
         assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
@@ -174,7 +175,8 @@
                 Fixture.route("/once/", Fixture.SERVICE, true, false, false));
         fixture.endpoint("runner-1", Fixture.SERVICE, false, 1, "a1");
         fixture.endpoint("runner-2", Fixture.SERVICE, false, 1, "a1");
-        AttemptResult broken = new AttemptResult.Broken(true, Optional.of(4L));
+        AttemptResult broken =
+                new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, true, Optional.of(4L));
         ForwardingEffect.Send send = arrive(fixture.request("/resumable/1", Optional.of(Fixture.ADAPTER), PATIENCE));
         ForwardingEffect.Send again =
                 Fixture.only(end(send, broken), ForwardingEffect.Send.class).get(0);
@@ -191,7 +193,7 @@
         fixture.endpoint("desk-3", Fixture.DESK, false, 1);
         for (int crash = 1; crash <= 3; crash++) {
             ForwardingEffect.Send send = arrive(deskRequest());
-            end(send, new AttemptResult.Broken(false, Optional.empty()));
+            end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, false, Optional.empty()));
             fixture.endpoint(send.endpoint().value(), Fixture.DESK, false, 1 + crash);
             fixture.apply(new ForwardingEvent.CallerLeft(send.exchange()));
             fixture.pass(Duration.ofSeconds(1));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -208,7 +208,7 @@
         public void head(HttpResponse response) {
             kind = endpoints().classify(response, requestId);
             if (kind == AnswerKind.INVALID) {
-                breakOff();
+                breakOff(AttemptResult.BrokenCause.INVALID_HEAD);
                 return;
             }
             if (kind != AnswerKind.ANSWER) {
@@ -218,7 +218,7 @@
                     && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
             if (headWritten && !stream) {
                 // What is no event must not end up between the events that the caller already has.
-                breakOff();
+                breakOff(AttemptResult.BrokenCause.NOT_A_STREAM);
                 return;
             }
             head = response;
@@ -241,7 +241,7 @@
             }
             if (!streaming) {
                 if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
-                    breakOff();
+                    breakOff(AttemptResult.BrokenCause.TOO_LONG);
                 } else {
                     body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
                 }
@@ -261,7 +261,7 @@
             if (ended || repeated || gap) {
                 event.bytes().release();
                 if (gap && !ended) {
-                    breakOff();
+                    breakOff(AttemptResult.BrokenCause.EVENT_GAP);
                 }
                 return;
             }
@@ -291,21 +291,22 @@
             if (rejected) {
                 end();
             } else if (mayHaveRun) {
-                end(broken());
+                end(broken(AttemptResult.BrokenCause.CONNECTION_LOST));
             } else {
                 end(new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED));
             }
         }
 
         /** Ends the attempt on account of what the endpoint sent. */
-        private void breakOff() {
+        private void breakOff(AttemptResult.BrokenCause cause) {
             cancel();
-            end(broken());
+            end(broken(cause));
         }
 
-        private AttemptResult broken() {
+        private AttemptResult broken(AttemptResult.BrokenCause cause) {
             splitter.ifPresent(EventSplitter::clear);
-            return new AttemptResult.Broken(headWritten, lastEvent >= 0 ? Optional.of(lastEvent) : Optional.empty());
+            return new AttemptResult.Broken(
+                    cause, headWritten, lastEvent >= 0 ? Optional.of(lastEvent) : Optional.empty());
         }
 
         private void end(AttemptResult result) {
