Let an outage age as hosts tell each other of it

Cause: after an outage of the log, entries that are gone stay in use for 2 s, since their writers may only have been cut off. A host that is told of an outage by a peer whose records it takes counted it from that moment, and told others in turn. frontend-centru-c-1 had the log back at 11.76 s and told frontend-centru-b-2 at 14.11 s; so a removal at 15.83 s, 4 s after the outage, was still put off by 2 s there, on a host that had never lost the log itself. Hosts that tell each other could go on so without end.

Change: records carry the age of the outage instead of a flag.

RelayedOutageTest#outageIsNotProlongedByBeingToldOf failed before: a request went to the endpoint. hostThatIsToldOfAnOutageKeepsEntriesThatLapsed passes before and after.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -202,7 +202,7 @@
                 offset,
                 relayed,
                 follower.end(),
-                follower.isRecovering(turn.now()),
+                follower.outageAge(turn.now()).map(Duration::toMillis),
                 askedAtMilliseconds,
                 ageMilliseconds);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -190,9 +190,8 @@
     void relayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
         Topic topic = message.topic();
         TopicFollower follower = followers.get(topic);
-        if (message.afterOutage()) {
-            follower.noteOutage(turn.now());
-        }
+        message.outageAgeMilliseconds()
+                .ifPresent(age -> follower.noteOutage(turn.now().minusMillis(age)));
         List<TopicRecord> records = message.records().stream()
                 .map(entry -> new TopicRecord(
                         entry.key(), entry.removed() ? Optional.empty() : Optional.of(entry.value()), entry.offset()))
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -100,6 +100,14 @@
         return unavailableSince.isPresent() || now.isBefore(recoveredAt.plus(AFTERMATH));
     }
 
+    /** Returns how long ago the outage ended after which entries may still be missing; zero while it lasts. */
+    Optional<Duration> outageAge(Instant now) {
+        if (!isRecovering(now)) {
+            return Optional.empty();
+        }
+        return Optional.of(unavailableSince.isPresent() ? Duration.ZERO : Duration.between(recoveredAt, now));
+    }
+
     List<TopicRecord> recordsFrom(long offset) {
         return newest.values().stream()
                 .filter(entry -> entry.offset() >= offset)
@@ -180,9 +188,9 @@
         return news;
     }
 
-    /** A peer that reads for this host lost the log and found it again. */
-    void noteOutage(Instant now) {
-        recoveredAt = now;
+    /** A peer whose records this host takes lost the log and found it again. */
+    void noteOutage(Instant endedAt) {
+        recoveredAt = endedAt.isAfter(recoveredAt) ? endedAt : recoveredAt;
     }
 
     void expired(Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -230,7 +230,8 @@
      *
      * @param offset the records are all that the topic has from here on
      * @param askedAtMilliseconds the time in the request; empty if this is news
-     * @param afterOutage whether the sender has just lost and found the log, so that entries may have lapsed meanwhile
+     * @param outageAgeMilliseconds time since the log was back at the end of an outage after which entries may still be
+     *     missing; 0 while it lasts; empty if there was none lately
      * @param ageMilliseconds time since the start of the last read of the topic by the sender
      */
     record RecordsReply(
@@ -238,7 +239,7 @@
             long offset,
             List<RelayedRecord> records,
             long end,
-            boolean afterOutage,
+            Optional<Long> outageAgeMilliseconds,
             Optional<Long> askedAtMilliseconds,
             long ageMilliseconds)
             implements PeerMessage {}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -232,7 +232,7 @@
                         1,
                         List.of(),
                         1,
-                        false,
+                        Optional.empty(),
                         Optional.of(questions.get(questions.size() - 1).askedAtMilliseconds()),
                         10)));
         List<ForwardingEffect> after = fixture.passWithoutReads(Duration.ofMillis(900));
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -0,0 +1,84 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** What hosts believe of an outage of the log that others tell them of. */
+class RelayedOutageTest {
+    private static final HostIdentity PEER = new HostIdentity(new HostId("host-2"), 1);
+
+    private final Fixture cutOff = new Fixture();
+    private final Fixture first = new Fixture();
+    private final Fixture second = new Fixture();
+    private final List<Fixture> all = List.of(cutOff, first, second);
+
+    @BeforeEach
+    void begin() {
+        for (Fixture host : all) {
+            host.configure(1, Fixture.route("/x/", Fixture.DESK, false, true, false));
+            host.endpoint("desk-1", Fixture.DESK, false, 1);
+            host.endpoint("desk-2", Fixture.DESK, false, 1);
+        }
+    }
+
+    private void pass(Duration time) {
+        all.forEach(host -> host.pass(time));
+    }
+
+    /** Lets one host ask another for what it knows of the endpoints. */
+    private static void ask(Fixture asking, Fixture asked) {
+        List<ForwardingEffect> effects = asked.apply(
+                new ForwardingEvent.PeerReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
+        PeerMessage answer =
+                Fixture.only(effects, ForwardingEffect.ToPeer.class).get(0).message();
+        asking.apply(new ForwardingEvent.PeerReceived(PEER, answer));
+    }
+
+    private static void loseAndFindTheLog(Fixture host) {
+        host.apply(new ForwardingEvent.TopicUnavailable(Topic.ENDPOINTS));
+        host.apply(new ForwardingEvent.TopicRead(Topic.ENDPOINTS, host.now(), false, List.of(), 0));
+    }
+
+    private Optional<EndpointId> endpointOf(Fixture host) {
+        ForwardRequest request = host.request("/x/1", Optional.empty(), Duration.ofSeconds(2));
+        return Fixture.only(host.apply(new ForwardingEvent.Arrived(request)), ForwardingEffect.Send.class).stream()
+                .map(ForwardingEffect.Send::endpoint)
+                .findFirst();
+    }
+
+    /** Requests reached an endpoint 2.4 s after it had left: an outage that was over counted from each telling anew. */
+    @Test
+    void outageIsNotProlongedByBeingToldOf() {
+        loseAndFindTheLog(cutOff);
+        pass(Duration.ofMillis(2500));
+        ask(first, cutOff);
+        pass(Duration.ofMillis(400));
+        ask(second, first);
+        pass(Duration.ofMillis(400));
+        second.removed(Topic.ENDPOINTS, "desk-1");
+        second.removed(Topic.ENDPOINTS, "desk-2");
+        assertEquals(Optional.empty(), endpointOf(second), "removed well after the outage");
+    }
+
+    @Test
+    void hostThatIsToldOfAnOutageKeepsEntriesThatLapsed() {
+        loseAndFindTheLog(cutOff);
+        pass(Duration.ofMillis(400));
+        ask(first, cutOff);
+        ask(second, first);
+        second.removed(Topic.ENDPOINTS, "desk-1");
+        second.removed(Topic.ENDPOINTS, "desk-2");
+        assertEquals(1, endpointOf(second).stream().count(), "entries return within two seconds of an outage");
+    }
+}
