Believe own reads of the log before what peers tell of outages

Cause: a host that reads the log itself kept entries for 2 s because a peer had lost the log. For a host whose own reads are answered the log was not away, and what is gone from it is gone. A host that misses an outage of the log for all cannot exist in a small deployment: it reads itself 1.1 s after the last news.

Change: only hosts that take all records from peers (those of a large deployment that do not read for all) note outages that peers tell of.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -188,9 +188,15 @@
         return news;
     }
 
-    /** A peer whose records this host takes lost the log and found it again. */
+    /** A peer lost the log and found it again; a host that reads the topic itself notices outages by its own reads. */
     void noteOutage(Instant endedAt) {
-        recoveredAt = endedAt.isAfter(recoveredAt) ? endedAt : recoveredAt;
+        if (reliesOnPeers() && endedAt.isAfter(recoveredAt)) {
+            recoveredAt = endedAt;
+        }
+    }
+
+    private boolean reliesOnPeers() {
+        return gap.compareTo(POLLING_GAP) > 0;
     }
 
     void expired(Instant now) {
@@ -203,7 +209,7 @@
         reading = false;
         // The first read after a failure must not wait for news before it shows that the log answers again.
         atOnce = true;
-        nextReadAt = now.plus(gap.compareTo(POLLING_GAP) > 0 ? POLLING_RETRY_PAUSE : RETRY_PAUSE);
+        nextReadAt = now.plus(reliesOnPeers() ? POLLING_RETRY_PAUSE : RETRY_PAUSE);
         if (unavailableSince.isEmpty()) {
             unavailableSince = Optional.of(now);
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class TopicFollowerTest {
@@ -71,6 +72,26 @@
         assertEquals(2, read(false, 7, entry("c", 5), entry("b", 6)).size());
     }
 
+    /** Requests reached an endpoint 2.4 s after it had left, since a peer had told of an outage of its own. */
+    @Test
+    void hostThatReadsTheTopicItselfIgnoresOutagesOfPeers() {
+        follower.tick(now);
+        read(true, 5);
+        follower.noteOutage(now);
+        assertFalse(follower.isRecovering(now));
+    }
+
+    @Test
+    void outageThatAPeerTellsOfAges() {
+        follower.setPace(Duration.ZERO, Duration.ofSeconds(15), now);
+        follower.tick(now);
+        read(true, 5);
+        follower.noteOutage(now.minusMillis(2500));
+        assertTrue(follower.isRecovering(now));
+        assertEquals(Optional.of(Duration.ofMillis(2900)), follower.outageAge(now.plusMillis(400)));
+        assertFalse(follower.isRecovering(now.plusMillis(600)));
+    }
+
     @Test
     void keysThatVanishFromASnapshotAreRemoved() {
         follower.tick(now);
