Let the host that reads for all go on reading

Cause: a host puts its next read off by 1.1 s when a peer tells it records that it does not have, since the peer then reads for it. The host that reads for all did so too: once behind, it asked a peer, put its read off, and was behind again.

Change: what a host reads for others it does not put off, and a host that takes this over reads at once.

TopicFollowerTest#hostThatReadsForAllDoesNotPutItsReadOff failed before: no read came.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -109,6 +109,7 @@
         followers.forEach((topic, follower) -> follower.setPace(
                 polls ? Duration.ZERO : waitOf(topic, readsForAll),
                 polls ? POLLING_INTERVAL : gapOf(topic),
+                readsForAll,
                 turn.now()));
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -34,6 +34,7 @@
     private final Topic topic;
     private Duration wait;
     private Duration gap;
+    private boolean readsForAll;
     private final Map<String, TopicRecord> newest = new TreeMap<>();
     private long end = -1;
     private Instant readStartedAt = Instant.MIN;
@@ -57,13 +58,15 @@
         this.gap = gap;
     }
 
-    /** Changes how long the next reads wait for a record, and the time between two reads. */
-    void setPace(Duration newWait, Duration newGap, Instant now) {
-        if (newGap.compareTo(gap) < 0 && now.plus(newGap).isBefore(nextReadAt)) {
+    /** Changes how long the next reads wait for a record, the time between two reads, and whether peers rely on them. */
+    void setPace(Duration newWait, Duration newGap, boolean forAll, Instant now) {
+        boolean readsMore = newGap.compareTo(gap) < 0 || forAll && !readsForAll;
+        if (readsMore && now.plus(newGap).isBefore(nextReadAt)) {
             nextReadAt = now.plus(newGap);
         }
         wait = newWait;
         gap = newGap;
+        readsForAll = forAll;
     }
 
     Topic topic() {
@@ -158,7 +161,8 @@
     }
 
     /**
-     * Takes records that a peer has read; returns those that are news. The own read is put off while they come.
+     * Takes records that a peer has read; returns those that are news. The own read is put off while they come, unless
+     * peers rely on it.
      *
      * @param offset the records are all that the topic has from here on; if some before are unknown, none are taken
      * @param endOfPeer end of the peer's read
@@ -168,7 +172,7 @@
             return List.of();
         }
         Instant ownReadAt = now.plus(gap.compareTo(RELAY_PATIENCE) > 0 ? gap : RELAY_PATIENCE);
-        if (endOfPeer > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
+        if (!readsForAll && endOfPeer > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
             nextReadAt = ownReadAt;
         }
         List<TopicRecord> news = take(records);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
@@ -72,6 +72,21 @@
         assertEquals(2, read(false, 7, entry("c", 5), entry("b", 6)).size());
     }
 
+    /** A host that read for all fell behind once; its peers' answers put its next read off again and again. */
+    @Test
+    void hostThatReadsForAllDoesNotPutItsReadOff() {
+        follower.tick(now);
+        read(true, 5);
+        nextRead();
+        read(false, 5);
+        follower.relayed(5, List.of(entry("a", 5)), 6, now);
+        now = now.plusMillis(200);
+        assertTrue(follower.tick(now).isEmpty(), "a host that others read for waits for them");
+        follower.setPace(WAIT, Duration.ZERO, true, now);
+        follower.relayed(6, List.of(entry("b", 6)), 7, now);
+        assertEquals(7, nextRead().offset());
+    }
+
     /** Requests reached an endpoint 2.4 s after it had left, since a peer had told of an outage of its own. */
     @Test
     void hostThatReadsTheTopicItselfIgnoresOutagesOfPeers() {
@@ -83,7 +98,7 @@
 
     @Test
     void outageThatAPeerTellsOfAges() {
-        follower.setPace(Duration.ZERO, Duration.ofSeconds(15), now);
+        follower.setPace(Duration.ZERO, Duration.ofSeconds(15), false, now);
         follower.tick(now);
         read(true, 5);
         follower.noteOutage(now.minusMillis(2500));
