Treat a stream that ends within an event as broken

Callers of a stream whose endpoint stopped in the middle of an event, but ended its answer properly (last chunk, or end of the connection of an answer without length), got the half event, a proper end and the signature: an answer framed as complete that is not.

Cause: the framing of the connection alone was taken for the end of the stream. What the event splitter still held was written out before the last chunk.

Change: StreamPosition.faultAtEnd is the one place that decides whether an answer that is complete by its framing is the complete stream. One that ends within an event is Broken[cause=PARTIAL_EVENT]: the stream goes on elsewhere after its last whole event, or its connection is cut. Empty lines after the last event are no part of an event and are passed on as before.

Excluded: resets of answers without length were recognized before; the tests for those passed and stay, as nothing guarded it.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -49,6 +49,8 @@
         NOT_A_STREAM,
         /** The id of an event does not follow that of the event before it. */
         EVENT_GAP,
+        /** The answer is complete by its framing, but ends within an event. */
+        PARTIAL_EVENT,
         /** The answer is longer than what is kept of one. */
         TOO_LONG
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -41,7 +41,7 @@
     private Optional<Attempt> current = Optional.empty();
     private boolean headWritten;
     private boolean over;
-    private long lastEvent = -1;
+    private final StreamPosition position = new StreamPosition();
     private final Instant arrivedAt;
     private Optional<Instant> lastOutputAt = Optional.empty();
     private Duration longestPause = Duration.ZERO;
@@ -75,7 +75,6 @@
         }
         Attempt attempt = new Attempt(send);
         current = Optional.of(attempt);
-        send.resumeAfter().filter(after -> after > lastEvent).ifPresent(after -> lastEvent = after);
         FullHttpRequest outgoing = endpoints().forward(request, send, shell.now());
         attempt.call = shell.connections().call(send.address(), outgoing, attempt);
     }
@@ -83,12 +82,9 @@
     /** Gives the answer of the attempt to the caller. */
     public void deliver() {
         Attempt attempt = current.orElseThrow();
-        if (attempt.streaming) {
-            if (attempt.splitter.isPresent()) {
-                writeHead(attempt);
-                ByteBuf rest = attempt.splitter.get().rest();
-                connection.write(new DefaultHttpContent(rest));
-            }
+        if (attempt.splitter.isPresent()) {
+            writeHead(attempt);
+            connection.write(new DefaultHttpContent(attempt.splitter.get().rest()));
             finish();
             connection.finish(LastHttpContent.EMPTY_LAST_CONTENT, false);
         } else {
@@ -191,10 +187,10 @@
     /** One attempt at an endpoint. */
     private final class Attempt implements CallListener {
         private final ForwardingEffect.Send send;
+        private final StreamPosition.Run run;
         private EndpointCall call;
         private HttpResponse head;
         private AnswerKind kind;
-        private boolean streaming;
         private Optional<EventSplitter> splitter = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         private boolean output;
@@ -202,6 +198,7 @@
 
         Attempt(ForwardingEffect.Send send) {
             this.send = send;
+            this.run = position.begin(send.resumeAfter());
         }
 
         @Override
@@ -222,8 +219,7 @@
                 return;
             }
             head = response;
-            streaming = stream;
-            if (streaming) {
+            if (stream) {
                 splitter = Optional.of(new EventSplitter());
             } else {
                 body = Unpooled.buffer();
@@ -239,7 +235,7 @@
                 output = true;
                 shell.submit(new ForwardingEvent.FirstOutput(number, send.attempt()));
             }
-            if (!streaming) {
+            if (splitter.isEmpty()) {
                 if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
                     breakOff(AttemptResult.BrokenCause.TOO_LONG);
                 } else {
@@ -255,19 +251,16 @@
         }
 
         private void pass(EventSplitter.StreamEvent event) {
-            long id = event.id().orElse(lastEvent);
-            boolean repeated = event.id().isPresent() && id <= lastEvent;
-            boolean gap = event.id().isPresent() && lastEvent >= 0 && id > lastEvent + 1;
-            if (ended || repeated || gap) {
-                event.bytes().release();
-                if (gap && !ended) {
-                    breakOff(AttemptResult.BrokenCause.EVENT_GAP);
-                }
+            StreamPosition.Step step = ended ? StreamPosition.Step.REPEATED : run.advance(event);
+            if (step == StreamPosition.Step.NEXT) {
+                writeHead(this);
+                connection.write(new DefaultHttpContent(event.bytes()));
                 return;
             }
-            lastEvent = id;
-            writeHead(this);
-            connection.write(new DefaultHttpContent(event.bytes()));
+            event.bytes().release();
+            if (step == StreamPosition.Step.GAP) {
+                breakOff(AttemptResult.BrokenCause.EVENT_GAP);
+            }
         }
 
         @Override
@@ -278,7 +271,11 @@
         @Override
         public void end() {
             if (kind == AnswerKind.ANSWER) {
-                end(new AttemptResult.Answered(head.status().code(), longestPause));
+                Optional<AttemptResult.BrokenCause> fault =
+                        splitter.flatMap(events -> run.faultAtEnd(events.isWithinEvent()));
+                end(fault.<AttemptResult>map(this::broken)
+                        .orElseGet(
+                                () -> new AttemptResult.Answered(head.status().code(), longestPause)));
             } else {
                 end(new AttemptResult.NotRun(
                         kind == AnswerKind.FULL ? AttemptResult.NotRunCause.FULL : AttemptResult.NotRunCause.NOT_HERE));
@@ -305,8 +302,7 @@
 
         private AttemptResult broken(AttemptResult.BrokenCause cause) {
             splitter.ifPresent(EventSplitter::clear);
-            return new AttemptResult.Broken(
-                    cause, headWritten, lastEvent >= 0 ? Optional.of(lastEvent) : Optional.empty());
+            return new AttemptResult.Broken(cause, headWritten, position.resumeAfter());
         }
 
         private void end(AttemptResult result) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
@@ -50,7 +50,16 @@
     }
 
     /**
-     * Returns the bytes of an event that is not whole.
+     * Tells whether the bytes end within an event; empty lines alone are no part of one.
+     *
+     * @return whether an event is not whole
+     */
+    public boolean isWithinEvent() {
+        return pending.forEachByte(value -> value == LINE_FEED || value == CARRIAGE_RETURN) >= 0;
+    }
+
+    /**
+     * Returns the bytes after the last whole event.
      *
      * @return the bytes; the receiver releases them
      */
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class EventSplitterTest {
     private static ByteBuf bytes(String text) {
@@ -61,6 +63,15 @@
     void halfEventIsKeptBack() {
         EventSplitter splitter = new EventSplitter();
         assertEquals(0, splitter.feed(bytes("id: 1\ndata: a\n")).size());
+        assertTrue(splitter.isWithinEvent());
         assertEquals("id: 1\ndata: a\n", text(splitter.rest()));
     }
+
+    @Test
+    void emptyLinesAreNoPartOfAnEvent() {
+        EventSplitter splitter = new EventSplitter();
+        assertEquals(1, splitter.feed(bytes("id: 1\ndata: a\n\n\r\n")).size());
+        assertFalse(splitter.isWithinEvent());
+        assertEquals("\r\n", text(splitter.rest()));
+    }
 }
