Join runs of a stream only where the position is known

Callers of a resumable stream whose events have no ids got its beginning a second time after the first endpoint had broken off: a restart from the first event was appended to what had been passed on. An event without id after one with an id was passed on twice in the same way, and a resumption that began with such an event was joined wherever it began.

Cause: events without id were passed on as if they were in place in any run, and a stream without a last id was run again although output had been passed on.

Change: StreamPosition knows whether the caller has anything after the last event with an id. If so, there is no position to resume after, and the connection is cut instead of a second run. In a resumption, events without id are repeated ones until the run has reached the last event, and break it (UNKNOWN_POSITION) if no id came before them. Comments carry nothing and do not count.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -25,7 +25,8 @@
      *
      * @param cause what ended the attempt
      * @param outputPassedOn whether the caller has got a part of the answer
-     * @param lastEvent id of the last event that was passed on whole
+     * @param lastEvent id of the event after which the stream can be resumed; empty if there is none, or
+     *     what was passed on last has no id
      */
     record Broken(BrokenCause cause, boolean outputPassedOn, Optional<Long> lastEvent) implements AttemptResult {}
 
@@ -49,6 +50,8 @@
         NOT_A_STREAM,
         /** The id of an event does not follow that of the event before it. */
         EVENT_GAP,
+        /** An event of a resumption has no id, so it is unknown whether the caller has it. */
+        UNKNOWN_POSITION,
         /** The answer is complete by its framing, but ends within an event. */
         PARTIAL_EVENT,
         /** The answer is longer than what is kept of one. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -390,7 +390,9 @@
         if (result.lastEvent().isPresent()) {
             forwarding.lastEvent = result.lastEvent();
         }
-        boolean mayGoOn = forwarding.route.mayRunAgain() && (forwarding.route.streaming() || !result.outputPassedOn());
+        // Without a position, another run would repeat what the caller has.
+        boolean resumable = forwarding.route.streaming() && result.lastEvent().isPresent();
+        boolean mayGoOn = forwarding.route.mayRunAgain() && (resumable || !result.outputPassedOn());
         if (!mayGoOn || !retry(forwarding)) {
             fail(forwarding, FailureReason.ENDPOINT_FAILED);
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -187,6 +187,18 @@
                 1, Fixture.only(end(once, broken), ForwardingEffect.Fail.class).size());
     }
 
+    @Test
+    void brokenStreamWhosePositionIsUnknownIsNotRunAgain() {
+        fixture.configure(1, Fixture.route("/resumable/", Fixture.SERVICE, true, false, true));
+        fixture.endpoint("runner-1", Fixture.SERVICE, false, 1, "a1");
+        fixture.endpoint("runner-2", Fixture.SERVICE, false, 1, "a1");
+        ForwardingEffect.Send send = arrive(fixture.request("/resumable/1", Optional.of(Fixture.ADAPTER), PATIENCE));
+        List<ForwardingEffect> effects =
+                end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, true, Optional.empty()));
+        assertEquals(0, Fixture.only(effects, ForwardingEffect.Send.class).size());
+        assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
+    }
+
     @Test
     void requestThatCrashesThreeEndpointsIsRefused() {
         desks(true);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -260,6 +260,8 @@
             event.bytes().release();
             if (step == StreamPosition.Step.GAP) {
                 breakOff(AttemptResult.BrokenCause.EVENT_GAP);
+            } else if (step == StreamPosition.Step.UNPLACED) {
+                breakOff(AttemptResult.BrokenCause.UNKNOWN_POSITION);
             }
         }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
@@ -20,6 +20,8 @@
 
     private static final String ID_FIELD = "id:";
 
+    private static final String DATA_FIELD = "data";
+
     private final ByteBuf pending = Unpooled.buffer();
 
     /**
@@ -28,7 +30,18 @@
      * @param bytes its bytes with the empty line at its end; the receiver releases them
      * @param id its id; empty if it has none that is a number
      */
-    public record StreamEvent(ByteBuf bytes, Optional<Long> id) {}
+    public record StreamEvent(ByteBuf bytes, Optional<Long> id) {
+        /**
+         * Tells whether the event has data; without, it is a comment or a setting and no part of the content.
+         *
+         * @return whether a line is a data field
+         */
+        public boolean hasData() {
+            return bytes.toString(StandardCharsets.UTF_8)
+                    .lines()
+                    .anyMatch(line -> line.equals(DATA_FIELD) || line.startsWith(DATA_FIELD + ":"));
+        }
+    }
 
     /**
      * Takes bytes.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -14,6 +14,9 @@
 
     private long lastEvent = NONE;
 
+    /** Whether the caller has nothing after the last event with an id. */
+    private boolean exact = true;
+
     /** What an event of a run is to the caller. */
     enum Step {
         /** The event follows those that the caller has. */
@@ -21,12 +24,14 @@
         /** The caller has the event. */
         REPEATED,
         /** Events between are missing. */
-        GAP
+        GAP,
+        /** Whether the caller has the event cannot be told. */
+        UNPLACED
     }
 
-    /** Returns the id of the last event that the caller has, after which another run may go on. */
+    /** Returns the id of the last event that the caller has, empty if no other run can go on after what it has. */
     Optional<Long> resumeAfter() {
-        return lastEvent == NONE ? Optional.empty() : Optional.of(lastEvent);
+        return exact && lastEvent != NONE ? Optional.of(lastEvent) : Optional.empty();
     }
 
     /** Begins a run that was asked to go on after an event. */
@@ -37,19 +42,43 @@
 
     /** The events of one run. */
     final class Run {
+        private final boolean joinable = exact;
+
+        private long runEvent = NONE;
+
         Step advance(EventSplitter.StreamEvent event) {
-            long id = event.id().orElse(lastEvent);
-            boolean numbered = event.id().isPresent();
-            if (numbered && id <= lastEvent) {
+            Step step = event.id().map(this::numbered).orElseGet(() -> unnumbered(event));
+            event.id().filter(id -> id > runEvent).ifPresent(id -> runEvent = id);
+            return step;
+        }
+
+        private Step numbered(long id) {
+            if (!joinable) {
+                return Step.UNPLACED;
+            }
+            if (id <= lastEvent) {
                 return Step.REPEATED;
             }
-            if (numbered && lastEvent != NONE && id > lastEvent + 1) {
+            if (lastEvent != NONE && id > lastEvent + 1) {
                 return Step.GAP;
             }
             lastEvent = id;
+            exact = true;
             return Step.NEXT;
         }
 
+        private Step unnumbered(EventSplitter.StreamEvent event) {
+            boolean caughtUp = joinable && runEvent == lastEvent;
+            if (!event.hasData()) {
+                return caughtUp ? Step.NEXT : Step.REPEATED;
+            }
+            if (caughtUp) {
+                exact = false;
+                return Step.NEXT;
+            }
+            return joinable && runEvent != NONE ? Step.REPEATED : Step.UNPLACED;
+        }
+
         /**
          * Decides whether an answer that is complete by its framing is the complete stream.
          *
