Do not take the end of a shorter second run for the end of a stream

Callers of a resumed stream got a proper end when the second run started again from the first event and ended before the last event that had been passed on: all its events were dropped as repeated, and its end was passed on.

Cause: the end of any run was taken for the end of the stream.

Change: faultAtEnd compares the run with what the caller has. A run that ended before that is Broken[cause=ENDED_EARLY]. A resumption without any event still completes the stream: a run that had sent all its events and lost only its end is resumed with exactly that answer, and no other answer could complete such a stream.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -54,6 +54,8 @@
         UNKNOWN_POSITION,
         /** The answer is complete by its framing, but ends within an event. */
         PARTIAL_EVENT,
+        /** The run ended before the last event that the caller has from an earlier one. */
+        ENDED_EARLY,
         /** The answer is longer than what is kept of one. */
         TOO_LONG
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -86,7 +86,12 @@
          * @return why the stream is not complete, empty if it is
          */
         Optional<AttemptResult.BrokenCause> faultAtEnd(boolean withinEvent) {
-            return withinEvent ? Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT) : Optional.empty();
+            if (withinEvent) {
+                return Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT);
+            }
+            // A run that was resumed and has no event at all had only its end left to send.
+            boolean caughtUp = runEvent == NONE || runEvent >= lastEvent;
+            return joinable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
         }
     }
 }
