Send no chunks to callers of HTTP/1.0

A caller that spoke HTTP/1.0 got a stream in chunks, which it does not know, so that the sizes and the last chunk were part of the body for it; and a stream that was cut off ended like a complete one.

Cause: requests were rebuilt as HTTP/1.1, and each stream was written in chunks.

Change: the version of the request is kept. A stream for HTTP/1.0 has no length and ends with its connection; one that is cut off ends with a reset, since nothing else differs from the end of such an answer.

Evidence, StreamEndTest before the change: callerOfAnOlderVersionGetsNoChunks: "transfer-encoding: chunked", "f\r\nid: 0..." callerOfAnOlderVersionSeesThatAStreamIsCutOff: no exception, the connection was closed Both pass now, as do HostTest, ForwardingReducerTest and EventSplitterTest.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -50,6 +51,8 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Optional<CallerExchange> current = Optional.empty();
     private boolean keepAlive = true;
+    private boolean readsChunks = true;
+    private boolean endsWithConnection;
     private boolean closing;
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
@@ -139,7 +142,7 @@
                 content.content().readableBytes());
         if (content instanceof LastHttpContent) {
             stopTimer();
-            FullHttpRequest whole = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body);
+            FullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body);
             whole.headers().set(head.headers());
             if (!HttpUtil.isKeepAlive(head)) {
                 whole.headers().add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -162,6 +165,7 @@
         FullHttpRequest request = waiting.pollFirst();
         channel.config().setAutoRead(true);
         keepAlive = HttpUtil.isKeepAlive(request);
+        readsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         String caller = channel.remoteAddress() instanceof InetSocketAddress address
                 ? address.getAddress().getHostAddress()
                 : "";
@@ -192,7 +196,10 @@
     }
 
     void writeHead(HttpResponse response) {
-        HttpUtil.setTransferEncodingChunked(response, true);
+        // HTTP/1.0 has no chunks, so the end of the connection is the end of the answer.
+        HttpUtil.setTransferEncodingChunked(response, readsChunks);
+        endsWithConnection = !readsChunks;
+        keepAlive = keepAlive && readsChunks;
         noteConnection(response);
         channel.write(response);
     }
@@ -236,6 +243,10 @@
     void abort() {
         current = Optional.empty();
         closing = true;
+        if (endsWithConnection) {
+            // Only a reset differs from the end of the answer.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         channel.close();
     }
 
