Frame no events of the product's callers that speak HTTP/1.0

A caller that spoke HTTP/1.0 got chunk sizes between its events, and its connection stayed open after the end.

Cause: the event stream wrote chunks whatever the version of the request.

Change: for such callers, events are written as they are, the answer has no length and its connection is closed behind it. Whether the stream is complete shows in `[DONE]`, as for all callers.

Evidence, HttpListenerTest before the change: eventsForAnOlderVersionAreNotFramed: "transfer-encoding: chunked", "9\r\ndata: 0.." It passes now, as do the other tests of HttpListenerTest and GenerationRouteTest.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
@@ -103,6 +103,14 @@
             closeAfterResponse = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
+        if (message instanceof HttpResponse response
+                && current != null
+                && !current.readsChunks()
+                && HttpUtil.isTransferEncodingChunked(response)) {
+            closeAfterResponse = true;
+            HttpUtil.setTransferEncodingChunked(response, false);
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         ChannelPromise flushed = promise;
         if (message instanceof LastHttpContent) {
             IncomingRequest answered = current;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
@@ -62,8 +62,12 @@
     private void write(byte[] event) {
         Channel channel = exchange.channel();
         ByteBuf chunk = channel.alloc().directBuffer(event.length + FRAME_BYTES);
-        chunk.writeCharSequence(Integer.toHexString(event.length), StandardCharsets.US_ASCII);
-        chunk.writeBytes(LINE_END).writeBytes(event).writeBytes(LINE_END);
+        if (exchange.readsChunks()) {
+            chunk.writeCharSequence(Integer.toHexString(event.length), StandardCharsets.US_ASCII);
+            chunk.writeBytes(LINE_END).writeBytes(event).writeBytes(LINE_END);
+        } else {
+            chunk.writeBytes(event);
+        }
         channel.pipeline().context(JoobyNettyServer.CODEC).writeAndFlush(chunk, channel.voidPromise());
         ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
         if (waiting != null && waiting.totalPendingWriteBytes() > bufferBytes) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
@@ -217,6 +217,10 @@
         }
     }
 
+    boolean readsChunks() {
+        return request.readsChunks();
+    }
+
     Channel channel() {
         return request.channel();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/IncomingRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/IncomingRequest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
 
 /** A whole request on its connection. Confined to the event loop, except for the immutable request data. */
 final class IncomingRequest {
@@ -14,6 +15,7 @@
     private final String uri;
     private final HttpHeaders headers;
     private final byte[] body;
+    private final boolean readsChunks;
     private final List<Runnable> disconnectListeners = new ArrayList<>(1);
     private boolean ended;
 
@@ -22,6 +24,7 @@
         method = request.method().name();
         uri = request.uri();
         headers = request.headers();
+        readsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         body = new byte[request.content().readableBytes()];
         request.content().readBytes(body);
     }
@@ -46,6 +49,11 @@
         return body;
     }
 
+    /** Returns whether the caller reads answers in chunks; for others, the end of the connection ends a stream. */
+    boolean readsChunks() {
+        return readsChunks;
+    }
+
     void onDisconnect(Runnable listener) {
         disconnectListeners.add(listener);
     }
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -141,6 +141,19 @@
         }
     }
 
+    /** Guards against chunk sizes that a caller without chunks takes for a part of the events. */
+    @Test
+    void eventsForAnOlderVersionAreNotFramed() throws Exception {
+        try (RawClient client = new RawClient(listener.port())) {
+            client.send("GET /stream HTTP/1.0\r\nHost: localhost\r\n\r\n");
+            assertTrue(streaming.await(5, TimeUnit.SECONDS));
+            stream.get().send("data: 0\n\n".getBytes(StandardCharsets.UTF_8));
+            stream.get().end();
+            String answer = client.readAll();
+            assertTrue(answer.endsWith("\r\n\r\ndata: 0\n\n"), answer);
+        }
+    }
+
     /** Guards against a reader that stops and makes the host buffer its stream without limit. */
     @Test
     void slowReaderIsCut() throws Exception {
