Ignore news of a runner that newer ones have overtaken

Callers saw: on large deployments a request for an adapter that was not loaded waited for one load, was given to another runner that had to load the adapter too, and was refused or answered late.

Cause: a host that asks for a load is answered directly, while the same commander's news for all hosts pass relays that gather messages for 100 ms each. Messages on a runner had no order within a claim, so older news replaced newer ones: the adapter was neither on its way nor waited for, and the host that had asked took its question for unheard. News that came a second time moved the end of the load by the time on the way, since they say how long it takes from their sending.

Change: each message on a runner has its place among all on that runner (claim, run of the sender, number), and what is not newer is ignored and logged ("runner-news-ignored").

Both tests of RunnerNewsTest failed before: the request was refused in the first, and sent later than the load took in the second.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
@@ -13,6 +13,7 @@
 
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.peer.HeldAdapter;
+import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.PeerMessage;
 
 /**
@@ -298,16 +299,14 @@
                         demand.containsKey(adapter) ? demand.get(adapter).at(now) : 0));
     }
 
-    /** Returns the message for peers if something changed since the last one. */
-    Optional<PeerMessage> news(long fence, Instant now) {
-        if (!changed) {
-            return Optional.empty();
-        }
+    /** Returns whether peers have something to hear that has changed since the last call. */
+    boolean takeChange() {
+        boolean result = changed;
         changed = false;
-        return Optional.of(message(fence, now));
+        return result;
     }
 
-    PeerMessage message(long fence, Instant now) {
+    PeerMessage message(NewsOrder order, Instant now) {
         List<HeldAdapter> adapters = new ArrayList<>();
         runner.adapters()
                 .forEach((name, place) -> adapters.add(new HeldAdapter(
@@ -319,7 +318,7 @@
         return new PeerMessage.HeldRunner(
                 runner.id(),
                 runner.listing().started(),
-                fence,
+                order,
                 runner.baseModels(),
                 adapters,
                 List.copyOf(wanted.keySet()));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -92,7 +92,7 @@
         this.peers = new PeerTable(settings.announcement());
         this.mail = new PeerMail(turn, settings, peers);
         this.claims = new ClaimKeeper(self, settings.leaseTerm());
-        this.desk = new RunnerDesk(turn, self, view, peers, mail, claims);
+        this.desk = new RunnerDesk(turn, settings.identity(), view, peers, mail, claims);
         this.crashes = new CrashWatch(turn, mail);
         this.requests = new RequestForwarder(turn, settings, view, peers, mail, desk, crashes);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -12,7 +12,9 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.HeldAdapter;
+import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.platform.Topic;
 
@@ -28,18 +30,18 @@
     private static final Duration ASKER_TERM = Duration.ofMillis(600);
 
     private final Turn turn;
-    private final HostId self;
+    private final HostIdentity self;
     private final PlatformView view;
     private final PeerTable peers;
     private final PeerMail mail;
     private final ClaimKeeper claims;
     private final Map<EndpointId, AdapterCommander> commanders = new TreeMap<>();
     private final LoadLateness lateness = new LoadLateness();
-    private final Map<EndpointId, Long> fences = new TreeMap<>();
+    private final Map<EndpointId, NewsOrder> newest = new TreeMap<>();
     private final Map<EndpointId, Map<HostId, Instant>> askers = new HashMap<>();
     private Instant nextRepeatAt = Instant.MIN;
 
-    RunnerDesk(Turn turn, HostId self, PlatformView view, PeerTable peers, PeerMail mail, ClaimKeeper claims) {
+    RunnerDesk(Turn turn, HostIdentity self, PlatformView view, PeerTable peers, PeerMail mail, ClaimKeeper claims) {
         this.turn = turn;
         this.self = self;
         this.view = view;
@@ -65,8 +67,7 @@
         commanders.keySet().removeIf(id -> claims.fence(id, turn.now()).isEmpty());
         if (!turn.now().isBefore(nextRepeatAt)) {
             nextRepeatAt = turn.now().plus(REPEAT_INTERVAL);
-            commanders.forEach(
-                    (id, commander) -> mail.sendToAll(commander.message(fences.getOrDefault(id, 0L), turn.now())));
+            commanders.keySet().forEach(id -> mail.sendToAll(message(id)));
         }
     }
 
@@ -84,11 +85,22 @@
             commanders.put(runner.id(), commander);
             turn.log(DecisionRecord.important("command-taken", "endpoint", runner.id(), "fence", fence));
         }
-        runner.setCommander(self);
-        fences.put(runner.id(), fence);
+        runner.setCommander(self.host());
+        NewsOrder known = newest.get(runner.id());
+        if (known == null || known.fence() != fence || known.incarnation() != self.incarnation()) {
+            newest.put(runner.id(), new NewsOrder(fence, self.incarnation(), 0));
+        }
         boolean mayLoad = loading() < ServiceTimes.loadsInTransit(view.runners().size());
         turn.emit(commander.step(capacity.get(), fence, view::newestVersion, mayLoad, turn.now()));
-        commander.news(fence, turn.now()).ifPresent(news -> tell(runner.id(), news));
+        if (commander.takeChange()) {
+            tell(runner.id(), message(runner.id()));
+        }
+    }
+
+    private PeerMessage message(EndpointId runner) {
+        NewsOrder order = newest.computeIfPresent(
+                runner, (id, last) -> new NewsOrder(last.fence(), last.incarnation(), last.sequence() + 1));
+        return commanders.get(runner).message(order, turn.now());
     }
 
     /** Tells all hosts of a runner; those that wait for a load there hear it at once in a large deployment, too. */
@@ -103,8 +115,7 @@
 
     /** Sends all that this host knows of its runners to a peer that has just come. */
     void introduce(HostId peer) {
-        commanders.forEach((id, commander) -> turn.emit(
-                new ForwardingEffect.ToPeer(peer, commander.message(fences.getOrDefault(id, 0L), turn.now()))));
+        commanders.keySet().forEach(id -> turn.emit(new ForwardingEffect.ToPeer(peer, message(id))));
     }
 
     /** Returns the adapters that are on their way to any runner. */
@@ -130,7 +141,7 @@
         boolean commanded = own != null
                 ? own.isReady()
                 : runner.commander()
-                        .filter(host -> !host.equals(self) && peers.isLive(host, turn.now()))
+                        .filter(host -> !host.equals(self.host()) && peers.isLive(host, turn.now()))
                         .isPresent();
         Optional<EngineCapacity> capacity = view.capacityOf(runner);
         if (!commanded || capacity.isEmpty() || capacity.get().adapterSlots() == 0) {
@@ -171,7 +182,7 @@
                             turn.now().plusMillis(message.dueInMilliseconds()),
                             turn.now().plusMillis(message.remainingMilliseconds())));
             if (peers.isLarge()) {
-                mail.send(sender, own.message(fences.getOrDefault(message.endpoint(), 0L), turn.now()));
+                mail.send(sender, message(message.endpoint()));
             }
         }
     }
@@ -206,12 +217,25 @@
         Optional<EndpointState> known = view.endpoint(message.endpoint());
         if (known.isEmpty()
                 || commanders.containsKey(message.endpoint())
-                || known.get().listing().started() != message.started()
-                || fences.getOrDefault(message.endpoint(), -1L) > message.fence()) {
+                || known.get().listing().started() != message.started()) {
             return;
         }
         EndpointState runner = known.get();
-        fences.put(runner.id(), message.fence());
+        NewsOrder last = newest.get(runner.id());
+        if (last != null && last.compareTo(message.order()) >= 0) {
+            turn.log(DecisionRecord.of(
+                    "runner-news-ignored",
+                    "endpoint",
+                    runner.id(),
+                    "sender",
+                    sender,
+                    "order",
+                    message.order(),
+                    "newest",
+                    last));
+            return;
+        }
+        newest.put(runner.id(), message.order());
         runner.setCommander(sender);
         Map<AdapterName, AdapterPlace> held = new HashMap<>();
         for (HeldAdapter adapter : message.adapters()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -196,14 +196,14 @@
      * The adapters of a runner that the sender commands.
      *
      * @param started start of the runner's process, as in its entry
-     * @param fence number of the sender's claim
+     * @param order place of the message among all on the runner; older ones are ignored
      * @param baseModels base models that it holds
      * @param waitingLoads adapters that are wanted there and not yet on their way
      */
     record HeldRunner(
             EndpointId endpoint,
             long started,
-            long fence,
+            NewsOrder order,
             Set<String> baseModels,
             List<HeldAdapter> adapters,
             List<AdapterName> waitingLoads)
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -29,22 +29,32 @@
     static final AdapterName ADAPTER = new AdapterName("base", "a1");
 
     private final Map<String, Fact> facts = new HashMap<>();
+    private final HostId host;
     private final ForwardingReducer reducer;
     private Instant now = Instant.ofEpochSecond(100);
     private long offset;
     private long exchanges;
 
     Fixture() {
+        this(HOST);
+    }
+
+    Fixture(HostId host) {
+        this.host = host;
         HostAnnouncement announcement = new HostAnnouncement(
-                HOST, 1, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
-        ForwardingSettings settings = new ForwardingSettings(
-                new HostIdentity(HOST, 1), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
+                host, 1, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
+        ForwardingSettings settings =
+                new ForwardingSettings(identity(), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
         reducer = new ForwardingReducer(
                 settings, (topic, entry, at) -> Optional.ofNullable(facts.get(entry.key() + entry.offset())));
         read(Topic.HOSTS, List.of());
         read(Topic.CLAIMS, List.of());
     }
 
+    HostIdentity identity() {
+        return new HostIdentity(host, 1);
+    }
+
     Instant now() {
         return now;
     }
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerNewsTest.java
@@ -0,0 +1,132 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.AdapterName;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.platform.Topic;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** What a host of a large deployment learns of a runner that another one commands, over relays and directly. */
+class RunnerNewsTest {
+    private static final EndpointId RUNNER = new EndpointId("runner-1");
+
+    private static final AdapterName EARLIER = new AdapterName("base", "earlier");
+
+    private static final AdapterName WANTED = new AdapterName("base", "wanted");
+
+    private static final int OTHER_HOSTS = 30;
+
+    /** Longest time that a message of news takes over relays: each gathers messages before it sends them. */
+    private static final Duration RELAYED = PeerMail.BUNDLE_INTERVAL.multipliedBy(2);
+
+    private final Fixture commander = new Fixture();
+    private final Fixture asker = new Fixture(new HostId("host-2"));
+
+    @BeforeEach
+    void begin() {
+        for (Fixture fixture : List.of(commander, asker)) {
+            IntStream.range(0, OTHER_HOSTS).forEach(number -> announce(fixture, new HostId("peer-" + number)));
+            announce(fixture, fixture == commander ? asker.identity().host() : Fixture.HOST);
+            fixture.configure(1, Fixture.route("/chat", Fixture.SERVICE, true, true, true));
+            fixture.endpoint(RUNNER.value(), Fixture.SERVICE, false, 1);
+            fixture.fact(Topic.CLAIMS, RUNNER.value(), new Fact.Claimed(RUNNER, Fixture.HOST, true));
+        }
+        List<ForwardingEffect> effects = new ArrayList<>(pass(Duration.ofMillis(200)));
+        RunnerState empty = new RunnerState(0, false, Set.of("base"), List.of(), List.of());
+        effects.addAll(commander.apply(new ForwardingEvent.Inspected(RUNNER, Optional.of(empty))));
+        effects.addAll(pass(RELAYED));
+        deliver(effects);
+    }
+
+    private static void announce(Fixture fixture, HostId host) {
+        HostAnnouncement announcement = new HostAnnouncement(
+                host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.2.0.1:81"), "east", 1);
+        fixture.apply(new ForwardingEvent.PeerReceived(
+                new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
+    }
+
+    /** Lets time pass for both hosts; returns what the commander does. */
+    private List<ForwardingEffect> pass(Duration time) {
+        asker.pass(time);
+        return commander.pass(time);
+    }
+
+    private List<ForwardingEffect> deliver(List<ForwardingEffect> fromCommander) {
+        List<ForwardingEffect> effects = new ArrayList<>();
+        for (ForwardingEffect.ToPeer sent : Fixture.only(fromCommander, ForwardingEffect.ToPeer.class)) {
+            effects.addAll(asker.apply(new ForwardingEvent.PeerReceived(commander.identity(), sent.message())));
+        }
+        return effects;
+    }
+
+    private List<ForwardingEffect> accept(List<ForwardingEffect> fromCommander) {
+        AdapterCommand command = Fixture.only(fromCommander, ForwardingEffect.Command.class)
+                .get(0)
+                .command();
+        return commander.apply(new ForwardingEvent.CommandAnswered(command, CommandResult.ACCEPTED));
+    }
+
+    private List<ForwardingEffect> ask() {
+        List<ForwardingEffect> asked = asker.apply(
+                new ForwardingEvent.Arrived(asker.request("/chat", Optional.of(WANTED), Duration.ofSeconds(6))));
+        PeerMessage question = Fixture.only(asked, ForwardingEffect.ToPeer.class).stream()
+                .map(ForwardingEffect.ToPeer::message)
+                .map(message -> message instanceof PeerMessage.Routed routed ? routed.message() : message)
+                .filter(PeerMessage.AdapterWanted.class::isInstance)
+                .findFirst()
+                .orElseThrow();
+        return commander.apply(new ForwardingEvent.PeerReceived(asker.identity(), question));
+    }
+
+    private static List<ForwardingEffect> bundles(List<ForwardingEffect> effects) {
+        return effects.stream()
+                .filter(effect ->
+                        effect instanceof ForwardingEffect.ToPeer sent && sent.message() instanceof PeerMessage.Bundle)
+                .toList();
+    }
+
+    /** The host that asked took older news, which came over relays, for newer ones and gave up the load that was made. */
+    @Test
+    void newsOvertakenByNewerOnesAreIgnored() {
+        accept(commander.apply(
+                new ForwardingEvent.Arrived(commander.request("/chat", Optional.of(EARLIER), Duration.ofSeconds(6)))));
+        List<ForwardingEffect> older = bundles(pass(PeerMail.BUNDLE_INTERVAL));
+        assertFalse(older.isEmpty());
+        deliver(accept(ask()));
+        List<ForwardingEffect> atAsker = new ArrayList<>(deliver(older));
+        atAsker.addAll(asker.pass(ServiceTimes.ADAPTER_LOAD.plus(RELAYED)));
+        assertTrue(Fixture.only(atAsker, ForwardingEffect.Refuse.class).isEmpty(), "refused");
+        assertEquals(1, Fixture.only(atAsker, ForwardingEffect.Send.class).size());
+    }
+
+    /** The same news came again over relays, and the time until the load ends was counted from then. */
+    @Test
+    void newsThatComeTwiceDoNotDelayTheEndOfALoad() {
+        deliver(accept(ask()));
+        Instant accepted = asker.now();
+        List<ForwardingEffect> relayed = bundles(commander.pass(PeerMail.BUNDLE_INTERVAL));
+        assertFalse(relayed.isEmpty());
+        List<ForwardingEffect> atAsker = new ArrayList<>(asker.pass(RELAYED));
+        atAsker.addAll(deliver(relayed));
+        Duration rest = Duration.between(asker.now(), accepted.plus(ServiceTimes.ADAPTER_LOAD));
+        atAsker.addAll(asker.pass(rest.plus(PeerMail.BUNDLE_INTERVAL.dividedBy(2))));
+        assertEquals(1, Fixture.only(atAsker, ForwardingEffect.Send.class).size());
+    }
+}
