Run a failed resumable stream again on another endpoint

Callers saw: a stream whose runner answered 500 before the first event ended with that 500, though its route lets it be resumed and run twice, and other runners had room. Calls were repeated in the same case, and streams that broke off were, too.

Change: after a failure of the endpoint a stream that may be resumed runs again like an idempotent call, within the route's attempts and the shared retries. Streams that may not be resumed still run once.

failedStreamIsRepeatedElsewhereOnlyIfItMayBeResumed failed before: no second run.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -331,7 +331,7 @@
             if (forwarding.request.adapter().isPresent()) {
                 endpoint.countRun(Duration.between(forwarding.sentAt, turn.now()));
             }
-        } else if (forwarding.route.idempotent() && !forwarding.route.streaming() && retry(forwarding)) {
+        } else if (forwarding.route.mayRunAgain() && retry(forwarding)) {
             return;
         }
         close(forwarding);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -100,6 +100,26 @@
         assertEquals(1, Fixture.only(effects, ForwardingEffect.Deliver.class).size());
     }
 
+    /** Callers got the failure of an endpoint while retries were left, since only calls were repeated after one. */
+    @Test
+    void failedStreamIsRepeatedElsewhereOnlyIfItMayBeResumed() {
+        for (boolean resumable : List.of(true, false)) {
+            fixture.configure(resumable ? 1 : 2, Fixture.route("/x/", Fixture.DESK, true, false, resumable));
+            fixture.endpoint("desk-1", Fixture.DESK, false, 1);
+            fixture.endpoint("desk-2", Fixture.DESK, false, 1);
+            ForwardingEffect.Send send = arrive(deskRequest());
+            List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(500, Duration.ZERO));
+            List<ForwardingEffect.Send> again = Fixture.only(effects, ForwardingEffect.Send.class);
+            assertEquals(resumable ? 1 : 0, again.size());
+            if (resumable) {
+                assertNotEquals(send.endpoint(), again.get(0).endpoint());
+                effects = end(again.get(0), new AttemptResult.Answered(500, Duration.ZERO));
+            }
+            assertEquals(
+                    1, Fixture.only(effects, ForwardingEffect.Deliver.class).size());
+        }
+    }
+
     @Test
     void drainingAndRemovedEndpointsGetNoRequests() {
         desks(true);
