Scan each byte of an event stream once

An endpoint that sent one event without an empty line made the forwarder scan all of it again with each piece that arrived, so the processor time of a host grew with the square of the bytes.

The scan now goes on where it stopped. EventSplitterTest counts the bytes that the splitter looks at: at most three for each byte fed, in a thousand pieces; the test does not depend on the load of the machine. The scan before looked at each byte once for every later piece, about five hundred times on average in this test by its loop; that version was not run.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
@@ -22,7 +22,18 @@
 
     private static final String DATA_FIELD = "data";
 
-    private final ByteBuf pending = Unpooled.buffer();
+    private final ByteBuf pending;
+    private int scanned;
+    private int lineStart;
+
+    /** Creates a splitter. */
+    public EventSplitter() {
+        this(Unpooled.buffer());
+    }
+
+    EventSplitter(ByteBuf pending) {
+        this.pending = pending;
+    }
 
     /**
      * A whole event.
@@ -58,7 +69,10 @@
             events.add(new StreamEvent(event, idOf(event)));
             length = eventLength();
         }
+        int read = pending.readerIndex();
         pending.discardReadBytes();
+        scanned -= read;
+        lineStart -= read;
         return events;
     }
 
@@ -71,34 +85,48 @@
         return pending.forEachByte(value -> value == LINE_FEED || value == CARRIAGE_RETURN) >= 0;
     }
 
+    /**
+     * Returns how many bytes of an event that is not whole are kept.
+     *
+     * @return bytes
+     */
+    public int pendingBytes() {
+        return pending.readableBytes();
+    }
+
     /**
      * Returns the bytes after the last whole event.
      *
      * @return the bytes; the receiver releases them
      */
     public ByteBuf rest() {
-        return pending.readBytes(pending.readableBytes());
+        ByteBuf rest = pending.readBytes(pending.readableBytes());
+        clear();
+        return rest;
     }
 
     /** Forgets the bytes of an event that is not whole. */
     public void clear() {
         pending.clear();
+        scanned = 0;
+        lineStart = 0;
     }
 
-    /** Returns the length of the first event with its empty line, 0 if it is not whole. */
+    /** Returns the length of the first event with its empty line, 0 if it is not whole; scans each byte once. */
     private int eventLength() {
-        int lineStart = pending.readerIndex();
         int end = pending.writerIndex();
-        for (int index = lineStart; index < end; index++) {
+        for (int index = scanned; index < end; index++) {
             if (pending.getByte(index) == LINE_FEED) {
                 boolean empty =
                         index == lineStart || index == lineStart + 1 && pending.getByte(lineStart) == CARRIAGE_RETURN;
+                lineStart = index + 1;
                 if (empty && index > pending.readerIndex() + 1) {
-                    return index + 1 - pending.readerIndex();
+                    scanned = index + 1;
+                    return scanned - pending.readerIndex();
                 }
-                lineStart = index + 1;
             }
         }
+        scanned = end;
         return 0;
     }
 
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.buffer.UnpooledHeapByteBuf;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -74,4 +77,27 @@
         assertFalse(splitter.isWithinEvent());
         assertEquals("\r\n", text(splitter.rest()));
     }
+
+    /** Each piece of an event without an end was scanned from the start of the event, at quadratic cost. */
+    @Test
+    void bytesOfAnEventThatIsNotWholeAreScannedOnce() {
+        AtomicLong looked = new AtomicLong();
+        EventSplitter splitter =
+                new EventSplitter(new UnpooledHeapByteBuf(UnpooledByteBufAllocator.DEFAULT, 256, Integer.MAX_VALUE) {
+                    @Override
+                    public byte getByte(int index) {
+                        looked.incrementAndGet();
+                        return super.getByte(index);
+                    }
+                });
+        int pieces = 1000;
+        for (int index = 0; index < pieces; index++) {
+            assertEquals(List.of(), splitter.feed(bytes("data: xxx\n")));
+        }
+        int total = 10 * pieces;
+        assertEquals(total, splitter.pendingBytes());
+        assertTrue(looked.get() <= 3L * total, "bytes looked at: " + looked.get());
+        assertEquals(1, splitter.feed(bytes("\nid: 7\n")).size());
+        assertEquals(Optional.of(7L), splitter.feed(bytes("\n")).get(0).id());
+    }
 }
