Reject bytes without end that are no answer

Status lines, headers, control characters and empty lines before a head, interim heads, one chunk extension, trailers and a body without length ended early before, by the limits of the decoder and of a body; they failed in the test only because nothing counted or logged them.

The decoder skips or passes on bytes without a total, and an answer to another request started the wait anew. Bytes are now counted before they are decoded: those that are not the body of the awaited answer have 256 KiB a call, and as much again as the body has. A head has to be whole a second after its first byte. Any byte on a connection that awaits no answer closes it, also one that the decoder would skip. The connection is closed, the attempt counts as broken (it may have run, even after a head that said it had not) and so does the endpoint's failure; the metric banyanstair_rejected_answers_total and the line answer-rejected say why.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -56,7 +56,9 @@
         PARTIAL_EVENT,
         /** The run ended before the last event that the caller has from an earlier one. */
         ENDED_EARLY,
-        /** The answer is longer than what is kept of one. */
+        /** The head of the answer did not end in time after its first byte. */
+        SLOW_HEAD,
+        /** More bytes came than an answer may have, or more than are kept of one. */
         TOO_LONG
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -26,6 +26,7 @@
 import org.banyanstair.forwarder.internal.ForwarderMetrics;
 import org.banyanstair.forwarder.internal.Listeners;
 import org.banyanstair.forwarder.internal.QuestionConnection;
+import org.banyanstair.forwarder.internal.RejectedAnswers;
 import org.banyanstair.forwarder.internal.Shell;
 import org.banyanstair.forwarder.internal.TopicReader;
 import org.banyanstair.forwarder.internal.WholeAnswer;
@@ -81,7 +82,7 @@
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, new DefaultThreadFactory("banyanstair-forwarder", false));
     private final EventLoop loop = group.next();
-    private final EndpointConnections connections = new EndpointConnections(loop, CONNECT_LIMIT);
+    private final EndpointConnections connections;
     private final Listeners listeners = new Listeners(group);
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -105,6 +106,7 @@
         this.protocols = protocols;
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
+        this.connections = new EndpointConnections(loop, CONNECT_LIMIT, new RejectedAnswers(metrics, decisions::write));
         this.topics = new TopicReader(shell, loop);
         metrics.observe(() -> reducer.status(shell.now()));
         metrics.gauge("endpoint_connections_total", connections::opened);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallListener.java
@@ -26,6 +26,13 @@
      */
     boolean isForeign();
 
+    /**
+     * Tells whether the body of the answer is of use.
+     *
+     * @return whether its bytes are the awaited body
+     */
+    boolean usesBody();
+
     /** The answer is complete and the call is over. */
     void end();
 
@@ -35,4 +42,11 @@
      * @param mayHaveRun whether anything may have been sent
      */
     void failed(boolean mayHaveRun);
+
+    /**
+     * The endpoint sent what is no answer, and the call is over; it may have run.
+     *
+     * @param fault what is wrong
+     */
+    void rejected(AnswerFault fault);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -205,7 +205,7 @@
         public void head(HttpResponse response) {
             kind = endpoints().classify(response, requestId);
             if (kind == AnswerKind.INVALID) {
-                breakOff(AttemptResult.BrokenCause.INVALID_HEAD);
+                breakOff(AnswerFault.INVALID_HEAD);
                 return;
             }
             if (kind != AnswerKind.ANSWER) {
@@ -237,7 +237,7 @@
             }
             if (splitter.isEmpty()) {
                 if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
-                    breakOff(AttemptResult.BrokenCause.TOO_LONG);
+                    breakOff(AnswerFault.LONG_BODY);
                 } else {
                     body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
                 }
@@ -270,6 +270,16 @@
             return kind == AnswerKind.FOREIGN;
         }
 
+        @Override
+        public boolean usesBody() {
+            return kind == AnswerKind.ANSWER;
+        }
+
+        @Override
+        public void rejected(AnswerFault fault) {
+            end(broken(fault.cause()));
+        }
+
         @Override
         public void end() {
             if (kind == AnswerKind.ANSWER) {
@@ -296,6 +306,11 @@
             }
         }
 
+        private void breakOff(AnswerFault fault) {
+            shell.connections().reject(send.address(), fault);
+            breakOff(fault.cause());
+        }
+
         /** Ends the attempt on account of what the endpoint sent. */
         private void breakOff(AttemptResult.BrokenCause cause) {
             cancel();
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -40,6 +40,13 @@
         }
     }
 
+    void rejected(AnswerFault fault) {
+        if (!over) {
+            over = true;
+            listener.rejected(fault);
+        }
+    }
+
     void finished() {
         over = true;
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -2,9 +2,13 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -26,6 +30,12 @@
     /** Kept connections are given up this long before the endpoint closes them, so that no request crosses that. */
     private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
 
+    /**
+     * Time from the first byte of an answer to the end of its head; several retransmissions of a lost packet.
+     * A head is a few packets that an endpoint sends at once.
+     */
+    private static final Duration HEAD_LIMIT = Duration.ofSeconds(1);
+
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
 
     private final EndpointConnections owner;
@@ -36,6 +46,9 @@
     private boolean mayKeep;
     private Duration idleLimit = DEFAULT_IDLE;
     private long idleSinceNanos;
+    private boolean foreignEnded;
+    private AnswerBytes bytes = new AnswerBytes();
+    private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
 
     EndpointConnection(EndpointConnections owner, NetworkAddress address) {
         this.owner = owner;
@@ -56,9 +69,15 @@
         channel.ifPresent(Channel::close);
     }
 
+    /** Returns the handler that sees the bytes before they are decoded. */
+    ChannelInboundHandlerAdapter received() {
+        return new Received();
+    }
+
     void begin(EndpointCall newCall, FullHttpRequest request) {
         call = newCall;
         answering = false;
+        bytes = new AnswerBytes();
         Channel used = channel.orElseThrow();
         newCall.connecting(used);
         used.writeAndFlush(request).addListener(future -> {
@@ -79,10 +98,13 @@
             if (call == null
                     || call.isOver()
                     || ((HttpObject) message).decoderResult().isFailure()) {
-                if (call != null && !call.isOver()) {
-                    Logger.debug("{} sent what is no answer", address);
+                if (call == null) {
+                    reject(AnswerFault.UNEXPECTED_BYTES);
+                } else if (call.isOver()) {
+                    broken();
+                } else {
+                    reject(AnswerFault.MALFORMED);
                 }
-                broken();
                 return;
             }
             EndpointCall current = call;
@@ -95,9 +117,15 @@
                                 || head.status().code() == 304);
                 noteIdleLimit(head);
                 current.listener().head(head);
+                if (current.listener().usesBody()) {
+                    endHeadTimer();
+                }
             }
             if (message instanceof HttpContent content && !current.isOver()) {
                 if (content.content().isReadable()) {
+                    if (current.listener().usesBody()) {
+                        bytes.used(content.content().readableBytes());
+                    }
                     current.listener().content(content.content());
                 }
                 if (message instanceof LastHttpContent && !current.isOver()) {
@@ -111,7 +139,9 @@
 
     private void end(EndpointCall current) {
         answering = false;
+        endHeadTimer();
         if (current.listener().isForeign()) {
+            foreignEnded = true;
             // After an answer to an earlier request, the connection is not used for another one.
             idleLimit = Duration.ZERO;
             return;
@@ -138,12 +168,34 @@
     }
 
     private void broken() {
+        endCall(EndpointCall::broken);
+    }
+
+    /** Closes the connection on account of what the endpoint sent. */
+    private void reject(AnswerFault fault) {
+        if (channel.filter(Channel::isActive).isPresent()) {
+            owner.reject(address, fault);
+        }
+        endCall(current -> current.rejected(fault));
+    }
+
+    private void endCall(Consumer<EndpointCall> how) {
         owner.forget(this);
-        EndpointCall current = call;
+        endHeadTimer();
+        Optional<EndpointCall> current = Optional.ofNullable(call);
         call = null;
         close();
-        if (current != null) {
-            current.broken();
+        current.ifPresent(how);
+    }
+
+    private void endHeadTimer() {
+        headTimer.ifPresent(timer -> timer.cancel(false));
+        headTimer = Optional.empty();
+    }
+
+    private void headIsLate() {
+        if (call != null && !call.isOver()) {
+            reject(AnswerFault.SLOW_HEAD);
         }
     }
 
@@ -157,4 +209,33 @@
         Logger.debug("connection to {} failed: {}", address, cause.toString());
         broken();
     }
+
+    /** Counts bytes before they are decoded, because the decoder skips some without a trace. */
+    private final class Received extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (call == null) {
+                ReferenceCountUtil.release(message);
+                reject(AnswerFault.UNEXPECTED_BYTES);
+                return;
+            }
+            EndpointCall current = call;
+            bytes.received(((ByteBuf) message).readableBytes());
+            foreignEnded = false;
+            context.fireChannelRead(message);
+            // The end of an answer may have begun the next call on this connection.
+            if (call != current || call.isOver()) {
+                return;
+            }
+            if (bytes.excessive()) {
+                reject(AnswerFault.EXCESS_BYTES);
+            } else if (headTimer.isEmpty()
+                    && !foreignEnded
+                    && !(answering && call.listener().usesBody())) {
+                headTimer = Optional.of(context.channel()
+                        .eventLoop()
+                        .schedule(EndpointConnection.this::headIsLate, HEAD_LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+            }
+        }
+    }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnections.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnections.java
@@ -30,6 +30,7 @@
     private static final int CHUNK_BYTES = 64 << 10;
 
     private final EventLoop loop;
+    private final RejectedAnswers rejected;
     private final Duration connectLimit;
     private final Map<NetworkAddress, Deque<EndpointConnection>> idle = new HashMap<>();
     private long opened;
@@ -39,9 +40,11 @@
      *
      * @param loop thread of all connections
      * @param connectLimit longest time to open a connection
+     * @param rejected told of bytes that are no answer
      */
-    public EndpointConnections(EventLoop loop, Duration connectLimit) {
+    public EndpointConnections(EventLoop loop, Duration connectLimit, RejectedAnswers rejected) {
         this.loop = loop;
+        this.rejected = rejected;
         this.connectLimit = connectLimit;
     }
 
@@ -80,6 +83,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
+                                .addLast(connection.received())
                                 .addLast(new HttpClientCodec(LINE_BYTES, HEADER_BYTES, CHUNK_BYTES))
                                 .addLast(connection);
                     }
@@ -112,6 +116,10 @@
         return null;
     }
 
+    void reject(NetworkAddress address, AnswerFault fault) {
+        rejected.add(address, fault);
+    }
+
     void keep(EndpointConnection connection) {
         idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
                 .addLast(connection);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -47,6 +47,16 @@
                 .inc();
     }
 
+    /**
+     * Counts bytes of an endpoint that were rejected as an answer.
+     *
+     * @param fault why
+     */
+    public void countRejectedAnswer(AnswerFault fault) {
+        registry.counter(LabelledName.of(PREFIX + "rejected_answers_total", "fault", fault.label()))
+                .inc();
+    }
+
     /**
      * A request was sent to an endpoint for the first time.
      *
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
@@ -87,6 +87,16 @@
         return false;
     }
 
+    @Override
+    public boolean usesBody() {
+        return true;
+    }
+
+    @Override
+    public void rejected(AnswerFault fault) {
+        finish(Optional.empty());
+    }
+
     @Override
     public void end() {
         HttpResponse known = head.orElseThrow();
