Bound what is kept of answers without end

Answers of the log and of runners to reports and commands had no bound but their time. Sixteen MiB for each of many calls could exceed the heap of a host (194 MB); this last one was not shown by a run.

Answers of runners have 1 MiB, of the log 4 MiB.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.banyanstair.forwarder.internal.AnswerMemory;
 import org.banyanstair.forwarder.internal.CallerConnection;
 import org.banyanstair.forwarder.internal.CallerExchange;
 import org.banyanstair.forwarder.internal.EndpointConnections;
@@ -67,6 +68,9 @@
     /** Longest time for a runner's answer to a question for its state; a host that has just started is slow itself. */
     private static final Duration INSPECTION_LIMIT = Duration.ofMillis(500);
 
+    /** Longest answer of a runner about itself; the names of 10,000 adapters take a third of it. */
+    private static final int RUNNER_ANSWER_BYTES = 1 << 20;
+
     /** Time between two messages that keep a connection between hosts. */
     private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
@@ -82,6 +86,7 @@
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, new DefaultThreadFactory("banyanstair-forwarder", false));
     private final EventLoop loop = group.next();
+    private final AnswerMemory answerMemory = new AnswerMemory(AnswerMemory.DEFAULT_BYTES);
     private final EndpointConnections connections;
     private final Listeners listeners = new Listeners(group);
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
@@ -106,10 +111,12 @@
         this.protocols = protocols;
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
-        this.connections = new EndpointConnections(loop, CONNECT_LIMIT, new RejectedAnswers(metrics, decisions::write));
+        this.connections = new EndpointConnections(
+                loop, CONNECT_LIMIT, answerMemory, new RejectedAnswers(metrics, decisions::write));
         this.topics = new TopicReader(shell, loop);
         metrics.observe(() -> reducer.status(shell.now()));
         metrics.gauge("endpoint_connections_total", connections::opened);
+        metrics.gauge("answer_memory_bytes", answerMemory::used);
         metrics.gauge("log_lines_dropped_total", decisions::dropped);
         this.peers = NettyPeerTransport.onGroup(
                 new PeerTransportSettings(
@@ -282,7 +289,13 @@
             Duration limit,
             Consumer<Optional<FullHttpResponse>> receiver) {
         WholeAnswer.request(
-                connections, loop, address, request, limit, metrics.timeRunnerCall(operation, clock, receiver));
+                connections,
+                loop,
+                address,
+                request,
+                limit,
+                RUNNER_ANSWER_BYTES,
+                metrics.timeRunnerCall(operation, clock, receiver));
     }
 
     private final class ShellOfDaemon implements Shell {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/AnswerFault.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/AnswerFault.java
@@ -17,7 +17,13 @@
     /** Bytes came although no answer was awaited. */
     UNEXPECTED_BYTES(AttemptResult.BrokenCause.TOO_LONG),
     /** The body is longer than any answer. */
-    LONG_BODY(AttemptResult.BrokenCause.TOO_LONG);
+    LONG_BODY(AttemptResult.BrokenCause.TOO_LONG),
+    /** An event of a stream is longer than any event. */
+    LONG_EVENT(AttemptResult.BrokenCause.TOO_LONG),
+    /** Too many bytes of a stream came without a new event. */
+    NO_NEW_EVENT(AttemptResult.BrokenCause.TOO_LONG),
+    /** The answer was the largest when the answers of all endpoints together exceeded their memory. */
+    MEMORY(AttemptResult.BrokenCause.TOO_LONG);
 
     private final AttemptResult.BrokenCause cause;
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -33,6 +33,12 @@
     /** Longest answer of a call that is kept until it is whole. */
     private static final int ANSWER_BYTES = 16 << 20;
 
+    /** Most bytes of a stream without a new event; an event holds a few tokens, and a thousand times as much fits. */
+    private static final int EVENT_BYTES = 256 << 10;
+
+    /** Memory and time that an event takes beside its bytes, counted as bytes. */
+    private static final int EVENT_OVERHEAD_BYTES = 256;
+
     private final long number;
     private final String requestId;
     private final FullHttpRequest request;
@@ -94,6 +100,7 @@
             callers().copyAnswerHeaders(attempt.head.headers(), answer.headers());
             HttpUtil.setContentLength(answer, attempt.body.readableBytes());
             attempt.body = Unpooled.EMPTY_BUFFER;
+            attempt.noteMemory();
             finish();
             connection.finish(answer, false);
         }
@@ -185,7 +192,7 @@
     }
 
     /** One attempt at an endpoint. */
-    private final class Attempt implements CallListener {
+    private final class Attempt implements CallListener, AnswerMemory.Holder {
         private final ForwardingEffect.Send send;
         private final StreamPosition.Run run;
         private EndpointCall call;
@@ -193,6 +200,7 @@
         private AnswerKind kind;
         private Optional<EventSplitter> splitter = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        private long bytesSinceEvent;
         private boolean output;
         private boolean ended;
 
@@ -240,19 +248,36 @@
                     breakOff(AnswerFault.LONG_BODY);
                 } else {
                     body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+                    noteMemory();
                 }
                 return;
             }
             countOutput();
+            bytesSinceEvent += bytes.readableBytes();
             for (EventSplitter.StreamEvent event : splitter.orElseThrow().feed(bytes)) {
                 pass(event);
             }
             connection.flush();
+            if (!ended && splitter.orElseThrow().pendingBytes() > EVENT_BYTES) {
+                breakOff(AnswerFault.LONG_EVENT);
+            } else {
+                endWithoutNewEvent();
+                noteMemory();
+            }
+        }
+
+        private void endWithoutNewEvent() {
+            if (!ended && bytesSinceEvent > EVENT_BYTES) {
+                breakOff(AnswerFault.NO_NEW_EVENT);
+            }
         }
 
         private void pass(EventSplitter.StreamEvent event) {
             StreamPosition.Step step = ended ? StreamPosition.Step.REPEATED : run.advance(event);
-            if (step == StreamPosition.Step.NEXT) {
+            boolean isNew = step == StreamPosition.Step.NEXT && event.id().isPresent();
+            bytesSinceEvent = isNew ? 0 : bytesSinceEvent + EVENT_OVERHEAD_BYTES;
+            endWithoutNewEvent();
+            if (step == StreamPosition.Step.NEXT && !ended) {
                 writeHead(this);
                 connection.write(new DefaultHttpContent(event.bytes()));
                 return;
@@ -280,6 +305,16 @@
             end(broken(fault.cause()));
         }
 
+        @Override
+        public void evict() {
+            breakOff(AnswerFault.MEMORY);
+        }
+
+        private void noteMemory() {
+            int pending = splitter.map(EventSplitter::pendingBytes).orElse(0);
+            shell.connections().memory().resize(this, body.readableBytes() + pending);
+        }
+
         @Override
         public void end() {
             if (kind == AnswerKind.ANSWER) {
@@ -336,6 +371,8 @@
             }
             body.release();
             body = Unpooled.EMPTY_BUFFER;
+            splitter.ifPresent(EventSplitter::clear);
+            noteMemory();
         }
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnections.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnections.java
@@ -30,6 +30,7 @@
     private static final int CHUNK_BYTES = 64 << 10;
 
     private final EventLoop loop;
+    private final AnswerMemory memory;
     private final RejectedAnswers rejected;
     private final Duration connectLimit;
     private final Map<NetworkAddress, Deque<EndpointConnection>> idle = new HashMap<>();
@@ -40,10 +41,12 @@
      *
      * @param loop thread of all connections
      * @param connectLimit longest time to open a connection
+     * @param memory memory of answers that are not whole
      * @param rejected told of bytes that are no answer
      */
-    public EndpointConnections(EventLoop loop, Duration connectLimit, RejectedAnswers rejected) {
+    public EndpointConnections(EventLoop loop, Duration connectLimit, AnswerMemory memory, RejectedAnswers rejected) {
         this.loop = loop;
+        this.memory = memory;
         this.rejected = rejected;
         this.connectLimit = connectLimit;
     }
@@ -116,6 +119,10 @@
         return null;
     }
 
+    AnswerMemory memory() {
+        return memory;
+    }
+
     void reject(NetworkAddress address, AnswerFault fault) {
         rejected.add(address, fault);
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
@@ -24,6 +24,9 @@
     /** Time beyond the wait of a read after which its connection counts as silent. */
     private static final Duration ANSWER_LIMIT = Duration.ofMillis(900);
 
+    /** Longest answer; a page of the log holds 1 MB of records, a third more in text, and one record beyond it. */
+    private static final int ANSWER_BYTES = 4 << 20;
+
     private final Shell shell;
     private final EventLoop loop;
     private final LogProtocol protocol;
@@ -99,6 +102,7 @@
                 protocol.address(),
                 request,
                 limit,
+                ANSWER_BYTES,
                 shell.metrics().timeLogCall(operation, shell::now, receiver));
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
@@ -16,8 +16,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyanstair.model.NetworkAddress;
 
-/** Gathers a whole answer within a time limit. Used on the thread of the connections only. */
-public final class WholeAnswer implements CallListener {
+/** Gathers a whole answer within limits of time and length. Used on the thread of the connections only. */
+public final class WholeAnswer implements CallListener, AnswerMemory.Holder {
+    private final EndpointConnections connections;
+    private final NetworkAddress address;
+    private final int longest;
     private final Consumer<Optional<FullHttpResponse>> receiver;
     private final ByteBuf body = Unpooled.buffer();
     private Optional<HttpResponse> head = Optional.empty();
@@ -25,7 +28,14 @@
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean over;
 
-    private WholeAnswer(Consumer<Optional<FullHttpResponse>> receiver) {
+    private WholeAnswer(
+            EndpointConnections connections,
+            NetworkAddress address,
+            int longest,
+            Consumer<Optional<FullHttpResponse>> receiver) {
+        this.connections = connections;
+        this.address = address;
+        this.longest = longest;
         this.receiver = receiver;
     }
 
@@ -37,6 +47,7 @@
      * @param address where to
      * @param request the request
      * @param limit time after which the connection is given up
+     * @param longest bytes of the longest body; a longer one counts as no answer
      * @param receiver gets the answer, empty if none came in time
      */
     public static void request(
@@ -45,13 +56,14 @@
             NetworkAddress address,
             FullHttpRequest request,
             Duration limit,
+            int longest,
             Consumer<Optional<FullHttpResponse>> receiver) {
-        WholeAnswer answer = new WholeAnswer(receiver);
-        answer.timer = Optional.of(loop.schedule(answer::timedOut, limit.toMillis(), TimeUnit.MILLISECONDS));
+        WholeAnswer answer = new WholeAnswer(connections, address, longest, receiver);
+        answer.timer = Optional.of(loop.schedule(answer::giveUp, limit.toMillis(), TimeUnit.MILLISECONDS));
         answer.call = Optional.of(connections.call(address, request, answer));
     }
 
-    private void timedOut() {
+    private void giveUp() {
         call.ifPresent(EndpointCall::cancel);
         finish(Optional.empty());
     }
@@ -67,9 +79,15 @@
             receiver.accept(response);
         } finally {
             body.release();
+            connections.memory().resize(this, 0);
         }
     }
 
+    private void reject(AnswerFault fault) {
+        connections.reject(address, fault);
+        giveUp();
+    }
+
     @Override
     public void head(HttpResponse response) {
         head = Optional.of(response);
@@ -77,14 +95,20 @@
 
     @Override
     public void content(ByteBuf bytes) {
-        if (!over) {
+        if (over) {
+            return;
+        }
+        if (body.readableBytes() + bytes.readableBytes() > longest) {
+            reject(AnswerFault.LONG_BODY);
+        } else {
             body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+            connections.memory().resize(this, body.readableBytes());
         }
     }
 
     @Override
-    public boolean isForeign() {
-        return false;
+    public void evict() {
+        reject(AnswerFault.MEMORY);
     }
 
     @Override
@@ -97,6 +121,11 @@
         finish(Optional.empty());
     }
 
+    @Override
+    public boolean isForeign() {
+        return false;
+    }
+
     @Override
     public void end() {
         HttpResponse known = head.orElseThrow();
--- /dev/null
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/WholeAnswerTest.java
@@ -0,0 +1,130 @@
+package org.banyanstair.forwarder.internal;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.banyanstair.forwarding.DecisionRecord;
+import org.banyanstair.model.NetworkAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Answers of the log and of runners to reports and commands. */
+class WholeAnswerTest {
+    /** Bytes after which the stand-in gives up; far above the bound and the buffers of sockets. */
+    private static final long LIMIT_BYTES = 192L << 20;
+
+    private static final long BOUND_BYTES = 24L << 20;
+
+    private static final int LONGEST_BYTES = 1 << 20;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final ConcurrentLinkedQueue<DecisionRecord> log = new ConcurrentLinkedQueue<>();
+    private final ForwarderMetrics metrics = new ForwarderMetrics();
+    private final EndpointConnections connections = new EndpointConnections(
+            loop,
+            Duration.ofSeconds(1),
+            new AnswerMemory(AnswerMemory.DEFAULT_BYTES),
+            new RejectedAnswers(metrics, log::add));
+    private ServerSocket server;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    /** Answers one connection and returns the bytes that were written until the other side closed it. */
+    private CompletableFuture<Long> serve(String start, String piece, long limit) {
+        CompletableFuture<Long> written = new CompletableFuture<>();
+        Thread thread = new Thread(() -> {
+            long count = 0;
+            byte[] pieces = piece.repeat(1 + (16 << 10) / (1 + piece.length())).getBytes(StandardCharsets.UTF_8);
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read(new byte[4096]);
+                OutputStream output = socket.getOutputStream();
+                output.write(start.getBytes(StandardCharsets.UTF_8));
+                while (count < limit) {
+                    output.write(pieces);
+                    count += pieces.length;
+                }
+                written.complete(count);
+            } catch (IOException exception) {
+                // The other side closed the connection, which the tests wait for.
+                written.complete(count);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return written;
+    }
+
+    private Optional<String> ask() throws Exception {
+        CompletableFuture<Optional<String>> answer = new CompletableFuture<>();
+        NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
+        loop.execute(() -> {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/report");
+            WholeAnswer.request(
+                    connections,
+                    loop,
+                    address,
+                    request,
+                    Duration.ofSeconds(10),
+                    LONGEST_BYTES,
+                    response -> answer.complete(
+                            response.map(whole -> whole.content().toString(StandardCharsets.UTF_8))));
+        });
+        return answer.get(5, TimeUnit.SECONDS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n",
+                "HTTP/1.1 200 ",
+                ""
+            })
+    void endlessAnswerEndsAtItsBoundAndLongBeforeItsLimitOfTime(String start) throws Exception {
+        CompletableFuture<Long> written = serve(start, " ", LIMIT_BYTES);
+        assertEquals(Optional.empty(), ask());
+        assertTrue(written.get(5, TimeUnit.SECONDS) < BOUND_BYTES, "bytes: " + written.get());
+        assertEquals(1, log.size());
+        assertEquals("answer-rejected", log.peek().kind());
+        assertTrue(new String(metrics.write(), StandardCharsets.UTF_8)
+                .contains("banyanstair_rejected_answers_total{fault="));
+    }
+
+    @Test
+    void answerOfTheLongestLengthIsWhole() throws Exception {
+        serve("HTTP/1.1 200 OK\r\nContent-Length: " + LONGEST_BYTES + "\r\n\r\n" + "x".repeat(LONGEST_BYTES), "", 0);
+        assertEquals(Optional.of("x".repeat(LONGEST_BYTES)), ask());
+        assertEquals(0, log.size());
+    }
+}
