Read on kept connections after a slow caller

A request that went out on a connection whose last caller had read slowly got no answer until its deadline. When the caller's buffer fills, reading from the endpoint stops; if the answer ended in the same piece of bytes, the connection was kept with reading stopped, and nothing started it again.

Each call now starts reading.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -80,6 +80,8 @@
         bytes = new AnswerBytes();
         Channel used = channel.orElseThrow();
         newCall.connecting(used);
+        // The call before may have ended while its caller read slowly.
+        used.config().setAutoRead(true);
         used.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
                 broken();
--- /dev/null
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionsTest.java
@@ -0,0 +1,143 @@
+package org.banyanstair.forwarder.internal;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.banyanstair.model.NetworkAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class EndpointConnectionsTest {
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final EndpointConnections connections = new EndpointConnections(
+            loop,
+            Duration.ofSeconds(1),
+            new AnswerMemory(AnswerMemory.DEFAULT_BYTES),
+            new RejectedAnswers(new ForwarderMetrics(), decision -> {}));
+    private ServerSocket server;
+    private volatile long answerAfterMilliseconds;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread thread = new Thread(this::answerEachRequest);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private void answerEachRequest() {
+        try (Socket socket = server.accept()) {
+            byte[] request = new byte[4096];
+            while (socket.getInputStream().read(request) > 0) {
+                Thread.sleep(answerAfterMilliseconds);
+                socket.getOutputStream()
+                        .write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole".getBytes(StandardCharsets.UTF_8));
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        } catch (IOException exception) {
+            // The client closed the connection at the end of the test.
+            return;
+        }
+    }
+
+    /** Stops reading at each part of the body, as for a caller that reads slowly. */
+    private static class SlowCaller implements CallListener {
+        final CompletableFuture<String> outcome = new CompletableFuture<>();
+        private EndpointCall call;
+
+        @Override
+        public void head(HttpResponse head) {}
+
+        @Override
+        public void content(ByteBuf bytes) {
+            call.setReading(false);
+        }
+
+        @Override
+        public boolean isForeign() {
+            return false;
+        }
+
+        @Override
+        public boolean usesBody() {
+            return true;
+        }
+
+        @Override
+        public void end() {
+            outcome.complete("whole");
+        }
+
+        @Override
+        public void failed(boolean mayHaveRun) {
+            outcome.complete("failed");
+        }
+
+        @Override
+        public void rejected(AnswerFault fault) {
+            outcome.complete("rejected");
+        }
+    }
+
+    private void begin(SlowCaller caller) {
+        NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
+        caller.call = connections.call(
+                address, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), caller);
+    }
+
+    private String call() throws Exception {
+        SlowCaller caller = new SlowCaller();
+        loop.execute(() -> begin(caller));
+        return caller.outcome.get(3, TimeUnit.SECONDS);
+    }
+
+    /** The limit of time for a head must not run for a request of which no byte has been answered. */
+    @Test
+    void requestThatFollowsAnAnswerAtOnceIsNotTakenForALateHead() throws Exception {
+        SlowCaller second = new SlowCaller();
+        SlowCaller first = new SlowCaller() {
+            @Override
+            public void end() {
+                answerAfterMilliseconds = 1500;
+                begin(second);
+                super.end();
+            }
+        };
+        loop.execute(() -> begin(first));
+        assertEquals("whole", first.outcome.get(3, TimeUnit.SECONDS));
+        assertEquals("whole", second.outcome.get(6, TimeUnit.SECONDS));
+        assertEquals(1, connections.opened());
+    }
+
+    /** The next request on the kept connection got no answer until its deadline. */
+    @Test
+    void connectionKeptForASlowCallerIsReadForTheNextOne() throws Exception {
+        assertEquals("whole", call());
+        assertEquals("whole", call());
+        assertEquals(1, connections.opened());
+    }
+}
