Send the calls of the engine probe at the same time

EngineStandInTest#engineManagesTwoThousandTokensInASecond sends eight requests of 1,000 tokens that are meant to share the batch. The probe ran its calls in the common pool, which has one thread less than the machine has cores: on 8 cores the eighth request waited until one of the others had ended and then ran alone. The engine made 2,001 to 2,006 steps in place of 1,000, so the test asked for twice the rate that it states, and for more on fewer cores.

Each call has a thread of its own now.

--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineProbe.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineProbe.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import okhttp3.Call;
@@ -23,6 +25,13 @@
 public final class EngineProbe {
     public static final String ADAPTER = "assistant/tender@v1";
 
+    // The common pool has fewer threads than the tests have calls at the same time, so the last call would wait.
+    private static final Executor CALLS = Executors.newCachedThreadPool(task -> {
+        Thread thread = new Thread(task, "engine-probe");
+        thread.setDaemon(true);
+        return thread;
+    });
+
     private final NetworkAddress address;
     private final OkHttpClient client = new OkHttpClient.Builder()
             .retryOnConnectionFailure(false)
@@ -62,13 +71,15 @@
     }
 
     public CompletableFuture<Answer> sendLater(String method, String path, String body, String... headers) {
-        return CompletableFuture.supplyAsync(() -> {
-            try {
-                return send(method, path, body, headers);
-            } catch (IOException exception) {
-                throw new IllegalStateException(exception);
-            }
-        });
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return send(method, path, body, headers);
+                    } catch (IOException exception) {
+                        throw new IllegalStateException(exception);
+                    }
+                },
+                CALLS);
     }
 
     public Answer load(String adapter, long number) throws IOException {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
@@ -1,6 +1,7 @@
 package org.banyanstair.testsupport.engine;
 
 import java.io.IOException;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -186,7 +187,7 @@
     @Test
     void runEndsAtItsDeadline() throws Exception {
         start("{}");
-        String deadline = java.time.Instant.now().plusMillis(300).toString();
+        String deadline = Instant.now().plusMillis(300).toString();
         assertThrows(IOException.class, () -> probe.complete("r", body("p", 4_000), "X-Request-Deadline", deadline));
         assertEquals(List.of(RunOutcome.DEADLINE_PASSED), outcomes());
     }
@@ -323,7 +324,14 @@
             assertEquals(expected("p" + i, 1_000, 0), events(all.get(i).join()));
         }
         double perSecond = 8_000 / ((System.nanoTime() - start) / 1e9);
+        assertTrue(ranAtTheSameTime(engine.record().runs()), "the requests did not share the batch");
         System.out.printf("engine stand-in: %.0f tokens per second%n", perSecond);
         assertTrue(perSecond > 2_000, "tokens per second: " + perSecond);
     }
+
+    private static boolean ranAtTheSameTime(List<EngineRun> runs) {
+        Instant lastStart =
+                runs.stream().map(EngineRun::started).max(Instant::compareTo).orElseThrow();
+        return runs.stream().allMatch(run -> run.ended().orElseThrow().isAfter(lastStart));
+    }
 }
