Answer wrong use of the scripts with a sentence

Cause: the scripts passed everything on to Java unseen.

The limits of the soak are those of what its report can be read for: nine digits of seed, 100,000 seeds, an hour of faults for one seed.

The usage of the daemon, the tool and the quick start was right before.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkMain.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkMain.java
@@ -37,11 +37,13 @@
     public static void main(String[] arguments) throws Exception {
         Options options = options();
         CommandLine line = parse(options, arguments);
-        if (line == null
+        boolean help = line != null && line.hasOption("help");
+        if (help
+                || line == null
                 || line.getArgList().size() != 1
                 || !BENCHMARKS.containsKey(line.getArgList().get(0))) {
             new HelpFormatter().printHelp("benchmark [options] " + String.join("|", BENCHMARKS.keySet()), options);
-            System.exit(2);
+            System.exit(help ? 0 : 2);
         }
         run(line.getArgList().get(0), line);
         // Idle threads of the HTTP clients would delay the end of the process.
@@ -50,6 +52,8 @@
 
     private static Options options() {
         return new Options()
+                .addOption(
+                        Option.builder().longOpt("help").desc("show this help").build())
                 .addOption(Option.builder()
                         .longOpt("brief")
                         .desc("short run that only checks the benchmark")
@@ -70,19 +74,30 @@
 
     private static CommandLine parse(Options options, String[] arguments) {
         try {
-            return new DefaultParser().parse(options, arguments);
+            CommandLine line = new DefaultParser().parse(options, arguments);
+            // A seed that is no number is wrong use, which must be known before the benchmark starts.
+            seed(line);
+            return line;
         } catch (ParseException exception) {
             System.err.println(exception.getMessage());
             return null;
         }
     }
 
+    private static long seed(CommandLine line) throws ParseException {
+        String seed = line.getOptionValue("seed", Long.toString(DEFAULT_SEED));
+        try {
+            return Long.parseLong(seed);
+        } catch (NumberFormatException exception) {
+            throw new ParseException("--seed must be a whole number of 64 bits, not '" + seed + "'");
+        }
+    }
+
     private static void run(String name, CommandLine line) throws Exception {
         Path results = Path.of(line.getOptionValue("results", "benchmarks/results"));
         Files.createDirectories(results);
-        long seed = Long.parseLong(line.getOptionValue("seed", Long.toString(DEFAULT_SEED)));
-        BenchmarkRun run =
-                new BenchmarkRun(line.hasOption("brief"), seed, results, Files.createTempDirectory("banyanstair-"));
+        BenchmarkRun run = new BenchmarkRun(
+                line.hasOption("brief"), seed(line), results, Files.createTempDirectory("banyanstair-"));
         Instant startedAt = Instant.now();
         ObjectNode figures = BENCHMARKS.get(name).run(run);
         write(run.file(name, "json"), document(name, run, startedAt, figures));
--- /dev/null
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
@@ -0,0 +1,107 @@
+package org.banyanstair.integration.scripts;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against scripts that answer wrong use, or a checkout that was not built, with a stack trace. */
+class ScriptsTest {
+    private static final int WRONG_USE = 2;
+
+    private static final long LONGEST_SCRIPT_SECONDS = 60;
+
+    @TempDir
+    private Path checkout;
+
+    private record Ended(int status, String output) {}
+
+    @BeforeEach
+    void copyScriptsWithoutBuildOutput() throws IOException {
+        Path copies = Files.createDirectory(checkout.resolve("bin"));
+        try (Stream<Path> scripts = Files.list(Path.of("..", "bin"))) {
+            scripts.forEach(script -> copy(script, copies));
+        }
+    }
+
+    private static void copy(Path script, Path folder) {
+        try {
+            Files.copy(script, folder.resolve(script.getFileName()));
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private Ended run(String script, String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(
+                List.of("sh", checkout.resolve("bin").resolve(script).toString()));
+        command.addAll(List.of(arguments));
+        Path output = checkout.resolve("output.txt");
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+                .start();
+        try {
+            assertTrue(process.waitFor(LONGEST_SCRIPT_SECONDS, TimeUnit.SECONDS), script + " did not end");
+        } finally {
+            process.destroyForcibly();
+        }
+        String text = Files.readString(output);
+        assertFalse(text.contains("Exception") || text.contains("Could not find or load"), text);
+        return new Ended(process.exitValue(), text);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"banyanstairctl", "banyanstaird", "benchmark", "compare-policies", "quickstart", "soak"})
+    void helpIsGivenWithoutABuild(String script) throws Exception {
+        Ended ended = run(script, "--help");
+        assertEquals(0, ended.status(), ended.output());
+        assertTrue(ended.output().startsWith("usage: " + script), ended.output());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"banyanstairctl,status", "banyanstaird,--settings", "benchmark,memory"})
+    void checkoutThatWasNotBuiltIsNamed(String script, String argument) throws Exception {
+        Ended ended = run(script, argument);
+        assertEquals(WRONG_USE, ended.status(), ended.output());
+        assertTrue(ended.output().contains("mvn -q -B -DskipTests package"), ended.output());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "FIRST_SEED,0 to 999999999,first 50 12",
+        "FIRST_SEED,0 to 999999999,-1 50 12",
+        "FIRST_SEED,0 to 999999999,1000000000 50 12",
+        "SEEDS,1 to 100000,1 0 12",
+        "SEEDS,1 to 100000,1 1.5 12",
+        "SECONDS,1 to 3600,1 50 3601",
+        "SECONDS,1 to 3600,1 50 12s"
+    })
+    void wrongArgumentOfTheSoakIsNamedWithItsRange(String name, String range, String arguments) throws Exception {
+        Ended ended = run("soak", arguments.split(" "));
+        assertEquals(WRONG_USE, ended.status(), ended.output());
+        assertTrue(ended.output().startsWith(name + " must be a whole number from " + range), ended.output());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "cooperative 60 1", "other 60 1 file", "cooperative soon 1 file"})
+    void wrongUseOfThePolicyComparisonIsNamed(String arguments) throws Exception {
+        Ended ended = run("compare-policies", arguments.isEmpty() ? new String[0] : arguments.split(" "));
+        assertEquals(WRONG_USE, ended.status(), ended.output());
+        assertTrue(ended.output().contains("usage: compare-policies"), ended.output());
+    }
+}
