Let the engine leave that runs a long stream in LeavingTest

LeavingTest always let the first engine leave and failed with "no long stream ran on the leaving engine" in 3 of 7 plays beside six busy processes (load 25 to 60 on 8 cores). Cause, from a trace of the grants of one of them: the owner had placed 380 of 412 permits on the second engine, so all six long streams ran there; placement may do that, and the test took for granted that it does not.

The test now waits until a long stream runs and lets its engine leave. All checks and bounds are unchanged, and the case that the test is for, a stream that is running when its engine leaves, now comes up in each run.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Traffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Traffic.java
@@ -28,7 +28,8 @@
     /** Adapters that the chats use; as many as an engine of the test has slots, less one. */
     public static final int ADAPTERS = 3;
 
-    private static final int TOKENS = 8;
+    /** Tokens of a chat. */
+    public static final int TOKENS = 8;
 
     private static final int LONGEST_LOAD_SECONDS = 90;
 
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
@@ -17,6 +17,7 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.testsupport.engine.EngineRun;
 import org.banyanstair.testsupport.engine.EngineSettings;
+import org.banyanstair.testsupport.engine.RunOutcome;
 import org.banyanstair.testsupport.load.CallerHeaders;
 import org.banyanstair.testsupport.load.CallerResult;
 import org.banyanstair.testsupport.service.ServiceRun;
@@ -66,7 +67,13 @@
                         Duration.ofSeconds(20)));
             }
             Sleep.of(Duration.ofMillis(500));
-            Endpoint engine = leaving(cluster.engines().get(0).endpoint());
+            assertTrue(
+                    Sleep.untilTrue(
+                            Duration.ofSeconds(5), () -> runsLongStream(cluster, 0) || runsLongStream(cluster, 1)),
+                    "no long stream has started");
+            // Which engine runs them is up to placement.
+            int leavingEngine = runsLongStream(cluster, 0) ? 0 : 1;
+            Endpoint engine = leaving(cluster.engines().get(leavingEngine).endpoint());
             Endpoint desk = leaving(cluster.desks().get(0).endpoint());
             cluster.hostList().put(engine);
             cluster.hostList().put(desk);
@@ -84,15 +91,21 @@
                 assertTrue(result instanceof CallerResult.Generated, result.toString());
                 assertEquals(LONG_STREAM_TOKENS, ((CallerResult.Generated) result).tokens());
             }
-            check("engine", engineStarts(cluster, 0), engineStarts(cluster, 1), limit);
+            check("engine", engineStarts(cluster, leavingEngine), engineStarts(cluster, 1 - leavingEngine), limit);
             check("desk", deskStarts(cluster, 0), deskStarts(cluster, 1), limit);
-            long longOnLeaving = cluster.engines().get(0).engine().record().runs().stream()
+            long longOnLeaving = cluster.engines().get(leavingEngine).engine().record().runs().stream()
                     .filter(run -> run.tokens() == LONG_STREAM_TOKENS)
                     .count();
             assertTrue(longOnLeaving > 0, "no long stream ran on the leaving engine");
         }
     }
 
+    /** A stream is known as a long one once it has more tokens than a chat of the traffic. */
+    private static boolean runsLongStream(Cluster cluster, int engine) {
+        return cluster.engines().get(engine).engine().record().runs().stream()
+                .anyMatch(run -> run.outcome() == RunOutcome.RUNNING && run.tokens() > Traffic.TOKENS);
+    }
+
     private static Endpoint leaving(Endpoint endpoint) {
         return new Endpoint(
                 endpoint.id(),
