Take readings of the host list before a backlog of events

LeavingTest#leavingEndpointsReceiveNothingNewAndEndWhatTheyRun once saw the last request on a leaving engine 2,839 ms after the host list showed it, at a load of 30 on 8 cores; the design promises no new permits after 2 s. Cause: a reading of the host list waited in the queue of the reducer behind all requests and messages that had come before it, and the owner went on to grant permits by the old list.

Shown by a trace (scratch copy, six busy processes of our own beside the work of others, load 40 to 60): the reading waited for 0.9, 1.2, 2.0 and 8.5 s in the reducer's queue of a host. In the play with 2.0 s, the owner granted a permit on the leaving engine 1.9 s after it had read the list, and the engine began the run 2.7 s after that reading. That run began 3 ms after it had come to the engine, so neither the engine's queue nor the note of its start is the cause there (all 910 runs of the traced plays: median 5 ms, longest 556 ms). Not excluded as a second cause: a read of the list that ends at its time limit (seen once at 2.5 s, while the hosts started).

The event loop takes readings first, in their order. Messages of peers may come in any order relative to the list anyway, so no decision depends on it.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -76,7 +76,7 @@
         this.loop = new EventLoop(reducer, clock, effects, service::publish);
         this.followers = new LogFollowers(log, clock, timer, loop::submit);
         this.hostListPoller = new HostListPoller(
-                hostList, Duration.ofMillis(settings.timing().hostListPollMilliseconds()), timer, loop::submit);
+                hostList, Duration.ofMillis(settings.timing().hostListPollMilliseconds()), timer, loop::submitReading);
         this.peers = parts.peers(hostListPoller::peerAddress, peerListener());
         wire(effects, generations);
         MetricRegistry registry = new MetricRegistry();
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -18,7 +20,7 @@
 /**
  * The one thread that feeds events to the reducer and hands its effects to the shell.
  *
- * <p>{@link #submit} is safe for use by several threads.
+ * <p>{@link #submit} and {@link #submitReading} are safe for use by several threads.
  */
 final class EventLoop {
     /** Time between two ticks; the finest grain of all deadlines in the reducer. */
@@ -29,6 +31,7 @@
     private final Consumer<Effect> effects;
     private final Consumer<HostReducer> publisher;
     private final BlockingQueue<Function<Instant, Event>> queue = new LinkedBlockingQueue<>();
+    private final Queue<Function<Instant, Event>> readings = new ConcurrentLinkedQueue<>();
     private final Thread thread;
     private volatile boolean stopping;
 
@@ -62,6 +65,14 @@
         queue.add(event);
     }
 
+    /**
+     * Queues a reading of the host list ahead of all other events, because permits that are granted meanwhile would
+     * follow an older list. Readings keep their order; an idle loop takes one with the next tick.
+     */
+    void submitReading(Function<Instant, Event> reading) {
+        readings.add(reading);
+    }
+
     private void run() {
         carryOut(reducer.start());
         Instant nextTick = clock.instant();
@@ -80,7 +91,10 @@
 
     private Instant step(Instant nextTick) throws InterruptedException {
         long waitNanos = Duration.between(clock.instant(), nextTick).toNanos();
-        Function<Instant, Event> event = waitNanos > 0 ? queue.poll(waitNanos, TimeUnit.NANOSECONDS) : null;
+        Function<Instant, Event> event = readings.poll();
+        if (event == null && waitNanos > 0) {
+            event = queue.poll(waitNanos, TimeUnit.NANOSECONDS);
+        }
         Instant now = clock.instant();
         if (event != null) {
             apply(event.apply(now));
--- /dev/null
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
@@ -0,0 +1,75 @@
+package org.banyanstair.server.daemon;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.reducer.Event;
+import org.banyanstair.reducer.HostReducer;
+import org.banyanstair.reducer.ReducerSettings;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against new work on a leaving endpoint because the reading of the host list waits behind requests. */
+class EventLoopTest {
+    private static final int BACKLOG = 100;
+
+    private final List<String> taken = new CopyOnWriteArrayList<>();
+    private final CountDownLatch last = new CountDownLatch(1);
+
+    private Function<Instant, Event> event(String name) {
+        return at -> {
+            taken.add(name);
+            if (name.equals("last")) {
+                last.countDown();
+            }
+            return new Event.Tick(at);
+        };
+    }
+
+    @Test
+    void readingOfTheHostListIsTakenBeforeTheBacklog() throws Exception {
+        HostReducer reducer =
+                new HostReducer(new HostIdentity(new HostId("entry-1"), 1), ReducerSettings.DEFAULT, Instant.now());
+        EventLoop loop = new EventLoop(reducer, Clock.systemUTC(), effect -> {}, published -> {});
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch gate = new CountDownLatch(1);
+        loop.submit(at -> {
+            blocked.countDown();
+            await(gate);
+            return new Event.Tick(at);
+        });
+        loop.start();
+        try {
+            assertTrue(blocked.await(20, TimeUnit.SECONDS), "the loop did not start");
+            for (int number = 0; number < BACKLOG; number++) {
+                loop.submit(event("request"));
+            }
+            loop.submit(event("last"));
+            loop.submitReading(event("first reading"));
+            loop.submitReading(event("second reading"));
+            gate.countDown();
+            assertTrue(last.await(20, TimeUnit.SECONDS), "the backlog was not taken");
+            assertEquals(List.of("first reading", "second reading", "request"), taken.subList(0, 3));
+            assertEquals(BACKLOG + 3, taken.size());
+        } finally {
+            loop.stop();
+        }
+    }
+
+    private static void await(CountDownLatch gate) {
+        try {
+            gate.await();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
