Check names and addresses without regular expressions

Each host decodes the names and addresses of all hosts twice a second, and each was matched against a pattern.

What is accepted stays the same: WrittenFormsTest compares it with the patterns on drawn texts. It passes before as well, since nothing changes for callers.

--- a/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
@@ -1,7 +1,5 @@
 package org.banyanstair.model;
 
-import java.util.regex.Pattern;
-
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
@@ -10,7 +8,7 @@
     /** Accepted form of a name, as shown in error messages. */
     public static final String ACCEPTED = "1 to 63 characters of a-z, 0-9, '.', '_' and '-', starting with a-z or 0-9";
 
-    private static final Pattern FORM = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
+    private static final int LONGEST = 63;
 
     private Names() {}
 
@@ -23,9 +21,27 @@
      * @throws FailureException with {@link Failure.InvalidField} if the name is missing or malformed
      */
     public static String check(String field, String value) {
-        if (value == null || !FORM.matcher(value).matches()) {
+        if (value == null || !isAccepted(value)) {
             throw new FailureException(new Failure.InvalidField(field, ACCEPTED));
         }
         return value;
     }
+
+    /** Names are checked in each message that is decoded. */
+    private static boolean isAccepted(String value) {
+        if (value.isEmpty() || value.length() > LONGEST || !isLetterOrDigit(value.charAt(0))) {
+            return false;
+        }
+        for (int index = 1; index < value.length(); index++) {
+            char character = value.charAt(index);
+            if (!isLetterOrDigit(character) && character != '.' && character != '_' && character != '-') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isLetterOrDigit(char character) {
+        return character >= 'a' && character <= 'z' || character >= '0' && character <= '9';
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
@@ -1,8 +1,5 @@
 package org.banyanstair.model;
 
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 import org.banyanstair.errors.Failure;
@@ -18,7 +15,13 @@
     /** Accepted form, as shown in error messages. */
     public static final String ACCEPTED = "an IPv4 address and a port from 1 to 65535, such as 127.0.0.1:8080";
 
-    private static final Pattern FORM = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
+    private static final int NUMBERS = 4;
+
+    private static final int DECIMAL = 10;
+
+    private static final int LONGEST_NUMBER = 3;
+
+    private static final int LONGEST_PORT = 5;
 
     /** Checks the port. */
     public NetworkAddress {
@@ -36,11 +39,35 @@
      */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public static NetworkAddress parse(String text) {
-        Matcher matcher = FORM.matcher(text == null ? "" : text);
-        if (!matcher.matches()) {
+        int colon = text == null ? -1 : text.indexOf(':');
+        if (colon < 0 || !isIp(text, colon) || !isNumber(text, colon + 1, text.length(), LONGEST_PORT)) {
             throw new FailureException(new Failure.InvalidField("address", ACCEPTED));
         }
-        return new NetworkAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
+        return new NetworkAddress(text.substring(0, colon), Integer.parseInt(text, colon + 1, text.length(), DECIMAL));
+    }
+
+    private static boolean isIp(String text, int end) {
+        int start = 0;
+        for (int number = 1; number < NUMBERS; number++) {
+            int dot = text.indexOf('.', start);
+            if (dot < 0 || dot > end || !isNumber(text, start, dot, LONGEST_NUMBER)) {
+                return false;
+            }
+            start = dot + 1;
+        }
+        return isNumber(text, start, end, LONGEST_NUMBER);
+    }
+
+    private static boolean isNumber(String text, int start, int end, int longest) {
+        if (start >= end || end - start > longest) {
+            return false;
+        }
+        for (int index = start; index < end; index++) {
+            if (text.charAt(index) < '0' || text.charAt(index) > '9') {
+                return false;
+            }
+        }
+        return true;
     }
 
     @JsonValue
