--- a/banyanstair-core/src/main/java/org/banyanstair/model/HostId.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/HostId.java
@@ -20,6 +20,17 @@
         return value.compareTo(other.value);
     }
 
+    /** Written out, like {@link #hashCode}, since those of a record are slow before the second compiler has run. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostId same && value.equals(same.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
