Weigh each host once when hosts are ranked

Each comparison of the sort hashed both hosts again. A host of a large deployment ranks all hosts ten times a second to know which ones read the log for all.

The order is the same (RendezvousHashTest and the tests of the core).

--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
@@ -1,7 +1,9 @@
 package org.banyanstair.ownership;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +19,15 @@
 public final class RendezvousHash {
     private RendezvousHash() {}
 
+    /** A host with its weight, which costs more to work out than to compare. */
+    private record Weighed(HostId host, long weight) implements Comparable<Weighed> {
+        @Override
+        public int compareTo(Weighed other) {
+            int byWeight = Long.compare(other.weight, weight);
+            return byWeight != 0 ? byWeight : host.compareTo(other.host);
+        }
+    }
+
     /**
      * Ranks hosts for a name.
      *
@@ -25,7 +36,12 @@
      * @return all hosts, best first
      */
     public static List<HostId> rank(String name, Collection<HostId> hosts) {
-        return hosts.stream().sorted(order(name)).toList();
+        List<Weighed> weighed = new ArrayList<>(hosts.size());
+        hosts.forEach(host -> weighed.add(weigh(name, host)));
+        weighed.sort(Comparator.naturalOrder());
+        List<HostId> ranked = new ArrayList<>(weighed.size());
+        weighed.forEach(each -> ranked.add(each.host));
+        return Collections.unmodifiableList(ranked);
     }
 
     /**
@@ -36,17 +52,16 @@
      * @return the host that ranks first, empty if there are none
      */
     public static Optional<HostId> first(String name, Collection<HostId> hosts) {
-        return hosts.stream().min(order(name));
-    }
-
-    private static Comparator<HostId> order(String name) {
-        return Comparator.comparingLong((HostId host) -> weight(name, host))
-                .reversed()
-                .thenComparing(Comparator.naturalOrder());
+        Weighed first = null;
+        for (HostId host : hosts) {
+            Weighed next = weigh(name, host);
+            first = first == null || next.compareTo(first) < 0 ? next : first;
+        }
+        return Optional.ofNullable(first).map(Weighed::host);
     }
 
-    private static long weight(String name, HostId host) {
+    private static Weighed weigh(String name, HostId host) {
         byte[] bytes = (name + '\n' + host.value()).getBytes(StandardCharsets.UTF_8);
-        return MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
+        return new Weighed(host, MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0]);
     }
 }
