Log an attempt that is given up for silence

An engineer on call saw only a second "sent" for a request whose first endpoint had been silent, without what decided it. The line attempt-silent names the endpoint, the expected and the actual time. ForwardingReducerTest#attemptGivenUpForSilenceIsLogged failed before.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
@@ -64,6 +64,22 @@
         return service.engine().isPresent() ? request.inputTokens() + request.outputTokens() : 0;
     }
 
+    /** Returns what the log says of an attempt that is given up at an instant because it has had no output. */
+    DecisionRecord silenceRecord(Instant now) {
+        return DecisionRecord.of(
+                "attempt-silent",
+                "request",
+                request.id(),
+                "attempt",
+                attempts,
+                "endpoint",
+                endpoint.orElseThrow().id(),
+                "expected-start-ms",
+                (long) predictedMilliseconds,
+                "after-ms",
+                Duration.between(sentAt, now).toMillis());
+    }
+
     /** Returns what the log says of the whole answer at an instant. */
     DecisionRecord answerRecord(AttemptResult.Answered result, Instant now) {
         return DecisionRecord.of(
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -482,6 +482,7 @@
 
     private void moveOn(Forwarding forwarding) {
         if (mayRunAgain(forwarding, forwarding.runs + 1)) {
+            turn.log(forwarding.silenceRecord(turn.now()));
             forwarding.endpoint.ifPresent(endpoint -> endpoint.countOutcome(false, turn.now()));
             cancel(forwarding);
             forwarding.runs++;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -157,6 +157,22 @@
         assertEquals(send.exchange(), fail.exchange());
     }
 
+    /** Only a second "sent" told an engineer on call that the first endpoint had been given up. */
+    @Test
+    void attemptGivenUpForSilenceIsLogged() {
+        desks(true);
+        ForwardingEffect.Send send = arrive(deskRequest());
+        List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(700));
+        assertEquals(1, Fixture.only(effects, ForwardingEffect.Send.class).size());
+        List<DecisionRecord> silent = Fixture.only(effects, ForwardingEffect.Log.class).stream()
+                .map(ForwardingEffect.Log::decision)
+                .filter(decision -> decision.kind().equals("attempt-silent"))
+                .toList();
+        assertEquals(1, silent.size());
+        assertEquals(send.endpoint(), silent.get(0).fields().get("endpoint"));
+        assertEquals(1, silent.get(0).fields().get("attempt"));
+    }
+
     @Test
     void callerWhoLeavesStopsTheEndpointAtOnce() {
         desks(false);
