Pass on no answer that falsely denies its run

Callers were told "not run" (408, 429, 503) of a request that had run: an endpoint's own answer with such a status was passed on unchanged, though only a rejection that says so promises that nothing ran, and also after an earlier attempt that may have run.

Change: such an answer counts as a failure of the endpoint.

ForwardingReducerTest#answerThatFalselyDeniesTheRunIsNotPassedOn failed before for 408, 421, 429 and 503.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
 /** How sending a request to an endpoint ended. */
 public sealed interface AttemptResult {
@@ -11,7 +12,14 @@
      * @param status HTTP status
      * @param longestPause longest time between two outputs of a stream; zero for an answer in one piece
      */
-    record Answered(int status, Duration longestPause) implements AttemptResult {}
+    record Answered(int status, Duration longestPause) implements AttemptResult {
+        private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
+        /** Returns whether callers would take the status for a promise that the request has not run. */
+        boolean deniesRun() {
+            return NOT_RUN_STATUSES.contains(status);
+        }
+    }
 
     /**
      * The endpoint did not run the request.
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -324,7 +324,7 @@
     private void answered(Forwarding forwarding, EndpointState endpoint, AttemptResult.Answered result) {
         forwarding.runs++;
         forwarding.mayHaveRun = true;
-        boolean failed = result.status() >= 500;
+        boolean failed = result.status() >= 500 || result.deniesRun();
         endpoint.countOutcome(!failed, turn.now());
         if (!failed) {
             crashes.completed(forwarding.request.fingerprint());
@@ -334,6 +334,10 @@
         } else if (forwarding.route.mayRunAgain() && retry(forwarding)) {
             return;
         }
+        if (result.deniesRun()) {
+            fail(forwarding, FailureReason.ENDPOINT_FAILED);
+            return;
+        }
         close(forwarding);
         turn.log(forwarding.answerRecord(result, turn.now()));
         turn.emit(new ForwardingEffect.Deliver(forwarding.request.exchange()));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -13,6 +13,8 @@
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -55,6 +57,17 @@
         assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {408, 421, 429, 503})
+    void answerThatFalselyDeniesTheRunIsNotPassedOn(int status) {
+        desks(false);
+        ForwardingEffect.Send send = arrive(deskRequest());
+        List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(status, Duration.ZERO));
+        assertTrue(Fixture.only(effects, ForwardingEffect.Deliver.class).isEmpty(), "callers would send it again");
+        assertTrue(Fixture.only(effects, ForwardingEffect.Send.class).isEmpty());
+        assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
+    }
+
     @Test
     void requestThatHasNotRunGoesToAnotherEndpoint() {
         desks(false);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -4,18 +4,23 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What hosts believe of an outage of the log that others tell them of. */
 class RelayedOutageTest {
+    private static final int MANY_HOSTS = 30;
+
     private static final HostIdentity PEER = new HostIdentity(new HostId("host-2"), 1);
 
     private final Fixture cutOff = new Fixture();
@@ -69,4 +74,22 @@
         second.removed(Topic.ENDPOINTS, "desk-2");
         assertEquals(Optional.empty(), endpointOf(second), "the log was never away for this host");
     }
+
+    /** Entries are back within two seconds of an outage, of which a host that polls does not know from its own reads. */
+    @Test
+    void hostThatHasAllRecordsFromPeersKeepsEntriesThatLapsed() {
+        for (int number = 0; number < MANY_HOSTS; number++) {
+            HostId host = new HostId("peer-" + number);
+            HostAnnouncement announcement = new HostAnnouncement(
+                    host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.1.0.1:81"), "east", 1);
+            second.apply(new ForwardingEvent.PeerReceived(
+                    new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
+        }
+        pass(Duration.ofMillis(200));
+        loseAndFindTheLog(cutOff);
+        ask(second, cutOff);
+        second.removed(Topic.ENDPOINTS, "desk-1");
+        second.removed(Topic.ENDPOINTS, "desk-2");
+        assertTrue(endpointOf(second).isPresent(), "the entries may have lapsed in the outage");
+    }
 }
