Free the memory of answers whose request went on elsewhere

A host that had retried some thousand failed calls answered live ones with 502: found by the review of the incident, where 600 retried failures of 64 KiB left 33,488,896 bytes counted, and then six of six calls with an answer of 1 MiB failed.

Cause: an attempt that was replaced by the next one kept its body and its entry in the memory of all answers, which evicts the largest.

Change: an attempt is cancelled when it is replaced, which drops both.

AnswerMemoryUseTest reads the metric after a request that was retried: 6000, 5990 and 8 bytes before, 0 now.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -79,6 +79,7 @@
         if (current.isEmpty()) {
             shell.metrics().sent(Duration.between(arrivedAt, shell.now()));
         }
+        current.ifPresent(Attempt::cancel);
         Attempt attempt = new Attempt(send);
         current = Optional.of(attempt);
         FullHttpRequest outgoing = endpoints().forward(request, send, shell.now());
