Take a connection closed before the first event for no end

The answer had neither a length nor chunks, so its connection alone told its end.

Cause: a resumption without any event counted as the end of the stream, however the answer ended. That is right for an answer whose framing says that it is whole.

Change: an answer that ends with its connection ends a stream only if it has an event as far as the caller has them.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -311,6 +311,10 @@
             breakOff(AnswerFault.MEMORY);
         }
 
+        private static boolean isDelimited(HttpResponse response) {
+            return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+        }
+
         private void noteMemory() {
             int pending = splitter.map(EventSplitter::pendingBytes).orElse(0);
             shell.connections().memory().resize(this, body.readableBytes() + pending);
@@ -320,7 +324,7 @@
         public void end() {
             if (kind == AnswerKind.ANSWER) {
                 Optional<AttemptResult.BrokenCause> fault =
-                        splitter.flatMap(events -> run.faultAtEnd(events.isWithinEvent()));
+                        splitter.flatMap(events -> run.faultAtEnd(events.isWithinEvent(), isDelimited(head)));
                 end(fault.<AttemptResult>map(this::broken)
                         .orElseGet(
                                 () -> new AttemptResult.Answered(head.status().code(), longestPause)));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -83,14 +83,16 @@
          * Decides whether an answer that is complete by its framing is the complete stream.
          *
          * @param withinEvent whether the answer ended within an event
+         * @param delimited whether its framing told its end, so that it does not end with its connection
          * @return why the stream is not complete, empty if it is
          */
-        Optional<AttemptResult.BrokenCause> faultAtEnd(boolean withinEvent) {
+        Optional<AttemptResult.BrokenCause> faultAtEnd(boolean withinEvent, boolean delimited) {
             if (withinEvent) {
                 return Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT);
             }
-            // A run that was resumed and has no event at all had only its end left to send.
-            boolean caughtUp = runEvent == NONE || runEvent >= lastEvent;
+            // A run that was resumed and has no event at all had only its end left to send; a closed connection is
+            // none.
+            boolean caughtUp = runEvent == NONE && delimited || runEvent >= lastEvent;
             return joinable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
         }
     }
