Reset streams to HTTP/1.0 callers however they are cut off

A stream for HTTP/1.0 ends with its connection.

Change: the connection is set to be reset with the head of the stream, and set back at its proper end. StreamEndTest#callerOfAnOlderVersionSeesThatAStreamIsCutOff and callerOfAnOlderVersionGetsNoChunks pass; the other ways have no test.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -44,6 +44,9 @@
     /** Requests that a caller may send before their turn; more are read when there is room again. */
     private static final int PIPELINED_REQUESTS = 8;
 
+    /** Lets the kernel send what is written after a close. */
+    private static final int LINGER_OFF = -1;
+
     private final Shell shell;
     private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
     private Channel channel;
@@ -198,7 +201,11 @@
     void writeHead(HttpResponse response) {
         // HTTP/1.0 has no chunks, so the end of the connection is the end of the answer.
         HttpUtil.setTransferEncodingChunked(response, readsChunks);
-        endsWithConnection = !readsChunks;
+        if (!readsChunks) {
+            endsWithConnection = true;
+            // However the connection is closed before the end, only a reset differs from the end.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         keepAlive = keepAlive && readsChunks;
         noteConnection(response);
         channel.write(response);
@@ -224,6 +231,9 @@
         }
         if (end) {
             closing = true;
+            if (endsWithConnection) {
+                channel.config().setOption(ChannelOption.SO_LINGER, LINGER_OFF);
+            }
             channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
         } else {
             channel.writeAndFlush(last);
@@ -243,10 +253,6 @@
     void abort() {
         current = Optional.empty();
         closing = true;
-        if (endsWithConnection) {
-            // Only a reset differs from the end of the answer.
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        }
         channel.close();
     }
 
