Begin to read an answer only as fast as its caller does

Change: a call knows whether its answer is to be read, and is told so when it is sent. HostTest, StreamEndTest and EndpointConnectionsTest pass; no test shows the memory.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -215,6 +215,10 @@
         channel.write(content);
     }
 
+    boolean isWritable() {
+        return channel.isWritable();
+    }
+
     void flush() {
         channel.flush();
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -84,6 +84,7 @@
         current = Optional.of(attempt);
         FullHttpRequest outgoing = endpoints().forward(request, send, shell.now());
         attempt.call = shell.connections().call(send.address(), outgoing, attempt);
+        attempt.call.setReading(connection.isWritable());
     }
 
     /** Gives the answer of the attempt to the caller. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -8,6 +8,7 @@
 public final class EndpointCall {
     private final CallListener listener;
     private Optional<Channel> channel = Optional.empty();
+    private boolean reading = true;
     private boolean over;
 
     EndpointCall(CallListener listener) {
@@ -47,6 +48,10 @@
         }
     }
 
+    boolean isReading() {
+        return reading;
+    }
+
     void finished() {
         over = true;
     }
@@ -65,6 +70,7 @@
      * @param reading whether to read
      */
     public void setReading(boolean reading) {
+        this.reading = reading;
         channel.filter(used -> !over).ifPresent(used -> used.config().setAutoRead(reading));
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -81,7 +81,7 @@
         Channel used = channel.orElseThrow();
         newCall.connecting(used);
         // The call before may have ended while its caller read slowly.
-        used.config().setAutoRead(true);
+        used.config().setAutoRead(newCall.isReading());
         used.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
                 broken();
