--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
@@ -66,7 +66,16 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"banyanstairctl", "banyanstaird", "benchmark", "compare-policies", "quickstart", "soak"})
+    @ValueSource(
+            strings = {
+                "banyanstairctl",
+                "banyanstaird",
+                "benchmark",
+                "compare-policies",
+                "processor-time",
+                "quickstart",
+                "soak"
+            })
     void helpIsGivenWithoutABuild(String script) throws Exception {
         Ended ended = run(script, "--help");
         assertEquals(0, ended.status(), ended.output());
@@ -97,6 +106,15 @@
         assertTrue(ended.output().startsWith(name + " must be a whole number from " + range), ended.output());
     }
 
+    @ParameterizedTest
+    @CsvSource({"HOSTS,1 to 200,0", "REQUESTS_PER_SECOND,0 to 1000,9 63 many"})
+    void wrongArgumentOfTheProcessorTimeIsNamedWithItsRange(String name, String range, String arguments)
+            throws Exception {
+        Ended ended = run("processor-time", arguments.split(" "));
+        assertEquals(WRONG_USE, ended.status(), ended.output());
+        assertTrue(ended.output().startsWith(name + " must be a whole number from " + range), ended.output());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "cooperative 60 1", "other 60 1 file", "cooperative soon 1 file"})
     void wrongUseOfThePolicyComparisonIsNamed(String arguments) throws Exception {
