--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -90,8 +90,7 @@
             if (withinEvent) {
                 return Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT);
             }
-            // A run that was resumed and has no event at all had only its end left to send; a closed connection is
-            // none.
+            // A resumption without any event had only its end left to send; a closed connection may also be a crash.
             boolean caughtUp = runEvent == NONE && delimited || runEvent >= lastEvent;
             return joinable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
         }
