--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import org.banyanstair.platform.LogEntry;
+import org.banyanstair.external.LogEntry;
 
 /**
  * One part of a configuration checkpoint; a checkpoint is split so that each part fits a log record and a frame.
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationChange.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationChange.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-import org.banyanstair.platform.LogEntry;
+import org.banyanstair.external.LogEntry;
 
 /**
  * A change as it stands in the log.
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
@@ -10,12 +10,12 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.Notice;
--- a/banyanstair-core/src/main/java/org/banyanstair/platform/EngineRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform;
+package org.banyanstair.external;
 
 import java.time.Instant;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/platform/TokenListener.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform;
+package org.banyanstair.external;
 
 /** Receives the events of one generation, one at a time, in order. */
 public interface TokenListener {
--- a/banyanstair-core/src/main/java/org/banyanstair/platform/Topic.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/Topic.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform;
+package org.banyanstair.external;
 
 /** A compacted topic of the platform's log that hosts follow. */
 public enum Topic {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/FactDecoder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/FactDecoder.java
@@ -3,7 +3,7 @@
 import java.time.Instant;
 import java.util.Optional;
 
-import org.banyanstair.platform.Topic;
+import org.banyanstair.external.Topic;
 
 /** Reads what a record says; pure. */
 @FunctionalInterface
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -5,12 +5,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 
 /** Something that the host has to do; carried out in order. */
 public sealed interface ForwardingEffect {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 
 /** Something that happened, with the instant on the host's steady clock at which it was noticed. */
 public sealed interface ForwardingEvent {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -8,13 +8,13 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
-import org.banyanstair.platform.Topic;
 
 /**
  * Folds all events of a host that passes requests on to endpoints, and says what to do.
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 
-import org.banyanstair.platform.Topic;
+import org.banyanstair.external.Topic;
 
 /**
  * What a host has to do and what it believes, for metrics.
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -9,12 +9,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 
 /** The other entry hosts and when they were last heard. */
 final class PeerTable {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -11,12 +11,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 
 /**
  * What a host believes of the configuration, the adapter versions and the endpoints, from the topics of the platform's
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -16,7 +17,6 @@
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 
 /** The runners that this host commands, and what the commanders of the others say of them. */
 final class RunnerDesk {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import org.banyanstair.platform.Topic;
+import org.banyanstair.external.Topic;
 
 /**
  * Follows a compacted topic: the newest record of each key first, then the records as they come.
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallAnswer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallAnswer.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.errors.Failure;
-import org.banyanstair.platform.ServiceAnswer;
+import org.banyanstair.external.ServiceAnswer;
 
 /** The three outcomes of a call; they are never confused. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "outcome")
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
@@ -6,9 +6,9 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
+import org.banyanstair.external.Streams;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.ServiceId;
-import org.banyanstair.platform.Streams;
 
 /**
  * The scope in which an idempotency key is unique.
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallRecord.java
@@ -3,9 +3,9 @@
 import java.time.Instant;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.ServiceAnswer;
 import org.banyanstair.model.HostIdentity;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.ServiceAnswer;
 
 /** A record of a stream of non-idempotent calls. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "record")
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallState.java
@@ -2,8 +2,8 @@
 
 import java.time.Instant;
 
+import org.banyanstair.external.ServiceAnswer;
 import org.banyanstair.model.HostIdentity;
-import org.banyanstair.platform.ServiceAnswer;
 
 /** What the log says about a key. */
 public sealed interface CallState {
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -10,13 +10,13 @@
 import java.util.Set;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.CallRequest;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -8,14 +8,14 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceAnswer;
+import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.idempotency.SubmittedCall.Stage;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.ServiceAnswer;
-import org.banyanstair.platform.ServiceCallResult;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -8,12 +8,12 @@
 import java.util.stream.Collectors;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceCallResult;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.ServiceCallResult;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
@@ -11,10 +11,10 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.Streams;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.Sequence;
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -9,13 +9,13 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.PoolId;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipRecord.java
@@ -1,11 +1,11 @@
 package org.banyanstair.ownership;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.banyanstair.external.LogEntry;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.PoolId;
-import org.banyanstair.platform.LogEntry;
 
 /** A record of the stream {@code ownership}. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "record")
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -9,6 +9,8 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceCall;
+import org.banyanstair.external.Topic;
 import org.banyanstair.idempotency.AttemptId;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.idempotency.CallKey;
@@ -25,8 +27,6 @@
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.Ownership;
-import org.banyanstair.platform.ServiceCall;
-import org.banyanstair.platform.Topic;
 
 /** A message from one entry host to another. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
@@ -5,14 +5,14 @@
 import java.util.Set;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.Fingerprint;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.Notice;
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -15,13 +15,13 @@
 
 import org.banyanstair.configuration.PoolDeclaration;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.Streams;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.ownership.OwnershipRecord;
 import org.banyanstair.ownership.PendingUnload;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.OrderResult;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.Notice;
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.OrderResult;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostIdentity;
@@ -14,8 +16,6 @@
 import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.peer.EndpointReport;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.OrderResult;
 import org.banyanstair.reducer.Effects;
 
 /**
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/SuspectRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/SuspectRecord.java
@@ -3,9 +3,9 @@
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.banyanstair.external.LogEntry;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.Fingerprint;
-import org.banyanstair.platform.LogEntry;
 
 /** A record of the stream {@code suspects}. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "record")
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
+import org.banyanstair.external.ServiceCall;
 import org.banyanstair.idempotency.CallKey;
 import org.banyanstair.model.PoolId;
-import org.banyanstair.platform.ServiceCall;
 
 /**
  * A call of a plain service.
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
@@ -6,6 +6,8 @@
 
 import org.banyanstair.configuration.ChangeVerdict;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.ServiceCall;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
@@ -14,8 +16,6 @@
 import org.banyanstair.peer.EndpointReport;
 import org.banyanstair.peer.HostStatus;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.ServiceCall;
 
 /** Something that the shell has to do. */
 public sealed interface Effect {
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
@@ -5,6 +5,9 @@
 
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.HostListing;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
@@ -13,9 +16,6 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.OrderResult;
-import org.banyanstair.platform.ServiceCallResult;
 
 /** Something that happened, with the instant at which the shell saw it. */
 public sealed interface Event {
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -10,6 +10,8 @@
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.configuration.ConfigurationKeeper;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.Streams;
 import org.banyanstair.idempotency.CallRecord;
 import org.banyanstair.idempotency.CallTracker;
 import org.banyanstair.idempotency.CallWriters;
@@ -28,8 +30,6 @@
 import org.banyanstair.placement.PoolContext;
 import org.banyanstair.placement.PoolOwner;
 import org.banyanstair.placement.SuspectRecord;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.routing.GenerationTracker;
 import org.banyanstair.routing.IdempotentCalls;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/StreamEntry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/StreamEntry.java
@@ -3,7 +3,7 @@
 import java.time.Instant;
 import java.util.Optional;
 
-import org.banyanstair.platform.LogEntry;
+import org.banyanstair.external.LogEntry;
 
 /**
  * One decoded record of a log stream.
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCalls.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCalls.java
@@ -9,12 +9,12 @@
 import java.util.Set;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceCall;
+import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.EndpointId;
-import org.banyanstair.platform.ServiceCall;
-import org.banyanstair.platform.ServiceCallResult;
 import org.banyanstair.reducer.CallRequest;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
@@ -13,12 +13,12 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -16,7 +17,6 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.platform.Topic;
 
 /** A reducer with a platform that tests write by hand. */
 final class Fixture {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -12,9 +12,9 @@
 import java.util.Random;
 import java.util.Set;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
-import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -14,7 +15,6 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
@@ -13,12 +13,12 @@
 import java.util.TreeMap;
 import java.util.function.IntToDoubleFunction;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerNewsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerNewsTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -15,7 +16,6 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.Topic;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.banyanstair.platform.Topic;
+import org.banyanstair.external.Topic;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallLedgerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallLedgerTest.java
@@ -9,11 +9,11 @@
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.banyanstair.external.ServiceAnswer;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.ServiceId;
-import org.banyanstair.platform.ServiceAnswer;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -16,6 +16,10 @@
 import java.util.stream.IntStream;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.ServiceAnswer;
+import org.banyanstair.external.ServiceCall;
+import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -31,10 +35,6 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.model.ServiceId;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.ServiceAnswer;
-import org.banyanstair.platform.ServiceCall;
-import org.banyanstair.platform.ServiceCallResult;
 import org.banyanstair.reducer.CallRequest;
 import org.banyanstair.reducer.Effect;
 
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
@@ -6,6 +6,7 @@
 import java.util.TreeSet;
 import java.util.stream.IntStream;
 
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.membership.HostListing;
 import org.banyanstair.membership.Membership;
@@ -15,7 +16,6 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.ownership.RendezvousHash;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/ReusedKeyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/ReusedKeyTest.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceAnswer;
+import org.banyanstair.external.ServiceCall;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.HostId;
@@ -14,8 +16,6 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.model.ServiceId;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.ServiceAnswer;
-import org.banyanstair.platform.ServiceCall;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
@@ -12,6 +12,7 @@
 import org.banyanstair.configuration.PoolDeclaration;
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.configuration.ServiceKind;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -28,7 +29,6 @@
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.model.ServiceId;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.GenerationRequest;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 
 import org.banyanstair.configuration.Configuration;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.OrderResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -29,8 +31,6 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.OwnershipHistory;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.OrderResult;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.ReducerSettings;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
@@ -13,14 +13,14 @@
 import java.util.function.Function;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.OrderResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.Fingerprint;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.peer.AttemptOutcome;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.OrderResult;
 import org.banyanstair.reducer.Event;
 
 /** An engine that loses answers, reports late, restarts empty, and reports unloads of adapters in use. */
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
@@ -11,11 +11,11 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 
+import org.banyanstair.external.OrderResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.OrderResult;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.GenerationRequest;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.platform.LogEntry;
+import org.banyanstair.external.LogEntry;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.StreamEntry;
--- a/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -10,6 +10,8 @@
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.configuration.Operation;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -26,8 +28,6 @@
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.placement.PlacementPolicy;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.Streams;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -5,11 +5,11 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.Fact;
 import org.banyanstair.forwarding.FactDecoder;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.platform.Topic;
 
 /** How the platform's log service speaks. Implementations have no state. */
 public interface LogProtocol extends FactDecoder {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -13,11 +13,11 @@
 import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.EndpointCondition;
 import org.banyanstair.forwarding.ForwardingStatus;
 import org.banyanstair.metrics.LabelledName;
 import org.banyanstair.metrics.PrometheusText;
-import org.banyanstair.platform.Topic;
 
 /** The metrics of a daemon that passes requests on. Latencies are in seconds. Not safe for use by several threads. */
 public final class ForwarderMetrics {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
@@ -11,12 +11,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import org.banyanstair.external.Topic;
 import org.banyanstair.forwarder.LogProtocol;
 import org.banyanstair.forwarder.TopicPage;
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.TopicRecord;
-import org.banyanstair.platform.Topic;
 import org.tinylog.Logger;
 
 /** Carries out reads of topics and appends to them. Used on the thread of the connections only. */
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
@@ -7,13 +7,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
+import org.banyanstair.external.Streams;
 import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.integration.cluster.ClusterHost;
 import org.banyanstair.integration.cluster.ClusterPlan;
 import org.banyanstair.integration.cluster.ToolResult;
 import org.banyanstair.model.HostId;
 import org.banyanstair.ownership.RendezvousHash;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.testsupport.engine.EngineSettings;
 import org.banyanstair.testsupport.fault.Faults;
 import org.banyanstair.testsupport.fault.Outage;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -9,13 +9,13 @@
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
+import org.banyanstair.external.http.HttpEngineClient;
+import org.banyanstair.external.http.HttpHostListSource;
+import org.banyanstair.external.http.HttpLogService;
+import org.banyanstair.external.http.HttpPlainServiceClient;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.platform.http.HttpEngineClient;
-import org.banyanstair.platform.http.HttpHostListSource;
-import org.banyanstair.platform.http.HttpLogService;
-import org.banyanstair.platform.http.HttpPlainServiceClient;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.HostReducer;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
@@ -9,12 +9,12 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.banyanstair.external.AppendResult;
+import org.banyanstair.external.EngineClient;
+import org.banyanstair.external.LogService;
+import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.PlainServiceClient;
 import org.banyanstair.membership.Endpoint;
-import org.banyanstair.platform.AppendResult;
-import org.banyanstair.platform.EngineClient;
-import org.banyanstair.platform.LogService;
-import org.banyanstair.platform.OrderResult;
-import org.banyanstair.platform.PlainServiceClient;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.transport.PeerTransport;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EntryCodec.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EntryCodec.java
@@ -9,12 +9,12 @@
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.configuration.ConfigurationChange;
+import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.LogRecord;
+import org.banyanstair.external.Streams;
 import org.banyanstair.idempotency.CallRecord;
 import org.banyanstair.ownership.OwnershipRecord;
 import org.banyanstair.placement.SuspectRecord;
-import org.banyanstair.platform.LogEntry;
-import org.banyanstair.platform.LogRecord;
-import org.banyanstair.platform.Streams;
 import org.banyanstair.reducer.StreamEntry;
 
 /** Encodes and decodes the values of the log streams. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
@@ -9,11 +9,11 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import org.banyanstair.external.HostListSource;
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.membership.HostListing;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.platform.HostListSource;
 import org.banyanstair.reducer.Event;
 
 /** Reads the host list again and again; keeps the last reading while the list is down. Safe for use by several threads. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -11,9 +11,9 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
-import org.banyanstair.platform.LogService;
-import org.banyanstair.platform.ReadResult;
-import org.banyanstair.platform.Streams;
+import org.banyanstair.external.LogService;
+import org.banyanstair.external.ReadResult;
+import org.banyanstair.external.Streams;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.StreamEntry;
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import org.banyanstair.platform.Cancellation;
+import org.banyanstair.external.Cancellation;
 import org.banyanstair.server.service.Generation;
 import org.banyanstair.server.service.GenerationSink;
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
@@ -9,11 +9,11 @@
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
+import org.banyanstair.external.Cancellation;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.Fingerprint;
 import org.banyanstair.model.ModelName;
-import org.banyanstair.platform.Cancellation;
 import org.banyanstair.server.service.CallerService;
 import org.banyanstair.server.service.Generation;
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/CallerService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/CallerService.java
@@ -5,8 +5,8 @@
 
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.Cancellation;
 import org.banyanstair.idempotency.CallAnswer;
-import org.banyanstair.platform.Cancellation;
 
 /** Serves callers. Implementations are safe for use by several threads. */
 public interface CallerService {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/PlainCall.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/PlainCall.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 
 import org.banyanstair.configuration.ServiceDeclaration;
+import org.banyanstair.external.ServiceCall;
 import org.banyanstair.idempotency.CallKey;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.PriorityClass;
-import org.banyanstair.platform.ServiceCall;
 
 /**
  * A checked call of a plain service.
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceAnswer;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
-import org.banyanstair.platform.ServiceAnswer;
 import org.banyanstair.server.service.PlainCall;
 import org.junit.jupiter.api.Test;
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.banyanstair.external.ReadResult;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.platform.ReadResult;
 import org.banyanstair.testsupport.fault.Counters;
 import org.banyanstair.testsupport.fault.Faults;
 import org.banyanstair.testsupport.fault.Reply;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import org.banyanstair.platform.LogRecord;
-import org.banyanstair.platform.ReadResult;
+import org.banyanstair.external.LogRecord;
+import org.banyanstair.external.ReadResult;
 
 /** Records of one stream and the reads that wait for more. */
 final class StreamLog {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/AppendClassificationTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -10,9 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-import org.banyanstair.platform.AppendResult;
-import org.banyanstair.platform.LogRecord;
-import org.banyanstair.platform.ReadResult;
+import org.banyanstair.external.AppendResult;
+import org.banyanstair.external.LogRecord;
+import org.banyanstair.external.ReadResult;
 import org.banyanstair.testsupport.fault.Faults;
 import org.banyanstair.testsupport.fault.Outage;
 import org.banyanstair.testsupport.log.LogServiceStandIn;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/Endpoints.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/Endpoints.java
@@ -1,9 +1,10 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.time.Instant;
 
+import org.banyanstair.external.EngineRequest;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.Presence;
@@ -14,7 +15,6 @@
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.platform.EngineRequest;
 import org.banyanstair.testsupport.engine.EngineProbe;
 
 /** Endpoints and requests for the tests of the clients. */
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpEngineClientProtocolTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.time.Instant;
 import java.util.List;
@@ -8,8 +8,8 @@
 import java.util.function.Consumer;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.platform.GenerationEnd;
-import org.banyanstair.platform.OrderResult;
+import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.OrderResult;
 import org.banyanstair.testsupport.endpoint.Exchange;
 import org.banyanstair.testsupport.endpoint.StandInServer;
 import org.junit.jupiter.api.AfterEach;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpEngineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -13,12 +13,12 @@
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
+import org.banyanstair.external.Cancellation;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.OrderResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
-import org.banyanstair.platform.Cancellation;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.GenerationEnd;
-import org.banyanstair.platform.OrderResult;
 import org.banyanstair.testsupport.engine.EngineFault;
 import org.banyanstair.testsupport.engine.EngineProbe;
 import org.banyanstair.testsupport.engine.EngineRun;
@@ -188,7 +188,7 @@
     @Test
     void listenerThatThrowsStillGetsItsEnd() throws Exception {
         Recorder recorder = new Recorder();
-        client.generate(endpoint, Endpoints.request("r", 3, 0, soon()), new org.banyanstair.platform.TokenListener() {
+        client.generate(endpoint, Endpoints.request("r", 3, 0, soon()), new org.banyanstair.external.TokenListener() {
             @Override
             public void token(long index, String json) {
                 throw new IllegalStateException("expected by the test");
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpLogServiceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -9,8 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.platform.AppendResult;
-import org.banyanstair.platform.ReadResult;
+import org.banyanstair.external.AppendResult;
+import org.banyanstair.external.ReadResult;
 import org.banyanstair.testsupport.fault.Faults;
 import org.banyanstair.testsupport.fault.Outage;
 import org.banyanstair.testsupport.fault.StandInServer;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/HttpPlainServiceClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -7,10 +7,10 @@
 import java.util.concurrent.TimeUnit;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.ServiceCall;
+import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.platform.ServiceCall;
-import org.banyanstair.platform.ServiceCallResult;
 import org.banyanstair.testsupport.endpoint.StandInServer;
 import org.banyanstair.testsupport.service.PlainServiceFault;
 import org.banyanstair.testsupport.service.PlainServiceSettings;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/platform/http/Recorder.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/Recorder.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.banyanstair.platform.GenerationEnd;
-import org.banyanstair.platform.TokenListener;
+import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.TokenListener;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/log/StreamLogTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/log/StreamLogTest.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.stream.LongStream;
 
-import org.banyanstair.platform.LogRecord;
-import org.banyanstair.platform.ReadResult;
+import org.banyanstair.external.LogRecord;
+import org.banyanstair.external.ReadResult;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/process/ProcessLauncherTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/process/ProcessLauncherTest.java
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import org.banyanstair.platform.AppendResult;
-import org.banyanstair.platform.ReadResult;
-import org.banyanstair.platform.http.HttpHostListSource;
-import org.banyanstair.platform.http.HttpLogService;
+import org.banyanstair.external.AppendResult;
+import org.banyanstair.external.ReadResult;
+import org.banyanstair.external.http.HttpHostListSource;
+import org.banyanstair.external.http.HttpLogService;
 import org.banyanstair.testsupport.hosts.HostListStandInMain;
 import org.banyanstair.testsupport.log.LogServiceStandInMain;
 import org.banyanstair.testsupport.weights.WeightStoreStandInMain;
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/AnswerReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/AnswerReader.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectReader;
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/CallResult.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/CallResult.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.io.IOException;
 import java.util.Optional;
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.io.IOException;
 import java.net.ProtocolException;
@@ -8,10 +8,10 @@
 import okhttp3.Callback;
 import okhttp3.Response;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineRequest;
+import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.TokenListener;
 import org.banyanstair.membership.Endpoint;
-import org.banyanstair.platform.EngineRequest;
-import org.banyanstair.platform.GenerationEnd;
-import org.banyanstair.platform.TokenListener;
 import org.tinylog.Logger;
 
 /** One running generation: reads its stream, checks the token indexes and reports exactly one end. */
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -26,15 +26,15 @@
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
+import org.banyanstair.external.Cancellation;
+import org.banyanstair.external.EngineClient;
+import org.banyanstair.external.EngineRequest;
+import org.banyanstair.external.EngineStatus;
+import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.TokenListener;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
-import org.banyanstair.platform.Cancellation;
-import org.banyanstair.platform.EngineClient;
-import org.banyanstair.platform.EngineRequest;
-import org.banyanstair.platform.EngineStatus;
-import org.banyanstair.platform.GenerationEnd;
-import org.banyanstair.platform.OrderResult;
-import org.banyanstair.platform.TokenListener;
 
 /**
  * Engine client over HTTP with OkHttp. It sends each command and each request at most once.
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpHostListSource.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -9,9 +9,9 @@
 import okhttp3.Request;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
+import org.banyanstair.external.HostListSource;
 import org.banyanstair.membership.HostListing;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.platform.HostListSource;
 
 /**
  * Client of the host list over HTTP; {@code docs/protocols.md} describes the protocol.
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpLogService.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.io.IOException;
 import java.time.Clock;
@@ -13,11 +13,11 @@
 import okhttp3.Request;
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.AppendResult;
+import org.banyanstair.external.LogRecord;
+import org.banyanstair.external.LogService;
+import org.banyanstair.external.ReadResult;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.platform.AppendResult;
-import org.banyanstair.platform.LogRecord;
-import org.banyanstair.platform.LogService;
-import org.banyanstair.platform.ReadResult;
 import org.tinylog.Logger;
 
 /**
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/HttpPlainServiceClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -13,11 +13,11 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.PlainServiceClient;
+import org.banyanstair.external.ServiceAnswer;
+import org.banyanstair.external.ServiceCall;
+import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.Endpoint;
-import org.banyanstair.platform.PlainServiceClient;
-import org.banyanstair.platform.ServiceAnswer;
-import org.banyanstair.platform.ServiceCall;
-import org.banyanstair.platform.ServiceCallResult;
 
 /** Plain service client over HTTP with OkHttp. It sends each call at most once and follows no redirects. */
 public final class HttpPlainServiceClient implements PlainServiceClient {
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/SendTracker.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/SendTracker.java
@@ -1,4 +1,4 @@
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
 
 import okhttp3.Call;
 import okhttp3.EventListener;
--- a/banyanstair-transport/src/main/java/org/banyanstair/platform/http/package-info.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the systems outside over HTTP. */
-package org.banyanstair.platform.http;
+package org.banyanstair.external.http;
--- a/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
@@ -92,7 +92,7 @@
     @ParameterizedTest
     @FieldSource("MAPPERS")
     void serviceCallSurvives(ObjectMapper mapper) throws Exception {
-        org.banyanstair.platform.ServiceCall call = new org.banyanstair.platform.ServiceCall(
+        org.banyanstair.external.ServiceCall call = new org.banyanstair.external.ServiceCall(
                 new RequestId("r"),
                 "POST",
                 "/orders",
