--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
@@ -21,7 +21,7 @@
      * @param now present instant
      * @return what it says
      */
-    RequestReading read(long exchange, String caller, FullHttpRequest request, Instant now);
+    ParsedRequest read(long exchange, String caller, FullHttpRequest request, Instant now);
 
     /**
      * Creates the answer to a refused request.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
@@ -30,7 +30,7 @@
      * @param requestId id of the request that was sent
      * @return its kind
      */
-    AnswerKind classify(HttpResponse response, String requestId);
+    ResponseKind classify(HttpResponse response, String requestId);
 
     /**
      * Creates a command.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -20,17 +20,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import org.banyanstair.forwarder.internal.AnswerMemory;
 import org.banyanstair.forwarder.internal.CallerConnection;
 import org.banyanstair.forwarder.internal.CallerExchange;
-import org.banyanstair.forwarder.internal.EndpointConnections;
+import org.banyanstair.forwarder.internal.EndpointConnectionPool;
+import org.banyanstair.forwarder.internal.ForwarderContext;
 import org.banyanstair.forwarder.internal.ForwarderMetrics;
-import org.banyanstair.forwarder.internal.Listeners;
-import org.banyanstair.forwarder.internal.QuestionConnection;
-import org.banyanstair.forwarder.internal.RejectedAnswers;
-import org.banyanstair.forwarder.internal.Shell;
-import org.banyanstair.forwarder.internal.TopicReader;
-import org.banyanstair.forwarder.internal.WholeAnswer;
+import org.banyanstair.forwarder.internal.LogClient;
+import org.banyanstair.forwarder.internal.QueryConnection;
+import org.banyanstair.forwarder.internal.RejectedResponses;
+import org.banyanstair.forwarder.internal.ResponseAggregator;
+import org.banyanstair.forwarder.internal.ResponseMemoryBudget;
+import org.banyanstair.forwarder.internal.ServerSockets;
 import org.banyanstair.forwarding.AdapterCommand;
 import org.banyanstair.forwarding.CommandResult;
 import org.banyanstair.forwarding.DecisionRecord;
@@ -81,18 +81,18 @@
     private final Protocols protocols;
     private final DecisionLog decisions;
     private final ForwardingReducer reducer;
-    private final SteadyClock clock = new SteadyClock();
+    private final MonotonicClock clock = new MonotonicClock();
     private final ForwarderMetrics metrics = new ForwarderMetrics();
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, new DefaultThreadFactory("banyanstair-forwarder", false));
     private final EventLoop loop = group.next();
-    private final AnswerMemory answerMemory = new AnswerMemory(AnswerMemory.DEFAULT_BYTES);
-    private final EndpointConnections connections;
-    private final Listeners listeners = new Listeners(group);
+    private final ResponseMemoryBudget answerMemory = new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_BYTES);
+    private final EndpointConnectionPool connections;
+    private final ServerSockets listeners = new ServerSockets(group);
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final ShellOfDaemon shell = new ShellOfDaemon();
-    private final TopicReader topics;
+    private final DaemonContext shell = new DaemonContext();
+    private final LogClient topics;
     private final PeerTransport peers;
     private long lastExchange;
     private volatile boolean stopping;
@@ -111,9 +111,9 @@
         this.protocols = protocols;
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
-        this.connections = new EndpointConnections(
-                loop, CONNECT_LIMIT, answerMemory, new RejectedAnswers(metrics, decisions::write));
-        this.topics = new TopicReader(shell, loop);
+        this.connections = new EndpointConnectionPool(
+                loop, CONNECT_LIMIT, answerMemory, new RejectedResponses(metrics, decisions::write));
+        this.topics = new LogClient(shell, loop);
         metrics.observe(() -> reducer.status(shell.now()));
         metrics.gauge("endpoint_connections_total", connections::opened);
         metrics.gauge("answer_memory_bytes", answerMemory::used);
@@ -141,14 +141,14 @@
         settings.readiness()
                 .ifPresent(address -> listeners.questions(
                         address,
-                        () -> new QuestionConnection(
+                        () -> new QueryConnection(
                                 request -> protocols.directory().answer(request, reducer.isReady()))));
         settings.directory()
                 .ifPresent(address -> listeners.questions(
                         address,
-                        () -> new QuestionConnection(request ->
+                        () -> new QueryConnection(request ->
                                 protocols.directory().answer(request, reducer.callerAddresses(shell.now())))));
-        listeners.questions(settings.metrics(), () -> new QuestionConnection(this::answerMetrics));
+        listeners.questions(settings.metrics(), () -> new QueryConnection(this::answerMetrics));
         decisions.write(DecisionRecord.important(
                 "started", "identity", settings.forwarding().identity(), "callers", settings.callers()));
     }
@@ -288,7 +288,7 @@
             FullHttpRequest request,
             Duration limit,
             Consumer<Optional<FullHttpResponse>> receiver) {
-        WholeAnswer.request(
+        ResponseAggregator.request(
                 connections,
                 loop,
                 address,
@@ -298,7 +298,7 @@
                 metrics.timeRunnerCall(operation, clock, receiver));
     }
 
-    private final class ShellOfDaemon implements Shell {
+    private final class DaemonContext implements ForwarderContext {
         @Override
         public void submit(ForwardingEvent event) {
             if (clock.hasGap()) {
@@ -323,7 +323,7 @@
         }
 
         @Override
-        public EndpointConnections connections() {
+        public EndpointConnectionPool connections() {
             return connections;
         }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/SteadyClock.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/MonotonicClock.java
@@ -10,7 +10,7 @@
  * <p>Its instants count from an arbitrary start, so they mean nothing to other hosts. Not safe for use by several
  * threads, but for {@link #instant}.
  */
-public final class SteadyClock implements InstantSource {
+public final class MonotonicClock implements InstantSource {
     /** Difference between the steady clock and the time of day that counts as a suspension or a jump. */
     private static final Duration GAP = Duration.ofMillis(400);
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/AnswerKind.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ResponseKind.java
@@ -1,7 +1,7 @@
 package org.banyanstair.forwarder;
 
 /** What the head of an endpoint's answer says. */
-public enum AnswerKind {
+public enum ResponseKind {
     /** An answer to the request. */
     ANSWER,
     /** The endpoint did not run the request because it is full. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -31,7 +31,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.banyanstair.forwarder.RequestReading;
+import org.banyanstair.forwarder.ParsedRequest;
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.tinylog.Logger;
 
@@ -47,7 +47,7 @@
     /** Lets the kernel send what is written after a close. */
     private static final int LINGER_OFF = -1;
 
-    private final Shell shell;
+    private final ForwarderContext shell;
     private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
@@ -64,7 +64,7 @@
      *
      * @param shell the daemon
      */
-    public CallerConnection(Shell shell) {
+    public CallerConnection(ForwarderContext shell) {
         this.shell = shell;
     }
 
@@ -173,14 +173,14 @@
                 ? address.getAddress().getHostAddress()
                 : "";
         long number = shell.nextExchange();
-        RequestReading reading = shell.protocols().callers().read(number, caller, request, shell.now());
-        if (reading instanceof RequestReading.Understood understood) {
+        ParsedRequest reading = shell.protocols().callers().read(number, caller, request, shell.now());
+        if (reading instanceof ParsedRequest.Understood understood) {
             CallerExchange exchange =
                     new CallerExchange(number, understood.request().id().value(), request, this, shell);
             current = Optional.of(exchange);
             shell.open(exchange);
             shell.submit(new ForwardingEvent.Arrived(understood.request()));
-        } else if (reading instanceof RequestReading.Malformed malformed) {
+        } else if (reading instanceof ParsedRequest.Malformed malformed) {
             request.release();
             Logger.info("request of {} has a malformed {}", caller, malformed.field());
             finish(
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -16,9 +16,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import org.banyanstair.forwarder.AnswerKind;
 import org.banyanstair.forwarder.CallerProtocol;
 import org.banyanstair.forwarder.EndpointProtocol;
+import org.banyanstair.forwarder.ResponseKind;
 import org.banyanstair.forwarding.AttemptResult;
 import org.banyanstair.forwarding.FailureReason;
 import org.banyanstair.forwarding.ForwardingEffect;
@@ -43,7 +43,7 @@
     private final String requestId;
     private final FullHttpRequest request;
     private final CallerConnection connection;
-    private final Shell shell;
+    private final ForwarderContext shell;
     private Optional<Attempt> current = Optional.empty();
     private boolean headWritten;
     private boolean over;
@@ -52,7 +52,12 @@
     private Optional<Instant> lastOutputAt = Optional.empty();
     private Duration longestPause = Duration.ZERO;
 
-    CallerExchange(long number, String requestId, FullHttpRequest request, CallerConnection connection, Shell shell) {
+    CallerExchange(
+            long number,
+            String requestId,
+            FullHttpRequest request,
+            CallerConnection connection,
+            ForwarderContext shell) {
         this.number = number;
         this.requestId = requestId;
         this.request = request;
@@ -194,12 +199,12 @@
     }
 
     /** One attempt at an endpoint. */
-    private final class Attempt implements CallListener, AnswerMemory.Holder {
+    private final class Attempt implements ResponseListener, ResponseMemoryBudget.Holder {
         private final ForwardingEffect.Send send;
         private final StreamPosition.Run run;
         private EndpointCall call;
         private HttpResponse head;
-        private AnswerKind kind;
+        private ResponseKind kind;
         private Optional<EventSplitter> splitter = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         private long bytesSinceEvent;
@@ -214,11 +219,11 @@
         @Override
         public void head(HttpResponse response) {
             kind = endpoints().classify(response, requestId);
-            if (kind == AnswerKind.INVALID) {
-                breakOff(AnswerFault.INVALID_HEAD);
+            if (kind == ResponseKind.INVALID) {
+                breakOff(ResponseFault.INVALID_HEAD);
                 return;
             }
-            if (kind != AnswerKind.ANSWER) {
+            if (kind != ResponseKind.ANSWER) {
                 return;
             }
             boolean stream = response.status().code() == 200
@@ -238,7 +243,7 @@
 
         @Override
         public void content(ByteBuf bytes) {
-            if (kind != AnswerKind.ANSWER) {
+            if (kind != ResponseKind.ANSWER) {
                 return;
             }
             if (!output) {
@@ -247,7 +252,7 @@
             }
             if (splitter.isEmpty()) {
                 if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
-                    breakOff(AnswerFault.LONG_BODY);
+                    breakOff(ResponseFault.LONG_BODY);
                 } else {
                     body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
                     noteMemory();
@@ -261,7 +266,7 @@
             }
             connection.flush();
             if (!ended && splitter.orElseThrow().pendingBytes() > EVENT_BYTES) {
-                breakOff(AnswerFault.LONG_EVENT);
+                breakOff(ResponseFault.LONG_EVENT);
             } else {
                 endWithoutNewEvent();
                 noteMemory();
@@ -270,7 +275,7 @@
 
         private void endWithoutNewEvent() {
             if (!ended && bytesSinceEvent > EVENT_BYTES) {
-                breakOff(AnswerFault.NO_NEW_EVENT);
+                breakOff(ResponseFault.NO_NEW_EVENT);
             }
         }
 
@@ -294,22 +299,22 @@
 
         @Override
         public boolean isForeign() {
-            return kind == AnswerKind.FOREIGN;
+            return kind == ResponseKind.FOREIGN;
         }
 
         @Override
         public boolean usesBody() {
-            return kind == AnswerKind.ANSWER;
+            return kind == ResponseKind.ANSWER;
         }
 
         @Override
-        public void rejected(AnswerFault fault) {
+        public void rejected(ResponseFault fault) {
             end(broken(fault.cause()));
         }
 
         @Override
         public void evict() {
-            breakOff(AnswerFault.MEMORY);
+            breakOff(ResponseFault.MEMORY);
         }
 
         private static boolean isDelimited(HttpResponse response) {
@@ -323,7 +328,7 @@
 
         @Override
         public void end() {
-            if (kind == AnswerKind.ANSWER) {
+            if (kind == ResponseKind.ANSWER) {
                 Optional<AttemptResult.BrokenCause> fault =
                         splitter.flatMap(events -> run.faultAtEnd(events.isWithinEvent(), isDelimited(head)));
                 end(fault.<AttemptResult>map(this::broken)
@@ -331,13 +336,15 @@
                                 () -> new AttemptResult.Answered(head.status().code(), longestPause)));
             } else {
                 end(new AttemptResult.NotRun(
-                        kind == AnswerKind.FULL ? AttemptResult.NotRunCause.FULL : AttemptResult.NotRunCause.NOT_HERE));
+                        kind == ResponseKind.FULL
+                                ? AttemptResult.NotRunCause.FULL
+                                : AttemptResult.NotRunCause.NOT_HERE));
             }
         }
 
         @Override
         public void failed(boolean mayHaveRun) {
-            boolean rejected = kind == AnswerKind.FULL || kind == AnswerKind.NOT_HERE;
+            boolean rejected = kind == ResponseKind.FULL || kind == ResponseKind.NOT_HERE;
             if (rejected) {
                 end();
             } else if (mayHaveRun) {
@@ -347,7 +354,7 @@
             }
         }
 
-        private void breakOff(AnswerFault fault) {
+        private void breakOff(ResponseFault fault) {
             shell.connections().reject(send.address(), fault);
             breakOff(fault.cause());
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -6,16 +6,16 @@
 
 /** A call that is under way. Used on the thread of its connection only. */
 public final class EndpointCall {
-    private final CallListener listener;
+    private final ResponseListener listener;
     private Optional<Channel> channel = Optional.empty();
     private boolean reading = true;
     private boolean over;
 
-    EndpointCall(CallListener listener) {
+    EndpointCall(ResponseListener listener) {
         this.listener = listener;
     }
 
-    CallListener listener() {
+    ResponseListener listener() {
         return listener;
     }
 
@@ -41,7 +41,7 @@
         }
     }
 
-    void rejected(AnswerFault fault) {
+    void rejected(ResponseFault fault) {
         if (!over) {
             over = true;
             listener.rejected(fault);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -38,7 +38,7 @@
 
     private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
 
-    private final EndpointConnections owner;
+    private final EndpointConnectionPool owner;
     private final NetworkAddress address;
     private Optional<Channel> channel = Optional.empty();
     private EndpointCall call;
@@ -47,10 +47,10 @@
     private Duration idleLimit = DEFAULT_IDLE;
     private long idleSinceNanos;
     private boolean foreignEnded;
-    private AnswerBytes bytes = new AnswerBytes();
+    private ResponseOverhead bytes = new ResponseOverhead();
     private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
 
-    EndpointConnection(EndpointConnections owner, NetworkAddress address) {
+    EndpointConnection(EndpointConnectionPool owner, NetworkAddress address) {
         this.owner = owner;
         this.address = address;
     }
@@ -77,7 +77,7 @@
     void begin(EndpointCall newCall, FullHttpRequest request) {
         call = newCall;
         answering = false;
-        bytes = new AnswerBytes();
+        bytes = new ResponseOverhead();
         Channel used = channel.orElseThrow();
         newCall.connecting(used);
         // The call before may have ended while its caller read slowly.
@@ -101,11 +101,11 @@
                     || call.isOver()
                     || ((HttpObject) message).decoderResult().isFailure()) {
                 if (call == null) {
-                    reject(AnswerFault.UNEXPECTED_BYTES);
+                    reject(ResponseFault.UNEXPECTED_BYTES);
                 } else if (call.isOver()) {
                     broken();
                 } else {
-                    reject(AnswerFault.MALFORMED);
+                    reject(ResponseFault.MALFORMED);
                 }
                 return;
             }
@@ -174,7 +174,7 @@
     }
 
     /** Closes the connection on account of what the endpoint sent. */
-    private void reject(AnswerFault fault) {
+    private void reject(ResponseFault fault) {
         if (channel.filter(Channel::isActive).isPresent()) {
             owner.reject(address, fault);
         }
@@ -197,7 +197,7 @@
 
     private void headIsLate() {
         if (call != null && !call.isOver()) {
-            reject(AnswerFault.SLOW_HEAD);
+            reject(ResponseFault.SLOW_HEAD);
         }
     }
 
@@ -218,7 +218,7 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             if (call == null) {
                 ReferenceCountUtil.release(message);
-                reject(AnswerFault.UNEXPECTED_BYTES);
+                reject(ResponseFault.UNEXPECTED_BYTES);
                 return;
             }
             EndpointCall current = call;
@@ -230,7 +230,7 @@
                 return;
             }
             if (bytes.excessive()) {
-                reject(AnswerFault.EXCESS_BYTES);
+                reject(ResponseFault.EXCESS_BYTES);
             } else if (headTimer.isEmpty()
                     && !foreignEnded
                     && !(answering && call.listener().usesBody())) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnections.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -22,7 +22,7 @@
  *
  * <p>Used on the thread of its event loop only.
  */
-public final class EndpointConnections {
+public final class EndpointConnectionPool {
     private static final int LINE_BYTES = 8 << 10;
 
     private static final int HEADER_BYTES = 32 << 10;
@@ -30,8 +30,8 @@
     private static final int CHUNK_BYTES = 64 << 10;
 
     private final EventLoop loop;
-    private final AnswerMemory memory;
-    private final RejectedAnswers rejected;
+    private final ResponseMemoryBudget memory;
+    private final RejectedResponses rejected;
     private final Duration connectLimit;
     private final Map<NetworkAddress, Deque<EndpointConnection>> idle = new HashMap<>();
     private long opened;
@@ -44,7 +44,8 @@
      * @param memory memory of answers that are not whole
      * @param rejected told of bytes that are no answer
      */
-    public EndpointConnections(EventLoop loop, Duration connectLimit, AnswerMemory memory, RejectedAnswers rejected) {
+    public EndpointConnectionPool(
+            EventLoop loop, Duration connectLimit, ResponseMemoryBudget memory, RejectedResponses rejected) {
         this.loop = loop;
         this.memory = memory;
         this.rejected = rejected;
@@ -68,7 +69,7 @@
      * @param listener hears the answer
      * @return the call
      */
-    public EndpointCall call(NetworkAddress address, FullHttpRequest request, CallListener listener) {
+    public EndpointCall call(NetworkAddress address, FullHttpRequest request, ResponseListener listener) {
         EndpointCall call = new EndpointCall(listener);
         EndpointConnection kept = takeIdle(address);
         if (kept != null) {
@@ -119,11 +120,11 @@
         return null;
     }
 
-    AnswerMemory memory() {
+    ResponseMemoryBudget memory() {
         return memory;
     }
 
-    void reject(NetworkAddress address, AnswerFault fault) {
+    void reject(NetworkAddress address, ResponseFault fault) {
         rejected.add(address, fault);
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/Shell.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -7,7 +7,7 @@
 import org.banyanstair.forwarding.RequestLimits;
 
 /** What connections need of the daemon; used on the thread of the connections only. */
-public interface Shell {
+public interface ForwarderContext {
     /**
      * Feeds an event to the reducer and carries out what it says.
      *
@@ -34,7 +34,7 @@
      *
      * @return the connections
      */
-    EndpointConnections connections();
+    EndpointConnectionPool connections();
 
     ForwarderMetrics metrics();
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -52,7 +52,7 @@
      *
      * @param fault why
      */
-    public void countRejectedAnswer(AnswerFault fault) {
+    public void countRejectedAnswer(ResponseFault fault) {
         registry.counter(LabelledName.of(PREFIX + "rejected_answers_total", "fault", fault.label()))
                 .inc();
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/TopicReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -20,14 +20,14 @@
 import org.tinylog.Logger;
 
 /** Carries out reads of topics and appends to them. Used on the thread of the connections only. */
-public final class TopicReader {
+public final class LogClient {
     /** Time beyond the wait of a read after which its connection counts as silent. */
     private static final Duration ANSWER_LIMIT = Duration.ofMillis(900);
 
     /** Longest answer; a page of the log holds 1 MB of records, a third more in text, and one record beyond it. */
     private static final int ANSWER_BYTES = 4 << 20;
 
-    private final Shell shell;
+    private final ForwarderContext shell;
     private final EventLoop loop;
     private final LogProtocol protocol;
 
@@ -37,7 +37,7 @@
      * @param shell the daemon
      * @param loop thread of the connections
      */
-    public TopicReader(Shell shell, EventLoop loop) {
+    public LogClient(ForwarderContext shell, EventLoop loop) {
         this.shell = shell;
         this.loop = loop;
         this.protocol = shell.protocols().log();
@@ -96,7 +96,7 @@
 
     private void ask(
             String operation, FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> receiver) {
-        WholeAnswer.request(
+        ResponseAggregator.request(
                 shell.connections(),
                 loop,
                 protocol.address(),
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QuestionConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QueryConnection.java
@@ -18,7 +18,7 @@
 import org.tinylog.Logger;
 
 /** A connection on which short questions without a body are answered. */
-public final class QuestionConnection extends ChannelInboundHandlerAdapter {
+public final class QueryConnection extends ChannelInboundHandlerAdapter {
     private final Function<HttpRequest, Optional<FullHttpResponse>> answers;
 
     /**
@@ -26,7 +26,7 @@
      *
      * @param answers answers a question; empty for an unknown one
      */
-    public QuestionConnection(Function<HttpRequest, Optional<FullHttpResponse>> answers) {
+    public QueryConnection(Function<HttpRequest, Optional<FullHttpResponse>> answers) {
         this.answers = answers;
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RejectedAnswers.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RejectedResponses.java
@@ -6,7 +6,7 @@
 import org.banyanstair.model.NetworkAddress;
 
 /** Counts and logs bytes that were rejected as an answer. Used on the thread of the connections only. */
-public final class RejectedAnswers {
+public final class RejectedResponses {
     private final ForwarderMetrics metrics;
     private final Consumer<DecisionRecord> log;
 
@@ -16,12 +16,12 @@
      * @param metrics where faults are counted
      * @param log where faults are logged; bounds the volume
      */
-    public RejectedAnswers(ForwarderMetrics metrics, Consumer<DecisionRecord> log) {
+    public RejectedResponses(ForwarderMetrics metrics, Consumer<DecisionRecord> log) {
         this.metrics = metrics;
         this.log = log;
     }
 
-    void add(NetworkAddress address, AnswerFault fault) {
+    void add(NetworkAddress address, ResponseFault fault) {
         metrics.countRejectedAnswer(fault);
         log.accept(DecisionRecord.of("answer-rejected", "address", address, "fault", fault.label()));
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/WholeAnswer.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
@@ -17,8 +17,8 @@
 import org.banyanstair.model.NetworkAddress;
 
 /** Gathers a whole answer within limits of time and length. Used on the thread of the connections only. */
-public final class WholeAnswer implements CallListener, AnswerMemory.Holder {
-    private final EndpointConnections connections;
+public final class ResponseAggregator implements ResponseListener, ResponseMemoryBudget.Holder {
+    private final EndpointConnectionPool connections;
     private final NetworkAddress address;
     private final int longest;
     private final Consumer<Optional<FullHttpResponse>> receiver;
@@ -28,8 +28,8 @@
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean over;
 
-    private WholeAnswer(
-            EndpointConnections connections,
+    private ResponseAggregator(
+            EndpointConnectionPool connections,
             NetworkAddress address,
             int longest,
             Consumer<Optional<FullHttpResponse>> receiver) {
@@ -51,14 +51,14 @@
      * @param receiver gets the answer, empty if none came in time
      */
     public static void request(
-            EndpointConnections connections,
+            EndpointConnectionPool connections,
             EventLoop loop,
             NetworkAddress address,
             FullHttpRequest request,
             Duration limit,
             int longest,
             Consumer<Optional<FullHttpResponse>> receiver) {
-        WholeAnswer answer = new WholeAnswer(connections, address, longest, receiver);
+        ResponseAggregator answer = new ResponseAggregator(connections, address, longest, receiver);
         answer.timer = Optional.of(loop.schedule(answer::giveUp, limit.toMillis(), TimeUnit.MILLISECONDS));
         answer.call = Optional.of(connections.call(address, request, answer));
     }
@@ -83,7 +83,7 @@
         }
     }
 
-    private void reject(AnswerFault fault) {
+    private void reject(ResponseFault fault) {
         connections.reject(address, fault);
         giveUp();
     }
@@ -99,7 +99,7 @@
             return;
         }
         if (body.readableBytes() + bytes.readableBytes() > longest) {
-            reject(AnswerFault.LONG_BODY);
+            reject(ResponseFault.LONG_BODY);
         } else {
             body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
             connections.memory().resize(this, body.readableBytes());
@@ -108,7 +108,7 @@
 
     @Override
     public void evict() {
-        reject(AnswerFault.MEMORY);
+        reject(ResponseFault.MEMORY);
     }
 
     @Override
@@ -117,7 +117,7 @@
     }
 
     @Override
-    public void rejected(AnswerFault fault) {
+    public void rejected(ResponseFault fault) {
         finish(Optional.empty());
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/AnswerFault.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseFault.java
@@ -5,7 +5,7 @@
 import org.banyanstair.forwarding.AttemptResult;
 
 /** Why bytes of an endpoint were rejected as an answer. */
-public enum AnswerFault {
+public enum ResponseFault {
     /** The bytes do not follow HTTP. */
     MALFORMED(AttemptResult.BrokenCause.CONNECTION_LOST),
     /** The head is not that of an answer to the request. */
@@ -27,7 +27,7 @@
 
     private final AttemptResult.BrokenCause cause;
 
-    AnswerFault(AttemptResult.BrokenCause cause) {
+    ResponseFault(AttemptResult.BrokenCause cause) {
         this.cause = cause;
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /** Hears the answers to a call, on the thread of the connections. */
-public interface CallListener {
+public interface ResponseListener {
     /**
      * The head of an answer came.
      *
@@ -48,5 +48,5 @@
      *
      * @param fault what is wrong
      */
-    void rejected(AnswerFault fault);
+    void rejected(ResponseFault fault);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/AnswerMemory.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseMemoryBudget.java
@@ -9,7 +9,7 @@
  * <p>When it is exceeded, the largest answers are evicted, so that the many small ones go on. Used on the thread of the
  * connections only.
  */
-public final class AnswerMemory {
+public final class ResponseMemoryBudget {
     /** Bytes of all answers; with buffers that double as they grow, a third of the heap of a daemon of 194 MB. */
     public static final int DEFAULT_BYTES = 32 << 20;
 
@@ -29,7 +29,7 @@
      *
      * @param limit bytes of all answers
      */
-    public AnswerMemory(int limit) {
+    public ResponseMemoryBudget(int limit) {
         this.limit = limit;
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/AnswerBytes.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseOverhead.java
@@ -1,7 +1,7 @@
 package org.banyanstair.forwarder.internal;
 
 /** Counts the bytes that came for one call against the bytes of its body. Not safe for use by several threads. */
-final class AnswerBytes {
+final class ResponseOverhead {
     /**
      * Bytes beside the body of the awaited answer: its head, which the decoder limits to 40 KiB, an answer to an
      * earlier request, and the framing of chunks.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/Listeners.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
@@ -20,7 +20,7 @@
 import org.banyanstair.model.NetworkAddress;
 
 /** The addresses on which a host listens. */
-public final class Listeners {
+public final class ServerSockets {
     /** Callers of a lost host come to the others at the same moment. */
     private static final int BACKLOG = 1024;
 
@@ -41,7 +41,7 @@
      *
      * @param group threads of the connections
      */
-    public Listeners(EventLoopGroup group) {
+    public ServerSockets(EventLoopGroup group) {
         this.group = group;
     }
 
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionsTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -23,14 +23,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-class EndpointConnectionsTest {
+class EndpointConnectionPoolTest {
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final EndpointConnections connections = new EndpointConnections(
+    private final EndpointConnectionPool connections = new EndpointConnectionPool(
             loop,
             Duration.ofSeconds(1),
-            new AnswerMemory(AnswerMemory.DEFAULT_BYTES),
-            new RejectedAnswers(new ForwarderMetrics(), decision -> {}));
+            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_BYTES),
+            new RejectedResponses(new ForwarderMetrics(), decision -> {}));
     private ServerSocket server;
     private volatile long answerAfterMilliseconds;
 
@@ -65,7 +65,7 @@
     }
 
     /** Stops reading at each part of the body, as for a caller that reads slowly. */
-    private static class SlowCaller implements CallListener {
+    private static class SlowCaller implements ResponseListener {
         final CompletableFuture<String> outcome = new CompletableFuture<>();
         private EndpointCall call;
 
@@ -98,7 +98,7 @@
         }
 
         @Override
-        public void rejected(AnswerFault fault) {
+        public void rejected(ResponseFault fault) {
             outcome.complete("rejected");
         }
     }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/WholeAnswerTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -30,7 +30,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Answers of the log and of runners to reports and commands. */
-class WholeAnswerTest {
+class ResponseAggregatorTest {
     /** Bytes after which the stand-in gives up; far above the bound and the buffers of sockets. */
     private static final long LIMIT_BYTES = 192L << 20;
 
@@ -42,11 +42,11 @@
     private final EventLoop loop = group.next();
     private final ConcurrentLinkedQueue<DecisionRecord> log = new ConcurrentLinkedQueue<>();
     private final ForwarderMetrics metrics = new ForwarderMetrics();
-    private final EndpointConnections connections = new EndpointConnections(
+    private final EndpointConnectionPool connections = new EndpointConnectionPool(
             loop,
             Duration.ofSeconds(1),
-            new AnswerMemory(AnswerMemory.DEFAULT_BYTES),
-            new RejectedAnswers(metrics, log::add));
+            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_BYTES),
+            new RejectedResponses(metrics, log::add));
     private ServerSocket server;
 
     @BeforeEach
@@ -90,7 +90,7 @@
         NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
         loop.execute(() -> {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/report");
-            WholeAnswer.request(
+            ResponseAggregator.request(
                     connections,
                     loop,
                     address,
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/AnswerMemoryTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseMemoryBudgetTest.java
@@ -7,11 +7,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-class AnswerMemoryTest {
-    private final AnswerMemory memory = new AnswerMemory(100);
+class ResponseMemoryBudgetTest {
+    private final ResponseMemoryBudget memory = new ResponseMemoryBudget(100);
     private final List<Holder> evicted = new ArrayList<>();
 
-    private final class Holder implements AnswerMemory.Holder {
+    private final class Holder implements ResponseMemoryBudget.Holder {
         @Override
         public void evict() {
             evicted.add(this);
