Name log records, events and effects of forwarding plainly

Fact, Configured, Listed, Claimed, ToPeer, Watch and the like did not say what they stand for. They are now DecodedRecord with ConfigurationPublished, EndpointListed, RunnerClaimed ..., SendToPeer, OpenPeerConnection, and PeerMessageReceived, CallerDisconnected, RequestArrived, AppendCompleted. AdapterCommand.fence is its fencing token; the field in the decision log and on the wire is still "fence".

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommand.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommand.java
@@ -17,7 +17,7 @@
  * @param adapter its adapter; empty to load the base model itself
  * @param version version of the adapter to load; empty for the newest
  * @param expectedSequence commands that the runner must have accepted before; it refuses this one otherwise
- * @param fence number of the claim under which this host commands the runner
+ * @param fencingToken number of the claim under which this host commands the runner
  */
 public record AdapterCommand(
         EndpointId endpoint,
@@ -27,7 +27,7 @@
         Optional<String> adapter,
         OptionalLong version,
         long expectedSequence,
-        long fence) {
+        long fencingToken) {
     /**
      * Returns the adapter.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ClaimKeeper.java
@@ -56,7 +56,7 @@
     }
 
     /** Takes a claim in the order of the log. */
-    void claimed(Fact.Claimed fact, long offset, Instant now) {
+    void claimed(DecodedRecord.RunnerClaimed fact, long offset, Instant now) {
         Claim before = claims.get(fact.endpoint());
         if (before != null && before.offset() >= offset) {
             return;
@@ -152,7 +152,8 @@
                         ? self
                         : RendezvousHash.first(runner.id().value(), peers.strong(peers.live(now)))
                                 .orElse(self);
-                Fact.Claimed fact = new Fact.Claimed(runner.id(), host, settles || claim == null);
+                DecodedRecord.RunnerClaimed fact =
+                        new DecodedRecord.RunnerClaimed(runner.id(), host, settles || claim == null);
                 return Optional.of(new ForwardingEffect.AppendClaim(fact, topic.end()));
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Fact.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -6,13 +6,13 @@
 import org.banyanstair.model.HostId;
 
 /** What a record of a topic says. */
-public sealed interface Fact {
+public sealed interface DecodedRecord {
     /**
      * A configuration.
      *
      * @param configuration the configuration
      */
-    record Configured(ForwardingConfiguration configuration) implements Fact {}
+    record ConfigurationPublished(ForwardingConfiguration configuration) implements DecodedRecord {}
 
     /**
      * A version of an adapter was named.
@@ -20,14 +20,14 @@
      * @param adapter the adapter
      * @param version its newest version
      */
-    record VersionNamed(AdapterName adapter, long version) implements Fact {}
+    record AdapterVersionPublished(AdapterName adapter, long version) implements DecodedRecord {}
 
     /**
      * An endpoint's entry.
      *
      * @param listing the entry
      */
-    record Listed(EndpointListing listing) implements Fact {}
+    record EndpointListed(EndpointListing listing) implements DecodedRecord {}
 
     /**
      * A host took command of a runner.
@@ -36,12 +36,12 @@
      * @param host the host
      * @param settled whether no other host can have commanded the runner within the lease term
      */
-    record Claimed(EndpointId endpoint, HostId host, boolean settled) implements Fact {}
+    record RunnerClaimed(EndpointId endpoint, HostId host, boolean settled) implements DecodedRecord {}
 
     /**
      * A host announced itself.
      *
      * @param announcement its announcement
      */
-    record Announced(HostAnnouncement announcement) implements Fact {}
+    record HostAnnounced(HostAnnouncement announcement) implements DecodedRecord {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
@@ -17,7 +17,7 @@
  * @param dataCentre where it stands
  * @param slots requests that it runs at once
  * @param draining whether it is leaving
- * @param leavesAt when it will be gone whatever it still runs, on the local steady clock; empty if not announced
+ * @param terminatesAt when it will be gone whatever it still runs, on the local steady clock; empty if not announced
  * @param started milliseconds since 1970 at which the process started; another value means that it forgot everything
  * @param baseModels base models that it held when it wrote this
  * @param adapters adapters that it held when it wrote this
@@ -30,7 +30,7 @@
         String dataCentre,
         int slots,
         boolean draining,
-        Optional<Instant> leavesAt,
+        Optional<Instant> terminatesAt,
         long started,
         Set<String> baseModels,
         List<LoadedAdapter> adapters,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -66,19 +66,19 @@
     record ReadFrom(Topic topic, long offset, Instant waitUntil) implements ForwardingEffect {}
 
     /** Takes command of a runner if the topic of claims still ends at an offset. */
-    record AppendClaim(Fact.Claimed claim, long expectedEnd) implements ForwardingEffect {}
+    record AppendClaim(DecodedRecord.RunnerClaimed claim, long expectedEnd) implements ForwardingEffect {}
 
     /** Announces this host to hosts that start later. */
     record AppendAnnouncement(HostAnnouncement announcement) implements ForwardingEffect {}
 
     /** Keeps a connection to a peer. */
-    record Watch(HostId peer) implements ForwardingEffect {}
+    record OpenPeerConnection(HostId peer) implements ForwardingEffect {}
 
     /** Keeps a connection to a peer no longer. */
-    record Unwatch(HostId peer) implements ForwardingEffect {}
+    record ClosePeerConnection(HostId peer) implements ForwardingEffect {}
 
     /** Sends a message to a peer. */
-    record ToPeer(HostId peer, PeerMessage message) implements ForwardingEffect {}
+    record SendToPeer(HostId peer, PeerMessage message) implements ForwardingEffect {}
 
     /** Writes a line to the decision log. */
     record Log(DecisionRecord decision) implements ForwardingEffect {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -19,7 +19,7 @@
     record ClockGap() implements ForwardingEvent {}
 
     /** A caller's request has been read whole. */
-    record Arrived(ForwardRequest request) implements ForwardingEvent {}
+    record RequestArrived(ForwardRequest request) implements ForwardingEvent {}
 
     /** The first part of the answer of the current attempt came. */
     record FirstOutput(long exchange, int attempt) implements ForwardingEvent {}
@@ -28,7 +28,7 @@
     record AttemptEnded(long exchange, int attempt, AttemptResult result) implements ForwardingEvent {}
 
     /** The caller closed its connection. */
-    record CallerLeft(long exchange) implements ForwardingEvent {}
+    record CallerDisconnected(long exchange) implements ForwardingEvent {}
 
     /** A runner answered a command. */
     record CommandAnswered(AdapterCommand command, CommandResult result) implements ForwardingEvent {}
@@ -55,7 +55,7 @@
     record TopicUnavailable(Topic topic) implements ForwardingEvent {}
 
     /** An append to a topic ended; whether it was carried out shows in the topic. */
-    record Appended(Topic topic) implements ForwardingEvent {}
+    record AppendCompleted(Topic topic) implements ForwardingEvent {}
 
     /** A peer can be reached. */
     record PeerConnected(HostIdentity peer) implements ForwardingEvent {}
@@ -64,7 +64,7 @@
     record PeerUnreachable(HostId peer) implements ForwardingEvent {}
 
     /** A peer sent a message. */
-    record PeerReceived(HostIdentity sender, PeerMessage message) implements ForwardingEvent {}
+    record PeerMessageReceived(HostIdentity sender, PeerMessage message) implements ForwardingEvent {}
 
     /** The process has been told to stop. */
     record StopRequested() implements ForwardingEvent {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -85,7 +85,7 @@
      * @param settings the settings
      * @param decoder reads the records of the platform's topics
      */
-    public ForwardingReducer(ForwardingSettings settings, FactDecoder decoder) {
+    public ForwardingReducer(ForwardingSettings settings, RecordDecoder decoder) {
         this.settings = settings;
         HostId self = settings.identity().host();
         this.view = new PlatformView(turn, decoder);
@@ -127,13 +127,13 @@
     }
 
     private void applyToRequests(ForwardingEvent event) {
-        if (event instanceof ForwardingEvent.Arrived arrived) {
+        if (event instanceof ForwardingEvent.RequestArrived arrived) {
             requests.arrived(arrived.request());
         } else if (event instanceof ForwardingEvent.FirstOutput output) {
             requests.firstOutput(output.exchange(), output.attempt());
         } else if (event instanceof ForwardingEvent.AttemptEnded ended) {
             requests.ended(ended.exchange(), ended.attempt(), ended.result());
-        } else if (event instanceof ForwardingEvent.CallerLeft left) {
+        } else if (event instanceof ForwardingEvent.CallerDisconnected left) {
             requests.callerLeft(left.exchange());
         } else if (event instanceof ForwardingEvent.CommandAnswered answered) {
             desk.answered(answered.command(), answered.result());
@@ -169,7 +169,7 @@
             view.tick();
         } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
             view.unavailable(unavailable.topic());
-        } else if (event instanceof ForwardingEvent.Appended appended && appended.topic() == Topic.CLAIMS) {
+        } else if (event instanceof ForwardingEvent.AppendCompleted appended && appended.topic() == Topic.CLAIMS) {
             claims.appended();
         }
     }
@@ -211,13 +211,13 @@
         if (event instanceof ForwardingEvent.PeerConnected connected) {
             HostId host = connected.peer().host();
             turn.log(DecisionRecord.important("peer-connected", "peer", connected.peer()));
-            turn.emit(new ForwardingEffect.ToPeer(host, state()));
+            turn.emit(new ForwardingEffect.SendToPeer(host, state()));
             if (!peers.isLarge()) {
                 desk.introduce(host);
             }
         } else if (event instanceof ForwardingEvent.PeerUnreachable unreachable) {
             turn.log(DecisionRecord.important("peer-unreachable", "peer", unreachable.peer()));
-        } else if (event instanceof ForwardingEvent.PeerReceived received) {
+        } else if (event instanceof ForwardingEvent.PeerMessageReceived received) {
             mail.heard(received.sender().host());
             received(received.sender().host(), received.message());
         }
@@ -318,7 +318,7 @@
 
     private void announced(HostAnnouncement announcement) {
         if (peers.announced(announcement, turn.now()) && !peers.isLarge()) {
-            turn.emit(new ForwardingEffect.ToPeer(announcement.host(), state()));
+            turn.emit(new ForwardingEffect.SendToPeer(announcement.host(), state()));
         }
     }
 
@@ -468,7 +468,7 @@
         }
 
         @Override
-        public void claimed(Fact.Claimed claim, long offset) {
+        public void claimed(DecodedRecord.RunnerClaimed claim, long offset) {
             claims.claimed(claim, offset, turn.now());
             turn.log(DecisionRecord.important(
                     "claim",
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMail.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMail.java
@@ -57,14 +57,14 @@
         if (peers.isLarge()) {
             own.add(message);
         } else {
-            peers.all().forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, message)));
+            peers.all().forEach(host -> turn.emit(new ForwardingEffect.SendToPeer(host, message)));
         }
     }
 
     /** Sends a message to one peer. */
     void send(HostId target, PeerMessage message) {
         if (!peers.isLarge() || partners.contains(target)) {
-            turn.emit(new ForwardingEffect.ToPeer(target, message));
+            turn.emit(new ForwardingEffect.SendToPeer(target, message));
         } else {
             route(new PeerMessage.Routed(self, target, LONGEST_WAY, message));
         }
@@ -85,7 +85,7 @@
                 next = groups.relayOf(target);
             }
         }
-        turn.emit(new ForwardingEffect.ToPeer(next.orElse(target), message));
+        turn.emit(new ForwardingEffect.SendToPeer(next.orElse(target), message));
     }
 
     /** Takes a bundle; returns the news in it that have not come another way. */
@@ -149,7 +149,7 @@
             keepConnections(relay.stream().toList());
             if (!mine.isEmpty()) {
                 relay.ifPresent(
-                        host -> turn.emit(new ForwardingEffect.ToPeer(host, new PeerMessage.Bundle(mine, true))));
+                        host -> turn.emit(new ForwardingEffect.SendToPeer(host, new PeerMessage.Bundle(mine, true))));
             }
         }
         if (signs || !forRelays.isEmpty()) {
@@ -161,21 +161,21 @@
 
     private void send(List<HostId> targets, PeerMessage.Bundle bundle, boolean sign) {
         if (sign || !bundle.news().isEmpty()) {
-            targets.forEach(host -> turn.emit(new ForwardingEffect.ToPeer(host, bundle)));
+            targets.forEach(host -> turn.emit(new ForwardingEffect.SendToPeer(host, bundle)));
         }
     }
 
     private void keepConnections(Collection<HostId> wanted) {
         for (HostId host : wanted) {
             if (partners.add(host)) {
-                turn.emit(new ForwardingEffect.Watch(host));
+                turn.emit(new ForwardingEffect.OpenPeerConnection(host));
             }
         }
         List<HostId> unwanted =
                 partners.stream().filter(host -> !wanted.contains(host)).toList();
         for (HostId host : unwanted) {
             partners.remove(host);
-            turn.emit(new ForwardingEffect.Unwatch(host));
+            turn.emit(new ForwardingEffect.ClosePeerConnection(host));
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -54,7 +54,7 @@
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(10);
 
     private final Turn turn;
-    private final FactDecoder decoder;
+    private final RecordDecoder decoder;
     private final Map<Topic, TopicFollower> followers = new TreeMap<>();
     private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
     private final Map<String, List<EndpointState>> byService = new HashMap<>();
@@ -70,14 +70,14 @@
 
         void removed(EndpointState endpoint);
 
-        void claimed(Fact.Claimed claim, long offset);
+        void claimed(DecodedRecord.RunnerClaimed claim, long offset);
 
         void announced(HostAnnouncement announcement);
 
         void versionNamed(AdapterName adapter, long version);
     }
 
-    PlatformView(Turn turn, FactDecoder decoder) {
+    PlatformView(Turn turn, RecordDecoder decoder) {
         this.turn = turn;
         this.decoder = decoder;
         for (Topic topic : Topic.values()) {
@@ -226,7 +226,7 @@
                 }
                 continue;
             }
-            Optional<Fact> fact = decoder.decode(topic, entry, turn.now());
+            Optional<DecodedRecord> fact = decoder.decode(topic, entry, turn.now());
             if (fact.isEmpty()) {
                 turn.log(DecisionRecord.important(
                         "record-ignored", "topic", topic, "key", entry.key(), "offset", entry.offset()));
@@ -239,10 +239,10 @@
         }
     }
 
-    private void take(Fact fact, long offset, Listener listener) {
-        if (fact instanceof Fact.Configured configured) {
+    private void take(DecodedRecord fact, long offset, Listener listener) {
+        if (fact instanceof DecodedRecord.ConfigurationPublished configured) {
             configure(configured.configuration(), offset);
-        } else if (fact instanceof Fact.VersionNamed named) {
+        } else if (fact instanceof DecodedRecord.AdapterVersionPublished named) {
             long before = newestVersion(named.adapter());
             if (named.version() > before) {
                 versions.put(named.adapter(), new NamedVersion(named.version(), before, turn.now()));
@@ -250,11 +250,11 @@
                         "adapter-version", "adapter", named.adapter(), "version", named.version()));
                 listener.versionNamed(named.adapter(), named.version());
             }
-        } else if (fact instanceof Fact.Listed listed) {
+        } else if (fact instanceof DecodedRecord.EndpointListed listed) {
             list(listed.listing(), listener);
-        } else if (fact instanceof Fact.Claimed claimed) {
+        } else if (fact instanceof DecodedRecord.RunnerClaimed claimed) {
             listener.claimed(claimed, offset);
-        } else if (fact instanceof Fact.Announced announced) {
+        } else if (fact instanceof DecodedRecord.HostAnnounced announced) {
             listener.announced(announced.announcement());
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/FactDecoder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RecordDecoder.java
@@ -7,7 +7,7 @@
 
 /** Reads what a record says; pure. */
 @FunctionalInterface
-public interface FactDecoder {
+public interface RecordDecoder {
     /**
      * Decodes a record that has a value.
      *
@@ -16,5 +16,5 @@
      * @param now present instant, for times that the record gives as remaining
      * @return the fact; empty if the record cannot be read or concerns nothing that is known here
      */
-    Optional<Fact> decode(Topic topic, TopicRecord entry, Instant now);
+    Optional<DecodedRecord> decode(Topic topic, TopicRecord entry, Instant now);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerDesk.java
@@ -115,7 +115,7 @@
 
     /** Sends all that this host knows of its runners to a peer that has just come. */
     void introduce(HostId peer) {
-        commanders.keySet().forEach(id -> turn.emit(new ForwardingEffect.ToPeer(peer, message(id))));
+        commanders.keySet().forEach(id -> turn.emit(new ForwardingEffect.SendToPeer(peer, message(id))));
     }
 
     /** Returns the adapters that are on their way to any runner. */
@@ -263,7 +263,7 @@
                 "sequence",
                 command.expectedSequence(),
                 "fence",
-                command.fence(),
+                command.fencingToken(),
                 "result",
                 result));
         AdapterCommander own = commanders.get(command.endpoint());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
@@ -35,7 +35,7 @@
     /** A read of the claims takes this long when nothing changes. */
     private static final int READ_MILLISECONDS = (int) PlatformView.CLAIMS_WAIT.toMillis() + 50;
 
-    private final List<Fact.Claimed> log = new ArrayList<>();
+    private final List<DecodedRecord.RunnerClaimed> log = new ArrayList<>();
     private final List<SimulatedHost> hosts = new ArrayList<>();
     private final Instant start = Instant.ofEpochSecond(1000);
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
@@ -28,7 +28,7 @@
 
     static final AdapterName ADAPTER = new AdapterName("base", "a1");
 
-    private final Map<String, Fact> facts = new HashMap<>();
+    private final Map<String, DecodedRecord> facts = new HashMap<>();
     private final HostId host;
     private final ForwardingReducer reducer;
     private Instant now = Instant.ofEpochSecond(100);
@@ -94,7 +94,7 @@
         apply(new ForwardingEvent.TopicRead(topic, now, false, records, offset));
     }
 
-    List<ForwardingEffect> fact(Topic topic, String key, Fact fact) {
+    List<ForwardingEffect> fact(Topic topic, String key, DecodedRecord fact) {
         facts.put(key + offset, fact);
         TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), offset);
         offset++;
@@ -114,7 +114,7 @@
         fact(
                 Topic.CONFIGURATION,
                 "config",
-                new Fact.Configured(new ForwardingConfiguration(
+                new DecodedRecord.ConfigurationPublished(new ForwardingConfiguration(
                         version, List.of(routes), List.of(engine, desk), RequestLimits.DEFAULT)));
     }
 
@@ -151,7 +151,7 @@
                 Set.of("base"),
                 loaded,
                 0);
-        fact(Topic.ENDPOINTS, id, new Fact.Listed(listing));
+        fact(Topic.ENDPOINTS, id, new DecodedRecord.EndpointListed(listing));
     }
 
     ForwardRequest request(String path, Optional<AdapterName> adapter, Duration patience) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -26,7 +26,7 @@
     private final Fixture fixture = new Fixture();
 
     private ForwardingEffect.Send arrive(ForwardRequest request) {
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.Arrived(request));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(request));
         List<ForwardingEffect.Send> sends = Fixture.only(effects, ForwardingEffect.Send.class);
         assertEquals(1, sends.size(), () -> "no send in " + effects);
         return sends.get(0);
@@ -139,7 +139,7 @@
         fixture.endpoint("desk-1", Fixture.DESK, true, 1);
         assertEquals(new EndpointId("desk-2"), arrive(deskRequest()).endpoint());
         fixture.removed(Topic.ENDPOINTS, "desk-2");
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.Arrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
         assertEquals(
                 RefusalReason.NO_ENDPOINT,
                 Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
@@ -153,7 +153,7 @@
         fixture.removed(Topic.ENDPOINTS, "desk-1");
         assertEquals(new EndpointId("desk-1"), arrive(deskRequest()).endpoint());
         fixture.pass(Duration.ofMillis(2100));
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.Arrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
         assertEquals(1, Fixture.only(effects, ForwardingEffect.Refuse.class).size(), "it has not come back");
     }
 
@@ -190,7 +190,7 @@
     void callerWhoLeavesStopsTheEndpointAtOnce() {
         desks(false);
         ForwardingEffect.Send send = arrive(deskRequest());
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.CallerLeft(send.exchange()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.CallerDisconnected(send.exchange()));
         assertEquals(
                 1, Fixture.only(effects, ForwardingEffect.CancelAttempt.class).size());
         assertEquals(0, fixture.reducer().openRequests());
@@ -202,7 +202,7 @@
         fixture.configure(7, Fixture.route("/y/", Fixture.DESK, false, true, false));
         fixture.configure(3, Fixture.route("/x/", Fixture.DESK, false, true, false));
         assertEquals(7, fixture.reducer().configuration().orElseThrow().version());
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.Arrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
         assertEquals(
                 RefusalReason.NO_ROUTE,
                 Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
@@ -210,7 +210,7 @@
 
     @Test
     void withoutConfigurationNothingIsCalledUnknown() {
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.Arrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
         assertEquals(
                 RefusalReason.NOT_READY,
                 Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
@@ -256,10 +256,10 @@
             ForwardingEffect.Send send = arrive(deskRequest());
             end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, false, Optional.empty()));
             fixture.endpoint(send.endpoint().value(), Fixture.DESK, false, 1 + crash);
-            fixture.apply(new ForwardingEvent.CallerLeft(send.exchange()));
+            fixture.apply(new ForwardingEvent.CallerDisconnected(send.exchange()));
             fixture.pass(Duration.ofSeconds(1));
         }
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.Arrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
         assertEquals(
                 RefusalReason.CRASHES_ENDPOINTS,
                 Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
@@ -271,22 +271,25 @@
         HostId peer = new HostId("host-2");
         HostAnnouncement announcement = new HostAnnouncement(
                 peer, 1, NetworkAddress.parse("10.0.0.2:80"), NetworkAddress.parse("10.0.0.2:81"), "east", 1);
-        fixture.fact(Topic.CLAIMS, "runner-1", new Fact.Claimed(new EndpointId("runner-1"), Fixture.HOST, true));
+        fixture.fact(
+                Topic.CLAIMS,
+                "runner-1",
+                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), Fixture.HOST, true));
         HostIdentity sender = new HostIdentity(peer, 1);
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
-            fixture.apply(new ForwardingEvent.PeerReceived(
+            fixture.apply(new ForwardingEvent.PeerMessageReceived(
                     sender, new PeerMessage.HostState(announcement, false, true, 0, 0)));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(100)));
         }
-        List<PeerMessage.RecordsRequest> questions = Fixture.only(effects, ForwardingEffect.ToPeer.class).stream()
-                .map(ForwardingEffect.ToPeer::message)
+        List<PeerMessage.RecordsRequest> questions = Fixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+                .map(ForwardingEffect.SendToPeer::message)
                 .filter(PeerMessage.RecordsRequest.class::isInstance)
                 .map(PeerMessage.RecordsRequest.class::cast)
                 .filter(request -> request.topic() == Topic.CLAIMS)
                 .toList();
         assertTrue(!questions.isEmpty(), "no question after 2 s without a read");
-        fixture.apply(new ForwardingEvent.PeerReceived(
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 sender,
                 new PeerMessage.RecordsReply(
                         Topic.CLAIMS,
@@ -298,7 +301,7 @@
                         10)));
         List<ForwardingEffect> after = fixture.passWithoutReads(Duration.ofMillis(900));
         assertTrue(
-                Fixture.only(after, ForwardingEffect.ToPeer.class).stream()
+                Fixture.only(after, ForwardingEffect.SendToPeer.class).stream()
                         .noneMatch(effect -> effect.message() instanceof PeerMessage.RecordsRequest),
                 "the answer counts as a read");
     }
@@ -314,7 +317,7 @@
     }
 
     private List<ForwardingEffect> told(String host, int port, long configurationEnd) {
-        return fixture.apply(new ForwardingEvent.PeerReceived(
+        return fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(new HostId(host), 1),
                 new PeerMessage.HostState(announcement(host, port), false, true, configurationEnd, 0)));
     }
@@ -329,10 +332,10 @@
             effects.addAll(told("behind", 82, 0));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(50)));
         }
-        List<HostId> asked = Fixture.only(effects, ForwardingEffect.ToPeer.class).stream()
+        List<HostId> asked = Fixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
                 .filter(effect -> effect.message() instanceof PeerMessage.RecordsRequest request
                         && request.topic() == Topic.CONFIGURATION)
-                .map(ForwardingEffect.ToPeer::peer)
+                .map(ForwardingEffect.SendToPeer::peer)
                 .toList();
         assertTrue(asked.contains(new HostId("ahead")), "nobody was asked within 1 s");
         assertTrue(asked.size() <= 3, "asked " + asked.size() + " times");
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -53,7 +53,7 @@
         for (int index = 1; index <= RUNNERS; index++) {
             String id = "runner-" + index;
             fixture.endpoint(id, Fixture.SERVICE, false, 1);
-            fixture.fact(Topic.CLAIMS, id, new Fact.Claimed(new EndpointId(id), Fixture.HOST, true));
+            fixture.fact(Topic.CLAIMS, id, new DecodedRecord.RunnerClaimed(new EndpointId(id), Fixture.HOST, true));
             runners.put(new EndpointId(id), new Runner());
         }
         run(fixture.pass(Duration.ofMillis(200)));
@@ -143,7 +143,7 @@
                 AdapterName adapter = new AdapterName("base", "a" + (int) (place * place * place * adapters));
                 ForwardRequest request = fixture.request("/x/1", Optional.of(adapter), Duration.ofSeconds(6));
                 arrivedAt.put(request.exchange(), fixture.now());
-                run(fixture.apply(new ForwardingEvent.Arrived(request)));
+                run(fixture.apply(new ForwardingEvent.RequestArrived(request)));
                 deliver();
             }
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -42,8 +42,8 @@
     }
 
     private static void send(Fixture fixture, int number) {
-        fixture.apply(
-                new ForwardingEvent.PeerReceived(new HostIdentity(peer(number).host(), 1), state(number, false)));
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
+                new HostIdentity(peer(number).host(), 1), state(number, false)));
     }
 
     private static Fixture withPeers(int peers) {
@@ -63,7 +63,7 @@
         Fixture fixture = withPeers(peers);
         List<Instant> sentAt = new ArrayList<>();
         for (int step = 0; step < 500; step++) {
-            boolean sent = Fixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.ToPeer.class).stream()
+            boolean sent = Fixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.SendToPeer.class).stream()
                     .flatMap(effect -> newsIn(effect.message()))
                     .anyMatch(PeerMessage.HostState.class::isInstance);
             if (sent) {
@@ -96,19 +96,22 @@
         Fixture fixture = withPeers(30);
         fixture.configure(1, Fixture.route("/chat", Fixture.SERVICE, true, true, true));
         fixture.endpoint("runner-1", Fixture.SERVICE, false, 1, "a1", "a2");
-        fixture.fact(Topic.CLAIMS, "runner-1", new Fact.Claimed(new EndpointId("runner-1"), Fixture.HOST, true));
+        fixture.fact(
+                Topic.CLAIMS,
+                "runner-1",
+                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), Fixture.HOST, true));
         fixture.pass(Duration.ofMillis(200));
         HostIdentity asking = new HostIdentity(peer(7).host(), 1);
         AdapterName wanted = new AdapterName("base", "a3");
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.PeerReceived(
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(peer(3).host(), 1),
                 new PeerMessage.Routed(
                         asking,
                         Fixture.HOST,
                         2,
                         new PeerMessage.AdapterWanted(new EndpointId("runner-1"), wanted, 500, 600))));
-        assertTrue(Fixture.only(effects, ForwardingEffect.ToPeer.class).stream()
-                .map(ForwardingEffect.ToPeer::message)
+        assertTrue(Fixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+                .map(ForwardingEffect.SendToPeer::message)
                 .filter(PeerMessage.Routed.class::isInstance)
                 .map(PeerMessage.Routed.class::cast)
                 .anyMatch(answer -> answer.target().equals(asking.host())
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
@@ -74,8 +74,8 @@
                     own.host(),
                     new ForwardingReducer(
                             settings,
-                            (topic, entry, at) ->
-                                    Optional.of(new Fact.Announced(announcement(Integer.parseInt(entry.key()))))));
+                            (topic, entry, at) -> Optional.of(
+                                    new DecodedRecord.HostAnnounced(announcement(Integer.parseInt(entry.key()))))));
         }
         List<TopicRecord> records = new ArrayList<>();
         for (int number = 0; number < count; number++) {
@@ -90,7 +90,7 @@
 
     private void apply(HostId host, ForwardingEvent event) {
         for (ForwardingEffect effect : hosts.get(host).apply(event, now)) {
-            if (effect instanceof ForwardingEffect.ToPeer toPeer) {
+            if (effect instanceof ForwardingEffect.SendToPeer toPeer) {
                 sent++;
                 sentBy.merge(host, 1, Integer::sum);
                 underWay.add(new Parcel(host, toPeer.peer(), toPeer.message()));
@@ -109,7 +109,8 @@
                     delivered.add(parcel);
                     apply(
                             parcel.to(),
-                            new ForwardingEvent.PeerReceived(new HostIdentity(parcel.from(), 1), parcel.message()));
+                            new ForwardingEvent.PeerMessageReceived(
+                                    new HostIdentity(parcel.from(), 1), parcel.message()));
                 }
             }
             for (HostId host : hosts.keySet()) {
@@ -203,7 +204,7 @@
         delivered.clear();
         apply(
                 asked,
-                new ForwardingEvent.PeerReceived(
+                new ForwardingEvent.PeerMessageReceived(
                         new HostIdentity(asking, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 7)));
         pass(Duration.ofMillis(100));
         boolean answered = delivered.stream()
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -44,10 +44,10 @@
     /** Lets one host ask another for what it knows of the endpoints. */
     private static void ask(Fixture asking, Fixture asked) {
         List<ForwardingEffect> effects = asked.apply(
-                new ForwardingEvent.PeerReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
+                new ForwardingEvent.PeerMessageReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
         PeerMessage answer =
-                Fixture.only(effects, ForwardingEffect.ToPeer.class).get(0).message();
-        asking.apply(new ForwardingEvent.PeerReceived(PEER, answer));
+                Fixture.only(effects, ForwardingEffect.SendToPeer.class).get(0).message();
+        asking.apply(new ForwardingEvent.PeerMessageReceived(PEER, answer));
     }
 
     private static void loseAndFindTheLog(Fixture host) {
@@ -57,7 +57,8 @@
 
     private Optional<EndpointId> endpointOf(Fixture host) {
         ForwardRequest request = host.request("/x/1", Optional.empty(), Duration.ofSeconds(2));
-        return Fixture.only(host.apply(new ForwardingEvent.Arrived(request)), ForwardingEffect.Send.class).stream()
+        return Fixture.only(host.apply(new ForwardingEvent.RequestArrived(request)), ForwardingEffect.Send.class)
+                .stream()
                 .map(ForwardingEffect.Send::endpoint)
                 .findFirst();
     }
@@ -82,7 +83,7 @@
             HostId host = new HostId("peer-" + number);
             HostAnnouncement announcement = new HostAnnouncement(
                     host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.1.0.1:81"), "east", 1);
-            second.apply(new ForwardingEvent.PeerReceived(
+            second.apply(new ForwardingEvent.PeerMessageReceived(
                     new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
         }
         pass(Duration.ofMillis(200));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerNewsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerNewsTest.java
@@ -51,7 +51,7 @@
             announce(fixture, fixture == commander ? asker.identity().host() : Fixture.HOST);
             fixture.configure(1, Fixture.route("/chat", Fixture.SERVICE, true, true, true));
             fixture.endpoint(RUNNER.value(), Fixture.SERVICE, false, 1);
-            fixture.fact(Topic.CLAIMS, RUNNER.value(), new Fact.Claimed(RUNNER, Fixture.HOST, true));
+            fixture.fact(Topic.CLAIMS, RUNNER.value(), new DecodedRecord.RunnerClaimed(RUNNER, Fixture.HOST, true));
         }
         List<ForwardingEffect> effects = new ArrayList<>(pass(Duration.ofMillis(200)));
         RunnerState empty = new RunnerState(0, false, Set.of("base"), List.of(), List.of());
@@ -63,7 +63,7 @@
     private static void announce(Fixture fixture, HostId host) {
         HostAnnouncement announcement = new HostAnnouncement(
                 host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.2.0.1:81"), "east", 1);
-        fixture.apply(new ForwardingEvent.PeerReceived(
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
     }
 
@@ -75,8 +75,8 @@
 
     private List<ForwardingEffect> deliver(List<ForwardingEffect> fromCommander) {
         List<ForwardingEffect> effects = new ArrayList<>();
-        for (ForwardingEffect.ToPeer sent : Fixture.only(fromCommander, ForwardingEffect.ToPeer.class)) {
-            effects.addAll(asker.apply(new ForwardingEvent.PeerReceived(commander.identity(), sent.message())));
+        for (ForwardingEffect.SendToPeer sent : Fixture.only(fromCommander, ForwardingEffect.SendToPeer.class)) {
+            effects.addAll(asker.apply(new ForwardingEvent.PeerMessageReceived(commander.identity(), sent.message())));
         }
         return effects;
     }
@@ -90,28 +90,28 @@
 
     private List<ForwardingEffect> ask() {
         List<ForwardingEffect> asked = asker.apply(
-                new ForwardingEvent.Arrived(asker.request("/chat", Optional.of(WANTED), Duration.ofSeconds(6))));
-        PeerMessage question = Fixture.only(asked, ForwardingEffect.ToPeer.class).stream()
-                .map(ForwardingEffect.ToPeer::message)
+                new ForwardingEvent.RequestArrived(asker.request("/chat", Optional.of(WANTED), Duration.ofSeconds(6))));
+        PeerMessage question = Fixture.only(asked, ForwardingEffect.SendToPeer.class).stream()
+                .map(ForwardingEffect.SendToPeer::message)
                 .map(message -> message instanceof PeerMessage.Routed routed ? routed.message() : message)
                 .filter(PeerMessage.AdapterWanted.class::isInstance)
                 .findFirst()
                 .orElseThrow();
-        return commander.apply(new ForwardingEvent.PeerReceived(asker.identity(), question));
+        return commander.apply(new ForwardingEvent.PeerMessageReceived(asker.identity(), question));
     }
 
     private static List<ForwardingEffect> bundles(List<ForwardingEffect> effects) {
         return effects.stream()
-                .filter(effect ->
-                        effect instanceof ForwardingEffect.ToPeer sent && sent.message() instanceof PeerMessage.Bundle)
+                .filter(effect -> effect instanceof ForwardingEffect.SendToPeer sent
+                        && sent.message() instanceof PeerMessage.Bundle)
                 .toList();
     }
 
     /** The host that asked took older news, which came over relays, for newer ones and gave up the load that was made. */
     @Test
     void newsOvertakenByNewerOnesAreIgnored() {
-        accept(commander.apply(
-                new ForwardingEvent.Arrived(commander.request("/chat", Optional.of(EARLIER), Duration.ofSeconds(6)))));
+        accept(commander.apply(new ForwardingEvent.RequestArrived(
+                commander.request("/chat", Optional.of(EARLIER), Duration.ofSeconds(6)))));
         List<ForwardingEffect> older = bundles(pass(PeerMail.BUNDLE_INTERVAL));
         assertFalse(older.isEmpty());
         deliver(accept(ask()));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -220,11 +220,11 @@
         if (effect instanceof ForwardingEffect.Log log) {
             metrics.countDecision(log.decision().kind());
             decisions.write(log.decision());
-        } else if (effect instanceof ForwardingEffect.ToPeer toPeer) {
+        } else if (effect instanceof ForwardingEffect.SendToPeer toPeer) {
             peers.send(toPeer.peer(), toPeer.message());
-        } else if (effect instanceof ForwardingEffect.Watch watch) {
+        } else if (effect instanceof ForwardingEffect.OpenPeerConnection watch) {
             peers.watch(watch.peer());
-        } else if (effect instanceof ForwardingEffect.Unwatch unwatch) {
+        } else if (effect instanceof ForwardingEffect.ClosePeerConnection unwatch) {
             peers.unwatch(unwatch.peer());
         } else if (effect instanceof ForwardingEffect.Command command) {
             command(command.command());
@@ -367,7 +367,7 @@
 
         @Override
         public void received(HostIdentity sender, PeerMessage message) {
-            shell.submit(new ForwardingEvent.PeerReceived(sender, message));
+            shell.submit(new ForwardingEvent.PeerMessageReceived(sender, message));
         }
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -6,13 +6,13 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import org.banyanstair.external.Topic;
-import org.banyanstair.forwarding.Fact;
-import org.banyanstair.forwarding.FactDecoder;
+import org.banyanstair.forwarding.DecodedRecord;
+import org.banyanstair.forwarding.RecordDecoder;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.NetworkAddress;
 
 /** How the platform's log service speaks. Implementations have no state. */
-public interface LogProtocol extends FactDecoder {
+public interface LogProtocol extends RecordDecoder {
     /**
      * Returns the address of the log service.
      *
@@ -63,7 +63,7 @@
      * @param expectedEnd offset at which the topic must end
      * @return the request
      */
-    FullHttpRequest appendClaim(Fact.Claimed claim, long expectedEnd);
+    FullHttpRequest appendClaim(DecodedRecord.RunnerClaimed claim, long expectedEnd);
 
     /**
      * Creates an append of an announcement.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -179,7 +179,7 @@
                     new CallerExchange(number, understood.request().id().value(), request, this, shell);
             current = Optional.of(exchange);
             shell.open(exchange);
-            shell.submit(new ForwardingEvent.Arrived(understood.request()));
+            shell.submit(new ForwardingEvent.RequestArrived(understood.request()));
         } else if (reading instanceof ParsedRequest.Malformed malformed) {
             request.release();
             Logger.info("request of {} has a malformed {}", caller, malformed.field());
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -150,7 +150,7 @@
     /** The caller has gone. */
     void callerLeft() {
         if (!over) {
-            shell.submit(new ForwardingEvent.CallerLeft(number));
+            shell.submit(new ForwardingEvent.CallerDisconnected(number));
             finish();
         }
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -122,7 +122,7 @@
     public void append(ForwardingEffect.AppendClaim append) {
         ask("append", protocol.appendClaim(append.claim(), append.expectedEnd()), ANSWER_LIMIT, answer -> {
             if (answer.isPresent()) {
-                shell.submit(new ForwardingEvent.Appended(Topic.CLAIMS));
+                shell.submit(new ForwardingEvent.AppendCompleted(Topic.CLAIMS));
             }
         });
     }
