--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/ExitCode.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/ExitCode.java
@@ -1,7 +1,7 @@
 package org.banyanstair.cli;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.errors.Outcome;
+import org.banyanstair.errors.FailureOutcome;
 
 /** Exit codes of the tool. */
 public enum ExitCode {
@@ -53,6 +53,6 @@
         if (failure instanceof Failure.OperatorUnreachable || failure instanceof Failure.HostUnreachable) {
             return UNREACHABLE;
         }
-        return failure.outcome() == Outcome.UNKNOWN ? OUTCOME_UNKNOWN : REFUSED;
+        return failure.outcome() == FailureOutcome.UNKNOWN ? OUTCOME_UNKNOWN : REFUSED;
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnPage.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnPage.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import java.util.stream.Collectors;
 
-import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnRateSample;
 import org.banyanstair.cli.output.Texts;
 import org.banyanstair.model.ServiceId;
 import org.knowm.xchart.BitmapEncoder;
@@ -61,7 +61,7 @@
                 .collect(Collectors.joining("", "<tr>", "</tr>\n"));
     }
 
-    private static String row(BurnSample sample) {
+    private static String row(BurnRateSample sample) {
         return BurnRow.cells(sample).stream()
                 .map(cell -> "<td>" + escape(cell) + "</td>")
                 .collect(Collectors.joining("", "<tr>", "</tr>"));
@@ -72,8 +72,10 @@
     }
 
     private String chart() throws IOException {
-        List<ServiceId> services =
-                report.samples().stream().map(BurnSample::service).distinct().toList();
+        List<ServiceId> services = report.samples().stream()
+                .map(BurnRateSample::service)
+                .distinct()
+                .toList();
         if (services.isEmpty()) {
             return "";
         }
@@ -87,7 +89,7 @@
         chart.getStyler().setLocale(Locale.ROOT);
         List<String> names = services.stream().map(ServiceId::value).toList();
         report.samples().stream()
-                .map(BurnSample::windowMinutes)
+                .map(BurnRateSample::windowMinutes)
                 .distinct()
                 .sorted()
                 .forEach(window -> chart.addSeries(
@@ -104,7 +106,7 @@
     private double burnRate(ServiceId service, int window) {
         return report.samples().stream()
                 .filter(sample -> sample.service().equals(service) && sample.windowMinutes() == window)
-                .mapToDouble(BurnSample::burnRate)
+                .mapToDouble(BurnRateSample::burnRate)
                 .findFirst()
                 .orElse(0);
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnReport.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnReport.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-import org.banyanstair.burn.BurnSample;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSample;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.ServiceId;
 
@@ -20,7 +20,7 @@
  * @param samples one for each service and window, by service and then by length of the window
  * @param hostsWithoutAnswer hosts whose samples are missing
  */
-public record BurnReport(Instant takenAt, List<BurnSample> samples, List<HostId> hostsWithoutAnswer) {
+public record BurnReport(Instant takenAt, List<BurnRateSample> samples, List<HostId> hostsWithoutAnswer) {
     /** Copies the lists. */
     public BurnReport {
         samples = List.copyOf(samples);
@@ -36,12 +36,12 @@
      * @param hostsWithoutAnswer the other hosts
      * @return the report
      */
-    public static BurnReport merge(List<BurnSnapshot> snapshots, List<HostId> hostsWithoutAnswer) {
-        Map<Key, BurnSample> merged =
+    public static BurnReport merge(List<BurnRateSnapshot> snapshots, List<HostId> hostsWithoutAnswer) {
+        Map<Key, BurnRateSample> merged =
                 new TreeMap<>(Comparator.comparing(Key::service).thenComparing(Key::windowMinutes));
         // The objective of the latest snapshot stays: an objective that was changed lately differs between hosts.
-        List<BurnSnapshot> sorted = snapshots.stream()
-                .sorted(Comparator.comparing(BurnSnapshot::takenAt))
+        List<BurnRateSnapshot> sorted = snapshots.stream()
+                .sorted(Comparator.comparing(BurnRateSnapshot::takenAt))
                 .toList();
         sorted.stream()
                 .flatMap(snapshot -> snapshot.samples().stream())
@@ -51,10 +51,10 @@
                 sorted.get(sorted.size() - 1).takenAt(), List.copyOf(merged.values()), hostsWithoutAnswer);
     }
 
-    private static BurnSample add(BurnSample first, BurnSample second) {
+    private static BurnRateSample add(BurnRateSample first, BurnRateSample second) {
         Map<String, Long> failures = new HashMap<>(first.failures());
         second.failures().forEach((code, count) -> failures.merge(code, count, Long::sum));
-        return new BurnSample(
+        return new BurnRateSample(
                 second.service(),
                 second.objective(),
                 second.windowMinutes(),
@@ -69,16 +69,16 @@
      * @return the services; a service without requests misses nothing
      */
     public List<ServiceId> missedObjectives() {
-        Map<ServiceId, BurnSample> longest = new TreeMap<>();
+        Map<ServiceId, BurnRateSample> longest = new TreeMap<>();
         // Samples of a service are in the order of their windows, so that the longest one comes last.
         samples.forEach(sample -> longest.put(sample.service(), sample));
         return missed(longest.values());
     }
 
-    private static List<ServiceId> missed(Collection<BurnSample> samples) {
+    private static List<ServiceId> missed(Collection<BurnRateSample> samples) {
         return samples.stream()
                 .filter(sample -> sample.good() < sample.objective().share() * sample.requests())
-                .map(BurnSample::service)
+                .map(BurnRateSample::service)
                 .toList();
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRow.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRow.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnRateSample;
 import org.banyanstair.cli.output.Texts;
 
 /** Formats a sample as cells of a table. */
@@ -18,7 +18,7 @@
      * @param sample the sample
      * @return service, window, requests, good share, objective, burn rate and failures
      */
-    public static List<String> cells(BurnSample sample) {
+    public static List<String> cells(BurnRateSample sample) {
         return List.of(
                 sample.service().value(),
                 Texts.of("burn.window", sample.windowMinutes()),
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnReportCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnReportCommand.java
@@ -9,7 +9,7 @@
 import java.util.stream.Collectors;
 
 import okhttp3.HttpUrl;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.cli.ExitCode;
 import org.banyanstair.cli.burn.BurnPage;
 import org.banyanstair.cli.burn.BurnReport;
@@ -74,9 +74,9 @@
     private BurnReport collect() {
         List<EntryHost> hosts = client.status().hosts();
         console.progress(Texts.of("burn.progress", hosts.size()));
-        Map<HttpUrl, Optional<BurnSnapshot>> answers =
+        Map<HttpUrl, Optional<BurnRateSnapshot>> answers =
                 HostQueries.ask(hosts.stream().map(HostAddress::of).toList(), client::burn);
-        List<BurnSnapshot> snapshots =
+        List<BurnRateSnapshot> snapshots =
                 answers.values().stream().flatMap(Optional::stream).toList();
         List<HostId> missing = hosts.stream()
                 .filter(host -> answers.get(HostAddress.of(host)).isEmpty())
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
@@ -127,7 +127,8 @@
     }
 
     private Supplier<Preset> preset(TomlTable table) {
-        TomlField<String> id = table.required("id", TomlTypes.parsed(Names.ACCEPTED, text -> Names.check("id", text)));
+        TomlField<String> id =
+                table.required("id", TomlTypes.parsed(Names.ACCEPTED_FORMAT, text -> Names.check("id", text)));
         TomlField<Double> fullness = table.required("fullness", TomlTypes.decimal(0, 1));
         TomlField<Integer> ageing = table.required("standard-ageing-milliseconds", TomlTypes.smallInteger(0, 600_000));
         TomlField<Integer> copy = table.required("copy-after-milliseconds", TomlTypes.smallInteger(0, 600_000));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
@@ -15,7 +15,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.configuration.ChangeVerdict;
 import org.banyanstair.configuration.Configuration;
@@ -177,8 +177,8 @@
      * @param address address of the host
      * @return the samples, empty if the host cannot be asked
      */
-    public Optional<BurnSnapshot> burn(HttpUrl address) {
-        return askOne(address, "operator/v1/burn", BurnSnapshot.class);
+    public Optional<BurnRateSnapshot> burn(HttpUrl address) {
+        return askOne(address, "operator/v1/burn", BurnRateSnapshot.class);
     }
 
     private <T> Optional<T> askOne(HttpUrl address, String path, Class<T> type) {
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
@@ -12,8 +12,8 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
-import org.banyanstair.burn.BurnSample;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSample;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.cli.operator.ClusterStatus;
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.configuration.ChangeVerdict;
@@ -126,10 +126,10 @@
                     List.of("assistant/tender@v1"),
                     2,
                     8));
-            default -> new BurnSnapshot(
+            default -> new BurnRateSnapshot(
                     new HostId("entry-1"),
                     Instant.EPOCH,
-                    List.of(new BurnSample(
+                    List.of(new BurnRateSample(
                             new ServiceId("assistant"), Objective.DEFAULT, 60, 100, 90, Map.of("queue_full", 10L))));
         };
     }
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnReportTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnReportTest.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 
-import org.banyanstair.burn.BurnSample;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSample;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.configuration.Objective;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.ServiceId;
@@ -17,18 +17,19 @@
 class BurnReportTest {
     private static final ServiceId SERVICE = new ServiceId("assistant");
 
-    private static BurnSnapshot snapshot(String host, long second, BurnSample... samples) {
-        return new BurnSnapshot(new HostId(host), Instant.ofEpochSecond(second), List.of(samples));
+    private static BurnRateSnapshot snapshot(String host, long second, BurnRateSample... samples) {
+        return new BurnRateSnapshot(new HostId(host), Instant.ofEpochSecond(second), List.of(samples));
     }
 
-    private static BurnSample sample(int window, int latency, long requests, long good, Map<String, Long> failures) {
-        return new BurnSample(SERVICE, new Objective(latency, 0.95), window, requests, good, failures);
+    private static BurnRateSample sample(
+            int window, int latency, long requests, long good, Map<String, Long> failures) {
+        return new BurnRateSample(SERVICE, new Objective(latency, 0.95), window, requests, good, failures);
     }
 
     @Test
     void addsUpRequestsAndKeepsTheLatestObjective() {
-        BurnSnapshot late = snapshot("entry-1", 20, sample(60, 500, 1_000, 1_000, Map.of("queue_full", 1L)));
-        BurnSnapshot early = snapshot(
+        BurnRateSnapshot late = snapshot("entry-1", 20, sample(60, 500, 1_000, 1_000, Map.of("queue_full", 1L)));
+        BurnRateSnapshot early = snapshot(
                 "entry-2", 10, sample(60, 420, 10, 0, Map.of("queue_full", 10L)), sample(5, 420, 10, 0, Map.of()));
         BurnReport report = BurnReport.merge(List.of(late, early), List.of());
         assertEquals(
@@ -39,7 +40,7 @@
 
     @Test
     void serviceWithoutRequestsMissesNothing() {
-        BurnSnapshot idle = snapshot("entry-1", 1, sample(60, 420, 0, 0, Map.of()));
+        BurnRateSnapshot idle = snapshot("entry-1", 1, sample(60, 420, 0, 0, Map.of()));
         assertEquals(List.of(), BurnReport.merge(List.of(idle), List.of()).missedObjectives());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/burn/BurnSample.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSample.java
@@ -15,7 +15,7 @@
  * @param good requests that succeeded within the latency of the objective
  * @param failures failed requests by failure code
  */
-public record BurnSample(
+public record BurnRateSample(
         ServiceId service,
         Objective objective,
         int windowMinutes,
@@ -23,7 +23,7 @@
         long good,
         Map<String, Long> failures) {
     /** Copies the map. */
-    public BurnSample {
+    public BurnRateSample {
         failures = Map.copyOf(failures);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/burn/BurnSnapshot.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSnapshot.java
@@ -12,9 +12,9 @@
  * @param takenAt when they were taken
  * @param samples one for each service and window
  */
-public record BurnSnapshot(HostId host, Instant takenAt, List<BurnSample> samples) {
+public record BurnRateSnapshot(HostId host, Instant takenAt, List<BurnRateSample> samples) {
     /** Copies the list. */
-    public BurnSnapshot {
+    public BurnRateSnapshot {
         samples = List.copyOf(samples);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationKeeper.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
@@ -11,7 +11,7 @@
 
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.ownership.RendezvousHash;
@@ -28,7 +28,7 @@
  *
  * <p>Not safe for use by several threads.
  */
-public final class ConfigurationKeeper {
+public final class ConfigurationReplica {
     private static final String CHECKPOINT_WRITER = "configuration-checkpoint";
 
     /** A checkpoint is renewed this many times within the retention of the log. */
@@ -37,7 +37,7 @@
     private final Membership membership;
     private final ReducerSettings settings;
     private final Sequence sequence;
-    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final ConfigurationStateMachine history = new ConfigurationStateMachine();
     private final Map<String, PendingChange> pending = new HashMap<>();
     private boolean checkpointsRead;
     private boolean followsCheckpoints;
@@ -50,7 +50,7 @@
     private Instant nextPeerRequest = Instant.MIN;
     private long earliestInLog;
 
-    private record PendingChange(long append, Instant giveUpAt) {}
+    private record PendingChange(long appendId, Instant giveUpAt) {}
 
     /**
      * Creates a keeper that knows no configuration.
@@ -59,7 +59,7 @@
      * @param settings settings of the host
      * @param sequence source of numbers for appends
      */
-    public ConfigurationKeeper(Membership membership, ReducerSettings settings, Sequence sequence) {
+    public ConfigurationReplica(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.settings = settings;
         this.sequence = sequence;
@@ -70,7 +70,7 @@
      *
      * @return the history, to be read only
      */
-    public ConfigurationHistory history() {
+    public ConfigurationStateMachine history() {
         return history;
     }
 
@@ -104,7 +104,7 @@
     private void followCheckpoints(Effects effects) {
         followsCheckpoints = true;
         checkpointsAtEnd = false;
-        effects.add(new Effect.FollowStream(Streams.CHECKPOINTS, nextCheckpointOffset));
+        effects.add(new Effect.FollowStream(LogStreams.CHECKPOINTS, nextCheckpointOffset));
     }
 
     /**
@@ -146,7 +146,7 @@
 
     private void follow(Effects effects) {
         following = true;
-        effects.add(new Effect.FollowStream(Streams.CONFIGURATION, Math.max(0, history.nextOffset())));
+        effects.add(new Effect.FollowStream(LogStreams.CONFIGURATION, Math.max(0, history.nextOffset())));
     }
 
     /**
@@ -234,8 +234,8 @@
 
     private void append(ConfigurationChange change, Instant now, Effects effects) {
         long append = sequence.next();
-        pending.put(change.changeId(), new PendingChange(append, now.plus(settings.changeLimit())));
-        effects.add(new Effect.AppendToLog(append, Streams.CONFIGURATION, List.of(change)));
+        pending.put(change.changeId(), new PendingChange(append, now.plus(settings.changeTimeout())));
+        effects.add(new Effect.AppendToLog(append, LogStreams.CONFIGURATION, List.of(change)));
     }
 
     private static void refuse(ConfigurationChange change, Failure failure, Effects effects) {
@@ -253,7 +253,7 @@
         Iterator<Map.Entry<String, PendingChange>> iterator = pending.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<String, PendingChange> entry = iterator.next();
-            if (entry.getValue().append() == append) {
+            if (entry.getValue().appendId() == append) {
                 iterator.remove();
                 effects.add(new Effect.AnswerChange(entry.getKey(), new ChangeVerdict.Refused(failure)));
             }
@@ -304,7 +304,7 @@
         }
         boolean needsPeers = !logReachable || !history.isKnown() || !following || missesChanges;
         if (needsPeers && !now.isBefore(nextPeerRequest)) {
-            nextPeerRequest = now.plus(settings.repeatInterval());
+            nextPeerRequest = now.plus(settings.retryInterval());
             askPeers(now, effects);
         }
         if (!now.isBefore(nextCheckpoint)) {
@@ -333,7 +333,7 @@
 
     /** Short enough for each renewal, and long enough for the previous append to be read back. */
     private Duration checkpointCheckInterval() {
-        Duration usual = settings.repeatInterval().multipliedBy(10);
+        Duration usual = settings.retryInterval().multipliedBy(10);
         Duration halfRenewal = settings.logRetention().dividedBy(2L * CHECKPOINTS_PER_RETENTION);
         return halfRenewal.compareTo(usual) < 0 ? halfRenewal : usual;
     }
@@ -348,7 +348,7 @@
             followCheckpoints(effects);
         } else if (!needed && followsCheckpoints && checkpointsAtEnd) {
             followsCheckpoints = false;
-            effects.add(new Effect.UnfollowStream(Streams.CHECKPOINTS));
+            effects.add(new Effect.UnfollowStream(LogStreams.CHECKPOINTS));
         } else if (responsible && checkpointsAtEnd) {
             writeCheckpointIfDue(now, effects);
         }
@@ -362,7 +362,7 @@
         if (due && logReachable && history.isKnown()) {
             CheckpointPart.of(current(), history.nextOffset())
                     .forEach(part -> effects.add(
-                            new Effect.AppendToLog(sequence.next(), Streams.CHECKPOINTS, List.<LogEntry>of(part))));
+                            new Effect.AppendToLog(sequence.next(), LogStreams.CHECKPOINTS, List.<LogEntry>of(part))));
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationHistory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
@@ -16,7 +16,7 @@
  * record below the next offset and a checkpoint that contains less than what is known have no effect. Not safe for use
  * by several threads.
  */
-public final class ConfigurationHistory {
+public final class ConfigurationStateMachine {
     private static final int REMEMBERED_VERDICTS = 4_096;
 
     private Configuration current = Configuration.INITIAL;
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -31,11 +31,11 @@
     /**
      * Returns what the failure says about the request.
      *
-     * @return {@link Outcome#NOT_RUN} unless the case says otherwise
+     * @return {@link FailureOutcome#NOT_RUN} unless the case says otherwise
      */
     @JsonIgnore
-    default Outcome outcome() {
-        return Outcome.NOT_RUN;
+    default FailureOutcome outcome() {
+        return FailureOutcome.NOT_RUN;
     }
 
     /** A field of an input has a wrong value. */
@@ -74,8 +74,8 @@
     /** The deadline passed while the request ran. */
     record DeadlineExceeded(Instant deadline) implements Failure {
         @Override
-        public Outcome outcome() {
-            return Outcome.UNKNOWN;
+        public FailureOutcome outcome() {
+            return FailureOutcome.UNKNOWN;
         }
     }
 
@@ -100,8 +100,8 @@
     /** The request has crashed endpoints and is refused; {@code ran} tells whether this very request ran before. */
     record RequestCrashesEndpoints(int crashes, boolean ran) implements Failure {
         @Override
-        public Outcome outcome() {
-            return ran ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        public FailureOutcome outcome() {
+            return ran ? FailureOutcome.UNKNOWN : FailureOutcome.NOT_RUN;
         }
     }
 
@@ -114,8 +114,8 @@
     /** The endpoint failed while it ran the request. */
     record EndpointFailed(EndpointId endpoint) implements Failure {
         @Override
-        public Outcome outcome() {
-            return Outcome.UNKNOWN;
+        public FailureOutcome outcome() {
+            return FailureOutcome.UNKNOWN;
         }
     }
 
@@ -134,8 +134,8 @@
     /** The call may have run; its outcome is not known. */
     record OutcomeUnknown() implements Failure {
         @Override
-        public Outcome outcome() {
-            return Outcome.UNKNOWN;
+        public FailureOutcome outcome() {
+            return FailureOutcome.UNKNOWN;
         }
     }
 
@@ -160,8 +160,8 @@
     /** It is not known whether the change was accepted; ask again with its id. */
     record ChangeOutcomeUnknown(String changeId) implements Failure {
         @Override
-        public Outcome outcome() {
-            return Outcome.UNKNOWN;
+        public FailureOutcome outcome() {
+            return FailureOutcome.UNKNOWN;
         }
     }
 
@@ -171,8 +171,8 @@
     /** The request was cancelled by its caller. */
     record Cancelled() implements Failure {
         @Override
-        public Outcome outcome() {
-            return Outcome.UNKNOWN;
+        public FailureOutcome outcome() {
+            return FailureOutcome.UNKNOWN;
         }
     }
 
@@ -197,8 +197,8 @@
     /** A fault in this software; the request may have run. */
     record InternalError() implements Failure {
         @Override
-        public Outcome outcome() {
-            return Outcome.UNKNOWN;
+        public FailureOutcome outcome() {
+            return FailureOutcome.UNKNOWN;
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineClient.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineClient.java
@@ -19,7 +19,7 @@
      * @param term fencing number of the order
      * @return the result
      */
-    CompletableFuture<OrderResult> load(Endpoint endpoint, AdapterVersion adapter, long term);
+    CompletableFuture<EngineCommandResult> load(Endpoint endpoint, AdapterVersion adapter, long term);
 
     /**
      * Orders an engine to unload an adapter.
@@ -29,7 +29,7 @@
      * @param term fencing number of the order
      * @return the result
      */
-    CompletableFuture<OrderResult> unload(Endpoint endpoint, AdapterVersion adapter, long term);
+    CompletableFuture<EngineCommandResult> unload(Endpoint endpoint, AdapterVersion adapter, long term);
 
     /**
      * Makes an engine that checks fencing numbers refuse orders of lower terms from now on.
@@ -38,7 +38,7 @@
      * @param term the new lowest fencing number
      * @return the result
      */
-    CompletableFuture<OrderResult> raiseFence(Endpoint endpoint, long term);
+    CompletableFuture<EngineCommandResult> raiseFence(Endpoint endpoint, long term);
 
     /**
      * Reads what an engine has loaded and runs. The report may lag behind.
--- a/banyanstair-core/src/main/java/org/banyanstair/external/OrderResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineCommandResult.java
@@ -3,21 +3,21 @@
 import org.banyanstair.errors.Failure;
 
 /** What is known after an order to an engine. */
-public sealed interface OrderResult {
+public sealed interface EngineCommandResult {
     /** The order took effect. */
-    record Done() implements OrderResult {}
+    record Done() implements EngineCommandResult {}
 
     /**
      * The order certainly had and will have no effect.
      *
      * @param failure why
      */
-    record Refused(Failure failure) implements OrderResult {}
+    record Refused(Failure failure) implements EngineCommandResult {}
 
     /**
      * The order may have taken effect or may still do so.
      *
      * @param failure why
      */
-    record Unknown(Failure failure) implements OrderResult {}
+    record Unknown(Failure failure) implements EngineCommandResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/GenerationEnd.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/GenerationResult.java
@@ -3,21 +3,21 @@
 import org.banyanstair.errors.Failure;
 
 /** How a generation at an engine ended. */
-public sealed interface GenerationEnd {
+public sealed interface GenerationResult {
     /** All tokens were delivered. */
-    record Complete() implements GenerationEnd {}
+    record Complete() implements GenerationResult {}
 
     /**
      * The engine did not start the request.
      *
      * @param failure why
      */
-    record NotStarted(Failure failure) implements GenerationEnd {}
+    record NotStarted(Failure failure) implements GenerationResult {}
 
     /**
      * The stream ended early; the engine may still run the request.
      *
      * @param failure why
      */
-    record Broken(Failure failure) implements GenerationEnd {}
+    record Broken(Failure failure) implements GenerationResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/Streams.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/LogStreams.java
@@ -3,7 +3,7 @@
 import java.util.stream.IntStream;
 
 /** Names of the log streams. */
-public final class Streams {
+public final class LogStreams {
     /** Configuration changes. */
     public static final String CONFIGURATION = "configuration";
 
@@ -21,7 +21,7 @@
 
     private static final String CALLS = "calls-";
 
-    private Streams() {}
+    private LogStreams() {}
 
     /**
      * Returns the stream of a partition of the non-idempotent calls.
@@ -29,7 +29,7 @@
      * @param partition number of the partition
      * @return name of its stream
      */
-    public static String calls(int partition) {
+    public static String callStream(int partition) {
         return CALLS + partition;
     }
 
@@ -37,9 +37,9 @@
      * Tells whether a stream holds records of non-idempotent calls.
      *
      * @param stream name of a stream
-     * @return whether it is one of {@link #calls}
+     * @return whether it is one of {@link #callStream}
      */
-    public static boolean isCalls(String stream) {
+    public static boolean isCallStream(String stream) {
         return stream.startsWith(CALLS);
     }
 
@@ -49,7 +49,7 @@
      * @param stream name of the stream
      * @return number of the partition
      */
-    public static int partition(String stream) {
+    public static int callPartition(String stream) {
         return Integer.parseInt(stream.substring(CALLS.length()));
     }
 
@@ -58,7 +58,7 @@
      *
      * @return numbers from 0
      */
-    public static IntStream partitions() {
+    public static IntStream callPartitions() {
         return IntStream.range(0, CALL_PARTITIONS);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
@@ -15,5 +15,5 @@
      *
      * @param end how it ended
      */
-    void end(GenerationEnd end);
+    void end(GenerationResult end);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
@@ -6,7 +6,7 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.ServiceId;
 
@@ -31,10 +31,10 @@
     /**
      * Returns the partition of the key.
      *
-     * @return number from 0 to {@link Streams#CALL_PARTITIONS} - 1
+     * @return number from 0 to {@link LogStreams#CALL_PARTITIONS} - 1
      */
     public int partition() {
         byte[] bytes = (caller + "\n" + service + "\n" + key).getBytes(StandardCharsets.UTF_8);
-        return Math.floorMod(MurmurHash3.hash32x86(bytes, 0, bytes.length, 0), Streams.CALL_PARTITIONS);
+        return Math.floorMod(MurmurHash3.hash32x86(bytes, 0, bytes.length, 0), LogStreams.CALL_PARTITIONS);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallLedger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallStateTable.java
@@ -13,7 +13,7 @@
  * <p>The first intent in log order holds its key, unless its attempt was voided before. Not safe for use by several
  * threads.
  */
-public final class CallLedger {
+public final class CallStateTable {
     private static final CallState FREE = new CallState.Free();
 
     private final Duration retention;
@@ -25,7 +25,7 @@
      *
      * @param retention time that a key is kept after the deadline of its call
      */
-    public CallLedger(Duration retention) {
+    public CallStateTable(Duration retention) {
         this.retention = retention;
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
@@ -98,7 +98,8 @@
     }
 
     private void submit(TrackedCall call, Instant now, Effects effects) {
-        Optional<HostId> writer = RendezvousHash.first(Streams.calls(call.key.partition()), membership.candidates());
+        Optional<HostId> writer =
+                RendezvousHash.first(LogStreams.callStream(call.key.partition()), membership.candidates());
         if (writer.isEmpty()) {
             return;
         }
@@ -117,7 +118,7 @@
         Set<AttemptId> voided = new HashSet<>(call.unsettled);
         voided.remove(attempt);
         call.unsettled.add(attempt);
-        call.repeatAt = now.plus(settings.repeatInterval());
+        call.repeatAt = now.plus(settings.retryInterval());
         effects.send(
                 call.writer.orElseThrow(),
                 new PeerMessage.CallSubmit(
@@ -178,7 +179,7 @@
             answer(call, notRun, effects);
         } else {
             call.current = Optional.empty();
-            call.repeatAt = now.plus(settings.repeatInterval());
+            call.repeatAt = now.plus(settings.retryInterval());
         }
     }
 
@@ -196,7 +197,7 @@
      */
     public void tick(Instant now, Effects effects) {
         for (TrackedCall call : List.copyOf(calls.values())) {
-            if (!now.isBefore(call.deadline().plus(settings.answerGrace()))) {
+            if (!now.isBefore(call.deadline().plus(settings.answerGracePeriod()))) {
                 answer(call, lateAnswer(call), effects);
             } else if (needsNewWriter(call) || !now.isBefore(call.repeatAt)) {
                 resubmit(call, now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -38,7 +38,7 @@
     private final ReducerSettings settings;
     private final Sequence sequence;
     private final EndpointPicker picker;
-    private final CallLedger ledger;
+    private final CallStateTable ledger;
     private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
     private final OpenCalls open = new OpenCalls();
     private final Map<Long, AttemptId> dispatches = new HashMap<>();
@@ -59,8 +59,8 @@
         this.settings = settings;
         this.sequence = sequence;
         this.picker = new EndpointPicker(membership);
-        this.ledger = new CallLedger(settings.keyRetention());
-        this.appender = new PartitionAppender(partition, membership.self(), settings.callBatch(), sequence);
+        this.ledger = new CallStateTable(settings.keyRetention());
+        this.appender = new PartitionAppender(partition, membership.self(), settings.callBatchDelay(), sequence);
     }
 
     /**
@@ -68,7 +68,7 @@
      *
      * @return the ledger, to be read only
      */
-    public CallLedger ledger() {
+    public CallStateTable ledger() {
         return ledger;
     }
 
@@ -366,7 +366,7 @@
         endLate(now, effects);
         settleAbandoned(now, effects);
         if (!now.isBefore(nextRepeat)) {
-            nextRepeat = now.plus(settings.repeatInterval());
+            nextRepeat = now.plus(settings.retryInterval());
             appender.repeatEnds(effects);
             forgetOld(now);
             ledger.expire(now);
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -8,8 +8,8 @@
 import java.util.stream.Collectors;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.external.ServiceCallResult;
-import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.HostId;
 import org.banyanstair.ownership.RendezvousHash;
@@ -44,7 +44,7 @@
      */
     public CallWriters(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
-        this.writers = Streams.partitions()
+        this.writers = LogStreams.callPartitions()
                 .mapToObj(partition -> new CallWriter(partition, membership, settings, sequence))
                 .toList();
     }
@@ -66,7 +66,7 @@
     private void follow(int partition, Effects effects) {
         if (followed.add(partition)) {
             long from = writers.get(partition).ledger().nextOffset();
-            effects.add(new Effect.FollowStream(Streams.calls(partition), from));
+            effects.add(new Effect.FollowStream(LogStreams.callStream(partition), from));
         }
     }
 
@@ -80,7 +80,7 @@
      * @param effects collects what to do
      */
     public void read(String stream, StreamEntry entry, Optional<CallRecord> record, Instant now, Effects effects) {
-        CallWriter writer = writers.get(Streams.partition(stream));
+        CallWriter writer = writers.get(LogStreams.callPartition(stream));
         if (record.isPresent()) {
             writer.read(entry.offset(), entry.appendedAt(), record.get(), now, effects);
         } else {
@@ -142,7 +142,7 @@
     public void tick(Instant now, Effects effects) {
         if (membership.isListingRead()) {
             rankIfChanged();
-            Streams.partitions().forEach(partition -> followOrNot(partition, effects));
+            LogStreams.callPartitions().forEach(partition -> followOrNot(partition, effects));
         }
         writers.forEach(writer -> writer.tick(now, effects));
     }
@@ -154,14 +154,14 @@
         }
         rankedAtChange = membership.listingChanges();
         List<HostId> live = membership.listing().liveHosts();
-        wanted = Streams.partitions()
+        wanted = LogStreams.callPartitions()
                 .filter(partition -> isRanked(partition, live))
                 .boxed()
                 .collect(Collectors.toUnmodifiableSet());
     }
 
     private boolean isRanked(int partition, List<HostId> live) {
-        return RendezvousHash.rank(Streams.calls(partition), live).stream()
+        return RendezvousHash.rank(LogStreams.callStream(partition), live).stream()
                 .limit(FOLLOWED_RANKS)
                 .anyMatch(membership.self().host()::equals);
     }
@@ -171,7 +171,7 @@
             follow(partition, effects);
         } else if (followed.contains(partition) && !writers.get(partition).isBusy()) {
             followed.remove(partition);
-            effects.add(new Effect.UnfollowStream(Streams.calls(partition)));
+            effects.add(new Effect.UnfollowStream(LogStreams.callStream(partition)));
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.reducer.Effect;
@@ -82,7 +82,7 @@
         if (!entries.isEmpty()) {
             long append = sequence.next();
             appends.put(append, calls);
-            effects.add(new Effect.AppendToLog(append, Streams.calls(partition), entries));
+            effects.add(new Effect.AppendToLog(append, LogStreams.callStream(partition), entries));
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
@@ -14,7 +14,7 @@
  */
 public record ModelName(ServiceId service, AdapterId adapter, Optional<String> version) {
     /** Accepted form, as shown in error messages. */
-    public static final String ACCEPTED = "service/adapter or service/adapter@version";
+    public static final String ACCEPTED_FORMAT = "service/adapter or service/adapter@version";
 
     /**
      * Parses the written form.
@@ -26,7 +26,7 @@
     public static ModelName parse(String text) {
         int slash = text == null ? -1 : text.indexOf('/');
         if (slash < 0) {
-            throw new FailureException(new Failure.InvalidField("model", ACCEPTED));
+            throw new FailureException(new Failure.InvalidField("model", ACCEPTED_FORMAT));
         }
         int at = text.indexOf('@', slash);
         String adapter = at < 0 ? text.substring(slash + 1) : text.substring(slash + 1, at);
--- a/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
@@ -6,7 +6,8 @@
 /** Checks the names that operators give to services, adapters, callers and the like. */
 public final class Names {
     /** Accepted form of a name, as shown in error messages. */
-    public static final String ACCEPTED = "1 to 63 characters of a-z, 0-9, '.', '_' and '-', starting with a-z or 0-9";
+    public static final String ACCEPTED_FORMAT =
+            "1 to 63 characters of a-z, 0-9, '.', '_' and '-', starting with a-z or 0-9";
 
     private static final int LONGEST = 63;
 
@@ -22,7 +23,7 @@
      */
     public static String check(String field, String value) {
         if (value == null || !isAccepted(value)) {
-            throw new FailureException(new Failure.InvalidField(field, ACCEPTED));
+            throw new FailureException(new Failure.InvalidField(field, ACCEPTED_FORMAT));
         }
         return value;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
@@ -13,7 +13,7 @@
  */
 public record NetworkAddress(String ip, int port) {
     /** Accepted form, as shown in error messages. */
-    public static final String ACCEPTED = "an IPv4 address and a port from 1 to 65535, such as 127.0.0.1:8080";
+    public static final String ACCEPTED_FORMAT = "an IPv4 address and a port from 1 to 65535, such as 127.0.0.1:8080";
 
     private static final int NUMBERS = 4;
 
@@ -26,7 +26,7 @@
     /** Checks the port. */
     public NetworkAddress {
         if (ip == null || port < 1 || port > 65_535) {
-            throw new FailureException(new Failure.InvalidField("address", ACCEPTED));
+            throw new FailureException(new Failure.InvalidField("address", ACCEPTED_FORMAT));
         }
     }
 
@@ -41,7 +41,7 @@
     public static NetworkAddress parse(String text) {
         int colon = text == null ? -1 : text.indexOf(':');
         if (colon < 0 || !isIp(text, colon) || !isNumber(text, colon + 1, text.length(), LONGEST_PORT)) {
-            throw new FailureException(new Failure.InvalidField("address", ACCEPTED));
+            throw new FailureException(new Failure.InvalidField("address", ACCEPTED_FORMAT));
         }
         return new NetworkAddress(text.substring(0, colon), Integer.parseInt(text, colon + 1, text.length(), DECIMAL));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.Membership;
@@ -77,7 +77,7 @@
      * @param effects collects what to do
      */
     public void start(Effects effects) {
-        effects.add(new Effect.FollowStream(Streams.OWNERSHIP, 0));
+        effects.add(new Effect.FollowStream(LogStreams.OWNERSHIP, 0));
     }
 
     /** Takes the news that the stream was read to its end. */
@@ -144,10 +144,10 @@
                 .filter(membership.self().host()::equals)
                 .isPresent();
         if (first && !late && isDue(pool, since, now) && !isCutOff()) {
-            claimAgainAt.put(pool, now.plus(settings.repeatInterval().multipliedBy(2)));
+            claimAgainAt.put(pool, now.plus(settings.retryInterval().multipliedBy(2)));
             effects.add(new Effect.AppendToLog(
                     sequence.next(),
-                    Streams.OWNERSHIP,
+                    LogStreams.OWNERSHIP,
                     List.<LogEntry>of(new OwnershipRecord.Claim(pool, membership.self()))));
         }
     }
@@ -159,7 +159,7 @@
                 .filter(owner -> !membership.isGone(owner.owner())
                         && membership.isUnreachable(owner.owner().host()))
                 .isPresent();
-        return !onlyUnreachable || !now.isBefore(since.plus(settings.ownerLimit()));
+        return !onlyUnreachable || !now.isBefore(since.plus(settings.ownerTimeout()));
     }
 
     private boolean isOwned(PoolId pool) {
@@ -225,7 +225,7 @@
                         entry.getKey(), membership.self(), entry.getValue().term()))
                 .toList();
         if (!renewals.isEmpty()) {
-            effects.add(new Effect.AppendToLog(sequence.next(), Streams.OWNERSHIP, renewals));
+            effects.add(new Effect.AppendToLog(sequence.next(), LogStreams.OWNERSHIP, renewals));
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
@@ -7,7 +7,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.EngineStatus;
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.model.AdapterVersion;
@@ -116,7 +116,7 @@
     }
 
     private void append(SuspectRecord record, Effects effects) {
-        effects.add(new Effect.AppendToLog(pool.sequence().next(), Streams.SUSPECTS, List.<LogEntry>of(record)));
+        effects.add(new Effect.AppendToLog(pool.sequence().next(), LogStreams.SUSPECTS, List.<LogEntry>of(record)));
     }
 
     private void endOrphans(EngineState engine, EngineStatus status, Instant askedAt) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -15,9 +15,9 @@
 
 import org.banyanstair.configuration.PoolDeclaration;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.OrderResult;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.ownership.OwnershipRecord;
@@ -189,7 +189,7 @@
                 engine.endpoint().id(),
                 engine.incarnation().orElseThrow(),
                 adapter);
-        effects.add(new Effect.AppendToLog(append, Streams.OWNERSHIP, List.of(announcement)));
+        effects.add(new Effect.AppendToLog(append, LogStreams.OWNERSHIP, List.of(announcement)));
     }
 
     /** Orders an announced unload once the log shows it under the present term. */
@@ -212,7 +212,7 @@
 
     private void appendEnd(EndpointId endpoint, long incarnation, AdapterVersion adapter, Effects effects) {
         LogEntry end = new OwnershipRecord.UnloadEnd(pool.id(), endpoint, incarnation, adapter);
-        effects.add(new Effect.AppendToLog(pool.sequence().next(), Streams.OWNERSHIP, List.of(end)));
+        effects.add(new Effect.AppendToLog(pool.sequence().next(), LogStreams.OWNERSHIP, List.of(end)));
     }
 
     void appendRejected(long append, Instant now) {
@@ -233,15 +233,16 @@
                         (key, slot) -> slot.state() == SlotState.ANNOUNCED ? slot.to(SlotState.LOADED, now) : slot);
     }
 
-    void loadEnded(EngineState engine, AdapterVersion adapter, OrderResult result, Instant now, Effects effects) {
+    void loadEnded(
+            EngineState engine, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
         Slot slot = engine.slots().get(adapter);
         if (slot == null || slot.state() != SlotState.LOADING) {
             return;
         }
-        if (result instanceof OrderResult.Done) {
+        if (result instanceof EngineCommandResult.Done) {
             failures.remove(adapter);
             engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
-        } else if (result instanceof OrderResult.Refused refused) {
+        } else if (result instanceof EngineCommandResult.Refused refused) {
             engine.slots().remove(adapter);
             loadFailed(engine, adapter, refused.failure(), now, effects);
         }
@@ -254,16 +255,17 @@
         failures.merge(adapter, 1, Integer::sum);
     }
 
-    void unloadEnded(EngineState engine, AdapterVersion adapter, OrderResult result, Instant now, Effects effects) {
+    void unloadEnded(
+            EngineState engine, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
         Slot slot = engine.slots().get(adapter);
         if (slot == null || slot.state() != SlotState.UNLOADING) {
             return;
         }
-        if (result instanceof OrderResult.Unknown) {
+        if (result instanceof EngineCommandResult.Unknown) {
             engine.nextStatusAt(now);
             return;
         }
-        if (result instanceof OrderResult.Done) {
+        if (result instanceof EngineCommandResult.Done) {
             engine.removeSlot(adapter, now);
         } else {
             engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitInventory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitInventory.java
@@ -91,7 +91,7 @@
         if (now.isBefore(nextInterruptedAt)) {
             return;
         }
-        nextInterruptedAt = now.plus(pool.settings().repeatInterval());
+        nextInterruptedAt = now.plus(pool.settings().retryInterval());
         pool.engines().values().stream()
                 .flatMap(engine -> engine.permits().values().stream().filter(engine::isInterrupted))
                 .map(permit -> permit.holder().host())
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineStatus;
-import org.banyanstair.external.OrderResult;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostIdentity;
@@ -195,7 +195,7 @@
      * @param effects collects what to do
      */
     public void loadEnded(
-            EndpointId endpoint, AdapterVersion adapter, OrderResult result, Instant now, Effects effects) {
+            EndpointId endpoint, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
         pool.engine(endpoint).ifPresent(engine -> loads.loadEnded(engine, adapter, result, now, effects));
         decide(now, effects);
     }
@@ -210,7 +210,7 @@
      * @param effects collects what to do
      */
     public void unloadEnded(
-            EndpointId endpoint, AdapterVersion adapter, OrderResult result, Instant now, Effects effects) {
+            EndpointId endpoint, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
         pool.engine(endpoint).ifPresent(engine -> loads.unloadEnded(engine, adapter, result, now, effects));
         decide(now, effects);
     }
@@ -223,8 +223,8 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void fenceEnded(EndpointId endpoint, OrderResult result, Instant now, Effects effects) {
-        if (result instanceof OrderResult.Done) {
+    public void fenceEnded(EndpointId endpoint, EngineCommandResult result, Instant now, Effects effects) {
+        if (result instanceof EngineCommandResult.Done) {
             pool.engine(endpoint).ifPresent(EngineState::markFenceRaised);
         }
         decide(now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
@@ -29,7 +29,7 @@
     record UnwatchPeer(HostId peer) implements Effect {}
 
     /** Append entries to a stream in one operation. */
-    record AppendToLog(long append, String stream, List<LogEntry> entries) implements Effect {}
+    record AppendToLog(long appendId, String stream, List<LogEntry> entries) implements Effect {}
 
     /** Read a stream from an offset on and keep reading; the earliest offset if that one has expired. */
     record FollowStream(String stream, long fromOffset) implements Effect {}
@@ -51,7 +51,7 @@
     record FailGeneration(RequestId request, Failure failure) implements Effect {}
 
     /** Send a call to a plain service, once. */
-    record DispatchCall(long dispatch, Endpoint endpoint, ServiceCall call) implements Effect {}
+    record DispatchCall(long dispatchId, Endpoint endpoint, ServiceCall call) implements Effect {}
 
     /** Answer the caller of a plain call. */
     record AnswerCall(RequestId request, CallAnswer answer) implements Effect {}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
@@ -5,8 +5,8 @@
 
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineStatus;
-import org.banyanstair.external.OrderResult;
 import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.HostListing;
 import org.banyanstair.model.AdapterVersion;
@@ -42,10 +42,10 @@
     record StreamUnavailable(Instant at, String stream) implements Event {}
 
     /** The log certainly did not take an append. */
-    record AppendRejected(Instant at, long append, Failure failure) implements Event {}
+    record AppendRejected(Instant at, long appendId, Failure failure) implements Event {}
 
     /** The log took an append, or may have; reading the stream shows it. */
-    record AppendEnded(Instant at, long append) implements Event {}
+    record AppendEnded(Instant at, long appendId) implements Event {}
 
     /** A peer can be reached. */
     record PeerConnected(Instant at, HostIdentity peer) implements Event {}
@@ -60,7 +60,7 @@
     record GenerationArrived(Instant at, GenerationRequest request) implements Event {}
 
     /** The caller of a generation has gone. */
-    record GenerationWithdrawn(Instant at, RequestId request) implements Event {}
+    record GenerationCancelled(Instant at, RequestId request) implements Event {}
 
     /** An attempt at an engine has ended. */
     record AttemptEnded(Instant at, RequestId request, int attempt, AttemptOutcome outcome) implements Event {}
@@ -69,18 +69,18 @@
     record CallArrived(Instant at, CallRequest call) implements Event {}
 
     /** A dispatch to a plain service has ended. */
-    record DispatchEnded(Instant at, long dispatch, ServiceCallResult result) implements Event {}
+    record DispatchEnded(Instant at, long dispatchId, ServiceCallResult result) implements Event {}
 
     /** An order to load an adapter has ended. */
-    record LoadEnded(Instant at, EndpointId endpoint, AdapterVersion adapter, long term, OrderResult result)
+    record LoadEnded(Instant at, EndpointId endpoint, AdapterVersion adapter, long term, EngineCommandResult result)
             implements Event {}
 
     /** An order to unload an adapter has ended. */
-    record UnloadEnded(Instant at, EndpointId endpoint, AdapterVersion adapter, long term, OrderResult result)
+    record UnloadEnded(Instant at, EndpointId endpoint, AdapterVersion adapter, long term, EngineCommandResult result)
             implements Event {}
 
     /** An order to raise the fence has ended. */
-    record FenceEnded(Instant at, EndpointId endpoint, long term, OrderResult result) implements Event {}
+    record FenceEnded(Instant at, EndpointId endpoint, long term, EngineCommandResult result) implements Event {}
 
     /** The status of an engine was read; the request for it was sent at {@code askedAt}. */
     record EngineStatusRead(Instant at, EndpointId endpoint, Instant askedAt, EngineStatus status) implements Event {}
@@ -98,7 +98,7 @@
     record StatusQueried(Instant at, long query) implements Event {}
 
     /** An operator asks a host to drain. */
-    record DrainOrdered(Instant at, HostId host) implements Event {}
+    record DrainRequested(Instant at, HostId host) implements Event {}
 
     /** This host was told to drain and stop. */
     record DrainStarted(Instant at) implements Event {}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -9,9 +9,9 @@
 
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.configuration.ConfigurationChange;
-import org.banyanstair.configuration.ConfigurationKeeper;
+import org.banyanstair.configuration.ConfigurationReplica;
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.idempotency.CallRecord;
 import org.banyanstair.idempotency.CallTracker;
 import org.banyanstair.idempotency.CallWriters;
@@ -43,7 +43,7 @@
     private final Membership membership;
     private final Sequence sequence = new Sequence();
     private final Effects effects = new Effects();
-    private final ConfigurationKeeper configuration;
+    private final ConfigurationReplica configuration;
     private final OwnershipCoordinator ownership;
     private final CrashSuspects suspects = new CrashSuspects();
     private final Map<PoolId, PoolOwner> owned = new HashMap<>();
@@ -65,7 +65,7 @@
     public HostReducer(HostIdentity self, ReducerSettings settings, Instant startedAt) {
         this.membership = new Membership(self);
         this.startedAt = startedAt;
-        this.configuration = new ConfigurationKeeper(membership, settings, sequence);
+        this.configuration = new ConfigurationReplica(membership, settings, sequence);
         this.ownership = new OwnershipCoordinator(membership, settings, sequence);
         this.generations =
                 new GenerationTracker(ownership.history(), settings, membership, configuration::isLogReachable);
@@ -85,7 +85,7 @@
     public List<Effect> start() {
         configuration.start(effects);
         ownership.start(effects);
-        effects.add(new Effect.FollowStream(Streams.SUSPECTS, 0));
+        effects.add(new Effect.FollowStream(LogStreams.SUSPECTS, 0));
         return effects.drain();
     }
 
@@ -109,7 +109,7 @@
     private boolean applyCallerEvent(Event event) {
         if (event instanceof Event.GenerationArrived arrived) {
             generations.arrived(arrived.request(), configuration.current(), arrived.at(), effects);
-        } else if (event instanceof Event.GenerationWithdrawn withdrawn) {
+        } else if (event instanceof Event.GenerationCancelled withdrawn) {
             generations.withdrawn(withdrawn.request(), effects);
         } else if (event instanceof Event.AttemptEnded ended) {
             generations.attemptEnded(ended.request(), ended.attempt(), ended.outcome(), ended.at(), effects);
@@ -133,8 +133,8 @@
 
     private void dispatchEnded(Event.DispatchEnded ended) {
         double retryShare = configuration.current().preset().retryShare();
-        if (!idempotentCalls.dispatchEnded(ended.dispatch(), ended.result(), retryShare, ended.at(), effects)) {
-            writers.dispatchEnded(ended.dispatch(), ended.result(), ended.at(), effects);
+        if (!idempotentCalls.dispatchEnded(ended.dispatchId(), ended.result(), retryShare, ended.at(), effects)) {
+            writers.dispatchEnded(ended.dispatchId(), ended.result(), ended.at(), effects);
         }
     }
 
@@ -188,19 +188,19 @@
         } else if (event instanceof Event.StreamExpired expired) {
             streamExpired(expired);
         } else if (event instanceof Event.StreamUnavailable unavailable) {
-            if (unavailable.stream().equals(Streams.CONFIGURATION)
-                    || unavailable.stream().equals(Streams.CHECKPOINTS)) {
+            if (unavailable.stream().equals(LogStreams.CONFIGURATION)
+                    || unavailable.stream().equals(LogStreams.CHECKPOINTS)) {
                 configuration.logUnavailable();
-            } else if (unavailable.stream().equals(Streams.OWNERSHIP)) {
+            } else if (unavailable.stream().equals(LogStreams.OWNERSHIP)) {
                 ownership.logUnavailable();
             }
         } else if (event instanceof Event.AppendRejected rejected) {
-            configuration.appendRejected(rejected.append(), rejected.failure(), effects);
-            writers.appendRejected(rejected.append(), rejected.failure(), effects);
-            owned.values().forEach(owner -> owner.appendRejected(rejected.append(), rejected.at()));
+            configuration.appendRejected(rejected.appendId(), rejected.failure(), effects);
+            writers.appendRejected(rejected.appendId(), rejected.failure(), effects);
+            owned.values().forEach(owner -> owner.appendRejected(rejected.appendId(), rejected.at()));
         } else if (event instanceof Event.AppendEnded ended) {
-            writers.appendEnded(ended.append());
-            owned.values().forEach(owner -> owner.appendEnded(ended.append()));
+            writers.appendEnded(ended.appendId());
+            owned.values().forEach(owner -> owner.appendEnded(ended.appendId()));
         } else {
             return false;
         }
@@ -221,7 +221,7 @@
 
     private void entryRead(String stream, StreamEntry entry, Instant now) {
         Optional<LogEntry> value = entry.entry();
-        if (stream.equals(Streams.CONFIGURATION)) {
+        if (stream.equals(LogStreams.CONFIGURATION)) {
             configuration.changeRead(entry.offset(), value.map(ConfigurationChange.class::cast), effects);
         } else if (value.isPresent() && value.get() instanceof CheckpointPart part) {
             configuration.checkpointRead(entry.appendedAt(), part, effects);
@@ -229,17 +229,17 @@
             ownershipRead(entry.offset(), record, now);
         } else if (value.isPresent() && value.get() instanceof SuspectRecord record) {
             suspects.apply(record);
-        } else if (Streams.isCalls(stream)) {
+        } else if (LogStreams.isCallStream(stream)) {
             writers.read(stream, entry, value.map(CallRecord.class::cast), now, effects);
         }
     }
 
     private void streamEnded(Event.StreamRead read) {
-        if (read.stream().equals(Streams.CONFIGURATION)) {
+        if (read.stream().equals(LogStreams.CONFIGURATION)) {
             configuration.changesEnded(read.end());
-        } else if (read.stream().equals(Streams.CHECKPOINTS)) {
+        } else if (read.stream().equals(LogStreams.CHECKPOINTS)) {
             configuration.checkpointsEnded(read.next(), effects);
-        } else if (read.stream().equals(Streams.OWNERSHIP)) {
+        } else if (read.stream().equals(LogStreams.OWNERSHIP)) {
             boolean first = !ownership.isCaughtUp();
             ownership.caughtUp();
             if (first) {
@@ -249,7 +249,7 @@
     }
 
     private void streamExpired(Event.StreamExpired expired) {
-        if (expired.stream().equals(Streams.CONFIGURATION)) {
+        if (expired.stream().equals(LogStreams.CONFIGURATION)) {
             configuration.changesExpired(expired.earliest(), effects);
         }
     }
@@ -300,7 +300,7 @@
                     queried.query(), configuration.history().verdict(queried.changeId())));
         } else if (event instanceof Event.StatusQueried queried) {
             statuses.query(queried.query(), queried.at(), effects);
-        } else if (event instanceof Event.DrainOrdered ordered) {
+        } else if (event instanceof Event.DrainRequested ordered) {
             effects.send(ordered.host(), new PeerMessage.DrainRequest());
         } else if (event instanceof Event.DrainStarted) {
             drain();
@@ -443,7 +443,7 @@
      *
      * @return true if this host owns no pool
      */
-    public boolean ownsNothing() {
+    public boolean ownsNoPool() {
         return owned.isEmpty();
     }
 
@@ -461,7 +461,7 @@
      *
      * @return the keeper, to be read only
      */
-    public ConfigurationKeeper configuration() {
+    public ConfigurationReplica configuration() {
         return configuration;
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
@@ -7,14 +7,14 @@
 /**
  * Intervals and limits of the decisions; turned into deadlines where they are used.
  *
- * @param callBatch time for which intents are gathered before one append
+ * @param callBatchDelay time for which intents are gathered before one append
  * @param keyRetention time that an idempotency key is kept after the deadline of its call
  * @param attemptRetention time that a writer keeps the answer of an attempt for repeated submissions
- * @param repeatInterval time after which an unanswered message or append is repeated
- * @param answerGrace time after a call's deadline in which its writer may still answer
+ * @param retryInterval time after which an unanswered message or append is repeated
+ * @param answerGracePeriod time after a call's deadline in which its writer may still answer
  * @param maximumDispatches endpoints to which a call is offered while it is proved that none got it
- * @param changeLimit time after which an operator is told that the outcome of a change is not known
- * @param ownerLimit time that a pool owner may be unreachable before its pools get new owners
+ * @param changeTimeout time after which an operator is told that the outcome of a change is not known
+ * @param ownerTimeout time that a pool owner may be unreachable before its pools get new owners
  * @param statusInterval time between two status reads of an engine
  * @param statusLag time by which an engine's status may lag behind
  * @param hostListLag time by which the host list may lag behind
@@ -22,14 +22,14 @@
  * @param placement policy of pool owners
  */
 public record ReducerSettings(
-        Duration callBatch,
+        Duration callBatchDelay,
         Duration keyRetention,
         Duration attemptRetention,
-        Duration repeatInterval,
-        Duration answerGrace,
+        Duration retryInterval,
+        Duration answerGracePeriod,
         int maximumDispatches,
-        Duration changeLimit,
-        Duration ownerLimit,
+        Duration changeTimeout,
+        Duration ownerTimeout,
         Duration statusInterval,
         Duration statusLag,
         Duration hostListLag,
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -118,7 +118,7 @@
     }
 
     private void ask(Tracked tracked, Instant now, Effects effects) {
-        tracked.askAgainAt = now.plus(settings.repeatInterval());
+        tracked.askAgainAt = now.plus(settings.retryInterval());
         if (!logReachable.getAsBoolean()) {
             Optional<Endpoint> known = placements
                     .withoutOwner(tracked.pool(), tracked.request.adapter())
@@ -228,7 +228,7 @@
     public void notOwner(PeerMessage.NotOwner message, Instant now) {
         Tracked tracked = requests.get(message.request());
         if (tracked != null && tracked.running.isEmpty()) {
-            tracked.askAgainAt = now.plus(settings.repeatInterval().dividedBy(5));
+            tracked.askAgainAt = now.plus(settings.retryInterval().dividedBy(5));
         }
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
@@ -33,7 +33,7 @@
         return log;
     }
 
-    private static void apply(ConfigurationHistory history, List<ConfigurationChange> log, int from, int to) {
+    private static void apply(ConfigurationStateMachine history, List<ConfigurationChange> log, int from, int to) {
         for (int offset = from; offset < to; offset++) {
             history.apply(offset, log.get(offset));
         }
@@ -45,10 +45,10 @@
         Random random = new Random(seed);
         List<ConfigurationChange> log = randomLog(random, length);
         int checkpoint = random.nextInt(length + 1);
-        ConfigurationHistory whole = new ConfigurationHistory();
+        ConfigurationStateMachine whole = new ConfigurationStateMachine();
         whole.startEmpty();
         apply(whole, log, 0, checkpoint);
-        ConfigurationHistory late = new ConfigurationHistory();
+        ConfigurationStateMachine late = new ConfigurationStateMachine();
         CheckpointPart.of(whole.current(), checkpoint).forEach(late::offer);
         apply(whole, log, checkpoint, length);
         apply(late, log, checkpoint, length);
--- a/banyanstair-core/src/test/java/org/banyanstair/configuration/ConfigurationHistoryTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/ConfigurationStateMachineTest.java
@@ -17,7 +17,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards promise 8: an accepted configuration or preset never reverts and a race has exactly one winner. */
-class ConfigurationHistoryTest {
+class ConfigurationStateMachineTest {
     private static final List<String> PRESETS = List.of("ordinary", "peak", "maintenance");
 
     private static ConfigurationChange usePreset(String id, long base, String preset) {
@@ -38,8 +38,8 @@
         return log;
     }
 
-    private static ConfigurationHistory replay(List<ConfigurationChange> log) {
-        ConfigurationHistory history = new ConfigurationHistory();
+    private static ConfigurationStateMachine replay(List<ConfigurationChange> log) {
+        ConfigurationStateMachine history = new ConfigurationStateMachine();
         history.startEmpty();
         for (int offset = 0; offset < log.size(); offset++) {
             history.apply(offset, log.get(offset));
@@ -52,7 +52,7 @@
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int length) {
         List<ConfigurationChange> log = randomLog(seed, length);
         Random random = new Random(seed + 1);
-        ConfigurationHistory history = new ConfigurationHistory();
+        ConfigurationStateMachine history = new ConfigurationStateMachine();
         history.startEmpty();
         long version = history.current().version();
         for (int step = 0; step < 6 * length; step++) {
@@ -75,7 +75,7 @@
 
     @Property(seed = "8102", tries = 300)
     void exactlyOneOfTheChangesWithTheSameBaseWins(@ForAll @IntRange(min = 2, max = 9) int operators) {
-        ConfigurationHistory history = new ConfigurationHistory();
+        ConfigurationStateMachine history = new ConfigurationStateMachine();
         history.startEmpty();
         int accepted = 0;
         for (int offset = 0; offset < operators; offset++) {
@@ -92,7 +92,7 @@
 
     @Test
     void changeThatWasAppendedTwiceKeepsItsFirstVerdict() {
-        ConfigurationHistory history = new ConfigurationHistory();
+        ConfigurationStateMachine history = new ConfigurationStateMachine();
         history.startEmpty();
         ConfigurationChange change = usePreset("change", -1, "peak");
         assertEquals(Optional.of(new ChangeVerdict.Accepted(0)), history.apply(0, change));
@@ -102,7 +102,7 @@
 
     @Test
     void changeThatCannotBeAppliedLeavesTheVersion() {
-        ConfigurationHistory history = new ConfigurationHistory();
+        ConfigurationStateMachine history = new ConfigurationStateMachine();
         history.startEmpty();
         history.apply(0, usePreset("change", -1, "no-such-preset"));
         assertEquals(Configuration.INITIAL, history.current());
@@ -111,7 +111,7 @@
 
     @Test
     void nothingIsAppliedBeforeTheStartIsKnown() {
-        ConfigurationHistory history = new ConfigurationHistory();
+        ConfigurationStateMachine history = new ConfigurationStateMachine();
         assertEquals(Optional.empty(), history.apply(7, usePreset("change", -1, "peak")));
         assertFalse(history.isKnown());
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -263,7 +263,7 @@
     private void append(SimulatedHost host, Effect.AppendToLog append) {
         int outcome = random.nextInt(20);
         if (logDown || outcome < 3) {
-            deliver(host, running -> running.writer.appendRejected(append.append(), FAILURE, running.effects));
+            deliver(host, running -> running.writer.appendRejected(append.appendId(), FAILURE, running.effects));
             return;
         }
         if (outcome > 5) {
@@ -271,7 +271,7 @@
         } else if (outcome > 3) {
             pending.add(() -> store(append.entries()));
         }
-        pending.add(() -> deliver(host, running -> running.writer.appendEnded(append.append())));
+        pending.add(() -> deliver(host, running -> running.writer.appendEnded(append.appendId())));
     }
 
     private void store(List<LogEntry> entries) {
@@ -288,8 +288,8 @@
                     : new ServiceCallResult.OutcomeUnknown(new Failure.OutcomeUnknown());
         }
         ServiceCallResult end = result;
-        pending.add(() ->
-                deliver(host, running -> running.writer.dispatchEnded(dispatch.dispatch(), end, now, running.effects)));
+        pending.add(() -> deliver(
+                host, running -> running.writer.dispatchEnded(dispatch.dispatchId(), end, now, running.effects)));
     }
 
     private ServiceAnswer serve(RequestId request) {
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallLedgerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallStateTableTest.java
@@ -21,7 +21,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards promise 5: of all attempts for a key at most one may be dispatched, and a voided one never. */
-class CallLedgerTest {
+class CallStateTableTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final CallKey KEY = new CallKey(new CallerId("clerk"), new ServiceId("order-desk"), "order-1");
     private static final HostIdentity WRITER = new HostIdentity(new HostId("entry-1"), 1);
@@ -40,7 +40,7 @@
     @Property(seed = "5101", tries = 1000)
     void attemptThatHeldTheKeyIsFollowedByAnotherOnlyIfItIsDead(@ForAll long seed) {
         Random random = new Random(seed);
-        CallLedger ledger = new CallLedger(Duration.ofMinutes(30));
+        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
         Set<AttemptId> held = new HashSet<>();
         Set<AttemptId> voidedBeforeHeld = new HashSet<>();
         for (int offset = 0; offset < 30; offset++) {
@@ -62,7 +62,7 @@
 
     @Test
     void voidAfterTheHoldComesTooLate() {
-        CallLedger ledger = new CallLedger(Duration.ofMinutes(30));
+        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
         AttemptId first = new AttemptId("first");
         ledger.apply(0, NOW, new CallRecord.Intent(KEY, first, WRITER, "digest", NOW));
         ledger.apply(1, NOW, new CallRecord.Void(KEY, first));
@@ -72,7 +72,7 @@
 
     @Test
     void answerIsKeptUntilTheRetentionHasPassed() {
-        CallLedger ledger = new CallLedger(Duration.ofMinutes(30));
+        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
         AttemptId attempt = new AttemptId("attempt");
         ledger.apply(0, NOW, new CallRecord.Intent(KEY, attempt, WRITER, "digest", NOW));
         ledger.apply(1, NOW, new CallRecord.Result(KEY, attempt, ANSWER));
@@ -84,7 +84,7 @@
 
     @Test
     void recordsBelowTheNextOffsetHaveNoEffect() {
-        CallLedger ledger = new CallLedger(Duration.ofMinutes(30));
+        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
         AttemptId attempt = new AttemptId("attempt");
         ledger.apply(5, NOW, new CallRecord.Void(KEY, attempt));
         assertFalse(ledger.apply(3, NOW, new CallRecord.Intent(KEY, attempt, WRITER, "digest", NOW)));
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
@@ -7,8 +7,8 @@
 
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.LogEntry;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.external.ServiceCall;
-import org.banyanstair.external.Streams;
 import org.banyanstair.membership.Membership;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.HostId;
@@ -59,7 +59,7 @@
     private long append(List<Effect> drained) {
         return drained.stream()
                 .filter(Effect.AppendToLog.class::isInstance)
-                .map(effect -> ((Effect.AppendToLog) effect).append())
+                .map(effect -> ((Effect.AppendToLog) effect).appendId())
                 .findFirst()
                 .orElseThrow();
     }
@@ -123,6 +123,6 @@
         long micros = (System.nanoTime() - start) / 1_000 / TICKS;
         System.out.println("tick with " + KEPT_CALLS + " answered calls: " + micros + " us");
         // 8 writers tick every 50 ms, and all control work may take 1.8 % of a core, which is 900 us a tick.
-        assertTrue(micros * Streams.CALL_PARTITIONS < 900, micros + " us");
+        assertTrue(micros * LogStreams.CALL_PARTITIONS < 900, micros + " us");
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
@@ -6,7 +6,7 @@
 import java.util.TreeSet;
 import java.util.stream.IntStream;
 
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.membership.HostListing;
 import org.banyanstair.membership.Membership;
@@ -60,7 +60,7 @@
 
     private Set<String> ranked() {
         Set<String> ranked = new TreeSet<>();
-        Streams.partitions().mapToObj(Streams::calls).forEach(stream -> {
+        LogStreams.callPartitions().mapToObj(LogStreams::callStream).forEach(stream -> {
             List<HostId> first =
                     RendezvousHash.rank(stream, membership.listing().liveHosts());
             if (first.subList(0, Math.min(2, first.size())).contains(new HostId("host-0"))) {
--- a/banyanstair-core/src/test/java/org/banyanstair/model/WrittenFormsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/model/NameAndAddressFormatTest.java
@@ -9,7 +9,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-class WrittenFormsTest {
+class NameAndAddressFormatTest {
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
 
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
@@ -12,7 +12,7 @@
 import org.banyanstair.configuration.PoolDeclaration;
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.configuration.ServiceKind;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -66,7 +66,7 @@
         SimulatedCluster cluster = new SimulatedCluster(seed, faults);
         cluster.log()
                 .write(
-                        Streams.CONFIGURATION,
+                        LogStreams.CONFIGURATION,
                         new ConfigurationChange(
                                 "initial",
                                 -1,
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 
 import org.banyanstair.configuration.Configuration;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineStatus;
-import org.banyanstair.external.OrderResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -73,7 +73,7 @@
                 now);
         tick();
         for (int number = 1; number <= 2; number++) {
-            owner.fenceEnded(engine(number).id(), new OrderResult.Done(), now, effects);
+            owner.fenceEnded(engine(number).id(), new EngineCommandResult.Done(), now, effects);
         }
     }
 
@@ -144,16 +144,16 @@
     private void carryOut(Map<EndpointId, Set<AdapterVersion>> held, Effect command) {
         if (command instanceof Effect.LoadAdapter load) {
             held.get(load.endpoint().id()).add(load.adapter());
-            owner.loadEnded(load.endpoint().id(), load.adapter(), new OrderResult.Done(), now, effects);
+            owner.loadEnded(load.endpoint().id(), load.adapter(), new EngineCommandResult.Done(), now, effects);
         } else if (command instanceof Effect.UnloadAdapter unload) {
             held.get(unload.endpoint().id()).remove(unload.adapter());
-            owner.unloadEnded(unload.endpoint().id(), unload.adapter(), new OrderResult.Done(), now, effects);
+            owner.unloadEnded(unload.endpoint().id(), unload.adapter(), new EngineCommandResult.Done(), now, effects);
         } else if (command instanceof Effect.ReadEngineStatus read) {
             Map<AdapterVersion, Integer> loaded = new HashMap<>();
             held.get(read.endpoint().id()).forEach(each -> loaded.put(each, 0));
             owner.statusRead(read.endpoint().id(), now, new EngineStatus(3, 1, 8, loaded, 0, TERM), now, effects);
         } else if (command instanceof Effect.RaiseFence raise) {
-            owner.fenceEnded(raise.endpoint().id(), new OrderResult.Done(), now, effects);
+            owner.fenceEnded(raise.endpoint().id(), new EngineCommandResult.Done(), now, effects);
         } else if (!paused
                 && command instanceof Effect.SendToPeer send
                 && send.message() instanceof PeerMessage.InventoryRequest request) {
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
@@ -13,8 +13,8 @@
 import java.util.function.Function;
 
 import org.banyanstair.errors.Failure;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineStatus;
-import org.banyanstair.external.OrderResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.Fingerprint;
@@ -96,12 +96,12 @@
         return down;
     }
 
-    void load(AdapterVersion adapter, long term, Consumer<OrderResult> result) {
+    void load(AdapterVersion adapter, long term, Consumer<EngineCommandResult> result) {
         order(term, result, answer -> {
             if (loaded.contains(adapter)) {
-                answer.accept(new OrderResult.Done());
+                answer.accept(new EngineCommandResult.Done());
             } else if (loaded.size() >= endpoint.slots() || cluster.chance(LOSS_PERCENT)) {
-                answer.accept(new OrderResult.Refused(new Failure.EndpointRefused(endpoint.id(), 409)));
+                answer.accept(new EngineCommandResult.Refused(new Failure.EndpointRefused(endpoint.id(), 409)));
             } else {
                 long before = incarnation;
                 cluster.after(100 + cluster.random(300), () -> loadEnded(adapter, before, answer));
@@ -109,17 +109,17 @@
         });
     }
 
-    private void loadEnded(AdapterVersion adapter, long startedIn, Consumer<OrderResult> answer) {
+    private void loadEnded(AdapterVersion adapter, long startedIn, Consumer<EngineCommandResult> answer) {
         if (incarnation != startedIn || loaded.size() >= endpoint.slots()) {
-            answer.accept(new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id())));
+            answer.accept(new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id())));
             return;
         }
         loaded.add(adapter);
         snapshot();
-        answer.accept(new OrderResult.Done());
+        answer.accept(new EngineCommandResult.Done());
     }
 
-    void unload(AdapterVersion adapter, long term, Consumer<OrderResult> result) {
+    void unload(AdapterVersion adapter, long term, Consumer<EngineCommandResult> result) {
         order(term, result, answer -> {
             List<RunId> users = running.keySet().stream()
                     .filter(run -> running.get(run).equals(adapter))
@@ -128,28 +128,29 @@
                 cluster.violated("unload of " + adapter + " in use by " + users + " at " + endpoint.id());
             }
             snapshot();
-            answer.accept(new OrderResult.Done());
+            answer.accept(new EngineCommandResult.Done());
         });
     }
 
-    void raiseFence(long term, Consumer<OrderResult> result) {
-        order(term, result, answer -> answer.accept(new OrderResult.Done()));
+    void raiseFence(long term, Consumer<EngineCommandResult> result) {
+        order(term, result, answer -> answer.accept(new EngineCommandResult.Done()));
     }
 
     /** Delivers an order after a delay; its answer may be lost, and the order then often takes effect even later. */
-    private void order(long term, Consumer<OrderResult> result, Consumer<Consumer<OrderResult>> action) {
+    private void order(
+            long term, Consumer<EngineCommandResult> result, Consumer<Consumer<EngineCommandResult>> action) {
         boolean lost = cluster.chance(LOSS_PERCENT);
-        Consumer<OrderResult> answer = end -> cluster.after(cluster.delay(), () -> result.accept(end));
-        OrderResult unknown = new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
+        Consumer<EngineCommandResult> answer = end -> cluster.after(cluster.delay(), () -> result.accept(end));
+        EngineCommandResult unknown = new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
         if (lost) {
             cluster.after(200, () -> result.accept(unknown));
         }
         cluster.after(lost ? cluster.random(1_000) : cluster.delay(), () -> {
-            Consumer<OrderResult> given = lost ? end -> {} : answer;
+            Consumer<EngineCommandResult> given = lost ? end -> {} : answer;
             if (down) {
                 given.accept(unknown);
             } else if (endpoint.checksFencing() && term < fence) {
-                given.accept(new OrderResult.Refused(new Failure.OrderFenced(endpoint.id(), term)));
+                given.accept(new EngineCommandResult.Refused(new Failure.OrderFenced(endpoint.id(), term)));
             } else {
                 fence = endpoint.checksFencing() ? Math.max(fence, term) : 0;
                 action.accept(given);
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
@@ -11,7 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 
-import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.RequestId;
@@ -193,7 +193,7 @@
             cluster.engine(fence.endpoint())
                     .raiseFence(
                             fence.term(),
-                            (OrderResult result) -> ended(at ->
+                            (EngineCommandResult result) -> ended(at ->
                                     new Event.FenceEnded(at, fence.endpoint().id(), fence.term(), result)));
         } else if (effect instanceof Effect.ReadEngineStatus read) {
             readStatus(read.endpoint(), cluster.now());
@@ -261,7 +261,7 @@
 
     void withdraw(RequestId request) {
         if (requests.containsKey(request) && !ended.contains(request) && withdrawn.add(request)) {
-            deliver(at -> new Event.GenerationWithdrawn(at, request));
+            deliver(at -> new Event.GenerationCancelled(at, request));
         }
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
@@ -49,7 +49,7 @@
         if (down) {
             answer(
                     host,
-                    at -> new Event.AppendRejected(at, append.append(), new Failure.LogUnavailable(append.stream())));
+                    at -> new Event.AppendRejected(at, append.appendId(), new Failure.LogUnavailable(append.stream())));
             return;
         }
         if (!cluster.chance(REQUEST_LOST_PERCENT)) {
@@ -58,7 +58,7 @@
         }
         // A lost answer is reported like an answer of unknown outcome, after the time-out of the shell.
         long delay = cluster.chance(ANSWER_LOST_PERCENT) ? 1_000 : cluster.delay();
-        cluster.after(delay, () -> answer(host, at -> new Event.AppendEnded(at, append.append())));
+        cluster.after(delay, () -> answer(host, at -> new Event.AppendEnded(at, append.appendId())));
     }
 
     private static void answer(SimulatedHost host, java.util.function.Function<Instant, Event> event) {
--- a/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -11,7 +11,7 @@
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.configuration.Operation;
 import org.banyanstair.external.LogEntry;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.membership.EndpointKind;
 import org.banyanstair.membership.EntryHost;
@@ -49,14 +49,14 @@
         HostReducer reducer = new HostReducer(
                 SELF,
                 new ReducerSettings(
-                        defaults.callBatch(),
+                        defaults.callBatchDelay(),
                         defaults.keyRetention(),
                         defaults.attemptRetention(),
-                        defaults.repeatInterval(),
-                        defaults.answerGrace(),
+                        defaults.retryInterval(),
+                        defaults.answerGracePeriod(),
                         defaults.maximumDispatches(),
-                        defaults.changeLimit(),
-                        defaults.ownerLimit(),
+                        defaults.changeTimeout(),
+                        defaults.ownerTimeout(),
                         defaults.statusInterval(),
                         defaults.statusLag(),
                         defaults.hostListLag(),
@@ -120,18 +120,18 @@
     @Test
     void claimsAreWrittenAgainAtOnceAfterAnOutage() {
         HostReducer reducer = reducer(Duration.ofHours(1));
-        read(reducer, Streams.OWNERSHIP, 1, new OwnershipRecord.Claim(POOL, SELF));
+        read(reducer, LogStreams.OWNERSHIP, 1, new OwnershipRecord.Claim(POOL, SELF));
         tickFor(reducer, Duration.ofSeconds(1));
         effects.clear();
-        effects.addAll(reducer.apply(new Event.StreamUnavailable(now, Streams.OWNERSHIP)));
+        effects.addAll(reducer.apply(new Event.StreamUnavailable(now, LogStreams.OWNERSHIP)));
         tickFor(reducer, Duration.ofSeconds(5));
-        assertEquals(List.of(), appends(Streams.OWNERSHIP), "nothing can be appended during the outage");
-        read(reducer, Streams.OWNERSHIP, 1);
+        assertEquals(List.of(), appends(LogStreams.OWNERSHIP), "nothing can be appended during the outage");
+        read(reducer, LogStreams.OWNERSHIP, 1);
         tickFor(reducer, Duration.ofSeconds(1));
-        assertEquals(1, appends(Streams.OWNERSHIP).size());
+        assertEquals(1, appends(LogStreams.OWNERSHIP).size());
         assertEquals(
                 List.of(new OwnershipRecord.Renewal(POOL, SELF, 0)),
-                appends(Streams.OWNERSHIP).get(0).entries());
+                appends(LogStreams.OWNERSHIP).get(0).entries());
     }
 
     /** With a check every 10 s, no checkpoint exists for most of a retention of a few seconds. */
@@ -139,20 +139,20 @@
     void checkpointsAreRenewedWithinAShortRetention() {
         Duration retention = Duration.ofSeconds(6);
         HostReducer reducer = reducer(retention);
-        read(reducer, Streams.CHECKPOINTS, 0);
-        read(reducer, Streams.CONFIGURATION, 1, change("change", -1));
+        read(reducer, LogStreams.CHECKPOINTS, 0);
+        read(reducer, LogStreams.CONFIGURATION, 1, change("change", -1));
         Instant last = now;
         int written = 0;
         while (now.isBefore(START.plusSeconds(30))) {
             effects.clear();
             tickFor(reducer, Duration.ofMillis(50));
-            List<Effect.AppendToLog> appends = appends(Streams.CHECKPOINTS);
+            List<Effect.AppendToLog> appends = appends(LogStreams.CHECKPOINTS);
             if (!appends.isEmpty()) {
                 written++;
                 last = now;
                 read(
                         reducer,
-                        Streams.CHECKPOINTS,
+                        LogStreams.CHECKPOINTS,
                         written,
                         appends.get(0).entries().get(0));
             }
@@ -167,12 +167,12 @@
     @Test
     void aHostThatMissedExpiredChangesAsksItsPeers() {
         HostReducer reducer = reducer(Duration.ofHours(1), "entry-2", "entry-3");
-        read(reducer, Streams.CHECKPOINTS, 0);
-        read(reducer, Streams.CONFIGURATION, 1, change("first", -1));
+        read(reducer, LogStreams.CHECKPOINTS, 0);
+        read(reducer, LogStreams.CONFIGURATION, 1, change("first", -1));
         tickFor(reducer, Duration.ofSeconds(2));
         effects.clear();
-        effects.addAll(reducer.apply(new Event.StreamExpired(now, Streams.CONFIGURATION, 3)));
-        read(reducer, Streams.CONFIGURATION, 4, change("fourth", 2));
+        effects.addAll(reducer.apply(new Event.StreamExpired(now, LogStreams.CONFIGURATION, 3)));
+        read(reducer, LogStreams.CONFIGURATION, 4, change("fourth", 2));
         assertEquals(0, reducer.configuration().current().version());
         tickFor(reducer, Duration.ofSeconds(2));
         assertTrue(
@@ -181,8 +181,8 @@
                                 && send.message() instanceof PeerMessage.ConfigurationRequest),
                 "no peer was asked");
         HostReducer ahead = reducer(Duration.ofHours(1));
-        read(ahead, Streams.CHECKPOINTS, 0);
-        read(ahead, Streams.CONFIGURATION, 4, change("a", -1), change("b", 0), change("c", 1), change("d", 2));
+        read(ahead, LogStreams.CHECKPOINTS, 0);
+        read(ahead, LogStreams.CONFIGURATION, 4, change("a", -1), change("b", 0), change("c", 1), change("d", 2));
         CheckpointPart.of(ahead.configuration().current(), 4)
                 .forEach(part -> effects.addAll(reducer.apply(new Event.PeerMessageReceived(
                         now,
@@ -206,8 +206,8 @@
             other += "0";
         }
         HostReducer reducer = reducer(Duration.ofHours(1), other);
-        read(reducer, Streams.CHECKPOINTS, 0);
-        read(reducer, Streams.CONFIGURATION, 1, change("first", -1));
+        read(reducer, LogStreams.CHECKPOINTS, 0);
+        read(reducer, LogStreams.CONFIGURATION, 1, change("first", -1));
         return reducer;
     }
 
@@ -216,7 +216,7 @@
     void hostThatDoesNotWriteCheckpointsEndsReadingThem() {
         HostReducer reducer = follower();
         tickFor(reducer, Duration.ofSeconds(11));
-        assertTrue(effects.contains(new Effect.UnfollowStream(Streams.CHECKPOINTS)));
+        assertTrue(effects.contains(new Effect.UnfollowStream(LogStreams.CHECKPOINTS)));
     }
 
     @Test
@@ -224,8 +224,8 @@
         HostReducer reducer = follower();
         tickFor(reducer, Duration.ofSeconds(11));
         effects.clear();
-        effects.addAll(reducer.apply(new Event.StreamExpired(now, Streams.CONFIGURATION, 7)));
+        effects.addAll(reducer.apply(new Event.StreamExpired(now, LogStreams.CONFIGURATION, 7)));
         tickFor(reducer, Duration.ofSeconds(1));
-        assertTrue(effects.contains(new Effect.FollowStream(Streams.CHECKPOINTS, 0)));
+        assertTrue(effects.contains(new Effect.FollowStream(LogStreams.CHECKPOINTS, 0)));
     }
 }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -15,8 +15,8 @@
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.external.LogRecord;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.external.ReadResult;
-import org.banyanstair.external.Streams;
 import org.banyanstair.external.http.HttpLogService;
 import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.integration.cluster.ClusterHost;
@@ -118,13 +118,13 @@
             // The renewal is written at once, the checkpoint with the next of two checks per renewal.
             Duration limit = RETENTION.dividedBy(6).plusSeconds(2);
             assertTrue(
-                    Sleep.untilTrue(limit, () -> records(log, Streams.CHECKPOINTS).stream()
+                    Sleep.untilTrue(limit, () -> records(log, LogStreams.CHECKPOINTS).stream()
                             .filter(record -> !record.appendedAt().isBefore(upAt))
                             .map(record -> decode(record, CheckpointPart.class))
                             .anyMatch(part -> part.version() == version)),
                     "no checkpoint after the outage");
             assertTrue(
-                    Sleep.untilTrue(limit, () -> records(log, Streams.OWNERSHIP).stream()
+                    Sleep.untilTrue(limit, () -> records(log, LogStreams.OWNERSHIP).stream()
                             .filter(record -> !record.appendedAt().isBefore(upAt))
                             .map(record -> decode(record, OwnershipRecord.class))
                             .anyMatch(OwnershipRecord.Renewal.class::isInstance)),
@@ -141,7 +141,7 @@
         HttpLogService log = new HttpLogService(address, Duration.ofSeconds(2));
         try {
             ReadResult first =
-                    log.read(Streams.CONFIGURATION, 0, 1, Instant.EPOCH).join();
+                    log.read(LogStreams.CONFIGURATION, 0, 1, Instant.EPOCH).join();
             assertTrue(first instanceof ReadResult.Expired, "the changes are still in the log: " + first);
         } finally {
             log.stop();
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.integration.cluster.ClusterHost;
 import org.banyanstair.integration.cluster.ClusterPlan;
@@ -155,7 +155,7 @@
     /** Returns the host that writes the first partition. */
     private static ClusterHost writer(Cluster cluster) {
         List<HostId> ids = cluster.hosts().stream().map(ClusterHost::id).toList();
-        HostId first = RendezvousHash.first(Streams.calls(0), ids).orElseThrow();
+        HostId first = RendezvousHash.first(LogStreams.callStream(0), ids).orElseThrow();
         return cluster.hosts().stream()
                 .filter(host -> host.id().equals(first))
                 .findFirst()
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
@@ -11,8 +11,8 @@
 
 import org.banyanstair.external.AppendResult;
 import org.banyanstair.external.EngineClient;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.LogService;
-import org.banyanstair.external.OrderResult;
 import org.banyanstair.external.PlainServiceClient;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.reducer.Effect;
@@ -62,9 +62,9 @@
                 effect.entries().stream().map(EntryCodec::encode).toList();
         log.append(effect.stream(), payloads).thenAccept(result -> {
             if (result instanceof AppendResult.Rejected rejected) {
-                events.accept(at -> new Event.AppendRejected(at, effect.append(), rejected.failure()));
+                events.accept(at -> new Event.AppendRejected(at, effect.appendId(), rejected.failure()));
             } else {
-                events.accept(at -> new Event.AppendEnded(at, effect.append()));
+                events.accept(at -> new Event.AppendEnded(at, effect.appendId()));
             }
         });
     }
@@ -94,10 +94,10 @@
     /** Turns the result of an order into an event. */
     @FunctionalInterface
     private interface OrderEvent {
-        Event of(Instant at, OrderResult result);
+        Event of(Instant at, EngineCommandResult result);
     }
 
-    private void order(CompletableFuture<OrderResult> order, OrderEvent event) {
+    private void order(CompletableFuture<EngineCommandResult> order, OrderEvent event) {
         order.thenAccept(result -> events.accept(at -> event.of(at, result)));
     }
 
@@ -114,7 +114,7 @@
 
     void useServices(PlainServiceClient services) {
         on(Effect.DispatchCall.class, effect -> services.call(effect.endpoint(), effect.call())
-                .thenAccept(result -> events.accept(at -> new Event.DispatchEnded(at, effect.dispatch(), result))));
+                .thenAccept(result -> events.accept(at -> new Event.DispatchEnded(at, effect.dispatchId(), result))));
     }
 
     void useGenerations(GenerationRunner generations) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EntryCodec.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EntryCodec.java
@@ -11,7 +11,7 @@
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.external.LogEntry;
 import org.banyanstair.external.LogRecord;
-import org.banyanstair.external.Streams;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.idempotency.CallRecord;
 import org.banyanstair.ownership.OwnershipRecord;
 import org.banyanstair.placement.SuspectRecord;
@@ -20,10 +20,10 @@
 /** Encodes and decodes the values of the log streams. */
 final class EntryCodec {
     private static final Map<String, Class<? extends LogEntry>> TYPES = Map.of(
-            Streams.CONFIGURATION, ConfigurationChange.class,
-            Streams.CHECKPOINTS, CheckpointPart.class,
-            Streams.OWNERSHIP, OwnershipRecord.class,
-            Streams.SUSPECTS, SuspectRecord.class);
+            LogStreams.CONFIGURATION, ConfigurationChange.class,
+            LogStreams.CHECKPOINTS, CheckpointPart.class,
+            LogStreams.OWNERSHIP, OwnershipRecord.class,
+            LogStreams.SUSPECTS, SuspectRecord.class);
 
     private EntryCodec() {}
 
@@ -40,7 +40,7 @@
     }
 
     private static Optional<LogEntry> value(String stream, byte[] payload) {
-        Class<? extends LogEntry> type = Streams.isCalls(stream) ? CallRecord.class : TYPES.get(stream);
+        Class<? extends LogEntry> type = LogStreams.isCallStream(stream) ? CallRecord.class : TYPES.get(stream);
         try {
             return Optional.ofNullable(Mappers.MESSAGE_PACK.readValue(payload, type));
         } catch (IOException exception) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
@@ -16,7 +16,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.EngineClient;
 import org.banyanstair.external.EngineRequest;
-import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.GenerationResult;
 import org.banyanstair.external.TokenListener;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.RequestId;
@@ -94,7 +94,7 @@
             }
 
             @Override
-            public void end(GenerationEnd end) {
+            public void end(GenerationResult end) {
                 attemptEnded(running, attempt, end);
             }
         };
@@ -106,20 +106,20 @@
         return attempt == 1 ? request : new RequestId(request.value() + "." + attempt);
     }
 
-    private void attemptEnded(RunningGeneration running, Attempt attempt, GenerationEnd end) {
+    private void attemptEnded(RunningGeneration running, Attempt attempt, GenerationResult end) {
         if (!running.isCurrent(attempt.number())) {
             return;
         }
         RequestId id = running.generation().id();
         long produced = running.nextToken() - attempt.base();
-        if (end instanceof GenerationEnd.Complete) {
+        if (end instanceof GenerationResult.Complete) {
             ended(id, attempt.number(), new AttemptOutcome.Completed());
-        } else if (end instanceof GenerationEnd.NotStarted notStarted) {
+        } else if (end instanceof GenerationResult.NotStarted notStarted) {
             ended(
                     id,
                     attempt.number(),
                     attempt.isResumed() ? broken(notStarted.failure(), produced) : notStarted(notStarted));
-        } else if (end instanceof GenerationEnd.Broken broken) {
+        } else if (end instanceof GenerationResult.Broken broken) {
             if (produced > 0 && attempt.resumesLeft() > 0) {
                 generate(running, attempt.resumed());
             } else {
@@ -128,7 +128,7 @@
         }
     }
 
-    private static AttemptOutcome notStarted(GenerationEnd.NotStarted notStarted) {
+    private static AttemptOutcome notStarted(GenerationResult.NotStarted notStarted) {
         return new AttemptOutcome.NotStarted(notStarted.failure());
     }
 
@@ -162,7 +162,7 @@
     void withdraw(RequestId request) {
         Optional.ofNullable(generations.remove(request))
                 .ifPresent(running -> running.end().cancel());
-        events.accept(at -> new Event.GenerationWithdrawn(at, request));
+        events.accept(at -> new Event.GenerationCancelled(at, request));
     }
 
     /** Builds the body that lets another engine go on after the text that the caller has received. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -108,7 +108,7 @@
                 usable,
                 membership.isDraining(),
                 reducer.inFlight(),
-                !reducer.ownsNothing());
+                !reducer.ownsNoPool());
     }
 
     HostView view() {
@@ -204,7 +204,7 @@
         if (!listed) {
             return CompletableFuture.completedFuture(Optional.of(new Failure.HostUnreachable(host)));
         }
-        events.accept(at -> new Event.DrainOrdered(at, host));
+        events.accept(at -> new Event.DrainRequested(at, host));
         return CompletableFuture.completedFuture(Optional.empty());
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
@@ -12,8 +12,8 @@
 import java.util.function.Function;
 
 import org.banyanstair.external.LogService;
+import org.banyanstair.external.LogStreams;
 import org.banyanstair.external.ReadResult;
-import org.banyanstair.external.Streams;
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.StreamEntry;
 
@@ -70,7 +70,8 @@
             return;
         }
         Instant now = clock.instant();
-        Instant waitUntil = atEnd ? now.plus(Streams.isCalls(stream) ? LONGEST_WAIT_FOR_CALLS : LONGEST_WAIT) : now;
+        Instant waitUntil =
+                atEnd ? now.plus(LogStreams.isCallStream(stream) ? LONGEST_WAIT_FOR_CALLS : LONGEST_WAIT) : now;
         log.read(stream, offset, RECORDS_PER_READ, waitUntil)
                 .thenAccept(result -> ended(stream, token, offset, result));
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
@@ -7,8 +7,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.errors.Failure;
+import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.errors.FailureText;
-import org.banyanstair.errors.Outcome;
 
 /**
  * A failure as an HTTP response with the error envelope of the OpenAI protocol.
@@ -39,7 +39,7 @@
      * @param outcome what is known about the request
      * @return the response
      */
-    public static ErrorResponse of(Failure failure, int status, Outcome outcome) {
+    public static ErrorResponse of(Failure failure, int status, FailureOutcome outcome) {
         return create(failure, status, outcome, envelope(failure, status));
     }
 
@@ -66,9 +66,9 @@
         return bytes(envelope(failure, FailureStatus.of(failure)));
     }
 
-    private static ErrorResponse create(Failure failure, int status, Outcome outcome, ObjectNode envelope) {
+    private static ErrorResponse create(Failure failure, int status, FailureOutcome outcome, ObjectNode envelope) {
         Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("X-Outcome", outcome == Outcome.NOT_RUN ? "not-run" : "unknown");
+        headers.put("X-Outcome", outcome == FailureOutcome.NOT_RUN ? "not-run" : "unknown");
         if (status == 503 || status == 429) {
             boolean maintenance = failure instanceof Failure.InMaintenance;
             headers.put("Retry-After", maintenance ? MAINTENANCE_RETRY_SECONDS : RETRY_SECONDS);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerSink.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.errors.Outcome;
+import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.server.service.GenerationSink;
 import org.tinylog.Logger;
 
@@ -55,18 +55,18 @@
     public final void failed(Failure failure) {
         if (!request.isEnded()) {
             // A request whose tokens have arrived did run, whatever ended it.
-            fail(failure, tokensArrived ? Outcome.UNKNOWN : failure.outcome());
+            fail(failure, tokensArrived ? FailureOutcome.UNKNOWN : failure.outcome());
         }
     }
 
     private void unreadable(IOException exception) {
         Logger.warn(exception, "request {} got a chunk that cannot be read", request.id());
-        fail(new Failure.InternalError(), Outcome.UNKNOWN);
+        fail(new Failure.InternalError(), FailureOutcome.UNKNOWN);
     }
 
     abstract void accept(String json) throws IOException;
 
     abstract void finish() throws IOException;
 
-    abstract void fail(Failure failure, Outcome outcome);
+    abstract void fail(Failure failure, FailureOutcome outcome);
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -6,7 +6,7 @@
 
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.errors.Failure;
-import org.banyanstair.errors.Outcome;
+import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.RequestId;
@@ -109,8 +109,8 @@
     }
 
     /** Answers a failure after the request was handed over. */
-    void fail(Failure failure, Outcome outcome) {
-        int status = outcome == Outcome.NOT_RUN ? FailureStatus.ofNotRun(failure) : FailureStatus.ofUnknown();
+    void fail(Failure failure, FailureOutcome outcome) {
+        int status = outcome == FailureOutcome.NOT_RUN ? FailureStatus.ofNotRun(failure) : FailureStatus.ofUnknown();
         exchange.respond(ErrorResponse.of(failure, status, outcome));
         end(status, failure.code());
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.errors.Outcome;
+import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.server.http.Exchange;
 
 /** Collects the tokens into one answer. */
@@ -28,7 +28,7 @@
     }
 
     @Override
-    void fail(Failure failure, Outcome outcome) {
+    void fail(Failure failure, FailureOutcome outcome) {
         request().fail(failure, outcome);
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
@@ -22,7 +22,7 @@
     private static final int MAXIMUM_STOP_SEQUENCES = 4;
 
     private static final List<FieldRule> COMMON = List.of(
-            required("model", org.banyanstair.model.ModelName.ACCEPTED, JsonNode::isTextual),
+            required("model", org.banyanstair.model.ModelName.ACCEPTED_FORMAT, JsonNode::isTextual),
             optional("stream", "true or false", JsonNode::isBoolean),
             optional("stream_options", "an object", JsonNode::isObject),
             integer("max_tokens", 1, MAXIMUM_TOKENS),
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
@@ -10,7 +10,7 @@
 import org.banyanstair.configuration.ServiceKind;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
-import org.banyanstair.errors.Outcome;
+import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.external.ServiceAnswer;
 import org.banyanstair.external.ServiceCall;
 import org.banyanstair.idempotency.CallAnswer;
@@ -74,12 +74,12 @@
         if (answer instanceof CallAnswer.Answered answered) {
             answer(request, answered);
         } else if (answer instanceof CallAnswer.NotRun notRun) {
-            request.fail(notRun.failure(), Outcome.NOT_RUN);
+            request.fail(notRun.failure(), FailureOutcome.NOT_RUN);
         } else if (answer instanceof CallAnswer.Unknown unknown) {
-            request.fail(unknown.failure(), Outcome.UNKNOWN);
+            request.fail(unknown.failure(), FailureOutcome.UNKNOWN);
         } else {
             org.tinylog.Logger.error(fault, "call of request {} ended without an answer", request.id());
-            request.fail(new Failure.InternalError(), Outcome.UNKNOWN);
+            request.fail(new Failure.InternalError(), FailureOutcome.UNKNOWN);
         }
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.errors.Outcome;
+import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.server.http.ErrorResponse;
 import org.banyanstair.server.http.EventStream;
 
@@ -46,7 +46,7 @@
     }
 
     @Override
-    void fail(Failure failure, Outcome outcome) {
+    void fail(Failure failure, FailureOutcome outcome) {
         if (stream.isEmpty()) {
             request().fail(failure, outcome);
             return;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
-import org.banyanstair.burn.BurnSample;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSample;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.model.HostId;
@@ -71,14 +71,14 @@
      *
      * @return the samples
      */
-    public BurnSnapshot snapshot() {
+    public BurnRateSnapshot snapshot() {
         Map<ServiceId, ServiceDeclaration> declared = configuration.get().services();
         services.keySet().retainAll(declared.keySet());
-        List<BurnSample> samples = new ArrayList<>();
+        List<BurnRateSample> samples = new ArrayList<>();
         for (ServiceDeclaration service : declared.values()) {
             MinuteBuckets buckets = services.getOrDefault(service.id(), new MinuteBuckets());
             WINDOWS_MINUTES.forEach(window -> samples.add(buckets.sample(service, minute(), window)));
         }
-        return new BurnSnapshot(host, clock.instant(), samples);
+        return new BurnRateSnapshot(host, clock.instant(), samples);
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnRateSample;
 import org.banyanstair.configuration.ServiceDeclaration;
 
 /** Counts of one service by minute, for the longest window. */
@@ -32,7 +32,7 @@
         }
     }
 
-    synchronized BurnSample sample(ServiceDeclaration service, long minute, int windowMinutes) {
+    synchronized BurnRateSample sample(ServiceDeclaration service, long minute, int windowMinutes) {
         long requests = 0;
         long good = 0;
         Map<String, Long> failures = new HashMap<>();
@@ -43,7 +43,7 @@
                 bucket.failures.forEach((code, count) -> failures.merge(code, count, Long::sum));
             }
         }
-        return new BurnSample(service.id(), service.objective(), windowMinutes, requests, good, failures);
+        return new BurnRateSample(service.id(), service.objective(), windowMinutes, requests, good, failures);
     }
 
     private static final class Bucket {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -9,7 +9,7 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.configuration.ChangeVerdict;
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.errors.Failure;
@@ -47,7 +47,7 @@
             OperatorKeys operatorKeys,
             OperatorService service,
             Supplier<Optional<Failure>> unreadiness,
-            Supplier<BurnSnapshot> burn,
+            Supplier<BurnRateSnapshot> burn,
             MetricRegistry registry) {
         this.service = service;
         keys = new KeyRing<>(operatorKeys.keys());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -142,7 +142,7 @@
         try {
             Names.check(name, name);
         } catch (FailureException exception) {
-            table.reject(name, "named with " + Names.ACCEPTED);
+            table.reject(name, "named with " + Names.ACCEPTED_FORMAT);
         }
     }
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 
 import com.codahale.metrics.MetricRegistry;
-import org.banyanstair.burn.BurnSample;
+import org.banyanstair.burn.BurnRateSample;
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.configuration.Objective;
 import org.banyanstair.configuration.Operation;
@@ -77,7 +77,7 @@
                 Duration.ZERO));
     }
 
-    private BurnSample sample(int index) {
+    private BurnRateSample sample(int index) {
         return burn.snapshot().samples().get(index);
     }
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/operator/OperatorHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/operator/OperatorHttpServerTest.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import com.codahale.metrics.MetricRegistry;
-import org.banyanstair.burn.BurnSnapshot;
+import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.configuration.ChangeVerdict;
 import org.banyanstair.configuration.Configuration;
@@ -47,7 +47,7 @@
                 new OperatorKeys(Map.of("ada", List.of(BearerKey.ofPlain("operator-key")))),
                 service,
                 Optional::empty,
-                () -> new BurnSnapshot(new HostId("entry-1"), Instant.EPOCH, List.of()),
+                () -> new BurnRateSnapshot(new HostId("entry-1"), Instant.EPOCH, List.of()),
                 registry);
         server.start();
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
@@ -8,8 +8,8 @@
 import java.util.function.Consumer;
 
 import org.banyanstair.errors.Failure;
-import org.banyanstair.external.GenerationEnd;
-import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.EngineCommandResult;
+import org.banyanstair.external.GenerationResult;
 import org.banyanstair.testsupport.endpoint.Exchange;
 import org.banyanstair.testsupport.endpoint.StandInServer;
 import org.junit.jupiter.api.AfterEach;
@@ -71,7 +71,7 @@
             })
     void streamWithAGapARepeatOrNoEndIsBroken(String events) throws Exception {
         Recorder recorder = stream(events);
-        assertEquals(new GenerationEnd.Broken(new Failure.EndpointFailed(Endpoints.ID)), recorder.end());
+        assertEquals(new GenerationResult.Broken(new Failure.EndpointFailed(Endpoints.ID)), recorder.end());
         assertEquals(0L, recorder.indexes().get(0));
     }
 
@@ -79,7 +79,7 @@
     void allFormsOfTheEventStreamAreRead() throws Exception {
         Recorder recorder = stream(
                 ": comment\n\nevent: x\r\nid:0\r\ndata:{\"a\":1}\r\n\r\nid: 1\ndata: {\ndata: }\n\ndata: [DONE]\n\n");
-        assertEquals(new GenerationEnd.Complete(), recorder.end());
+        assertEquals(new GenerationResult.Complete(), recorder.end());
         assertEquals(List.of(0L, 1L), recorder.indexes());
         assertEquals("{\"a\":1}{\n}", recorder.json());
     }
@@ -121,11 +121,11 @@
             exchange.context().setResponseHeader("Location", "/elsewhere");
             exchange.refuse(status, code, "text");
         });
-        assertTrue(recorder.end() instanceof GenerationEnd.Broken);
+        assertTrue(recorder.end() instanceof GenerationResult.Broken);
         assertEquals(1, received.get());
-        OrderResult load = client.load(Endpoints.at(server.address()), Endpoints.ADAPTER, 1)
+        EngineCommandResult load = client.load(Endpoints.at(server.address()), Endpoints.ADAPTER, 1)
                 .get();
-        assertTrue(load instanceof OrderResult.Unknown, load.toString());
+        assertTrue(load instanceof EngineCommandResult.Unknown, load.toString());
         assertEquals(2, received.get());
     }
 }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
@@ -14,9 +14,9 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 import org.banyanstair.external.Cancellation;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineStatus;
-import org.banyanstair.external.GenerationEnd;
-import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.GenerationResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.testsupport.engine.EngineFault;
@@ -67,7 +67,7 @@
         engine.start();
         endpoint = Endpoints.at(engine.address());
         assertEquals(
-                new OrderResult.Done(),
+                new EngineCommandResult.Done(),
                 client.load(endpoint, Endpoints.ADAPTER, 5).get());
     }
 
@@ -97,7 +97,7 @@
     @Test
     void wholeStreamIsDeliveredInOrder() throws Exception {
         Recorder recorder = generate("r", 20, 0, soon());
-        assertEquals(new GenerationEnd.Complete(), recorder.end());
+        assertEquals(new GenerationResult.Complete(), recorder.end());
         assertEquals(range(0, 20), recorder.indexes());
         EngineText.tokens(EngineProbe.ADAPTER, "p", 20)
                 .forEach(token -> assertTrue(recorder.json().contains(token)));
@@ -108,13 +108,13 @@
         Recorder first = generate("r", 300, 0, soon());
         await("some tokens", () -> first.indexes().size() > 5);
         engine.setFault(EngineFault.REFUSE_CONNECTIONS_MILLISECONDS, 100);
-        assertEquals(new GenerationEnd.Broken(FAILED), first.end());
+        assertEquals(new GenerationResult.Broken(FAILED), first.end());
         long next = first.indexes().size();
         await("engine is back", () -> client.status(endpoint)
                 .handle((status, failure) -> failure == null)
                 .get());
         Recorder rest = generate("r", 300, next, soon());
-        assertEquals(new GenerationEnd.Complete(), rest.end());
+        assertEquals(new GenerationResult.Complete(), rest.end());
         assertEquals(range(next, 300), rest.indexes());
         assertEquals(1, engine.record().runs().size());
     }
@@ -123,20 +123,20 @@
     void requestThatDidNotRunIsNotStarted() throws Exception {
         Recorder unreachable = new Recorder();
         client.generate(Endpoints.closed(), Endpoints.request("r", 1, 0, soon()), unreachable);
-        assertEquals(new GenerationEnd.NotStarted(new Failure.EndpointUnreachable(Endpoints.ID)), unreachable.end());
+        assertEquals(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(Endpoints.ID)), unreachable.end());
         Instant past = Instant.now().minusSeconds(1);
         assertEquals(
-                new GenerationEnd.NotStarted(new Failure.DeadlinePassed(past)),
+                new GenerationResult.NotStarted(new Failure.DeadlinePassed(past)),
                 generate("r", 1, 0, past).end());
         assertEquals(
-                new GenerationEnd.NotStarted(new Failure.EndpointRefused(Endpoints.ID, 400)),
+                new GenerationResult.NotStarted(new Failure.EndpointRefused(Endpoints.ID, 400)),
                 generate("r", 5_000, 0, soon()).end());
         assertEquals(
-                new GenerationEnd.NotStarted(new Failure.EndpointRefused(Endpoints.ID, 404)),
+                new GenerationResult.NotStarted(new Failure.EndpointRefused(Endpoints.ID, 404)),
                 generate("r", 5, 3, soon()).end());
         client.unload(endpoint, Endpoints.ADAPTER, 5).get();
         assertEquals(
-                new GenerationEnd.NotStarted(new Failure.AdapterNotLoaded(Endpoints.ID, Endpoints.ADAPTER)),
+                new GenerationResult.NotStarted(new Failure.AdapterNotLoaded(Endpoints.ID, Endpoints.ADAPTER)),
                 generate("r", 1, 0, soon()).end());
         assertTrue(engine.record().runs().isEmpty());
     }
@@ -145,12 +145,12 @@
     void lostAnswerAndSilenceAreBroken() throws Exception {
         engine.setFault(EngineFault.LOSE_GENERATION_ANSWERS, 1);
         assertEquals(
-                new GenerationEnd.Broken(FAILED), generate("r", 1, 0, soon()).end());
+                new GenerationResult.Broken(FAILED), generate("r", 1, 0, soon()).end());
         Recorder silent = generate("q", 4_000, 0, soon());
         await("some tokens", () -> silent.indexes().size() > 3);
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 100_000);
         long start = System.nanoTime();
-        assertEquals(new GenerationEnd.Broken(FAILED), silent.end());
+        assertEquals(new GenerationResult.Broken(FAILED), silent.end());
         assertTrue(System.nanoTime() - start < 2_000_000_000L, "the silence limit is 300 ms");
         assertEquals(2, engine.record().runs().size());
     }
@@ -161,10 +161,10 @@
         Recorder running = generate("r", 4_000, 0, Instant.now().plusMillis(700));
         await("r runs", () -> !running.indexes().isEmpty());
         Recorder waiting = generate("q", 1, 0, Instant.now().plusMillis(200));
-        assertEquals(new GenerationEnd.Broken(new Failure.OutcomeUnknown()), waiting.end());
+        assertEquals(new GenerationResult.Broken(new Failure.OutcomeUnknown()), waiting.end());
         assertTrue(waiting.indexes().isEmpty());
         // Either side may end the run first when its deadline passes.
-        assertTrue(running.end() instanceof GenerationEnd.Broken);
+        assertTrue(running.end() instanceof GenerationResult.Broken);
     }
 
     @Test
@@ -174,14 +174,14 @@
         await("some tokens", () -> !recorder.indexes().isEmpty());
         handle.cancel();
         handle.cancel();
-        assertEquals(new GenerationEnd.Broken(new Failure.Cancelled()), recorder.end());
+        assertEquals(new GenerationResult.Broken(new Failure.Cancelled()), recorder.end());
         await("cancelled", () -> engine.record().runs().get(0).outcome() == RunOutcome.CANCELLED);
     }
 
     @Test
     void requestThatHttpCannotCarryIsNotStarted() throws Exception {
-        GenerationEnd end = generate("r\nX-Priority: premium", 1, 0, soon()).end();
-        assertTrue(end instanceof GenerationEnd.NotStarted, end.toString());
+        GenerationResult end = generate("r\nX-Priority: premium", 1, 0, soon()).end();
+        assertTrue(end instanceof GenerationResult.NotStarted, end.toString());
         assertTrue(engine.record().runs().isEmpty());
     }
 
@@ -195,38 +195,40 @@
             }
 
             @Override
-            public void end(GenerationEnd end) {
+            public void end(GenerationResult end) {
                 recorder.end(end);
             }
         });
-        assertEquals(new GenerationEnd.Broken(new Failure.OutcomeUnknown()), recorder.end());
+        assertEquals(new GenerationResult.Broken(new Failure.OutcomeUnknown()), recorder.end());
     }
 
     @Test
     void ordersTellRefusalFromUnknown() throws Exception {
         assertEquals(
-                new OrderResult.Refused(new Failure.OrderFenced(Endpoints.ID, 4)),
+                new EngineCommandResult.Refused(new Failure.OrderFenced(Endpoints.ID, 4)),
                 client.load(endpoint, OTHER, 4).get());
-        assertEquals(new OrderResult.Done(), client.raiseFence(endpoint, 9).get());
         assertEquals(
-                new OrderResult.Refused(new Failure.OrderFenced(Endpoints.ID, 8)),
+                new EngineCommandResult.Done(), client.raiseFence(endpoint, 9).get());
+        assertEquals(
+                new EngineCommandResult.Refused(new Failure.OrderFenced(Endpoints.ID, 8)),
                 client.unload(endpoint, Endpoints.ADAPTER, 8).get());
         engine.setFault(EngineFault.FAIL_LOADS, 1);
         assertEquals(
-                new OrderResult.Refused(new Failure.AdapterLoadFailed(OTHER)),
+                new EngineCommandResult.Refused(new Failure.AdapterLoadFailed(OTHER)),
                 client.load(endpoint, OTHER, 9).get());
         engine.setFault(EngineFault.LOSE_LOAD_ANSWERS, 1);
         assertEquals(
-                new OrderResult.Unknown(FAILED), client.load(endpoint, OTHER, 9).get());
+                new EngineCommandResult.Unknown(FAILED),
+                client.load(endpoint, OTHER, 9).get());
         assertEquals(
                 Map.of(OTHER, 0, Endpoints.ADAPTER, 0),
                 client.status(endpoint).get().loaded());
         engine.setFault(EngineFault.LOSE_UNLOAD_ANSWERS, 1);
         assertEquals(
-                new OrderResult.Unknown(FAILED),
+                new EngineCommandResult.Unknown(FAILED),
                 client.unload(endpoint, OTHER, 9).get());
         assertEquals(
-                new OrderResult.Refused(new Failure.EndpointUnreachable(Endpoints.ID)),
+                new EngineCommandResult.Refused(new Failure.EndpointUnreachable(Endpoints.ID)),
                 client.load(Endpoints.closed(), OTHER, 9).get());
     }
 
@@ -234,7 +236,7 @@
     void fullEngineRefusesALoadAndASlowOneIsUnknown() throws Exception {
         restart("{\"slots\":1}");
         assertEquals(
-                new OrderResult.Refused(new Failure.EndpointRefused(Endpoints.ID, 409)),
+                new EngineCommandResult.Refused(new Failure.EndpointRefused(Endpoints.ID, 409)),
                 client.load(endpoint, OTHER, 5).get());
     }
 
@@ -246,7 +248,7 @@
             restart("{\"weightStore\":\"" + store.address() + "\"}");
             store.setFault(PlainServiceFault.DELAY_MILLISECONDS, 1_000);
             assertEquals(
-                    new OrderResult.Unknown(FAILED),
+                    new EngineCommandResult.Unknown(FAILED),
                     client.load(endpoint, OTHER, 5).get());
             assertEquals(
                     Set.of(Endpoints.ADAPTER),
@@ -284,7 +286,7 @@
         long used = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
         System.out.printf("1,000 streams: %d MB of heap in use, client and engine%n", used >> 20);
         for (Recorder recorder : recorders) {
-            assertEquals(new GenerationEnd.Complete(), recorder.end());
+            assertEquals(new GenerationResult.Complete(), recorder.end());
             assertEquals(range(0, 100), recorder.indexes());
         }
         assertEquals(
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/Recorder.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/Recorder.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.GenerationResult;
 import org.banyanstair.external.TokenListener;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -14,7 +14,7 @@
 /** Keeps the indexes that a generation delivered and counts its ends. */
 final class Recorder implements TokenListener {
     private final List<Long> indexes = new ArrayList<>();
-    private final CompletableFuture<GenerationEnd> end = new CompletableFuture<>();
+    private final CompletableFuture<GenerationResult> end = new CompletableFuture<>();
     private final AtomicInteger ends = new AtomicInteger();
     private final StringBuilder json = new StringBuilder();
 
@@ -25,7 +25,7 @@
     }
 
     @Override
-    public void end(GenerationEnd how) {
+    public void end(GenerationResult how) {
         ends.incrementAndGet();
         end.complete(how);
     }
@@ -38,8 +38,8 @@
         return json.toString();
     }
 
-    GenerationEnd end() throws Exception {
-        GenerationEnd how = end.get(8, TimeUnit.SECONDS);
+    GenerationResult end() throws Exception {
+        GenerationResult how = end.get(8, TimeUnit.SECONDS);
         assertEquals(1, ends.get(), "a generation has exactly one end");
         return how;
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
@@ -9,7 +9,7 @@
 import okhttp3.Response;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.EngineRequest;
-import org.banyanstair.external.GenerationEnd;
+import org.banyanstair.external.GenerationResult;
 import org.banyanstair.external.TokenListener;
 import org.banyanstair.membership.Endpoint;
 import org.tinylog.Logger;
@@ -70,40 +70,40 @@
     @Override
     public void onFailure(Call failed, IOException exception) {
         if (watch.isSent()) {
-            end(new GenerationEnd.Broken(failureAfterSending()));
+            end(new GenerationResult.Broken(failureAfterSending()));
         } else {
             Failure failure = EndpointCalls.isPast(request.deadline())
                     ? new Failure.DeadlinePassed(request.deadline())
                     : new Failure.EndpointUnreachable(endpoint.id());
-            end(new GenerationEnd.NotStarted(cancelled.get() ? new Failure.Cancelled() : failure));
+            end(new GenerationResult.NotStarted(cancelled.get() ? new Failure.Cancelled() : failure));
         }
     }
 
     @Override
     public void onResponse(Call answered, Response response) {
-        GenerationEnd end;
+        GenerationResult end;
         try (response) {
             end = response.code() == 200 ? readStream(response) : refusal(EngineAnswer.read(response));
         } catch (IOException exception) {
-            end = new GenerationEnd.Broken(failureAfterSending());
+            end = new GenerationResult.Broken(failureAfterSending());
         } catch (RuntimeException exception) {
             // A listener that throws must not leave a stream without an end.
             Logger.error(exception, "the listener of request {} failed", request.requestId());
-            end = new GenerationEnd.Broken(new Failure.OutcomeUnknown());
+            end = new GenerationResult.Broken(new Failure.OutcomeUnknown());
         }
         end(end);
     }
 
-    private GenerationEnd readStream(Response response) throws IOException {
+    private GenerationResult readStream(Response response) throws IOException {
         EventReader reader = new EventReader(response.body().source());
         long expected = request.nextToken();
         while (true) {
             reader.next();
             if (cancelled.get()) {
-                return new GenerationEnd.Broken(new Failure.Cancelled());
+                return new GenerationResult.Broken(new Failure.Cancelled());
             }
             if (reader.id() < 0 && END_MARK.equals(reader.data())) {
-                return new GenerationEnd.Complete();
+                return new GenerationResult.Complete();
             }
             if (reader.id() != expected) {
                 throw new ProtocolException("token " + expected + " was expected, but " + reader.id() + " came");
@@ -114,11 +114,11 @@
         }
     }
 
-    private GenerationEnd refusal(EngineAnswer answer) {
+    private GenerationResult refusal(EngineAnswer answer) {
         if (!answer.isWithoutEffect()) {
-            return new GenerationEnd.Broken(new Failure.EndpointFailed(endpoint.id()));
+            return new GenerationResult.Broken(new Failure.EndpointFailed(endpoint.id()));
         }
-        return new GenerationEnd.NotStarted(
+        return new GenerationResult.NotStarted(
                 "adapter_not_loaded".equals(answer.code())
                         ? new Failure.AdapterNotLoaded(endpoint.id(), request.adapter())
                         : new Failure.EndpointRefused(endpoint.id(), answer.status()));
@@ -134,7 +134,7 @@
                 : new Failure.EndpointFailed(endpoint.id());
     }
 
-    private void end(GenerationEnd end) {
+    private void end(GenerationResult end) {
         whenEnded.run();
         listener.end(end);
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
@@ -28,10 +28,10 @@
 import org.banyanstair.errors.FailureException;
 import org.banyanstair.external.Cancellation;
 import org.banyanstair.external.EngineClient;
+import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineRequest;
 import org.banyanstair.external.EngineStatus;
-import org.banyanstair.external.GenerationEnd;
-import org.banyanstair.external.OrderResult;
+import org.banyanstair.external.GenerationResult;
 import org.banyanstair.external.TokenListener;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
@@ -76,7 +76,7 @@
     }
 
     @Override
-    public CompletableFuture<OrderResult> load(Endpoint endpoint, AdapterVersion adapter, long term) {
+    public CompletableFuture<EngineCommandResult> load(Endpoint endpoint, AdapterVersion adapter, long term) {
         return order(endpoint, "/v1/load_lora_adapter", Map.of("lora_name", adapter.engineName()), term, answer -> {
             return "load_failed".equals(answer.code())
                     ? new Failure.AdapterLoadFailed(adapter)
@@ -85,13 +85,13 @@
     }
 
     @Override
-    public CompletableFuture<OrderResult> unload(Endpoint endpoint, AdapterVersion adapter, long term) {
+    public CompletableFuture<EngineCommandResult> unload(Endpoint endpoint, AdapterVersion adapter, long term) {
         Map<String, String> body = Map.of("lora_name", adapter.engineName());
         return order(endpoint, "/v1/unload_lora_adapter", body, term, answer -> refusal(endpoint, term, answer));
     }
 
     @Override
-    public CompletableFuture<OrderResult> raiseFence(Endpoint endpoint, long term) {
+    public CompletableFuture<EngineCommandResult> raiseFence(Endpoint endpoint, long term) {
         return order(endpoint, "/v1/role", Map.of("role", "serve"), term, answer -> refusal(endpoint, term, answer));
     }
 
@@ -130,11 +130,11 @@
     @Override
     public Cancellation generate(Endpoint endpoint, EngineRequest request, TokenListener listener) {
         if (EndpointCalls.isPast(request.deadline())) {
-            listener.end(new GenerationEnd.NotStarted(new Failure.DeadlinePassed(request.deadline())));
+            listener.end(new GenerationResult.NotStarted(new Failure.DeadlinePassed(request.deadline())));
             return () -> {};
         }
         if (calls.isFull()) {
-            listener.end(new GenerationEnd.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
+            listener.end(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
             return () -> {};
         }
         Request http;
@@ -142,7 +142,7 @@
             http = toHttp(endpoint, request);
         } catch (IllegalArgumentException exception) {
             Failure failure = new Failure.InvalidField("request", "a request id and a path that HTTP can carry");
-            listener.end(new GenerationEnd.NotStarted(failure));
+            listener.end(new GenerationResult.NotStarted(failure));
             return () -> {};
         }
         return start(endpoint, request, http, listener);
@@ -194,13 +194,13 @@
         });
     }
 
-    private CompletableFuture<OrderResult> order(
+    private CompletableFuture<EngineCommandResult> order(
             Endpoint endpoint,
             String path,
             Map<String, String> body,
             long term,
             Function<EngineAnswer, Failure> refusal) {
-        CompletableFuture<OrderResult> future = new CompletableFuture<>();
+        CompletableFuture<EngineCommandResult> future = new CompletableFuture<>();
         EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
         Request request = request(endpoint, path)
                 .header("X-Fencing-Number", Long.toString(term))
@@ -211,8 +211,8 @@
             public void onFailure(Call call, IOException exception) {
                 future.complete(
                         watch.isSent()
-                                ? new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id()))
-                                : new OrderResult.Refused(new Failure.EndpointUnreachable(endpoint.id())));
+                                ? new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()))
+                                : new EngineCommandResult.Refused(new Failure.EndpointUnreachable(endpoint.id())));
             }
 
             @Override
@@ -227,13 +227,14 @@
         return future;
     }
 
-    private static OrderResult result(Endpoint endpoint, EngineAnswer answer, Function<EngineAnswer, Failure> refusal) {
+    private static EngineCommandResult result(
+            Endpoint endpoint, EngineAnswer answer, Function<EngineAnswer, Failure> refusal) {
         if (answer.isDone()) {
-            return new OrderResult.Done();
+            return new EngineCommandResult.Done();
         }
         return answer.isWithoutEffect()
-                ? new OrderResult.Refused(refusal.apply(answer))
-                : new OrderResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
+                ? new EngineCommandResult.Refused(refusal.apply(answer))
+                : new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
     }
 
     private static Failure refusal(Endpoint endpoint, long term, EngineAnswer answer) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
@@ -90,7 +90,7 @@
      * @return the type
      */
     public static <T> TomlType<T> name(Function<String, T> create) {
-        return parsed(Names.ACCEPTED, text -> create.apply(Names.check("name", text)));
+        return parsed(Names.ACCEPTED_FORMAT, text -> create.apply(Names.check("name", text)));
     }
 
     /**
@@ -99,7 +99,7 @@
      * @return the type
      */
     public static TomlType<NetworkAddress> address() {
-        return parsed(NetworkAddress.ACCEPTED, NetworkAddress::parse);
+        return parsed(NetworkAddress.ACCEPTED_FORMAT, NetworkAddress::parse);
     }
 
     /**
