Name the methods of Membership after their effect

Names such as connected, leaving, run, isGone and candidates left open whether they ask or change something, and what they return. They are now markReachable, markLeaving, latestIncarnation, isTerminated and availableHosts, and so on.

Ran: javac over all sources of all modules; no behaviour change.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
@@ -323,7 +323,7 @@
 
     /** A host without a configuration asks everyone; one that only lost the log asks one peer at a time. */
     private void askPeers(Instant now, Effects effects) {
-        List<HostId> others = membership.others();
+        List<HostId> others = membership.otherHosts();
         List<HostId> asked = others;
         if (history.isKnown() && !others.isEmpty()) {
             asked = List.of(others.get((int) Math.floorMod(now.getEpochSecond(), (long) others.size())));
@@ -340,7 +340,7 @@
 
     /** Checkpoints are large, so only the host that writes them and hosts that miss changes go on reading them. */
     private void maintainCheckpoints(boolean missesChanges, Instant now, Effects effects) {
-        boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.candidates())
+        boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.availableHosts())
                 .filter(membership.self().host()::equals)
                 .isPresent();
         boolean needed = responsible || missesChanges || !history.isKnown();
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -99,7 +99,7 @@
 
     private void submit(TrackedCall call, Instant now, Effects effects) {
         Optional<HostId> writer =
-                RendezvousHash.first(LogStreams.callStream(call.key.partition()), membership.candidates());
+                RendezvousHash.first(LogStreams.callStream(call.key.partition()), membership.availableHosts());
         if (writer.isEmpty()) {
             return;
         }
@@ -108,7 +108,7 @@
             call.current = Optional.of(attempt);
             call.writer = writer;
             attempts.put(attempt, call);
-            membership.run(writer.get()).ifPresent(run -> call.writers.put(attempt, run));
+            membership.latestIncarnation(writer.get()).ifPresent(run -> call.writers.put(attempt, run));
         }
         send(call, now, effects);
     }
@@ -211,7 +211,7 @@
 
     private boolean keepsWriter(TrackedCall call) {
         return call.current.isPresent()
-                && call.writer.filter(membership::isCandidate).isPresent()
+                && call.writer.filter(membership::isAvailable).isPresent()
                 && !hasWriterRestarted(call);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -445,7 +445,7 @@
     }
 
     private boolean isAbandoned(HostIdentity writer) {
-        return !writer.equals(membership.self()) && membership.isGone(writer);
+        return !writer.equals(membership.self()) && membership.isTerminated(writer);
     }
 
     private void forgetOld(Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -140,7 +140,7 @@
      * @param effects collects what to do
      */
     public void tick(Instant now, Effects effects) {
-        if (membership.isListingRead()) {
+        if (membership.hasListing()) {
             rankIfChanged();
             LogStreams.callPartitions().forEach(partition -> followOrNot(partition, effects));
         }
@@ -149,10 +149,10 @@
 
     /** Ranking all hosts at each tick would take more than a core with a few hundred hosts. */
     private void rankIfChanged() {
-        if (rankedAtChange == membership.listingChanges()) {
+        if (rankedAtChange == membership.listingChangeCount()) {
             return;
         }
-        rankedAtChange = membership.listingChanges();
+        rankedAtChange = membership.listingChangeCount();
         List<HostId> live = membership.listing().liveHosts();
         wanted = LogStreams.callPartitions()
                 .filter(partition -> isRanked(partition, live))
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -20,12 +20,12 @@
 public final class Membership {
     private final HostIdentity self;
     private HostListing listing = HostListing.EMPTY;
-    private long listingChanges;
+    private long listingChangeCount;
     private boolean listingRead;
     private boolean draining;
     private final Map<HostId, Instant> unreachableSince = new HashMap<>();
     private final Map<HostId, Long> incarnations = new HashMap<>();
-    private final Set<HostIdentity> leaving = new HashSet<>();
+    private final Set<HostIdentity> leavingHosts = new HashSet<>();
 
     /**
      * Creates the state of a host that has read no list yet.
@@ -51,10 +51,10 @@
      *
      * @param newListing the list
      */
-    public void update(HostListing newListing) {
+    public void updateListing(HostListing newListing) {
         if (!newListing.equals(listing)) {
             listing = newListing;
-            listingChanges++;
+            listingChangeCount++;
         }
         listingRead = true;
     }
@@ -65,8 +65,8 @@
      *
      * @return the number, 0 before the first reading
      */
-    public long listingChanges() {
-        return listingChanges;
+    public long listingChangeCount() {
+        return listingChangeCount;
     }
 
     /**
@@ -83,7 +83,7 @@
      *
      * @return false before the first reading
      */
-    public boolean isListingRead() {
+    public boolean hasListing() {
         return listingRead;
     }
 
@@ -92,7 +92,7 @@
      *
      * @param peer the peer
      */
-    public void connected(HostIdentity peer) {
+    public void markReachable(HostIdentity peer) {
         unreachableSince.remove(peer.host());
         incarnations.merge(peer.host(), peer.incarnation(), Math::max);
     }
@@ -103,7 +103,7 @@
      * @param peer the peer
      * @param at when that was found
      */
-    public void unreachable(HostId peer, Instant at) {
+    public void markUnreachable(HostId peer, Instant at) {
         unreachableSince.putIfAbsent(peer, at);
     }
 
@@ -112,19 +112,19 @@
      *
      * @param peer the peer
      */
-    public void leaving(HostIdentity peer) {
-        leaving.add(peer);
+    public void markLeaving(HostIdentity peer) {
+        leavingHosts.add(peer);
     }
 
     /** Notes that this host leaves. */
-    public void drain() {
+    public void startDraining() {
         draining = true;
     }
 
     /**
      * Tells whether this host leaves.
      *
-     * @return true once {@link #drain} was called
+     * @return true once {@link #startDraining} was called
      */
     public boolean isDraining() {
         return draining;
@@ -146,7 +146,7 @@
      * @param identity the run
      * @return true if the host list does not show its host, or a newer incarnation was seen
      */
-    public boolean isGone(HostIdentity identity) {
+    public boolean isTerminated(HostIdentity identity) {
         if (!listingRead) {
             return false;
         }
@@ -169,7 +169,7 @@
      * @param host the host
      * @return its identity, empty if no connection to the host was ever open
      */
-    public Optional<HostIdentity> run(HostId host) {
+    public Optional<HostIdentity> latestIncarnation(HostId host) {
         return Optional.ofNullable(incarnations.get(host)).map(incarnation -> new HostIdentity(host, incarnation));
     }
 
@@ -178,8 +178,8 @@
      *
      * @return their ids, with this one unless it is draining
      */
-    public List<HostId> candidates() {
-        return listing.liveHosts().stream().filter(this::isCandidate).toList();
+    public List<HostId> availableHosts() {
+        return listing.liveHosts().stream().filter(this::isAvailable).toList();
     }
 
     /**
@@ -188,7 +188,7 @@
      * @param host the host
      * @return whether it is live in the host list, reachable, and not leaving
      */
-    public boolean isCandidate(HostId host) {
+    public boolean isAvailable(HostId host) {
         if (host.equals(self.host())) {
             return !draining;
         }
@@ -200,7 +200,7 @@
 
     private boolean isLeaving(HostId host) {
         return Optional.ofNullable(incarnations.get(host))
-                .filter(incarnation -> leaving.contains(new HostIdentity(host, incarnation)))
+                .filter(incarnation -> leavingHosts.contains(new HostIdentity(host, incarnation)))
                 .isPresent();
     }
 
@@ -209,7 +209,7 @@
      *
      * @return their ids
      */
-    public List<HostId> others() {
+    public List<HostId> otherHosts() {
         return listing.hosts().stream()
                 .map(EntryHost::id)
                 .filter(host -> !host.equals(self.host()))
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -125,7 +125,7 @@
      * @param effects collects what to do
      */
     public void tick(Instant now, Effects effects) {
-        if (!caughtUp || !membership.isListingRead()) {
+        if (!caughtUp || !membership.hasListing()) {
             return;
         }
         pools().forEach(pool -> claimIfDue(pool, now, effects));
@@ -140,7 +140,7 @@
         }
         Instant since = unownedSince.computeIfAbsent(pool, id -> now);
         boolean late = now.isBefore(claimAgainAt.getOrDefault(pool, Instant.MIN));
-        boolean first = RendezvousHash.first(pool.value(), membership.candidates())
+        boolean first = RendezvousHash.first(pool.value(), membership.availableHosts())
                 .filter(membership.self().host()::equals)
                 .isPresent();
         if (first && !late && isDue(pool, since, now) && !isCutOff()) {
@@ -156,7 +156,7 @@
     private boolean isDue(PoolId pool, Instant since, Instant now) {
         Optional<Ownership> ownership = history.owner(pool);
         boolean onlyUnreachable = ownership
-                .filter(owner -> !membership.isGone(owner.owner())
+                .filter(owner -> !membership.isTerminated(owner.owner())
                         && membership.isUnreachable(owner.owner().host()))
                 .isPresent();
         return !onlyUnreachable || !now.isBefore(since.plus(settings.ownerTimeout()));
@@ -164,8 +164,8 @@
 
     private boolean isOwned(PoolId pool) {
         return history.owner(pool)
-                .filter(ownership -> !membership.isGone(ownership.owner()))
-                .filter(ownership -> membership.isCandidate(ownership.owner().host()))
+                .filter(ownership -> !membership.isTerminated(ownership.owner()))
+                .filter(ownership -> membership.isAvailable(ownership.owner().host()))
                 .isPresent();
     }
 
@@ -176,8 +176,8 @@
 
     /** Ranking all hosts for each pool at each tick would take more than a core with a few hundred hosts. */
     private void watchIfChanged(Effects effects) {
-        if (watchedAtChange != membership.listingChanges() || !watchedOwners.equals(history.owners())) {
-            watchedAtChange = membership.listingChanges();
+        if (watchedAtChange != membership.listingChangeCount() || !watchedOwners.equals(history.owners())) {
+            watchedAtChange = membership.listingChangeCount();
             watchedOwners = Map.copyOf(history.owners());
             watch(effects);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
@@ -138,7 +138,7 @@
 
     /** Refuses the waiting requests that have become hopeless. */
     void refuseHopeless(Instant now, Effects effects) {
-        pool.queue().removeIf(waiting -> pool.membership().isGone(waiting.holder()));
+        pool.queue().removeIf(waiting -> pool.membership().isTerminated(waiting.holder()));
         pool.queue()
                 .removeIf(waiting -> !now.isBefore(waiting.message().deadline()))
                 .forEach(waiting -> refuse(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
@@ -61,7 +61,7 @@
     /** A permit whose holder has ended stays in use until the engine shows that its request does not run. */
     private void markOrphans(EngineState engine, Instant now) {
         engine.permits().values().stream()
-                .filter(permit -> pool.membership().isGone(permit.holder()))
+                .filter(permit -> pool.membership().isTerminated(permit.holder()))
                 .forEach(permit -> engine.orphans().putIfAbsent(permit.request(), now));
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -288,11 +288,11 @@
 
     private void applyHostEvent(Event event) {
         if (event instanceof Event.HostListRead read) {
-            membership.update(read.listing());
+            membership.updateListing(read.listing());
         } else if (event instanceof Event.PeerConnected connected) {
-            membership.connected(connected.peer());
+            membership.markReachable(connected.peer());
         } else if (event instanceof Event.PeerUnreachable unreachable) {
-            membership.unreachable(unreachable.peer(), unreachable.at());
+            membership.markUnreachable(unreachable.peer(), unreachable.at());
         } else if (event instanceof Event.ChangeSubmitted submitted) {
             configuration.submit(submitted.change(), submitted.at(), effects);
         } else if (event instanceof Event.VerdictQueried queried) {
@@ -308,12 +308,12 @@
     }
 
     private void drain() {
-        membership.drain();
-        membership.others().forEach(peer -> effects.send(peer, new PeerMessage.HostLeaving(membership.self())));
+        membership.startDraining();
+        membership.otherHosts().forEach(peer -> effects.send(peer, new PeerMessage.HostLeaving(membership.self())));
     }
 
     private void received(HostIdentity sender, PeerMessage message, Instant now) {
-        membership.connected(sender);
+        membership.markReachable(sender);
         HostId peer = sender.host();
         if (message instanceof PeerMessage.PermitRequest request) {
             Optional<PoolOwner> owner = Optional.ofNullable(owned.get(request.pool()));
@@ -374,7 +374,7 @@
         } else if (message instanceof PeerMessage.StatusReply reply) {
             statuses.replied(peer, reply, effects);
         } else if (message instanceof PeerMessage.HostLeaving leaving) {
-            membership.leaving(leaving.host());
+            membership.markLeaving(leaving.host());
         } else if (message instanceof PeerMessage.DrainRequest) {
             effects.add(new Effect.BeginDrain(now));
         }
@@ -426,7 +426,7 @@
      * @return true once the configuration and the host list are known
      */
     public boolean isReady() {
-        return configuration.history().isKnown() && membership.isListingRead();
+        return configuration.history().isKnown() && membership.hasListing();
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
@@ -36,7 +36,7 @@
     }
 
     void query(long number, Instant now, Effects effects) {
-        List<HostId> asked = new ArrayList<>(membership.others());
+        List<HostId> asked = new ArrayList<>(membership.otherHosts());
         asked.add(membership.self().host());
         queries.put(number, new Query(now.plus(settings.retryInterval()), asked.size()));
         asked.forEach(host -> effects.send(host, new PeerMessage.StatusRequest(number)));
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/KnownPlacements.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/KnownPlacements.java
@@ -53,7 +53,7 @@
     Optional<Endpoint> withoutOwner(PoolId pool, AdapterVersion adapter) {
         boolean ended = owners.owner(pool)
                 .map(Ownership::owner)
-                .filter(membership::isGone)
+                .filter(membership::isTerminated)
                 .isPresent();
         if (!ended) {
             return Optional.empty();
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -148,8 +148,8 @@
             case 1 -> restart(host);
             case 2 -> die(host);
             case 3 -> changeListing(host);
-            case 4 -> host.membership.unreachable(pick(List.copyOf(hosts.keySet())), now);
-            case 5 -> host.membership.connected(pick(List.copyOf(hosts.values())).identity);
+            case 4 -> host.membership.markUnreachable(pick(List.copyOf(hosts.keySet())), now);
+            case 5 -> host.membership.markReachable(pick(List.copyOf(hosts.values())).identity);
             case 6 -> toggleLog();
             default -> readListing(host);
         }
@@ -196,7 +196,7 @@
                 0,
                 100,
                 false);
-        host.membership.update(new HostListing(1, entries, List.of(desk)));
+        host.membership.updateListing(new HostListing(1, entries, List.of(desk)));
     }
 
     private void order(SimulatedHost host) {
@@ -255,7 +255,7 @@
         }
         SimulatedHost receiver = hosts.get(peer);
         if (chance(50)) {
-            sender.membership.connected(receiver.identity);
+            sender.membership.markReachable(receiver.identity);
         }
         deliver(receiver, host -> host.receive(sender.identity, message, now));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
@@ -75,7 +75,7 @@
         tick();
         assertEquals(Set.of(), followed);
         for (int hosts : new int[] {1, 12, 12, 3, 1}) {
-            membership.update(listing(hosts));
+            membership.updateListing(listing(hosts));
             tick();
             tick();
             assertEquals(ranked(), followed, hosts + " hosts");
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
@@ -57,7 +57,7 @@
     }
 
     void receive(HostIdentity sender, PeerMessage message, Instant now) {
-        membership.connected(sender);
+        membership.markReachable(sender);
         if (message instanceof PeerMessage.CallSubmit submit) {
             writer.submit(sender.host(), submit, now, effects);
         } else if (message instanceof PeerMessage.CallOutcome outcome) {
--- a/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
@@ -20,12 +20,12 @@
     @Test
     void onlyADifferentListIsAChange() {
         Membership membership = new Membership(new HostIdentity(new HostId("a"), 1));
-        membership.update(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
-        assertEquals(1, membership.listingChanges());
-        membership.update(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
-        assertEquals(1, membership.listingChanges());
-        membership.update(new HostListing(2, List.of(host("a", Presence.LEAVING)), List.of()));
-        assertEquals(2, membership.listingChanges());
+        membership.updateListing(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
+        assertEquals(1, membership.listingChangeCount());
+        membership.updateListing(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
+        assertEquals(1, membership.listingChangeCount());
+        membership.updateListing(new HostListing(2, List.of(host("a", Presence.LEAVING)), List.of()));
+        assertEquals(2, membership.listingChangeCount());
         assertEquals(Presence.LEAVING, membership.listing().hosts().get(0).presence());
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/ownership/OwnershipCoordinatorTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/ownership/OwnershipCoordinatorTest.java
@@ -70,13 +70,13 @@
     @Test
     void watchesFollowTheListAndTheOwner() {
         coordinator.caughtUp();
-        membership.update(listing(3));
+        membership.updateListing(listing(3));
         tick();
         assertEquals(Set.of(new HostId("host-1"), new HostId("host-2")), watched);
-        membership.update(listing(2));
+        membership.updateListing(listing(2));
         tick();
         assertEquals(Set.of(new HostId("host-1")), watched);
-        membership.update(listing(12));
+        membership.updateListing(listing(12));
         tick();
         Set<HostId> alwaysWatched = Set.copyOf(watched);
         assertEquals(2, alwaysWatched.size());
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -59,7 +59,7 @@
     @BeforeEach
     void createOwner() {
         Membership membership = new Membership(SELF);
-        membership.update(new HostListing(1, List.of(self()), List.of(engine(1), engine(2))));
+        membership.updateListing(new HostListing(1, List.of(self()), List.of(engine(1), engine(2))));
         owner = new PoolOwner(
                 POOL,
                 TERM,
--- a/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
@@ -84,7 +84,7 @@
                 .map(host ->
                         new EntryHost(host.host(), Presence.LIVE, new DataCentre("ub-east"), ADDRESS, ADDRESS, ADDRESS))
                 .toList();
-        membership.update(new HostListing(1, entries, List.of(ENGINE)));
+        membership.updateListing(new HostListing(1, entries, List.of(ENGINE)));
     }
 
     private void arrive(String id) {
@@ -125,7 +125,7 @@
 
     @Test
     void unreachableOwnerIsNotReplaced() {
-        membership.unreachable(OWNER.host(), NOW);
+        membership.markUnreachable(OWNER.host(), NOW);
         logReachable.set(false);
         assertEquals(List.of(), startsOf("second"));
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -99,7 +99,7 @@
         Membership membership = reducer.membership();
         List<EntryHost> listed = membership.listing().hosts();
         List<EntryHost> usable = listed.stream()
-                .filter(host -> membership.isCandidate(host.id()))
+                .filter(host -> membership.isAvailable(host.id()))
                 .toList();
         return new HostView(
                 reducer.isReady() ? Optional.empty() : Optional.of(new Failure.NotReady(self)),
