Rename OwnershipHistory to OwnershipState

It holds the current owners and pending unloads, not a history of them. The coordinator's methods say that they mark something or list the pools of engines, and learn() says that the owner comes from a peer.

Ran: javac over all sources of all modules; no behaviour change.

--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -39,7 +39,7 @@
     private final Membership membership;
     private final ReducerSettings settings;
     private final Sequence sequence;
-    private final OwnershipHistory history = new OwnershipHistory();
+    private final OwnershipState state = new OwnershipState();
     private final Map<PoolId, Instant> claimAgainAt = new HashMap<>();
     private final Map<PoolId, Instant> unownedSince = new HashMap<>();
     private Set<HostId> watched = Set.of();
@@ -67,8 +67,8 @@
      *
      * @return the history
      */
-    public OwnershipHistory history() {
-        return history;
+    public OwnershipState state() {
+        return state;
     }
 
     /**
@@ -81,7 +81,7 @@
     }
 
     /** Takes the news that the stream was read to its end. */
-    public void caughtUp() {
+    public void markCaughtUp() {
         caughtUp = true;
         if (logUnavailable) {
             // A renewal may have been due during the outage, and the claims may have expired in it.
@@ -91,7 +91,7 @@
     }
 
     /** Takes the news that the stream cannot be read. */
-    public void logUnavailable() {
+    public void markLogUnavailable() {
         logUnavailable = true;
     }
 
@@ -109,7 +109,7 @@
      *
      * @return their ids
      */
-    public Set<PoolId> pools() {
+    public Set<PoolId> enginePools() {
         Set<PoolId> pools = new LinkedHashSet<>();
         membership.listing().endpoints().stream()
                 .filter(endpoint -> endpoint.kind() == EndpointKind.ENGINE)
@@ -128,7 +128,7 @@
         if (!caughtUp || !membership.hasListing()) {
             return;
         }
-        pools().forEach(pool -> claimIfDue(pool, now, effects));
+        enginePools().forEach(pool -> claimIfDue(pool, now, effects));
         watchIfChanged(effects);
         renewIfDue(now, effects);
     }
@@ -154,7 +154,7 @@
 
     /** An owner that is gone or leaving is replaced at once, an unreachable one after a limit. */
     private boolean isDue(PoolId pool, Instant since, Instant now) {
-        Optional<Ownership> ownership = history.owner(pool);
+        Optional<Ownership> ownership = state.owner(pool);
         boolean onlyUnreachable = ownership
                 .filter(owner -> !membership.isTerminated(owner.owner())
                         && membership.isUnreachable(owner.owner().host()))
@@ -163,7 +163,7 @@
     }
 
     private boolean isOwned(PoolId pool) {
-        return history.owner(pool)
+        return state.owner(pool)
                 .filter(ownership -> !membership.isTerminated(ownership.owner()))
                 .filter(ownership -> membership.isAvailable(ownership.owner().host()))
                 .isPresent();
@@ -176,9 +176,9 @@
 
     /** Ranking all hosts for each pool at each tick would take more than a core with a few hundred hosts. */
     private void watchIfChanged(Effects effects) {
-        if (watchedAtChange != membership.listingChangeCount() || !watchedOwners.equals(history.owners())) {
+        if (watchedAtChange != membership.listingChangeCount() || !watchedOwners.equals(state.owners())) {
             watchedAtChange = membership.listingChangeCount();
-            watchedOwners = Map.copyOf(history.owners());
+            watchedOwners = Map.copyOf(state.owners());
             watch(effects);
         }
     }
@@ -191,8 +191,8 @@
         RendezvousHash.rank("watched by " + self, others).stream()
                 .limit(WATCHED_PEERS)
                 .forEach(wanted::add);
-        for (PoolId pool : pools()) {
-            history.owner(pool)
+        for (PoolId pool : enginePools()) {
+            state.owner(pool)
                     .map(ownership -> ownership.owner().host())
                     .filter(owner -> !owner.equals(self) && succeeds(pool, owner, live))
                     .ifPresent(wanted::add);
@@ -219,7 +219,7 @@
             return;
         }
         nextRenewal = now.plus(settings.logRetention().dividedBy(RENEWALS_PER_RETENTION));
-        List<LogEntry> renewals = history.owners().entrySet().stream()
+        List<LogEntry> renewals = state.owners().entrySet().stream()
                 .filter(entry -> entry.getValue().owner().equals(membership.self()))
                 .map(entry -> (LogEntry) new OwnershipRecord.Renewal(
                         entry.getKey(), membership.self(), entry.getValue().term()))
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipHistory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
@@ -17,7 +17,7 @@
  *
  * <p>Not safe for use by several threads.
  */
-public final class OwnershipHistory {
+public final class OwnershipState {
     private final Map<PoolId, Ownership> owners = new HashMap<>();
     private final Map<PoolId, Set<PendingUnload>> pending = new HashMap<>();
     private long nextOffset;
@@ -82,7 +82,7 @@
      * @param ownership owner and term
      * @return true if the owner was not known or has a higher term than the known one
      */
-    public boolean learn(PoolId pool, Ownership ownership) {
+    public boolean updateFromPeer(PoolId pool, Ownership ownership) {
         return own(pool, ownership);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Pool.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Pool.java
@@ -11,7 +11,7 @@
 import org.banyanstair.model.Fingerprint;
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.ownership.OwnershipState;
 import org.banyanstair.reducer.ReducerSettings;
 import org.banyanstair.reducer.Sequence;
 
@@ -51,7 +51,7 @@
         return context.sequence();
     }
 
-    OwnershipHistory ownership() {
+    OwnershipState ownership() {
         return context.ownership();
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolContext.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolContext.java
@@ -4,7 +4,7 @@
 
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.membership.Membership;
-import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.ownership.OwnershipState;
 import org.banyanstair.reducer.ReducerSettings;
 import org.banyanstair.reducer.Sequence;
 
@@ -22,6 +22,6 @@
         Membership membership,
         ReducerSettings settings,
         Sequence sequence,
-        OwnershipHistory ownership,
+        OwnershipState ownership,
         CrashSuspects suspects,
         Supplier<Configuration> configuration) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -68,12 +68,12 @@
         this.configuration = new ConfigurationReplica(membership, settings, sequence);
         this.ownership = new OwnershipCoordinator(membership, settings, sequence);
         this.generations =
-                new GenerationTracker(ownership.history(), settings, membership, configuration::isLogReachable);
+                new GenerationTracker(ownership.state(), settings, membership, configuration::isLogReachable);
         this.calls = new CallTracker(membership, settings, sequence);
         this.writers = new CallWriters(membership, settings, sequence);
         this.idempotentCalls = new IdempotentCalls(membership, sequence);
         this.poolContext =
-                new PoolContext(membership, settings, sequence, ownership.history(), suspects, configuration::current);
+                new PoolContext(membership, settings, sequence, ownership.state(), suspects, configuration::current);
         this.statuses = new StatusCollector(membership, settings);
     }
 
@@ -192,7 +192,7 @@
                     || unavailable.stream().equals(LogStreams.CHECKPOINTS)) {
                 configuration.logUnavailable();
             } else if (unavailable.stream().equals(LogStreams.OWNERSHIP)) {
-                ownership.logUnavailable();
+                ownership.markLogUnavailable();
             }
         } else if (event instanceof Event.AppendRejected rejected) {
             configuration.appendRejected(rejected.appendId(), rejected.failure(), effects);
@@ -241,9 +241,9 @@
             configuration.checkpointsEnded(read.next(), effects);
         } else if (read.stream().equals(LogStreams.OWNERSHIP)) {
             boolean first = !ownership.isCaughtUp();
-            ownership.caughtUp();
+            ownership.markCaughtUp();
             if (first) {
-                ownership.history().owners().keySet().forEach(pool -> takeOrDrop(pool, read.at()));
+                ownership.state().owners().keySet().forEach(pool -> takeOrDrop(pool, read.at()));
             }
         }
     }
@@ -255,7 +255,7 @@
     }
 
     private void ownershipRead(long offset, OwnershipRecord record, Instant now) {
-        boolean changed = ownership.history().apply(offset, record);
+        boolean changed = ownership.state().apply(offset, record);
         if (record instanceof OwnershipRecord.UnloadAnnouncement announcement) {
             Optional.ofNullable(owned.get(announcement.pool()))
                     .ifPresent(owner -> owner.announcementRead(announcement, now, effects));
@@ -270,7 +270,7 @@
 
     /** Begins or ends to decide for a pool, after its owner changed. */
     private void takeOrDrop(PoolId pool, Instant now) {
-        Optional<Ownership> current = ownership.history().owner(pool);
+        Optional<Ownership> current = ownership.state().owner(pool);
         if (current.isEmpty()) {
             return;
         }
@@ -331,7 +331,7 @@
 
     private void notOwner(HostId peer, PeerMessage.PermitRequest request) {
         long knownTerm =
-                ownership.history().owner(request.pool()).map(Ownership::term).orElse(-1L);
+                ownership.state().owner(request.pool()).map(Ownership::term).orElse(-1L);
         effects.send(peer, new PeerMessage.NotOwner(request.request(), request.attempt(), request.pool(), knownTerm));
     }
 
@@ -365,7 +365,7 @@
     private void receivedHostMessage(HostIdentity sender, PeerMessage message, Instant now) {
         HostId peer = sender.host();
         if (message instanceof PeerMessage.ConfigurationRequest request) {
-            configuration.answer(peer, request, ownership.history().owners(), effects);
+            configuration.answer(peer, request, ownership.state().owners(), effects);
         } else if (message instanceof PeerMessage.ConfigurationReply reply) {
             configuration.peerReplied(reply.part(), effects);
             reply.owners().forEach((pool, owner) -> learn(pool, owner, now));
@@ -381,7 +381,7 @@
     }
 
     private void learn(PoolId pool, Ownership owner, Instant now) {
-        if (ownership.history().learn(pool, owner)) {
+        if (ownership.state().updateFromPeer(pool, owner)) {
             takeOrDrop(pool, now);
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -18,7 +18,7 @@
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.Ownership;
-import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.ownership.OwnershipState;
 import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.peer.HeldPermit;
 import org.banyanstair.peer.PeerMessage;
@@ -34,7 +34,7 @@
  * several threads.
  */
 public final class GenerationTracker {
-    private final OwnershipHistory owners;
+    private final OwnershipState owners;
     private final ReducerSettings settings;
     private final KnownPlacements placements;
     private final BooleanSupplier logReachable;
@@ -82,7 +82,7 @@
      * @param logReachable tells whether the log can be reached, without which no host can become the owner of a pool
      */
     public GenerationTracker(
-            OwnershipHistory owners, ReducerSettings settings, Membership membership, BooleanSupplier logReachable) {
+            OwnershipState owners, ReducerSettings settings, Membership membership, BooleanSupplier logReachable) {
         this.owners = owners;
         this.settings = settings;
         this.placements = new KnownPlacements(membership, owners);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/KnownPlacements.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/KnownPlacements.java
@@ -12,7 +12,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.PoolId;
 import org.banyanstair.ownership.Ownership;
-import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.ownership.OwnershipState;
 
 /**
  * Remembers where adapters last ran, so that requests can still be served while nobody can decide for a pool: its owner
@@ -26,7 +26,7 @@
     private static final int REMEMBERED = 4_096;
 
     private final Membership membership;
-    private final OwnershipHistory owners;
+    private final OwnershipState owners;
     private final Map<AdapterVersion, EndpointId> placements = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -36,7 +36,7 @@
         }
     };
 
-    KnownPlacements(Membership membership, OwnershipHistory owners) {
+    KnownPlacements(Membership membership, OwnershipState owners) {
         this.membership = membership;
         this.owners = owners;
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/ownership/OwnershipCoordinatorTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/ownership/OwnershipCoordinatorTest.java
@@ -64,12 +64,12 @@
     }
 
     private void claim(HostId owner) {
-        coordinator.history().apply(offset++, new OwnershipRecord.Claim(POOL, new HostIdentity(owner, 1)));
+        coordinator.state().apply(offset++, new OwnershipRecord.Claim(POOL, new HostIdentity(owner, 1)));
     }
 
     @Test
     void watchesFollowTheListAndTheOwner() {
-        coordinator.caughtUp();
+        coordinator.markCaughtUp();
         membership.updateListing(listing(3));
         tick();
         assertEquals(Set.of(new HostId("host-1"), new HostId("host-2")), watched);
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -29,7 +29,7 @@
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.ownership.OwnershipHistory;
+import org.banyanstair.ownership.OwnershipState;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
@@ -67,7 +67,7 @@
                         membership,
                         ReducerSettings.DEFAULT,
                         new Sequence(),
-                        new OwnershipHistory(),
+                        new OwnershipState(),
                         new CrashSuspects(),
                         () -> Configuration.INITIAL),
                 now);
--- a/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
@@ -29,8 +29,8 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.model.ServiceId;
 import org.banyanstair.ownership.Ownership;
-import org.banyanstair.ownership.OwnershipHistory;
 import org.banyanstair.ownership.OwnershipRecord;
+import org.banyanstair.ownership.OwnershipState;
 import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.reducer.Effect;
@@ -62,7 +62,7 @@
             false);
 
     private final Membership membership = new Membership(SELF);
-    private final OwnershipHistory owners = new OwnershipHistory();
+    private final OwnershipState owners = new OwnershipState();
     private final AtomicBoolean logReachable = new AtomicBoolean(true);
     private final GenerationTracker tracker =
             new GenerationTracker(owners, ReducerSettings.DEFAULT, membership, logReachable::get);
@@ -71,7 +71,7 @@
     @BeforeEach
     void serveOneRequestWithTheOwner() {
         listHosts(SELF, OWNER);
-        owners.learn(POOL, new Ownership(OWNER, 0));
+        owners.updateFromPeer(POOL, new Ownership(OWNER, 0));
         arrive("first");
         tracker.granted(
                 OWNER.host(), new PeerMessage.PermitGrant(new RequestId("first"), 1, POOL, 0, 1, ENGINE, 0), effects);
