Name the pool owner's methods after their events

requested, released, inventoried and reports did not say of what; they are permitRequested, permitReleased, inventoryReceived and endpointReports. The components of PlacementPolicy say which part of the policy they switch.

Ran: javac over all sources of all modules; no behaviour change.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
@@ -69,13 +69,13 @@
         }
         if (pool.suspects().isRefused(message.fingerprint())) {
             return Optional.of(
-                    new Failure.RequestCrashesEndpoints(pool.suspects().crashes(message.fingerprint()), false));
+                    new Failure.RequestCrashesEndpoints(pool.suspects().crashCount(message.fingerprint()), false));
         }
         if (message.attempt() == 1) {
             return refusalOfFirstAttempt(message, now);
         }
         double share = pool.configuration().preset().retryShare();
-        boolean free = pool.suspects().crashes(message.fingerprint()) > 0
+        boolean free = pool.suspects().crashCount(message.fingerprint()) > 0
                 || message.tried().isEmpty();
         return free || retries.tryRetry(share, now)
                 ? Optional.empty()
@@ -119,7 +119,7 @@
         if (pool.queue().size() >= message.queueLimit()) {
             return Optional.of(new Failure.QueueFull(pool.id(), message.queueLimit()));
         }
-        if (!pool.settings().placement().admits()) {
+        if (!pool.settings().placement().usesAdmissionControl()) {
             return Optional.empty();
         }
         boolean known = pool.engines().values().stream()
@@ -152,7 +152,7 @@
                         waiting.holder().host(),
                         waiting.message(),
                         new Failure.RequestCrashesEndpoints(
-                                pool.suspects().crashes(waiting.message().fingerprint()), false),
+                                pool.suspects().crashCount(waiting.message().fingerprint()), false),
                         effects));
         List<WaitingRequest> unloadable = pool.queue().removeIf(waiting -> loads.hasGivenUp(waiting.adapter()));
         unloadable.forEach(waiting -> {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/CrashSuspects.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/CrashSuspects.java
@@ -52,7 +52,7 @@
      * @param fingerprint fingerprint of the request
      * @return number of crashes since it last completed
      */
-    public int crashes(Fingerprint fingerprint) {
+    public int crashCount(Fingerprint fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
         return suspect == null ? 0 : suspect.crashes();
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
@@ -44,7 +44,7 @@
     }
 
     private int crashes(WaitingRequest waiting) {
-        return pool.suspects().crashes(waiting.message().fingerprint());
+        return pool.suspects().crashCount(waiting.message().fingerprint());
     }
 
     private Optional<EngineState> choose(WaitingRequest waiting, List<PendingUnload> pendingUnloads) {
@@ -76,7 +76,7 @@
 
     /** Suspects never share an engine with each other, and a request with two crashes shares it with nobody. */
     private boolean admits(EngineState engine, Fingerprint fingerprint) {
-        int crashes = pool.suspects().crashes(fingerprint);
+        int crashes = pool.suspects().crashCount(fingerprint);
         boolean reservedForOther = engine.reservedFor()
                 .filter(reserved -> !reserved.equals(fingerprint))
                 .isPresent();
@@ -84,7 +84,7 @@
             return false;
         }
         int highest = engine.occupants()
-                .mapToInt(permit -> pool.suspects().crashes(permit.fingerprint()))
+                .mapToInt(permit -> pool.suspects().crashCount(permit.fingerprint()))
                 .max()
                 .orElse(0);
         if (highest >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineWatcher.java
@@ -111,7 +111,7 @@
                 engine.endpoint().id(), engine.incarnation().orElseThrow(), List.copyOf(running));
         pool.suspects().apply(crash);
         running.forEach(fingerprint -> effects.report(new Notice.CrashSuspected(
-                fingerprint, engine.endpoint().id(), pool.suspects().crashes(fingerprint))));
+                fingerprint, engine.endpoint().id(), pool.suspects().crashCount(fingerprint))));
         append(crash, effects);
     }
 
@@ -154,7 +154,7 @@
     }
 
     void completed(Permit permit, Effects effects) {
-        if (pool.suspects().crashes(permit.fingerprint()) > 0) {
+        if (pool.suspects().crashCount(permit.fingerprint()) > 0) {
             SuspectRecord.Cleared cleared = new SuspectRecord.Cleared(permit.fingerprint());
             pool.suspects().apply(cleared);
             append(cleared, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -55,7 +55,7 @@
         long freeing = slots(SlotState.ANNOUNCED) + slots(SlotState.UNLOADING);
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
         for (WaitingRequest need : needs(now)) {
-            if (policy().budgetsLoads() && !budget.allows(share, (int) slots(SlotState.LOADING), now)) {
+            if (policy().limitsLoadRate() && !budget.allows(share, (int) slots(SlotState.LOADING), now)) {
                 return;
             }
             Optional<EngineState> target = loadTarget(need, pendingUnloads, now);
@@ -151,7 +151,8 @@
                 .flatMap(engine -> engine.slots().keySet().stream()
                         .filter(adapter -> isEvictable(engine, adapter))
                         .map(adapter -> new Candidate(engine, victim(engine, adapter, now))))
-                .min(Comparator.comparing(Candidate::victim, policy().victims().order())
+                .min(Comparator.comparing(
+                                Candidate::victim, policy().evictionOrder().order())
                         .thenComparing(candidate -> candidate.victim().adapter())
                         .thenComparing(
                                 candidate -> candidate.engine().endpoint().id()))
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PlacementPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PlacementPolicy.java
@@ -6,11 +6,12 @@
  * The parts of a pool owner's decisions that can be exchanged for comparison.
  *
  * @param binding chooses, when a request arrives, the engine that it has to use; empty leaves all engines open
- * @param victims orders the adapters that may be evicted, best victim first
- * @param admits whether requests that cannot meet their deadline are refused when they arrive
- * @param budgetsLoads whether loads keep to the pool's share of the weight store
+ * @param evictionOrder orders the adapters that may be evicted, best victim first
+ * @param usesAdmissionControl whether requests that cannot meet their deadline are refused when they arrive
+ * @param limitsLoadRate whether loads keep to the pool's share of the weight store
  */
-public record PlacementPolicy(EngineBinding binding, VictimOrder victims, boolean admits, boolean budgetsLoads) {
+public record PlacementPolicy(
+        EngineBinding binding, VictimOrder evictionOrder, boolean usesAdmissionControl, boolean limitsLoadRate) {
     /** Any engine may serve a request; the least popular adapter is evicted; requests are admitted by estimate. */
     public static final PlacementPolicy STANDARD =
             new PlacementPolicy(EngineBinding.NONE, VictimOrder.LEAST_POPULAR, true, true);
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -67,7 +67,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void requested(HostIdentity sender, PeerMessage.PermitRequest message, Instant now, Effects effects) {
+    public void permitRequested(HostIdentity sender, PeerMessage.PermitRequest message, Instant now, Effects effects) {
         Permit present = pool.permits().get(message.request());
         if (present != null && present.attempt() >= message.attempt()) {
             repeatGrant(present, message, effects);
@@ -111,7 +111,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void released(PeerMessage.PermitRelease message, Instant now, Effects effects) {
+    public void permitReleased(PeerMessage.PermitRelease message, Instant now, Effects effects) {
         pool.queue()
                 .find(message.request())
                 .filter(waiting -> waiting.message().attempt() <= message.attempt())
@@ -150,7 +150,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void inventoried(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now, Effects effects) {
+    public void inventoryReceived(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now, Effects effects) {
         inventory.replied(sender, reply, now);
         decide(now, effects);
     }
@@ -162,7 +162,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void announcementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
+    public void unloadAnnouncementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
         loads.announcementRead(announcement, now, effects);
     }
 
@@ -223,7 +223,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void fenceEnded(EndpointId endpoint, EngineCommandResult result, Instant now, Effects effects) {
+    public void raiseFenceEnded(EndpointId endpoint, EngineCommandResult result, Instant now, Effects effects) {
         if (result instanceof EngineCommandResult.Done) {
             pool.engine(endpoint).ifPresent(EngineState::markFenceRaised);
         }
@@ -251,7 +251,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void statusFailed(EndpointId endpoint, Instant now, Effects effects) {
+    public void statusReadFailed(EndpointId endpoint, Instant now, Effects effects) {
         engines.statusFailed(endpoint, now, effects);
         decide(now, effects);
     }
@@ -286,7 +286,7 @@
      *
      * @return one report for each engine
      */
-    public List<EndpointReport> reports() {
+    public List<EndpointReport> endpointReports() {
         return pool.engines().values().stream()
                 .map(engine -> new EndpointReport(
                         engine.endpoint().id(),
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -153,13 +153,13 @@
             withTerm(
                     ended.endpoint(),
                     ended.term(),
-                    owner -> owner.fenceEnded(ended.endpoint(), ended.result(), ended.at(), effects));
+                    owner -> owner.raiseFenceEnded(ended.endpoint(), ended.result(), ended.at(), effects));
         } else if (event instanceof Event.EngineStatusRead read) {
             withOwner(
                     read.endpoint(),
                     owner -> owner.statusRead(read.endpoint(), read.askedAt(), read.status(), read.at(), effects));
         } else if (event instanceof Event.EngineStatusFailed failed) {
-            withOwner(failed.endpoint(), owner -> owner.statusFailed(failed.endpoint(), failed.at(), effects));
+            withOwner(failed.endpoint(), owner -> owner.statusReadFailed(failed.endpoint(), failed.at(), effects));
         } else {
             return false;
         }
@@ -258,7 +258,7 @@
         boolean changed = ownership.state().apply(offset, record);
         if (record instanceof OwnershipRecord.UnloadAnnouncement announcement) {
             Optional.ofNullable(owned.get(announcement.pool()))
-                    .ifPresent(owner -> owner.announcementRead(announcement, now, effects));
+                    .ifPresent(owner -> owner.unloadAnnouncementRead(announcement, now, effects));
         } else if (changed && ownership.isCaughtUp()) {
             takeOrDrop(poolOf(record), now);
         }
@@ -318,12 +318,13 @@
         if (message instanceof PeerMessage.PermitRequest request) {
             Optional<PoolOwner> owner = Optional.ofNullable(owned.get(request.pool()));
             owner.ifPresentOrElse(
-                    present -> present.requested(sender, request, now, effects), () -> notOwner(peer, request));
+                    present -> present.permitRequested(sender, request, now, effects), () -> notOwner(peer, request));
         } else if (message instanceof PeerMessage.PermitRelease release) {
-            Optional.ofNullable(owned.get(release.pool())).ifPresent(owner -> owner.released(release, now, effects));
+            Optional.ofNullable(owned.get(release.pool()))
+                    .ifPresent(owner -> owner.permitReleased(release, now, effects));
         } else if (message instanceof PeerMessage.InventoryReply reply) {
             Optional.ofNullable(owned.get(reply.pool()))
-                    .ifPresent(owner -> owner.inventoried(sender, reply, now, effects));
+                    .ifPresent(owner -> owner.inventoryReceived(sender, reply, now, effects));
         } else if (!receivedAsHolder(sender, message, now) && !receivedCall(sender, message, now)) {
             receivedHostMessage(sender, message, now);
         }
@@ -398,7 +399,7 @@
 
     private List<EndpointReport> reports() {
         return owned.values().stream()
-                .flatMap(owner -> owner.reports().stream())
+                .flatMap(owner -> owner.endpointReports().stream())
                 .toList();
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -73,7 +73,7 @@
                 now);
         tick();
         for (int number = 1; number <= 2; number++) {
-            owner.fenceEnded(engine(number).id(), new EngineCommandResult.Done(), now, effects);
+            owner.raiseFenceEnded(engine(number).id(), new EngineCommandResult.Done(), now, effects);
         }
     }
 
@@ -153,11 +153,11 @@
             held.get(read.endpoint().id()).forEach(each -> loaded.put(each, 0));
             owner.statusRead(read.endpoint().id(), now, new EngineStatus(3, 1, 8, loaded, 0, TERM), now, effects);
         } else if (command instanceof Effect.RaiseFence raise) {
-            owner.fenceEnded(raise.endpoint().id(), new EngineCommandResult.Done(), now, effects);
+            owner.raiseFenceEnded(raise.endpoint().id(), new EngineCommandResult.Done(), now, effects);
         } else if (!paused
                 && command instanceof Effect.SendToPeer send
                 && send.message() instanceof PeerMessage.InventoryRequest request) {
-            owner.inventoried(
+            owner.inventoryReceived(
                     SELF,
                     new PeerMessage.InventoryReply(POOL, request.term(), request.sequence(), List.of()),
                     now,
@@ -189,8 +189,8 @@
         held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
         held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
         run(held, Duration.ofSeconds(2));
-        owner.requested(SELF, request("first", "a", 1), now, effects);
-        owner.requested(SELF, request("second", "b", 2), now, effects);
+        owner.permitRequested(SELF, request("first", "a", 1), now, effects);
+        owner.permitRequested(SELF, request("second", "b", 2), now, effects);
         collect();
         run(held, TAKEOVER);
         assertEquals(List.of("first", "second"), granted());
@@ -204,7 +204,7 @@
         held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
         paused = true;
         run(held, ReducerSettings.DEFAULT.hostListLag().plusMillis(1600));
-        owner.requested(SELF, request("waits", "c"), now, effects);
+        owner.permitRequested(SELF, request("waits", "c"), now, effects);
         collect();
         run(held, Duration.ofMillis(300));
         paused = false;
@@ -220,8 +220,8 @@
         held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
         held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
         run(held, TAKEOVER);
-        owner.requested(SELF, request("runs", "a"), now, effects);
-        owner.requested(SELF, request("waits", "c"), now, effects);
+        owner.permitRequested(SELF, request("runs", "a"), now, effects);
+        owner.permitRequested(SELF, request("waits", "c"), now, effects);
         collect();
         run(held, Duration.ofSeconds(2));
         assertTrue(held.get(engine(1).id()).contains(adapter("a")), "the adapter of a running request was unloaded");
