Name routing, eviction and relay types by field terms

VictimOrder is EvictionOrder, IdempotentCalls IdempotentCallDispatcher, KnownPlacements LastKnownPlacements, EndpointUse EndpointUsage, PeerNews PeerBroadcast. GenerationTracker, RetryBudget and EndpointPicker say which event or count their methods take. Names on the wire stay.

Ran: javac over all sources of all modules; no behaviour change.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -13,7 +13,7 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
-import org.banyanstair.peer.EndpointUse;
+import org.banyanstair.peer.EndpointUsage;
 
 /** What a host believes of one endpoint. Not safe for use by several threads. */
 final class EndpointState {
@@ -45,7 +45,7 @@
     private double runMilliseconds = ServiceTimes.RUN.toMillis();
     private Set<String> baseModels = Set.of();
     private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
-    private final Map<HostId, EndpointUse> use = new HashMap<>();
+    private final Map<HostId, EndpointUsage> use = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex();
     private final Map<LoadedAdapter, Boolean> formerAdapters = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -242,7 +242,7 @@
         return slowness;
     }
 
-    void setUse(HostId host, EndpointUse newer) {
+    void setUse(HostId host, EndpointUsage newer) {
         if (newer.running() == 0) {
             use.remove(host);
         } else {
@@ -257,7 +257,7 @@
 
     int running() {
         int sum = 0;
-        for (EndpointUse one : use.values()) {
+        for (EndpointUsage one : use.values()) {
             sum += one.running();
         }
         return sum;
@@ -265,7 +265,7 @@
 
     int waitingTokens() {
         int sum = 0;
-        for (EndpointUse one : use.values()) {
+        for (EndpointUsage one : use.values()) {
             sum += one.waitingTokens();
         }
         return sum;
@@ -273,7 +273,7 @@
 
     long cacheTokens() {
         long sum = 0;
-        for (EndpointUse one : use.values()) {
+        for (EndpointUsage one : use.values()) {
             sum += one.cacheTokens();
         }
         return sum;
@@ -318,7 +318,7 @@
     }
 
     boolean isUsed(AdapterName adapter) {
-        for (EndpointUse one : use.values()) {
+        for (EndpointUsage one : use.values()) {
             if (one.adapters().contains(adapter)) {
                 return true;
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMail.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMail.java
@@ -13,8 +13,8 @@
 
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.PeerBroadcast;
 import org.banyanstair.peer.PeerMessage;
-import org.banyanstair.peer.PeerNews;
 
 /**
  * Sends messages to peers: to each one itself in a small deployment, in bundles over relays in a large one.
@@ -36,11 +36,11 @@
     private final HostIdentity self;
     private final PeerTable peers;
     private final RelayGroups groups;
-    private final Map<HostId, PeerNews> newest = new HashMap<>();
+    private final Map<HostId, PeerBroadcast> newest = new HashMap<>();
     private final Set<HostId> partners = new HashSet<>();
     private List<PeerMessage> own = new ArrayList<>();
-    private List<PeerNews> fromMembers = new ArrayList<>();
-    private List<PeerNews> fromRelays = new ArrayList<>();
+    private List<PeerBroadcast> fromMembers = new ArrayList<>();
+    private List<PeerBroadcast> fromRelays = new ArrayList<>();
     private long sequence;
     private Instant nextBundleAt = Instant.MIN;
     private Instant nextSignAt = Instant.MIN;
@@ -89,12 +89,12 @@
     }
 
     /** Takes a bundle; returns the news in it that have not come another way. */
-    List<PeerNews> received(HostId sender, PeerMessage.Bundle bundle) {
-        List<PeerNews> fresh = new ArrayList<>();
-        for (PeerNews news : bundle.news()) {
-            PeerNews known = newest.get(news.origin().host());
+    List<PeerBroadcast> received(HostId sender, PeerMessage.Bundle bundle) {
+        List<PeerBroadcast> fresh = new ArrayList<>();
+        for (PeerBroadcast news : bundle.news()) {
+            PeerBroadcast known = newest.get(news.origin().host());
             if (!news.origin().host().equals(self.host()) && (known == null || isNewer(news, known))) {
-                newest.put(news.origin().host(), new PeerNews(news.origin(), news.sequence(), List.of()));
+                newest.put(news.origin().host(), new PeerBroadcast(news.origin(), news.sequence(), List.of()));
                 fresh.add(news);
             }
         }
@@ -104,7 +104,7 @@
         return fresh;
     }
 
-    private static boolean isNewer(PeerNews news, PeerNews known) {
+    private static boolean isNewer(PeerBroadcast news, PeerBroadcast known) {
         long incarnation = news.origin().incarnation();
         return incarnation > known.origin().incarnation()
                 || incarnation == known.origin().incarnation() && news.sequence() > known.sequence();
@@ -127,12 +127,12 @@
         }
         nextBundleAt = turn.now().plus(BUNDLE_INTERVAL);
         groups.refresh(turn.now());
-        List<PeerNews> mine = own.isEmpty() ? List.of() : List.of(new PeerNews(self, ++sequence, own));
+        List<PeerBroadcast> mine = own.isEmpty() ? List.of() : List.of(new PeerBroadcast(self, ++sequence, own));
         own = new ArrayList<>();
         List<HostId> members = groups.ownMembers(turn.now());
         List<HostId> relays = groups.otherRelays();
-        List<PeerNews> forRelays = new ArrayList<>(fromMembers);
-        List<PeerNews> forMembers = new ArrayList<>(fromMembers);
+        List<PeerBroadcast> forRelays = new ArrayList<>(fromMembers);
+        List<PeerBroadcast> forMembers = new ArrayList<>(fromMembers);
         forMembers.addAll(fromRelays);
         fromMembers = new ArrayList<>();
         fromRelays = new ArrayList<>();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/SharedRetries.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/SharedRetries.java
@@ -19,13 +19,13 @@
 
     /** A request came, which earns a share of a retry. */
     void countFirst(String service, Instant now) {
-        budget(service).countFirst(now);
+        budget(service).recordFirstAttempt(now);
     }
 
     /** Takes a retry if one is left. */
     boolean take(String service, Instant now) {
         double slack = (double) settings.retrySlack() / (peers.size() + 1);
-        return budget(service).tryRetry(settings.retryShare(), slack, now);
+        return budget(service).tryAcquire(settings.retryShare(), slack, now);
     }
 
     private RetryBudget budget(String service) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
@@ -12,7 +12,7 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
-import org.banyanstair.peer.EndpointUse;
+import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.PeerMessage;
 
 /** What the requests of all hosts use at the endpoints; those of this host are reported to its peers. */
@@ -27,7 +27,7 @@
     private final RunnerDesk desk;
     private final Collection<Forwarding> open;
     private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
-    private final Map<EndpointId, EndpointUse> unreported = new TreeMap<>();
+    private final Map<EndpointId, EndpointUsage> unreported = new TreeMap<>();
     private Instant nextCompleteAt = Instant.MIN;
 
     /**
@@ -46,7 +46,7 @@
 
     /** A request of this host began, went on or ended at an endpoint. */
     void changed(EndpointState endpoint) {
-        EndpointUse use = useOf(endpoint);
+        EndpointUsage use = useOf(endpoint);
         endpoint.setUse(self, use);
         unreported.put(endpoint.id(), use);
     }
@@ -59,7 +59,7 @@
         }
     }
 
-    private EndpointUse useOf(EndpointState endpoint) {
+    private EndpointUsage useOf(EndpointState endpoint) {
         int running = 0;
         int waitingTokens = 0;
         int cacheTokens = 0;
@@ -74,7 +74,7 @@
                 }
             }
         }
-        return new EndpointUse(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
+        return new EndpointUsage(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
     }
 
     /** Tells peers what has changed since the last report, and all of it now and then for those that missed one. */
@@ -83,7 +83,7 @@
         if (complete) {
             nextCompleteAt = turn.now().plus(COMPLETE_INTERVAL);
             view.endpoints().forEach(endpoint -> {
-                EndpointUse use = useOf(endpoint);
+                EndpointUsage use = useOf(endpoint);
                 if (use.running() > 0) {
                     unreported.put(endpoint.id(), use);
                 }
@@ -92,8 +92,8 @@
         if (unreported.isEmpty() && !complete) {
             return;
         }
-        List<EndpointUse> uses = unreported.values().stream()
-                .map(use -> new EndpointUse(
+        List<EndpointUsage> uses = unreported.values().stream()
+                .map(use -> new EndpointUsage(
                         use.endpoint(),
                         use.running(),
                         use.waitingTokens(),
@@ -111,7 +111,7 @@
         if (message.complete()) {
             forget(sender);
         }
-        for (EndpointUse use : message.uses()) {
+        for (EndpointUsage use : message.uses()) {
             view.endpoint(use.endpoint()).ifPresent(endpoint -> {
                 endpoint.setUse(sender, use);
                 use.adapters().forEach(adapter -> desk.countUse(endpoint, adapter));
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -258,7 +258,7 @@
         call.countDispatch();
         long dispatch = sequence.next();
         dispatches.put(dispatch, call.submit().attempt());
-        picker.started(dispatch, endpoint.get().id());
+        picker.recordStart(dispatch, endpoint.get().id());
         effects.add(
                 new Effect.DispatchCall(dispatch, endpoint.get(), call.submit().call()));
     }
@@ -277,7 +277,7 @@
         if (attempt == null) {
             return false;
         }
-        picker.ended(dispatch);
+        picker.recordEnd(dispatch);
         SubmittedCall call = calls.get(attempt);
         CallKey key = call.submit().key();
         if (result instanceof ServiceCallResult.Answered answered) {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUse.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUsage.java
@@ -17,7 +17,7 @@
  * @param newPrefixes hashes of prompt prefixes that were sent there since the last message
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record EndpointUse(
+public record EndpointUsage(
         EndpointId endpoint,
         int running,
         int waitingTokens,
@@ -25,7 +25,7 @@
         List<AdapterName> adapters,
         List<Long> newPrefixes) {
     /** Copies the lists. */
-    public EndpointUse {
+    public EndpointUsage {
         adapters = List.copyOf(adapters);
         newPrefixes = List.copyOf(newPrefixes);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerNews.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerBroadcast.java
@@ -11,9 +11,9 @@
  * @param sequence number that grows with each news of a run of that host
  * @param messages the messages, in order
  */
-public record PeerNews(HostIdentity origin, long sequence, List<PeerMessage> messages) {
+public record PeerBroadcast(HostIdentity origin, long sequence, List<PeerMessage> messages) {
     /** Copies the list. */
-    public PeerNews {
+    public PeerBroadcast {
         messages = List.copyOf(messages);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -174,7 +174,7 @@
      * @param news the news
      * @param passOn whether the receiver is to pass them on to its group
      */
-    record Bundle(List<PeerNews> news, boolean passOn) implements PeerMessage {}
+    record Bundle(List<PeerBroadcast> news, boolean passOn) implements PeerMessage {}
 
     /**
      * A message for one host, on its way through relays.
@@ -190,7 +190,7 @@
      *
      * @param complete whether endpoints that are not listed are unused; else they are as in the last message
      */
-    record UseReport(List<EndpointUse> uses, boolean complete) implements PeerMessage {}
+    record UseReport(List<EndpointUsage> uses, boolean complete) implements PeerMessage {}
 
     /**
      * The adapters of a runner that the sender commands.
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
@@ -36,7 +36,7 @@
         }
         if (message.attempt() == 1) {
             pool.popularity().count(message.adapter(), now);
-            retries.countFirst(now);
+            retries.recordFirstAttempt(now);
         }
         enqueue(sender, renewed(message), now);
     }
@@ -77,7 +77,7 @@
         double share = pool.configuration().preset().retryShare();
         boolean free = pool.suspects().crashCount(message.fingerprint()) > 0
                 || message.tried().isEmpty();
-        return free || retries.tryRetry(share, now)
+        return free || retries.tryAcquire(share, now)
                 ? Optional.empty()
                 : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/VictimOrder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EvictionOrder.java
@@ -7,19 +7,19 @@
 
 /** Orders the adapters that may be evicted, best victim first. */
 @FunctionalInterface
-public interface VictimOrder {
+public interface EvictionOrder {
     /** Lowest decayed popularity first. */
-    VictimOrder LEAST_POPULAR = () -> Comparator.comparingDouble(Victim::popularity);
+    EvictionOrder LEAST_POPULAR = () -> Comparator.comparingDouble(EvictionCandidate::popularity);
 
     /** Longest unused first. */
-    VictimOrder LEAST_RECENTLY_USED = () -> Comparator.comparing(Victim::usedAt);
+    EvictionOrder LEAST_RECENTLY_USED = () -> Comparator.comparing(EvictionCandidate::usedAt);
 
     /**
      * Returns the order.
      *
      * @return comparator that puts the best victim first
      */
-    Comparator<Victim> order();
+    Comparator<EvictionCandidate> order();
 
     /**
      * An adapter that may be evicted.
@@ -28,5 +28,5 @@
      * @param popularity its decayed popularity
      * @param usedAt when a request last used it on this engine
      */
-    record Victim(AdapterVersion adapter, double popularity, Instant usedAt) {}
+    record EvictionCandidate(AdapterVersion adapter, double popularity, Instant usedAt) {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -146,7 +146,7 @@
 
     /** Evicts the adapter that the policy prefers, of those that no request uses or could use there. */
     private void evictFor(WaitingRequest waiting, Instant now, Effects effects) {
-        record Candidate(EngineState engine, VictimOrder.Victim victim) {}
+        record Candidate(EngineState engine, EvictionOrder.EvictionCandidate victim) {}
         usable(waiting, now)
                 .flatMap(engine -> engine.slots().keySet().stream()
                         .filter(adapter -> isEvictable(engine, adapter))
@@ -160,8 +160,9 @@
                         chosen -> beginUnload(chosen.engine(), chosen.victim().adapter(), now, effects));
     }
 
-    private VictimOrder.Victim victim(EngineState engine, AdapterVersion adapter, Instant now) {
-        return new VictimOrder.Victim(adapter, pool.popularity().score(adapter, now), engine.usedAt(adapter));
+    private EvictionOrder.EvictionCandidate victim(EngineState engine, AdapterVersion adapter, Instant now) {
+        return new EvictionOrder.EvictionCandidate(
+                adapter, pool.popularity().score(adapter, now), engine.usedAt(adapter));
     }
 
     private boolean isEvictable(EngineState engine, AdapterVersion adapter) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PlacementPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PlacementPolicy.java
@@ -11,22 +11,22 @@
  * @param limitsLoadRate whether loads keep to the pool's share of the weight store
  */
 public record PlacementPolicy(
-        EngineBinding binding, VictimOrder evictionOrder, boolean usesAdmissionControl, boolean limitsLoadRate) {
+        EngineBinding binding, EvictionOrder evictionOrder, boolean usesAdmissionControl, boolean limitsLoadRate) {
     /** Any engine may serve a request; the least popular adapter is evicted; requests are admitted by estimate. */
     public static final PlacementPolicy STANDARD =
-            new PlacementPolicy(EngineBinding.NONE, VictimOrder.LEAST_POPULAR, true, true);
+            new PlacementPolicy(EngineBinding.NONE, EvictionOrder.LEAST_POPULAR, true, true);
 
     /** Baseline: the least loaded engine serves a request, and the least recently used adapter is evicted. */
     public static final PlacementPolicy LEAST_LOADED =
-            new PlacementPolicy(EngineBinding.LEAST_LOADED, VictimOrder.LEAST_RECENTLY_USED, false, false);
+            new PlacementPolicy(EngineBinding.LEAST_LOADED, EvictionOrder.LEAST_RECENTLY_USED, false, false);
 
     /** Baseline: the less loaded of two random engines serves a request; least recently used eviction. */
     public static final PlacementPolicy RANDOM_OF_TWO =
-            new PlacementPolicy(EngineBinding.RANDOM_OF_TWO, VictimOrder.LEAST_RECENTLY_USED, false, false);
+            new PlacementPolicy(EngineBinding.RANDOM_OF_TWO, EvictionOrder.LEAST_RECENTLY_USED, false, false);
 
     /** Baseline: like the standard policy, but every request is admitted until its deadline. */
     public static final PlacementPolicy WITHOUT_ADMISSION =
-            new PlacementPolicy(EngineBinding.NONE, VictimOrder.LEAST_POPULAR, false, true);
+            new PlacementPolicy(EngineBinding.NONE, EvictionOrder.LEAST_POPULAR, false, true);
 
     /** Names of the policies in settings files, in the order of {@link #ALL}. */
     public static final List<String> NAMES = List.of("standard", "least-loaded", "random-of-two", "without-admission");
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -31,7 +31,7 @@
 import org.banyanstair.placement.PoolOwner;
 import org.banyanstair.placement.SuspectRecord;
 import org.banyanstair.routing.GenerationTracker;
-import org.banyanstair.routing.IdempotentCalls;
+import org.banyanstair.routing.IdempotentCallDispatcher;
 
 /**
  * The one reducer over all events of a host.
@@ -50,7 +50,7 @@
     private final GenerationTracker generations;
     private final CallTracker calls;
     private final CallWriters writers;
-    private final IdempotentCalls idempotentCalls;
+    private final IdempotentCallDispatcher idempotentCalls;
     private final StatusCollector statuses;
     private final PoolContext poolContext;
     private final Instant startedAt;
@@ -71,7 +71,7 @@
                 new GenerationTracker(ownership.state(), settings, membership, configuration::isLogReachable);
         this.calls = new CallTracker(membership, settings, sequence);
         this.writers = new CallWriters(membership, settings, sequence);
-        this.idempotentCalls = new IdempotentCalls(membership, sequence);
+        this.idempotentCalls = new IdempotentCallDispatcher(membership, sequence);
         this.poolContext =
                 new PoolContext(membership, settings, sequence, ownership.state(), suspects, configuration::current);
         this.statuses = new StatusCollector(membership, settings);
@@ -108,9 +108,9 @@
 
     private boolean applyCallerEvent(Event event) {
         if (event instanceof Event.GenerationArrived arrived) {
-            generations.arrived(arrived.request(), configuration.current(), arrived.at(), effects);
+            generations.requestArrived(arrived.request(), configuration.current(), arrived.at(), effects);
         } else if (event instanceof Event.GenerationCancelled withdrawn) {
-            generations.withdrawn(withdrawn.request(), effects);
+            generations.requestCancelled(withdrawn.request(), effects);
         } else if (event instanceof Event.AttemptEnded ended) {
             generations.attemptEnded(ended.request(), ended.attempt(), ended.outcome(), ended.at(), effects);
         } else if (event instanceof Event.CallArrived arrived) {
@@ -127,7 +127,7 @@
         if (call.key().isPresent()) {
             calls.arrived(call, call.key().get(), now, effects);
         } else {
-            idempotentCalls.arrived(call, now, effects);
+            idempotentCalls.callArrived(call, now, effects);
         }
     }
 
@@ -338,14 +338,14 @@
 
     private boolean receivedAsHolder(HostIdentity sender, PeerMessage message, Instant now) {
         if (message instanceof PeerMessage.PermitGrant grant) {
-            generations.granted(sender.host(), grant, effects);
+            generations.permitGranted(sender.host(), grant, effects);
         } else if (message instanceof PeerMessage.PermitRefusal refusal) {
-            generations.refused(refusal, effects);
+            generations.permitRefused(refusal, effects);
         } else if (message instanceof PeerMessage.NotOwner notOwner) {
-            generations.notOwner(notOwner, now);
+            generations.notOwnerReceived(notOwner, now);
         } else if (message instanceof PeerMessage.InventoryRequest request) {
             learn(request.pool(), new Ownership(sender, request.term()), now);
-            generations.inventory(sender.host(), request, effects);
+            generations.inventoryRequested(sender.host(), request, effects);
         } else {
             return false;
         }
@@ -436,7 +436,7 @@
      * @return requests of callers and dispatches in flight
      */
     public int inFlight() {
-        return generations.size() + calls.size() + idempotentCalls.size() + (writers.isBusy() ? 1 : 0);
+        return generations.inFlight() + calls.size() + idempotentCalls.inFlight() + (writers.isBusy() ? 1 : 0);
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
@@ -65,7 +65,7 @@
      * @param dispatch number of the dispatch
      * @param endpoint where it runs
      */
-    public void started(long dispatch, EndpointId endpoint) {
+    public void recordStart(long dispatch, EndpointId endpoint) {
         running.put(dispatch, endpoint);
     }
 
@@ -74,7 +74,7 @@
      *
      * @param dispatch number of the dispatch
      */
-    public void ended(long dispatch) {
+    public void recordEnd(long dispatch) {
         running.remove(dispatch);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -36,7 +36,7 @@
 public final class GenerationTracker {
     private final OwnershipState owners;
     private final ReducerSettings settings;
-    private final KnownPlacements placements;
+    private final LastKnownPlacements placements;
     private final BooleanSupplier logReachable;
     private final Map<RequestId, Tracked> requests = new LinkedHashMap<>();
     private final Map<PoolId, Barrier> barriers = new LinkedHashMap<>();
@@ -85,7 +85,7 @@
             OwnershipState owners, ReducerSettings settings, Membership membership, BooleanSupplier logReachable) {
         this.owners = owners;
         this.settings = settings;
-        this.placements = new KnownPlacements(membership, owners);
+        this.placements = new LastKnownPlacements(membership, owners);
         this.logReachable = logReachable;
     }
 
@@ -94,7 +94,7 @@
      *
      * @return requests that wait or run
      */
-    public int size() {
+    public int inFlight() {
         return requests.size();
     }
 
@@ -106,7 +106,7 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void arrived(GenerationRequest request, Configuration configuration, Instant now, Effects effects) {
+    public void requestArrived(GenerationRequest request, Configuration configuration, Instant now, Effects effects) {
         if (!configuration.preset().admitsRequests()) {
             effects.add(new Effect.FailGeneration(
                     request.id(), new Failure.InMaintenance(request.service().id())));
@@ -156,7 +156,7 @@
      * @param grant the grant
      * @param effects collects what to do
      */
-    public void granted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
+    public void permitGranted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
         Tracked tracked = requests.get(grant.request());
         boolean wanted = tracked != null && tracked.attempt == grant.attempt();
         if (wanted && tracked.running.filter(grant.endpoint()::equals).isPresent()) {
@@ -195,7 +195,7 @@
      * @param refusal the refusal
      * @param effects collects what to do
      */
-    public void refused(PeerMessage.PermitRefusal refusal, Effects effects) {
+    public void permitRefused(PeerMessage.PermitRefusal refusal, Effects effects) {
         Tracked tracked = requests.get(refusal.request());
         long known = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
         boolean current = tracked != null
@@ -225,7 +225,7 @@
      * @param message the message
      * @param now present instant
      */
-    public void notOwner(PeerMessage.NotOwner message, Instant now) {
+    public void notOwnerReceived(PeerMessage.NotOwner message, Instant now) {
         Tracked tracked = requests.get(message.request());
         if (tracked != null && tracked.running.isEmpty()) {
             tracked.askAgainAt = now.plus(settings.retryInterval().dividedBy(5));
@@ -287,7 +287,7 @@
      * @param id the request
      * @param effects collects what to do
      */
-    public void withdrawn(RequestId id, Effects effects) {
+    public void requestCancelled(RequestId id, Effects effects) {
         Tracked tracked = requests.remove(id);
         if (tracked != null) {
             stop(tracked, effects);
@@ -308,7 +308,7 @@
      * @param request its question
      * @param effects collects what to do
      */
-    public void inventory(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
+    public void inventoryRequested(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
         Barrier barrier = barriers.get(request.pool());
         long known = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
         if (request.term() < known || barrier != null && request.term() < barrier.term()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCalls.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
@@ -26,7 +26,7 @@
  *
  * <p>Not safe for use by several threads.
  */
-public final class IdempotentCalls {
+public final class IdempotentCallDispatcher {
     /** A dispatch gets at most this part of the remaining time, so that a silent endpoint leaves time for another. */
     private static final int DISPATCHES_IN_REMAINING_TIME = 3;
 
@@ -43,7 +43,7 @@
      * @param membership the endpoints
      * @param sequence source of numbers for dispatches
      */
-    public IdempotentCalls(Membership membership, Sequence sequence) {
+    public IdempotentCallDispatcher(Membership membership, Sequence sequence) {
         this.picker = new EndpointPicker(membership);
         this.sequence = sequence;
     }
@@ -53,7 +53,7 @@
      *
      * @return calls without an answer
      */
-    public int size() {
+    public int inFlight() {
         return running.size();
     }
 
@@ -64,8 +64,8 @@
      * @param now present instant
      * @param effects collects what to do
      */
-    public void arrived(CallRequest request, Instant now, Effects effects) {
-        budget.countFirst(now);
+    public void callArrived(CallRequest request, Instant now, Effects effects) {
+        budget.recordFirstAttempt(now);
         dispatch(request, new HashSet<>(), now, effects);
     }
 
@@ -77,7 +77,7 @@
         }
         long dispatch = sequence.next();
         running.put(dispatch, new Running(request, endpoint.get(), tried));
-        picker.started(dispatch, endpoint.get().id());
+        picker.recordStart(dispatch, endpoint.get().id());
         effects.add(new Effect.DispatchCall(dispatch, endpoint.get(), limited(request.call(), now)));
     }
 
@@ -103,7 +103,7 @@
         if (ended == null) {
             return false;
         }
-        picker.ended(dispatch);
+        picker.recordEnd(dispatch);
         if (result instanceof ServiceCallResult.Answered answered) {
             answer(ended.request(), new CallAnswer.Answered(answered.answer(), false), effects);
             return true;
@@ -114,7 +114,7 @@
         boolean elsewhere = picker.pick(
                         ended.request().pool(), ended.request().call().requestId(), ended.tried())
                 .isPresent();
-        if (late || !elsewhere || !budget.tryRetry(retryShare, now)) {
+        if (late || !elsewhere || !budget.tryAcquire(retryShare, now)) {
             answer(ended.request(), failed, effects);
         } else {
             dispatch(ended.request(), ended.tried(), now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/KnownPlacements.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
@@ -21,7 +21,7 @@
  * <p>Without an owner nobody unloads adapters. A later owner learns of such attempts from its inventory before it
  * unloads anything. Not safe for use by several threads.
  */
-final class KnownPlacements {
+final class LastKnownPlacements {
     /** More adapters than the engines of one pool have slots. */
     private static final int REMEMBERED = 4_096;
 
@@ -36,7 +36,7 @@
         }
     };
 
-    KnownPlacements(Membership membership, OwnershipState owners) {
+    LastKnownPlacements(Membership membership, OwnershipState owners) {
         this.membership = membership;
         this.owners = owners;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -24,7 +24,7 @@
      *
      * @param now present instant
      */
-    public void countFirst(Instant now) {
+    public void recordFirstAttempt(Instant now) {
         firstTries.addLast(now);
         forget(firstTries, now);
     }
@@ -36,8 +36,8 @@
      * @param now present instant
      * @return false if the budget is used up
      */
-    public boolean tryRetry(double share, Instant now) {
-        return tryRetry(share, MINIMUM_RETRIES, now);
+    public boolean tryAcquire(double share, Instant now) {
+        return tryAcquire(share, MINIMUM_RETRIES, now);
     }
 
     /**
@@ -48,7 +48,7 @@
      * @param now present instant
      * @return false if the budget is used up
      */
-    public boolean tryRetry(double share, double minimum, Instant now) {
+    public boolean tryAcquire(double share, double minimum, Instant now) {
         forget(firstTries, now);
         forget(retries, now);
         if (retries.size() + 1 > Math.max(minimum, share * firstTries.size())) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
@@ -19,7 +19,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.peer.EndpointUse;
+import org.banyanstair.peer.EndpointUsage;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -107,7 +107,7 @@
         begin(Set.of("base"), full);
         step();
         inspect(0, false, Set.of("base"), full);
-        runner.setUse(OTHER, new EndpointUse(runner.id(), 2, 0, 0, List.of(adapter(1), adapter(3)), List.of()));
+        runner.setUse(OTHER, new EndpointUsage(runner.id(), 2, 0, 0, List.of(adapter(1), adapter(3)), List.of()));
         want(4);
         AdapterCommand unload = command();
         assertFalse(unload.load());
--- a/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
@@ -73,7 +73,7 @@
         listHosts(SELF, OWNER);
         owners.updateFromPeer(POOL, new Ownership(OWNER, 0));
         arrive("first");
-        tracker.granted(
+        tracker.permitGranted(
                 OWNER.host(), new PeerMessage.PermitGrant(new RequestId("first"), 1, POOL, 0, 1, ENGINE, 0), effects);
         tracker.attemptEnded(new RequestId("first"), 1, new AttemptOutcome.Completed(), NOW, effects);
         effects.drain();
@@ -106,7 +106,7 @@
                 NOW.plusSeconds(10),
                 0,
                 new Fingerprint("f"));
-        tracker.arrived(request, Configuration.INITIAL, NOW, effects);
+        tracker.requestArrived(request, Configuration.INITIAL, NOW, effects);
     }
 
     private List<Effect> startsOf(String id) {
@@ -150,7 +150,7 @@
         listHosts(SELF);
         logReachable.set(false);
         startsOf("second");
-        tracker.inventory(SELF.host(), new PeerMessage.InventoryRequest(POOL, 5, 9), effects);
+        tracker.inventoryRequested(SELF.host(), new PeerMessage.InventoryRequest(POOL, 5, 9), effects);
         PeerMessage.InventoryReply reply = effects.drain().stream()
                 .filter(Effect.SendToPeer.class::isInstance)
                 .map(effect -> ((Effect.SendToPeer) effect).message())
