--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
@@ -21,7 +21,7 @@
      * @param now present instant
      * @return what it says
      */
-    ParsedRequest read(long exchange, String caller, FullHttpRequest request, Instant now);
+    ParsedRequest parseRequest(long exchange, String caller, FullHttpRequest request, Instant now);
 
     /**
      * Creates the answer to a refused request.
@@ -30,7 +30,7 @@
      * @param retryAfter when the caller may return; empty if that is of no use
      * @return the answer
      */
-    FullHttpResponse refusal(RefusalReason reason, Optional<Duration> retryAfter);
+    FullHttpResponse refusalResponse(RefusalReason reason, Optional<Duration> retryAfter);
 
     /**
      * Creates the answer to a request that may have run.
@@ -38,7 +38,7 @@
      * @param reason why it has no answer
      * @return the answer
      */
-    FullHttpResponse failure(FailureReason reason);
+    FullHttpResponse failureResponse(FailureReason reason);
 
     /**
      * Creates the answer to a request that cannot be understood.
@@ -47,7 +47,7 @@
      * @param message what is wrong
      * @return the answer
      */
-    FullHttpResponse error(int status, String message);
+    FullHttpResponse errorResponse(int status, String message);
 
     /**
      * Copies the headers of an endpoint's answer that concern the caller.
@@ -55,5 +55,5 @@
      * @param from headers of the endpoint
      * @param to headers for the caller
      */
-    void copyAnswerHeaders(HttpHeaders from, HttpHeaders to);
+    void copyResponseHeaders(HttpHeaders from, HttpHeaders to);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DecisionLog.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DecisionLog.java
@@ -25,20 +25,20 @@
  */
 public final class DecisionLog {
     /** Lines that may wait; about 2 MB. */
-    private static final int QUEUE_LINES = 8192;
+    private static final int QUEUE_CAPACITY_LINES = 8192;
 
     /** Lines of served requests are dropped when more than this many lines wait. */
-    private static final int ORDINARY_LINES = 2048;
+    private static final int ORDINARY_LINE_LIMIT = 2048;
 
     /** Lines are gathered for this long, because each write costs a system call. */
-    private static final Duration GATHERING = Duration.ofMillis(100);
+    private static final Duration BATCH_INTERVAL = Duration.ofMillis(100);
 
-    private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY_LINES);
     private final AtomicLong dropped = new AtomicLong();
     private final String host;
     private final OutputStream output;
     private final JsonFactory factory = new JsonFactory();
-    private final Thread thread = new Thread(this::run, "decision-log");
+    private final Thread thread = new Thread(this::writeLines, "decision-log");
     private volatile boolean stopping;
 
     private record Line(Instant at, DecisionRecord decision) {}
@@ -77,7 +77,7 @@
      * @param decision what the line says
      */
     public void write(DecisionRecord decision) {
-        boolean fits = decision.important() || queue.size() < ORDINARY_LINES;
+        boolean fits = decision.important() || queue.size() < ORDINARY_LINE_LIMIT;
         if (!fits || !queue.offer(new Line(Instant.now(), decision))) {
             dropped.incrementAndGet();
         }
@@ -88,26 +88,27 @@
      *
      * @return total since the start
      */
-    public long dropped() {
+    public long droppedLines() {
         return dropped.get();
     }
 
-    private void run() {
-        long reported = 0;
+    private void writeLines() {
+        long reportedLines = 0;
         while (!stopping || !queue.isEmpty()) {
             try {
                 Line first = queue.poll(1, TimeUnit.SECONDS);
                 if (!stopping) {
-                    Thread.sleep(GATHERING.toMillis());
+                    Thread.sleep(BATCH_INTERVAL.toMillis());
                 }
                 if (first != null) {
-                    writeFrom(first);
+                    writeBatch(first);
                 }
-                if (dropped.get() > reported) {
+                if (dropped.get() > reportedLines) {
                     long total = dropped.get();
-                    writeFrom(new Line(
-                            Instant.now(), DecisionRecord.important("log-lines-dropped", "lines", total - reported)));
-                    reported = total;
+                    writeBatch(new Line(
+                            Instant.now(),
+                            DecisionRecord.important("log-lines-dropped", "lines", total - reportedLines)));
+                    reportedLines = total;
                 }
             } catch (InterruptedException exception) {
                 // Only stop() interrupts; the loop ends once the queue is empty.
@@ -119,7 +120,7 @@
         }
     }
 
-    private void writeFrom(Line first) throws IOException {
+    private void writeBatch(Line first) throws IOException {
         ByteArrayOutputStream buffer = new ByteArrayOutputStream(4096);
         for (Line line = first; line != null; line = queue.poll()) {
             encode(line, buffer);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DirectoryProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DirectoryProtocol.java
@@ -16,7 +16,7 @@
      * @param addresses the addresses to give
      * @return the answer; empty if the request is no such question
      */
-    Optional<FullHttpResponse> answer(HttpRequest request, List<NetworkAddress> addresses);
+    Optional<FullHttpResponse> resolveResponse(HttpRequest request, List<NetworkAddress> addresses);
 
     /**
      * Answers a question for readiness.
@@ -25,5 +25,5 @@
      * @param ready whether the host is ready
      * @return the answer; empty if the request is no such question
      */
-    Optional<FullHttpResponse> answer(HttpRequest request, boolean ready);
+    Optional<FullHttpResponse> readinessResponse(HttpRequest request, boolean ready);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
@@ -21,7 +21,7 @@
      * @param now present instant
      * @return a request with its own reference to the body
      */
-    FullHttpRequest forward(FullHttpRequest original, ForwardingEffect.Send send, Instant now);
+    FullHttpRequest createRequest(FullHttpRequest original, ForwardingEffect.Send send, Instant now);
 
     /**
      * Tells what the head of an answer says.
@@ -38,7 +38,7 @@
      * @param command the command
      * @return the request
      */
-    FullHttpRequest command(AdapterCommand command);
+    FullHttpRequest commandRequest(AdapterCommand command);
 
     /**
      * Reads the answer to a command.
@@ -46,7 +46,7 @@
      * @param response the answer
      * @return the result
      */
-    CommandResult commandResult(FullHttpResponse response);
+    CommandResult parseCommandResult(FullHttpResponse response);
 
     /**
      * Creates a question for the state of a runner.
@@ -54,7 +54,7 @@
      * @param inspect the runner
      * @return the request
      */
-    FullHttpRequest inspection(ForwardingEffect.Inspect inspect);
+    FullHttpRequest inspectionRequest(ForwardingEffect.Inspect inspect);
 
     /**
      * Reads a runner's answer.
@@ -62,5 +62,5 @@
      * @param response the answer
      * @return its state; empty if it cannot be read
      */
-    Optional<RunnerState> runnerState(FullHttpResponse response);
+    Optional<RunnerState> parseRunnerState(FullHttpResponse response);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -57,25 +57,25 @@
  */
 public final class ForwarderDaemon {
     /** Longest time to open a connection; a few round trips in one region. */
-    private static final Duration CONNECT_LIMIT = Duration.ofMillis(250);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
     /**
      * Longest time for a runner's answer to a command; tens of round trips in one region.
      * A command that is carried out later is refused by its sequence.
      */
-    private static final Duration COMMAND_LIMIT = Duration.ofMillis(150);
+    private static final Duration COMMAND_TIMEOUT = Duration.ofMillis(150);
 
     /** Longest time for a runner's answer to a question for its state; a host that has just started is slow itself. */
-    private static final Duration INSPECTION_LIMIT = Duration.ofMillis(500);
+    private static final Duration INSPECTION_TIMEOUT = Duration.ofMillis(500);
 
     /** Longest answer of a runner about itself; the names of 10,000 adapters take a third of it. */
-    private static final int RUNNER_ANSWER_BYTES = 1 << 20;
+    private static final int MAXIMUM_RUNNER_RESPONSE_BYTES = 1 << 20;
 
     /** Time between two messages that keep a connection between hosts. */
-    private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+    private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
 
     /** Silence after which a connection between hosts is given up. */
-    private static final Duration PEER_SILENCE = Duration.ofMillis(2500);
+    private static final Duration PEER_TIMEOUT = Duration.ofMillis(2500);
 
     private final ForwarderSettings settings;
     private final Protocols protocols;
@@ -86,18 +86,19 @@
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, new DefaultThreadFactory("banyanstair-forwarder", false));
     private final EventLoop loop = group.next();
-    private final ResponseMemoryBudget answerMemory = new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_BYTES);
+    private final ResponseMemoryBudget responseMemory =
+            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES);
     private final EndpointConnectionPool connections;
-    private final ServerSockets listeners = new ServerSockets(group);
+    private final ServerSockets serverSockets = new ServerSockets(group);
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final DaemonContext shell = new DaemonContext();
+    private final DaemonContext context = new DaemonContext();
     private final LogClient topics;
     private final PeerTransport peers;
-    private long lastExchange;
+    private long lastExchangeNumber;
     private volatile boolean stopping;
-    private Instant stopBy = Instant.MAX;
-    private Instant stopNotBefore = Instant.MAX;
+    private Instant stopDeadline = Instant.MAX;
+    private Instant drainUntil = Instant.MAX;
 
     /**
      * Creates the daemon.
@@ -112,23 +113,23 @@
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
         this.connections = new EndpointConnectionPool(
-                loop, CONNECT_LIMIT, answerMemory, new RejectedResponses(metrics, decisions::write));
-        this.topics = new LogClient(shell, loop);
-        metrics.observe(() -> reducer.status(shell.now()));
-        metrics.gauge("endpoint_connections_total", connections::opened);
-        metrics.gauge("answer_memory_bytes", answerMemory::used);
-        metrics.gauge("log_lines_dropped_total", decisions::dropped);
+                loop, CONNECT_TIMEOUT, responseMemory, new RejectedResponses(metrics, decisions::write));
+        this.topics = new LogClient(context, loop);
+        metrics.registerStatusGauges(() -> reducer.status(context.now()));
+        metrics.registerGauge("endpoint_connections_total", connections::openedTotal);
+        metrics.registerGauge("answer_memory_bytes", responseMemory::usedBytes);
+        metrics.registerGauge("log_lines_dropped_total", decisions::droppedLines);
         this.peers = NettyPeerTransport.onGroup(
                 new PeerTransportSettings(
                         settings.forwarding().identity(),
                         "banyanstair",
                         settings.forwarding().announcement().peers(),
-                        HEARTBEAT,
-                        PEER_SILENCE,
-                        CONNECT_LIMIT.multipliedBy(2),
+                        HEARTBEAT_INTERVAL,
+                        PEER_TIMEOUT,
+                        CONNECT_TIMEOUT.multipliedBy(2),
                         PeerTransportSettings.DEFAULT_MAXIMUM_FRAME_BYTES),
                 reducer::peerAddress,
-                new Peers(),
+                new PeerEventAdapter(),
                 clock,
                 group);
     }
@@ -137,20 +138,22 @@
     public void start() {
         loop.execute(this::tick);
         peers.start();
-        listeners.callers(settings.callers(), () -> shell.limits().headerBytes(), () -> new CallerConnection(shell));
-        settings.readiness()
-                .ifPresent(address -> listeners.questions(
+        serverSockets.listenForCallers(
+                settings.callerAddress(), () -> context.limits().headerBytes(), () -> new CallerConnection(context));
+        settings.readinessAddress()
+                .ifPresent(address -> serverSockets.listenForQueries(
                         address,
                         () -> new QueryConnection(
-                                request -> protocols.directory().answer(request, reducer.isReady()))));
-        settings.directory()
-                .ifPresent(address -> listeners.questions(
+                                request -> protocols.directory().readinessResponse(request, reducer.isReady()))));
+        settings.directoryAddress()
+                .ifPresent(address -> serverSockets.listenForQueries(
                         address,
-                        () -> new QueryConnection(request ->
-                                protocols.directory().answer(request, reducer.callerAddresses(shell.now())))));
-        listeners.questions(settings.metrics(), () -> new QueryConnection(this::answerMetrics));
+                        () -> new QueryConnection(request -> protocols
+                                .directory()
+                                .resolveResponse(request, reducer.callerAddresses(context.now())))));
+        serverSockets.listenForQueries(settings.metricsAddress(), () -> new QueryConnection(this::metricsResponse));
         decisions.write(DecisionRecord.important(
-                "started", "identity", settings.forwarding().identity(), "callers", settings.callers()));
+                "started", "identity", settings.forwarding().identity(), "callers", settings.callerAddress()));
     }
 
     /** Stops in order: takes no new callers, answers those that are there, then ends. Returns at once. */
@@ -158,9 +161,9 @@
         loop.execute(() -> {
             if (!stopping) {
                 stopping = true;
-                stopBy = shell.now().plus(settings.stopLimit());
-                stopNotBefore = shell.now().plus(settings.lateCallers());
-                shell.submit(new ForwardingEvent.StopRequested());
+                stopDeadline = context.now().plus(settings.shutdownTimeout());
+                drainUntil = context.now().plus(settings.drainGracePeriod());
+                context.submit(new ForwardingEvent.StopRequested());
             }
         });
     }
@@ -179,55 +182,55 @@
      *
      * @param reason why
      */
-    public void noteReload(String reason) {
+    public void logSettingsReload(String reason) {
         decisions.write(DecisionRecord.important("settings-read", "reason", reason));
     }
 
     private void tick() {
-        shell.submit(new ForwardingEvent.Tick());
-        Instant now = shell.now();
-        boolean quiet = reducer.openRequests() == 0 && now.isAfter(stopNotBefore);
-        if (stopping && (quiet || now.isAfter(stopBy))) {
+        context.submit(new ForwardingEvent.Tick());
+        Instant now = context.now();
+        boolean drained = reducer.openRequests() == 0 && now.isAfter(drainUntil);
+        if (stopping && (drained || now.isAfter(stopDeadline))) {
             decisions.write(DecisionRecord.important("stopped", "open-requests", reducer.openRequests()));
-            listeners.close();
+            serverSockets.close();
             stopped.countDown();
             return;
         }
         loop.schedule(this::tick, reducer.tickInterval().toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private Optional<FullHttpResponse> answerMetrics(HttpRequest request) {
+    private Optional<FullHttpResponse> metricsResponse(HttpRequest request) {
         if (!request.uri().equals("/metrics")) {
             return Optional.empty();
         }
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusText.CONTENT_TYPE);
-        response.content().writeBytes(metrics.write());
+        response.content().writeBytes(metrics.render());
         return Optional.of(response);
     }
 
-    private void carryOut(List<ForwardingEffect> effects) {
+    private void executeAll(List<ForwardingEffect> effects) {
         for (ForwardingEffect effect : effects) {
             try {
-                carryOut(effect);
+                execute(effect);
             } catch (RuntimeException exception) {
                 Logger.error(exception, "effect failed: {}", effect.getClass().getSimpleName());
             }
         }
     }
 
-    private void carryOut(ForwardingEffect effect) {
+    private void execute(ForwardingEffect effect) {
         if (effect instanceof ForwardingEffect.Log log) {
             metrics.countDecision(log.decision().kind());
             decisions.write(log.decision());
         } else if (effect instanceof ForwardingEffect.SendToPeer toPeer) {
             peers.send(toPeer.peer(), toPeer.message());
-        } else if (effect instanceof ForwardingEffect.OpenPeerConnection watch) {
-            peers.watch(watch.peer());
-        } else if (effect instanceof ForwardingEffect.ClosePeerConnection unwatch) {
-            peers.unwatch(unwatch.peer());
+        } else if (effect instanceof ForwardingEffect.OpenPeerConnection open) {
+            peers.watch(open.peer());
+        } else if (effect instanceof ForwardingEffect.ClosePeerConnection close) {
+            peers.unwatch(close.peer());
         } else if (effect instanceof ForwardingEffect.Command command) {
-            command(command.command());
+            sendCommand(command.command());
         } else if (effect instanceof ForwardingEffect.Inspect inspect) {
             inspect(inspect);
         } else if (effect instanceof ForwardingEffect.ReadNewest read) {
@@ -239,11 +242,11 @@
         } else if (effect instanceof ForwardingEffect.AppendAnnouncement append) {
             topics.append(append);
         } else {
-            carryOutForCaller(effect);
+            executeForCaller(effect);
         }
     }
 
-    private void carryOutForCaller(ForwardingEffect effect) {
+    private void executeForCaller(ForwardingEffect effect) {
         if (effect instanceof ForwardingEffect.Send send) {
             exchange(send.exchange()).ifPresent(exchange -> exchange.send(send));
         } else if (effect instanceof ForwardingEffect.Deliver deliver) {
@@ -261,50 +264,50 @@
         return Optional.ofNullable(exchanges.get(number));
     }
 
-    private void command(AdapterCommand command) {
-        ask(
+    private void sendCommand(AdapterCommand command) {
+        callRunner(
                 command.load() ? "load" : "unload",
                 command.address(),
-                protocols.endpoints().command(command),
-                COMMAND_LIMIT,
-                answer -> shell.submit(new ForwardingEvent.CommandAnswered(
+                protocols.endpoints().commandRequest(command),
+                COMMAND_TIMEOUT,
+                answer -> context.submit(new ForwardingEvent.CommandAnswered(
                         command,
-                        answer.map(protocols.endpoints()::commandResult).orElse(CommandResult.UNKNOWN))));
+                        answer.map(protocols.endpoints()::parseCommandResult).orElse(CommandResult.UNKNOWN))));
     }
 
     private void inspect(ForwardingEffect.Inspect inspect) {
-        ask(
+        callRunner(
                 "inspect",
                 inspect.address(),
-                protocols.endpoints().inspection(inspect),
-                INSPECTION_LIMIT,
-                answer -> shell.submit(new ForwardingEvent.Inspected(
-                        inspect.endpoint(), answer.flatMap(protocols.endpoints()::runnerState))));
+                protocols.endpoints().inspectionRequest(inspect),
+                INSPECTION_TIMEOUT,
+                answer -> context.submit(new ForwardingEvent.Inspected(
+                        inspect.endpoint(), answer.flatMap(protocols.endpoints()::parseRunnerState))));
     }
 
-    private void ask(
+    private void callRunner(
             String operation,
             NetworkAddress address,
             FullHttpRequest request,
             Duration limit,
-            Consumer<Optional<FullHttpResponse>> receiver) {
-        ResponseAggregator.request(
+            Consumer<Optional<FullHttpResponse>> callback) {
+        ResponseAggregator.send(
                 connections,
                 loop,
                 address,
                 request,
                 limit,
-                RUNNER_ANSWER_BYTES,
-                metrics.timeRunnerCall(operation, clock, receiver));
+                MAXIMUM_RUNNER_RESPONSE_BYTES,
+                metrics.timeRunnerCall(operation, clock, callback));
     }
 
     private final class DaemonContext implements ForwarderContext {
         @Override
         public void submit(ForwardingEvent event) {
-            if (clock.hasGap()) {
-                carryOut(reducer.apply(new ForwardingEvent.ClockGap(), clock.instant()));
+            if (clock.detectGap()) {
+                executeAll(reducer.apply(new ForwardingEvent.ClockGap(), clock.instant()));
             }
-            carryOut(reducer.apply(event, clock.instant()));
+            executeAll(reducer.apply(event, clock.instant()));
         }
 
         @Override
@@ -338,36 +341,36 @@
         }
 
         @Override
-        public long nextExchange() {
-            return ++lastExchange;
+        public long nextExchangeNumber() {
+            return ++lastExchangeNumber;
         }
 
         @Override
-        public void open(CallerExchange exchange) {
+        public void register(CallerExchange exchange) {
             exchanges.put(exchange.number(), exchange);
         }
 
         @Override
-        public void forget(long exchange) {
+        public void unregister(long exchange) {
             exchanges.remove(exchange);
         }
     }
 
     /** Hears the transport on the daemon's own thread. */
-    private final class Peers implements PeerListener {
+    private final class PeerEventAdapter implements PeerListener {
         @Override
         public void connected(HostIdentity peer) {
-            shell.submit(new ForwardingEvent.PeerConnected(peer));
+            context.submit(new ForwardingEvent.PeerConnected(peer));
         }
 
         @Override
         public void unreachable(HostId peer) {
-            shell.submit(new ForwardingEvent.PeerUnreachable(peer));
+            context.submit(new ForwardingEvent.PeerUnreachable(peer));
         }
 
         @Override
         public void received(HostIdentity sender, PeerMessage message) {
-            shell.submit(new ForwardingEvent.PeerMessageReceived(sender, message));
+            context.submit(new ForwardingEvent.PeerMessageReceived(sender, message));
         }
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -27,7 +27,7 @@
      * @param after key after which to begin; empty for the first page
      * @return the request
      */
-    FullHttpRequest readNewest(Topic topic, Optional<String> after);
+    FullHttpRequest snapshotRequest(Topic topic, Optional<String> after);
 
     /**
      * Creates a read of records.
@@ -37,7 +37,7 @@
      * @param wait how long to wait for a record
      * @return the request
      */
-    FullHttpRequest readFrom(Topic topic, long offset, Duration wait);
+    FullHttpRequest recordsRequest(Topic topic, long offset, Duration wait);
 
     /**
      * Reads the answer to a read of the newest records.
@@ -45,7 +45,7 @@
      * @param response the answer
      * @return what it says
      */
-    TopicPage newest(FullHttpResponse response);
+    TopicPage parseSnapshot(FullHttpResponse response);
 
     /**
      * Reads the answer to a read of records.
@@ -54,7 +54,7 @@
      * @param offset first offset that was asked for
      * @return what it says
      */
-    TopicPage records(FullHttpResponse response, long offset);
+    TopicPage parseRecords(FullHttpResponse response, long offset);
 
     /**
      * Creates an append of a claim.
@@ -63,7 +63,7 @@
      * @param expectedEnd offset at which the topic must end
      * @return the request
      */
-    FullHttpRequest appendClaim(DecodedRecord.RunnerClaimed claim, long expectedEnd);
+    FullHttpRequest claimAppendRequest(DecodedRecord.RunnerClaimed claim, long expectedEnd);
 
     /**
      * Creates an append of an announcement.
@@ -71,5 +71,5 @@
      * @param announcement the announcement
      * @return the request
      */
-    FullHttpRequest appendAnnouncement(HostAnnouncement announcement);
+    FullHttpRequest announcementAppendRequest(HostAnnouncement announcement);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/MonotonicClock.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/MonotonicClock.java
@@ -12,10 +12,10 @@
  */
 public final class MonotonicClock implements InstantSource {
     /** Difference between the steady clock and the time of day that counts as a suspension or a jump. */
-    private static final Duration GAP = Duration.ofMillis(400);
+    private static final Duration GAP_THRESHOLD = Duration.ofMillis(400);
 
     private final long startNanos = System.nanoTime();
-    private long lastDifferenceMillis = wallMinusSteady();
+    private long lastOffsetMillis = wallMinusMonotonicMillis();
 
     @Override
     public Instant instant() {
@@ -28,14 +28,14 @@
      *
      * @return whether the process may have been suspended
      */
-    public boolean hasGap() {
-        long difference = wallMinusSteady();
-        boolean gap = Math.abs(difference - lastDifferenceMillis) > GAP.toMillis();
-        lastDifferenceMillis = difference;
+    public boolean detectGap() {
+        long offset = wallMinusMonotonicMillis();
+        boolean gap = Math.abs(offset - lastOffsetMillis) > GAP_THRESHOLD.toMillis();
+        lastOffsetMillis = offset;
         return gap;
     }
 
-    private static long wallMinusSteady() {
+    private static long wallMinusMonotonicMillis() {
         return System.currentTimeMillis() - System.nanoTime() / 1_000_000;
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ParsedRequest.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ParsedRequest.java
@@ -9,7 +9,7 @@
      *
      * @param request the request
      */
-    record Understood(ForwardRequest request) implements ParsedRequest {}
+    record Valid(ForwardRequest request) implements ParsedRequest {}
 
     /**
      * A request that is refused for good.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/TopicPage.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/TopicPage.java
@@ -11,10 +11,10 @@
      * Records.
      *
      * @param records the records
-     * @param end offset after the last record of the topic
-     * @param continueAfter key after which the next page begins; empty if this is the last one
+     * @param endOffset offset after the last record of the topic
+     * @param nextPageAfter key after which the next page begins; empty if this is the last one
      */
-    record Records(List<TopicRecord> records, long end, Optional<String> continueAfter) implements TopicPage {}
+    record Records(List<TopicRecord> records, long endOffset, Optional<String> nextPageAfter) implements TopicPage {}
 
     /** The wanted offset has been dropped. */
     record Expired() implements TopicPage {}
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -42,36 +42,36 @@
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Requests that a caller may send before their turn; more are read when there is room again. */
-    private static final int PIPELINED_REQUESTS = 8;
+    private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
     /** Lets the kernel send what is written after a close. */
-    private static final int LINGER_OFF = -1;
+    private static final int LINGER_DISABLED = -1;
 
-    private final ForwarderContext shell;
-    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+    private final ForwarderContext forwarder;
+    private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private Channel channel;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Optional<CallerExchange> current = Optional.empty();
     private boolean keepAlive = true;
-    private boolean readsChunks = true;
-    private boolean endsWithConnection;
+    private boolean supportsChunks = true;
+    private boolean closeDelimited;
     private boolean closing;
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
     /**
      * Creates the handler of one connection.
      *
-     * @param shell the daemon
+     * @param forwarder the daemon
      */
-    public CallerConnection(ForwarderContext shell) {
-        this.shell = shell;
+    public CallerConnection(ForwarderContext forwarder) {
+        this.forwarder = forwarder;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        startTimer(shell.limits().idleTimeout());
+        startTimer(forwarder.limits().idleTimeout());
     }
 
     @Override
@@ -82,31 +82,31 @@
                 return;
             }
             if (part.decoderResult().isFailure()) {
-                malformed(part.decoderResult().cause());
+                rejectMalformed(part.decoderResult().cause());
                 return;
             }
             if (message instanceof HttpRequest request) {
-                begin(request);
+                startRequest(request);
             }
             if (message instanceof HttpContent content && head != null) {
-                add(content);
+                appendBody(content);
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    private void malformed(Throwable cause) {
+    private void rejectMalformed(Throwable cause) {
         Logger.info("caller {} sent a malformed request: {}", channel.remoteAddress(), cause.getMessage());
         boolean tooLong = cause instanceof TooLongFrameException;
-        reject(
+        rejectRequest(
                 tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
                 tooLong ? "the headers are too long" : "the request is malformed");
     }
 
-    private void begin(HttpRequest request) {
+    private void startRequest(HttpRequest request) {
         boolean chunked = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean framedTwice = chunked
+        boolean ambiguousLength = chunked
                 && (!HttpUtil.isTransferEncodingChunked(request)
                         || request.headers()
                                         .getAll(HttpHeaderNames.TRANSFER_ENCODING)
@@ -116,27 +116,27 @@
                                 .get(HttpHeaderNames.TRANSFER_ENCODING)
                                 .trim()
                                 .equalsIgnoreCase("chunked"));
-        if (framedTwice || !request.protocolVersion().equals(HttpVersion.HTTP_1_1) && chunked) {
+        if (ambiguousLength || !request.protocolVersion().equals(HttpVersion.HTTP_1_1) && chunked) {
             Logger.info("caller {} sent a request whose length is in doubt", channel.remoteAddress());
-            reject(HttpResponseStatus.BAD_REQUEST, "the length of the body is in doubt");
+            rejectRequest(HttpResponseStatus.BAD_REQUEST, "the length of the body is in doubt");
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > shell.limits().bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+        if (HttpUtil.getContentLength(request, 0L) > forwarder.limits().bodyBytes()) {
+            rejectRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
             return;
         }
         head = request;
         body = Unpooled.buffer();
-        startTimer(shell.limits().headerTimeout().plus(shell.limits().idleTimeout()));
+        startTimer(forwarder.limits().headerTimeout().plus(forwarder.limits().idleTimeout()));
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
-    private void add(HttpContent content) {
+    private void appendBody(HttpContent content) {
         if (body.readableBytes() + content.content().readableBytes()
-                > shell.limits().bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+                > forwarder.limits().bodyBytes()) {
+            rejectRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
             return;
         }
         body.writeBytes(
@@ -145,69 +145,73 @@
                 content.content().readableBytes());
         if (content instanceof LastHttpContent) {
             stopTimer();
-            FullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body);
-            whole.headers().set(head.headers());
+            FullHttpRequest fullRequest =
+                    new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body);
+            fullRequest.headers().set(head.headers());
             if (!HttpUtil.isKeepAlive(head)) {
-                whole.headers().add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                fullRequest.headers().add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             head = null;
             body = Unpooled.EMPTY_BUFFER;
-            waiting.addLast(whole);
-            channel.config().setAutoRead(waiting.size() < PIPELINED_REQUESTS);
-            next();
+            pipelined.addLast(fullRequest);
+            channel.config().setAutoRead(pipelined.size() < MAXIMUM_PIPELINED_REQUESTS);
+            processNext();
         }
     }
 
-    private void next() {
-        if (closing || current.isPresent() || waiting.isEmpty()) {
+    private void processNext() {
+        if (closing || current.isPresent() || pipelined.isEmpty()) {
             if (!closing && current.isEmpty()) {
-                startTimer(shell.limits().idleTimeout());
+                startTimer(forwarder.limits().idleTimeout());
             }
             return;
         }
-        FullHttpRequest request = waiting.pollFirst();
+        FullHttpRequest request = pipelined.pollFirst();
         channel.config().setAutoRead(true);
         keepAlive = HttpUtil.isKeepAlive(request);
-        readsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        supportsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         String caller = channel.remoteAddress() instanceof InetSocketAddress address
                 ? address.getAddress().getHostAddress()
                 : "";
-        long number = shell.nextExchange();
-        ParsedRequest reading = shell.protocols().callers().read(number, caller, request, shell.now());
-        if (reading instanceof ParsedRequest.Understood understood) {
+        long number = forwarder.nextExchangeNumber();
+        ParsedRequest parsed = forwarder.protocols().callers().parseRequest(number, caller, request, forwarder.now());
+        if (parsed instanceof ParsedRequest.Valid valid) {
             CallerExchange exchange =
-                    new CallerExchange(number, understood.request().id().value(), request, this, shell);
+                    new CallerExchange(number, valid.request().id().value(), request, this, forwarder);
             current = Optional.of(exchange);
-            shell.open(exchange);
-            shell.submit(new ForwardingEvent.RequestArrived(understood.request()));
-        } else if (reading instanceof ParsedRequest.Malformed malformed) {
+            forwarder.register(exchange);
+            forwarder.submit(new ForwardingEvent.RequestArrived(valid.request()));
+        } else if (parsed instanceof ParsedRequest.Malformed malformed) {
             request.release();
             Logger.info("request of {} has a malformed {}", caller, malformed.field());
             finish(
-                    shell.protocols().callers().error(400, malformed.field() + " must be " + malformed.accepted()),
+                    forwarder
+                            .protocols()
+                            .callers()
+                            .errorResponse(400, malformed.field() + " must be " + malformed.accepted()),
                     false);
         }
     }
 
-    private void reject(HttpResponseStatus status, String message) {
+    private void rejectRequest(HttpResponseStatus status, String message) {
         if (current.isPresent()) {
             // The answer to the request before is not to be followed by one that nobody can match.
             closing = true;
             return;
         }
-        finish(shell.protocols().callers().error(status.code(), message), true);
+        finish(forwarder.protocols().callers().errorResponse(status.code(), message), true);
     }
 
     void writeHead(HttpResponse response) {
         // HTTP/1.0 has no chunks, so the end of the connection is the end of the answer.
-        HttpUtil.setTransferEncodingChunked(response, readsChunks);
-        if (!readsChunks) {
-            endsWithConnection = true;
+        HttpUtil.setTransferEncodingChunked(response, supportsChunks);
+        if (!supportsChunks) {
+            closeDelimited = true;
             // However the connection is closed before the end, only a reset differs from the end.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
-        keepAlive = keepAlive && readsChunks;
-        noteConnection(response);
+        keepAlive = keepAlive && supportsChunks;
+        setConnectionHeader(response);
         channel.write(response);
     }
 
@@ -226,28 +230,28 @@
     /** Writes the last part of an answer and goes on with the next request. */
     void finish(HttpObject last, boolean close) {
         current = Optional.empty();
-        boolean end = close || closing || !keepAlive || shell.isStopping();
+        boolean closeAfter = close || closing || !keepAlive || forwarder.isStopping();
         if (last instanceof FullHttpResponse response) {
-            if (end) {
+            if (closeAfter) {
                 keepAlive = false;
             }
-            noteConnection(response);
+            setConnectionHeader(response);
         }
-        if (end) {
+        if (closeAfter) {
             closing = true;
-            if (endsWithConnection) {
-                channel.config().setOption(ChannelOption.SO_LINGER, LINGER_OFF);
+            if (closeDelimited) {
+                channel.config().setOption(ChannelOption.SO_LINGER, LINGER_DISABLED);
             }
             channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
         } else {
             channel.writeAndFlush(last);
             // Answers of one caller must not recurse through all requests that it has sent ahead.
-            channel.eventLoop().execute(this::next);
+            channel.eventLoop().execute(this::processNext);
         }
     }
 
-    private void noteConnection(HttpResponse response) {
-        if (!keepAlive || shell.isStopping()) {
+    private void setConnectionHeader(HttpResponse response) {
+        if (!keepAlive || forwarder.isStopping()) {
             keepAlive = false;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -262,7 +266,7 @@
 
     private void startTimer(Duration limit) {
         stopTimer();
-        timer = Optional.of(channel.eventLoop().schedule(this::timedOut, limit.toMillis(), TimeUnit.MILLISECONDS));
+        timer = Optional.of(channel.eventLoop().schedule(this::onTimeout, limit.toMillis(), TimeUnit.MILLISECONDS));
     }
 
     private void stopTimer() {
@@ -270,10 +274,10 @@
         timer = Optional.empty();
     }
 
-    private void timedOut() {
+    private void onTimeout() {
         if (current.isEmpty() && channel.isActive()) {
             if (head != null) {
-                reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
+                rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
                 closing = true;
                 channel.close();
@@ -292,9 +296,9 @@
         closing = true;
         body.release();
         body = Unpooled.EMPTY_BUFFER;
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
-        current.ifPresent(CallerExchange::callerLeft);
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        current.ifPresent(CallerExchange::onCallerDisconnect);
         current = Optional.empty();
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -31,10 +31,10 @@
  */
 public final class CallerExchange {
     /** Longest answer of a call that is kept until it is whole. */
-    private static final int ANSWER_BYTES = 16 << 20;
+    private static final int MAXIMUM_RESPONSE_BYTES = 16 << 20;
 
     /** Most bytes of a stream without a new event; an event holds a few tokens, and a thousand times as much fits. */
-    private static final int EVENT_BYTES = 256 << 10;
+    private static final int MAXIMUM_EVENT_BYTES = 256 << 10;
 
     /** Memory and time that an event takes beside its bytes, counted as bytes. */
     private static final int EVENT_OVERHEAD_BYTES = 256;
@@ -43,10 +43,10 @@
     private final String requestId;
     private final FullHttpRequest request;
     private final CallerConnection connection;
-    private final ForwarderContext shell;
+    private final ForwarderContext forwarder;
     private Optional<Attempt> current = Optional.empty();
     private boolean headWritten;
-    private boolean over;
+    private boolean finished;
     private final StreamPosition position = new StreamPosition();
     private final Instant arrivedAt;
     private Optional<Instant> lastOutputAt = Optional.empty();
@@ -57,13 +57,13 @@
             String requestId,
             FullHttpRequest request,
             CallerConnection connection,
-            ForwarderContext shell) {
+            ForwarderContext forwarder) {
         this.number = number;
         this.requestId = requestId;
         this.request = request;
         this.connection = connection;
-        this.shell = shell;
-        this.arrivedAt = shell.now();
+        this.forwarder = forwarder;
+        this.arrivedAt = forwarder.now();
     }
 
     /**
@@ -82,14 +82,14 @@
      */
     public void send(ForwardingEffect.Send send) {
         if (current.isEmpty()) {
-            shell.metrics().sent(Duration.between(arrivedAt, shell.now()));
+            forwarder.metrics().recordQueueTime(Duration.between(arrivedAt, forwarder.now()));
         }
         current.ifPresent(Attempt::cancel);
         Attempt attempt = new Attempt(send);
         current = Optional.of(attempt);
-        FullHttpRequest outgoing = endpoints().forward(request, send, shell.now());
-        attempt.call = shell.connections().call(send.address(), outgoing, attempt);
-        attempt.call.setReading(connection.isWritable());
+        FullHttpRequest outgoing = endpoints().createRequest(request, send, forwarder.now());
+        attempt.call = forwarder.connections().send(send.address(), outgoing, attempt);
+        attempt.call.setAutoRead(connection.isWritable());
     }
 
     /** Gives the answer of the attempt to the caller. */
@@ -97,19 +97,19 @@
         Attempt attempt = current.orElseThrow();
         if (attempt.splitter.isPresent()) {
             writeHead(attempt);
-            connection.write(new DefaultHttpContent(attempt.splitter.get().rest()));
+            connection.write(new DefaultHttpContent(attempt.splitter.get().takeRemainder()));
             finish();
             connection.finish(LastHttpContent.EMPTY_LAST_CONTENT, false);
         } else {
-            FullHttpResponse answer =
+            FullHttpResponse response =
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, attempt.head.status(), attempt.body);
-            countOutput();
-            callers().copyAnswerHeaders(attempt.head.headers(), answer.headers());
-            HttpUtil.setContentLength(answer, attempt.body.readableBytes());
+            recordOutput();
+            callers().copyResponseHeaders(attempt.head.headers(), response.headers());
+            HttpUtil.setContentLength(response, attempt.body.readableBytes());
             attempt.body = Unpooled.EMPTY_BUFFER;
-            attempt.noteMemory();
+            attempt.updateMemoryUsage();
             finish();
-            connection.finish(answer, false);
+            connection.finish(response, false);
         }
     }
 
@@ -119,7 +119,7 @@
      * @param refuse why
      */
     public void refuse(ForwardingEffect.Refuse refuse) {
-        answer(callers().refusal(refuse.reason(), refuse.retryAfter()));
+        sendFinalResponse(callers().refusalResponse(refuse.reason(), refuse.retryAfter()));
     }
 
     /**
@@ -128,10 +128,10 @@
      * @param reason why
      */
     public void fail(FailureReason reason) {
-        answer(callers().failure(reason));
+        sendFinalResponse(callers().failureResponse(reason));
     }
 
-    private void answer(FullHttpResponse response) {
+    private void sendFinalResponse(FullHttpResponse response) {
         finish();
         if (headWritten) {
             response.release();
@@ -148,58 +148,58 @@
     }
 
     /** The caller has gone. */
-    void callerLeft() {
-        if (!over) {
-            shell.submit(new ForwardingEvent.CallerDisconnected(number));
+    void onCallerDisconnect() {
+        if (!finished) {
+            forwarder.submit(new ForwardingEvent.CallerDisconnected(number));
             finish();
         }
     }
 
     /** The caller reads slowly, or again. */
     void setWritable(boolean writable) {
-        current.ifPresent(attempt -> attempt.call.setReading(writable));
+        current.ifPresent(attempt -> attempt.call.setAutoRead(writable));
     }
 
     private void finish() {
-        if (!over) {
-            over = true;
+        if (!finished) {
+            finished = true;
             current.ifPresent(Attempt::cancel);
-            shell.forget(number);
+            forwarder.unregister(number);
             request.release();
         }
     }
 
     private CallerProtocol callers() {
-        return shell.protocols().callers();
+        return forwarder.protocols().callers();
     }
 
     private EndpointProtocol endpoints() {
-        return shell.protocols().endpoints();
+        return forwarder.protocols().endpoints();
     }
 
     private void writeHead(Attempt attempt) {
         if (!headWritten) {
             headWritten = true;
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, attempt.head.status());
-            callers().copyAnswerHeaders(attempt.head.headers(), head.headers());
+            callers().copyResponseHeaders(attempt.head.headers(), head.headers());
             connection.writeHead(head);
         }
     }
 
-    private void countOutput() {
-        Instant now = shell.now();
+    private void recordOutput() {
+        Instant now = forwarder.now();
         if (lastOutputAt.isPresent()) {
             Duration pause = Duration.between(lastOutputAt.get(), now);
-            shell.metrics().output(pause);
+            forwarder.metrics().recordOutputGap(pause);
             longestPause = pause.compareTo(longestPause) > 0 ? pause : longestPause;
         } else {
-            shell.metrics().firstOutput(Duration.between(arrivedAt, now));
+            forwarder.metrics().recordFirstOutput(Duration.between(arrivedAt, now));
         }
         lastOutputAt = Optional.of(now);
     }
 
     /** One attempt at an endpoint. */
-    private final class Attempt implements ResponseListener, ResponseMemoryBudget.Holder {
+    private final class Attempt implements ResponseListener, ResponseMemoryBudget.BufferOwner {
         private final ForwardingEffect.Send send;
         private final StreamPosition.Run run;
         private EndpointCall call;
@@ -207,20 +207,20 @@
         private ResponseKind kind;
         private Optional<EventSplitter> splitter = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
-        private long bytesSinceEvent;
-        private boolean output;
+        private long bytesSinceNewEvent;
+        private boolean hasOutput;
         private boolean ended;
 
         Attempt(ForwardingEffect.Send send) {
             this.send = send;
-            this.run = position.begin(send.resumeAfter());
+            this.run = position.startRun(send.resumeAfter());
         }
 
         @Override
-        public void head(HttpResponse response) {
+        public void onHead(HttpResponse response) {
             kind = endpoints().classify(response, requestId);
             if (kind == ResponseKind.INVALID) {
-                breakOff(ResponseFault.INVALID_HEAD);
+                abort(ResponseFault.INVALID_HEAD);
                 return;
             }
             if (kind != ResponseKind.ANSWER) {
@@ -230,7 +230,7 @@
                     && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
             if (headWritten && !stream) {
                 // What is no event must not end up between the events that the caller already has.
-                breakOff(AttemptResult.BrokenCause.NOT_A_STREAM);
+                abort(AttemptResult.BrokenCause.NOT_A_STREAM);
                 return;
             }
             head = response;
@@ -242,58 +242,59 @@
         }
 
         @Override
-        public void content(ByteBuf bytes) {
+        public void onContent(ByteBuf bytes) {
             if (kind != ResponseKind.ANSWER) {
                 return;
             }
-            if (!output) {
-                output = true;
-                shell.submit(new ForwardingEvent.FirstOutput(number, send.attempt()));
+            if (!hasOutput) {
+                hasOutput = true;
+                forwarder.submit(new ForwardingEvent.FirstOutput(number, send.attempt()));
             }
             if (splitter.isEmpty()) {
-                if (body.readableBytes() + bytes.readableBytes() > ANSWER_BYTES) {
-                    breakOff(ResponseFault.LONG_BODY);
+                if (body.readableBytes() + bytes.readableBytes() > MAXIMUM_RESPONSE_BYTES) {
+                    abort(ResponseFault.LONG_BODY);
                 } else {
                     body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-                    noteMemory();
+                    updateMemoryUsage();
                 }
                 return;
             }
-            countOutput();
-            bytesSinceEvent += bytes.readableBytes();
+            recordOutput();
+            bytesSinceNewEvent += bytes.readableBytes();
             for (EventSplitter.StreamEvent event : splitter.orElseThrow().feed(bytes)) {
-                pass(event);
+                forwardEvent(event);
             }
             connection.flush();
-            if (!ended && splitter.orElseThrow().pendingBytes() > EVENT_BYTES) {
-                breakOff(ResponseFault.LONG_EVENT);
+            if (!ended && splitter.orElseThrow().pendingBytes() > MAXIMUM_EVENT_BYTES) {
+                abort(ResponseFault.LONG_EVENT);
             } else {
-                endWithoutNewEvent();
-                noteMemory();
+                abortIfNoNewEvent();
+                updateMemoryUsage();
             }
         }
 
-        private void endWithoutNewEvent() {
-            if (!ended && bytesSinceEvent > EVENT_BYTES) {
-                breakOff(ResponseFault.NO_NEW_EVENT);
+        private void abortIfNoNewEvent() {
+            if (!ended && bytesSinceNewEvent > MAXIMUM_EVENT_BYTES) {
+                abort(ResponseFault.NO_NEW_EVENT);
             }
         }
 
-        private void pass(EventSplitter.StreamEvent event) {
-            StreamPosition.Step step = ended ? StreamPosition.Step.REPEATED : run.advance(event);
-            boolean isNew = step == StreamPosition.Step.NEXT && event.id().isPresent();
-            bytesSinceEvent = isNew ? 0 : bytesSinceEvent + EVENT_OVERHEAD_BYTES;
-            endWithoutNewEvent();
-            if (step == StreamPosition.Step.NEXT && !ended) {
+        private void forwardEvent(EventSplitter.StreamEvent event) {
+            StreamPosition.EventOrder order = ended ? StreamPosition.EventOrder.REPEATED : run.advance(event);
+            boolean isNew =
+                    order == StreamPosition.EventOrder.NEXT && event.id().isPresent();
+            bytesSinceNewEvent = isNew ? 0 : bytesSinceNewEvent + EVENT_OVERHEAD_BYTES;
+            abortIfNoNewEvent();
+            if (order == StreamPosition.EventOrder.NEXT && !ended) {
                 writeHead(this);
                 connection.write(new DefaultHttpContent(event.bytes()));
                 return;
             }
             event.bytes().release();
-            if (step == StreamPosition.Step.GAP) {
-                breakOff(AttemptResult.BrokenCause.EVENT_GAP);
-            } else if (step == StreamPosition.Step.UNPLACED) {
-                breakOff(AttemptResult.BrokenCause.UNKNOWN_POSITION);
+            if (order == StreamPosition.EventOrder.GAP) {
+                abort(AttemptResult.BrokenCause.EVENT_GAP);
+            } else if (order == StreamPosition.EventOrder.UNPLACED) {
+                abort(AttemptResult.BrokenCause.UNKNOWN_POSITION);
             }
         }
 
@@ -303,39 +304,39 @@
         }
 
         @Override
-        public boolean usesBody() {
+        public boolean expectsBody() {
             return kind == ResponseKind.ANSWER;
         }
 
         @Override
-        public void rejected(ResponseFault fault) {
-            end(broken(fault.cause()));
+        public void onRejected(ResponseFault fault) {
+            finishAttempt(brokenResult(fault.cause()));
         }
 
         @Override
         public void evict() {
-            breakOff(ResponseFault.MEMORY);
+            abort(ResponseFault.MEMORY);
         }
 
-        private static boolean isDelimited(HttpResponse response) {
+        private static boolean isSelfDelimited(HttpResponse response) {
             return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
         }
 
-        private void noteMemory() {
+        private void updateMemoryUsage() {
             int pending = splitter.map(EventSplitter::pendingBytes).orElse(0);
-            shell.connections().memory().resize(this, body.readableBytes() + pending);
+            forwarder.connections().memoryBudget().setUsage(this, body.readableBytes() + pending);
         }
 
         @Override
-        public void end() {
+        public void onComplete() {
             if (kind == ResponseKind.ANSWER) {
-                Optional<AttemptResult.BrokenCause> fault =
-                        splitter.flatMap(events -> run.faultAtEnd(events.isWithinEvent(), isDelimited(head)));
-                end(fault.<AttemptResult>map(this::broken)
+                Optional<AttemptResult.BrokenCause> fault = splitter.flatMap(
+                        events -> run.findCompletionFault(events.hasPartialEvent(), isSelfDelimited(head)));
+                finishAttempt(fault.<AttemptResult>map(this::brokenResult)
                         .orElseGet(
                                 () -> new AttemptResult.Answered(head.status().code(), longestPause)));
             } else {
-                end(new AttemptResult.NotRun(
+                finishAttempt(new AttemptResult.NotRun(
                         kind == ResponseKind.FULL
                                 ? AttemptResult.NotRunCause.FULL
                                 : AttemptResult.NotRunCause.NOT_HERE));
@@ -343,49 +344,49 @@
         }
 
         @Override
-        public void failed(boolean mayHaveRun) {
+        public void onFailure(boolean mayHaveRun) {
             boolean rejected = kind == ResponseKind.FULL || kind == ResponseKind.NOT_HERE;
             if (rejected) {
-                end();
+                onComplete();
             } else if (mayHaveRun) {
-                end(broken(AttemptResult.BrokenCause.CONNECTION_LOST));
+                finishAttempt(brokenResult(AttemptResult.BrokenCause.CONNECTION_LOST));
             } else {
-                end(new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED));
+                finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED));
             }
         }
 
-        private void breakOff(ResponseFault fault) {
-            shell.connections().reject(send.address(), fault);
-            breakOff(fault.cause());
+        private void abort(ResponseFault fault) {
+            forwarder.connections().reportRejected(send.address(), fault);
+            abort(fault.cause());
         }
 
         /** Ends the attempt on account of what the endpoint sent. */
-        private void breakOff(AttemptResult.BrokenCause cause) {
+        private void abort(AttemptResult.BrokenCause cause) {
             cancel();
-            end(broken(cause));
+            finishAttempt(brokenResult(cause));
         }
 
-        private AttemptResult broken(AttemptResult.BrokenCause cause) {
-            splitter.ifPresent(EventSplitter::clear);
+        private AttemptResult brokenResult(AttemptResult.BrokenCause cause) {
+            splitter.ifPresent(EventSplitter::discardPartialEvent);
             return new AttemptResult.Broken(cause, headWritten, position.resumeAfter());
         }
 
-        private void end(AttemptResult result) {
+        private void finishAttempt(AttemptResult result) {
             if (!ended) {
                 ended = true;
-                shell.submit(new ForwardingEvent.AttemptEnded(number, send.attempt(), result));
+                forwarder.submit(new ForwardingEvent.AttemptEnded(number, send.attempt(), result));
             }
         }
 
         private void cancel() {
-            ended = ended || over;
+            ended = ended || finished;
             if (call != null) {
                 call.cancel();
             }
             body.release();
             body = Unpooled.EMPTY_BUFFER;
-            splitter.ifPresent(EventSplitter::clear);
-            noteMemory();
+            splitter.ifPresent(EventSplitter::discardPartialEvent);
+            updateMemoryUsage();
         }
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -8,8 +8,8 @@
 public final class EndpointCall {
     private final ResponseListener listener;
     private Optional<Channel> channel = Optional.empty();
-    private boolean reading = true;
-    private boolean over;
+    private boolean autoRead = true;
+    private boolean finished;
 
     EndpointCall(ResponseListener listener) {
         this.listener = listener;
@@ -19,58 +19,58 @@
         return listener;
     }
 
-    void connecting(Channel used) {
+    void attach(Channel used) {
         channel = Optional.of(used);
     }
 
-    boolean isOver() {
-        return over;
+    boolean isFinished() {
+        return finished;
     }
 
-    void notConnected() {
-        if (!over) {
-            over = true;
-            listener.failed(false);
+    void connectFailed() {
+        if (!finished) {
+            finished = true;
+            listener.onFailure(false);
         }
     }
 
-    void broken() {
-        if (!over) {
-            over = true;
-            listener.failed(true);
+    void connectionLost() {
+        if (!finished) {
+            finished = true;
+            listener.onFailure(true);
         }
     }
 
-    void rejected(ResponseFault fault) {
-        if (!over) {
-            over = true;
-            listener.rejected(fault);
+    void reject(ResponseFault fault) {
+        if (!finished) {
+            finished = true;
+            listener.onRejected(fault);
         }
     }
 
-    boolean isReading() {
-        return reading;
+    boolean isAutoRead() {
+        return autoRead;
     }
 
-    void finished() {
-        over = true;
+    void markFinished() {
+        finished = true;
     }
 
     /** Closes the connection, which tells the endpoint to stop; the listener hears nothing more. */
     public void cancel() {
-        if (!over) {
-            over = true;
+        if (!finished) {
+            finished = true;
             channel.ifPresent(Channel::close);
         }
     }
 
     /**
-     * Stops or goes on reading the answer, for a caller that reads slowly.
+     * Stops or goes on autoRead the answer, for a caller that reads slowly.
      *
-     * @param reading whether to read
+     * @param autoRead whether to read
      */
-    public void setReading(boolean reading) {
-        this.reading = reading;
-        channel.filter(used -> !over).ifPresent(used -> used.config().setAutoRead(reading));
+    public void setAutoRead(boolean autoRead) {
+        this.autoRead = autoRead;
+        channel.filter(used -> !finished).ifPresent(used -> used.config().setAutoRead(autoRead));
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -24,34 +24,34 @@
 
 /** One connection to an endpoint. Used on the thread of its event loop only. */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
-    /** Time for which a connection is kept when the endpoint does not say how long it keeps it. */
-    private static final Duration DEFAULT_IDLE = Duration.ofSeconds(2);
+    /** Time for which a connection is kept when the endpoint does not say action long it keeps it. */
+    private static final Duration DEFAULT_KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(2);
 
     /** Kept connections are given up this long before the endpoint closes them, so that no request crosses that. */
-    private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
+    private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(700);
 
     /**
      * Time from the first byte of an answer to the end of its head; several retransmissions of a lost packet.
      * A head is a few packets that an endpoint sends at once.
      */
-    private static final Duration HEAD_LIMIT = Duration.ofSeconds(1);
+    private static final Duration HEAD_TIMEOUT = Duration.ofSeconds(1);
 
-    private static final Pattern KEEP_ALIVE = Pattern.compile("timeout=(\\d{1,6})");
+    private static final Pattern KEEP_ALIVE_PATTERN = Pattern.compile("timeout=(\\d{1,6})");
 
-    private final EndpointConnectionPool owner;
+    private final EndpointConnectionPool pool;
     private final NetworkAddress address;
     private Optional<Channel> channel = Optional.empty();
     private EndpointCall call;
-    private boolean answering;
-    private boolean mayKeep;
-    private Duration idleLimit = DEFAULT_IDLE;
+    private boolean responseStarted;
+    private boolean keepAlive;
+    private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT;
     private long idleSinceNanos;
-    private boolean foreignEnded;
-    private ResponseOverhead bytes = new ResponseOverhead();
+    private boolean foreignResponseEnded;
+    private ResponseOverhead overhead = new ResponseOverhead();
     private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
 
-    EndpointConnection(EndpointConnectionPool owner, NetworkAddress address) {
-        this.owner = owner;
+    EndpointConnection(EndpointConnectionPool pool, NetworkAddress address) {
+        this.pool = pool;
         this.address = address;
     }
 
@@ -62,7 +62,7 @@
     boolean isUsable() {
         return channel.isPresent()
                 && channel.get().isActive()
-                && System.nanoTime() - idleSinceNanos < idleLimit.toNanos();
+                && System.nanoTime() - idleSinceNanos < keepAliveTimeout.toNanos();
     }
 
     void close() {
@@ -70,21 +70,21 @@
     }
 
     /** Returns the handler that sees the bytes before they are decoded. */
-    ChannelInboundHandlerAdapter received() {
-        return new Received();
+    ChannelInboundHandlerAdapter byteCounter() {
+        return new ByteCounter();
     }
 
-    void begin(EndpointCall newCall, FullHttpRequest request) {
+    void start(EndpointCall newCall, FullHttpRequest request) {
         call = newCall;
-        answering = false;
-        bytes = new ResponseOverhead();
+        responseStarted = false;
+        overhead = new ResponseOverhead();
         Channel used = channel.orElseThrow();
-        newCall.connecting(used);
+        newCall.attach(used);
         // The call before may have ended while its caller read slowly.
-        used.config().setAutoRead(newCall.isReading());
+        used.config().setAutoRead(newCall.isAutoRead());
         used.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
-                broken();
+                onConnectionLost();
             }
         });
     }
@@ -98,12 +98,12 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (call == null
-                    || call.isOver()
+                    || call.isFinished()
                     || ((HttpObject) message).decoderResult().isFailure()) {
                 if (call == null) {
                     reject(ResponseFault.UNEXPECTED_BYTES);
-                } else if (call.isOver()) {
-                    broken();
+                } else if (call.isFinished()) {
+                    onConnectionLost();
                 } else {
                     reject(ResponseFault.MALFORMED);
                 }
@@ -111,27 +111,27 @@
             }
             EndpointCall current = call;
             if (message instanceof HttpResponse head) {
-                answering = true;
-                mayKeep = HttpUtil.isKeepAlive(head)
+                responseStarted = true;
+                keepAlive = HttpUtil.isKeepAlive(head)
                         && (HttpUtil.isContentLengthSet(head)
                                 || HttpUtil.isTransferEncodingChunked(head)
                                 || head.status().code() == 204
                                 || head.status().code() == 304);
-                noteIdleLimit(head);
-                current.listener().head(head);
-                if (current.listener().usesBody()) {
-                    endHeadTimer();
+                updateKeepAliveTimeout(head);
+                current.listener().onHead(head);
+                if (current.listener().expectsBody()) {
+                    cancelHeadTimer();
                 }
             }
-            if (message instanceof HttpContent content && !current.isOver()) {
+            if (message instanceof HttpContent content && !current.isFinished()) {
                 if (content.content().isReadable()) {
-                    if (current.listener().usesBody()) {
-                        bytes.used(content.content().readableBytes());
+                    if (current.listener().expectsBody()) {
+                        overhead.addBody(content.content().readableBytes());
                     }
-                    current.listener().content(content.content());
+                    current.listener().onContent(content.content());
                 }
-                if (message instanceof LastHttpContent && !current.isOver()) {
-                    end(current);
+                if (message instanceof LastHttpContent && !current.isFinished()) {
+                    completeCall(current);
                 }
             }
         } finally {
@@ -139,81 +139,81 @@
         }
     }
 
-    private void end(EndpointCall current) {
-        answering = false;
-        endHeadTimer();
+    private void completeCall(EndpointCall current) {
+        responseStarted = false;
+        cancelHeadTimer();
         if (current.listener().isForeign()) {
-            foreignEnded = true;
+            foreignResponseEnded = true;
             // After an answer to an earlier request, the connection is not used for another one.
-            idleLimit = Duration.ZERO;
+            keepAliveTimeout = Duration.ZERO;
             return;
         }
-        current.finished();
+        current.markFinished();
         call = null;
-        if (mayKeep && !idleLimit.isZero()) {
+        if (keepAlive && !keepAliveTimeout.isZero()) {
             idleSinceNanos = System.nanoTime();
-            owner.keep(this);
+            pool.release(this);
         } else {
             close();
         }
-        current.listener().end();
+        current.listener().onComplete();
     }
 
-    private void noteIdleLimit(HttpResponse head) {
+    private void updateKeepAliveTimeout(HttpResponse head) {
         String text = head.headers().get("Keep-Alive", "");
-        Matcher matcher = KEEP_ALIVE.matcher(text);
-        if (matcher.find() && !idleLimit.isZero()) {
+        Matcher matcher = KEEP_ALIVE_PATTERN.matcher(text);
+        if (matcher.find() && !keepAliveTimeout.isZero()) {
             Duration limit =
-                    Duration.ofSeconds(Long.parseLong(matcher.group(1))).minus(IDLE_MARGIN);
-            idleLimit = limit.isNegative() ? Duration.ZERO : limit;
+                    Duration.ofSeconds(Long.parseLong(matcher.group(1))).minus(KEEP_ALIVE_MARGIN);
+            keepAliveTimeout = limit.isNegative() ? Duration.ZERO : limit;
         }
     }
 
-    private void broken() {
-        endCall(EndpointCall::broken);
+    private void onConnectionLost() {
+        endCall(EndpointCall::connectionLost);
     }
 
     /** Closes the connection on account of what the endpoint sent. */
     private void reject(ResponseFault fault) {
         if (channel.filter(Channel::isActive).isPresent()) {
-            owner.reject(address, fault);
+            pool.reportRejected(address, fault);
         }
-        endCall(current -> current.rejected(fault));
+        endCall(current -> current.reject(fault));
     }
 
-    private void endCall(Consumer<EndpointCall> how) {
-        owner.forget(this);
-        endHeadTimer();
+    private void endCall(Consumer<EndpointCall> action) {
+        pool.remove(this);
+        cancelHeadTimer();
         Optional<EndpointCall> current = Optional.ofNullable(call);
         call = null;
         close();
-        current.ifPresent(how);
+        current.ifPresent(action);
     }
 
-    private void endHeadTimer() {
+    private void cancelHeadTimer() {
         headTimer.ifPresent(timer -> timer.cancel(false));
         headTimer = Optional.empty();
     }
 
-    private void headIsLate() {
-        if (call != null && !call.isOver()) {
+    private void onHeadTimeout() {
+        if (call != null && !call.isFinished()) {
             reject(ResponseFault.SLOW_HEAD);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        broken();
+        onConnectionLost();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         Logger.debug("connection to {} failed: {}", address, cause.toString());
-        broken();
+        onConnectionLost();
     }
 
     /** Counts bytes before they are decoded, because the decoder skips some without a trace. */
-    private final class Received extends ChannelInboundHandlerAdapter {
+    private final class ByteCounter extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             if (call == null) {
@@ -222,21 +222,24 @@
                 return;
             }
             EndpointCall current = call;
-            bytes.received(((ByteBuf) message).readableBytes());
-            foreignEnded = false;
+            overhead.addReceived(((ByteBuf) message).readableBytes());
+            foreignResponseEnded = false;
             context.fireChannelRead(message);
             // The end of an answer may have begun the next call on this connection.
-            if (call != current || call.isOver()) {
+            if (call != current || call.isFinished()) {
                 return;
             }
-            if (bytes.excessive()) {
+            if (overhead.isExcessive()) {
                 reject(ResponseFault.EXCESS_BYTES);
             } else if (headTimer.isEmpty()
-                    && !foreignEnded
-                    && !(answering && call.listener().usesBody())) {
+                    && !foreignResponseEnded
+                    && !(responseStarted && call.listener().expectsBody())) {
                 headTimer = Optional.of(context.channel()
                         .eventLoop()
-                        .schedule(EndpointConnection.this::headIsLate, HEAD_LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+                        .schedule(
+                                EndpointConnection.this::onHeadTimeout,
+                                HEAD_TIMEOUT.toMillis(),
+                                TimeUnit.MILLISECONDS));
             }
         }
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -18,47 +18,50 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Calls over HTTP/1.1 with kept connections, one call at a time on each.
+ * Calls over HTTP/1.1 with idleConnection connections, one call at a time on each.
  *
  * <p>Used on the thread of its event loop only.
  */
 public final class EndpointConnectionPool {
-    private static final int LINE_BYTES = 8 << 10;
+    private static final int STATUS_LINE_LIMIT_BYTES = 8 << 10;
 
-    private static final int HEADER_BYTES = 32 << 10;
+    private static final int HEADER_LIMIT_BYTES = 32 << 10;
 
-    private static final int CHUNK_BYTES = 64 << 10;
+    private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
 
     private final EventLoop loop;
-    private final ResponseMemoryBudget memory;
-    private final RejectedResponses rejected;
-    private final Duration connectLimit;
+    private final ResponseMemoryBudget memoryBudget;
+    private final RejectedResponses rejectedResponses;
+    private final Duration connectTimeout;
     private final Map<NetworkAddress, Deque<EndpointConnection>> idle = new HashMap<>();
-    private long opened;
+    private long openedTotal;
 
     /**
      * Creates a client.
      *
      * @param loop thread of all connections
-     * @param connectLimit longest time to open a connection
-     * @param memory memory of answers that are not whole
-     * @param rejected told of bytes that are no answer
+     * @param connectTimeout longest time to open a connection
+     * @param memoryBudget memoryBudget of answers that are not whole
+     * @param rejectedResponses told of bytes that are no answer
      */
     public EndpointConnectionPool(
-            EventLoop loop, Duration connectLimit, ResponseMemoryBudget memory, RejectedResponses rejected) {
+            EventLoop loop,
+            Duration connectTimeout,
+            ResponseMemoryBudget memoryBudget,
+            RejectedResponses rejectedResponses) {
         this.loop = loop;
-        this.memory = memory;
-        this.rejected = rejected;
-        this.connectLimit = connectLimit;
+        this.memoryBudget = memoryBudget;
+        this.rejectedResponses = rejectedResponses;
+        this.connectTimeout = connectTimeout;
     }
 
     /**
-     * Returns the connections that were opened.
+     * Returns the connections that were openedTotal.
      *
      * @return total since the start
      */
-    public long opened() {
-        return opened;
+    public long openedTotal() {
+        return openedTotal;
     }
 
     /**
@@ -69,49 +72,50 @@
      * @param listener hears the answer
      * @return the call
      */
-    public EndpointCall call(NetworkAddress address, FullHttpRequest request, ResponseListener listener) {
+    public EndpointCall send(NetworkAddress address, FullHttpRequest request, ResponseListener listener) {
         EndpointCall call = new EndpointCall(listener);
-        EndpointConnection kept = takeIdle(address);
-        if (kept != null) {
-            kept.begin(call, request);
+        EndpointConnection idleConnection = takeIdle(address);
+        if (idleConnection != null) {
+            idleConnection.start(call, request);
             return call;
         }
-        opened++;
+        openedTotal++;
         EndpointConnection connection = new EndpointConnection(this, address);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectLimit.toMillis())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(connection.received())
-                                .addLast(new HttpClientCodec(LINE_BYTES, HEADER_BYTES, CHUNK_BYTES))
+                                .addLast(connection.byteCounter())
+                                .addLast(new HttpClientCodec(
+                                        STATUS_LINE_LIMIT_BYTES, HEADER_LIMIT_BYTES, MAXIMUM_CHUNK_BYTES))
                                 .addLast(connection);
                     }
                 })
                 .connect(address.ip(), address.port());
-        call.connecting(connecting.channel());
+        call.attach(connecting.channel());
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
                 request.release();
-                call.notConnected();
-            } else if (call.isOver()) {
+                call.connectFailed();
+            } else if (call.isFinished()) {
                 request.release();
                 connecting.channel().close();
             } else {
-                connection.begin(call, request);
+                connection.start(call, request);
             }
         });
         return call;
     }
 
     private EndpointConnection takeIdle(NetworkAddress address) {
-        Deque<EndpointConnection> kept = idle.get(address);
-        while (kept != null && !kept.isEmpty()) {
-            EndpointConnection connection = kept.pollLast();
+        Deque<EndpointConnection> candidates = idle.get(address);
+        while (candidates != null && !candidates.isEmpty()) {
+            EndpointConnection connection = candidates.pollLast();
             if (connection.isUsable()) {
                 return connection;
             }
@@ -120,24 +124,24 @@
         return null;
     }
 
-    ResponseMemoryBudget memory() {
-        return memory;
+    ResponseMemoryBudget memoryBudget() {
+        return memoryBudget;
     }
 
-    void reject(NetworkAddress address, ResponseFault fault) {
-        rejected.add(address, fault);
+    void reportRejected(NetworkAddress address, ResponseFault fault) {
+        rejectedResponses.record(address, fault);
     }
 
-    void keep(EndpointConnection connection) {
+    void release(EndpointConnection connection) {
         idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>())
                 .addLast(connection);
     }
 
-    void forget(EndpointConnection connection) {
-        Deque<EndpointConnection> kept = idle.get(connection.address());
-        if (kept != null) {
-            kept.remove(connection);
-            if (kept.isEmpty()) {
+    void remove(EndpointConnection connection) {
+        Deque<EndpointConnection> candidates = idle.get(connection.address());
+        if (candidates != null) {
+            candidates.remove(connection);
+            if (candidates.isEmpty()) {
                 idle.remove(connection.address());
             }
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
@@ -18,12 +18,12 @@
 
     private static final byte CARRIAGE_RETURN = '\r';
 
-    private static final String ID_FIELD = "id:";
+    private static final String ID_PREFIX = "id:";
 
     private static final String DATA_FIELD = "data";
 
     private final ByteBuf pending;
-    private int scanned;
+    private int scanIndex;
     private int lineStart;
 
     /** Creates a splitter. */
@@ -63,16 +63,16 @@
     public List<StreamEvent> feed(ByteBuf bytes) {
         pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
         List<StreamEvent> events = new ArrayList<>();
-        int length = eventLength();
+        int length = nextEventLength();
         while (length > 0) {
             ByteBuf event = pending.readBytes(length);
-            events.add(new StreamEvent(event, idOf(event)));
-            length = eventLength();
+            events.add(new StreamEvent(event, parseId(event)));
+            length = nextEventLength();
         }
-        int read = pending.readerIndex();
+        int consumed = pending.readerIndex();
         pending.discardReadBytes();
-        scanned -= read;
-        lineStart -= read;
+        scanIndex -= consumed;
+        lineStart -= consumed;
         return events;
     }
 
@@ -81,7 +81,7 @@
      *
      * @return whether an event is not whole
      */
-    public boolean isWithinEvent() {
+    public boolean hasPartialEvent() {
         return pending.forEachByte(value -> value == LINE_FEED || value == CARRIAGE_RETURN) >= 0;
     }
 
@@ -99,42 +99,42 @@
      *
      * @return the bytes; the receiver releases them
      */
-    public ByteBuf rest() {
-        ByteBuf rest = pending.readBytes(pending.readableBytes());
-        clear();
-        return rest;
+    public ByteBuf takeRemainder() {
+        ByteBuf remainder = pending.readBytes(pending.readableBytes());
+        discardPartialEvent();
+        return remainder;
     }
 
     /** Forgets the bytes of an event that is not whole. */
-    public void clear() {
+    public void discardPartialEvent() {
         pending.clear();
-        scanned = 0;
+        scanIndex = 0;
         lineStart = 0;
     }
 
     /** Returns the length of the first event with its empty line, 0 if it is not whole; scans each byte once. */
-    private int eventLength() {
+    private int nextEventLength() {
         int end = pending.writerIndex();
-        for (int index = scanned; index < end; index++) {
+        for (int index = scanIndex; index < end; index++) {
             if (pending.getByte(index) == LINE_FEED) {
                 boolean empty =
                         index == lineStart || index == lineStart + 1 && pending.getByte(lineStart) == CARRIAGE_RETURN;
                 lineStart = index + 1;
                 if (empty && index > pending.readerIndex() + 1) {
-                    scanned = index + 1;
-                    return scanned - pending.readerIndex();
+                    scanIndex = index + 1;
+                    return scanIndex - pending.readerIndex();
                 }
             }
         }
-        scanned = end;
+        scanIndex = end;
         return 0;
     }
 
-    private static Optional<Long> idOf(ByteBuf event) {
+    private static Optional<Long> parseId(ByteBuf event) {
         return event.toString(StandardCharsets.UTF_8)
                 .lines()
-                .filter(line -> line.startsWith(ID_FIELD))
-                .map(line -> line.substring(ID_FIELD.length()).trim())
+                .filter(line -> line.startsWith(ID_PREFIX))
+                .map(line -> line.substring(ID_PREFIX.length()).trim())
                 .filter(text -> text.matches("\\d{1,18}"))
                 .map(Long::valueOf)
                 .findFirst();
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -57,19 +57,19 @@
      *
      * @return its number
      */
-    long nextExchange();
+    long nextExchangeNumber();
 
     /**
      * Remembers a request until it ends.
      *
      * @param exchange the request
      */
-    void open(CallerExchange exchange);
+    void register(CallerExchange exchange);
 
     /**
      * Forgets a request that has ended.
      *
      * @param exchange its number
      */
-    void forget(long exchange);
+    void unregister(long exchange);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -26,8 +26,8 @@
     private final MetricRegistry registry = new MetricRegistry();
     private final PrometheusText text = new PrometheusText(registry);
     private Optional<Supplier<ForwardingStatus>> status = Optional.empty();
-    private ForwardingStatus observed;
-    private final Timer queueing = timer("queue_seconds");
+    private ForwardingStatus snapshot;
+    private final Timer queueTime = timer("queue_seconds");
     private final Timer firstOutput = timer("first_output_seconds");
     private final Timer outputGap = timer("output_gap_seconds");
 
@@ -52,7 +52,7 @@
      *
      * @param fault why
      */
-    public void countRejectedAnswer(ResponseFault fault) {
+    public void countRejectedResponse(ResponseFault fault) {
         registry.counter(LabelledName.of(PREFIX + "rejected_answers_total", "fault", fault.label()))
                 .inc();
     }
@@ -62,8 +62,8 @@
      *
      * @param waited time since it arrived
      */
-    public void sent(Duration waited) {
-        record(queueing, waited);
+    public void recordQueueTime(Duration waited) {
+        record(queueTime, waited);
     }
 
     /**
@@ -71,7 +71,7 @@
      *
      * @param waited time since the request arrived
      */
-    public void firstOutput(Duration waited) {
+    public void recordFirstOutput(Duration waited) {
         record(firstOutput, waited);
     }
 
@@ -80,7 +80,7 @@
      *
      * @param gap time since the output before it
      */
-    public void output(Duration gap) {
+    public void recordOutputGap(Duration gap) {
         record(outputGap, gap);
     }
 
@@ -89,13 +89,13 @@
      *
      * @param operation what is asked; reads include the time in which they wait for records
      * @param clock the clock
-     * @param receiver takes the answer, empty if there is none in time
+     * @param callback takes the answer, empty if there is none in time
      * @param <T> the answer
      * @return what is to be called with the answer
      */
     public <T> Consumer<Optional<T>> timeLogCall(
-            String operation, InstantSource clock, Consumer<Optional<T>> receiver) {
-        return timeCall("log_call_seconds", operation, clock, receiver);
+            String operation, InstantSource clock, Consumer<Optional<T>> callback) {
+        return timeCall("log_call_seconds", operation, clock, callback);
     }
 
     /**
@@ -103,24 +103,24 @@
      *
      * @param operation what is asked
      * @param clock the clock
-     * @param receiver takes the answer, empty if there is none in time
+     * @param callback takes the answer, empty if there is none in time
      * @param <T> the answer
      * @return what is to be called with the answer
      */
     public <T> Consumer<Optional<T>> timeRunnerCall(
-            String operation, InstantSource clock, Consumer<Optional<T>> receiver) {
-        return timeCall("runner_call_seconds", operation, clock, receiver);
+            String operation, InstantSource clock, Consumer<Optional<T>> callback) {
+        return timeCall("runner_call_seconds", operation, clock, callback);
     }
 
     private <T> Consumer<Optional<T>> timeCall(
-            String name, String operation, InstantSource clock, Consumer<Optional<T>> receiver) {
+            String name, String operation, InstantSource clock, Consumer<Optional<T>> callback) {
         Instant startedAt = clock.instant();
         return answer -> {
             String answered = Boolean.toString(answer.isPresent());
             record(
                     timer(name, "operation", operation, "answered", answered),
                     Duration.between(startedAt, clock.instant()));
-            receiver.accept(answer);
+            callback.accept(answer);
         };
     }
 
@@ -133,28 +133,28 @@
      *
      * @param status reads it
      */
-    public void observe(Supplier<ForwardingStatus> status) {
+    public void registerStatusGauges(Supplier<ForwardingStatus> status) {
         this.status = Optional.of(status);
-        gauge("open_requests", () -> observed.openRequests());
-        gauge("waiting_requests", () -> observed.waitingRequests());
-        gauge("configuration_version", () -> observed.configurationVersion());
-        gauge("commanded_runners", () -> observed.commandedRunners());
-        gauge("live_peers", () -> observed.livePeers());
+        registerGauge("open_requests", () -> snapshot.openRequests());
+        registerGauge("waiting_requests", () -> snapshot.waitingRequests());
+        registerGauge("configuration_version", () -> snapshot.configurationVersion());
+        registerGauge("commanded_runners", () -> snapshot.commandedRunners());
+        registerGauge("live_peers", () -> snapshot.livePeers());
         for (EndpointCondition condition : EndpointCondition.values()) {
-            gauge(LabelledName.of("endpoints", "condition", lowerCase(condition)), () -> observed.endpoints()
+            registerGauge(LabelledName.of("endpoints", "condition", lowerCase(condition)), () -> snapshot.endpoints()
                     .getOrDefault(condition, 0L));
         }
         for (Topic topic : Topic.values()) {
             String name = lowerCase(topic);
-            gauge(
+            registerGauge(
                     LabelledName.of("topic_available", "topic", name),
-                    () -> observed.topics().get(topic).available() ? 1 : 0);
-            gauge(
+                    () -> snapshot.topics().get(topic).available() ? 1 : 0);
+            registerGauge(
                     LabelledName.of("topic_age_seconds", "topic", name),
-                    () -> observed.topics().get(topic).age().toMillis() / 1000.0);
-            gauge(
+                    () -> snapshot.topics().get(topic).age().toMillis() / 1000.0);
+            registerGauge(
                     LabelledName.of("topic_end", "topic", name),
-                    () -> observed.topics().get(topic).end());
+                    () -> snapshot.topics().get(topic).end());
         }
     }
 
@@ -163,12 +163,12 @@
     }
 
     /**
-     * Adds a gauge.
+     * Adds a registerGauge.
      *
      * @param name its name without the prefix of the product
      * @param value reads it
      */
-    public void gauge(String name, Gauge<Number> value) {
+    public void registerGauge(String name, Gauge<Number> value) {
         registry.register(PREFIX + name, value);
     }
 
@@ -177,8 +177,8 @@
      *
      * @return the text in UTF-8
      */
-    public byte[] write() {
-        status.ifPresent(supplier -> observed = supplier.get());
+    public byte[] render() {
+        status.ifPresent(supplier -> snapshot = supplier.get());
         return text.write();
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -22,25 +22,25 @@
 /** Carries out reads of topics and appends to them. Used on the thread of the connections only. */
 public final class LogClient {
     /** Time beyond the wait of a read after which its connection counts as silent. */
-    private static final Duration ANSWER_LIMIT = Duration.ofMillis(900);
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(900);
 
     /** Longest answer; a page of the log holds 1 MB of records, a third more in text, and one record beyond it. */
-    private static final int ANSWER_BYTES = 4 << 20;
+    private static final int MAXIMUM_RESPONSE_BYTES = 4 << 20;
 
-    private final ForwarderContext shell;
+    private final ForwarderContext forwarder;
     private final EventLoop loop;
     private final LogProtocol protocol;
 
     /**
      * Creates a reader.
      *
-     * @param shell the daemon
+     * @param forwarder the daemon
      * @param loop thread of the connections
      */
-    public LogClient(ForwarderContext shell, EventLoop loop) {
-        this.shell = shell;
+    public LogClient(ForwarderContext forwarder, EventLoop loop) {
+        this.forwarder = forwarder;
         this.loop = loop;
-        this.protocol = shell.protocols().log();
+        this.protocol = forwarder.protocols().log();
     }
 
     /**
@@ -49,26 +49,26 @@
      * @param read what to read
      */
     public void readNewest(ForwardingEffect.ReadNewest read) {
-        readPage(read.topic(), shell.now(), Optional.empty(), new ArrayList<>(), Long.MAX_VALUE);
+        readPage(read.topic(), forwarder.now(), Optional.empty(), new ArrayList<>(), Long.MAX_VALUE);
     }
 
     private void readPage(
-            Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long knownEnd) {
-        ask("snapshot", protocol.readNewest(topic, after), ANSWER_LIMIT, answer -> {
-            Optional<TopicPage.Records> page = answer.map(protocol::newest)
+            Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long lowestEnd) {
+        call("snapshot", protocol.snapshotRequest(topic, after), RESPONSE_TIMEOUT, answer -> {
+            Optional<TopicPage.Records> page = answer.map(protocol::parseSnapshot)
                     .filter(TopicPage.Records.class::isInstance)
                     .map(TopicPage.Records.class::cast);
             if (page.isEmpty()) {
-                unavailable(topic, answer);
+                reportUnavailable(topic, answer);
                 return;
             }
             records.addAll(page.get().records());
             // Pages are no snapshot: what was appended after the first page is read again from there.
-            long end = Math.min(knownEnd, page.get().end());
-            if (page.get().continueAfter().isPresent()) {
-                readPage(topic, startedAt, page.get().continueAfter(), records, end);
+            long end = Math.min(lowestEnd, page.get().endOffset());
+            if (page.get().nextPageAfter().isPresent()) {
+                readPage(topic, startedAt, page.get().nextPageAfter(), records, end);
             } else {
-                shell.submit(new ForwardingEvent.TopicRead(topic, startedAt, true, records, end));
+                forwarder.submit(new ForwardingEvent.TopicRead(topic, startedAt, true, records, end));
             }
         });
     }
@@ -79,39 +79,43 @@
      * @param read what to read
      */
     public void readFrom(ForwardingEffect.ReadFrom read) {
-        Instant startedAt = shell.now();
+        Instant startedAt = forwarder.now();
         Duration wait = Duration.between(startedAt, read.waitUntil());
-        ask("read", protocol.readFrom(read.topic(), read.offset(), wait), wait.plus(ANSWER_LIMIT), answer -> {
-            Optional<TopicPage> page = answer.map(response -> protocol.records(response, read.offset()));
-            if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
-                shell.submit(
-                        new ForwardingEvent.TopicRead(read.topic(), startedAt, false, found.records(), found.end()));
-            } else if (page.isPresent() && page.get() instanceof TopicPage.Expired) {
-                shell.submit(new ForwardingEvent.TopicExpired(read.topic()));
-            } else {
-                unavailable(read.topic(), answer);
-            }
-        });
+        call(
+                "read",
+                protocol.recordsRequest(read.topic(), read.offset(), wait),
+                wait.plus(RESPONSE_TIMEOUT),
+                answer -> {
+                    Optional<TopicPage> page = answer.map(response -> protocol.parseRecords(response, read.offset()));
+                    if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
+                        forwarder.submit(new ForwardingEvent.TopicRead(
+                                read.topic(), startedAt, false, found.records(), found.endOffset()));
+                    } else if (page.isPresent() && page.get() instanceof TopicPage.Expired) {
+                        forwarder.submit(new ForwardingEvent.TopicExpired(read.topic()));
+                    } else {
+                        reportUnavailable(read.topic(), answer);
+                    }
+                });
     }
 
-    private void ask(
-            String operation, FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> receiver) {
-        ResponseAggregator.request(
-                shell.connections(),
+    private void call(
+            String operation, FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> callback) {
+        ResponseAggregator.send(
+                forwarder.connections(),
                 loop,
                 protocol.address(),
                 request,
                 limit,
-                ANSWER_BYTES,
-                shell.metrics().timeLogCall(operation, shell::now, receiver));
+                MAXIMUM_RESPONSE_BYTES,
+                forwarder.metrics().timeLogCall(operation, forwarder::now, callback));
     }
 
-    private void unavailable(Topic topic, Optional<FullHttpResponse> answer) {
+    private void reportUnavailable(Topic topic, Optional<FullHttpResponse> answer) {
         Logger.debug(
                 "read of {} failed: {}",
                 topic,
                 answer.map(response -> response.status().toString()).orElse("no answer"));
-        shell.submit(new ForwardingEvent.TopicUnavailable(topic));
+        forwarder.submit(new ForwardingEvent.TopicUnavailable(topic));
     }
 
     /**
@@ -120,9 +124,9 @@
      * @param append what to append
      */
     public void append(ForwardingEffect.AppendClaim append) {
-        ask("append", protocol.appendClaim(append.claim(), append.expectedEnd()), ANSWER_LIMIT, answer -> {
+        call("append", protocol.claimAppendRequest(append.claim(), append.expectedEnd()), RESPONSE_TIMEOUT, answer -> {
             if (answer.isPresent()) {
-                shell.submit(new ForwardingEvent.AppendCompleted(Topic.CLAIMS));
+                forwarder.submit(new ForwardingEvent.AppendCompleted(Topic.CLAIMS));
             }
         });
     }
@@ -133,10 +137,10 @@
      * @param append what to append
      */
     public void append(ForwardingEffect.AppendAnnouncement append) {
-        ask("append", protocol.appendAnnouncement(append.announcement()), ANSWER_LIMIT, answer -> {
-            boolean done =
+        call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, answer -> {
+            boolean appended =
                     answer.filter(response -> response.status().code() == 200).isPresent();
-            if (!done) {
+            if (!appended) {
                 loop.schedule(() -> append(append), 1, TimeUnit.SECONDS);
             }
         });
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QueryConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QueryConnection.java
@@ -19,15 +19,15 @@
 
 /** A connection on which short questions without a body are answered. */
 public final class QueryConnection extends ChannelInboundHandlerAdapter {
-    private final Function<HttpRequest, Optional<FullHttpResponse>> answers;
+    private final Function<HttpRequest, Optional<FullHttpResponse>> responder;
 
     /**
      * Creates the handler of one connection.
      *
-     * @param answers answers a question; empty for an unknown one
+     * @param responder responder a question; empty for an unknown one
      */
-    public QueryConnection(Function<HttpRequest, Optional<FullHttpResponse>> answers) {
-        this.answers = answers;
+    public QueryConnection(Function<HttpRequest, Optional<FullHttpResponse>> responder) {
+        this.responder = responder;
     }
 
     @Override
@@ -36,15 +36,16 @@
             if (((HttpObject) message).decoderResult().isFailure()) {
                 context.close();
             } else if (message instanceof HttpRequest request) {
-                FullHttpResponse answer = answers.apply(request)
+                FullHttpResponse response = responder
+                        .apply(request)
                         .orElseGet(
                                 () -> new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NOT_FOUND));
-                HttpUtil.setContentLength(answer, answer.content().readableBytes());
+                HttpUtil.setContentLength(response, response.content().readableBytes());
                 if (HttpUtil.isKeepAlive(request)) {
-                    context.writeAndFlush(answer);
+                    context.writeAndFlush(response);
                 } else {
-                    HttpUtil.setKeepAlive(answer, false);
-                    context.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+                    HttpUtil.setKeepAlive(response, false);
+                    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
                 }
             }
         } finally {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RejectedResponses.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RejectedResponses.java
@@ -21,8 +21,8 @@
         this.log = log;
     }
 
-    void add(NetworkAddress address, ResponseFault fault) {
-        metrics.countRejectedAnswer(fault);
+    void record(NetworkAddress address, ResponseFault fault) {
+        metrics.countRejectedResponse(fault);
         log.accept(DecisionRecord.of("answer-rejected", "address", address, "fault", fault.label()));
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
@@ -16,93 +16,93 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyanstair.model.NetworkAddress;
 
-/** Gathers a whole answer within limits of time and length. Used on the thread of the connections only. */
-public final class ResponseAggregator implements ResponseListener, ResponseMemoryBudget.Holder {
+/** Gathers a fullResponse answer within limits of time and length. Used on the thread of the connections only. */
+public final class ResponseAggregator implements ResponseListener, ResponseMemoryBudget.BufferOwner {
     private final EndpointConnectionPool connections;
     private final NetworkAddress address;
-    private final int longest;
-    private final Consumer<Optional<FullHttpResponse>> receiver;
+    private final int maximumBodyBytes;
+    private final Consumer<Optional<FullHttpResponse>> callback;
     private final ByteBuf body = Unpooled.buffer();
     private Optional<HttpResponse> head = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
-    private boolean over;
+    private boolean finished;
 
     private ResponseAggregator(
             EndpointConnectionPool connections,
             NetworkAddress address,
-            int longest,
-            Consumer<Optional<FullHttpResponse>> receiver) {
+            int maximumBodyBytes,
+            Consumer<Optional<FullHttpResponse>> callback) {
         this.connections = connections;
         this.address = address;
-        this.longest = longest;
-        this.receiver = receiver;
+        this.maximumBodyBytes = maximumBodyBytes;
+        this.callback = callback;
     }
 
     /**
-     * Sends a request and waits for its answer.
+     * Sends a request and waits for its aggregator.
      *
      * @param connections the connections
      * @param loop their thread
      * @param address where to
      * @param request the request
-     * @param limit time after which the connection is given up
-     * @param longest bytes of the longest body; a longer one counts as no answer
-     * @param receiver gets the answer, empty if none came in time
+     * @param timeout time after which the connection is given up
+     * @param maximumBodyBytes bytes of the maximumBodyBytes body; a longer one counts as no answer
+     * @param callback gets the answer, empty if none came in time
      */
-    public static void request(
+    public static void send(
             EndpointConnectionPool connections,
             EventLoop loop,
             NetworkAddress address,
             FullHttpRequest request,
-            Duration limit,
-            int longest,
-            Consumer<Optional<FullHttpResponse>> receiver) {
-        ResponseAggregator answer = new ResponseAggregator(connections, address, longest, receiver);
-        answer.timer = Optional.of(loop.schedule(answer::giveUp, limit.toMillis(), TimeUnit.MILLISECONDS));
-        answer.call = Optional.of(connections.call(address, request, answer));
+            Duration timeout,
+            int maximumBodyBytes,
+            Consumer<Optional<FullHttpResponse>> callback) {
+        ResponseAggregator aggregator = new ResponseAggregator(connections, address, maximumBodyBytes, callback);
+        aggregator.timer = Optional.of(loop.schedule(aggregator::abort, timeout.toMillis(), TimeUnit.MILLISECONDS));
+        aggregator.call = Optional.of(connections.send(address, request, aggregator));
     }
 
-    private void giveUp() {
+    private void abort() {
         call.ifPresent(EndpointCall::cancel);
         finish(Optional.empty());
     }
 
     private void finish(Optional<FullHttpResponse> response) {
-        if (over) {
+        if (finished) {
             response.ifPresent(FullHttpResponse::release);
             return;
         }
-        over = true;
+        finished = true;
         timer.ifPresent(future -> future.cancel(false));
         try {
-            receiver.accept(response);
+            callback.accept(response);
         } finally {
             body.release();
-            connections.memory().resize(this, 0);
+            connections.memoryBudget().setUsage(this, 0);
         }
     }
 
     private void reject(ResponseFault fault) {
-        connections.reject(address, fault);
-        giveUp();
+        connections.reportRejected(address, fault);
+        abort();
     }
 
     @Override
-    public void head(HttpResponse response) {
+    public void onHead(HttpResponse response) {
         head = Optional.of(response);
     }
 
     @Override
-    public void content(ByteBuf bytes) {
-        if (over) {
+    public void onContent(ByteBuf bytes) {
+        if (finished) {
             return;
         }
-        if (body.readableBytes() + bytes.readableBytes() > longest) {
+        if (body.readableBytes() + bytes.readableBytes() > maximumBodyBytes) {
             reject(ResponseFault.LONG_BODY);
         } else {
             body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-            connections.memory().resize(this, body.readableBytes());
+            connections.memoryBudget().setUsage(this, body.readableBytes());
         }
     }
 
@@ -112,12 +112,12 @@
     }
 
     @Override
-    public boolean usesBody() {
+    public boolean expectsBody() {
         return true;
     }
 
     @Override
-    public void rejected(ResponseFault fault) {
+    public void onRejected(ResponseFault fault) {
         finish(Optional.empty());
     }
 
@@ -127,15 +127,15 @@
     }
 
     @Override
-    public void end() {
-        HttpResponse known = head.orElseThrow();
-        FullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, known.status(), body);
-        whole.headers().set(known.headers());
-        finish(Optional.of(whole));
+    public void onComplete() {
+        HttpResponse receivedHead = head.orElseThrow();
+        FullHttpResponse fullResponse = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, receivedHead.status(), body);
+        fullResponse.headers().set(receivedHead.headers());
+        finish(Optional.of(fullResponse));
     }
 
     @Override
-    public void failed(boolean mayHaveRun) {
+    public void onFailure(boolean mayHaveRun) {
         finish(Optional.empty());
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
@@ -10,14 +10,14 @@
      *
      * @param head the head
      */
-    void head(HttpResponse head);
+    void onHead(HttpResponse head);
 
     /**
      * A part of the body came.
      *
      * @param bytes the bytes; not to be released
      */
-    void content(ByteBuf bytes);
+    void onContent(ByteBuf bytes);
 
     /**
      * Tells whether the answer that is now complete belongs to an earlier request, so that the next one is awaited.
@@ -31,22 +31,22 @@
      *
      * @return whether its bytes are the awaited body
      */
-    boolean usesBody();
+    boolean expectsBody();
 
     /** The answer is complete and the call is over. */
-    void end();
+    void onComplete();
 
     /**
      * The call failed before its answer was complete.
      *
      * @param mayHaveRun whether anything may have been sent
      */
-    void failed(boolean mayHaveRun);
+    void onFailure(boolean mayHaveRun);
 
     /**
      * The endpoint sent what is no answer, and the call is over; it may have run.
      *
      * @param fault what is wrong
      */
-    void rejected(ResponseFault fault);
+    void onRejected(ResponseFault fault);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseMemoryBudget.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseMemoryBudget.java
@@ -11,15 +11,15 @@
  */
 public final class ResponseMemoryBudget {
     /** Bytes of all answers; with buffers that double as they grow, a third of the heap of a daemon of 194 MB. */
-    public static final int DEFAULT_BYTES = 32 << 20;
+    public static final int DEFAULT_LIMIT_BYTES = 32 << 20;
 
-    private final int limit;
-    private final Map<Holder, Integer> sizes = new HashMap<>();
-    private long total;
+    private final int limitBytes;
+    private final Map<BufferOwner, Integer> usages = new HashMap<>();
+    private long totalBytes;
 
     /** Keeps bytes of an answer; equal only to itself. */
     @FunctionalInterface
-    interface Holder {
+    interface BufferOwner {
         /** Drops the bytes and ends the answer. */
         void evict();
     }
@@ -27,10 +27,10 @@
     /**
      * Creates the memory.
      *
-     * @param limit bytes of all answers
+     * @param limitBytes bytes of all answers
      */
-    public ResponseMemoryBudget(int limit) {
-        this.limit = limit;
+    public ResponseMemoryBudget(int limitBytes) {
+        this.limitBytes = limitBytes;
     }
 
     /**
@@ -38,20 +38,20 @@
      *
      * @return bytes
      */
-    public long used() {
-        return total;
+    public long usedBytes() {
+        return totalBytes;
     }
 
-    /** Notes how many bytes a holder keeps; this may evict any holder, including this one. */
-    void resize(Holder holder, int bytes) {
-        Integer before = bytes == 0 ? sizes.remove(holder) : sizes.put(holder, bytes);
-        total += bytes - (before == null ? 0 : before);
-        while (total > limit) {
-            Holder largest = sizes.entrySet().stream()
+    /** Notes how many bytes a owner keeps; this may evict any owner, including this one. */
+    void setUsage(BufferOwner owner, int bytes) {
+        Integer before = bytes == 0 ? usages.remove(owner) : usages.put(owner, bytes);
+        totalBytes += bytes - (before == null ? 0 : before);
+        while (totalBytes > limitBytes) {
+            BufferOwner largest = usages.entrySet().stream()
                     .max(Map.Entry.comparingByValue())
                     .orElseThrow()
                     .getKey();
-            resize(largest, 0);
+            setUsage(largest, 0);
             largest.evict();
         }
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseOverhead.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseOverhead.java
@@ -6,24 +6,24 @@
      * Bytes beside the body of the awaited answer: its head, which the decoder limits to 40 KiB, an answer to an
      * earlier request, and the framing of chunks.
      */
-    static final int EXCESS_BYTES = 256 << 10;
+    static final int MAXIMUM_OVERHEAD_BYTES = 256 << 10;
 
     /** Bytes of framing for each byte of a long body; chunks of a few bytes cost far more time than their bytes. */
-    static final int FRAMING_PER_BYTE = 1;
+    static final int MAXIMUM_FRAMING_BYTES_PER_BODY_BYTE = 1;
 
-    private long received;
-    private long used;
+    private long receivedBytes;
+    private long bodyBytes;
 
-    void received(int bytes) {
-        received += bytes;
+    void addReceived(int bytes) {
+        receivedBytes += bytes;
     }
 
     /** Counts bytes of the body of the awaited answer. */
-    void used(int bytes) {
-        used += bytes;
+    void addBody(int bytes) {
+        bodyBytes += bytes;
     }
 
-    boolean excessive() {
-        return received - used > EXCESS_BYTES + FRAMING_PER_BYTE * used;
+    boolean isExcessive() {
+        return receivedBytes - bodyBytes > MAXIMUM_OVERHEAD_BYTES + MAXIMUM_FRAMING_BYTES_PER_BODY_BYTE * bodyBytes;
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
@@ -22,16 +22,16 @@
 /** The addresses on which a host listens. */
 public final class ServerSockets {
     /** Callers of a lost host come to the others at the same moment. */
-    private static final int BACKLOG = 1024;
+    private static final int ACCEPT_BACKLOG = 1024;
 
-    private static final int LINE_BYTES = 8 << 10;
+    private static final int REQUEST_LINE_LIMIT_BYTES = 8 << 10;
 
-    private static final int CHUNK_BYTES = 64 << 10;
+    private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
 
-    private static final int QUESTION_HEADER_BYTES = 8 << 10;
+    private static final int QUERY_HEADER_LIMIT_BYTES = 8 << 10;
 
     /** Seconds after which a connection without a question is closed. */
-    private static final int QUESTION_IDLE_SECONDS = 30;
+    private static final int QUERY_IDLE_TIMEOUT_SECONDS = 30;
 
     private final EventLoopGroup group;
     private final List<Channel> channels = new ArrayList<>();
@@ -49,17 +49,19 @@
      * Listens for callers.
      *
      * @param address the address
-     * @param headerBytes longest headers, asked for each new connection
-     * @param handlers creates the handler of a connection
+     * @param headerLimitBytes longest headers, asked for each new connection
+     * @param handlerFactory creates the handler of a connection
      */
-    public void callers(NetworkAddress address, Supplier<Integer> headerBytes, Supplier<ChannelHandler> handlers) {
+    public void listenForCallers(
+            NetworkAddress address, Supplier<Integer> headerLimitBytes, Supplier<ChannelHandler> handlerFactory) {
         listen(address, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
-                        .addLast(new StrictRequestDecoder(LINE_BYTES, headerBytes.get(), CHUNK_BYTES))
+                        .addLast(new StrictRequestDecoder(
+                                REQUEST_LINE_LIMIT_BYTES, headerLimitBytes.get(), MAXIMUM_CHUNK_BYTES))
                         .addLast(new HttpResponseEncoder())
-                        .addLast(handlers.get());
+                        .addLast(handlerFactory.get());
             }
         });
     }
@@ -68,16 +70,17 @@
      * Listens for short questions.
      *
      * @param address the address
-     * @param handlers creates the handler of a connection
+     * @param handlerFactory creates the handler of a connection
      */
-    public void questions(NetworkAddress address, Supplier<ChannelHandler> handlers) {
+    public void listenForQueries(NetworkAddress address, Supplier<ChannelHandler> handlerFactory) {
         listen(address, new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
-                        .addLast(new IdleStateHandler(0, 0, QUESTION_IDLE_SECONDS))
-                        .addLast(new HttpServerCodec(LINE_BYTES, QUESTION_HEADER_BYTES, CHUNK_BYTES))
-                        .addLast(handlers.get());
+                        .addLast(new IdleStateHandler(0, 0, QUERY_IDLE_TIMEOUT_SECONDS))
+                        .addLast(new HttpServerCodec(
+                                REQUEST_LINE_LIMIT_BYTES, QUERY_HEADER_LIMIT_BYTES, MAXIMUM_CHUNK_BYTES))
+                        .addLast(handlerFactory.get());
             }
         });
     }
@@ -86,7 +89,7 @@
         ChannelFuture bound = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer)
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -15,10 +15,10 @@
     private long lastEvent = NONE;
 
     /** Whether the caller has nothing after the last event with an id. */
-    private boolean exact = true;
+    private boolean resumable = true;
 
     /** What an event of a run is to the caller. */
-    enum Step {
+    enum EventOrder {
         /** The event follows those that the caller has. */
         NEXT,
         /** The caller has the event. */
@@ -31,68 +31,68 @@
 
     /** Returns the id of the last event that the caller has, empty if no other run can go on after what it has. */
     Optional<Long> resumeAfter() {
-        return exact && lastEvent != NONE ? Optional.of(lastEvent) : Optional.empty();
+        return resumable && lastEvent != NONE ? Optional.of(lastEvent) : Optional.empty();
     }
 
     /** Begins a run that was asked to go on after an event. */
-    Run begin(Optional<Long> after) {
+    Run startRun(Optional<Long> after) {
         after.filter(event -> event > lastEvent).ifPresent(event -> lastEvent = event);
         return new Run();
     }
 
     /** The events of one run. */
     final class Run {
-        private final boolean joinable = exact;
+        private final boolean placeable = resumable;
 
-        private long runEvent = NONE;
+        private long lastRunEvent = NONE;
 
-        Step advance(EventSplitter.StreamEvent event) {
-            Step step = event.id().map(this::numbered).orElseGet(() -> unnumbered(event));
-            event.id().filter(id -> id > runEvent).ifPresent(id -> runEvent = id);
-            return step;
+        EventOrder advance(EventSplitter.StreamEvent event) {
+            EventOrder order = event.id().map(this::placeNumbered).orElseGet(() -> placeUnnumbered(event));
+            event.id().filter(id -> id > lastRunEvent).ifPresent(id -> lastRunEvent = id);
+            return order;
         }
 
-        private Step numbered(long id) {
-            if (!joinable) {
-                return Step.UNPLACED;
+        private EventOrder placeNumbered(long id) {
+            if (!placeable) {
+                return EventOrder.UNPLACED;
             }
             if (id <= lastEvent) {
-                return Step.REPEATED;
+                return EventOrder.REPEATED;
             }
             if (lastEvent != NONE && id > lastEvent + 1) {
-                return Step.GAP;
+                return EventOrder.GAP;
             }
             lastEvent = id;
-            exact = true;
-            return Step.NEXT;
+            resumable = true;
+            return EventOrder.NEXT;
         }
 
-        private Step unnumbered(EventSplitter.StreamEvent event) {
-            boolean caughtUp = joinable && runEvent == lastEvent;
+        private EventOrder placeUnnumbered(EventSplitter.StreamEvent event) {
+            boolean caughtUp = placeable && lastRunEvent == lastEvent;
             if (!event.hasData()) {
-                return caughtUp ? Step.NEXT : Step.REPEATED;
+                return caughtUp ? EventOrder.NEXT : EventOrder.REPEATED;
             }
             if (caughtUp) {
-                exact = false;
-                return Step.NEXT;
+                resumable = false;
+                return EventOrder.NEXT;
             }
-            return joinable && runEvent != NONE ? Step.REPEATED : Step.UNPLACED;
+            return placeable && lastRunEvent != NONE ? EventOrder.REPEATED : EventOrder.UNPLACED;
         }
 
         /**
          * Decides whether an answer that is complete by its framing is the complete stream.
          *
-         * @param withinEvent whether the answer ended within an event
-         * @param delimited whether its framing told its end, so that it does not end with its connection
+         * @param hasPartialEvent whether the answer ended within an event
+         * @param selfDelimited whether its framing told its end, so that it does not end with its connection
          * @return why the stream is not complete, empty if it is
          */
-        Optional<AttemptResult.BrokenCause> faultAtEnd(boolean withinEvent, boolean delimited) {
-            if (withinEvent) {
+        Optional<AttemptResult.BrokenCause> findCompletionFault(boolean hasPartialEvent, boolean selfDelimited) {
+            if (hasPartialEvent) {
                 return Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT);
             }
             // A resumption without any event had only its end left to send; a closed connection may also be a crash.
-            boolean caughtUp = runEvent == NONE && delimited || runEvent >= lastEvent;
-            return joinable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
+            boolean caughtUp = lastRunEvent == NONE && selfDelimited || lastRunEvent >= lastEvent;
+            return placeable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
         }
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StrictRequestDecoder.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StrictRequestDecoder.java
@@ -5,8 +5,8 @@
 
 /** Reads requests and refuses those that give their length twice, which others could read differently. */
 final class StrictRequestDecoder extends HttpRequestDecoder {
-    StrictRequestDecoder(int lineBytes, int headerBytes, int chunkBytes) {
-        super(lineBytes, headerBytes, chunkBytes);
+    StrictRequestDecoder(int lineLimitBytes, int headerLimitBytes, int maximumChunkBytes) {
+        super(lineLimitBytes, headerLimitBytes, maximumChunkBytes);
     }
 
     @Override
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/DecisionLogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/DecisionLogTest.java
@@ -62,7 +62,7 @@
             log.write(DecisionRecord.important("refused", "request", "refused-" + index));
         }
         assertTrue(Duration.ofNanos(System.nanoTime() - start).toSeconds() < 10, "writing blocks");
-        assertTrue(log.dropped() > 40_000, "dropped: " + log.dropped());
+        assertTrue(log.droppedLines() > 40_000, "dropped: " + log.droppedLines());
         output.opened.countDown();
         while (output.lines().stream().noneMatch(line -> line.contains("log-lines-dropped"))) {
             Thread.sleep(20);
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -29,7 +29,7 @@
     private final EndpointConnectionPool connections = new EndpointConnectionPool(
             loop,
             Duration.ofSeconds(1),
-            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_BYTES),
+            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES),
             new RejectedResponses(new ForwarderMetrics(), decision -> {}));
     private ServerSocket server;
     private volatile long answerAfterMilliseconds;
@@ -70,11 +70,11 @@
         private EndpointCall call;
 
         @Override
-        public void head(HttpResponse head) {}
+        public void onHead(HttpResponse head) {}
 
         @Override
-        public void content(ByteBuf bytes) {
-            call.setReading(false);
+        public void onContent(ByteBuf bytes) {
+            call.setAutoRead(false);
         }
 
         @Override
@@ -83,35 +83,35 @@
         }
 
         @Override
-        public boolean usesBody() {
+        public boolean expectsBody() {
             return true;
         }
 
         @Override
-        public void end() {
+        public void onComplete() {
             outcome.complete("whole");
         }
 
         @Override
-        public void failed(boolean mayHaveRun) {
+        public void onFailure(boolean mayHaveRun) {
             outcome.complete("failed");
         }
 
         @Override
-        public void rejected(ResponseFault fault) {
+        public void onRejected(ResponseFault fault) {
             outcome.complete("rejected");
         }
     }
 
-    private void begin(SlowCaller caller) {
+    private void send(SlowCaller caller) {
         NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
-        caller.call = connections.call(
+        caller.call = connections.send(
                 address, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), caller);
     }
 
     private String call() throws Exception {
         SlowCaller caller = new SlowCaller();
-        loop.execute(() -> begin(caller));
+        loop.execute(() -> send(caller));
         return caller.outcome.get(3, TimeUnit.SECONDS);
     }
 
@@ -121,16 +121,16 @@
         SlowCaller second = new SlowCaller();
         SlowCaller first = new SlowCaller() {
             @Override
-            public void end() {
+            public void onComplete() {
                 answerAfterMilliseconds = 1500;
-                begin(second);
-                super.end();
+                send(second);
+                super.onComplete();
             }
         };
-        loop.execute(() -> begin(first));
+        loop.execute(() -> send(first));
         assertEquals("whole", first.outcome.get(3, TimeUnit.SECONDS));
         assertEquals("whole", second.outcome.get(6, TimeUnit.SECONDS));
-        assertEquals(1, connections.opened());
+        assertEquals(1, connections.openedTotal());
     }
 
     /** The next request on the kept connection got no answer until its deadline. */
@@ -138,6 +138,6 @@
     void connectionKeptForASlowCallerIsReadForTheNextOne() throws Exception {
         assertEquals("whole", call());
         assertEquals("whole", call());
-        assertEquals(1, connections.opened());
+        assertEquals(1, connections.openedTotal());
     }
 }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
@@ -66,27 +66,27 @@
     void halfEventIsKeptBack() {
         EventSplitter splitter = new EventSplitter();
         assertEquals(0, splitter.feed(bytes("id: 1\ndata: a\n")).size());
-        assertTrue(splitter.isWithinEvent());
-        assertEquals("id: 1\ndata: a\n", text(splitter.rest()));
+        assertTrue(splitter.hasPartialEvent());
+        assertEquals("id: 1\ndata: a\n", text(splitter.takeRemainder()));
     }
 
     @Test
     void emptyLinesAreNoPartOfAnEvent() {
         EventSplitter splitter = new EventSplitter();
         assertEquals(1, splitter.feed(bytes("id: 1\ndata: a\n\n\r\n")).size());
-        assertFalse(splitter.isWithinEvent());
-        assertEquals("\r\n", text(splitter.rest()));
+        assertFalse(splitter.hasPartialEvent());
+        assertEquals("\r\n", text(splitter.takeRemainder()));
     }
 
     /** Each piece of an event without an end was scanned from the start of the event, at quadratic cost. */
     @Test
     void bytesOfAnEventThatIsNotWholeAreScannedOnce() {
-        AtomicLong looked = new AtomicLong();
+        AtomicLong scannedBytes = new AtomicLong();
         EventSplitter splitter =
                 new EventSplitter(new UnpooledHeapByteBuf(UnpooledByteBufAllocator.DEFAULT, 256, Integer.MAX_VALUE) {
                     @Override
                     public byte getByte(int index) {
-                        looked.incrementAndGet();
+                        scannedBytes.incrementAndGet();
                         return super.getByte(index);
                     }
                 });
@@ -96,7 +96,7 @@
         }
         int total = 10 * pieces;
         assertEquals(total, splitter.pendingBytes());
-        assertTrue(looked.get() <= 3L * total, "bytes looked at: " + looked.get());
+        assertTrue(scannedBytes.get() <= 3L * total, "bytes looked at: " + scannedBytes.get());
         assertEquals(1, splitter.feed(bytes("\nid: 7\n")).size());
         assertEquals(Optional.of(7L), splitter.feed(bytes("\n")).get(0).id());
     }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -32,11 +32,11 @@
 /** Answers of the log and of runners to reports and commands. */
 class ResponseAggregatorTest {
     /** Bytes after which the stand-in gives up; far above the bound and the buffers of sockets. */
-    private static final long LIMIT_BYTES = 192L << 20;
+    private static final long GIVE_UP_BYTES = 192L << 20;
 
-    private static final long BOUND_BYTES = 24L << 20;
+    private static final long MAXIMUM_ACCEPTED_BYTES = 24L << 20;
 
-    private static final int LONGEST_BYTES = 1 << 20;
+    private static final int MAXIMUM_BODY_BYTES = 1 << 20;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
@@ -45,7 +45,7 @@
     private final EndpointConnectionPool connections = new EndpointConnectionPool(
             loop,
             Duration.ofSeconds(1),
-            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_BYTES),
+            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES),
             new RejectedResponses(metrics, log::add));
     private ServerSocket server;
 
@@ -85,18 +85,18 @@
         return written;
     }
 
-    private Optional<String> ask() throws Exception {
+    private Optional<String> send() throws Exception {
         CompletableFuture<Optional<String>> answer = new CompletableFuture<>();
         NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
         loop.execute(() -> {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/report");
-            ResponseAggregator.request(
+            ResponseAggregator.send(
                     connections,
                     loop,
                     address,
                     request,
                     Duration.ofSeconds(10),
-                    LONGEST_BYTES,
+                    MAXIMUM_BODY_BYTES,
                     response -> answer.complete(
                             response.map(whole -> whole.content().toString(StandardCharsets.UTF_8))));
         });
@@ -112,19 +112,23 @@
                 ""
             })
     void endlessAnswerEndsAtItsBoundAndLongBeforeItsLimitOfTime(String start) throws Exception {
-        CompletableFuture<Long> written = serve(start, " ", LIMIT_BYTES);
-        assertEquals(Optional.empty(), ask());
-        assertTrue(written.get(5, TimeUnit.SECONDS) < BOUND_BYTES, "bytes: " + written.get());
+        CompletableFuture<Long> written = serve(start, " ", GIVE_UP_BYTES);
+        assertEquals(Optional.empty(), send());
+        assertTrue(written.get(5, TimeUnit.SECONDS) < MAXIMUM_ACCEPTED_BYTES, "bytes: " + written.get());
         assertEquals(1, log.size());
         assertEquals("answer-rejected", log.peek().kind());
-        assertTrue(new String(metrics.write(), StandardCharsets.UTF_8)
+        assertTrue(new String(metrics.render(), StandardCharsets.UTF_8)
                 .contains("banyanstair_rejected_answers_total{fault="));
     }
 
     @Test
     void answerOfTheLongestLengthIsWhole() throws Exception {
-        serve("HTTP/1.1 200 OK\r\nContent-Length: " + LONGEST_BYTES + "\r\n\r\n" + "x".repeat(LONGEST_BYTES), "", 0);
-        assertEquals(Optional.of("x".repeat(LONGEST_BYTES)), ask());
+        serve(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + MAXIMUM_BODY_BYTES + "\r\n\r\n"
+                        + "x".repeat(MAXIMUM_BODY_BYTES),
+                "",
+                0);
+        assertEquals(Optional.of("x".repeat(MAXIMUM_BODY_BYTES)), send());
         assertEquals(0, log.size());
     }
 }
