Reword the comments of the idempotency package

The comments spoke of runs, holds, ends and forgetting; they now use incarnation, acquire/release a key, outcome and evict, and tags that repeat a name are gone. Heads of tests name the failure they guard against. Two assertion texts of CallSimulation say "answered as not run"; no test matches them.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/AttemptId.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/AttemptId.java
@@ -4,9 +4,9 @@
 import com.fasterxml.jackson.annotation.JsonValue;
 
 /**
- * Identifies one attempt to run a non-idempotent call; a new attempt is made for each submission to a writer.
+ * Identifies one attempt to execute a non-idempotent call; each writer that a call is submitted to gets a new attempt.
  *
- * @param value text that is unique over all hosts and restarts
+ * @param value text that is unique across all hosts and restarts
  */
 public record AttemptId(@JsonValue String value) {
     /** Creates the id. */
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallAnswer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallAnswer.java
@@ -4,28 +4,19 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.ServiceAnswer;
 
-/** The three outcomes of a call; they are never confused. */
+/** What the caller of a non-idempotent call is told. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "outcome")
 public sealed interface CallAnswer {
     /**
      * The service answered.
      *
-     * @param answer the answer of the service
      * @param repeated whether it is the recorded answer of an earlier request with the same key
      */
     record Answered(ServiceAnswer answer, boolean repeated) implements CallAnswer {}
 
-    /**
-     * The call did not run and this request never will.
-     *
-     * @param failure why
-     */
+    /** The call was not executed and never will be for this request. */
     record NotRun(Failure failure) implements CallAnswer {}
 
-    /**
-     * The call may have run.
-     *
-     * @param failure why
-     */
+    /** The call may have been executed. */
     record Unknown(Failure failure) implements CallAnswer {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
@@ -13,8 +13,6 @@
 /**
  * The scope in which an idempotency key is unique.
  *
- * @param caller the caller
- * @param service the service
  * @param key value of the header {@code Idempotency-Key}: 1 to 128 printable ASCII characters without blanks
  */
 public record CallKey(CallerId caller, ServiceId service, String key) {
@@ -29,9 +27,9 @@
     }
 
     /**
-     * Returns the partition of the key.
+     * Returns the partition that stores the key.
      *
-     * @return number from 0 to {@link LogStreams#CALL_PARTITIONS} - 1
+     * @return partition number from 0 to {@link LogStreams#CALL_PARTITIONS} - 1
      */
     public int partition() {
         byte[] bytes = (caller + "\n" + service + "\n" + key).getBytes(StandardCharsets.UTF_8);
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallRecord.java
@@ -10,33 +10,25 @@
 /** A record of a stream of non-idempotent calls. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "record")
 public sealed interface CallRecord extends LogEntry {
-    /**
-     * Returns the key that the record is about.
-     *
-     * @return the key
-     */
+    /** Returns the idempotency key of the attempt. */
     CallKey key();
 
-    /**
-     * Returns the attempt that the record is about.
-     *
-     * @return the attempt
-     */
+    /** Returns the attempt that the record describes. */
     AttemptId attempt();
 
-    /** The writer will dispatch the attempt if this is the first record that holds the key. */
+    /** Announces that the writer dispatches the attempt if this intent is the first in log order to acquire the key. */
     record Intent(CallKey key, AttemptId attempt, HostIdentity writer, String bodyDigest, Instant deadline)
             implements CallRecord {}
 
-    /** The attempt must not run, unless it holds the key already. */
+    /** Prevents the attempt from being executed, unless it already holds the key. */
     record Void(CallKey key, AttemptId attempt) implements CallRecord {}
 
-    /** The writer proved that it did not and will not dispatch the attempt. */
+    /** Releases the key: the writer did not dispatch the attempt and never will. */
     record NotRun(CallKey key, AttemptId attempt) implements CallRecord {}
 
     /** The service answered the attempt. */
     record Result(CallKey key, AttemptId attempt, ServiceAnswer answer) implements CallRecord {}
 
-    /** The outcome of the attempt is not known and never will be. */
+    /** The outcome of the attempt is permanently unknown. */
     record Unknown(CallKey key, AttemptId attempt) implements CallRecord {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallStateTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallStateTable.java
@@ -8,10 +8,9 @@
 import java.util.Set;
 
 /**
- * Folds one stream of non-idempotent calls into the state of each key.
+ * Derives the state of each idempotency key from the log stream of one call partition.
  *
- * <p>The first intent in log order holds its key, unless its attempt was voided before. Not safe for use by several
- * threads.
+ * <p>The first intent in log order acquires the key, unless its attempt was voided earlier in the log. Not thread-safe.
  */
 public final class CallStateTable {
     private static final CallState FREE = new CallState.Free();
@@ -21,15 +20,14 @@
     private long nextOffset;
 
     /**
-     * Creates an empty ledger.
+     * Creates an empty table.
      *
-     * @param retention time that a key is kept after the deadline of its call
+     * @param retention how long a key is kept after the deadline of its call
      */
     public CallStateTable(Duration retention) {
         this.retention = retention;
     }
 
-    /** What is known about one key. */
     private static final class Entry {
         private CallState state = FREE;
         private final Set<AttemptId> dead = new HashSet<>();
@@ -43,10 +41,8 @@
     /**
      * Applies one record.
      *
-     * @param offset offset of the record; records below the next offset have no effect
-     * @param appendedAt instant at which the log service took the record
-     * @param record the record
-     * @return true if the record was new
+     * @param appendedAt when the log service stored the record, by its clock
+     * @return false if the offset is below the next offset, so that the record had been applied before
      */
     public boolean apply(long offset, Instant appendedAt, CallRecord record) {
         if (offset < nextOffset) {
@@ -99,61 +95,38 @@
                         && unknown.attempt().equals(attempt);
     }
 
-    /**
-     * Returns the state of a key.
-     *
-     * @param key the key
-     * @return its state
-     */
+    /** Returns the state of a key. */
     public CallState state(CallKey key) {
         Entry entry = entries.get(key);
         return entry == null ? FREE : entry.state;
     }
 
     /**
-     * Tells whether an attempt can never run.
+     * Returns whether an attempt can never be executed.
      *
-     * @param key key of the attempt
-     * @param attempt the attempt
-     * @return true if a record that precedes any hold voided it, or its writer gave it up
+     * @return true if it was voided before it acquired the key, or its writer released the key without dispatching it
      */
     public boolean isDead(CallKey key, AttemptId attempt) {
         Entry entry = entries.get(key);
         return entry != null && entry.dead.contains(attempt);
     }
 
-    /**
-     * Forgets keys whose retention has passed.
-     *
-     * @param now the present instant
-     */
+    /** Evicts keys whose retention period has passed. */
     public void expire(Instant now) {
         entries.values().removeIf(entry -> entry.keepUntil.isBefore(now));
     }
 
-    /**
-     * Passes over a record that could not be decoded.
-     *
-     * @param offset offset of the record
-     */
+    /** Skips a record that could not be decoded. */
     public void skip(long offset) {
         nextOffset = Math.max(nextOffset, offset + 1);
     }
 
-    /**
-     * Returns the offset of the next record to apply.
-     *
-     * @return the offset
-     */
+    /** Returns the offset of the next record to apply. */
     public long nextOffset() {
         return nextOffset;
     }
 
-    /**
-     * Returns the number of keys.
-     *
-     * @return keys known
-     */
+    /** Returns the number of keys in the table. */
     public int size() {
         return entries.size();
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -24,10 +24,10 @@
 import org.banyanstair.reducer.Sequence;
 
 /**
- * The entry host's side of calls that may not be repeated: submits each to the writer of its partition and answers the
- * caller.
+ * Tracks the non-idempotent calls of the callers of this host: submits each call to the writer of its partition and
+ * answers the caller.
  *
- * <p>"Not run" is told only if every attempt that was ever submitted for the request is proved dead. Not safe for use by
+ * <p>A call is answered as not run only when every attempt that was ever submitted for it is known to be dead. Not safe for use by
  * several threads.
  */
 public final class CallTracker {
@@ -37,7 +37,6 @@
     private final Map<RequestId, TrackedCall> calls = new LinkedHashMap<>();
     private final Map<AttemptId, TrackedCall> attempts = new HashMap<>();
 
-    /** One request of a caller of this host. */
     private static final class TrackedCall {
         private final CallRequest request;
         private final CallKey key;
@@ -61,36 +60,19 @@
         }
     }
 
-    /**
-     * Creates a tracker without calls.
-     *
-     * @param membership hosts
-     * @param settings settings of the host
-     * @param sequence source of numbers for attempts
-     */
+    /** Creates a tracker without calls. */
     public CallTracker(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.settings = settings;
         this.sequence = sequence;
     }
 
-    /**
-     * Returns the number of calls in flight.
-     *
-     * @return calls without an answer
-     */
+    /** Returns the number of calls without an answer. */
     public int size() {
         return calls.size();
     }
 
-    /**
-     * Takes a call from a caller.
-     *
-     * @param request the call
-     * @param key its key
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Submits a call that has arrived from a caller. */
     public void arrived(CallRequest request, CallKey key, Instant now, Effects effects) {
         TrackedCall call = new TrackedCall(request, key);
         calls.put(call.id(), call);
@@ -131,14 +113,7 @@
                         Optional.ofNullable(call.writers.get(attempt))));
     }
 
-    /**
-     * Takes the answer of a writer.
-     *
-     * @param sender the writer
-     * @param outcome the answer
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles the answer of a writer. */
     public void outcome(HostIdentity sender, PeerMessage.CallOutcome outcome, Instant now, Effects effects) {
         TrackedCall call = attempts.get(outcome.attempt());
         if (call == null) {
@@ -164,7 +139,8 @@
             CallAnswer.NotRun notRun,
             Instant now,
             Effects effects) {
-        // An attempt that names no run may have reached several runs of the writer's daemon; one cannot speak for all.
+        // An attempt without a writer incarnation may have reached several incarnations; one cannot answer for the
+        // others.
         if (sender.equals(call.writers.get(outcome.attempt()))) {
             call.unsettled.remove(outcome.attempt());
         }
@@ -189,12 +165,7 @@
         effects.add(new Effect.AnswerCall(call.id(), answer));
     }
 
-    /**
-     * Repeats submissions, moves them to other writers, and ends late calls.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Retries submissions, moves them to other writers, and answers calls whose deadline has passed. */
     public void tick(Instant now, Effects effects) {
         for (TrackedCall call : List.copyOf(calls.values())) {
             if (!now.isBefore(call.deadline().plus(settings.answerGracePeriod()))) {
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -23,14 +23,14 @@
 import org.banyanstair.routing.EndpointPicker;
 
 /**
- * Writes the intents of one partition of non-idempotent calls and dispatches those that hold their key.
+ * Appends the intents of one call partition to the log and dispatches the attempts that acquire their key.
  *
- * <p>An attempt is dispatched only when this host reads its intent back from the log and finds that it holds the key.
- * That settles lost answers to appends and races between writers alike. Before an attempt is reported as not run it is
- * marked dead in memory, and no other host may dispatch it, so it can never run. Not safe for use by several threads.
+ * <p>An attempt is dispatched only after this host has read its intent back from the log and found that it holds the
+ * key. This resolves both lost append responses and races between writers. An attempt is marked dead in memory before
+ * it is reported as not run; since no other host may dispatch it, it can never be executed. Not thread-safe.
  */
 public final class CallWriter {
-    /** Recorded answers above this size are not kept in the log; a repeated request then gets an unknown outcome. */
+    /** Larger answers are not stored in the log; a repeated request then gets an unknown outcome. */
     static final int MAXIMUM_RECORDED_BODY_BYTES = 64 * 1024;
 
     private final int partition;
@@ -45,14 +45,7 @@
     private final PartitionAppender appender;
     private Instant nextRepeat = Instant.MIN;
 
-    /**
-     * Creates the writer of a partition.
-     *
-     * @param partition the partition
-     * @param membership hosts and endpoints
-     * @param settings settings of the host
-     * @param sequence source of numbers for appends and dispatches
-     */
+    /** Creates the writer of a partition. */
     public CallWriter(int partition, Membership membership, ReducerSettings settings, Sequence sequence) {
         this.partition = partition;
         this.membership = membership;
@@ -63,41 +56,26 @@
         this.appender = new PartitionAppender(partition, membership.self(), settings.callBatchDelay(), sequence);
     }
 
-    /**
-     * Returns what the log says about the keys of the partition.
-     *
-     * @return the ledger, to be read only
-     */
+    /** Returns the states of the keys of the partition; read-only. */
     public CallStateTable ledger() {
         return ledger;
     }
 
     /**
-     * Tells whether there is work that needs the stream.
+     * Returns whether this writer has unfinished work and must keep reading the stream.
      *
-     * @return true while an attempt waits for the log or an endpoint, or an end is not in the log
+     * @return true while an attempt waits for the log or an endpoint, or an outcome is not confirmed by the log
      */
     public boolean isBusy() {
         return appender.hasUnconfirmedEnds() || !open.isEmpty();
     }
 
-    /**
-     * Passes over a record that could not be decoded.
-     *
-     * @param offset offset of the record
-     */
+    /** Skips a record that could not be decoded. */
     public void skip(long offset) {
         ledger.skip(offset);
     }
 
-    /**
-     * Takes an attempt from an entry host.
-     *
-     * @param submitter the entry host
-     * @param submit the attempt
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Accepts an attempt submitted by an entry host. */
     public void submit(HostId submitter, PeerMessage.CallSubmit submit, Instant now, Effects effects) {
         if (submit.writer().filter(run -> !run.equals(membership.self())).isPresent()) {
             return;
@@ -109,7 +87,7 @@
             return;
         }
         if (isForgettable(submit, now)) {
-            // The attempt may have run and been forgotten since, so "not run" could be wrong.
+            // The attempt may have been executed and then evicted, so it must not be answered as not run.
             return;
         }
         SubmittedCall call = new SubmittedCall(submit, submitter);
@@ -128,7 +106,7 @@
         if (settle(call, effects)) {
             return;
         }
-        // A second intent for a key that is on its way to the log would only lose.
+        // A second intent would lose against the one that is being appended.
         boolean joins = open.isKeyPending(call) && call.voidsRecorded();
         if (joins || ledger.state(call.submit().key()) instanceof CallState.Held) {
             call.moveTo(Stage.JOINED);
@@ -137,7 +115,7 @@
         appender.schedule(now);
     }
 
-    /** Answers the call from the ledger if the key has its final state. */
+    /** Answers the call if the state of its key already determines the answer. */
     private boolean settle(SubmittedCall call, Effects effects) {
         CallState state = ledger.state(call.submit().key());
         if (state instanceof CallState.Answered answered) {
@@ -169,7 +147,7 @@
         finish(call, new CallAnswer.Answered(answered.answer(), repeated), effects);
     }
 
-    /** A key with a final state is never held again, so no earlier attempt of the refused request can run either. */
+    /** A key in a final state is never acquired again, so no earlier attempt of the refused request can run either. */
     private void refuseReused(SubmittedCall call, Effects effects) {
         call.markVoidsRecorded();
         finish(call, new CallAnswer.NotRun(keyReused(call)), effects);
@@ -179,15 +157,7 @@
         return new Failure.IdempotencyKeyReused(call.submit().key().key());
     }
 
-    /**
-     * Applies a record of the partition's stream.
-     *
-     * @param offset offset of the record
-     * @param appendedAt when the log service took it
-     * @param record the record
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Applies a record of the partition's stream. */
     public void read(long offset, Instant appendedAt, CallRecord record, Instant now, Effects effects) {
         if (!ledger.apply(offset, appendedAt, record)) {
             return;
@@ -207,12 +177,12 @@
         if (call.isPresent()) {
             intentRead(call.get(), now, effects);
         } else if (isHeldHere(intent.key(), intent.attempt())) {
-            // The append took effect after the attempt was refused and forgotten; nobody else frees the key.
+            // The append took effect after the attempt was refused and evicted; no other host releases the key.
             appender.end(new CallRecord.NotRun(intent.key(), intent.attempt()), now);
         }
     }
 
-    /** An earlier run of this daemon may hold a key with the same attempt, and may have dispatched it. */
+    /** An earlier incarnation of this daemon may hold the key with the same attempt and may have dispatched it. */
     private boolean isHeldHere(CallKey key, AttemptId attempt) {
         return ledger.state(key) instanceof CallState.Held held
                 && held.attempt().equals(attempt)
@@ -264,13 +234,9 @@
     }
 
     /**
-     * Takes the end of a dispatch.
+     * Handles the result of a dispatch.
      *
-     * @param dispatch number of the dispatch
-     * @param result how it ended
-     * @param now present instant
-     * @param effects collects what to do
-     * @return false if the dispatch is not one of this writer
+     * @return false if this writer did not start the dispatch
      */
     public boolean dispatchEnded(long dispatch, ServiceCallResult result, Instant now, Effects effects) {
         AttemptId attempt = dispatches.remove(dispatch);
@@ -299,7 +265,7 @@
                 : new CallRecord.Unknown(key, attempt);
     }
 
-    /** Nothing was sent, so the same attempt may be sent to another endpoint. */
+    /** Nothing was sent, so the same attempt may be dispatched to another endpoint. */
     private void dispatchAgain(SubmittedCall call, Failure failure, Instant now, Effects effects) {
         boolean late = !now.isBefore(call.submit().call().deadline());
         if (late || call.dispatches() >= settings.maximumDispatches()) {
@@ -309,7 +275,7 @@
         }
     }
 
-    /** Marks a call that holds its key as dead, records that, and answers "not run". */
+    /** Marks an attempt that holds its key as dead, releases the key in the log, and answers the call as not run. */
     private void giveUp(SubmittedCall call, Failure failure, Instant now, Effects effects) {
         appender.end(new CallRecord.NotRun(call.submit().key(), call.submit().attempt()), now);
         refuse(call, failure, effects);
@@ -340,7 +306,7 @@
         }
     }
 
-    /** A joined attempt whose intent is not in the log runs on its own once the key is free again. */
+    /** Once the key is free again, a joined attempt whose intent is not in the log is queued itself. */
     private void requeue(SubmittedCall call, Instant now, Effects effects) {
         if (!(ledger.state(call.submit().key()) instanceof CallState.Free) || open.isKeyPending(call)) {
             return;
@@ -353,12 +319,7 @@
         appender.schedule(now);
     }
 
-    /**
-     * Appends what is due, ends what is late, and repeats ends that are not in the log.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Appends the batch that is due, answers expired calls, and appends unconfirmed outcomes again. */
     public void tick(Instant now, Effects effects) {
         if (appender.isDue(now)) {
             appender.append(open.queued(), effects);
@@ -373,13 +334,7 @@
         }
     }
 
-    /**
-     * Takes the news that the log did not take an append.
-     *
-     * @param append number of the append
-     * @param failure why
-     * @param effects collects what to do
-     */
+    /** Handles an append that the log rejected. */
     public void appendRejected(long append, Failure failure, Effects effects) {
         List<SubmittedCall> batch = appender.ended(append);
         for (SubmittedCall call : batch) {
@@ -390,7 +345,7 @@
         }
     }
 
-    /** No record of the attempt that these calls wait for can come, and their own appends would fail alike. */
+    /** The attempt that these calls wait for has no record in the log, and their own appends would fail as well. */
     private void refuseJoined(CallKey key, Failure failure, Effects effects) {
         if (ledger.state(key) instanceof CallState.Free) {
             open.joined(key).stream()
@@ -399,11 +354,7 @@
         }
     }
 
-    /**
-     * Takes the news that an append has ended otherwise.
-     *
-     * @param append number of the append
-     */
+    /** Handles an append that the log stored or may have stored. */
     public void appendEnded(long append) {
         appender.ended(append);
     }
@@ -431,7 +382,7 @@
         }
     }
 
-    /** A key held by a daemon that has ended will get no result; nobody can tell whether it was dispatched. */
+    /** If the daemon that holds a key has terminated, no host can determine whether the call was dispatched. */
     private void settleAbandoned(Instant now, Effects effects) {
         for (SubmittedCall call : open.all()) {
             if (call.stage() != Stage.JOINED || !(ledger.state(call.submit().key()) instanceof CallState.Held held)) {
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -21,12 +21,12 @@
 import org.banyanstair.reducer.StreamEntry;
 
 /**
- * The writers of all partitions on one host. A host follows the partitions that it may have to write.
+ * The writers of all call partitions on one host. Reads only the streams of partitions that it may have to write.
  *
- * <p>Not safe for use by several threads.
+ * <p>Not thread-safe.
  */
 public final class CallWriters {
-    /** A host follows the partitions for which it ranks this high or higher, so that the next writer knows the keys. */
+    /** The second-ranked host also follows a partition, so that it knows the keys when it takes over as writer. */
     private static final int FOLLOWED_RANKS = 2;
 
     private final Membership membership;
@@ -35,13 +35,7 @@
     private Set<Integer> wanted = Set.of();
     private long rankedAtChange = -1;
 
-    /**
-     * Creates the writers.
-     *
-     * @param membership hosts and endpoints
-     * @param settings settings of the host
-     * @param sequence source of numbers
-     */
+    /** Creates the writers. */
     public CallWriters(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.writers = LogStreams.callPartitions()
@@ -49,14 +43,7 @@
                 .toList();
     }
 
-    /**
-     * Takes an attempt from an entry host.
-     *
-     * @param submitter the entry host
-     * @param submit the attempt
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Accepts an attempt submitted by an entry host. */
     public void submit(HostId submitter, PeerMessage.CallSubmit submit, Instant now, Effects effects) {
         int partition = submit.key().partition();
         follow(partition, effects);
@@ -73,11 +60,8 @@
     /**
      * Takes a record of a partition.
      *
-     * @param stream stream of the partition
      * @param entry place of the record
      * @param record the record, empty if it could not be decoded
-     * @param now present instant
-     * @param effects collects what to do
      */
     public void read(String stream, StreamEntry entry, Optional<CallRecord> record, Instant now, Effects effects) {
         CallWriter writer = writers.get(LogStreams.callPartition(stream));
@@ -88,14 +72,7 @@
         }
     }
 
-    /**
-     * Takes the end of a dispatch.
-     *
-     * @param dispatch number of the dispatch
-     * @param result how it ended
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles the result of a dispatch. */
     public void dispatchEnded(long dispatch, ServiceCallResult result, Instant now, Effects effects) {
         for (CallWriter writer : writers) {
             if (writer.dispatchEnded(dispatch, result, now, effects)) {
@@ -104,41 +81,26 @@
         }
     }
 
-    /**
-     * Takes the news that the log did not take an append.
-     *
-     * @param append number of the append
-     * @param failure why
-     * @param effects collects what to do
-     */
+    /** Handles an append that the log rejected. */
     public void appendRejected(long append, Failure failure, Effects effects) {
         writers.forEach(writer -> writer.appendRejected(append, failure, effects));
     }
 
-    /**
-     * Takes the news that an append has ended otherwise.
-     *
-     * @param append number of the append
-     */
+    /** Handles an append that the log stored or may have stored. */
     public void appendEnded(long append) {
         writers.forEach(writer -> writer.appendEnded(append));
     }
 
     /**
-     * Tells whether a partition has unfinished work.
+     * Returns whether a partition has unfinished work.
      *
-     * @return true while an attempt waits for the log or an endpoint
+     * @return true while an attempt waits for the log or an endpoint, or an outcome is not confirmed by the log
      */
     public boolean isBusy() {
         return writers.stream().anyMatch(CallWriter::isBusy);
     }
 
-    /**
-     * Follows and unfollows partitions, and does what is due in each.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Updates the set of followed partitions and performs the periodic work of each writer. */
     public void tick(Instant now, Effects effects) {
         if (membership.hasListing()) {
             rankIfChanged();
@@ -147,7 +109,7 @@
         writers.forEach(writer -> writer.tick(now, effects));
     }
 
-    /** Ranking all hosts at each tick would take more than a core with a few hundred hosts. */
+    /** Ranking a few hundred hosts on each tick would use more than one core. */
     private void rankIfChanged() {
         if (rankedAtChange == membership.listingChangeCount()) {
             return;
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/OpenCalls.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/OpenCalls.java
@@ -11,8 +11,8 @@
 import org.banyanstair.idempotency.SubmittedCall.Stage;
 
 /**
- * Index of the attempts of a writer that have no answer yet, so that the work on each tick and record does not grow with
- * the answered attempts that are kept. Not safe for use by several threads.
+ * Index of the unanswered attempts of a writer. It keeps the cost of a tick and of a record independent of the number
+ * of answered attempts that are retained. Not thread-safe.
  */
 final class OpenCalls {
     private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
@@ -35,7 +35,7 @@
         return calls.isEmpty();
     }
 
-    /** Returns a copy, in the order of submission. */
+    /** Returns a copy in the order of submission. */
     List<SubmittedCall> all() {
         return List.copyOf(calls.values());
     }
@@ -47,12 +47,12 @@
                 .toList();
     }
 
-    /** Returns a copy, in the order of submission. */
+    /** Returns a copy of the calls that wait for another attempt with the key, in the order of submission. */
     List<SubmittedCall> joined(CallKey key) {
         return of(key).stream().filter(call -> call.stage() == Stage.JOINED).toList();
     }
 
-    /** Tells whether another attempt for the key of a call is on its way to the log or to an endpoint. */
+    /** Returns whether another attempt with the same key waits for the log or an endpoint. */
     boolean isKeyPending(SubmittedCall call) {
         return of(call.submit().key()).stream().anyMatch(other -> other != call && other.stage() != Stage.JOINED);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
@@ -20,8 +20,8 @@
 import org.banyanstair.reducer.Sequence;
 
 /**
- * Gathers the records of a partition into few appends, because the log takes only several hundred appends a second for
- * the whole system. Not safe for use by several threads.
+ * Batches the records of a partition, because the log service accepts only several hundred appends per second for the
+ * whole system. Not thread-safe.
  */
 final class PartitionAppender {
     private final int partition;
@@ -40,7 +40,7 @@
         this.sequence = sequence;
     }
 
-    /** Sets the time of the next append, unless one is due earlier. */
+    /** Schedules the next append, unless one is already scheduled. */
     void schedule(Instant now) {
         if (dueAt.isEmpty()) {
             dueAt = Optional.of(now.plus(batch));
@@ -51,14 +51,14 @@
         return dueAt.filter(due -> !now.isBefore(due)).isPresent();
     }
 
-    /** Adds the end of an attempt to the next append; it is repeated until the log shows it. */
+    /** Adds the outcome of an attempt to the next append; it is appended again until it has been read from the log. */
     void end(CallRecord record, Instant now) {
         unconfirmedEnds.put(record.attempt(), record);
         newEnds.add(record.attempt());
         schedule(now);
     }
 
-    /** Appends the intents of the queued calls, with the voids that they name, and the new ends. */
+    /** Appends the new outcomes and the intents of the queued calls, each preceded by the voids that it requires. */
     void append(List<SubmittedCall> queued, Effects effects) {
         dueAt = Optional.empty();
         List<LogEntry> entries = new ArrayList<>();
@@ -86,13 +86,13 @@
         }
     }
 
-    /** Appends again the ends that the log has not shown. */
+    /** Appends all outcomes again that have not been read from the log. */
     void repeatEnds(Effects effects) {
         send(List.copyOf(unconfirmedEnds.values()), List.of(), effects);
         newEnds.clear();
     }
 
-    /** Takes a record of the stream. */
+    /** Confirms the outcome that a record of the stream contains. */
     void read(CallRecord record) {
         boolean isEnd = record instanceof CallRecord.Result
                 || record instanceof CallRecord.Unknown
@@ -103,7 +103,7 @@
         }
     }
 
-    /** Forgets an append and returns the calls whose intents it held. */
+    /** Removes a completed append and returns the calls whose intents it contained. */
     List<SubmittedCall> ended(long append) {
         return Optional.ofNullable(appends.remove(append)).orElse(List.of());
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/SubmittedCall.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/SubmittedCall.java
@@ -3,15 +3,15 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.PeerMessage;
 
-/** An attempt that was submitted to this writer. */
+/** An attempt that was submitted to this writer, with its progress. Not thread-safe. */
 final class SubmittedCall {
     /** Progress of an attempt. */
     enum Stage {
         /** Waits for the next append. */
         QUEUED,
-        /** Was appended, or may have been; the stream will show it. */
+        /** Was or may have been appended; reading the stream shows which. */
         APPENDED,
-        /** Waits for another attempt that holds the key. */
+        /** Waits for another attempt with the same key. */
         JOINED,
         /** Was sent to an endpoint. */
         DISPATCHED,
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/package-info.java
@@ -1,2 +1,2 @@
-/** Calls that may not be repeated: intent records in the log decide who dispatches, at most once for each key. */
+/** At-most-once execution of non-idempotent calls: intent records in the log decide which host dispatches a call. */
 package org.banyanstair.idempotency;
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
@@ -19,8 +19,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards promises 4 and 5: a key is dispatched twice, a call runs after its caller was told "not run", or a caller gets
- * an answer that is not the one of its order.
+ * Guards against a key that is dispatched twice, a call that is executed after it was answered as not run, and an answer
+ * that belongs to another call.
  */
 class CallGuaranteesTest {
     private static final Map<CallSimulation.Kind, Integer> TOTALS = new EnumMap<>(CallSimulation.Kind.class);
@@ -33,7 +33,7 @@
         assertEquals(List.of(), violations, "schedule of seed " + seed);
     }
 
-    /** A duplicate of a submission that arrived after the writer had forgotten the attempt was answered "not run". */
+    /** A duplicate submission that arrived after the writer had evicted the attempt was answered as not run. */
     @Example
     void duplicateOfAForgottenAttemptIsNotAnswered() {
         assertEquals(List.of(), new CallSimulation(-5370945664325229284L).run());
@@ -44,7 +44,7 @@
         return Arbitraries.randomValue(Random::nextLong);
     }
 
-    /** Without answers of each kind the property would hold trivially. */
+    /** The property would hold trivially if some kind of answer did not occur. */
     @AfterContainer
     static void everyOutcomeOccurred() {
         System.out.println("seed 4501, outcomes: " + TOTALS);
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -39,8 +39,8 @@
 import org.banyanstair.reducer.Effect;
 
 /**
- * Runs hosts against fakes of the log, the network, the plain service and the host list in a random order of events,
- * and checks what is dispatched and answered.
+ * Simulates hosts, the log, the network, a plain service and the host list with random event orders and faults, and
+ * checks what is dispatched and answered.
  */
 final class CallSimulation {
     static final int PARTITION = 0;
@@ -56,7 +56,7 @@
             .toList();
     private static final Failure FAILURE = new Failure.LogUnavailable("calls-0");
 
-    /** What an answer must agree with. */
+    /** The kinds of {@link CallAnswer}. */
     enum Kind {
         ANSWERED,
         NOT_RUN,
@@ -95,7 +95,7 @@
         hosts.values().forEach(this::readListing);
     }
 
-    /** Runs the schedule and returns what went wrong. */
+    /** Runs the schedule and returns the violated guarantees. */
     List<String> run() {
         for (int step = 0; step < STEPS && violations.isEmpty(); step++) {
             now = now.plusMillis(random.nextInt(100) == 0 ? 1_500 : random.nextInt(40));
@@ -211,7 +211,7 @@
         execute(host);
     }
 
-    /** Reads lag per host, because each host reads on its own and only a few records at a time. */
+    /** Reads a few records at a time, so that the hosts lag behind the log by different amounts. */
     private void readLog(SimulatedHost host) {
         int count = 1 + random.nextInt(6);
         while (host.isRunning() && !logDown && count-- > 0 && host.nextOffset < log.size()) {
@@ -222,7 +222,7 @@
         }
     }
 
-    /** Delivers an event to one run of a daemon: later if it is paused, never if it has ended. */
+    /** Delivers an event to a daemon incarnation: later if it is paused, never if it has terminated. */
     private void deliver(SimulatedHost host, Consumer<SimulatedHost> event) {
         if (host.paused && !host.dead) {
             pending.add(() -> deliver(host, event));
@@ -299,7 +299,7 @@
             violations.add(order.key().key() + " was dispatched again for " + request);
         }
         if (refused.contains(request)) {
-            violations.add(request + " was dispatched after the answer \"not run\"");
+            violations.add(request + " was dispatched after it was answered as not run");
         }
         String text = order.digest() + " run " + request;
         runs.put(order.key(), text);
@@ -313,7 +313,7 @@
             kind = Kind.NOT_RUN;
             refused.add(request);
             if (mayHaveRun.contains(request)) {
-                violations.add(request + " was answered \"not run\" after it was dispatched");
+                violations.add(request + " was answered as not run after it was dispatched");
             }
         } else if (answer instanceof CallAnswer.Answered answered) {
             kind = Kind.ANSWERED;
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallStateTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallStateTableTest.java
@@ -20,7 +20,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards promise 5: of all attempts for a key at most one may be dispatched, and a voided one never. */
+/** Guards against two attempts that hold the same key in turn, and against the dispatch of a voided attempt. */
 class CallStateTableTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final CallKey KEY = new CallKey(new CallerId("clerk"), new ServiceId("order-desk"), "order-1");
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
@@ -26,7 +26,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against calls that wait although nothing can come, and against work that grows with answered calls. */
+/** Guards against calls that wait for a record that is never appended, and against ticks that scan answered calls. */
 class CallWriterTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final HostId HOST = new HostId("entry-1");
@@ -122,7 +122,7 @@
         }
         long micros = (System.nanoTime() - start) / 1_000 / TICKS;
         System.out.println("tick with " + KEPT_CALLS + " answered calls: " + micros + " us");
-        // 8 writers tick every 50 ms, and all control work may take 1.8 % of a core, which is 900 us a tick.
+        // 8 writers tick every 50 ms; all control work may use 1.8 % of a core, which is 900 us per tick.
         assertTrue(micros * LogStreams.CALL_PARTITIONS < 900, micros + " us");
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWritersTest.java
@@ -24,7 +24,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against a host that goes on with, or never takes up, partitions after the host list has changed. */
+/** Guards against a host that does not follow or unfollow partitions when the host list changes. */
 class CallWritersTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
 
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/ReusedKeyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/ReusedKeyTest.java
@@ -24,7 +24,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against a refusal of a reused key that leaves the caller waiting because its first writer has gone. */
+/**
+ * Guards against a caller that is not told that its key was reused because the first writer of its call is gone: a final
+ * state of the key must prove that the attempt of that writer cannot run.
+ */
 class ReusedKeyTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final Instant DEADLINE = NOW.plusSeconds(20);
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
@@ -13,9 +13,9 @@
 import org.banyanstair.reducer.ReducerSettings;
 import org.banyanstair.reducer.Sequence;
 
-/** One run of a daemon in a {@link CallSimulation}: a tracker, the writer of one partition, and their membership. */
+/** One daemon incarnation in a {@link CallSimulation}: a tracker, the writer of one partition, and their membership. */
 final class SimulatedHost {
-    /** Short retention of attempts, so that duplicates arrive after the writer has forgotten the attempt. */
+    /** The attempt retention is short, so that duplicates arrive after the writer has evicted the attempt. */
     private static final ReducerSettings SETTINGS = new ReducerSettings(
             Duration.ofMillis(25),
             Duration.ofMinutes(30),
