Remove doc tags that only repeat a name

Lines with a unit, a range, a default or a reason stay. "Not thread-safe" and "Returns whether" replace longer phrases.

--- a/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSample.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSample.java
@@ -8,9 +8,6 @@
 /**
  * Requests of one service within a time window, as one host or several hosts together saw them.
  *
- * @param service the service
- * @param objective its objective
- * @param windowMinutes length of the window
  * @param requests requests that ended in the window; requests with an error of the caller do not count
  * @param good requests that succeeded within the latency of the objective
  * @param failures failed requests by failure code
--- a/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSnapshot.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSnapshot.java
@@ -8,8 +8,6 @@
 /**
  * The burn samples of one host.
  *
- * @param host the host
- * @param takenAt when they were taken
  * @param samples one for each service and window
  */
 public record BurnRateSnapshot(HostId host, Instant takenAt, List<BurnRateSample> samples) {
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterDeclaration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterDeclaration.java
@@ -9,7 +9,6 @@
 /**
  * An adapter as operators register it.
  *
- * @param key service and adapter
  * @param versions registered versions, at least one
  * @param defaultVersion version that a request gets that names none; one of the registered ones
  */
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterKey.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterKey.java
@@ -6,18 +6,12 @@
 import org.banyanstair.model.ModelName;
 import org.banyanstair.model.ServiceId;
 
-/**
- * An adapter within its service.
- *
- * @param service the service
- * @param adapter the adapter
- */
+/** An adapter within its service. */
 public record AdapterKey(ServiceId service, AdapterId adapter) implements Comparable<AdapterKey> {
     /**
      * Parses the written form.
      *
      * @param text {@code service/adapter}
-     * @return the key
      */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public static AdapterKey parse(String text) {
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ChangeVerdict.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ChangeVerdict.java
@@ -6,11 +6,7 @@
 /** What log order decided about a change. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "verdict")
 public sealed interface ChangeVerdict {
-    /**
-     * The change is in force.
-     *
-     * @param version the version that it made
-     */
+    /** The change is in force. */
     record Accepted(long version) implements ChangeVerdict {}
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
@@ -8,10 +8,8 @@
 /**
  * One part of a configuration checkpoint; a checkpoint is split so that each part fits a log record and a frame.
  *
- * @param version version of the configuration
  * @param nextOffset offset of the stream {@code configuration} from which changes are not contained
  * @param part number of the part, from 0
- * @param parts number of parts
  * @param operations operations of this part; all parts in order build the configuration
  */
 public record CheckpointPart(long version, long nextOffset, int part, int parts, List<Operation> operations)
@@ -26,9 +24,7 @@
     /**
      * Splits a configuration into parts.
      *
-     * @param configuration the configuration
      * @param nextOffset offset from which changes are not contained
-     * @return the parts in order
      */
     public static List<CheckpointPart> of(Configuration configuration, long nextOffset) {
         List<Operation> operations = configuration.operations();
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Configuration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Configuration.java
@@ -20,10 +20,6 @@
  * Everything that operators have declared, at one version. Immutable.
  *
  * @param version offset of the change that made it, -1 before the first change
- * @param services services by id
- * @param adapters adapters by key
- * @param pools store shares by pool
- * @param presets presets by id
  * @param presetInForce id of the one preset in force; always among the presets
  */
 public record Configuration(
@@ -53,11 +49,7 @@
         return new Configuration(INITIAL_VERSION, Map.of(), Map.of(), Map.of(), presets, Preset.ORDINARY.id());
     }
 
-    /**
-     * Returns the preset in force.
-     *
-     * @return the preset
-     */
+    /** Returns the preset in force. */
     public Preset preset() {
         return presets.get(presetInForce);
     }
@@ -65,7 +57,6 @@
     /**
      * Finds a service.
      *
-     * @param id the service
      * @return its declaration, empty if there is none
      */
     public Optional<ServiceDeclaration> service(ServiceId id) {
@@ -75,7 +66,6 @@
     /**
      * Returns the store share of a pool.
      *
-     * @param id the pool
      * @return its declaration, or the default
      */
     public PoolDeclaration pool(PoolId id) {
@@ -85,7 +75,6 @@
     /**
      * Finds the adapter version that a model name stands for.
      *
-     * @param name the model name
      * @return the version, the default one if the name has none; empty if it is not registered
      */
     public Optional<AdapterVersion> resolve(ModelName name) {
@@ -100,9 +89,7 @@
     /**
      * Applies the operations of a change, all or none.
      *
-     * @param newVersion version of the result
      * @param operations steps, in order
-     * @return the new configuration
      * @throws FailureException with {@link Failure.InvalidChange} if a step cannot be applied
      */
     public Configuration apply(long newVersion, List<Operation> operations) {
@@ -111,11 +98,7 @@
         return draft.finish(newVersion);
     }
 
-    /**
-     * Lists the operations that build this configuration from {@link #INITIAL}.
-     *
-     * @return operations in an order in which each can be applied
-     */
+    /** Lists the operations that build this configuration from {@link #INITIAL}. */
     public List<Operation> operations() {
         List<Operation> operations = new ArrayList<>();
         presets.values().forEach(preset -> operations.add(new Operation.PutPreset(preset)));
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationDifference.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationDifference.java
@@ -21,8 +21,6 @@
     /**
      * Computes the operations.
      *
-     * @param from configuration to start from
-     * @param to declarations to reach
      * @return operations in an order in which each can be applied; empty if nothing differs
      */
     public static List<Operation> between(Configuration from, Declarations to) {
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
@@ -26,7 +26,7 @@
  * Keeps the configuration of one host: follows the log, catches up from checkpoints and peers, writes checkpoints, and
  * carries operators' changes to their verdict.
  *
- * <p>Not safe for use by several threads.
+ * <p>Not thread-safe.
  */
 public final class ConfigurationReplica {
     private static final String CHECKPOINT_WRITER = "configuration-checkpoint";
@@ -52,51 +52,29 @@
 
     private record PendingChange(long appendId, Instant giveUpAt) {}
 
-    /**
-     * Creates a keeper that knows no configuration.
-     *
-     * @param membership hosts
-     * @param settings settings of the host
-     * @param sequence source of numbers for appends
-     */
+    /** Creates a keeper that knows no configuration. */
     public ConfigurationReplica(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.settings = settings;
         this.sequence = sequence;
     }
 
-    /**
-     * Returns the fold of the stream.
-     *
-     * @return the history, to be read only
-     */
+    /** Returns the fold of the stream. */
     public ConfigurationStateMachine history() {
         return history;
     }
 
-    /**
-     * Returns the configuration in force.
-     *
-     * @return the configuration
-     */
+    /** Returns the configuration in force. */
     public Configuration current() {
         return history.current();
     }
 
-    /**
-     * Tells whether the last read of the configuration stream succeeded.
-     *
-     * @return whether the log can be reached
-     */
+    /** Returns whether the last read of the configuration stream succeeded. */
     public boolean isLogReachable() {
         return logReachable;
     }
 
-    /**
-     * Begins to read the checkpoints.
-     *
-     * @param effects collects what to do
-     */
+    /** Begins to read the checkpoints. */
     public void start(Effects effects) {
         followCheckpoints(effects);
     }
@@ -107,13 +85,7 @@
         effects.add(new Effect.FollowStream(LogStreams.CHECKPOINTS, nextCheckpointOffset));
     }
 
-    /**
-     * Takes a record of the checkpoint stream.
-     *
-     * @param appendedAt when the log service took it
-     * @param part the part
-     * @param effects collects what to do
-     */
+    /** Takes a record of the checkpoint stream. */
     public void checkpointRead(Instant appendedAt, CheckpointPart part, Effects effects) {
         if (part.part() == part.parts() - 1) {
             lastCheckpoint = Optional.of(appendedAt);
@@ -129,10 +101,9 @@
     }
 
     /**
-     * Takes the news that the checkpoint stream was read to its end.
+     * Handles the event that the checkpoint stream was read to its end.
      *
      * @param next offset of the next checkpoint part
-     * @param effects collects what to do
      */
     public void checkpointsEnded(long next, Effects effects) {
         logReachable = true;
@@ -152,9 +123,7 @@
     /**
      * Takes a change of the configuration stream.
      *
-     * @param offset offset of the record
      * @param change the change, empty if it could not be decoded
-     * @param effects collects what to do
      */
     public void changeRead(long offset, Optional<ConfigurationChange> change, Effects effects) {
         if (!history.isKnown() && offset == 0) {
@@ -179,7 +148,7 @@
     }
 
     /**
-     * Takes the news that the configuration stream was read to its end.
+     * Handles the event that the configuration stream was read to its end.
      *
      * @param end offset that the next change will get
      */
@@ -191,10 +160,9 @@
     }
 
     /**
-     * Takes the news that changes have expired before this host read them.
+     * Handles the event that changes have expired before this host read them.
      *
      * @param earliest lowest offset that can still be read
-     * @param effects collects what to do
      */
     public void changesExpired(long earliest, Effects effects) {
         effects.report(new Notice.ConfigurationGap(history.nextOffset(), earliest));
@@ -202,18 +170,12 @@
         nextPeerRequest = Instant.MIN;
     }
 
-    /** Takes the news that the log cannot be read. */
+    /** Handles the event that the log cannot be read. */
     public void logUnavailable() {
         logReachable = false;
     }
 
-    /**
-     * Submits a change of an operator.
-     *
-     * @param change the change
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Submits a change of an operator. */
     public void submit(ConfigurationChange change, Instant now, Effects effects) {
         Optional<ChangeVerdict> known = history.verdict(change.changeId());
         if (known.isPresent()) {
@@ -242,13 +204,7 @@
         effects.add(new Effect.AnswerChange(change.changeId(), new ChangeVerdict.Refused(failure)));
     }
 
-    /**
-     * Takes the news that the log did not take an append.
-     *
-     * @param append number of the append
-     * @param failure why
-     * @param effects collects what to do
-     */
+    /** Handles the event that the log did not take an append. */
     public void appendRejected(long append, Failure failure, Effects effects) {
         Iterator<Map.Entry<String, PendingChange>> iterator = pending.entrySet().iterator();
         while (iterator.hasNext()) {
@@ -260,14 +216,7 @@
         }
     }
 
-    /**
-     * Answers a peer that may have applied less.
-     *
-     * @param peer the peer
-     * @param request its question
-     * @param owners the pool owners that this host knows
-     * @param effects collects what to do
-     */
+    /** Answers a peer that may have applied less. */
     public void answer(
             HostId peer,
             PeerMessage.ConfigurationRequest request,
@@ -279,22 +228,12 @@
         }
     }
 
-    /**
-     * Takes a part of a peer's configuration.
-     *
-     * @param part the part
-     * @param effects collects what to do
-     */
+    /** Takes a part of a peer's configuration. */
     public void peerReplied(CheckpointPart part, Effects effects) {
         offer(part, effects);
     }
 
-    /**
-     * Asks peers, writes checkpoints and ends changes without a verdict, when due.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Asks peers, writes checkpoints and ends changes without a verdict, when due. */
     public void tick(Instant now, Effects effects) {
         giveUp(now, effects);
         // Changes that expired unread are in no later record, only in checkpoints and in what peers know.
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
@@ -32,7 +32,7 @@
     };
 
     /**
-     * Tells whether a configuration is known.
+     * Returns whether a configuration is known.
      *
      * @return false until the start of the stream or a checkpoint was seen
      */
@@ -68,8 +68,6 @@
     /**
      * Applies the next record of the stream.
      *
-     * @param offset offset of the record
-     * @param change the change
      * @return the verdict; empty if the record was applied before or does not follow what is known
      */
     public Optional<ChangeVerdict> apply(long offset, ConfigurationChange change) {
@@ -110,7 +108,6 @@
     /**
      * Takes one part of a checkpoint; applies the checkpoint once all parts have come in order.
      *
-     * @param part the part
      * @return true if the configuration moved forward
      */
     public boolean offer(CheckpointPart part) {
@@ -145,7 +142,6 @@
     /**
      * Finds the verdict on a change.
      *
-     * @param changeId id of the change
      * @return the verdict, empty if the change was not seen or was seen too long ago
      */
     public Optional<ChangeVerdict> verdict(String changeId) {
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Declarations.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Declarations.java
@@ -8,8 +8,6 @@
 /**
  * The content of a declarations file: the whole configuration that an operator wants.
  *
- * @param services services
- * @param adapters adapters
  * @param pools store shares
  * @param presets presets; built-in presets that are not declared stay as they are
  * @param preset preset to put in force, empty to keep the present one
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/PoolDeclaration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/PoolDeclaration.java
@@ -9,7 +9,6 @@
  *
  * <p>The shares of all pools together must stay within what the store takes.
  *
- * @param id the pool
  * @param loadsPerSecond adapter loads a second, above 0 and at most 1,000
  * @param loadsInTransit loads that run at a time, 1 to 1,000
  */
@@ -32,12 +31,7 @@
         }
     }
 
-    /**
-     * Returns the declaration that is used for a pool without one.
-     *
-     * @param id the pool
-     * @return the default
-     */
+    /** Returns the declaration that is used for a pool without one. */
     public static PoolDeclaration defaultFor(PoolId id) {
         return new PoolDeclaration(id, DEFAULT_LOADS_PER_SECOND, DEFAULT_LOADS_IN_TRANSIT);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
@@ -9,7 +9,6 @@
 /**
  * Weights of the decisions under load.
  *
- * @param id name of the preset
  * @param fullness 0 spreads requests over the endpoints, which keeps load stalls short; 1 fills batches first
  * @param standardAgeingMilliseconds time after which a waiting standard request counts as premium
  * @param copyAfterMilliseconds time that a request waits for room beside a loaded adapter before another copy of the
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ServiceDeclaration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ServiceDeclaration.java
@@ -13,12 +13,10 @@
 /**
  * A service as operators declare it.
  *
- * @param id name of the service
  * @param kind what it runs on
  * @param pool endpoints that it runs on
  * @param callers callers that it answers
  * @param routes rules for calls of a plain service; a call without a matching route may not be repeated
- * @param objective service-level objective
  * @param queueLimit most requests that may wait, 1 to 100,000
  * @param callerLimit most requests of one caller that may run or wait, 1 to 100,000
  */
@@ -48,10 +46,8 @@
     }
 
     /**
-     * Tells whether a call may be repeated.
+     * Returns whether a call may be repeated.
      *
-     * @param method HTTP method
-     * @param path path below the service
      * @return the rule of the longest matching route; false if none matches
      */
     public boolean isRepeatable(String method, String path) {
--- a/banyanstair-core/src/main/java/org/banyanstair/external/AppendResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/AppendResult.java
@@ -4,24 +4,12 @@
 
 /** What is known after an append to the log. */
 public sealed interface AppendResult {
-    /**
-     * The records are in the log.
-     *
-     * @param firstOffset offset of the first record
-     */
+    /** The records are in the log. */
     record Appended(long firstOffset) implements AppendResult {}
 
-    /**
-     * The records are certainly not in the log.
-     *
-     * @param failure why
-     */
+    /** The records are certainly not in the log. */
     record Rejected(Failure failure) implements AppendResult {}
 
-    /**
-     * The records may or may not be in the log; only reading it settles that.
-     *
-     * @param failure why
-     */
+    /** The records may or may not be in the log; only reading it settles that. */
     record Unknown(Failure failure) implements AppendResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineCommandResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineCommandResult.java
@@ -7,17 +7,9 @@
     /** The order took effect. */
     record Done() implements EngineCommandResult {}
 
-    /**
-     * The order certainly had and will have no effect.
-     *
-     * @param failure why
-     */
+    /** The order certainly had and will have no effect. */
     record Refused(Failure failure) implements EngineCommandResult {}
 
-    /**
-     * The order may have taken effect or may still do so.
-     *
-     * @param failure why
-     */
+    /** The order may have taken effect or may still do so. */
     record Unknown(Failure failure) implements EngineCommandResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
@@ -12,8 +12,6 @@
  * @param requestId id under which the engine knows the generation, the same when it is resumed
  * @param path {@code /v1/chat/completions} or {@code /v1/completions}
  * @param body JSON body of the caller with {@code model} set to the engine name of the adapter and {@code stream} on
- * @param adapter adapter to run on
- * @param priority priority class
  * @param deadline instant after which nobody waits for the answer
  * @param nextToken index of the first token wanted
  * @param resumes whether the engine still has the stream and only sends it again from the first token wanted
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineStatus.java
@@ -8,7 +8,6 @@
  * What an engine reports about itself.
  *
  * @param incarnation changes when the engine restarts, and with it everything that it had loaded is gone
- * @param slots adapter slots
  * @param batchLimit most requests that run at a time
  * @param loaded loaded adapters with the number of requests that run on each
  * @param running requests that run
--- a/banyanstair-core/src/main/java/org/banyanstair/external/GenerationResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/GenerationResult.java
@@ -7,17 +7,9 @@
     /** All tokens were delivered. */
     record Complete() implements GenerationResult {}
 
-    /**
-     * The engine did not start the request.
-     *
-     * @param failure why
-     */
+    /** The engine did not start the request. */
     record NotStarted(Failure failure) implements GenerationResult {}
 
-    /**
-     * The stream ended early; the engine may still run the request.
-     *
-     * @param failure why
-     */
+    /** The stream ended early; the engine may still run the request. */
     record Broken(Failure failure) implements GenerationResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/HostListSource.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/HostListSource.java
@@ -4,7 +4,7 @@
 
 import org.banyanstair.membership.HostListing;
 
-/** Reads the platform's host list. Implementations are safe for use by several threads. */
+/** Reads the platform's host list. Implementations are thread-safe. */
 public interface HostListSource {
     /**
      * Reads the whole list.
--- a/banyanstair-core/src/main/java/org/banyanstair/external/LogService.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/LogService.java
@@ -7,26 +7,22 @@
 /**
  * The platform's append-only log service.
  *
- * <p>Implementations are safe for use by several threads. Futures complete normally for every foreseen failure.
+ * <p>Implementations are thread-safe. Futures complete normally for every foreseen failure.
  */
 public interface LogService {
     /**
      * Appends records to a stream in one operation; they get consecutive offsets.
      *
-     * @param stream name of the stream
      * @param records payloads, at least one
-     * @return the result
      */
     CompletableFuture<AppendResult> append(String stream, List<byte[]> records);
 
     /**
      * Reads records from an offset on; waits for one if there is none yet.
      *
-     * @param stream name of the stream
      * @param fromOffset first offset wanted, 0 or more
      * @param limit most records to return
      * @param waitUntil instant at which an empty answer is given if no record has come
-     * @return the result
      */
     CompletableFuture<ReadResult> read(String stream, long fromOffset, int limit, Instant waitUntil);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/LogStreams.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/LogStreams.java
@@ -23,41 +23,22 @@
 
     private LogStreams() {}
 
-    /**
-     * Returns the stream of a partition of the non-idempotent calls.
-     *
-     * @param partition number of the partition
-     * @return name of its stream
-     */
+    /** Returns the stream of a partition of the non-idempotent calls. */
     public static String callStream(int partition) {
         return CALLS + partition;
     }
 
-    /**
-     * Tells whether a stream holds records of non-idempotent calls.
-     *
-     * @param stream name of a stream
-     * @return whether it is one of {@link #callStream}
-     */
+    /** Returns whether a stream holds records of non-idempotent calls. */
     public static boolean isCallStream(String stream) {
         return stream.startsWith(CALLS);
     }
 
-    /**
-     * Returns the partition that a stream of non-idempotent calls belongs to.
-     *
-     * @param stream name of the stream
-     * @return number of the partition
-     */
+    /** Returns the partition that a stream of non-idempotent calls belongs to. */
     public static int callPartition(String stream) {
         return Integer.parseInt(stream.substring(CALLS.length()));
     }
 
-    /**
-     * Lists the partitions.
-     *
-     * @return numbers from 0
-     */
+    /** Lists the partitions. */
     public static IntStream callPartitions() {
         return IntStream.range(0, CALL_PARTITIONS);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ReadResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ReadResult.java
@@ -27,10 +27,6 @@
      */
     record Expired(long earliest) implements ReadResult {}
 
-    /**
-     * The log could not be read.
-     *
-     * @param failure why
-     */
+    /** The log could not be read. */
     record Unavailable(Failure failure) implements ReadResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ServiceAnswer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ServiceAnswer.java
@@ -5,8 +5,6 @@
 /**
  * The answer of a plain service.
  *
- * @param status HTTP status
- * @param contentType content type of the body
  * @param body body, empty for none; not to be changed
  */
 public record ServiceAnswer(int status, Optional<String> contentType, byte[] body) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ServiceCall.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ServiceCall.java
@@ -8,10 +8,7 @@
 /**
  * One call of a plain service.
  *
- * @param requestId id of the caller's request
- * @param method HTTP method
  * @param path path and query below the service
- * @param contentType content type of the body
  * @param body body, empty for none
  * @param deadline instant after which nobody waits for the answer
  */
--- a/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
@@ -10,10 +10,6 @@
      */
     void token(long index, String json);
 
-    /**
-     * The generation ended; nothing follows.
-     *
-     * @param end how it ended
-     */
+    /** The generation ended; nothing follows. */
     void end(GenerationResult end);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/model/AdapterName.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/AdapterName.java
@@ -4,12 +4,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 
-/**
- * Names a LoRA adapter of a base model, without its version.
- *
- * @param baseModel the base model
- * @param adapter the adapter
- */
+/** Names a LoRA adapter of a base model, without its version. */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record AdapterName(String baseModel, String adapter) {
     /** Checks that both parts are present. */
--- a/banyanstair-core/src/main/java/org/banyanstair/model/AdapterVersion.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/AdapterVersion.java
@@ -4,7 +4,6 @@
  * One version of one adapter of a service.
  *
  * @param service service that the adapter belongs to
- * @param adapter the adapter
  * @param version version label, of the form that {@link Names#check} accepts
  */
 public record AdapterVersion(ServiceId service, AdapterId adapter, String version)
@@ -27,7 +26,6 @@
      * Parses an engine name.
      *
      * @param name {@code service/adapter@version}
-     * @return the adapter version
      * @throws org.banyanstair.errors.FailureException if the name is malformed
      */
     public static AdapterVersion parse(String name) {
--- a/banyanstair-core/src/main/java/org/banyanstair/model/HostIdentity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/HostIdentity.java
@@ -5,7 +5,6 @@
  *
  * <p>A host whose daemon restarts keeps its id and gets a higher incarnation.
  *
- * @param host the host
  * @param incarnation number that grows with each start of the daemon on this host
  */
 public record HostIdentity(HostId host, long incarnation) {
--- a/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
@@ -8,8 +8,6 @@
 /**
  * The {@code model} field of a caller's request: service, adapter and, if given, version.
  *
- * @param service the service
- * @param adapter the adapter
  * @param version version label, empty if the caller leaves the choice to the configuration
  */
 public record ModelName(ServiceId service, AdapterId adapter, Optional<String> version) {
@@ -20,7 +18,6 @@
      * Parses the written form.
      *
      * @param text {@code service/adapter} or {@code service/adapter@version}
-     * @return the parsed name
      * @throws FailureException with {@link Failure.InvalidField} if the text is malformed
      */
     public static ModelName parse(String text) {
--- a/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
@@ -16,9 +16,6 @@
     /**
      * Checks one name.
      *
-     * @param field name of the field, for the error
-     * @param value the name
-     * @return the name
      * @throws FailureException with {@link Failure.InvalidField} if the name is missing or malformed
      */
     public static String check(String field, String value) {
--- a/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
@@ -33,8 +33,6 @@
     /**
      * Parses the written form.
      *
-     * @param text address and port
-     * @return the address
      * @throws FailureException with {@link Failure.InvalidField} if the text is malformed
      */
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
@@ -9,8 +9,6 @@
 /**
  * A call of a plain service.
  *
- * @param call the call
- * @param pool pool of the service
  * @param key key of a call that may not be repeated, empty for an idempotent one
  * @param bodyDigest digest of method, path and body
  */
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effects.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effects.java
@@ -6,43 +6,26 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.PeerMessage;
 
-/** Collects the effects of one event. Not safe for use by several threads. */
+/** Collects the effects of one event. Not thread-safe. */
 public final class Effects {
     private List<Effect> effects = new ArrayList<>();
 
-    /**
-     * Adds an effect.
-     *
-     * @param effect the effect
-     */
+    /** Adds an effect. */
     public void add(Effect effect) {
         effects.add(effect);
     }
 
-    /**
-     * Adds a message to a peer.
-     *
-     * @param peer the receiver
-     * @param message the message
-     */
+    /** Adds a message to a peer. */
     public void send(HostId peer, PeerMessage message) {
         effects.add(new Effect.SendToPeer(peer, message));
     }
 
-    /**
-     * Adds a line for the log of the daemon.
-     *
-     * @param notice what happened
-     */
+    /** Adds a line for the log of the daemon. */
     public void report(Notice notice) {
         effects.add(new Effect.Report(notice));
     }
 
-    /**
-     * Returns and removes the collected effects.
-     *
-     * @return the effects in order
-     */
+    /** Returns and removes the collected effects. */
     public List<Effect> drain() {
         List<Effect> drained = effects;
         effects = new ArrayList<>();
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/GenerationRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/GenerationRequest.java
@@ -12,11 +12,7 @@
 /**
  * A generation request as the reducer sees it; the body stays in the shell.
  *
- * @param id id of the request
  * @param service service as declared at arrival
- * @param adapter adapter version to run on
- * @param caller the caller
- * @param priority priority class
  * @param deadline instant after which nobody waits for the answer
  * @param prefix hash of the first part of the prompt
  * @param fingerprint digest of what is asked for
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -37,7 +37,7 @@
  * The one reducer over all events of a host.
  *
  * <p>It owns all state, reads no clock and does no I/O: the same events in the same order always give the same effects.
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 public final class HostReducer {
     private final Membership membership;
@@ -55,13 +55,7 @@
     private final PoolContext poolContext;
     private final Instant startedAt;
 
-    /**
-     * Creates the reducer of a host that has seen nothing yet.
-     *
-     * @param self this host
-     * @param settings settings of the host
-     * @param startedAt when the daemon started
-     */
+    /** Creates the reducer of a host that has seen nothing yet. */
     public HostReducer(HostIdentity self, ReducerSettings settings, Instant startedAt) {
         this.membership = new Membership(self);
         this.startedAt = startedAt;
@@ -77,11 +71,7 @@
         this.statuses = new StatusCollector(membership, settings);
     }
 
-    /**
-     * Returns the first effects: the streams to follow.
-     *
-     * @return effects in order
-     */
+    /** Returns the first effects: the streams to follow. */
     public List<Effect> start() {
         configuration.start(effects);
         ownership.start(effects);
@@ -89,12 +79,7 @@
         return effects.drain();
     }
 
-    /**
-     * Applies an event.
-     *
-     * @param event the event
-     * @return effects in order
-     */
+    /** Applies an event. */
     public List<Effect> apply(Event event) {
         if (event instanceof Event.Tick tick) {
             tick(tick.at());
@@ -403,11 +388,7 @@
                 .toList();
     }
 
-    /**
-     * Describes this host.
-     *
-     * @return its status
-     */
+    /** Describes this host. */
     public HostStatus status() {
         return new HostStatus(
                 membership.self(),
@@ -422,7 +403,7 @@
     }
 
     /**
-     * Tells whether this host serves.
+     * Returns whether this host serves.
      *
      * @return true once the configuration and the host list are known
      */
@@ -439,29 +420,17 @@
         return generations.inFlight() + calls.size() + idempotentCalls.inFlight() + (writers.isBusy() ? 1 : 0);
     }
 
-    /**
-     * Tells whether other hosts decide for all pools, so that this host is not needed for new permits.
-     *
-     * @return true if this host owns no pool
-     */
+    /** Returns whether other hosts decide for all pools, so that this host is not needed for new permits. */
     public boolean ownsNoPool() {
         return owned.isEmpty();
     }
 
-    /**
-     * Returns the hosts and endpoints that this host knows.
-     *
-     * @return the membership, to be read only
-     */
+    /** Returns the hosts and endpoints that this host knows. */
     public Membership membership() {
         return membership;
     }
 
-    /**
-     * Returns the configuration that this host keeps.
-     *
-     * @return the keeper, to be read only
-     */
+    /** Returns the configuration that this host keeps. */
     public ConfigurationReplica configuration() {
         return configuration;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
@@ -19,7 +19,6 @@
  * @param statusLag time by which an engine's status may lag behind
  * @param hostListLag time by which the host list may lag behind
  * @param logRetention time that the log service keeps records
- * @param placement policy of pool owners
  */
 public record ReducerSettings(
         Duration callBatchDelay,
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Sequence.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Sequence.java
@@ -1,6 +1,6 @@
 package org.banyanstair.reducer;
 
-/** Counts up from 1. Not safe for use by several threads. */
+/** Counts up from 1. Not thread-safe. */
 public final class Sequence {
     private long last;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
@@ -12,7 +12,7 @@
 import org.banyanstair.peer.EndpointReport;
 import org.banyanstair.peer.PeerMessage;
 
-/** Collects the states of all hosts for operators' questions. Not safe for use by several threads. */
+/** Collects the states of all hosts for operators' questions. Not thread-safe. */
 final class StatusCollector {
     private final Membership membership;
     private final ReducerSettings settings;
