Rename internals of the idempotency package

"end", "settle", "give up", "late" and "forget" stood for the outcome of an attempt, for answering, aborting, expiring and evicting; the ledger was a table of key states. OpenCalls is PendingCalls, identifiers that are numbers of appends and dispatches end with Id. Test methods follow.

Only identifiers change.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallStateTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallStateTable.java
@@ -16,7 +16,7 @@
     private static final CallState FREE = new CallState.Free();
 
     private final Duration retention;
-    private final Map<CallKey, Entry> entries = new HashMap<>();
+    private final Map<CallKey, KeyEntry> entries = new HashMap<>();
     private long nextOffset;
 
     /**
@@ -28,12 +28,12 @@
         this.retention = retention;
     }
 
-    private static final class Entry {
+    private static final class KeyEntry {
         private CallState state = FREE;
-        private final Set<AttemptId> dead = new HashSet<>();
+        private final Set<AttemptId> deadAttempts = new HashSet<>();
         private Instant keepUntil;
 
-        Entry(Instant keepUntil) {
+        KeyEntry(Instant keepUntil) {
             this.keepUntil = keepUntil;
         }
     }
@@ -49,37 +49,37 @@
             return false;
         }
         nextOffset = offset + 1;
-        Entry entry = entries.computeIfAbsent(record.key(), key -> new Entry(appendedAt.plus(retention)));
+        KeyEntry entry = entries.computeIfAbsent(record.key(), key -> new KeyEntry(appendedAt.plus(retention)));
         if (record instanceof CallRecord.Intent intent) {
             applyIntent(entry, intent);
         } else {
-            applyEnd(entry, record);
+            applyOutcome(entry, record);
         }
         return true;
     }
 
-    private void applyIntent(Entry entry, CallRecord.Intent intent) {
+    private void applyIntent(KeyEntry entry, CallRecord.Intent intent) {
         Instant keepUntil = intent.deadline().plus(retention);
         if (keepUntil.isAfter(entry.keepUntil)) {
             entry.keepUntil = keepUntil;
         }
-        if (entry.state.equals(FREE) && !entry.dead.contains(intent.attempt())) {
+        if (entry.state.equals(FREE) && !entry.deadAttempts.contains(intent.attempt())) {
             entry.state = new CallState.Held(intent.attempt(), intent.writer(), intent.bodyDigest(), intent.deadline());
         }
     }
 
-    private static void applyEnd(Entry entry, CallRecord record) {
-        boolean holds =
+    private static void applyOutcome(KeyEntry entry, CallRecord record) {
+        boolean holdsKey =
                 entry.state instanceof CallState.Held held && held.attempt().equals(record.attempt());
-        if (!holds) {
-            if (record instanceof CallRecord.Void && !isSettledBy(entry, record.attempt())) {
-                entry.dead.add(record.attempt());
+        if (!holdsKey) {
+            if (record instanceof CallRecord.Void && !isResolvedBy(entry, record.attempt())) {
+                entry.deadAttempts.add(record.attempt());
             }
             return;
         }
         CallState.Held held = (CallState.Held) entry.state;
         if (record instanceof CallRecord.NotRun) {
-            entry.dead.add(record.attempt());
+            entry.deadAttempts.add(record.attempt());
             entry.state = FREE;
         } else if (record instanceof CallRecord.Result result) {
             entry.state = new CallState.Answered(held.attempt(), held.bodyDigest(), result.answer());
@@ -88,7 +88,7 @@
         }
     }
 
-    private static boolean isSettledBy(Entry entry, AttemptId attempt) {
+    private static boolean isResolvedBy(KeyEntry entry, AttemptId attempt) {
         return entry.state instanceof CallState.Answered answered
                         && answered.attempt().equals(attempt)
                 || entry.state instanceof CallState.OutcomeUnknown unknown
@@ -97,7 +97,7 @@
 
     /** Returns the state of a key. */
     public CallState state(CallKey key) {
-        Entry entry = entries.get(key);
+        KeyEntry entry = entries.get(key);
         return entry == null ? FREE : entry.state;
     }
 
@@ -107,8 +107,8 @@
      * @return true if it was voided before it acquired the key, or its writer released the key without dispatching it
      */
     public boolean isDead(CallKey key, AttemptId attempt) {
-        Entry entry = entries.get(key);
-        return entry != null && entry.dead.contains(attempt);
+        KeyEntry entry = entries.get(key);
+        return entry != null && entry.deadAttempts.contains(attempt);
     }
 
     /** Evicts keys whose retention period has passed. */
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -40,11 +40,11 @@
     private static final class TrackedCall {
         private final CallRequest request;
         private final CallKey key;
-        private final Set<AttemptId> unsettled = new HashSet<>();
-        private Optional<AttemptId> current = Optional.empty();
+        private final Set<AttemptId> unresolvedAttempts = new HashSet<>();
+        private Optional<AttemptId> currentAttempt = Optional.empty();
         private Optional<HostId> writer = Optional.empty();
-        private final Map<AttemptId, HostIdentity> writers = new HashMap<>();
-        private Instant repeatAt = Instant.MIN;
+        private final Map<AttemptId, HostIdentity> writerIncarnations = new HashMap<>();
+        private Instant retryAt = Instant.MIN;
 
         TrackedCall(CallRequest request, CallKey key) {
             this.request = request;
@@ -85,22 +85,24 @@
         if (writer.isEmpty()) {
             return;
         }
-        if (call.current.isEmpty() || !writer.equals(call.writer) || hasWriterRestarted(call)) {
+        if (call.currentAttempt.isEmpty() || !writer.equals(call.writer) || hasWriterRestarted(call)) {
             AttemptId attempt = new AttemptId(membership.self() + "-" + sequence.next());
-            call.current = Optional.of(attempt);
+            call.currentAttempt = Optional.of(attempt);
             call.writer = writer;
             attempts.put(attempt, call);
-            membership.latestIncarnation(writer.get()).ifPresent(run -> call.writers.put(attempt, run));
+            membership
+                    .latestIncarnation(writer.get())
+                    .ifPresent(identity -> call.writerIncarnations.put(attempt, identity));
         }
         send(call, now, effects);
     }
 
     private void send(TrackedCall call, Instant now, Effects effects) {
-        AttemptId attempt = call.current.orElseThrow();
-        Set<AttemptId> voided = new HashSet<>(call.unsettled);
+        AttemptId attempt = call.currentAttempt.orElseThrow();
+        Set<AttemptId> voided = new HashSet<>(call.unresolvedAttempts);
         voided.remove(attempt);
-        call.unsettled.add(attempt);
-        call.repeatAt = now.plus(settings.retryInterval());
+        call.unresolvedAttempts.add(attempt);
+        call.retryAt = now.plus(settings.retryInterval());
         effects.send(
                 call.writer.orElseThrow(),
                 new PeerMessage.CallSubmit(
@@ -110,11 +112,11 @@
                         call.request.pool(),
                         call.request.call(),
                         voided,
-                        Optional.ofNullable(call.writers.get(attempt))));
+                        Optional.ofNullable(call.writerIncarnations.get(attempt))));
     }
 
     /** Handles the answer of a writer. */
-    public void outcome(HostIdentity sender, PeerMessage.CallOutcome outcome, Instant now, Effects effects) {
+    public void outcomeReceived(HostIdentity sender, PeerMessage.CallOutcome outcome, Instant now, Effects effects) {
         TrackedCall call = attempts.get(outcome.attempt());
         if (call == null) {
             return;
@@ -129,7 +131,7 @@
     }
 
     private static boolean isCurrent(TrackedCall call, AttemptId attempt) {
-        return call.current.filter(attempt::equals).isPresent();
+        return call.currentAttempt.filter(attempt::equals).isPresent();
     }
 
     private void notRun(
@@ -141,21 +143,21 @@
             Effects effects) {
         // An attempt without a writer incarnation may have reached several incarnations; one cannot answer for the
         // others.
-        if (sender.equals(call.writers.get(outcome.attempt()))) {
-            call.unsettled.remove(outcome.attempt());
+        if (sender.equals(call.writerIncarnations.get(outcome.attempt()))) {
+            call.unresolvedAttempts.remove(outcome.attempt());
         }
         boolean isCurrent = isCurrent(call, outcome.attempt());
         if (isCurrent && outcome.voidsRecorded()) {
-            call.unsettled.retainAll(Set.of(outcome.attempt()));
+            call.unresolvedAttempts.retainAll(Set.of(outcome.attempt()));
         }
         if (!isCurrent) {
             return;
         }
-        if (call.unsettled.isEmpty()) {
+        if (call.unresolvedAttempts.isEmpty()) {
             answer(call, notRun, effects);
         } else {
-            call.current = Optional.empty();
-            call.repeatAt = now.plus(settings.retryInterval());
+            call.currentAttempt = Optional.empty();
+            call.retryAt = now.plus(settings.retryInterval());
         }
     }
 
@@ -169,26 +171,26 @@
     public void tick(Instant now, Effects effects) {
         for (TrackedCall call : List.copyOf(calls.values())) {
             if (!now.isBefore(call.deadline().plus(settings.answerGracePeriod()))) {
-                answer(call, lateAnswer(call), effects);
-            } else if (needsNewWriter(call) || !now.isBefore(call.repeatAt)) {
+                answer(call, answerAfterDeadline(call), effects);
+            } else if (needsNewWriter(call) || !now.isBefore(call.retryAt)) {
                 resubmit(call, now, effects);
             }
         }
     }
 
     private boolean needsNewWriter(TrackedCall call) {
-        return call.current.isPresent() && !keepsWriter(call);
+        return call.currentAttempt.isPresent() && !isWriterAvailable(call);
     }
 
-    private boolean keepsWriter(TrackedCall call) {
-        return call.current.isPresent()
+    private boolean isWriterAvailable(TrackedCall call) {
+        return call.currentAttempt.isPresent()
                 && call.writer.filter(membership::isAvailable).isPresent()
                 && !hasWriterRestarted(call);
     }
 
     private boolean hasWriterRestarted(TrackedCall call) {
-        return call.current
-                .map(call.writers::get)
+        return call.currentAttempt
+                .map(call.writerIncarnations::get)
                 .filter(membership::isSuperseded)
                 .isPresent();
     }
@@ -197,15 +199,15 @@
         if (!now.isBefore(call.deadline())) {
             return;
         }
-        if (keepsWriter(call)) {
+        if (isWriterAvailable(call)) {
             send(call, now, effects);
         } else {
             submit(call, now, effects);
         }
     }
 
-    private static CallAnswer lateAnswer(TrackedCall call) {
-        return call.unsettled.isEmpty()
+    private static CallAnswer answerAfterDeadline(TrackedCall call) {
+        return call.unresolvedAttempts.isEmpty()
                 ? new CallAnswer.NotRun(new Failure.WriterUnavailable(call.key.partition()))
                 : new CallAnswer.Unknown(new Failure.OutcomeUnknown());
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -31,9 +31,9 @@
 
     private final Membership membership;
     private final List<CallWriter> writers;
-    private final Set<Integer> followed = new HashSet<>();
-    private Set<Integer> wanted = Set.of();
-    private long rankedAtChange = -1;
+    private final Set<Integer> followedPartitions = new HashSet<>();
+    private Set<Integer> wantedPartitions = Set.of();
+    private long rankedListingChanges = -1;
 
     /** Creates the writers. */
     public CallWriters(Membership membership, ReducerSettings settings, Sequence sequence) {
@@ -51,8 +51,8 @@
     }
 
     private void follow(int partition, Effects effects) {
-        if (followed.add(partition)) {
-            long from = writers.get(partition).ledger().nextOffset();
+        if (followedPartitions.add(partition)) {
+            long from = writers.get(partition).states().nextOffset();
             effects.add(new Effect.FollowStream(LogStreams.callStream(partition), from));
         }
     }
@@ -73,22 +73,22 @@
     }
 
     /** Handles the result of a dispatch. */
-    public void dispatchEnded(long dispatch, ServiceCallResult result, Instant now, Effects effects) {
+    public void dispatchEnded(long dispatchId, ServiceCallResult result, Instant now, Effects effects) {
         for (CallWriter writer : writers) {
-            if (writer.dispatchEnded(dispatch, result, now, effects)) {
+            if (writer.dispatchEnded(dispatchId, result, now, effects)) {
                 return;
             }
         }
     }
 
     /** Handles an append that the log rejected. */
-    public void appendRejected(long append, Failure failure, Effects effects) {
-        writers.forEach(writer -> writer.appendRejected(append, failure, effects));
+    public void appendRejected(long appendId, Failure failure, Effects effects) {
+        writers.forEach(writer -> writer.appendRejected(appendId, failure, effects));
     }
 
     /** Handles an append that the log stored or may have stored. */
-    public void appendEnded(long append) {
-        writers.forEach(writer -> writer.appendEnded(append));
+    public void appendEnded(long appendId) {
+        writers.forEach(writer -> writer.appendEnded(appendId));
     }
 
     /**
@@ -104,19 +104,19 @@
     public void tick(Instant now, Effects effects) {
         if (membership.hasListing()) {
             rankIfChanged();
-            LogStreams.callPartitions().forEach(partition -> followOrNot(partition, effects));
+            LogStreams.callPartitions().forEach(partition -> followOrUnfollow(partition, effects));
         }
         writers.forEach(writer -> writer.tick(now, effects));
     }
 
     /** Ranking a few hundred hosts on each tick would use more than one core. */
     private void rankIfChanged() {
-        if (rankedAtChange == membership.listingChangeCount()) {
+        if (rankedListingChanges == membership.listingChangeCount()) {
             return;
         }
-        rankedAtChange = membership.listingChangeCount();
+        rankedListingChanges = membership.listingChangeCount();
         List<HostId> live = membership.listing().liveHosts();
-        wanted = LogStreams.callPartitions()
+        wantedPartitions = LogStreams.callPartitions()
                 .filter(partition -> isRanked(partition, live))
                 .boxed()
                 .collect(Collectors.toUnmodifiableSet());
@@ -128,11 +128,12 @@
                 .anyMatch(membership.self().host()::equals);
     }
 
-    private void followOrNot(int partition, Effects effects) {
-        if (wanted.contains(partition)) {
+    private void followOrUnfollow(int partition, Effects effects) {
+        if (wantedPartitions.contains(partition)) {
             follow(partition, effects);
-        } else if (followed.contains(partition) && !writers.get(partition).isBusy()) {
-            followed.remove(partition);
+        } else if (followedPartitions.contains(partition)
+                && !writers.get(partition).isBusy()) {
+            followedPartitions.remove(partition);
             effects.add(new Effect.UnfollowStream(LogStreams.callStream(partition)));
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/PartitionAppender.java
@@ -26,24 +26,24 @@
 final class PartitionAppender {
     private final int partition;
     private final HostIdentity writer;
-    private final Duration batch;
+    private final Duration batchDelay;
     private final Sequence sequence;
     private final Map<Long, List<SubmittedCall>> appends = new HashMap<>();
-    private final Map<AttemptId, CallRecord> unconfirmedEnds = new LinkedHashMap<>();
-    private final Set<AttemptId> newEnds = new LinkedHashSet<>();
+    private final Map<AttemptId, CallRecord> unconfirmedOutcomes = new LinkedHashMap<>();
+    private final Set<AttemptId> newOutcomes = new LinkedHashSet<>();
     private Optional<Instant> dueAt = Optional.empty();
 
-    PartitionAppender(int partition, HostIdentity writer, Duration batch, Sequence sequence) {
+    PartitionAppender(int partition, HostIdentity writer, Duration batchDelay, Sequence sequence) {
         this.partition = partition;
         this.writer = writer;
-        this.batch = batch;
+        this.batchDelay = batchDelay;
         this.sequence = sequence;
     }
 
     /** Schedules the next append, unless one is already scheduled. */
     void schedule(Instant now) {
         if (dueAt.isEmpty()) {
-            dueAt = Optional.of(now.plus(batch));
+            dueAt = Optional.of(now.plus(batchDelay));
         }
     }
 
@@ -52,9 +52,9 @@
     }
 
     /** Adds the outcome of an attempt to the next append; it is appended again until it has been read from the log. */
-    void end(CallRecord record, Instant now) {
-        unconfirmedEnds.put(record.attempt(), record);
-        newEnds.add(record.attempt());
+    void addOutcome(CallRecord record, Instant now) {
+        unconfirmedOutcomes.put(record.attempt(), record);
+        newOutcomes.add(record.attempt());
         schedule(now);
     }
 
@@ -62,8 +62,8 @@
     void append(List<SubmittedCall> queued, Effects effects) {
         dueAt = Optional.empty();
         List<LogEntry> entries = new ArrayList<>();
-        newEnds.stream().map(unconfirmedEnds::get).forEach(entries::add);
-        newEnds.clear();
+        newOutcomes.stream().map(unconfirmedOutcomes::get).forEach(entries::add);
+        newOutcomes.clear();
         for (SubmittedCall call : queued) {
             PeerMessage.CallSubmit submit = call.submit();
             submit.voided().forEach(attempt -> entries.add(new CallRecord.Void(submit.key(), attempt)));
@@ -80,39 +80,39 @@
 
     private void send(List<LogEntry> entries, List<SubmittedCall> calls, Effects effects) {
         if (!entries.isEmpty()) {
-            long append = sequence.next();
-            appends.put(append, calls);
-            effects.add(new Effect.AppendToLog(append, LogStreams.callStream(partition), entries));
+            long appendId = sequence.next();
+            appends.put(appendId, calls);
+            effects.add(new Effect.AppendToLog(appendId, LogStreams.callStream(partition), entries));
         }
     }
 
     /** Appends all outcomes again that have not been read from the log. */
-    void repeatEnds(Effects effects) {
-        send(List.copyOf(unconfirmedEnds.values()), List.of(), effects);
-        newEnds.clear();
+    void resendOutcomes(Effects effects) {
+        send(List.copyOf(unconfirmedOutcomes.values()), List.of(), effects);
+        newOutcomes.clear();
     }
 
     /** Confirms the outcome that a record of the stream contains. */
     void read(CallRecord record) {
-        boolean isEnd = record instanceof CallRecord.Result
+        boolean isOutcome = record instanceof CallRecord.Result
                 || record instanceof CallRecord.Unknown
                 || record instanceof CallRecord.NotRun;
-        if (isEnd) {
-            unconfirmedEnds.remove(record.attempt());
-            newEnds.remove(record.attempt());
+        if (isOutcome) {
+            unconfirmedOutcomes.remove(record.attempt());
+            newOutcomes.remove(record.attempt());
         }
     }
 
     /** Removes a completed append and returns the calls whose intents it contained. */
-    List<SubmittedCall> ended(long append) {
-        return Optional.ofNullable(appends.remove(append)).orElse(List.of());
+    List<SubmittedCall> removeAppend(long appendId) {
+        return Optional.ofNullable(appends.remove(appendId)).orElse(List.of());
     }
 
-    boolean hasUnconfirmedEnds() {
-        return !unconfirmedEnds.isEmpty();
+    boolean hasUnconfirmedOutcomes() {
+        return !unconfirmedOutcomes.isEmpty();
     }
 
-    boolean isUnconfirmed(AttemptId attempt) {
-        return unconfirmedEnds.containsKey(attempt);
+    boolean isOutcomeUnconfirmed(AttemptId attempt) {
+        return unconfirmedOutcomes.containsKey(attempt);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/OpenCalls.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/PendingCalls.java
@@ -14,7 +14,7 @@
  * Index of the unanswered attempts of a writer. It keeps the cost of a tick and of a record independent of the number
  * of answered attempts that are retained. Not thread-safe.
  */
-final class OpenCalls {
+final class PendingCalls {
     private final Map<AttemptId, SubmittedCall> calls = new LinkedHashMap<>();
     private final Map<CallKey, Set<SubmittedCall>> byKey = new HashMap<>();
 
@@ -49,15 +49,18 @@
 
     /** Returns a copy of the calls that wait for another attempt with the key, in the order of submission. */
     List<SubmittedCall> joined(CallKey key) {
-        return of(key).stream().filter(call -> call.stage() == Stage.JOINED).toList();
+        return callsWithKey(key).stream()
+                .filter(call -> call.stage() == Stage.JOINED)
+                .toList();
     }
 
     /** Returns whether another attempt with the same key waits for the log or an endpoint. */
     boolean isKeyPending(SubmittedCall call) {
-        return of(call.submit().key()).stream().anyMatch(other -> other != call && other.stage() != Stage.JOINED);
+        return callsWithKey(call.submit().key()).stream()
+                .anyMatch(other -> other != call && other.stage() != Stage.JOINED);
     }
 
-    private Collection<SubmittedCall> of(CallKey key) {
+    private Collection<SubmittedCall> callsWithKey(CallKey key) {
         return byKey.getOrDefault(key, Set.of());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/SubmittedCall.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/SubmittedCall.java
@@ -42,7 +42,7 @@
         return submitter;
     }
 
-    void resubmittedBy(HostId host) {
+    void setSubmitter(HostId host) {
         submitter = host;
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -341,7 +341,7 @@
         if (message instanceof PeerMessage.CallSubmit submit) {
             writers.submit(sender.host(), submit, now, effects);
         } else if (message instanceof PeerMessage.CallOutcome outcome) {
-            calls.outcome(sender, outcome, now, effects);
+            calls.outcomeReceived(sender, outcome, now, effects);
         } else {
             return false;
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
@@ -35,7 +35,7 @@
 
     /** A duplicate submission that arrived after the writer had evicted the attempt was answered as not run. */
     @Example
-    void duplicateOfAForgottenAttemptIsNotAnswered() {
+    void duplicateOfAnEvictedAttemptIsNotAnswered() {
         assertEquals(List.of(), new CallSimulation(-5370945664325229284L).run());
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -146,7 +146,7 @@
         switch (random.nextInt(8)) {
             case 0 -> host.togglePause();
             case 1 -> restart(host);
-            case 2 -> die(host);
+            case 2 -> terminate(host);
             case 3 -> changeListing(host);
             case 4 -> host.membership.markUnreachable(pick(List.copyOf(hosts.keySet())), now);
             case 5 -> host.membership.markReachable(pick(List.copyOf(hosts.values())).identity);
@@ -159,7 +159,7 @@
         logDown = !logDown && chance(40);
     }
 
-    private void die(SimulatedHost host) {
+    private void terminate(SimulatedHost host) {
         if (chance(20) && hosts.values().stream().filter(other -> !other.dead).count() > 2) {
             host.dead = true;
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallStateTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallStateTableTest.java
@@ -40,7 +40,7 @@
     @Property(seed = "5101", tries = 1000)
     void attemptThatHeldTheKeyIsFollowedByAnotherOnlyIfItIsDead(@ForAll long seed) {
         Random random = new Random(seed);
-        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
+        CallStateTable states = new CallStateTable(Duration.ofMinutes(30));
         Set<AttemptId> held = new HashSet<>();
         Set<AttemptId> voidedBeforeHeld = new HashSet<>();
         for (int offset = 0; offset < 30; offset++) {
@@ -49,45 +49,45 @@
             if (record instanceof CallRecord.Void && !held.contains(attempt)) {
                 voidedBeforeHeld.add(attempt);
             }
-            ledger.apply(offset, NOW, record);
-            if (ledger.state(KEY) instanceof CallState.Held now) {
+            states.apply(offset, NOW, record);
+            if (states.state(KEY) instanceof CallState.Held now) {
                 assertFalse(voidedBeforeHeld.contains(now.attempt()));
                 held.add(now.attempt());
                 held.stream()
                         .filter(earlier -> !earlier.equals(now.attempt()))
-                        .forEach(earlier -> assertTrue(ledger.isDead(KEY, earlier)));
+                        .forEach(earlier -> assertTrue(states.isDead(KEY, earlier)));
             }
         }
     }
 
     @Test
-    void voidAfterTheHoldComesTooLate() {
-        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
+    void voidDoesNotAffectAttemptThatHoldsTheKey() {
+        CallStateTable states = new CallStateTable(Duration.ofMinutes(30));
         AttemptId first = new AttemptId("first");
-        ledger.apply(0, NOW, new CallRecord.Intent(KEY, first, WRITER, "digest", NOW));
-        ledger.apply(1, NOW, new CallRecord.Void(KEY, first));
-        assertFalse(ledger.isDead(KEY, first));
-        assertTrue(ledger.state(KEY) instanceof CallState.Held);
+        states.apply(0, NOW, new CallRecord.Intent(KEY, first, WRITER, "digest", NOW));
+        states.apply(1, NOW, new CallRecord.Void(KEY, first));
+        assertFalse(states.isDead(KEY, first));
+        assertTrue(states.state(KEY) instanceof CallState.Held);
     }
 
     @Test
     void answerIsKeptUntilTheRetentionHasPassed() {
-        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
+        CallStateTable states = new CallStateTable(Duration.ofMinutes(30));
         AttemptId attempt = new AttemptId("attempt");
-        ledger.apply(0, NOW, new CallRecord.Intent(KEY, attempt, WRITER, "digest", NOW));
-        ledger.apply(1, NOW, new CallRecord.Result(KEY, attempt, ANSWER));
-        ledger.expire(NOW.plus(Duration.ofMinutes(30)));
-        assertEquals(new CallState.Answered(attempt, "digest", ANSWER), ledger.state(KEY));
-        ledger.expire(NOW.plus(Duration.ofMinutes(31)));
-        assertEquals(0, ledger.size());
+        states.apply(0, NOW, new CallRecord.Intent(KEY, attempt, WRITER, "digest", NOW));
+        states.apply(1, NOW, new CallRecord.Result(KEY, attempt, ANSWER));
+        states.expire(NOW.plus(Duration.ofMinutes(30)));
+        assertEquals(new CallState.Answered(attempt, "digest", ANSWER), states.state(KEY));
+        states.expire(NOW.plus(Duration.ofMinutes(31)));
+        assertEquals(0, states.size());
     }
 
     @Test
     void recordsBelowTheNextOffsetHaveNoEffect() {
-        CallStateTable ledger = new CallStateTable(Duration.ofMinutes(30));
+        CallStateTable states = new CallStateTable(Duration.ofMinutes(30));
         AttemptId attempt = new AttemptId("attempt");
-        ledger.apply(5, NOW, new CallRecord.Void(KEY, attempt));
-        assertFalse(ledger.apply(3, NOW, new CallRecord.Intent(KEY, attempt, WRITER, "digest", NOW)));
-        assertEquals(new CallState.Free(), ledger.state(KEY));
+        states.apply(5, NOW, new CallRecord.Void(KEY, attempt));
+        assertFalse(states.apply(3, NOW, new CallRecord.Intent(KEY, attempt, WRITER, "digest", NOW)));
+        assertEquals(new CallState.Free(), states.state(KEY));
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
@@ -74,7 +74,7 @@
     }
 
     @Test
-    void callThatJoinedALateAttemptIsAppendedOnItsOwn() {
+    void callThatJoinedAnExpiredAttemptIsAppended() {
         submit("first", "order", NOW.plusSeconds(1));
         submit("joined", "order", NOW.plusSeconds(60));
         writer.tick(NOW.plusMillis(500), effects);
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void intentThatTakesEffectAfterItsAttemptWasForgottenFreesTheKey() {
+    void intentStoredAfterItsAttemptWasEvictedReleasesTheKey() {
         submit("first", "order", NOW.plusSeconds(1));
         writer.tick(NOW.plusMillis(500), effects);
         CallRecord intent = (CallRecord) effects.drain().stream()
@@ -109,7 +109,7 @@
     }
 
     @Test
-    void answeredCallsCostNothingOnEachTick() {
+    void answeredCallsDoNotSlowDownTicks() {
         for (int call = 0; call < KEPT_CALLS; call++) {
             submit("attempt-" + call, "order-" + call, NOW.plusSeconds(60));
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/SimulatedHost.java
@@ -61,7 +61,7 @@
         if (message instanceof PeerMessage.CallSubmit submit) {
             writer.submit(sender.host(), submit, now, effects);
         } else if (message instanceof PeerMessage.CallOutcome outcome) {
-            tracker.outcome(sender, outcome, now, effects);
+            tracker.outcomeReceived(sender, outcome, now, effects);
         }
     }
 
