--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
@@ -10,50 +10,34 @@
 import org.banyanstair.forwarding.FailureReason;
 import org.banyanstair.forwarding.RefusalReason;
 
-/** How callers speak. Implementations have no state. */
+/** HTTP protocol of callers: parses their requests and builds the responses. Implementations are stateless. */
 public interface CallerProtocol {
     /**
-     * Reads a request.
+     * Parses a request.
      *
-     * @param exchange number of the request on this host
-     * @param caller address of the caller
-     * @param request the request with its body
-     * @param now present instant
-     * @return what it says
+     * @param exchange number of the exchange on this host
+     * @param caller IP address of the caller
+     * @param request the request with its complete body
      */
     ParsedRequest parseRequest(long exchange, String caller, FullHttpRequest request, Instant now);
 
     /**
-     * Creates the answer to a refused request.
+     * Builds the response to a refused request, which has not run.
      *
-     * @param reason why it is refused
-     * @param retryAfter when the caller may return; empty if that is of no use
-     * @return the answer
+     * @param retryAfter when the caller may retry; empty if a retry is pointless
      */
     FullHttpResponse refusalResponse(RefusalReason reason, Optional<Duration> retryAfter);
 
-    /**
-     * Creates the answer to a request that may have run.
-     *
-     * @param reason why it has no answer
-     * @return the answer
-     */
+    /** Builds the response to a request that may have run but has no usable response. */
     FullHttpResponse failureResponse(FailureReason reason);
 
     /**
-     * Creates the answer to a request that cannot be understood.
+     * Builds the response to a request that cannot be parsed.
      *
-     * @param status HTTP status
-     * @param message what is wrong
-     * @return the answer
+     * @param message describes the error; sent as the body
      */
     FullHttpResponse errorResponse(int status, String message);
 
-    /**
-     * Copies the headers of an endpoint's answer that concern the caller.
-     *
-     * @param from headers of the endpoint
-     * @param to headers for the caller
-     */
+    /** Copies the headers of an endpoint's response that are passed on to the caller. */
     void copyResponseHeaders(HttpHeaders from, HttpHeaders to);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DecisionLog.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DecisionLog.java
@@ -18,19 +18,19 @@
 import org.tinylog.Logger;
 
 /**
- * Writes one JSON object a line for each decision, from a thread of its own.
+ * Writes each decision as one line of JSON, on a background thread.
  *
- * <p>Never blocks the caller: lines that do not fit into a bounded queue are counted and dropped, those of served
- * requests long before those of refusals, failures and changes of state. Safe for use by several threads.
+ * <p>Never blocks the caller: lines that do not fit into the bounded queue are dropped and counted. Lines of served
+ * requests are dropped long before those of refusals, failures and state changes. Thread-safe.
  */
 public final class DecisionLog {
-    /** Lines that may wait; about 2 MB. */
+    /** Capacity of the queue; about 2 MB of lines. */
     private static final int QUEUE_CAPACITY_LINES = 8192;
 
-    /** Lines of served requests are dropped when more than this many lines wait. */
+    /** Lines of served requests are dropped while the queue is longer than this. */
     private static final int ORDINARY_LINE_LIMIT = 2048;
 
-    /** Lines are gathered for this long, because each write costs a system call. */
+    /** Time for which lines are batched, because each write costs a system call. */
     private static final Duration BATCH_INTERVAL = Duration.ofMillis(100);
 
     private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY_LINES);
@@ -44,10 +44,9 @@
     private record Line(Instant at, DecisionRecord decision) {}
 
     /**
-     * Creates a log.
+     * Creates a log; {@link #start} starts its thread.
      *
-     * @param host name of this host, in each line
-     * @param output where lines go
+     * @param host name of this host, part of each line
      */
     public DecisionLog(String host, OutputStream output) {
         this.host = host;
@@ -55,12 +54,11 @@
         thread.setDaemon(true);
     }
 
-    /** Starts writing. */
     public void start() {
         thread.start();
     }
 
-    /** Writes what waits, for a second at most, and ends. */
+    /** Writes the queued lines, waiting for one second at most, and ends the thread. */
     public void stop() {
         stopping = true;
         thread.interrupt();
@@ -71,11 +69,7 @@
         }
     }
 
-    /**
-     * Queues a line.
-     *
-     * @param decision what the line says
-     */
+    /** Queues a line. */
     public void write(DecisionRecord decision) {
         boolean fits = decision.important() || queue.size() < ORDINARY_LINE_LIMIT;
         if (!fits || !queue.offer(new Line(Instant.now(), decision))) {
@@ -83,11 +77,7 @@
         }
     }
 
-    /**
-     * Returns the lines that were dropped.
-     *
-     * @return total since the start
-     */
+    /** Returns the total number of lines dropped since the start. */
     public long droppedLines() {
         return dropped.get();
     }
@@ -111,10 +101,10 @@
                     reportedLines = total;
                 }
             } catch (InterruptedException exception) {
-                // Only stop() interrupts; the loop ends once the queue is empty.
-                Logger.debug("the decision log stops");
+                // Only stop() interrupts this thread; the loop ends once the queue is empty.
+                Logger.debug("decision log stopping");
             } catch (IOException | UncheckedIOException exception) {
-                Logger.error(exception, "the decision log cannot be written");
+                Logger.error(exception, "cannot write the decision log; no further decisions are logged");
                 return;
             }
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DirectoryProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/DirectoryProtocol.java
@@ -7,23 +7,20 @@
 import io.netty.handler.codec.http.HttpRequest;
 import org.banyanstair.model.NetworkAddress;
 
-/** How callers ask which hosts to use, and how the platform asks whether a host is ready. */
+/** HTTP protocol of the directory, by which callers discover hosts, and of the platform's readiness probe. */
 public interface DirectoryProtocol {
     /**
-     * Answers a question for addresses.
+     * Builds the response to a discovery request.
      *
-     * @param request the question
-     * @param addresses the addresses to give
-     * @return the answer; empty if the request is no such question
+     * @param addresses caller addresses of the hosts to return
+     * @return the response; empty if the request is no discovery request
      */
     Optional<FullHttpResponse> resolveResponse(HttpRequest request, List<NetworkAddress> addresses);
 
     /**
-     * Answers a question for readiness.
+     * Builds the response to a readiness probe.
      *
-     * @param request the question
-     * @param ready whether the host is ready
-     * @return the answer; empty if the request is no such question
+     * @return the response; empty if the request is no readiness probe
      */
     Optional<FullHttpResponse> readinessResponse(HttpRequest request, boolean ready);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
@@ -11,56 +11,36 @@
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.RunnerState;
 
-/** How endpoints speak. Implementations have no state. */
+/** HTTP protocol of endpoints. Implementations are stateless. */
 public interface EndpointProtocol {
     /**
-     * Creates the request that is sent to an endpoint.
+     * Builds the request to send to an endpoint for a caller's request.
      *
-     * @param original the caller's request; keeps its body
-     * @param send how it is sent
-     * @param now present instant
-     * @return a request with its own reference to the body
+     * @param original the caller's request; keeps its own reference to the body
+     * @return a request with an additional reference to the body
      */
     FullHttpRequest createRequest(FullHttpRequest original, ForwardingEffect.Send send, Instant now);
 
     /**
-     * Tells what the head of an answer says.
+     * Classifies a response by its head.
      *
-     * @param response the head
      * @param requestId id of the request that was sent
-     * @return its kind
      */
     ResponseKind classify(HttpResponse response, String requestId);
 
-    /**
-     * Creates a command.
-     *
-     * @param command the command
-     * @return the request
-     */
+    /** Builds the request for a load or unload command to a runner. */
     FullHttpRequest commandRequest(AdapterCommand command);
 
-    /**
-     * Reads the answer to a command.
-     *
-     * @param response the answer
-     * @return the result
-     */
+    /** Parses the response to an adapter command. */
     CommandResult parseCommandResult(FullHttpResponse response);
 
-    /**
-     * Creates a question for the state of a runner.
-     *
-     * @param inspect the runner
-     * @return the request
-     */
+    /** Builds the request for the state of a runner. */
     FullHttpRequest inspectionRequest(ForwardingEffect.Inspect inspect);
 
     /**
-     * Reads a runner's answer.
+     * Parses the state of a runner.
      *
-     * @param response the answer
-     * @return its state; empty if it cannot be read
+     * @return the state; empty if the response cannot be parsed
      */
     Optional<RunnerState> parseRunnerState(FullHttpResponse response);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -51,30 +51,33 @@
 import org.tinylog.Logger;
 
 /**
- * A host that passes requests on: one thread feeds events to the reducer and carries out its effects.
+ * Runs a forwarding host: one thread feeds events to the reducer and executes the resulting effects.
  *
- * <p>Started and stopped once.
+ * <p>Can be started and stopped once.
  */
 public final class ForwarderDaemon {
-    /** Longest time to open a connection; a few round trips in one region. */
+    /** Allows a few round trips within one region. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
 
     /**
-     * Longest time for a runner's answer to a command; tens of round trips in one region.
-     * A command that is carried out later is refused by its sequence.
+     * Time-out of a command to a runner; allows tens of round trips within one region. A runner that receives the
+     * command later rejects it by its sequence number.
      */
     private static final Duration COMMAND_TIMEOUT = Duration.ofMillis(150);
 
-    /** Longest time for a runner's answer to a question for its state; a host that has just started is slow itself. */
+    /**
+     * Time-out of a state request to a runner; longer than for commands, because a host that has just started is
+     * slow itself.
+     */
     private static final Duration INSPECTION_TIMEOUT = Duration.ofMillis(500);
 
-    /** Longest answer of a runner about itself; the names of 10,000 adapters take a third of it. */
+    /** Maximum body of a runner's response; the names of 10,000 adapters take a third of it. */
     private static final int MAXIMUM_RUNNER_RESPONSE_BYTES = 1 << 20;
 
-    /** Time between two messages that keep a connection between hosts. */
+    /** Interval of heartbeats on connections between hosts. */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
 
-    /** Silence after which a connection between hosts is given up. */
+    /** Silence after which a connection between hosts is closed. */
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(2500);
 
     private final ForwarderSettings settings;
@@ -101,11 +104,9 @@
     private Instant drainUntil = Instant.MAX;
 
     /**
-     * Creates the daemon.
+     * Creates the daemon; {@link #start} opens its ports.
      *
-     * @param settings the settings
-     * @param protocols the protocols of the surroundings
-     * @param decisions where decisions are logged
+     * @param protocols protocols of callers, endpoints, log service and directory
      */
     public ForwarderDaemon(ForwarderSettings settings, Protocols protocols, DecisionLog decisions) {
         this.settings = settings;
@@ -134,7 +135,7 @@
                 group);
     }
 
-    /** Starts listening and following the platform. */
+    /** Starts listening and starts to follow the platform's log. */
     public void start() {
         loop.execute(this::tick);
         peers.start();
@@ -156,7 +157,7 @@
                 "started", "identity", settings.forwarding().identity(), "callers", settings.callerAddress()));
     }
 
-    /** Stops in order: takes no new callers, answers those that are there, then ends. Returns at once. */
+    /** Starts an orderly shutdown and returns at once: new callers are turned away, pending requests are completed. */
     public void stop() {
         loop.execute(() -> {
             if (!stopping) {
@@ -171,16 +172,16 @@
     /**
      * Waits until the daemon has stopped.
      *
-     * @throws InterruptedException if the thread is interrupted
+     * @throws InterruptedException if the waiting thread is interrupted
      */
     public void awaitStop() throws InterruptedException {
         stopped.await();
     }
 
     /**
-     * Says in the log that the settings were read again.
+     * Records in the decision log that the settings file was read again.
      *
-     * @param reason why
+     * @param reason what triggered the reload
      */
     public void logSettingsReload(String reason) {
         decisions.write(DecisionRecord.important("settings-read", "reason", reason));
@@ -214,7 +215,8 @@
             try {
                 execute(effect);
             } catch (RuntimeException exception) {
-                Logger.error(exception, "effect failed: {}", effect.getClass().getSimpleName());
+                Logger.error(
+                        exception, "cannot execute effect {}", effect.getClass().getSimpleName());
             }
         }
     }
@@ -356,7 +358,7 @@
         }
     }
 
-    /** Hears the transport on the daemon's own thread. */
+    /** Turns callbacks of the peer transport, which come on the daemon's thread, into events. */
     private final class PeerEventAdapter implements PeerListener {
         @Override
         public void connected(HostIdentity peer) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderSettings.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderSettings.java
@@ -7,15 +7,16 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Settings of the daemon that passes requests on.
+ * Settings of the forwarding daemon.
  *
- * @param forwarding settings of the decisions
- * @param callerAddress address for callers
- * @param readinessAddress address for questions whether this host is ready; empty if nobody asks
- * @param directoryAddress address for questions which hosts to use; empty if this host does not answer them
- * @param metricsAddress address of the metrics
- * @param drainGracePeriod time after a signal to stop in which callers with old answers of the directory may still come
- * @param shutdownTimeout time after a signal to stop at which the process ends in any case
+ * @param forwarding settings of the reducer
+ * @param callerAddress address on which callers are served
+ * @param readinessAddress address of the readiness probe; empty if there is none
+ * @param directoryAddress address of the directory; empty if this host does not serve it
+ * @param metricsAddress address on which metrics are served
+ * @param drainGracePeriod time after the shutdown signal in which callers with stale directory entries are still
+ *     served
+ * @param shutdownTimeout time after the shutdown signal at which the process ends even with requests in flight
  */
 public record ForwarderSettings(
         ForwardingSettings forwarding,
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -11,65 +11,41 @@
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.NetworkAddress;
 
-/** How the platform's log service speaks. Implementations have no state. */
+/** HTTP protocol of the platform's log service. Implementations are stateless. */
 public interface LogProtocol extends RecordDecoder {
-    /**
-     * Returns the address of the log service.
-     *
-     * @return the address
-     */
     NetworkAddress address();
 
     /**
-     * Creates a read of the newest record of each key.
+     * Builds a request for one page of the newest record of each key.
      *
-     * @param topic the topic
-     * @param after key after which to begin; empty for the first page
-     * @return the request
+     * @param after key after which the page begins; empty for the first page
      */
     FullHttpRequest snapshotRequest(Topic topic, Optional<String> after);
 
     /**
-     * Creates a read of records.
+     * Builds a request for records from an offset on.
      *
-     * @param topic the topic
-     * @param offset first offset
-     * @param wait how long to wait for a record
-     * @return the request
+     * @param wait how long the service may wait for a record to arrive
      */
     FullHttpRequest recordsRequest(Topic topic, long offset, Duration wait);
 
-    /**
-     * Reads the answer to a read of the newest records.
-     *
-     * @param response the answer
-     * @return what it says
-     */
+    /** Parses a page of the newest records. */
     TopicPage parseSnapshot(FullHttpResponse response);
 
     /**
-     * Reads the answer to a read of records.
+     * Parses a sequence of records.
      *
-     * @param response the answer
-     * @param offset first offset that was asked for
-     * @return what it says
+     * @param offset offset from which records were requested
      */
     TopicPage parseRecords(FullHttpResponse response, long offset);
 
     /**
-     * Creates an append of a claim.
+     * Builds a request that appends a claim of a runner.
      *
-     * @param claim the claim
-     * @param expectedEnd offset at which the topic must end
-     * @return the request
+     * @param expectedEnd end offset that the topic must have, otherwise the service rejects the append
      */
     FullHttpRequest claimAppendRequest(DecodedRecord.RunnerClaimed claim, long expectedEnd);
 
-    /**
-     * Creates an append of an announcement.
-     *
-     * @param announcement the announcement
-     * @return the request
-     */
+    /** Builds a request that appends the announcement of a host. */
     FullHttpRequest announcementAppendRequest(HostAnnouncement announcement);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/MonotonicClock.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/MonotonicClock.java
@@ -5,13 +5,12 @@
 import java.time.InstantSource;
 
 /**
- * A clock that never goes back and notices when the process stood still.
+ * A monotonic clock that detects when the process was suspended.
  *
- * <p>Its instants count from an arbitrary start, so they mean nothing to other hosts. Not safe for use by several
- * threads, but for {@link #instant}.
+ * <p>Instants count from an arbitrary start and mean nothing to other hosts. Only {@link #instant} is thread-safe.
  */
 public final class MonotonicClock implements InstantSource {
-    /** Difference between the steady clock and the time of day that counts as a suspension or a jump. */
+    /** Change of the wall clock against the monotonic clock that counts as a suspension or a clock step. */
     private static final Duration GAP_THRESHOLD = Duration.ofMillis(400);
 
     private final long startNanos = System.nanoTime();
@@ -23,8 +22,8 @@
     }
 
     /**
-     * Tells whether the time of day has moved against the steady clock since the last call. The steady clock does not
-     * count the time in which a machine is suspended.
+     * Returns whether the wall clock has moved against the monotonic clock since the last call. The monotonic clock
+     * does not advance while the machine is suspended.
      *
      * @return whether the process may have been suspended
      */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ParsedRequest.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ParsedRequest.java
@@ -2,20 +2,16 @@
 
 import org.banyanstair.forwarding.ForwardRequest;
 
-/** What a caller's request says, or why it cannot be understood. */
+/** Result of parsing a caller's request. */
 public sealed interface ParsedRequest {
-    /**
-     * A request that can be passed on.
-     *
-     * @param request the request
-     */
+    /** A request that can be forwarded. */
     record Valid(ForwardRequest request) implements ParsedRequest {}
 
     /**
-     * A request that is refused for good.
+     * A request that cannot be parsed; a retry would fail as well.
      *
-     * @param field the field that is missing or malformed
-     * @param accepted what is accepted there
+     * @param field the missing or malformed field
+     * @param accepted describes the accepted values of the field
      */
     record Malformed(String field, String accepted) implements ParsedRequest {}
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ResponseKind.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ResponseKind.java
@@ -1,15 +1,18 @@
 package org.banyanstair.forwarder;
 
-/** What the head of an endpoint's answer says. */
+/** Classification of an endpoint's response by its head. */
 public enum ResponseKind {
-    /** An answer to the request. */
+    /** A response to the request that was sent. */
     ANSWER,
-    /** The endpoint did not run the request because it is full. */
+    /** The endpoint did not run the request, because it is at capacity. */
     FULL,
-    /** The endpoint did not run the request because it is another one or lacks what the request needs. */
+    /**
+     * The endpoint did not run the request, because the request is for another endpoint or needs what it does not
+     * hold.
+     */
     NOT_HERE,
-    /** The answer belongs to another request. */
+    /** A response to a different request. */
     FOREIGN,
-    /** Bytes that are no answer of an endpoint. */
+    /** Not a valid response of an endpoint. */
     INVALID
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/TopicPage.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/TopicPage.java
@@ -5,20 +5,19 @@
 
 import org.banyanstair.forwarding.TopicRecord;
 
-/** What a read of a topic returned. */
+/** Result of reading a topic. */
 public sealed interface TopicPage {
     /**
-     * Records.
+     * Records of the topic.
      *
-     * @param records the records
      * @param endOffset offset after the last record of the topic
-     * @param nextPageAfter key after which the next page begins; empty if this is the last one
+     * @param nextPageAfter key after which the next page begins; empty for the last page
      */
     record Records(List<TopicRecord> records, long endOffset, Optional<String> nextPageAfter) implements TopicPage {}
 
-    /** The wanted offset has been dropped. */
+    /** The requested offset is no longer retained. */
     record Expired() implements TopicPage {}
 
-    /** The log service refused or sent what cannot be read. */
+    /** The log service rejected the read, or its response cannot be parsed. */
     record Unavailable(int status) implements TopicPage {}
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -36,15 +36,15 @@
 import org.tinylog.Logger;
 
 /**
- * One connection of a caller: reads requests one after the other and answers them in order.
+ * Connection of a caller: reads pipelined requests and writes their responses in order.
  *
- * <p>Used on the thread of its event loop only.
+ * <p>Used on the event loop thread only.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Requests that a caller may send before their turn; more are read when there is room again. */
+    /** Requests buffered while an earlier one is in flight; reading resumes when there is room again. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
-    /** Lets the kernel send what is written after a close. */
+    /** Lets the kernel send pending data after a close. */
     private static final int LINGER_DISABLED = -1;
 
     private final ForwarderContext forwarder;
@@ -59,11 +59,7 @@
     private boolean closing;
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
-    /**
-     * Creates the handler of one connection.
-     *
-     * @param forwarder the daemon
-     */
+    /** Creates the handler of one connection. */
     public CallerConnection(ForwarderContext forwarder) {
         this.forwarder = forwarder;
     }
@@ -97,7 +93,7 @@
     }
 
     private void rejectMalformed(Throwable cause) {
-        Logger.info("caller {} sent a malformed request: {}", channel.remoteAddress(), cause.getMessage());
+        Logger.info("rejecting malformed request of caller {}: {}", channel.remoteAddress(), cause.getMessage());
         boolean tooLong = cause instanceof TooLongFrameException;
         rejectRequest(
                 tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST,
@@ -117,7 +113,7 @@
                                 .trim()
                                 .equalsIgnoreCase("chunked"));
         if (ambiguousLength || !request.protocolVersion().equals(HttpVersion.HTTP_1_1) && chunked) {
-            Logger.info("caller {} sent a request whose length is in doubt", channel.remoteAddress());
+            Logger.info("rejecting request of caller {}: ambiguous body length", channel.remoteAddress());
             rejectRequest(HttpResponseStatus.BAD_REQUEST, "the length of the body is in doubt");
             return;
         }
@@ -183,7 +179,7 @@
             forwarder.submit(new ForwardingEvent.RequestArrived(valid.request()));
         } else if (parsed instanceof ParsedRequest.Malformed malformed) {
             request.release();
-            Logger.info("request of {} has a malformed {}", caller, malformed.field());
+            Logger.info("rejecting request of caller {}: malformed {}", caller, malformed.field());
             finish(
                     forwarder
                             .protocols()
@@ -195,7 +191,7 @@
 
     private void rejectRequest(HttpResponseStatus status, String message) {
         if (current.isPresent()) {
-            // The answer to the request before is not to be followed by one that nobody can match.
+            // The caller would take an error response here for the response to the request in flight.
             closing = true;
             return;
         }
@@ -203,11 +199,11 @@
     }
 
     void writeHead(HttpResponse response) {
-        // HTTP/1.0 has no chunks, so the end of the connection is the end of the answer.
+        // HTTP/1.0 has no chunked encoding, so the close of the connection marks the end of the response.
         HttpUtil.setTransferEncodingChunked(response, supportsChunks);
         if (!supportsChunks) {
             closeDelimited = true;
-            // However the connection is closed before the end, only a reset differs from the end.
+            // Only a reset tells the caller of a close-delimited response that it is truncated.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
         keepAlive = keepAlive && supportsChunks;
@@ -227,7 +223,7 @@
         channel.flush();
     }
 
-    /** Writes the last part of an answer and goes on with the next request. */
+    /** Writes the last part of a response and proceeds with the next request. */
     void finish(HttpObject last, boolean close) {
         current = Optional.empty();
         boolean closeAfter = close || closing || !keepAlive || forwarder.isStopping();
@@ -245,7 +241,7 @@
             channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
         } else {
             channel.writeAndFlush(last);
-            // Answers of one caller must not recurse through all requests that it has sent ahead.
+            // Scheduled rather than called, so that a long pipeline of requests does not recurse.
             channel.eventLoop().execute(this::processNext);
         }
     }
@@ -257,7 +253,7 @@
         }
     }
 
-    /** Closes the connection so that the answer does not look complete. */
+    /** Closes the connection in such a way that the response is seen to be incomplete. */
     void abort() {
         current = Optional.empty();
         closing = true;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -25,18 +25,20 @@
 import org.banyanstair.forwarding.ForwardingEvent;
 
 /**
- * A request of a caller, the attempt that runs for it and the answer as far as it came.
+ * A caller's request, the current attempt at an endpoint, and the response as far as it was forwarded.
  *
- * <p>Used on the thread of the connections only.
+ * <p>Used on the event loop thread only.
  */
 public final class CallerExchange {
-    /** Longest answer of a call that is kept until it is whole. */
+    /** Maximum body of a buffered response, that is, one that is no event stream. */
     private static final int MAXIMUM_RESPONSE_BYTES = 16 << 20;
 
-    /** Most bytes of a stream without a new event; an event holds a few tokens, and a thousand times as much fits. */
+    /**
+     * Maximum bytes of a stream without a new event; an event holds a few tokens, and a thousand times as much fits.
+     */
     private static final int MAXIMUM_EVENT_BYTES = 256 << 10;
 
-    /** Memory and time that an event takes beside its bytes, counted as bytes. */
+    /** Memory and processing time of an event besides its bytes, expressed in bytes. */
     private static final int EVENT_OVERHEAD_BYTES = 256;
 
     private final long number;
@@ -66,20 +68,12 @@
         this.arrivedAt = forwarder.now();
     }
 
-    /**
-     * Returns the number of the request.
-     *
-     * @return the number that this host gave to it
-     */
+    /** Returns the number that this host assigned to the exchange. */
     public long number() {
         return number;
     }
 
-    /**
-     * Sends the request to an endpoint.
-     *
-     * @param send how
-     */
+    /** Sends the request to an endpoint and cancels the current attempt. */
     public void send(ForwardingEffect.Send send) {
         if (current.isEmpty()) {
             forwarder.metrics().recordQueueTime(Duration.between(arrivedAt, forwarder.now()));
@@ -92,7 +86,7 @@
         attempt.call.setAutoRead(connection.isWritable());
     }
 
-    /** Gives the answer of the attempt to the caller. */
+    /** Sends the response of the completed attempt to the caller. */
     public void deliver() {
         Attempt attempt = current.orElseThrow();
         if (attempt.splitter.isPresent()) {
@@ -113,20 +107,12 @@
         }
     }
 
-    /**
-     * Refuses the request.
-     *
-     * @param refuse why
-     */
+    /** Answers with a refusal; the request has not run. */
     public void refuse(ForwardingEffect.Refuse refuse) {
         sendFinalResponse(callers().refusalResponse(refuse.reason(), refuse.retryAfter()));
     }
 
-    /**
-     * Ends the request without an answer of an endpoint.
-     *
-     * @param reason why
-     */
+    /** Answers with an error, because no endpoint produced a usable response. */
     public void fail(FailureReason reason) {
         sendFinalResponse(callers().failureResponse(reason));
     }
@@ -141,13 +127,13 @@
         }
     }
 
-    /** Ends the attempt at the endpoint. */
+    /** Cancels the attempt in flight. */
     public void cancelAttempt() {
         current.ifPresent(Attempt::cancel);
         current = Optional.empty();
     }
 
-    /** The caller has gone. */
+    /** Ends the exchange after the caller has disconnected. */
     void onCallerDisconnect() {
         if (!finished) {
             forwarder.submit(new ForwardingEvent.CallerDisconnected(number));
@@ -155,7 +141,7 @@
         }
     }
 
-    /** The caller reads slowly, or again. */
+    /** Applies backpressure: reads from the endpoint only while the caller keeps up. */
     void setWritable(boolean writable) {
         current.ifPresent(attempt -> attempt.call.setAutoRead(writable));
     }
@@ -229,7 +215,7 @@
             boolean stream = response.status().code() == 200
                     && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith("text/event-stream");
             if (headWritten && !stream) {
-                // What is no event must not end up between the events that the caller already has.
+                // Anything but events would corrupt the stream of which the caller already has a part.
                 abort(AttemptResult.BrokenCause.NOT_A_STREAM);
                 return;
             }
@@ -360,7 +346,7 @@
             abort(fault.cause());
         }
 
-        /** Ends the attempt on account of what the endpoint sent. */
+        /** Cancels the attempt because of what the endpoint sent. */
         private void abort(AttemptResult.BrokenCause cause) {
             cancel();
             finishAttempt(brokenResult(cause));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -4,7 +4,7 @@
 
 import io.netty.channel.Channel;
 
-/** A call that is under way. Used on the thread of its connection only. */
+/** An HTTP call in flight. Used on the event loop thread of its connection only. */
 public final class EndpointCall {
     private final ResponseListener listener;
     private Optional<Channel> channel = Optional.empty();
@@ -56,7 +56,7 @@
         finished = true;
     }
 
-    /** Closes the connection, which tells the endpoint to stop; the listener hears nothing more. */
+    /** Closes the connection, which tells the endpoint to stop. The listener is not called any more. */
     public void cancel() {
         if (!finished) {
             finished = true;
@@ -64,11 +64,7 @@
         }
     }
 
-    /**
-     * Stops or goes on autoRead the answer, for a caller that reads slowly.
-     *
-     * @param autoRead whether to read
-     */
+    /** Pauses or resumes reading the response, for backpressure of a slow caller. */
     public void setAutoRead(boolean autoRead) {
         this.autoRead = autoRead;
         channel.filter(used -> !finished).ifPresent(used -> used.config().setAutoRead(autoRead));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -22,17 +22,20 @@
 import org.banyanstair.model.NetworkAddress;
 import org.tinylog.Logger;
 
-/** One connection to an endpoint. Used on the thread of its event loop only. */
+/** HTTP/1.1 connection to an endpoint, which carries one call at a time. Used on the event loop thread only. */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
-    /** Time for which a connection is kept when the endpoint does not say action long it keeps it. */
+    /** Keep-alive time-out for endpoints that do not state one. */
     private static final Duration DEFAULT_KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(2);
 
-    /** Kept connections are given up this long before the endpoint closes them, so that no request crosses that. */
+    /**
+     * Idle connections are dropped this long before the endpoint closes them, so that no request is sent into the
+     * close.
+     */
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(700);
 
     /**
-     * Time from the first byte of an answer to the end of its head; several retransmissions of a lost packet.
-     * A head is a few packets that an endpoint sends at once.
+     * Time from the first byte of a response to the end of its head. A head is a few packets that an endpoint sends
+     * at once; this allows several retransmissions of a lost packet.
      */
     private static final Duration HEAD_TIMEOUT = Duration.ofSeconds(1);
 
@@ -69,7 +72,7 @@
         channel.ifPresent(Channel::close);
     }
 
-    /** Returns the handler that sees the bytes before they are decoded. */
+    /** Returns the handler that counts received bytes before they are decoded. */
     ChannelInboundHandlerAdapter byteCounter() {
         return new ByteCounter();
     }
@@ -80,7 +83,7 @@
         overhead = new ResponseOverhead();
         Channel used = channel.orElseThrow();
         newCall.attach(used);
-        // The call before may have ended while its caller read slowly.
+        // Reading may still be paused from the previous call, whose caller was slow.
         used.config().setAutoRead(newCall.isAutoRead());
         used.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
@@ -144,7 +147,7 @@
         cancelHeadTimer();
         if (current.listener().isForeign()) {
             foreignResponseEnded = true;
-            // After an answer to an earlier request, the connection is not used for another one.
+            // After a response to an earlier request, the connection is not reused.
             keepAliveTimeout = Duration.ZERO;
             return;
         }
@@ -173,7 +176,7 @@
         endCall(EndpointCall::connectionLost);
     }
 
-    /** Closes the connection on account of what the endpoint sent. */
+    /** Closes the connection because of what the endpoint sent. */
     private void reject(ResponseFault fault) {
         if (channel.filter(Channel::isActive).isPresent()) {
             pool.reportRejected(address, fault);
@@ -212,7 +215,7 @@
         onConnectionLost();
     }
 
-    /** Counts bytes before they are decoded, because the decoder skips some without a trace. */
+    /** Counts bytes before they are decoded, because the decoder discards some bytes silently. */
     private final class ByteCounter extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
@@ -225,7 +228,7 @@
             overhead.addReceived(((ByteBuf) message).readableBytes());
             foreignResponseEnded = false;
             context.fireChannelRead(message);
-            // The end of an answer may have begun the next call on this connection.
+            // The end of a response may have started the next call on this connection.
             if (call != current || call.isFinished()) {
                 return;
             }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -18,9 +18,9 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Calls over HTTP/1.1 with idleConnection connections, one call at a time on each.
+ * Pool of HTTP/1.1 keep-alive connections to endpoints and to the log service, with one call at a time on each.
  *
- * <p>Used on the thread of its event loop only.
+ * <p>Used on the event loop thread only.
  */
 public final class EndpointConnectionPool {
     private static final int STATUS_LINE_LIMIT_BYTES = 8 << 10;
@@ -37,12 +37,10 @@
     private long openedTotal;
 
     /**
-     * Creates a client.
+     * Creates an empty pool.
      *
-     * @param loop thread of all connections
-     * @param connectTimeout longest time to open a connection
-     * @param memoryBudget memoryBudget of answers that are not whole
-     * @param rejectedResponses told of bytes that are no answer
+     * @param memoryBudget shared by all responses that are being buffered
+     * @param rejectedResponses records invalid responses
      */
     public EndpointConnectionPool(
             EventLoop loop,
@@ -55,22 +53,16 @@
         this.connectTimeout = connectTimeout;
     }
 
-    /**
-     * Returns the connections that were openedTotal.
-     *
-     * @return total since the start
-     */
+    /** Returns the total number of connections opened since the start. */
     public long openedTotal() {
         return openedTotal;
     }
 
     /**
-     * Sends a request.
+     * Sends a request on an idle connection, or on a new one.
      *
-     * @param address where to
-     * @param request the request; released when it was written
-     * @param listener hears the answer
-     * @return the call
+     * @param request released after it has been written
+     * @param listener receives the response
      */
     public EndpointCall send(NetworkAddress address, FullHttpRequest request, ResponseListener listener) {
         EndpointCall call = new EndpointCall(listener);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EventSplitter.java
@@ -9,9 +9,10 @@
 import io.netty.buffer.Unpooled;
 
 /**
- * Cuts the bytes of an event stream into whole events, so that a stream that goes on elsewhere has no half event.
+ * Splits the bytes of an event stream (server-sent events) into complete events, so that a stream that is resumed at
+ * another endpoint contains no partial event.
  *
- * <p>Not safe for use by several threads.
+ * <p>Not thread-safe.
  */
 public final class EventSplitter {
     private static final byte LINE_FEED = '\n';
@@ -26,7 +27,7 @@
     private int scanIndex;
     private int lineStart;
 
-    /** Creates a splitter. */
+    /** Creates a splitter without pending bytes. */
     public EventSplitter() {
         this(Unpooled.buffer());
     }
@@ -36,16 +37,15 @@
     }
 
     /**
-     * A whole event.
+     * A complete event.
      *
-     * @param bytes its bytes with the empty line at its end; the receiver releases them
-     * @param id its id; empty if it has none that is a number
+     * @param bytes its bytes with the terminating empty line; released by the receiver
+     * @param id its id; empty if it has no numeric id
      */
     public record StreamEvent(ByteBuf bytes, Optional<Long> id) {
         /**
-         * Tells whether the event has data; without, it is a comment or a setting and no part of the content.
-         *
-         * @return whether a line is a data field
+         * Returns whether the event has a data field. Without one it is a comment or a setting and no part of the
+         * content.
          */
         public boolean hasData() {
             return bytes.toString(StandardCharsets.UTF_8)
@@ -55,10 +55,10 @@
     }
 
     /**
-     * Takes bytes.
+     * Adds received bytes.
      *
-     * @param bytes the bytes; not released
-     * @return the events that are now whole
+     * @param bytes not released
+     * @return the events that are now complete
      */
     public List<StreamEvent> feed(ByteBuf bytes) {
         pending.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
@@ -76,28 +76,20 @@
         return events;
     }
 
-    /**
-     * Tells whether the bytes end within an event; empty lines alone are no part of one.
-     *
-     * @return whether an event is not whole
-     */
+    /** Returns whether the pending bytes contain a partial event; empty lines alone are not part of an event. */
     public boolean hasPartialEvent() {
         return pending.forEachByte(value -> value == LINE_FEED || value == CARRIAGE_RETURN) >= 0;
     }
 
-    /**
-     * Returns how many bytes of an event that is not whole are kept.
-     *
-     * @return bytes
-     */
+    /** Returns the number of pending bytes. */
     public int pendingBytes() {
         return pending.readableBytes();
     }
 
     /**
-     * Returns the bytes after the last whole event.
+     * Removes and returns the bytes after the last complete event.
      *
-     * @return the bytes; the receiver releases them
+     * @return the bytes; released by the receiver
      */
     public ByteBuf takeRemainder() {
         ByteBuf remainder = pending.readBytes(pending.readableBytes());
@@ -105,14 +97,14 @@
         return remainder;
     }
 
-    /** Forgets the bytes of an event that is not whole. */
+    /** Drops the bytes of a partial event. */
     public void discardPartialEvent() {
         pending.clear();
         scanIndex = 0;
         lineStart = 0;
     }
 
-    /** Returns the length of the first event with its empty line, 0 if it is not whole; scans each byte once. */
+    /** Returns the length of the first event with its empty line, 0 if it is incomplete. Scans each byte only once. */
     private int nextEventLength() {
         int end = pending.writerIndex();
         for (int index = scanIndex; index < end; index++) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -6,70 +6,32 @@
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.RequestLimits;
 
-/** What connections need of the daemon; used on the thread of the connections only. */
+/** The daemon as seen by its connections. Used on the event loop thread only. */
 public interface ForwarderContext {
-    /**
-     * Feeds an event to the reducer and carries out what it says.
-     *
-     * @param event the event
-     */
+    /** Feeds an event to the reducer and executes the resulting effects. */
     void submit(ForwardingEvent event);
 
-    /**
-     * Returns the present instant.
-     *
-     * @return the instant on the steady clock
-     */
+    /** Returns the current instant of the monotonic clock. */
     Instant now();
 
-    /**
-     * Returns the protocols.
-     *
-     * @return the protocols
-     */
     Protocols protocols();
 
-    /**
-     * Returns the connections to endpoints.
-     *
-     * @return the connections
-     */
     EndpointConnectionPool connections();
 
     ForwarderMetrics metrics();
 
-    /**
-     * Returns the limits for requests in force.
-     *
-     * @return the limits
-     */
+    /** Returns the request limits of the configuration in force. */
     RequestLimits limits();
 
-    /**
-     * Returns whether the host stops, so that connections are closed after their answer.
-     *
-     * @return whether it stops
-     */
+    /** Returns whether the host is stopping, so that connections are closed after their response. */
     boolean isStopping();
 
-    /**
-     * Numbers a request and remembers it until it ends.
-     *
-     * @return its number
-     */
+    /** Returns the number of a new exchange. */
     long nextExchangeNumber();
 
-    /**
-     * Remembers a request until it ends.
-     *
-     * @param exchange the request
-     */
+    /** Registers an exchange until {@link #unregister}. */
     void register(CallerExchange exchange);
 
-    /**
-     * Forgets a request that has ended.
-     *
-     * @param exchange its number
-     */
+    /** Removes an exchange that has ended. */
     void unregister(long exchange);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -19,7 +19,7 @@
 import org.banyanstair.metrics.LabelledName;
 import org.banyanstair.metrics.PrometheusText;
 
-/** The metrics of a daemon that passes requests on. Latencies are in seconds. Not safe for use by several threads. */
+/** Metrics of the forwarding daemon. Latencies are in seconds. Not thread-safe. */
 public final class ForwarderMetrics {
     private static final String PREFIX = "banyanstair_";
 
@@ -37,61 +37,39 @@
                 () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
     }
 
-    /**
-     * Counts a decision.
-     *
-     * @param kind kind of the decision
-     */
+    /** Counts a decision by its kind. */
     public void countDecision(String kind) {
         registry.counter(LabelledName.of(PREFIX + "decisions_total", "kind", kind))
                 .inc();
     }
 
-    /**
-     * Counts bytes of an endpoint that were rejected as an answer.
-     *
-     * @param fault why
-     */
+    /** Counts an invalid response of an endpoint by its fault. */
     public void countRejectedResponse(ResponseFault fault) {
         registry.counter(LabelledName.of(PREFIX + "rejected_answers_total", "fault", fault.label()))
                 .inc();
     }
 
-    /**
-     * A request was sent to an endpoint for the first time.
-     *
-     * @param waited time since it arrived
-     */
+    /** Records how long a request waited before its first attempt. */
     public void recordQueueTime(Duration waited) {
         record(queueTime, waited);
     }
 
-    /**
-     * The first output of a request was passed on.
-     *
-     * @param waited time since the request arrived
-     */
+    /** Records the time from the arrival of a request to its first output. */
     public void recordFirstOutput(Duration waited) {
         record(firstOutput, waited);
     }
 
-    /**
-     * More output of a stream was passed on.
-     *
-     * @param gap time since the output before it
-     */
+    /** Records the time between two successive outputs of a stream. */
     public void recordOutputGap(Duration gap) {
         record(outputGap, gap);
     }
 
     /**
-     * Measures a call to the platform's log.
+     * Measures a call to the platform's log service.
      *
-     * @param operation what is asked; reads include the time in which they wait for records
-     * @param clock the clock
-     * @param callback takes the answer, empty if there is none in time
-     * @param <T> the answer
-     * @return what is to be called with the answer
+     * @param operation label of the call; reads include the time in which they wait for records
+     * @param callback receives the response, empty on failure or time-out
+     * @return the callback to pass to the call
      */
     public <T> Consumer<Optional<T>> timeLogCall(
             String operation, InstantSource clock, Consumer<Optional<T>> callback) {
@@ -99,13 +77,11 @@
     }
 
     /**
-     * Measures a command or a question to a runner.
+     * Measures a command or state request to a runner.
      *
-     * @param operation what is asked
-     * @param clock the clock
-     * @param callback takes the answer, empty if there is none in time
-     * @param <T> the answer
-     * @return what is to be called with the answer
+     * @param operation label of the call
+     * @param callback receives the response, empty on failure or time-out
+     * @return the callback to pass to the call
      */
     public <T> Consumer<Optional<T>> timeRunnerCall(
             String operation, InstantSource clock, Consumer<Optional<T>> callback) {
@@ -128,11 +104,7 @@
         timer.update(time.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    /**
-     * Adds the gauges of what the daemon believes.
-     *
-     * @param status reads it
-     */
+    /** Registers the gauges of the reducer's status. */
     public void registerStatusGauges(Supplier<ForwardingStatus> status) {
         this.status = Optional.of(status);
         registerGauge("open_requests", () -> snapshot.openRequests());
@@ -163,17 +135,16 @@
     }
 
     /**
-     * Adds a registerGauge.
+     * Registers a gauge.
      *
      * @param name its name without the prefix of the product
-     * @param value reads it
      */
     public void registerGauge(String name, Gauge<Number> value) {
         registry.register(PREFIX + name, value);
     }
 
     /**
-     * Writes the current values.
+     * Renders the current values in the Prometheus text format.
      *
      * @return the text in UTF-8
      */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -19,35 +19,26 @@
 import org.banyanstair.forwarding.TopicRecord;
 import org.tinylog.Logger;
 
-/** Carries out reads of topics and appends to them. Used on the thread of the connections only. */
+/** Reads topics of the log service and appends to them. Used on the event loop thread only. */
 public final class LogClient {
-    /** Time beyond the wait of a read after which its connection counts as silent. */
+    /** Time-out of a call, in addition to the time for which a read may wait for records. */
     private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(900);
 
-    /** Longest answer; a page of the log holds 1 MB of records, a third more in text, and one record beyond it. */
+    /** Maximum response; a page holds 1 MB of records, a third more in base64, and may exceed that by one record. */
     private static final int MAXIMUM_RESPONSE_BYTES = 4 << 20;
 
     private final ForwarderContext forwarder;
     private final EventLoop loop;
     private final LogProtocol protocol;
 
-    /**
-     * Creates a reader.
-     *
-     * @param forwarder the daemon
-     * @param loop thread of the connections
-     */
+    /** Creates a client. */
     public LogClient(ForwarderContext forwarder, EventLoop loop) {
         this.forwarder = forwarder;
         this.loop = loop;
         this.protocol = forwarder.protocols().log();
     }
 
-    /**
-     * Reads the newest record of each key.
-     *
-     * @param read what to read
-     */
+    /** Reads the newest record of each key, page by page. */
     public void readNewest(ForwardingEffect.ReadNewest read) {
         readPage(read.topic(), forwarder.now(), Optional.empty(), new ArrayList<>(), Long.MAX_VALUE);
     }
@@ -63,7 +54,8 @@
                 return;
             }
             records.addAll(page.get().records());
-            // Pages are no snapshot: what was appended after the first page is read again from there.
+            // Pages are not a consistent snapshot. Reading goes on from the end offset of the first page, so that
+            // records appended meanwhile are not missed.
             long end = Math.min(lowestEnd, page.get().endOffset());
             if (page.get().nextPageAfter().isPresent()) {
                 readPage(topic, startedAt, page.get().nextPageAfter(), records, end);
@@ -73,11 +65,7 @@
         });
     }
 
-    /**
-     * Reads the records from an offset on.
-     *
-     * @param read what to read
-     */
+    /** Reads the records from an offset on. */
     public void readFrom(ForwardingEffect.ReadFrom read) {
         Instant startedAt = forwarder.now();
         Duration wait = Duration.between(startedAt, read.waitUntil());
@@ -114,15 +102,11 @@
         Logger.debug(
                 "read of {} failed: {}",
                 topic,
-                answer.map(response -> response.status().toString()).orElse("no answer"));
+                answer.map(response -> response.status().toString()).orElse("no response"));
         forwarder.submit(new ForwardingEvent.TopicUnavailable(topic));
     }
 
-    /**
-     * Appends a claim.
-     *
-     * @param append what to append
-     */
+    /** Appends a claim of a runner. */
     public void append(ForwardingEffect.AppendClaim append) {
         call("append", protocol.claimAppendRequest(append.claim(), append.expectedEnd()), RESPONSE_TIMEOUT, answer -> {
             if (answer.isPresent()) {
@@ -131,11 +115,7 @@
         });
     }
 
-    /**
-     * Appends an announcement.
-     *
-     * @param append what to append
-     */
+    /** Appends the announcement of this host; retried until it succeeds. */
     public void append(ForwardingEffect.AppendAnnouncement append) {
         call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, answer -> {
             boolean appended =
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QueryConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/QueryConnection.java
@@ -17,14 +17,14 @@
 import io.netty.util.ReferenceCountUtil;
 import org.tinylog.Logger;
 
-/** A connection on which short questions without a body are answered. */
+/** Serves short requests without a body: readiness probe, directory and metrics. */
 public final class QueryConnection extends ChannelInboundHandlerAdapter {
     private final Function<HttpRequest, Optional<FullHttpResponse>> responder;
 
     /**
      * Creates the handler of one connection.
      *
-     * @param responder responder a question; empty for an unknown one
+     * @param responder builds the response; empty for an unknown path
      */
     public QueryConnection(Function<HttpRequest, Optional<FullHttpResponse>> responder) {
         this.responder = responder;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RejectedResponses.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RejectedResponses.java
@@ -5,16 +5,15 @@
 import org.banyanstair.forwarding.DecisionRecord;
 import org.banyanstair.model.NetworkAddress;
 
-/** Counts and logs bytes that were rejected as an answer. Used on the thread of the connections only. */
+/** Counts and logs invalid responses of endpoints. Used on the event loop thread only. */
 public final class RejectedResponses {
     private final ForwarderMetrics metrics;
     private final Consumer<DecisionRecord> log;
 
     /**
-     * Creates a counter.
+     * Creates a recorder.
      *
-     * @param metrics where faults are counted
-     * @param log where faults are logged; bounds the volume
+     * @param log receives a decision for each fault; must bound the volume itself
      */
     public RejectedResponses(ForwarderMetrics metrics, Consumer<DecisionRecord> log) {
         this.metrics = metrics;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
@@ -16,7 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyanstair.model.NetworkAddress;
 
-/** Gathers a fullResponse answer within limits of time and length. Used on the thread of the connections only. */
+/** Buffers a response until it is complete, with limits on time and size. Used on the event loop thread only. */
 public final class ResponseAggregator implements ResponseListener, ResponseMemoryBudget.BufferOwner {
     private final EndpointConnectionPool connections;
     private final NetworkAddress address;
@@ -40,15 +40,11 @@
     }
 
     /**
-     * Sends a request and waits for its aggregator.
+     * Sends a request and aggregates its response.
      *
-     * @param connections the connections
-     * @param loop their thread
-     * @param address where to
-     * @param request the request
-     * @param timeout time after which the connection is given up
-     * @param maximumBodyBytes bytes of the maximumBodyBytes body; a longer one counts as no answer
-     * @param callback gets the answer, empty if none came in time
+     * @param timeout time after which the call is cancelled
+     * @param maximumBodyBytes a longer body counts as no response
+     * @param callback receives the response, empty if none arrived in time
      */
     public static void send(
             EndpointConnectionPool connections,
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseFault.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseFault.java
@@ -4,25 +4,25 @@
 
 import org.banyanstair.forwarding.AttemptResult;
 
-/** Why bytes of an endpoint were rejected as an answer. */
+/** Reason for rejecting what an endpoint sent as a response. */
 public enum ResponseFault {
-    /** The bytes do not follow HTTP. */
+    /** The bytes are not valid HTTP. */
     MALFORMED(AttemptResult.BrokenCause.CONNECTION_LOST),
-    /** The head is not that of an answer to the request. */
+    /** The head is not that of a response to the request. */
     INVALID_HEAD(AttemptResult.BrokenCause.INVALID_HEAD),
-    /** Too many bytes came that are no body of the awaited answer. */
+    /** Too many bytes that are not part of the response body, such as chunk framing. */
     EXCESS_BYTES(AttemptResult.BrokenCause.TOO_LONG),
-    /** The awaited head did not end in time after its first byte. */
+    /** The head was not complete in time after its first byte. */
     SLOW_HEAD(AttemptResult.BrokenCause.SLOW_HEAD),
-    /** Bytes came although no answer was awaited. */
+    /** Bytes arrived while no response was awaited. */
     UNEXPECTED_BYTES(AttemptResult.BrokenCause.TOO_LONG),
-    /** The body is longer than any answer. */
+    /** The body exceeds the maximum size. */
     LONG_BODY(AttemptResult.BrokenCause.TOO_LONG),
-    /** An event of a stream is longer than any event. */
+    /** An event of a stream exceeds the maximum size. */
     LONG_EVENT(AttemptResult.BrokenCause.TOO_LONG),
-    /** Too many bytes of a stream came without a new event. */
+    /** Too many bytes of a stream without a new event. */
     NO_NEW_EVENT(AttemptResult.BrokenCause.TOO_LONG),
-    /** The answer was the largest when the answers of all endpoints together exceeded their memory. */
+    /** The response was the largest one when the memory budget of all responses was exceeded. */
     MEMORY(AttemptResult.BrokenCause.TOO_LONG);
 
     private final AttemptResult.BrokenCause cause;
@@ -31,16 +31,12 @@
         this.cause = cause;
     }
 
-    /** Returns what it means for an attempt. */
+    /** Returns the corresponding cause of a broken attempt. */
     AttemptResult.BrokenCause cause() {
         return cause;
     }
 
-    /**
-     * Returns the name in metrics and logs.
-     *
-     * @return the name
-     */
+    /** Returns the name used in metrics and logs. */
     public String label() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
@@ -3,50 +3,37 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** Hears the answers to a call, on the thread of the connections. */
+/** Receives the response to a call, on the event loop thread. */
 public interface ResponseListener {
-    /**
-     * The head of an answer came.
-     *
-     * @param head the head
-     */
+    /** Called with the head of a response. */
     void onHead(HttpResponse head);
 
     /**
-     * A part of the body came.
+     * Called with a part of the body.
      *
-     * @param bytes the bytes; not to be released
+     * @param bytes owned by the connection; must not be released
      */
     void onContent(ByteBuf bytes);
 
     /**
-     * Tells whether the answer that is now complete belongs to an earlier request, so that the next one is awaited.
-     *
-     * @return whether it is not the answer to this call
+     * Returns whether the response that is now complete belongs to an earlier request, so that the next one is
+     * awaited.
      */
     boolean isForeign();
 
-    /**
-     * Tells whether the body of the answer is of use.
-     *
-     * @return whether its bytes are the awaited body
-     */
+    /** Returns whether the body of the response is that of the awaited response. */
     boolean expectsBody();
 
-    /** The answer is complete and the call is over. */
+    /** Called when the response is complete. */
     void onComplete();
 
     /**
-     * The call failed before its answer was complete.
+     * Called when the call failed before its response was complete.
      *
-     * @param mayHaveRun whether anything may have been sent
+     * @param mayHaveRun whether any bytes of the request may have been sent
      */
     void onFailure(boolean mayHaveRun);
 
-    /**
-     * The endpoint sent what is no answer, and the call is over; it may have run.
-     *
-     * @param fault what is wrong
-     */
+    /** Called when the endpoint sent an invalid response. The request may have run. */
     void onRejected(ResponseFault fault);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseMemoryBudget.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseMemoryBudget.java
@@ -4,45 +4,44 @@
 import java.util.Map;
 
 /**
- * The memory that answers take until they are whole, for all answers of a host.
+ * Limits the memory of all responses of a host that are being buffered.
  *
- * <p>When it is exceeded, the largest answers are evicted, so that the many small ones go on. Used on the thread of the
- * connections only.
+ * <p>When the limit is exceeded, the largest response is evicted, so that the many small ones can complete. Used on
+ * the event loop thread only.
  */
 public final class ResponseMemoryBudget {
-    /** Bytes of all answers; with buffers that double as they grow, a third of the heap of a daemon of 194 MB. */
+    /**
+     * Limit for all responses together. With buffers that double as they grow, a third of the heap of a 194 MB
+     * daemon.
+     */
     public static final int DEFAULT_LIMIT_BYTES = 32 << 20;
 
     private final int limitBytes;
     private final Map<BufferOwner, Integer> usages = new HashMap<>();
     private long totalBytes;
 
-    /** Keeps bytes of an answer; equal only to itself. */
+    /** Owner of a response buffer; compared by identity. */
     @FunctionalInterface
     interface BufferOwner {
-        /** Drops the bytes and ends the answer. */
+        /** Drops the buffer and ends the response. */
         void evict();
     }
 
     /**
-     * Creates the memory.
+     * Creates a budget.
      *
-     * @param limitBytes bytes of all answers
+     * @param limitBytes limit for all responses together
      */
     public ResponseMemoryBudget(int limitBytes) {
         this.limitBytes = limitBytes;
     }
 
-    /**
-     * Returns the bytes that answers take now.
-     *
-     * @return bytes
-     */
+    /** Returns the bytes that are buffered now. */
     public long usedBytes() {
         return totalBytes;
     }
 
-    /** Notes how many bytes a owner keeps; this may evict any owner, including this one. */
+    /** Sets the bytes that an owner buffers. May evict any owner, including this one. */
     void setUsage(BufferOwner owner, int bytes) {
         Integer before = bytes == 0 ? usages.remove(owner) : usages.put(owner, bytes);
         totalBytes += bytes - (before == null ? 0 : before);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseOverhead.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseOverhead.java
@@ -1,14 +1,17 @@
 package org.banyanstair.forwarder.internal;
 
-/** Counts the bytes that came for one call against the bytes of its body. Not safe for use by several threads. */
+/** Compares the bytes received for one call with the bytes of its body. Not thread-safe. */
 final class ResponseOverhead {
     /**
-     * Bytes beside the body of the awaited answer: its head, which the decoder limits to 40 KiB, an answer to an
-     * earlier request, and the framing of chunks.
+     * Allowed bytes besides the body of the awaited response: its head, which the decoder limits to 40 KiB, a
+     * response to an earlier request, and chunk framing.
      */
     static final int MAXIMUM_OVERHEAD_BYTES = 256 << 10;
 
-    /** Bytes of framing for each byte of a long body; chunks of a few bytes cost far more time than their bytes. */
+    /**
+     * Allowed framing bytes per byte of a long body. Chunks of a few bytes cost far more processing time than their
+     * bytes suggest.
+     */
     static final int MAXIMUM_FRAMING_BYTES_PER_BODY_BYTE = 1;
 
     private long receivedBytes;
@@ -18,7 +21,7 @@
         receivedBytes += bytes;
     }
 
-    /** Counts bytes of the body of the awaited answer. */
+    /** Adds bytes of the body of the awaited response. */
     void addBody(int bytes) {
         bodyBytes += bytes;
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
@@ -19,9 +19,9 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import org.banyanstair.model.NetworkAddress;
 
-/** The addresses on which a host listens. */
+/** Server sockets of a host. */
 public final class ServerSockets {
-    /** Callers of a lost host come to the others at the same moment. */
+    /** Callers of a failed host reconnect to the other hosts all at the same time. */
     private static final int ACCEPT_BACKLOG = 1024;
 
     private static final int REQUEST_LINE_LIMIT_BYTES = 8 << 10;
@@ -30,26 +30,21 @@
 
     private static final int QUERY_HEADER_LIMIT_BYTES = 8 << 10;
 
-    /** Seconds after which a connection without a question is closed. */
+    /** Idle time after which a connection for short requests is closed. */
     private static final int QUERY_IDLE_TIMEOUT_SECONDS = 30;
 
     private final EventLoopGroup group;
     private final List<Channel> channels = new ArrayList<>();
 
-    /**
-     * Creates the listeners.
-     *
-     * @param group threads of the connections
-     */
+    /** Creates an instance without open sockets. */
     public ServerSockets(EventLoopGroup group) {
         this.group = group;
     }
 
     /**
-     * Listens for callers.
+     * Opens the socket for callers.
      *
-     * @param address the address
-     * @param headerLimitBytes longest headers, asked for each new connection
+     * @param headerLimitBytes maximum size of the headers, read for each new connection
      * @param handlerFactory creates the handler of a connection
      */
     public void listenForCallers(
@@ -67,9 +62,8 @@
     }
 
     /**
-     * Listens for short questions.
+     * Opens a socket for short requests without a body.
      *
-     * @param address the address
      * @param handlerFactory creates the handler of a connection
      */
     public void listenForQueries(NetworkAddress address, Supplier<ChannelHandler> handlerFactory) {
@@ -101,7 +95,7 @@
         channels.add(bound.channel());
     }
 
-    /** Closes all listeners. */
+    /** Closes all server sockets; open connections remain. */
     public void close() {
         channels.forEach(Channel::close);
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -5,36 +5,36 @@
 import org.banyanstair.forwarding.AttemptResult;
 
 /**
- * What a caller has of an event stream, whose events may come from several runs.
+ * Position of a caller in an event stream whose events may come from several runs.
  *
- * <p>Used on the thread of the connections only.
+ * <p>Used on the event loop thread only.
  */
 final class StreamPosition {
     private static final long NONE = -1;
 
     private long lastEvent = NONE;
 
-    /** Whether the caller has nothing after the last event with an id. */
+    /** Whether the caller's last event has an id, so that another run can resume after it. */
     private boolean resumable = true;
 
-    /** What an event of a run is to the caller. */
+    /** Relation of an event of a run to the events that the caller has. */
     enum EventOrder {
-        /** The event follows those that the caller has. */
+        /** The event directly follows the caller's last event. */
         NEXT,
-        /** The caller has the event. */
+        /** The caller already has the event. */
         REPEATED,
-        /** Events between are missing. */
+        /** Events between the caller's last event and this one are missing. */
         GAP,
-        /** Whether the caller has the event cannot be told. */
+        /** It cannot be determined whether the caller already has the event. */
         UNPLACED
     }
 
-    /** Returns the id of the last event that the caller has, empty if no other run can go on after what it has. */
+    /** Returns the id of the event after which another run can resume, empty if no run can. */
     Optional<Long> resumeAfter() {
         return resumable && lastEvent != NONE ? Optional.of(lastEvent) : Optional.empty();
     }
 
-    /** Begins a run that was asked to go on after an event. */
+    /** Starts a run that was asked to resume after an event. */
     Run startRun(Optional<Long> after) {
         after.filter(event -> event > lastEvent).ifPresent(event -> lastEvent = event);
         return new Run();
@@ -80,17 +80,19 @@
         }
 
         /**
-         * Decides whether an answer that is complete by its framing is the complete stream.
+         * Checks whether a response that is complete by its framing is also the complete stream.
          *
-         * @param hasPartialEvent whether the answer ended within an event
-         * @param selfDelimited whether its framing told its end, so that it does not end with its connection
-         * @return why the stream is not complete, empty if it is
+         * @param hasPartialEvent whether the response ended within an event
+         * @param selfDelimited whether its framing marks its end, so that it is not delimited by the close of the
+         *     connection
+         * @return why the stream is incomplete, empty if it is complete
          */
         Optional<AttemptResult.BrokenCause> findCompletionFault(boolean hasPartialEvent, boolean selfDelimited) {
             if (hasPartialEvent) {
                 return Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT);
             }
-            // A resumption without any event had only its end left to send; a closed connection may also be a crash.
+            // A resumed run without any event had only its end left to send. A closed connection may also be a
+            // crash.
             boolean caughtUp = lastRunEvent == NONE && selfDelimited || lastRunEvent >= lastEvent;
             return placeable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StrictRequestDecoder.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StrictRequestDecoder.java
@@ -3,7 +3,10 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
-/** Reads requests and refuses those that give their length twice, which others could read differently. */
+/**
+ * Decodes requests and rejects those with both Content-Length and Transfer-Encoding, which other servers could
+ * interpret differently (request smuggling).
+ */
 final class StrictRequestDecoder extends HttpRequestDecoder {
     StrictRequestDecoder(int lineLimitBytes, int headerLimitBytes, int maximumChunkBytes) {
         super(lineLimitBytes, headerLimitBytes, maximumChunkBytes);
@@ -11,6 +14,6 @@
 
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("both a length and chunks");
+        throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are present");
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/package-info.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/package-info.java
@@ -1,2 +1,2 @@
-/** Connections to callers and endpoints; may change at any time. */
+/** Connections to callers and endpoints; not part of the API of this module. */
 package org.banyanstair.forwarder.internal;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/package-info.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/package-info.java
@@ -1,2 +1,2 @@
-/** Passes requests of callers on to endpoints over HTTP: the shell around the reducer of the core. */
+/** Forwards requests of callers to endpoints over HTTP: performs the I/O around the reducer of the core. */
 package org.banyanstair.forwarder;
