--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -16,7 +16,7 @@
 import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.EndpointCondition;
 import org.banyanstair.forwarding.ForwardingStatus;
-import org.banyanstair.metrics.LabelledName;
+import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.metrics.PrometheusText;
 
 /** Metrics of the forwarding daemon. Latencies are in seconds. Not thread-safe. */
@@ -33,19 +33,19 @@
 
     private Timer timer(String name, String... labels) {
         return registry.timer(
-                LabelledName.of(PREFIX + name, labels),
+                LabelledMetricName.of(PREFIX + name, labels),
                 () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
     }
 
     /** Counts a decision by its kind. */
     public void countDecision(String kind) {
-        registry.counter(LabelledName.of(PREFIX + "decisions_total", "kind", kind))
+        registry.counter(LabelledMetricName.of(PREFIX + "decisions_total", "kind", kind))
                 .inc();
     }
 
     /** Counts an invalid response of an endpoint by its fault. */
     public void countRejectedResponse(ResponseFault fault) {
-        registry.counter(LabelledName.of(PREFIX + "rejected_answers_total", "fault", fault.label()))
+        registry.counter(LabelledMetricName.of(PREFIX + "rejected_answers_total", "fault", fault.label()))
                 .inc();
     }
 
@@ -113,19 +113,19 @@
         registerGauge("commanded_runners", () -> snapshot.commandedRunners());
         registerGauge("live_peers", () -> snapshot.livePeers());
         for (EndpointCondition condition : EndpointCondition.values()) {
-            registerGauge(LabelledName.of("endpoints", "condition", lowerCase(condition)), () -> snapshot.endpoints()
+            registerGauge(LabelledMetricName.of("endpoints", "condition", lowerCase(condition)), () -> snapshot.endpoints()
                     .getOrDefault(condition, 0L));
         }
         for (Topic topic : Topic.values()) {
             String name = lowerCase(topic);
             registerGauge(
-                    LabelledName.of("topic_available", "topic", name),
+                    LabelledMetricName.of("topic_available", "topic", name),
                     () -> snapshot.topics().get(topic).available() ? 1 : 0);
             registerGauge(
-                    LabelledName.of("topic_age_seconds", "topic", name),
+                    LabelledMetricName.of("topic_age_seconds", "topic", name),
                     () -> snapshot.topics().get(topic).age().toMillis() / 1000.0);
             registerGauge(
-                    LabelledName.of("topic_end", "topic", name),
+                    LabelledMetricName.of("topic_end", "topic", name),
                     () -> snapshot.topics().get(topic).end());
         }
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ServerParts.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ComponentFactory.java
@@ -9,7 +9,7 @@
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
-import org.banyanstair.external.http.EngineClientLimits;
+import org.banyanstair.external.http.EngineClientTimeouts;
 import org.banyanstair.external.http.HttpEngineClient;
 import org.banyanstair.external.http.HttpHostListSource;
 import org.banyanstair.external.http.HttpLogService;
@@ -23,8 +23,8 @@
 import org.banyanstair.server.http.HttpListenerOptions;
 import org.banyanstair.server.http.caller.CallerHttpServer;
 import org.banyanstair.server.http.caller.CallerKeys;
-import org.banyanstair.server.http.caller.DeadlineRule;
-import org.banyanstair.server.http.metrics.BurnRecorder;
+import org.banyanstair.server.http.caller.DeadlinePolicy;
+import org.banyanstair.server.http.metrics.BurnRateRecorder;
 import org.banyanstair.server.http.metrics.RequestRecorder;
 import org.banyanstair.server.http.operator.OperatorHttpServer;
 import org.banyanstair.server.http.operator.OperatorKeys;
@@ -34,12 +34,12 @@
 import org.banyanstair.transport.PeerTransportSettings;
 
 /** Creates the parts of the daemon from its settings. */
-final class ServerParts {
+final class ComponentFactory {
     private final DaemonSettings settings;
     private final HostIdentity identity;
     private final Clock clock;
 
-    ServerParts(DaemonSettings settings, HostIdentity identity, Clock clock) {
+    ComponentFactory(DaemonSettings settings, HostIdentity identity, Clock clock) {
         this.settings = settings;
         this.identity = identity;
         this.clock = clock;
@@ -58,8 +58,8 @@
     }
 
     HttpEngineClient engines() {
-        EngineClientLimits defaults = EngineClientLimits.DEFAULT;
-        return new HttpEngineClient(new EngineClientLimits(
+        EngineClientTimeouts defaults = EngineClientTimeouts.DEFAULT;
+        return new HttpEngineClient(new EngineClientTimeouts(
                 defaults.connect(),
                 defaults.order(),
                 defaults.status(),
@@ -68,7 +68,7 @@
 
     HttpPlainServiceClient services() {
         return new HttpPlainServiceClient(
-                EngineClientLimits.DEFAULT.connect(), settings.limits().maximumBodyBytes());
+                EngineClientTimeouts.DEFAULT.connect(), settings.limits().maximumBodyBytes());
     }
 
     ReducerSettings reducerSettings() {
@@ -124,13 +124,13 @@
                 new CallerKeys(keys),
                 service,
                 recorder,
-                new DeadlineRule(
+                new DeadlinePolicy(
                         clock,
                         Duration.ofMillis(settings.limits().defaultDeadlineMilliseconds()),
                         Duration.ofMillis(settings.limits().maximumDeadlineMilliseconds())));
     }
 
-    OperatorHttpServer operatorServer(HostService service, BurnRecorder burn, MetricRegistry registry) {
+    OperatorHttpServer operatorServer(HostService service, BurnRateRecorder burn, MetricRegistry registry) {
         Map<String, List<BearerKey>> keys = new LinkedHashMap<>();
         settings.operators().forEach((operator, key) -> keys.put(operator, List.of(key)));
         return new OperatorHttpServer(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -20,7 +20,7 @@
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.HostReducer;
 import org.banyanstair.server.http.caller.CallerHttpServer;
-import org.banyanstair.server.http.metrics.BurnRecorder;
+import org.banyanstair.server.http.metrics.BurnRateRecorder;
 import org.banyanstair.server.http.metrics.RequestMetrics;
 import org.banyanstair.server.http.metrics.RequestRecorder;
 import org.banyanstair.server.http.operator.OperatorHttpServer;
@@ -43,7 +43,7 @@
     private final HttpEngineClient engines;
     private final HttpPlainServiceClient services;
     private final EventLoop loop;
-    private final LogFollowers followers;
+    private final LogTailer followers;
     private final HostListPoller hostListPoller;
     private final NettyPeerTransport peers;
     private final HostService service;
@@ -59,14 +59,14 @@
         this.settings = settings;
         Instant startedAt = clock.instant();
         this.identity = new HostIdentity(settings.host().id(), startedAt.toEpochMilli());
-        ServerParts parts = new ServerParts(settings, identity, clock);
+        ComponentFactory parts = new ComponentFactory(settings, identity, clock);
         this.log = parts.log();
         this.hostList = parts.hostList();
         this.engines = parts.engines();
         this.services = parts.services();
         HostReducer reducer = new HostReducer(identity, parts.reducerSettings(), startedAt);
-        EffectRunner effects = new EffectRunner(clock, event -> submit(event));
-        GenerationRunner generations = new GenerationRunner(engines, event -> submit(event));
+        EffectDispatcher effects = new EffectDispatcher(clock, event -> submit(event));
+        GenerationExecutor generations = new GenerationExecutor(engines, event -> submit(event));
         this.service = new HostService(
                 identity.host(),
                 Duration.ofMillis(settings.limits().entryAddressKeepMilliseconds()),
@@ -74,7 +74,7 @@
                 generations,
                 event -> submit(event));
         this.loop = new EventLoop(reducer, clock, effects, service::publish);
-        this.followers = new LogFollowers(log, clock, timer, loop::submit);
+        this.followers = new LogTailer(log, clock, timer, loop::submit);
         this.hostListPoller = new HostListPoller(
                 hostList, Duration.ofMillis(settings.timing().hostListPollMilliseconds()), timer, loop::submitReading);
         this.peers = parts.peers(hostListPoller::peerAddress, peerListener());
@@ -82,7 +82,7 @@
         MetricRegistry registry = new MetricRegistry();
         new TransportMetrics(registry, peers::counters).register();
         RequestMetrics metrics = new RequestMetrics(registry);
-        BurnRecorder burn = new BurnRecorder(identity.host(), clock, service::configuration);
+        BurnRateRecorder burn = new BurnRateRecorder(identity.host(), clock, service::configuration);
         RequestRecorder recorder = new RequestRecorder(identity.host(), metrics, burn);
         this.callerServer = parts.callerServer(service, recorder);
         this.operatorServer = parts.operatorServer(service, burn, registry);
@@ -92,14 +92,14 @@
         loop.submit(event);
     }
 
-    private void wire(EffectRunner effects, GenerationRunner generations) {
+    private void wire(EffectDispatcher effects, GenerationExecutor generations) {
         effects.usePeers(peers);
         effects.useLog(log, followers);
         effects.useEngines(engines);
         effects.useServices(services);
         effects.useGenerations(generations);
         service.answerThrough(effects);
-        effects.on(Effect.Report.class, new NoticeLog(identity.host())::write);
+        effects.on(Effect.Report.class, new NoticeLogger(identity.host())::write);
         effects.on(Effect.BeginDrain.class, effect -> stopRequested.countDown());
     }
 
@@ -183,7 +183,7 @@
     }
 
     private boolean isDrained(Instant addressesExpired) {
-        HostView view = service.view();
+        HostSnapshot view = service.view();
         boolean alone = view.usable().isEmpty();
         boolean handedOver = !view.ownsPools() || alone;
         return view.draining()
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectDispatcher.java
@@ -20,7 +20,7 @@
 import org.banyanstair.transport.PeerTransport;
 
 /** Carries out the effects of the reducer; results come back as events. Called by the event loop only. */
-final class EffectRunner implements Consumer<Effect> {
+final class EffectDispatcher implements Consumer<Effect> {
     private final Map<Class<? extends Effect>, Consumer<Effect>> handlers = new HashMap<>();
     private final Consumer<Function<Instant, Event>> events;
     private final InstantSource clock;
@@ -31,7 +31,7 @@
      * @param clock gives the instants at which orders are sent
      * @param events takes the results
      */
-    EffectRunner(InstantSource clock, Consumer<Function<Instant, Event>> events) {
+    EffectDispatcher(InstantSource clock, Consumer<Function<Instant, Event>> events) {
         this.clock = clock;
         this.events = events;
     }
@@ -51,7 +51,7 @@
         on(Effect.UnwatchPeer.class, effect -> peers.unwatch(effect.peer()));
     }
 
-    void useLog(LogService log, LogFollowers followers) {
+    void useLog(LogService log, LogTailer followers) {
         on(Effect.FollowStream.class, effect -> followers.follow(effect.stream(), effect.fromOffset()));
         on(Effect.UnfollowStream.class, effect -> followers.unfollow(effect.stream()));
         on(Effect.AppendToLog.class, effect -> append(log, effect));
@@ -59,7 +59,7 @@
 
     private void append(LogService log, Effect.AppendToLog effect) {
         List<byte[]> payloads =
-                effect.entries().stream().map(EntryCodec::encode).toList();
+                effect.entries().stream().map(LogEntryCodec::encode).toList();
         log.append(effect.stream(), payloads).thenAccept(result -> {
             if (result instanceof AppendResult.Rejected rejected) {
                 events.accept(at -> new Event.AppendRejected(at, effect.appendId(), rejected.failure()));
@@ -117,7 +117,7 @@
                 .thenAccept(result -> events.accept(at -> new Event.DispatchEnded(at, effect.dispatchId(), result))));
     }
 
-    void useGenerations(GenerationRunner generations) {
+    void useGenerations(GenerationExecutor generations) {
         on(
                 Effect.StartAttempt.class,
                 effect -> generations.start(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationRunner.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
@@ -31,14 +31,14 @@
  * <p>Tokens do not pass through the reducer. A stream that breaks is first resumed on the same engine, for which the
  * permit still holds; only then the attempt is reported as broken. Safe for use by several threads.
  */
-final class GenerationRunner {
+final class GenerationExecutor {
     private static final int RESUMES_PER_ATTEMPT = 2;
 
     private final EngineClient engines;
     private final Consumer<Function<Instant, Event>> events;
     private final Map<RequestId, RunningGeneration> generations = new ConcurrentHashMap<>();
 
-    GenerationRunner(EngineClient engines, Consumer<Function<Instant, Event>> events) {
+    GenerationExecutor(EngineClient engines, Consumer<Function<Instant, Event>> events) {
         this.engines = engines;
         this.events = events;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -45,9 +45,9 @@
     private final HostId self;
     private final Duration addressKeep;
     private final InstantSource clock;
-    private final GenerationRunner generations;
+    private final GenerationExecutor generations;
     private final Consumer<Function<Instant, Event>> events;
-    private final AtomicReference<HostView> view;
+    private final AtomicReference<HostSnapshot> view;
     private final AtomicLong queries = new AtomicLong();
     private final Map<RequestId, CompletableFuture<CallAnswer>> calls = new ConcurrentHashMap<>();
     private final Map<String, CompletableFuture<ChangeVerdict>> changes = new ConcurrentHashMap<>();
@@ -60,19 +60,19 @@
             HostId self,
             Duration addressKeep,
             InstantSource clock,
-            GenerationRunner generations,
+            GenerationExecutor generations,
             Consumer<Function<Instant, Event>> events) {
         this.self = self;
         this.addressKeep = addressKeep;
         this.clock = clock;
         this.generations = generations;
         this.events = events;
-        this.view = new AtomicReference<>(new HostView(
+        this.view = new AtomicReference<>(new HostSnapshot(
                 Optional.of(new Failure.NotReady(self)), Configuration.INITIAL, List.of(), List.of(), false, 0, false));
     }
 
     /** Registers the effects that answer callers and operators. */
-    void answerThrough(EffectRunner effects) {
+    void answerThrough(EffectDispatcher effects) {
         effects.on(Effect.AnswerCall.class, effect -> Optional.ofNullable(calls.remove(effect.request()))
                 .ifPresent(answer -> answer.complete(effect.answer())));
         effects.on(Effect.AnswerChange.class, effect -> Optional.ofNullable(changes.remove(effect.changeId()))
@@ -95,13 +95,13 @@
         view.set(viewOf(reducer));
     }
 
-    private HostView viewOf(HostReducer reducer) {
+    private HostSnapshot viewOf(HostReducer reducer) {
         Membership membership = reducer.membership();
         List<EntryHost> listed = membership.listing().hosts();
         List<EntryHost> usable = listed.stream()
                 .filter(host -> membership.isAvailable(host.id()))
                 .toList();
-        return new HostView(
+        return new HostSnapshot(
                 reducer.isReady() ? Optional.empty() : Optional.of(new Failure.NotReady(self)),
                 reducer.configuration().current(),
                 listed,
@@ -111,7 +111,7 @@
                 !reducer.ownsNoPool());
     }
 
-    HostView view() {
+    HostSnapshot view() {
         return view.get();
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostView.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostSnapshot.java
@@ -18,7 +18,7 @@
  * @param inFlight what has to end before this host may stop
  * @param ownsPools whether this host decides for any pool
  */
-record HostView(
+record HostSnapshot(
         Optional<Failure> unreadiness,
         Configuration configuration,
         List<EntryHost> listed,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EntryCodec.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogEntryCodec.java
@@ -18,14 +18,14 @@
 import org.banyanstair.reducer.StreamEntry;
 
 /** Encodes and decodes the values of the log streams. */
-final class EntryCodec {
+final class LogEntryCodec {
     private static final Map<String, Class<? extends LogEntry>> TYPES = Map.of(
             LogStreams.CONFIGURATION, ConfigurationChange.class,
             LogStreams.CHECKPOINTS, CheckpointPart.class,
             LogStreams.OWNERSHIP, OwnershipRecord.class,
             LogStreams.SUSPECTS, SuspectRecord.class);
 
-    private EntryCodec() {}
+    private LogEntryCodec() {}
 
     static byte[] encode(LogEntry entry) {
         try {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogFollowers.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogTailer.java
@@ -18,7 +18,7 @@
 import org.banyanstair.reducer.StreamEntry;
 
 /** Reads log streams continuously and turns what comes into events. Safe for use by several threads. */
-final class LogFollowers {
+final class LogTailer {
     private static final int RECORDS_PER_READ = 500;
 
     /**
@@ -38,7 +38,7 @@
     private final Consumer<Function<Instant, Event>> events;
     private final Map<String, Object> followed = new ConcurrentHashMap<>();
 
-    LogFollowers(
+    LogTailer(
             LogService log,
             InstantSource clock,
             ScheduledExecutorService timer,
@@ -82,7 +82,7 @@
         }
         if (result instanceof ReadResult.Records records) {
             List<StreamEntry> entries = records.records().stream()
-                    .map(record -> EntryCodec.decode(stream, record))
+                    .map(record -> LogEntryCodec.decode(stream, record))
                     .toList();
             events.accept(at -> new Event.StreamRead(at, stream, records.next(), records.end(), entries));
             read(stream, token, records.next(), records.next() >= records.end());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/NoticeLog.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/NoticeLogger.java
@@ -6,10 +6,10 @@
 import org.tinylog.Logger;
 
 /** Writes what the reducer reports to the log of the daemon, one line an event. */
-final class NoticeLog {
+final class NoticeLogger {
     private final HostId host;
 
-    NoticeLog(HostId host) {
+    NoticeLogger(HostId host) {
         this.host = host;
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/KeyRing.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
@@ -16,7 +16,7 @@
  *
  * @param <H> type of the holders
  */
-public final class KeyRing<H> {
+public final class BearerAuthenticator<H> {
     private static final String SCHEME = "Bearer ";
 
     private final List<Entry<H>> entries;
@@ -29,7 +29,7 @@
      * @param keys keys by holder
      * @throws FailureException with {@link Failure.InvalidField} if two holders have the same key
      */
-    public KeyRing(Map<H, List<BearerKey>> keys) {
+    public BearerAuthenticator(Map<H, List<BearerKey>> keys) {
         entries = keys.entrySet().stream()
                 .flatMap(holder -> holder.getValue().stream().map(key -> new Entry<>(holder.getKey(), key.digest())))
                 .toList();
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BodyAggregator.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BodyAggregator.java
@@ -16,6 +16,6 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-        RawResponse.sendAndClose(context, new Failure.BodyTooLarge(limitBytes));
+        DirectErrorResponse.sendAndClose(context, new Failure.BodyTooLarge(limitBytes));
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
@@ -68,7 +68,7 @@
             if (request.decoderResult().isFailure()) {
                 Failure failure = new Failure.InvalidField(
                         "request head", "well-formed and at most " + HttpListenerOptions.HEADER_LIMIT_BYTES + " bytes");
-                RawResponse.sendAndClose(context, failure);
+                DirectErrorResponse.sendAndClose(context, failure);
                 return;
             }
             current = new IncomingRequest(context.channel(), request);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/RawResponse.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/DirectErrorResponse.java
@@ -11,8 +11,8 @@
 import org.banyanstair.errors.Failure;
 
 /** Answers requests that are refused before they reach a route. */
-final class RawResponse {
-    private RawResponse() {}
+final class DirectErrorResponse {
+    private DirectErrorResponse() {}
 
     static void sendAndClose(ChannelHandlerContext context, Failure failure) {
         ErrorResponse error = ErrorResponse.of(failure);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -11,10 +11,10 @@
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.ServiceId;
+import org.banyanstair.server.http.BearerAuthenticator;
 import org.banyanstair.server.http.Exchange;
 import org.banyanstair.server.http.HttpListener;
 import org.banyanstair.server.http.HttpListenerOptions;
-import org.banyanstair.server.http.KeyRing;
 import org.banyanstair.server.http.metrics.RequestRecorder;
 import org.banyanstair.server.service.CallerService;
 import org.banyanstair.server.service.EntryAddresses;
@@ -28,8 +28,8 @@
 public final class CallerHttpServer {
     private final CallerService service;
     private final RequestRecorder recorder;
-    private final KeyRing<CallerId> keys;
-    private final RequestIds ids;
+    private final BearerAuthenticator<CallerId> keys;
+    private final RequestIdGenerator ids;
     private final HttpListener listener;
     /** Lists of models can be large, and writing one on an event loop would delay the streams on it. */
     private final ExecutorService modelWriter = Executors.newSingleThreadExecutor(task -> {
@@ -54,11 +54,11 @@
             CallerKeys callerKeys,
             CallerService service,
             RequestRecorder recorder,
-            DeadlineRule deadlines) {
+            DeadlinePolicy deadlines) {
         this.service = service;
         this.recorder = recorder;
-        keys = new KeyRing<>(callerKeys.keys());
-        ids = new RequestIds(identity);
+        keys = new BearerAuthenticator<>(callerKeys.keys());
+        ids = new RequestIdGenerator(identity);
         listener = new HttpListener("callers", options).healthRoutes(service::unreadiness);
         recorder.metrics().gaugeInFlight(listener::inFlight);
         GenerationRoute generation = new GenerationRoute(service, deadlines);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -13,8 +13,8 @@
 import org.banyanstair.server.http.ErrorResponse;
 import org.banyanstair.server.http.Exchange;
 import org.banyanstair.server.http.FailureStatus;
-import org.banyanstair.server.http.metrics.EndedRequest;
 import org.banyanstair.server.http.metrics.RequestRecorder;
+import org.banyanstair.server.http.metrics.RequestSummary;
 
 /**
  * One request of a caller with what is known about it so far; records its end exactly once.
@@ -94,12 +94,12 @@
     /** Answers with a whole response. */
     void answer(int status, Optional<String> contentType, byte[] body) {
         exchange.respond(status, contentType, body);
-        end(status, status >= 500 ? EndedRequest.SERVICE_ERROR : EndedRequest.OK);
+        end(status, status >= 500 ? RequestSummary.SERVICE_ERROR : RequestSummary.OK);
     }
 
     /** Records that the answer has been handed to the connection. */
     void succeeded() {
-        end(200, EndedRequest.OK);
+        end(200, RequestSummary.OK);
     }
 
     /** Refuses a request that was not handed over. */
@@ -124,7 +124,7 @@
         if (ended.compareAndSet(false, true)) {
             Duration duration = Duration.ofNanos(System.nanoTime() - arrivedNanos);
             Optional<String> model = adapter.map(AdapterVersion::engineName);
-            recorder.ended(new EndedRequest(
+            recorder.ended(new RequestSummary(
                     id,
                     caller,
                     service,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerAssembler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkAssembler.java
@@ -17,7 +17,7 @@
  * <p>Texts are concatenated, lists whose elements have an {@code index} are merged by it, other lists are appended, and
  * everything else is replaced by the latest value.
  */
-final class AnswerAssembler {
+final class ChunkAssembler {
     /** Texts that engines send whole, possibly more than once. */
     private static final Set<String> WHOLE_TEXTS =
             Set.of("role", "id", "type", "name", "finish_reason", "stop_reason", "system_fingerprint", "service_tier");
@@ -27,7 +27,7 @@
     private final boolean chat;
     private final Map<String, Object> merged = new LinkedHashMap<>();
 
-    AnswerAssembler(String id, String model, boolean chat) {
+    ChunkAssembler(String id, String model, boolean chat) {
         this.id = id;
         this.model = model;
         this.chat = chat;
@@ -134,7 +134,7 @@
         message.put("role", "assistant");
         message.put("content", null);
         if (parts.get("delta") instanceof LinkedHashMap) {
-            message.putAll(AnswerAssembler.<Map<String, Object>>cast(parts.get("delta")));
+            message.putAll(ChunkAssembler.<Map<String, Object>>cast(parts.get("delta")));
         }
         if (message.get("tool_calls") instanceof TreeMap) {
             TreeMap<Integer, Map<String, Object>> calls = cast(message.get("tool_calls"));
@@ -148,7 +148,7 @@
     private static Object plain(Object value) {
         if (value instanceof TreeMap) {
             TreeMap<Integer, Object> elements = cast(value);
-            return elements.values().stream().map(AnswerAssembler::plain).toList();
+            return elements.values().stream().map(ChunkAssembler::plain).toList();
         }
         if (value instanceof List<?> list) {
             List<Object> result = new ArrayList<>(list.size());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
@@ -8,10 +8,10 @@
 import org.banyanstair.server.http.Exchange;
 
 /** Collects the tokens into one answer. */
-final class CollectingSink extends AnswerSink {
-    private final AnswerAssembler assembler;
+final class CollectingSink extends ResponseSink {
+    private final ChunkAssembler assembler;
 
-    CollectingSink(CallerRequest request, AnswerAssembler assembler) {
+    CollectingSink(CallerRequest request, ChunkAssembler assembler) {
         super(request);
         this.assembler = assembler;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlineRule.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
@@ -14,7 +14,7 @@
  * @param defaultWait time until the deadline of a request that names none
  * @param longestWait longest accepted time until a deadline; the retention of the log streams is chosen for it
  */
-public record DeadlineRule(Clock clock, Duration defaultWait, Duration longestWait) {
+public record DeadlinePolicy(Clock clock, Duration defaultWait, Duration longestWait) {
     /**
      * Returns the deadline of a request that names none.
      *
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
@@ -25,9 +25,9 @@
     private static final int FINGERPRINT_CHARACTERS = 32;
 
     private final CallerService service;
-    private final DeadlineRule deadlines;
+    private final DeadlinePolicy deadlines;
 
-    GenerationRoute(CallerService service, DeadlineRule deadlines) {
+    GenerationRoute(CallerService service, DeadlinePolicy deadlines) {
         this.service = service;
         this.deadlines = deadlines;
     }
@@ -68,12 +68,12 @@
         return new FailureException(new Failure.UnknownModel(model.service() + "/" + model.adapter() + version));
     }
 
-    private static AnswerSink sink(CallerRequest request, AdapterVersion adapter, GenerationBody body) {
+    private static ResponseSink sink(CallerRequest request, AdapterVersion adapter, GenerationBody body) {
         String id = (body.isChat() ? "chatcmpl-" : "cmpl-") + request.id();
         String model = adapter.engineName();
         return body.isStreaming()
                 ? new StreamingSink(request, new ChunkRewriter(id, model, body.includesUsage()))
-                : new CollectingSink(request, new AnswerAssembler(id, model, body.isChat()));
+                : new CollectingSink(request, new ChunkAssembler(id, model, body.isChat()));
     }
 
     private static Fingerprint fingerprint(CallerId caller, AdapterVersion adapter, byte[] body) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
@@ -23,9 +23,9 @@
 /** Passes calls through to plain services. */
 final class PlainCallRoute {
     private final CallerService service;
-    private final DeadlineRule deadlines;
+    private final DeadlinePolicy deadlines;
 
-    PlainCallRoute(CallerService service, DeadlineRule deadlines) {
+    PlainCallRoute(CallerService service, DeadlinePolicy deadlines) {
         this.service = service;
         this.deadlines = deadlines;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
@@ -17,7 +17,7 @@
 
     private RequestHeaders() {}
 
-    static Instant deadline(Exchange exchange, DeadlineRule rule) {
+    static Instant deadline(Exchange exchange, DeadlinePolicy rule) {
         return exchange.header(DEADLINE).map(text -> rule.check(parse(text))).orElseGet(rule::byDefault);
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestIds.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestIdGenerator.java
@@ -7,14 +7,14 @@
 import org.banyanstair.model.RequestId;
 
 /** Assigns request ids from host, incarnation and a counter, which makes them unique over hosts and restarts. */
-final class RequestIds {
+final class RequestIdGenerator {
     /** Leaves room for two numbers within the 80 characters of a request id. */
     private static final int HOST_CHARACTERS = 48;
 
     private final String prefix;
     private final AtomicLong counter = new AtomicLong();
 
-    RequestIds(HostIdentity identity) {
+    RequestIdGenerator(HostIdentity identity) {
         String host = identity.host().value();
         String name = host.length() <= HOST_CHARACTERS ? host : DigestUtils.md5Hex(host);
         prefix = name + "-" + Long.toUnsignedString(identity.incarnation(), Character.MAX_RADIX) + "-";
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/AnswerSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ResponseSink.java
@@ -8,11 +8,11 @@
 import org.tinylog.Logger;
 
 /** Common part of the sinks: counts tokens, guards against unreadable chunks and ignores what comes after the end. */
-abstract class AnswerSink implements GenerationSink {
+abstract class ResponseSink implements GenerationSink {
     private final CallerRequest request;
     private boolean tokensArrived;
 
-    AnswerSink(CallerRequest request) {
+    ResponseSink(CallerRequest request) {
         this.request = request;
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
@@ -14,7 +14,7 @@
  *
  * <p>The response begins with the first event, so that a failure before it still gets its own status.
  */
-final class StreamingSink extends AnswerSink {
+final class StreamingSink extends ResponseSink {
     private static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
 
     private final ChunkRewriter rewriter;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
@@ -18,7 +18,7 @@
 import org.banyanstair.server.http.FailureStatus;
 
 /** Counts good and failed requests per service and minute. Safe for use by several threads. */
-public final class BurnRecorder {
+public final class BurnRateRecorder {
     /** Lengths of the windows that are reported, in minutes. */
     public static final List<Integer> WINDOWS_MINUTES = List.of(5, 60, 360);
 
@@ -37,27 +37,27 @@
      * @param clock tells the minute
      * @param configuration configuration in force, with the services to report and their objectives
      */
-    public BurnRecorder(HostId host, Clock clock, Supplier<Configuration> configuration) {
+    public BurnRateRecorder(HostId host, Clock clock, Supplier<Configuration> configuration) {
         this.host = host;
         this.clock = clock;
         this.configuration = configuration;
     }
 
-    void ended(EndedRequest request) {
+    void ended(RequestSummary request) {
         request.service().filter(service -> isCounted(request, service)).ifPresent(service -> services.computeIfAbsent(
                         service.id(), id -> new MinuteBuckets())
                 .add(minute(), request.succeeded() && isTimely(request, service), request));
     }
 
     /** A caller that gives up counts against the service only if it has waited longer than the objective allows. */
-    private static boolean isCounted(EndedRequest request, ServiceDeclaration service) {
+    private static boolean isCounted(RequestSummary request, ServiceDeclaration service) {
         if (request.status() == FailureStatus.CALLER_GONE) {
             return !isTimely(request, service);
         }
         return !NOT_COUNTED.contains(request.status());
     }
 
-    private static boolean isTimely(EndedRequest request, ServiceDeclaration service) {
+    private static boolean isTimely(RequestSummary request, ServiceDeclaration service) {
         Duration latency = request.untilFirstToken().orElse(request.duration());
         return latency.compareTo(Duration.ofMillis(service.objective().latencyMilliseconds())) <= 0;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
@@ -10,14 +10,14 @@
 
 /** Counts of one service by minute, for the longest window. */
 final class MinuteBuckets {
-    private static final int KEPT_MINUTES = BurnRecorder.WINDOWS_MINUTES.stream()
+    private static final int KEPT_MINUTES = BurnRateRecorder.WINDOWS_MINUTES.stream()
             .mapToInt(Integer::intValue)
             .max()
             .orElseThrow();
 
     private final Deque<Bucket> buckets = new ArrayDeque<>();
 
-    synchronized void add(long minute, boolean good, EndedRequest request) {
+    synchronized void add(long minute, boolean good, RequestSummary request) {
         while (!buckets.isEmpty() && buckets.getFirst().minute <= minute - KEPT_MINUTES) {
             buckets.removeFirst();
         }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
@@ -9,7 +9,7 @@
 import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
-import org.banyanstair.metrics.LabelledName;
+import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.model.ServiceId;
 
 /** Counters and timers of caller requests, per service and outcome. Safe for use by several threads. */
@@ -62,11 +62,11 @@
                 .update(sincePrevious);
     }
 
-    void ended(EndedRequest request) {
+    void ended(RequestSummary request) {
         String service =
                 request.service().map(declared -> declared.id().value()).orElse(NO_SERVICE);
         String[] labels = {"service", service, "code", request.code()};
-        registry.counter(LabelledName.of("banyanstair_requests", labels)).inc();
+        registry.counter(LabelledMetricName.of("banyanstair_requests", labels)).inc();
         timer("banyanstair_request_time", labels).update(request.duration());
         if (request.untilFirstToken().isPresent()) {
             timer("banyanstair_load_stall", "service", service).update(request.loadStall());
@@ -79,7 +79,7 @@
 
     private Timer timer(String name, String... labels) {
         return registry.timer(
-                LabelledName.of(name, labels),
+                LabelledMetricName.of(name, labels),
                 () -> new Timer(LockFreeExponentiallyDecayingReservoir.builder().build()));
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
@@ -7,7 +7,7 @@
 public final class RequestRecorder {
     private final HostId host;
     private final RequestMetrics metrics;
-    private final BurnRecorder burn;
+    private final BurnRateRecorder burn;
 
     /**
      * Creates the recorder.
@@ -16,7 +16,7 @@
      * @param metrics metrics to update
      * @param burn burn samples to update
      */
-    public RequestRecorder(HostId host, RequestMetrics metrics, BurnRecorder burn) {
+    public RequestRecorder(HostId host, RequestMetrics metrics, BurnRateRecorder burn) {
         this.host = host;
         this.metrics = metrics;
         this.burn = burn;
@@ -36,7 +36,7 @@
      *
      * @param request the request
      */
-    public void ended(EndedRequest request) {
+    public void ended(RequestSummary request) {
         metrics.ended(request);
         burn.ended(request);
         Logger.info(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/EndedRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestSummary.java
@@ -21,7 +21,7 @@
  * @param untilFirstToken time to the first token, empty if there was none
  * @param loadStall time that the request waited for its adapter to load
  */
-public record EndedRequest(
+public record RequestSummary(
         RequestId id,
         Optional<CallerId> caller,
         Optional<ServiceDeclaration> service,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/ChangeBody.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/ConfigurationChangeParser.java
@@ -13,11 +13,11 @@
 import org.banyanstair.server.http.JsonBody;
 
 /** Reads configuration changes. */
-final class ChangeBody {
+final class ConfigurationChangeParser {
     /** The id is also a path segment of the interface. */
     private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9._-]{1,80}");
 
-    private ChangeBody() {}
+    private ConfigurationChangeParser() {}
 
     /**
      * Parses a change and sets its author.
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -16,11 +16,11 @@
 import org.banyanstair.errors.FailureException;
 import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.model.HostId;
+import org.banyanstair.server.http.BearerAuthenticator;
 import org.banyanstair.server.http.ErrorResponse;
 import org.banyanstair.server.http.Exchange;
 import org.banyanstair.server.http.HttpListener;
 import org.banyanstair.server.http.HttpListenerOptions;
-import org.banyanstair.server.http.KeyRing;
 import org.banyanstair.server.service.OperatorService;
 import org.tinylog.Logger;
 
@@ -29,7 +29,7 @@
     private static final String API = "/operator/v1";
 
     private final OperatorService service;
-    private final KeyRing<String> keys;
+    private final BearerAuthenticator<String> keys;
     private final HttpListener listener;
 
     /**
@@ -50,7 +50,7 @@
             Supplier<BurnRateSnapshot> burn,
             MetricRegistry registry) {
         this.service = service;
-        keys = new KeyRing<>(operatorKeys.keys());
+        keys = new BearerAuthenticator<>(operatorKeys.keys());
         PrometheusText metrics = new PrometheusText(registry);
         listener = new HttpListener("operators", options).healthRoutes(unreadiness);
         listener.route(
@@ -77,7 +77,7 @@
     }
 
     private void submit(Exchange exchange, String operator) {
-        ConfigurationChange change = ChangeBody.parse(exchange.body(), operator);
+        ConfigurationChange change = ConfigurationChangeParser.parse(exchange.body(), operator);
         whenDone(exchange, service.submit(change), verdict -> {
             Logger.info("change={} operator={} verdict={}", change.changeId(), operator, verdict);
             if (verdict instanceof ChangeVerdict.Refused refused) {
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -109,7 +109,7 @@
     /** Guards against answers that overtake each other when a client sends requests without waiting. */
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.send("GET /echo/a/1 HTTP/1.1\r\nHost: x\r\n\r\nGET /echo/b/2 HTTP/1.1\r\nHost: x\r\n\r\n");
             String answers = client.readUntil("/echo/b/2 b");
             assertTrue(answers.contains("/echo/a/1 a"), answers);
@@ -119,7 +119,7 @@
     /** Guards against work that goes on after the caller has gone while nothing is being written. */
     @Test
     void disconnectIsNoticedBeforeTheResponseBegins() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("POST", "/hang", "", "{}");
             assertFalse(disconnected.await(100, TimeUnit.MILLISECONDS));
         }
@@ -129,7 +129,7 @@
     /** Guards against events that wait in a buffer until the response ends. */
     @Test
     void eventsAreFlushedAtOnce() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("GET", "/stream", "", "");
             assertTrue(streaming.await(5, TimeUnit.SECONDS));
             for (int i = 0; i < 3; i++) {
@@ -144,7 +144,7 @@
     /** Guards against chunk sizes that a caller without chunks takes for a part of the events. */
     @Test
     void eventsForAnOlderVersionAreNotFramed() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.send("GET /stream HTTP/1.0\r\nHost: localhost\r\n\r\n");
             assertTrue(streaming.await(5, TimeUnit.SECONDS));
             stream.get().send("data: 0\n\n".getBytes(StandardCharsets.UTF_8));
@@ -157,7 +157,7 @@
     /** Guards against a reader that stops and makes the host buffer its stream without limit. */
     @Test
     void slowReaderIsCut() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("GET", "/stream", "", "");
             assertTrue(streaming.await(5, TimeUnit.SECONDS));
             byte[] event = new byte[50_000];
@@ -172,7 +172,7 @@
     /** Guards against answers, smaller than the limit of a stream, that are kept for a reader that has stopped. */
     @Test
     void stalledReaderIsCut() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("POST", "/large", "", "");
             assertTrue(disconnected.await(5, TimeUnit.SECONDS));
         }
@@ -181,8 +181,8 @@
     /** Guards against connections held open by senders that never finish a request. */
     @Test
     void slowSenderAndIdleConnectionAreClosed() throws Exception {
-        try (RawClient slow = new RawClient(listener.port());
-                RawClient idle = new RawClient(listener.port())) {
+        try (RawHttpClient slow = new RawHttpClient(listener.port());
+                RawHttpClient idle = new RawHttpClient(listener.port())) {
             slow.send("POST /hang HTTP/1.1\r\nContent-Length: 10\r\n\r\n");
             idle.request("GET", "/echo/a/1", "", "");
             assertEquals("", slow.readAll());
@@ -193,7 +193,7 @@
     /** Guards against a stop that cuts off requests in flight before its deadline, or that waits for ever. */
     @Test
     void stopWaitsForRequestsInFlight() throws Exception {
-        try (RawClient client = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("GET", "/stream", "", "");
             assertTrue(streaming.await(5, TimeUnit.SECONDS));
             assertEquals(1, listener.inFlight());
@@ -205,15 +205,15 @@
             assertTrue(listener.stop(Instant.now().plusSeconds(5)));
             assertTrue(client.readAll().contains("data: last"));
             end.join();
-            assertThrows(java.io.IOException.class, () -> new RawClient(listener.port()));
+            assertThrows(java.io.IOException.class, () -> new RawHttpClient(listener.port()));
         }
     }
 
     /** Guards against a stop that drops a request of which only a part has arrived, and that keeps idle connections. */
     @Test
     void stopServesRequestThatIsArriving() throws Exception {
-        try (RawClient client = new RawClient(listener.port());
-                RawClient idle = new RawClient(listener.port())) {
+        try (RawHttpClient client = new RawHttpClient(listener.port());
+                RawHttpClient idle = new RawHttpClient(listener.port())) {
             idle.request("GET", "/echo/a/1", "", "");
             idle.readUntil("/echo/a/1 a ");
             client.send("POST /echo/a/1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/RawClient.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/RawHttpClient.java
@@ -7,11 +7,11 @@
 import java.nio.charset.StandardCharsets;
 
 /** Client on a plain socket, for tests that need to misbehave. */
-public final class RawClient implements AutoCloseable {
+public final class RawHttpClient implements AutoCloseable {
     private final Socket socket = new Socket();
 
     /** Connects with a small receive buffer, so that a reader that stops is noticed soon. */
-    public RawClient(int port) throws IOException {
+    public RawHttpClient(int port) throws IOException {
         socket.setReceiveBufferSize(4096);
         socket.setSoTimeout(10_000);
         socket.connect(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerServerFixture.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerServerFixture.java
@@ -18,7 +18,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.server.http.BearerKey;
 import org.banyanstair.server.http.HttpListenerOptions;
-import org.banyanstair.server.http.metrics.BurnRecorder;
+import org.banyanstair.server.http.metrics.BurnRateRecorder;
 import org.banyanstair.server.http.metrics.RequestMetrics;
 import org.banyanstair.server.http.metrics.RequestRecorder;
 import org.junit.jupiter.api.AfterEach;
@@ -38,7 +38,7 @@
     void start() {
         HostId host = new HostId("entry-1");
         Clock clock = Clock.fixed(NOW, ZoneOffset.UTC);
-        BurnRecorder burn = new BurnRecorder(host, clock, service::configuration);
+        BurnRateRecorder burn = new BurnRateRecorder(host, clock, service::configuration);
         CallerKeys keys = new CallerKeys(Map.of(
                 FakeCallerService.CLERK, List.of(BearerKey.ofPlain(CLERK_KEY)),
                 FakeCallerService.MEMBER, List.of(BearerKey.ofDigest(DigestUtils.sha256Hex("member-key")))));
@@ -48,7 +48,7 @@
                 keys,
                 service,
                 new RequestRecorder(host, new RequestMetrics(registry), burn),
-                new DeadlineRule(clock, Duration.ofSeconds(60), Duration.ofMinutes(10)));
+                new DeadlinePolicy(clock, Duration.ofSeconds(60), Duration.ofMinutes(10)));
         server.start();
     }
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/DeadlineRuleTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/DeadlinePolicyTest.java
@@ -13,11 +13,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /** Guards against a longest accepted deadline that ignores the settings. */
-class DeadlineRuleTest {
+class DeadlinePolicyTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
 
-    private final DeadlineRule rule =
-            new DeadlineRule(Clock.fixed(NOW, ZoneOffset.UTC), Duration.ofSeconds(2), Duration.ofSeconds(5));
+    private final DeadlinePolicy rule =
+            new DeadlinePolicy(Clock.fixed(NOW, ZoneOffset.UTC), Duration.ofSeconds(2), Duration.ofSeconds(5));
 
     @Test
     void deadlineUpToTheLongestWaitIsAccepted() {
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
@@ -14,7 +14,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.PriorityClass;
-import org.banyanstair.server.http.RawClient;
+import org.banyanstair.server.http.RawHttpClient;
 import org.banyanstair.server.service.Generation;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -162,7 +162,7 @@
     @Test
     void disconnectCancels() throws Exception {
         service.answer = (generation, sink) -> sink.token(0, CHUNK.formatted("a"));
-        try (RawClient client = new RawClient(server.port())) {
+        try (RawHttpClient client = new RawHttpClient(server.port())) {
             client.request("POST", CHAT, AUTHORIZATION, CHAT_BODY.formatted(true));
             client.readUntil("\"content\":\"a\"");
             assertEquals(1, service.cancelled.getCount());
@@ -179,7 +179,7 @@
                 sink.token(i, chunk);
             }
         };
-        try (RawClient client = new RawClient(server.port())) {
+        try (RawHttpClient client = new RawHttpClient(server.port())) {
             client.request("POST", CHAT, AUTHORIZATION, CHAT_BODY.formatted(true));
             assertTrue(service.cancelled.await(5, TimeUnit.SECONDS));
         }
@@ -229,7 +229,7 @@
             }
             sink.completed();
         };
-        try (RawClient client = new RawClient(server.port())) {
+        try (RawHttpClient client = new RawHttpClient(server.port())) {
             client.request("POST", CHAT, AUTHORIZATION, CHAT_BODY.formatted(true));
             long[] latencies = new long[50];
             for (int i = 0; i < WARM_UP + 50; i++) {
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -60,12 +60,12 @@
             return now;
         }
     };
-    private final BurnRecorder burn = new BurnRecorder(new HostId("entry-1"), clock, () -> CONFIGURATION);
+    private final BurnRateRecorder burn = new BurnRateRecorder(new HostId("entry-1"), clock, () -> CONFIGURATION);
     private final RequestRecorder recorder =
             new RequestRecorder(new HostId("entry-1"), new RequestMetrics(registry), burn);
 
     private void end(int status, String code, int milliseconds, Optional<Duration> untilFirstToken) {
-        recorder.ended(new EndedRequest(
+        recorder.ended(new RequestSummary(
                 new RequestId("r"),
                 Optional.of(CLERK),
                 Optional.of(SERVICE),
@@ -84,14 +84,14 @@
     /** Guards against errors of callers or long answers that use up the error budget of a service. */
     @Test
     void burnCountsWhatTheObjectiveCovers() {
-        end(200, EndedRequest.OK, 420, Optional.empty());
-        end(200, EndedRequest.OK, 421, Optional.empty());
-        end(200, EndedRequest.OK, 9_000, Optional.of(Duration.ofMillis(100)));
+        end(200, RequestSummary.OK, 420, Optional.empty());
+        end(200, RequestSummary.OK, 421, Optional.empty());
+        end(200, RequestSummary.OK, 9_000, Optional.of(Duration.ofMillis(100)));
         end(503, "queue_full", 1, Optional.empty());
         List.of(400, 401, 403, 404, 413, 499).forEach(status -> end(status, "caller_error", 1, Optional.empty()));
         end(499, "cancelled", 421, Optional.empty());
         end(499, "cancelled", 421, Optional.of(Duration.ofMillis(420)));
-        end(500, EndedRequest.SERVICE_ERROR, 1, Optional.empty());
+        end(500, RequestSummary.SERVICE_ERROR, 1, Optional.empty());
         assertEquals(6, sample(0).requests());
         assertEquals(2, sample(0).good());
         assertEquals(
@@ -102,14 +102,14 @@
     /** Guards against windows that keep old minutes or lose recent ones. */
     @Test
     void windowsForgetOldMinutes() {
-        end(200, EndedRequest.OK, 1, Optional.empty());
+        end(200, RequestSummary.OK, 1, Optional.empty());
         now = now.plus(Duration.ofMinutes(5));
-        end(200, EndedRequest.OK, 1, Optional.empty());
-        assertEquals(List.of(5, 60, 360), BurnRecorder.WINDOWS_MINUTES);
+        end(200, RequestSummary.OK, 1, Optional.empty());
+        assertEquals(List.of(5, 60, 360), BurnRateRecorder.WINDOWS_MINUTES);
         assertEquals(1, sample(0).requests());
         assertEquals(2, sample(1).requests());
         now = now.plus(Duration.ofMinutes(355));
-        end(200, EndedRequest.OK, 1, Optional.empty());
+        end(200, RequestSummary.OK, 1, Optional.empty());
         assertEquals(2, sample(2).requests());
     }
 
@@ -117,7 +117,7 @@
     @Test
     void metricsCarryLabels() {
         end(429, "queue_full", 10, Optional.empty());
-        end(200, EndedRequest.OK, 10, Optional.empty());
+        end(200, RequestSummary.OK, 10, Optional.empty());
         recorder.metrics().firstToken(SERVICE.id(), Duration.ofMillis(100));
         recorder.metrics().tokenGap(SERVICE.id(), Duration.ofMillis(40));
         recorder.metrics().gaugeInFlight(() -> 7);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/DeadlineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/DeadlineHttpClientTest.java
@@ -18,10 +18,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against calls that outlive their deadline or are sent after it. */
-class DeadlineClientTest {
+class DeadlineHttpClientTest {
     private static final int PLACES = 2;
 
-    private final DeadlineClient client = new DeadlineClient(PLACES);
+    private final DeadlineHttpClient client = new DeadlineHttpClient(PLACES);
     private ServerSocket silent;
 
     @BeforeEach
@@ -38,36 +38,36 @@
     @Test
     void silentServerEndsCallsAtTheirDeadline() throws Exception {
         Instant start = Instant.now();
-        assertInstanceOf(CallResult.NoAnswer.class, call(500).get(2, TimeUnit.SECONDS));
+        assertInstanceOf(HttpCallResult.NoAnswer.class, call(500).get(2, TimeUnit.SECONDS));
         long taken = Duration.between(start, Instant.now()).toMillis();
         assertTrue(taken >= 500 && taken < 1_500, "took " + taken + " ms");
     }
 
     @Test
     void callsWhoseDeadlinePassesInTheQueueAreNeverSent() throws Exception {
-        List<CompletableFuture<CallResult>> running = new ArrayList<>();
-        List<CompletableFuture<CallResult>> waiting = new ArrayList<>();
+        List<CompletableFuture<HttpCallResult>> running = new ArrayList<>();
+        List<CompletableFuture<HttpCallResult>> waiting = new ArrayList<>();
         for (int i = 0; i < PLACES; i++) {
             running.add(call(800));
         }
         for (int i = 0; i < 10; i++) {
             waiting.add(call(200));
         }
-        for (CompletableFuture<CallResult> call : waiting) {
-            assertInstanceOf(CallResult.NotSent.class, call.get(3, TimeUnit.SECONDS));
+        for (CompletableFuture<HttpCallResult> call : waiting) {
+            assertInstanceOf(HttpCallResult.NotSent.class, call.get(3, TimeUnit.SECONDS));
         }
-        for (CompletableFuture<CallResult> call : running) {
-            assertInstanceOf(CallResult.NoAnswer.class, call.get(3, TimeUnit.SECONDS));
+        for (CompletableFuture<HttpCallResult> call : running) {
+            assertInstanceOf(HttpCallResult.NoAnswer.class, call.get(3, TimeUnit.SECONDS));
         }
     }
 
     @Test
     void stoppedClientSendsNothing() throws Exception {
         client.stop();
-        assertInstanceOf(CallResult.NotSent.class, call(500).get(2, TimeUnit.SECONDS));
+        assertInstanceOf(HttpCallResult.NotSent.class, call(500).get(2, TimeUnit.SECONDS));
     }
 
-    private CompletableFuture<CallResult> call(long millis) {
+    private CompletableFuture<HttpCallResult> call(long millis) {
         Request.Builder request = new Request.Builder().url("http://127.0.0.1:" + silent.getLocalPort() + "/");
         return client.call(request, Duration.ofMillis(millis));
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
@@ -24,7 +24,7 @@
 
 /** Guards against a client that passes on a stream with gaps or trusts answers that the protocol does not define. */
 class HttpEngineClientProtocolTest {
-    private final HttpEngineClient client = new HttpEngineClient(EngineClientLimits.DEFAULT);
+    private final HttpEngineClient client = new HttpEngineClient(EngineClientTimeouts.DEFAULT);
     private final AtomicInteger received = new AtomicInteger();
     private StandInServer server;
 
@@ -34,7 +34,7 @@
         server.stop();
     }
 
-    private Recorder generate(Consumer<Exchange> answer) {
+    private RecordingTokenListener generate(Consumer<Exchange> answer) {
         server = new StandInServer(
                 0,
                 routes -> routes.on("POST", "/*", exchange -> {
@@ -42,15 +42,15 @@
                     answer.accept(exchange);
                 }));
         server.start();
-        Recorder recorder = new Recorder();
+        RecordingTokenListener recorder = new RecordingTokenListener();
         client.generate(
-                Endpoints.at(server.address()),
-                Endpoints.request("r", 3, 0, Instant.now().plusSeconds(5)),
+                TestEndpoints.at(server.address()),
+                TestEndpoints.request("r", 3, 0, Instant.now().plusSeconds(5)),
                 recorder);
         return recorder;
     }
 
-    private Recorder stream(String events) {
+    private RecordingTokenListener stream(String events) {
         return generate(exchange -> {
             exchange.startEvents();
             exchange.sendEvents(events);
@@ -70,14 +70,14 @@
                 "id: 0\ndata: {}\n\nid: 1\ndata: [DONE]\n\n",
             })
     void streamWithAGapARepeatOrNoEndIsBroken(String events) throws Exception {
-        Recorder recorder = stream(events);
-        assertEquals(new GenerationResult.Broken(new Failure.EndpointFailed(Endpoints.ID)), recorder.end());
+        RecordingTokenListener recorder = stream(events);
+        assertEquals(new GenerationResult.Broken(new Failure.EndpointFailed(TestEndpoints.ID)), recorder.end());
         assertEquals(0L, recorder.indexes().get(0));
     }
 
     @Test
     void allFormsOfTheEventStreamAreRead() throws Exception {
-        Recorder recorder = stream(
+        RecordingTokenListener recorder = stream(
                 ": comment\n\nevent: x\r\nid:0\r\ndata:{\"a\":1}\r\n\r\nid: 1\ndata: {\ndata: }\n\ndata: [DONE]\n\n");
         assertEquals(new GenerationResult.Complete(), recorder.end());
         assertEquals(List.of(0L, 1L), recorder.indexes());
@@ -97,10 +97,10 @@
         assertTrue(Instant.parse(headers.get("X-Request-Deadline")).isAfter(Instant.now()));
         assertTrue(headers.get("Content-Type").startsWith("application/json"));
         assertFalse(headers.containsKey("Last-Event-ID"));
-        Recorder resumed = new Recorder();
+        RecordingTokenListener resumed = new RecordingTokenListener();
         client.generate(
-                Endpoints.at(server.address()),
-                Endpoints.request("r", 9, 5, Instant.now().plusSeconds(5)),
+                TestEndpoints.at(server.address()),
+                TestEndpoints.request("r", 9, 5, Instant.now().plusSeconds(5)),
                 resumed);
         resumed.end();
         assertEquals("4", headers.get("Last-Event-ID"));
@@ -116,14 +116,14 @@
         "202,accepted"
     })
     void undefinedAnswerIsNeitherTrustedNorRepeated(int status, String code) throws Exception {
-        Recorder recorder = generate(exchange -> {
+        RecordingTokenListener recorder = generate(exchange -> {
             exchange.context().setResponseHeader("Retry-After", "0");
             exchange.context().setResponseHeader("Location", "/elsewhere");
             exchange.refuse(status, code, "text");
         });
         assertTrue(recorder.end() instanceof GenerationResult.Broken);
         assertEquals(1, received.get());
-        EngineCommandResult load = client.load(Endpoints.at(server.address()), Endpoints.ADAPTER, 1)
+        EngineCommandResult load = client.load(TestEndpoints.at(server.address()), TestEndpoints.ADAPTER, 1)
                 .get();
         assertTrue(load instanceof EngineCommandResult.Unknown, load.toString());
         assertEquals(2, received.get());
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
@@ -40,10 +40,10 @@
 
 /** Guards against a client that misjudges whether a command or a request ran, repeats it, or waits for ever. */
 class HttpEngineClientTest {
-    private static final Failure FAILED = new Failure.EndpointFailed(Endpoints.ID);
+    private static final Failure FAILED = new Failure.EndpointFailed(TestEndpoints.ID);
     private static final AdapterVersion OTHER = AdapterVersion.parse("a/b@v1");
 
-    private final HttpEngineClient client = new HttpEngineClient(new EngineClientLimits(
+    private final HttpEngineClient client = new HttpEngineClient(new EngineClientTimeouts(
             Duration.ofSeconds(1), Duration.ofMillis(500), Duration.ofMillis(500), Duration.ofMillis(300)));
     private EngineStandIn engine;
     private Endpoint endpoint;
@@ -65,10 +65,10 @@
         settings.setAll((ObjectNode) Mappers.JSON.readTree(changes));
         engine = new EngineStandIn(Mappers.JSON.treeToValue(settings, EngineSettings.class));
         engine.start();
-        endpoint = Endpoints.at(engine.address());
+        endpoint = TestEndpoints.at(engine.address());
         assertEquals(
                 new EngineCommandResult.Done(),
-                client.load(endpoint, Endpoints.ADAPTER, 5).get());
+                client.load(endpoint, TestEndpoints.ADAPTER, 5).get());
     }
 
     private void restart(String changes) throws Exception {
@@ -76,13 +76,13 @@
         start(changes);
     }
 
-    private Recorder generate(String id, int maxTokens, long nextToken, Instant deadline) {
+    private RecordingTokenListener generate(String id, int maxTokens, long nextToken, Instant deadline) {
         return generate(client, id, maxTokens, nextToken, deadline);
     }
 
-    private Recorder generate(HttpEngineClient sender, String id, int maxTokens, long nextToken, Instant deadline) {
-        Recorder recorder = new Recorder();
-        sender.generate(endpoint, Endpoints.request(id, maxTokens, nextToken, deadline), recorder);
+    private RecordingTokenListener generate(HttpEngineClient sender, String id, int maxTokens, long nextToken, Instant deadline) {
+        RecordingTokenListener recorder = new RecordingTokenListener();
+        sender.generate(endpoint, TestEndpoints.request(id, maxTokens, nextToken, deadline), recorder);
         return recorder;
     }
 
@@ -96,7 +96,7 @@
 
     @Test
     void wholeStreamIsDeliveredInOrder() throws Exception {
-        Recorder recorder = generate("r", 20, 0, soon());
+        RecordingTokenListener recorder = generate("r", 20, 0, soon());
         assertEquals(new GenerationResult.Complete(), recorder.end());
         assertEquals(range(0, 20), recorder.indexes());
         EngineText.tokens(EngineProbe.ADAPTER, "p", 20)
@@ -105,7 +105,7 @@
 
     @Test
     void brokenStreamIsResumedAtTheNextToken() throws Exception {
-        Recorder first = generate("r", 300, 0, soon());
+        RecordingTokenListener first = generate("r", 300, 0, soon());
         await("some tokens", () -> first.indexes().size() > 5);
         engine.setFault(EngineFault.REFUSE_CONNECTIONS_MILLISECONDS, 100);
         assertEquals(new GenerationResult.Broken(FAILED), first.end());
@@ -113,7 +113,7 @@
         await("engine is back", () -> client.status(endpoint)
                 .handle((status, failure) -> failure == null)
                 .get());
-        Recorder rest = generate("r", 300, next, soon());
+        RecordingTokenListener rest = generate("r", 300, next, soon());
         assertEquals(new GenerationResult.Complete(), rest.end());
         assertEquals(range(next, 300), rest.indexes());
         assertEquals(1, engine.record().runs().size());
@@ -121,22 +121,22 @@
 
     @Test
     void requestThatDidNotRunIsNotStarted() throws Exception {
-        Recorder unreachable = new Recorder();
-        client.generate(Endpoints.closed(), Endpoints.request("r", 1, 0, soon()), unreachable);
-        assertEquals(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(Endpoints.ID)), unreachable.end());
+        RecordingTokenListener unreachable = new RecordingTokenListener();
+        client.generate(TestEndpoints.closed(), TestEndpoints.request("r", 1, 0, soon()), unreachable);
+        assertEquals(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(TestEndpoints.ID)), unreachable.end());
         Instant past = Instant.now().minusSeconds(1);
         assertEquals(
                 new GenerationResult.NotStarted(new Failure.DeadlinePassed(past)),
                 generate("r", 1, 0, past).end());
         assertEquals(
-                new GenerationResult.NotStarted(new Failure.EndpointRefused(Endpoints.ID, 400)),
+                new GenerationResult.NotStarted(new Failure.EndpointRefused(TestEndpoints.ID, 400)),
                 generate("r", 5_000, 0, soon()).end());
         assertEquals(
-                new GenerationResult.NotStarted(new Failure.EndpointRefused(Endpoints.ID, 404)),
+                new GenerationResult.NotStarted(new Failure.EndpointRefused(TestEndpoints.ID, 404)),
                 generate("r", 5, 3, soon()).end());
-        client.unload(endpoint, Endpoints.ADAPTER, 5).get();
+        client.unload(endpoint, TestEndpoints.ADAPTER, 5).get();
         assertEquals(
-                new GenerationResult.NotStarted(new Failure.AdapterNotLoaded(Endpoints.ID, Endpoints.ADAPTER)),
+                new GenerationResult.NotStarted(new Failure.AdapterNotLoaded(TestEndpoints.ID, TestEndpoints.ADAPTER)),
                 generate("r", 1, 0, soon()).end());
         assertTrue(engine.record().runs().isEmpty());
     }
@@ -146,7 +146,7 @@
         engine.setFault(EngineFault.LOSE_GENERATION_ANSWERS, 1);
         assertEquals(
                 new GenerationResult.Broken(FAILED), generate("r", 1, 0, soon()).end());
-        Recorder silent = generate("q", 4_000, 0, soon());
+        RecordingTokenListener silent = generate("q", 4_000, 0, soon());
         await("some tokens", () -> silent.indexes().size() > 3);
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 100_000);
         long start = System.nanoTime();
@@ -158,9 +158,9 @@
     @Test
     void deadlineEndsTheWaitForTheFirstTokenAndTheStream() throws Exception {
         restart("{\"batchLimit\":1}");
-        Recorder running = generate("r", 4_000, 0, Instant.now().plusMillis(700));
+        RecordingTokenListener running = generate("r", 4_000, 0, Instant.now().plusMillis(700));
         await("r runs", () -> !running.indexes().isEmpty());
-        Recorder waiting = generate("q", 1, 0, Instant.now().plusMillis(200));
+        RecordingTokenListener waiting = generate("q", 1, 0, Instant.now().plusMillis(200));
         assertEquals(new GenerationResult.Broken(new Failure.OutcomeUnknown()), waiting.end());
         assertTrue(waiting.indexes().isEmpty());
         // Either side may end the run first when its deadline passes.
@@ -169,8 +169,8 @@
 
     @Test
     void cancellationEndsTheRunAtTheEngine() throws Exception {
-        Recorder recorder = new Recorder();
-        Cancellation handle = client.generate(endpoint, Endpoints.request("r", 4_000, 0, soon()), recorder);
+        RecordingTokenListener recorder = new RecordingTokenListener();
+        Cancellation handle = client.generate(endpoint, TestEndpoints.request("r", 4_000, 0, soon()), recorder);
         await("some tokens", () -> !recorder.indexes().isEmpty());
         handle.cancel();
         handle.cancel();
@@ -187,8 +187,8 @@
 
     @Test
     void listenerThatThrowsStillGetsItsEnd() throws Exception {
-        Recorder recorder = new Recorder();
-        client.generate(endpoint, Endpoints.request("r", 3, 0, soon()), new org.banyanstair.external.TokenListener() {
+        RecordingTokenListener recorder = new RecordingTokenListener();
+        client.generate(endpoint, TestEndpoints.request("r", 3, 0, soon()), new org.banyanstair.external.TokenListener() {
             @Override
             public void token(long index, String json) {
                 throw new IllegalStateException("expected by the test");
@@ -205,13 +205,13 @@
     @Test
     void ordersTellRefusalFromUnknown() throws Exception {
         assertEquals(
-                new EngineCommandResult.Refused(new Failure.OrderFenced(Endpoints.ID, 4)),
+                new EngineCommandResult.Refused(new Failure.OrderFenced(TestEndpoints.ID, 4)),
                 client.load(endpoint, OTHER, 4).get());
         assertEquals(
                 new EngineCommandResult.Done(), client.raiseFence(endpoint, 9).get());
         assertEquals(
-                new EngineCommandResult.Refused(new Failure.OrderFenced(Endpoints.ID, 8)),
-                client.unload(endpoint, Endpoints.ADAPTER, 8).get());
+                new EngineCommandResult.Refused(new Failure.OrderFenced(TestEndpoints.ID, 8)),
+                client.unload(endpoint, TestEndpoints.ADAPTER, 8).get());
         engine.setFault(EngineFault.FAIL_LOADS, 1);
         assertEquals(
                 new EngineCommandResult.Refused(new Failure.AdapterLoadFailed(OTHER)),
@@ -221,22 +221,22 @@
                 new EngineCommandResult.Unknown(FAILED),
                 client.load(endpoint, OTHER, 9).get());
         assertEquals(
-                Map.of(OTHER, 0, Endpoints.ADAPTER, 0),
+                Map.of(OTHER, 0, TestEndpoints.ADAPTER, 0),
                 client.status(endpoint).get().loaded());
         engine.setFault(EngineFault.LOSE_UNLOAD_ANSWERS, 1);
         assertEquals(
                 new EngineCommandResult.Unknown(FAILED),
                 client.unload(endpoint, OTHER, 9).get());
         assertEquals(
-                new EngineCommandResult.Refused(new Failure.EndpointUnreachable(Endpoints.ID)),
-                client.load(Endpoints.closed(), OTHER, 9).get());
+                new EngineCommandResult.Refused(new Failure.EndpointUnreachable(TestEndpoints.ID)),
+                client.load(TestEndpoints.closed(), OTHER, 9).get());
     }
 
     @Test
     void fullEngineRefusesALoadAndASlowOneIsUnknown() throws Exception {
         restart("{\"slots\":1}");
         assertEquals(
-                new EngineCommandResult.Refused(new Failure.EndpointRefused(Endpoints.ID, 409)),
+                new EngineCommandResult.Refused(new Failure.EndpointRefused(TestEndpoints.ID, 409)),
                 client.load(endpoint, OTHER, 5).get());
     }
 
@@ -251,7 +251,7 @@
                     new EngineCommandResult.Unknown(FAILED),
                     client.load(endpoint, OTHER, 5).get());
             assertEquals(
-                    Set.of(Endpoints.ADAPTER),
+                    Set.of(TestEndpoints.ADAPTER),
                     client.status(endpoint).get().loaded().keySet());
             await("loaded", () -> client.status(endpoint).get().loaded().containsKey(OTHER));
         } finally {
@@ -265,9 +265,9 @@
         assertEquals(4, status.slots());
         assertEquals(8, status.batchLimit());
         assertEquals(5, status.fence());
-        ExecutionException failure = assertThrows(ExecutionException.class, () -> client.status(Endpoints.closed())
+        ExecutionException failure = assertThrows(ExecutionException.class, () -> client.status(TestEndpoints.closed())
                 .get());
-        assertEquals(new Failure.EndpointUnreachable(Endpoints.ID), ((FailureException) failure.getCause()).failure());
+        assertEquals(new Failure.EndpointUnreachable(TestEndpoints.ID), ((FailureException) failure.getCause()).failure());
     }
 
     @Test
@@ -275,17 +275,17 @@
         restart("{\"batchLimit\":1000,\"stepMicroseconds\":20000,\"stepMicrosecondsPerRequest\":0}");
         // On a busy machine, a step can take longer than the short limits of the other tests.
         Duration limit = Duration.ofSeconds(5);
-        HttpEngineClient patient = new HttpEngineClient(new EngineClientLimits(limit, limit, limit, limit));
+        HttpEngineClient patient = new HttpEngineClient(new EngineClientTimeouts(limit, limit, limit, limit));
         // Steps are slow until all streams run, because short streams could end before the last one has begun.
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 200);
-        List<Recorder> recorders = IntStream.range(0, 1_000)
+        List<RecordingTokenListener> recorders = IntStream.range(0, 1_000)
                 .mapToObj(i -> generate(patient, "r" + i, 100, 0, Instant.now().plusSeconds(20)))
                 .toList();
         await("all run", () -> engine.record().runs().size() == 1_000);
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 0);
         long used = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
         System.out.printf("1,000 streams: %d MB of heap in use, client and engine%n", used >> 20);
-        for (Recorder recorder : recorders) {
+        for (RecordingTokenListener recorder : recorders) {
             assertEquals(new GenerationResult.Complete(), recorder.end());
             assertEquals(range(0, 100), recorder.indexes());
         }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
@@ -48,7 +48,7 @@
     }
 
     private ServiceCallResult call(String method, String path, String body) throws Exception {
-        return call(Endpoints.at(service.address()), method, path, body, Duration.ofSeconds(4));
+        return call(TestEndpoints.at(service.address()), method, path, body, Duration.ofSeconds(4));
     }
 
     @Test
@@ -77,7 +77,7 @@
     void lostAnswerIsUnknownAndNotRepeated() throws Exception {
         service.setFault(PlainServiceFault.LOSE_ANSWERS, 1);
         assertEquals(
-                new ServiceCallResult.OutcomeUnknown(new Failure.EndpointFailed(Endpoints.ID)),
+                new ServiceCallResult.OutcomeUnknown(new Failure.EndpointFailed(TestEndpoints.ID)),
                 call("POST", "/orders", "{}"));
         service.setFault(PlainServiceFault.LOSE_ANSWERS, 1);
         assertTrue(call("GET", "/stock/a", "") instanceof ServiceCallResult.OutcomeUnknown);
@@ -87,7 +87,7 @@
     @Test
     void passedDeadlineIsUnknownOnceSentAndNotSentBefore() throws Exception {
         service.setFault(PlainServiceFault.DELAY_MILLISECONDS, 1_000);
-        Endpoint endpoint = Endpoints.at(service.address());
+        Endpoint endpoint = TestEndpoints.at(service.address());
         assertEquals(
                 new ServiceCallResult.OutcomeUnknown(new Failure.OutcomeUnknown()),
                 call(endpoint, "POST", "/orders", "{}", Duration.ofMillis(200)));
@@ -98,8 +98,8 @@
     @Test
     void refusedConnectionIsNotSent() throws Exception {
         assertEquals(
-                new ServiceCallResult.NotSent(new Failure.EndpointUnreachable(Endpoints.ID)),
-                call(Endpoints.closed(), "POST", "/orders", "{}", Duration.ofSeconds(2)));
+                new ServiceCallResult.NotSent(new Failure.EndpointUnreachable(TestEndpoints.ID)),
+                call(TestEndpoints.closed(), "POST", "/orders", "{}", Duration.ofSeconds(2)));
     }
 
     @Test
@@ -128,7 +128,8 @@
         server.start();
         try {
             for (String path : new String[] {"/moved", "/down"}) {
-                ServiceCallResult result = call(Endpoints.at(server.address()), "GET", path, "", Duration.ofSeconds(2));
+                ServiceCallResult result =
+                        call(TestEndpoints.at(server.address()), "GET", path, "", Duration.ofSeconds(2));
                 assertEquals(
                         path.equals("/moved") ? 302 : 503,
                         ((ServiceCallResult.Answered) result).answer().status());
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/Recorder.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/RecordingTokenListener.java
@@ -12,7 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Keeps the indexes that a generation delivered and counts its ends. */
-final class Recorder implements TokenListener {
+final class RecordingTokenListener implements TokenListener {
     private final List<Long> indexes = new ArrayList<>();
     private final CompletableFuture<GenerationResult> end = new CompletableFuture<>();
     private final AtomicInteger ends = new AtomicInteger();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/Endpoints.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/TestEndpoints.java
@@ -17,12 +17,12 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.testsupport.engine.EngineProbe;
 
-/** Endpoints and requests for the tests of the clients. */
-final class Endpoints {
+/** TestEndpoints and requests for the tests of the clients. */
+final class TestEndpoints {
     static final EndpointId ID = new EndpointId("runner-1");
     static final AdapterVersion ADAPTER = AdapterVersion.parse(EngineProbe.ADAPTER);
 
-    private Endpoints() {}
+    private TestEndpoints() {}
 
     static Endpoint at(NetworkAddress address) {
         return new Endpoint(
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
@@ -21,7 +21,7 @@
 import okhttp3.Response;
 
 /** OkHttp client with a deadline on every call and without repeats. Safe for use by several threads. */
-final class DeadlineClient {
+final class DeadlineHttpClient {
     private static final Duration IDLE_CONNECTION_LIFETIME = Duration.ofSeconds(30);
 
     private final OkHttpClient client;
@@ -31,7 +31,7 @@
      *
      * @param maxCalls most calls in progress; further ones wait, and the wait counts against their deadline
      */
-    DeadlineClient(int maxCalls) {
+    DeadlineHttpClient(int maxCalls) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(maxCalls);
         dispatcher.setMaxRequestsPerHost(maxCalls);
@@ -39,8 +39,8 @@
                 .dispatcher(dispatcher)
                 .connectionPool(
                         new ConnectionPool(maxCalls, IDLE_CONNECTION_LIFETIME.toMillis(), TimeUnit.MILLISECONDS))
-                .eventListenerFactory(DeadlineClient::tracker)
-                .addInterceptor(DeadlineClient::requireTimeLeft)
+                .eventListenerFactory(DeadlineHttpClient::tracker)
+                .addInterceptor(DeadlineHttpClient::requireTimeLeft)
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
                 // A pooled connection that the server has closed would otherwise cause a silent repeat.
@@ -72,20 +72,21 @@
      * @param timeLeft time until the deadline, counted from now and including the wait for a free place
      * @return the result; never completes exceptionally
      */
-    CompletableFuture<CallResult> call(Request.Builder builder, Duration timeLeft) {
+    CompletableFuture<HttpCallResult> call(Request.Builder builder, Duration timeLeft) {
         SendTracker tracker = new SendTracker();
         Call call = client.newCall(builder.tag(SendTracker.class, tracker).build());
         call.timeout().deadlineNanoTime(System.nanoTime() + timeLeft.toNanos());
-        CompletableFuture<CallResult> result = new CompletableFuture<>();
+        CompletableFuture<HttpCallResult> result = new CompletableFuture<>();
         call.enqueue(new Callback() {
             @Override
             public void onFailure(Call failed, IOException cause) {
-                result.complete(tracker.mayHaveSent() ? new CallResult.NoAnswer(cause) : new CallResult.NotSent(cause));
+                result.complete(
+                        tracker.mayHaveSent() ? new HttpCallResult.NoAnswer(cause) : new HttpCallResult.NotSent(cause));
             }
 
             @Override
             public void onResponse(Call answered, Response response) {
-                result.complete(new CallResult.Answered(response.code(), body(response)));
+                result.complete(new HttpCallResult.Answered(response.code(), body(response)));
             }
         });
         return result;
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EndpointCalls.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EndpointHttpClient.java
@@ -18,7 +18,7 @@
 import okhttp3.Request;
 
 /** Sends HTTP calls to endpoints, each at most once, and knows which calls had a byte sent. */
-final class EndpointCalls {
+final class EndpointHttpClient {
     /** One thread per running call; the limit is well above the 1,000 streams that a daemon serves. */
     static final int MAX_CALLS = 8_192;
 
@@ -30,7 +30,7 @@
 
     private final OkHttpClient client;
 
-    EndpointCalls(String threadName, Duration connectLimit) {
+    EndpointHttpClient(String threadName, Duration connectLimit) {
         ThreadPoolExecutor threads =
                 new ThreadPoolExecutor(0, Integer.MAX_VALUE, 10, TimeUnit.SECONDS, new SynchronousQueue<>(), task -> {
                     Thread thread = new Thread(null, task, threadName, STACK_BYTES);
@@ -62,7 +62,7 @@
     }
 
     /** Whether a byte of a call may have been sent. A call on a kept-alive connection counts as sent from its start. */
-    static final class SendWatch {
+    static final class SendState {
         private volatile boolean sent;
 
         boolean isSent() {
@@ -73,7 +73,7 @@
     private static final class SendListener extends EventListener {
         @Override
         public void requestHeadersStart(Call call) {
-            SendWatch watch = call.request().tag(SendWatch.class);
+            SendState watch = call.request().tag(SendState.class);
             if (watch != null) {
                 watch.sent = true;
             }
@@ -81,9 +81,9 @@
     }
 
     /** Creates a call that ends at the deadline, including the wait for its whole answer. */
-    Call newCall(Request request, SendWatch watch, Instant deadline) {
+    Call newCall(Request request, SendState watch, Instant deadline) {
         Call call = client.newCall(request.newBuilder()
-                .tag(SendWatch.class, watch)
+                .tag(SendState.class, watch)
                 .header("Accept-Encoding", "identity")
                 .build());
         long left = Math.max(1, millisecondsLeft(deadline));
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineClientLimits.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineClientTimeouts.java
@@ -10,12 +10,12 @@
  * @param status longest wait for a status report
  * @param silence longest wait for the first token and longest pause between two tokens of a stream
  */
-public record EngineClientLimits(Duration connect, Duration order, Duration status, Duration silence) {
+public record EngineClientTimeouts(Duration connect, Duration order, Duration status, Duration silence) {
     /**
      * Limits for a network of one region. The order limit is several times an undisturbed load, and a slower one goes
      * on and is seen in the status; half of a usual deadline is left when an answer was lost. The silence limit is far
      * above the target of 48 ms between tokens.
      */
-    public static final EngineClientLimits DEFAULT = new EngineClientLimits(
+    public static final EngineClientTimeouts DEFAULT = new EngineClientTimeouts(
             Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(3));
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineAnswer.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineResponse.java
@@ -12,25 +12,25 @@
  * @param status HTTP status
  * @param code code of the error envelope, empty if there is none
  */
-record EngineAnswer(int status, String code) {
+record EngineResponse(int status, String code) {
     private static final long LIMIT_BYTES = 1 << 20;
 
     /** Codes that the protocol defines; each of them means that the command or the request had no effect. */
-    private static final Set<EngineAnswer> WITHOUT_EFFECT = Set.of(
-            new EngineAnswer(400, "invalid_field"),
-            new EngineAnswer(404, "adapter_not_loaded"),
-            new EngineAnswer(404, "stream_not_found"),
-            new EngineAnswer(408, "deadline_passed"),
-            new EngineAnswer(409, "fenced"),
-            new EngineAnswer(409, "no_free_slot"),
-            new EngineAnswer(424, "load_failed"));
-
-    static EngineAnswer read(Response response) throws IOException {
-        byte[] body = EndpointCalls.readBody(response, LIMIT_BYTES);
+    private static final Set<EngineResponse> WITHOUT_EFFECT = Set.of(
+            new EngineResponse(400, "invalid_field"),
+            new EngineResponse(404, "adapter_not_loaded"),
+            new EngineResponse(404, "stream_not_found"),
+            new EngineResponse(408, "deadline_passed"),
+            new EngineResponse(409, "fenced"),
+            new EngineResponse(409, "no_free_slot"),
+            new EngineResponse(424, "load_failed"));
+
+    static EngineResponse read(Response response) throws IOException {
+        byte[] body = EndpointHttpClient.readBody(response, LIMIT_BYTES);
         if (response.isSuccessful()) {
-            return new EngineAnswer(response.code(), "");
+            return new EngineResponse(response.code(), "");
         }
-        return new EngineAnswer(response.code(), codeOf(body));
+        return new EngineResponse(response.code(), codeOf(body));
     }
 
     private static String codeOf(byte[] body) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
@@ -21,7 +21,7 @@
     private final Endpoint endpoint;
     private final EngineRequest request;
     private final TokenListener listener;
-    private final EndpointCalls.SendWatch watch;
+    private final EndpointHttpClient.SendState watch;
     private final AtomicBoolean cancelled = new AtomicBoolean();
     private final Runnable whenEnded;
     private volatile Call call;
@@ -33,7 +33,7 @@
             Endpoint endpoint,
             EngineRequest request,
             TokenListener listener,
-            EndpointCalls.SendWatch watch,
+            EndpointHttpClient.SendState watch,
             Runnable whenEnded) {
         this.endpoint = endpoint;
         this.request = request;
@@ -72,7 +72,7 @@
         if (watch.isSent()) {
             end(new GenerationResult.Broken(failureAfterSending()));
         } else {
-            Failure failure = EndpointCalls.isPast(request.deadline())
+            Failure failure = EndpointHttpClient.isPast(request.deadline())
                     ? new Failure.DeadlinePassed(request.deadline())
                     : new Failure.EndpointUnreachable(endpoint.id());
             end(new GenerationResult.NotStarted(cancelled.get() ? new Failure.Cancelled() : failure));
@@ -83,7 +83,7 @@
     public void onResponse(Call answered, Response response) {
         GenerationResult end;
         try (response) {
-            end = response.code() == 200 ? readStream(response) : refusal(EngineAnswer.read(response));
+            end = response.code() == 200 ? readStream(response) : refusal(EngineResponse.read(response));
         } catch (IOException exception) {
             end = new GenerationResult.Broken(failureAfterSending());
         } catch (RuntimeException exception) {
@@ -95,7 +95,7 @@
     }
 
     private GenerationResult readStream(Response response) throws IOException {
-        EventReader reader = new EventReader(response.body().source());
+        ServerSentEventReader reader = new ServerSentEventReader(response.body().source());
         long expected = request.nextToken();
         while (true) {
             reader.next();
@@ -114,7 +114,7 @@
         }
     }
 
-    private GenerationResult refusal(EngineAnswer answer) {
+    private GenerationResult refusal(EngineResponse answer) {
         if (!answer.isWithoutEffect()) {
             return new GenerationResult.Broken(new Failure.EndpointFailed(endpoint.id()));
         }
@@ -129,7 +129,7 @@
         if (cancelled.get()) {
             return new Failure.Cancelled();
         }
-        return EndpointCalls.isPast(request.deadline())
+        return EndpointHttpClient.isPast(request.deadline())
                 ? new Failure.OutcomeUnknown()
                 : new Failure.EndpointFailed(endpoint.id());
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
@@ -46,8 +46,8 @@
     private static final MediaType JSON = MediaType.get("application/json");
     private static final long STATUS_LIMIT_BYTES = 4 << 20;
 
-    private final EngineClientLimits limits;
-    private final EndpointCalls calls;
+    private final EngineClientTimeouts limits;
+    private final EndpointHttpClient calls;
     private final Set<GenerationCall> generations = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService silenceWatch = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "engine-silence-watch");
@@ -60,9 +60,9 @@
      *
      * @param limits limits on the waits
      */
-    public HttpEngineClient(EngineClientLimits limits) {
+    public HttpEngineClient(EngineClientTimeouts limits) {
         this.limits = limits;
-        this.calls = new EndpointCalls("engine-call", limits.connect());
+        this.calls = new EndpointHttpClient("engine-call", limits.connect());
         // A read timeout per stream, which okio enters into a sorted list for every token, took about twice the
         // processor time of this scan with 1,000 streams of 32 tokens per second.
         long period = Math.max(10, Math.min(250, limits.silence().toMillis() / 8));
@@ -100,7 +100,7 @@
         CompletableFuture<EngineStatus> future = new CompletableFuture<>();
         Request request = request(endpoint, "/v1/status").build();
         Consumer<Failure> fail = failure -> future.completeExceptionally(new FailureException(failure));
-        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
         enqueue(request, watch, limits.status(), new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
@@ -113,7 +113,7 @@
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
-                    byte[] body = EndpointCalls.readBody(response, STATUS_LIMIT_BYTES);
+                    byte[] body = EndpointHttpClient.readBody(response, STATUS_LIMIT_BYTES);
                     if (response.code() == 200) {
                         future.complete(parseStatus(Mappers.JSON.readTree(body)));
                     } else {
@@ -129,7 +129,7 @@
 
     @Override
     public Cancellation generate(Endpoint endpoint, EngineRequest request, TokenListener listener) {
-        if (EndpointCalls.isPast(request.deadline())) {
+        if (EndpointHttpClient.isPast(request.deadline())) {
             listener.end(new GenerationResult.NotStarted(new Failure.DeadlinePassed(request.deadline())));
             return () -> {};
         }
@@ -149,7 +149,7 @@
     }
 
     private Cancellation start(Endpoint endpoint, EngineRequest request, Request http, TokenListener listener) {
-        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
         GenerationCall[] self = new GenerationCall[1];
         GenerationCall generation =
                 new GenerationCall(endpoint, request, listener, watch, () -> generations.remove(self[0]));
@@ -181,7 +181,7 @@
         Request cancel = request(endpoint, "/v1/cancel")
                 .post(json(Map.of("request_id", request.requestId().value())))
                 .build();
-        enqueue(cancel, new EndpointCalls.SendWatch(), limits.status(), new Callback() {
+        enqueue(cancel, new EndpointHttpClient.SendState(), limits.status(), new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
                 // Nothing depends on the answer.
@@ -199,9 +199,9 @@
             String path,
             Map<String, String> body,
             long term,
-            Function<EngineAnswer, Failure> refusal) {
+            Function<EngineResponse, Failure> refusal) {
         CompletableFuture<EngineCommandResult> future = new CompletableFuture<>();
-        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
         Request request = request(endpoint, path)
                 .header("X-Fencing-Number", Long.toString(term))
                 .post(json(body))
@@ -218,7 +218,7 @@
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
-                    future.complete(result(endpoint, EngineAnswer.read(response), refusal));
+                    future.complete(result(endpoint, EngineResponse.read(response), refusal));
                 } catch (IOException exception) {
                     onFailure(call, exception);
                 }
@@ -228,7 +228,7 @@
     }
 
     private static EngineCommandResult result(
-            Endpoint endpoint, EngineAnswer answer, Function<EngineAnswer, Failure> refusal) {
+            Endpoint endpoint, EngineResponse answer, Function<EngineResponse, Failure> refusal) {
         if (answer.isDone()) {
             return new EngineCommandResult.Done();
         }
@@ -237,13 +237,13 @@
                 : new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
     }
 
-    private static Failure refusal(Endpoint endpoint, long term, EngineAnswer answer) {
+    private static Failure refusal(Endpoint endpoint, long term, EngineResponse answer) {
         return "fenced".equals(answer.code())
                 ? new Failure.OrderFenced(endpoint.id(), term)
                 : new Failure.EndpointRefused(endpoint.id(), answer.status());
     }
 
-    private void enqueue(Request request, EndpointCalls.SendWatch watch, Duration limit, Callback callback) {
+    private void enqueue(Request request, EndpointHttpClient.SendState watch, Duration limit, Callback callback) {
         calls.newCall(request, watch, Instant.now().plus(limit)).enqueue(callback);
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
@@ -25,7 +25,7 @@
 
     private final HttpUrl hosts;
     private final Duration callDeadline;
-    private final DeadlineClient client = new DeadlineClient(MAX_READS);
+    private final DeadlineHttpClient client = new DeadlineHttpClient(MAX_READS);
     private final AtomicReference<HostListing> last = new AtomicReference<>(HostListing.EMPTY);
 
     /**
@@ -59,16 +59,16 @@
         });
     }
 
-    private static HostListing listing(CallResult result, HostListing known) {
-        if (result instanceof CallResult.Answered answered && answered.status() == NOT_MODIFIED) {
+    private static HostListing listing(HttpCallResult result, HostListing known) {
+        if (result instanceof HttpCallResult.Answered answered && answered.status() == NOT_MODIFIED) {
             return known;
         }
-        if (result instanceof CallResult.Answered && ((CallResult.Answered) result).status() == OK) {
+        if (result instanceof HttpCallResult.Answered && ((HttpCallResult.Answered) result).status() == OK) {
             try {
-                byte[] body = ((CallResult.Answered) result)
+                byte[] body = ((HttpCallResult.Answered) result)
                         .body()
                         .orElseThrow(() -> new IOException("the answer is cut off"));
-                return AnswerReader.JSON.readValue(body, HostListing.class);
+                return ResponseParser.JSON.readValue(body, HostListing.class);
             } catch (IOException exception) {
                 throw unavailable(exception);
             }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
@@ -39,8 +39,8 @@
     private final Duration callDeadline;
     private final InstantSource clock;
     // Long polls occupy their places for their whole wait, so appends have a client of their own.
-    private final DeadlineClient appends = new DeadlineClient(MAX_APPENDS);
-    private final DeadlineClient reads = new DeadlineClient(MAX_READS);
+    private final DeadlineHttpClient appends = new DeadlineHttpClient(MAX_APPENDS);
+    private final DeadlineHttpClient reads = new DeadlineHttpClient(MAX_READS);
 
     /**
      * Creates a client.
@@ -106,22 +106,22 @@
         }
     }
 
-    private static AppendResult appendResult(String stream, CallResult result) {
-        if (result instanceof CallResult.Answered) {
-            return appendResult(stream, (CallResult.Answered) result);
+    private static AppendResult appendResult(String stream, HttpCallResult result) {
+        if (result instanceof HttpCallResult.Answered) {
+            return appendResult(stream, (HttpCallResult.Answered) result);
         }
         Logger.debug("append to stream {} failed: {}", stream, result);
-        return result instanceof CallResult.NotSent
+        return result instanceof HttpCallResult.NotSent
                 ? new AppendResult.Rejected(new Failure.LogUnavailable(stream))
                 : new AppendResult.Unknown(new Failure.OutcomeUnknown());
     }
 
-    private static AppendResult appendResult(String stream, CallResult.Answered answer) {
+    private static AppendResult appendResult(String stream, HttpCallResult.Answered answer) {
         if (answer.status() == OK) {
             try {
                 byte[] body = answer.body().orElseThrow(() -> new IOException("the answer is cut off"));
                 return new AppendResult.Appended(
-                        AnswerReader.JSON.readValue(body, AppendAnswer.class).firstOffset());
+                        ResponseParser.JSON.readValue(body, AppendAnswer.class).firstOffset());
             } catch (IOException exception) {
                 Logger.warn("append to stream {} has no usable answer: {}", stream, exception.getMessage());
                 return new AppendResult.Unknown(new Failure.OutcomeUnknown());
@@ -134,16 +134,16 @@
                 : new AppendResult.Unknown(new Failure.OutcomeUnknown());
     }
 
-    private static ReadResult readResult(String stream, long from, CallResult result) {
+    private static ReadResult readResult(String stream, long from, HttpCallResult result) {
         try {
-            if (result instanceof CallResult.Answered) {
-                CallResult.Answered answer = (CallResult.Answered) result;
+            if (result instanceof HttpCallResult.Answered) {
+                HttpCallResult.Answered answer = (HttpCallResult.Answered) result;
                 byte[] body = answer.body().orElseThrow(() -> new IOException("the answer is cut off"));
                 if (answer.status() == OK) {
-                    return requireConsecutive(from, AnswerReader.JSON.readValue(body, ReadResult.Records.class));
+                    return requireConsecutive(from, ResponseParser.JSON.readValue(body, ReadResult.Records.class));
                 }
                 if (answer.status() == GONE) {
-                    return AnswerReader.JSON.readValue(body, ReadResult.Expired.class);
+                    return ResponseParser.JSON.readValue(body, ReadResult.Expired.class);
                 }
             }
             Logger.debug("read of stream {} failed: {}", stream, result);
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
@@ -27,7 +27,7 @@
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
 
     private final long answerLimitBytes;
-    private final EndpointCalls calls;
+    private final EndpointHttpClient calls;
 
     /**
      * Creates the client.
@@ -37,7 +37,7 @@
      */
     public HttpPlainServiceClient(Duration connectLimit, long answerLimitBytes) {
         this.answerLimitBytes = answerLimitBytes;
-        this.calls = new EndpointCalls("service-call", connectLimit);
+        this.calls = new EndpointHttpClient("service-call", connectLimit);
     }
 
     /** Ends all calls and the threads of the client. */
@@ -47,7 +47,7 @@
 
     @Override
     public CompletableFuture<ServiceCallResult> call(Endpoint endpoint, ServiceCall request) {
-        if (EndpointCalls.isPast(request.deadline())) {
+        if (EndpointHttpClient.isPast(request.deadline())) {
             return notSent(new Failure.DeadlinePassed(request.deadline()));
         }
         if (calls.isFull()) {
@@ -59,7 +59,7 @@
         } catch (IllegalArgumentException exception) {
             return notSent(new Failure.InvalidField("call", "an HTTP method, path and content type"));
         }
-        EndpointCalls.SendWatch watch = new EndpointCalls.SendWatch();
+        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
         CompletableFuture<ServiceCallResult> future = new CompletableFuture<>();
         calls.newCall(http, watch, request.deadline()).enqueue(new Callback() {
             @Override
@@ -81,11 +81,12 @@
 
     private ServiceAnswer answer(Response response) throws IOException {
         Optional<String> contentType = Optional.ofNullable(response.header("Content-Type"));
-        return new ServiceAnswer(response.code(), contentType, EndpointCalls.readBody(response, answerLimitBytes));
+        return new ServiceAnswer(response.code(), contentType, EndpointHttpClient.readBody(response, answerLimitBytes));
     }
 
-    private static ServiceCallResult failed(Endpoint endpoint, ServiceCall request, EndpointCalls.SendWatch watch) {
-        boolean late = EndpointCalls.isPast(request.deadline());
+    private static ServiceCallResult failed(
+            Endpoint endpoint, ServiceCall request, EndpointHttpClient.SendState watch) {
+        boolean late = EndpointHttpClient.isPast(request.deadline());
         if (watch.isSent()) {
             return new ServiceCallResult.OutcomeUnknown(
                     late ? new Failure.OutcomeUnknown() : new Failure.EndpointFailed(endpoint.id()));
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/AnswerReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/ResponseParser.java
@@ -5,7 +5,7 @@
 import org.banyanstair.codec.Mappers;
 
 /** Parses answers of the platform. */
-final class AnswerReader {
+final class ResponseParser {
     /**
      * Reader for answers: unknown properties are ignored, because the platform may extend its answers. Missing ones are
      * refused, because their default would pass for a value, such as offset 0.
@@ -18,5 +18,5 @@
                     DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES,
                     DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
-    private AnswerReader() {}
+    private ResponseParser() {}
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EventReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/ServerSentEventReader.java
@@ -8,7 +8,7 @@
 import okio.ByteString;
 
 /** Reads server-sent events; the text of an event is copied once, out of the buffer of the connection. */
-final class EventReader {
+final class ServerSentEventReader {
     private static final long MAX_LINE_BYTES = 1 << 20;
     private static final long MAX_ID = 1 << 30;
     private static final ByteString DATA = ByteString.encodeUtf8("data:");
@@ -18,7 +18,7 @@
     private long id;
     private String data;
 
-    EventReader(BufferedSource source) {
+    ServerSentEventReader(BufferedSource source) {
         this.source = source;
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/metrics/LabelledName.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/LabelledMetricName.java
@@ -11,8 +11,8 @@
  *
  * <p>Label values must not contain {@code |} or {@code =}; names of services and failure codes do not.
  */
-public final class LabelledName {
-    private LabelledName() {}
+public final class LabelledMetricName {
+    private LabelledMetricName() {}
 
     /**
      * Builds the name of a metric with labels.
--- a/banyanstair-transport/src/main/java/org/banyanstair/metrics/PrometheusText.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/PrometheusText.java
@@ -23,7 +23,7 @@
      * @param registry the metrics
      */
     public PrometheusText(MetricRegistry registry) {
-        collectors.register(new DropwizardExports(registry, LabelledName.sampleBuilder()));
+        collectors.register(new DropwizardExports(registry, LabelledMetricName.sampleBuilder()));
     }
 
     /**
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/LocatedNode.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/PositionNode.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 
 /** Position of one value, and the positions of the values inside it. */
-final class LocatedNode {
+final class PositionNode {
     private final Position position;
-    private final Map<String, LocatedNode> members = new HashMap<>();
-    private final List<LocatedNode> elements = new ArrayList<>();
+    private final Map<String, PositionNode> members = new HashMap<>();
+    private final List<PositionNode> elements = new ArrayList<>();
     private boolean defined;
 
-    LocatedNode(Position position) {
+    PositionNode(Position position) {
         this.position = position;
     }
 
@@ -21,24 +21,24 @@
     }
 
     /** Returns the member, or a node at this position if the member is not known. */
-    LocatedNode member(String key) {
-        LocatedNode member = members.get(key);
-        return member == null ? new LocatedNode(position) : member;
+    PositionNode member(String key) {
+        PositionNode member = members.get(key);
+        return member == null ? new PositionNode(position) : member;
     }
 
     /** Returns the element, or a node at this position if the element is not known. */
-    LocatedNode element(int index) {
-        return index < elements.size() ? elements.get(index) : new LocatedNode(position);
+    PositionNode element(int index) {
+        return index < elements.size() ? elements.get(index) : new PositionNode(position);
     }
 
     /** Returns the table that a dotted key or a header continues: for an array of tables, its last table. */
-    LocatedNode enter(String key, Position keyPosition) {
-        LocatedNode member = members.computeIfAbsent(key, name -> new LocatedNode(keyPosition));
+    PositionNode enter(String key, Position keyPosition) {
+        PositionNode member = members.computeIfAbsent(key, name -> new PositionNode(keyPosition));
         return member.elements.isEmpty() ? member : member.elements.get(member.elements.size() - 1);
     }
 
-    LocatedNode addElement(Position elementPosition) {
-        LocatedNode element = new LocatedNode(elementPosition);
+    PositionNode addElement(Position elementPosition) {
+        PositionNode element = new PositionNode(elementPosition);
         elements.add(element);
         return element;
     }
@@ -51,7 +51,7 @@
     }
 
     /** Opens the member itself, not the last table inside it. */
-    LocatedNode open(String key, Position keyPosition) {
-        return members.computeIfAbsent(key, name -> new LocatedNode(keyPosition));
+    PositionNode open(String key, Position keyPosition) {
+        return members.computeIfAbsent(key, name -> new PositionNode(keyPosition));
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/StrictToml.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/StrictToml.java
@@ -53,7 +53,7 @@
         Optional<T> value;
         try {
             JsonNode tree = MAPPER.readTree(text);
-            LocatedNode locations = TomlLocator.locate(MAPPER, text);
+            PositionNode locations = TomlPositionScanner.locate(MAPPER, text);
             value = type.read(new TomlValue(errors, "", tree, locations));
         } catch (JsonProcessingException exception) {
             return new TomlResult.Invalid<>(List.of(malformed(file, text, exception.getLocation())));
@@ -69,7 +69,7 @@
         Position reported = location == null
                 ? Position.START
                 : new Position(Math.max(1, location.getLineNr()), Math.max(1, location.getColumnNr()));
-        Position position = TomlLocator.duplicateKey(MAPPER, text)
+        Position position = TomlPositionScanner.duplicateKey(MAPPER, text)
                 .filter(duplicate -> duplicate.isBefore(reported))
                 .orElse(reported);
         return new Failure.MalformedInput(file, position.line(), position.column());
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlLocator.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlPositionScanner.java
@@ -14,7 +14,7 @@
  * locations. This class only finds positions; the library has parsed the text before, so that it is known to be valid,
  * and all values come from the library.
  */
-final class TomlLocator {
+final class TomlPositionScanner {
     private static final char END = '\0';
 
     private final ObjectMapper mapper;
@@ -26,13 +26,13 @@
 
     private record Key(String name, Position position) {}
 
-    private TomlLocator(ObjectMapper mapper, String text) {
+    private TomlPositionScanner(ObjectMapper mapper, String text) {
         this.mapper = mapper;
         this.text = text;
     }
 
-    static LocatedNode locate(ObjectMapper mapper, String text) throws IOException {
-        return new TomlLocator(mapper, text).document();
+    static PositionNode locate(ObjectMapper mapper, String text) throws IOException {
+        return new TomlPositionScanner(mapper, text).document();
     }
 
     /**
@@ -40,7 +40,7 @@
      * Unlike {@link #locate}, this accepts malformed text.
      */
     static Optional<Position> duplicateKey(ObjectMapper mapper, String text) {
-        TomlLocator locator = new TomlLocator(mapper, text);
+        TomlPositionScanner locator = new TomlPositionScanner(mapper, text);
         try {
             locator.document();
         } catch (IOException exception) {
@@ -49,9 +49,9 @@
         return locator.duplicate;
     }
 
-    private LocatedNode document() throws IOException {
-        LocatedNode root = new LocatedNode(Position.START);
-        LocatedNode table = root;
+    private PositionNode document() throws IOException {
+        PositionNode root = new PositionNode(Position.START);
+        PositionNode table = root;
         skipBlank();
         while (peek() != END) {
             if (peek() == '[') {
@@ -64,7 +64,7 @@
         return root;
     }
 
-    private LocatedNode header(LocatedNode root) throws IOException {
+    private PositionNode header(PositionNode root) throws IOException {
         Position start = position();
         advance();
         boolean array = peek() == '[';
@@ -72,10 +72,10 @@
             advance();
         }
         List<Key> path = keys();
-        LocatedNode parent = parent(root, path);
+        PositionNode parent = parent(root, path);
         Key last = path.get(path.size() - 1);
         skipUntil("\n");
-        LocatedNode node = parent.open(last.name(), start);
+        PositionNode node = parent.open(last.name(), start);
         if (array) {
             return node.addElement(start);
         }
@@ -83,23 +83,23 @@
         return node;
     }
 
-    private void keyValue(LocatedNode table) throws IOException {
+    private void keyValue(PositionNode table) throws IOException {
         List<Key> path = keys();
         Key last = path.get(path.size() - 1);
-        LocatedNode node = parent(table, path).open(last.name(), last.position());
+        PositionNode node = parent(table, path).open(last.name(), last.position());
         define(node, last.position());
         advance();
         value(node);
     }
 
-    private void define(LocatedNode node, Position position) {
+    private void define(PositionNode node, Position position) {
         if (!node.define() && duplicate.isEmpty()) {
             duplicate = Optional.of(position);
         }
     }
 
-    private static LocatedNode parent(LocatedNode table, List<Key> path) {
-        LocatedNode node = table;
+    private static PositionNode parent(PositionNode table, List<Key> path) {
+        PositionNode node = table;
         for (Key key : path.subList(0, path.size() - 1)) {
             node = node.enter(key.name(), key.position());
         }
@@ -132,7 +132,7 @@
         return new Key(text.substring(from, offset), start);
     }
 
-    private void value(LocatedNode node) throws IOException {
+    private void value(PositionNode node) throws IOException {
         skipBlank();
         switch (peek()) {
             case '"', '\'' -> string();
@@ -142,7 +142,7 @@
         }
     }
 
-    private void array(LocatedNode node) throws IOException {
+    private void array(PositionNode node) throws IOException {
         advance();
         skipSeparators();
         while (peek() != ']' && peek() != END) {
@@ -157,7 +157,7 @@
         advance();
     }
 
-    private void inlineTable(LocatedNode node) throws IOException {
+    private void inlineTable(PositionNode node) throws IOException {
         advance();
         skipSeparators();
         while (peek() != '}' && peek() != END) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlValue.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlValue.java
@@ -14,9 +14,9 @@
     private final Errors errors;
     private final String path;
     private final JsonNode node;
-    private final LocatedNode location;
+    private final PositionNode location;
 
-    TomlValue(Errors errors, String path, JsonNode node, LocatedNode location) {
+    TomlValue(Errors errors, String path, JsonNode node, PositionNode location) {
         this.errors = errors;
         this.path = path;
         this.node = node;
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Dialer.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connector.java
@@ -6,7 +6,7 @@
 
 /** Opens TCP connections. */
 @FunctionalInterface
-public interface Dialer {
+public interface Connector {
     /**
      * Starts to connect.
      *
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
@@ -28,5 +28,5 @@
         PeerListener listener,
         InstantSource instants,
         CounterSet counters,
-        Dialer dialer,
+        Connector dialer,
         BiFunction<HostId, EventLoop, PeerLink> links) {}
