--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
@@ -120,8 +120,8 @@
         TomlField<PoolId> id = table.required("id", TomlTypes.name(PoolId::new));
         TomlField<Double> rate = table.optional(
                 "loads-per-second", TomlTypes.decimal(0.001, 1_000), PoolDeclaration.DEFAULT_LOADS_PER_SECOND);
-        TomlField<Integer> transit = table.optional(
-                "loads-in-transit", TomlTypes.smallInteger(1, 1_000), PoolDeclaration.DEFAULT_LOADS_IN_TRANSIT);
+        TomlField<Integer> transit =
+                table.optional("loads-in-transit", TomlTypes.int32(1, 1_000), PoolDeclaration.DEFAULT_LOADS_IN_TRANSIT);
         id.ifValid(pool -> rejectIf(!pools.add(pool.value()), table, "id", "unique among pools"));
         return () -> new PoolDeclaration(id.get(), rate.get(), transit.get());
     }
@@ -130,8 +130,8 @@
         TomlField<String> id =
                 table.required("id", TomlTypes.parsed(Names.ACCEPTED_FORMAT, text -> Names.check("id", text)));
         TomlField<Double> fullness = table.required("fullness", TomlTypes.decimal(0, 1));
-        TomlField<Integer> ageing = table.required("standard-ageing-milliseconds", TomlTypes.smallInteger(0, 600_000));
-        TomlField<Integer> copy = table.required("copy-after-milliseconds", TomlTypes.smallInteger(0, 600_000));
+        TomlField<Integer> ageing = table.required("standard-ageing-milliseconds", TomlTypes.int32(0, 600_000));
+        TomlField<Integer> copy = table.required("copy-after-milliseconds", TomlTypes.int32(0, 600_000));
         TomlField<Double> retries = table.required("retry-share", TomlTypes.decimal(0, 1));
         TomlField<Boolean> admits = table.required("admits-requests", TomlTypes.bool());
         id.ifValid(name -> rejectIf(!declaredPresets.add(name), table, "id", "unique among preset-settings"));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/ServiceFields.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/ServiceFields.java
@@ -45,8 +45,8 @@
         callers = table.required("callers", TomlTypes.list(TomlTypes.name(CallerId::new), 0));
         routes = table.optional("route", TomlTypes.list(TomlTypes.table(ServiceFields::route), 0), List.of());
         objective = table.optional("objective", TomlTypes.table(ServiceFields::objective), Objective.DEFAULT);
-        queueLimit = table.optional("queue-limit", TomlTypes.smallInteger(1, 100_000), DEFAULT_QUEUE_LIMIT);
-        callerLimit = table.optional("caller-limit", TomlTypes.smallInteger(1, 100_000), DEFAULT_CALLER_LIMIT);
+        queueLimit = table.optional("queue-limit", TomlTypes.int32(1, 100_000), DEFAULT_QUEUE_LIMIT);
+        callerLimit = table.optional("caller-limit", TomlTypes.int32(1, 100_000), DEFAULT_CALLER_LIMIT);
         callers.ifValid(list -> checkCallers(table, list));
         routes.ifValid(list -> checkRoutes(table, list));
     }
@@ -106,7 +106,7 @@
     }
 
     private static Supplier<Objective> objective(TomlTable table) {
-        TomlField<Integer> latency = table.required("latency-milliseconds", TomlTypes.smallInteger(1, 600_000));
+        TomlField<Integer> latency = table.required("latency-milliseconds", TomlTypes.int32(1, 600_000));
         TomlField<Double> share = table.required("share", TomlTypes.decimal(0.001, 0.99999));
         return () -> new Objective(latency.get(), share.get());
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -120,7 +120,7 @@
         metrics.registerGauge("endpoint_connections_total", connections::openedTotal);
         metrics.registerGauge("answer_memory_bytes", responseMemory::usedBytes);
         metrics.registerGauge("log_lines_dropped_total", decisions::droppedLines);
-        this.peers = NettyPeerTransport.onGroup(
+        this.peers = NettyPeerTransport.withEventLoopGroup(
                 new PeerTransportSettings(
                         settings.forwarding().identity(),
                         "banyanstair",
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -113,8 +113,9 @@
         registerGauge("commanded_runners", () -> snapshot.commandedRunners());
         registerGauge("live_peers", () -> snapshot.livePeers());
         for (EndpointCondition condition : EndpointCondition.values()) {
-            registerGauge(LabelledMetricName.of("endpoints", "condition", lowerCase(condition)), () -> snapshot.endpoints()
-                    .getOrDefault(condition, 0L));
+            registerGauge(
+                    LabelledMetricName.of("endpoints", "condition", lowerCase(condition)),
+                    () -> snapshot.endpoints().getOrDefault(condition, 0L));
         }
         for (Topic topic : Topic.values()) {
             String name = lowerCase(topic);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ComponentFactory.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ComponentFactory.java
@@ -61,7 +61,7 @@
         EngineClientTimeouts defaults = EngineClientTimeouts.DEFAULT;
         return new HttpEngineClient(new EngineClientTimeouts(
                 defaults.connect(),
-                defaults.order(),
+                defaults.command(),
                 defaults.status(),
                 Duration.ofMillis(settings.limits().tokenSilenceLimitMilliseconds())));
     }
@@ -91,20 +91,20 @@
 
     NettyPeerTransport peers(Function<HostId, Optional<NetworkAddress>> addresses, PeerListener listener) {
         Duration heartbeat = Duration.ofMillis(settings.timing().heartbeatMilliseconds());
-        Duration limit = Duration.ofMillis(settings.timing().heartbeatLimitMilliseconds());
+        Duration heartbeatTimeout = Duration.ofMillis(settings.timing().heartbeatLimitMilliseconds());
         PeerTransportSettings transport = new PeerTransportSettings(
                 identity,
                 settings.host().cluster(),
                 settings.listen().peer(),
                 heartbeat,
-                limit,
+                heartbeatTimeout,
                 heartbeat,
                 PeerTransportSettings.DEFAULT_MAXIMUM_FRAME_BYTES);
         return new NettyPeerTransport(transport, addresses, listener, clock);
     }
 
-    private HttpListenerOptions listener(NetworkAddress address) {
-        HttpListenerOptions defaults = HttpListenerOptions.of(address.ip(), address.port());
+    private HttpListenerOptions listenerOptions(NetworkAddress address) {
+        HttpListenerOptions defaults = HttpListenerOptions.withDefaults(address.ip(), address.port());
         return new HttpListenerOptions(
                 defaults.ip(),
                 defaults.port(),
@@ -120,7 +120,7 @@
         settings.callers().forEach((caller, key) -> keys.put(caller, List.of(key)));
         return new CallerHttpServer(
                 identity,
-                listener(settings.listen().caller()),
+                listenerOptions(settings.listen().caller()),
                 new CallerKeys(keys),
                 service,
                 recorder,
@@ -134,10 +134,10 @@
         Map<String, List<BearerKey>> keys = new LinkedHashMap<>();
         settings.operators().forEach((operator, key) -> keys.put(operator, List.of(key)));
         return new OperatorHttpServer(
-                listener(settings.listen().operator()),
+                listenerOptions(settings.listen().operator()),
                 new OperatorKeys(keys),
                 service,
-                service::unreadiness,
+                service::notReadyReason,
                 burn::snapshot,
                 registry);
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -43,7 +43,7 @@
     private final HttpEngineClient engines;
     private final HttpPlainServiceClient services;
     private final EventLoop loop;
-    private final LogTailer followers;
+    private final LogTailer logTailer;
     private final HostListPoller hostListPoller;
     private final NettyPeerTransport peers;
     private final HostService service;
@@ -59,48 +59,51 @@
         this.settings = settings;
         Instant startedAt = clock.instant();
         this.identity = new HostIdentity(settings.host().id(), startedAt.toEpochMilli());
-        ComponentFactory parts = new ComponentFactory(settings, identity, clock);
-        this.log = parts.log();
-        this.hostList = parts.hostList();
-        this.engines = parts.engines();
-        this.services = parts.services();
-        HostReducer reducer = new HostReducer(identity, parts.reducerSettings(), startedAt);
+        ComponentFactory components = new ComponentFactory(settings, identity, clock);
+        this.log = components.log();
+        this.hostList = components.hostList();
+        this.engines = components.engines();
+        this.services = components.services();
+        HostReducer reducer = new HostReducer(identity, components.reducerSettings(), startedAt);
         EffectDispatcher effects = new EffectDispatcher(clock, event -> submit(event));
-        GenerationExecutor generations = new GenerationExecutor(engines, event -> submit(event));
+        GenerationExecutor generationExecutor = new GenerationExecutor(engines, event -> submit(event));
         this.service = new HostService(
                 identity.host(),
                 Duration.ofMillis(settings.limits().entryAddressKeepMilliseconds()),
                 clock,
-                generations,
+                generationExecutor,
                 event -> submit(event));
         this.loop = new EventLoop(reducer, clock, effects, service::publish);
-        this.followers = new LogTailer(log, clock, timer, loop::submit);
+        this.logTailer = new LogTailer(log, clock, timer, loop::submit);
         this.hostListPoller = new HostListPoller(
-                hostList, Duration.ofMillis(settings.timing().hostListPollMilliseconds()), timer, loop::submitReading);
-        this.peers = parts.peers(hostListPoller::peerAddress, peerListener());
-        wire(effects, generations);
+                hostList,
+                Duration.ofMillis(settings.timing().hostListPollMilliseconds()),
+                timer,
+                loop::submitHostListUpdate);
+        this.peers = components.peers(hostListPoller::peerAddress, peerListener());
+        registerEffectHandlers(effects, generationExecutor);
         MetricRegistry registry = new MetricRegistry();
         new TransportMetrics(registry, peers::counters).register();
         RequestMetrics metrics = new RequestMetrics(registry);
-        BurnRateRecorder burn = new BurnRateRecorder(identity.host(), clock, service::configuration);
-        RequestRecorder recorder = new RequestRecorder(identity.host(), metrics, burn);
-        this.callerServer = parts.callerServer(service, recorder);
-        this.operatorServer = parts.operatorServer(service, burn, registry);
+        BurnRateRecorder burnRates = new BurnRateRecorder(identity.host(), clock, service::configuration);
+        RequestRecorder requestRecorder = new RequestRecorder(identity.host(), metrics, burnRates);
+        this.callerServer = components.callerServer(service, requestRecorder);
+        this.operatorServer = components.operatorServer(service, burnRates, registry);
     }
 
     private void submit(Function<Instant, Event> event) {
         loop.submit(event);
     }
 
-    private void wire(EffectDispatcher effects, GenerationExecutor generations) {
-        effects.usePeers(peers);
-        effects.useLog(log, followers);
-        effects.useEngines(engines);
-        effects.useServices(services);
-        effects.useGenerations(generations);
-        service.answerThrough(effects);
-        effects.on(Effect.Report.class, new NoticeLogger(identity.host())::write);
-        effects.on(Effect.BeginDrain.class, effect -> stopRequested.countDown());
+    private void registerEffectHandlers(EffectDispatcher effects, GenerationExecutor generationExecutor) {
+        effects.registerPeerEffects(peers);
+        effects.registerLogEffects(log, logTailer);
+        effects.registerEngineEffects(engines);
+        effects.registerServiceEffects(services);
+        effects.registerGenerationEffects(generationExecutor);
+        service.registerReplyEffects(effects);
+        effects.register(Effect.Report.class, new NoticeLogger(identity.host())::write);
+        effects.register(Effect.BeginDrain.class, effect -> stopRequested.countDown());
     }
 
     private PeerListener peerListener() {
@@ -142,7 +145,7 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public void awaitReady() throws InterruptedException {
-        while (stopRequested.getCount() > 0 && service.unreadiness().isPresent()) {
+        while (stopRequested.getCount() > 0 && service.notReadyReason().isPresent()) {
             Thread.sleep(POLL_INTERVAL.toMillis());
         }
     }
@@ -169,32 +172,33 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public boolean drainAndStop() throws InterruptedException {
-        Instant limit = clock.instant().plusMillis(settings.limits().drainLimitMilliseconds());
-        Instant addressesExpired = clock.instant().plusMillis(settings.limits().entryAddressKeepMilliseconds());
-        Logger.info("host={} drains until {}", identity, limit);
+        Instant drainDeadline = clock.instant().plusMillis(settings.limits().drainLimitMilliseconds());
+        Instant entryAddressesExpireAt =
+                clock.instant().plusMillis(settings.limits().entryAddressKeepMilliseconds());
+        Logger.info("host={} drains until {}", identity, drainDeadline);
         loop.submit(Event.DrainStarted::new);
-        while (clock.instant().isBefore(limit) && !isDrained(addressesExpired)) {
+        while (clock.instant().isBefore(drainDeadline) && !isDrained(entryAddressesExpireAt)) {
             Thread.sleep(POLL_INTERVAL.toMillis());
         }
-        boolean clean = callerServer.stop(limit) && service.view().inFlight() == 0;
+        boolean clean = callerServer.stop(drainDeadline) && service.snapshot().inFlight() == 0;
         stop();
         Logger.info("host={} stopped, clean={}", identity, clean);
         return clean;
     }
 
-    private boolean isDrained(Instant addressesExpired) {
-        HostSnapshot view = service.view();
-        boolean alone = view.usable().isEmpty();
-        boolean handedOver = !view.ownsPools() || alone;
-        return view.draining()
-                && handedOver
-                && view.inFlight() == 0
-                && (alone || !clock.instant().isBefore(addressesExpired));
+    private boolean isDrained(Instant entryAddressesExpireAt) {
+        HostSnapshot snapshot = service.snapshot();
+        boolean noOtherHosts = snapshot.usableHosts().isEmpty();
+        boolean poolsHandedOver = !snapshot.ownsPools() || noOtherHosts;
+        return snapshot.draining()
+                && poolsHandedOver
+                && snapshot.inFlight() == 0
+                && (noOtherHosts || !clock.instant().isBefore(entryAddressesExpireAt));
     }
 
     private void stop() {
         operatorServer.stop(clock.instant());
-        followers.stop();
+        logTailer.stop();
         timer.shutdownNow();
         loop.stop();
         peers.stop();
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectDispatcher.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectDispatcher.java
@@ -41,20 +41,20 @@
         handlers.get(effect.getClass()).accept(effect);
     }
 
-    <E extends Effect> void on(Class<E> type, Consumer<E> handler) {
+    <E extends Effect> void register(Class<E> type, Consumer<E> handler) {
         handlers.put(type, effect -> handler.accept(type.cast(effect)));
     }
 
-    void usePeers(PeerTransport peers) {
-        on(Effect.SendToPeer.class, effect -> peers.send(effect.peer(), effect.message()));
-        on(Effect.WatchPeer.class, effect -> peers.watch(effect.peer()));
-        on(Effect.UnwatchPeer.class, effect -> peers.unwatch(effect.peer()));
+    void registerPeerEffects(PeerTransport peers) {
+        register(Effect.SendToPeer.class, effect -> peers.send(effect.peer(), effect.message()));
+        register(Effect.WatchPeer.class, effect -> peers.watch(effect.peer()));
+        register(Effect.UnwatchPeer.class, effect -> peers.unwatch(effect.peer()));
     }
 
-    void useLog(LogService log, LogTailer followers) {
-        on(Effect.FollowStream.class, effect -> followers.follow(effect.stream(), effect.fromOffset()));
-        on(Effect.UnfollowStream.class, effect -> followers.unfollow(effect.stream()));
-        on(Effect.AppendToLog.class, effect -> append(log, effect));
+    void registerLogEffects(LogService log, LogTailer tailer) {
+        register(Effect.FollowStream.class, effect -> tailer.follow(effect.stream(), effect.fromOffset()));
+        register(Effect.UnfollowStream.class, effect -> tailer.unfollow(effect.stream()));
+        register(Effect.AppendToLog.class, effect -> append(log, effect));
     }
 
     private void append(LogService log, Effect.AppendToLog effect) {
@@ -69,36 +69,36 @@
         });
     }
 
-    void useEngines(EngineClient engines) {
-        on(
+    void registerEngineEffects(EngineClient engines) {
+        register(
                 Effect.LoadAdapter.class,
-                effect -> order(
+                effect -> submitResult(
                         engines.load(effect.endpoint(), effect.adapter(), effect.term()),
                         (at, result) -> new Event.LoadEnded(
                                 at, effect.endpoint().id(), effect.adapter(), effect.term(), result)));
-        on(
+        register(
                 Effect.UnloadAdapter.class,
-                effect -> order(
+                effect -> submitResult(
                         engines.unload(effect.endpoint(), effect.adapter(), effect.term()),
                         (at, result) -> new Event.UnloadEnded(
                                 at, effect.endpoint().id(), effect.adapter(), effect.term(), result)));
-        on(
+        register(
                 Effect.RaiseFence.class,
-                effect -> order(
+                effect -> submitResult(
                         engines.raiseFence(effect.endpoint(), effect.term()),
                         (at, result) ->
                                 new Event.FenceEnded(at, effect.endpoint().id(), effect.term(), result)));
-        on(Effect.ReadEngineStatus.class, effect -> readStatus(engines, effect.endpoint()));
+        register(Effect.ReadEngineStatus.class, effect -> readStatus(engines, effect.endpoint()));
     }
 
     /** Turns the result of an order into an event. */
     @FunctionalInterface
-    private interface OrderEvent {
+    private interface CommandResultEvent {
         Event of(Instant at, EngineCommandResult result);
     }
 
-    private void order(CompletableFuture<EngineCommandResult> order, OrderEvent event) {
-        order.thenAccept(result -> events.accept(at -> event.of(at, result)));
+    private void submitResult(CompletableFuture<EngineCommandResult> command, CommandResultEvent event) {
+        command.thenAccept(result -> events.accept(at -> event.of(at, result)));
     }
 
     private void readStatus(EngineClient engines, Endpoint endpoint) {
@@ -112,18 +112,18 @@
         });
     }
 
-    void useServices(PlainServiceClient services) {
-        on(Effect.DispatchCall.class, effect -> services.call(effect.endpoint(), effect.call())
+    void registerServiceEffects(PlainServiceClient services) {
+        register(Effect.DispatchCall.class, effect -> services.call(effect.endpoint(), effect.call())
                 .thenAccept(result -> events.accept(at -> new Event.DispatchEnded(at, effect.dispatchId(), result))));
     }
 
-    void useGenerations(GenerationExecutor generations) {
-        on(
+    void registerGenerationEffects(GenerationExecutor generations) {
+        register(
                 Effect.StartAttempt.class,
                 effect -> generations.start(
                         effect.request(), effect.attempt(), effect.endpoint(), effect.loadStallMilliseconds()));
-        on(Effect.CancelAttempt.class, effect -> generations.cancelAttempt(effect.request(), effect.attempt()));
-        on(Effect.CompleteGeneration.class, effect -> generations.complete(effect.request()));
-        on(Effect.FailGeneration.class, effect -> generations.fail(effect.request(), effect.failure()));
+        register(Effect.CancelAttempt.class, effect -> generations.cancelAttempt(effect.request(), effect.attempt()));
+        register(Effect.CompleteGeneration.class, effect -> generations.complete(effect.request()));
+        register(Effect.FailGeneration.class, effect -> generations.fail(effect.request(), effect.failure()));
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
@@ -20,7 +20,7 @@
 /**
  * The one thread that feeds events to the reducer and hands its effects to the shell.
  *
- * <p>{@link #submit} and {@link #submitReading} are safe for use by several threads.
+ * <p>{@link #submit} and {@link #submitHostListUpdate} are safe for use by several threads.
  */
 final class EventLoop {
     /** Time between two ticks; the finest grain of all deadlines in the reducer. */
@@ -31,7 +31,7 @@
     private final Consumer<Effect> effects;
     private final Consumer<HostReducer> publisher;
     private final BlockingQueue<Function<Instant, Event>> queue = new LinkedBlockingQueue<>();
-    private final Queue<Function<Instant, Event>> readings = new ConcurrentLinkedQueue<>();
+    private final Queue<Function<Instant, Event>> hostListUpdates = new ConcurrentLinkedQueue<>();
     private final Thread thread;
     private volatile boolean stopping;
 
@@ -69,12 +69,12 @@
      * Queues a reading of the host list ahead of all other events, because permits that are granted meanwhile would
      * follow an older list. Readings keep their order; an idle loop takes one with the next tick.
      */
-    void submitReading(Function<Instant, Event> reading) {
-        readings.add(reading);
+    void submitHostListUpdate(Function<Instant, Event> update) {
+        hostListUpdates.add(update);
     }
 
     private void run() {
-        carryOut(reducer.start());
+        execute(reducer.start());
         Instant nextTick = clock.instant();
         while (!stopping) {
             try {
@@ -91,7 +91,7 @@
 
     private Instant step(Instant nextTick) throws InterruptedException {
         long waitNanos = Duration.between(clock.instant(), nextTick).toNanos();
-        Function<Instant, Event> event = readings.poll();
+        Function<Instant, Event> event = hostListUpdates.poll();
         if (event == null && waitNanos > 0) {
             event = queue.poll(waitNanos, TimeUnit.NANOSECONDS);
         }
@@ -109,10 +109,10 @@
     private void apply(Event event) {
         List<Effect> result = reducer.apply(event);
         publisher.accept(reducer);
-        carryOut(result);
+        execute(result);
     }
 
-    private void carryOut(List<Effect> result) {
+    private void execute(List<Effect> result) {
         for (Effect effect : result) {
             try {
                 effects.accept(effect);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
@@ -32,7 +32,7 @@
  * permit still holds; only then the attempt is reported as broken. Safe for use by several threads.
  */
 final class GenerationExecutor {
-    private static final int RESUMES_PER_ATTEMPT = 2;
+    private static final int MAXIMUM_RESUMES_PER_ATTEMPT = 2;
 
     private final EngineClient engines;
     private final Consumer<Function<Instant, Event>> events;
@@ -51,28 +51,28 @@
     void start(RequestId request, int attempt, Endpoint endpoint, long loadStallMilliseconds) {
         RunningGeneration running = generations.get(request);
         if (running == null) {
-            ended(request, attempt, new AttemptOutcome.Cancelled());
+            reportEnd(request, attempt, new AttemptOutcome.Cancelled());
             return;
         }
-        running.begin(attempt);
-        running.sink().granted(loadStallMilliseconds);
+        running.startAttempt(attempt);
+        running.sink().attemptStarting(loadStallMilliseconds);
         long delivered = running.nextToken();
-        byte[] body = delivered == 0 ? running.generation().body() : continuation(running);
-        generate(running, new Attempt(attempt, endpoint, delivered, body, RESUMES_PER_ATTEMPT));
+        byte[] body = delivered == 0 ? running.generation().body() : continuationBody(running);
+        generate(running, new Attempt(attempt, endpoint, delivered, body, MAXIMUM_RESUMES_PER_ATTEMPT));
     }
 
     /**
      * One attempt.
      *
-     * @param base number of tokens that earlier attempts delivered
+     * @param previouslyDelivered number of tokens that earlier attempts delivered
      */
-    private record Attempt(int number, Endpoint endpoint, long base, byte[] body, int resumesLeft) {
+    private record Attempt(int number, Endpoint endpoint, long previouslyDelivered, byte[] body, int resumesLeft) {
         boolean isResumed() {
-            return resumesLeft < RESUMES_PER_ATTEMPT;
+            return resumesLeft < MAXIMUM_RESUMES_PER_ATTEMPT;
         }
 
-        Attempt resumed() {
-            return new Attempt(number, endpoint, base, body, resumesLeft - 1);
+        Attempt nextResume() {
+            return new Attempt(number, endpoint, previouslyDelivered, body, resumesLeft - 1);
         }
     }
 
@@ -98,7 +98,7 @@
                 attemptEnded(running, attempt, end);
             }
         };
-        running.cancellation(attempt.number(), engines.generate(attempt.endpoint(), request, listener));
+        running.setCancellation(attempt.number(), engines.generate(attempt.endpoint(), request, listener));
     }
 
     /** Attempts have ids of their own, because an engine may still know a broken earlier one. */
@@ -111,19 +111,19 @@
             return;
         }
         RequestId id = running.generation().id();
-        long produced = running.nextToken() - attempt.base();
+        long produced = running.nextToken() - attempt.previouslyDelivered();
         if (end instanceof GenerationResult.Complete) {
-            ended(id, attempt.number(), new AttemptOutcome.Completed());
+            reportEnd(id, attempt.number(), new AttemptOutcome.Completed());
         } else if (end instanceof GenerationResult.NotStarted notStarted) {
-            ended(
+            reportEnd(
                     id,
                     attempt.number(),
                     attempt.isResumed() ? broken(notStarted.failure(), produced) : notStarted(notStarted));
         } else if (end instanceof GenerationResult.Broken broken) {
             if (produced > 0 && attempt.resumesLeft() > 0) {
-                generate(running, attempt.resumed());
+                generate(running, attempt.nextResume());
             } else {
-                ended(id, attempt.number(), broken(broken.failure(), produced));
+                reportEnd(id, attempt.number(), broken(broken.failure(), produced));
             }
         }
     }
@@ -136,7 +136,7 @@
         return new AttemptOutcome.Broken(failure, produced);
     }
 
-    private void ended(RequestId request, int attempt, AttemptOutcome outcome) {
+    private void reportEnd(RequestId request, int attempt, AttemptOutcome outcome) {
         events.accept(at -> new Event.AttemptEnded(at, request, attempt, outcome));
     }
 
@@ -159,26 +159,26 @@
     }
 
     /** Takes the caller's side away; the reducer cancels the attempt. */
-    void withdraw(RequestId request) {
+    void cancel(RequestId request) {
         Optional.ofNullable(generations.remove(request))
                 .ifPresent(running -> running.end().cancel());
         events.accept(at -> new Event.GenerationCancelled(at, request));
     }
 
     /** Builds the body that lets another engine go on after the text that the caller has received. */
-    private static byte[] continuation(RunningGeneration running) {
+    private static byte[] continuationBody(RunningGeneration running) {
         try {
             ObjectNode body =
                     (ObjectNode) Mappers.JSON.readTree(running.generation().body());
             List<String> delivered = running.delivered();
-            body.put("continue_from", text(delivered));
+            body.put("continue_from", concatenateText(delivered));
             return Mappers.JSON.writeValueAsBytes(body);
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
     }
 
-    private static String text(List<String> chunks) throws IOException {
+    private static String concatenateText(List<String> chunks) throws IOException {
         StringBuilder text = new StringBuilder();
         for (String chunk : chunks) {
             JsonNode choice = Mappers.JSON.readTree(chunk).path("choices").path(0);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
@@ -22,7 +22,7 @@
     private final Duration interval;
     private final ScheduledExecutorService timer;
     private final Consumer<Function<Instant, Event>> events;
-    private final AtomicReference<HostListing> last = new AtomicReference<>(HostListing.EMPTY);
+    private final AtomicReference<HostListing> lastListing = new AtomicReference<>(HostListing.EMPTY);
 
     HostListPoller(
             HostListSource source,
@@ -40,13 +40,13 @@
     }
 
     Optional<NetworkAddress> peerAddress(HostId host) {
-        return last.get().host(host).map(EntryHost::peerAddress);
+        return lastListing.get().host(host).map(EntryHost::peerAddress);
     }
 
     private void poll() {
         source.read().whenComplete((listing, failure) -> {
             if (failure == null) {
-                last.set(listing);
+                lastListing.set(listing);
                 events.accept(at -> new Event.HostListRead(at, listing));
             }
             if (!timer.isShutdown()) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -42,87 +42,91 @@
 
 /** Connects the HTTP interfaces to the event loop. Safe for use by several threads. */
 final class HostService implements CallerService, OperatorService {
-    private final HostId self;
-    private final Duration addressKeep;
+    private final HostId host;
+    private final Duration entryAddressLifetime;
     private final InstantSource clock;
     private final GenerationExecutor generations;
     private final Consumer<Function<Instant, Event>> events;
-    private final AtomicReference<HostSnapshot> view;
-    private final AtomicLong queries = new AtomicLong();
-    private final Map<RequestId, CompletableFuture<CallAnswer>> calls = new ConcurrentHashMap<>();
-    private final Map<String, CompletableFuture<ChangeVerdict>> changes = new ConcurrentHashMap<>();
-    private final Map<Long, CompletableFuture<Effect.AnswerStatus>> statuses = new ConcurrentHashMap<>();
-    private final Map<Long, CompletableFuture<Optional<ChangeVerdict>>> verdicts = new ConcurrentHashMap<>();
+    private final AtomicReference<HostSnapshot> snapshot;
+    private final AtomicLong queryIds = new AtomicLong();
+    private final Map<RequestId, CompletableFuture<CallAnswer>> pendingCalls = new ConcurrentHashMap<>();
+    private final Map<String, CompletableFuture<ChangeVerdict>> pendingChanges = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Effect.AnswerStatus>> pendingStatusQueries = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Optional<ChangeVerdict>>> pendingVerdictQueries =
+            new ConcurrentHashMap<>();
     private long publishedVersion = Long.MIN_VALUE;
-    private Instant nextView = Instant.MIN;
+    private Instant nextSnapshotAt = Instant.MIN;
 
     HostService(
-            HostId self,
-            Duration addressKeep,
+            HostId host,
+            Duration entryAddressLifetime,
             InstantSource clock,
             GenerationExecutor generations,
             Consumer<Function<Instant, Event>> events) {
-        this.self = self;
-        this.addressKeep = addressKeep;
+        this.host = host;
+        this.entryAddressLifetime = entryAddressLifetime;
         this.clock = clock;
         this.generations = generations;
         this.events = events;
-        this.view = new AtomicReference<>(new HostSnapshot(
-                Optional.of(new Failure.NotReady(self)), Configuration.INITIAL, List.of(), List.of(), false, 0, false));
+        this.snapshot = new AtomicReference<>(new HostSnapshot(
+                Optional.of(new Failure.NotReady(host)), Configuration.INITIAL, List.of(), List.of(), false, 0, false));
     }
 
     /** Registers the effects that answer callers and operators. */
-    void answerThrough(EffectDispatcher effects) {
-        effects.on(Effect.AnswerCall.class, effect -> Optional.ofNullable(calls.remove(effect.request()))
+    void registerReplyEffects(EffectDispatcher effects) {
+        effects.register(Effect.AnswerCall.class, effect -> Optional.ofNullable(pendingCalls.remove(effect.request()))
                 .ifPresent(answer -> answer.complete(effect.answer())));
-        effects.on(Effect.AnswerChange.class, effect -> Optional.ofNullable(changes.remove(effect.changeId()))
-                .ifPresent(answer -> answer.complete(effect.verdict())));
-        effects.on(Effect.AnswerVerdict.class, effect -> Optional.ofNullable(verdicts.remove(effect.query()))
-                .ifPresent(answer -> answer.complete(effect.verdict())));
-        effects.on(Effect.AnswerStatus.class, effect -> Optional.ofNullable(statuses.remove(effect.query()))
-                .ifPresent(answer -> answer.complete(effect)));
+        effects.register(
+                Effect.AnswerChange.class, effect -> Optional.ofNullable(pendingChanges.remove(effect.changeId()))
+                        .ifPresent(answer -> answer.complete(effect.verdict())));
+        effects.register(
+                Effect.AnswerVerdict.class, effect -> Optional.ofNullable(pendingVerdictQueries.remove(effect.query()))
+                        .ifPresent(answer -> answer.complete(effect.verdict())));
+        effects.register(
+                Effect.AnswerStatus.class, effect -> Optional.ofNullable(pendingStatusQueries.remove(effect.query()))
+                        .ifPresent(answer -> answer.complete(effect)));
     }
 
     /** Publishes the reducer's state; a new configuration at once, the rest at most every few milliseconds. */
     void publish(HostReducer reducer) {
         Instant now = clock.instant();
         long version = reducer.configuration().current().version();
-        if (version == publishedVersion && now.isBefore(nextView)) {
+        if (version == publishedVersion && now.isBefore(nextSnapshotAt)) {
             return;
         }
         publishedVersion = version;
-        nextView = now.plusMillis(20);
-        view.set(viewOf(reducer));
+        nextSnapshotAt = now.plusMillis(20);
+        snapshot.set(snapshotOf(reducer));
     }
 
-    private HostSnapshot viewOf(HostReducer reducer) {
+    private HostSnapshot snapshotOf(HostReducer reducer) {
         Membership membership = reducer.membership();
-        List<EntryHost> listed = membership.listing().hosts();
-        List<EntryHost> usable = listed.stream()
+        List<EntryHost> listedHosts = membership.listing().hosts();
+        List<EntryHost> usableHosts = listedHosts.stream()
                 .filter(host -> membership.isAvailable(host.id()))
                 .toList();
         return new HostSnapshot(
-                reducer.isReady() ? Optional.empty() : Optional.of(new Failure.NotReady(self)),
+                reducer.isReady() ? Optional.empty() : Optional.of(new Failure.NotReady(host)),
                 reducer.configuration().current(),
-                listed,
-                usable,
+                listedHosts,
+                usableHosts,
                 membership.isDraining(),
                 reducer.inFlight(),
                 !reducer.ownsNoPool());
     }
 
-    HostSnapshot view() {
-        return view.get();
+    HostSnapshot snapshot() {
+        return snapshot.get();
     }
 
     @Override
-    public Optional<Failure> unreadiness() {
-        return view().unreadiness();
+    public Optional<Failure> notReadyReason() {
+        return snapshot().notReadyReason();
     }
 
     @Override
     public Configuration configuration() {
-        return view().configuration();
+        return snapshot().configuration();
     }
 
     @Override
@@ -138,13 +142,13 @@
                 generation.prefix(),
                 generation.fingerprint());
         events.accept(at -> new Event.GenerationArrived(at, request));
-        return () -> generations.withdraw(generation.id());
+        return () -> generations.cancel(generation.id());
     }
 
     @Override
     public CompletableFuture<CallAnswer> call(PlainCall call) {
         CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
-        calls.put(call.call().requestId(), answer);
+        pendingCalls.put(call.call().requestId(), answer);
         CallRequest request = new CallRequest(call.call(), call.service().pool(), call.key(), call.bodyDigest());
         events.accept(at -> new Event.CallArrived(at, request));
         return answer;
@@ -152,7 +156,7 @@
 
     @Override
     public EntryAddresses entryAddresses() {
-        List<EntryHost> hosts = new ArrayList<>(view().usable());
+        List<EntryHost> hosts = new ArrayList<>(snapshot().usableHosts());
         // Each answer has another order, which spreads callers over the hosts without a balancer.
         Collections.shuffle(hosts, ThreadLocalRandom.current());
         return new EntryAddresses(
@@ -160,37 +164,37 @@
                         .map(host ->
                                 new EntryAddresses.EntryAddress(host.id(), host.dataCentre(), host.callerAddress()))
                         .toList(),
-                clock.instant().plus(addressKeep));
+                clock.instant().plus(entryAddressLifetime));
     }
 
     @Override
     public CompletableFuture<ChangeVerdict> submit(ConfigurationChange change) {
         CompletableFuture<ChangeVerdict> verdict = new CompletableFuture<>();
-        changes.put(change.changeId(), verdict);
+        pendingChanges.put(change.changeId(), verdict);
         events.accept(at -> new Event.ChangeSubmitted(at, change));
         return verdict;
     }
 
     @Override
     public CompletableFuture<Optional<ChangeVerdict>> verdict(String changeId) {
-        long query = queries.incrementAndGet();
+        long query = queryIds.incrementAndGet();
         CompletableFuture<Optional<ChangeVerdict>> answer = new CompletableFuture<>();
-        verdicts.put(query, answer);
+        pendingVerdictQueries.put(query, answer);
         events.accept(at -> new Event.VerdictQueried(at, query, changeId));
         return answer;
     }
 
     private CompletableFuture<Effect.AnswerStatus> queryStatus() {
-        long query = queries.incrementAndGet();
+        long query = queryIds.incrementAndGet();
         CompletableFuture<Effect.AnswerStatus> answer = new CompletableFuture<>();
-        statuses.put(query, answer);
+        pendingStatusQueries.put(query, answer);
         events.accept(at -> new Event.StatusQueried(at, query));
         return answer;
     }
 
     @Override
     public CompletableFuture<ClusterStatus> status() {
-        return queryStatus().thenApply(answer -> new ClusterStatus(view().listed(), answer.states()));
+        return queryStatus().thenApply(answer -> new ClusterStatus(snapshot().listedHosts(), answer.states()));
     }
 
     @Override
@@ -200,7 +204,8 @@
 
     @Override
     public CompletableFuture<Optional<Failure>> drain(HostId host) {
-        boolean listed = view().listed().stream().anyMatch(entry -> entry.id().equals(host));
+        boolean listed =
+                snapshot().listedHosts().stream().anyMatch(entry -> entry.id().equals(host));
         if (!listed) {
             return CompletableFuture.completedFuture(Optional.of(new Failure.HostUnreachable(host)));
         }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostSnapshot.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostSnapshot.java
@@ -10,19 +10,19 @@
 /**
  * What the threads outside the event loop may know of the reducer's state.
  *
- * @param unreadiness why the host does not serve yet, empty once it does
+ * @param notReadyReason why the host does not serve yet, empty once it does
  * @param configuration configuration in force
- * @param listed all entry hosts of the host list
- * @param usable entry hosts that callers should use
+ * @param listedHosts all entry hosts of the host list
+ * @param usableHosts entry hosts that callers should use
  * @param draining whether this host leaves
  * @param inFlight what has to end before this host may stop
  * @param ownsPools whether this host decides for any pool
  */
 record HostSnapshot(
-        Optional<Failure> unreadiness,
+        Optional<Failure> notReadyReason,
         Configuration configuration,
-        List<EntryHost> listed,
-        List<EntryHost> usable,
+        List<EntryHost> listedHosts,
+        List<EntryHost> usableHosts,
         boolean draining,
         int inFlight,
         boolean ownsPools) {}
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogEntryCodec.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogEntryCodec.java
@@ -36,10 +36,10 @@
     }
 
     static StreamEntry decode(String stream, LogRecord record) {
-        return new StreamEntry(record.offset(), record.appendedAt(), value(stream, record.payload()));
+        return new StreamEntry(record.offset(), record.appendedAt(), decodePayload(stream, record.payload()));
     }
 
-    private static Optional<LogEntry> value(String stream, byte[] payload) {
+    private static Optional<LogEntry> decodePayload(String stream, byte[] payload) {
         Class<? extends LogEntry> type = LogStreams.isCallStream(stream) ? CallRecord.class : TYPES.get(stream);
         try {
             return Optional.ofNullable(Mappers.MESSAGE_PACK.readValue(payload, type));
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogTailer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogTailer.java
@@ -19,24 +19,24 @@
 
 /** Reads log streams continuously and turns what comes into events. Safe for use by several threads. */
 final class LogTailer {
-    private static final int RECORDS_PER_READ = 500;
+    private static final int MAXIMUM_RECORDS_PER_READ = 500;
 
     /**
      * A connection that has gone silent is noticed only when a read ends. With the time-out of a call on top, this
      * leaves a configuration change within its 9 s.
      */
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(5);
+    private static final Duration LONG_POLL_WAIT = Duration.ofSeconds(5);
 
     /** Orders wait for the log, and only two hosts follow each partition of them. */
-    private static final Duration LONGEST_WAIT_FOR_CALLS = Duration.ofSeconds(2);
+    private static final Duration CALL_LONG_POLL_WAIT = Duration.ofSeconds(2);
 
-    private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(250);
+    private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     private final LogService log;
     private final InstantSource clock;
     private final ScheduledExecutorService timer;
     private final Consumer<Function<Instant, Event>> events;
-    private final Map<String, Object> followed = new ConcurrentHashMap<>();
+    private final Map<String, Object> followedStreams = new ConcurrentHashMap<>();
 
     LogTailer(
             LogService log,
@@ -51,33 +51,33 @@
 
     /** Starts to read a stream; an earlier reading of the same stream ends. */
     void follow(String stream, long fromOffset) {
-        Object token = new Object();
-        followed.put(stream, token);
-        read(stream, token, fromOffset, false);
+        Object subscription = new Object();
+        followedStreams.put(stream, subscription);
+        read(stream, subscription, fromOffset, false);
     }
 
     void unfollow(String stream) {
-        followed.remove(stream);
+        followedStreams.remove(stream);
     }
 
     void stop() {
-        followed.clear();
+        followedStreams.clear();
     }
 
     /** Reads on; waits for new records only after the end was seen, so that a start is not delayed. */
-    private void read(String stream, Object token, long offset, boolean atEnd) {
-        if (followed.get(stream) != token) {
+    private void read(String stream, Object subscription, long offset, boolean atEnd) {
+        if (followedStreams.get(stream) != subscription) {
             return;
         }
         Instant now = clock.instant();
         Instant waitUntil =
-                atEnd ? now.plus(LogStreams.isCallStream(stream) ? LONGEST_WAIT_FOR_CALLS : LONGEST_WAIT) : now;
-        log.read(stream, offset, RECORDS_PER_READ, waitUntil)
-                .thenAccept(result -> ended(stream, token, offset, result));
+                atEnd ? now.plus(LogStreams.isCallStream(stream) ? CALL_LONG_POLL_WAIT : LONG_POLL_WAIT) : now;
+        log.read(stream, offset, MAXIMUM_RECORDS_PER_READ, waitUntil)
+                .thenAccept(result -> handleResult(stream, subscription, offset, result));
     }
 
-    private void ended(String stream, Object token, long offset, ReadResult result) {
-        if (followed.get(stream) != token) {
+    private void handleResult(String stream, Object subscription, long offset, ReadResult result) {
+        if (followedStreams.get(stream) != subscription) {
             return;
         }
         if (result instanceof ReadResult.Records records) {
@@ -85,14 +85,14 @@
                     .map(record -> LogEntryCodec.decode(stream, record))
                     .toList();
             events.accept(at -> new Event.StreamRead(at, stream, records.next(), records.end(), entries));
-            read(stream, token, records.next(), records.next() >= records.end());
+            read(stream, subscription, records.next(), records.next() >= records.end());
         } else if (result instanceof ReadResult.Expired expired) {
             events.accept(at -> new Event.StreamExpired(at, stream, expired.earliest()));
-            read(stream, token, expired.earliest(), false);
+            read(stream, subscription, expired.earliest(), false);
         } else {
             events.accept(at -> new Event.StreamUnavailable(at, stream));
             timer.schedule(
-                    () -> read(stream, token, offset, false), PAUSE_AFTER_FAILURE.toMillis(), TimeUnit.MILLISECONDS);
+                    () -> read(stream, subscription, offset, false), RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
@@ -26,7 +26,7 @@
     }
 
     /** Makes an attempt the current one; events of earlier attempts are ignored from now on. */
-    synchronized void begin(int number) {
+    synchronized void startAttempt(int number) {
         attempt = number;
         cancellation = () -> {};
     }
@@ -35,7 +35,7 @@
         return !ended && attempt == number;
     }
 
-    synchronized void cancellation(int number, Cancellation value) {
+    synchronized void setCancellation(int number, Cancellation value) {
         if (isCurrent(number)) {
             cancellation = value;
         } else {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
@@ -14,14 +14,14 @@
 /**
  * Finds the holder of a bearer key.
  *
- * @param <H> type of the holders
+ * @param <P> type of the principals
  */
-public final class BearerAuthenticator<H> {
-    private static final String SCHEME = "Bearer ";
+public final class BearerAuthenticator<P> {
+    private static final String SCHEME_PREFIX = "Bearer ";
 
-    private final List<Entry<H>> entries;
+    private final List<Credential<P>> credentials;
 
-    private record Entry<H>(H holder, byte[] digest) {}
+    private record Credential<P>(P principal, byte[] digest) {}
 
     /**
      * Creates the ring.
@@ -29,13 +29,13 @@
      * @param keys keys by holder
      * @throws FailureException with {@link Failure.InvalidField} if two holders have the same key
      */
-    public BearerAuthenticator(Map<H, List<BearerKey>> keys) {
-        entries = keys.entrySet().stream()
-                .flatMap(holder -> holder.getValue().stream().map(key -> new Entry<>(holder.getKey(), key.digest())))
+    public BearerAuthenticator(Map<P, List<BearerKey>> keys) {
+        credentials = keys.entrySet().stream()
+                .flatMap(entry -> entry.getValue().stream().map(key -> new Credential<>(entry.getKey(), key.digest())))
                 .toList();
         Set<String> seen = new HashSet<>();
-        for (Entry<H> entry : entries) {
-            if (!seen.add(java.util.HexFormat.of().formatHex(entry.digest()))) {
+        for (Credential<P> credential : credentials) {
+            if (!seen.add(java.util.HexFormat.of().formatHex(credential.digest()))) {
                 throw new FailureException(new Failure.InvalidField("key", "different from all other keys"));
             }
         }
@@ -50,22 +50,22 @@
      * @return the holder
      * @throws FailureException with {@link Failure.Unauthenticated} if the key is missing or unknown
      */
-    public H authenticate(Exchange exchange) {
+    public P authenticate(Exchange exchange) {
         return exchange.header("Authorization")
                 .flatMap(this::find)
                 .orElseThrow(() -> new FailureException(new Failure.Unauthenticated()));
     }
 
-    Optional<H> find(String authorization) {
-        if (!authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+    Optional<P> find(String authorization) {
+        if (!authorization.regionMatches(true, 0, SCHEME_PREFIX, 0, SCHEME_PREFIX.length())) {
             return Optional.empty();
         }
-        byte[] digest =
-                DigestUtils.sha256(authorization.substring(SCHEME.length()).trim());
-        H found = null;
-        for (Entry<H> entry : entries) {
-            boolean equal = MessageDigest.isEqual(entry.digest(), digest);
-            found = equal ? entry.holder() : found;
+        byte[] digest = DigestUtils.sha256(
+                authorization.substring(SCHEME_PREFIX.length()).trim());
+        P found = null;
+        for (Credential<P> credential : credentials) {
+            boolean equal = MessageDigest.isEqual(credential.digest(), digest);
+            found = equal ? credential.principal() : found;
         }
         return Optional.ofNullable(found);
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
@@ -25,12 +25,12 @@
  */
 final class ConnectionHandler extends ChannelDuplexHandler {
     /** A client that pipelines more requests than this is cut off, which bounds the memory of a connection. */
-    private static final int PIPELINE_LIMIT = 4;
+    private static final int MAXIMUM_PIPELINED_REQUESTS = 4;
 
     private static final ThreadLocal<IncomingRequest> DISPATCHED = new ThreadLocal<>();
 
     private final ListenerState state;
-    private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
+    private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
     private IncomingRequest current;
     private boolean closeAfterResponse;
 
@@ -55,8 +55,8 @@
             context.fireChannelRead(message);
         } else if (current == null) {
             dispatch(context, request);
-        } else if (waiting.size() < PIPELINE_LIMIT) {
-            waiting.add(request);
+        } else if (pipelined.size() < MAXIMUM_PIPELINED_REQUESTS) {
+            pipelined.add(request);
         } else {
             request.release();
             context.close();
@@ -67,20 +67,21 @@
         try {
             if (request.decoderResult().isFailure()) {
                 Failure failure = new Failure.InvalidField(
-                        "request head", "well-formed and at most " + HttpListenerOptions.HEADER_LIMIT_BYTES + " bytes");
+                        "request head",
+                        "well-formed and at most " + HttpListenerOptions.MAXIMUM_HEADER_BYTES + " bytes");
                 DirectErrorResponse.sendAndClose(context, failure);
                 return;
             }
             current = new IncomingRequest(context.channel(), request);
             closeAfterResponse = !HttpUtil.isKeepAlive(request);
             state.requestStarted();
-            passOn(context, request);
+            forward(context, request);
         } finally {
             request.release();
         }
     }
 
-    private void passOn(ChannelHandlerContext context, FullHttpRequest request) {
+    private void forward(ChannelHandlerContext context, FullHttpRequest request) {
         HttpHeaders headers = request.headers()
                 .copy()
                 .remove(HttpHeaderNames.CONTENT_LENGTH)
@@ -105,7 +106,7 @@
         }
         if (message instanceof HttpResponse response
                 && current != null
-                && !current.readsChunks()
+                && !current.supportsChunkedEncoding()
                 && HttpUtil.isTransferEncodingChunked(response)) {
             closeAfterResponse = true;
             HttpUtil.setTransferEncodingChunked(response, false);
@@ -130,21 +131,21 @@
         current = null;
         if (closeAfterResponse) {
             context.close();
-        } else if (!waiting.isEmpty()) {
-            context.executor().execute(() -> dispatchWaiting(context));
+        } else if (!pipelined.isEmpty()) {
+            context.executor().execute(() -> dispatchNext(context));
         }
     }
 
-    private void dispatchWaiting(ChannelHandlerContext context) {
-        if (current == null && !waiting.isEmpty()) {
-            dispatch(context, waiting.remove());
+    private void dispatchNext(ChannelHandlerContext context) {
+        if (current == null && !pipelined.isEmpty()) {
+            dispatch(context, pipelined.remove());
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        waiting.forEach(FullHttpRequest::release);
-        waiting.clear();
+        pipelined.forEach(FullHttpRequest::release);
+        pipelined.clear();
         if (current != null) {
             IncomingRequest interrupted = current;
             current = null;
@@ -158,7 +159,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event != ListenerState.CloseIfIdle.EVENT) {
             context.fireUserEventTriggered(event);
-        } else if (current == null && waiting.isEmpty()) {
+        } else if (current == null && pipelined.isEmpty()) {
             context.close();
         }
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
@@ -18,8 +18,8 @@
  * @param body the envelope as JSON; not to be changed
  */
 public record ErrorResponse(int status, Map<String, String> headers, byte[] body) {
-    private static final String RETRY_SECONDS = "1";
-    private static final String MAINTENANCE_RETRY_SECONDS = "30";
+    private static final String RETRY_AFTER_SECONDS = "1";
+    private static final String MAINTENANCE_RETRY_AFTER_SECONDS = "30";
 
     /**
      * Returns the response to a failure, as its type determines it.
@@ -62,7 +62,7 @@
      * @param failure the failure
      * @return the envelope as JSON
      */
-    public static byte[] event(Failure failure) {
+    public static byte[] envelopeBytes(Failure failure) {
         return bytes(envelope(failure, FailureStatus.of(failure)));
     }
 
@@ -71,7 +71,7 @@
         headers.put("X-Outcome", outcome == FailureOutcome.NOT_RUN ? "not-run" : "unknown");
         if (status == 503 || status == 429) {
             boolean maintenance = failure instanceof Failure.InMaintenance;
-            headers.put("Retry-After", maintenance ? MAINTENANCE_RETRY_SECONDS : RETRY_SECONDS);
+            headers.put("Retry-After", maintenance ? MAINTENANCE_RETRY_AFTER_SECONDS : RETRY_AFTER_SECONDS);
         }
         if (status == 401) {
             headers.put("WWW-Authenticate", "Bearer");
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
@@ -18,19 +18,19 @@
  * codec, which takes the event loop less time for each token than Jooby's sender does.
  */
 public final class EventStream {
-    private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final int FRAME_BYTES = 16;
+    private static final byte[] CRLF = "\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final int CHUNK_OVERHEAD_BYTES = 16;
 
     private final Exchange exchange;
-    private final int bufferBytes;
+    private final int bufferLimitBytes;
     /** Bytes that wait for the event loop; those that wait for the socket are counted by the channel. */
     private final AtomicLong queuedBytes = new AtomicLong();
 
     private Sender sender;
 
-    EventStream(Exchange exchange, int bufferBytes) {
+    EventStream(Exchange exchange, int bufferLimitBytes) {
         this.exchange = exchange;
-        this.bufferBytes = bufferBytes;
+        this.bufferLimitBytes = bufferLimitBytes;
     }
 
     void open(Sender opened) {
@@ -43,8 +43,8 @@
      * @param event the event with its field name and the empty line behind it, not empty; not to be changed
      */
     public void send(byte[] event) {
-        if (queuedBytes.addAndGet(event.length) > bufferBytes) {
-            exchange.cut();
+        if (queuedBytes.addAndGet(event.length) > bufferLimitBytes) {
+            exchange.abort();
             return;
         }
         exchange.enqueue(() -> {
@@ -61,17 +61,17 @@
 
     private void write(byte[] event) {
         Channel channel = exchange.channel();
-        ByteBuf chunk = channel.alloc().directBuffer(event.length + FRAME_BYTES);
-        if (exchange.readsChunks()) {
+        ByteBuf chunk = channel.alloc().directBuffer(event.length + CHUNK_OVERHEAD_BYTES);
+        if (exchange.supportsChunkedEncoding()) {
             chunk.writeCharSequence(Integer.toHexString(event.length), StandardCharsets.US_ASCII);
-            chunk.writeBytes(LINE_END).writeBytes(event).writeBytes(LINE_END);
+            chunk.writeBytes(CRLF).writeBytes(event).writeBytes(CRLF);
         } else {
             chunk.writeBytes(event);
         }
-        channel.pipeline().context(JoobyNettyServer.CODEC).writeAndFlush(chunk, channel.voidPromise());
-        ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
-        if (waiting != null && waiting.totalPendingWriteBytes() > bufferBytes) {
-            exchange.cut();
+        channel.pipeline().context(JoobyNettyServer.HTTP_CODEC_HANDLER).writeAndFlush(chunk, channel.voidPromise());
+        ChannelOutboundBuffer outboundBuffer = channel.unsafe().outboundBuffer();
+        if (outboundBuffer != null && outboundBuffer.totalPendingWriteBytes() > bufferLimitBytes) {
+            exchange.abort();
         }
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
@@ -112,7 +112,7 @@
      */
     public void respond(int status, Optional<String> contentType, byte[] body) {
         execute(() -> {
-            if (begin(status)) {
+            if (beginResponse(status)) {
                 contentType.ifPresent(type -> context.setResponseHeader("Content-Type", type));
                 send(body);
             }
@@ -150,7 +150,7 @@
      */
     public void respond(ErrorResponse error) {
         execute(() -> {
-            if (begin(error.status())) {
+            if (beginResponse(error.status())) {
                 error.headers().forEach(context::setResponseHeader);
                 context.setResponseHeader("Content-Type", JSON);
                 send(error.body());
@@ -163,10 +163,10 @@
      *
      * @return the stream
      */
-    public EventStream stream() {
+    public EventStream startEventStream() {
         EventStream stream = new EventStream(this, streamBufferBytes);
         enqueue(() -> {
-            if (begin(200)) {
+            if (beginResponse(200)) {
                 context.setResponseHeader("Content-Type", "text/event-stream; charset=utf-8");
                 context.setResponseHeader("Cache-Control", "no-cache");
                 stream.open(context.responseSender());
@@ -176,7 +176,7 @@
     }
 
     /** Closes the connection at once, which counts as a disconnect unless the response has ended. */
-    public void cut() {
+    public void abort() {
         channel().close();
     }
 
@@ -217,8 +217,8 @@
         }
     }
 
-    boolean readsChunks() {
-        return request.readsChunks();
+    boolean supportsChunkedEncoding() {
+        return request.supportsChunkedEncoding();
     }
 
     Channel channel() {
@@ -229,7 +229,7 @@
         return context;
     }
 
-    private boolean begin(int status) {
+    private boolean beginResponse(int status) {
         if (responded || !channel().isActive()) {
             return false;
         }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/FailureStatus.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/FailureStatus.java
@@ -8,7 +8,7 @@
 /** The one table from failures to HTTP statuses. */
 public final class FailureStatus {
     /** Status in the log and the metrics of a request whose caller disconnected; no caller ever receives it. */
-    public static final int CALLER_GONE = 499;
+    public static final int CLIENT_CLOSED_REQUEST = 499;
 
     private static final int BAD_REQUEST = 400;
     private static final int CONFLICT = 409;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListener.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListener.java
@@ -15,7 +15,7 @@
 
 /** One HTTP port with its routes. Routes are added before {@link #start}. */
 public final class HttpListener {
-    private static final long POLL_MILLISECONDS = 10;
+    private static final long DRAIN_POLL_MILLISECONDS = 10;
 
     private final HttpListenerOptions options;
     private final ListenerState state = new ListenerState();
@@ -65,7 +65,7 @@
      * @param handler serves its requests
      * @return this
      */
-    public HttpListener routeAll(String pattern, ExchangeHandler handler) {
+    public HttpListener routeAllMethods(String pattern, ExchangeHandler handler) {
         Exchange.methods().forEach(method -> route(method, pattern, handler));
         return this;
     }
@@ -73,12 +73,12 @@
     /**
      * Adds {@code /health} and {@code /ready}, which need no key.
      *
-     * @param unreadiness why the host does not serve yet, empty once it does
+     * @param notReadyReason why the host does not serve yet, empty once it does
      * @return this
      */
-    public HttpListener healthRoutes(Supplier<Optional<Failure>> unreadiness) {
+    public HttpListener addHealthRoutes(Supplier<Optional<Failure>> notReadyReason) {
         route("GET", "/health", exchange -> exchange.respondJson(200, new HealthStatus("ok")));
-        return route("GET", "/ready", exchange -> unreadiness
+        return route("GET", "/ready", exchange -> notReadyReason
                 .get()
                 .ifPresentOrElse(exchange::fail, () -> exchange.respondJson(200, new HealthStatus("ready"))));
     }
@@ -134,7 +134,7 @@
     private static void sleep(Instant deadline) {
         try {
             long left = Duration.between(Instant.now(), deadline).toMillis();
-            Thread.sleep(Math.max(1, Math.min(POLL_MILLISECONDS, left)));
+            Thread.sleep(Math.max(1, Math.min(DRAIN_POLL_MILLISECONDS, left)));
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListenerOptions.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListenerOptions.java
@@ -22,7 +22,7 @@
         Duration requestTimeout,
         Duration idleTimeout) {
     /** Largest request line and largest header block that are accepted. */
-    static final int HEADER_LIMIT_BYTES = 16 * 1024;
+    static final int MAXIMUM_HEADER_BYTES = 16 * 1024;
 
     private static final int MEBIBYTE = 1024 * 1024;
 
@@ -33,7 +33,7 @@
      * @param port port to bind, 0 for any free port
      * @return the options
      */
-    public static HttpListenerOptions of(String ip, int port) {
+    public static HttpListenerOptions withDefaults(String ip, int port) {
         int threads = Math.min(4, Runtime.getRuntime().availableProcessors());
         return new HttpListenerOptions(
                 ip, port, threads, MEBIBYTE, MEBIBYTE, Duration.ofSeconds(30), Duration.ofSeconds(75));
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/IncomingRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/IncomingRequest.java
@@ -15,7 +15,7 @@
     private final String uri;
     private final HttpHeaders headers;
     private final byte[] body;
-    private final boolean readsChunks;
+    private final boolean supportsChunkedEncoding;
     private final List<Runnable> disconnectListeners = new ArrayList<>(1);
     private boolean ended;
 
@@ -24,7 +24,7 @@
         method = request.method().name();
         uri = request.uri();
         headers = request.headers();
-        readsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+        supportsChunkedEncoding = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         body = new byte[request.content().readableBytes()];
         request.content().readBytes(body);
     }
@@ -50,8 +50,8 @@
     }
 
     /** Returns whether the caller reads answers in chunks; for others, the end of the connection ends a stream. */
-    boolean readsChunks() {
-        return readsChunks;
+    boolean supportsChunkedEncoding() {
+        return supportsChunkedEncoding;
     }
 
     void onDisconnect(Runnable listener) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
@@ -28,16 +28,16 @@
  */
 final class JoobyNettyServer extends Server.Base {
     /** Name of the handler below which bytes go to the socket as they are. */
-    static final String CODEC = "codec";
+    static final String HTTP_CODEC_HANDLER = "codec";
 
-    private static final int CHUNK_BYTES = 8 * 1024;
-    private static final int SHUTDOWN_SECONDS = 5;
+    private static final int MAXIMUM_CHUNK_BYTES = 8 * 1024;
+    private static final int SHUTDOWN_TIMEOUT_SECONDS = 5;
 
     private final HttpListenerOptions options;
     private final ListenerState state;
     private ServerOptions serverOptions = new ServerOptions();
     private EventLoopGroup eventLoops;
-    private Channel acceptor;
+    private Channel serverChannel;
     private Jooby application;
 
     JoobyNettyServer(HttpListenerOptions options, ListenerState state) {
@@ -66,7 +66,7 @@
         application = jooby;
         eventLoops = new NioEventLoopGroup(options.eventLoopThreads(), new DefaultThreadFactory("http", true));
         fireStart(List.of(jooby), eventLoops);
-        acceptor = new ServerBootstrap()
+        serverChannel = new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -82,12 +82,12 @@
     }
 
     int port() {
-        return ((InetSocketAddress) acceptor.localAddress()).getPort();
+        return ((InetSocketAddress) serverChannel.localAddress()).getPort();
     }
 
     void stopAccepting() {
-        if (acceptor.isOpen()) {
-            acceptor.close().syncUninterruptibly();
+        if (serverChannel.isOpen()) {
+            serverChannel.close().syncUninterruptibly();
         }
     }
 
@@ -97,24 +97,24 @@
             return this;
         }
         stopAccepting();
-        state.connections().close().awaitUninterruptibly(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+        state.connections().close().awaitUninterruptibly(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         fireStop(List.of(application));
         eventLoops
-                .shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS)
-                .awaitUninterruptibly(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+                .shutdownGracefully(0, SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         return this;
     }
 
     private final class Initializer extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
-            int headerLimit = HttpListenerOptions.HEADER_LIMIT_BYTES;
+            int headerLimit = HttpListenerOptions.MAXIMUM_HEADER_BYTES;
             channel.pipeline()
                     .addLast(
                             "write-idle",
                             new IdleStateHandler(
                                     true, 0, options.requestTimeout().toMillis(), 0, TimeUnit.MILLISECONDS))
-                    .addLast(CODEC, new HttpServerCodec(headerLimit, headerLimit, CHUNK_BYTES))
+                    .addLast(HTTP_CODEC_HANDLER, new HttpServerCodec(headerLimit, headerLimit, MAXIMUM_CHUNK_BYTES))
                     .addLast("timeout", new RequestTimeoutHandler(options.requestTimeout(), options.idleTimeout()))
                     .addLast("aggregator", new BodyAggregator(options.bodyLimitBytes()))
                     .addLast("connection", new ConnectionHandler(state))
@@ -126,7 +126,7 @@
                     eventLoops,
                     application,
                     options.bodyLimitBytes(),
-                    CHUNK_BYTES,
+                    MAXIMUM_CHUNK_BYTES,
                     new DefaultHttpDataFactory(false),
                     false,
                     false);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/RequestTimeoutHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/RequestTimeoutHandler.java
@@ -21,7 +21,7 @@
     private final Duration requestTimeout;
     private final Duration idleTimeout;
     private Future<?> timer;
-    private boolean reading;
+    private boolean receivingRequest;
 
     RequestTimeoutHandler(Duration requestTimeout, Duration idleTimeout) {
         this.requestTimeout = requestTimeout;
@@ -37,11 +37,11 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest) {
-            reading = true;
+            receivingRequest = true;
             schedule(context, requestTimeout);
         }
         if (message instanceof LastHttpContent) {
-            reading = false;
+            receivingRequest = false;
             cancel();
         }
         context.fireChannelRead(message);
@@ -61,21 +61,21 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent) {
             closeIfStalled(context);
-        } else if (event != ListenerState.CloseIfIdle.EVENT || !reading) {
+        } else if (event != ListenerState.CloseIfIdle.EVENT || !receivingRequest) {
             context.fireUserEventTriggered(event);
         }
     }
 
     /** Closes the connection if bytes wait for the socket; the event tells that it has accepted none for a while. */
     private static void closeIfStalled(ChannelHandlerContext context) {
-        ChannelOutboundBuffer waiting = context.channel().unsafe().outboundBuffer();
-        if (waiting != null && waiting.totalPendingWriteBytes() > 0) {
+        ChannelOutboundBuffer outboundBuffer = context.channel().unsafe().outboundBuffer();
+        if (outboundBuffer != null && outboundBuffer.totalPendingWriteBytes() > 0) {
             context.close();
         }
     }
 
     private void responseEnded(ChannelHandlerContext context) {
-        if (!reading && context.channel().isActive()) {
+        if (!receivingRequest && context.channel().isActive()) {
             schedule(context, idleTimeout);
         }
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallPath.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallPath.java
@@ -23,15 +23,15 @@
      * been matched, so a call could reach a path that must not be repeated under the rule of another.
      */
     static CallPath parse(String uri) {
-        int question = uri.indexOf('?');
-        String whole = question < 0 ? uri : uri.substring(0, question);
-        String query = question < 0 ? "" : uri.substring(question);
-        if (!whole.startsWith(PREFIX)) {
-            throw refused();
+        int queryStart = uri.indexOf('?');
+        String fullPath = queryStart < 0 ? uri : uri.substring(0, queryStart);
+        String query = queryStart < 0 ? "" : uri.substring(queryStart);
+        if (!fullPath.startsWith(PREFIX)) {
+            throw invalidPath();
         }
-        int slash = whole.indexOf('/', PREFIX.length());
-        String service = whole.substring(PREFIX.length(), slash < 0 ? whole.length() : slash);
-        String path = slash < 0 ? "/" : whole.substring(slash);
+        int slash = fullPath.indexOf('/', PREFIX.length());
+        String service = fullPath.substring(PREFIX.length(), slash < 0 ? fullPath.length() : slash);
+        String path = slash < 0 ? "/" : fullPath.substring(slash);
         checkSegments(path);
         return new CallPath(new ServiceId(service), path, query);
     }
@@ -41,7 +41,7 @@
             int parameter = segment.indexOf(';');
             String name = parameter < 0 ? segment : segment.substring(0, parameter);
             if (name.equals(".") || name.equals("..")) {
-                throw refused();
+                throw invalidPath();
             }
         }
     }
@@ -50,11 +50,11 @@
         try {
             return java.net.URLDecoder.decode(path, StandardCharsets.UTF_8);
         } catch (IllegalArgumentException exception) {
-            throw refused();
+            throw invalidPath();
         }
     }
 
-    private static FailureException refused() {
+    private static FailureException invalidPath() {
         return new FailureException(
                 new Failure.InvalidField("path", "/services/{service}/... with valid escapes and no dot segments"));
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -29,10 +29,10 @@
     private final CallerService service;
     private final RequestRecorder recorder;
     private final BearerAuthenticator<CallerId> keys;
-    private final RequestIdGenerator ids;
+    private final RequestIdGenerator requestIds;
     private final HttpListener listener;
     /** Lists of models can be large, and writing one on an event loop would delay the streams on it. */
-    private final ExecutorService modelWriter = Executors.newSingleThreadExecutor(task -> {
+    private final ExecutorService modelListExecutor = Executors.newSingleThreadExecutor(task -> {
         Thread thread = new Thread(task, "model-list");
         thread.setDaemon(true);
         return thread;
@@ -46,7 +46,7 @@
      * @param callerKeys bearer keys of the callers
      * @param service serves the requests
      * @param recorder records ended requests
-     * @param deadlines which deadlines are accepted
+     * @param deadlinePolicy which deadlines are accepted
      */
     public CallerHttpServer(
             HostIdentity identity,
@@ -54,30 +54,33 @@
             CallerKeys callerKeys,
             CallerService service,
             RequestRecorder recorder,
-            DeadlinePolicy deadlines) {
+            DeadlinePolicy deadlinePolicy) {
         this.service = service;
         this.recorder = recorder;
         keys = new BearerAuthenticator<>(callerKeys.keys());
-        ids = new RequestIdGenerator(identity);
-        listener = new HttpListener("callers", options).healthRoutes(service::unreadiness);
-        recorder.metrics().gaugeInFlight(listener::inFlight);
-        GenerationRoute generation = new GenerationRoute(service, deadlines);
-        PlainCallRoute plainCall = new PlainCallRoute(service, deadlines);
-        ModelsRoute models = new ModelsRoute(service, modelWriter);
+        requestIds = new RequestIdGenerator(identity);
+        listener = new HttpListener("callers", options).addHealthRoutes(service::notReadyReason);
+        recorder.metrics().registerInFlightGauge(listener::inFlight);
+        GenerationRoute generation = new GenerationRoute(service, deadlinePolicy);
+        PlainCallRoute plainCall = new PlainCallRoute(service, deadlinePolicy);
+        ModelsRoute models = new ModelsRoute(service, modelListExecutor);
         listener.route("POST", GenerationRoute.CHAT, exchange -> serve(exchange, generation::chat))
                 .route("POST", GenerationRoute.COMPLETIONS, exchange -> serve(exchange, generation::completion))
                 .route("GET", "/v1/models", exchange -> serve(exchange, models::list))
-                .route("GET", "/v1/entry", exchange -> serve(exchange, (request, caller) -> entry(request)))
-                .routeAll("/services/{service}", exchange -> serve(exchange, plainCall::call))
-                .routeAll("/services/{service}/*path", exchange -> serve(exchange, plainCall::call));
+                .route(
+                        "GET",
+                        "/v1/entry",
+                        exchange -> serve(exchange, (request, caller) -> sendEntryAddresses(request)))
+                .routeAllMethods("/services/{service}", exchange -> serve(exchange, plainCall::call))
+                .routeAllMethods("/services/{service}/*path", exchange -> serve(exchange, plainCall::call));
     }
 
     private void serve(Exchange exchange, CallerRequestHandler handler) {
-        CallerRequest request = new CallerRequest(exchange, ids.next(), recorder);
+        CallerRequest request = new CallerRequest(exchange, requestIds.next(), recorder);
         try {
             CallerId caller = keys.authenticate(exchange);
             request.setCaller(caller);
-            service.unreadiness().ifPresent(failure -> {
+            service.notReadyReason().ifPresent(failure -> {
                 throw new FailureException(failure);
             });
             handler.handle(request, caller);
@@ -90,7 +93,8 @@
     }
 
     /** Finds a service and checks that it answers the caller. */
-    static ServiceDeclaration serviceFor(CallerService service, ServiceId id, CallerRequest request, CallerId caller) {
+    static ServiceDeclaration findAuthorizedService(
+            CallerService service, ServiceId id, CallerRequest request, CallerId caller) {
         ServiceDeclaration declared = service.configuration()
                 .service(id)
                 .orElseThrow(() -> new FailureException(new Failure.UnknownService(id)));
@@ -101,7 +105,7 @@
         return declared;
     }
 
-    private void entry(CallerRequest request) {
+    private void sendEntryAddresses(CallerRequest request) {
         EntryAddresses entry = service.entryAddresses();
         request.exchange()
                 .respondJson(
@@ -116,7 +120,7 @@
                                         .toList(),
                                 "keep_until",
                                 entry.keepUntil()));
-        request.succeeded();
+        request.recordSuccess();
     }
 
     /** Binds the port and starts to serve. */
@@ -132,7 +136,7 @@
      */
     public boolean stop(Instant deadline) {
         boolean drained = listener.stop(deadline);
-        modelWriter.shutdownNow();
+        modelListExecutor.shutdownNow();
         return drained;
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -40,7 +40,7 @@
         this.id = id;
         this.recorder = recorder;
         exchange.responseHeader("X-Request-Id", id.value());
-        exchange.onDisconnect(() -> end(FailureStatus.CALLER_GONE, new Failure.Cancelled().code()));
+        exchange.onDisconnect(() -> recordEnd(FailureStatus.CLIENT_CLOSED_REQUEST, new Failure.Cancelled().code()));
     }
 
     Exchange exchange() {
@@ -64,7 +64,7 @@
     }
 
     /** Adds the version that ran to the response; called once tokens prove that it runs. */
-    void announceAdapter() {
+    void setAdapterVersionHeader() {
         adapter.ifPresent(version -> exchange.responseHeader("X-Adapter-Version", version.engineName()));
     }
 
@@ -73,58 +73,58 @@
     }
 
     /** Notes the time that the request waited for its adapter to load, over all attempts. */
-    void loadStalled(long milliseconds) {
+    void addLoadStall(long milliseconds) {
         loadStallMilliseconds += milliseconds;
     }
 
     /** Notes a token for the metrics. Called by one thread at a time. */
-    void tokenArrived() {
+    void recordToken() {
         long now = System.nanoTime();
         if (untilFirstToken.isEmpty()) {
             Duration latency = Duration.ofNanos(now - arrivedNanos);
             untilFirstToken = Optional.of(latency);
-            service.ifPresent(declared -> recorder.metrics().firstToken(declared.id(), latency));
+            service.ifPresent(declared -> recorder.metrics().recordFirstToken(declared.id(), latency));
         } else {
             Duration gap = Duration.ofNanos(now - previousTokenNanos);
-            service.ifPresent(declared -> recorder.metrics().tokenGap(declared.id(), gap));
+            service.ifPresent(declared -> recorder.metrics().recordTokenGap(declared.id(), gap));
         }
         previousTokenNanos = now;
     }
 
     /** Answers with a whole response. */
-    void answer(int status, Optional<String> contentType, byte[] body) {
+    void respond(int status, Optional<String> contentType, byte[] body) {
         exchange.respond(status, contentType, body);
-        end(status, status >= 500 ? RequestSummary.SERVICE_ERROR : RequestSummary.OK);
+        recordEnd(status, status >= 500 ? RequestSummary.SERVICE_ERROR : RequestSummary.OK);
     }
 
     /** Records that the answer has been handed to the connection. */
-    void succeeded() {
-        end(200, RequestSummary.OK);
+    void recordSuccess() {
+        recordEnd(200, RequestSummary.OK);
     }
 
     /** Refuses a request that was not handed over. */
     void refuse(Failure failure) {
         exchange.fail(failure);
-        end(FailureStatus.of(failure), failure.code());
+        recordEnd(FailureStatus.of(failure), failure.code());
     }
 
     /** Answers a failure after the request was handed over. */
     void fail(Failure failure, FailureOutcome outcome) {
         int status = outcome == FailureOutcome.NOT_RUN ? FailureStatus.ofNotRun(failure) : FailureStatus.ofUnknown();
         exchange.respond(ErrorResponse.of(failure, status, outcome));
-        end(status, failure.code());
+        recordEnd(status, failure.code());
     }
 
     /** Records a failure that the event stream of the response has reported. */
-    void failedWhileStreaming(Failure failure) {
-        end(FailureStatus.ofUnknown(), failure.code());
+    void recordStreamFailure(Failure failure) {
+        recordEnd(FailureStatus.ofUnknown(), failure.code());
     }
 
-    private void end(int status, String code) {
+    private void recordEnd(int status, String code) {
         if (ended.compareAndSet(false, true)) {
             Duration duration = Duration.ofNanos(System.nanoTime() - arrivedNanos);
             Optional<String> model = adapter.map(AdapterVersion::engineName);
-            recorder.ended(new RequestSummary(
+            recorder.record(new RequestSummary(
                     id,
                     caller,
                     service,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkAssembler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkAssembler.java
@@ -19,7 +19,7 @@
  */
 final class ChunkAssembler {
     /** Texts that engines send whole, possibly more than once. */
-    private static final Set<String> WHOLE_TEXTS =
+    private static final Set<String> UNSPLIT_TEXT_FIELDS =
             Set.of("role", "id", "type", "name", "finish_reason", "stop_reason", "system_fingerprint", "service_tier");
 
     private final String id;
@@ -52,35 +52,35 @@
                         field.getKey(), mergeValue(field.getKey(), target.get(field.getKey()), field.getValue())));
     }
 
-    private static Object mergeValue(String field, Object present, JsonNode value) {
+    private static Object mergeValue(String field, Object current, JsonNode value) {
         if (value.isNull()) {
-            return present;
+            return current;
         }
-        if (value.isTextual() && !WHOLE_TEXTS.contains(field)) {
-            StringBuilder text = present instanceof StringBuilder earlier ? earlier : new StringBuilder();
+        if (value.isTextual() && !UNSPLIT_TEXT_FIELDS.contains(field)) {
+            StringBuilder text = current instanceof StringBuilder earlier ? earlier : new StringBuilder();
             return text.append(value.textValue());
         }
         if (value.isObject()) {
-            Map<String, Object> object = present instanceof LinkedHashMap ? cast(present) : new LinkedHashMap<>();
+            Map<String, Object> object = current instanceof LinkedHashMap ? cast(current) : new LinkedHashMap<>();
             mergeObject(object, value);
             return object;
         }
-        return value.isArray() ? mergeArray(present, value) : value;
+        return value.isArray() ? mergeArray(current, value) : value;
     }
 
-    private static Object mergeArray(Object present, JsonNode value) {
+    private static Object mergeArray(Object current, JsonNode value) {
         if (value.isEmpty()) {
-            return present == null ? new ArrayList<>() : present;
+            return current == null ? new ArrayList<>() : current;
         }
         if (value.get(0).has("index")) {
             TreeMap<Integer, Map<String, Object>> elements =
-                    present instanceof TreeMap ? cast(present) : new TreeMap<>();
+                    current instanceof TreeMap ? cast(current) : new TreeMap<>();
             value.forEach(element -> mergeObject(
                     elements.computeIfAbsent(element.path("index").intValue(), index -> new LinkedHashMap<>()),
                     element));
             return elements;
         }
-        List<Object> list = present instanceof ArrayList ? cast(present) : new ArrayList<>();
+        List<Object> list = current instanceof ArrayList ? cast(current) : new ArrayList<>();
         value.forEach(list::add);
         return list;
     }
@@ -91,7 +91,7 @@
     }
 
     /** Returns the whole answer as JSON. */
-    byte[] finish() throws IOException {
+    byte[] toJson() throws IOException {
         Map<String, Object> answer = new LinkedHashMap<>();
         answer.put("id", id);
         answer.put("object", chat ? "chat.completion" : "text_completion");
@@ -99,7 +99,7 @@
         answer.put("model", model);
         answer.put("choices", choices());
         merged.forEach(answer::putIfAbsent);
-        answer.replaceAll((field, value) -> plain(value));
+        answer.replaceAll((field, value) -> toPlainValue(value));
         return Mappers.JSON.writeValueAsBytes(answer);
     }
 
@@ -145,19 +145,19 @@
     }
 
     /** Replaces the maps that collect list elements by lists. */
-    private static Object plain(Object value) {
+    private static Object toPlainValue(Object value) {
         if (value instanceof TreeMap) {
             TreeMap<Integer, Object> elements = cast(value);
-            return elements.values().stream().map(ChunkAssembler::plain).toList();
+            return elements.values().stream().map(ChunkAssembler::toPlainValue).toList();
         }
         if (value instanceof List<?> list) {
             List<Object> result = new ArrayList<>(list.size());
-            list.forEach(element -> result.add(plain(element)));
+            list.forEach(element -> result.add(toPlainValue(element)));
             return result;
         }
         if (value instanceof LinkedHashMap) {
             Map<String, Object> object = cast(value);
-            object.replaceAll((field, element) -> plain(element));
+            object.replaceAll((field, element) -> toPlainValue(element));
         }
         return value;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkRewriter.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkRewriter.java
@@ -19,17 +19,17 @@
 final class ChunkRewriter {
     private static final byte[] PREFIX = "data: ".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] SUFFIX = "\n\n".getBytes(StandardCharsets.US_ASCII);
-    private static final int ADDED_BYTES = 160;
+    private static final int EXPECTED_GROWTH_BYTES = 160;
 
     private final JsonFactory factory = Mappers.JSON.getFactory();
     private final String id;
     private final String model;
-    private final boolean usageWanted;
+    private final boolean includeUsage;
 
-    ChunkRewriter(String id, String model, boolean usageWanted) {
+    ChunkRewriter(String id, String model, boolean includeUsage) {
         this.id = id;
         this.model = model;
-        this.usageWanted = usageWanted;
+        this.includeUsage = includeUsage;
     }
 
     /**
@@ -40,9 +40,9 @@
      * @throws IOException if the chunk is not a JSON object
      */
     Optional<byte[]> rewrite(String json) throws IOException {
-        ByteArrayOutputStream event = new ByteArrayOutputStream(json.length() + ADDED_BYTES);
+        ByteArrayOutputStream event = new ByteArrayOutputStream(json.length() + EXPECTED_GROWTH_BYTES);
         event.write(PREFIX);
-        boolean usageOnly;
+        boolean isUsageChunk;
         try (JsonParser parser = factory.createParser(json);
                 JsonGenerator generator = factory.createGenerator(event)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
@@ -51,11 +51,11 @@
             generator.writeStartObject();
             generator.writeStringField("id", id);
             generator.writeStringField("model", model);
-            usageOnly = copyFields(parser, generator);
+            isUsageChunk = copyFields(parser, generator);
             generator.writeEndObject();
         }
         event.write(SUFFIX);
-        return usageOnly && !usageWanted ? Optional.empty() : Optional.of(event.toByteArray());
+        return isUsageChunk && !includeUsage ? Optional.empty() : Optional.of(event.toByteArray());
     }
 
     private boolean copyFields(JsonParser parser, JsonGenerator generator) throws IOException {
@@ -65,7 +65,7 @@
             String field = parser.currentName();
             JsonToken value = parser.nextToken();
             hasUsage |= field.equals("usage") && value == JsonToken.START_OBJECT;
-            if (field.equals("id") || field.equals("model") || field.equals("usage") && !usageWanted) {
+            if (field.equals("id") || field.equals("model") || field.equals("usage") && !includeUsage) {
                 parser.skipChildren();
                 continue;
             }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
@@ -23,8 +23,8 @@
 
     @Override
     void finish() throws IOException {
-        request().announceAdapter();
-        request().answer(200, Optional.of(Exchange.JSON), assembler.finish());
+        request().setAdapterVersionHeader();
+        request().respond(200, Optional.of(Exchange.JSON), assembler.toJson());
     }
 
     @Override
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
@@ -11,17 +11,17 @@
  * Which deadlines of callers are accepted.
  *
  * @param clock clock that deadlines are compared with
- * @param defaultWait time until the deadline of a request that names none
- * @param longestWait longest accepted time until a deadline; the retention of the log streams is chosen for it
+ * @param defaultTimeout time until the deadline of a request that names none
+ * @param maximumTimeout longest accepted time until a deadline; the retention of the log streams is chosen for it
  */
-public record DeadlinePolicy(Clock clock, Duration defaultWait, Duration longestWait) {
+public record DeadlinePolicy(Clock clock, Duration defaultTimeout, Duration maximumTimeout) {
     /**
      * Returns the deadline of a request that names none.
      *
      * @return the deadline
      */
-    Instant byDefault() {
-        return clock.instant().plus(defaultWait);
+    Instant defaultDeadline() {
+        return clock.instant().plus(defaultTimeout);
     }
 
     /**
@@ -36,7 +36,7 @@
         if (!deadline.isAfter(now)) {
             throw new FailureException(new Failure.DeadlinePassed(deadline));
         }
-        Instant latest = now.plus(longestWait);
+        Instant latest = now.plus(maximumTimeout);
         if (deadline.isAfter(latest)) {
             throw new FailureException(new Failure.DeadlineTooFar(deadline, latest));
         }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
@@ -72,21 +72,21 @@
         return new FieldRule(field, false, accepted, condition);
     }
 
-    private static FieldRule integer(String field, int lowest, int highest) {
+    private static FieldRule integer(String field, int minimum, int maximum) {
         return optional(
                 field,
-                "a whole number from " + lowest + " to " + highest,
+                "a whole number from " + minimum + " to " + maximum,
                 node -> node.isIntegralNumber()
                         && node.canConvertToInt()
-                        && node.intValue() >= lowest
-                        && node.intValue() <= highest);
+                        && node.intValue() >= minimum
+                        && node.intValue() <= maximum);
     }
 
-    private static FieldRule number(String field, int lowest, int highest) {
+    private static FieldRule number(String field, int minimum, int maximum) {
         return optional(
                 field,
-                "a number from " + lowest + " to " + highest,
-                node -> node.isNumber() && node.doubleValue() >= lowest && node.doubleValue() <= highest);
+                "a number from " + minimum + " to " + maximum,
+                node -> node.isNumber() && node.doubleValue() >= minimum && node.doubleValue() <= maximum);
     }
 
     private static boolean isStop(JsonNode node) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
@@ -25,11 +25,11 @@
     private static final int FINGERPRINT_CHARACTERS = 32;
 
     private final CallerService service;
-    private final DeadlinePolicy deadlines;
+    private final DeadlinePolicy deadlinePolicy;
 
-    GenerationRoute(CallerService service, DeadlinePolicy deadlines) {
+    GenerationRoute(CallerService service, DeadlinePolicy deadlinePolicy) {
         this.service = service;
-        this.deadlines = deadlines;
+        this.deadlinePolicy = deadlinePolicy;
     }
 
     void chat(CallerRequest request, CallerId caller) {
@@ -41,13 +41,13 @@
     }
 
     private void generate(CallerRequest request, CallerId caller, String path) {
-        byte[] raw = request.exchange().body();
-        GenerationBody body = GenerationBody.parse(raw, path.equals(CHAT));
+        byte[] bodyBytes = request.exchange().body();
+        GenerationBody body = GenerationBody.parse(bodyBytes, path.equals(CHAT));
         ModelName model = body.model();
-        ServiceDeclaration declared = CallerHttpServer.serviceFor(service, model.service(), request, caller);
-        AdapterVersion adapter = service.configuration().resolve(model).orElseThrow(() -> unknown(model));
+        ServiceDeclaration declared = CallerHttpServer.findAuthorizedService(service, model.service(), request, caller);
+        AdapterVersion adapter = service.configuration().resolve(model).orElseThrow(() -> unknownModel(model));
         request.setAdapter(adapter);
-        Instant deadline = RequestHeaders.deadline(request.exchange(), deadlines);
+        Instant deadline = RequestHeaders.deadline(request.exchange(), deadlinePolicy);
         Generation generation = new Generation(
                 request.id(),
                 declared,
@@ -58,17 +58,17 @@
                 path,
                 body.forEngine(adapter),
                 body.prefix(),
-                fingerprint(caller, adapter, raw));
-        Cancellation cancellation = service.generate(generation, sink(request, adapter, body));
+                fingerprint(caller, adapter, bodyBytes));
+        Cancellation cancellation = service.generate(generation, createSink(request, adapter, body));
         request.exchange().onDisconnect(cancellation::cancel);
     }
 
-    private static FailureException unknown(ModelName model) {
+    private static FailureException unknownModel(ModelName model) {
         String version = model.version().map(label -> "@" + label).orElse("");
         return new FailureException(new Failure.UnknownModel(model.service() + "/" + model.adapter() + version));
     }
 
-    private static ResponseSink sink(CallerRequest request, AdapterVersion adapter, GenerationBody body) {
+    private static ResponseSink createSink(CallerRequest request, AdapterVersion adapter, GenerationBody body) {
         String id = (body.isChat() ? "chatcmpl-" : "cmpl-") + request.id();
         String model = adapter.engineName();
         return body.isStreaming()
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ModelsRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ModelsRoute.java
@@ -27,16 +27,16 @@
 
     void list(CallerRequest request, CallerId caller) {
         Configuration configuration = service.configuration();
-        executor.execute(() -> request.answer(200, Optional.of(Exchange.JSON), write(configuration, caller)));
+        executor.execute(() -> request.respond(200, Optional.of(Exchange.JSON), writeModelList(configuration, caller)));
     }
 
-    private static byte[] write(Configuration configuration, CallerId caller) {
+    private static byte[] writeModelList(Configuration configuration, CallerId caller) {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         try (JsonGenerator generator = Mappers.JSON.createGenerator(output)) {
             generator.writeStartObject();
             generator.writeStringField("object", "list");
             generator.writeArrayFieldStart("data");
-            for (AdapterDeclaration adapter : allowed(configuration, caller)) {
+            for (AdapterDeclaration adapter : allowedAdapters(configuration, caller)) {
                 writeModel(generator, adapter, "");
                 for (String version : adapter.versions()) {
                     writeModel(generator, adapter, "@" + version);
@@ -50,7 +50,7 @@
         return output.toByteArray();
     }
 
-    private static List<AdapterDeclaration> allowed(Configuration configuration, CallerId caller) {
+    private static List<AdapterDeclaration> allowedAdapters(Configuration configuration, CallerId caller) {
         return configuration.adapters().values().stream()
                 .filter(adapter -> configuration
                         .service(adapter.key().service())
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
@@ -23,17 +23,18 @@
 /** Passes calls through to plain services. */
 final class PlainCallRoute {
     private final CallerService service;
-    private final DeadlinePolicy deadlines;
+    private final DeadlinePolicy deadlinePolicy;
 
-    PlainCallRoute(CallerService service, DeadlinePolicy deadlines) {
+    PlainCallRoute(CallerService service, DeadlinePolicy deadlinePolicy) {
         this.service = service;
-        this.deadlines = deadlines;
+        this.deadlinePolicy = deadlinePolicy;
     }
 
     void call(CallerRequest request, CallerId caller) {
         Exchange exchange = request.exchange();
         CallPath target = CallPath.parse(exchange.uri());
-        ServiceDeclaration declared = CallerHttpServer.serviceFor(service, target.service(), request, caller);
+        ServiceDeclaration declared =
+                CallerHttpServer.findAuthorizedService(service, target.service(), request, caller);
         if (declared.kind() != ServiceKind.PLAIN) {
             throw new FailureException(new Failure.UnknownService(target.service()));
         }
@@ -43,18 +44,18 @@
                 target.path() + target.query(),
                 exchange.header("Content-Type"),
                 exchange.body(),
-                RequestHeaders.deadline(exchange, deadlines));
+                RequestHeaders.deadline(exchange, deadlinePolicy));
         PlainCall plainCall = new PlainCall(
                 declared,
                 caller,
                 RequestHeaders.priority(exchange),
                 call,
-                key(exchange, caller, declared, target),
-                digest(call));
-        service.call(plainCall).whenComplete((answer, fault) -> end(request, answer, fault));
+                idempotencyKey(exchange, caller, declared, target),
+                requestDigest(call));
+        service.call(plainCall).whenComplete((answer, error) -> complete(request, answer, error));
     }
 
-    private static Optional<CallKey> key(
+    private static Optional<CallKey> idempotencyKey(
             Exchange exchange, CallerId caller, ServiceDeclaration declared, CallPath target) {
         if (declared.isRepeatable(exchange.method(), target.path())) {
             return Optional.empty();
@@ -64,31 +65,31 @@
         return Optional.of(new CallKey(caller, declared.id(), key));
     }
 
-    private static String digest(ServiceCall call) {
+    private static String requestDigest(ServiceCall call) {
         MessageDigest digest = DigestUtils.getSha256Digest();
         digest.update((call.method() + "\n" + call.path() + "\n").getBytes(StandardCharsets.UTF_8));
         return Hex.encodeHexString(digest.digest(call.body()));
     }
 
-    private static void end(CallerRequest request, CallAnswer answer, Throwable fault) {
+    private static void complete(CallerRequest request, CallAnswer answer, Throwable error) {
         if (answer instanceof CallAnswer.Answered answered) {
-            answer(request, answered);
+            respond(request, answered);
         } else if (answer instanceof CallAnswer.NotRun notRun) {
             request.fail(notRun.failure(), FailureOutcome.NOT_RUN);
         } else if (answer instanceof CallAnswer.Unknown unknown) {
             request.fail(unknown.failure(), FailureOutcome.UNKNOWN);
         } else {
-            org.tinylog.Logger.error(fault, "call of request {} ended without an answer", request.id());
+            org.tinylog.Logger.error(error, "call of request {} ended without an answer", request.id());
             request.fail(new Failure.InternalError(), FailureOutcome.UNKNOWN);
         }
     }
 
-    private static void answer(CallerRequest request, CallAnswer.Answered answered) {
+    private static void respond(CallerRequest request, CallAnswer.Answered answered) {
         ServiceAnswer answer = answered.answer();
         if (answered.repeated()) {
             request.exchange().responseHeader("Idempotent-Replayed", "true");
         }
         boolean head = request.exchange().method().equals("HEAD");
-        request.answer(answer.status(), answer.contentType(), head ? new byte[0] : answer.body());
+        request.respond(answer.status(), answer.contentType(), head ? new byte[0] : answer.body());
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
@@ -17,8 +17,8 @@
 
     private RequestHeaders() {}
 
-    static Instant deadline(Exchange exchange, DeadlinePolicy rule) {
-        return exchange.header(DEADLINE).map(text -> rule.check(parse(text))).orElseGet(rule::byDefault);
+    static Instant deadline(Exchange exchange, DeadlinePolicy policy) {
+        return exchange.header(DEADLINE).map(text -> policy.check(parse(text))).orElseGet(policy::defaultDeadline);
     }
 
     private static Instant parse(String text) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ResponseSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ResponseSink.java
@@ -10,7 +10,7 @@
 /** Common part of the sinks: counts tokens, guards against unreadable chunks and ignores what comes after the end. */
 abstract class ResponseSink implements GenerationSink {
     private final CallerRequest request;
-    private boolean tokensArrived;
+    private boolean receivedTokens;
 
     ResponseSink(CallerRequest request) {
         this.request = request;
@@ -21,8 +21,8 @@
     }
 
     @Override
-    public final void granted(long loadStallMilliseconds) {
-        request.loadStalled(loadStallMilliseconds);
+    public final void attemptStarting(long loadStallMilliseconds) {
+        request.addLoadStall(loadStallMilliseconds);
     }
 
     @Override
@@ -30,12 +30,12 @@
         if (request.isEnded()) {
             return;
         }
-        tokensArrived = true;
-        request.tokenArrived();
+        receivedTokens = true;
+        request.recordToken();
         try {
             accept(json);
         } catch (IOException exception) {
-            unreadable(exception);
+            failUnreadableChunk(exception);
         }
     }
 
@@ -47,7 +47,7 @@
         try {
             finish();
         } catch (IOException exception) {
-            unreadable(exception);
+            failUnreadableChunk(exception);
         }
     }
 
@@ -55,11 +55,11 @@
     public final void failed(Failure failure) {
         if (!request.isEnded()) {
             // A request whose tokens have arrived did run, whatever ended it.
-            fail(failure, tokensArrived ? FailureOutcome.UNKNOWN : failure.outcome());
+            fail(failure, receivedTokens ? FailureOutcome.UNKNOWN : failure.outcome());
         }
     }
 
-    private void unreadable(IOException exception) {
+    private void failUnreadableChunk(IOException exception) {
         Logger.warn(exception, "request {} got a chunk that cannot be read", request.id());
         fail(new Failure.InternalError(), FailureOutcome.UNKNOWN);
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
@@ -27,8 +27,8 @@
 
     private EventStream stream() {
         if (stream.isEmpty()) {
-            request().announceAdapter();
-            stream = Optional.of(request().exchange().stream());
+            request().setAdapterVersionHeader();
+            stream = Optional.of(request().exchange().startEventStream());
         }
         return stream.get();
     }
@@ -42,7 +42,7 @@
     void finish() {
         stream().send(DONE);
         stream().end();
-        request().succeeded();
+        request().recordSuccess();
     }
 
     @Override
@@ -51,9 +51,9 @@
             request().fail(failure, outcome);
             return;
         }
-        String event = "data: " + new String(ErrorResponse.event(failure), StandardCharsets.UTF_8) + "\n\n";
+        String event = "data: " + new String(ErrorResponse.envelopeBytes(failure), StandardCharsets.UTF_8) + "\n\n";
         stream().send(event.getBytes(StandardCharsets.UTF_8));
         stream().endAndClose();
-        request().failedWhileStreaming(failure);
+        request().recordStreamFailure(failure);
     }
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
@@ -23,7 +23,7 @@
     public static final List<Integer> WINDOWS_MINUTES = List.of(5, 60, 360);
 
     /** Errors of the caller, which say nothing about the service. */
-    private static final Set<Integer> NOT_COUNTED = Set.of(400, 401, 403, 404, 409, 413);
+    private static final Set<Integer> EXCLUDED_STATUSES = Set.of(400, 401, 403, 404, 409, 413);
 
     private final HostId host;
     private final Clock clock;
@@ -43,21 +43,21 @@
         this.configuration = configuration;
     }
 
-    void ended(RequestSummary request) {
+    void record(RequestSummary request) {
         request.service().filter(service -> isCounted(request, service)).ifPresent(service -> services.computeIfAbsent(
                         service.id(), id -> new MinuteBuckets())
-                .add(minute(), request.succeeded() && isTimely(request, service), request));
+                .add(minute(), request.succeeded() && meetsLatencyObjective(request, service), request));
     }
 
     /** A caller that gives up counts against the service only if it has waited longer than the objective allows. */
     private static boolean isCounted(RequestSummary request, ServiceDeclaration service) {
-        if (request.status() == FailureStatus.CALLER_GONE) {
-            return !isTimely(request, service);
+        if (request.status() == FailureStatus.CLIENT_CLOSED_REQUEST) {
+            return !meetsLatencyObjective(request, service);
         }
-        return !NOT_COUNTED.contains(request.status());
+        return !EXCLUDED_STATUSES.contains(request.status());
     }
 
-    private static boolean isTimely(RequestSummary request, ServiceDeclaration service) {
+    private static boolean meetsLatencyObjective(RequestSummary request, ServiceDeclaration service) {
         Duration latency = request.untilFirstToken().orElse(request.duration());
         return latency.compareTo(Duration.ofMillis(service.objective().latencyMilliseconds())) <= 0;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
@@ -10,7 +10,7 @@
 
 /** Counts of one service by minute, for the longest window. */
 final class MinuteBuckets {
-    private static final int KEPT_MINUTES = BurnRateRecorder.WINDOWS_MINUTES.stream()
+    private static final int RETAINED_MINUTES = BurnRateRecorder.WINDOWS_MINUTES.stream()
             .mapToInt(Integer::intValue)
             .max()
             .orElseThrow();
@@ -18,7 +18,7 @@
     private final Deque<Bucket> buckets = new ArrayDeque<>();
 
     synchronized void add(long minute, boolean good, RequestSummary request) {
-        while (!buckets.isEmpty() && buckets.getFirst().minute <= minute - KEPT_MINUTES) {
+        while (!buckets.isEmpty() && buckets.getFirst().minute <= minute - RETAINED_MINUTES) {
             buckets.removeFirst();
         }
         if (buckets.isEmpty() || buckets.getLast().minute < minute) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
@@ -34,7 +34,7 @@
      *
      * @param inFlight counts them
      */
-    public void gaugeInFlight(IntSupplier inFlight) {
+    public void registerInFlightGauge(IntSupplier inFlight) {
         registry.gauge("banyanstair_requests_in_flight", () -> (Gauge<Integer>) inFlight::getAsInt);
     }
 
@@ -44,9 +44,9 @@
      * @param service service of the request
      * @param sinceArrival time since the request arrived
      */
-    public void firstToken(ServiceId service, Duration sinceArrival) {
+    public void recordFirstToken(ServiceId service, Duration sinceArrival) {
         firstTokens
-                .computeIfAbsent(service, id -> timer("banyanstair_first_token", label(id)))
+                .computeIfAbsent(service, id -> timer("banyanstair_first_token", serviceLabel(id)))
                 .update(sinceArrival);
     }
 
@@ -56,13 +56,13 @@
      * @param service service of the request
      * @param sincePrevious time since its previous token
      */
-    public void tokenGap(ServiceId service, Duration sincePrevious) {
+    public void recordTokenGap(ServiceId service, Duration sincePrevious) {
         tokenGaps
-                .computeIfAbsent(service, id -> timer("banyanstair_token_gap", label(id)))
+                .computeIfAbsent(service, id -> timer("banyanstair_token_gap", serviceLabel(id)))
                 .update(sincePrevious);
     }
 
-    void ended(RequestSummary request) {
+    void record(RequestSummary request) {
         String service =
                 request.service().map(declared -> declared.id().value()).orElse(NO_SERVICE);
         String[] labels = {"service", service, "code", request.code()};
@@ -73,7 +73,7 @@
         }
     }
 
-    private static String[] label(ServiceId service) {
+    private static String[] serviceLabel(ServiceId service) {
         return new String[] {"service", service.value()};
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
@@ -36,9 +36,9 @@
      *
      * @param request the request
      */
-    public void ended(RequestSummary request) {
-        metrics.ended(request);
-        burn.ended(request);
+    public void record(RequestSummary request) {
+        metrics.record(request);
+        burn.record(request);
         Logger.info(
                 "request={} host={} caller={} service={} model={} status={} code={} milliseconds={} first-token={} load-stall={}",
                 request.id(),
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/ConfigurationChangeParser.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/ConfigurationChangeParser.java
@@ -37,7 +37,7 @@
         try {
             return Mappers.JSON.treeToValue(object, ConfigurationChange.class);
         } catch (JsonProcessingException exception) {
-            throw failure(exception);
+            throw toFailure(exception);
         }
     }
 
@@ -47,18 +47,18 @@
         }
     }
 
-    private static FailureException failure(JsonProcessingException exception) {
+    private static FailureException toFailure(JsonProcessingException exception) {
         for (Throwable cause = exception.getCause(); cause != null; cause = cause.getCause()) {
             if (cause instanceof FailureException known) {
                 return known;
             }
         }
-        String field = exception instanceof JsonMappingException mapping ? path(mapping) : "";
+        String field = exception instanceof JsonMappingException mapping ? fieldPath(mapping) : "";
         return new FailureException(
                 new Failure.InvalidField(field.isEmpty() ? "body" : field, "as the format of changes defines it"));
     }
 
-    private static String path(JsonMappingException exception) {
+    private static String fieldPath(JsonMappingException exception) {
         return exception.getPath().stream()
                 .map(step -> step.getFieldName() == null ? "[" + step.getIndex() + "]" : "." + step.getFieldName())
                 .collect(Collectors.joining())
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -26,7 +26,7 @@
 
 /** The HTTP interface for operators. All routes but health, readiness and metrics need an operator's key. */
 public final class OperatorHttpServer {
-    private static final String API = "/operator/v1";
+    private static final String API_PREFIX = "/operator/v1";
 
     private final OperatorService service;
     private final BearerAuthenticator<String> keys;
@@ -38,7 +38,7 @@
      * @param options address and limits
      * @param operatorKeys bearer keys of the operators
      * @param service serves the requests
-     * @param unreadiness why the host does not serve yet, empty once it does
+     * @param notReadyReason why the host does not serve yet, empty once it does
      * @param burn takes the burn samples of this host
      * @param registry metrics of this host
      */
@@ -46,13 +46,13 @@
             HttpListenerOptions options,
             OperatorKeys operatorKeys,
             OperatorService service,
-            Supplier<Optional<Failure>> unreadiness,
+            Supplier<Optional<Failure>> notReadyReason,
             Supplier<BurnRateSnapshot> burn,
             MetricRegistry registry) {
         this.service = service;
         keys = new BearerAuthenticator<>(operatorKeys.keys());
         PrometheusText metrics = new PrometheusText(registry);
-        listener = new HttpListener("operators", options).healthRoutes(unreadiness);
+        listener = new HttpListener("operators", options).addHealthRoutes(notReadyReason);
         listener.route(
                 "GET",
                 "/metrics",
@@ -60,14 +60,14 @@
         route("GET", "/configuration", (exchange, operator) -> exchange.respondJson(200, service.configuration()));
         route("POST", "/changes", this::submit);
         route("GET", "/changes/{id}", (exchange, operator) -> verdict(exchange));
-        route("GET", "/status", (exchange, operator) -> answer(exchange, service.status()));
-        route("GET", "/endpoints", (exchange, operator) -> answer(exchange, service.endpoints()));
+        route("GET", "/status", (exchange, operator) -> respondWith(exchange, service.status()));
+        route("GET", "/endpoints", (exchange, operator) -> respondWith(exchange, service.endpoints()));
         route("POST", "/hosts/{host}/drain", this::drain);
         route("GET", "/burn", (exchange, operator) -> exchange.respondJson(200, burn.get()));
     }
 
     private void route(String method, String path, BiConsumer<Exchange, String> handler) {
-        listener.route(method, API + path, exchange -> {
+        listener.route(method, API_PREFIX + path, exchange -> {
             try {
                 handler.accept(exchange, keys.authenticate(exchange));
             } catch (FailureException exception) {
@@ -78,7 +78,7 @@
 
     private void submit(Exchange exchange, String operator) {
         ConfigurationChange change = ConfigurationChangeParser.parse(exchange.body(), operator);
-        whenDone(exchange, service.submit(change), verdict -> {
+        onCompletion(exchange, service.submit(change), verdict -> {
             Logger.info("change={} operator={} verdict={}", change.changeId(), operator, verdict);
             if (verdict instanceof ChangeVerdict.Refused refused) {
                 fail(exchange, refused.failure());
@@ -90,7 +90,7 @@
 
     private void verdict(Exchange exchange) {
         String id = exchange.pathVariable("id");
-        whenDone(
+        onCompletion(
                 exchange,
                 service.verdict(id),
                 found -> found.ifPresentOrElse(
@@ -101,23 +101,23 @@
     private void drain(Exchange exchange, String operator) {
         HostId host = new HostId(exchange.pathVariable("host"));
         Logger.info("drain of host={} requested by operator={}", host, operator);
-        whenDone(
+        onCompletion(
                 exchange,
                 service.drain(host),
                 failure -> failure.ifPresentOrElse(
                         reason -> fail(exchange, reason), () -> exchange.respondJson(202, Map.of("host", host))));
     }
 
-    private static void answer(Exchange exchange, CompletableFuture<?> value) {
-        whenDone(exchange, value, result -> exchange.respondJson(200, result));
+    private static void respondWith(Exchange exchange, CompletableFuture<?> value) {
+        onCompletion(exchange, value, result -> exchange.respondJson(200, result));
     }
 
-    private static <T> void whenDone(Exchange exchange, CompletableFuture<T> future, Consumer<T> consumer) {
-        future.whenComplete((value, fault) -> {
-            if (fault == null) {
+    private static <T> void onCompletion(Exchange exchange, CompletableFuture<T> future, Consumer<T> consumer) {
+        future.whenComplete((value, error) -> {
+            if (error == null) {
                 consumer.accept(value);
             } else {
-                Logger.error(fault, "{} {} ended without an answer", exchange.method(), exchange.uri());
+                Logger.error(error, "{} {} ended without an answer", exchange.method(), exchange.uri());
                 fail(exchange, new Failure.InternalError());
             }
         });
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/CallerService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/CallerService.java
@@ -15,7 +15,7 @@
      *
      * @return empty once the host is ready
      */
-    Optional<Failure> unreadiness();
+    Optional<Failure> notReadyReason();
 
     /**
      * Returns the configuration in force on this host.
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/GenerationSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/GenerationSink.java
@@ -9,7 +9,7 @@
      *
      * @param loadStallMilliseconds time that the request waited for a load of its adapter
      */
-    default void granted(long loadStallMilliseconds) {}
+    default void attemptStarting(long loadStallMilliseconds) {}
 
     /**
      * A chunk came.
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -32,19 +32,19 @@
     private static final int MINIMUM_KEY_LENGTH = 16;
 
     /** The body of a non-idempotent call crosses hosts in a frame of at most 1 MiB; 64 KiB are left for its header. */
-    private static final int LARGEST_BODY_BYTES = (1 << 20) - (1 << 16);
+    private static final int MAXIMUM_BODY_BYTES = (1 << 20) - (1 << 16);
 
     private static final int DEFAULT_BODY_BYTES = 1 << 19;
 
     /** Keys of non-idempotent calls are kept for a limited time, which is based on this longest deadline. */
-    private static final int LONGEST_DEADLINE = 600_000;
+    private static final int MAXIMUM_DEADLINE_MILLISECONDS = 600_000;
 
     /** Checkpoints and claims are renewed three times within the retention, and an append may take a second. */
-    private static final int SHORTEST_RETENTION = 5;
+    private static final int MINIMUM_RETENTION_SECONDS = 5;
 
-    private static final int DEFAULT_RETENTION = 3_600;
+    private static final int DEFAULT_RETENTION_SECONDS = 3_600;
 
-    private static final int LONGEST_RETENTION = 31_536_000;
+    private static final int MAXIMUM_RETENTION_SECONDS = 31_536_000;
 
     private DaemonSettingsReader() {}
 
@@ -62,12 +62,12 @@
         TomlField<DaemonSettings.Host> host = table.required("host", host());
         TomlField<DaemonSettings.Listen> listen = table.required("listen", listen());
         TomlField<DaemonSettings.Platform> platform = table.required("platform", platform());
-        TomlField<Map<String, BearerKey>> callers = table.tableOrDefaults("callers", keys());
-        TomlField<Map<String, BearerKey>> operators = table.tableOrDefaults("operators", keys());
-        TomlField<DaemonSettings.Limits> limits = table.tableOrDefaults("limits", limits());
-        TomlField<DaemonSettings.Timing> timing = table.tableOrDefaults("timing", timing());
-        TomlField<PlacementPolicy> placement = table.tableOrDefaults("placement", placement());
-        TomlField<DaemonSettings.Log> log = table.tableOrDefaults("log", log());
+        TomlField<Map<String, BearerKey>> callers = table.optionalTable("callers", keys());
+        TomlField<Map<String, BearerKey>> operators = table.optionalTable("operators", keys());
+        TomlField<DaemonSettings.Limits> limits = table.optionalTable("limits", limits());
+        TomlField<DaemonSettings.Timing> timing = table.optionalTable("timing", timing());
+        TomlField<PlacementPolicy> placement = table.optionalTable("placement", placement());
+        TomlField<DaemonSettings.Log> log = table.optionalTable("log", log());
         return () -> new DaemonSettings(
                 host.get(),
                 listen.get(),
@@ -117,8 +117,8 @@
             TomlField<Integer> timeout = milliseconds(table, "call-timeout-milliseconds", 2_000, 100, 60_000);
             TomlField<Integer> retention = table.optional(
                     "log-retention-seconds",
-                    TomlTypes.smallInteger(SHORTEST_RETENTION, LONGEST_RETENTION),
-                    DEFAULT_RETENTION);
+                    TomlTypes.int32(MINIMUM_RETENTION_SECONDS, MAXIMUM_RETENTION_SECONDS),
+                    DEFAULT_RETENTION_SECONDS);
             return () -> new DaemonSettings.Platform(log.get(), hostList.get(), timeout.get(), retention.get());
         });
     }
@@ -155,21 +155,32 @@
     private static TomlType<DaemonSettings.Limits> limits() {
         return TomlTypes.table(table -> {
             TomlField<Integer> body = table.optional(
-                    "maximum-body-bytes", TomlTypes.smallInteger(1_024, LARGEST_BODY_BYTES), DEFAULT_BODY_BYTES);
-            TomlField<Integer> standard =
-                    milliseconds(table, "default-deadline-milliseconds", 60_000, 100, LONGEST_DEADLINE);
-            TomlField<Integer> longest =
-                    milliseconds(table, "maximum-deadline-milliseconds", LONGEST_DEADLINE, 100, LONGEST_DEADLINE);
-            TomlField<Integer> keep = milliseconds(table, "entry-address-keep-milliseconds", 5_000, 100, 600_000);
-            TomlField<Integer> drain = milliseconds(table, "drain-limit-milliseconds", 600_000, 1_000, 3_600_000);
-            TomlField<Integer> silence = milliseconds(table, "token-silence-limit-milliseconds", 5_000, 100, 600_000);
-            standard.ifValid(value -> longest.ifValid(limit -> {
+                    "maximum-body-bytes", TomlTypes.int32(1_024, MAXIMUM_BODY_BYTES), DEFAULT_BODY_BYTES);
+            TomlField<Integer> defaultDeadline =
+                    milliseconds(table, "default-deadline-milliseconds", 60_000, 100, MAXIMUM_DEADLINE_MILLISECONDS);
+            TomlField<Integer> maximumDeadline = milliseconds(
+                    table,
+                    "maximum-deadline-milliseconds",
+                    MAXIMUM_DEADLINE_MILLISECONDS,
+                    100,
+                    MAXIMUM_DEADLINE_MILLISECONDS);
+            TomlField<Integer> entryAddressKeep =
+                    milliseconds(table, "entry-address-keep-milliseconds", 5_000, 100, 600_000);
+            TomlField<Integer> drainLimit = milliseconds(table, "drain-limit-milliseconds", 600_000, 1_000, 3_600_000);
+            TomlField<Integer> tokenSilence =
+                    milliseconds(table, "token-silence-limit-milliseconds", 5_000, 100, 600_000);
+            defaultDeadline.ifValid(value -> maximumDeadline.ifValid(limit -> {
                 if (value > limit) {
                     table.reject("default-deadline-milliseconds", "at most maximum-deadline-milliseconds");
                 }
             }));
             return () -> new DaemonSettings.Limits(
-                    body.get(), standard.get(), longest.get(), keep.get(), drain.get(), silence.get());
+                    body.get(),
+                    defaultDeadline.get(),
+                    maximumDeadline.get(),
+                    entryAddressKeep.get(),
+                    drainLimit.get(),
+                    tokenSilence.get());
         });
     }
 
@@ -214,6 +225,6 @@
 
     private static TomlField<Integer> milliseconds(
             TomlTable table, String key, int defaultValue, int minimum, int maximum) {
-        return table.optional(key, TomlTypes.smallInteger(minimum, maximum), defaultValue);
+        return table.optional(key, TomlTypes.int32(minimum, maximum), defaultValue);
     }
 }
--- a/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
@@ -22,12 +22,12 @@
 class EventLoopTest {
     private static final int BACKLOG = 100;
 
-    private final List<String> taken = new CopyOnWriteArrayList<>();
+    private final List<String> handled = new CopyOnWriteArrayList<>();
     private final CountDownLatch last = new CountDownLatch(1);
 
     private Function<Instant, Event> event(String name) {
         return at -> {
-            taken.add(name);
+            handled.add(name);
             if (name.equals("last")) {
                 last.countDown();
             }
@@ -36,7 +36,7 @@
     }
 
     @Test
-    void readingOfTheHostListIsTakenBeforeTheBacklog() throws Exception {
+    void hostListUpdateIsHandledBeforeTheBacklog() throws Exception {
         HostReducer reducer =
                 new HostReducer(new HostIdentity(new HostId("entry-1"), 1), ReducerSettings.DEFAULT, Instant.now());
         EventLoop loop = new EventLoop(reducer, Clock.systemUTC(), effect -> {}, published -> {});
@@ -54,12 +54,12 @@
                 loop.submit(event("request"));
             }
             loop.submit(event("last"));
-            loop.submitReading(event("first reading"));
-            loop.submitReading(event("second reading"));
+            loop.submitHostListUpdate(event("first reading"));
+            loop.submitHostListUpdate(event("second reading"));
             gate.countDown();
             assertTrue(last.await(20, TimeUnit.SECONDS), "the backlog was not taken");
-            assertEquals(List.of("first reading", "second reading", "request"), taken.subList(0, 3));
-            assertEquals(BACKLOG + 3, taken.size());
+            assertEquals(List.of("first reading", "second reading", "request"), handled.subList(0, 3));
+            assertEquals(BACKLOG + 3, handled.size());
         } finally {
             loop.stop();
         }
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -33,7 +33,7 @@
         HttpListenerOptions options = new HttpListenerOptions(
                 "127.0.0.1", 0, 2, 1000, 100_000, Duration.ofMillis(300), Duration.ofMillis(600));
         listener = new HttpListener("test", options)
-                .routeAll(
+                .routeAllMethods(
                         "/echo/{name}/*path",
                         exchange -> exchange.respond(
                                 201,
@@ -51,10 +51,10 @@
                 })
                 .route("GET", "/stream", exchange -> {
                     exchange.onDisconnect(disconnected::countDown);
-                    stream.set(exchange.stream());
+                    stream.set(exchange.startEventStream());
                     streaming.countDown();
                 })
-                .healthRoutes(() -> Optional.of(new Failure.HostListUnavailable()));
+                .addHealthRoutes(() -> Optional.of(new Failure.HostListUnavailable()));
         listener.start();
     }
 
@@ -156,7 +156,7 @@
 
     /** Guards against a reader that stops and makes the host buffer its stream without limit. */
     @Test
-    void slowReaderIsCut() throws Exception {
+    void slowReaderIsDisconnected() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("GET", "/stream", "", "");
             assertTrue(streaming.await(5, TimeUnit.SECONDS));
@@ -171,7 +171,7 @@
 
     /** Guards against answers, smaller than the limit of a stream, that are kept for a reader that has stopped. */
     @Test
-    void stalledReaderIsCut() throws Exception {
+    void stalledReaderIsDisconnected() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
             client.request("POST", "/large", "", "");
             assertTrue(disconnected.await(5, TimeUnit.SECONDS));
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
@@ -70,7 +70,7 @@
     @Test
     void unreadyHostServesNothing() throws Exception {
         assertEquals(200, send("GET", "/ready", "").statusCode());
-        service.unreadiness = Optional.of(new Failure.NotReady(new HostId("entry-1")));
+        service.notReadyReason = Optional.of(new Failure.NotReady(new HostId("entry-1")));
         assertEquals(200, send("GET", "/health", "").statusCode());
         assertRefused(send("GET", "/ready", ""), 503, "not_ready");
         assertRefused(send("POST", CHAT, BODY.formatted("assistant/tender")), 503, "not_ready");
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerServerFixture.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerServerFixture.java
@@ -44,7 +44,7 @@
                 FakeCallerService.MEMBER, List.of(BearerKey.ofDigest(DigestUtils.sha256Hex("member-key")))));
         server = new CallerHttpServer(
                 new HostIdentity(host, 7),
-                HttpListenerOptions.of("127.0.0.1", 0),
+                HttpListenerOptions.withDefaults("127.0.0.1", 0),
                 keys,
                 service,
                 new RequestRecorder(host, new RequestMetrics(registry), burn),
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/FakeCallerService.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/FakeCallerService.java
@@ -43,7 +43,7 @@
     final BlockingQueue<Generation> generations = new LinkedBlockingQueue<>();
     final BlockingQueue<PlainCall> calls = new LinkedBlockingQueue<>();
     final CountDownLatch cancelled = new CountDownLatch(1);
-    volatile Optional<Failure> unreadiness = Optional.empty();
+    volatile Optional<Failure> notReadyReason = Optional.empty();
     volatile BiConsumer<Generation, GenerationSink> answer = (generation, sink) -> {};
     volatile Function<PlainCall, CallAnswer> callAnswer = call -> new CallAnswer.Answered(
             new ServiceAnswer(200, call.call().contentType(), call.call().body()), false);
@@ -66,8 +66,8 @@
     }
 
     @Override
-    public Optional<Failure> unreadiness() {
-        return unreadiness;
+    public Optional<Failure> notReadyReason() {
+        return notReadyReason;
     }
 
     @Override
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
@@ -160,7 +160,7 @@
 
     /** Guards against engines that go on generating for callers that have gone. */
     @Test
-    void disconnectCancels() throws Exception {
+    void disconnectCancelsGeneration() throws Exception {
         service.answer = (generation, sink) -> sink.token(0, CHUNK.formatted("a"));
         try (RawHttpClient client = new RawHttpClient(server.port())) {
             client.request("POST", CHAT, AUTHORIZATION, CHAT_BODY.formatted(true));
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -65,7 +65,7 @@
             new RequestRecorder(new HostId("entry-1"), new RequestMetrics(registry), burn);
 
     private void end(int status, String code, int milliseconds, Optional<Duration> untilFirstToken) {
-        recorder.ended(new RequestSummary(
+        recorder.record(new RequestSummary(
                 new RequestId("r"),
                 Optional.of(CLERK),
                 Optional.of(SERVICE),
@@ -118,9 +118,9 @@
     void metricsCarryLabels() {
         end(429, "queue_full", 10, Optional.empty());
         end(200, RequestSummary.OK, 10, Optional.empty());
-        recorder.metrics().firstToken(SERVICE.id(), Duration.ofMillis(100));
-        recorder.metrics().tokenGap(SERVICE.id(), Duration.ofMillis(40));
-        recorder.metrics().gaugeInFlight(() -> 7);
+        recorder.metrics().recordFirstToken(SERVICE.id(), Duration.ofMillis(100));
+        recorder.metrics().recordTokenGap(SERVICE.id(), Duration.ofMillis(40));
+        recorder.metrics().registerInFlightGauge(() -> 7);
         String text = new String(new PrometheusText(registry).write(), StandardCharsets.UTF_8);
         assertTrue(text.contains("banyanstair_requests{service=\"order.desk\",code=\"queue_full\",} 1.0"), text);
         assertTrue(text.contains("banyanstair_first_token{service=\"order.desk\",quantile=\"0.95\",} 0.1"), text);
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/operator/OperatorHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/operator/OperatorHttpServerTest.java
@@ -43,7 +43,7 @@
     void start() {
         registry.counter("events").inc();
         server = new OperatorHttpServer(
-                HttpListenerOptions.of("127.0.0.1", 0),
+                HttpListenerOptions.withDefaults("127.0.0.1", 0),
                 new OperatorKeys(Map.of("ada", List.of(BearerKey.ofPlain("operator-key")))),
                 service,
                 Optional::empty,
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
@@ -80,7 +80,8 @@
         return generate(client, id, maxTokens, nextToken, deadline);
     }
 
-    private RecordingTokenListener generate(HttpEngineClient sender, String id, int maxTokens, long nextToken, Instant deadline) {
+    private RecordingTokenListener generate(
+            HttpEngineClient sender, String id, int maxTokens, long nextToken, Instant deadline) {
         RecordingTokenListener recorder = new RecordingTokenListener();
         sender.generate(endpoint, TestEndpoints.request(id, maxTokens, nextToken, deadline), recorder);
         return recorder;
@@ -123,7 +124,8 @@
     void requestThatDidNotRunIsNotStarted() throws Exception {
         RecordingTokenListener unreachable = new RecordingTokenListener();
         client.generate(TestEndpoints.closed(), TestEndpoints.request("r", 1, 0, soon()), unreachable);
-        assertEquals(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(TestEndpoints.ID)), unreachable.end());
+        assertEquals(
+                new GenerationResult.NotStarted(new Failure.EndpointUnreachable(TestEndpoints.ID)), unreachable.end());
         Instant past = Instant.now().minusSeconds(1);
         assertEquals(
                 new GenerationResult.NotStarted(new Failure.DeadlinePassed(past)),
@@ -188,17 +190,18 @@
     @Test
     void listenerThatThrowsStillGetsItsEnd() throws Exception {
         RecordingTokenListener recorder = new RecordingTokenListener();
-        client.generate(endpoint, TestEndpoints.request("r", 3, 0, soon()), new org.banyanstair.external.TokenListener() {
-            @Override
-            public void token(long index, String json) {
-                throw new IllegalStateException("expected by the test");
-            }
+        client.generate(
+                endpoint, TestEndpoints.request("r", 3, 0, soon()), new org.banyanstair.external.TokenListener() {
+                    @Override
+                    public void token(long index, String json) {
+                        throw new IllegalStateException("expected by the test");
+                    }
 
-            @Override
-            public void end(GenerationResult end) {
-                recorder.end(end);
-            }
-        });
+                    @Override
+                    public void end(GenerationResult end) {
+                        recorder.end(end);
+                    }
+                });
         assertEquals(new GenerationResult.Broken(new Failure.OutcomeUnknown()), recorder.end());
     }
 
@@ -267,7 +270,8 @@
         assertEquals(5, status.fence());
         ExecutionException failure = assertThrows(ExecutionException.class, () -> client.status(TestEndpoints.closed())
                 .get());
-        assertEquals(new Failure.EndpointUnreachable(TestEndpoints.ID), ((FailureException) failure.getCause()).failure());
+        assertEquals(
+                new Failure.EndpointUnreachable(TestEndpoints.ID), ((FailureException) failure.getCause()).failure());
     }
 
     @Test
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
@@ -29,18 +29,18 @@
     /**
      * Creates a client.
      *
-     * @param maxCalls most calls in progress; further ones wait, and the wait counts against their deadline
+     * @param maximumCalls most calls in progress; further ones wait, and the wait counts against their deadline
      */
-    DeadlineHttpClient(int maxCalls) {
+    DeadlineHttpClient(int maximumCalls) {
         Dispatcher dispatcher = new Dispatcher();
-        dispatcher.setMaxRequests(maxCalls);
-        dispatcher.setMaxRequestsPerHost(maxCalls);
+        dispatcher.setMaxRequests(maximumCalls);
+        dispatcher.setMaxRequestsPerHost(maximumCalls);
         client = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
                 .connectionPool(
-                        new ConnectionPool(maxCalls, IDLE_CONNECTION_LIFETIME.toMillis(), TimeUnit.MILLISECONDS))
-                .eventListenerFactory(DeadlineHttpClient::tracker)
-                .addInterceptor(DeadlineHttpClient::requireTimeLeft)
+                        new ConnectionPool(maximumCalls, IDLE_CONNECTION_LIFETIME.toMillis(), TimeUnit.MILLISECONDS))
+                .eventListenerFactory(DeadlineHttpClient::trackerOf)
+                .addInterceptor(DeadlineHttpClient::requireTimeRemaining)
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
                 // A pooled connection that the server has closed would otherwise cause a silent repeat.
@@ -53,12 +53,12 @@
                 .build();
     }
 
-    private static EventListener tracker(Call call) {
+    private static EventListener trackerOf(Call call) {
         return call.request().tag(SendTracker.class);
     }
 
     /** OkHttp enforces a deadline in the background, so a call that waited too long would still be sent. */
-    private static Response requireTimeLeft(Interceptor.Chain chain) throws IOException {
+    private static Response requireTimeRemaining(Interceptor.Chain chain) throws IOException {
         if (chain.call().timeout().deadlineNanoTime() - System.nanoTime() <= 0) {
             throw new InterruptedIOException("the deadline passed before the call was sent");
         }
@@ -69,13 +69,13 @@
      * Sends a request.
      *
      * @param builder the request
-     * @param timeLeft time until the deadline, counted from now and including the wait for a free place
+     * @param timeRemaining time until the deadline, counted from now and including the wait for a free place
      * @return the result; never completes exceptionally
      */
-    CompletableFuture<HttpCallResult> call(Request.Builder builder, Duration timeLeft) {
+    CompletableFuture<HttpCallResult> call(Request.Builder builder, Duration timeRemaining) {
         SendTracker tracker = new SendTracker();
         Call call = client.newCall(builder.tag(SendTracker.class, tracker).build());
-        call.timeout().deadlineNanoTime(System.nanoTime() + timeLeft.toNanos());
+        call.timeout().deadlineNanoTime(System.nanoTime() + timeRemaining.toNanos());
         CompletableFuture<HttpCallResult> result = new CompletableFuture<>();
         call.enqueue(new Callback() {
             @Override
@@ -86,13 +86,13 @@
 
             @Override
             public void onResponse(Call answered, Response response) {
-                result.complete(new HttpCallResult.Answered(response.code(), body(response)));
+                result.complete(new HttpCallResult.Answered(response.code(), readBody(response)));
             }
         });
         return result;
     }
 
-    private static Optional<byte[]> body(Response response) {
+    private static Optional<byte[]> readBody(Response response) {
         try (response) {
             return Optional.of(response.body().bytes());
         } catch (IOException exception) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EndpointHttpClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EndpointHttpClient.java
@@ -23,17 +23,17 @@
     static final int MAX_CALLS = 8_192;
 
     /** Enough for OkHttp and a listener; the default of 1 MiB would reserve 1 GiB for 1,000 streams. */
-    private static final long STACK_BYTES = 128 * 1024;
+    private static final long THREAD_STACK_BYTES = 128 * 1024;
 
-    private static final int IDLE_CONNECTIONS = 256;
-    private static final long IDLE_SECONDS = 30;
+    private static final int MAXIMUM_IDLE_CONNECTIONS = 256;
+    private static final long IDLE_TIMEOUT_SECONDS = 30;
 
     private final OkHttpClient client;
 
-    EndpointHttpClient(String threadName, Duration connectLimit) {
+    EndpointHttpClient(String threadName, Duration connectTimeout) {
         ThreadPoolExecutor threads =
                 new ThreadPoolExecutor(0, Integer.MAX_VALUE, 10, TimeUnit.SECONDS, new SynchronousQueue<>(), task -> {
-                    Thread thread = new Thread(null, task, threadName, STACK_BYTES);
+                    Thread thread = new Thread(null, task, threadName, THREAD_STACK_BYTES);
                     thread.setDaemon(true);
                     return thread;
                 });
@@ -42,13 +42,13 @@
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         client = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
-                .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+                .connectionPool(new ConnectionPool(MAXIMUM_IDLE_CONNECTIONS, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .followSslRedirects(false)
-                .connectTimeout(connectLimit)
+                .connectTimeout(connectTimeout)
                 // The time of each call is limited as a whole, see newCall.
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
@@ -73,21 +73,21 @@
     private static final class SendListener extends EventListener {
         @Override
         public void requestHeadersStart(Call call) {
-            SendState watch = call.request().tag(SendState.class);
-            if (watch != null) {
-                watch.sent = true;
+            SendState sendState = call.request().tag(SendState.class);
+            if (sendState != null) {
+                sendState.sent = true;
             }
         }
     }
 
     /** Creates a call that ends at the deadline, including the wait for its whole answer. */
-    Call newCall(Request request, SendState watch, Instant deadline) {
+    Call newCall(Request request, SendState sendState, Instant deadline) {
         Call call = client.newCall(request.newBuilder()
-                .tag(SendState.class, watch)
+                .tag(SendState.class, sendState)
                 .header("Accept-Encoding", "identity")
                 .build());
-        long left = Math.max(1, millisecondsLeft(deadline));
-        call.timeout().timeout(left, TimeUnit.MILLISECONDS);
+        long remaining = Math.max(1, millisecondsLeft(deadline));
+        call.timeout().timeout(remaining, TimeUnit.MILLISECONDS);
         return call;
     }
 
@@ -106,7 +106,7 @@
         client.connectionPool().evictAll();
     }
 
-    static boolean isPast(Instant deadline) {
+    static boolean hasPassed(Instant deadline) {
         return millisecondsLeft(deadline) <= 0;
     }
 
@@ -119,10 +119,10 @@
     }
 
     /** Reads at most a number of bytes of an answer. */
-    static byte[] readBody(okhttp3.Response response, long limit) throws IOException {
+    static byte[] readBody(okhttp3.Response response, long limitBytes) throws IOException {
         okio.BufferedSource source = response.body().source();
-        if (source.request(limit + 1)) {
-            throw new IOException("the answer is longer than " + limit + " bytes");
+        if (source.request(limitBytes + 1)) {
+            throw new IOException("the answer is longer than " + limitBytes + " bytes");
         }
         return source.readByteArray();
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineResponse.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineResponse.java
@@ -13,10 +13,10 @@
  * @param code code of the error envelope, empty if there is none
  */
 record EngineResponse(int status, String code) {
-    private static final long LIMIT_BYTES = 1 << 20;
+    private static final long MAXIMUM_BODY_BYTES = 1 << 20;
 
     /** Codes that the protocol defines; each of them means that the command or the request had no effect. */
-    private static final Set<EngineResponse> WITHOUT_EFFECT = Set.of(
+    private static final Set<EngineResponse> NO_EFFECT = Set.of(
             new EngineResponse(400, "invalid_field"),
             new EngineResponse(404, "adapter_not_loaded"),
             new EngineResponse(404, "stream_not_found"),
@@ -26,14 +26,14 @@
             new EngineResponse(424, "load_failed"));
 
     static EngineResponse read(Response response) throws IOException {
-        byte[] body = EndpointHttpClient.readBody(response, LIMIT_BYTES);
+        byte[] body = EndpointHttpClient.readBody(response, MAXIMUM_BODY_BYTES);
         if (response.isSuccessful()) {
             return new EngineResponse(response.code(), "");
         }
-        return new EngineResponse(response.code(), codeOf(body));
+        return new EngineResponse(response.code(), parseCode(body));
     }
 
-    private static String codeOf(byte[] body) {
+    private static String parseCode(byte[] body) {
         try {
             return Mappers.JSON.readTree(body).path("error").path("code").asText();
         } catch (IOException exception) {
@@ -42,11 +42,11 @@
         }
     }
 
-    boolean isDone() {
+    boolean isSuccess() {
         return status == 200;
     }
 
-    boolean isWithoutEffect() {
-        return WITHOUT_EFFECT.contains(this);
+    boolean hadNoEffect() {
+        return NO_EFFECT.contains(this);
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
@@ -16,35 +16,35 @@
 
 /** One running generation: reads its stream, checks the token indexes and reports exactly one end. */
 final class GenerationCall implements Callback {
-    private static final String END_MARK = "[DONE]";
+    private static final String STREAM_END_MARKER = "[DONE]";
 
     private final Endpoint endpoint;
     private final EngineRequest request;
     private final TokenListener listener;
-    private final EndpointHttpClient.SendState watch;
+    private final EndpointHttpClient.SendState sendState;
     private final AtomicBoolean cancelled = new AtomicBoolean();
-    private final Runnable whenEnded;
+    private final Runnable onEnd;
     private volatile Call call;
 
     /** Time of the last token or of the start; 0 before the start. */
-    private volatile long lastNanos;
+    private volatile long lastTokenNanos;
 
     GenerationCall(
             Endpoint endpoint,
             EngineRequest request,
             TokenListener listener,
-            EndpointHttpClient.SendState watch,
-            Runnable whenEnded) {
+            EndpointHttpClient.SendState sendState,
+            Runnable onEnd) {
         this.endpoint = endpoint;
         this.request = request;
         this.listener = listener;
-        this.watch = watch;
-        this.whenEnded = whenEnded;
+        this.sendState = sendState;
+        this.onEnd = onEnd;
     }
 
     void start(Call started) {
         call = started;
-        lastNanos = System.nanoTime() | 1;
+        lastTokenNanos = System.nanoTime() | 1;
         started.enqueue(this);
     }
 
@@ -58,21 +58,21 @@
     }
 
     /** Closes the connection if no token came for too long; returns whether it did. */
-    boolean closeIfSilent(long now, long limitNanos) {
-        long last = lastNanos;
-        boolean silent = last != 0 && now - last > limitNanos;
-        if (silent) {
+    boolean cancelIfStalled(long now, long timeoutNanos) {
+        long last = lastTokenNanos;
+        boolean stalled = last != 0 && now - last > timeoutNanos;
+        if (stalled) {
             call.cancel();
         }
-        return silent;
+        return stalled;
     }
 
     @Override
     public void onFailure(Call failed, IOException exception) {
-        if (watch.isSent()) {
+        if (sendState.isSent()) {
             end(new GenerationResult.Broken(failureAfterSending()));
         } else {
-            Failure failure = EndpointHttpClient.isPast(request.deadline())
+            Failure failure = EndpointHttpClient.hasPassed(request.deadline())
                     ? new Failure.DeadlinePassed(request.deadline())
                     : new Failure.EndpointUnreachable(endpoint.id());
             end(new GenerationResult.NotStarted(cancelled.get() ? new Failure.Cancelled() : failure));
@@ -102,20 +102,20 @@
             if (cancelled.get()) {
                 return new GenerationResult.Broken(new Failure.Cancelled());
             }
-            if (reader.id() < 0 && END_MARK.equals(reader.data())) {
+            if (reader.id() < 0 && STREAM_END_MARKER.equals(reader.data())) {
                 return new GenerationResult.Complete();
             }
             if (reader.id() != expected) {
                 throw new ProtocolException("token " + expected + " was expected, but " + reader.id() + " came");
             }
-            lastNanos = nonZeroNanos();
+            lastTokenNanos = nonZeroNanos();
             listener.token(expected, reader.data());
             expected++;
         }
     }
 
     private GenerationResult refusal(EngineResponse answer) {
-        if (!answer.isWithoutEffect()) {
+        if (!answer.hadNoEffect()) {
             return new GenerationResult.Broken(new Failure.EndpointFailed(endpoint.id()));
         }
         return new GenerationResult.NotStarted(
@@ -129,13 +129,13 @@
         if (cancelled.get()) {
             return new Failure.Cancelled();
         }
-        return EndpointHttpClient.isPast(request.deadline())
+        return EndpointHttpClient.hasPassed(request.deadline())
                 ? new Failure.OutcomeUnknown()
                 : new Failure.EndpointFailed(endpoint.id());
     }
 
     private void end(GenerationResult end) {
-        whenEnded.run();
+        onEnd.run();
         listener.end(end);
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
@@ -44,12 +44,12 @@
  */
 public final class HttpEngineClient implements EngineClient {
     private static final MediaType JSON = MediaType.get("application/json");
-    private static final long STATUS_LIMIT_BYTES = 4 << 20;
+    private static final long MAXIMUM_STATUS_BYTES = 4 << 20;
 
-    private final EngineClientTimeouts limits;
+    private final EngineClientTimeouts timeouts;
     private final EndpointHttpClient calls;
     private final Set<GenerationCall> generations = ConcurrentHashMap.newKeySet();
-    private final ScheduledExecutorService silenceWatch = Executors.newSingleThreadScheduledExecutor(task -> {
+    private final ScheduledExecutorService stallDetector = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "engine-silence-watch");
         thread.setDaemon(true);
         return thread;
@@ -58,41 +58,43 @@
     /**
      * Creates the client.
      *
-     * @param limits limits on the waits
+     * @param timeouts limits on the waits
      */
-    public HttpEngineClient(EngineClientTimeouts limits) {
-        this.limits = limits;
-        this.calls = new EndpointHttpClient("engine-call", limits.connect());
+    public HttpEngineClient(EngineClientTimeouts timeouts) {
+        this.timeouts = timeouts;
+        this.calls = new EndpointHttpClient("engine-call", timeouts.connect());
         // A read timeout per stream, which okio enters into a sorted list for every token, took about twice the
         // processor time of this scan with 1,000 streams of 32 tokens per second.
-        long period = Math.max(10, Math.min(250, limits.silence().toMillis() / 8));
-        silenceWatch.scheduleWithFixedDelay(this::closeSilent, period, period, TimeUnit.MILLISECONDS);
+        long period = Math.max(10, Math.min(250, timeouts.token().toMillis() / 8));
+        stallDetector.scheduleWithFixedDelay(this::cancelStalled, period, period, TimeUnit.MILLISECONDS);
     }
 
     /** Ends all calls and the threads of the client. */
     public void stop() {
         calls.stop();
-        silenceWatch.shutdownNow();
+        stallDetector.shutdownNow();
     }
 
     @Override
     public CompletableFuture<EngineCommandResult> load(Endpoint endpoint, AdapterVersion adapter, long term) {
-        return order(endpoint, "/v1/load_lora_adapter", Map.of("lora_name", adapter.engineName()), term, answer -> {
-            return "load_failed".equals(answer.code())
-                    ? new Failure.AdapterLoadFailed(adapter)
-                    : refusal(endpoint, term, answer);
-        });
+        return sendCommand(
+                endpoint, "/v1/load_lora_adapter", Map.of("lora_name", adapter.engineName()), term, answer -> {
+                    return "load_failed".equals(answer.code())
+                            ? new Failure.AdapterLoadFailed(adapter)
+                            : refusal(endpoint, term, answer);
+                });
     }
 
     @Override
     public CompletableFuture<EngineCommandResult> unload(Endpoint endpoint, AdapterVersion adapter, long term) {
         Map<String, String> body = Map.of("lora_name", adapter.engineName());
-        return order(endpoint, "/v1/unload_lora_adapter", body, term, answer -> refusal(endpoint, term, answer));
+        return sendCommand(endpoint, "/v1/unload_lora_adapter", body, term, answer -> refusal(endpoint, term, answer));
     }
 
     @Override
     public CompletableFuture<EngineCommandResult> raiseFence(Endpoint endpoint, long term) {
-        return order(endpoint, "/v1/role", Map.of("role", "serve"), term, answer -> refusal(endpoint, term, answer));
+        return sendCommand(
+                endpoint, "/v1/role", Map.of("role", "serve"), term, answer -> refusal(endpoint, term, answer));
     }
 
     @Override
@@ -100,12 +102,12 @@
         CompletableFuture<EngineStatus> future = new CompletableFuture<>();
         Request request = request(endpoint, "/v1/status").build();
         Consumer<Failure> fail = failure -> future.completeExceptionally(new FailureException(failure));
-        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
-        enqueue(request, watch, limits.status(), new Callback() {
+        EndpointHttpClient.SendState sendState = new EndpointHttpClient.SendState();
+        enqueue(request, sendState, timeouts.status(), new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
                 fail.accept(
-                        watch.isSent()
+                        sendState.isSent()
                                 ? new Failure.EndpointFailed(endpoint.id())
                                 : new Failure.EndpointUnreachable(endpoint.id()));
             }
@@ -113,7 +115,7 @@
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
-                    byte[] body = EndpointHttpClient.readBody(response, STATUS_LIMIT_BYTES);
+                    byte[] body = EndpointHttpClient.readBody(response, MAXIMUM_STATUS_BYTES);
                     if (response.code() == 200) {
                         future.complete(parseStatus(Mappers.JSON.readTree(body)));
                     } else {
@@ -129,7 +131,7 @@
 
     @Override
     public Cancellation generate(Endpoint endpoint, EngineRequest request, TokenListener listener) {
-        if (EndpointHttpClient.isPast(request.deadline())) {
+        if (EndpointHttpClient.hasPassed(request.deadline())) {
             listener.end(new GenerationResult.NotStarted(new Failure.DeadlinePassed(request.deadline())));
             return () -> {};
         }
@@ -137,33 +139,33 @@
             listener.end(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
             return () -> {};
         }
-        Request http;
+        Request httpRequest;
         try {
-            http = toHttp(endpoint, request);
+            httpRequest = toHttpRequest(endpoint, request);
         } catch (IllegalArgumentException exception) {
             Failure failure = new Failure.InvalidField("request", "a request id and a path that HTTP can carry");
             listener.end(new GenerationResult.NotStarted(failure));
             return () -> {};
         }
-        return start(endpoint, request, http, listener);
+        return start(endpoint, request, httpRequest, listener);
     }
 
-    private Cancellation start(Endpoint endpoint, EngineRequest request, Request http, TokenListener listener) {
-        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
+    private Cancellation start(Endpoint endpoint, EngineRequest request, Request httpRequest, TokenListener listener) {
+        EndpointHttpClient.SendState sendState = new EndpointHttpClient.SendState();
         GenerationCall[] self = new GenerationCall[1];
         GenerationCall generation =
-                new GenerationCall(endpoint, request, listener, watch, () -> generations.remove(self[0]));
+                new GenerationCall(endpoint, request, listener, sendState, () -> generations.remove(self[0]));
         self[0] = generation;
         generations.add(generation);
-        generation.start(calls.newCall(http, watch, request.deadline()));
+        generation.start(calls.newCall(httpRequest, sendState, request.deadline()));
         return () -> {
             if (generations.contains(generation) && generation.cancel()) {
-                cancelAtEngine(endpoint, request);
+                sendCancel(endpoint, request);
             }
         };
     }
 
-    private static Request toHttp(Endpoint endpoint, EngineRequest request) {
+    private static Request toHttpRequest(Endpoint endpoint, EngineRequest request) {
         Request.Builder builder = request(endpoint, request.path())
                 .header("X-Request-Id", request.requestId().value())
                 .header("X-Priority", request.priority().name().toLowerCase(Locale.ROOT))
@@ -177,11 +179,11 @@
     }
 
     /** Best effort: an engine that does not get the command cancels the stream some time after the connection ends. */
-    private void cancelAtEngine(Endpoint endpoint, EngineRequest request) {
+    private void sendCancel(Endpoint endpoint, EngineRequest request) {
         Request cancel = request(endpoint, "/v1/cancel")
                 .post(json(Map.of("request_id", request.requestId().value())))
                 .build();
-        enqueue(cancel, new EndpointHttpClient.SendState(), limits.status(), new Callback() {
+        enqueue(cancel, new EndpointHttpClient.SendState(), timeouts.status(), new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
                 // Nothing depends on the answer.
@@ -194,23 +196,23 @@
         });
     }
 
-    private CompletableFuture<EngineCommandResult> order(
+    private CompletableFuture<EngineCommandResult> sendCommand(
             Endpoint endpoint,
             String path,
             Map<String, String> body,
             long term,
             Function<EngineResponse, Failure> refusal) {
         CompletableFuture<EngineCommandResult> future = new CompletableFuture<>();
-        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
+        EndpointHttpClient.SendState sendState = new EndpointHttpClient.SendState();
         Request request = request(endpoint, path)
                 .header("X-Fencing-Number", Long.toString(term))
                 .post(json(body))
                 .build();
-        enqueue(request, watch, limits.order(), new Callback() {
+        enqueue(request, sendState, timeouts.command(), new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
                 future.complete(
-                        watch.isSent()
+                        sendState.isSent()
                                 ? new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()))
                                 : new EngineCommandResult.Refused(new Failure.EndpointUnreachable(endpoint.id())));
             }
@@ -229,10 +231,10 @@
 
     private static EngineCommandResult result(
             Endpoint endpoint, EngineResponse answer, Function<EngineResponse, Failure> refusal) {
-        if (answer.isDone()) {
+        if (answer.isSuccess()) {
             return new EngineCommandResult.Done();
         }
-        return answer.isWithoutEffect()
+        return answer.hadNoEffect()
                 ? new EngineCommandResult.Refused(refusal.apply(answer))
                 : new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
     }
@@ -243,18 +245,18 @@
                 : new Failure.EndpointRefused(endpoint.id(), answer.status());
     }
 
-    private void enqueue(Request request, EndpointHttpClient.SendState watch, Duration limit, Callback callback) {
-        calls.newCall(request, watch, Instant.now().plus(limit)).enqueue(callback);
+    private void enqueue(Request request, EndpointHttpClient.SendState sendState, Duration timeout, Callback callback) {
+        calls.newCall(request, sendState, Instant.now().plus(timeout)).enqueue(callback);
     }
 
-    private void closeSilent() {
+    private void cancelStalled() {
         long now = System.nanoTime();
-        long limit = limits.silence().toNanos();
-        boolean anySilent = false;
+        long timeout = timeouts.token().toNanos();
+        boolean anyStalled = false;
         for (GenerationCall generation : generations) {
-            anySilent |= generation.closeIfSilent(now, limit);
+            anyStalled |= generation.cancelIfStalled(now, timeout);
         }
-        if (anySilent) {
+        if (anyStalled) {
             // What silenced one connection has probably silenced the idle ones as well, and each would cost a wait.
             calls.evictIdleConnections();
         }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
@@ -19,24 +19,24 @@
  * <p>Safe for use by several threads. Futures complete on threads of the client, so dependent stages must not block.
  */
 public final class HttpHostListSource implements HostListSource {
-    private static final int MAX_READS = 4;
+    private static final int MAXIMUM_CONCURRENT_READS = 4;
     private static final int OK = 200;
     private static final int NOT_MODIFIED = 304;
 
-    private final HttpUrl hosts;
-    private final Duration callDeadline;
-    private final DeadlineHttpClient client = new DeadlineHttpClient(MAX_READS);
-    private final AtomicReference<HostListing> last = new AtomicReference<>(HostListing.EMPTY);
+    private final HttpUrl hostsUrl;
+    private final Duration callTimeout;
+    private final DeadlineHttpClient client = new DeadlineHttpClient(MAXIMUM_CONCURRENT_READS);
+    private final AtomicReference<HostListing> lastListing = new AtomicReference<>(HostListing.EMPTY);
 
     /**
      * Creates a client.
      *
      * @param address where the host list listens
-     * @param callDeadline time after which a read is given up
+     * @param callTimeout time after which a read is given up
      */
-    public HttpHostListSource(NetworkAddress address, Duration callDeadline) {
-        hosts = HttpUrl.get("http://" + address + "/hosts");
-        this.callDeadline = callDeadline;
+    public HttpHostListSource(NetworkAddress address, Duration callTimeout) {
+        hostsUrl = HttpUrl.get("http://" + address + "/hosts");
+        this.callTimeout = callTimeout;
     }
 
     /** Cancels the reads in progress and releases threads and connections. Later reads fail. */
@@ -46,20 +46,20 @@
 
     @Override
     public CompletableFuture<HostListing> read() {
-        HostListing known = last.get();
+        HostListing known = lastListing.get();
         HttpUrl url = known.version() == 0
-                ? hosts
-                : hosts.newBuilder()
+                ? hostsUrl
+                : hostsUrl.newBuilder()
                         .addQueryParameter("known", Long.toString(known.version()))
                         .build();
-        return client.call(new Request.Builder().url(url), callDeadline).thenApply(result -> {
-            HostListing listing = listing(result, known);
-            last.set(listing);
+        return client.call(new Request.Builder().url(url), callTimeout).thenApply(result -> {
+            HostListing listing = parseListing(result, known);
+            lastListing.set(listing);
             return listing;
         });
     }
 
-    private static HostListing listing(HttpCallResult result, HostListing known) {
+    private static HostListing parseListing(HttpCallResult result, HostListing known) {
         if (result instanceof HttpCallResult.Answered answered && answered.status() == NOT_MODIFIED) {
             return known;
         }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
@@ -26,42 +26,42 @@
  * <p>Safe for use by several threads. Futures complete on threads of the client, so dependent stages must not block.
  */
 public final class HttpLogService implements LogService {
-    private static final int MAX_APPENDS = 32;
+    private static final int MAXIMUM_CONCURRENT_APPENDS = 32;
 
     /** A host follows about a dozen streams with one long poll each; the rest is room for short reads. */
-    private static final int MAX_READS = 64;
+    private static final int MAXIMUM_CONCURRENT_READS = 64;
 
-    private static final int UNAVAILABLE = 503;
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final int OK = 200;
     private static final int GONE = 410;
 
-    private final HttpUrl streams;
-    private final Duration callDeadline;
+    private final HttpUrl streamsUrl;
+    private final Duration callTimeout;
     private final InstantSource clock;
     // Long polls occupy their places for their whole wait, so appends have a client of their own.
-    private final DeadlineHttpClient appends = new DeadlineHttpClient(MAX_APPENDS);
-    private final DeadlineHttpClient reads = new DeadlineHttpClient(MAX_READS);
+    private final DeadlineHttpClient appends = new DeadlineHttpClient(MAXIMUM_CONCURRENT_APPENDS);
+    private final DeadlineHttpClient reads = new DeadlineHttpClient(MAXIMUM_CONCURRENT_READS);
 
     /**
      * Creates a client.
      *
      * @param address where the log service listens
-     * @param callDeadline time after which a call is given up; a read may also take the time that it waits for records
+     * @param callTimeout time after which a call is given up; a read may also take the time that it waits for records
      */
-    public HttpLogService(NetworkAddress address, Duration callDeadline) {
-        this(address, callDeadline, Clock.systemUTC());
+    public HttpLogService(NetworkAddress address, Duration callTimeout) {
+        this(address, callTimeout, Clock.systemUTC());
     }
 
     /**
      * Creates a client with a clock.
      *
      * @param address where the log service listens
-     * @param callDeadline time after which a call is given up; a read may also take the time that it waits for records
+     * @param callTimeout time after which a call is given up; a read may also take the time that it waits for records
      * @param clock clock that the instants given to {@link #read} refer to
      */
-    public HttpLogService(NetworkAddress address, Duration callDeadline, InstantSource clock) {
-        streams = HttpUrl.get("http://" + address + "/streams");
-        this.callDeadline = callDeadline;
+    public HttpLogService(NetworkAddress address, Duration callTimeout, InstantSource clock) {
+        streamsUrl = HttpUrl.get("http://" + address + "/streams");
+        this.callTimeout = callTimeout;
         this.clock = clock;
     }
 
@@ -78,7 +78,7 @@
         }
         Request.Builder request =
                 new Request.Builder().url(records(stream).build()).post(new OneShotBody(json(records)));
-        return appends.call(request, callDeadline).thenApply(result -> appendResult(stream, result));
+        return appends.call(request, callTimeout).thenApply(result -> appendResult(stream, result));
     }
 
     @Override
@@ -89,13 +89,13 @@
                 .addQueryParameter("waitUntil", waitUntil.toString())
                 .build();
         Duration wait = Duration.between(clock.instant(), waitUntil);
-        Duration timeLeft = wait.isNegative() ? callDeadline : callDeadline.plus(wait);
-        return reads.call(new Request.Builder().url(url), timeLeft)
+        Duration timeout = wait.isNegative() ? callTimeout : callTimeout.plus(wait);
+        return reads.call(new Request.Builder().url(url), timeout)
                 .thenApply(result -> readResult(stream, fromOffset, result));
     }
 
     private HttpUrl.Builder records(String stream) {
-        return streams.newBuilder().addPathSegment(stream).addPathSegment("records");
+        return streamsUrl.newBuilder().addPathSegment(stream).addPathSegment("records");
     }
 
     private static byte[] json(List<byte[]> records) {
@@ -120,15 +120,16 @@
         if (answer.status() == OK) {
             try {
                 byte[] body = answer.body().orElseThrow(() -> new IOException("the answer is cut off"));
-                return new AppendResult.Appended(
-                        ResponseParser.JSON.readValue(body, AppendAnswer.class).firstOffset());
+                return new AppendResult.Appended(ResponseParser.JSON
+                        .readValue(body, AppendResponse.class)
+                        .firstOffset());
             } catch (IOException exception) {
                 Logger.warn("append to stream {} has no usable answer: {}", stream, exception.getMessage());
                 return new AppendResult.Unknown(new Failure.OutcomeUnknown());
             }
         }
         Logger.debug("append to stream {} was answered with status {}", stream, answer.status());
-        boolean notApplied = answer.status() / 100 == 4 || answer.status() == UNAVAILABLE;
+        boolean notApplied = answer.status() / 100 == 4 || answer.status() == SERVICE_UNAVAILABLE;
         return notApplied
                 ? new AppendResult.Rejected(new Failure.LogUnavailable(stream))
                 : new AppendResult.Unknown(new Failure.OutcomeUnknown());
@@ -170,5 +171,5 @@
 
     private record AppendRequest(List<byte[]> records) {}
 
-    private record AppendAnswer(long firstOffset) {}
+    private record AppendResponse(long firstOffset) {}
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
@@ -26,18 +26,18 @@
 
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
 
-    private final long answerLimitBytes;
+    private final long responseLimitBytes;
     private final EndpointHttpClient calls;
 
     /**
      * Creates the client.
      *
-     * @param connectLimit longest wait for a connection; the wait for the answer is limited by the call's deadline
-     * @param answerLimitBytes longest body of an answer; the outcome of a call with a longer one is unknown
+     * @param connectTimeout longest wait for a connection; the wait for the answer is limited by the call's deadline
+     * @param responseLimitBytes longest body of an answer; the outcome of a call with a longer one is unknown
      */
-    public HttpPlainServiceClient(Duration connectLimit, long answerLimitBytes) {
-        this.answerLimitBytes = answerLimitBytes;
-        this.calls = new EndpointHttpClient("service-call", connectLimit);
+    public HttpPlainServiceClient(Duration connectTimeout, long responseLimitBytes) {
+        this.responseLimitBytes = responseLimitBytes;
+        this.calls = new EndpointHttpClient("service-call", connectTimeout);
     }
 
     /** Ends all calls and the threads of the client. */
@@ -47,7 +47,7 @@
 
     @Override
     public CompletableFuture<ServiceCallResult> call(Endpoint endpoint, ServiceCall request) {
-        if (EndpointHttpClient.isPast(request.deadline())) {
+        if (EndpointHttpClient.hasPassed(request.deadline())) {
             return notSent(new Failure.DeadlinePassed(request.deadline()));
         }
         if (calls.isFull()) {
@@ -59,40 +59,43 @@
         } catch (IllegalArgumentException exception) {
             return notSent(new Failure.InvalidField("call", "an HTTP method, path and content type"));
         }
-        EndpointHttpClient.SendState watch = new EndpointHttpClient.SendState();
+        EndpointHttpClient.SendState sendState = new EndpointHttpClient.SendState();
         CompletableFuture<ServiceCallResult> future = new CompletableFuture<>();
-        calls.newCall(http, watch, request.deadline()).enqueue(new Callback() {
+        calls.newCall(http, sendState, request.deadline()).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
-                future.complete(failed(endpoint, request, watch));
+                future.complete(failureResult(endpoint, request, sendState));
             }
 
             @Override
             public void onResponse(Call call, Response response) {
                 try (response) {
-                    future.complete(new ServiceCallResult.Answered(answer(response)));
+                    future.complete(new ServiceCallResult.Answered(toAnswer(response)));
                 } catch (IOException exception) {
-                    future.complete(failed(endpoint, request, watch));
+                    future.complete(failureResult(endpoint, request, sendState));
                 }
             }
         });
         return future;
     }
 
-    private ServiceAnswer answer(Response response) throws IOException {
+    private ServiceAnswer toAnswer(Response response) throws IOException {
         Optional<String> contentType = Optional.ofNullable(response.header("Content-Type"));
-        return new ServiceAnswer(response.code(), contentType, EndpointHttpClient.readBody(response, answerLimitBytes));
+        return new ServiceAnswer(
+                response.code(), contentType, EndpointHttpClient.readBody(response, responseLimitBytes));
     }
 
-    private static ServiceCallResult failed(
-            Endpoint endpoint, ServiceCall request, EndpointHttpClient.SendState watch) {
-        boolean late = EndpointHttpClient.isPast(request.deadline());
-        if (watch.isSent()) {
+    private static ServiceCallResult failureResult(
+            Endpoint endpoint, ServiceCall request, EndpointHttpClient.SendState sendState) {
+        boolean deadlinePassed = EndpointHttpClient.hasPassed(request.deadline());
+        if (sendState.isSent()) {
             return new ServiceCallResult.OutcomeUnknown(
-                    late ? new Failure.OutcomeUnknown() : new Failure.EndpointFailed(endpoint.id()));
+                    deadlinePassed ? new Failure.OutcomeUnknown() : new Failure.EndpointFailed(endpoint.id()));
         }
         return new ServiceCallResult.NotSent(
-                late ? new Failure.DeadlinePassed(request.deadline()) : new Failure.EndpointUnreachable(endpoint.id()));
+                deadlinePassed
+                        ? new Failure.DeadlinePassed(request.deadline())
+                        : new Failure.EndpointUnreachable(endpoint.id()));
     }
 
     private static Request toHttp(Endpoint endpoint, ServiceCall request) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/PositionNode.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/PositionNode.java
@@ -32,7 +32,7 @@
     }
 
     /** Returns the table that a dotted key or a header continues: for an array of tables, its last table. */
-    PositionNode enter(String key, Position keyPosition) {
+    PositionNode descend(String key, Position keyPosition) {
         PositionNode member = members.computeIfAbsent(key, name -> new PositionNode(keyPosition));
         return member.elements.isEmpty() ? member : member.elements.get(member.elements.size() - 1);
     }
@@ -44,14 +44,14 @@
     }
 
     /** Marks the value as given by the file, not only implied by a longer path. Returns false if it was given before. */
-    boolean define() {
+    boolean markDefined() {
         boolean first = !defined;
         defined = true;
         return first;
     }
 
     /** Opens the member itself, not the last table inside it. */
-    PositionNode open(String key, Position keyPosition) {
+    PositionNode memberOrNew(String key, Position keyPosition) {
         return members.computeIfAbsent(key, name -> new PositionNode(keyPosition));
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlPositionScanner.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlPositionScanner.java
@@ -22,7 +22,7 @@
     private int offset;
     private int line = 1;
     private int lineStart;
-    private Optional<Position> duplicate = Optional.empty();
+    private Optional<Position> firstDuplicate = Optional.empty();
 
     private record Key(String name, Position position) {}
 
@@ -32,7 +32,7 @@
     }
 
     static PositionNode locate(ObjectMapper mapper, String text) throws IOException {
-        return new TomlPositionScanner(mapper, text).document();
+        return new TomlPositionScanner(mapper, text).scanDocument();
     }
 
     /**
@@ -42,89 +42,89 @@
     static Optional<Position> duplicateKey(ObjectMapper mapper, String text) {
         TomlPositionScanner locator = new TomlPositionScanner(mapper, text);
         try {
-            locator.document();
+            locator.scanDocument();
         } catch (IOException exception) {
-            return locator.duplicate;
+            return locator.firstDuplicate;
         }
-        return locator.duplicate;
+        return locator.firstDuplicate;
     }
 
-    private PositionNode document() throws IOException {
+    private PositionNode scanDocument() throws IOException {
         PositionNode root = new PositionNode(Position.START);
         PositionNode table = root;
-        skipBlank();
+        skipWhitespaceAndComments();
         while (peek() != END) {
             if (peek() == '[') {
-                table = header(root);
+                table = scanHeader(root);
             } else {
-                keyValue(table);
+                scanKeyValue(table);
             }
-            skipBlank();
+            skipWhitespaceAndComments();
         }
         return root;
     }
 
-    private PositionNode header(PositionNode root) throws IOException {
+    private PositionNode scanHeader(PositionNode root) throws IOException {
         Position start = position();
         advance();
         boolean array = peek() == '[';
         if (array) {
             advance();
         }
-        List<Key> path = keys();
+        List<Key> path = scanKeys();
         PositionNode parent = parent(root, path);
         Key last = path.get(path.size() - 1);
         skipUntil("\n");
-        PositionNode node = parent.open(last.name(), start);
+        PositionNode node = parent.memberOrNew(last.name(), start);
         if (array) {
             return node.addElement(start);
         }
-        define(node, start);
+        markDefined(node, start);
         return node;
     }
 
-    private void keyValue(PositionNode table) throws IOException {
-        List<Key> path = keys();
+    private void scanKeyValue(PositionNode table) throws IOException {
+        List<Key> path = scanKeys();
         Key last = path.get(path.size() - 1);
-        PositionNode node = parent(table, path).open(last.name(), last.position());
-        define(node, last.position());
+        PositionNode node = parent(table, path).memberOrNew(last.name(), last.position());
+        markDefined(node, last.position());
         advance();
-        value(node);
+        scanValue(node);
     }
 
-    private void define(PositionNode node, Position position) {
-        if (!node.define() && duplicate.isEmpty()) {
-            duplicate = Optional.of(position);
+    private void markDefined(PositionNode node, Position position) {
+        if (!node.markDefined() && firstDuplicate.isEmpty()) {
+            firstDuplicate = Optional.of(position);
         }
     }
 
     private static PositionNode parent(PositionNode table, List<Key> path) {
         PositionNode node = table;
         for (Key key : path.subList(0, path.size() - 1)) {
-            node = node.enter(key.name(), key.position());
+            node = node.descend(key.name(), key.position());
         }
         return node;
     }
 
-    private List<Key> keys() throws IOException {
+    private List<Key> scanKeys() throws IOException {
         List<Key> keys = new ArrayList<>();
         skipSpaces();
-        keys.add(key());
+        keys.add(scanKey());
         skipSpaces();
         while (peek() == '.') {
             advance();
             skipSpaces();
-            keys.add(key());
+            keys.add(scanKey());
             skipSpaces();
         }
         return keys;
     }
 
-    private Key key() throws IOException {
+    private Key scanKey() throws IOException {
         Position start = position();
         int from = offset;
         if (peek() == '"' || peek() == '\'') {
-            string();
+            skipString();
             String literal = text.substring(from, offset);
             return new Key(mapper.readTree("key=" + literal).path("key").asText(), start);
         }
@@ -132,22 +132,22 @@
         return new Key(text.substring(from, offset), start);
     }
 
-    private void value(PositionNode node) throws IOException {
-        skipBlank();
+    private void scanValue(PositionNode node) throws IOException {
+        skipWhitespaceAndComments();
         switch (peek()) {
-            case '"', '\'' -> string();
-            case '[' -> array(node);
-            case '{' -> inlineTable(node);
+            case '"', '\'' -> skipString();
+            case '[' -> scanArray(node);
+            case '{' -> scanInlineTable(node);
             default -> skipUntil(",]}#\r\n");
         }
     }
 
-    private void array(PositionNode node) throws IOException {
+    private void scanArray(PositionNode node) throws IOException {
         advance();
         skipSeparators();
         while (peek() != ']' && peek() != END) {
             int start = offset;
-            value(node.addElement(position()));
+            scanValue(node.addElement(position()));
             skipSeparators();
             if (offset == start) {
                 // Only malformed text has a character here that starts no value.
@@ -157,17 +157,17 @@
         advance();
     }
 
-    private void inlineTable(PositionNode node) throws IOException {
+    private void scanInlineTable(PositionNode node) throws IOException {
         advance();
         skipSeparators();
         while (peek() != '}' && peek() != END) {
-            keyValue(node);
+            scanKeyValue(node);
             skipSeparators();
         }
         advance();
     }
 
-    private void string() {
+    private void skipString() {
         char quote = peek();
         String delimiter = String.valueOf(quote).repeat(3);
         if (!text.startsWith(delimiter, offset)) {
@@ -185,14 +185,14 @@
     }
 
     private void skipSeparators() {
-        skipBlank();
+        skipWhitespaceAndComments();
         while (peek() == ',') {
             advance();
-            skipBlank();
+            skipWhitespaceAndComments();
         }
     }
 
-    private void skipBlank() {
+    private void skipWhitespaceAndComments() {
         while (peek() == '#' || peek() == ' ' || peek() == '\t' || peek() == '\r' || peek() == '\n') {
             if (peek() == '#') {
                 skipUntil("\n");
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTable.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTable.java
@@ -12,7 +12,7 @@
 /** A table of the file, whose keys are read one by one; a key that nobody reads is an error. */
 public final class TomlTable {
     private final TomlValue value;
-    private final Set<String> known = new TreeSet<>();
+    private final Set<String> readKeys = new TreeSet<>();
 
     TomlTable(TomlValue value) {
         this.value = value;
@@ -27,7 +27,7 @@
      * @return the field
      */
     public <T> TomlField<T> required(String key, TomlType<T> type) {
-        known.add(key);
+        readKeys.add(key);
         if (!has(key)) {
             value.rejectMember(key, "present: " + type.accepted());
             return new TomlField<>(Optional.empty());
@@ -45,7 +45,7 @@
      * @return the field
      */
     public <T> TomlField<T> optional(String key, TomlType<T> type, T defaultValue) {
-        known.add(key);
+        readKeys.add(key);
         return new TomlField<>(has(key) ? type.read(value.member(key)) : Optional.of(defaultValue));
     }
 
@@ -58,7 +58,7 @@
      * @return the field, with an empty value for a missing key
      */
     public <T> TomlField<Optional<T>> optional(String key, TomlType<T> type) {
-        known.add(key);
+        readKeys.add(key);
         return new TomlField<>(
                 has(key) ? type.read(value.member(key)).map(Optional::of) : Optional.of(Optional.empty()));
     }
@@ -71,8 +71,8 @@
      * @param <T> type of the value
      * @return the field
      */
-    public <T> TomlField<T> tableOrDefaults(String key, TomlType<T> type) {
-        known.add(key);
+    public <T> TomlField<T> optionalTable(String key, TomlType<T> type) {
+        readKeys.add(key);
         TomlValue member = has(key) ? value.member(key) : value.emptyTable(key);
         return new TomlField<>(type.read(member));
     }
@@ -104,8 +104,8 @@
 
     void rejectUnknownKeys() {
         for (String key : keys()) {
-            if (!known.contains(key)) {
-                value.rejectMember(key, "a known key, one of " + String.join(", ", known));
+            if (!readKeys.contains(key)) {
+                value.rejectMember(key, "a known key, one of " + String.join(", ", readKeys));
             }
         }
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
@@ -55,7 +55,7 @@
      * @param maximum greatest accepted value
      * @return the type
      */
-    public static TomlType<Integer> smallInteger(int minimum, int maximum) {
+    public static TomlType<Integer> int32(int minimum, int maximum) {
         return map(integer(minimum, maximum), Math::toIntExact);
     }
 
