--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
@@ -57,20 +57,20 @@
     /** Above the high mark, messages wait in the bounded queue of the peer instead of in Netty's buffer. */
     private static final WriteBufferWaterMark WATER_MARKS = new WriteBufferWaterMark(64 << 10, 256 << 10);
 
-    private static final int STOP_SECONDS = 5;
+    private static final int STOP_TIMEOUT_SECONDS = 5;
 
     private final PeerTransportSettings settings;
     private final PeerListener listener;
     private final CounterSet counters = new CounterSet();
     private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
     private final EventLoopGroup group;
-    private final boolean ownGroup;
+    private final boolean ownsGroup;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-    private final EventLoop ownLoop;
+    private final EventLoop transportEventLoop;
     private final TransportContext context;
-    private volatile Encoded lastEncoded;
+    private volatile EncodedMessage lastEncoded;
 
-    private record Encoded(PeerMessage message, byte[] frame) {}
+    private record EncodedMessage(PeerMessage message, byte[] frame) {}
 
     /**
      * Creates a transport.
@@ -78,18 +78,18 @@
      * @param settings the settings
      * @param addresses finds the address of a peer; called on the transport's threads, must not block
      * @param listener receives messages and events
-     * @param instants the clock for idle connections
+     * @param clock the clock for idle connections
      */
     public NettyPeerTransport(
             PeerTransportSettings settings,
             Function<HostId, Optional<NetworkAddress>> addresses,
             PeerListener listener,
-            InstantSource instants) {
+            InstantSource clock) {
         this(
                 settings,
                 addresses,
                 listener,
-                instants,
+                clock,
                 new NioEventLoopGroup(THREADS, new DefaultThreadFactory("banyanstair-peer", true)),
                 true);
     }
@@ -100,32 +100,32 @@
      * @param settings the settings
      * @param addresses finds the address of a peer; called on the transport's threads, must not block
      * @param listener receives messages and events
-     * @param instants the clock for idle connections
+     * @param clock the clock for idle connections
      * @param group the threads; they are not stopped with the transport, and {@link #start} must not be called on them
      * @return the transport
      */
-    public static NettyPeerTransport onGroup(
+    public static NettyPeerTransport withEventLoopGroup(
             PeerTransportSettings settings,
             Function<HostId, Optional<NetworkAddress>> addresses,
             PeerListener listener,
-            InstantSource instants,
+            InstantSource clock,
             EventLoopGroup group) {
-        return new NettyPeerTransport(settings, addresses, listener, instants, group, false);
+        return new NettyPeerTransport(settings, addresses, listener, clock, group, false);
     }
 
     private NettyPeerTransport(
             PeerTransportSettings settings,
             Function<HostId, Optional<NetworkAddress>> addresses,
             PeerListener listener,
-            InstantSource instants,
+            InstantSource clock,
             EventLoopGroup group,
-            boolean ownGroup) {
+            boolean ownsGroup) {
         this.group = group;
-        this.ownGroup = ownGroup;
-        this.ownLoop = group.next();
+        this.ownsGroup = ownsGroup;
+        this.transportEventLoop = group.next();
         this.settings = settings;
         this.listener = listener;
-        this.context = new TransportContext(settings, addresses, listener, instants, counters, this::dial, this::link);
+        this.context = new TransportContext(settings, addresses, listener, clock, counters, this::connect, this::link);
     }
 
     /**
@@ -143,7 +143,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARKS)
-                .childHandler(pipeline(() -> new Connection(context, Optional.empty())))
+                .childHandler(channelInitializer(() -> new Connection(context, Optional.empty())))
                 .bind(address.ip(), address.port())
                 .awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -152,43 +152,43 @@
         }
         channels.add(bound.channel());
         long interval = settings.heartbeatInterval().toMillis();
-        ownLoop.scheduleWithFixedDelay(
-                () -> links.values().forEach(PeerLink::maintain), interval, interval, TimeUnit.MILLISECONDS);
+        transportEventLoop.scheduleWithFixedDelay(
+                () -> links.values().forEach(PeerLink::reconnectIfWatched), interval, interval, TimeUnit.MILLISECONDS);
         Logger.info("host {} listens for peers on {}", settings.identity(), address);
     }
 
     @Override
     public void stop() {
         links.values().forEach(PeerLink::stop);
-        channels.close().awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
-        if (ownGroup) {
-            group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS)
-                    .awaitUninterruptibly(STOP_SECONDS, TimeUnit.SECONDS);
+        channels.close().awaitUninterruptibly(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (ownsGroup) {
+            group.shutdownGracefully(0, STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                    .awaitUninterruptibly(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         }
     }
 
     @Override
     public void send(HostId peer, PeerMessage message) {
         if (peer.equals(settings.identity().host())) {
-            deliverToSelf(message);
+            deliverLocally(message);
         } else {
-            link(peer).send(frameOf(message));
+            link(peer).send(encode(message));
         }
     }
 
     /** Encodes a message that goes to several peers in a row only once. */
-    private byte[] frameOf(PeerMessage message) {
-        Encoded known = lastEncoded;
+    private byte[] encode(PeerMessage message) {
+        EncodedMessage known = lastEncoded;
         if (known == null || known.message() != message) {
-            known = new Encoded(message, FrameCodec.encode(message));
+            known = new EncodedMessage(message, FrameCodec.encode(message));
             lastEncoded = known;
         }
         return known.frame();
     }
 
-    private void deliverToSelf(PeerMessage message) {
+    private void deliverLocally(PeerMessage message) {
         try {
-            ownLoop.execute(() -> listener.received(settings.identity(), message));
+            transportEventLoop.execute(() -> listener.received(settings.identity(), message));
         } catch (RejectedExecutionException exception) {
             Logger.debug("transport stopped; message to this host ignored");
         }
@@ -224,7 +224,7 @@
         return links.computeIfAbsent(peer, host -> new PeerLink(context, host, loop));
     }
 
-    private ChannelFuture dial(EventLoop loop, NetworkAddress address, Connection connection) {
+    private ChannelFuture connect(EventLoop loop, NetworkAddress address, Connection connection) {
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -232,18 +232,19 @@
                         settings.connectTimeout().toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARKS)
-                .handler(pipeline(() -> connection))
+                .handler(channelInitializer(() -> connection))
                 .connect(address.ip(), address.port());
     }
 
-    private ChannelInitializer<Channel> pipeline(Supplier<Connection> connection) {
+    private ChannelInitializer<Channel> channelInitializer(Supplier<Connection> connection) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 channels.add(channel);
                 int length = FrameCodec.LENGTH_BYTES;
                 channel.pipeline()
-                        .addLast(new IdleStateHandler(settings.silenceLimit().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+                        .addLast(new IdleStateHandler(
+                                settings.heartbeatTimeout().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
                         .addLast(new LengthFieldBasedFrameDecoder(
                                 settings.maximumFrameBytes() + length, 0, length, 0, length))
                         .addLast(connection.get());
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/PeerTransportSettings.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/PeerTransportSettings.java
@@ -14,7 +14,7 @@
  * @param cluster name of the cluster; peers of other clusters are refused
  * @param bindAddress address on which peers connect
  * @param heartbeatInterval time between pings on an open connection without other messages
- * @param silenceLimit a connection that receives nothing for this long is closed
+ * @param heartbeatTimeout a connection that receives nothing for this long is closed
  * @param connectTimeout limit for the TCP connection and then again for the peer's hello
  * @param maximumFrameBytes longest accepted frame, without its length field
  */
@@ -23,7 +23,7 @@
         String cluster,
         NetworkAddress bindAddress,
         Duration heartbeatInterval,
-        Duration silenceLimit,
+        Duration heartbeatTimeout,
         Duration connectTimeout,
         int maximumFrameBytes) {
     /** The frame limit of the protocol, 1 MiB. */
@@ -33,7 +33,10 @@
     public PeerTransportSettings {
         require(cluster != null && !cluster.isEmpty(), "cluster", "a name");
         require(heartbeatInterval.toMillis() > 0, "heartbeat-interval", "at least 1 ms");
-        require(silenceLimit.compareTo(heartbeatInterval) > 0, "silence-limit", "longer than the heartbeat interval");
+        require(
+                heartbeatTimeout.compareTo(heartbeatInterval) > 0,
+                "silence-limit",
+                "longer than the heartbeat interval");
         require(connectTimeout.toMillis() > 0, "connect-timeout", "at least 1 ms");
         require(maximumFrameBytes > 0, "maximum-frame-bytes", "at least 1");
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
@@ -23,33 +23,33 @@
 /** One TCP connection to a peer: handshake, heartbeats, decoding. Runs on the event loop of its channel. */
 public final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
     /** Small frames are merged into writes of about this size, to save system calls. */
-    private static final int BATCH_BYTES = 64 << 10;
+    private static final int WRITE_BATCH_BYTES = 64 << 10;
 
     private final TransportContext transport;
-    private final Optional<PeerLink> dialled;
+    private final Optional<PeerLink> outboundPeer;
     private volatile ChannelHandlerContext channel;
     private volatile HostIdentity peer;
     private volatile Instant lastUsed;
     private volatile boolean closing;
-    private volatile boolean silent;
+    private volatile boolean timedOut;
     private PeerLink link;
-    private List<PeerMessage> inbox = new ArrayList<>();
+    private List<PeerMessage> receivedMessages = new ArrayList<>();
     private Future<?> handshakeTimer;
     private Future<?> heartbeatTimer;
-    private long pings;
-    private long readyNanos;
-    private long writtenNanos = System.nanoTime();
+    private long pingSequence;
+    private long handshakeCompletedNanos;
+    private long lastWriteNanos = System.nanoTime();
 
     /**
      * Creates the handler of a connection.
      *
      * @param transport what all connections share
-     * @param dialled the peer that this host connects to, empty for an accepted connection
+     * @param outboundPeer the peer that this host connects to, empty for an accepted connection
      */
-    public Connection(TransportContext transport, Optional<PeerLink> dialled) {
+    public Connection(TransportContext transport, Optional<PeerLink> outboundPeer) {
         this.transport = transport;
-        this.dialled = dialled;
-        this.lastUsed = transport.instants().instant();
+        this.outboundPeer = outboundPeer;
+        this.lastUsed = transport.clock().instant();
     }
 
     @Override
@@ -79,12 +79,12 @@
         byte[] body = new byte[frame.readableBytes()];
         frame.readBytes(body);
         transport.counters().frameIn(body.length + FrameCodec.LENGTH_BYTES);
-        FrameCodec.decode(body).ifPresentOrElse(this::accept, () -> malformed(body.length));
+        FrameCodec.decode(body).ifPresentOrElse(this::accept, () -> closeMalformed(body.length));
     }
 
     private void accept(PeerMessage message) {
         if (message instanceof PeerMessage.Hello hello) {
-            greet(hello);
+            handleHello(hello);
         } else if (peer == null) {
             reject("message before hello");
         } else if (message instanceof PeerMessage.Ping ping) {
@@ -93,11 +93,11 @@
                 write(new PeerMessage.Pong(ping.sequence()));
             }
         } else if (!(message instanceof PeerMessage.Pong)) {
-            inbox.add(message);
+            receivedMessages.add(message);
         }
     }
 
-    private void greet(PeerMessage.Hello hello) {
+    private void handleHello(PeerMessage.Hello hello) {
         HostIdentity sender = hello.sender();
         if (sender == null || sender.host() == null || peer != null) {
             reject("incomplete or repeated hello");
@@ -106,32 +106,33 @@
         } else if (!transport.settings().cluster().equals(hello.cluster())) {
             reject("another cluster");
         } else if (sender.host().equals(transport.settings().identity().host())
-                || dialled.filter(expected -> !expected.host().equals(sender.host()))
+                || outboundPeer
+                        .filter(expected -> !expected.host().equals(sender.host()))
                         .isPresent()) {
             reject("unexpected host " + sender);
         } else {
             handshakeTimer.cancel(false);
-            readyNanos = System.nanoTime();
+            handshakeCompletedNanos = System.nanoTime();
             peer = sender;
-            link = dialled.orElseGet(() ->
-                    transport.links().apply(sender.host(), channel.channel().eventLoop()));
-            link.run(() -> link.ready(this));
+            link = outboundPeer.orElseGet(() ->
+                    transport.peerLinks().apply(sender.host(), channel.channel().eventLoop()));
+            link.run(() -> link.handshakeCompleted(this));
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (!inbox.isEmpty()) {
-            List<PeerMessage> messages = inbox;
-            inbox = new ArrayList<>();
-            link.run(() -> link.received(this, messages));
+        if (!receivedMessages.isEmpty()) {
+            List<PeerMessage> messages = receivedMessages;
+            receivedMessages = new ArrayList<>();
+            link.run(() -> link.messagesReceived(this, messages));
         }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (link != null && isWritable()) {
-            link.run(link::drain);
+            link.run(link::flushQueue);
         }
     }
 
@@ -140,9 +141,9 @@
         if (event instanceof IdleStateEvent && !closing) {
             Logger.warn(
                     "connection to {} closed: nothing received for {}",
-                    name(),
-                    transport.settings().silenceLimit());
-            silent = true;
+                    peerName(),
+                    transport.settings().heartbeatTimeout());
+            timedOut = true;
             close();
         }
     }
@@ -150,10 +151,10 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof DecoderException && !closing) {
-            Logger.warn("connection to {} closed: {}", name(), cause.getMessage());
+            Logger.warn("connection to {} closed: {}", peerName(), cause.getMessage());
             transport.counters().malformed();
         } else {
-            Logger.debug("connection to {} failed: {}", name(), cause.getMessage());
+            Logger.debug("connection to {} failed: {}", peerName(), cause.getMessage());
         }
         close();
     }
@@ -163,8 +164,8 @@
         transport.counters().closed();
         handshakeTimer.cancel(false);
         heartbeatTimer.cancel(false);
-        Optional<PeerLink> owner = Optional.ofNullable(link).or(() -> dialled);
-        owner.ifPresent(peerLink -> peerLink.run(() -> peerLink.ended(this)));
+        Optional<PeerLink> owner = Optional.ofNullable(link).or(() -> outboundPeer);
+        owner.ifPresent(peerLink -> peerLink.run(() -> peerLink.connectionClosed(this)));
     }
 
     private void heartbeat() {
@@ -172,32 +173,32 @@
             return;
         }
         // Only the host that opened a connection closes it when it is idle: the other one may watch it.
-        if (dialled.isPresent() && link.isIdle(this)) {
+        if (outboundPeer.isPresent() && link.isIdle(this)) {
             close();
-        } else if (isWritable() && !isWrittenLately()) {
-            write(new PeerMessage.Ping(++pings));
+        } else if (isWritable() && !hasWrittenRecently()) {
+            write(new PeerMessage.Ping(++pingSequence));
         }
     }
 
     /** Returns whether the peer hears from this host often enough without a ping: half an interval before the next. */
-    private boolean isWrittenLately() {
-        return System.nanoTime() - writtenNanos
+    private boolean hasWrittenRecently() {
+        return System.nanoTime() - lastWriteNanos
                 < transport.settings().heartbeatInterval().toNanos() / 2;
     }
 
-    private void malformed(int lengthBytes) {
-        Logger.warn("connection to {} closed: {}", name(), FailureText.of(new Failure.MalformedFrame(lengthBytes)));
+    private void closeMalformed(int lengthBytes) {
+        Logger.warn("connection to {} closed: {}", peerName(), FailureText.of(new Failure.MalformedFrame(lengthBytes)));
         transport.counters().malformed();
         close();
     }
 
     private void reject(String reason) {
-        Logger.warn("connection to {} closed: {}", name(), reason);
+        Logger.warn("connection to {} closed: {}", peerName(), reason);
         transport.counters().rejected();
         close();
     }
 
-    private Object name() {
+    private Object peerName() {
         return peer != null ? peer : channel.channel().remoteAddress();
     }
 
@@ -209,7 +210,7 @@
 
     private void write(ByteBuf frames, int count) {
         transport.counters().framesOut(count, frames.readableBytes());
-        writtenNanos = System.nanoTime();
+        lastWriteNanos = System.nanoTime();
         channel.writeAndFlush(frames, channel.voidPromise());
     }
 
@@ -222,7 +223,7 @@
             while (frame != null) {
                 batch.writeInt(frame.length).writeBytes(frame);
                 count++;
-                frame = batch.readableBytes() < BATCH_BYTES ? queue.poll() : null;
+                frame = batch.readableBytes() < WRITE_BATCH_BYTES ? queue.poll() : null;
             }
             write(batch, count);
             markUsed();
@@ -234,22 +235,22 @@
     }
 
     void markUsed() {
-        lastUsed = transport.instants().instant();
+        lastUsed = transport.clock().instant();
     }
 
     /** Returns whether a message went over this connection within the given time. */
     boolean isUsedWithin(Duration time) {
-        return lastUsed.plus(time).isAfter(transport.instants().instant());
+        return lastUsed.plus(time).isAfter(transport.clock().instant());
     }
 
     /** Returns whether the connection ended sooner after the handshake than one heartbeat interval. */
     boolean isShortLived() {
-        return System.nanoTime() - readyNanos
+        return System.nanoTime() - handshakeCompletedNanos
                 < transport.settings().heartbeatInterval().toNanos();
     }
 
-    boolean isSilent() {
-        return silent;
+    boolean hasTimedOut() {
+        return timedOut;
     }
 
     HostIdentity peer() {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connector.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connector.java
@@ -10,10 +10,10 @@
     /**
      * Starts to connect.
      *
-     * @param loop event loop that serves the connection
+     * @param eventLoop event loop that serves the connection
      * @param address where to connect
      * @param connection last handler of the pipeline
      * @return completed when the TCP connection is established or has failed
      */
-    ChannelFuture dial(EventLoop loop, NetworkAddress address, Connection connection);
+    ChannelFuture connect(EventLoop eventLoop, NetworkAddress address, Connection connection);
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
@@ -21,24 +21,24 @@
  * peer in order and from one thread.
  */
 public final class PeerLink {
-    private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
     /** An end within this time of the last message is a fault; later, the peer probably closed an idle connection. */
-    private static final Duration RECENT_USE = IDLE_LIMIT.dividedBy(2);
+    private static final Duration RECENT_USE = IDLE_TIMEOUT.dividedBy(2);
 
     private final TransportContext transport;
     private final HostId host;
-    private final EventLoop loop;
+    private final EventLoop eventLoop;
     private final OutboundQueue queue = new OutboundQueue();
-    private final AtomicBoolean drainScheduled = new AtomicBoolean();
+    private final AtomicBoolean flushScheduled = new AtomicBoolean();
     private final AtomicBoolean overflowScheduled = new AtomicBoolean();
-    private final Deque<Connection> ready = new ArrayDeque<>();
-    private Optional<Connection> dialling = Optional.empty();
+    private final Deque<Connection> established = new ArrayDeque<>();
+    private Optional<Connection> connecting = Optional.empty();
     private volatile boolean watched;
     private boolean stopped;
     private long incarnation = Long.MIN_VALUE;
     private Reachability reachability = Reachability.UNKNOWN;
-    private int shortLivedInARow;
+    private int consecutiveShortLived;
 
     private enum Reachability {
         UNKNOWN,
@@ -51,12 +51,12 @@
      *
      * @param transport what all connections share
      * @param host the peer
-     * @param loop event loop that serves the peer
+     * @param eventLoop event loop that serves the peer
      */
-    public PeerLink(TransportContext transport, HostId host, EventLoop loop) {
+    public PeerLink(TransportContext transport, HostId host, EventLoop eventLoop) {
         this.transport = transport;
         this.host = host;
-        this.loop = loop;
+        this.eventLoop = eventLoop;
     }
 
     /**
@@ -68,12 +68,12 @@
         if (frame.length > transport.settings().maximumFrameBytes() || !queue.offer(frame)) {
             transport.counters().dropped(1);
             if (overflowScheduled.compareAndSet(false, true)) {
-                run(this::overflow);
+                run(this::handleOverflow);
             }
-        } else if (drainScheduled.compareAndSet(false, true)) {
+        } else if (flushScheduled.compareAndSet(false, true)) {
             execute(() -> {
-                drainScheduled.set(false);
-                drain();
+                flushScheduled.set(false);
+                flushQueue();
             });
         }
     }
@@ -86,14 +86,14 @@
     public void setWatched(boolean watch) {
         run(() -> {
             watched = watch;
-            maintain();
+            reconnectIfWatched();
         });
     }
 
     /** Connects to a watched peer that has no connection; called every heartbeat interval. */
-    public void maintain() {
+    public void reconnectIfWatched() {
         if (watched) {
-            run(this::dialIfNeeded);
+            run(this::connectIfNeeded);
         }
     }
 
@@ -111,7 +111,7 @@
     }
 
     void run(Runnable task) {
-        if (loop.inEventLoop()) {
+        if (eventLoop.inEventLoop()) {
             task.run();
         } else {
             execute(task);
@@ -120,37 +120,37 @@
 
     private void execute(Runnable task) {
         try {
-            loop.execute(task);
+            eventLoop.execute(task);
         } catch (RejectedExecutionException exception) {
             Logger.debug("transport stopped; event of {} ignored", host);
         }
     }
 
-    void drain() {
-        if (ready.isEmpty()) {
+    void flushQueue() {
+        if (established.isEmpty()) {
             if (!queue.isEmpty()) {
-                dialIfNeeded();
+                connectIfNeeded();
             }
         } else {
             // The newest connection is the least likely to have gone silent.
-            ready.peekLast().writeFrom(queue);
+            established.peekLast().writeFrom(queue);
         }
     }
 
-    private void dialIfNeeded() {
-        if (stopped || !ready.isEmpty() || dialling.isPresent()) {
+    private void connectIfNeeded() {
+        if (stopped || !established.isEmpty() || connecting.isPresent()) {
             return;
         }
         Optional<NetworkAddress> address = findAddress();
         if (address.isEmpty()) {
-            fail();
+            reportUnreachable();
             return;
         }
         Connection connection = new Connection(transport, Optional.of(this));
-        dialling = Optional.of(connection);
-        transport.dialer().dial(loop, address.get(), connection).addListener(future -> {
+        connecting = Optional.of(connection);
+        transport.connector().connect(eventLoop, address.get(), connection).addListener(future -> {
             if (!future.isSuccess()) {
-                ended(connection);
+                connectionClosed(connection);
             }
         });
     }
@@ -164,29 +164,29 @@
         }
     }
 
-    void ready(Connection connection) {
-        long seen = connection.peer().incarnation();
-        if (stopped || seen < incarnation) {
+    void handshakeCompleted(Connection connection) {
+        long peerIncarnation = connection.peer().incarnation();
+        if (stopped || peerIncarnation < incarnation) {
             transport.counters().rejected();
             connection.close();
             return;
         }
-        boolean newer = seen > incarnation;
+        boolean newer = peerIncarnation > incarnation;
         if (newer) {
-            ready.forEach(Connection::close);
-            ready.clear();
-            incarnation = seen;
+            established.forEach(Connection::close);
+            established.clear();
+            incarnation = peerIncarnation;
         }
-        dialling = dialling.filter(dialled -> dialled != connection);
-        ready.addLast(connection);
+        connecting = connecting.filter(pending -> pending != connection);
+        established.addLast(connection);
         if (newer || reachability != Reachability.REACHABLE) {
             reachability = Reachability.REACHABLE;
             notifyListener(() -> transport.listener().connected(connection.peer()));
         }
-        drain();
+        flushQueue();
     }
 
-    void received(Connection connection, List<PeerMessage> messages) {
+    void messagesReceived(Connection connection, List<PeerMessage> messages) {
         if (connection.peer().incarnation() < incarnation) {
             transport.counters().dropped(messages.size());
             return;
@@ -195,47 +195,48 @@
         messages.forEach(message -> notifyListener(() -> transport.listener().received(connection.peer(), message)));
     }
 
-    void ended(Connection connection) {
-        boolean wasDialling = dialling.filter(dialled -> dialled == connection).isPresent();
-        if (wasDialling) {
-            dialling = Optional.empty();
+    void connectionClosed(Connection connection) {
+        boolean wasConnecting =
+                connecting.filter(pending -> pending == connection).isPresent();
+        if (wasConnecting) {
+            connecting = Optional.empty();
         }
-        boolean wasReady = ready.remove(connection);
-        if (stopped || !ready.isEmpty()) {
-            drain();
-        } else if (wasDialling) {
-            fail();
-        } else if (wasReady) {
+        boolean wasEstablished = established.remove(connection);
+        if (stopped || !established.isEmpty()) {
+            flushQueue();
+        } else if (wasConnecting) {
+            reportUnreachable();
+        } else if (wasEstablished) {
             reconnect(connection);
         }
     }
 
     private void reconnect(Connection lost) {
-        shortLivedInARow = lost.isShortLived() ? shortLivedInARow + 1 : 0;
-        if (shortLivedInARow > 1) {
+        consecutiveShortLived = lost.isShortLived() ? consecutiveShortLived + 1 : 0;
+        if (consecutiveShortLived > 1) {
             // The peer accepts connections but closes them at once; connecting again immediately would not end.
-            fail();
-        } else if (lost.isSilent() || watched || !queue.isEmpty() || lost.isUsedWithin(RECENT_USE)) {
-            dialIfNeeded();
+            reportUnreachable();
+        } else if (lost.hasTimedOut() || watched || !queue.isEmpty() || lost.isUsedWithin(RECENT_USE)) {
+            connectIfNeeded();
         }
     }
 
-    private void overflow() {
+    private void handleOverflow() {
         overflowScheduled.set(false);
         Logger.warn("connection to {} dropped: its queue is full or a message is too long", host);
         closeAll();
         reachability = Reachability.UNKNOWN;
-        fail();
+        reportUnreachable();
     }
 
     private void closeAll() {
-        dialling.ifPresent(Connection::close);
-        dialling = Optional.empty();
-        ready.forEach(Connection::close);
-        ready.clear();
+        connecting.ifPresent(Connection::close);
+        connecting = Optional.empty();
+        established.forEach(Connection::close);
+        established.clear();
     }
 
-    private void fail() {
+    private void reportUnreachable() {
         int dropped = queue.clear();
         transport.counters().dropped(dropped);
         boolean news = dropped > 0 || reachability != Reachability.UNREACHABLE;
@@ -255,6 +256,6 @@
 
     /** Returns whether a connection is neither watched nor used. */
     boolean isIdle(Connection connection) {
-        return !watched && queue.isEmpty() && !connection.isUsedWithin(IDLE_LIMIT);
+        return !watched && queue.isEmpty() && !connection.isUsedWithin(IDLE_TIMEOUT);
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
@@ -17,16 +17,16 @@
  * @param settings the settings
  * @param addresses finds the address of a peer; must not block
  * @param listener receives messages and events
- * @param instants the clock for idle connections
+ * @param clock the clock for idle connections
  * @param counters totals
- * @param dialer opens connections
- * @param links finds the state of a peer, and creates it on the given event loop if there is none
+ * @param connector opens connections
+ * @param peerLinks finds the state of a peer, and creates it on the given event loop if there is none
  */
 public record TransportContext(
         PeerTransportSettings settings,
         Function<HostId, Optional<NetworkAddress>> addresses,
         PeerListener listener,
-        InstantSource instants,
+        InstantSource clock,
         CounterSet counters,
-        Connector dialer,
-        BiFunction<HostId, EventLoop, PeerLink> links) {}
+        Connector connector,
+        BiFunction<HostId, EventLoop, PeerLink> peerLinks) {}
--- a/banyanstair-transport/src/test/java/org/banyanstair/toml/StrictTomlTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/toml/StrictTomlTest.java
@@ -14,7 +14,7 @@
 
     private static final TomlType<Item> ITEM = TomlTypes.table(table -> {
         TomlField<String> id = table.required("id", TomlTypes.name(text -> text));
-        TomlField<Integer> size = table.optional("size", TomlTypes.smallInteger(1, 9), 5);
+        TomlField<Integer> size = table.optional("size", TomlTypes.int32(1, 9), 5);
         TomlField<List<String>> tags = table.optional("tags", TomlTypes.list(TomlTypes.string(1), 0), List.of());
         table.optional("options", TomlTypes.table(options -> options.required("share", TomlTypes.decimal(0, 1))));
         return () -> new Item(id.get(), size.get(), tags.get());
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
@@ -12,8 +12,8 @@
     /** Guards against waiting on a connection that went silent for good while a new one would work. */
     @Test
     void replacesSilentConnectionWithoutReport() throws Exception {
-        try (TestHost first = TestHost.impatient("entry-1");
-                TestHost second = TestHost.impatient("entry-2");
+        try (TestHost first = TestHost.withShortTimeouts("entry-1");
+                TestHost second = TestHost.withShortTimeouts("entry-2");
                 TcpRelay relay = new TcpRelay(second.address.port())) {
             first.addresses.put(second.id(), relay.address());
             first.send(second.id(), 1);
@@ -36,8 +36,8 @@
     /** Guards against a report before a new connection was tried, and against none when that is silent as well. */
     @Test
     void reportsPeerWhoseNewConnectionIsSilentToo() throws Exception {
-        try (TestHost first = TestHost.impatient("entry-1");
-                TestHost second = TestHost.impatient("entry-2");
+        try (TestHost first = TestHost.withShortTimeouts("entry-1");
+                TestHost second = TestHost.withShortTimeouts("entry-2");
                 TcpRelay relay = new TcpRelay(second.address.port())) {
             first.addresses.put(second.id(), relay.address());
             first.transport.watch(second.id());
@@ -55,8 +55,8 @@
     /** Guards against a cut connection that stays down although its peer is alive. */
     @Test
     void reconnectsAfterCut() throws Exception {
-        try (TestHost first = TestHost.patient("entry-1");
-                TestHost second = TestHost.patient("entry-2");
+        try (TestHost first = TestHost.withDefaultTimeouts("entry-1");
+                TestHost second = TestHost.withDefaultTimeouts("entry-2");
                 TcpRelay relay = new TcpRelay(second.address.port())) {
             first.addresses.put(second.id(), relay.address());
             first.send(second.id(), 1);
@@ -73,9 +73,9 @@
     /** Guards against a stopped peer that nobody hears of, although nothing was being sent. */
     @Test
     void reportsStoppedPeer() throws Exception {
-        try (TestHost first = TestHost.impatient("entry-1")) {
-            TestHost second = TestHost.impatient("entry-2");
-            first.knows(second);
+        try (TestHost first = TestHost.withShortTimeouts("entry-1")) {
+            TestHost second = TestHost.withShortTimeouts("entry-2");
+            first.addAddressOf(second);
             first.send(second.id(), 1);
             first.listener.awaitEvent("connected entry-2#1");
             assertEquals(1, second.listener.awaitQuery());
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
@@ -65,7 +65,7 @@
     @ParameterizedTest
     @FieldSource("BAD_GREETINGS")
     void closesConnectionWithUnacceptableHello(byte[] greeting) throws Exception {
-        try (TestHost host = TestHost.patient("entry-1");
+        try (TestHost host = TestHost.withDefaultTimeouts("entry-1");
                 Socket socket = connect(host)) {
             socket.getOutputStream().write(concatenate(greeting, MESSAGE));
             awaitEnd(socket);
@@ -78,10 +78,10 @@
     @ParameterizedTest
     @FieldSource("BAD_FRAMES")
     void closesOnlyConnectionWithMalformedFrame(byte[] bad) throws Exception {
-        try (TestHost host = TestHost.patient("entry-1");
-                TestHost other = TestHost.patient("entry-3");
+        try (TestHost host = TestHost.withDefaultTimeouts("entry-1");
+                TestHost other = TestHost.withDefaultTimeouts("entry-3");
                 Socket socket = connect(host)) {
-            other.knows(host);
+            other.addAddressOf(host);
             other.send(host.id(), 5);
             assertEquals(5, host.listener.awaitQuery());
             socket.getOutputStream().write(concatenate(HELLO, MESSAGE, bad, MESSAGE));
@@ -124,7 +124,7 @@
     /** Guards against a message above the frame limit that the peer would refuse by closing the connection. */
     @Test
     void refusesToSendTooLongMessage() throws Exception {
-        try (TestHost host = TestHost.patient("entry-1")) {
+        try (TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
             host.transport.send(PEER.host(), longMessage(TestHost.MAXIMUM_FRAME_BYTES));
             host.listener.awaitEvent("unreachable " + PEER.host());
             assertEquals(0, host.transport.counters().connectionsOpened());
@@ -145,7 +145,7 @@
     @Test
     void sendsQueuedMessagesOverNewConnection() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                TestHost host = TestHost.patient("entry-1")) {
+                TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
             server.setSoTimeout(5_000);
             host.addresses.put(PEER.host(), new NetworkAddress("127.0.0.1", server.getLocalPort()));
             // The host waits half a second for the hello, which encoding the messages may take on a busy machine.
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
@@ -13,9 +13,9 @@
     /** Guards against messages that overtake each other, get lost or are doubled on healthy connections. */
     @Test
     void deliversThousandsInOrderBothWays() throws Exception {
-        try (TestHost first = TestHost.patient("entry-1");
-                TestHost second = TestHost.patient("entry-2")) {
-            first.knows(second);
+        try (TestHost first = TestHost.withDefaultTimeouts("entry-1");
+                TestHost second = TestHost.withDefaultTimeouts("entry-2")) {
+            first.addAddressOf(second);
             first.transport.watch(second.id());
             second.listener.awaitEvent("connected entry-1#1");
             Semaphore window = new Semaphore(1_000);
@@ -41,7 +41,7 @@
     /** Guards against a callback on the sender's own thread, and against a connection of a host to itself. */
     @Test
     void messageToSelfNeedsNoConnection() throws Exception {
-        try (TestHost host = TestHost.patient("entry-1")) {
+        try (TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
             for (int query = 0; query < 100; query++) {
                 host.send(host.id(), query);
             }
@@ -55,21 +55,21 @@
     /** Guards against a restarted peer that stays unnoticed, and against messages of the process that it replaced. */
     @Test
     void reportsNewIncarnationAndIgnoresOldOne() throws Exception {
-        try (TestHost first = TestHost.impatient("entry-1")) {
-            TestHost second = TestHost.impatient("entry-2");
-            first.knows(second);
+        try (TestHost first = TestHost.withShortTimeouts("entry-1")) {
+            TestHost second = TestHost.withShortTimeouts("entry-2");
+            first.addAddressOf(second);
             first.transport.watch(second.id());
             first.listener.awaitEvent("connected entry-2#1");
             Duration heartbeat = Duration.ofMillis(100);
             Duration silence = Duration.ofMillis(500);
             int oldPort = TestHost.freePort();
             try (TestHost old = new TestHost("entry-2", 1, oldPort, heartbeat, silence)) {
-                old.knows(first);
+                old.addAddressOf(first);
                 old.send(first.id(), 1);
                 assertEquals(1, first.listener.awaitQuery());
                 second.close();
                 try (TestHost restarted = new TestHost("entry-2", 2, second.address.port(), heartbeat, silence)) {
-                    restarted.knows(first);
+                    restarted.addAddressOf(first);
                     restarted.send(first.id(), 2);
                     assertEquals(2, first.listener.awaitQuery());
                     old.send(first.id(), 3);
@@ -87,10 +87,10 @@
     /** Guards against hosts that refuse each other's connection when both connect at the same moment. */
     @Test
     void hostsThatConnectAtTheSameMomentHearEachOther() throws Exception {
-        try (TestHost first = TestHost.patient("entry-1");
-                TestHost second = TestHost.patient("entry-2")) {
-            first.knows(second);
-            second.knows(first);
+        try (TestHost first = TestHost.withDefaultTimeouts("entry-1");
+                TestHost second = TestHost.withDefaultTimeouts("entry-2")) {
+            first.addAddressOf(second);
+            second.addAddressOf(first);
             first.send(second.id(), 1);
             second.send(first.id(), 2);
             assertEquals(1, second.listener.awaitQuery());
@@ -101,7 +101,7 @@
     /** Guards against a sender that waits forever for a peer that the host list no longer shows. */
     @Test
     void peerWithoutAddressIsUnreachable() throws Exception {
-        try (TestHost host = TestHost.patient("entry-1")) {
+        try (TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
             host.send(new HostId("entry-9"), 1);
             host.listener.awaitEvent("unreachable entry-9");
             assertEquals(1, host.transport.counters().droppedMessages());
@@ -111,10 +111,10 @@
     /** Guards against connections that pile up, and against closing one that is watched. */
     @Test
     void closesIdleConnectionUnlessWatched() throws Exception {
-        try (TestHost first = TestHost.impatient("entry-1");
-                TestHost second = TestHost.impatient("entry-2")) {
-            first.knows(second);
-            second.knows(first);
+        try (TestHost first = TestHost.withShortTimeouts("entry-1");
+                TestHost second = TestHost.withShortTimeouts("entry-2")) {
+            first.addAddressOf(second);
+            second.addAddressOf(first);
             first.transport.watch(second.id());
             first.listener.awaitEvent("connected entry-2#1");
             first.now = first.now.plusSeconds(61);
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TestHost.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TestHost.java
@@ -41,12 +41,12 @@
     }
 
     /** A host whose silence limit of 500 ms keeps tests of silent connections short. */
-    static TestHost impatient(String name) throws IOException {
+    static TestHost withShortTimeouts(String name) throws IOException {
         return new TestHost(name, 1, freePort(), Duration.ofMillis(100), Duration.ofMillis(500));
     }
 
     /** A host with the limits of production, which pauses of a busy test machine do not exceed. */
-    static TestHost patient(String name) throws IOException {
+    static TestHost withDefaultTimeouts(String name) throws IOException {
         return new TestHost(name, 1, freePort(), Duration.ofSeconds(1), Duration.ofSeconds(3));
     }
 
@@ -68,7 +68,7 @@
         return identity.host();
     }
 
-    void knows(TestHost other) {
+    void addAddressOf(TestHost other) {
         addresses.put(other.id(), other.address);
     }
 
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
@@ -22,9 +22,9 @@
     public static void main(String[] arguments) throws Exception {
         PeerMessage message = MisbehavingPeerTest.permitRequest();
         System.out.println("message bytes: " + FrameCodec.encode(message).length);
-        try (TestHost sender = TestHost.patient("entry-1");
-                TestHost receiver = TestHost.patient("entry-2")) {
-            sender.knows(receiver);
+        try (TestHost sender = TestHost.withDefaultTimeouts("entry-1");
+                TestHost receiver = TestHost.withDefaultTimeouts("entry-2")) {
+            sender.addAddressOf(receiver);
             Semaphore window = new Semaphore(WINDOW);
             Thread consumer = new Thread(() -> consume(receiver, window));
             consumer.start();
