--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/WantedLoad.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterLoadRequest.java
@@ -10,22 +10,22 @@
  *
  * @param adapter the adapter
  * @param dueAt when its first request has to start to be on time
- * @param until when nobody waits for it any more
+ * @param expiresAt when nobody waits for it any more
  */
-record WantedLoad(AdapterName adapter, Instant dueAt, Instant until) {
+record AdapterLoadRequest(AdapterName adapter, Instant dueAt, Instant expiresAt) {
     /** Time from the end of a load to the first output of a usual prompt. */
-    private static final Duration PROMPT = Duration.ofMillis(150);
+    private static final Duration PROMPT_TIME = Duration.ofMillis(150);
 
     /** Returns whether a load that starts now still lets the request be on time. */
     boolean canBeOnTime(Instant now) {
-        return now.plus(ServiceTimes.ADAPTER_LOAD).plus(PROMPT).isBefore(dueAt);
+        return now.plus(RunnerTimings.ADAPTER_LOAD).plus(PROMPT_TIME).isBefore(dueAt);
     }
 
     /** Joins the wants of two requests. */
-    WantedLoad and(WantedLoad other) {
-        return new WantedLoad(
+    AdapterLoadRequest merge(AdapterLoadRequest other) {
+        return new AdapterLoadRequest(
                 adapter,
                 dueAt.isBefore(other.dueAt) ? dueAt : other.dueAt,
-                until.isAfter(other.until) ? until : other.until);
+                expiresAt.isAfter(other.expiresAt) ? expiresAt : other.expiresAt);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterPlace.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterSlot.java
@@ -9,15 +9,15 @@
  * @param version its version
  * @param readyAt when it can be used; past if it can
  */
-record AdapterPlace(long version, Instant readyAt) {
+record AdapterSlot(long version, Instant readyAt) {
     /** Time from the load of an adapter for a request of another host until that request is seen in its use. */
     private static final Duration FIRST_USE = Duration.ofMillis(250);
 
     /** Version of an adapter that is being unloaded; lower than any that a request needs. */
-    private static final long LEAVING = -1;
+    private static final long UNLOADING = -1;
 
-    static AdapterPlace leaving(Instant until) {
-        return new AdapterPlace(LEAVING, until);
+    static AdapterSlot unloading(Instant until) {
+        return new AdapterSlot(UNLOADING, until);
     }
 
     boolean isReady(Instant now) {
@@ -26,11 +26,11 @@
 
     /** Returns whether the adapter is on its way from the weight store. */
     boolean isLoading(Instant now) {
-        return version != LEAVING && !isReady(now);
+        return version != UNLOADING && !isReady(now);
     }
 
     /** Returns whether a request for which it was loaded would have been seen by now. */
-    boolean isSettled(Instant now) {
+    boolean isPastFirstUse(Instant now) {
         return readyAt.equals(Instant.MIN) || now.isAfter(readyAt.plus(FIRST_USE));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -16,7 +16,7 @@
         private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
         /** Returns whether callers would take the status for a promise that the request has not run. */
-        boolean deniesRun() {
+        boolean claimsNotExecuted() {
             return NOT_RUN_STATUSES.contains(status);
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashWatch.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -10,61 +10,61 @@
 import org.banyanstair.peer.PeerMessage;
 
 /** Tells crashes of endpoints from lost connections, and which requests were running at them. */
-final class CrashWatch {
+final class CrashDetector {
     /** Time between a broken request and the sign that its endpoint crashed. */
-    private static final Duration SIGN_LIMIT = Duration.ofSeconds(4);
+    private static final Duration CONFIRMATION_LIMIT = Duration.ofSeconds(4);
 
-    private final Turn turn;
-    private final PeerMail mail;
+    private final EventContext context;
+    private final PeerMessenger messenger;
     private final CrashHistory history = new CrashHistory();
     private final Deque<Suspicion> suspicions = new ArrayDeque<>();
 
-    private record Suspicion(long fingerprint, EndpointId endpoint, long started, Instant until) {}
+    private record Suspicion(long fingerprint, EndpointId endpoint, long started, Instant expiresAt) {}
 
-    CrashWatch(Turn turn, PeerMail mail) {
-        this.turn = turn;
-        this.mail = mail;
+    CrashDetector(EventContext context, PeerMessenger messenger) {
+        this.context = context;
+        this.messenger = messenger;
     }
 
     boolean isRefused(long fingerprint) {
         return history.isRefused(fingerprint);
     }
 
-    void completed(long fingerprint) {
+    void requestCompleted(long fingerprint) {
         history.completed(fingerprint);
     }
 
-    void broken(long fingerprint, EndpointState endpoint) {
+    void attemptBroken(long fingerprint, EndpointState endpoint) {
         while (!suspicions.isEmpty()
-                && turn.now().isAfter(suspicions.peekFirst().until())) {
+                && context.now().isAfter(suspicions.peekFirst().expiresAt())) {
             suspicions.removeFirst();
         }
         suspicions.addLast(new Suspicion(
                 fingerprint,
                 endpoint.id(),
                 endpoint.listing().started(),
-                turn.now().plus(SIGN_LIMIT)));
+                context.now().plus(CONFIRMATION_LIMIT)));
     }
 
     /** An endpoint refuses connections, has restarted, or is no longer listed. */
-    void unreachable(EndpointState endpoint) {
-        Iterator<Suspicion> all = suspicions.iterator();
-        while (all.hasNext()) {
-            Suspicion suspicion = all.next();
-            if (turn.now().isAfter(suspicion.until())) {
-                all.remove();
+    void endpointLost(EndpointState endpoint) {
+        Iterator<Suspicion> iterator = suspicions.iterator();
+        while (iterator.hasNext()) {
+            Suspicion suspicion = iterator.next();
+            if (context.now().isAfter(suspicion.expiresAt())) {
+                iterator.remove();
             } else if (suspicion.endpoint().equals(endpoint.id())) {
-                all.remove();
-                history.add(suspicion.fingerprint(), suspicion.endpoint(), suspicion.started(), turn.now());
-                turn.log(DecisionRecord.important(
+                iterator.remove();
+                history.add(suspicion.fingerprint(), suspicion.endpoint(), suspicion.started(), context.now());
+                context.log(DecisionRecord.important(
                         "endpoint-crashed", "endpoint", suspicion.endpoint(), "fingerprint", suspicion.fingerprint()));
-                mail.sendToAll(new PeerMessage.CrashReport(
+                messenger.broadcast(new PeerMessage.CrashReport(
                         suspicion.fingerprint(), suspicion.endpoint(), suspicion.started()));
             }
         }
     }
 
-    void reported(PeerMessage.CrashReport message) {
-        history.add(message.fingerprint(), message.endpoint(), message.started(), turn.now());
+    void crashReported(PeerMessage.CrashReport message) {
+        history.add(message.fingerprint(), message.endpoint(), message.started(), context.now());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
@@ -17,7 +17,7 @@
  */
 final class CrashHistory {
     /** Crashes after which a request is refused; the users allow three more runs after the third. */
-    private static final int LIMIT = 3;
+    private static final int MAXIMUM_CRASHES = 3;
 
     private static final Duration RETENTION = Duration.ofMinutes(2);
 
@@ -27,19 +27,19 @@
 
     private static final class Entry {
         private final Set<Crash> crashes = new HashSet<>();
-        private Instant until = Instant.MIN;
+        private Instant expiresAt = Instant.MIN;
     }
 
     private record Crash(EndpointId endpoint, long started) {}
 
     void add(long fingerprint, EndpointId endpoint, long started, Instant now) {
-        entries.values().removeIf(entry -> now.isAfter(entry.until));
+        entries.values().removeIf(entry -> now.isAfter(entry.expiresAt));
         if (entries.size() >= CAPACITY) {
             entries.remove(entries.keySet().iterator().next());
         }
         Entry entry = entries.computeIfAbsent(fingerprint, key -> new Entry());
         entry.crashes.add(new Crash(endpoint, started));
-        entry.until = now.plus(RETENTION);
+        entry.expiresAt = now.plus(RETENTION);
     }
 
     void completed(long fingerprint) {
@@ -48,6 +48,6 @@
 
     boolean isRefused(long fingerprint) {
         Entry entry = entries.get(fingerprint);
-        return entry != null && entry.crashes.size() >= LIMIT;
+        return entry != null && entry.crashes.size() >= MAXIMUM_CRASHES;
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Choice.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelection.java
@@ -7,4 +7,4 @@
  * @param load whether its adapter has to be loaded there
  * @param startMilliseconds expected time until its first output
  */
-record Choice(EndpointState endpoint, boolean load, double startMilliseconds) {}
+record EndpointSelection(EndpointState endpoint, boolean load, double startMilliseconds) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -21,46 +21,46 @@
     private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
 
     /** Longest such time; an endpoint that crashed is back after some seconds. */
-    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(2);
+    private static final Duration MAXIMUM_PAUSE = Duration.ofSeconds(2);
 
     /** Adapters that a runner is taken to have at hand after it gave up their places; a part of what runners keep. */
-    private static final int FORMER_ADAPTERS = 36;
+    private static final int MAXIMUM_RECENTLY_UNLOADED = 36;
 
     /** Time after which a load that took longer than expected is counted on again. */
-    private static final Duration LATE_LOAD = Duration.ofMillis(150);
+    private static final Duration LATE_LOAD_EXTENSION = Duration.ofMillis(150);
 
     /** Weight of the newest outcome in the share of failures. */
     private static final double OUTCOME_WEIGHT = 0.2;
 
     /** Weight of the newest measurement of the speed. */
-    private static final double SPEED_WEIGHT = 0.15;
+    private static final double SLOWDOWN_WEIGHT = 0.15;
 
     private EndpointListing listing;
     private Instant removeAt = Instant.MAX;
-    private Instant avoidUntil = Instant.MIN;
+    private Instant pausedUntil = Instant.MIN;
     private Duration pause = FIRST_PAUSE;
-    private double failureShare;
+    private double failureRate;
     private Instant lastFailureAt = Instant.MIN;
-    private double slowness = 1;
-    private double runMilliseconds = ServiceTimes.RUN.toMillis();
+    private double slowdown = 1;
+    private double runMilliseconds = RunnerTimings.ADAPTER_USE.toMillis();
     private Set<String> baseModels = Set.of();
-    private final Map<AdapterName, AdapterPlace> adapters = new HashMap<>();
+    private final Map<AdapterName, AdapterSlot> adapters = new HashMap<>();
     private final Map<HostId, EndpointUsage> use = new HashMap<>();
     private final PrefixIndex prefixes = new PrefixIndex();
-    private final Map<LoadedAdapter, Boolean> formerAdapters = new LinkedHashMap<>() {
+    private final Map<LoadedAdapter, Boolean> recentlyUnloaded = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<LoadedAdapter, Boolean> eldest) {
-            return size() > FORMER_ADAPTERS;
+            return size() > MAXIMUM_RECENTLY_UNLOADED;
         }
     };
-    private final Set<AdapterName> waitingLoads = new HashSet<>();
-    private Optional<HostId> commander = Optional.empty();
+    private final Set<AdapterName> pendingLoads = new HashSet<>();
+    private Optional<HostId> leaseHolder = Optional.empty();
 
     EndpointState(EndpointListing listing) {
         this.listing = listing;
-        takeAdapters();
+        applyListedAdapters();
     }
 
     EndpointListing listing() {
@@ -78,31 +78,31 @@
         listing = newer;
         removeAt = Instant.MAX;
         if (restarted) {
-            forget();
+            reset();
         }
-        if (restarted || commandsChanged && commander.isEmpty()) {
-            takeAdapters();
+        if (restarted || commandsChanged && leaseHolder.isEmpty()) {
+            applyListedAdapters();
         }
         return restarted;
     }
 
-    private void forget() {
+    private void reset() {
         baseModels = Set.of();
         adapters.clear();
         prefixes.clear();
         use.clear();
-        failureShare = 0;
-        slowness = 1;
-        avoidUntil = Instant.MIN;
+        failureRate = 0;
+        slowdown = 1;
+        pausedUntil = Instant.MIN;
         pause = FIRST_PAUSE;
-        commander = Optional.empty();
-        waitingLoads.clear();
+        leaseHolder = Optional.empty();
+        pendingLoads.clear();
     }
 
-    private void takeAdapters() {
-        Map<AdapterName, AdapterPlace> listed = new HashMap<>();
+    private void applyListedAdapters() {
+        Map<AdapterName, AdapterSlot> listed = new HashMap<>();
         for (LoadedAdapter loaded : listing.adapters()) {
-            listed.put(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN));
+            listed.put(loaded.name(), new AdapterSlot(loaded.version(), Instant.MIN));
         }
         replaceAdapters(listed);
         baseModels = listing.baseModels();
@@ -122,7 +122,7 @@
                 || baseModels.contains(request.baseModel().get());
     }
 
-    void removeAt(Instant instant) {
+    void setRemoveAt(Instant instant) {
         removeAt = instant;
     }
 
@@ -130,15 +130,15 @@
         return removeAt;
     }
 
-    Map<AdapterName, AdapterPlace> adapters() {
+    Map<AdapterName, AdapterSlot> adapters() {
         return adapters;
     }
 
     /** Takes the adapters that the runner now has, and remembers those that made way. */
-    void replaceAdapters(Map<AdapterName, AdapterPlace> newer) {
-        adapters.forEach((name, place) -> {
+    void replaceAdapters(Map<AdapterName, AdapterSlot> newer) {
+        adapters.forEach((name, slot) -> {
             if (!newer.containsKey(name)) {
-                noteFormer(name, place.version());
+                addRecentlyUnloaded(name, slot.version());
             }
         });
         adapters.clear();
@@ -147,42 +147,42 @@
 
     /** Removes an adapter that made way. */
     void removeAdapter(AdapterName name) {
-        AdapterPlace place = adapters.remove(name);
-        if (place != null) {
-            noteFormer(name, place.version());
+        AdapterSlot slot = adapters.remove(name);
+        if (slot != null) {
+            addRecentlyUnloaded(name, slot.version());
         }
     }
 
-    private void noteFormer(AdapterName name, long version) {
-        LoadedAdapter former = new LoadedAdapter(name, version);
-        formerAdapters.remove(former);
-        formerAdapters.put(former, Boolean.TRUE);
+    private void addRecentlyUnloaded(AdapterName name, long version) {
+        LoadedAdapter unloaded = new LoadedAdapter(name, version);
+        recentlyUnloaded.remove(unloaded);
+        recentlyUnloaded.put(unloaded, Boolean.TRUE);
     }
 
     /** Returns whether the runner held an adapter version lately, so that it loads without the weight store. */
-    boolean heldLately(AdapterName name, long version) {
-        return formerAdapters.containsKey(new LoadedAdapter(name, version));
+    boolean recentlyHeld(AdapterName name, long version) {
+        return recentlyUnloaded.containsKey(new LoadedAdapter(name, version));
     }
 
     /** Returns how long a load takes if no others are on their way. */
     Duration loadTime(AdapterName name, long version) {
-        return heldLately(name, version) ? ServiceTimes.ADAPTER_RELOAD : ServiceTimes.ADAPTER_LOAD;
+        return recentlyHeld(name, version) ? RunnerTimings.ADAPTER_RELOAD : RunnerTimings.ADAPTER_LOAD;
     }
 
     PrefixIndex prefixes() {
         return prefixes;
     }
 
-    void setCommander(HostId host) {
-        commander = Optional.of(host);
+    void setLeaseHolder(HostId host) {
+        leaseHolder = Optional.of(host);
     }
 
     /** Returns the host that said last that it commands the runner. */
-    Optional<HostId> commander() {
-        return commander;
+    Optional<HostId> leaseHolder() {
+        return leaseHolder;
     }
 
-    boolean takesRequests(Instant now) {
+    boolean acceptsRequests(Instant now) {
         return condition(now) == EndpointCondition.IN_USE;
     }
 
@@ -193,20 +193,20 @@
         if (listing.draining()) {
             return EndpointCondition.LEAVING;
         }
-        return now.isBefore(avoidUntil) ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
+        return now.isBefore(pausedUntil) ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
     }
 
-    void notConnected(Instant now) {
-        avoidUntil = now.plus(pause);
-        pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause.multipliedBy(2);
+    void connectionFailed(Instant now) {
+        pausedUntil = now.plus(pause);
+        pause = pause.multipliedBy(2).compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : pause.multipliedBy(2);
     }
 
-    void avoidUntil(Instant instant) {
-        avoidUntil = instant;
+    void pauseUntil(Instant instant) {
+        pausedUntil = instant;
     }
 
-    void countOutcome(boolean success, Instant now) {
-        failureShare += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureShare);
+    void recordOutcome(boolean success, Instant now) {
+        failureRate += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureRate);
         if (success) {
             pause = FIRST_PAUSE;
         } else {
@@ -215,21 +215,21 @@
     }
 
     /** Returns the share of failures among the last answers; it halves with each second without one. */
-    double failureShare(Instant now) {
-        if (failureShare == 0) {
+    double failureRate(Instant now) {
+        if (failureRate == 0) {
             return 0;
         }
         double seconds = Duration.between(lastFailureAt, now).toMillis() / 1000.0;
-        return failureShare * Math.pow(0.5, Math.max(0, seconds));
+        return failureRate * Math.pow(0.5, Math.max(0, seconds));
     }
 
-    void countSpeed(double measuredOverPredicted) {
+    void recordSpeed(double measuredOverPredicted) {
         double bounded = Math.min(4, Math.max(0.5, measuredOverPredicted));
-        slowness += SPEED_WEIGHT * (bounded * slowness - slowness);
-        slowness = Math.min(4, Math.max(0.5, slowness));
+        slowdown += SLOWDOWN_WEIGHT * (bounded * slowdown - slowdown);
+        slowdown = Math.min(4, Math.max(0.5, slowdown));
     }
 
-    void countRun(Duration time) {
+    void recordRunTime(Duration time) {
         runMilliseconds += OUTCOME_WEIGHT * (time.toMillis() - runMilliseconds);
     }
 
@@ -238,8 +238,8 @@
         return runMilliseconds;
     }
 
-    double slowness() {
-        return slowness;
+    double slowdown() {
+        return slowdown;
     }
 
     void setUse(HostId host, EndpointUsage newer) {
@@ -251,75 +251,75 @@
         newer.newPrefixes().forEach(prefixes::add);
     }
 
-    void forgetUse(HostId host) {
+    void removeUse(HostId host) {
         use.remove(host);
     }
 
     int running() {
         int sum = 0;
-        for (EndpointUsage one : use.values()) {
-            sum += one.running();
+        for (EndpointUsage hostUse : use.values()) {
+            sum += hostUse.running();
         }
         return sum;
     }
 
     int waitingTokens() {
         int sum = 0;
-        for (EndpointUsage one : use.values()) {
-            sum += one.waitingTokens();
+        for (EndpointUsage hostUse : use.values()) {
+            sum += hostUse.waitingTokens();
         }
         return sum;
     }
 
     long cacheTokens() {
         long sum = 0;
-        for (EndpointUsage one : use.values()) {
-            sum += one.cacheTokens();
+        for (EndpointUsage hostUse : use.values()) {
+            sum += hostUse.cacheTokens();
         }
         return sum;
     }
 
     /** Returns how many adapters could be loaded now, into free places or those of adapters that nobody needs. */
-    int room(int slots, Instant now) {
-        int room = slots - adapters.size();
-        for (Map.Entry<AdapterName, AdapterPlace> entry : adapters.entrySet()) {
-            room += entry.getValue().isSettled(now) && !isUsed(entry.getKey()) ? 1 : 0;
+    int availableSlots(int slots, Instant now) {
+        int available = slots - adapters.size();
+        for (Map.Entry<AdapterName, AdapterSlot> entry : adapters.entrySet()) {
+            available += entry.getValue().isPastFirstUse(now) && !isUsed(entry.getKey()) ? 1 : 0;
         }
-        return room - waitingLoads.size();
+        return available - pendingLoads.size();
     }
 
-    void setWaitingLoads(Collection<AdapterName> loads) {
-        waitingLoads.clear();
-        waitingLoads.addAll(loads);
+    void setPendingLoads(Collection<AdapterName> loads) {
+        pendingLoads.clear();
+        pendingLoads.addAll(loads);
     }
 
     /** Returns whether the commander of the runner has been asked for an adapter and will load it. */
-    boolean isWaitingFor(AdapterName adapter) {
-        return waitingLoads.contains(adapter);
+    boolean isLoadPending(AdapterName adapter) {
+        return pendingLoads.contains(adapter);
     }
 
     /** A request found an adapter missing that should be there; returns whether that is news. */
-    boolean noteLate(AdapterName adapter, Instant now) {
-        AdapterPlace place = adapters.get(adapter);
-        if (place == null) {
+    boolean markLoadLate(AdapterName adapter, Instant now) {
+        AdapterSlot slot = adapters.get(adapter);
+        if (slot == null) {
             return false;
         }
-        adapters.put(adapter, new AdapterPlace(place.version(), now.plus(LATE_LOAD)));
+        adapters.put(adapter, new AdapterSlot(slot.version(), now.plus(LATE_LOAD_EXTENSION)));
         return true;
     }
 
     /** Returns whether the load of an adapter was expected to end within the last moments. */
     boolean becameReadyWithin(AdapterName adapter, Duration limit, Instant now) {
-        AdapterPlace place = adapters.get(adapter);
-        return place != null
-                && !place.readyAt().equals(Instant.MIN)
-                && place.isReady(now)
-                && now.isBefore(place.readyAt().plus(limit));
+        AdapterSlot slot = adapters.get(adapter);
+        return slot != null
+                && !slot.readyAt().equals(Instant.MIN)
+                && slot.isReady(now)
+                && now.isBefore(slot.readyAt().plus(limit));
     }
 
     boolean isUsed(AdapterName adapter) {
-        for (EndpointUsage one : use.values()) {
-            if (one.adapters().contains(adapter)) {
+        for (EndpointUsage hostUse : use.values()) {
+            if (hostUse.adapters().contains(adapter)) {
                 return true;
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Turn.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** The handling of one event: its instant and the effects so far. */
-final class Turn {
+final class EventContext {
     private Instant now = Instant.MIN;
     private List<ForwardingEffect> effects = new ArrayList<>();
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -23,10 +23,10 @@
  */
 public final class ForwardingReducer {
     /** Time between two reports of what the requests of this host use, in a small deployment. */
-    private static final Duration USE_INTERVAL = Duration.ofMillis(30);
+    private static final Duration USE_REPORT_INTERVAL = Duration.ofMillis(30);
 
     /** Added to the interval of use reports for each peer. */
-    private static final Duration USE_INTERVAL_PER_PEER = Duration.ofMillis(4);
+    private static final Duration USE_REPORT_INTERVAL_PER_PEER = Duration.ofMillis(4);
 
     /** Silence after which the requests of a peer are taken to have ended. */
     private static final Duration USE_RETENTION = Duration.ofSeconds(3);
@@ -35,7 +35,7 @@
     private static final Duration WAITING_TICK = Duration.ofMillis(15);
 
     /** Time between ticks while requests are open, in a small deployment as the one before; half of the time between two reports of what they use. */
-    private static final Duration OPEN_TICK = Duration.ofMillis(30);
+    private static final Duration IN_FLIGHT_TICK = Duration.ofMillis(30);
 
     /** Time between ticks without requests, well under the pause that counts as having stood still. */
     private static final Duration IDLE_TICK = Duration.ofMillis(100);
@@ -44,10 +44,10 @@
     private static final Duration RELAY_DELAY = Duration.ofMillis(400);
 
     /** Age of the last known read of the claims at which a host asks its peers; above the wait of the one that reads. */
-    private static final Duration CLAIMS_AGE = Duration.ofMillis(1500);
+    private static final Duration MAXIMUM_CLAIMS_AGE = Duration.ofMillis(1500);
 
     /** The same age in a large deployment, where such questions meet at one host; under half of the time that a claim counts. */
-    private static final Duration CLAIMS_AGE_OVER_RELAYS = Duration.ofMillis(3000);
+    private static final Duration MAXIMUM_CLAIMS_AGE_WITH_RELAYS = Duration.ofMillis(3000);
 
     /** Time between two such questions. */
     private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(500);
@@ -56,27 +56,27 @@
     private static final Duration READER_CHECK_INTERVAL = Duration.ofMillis(100);
 
     /** Longest time between two events of a process that was not held up. */
-    private static final Duration LONGEST_PAUSE = Duration.ofMillis(600);
+    private static final Duration MAXIMUM_EVENT_GAP = Duration.ofMillis(600);
 
-    private final Turn turn = new Turn();
+    private final EventContext context = new EventContext();
     private final ForwardingSettings settings;
     private final PlatformView view;
     private final PeerTable peers;
-    private final PeerMail mail;
-    private final ClaimKeeper claims;
-    private final RunnerDesk desk;
-    private final CrashWatch crashes;
-    private final RequestForwarder requests;
+    private final PeerMessenger messenger;
+    private final LeaseManager leases;
+    private final RunnerManager runnerManager;
+    private final CrashDetector crashDetector;
+    private final RequestForwarder forwarder;
     private final Map<Topic, Instant> behindSince = new EnumMap<>(Topic.class);
     private final Map<Topic, Long> furthestEnds = new EnumMap<>(Topic.class);
     private Instant lastEventAt = Instant.MAX;
     private Instant nextStateAt = Instant.MIN;
-    private Instant nextReportAt = Instant.MIN;
+    private Instant nextUseReportAt = Instant.MIN;
     private Instant nextConfirmationAt = Instant.MIN;
     private Instant nextReaderCheckAt = Instant.MIN;
-    private boolean readsForAll;
-    private long confirmations;
-    private boolean announced;
+    private boolean readsForPeers;
+    private long confirmationRequests;
+    private boolean hasAnnouncedSelf;
     private boolean stopping;
 
     /**
@@ -88,13 +88,13 @@
     public ForwardingReducer(ForwardingSettings settings, RecordDecoder decoder) {
         this.settings = settings;
         HostId self = settings.identity().host();
-        this.view = new PlatformView(turn, decoder);
+        this.view = new PlatformView(context, decoder);
         this.peers = new PeerTable(settings.announcement());
-        this.mail = new PeerMail(turn, settings, peers);
-        this.claims = new ClaimKeeper(self, settings.leaseTerm());
-        this.desk = new RunnerDesk(turn, settings.identity(), view, peers, mail, claims);
-        this.crashes = new CrashWatch(turn, mail);
-        this.requests = new RequestForwarder(turn, settings, view, peers, mail, desk, crashes);
+        this.messenger = new PeerMessenger(context, settings, peers);
+        this.leases = new LeaseManager(self, settings.leaseTerm());
+        this.runnerManager = new RunnerManager(context, settings.identity(), view, peers, messenger, leases);
+        this.crashDetector = new CrashDetector(context, messenger);
+        this.forwarder = new RequestForwarder(context, settings, view, peers, messenger, runnerManager, crashDetector);
     }
 
     /**
@@ -105,19 +105,19 @@
      * @return what to do, in order
      */
     public List<ForwardingEffect> apply(ForwardingEvent event, Instant now) {
-        turn.begin(now);
+        context.begin(now);
         if (event instanceof ForwardingEvent.ClockGap
                 || now.isAfter(lastEventAt)
-                        && Duration.between(lastEventAt, now).compareTo(LONGEST_PAUSE) > 0) {
-            claims.distrust(now);
-            view.follower(Topic.CLAIMS).readAgain(now);
-            turn.log(DecisionRecord.important("clock-gap", "since-last-event-ms", millisecondsSinceLastEvent(now)));
+                        && Duration.between(lastEventAt, now).compareTo(MAXIMUM_EVENT_GAP) > 0) {
+            leases.invalidate(now);
+            view.consumer(Topic.CLAIMS).restartRead(now);
+            context.log(DecisionRecord.important("clock-gap", "since-last-event-ms", millisecondsSinceLastEvent(now)));
         }
         lastEventAt = now;
         applyToRequests(event);
         applyToPlatform(event);
         applyToPeers(event);
-        return turn.effects();
+        return context.effects();
     }
 
     private long millisecondsSinceLastEvent(Instant now) {
@@ -128,40 +128,40 @@
 
     private void applyToRequests(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.RequestArrived arrived) {
-            requests.arrived(arrived.request());
+            forwarder.requestArrived(arrived.request());
         } else if (event instanceof ForwardingEvent.FirstOutput output) {
-            requests.firstOutput(output.exchange(), output.attempt());
+            forwarder.firstOutput(output.exchange(), output.attempt());
         } else if (event instanceof ForwardingEvent.AttemptEnded ended) {
-            requests.ended(ended.exchange(), ended.attempt(), ended.result());
+            forwarder.attemptEnded(ended.exchange(), ended.attempt(), ended.result());
         } else if (event instanceof ForwardingEvent.CallerDisconnected left) {
-            requests.callerLeft(left.exchange());
+            forwarder.callerDisconnected(left.exchange());
         } else if (event instanceof ForwardingEvent.CommandAnswered answered) {
-            desk.answered(answered.command(), answered.result());
-            requests.checkWaiting();
+            runnerManager.commandAnswered(answered.command(), answered.result());
+            forwarder.advanceWaiting();
         } else if (event instanceof ForwardingEvent.Inspected inspected) {
-            desk.inspected(inspected.endpoint(), inspected.state());
-            requests.checkWaiting();
+            runnerManager.inspected(inspected.endpoint(), inspected.state());
+            forwarder.advanceWaiting();
         } else if (event instanceof ForwardingEvent.Tick) {
             tick();
         } else if (event instanceof ForwardingEvent.StopRequested) {
             stopping = true;
-            nextStateAt = turn.now();
-            turn.log(DecisionRecord.important("stopping", "open-requests", requests.size()));
+            nextStateAt = context.now();
+            context.log(DecisionRecord.important("stopping", "open-requests", forwarder.size()));
             tick();
         }
     }
 
     private void applyToPlatform(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.TopicRead read) {
-            TopicFollower follower = view.follower(read.topic());
-            long before = Math.max(0, follower.end());
-            List<TopicRecord> news = view.read(read, new ChangeListener());
-            boolean othersDoNotRead = read.topic() == Topic.ENDPOINTS || peers.isLarge();
-            if (othersDoNotRead && !news.isEmpty() && readsForAll()) {
-                mail.sendToAll(records(follower, before, news, Optional.empty(), 0));
+            TopicConsumer consumer = view.consumer(read.topic());
+            long previousEnd = Math.max(0, consumer.end());
+            List<TopicRecord> news = view.applyRead(read, new ChangeListener());
+            boolean peersRelyOnRelay = read.topic() == Topic.ENDPOINTS || peers.isLargeDeployment();
+            if (peersRelyOnRelay && !news.isEmpty() && readsForPeers()) {
+                messenger.broadcast(recordsReply(consumer, previousEnd, news, Optional.empty(), 0));
             }
             if (read.topic() == Topic.CLAIMS) {
-                claims.read(read.startedAt());
+                leases.confirm(read.startedAt());
             }
             view.tick();
         } else if (event instanceof ForwardingEvent.TopicExpired expired) {
@@ -170,22 +170,22 @@
         } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
             view.unavailable(unavailable.topic());
         } else if (event instanceof ForwardingEvent.AppendCompleted appended && appended.topic() == Topic.CLAIMS) {
-            claims.appended();
+            leases.appendCompleted();
         }
     }
 
     /** Returns whether this host reads topics for its peers, since each read is paid for. */
-    private boolean readsForAll() {
-        if (!turn.now().isBefore(nextReaderCheckAt)) {
-            nextReaderCheckAt = turn.now().plus(READER_CHECK_INTERVAL);
-            List<HostId> readers = peers.firstAtLog(view.reachesLog(), turn.now());
-            readsForAll = readers.contains(settings.identity().host());
+    private boolean readsForPeers() {
+        if (!context.now().isBefore(nextReaderCheckAt)) {
+            nextReaderCheckAt = context.now().plus(READER_CHECK_INTERVAL);
+            List<HostId> readers = peers.logReaders(view.reachesLog(), context.now());
+            readsForPeers = readers.contains(settings.identity().host());
         }
-        return readsForAll;
+        return readsForPeers;
     }
 
-    private PeerMessage records(
-            TopicFollower follower,
+    private PeerMessage recordsReply(
+            TopicConsumer consumer,
             long offset,
             List<TopicRecord> records,
             Optional<Long> askedAtMilliseconds,
@@ -198,11 +198,11 @@
                         entry.offset()))
                 .toList();
         return new PeerMessage.RecordsReply(
-                follower.topic(),
+                consumer.topic(),
                 offset,
                 relayed,
-                follower.end(),
-                follower.outageAge(turn.now()).map(Duration::toMillis),
+                consumer.end(),
+                consumer.outageAge(context.now()).map(Duration::toMillis),
                 askedAtMilliseconds,
                 ageMilliseconds);
     }
@@ -210,157 +210,157 @@
     private void applyToPeers(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.PeerConnected connected) {
             HostId host = connected.peer().host();
-            turn.log(DecisionRecord.important("peer-connected", "peer", connected.peer()));
-            turn.emit(new ForwardingEffect.SendToPeer(host, state()));
-            if (!peers.isLarge()) {
-                desk.introduce(host);
+            context.log(DecisionRecord.important("peer-connected", "peer", connected.peer()));
+            context.emit(new ForwardingEffect.SendToPeer(host, hostState()));
+            if (!peers.isLargeDeployment()) {
+                runnerManager.sendRunnerStates(host);
             }
         } else if (event instanceof ForwardingEvent.PeerUnreachable unreachable) {
-            turn.log(DecisionRecord.important("peer-unreachable", "peer", unreachable.peer()));
+            context.log(DecisionRecord.important("peer-unreachable", "peer", unreachable.peer()));
         } else if (event instanceof ForwardingEvent.PeerMessageReceived received) {
-            mail.heard(received.sender().host());
-            received(received.sender().host(), received.message());
+            messenger.recordContact(received.sender().host());
+            receive(received.sender().host(), received.message());
         }
     }
 
-    private void received(HostId sender, PeerMessage message) {
-        peers.heard(sender, turn.now());
+    private void receive(HostId sender, PeerMessage message) {
+        peers.recordContact(sender, context.now());
         if (message instanceof PeerMessage.HostState state) {
-            announced(state.announcement());
-            peers.state(state, turn.now());
+            applyAnnouncement(state.announcement());
+            peers.recordState(state, context.now());
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
         } else if (message instanceof PeerMessage.Bundle bundle) {
-            mail.received(sender, bundle).forEach(news -> news.messages()
-                    .forEach(each -> received(news.origin().host(), each)));
+            messenger.receive(sender, bundle).forEach(news -> news.messages()
+                    .forEach(each -> receive(news.origin().host(), each)));
         } else if (message instanceof PeerMessage.Routed routed) {
             if (routed.target().equals(settings.identity().host())) {
-                received(routed.origin().host(), routed.message());
+                receive(routed.origin().host(), routed.message());
             } else {
-                mail.passOn(routed);
+                messenger.relay(routed);
             }
         } else if (message instanceof PeerMessage.UseReport report) {
-            requests.ledger().reported(sender, report);
+            forwarder.usage().applyReport(sender, report);
         } else if (message instanceof PeerMessage.HeldRunner held) {
-            desk.heard(sender, held);
-            requests.checkWaiting();
+            runnerManager.runnerStateReceived(sender, held);
+            forwarder.advanceWaiting();
         } else if (message instanceof PeerMessage.AdapterWanted wanted) {
-            desk.wanted(sender, wanted);
+            runnerManager.loadRequested(sender, wanted);
         } else if (message instanceof PeerMessage.RecordsRequest request) {
-            TopicFollower follower = view.follower(request.topic());
-            long age = follower.age(turn.now()).orElse(ClaimKeeper.VALIDITY).toMillis() + 1;
-            mail.send(
+            TopicConsumer consumer = view.consumer(request.topic());
+            long age = consumer.age(context.now()).orElse(LeaseManager.VALIDITY).toMillis() + 1;
+            messenger.send(
                     sender,
-                    records(
-                            follower,
+                    recordsReply(
+                            consumer,
                             request.offset(),
-                            follower.recordsFrom(request.offset()),
+                            consumer.recordsFrom(request.offset()),
                             Optional.of(request.askedAtMilliseconds()),
                             age));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
-            view.relayed(reply, sender, new ChangeListener());
+            view.applyRelayed(reply, sender, new ChangeListener());
             if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
                 // The peer's read began that long before it answered, which was after this host asked.
-                claims.read(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
+                leases.confirm(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
             }
         } else if (message instanceof PeerMessage.CrashReport report) {
-            crashes.reported(report);
+            crashDetector.crashReported(report);
         }
     }
 
     /** Asks a peer that has read further, if this host's own read does not get there. */
     private void catchUp(HostId peer, Topic topic) {
-        TopicFollower follower = view.follower(topic);
+        TopicConsumer consumer = view.consumer(topic);
         long end = peers.find(peer).map(known -> known.offset(topic)).orElse(-1L);
         // One peer that is no further must not end the wait while another one is.
-        if (follower.end() >= furthestEnds.merge(topic, end, Math::max)) {
+        if (consumer.end() >= furthestEnds.merge(topic, end, Math::max)) {
             behindSince.remove(topic);
             return;
         }
-        Instant since = behindSince.computeIfAbsent(topic, key -> turn.now());
-        boolean peerIsAhead = end > follower.end();
-        if (peerIsAhead && (!follower.isAvailable() || turn.now().isAfter(since.plus(RELAY_DELAY)))) {
-            askForRecords(peer, follower);
-            behindSince.put(topic, turn.now());
+        Instant since = behindSince.computeIfAbsent(topic, key -> context.now());
+        boolean peerIsAhead = end > consumer.end();
+        if (peerIsAhead && (!consumer.isAvailable() || context.now().isAfter(since.plus(RELAY_DELAY)))) {
+            requestRecords(peer, consumer);
+            behindSince.put(topic, context.now());
         }
     }
 
     /** Has a peer confirm that no other host has taken a runner over, when this host cannot read the claims itself. */
     private void confirmClaims() {
-        TopicFollower follower = view.follower(Topic.CLAIMS);
-        Duration limit = peers.isLarge() ? CLAIMS_AGE_OVER_RELAYS : CLAIMS_AGE;
-        boolean needed = !claims.own().isEmpty()
-                && follower.isKnown()
-                && claims.age(turn.now()).compareTo(limit) > 0;
-        if (needed && !turn.now().isBefore(nextConfirmationAt)) {
-            nextConfirmationAt = turn.now().plus(CONFIRMATION_INTERVAL);
-            List<HostId> live = peers.live(turn.now());
+        TopicConsumer consumer = view.consumer(Topic.CLAIMS);
+        Duration limit = peers.isLargeDeployment() ? MAXIMUM_CLAIMS_AGE_WITH_RELAYS : MAXIMUM_CLAIMS_AGE;
+        boolean needed = !leases.claimedRunners().isEmpty()
+                && consumer.hasBeenRead()
+                && leases.confirmationAge(context.now()).compareTo(limit) > 0;
+        if (needed && !context.now().isBefore(nextConfirmationAt)) {
+            nextConfirmationAt = context.now().plus(CONFIRMATION_INTERVAL);
+            List<HostId> live = peers.live(context.now());
             // Every second time another peer, since those that read for all may not reach the log either.
-            confirmations++;
-            List<HostId> readers = peers.firstAtLog(view.reachesLog(), turn.now());
-            HostId peer = confirmations % 2 == 1 && !readers.isEmpty()
-                    ? readers.get((int) (confirmations / 2 % readers.size()))
-                    : live.get((int) (confirmations / 2 % live.size()));
+            confirmationRequests++;
+            List<HostId> readers = peers.logReaders(view.reachesLog(), context.now());
+            HostId peer = confirmationRequests % 2 == 1 && !readers.isEmpty()
+                    ? readers.get((int) (confirmationRequests / 2 % readers.size()))
+                    : live.get((int) (confirmationRequests / 2 % live.size()));
             if (!peer.equals(settings.identity().host())) {
-                askForRecords(peer, follower);
+                requestRecords(peer, consumer);
             }
         }
     }
 
-    private void askForRecords(HostId peer, TopicFollower follower) {
-        mail.send(
+    private void requestRecords(HostId peer, TopicConsumer consumer) {
+        messenger.send(
                 peer,
                 new PeerMessage.RecordsRequest(
-                        follower.topic(),
-                        Math.max(0, follower.end()),
-                        turn.now().toEpochMilli()));
+                        consumer.topic(),
+                        Math.max(0, consumer.end()),
+                        context.now().toEpochMilli()));
     }
 
-    private void announced(HostAnnouncement announcement) {
-        if (peers.announced(announcement, turn.now()) && !peers.isLarge()) {
-            turn.emit(new ForwardingEffect.SendToPeer(announcement.host(), state()));
+    private void applyAnnouncement(HostAnnouncement announcement) {
+        if (peers.update(announcement, context.now()) && !peers.isLargeDeployment()) {
+            context.emit(new ForwardingEffect.SendToPeer(announcement.host(), hostState()));
         }
     }
 
-    private PeerMessage state() {
+    private PeerMessage hostState() {
         return new PeerMessage.HostState(
                 settings.announcement(),
                 stopping,
                 view.reachesLog(),
-                view.follower(Topic.CONFIGURATION).end(),
-                view.follower(Topic.ENDPOINTS).end());
+                view.consumer(Topic.CONFIGURATION).end(),
+                view.consumer(Topic.ENDPOINTS).end());
     }
 
     private void tick() {
-        view.setPace(peers.isLarge(), readsForAll());
+        view.setReadSchedule(peers.isLargeDeployment(), readsForPeers());
         view.tick();
-        if (!announced && view.follower(Topic.HOSTS).isKnown()) {
-            announced = true;
-            turn.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
+        if (!hasAnnouncedSelf && view.consumer(Topic.HOSTS).hasBeenRead()) {
+            hasAnnouncedSelf = true;
+            context.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
         }
         confirmClaims();
-        desk.tick(stopping);
-        requests.tick();
-        Instant now = turn.now();
-        if (!now.isBefore(nextReportAt)) {
-            nextReportAt = now.plus(
-                    peers.isLarge()
-                            ? PeerMail.BUNDLE_INTERVAL
-                            : USE_INTERVAL.plus(USE_INTERVAL_PER_PEER.multipliedBy(peers.size())));
-            requests.ledger().report();
+        runnerManager.tick(stopping);
+        forwarder.tick();
+        Instant now = context.now();
+        if (!now.isBefore(nextUseReportAt)) {
+            nextUseReportAt = now.plus(
+                    peers.isLargeDeployment()
+                            ? PeerMessenger.BUNDLE_INTERVAL
+                            : USE_REPORT_INTERVAL.plus(USE_REPORT_INTERVAL_PER_PEER.multipliedBy(peers.size())));
+            forwarder.usage().report();
         }
         if (!now.isBefore(nextStateAt)) {
             nextStateAt = now.plus(peers.stateInterval());
-            mail.sendToAll(state());
-            forgetSilentPeers();
+            messenger.broadcast(hostState());
+            removeUseOfSilentPeers();
         }
-        mail.tick();
+        messenger.tick();
     }
 
-    private void forgetSilentPeers() {
+    private void removeUseOfSilentPeers() {
         for (HostId host : peers.all()) {
-            if (peers.silence(host, turn.now()).compareTo(USE_RETENTION) > 0) {
-                requests.ledger().forget(host);
+            if (peers.silence(host, context.now()).compareTo(USE_RETENTION) > 0) {
+                forwarder.usage().removePeer(host);
             }
         }
     }
@@ -372,11 +372,11 @@
      *     twice as long in a large deployment, where each host has few requests and a small processor
      */
     public Duration tickInterval() {
-        if (requests.size() == 0) {
+        if (forwarder.size() == 0) {
             return IDLE_TICK;
         }
-        Duration tick = requests.waiting().isEmpty() ? OPEN_TICK : WAITING_TICK;
-        return peers.isLarge() ? tick.multipliedBy(2) : tick;
+        Duration tick = forwarder.waiting().isEmpty() ? IN_FLIGHT_TICK : WAITING_TICK;
+        return peers.isLargeDeployment() ? tick.multipliedBy(2) : tick;
     }
 
     /**
@@ -394,7 +394,7 @@
      * @return the number
      */
     public int openRequests() {
-        return requests.size();
+        return forwarder.size();
     }
 
     /**
@@ -408,20 +408,20 @@
                 .collect(Collectors.groupingBy(endpoint -> endpoint.condition(now), Collectors.counting()));
         Map<Topic, ForwardingStatus.TopicStatus> topics = new EnumMap<>(Topic.class);
         for (Topic topic : Topic.values()) {
-            TopicFollower follower = view.follower(topic);
+            TopicConsumer consumer = view.consumer(topic);
             topics.put(
                     topic,
                     new ForwardingStatus.TopicStatus(
-                            follower.isAvailable(),
-                            follower.end(),
-                            follower.age(now).orElse(Duration.ZERO)));
+                            consumer.isAvailable(),
+                            consumer.end(),
+                            consumer.age(now).orElse(Duration.ZERO)));
         }
         return new ForwardingStatus(
-                requests.size(),
-                requests.waiting().size(),
+                forwarder.size(),
+                forwarder.waiting().size(),
                 view.configuration().map(ForwardingConfiguration::version).orElse(-1L),
                 endpoints,
-                desk.commanded(),
+                runnerManager.commandedRunners(),
                 peers.live(now).size() - 1,
                 topics);
     }
@@ -457,20 +457,20 @@
 
     private final class ChangeListener implements PlatformView.Listener {
         @Override
-        public void restarted(EndpointState endpoint) {
-            desk.restarted(endpoint);
-            crashes.unreachable(endpoint);
+        public void endpointRestarted(EndpointState endpoint) {
+            runnerManager.runnerRestarted(endpoint);
+            crashDetector.endpointLost(endpoint);
         }
 
         @Override
-        public void removed(EndpointState endpoint) {
-            crashes.unreachable(endpoint);
+        public void endpointRemoved(EndpointState endpoint) {
+            crashDetector.endpointLost(endpoint);
         }
 
         @Override
-        public void claimed(DecodedRecord.RunnerClaimed claim, long offset) {
-            claims.claimed(claim, offset, turn.now());
-            turn.log(DecisionRecord.important(
+        public void runnerClaimed(DecodedRecord.RunnerClaimed claim, long offset) {
+            leases.applyClaim(claim, offset, context.now());
+            context.log(DecisionRecord.important(
                     "claim",
                     "endpoint",
                     claim.endpoint(),
@@ -483,13 +483,13 @@
         }
 
         @Override
-        public void announced(HostAnnouncement announcement) {
-            ForwardingReducer.this.announced(announcement);
+        public void hostAnnounced(HostAnnouncement announcement) {
+            ForwardingReducer.this.applyAnnouncement(announcement);
         }
 
         @Override
-        public void versionNamed(AdapterName adapter, long version) {
-            desk.versionNamed(adapter, settings.versionTerm());
+        public void versionPublished(AdapterName adapter, long version) {
+            runnerManager.versionPublished(adapter, settings.versionTerm());
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Forwarding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -9,7 +9,7 @@
 import org.banyanstair.model.EndpointId;
 
 /** A request that this host passes on. Not safe for use by several threads. */
-final class Forwarding {
+final class InFlightRequest {
     final ForwardRequest request;
     final Route route;
     final ServiceDefinition service;
@@ -17,7 +17,7 @@
     final Instant deadline;
     final long[] prefixes;
     final Set<EndpointId> tried = new HashSet<>();
-    final Set<EndpointId> noLoad = new HashSet<>();
+    final Set<EndpointId> loadUnavailable = new HashSet<>();
     Optional<EndpointState> endpoint = Optional.empty();
     boolean sent;
     boolean firstOutput;
@@ -33,7 +33,7 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
-    Forwarding(ForwardRequest request, Route route, ServiceDefinition service, Instant now) {
+    InFlightRequest(ForwardRequest request, Route route, ServiceDefinition service, Instant now) {
         this.request = request;
         this.route = route;
         this.service = service;
@@ -45,12 +45,12 @@
     }
 
     /** Returns the tokens that the runner reads for this request alone. */
-    int ownTokens() {
+    int uncachedTokens() {
         return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
     }
 
     /** Returns when the caller gives up if there is no output. */
-    Instant firstOutputBy() {
+    Instant firstOutputDeadline() {
         Instant limit = arrivedAt.plus(route.patience());
         return limit.isBefore(deadline) ? limit : deadline;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMail.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMessenger.java
@@ -22,79 +22,79 @@
  * <p>Answers load of many hosts: messages from each to each grow with the square of their number, while with relays a
  * message for all crosses three connections at most, together with those of other hosts.
  */
-final class PeerMail {
+final class PeerMessenger {
     /** Time in which messages are gathered; a request's first event is due after several of these. */
     static final Duration BUNDLE_INTERVAL = Duration.ofMillis(100);
 
     /** Longest time between two messages of a relay to those that it serves. */
-    private static final Duration RELAY_SIGN_INTERVAL = Duration.ofMillis(200);
+    private static final Duration RELAY_HEARTBEAT_INTERVAL = Duration.ofMillis(200);
 
     /** Connections of a message between two hosts: to a relay, to the other group's, to the target, and one to spare. */
-    private static final int LONGEST_WAY = 4;
+    private static final int MAXIMUM_HOPS = 4;
 
-    private final Turn turn;
+    private final EventContext context;
     private final HostIdentity self;
     private final PeerTable peers;
     private final RelayGroups groups;
-    private final Map<HostId, PeerBroadcast> newest = new HashMap<>();
-    private final Set<HostId> partners = new HashSet<>();
-    private List<PeerMessage> own = new ArrayList<>();
+    private final Map<HostId, PeerBroadcast> newestNews = new HashMap<>();
+    private final Set<HostId> connectedPeers = new HashSet<>();
+    private List<PeerMessage> outgoing = new ArrayList<>();
     private List<PeerBroadcast> fromMembers = new ArrayList<>();
     private List<PeerBroadcast> fromRelays = new ArrayList<>();
     private long sequence;
     private Instant nextBundleAt = Instant.MIN;
-    private Instant nextSignAt = Instant.MIN;
+    private Instant nextHeartbeatAt = Instant.MIN;
 
-    PeerMail(Turn turn, ForwardingSettings settings, PeerTable peers) {
-        this.turn = turn;
+    PeerMessenger(EventContext context, ForwardingSettings settings, PeerTable peers) {
+        this.context = context;
         this.self = settings.identity();
         this.peers = peers;
         this.groups = new RelayGroups(settings.announcement(), peers);
     }
 
     /** Sends a message to all peers. */
-    void sendToAll(PeerMessage message) {
-        if (peers.isLarge()) {
-            own.add(message);
+    void broadcast(PeerMessage message) {
+        if (peers.isLargeDeployment()) {
+            outgoing.add(message);
         } else {
-            peers.all().forEach(host -> turn.emit(new ForwardingEffect.SendToPeer(host, message)));
+            peers.all().forEach(host -> context.emit(new ForwardingEffect.SendToPeer(host, message)));
         }
     }
 
     /** Sends a message to one peer. */
     void send(HostId target, PeerMessage message) {
-        if (!peers.isLarge() || partners.contains(target)) {
-            turn.emit(new ForwardingEffect.SendToPeer(target, message));
+        if (!peers.isLargeDeployment() || connectedPeers.contains(target)) {
+            context.emit(new ForwardingEffect.SendToPeer(target, message));
         } else {
-            route(new PeerMessage.Routed(self, target, LONGEST_WAY, message));
+            route(new PeerMessage.Routed(self, target, MAXIMUM_HOPS, message));
         }
     }
 
     /** Passes a message on that is for another host. */
-    void passOn(PeerMessage.Routed message) {
+    void relay(PeerMessage.Routed message) {
         route(new PeerMessage.Routed(message.origin(), message.target(), message.hops() - 1, message.message()));
     }
 
     private void route(PeerMessage.Routed message) {
         HostId target = message.target();
         Optional<HostId> next = Optional.of(target);
-        if (message.hops() > 1 && !partners.contains(target)) {
+        if (message.hops() > 1 && !connectedPeers.contains(target)) {
             if (!groups.isRelay()) {
                 next = groups.relayOf(self.host());
             } else if (!groups.isOwnGroup(target)) {
                 next = groups.relayOf(target);
             }
         }
-        turn.emit(new ForwardingEffect.SendToPeer(next.orElse(target), message));
+        context.emit(new ForwardingEffect.SendToPeer(next.orElse(target), message));
     }
 
     /** Takes a bundle; returns the news in it that have not come another way. */
-    List<PeerBroadcast> received(HostId sender, PeerMessage.Bundle bundle) {
+    List<PeerBroadcast> receive(HostId sender, PeerMessage.Bundle bundle) {
         List<PeerBroadcast> fresh = new ArrayList<>();
         for (PeerBroadcast news : bundle.news()) {
-            PeerBroadcast known = newest.get(news.origin().host());
+            PeerBroadcast known = newestNews.get(news.origin().host());
             if (!news.origin().host().equals(self.host()) && (known == null || isNewer(news, known))) {
-                newest.put(news.origin().host(), new PeerBroadcast(news.origin(), news.sequence(), List.of()));
+                newestNews.put(news.origin().host(), new PeerBroadcast(news.origin(), news.sequence(), List.of()));
                 fresh.add(news);
             }
         }
@@ -111,71 +111,72 @@
     }
 
     /** A message came from a peer itself. */
-    void heard(HostId sender) {
-        groups.heard(sender, turn.now());
+    void recordContact(HostId sender) {
+        groups.recordContact(sender, context.now());
     }
 
     void tick() {
-        if (!peers.isLarge()) {
-            keepConnections(peers.all());
+        if (!peers.isLargeDeployment()) {
+            updateConnections(peers.all());
             fromMembers.clear();
             fromRelays.clear();
             return;
         }
-        if (turn.now().isBefore(nextBundleAt)) {
+        if (context.now().isBefore(nextBundleAt)) {
             return;
         }
-        nextBundleAt = turn.now().plus(BUNDLE_INTERVAL);
-        groups.refresh(turn.now());
-        List<PeerBroadcast> mine = own.isEmpty() ? List.of() : List.of(new PeerBroadcast(self, ++sequence, own));
-        own = new ArrayList<>();
-        List<HostId> members = groups.ownMembers(turn.now());
+        nextBundleAt = context.now().plus(BUNDLE_INTERVAL);
+        groups.refresh(context.now());
+        List<PeerBroadcast> mine =
+                outgoing.isEmpty() ? List.of() : List.of(new PeerBroadcast(self, ++sequence, outgoing));
+        outgoing = new ArrayList<>();
+        List<HostId> members = groups.otherMembers(context.now());
         List<HostId> relays = groups.otherRelays();
         List<PeerBroadcast> forRelays = new ArrayList<>(fromMembers);
         List<PeerBroadcast> forMembers = new ArrayList<>(fromMembers);
         forMembers.addAll(fromRelays);
         fromMembers = new ArrayList<>();
         fromRelays = new ArrayList<>();
-        boolean signs = false;
+        boolean heartbeatDue = false;
         if (groups.isRelay()) {
             forRelays.addAll(mine);
             forMembers.addAll(mine);
-            signs = !turn.now().isBefore(nextSignAt);
+            heartbeatDue = !context.now().isBefore(nextHeartbeatAt);
             List<HostId> all = new ArrayList<>(members);
             all.addAll(relays);
-            keepConnections(all);
+            updateConnections(all);
         } else {
             Optional<HostId> relay = groups.relayOf(self.host());
-            keepConnections(relay.stream().toList());
+            updateConnections(relay.stream().toList());
             if (!mine.isEmpty()) {
-                relay.ifPresent(
-                        host -> turn.emit(new ForwardingEffect.SendToPeer(host, new PeerMessage.Bundle(mine, true))));
+                relay.ifPresent(host ->
+                        context.emit(new ForwardingEffect.SendToPeer(host, new PeerMessage.Bundle(mine, true))));
             }
         }
-        if (signs || !forRelays.isEmpty()) {
-            nextSignAt = turn.now().plus(RELAY_SIGN_INTERVAL);
+        if (heartbeatDue || !forRelays.isEmpty()) {
+            nextHeartbeatAt = context.now().plus(RELAY_HEARTBEAT_INTERVAL);
         }
-        send(relays, new PeerMessage.Bundle(forRelays, true), signs);
-        send(members, new PeerMessage.Bundle(forMembers, false), signs);
+        send(relays, new PeerMessage.Bundle(forRelays, true), heartbeatDue);
+        send(members, new PeerMessage.Bundle(forMembers, false), heartbeatDue);
     }
 
-    private void send(List<HostId> targets, PeerMessage.Bundle bundle, boolean sign) {
-        if (sign || !bundle.news().isEmpty()) {
-            targets.forEach(host -> turn.emit(new ForwardingEffect.SendToPeer(host, bundle)));
+    private void send(List<HostId> targets, PeerMessage.Bundle bundle, boolean heartbeatDue) {
+        if (heartbeatDue || !bundle.news().isEmpty()) {
+            targets.forEach(host -> context.emit(new ForwardingEffect.SendToPeer(host, bundle)));
         }
     }
 
-    private void keepConnections(Collection<HostId> wanted) {
+    private void updateConnections(Collection<HostId> wanted) {
         for (HostId host : wanted) {
-            if (partners.add(host)) {
-                turn.emit(new ForwardingEffect.OpenPeerConnection(host));
+            if (connectedPeers.add(host)) {
+                context.emit(new ForwardingEffect.OpenPeerConnection(host));
             }
         }
         List<HostId> unwanted =
-                partners.stream().filter(host -> !wanted.contains(host)).toList();
+                connectedPeers.stream().filter(host -> !wanted.contains(host)).toList();
         for (HostId host : unwanted) {
-            partners.remove(host);
-            turn.emit(new ForwardingEffect.ClosePeerConnection(host));
+            connectedPeers.remove(host);
+            context.emit(new ForwardingEffect.ClosePeerConnection(host));
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -19,7 +19,7 @@
 /** The other entry hosts and when they were last heard. */
 final class PeerTable {
     /** Shortest time between two states that a host sends to its peers; each peer hears it three times a second. */
-    private static final Duration SHORTEST_STATE_INTERVAL = Duration.ofMillis(300);
+    private static final Duration MINIMUM_STATE_INTERVAL = Duration.ofMillis(300);
 
     /** Added to it for each peer, so that a host sends no more than about forty states a second. */
     private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(7);
@@ -28,33 +28,33 @@
     private static final Duration RELAYED_STATE_INTERVAL = Duration.ofMillis(500);
 
     /** Peers up to which each host sends to each; beyond, messages go over relays. */
-    private static final int DIRECT_LIMIT = 16;
+    private static final int MAXIMUM_DIRECT_PEERS = 16;
 
     /** States that may be missing in a row before a host counts as not live. */
-    private static final int MISSED_STATES = 3;
+    private static final int MAXIMUM_MISSED_STATES = 3;
 
     /** Added to them for states that are late. */
     private static final Duration STATE_DELAY = Duration.ofMillis(200);
 
     /** Silence after which a host is forgotten for the question whether most hosts are heard. */
-    private static final Duration GONE_LIMIT = Duration.ofSeconds(30);
+    private static final Duration FORGET_AFTER = Duration.ofSeconds(30);
 
     /** Share of the strongest host's cores that a host needs to do work for others. */
-    private static final double STRONG_SHARE = 0.7;
+    private static final double STRONG_CORE_SHARE = 0.7;
 
     /** Hosts of a large deployment that read the log for all, so that two may lose it at once. */
-    private static final int LOG_READERS = 3;
+    private static final int MAXIMUM_LOG_READERS = 3;
 
     /** Spreads the answers that name a host; has no divisor in common with a thousand. */
-    private static final int ANSWER_STEP = 619;
+    private static final int ADVERTISING_STEP = 619;
 
     /** Name by which hosts are ranked for the use of the log. */
-    private static final String LOG_TASK = "log";
+    private static final String LOG_RANKING_KEY = "log";
 
     private final HostAnnouncement self;
     private final Map<HostId, Peer> peers = new TreeMap<>();
-    private Instant since = Instant.MAX;
-    private long answers;
+    private Instant startedAt = Instant.MAX;
+    private long addressQueries;
 
     /** What is known of a peer. */
     static final class Peer {
@@ -84,24 +84,24 @@
     }
 
     /** Returns whether there are too many hosts for each to send to each. */
-    boolean isLarge() {
-        return peers.size() > DIRECT_LIMIT;
+    boolean isLargeDeployment() {
+        return peers.size() > MAXIMUM_DIRECT_PEERS;
     }
 
     /** Returns the time between two states that this host sends, which grows with the number of peers. */
     Duration stateInterval() {
-        return isLarge()
+        return isLargeDeployment()
                 ? RELAYED_STATE_INTERVAL
-                : SHORTEST_STATE_INTERVAL.plus(STATE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
+                : MINIMUM_STATE_INTERVAL.plus(STATE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
     }
 
     /** Returns the silence after which callers are no longer sent to a host. */
     Duration liveLimit() {
-        return stateInterval().multipliedBy(MISSED_STATES).plus(STATE_DELAY);
+        return stateInterval().multipliedBy(MAXIMUM_MISSED_STATES).plus(STATE_DELAY);
     }
 
     /** Takes an announcement from the log or a peer; returns whether its address is news. */
-    boolean announced(HostAnnouncement announcement, Instant now) {
+    boolean update(HostAnnouncement announcement, Instant now) {
         if (announcement.host().equals(self.host())) {
             return false;
         }
@@ -121,14 +121,14 @@
         return true;
     }
 
-    void heard(HostId host, Instant now) {
+    void recordContact(HostId host, Instant now) {
         Peer peer = peers.get(host);
         if (peer != null) {
             peer.heardAt = now;
         }
     }
 
-    void state(PeerMessage.HostState state, Instant now) {
+    void recordState(PeerMessage.HostState state, Instant now) {
         Peer peer = peers.get(state.announcement().host());
         if (peer != null
                 && peer.announcement.incarnation() == state.announcement().incarnation()) {
@@ -149,15 +149,15 @@
     }
 
     /** Returns the peers that have been heard of lately. */
-    List<HostAnnouncement> present(Instant now) {
+    List<HostAnnouncement> recentlyHeard(Instant now) {
         return peers.entrySet().stream()
-                .filter(entry -> silence(entry.getKey(), now).compareTo(GONE_LIMIT) < 0)
+                .filter(entry -> silence(entry.getKey(), now).compareTo(FORGET_AFTER) < 0)
                 .map(entry -> entry.getValue().announcement)
                 .toList();
     }
 
     /** Returns whether a peer lives or is so new that it may not have been heard yet. */
-    boolean mayLive(HostId host, Instant now) {
+    boolean mayBeLive(HostId host, Instant now) {
         Peer peer = peers.get(host);
         return peer != null && !peer.leaving && silence(host, now).compareTo(liveLimit()) < 0;
     }
@@ -168,18 +168,20 @@
     }
 
     /** Returns those of some hosts that can do work for others: the strongest, and those that are not much weaker. */
-    List<HostId> strong(List<HostId> hosts) {
-        double most = hosts.stream().mapToDouble(this::cores).max().orElse(0);
-        return hosts.stream().filter(host -> cores(host) >= most * STRONG_SHARE).toList();
+    List<HostId> strongHosts(List<HostId> hosts) {
+        double mostCores = hosts.stream().mapToDouble(this::cores).max().orElse(0);
+        return hosts.stream()
+                .filter(host -> cores(host) >= mostCores * STRONG_CORE_SHARE)
+                .toList();
     }
 
     /** Returns the hosts that use the log for all, in order, among those that live and reach it. */
-    List<HostId> firstAtLog(boolean selfReachesLog, Instant now) {
+    List<HostId> logReaders(boolean selfReachesLog, Instant now) {
         List<HostId> hosts = live(now).stream()
                 .filter(host -> host.equals(self.host()) ? selfReachesLog : peers.get(host).reachesLog)
                 .toList();
-        return RendezvousHash.rank(LOG_TASK, strong(hosts)).stream()
-                .limit(isLarge() ? LOG_READERS : 1)
+        return RendezvousHash.rank(LOG_RANKING_KEY, strongHosts(hosts)).stream()
+                .limit(isLargeDeployment() ? MAXIMUM_LOG_READERS : 1)
                 .toList();
     }
 
@@ -207,21 +209,21 @@
 
     /** Returns how long a host has been silent; from when it was first known if it was never heard. */
     Duration silence(HostId host, Instant now) {
-        if (since.equals(Instant.MAX)) {
-            since = now;
+        if (startedAt.equals(Instant.MAX)) {
+            startedAt = now;
         }
         Peer peer = peers.get(host);
-        Instant start = peer == null ? since : peer.heardAt.equals(Instant.MIN) ? peer.knownSince : peer.heardAt;
+        Instant start = peer == null ? startedAt : peer.heardAt.equals(Instant.MIN) ? peer.knownSince : peer.heardAt;
         return Duration.between(start, now);
     }
 
     /** Returns whether this host hears at least half of the peers that lived lately, so that it is not cut off itself. */
-    boolean hearsMost(Instant now) {
+    boolean hearsMajority(Instant now) {
         Instant earliest = now.minus(liveLimit());
         int heard = 0;
         int expected = 0;
         for (Map.Entry<HostId, Peer> entry : peers.entrySet()) {
-            if (silence(entry.getKey(), now).compareTo(GONE_LIMIT) < 0) {
+            if (silence(entry.getKey(), now).compareTo(FORGET_AFTER) < 0) {
                 expected++;
                 heard += entry.getValue().heardAt.isAfter(earliest) ? 1 : 0;
             }
@@ -230,18 +232,18 @@
     }
 
     /** Returns the addresses that callers may use, this host first unless it leaves. */
-    List<NetworkAddress> callerAddresses(boolean selfLeaves, Instant now) {
+    List<NetworkAddress> callerAddresses(boolean selfLeaving, Instant now) {
         List<NetworkAddress> result = new ArrayList<>();
-        double most = Math.max(
+        double mostCores = Math.max(
                 self.cores(),
                 peers.keySet().stream().mapToDouble(this::cores).max().orElse(0));
-        answers++;
-        if (!selfLeaves && isNamed(self.host(), most)) {
+        addressQueries++;
+        if (!selfLeaving && isAdvertised(self.host(), mostCores)) {
             result.add(self.callers());
         }
         Instant earliest = now.minus(liveLimit());
         peers.forEach((host, peer) -> {
-            if (peer.isLiveSince(earliest) && isNamed(host, most)) {
+            if (peer.isLiveSince(earliest) && isAdvertised(host, mostCores)) {
                 result.add(peer.announcement.callers());
             }
         });
@@ -252,8 +254,9 @@
     }
 
     /** Names a weak host in a part of the answers, since callers choose alike among the hosts in an answer. */
-    private boolean isNamed(HostId host, double most) {
-        double share = cores(host) / most;
-        return share >= STRONG_SHARE || Math.floorMod(answers * ANSWER_STEP + host.hashCode(), 1000) < share * 1000;
+    private boolean isAdvertised(HostId host, double mostCores) {
+        double share = cores(host) / mostCores;
+        return share >= STRONG_CORE_SHARE
+                || Math.floorMod(addressQueries * ADVERTISING_STEP + host.hashCode(), 1000) < share * 1000;
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -30,7 +30,7 @@
     private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
 
     /** Time in which changes of endpoints are gathered, since each read is paid for; a part of the draining limit. */
-    private static final Duration ENDPOINTS_GAP = Duration.ofMillis(450);
+    private static final Duration ENDPOINTS_READ_INTERVAL = Duration.ofMillis(450);
 
     /** Time that a read of the claims waits; two of them and an answer fit into the time that a claim counts. */
     static final Duration CLAIMS_WAIT = Duration.ofMillis(3000);
@@ -39,7 +39,7 @@
      * The same for the host that reads for all, whose reads confirm the claims of its peers: the shorter, the longer
      * commands go on in an outage of the log.
      */
-    private static final Duration CLAIMS_WAIT_FOR_ALL = Duration.ofMillis(900);
+    private static final Duration CLAIMS_WAIT_FOR_PEERS = Duration.ofMillis(900);
 
     /** Time between reads of a topic that another host reads for this one; each read is paid for. */
     private static final Duration POLLING_INTERVAL = Duration.ofSeconds(15);
@@ -48,78 +48,78 @@
     private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
 
     /** Time after an outage in which the entries of live endpoints come back; from the users' protocol. */
-    private static final Duration ENTRY_RETURN = Duration.ofMillis(2000);
+    private static final Duration REREGISTRATION_PERIOD = Duration.ofMillis(2000);
 
     /** Time for which a removed endpoint stays known so that its last requests are accounted for. */
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(10);
 
-    private final Turn turn;
+    private final EventContext context;
     private final RecordDecoder decoder;
-    private final Map<Topic, TopicFollower> followers = new TreeMap<>();
+    private final Map<Topic, TopicConsumer> consumers = new TreeMap<>();
     private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
     private final Map<String, List<EndpointState>> byService = new HashMap<>();
-    private final Map<AdapterName, NamedVersion> versions = new HashMap<>();
+    private final Map<AdapterName, PublishedVersion> versions = new HashMap<>();
     private Optional<ForwardingConfiguration> configuration = Optional.empty();
     private List<EndpointState> runners = List.of();
 
-    private record NamedVersion(long version, long before, Instant namedAt) {}
+    private record PublishedVersion(long version, long previous, Instant publishedAt) {}
 
     /** Hears of changes that concern other parts of the state. */
     interface Listener {
-        void restarted(EndpointState endpoint);
+        void endpointRestarted(EndpointState endpoint);
 
-        void removed(EndpointState endpoint);
+        void endpointRemoved(EndpointState endpoint);
 
-        void claimed(DecodedRecord.RunnerClaimed claim, long offset);
+        void runnerClaimed(DecodedRecord.RunnerClaimed claim, long offset);
 
-        void announced(HostAnnouncement announcement);
+        void hostAnnounced(HostAnnouncement announcement);
 
-        void versionNamed(AdapterName adapter, long version);
+        void versionPublished(AdapterName adapter, long version);
     }
 
-    PlatformView(Turn turn, RecordDecoder decoder) {
-        this.turn = turn;
+    PlatformView(EventContext context, RecordDecoder decoder) {
+        this.context = context;
         this.decoder = decoder;
         for (Topic topic : Topic.values()) {
-            followers.put(topic, new TopicFollower(topic, waitOf(topic, false), gapOf(topic)));
+            consumers.put(topic, new TopicConsumer(topic, readWait(topic, false), readInterval(topic)));
         }
     }
 
-    private static Duration waitOf(Topic topic, boolean readsForAll) {
+    private static Duration readWait(Topic topic, boolean readsForPeers) {
         return switch (topic) {
             case CONFIGURATION -> CONFIGURATION_WAIT;
             case ENDPOINTS -> ENDPOINTS_WAIT;
-            case CLAIMS -> readsForAll ? CLAIMS_WAIT_FOR_ALL : CLAIMS_WAIT;
+            case CLAIMS -> readsForPeers ? CLAIMS_WAIT_FOR_PEERS : CLAIMS_WAIT;
             case HOSTS -> HOSTS_WAIT;
         };
     }
 
-    private static Duration gapOf(Topic topic) {
-        return topic == Topic.ENDPOINTS ? ENDPOINTS_GAP : Duration.ZERO;
+    private static Duration readInterval(Topic topic) {
+        return topic == Topic.ENDPOINTS ? ENDPOINTS_READ_INTERVAL : Duration.ZERO;
     }
 
     /**
      * Lets one host of a large deployment wait for records for all; the others look now and then whether they heard all.
      *
      * @param large whether there are many hosts
-     * @param readsForAll whether this host is that one
+     * @param readsForPeers whether this host is that one
      */
-    void setPace(boolean large, boolean readsForAll) {
-        boolean polls = large && !readsForAll;
-        followers.forEach((topic, follower) -> follower.setPace(
-                polls ? Duration.ZERO : waitOf(topic, readsForAll),
-                polls ? POLLING_INTERVAL : gapOf(topic),
-                readsForAll,
-                turn.now()));
+    void setReadSchedule(boolean large, boolean readsForPeers) {
+        boolean polls = large && !readsForPeers;
+        consumers.forEach((topic, consumer) -> consumer.setReadSchedule(
+                polls ? Duration.ZERO : readWait(topic, readsForPeers),
+                polls ? POLLING_INTERVAL : readInterval(topic),
+                readsForPeers,
+                context.now()));
     }
 
     /** Returns whether the last reads of all topics were answered. */
     boolean reachesLog() {
-        return followers.values().stream().allMatch(TopicFollower::isAvailable);
+        return consumers.values().stream().allMatch(TopicConsumer::isAvailable);
     }
 
-    TopicFollower follower(Topic topic) {
-        return followers.get(topic);
+    TopicConsumer consumer(Topic topic) {
+        return consumers.get(topic);
     }
 
     Optional<ForwardingConfiguration> configuration() {
@@ -150,75 +150,77 @@
     }
 
     long newestVersion(AdapterName adapter) {
-        NamedVersion named = versions.get(adapter);
-        return named == null ? 0 : named.version();
+        PublishedVersion published = versions.get(adapter);
+        return published == null ? 0 : published.version();
     }
 
     /** Returns the lowest version that may still be used: the one before for a part of the term after a new one. */
     long neededVersion(AdapterName adapter, Duration term, Instant now) {
-        NamedVersion named = versions.get(adapter);
-        if (named == null) {
+        PublishedVersion published = versions.get(adapter);
+        if (published == null) {
             return 0;
         }
-        return now.isBefore(named.namedAt().plus(term.dividedBy(2))) ? named.before() : named.version();
+        return now.isBefore(published.publishedAt().plus(term.dividedBy(2)))
+                ? published.previous()
+                : published.version();
     }
 
     void tick() {
-        followers.values().forEach(follower -> turn.emit(follower.tick(turn.now())));
-        Iterator<EndpointState> all = endpoints.values().iterator();
-        while (all.hasNext()) {
-            EndpointState endpoint = all.next();
+        consumers.values().forEach(consumer -> context.emit(consumer.tick(context.now())));
+        Iterator<EndpointState> iterator = endpoints.values().iterator();
+        while (iterator.hasNext()) {
+            EndpointState endpoint = iterator.next();
             if (!endpoint.removeAt().equals(Instant.MAX)
-                    && turn.now().isAfter(endpoint.removeAt().plus(REMOVED_RETENTION))) {
-                all.remove();
-                group();
+                    && context.now().isAfter(endpoint.removeAt().plus(REMOVED_RETENTION))) {
+                iterator.remove();
+                rebuildIndexes();
             }
         }
     }
 
     /** Takes what a read returned; returns the records that are news. */
-    List<TopicRecord> read(ForwardingEvent.TopicRead event, Listener listener) {
-        TopicFollower follower = followers.get(event.topic());
-        boolean wasAvailable = follower.isAvailable();
-        List<TopicRecord> news = follower.read(event, turn.now());
-        take(event.topic(), news, listener);
+    List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Listener listener) {
+        TopicConsumer consumer = consumers.get(event.topic());
+        boolean wasAvailable = consumer.isAvailable();
+        List<TopicRecord> news = consumer.applyRead(event, context.now());
+        apply(event.topic(), news, listener);
         if (!wasAvailable) {
-            turn.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
+            context.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
         }
         return news;
     }
 
-    void relayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
+    void applyRelayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
         Topic topic = message.topic();
-        TopicFollower follower = followers.get(topic);
+        TopicConsumer consumer = consumers.get(topic);
         message.outageAgeMilliseconds()
-                .ifPresent(age -> follower.noteOutage(turn.now().minusMillis(age)));
+                .ifPresent(age -> consumer.recordRelayedOutage(context.now().minusMillis(age)));
         List<TopicRecord> records = message.records().stream()
                 .map(entry -> new TopicRecord(
                         entry.key(), entry.removed() ? Optional.empty() : Optional.of(entry.value()), entry.offset()))
                 .toList();
-        List<TopicRecord> news = follower.relayed(message.offset(), records, message.end(), turn.now());
+        List<TopicRecord> news = consumer.applyRelayed(message.offset(), records, message.end(), context.now());
         if (!news.isEmpty()) {
-            turn.log(DecisionRecord.of(
+            context.log(DecisionRecord.of(
                     "topic-relayed", "topic", topic, "from", from, "records", news.size(), "end", message.end()));
-            take(topic, news, listener);
+            apply(topic, news, listener);
         }
     }
 
     void expired(Topic topic) {
-        followers.get(topic).expired(turn.now());
-        turn.log(DecisionRecord.important("topic-expired", "topic", topic));
+        consumers.get(topic).expired(context.now());
+        context.log(DecisionRecord.important("topic-expired", "topic", topic));
     }
 
     void unavailable(Topic topic) {
-        TopicFollower follower = followers.get(topic);
-        if (follower.isAvailable()) {
-            turn.log(DecisionRecord.important("topic-unavailable", "topic", topic, "end", follower.end()));
+        TopicConsumer consumer = consumers.get(topic);
+        if (consumer.isAvailable()) {
+            context.log(DecisionRecord.important("topic-unavailable", "topic", topic, "end", consumer.end()));
         }
-        follower.unavailable(turn.now());
+        consumer.unavailable(context.now());
     }
 
-    private void take(Topic topic, List<TopicRecord> news, Listener listener) {
+    private void apply(Topic topic, List<TopicRecord> news, Listener listener) {
         for (TopicRecord entry : news) {
             if (entry.value().isEmpty()) {
                 if (topic == Topic.ENDPOINTS) {
@@ -226,54 +228,54 @@
                 }
                 continue;
             }
-            Optional<DecodedRecord> fact = decoder.decode(topic, entry, turn.now());
-            if (fact.isEmpty()) {
-                turn.log(DecisionRecord.important(
+            Optional<DecodedRecord> decoded = decoder.decode(topic, entry, context.now());
+            if (decoded.isEmpty()) {
+                context.log(DecisionRecord.important(
                         "record-ignored", "topic", topic, "key", entry.key(), "offset", entry.offset()));
                 if (topic == Topic.ENDPOINTS) {
                     remove(entry.key(), listener);
                 }
             } else {
-                take(fact.get(), entry.offset(), listener);
+                apply(decoded.get(), entry.offset(), listener);
             }
         }
     }
 
-    private void take(DecodedRecord fact, long offset, Listener listener) {
-        if (fact instanceof DecodedRecord.ConfigurationPublished configured) {
-            configure(configured.configuration(), offset);
-        } else if (fact instanceof DecodedRecord.AdapterVersionPublished named) {
-            long before = newestVersion(named.adapter());
-            if (named.version() > before) {
-                versions.put(named.adapter(), new NamedVersion(named.version(), before, turn.now()));
-                turn.log(DecisionRecord.important(
-                        "adapter-version", "adapter", named.adapter(), "version", named.version()));
-                listener.versionNamed(named.adapter(), named.version());
+    private void apply(DecodedRecord decoded, long offset, Listener listener) {
+        if (decoded instanceof DecodedRecord.ConfigurationPublished configured) {
+            applyConfiguration(configured.configuration(), offset);
+        } else if (decoded instanceof DecodedRecord.AdapterVersionPublished published) {
+            long previous = newestVersion(published.adapter());
+            if (published.version() > previous) {
+                versions.put(published.adapter(), new PublishedVersion(published.version(), previous, context.now()));
+                context.log(DecisionRecord.important(
+                        "adapter-version", "adapter", published.adapter(), "version", published.version()));
+                listener.versionPublished(published.adapter(), published.version());
             }
-        } else if (fact instanceof DecodedRecord.EndpointListed listed) {
-            list(listed.listing(), listener);
-        } else if (fact instanceof DecodedRecord.RunnerClaimed claimed) {
-            listener.claimed(claimed, offset);
-        } else if (fact instanceof DecodedRecord.HostAnnounced announced) {
-            listener.announced(announced.announcement());
+        } else if (decoded instanceof DecodedRecord.EndpointListed listed) {
+            applyListing(listed.listing(), listener);
+        } else if (decoded instanceof DecodedRecord.RunnerClaimed claimed) {
+            listener.runnerClaimed(claimed, offset);
+        } else if (decoded instanceof DecodedRecord.HostAnnounced announced) {
+            listener.hostAnnounced(announced.announcement());
         }
     }
 
-    private void configure(ForwardingConfiguration newer, long offset) {
+    private void applyConfiguration(ForwardingConfiguration newer, long offset) {
         if (configuration.isPresent() && configuration.get().version() >= newer.version()) {
             return;
         }
         configuration = Optional.of(newer);
-        group();
-        turn.log(DecisionRecord.important("configuration", "version", newer.version(), "offset", offset));
+        rebuildIndexes();
+        context.log(DecisionRecord.important("configuration", "version", newer.version(), "offset", offset));
     }
 
-    private void list(EndpointListing listing, Listener listener) {
+    private void applyListing(EndpointListing listing, Listener listener) {
         EndpointState known = endpoints.get(listing.id());
         if (known == null) {
             endpoints.put(listing.id(), new EndpointState(listing));
-            group();
-            turn.log(DecisionRecord.important(
+            rebuildIndexes();
+            context.log(DecisionRecord.important(
                     "endpoint-listed",
                     "endpoint",
                     listing.id(),
@@ -285,33 +287,34 @@
                     listing.draining()));
             return;
         }
-        boolean drains = listing.draining() && !known.listing().draining();
-        boolean moved = !known.listing().service().equals(listing.service());
+        boolean startsDraining = listing.draining() && !known.listing().draining();
+        boolean serviceChanged = !known.listing().service().equals(listing.service());
         if (known.update(listing)) {
-            turn.log(DecisionRecord.important(
+            context.log(DecisionRecord.important(
                     "endpoint-restarted", "endpoint", listing.id(), "started", listing.started()));
-            listener.restarted(known);
+            listener.endpointRestarted(known);
         }
-        if (moved) {
-            group();
+        if (serviceChanged) {
+            rebuildIndexes();
         }
-        if (drains) {
-            turn.log(DecisionRecord.important("endpoint-leaving", "endpoint", listing.id()));
+        if (startsDraining) {
+            context.log(DecisionRecord.important("endpoint-leaving", "endpoint", listing.id()));
         }
     }
 
     private void remove(String key, Listener listener) {
         for (EndpointState endpoint : endpoints.values()) {
             if (endpoint.id().value().equals(key) && endpoint.removeAt().equals(Instant.MAX)) {
-                boolean maybeLapsed = followers.get(Topic.ENDPOINTS).isRecovering(turn.now());
-                endpoint.removeAt(maybeLapsed ? turn.now().plus(ENTRY_RETURN) : turn.now());
-                turn.log(DecisionRecord.important("endpoint-removed", "endpoint", key, "after-outage", maybeLapsed));
-                listener.removed(endpoint);
+                boolean mayHaveLapsed = consumers.get(Topic.ENDPOINTS).isRecovering(context.now());
+                endpoint.setRemoveAt(mayHaveLapsed ? context.now().plus(REREGISTRATION_PERIOD) : context.now());
+                context.log(
+                        DecisionRecord.important("endpoint-removed", "endpoint", key, "after-outage", mayHaveLapsed));
+                listener.endpointRemoved(endpoint);
             }
         }
     }
 
-    private void group() {
+    private void rebuildIndexes() {
         byService.clear();
         endpoints.values().forEach(endpoint -> byService
                 .computeIfAbsent(endpoint.listing().service(), service -> new ArrayList<>())
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -32,7 +32,7 @@
     private static final Duration SILENCE_LIMIT = Duration.ofMillis(600);
 
     /** Time for which a silent relay is not chosen again; by then it is heard again or counts as not live. */
-    private static final Duration SUSPICION = Duration.ofSeconds(3);
+    private static final Duration SUSPICION_PERIOD = Duration.ofSeconds(3);
 
     private final HostAnnouncement self;
     private final PeerTable peers;
@@ -50,24 +50,25 @@
     }
 
     /** A message came from a host itself, over no relay. */
-    void heard(HostId host, Instant now) {
+    void recordContact(HostId host, Instant now) {
         heardAt.put(host, now);
     }
 
     /** Divides the hosts that are known now and chooses the relays. */
     void refresh(Instant now) {
-        Map<String, List<HostId>> centres = new TreeMap<>();
-        List<HostAnnouncement> hosts = new ArrayList<>(peers.present(now));
+        Map<String, List<HostId>> dataCentres = new TreeMap<>();
+        List<HostAnnouncement> hosts = new ArrayList<>(peers.recentlyHeard(now));
         hosts.add(self);
-        hosts.forEach(host -> centres.computeIfAbsent(host.dataCentre(), name -> new ArrayList<>())
+        hosts.forEach(host -> dataCentres
+                .computeIfAbsent(host.dataCentre(), name -> new ArrayList<>())
                 .add(host.host()));
         groupOf.clear();
         members.clear();
-        centres.forEach(this::divide);
+        dataCentres.forEach(this::assignGroups);
         relays.keySet().retainAll(members.keySet());
         suspectedUntil.values().removeIf(now::isAfter);
         boolean wasRelay = isRelay();
-        choose(groupOf.get(self.host()), true, now);
+        electRelay(groupOf.get(self.host()), true, now);
         boolean isRelay = isRelay();
         if (isRelay && !wasRelay) {
             // Other relays send to this host only from now on.
@@ -75,41 +76,41 @@
         }
         members.keySet().stream()
                 .filter(group -> !group.equals(groupOf.get(self.host())))
-                .forEach(group -> choose(group, isRelay, now));
+                .forEach(group -> electRelay(group, isRelay, now));
     }
 
     /**
      * Deals out the strong hosts of a data centre in turn, so that no group is without them, and the others by their
      * names, which stay the same when hosts come and go. Where all are equally strong, names decide for all.
      */
-    private void divide(String centre, List<HostId> hosts) {
-        List<HostId> strong = peers.strong(hosts);
-        List<HostId> dealtOut = strong.size() == hosts.size() ? List.of() : RendezvousHash.rank(centre, strong);
-        int groups =
+    private void assignGroups(String dataCentre, List<HostId> hosts) {
+        List<HostId> strong = peers.strongHosts(hosts);
+        List<HostId> rankedStrong = strong.size() == hosts.size() ? List.of() : RendezvousHash.rank(dataCentre, strong);
+        int groupCount =
                 Math.max(1, Math.min(Math.round((float) hosts.size() / GROUP_SIZE), strong.size() / STRONG_MEMBERS));
         for (HostId host : hosts) {
-            int place = dealtOut.indexOf(host);
-            int number = place >= 0 ? place : host.value().hashCode();
-            String group = centre + "/" + Math.floorMod(number, groups);
+            int rank = rankedStrong.indexOf(host);
+            int number = rank >= 0 ? rank : host.value().hashCode();
+            String group = dataCentre + "/" + Math.floorMod(number, groupCount);
             groupOf.put(host, group);
             members.computeIfAbsent(group, name -> new ArrayList<>()).add(host);
         }
     }
 
-    private void choose(String group, boolean hearsFromRelay, Instant now) {
+    private void electRelay(String group, boolean expectsRelayMessages, Instant now) {
         Relay relay = relays.get(group);
-        if (relay != null && hearsFromRelay && !relay.host().equals(self.host())) {
+        if (relay != null && expectsRelayMessages && !relay.host().equals(self.host())) {
             Instant heard = heardAt.getOrDefault(relay.host(), Instant.MIN);
-            Instant last = heard.isAfter(relay.since()) ? heard : relay.since();
-            if (now.isAfter(last.plus(SILENCE_LIMIT))) {
-                suspectedUntil.put(relay.host(), now.plus(SUSPICION));
+            Instant silentSince = heard.isAfter(relay.since()) ? heard : relay.since();
+            if (now.isAfter(silentSince.plus(SILENCE_LIMIT))) {
+                suspectedUntil.put(relay.host(), now.plus(SUSPICION_PERIOD));
             }
         }
         List<HostId> candidates = members.get(group).stream()
                 .filter(host ->
-                        host.equals(self.host()) || peers.mayLive(host, now) && !suspectedUntil.containsKey(host))
+                        host.equals(self.host()) || peers.mayBeLive(host, now) && !suspectedUntil.containsKey(host))
                 .toList();
-        Optional<HostId> chosen = RendezvousHash.first(group, peers.strong(candidates));
+        Optional<HostId> chosen = RendezvousHash.first(group, peers.strongHosts(candidates));
         if (chosen.isEmpty()) {
             relays.remove(group);
         } else if (relay == null || !relay.host().equals(chosen.get())) {
@@ -135,9 +136,9 @@
     }
 
     /** Returns the other members of this host's group that may live. */
-    List<HostId> ownMembers(Instant now) {
+    List<HostId> otherMembers(Instant now) {
         return members.getOrDefault(groupOf.get(self.host()), List.of()).stream()
-                .filter(host -> !host.equals(self.host()) && peers.mayLive(host, now))
+                .filter(host -> !host.equals(self.host()) && peers.mayBeLive(host, now))
                 .toList();
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -14,73 +14,74 @@
 /** The requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
     /** Time in which the commander of a runner answers that it will load an adapter. */
-    private static final Duration LOAD_START_LIMIT = Duration.ofMillis(120);
+    private static final Duration LOAD_REPLY_TIMEOUT = Duration.ofMillis(120);
 
     /** Time for which a load is asked for; renewed while the request waits. */
-    private static final Duration WANT_TERM = Duration.ofMillis(300);
+    private static final Duration LOAD_REQUEST_TERM = Duration.ofMillis(300);
 
     /** Renewals after which another runner may be chosen. */
-    private static final int REMINDERS_BEFORE_PLAN = 5;
+    private static final int REMINDERS_BEFORE_RESELECTION = 5;
 
     /** Rejections after which a request is refused; more would use up the retries of others. */
-    private static final int REJECTION_LIMIT = 3;
+    private static final int MAXIMUM_REJECTIONS = 3;
 
     /** Pause for an endpoint that said that it is full. */
-    private static final Duration FULL_PAUSE = Duration.ofMillis(40);
+    private static final Duration FULL_ENDPOINT_PAUSE = Duration.ofMillis(40);
 
     /** Share of the objective after which an idempotent call is given to another endpoint. */
-    private static final double SILENCE_SHARE = 0.6;
+    private static final double SILENCE_OBJECTIVE_SHARE = 0.6;
 
     /** Multiple of the expected time of a stream's first event after which it is given to another endpoint. */
-    private static final double SILENCE_MULTIPLE = 4;
+    private static final double SILENCE_PREDICTION_MULTIPLE = 4;
 
     /** Shortest such time. */
-    private static final Duration SHORTEST_SILENCE = Duration.ofMillis(700);
+    private static final Duration MINIMUM_STREAM_SILENCE = Duration.ofMillis(700);
 
-    private final Turn turn;
+    private final EventContext context;
     private final ForwardingSettings settings;
     private final PlatformView view;
     private final PeerTable peers;
-    private final RunnerDesk desk;
-    private final CrashWatch crashes;
-    private final EndpointChooser chooser;
-    private final Map<Long, Forwarding> open = new TreeMap<>();
-    private final SharedRetries retries;
-    private final UseLedger ledger;
+    private final RunnerManager runnerManager;
+    private final CrashDetector crashDetector;
+    private final EndpointSelector selector;
+    private final Map<Long, InFlightRequest> requests = new TreeMap<>();
+    private final RetryBudgets retryBudgets;
+    private final UsageTracker usage;
 
     RequestForwarder(
-            Turn turn,
+            EventContext context,
             ForwardingSettings settings,
             PlatformView view,
             PeerTable peers,
-            PeerMail mail,
-            RunnerDesk desk,
-            CrashWatch crashes) {
-        this.turn = turn;
+            PeerMessenger messenger,
+            RunnerManager runnerManager,
+            CrashDetector crashDetector) {
+        this.context = context;
         this.settings = settings;
         this.view = view;
         this.peers = peers;
-        this.desk = desk;
-        this.crashes = crashes;
-        this.ledger = new UseLedger(turn, settings.identity().host(), view, mail, desk, open.values());
-        this.retries = new SharedRetries(settings, peers);
-        this.chooser = new EndpointChooser(settings.announcement().dataCentre());
+        this.runnerManager = runnerManager;
+        this.crashDetector = crashDetector;
+        this.usage = new UsageTracker(
+                context, settings.identity().host(), view, messenger, runnerManager, requests.values());
+        this.retryBudgets = new RetryBudgets(settings, peers);
+        this.selector = new EndpointSelector(settings.announcement().dataCentre());
     }
 
-    UseLedger ledger() {
-        return ledger;
+    UsageTracker usage() {
+        return usage;
     }
 
     int size() {
-        return open.size();
+        return requests.size();
     }
 
     /** Returns the requests that no endpoint works on. */
-    List<Forwarding> waiting() {
-        return open.values().stream().filter(forwarding -> !forwarding.sent).toList();
+    List<InFlightRequest> waiting() {
+        return requests.values().stream().filter(inFlight -> !inFlight.sent).toList();
     }
 
-    void arrived(ForwardRequest request) {
+    void requestArrived(ForwardRequest request) {
         Optional<ForwardingConfiguration> configuration = view.configuration();
         if (configuration.isEmpty()) {
             refuseUnrouted(request, RefusalReason.NOT_READY);
@@ -91,66 +92,67 @@
             refuseUnrouted(request, RefusalReason.NO_ROUTE);
             return;
         }
-        double point = (request.fingerprint() * 31 + request.exchange() >>> 11 & 0xFFFF) / 65536.0;
-        String serviceName = route.get().serviceFor(point);
+        double trafficPoint = (request.fingerprint() * 31 + request.exchange() >>> 11 & 0xFFFF) / 65536.0;
+        String serviceName = route.get().serviceFor(trafficPoint);
         ServiceDefinition service = configuration
                 .get()
                 .service(serviceName)
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
-        Forwarding forwarding = new Forwarding(request, route.get(), service, turn.now());
-        open.put(request.exchange(), forwarding);
-        retries.countFirst(service.name(), turn.now());
-        if (!turn.now().isBefore(forwarding.deadline)) {
-            refuse(forwarding, RefusalReason.DEADLINE_PASSED, 0);
-        } else if (crashes.isRefused(request.fingerprint())) {
-            refuse(forwarding, RefusalReason.CRASHES_ENDPOINTS, 0);
+        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, context.now());
+        requests.put(request.exchange(), inFlight);
+        retryBudgets.countFirst(service.name(), context.now());
+        if (!context.now().isBefore(inFlight.deadline)) {
+            refuse(inFlight, RefusalReason.DEADLINE_PASSED, 0);
+        } else if (crashDetector.isRefused(request.fingerprint())) {
+            refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
         } else {
-            plan(forwarding);
+            selectEndpoint(inFlight);
         }
     }
 
     private void refuseUnrouted(ForwardRequest request, RefusalReason reason) {
-        turn.log(DecisionRecord.important(
+        context.log(DecisionRecord.important(
                 "refused", "request", request.id(), "reason", reason, "host", request.host(), "path", request.path()));
-        turn.emit(new ForwardingEffect.Refuse(
+        context.emit(new ForwardingEffect.Refuse(
                 request.exchange(),
                 reason,
-                reason == RefusalReason.NOT_READY ? Optional.of(RetryTimes.NOT_READY) : Optional.empty()));
+                reason == RefusalReason.NOT_READY ? Optional.of(RetryAfterPolicy.NOT_READY_DELAY) : Optional.empty()));
     }
 
-    private void plan(Forwarding forwarding) {
-        ForwardRequest request = forwarding.request;
-        Instant now = turn.now();
+    private void selectEndpoint(InFlightRequest inFlight) {
+        ForwardRequest request = inFlight.request;
+        Instant now = context.now();
         long needed = neededVersion(request);
-        ChoiceQuery query = new ChoiceQuery(
+        SelectionQuery query = new SelectionQuery(
                 request,
-                forwarding.prefixes,
-                forwarding.route,
-                forwarding.service.engine(),
-                forwarding.tried,
-                endpoint ->
-                        forwarding.noLoad.contains(endpoint.id()) ? OptionalDouble.empty() : desk.loadDelay(endpoint),
+                inFlight.prefixes,
+                inFlight.route,
+                inFlight.service.engine(),
+                inFlight.tried,
+                endpoint -> inFlight.loadUnavailable.contains(endpoint.id())
+                        ? OptionalDouble.empty()
+                        : runnerManager.loadDelay(endpoint),
                 needed,
                 request.adapter().map(view::newestVersion).orElse(0L),
-                desk.loadsWaiting());
-        Optional<Choice> choice = chooser.choose(query, view.endpointsOf(forwarding.service.name()), now);
-        if (choice.isEmpty()) {
-            boolean any = view.endpointsOf(forwarding.service.name()).stream()
-                    .anyMatch(endpoint -> endpoint.takesRequests(now));
-            giveUp(forwarding, any ? RefusalReason.ADAPTER_UNAVAILABLE : RefusalReason.NO_ENDPOINT, 0);
+                runnerManager.weightStoreUtilization());
+        Optional<EndpointSelection> selection = selector.select(query, view.endpointsOf(inFlight.service.name()), now);
+        if (selection.isEmpty()) {
+            boolean anyAvailable = view.endpointsOf(inFlight.service.name()).stream()
+                    .anyMatch(endpoint -> endpoint.acceptsRequests(now));
+            refuseOrFail(inFlight, anyAvailable ? RefusalReason.ADAPTER_UNAVAILABLE : RefusalReason.NO_ENDPOINT, 0);
             return;
         }
-        EndpointState endpoint = choice.get().endpoint();
-        double start = choice.get().startMilliseconds();
-        if (start > Duration.between(now, forwarding.firstOutputBy()).toMillis()) {
-            giveUp(forwarding, RefusalReason.OVERLOADED, start);
+        EndpointState endpoint = selection.get().endpoint();
+        double start = selection.get().startMilliseconds();
+        if (start > Duration.between(now, inFlight.firstOutputDeadline()).toMillis()) {
+            refuseOrFail(inFlight, RefusalReason.OVERLOADED, start);
             return;
         }
-        forwarding.endpoint = Optional.of(endpoint);
-        forwarding.predictedMilliseconds = start;
-        if (choice.get().load()) {
-            want(forwarding, endpoint);
-            turn.log(DecisionRecord.of(
+        inFlight.endpoint = Optional.of(endpoint);
+        inFlight.predictedMilliseconds = start;
+        if (selection.get().load()) {
+            requestLoad(inFlight, endpoint);
+            context.log(DecisionRecord.of(
                     "load-wanted",
                     "request",
                     request.id(),
@@ -159,151 +161,153 @@
                     "adapter",
                     request.adapter().orElseThrow(),
                     "load-delay-ms",
-                    (long) desk.loadDelay(endpoint).orElse(-1),
+                    (long) runnerManager.loadDelay(endpoint).orElse(-1),
                     "needed-version",
                     needed,
                     "expected-start-ms",
                     (long) start));
         } else {
-            check(forwarding);
+            advance(inFlight);
         }
     }
 
     private long neededVersion(ForwardRequest request) {
         return request.adapter()
-                .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), turn.now()))
+                .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), context.now()))
                 .orElse(0L);
     }
 
     /** Asks for the adapter of a request for a short time, so that a load that nobody waits for any more is not made. */
-    private void want(Forwarding forwarding, EndpointState endpoint) {
-        forwarding.recheckAt = turn.now().plus(overRelays(LOAD_START_LIMIT));
-        Instant term = turn.now().plus(overRelays(WANT_TERM));
-        Instant until = term.isBefore(forwarding.firstOutputBy()) ? term : forwarding.firstOutputBy();
-        desk.want(endpoint, new WantedLoad(forwarding.request.adapter().orElseThrow(), forwarding.dueAt(), until));
+    private void requestLoad(InFlightRequest inFlight, EndpointState endpoint) {
+        inFlight.recheckAt = context.now().plus(allowForRelays(LOAD_REPLY_TIMEOUT));
+        Instant termEnd = context.now().plus(allowForRelays(LOAD_REQUEST_TERM));
+        Instant expiresAt = termEnd.isBefore(inFlight.firstOutputDeadline()) ? termEnd : inFlight.firstOutputDeadline();
+        runnerManager.requestLoad(
+                endpoint,
+                new AdapterLoadRequest(inFlight.request.adapter().orElseThrow(), inFlight.dueAt(), expiresAt));
     }
 
     /** Messages take longer where they pass relays. */
-    private Duration overRelays(Duration time) {
-        return peers.isLarge() ? time.multipliedBy(2) : time;
+    private Duration allowForRelays(Duration time) {
+        return peers.isLargeDeployment() ? time.multipliedBy(2) : time;
     }
 
-    private void giveUp(Forwarding forwarding, RefusalReason reason, double startMilliseconds) {
-        if (forwarding.mayHaveRun) {
-            fail(forwarding, FailureReason.ENDPOINT_FAILED);
+    private void refuseOrFail(InFlightRequest inFlight, RefusalReason reason, double startMilliseconds) {
+        if (inFlight.mayHaveRun) {
+            fail(inFlight, FailureReason.ENDPOINT_FAILED);
         } else {
-            refuse(forwarding, reason, startMilliseconds);
+            refuse(inFlight, reason, startMilliseconds);
         }
     }
 
     /** Looks again at the requests that wait for an adapter. */
-    void checkWaiting() {
-        waiting().forEach(this::check);
+    void advanceWaiting() {
+        waiting().forEach(this::advance);
     }
 
-    private void check(Forwarding forwarding) {
-        Instant now = turn.now();
-        if (forwarding.sent || !open.containsKey(forwarding.request.exchange())) {
+    private void advance(InFlightRequest inFlight) {
+        Instant now = context.now();
+        if (inFlight.sent || !requests.containsKey(inFlight.request.exchange())) {
             return;
         }
-        if (!now.isBefore(forwarding.firstOutputBy())) {
-            giveUp(forwarding, RefusalReason.OVERLOADED, 0);
+        if (!now.isBefore(inFlight.firstOutputDeadline())) {
+            refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
             return;
         }
-        EndpointState endpoint = forwarding.endpoint.orElseThrow();
-        if (!endpoint.takesRequests(now)) {
-            plan(forwarding);
+        EndpointState endpoint = inFlight.endpoint.orElseThrow();
+        if (!endpoint.acceptsRequests(now)) {
+            selectEndpoint(inFlight);
             return;
         }
-        Optional<AdapterName> adapter = forwarding.request.adapter();
-        AdapterPlace place = adapter.map(endpoint.adapters()::get).orElse(null);
-        long needed = neededVersion(forwarding.request);
-        if (adapter.isEmpty() || place != null && place.version() >= needed && place.isReady(now)) {
-            send(forwarding, endpoint, place);
-        } else if ((place == null || place.version() < needed) && !now.isBefore(forwarding.recheckAt)) {
-            boolean heard = endpoint.isWaitingFor(adapter.orElseThrow());
-            if (heard && ++forwarding.reminders % REMINDERS_BEFORE_PLAN != 0) {
-                want(forwarding, endpoint);
+        Optional<AdapterName> adapter = inFlight.request.adapter();
+        AdapterSlot slot = adapter.map(endpoint.adapters()::get).orElse(null);
+        long needed = neededVersion(inFlight.request);
+        if (adapter.isEmpty() || slot != null && slot.version() >= needed && slot.isReady(now)) {
+            send(inFlight, endpoint, slot);
+        } else if ((slot == null || slot.version() < needed) && !now.isBefore(inFlight.recheckAt)) {
+            boolean loadPending = endpoint.isLoadPending(adapter.orElseThrow());
+            if (loadPending && ++inFlight.reminders % REMINDERS_BEFORE_RESELECTION != 0) {
+                requestLoad(inFlight, endpoint);
             } else {
-                if (!heard) {
-                    forwarding.noLoad.add(endpoint.id());
+                if (!loadPending) {
+                    inFlight.loadUnavailable.add(endpoint.id());
                 }
-                plan(forwarding);
+                selectEndpoint(inFlight);
             }
         }
     }
 
-    private void send(Forwarding forwarding, EndpointState endpoint, AdapterPlace place) {
-        ForwardRequest request = forwarding.request;
-        forwarding.sent = true;
-        forwarding.firstOutput = false;
-        forwarding.attempts++;
-        forwarding.sentAt = turn.now();
-        forwarding.predictedMilliseconds = forwarding.service.engine().isPresent()
-                ? EndpointChooser.promptMilliseconds(endpoint, request, forwarding.prefixes)
+    private void send(InFlightRequest inFlight, EndpointState endpoint, AdapterSlot slot) {
+        ForwardRequest request = inFlight.request;
+        inFlight.sent = true;
+        inFlight.firstOutput = false;
+        inFlight.attempts++;
+        inFlight.sentAt = context.now();
+        inFlight.predictedMilliseconds = inFlight.service.engine().isPresent()
+                ? EndpointSelector.promptMilliseconds(endpoint, request, inFlight.prefixes)
                 : 0;
-        forwarding.tried.add(endpoint.id());
-        forwarding.cachedTokens = endpoint.prefixes().cachedTokens(request, forwarding.prefixes);
-        ledger.addPrefixes(endpoint, forwarding.prefixes);
-        request.adapter().ifPresent(adapter -> desk.countUse(endpoint, adapter));
-        ledger.changed(endpoint);
-        turn.log(DecisionRecord.of(
+        inFlight.tried.add(endpoint.id());
+        inFlight.cachedTokens = endpoint.prefixes().cachedTokens(request, inFlight.prefixes);
+        usage.addPrefixes(endpoint, inFlight.prefixes);
+        request.adapter().ifPresent(adapter -> runnerManager.recordUse(endpoint, adapter));
+        usage.update(endpoint);
+        context.log(DecisionRecord.of(
                 "sent",
                 "request",
                 request.id(),
                 "attempt",
-                forwarding.attempts,
+                inFlight.attempts,
                 "endpoint",
                 endpoint.id(),
                 "adapter",
                 request.adapter().map(AdapterName::toString).orElse(""),
                 "waited-ms",
-                turn.millisecondsSince(forwarding.arrivedAt),
+                context.millisecondsSince(inFlight.arrivedAt),
                 "expected-start-ms",
-                (long) forwarding.predictedMilliseconds,
+                (long) inFlight.predictedMilliseconds,
                 "running",
                 endpoint.running(),
                 "waiting-tokens",
                 endpoint.waitingTokens()));
-        turn.emit(new ForwardingEffect.Send(
+        context.emit(new ForwardingEffect.Send(
                 request.exchange(),
-                forwarding.attempts,
+                inFlight.attempts,
                 endpoint.id(),
                 endpoint.listing().address(),
-                forwarding.deadline,
-                forwarding.route.rank(),
-                place == null || place.version() == 0 ? OptionalLong.empty() : OptionalLong.of(place.version()),
-                forwarding.lastEvent));
+                inFlight.deadline,
+                inFlight.route.rank(),
+                slot == null || slot.version() == 0 ? OptionalLong.empty() : OptionalLong.of(slot.version()),
+                inFlight.lastEvent));
     }
 
     void firstOutput(long exchange, int attempt) {
-        Forwarding forwarding = open.get(exchange);
-        if (forwarding == null || forwarding.attempts != attempt || forwarding.firstOutput) {
+        InFlightRequest inFlight = requests.get(exchange);
+        if (inFlight == null || inFlight.attempts != attempt || inFlight.firstOutput) {
             return;
         }
-        forwarding.firstOutput = true;
-        if (forwarding.firstOutputMilliseconds < 0) {
-            forwarding.firstOutputMilliseconds = turn.millisecondsSince(forwarding.arrivedAt);
+        inFlight.firstOutput = true;
+        if (inFlight.firstOutputMilliseconds < 0) {
+            inFlight.firstOutputMilliseconds = context.millisecondsSince(inFlight.arrivedAt);
         }
-        EndpointState endpoint = forwarding.endpoint.orElseThrow();
-        if (forwarding.predictedMilliseconds > 0) {
-            endpoint.countSpeed(turn.millisecondsSince(forwarding.sentAt) / forwarding.predictedMilliseconds);
+        EndpointState endpoint = inFlight.endpoint.orElseThrow();
+        if (inFlight.predictedMilliseconds > 0) {
+            endpoint.recordSpeed(context.millisecondsSince(inFlight.sentAt) / inFlight.predictedMilliseconds);
         }
-        ledger.changed(endpoint);
+        usage.update(endpoint);
     }
 
-    void ended(long exchange, int attempt, AttemptResult result) {
-        Forwarding forwarding = open.get(exchange);
-        if (forwarding == null || forwarding.attempts != attempt || !forwarding.sent) {
+    void attemptEnded(long exchange, int attempt, AttemptResult result) {
+        InFlightRequest inFlight = requests.get(exchange);
+        if (inFlight == null || inFlight.attempts != attempt || !inFlight.sent) {
             return;
         }
-        EndpointState endpoint = forwarding.endpoint.orElseThrow();
-        forwarding.sent = false;
-        ledger.changed(endpoint);
-        turn.log(DecisionRecord.of(
+        EndpointState endpoint = inFlight.endpoint.orElseThrow();
+        inFlight.sent = false;
+        usage.update(endpoint);
+        context.log(DecisionRecord.of(
                 "attempt-ended",
                 "request",
-                forwarding.request.id(),
+                inFlight.request.id(),
                 "attempt",
                 attempt,
                 "endpoint",
@@ -311,187 +315,189 @@
                 "result",
                 result,
                 "after-ms",
-                turn.millisecondsSince(forwarding.sentAt)));
+                context.millisecondsSince(inFlight.sentAt)));
         if (result instanceof AttemptResult.Answered answered) {
-            answered(forwarding, endpoint, answered);
+            answered(inFlight, endpoint, answered);
         } else if (result instanceof AttemptResult.NotRun notRun) {
-            notRun(forwarding, endpoint, notRun.cause());
+            notRun(inFlight, endpoint, notRun.cause());
         } else if (result instanceof AttemptResult.Broken broken) {
-            broken(forwarding, endpoint, broken);
+            broken(inFlight, endpoint, broken);
         }
     }
 
-    private void answered(Forwarding forwarding, EndpointState endpoint, AttemptResult.Answered result) {
-        forwarding.runs++;
-        forwarding.mayHaveRun = true;
-        boolean failed = result.status() >= 500 || result.deniesRun();
-        endpoint.countOutcome(!failed, turn.now());
+    private void answered(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Answered result) {
+        inFlight.runs++;
+        inFlight.mayHaveRun = true;
+        boolean failed = result.status() >= 500 || result.claimsNotExecuted();
+        endpoint.recordOutcome(!failed, context.now());
         if (!failed) {
-            crashes.completed(forwarding.request.fingerprint());
-            if (forwarding.request.adapter().isPresent()) {
-                endpoint.countRun(Duration.between(forwarding.sentAt, turn.now()));
+            crashDetector.requestCompleted(inFlight.request.fingerprint());
+            if (inFlight.request.adapter().isPresent()) {
+                endpoint.recordRunTime(Duration.between(inFlight.sentAt, context.now()));
             }
-        } else if (forwarding.route.mayRunAgain() && retry(forwarding)) {
+        } else if (inFlight.route.allowsRerun() && retry(inFlight)) {
             return;
         }
-        if (result.deniesRun()) {
-            fail(forwarding, FailureReason.ENDPOINT_FAILED);
+        if (result.claimsNotExecuted()) {
+            fail(inFlight, FailureReason.ENDPOINT_FAILED);
             return;
         }
-        close(forwarding);
-        turn.log(forwarding.answerRecord(result, turn.now()));
-        turn.emit(new ForwardingEffect.Deliver(forwarding.request.exchange()));
+        close(inFlight);
+        context.log(inFlight.answerRecord(result, context.now()));
+        context.emit(new ForwardingEffect.Deliver(inFlight.request.exchange()));
     }
 
     /** Takes a retry for a request that has run some times, if limits allow another run and something would take it. */
-    private boolean mayRunAgain(Forwarding forwarding, int runs) {
-        return runs < forwarding.route.maximumAttempts()
-                && turn.now().isBefore(forwarding.deadline)
-                && !crashes.isRefused(forwarding.request.fingerprint())
-                && view.endpointsOf(forwarding.service.name()).stream()
+    private boolean tryRerun(InFlightRequest inFlight, int runs) {
+        return runs < inFlight.route.maximumAttempts()
+                && context.now().isBefore(inFlight.deadline)
+                && !crashDetector.isRefused(inFlight.request.fingerprint())
+                && view.endpointsOf(inFlight.service.name()).stream()
                         .anyMatch(endpoint ->
-                                endpoint.takesRequests(turn.now()) && !forwarding.tried.contains(endpoint.id()))
-                && retries.take(forwarding.service.name(), turn.now());
+                                endpoint.acceptsRequests(context.now()) && !inFlight.tried.contains(endpoint.id()))
+                && retryBudgets.tryRetry(inFlight.service.name(), context.now());
     }
 
-    private boolean retry(Forwarding forwarding) {
-        boolean again = mayRunAgain(forwarding, forwarding.runs);
-        if (again) {
-            plan(forwarding);
+    private boolean retry(InFlightRequest inFlight) {
+        boolean rerun = tryRerun(inFlight, inFlight.runs);
+        if (rerun) {
+            selectEndpoint(inFlight);
         }
-        return again;
+        return rerun;
     }
 
-    private void notRun(Forwarding forwarding, EndpointState endpoint, AttemptResult.NotRunCause cause) {
+    private void notRun(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.NotRunCause cause) {
         if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
-            endpoint.notConnected(turn.now());
-            crashes.unreachable(endpoint);
+            endpoint.connectionFailed(context.now());
+            crashDetector.endpointLost(endpoint);
         } else if (cause == AttemptResult.NotRunCause.FULL) {
-            endpoint.avoidUntil(turn.now().plus(FULL_PAUSE));
+            endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
-            forwarding
-                    .request
+            inFlight.request
                     .adapter()
                     .ifPresentOrElse(
-                            adapter -> desk.missing(endpoint, adapter),
-                            () -> endpoint.avoidUntil(turn.now().plus(FULL_PAUSE)));
+                            adapter -> runnerManager.adapterMissing(endpoint, adapter),
+                            () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
         }
-        forwarding.tried.remove(endpoint.id());
-        boolean arrived = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
-        if (++forwarding.rejections > REJECTION_LIMIT
-                || arrived && !retries.take(forwarding.service.name(), turn.now())) {
-            giveUp(forwarding, RefusalReason.OVERLOADED, 0);
+        inFlight.tried.remove(endpoint.id());
+        boolean reachedEndpoint = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
+        if (++inFlight.rejections > MAXIMUM_REJECTIONS
+                || reachedEndpoint && !retryBudgets.tryRetry(inFlight.service.name(), context.now())) {
+            refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
         } else {
-            plan(forwarding);
+            selectEndpoint(inFlight);
         }
     }
 
-    private void broken(Forwarding forwarding, EndpointState endpoint, AttemptResult.Broken result) {
-        forwarding.runs++;
-        forwarding.mayHaveRun = true;
-        endpoint.countOutcome(false, turn.now());
-        crashes.broken(forwarding.request.fingerprint(), endpoint);
+    private void broken(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Broken result) {
+        inFlight.runs++;
+        inFlight.mayHaveRun = true;
+        endpoint.recordOutcome(false, context.now());
+        crashDetector.attemptBroken(inFlight.request.fingerprint(), endpoint);
         if (result.lastEvent().isPresent()) {
-            forwarding.lastEvent = result.lastEvent();
+            inFlight.lastEvent = result.lastEvent();
         }
         // Without a position, another run would repeat what the caller has.
-        boolean resumable = forwarding.route.streaming() && result.lastEvent().isPresent();
-        boolean mayGoOn = forwarding.route.mayRunAgain() && (resumable || !result.outputPassedOn());
-        if (!mayGoOn || !retry(forwarding)) {
-            fail(forwarding, FailureReason.ENDPOINT_FAILED);
+        boolean resumable = inFlight.route.streaming() && result.lastEvent().isPresent();
+        boolean mayContinue = inFlight.route.allowsRerun() && (resumable || !result.outputPassedOn());
+        if (!mayContinue || !retry(inFlight)) {
+            fail(inFlight, FailureReason.ENDPOINT_FAILED);
         }
     }
 
-    void callerLeft(long exchange) {
-        Forwarding forwarding = open.get(exchange);
-        if (forwarding != null) {
-            turn.log(DecisionRecord.of("caller-left", "request", forwarding.request.id(), "sent", forwarding.sent));
-            cancel(forwarding);
-            close(forwarding);
+    void callerDisconnected(long exchange) {
+        InFlightRequest inFlight = requests.get(exchange);
+        if (inFlight != null) {
+            context.log(DecisionRecord.of("caller-left", "request", inFlight.request.id(), "sent", inFlight.sent));
+            cancel(inFlight);
+            close(inFlight);
         }
     }
 
-    private void cancel(Forwarding forwarding) {
-        if (forwarding.sent) {
-            forwarding.sent = false;
-            forwarding.endpoint.ifPresent(ledger::changed);
-            turn.emit(new ForwardingEffect.CancelAttempt(forwarding.request.exchange()));
+    private void cancel(InFlightRequest inFlight) {
+        if (inFlight.sent) {
+            inFlight.sent = false;
+            inFlight.endpoint.ifPresent(usage::update);
+            context.emit(new ForwardingEffect.CancelAttempt(inFlight.request.exchange()));
         }
     }
 
-    private void refuse(Forwarding forwarding, RefusalReason reason, double startMilliseconds) {
-        close(forwarding);
-        Optional<Duration> retryAfter = RetryTimes.after(
-                reason, startMilliseconds, forwarding.route.objective(), forwarding.request.fingerprint());
-        turn.log(DecisionRecord.important(
+    private void refuse(InFlightRequest inFlight, RefusalReason reason, double startMilliseconds) {
+        close(inFlight);
+        Optional<Duration> retryAfter = RetryAfterPolicy.retryAfter(
+                reason, startMilliseconds, inFlight.route.objective(), inFlight.request.fingerprint());
+        context.log(DecisionRecord.important(
                 "refused",
                 "request",
-                forwarding.request.id(),
+                inFlight.request.id(),
                 "reason",
                 reason,
                 "service",
-                forwarding.service.name(),
+                inFlight.service.name(),
                 "expected-start-ms",
                 (long) startMilliseconds,
                 "waited-ms",
-                turn.millisecondsSince(forwarding.arrivedAt),
+                context.millisecondsSince(inFlight.arrivedAt),
                 "attempts",
-                forwarding.attempts));
-        turn.emit(new ForwardingEffect.Refuse(forwarding.request.exchange(), reason, retryAfter));
+                inFlight.attempts));
+        context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
 
-    private void fail(Forwarding forwarding, FailureReason reason) {
-        close(forwarding);
-        turn.log(DecisionRecord.important(
+    private void fail(InFlightRequest inFlight, FailureReason reason) {
+        close(inFlight);
+        context.log(DecisionRecord.important(
                 "failed",
                 "request",
-                forwarding.request.id(),
+                inFlight.request.id(),
                 "reason",
                 reason,
                 "endpoint",
-                forwarding.endpoint.map(endpoint -> endpoint.id().value()).orElse(""),
+                inFlight.endpoint.map(endpoint -> endpoint.id().value()).orElse(""),
                 "attempts",
-                forwarding.attempts,
+                inFlight.attempts,
                 "after-ms",
-                turn.millisecondsSince(forwarding.arrivedAt)));
-        turn.emit(new ForwardingEffect.Fail(forwarding.request.exchange(), reason));
+                context.millisecondsSince(inFlight.arrivedAt)));
+        context.emit(new ForwardingEffect.Fail(inFlight.request.exchange(), reason));
     }
 
-    private void close(Forwarding forwarding) {
-        open.remove(forwarding.request.exchange());
-        forwarding.endpoint.ifPresent(ledger::changed);
+    private void close(InFlightRequest inFlight) {
+        requests.remove(inFlight.request.exchange());
+        inFlight.endpoint.ifPresent(usage::update);
     }
 
     void tick() {
-        checkWaiting();
-        for (Forwarding forwarding : List.copyOf(open.values())) {
-            if (!forwarding.sent) {
+        advanceWaiting();
+        for (InFlightRequest inFlight : List.copyOf(requests.values())) {
+            if (!inFlight.sent) {
                 continue;
             }
-            if (!turn.now().isBefore(forwarding.deadline)) {
-                cancel(forwarding);
-                fail(forwarding, FailureReason.TIMED_OUT);
-            } else if (!forwarding.firstOutput && isSilent(forwarding) && forwarding.route.mayRunAgain()) {
-                moveOn(forwarding);
+            if (!context.now().isBefore(inFlight.deadline)) {
+                cancel(inFlight);
+                fail(inFlight, FailureReason.TIMED_OUT);
+            } else if (!inFlight.firstOutput && isSilent(inFlight) && inFlight.route.allowsRerun()) {
+                retryElsewhere(inFlight);
             }
         }
     }
 
-    private boolean isSilent(Forwarding forwarding) {
-        long waited = turn.millisecondsSince(forwarding.sentAt);
-        return forwarding.route.streaming()
-                ? waited > Math.max(SHORTEST_SILENCE.toMillis(), SILENCE_MULTIPLE * forwarding.predictedMilliseconds)
-                : waited > SILENCE_SHARE * forwarding.route.objective().toMillis();
+    private boolean isSilent(InFlightRequest inFlight) {
+        long waited = context.millisecondsSince(inFlight.sentAt);
+        return inFlight.route.streaming()
+                ? waited
+                        > Math.max(
+                                MINIMUM_STREAM_SILENCE.toMillis(),
+                                SILENCE_PREDICTION_MULTIPLE * inFlight.predictedMilliseconds)
+                : waited > SILENCE_OBJECTIVE_SHARE * inFlight.route.objective().toMillis();
     }
 
-    private void moveOn(Forwarding forwarding) {
-        if (mayRunAgain(forwarding, forwarding.runs + 1)) {
-            turn.log(forwarding.silenceRecord(turn.now()));
-            forwarding.endpoint.ifPresent(endpoint -> endpoint.countOutcome(false, turn.now()));
-            cancel(forwarding);
-            forwarding.runs++;
-            forwarding.mayHaveRun = true;
-            plan(forwarding);
+    private void retryElsewhere(InFlightRequest inFlight) {
+        if (tryRerun(inFlight, inFlight.runs + 1)) {
+            context.log(inFlight.silenceRecord(context.now()));
+            inFlight.endpoint.ifPresent(endpoint -> endpoint.recordOutcome(false, context.now()));
+            cancel(inFlight);
+            inFlight.runs++;
+            inFlight.mayHaveRun = true;
+            selectEndpoint(inFlight);
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/SharedRetries.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryBudgets.java
@@ -7,12 +7,12 @@
 import org.banyanstair.routing.RetryBudget;
 
 /** The retries that this host may make for each service: its part of what all hosts share. */
-final class SharedRetries {
+final class RetryBudgets {
     private final ForwardingSettings settings;
     private final PeerTable peers;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
 
-    SharedRetries(ForwardingSettings settings, PeerTable peers) {
+    RetryBudgets(ForwardingSettings settings, PeerTable peers) {
         this.settings = settings;
         this.peers = peers;
     }
@@ -23,7 +23,7 @@
     }
 
     /** Takes a retry if one is left. */
-    boolean take(String service, Instant now) {
+    boolean tryRetry(String service, Instant now) {
         double slack = (double) settings.retrySlack() / (peers.size() + 1);
         return budget(service).tryAcquire(settings.retryShare(), slack, now);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
@@ -48,10 +48,10 @@
      */
     public String serviceFor(double point) {
         double total = targets.stream().mapToDouble(RouteTarget::weight).sum();
-        double rest = point * total;
+        double remaining = point * total;
         for (RouteTarget target : targets) {
-            rest -= target.weight();
-            if (rest < 0) {
+            remaining -= target.weight();
+            if (remaining < 0) {
                 return target.service();
             }
         }
@@ -59,7 +59,7 @@
     }
 
     /** Returns whether a request may run again after it may have run. */
-    boolean mayRunAgain() {
+    boolean allowsRerun() {
         return idempotent && !streaming || streaming && resumable;
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommander.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
@@ -24,9 +24,9 @@
  * under way at a time, each with the number of commands before it, so a command that arrives late is refused by the
  * runner.
  */
-final class AdapterCommander {
+final class RunnerController {
     /** Time after which a command without an answer counts as lost. */
-    private static final Duration ANSWER_LIMIT = Duration.ofMillis(700);
+    private static final Duration COMMAND_TIMEOUT = Duration.ofMillis(700);
 
     /** Pause before the runner is asked for its state again. */
     private static final Duration INSPECTION_PAUSE = Duration.ofMillis(400);
@@ -38,50 +38,50 @@
     private static final Duration REPORT_LAG = Duration.ofMillis(250);
 
     /** Time in which an adapter that waits for its last request before it is unloaded is not counted on. */
-    private static final Duration UNLOAD_LIMIT = Duration.ofSeconds(10);
+    private static final Duration UNLOAD_TIMEOUT = Duration.ofSeconds(10);
 
     /** Adapters whose use is remembered before the negligible ones are forgotten. */
-    private static final int DEMAND_ENTRIES = 1024;
+    private static final int MAXIMUM_DEMAND_ENTRIES = 1024;
 
     /** Use that is forgotten: that of one request seven half-lives ago. */
     private static final double NEGLIGIBLE_DEMAND = 0.01;
 
     /** Time in which the use of an adapter counts half. */
-    private static final double HALF_LIFE_MILLISECONDS = 6000;
+    private static final double DEMAND_HALF_LIFE_MILLISECONDS = 6000;
 
     private final EndpointState runner;
     private final int slots;
-    private final Map<AdapterName, WantedLoad> wanted = new HashMap<>();
+    private final Map<AdapterName, AdapterLoadRequest> pendingLoads = new HashMap<>();
     private final Map<AdapterName, Demand> demand = new HashMap<>();
     private OptionalLong sequence = OptionalLong.empty();
-    private Optional<AdapterCommand> underWay = Optional.empty();
-    private Instant answerBy = Instant.MAX;
-    private Instant inspectAt = Instant.MIN;
+    private Optional<AdapterCommand> pendingCommand = Optional.empty();
+    private Instant commandTimeoutAt = Instant.MAX;
+    private Instant nextInspectionAt = Instant.MIN;
     private boolean inspecting;
-    private boolean doubtful;
+    private boolean stateUncertain;
     private boolean changed = true;
 
     private record Demand(double value, Instant at) {
         double at(Instant now) {
-            return value * Math.pow(0.5, Duration.between(at, now).toMillis() / HALF_LIFE_MILLISECONDS);
+            return value * Math.pow(0.5, Duration.between(at, now).toMillis() / DEMAND_HALF_LIFE_MILLISECONDS);
         }
     }
 
-    AdapterCommander(EndpointState runner, int slots) {
+    RunnerController(EndpointState runner, int slots) {
         this.runner = runner;
         this.slots = slots;
     }
 
     /** Asks for an adapter. */
-    void want(WantedLoad load) {
-        changed |= !wanted.containsKey(load.adapter());
-        wanted.merge(load.adapter(), load, WantedLoad::and);
-        runner.setWaitingLoads(wanted.keySet());
+    void requestLoad(AdapterLoadRequest load) {
+        changed |= !pendingLoads.containsKey(load.adapter());
+        pendingLoads.merge(load.adapter(), load, AdapterLoadRequest::merge);
+        runner.setPendingLoads(pendingLoads.keySet());
     }
 
     /** Counts requests for an adapter. */
-    void countUse(AdapterName adapter, Instant now) {
-        if (demand.size() >= DEMAND_ENTRIES) {
+    void recordUse(AdapterName adapter, Instant now) {
+        if (demand.size() >= MAXIMUM_DEMAND_ENTRIES) {
             demand.values().removeIf(known -> known.at(now) < NEGLIGIBLE_DEMAND);
         }
         demand.merge(adapter, new Demand(1, now), (known, one) -> new Demand(known.at(now) + 1, now));
@@ -90,61 +90,61 @@
     /** The runner's process is a new one, or this host has just taken command. */
     void reset() {
         sequence = OptionalLong.empty();
-        underWay = Optional.empty();
+        pendingCommand = Optional.empty();
         inspecting = false;
-        doubtful = false;
-        inspectAt = Instant.MIN;
+        stateUncertain = false;
+        nextInspectionAt = Instant.MIN;
         changed = true;
     }
 
     void inspected(Optional<RunnerState> answer, Instant now) {
         inspecting = false;
-        inspectAt = now.plus(answer.isEmpty() ? FAILED_INSPECTION_PAUSE : INSPECTION_PAUSE);
+        nextInspectionAt = now.plus(answer.isEmpty() ? FAILED_INSPECTION_PAUSE : INSPECTION_PAUSE);
         if (answer.isEmpty()) {
             return;
         }
-        doubtful = false;
+        stateUncertain = false;
         RunnerState state = answer.get();
         sequence = state.busy() ? OptionalLong.empty() : OptionalLong.of(state.commandSequence());
         runner.setBaseModels(state.baseModels());
-        Map<AdapterName, AdapterPlace> known = runner.adapters();
-        Map<AdapterName, AdapterPlace> told = new HashMap<>();
+        Map<AdapterName, AdapterSlot> known = runner.adapters();
+        Map<AdapterName, AdapterSlot> reported = new HashMap<>();
         state.loading().forEach(loading -> {
-            AdapterPlace before = known.get(loading.name());
+            AdapterSlot before = known.get(loading.name());
             Instant readyAt = before != null && before.version() == loading.version() && !before.isReady(now)
                     ? before.readyAt()
-                    : now.plus(ServiceTimes.ADAPTER_LOAD);
-            told.put(loading.name(), new AdapterPlace(loading.version(), readyAt));
+                    : now.plus(RunnerTimings.ADAPTER_LOAD);
+            reported.put(loading.name(), new AdapterSlot(loading.version(), readyAt));
         });
         state.loaded()
-                .forEach(loaded -> told.putIfAbsent(loaded.name(), new AdapterPlace(loaded.version(), Instant.MIN)));
-        runner.replaceAdapters(told);
+                .forEach(loaded -> reported.putIfAbsent(loaded.name(), new AdapterSlot(loaded.version(), Instant.MIN)));
+        runner.replaceAdapters(reported);
         changed = true;
     }
 
     /** Takes the answer to a command; returns whether the state of the runner is known. */
-    void answered(
+    void commandAnswered(
             AdapterCommand command,
             CommandResult result,
             ToLongFunction<AdapterName> newestVersion,
-            double loadsWaiting,
+            double weightStoreUtilization,
             Instant now) {
-        if (underWay.isEmpty() || !underWay.get().equals(command)) {
+        if (pendingCommand.isEmpty() || !pendingCommand.get().equals(command)) {
             return;
         }
-        underWay = Optional.empty();
+        pendingCommand = Optional.empty();
         Optional<AdapterName> adapter = command.adapterName();
         if (adapter.isEmpty()) {
             // The runner is busy for seconds now, or holds the model already; its state tells.
             sequence = OptionalLong.empty();
-            inspectAt = now.plus(INSPECTION_PAUSE);
+            nextInspectionAt = now.plus(INSPECTION_PAUSE);
         } else if (result == CommandResult.ACCEPTED && command.load()) {
             sequence = OptionalLong.of(command.expectedSequence() + 1);
             long version = command.version().orElseGet(() -> newestVersion.applyAsLong(adapter.get()));
             Duration time = runner.loadTime(adapter.get(), version);
-            Instant readyAt = now.plusMillis((long) (time.toMillis() * Math.max(1, loadsWaiting)));
-            runner.adapters().put(adapter.get(), new AdapterPlace(version, readyAt));
-            wanted.remove(adapter.get());
+            Instant readyAt = now.plusMillis((long) (time.toMillis() * Math.max(1, weightStoreUtilization)));
+            runner.adapters().put(adapter.get(), new AdapterSlot(version, readyAt));
+            pendingLoads.remove(adapter.get());
             changed = true;
         } else if (result == CommandResult.DONE && !command.load()) {
             sequence = OptionalLong.of(command.expectedSequence() + 1);
@@ -153,11 +153,11 @@
         } else {
             if (result == CommandResult.ACCEPTED) {
                 // The unload waits for a request that came meanwhile; the place is taken until the runner says so.
-                runner.adapters().put(adapter.get(), AdapterPlace.leaving(now.plus(UNLOAD_LIMIT)));
+                runner.adapters().put(adapter.get(), AdapterSlot.unloading(now.plus(UNLOAD_TIMEOUT)));
                 changed = true;
             }
             sequence = OptionalLong.empty();
-            inspectAt = now.plus(REPORT_LAG);
+            nextInspectionAt = now.plus(REPORT_LAG);
         }
     }
 
@@ -165,52 +165,52 @@
      * A request found that the runner lacks an adapter which it should have. Its place stays taken until the runner
      * says otherwise, since the load may only be slow.
      */
-    void missing(AdapterName adapter, Instant now) {
-        if (runner.noteLate(adapter, now)) {
-            doubtful = true;
-            inspectAt = now;
+    void adapterMissing(AdapterName adapter, Instant now) {
+        if (runner.markLoadLate(adapter, now)) {
+            stateUncertain = true;
+            nextInspectionAt = now;
             changed = true;
         }
     }
 
-    int loading(Instant now) {
+    int loadingCount(Instant now) {
         int count = 0;
-        for (AdapterPlace place : runner.adapters().values()) {
-            count += place.isLoading(now) ? 1 : 0;
+        for (AdapterSlot slot : runner.adapters().values()) {
+            count += slot.isLoading(now) ? 1 : 0;
         }
         return count;
     }
 
     /** Returns whether this host knows enough of the runner to command it. */
     boolean isReady() {
-        return sequence.isPresent() || underWay.isPresent();
+        return sequence.isPresent() || pendingCommand.isPresent();
     }
 
     /**
      * Goes on with what is wanted.
      *
      * @param capacity what the runner can hold
-     * @param fence fence of this host's claim
+     * @param fencingToken fence of this host's claim
      * @param newestVersion newest version of an adapter
      * @param mayLoad whether another load may start, over all runners
      * @param now present instant
      * @return what to do
      */
-    List<ForwardingEffect> step(
+    List<ForwardingEffect> reconcile(
             EngineCapacity capacity,
-            long fence,
+            long fencingToken,
             ToLongFunction<AdapterName> newestVersion,
             boolean mayLoad,
             Instant now) {
-        if (underWay.isPresent() && !now.isBefore(answerBy)) {
-            underWay = Optional.empty();
+        if (pendingCommand.isPresent() && !now.isBefore(commandTimeoutAt)) {
+            pendingCommand = Optional.empty();
             sequence = OptionalLong.empty();
         }
-        if (underWay.isPresent()) {
+        if (pendingCommand.isPresent()) {
             return List.of();
         }
-        if (sequence.isEmpty() || doubtful) {
-            if (inspecting || now.isBefore(inspectAt)) {
+        if (sequence.isEmpty() || stateUncertain) {
+            if (inspecting || now.isBefore(nextInspectionAt)) {
                 return List.of();
             }
             inspecting = true;
@@ -219,31 +219,33 @@
         }
         Optional<BaseModel> model = missingModel(capacity);
         if (model.isPresent()) {
-            return loadModel(model.get(), fence, now);
+            return loadModel(model.get(), fencingToken, now);
         }
-        wanted.values().removeIf(load -> now.isAfter(load.until()));
-        wanted.keySet().removeIf(adapter -> isCurrent(adapter, newestVersion));
-        runner.setWaitingLoads(wanted.keySet());
-        Optional<AdapterName> next = wanted.values().stream().min(urgency(now)).map(WantedLoad::adapter);
-        if (next.isEmpty() || !mayLoad || loading(now) >= ServiceTimes.LOADS_PER_RUNNER) {
+        pendingLoads.values().removeIf(load -> now.isAfter(load.expiresAt()));
+        pendingLoads.keySet().removeIf(adapter -> isCurrent(adapter, newestVersion));
+        runner.setPendingLoads(pendingLoads.keySet());
+        Optional<AdapterName> next =
+                pendingLoads.values().stream().min(urgencyOrder(now)).map(AdapterLoadRequest::adapter);
+        if (next.isEmpty() || !mayLoad || loadingCount(now) >= RunnerTimings.LOADS_PER_RUNNER) {
             return List.of();
         }
         if (runner.adapters().containsKey(next.get()) || runner.adapters().size() < slots) {
-            return command(true, next.get(), newestVersion, fence, now);
+            return command(true, next.get(), newestVersion, fencingToken, now);
         }
-        return victim(now)
-                .map(adapter -> command(false, adapter, newestVersion, fence, now))
+        return evictionCandidate(now)
+                .map(adapter -> command(false, adapter, newestVersion, fencingToken, now))
                 .orElse(List.of());
     }
 
     /** Orders what can still be on time first, by when it is due; what is late anyway waits for a quiet moment. */
-    static Comparator<WantedLoad> urgency(Instant now) {
-        return Comparator.comparing((WantedLoad load) -> !load.canBeOnTime(now)).thenComparing(WantedLoad::dueAt);
+    static Comparator<AdapterLoadRequest> urgencyOrder(Instant now) {
+        return Comparator.comparing((AdapterLoadRequest load) -> !load.canBeOnTime(now))
+                .thenComparing(AdapterLoadRequest::dueAt);
     }
 
     private boolean isCurrent(AdapterName adapter, ToLongFunction<AdapterName> newestVersion) {
-        AdapterPlace place = runner.adapters().get(adapter);
-        return place != null && place.version() >= newestVersion.applyAsLong(adapter);
+        AdapterSlot slot = runner.adapters().get(adapter);
+        return slot != null && slot.version() >= newestVersion.applyAsLong(adapter);
     }
 
     /** Returns the base model to load: a runner that starts again holds none. */
@@ -256,7 +258,7 @@
                 .findFirst();
     }
 
-    private List<ForwardingEffect> loadModel(BaseModel model, long fence, Instant now) {
+    private List<ForwardingEffect> loadModel(BaseModel model, long fencingToken, Instant now) {
         AdapterCommand command = new AdapterCommand(
                 runner.id(),
                 runner.listing().address(),
@@ -265,14 +267,18 @@
                 Optional.empty(),
                 OptionalLong.empty(),
                 sequence.getAsLong(),
-                fence);
-        underWay = Optional.of(command);
-        answerBy = now.plus(ANSWER_LIMIT);
+                fencingToken);
+        pendingCommand = Optional.of(command);
+        commandTimeoutAt = now.plus(COMMAND_TIMEOUT);
         return List.of(new ForwardingEffect.Command(command));
     }
 
     private List<ForwardingEffect> command(
-            boolean load, AdapterName adapter, ToLongFunction<AdapterName> newestVersion, long fence, Instant now) {
+            boolean load,
+            AdapterName adapter,
+            ToLongFunction<AdapterName> newestVersion,
+            long fencingToken,
+            Instant now) {
         long version = newestVersion.applyAsLong(adapter);
         AdapterCommand command = new AdapterCommand(
                 runner.id(),
@@ -282,17 +288,17 @@
                 Optional.of(adapter.adapter()),
                 load && version > 0 ? OptionalLong.of(version) : OptionalLong.empty(),
                 sequence.getAsLong(),
-                fence);
-        underWay = Optional.of(command);
-        answerBy = now.plus(ANSWER_LIMIT);
+                fencingToken);
+        pendingCommand = Optional.of(command);
+        commandTimeoutAt = now.plus(COMMAND_TIMEOUT);
         return List.of(new ForwardingEffect.Command(command));
     }
 
     /** Returns the adapter that has been asked for least lately among those that no request needs. */
-    private Optional<AdapterName> victim(Instant now) {
+    private Optional<AdapterName> evictionCandidate(Instant now) {
         return runner.adapters().entrySet().stream()
-                .filter(entry -> entry.getValue().isSettled(now)
-                        && !wanted.containsKey(entry.getKey())
+                .filter(entry -> entry.getValue().isPastFirstUse(now)
+                        && !pendingLoads.containsKey(entry.getKey())
                         && !runner.isUsed(entry.getKey()))
                 .map(Map.Entry::getKey)
                 .min(Comparator.comparingDouble(adapter ->
@@ -300,27 +306,27 @@
     }
 
     /** Returns whether peers have something to hear that has changed since the last call. */
-    boolean takeChange() {
+    boolean takeChanged() {
         boolean result = changed;
         changed = false;
         return result;
     }
 
-    PeerMessage message(NewsOrder order, Instant now) {
+    PeerMessage stateMessage(NewsOrder order, Instant now) {
         List<HeldAdapter> adapters = new ArrayList<>();
         runner.adapters()
-                .forEach((name, place) -> adapters.add(new HeldAdapter(
+                .forEach((name, slot) -> adapters.add(new HeldAdapter(
                         name,
-                        place.version(),
-                        place.isReady(now)
+                        slot.version(),
+                        slot.isReady(now)
                                 ? 0
-                                : Duration.between(now, place.readyAt()).toMillis())));
+                                : Duration.between(now, slot.readyAt()).toMillis())));
         return new PeerMessage.HeldRunner(
                 runner.id(),
                 runner.listing().started(),
                 order,
                 runner.baseModels(),
                 adapters,
-                List.copyOf(wanted.keySet()));
+                List.copyOf(pendingLoads.keySet()));
     }
 }
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerManager.java
@@ -0,0 +1,331 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.TreeMap;
+
+import org.banyanstair.external.Topic;
+import org.banyanstair.model.AdapterName;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.HeldAdapter;
+import org.banyanstair.peer.NewsOrder;
+import org.banyanstair.peer.PeerMessage;
+
+/** The runners that this host commands, and what the commanders of the others say of them. */
+final class RunnerManager {
+    /** Time after its expected end in which a missing adapter means that its load is late. */
+    private static final Duration LATE_LOAD_LIMIT = Duration.ofMillis(200);
+
+    /** Time between two messages on a runner without change, for peers that missed one or are new. */
+    private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(3);
+
+    /** Time after its last question in which a host hears of a runner's changes at once; a load and some more. */
+    private static final Duration REQUESTER_RETENTION = Duration.ofMillis(600);
+
+    private final EventContext context;
+    private final HostIdentity self;
+    private final PlatformView view;
+    private final PeerTable peers;
+    private final PeerMessenger messenger;
+    private final LeaseManager leases;
+    private final Map<EndpointId, RunnerController> controllers = new TreeMap<>();
+    private final LoadDelayEstimator loadDelayEstimator = new LoadDelayEstimator();
+    private final Map<EndpointId, NewsOrder> newestOrders = new TreeMap<>();
+    private final Map<EndpointId, Map<HostId, Instant>> loadRequesters = new HashMap<>();
+    private Instant nextRepeatAt = Instant.MIN;
+
+    RunnerManager(
+            EventContext context,
+            HostIdentity self,
+            PlatformView view,
+            PeerTable peers,
+            PeerMessenger messenger,
+            LeaseManager leases) {
+        this.context = context;
+        this.self = self;
+        this.view = view;
+        this.peers = peers;
+        this.messenger = messenger;
+        this.leases = leases;
+    }
+
+    void tick(boolean stopping) {
+        leases.tick(view.runners(), peers, view.consumer(Topic.CLAIMS), stopping, context.now())
+                .ifPresent(context::emit);
+        for (EndpointId id : leases.claimedRunners()) {
+            Optional<EndpointState> runner = view.endpoint(id);
+            Optional<Long> fencingToken = leases.fencingToken(id, context.now());
+            if (fencingToken.isEmpty() || stopping || runner.isEmpty()) {
+                if (controllers.remove(id) != null) {
+                    context.log(DecisionRecord.important("command-suspended", "endpoint", id, "stopping", stopping));
+                }
+            } else {
+                reconcile(runner.get(), fencingToken.get());
+            }
+        }
+        controllers.keySet().removeIf(id -> leases.fencingToken(id, context.now())
+                .isEmpty());
+        if (!context.now().isBefore(nextRepeatAt)) {
+            nextRepeatAt = context.now().plus(REPEAT_INTERVAL);
+            controllers.keySet().forEach(id -> messenger.broadcast(stateMessage(id)));
+        }
+    }
+
+    private void reconcile(EndpointState runner, long fencingToken) {
+        if (!runner.acceptsRequests(context.now())) {
+            return;
+        }
+        Optional<EngineCapacity> capacity = view.capacityOf(runner);
+        if (capacity.isEmpty()) {
+            return;
+        }
+        RunnerController controller = controllers.get(runner.id());
+        if (controller == null) {
+            controller = new RunnerController(runner, capacity.get().adapterSlots());
+            controllers.put(runner.id(), controller);
+            context.log(DecisionRecord.important("command-taken", "endpoint", runner.id(), "fence", fencingToken));
+        }
+        runner.setLeaseHolder(self.host());
+        NewsOrder known = newestOrders.get(runner.id());
+        if (known == null || known.fence() != fencingToken || known.incarnation() != self.incarnation()) {
+            newestOrders.put(runner.id(), new NewsOrder(fencingToken, self.incarnation(), 0));
+        }
+        boolean mayLoad =
+                loadsInTransit() < RunnerTimings.loadsInTransit(view.runners().size());
+        context.emit(controller.reconcile(capacity.get(), fencingToken, view::newestVersion, mayLoad, context.now()));
+        if (controller.takeChanged()) {
+            publish(runner.id(), stateMessage(runner.id()));
+        }
+    }
+
+    private PeerMessage stateMessage(EndpointId runner) {
+        NewsOrder order = newestOrders.computeIfPresent(
+                runner, (id, last) -> new NewsOrder(last.fence(), last.incarnation(), last.sequence() + 1));
+        return controllers.get(runner).stateMessage(order, context.now());
+    }
+
+    /** Tells all hosts of a runner; those that wait for a load there hear it at once in a large deployment, too. */
+    private void publish(EndpointId runner, PeerMessage news) {
+        messenger.broadcast(news);
+        Map<HostId, Instant> requesters = loadRequesters.get(runner);
+        if (requesters != null) {
+            requesters.values().removeIf(until -> !context.now().isBefore(until));
+            requesters.keySet().forEach(host -> messenger.send(host, news));
+        }
+    }
+
+    /** Sends all that this host knows of its runners to a peer that has just come. */
+    void sendRunnerStates(HostId peer) {
+        controllers.keySet().forEach(id -> context.emit(new ForwardingEffect.SendToPeer(peer, stateMessage(id))));
+    }
+
+    /** Returns the adapters that are on their way to any runner. */
+    private int loadsInTransit() {
+        int count = 0;
+        for (EndpointState runner : view.runners()) {
+            for (AdapterSlot slot : runner.adapters().values()) {
+                count += slot.isLoading(context.now()) ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the loads on their way as a multiple of what the store carries without delay. */
+    double weightStoreUtilization() {
+        return (double) (loadsInTransit() + 1)
+                / RunnerTimings.loadsInTransit(view.runners().size());
+    }
+
+    /** Returns the milliseconds until a load can start on a runner; empty if nobody commands it now. */
+    OptionalDouble loadDelay(EndpointState runner) {
+        RunnerController controller = controllers.get(runner.id());
+        boolean commanded = controller != null
+                ? controller.isReady()
+                : runner.leaseHolder()
+                        .filter(host -> !host.equals(self.host()) && peers.isLive(host, context.now()))
+                        .isPresent();
+        Optional<EngineCapacity> capacity = view.capacityOf(runner);
+        if (!commanded || capacity.isEmpty() || capacity.get().adapterSlots() == 0) {
+            return OptionalDouble.empty();
+        }
+        int slots = capacity.get().adapterSlots();
+        int missingSlots = 1 - runner.availableSlots(slots, context.now());
+        return OptionalDouble.of(missingSlots <= 0 ? 0 : missingSlots * runner.runMilliseconds() / slots);
+    }
+
+    /** Asks for an adapter on a runner; the news of its load comes as a change of the runner's adapters. */
+    void requestLoad(EndpointState runner, AdapterLoadRequest load) {
+        RunnerController controller = controllers.get(runner.id());
+        if (controller != null) {
+            controller.requestLoad(load);
+            leases.fencingToken(runner.id(), context.now()).ifPresent(fencingToken -> reconcile(runner, fencingToken));
+        } else {
+            long due = Duration.between(context.now(), load.dueAt()).toMillis();
+            long remaining = Duration.between(context.now(), load.expiresAt()).toMillis();
+            runner.leaseHolder()
+                    .ifPresent(host -> messenger.send(
+                            host, new PeerMessage.AdapterWanted(runner.id(), load.adapter(), due, remaining)));
+        }
+    }
+
+    void loadRequested(HostId sender, PeerMessage.AdapterWanted message) {
+        RunnerController controller = controllers.get(message.endpoint());
+        Optional<EndpointState> runner = view.endpoint(message.endpoint());
+        if (controller != null && runner.isPresent()) {
+            if (peers.isLargeDeployment()) {
+                loadRequesters
+                        .computeIfAbsent(message.endpoint(), id -> new HashMap<>())
+                        .put(sender, context.now().plus(REQUESTER_RETENTION));
+            }
+            requestLoad(
+                    runner.get(),
+                    new AdapterLoadRequest(
+                            message.adapter(),
+                            context.now().plusMillis(message.dueInMilliseconds()),
+                            context.now().plusMillis(message.remainingMilliseconds())));
+            if (peers.isLargeDeployment()) {
+                messenger.send(sender, stateMessage(message.endpoint()));
+            }
+        }
+    }
+
+    int commandedRunners() {
+        return controllers.size();
+    }
+
+    void recordUse(EndpointState runner, AdapterName adapter) {
+        RunnerController controller = controllers.get(runner.id());
+        if (controller != null) {
+            controller.recordUse(adapter, context.now());
+        }
+    }
+
+    /** A request found that a runner lacks an adapter. */
+    void adapterMissing(EndpointState runner, AdapterName adapter) {
+        RunnerController controller = controllers.get(runner.id());
+        context.log(DecisionRecord.important(
+                "adapter-missing", "endpoint", runner.id(), "adapter", adapter, "commander", controller != null));
+        if (controller != null) {
+            controller.adapterMissing(adapter, context.now());
+        } else {
+            if (runner.becameReadyWithin(adapter, LATE_LOAD_LIMIT, context.now())) {
+                loadDelayEstimator.recordLateLoad(context.now());
+            }
+            runner.markLoadLate(adapter, context.now());
+        }
+    }
+
+    void runnerStateReceived(HostId sender, PeerMessage.HeldRunner message) {
+        Optional<EndpointState> known = view.endpoint(message.endpoint());
+        if (known.isEmpty()
+                || controllers.containsKey(message.endpoint())
+                || known.get().listing().started() != message.started()) {
+            return;
+        }
+        EndpointState runner = known.get();
+        NewsOrder last = newestOrders.get(runner.id());
+        if (last != null && last.compareTo(message.order()) >= 0) {
+            context.log(DecisionRecord.of(
+                    "runner-news-ignored",
+                    "endpoint",
+                    runner.id(),
+                    "sender",
+                    sender,
+                    "order",
+                    message.order(),
+                    "newest",
+                    last));
+            return;
+        }
+        newestOrders.put(runner.id(), message.order());
+        runner.setLeaseHolder(sender);
+        Map<AdapterName, AdapterSlot> held = new HashMap<>();
+        for (HeldAdapter adapter : message.adapters()) {
+            Instant readyAt = adapter.readyInMilliseconds() == 0
+                    ? Instant.MIN
+                    : context.now()
+                            .plusMillis(adapter.readyInMilliseconds())
+                            .plus(loadDelayEstimator.margin(context.now()));
+            held.put(adapter.name(), new AdapterSlot(adapter.version(), readyAt));
+        }
+        runner.replaceAdapters(held);
+        runner.setBaseModels(message.baseModels());
+        runner.setPendingLoads(message.waitingLoads());
+    }
+
+    void commandAnswered(AdapterCommand command, CommandResult result) {
+        context.log(DecisionRecord.important(
+                "command",
+                "endpoint",
+                command.endpoint(),
+                "load",
+                command.load(),
+                "model",
+                command.baseModel(),
+                "adapter",
+                command.adapter().orElse(""),
+                "sequence",
+                command.expectedSequence(),
+                "fence",
+                command.fencingToken(),
+                "result",
+                result));
+        RunnerController controller = controllers.get(command.endpoint());
+        if (controller != null) {
+            controller.commandAnswered(command, result, view::newestVersion, weightStoreUtilization(), context.now());
+            reconcileNow(command.endpoint());
+        }
+    }
+
+    void inspected(EndpointId id, Optional<RunnerState> state) {
+        RunnerController controller = controllers.get(id);
+        if (controller != null) {
+            controller.inspected(state, context.now());
+            context.log(DecisionRecord.important(
+                    "runner-inspected",
+                    "endpoint",
+                    id,
+                    "answered",
+                    state.isPresent(),
+                    "sequence",
+                    state.map(RunnerState::commandSequence).orElse(-1L),
+                    "loaded",
+                    state.map(RunnerState::loaded).orElse(List.of()),
+                    "loading",
+                    state.map(RunnerState::loading).orElse(List.of())));
+            reconcileNow(id);
+        }
+    }
+
+    private void reconcileNow(EndpointId id) {
+        Optional<EndpointState> runner = view.endpoint(id);
+        Optional<Long> fencingToken = leases.fencingToken(id, context.now());
+        if (runner.isPresent() && fencingToken.isPresent()) {
+            reconcile(runner.get(), fencingToken.get());
+        }
+    }
+
+    void runnerRestarted(EndpointState runner) {
+        RunnerController controller = controllers.get(runner.id());
+        if (controller != null) {
+            controller.reset();
+        }
+    }
+
+    /** Replaces an adapter that a runner of this host holds and that has been used lately. */
+    void versionPublished(AdapterName adapter, Duration term) {
+        controllers.forEach((id, controller) -> view.endpoint(id)
+                .filter(runner -> runner.adapters().containsKey(adapter))
+                .ifPresent(runner -> controller.requestLoad(new AdapterLoadRequest(
+                        adapter,
+                        context.now().plus(term.dividedBy(2)),
+                        context.now().plus(term)))));
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ChoiceQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/SelectionQuery.java
@@ -18,9 +18,9 @@
  * @param loadDelay milliseconds until a load can start on a runner; empty if none can
  * @param neededVersion lowest version of the adapter that may be used
  * @param newestVersion version of the adapter that a load brings
- * @param loadsWaiting loads on their way over all runners, as a multiple of what the store carries without delay
+ * @param weightStoreUtilization loads on their way over all runners, as a multiple of what the store carries without delay
  */
-record ChoiceQuery(
+record SelectionQuery(
         ForwardRequest request,
         long[] prefixes,
         Route route,
@@ -29,4 +29,4 @@
         Function<EndpointState, OptionalDouble> loadDelay,
         long neededVersion,
         long newestVersion,
-        double loadsWaiting) {}
+        double weightStoreUtilization) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicFollower.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -15,32 +15,32 @@
  *
  * <p>Never goes back: a record with a lower offset than the one known for its key is ignored.
  */
-final class TopicFollower {
+final class TopicConsumer {
     /** Pause after a failed read. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
 
     /** Time between reads above which a host only makes sure that it hears all from the one that reads for it. */
-    private static final Duration POLLING_GAP = Duration.ofSeconds(2);
+    private static final Duration POLLING_INTERVAL_THRESHOLD = Duration.ofSeconds(2);
 
     /** Pause after a failed read of such a host. */
     private static final Duration POLLING_RETRY_PAUSE = Duration.ofSeconds(1);
 
     /** Time without news from the host that reads for all after which a host reads itself. */
-    private static final Duration RELAY_PATIENCE = Duration.ofMillis(1100);
+    private static final Duration RELAY_TIMEOUT = Duration.ofMillis(1100);
 
     /** Longest time between two lost reads and the end of the outage that counts as its aftermath. */
-    private static final Duration AFTERMATH = Duration.ofSeconds(3);
+    private static final Duration RECOVERY_PERIOD = Duration.ofSeconds(3);
 
     private final Topic topic;
-    private Duration wait;
-    private Duration gap;
-    private boolean readsForAll;
+    private Duration readWait;
+    private Duration readInterval;
+    private boolean readsForPeers;
     private final Map<String, TopicRecord> newest = new TreeMap<>();
     private long end = -1;
     private Instant readStartedAt = Instant.MIN;
     private boolean reading;
     private boolean needSnapshot = true;
-    private boolean atOnce;
+    private boolean readImmediately;
     private Instant nextReadAt = Instant.MIN;
     private Optional<Instant> unavailableSince = Optional.empty();
     private Instant recoveredAt = Instant.MIN;
@@ -49,24 +49,24 @@
      * Creates a follower.
      *
      * @param topic the topic
-     * @param wait how long a read waits for a record
-     * @param gap time between the end of a read and the next, to gather records
+     * @param readWait how long a read waits for a record
+     * @param readInterval time between the end of a read and the next, to gather records
      */
-    TopicFollower(Topic topic, Duration wait, Duration gap) {
+    TopicConsumer(Topic topic, Duration readWait, Duration readInterval) {
         this.topic = topic;
-        this.wait = wait;
-        this.gap = gap;
+        this.readWait = readWait;
+        this.readInterval = readInterval;
     }
 
     /** Changes how long the next reads wait for a record, the time between two reads, and whether peers rely on them. */
-    void setPace(Duration newWait, Duration newGap, boolean forAll, Instant now) {
-        boolean readsMore = newGap.compareTo(gap) < 0 || forAll && !readsForAll;
-        if (readsMore && now.plus(newGap).isBefore(nextReadAt)) {
-            nextReadAt = now.plus(newGap);
+    void setReadSchedule(Duration newReadWait, Duration newReadInterval, boolean forPeers, Instant now) {
+        boolean readsSooner = newReadInterval.compareTo(readInterval) < 0 || forPeers && !readsForPeers;
+        if (readsSooner && now.plus(newReadInterval).isBefore(nextReadAt)) {
+            nextReadAt = now.plus(newReadInterval);
         }
-        wait = newWait;
-        gap = newGap;
-        readsForAll = forAll;
+        readWait = newReadWait;
+        readInterval = newReadInterval;
+        readsForPeers = forPeers;
     }
 
     Topic topic() {
@@ -77,7 +77,7 @@
         return end;
     }
 
-    boolean isKnown() {
+    boolean hasBeenRead() {
         return end >= 0;
     }
 
@@ -87,20 +87,20 @@
     }
 
     /** Reads again at once, beside a read that may be under way; what was read before has no known age any more. */
-    void readAgain(Instant now) {
+    void restartRead(Instant now) {
         readStartedAt = Instant.MIN;
         reading = false;
-        atOnce = true;
+        readImmediately = true;
         nextReadAt = now;
     }
 
     boolean isAvailable() {
-        return unavailableSince.isEmpty() && isKnown();
+        return unavailableSince.isEmpty() && hasBeenRead();
     }
 
     /** Returns whether entries may be missing only because their writers could not reach the platform. */
     boolean isRecovering(Instant now) {
-        return unavailableSince.isPresent() || now.isBefore(recoveredAt.plus(AFTERMATH));
+        return unavailableSince.isPresent() || now.isBefore(recoveredAt.plus(RECOVERY_PERIOD));
     }
 
     /** Returns how long ago the outage ended after which entries may still be missing; zero while it lasts. */
@@ -125,14 +125,14 @@
         return List.of(
                 needSnapshot
                         ? new ForwardingEffect.ReadNewest(topic)
-                        : new ForwardingEffect.ReadFrom(topic, end, atOnce ? now : now.plus(wait)));
+                        : new ForwardingEffect.ReadFrom(topic, end, readImmediately ? now : now.plus(readWait)));
     }
 
     /** Takes what a read returned; returns the records that are news. */
-    List<TopicRecord> read(ForwardingEvent.TopicRead event, Instant now) {
+    List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Instant now) {
         reading = false;
-        atOnce = false;
-        nextReadAt = now.plus(gap);
+        readImmediately = false;
+        nextReadAt = now.plus(readInterval);
         readStartedAt = event.startedAt().isAfter(readStartedAt) ? event.startedAt() : readStartedAt;
         if (unavailableSince.isPresent()) {
             recoveredAt = now;
@@ -155,7 +155,7 @@
                 news.add(removed);
             }
         }
-        news.addAll(take(event.records()));
+        news.addAll(apply(event.records()));
         end = Math.max(end, event.end());
         return news;
     }
@@ -165,22 +165,22 @@
      * peers rely on it.
      *
      * @param offset the records are all that the topic has from here on; if some before are unknown, none are taken
-     * @param endOfPeer end of the peer's read
+     * @param peerEnd end of the peer's read
      */
-    List<TopicRecord> relayed(long offset, List<TopicRecord> records, long endOfPeer, Instant now) {
+    List<TopicRecord> applyRelayed(long offset, List<TopicRecord> records, long peerEnd, Instant now) {
         if (offset > Math.max(0, end)) {
             return List.of();
         }
-        Instant ownReadAt = now.plus(gap.compareTo(RELAY_PATIENCE) > 0 ? gap : RELAY_PATIENCE);
-        if (!readsForAll && endOfPeer > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
+        Instant ownReadAt = now.plus(readInterval.compareTo(RELAY_TIMEOUT) > 0 ? readInterval : RELAY_TIMEOUT);
+        if (!readsForPeers && peerEnd > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
             nextReadAt = ownReadAt;
         }
-        List<TopicRecord> news = take(records);
-        end = Math.max(end, endOfPeer);
+        List<TopicRecord> news = apply(records);
+        end = Math.max(end, peerEnd);
         return news;
     }
 
-    private List<TopicRecord> take(List<TopicRecord> records) {
+    private List<TopicRecord> apply(List<TopicRecord> records) {
         List<TopicRecord> news = new ArrayList<>();
         for (TopicRecord entry : records) {
             TopicRecord known = newest.get(entry.key());
@@ -193,14 +193,14 @@
     }
 
     /** A peer lost the log and found it again; a host that reads the topic itself notices outages by its own reads. */
-    void noteOutage(Instant endedAt) {
+    void recordRelayedOutage(Instant endedAt) {
         if (reliesOnPeers() && endedAt.isAfter(recoveredAt)) {
             recoveredAt = endedAt;
         }
     }
 
     private boolean reliesOnPeers() {
-        return gap.compareTo(POLLING_GAP) > 0;
+        return readInterval.compareTo(POLLING_INTERVAL_THRESHOLD) > 0;
     }
 
     void expired(Instant now) {
@@ -212,7 +212,7 @@
     void unavailable(Instant now) {
         reading = false;
         // The first read after a failure must not wait for news before it shows that the log answers again.
-        atOnce = true;
+        readImmediately = true;
         nextReadAt = now.plus(reliesOnPeers() ? POLLING_RETRY_PAUSE : RETRY_PAUSE);
         if (unavailableSince.isEmpty()) {
             unavailableSince = Optional.of(now);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UseLedger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
@@ -16,16 +16,16 @@
 import org.banyanstair.peer.PeerMessage;
 
 /** What the requests of all hosts use at the endpoints; those of this host are reported to its peers. */
-final class UseLedger {
+final class UsageTracker {
     /** Time between two reports of all that is used; a missed end of a request counts no longer than that. */
     private static final Duration COMPLETE_INTERVAL = Duration.ofSeconds(3);
 
-    private final Turn turn;
+    private final EventContext context;
     private final HostId self;
     private final PlatformView view;
-    private final PeerMail mail;
-    private final RunnerDesk desk;
-    private final Collection<Forwarding> open;
+    private final PeerMessenger messenger;
+    private final RunnerManager runnerManager;
+    private final Collection<InFlightRequest> requests;
     private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
     private final Map<EndpointId, EndpointUsage> unreported = new TreeMap<>();
     private Instant nextCompleteAt = Instant.MIN;
@@ -33,19 +33,25 @@
     /**
      * Creates a ledger.
      *
-     * @param open the requests of this host, as they are at each call
+     * @param requests the requests of this host, as they are at each call
      */
-    UseLedger(Turn turn, HostId self, PlatformView view, PeerMail mail, RunnerDesk desk, Collection<Forwarding> open) {
-        this.turn = turn;
+    UsageTracker(
+            EventContext context,
+            HostId self,
+            PlatformView view,
+            PeerMessenger messenger,
+            RunnerManager runnerManager,
+            Collection<InFlightRequest> requests) {
+        this.context = context;
         this.self = self;
         this.view = view;
-        this.mail = mail;
-        this.desk = desk;
-        this.open = open;
+        this.messenger = messenger;
+        this.runnerManager = runnerManager;
+        this.requests = requests;
     }
 
     /** A request of this host began, went on or ended at an endpoint. */
-    void changed(EndpointState endpoint) {
+    void update(EndpointState endpoint) {
         EndpointUsage use = useOf(endpoint);
         endpoint.setUse(self, use);
         unreported.put(endpoint.id(), use);
@@ -64,13 +70,13 @@
         int waitingTokens = 0;
         int cacheTokens = 0;
         List<AdapterName> adapters = new ArrayList<>();
-        for (Forwarding forwarding : open) {
-            if (forwarding.sent && forwarding.endpoint.filter(endpoint::equals).isPresent()) {
+        for (InFlightRequest inFlight : requests) {
+            if (inFlight.sent && inFlight.endpoint.filter(endpoint::equals).isPresent()) {
                 running++;
-                cacheTokens += forwarding.cacheTokens();
-                forwarding.request.adapter().ifPresent(adapters::add);
-                if (!forwarding.firstOutput && forwarding.service.engine().isPresent()) {
-                    waitingTokens += forwarding.ownTokens();
+                cacheTokens += inFlight.cacheTokens();
+                inFlight.request.adapter().ifPresent(adapters::add);
+                if (!inFlight.firstOutput && inFlight.service.engine().isPresent()) {
+                    waitingTokens += inFlight.uncachedTokens();
                 }
             }
         }
@@ -79,9 +85,9 @@
 
     /** Tells peers what has changed since the last report, and all of it now and then for those that missed one. */
     void report() {
-        boolean complete = !turn.now().isBefore(nextCompleteAt);
+        boolean complete = !context.now().isBefore(nextCompleteAt);
         if (complete) {
-            nextCompleteAt = turn.now().plus(COMPLETE_INTERVAL);
+            nextCompleteAt = context.now().plus(COMPLETE_INTERVAL);
             view.endpoints().forEach(endpoint -> {
                 EndpointUsage use = useOf(endpoint);
                 if (use.running() > 0) {
@@ -103,24 +109,24 @@
                 .toList();
         unreported.clear();
         newPrefixes.clear();
-        mail.sendToAll(new PeerMessage.UseReport(uses, complete));
+        messenger.broadcast(new PeerMessage.UseReport(uses, complete));
     }
 
     /** Takes what the requests of a peer use. */
-    void reported(HostId sender, PeerMessage.UseReport message) {
+    void applyReport(HostId sender, PeerMessage.UseReport message) {
         if (message.complete()) {
-            forget(sender);
+            removePeer(sender);
         }
         for (EndpointUsage use : message.uses()) {
             view.endpoint(use.endpoint()).ifPresent(endpoint -> {
                 endpoint.setUse(sender, use);
-                use.adapters().forEach(adapter -> desk.countUse(endpoint, adapter));
+                use.adapters().forEach(adapter -> runnerManager.recordUse(endpoint, adapter));
             });
         }
     }
 
     /** The requests of a peer that has been silent for long are taken to have ended. */
-    void forget(HostId peer) {
-        view.endpoints().forEach(endpoint -> endpoint.forgetUse(peer));
+    void removePeer(HostId peer) {
+        view.endpoints().forEach(endpoint -> endpoint.removeUse(peer));
     }
 }
