--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -23,11 +23,11 @@
 class ForwardingReducerTest {
     private static final Duration PATIENCE = Duration.ofSeconds(4);
 
-    private final Fixture fixture = new Fixture();
+    private final ReducerFixture fixture = new ReducerFixture();
 
     private ForwardingEffect.Send arrive(ForwardRequest request) {
         List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(request));
-        List<ForwardingEffect.Send> sends = Fixture.only(effects, ForwardingEffect.Send.class);
+        List<ForwardingEffect.Send> sends = ReducerFixture.only(effects, ForwardingEffect.Send.class);
         assertEquals(1, sends.size(), () -> "no send in " + effects);
         return sends.get(0);
     }
@@ -36,65 +36,70 @@
         return fixture.apply(new ForwardingEvent.AttemptEnded(send.exchange(), send.attempt(), result));
     }
 
-    private void desks(boolean idempotent) {
-        fixture.configure(1, Fixture.route("/x/", Fixture.DESK, false, idempotent, false));
-        fixture.endpoint("desk-1", Fixture.DESK, false, 1);
-        fixture.endpoint("desk-2", Fixture.DESK, false, 1);
+    private void configurePlainService(boolean idempotent) {
+        fixture.configure(1, ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, false, idempotent, false));
+        fixture.endpoint("desk-1", ReducerFixture.PLAIN_SERVICE, false, 1);
+        fixture.endpoint("desk-2", ReducerFixture.PLAIN_SERVICE, false, 1);
     }
 
-    private ForwardRequest deskRequest() {
+    private ForwardRequest plainRequest() {
         return fixture.request("/x/1", Optional.empty(), PATIENCE);
     }
 
     @Test
     void requestThatMayHaveRunIsNotSentAgain() {
-        desks(false);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(false);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects =
                 end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, false, Optional.empty()));
-        assertTrue(Fixture.only(effects, ForwardingEffect.Send.class).isEmpty());
-        assertTrue(Fixture.only(effects, ForwardingEffect.Refuse.class).isEmpty(), "may have run, so no promise");
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.Send.class).isEmpty());
+        assertTrue(
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class).isEmpty(), "may have run, so no promise");
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
     }
 
     @ParameterizedTest
     @ValueSource(ints = {408, 421, 429, 503})
     void answerThatFalselyDeniesTheRunIsNotPassedOn(int status) {
-        desks(false);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(false);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(status, Duration.ZERO));
-        assertTrue(Fixture.only(effects, ForwardingEffect.Deliver.class).isEmpty(), "callers would send it again");
-        assertTrue(Fixture.only(effects, ForwardingEffect.Send.class).isEmpty());
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
+        assertTrue(
+                ReducerFixture.only(effects, ForwardingEffect.Deliver.class).isEmpty(), "callers would send it again");
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.Send.class).isEmpty());
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
     }
 
     @Test
     void requestThatHasNotRunGoesToAnotherEndpoint() {
-        desks(false);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(false);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = end(send, new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED));
         ForwardingEffect.Send again =
-                Fixture.only(effects, ForwardingEffect.Send.class).get(0);
+                ReducerFixture.only(effects, ForwardingEffect.Send.class).get(0);
         assertNotEquals(send.endpoint(), again.endpoint());
         assertEquals(2, again.attempt());
     }
 
     @Test
     void rejectedEverywhereIsRefusedAsNotRun() {
-        desks(false);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(false);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int round = 0; round < 6; round++) {
             effects.clear();
             effects.addAll(end(send, new AttemptResult.NotRun(AttemptResult.NotRunCause.FULL)));
-            List<ForwardingEffect.Send> next = Fixture.only(effects, ForwardingEffect.Send.class);
+            List<ForwardingEffect.Send> next = ReducerFixture.only(effects, ForwardingEffect.Send.class);
             if (next.isEmpty()) {
                 break;
             }
             send = next.get(0);
         }
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Refuse.class).size());
-        assertTrue(Fixture.only(effects, ForwardingEffect.Refuse.class)
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Refuse.class).size());
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
                 .get(0)
                 .retryAfter()
                 .isPresent());
@@ -102,70 +107,79 @@
 
     @Test
     void failedIdempotentCallIsRepeatedOnceElsewhere() {
-        desks(true);
-        ForwardingEffect.Send send = arrive(deskRequest());
-        ForwardingEffect.Send again = Fixture.only(
+        configurePlainService(true);
+        ForwardingEffect.Send send = arrive(plainRequest());
+        ForwardingEffect.Send again = ReducerFixture.only(
                         end(send, new AttemptResult.Answered(500, Duration.ZERO)), ForwardingEffect.Send.class)
                 .get(0);
         assertNotEquals(send.endpoint(), again.endpoint());
         List<ForwardingEffect> effects = end(again, new AttemptResult.Answered(500, Duration.ZERO));
-        assertTrue(Fixture.only(effects, ForwardingEffect.Send.class).isEmpty(), "two attempts are allowed");
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Deliver.class).size());
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.Send.class).isEmpty(), "two attempts are allowed");
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Deliver.class).size());
     }
 
     /** Callers got the failure of an endpoint while retries were left, since only calls were repeated after one. */
     @Test
     void failedStreamIsRepeatedElsewhereOnlyIfItMayBeResumed() {
         for (boolean resumable : List.of(true, false)) {
-            fixture.configure(resumable ? 1 : 2, Fixture.route("/x/", Fixture.DESK, true, false, resumable));
-            fixture.endpoint("desk-1", Fixture.DESK, false, 1);
-            fixture.endpoint("desk-2", Fixture.DESK, false, 1);
-            ForwardingEffect.Send send = arrive(deskRequest());
+            fixture.configure(
+                    resumable ? 1 : 2,
+                    ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, true, false, resumable));
+            fixture.endpoint("desk-1", ReducerFixture.PLAIN_SERVICE, false, 1);
+            fixture.endpoint("desk-2", ReducerFixture.PLAIN_SERVICE, false, 1);
+            ForwardingEffect.Send send = arrive(plainRequest());
             List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(500, Duration.ZERO));
-            List<ForwardingEffect.Send> again = Fixture.only(effects, ForwardingEffect.Send.class);
+            List<ForwardingEffect.Send> again = ReducerFixture.only(effects, ForwardingEffect.Send.class);
             assertEquals(resumable ? 1 : 0, again.size());
             if (resumable) {
                 assertNotEquals(send.endpoint(), again.get(0).endpoint());
                 effects = end(again.get(0), new AttemptResult.Answered(500, Duration.ZERO));
             }
             assertEquals(
-                    1, Fixture.only(effects, ForwardingEffect.Deliver.class).size());
+                    1,
+                    ReducerFixture.only(effects, ForwardingEffect.Deliver.class).size());
         }
     }
 
     @Test
     void drainingAndRemovedEndpointsGetNoRequests() {
-        desks(true);
-        fixture.endpoint("desk-1", Fixture.DESK, true, 1);
-        assertEquals(new EndpointId("desk-2"), arrive(deskRequest()).endpoint());
+        configurePlainService(true);
+        fixture.endpoint("desk-1", ReducerFixture.PLAIN_SERVICE, true, 1);
+        assertEquals(new EndpointId("desk-2"), arrive(plainRequest()).endpoint());
         fixture.removed(Topic.ENDPOINTS, "desk-2");
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
         assertEquals(
                 RefusalReason.NO_ENDPOINT,
-                Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
+                        .get(0)
+                        .reason());
     }
 
     @Test
     void entriesThatLapsedInAnOutageStayInUse() {
-        desks(true);
-        fixture.endpoint("desk-2", Fixture.DESK, true, 1);
+        configurePlainService(true);
+        fixture.endpoint("desk-2", ReducerFixture.PLAIN_SERVICE, true, 1);
         fixture.apply(new ForwardingEvent.TopicUnavailable(Topic.ENDPOINTS));
         fixture.removed(Topic.ENDPOINTS, "desk-1");
-        assertEquals(new EndpointId("desk-1"), arrive(deskRequest()).endpoint());
+        assertEquals(new EndpointId("desk-1"), arrive(plainRequest()).endpoint());
         fixture.pass(Duration.ofMillis(2100));
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Refuse.class).size(), "it has not come back");
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Refuse.class).size(), "it has not come back");
     }
 
     @Test
     void callIsEndedAtItsDeadline() {
-        desks(false);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(false);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = fixture.pass(PATIENCE.plusMillis(100));
         assertEquals(
-                1, Fixture.only(effects, ForwardingEffect.CancelAttempt.class).size());
+                1,
+                ReducerFixture.only(effects, ForwardingEffect.CancelAttempt.class)
+                        .size());
         ForwardingEffect.Fail fail =
-                Fixture.only(effects, ForwardingEffect.Fail.class).get(0);
+                ReducerFixture.only(effects, ForwardingEffect.Fail.class).get(0);
         assertEquals(FailureReason.TIMED_OUT, fail.reason());
         assertEquals(send.exchange(), fail.exchange());
     }
@@ -173,11 +187,12 @@
     /** Only a second "sent" told an engineer on call that the first endpoint had been given up. */
     @Test
     void attemptGivenUpForSilenceIsLogged() {
-        desks(true);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(true);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(700));
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Send.class).size());
-        List<DecisionRecord> silent = Fixture.only(effects, ForwardingEffect.Log.class).stream()
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Send.class).size());
+        List<DecisionRecord> silent = ReducerFixture.only(effects, ForwardingEffect.Log.class).stream()
                 .map(ForwardingEffect.Log::decision)
                 .filter(decision -> decision.kind().equals("attempt-silent"))
                 .toList();
@@ -188,81 +203,95 @@
 
     @Test
     void callerWhoLeavesStopsTheEndpointAtOnce() {
-        desks(false);
-        ForwardingEffect.Send send = arrive(deskRequest());
+        configurePlainService(false);
+        ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.CallerDisconnected(send.exchange()));
         assertEquals(
-                1, Fixture.only(effects, ForwardingEffect.CancelAttempt.class).size());
+                1,
+                ReducerFixture.only(effects, ForwardingEffect.CancelAttempt.class)
+                        .size());
         assertEquals(0, fixture.reducer().openRequests());
     }
 
     @Test
     void configurationNeverGoesBack() {
-        desks(false);
-        fixture.configure(7, Fixture.route("/y/", Fixture.DESK, false, true, false));
-        fixture.configure(3, Fixture.route("/x/", Fixture.DESK, false, true, false));
+        configurePlainService(false);
+        fixture.configure(7, ReducerFixture.route("/y/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+        fixture.configure(3, ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, false, true, false));
         assertEquals(7, fixture.reducer().configuration().orElseThrow().version());
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
         assertEquals(
                 RefusalReason.NO_ROUTE,
-                Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
+                        .get(0)
+                        .reason());
     }
 
     @Test
     void withoutConfigurationNothingIsCalledUnknown() {
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
         assertEquals(
                 RefusalReason.NOT_READY,
-                Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
+                        .get(0)
+                        .reason());
     }
 
     @Test
     void brokenStreamGoesOnElsewhereOnlyIfItMayBeResumed() {
         fixture.configure(
                 1,
-                Fixture.route("/resumable/", Fixture.SERVICE, true, false, true),
-                Fixture.route("/once/", Fixture.SERVICE, true, false, false));
-        fixture.endpoint("runner-1", Fixture.SERVICE, false, 1, "a1");
-        fixture.endpoint("runner-2", Fixture.SERVICE, false, 1, "a1");
+                ReducerFixture.route("/resumable/", ReducerFixture.SERVICE, true, false, true),
+                ReducerFixture.route("/once/", ReducerFixture.SERVICE, true, false, false));
+        fixture.endpoint("runner-1", ReducerFixture.SERVICE, false, 1, "a1");
+        fixture.endpoint("runner-2", ReducerFixture.SERVICE, false, 1, "a1");
         AttemptResult broken =
                 new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, true, Optional.of(4L));
-        ForwardingEffect.Send send = arrive(fixture.request("/resumable/1", Optional.of(Fixture.ADAPTER), PATIENCE));
-        ForwardingEffect.Send again =
-                Fixture.only(end(send, broken), ForwardingEffect.Send.class).get(0);
+        ForwardingEffect.Send send =
+                arrive(fixture.request("/resumable/1", Optional.of(ReducerFixture.ADAPTER), PATIENCE));
+        ForwardingEffect.Send again = ReducerFixture.only(end(send, broken), ForwardingEffect.Send.class)
+                .get(0);
         assertEquals(Optional.of(4L), again.resumeAfter());
         assertNotEquals(send.endpoint(), again.endpoint());
-        ForwardingEffect.Send once = arrive(fixture.request("/once/1", Optional.of(Fixture.ADAPTER), PATIENCE));
+        ForwardingEffect.Send once = arrive(fixture.request("/once/1", Optional.of(ReducerFixture.ADAPTER), PATIENCE));
         assertEquals(
-                1, Fixture.only(end(once, broken), ForwardingEffect.Fail.class).size());
+                1,
+                ReducerFixture.only(end(once, broken), ForwardingEffect.Fail.class)
+                        .size());
     }
 
     @Test
     void brokenStreamWhosePositionIsUnknownIsNotRunAgain() {
-        fixture.configure(1, Fixture.route("/resumable/", Fixture.SERVICE, true, false, true));
-        fixture.endpoint("runner-1", Fixture.SERVICE, false, 1, "a1");
-        fixture.endpoint("runner-2", Fixture.SERVICE, false, 1, "a1");
-        ForwardingEffect.Send send = arrive(fixture.request("/resumable/1", Optional.of(Fixture.ADAPTER), PATIENCE));
+        fixture.configure(1, ReducerFixture.route("/resumable/", ReducerFixture.SERVICE, true, false, true));
+        fixture.endpoint("runner-1", ReducerFixture.SERVICE, false, 1, "a1");
+        fixture.endpoint("runner-2", ReducerFixture.SERVICE, false, 1, "a1");
+        ForwardingEffect.Send send =
+                arrive(fixture.request("/resumable/1", Optional.of(ReducerFixture.ADAPTER), PATIENCE));
         List<ForwardingEffect> effects =
                 end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, true, Optional.empty()));
-        assertEquals(0, Fixture.only(effects, ForwardingEffect.Send.class).size());
-        assertEquals(1, Fixture.only(effects, ForwardingEffect.Fail.class).size());
+        assertEquals(
+                0, ReducerFixture.only(effects, ForwardingEffect.Send.class).size());
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
     }
 
     @Test
     void requestThatCrashesThreeEndpointsIsRefused() {
-        desks(true);
-        fixture.endpoint("desk-3", Fixture.DESK, false, 1);
+        configurePlainService(true);
+        fixture.endpoint("desk-3", ReducerFixture.PLAIN_SERVICE, false, 1);
         for (int crash = 1; crash <= 3; crash++) {
-            ForwardingEffect.Send send = arrive(deskRequest());
+            ForwardingEffect.Send send = arrive(plainRequest());
             end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, false, Optional.empty()));
-            fixture.endpoint(send.endpoint().value(), Fixture.DESK, false, 1 + crash);
+            fixture.endpoint(send.endpoint().value(), ReducerFixture.PLAIN_SERVICE, false, 1 + crash);
             fixture.apply(new ForwardingEvent.CallerDisconnected(send.exchange()));
             fixture.pass(Duration.ofSeconds(1));
         }
-        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(deskRequest()));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
         assertEquals(
                 RefusalReason.CRASHES_ENDPOINTS,
-                Fixture.only(effects, ForwardingEffect.Refuse.class).get(0).reason());
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
+                        .get(0)
+                        .reason());
     }
 
     /** On a recorded day commands stopped 5 s before the log was back, because the last read was 3 s old at its loss. */
@@ -271,10 +300,10 @@
         HostId peer = new HostId("host-2");
         HostAnnouncement announcement = new HostAnnouncement(
                 peer, 1, NetworkAddress.parse("10.0.0.2:80"), NetworkAddress.parse("10.0.0.2:81"), "east", 1);
-        fixture.fact(
+        fixture.publish(
                 Topic.CLAIMS,
                 "runner-1",
-                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), Fixture.HOST, true));
+                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true));
         HostIdentity sender = new HostIdentity(peer, 1);
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
@@ -282,13 +311,14 @@
                     sender, new PeerMessage.HostState(announcement, false, true, 0, 0)));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(100)));
         }
-        List<PeerMessage.RecordsRequest> questions = Fixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
-                .map(ForwardingEffect.SendToPeer::message)
-                .filter(PeerMessage.RecordsRequest.class::isInstance)
-                .map(PeerMessage.RecordsRequest.class::cast)
-                .filter(request -> request.topic() == Topic.CLAIMS)
-                .toList();
-        assertTrue(!questions.isEmpty(), "no question after 2 s without a read");
+        List<PeerMessage.RecordsRequest> requests =
+                ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+                        .map(ForwardingEffect.SendToPeer::message)
+                        .filter(PeerMessage.RecordsRequest.class::isInstance)
+                        .map(PeerMessage.RecordsRequest.class::cast)
+                        .filter(request -> request.topic() == Topic.CLAIMS)
+                        .toList();
+        assertTrue(!requests.isEmpty(), "no question after 2 s without a read");
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 sender,
                 new PeerMessage.RecordsReply(
@@ -297,11 +327,11 @@
                         List.of(),
                         1,
                         Optional.empty(),
-                        Optional.of(questions.get(questions.size() - 1).askedAtMilliseconds()),
+                        Optional.of(requests.get(requests.size() - 1).askedAtMilliseconds()),
                         10)));
         List<ForwardingEffect> after = fixture.passWithoutReads(Duration.ofMillis(900));
         assertTrue(
-                Fixture.only(after, ForwardingEffect.SendToPeer.class).stream()
+                ReducerFixture.only(after, ForwardingEffect.SendToPeer.class).stream()
                         .noneMatch(effect -> effect.message() instanceof PeerMessage.RecordsRequest),
                 "the answer counts as a read");
     }
@@ -316,7 +346,7 @@
                 1);
     }
 
-    private List<ForwardingEffect> told(String host, int port, long configurationEnd) {
+    private List<ForwardingEffect> receiveHostState(String host, int port, long configurationEnd) {
         return fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(new HostId(host), 1),
                 new PeerMessage.HostState(announcement(host, port), false, true, configurationEnd, 0)));
@@ -325,14 +355,14 @@
     /** Where many hosts are behind, news of one that is ahead came between theirs and nobody was ever asked. */
     @Test
     void hostThatIsBehindAsksAlsoIfOtherPeersAreBehindToo() {
-        desks(false);
+        configurePlainService(false);
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
-            effects.addAll(told("ahead", 80, 1_000));
-            effects.addAll(told("behind", 82, 0));
+            effects.addAll(receiveHostState("ahead", 80, 1_000));
+            effects.addAll(receiveHostState("behind", 82, 0));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(50)));
         }
-        List<HostId> asked = Fixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+        List<HostId> asked = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
                 .filter(effect -> effect.message() instanceof PeerMessage.RecordsRequest request
                         && request.topic() == Topic.CONFIGURATION)
                 .map(ForwardingEffect.SendToPeer::peer)
@@ -343,12 +373,12 @@
 
     @Test
     void retriesStayWithinTheShareOfAllHosts() {
-        desks(true);
+        configurePlainService(true);
         int retries = 0;
         for (int index = 0; index < 400; index++) {
-            ForwardingEffect.Send send = arrive(deskRequest());
+            ForwardingEffect.Send send = arrive(plainRequest());
             List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(500, Duration.ZERO));
-            for (ForwardingEffect.Send again : Fixture.only(effects, ForwardingEffect.Send.class)) {
+            for (ForwardingEffect.Send again : ReducerFixture.only(effects, ForwardingEffect.Send.class)) {
                 retries++;
                 end(again, new AttemptResult.Answered(200, Duration.ZERO));
             }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ClaimKeeperTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -23,7 +23,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class ClaimKeeperTest {
+class LeaseManagerTest {
     private static final Duration LEASE_TERM = Duration.ofSeconds(3);
 
     private static final EndpointId RUNNER = new EndpointId("runner-1");
@@ -52,7 +52,7 @@
     private static EndpointState runner() {
         return new EndpointState(new EndpointListing(
                 RUNNER,
-                Fixture.SERVICE,
+                ReducerFixture.SERVICE,
                 NetworkAddress.parse("10.0.1.1:80"),
                 "east",
                 8,
@@ -67,65 +67,69 @@
     /** A host with its view of the log; cut off or standing still for a time. */
     private final class SimulatedHost {
         private final int index;
-        private final ClaimKeeper keeper;
+        private final LeaseManager leases;
         private final PeerTable peers;
-        private final TopicFollower topic =
-                new TopicFollower(Topic.CLAIMS, Duration.ofMillis(READ_MILLISECONDS), Duration.ZERO);
+        private final TopicConsumer topic =
+                new TopicConsumer(Topic.CLAIMS, Duration.ofMillis(READ_MILLISECONDS), Duration.ZERO);
         private Optional<Instant> readStartedAt = Optional.empty();
         private int seen;
-        private Instant cutUntil = Instant.MIN;
-        private Instant stillUntil = Instant.MIN;
+        private Instant partitionedUntil = Instant.MIN;
+        private Instant pausedUntil = Instant.MIN;
         private Instant withoutLogUntil = Instant.MIN;
-        private boolean wasStill;
+        private boolean wasPaused;
         private int confirmations;
 
         SimulatedHost(int index) {
             this.index = index;
-            this.keeper = new ClaimKeeper(announcement(index).host(), LEASE_TERM);
+            this.leases = new LeaseManager(announcement(index).host(), LEASE_TERM);
             this.peers = new PeerTable(announcement(index));
             for (int other = 1; other <= HOSTS; other++) {
-                peers.announced(announcement(other), start);
+                peers.update(announcement(other), start);
             }
         }
 
         /** Takes what a peer has read, as far as its last read is known to have begun. */
         private void confirmWith(SimulatedHost peer, Instant now) {
-            boolean answers =
-                    peer != this && !now.isBefore(peer.cutUntil) && !now.isBefore(peer.stillUntil) && !peer.wasStill;
+            boolean answers = peer != this
+                    && !now.isBefore(peer.partitionedUntil)
+                    && !now.isBefore(peer.pausedUntil)
+                    && !peer.wasPaused;
             if (answers) {
                 for (; seen < peer.seen; seen++) {
-                    keeper.claimed(log.get(seen), seen, now);
+                    leases.applyClaim(log.get(seen), seen, now);
                 }
-                peer.topic.age(now).ifPresent(age -> keeper.read(now.minus(age)));
+                peer.topic.age(now).ifPresent(age -> leases.confirm(now.minus(age)));
             }
         }
 
         boolean canCommand(Instant now) {
-            return now.isAfter(stillUntil)
-                    && !wasStill
-                    && keeper.fence(RUNNER, now).isPresent();
+            return now.isAfter(pausedUntil)
+                    && !wasPaused
+                    && leases.fencingToken(RUNNER, now).isPresent();
         }
 
         void step(Instant now) {
-            if (now.isBefore(stillUntil)) {
-                wasStill = true;
+            if (now.isBefore(pausedUntil)) {
+                wasPaused = true;
                 return;
             }
-            if (wasStill) {
-                wasStill = false;
-                keeper.distrust(now);
-                topic.readAgain(now);
+            if (wasPaused) {
+                wasPaused = false;
+                leases.invalidate(now);
+                topic.restartRead(now);
                 readStartedAt = Optional.empty();
             }
-            boolean cut = now.isBefore(cutUntil);
+            boolean partitioned = now.isBefore(partitionedUntil);
             hosts.stream()
-                    .filter(other ->
-                            other != this && !cut && !now.isBefore(other.cutUntil) && !now.isBefore(other.stillUntil))
-                    .forEach(other -> peers.state(
+                    .filter(other -> other != this
+                            && !partitioned
+                            && !now.isBefore(other.partitionedUntil)
+                            && !now.isBefore(other.pausedUntil))
+                    .forEach(other -> peers.recordState(
                             new PeerMessage.HostState(
                                     announcement(other.index), false, !now.isBefore(other.withoutLogUntil), 0, 0),
                             now));
-            if (cut) {
+            if (partitioned) {
                 readStartedAt = Optional.empty();
                 topic.unavailable(now);
                 return;
@@ -136,24 +140,24 @@
                 confirmWith(hosts.get(confirmations++ % HOSTS), now);
                 return;
             }
-            boolean over = readStartedAt
+            boolean readEnded = readStartedAt
                     .filter(at -> log.size() > seen || Duration.between(at, now).toMillis() >= READ_MILLISECONDS)
                     .isPresent();
-            if (over) {
-                topic.read(
+            if (readEnded) {
+                topic.applyRead(
                         new ForwardingEvent.TopicRead(Topic.CLAIMS, readStartedAt.get(), false, List.of(), log.size()),
                         now);
                 for (; seen < log.size(); seen++) {
-                    keeper.claimed(log.get(seen), seen, now);
+                    leases.applyClaim(log.get(seen), seen, now);
                 }
-                keeper.read(readStartedAt.get());
-                keeper.appended();
+                leases.confirm(readStartedAt.get());
+                leases.appendCompleted();
                 readStartedAt = Optional.empty();
             }
             if (readStartedAt.isEmpty()) {
                 readStartedAt = Optional.of(now);
             }
-            keeper.tick(List.of(runner()), peers, topic, false, now).ifPresent(effect -> {
+            leases.tick(List.of(runner()), peers, topic, false, now).ifPresent(effect -> {
                 ForwardingEffect.AppendClaim append = (ForwardingEffect.AppendClaim) effect;
                 if (append.expectedEnd() == log.size()) {
                     log.add(append.claim());
@@ -183,9 +187,9 @@
                 Instant until = now.plusMillis(random.nextInt(9000));
                 int fault = random.nextInt(3);
                 if (fault == 0) {
-                    victim.cutUntil = until;
+                    victim.partitionedUntil = until;
                 } else if (fault == 1) {
-                    victim.stillUntil = until;
+                    victim.pausedUntil = until;
                 } else {
                     victim.withoutLogUntil = until;
                 }
@@ -237,7 +241,7 @@
                 .filter(host -> host.canCommand(lostAt))
                 .findFirst()
                 .orElseThrow();
-        commander.stillUntil = Instant.MAX;
+        commander.pausedUntil = Instant.MAX;
         boolean taken = false;
         for (int millis = 5000; millis < 22_000; millis += STEP_MILLISECONDS) {
             Instant now = start.plusMillis(millis);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadLatenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadDelayEstimatorTest.java
@@ -8,10 +8,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class LoadLatenessTest {
+class LoadDelayEstimatorTest {
     private static final Duration LONGER_BY = Duration.ofMillis(28);
 
-    private final LoadLateness lateness = new LoadLateness();
+    private final LoadDelayEstimator estimator = new LoadDelayEstimator();
     private Instant now = Instant.ofEpochSecond(100);
 
     /** Plays four loads a second that all take longer than expected; returns the requests that came too early. */
@@ -19,8 +19,8 @@
         int early = 0;
         for (int load = 0; load < seconds * 4; load++) {
             now = now.plusMillis(250);
-            if (lateness.margin(now).compareTo(LONGER_BY) < 0) {
-                lateness.count(now);
+            if (estimator.margin(now).compareTo(LONGER_BY) < 0) {
+                estimator.recordLateLoad(now);
                 early++;
             }
         }
@@ -36,9 +36,9 @@
     @Test
     void marginIsBoundedAndForgotten() {
         for (int count = 0; count < 50; count++) {
-            lateness.count(now);
+            estimator.recordLateLoad(now);
         }
-        assertEquals(Duration.ofMillis(90), lateness.margin(now));
-        assertEquals(0, lateness.margin(now.plusSeconds(300)).toMillis());
+        assertEquals(Duration.ofMillis(90), estimator.margin(now));
+        assertEquals(0, estimator.margin(now.plusSeconds(300)).toMillis());
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -24,37 +24,39 @@
 class LoadTest {
     private static final int RUNNERS = 3;
 
-    private static final int PLACES = 2;
+    private static final int SLOTS = 2;
 
     private static final Duration RUN = Duration.ofMillis(600);
 
     private static final Duration PATIENCE = Duration.ofSeconds(4);
 
-    private final Fixture fixture = new Fixture();
-    private final Map<EndpointId, Runner> runners = new HashMap<>();
-    private final PriorityQueue<Due> due = new PriorityQueue<>(Comparator.comparing(Due::at));
+    private final ReducerFixture fixture = new ReducerFixture();
+    private final Map<EndpointId, SimulatedRunner> runners = new HashMap<>();
+    private final PriorityQueue<ScheduledEvent> scheduled =
+            new PriorityQueue<>(Comparator.comparing(ScheduledEvent::at));
     private final Map<Long, Instant> arrivedAt = new HashMap<>();
     private int onTime;
     private int late;
     private int refused;
-    private int held;
+    private int heldToTimeout;
 
-    private record Due(Instant at, ForwardingEvent event) {}
+    private record ScheduledEvent(Instant at, ForwardingEvent event) {}
 
     /** A runner that reads one prompt after the other and loads adapters in the usual time. */
-    private static final class Runner {
-        private final Map<AdapterName, Instant> places = new HashMap<>();
+    private static final class SimulatedRunner {
+        private final Map<AdapterName, Instant> slots = new HashMap<>();
         private int sequence;
         private Instant freeAt = Instant.MIN;
     }
 
     private void begin() {
-        fixture.configure(1, Fixture.route("/x/", Fixture.SERVICE, true, false, false));
+        fixture.configure(1, ReducerFixture.route("/x/", ReducerFixture.SERVICE, true, false, false));
         for (int index = 1; index <= RUNNERS; index++) {
             String id = "runner-" + index;
-            fixture.endpoint(id, Fixture.SERVICE, false, 1);
-            fixture.fact(Topic.CLAIMS, id, new DecodedRecord.RunnerClaimed(new EndpointId(id), Fixture.HOST, true));
-            runners.put(new EndpointId(id), new Runner());
+            fixture.endpoint(id, ReducerFixture.SERVICE, false, 1);
+            fixture.publish(
+                    Topic.CLAIMS, id, new DecodedRecord.RunnerClaimed(new EndpointId(id), ReducerFixture.HOST, true));
+            runners.put(new EndpointId(id), new SimulatedRunner());
         }
         run(fixture.pass(Duration.ofMillis(200)));
     }
@@ -62,23 +64,23 @@
     private void run(List<ForwardingEffect> effects) {
         for (ForwardingEffect effect : effects) {
             if (effect instanceof ForwardingEffect.Inspect inspect) {
-                Runner runner = runners.get(inspect.endpoint());
-                List<LoadedAdapter> loaded = runner.places.keySet().stream()
+                SimulatedRunner runner = runners.get(inspect.endpoint());
+                List<LoadedAdapter> loaded = runner.slots.keySet().stream()
                         .map(name -> new LoadedAdapter(name, 0))
                         .toList();
-                later(
+                schedule(
                         0,
                         new ForwardingEvent.Inspected(
                                 inspect.endpoint(),
                                 Optional.of(
                                         new RunnerState(runner.sequence, false, Set.of("base"), loaded, List.of()))));
             } else if (effect instanceof ForwardingEffect.Command sent) {
-                later(0, new ForwardingEvent.CommandAnswered(sent.command(), take(sent.command())));
+                schedule(0, new ForwardingEvent.CommandAnswered(sent.command(), applyCommand(sent.command())));
             } else if (effect instanceof ForwardingEffect.Send send) {
                 start(send);
             } else if (effect instanceof ForwardingEffect.Refuse refuse) {
                 refused++;
-                held += Duration.between(arrivedAt.get(refuse.exchange()), fixture.now())
+                heldToTimeout += Duration.between(arrivedAt.get(refuse.exchange()), fixture.now())
                                         .compareTo(PATIENCE)
                                 >= 0
                         ? 1
@@ -87,38 +89,39 @@
         }
     }
 
-    private CommandResult take(AdapterCommand command) {
-        Runner runner = runners.get(command.endpoint());
+    private CommandResult applyCommand(AdapterCommand command) {
+        SimulatedRunner runner = runners.get(command.endpoint());
         assertEquals(runner.sequence, command.expectedSequence());
         runner.sequence++;
         AdapterName name = command.adapterName().orElseThrow();
         if (!command.load()) {
-            runner.places.remove(name);
+            runner.slots.remove(name);
             return CommandResult.DONE;
         }
-        runner.places.put(name, fixture.now().plus(ServiceTimes.ADAPTER_LOAD));
-        assertTrue(runner.places.size() <= PLACES, "over its places");
+        runner.slots.put(name, fixture.now().plus(RunnerTimings.ADAPTER_LOAD));
+        assertTrue(runner.slots.size() <= SLOTS, "over its places");
         return CommandResult.ACCEPTED;
     }
 
     private void start(ForwardingEffect.Send send) {
-        Runner runner = runners.get(send.endpoint());
+        SimulatedRunner runner = runners.get(send.endpoint());
         Instant from = runner.freeAt.isAfter(fixture.now()) ? runner.freeAt : fixture.now();
-        runner.freeAt = from.plusMillis((long) (3500 / ServiceTimes.PROMPT_TOKENS_PER_MILLISECOND));
-        due.add(new Due(runner.freeAt, new ForwardingEvent.FirstOutput(send.exchange(), send.attempt())));
-        due.add(new Due(
+        runner.freeAt = from.plusMillis((long) (3500 / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND));
+        scheduled.add(
+                new ScheduledEvent(runner.freeAt, new ForwardingEvent.FirstOutput(send.exchange(), send.attempt())));
+        scheduled.add(new ScheduledEvent(
                 runner.freeAt.plus(RUN),
                 new ForwardingEvent.AttemptEnded(
                         send.exchange(), send.attempt(), new AttemptResult.Answered(200, Duration.ZERO))));
     }
 
-    private void later(int milliseconds, ForwardingEvent event) {
-        due.add(new Due(fixture.now().plusMillis(milliseconds), event));
+    private void schedule(int milliseconds, ForwardingEvent event) {
+        scheduled.add(new ScheduledEvent(fixture.now().plusMillis(milliseconds), event));
     }
 
     private void deliver() {
-        while (!due.isEmpty() && !due.peek().at().isAfter(fixture.now())) {
-            ForwardingEvent event = due.poll().event();
+        while (!scheduled.isEmpty() && !scheduled.peek().at().isAfter(fixture.now())) {
+            ForwardingEvent event = scheduled.poll().event();
             if (event instanceof ForwardingEvent.FirstOutput output) {
                 Duration wait = Duration.between(arrivedAt.get(output.exchange()), fixture.now());
                 if (wait.compareTo(Duration.ofSeconds(1)) <= 0) {
@@ -131,7 +134,7 @@
         }
     }
 
-    private void play(int requestsPerSecond, int seconds, int adapters, long seed) {
+    private void runTraffic(int requestsPerSecond, int seconds, int adapters, long seed) {
         Random random = new Random(seed);
         int steps = seconds * 50;
         for (int step = 0; step < steps; step++) {
@@ -157,7 +160,7 @@
     @Test
     void calmLoadIsServedOnTime() {
         begin();
-        play(2, 60, 12, 11);
+        runTraffic(2, 60, 12, 11);
         List<Integer> figures = new ArrayList<>(List.of(onTime, late, refused));
         assertTrue(onTime >= 0.95 * (onTime + late + refused), "on time, late, refused: " + figures);
         assertEquals(arrivedAt.size(), onTime + late + refused, "each request ends once");
@@ -167,9 +170,9 @@
     @Test
     void overloadIsRefusedEarlyAndNotHeld() {
         begin();
-        play(30, 30, 200, 12);
-        String figures = "on time " + onTime + ", late " + late + ", refused " + refused + ", held " + held;
-        assertEquals(0, held, figures);
+        runTraffic(30, 30, 200, 12);
+        String figures = "on time " + onTime + ", late " + late + ", refused " + refused + ", held " + heldToTimeout;
+        assertEquals(0, heldToTimeout, figures);
         assertTrue(refused > 0 && onTime > 0, figures);
         assertEquals(arrivedAt.size(), onTime + late + refused, "each request ends once: " + figures);
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -41,13 +41,13 @@
         return new PeerMessage.HostState(peer(number), leaving, true, 0, 0);
     }
 
-    private static void send(Fixture fixture, int number) {
+    private static void send(ReducerFixture fixture, int number) {
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(peer(number).host(), 1), state(number, false)));
     }
 
-    private static Fixture withPeers(int peers) {
-        Fixture fixture = new Fixture();
+    private static ReducerFixture withPeers(int peers) {
+        ReducerFixture fixture = new ReducerFixture();
         IntStream.range(0, peers).forEach(number -> send(fixture, number));
         return fixture;
     }
@@ -60,12 +60,13 @@
 
     /** Returns the longest time between two states that a host sends. */
     private static Duration longestInterval(int peers) {
-        Fixture fixture = withPeers(peers);
+        ReducerFixture fixture = withPeers(peers);
         List<Instant> sentAt = new ArrayList<>();
         for (int step = 0; step < 500; step++) {
-            boolean sent = Fixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.SendToPeer.class).stream()
-                    .flatMap(effect -> newsIn(effect.message()))
-                    .anyMatch(PeerMessage.HostState.class::isInstance);
+            boolean sent =
+                    ReducerFixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.SendToPeer.class).stream()
+                            .flatMap(effect -> newsIn(effect.message()))
+                            .anyMatch(PeerMessage.HostState.class::isInstance);
             if (sent) {
                 sentAt.add(fixture.now());
             }
@@ -80,7 +81,7 @@
     @ValueSource(ints = {1, 8, 72, 369})
     void peerWhoseStateIsLostOnceStaysLive(int peers) {
         Duration interval = longestInterval(peers);
-        Fixture fixture = withPeers(peers);
+        ReducerFixture fixture = withPeers(peers);
         for (int round = 0; round < 10; round++) {
             fixture.pass(interval);
             assertEquals(
@@ -93,13 +94,13 @@
     /** On a day with 68 hosts, a third of the loads served nobody: the host that asked had no answer in time and went on. */
     @Test
     void hostThatAsksForALoadIsAnsweredAtOnce() {
-        Fixture fixture = withPeers(30);
-        fixture.configure(1, Fixture.route("/chat", Fixture.SERVICE, true, true, true));
-        fixture.endpoint("runner-1", Fixture.SERVICE, false, 1, "a1", "a2");
-        fixture.fact(
+        ReducerFixture fixture = withPeers(30);
+        fixture.configure(1, ReducerFixture.route("/chat", ReducerFixture.SERVICE, true, true, true));
+        fixture.endpoint("runner-1", ReducerFixture.SERVICE, false, 1, "a1", "a2");
+        fixture.publish(
                 Topic.CLAIMS,
                 "runner-1",
-                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), Fixture.HOST, true));
+                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true));
         fixture.pass(Duration.ofMillis(200));
         HostIdentity asking = new HostIdentity(peer(7).host(), 1);
         AdapterName wanted = new AdapterName("base", "a3");
@@ -107,10 +108,10 @@
                 new HostIdentity(peer(3).host(), 1),
                 new PeerMessage.Routed(
                         asking,
-                        Fixture.HOST,
+                        ReducerFixture.HOST,
                         2,
                         new PeerMessage.AdapterWanted(new EndpointId("runner-1"), wanted, 500, 600))));
-        assertTrue(Fixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
                 .map(ForwardingEffect.SendToPeer::message)
                 .filter(PeerMessage.Routed.class::isInstance)
                 .map(PeerMessage.Routed.class::cast)
@@ -122,7 +123,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 8, 72, 369})
     void silentPeerIsNamedToCallersNoLonger(int peers) {
-        Fixture fixture = withPeers(peers);
+        ReducerFixture fixture = withPeers(peers);
         for (Duration passed = Duration.ZERO; passed.compareTo(CONTACT_LIMIT) < 0; passed = passed.plusMillis(200)) {
             fixture.pass(Duration.ofMillis(200));
             IntStream.range(1, peers).forEach(number -> send(fixture, number));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMailTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -27,7 +27,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Messages between the reducers of many hosts. */
-class PeerMailTest {
+class PeerMessengerTest {
     private static final Duration STEP = Duration.ofMillis(20);
 
     /** Messages that a host may send a second, from its share of a slow processor: 2% of a core at 0.2 ms each. */
@@ -47,13 +47,13 @@
     private final Map<HostId, ForwardingReducer> hosts = new TreeMap<>();
     private final Set<HostId> stopped = new HashSet<>();
     private Instant now = Instant.ofEpochSecond(100);
-    private Deque<Parcel> underWay = new ArrayDeque<>();
+    private Deque<Envelope> inTransit = new ArrayDeque<>();
     private int sent;
     private final Map<HostId, Integer> sentBy = new TreeMap<>();
     private IntToDoubleFunction cores = number -> 1;
-    private final List<Parcel> delivered = new ArrayList<>();
+    private final List<Envelope> delivered = new ArrayList<>();
 
-    private record Parcel(HostId from, HostId to, PeerMessage message) {}
+    private record Envelope(HostId from, HostId to, PeerMessage message) {}
 
     private HostAnnouncement announcement(int number) {
         return new HostAnnouncement(
@@ -93,7 +93,7 @@
             if (effect instanceof ForwardingEffect.SendToPeer toPeer) {
                 sent++;
                 sentBy.merge(host, 1, Integer::sum);
-                underWay.add(new Parcel(host, toPeer.peer(), toPeer.message()));
+                inTransit.add(new Envelope(host, toPeer.peer(), toPeer.message()));
             }
         }
     }
@@ -102,15 +102,15 @@
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
             now = now.plus(STEP);
-            Deque<Parcel> arriving = underWay;
-            underWay = new ArrayDeque<>();
-            for (Parcel parcel : arriving) {
-                if (!stopped.contains(parcel.to())) {
-                    delivered.add(parcel);
+            Deque<Envelope> arriving = inTransit;
+            inTransit = new ArrayDeque<>();
+            for (Envelope envelope : arriving) {
+                if (!stopped.contains(envelope.to())) {
+                    delivered.add(envelope);
                     apply(
-                            parcel.to(),
+                            envelope.to(),
                             new ForwardingEvent.PeerMessageReceived(
-                                    new HostIdentity(parcel.from(), 1), parcel.message()));
+                                    new HostIdentity(envelope.from(), 1), envelope.message()));
                 }
             }
             for (HostId host : hosts.keySet()) {
@@ -131,7 +131,7 @@
 
     private HostId busiestReceiver() {
         Map<HostId, Integer> counts = new TreeMap<>();
-        delivered.forEach(parcel -> counts.merge(parcel.to(), 1, Integer::sum));
+        delivered.forEach(envelope -> counts.merge(envelope.to(), 1, Integer::sum));
         return counts.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .orElseThrow()
@@ -208,8 +208,8 @@
                         new HostIdentity(asking, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 7)));
         pass(Duration.ofMillis(100));
         boolean answered = delivered.stream()
-                .filter(parcel -> parcel.to().equals(asking))
-                .anyMatch(parcel -> parcel.message() instanceof PeerMessage.Routed routed
+                .filter(envelope -> envelope.to().equals(asking))
+                .anyMatch(envelope -> envelope.message() instanceof PeerMessage.Routed routed
                         && routed.message() instanceof PeerMessage.RecordsReply);
         assertTrue(answered);
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -34,8 +34,8 @@
 
     private void begin(int count) {
         for (int number = 1; number < count; number++) {
-            peers.announced(announcement(number), now);
-            peers.state(new PeerMessage.HostState(announcement(number), false, true, 0, 0), now);
+            peers.update(announcement(number), now);
+            peers.recordState(new PeerMessage.HostState(announcement(number), false, true, 0, 0), now);
         }
     }
 
@@ -58,7 +58,7 @@
     @Test
     void workForOthersGoesToStrongHosts() {
         begin(24);
-        List<HostId> readers = peers.firstAtLog(true, now);
+        List<HostId> readers = peers.logReaders(true, now);
         assertEquals(3, readers.size());
         assertTrue(readers.stream().allMatch(host -> IntStream.range(0, 24)
                 .mapToObj(PeerTableTest::announcement)
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/Fixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -19,34 +19,34 @@
 import org.banyanstair.model.RequestId;
 
 /** A reducer with a platform that tests write by hand. */
-final class Fixture {
+final class ReducerFixture {
     static final HostId HOST = new HostId("host-1");
 
     static final String SERVICE = "runners";
 
-    static final String DESK = "desk";
+    static final String PLAIN_SERVICE = "desk";
 
     static final AdapterName ADAPTER = new AdapterName("base", "a1");
 
-    private final Map<String, DecodedRecord> facts = new HashMap<>();
+    private final Map<String, DecodedRecord> records = new HashMap<>();
     private final HostId host;
     private final ForwardingReducer reducer;
     private Instant now = Instant.ofEpochSecond(100);
     private long offset;
     private long exchanges;
 
-    Fixture() {
+    ReducerFixture() {
         this(HOST);
     }
 
-    Fixture(HostId host) {
+    ReducerFixture(HostId host) {
         this.host = host;
         HostAnnouncement announcement = new HostAnnouncement(
                 host, 1, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
         ForwardingSettings settings =
                 new ForwardingSettings(identity(), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
         reducer = new ForwardingReducer(
-                settings, (topic, entry, at) -> Optional.ofNullable(facts.get(entry.key() + entry.offset())));
+                settings, (topic, entry, at) -> Optional.ofNullable(records.get(entry.key() + entry.offset())));
         read(Topic.HOSTS, List.of());
         read(Topic.CLAIMS, List.of());
     }
@@ -94,8 +94,8 @@
         apply(new ForwardingEvent.TopicRead(topic, now, false, records, offset));
     }
 
-    List<ForwardingEffect> fact(Topic topic, String key, DecodedRecord fact) {
-        facts.put(key + offset, fact);
+    List<ForwardingEffect> publish(Topic topic, String key, DecodedRecord decoded) {
+        records.put(key + offset, decoded);
         TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), offset);
         offset++;
         return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), offset));
@@ -110,12 +110,12 @@
     void configure(long version, Route... routes) {
         ServiceDefinition engine = new ServiceDefinition(
                 SERVICE, Optional.of(new EngineCapacity(2, 100_000, 80_000, List.of(new BaseModel("base", 70_000)))));
-        ServiceDefinition desk = new ServiceDefinition(DESK, Optional.empty());
-        fact(
+        ServiceDefinition plain = new ServiceDefinition(PLAIN_SERVICE, Optional.empty());
+        publish(
                 Topic.CONFIGURATION,
                 "config",
                 new DecodedRecord.ConfigurationPublished(new ForwardingConfiguration(
-                        version, List.of(routes), List.of(engine, desk), RequestLimits.DEFAULT)));
+                        version, List.of(routes), List.of(engine, plain), RequestLimits.DEFAULT)));
     }
 
     static Route route(String path, String service, boolean streaming, boolean idempotent, boolean resumable) {
@@ -151,7 +151,7 @@
                 Set.of("base"),
                 loaded,
                 0);
-        fact(Topic.ENDPOINTS, id, new DecodedRecord.EndpointListed(listing));
+        publish(Topic.ENDPOINTS, id, new DecodedRecord.EndpointListed(listing));
     }
 
     ForwardRequest request(String path, Optional<AdapterName> adapter, Duration patience) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -23,17 +23,17 @@
 
     private static final HostIdentity PEER = new HostIdentity(new HostId("host-2"), 1);
 
-    private final Fixture cutOff = new Fixture();
-    private final Fixture first = new Fixture();
-    private final Fixture second = new Fixture();
-    private final List<Fixture> all = List.of(cutOff, first, second);
+    private final ReducerFixture partitioned = new ReducerFixture();
+    private final ReducerFixture first = new ReducerFixture();
+    private final ReducerFixture second = new ReducerFixture();
+    private final List<ReducerFixture> all = List.of(partitioned, first, second);
 
     @BeforeEach
     void begin() {
-        for (Fixture host : all) {
-            host.configure(1, Fixture.route("/x/", Fixture.DESK, false, true, false));
-            host.endpoint("desk-1", Fixture.DESK, false, 1);
-            host.endpoint("desk-2", Fixture.DESK, false, 1);
+        for (ReducerFixture host : all) {
+            host.configure(1, ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+            host.endpoint("desk-1", ReducerFixture.PLAIN_SERVICE, false, 1);
+            host.endpoint("desk-2", ReducerFixture.PLAIN_SERVICE, false, 1);
         }
     }
 
@@ -42,22 +42,23 @@
     }
 
     /** Lets one host ask another for what it knows of the endpoints. */
-    private static void ask(Fixture asking, Fixture asked) {
+    private static void requestEndpoints(ReducerFixture asking, ReducerFixture asked) {
         List<ForwardingEffect> effects = asked.apply(
                 new ForwardingEvent.PeerMessageReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
-        PeerMessage answer =
-                Fixture.only(effects, ForwardingEffect.SendToPeer.class).get(0).message();
+        PeerMessage answer = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class)
+                .get(0)
+                .message();
         asking.apply(new ForwardingEvent.PeerMessageReceived(PEER, answer));
     }
 
-    private static void loseAndFindTheLog(Fixture host) {
+    private static void loseAndFindTheLog(ReducerFixture host) {
         host.apply(new ForwardingEvent.TopicUnavailable(Topic.ENDPOINTS));
         host.apply(new ForwardingEvent.TopicRead(Topic.ENDPOINTS, host.now(), false, List.of(), 0));
     }
 
-    private Optional<EndpointId> endpointOf(Fixture host) {
+    private Optional<EndpointId> endpointOf(ReducerFixture host) {
         ForwardRequest request = host.request("/x/1", Optional.empty(), Duration.ofSeconds(2));
-        return Fixture.only(host.apply(new ForwardingEvent.RequestArrived(request)), ForwardingEffect.Send.class)
+        return ReducerFixture.only(host.apply(new ForwardingEvent.RequestArrived(request)), ForwardingEffect.Send.class)
                 .stream()
                 .map(ForwardingEffect.Send::endpoint)
                 .findFirst();
@@ -66,11 +67,11 @@
     /** Requests reached an endpoint 2.4 s after it had left: an outage of one host counted for all, from each telling anew. */
     @Test
     void outageOfOneHostKeepsNoEntriesOnOthers() {
-        loseAndFindTheLog(cutOff);
+        loseAndFindTheLog(partitioned);
         pass(Duration.ofMillis(2500));
-        ask(first, cutOff);
+        requestEndpoints(first, partitioned);
         pass(Duration.ofMillis(400));
-        ask(second, first);
+        requestEndpoints(second, first);
         second.removed(Topic.ENDPOINTS, "desk-1");
         second.removed(Topic.ENDPOINTS, "desk-2");
         assertEquals(Optional.empty(), endpointOf(second), "the log was never away for this host");
@@ -87,8 +88,8 @@
                     new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
         }
         pass(Duration.ofMillis(200));
-        loseAndFindTheLog(cutOff);
-        ask(second, cutOff);
+        loseAndFindTheLog(partitioned);
+        requestEndpoints(second, partitioned);
         second.removed(Topic.ENDPOINTS, "desk-1");
         second.removed(Topic.ENDPOINTS, "desk-2");
         assertTrue(endpointOf(second).isPresent(), "the entries may have lapsed in the outage");
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterCommanderTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
@@ -26,7 +26,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class AdapterCommanderTest {
+class RunnerControllerTest {
     private static final int SLOTS = 3;
 
     private static final EngineCapacity CAPACITY =
@@ -36,12 +36,12 @@
 
     private Instant now = Instant.ofEpochSecond(100);
     private EndpointState runner;
-    private AdapterCommander commander;
+    private RunnerController controller;
 
     private void begin(Set<String> models, LoadedAdapter... adapters) {
         runner = new EndpointState(new EndpointListing(
                 new EndpointId("runner-1"),
-                Fixture.SERVICE,
+                ReducerFixture.SERVICE,
                 NetworkAddress.parse("10.0.1.1:80"),
                 "east",
                 64,
@@ -51,51 +51,56 @@
                 models,
                 List.of(adapters),
                 0));
-        commander = new AdapterCommander(runner, SLOTS);
+        controller = new RunnerController(runner, SLOTS);
     }
 
     private static AdapterName adapter(int number) {
         return new AdapterName("base", "a" + number);
     }
 
-    private void want(int number) {
-        commander.want(new WantedLoad(adapter(number), now.plusSeconds(1), now.plusSeconds(4)));
+    private void requestLoad(int number) {
+        controller.requestLoad(new AdapterLoadRequest(adapter(number), now.plusSeconds(1), now.plusSeconds(4)));
     }
 
-    private List<ForwardingEffect> step() {
-        return commander.step(CAPACITY, 1, name -> 1, true, now);
+    private List<ForwardingEffect> reconcile() {
+        return controller.reconcile(CAPACITY, 1, name -> 1, true, now);
     }
 
     private AdapterCommand command() {
-        return Fixture.only(step(), ForwardingEffect.Command.class).get(0).command();
+        return ReducerFixture.only(reconcile(), ForwardingEffect.Command.class)
+                .get(0)
+                .command();
     }
 
     private void answer(AdapterCommand command, CommandResult result) {
-        commander.answered(command, result, name -> 1, 1, now);
+        controller.commandAnswered(command, result, name -> 1, 1, now);
     }
 
     private void inspect(int sequence, boolean busy, Set<String> models, LoadedAdapter... loaded) {
-        commander.inspected(Optional.of(new RunnerState(sequence, busy, models, List.of(loaded), List.of())), now);
+        controller.inspected(Optional.of(new RunnerState(sequence, busy, models, List.of(loaded), List.of())), now);
     }
 
     @Test
     void emptyRunnerLoadsItsBaseModelFirst() {
         begin(Set.of());
-        assertEquals(1, Fixture.only(step(), ForwardingEffect.Inspect.class).size());
+        assertEquals(
+                1,
+                ReducerFixture.only(reconcile(), ForwardingEffect.Inspect.class).size());
         inspect(0, false, Set.of());
-        want(1);
+        requestLoad(1);
         AdapterCommand load = command();
         assertEquals("base", load.baseModel());
         assertTrue(load.adapter().isEmpty());
         answer(load, CommandResult.ACCEPTED);
         now = now.plusSeconds(1);
-        step();
+        reconcile();
         inspect(1, true, Set.of());
-        assertTrue(Fixture.only(step(), ForwardingEffect.Command.class).isEmpty(), "the runner is busy");
+        assertTrue(
+                ReducerFixture.only(reconcile(), ForwardingEffect.Command.class).isEmpty(), "the runner is busy");
         now = now.plusSeconds(1);
-        step();
+        reconcile();
         inspect(1, false, Set.of("base"));
-        want(1);
+        requestLoad(1);
         assertEquals(Optional.of("a1"), command().adapter());
     }
 
@@ -105,10 +110,10 @@
             new LoadedAdapter(adapter(1), 1), new LoadedAdapter(adapter(2), 1), new LoadedAdapter(adapter(3), 1)
         };
         begin(Set.of("base"), full);
-        step();
+        reconcile();
         inspect(0, false, Set.of("base"), full);
         runner.setUse(OTHER, new EndpointUsage(runner.id(), 2, 0, 0, List.of(adapter(1), adapter(3)), List.of()));
-        want(4);
+        requestLoad(4);
         AdapterCommand unload = command();
         assertFalse(unload.load());
         assertEquals(Optional.of("a2"), unload.adapter());
@@ -121,27 +126,27 @@
             new LoadedAdapter(adapter(1), 1), new LoadedAdapter(adapter(2), 1), new LoadedAdapter(adapter(3), 1)
         };
         begin(Set.of("base"), full);
-        step();
+        reconcile();
         inspect(0, false, Set.of("base"), full);
-        want(4);
+        requestLoad(4);
         answer(command(), CommandResult.ACCEPTED);
-        assertEquals(0, commander.loading(now));
+        assertEquals(0, controller.loadingCount(now));
         assertEquals(3, runner.adapters().size(), "its place stays taken");
     }
 
     @Test
     void loadThatCanBeOnTimeGoesBeforeOneThatIsLateAnyway() {
-        WantedLoad late = new WantedLoad(adapter(1), now.plusMillis(100), now.plusSeconds(3));
-        WantedLoad soon = new WantedLoad(adapter(2), now.plusMillis(700), now.plusSeconds(3));
-        WantedLoad later = new WantedLoad(adapter(3), now.plusMillis(900), now.plusSeconds(3));
-        List<WantedLoad> loads = new ArrayList<>(List.of(later, late, soon));
-        loads.sort(AdapterCommander.urgency(now));
+        AdapterLoadRequest late = new AdapterLoadRequest(adapter(1), now.plusMillis(100), now.plusSeconds(3));
+        AdapterLoadRequest soon = new AdapterLoadRequest(adapter(2), now.plusMillis(700), now.plusSeconds(3));
+        AdapterLoadRequest later = new AdapterLoadRequest(adapter(3), now.plusMillis(900), now.plusSeconds(3));
+        List<AdapterLoadRequest> loads = new ArrayList<>(List.of(later, late, soon));
+        loads.sort(RunnerController.urgencyOrder(now));
         assertEquals(List.of(soon, later, late), loads);
     }
 
     /** The runner as it is, with loads that take their time, answers that get lost and commands that come late. */
     private final class SimulatedRunner {
-        private final Map<AdapterName, Instant> places = new HashMap<>();
+        private final Map<AdapterName, Instant> slots = new HashMap<>();
         private final List<AdapterCommand> late = new ArrayList<>();
         private int sequence;
 
@@ -152,18 +157,18 @@
             AdapterName name = command.adapterName().orElseThrow();
             sequence++;
             if (!command.load()) {
-                places.remove(name);
+                slots.remove(name);
                 return CommandResult.DONE;
             }
-            places.put(name, now.plusMillis(800));
-            assertTrue(places.size() <= SLOTS, "ordered to load more than it holds: " + places.keySet());
+            slots.put(name, now.plusMillis(800));
+            assertTrue(slots.size() <= SLOTS, "ordered to load more than it holds: " + slots.keySet());
             return CommandResult.ACCEPTED;
         }
 
         RunnerState state() {
             List<LoadedAdapter> loaded = new ArrayList<>();
             List<LoadedAdapter> loading = new ArrayList<>();
-            places.forEach(
+            slots.forEach(
                     (name, readyAt) -> (now.isBefore(readyAt) ? loading : loaded).add(new LoadedAdapter(name, 1)));
             return new RunnerState(sequence, false, Set.of("base"), loaded, loading);
         }
@@ -180,24 +185,24 @@
         for (int step = 0; step < 500; step++) {
             now = now.plusMillis(10 + random.nextInt(40));
             if (random.nextInt(3) == 0) {
-                want(random.nextInt(12));
+                requestLoad(random.nextInt(12));
             }
             if (!real.late.isEmpty() && random.nextInt(10) == 0) {
                 real.take(real.late.remove(0));
             }
             for (AdapterName name : List.copyOf(runner.adapters().keySet())) {
-                boolean ready = real.places.containsKey(name) && !now.isBefore(real.places.get(name));
+                boolean ready = real.slots.containsKey(name) && !now.isBefore(real.slots.get(name));
                 if (runner.adapters().get(name).isReady(now) && !ready && random.nextInt(3) == 0) {
-                    commander.missing(name, now);
+                    controller.adapterMissing(name, now);
                 }
             }
             if (unanswered.isPresent() && random.nextInt(2) == 0) {
                 answer(unanswered.get(), result);
                 unanswered = Optional.empty();
             }
-            for (ForwardingEffect effect : step()) {
+            for (ForwardingEffect effect : reconcile()) {
                 if (effect instanceof ForwardingEffect.Inspect) {
-                    commander.inspected(Optional.of(real.state()), now);
+                    controller.inspected(Optional.of(real.state()), now);
                 } else if (effect instanceof ForwardingEffect.Command sent) {
                     if (random.nextInt(12) == 0) {
                         real.late.add(sent.command());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerNewsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -24,7 +24,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** What a host of a large deployment learns of a runner that another one commands, over relays and directly. */
-class RunnerNewsTest {
+class RunnerStateUpdateTest {
     private static final EndpointId RUNNER = new EndpointId("runner-1");
 
     private static final AdapterName EARLIER = new AdapterName("base", "earlier");
@@ -36,31 +36,32 @@
     private static final Duration STEP = Duration.ofMillis(20);
 
     /** Longest time that a message of news takes over relays: each gathers messages before it sends them. */
-    private static final Duration RELAYED = PeerMail.BUNDLE_INTERVAL.multipliedBy(2);
+    private static final Duration RELAYED = PeerMessenger.BUNDLE_INTERVAL.multipliedBy(2);
 
     /** Longest time of a load in the users' sheets. */
     private static final Duration LONGEST_LOAD = Duration.ofMillis(288);
 
-    private final Fixture commander = new Fixture();
-    private final Fixture asker = new Fixture(new HostId("host-2"));
+    private final ReducerFixture leaseHolder = new ReducerFixture();
+    private final ReducerFixture requester = new ReducerFixture(new HostId("host-2"));
 
     @BeforeEach
     void begin() {
-        for (Fixture fixture : List.of(commander, asker)) {
+        for (ReducerFixture fixture : List.of(leaseHolder, requester)) {
             IntStream.range(0, OTHER_HOSTS).forEach(number -> announce(fixture, new HostId("peer-" + number)));
-            announce(fixture, fixture == commander ? asker.identity().host() : Fixture.HOST);
-            fixture.configure(1, Fixture.route("/chat", Fixture.SERVICE, true, true, true));
-            fixture.endpoint(RUNNER.value(), Fixture.SERVICE, false, 1);
-            fixture.fact(Topic.CLAIMS, RUNNER.value(), new DecodedRecord.RunnerClaimed(RUNNER, Fixture.HOST, true));
+            announce(fixture, fixture == leaseHolder ? requester.identity().host() : ReducerFixture.HOST);
+            fixture.configure(1, ReducerFixture.route("/chat", ReducerFixture.SERVICE, true, true, true));
+            fixture.endpoint(RUNNER.value(), ReducerFixture.SERVICE, false, 1);
+            fixture.publish(
+                    Topic.CLAIMS, RUNNER.value(), new DecodedRecord.RunnerClaimed(RUNNER, ReducerFixture.HOST, true));
         }
         List<ForwardingEffect> effects = new ArrayList<>(pass(Duration.ofMillis(200)));
         RunnerState empty = new RunnerState(0, false, Set.of("base"), List.of(), List.of());
-        effects.addAll(commander.apply(new ForwardingEvent.Inspected(RUNNER, Optional.of(empty))));
+        effects.addAll(leaseHolder.apply(new ForwardingEvent.Inspected(RUNNER, Optional.of(empty))));
         effects.addAll(pass(RELAYED));
         deliver(effects);
     }
 
-    private static void announce(Fixture fixture, HostId host) {
+    private static void announce(ReducerFixture fixture, HostId host) {
         HostAnnouncement announcement = new HostAnnouncement(
                 host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.2.0.1:81"), "east", 1);
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
@@ -69,35 +70,37 @@
 
     /** Lets time pass for both hosts; returns what the commander does. */
     private List<ForwardingEffect> pass(Duration time) {
-        asker.pass(time);
-        return commander.pass(time);
+        requester.pass(time);
+        return leaseHolder.pass(time);
     }
 
-    private List<ForwardingEffect> deliver(List<ForwardingEffect> fromCommander) {
+    private List<ForwardingEffect> deliver(List<ForwardingEffect> fromLeaseHolder) {
         List<ForwardingEffect> effects = new ArrayList<>();
-        for (ForwardingEffect.SendToPeer sent : Fixture.only(fromCommander, ForwardingEffect.SendToPeer.class)) {
-            effects.addAll(asker.apply(new ForwardingEvent.PeerMessageReceived(commander.identity(), sent.message())));
+        for (ForwardingEffect.SendToPeer sent :
+                ReducerFixture.only(fromLeaseHolder, ForwardingEffect.SendToPeer.class)) {
+            effects.addAll(
+                    requester.apply(new ForwardingEvent.PeerMessageReceived(leaseHolder.identity(), sent.message())));
         }
         return effects;
     }
 
-    private List<ForwardingEffect> accept(List<ForwardingEffect> fromCommander) {
-        AdapterCommand command = Fixture.only(fromCommander, ForwardingEffect.Command.class)
+    private List<ForwardingEffect> accept(List<ForwardingEffect> fromLeaseHolder) {
+        AdapterCommand command = ReducerFixture.only(fromLeaseHolder, ForwardingEffect.Command.class)
                 .get(0)
                 .command();
-        return commander.apply(new ForwardingEvent.CommandAnswered(command, CommandResult.ACCEPTED));
+        return leaseHolder.apply(new ForwardingEvent.CommandAnswered(command, CommandResult.ACCEPTED));
     }
 
-    private List<ForwardingEffect> ask() {
-        List<ForwardingEffect> asked = asker.apply(
-                new ForwardingEvent.RequestArrived(asker.request("/chat", Optional.of(WANTED), Duration.ofSeconds(6))));
-        PeerMessage question = Fixture.only(asked, ForwardingEffect.SendToPeer.class).stream()
+    private List<ForwardingEffect> requestLoad() {
+        List<ForwardingEffect> asked = requester.apply(new ForwardingEvent.RequestArrived(
+                requester.request("/chat", Optional.of(WANTED), Duration.ofSeconds(6))));
+        PeerMessage loadRequest = ReducerFixture.only(asked, ForwardingEffect.SendToPeer.class).stream()
                 .map(ForwardingEffect.SendToPeer::message)
                 .map(message -> message instanceof PeerMessage.Routed routed ? routed.message() : message)
                 .filter(PeerMessage.AdapterWanted.class::isInstance)
                 .findFirst()
                 .orElseThrow();
-        return commander.apply(new ForwardingEvent.PeerMessageReceived(asker.identity(), question));
+        return leaseHolder.apply(new ForwardingEvent.PeerMessageReceived(requester.identity(), loadRequest));
     }
 
     private static List<ForwardingEffect> bundles(List<ForwardingEffect> effects) {
@@ -110,41 +113,45 @@
     /** The host that asked took older news, which came over relays, for newer ones and gave up the load that was made. */
     @Test
     void newsOvertakenByNewerOnesAreIgnored() {
-        accept(commander.apply(new ForwardingEvent.RequestArrived(
-                commander.request("/chat", Optional.of(EARLIER), Duration.ofSeconds(6)))));
-        List<ForwardingEffect> older = bundles(pass(PeerMail.BUNDLE_INTERVAL));
+        accept(leaseHolder.apply(new ForwardingEvent.RequestArrived(
+                leaseHolder.request("/chat", Optional.of(EARLIER), Duration.ofSeconds(6)))));
+        List<ForwardingEffect> older = bundles(pass(PeerMessenger.BUNDLE_INTERVAL));
         assertFalse(older.isEmpty());
-        deliver(accept(ask()));
-        List<ForwardingEffect> atAsker = new ArrayList<>(deliver(older));
-        atAsker.addAll(asker.pass(ServiceTimes.ADAPTER_LOAD.plus(RELAYED)));
-        assertTrue(Fixture.only(atAsker, ForwardingEffect.Refuse.class).isEmpty(), "refused");
-        assertEquals(1, Fixture.only(atAsker, ForwardingEffect.Send.class).size());
+        deliver(accept(requestLoad()));
+        List<ForwardingEffect> atRequester = new ArrayList<>(deliver(older));
+        atRequester.addAll(requester.pass(RunnerTimings.ADAPTER_LOAD.plus(RELAYED)));
+        assertTrue(
+                ReducerFixture.only(atRequester, ForwardingEffect.Refuse.class).isEmpty(), "refused");
+        assertEquals(
+                1, ReducerFixture.only(atRequester, ForwardingEffect.Send.class).size());
     }
 
     /** The same news came again over relays, and the time until the load ends was counted from then. */
     @Test
     void newsThatComeTwiceDoNotDelayTheEndOfALoad() {
-        deliver(accept(ask()));
-        Instant accepted = asker.now();
-        List<ForwardingEffect> relayed = bundles(commander.pass(PeerMail.BUNDLE_INTERVAL));
+        deliver(accept(requestLoad()));
+        Instant accepted = requester.now();
+        List<ForwardingEffect> relayed = bundles(leaseHolder.pass(PeerMessenger.BUNDLE_INTERVAL));
         assertFalse(relayed.isEmpty());
-        List<ForwardingEffect> atAsker = new ArrayList<>(asker.pass(RELAYED));
-        atAsker.addAll(deliver(relayed));
-        Duration rest = Duration.between(asker.now(), accepted.plus(ServiceTimes.ADAPTER_LOAD));
-        atAsker.addAll(asker.pass(rest.plus(PeerMail.BUNDLE_INTERVAL.dividedBy(2))));
-        assertEquals(1, Fixture.only(atAsker, ForwardingEffect.Send.class).size());
+        List<ForwardingEffect> atRequester = new ArrayList<>(requester.pass(RELAYED));
+        atRequester.addAll(deliver(relayed));
+        Duration rest = Duration.between(requester.now(), accepted.plus(RunnerTimings.ADAPTER_LOAD));
+        atRequester.addAll(requester.pass(rest.plus(PeerMessenger.BUNDLE_INTERVAL.dividedBy(2))));
+        assertEquals(
+                1, ReducerFixture.only(atRequester, ForwardingEffect.Send.class).size());
     }
 
     /** Two of the first requests of each host came to runners before their adapter and were rejected. */
     @Test
     void requestIsNotSentBeforeItsAdapterIsLoaded() {
-        Instant accepted = asker.now();
-        deliver(accept(ask()));
+        Instant accepted = requester.now();
+        deliver(accept(requestLoad()));
         int steps = 1;
-        while (Fixture.only(asker.pass(STEP), ForwardingEffect.Send.class).isEmpty()) {
+        while (ReducerFixture.only(requester.pass(STEP), ForwardingEffect.Send.class)
+                .isEmpty()) {
             assertTrue(++steps < 50, "never sent");
         }
-        Duration waited = Duration.between(accepted, asker.now());
+        Duration waited = Duration.between(accepted, requester.now());
         assertTrue(waited.compareTo(LONGEST_LOAD) >= 0, waited + " after the load began");
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicFollowerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
@@ -12,10 +12,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-class TopicFollowerTest {
+class TopicConsumerTest {
     private static final Duration WAIT = Duration.ofSeconds(3);
 
-    private final TopicFollower follower = new TopicFollower(Topic.CLAIMS, WAIT, Duration.ZERO);
+    private final TopicConsumer consumer = new TopicConsumer(Topic.CLAIMS, WAIT, Duration.ZERO);
     private Instant now = Instant.ofEpochSecond(50);
 
     private static TopicRecord entry(String key, long offset) {
@@ -23,17 +23,18 @@
     }
 
     private List<TopicRecord> read(boolean snapshot, long end, TopicRecord... records) {
-        return follower.read(new ForwardingEvent.TopicRead(Topic.CLAIMS, now, snapshot, List.of(records), end), now);
+        return consumer.applyRead(
+                new ForwardingEvent.TopicRead(Topic.CLAIMS, now, snapshot, List.of(records), end), now);
     }
 
     private ForwardingEffect.ReadFrom nextRead() {
         now = now.plusMillis(200);
-        return (ForwardingEffect.ReadFrom) follower.tick(now).get(0);
+        return (ForwardingEffect.ReadFrom) consumer.tick(now).get(0);
     }
 
     @Test
     void newestRecordsComeFirstAndThenTheRest() {
-        assertEquals(List.of(new ForwardingEffect.ReadNewest(Topic.CLAIMS)), follower.tick(now));
+        assertEquals(List.of(new ForwardingEffect.ReadNewest(Topic.CLAIMS)), consumer.tick(now));
         read(true, 5, entry("a", 3), entry("b", 4));
         ForwardingEffect.ReadFrom next = nextRead();
         assertEquals(5, next.offset());
@@ -43,10 +44,10 @@
     /** Commands stood still for 1.7 s after the log had dropped its reads, because the next read waited for news. */
     @Test
     void readAfterAFailureDoesNotWaitForNews() {
-        follower.tick(now);
+        consumer.tick(now);
         read(true, 5);
         nextRead();
-        follower.unavailable(now);
+        consumer.unavailable(now);
         assertEquals(now.plusMillis(200), nextRead().waitUntil());
         read(false, 5);
         assertEquals(now.plusMillis(200).plus(WAIT), nextRead().waitUntil());
@@ -54,64 +55,64 @@
 
     @Test
     void lateRecordsChangeNothing() {
-        follower.tick(now);
+        consumer.tick(now);
         read(true, 5, entry("a", 4));
         assertTrue(read(false, 5, entry("a", 2)).isEmpty());
-        assertTrue(follower.relayed(4, List.of(entry("a", 4)), 5, now).isEmpty());
-        assertEquals(1, follower.relayed(5, List.of(entry("a", 6)), 7, now).size());
-        assertEquals(7, follower.end());
+        assertTrue(consumer.applyRelayed(4, List.of(entry("a", 4)), 5, now).isEmpty());
+        assertEquals(1, consumer.applyRelayed(5, List.of(entry("a", 6)), 7, now).size());
+        assertEquals(7, consumer.end());
     }
 
     /** A lost message between hosts must not hide the records in it. */
     @Test
     void relayedRecordsAfterAGapAreLeftToAnOwnRead() {
-        follower.tick(now);
+        consumer.tick(now);
         read(true, 5, entry("a", 4));
-        assertTrue(follower.relayed(6, List.of(entry("b", 6)), 7, now).isEmpty());
-        assertEquals(5, follower.end());
+        assertTrue(consumer.applyRelayed(6, List.of(entry("b", 6)), 7, now).isEmpty());
+        assertEquals(5, consumer.end());
         assertEquals(2, read(false, 7, entry("c", 5), entry("b", 6)).size());
     }
 
     /** A host that read for all fell behind once; its peers' answers put its next read off again and again. */
     @Test
     void hostThatReadsForAllDoesNotPutItsReadOff() {
-        follower.tick(now);
+        consumer.tick(now);
         read(true, 5);
         nextRead();
         read(false, 5);
-        follower.relayed(5, List.of(entry("a", 5)), 6, now);
+        consumer.applyRelayed(5, List.of(entry("a", 5)), 6, now);
         now = now.plusMillis(200);
-        assertTrue(follower.tick(now).isEmpty(), "a host that others read for waits for them");
-        follower.setPace(WAIT, Duration.ZERO, true, now);
-        follower.relayed(6, List.of(entry("b", 6)), 7, now);
+        assertTrue(consumer.tick(now).isEmpty(), "a host that others read for waits for them");
+        consumer.setReadSchedule(WAIT, Duration.ZERO, true, now);
+        consumer.applyRelayed(6, List.of(entry("b", 6)), 7, now);
         assertEquals(7, nextRead().offset());
     }
 
     /** Requests reached an endpoint 2.4 s after it had left, since a peer had told of an outage of its own. */
     @Test
     void hostThatReadsTheTopicItselfIgnoresOutagesOfPeers() {
-        follower.tick(now);
+        consumer.tick(now);
         read(true, 5);
-        follower.noteOutage(now);
-        assertFalse(follower.isRecovering(now));
+        consumer.recordRelayedOutage(now);
+        assertFalse(consumer.isRecovering(now));
     }
 
     @Test
     void outageThatAPeerTellsOfAges() {
-        follower.setPace(Duration.ZERO, Duration.ofSeconds(15), false, now);
-        follower.tick(now);
+        consumer.setReadSchedule(Duration.ZERO, Duration.ofSeconds(15), false, now);
+        consumer.tick(now);
         read(true, 5);
-        follower.noteOutage(now.minusMillis(2500));
-        assertTrue(follower.isRecovering(now));
-        assertEquals(Optional.of(Duration.ofMillis(2900)), follower.outageAge(now.plusMillis(400)));
-        assertFalse(follower.isRecovering(now.plusMillis(600)));
+        consumer.recordRelayedOutage(now.minusMillis(2500));
+        assertTrue(consumer.isRecovering(now));
+        assertEquals(Optional.of(Duration.ofMillis(2900)), consumer.outageAge(now.plusMillis(400)));
+        assertFalse(consumer.isRecovering(now.plusMillis(600)));
     }
 
     @Test
     void keysThatVanishFromASnapshotAreRemoved() {
-        follower.tick(now);
+        consumer.tick(now);
         read(true, 5, entry("a", 3), entry("b", 4));
-        follower.expired(now);
+        consumer.expired(now);
         List<TopicRecord> news = read(true, 9, entry("b", 4));
         assertEquals(1, news.size());
         assertEquals("a", news.get(0).key());
