--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommand.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterCommand.java
@@ -10,14 +10,11 @@
 /**
  * A command to a runner to load a base model, or to load or unload an adapter.
  *
- * @param endpoint the runner
- * @param address its address
- * @param load whether to load; otherwise to unload
- * @param baseModel the base model
- * @param adapter its adapter; empty to load the base model itself
+ * @param load true to load, false to unload
+ * @param adapter the adapter; empty to load the base model itself
  * @param version version of the adapter to load; empty for the newest
- * @param expectedSequence commands that the runner must have accepted before; it refuses this one otherwise
- * @param fencingToken number of the claim under which this host commands the runner
+ * @param expectedSequence number of commands that the runner must have accepted before; it refuses this one otherwise
+ * @param fencingToken fencing token of the lease under which this host commands the runner
  */
 public record AdapterCommand(
         EndpointId endpoint,
@@ -28,11 +25,7 @@
         OptionalLong version,
         long expectedSequence,
         long fencingToken) {
-    /**
-     * Returns the adapter.
-     *
-     * @return the adapter; empty if the command concerns a base model
-     */
+    /** Returns the full name of the adapter; empty if the command concerns a base model. */
     public Optional<AdapterName> adapterName() {
         return adapter.map(name -> new AdapterName(baseModel, name));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterSlot.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AdapterSlot.java
@@ -4,16 +4,16 @@
 import java.time.Instant;
 
 /**
- * An adapter on a runner.
+ * An occupied adapter slot of a runner.
  *
- * @param version its version
- * @param readyAt when it can be used; past if it can
+ * @param version version of the adapter, -1 while it is being unloaded
+ * @param readyAt when the adapter can be used; in the past if it can already
  */
 record AdapterSlot(long version, Instant readyAt) {
-    /** Time from the load of an adapter for a request of another host until that request is seen in its use. */
+    /** Time from the end of a load for another host's request until that request shows up in the usage reports. */
     private static final Duration FIRST_USE = Duration.ofMillis(250);
 
-    /** Version of an adapter that is being unloaded; lower than any that a request needs. */
+    /** Marks an adapter that is being unloaded; lower than any version that a request needs. */
     private static final long UNLOADING = -1;
 
     static AdapterSlot unloading(Instant until) {
@@ -24,12 +24,12 @@
         return !now.isBefore(readyAt);
     }
 
-    /** Returns whether the adapter is on its way from the weight store. */
+    /** Returns whether the adapter is in transit from the weight store. */
     boolean isLoading(Instant now) {
         return version != UNLOADING && !isReady(now);
     }
 
-    /** Returns whether a request for which it was loaded would have been seen by now. */
+    /** Returns whether the request for which the adapter was loaded would have shown up in the usage reports by now. */
     boolean isPastFirstUse(Instant now) {
         return readyAt.equals(Instant.MIN) || now.isAfter(readyAt.plus(FIRST_USE));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -4,69 +4,63 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** How sending a request to an endpoint ended. */
+/** Outcome of one attempt to run a request on an endpoint. */
 public sealed interface AttemptResult {
     /**
-     * The whole answer has arrived; a stream has been passed on to its end.
+     * The answer arrived completely; a stream has been relayed to its end.
      *
-     * @param status HTTP status
-     * @param longestPause longest time between two outputs of a stream; zero for an answer in one piece
+     * @param longestPause longest time between two outputs of a stream; zero for a non-streaming answer
      */
     record Answered(int status, Duration longestPause) implements AttemptResult {
         private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-        /** Returns whether callers would take the status for a promise that the request has not run. */
+        /** Returns whether the status tells callers that the request has not run. */
         boolean claimsNotExecuted() {
             return NOT_RUN_STATUSES.contains(status);
         }
     }
 
-    /**
-     * The endpoint did not run the request.
-     *
-     * @param cause how this is known
-     */
+    /** The endpoint did not run the request. */
     record NotRun(NotRunCause cause) implements AttemptResult {}
 
     /**
-     * The connection ended early or what came was no answer; the request may have run.
+     * The connection ended early or the answer was invalid; the request may have run.
      *
-     * @param cause what ended the attempt
-     * @param outputPassedOn whether the caller has got a part of the answer
-     * @param lastEvent id of the event after which the stream can be resumed; empty if there is none, or
-     *     what was passed on last has no id
+     * @param outputPassedOn whether the caller has received a part of the answer
+     * @param lastEvent id of the event after which the stream can be resumed; empty if there is none, or the last event
+     *     that was relayed has no id
      */
     record Broken(BrokenCause cause, boolean outputPassedOn, Optional<Long> lastEvent) implements AttemptResult {}
 
-    /** How it is known that a request has not run. */
+    /** Why a request is known not to have run. */
     enum NotRunCause {
         /** No connection could be opened, so no byte was sent. */
         NOT_CONNECTED,
-        /** The endpoint said that it is full. */
+        /** The endpoint answered that it is at capacity. */
         FULL,
-        /** Another process has the address, or it lacks the adapter version. */
+        /** Another process has the address, or the runner lacks the adapter version. */
         NOT_HERE
     }
 
-    /** What ended an attempt whose request may have run. */
+    /** Cause of the end of an attempt whose request may have run. */
     enum BrokenCause {
-        /** The connection ended, or what came on it is not HTTP, before the answer was complete. */
+        /** The connection ended before the answer was complete, or what arrived was not HTTP. */
         CONNECTION_LOST,
-        /** The head is not that of an answer to this request, for example a success without a signature. */
+        /** The head is not that of an answer to this request, such as a success without a signature. */
         INVALID_HEAD,
-        /** The answer to a resumption is not an event stream. */
+        /** The answer to a resume request is not an event stream. */
         NOT_A_STREAM,
-        /** The id of an event does not follow that of the event before it. */
+        /** The ids of two events are not consecutive. */
         EVENT_GAP,
-        /** An event of a resumption has no id, so it is unknown whether the caller has it. */
+        /** An event of a resumed stream has no id, so it is unknown whether the caller has received it. */
         UNKNOWN_POSITION,
-        /** The answer is complete by its framing, but ends within an event. */
+        /** The answer is complete by its HTTP framing, but ends within an event. */
         PARTIAL_EVENT,
-        /** The run ended before the last event that the caller has from an earlier one. */
+        /** The resumed stream ended before the last event that the caller received from an earlier run. */
         ENDED_EARLY,
-        /** The head of the answer did not end in time after its first byte. */
+        /** The head of the answer was not complete in time after its first byte. */
         SLOW_HEAD,
-        /** More bytes came than an answer may have, or more than are kept of one. */
+        /** The answer exceeds its declared length or the buffer limit. */
         TOO_LONG
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/BaseModel.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/BaseModel.java
@@ -3,7 +3,6 @@
 /**
  * A base model that runners of a service can hold.
  *
- * @param name its name
- * @param megabytes size of its weights
+ * @param megabytes size of the weights
  */
 public record BaseModel(String name, double megabytes) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CommandResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CommandResult.java
@@ -1,17 +1,17 @@
 package org.banyanstair.forwarding;
 
-/** What a runner said to a command. */
+/** A runner's answer to a command. */
 public enum CommandResult {
-    /** It is being carried out. */
+    /** The command is being executed. */
     ACCEPTED,
-    /** It held already. */
+    /** The runner is already in the requested state. */
     DONE,
-    /** Another command came before, or another is under way. */
+    /** Another command was accepted before, or is being executed. */
     CONFLICT,
     /** The address belongs to another process. */
     OTHER_ENDPOINT,
-    /** The runner refuses it for good. */
+    /** The runner rejects the command permanently. */
     INVALID,
-    /** No answer came; it may still be carried out. */
+    /** No answer arrived; the command may still be executed. */
     UNKNOWN
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -9,9 +9,9 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.peer.PeerMessage;
 
-/** Tells crashes of endpoints from lost connections, and which requests were running at them. */
+/** Distinguishes crashes of endpoints from lost connections and records the requests that were running there. */
 final class CrashDetector {
-    /** Time between a broken request and the sign that its endpoint crashed. */
+    /** Longest time between a broken attempt and the evidence that its endpoint crashed. */
     private static final Duration CONFIRMATION_LIMIT = Duration.ofSeconds(4);
 
     private final EventContext context;
@@ -46,7 +46,10 @@
                 context.now().plus(CONFIRMATION_LIMIT)));
     }
 
-    /** An endpoint refuses connections, has restarted, or is no longer listed. */
+    /**
+     * Records a crash for the attempts that broke lately on an endpoint that refuses connections, has restarted or is
+     * no longer listed.
+     */
     void endpointLost(EndpointState endpoint) {
         Iterator<Suspicion> iterator = suspicions.iterator();
         while (iterator.hasNext()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
@@ -10,13 +10,13 @@
 import org.banyanstair.model.EndpointId;
 
 /**
- * Counts the endpoints that ended while a request ran there alone or with few others, to stop one that crashes them.
+ * Counts the endpoints that crashed while they ran a request, to refuse requests that crash endpoints.
  *
- * <p>A crash is reported by each host that had a request there; only requests that were on each of three crashed
- * endpoints are refused, which a neighbour is practically never.
+ * <p>Each host that had a request on the crashed endpoint reports it. Only a request that was on each of three crashed
+ * endpoints is refused; other requests on the same endpoints are practically never on all three.
  */
 final class CrashHistory {
-    /** Crashes after which a request is refused; the users allow three more runs after the third. */
+    /** Crashes after which a request is refused; the platform tolerates three more runs after the third. */
     private static final int MAXIMUM_CRASHES = 3;
 
     private static final Duration RETENTION = Duration.ofMinutes(2);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecisionRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecisionRecord.java
@@ -6,17 +6,15 @@
 /**
  * One line of the decision log.
  *
- * @param kind what was decided or learned
- * @param important whether it is kept ahead of others when the log falls behind
- * @param fields inputs and outcome, in order
+ * @param kind what was decided or observed
+ * @param important whether the line is kept in preference to others when the log falls behind
+ * @param fields inputs and outcome, in output order
  */
 public record DecisionRecord(String kind, boolean important, Map<String, Object> fields) {
     /**
-     * Creates a record of a decision that served a request.
+     * Creates a record of a decision for a request that is served.
      *
-     * @param kind what was decided
-     * @param fields names and values in turn
-     * @return the record
+     * @param fields alternating names and values
      */
     public static DecisionRecord of(String kind, Object... fields) {
         return new DecisionRecord(kind, false, map(fields));
@@ -25,9 +23,7 @@
     /**
      * Creates a record of a refusal, a failure or a change of state.
      *
-     * @param kind what was decided
-     * @param fields names and values in turn
-     * @return the record
+     * @param fields alternating names and values
      */
     public static DecisionRecord important(String kind, Object... fields) {
         return new DecisionRecord(kind, true, map(fields));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -5,43 +5,24 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 
-/** What a record of a topic says. */
+/** Decoded content of a record of a platform topic. */
 public sealed interface DecodedRecord {
-    /**
-     * A configuration.
-     *
-     * @param configuration the configuration
-     */
+    /** A new version of the configuration. */
     record ConfigurationPublished(ForwardingConfiguration configuration) implements DecodedRecord {}
 
-    /**
-     * A version of an adapter was named.
-     *
-     * @param adapter the adapter
-     * @param version its newest version
-     */
+    /** A new version of an adapter was published. */
     record AdapterVersionPublished(AdapterName adapter, long version) implements DecodedRecord {}
 
-    /**
-     * An endpoint's entry.
-     *
-     * @param listing the entry
-     */
+    /** An endpoint registered itself or updated its entry. */
     record EndpointListed(EndpointListing listing) implements DecodedRecord {}
 
     /**
-     * A host took command of a runner.
+     * A runner was claimed for a host.
      *
-     * @param endpoint the runner
-     * @param host the host
      * @param settled whether no other host can have commanded the runner within the lease term
      */
     record RunnerClaimed(EndpointId endpoint, HostId host, boolean settled) implements DecodedRecord {}
 
-    /**
-     * A host announced itself.
-     *
-     * @param announcement its announcement
-     */
+    /** A host announced its addresses. */
     record HostAnnounced(HostAnnouncement announcement) implements DecodedRecord {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointCondition.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointCondition.java
@@ -1,13 +1,13 @@
 package org.banyanstair.forwarding;
 
-/** How a host sees an endpoint. */
+/** State of an endpoint as a host sees it. */
 public enum EndpointCondition {
-    /** It gets requests. */
+    /** Receives requests. */
     IN_USE,
-    /** It failed a moment ago and gets none for a short time. */
+    /** Failed recently and receives no requests for a short time. */
     PAUSED,
-    /** It leaves. */
+    /** Draining; receives no new requests. */
     LEAVING,
-    /** Its entry has gone. */
+    /** No longer listed in the registry. */
     GONE
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
@@ -9,19 +9,17 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * What an endpoint says of itself in the platform's registry.
+ * An endpoint's entry in the platform's registry.
  *
- * @param id the endpoint
- * @param service service that it belongs to
- * @param address where it is reached
- * @param dataCentre where it stands
- * @param slots requests that it runs at once
- * @param draining whether it is leaving
- * @param terminatesAt when it will be gone whatever it still runs, on the local steady clock; empty if not announced
- * @param started milliseconds since 1970 at which the process started; another value means that it forgot everything
- * @param baseModels base models that it held when it wrote this
- * @param adapters adapters that it held when it wrote this
- * @param commandSequence number of commands that it had accepted
+ * @param address address for requests and commands
+ * @param slots maximum number of concurrent requests
+ * @param draining whether the endpoint is shutting down
+ * @param terminatesAt when the process ends even if requests are running, on the local steady clock; empty if not
+ *     announced
+ * @param started start time of the process in milliseconds since 1970; a different value means that its state was lost
+ * @param baseModels base models that it held when the entry was written
+ * @param adapters adapters that it held when the entry was written
+ * @param commandSequence number of commands that it had accepted when the entry was written
  */
 public record EndpointListing(
         EndpointId id,
@@ -35,7 +33,7 @@
         Set<String> baseModels,
         List<LoadedAdapter> adapters,
         long commandSequence) {
-    /** Copies the adapters. */
+    /** Copies the collections. */
     public EndpointListing {
         baseModels = Set.copyOf(baseModels);
         adapters = List.copyOf(adapters);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
@@ -8,35 +8,37 @@
 import java.util.OptionalDouble;
 
 /**
- * Chooses the endpoint of a request by the time until its first output.
+ * Selects the endpoint with the lowest estimated time until the first output of a request.
  *
- * <p>Answers load of two kinds. On runners, reading prompts is what binds on the heaviest days, so the estimate counts
- * the tokens that wait there for all hosts, less the parts that the runner has cached, and the load of the adapter. On
- * plain services it counts the requests beyond the slots.
+ * <p>On runners, prompt processing is the bottleneck under peak load, so the estimate counts the prompt tokens queued
+ * there by all hosts, less the cached prefixes, and the load of the adapter. On plain services it counts the requests
+ * in excess of the slots.
  */
 final class EndpointSelector {
-    /** Added where an adapter has to be loaded though another runner has it: it evicts one and prompts are read again. */
+    /**
+     * Penalty for loading an adapter that another runner already holds: it evicts one, and prompts are processed again.
+     */
     private static final double COPY_PENALTY_MILLISECONDS = 300;
 
-    /** Added where an adapter has to be brought from the weight store, which is paid for and slows down others. */
+    /** Penalty for a load from the weight store, which is billed and slows down other loads. */
     private static final double FETCH_PENALTY_MILLISECONDS = 200;
 
-    /** Added for an endpoint in another data centre; bytes between data centres are paid for. */
+    /** Penalty for an endpoint in another data centre; traffic between data centres is billed. */
     private static final double REMOTE_PENALTY_MILLISECONDS = 8;
 
-    /** Added for an endpoint that fails all of its requests, in proportion for fewer. */
+    /** Penalty for an endpoint that fails all of its requests; proportionally less for fewer. */
     private static final double FAILURE_PENALTY_MILLISECONDS = 800;
 
-    /** Added when the memory of a runner is full, so that it would take another request's place. */
+    /** Penalty for a runner whose cache memory or slots are full, where the request would displace another. */
     private static final double FULL_PENALTY_MILLISECONDS = 600;
 
-    /** Added for each place further down the order of runners for an adapter, so that hosts agree on where to load. */
+    /** Penalty for each rank in the hash order of runners for an adapter, so that hosts agree on where to load it. */
     private static final double RANK_PENALTY_MILLISECONDS = 6;
 
-    /** Share of the memory of a runner that requests may fill before it counts as full. */
+    /** Share of a runner's cache memory above which it counts as full. */
     private static final double FULL_CACHE_SHARE = 0.95;
 
-    /** Time of a request of a plain service, until the objective tells better. */
+    /** Estimated time of a request of a plain service as a share of the route's objective. */
     private static final double PLAIN_OBJECTIVE_SHARE = 0.25;
 
     private final String dataCentre;
@@ -46,12 +48,9 @@
     }
 
     /**
-     * Chooses an endpoint.
+     * Selects an endpoint; empty if none accepts the request.
      *
-     * @param query what it is for
      * @param endpoints endpoints of the service
-     * @param now present instant
-     * @return the choice; empty if no endpoint takes the request
      */
     Optional<EndpointSelection> select(SelectionQuery query, Collection<EndpointState> endpoints, Instant now) {
         ForwardRequest request = query.request();
@@ -109,7 +108,9 @@
         return slot != null && slot.version() >= neededVersion;
     }
 
-    /** Estimates the time that a runner needs for the prompt of a request and for those that wait before it. */
+    /**
+     * Estimates the milliseconds that a runner needs for the prompt of a request and for the prompts queued before it.
+     */
     static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes) {
         int own = Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
         return (endpoint.waitingTokens() + own) / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowdown()
@@ -131,7 +132,7 @@
         double each = route.objective().toMillis() * PLAIN_OBJECTIVE_SHARE;
         int slots = Math.max(1, endpoint.listing().slots());
         int running = endpoint.running();
-        // Some endpoints slow down when nearly full, so the load counts before the slots are taken.
+        // Some endpoints slow down when nearly full, so utilization counts even below the slot limit.
         double load = each * running / slots + (running >= slots ? each * (running - slots + 1) / slots + each : 0);
         return load + commonCost(endpoint, now);
     }
@@ -141,7 +142,7 @@
                 + FAILURE_PENALTY_MILLISECONDS * endpoint.failureRate(now);
     }
 
-    /** Returns the place of an endpoint in the order by weight. */
+    /** Returns the rank of an endpoint in descending order of weight. */
     private static int rank(long weight, long[] weights) {
         int rank = 0;
         for (long other : weights) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -15,24 +15,26 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.EndpointUsage;
 
-/** What a host believes of one endpoint. Not safe for use by several threads. */
+/** A host's view of one endpoint. Not thread-safe. */
 final class EndpointState {
-    /** Time for which an endpoint that refused a connection gets no requests, doubled with each further failure. */
+    /** Time for which an endpoint that refused a connection receives no requests, doubled with each further failure. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(250);
 
-    /** Longest such time; an endpoint that crashed is back after some seconds. */
+    /** Upper limit of the doubled pause; a crashed endpoint is back after a few seconds. */
     private static final Duration MAXIMUM_PAUSE = Duration.ofSeconds(2);
 
-    /** Adapters that a runner is taken to have at hand after it gave up their places; a part of what runners keep. */
+    /**
+     * Number of unloaded adapters that a runner is assumed to keep in local memory; less than runners actually keep.
+     */
     private static final int MAXIMUM_RECENTLY_UNLOADED = 36;
 
-    /** Time after which a load that took longer than expected is counted on again. */
+    /** Time by which the expected end of a late load is postponed. */
     private static final Duration LATE_LOAD_EXTENSION = Duration.ofMillis(150);
 
-    /** Weight of the newest outcome in the share of failures. */
+    /** Weight of the newest sample in the moving averages of the failure rate and the run time. */
     private static final double OUTCOME_WEIGHT = 0.2;
 
-    /** Weight of the newest measurement of the speed. */
+    /** Weight of the newest sample in the moving average of the slowdown. */
     private static final double SLOWDOWN_WEIGHT = 0.15;
 
     private EndpointListing listing;
@@ -71,7 +73,7 @@
         return listing.id();
     }
 
-    /** Takes a newer entry of the endpoint; returns whether its process is a new one. */
+    /** Applies a newer registry entry; returns whether the process has restarted. */
     boolean update(EndpointListing newer) {
         boolean restarted = newer.started() != listing.started();
         boolean commandsChanged = newer.commandSequence() != listing.commandSequence();
@@ -116,7 +118,7 @@
         baseModels = models;
     }
 
-    /** Returns whether the runner holds the base model of a request, if it names one. */
+    /** Returns whether the runner holds the base model of a request, or the request names none. */
     boolean holdsBaseModelOf(ForwardRequest request) {
         return request.baseModel().isEmpty()
                 || baseModels.contains(request.baseModel().get());
@@ -134,7 +136,7 @@
         return adapters;
     }
 
-    /** Takes the adapters that the runner now has, and remembers those that made way. */
+    /** Replaces the adapters and remembers the unloaded ones. */
     void replaceAdapters(Map<AdapterName, AdapterSlot> newer) {
         adapters.forEach((name, slot) -> {
             if (!newer.containsKey(name)) {
@@ -145,7 +147,7 @@
         adapters.putAll(newer);
     }
 
-    /** Removes an adapter that made way. */
+    /** Removes an unloaded adapter. */
     void removeAdapter(AdapterName name) {
         AdapterSlot slot = adapters.remove(name);
         if (slot != null) {
@@ -159,12 +161,12 @@
         recentlyUnloaded.put(unloaded, Boolean.TRUE);
     }
 
-    /** Returns whether the runner held an adapter version lately, so that it loads without the weight store. */
+    /** Returns whether the runner held an adapter version recently, so that it loads without the weight store. */
     boolean recentlyHeld(AdapterName name, long version) {
         return recentlyUnloaded.containsKey(new LoadedAdapter(name, version));
     }
 
-    /** Returns how long a load takes if no others are on their way. */
+    /** Returns the expected load time without other loads in transit. */
     Duration loadTime(AdapterName name, long version) {
         return recentlyHeld(name, version) ? RunnerTimings.ADAPTER_RELOAD : RunnerTimings.ADAPTER_LOAD;
     }
@@ -177,7 +179,7 @@
         leaseHolder = Optional.of(host);
     }
 
-    /** Returns the host that said last that it commands the runner. */
+    /** Returns the host that last published the runner's state as its lease holder. */
     Optional<HostId> leaseHolder() {
         return leaseHolder;
     }
@@ -214,7 +216,7 @@
         }
     }
 
-    /** Returns the share of failures among the last answers; it halves with each second without one. */
+    /** Returns the moving average of the share of failures; it halves with each second without a failure. */
     double failureRate(Instant now) {
         if (failureRate == 0) {
             return 0;
@@ -233,7 +235,7 @@
         runMilliseconds += OUTCOME_WEIGHT * (time.toMillis() - runMilliseconds);
     }
 
-    /** Returns the usual time for which a request uses its adapter here. */
+    /** Returns the moving average of the milliseconds for which a request uses its adapter. */
     double runMilliseconds() {
         return runMilliseconds;
     }
@@ -279,7 +281,7 @@
         return sum;
     }
 
-    /** Returns how many adapters could be loaded now, into free places or those of adapters that nobody needs. */
+    /** Returns how many adapters could be loaded now, into free slots or by eviction of unused adapters. */
     int availableSlots(int slots, Instant now) {
         int available = slots - adapters.size();
         for (Map.Entry<AdapterName, AdapterSlot> entry : adapters.entrySet()) {
@@ -293,12 +295,15 @@
         pendingLoads.addAll(loads);
     }
 
-    /** Returns whether the commander of the runner has been asked for an adapter and will load it. */
+    /** Returns whether the lease holder of the runner has a pending load of an adapter. */
     boolean isLoadPending(AdapterName adapter) {
         return pendingLoads.contains(adapter);
     }
 
-    /** A request found an adapter missing that should be there; returns whether that is news. */
+    /**
+     * Postpones the expected end of a load after a request found the adapter missing; returns whether the adapter was
+     * known here.
+     */
     boolean markLoadLate(AdapterName adapter, Instant now) {
         AdapterSlot slot = adapters.get(adapter);
         if (slot == null) {
@@ -308,7 +313,7 @@
         return true;
     }
 
-    /** Returns whether the load of an adapter was expected to end within the last moments. */
+    /** Returns whether the load of an adapter was expected to end within a time before now. */
     boolean becameReadyWithin(AdapterName adapter, Duration limit, Instant now) {
         AdapterSlot slot = adapters.get(adapter);
         return slot != null
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The handling of one event: its instant and the effects so far. */
+/** Context of the handling of one event: its instant and the effects so far. */
 final class EventContext {
     private Instant now = Instant.MIN;
     private List<ForwardingEffect> effects = new ArrayList<>();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/FailureReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/FailureReason.java
@@ -1,9 +1,9 @@
 package org.banyanstair.forwarding;
 
-/** Why a request that may have run gets no answer of its endpoint. */
+/** Why a request that may have run is answered with a failure. */
 public enum FailureReason {
     /** The deadline passed. */
     TIMED_OUT,
-    /** The endpoint broke off or sent something that is no answer. */
+    /** The endpoint closed the connection early or sent an invalid answer. */
     ENDPOINT_FAILED
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -8,19 +8,19 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * A request of a caller, without its body.
+ * A caller's request, without its body.
  *
- * @param exchange number that this host gave to the request
+ * @param exchange number that this host assigned to the request
  * @param id identifies this attempt of the caller
  * @param host host name that the caller used
  * @param path path without the query
  * @param baseModel base model to run on; empty for a plain service
  * @param adapter adapter to run on; empty for the base model or a plain service
- * @param prompt parts of the prompt in order, the last one belongs to this request; empty for a plain service
- * @param inputTokens tokens of the prompt
- * @param outputTokens most tokens that may be generated
- * @param callerDeadline when the caller stops waiting; empty if it did not say
- * @param resumeAfter id of the last event that the caller has, empty for a stream from its start
+ * @param prompt parts of the prompt in order, of which the last is not shared; empty for a plain service
+ * @param inputTokens length of the prompt in tokens
+ * @param outputTokens maximum number of generated tokens
+ * @param callerDeadline when the caller stops waiting; empty if unspecified
+ * @param resumeAfter id of the last event that the caller has received; empty for a stream from its start
  * @param fingerprint digest of method, path, caller and body, the same when the request is sent again
  */
 public record ForwardRequest(
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
@@ -16,10 +16,7 @@
     /**
      * Creates a configuration.
      *
-     * @param version its version
-     * @param routes the routes
-     * @param services the services
-     * @param limits limits for requests
+     * @param limits limits for the requests of callers
      */
     public ForwardingConfiguration(
             long version, List<Route> routes, List<ServiceDefinition> services, RequestLimits limits) {
@@ -33,30 +30,21 @@
         this.limits = limits;
     }
 
-    /**
-     * Returns the version.
-     *
-     * @return a number that grows with each change
-     */
+    /** Returns the version, which grows with each change. */
     public long version() {
         return version;
     }
 
-    /**
-     * Returns the limits for requests.
-     *
-     * @return the limits
-     */
+    /** Returns the limits for the requests of callers. */
     public RequestLimits limits() {
         return limits;
     }
 
     /**
-     * Finds the route with the longest matching prefix.
+     * Returns the route with the longest matching path prefix; empty if none matches.
      *
      * @param host host name of the request, without a port
      * @param path path of the request, without the query
-     * @return the route, empty if none matches
      */
     public Optional<Route> findRoute(String host, String path) {
         return routesByHost.getOrDefault(host, List.of()).stream()
@@ -64,12 +52,7 @@
                 .findFirst();
     }
 
-    /**
-     * Finds a service.
-     *
-     * @param name its name
-     * @return the service, empty if the configuration does not define it
-     */
+    /** Returns the definition of a service; empty if the configuration does not contain it. */
     public Optional<ServiceDefinition> service(String name) {
         return Optional.ofNullable(services.get(name));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -12,19 +12,17 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
 
-/** Something that the host has to do; carried out in order. */
+/** An action for the host; actions are executed in order. */
 public sealed interface ForwardingEffect {
     /**
      * Sends a request to an endpoint.
      *
-     * @param exchange the request
      * @param attempt number of the attempt, from 1
      * @param endpoint the endpoint; another process at the address must not run the request
-     * @param address its address
-     * @param deadline when the endpoint is to stop
-     * @param rank urgency, 0 is the most urgent
+     * @param deadline when the endpoint must stop
+     * @param rank urgency; 0 is the most urgent
      * @param adapterVersion version that the runner must have; empty without an adapter
-     * @param resumeAfter id of the event after which a stream goes on
+     * @param resumeAfter id of the event after which a stream is resumed
      */
     record Send(
             long exchange,
@@ -37,44 +35,44 @@
             Optional<Long> resumeAfter)
             implements ForwardingEffect {}
 
-    /** Gives the answer of the current attempt to the caller. */
+    /** Delivers the answer of the current attempt to the caller. */
     record Deliver(long exchange) implements ForwardingEffect {}
 
-    /** Tells the caller that its request has not run and never will. */
+    /** Answers the caller that its request has not run and will not run. */
     record Refuse(long exchange, RefusalReason reason, Optional<Duration> retryAfter) implements ForwardingEffect {}
 
-    /** Ends a request that may have run. */
+    /** Answers the caller that its request failed and may have run. */
     record Fail(long exchange, FailureReason reason) implements ForwardingEffect {}
 
-    /** Ends the current attempt at the endpoint; its result is not wanted any more. */
+    /** Cancels the current attempt at the endpoint and discards its result. */
     record CancelAttempt(long exchange) implements ForwardingEffect {}
 
     /** Sends a command to a runner. */
     record Command(AdapterCommand command) implements ForwardingEffect {}
 
-    /** Asks a runner for its state. */
+    /** Queries the state of a runner. */
     record Inspect(EndpointId endpoint, NetworkAddress address) implements ForwardingEffect {}
 
-    /** Reads the newest record of each key. */
+    /** Reads a snapshot of a topic: the newest record of each key. */
     record ReadNewest(Topic topic) implements ForwardingEffect {}
 
     /**
      * Reads the records from an offset on.
      *
-     * @param waitUntil when to return without a record
+     * @param waitUntil when to return if no record arrives
      */
     record ReadFrom(Topic topic, long offset, Instant waitUntil) implements ForwardingEffect {}
 
-    /** Takes command of a runner if the topic of claims still ends at an offset. */
+    /** Appends a claim if the claims topic still ends at the expected offset. */
     record AppendClaim(DecodedRecord.RunnerClaimed claim, long expectedEnd) implements ForwardingEffect {}
 
-    /** Announces this host to hosts that start later. */
+    /** Appends this host's announcement, for hosts that start later. */
     record AppendAnnouncement(HostAnnouncement announcement) implements ForwardingEffect {}
 
-    /** Keeps a connection to a peer. */
+    /** Opens a connection to a peer and keeps it open. */
     record OpenPeerConnection(HostId peer) implements ForwardingEffect {}
 
-    /** Keeps a connection to a peer no longer. */
+    /** Closes the connection to a peer. */
     record ClosePeerConnection(HostId peer) implements ForwardingEffect {}
 
     /** Sends a message to a peer. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -10,18 +10,18 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
 
-/** Something that happened, with the instant on the host's steady clock at which it was noticed. */
+/** An event, with the instant on the host's steady clock at which it was noticed. */
 public sealed interface ForwardingEvent {
-    /** Time passed. */
+    /** A periodic tick. */
     record Tick() implements ForwardingEvent {}
 
-    /** The process stood still or a clock jumped, so nothing that was measured before can be relied upon. */
+    /** The process was suspended or a clock jumped, so earlier time measurements are invalid. */
     record ClockGap() implements ForwardingEvent {}
 
-    /** A caller's request has been read whole. */
+    /** A caller's request has been received completely. */
     record RequestArrived(ForwardRequest request) implements ForwardingEvent {}
 
-    /** The first part of the answer of the current attempt came. */
+    /** The first output of an attempt arrived. */
     record FirstOutput(long exchange, int attempt) implements ForwardingEvent {}
 
     /** An attempt ended. */
@@ -30,42 +30,45 @@
     /** The caller closed its connection. */
     record CallerDisconnected(long exchange) implements ForwardingEvent {}
 
-    /** A runner answered a command. */
+    /** A command to a runner was answered, or timed out. */
     record CommandAnswered(AdapterCommand command, CommandResult result) implements ForwardingEvent {}
 
-    /** A runner answered or did not answer a question for its state. */
+    /**
+     * A query of a runner's state ended.
+     *
+     * @param state the state; empty if the runner did not answer
+     */
     record Inspected(EndpointId endpoint, Optional<RunnerState> state) implements ForwardingEvent {}
 
     /**
-     * The newest record of each key was read, or the records from an offset on.
+     * A read of a topic ended: a snapshot, or the records from an offset on.
      *
-     * @param topic the topic
      * @param startedAt when the read was sent
-     * @param snapshot whether keys that are missing have been removed
-     * @param records the records in the order of their offsets
+     * @param snapshot whether the records are a snapshot, so that keys missing from it have been removed
+     * @param records records in the order of their offsets
      * @param end offset after the last record of the topic
      */
     record TopicRead(Topic topic, Instant startedAt, boolean snapshot, List<TopicRecord> records, long end)
             implements ForwardingEvent {}
 
-    /** The records from the wanted offset on have been dropped; the newest of each key remain. */
+    /** The records from the requested offset on have been dropped; only the newest of each key remain. */
     record TopicExpired(Topic topic) implements ForwardingEvent {}
 
-    /** A read failed. */
+    /** A read of a topic failed. */
     record TopicUnavailable(Topic topic) implements ForwardingEvent {}
 
-    /** An append to a topic ended; whether it was carried out shows in the topic. */
+    /** An append to a topic ended; a read of the topic shows whether it succeeded. */
     record AppendCompleted(Topic topic) implements ForwardingEvent {}
 
-    /** A peer can be reached. */
+    /** A connection to a peer was established. */
     record PeerConnected(HostIdentity peer) implements ForwardingEvent {}
 
-    /** A peer cannot be reached. */
+    /** A peer is unreachable. */
     record PeerUnreachable(HostId peer) implements ForwardingEvent {}
 
-    /** A peer sent a message. */
+    /** A message of a peer arrived. */
     record PeerMessageReceived(HostIdentity sender, PeerMessage message) implements ForwardingEvent {}
 
-    /** The process has been told to stop. */
+    /** The process was asked to shut down. */
     record StopRequested() implements ForwardingEvent {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -17,45 +17,54 @@
 import org.banyanstair.peer.RelayedRecord;
 
 /**
- * Folds all events of a host that passes requests on to endpoints, and says what to do.
+ * Applies all events of a forwarding host and returns the resulting actions.
  *
- * <p>Reads no clock and does no I/O. Not safe for use by several threads.
+ * <p>Reads no clock and does no I/O. Not thread-safe.
  */
 public final class ForwardingReducer {
-    /** Time between two reports of what the requests of this host use, in a small deployment. */
+    /** Time between two usage reports in a small deployment. */
     private static final Duration USE_REPORT_INTERVAL = Duration.ofMillis(30);
 
-    /** Added to the interval of use reports for each peer. */
+    /** Added to the interval of usage reports for each peer. */
     private static final Duration USE_REPORT_INTERVAL_PER_PEER = Duration.ofMillis(4);
 
-    /** Silence after which the requests of a peer are taken to have ended. */
+    /** Silence after which the requests of a peer are assumed to have ended. */
     private static final Duration USE_RETENTION = Duration.ofSeconds(3);
 
-    /** Time between ticks while a request waits; a small part of the shortest objective. */
+    /** Time between ticks while a request waits for an adapter; a small part of the shortest objective. */
     private static final Duration WAITING_TICK = Duration.ofMillis(15);
 
-    /** Time between ticks while requests are open, in a small deployment as the one before; half of the time between two reports of what they use. */
+    /** Time between ticks while requests are in flight; like the one above, for a small deployment. */
     private static final Duration IN_FLIGHT_TICK = Duration.ofMillis(30);
 
-    /** Time between ticks without requests, well under the pause that counts as having stood still. */
+    /** Time between ticks without requests; well below the gap that counts as a suspension of the process. */
     private static final Duration IDLE_TICK = Duration.ofMillis(100);
 
-    /** Time that this host waits for its own read before it asks a peer that has read further. */
+    /** Time for which this host waits for its own read before it requests records from a peer that has read further. */
     private static final Duration RELAY_DELAY = Duration.ofMillis(400);
 
-    /** Age of the last known read of the claims at which a host asks its peers; above the wait of the one that reads. */
+    /**
+     * Staleness of the claims at which a host requests them from a peer; above the wait of the host that reads the
+     * topic.
+     */
     private static final Duration MAXIMUM_CLAIMS_AGE = Duration.ofMillis(1500);
 
-    /** The same age in a large deployment, where such questions meet at one host; under half of the time that a claim counts. */
+    /**
+     * The same limit in a large deployment, where such requests meet at few hosts; less than half of the lease
+     * validity.
+     */
     private static final Duration MAXIMUM_CLAIMS_AGE_WITH_RELAYS = Duration.ofMillis(3000);
 
-    /** Time between two such questions. */
+    /** Time between two requests for claims. */
     private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(500);
 
-    /** Time between two looks at which host reads for all; short beside the time in which a host counts as not live. */
+    /**
+     * Time between two checks of which hosts read for their peers; short compared to the time after which a host counts
+     * as not live.
+     */
     private static final Duration READER_CHECK_INTERVAL = Duration.ofMillis(100);
 
-    /** Longest time between two events of a process that was not held up. */
+    /** Gap between two events above which the process counts as having been suspended. */
     private static final Duration MAXIMUM_EVENT_GAP = Duration.ofMillis(600);
 
     private final EventContext context = new EventContext();
@@ -79,12 +88,7 @@
     private boolean hasAnnouncedSelf;
     private boolean stopping;
 
-    /**
-     * Creates the reducer of one run of a host.
-     *
-     * @param settings the settings
-     * @param decoder reads the records of the platform's topics
-     */
+    /** Creates the reducer of one run of a host. */
     public ForwardingReducer(ForwardingSettings settings, RecordDecoder decoder) {
         this.settings = settings;
         HostId self = settings.identity().host();
@@ -98,11 +102,9 @@
     }
 
     /**
-     * Takes an event.
+     * Applies an event and returns the actions to execute, in order.
      *
-     * @param event the event
-     * @param now when it was noticed, on a clock that never goes back
-     * @return what to do, in order
+     * @param now when the event was noticed, on a monotonic clock
      */
     public List<ForwardingEffect> apply(ForwardingEvent event, Instant now) {
         context.begin(now);
@@ -174,7 +176,7 @@
         }
     }
 
-    /** Returns whether this host reads topics for its peers, since each read is paid for. */
+    /** Returns whether this host reads topics for its peers; reads of the log are billed, so only a few hosts read. */
     private boolean readsForPeers() {
         if (!context.now().isBefore(nextReaderCheckAt)) {
             nextReaderCheckAt = context.now().plus(READER_CHECK_INTERVAL);
@@ -260,7 +262,7 @@
         } else if (message instanceof PeerMessage.RecordsReply reply) {
             view.applyRelayed(reply, sender, new ChangeListener());
             if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
-                // The peer's read began that long before it answered, which was after this host asked.
+                // The reported age of the peer's read is that at its answer, which came after this host's request.
                 leases.confirm(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
             }
         } else if (message instanceof PeerMessage.CrashReport report) {
@@ -268,11 +270,11 @@
         }
     }
 
-    /** Asks a peer that has read further, if this host's own read does not get there. */
+    /** Requests records from a peer that has read further, if this host's own read does not catch up. */
     private void catchUp(HostId peer, Topic topic) {
         TopicConsumer consumer = view.consumer(topic);
         long end = peers.find(peer).map(known -> known.offset(topic)).orElse(-1L);
-        // One peer that is no further must not end the wait while another one is.
+        // Another peer that is equally behind must not reset the wait.
         if (consumer.end() >= furthestEnds.merge(topic, end, Math::max)) {
             behindSince.remove(topic);
             return;
@@ -285,7 +287,10 @@
         }
     }
 
-    /** Has a peer confirm that no other host has taken a runner over, when this host cannot read the claims itself. */
+    /**
+     * Requests the claims from a peer when this host cannot read them itself, to confirm that no other host has taken a
+     * runner over.
+     */
     private void confirmClaims() {
         TopicConsumer consumer = view.consumer(Topic.CLAIMS);
         Duration limit = peers.isLargeDeployment() ? MAXIMUM_CLAIMS_AGE_WITH_RELAYS : MAXIMUM_CLAIMS_AGE;
@@ -295,7 +300,8 @@
         if (needed && !context.now().isBefore(nextConfirmationAt)) {
             nextConfirmationAt = context.now().plus(CONFIRMATION_INTERVAL);
             List<HostId> live = peers.live(context.now());
-            // Every second time another peer, since those that read for all may not reach the log either.
+            // Every second request goes to an arbitrary peer, since the hosts that read for others may have lost the
+            // log too.
             confirmationRequests++;
             List<HostId> readers = peers.logReaders(view.reachesLog(), context.now());
             HostId peer = confirmationRequests % 2 == 1 && !readers.isEmpty()
@@ -366,10 +372,8 @@
     }
 
     /**
-     * Returns the time until the next tick is due.
-     *
-     * @return short while a request waits for something that only the passing of time brings, long while there is none;
-     *     twice as long in a large deployment, where each host has few requests and a small processor
+     * Returns the time until the next tick is due: short while a request waits for an adapter, long without requests,
+     * and doubled in a large deployment, where each host has few requests and a small processor.
      */
     public Duration tickInterval() {
         if (forwarder.size() == 0) {
@@ -379,30 +383,17 @@
         return peers.isLargeDeployment() ? tick.multipliedBy(2) : tick;
     }
 
-    /**
-     * Returns whether this host can serve callers.
-     *
-     * @return whether it knows a configuration and does not stop
-     */
+    /** Returns whether this host knows a configuration and is not shutting down. */
     public boolean isReady() {
         return view.configuration().isPresent() && !stopping;
     }
 
-    /**
-     * Returns the number of requests of callers that have not ended.
-     *
-     * @return the number
-     */
+    /** Returns the number of callers' requests that have not ended. */
     public int openRequests() {
         return forwarder.size();
     }
 
-    /**
-     * Returns what this host has to do and what it believes.
-     *
-     * @param now present instant
-     * @return the status
-     */
+    /** Returns a summary of the state for metrics. */
     public ForwardingStatus status(Instant now) {
         Map<EndpointCondition, Long> endpoints = view.endpoints().stream()
                 .collect(Collectors.groupingBy(endpoint -> endpoint.condition(now), Collectors.counting()));
@@ -426,31 +417,17 @@
                 topics);
     }
 
-    /**
-     * Returns the configuration in force.
-     *
-     * @return the configuration; empty before the first one is known
-     */
+    /** Returns the configuration in force; empty before the first one is known. */
     public Optional<ForwardingConfiguration> configuration() {
         return view.configuration();
     }
 
-    /**
-     * Returns the addresses that callers may use.
-     *
-     * @param now present instant
-     * @return at least one address
-     */
+    /** Returns the addresses that callers may use, at least one. */
     public List<NetworkAddress> callerAddresses(Instant now) {
         return peers.callerAddresses(stopping, now);
     }
 
-    /**
-     * Finds the address of a peer.
-     *
-     * @param host the peer
-     * @return its address for other hosts; empty if it is not known
-     */
+    /** Returns a peer's address for other hosts; empty if unknown. */
     public Optional<NetworkAddress> peerAddress(HostId host) {
         return peers.find(host).map(peer -> peer.announcement().peers());
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
@@ -7,14 +7,13 @@
 import org.banyanstair.model.HostIdentity;
 
 /**
- * Settings of the decisions; times as the operator of the platform gives them.
+ * Settings of the forwarding decisions; the times are those that the platform's operator specifies.
  *
- * @param identity this host and its run
- * @param announcement what this host tells others of itself
- * @param retryShare retries of all hosts as a share of their requests
- * @param retrySlack retries of all hosts in a window that are allowed beyond that share
- * @param leaseTerm time that must pass between commands of two hosts to one runner
- * @param versionTerm time in which a named adapter version must be in use
+ * @param announcement addresses and capacity that this host announces
+ * @param retryShare maximum share of retries among the requests of all hosts
+ * @param retrySlack retries of all hosts per window that are allowed in excess of that share
+ * @param leaseTerm minimum time between commands of two hosts to the same runner
+ * @param versionTerm time within which a newly published adapter version must be in use
  */
 public record ForwardingSettings(
         HostIdentity identity,
@@ -23,7 +22,6 @@
         int retrySlack,
         Duration leaseTerm,
         Duration versionTerm) {
-    /** Checks that all parts are present. */
     public ForwardingSettings {
         Objects.requireNonNull(identity, "identity");
         Objects.requireNonNull(announcement, "announcement");
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -6,15 +6,14 @@
 import org.banyanstair.external.Topic;
 
 /**
- * What a host has to do and what it believes, for metrics.
+ * Summary of a host's state, for metrics.
  *
- * @param openRequests requests of callers that have not ended
- * @param waitingRequests those of them that no endpoint works on
+ * @param openRequests callers' requests that have not ended
+ * @param waitingRequests those of them that no endpoint is running
  * @param configurationVersion version in force, -1 before the first is known
- * @param endpoints endpoints of all services by condition
- * @param commandedRunners runners that this host commands
- * @param livePeers other hosts that were heard lately
- * @param topics what is known of the platform's topics
+ * @param endpoints number of endpoints of all services by condition
+ * @param commandedRunners number of runners that this host commands
+ * @param livePeers number of other hosts that were heard recently
  */
 public record ForwardingStatus(
         int openRequests,
@@ -31,11 +30,11 @@
     }
 
     /**
-     * What is known of a topic.
+     * Read state of a topic.
      *
      * @param available whether the last read was answered
-     * @param end offset up to which it is known, -1 before the first read
-     * @param age time since the start of the last read that was answered; zero before the first
+     * @param end offset up to which the topic is known, -1 before the first read
+     * @param age time since the start of the last answered read; zero before the first
      */
     public record TopicStatus(boolean available, long end, Duration age) {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -8,7 +8,7 @@
 
 import org.banyanstair.model.EndpointId;
 
-/** A request that this host passes on. Not safe for use by several threads. */
+/** State of a request that this host forwards. Not thread-safe. */
 final class InFlightRequest {
     final ForwardRequest request;
     final Route route;
@@ -44,18 +44,18 @@
         this.lastEvent = request.resumeAfter();
     }
 
-    /** Returns the tokens that the runner reads for this request alone. */
+    /** Returns the prompt tokens that were not cached on the runner. */
     int uncachedTokens() {
         return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
     }
 
-    /** Returns when the caller gives up if there is no output. */
+    /** Returns when the caller stops waiting if there is no output. */
     Instant firstOutputDeadline() {
         Instant limit = arrivedAt.plus(route.patience());
         return limit.isBefore(deadline) ? limit : deadline;
     }
 
-    /** Returns when the first output is due to be on time. */
+    /** Returns when the first output is due to meet the objective of the route. */
     Instant dueAt() {
         return arrivedAt.plus(route.objective());
     }
@@ -64,7 +64,7 @@
         return service.engine().isPresent() ? request.inputTokens() + request.outputTokens() : 0;
     }
 
-    /** Returns what the log says of an attempt that is given up at an instant because it has had no output. */
+    /** Returns the log record of an attempt that is abandoned because it has produced no output. */
     DecisionRecord silenceRecord(Instant now) {
         return DecisionRecord.of(
                 "attempt-silent",
@@ -80,7 +80,7 @@
                 Duration.between(sentAt, now).toMillis());
     }
 
-    /** Returns what the log says of the whole answer at an instant. */
+    /** Returns the log record of a complete answer. */
     DecisionRecord answerRecord(AttemptResult.Answered result, Instant now) {
         return DecisionRecord.of(
                 "answered",
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
@@ -14,30 +14,30 @@
 import org.banyanstair.ownership.RendezvousHash;
 
 /**
- * Decides which host commands each runner, with claims in the platform's log.
+ * Assigns the lease of each runner to one host, with claims in the platform's log.
  *
- * <p>The offset of a claim is its fence. A claim counts only while this host has read the topic of claims lately; a
- * host that takes a runner over from another waits until the other cannot have sent a command for the lease term, and
- * then settles its claim with a second record. Claims name machines, so a daemon that restarts goes on at once under a
- * settled claim of its earlier run.
+ * <p>The offset of a claim is its fencing token. A lease is valid only while this host has read the claims topic
+ * recently. A host that takes a runner over waits until the previous holder cannot have sent a command for the lease
+ * term, and then settles its claim with a second record. Claims name hosts, not processes, so a restarted daemon
+ * continues at once under a settled claim of its earlier run.
  */
 final class LeaseManager {
     /**
-     * How long a claim counts after the start of the last read of the topic: twice the time that a read waits, and
-     * longer than most outages of the platform's log, in which loads go on that long.
+     * How long a lease is valid after the start of the last read of the topic: twice the wait of a read, and longer
+     * than most outages of the log, so that loads continue through them.
      */
     static final Duration VALIDITY = Duration.ofMillis(8000);
 
-    /** Added to the time before a runner is taken over, for commands on their way and pauses too short to notice. */
+    /** Added to the wait before a takeover, for commands in flight and pauses too short to be detected. */
     private static final Duration TAKEOVER_MARGIN = Duration.ofSeconds(1);
 
-    /** Silence after which another host takes a runner over; a killed daemon is usually back before. */
+    /** Silence of a lease holder after which its runners are taken over; a killed daemon is usually back earlier. */
     private static final Duration TAKEOVER_SILENCE = Duration.ofMillis(2500);
 
-    /** Time after the start in which hosts get to know each other before they claim runners that nobody has. */
+    /** Time after the start in which hosts discover each other before they claim unassigned runners. */
     private static final Duration STARTUP_DELAY = Duration.ofMillis(1500);
 
-    /** Time after which an append whose answer did not come may be followed by another. */
+    /** Time after which an unanswered append may be followed by another. */
     private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(2);
 
     private final HostId self;
@@ -55,7 +55,7 @@
         this.leaseTerm = leaseTerm;
     }
 
-    /** Takes a claim in the order of the log. */
+    /** Applies a claim; older claims of the same runner are ignored. */
     void applyClaim(DecodedRecord.RunnerClaimed claimed, long offset, Instant now) {
         Claim before = claims.get(claimed.endpoint());
         if (before != null && before.offset() >= offset) {
@@ -66,7 +66,9 @@
         claims.put(claimed.endpoint(), new Claim(claimed.host(), claimed.settled(), offset, usableAt));
     }
 
-    /** The topic was read; nothing that came before the start of the read is unknown. */
+    /**
+     * Extends the validity of the leases after a read of the topic, which returned all claims from before its start.
+     */
     void confirm(Instant readStartedAt) {
         if (readStartedAt.isAfter(invalidatedAt)) {
             Instant until = readStartedAt.plus(VALIDITY);
@@ -74,12 +76,12 @@
         }
     }
 
-    /** Returns how long ago the last read began that is known to show all claims before it. */
+    /** Returns the time since the start of the last read that confirmed the claims. */
     Duration confirmationAge(Instant now) {
         return validUntil.equals(Instant.MIN) ? VALIDITY : Duration.between(validUntil.minus(VALIDITY), now);
     }
 
-    /** This process stood still, so what it read before no longer counts. */
+    /** Invalidates earlier reads after a pause of this process. */
     void invalidate(Instant now) {
         validUntil = Instant.MIN;
         invalidatedAt = now;
@@ -89,7 +91,7 @@
         appendPendingUntil = Instant.MIN;
     }
 
-    /** Returns the fence under which this host may command a runner now. */
+    /** Returns the fencing token under which this host may command a runner now; empty without a valid lease. */
     Optional<Long> fencingToken(EndpointId endpoint, Instant now) {
         Claim claim = claims.get(endpoint);
         return claim != null && claim.host().equals(self) && now.isBefore(validUntil) && !now.isBefore(claim.usableAt())
@@ -97,7 +99,7 @@
                 : Optional.empty();
     }
 
-    /** Returns the endpoints that this host has claimed. */
+    /** Returns the runners that are claimed for this host, including claims that are not valid yet. */
     List<EndpointId> claimedRunners() {
         List<EndpointId> result = new ArrayList<>();
         claims.forEach((endpoint, claim) -> {
@@ -108,18 +110,23 @@
         return result;
     }
 
-    /** A host is silent for longer than it takes to count as not live, so that the others rank alike. */
+    /**
+     * Returns the silence before a takeover, at least the time after which a host counts as not live, so that all hosts
+     * rank the same candidates.
+     */
     private static Duration takeoverSilence(PeerTable peers) {
         Duration live = peers.liveLimit();
         return live.compareTo(TAKEOVER_SILENCE) > 0 ? live : TAKEOVER_SILENCE;
     }
 
-    /** Returns whether this host assigns runners, since appends of several hosts at a time would refuse each other. */
+    /**
+     * Returns whether this host is the one that appends claims; concurrent appends of several hosts would be rejected.
+     */
     private boolean assignsRunners(PeerTable peers, Instant now) {
         return peers.logReaders(true, now).stream().findFirst().equals(Optional.of(self));
     }
 
-    /** Assigns a runner that nobody commands, or settles the claim of one that this host took over. */
+    /** Claims an unassigned runner for a host, or settles the claim of a runner that this host took over. */
     Optional<ForwardingEffect> tick(
             Collection<EndpointState> runners,
             PeerTable peers,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadDelayEstimator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LoadDelayEstimator.java
@@ -4,32 +4,31 @@
 import java.time.Instant;
 
 /**
- * Learns by how much loads of adapters take longer than expected.
+ * Estimates by how much adapter loads exceed their expected time.
  *
- * <p>Answers load of requests that reach a runner just before their adapter: each is rejected and costs a retry that
- * all share. Loads take longer with the size of the adapters and with the loads of others, and no message tells.
+ * <p>Requests that reach a runner just before their adapter are rejected, and each rejection costs a retry of the
+ * shared budget. Load times grow with the size of the adapters and with concurrent loads, which no message reports.
  */
 final class LoadDelayEstimator {
-    /** Added when a load was late; a few of the steps of an engine. */
+    /** Added to the margin for each late load; a few decoding steps of an engine. */
     private static final Duration STEP = Duration.ofMillis(30);
 
-    /** Most that is added; later ones are looked up at the runner. */
+    /** Upper limit of the margin; for longer delays the runner's state is queried. */
     private static final Duration MAXIMUM_MARGIN = Duration.ofMillis(90);
 
-    /** Time without a late load in which the margin halves. */
     private static final Duration HALF_LIFE = Duration.ofSeconds(20);
 
     private Duration margin = Duration.ZERO;
     private Instant recordedAt = Instant.MIN;
 
-    /** A load was late. */
+    /** Increases the margin after a late load. */
     void recordLateLoad(Instant now) {
         Duration increased = margin(now).plus(STEP);
         margin = increased.compareTo(MAXIMUM_MARGIN) < 0 ? increased : MAXIMUM_MARGIN;
         recordedAt = now;
     }
 
-    /** Returns the time to add to the expected end of a load. */
+    /** Returns the time to add to the expected end of a load; it halves for each half-life without a late load. */
     Duration margin(Instant now) {
         if (margin.isZero()) {
             return margin;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMessenger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMessenger.java
@@ -17,19 +17,25 @@
 import org.banyanstair.peer.PeerMessage;
 
 /**
- * Sends messages to peers: to each one itself in a small deployment, in bundles over relays in a large one.
+ * Sends messages to peers: directly in a small deployment, in bundles over relays in a large one.
  *
- * <p>Answers load of many hosts: messages from each to each grow with the square of their number, while with relays a
- * message for all crosses three connections at most, together with those of other hosts.
+ * <p>The number of direct messages grows with the square of the number of hosts. Over relays, a broadcast message
+ * crosses at most three connections, bundled with those of other hosts.
  */
 final class PeerMessenger {
-    /** Time in which messages are gathered; a request's first event is due after several of these. */
+    /** Time for which messages are batched; several batches fit into the time until a request's first event is due. */
     static final Duration BUNDLE_INTERVAL = Duration.ofMillis(100);
 
-    /** Longest time between two messages of a relay to those that it serves. */
+    /**
+     * Longest time between two messages of a relay to its members and to other relays; it sends a heartbeat if there is
+     * nothing else.
+     */
     private static final Duration RELAY_HEARTBEAT_INTERVAL = Duration.ofMillis(200);
 
-    /** Connections of a message between two hosts: to a relay, to the other group's, to the target, and one to spare. */
+    /**
+     * Hop limit of a message between two hosts: to a relay, to the other group's relay, to the target, and one in
+     * reserve.
+     */
     private static final int MAXIMUM_HOPS = 4;
 
     private final EventContext context;
@@ -52,7 +58,6 @@
         this.groups = new RelayGroups(settings.announcement(), peers);
     }
 
-    /** Sends a message to all peers. */
     void broadcast(PeerMessage message) {
         if (peers.isLargeDeployment()) {
             outgoing.add(message);
@@ -61,7 +66,7 @@
         }
     }
 
-    /** Sends a message to one peer. */
+    /** Sends a message to one peer, over relays if there is no direct connection. */
     void send(HostId target, PeerMessage message) {
         if (!peers.isLargeDeployment() || connectedPeers.contains(target)) {
             context.emit(new ForwardingEffect.SendToPeer(target, message));
@@ -70,7 +75,7 @@
         }
     }
 
-    /** Passes a message on that is for another host. */
+    /** Relays a message that is addressed to another host. */
     void relay(PeerMessage.Routed message) {
         route(new PeerMessage.Routed(message.origin(), message.target(), message.hops() - 1, message.message()));
     }
@@ -88,7 +93,7 @@
         context.emit(new ForwardingEffect.SendToPeer(next.orElse(target), message));
     }
 
-    /** Takes a bundle; returns the news in it that have not come another way. */
+    /** Accepts a bundle and returns the messages in it that have not arrived another way. */
     List<PeerBroadcast> receive(HostId sender, PeerMessage.Bundle bundle) {
         List<PeerBroadcast> fresh = new ArrayList<>();
         for (PeerBroadcast news : bundle.news()) {
@@ -110,7 +115,7 @@
                 || incarnation == known.origin().incarnation() && news.sequence() > known.sequence();
     }
 
-    /** A message came from a peer itself. */
+    /** Records that a message arrived directly from a peer. */
     void recordContact(HostId sender) {
         groups.recordContact(sender, context.now());
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -16,39 +16,41 @@
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 
-/** The other entry hosts and when they were last heard. */
+/** The other hosts and when they were last heard. */
 final class PeerTable {
-    /** Shortest time between two states that a host sends to its peers; each peer hears it three times a second. */
+    /** Minimum time between two state messages of a host; each peer hears it about three times a second. */
     private static final Duration MINIMUM_STATE_INTERVAL = Duration.ofMillis(300);
 
-    /** Added to it for each peer, so that a host sends no more than about forty states a second. */
+    /** Added to that interval for each peer; limits a host to about forty state messages a second. */
     private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(7);
 
-    /** The same time over relays; a new relay is found between two of them. */
+    /** Interval of state messages over relays; a failed relay is replaced between two of them. */
     private static final Duration RELAYED_STATE_INTERVAL = Duration.ofMillis(500);
 
-    /** Peers up to which each host sends to each; beyond, messages go over relays. */
+    /** Maximum number of peers for direct messages; with more, messages go over relays. */
     private static final int MAXIMUM_DIRECT_PEERS = 16;
 
-    /** States that may be missing in a row before a host counts as not live. */
+    /** State messages that may be missed in a row before a host counts as not live. */
     private static final int MAXIMUM_MISSED_STATES = 3;
 
-    /** Added to them for states that are late. */
+    /** Allowance for delayed state messages. */
     private static final Duration STATE_DELAY = Duration.ofMillis(200);
 
-    /** Silence after which a host is forgotten for the question whether most hosts are heard. */
+    /** Silence after which a host no longer counts in the majority check and the relay groups. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(30);
 
-    /** Share of the strongest host's cores that a host needs to do work for others. */
+    /** Share of the largest host's cores that a host needs to take on shared work. */
     private static final double STRONG_CORE_SHARE = 0.7;
 
-    /** Hosts of a large deployment that read the log for all, so that two may lose it at once. */
+    /**
+     * Number of hosts of a large deployment that read the log for their peers, so that two of them may lose it at once.
+     */
     private static final int MAXIMUM_LOG_READERS = 3;
 
-    /** Spreads the answers that name a host; has no divisor in common with a thousand. */
+    /** Step that spreads the inclusion of weak hosts over address queries; coprime to a thousand. */
     private static final int ADVERTISING_STEP = 619;
 
-    /** Name by which hosts are ranked for the use of the log. */
+    /** Hash key for the ranking of hosts as log readers. */
     private static final String LOG_RANKING_KEY = "log";
 
     private final HostAnnouncement self;
@@ -56,7 +58,7 @@
     private Instant startedAt = Instant.MAX;
     private long addressQueries;
 
-    /** What is known of a peer. */
+    /** Last known state of a peer. */
     static final class Peer {
         private HostAnnouncement announcement;
         private Instant heardAt = Instant.MIN;
@@ -83,24 +85,24 @@
         this.self = self;
     }
 
-    /** Returns whether there are too many hosts for each to send to each. */
+    /** Returns whether there are too many hosts for direct messages between all of them. */
     boolean isLargeDeployment() {
         return peers.size() > MAXIMUM_DIRECT_PEERS;
     }
 
-    /** Returns the time between two states that this host sends, which grows with the number of peers. */
+    /** Returns the interval of this host's state messages, which grows with the number of peers. */
     Duration stateInterval() {
         return isLargeDeployment()
                 ? RELAYED_STATE_INTERVAL
                 : MINIMUM_STATE_INTERVAL.plus(STATE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
     }
 
-    /** Returns the silence after which callers are no longer sent to a host. */
+    /** Returns the silence after which a host counts as not live and is no longer advertised to callers. */
     Duration liveLimit() {
         return stateInterval().multipliedBy(MAXIMUM_MISSED_STATES).plus(STATE_DELAY);
     }
 
-    /** Takes an announcement from the log or a peer; returns whether its address is news. */
+    /** Applies an announcement from the log or a peer; returns whether it changed what is known of the host. */
     boolean update(HostAnnouncement announcement, Instant now) {
         if (announcement.host().equals(self.host())) {
             return false;
@@ -148,7 +150,7 @@
         return peers.keySet();
     }
 
-    /** Returns the peers that have been heard of lately. */
+    /** Returns the announcements of the peers that were heard recently. */
     List<HostAnnouncement> recentlyHeard(Instant now) {
         return peers.entrySet().stream()
                 .filter(entry -> silence(entry.getKey(), now).compareTo(FORGET_AFTER) < 0)
@@ -156,7 +158,7 @@
                 .toList();
     }
 
-    /** Returns whether a peer lives or is so new that it may not have been heard yet. */
+    /** Returns whether a peer is live, or so new that it may not have been heard yet. */
     boolean mayBeLive(HostId host, Instant now) {
         Peer peer = peers.get(host);
         return peer != null && !peer.leaving && silence(host, now).compareTo(liveLimit()) < 0;
@@ -167,7 +169,7 @@
         return peer == null ? self.cores() : peer.announcement.cores();
     }
 
-    /** Returns those of some hosts that can do work for others: the strongest, and those that are not much weaker. */
+    /** Returns the hosts that can take on shared work: those with the most cores and those with only a little less. */
     List<HostId> strongHosts(List<HostId> hosts) {
         double mostCores = hosts.stream().mapToDouble(this::cores).max().orElse(0);
         return hosts.stream()
@@ -175,7 +177,10 @@
                 .toList();
     }
 
-    /** Returns the hosts that use the log for all, in order, among those that live and reach it. */
+    /**
+     * Returns the hosts that read and append to the log for their peers, in order of rank, among those that are live
+     * and reach it.
+     */
     List<HostId> logReaders(boolean selfReachesLog, Instant now) {
         List<HostId> hosts = live(now).stream()
                 .filter(host -> host.equals(self.host()) ? selfReachesLog : peers.get(host).reachesLog)
@@ -194,7 +199,7 @@
         return peer != null && peer.isLiveSince(now.minus(liveLimit()));
     }
 
-    /** Returns this host and the peers that were heard lately and do not leave. */
+    /** Returns this host and the live peers. */
     List<HostId> live(Instant now) {
         Instant earliest = now.minus(liveLimit());
         List<HostId> result = new ArrayList<>();
@@ -207,7 +212,7 @@
         return result;
     }
 
-    /** Returns how long a host has been silent; from when it was first known if it was never heard. */
+    /** Returns the time since a host was last heard, or since it became known if it never was. */
     Duration silence(HostId host, Instant now) {
         if (startedAt.equals(Instant.MAX)) {
             startedAt = now;
@@ -217,7 +222,9 @@
         return Duration.between(start, now);
     }
 
-    /** Returns whether this host hears at least half of the peers that lived lately, so that it is not cut off itself. */
+    /**
+     * Returns whether this host hears at least half of the recently live peers; otherwise it may be partitioned itself.
+     */
     boolean hearsMajority(Instant now) {
         Instant earliest = now.minus(liveLimit());
         int heard = 0;
@@ -231,7 +238,7 @@
         return heard * 2 >= expected;
     }
 
-    /** Returns the addresses that callers may use, this host first unless it leaves. */
+    /** Returns the addresses that callers may use, this host first unless it is shutting down. */
     List<NetworkAddress> callerAddresses(boolean selfLeaving, Instant now) {
         List<NetworkAddress> result = new ArrayList<>();
         double mostCores = Math.max(
@@ -253,7 +260,7 @@
         return result;
     }
 
-    /** Names a weak host in a part of the answers, since callers choose alike among the hosts in an answer. */
+    /** Advertises a weak host in proportion to its cores, since callers choose evenly among the advertised hosts. */
     private boolean isAdvertised(HostId host, double mostCores) {
         double share = cores(host) / mostCores;
         return share >= STRONG_CORE_SHARE
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -19,38 +19,41 @@
 import org.banyanstair.peer.PeerMessage;
 
 /**
- * What a host believes of the configuration, the adapter versions and the endpoints, from the topics of the platform's
- * log that it reads itself or that peers relay.
+ * A host's view of the configuration, the adapter versions and the endpoints, from the topics of the platform's log
+ * that it reads itself or that peers relay.
  */
 final class PlatformView {
-    /** Time that a read of the configuration waits for a change. */
+    /** Wait of a read of the configuration for a change. */
     private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(6);
 
-    /** Time that a read of the entries of endpoints waits for a change. */
+    /** Wait of a read of the registry entries of endpoints for a change. */
     private static final Duration ENDPOINTS_WAIT = Duration.ofMillis(1000);
 
-    /** Time in which changes of endpoints are gathered, since each read is paid for; a part of the draining limit. */
+    /**
+     * Time for which changes of endpoints are batched, since reads are billed; a part of the time that a drain may
+     * take.
+     */
     private static final Duration ENDPOINTS_READ_INTERVAL = Duration.ofMillis(450);
 
-    /** Time that a read of the claims waits; two of them and an answer fit into the time that a claim counts. */
+    /** Wait of a read of the claims; two waits and an answer fit into the lease validity. */
     static final Duration CLAIMS_WAIT = Duration.ofMillis(3000);
 
     /**
-     * The same for the host that reads for all, whose reads confirm the claims of its peers: the shorter, the longer
-     * commands go on in an outage of the log.
+     * The same wait on a host that reads for its peers and thereby confirms their claims: the shorter it is, the longer
+     * commands continue in an outage of the log.
      */
     private static final Duration CLAIMS_WAIT_FOR_PEERS = Duration.ofMillis(900);
 
-    /** Time between reads of a topic that another host reads for this one; each read is paid for. */
+    /** Interval between reads of a topic that another host reads for this one; reads are billed. */
     private static final Duration POLLING_INTERVAL = Duration.ofSeconds(15);
 
-    /** Time that a read of the announcements of hosts waits. */
+    /** Wait of a read of the host announcements. */
     private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
 
-    /** Time after an outage in which the entries of live endpoints come back; from the users' protocol. */
+    /** Time after an outage in which live endpoints register again, by the platform protocol. */
     private static final Duration REREGISTRATION_PERIOD = Duration.ofMillis(2000);
 
-    /** Time for which a removed endpoint stays known so that its last requests are accounted for. */
+    /** Time for which a removed endpoint is kept to account for its last requests. */
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(10);
 
     private final EventContext context;
@@ -64,7 +67,7 @@
 
     private record PublishedVersion(long version, long previous, Instant publishedAt) {}
 
-    /** Hears of changes that concern other parts of the state. */
+    /** Receives changes that concern other parts of the state. */
     interface Listener {
         void endpointRestarted(EndpointState endpoint);
 
@@ -99,10 +102,11 @@
     }
 
     /**
-     * Lets one host of a large deployment wait for records for all; the others look now and then whether they heard all.
+     * Adjusts the reads of topics: in a large deployment only some hosts wait for records, and the others poll
+     * occasionally to check that they have received all.
      *
-     * @param large whether there are many hosts
-     * @param readsForPeers whether this host is that one
+     * @param large whether this is a large deployment
+     * @param readsForPeers whether this host reads for its peers
      */
     void setReadSchedule(boolean large, boolean readsForPeers) {
         boolean polls = large && !readsForPeers;
@@ -154,7 +158,9 @@
         return published == null ? 0 : published.version();
     }
 
-    /** Returns the lowest version that may still be used: the one before for a part of the term after a new one. */
+    /**
+     * Returns the lowest version that may be used: the previous one for the first half of the term after a publication.
+     */
     long neededVersion(AdapterName adapter, Duration term, Instant now) {
         PublishedVersion published = versions.get(adapter);
         if (published == null) {
@@ -178,7 +184,7 @@
         }
     }
 
-    /** Takes what a read returned; returns the records that are news. */
+    /** Applies the result of a read; returns the new records. */
     List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Listener listener) {
         TopicConsumer consumer = consumers.get(event.topic());
         boolean wasAvailable = consumer.isAvailable();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PrefixIndex.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PrefixIndex.java
@@ -5,13 +5,13 @@
 import java.util.Map;
 
 /**
- * Remembers which prompt prefixes a runner has read lately.
+ * Tracks which prompt prefixes a runner has processed recently.
  *
- * <p>A runner keeps a part only while all parts before it are kept for the same adapter, so each prefix is known by the
- * hash of the adapter and all of its parts.
+ * <p>A runner keeps a part in its cache only while all parts before it are kept for the same adapter, so each prefix is
+ * identified by the hash of the adapter and all of its parts.
  */
 final class PrefixIndex {
-    /** Prefixes remembered for a runner; about twice what its cache holds of the usual length. */
+    /** Prefixes tracked per runner; about twice the number of usual length that its cache holds. */
     private static final int CAPACITY = 96;
 
     private final Map<Long, Boolean> recent = new LinkedHashMap<>(CAPACITY, 0.75F, true) {
@@ -44,7 +44,7 @@
         recent.clear();
     }
 
-    /** Returns the tokens of a request that the runner need not read again. */
+    /** Returns the number of prompt tokens that are probably cached on the runner. */
     int cachedTokens(ForwardRequest request, long[] hashes) {
         int tokens = 0;
         for (int index = 0; index < hashes.length && recent.containsKey(hashes[index]); index++) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PromptPart.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PromptPart.java
@@ -4,10 +4,9 @@
  * A part of a prompt that other requests may share.
  *
  * @param id identifies the content
- * @param tokens length in tokens
+ * @param tokens length in tokens, at least 0
  */
 public record PromptPart(long id, int tokens) {
-    /** Checks the length. */
     public PromptPart {
         if (tokens < 0) {
             throw new IllegalArgumentException("tokens of a prompt part: " + tokens);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RecordDecoder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RecordDecoder.java
@@ -5,16 +5,13 @@
 
 import org.banyanstair.external.Topic;
 
-/** Reads what a record says; pure. */
+/** Decodes records of the platform's topics; implementations have no side effects. */
 @FunctionalInterface
 public interface RecordDecoder {
     /**
-     * Decodes a record that has a value.
+     * Decodes a record that has a value; empty if the record is invalid or irrelevant here.
      *
-     * @param topic its topic
-     * @param entry the record
-     * @param now present instant, for times that the record gives as remaining
-     * @return the fact; empty if the record cannot be read or concerns nothing that is known here
+     * @param now reference instant for times that the record gives as remaining durations
      */
     Optional<DecodedRecord> decode(Topic topic, TopicRecord entry, Instant now);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -1,12 +1,12 @@
 package org.banyanstair.forwarding;
 
-/** Why a request is refused; in each case it has not run and never will. */
+/** Why a request is refused; a refused request has not run and will not run. */
 public enum RefusalReason {
-    /** This host knows no configuration yet. */
+    /** This host does not know a configuration yet. */
     NOT_READY,
-    /** No route matches. */
+    /** No route matches the request. */
     NO_ROUTE,
-    /** The service has no endpoint that takes requests. */
+    /** The service has no endpoint that accepts requests. */
     NO_ENDPOINT,
     /** No endpoint can start the request before the caller stops waiting. */
     OVERLOADED,
@@ -14,6 +14,6 @@
     ADAPTER_UNAVAILABLE,
     /** The request has crashed too many endpoints. */
     CRASHES_ENDPOINTS,
-    /** The caller stopped waiting before the request was sent. */
+    /** The caller's deadline passed before the request was sent. */
     DEADLINE_PASSED
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -14,24 +14,25 @@
 import org.banyanstair.ownership.RendezvousHash;
 
 /**
- * Divides the hosts of a large deployment into groups within data centres, each with one host that relays messages.
+ * Divides the hosts of a large deployment into groups within data centres and elects a relay for each group.
  *
- * <p>Answers load of many unequal hosts: a relay sends all news to each member, which is more than a narrow network
- * carries. So each group has at least two strong hosts, if its data centre has them.
+ * <p>A relay sends all messages to each member, which is more than a weak host's network carries. So each group has at
+ * least two strong hosts, if its data centre has them.
  *
- * <p>Hosts need not agree: a host relays whatever it is asked to, so a difference costs a message and loses none.
+ * <p>Hosts need not agree on the groups: a host relays whatever it receives for relaying, so a disagreement costs an
+ * additional message but loses none.
  */
 final class RelayGroups {
-    /** Members of a group; near the square root of the number of hosts, where the load of a relay is least. */
+    /** Target size of a group; near the square root of the number of hosts, where the load of a relay is least. */
     private static final int GROUP_SIZE = 9;
 
-    /** Strong hosts of a group: a relay, and one that takes its place. */
+    /** Strong hosts per group: the relay and a substitute. */
     private static final int STRONG_MEMBERS = 2;
 
-    /** Silence of a relay after which another one is chosen: three of its intervals between messages. */
+    /** Silence after which a relay is replaced: three of its heartbeat intervals. */
     private static final Duration SILENCE_LIMIT = Duration.ofMillis(600);
 
-    /** Time for which a silent relay is not chosen again; by then it is heard again or counts as not live. */
+    /** Time for which a silent relay is excluded from election; by then it is heard again or counts as not live. */
     private static final Duration SUSPICION_PERIOD = Duration.ofSeconds(3);
 
     private final HostAnnouncement self;
@@ -49,12 +50,12 @@
         this.peers = peers;
     }
 
-    /** A message came from a host itself, over no relay. */
+    /** Records that a message arrived directly from a host. */
     void recordContact(HostId host, Instant now) {
         heardAt.put(host, now);
     }
 
-    /** Divides the hosts that are known now and chooses the relays. */
+    /** Divides the known hosts into groups and elects the relays. */
     void refresh(Instant now) {
         Map<String, List<HostId>> dataCentres = new TreeMap<>();
         List<HostAnnouncement> hosts = new ArrayList<>(peers.recentlyHeard(now));
@@ -71,7 +72,7 @@
         electRelay(groupOf.get(self.host()), true, now);
         boolean isRelay = isRelay();
         if (isRelay && !wasRelay) {
-            // Other relays send to this host only from now on.
+            // Other relays send to this host only from now on, so their silence is measured from now.
             relays.replaceAll((group, relay) -> new Relay(relay.host(), now));
         }
         members.keySet().stream()
@@ -80,8 +81,8 @@
     }
 
     /**
-     * Deals out the strong hosts of a data centre in turn, so that no group is without them, and the others by their
-     * names, which stay the same when hosts come and go. Where all are equally strong, names decide for all.
+     * Distributes the strong hosts of a data centre evenly over its groups and the other hosts by a hash of their
+     * names, which stays the same when hosts come and go. If all hosts are equally strong, all are distributed by hash.
      */
     private void assignGroups(String dataCentre, List<HostId> hosts) {
         List<HostId> strong = peers.strongHosts(hosts);
@@ -126,7 +127,7 @@
         return Optional.ofNullable(relays.get(group)).map(Relay::host);
     }
 
-    /** Returns the relay of the group of a host; empty if the host or a relay is not known. */
+    /** Returns the relay of a host's group; empty if the host or the relay is not known. */
     Optional<HostId> relayOf(HostId host) {
         return Optional.ofNullable(groupOf.get(host)).flatMap(this::relay);
     }
@@ -135,14 +136,13 @@
         return groupOf.get(self.host()) != null && groupOf.get(self.host()).equals(groupOf.get(host));
     }
 
-    /** Returns the other members of this host's group that may live. */
+    /** Returns the other members of this host's group that may be live. */
     List<HostId> otherMembers(Instant now) {
         return members.getOrDefault(groupOf.get(self.host()), List.of()).stream()
                 .filter(host -> !host.equals(self.host()) && peers.mayBeLive(host, now))
                 .toList();
     }
 
-    /** Returns the relays of the other groups. */
     List<HostId> otherRelays() {
         return relays.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(groupOf.get(self.host())))
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -11,30 +11,32 @@
 
 import org.banyanstair.model.AdapterName;
 
-/** The requests of this host's callers, from their arrival to their end. */
+/** Forwards the requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
-    /** Time in which the commander of a runner answers that it will load an adapter. */
+    /** Time within which the lease holder of a runner confirms a load request. */
     private static final Duration LOAD_REPLY_TIMEOUT = Duration.ofMillis(120);
 
-    /** Time for which a load is asked for; renewed while the request waits. */
+    /** Validity of a load request; renewed while the caller's request waits. */
     private static final Duration LOAD_REQUEST_TERM = Duration.ofMillis(300);
 
-    /** Renewals after which another runner may be chosen. */
+    /** Renewals after which the selection of the runner is repeated. */
     private static final int REMINDERS_BEFORE_RESELECTION = 5;
 
-    /** Rejections after which a request is refused; more would use up the retries of others. */
+    /**
+     * Rejections by endpoints after which a request is refused; more would use up the retry budget of other requests.
+     */
     private static final int MAXIMUM_REJECTIONS = 3;
 
-    /** Pause for an endpoint that said that it is full. */
+    /** Pause of an endpoint that reported that it is full. */
     private static final Duration FULL_ENDPOINT_PAUSE = Duration.ofMillis(40);
 
-    /** Share of the objective after which an idempotent call is given to another endpoint. */
+    /** Share of the objective without an answer after which a non-streaming request is sent to another endpoint. */
     private static final double SILENCE_OBJECTIVE_SHARE = 0.6;
 
-    /** Multiple of the expected time of a stream's first event after which it is given to another endpoint. */
+    /** Multiple of the expected time until the first event after which a silent stream is sent to another endpoint. */
     private static final double SILENCE_PREDICTION_MULTIPLE = 4;
 
-    /** Shortest such time. */
+    /** Minimum silence before a stream is sent to another endpoint. */
     private static final Duration MINIMUM_STREAM_SILENCE = Duration.ofMillis(700);
 
     private final EventContext context;
@@ -76,7 +78,7 @@
         return requests.size();
     }
 
-    /** Returns the requests that no endpoint works on. */
+    /** Returns the requests that are not being run by an endpoint. */
     List<InFlightRequest> waiting() {
         return requests.values().stream().filter(inFlight -> !inFlight.sent).toList();
     }
@@ -177,7 +179,9 @@
                 .orElse(0L);
     }
 
-    /** Asks for the adapter of a request for a short time, so that a load that nobody waits for any more is not made. */
+    /**
+     * Requests the load of the adapter with a short validity, so that it is not loaded once no request waits for it.
+     */
     private void requestLoad(InFlightRequest inFlight, EndpointState endpoint) {
         inFlight.recheckAt = context.now().plus(allowForRelays(LOAD_REPLY_TIMEOUT));
         Instant termEnd = context.now().plus(allowForRelays(LOAD_REQUEST_TERM));
@@ -187,7 +191,7 @@
                 new AdapterLoadRequest(inFlight.request.adapter().orElseThrow(), inFlight.dueAt(), expiresAt));
     }
 
-    /** Messages take longer where they pass relays. */
+    /** Extends a time limit in a large deployment, where messages pass relays. */
     private Duration allowForRelays(Duration time) {
         return peers.isLargeDeployment() ? time.multipliedBy(2) : time;
     }
@@ -200,7 +204,7 @@
         }
     }
 
-    /** Looks again at the requests that wait for an adapter. */
+    /** Sends or re-plans the requests that wait for an adapter. */
     void advanceWaiting() {
         waiting().forEach(this::advance);
     }
@@ -347,7 +351,7 @@
         context.emit(new ForwardingEffect.Deliver(inFlight.request.exchange()));
     }
 
-    /** Takes a retry for a request that has run some times, if limits allow another run and something would take it. */
+    /** Returns whether a request that has run may run again, and if so takes a retry from the budget. */
     private boolean tryRerun(InFlightRequest inFlight, int runs) {
         return runs < inFlight.route.maximumAttempts()
                 && context.now().isBefore(inFlight.deadline)
@@ -397,7 +401,7 @@
         if (result.lastEvent().isPresent()) {
             inFlight.lastEvent = result.lastEvent();
         }
-        // Without a position, another run would repeat what the caller has.
+        // Without a resume position, another run would repeat output that the caller already has.
         boolean resumable = inFlight.route.streaming() && result.lastEvent().isPresent();
         boolean mayContinue = inFlight.route.allowsRerun() && (resumable || !result.outputPassedOn());
         if (!mayContinue || !retry(inFlight)) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -3,33 +3,34 @@
 import java.time.Duration;
 import java.util.Optional;
 
-/** When callers whose request was refused may return. */
+/** Computes after what time the caller of a refused request may retry. */
 final class RetryAfterPolicy {
-    /** For a host that starts: about the time of a read of the configuration from the platform. */
+    /** Delay for a starting host: about the time of a read of the configuration. */
     static final Duration NOT_READY_DELAY = Duration.ofMillis(300);
 
-    /** For a service without endpoints or a runner for the adapter: a part of the time in which one comes back. */
+    /**
+     * Delay for a service without an endpoint, or without a runner for the adapter: a part of the time until one is
+     * back.
+     */
     private static final Duration NO_ENDPOINT_DELAY = Duration.ofMillis(700);
 
-    /** Shortest time for a service that is overloaded. */
+    /** Minimum delay for an overloaded service. */
     private static final Duration MINIMUM_DELAY = Duration.ofMillis(200);
 
-    /** Longest time: beyond it the state of the service is anyone's guess. */
+    /** Maximum delay; the state of the service cannot be predicted further ahead. */
     private static final Duration MAXIMUM_DELAY = Duration.ofSeconds(3);
 
-    /** Share by which returns are spread, so that callers refused together do not return together. */
+    /** Maximum jitter as a share of the delay, so that callers refused together do not retry together. */
     private static final double JITTER_SHARE = 0.5;
 
     private RetryAfterPolicy() {}
 
     /**
-     * Finds when a refused request may return.
+     * Returns the delay before a retry; empty if a retry is useless.
      *
-     * @param reason why it was refused
-     * @param startMilliseconds time until it could have started
-     * @param objective time in which it should have started
-     * @param seed spreads the returns; the same for the same request
-     * @return the time; empty if coming back is of no use
+     * @param startMilliseconds expected time until the request could have started
+     * @param objective time within which it should have started
+     * @param seed source of the jitter; the same for the same request
      */
     static Optional<Duration> retryAfter(
             RefusalReason reason, double startMilliseconds, Duration objective, long seed) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryBudgets.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryBudgets.java
@@ -6,7 +6,7 @@
 
 import org.banyanstair.routing.RetryBudget;
 
-/** The retries that this host may make for each service: its part of what all hosts share. */
+/** Retry budgets of this host for each service: its share of the budget of all hosts. */
 final class RetryBudgets {
     private final ForwardingSettings settings;
     private final PeerTable peers;
@@ -17,12 +17,12 @@
         this.peers = peers;
     }
 
-    /** A request came, which earns a share of a retry. */
+    /** Counts a first attempt, which adds to the budget. */
     void countFirst(String service, Instant now) {
         budget(service).recordFirstAttempt(now);
     }
 
-    /** Takes a retry if one is left. */
+    /** Takes a retry from the budget; returns whether one was left. */
     boolean tryRetry(String service, Instant now) {
         double slack = (double) settings.retrySlack() / (peers.size() + 1);
         return budget(service).tryAcquire(settings.retryShare(), slack, now);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
@@ -4,19 +4,18 @@
 import java.util.List;
 
 /**
- * Where the requests of a host name and path prefix go, and what they tolerate.
+ * Destination and properties of the requests with a host name and path prefix.
  *
- * @param name name of the route
  * @param host host name that callers use
  * @param pathPrefix prefix of the path, beginning and ending with a slash
  * @param streaming whether answers are event streams
  * @param idempotent whether a request may run more than once
- * @param resumable whether a stream may continue on another endpoint
- * @param timeout longest time that a caller is kept waiting
- * @param objective time in which an answer (or the first event) is on time
- * @param patience longest time that a caller waits for the first output
- * @param maximumAttempts most endpoints that may run one request
- * @param rank urgency, 0 is the most urgent
+ * @param resumable whether a stream may be resumed on another endpoint
+ * @param timeout maximum time until the end of the answer
+ * @param objective time within which an answer, or the first event of a stream, counts as on time
+ * @param patience maximum time that a caller waits for the first output
+ * @param maximumAttempts maximum number of endpoints that may run one request
+ * @param rank urgency; 0 is the most urgent
  * @param targets services that share the requests
  */
 public record Route(
@@ -41,10 +40,9 @@
     }
 
     /**
-     * Picks the service for a request.
+     * Selects the service for a request.
      *
      * @param point a value from 0 to 1 that stays the same for the same request
-     * @return name of the service
      */
     public String serviceFor(double point) {
         double total = targets.stream().mapToDouble(RouteTarget::weight).sum();
@@ -58,7 +56,7 @@
         return targets.get(targets.size() - 1).service();
     }
 
-    /** Returns whether a request may run again after it may have run. */
+    /** Returns whether a request that may have run may be sent again. */
     boolean allowsRerun() {
         return idempotent && !streaming || streaming && resumable;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RouteTarget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RouteTarget.java
@@ -3,11 +3,9 @@
 /**
  * A service that receives a share of the requests of a route.
  *
- * @param service name of the service
  * @param weight share relative to the other targets of the route, at least 0
  */
 public record RouteTarget(String service, double weight) {
-    /** Checks the weight. */
     public RouteTarget {
         if (!(weight >= 0)) {
             throw new IllegalArgumentException("weight of a route target: " + weight);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
@@ -17,36 +17,35 @@
 import org.banyanstair.peer.PeerMessage;
 
 /**
- * Decides which adapters one runner loads and unloads, for the host that commands it.
+ * Decides which adapters a runner loads and unloads, on the host that holds its lease.
  *
- * <p>Answers load of many adapters that are asked for rarely: what is waited for is loaded in the order of its deadline,
- * and makes way for what has been used least lately. An adapter in use or waited for is never unloaded. One command is
- * under way at a time, each with the number of commands before it, so a command that arrives late is refused by the
- * runner.
+ * <p>Built for many rarely requested adapters: pending loads are served in order of their due time, and the least
+ * recently requested adapter is evicted for them. An adapter that is in use or has a pending load is never unloaded. At
+ * most one command is in flight. Each carries the number of commands before it, so the runner refuses a command that
+ * arrives late.
  */
 final class RunnerController {
-    /** Time after which a command without an answer counts as lost. */
+    /** Time after which an unanswered command counts as lost. */
     private static final Duration COMMAND_TIMEOUT = Duration.ofMillis(700);
 
-    /** Pause before the runner is asked for its state again. */
+    /** Pause between two queries of the runner's state. */
     private static final Duration INSPECTION_PAUSE = Duration.ofMillis(400);
 
-    /** Pause before the runner is asked again when it did not answer. */
+    /** Pause before the state is queried again after a query without an answer. */
     private static final Duration FAILED_INSPECTION_PAUSE = Duration.ofMillis(100);
 
-    /** Age of what a runner says of itself; from the users' protocol, some hundred milliseconds. */
+    /** Staleness of the state that a runner reports; the platform protocol allows a few hundred milliseconds. */
     private static final Duration REPORT_LAG = Duration.ofMillis(250);
 
-    /** Time in which an adapter that waits for its last request before it is unloaded is not counted on. */
+    /** Time for which an adapter counts as unusable while its unload waits for a last request. */
     private static final Duration UNLOAD_TIMEOUT = Duration.ofSeconds(10);
 
-    /** Adapters whose use is remembered before the negligible ones are forgotten. */
+    /** Number of tracked adapters above which negligible demand is dropped. */
     private static final int MAXIMUM_DEMAND_ENTRIES = 1024;
 
-    /** Use that is forgotten: that of one request seven half-lives ago. */
+    /** Demand below which an adapter is dropped: that of one request about seven half-lives ago. */
     private static final double NEGLIGIBLE_DEMAND = 0.01;
 
-    /** Time in which the use of an adapter counts half. */
     private static final double DEMAND_HALF_LIFE_MILLISECONDS = 6000;
 
     private final EndpointState runner;
@@ -72,14 +71,14 @@
         this.slots = slots;
     }
 
-    /** Asks for an adapter. */
+    /** Adds a load request, or merges it with a pending one for the same adapter. */
     void requestLoad(AdapterLoadRequest load) {
         changed |= !pendingLoads.containsKey(load.adapter());
         pendingLoads.merge(load.adapter(), load, AdapterLoadRequest::merge);
         runner.setPendingLoads(pendingLoads.keySet());
     }
 
-    /** Counts requests for an adapter. */
+    /** Adds a request to the demand for an adapter. */
     void recordUse(AdapterName adapter, Instant now) {
         if (demand.size() >= MAXIMUM_DEMAND_ENTRIES) {
             demand.values().removeIf(known -> known.at(now) < NEGLIGIBLE_DEMAND);
@@ -87,7 +86,7 @@
         demand.merge(adapter, new Demand(1, now), (known, one) -> new Demand(known.at(now) + 1, now));
     }
 
-    /** The runner's process is a new one, or this host has just taken command. */
+    /** Discards what is known of the runner's state after a restart of its process. */
     void reset() {
         sequence = OptionalLong.empty();
         pendingCommand = Optional.empty();
@@ -122,7 +121,7 @@
         changed = true;
     }
 
-    /** Takes the answer to a command; returns whether the state of the runner is known. */
+    /** Applies the answer to the command in flight; answers to other commands are ignored. */
     void commandAnswered(
             AdapterCommand command,
             CommandResult result,
@@ -135,7 +134,7 @@
         pendingCommand = Optional.empty();
         Optional<AdapterName> adapter = command.adapterName();
         if (adapter.isEmpty()) {
-            // The runner is busy for seconds now, or holds the model already; its state tells.
+            // The runner is busy for seconds now, or holds the model already; only its state tells which.
             sequence = OptionalLong.empty();
             nextInspectionAt = now.plus(INSPECTION_PAUSE);
         } else if (result == CommandResult.ACCEPTED && command.load()) {
@@ -152,7 +151,8 @@
             changed = true;
         } else {
             if (result == CommandResult.ACCEPTED) {
-                // The unload waits for a request that came meanwhile; the place is taken until the runner says so.
+                // A request arrived in the meantime and delays the unload; the slot stays occupied until the runner
+                // reports otherwise.
                 runner.adapters().put(adapter.get(), AdapterSlot.unloading(now.plus(UNLOAD_TIMEOUT)));
                 changed = true;
             }
@@ -162,8 +162,8 @@
     }
 
     /**
-     * A request found that the runner lacks an adapter which it should have. Its place stays taken until the runner
-     * says otherwise, since the load may only be slow.
+     * Handles a request that was rejected because the runner lacks an adapter which it should hold. The slot stays
+     * occupied until the runner reports otherwise, since the load may only be slow.
      */
     void adapterMissing(AdapterName adapter, Instant now) {
         if (runner.markLoadLate(adapter, now)) {
@@ -181,20 +181,15 @@
         return count;
     }
 
-    /** Returns whether this host knows enough of the runner to command it. */
+    /** Returns whether the command sequence of the runner is known, so that it can be commanded. */
     boolean isReady() {
         return sequence.isPresent() || pendingCommand.isPresent();
     }
 
     /**
-     * Goes on with what is wanted.
+     * Returns the next query or command for the runner, if any.
      *
-     * @param capacity what the runner can hold
-     * @param fencingToken fence of this host's claim
-     * @param newestVersion newest version of an adapter
-     * @param mayLoad whether another load may start, over all runners
-     * @param now present instant
-     * @return what to do
+     * @param mayLoad whether the limit of loads in transit over all runners allows another load
      */
     List<ForwardingEffect> reconcile(
             EngineCapacity capacity,
@@ -237,7 +232,7 @@
                 .orElse(List.of());
     }
 
-    /** Orders what can still be on time first, by when it is due; what is late anyway waits for a quiet moment. */
+    /** Orders loads that can still be on time first, by due time, and late ones after them. */
     static Comparator<AdapterLoadRequest> urgencyOrder(Instant now) {
         return Comparator.comparing((AdapterLoadRequest load) -> !load.canBeOnTime(now))
                 .thenComparing(AdapterLoadRequest::dueAt);
@@ -248,7 +243,7 @@
         return slot != null && slot.version() >= newestVersion.applyAsLong(adapter);
     }
 
-    /** Returns the base model to load: a runner that starts again holds none. */
+    /** Returns the base model to load; a restarted runner holds none. */
     private Optional<BaseModel> missingModel(EngineCapacity capacity) {
         if (!runner.baseModels().isEmpty()) {
             return Optional.empty();
@@ -294,7 +289,7 @@
         return List.of(new ForwardingEffect.Command(command));
     }
 
-    /** Returns the adapter that has been asked for least lately among those that no request needs. */
+    /** Returns the least recently requested adapter that is neither in use nor has a pending load. */
     private Optional<AdapterName> evictionCandidate(Instant now) {
         return runner.adapters().entrySet().stream()
                 .filter(entry -> entry.getValue().isPastFirstUse(now)
@@ -305,7 +300,7 @@
                         demand.containsKey(adapter) ? demand.get(adapter).at(now) : 0));
     }
 
-    /** Returns whether peers have something to hear that has changed since the last call. */
+    /** Returns whether the state that peers are told of has changed since the last call. */
     boolean takeChanged() {
         boolean result = changed;
         changed = false;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerManager.java
@@ -18,15 +18,24 @@
 import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.PeerMessage;
 
-/** The runners that this host commands, and what the commanders of the others say of them. */
+/**
+ * Manages the runners whose lease this host holds, and tracks the state of the other runners as their lease holders
+ * publish it.
+ */
 final class RunnerManager {
-    /** Time after its expected end in which a missing adapter means that its load is late. */
+    /** Time after the expected end of a load within which a missing adapter counts as a late load. */
     private static final Duration LATE_LOAD_LIMIT = Duration.ofMillis(200);
 
-    /** Time between two messages on a runner without change, for peers that missed one or are new. */
+    /**
+     * Interval at which the state of an unchanged runner is published again, for peers that missed a message or are
+     * new.
+     */
     private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(3);
 
-    /** Time after its last question in which a host hears of a runner's changes at once; a load and some more. */
+    /**
+     * Time after its last load request for which a host receives the state of a runner directly; somewhat longer than a
+     * load.
+     */
     private static final Duration REQUESTER_RETENTION = Duration.ofMillis(600);
 
     private final EventContext context;
@@ -111,7 +120,10 @@
         return controllers.get(runner).stateMessage(order, context.now());
     }
 
-    /** Tells all hosts of a runner; those that wait for a load there hear it at once in a large deployment, too. */
+    /**
+     * Publishes the state of a runner to all hosts. In a large deployment the hosts that wait for a load there also
+     * receive it directly.
+     */
     private void publish(EndpointId runner, PeerMessage news) {
         messenger.broadcast(news);
         Map<HostId, Instant> requesters = loadRequesters.get(runner);
@@ -121,12 +133,12 @@
         }
     }
 
-    /** Sends all that this host knows of its runners to a peer that has just come. */
+    /** Sends the state of this host's runners to a newly connected peer. */
     void sendRunnerStates(HostId peer) {
         controllers.keySet().forEach(id -> context.emit(new ForwardingEffect.SendToPeer(peer, stateMessage(id))));
     }
 
-    /** Returns the adapters that are on their way to any runner. */
+    /** Returns the number of adapters in transit to any runner. */
     private int loadsInTransit() {
         int count = 0;
         for (EndpointState runner : view.runners()) {
@@ -137,13 +149,15 @@
         return count;
     }
 
-    /** Returns the loads on their way as a multiple of what the store carries without delay. */
+    /**
+     * Returns the loads in transit, with one more, as a multiple of what the weight store serves without slowing down.
+     */
     double weightStoreUtilization() {
         return (double) (loadsInTransit() + 1)
                 / RunnerTimings.loadsInTransit(view.runners().size());
     }
 
-    /** Returns the milliseconds until a load can start on a runner; empty if nobody commands it now. */
+    /** Returns the milliseconds until a load can start on a runner; empty if no host commands it now. */
     OptionalDouble loadDelay(EndpointState runner) {
         RunnerController controller = controllers.get(runner.id());
         boolean commanded = controller != null
@@ -160,7 +174,7 @@
         return OptionalDouble.of(missingSlots <= 0 ? 0 : missingSlots * runner.runMilliseconds() / slots);
     }
 
-    /** Asks for an adapter on a runner; the news of its load comes as a change of the runner's adapters. */
+    /** Requests the load of an adapter; its progress is published as a change of the runner's state. */
     void requestLoad(EndpointState runner, AdapterLoadRequest load) {
         RunnerController controller = controllers.get(runner.id());
         if (controller != null) {
@@ -207,7 +221,7 @@
         }
     }
 
-    /** A request found that a runner lacks an adapter. */
+    /** Handles a request that was rejected because a runner lacks an adapter. */
     void adapterMissing(EndpointState runner, AdapterName adapter) {
         RunnerController controller = controllers.get(runner.id());
         context.log(DecisionRecord.important(
@@ -319,7 +333,7 @@
         }
     }
 
-    /** Replaces an adapter that a runner of this host holds and that has been used lately. */
+    /** Loads a new adapter version on the runners of this host that hold the adapter. */
     void versionPublished(AdapterName adapter, Duration term) {
         controllers.forEach((id, controller) -> view.endpoint(id)
                 .filter(runner -> runner.adapters().containsKey(adapter))
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerState.java
@@ -4,13 +4,13 @@
 import java.util.Set;
 
 /**
- * A runner's answer when it is asked for its state.
+ * State of a runner as it reports it.
  *
- * @param commandSequence commands that it has accepted
- * @param busy whether it loads or unloads a base model
+ * @param commandSequence number of commands that it has accepted
+ * @param busy whether it is loading or unloading a base model
  * @param baseModels base models that it holds
  * @param loaded adapters that it holds
- * @param loading adapters that are on their way to it
+ * @param loading adapters in transit to it
  */
 public record RunnerState(
         long commandSequence,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/SelectionQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/SelectionQuery.java
@@ -8,17 +8,16 @@
 import org.banyanstair.model.EndpointId;
 
 /**
- * What an endpoint is chosen for.
+ * Input of the selection of an endpoint for a request.
  *
- * @param request the request
- * @param prefixes hashes of its prompt prefixes that other requests may share, shortest first
- * @param route its route
+ * @param prefixes hashes of the shareable prompt prefixes, shortest first
  * @param engine capacity of a runner; empty for a plain service
- * @param tried endpoints that have failed the request
+ * @param tried endpoints on which the request has failed
  * @param loadDelay milliseconds until a load can start on a runner; empty if none can
  * @param neededVersion lowest version of the adapter that may be used
- * @param newestVersion version of the adapter that a load brings
- * @param weightStoreUtilization loads on their way over all runners, as a multiple of what the store carries without delay
+ * @param newestVersion version of the adapter that would be loaded
+ * @param weightStoreUtilization loads in transit over all runners, as a multiple of what the weight store serves
+ *     without slowing down
  */
 record SelectionQuery(
         ForwardRequest request,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -11,24 +11,24 @@
 import org.banyanstair.external.Topic;
 
 /**
- * Follows a compacted topic: the newest record of each key first, then the records as they come.
+ * Reads a compacted topic: first a snapshot with the newest record of each key, then the records as they are appended.
  *
- * <p>Never goes back: a record with a lower offset than the one known for its key is ignored.
+ * <p>Records with a lower offset than the known one of their key are ignored, so state never goes backwards.
  */
 final class TopicConsumer {
     /** Pause after a failed read. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
 
-    /** Time between reads above which a host only makes sure that it hears all from the one that reads for it. */
+    /** Read interval above which a host counts as polling, relying on another host that reads for it. */
     private static final Duration POLLING_INTERVAL_THRESHOLD = Duration.ofSeconds(2);
 
-    /** Pause after a failed read of such a host. */
+    /** Pause after a failed read of a polling host. */
     private static final Duration POLLING_RETRY_PAUSE = Duration.ofSeconds(1);
 
-    /** Time without news from the host that reads for all after which a host reads itself. */
+    /** Time without relayed records after which a host reads the topic itself. */
     private static final Duration RELAY_TIMEOUT = Duration.ofMillis(1100);
 
-    /** Longest time between two lost reads and the end of the outage that counts as its aftermath. */
+    /** Time after the end of an outage in which registry entries may still be missing because of it. */
     private static final Duration RECOVERY_PERIOD = Duration.ofSeconds(3);
 
     private final Topic topic;
@@ -46,11 +46,10 @@
     private Instant recoveredAt = Instant.MIN;
 
     /**
-     * Creates a follower.
+     * Creates a consumer.
      *
-     * @param topic the topic
      * @param readWait how long a read waits for a record
-     * @param readInterval time between the end of a read and the next, to gather records
+     * @param readInterval time between the end of a read and the next, to batch records
      */
     TopicConsumer(Topic topic, Duration readWait, Duration readInterval) {
         this.topic = topic;
@@ -58,7 +57,7 @@
         this.readInterval = readInterval;
     }
 
-    /** Changes how long the next reads wait for a record, the time between two reads, and whether peers rely on them. */
+    /** Changes the wait and the interval of the next reads, and whether peers rely on them. */
     void setReadSchedule(Duration newReadWait, Duration newReadInterval, boolean forPeers, Instant now) {
         boolean readsSooner = newReadInterval.compareTo(readInterval) < 0 || forPeers && !readsForPeers;
         if (readsSooner && now.plus(newReadInterval).isBefore(nextReadAt)) {
@@ -81,12 +80,12 @@
         return end >= 0;
     }
 
-    /** Returns how long ago the last read that was answered began; empty if there was none. */
+    /** Returns the time since the start of the last answered read; empty if there was none. */
     Optional<Duration> age(Instant now) {
         return readStartedAt.equals(Instant.MIN) ? Optional.empty() : Optional.of(Duration.between(readStartedAt, now));
     }
 
-    /** Reads again at once, beside a read that may be under way; what was read before has no known age any more. */
+    /** Starts a new read immediately, even if one is in flight, and discards the age of earlier reads. */
     void restartRead(Instant now) {
         readStartedAt = Instant.MIN;
         reading = false;
@@ -98,12 +97,15 @@
         return unavailableSince.isEmpty() && hasBeenRead();
     }
 
-    /** Returns whether entries may be missing only because their writers could not reach the platform. */
+    /** Returns whether entries may be missing only because their writers could not reach the log. */
     boolean isRecovering(Instant now) {
         return unavailableSince.isPresent() || now.isBefore(recoveredAt.plus(RECOVERY_PERIOD));
     }
 
-    /** Returns how long ago the outage ended after which entries may still be missing; zero while it lasts. */
+    /**
+     * Returns the time since the end of the last outage while entries may still be missing because of it; zero during
+     * an outage.
+     */
     Optional<Duration> outageAge(Instant now) {
         if (!isRecovering(now)) {
             return Optional.empty();
@@ -128,7 +130,7 @@
                         : new ForwardingEffect.ReadFrom(topic, end, readImmediately ? now : now.plus(readWait)));
     }
 
-    /** Takes what a read returned; returns the records that are news. */
+    /** Applies the result of a read; returns the new records. */
     List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Instant now) {
         reading = false;
         readImmediately = false;
@@ -161,11 +163,11 @@
     }
 
     /**
-     * Takes records that a peer has read; returns those that are news. The own read is put off while they come, unless
-     * peers rely on it.
+     * Applies records that a peer has read; returns the new ones. Postpones this host's own read while relayed records
+     * arrive, unless peers rely on it.
      *
-     * @param offset the records are all that the topic has from here on; if some before are unknown, none are taken
-     * @param peerEnd end of the peer's read
+     * @param offset offset from which the records are complete; if earlier ones are unknown here, none are applied
+     * @param peerEnd end offset of the peer's read
      */
     List<TopicRecord> applyRelayed(long offset, List<TopicRecord> records, long peerEnd, Instant now) {
         if (offset > Math.max(0, end)) {
@@ -192,7 +194,10 @@
         return news;
     }
 
-    /** A peer lost the log and found it again; a host that reads the topic itself notices outages by its own reads. */
+    /**
+     * Records the end of an outage that a peer observed; a host that reads the topic itself detects outages by its own
+     * reads.
+     */
     void recordRelayedOutage(Instant endedAt) {
         if (reliesOnPeers() && endedAt.isAfter(recoveredAt)) {
             recoveredAt = endedAt;
@@ -211,7 +216,7 @@
 
     void unavailable(Instant now) {
         reading = false;
-        // The first read after a failure must not wait for news before it shows that the log answers again.
+        // The first read after a failure must not wait for records, so that it shows at once whether the log answers.
         readImmediately = true;
         nextReadAt = now.plus(reliesOnPeers() ? POLLING_RETRY_PAUSE : RETRY_PAUSE);
         if (unavailableSince.isEmpty()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
@@ -15,9 +15,12 @@
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.PeerMessage;
 
-/** What the requests of all hosts use at the endpoints; those of this host are reported to its peers. */
+/**
+ * Tracks the resources that the requests of all hosts use on the endpoints, and reports those of this host to its
+ * peers.
+ */
 final class UsageTracker {
-    /** Time between two reports of all that is used; a missed end of a request counts no longer than that. */
+    /** Interval of complete reports; bounds how long a request counts whose end a peer missed. */
     private static final Duration COMPLETE_INTERVAL = Duration.ofSeconds(3);
 
     private final EventContext context;
@@ -31,9 +34,9 @@
     private Instant nextCompleteAt = Instant.MIN;
 
     /**
-     * Creates a ledger.
+     * Creates a tracker.
      *
-     * @param requests the requests of this host, as they are at each call
+     * @param requests live view of this host's requests
      */
     UsageTracker(
             EventContext context,
@@ -50,14 +53,14 @@
         this.requests = requests;
     }
 
-    /** A request of this host began, went on or ended at an endpoint. */
+    /** Updates the usage of an endpoint after a change of one of this host's requests there. */
     void update(EndpointState endpoint) {
         EndpointUsage use = useOf(endpoint);
         endpoint.setUse(self, use);
         unreported.put(endpoint.id(), use);
     }
 
-    /** Prompt prefixes were sent to an endpoint. */
+    /** Records the prompt prefixes that were sent to an endpoint. */
     void addPrefixes(EndpointState endpoint, long[] hashes) {
         for (long hash : hashes) {
             endpoint.prefixes().add(hash);
@@ -83,7 +86,10 @@
         return new EndpointUsage(endpoint.id(), running, waitingTokens, cacheTokens, adapters, List.of());
     }
 
-    /** Tells peers what has changed since the last report, and all of it now and then for those that missed one. */
+    /**
+     * Reports to peers what has changed since the last report, and periodically everything, for peers that missed a
+     * report.
+     */
     void report() {
         boolean complete = !context.now().isBefore(nextCompleteAt);
         if (complete) {
@@ -112,7 +118,7 @@
         messenger.broadcast(new PeerMessage.UseReport(uses, complete));
     }
 
-    /** Takes what the requests of a peer use. */
+    /** Applies the usage report of a peer. */
     void applyReport(HostId sender, PeerMessage.UseReport message) {
         if (message.complete()) {
             removePeer(sender);
@@ -125,7 +131,7 @@
         }
     }
 
-    /** The requests of a peer that has been silent for long are taken to have ended. */
+    /** Removes the usage of a peer that has been silent for long, whose requests are assumed to have ended. */
     void removePeer(HostId peer) {
         view.endpoints().forEach(endpoint -> endpoint.removeUse(peer));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -119,7 +119,10 @@
                 1, ReducerFixture.only(effects, ForwardingEffect.Deliver.class).size());
     }
 
-    /** Callers got the failure of an endpoint while retries were left, since only calls were repeated after one. */
+    /**
+     * A failed stream is retried like a call if it is resumable; otherwise callers receive a failure while retries are
+     * left.
+     */
     @Test
     void failedStreamIsRepeatedElsewhereOnlyIfItMayBeResumed() {
         for (boolean resumable : List.of(true, false)) {
@@ -184,7 +187,9 @@
         assertEquals(send.exchange(), fail.exchange());
     }
 
-    /** Only a second "sent" told an engineer on call that the first endpoint had been given up. */
+    /**
+     * An attempt that is abandoned for silence must leave its own log record, besides the "sent" of the next attempt.
+     */
     @Test
     void attemptGivenUpForSilenceIsLogged() {
         configurePlainService(true);
@@ -294,7 +299,10 @@
                         .reason());
     }
 
-    /** On a recorded day commands stopped 5 s before the log was back, because the last read was 3 s old at its loss. */
+    /**
+     * Claims that a peer confirms must extend the leases: without that, commands stopped 5 s before an outage of the
+     * log ended, because the last own read was 3 s old at its start.
+     */
     @Test
     void claimsAreConfirmedByThePeerThatReadsForAll() {
         HostId peer = new HostId("host-2");
@@ -352,7 +360,10 @@
                 new PeerMessage.HostState(announcement(host, port), false, true, configurationEnd, 0)));
     }
 
-    /** Where many hosts are behind, news of one that is ahead came between theirs and nobody was ever asked. */
+    /**
+     * State messages of other peers that are behind too must not reset the wait, or no host is ever asked for the
+     * records.
+     */
     @Test
     void hostThatIsBehindAsksAlsoIfOtherPeersAreBehindToo() {
         configurePlainService(false);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -32,7 +32,7 @@
 
     private static final int STEP_MILLISECONDS = 20;
 
-    /** A read of the claims takes this long when nothing changes. */
+    /** Duration of a read of the claims without a change. */
     private static final int READ_MILLISECONDS = (int) PlatformView.CLAIMS_WAIT.toMillis() + 50;
 
     private final List<DecodedRecord.RunnerClaimed> log = new ArrayList<>();
@@ -64,7 +64,7 @@
                 0));
     }
 
-    /** A host with its view of the log; cut off or standing still for a time. */
+    /** Simulates a host that can be partitioned, paused or cut off from the log. */
     private final class SimulatedHost {
         private final int index;
         private final LeaseManager leases;
@@ -88,7 +88,7 @@
             }
         }
 
-        /** Takes what a peer has read, as far as its last read is known to have begun. */
+        /** Applies what a peer has read, confirmed as of the start of the peer's last read. */
         private void confirmWith(SimulatedHost peer, Instant now) {
             boolean answers = peer != this
                     && !now.isBefore(peer.partitionedUntil)
@@ -215,7 +215,7 @@
         return Arbitraries.longs();
     }
 
-    /** Loads stood still for 0.6 s in every 3.6 s while two reads took longer than a claim counts after one. */
+    /** Two reads must not take longer than the lease validity; when they did, loads paused for 0.6 s in every 3.6 s. */
     @org.junit.jupiter.api.Test
     void claimCountsWithoutInterruptionInCalmTimes() {
         begin();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadDelayEstimatorTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadDelayEstimatorTest.java
@@ -14,7 +14,9 @@
     private final LoadDelayEstimator estimator = new LoadDelayEstimator();
     private Instant now = Instant.ofEpochSecond(100);
 
-    /** Plays four loads a second that all take longer than expected; returns the requests that came too early. */
+    /**
+     * Simulates four loads a second that all take longer than expected; returns the number of requests sent too early.
+     */
     private int early(int seconds) {
         int early = 0;
         for (int load = 0; load < seconds * 4; load++) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -20,7 +20,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Plays a load of many rare adapters against one host and three runners, and checks what callers get. */
+/** Simulates traffic with many rarely used adapters on one host and three runners, and checks what callers receive. */
 class LoadTest {
     private static final int RUNNERS = 3;
 
@@ -42,7 +42,7 @@
 
     private record ScheduledEvent(Instant at, ForwardingEvent event) {}
 
-    /** A runner that reads one prompt after the other and loads adapters in the usual time. */
+    /** Simulates a runner that processes one prompt at a time and loads adapters in the expected time. */
     private static final class SimulatedRunner {
         private final Map<AdapterName, Instant> slots = new HashMap<>();
         private int sequence;
@@ -141,7 +141,7 @@
             run(fixture.pass(Duration.ofMillis(20)));
             deliver();
             if (random.nextInt(50) < requestsPerSecond) {
-                // The cube favours low numbers, so that a few adapters get most of the requests.
+                // The cube favours low numbers, so that a few adapters receive most of the requests.
                 double place = random.nextDouble();
                 AdapterName adapter = new AdapterName("base", "a" + (int) (place * place * place * adapters));
                 ForwardRequest request = fixture.request("/x/1", Optional.of(adapter), Duration.ofSeconds(6));
@@ -156,7 +156,7 @@
         }
     }
 
-    /** The users' aim for calm load: 95 of 100 within the objective. */
+    /** The objective for moderate load: 95 of 100 requests on time. */
     @Test
     void calmLoadIsServedOnTime() {
         begin();
@@ -166,7 +166,10 @@
         assertEquals(arrivedAt.size(), onTime + late + refused, "each request ends once");
     }
 
-    /** Four times what the places can carry: nobody is held until giving up, and the places stay in use. */
+    /**
+     * Four times the load that the slots can serve: no request is held until its caller gives up, and the slots stay in
+     * use.
+     */
     @Test
     void overloadIsRefusedEarlyAndNotHeld() {
         begin();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -22,9 +22,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Callers are sent to all hosts that live, and soon to none that does not, whatever the number of hosts. */
+/** All live hosts, and soon no failed one, are advertised to callers, whatever the number of hosts. */
 class PeerLivenessTest {
-    /** Time after which the users' platform counts callers sent to a host that has gone as failures. */
+    /** Time after which the platform counts callers sent to a failed host as failures. */
     private static final Duration CONTACT_LIMIT = Duration.ofMillis(4000);
 
     private static HostAnnouncement peer(int number) {
@@ -58,7 +58,7 @@
                 : Stream.of(message);
     }
 
-    /** Returns the longest time between two states that a host sends. */
+    /** Returns the longest time between two state messages of a host. */
     private static Duration longestInterval(int peers) {
         ReducerFixture fixture = withPeers(peers);
         List<Instant> sentAt = new ArrayList<>();
@@ -91,7 +91,10 @@
         }
     }
 
-    /** On a day with 68 hosts, a third of the loads served nobody: the host that asked had no answer in time and went on. */
+    /**
+     * Without an immediate reply to its load request, a host selects another runner and the load serves no request; in
+     * a run with 68 hosts, that was a third of all loads.
+     */
     @Test
     void hostThatAsksForALoadIsAnsweredAtOnce() {
         ReducerFixture fixture = withPeers(30);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -26,22 +26,25 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Messages between the reducers of many hosts. */
+/** Exchanges messages between the reducers of many hosts. */
 class PeerMessengerTest {
     private static final Duration STEP = Duration.ofMillis(20);
 
-    /** Messages that a host may send a second, from its share of a slow processor: 2% of a core at 0.2 ms each. */
+    /** Limit of messages per host and second: 2% of a slow core at 0.2 ms per message. */
     private static final int MESSAGES_PER_SECOND = 100;
 
-    /** Cores of the strongest and the weakest hosts of the users' larger deployments. */
+    /** Cores of the strongest and the weakest hosts of the specified large deployments. */
     private static final double STRONG_CORES = 1.5;
 
     private static final double WEAK_CORES = 0.36;
 
-    /** One strong host in so many, as there. */
+    /** Number of hosts per strong host, as in those deployments. */
     private static final int STRONG_EVERY = 12;
 
-    /** Neighbours by name in one data centre, so that names say nothing about data centres. */
+    /**
+     * Number of consecutively named hosts in one data centre, so that the order of names does not follow the data
+     * centres.
+     */
     private static final int HOSTS_IN_A_ROW = 5;
 
     private final Map<HostId, ForwardingReducer> hosts = new TreeMap<>();
@@ -150,7 +153,7 @@
         assertTrue(sent <= 4 * MESSAGES_PER_SECOND * count, sent / 4 / count + " messages a second and host");
     }
 
-    /** The hosts behind a relay that has gone stay in use; the relay itself does not. */
+    /** The members of the group of a failed relay stay advertised; the relay itself does not. */
     @Test
     void lossOfARelayHidesNoOtherHost() {
         begin(73);
@@ -176,7 +179,10 @@
         assertAllSee(49);
     }
 
-    /** A weak host that relayed sent more than its network carries, so its members heard of changes seconds late. */
+    /**
+     * A weak host must not become a relay: its network cannot carry the messages, and its members learn of changes
+     * seconds late.
+     */
     @Test
     void weakHostsDoNotRelay() {
         cores = number -> number % STRONG_EVERY == 0 ? STRONG_CORES : WEAK_CORES;
@@ -194,7 +200,7 @@
         }
     }
 
-    /** A message for one host goes over relays, since connections from each to each are too many. */
+    /** Messages to a single host pass relays, since there are no direct connections between all hosts. */
     @Test
     void questionAndAnswerPassRelays() {
         begin(73);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -13,7 +13,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Work is shared by what each host can carry. */
+/** Shared work is distributed in proportion to the hosts' cores. */
 class PeerTableTest {
     private static final double WEAK_CORES = 0.3;
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -18,7 +18,7 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.model.RequestId;
 
-/** A reducer with a platform that tests write by hand. */
+/** A reducer whose platform topics are written by the test. */
 final class ReducerFixture {
     static final HostId HOST = new HostId("host-1");
 
@@ -67,7 +67,7 @@
         return reducer.apply(event, now);
     }
 
-    /** Lets time pass in ticks and returns all effects; the log answers each read of the claims. */
+    /** Advances time in ticks and returns all effects; each tick ends with an answered read of the claims. */
     List<ForwardingEffect> pass(Duration time) {
         List<ForwardingEffect> effects = new ArrayList<>();
         Instant end = now.plus(time);
@@ -79,7 +79,7 @@
         return effects;
     }
 
-    /** Lets time pass while the log does not answer. */
+    /** Advances time while the log does not answer. */
     List<ForwardingEffect> passWithoutReads(Duration time) {
         List<ForwardingEffect> effects = new ArrayList<>();
         Instant end = now.plus(time);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -17,7 +17,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** What hosts believe of an outage of the log that others tell them of. */
+/** Handling of log outages that peers report. */
 class RelayedOutageTest {
     private static final int MANY_HOSTS = 30;
 
@@ -41,7 +41,7 @@
         all.forEach(host -> host.pass(time));
     }
 
-    /** Lets one host ask another for what it knows of the endpoints. */
+    /** Sends a request for endpoint records from one host to another, and the reply back. */
     private static void requestEndpoints(ReducerFixture asking, ReducerFixture asked) {
         List<ForwardingEffect> effects = asked.apply(
                 new ForwardingEvent.PeerMessageReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
@@ -64,7 +64,10 @@
                 .findFirst();
     }
 
-    /** Requests reached an endpoint 2.4 s after it had left: an outage of one host counted for all, from each telling anew. */
+    /**
+     * An outage of one host must not count for all because each host reports it with a new end time; requests then
+     * reached an endpoint 2.4 s after it had left.
+     */
     @Test
     void outageOfOneHostKeepsNoEntriesOnOthers() {
         loseAndFindTheLog(partitioned);
@@ -77,7 +80,9 @@
         assertEquals(Optional.empty(), endpointOf(second), "the log was never away for this host");
     }
 
-    /** Entries are back within two seconds of an outage, of which a host that polls does not know from its own reads. */
+    /**
+     * Endpoints register again within two seconds of an outage, which a polling host does not notice by its own reads.
+     */
     @Test
     void hostThatHasAllRecordsFromPeersKeepsEntriesThatLapsed() {
         for (int number = 0; number < MANY_HOSTS; number++) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
@@ -119,7 +119,7 @@
         assertEquals(Optional.of("a2"), unload.adapter());
     }
 
-    /** Such an adapter counted for 10 s as one of the few that may be on their way to all runners. */
+    /** An adapter with a delayed unload must not count as a load in transit, which would block other loads for 10 s. */
     @Test
     void adapterThatWaitsToBeUnloadedIsNotOnItsWay() {
         LoadedAdapter[] full = {
@@ -144,7 +144,7 @@
         assertEquals(List.of(soon, later, late), loads);
     }
 
-    /** The runner as it is, with loads that take their time, answers that get lost and commands that come late. */
+    /** Simulates a runner with slow loads, lost answers and delayed commands. */
     private final class SimulatedRunner {
         private final Map<AdapterName, Instant> slots = new HashMap<>();
         private final List<AdapterCommand> late = new ArrayList<>();
@@ -174,7 +174,7 @@
         }
     }
 
-    /** A load that took longer than expected made its place look free: the runner was ordered to load one too many. */
+    /** A late load must not make its slot look free, or the runner is commanded to load one adapter too many. */
     @Property(tries = 400, seed = "5102")
     void runnerIsNeverOrderedToLoadMoreThanItHolds(@ForAll("seeds") long seed) {
         begin(Set.of("base"));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -23,7 +23,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** What a host of a large deployment learns of a runner that another one commands, over relays and directly. */
+/**
+ * State updates of a runner that another host commands in a large deployment, which arrive over relays and directly.
+ */
 class RunnerStateUpdateTest {
     private static final EndpointId RUNNER = new EndpointId("runner-1");
 
@@ -35,10 +37,10 @@
 
     private static final Duration STEP = Duration.ofMillis(20);
 
-    /** Longest time that a message of news takes over relays: each gathers messages before it sends them. */
+    /** Maximum delay of a message over relays, each of which batches messages. */
     private static final Duration RELAYED = PeerMessenger.BUNDLE_INTERVAL.multipliedBy(2);
 
-    /** Longest time of a load in the users' sheets. */
+    /** Longest load time in the model specifications. */
     private static final Duration LONGEST_LOAD = Duration.ofMillis(288);
 
     private final ReducerFixture leaseHolder = new ReducerFixture();
@@ -68,7 +70,7 @@
                 new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
     }
 
-    /** Lets time pass for both hosts; returns what the commander does. */
+    /** Advances time for both hosts; returns the effects of the lease holder. */
     private List<ForwardingEffect> pass(Duration time) {
         requester.pass(time);
         return leaseHolder.pass(time);
@@ -110,7 +112,10 @@
                 .toList();
     }
 
-    /** The host that asked took older news, which came over relays, for newer ones and gave up the load that was made. */
+    /**
+     * An older update that arrives late over relays must not replace a newer direct one, or the requester abandons a
+     * load that was made.
+     */
     @Test
     void newsOvertakenByNewerOnesAreIgnored() {
         accept(leaseHolder.apply(new ForwardingEvent.RequestArrived(
@@ -126,7 +131,7 @@
                 1, ReducerFixture.only(atRequester, ForwardingEffect.Send.class).size());
     }
 
-    /** The same news came again over relays, and the time until the load ends was counted from then. */
+    /** A duplicate of an update that arrives over relays must not restart the remaining load time. */
     @Test
     void newsThatComeTwiceDoNotDelayTheEndOfALoad() {
         deliver(accept(requestLoad()));
@@ -141,7 +146,10 @@
                 1, ReducerFixture.only(atRequester, ForwardingEffect.Send.class).size());
     }
 
-    /** Two of the first requests of each host came to runners before their adapter and were rejected. */
+    /**
+     * A request must not reach a runner before its adapter, which rejects it; that happened to two of the first
+     * requests of each host.
+     */
     @Test
     void requestIsNotSentBeforeItsAdapterIsLoaded() {
         Instant accepted = requester.now();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
@@ -41,7 +41,7 @@
         assertEquals(now.plus(WAIT), next.waitUntil());
     }
 
-    /** Commands stood still for 1.7 s after the log had dropped its reads, because the next read waited for news. */
+    /** The read after a failed one must return at once; when it waited for records, commands paused for 1.7 s. */
     @Test
     void readAfterAFailureDoesNotWaitForNews() {
         consumer.tick(now);
@@ -63,7 +63,7 @@
         assertEquals(7, consumer.end());
     }
 
-    /** A lost message between hosts must not hide the records in it. */
+    /** A lost relayed message must not hide its records. */
     @Test
     void relayedRecordsAfterAGapAreLeftToAnOwnRead() {
         consumer.tick(now);
@@ -73,7 +73,9 @@
         assertEquals(2, read(false, 7, entry("c", 5), entry("b", 6)).size());
     }
 
-    /** A host that read for all fell behind once; its peers' answers put its next read off again and again. */
+    /**
+     * The replies of peers must not postpone the next read of the host that reads for them, which would stay behind.
+     */
     @Test
     void hostThatReadsForAllDoesNotPutItsReadOff() {
         consumer.tick(now);
@@ -88,7 +90,10 @@
         assertEquals(7, nextRead().offset());
     }
 
-    /** Requests reached an endpoint 2.4 s after it had left, since a peer had told of an outage of its own. */
+    /**
+     * An outage that only a peer observed must not keep the entry of an endpoint; requests then reached it 2.4 s after
+     * it had left.
+     */
     @Test
     void hostThatReadsTheTopicItselfIgnoresOutagesOfPeers() {
         consumer.tick(now);
