Name tests and word messages of forwarding plainly

Names of tests and texts of assertions spoke of news, places and hosts that are "named"; they now speak of updates, slots and advertised hosts. Exceptions for invalid capacities and weights name the value.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EngineCapacity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EngineCapacity.java
@@ -15,7 +15,8 @@
     public EngineCapacity {
         baseModels = List.copyOf(baseModels);
         if (adapterSlots < 0 || cacheTokens < 0) {
-            throw new IllegalArgumentException("negative capacity");
+            throw new IllegalArgumentException(
+                    "negative capacity: " + adapterSlots + " adapter slots, " + cacheTokens + " cache tokens");
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PromptPart.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PromptPart.java
@@ -9,7 +9,7 @@
 public record PromptPart(long id, int tokens) {
     public PromptPart {
         if (tokens < 0) {
-            throw new IllegalArgumentException("tokens of a prompt part: " + tokens);
+            throw new IllegalArgumentException("negative length of a prompt part: " + tokens + " tokens");
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RouteTarget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RouteTarget.java
@@ -8,7 +8,8 @@
 public record RouteTarget(String service, double weight) {
     public RouteTarget {
         if (!(weight >= 0)) {
-            throw new IllegalArgumentException("weight of a route target: " + weight);
+            throw new IllegalArgumentException(
+                    "weight of target " + service + " is " + weight + ", must be at least 0");
         }
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -53,20 +53,20 @@
         List<ForwardingEffect> effects =
                 end(send, new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, false, Optional.empty()));
         assertTrue(ReducerFixture.only(effects, ForwardingEffect.Send.class).isEmpty());
-        assertTrue(
-                ReducerFixture.only(effects, ForwardingEffect.Refuse.class).isEmpty(), "may have run, so no promise");
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.Refuse.class).isEmpty(), "the request may have run");
         assertEquals(
                 1, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
     }
 
     @ParameterizedTest
     @ValueSource(ints = {408, 421, 429, 503})
-    void answerThatFalselyDeniesTheRunIsNotPassedOn(int status) {
+    void answerThatWronglyClaimsNoExecutionIsNotDelivered(int status) {
         configurePlainService(false);
         ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = end(send, new AttemptResult.Answered(status, Duration.ZERO));
         assertTrue(
-                ReducerFixture.only(effects, ForwardingEffect.Deliver.class).isEmpty(), "callers would send it again");
+                ReducerFixture.only(effects, ForwardingEffect.Deliver.class).isEmpty(),
+                "the caller would repeat the request");
         assertTrue(ReducerFixture.only(effects, ForwardingEffect.Send.class).isEmpty());
         assertEquals(
                 1, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
@@ -106,7 +106,7 @@
     }
 
     @Test
-    void failedIdempotentCallIsRepeatedOnceElsewhere() {
+    void failedIdempotentCallIsRetriedOnceElsewhere() {
         configurePlainService(true);
         ForwardingEffect.Send send = arrive(plainRequest());
         ForwardingEffect.Send again = ReducerFixture.only(
@@ -124,7 +124,7 @@
      * left.
      */
     @Test
-    void failedStreamIsRepeatedElsewhereOnlyIfItMayBeResumed() {
+    void failedStreamIsRetriedElsewhereOnlyIfResumable() {
         for (boolean resumable : List.of(true, false)) {
             fixture.configure(
                     resumable ? 1 : 2,
@@ -169,11 +169,13 @@
         fixture.pass(Duration.ofMillis(2100));
         List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
         assertEquals(
-                1, ReducerFixture.only(effects, ForwardingEffect.Refuse.class).size(), "it has not come back");
+                1,
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class).size(),
+                "the endpoint has not registered again");
     }
 
     @Test
-    void callIsEndedAtItsDeadline() {
+    void callFailsAtItsDeadline() {
         configurePlainService(false);
         ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = fixture.pass(PATIENCE.plusMillis(100));
@@ -191,7 +193,7 @@
      * An attempt that is abandoned for silence must leave its own log record, besides the "sent" of the next attempt.
      */
     @Test
-    void attemptGivenUpForSilenceIsLogged() {
+    void attemptAbandonedForSilenceIsLogged() {
         configurePlainService(true);
         ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(700));
@@ -207,7 +209,7 @@
     }
 
     @Test
-    void callerWhoLeavesStopsTheEndpointAtOnce() {
+    void disconnectOfTheCallerCancelsTheAttempt() {
         configurePlainService(false);
         ForwardingEffect.Send send = arrive(plainRequest());
         List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.CallerDisconnected(send.exchange()));
@@ -233,7 +235,7 @@
     }
 
     @Test
-    void withoutConfigurationNothingIsCalledUnknown() {
+    void requestsAreRefusedAsNotReadyWithoutConfiguration() {
         List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.RequestArrived(plainRequest()));
         assertEquals(
                 RefusalReason.NOT_READY,
@@ -243,7 +245,7 @@
     }
 
     @Test
-    void brokenStreamGoesOnElsewhereOnlyIfItMayBeResumed() {
+    void brokenStreamContinuesElsewhereOnlyIfResumable() {
         fixture.configure(
                 1,
                 ReducerFixture.route("/resumable/", ReducerFixture.SERVICE, true, false, true),
@@ -304,7 +306,7 @@
      * log ended, because the last own read was 3 s old at its start.
      */
     @Test
-    void claimsAreConfirmedByThePeerThatReadsForAll() {
+    void claimsAreConfirmedByThePeerThatReadsForOthers() {
         HostId peer = new HostId("host-2");
         HostAnnouncement announcement = new HostAnnouncement(
                 peer, 1, NetworkAddress.parse("10.0.0.2:80"), NetworkAddress.parse("10.0.0.2:81"), "east", 1);
@@ -326,7 +328,7 @@
                         .map(PeerMessage.RecordsRequest.class::cast)
                         .filter(request -> request.topic() == Topic.CLAIMS)
                         .toList();
-        assertTrue(!requests.isEmpty(), "no question after 2 s without a read");
+        assertTrue(!requests.isEmpty(), "no request for the claims within 2 s without a read");
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 sender,
                 new PeerMessage.RecordsReply(
@@ -341,7 +343,7 @@
         assertTrue(
                 ReducerFixture.only(after, ForwardingEffect.SendToPeer.class).stream()
                         .noneMatch(effect -> effect.message() instanceof PeerMessage.RecordsRequest),
-                "the answer counts as a read");
+                "the reply counts as a read");
     }
 
     private static HostAnnouncement announcement(String host, int port) {
@@ -365,7 +367,7 @@
      * records.
      */
     @Test
-    void hostThatIsBehindAsksAlsoIfOtherPeersAreBehindToo() {
+    void hostThatIsBehindRequestsRecordsAlsoIfOtherPeersAreBehind() {
         configurePlainService(false);
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
@@ -378,7 +380,7 @@
                         && request.topic() == Topic.CONFIGURATION)
                 .map(ForwardingEffect.SendToPeer::peer)
                 .toList();
-        assertTrue(asked.contains(new HostId("ahead")), "nobody was asked within 1 s");
+        assertTrue(asked.contains(new HostId("ahead")), "no request to the host that is ahead within 1 s");
         assertTrue(asked.size() <= 3, "asked " + asked.size() + " times");
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -217,7 +217,7 @@
 
     /** Two reads must not take longer than the lease validity; when they did, loads paused for 0.6 s in every 3.6 s. */
     @org.junit.jupiter.api.Test
-    void claimCountsWithoutInterruptionInCalmTimes() {
+    void leaseStaysValidWithoutFaults() {
         begin();
         int without = 0;
         for (int millis = 0; millis < 30_000; millis += STEP_MILLISECONDS) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadDelayEstimatorTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadDelayEstimatorTest.java
@@ -17,7 +17,7 @@
     /**
      * Simulates four loads a second that all take longer than expected; returns the number of requests sent too early.
      */
-    private int early(int seconds) {
+    private int countEarlyRequests(int seconds) {
         int early = 0;
         for (int load = 0; load < seconds * 4; load++) {
             now = now.plusMillis(250);
@@ -31,12 +31,12 @@
 
     @Test
     void mostRequestsWaitLongEnoughForLargerAdapters() {
-        int early = early(60);
+        int early = countEarlyRequests(60);
         assertTrue(early <= 0.15 * 240, early + " of 240 requests were rejected");
     }
 
     @Test
-    void marginIsBoundedAndForgotten() {
+    void marginIsBoundedAndDecays() {
         for (int count = 0; count < 50; count++) {
             estimator.recordLateLoad(now);
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -99,7 +99,7 @@
             return CommandResult.DONE;
         }
         runner.slots.put(name, fixture.now().plus(RunnerTimings.ADAPTER_LOAD));
-        assertTrue(runner.slots.size() <= SLOTS, "over its places");
+        assertTrue(runner.slots.size() <= SLOTS, "more adapters than slots");
         return CommandResult.ACCEPTED;
     }
 
@@ -158,7 +158,7 @@
 
     /** The objective for moderate load: 95 of 100 requests on time. */
     @Test
-    void calmLoadIsServedOnTime() {
+    void moderateLoadIsServedOnTime() {
         begin();
         runTraffic(2, 60, 12, 11);
         List<Integer> figures = new ArrayList<>(List.of(onTime, late, refused));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -96,7 +96,7 @@
      * a run with 68 hosts, that was a third of all loads.
      */
     @Test
-    void hostThatAsksForALoadIsAnsweredAtOnce() {
+    void loadRequestIsAnsweredImmediately() {
         ReducerFixture fixture = withPeers(30);
         fixture.configure(1, ReducerFixture.route("/chat", ReducerFixture.SERVICE, true, true, true));
         fixture.endpoint("runner-1", ReducerFixture.SERVICE, false, 1, "a1", "a2");
@@ -125,7 +125,7 @@
 
     @ParameterizedTest
     @ValueSource(ints = {1, 8, 72, 369})
-    void silentPeerIsNamedToCallersNoLonger(int peers) {
+    void silentPeerIsNoLongerAdvertised(int peers) {
         ReducerFixture fixture = withPeers(peers);
         for (Duration passed = Duration.ZERO; passed.compareTo(CONTACT_LIMIT) < 0; passed = passed.plusMillis(200)) {
             fixture.pass(Duration.ofMillis(200));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -155,7 +155,7 @@
 
     /** The members of the group of a failed relay stay advertised; the relay itself does not. */
     @Test
-    void lossOfARelayHidesNoOtherHost() {
+    void failureOfARelayHidesNoOtherHost() {
         begin(73);
         pass(Duration.ofSeconds(5));
         stopped.add(busiestReceiver());
@@ -171,7 +171,7 @@
     }
 
     @Test
-    void thirdOfTheHostsIsLostAtOnce() {
+    void thirdOfTheHostsFailsAtOnce() {
         begin(73);
         pass(Duration.ofSeconds(5));
         hosts.keySet().stream().limit(24).forEach(stopped::add);
@@ -202,7 +202,7 @@
 
     /** Messages to a single host pass relays, since there are no direct connections between all hosts. */
     @Test
-    void questionAndAnswerPassRelays() {
+    void requestAndReplyPassRelays() {
         begin(73);
         pass(Duration.ofSeconds(5));
         HostId asking = new HostId("host-1");
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -40,7 +40,7 @@
     }
 
     @Test
-    void weakHostIsNamedInItsShareOfTheAnswers() {
+    void weakHostIsAdvertisedInProportionToItsCores() {
         begin(24);
         int answers = 2000;
         List<NetworkAddress> named = IntStream.range(0, answers)
@@ -56,7 +56,7 @@
     }
 
     @Test
-    void workForOthersGoesToStrongHosts() {
+    void logReadersAreStrongHosts() {
         begin(24);
         List<HostId> readers = peers.logReaders(true, now);
         assertEquals(3, readers.size());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -51,12 +51,12 @@
         asking.apply(new ForwardingEvent.PeerMessageReceived(PEER, answer));
     }
 
-    private static void loseAndFindTheLog(ReducerFixture host) {
+    private static void interruptLog(ReducerFixture host) {
         host.apply(new ForwardingEvent.TopicUnavailable(Topic.ENDPOINTS));
         host.apply(new ForwardingEvent.TopicRead(Topic.ENDPOINTS, host.now(), false, List.of(), 0));
     }
 
-    private Optional<EndpointId> endpointOf(ReducerFixture host) {
+    private Optional<EndpointId> selectedEndpoint(ReducerFixture host) {
         ForwardRequest request = host.request("/x/1", Optional.empty(), Duration.ofSeconds(2));
         return ReducerFixture.only(host.apply(new ForwardingEvent.RequestArrived(request)), ForwardingEffect.Send.class)
                 .stream()
@@ -70,21 +70,21 @@
      */
     @Test
     void outageOfOneHostKeepsNoEntriesOnOthers() {
-        loseAndFindTheLog(partitioned);
+        interruptLog(partitioned);
         pass(Duration.ofMillis(2500));
         requestEndpoints(first, partitioned);
         pass(Duration.ofMillis(400));
         requestEndpoints(second, first);
         second.removed(Topic.ENDPOINTS, "desk-1");
         second.removed(Topic.ENDPOINTS, "desk-2");
-        assertEquals(Optional.empty(), endpointOf(second), "the log was never away for this host");
+        assertEquals(Optional.empty(), selectedEndpoint(second), "this host observed no outage of the log");
     }
 
     /**
      * Endpoints register again within two seconds of an outage, which a polling host does not notice by its own reads.
      */
     @Test
-    void hostThatHasAllRecordsFromPeersKeepsEntriesThatLapsed() {
+    void pollingHostKeepsEntriesThatLapsedInAnOutage() {
         for (int number = 0; number < MANY_HOSTS; number++) {
             HostId host = new HostId("peer-" + number);
             HostAnnouncement announcement = new HostAnnouncement(
@@ -93,10 +93,10 @@
                     new HostIdentity(host, 1), new PeerMessage.HostState(announcement, false, true, 0, 0)));
         }
         pass(Duration.ofMillis(200));
-        loseAndFindTheLog(partitioned);
+        interruptLog(partitioned);
         requestEndpoints(second, partitioned);
         second.removed(Topic.ENDPOINTS, "desk-1");
         second.removed(Topic.ENDPOINTS, "desk-2");
-        assertTrue(endpointOf(second).isPresent(), "the entries may have lapsed in the outage");
+        assertTrue(selectedEndpoint(second).isPresent(), "the entries may have lapsed in the outage");
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
@@ -121,7 +121,7 @@
 
     /** An adapter with a delayed unload must not count as a load in transit, which would block other loads for 10 s. */
     @Test
-    void adapterThatWaitsToBeUnloadedIsNotOnItsWay() {
+    void adapterWithDelayedUnloadIsNotInTransit() {
         LoadedAdapter[] full = {
             new LoadedAdapter(adapter(1), 1), new LoadedAdapter(adapter(2), 1), new LoadedAdapter(adapter(3), 1)
         };
@@ -131,11 +131,11 @@
         requestLoad(4);
         answer(command(), CommandResult.ACCEPTED);
         assertEquals(0, controller.loadingCount(now));
-        assertEquals(3, runner.adapters().size(), "its place stays taken");
+        assertEquals(3, runner.adapters().size(), "its slot stays occupied");
     }
 
     @Test
-    void loadThatCanBeOnTimeGoesBeforeOneThatIsLateAnyway() {
+    void loadThatCanBeOnTimePrecedesLateLoad() {
         AdapterLoadRequest late = new AdapterLoadRequest(adapter(1), now.plusMillis(100), now.plusSeconds(3));
         AdapterLoadRequest soon = new AdapterLoadRequest(adapter(2), now.plusMillis(700), now.plusSeconds(3));
         AdapterLoadRequest later = new AdapterLoadRequest(adapter(3), now.plusMillis(900), now.plusSeconds(3));
@@ -161,7 +161,7 @@
                 return CommandResult.DONE;
             }
             slots.put(name, now.plusMillis(800));
-            assertTrue(slots.size() <= SLOTS, "ordered to load more than it holds: " + slots.keySet());
+            assertTrue(slots.size() <= SLOTS, "commanded to load more adapters than slots: " + slots.keySet());
             return CommandResult.ACCEPTED;
         }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -117,7 +117,7 @@
      * load that was made.
      */
     @Test
-    void newsOvertakenByNewerOnesAreIgnored() {
+    void outdatedUpdateIsIgnored() {
         accept(leaseHolder.apply(new ForwardingEvent.RequestArrived(
                 leaseHolder.request("/chat", Optional.of(EARLIER), Duration.ofSeconds(6)))));
         List<ForwardingEffect> older = bundles(pass(PeerMessenger.BUNDLE_INTERVAL));
@@ -133,7 +133,7 @@
 
     /** A duplicate of an update that arrives over relays must not restart the remaining load time. */
     @Test
-    void newsThatComeTwiceDoNotDelayTheEndOfALoad() {
+    void duplicateUpdateDoesNotDelayTheEndOfALoad() {
         deliver(accept(requestLoad()));
         Instant accepted = requester.now();
         List<ForwardingEffect> relayed = bundles(leaseHolder.pass(PeerMessenger.BUNDLE_INTERVAL));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
@@ -33,7 +33,7 @@
     }
 
     @Test
-    void newestRecordsComeFirstAndThenTheRest() {
+    void snapshotIsReadBeforeTheFollowingRecords() {
         assertEquals(List.of(new ForwardingEffect.ReadNewest(Topic.CLAIMS)), consumer.tick(now));
         read(true, 5, entry("a", 3), entry("b", 4));
         ForwardingEffect.ReadFrom next = nextRead();
@@ -54,7 +54,7 @@
     }
 
     @Test
-    void lateRecordsChangeNothing() {
+    void outdatedRecordsAreIgnored() {
         consumer.tick(now);
         read(true, 5, entry("a", 4));
         assertTrue(read(false, 5, entry("a", 2)).isEmpty());
@@ -65,7 +65,7 @@
 
     /** A lost relayed message must not hide its records. */
     @Test
-    void relayedRecordsAfterAGapAreLeftToAnOwnRead() {
+    void relayedRecordsAfterAGapAreNotApplied() {
         consumer.tick(now);
         read(true, 5, entry("a", 4));
         assertTrue(consumer.applyRelayed(6, List.of(entry("b", 6)), 7, now).isEmpty());
@@ -77,14 +77,14 @@
      * The replies of peers must not postpone the next read of the host that reads for them, which would stay behind.
      */
     @Test
-    void hostThatReadsForAllDoesNotPutItsReadOff() {
+    void hostThatReadsForPeersDoesNotPostponeItsRead() {
         consumer.tick(now);
         read(true, 5);
         nextRead();
         read(false, 5);
         consumer.applyRelayed(5, List.of(entry("a", 5)), 6, now);
         now = now.plusMillis(200);
-        assertTrue(consumer.tick(now).isEmpty(), "a host that others read for waits for them");
+        assertTrue(consumer.tick(now).isEmpty(), "a host that relies on peers postpones its read");
         consumer.setReadSchedule(WAIT, Duration.ZERO, true, now);
         consumer.applyRelayed(6, List.of(entry("b", 6)), 7, now);
         assertEquals(7, nextRead().offset());
@@ -103,7 +103,7 @@
     }
 
     @Test
-    void outageThatAPeerTellsOfAges() {
+    void relayedOutageExpires() {
         consumer.setReadSchedule(Duration.ZERO, Duration.ofSeconds(15), false, now);
         consumer.tick(now);
         read(true, 5);
