--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -24,7 +24,7 @@
     private boolean listingRead;
     private boolean draining;
     private final Map<HostId, Instant> unreachableSince = new HashMap<>();
-    private final Map<HostId, Long> incarnations = new HashMap<>();
+    private final Map<HostId, Long> latestIncarnations = new HashMap<>();
     private final Set<HostIdentity> leavingHosts = new HashSet<>();
 
     /**
@@ -34,7 +34,7 @@
      */
     public Membership(HostIdentity self) {
         this.self = self;
-        incarnations.put(self.host(), self.incarnation());
+        latestIncarnations.put(self.host(), self.incarnation());
     }
 
     /**
@@ -94,7 +94,7 @@
      */
     public void markReachable(HostIdentity peer) {
         unreachableSince.remove(peer.host());
-        incarnations.merge(peer.host(), peer.incarnation(), Math::max);
+        latestIncarnations.merge(peer.host(), peer.incarnation(), Math::max);
     }
 
     /**
@@ -160,7 +160,7 @@
      * @return true if a higher incarnation of the host is known
      */
     public boolean isSuperseded(HostIdentity identity) {
-        return incarnations.getOrDefault(identity.host(), Long.MIN_VALUE) > identity.incarnation();
+        return latestIncarnations.getOrDefault(identity.host(), Long.MIN_VALUE) > identity.incarnation();
     }
 
     /**
@@ -170,7 +170,8 @@
      * @return its identity, empty if no connection to the host was ever open
      */
     public Optional<HostIdentity> latestIncarnation(HostId host) {
-        return Optional.ofNullable(incarnations.get(host)).map(incarnation -> new HostIdentity(host, incarnation));
+        return Optional.ofNullable(latestIncarnations.get(host))
+                .map(incarnation -> new HostIdentity(host, incarnation));
     }
 
     /**
@@ -199,7 +200,7 @@
     }
 
     private boolean isLeaving(HostId host) {
-        return Optional.ofNullable(incarnations.get(host))
+        return Optional.ofNullable(latestIncarnations.get(host))
                 .filter(incarnation -> leavingHosts.contains(new HostIdentity(host, incarnation)))
                 .isPresent();
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -40,14 +40,14 @@
     private final ReducerSettings settings;
     private final Sequence sequence;
     private final OwnershipState state = new OwnershipState();
-    private final Map<PoolId, Instant> claimAgainAt = new HashMap<>();
+    private final Map<PoolId, Instant> nextClaimAt = new HashMap<>();
     private final Map<PoolId, Instant> unownedSince = new HashMap<>();
-    private Set<HostId> watched = Set.of();
-    private long watchedAtChange = -1;
+    private Set<HostId> watchedPeers = Set.of();
+    private long watchedListingChange = -1;
     private Map<PoolId, Ownership> watchedOwners = Map.of();
     private boolean caughtUp;
     private boolean logUnavailable;
-    private Instant nextRenewal = Instant.MIN;
+    private Instant nextRenewalAt = Instant.MIN;
 
     /**
      * Creates a coordinator that knows no claim.
@@ -86,7 +86,7 @@
         if (logUnavailable) {
             // A renewal may have been due during the outage, and the claims may have expired in it.
             logUnavailable = false;
-            nextRenewal = Instant.MIN;
+            nextRenewalAt = Instant.MIN;
         }
     }
 
@@ -129,7 +129,7 @@
             return;
         }
         enginePools().forEach(pool -> claimIfDue(pool, now, effects));
-        watchIfChanged(effects);
+        updateWatchesIfChanged(effects);
         renewIfDue(now, effects);
     }
 
@@ -139,12 +139,12 @@
             return;
         }
         Instant since = unownedSince.computeIfAbsent(pool, id -> now);
-        boolean late = now.isBefore(claimAgainAt.getOrDefault(pool, Instant.MIN));
+        boolean late = now.isBefore(nextClaimAt.getOrDefault(pool, Instant.MIN));
         boolean first = RendezvousHash.first(pool.value(), membership.availableHosts())
                 .filter(membership.self().host()::equals)
                 .isPresent();
-        if (first && !late && isDue(pool, since, now) && !isCutOff()) {
-            claimAgainAt.put(pool, now.plus(settings.retryInterval().multipliedBy(2)));
+        if (first && !late && isClaimDue(pool, since, now) && !isIsolated()) {
+            nextClaimAt.put(pool, now.plus(settings.retryInterval().multipliedBy(2)));
             effects.add(new Effect.AppendToLog(
                     sequence.next(),
                     LogStreams.OWNERSHIP,
@@ -153,7 +153,7 @@
     }
 
     /** An owner that is gone or leaving is replaced at once, an unreachable one after a limit. */
-    private boolean isDue(PoolId pool, Instant since, Instant now) {
+    private boolean isClaimDue(PoolId pool, Instant since, Instant now) {
         Optional<Ownership> ownership = state.owner(pool);
         boolean onlyUnreachable = ownership
                 .filter(owner -> !membership.isTerminated(owner.owner())
@@ -170,20 +170,20 @@
     }
 
     /** A host that reaches none of the peers that it watches is probably cut off itself and must not claim. */
-    private boolean isCutOff() {
-        return !watched.isEmpty() && watched.stream().allMatch(membership::isUnreachable);
+    private boolean isIsolated() {
+        return !watchedPeers.isEmpty() && watchedPeers.stream().allMatch(membership::isUnreachable);
     }
 
     /** Ranking all hosts for each pool at each tick would take more than a core with a few hundred hosts. */
-    private void watchIfChanged(Effects effects) {
-        if (watchedAtChange != membership.listingChangeCount() || !watchedOwners.equals(state.owners())) {
-            watchedAtChange = membership.listingChangeCount();
+    private void updateWatchesIfChanged(Effects effects) {
+        if (watchedListingChange != membership.listingChangeCount() || !watchedOwners.equals(state.owners())) {
+            watchedListingChange = membership.listingChangeCount();
             watchedOwners = Map.copyOf(state.owners());
-            watch(effects);
+            updateWatches(effects);
         }
     }
 
-    private void watch(Effects effects) {
+    private void updateWatches(Effects effects) {
         Set<HostId> wanted = new HashSet<>();
         HostId self = membership.self().host();
         List<HostId> live = membership.listing().liveHosts();
@@ -194,19 +194,19 @@
         for (PoolId pool : enginePools()) {
             state.owner(pool)
                     .map(ownership -> ownership.owner().host())
-                    .filter(owner -> !owner.equals(self) && succeeds(pool, owner, live))
+                    .filter(owner -> !owner.equals(self) && isSuccessor(pool, owner, live))
                     .ifPresent(wanted::add);
         }
         wanted.stream()
-                .filter(host -> !watched.contains(host))
+                .filter(host -> !watchedPeers.contains(host))
                 .forEach(host -> effects.add(new Effect.WatchPeer(host)));
-        watched.stream()
+        watchedPeers.stream()
                 .filter(host -> !wanted.contains(host))
                 .forEach(host -> effects.add(new Effect.UnwatchPeer(host)));
-        watched = wanted;
+        watchedPeers = wanted;
     }
 
-    private boolean succeeds(PoolId pool, HostId owner, List<HostId> live) {
+    private boolean isSuccessor(PoolId pool, HostId owner, List<HostId> live) {
         List<HostId> successors =
                 live.stream().filter(host -> !host.equals(owner)).toList();
         return RendezvousHash.rank(pool.value(), successors).stream()
@@ -215,10 +215,10 @@
     }
 
     private void renewIfDue(Instant now, Effects effects) {
-        if (now.isBefore(nextRenewal)) {
+        if (now.isBefore(nextRenewalAt)) {
             return;
         }
-        nextRenewal = now.plus(settings.logRetention().dividedBy(RENEWALS_PER_RETENTION));
+        nextRenewalAt = now.plus(settings.logRetention().dividedBy(RENEWALS_PER_RETENTION));
         List<LogEntry> renewals = state.owners().entrySet().stream()
                 .filter(entry -> entry.getValue().owner().equals(membership.self()))
                 .map(entry -> (LogEntry) new OwnershipRecord.Renewal(
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
@@ -19,7 +19,7 @@
  */
 public final class OwnershipState {
     private final Map<PoolId, Ownership> owners = new HashMap<>();
-    private final Map<PoolId, Set<PendingUnload>> pending = new HashMap<>();
+    private final Map<PoolId, Set<PendingUnload>> pendingUnloads = new HashMap<>();
     private long nextOffset;
 
     /**
@@ -35,20 +35,20 @@
         }
         nextOffset = offset + 1;
         if (record instanceof OwnershipRecord.Claim claim) {
-            return own(claim.pool(), new Ownership(claim.owner(), offset));
+            return setOwner(claim.pool(), new Ownership(claim.owner(), offset));
         }
         if (record instanceof OwnershipRecord.Renewal renewal) {
-            return own(renewal.pool(), new Ownership(renewal.owner(), renewal.term()));
+            return setOwner(renewal.pool(), new Ownership(renewal.owner(), renewal.term()));
         }
         if (record instanceof OwnershipRecord.UnloadAnnouncement announcement) {
-            announce(announcement);
+            addPendingUnload(announcement);
         } else if (record instanceof OwnershipRecord.UnloadEnd end) {
-            end(end);
+            removePendingUnload(end);
         }
         return false;
     }
 
-    private boolean own(PoolId pool, Ownership ownership) {
+    private boolean setOwner(PoolId pool, Ownership ownership) {
         Ownership present = owners.get(pool);
         if (present != null && present.term() >= ownership.term()) {
             return false;
@@ -57,10 +57,11 @@
         return true;
     }
 
-    private void announce(OwnershipRecord.UnloadAnnouncement announcement) {
+    private void addPendingUnload(OwnershipRecord.UnloadAnnouncement announcement) {
         owner(announcement.pool())
                 .filter(ownership -> ownership.term() == announcement.term())
-                .ifPresent(ownership -> pending.computeIfAbsent(announcement.pool(), pool -> new LinkedHashSet<>())
+                .ifPresent(ownership -> pendingUnloads
+                        .computeIfAbsent(announcement.pool(), pool -> new LinkedHashSet<>())
                         .add(new PendingUnload(
                                 ownership.owner(),
                                 announcement.endpoint(),
@@ -68,8 +69,9 @@
                                 announcement.adapter())));
     }
 
-    private void end(OwnershipRecord.UnloadEnd end) {
-        pending.getOrDefault(end.pool(), Collections.emptySet())
+    private void removePendingUnload(OwnershipRecord.UnloadEnd end) {
+        pendingUnloads
+                .getOrDefault(end.pool(), Collections.emptySet())
                 .removeIf(unload -> unload.endpoint().equals(end.endpoint())
                         && unload.incarnation() == end.incarnation()
                         && unload.adapter().equals(end.adapter()));
@@ -83,7 +85,7 @@
      * @return true if the owner was not known or has a higher term than the known one
      */
     public boolean updateFromPeer(PoolId pool, Ownership ownership) {
-        return own(pool, ownership);
+        return setOwner(pool, ownership);
     }
 
     /**
@@ -112,7 +114,7 @@
      * @return copy of the list
      */
     public List<PendingUnload> pendingUnloads(PoolId pool) {
-        return new ArrayList<>(pending.getOrDefault(pool, Collections.emptySet()));
+        return new ArrayList<>(pendingUnloads.getOrDefault(pool, Collections.emptySet()));
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
@@ -20,9 +20,9 @@
     private RendezvousHash() {}
 
     /** A host with its weight, which costs more to work out than to compare. */
-    private record Weighed(HostId host, long weight) implements Comparable<Weighed> {
+    private record WeightedHost(HostId host, long weight) implements Comparable<WeightedHost> {
         @Override
-        public int compareTo(Weighed other) {
+        public int compareTo(WeightedHost other) {
             int byWeight = Long.compare(other.weight, weight);
             return byWeight != 0 ? byWeight : host.compareTo(other.host);
         }
@@ -36,7 +36,7 @@
      * @return all hosts, best first
      */
     public static List<HostId> rank(String name, Collection<HostId> hosts) {
-        List<Weighed> weighed = new ArrayList<>(hosts.size());
+        List<WeightedHost> weighed = new ArrayList<>(hosts.size());
         hosts.forEach(host -> weighed.add(weigh(name, host)));
         weighed.sort(Comparator.naturalOrder());
         List<HostId> ranked = new ArrayList<>(weighed.size());
@@ -52,16 +52,16 @@
      * @return the host that ranks first, empty if there are none
      */
     public static Optional<HostId> first(String name, Collection<HostId> hosts) {
-        Weighed first = null;
+        WeightedHost first = null;
         for (HostId host : hosts) {
-            Weighed next = weigh(name, host);
+            WeightedHost next = weigh(name, host);
             first = first == null || next.compareTo(first) < 0 ? next : first;
         }
-        return Optional.ofNullable(first).map(Weighed::host);
+        return Optional.ofNullable(first).map(WeightedHost::host);
     }
 
-    private static Weighed weigh(String name, HostId host) {
+    private static WeightedHost weigh(String name, HostId host) {
         byte[] bytes = (name + '\n' + host.value()).getBytes(StandardCharsets.UTF_8);
-        return new Weighed(host, MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0]);
+        return new WeightedHost(host, MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0]);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Popularity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdapterPopularity.java
@@ -8,15 +8,15 @@
 import org.banyanstair.model.AdapterVersion;
 
 /** Counts requests for each adapter with exponential decay, so that the ranking follows shifts. Not thread-safe. */
-final class Popularity {
+final class AdapterPopularity {
     private static final Duration HALF_LIFE = Duration.ofMinutes(2);
 
     /** Scores below this are forgotten, which bounds the map to adapters that were asked for in the last half hour. */
-    private static final double NEGLIGIBLE = 0.00002;
+    private static final double NEGLIGIBLE_SCORE = 0.00002;
 
     private final Map<AdapterVersion, Score> scores = new HashMap<>();
 
-    private Instant nextCleanUpAt = Instant.MIN;
+    private Instant nextCleanupAt = Instant.MIN;
 
     private record Score(double value, Instant at) {
         double at(Instant now) {
@@ -25,7 +25,7 @@
         }
     }
 
-    void count(AdapterVersion adapter, Instant now) {
+    void recordRequest(AdapterVersion adapter, Instant now) {
         scores.put(adapter, new Score(score(adapter, now) + 1, now));
     }
 
@@ -35,10 +35,10 @@
     }
 
     /** Removes negligible scores from time to time; may be called often. */
-    void forget(Instant now) {
-        if (!now.isBefore(nextCleanUpAt)) {
-            nextCleanUpAt = now.plus(HALF_LIFE);
-            scores.values().removeIf(score -> score.at(now) < NEGLIGIBLE);
+    void removeNegligibleScores(Instant now) {
+        if (!now.isBefore(nextCleanupAt)) {
+            nextCleanupAt = now.plus(HALF_LIFE);
+            scores.values().removeIf(score -> score.at(now) < NEGLIGIBLE_SCORE);
         }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Admission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
@@ -17,12 +17,12 @@
 import org.banyanstair.routing.RetryBudget;
 
 /** Decides which requests may wait for a permit, and refuses the others as not run. */
-final class Admission {
-    private final Pool pool;
+final class AdmissionControl {
+    private final PoolState pool;
     private final LoadPlanner loads;
-    private final RetryBudget retries = new RetryBudget();
+    private final RetryBudget retryBudget = new RetryBudget();
 
-    Admission(Pool pool, LoadPlanner loads) {
+    AdmissionControl(PoolState pool, LoadPlanner loads) {
         this.pool = pool;
         this.loads = loads;
     }
@@ -35,26 +35,27 @@
             return;
         }
         if (message.attempt() == 1) {
-            pool.popularity().count(message.adapter(), now);
-            retries.recordFirstAttempt(now);
+            pool.popularity().recordRequest(message.adapter(), now);
+            retryBudget.recordFirstAttempt(now);
         }
-        enqueue(sender, renewed(message), now);
+        enqueue(sender, clearTriedIfExhausted(message), now);
     }
 
     private void enqueue(HostIdentity sender, PeerMessage.PermitRequest message, Instant now) {
         Optional<EndpointId> bound = bind(message);
         boolean loaded = pool.engines().values().stream()
                 .filter(engine -> bound.map(engine.endpoint().id()::equals).orElse(true))
-                .anyMatch(engine -> engine.takesPermits() && engine.isLoaded(message.adapter()));
+                .anyMatch(engine -> engine.acceptsPermits() && engine.isLoaded(message.adapter()));
         pool.queue()
                 .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false, bound, !loaded));
     }
 
     private Optional<EndpointId> bind(PeerMessage.PermitRequest message) {
         Map<EndpointId, Integer> bound = new HashMap<>();
-        pool.queue().inOrder().forEach(waiting -> waiting.bound().ifPresent(id -> bound.merge(id, 1, Integer::sum)));
+        pool.queue().inOrder().forEach(waiting -> waiting.boundEngine()
+                .ifPresent(id -> bound.merge(id, 1, Integer::sum)));
         List<EngineBinding.Load> loads = pool.engines().values().stream()
-                .filter(EngineState::takesPermits)
+                .filter(EngineState::acceptsPermits)
                 .map(engine -> engine.endpoint().id())
                 .filter(id -> !message.tried().contains(id))
                 .map(id -> new EngineBinding.Load(
@@ -72,19 +73,19 @@
                     new Failure.RequestCrashesEndpoints(pool.suspects().crashCount(message.fingerprint()), false));
         }
         if (message.attempt() == 1) {
-            return refusalOfFirstAttempt(message, now);
+            return firstAttemptRefusal(message, now);
         }
         double share = pool.configuration().preset().retryShare();
         boolean free = pool.suspects().crashCount(message.fingerprint()) > 0
                 || message.tried().isEmpty();
-        return free || retries.tryAcquire(share, now)
+        return free || retryBudget.tryAcquire(share, now)
                 ? Optional.empty()
                 : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
     }
 
     /** A request that has tried all engines may try them again, because some may have restarted since. */
-    private PeerMessage.PermitRequest renewed(PeerMessage.PermitRequest message) {
-        if (!isTriedEverywhere(message)) {
+    private PeerMessage.PermitRequest clearTriedIfExhausted(PeerMessage.PermitRequest message) {
+        if (!hasTriedAllEngines(message)) {
             return message;
         }
         return new PeerMessage.PermitRequest(
@@ -102,18 +103,18 @@
                 Set.of());
     }
 
-    private boolean isTriedEverywhere(PeerMessage.PermitRequest message) {
+    private boolean hasTriedAllEngines(PeerMessage.PermitRequest message) {
         return pool.membership().listing().endpointsOf(pool.id()).stream()
                 .filter(endpoint -> endpoint.kind() == EndpointKind.ENGINE)
                 .allMatch(endpoint -> message.tried().contains(endpoint.id()));
     }
 
-    private Optional<Failure> refusalOfFirstAttempt(PeerMessage.PermitRequest message, Instant now) {
+    private Optional<Failure> firstAttemptRefusal(PeerMessage.PermitRequest message, Instant now) {
         long running = pool.permits().values().stream()
                 .filter(permit ->
                         permit.caller().filter(message.caller()::equals).isPresent())
                 .count();
-        if (running + pool.queue().ofCaller(message.caller()) >= message.callerLimit()) {
+        if (running + pool.queue().sizeForCaller(message.caller()) >= message.callerLimit()) {
             return Optional.of(new Failure.CallerLimitReached(message.caller(), message.callerLimit()));
         }
         if (pool.queue().size() >= message.queueLimit()) {
@@ -124,7 +125,7 @@
         }
         boolean known = pool.engines().values().stream()
                 .anyMatch(engine -> engine.slots().containsKey(message.adapter()));
-        Instant earliest = known ? now : loads.earliestLoad(message.adapter(), message.deadline(), now);
+        Instant earliest = known ? now : loads.earliestLoadTime(message.adapter(), message.deadline(), now);
         return earliest.isBefore(message.deadline())
                 ? Optional.empty()
                 : Optional.of(new Failure.DeadlineUnreachable(message.deadline(), earliest));
@@ -137,7 +138,7 @@
     }
 
     /** Refuses the waiting requests that have become hopeless. */
-    void refuseHopeless(Instant now, Effects effects) {
+    void refuseUnservable(Instant now, Effects effects) {
         pool.queue().removeIf(waiting -> pool.membership().isTerminated(waiting.holder()));
         pool.queue()
                 .removeIf(waiting -> !now.isBefore(waiting.message().deadline()))
@@ -154,7 +155,8 @@
                         new Failure.RequestCrashesEndpoints(
                                 pool.suspects().crashCount(waiting.message().fingerprint()), false),
                         effects));
-        List<WaitingRequest> unloadable = pool.queue().removeIf(waiting -> loads.hasGivenUp(waiting.adapter()));
+        List<WaitingRequest> unloadable =
+                pool.queue().removeIf(waiting -> loads.hasExceededLoadFailures(waiting.adapter()));
         unloadable.forEach(waiting -> {
             loads.resetFailures(waiting.adapter());
             refuse(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -27,21 +27,21 @@
     private Endpoint endpoint;
     private boolean listed = true;
     private OptionalLong incarnation = OptionalLong.empty();
-    private int failures;
+    private int consecutiveStatusFailures;
     private boolean fenceRaised;
     private Optional<Instant> verifyingSince = Optional.empty();
     private Instant nextStatusAt = Instant.MIN;
     private final Map<AdapterVersion, Slot> slots = new LinkedHashMap<>();
     private final Map<AdapterVersion, Instant> unloadedAt = new HashMap<>();
     private final Map<RequestId, Permit> permits = new LinkedHashMap<>();
-    private final Map<RequestId, Instant> orphans = new HashMap<>();
-    private final List<Permit> broken = new ArrayList<>();
-    private final Map<AdapterVersion, Instant> usedAt = new HashMap<>();
+    private final Map<RequestId, Instant> orphanedSince = new HashMap<>();
+    private final List<Permit> brokenPermits = new ArrayList<>();
+    private final Map<AdapterVersion, Instant> lastUsedAt = new HashMap<>();
     private final Map<AdapterVersion, Instant> unconfirmedEnds = new HashMap<>();
     private final Map<Permit, Instant> unconfirmedPermits = new LinkedHashMap<>();
-    private Instant incarnationSince = Instant.MIN;
-    private final PrefixMemory prefixes = new PrefixMemory();
-    private Optional<Fingerprint> reservedFor = Optional.empty();
+    private Instant incarnationSeenAt = Instant.MIN;
+    private final RecentPrefixes recentPrefixes = new RecentPrefixes();
+    private Optional<Fingerprint> reservation = Optional.empty();
 
     EngineState(Endpoint endpoint) {
         this.endpoint = endpoint;
@@ -52,12 +52,12 @@
         return endpoint;
     }
 
-    void list(Endpoint entry) {
+    void updateEntry(Endpoint entry) {
         endpoint = entry;
         listed = true;
     }
 
-    void unlist() {
+    void markUnlisted() {
         listed = false;
     }
 
@@ -70,43 +70,43 @@
     }
 
     /** Forgets everything that a restart of the engine has ended. */
-    void restarted(long newIncarnation, Instant now) {
+    void reset(long newIncarnation, Instant now) {
         incarnation = OptionalLong.of(newIncarnation);
         slots.clear();
         unloadedAt.clear();
-        usedAt.clear();
-        orphans.clear();
-        broken.clear();
+        lastUsedAt.clear();
+        orphanedSince.clear();
+        brokenPermits.clear();
         unconfirmedEnds.clear();
         unconfirmedPermits.clear();
-        incarnationSince = now;
-        prefixes.clear();
+        incarnationSeenAt = now;
+        recentPrefixes.clear();
         verifyingSince = Optional.empty();
         fenceRaised = !endpoint.checksFencing();
     }
 
-    boolean takesPermits() {
+    boolean acceptsPermits() {
         return listed
                 && endpoint.presence() == Presence.LIVE
                 && incarnation.isPresent()
                 && isReachable()
                 && fenceRaised
-                && !verifying();
+                && !isVerifying();
     }
 
     boolean isReachable() {
-        return failures < FAILURES_BEFORE_UNREACHABLE;
+        return consecutiveStatusFailures < FAILURES_BEFORE_UNREACHABLE;
     }
 
-    void statusSucceeded() {
-        failures = 0;
+    void recordStatusSuccess() {
+        consecutiveStatusFailures = 0;
     }
 
-    void statusFailed() {
-        failures++;
+    void recordStatusFailure() {
+        consecutiveStatusFailures++;
     }
 
-    boolean fenceRaised() {
+    boolean isFenceRaised() {
         return fenceRaised;
     }
 
@@ -114,7 +114,7 @@
         fenceRaised = true;
     }
 
-    boolean verifying() {
+    boolean isVerifying() {
         return verifyingSince.isPresent();
     }
 
@@ -123,7 +123,7 @@
         return verifyingSince.filter(since -> !askedAt.isBefore(since)).isPresent();
     }
 
-    void verifySince(Instant now) {
+    void beginVerification(Instant now) {
         verifyingSince = Optional.of(now);
     }
 
@@ -135,7 +135,7 @@
         return nextStatusAt;
     }
 
-    void nextStatusAt(Instant at) {
+    void setNextStatusAt(Instant at) {
         nextStatusAt = at;
     }
 
@@ -152,17 +152,17 @@
         return slot != null && slot.state() == SlotState.LOADED;
     }
 
-    void used(AdapterVersion adapter, Instant now) {
-        usedAt.put(adapter, now);
+    void recordUse(AdapterVersion adapter, Instant now) {
+        lastUsedAt.put(adapter, now);
     }
 
-    Instant usedAt(AdapterVersion adapter) {
-        return usedAt.getOrDefault(adapter, Instant.MIN);
+    Instant lastUsedAt(AdapterVersion adapter) {
+        return lastUsedAt.getOrDefault(adapter, Instant.MIN);
     }
 
     void removeSlot(AdapterVersion adapter, Instant now) {
         slots.remove(adapter);
-        usedAt.remove(adapter);
+        lastUsedAt.remove(adapter);
         unloadedAt.put(adapter, now);
     }
 
@@ -174,81 +174,81 @@
         return permits;
     }
 
-    Map<RequestId, Instant> orphans() {
-        return orphans;
+    Map<RequestId, Instant> orphanedSince() {
+        return orphanedSince;
     }
 
-    List<Permit> broken() {
-        return broken;
+    List<Permit> brokenPermits() {
+        return brokenPermits;
     }
 
     /** Whether the permit is from before the last restart. Its holder may still start an attempt with it. */
-    boolean isInterrupted(Permit permit) {
-        return permit.grantedAt().isBefore(incarnationSince);
+    boolean predatesRestart(Permit permit) {
+        return permit.grantedAt().isBefore(incarnationSeenAt);
     }
 
     /** Notes that a request ended for its holder although the engine may still run it. */
-    void endUnconfirmed(AdapterVersion adapter, Instant now) {
+    void addUnconfirmedEnd(AdapterVersion adapter, Instant now) {
         unconfirmedEnds.put(adapter, now);
     }
 
     /** Notes that the holder gave a permit back although the engine may still run the request. */
-    void endUnconfirmed(Permit permit, Instant now) {
-        endUnconfirmed(permit.adapter(), now);
-        if (!isInterrupted(permit)) {
+    void addUnconfirmedEnd(Permit permit, Instant now) {
+        addUnconfirmedEnd(permit.adapter(), now);
+        if (!predatesRestart(permit)) {
             unconfirmedPermits.put(permit, now);
         }
     }
 
     /** Takes a report, which shows the state at some time in the {@code lag} before it was asked for. */
-    void confirmEnds(Map<AdapterVersion, Integer> running, Instant askedAt, Duration lag) {
+    void clearConfirmedEnds(Map<AdapterVersion, Integer> running, Instant askedAt, Duration lag) {
         unconfirmedEnds
                 .entrySet()
                 .removeIf(end -> !askedAt.isBefore(end.getValue().plus(lag))
-                        && running.getOrDefault(end.getKey(), 0) <= permitsOn(end.getKey()));
+                        && running.getOrDefault(end.getKey(), 0) <= permitCount(end.getKey()));
         unconfirmedPermits.keySet().removeIf(permit -> !unconfirmedEnds.containsKey(permit.adapter()));
     }
 
     /** Whether a request holds a permit for the adapter or may still run on it. */
     boolean isInUse(AdapterVersion adapter) {
-        return permitsOn(adapter) > 0 || unconfirmedEnds.containsKey(adapter);
+        return permitCount(adapter) > 0 || unconfirmedEnds.containsKey(adapter);
     }
 
-    PrefixMemory prefixes() {
-        return prefixes;
+    RecentPrefixes recentPrefixes() {
+        return recentPrefixes;
     }
 
-    boolean hasRoom() {
+    boolean hasBatchCapacity() {
         return permits.size() < endpoint.batchLimit();
     }
 
-    double fullness() {
+    double batchUtilization() {
         return permits.size() / (double) Math.max(1, endpoint.batchLimit());
     }
 
-    long permitsOn(AdapterVersion adapter) {
+    long permitCount(AdapterVersion adapter) {
         return permits.values().stream()
                 .filter(permit -> permit.adapter().equals(adapter))
                 .count();
     }
 
     /** Permits in use, and those given back whose requests the engine may still run. */
-    Stream<Permit> occupants() {
+    Stream<Permit> possiblyRunningPermits() {
         return Stream.concat(permits.values().stream(), unconfirmedPermits.keySet().stream());
     }
 
     /** The requests that may have been running when the engine crashed. */
     Set<Fingerprint> runningFingerprints() {
-        return Stream.concat(occupants(), broken.stream())
+        return Stream.concat(possiblyRunningPermits(), brokenPermits.stream())
                 .map(Permit::fingerprint)
                 .collect(Collectors.toCollection(java.util.TreeSet::new));
     }
 
-    Optional<Fingerprint> reservedFor() {
-        return reservedFor;
+    Optional<Fingerprint> reservation() {
+        return reservation;
     }
 
-    void reserveFor(Optional<Fingerprint> fingerprint) {
-        reservedFor = fingerprint;
+    void setReservation(Optional<Fingerprint> fingerprint) {
+        reservation = fingerprint;
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -29,22 +29,22 @@
 /** Decides which adapters are loaded and unloaded, within the pool's share of the weight store. */
 final class LoadPlanner {
     /** Failed loads of an adapter in a row after which its waiting requests are refused. */
-    private static final int MAXIMUM_LOAD_FAILURES = 4;
+    private static final int MAXIMUM_CONSECUTIVE_LOAD_FAILURES = 4;
 
-    private static final Duration PAUSE_AFTER_FAILED_LOAD = Duration.ofSeconds(2);
+    private static final Duration LOAD_RETRY_DELAY = Duration.ofSeconds(2);
 
-    private static final Duration ANNOUNCEMENT_LIMIT = Duration.ofSeconds(5);
+    private static final Duration ANNOUNCEMENT_TIMEOUT = Duration.ofSeconds(5);
 
-    private final Pool pool;
-    private final Takeover takeover;
-    private final LoadBudget budget = new LoadBudget();
-    private final Map<AdapterVersion, Integer> failures = new HashMap<>();
-    private final Map<Target, Instant> pausedUntil = new HashMap<>();
-    private final Map<Long, Target> announcements = new HashMap<>();
+    private final PoolState pool;
+    private final TakeoverProgress takeover;
+    private final LoadRateLimiter rateLimiter = new LoadRateLimiter();
+    private final Map<AdapterVersion, Integer> consecutiveFailures = new HashMap<>();
+    private final Map<EngineAdapter, Instant> retryAllowedAt = new HashMap<>();
+    private final Map<Long, EngineAdapter> pendingAnnouncements = new HashMap<>();
 
-    private record Target(EndpointId endpoint, AdapterVersion adapter) {}
+    private record EngineAdapter(EndpointId endpoint, AdapterVersion adapter) {}
 
-    LoadPlanner(Pool pool, Takeover takeover) {
+    LoadPlanner(PoolState pool, TakeoverProgress takeover) {
         this.pool = pool;
         this.takeover = takeover;
     }
@@ -52,19 +52,20 @@
     /** Orders the loads that are needed most urgently, and evictions where they need a slot. */
     void plan(Instant now, Effects effects) {
         PoolDeclaration share = pool.configuration().pool(pool.id());
-        long freeing = slots(SlotState.ANNOUNCED) + slots(SlotState.UNLOADING);
+        long freeing = countSlots(SlotState.ANNOUNCED) + countSlots(SlotState.UNLOADING);
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
-        for (WaitingRequest need : needs(now)) {
-            if (policy().limitsLoadRate() && !budget.allows(share, (int) slots(SlotState.LOADING), now)) {
+        for (WaitingRequest need : requiredLoads(now)) {
+            if (policy().limitsLoadRate()
+                    && !rateLimiter.canStartLoad(share, (int) countSlots(SlotState.LOADING), now)) {
                 return;
             }
-            Optional<EngineState> target = loadTarget(need, pendingUnloads, now);
+            Optional<EngineState> target = selectLoadTarget(need, pendingUnloads, now);
             if (target.isPresent()) {
-                load(target.get(), need.adapter(), now, effects);
+                startLoad(target.get(), need.adapter(), now, effects);
             } else if (freeing > 0) {
                 freeing--;
             } else {
-                evictFor(need, now, effects);
+                evictForLoad(need, now, effects);
             }
         }
     }
@@ -74,11 +75,11 @@
     }
 
     /** The most urgent waiting request for each adapter that is needed in a further slot. */
-    private Collection<WaitingRequest> needs(Instant now) {
+    private Collection<WaitingRequest> requiredLoads(Instant now) {
         record Need(AdapterVersion adapter, Optional<EndpointId> bound) {}
         Map<Need, WaitingRequest> needs = new LinkedHashMap<>();
         for (WaitingRequest waiting : pool.queue().inOrder()) {
-            Need need = new Need(waiting.adapter(), waiting.bound());
+            Need need = new Need(waiting.adapter(), waiting.boundEngine());
             if (!needs.containsKey(need) && needsLoad(waiting, now)) {
                 needs.put(need, waiting);
             }
@@ -89,55 +90,56 @@
     private boolean needsLoad(WaitingRequest waiting, Instant now) {
         AdapterVersion adapter = waiting.adapter();
         boolean loading = pool.engines().values().stream()
-                .filter(engine -> waiting.mayUse(engine.endpoint().id()))
+                .filter(engine -> waiting.canUse(engine.endpoint().id()))
                 .map(engine -> engine.slots().get(adapter))
                 .anyMatch(slot -> slot != null && slot.state() == SlotState.LOADING);
         if (loading || pool.isUnderVerification(waiting.message().fingerprint())) {
             return false;
         }
         boolean loaded = pool.engines().values().stream()
-                .anyMatch(engine -> engine.takesPermits()
+                .anyMatch(engine -> engine.acceptsPermits()
                         && engine.isLoaded(adapter)
-                        && waiting.mayUse(engine.endpoint().id()));
+                        && waiting.canUse(engine.endpoint().id()));
         Duration patience = Duration.ofMillis(pool.configuration().preset().copyAfterMilliseconds());
         return !loaded || !now.isBefore(waiting.arrivedAt().plus(patience));
     }
 
-    private Optional<EngineState> loadTarget(WaitingRequest waiting, List<PendingUnload> pendingUnloads, Instant now) {
-        return usable(waiting, now)
+    private Optional<EngineState> selectLoadTarget(
+            WaitingRequest waiting, List<PendingUnload> pendingUnloads, Instant now) {
+        return eligibleEngines(waiting, now)
                 .filter(EngineState::hasFreeSlot)
                 .filter(engine -> pendingUnloads.stream()
                         .noneMatch(unload ->
                                 unload.endpoint().equals(engine.endpoint().id())
                                         && unload.adapter().equals(waiting.adapter())))
-                .min(loadPreference());
+                .min(loadTargetOrder());
     }
 
     /** The preset decides whether adapters are spread over the engines or gathered where batches can be filled. */
-    private Comparator<EngineState> loadPreference() {
+    private Comparator<EngineState> loadTargetOrder() {
         double weight = pool.configuration().preset().spreadWeight();
-        return Comparator.comparing((EngineState engine) -> !engine.hasRoom())
-                .thenComparingDouble(engine -> weight * engine.fullness())
+        return Comparator.comparing((EngineState engine) -> !engine.hasBatchCapacity())
+                .thenComparingDouble(engine -> weight * engine.batchUtilization())
                 .thenComparingDouble(engine -> weight * engine.slots().size())
                 .thenComparing(engine -> engine.endpoint().id());
     }
 
-    private Stream<EngineState> usable(WaitingRequest waiting, Instant now) {
+    private Stream<EngineState> eligibleEngines(WaitingRequest waiting, Instant now) {
         return pool.engines().values().stream()
-                .filter(EngineState::takesPermits)
+                .filter(EngineState::acceptsPermits)
                 .filter(engine -> !engine.slots().containsKey(waiting.adapter()))
-                .filter(engine -> waiting.mayUse(engine.endpoint().id()))
-                .filter(engine -> !now.isBefore(
-                        pausedUntil.getOrDefault(new Target(engine.endpoint().id(), waiting.adapter()), Instant.MIN)));
+                .filter(engine -> waiting.canUse(engine.endpoint().id()))
+                .filter(engine -> !now.isBefore(retryAllowedAt.getOrDefault(
+                        new EngineAdapter(engine.endpoint().id(), waiting.adapter()), Instant.MIN)));
     }
 
-    private void load(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
-        budget.take();
+    private void startLoad(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
+        rateLimiter.consume();
         engine.slots().put(adapter, new Slot(SlotState.LOADING, now, false));
         effects.add(new Effect.LoadAdapter(engine.endpoint(), adapter, pool.term()));
     }
 
-    private long slots(SlotState state) {
+    private long countSlots(SlotState state) {
         return pool.engines().values().stream()
                 .flatMap(engine -> engine.slots().values().stream())
                 .filter(slot -> slot.state() == state)
@@ -145,46 +147,46 @@
     }
 
     /** Evicts the adapter that the policy prefers, of those that no request uses or could use there. */
-    private void evictFor(WaitingRequest waiting, Instant now, Effects effects) {
+    private void evictForLoad(WaitingRequest waiting, Instant now, Effects effects) {
         record Candidate(EngineState engine, EvictionOrder.EvictionCandidate victim) {}
-        usable(waiting, now)
+        eligibleEngines(waiting, now)
                 .flatMap(engine -> engine.slots().keySet().stream()
                         .filter(adapter -> isEvictable(engine, adapter))
-                        .map(adapter -> new Candidate(engine, victim(engine, adapter, now))))
+                        .map(adapter -> new Candidate(engine, evictionCandidate(engine, adapter, now))))
                 .min(Comparator.comparing(
                                 Candidate::victim, policy().evictionOrder().order())
                         .thenComparing(candidate -> candidate.victim().adapter())
                         .thenComparing(
                                 candidate -> candidate.engine().endpoint().id()))
                 .ifPresent(
-                        chosen -> beginUnload(chosen.engine(), chosen.victim().adapter(), now, effects));
+                        chosen -> startUnload(chosen.engine(), chosen.victim().adapter(), now, effects));
     }
 
-    private EvictionOrder.EvictionCandidate victim(EngineState engine, AdapterVersion adapter, Instant now) {
+    private EvictionOrder.EvictionCandidate evictionCandidate(EngineState engine, AdapterVersion adapter, Instant now) {
         return new EvictionOrder.EvictionCandidate(
-                adapter, pool.popularity().score(adapter, now), engine.usedAt(adapter));
+                adapter, pool.popularity().score(adapter, now), engine.lastUsedAt(adapter));
     }
 
     private boolean isEvictable(EngineState engine, AdapterVersion adapter) {
         Slot slot = engine.slots().get(adapter);
         return slot.state() == SlotState.LOADED
                 && !engine.isInUse(adapter)
-                && !pool.queue().isWanted(adapter, engine.endpoint().id())
+                && !pool.queue().isNeeded(adapter, engine.endpoint().id())
                 && (takeover.isComplete() || !slot.inherited());
     }
 
-    private void beginUnload(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
+    private void startUnload(EngineState engine, AdapterVersion adapter, Instant now, Effects effects) {
         Slot slot = engine.slots().get(adapter);
         if (engine.endpoint().checksFencing()) {
-            engine.slots().put(adapter, slot.to(SlotState.UNLOADING, now));
+            engine.slots().put(adapter, slot.withState(SlotState.UNLOADING, now));
             effects.add(new Effect.UnloadAdapter(engine.endpoint(), adapter, pool.term()));
             return;
         }
         // An engine that ignores fencing numbers would obey this order even after a takeover, so a new owner has to
         // know of it beforehand.
-        engine.slots().put(adapter, slot.to(SlotState.ANNOUNCED, now));
+        engine.slots().put(adapter, slot.withState(SlotState.ANNOUNCED, now));
         long append = pool.sequence().next();
-        announcements.put(append, new Target(engine.endpoint().id(), adapter));
+        pendingAnnouncements.put(append, new EngineAdapter(engine.endpoint().id(), adapter));
         LogEntry announcement = new OwnershipRecord.UnloadAnnouncement(
                 pool.id(),
                 pool.term(),
@@ -195,7 +197,7 @@
     }
 
     /** Orders an announced unload once the log shows it under the present term. */
-    void announcementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
+    void unloadAnnouncementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
         if (announcement.term() != pool.term()) {
             return;
         }
@@ -205,34 +207,35 @@
                 && slot.state() == SlotState.ANNOUNCED
                 && engine.incarnation().orElse(-1) == announcement.incarnation();
         if (wanted) {
-            engine.slots().put(announcement.adapter(), slot.to(SlotState.UNLOADING, now));
+            engine.slots().put(announcement.adapter(), slot.withState(SlotState.UNLOADING, now));
             effects.add(new Effect.UnloadAdapter(engine.endpoint(), announcement.adapter(), pool.term()));
         } else {
-            appendEnd(announcement.endpoint(), announcement.incarnation(), announcement.adapter(), effects);
+            appendUnloadEnd(announcement.endpoint(), announcement.incarnation(), announcement.adapter(), effects);
         }
     }
 
-    private void appendEnd(EndpointId endpoint, long incarnation, AdapterVersion adapter, Effects effects) {
+    private void appendUnloadEnd(EndpointId endpoint, long incarnation, AdapterVersion adapter, Effects effects) {
         LogEntry end = new OwnershipRecord.UnloadEnd(pool.id(), endpoint, incarnation, adapter);
         effects.add(new Effect.AppendToLog(pool.sequence().next(), LogStreams.OWNERSHIP, List.of(end)));
     }
 
     void appendRejected(long append, Instant now) {
-        Target target = announcements.remove(append);
+        EngineAdapter target = pendingAnnouncements.remove(append);
         if (target != null) {
-            pool.engine(target.endpoint()).ifPresent(engine -> keep(engine, target.adapter(), now));
+            pool.engine(target.endpoint()).ifPresent(engine -> cancelAnnouncedUnload(engine, target.adapter(), now));
         }
     }
 
     void appendEnded(long append) {
-        announcements.remove(append);
+        pendingAnnouncements.remove(append);
     }
 
-    private static void keep(EngineState engine, AdapterVersion adapter, Instant now) {
+    private static void cancelAnnouncedUnload(EngineState engine, AdapterVersion adapter, Instant now) {
         engine.slots()
                 .computeIfPresent(
                         adapter,
-                        (key, slot) -> slot.state() == SlotState.ANNOUNCED ? slot.to(SlotState.LOADED, now) : slot);
+                        (key, slot) ->
+                                slot.state() == SlotState.ANNOUNCED ? slot.withState(SlotState.LOADED, now) : slot);
     }
 
     void loadEnded(
@@ -242,19 +245,19 @@
             return;
         }
         if (result instanceof EngineCommandResult.Done) {
-            failures.remove(adapter);
-            engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
+            consecutiveFailures.remove(adapter);
+            engine.slots().put(adapter, slot.withState(SlotState.LOADED, now));
         } else if (result instanceof EngineCommandResult.Refused refused) {
             engine.slots().remove(adapter);
             loadFailed(engine, adapter, refused.failure(), now, effects);
         }
-        engine.nextStatusAt(now);
+        engine.setNextStatusAt(now);
     }
 
     private void loadFailed(EngineState engine, AdapterVersion adapter, Failure failure, Instant now, Effects effects) {
         effects.report(new Notice.LoadFailed(engine.endpoint().id(), adapter, failure));
-        pausedUntil.put(new Target(engine.endpoint().id(), adapter), now.plus(PAUSE_AFTER_FAILED_LOAD));
-        failures.merge(adapter, 1, Integer::sum);
+        retryAllowedAt.put(new EngineAdapter(engine.endpoint().id(), adapter), now.plus(LOAD_RETRY_DELAY));
+        consecutiveFailures.merge(adapter, 1, Integer::sum);
     }
 
     void unloadEnded(
@@ -264,20 +267,20 @@
             return;
         }
         if (result instanceof EngineCommandResult.Unknown) {
-            engine.nextStatusAt(now);
+            engine.setNextStatusAt(now);
             return;
         }
         if (result instanceof EngineCommandResult.Done) {
             engine.removeSlot(adapter, now);
         } else {
-            engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
+            engine.slots().put(adapter, slot.withState(SlotState.LOADED, now));
         }
-        announceEnd(engine, adapter, effects);
+        recordUnloadEnd(engine, adapter, effects);
     }
 
-    private void announceEnd(EngineState engine, AdapterVersion adapter, Effects effects) {
+    private void recordUnloadEnd(EngineState engine, AdapterVersion adapter, Effects effects) {
         if (!engine.endpoint().checksFencing()) {
-            appendEnd(engine.endpoint().id(), engine.incarnation().orElseThrow(), adapter, effects);
+            appendUnloadEnd(engine.endpoint().id(), engine.incarnation().orElseThrow(), adapter, effects);
         }
     }
 
@@ -288,9 +291,9 @@
             Slot slot = engine.slots().get(adapter);
             boolean settled = !askedAt.isBefore(slot.since().plus(lag));
             if (reported.contains(adapter)) {
-                confirmLoaded(engine, adapter, slot, settled, now, effects);
+                adapterReported(engine, adapter, slot, settled, now, effects);
             } else if (settled) {
-                confirmAbsent(engine, adapter, slot, now, effects);
+                adapterNotReported(engine, adapter, slot, now, effects);
             }
         }
         reported.stream()
@@ -300,7 +303,7 @@
                         .isEmpty())
                 .forEach(adapter -> {
                     engine.slots().put(adapter, new Slot(SlotState.LOADED, now, true));
-                    engine.endUnconfirmed(adapter, now);
+                    engine.addUnconfirmedEnd(adapter, now);
                 });
     }
 
@@ -309,26 +312,27 @@
         for (EngineState engine : pool.engines().values()) {
             engine.slots().entrySet().stream()
                     .filter(entry -> entry.getValue().inherited())
-                    .forEach(entry -> engine.endUnconfirmed(entry.getKey(), now));
+                    .forEach(entry -> engine.addUnconfirmedEnd(entry.getKey(), now));
             // A report that is asked for any earlier cannot confirm that these ends have happened.
-            engine.nextStatusAt(now.plus(pool.settings().statusLag()));
+            engine.setNextStatusAt(now.plus(pool.settings().statusLag()));
         }
     }
 
-    private void confirmLoaded(
+    private void adapterReported(
             EngineState engine, AdapterVersion adapter, Slot slot, boolean settled, Instant now, Effects effects) {
         if (slot.state() == SlotState.LOADING) {
-            engine.slots().put(adapter, slot.to(SlotState.LOADED, now));
+            engine.slots().put(adapter, slot.withState(SlotState.LOADED, now));
         } else if (slot.state() == SlotState.UNLOADING && settled) {
-            engine.slots().put(adapter, slot.to(SlotState.UNLOADING, now));
+            engine.slots().put(adapter, slot.withState(SlotState.UNLOADING, now));
             effects.add(new Effect.UnloadAdapter(engine.endpoint(), adapter, pool.term()));
         }
     }
 
-    private void confirmAbsent(EngineState engine, AdapterVersion adapter, Slot slot, Instant now, Effects effects) {
+    private void adapterNotReported(
+            EngineState engine, AdapterVersion adapter, Slot slot, Instant now, Effects effects) {
         engine.removeSlot(adapter, now);
         if (slot.state() == SlotState.UNLOADING) {
-            announceEnd(engine, adapter, effects);
+            recordUnloadEnd(engine, adapter, effects);
         } else if (slot.state() == SlotState.LOADING) {
             loadFailed(
                     engine,
@@ -344,25 +348,25 @@
         for (EngineState engine : pool.engines().values()) {
             Set<AdapterVersion> late = engine.slots().entrySet().stream()
                     .filter(entry -> entry.getValue().state() == SlotState.ANNOUNCED)
-                    .filter(entry -> !now.isBefore(entry.getValue().since().plus(ANNOUNCEMENT_LIMIT)))
+                    .filter(entry -> !now.isBefore(entry.getValue().since().plus(ANNOUNCEMENT_TIMEOUT)))
                     .map(Map.Entry::getKey)
                     .collect(Collectors.toSet());
-            late.forEach(adapter -> keep(engine, adapter, now));
+            late.forEach(adapter -> cancelAnnouncedUnload(engine, adapter, now));
         }
-        pausedUntil.values().removeIf(until -> !now.isBefore(until));
+        retryAllowedAt.values().removeIf(until -> !now.isBefore(until));
     }
 
     /** Whether so many loads of the adapter failed in a row that its requests should be refused. */
-    boolean hasGivenUp(AdapterVersion adapter) {
-        return failures.getOrDefault(adapter, 0) >= MAXIMUM_LOAD_FAILURES;
+    boolean hasExceededLoadFailures(AdapterVersion adapter) {
+        return consecutiveFailures.getOrDefault(adapter, 0) >= MAXIMUM_CONSECUTIVE_LOAD_FAILURES;
     }
 
     void resetFailures(AdapterVersion adapter) {
-        failures.remove(adapter);
+        consecutiveFailures.remove(adapter);
     }
 
     /** Earliest instant by which the budget allows a load of the adapter, given the more urgent loads before it. */
-    Instant earliestLoad(AdapterVersion adapter, Instant deadline, Instant now) {
+    Instant earliestLoadTime(AdapterVersion adapter, Instant deadline, Instant now) {
         long before = pool.queue().inOrder().stream()
                 .filter(waiting -> waiting.message().deadline().isBefore(deadline))
                 .map(WaitingRequest::adapter)
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Dispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
@@ -16,25 +16,25 @@
 import org.banyanstair.reducer.Effects;
 
 /** Grants permits to waiting requests. */
-final class Dispatcher {
-    private final Pool pool;
+final class PermitDispatcher {
+    private final PoolState pool;
 
-    Dispatcher(Pool pool) {
+    PermitDispatcher(PoolState pool) {
         this.pool = pool;
     }
 
     /** Grants as many permits as there is room for, most urgent requests first. */
-    void grantAll(Instant now, Effects effects) {
-        clearReservations();
+    void grantPermits(Instant now, Effects effects) {
+        removeStaleReservations();
         Set<AdapterVersion> without = new HashSet<>();
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
         for (WaitingRequest waiting : pool.queue().inOrder()) {
             boolean ordinary =
-                    waiting.message().tried().isEmpty() && waiting.bound().isEmpty() && crashes(waiting) == 0;
+                    waiting.message().tried().isEmpty() && waiting.boundEngine().isEmpty() && crashCount(waiting) == 0;
             if (ordinary && without.contains(waiting.adapter())) {
                 continue;
             }
-            Optional<EngineState> engine = choose(waiting, pendingUnloads);
+            Optional<EngineState> engine = selectEngine(waiting, pendingUnloads);
             if (engine.isPresent()) {
                 grant(waiting, engine.get(), now, effects);
             } else if (ordinary) {
@@ -43,24 +43,24 @@
         }
     }
 
-    private int crashes(WaitingRequest waiting) {
+    private int crashCount(WaitingRequest waiting) {
         return pool.suspects().crashCount(waiting.message().fingerprint());
     }
 
-    private Optional<EngineState> choose(WaitingRequest waiting, List<PendingUnload> pendingUnloads) {
+    private Optional<EngineState> selectEngine(WaitingRequest waiting, List<PendingUnload> pendingUnloads) {
         Fingerprint fingerprint = waiting.message().fingerprint();
         if (pool.isUnderVerification(fingerprint)) {
             return Optional.empty();
         }
         List<EngineState> withAdapter = pool.engines().values().stream()
-                .filter(engine -> engine.takesPermits() && engine.isLoaded(waiting.adapter()))
-                .filter(engine -> waiting.mayUse(engine.endpoint().id()))
+                .filter(engine -> engine.acceptsPermits() && engine.isLoaded(waiting.adapter()))
+                .filter(engine -> waiting.canUse(engine.endpoint().id()))
                 .filter(engine -> !isUnloadPending(engine, waiting.adapter(), pendingUnloads))
                 .toList();
         Optional<EngineState> chosen = withAdapter.stream()
-                .filter(engine -> engine.hasRoom() && admits(engine, fingerprint))
-                .min(preference(waiting));
-        if (chosen.isEmpty() && crashes(waiting) >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
+                .filter(engine -> engine.hasBatchCapacity() && satisfiesIsolation(engine, fingerprint))
+                .min(engineOrder(waiting));
+        if (chosen.isEmpty() && crashCount(waiting) >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
             reserve(withAdapter, fingerprint);
         }
         return chosen;
@@ -75,15 +75,15 @@
     }
 
     /** Suspects never share an engine with each other, and a request with two crashes shares it with nobody. */
-    private boolean admits(EngineState engine, Fingerprint fingerprint) {
+    private boolean satisfiesIsolation(EngineState engine, Fingerprint fingerprint) {
         int crashes = pool.suspects().crashCount(fingerprint);
-        boolean reservedForOther = engine.reservedFor()
+        boolean reservedForOther = engine.reservation()
                 .filter(reserved -> !reserved.equals(fingerprint))
                 .isPresent();
         if (reservedForOther) {
             return false;
         }
-        int highest = engine.occupants()
+        int highest = engine.possiblyRunningPermits()
                 .mapToInt(permit -> pool.suspects().crashCount(permit.fingerprint()))
                 .max()
                 .orElse(0);
@@ -91,7 +91,7 @@
             return false;
         }
         if (crashes >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
-            return engine.occupants().findAny().isEmpty();
+            return engine.possiblyRunningPermits().findAny().isEmpty();
         }
         return crashes == 0 || highest == 0;
     }
@@ -99,35 +99,36 @@
     private void reserve(List<EngineState> engines, Fingerprint fingerprint) {
         boolean reserved = pool.engines().values().stream()
                 .anyMatch(engine ->
-                        engine.reservedFor().filter(fingerprint::equals).isPresent());
+                        engine.reservation().filter(fingerprint::equals).isPresent());
         if (!reserved) {
             engines.stream()
-                    .filter(engine -> engine.reservedFor().isEmpty())
+                    .filter(engine -> engine.reservation().isEmpty())
                     .min(Comparator.comparingInt(engine -> engine.permits().size()))
-                    .ifPresent(engine -> engine.reserveFor(Optional.of(fingerprint)));
+                    .ifPresent(engine -> engine.setReservation(Optional.of(fingerprint)));
         }
     }
 
-    private void clearReservations() {
+    private void removeStaleReservations() {
         Set<Fingerprint> waiting = new HashSet<>();
         pool.engines().values().stream()
-                .filter(engine -> engine.reservedFor().isPresent())
+                .filter(engine -> engine.reservation().isPresent())
                 .forEach(engine -> {
                     if (waiting.isEmpty()) {
                         pool.queue()
                                 .inOrder()
                                 .forEach(each -> waiting.add(each.message().fingerprint()));
                     }
-                    engine.reserveFor(engine.reservedFor().filter(waiting::contains));
+                    engine.setReservation(engine.reservation().filter(waiting::contains));
                 });
     }
 
     /** A cached prefix first; then the preset decides between the emptiest and the fullest engine. */
-    private Comparator<EngineState> preference(WaitingRequest waiting) {
+    private Comparator<EngineState> engineOrder(WaitingRequest waiting) {
         double weight = pool.configuration().preset().spreadWeight();
         long prefix = waiting.message().prefix();
-        return Comparator.comparing((EngineState engine) -> !engine.prefixes().contains(waiting.adapter(), prefix))
-                .thenComparingDouble(engine -> weight * engine.fullness())
+        return Comparator.comparing(
+                        (EngineState engine) -> !engine.recentPrefixes().contains(waiting.adapter(), prefix))
+                .thenComparingDouble(engine -> weight * engine.batchUtilization())
                 .thenComparing(engine -> engine.endpoint().id());
     }
 
@@ -144,16 +145,16 @@
                 message.fingerprint(),
                 pool.sequence().next(),
                 now,
-                waiting.needsLoad() ? Duration.between(waiting.arrivedAt(), now).toMillis() : 0);
+                waiting.coldStart() ? Duration.between(waiting.arrivedAt(), now).toMillis() : 0);
         pool.addPermit(permit);
-        engine.used(message.adapter(), now);
-        engine.prefixes().sent(message.adapter(), message.prefix());
-        engine.reserveFor(engine.reservedFor().filter(reserved -> !reserved.equals(message.fingerprint())));
-        send(permit, engine.endpoint(), effects);
+        engine.recordUse(message.adapter(), now);
+        engine.recentPrefixes().add(message.adapter(), message.prefix());
+        engine.setReservation(engine.reservation().filter(reserved -> !reserved.equals(message.fingerprint())));
+        sendGrant(permit, engine.endpoint(), effects);
     }
 
     /** Sends a grant; also used to repeat one whose message may be lost. */
-    void send(Permit permit, Endpoint endpoint, Effects effects) {
+    void sendGrant(Permit permit, Endpoint endpoint, Effects effects) {
         effects.send(
                 permit.holder().host(),
                 new PeerMessage.PermitGrant(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitInventory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
@@ -13,26 +13,26 @@
 import org.banyanstair.reducer.Effects;
 
 /** Compares the permits of a pool with what their holders report: after a takeover, after restarts, and regularly. */
-final class PermitInventory {
+final class PermitReconciler {
     private static final Duration RECONCILIATION_INTERVAL = Duration.ofSeconds(10);
 
     /** Time between two questions after a takeover, during which nothing is unloaded; a few round trips to a peer. */
-    private static final Duration TAKEOVER_INTERVAL = Duration.ofMillis(250);
+    private static final Duration TAKEOVER_REQUEST_INTERVAL = Duration.ofMillis(250);
 
-    private final Pool pool;
-    private final Takeover takeover;
-    private Instant nextTakeoverAt = Instant.MIN;
-    private Instant nextInterruptedAt = Instant.MIN;
+    private final PoolState pool;
+    private final TakeoverProgress takeover;
+    private Instant nextTakeoverRequestAt = Instant.MIN;
+    private Instant nextInterruptedCheckAt = Instant.MIN;
     private Instant nextReconciliationAt;
 
-    PermitInventory(Pool pool, Takeover takeover, Instant now) {
+    PermitReconciler(PoolState pool, TakeoverProgress takeover, Instant now) {
         this.pool = pool;
         this.takeover = takeover;
         this.nextReconciliationAt = now.plus(RECONCILIATION_INTERVAL);
     }
 
     /** Takes the permits that a host reports. */
-    void replied(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now) {
+    void inventoryReceived(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now) {
         if (reply.term() != pool.term()) {
             return;
         }
@@ -43,10 +43,10 @@
                 .toList()
                 .forEach(permit -> {
                     pool.removePermit(permit.request());
-                    pool.endUnconfirmed(permit, now);
+                    pool.addUnconfirmedEnd(permit, now);
                 });
         reply.permits().stream()
-                .filter(this::isUnknown)
+                .filter(this::isMissingOrStale)
                 .forEach(permit -> replacePermit(new Permit(
                         permit.request(),
                         permit.attempt(),
@@ -58,24 +58,24 @@
                         reply.sequence(),
                         now,
                         0)));
-        takeover.replied(sender.host());
+        takeover.markReplied(sender.host());
     }
 
     /** Asks the hosts whose permits have to be known, when due. */
     void tick(Instant now, Effects effects) {
-        askForInterrupted(now, effects);
-        if (!takeover.isComplete() && !now.isBefore(nextTakeoverAt)) {
-            nextTakeoverAt = now.plus(TAKEOVER_INTERVAL);
-            takeover.missing(pool.membership()).forEach(host -> askInventory(host, effects));
+        checkInterruptedPermits(now, effects);
+        if (!takeover.isComplete() && !now.isBefore(nextTakeoverRequestAt)) {
+            nextTakeoverRequestAt = now.plus(TAKEOVER_REQUEST_INTERVAL);
+            takeover.hostsWithoutReply(pool.membership()).forEach(host -> requestInventory(host, effects));
         }
         if (!now.isBefore(nextReconciliationAt)) {
             nextReconciliationAt = now.plus(RECONCILIATION_INTERVAL);
-            reconcilePermits(now, effects);
+            checkOldPermits(now, effects);
         }
     }
 
     /** A host that runs an attempt elsewhere, under a grant of an earlier term, will refuse the present grant. */
-    private boolean isUnknown(HeldPermit held) {
+    private boolean isMissingOrStale(HeldPermit held) {
         Permit present = pool.permits().get(held.request());
         return present == null
                 || present.attempt() <= held.attempt() && !present.endpoint().equals(held.endpoint());
@@ -87,19 +87,19 @@
     }
 
     /** A holder that was paused or whose grant is late could use a permit from before a restart of the engine. */
-    private void askForInterrupted(Instant now, Effects effects) {
-        if (now.isBefore(nextInterruptedAt)) {
+    private void checkInterruptedPermits(Instant now, Effects effects) {
+        if (now.isBefore(nextInterruptedCheckAt)) {
             return;
         }
-        nextInterruptedAt = now.plus(pool.settings().retryInterval());
+        nextInterruptedCheckAt = now.plus(pool.settings().retryInterval());
         pool.engines().values().stream()
-                .flatMap(engine -> engine.permits().values().stream().filter(engine::isInterrupted))
+                .flatMap(engine -> engine.permits().values().stream().filter(engine::predatesRestart))
                 .map(permit -> permit.holder().host())
                 .distinct()
-                .forEach(host -> askInventory(host, effects));
+                .forEach(host -> requestInventory(host, effects));
     }
 
-    private void askInventory(HostId host, Effects effects) {
+    private void requestInventory(HostId host, Effects effects) {
         effects.send(
                 host,
                 new PeerMessage.InventoryRequest(
@@ -107,11 +107,11 @@
     }
 
     /** Releases may be lost, so holders of old permits are asked which ones they still hold. */
-    private void reconcilePermits(Instant now, Effects effects) {
+    private void checkOldPermits(Instant now, Effects effects) {
         pool.permits().values().stream()
                 .filter(permit -> !now.isBefore(permit.grantedAt().plus(RECONCILIATION_INTERVAL)))
                 .map(permit -> permit.holder().host())
                 .distinct()
-                .forEach(host -> askInventory(host, effects));
+                .forEach(host -> requestInventory(host, effects));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -24,13 +24,13 @@
  * <p>Not safe for use by several threads.
  */
 public final class PoolOwner {
-    private final Pool pool;
-    private final Takeover takeover;
-    private final Dispatcher dispatcher;
-    private final LoadPlanner loads;
-    private final EngineWatcher engines;
-    private final Admission admission;
-    private final PermitInventory inventory;
+    private final PoolState pool;
+    private final TakeoverProgress takeover;
+    private final PermitDispatcher dispatcher;
+    private final LoadPlanner loadPlanner;
+    private final EngineMonitor engineMonitor;
+    private final AdmissionControl admission;
+    private final PermitReconciler reconciler;
 
     /**
      * Creates the owner at the moment at which the log shows its claim.
@@ -41,13 +41,13 @@
      * @param now present instant
      */
     public PoolOwner(PoolId id, long term, PoolContext context, Instant now) {
-        this.pool = new Pool(id, term, context);
-        this.takeover = new Takeover(now, context.settings());
-        this.dispatcher = new Dispatcher(pool);
-        this.loads = new LoadPlanner(pool, takeover);
-        this.engines = new EngineWatcher(pool, loads);
-        this.admission = new Admission(pool, loads);
-        this.inventory = new PermitInventory(pool, takeover, now);
+        this.pool = new PoolState(id, term, context);
+        this.takeover = new TakeoverProgress(now, context.settings());
+        this.dispatcher = new PermitDispatcher(pool);
+        this.loadPlanner = new LoadPlanner(pool, takeover);
+        this.engineMonitor = new EngineMonitor(pool, loadPlanner);
+        this.admission = new AdmissionControl(pool, loadPlanner);
+        this.reconciler = new PermitReconciler(pool, takeover, now);
     }
 
     /**
@@ -73,7 +73,7 @@
             repeatGrant(present, message, effects);
             return;
         }
-        pool.removePermit(message.request()).ifPresent(earlier -> endedUnreported(earlier, now, effects));
+        pool.removePermit(message.request()).ifPresent(earlier -> endSupersededAttempt(earlier, now, effects));
         boolean waits = pool.queue()
                 .find(message.request())
                 .filter(waiting -> waiting.message().attempt() >= message.attempt())
@@ -82,7 +82,7 @@
             return;
         }
         admission.admit(sender, message, now, effects);
-        decide(now, effects);
+        schedule(now, effects);
     }
 
     /** Repeats a grant under a new sequence, so that the holder does not take it for one from before an inventory. */
@@ -100,7 +100,8 @@
                     present.grantedAt(),
                     present.loadStallMilliseconds());
             pool.addPermit(renewed);
-            pool.engine(present.endpoint()).ifPresent(engine -> dispatcher.send(renewed, engine.endpoint(), effects));
+            pool.engine(present.endpoint())
+                    .ifPresent(engine -> dispatcher.sendGrant(renewed, engine.endpoint(), effects));
         }
     }
 
@@ -121,24 +122,24 @@
             pool.removePermit(message.request());
             permitEnded(permit, message.outcome(), now, effects);
         }
-        decide(now, effects);
+        schedule(now, effects);
     }
 
     /** The release of an earlier attempt may be lost, so the attempt counts as broken. */
-    private void endedUnreported(Permit permit, Instant now, Effects effects) {
+    private void endSupersededAttempt(Permit permit, Instant now, Effects effects) {
         permitEnded(permit, new AttemptOutcome.Broken(new Failure.EndpointFailed(permit.endpoint()), 0), now, effects);
     }
 
     private void permitEnded(Permit permit, AttemptOutcome outcome, Instant now, Effects effects) {
         if (outcome instanceof AttemptOutcome.Completed) {
-            engines.completed(permit, effects);
+            engineMonitor.attemptCompleted(permit, effects);
         } else if (outcome instanceof AttemptOutcome.Broken) {
-            pool.endUnconfirmed(permit, now);
-            engines.broken(permit, now, effects);
+            pool.addUnconfirmedEnd(permit, now);
+            engineMonitor.attemptBroken(permit, now, effects);
         } else if (outcome instanceof AttemptOutcome.Cancelled) {
-            pool.endUnconfirmed(permit, now);
+            pool.addUnconfirmedEnd(permit, now);
         } else if (outcome instanceof AttemptOutcome.NotStarted notStarted) {
-            engines.notStarted(permit, notStarted.failure(), now, effects);
+            engineMonitor.attemptNotStarted(permit, notStarted.failure(), now, effects);
         }
     }
 
@@ -151,8 +152,8 @@
      * @param effects collects what to do
      */
     public void inventoryReceived(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now, Effects effects) {
-        inventory.replied(sender, reply, now);
-        decide(now, effects);
+        reconciler.inventoryReceived(sender, reply, now);
+        schedule(now, effects);
     }
 
     /**
@@ -163,7 +164,7 @@
      * @param effects collects what to do
      */
     public void unloadAnnouncementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
-        loads.announcementRead(announcement, now, effects);
+        loadPlanner.unloadAnnouncementRead(announcement, now, effects);
     }
 
     /**
@@ -173,7 +174,7 @@
      * @param now present instant
      */
     public void appendRejected(long append, Instant now) {
-        loads.appendRejected(append, now);
+        loadPlanner.appendRejected(append, now);
     }
 
     /**
@@ -182,7 +183,7 @@
      * @param append number of the append
      */
     public void appendEnded(long append) {
-        loads.appendEnded(append);
+        loadPlanner.appendEnded(append);
     }
 
     /**
@@ -196,8 +197,8 @@
      */
     public void loadEnded(
             EndpointId endpoint, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
-        pool.engine(endpoint).ifPresent(engine -> loads.loadEnded(engine, adapter, result, now, effects));
-        decide(now, effects);
+        pool.engine(endpoint).ifPresent(engine -> loadPlanner.loadEnded(engine, adapter, result, now, effects));
+        schedule(now, effects);
     }
 
     /**
@@ -211,8 +212,8 @@
      */
     public void unloadEnded(
             EndpointId endpoint, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
-        pool.engine(endpoint).ifPresent(engine -> loads.unloadEnded(engine, adapter, result, now, effects));
-        decide(now, effects);
+        pool.engine(endpoint).ifPresent(engine -> loadPlanner.unloadEnded(engine, adapter, result, now, effects));
+        schedule(now, effects);
     }
 
     /**
@@ -227,7 +228,7 @@
         if (result instanceof EngineCommandResult.Done) {
             pool.engine(endpoint).ifPresent(EngineState::markFenceRaised);
         }
-        decide(now, effects);
+        schedule(now, effects);
     }
 
     /**
@@ -240,8 +241,8 @@
      * @param effects collects what to do
      */
     public void statusRead(EndpointId endpoint, Instant askedAt, EngineStatus status, Instant now, Effects effects) {
-        engines.statusRead(endpoint, askedAt, status, now, effects);
-        decide(now, effects);
+        engineMonitor.statusRead(endpoint, askedAt, status, now, effects);
+        schedule(now, effects);
     }
 
     /**
@@ -252,8 +253,8 @@
      * @param effects collects what to do
      */
     public void statusReadFailed(EndpointId endpoint, Instant now, Effects effects) {
-        engines.statusFailed(endpoint, now, effects);
-        decide(now, effects);
+        engineMonitor.statusReadFailed(endpoint, now, effects);
+        schedule(now, effects);
     }
 
     /**
@@ -263,22 +264,22 @@
      * @param effects collects what to do
      */
     public void tick(Instant now, Effects effects) {
-        engines.tick(now, effects);
-        loads.tick(now);
-        if (takeover.update(pool.membership(), now)) {
-            loads.takeoverCompleted(now);
+        engineMonitor.tick(now, effects);
+        loadPlanner.tick(now);
+        if (takeover.tryComplete(pool.membership(), now)) {
+            loadPlanner.takeoverCompleted(now);
         }
-        inventory.tick(now, effects);
-        pool.popularity().forget(now);
+        reconciler.tick(now, effects);
+        pool.popularity().removeNegligibleScores(now);
         Duration ageing = Duration.ofMillis(pool.configuration().preset().standardAgeingMilliseconds());
-        pool.queue().age(ageing, now);
-        decide(now, effects);
+        pool.queue().promoteAged(ageing, now);
+        schedule(now, effects);
     }
 
-    private void decide(Instant now, Effects effects) {
-        admission.refuseHopeless(now, effects);
-        dispatcher.grantAll(now, effects);
-        loads.plan(now, effects);
+    private void schedule(Instant now, Effects effects) {
+        admission.refuseUnservable(now, effects);
+        dispatcher.grantPermits(now, effects);
+        loadPlanner.plan(now, effects);
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Pool.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolState.java
@@ -16,16 +16,16 @@
 import org.banyanstair.reducer.Sequence;
 
 /** State that the parts of a pool owner share. Not safe for use by several threads. */
-final class Pool {
+final class PoolState {
     private final PoolId id;
     private final long term;
     private final PoolContext context;
     private final Map<EndpointId, EngineState> engines = new LinkedHashMap<>();
     private final Map<RequestId, Permit> permits = new LinkedHashMap<>();
     private final WaitingQueue queue = new WaitingQueue();
-    private final Popularity popularity = new Popularity();
+    private final AdapterPopularity popularity = new AdapterPopularity();
 
-    Pool(PoolId id, long term, PoolContext context) {
+    PoolState(PoolId id, long term, PoolContext context) {
         this.id = id;
         this.term = term;
         this.context = context;
@@ -75,7 +75,7 @@
         return queue;
     }
 
-    Popularity popularity() {
+    AdapterPopularity popularity() {
         return popularity;
     }
 
@@ -95,19 +95,20 @@
         }
         engine(permit.endpoint()).ifPresent(engine -> {
             engine.permits().remove(request);
-            engine.orphans().remove(request);
+            engine.orphanedSince().remove(request);
         });
         return Optional.of(permit);
     }
 
     /** The engine may run the request until the cancellation or the loss of the connection has reached it. */
-    void endUnconfirmed(Permit permit, Instant now) {
-        engine(permit.endpoint()).ifPresent(engine -> engine.endUnconfirmed(permit, now));
+    void addUnconfirmedEnd(Permit permit, Instant now) {
+        engine(permit.endpoint()).ifPresent(engine -> engine.addUnconfirmedEnd(permit, now));
     }
 
     /** Whether the request ran on an engine that may have crashed and whose status is not known yet. */
     boolean isUnderVerification(Fingerprint fingerprint) {
-        return engines.values().stream().filter(EngineState::verifying).anyMatch(engine -> engine.runningFingerprints()
-                .contains(fingerprint));
+        return engines.values().stream()
+                .filter(EngineState::isVerifying)
+                .anyMatch(engine -> engine.runningFingerprints().contains(fingerprint));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Slot.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Slot.java
@@ -10,7 +10,7 @@
  * @param inherited whether it was found loaded, so that permits of an earlier owner may use it
  */
 record Slot(SlotState state, Instant since, boolean inherited) {
-    Slot to(SlotState next, Instant now) {
+    Slot withState(SlotState next, Instant now) {
         return new Slot(next, now, inherited);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Takeover.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
@@ -13,22 +13,22 @@
  * Tracks which hosts have reported the permits that they hold from earlier owners. Until all have, adapters that were
  * loaded before the takeover must not be unloaded.
  */
-final class Takeover {
-    private final Instant takenAt;
+final class TakeoverProgress {
+    private final Instant startedAt;
     private final ReducerSettings settings;
     private final Set<HostId> replied = new HashSet<>();
     private boolean complete;
 
-    Takeover(Instant takenAt, ReducerSettings settings) {
-        this.takenAt = takenAt;
+    TakeoverProgress(Instant takenAt, ReducerSettings settings) {
+        this.startedAt = takenAt;
         this.settings = settings;
     }
 
-    void replied(HostId host) {
+    void markReplied(HostId host) {
         replied.add(host);
     }
 
-    List<HostId> missing(Membership membership) {
+    List<HostId> hostsWithoutReply(Membership membership) {
         return membership.listing().hosts().stream()
                 .map(entry -> entry.id())
                 .filter(host -> !replied.contains(host))
@@ -39,9 +39,10 @@
      * A host may hold permits before the host list shows it, so the lag of the list has to pass as well. Returns true
      * at the moment of completion.
      */
-    boolean update(Membership membership, Instant now) {
-        boolean lagPassed = !now.isBefore(takenAt.plus(settings.hostListLag()));
-        boolean completes = !complete && lagPassed && missing(membership).isEmpty();
+    boolean tryComplete(Membership membership, Instant now) {
+        boolean lagPassed = !now.isBefore(startedAt.plus(settings.hostListLag()));
+        boolean completes =
+                !complete && lagPassed && hostsWithoutReply(membership).isEmpty();
         complete |= completes;
         return completes;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
@@ -16,14 +16,14 @@
 
 /** Requests that wait for a permit, in the order in which they should get one. Not safe for use by several threads. */
 final class WaitingQueue {
-    private final TreeSet<WaitingRequest> order = new TreeSet<>(WaitingRequest.URGENCY);
+    private final TreeSet<WaitingRequest> requests = new TreeSet<>(WaitingRequest.BY_URGENCY);
     private final Map<RequestId, WaitingRequest> byRequest = new HashMap<>();
     private final Map<AdapterVersion, Integer> byAdapter = new HashMap<>();
     private final Map<CallerId, Integer> byCaller = new HashMap<>();
 
     void add(WaitingRequest waiting) {
         remove(waiting.message().request());
-        order.add(waiting);
+        requests.add(waiting);
         byRequest.put(waiting.message().request(), waiting);
         byAdapter.merge(waiting.adapter(), 1, Integer::sum);
         byCaller.merge(waiting.message().caller(), 1, Integer::sum);
@@ -32,7 +32,7 @@
     Optional<WaitingRequest> remove(RequestId request) {
         WaitingRequest removed = byRequest.remove(request);
         if (removed != null) {
-            order.remove(removed);
+            requests.remove(removed);
             byAdapter.computeIfPresent(removed.adapter(), WaitingQueue::decrement);
             byCaller.computeIfPresent(removed.message().caller(), WaitingQueue::decrement);
         }
@@ -48,35 +48,35 @@
     }
 
     List<WaitingRequest> inOrder() {
-        return List.copyOf(order);
+        return List.copyOf(requests);
     }
 
     List<WaitingRequest> removeIf(Predicate<WaitingRequest> condition) {
-        List<WaitingRequest> removed = order.stream().filter(condition).toList();
+        List<WaitingRequest> removed = requests.stream().filter(condition).toList();
         removed.forEach(waiting -> remove(waiting.message().request()));
         return removed;
     }
 
     /** Promotes standard requests that have waited long enough, so that premium traffic cannot starve them. */
-    void age(Duration limit, Instant now) {
-        order.stream()
-                .filter(waiting -> !waiting.isFirstClass())
+    void promoteAged(Duration limit, Instant now) {
+        requests.stream()
+                .filter(waiting -> !waiting.isHighPriority())
                 .filter(waiting -> !now.isBefore(waiting.arrivedAt().plus(limit)))
                 .toList()
-                .forEach(waiting -> add(waiting.age()));
+                .forEach(waiting -> add(waiting.promote()));
     }
 
     /** Whether a waiting request could run with the copy of the adapter that this engine holds. */
-    boolean isWanted(AdapterVersion adapter, EndpointId engine) {
+    boolean isNeeded(AdapterVersion adapter, EndpointId engine) {
         return byAdapter.containsKey(adapter)
-                && order.stream().anyMatch(waiting -> waiting.adapter().equals(adapter) && waiting.mayUse(engine));
+                && requests.stream().anyMatch(waiting -> waiting.adapter().equals(adapter) && waiting.canUse(engine));
     }
 
     int size() {
         return byRequest.size();
     }
 
-    int ofCaller(CallerId caller) {
+    int sizeForCaller(CallerId caller) {
         return byCaller.getOrDefault(caller, 0);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingRequest.java
@@ -25,29 +25,30 @@
         HostIdentity holder,
         PeerMessage.PermitRequest message,
         Instant arrivedAt,
-        long order,
-        boolean aged,
-        Optional<EndpointId> bound,
-        boolean needsLoad) {
+        long arrivalOrder,
+        boolean promoted,
+        Optional<EndpointId> boundEngine,
+        boolean coldStart) {
     /** Premium and aged requests first, then by deadline. */
-    static final Comparator<WaitingRequest> URGENCY = Comparator.comparing(WaitingRequest::isFirstClass)
+    static final Comparator<WaitingRequest> BY_URGENCY = Comparator.comparing(WaitingRequest::isHighPriority)
             .reversed()
             .thenComparing(waiting -> waiting.message().deadline())
-            .thenComparingLong(WaitingRequest::order);
+            .thenComparingLong(WaitingRequest::arrivalOrder);
 
-    boolean isFirstClass() {
-        return aged || message.priority() == PriorityClass.PREMIUM;
+    boolean isHighPriority() {
+        return promoted || message.priority() == PriorityClass.PREMIUM;
     }
 
     AdapterVersion adapter() {
         return message.adapter();
     }
 
-    boolean mayUse(EndpointId endpoint) {
-        return bound.map(endpoint::equals).orElse(true) && !message.tried().contains(endpoint);
+    boolean canUse(EndpointId endpoint) {
+        return boundEngine.map(endpoint::equals).orElse(true)
+                && !message.tried().contains(endpoint);
     }
 
-    WaitingRequest age() {
-        return new WaitingRequest(holder, message, arrivedAt, order, true, bound, needsLoad);
+    WaitingRequest promote() {
+        return new WaitingRequest(holder, message, arrivedAt, arrivalOrder, true, boundEngine, coldStart);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
@@ -22,7 +22,7 @@
  */
 public final class EndpointPicker {
     private final Membership membership;
-    private final Map<Long, EndpointId> running = new HashMap<>();
+    private final Map<Long, EndpointId> endpointsByDispatch = new HashMap<>();
 
     /**
      * Creates a picker without calls in flight.
@@ -52,11 +52,13 @@
         int hash = request.hashCode();
         Endpoint first = candidates.get(Math.floorMod(hash, candidates.size()));
         Endpoint second = candidates.get(Math.floorMod(hash >>> 16, candidates.size()));
-        return List.of(first, second).stream().min(Comparator.comparingLong(this::load));
+        return List.of(first, second).stream().min(Comparator.comparingLong(this::callsInFlight));
     }
 
-    private long load(Endpoint endpoint) {
-        return running.values().stream().filter(endpoint.id()::equals).count();
+    private long callsInFlight(Endpoint endpoint) {
+        return endpointsByDispatch.values().stream()
+                .filter(endpoint.id()::equals)
+                .count();
     }
 
     /**
@@ -66,7 +68,7 @@
      * @param endpoint where it runs
      */
     public void recordStart(long dispatch, EndpointId endpoint) {
-        running.put(dispatch, endpoint);
+        endpointsByDispatch.put(dispatch, endpoint);
     }
 
     /**
@@ -75,6 +77,6 @@
      * @param dispatch number of the dispatch
      */
     public void recordEnd(long dispatch) {
-        running.remove(dispatch);
+        endpointsByDispatch.remove(dispatch);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -38,33 +38,33 @@
     private final ReducerSettings settings;
     private final LastKnownPlacements placements;
     private final BooleanSupplier logReachable;
-    private final Map<RequestId, Tracked> requests = new LinkedHashMap<>();
-    private final Map<PoolId, Barrier> barriers = new LinkedHashMap<>();
+    private final Map<RequestId, TrackedRequest> requests = new LinkedHashMap<>();
+    private final Map<PoolId, GrantFence> grantFences = new LinkedHashMap<>();
 
     /** Grants below it are refused. */
-    private record Barrier(long term, long sequence) {
-        boolean refuses(PeerMessage.PermitGrant grant) {
+    private record GrantFence(long term, long sequence) {
+        boolean rejects(PeerMessage.PermitGrant grant) {
             return grant.term() < term || grant.term() == term && grant.sequence() < sequence;
         }
 
         /** Requests may arrive out of order; an older one must not admit grants that a newer one has excluded. */
-        private Barrier later(Barrier other) {
+        private GrantFence max(GrantFence other) {
             boolean newer = other.term > term || other.term == term && other.sequence > sequence;
             return newer ? other : this;
         }
     }
 
     /** One request of a caller of this host. */
-    private static final class Tracked {
+    private static final class TrackedRequest {
         private final GenerationRequest request;
         private final Set<EndpointId> tried = new HashSet<>();
         private int attempt = 1;
-        private boolean ranBefore;
-        private Optional<Endpoint> running = Optional.empty();
-        private Instant askAgainAt = Instant.MIN;
-        private Optional<Ownership> asked = Optional.empty();
+        private boolean hasRun;
+        private Optional<Endpoint> runningOn = Optional.empty();
+        private Instant nextPermitRequestAt = Instant.MIN;
+        private Optional<Ownership> askedOwner = Optional.empty();
 
-        Tracked(GenerationRequest request) {
+        TrackedRequest(GenerationRequest request) {
             this.request = request;
         }
 
@@ -112,27 +112,27 @@
                     request.id(), new Failure.InMaintenance(request.service().id())));
             return;
         }
-        Tracked tracked = new Tracked(request);
+        TrackedRequest tracked = new TrackedRequest(request);
         requests.put(request.id(), tracked);
-        ask(tracked, now, effects);
+        requestPermit(tracked, now, effects);
     }
 
-    private void ask(Tracked tracked, Instant now, Effects effects) {
-        tracked.askAgainAt = now.plus(settings.retryInterval());
+    private void requestPermit(TrackedRequest tracked, Instant now, Effects effects) {
+        tracked.nextPermitRequestAt = now.plus(settings.retryInterval());
         if (!logReachable.getAsBoolean()) {
             Optional<Endpoint> known = placements
-                    .withoutOwner(tracked.pool(), tracked.request.adapter())
+                    .findWithoutOwner(tracked.pool(), tracked.request.adapter())
                     .filter(endpoint -> !tracked.tried.contains(endpoint.id()));
             if (known.isPresent()) {
-                start(tracked, known.get(), 0, effects);
+                startAttempt(tracked, known.get(), 0, effects);
                 return;
             }
         }
-        tracked.asked = owners.owner(tracked.pool());
-        tracked.asked.ifPresent(ownership -> effects.send(ownership.owner().host(), permitRequest(tracked)));
+        tracked.askedOwner = owners.owner(tracked.pool());
+        tracked.askedOwner.ifPresent(ownership -> effects.send(ownership.owner().host(), permitRequest(tracked)));
     }
 
-    private static PeerMessage.PermitRequest permitRequest(Tracked tracked) {
+    private static PeerMessage.PermitRequest permitRequest(TrackedRequest tracked) {
         GenerationRequest request = tracked.request;
         return new PeerMessage.PermitRequest(
                 request.id(),
@@ -157,9 +157,9 @@
      * @param effects collects what to do
      */
     public void permitGranted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
-        Tracked tracked = requests.get(grant.request());
+        TrackedRequest tracked = requests.get(grant.request());
         boolean wanted = tracked != null && tracked.attempt == grant.attempt();
-        if (wanted && tracked.running.filter(grant.endpoint()::equals).isPresent()) {
+        if (wanted && tracked.runningOn.filter(grant.endpoint()::equals).isPresent()) {
             return;
         }
         if (!wanted) {
@@ -171,22 +171,22 @@
         }
         // A release for a refused grant could arrive after a later grant of the same attempt and end that one. The
         // inventory and the repeated request correct what the owner knows.
-        if (isRefused(grant) || tracked.running.isPresent()) {
+        if (isStale(grant) || tracked.runningOn.isPresent()) {
             return;
         }
-        start(tracked, grant.endpoint(), grant.loadStallMilliseconds(), effects);
+        startAttempt(tracked, grant.endpoint(), grant.loadStallMilliseconds(), effects);
     }
 
-    private void start(Tracked tracked, Endpoint endpoint, long loadStallMilliseconds, Effects effects) {
-        tracked.running = Optional.of(endpoint);
-        placements.served(tracked.request.adapter(), endpoint.id());
+    private void startAttempt(TrackedRequest tracked, Endpoint endpoint, long loadStallMilliseconds, Effects effects) {
+        tracked.runningOn = Optional.of(endpoint);
+        placements.record(tracked.request.adapter(), endpoint.id());
         effects.add(new Effect.StartAttempt(tracked.request.id(), tracked.attempt, endpoint, loadStallMilliseconds));
     }
 
-    private boolean isRefused(PeerMessage.PermitGrant grant) {
+    private boolean isStale(PeerMessage.PermitGrant grant) {
         long known = owners.owner(grant.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
-        Barrier barrier = barriers.get(grant.pool());
-        return grant.term() < known || barrier != null && barrier.refuses(grant);
+        GrantFence barrier = grantFences.get(grant.pool());
+        return grant.term() < known || barrier != null && barrier.rejects(grant);
     }
 
     /**
@@ -196,11 +196,11 @@
      * @param effects collects what to do
      */
     public void permitRefused(PeerMessage.PermitRefusal refusal, Effects effects) {
-        Tracked tracked = requests.get(refusal.request());
+        TrackedRequest tracked = requests.get(refusal.request());
         long known = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
         boolean current = tracked != null
                 && tracked.attempt == refusal.attempt()
-                && tracked.running.isEmpty()
+                && tracked.runningOn.isEmpty()
                 && refusal.term() >= known;
         if (current) {
             requests.remove(refusal.request());
@@ -209,11 +209,11 @@
     }
 
     /** Once an attempt has produced output, a failure must not be reported as "not run". */
-    private static void fail(Tracked tracked, Failure failure, Effects effects) {
+    private static void fail(TrackedRequest tracked, Failure failure, Effects effects) {
         Failure reported = failure;
-        if (tracked.ranBefore && failure instanceof Failure.RequestCrashesEndpoints crashes) {
+        if (tracked.hasRun && failure instanceof Failure.RequestCrashesEndpoints crashes) {
             reported = new Failure.RequestCrashesEndpoints(crashes.crashes(), true);
-        } else if (tracked.ranBefore) {
+        } else if (tracked.hasRun) {
             reported = new Failure.OutcomeUnknown();
         }
         effects.add(new Effect.FailGeneration(tracked.request.id(), reported));
@@ -226,9 +226,9 @@
      * @param now present instant
      */
     public void notOwnerReceived(PeerMessage.NotOwner message, Instant now) {
-        Tracked tracked = requests.get(message.request());
-        if (tracked != null && tracked.running.isEmpty()) {
-            tracked.askAgainAt = now.plus(settings.retryInterval().dividedBy(5));
+        TrackedRequest tracked = requests.get(message.request());
+        if (tracked != null && tracked.runningOn.isEmpty()) {
+            tracked.nextPermitRequestAt = now.plus(settings.retryInterval().dividedBy(5));
         }
     }
 
@@ -242,13 +242,13 @@
      * @param effects collects what to do
      */
     public void attemptEnded(RequestId id, int attempt, AttemptOutcome outcome, Instant now, Effects effects) {
-        Tracked tracked = requests.get(id);
-        if (tracked == null || tracked.attempt != attempt || tracked.running.isEmpty()) {
+        TrackedRequest tracked = requests.get(id);
+        if (tracked == null || tracked.attempt != attempt || tracked.runningOn.isEmpty()) {
             return;
         }
         release(tracked, outcome, effects);
-        EndpointId endpoint = tracked.running.get().id();
-        tracked.running = Optional.empty();
+        EndpointId endpoint = tracked.runningOn.get().id();
+        tracked.runningOn = Optional.empty();
         if (outcome instanceof AttemptOutcome.Completed) {
             requests.remove(id);
             effects.add(new Effect.CompleteGeneration(id));
@@ -256,25 +256,25 @@
             requests.remove(id);
             effects.add(new Effect.FailGeneration(id, new Failure.Cancelled()));
         } else {
-            tracked.ranBefore |= outcome instanceof AttemptOutcome.Broken;
-            tryElsewhere(tracked, endpoint, outcome, now, effects);
+            tracked.hasRun |= outcome instanceof AttemptOutcome.Broken;
+            retry(tracked, endpoint, outcome, now, effects);
         }
     }
 
-    private void tryElsewhere(
-            Tracked tracked, EndpointId endpoint, AttemptOutcome outcome, Instant now, Effects effects) {
+    private void retry(
+            TrackedRequest tracked, EndpointId endpoint, AttemptOutcome outcome, Instant now, Effects effects) {
         boolean adapterMissing = outcome instanceof AttemptOutcome.NotStarted notStarted
                 && notStarted.failure() instanceof Failure.AdapterNotLoaded;
         if (adapterMissing) {
-            placements.missing(tracked.request.adapter(), endpoint);
+            placements.remove(tracked.request.adapter(), endpoint);
         } else {
             tracked.tried.add(endpoint);
         }
         tracked.attempt++;
-        ask(tracked, now, effects);
+        requestPermit(tracked, now, effects);
     }
 
-    private void release(Tracked tracked, AttemptOutcome outcome, Effects effects) {
+    private void release(TrackedRequest tracked, AttemptOutcome outcome, Effects effects) {
         owners.owner(tracked.pool())
                 .ifPresent(ownership -> effects.send(
                         ownership.owner().host(),
@@ -288,14 +288,14 @@
      * @param effects collects what to do
      */
     public void requestCancelled(RequestId id, Effects effects) {
-        Tracked tracked = requests.remove(id);
+        TrackedRequest tracked = requests.remove(id);
         if (tracked != null) {
-            stop(tracked, effects);
+            cancel(tracked, effects);
         }
     }
 
-    private void stop(Tracked tracked, Effects effects) {
-        if (tracked.running.isPresent()) {
+    private void cancel(TrackedRequest tracked, Effects effects) {
+        if (tracked.runningOn.isPresent()) {
             effects.add(new Effect.CancelAttempt(tracked.request.id(), tracked.attempt));
         }
         release(tracked, new AttemptOutcome.Cancelled(), effects);
@@ -309,19 +309,19 @@
      * @param effects collects what to do
      */
     public void inventoryRequested(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
-        Barrier barrier = barriers.get(request.pool());
+        GrantFence barrier = grantFences.get(request.pool());
         long known = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
         if (request.term() < known || barrier != null && request.term() < barrier.term()) {
             return;
         }
-        barriers.merge(request.pool(), new Barrier(request.term(), request.sequence()), Barrier::later);
+        grantFences.merge(request.pool(), new GrantFence(request.term(), request.sequence()), GrantFence::max);
         List<HeldPermit> permits = requests.values().stream()
                 .filter(tracked -> tracked.pool().equals(request.pool()))
-                .filter(tracked -> tracked.running.isPresent())
+                .filter(tracked -> tracked.runningOn.isPresent())
                 .map(tracked -> new HeldPermit(
                         tracked.request.id(),
                         tracked.attempt,
-                        tracked.running.get().id(),
+                        tracked.runningOn.get().id(),
                         tracked.request.adapter(),
                         tracked.request.fingerprint()))
                 .toList();
@@ -338,8 +338,8 @@
      */
     public void ownerChanged(PoolId pool, Instant now, Effects effects) {
         requests.values().stream()
-                .filter(tracked -> tracked.running.isEmpty() && tracked.pool().equals(pool))
-                .forEach(tracked -> ask(tracked, now, effects));
+                .filter(tracked -> tracked.runningOn.isEmpty() && tracked.pool().equals(pool))
+                .forEach(tracked -> requestPermit(tracked, now, effects));
     }
 
     /**
@@ -349,29 +349,29 @@
      * @param effects collects what to do
      */
     public void tick(Instant now, Effects effects) {
-        for (Tracked tracked : List.copyOf(requests.values())) {
+        for (TrackedRequest tracked : List.copyOf(requests.values())) {
             if (!now.isBefore(tracked.request.deadline())) {
                 requests.remove(tracked.request.id());
-                failLate(tracked, effects);
-            } else if (tracked.running.isEmpty() && !now.isBefore(tracked.askAgainAt)) {
-                ask(tracked, now, effects);
+                failExpired(tracked, effects);
+            } else if (tracked.runningOn.isEmpty() && !now.isBefore(tracked.nextPermitRequestAt)) {
+                requestPermit(tracked, now, effects);
             }
         }
     }
 
-    private static Failure lateFailure(Tracked tracked) {
+    private static Failure expiryFailure(TrackedRequest tracked) {
         Instant deadline = tracked.request.deadline();
-        if (tracked.running.isPresent() || tracked.ranBefore) {
+        if (tracked.runningOn.isPresent() || tracked.hasRun) {
             return new Failure.DeadlineExceeded(deadline);
         }
-        return tracked.asked.isPresent()
+        return tracked.askedOwner.isPresent()
                 ? new Failure.DeadlinePassed(deadline)
                 : new Failure.OwnerUnavailable(tracked.pool());
     }
 
-    private void failLate(Tracked tracked, Effects effects) {
-        Failure failure = lateFailure(tracked);
-        stop(tracked, effects);
+    private void failExpired(TrackedRequest tracked, Effects effects) {
+        Failure failure = expiryFailure(tracked);
+        cancel(tracked, effects);
         effects.add(new Effect.FailGeneration(tracked.request.id(), failure));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
@@ -32,10 +32,10 @@
 
     private final EndpointPicker picker;
     private final Sequence sequence;
-    private final RetryBudget budget = new RetryBudget();
-    private final Map<Long, Running> running = new HashMap<>();
+    private final RetryBudget retryBudget = new RetryBudget();
+    private final Map<Long, PendingDispatch> pending = new HashMap<>();
 
-    private record Running(CallRequest request, Endpoint endpoint, Set<EndpointId> tried) {}
+    private record PendingDispatch(CallRequest request, Endpoint endpoint, Set<EndpointId> tried) {}
 
     /**
      * Creates the state without calls.
@@ -54,7 +54,7 @@
      * @return calls without an answer
      */
     public int inFlight() {
-        return running.size();
+        return pending.size();
     }
 
     /**
@@ -65,7 +65,7 @@
      * @param effects collects what to do
      */
     public void callArrived(CallRequest request, Instant now, Effects effects) {
-        budget.recordFirstAttempt(now);
+        retryBudget.recordFirstAttempt(now);
         dispatch(request, new HashSet<>(), now, effects);
     }
 
@@ -76,12 +76,12 @@
             return;
         }
         long dispatch = sequence.next();
-        running.put(dispatch, new Running(request, endpoint.get(), tried));
+        pending.put(dispatch, new PendingDispatch(request, endpoint.get(), tried));
         picker.recordStart(dispatch, endpoint.get().id());
-        effects.add(new Effect.DispatchCall(dispatch, endpoint.get(), limited(request.call(), now)));
+        effects.add(new Effect.DispatchCall(dispatch, endpoint.get(), withDispatchDeadline(request.call(), now)));
     }
 
-    private static ServiceCall limited(ServiceCall call, Instant now) {
+    private static ServiceCall withDispatchDeadline(ServiceCall call, Instant now) {
         Duration remaining = Duration.between(now, call.deadline());
         Instant deadline = now.plus(remaining.dividedBy(DISPATCHES_IN_REMAINING_TIME));
         return new ServiceCall(call.requestId(), call.method(), call.path(), call.contentType(), call.body(), deadline);
@@ -99,7 +99,7 @@
      */
     public boolean dispatchEnded(
             long dispatch, ServiceCallResult result, double retryShare, Instant now, Effects effects) {
-        Running ended = running.remove(dispatch);
+        PendingDispatch ended = pending.remove(dispatch);
         if (ended == null) {
             return false;
         }
@@ -114,7 +114,7 @@
         boolean elsewhere = picker.pick(
                         ended.request().pool(), ended.request().call().requestId(), ended.tried())
                 .isPresent();
-        if (late || !elsewhere || !budget.tryAcquire(retryShare, now)) {
+        if (late || !elsewhere || !retryBudget.tryAcquire(retryShare, now)) {
             answer(ended.request(), failed, effects);
         } else {
             dispatch(ended.request(), ended.tried(), now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
@@ -23,7 +23,7 @@
  */
 final class LastKnownPlacements {
     /** More adapters than the engines of one pool have slots. */
-    private static final int REMEMBERED = 4_096;
+    private static final int MAXIMUM_ADAPTERS = 4_096;
 
     private final Membership membership;
     private final OwnershipState owners;
@@ -32,7 +32,7 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<AdapterVersion, EndpointId> eldest) {
-            return size() > REMEMBERED;
+            return size() > MAXIMUM_ADAPTERS;
         }
     };
 
@@ -41,16 +41,16 @@
         this.owners = owners;
     }
 
-    void served(AdapterVersion adapter, EndpointId endpoint) {
+    void record(AdapterVersion adapter, EndpointId endpoint) {
         placements.put(adapter, endpoint);
     }
 
-    void missing(AdapterVersion adapter, EndpointId endpoint) {
+    void remove(AdapterVersion adapter, EndpointId endpoint) {
         placements.remove(adapter, endpoint);
     }
 
     /** Finds an engine for the adapter if the pool's owner has certainly ended. */
-    Optional<Endpoint> withoutOwner(PoolId pool, AdapterVersion adapter) {
+    Optional<Endpoint> findWithoutOwner(PoolId pool, AdapterVersion adapter) {
         boolean ended = owners.owner(pool)
                 .map(Ownership::owner)
                 .filter(membership::isTerminated)
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -16,7 +16,7 @@
 
     private static final Duration WINDOW = Duration.ofSeconds(10);
 
-    private final Deque<Instant> firstTries = new ArrayDeque<>();
+    private final Deque<Instant> firstAttempts = new ArrayDeque<>();
     private final Deque<Instant> retries = new ArrayDeque<>();
 
     /**
@@ -25,8 +25,8 @@
      * @param now present instant
      */
     public void recordFirstAttempt(Instant now) {
-        firstTries.addLast(now);
-        forget(firstTries, now);
+        firstAttempts.addLast(now);
+        removeExpired(firstAttempts, now);
     }
 
     /**
@@ -49,16 +49,16 @@
      * @return false if the budget is used up
      */
     public boolean tryAcquire(double share, double minimum, Instant now) {
-        forget(firstTries, now);
-        forget(retries, now);
-        if (retries.size() + 1 > Math.max(minimum, share * firstTries.size())) {
+        removeExpired(firstAttempts, now);
+        removeExpired(retries, now);
+        if (retries.size() + 1 > Math.max(minimum, share * firstAttempts.size())) {
             return false;
         }
         retries.addLast(now);
         return true;
     }
 
-    private static void forget(Deque<Instant> instants, Instant now) {
+    private static void removeExpired(Deque<Instant> instants, Instant now) {
         Instant start = now.minus(WINDOW);
         while (!instants.isEmpty() && instants.peekFirst().isBefore(start)) {
             instants.removeFirst();
