Give local names of placement the usual terms

Locals such as patience, freeing, settled and without are copyDelay, slotsBeingFreed, reflectsCurrentState and adaptersWithoutEngine.

Ran: javac over all sources of all modules; no behaviour change.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
@@ -42,26 +42,27 @@
     }
 
     private void enqueue(HostIdentity sender, PeerMessage.PermitRequest message, Instant now) {
-        Optional<EndpointId> bound = bind(message);
+        Optional<EndpointId> boundEngine = bind(message);
         boolean loaded = pool.engines().values().stream()
-                .filter(engine -> bound.map(engine.endpoint().id()::equals).orElse(true))
+                .filter(engine ->
+                        boundEngine.map(engine.endpoint().id()::equals).orElse(true))
                 .anyMatch(engine -> engine.acceptsPermits() && engine.isLoaded(message.adapter()));
         pool.queue()
-                .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false, bound, !loaded));
+                .add(new WaitingRequest(sender, message, now, pool.sequence().next(), false, boundEngine, !loaded));
     }
 
     private Optional<EndpointId> bind(PeerMessage.PermitRequest message) {
-        Map<EndpointId, Integer> bound = new HashMap<>();
+        Map<EndpointId, Integer> boundRequests = new HashMap<>();
         pool.queue().inOrder().forEach(waiting -> waiting.boundEngine()
-                .ifPresent(id -> bound.merge(id, 1, Integer::sum)));
-        List<EngineBinding.Load> loads = pool.engines().values().stream()
+                .ifPresent(id -> boundRequests.merge(id, 1, Integer::sum)));
+        List<EngineBinding.Load> engineLoads = pool.engines().values().stream()
                 .filter(EngineState::acceptsPermits)
                 .map(engine -> engine.endpoint().id())
                 .filter(id -> !message.tried().contains(id))
                 .map(id -> new EngineBinding.Load(
-                        id, pool.engines().get(id).permits().size() + bound.getOrDefault(id, 0)))
+                        id, pool.engines().get(id).permits().size() + boundRequests.getOrDefault(id, 0)))
                 .toList();
-        return pool.settings().placement().binding().bind(message.request(), loads);
+        return pool.settings().placement().binding().bind(message.request(), engineLoads);
     }
 
     private Optional<Failure> refusal(PeerMessage.PermitRequest message, Instant now) {
@@ -75,10 +76,10 @@
         if (message.attempt() == 1) {
             return firstAttemptRefusal(message, now);
         }
-        double share = pool.configuration().preset().retryShare();
-        boolean free = pool.suspects().crashCount(message.fingerprint()) > 0
+        double retryShare = pool.configuration().preset().retryShare();
+        boolean exemptFromBudget = pool.suspects().crashCount(message.fingerprint()) > 0
                 || message.tried().isEmpty();
-        return free || retryBudget.tryAcquire(share, now)
+        return exemptFromBudget || retryBudget.tryAcquire(retryShare, now)
                 ? Optional.empty()
                 : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
     }
@@ -123,9 +124,9 @@
         if (!pool.settings().placement().usesAdmissionControl()) {
             return Optional.empty();
         }
-        boolean known = pool.engines().values().stream()
+        boolean inSlot = pool.engines().values().stream()
                 .anyMatch(engine -> engine.slots().containsKey(message.adapter()));
-        Instant earliest = known ? now : loads.earliestLoadTime(message.adapter(), message.deadline(), now);
+        Instant earliest = inSlot ? now : loads.earliestLoadTime(message.adapter(), message.deadline(), now);
         return earliest.isBefore(message.deadline())
                 ? Optional.empty()
                 : Optional.of(new Failure.DeadlineUnreachable(message.deadline(), earliest));
@@ -155,9 +156,9 @@
                         new Failure.RequestCrashesEndpoints(
                                 pool.suspects().crashCount(waiting.message().fingerprint()), false),
                         effects));
-        List<WaitingRequest> unloadable =
+        List<WaitingRequest> withoutLoadableAdapter =
                 pool.queue().removeIf(waiting -> loads.hasExceededLoadFailures(waiting.adapter()));
-        unloadable.forEach(waiting -> {
+        withoutLoadableAdapter.forEach(waiting -> {
             loads.resetFailures(waiting.adapter());
             refuse(
                     waiting.holder().host(),
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineMonitor.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineMonitor.java
@@ -120,7 +120,7 @@
     }
 
     private void releaseOrphans(EngineState engine, EngineStatus status, Instant askedAt) {
-        List<Permit> settled = engine.orphanedSince().entrySet().stream()
+        List<Permit> endedPermits = engine.orphanedSince().entrySet().stream()
                 .filter(orphan ->
                         !askedAt.isBefore(orphan.getValue().plus(pool.settings().statusLag())))
                 .map(orphan -> engine.permits().get(orphan.getKey()))
@@ -128,7 +128,7 @@
                         && status.loaded().getOrDefault(permit.adapter(), 0)
                                 <= countPermitsOfLiveHolders(engine, permit.adapter()))
                 .toList();
-        settled.forEach(permit -> pool.removePermit(permit.request()));
+        endedPermits.forEach(permit -> pool.removePermit(permit.request()));
     }
 
     private static long countPermitsOfLiveHolders(EngineState engine, AdapterVersion adapter) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -52,8 +52,8 @@
         return endpoint;
     }
 
-    void updateEntry(Endpoint entry) {
-        endpoint = entry;
+    void updateEntry(Endpoint newEntry) {
+        endpoint = newEntry;
         listed = true;
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EvictionOrder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EvictionOrder.java
@@ -9,24 +9,24 @@
 @FunctionalInterface
 public interface EvictionOrder {
     /** Lowest decayed popularity first. */
-    EvictionOrder LEAST_POPULAR = () -> Comparator.comparingDouble(EvictionCandidate::popularity);
+    EvictionOrder LEAST_POPULAR = () -> Comparator.comparingDouble(Candidate::popularity);
 
     /** Longest unused first. */
-    EvictionOrder LEAST_RECENTLY_USED = () -> Comparator.comparing(EvictionCandidate::usedAt);
+    EvictionOrder LEAST_RECENTLY_USED = () -> Comparator.comparing(Candidate::lastUsedAt);
 
     /**
      * Returns the order.
      *
      * @return comparator that puts the best victim first
      */
-    Comparator<EvictionCandidate> order();
+    Comparator<Candidate> order();
 
     /**
      * An adapter that may be evicted.
      *
      * @param adapter the adapter
      * @param popularity its decayed popularity
-     * @param usedAt when a request last used it on this engine
+     * @param lastUsedAt when a request last used it on this engine
      */
-    record EvictionCandidate(AdapterVersion adapter, double popularity, Instant usedAt) {}
+    record Candidate(AdapterVersion adapter, double popularity, Instant lastUsedAt) {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -51,21 +51,21 @@
 
     /** Orders the loads that are needed most urgently, and evictions where they need a slot. */
     void plan(Instant now, Effects effects) {
-        PoolDeclaration share = pool.configuration().pool(pool.id());
-        long freeing = countSlots(SlotState.ANNOUNCED) + countSlots(SlotState.UNLOADING);
+        PoolDeclaration declaration = pool.configuration().pool(pool.id());
+        long slotsBeingFreed = countSlots(SlotState.ANNOUNCED) + countSlots(SlotState.UNLOADING);
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
-        for (WaitingRequest need : requiredLoads(now)) {
+        for (WaitingRequest request : requiredLoads(now)) {
             if (policy().limitsLoadRate()
-                    && !rateLimiter.canStartLoad(share, (int) countSlots(SlotState.LOADING), now)) {
+                    && !rateLimiter.canStartLoad(declaration, (int) countSlots(SlotState.LOADING), now)) {
                 return;
             }
-            Optional<EngineState> target = selectLoadTarget(need, pendingUnloads, now);
+            Optional<EngineState> target = selectLoadTarget(request, pendingUnloads, now);
             if (target.isPresent()) {
-                startLoad(target.get(), need.adapter(), now, effects);
-            } else if (freeing > 0) {
-                freeing--;
+                startLoad(target.get(), request.adapter(), now, effects);
+            } else if (slotsBeingFreed > 0) {
+                slotsBeingFreed--;
             } else {
-                evictForLoad(need, now, effects);
+                evictForLoad(request, now, effects);
             }
         }
     }
@@ -76,15 +76,15 @@
 
     /** The most urgent waiting request for each adapter that is needed in a further slot. */
     private Collection<WaitingRequest> requiredLoads(Instant now) {
-        record Need(AdapterVersion adapter, Optional<EndpointId> bound) {}
-        Map<Need, WaitingRequest> needs = new LinkedHashMap<>();
+        record LoadKey(AdapterVersion adapter, Optional<EndpointId> boundEngine) {}
+        Map<LoadKey, WaitingRequest> loads = new LinkedHashMap<>();
         for (WaitingRequest waiting : pool.queue().inOrder()) {
-            Need need = new Need(waiting.adapter(), waiting.boundEngine());
-            if (!needs.containsKey(need) && needsLoad(waiting, now)) {
-                needs.put(need, waiting);
+            LoadKey key = new LoadKey(waiting.adapter(), waiting.boundEngine());
+            if (!loads.containsKey(key) && needsLoad(waiting, now)) {
+                loads.put(key, waiting);
             }
         }
-        return needs.values();
+        return loads.values();
     }
 
     private boolean needsLoad(WaitingRequest waiting, Instant now) {
@@ -100,8 +100,8 @@
                 .anyMatch(engine -> engine.acceptsPermits()
                         && engine.isLoaded(adapter)
                         && waiting.canUse(engine.endpoint().id()));
-        Duration patience = Duration.ofMillis(pool.configuration().preset().copyAfterMilliseconds());
-        return !loaded || !now.isBefore(waiting.arrivedAt().plus(patience));
+        Duration copyDelay = Duration.ofMillis(pool.configuration().preset().copyAfterMilliseconds());
+        return !loaded || !now.isBefore(waiting.arrivedAt().plus(copyDelay));
     }
 
     private Optional<EngineState> selectLoadTarget(
@@ -117,10 +117,10 @@
 
     /** The preset decides whether adapters are spread over the engines or gathered where batches can be filled. */
     private Comparator<EngineState> loadTargetOrder() {
-        double weight = pool.configuration().preset().spreadWeight();
+        double spreadWeight = pool.configuration().preset().spreadWeight();
         return Comparator.comparing((EngineState engine) -> !engine.hasBatchCapacity())
-                .thenComparingDouble(engine -> weight * engine.batchUtilization())
-                .thenComparingDouble(engine -> weight * engine.slots().size())
+                .thenComparingDouble(engine -> spreadWeight * engine.batchUtilization())
+                .thenComparingDouble(engine -> spreadWeight * engine.slots().size())
                 .thenComparing(engine -> engine.endpoint().id());
     }
 
@@ -148,23 +148,21 @@
 
     /** Evicts the adapter that the policy prefers, of those that no request uses or could use there. */
     private void evictForLoad(WaitingRequest waiting, Instant now, Effects effects) {
-        record Candidate(EngineState engine, EvictionOrder.EvictionCandidate victim) {}
+        record Eviction(EngineState engine, EvictionOrder.Candidate candidate) {}
         eligibleEngines(waiting, now)
                 .flatMap(engine -> engine.slots().keySet().stream()
                         .filter(adapter -> isEvictable(engine, adapter))
-                        .map(adapter -> new Candidate(engine, evictionCandidate(engine, adapter, now))))
+                        .map(adapter -> new Eviction(engine, evictionCandidate(engine, adapter, now))))
                 .min(Comparator.comparing(
-                                Candidate::victim, policy().evictionOrder().order())
-                        .thenComparing(candidate -> candidate.victim().adapter())
-                        .thenComparing(
-                                candidate -> candidate.engine().endpoint().id()))
-                .ifPresent(
-                        chosen -> startUnload(chosen.engine(), chosen.victim().adapter(), now, effects));
+                                Eviction::candidate, policy().evictionOrder().order())
+                        .thenComparing(eviction -> eviction.candidate().adapter())
+                        .thenComparing(eviction -> eviction.engine().endpoint().id()))
+                .ifPresent(selected ->
+                        startUnload(selected.engine(), selected.candidate().adapter(), now, effects));
     }
 
-    private EvictionOrder.EvictionCandidate evictionCandidate(EngineState engine, AdapterVersion adapter, Instant now) {
-        return new EvictionOrder.EvictionCandidate(
-                adapter, pool.popularity().score(adapter, now), engine.lastUsedAt(adapter));
+    private EvictionOrder.Candidate evictionCandidate(EngineState engine, AdapterVersion adapter, Instant now) {
+        return new EvictionOrder.Candidate(adapter, pool.popularity().score(adapter, now), engine.lastUsedAt(adapter));
     }
 
     private boolean isEvictable(EngineState engine, AdapterVersion adapter) {
@@ -203,10 +201,10 @@
         }
         EngineState engine = pool.engines().get(announcement.endpoint());
         Slot slot = engine == null ? null : engine.slots().get(announcement.adapter());
-        boolean wanted = slot != null
+        boolean stillAnnounced = slot != null
                 && slot.state() == SlotState.ANNOUNCED
                 && engine.incarnation().orElse(-1) == announcement.incarnation();
-        if (wanted) {
+        if (stillAnnounced) {
             engine.slots().put(announcement.adapter(), slot.withState(SlotState.UNLOADING, now));
             effects.add(new Effect.UnloadAdapter(engine.endpoint(), announcement.adapter(), pool.term()));
         } else {
@@ -220,9 +218,10 @@
     }
 
     void appendRejected(long append, Instant now) {
-        EngineAdapter target = pendingAnnouncements.remove(append);
-        if (target != null) {
-            pool.engine(target.endpoint()).ifPresent(engine -> cancelAnnouncedUnload(engine, target.adapter(), now));
+        EngineAdapter announced = pendingAnnouncements.remove(append);
+        if (announced != null) {
+            pool.engine(announced.endpoint())
+                    .ifPresent(engine -> cancelAnnouncedUnload(engine, announced.adapter(), now));
         }
     }
 
@@ -289,10 +288,10 @@
         Duration lag = pool.settings().statusLag();
         for (AdapterVersion adapter : List.copyOf(engine.slots().keySet())) {
             Slot slot = engine.slots().get(adapter);
-            boolean settled = !askedAt.isBefore(slot.since().plus(lag));
+            boolean reflectsCurrentState = !askedAt.isBefore(slot.since().plus(lag));
             if (reported.contains(adapter)) {
-                adapterReported(engine, adapter, slot, settled, now, effects);
-            } else if (settled) {
+                adapterReported(engine, adapter, slot, reflectsCurrentState, now, effects);
+            } else if (reflectsCurrentState) {
                 adapterNotReported(engine, adapter, slot, now, effects);
             }
         }
@@ -319,10 +318,15 @@
     }
 
     private void adapterReported(
-            EngineState engine, AdapterVersion adapter, Slot slot, boolean settled, Instant now, Effects effects) {
+            EngineState engine,
+            AdapterVersion adapter,
+            Slot slot,
+            boolean reflectsCurrentState,
+            Instant now,
+            Effects effects) {
         if (slot.state() == SlotState.LOADING) {
             engine.slots().put(adapter, slot.withState(SlotState.LOADED, now));
-        } else if (slot.state() == SlotState.UNLOADING && settled) {
+        } else if (slot.state() == SlotState.UNLOADING && reflectsCurrentState) {
             engine.slots().put(adapter, slot.withState(SlotState.UNLOADING, now));
             effects.add(new Effect.UnloadAdapter(engine.endpoint(), adapter, pool.term()));
         }
@@ -346,12 +350,12 @@
     /** Takes back announcements that the log does not show, and forgets old pauses. */
     void tick(Instant now) {
         for (EngineState engine : pool.engines().values()) {
-            Set<AdapterVersion> late = engine.slots().entrySet().stream()
+            Set<AdapterVersion> overdue = engine.slots().entrySet().stream()
                     .filter(entry -> entry.getValue().state() == SlotState.ANNOUNCED)
                     .filter(entry -> !now.isBefore(entry.getValue().since().plus(ANNOUNCEMENT_TIMEOUT)))
                     .map(Map.Entry::getKey)
                     .collect(Collectors.toSet());
-            late.forEach(adapter -> cancelAnnouncedUnload(engine, adapter, now));
+            overdue.forEach(adapter -> cancelAnnouncedUnload(engine, adapter, now));
         }
         retryAllowedAt.values().removeIf(until -> !now.isBefore(until));
     }
@@ -367,7 +371,7 @@
 
     /** Earliest instant by which the budget allows a load of the adapter, given the more urgent loads before it. */
     Instant earliestLoadTime(AdapterVersion adapter, Instant deadline, Instant now) {
-        long before = pool.queue().inOrder().stream()
+        long loadsBefore = pool.queue().inOrder().stream()
                 .filter(waiting -> waiting.message().deadline().isBefore(deadline))
                 .map(WaitingRequest::adapter)
                 .distinct()
@@ -375,7 +379,7 @@
                 .filter(other -> pool.engines().values().stream()
                         .noneMatch(engine -> engine.slots().containsKey(other)))
                 .count();
-        double seconds = before / pool.configuration().pool(pool.id()).loadsPerSecond();
+        double seconds = loadsBefore / pool.configuration().pool(pool.id()).loadsPerSecond();
         return now.plusMillis((long) (seconds * 1000));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadRateLimiter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadRateLimiter.java
@@ -13,19 +13,19 @@
     private double tokens = BURST_LOADS;
     private Instant refilledAt = Instant.MIN;
 
-    boolean canStartLoad(PoolDeclaration share, int inTransit, Instant now) {
-        refill(share, now);
-        return tokens >= 1 && inTransit < share.loadsInTransit();
+    boolean canStartLoad(PoolDeclaration declaration, int loadsInTransit, Instant now) {
+        refill(declaration, now);
+        return tokens >= 1 && loadsInTransit < declaration.loadsInTransit();
     }
 
     void consume() {
         tokens -= 1;
     }
 
-    private void refill(PoolDeclaration share, Instant now) {
+    private void refill(PoolDeclaration declaration, Instant now) {
         if (!refilledAt.equals(Instant.MIN)) {
             double seconds = Duration.between(refilledAt, now).toNanos() / 1e9;
-            tokens = Math.min(BURST_LOADS, tokens + seconds * share.loadsPerSecond());
+            tokens = Math.min(BURST_LOADS, tokens + seconds * declaration.loadsPerSecond());
         }
         refilledAt = now;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
@@ -26,19 +26,19 @@
     /** Grants as many permits as there is room for, most urgent requests first. */
     void grantPermits(Instant now, Effects effects) {
         removeStaleReservations();
-        Set<AdapterVersion> without = new HashSet<>();
+        Set<AdapterVersion> adaptersWithoutEngine = new HashSet<>();
         List<PendingUnload> pendingUnloads = pool.ownership().pendingUnloads(pool.id());
         for (WaitingRequest waiting : pool.queue().inOrder()) {
-            boolean ordinary =
+            boolean unrestricted =
                     waiting.message().tried().isEmpty() && waiting.boundEngine().isEmpty() && crashCount(waiting) == 0;
-            if (ordinary && without.contains(waiting.adapter())) {
+            if (unrestricted && adaptersWithoutEngine.contains(waiting.adapter())) {
                 continue;
             }
             Optional<EngineState> engine = selectEngine(waiting, pendingUnloads);
             if (engine.isPresent()) {
                 grant(waiting, engine.get(), now, effects);
-            } else if (ordinary) {
-                without.add(waiting.adapter());
+            } else if (unrestricted) {
+                adaptersWithoutEngine.add(waiting.adapter());
             }
         }
     }
@@ -52,18 +52,18 @@
         if (pool.isUnderVerification(fingerprint)) {
             return Optional.empty();
         }
-        List<EngineState> withAdapter = pool.engines().values().stream()
+        List<EngineState> enginesWithAdapter = pool.engines().values().stream()
                 .filter(engine -> engine.acceptsPermits() && engine.isLoaded(waiting.adapter()))
                 .filter(engine -> waiting.canUse(engine.endpoint().id()))
                 .filter(engine -> !isUnloadPending(engine, waiting.adapter(), pendingUnloads))
                 .toList();
-        Optional<EngineState> chosen = withAdapter.stream()
+        Optional<EngineState> selected = enginesWithAdapter.stream()
                 .filter(engine -> engine.hasBatchCapacity() && satisfiesIsolation(engine, fingerprint))
                 .min(engineOrder(waiting));
-        if (chosen.isEmpty() && crashCount(waiting) >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
-            reserve(withAdapter, fingerprint);
+        if (selected.isEmpty() && crashCount(waiting) >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
+            reserve(enginesWithAdapter, fingerprint);
         }
-        return chosen;
+        return selected;
     }
 
     private boolean isUnloadPending(EngineState engine, AdapterVersion adapter, List<PendingUnload> pendingUnloads) {
@@ -76,31 +76,31 @@
 
     /** Suspects never share an engine with each other, and a request with two crashes shares it with nobody. */
     private boolean satisfiesIsolation(EngineState engine, Fingerprint fingerprint) {
-        int crashes = pool.suspects().crashCount(fingerprint);
+        int crashCount = pool.suspects().crashCount(fingerprint);
         boolean reservedForOther = engine.reservation()
                 .filter(reserved -> !reserved.equals(fingerprint))
                 .isPresent();
         if (reservedForOther) {
             return false;
         }
-        int highest = engine.possiblyRunningPermits()
+        int highestCrashCount = engine.possiblyRunningPermits()
                 .mapToInt(permit -> pool.suspects().crashCount(permit.fingerprint()))
                 .max()
                 .orElse(0);
-        if (highest >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
+        if (highestCrashCount >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
             return false;
         }
-        if (crashes >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
+        if (crashCount >= CrashSuspects.CRASHES_BEFORE_ISOLATION) {
             return engine.possiblyRunningPermits().findAny().isEmpty();
         }
-        return crashes == 0 || highest == 0;
+        return crashCount == 0 || highestCrashCount == 0;
     }
 
     private void reserve(List<EngineState> engines, Fingerprint fingerprint) {
-        boolean reserved = pool.engines().values().stream()
+        boolean alreadyReserved = pool.engines().values().stream()
                 .anyMatch(engine ->
                         engine.reservation().filter(fingerprint::equals).isPresent());
-        if (!reserved) {
+        if (!alreadyReserved) {
             engines.stream()
                     .filter(engine -> engine.reservation().isEmpty())
                     .min(Comparator.comparingInt(engine -> engine.permits().size()))
@@ -109,26 +109,27 @@
     }
 
     private void removeStaleReservations() {
-        Set<Fingerprint> waiting = new HashSet<>();
+        Set<Fingerprint> waitingFingerprints = new HashSet<>();
         pool.engines().values().stream()
                 .filter(engine -> engine.reservation().isPresent())
                 .forEach(engine -> {
-                    if (waiting.isEmpty()) {
+                    if (waitingFingerprints.isEmpty()) {
                         pool.queue()
                                 .inOrder()
-                                .forEach(each -> waiting.add(each.message().fingerprint()));
+                                .forEach(each ->
+                                        waitingFingerprints.add(each.message().fingerprint()));
                     }
-                    engine.setReservation(engine.reservation().filter(waiting::contains));
+                    engine.setReservation(engine.reservation().filter(waitingFingerprints::contains));
                 });
     }
 
     /** A cached prefix first; then the preset decides between the emptiest and the fullest engine. */
     private Comparator<EngineState> engineOrder(WaitingRequest waiting) {
-        double weight = pool.configuration().preset().spreadWeight();
+        double spreadWeight = pool.configuration().preset().spreadWeight();
         long prefix = waiting.message().prefix();
         return Comparator.comparing(
                         (EngineState engine) -> !engine.recentPrefixes().contains(waiting.adapter(), prefix))
-                .thenComparingDouble(engine -> weight * engine.batchUtilization())
+                .thenComparingDouble(engine -> spreadWeight * engine.batchUtilization())
                 .thenComparing(engine -> engine.endpoint().id());
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
@@ -36,10 +36,11 @@
         if (reply.term() != pool.term()) {
             return;
         }
-        List<RequestId> held = reply.permits().stream().map(HeldPermit::request).toList();
+        List<RequestId> heldRequests =
+                reply.permits().stream().map(HeldPermit::request).toList();
         pool.permits().values().stream()
                 .filter(permit -> permit.holder().equals(sender))
-                .filter(permit -> permit.sequence() < reply.sequence() && !held.contains(permit.request()))
+                .filter(permit -> permit.sequence() < reply.sequence() && !heldRequests.contains(permit.request()))
                 .toList()
                 .forEach(permit -> {
                     pool.removePermit(permit.request());
@@ -76,9 +77,9 @@
 
     /** A host that runs an attempt elsewhere, under a grant of an earlier term, will refuse the present grant. */
     private boolean isMissingOrStale(HeldPermit held) {
-        Permit present = pool.permits().get(held.request());
-        return present == null
-                || present.attempt() <= held.attempt() && !present.endpoint().equals(held.endpoint());
+        Permit known = pool.permits().get(held.request());
+        return known == null
+                || known.attempt() <= held.attempt() && !known.endpoint().equals(held.endpoint());
     }
 
     private void replacePermit(Permit permit) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -68,17 +68,17 @@
      * @param effects collects what to do
      */
     public void permitRequested(HostIdentity sender, PeerMessage.PermitRequest message, Instant now, Effects effects) {
-        Permit present = pool.permits().get(message.request());
-        if (present != null && present.attempt() >= message.attempt()) {
-            repeatGrant(present, message, effects);
+        Permit current = pool.permits().get(message.request());
+        if (current != null && current.attempt() >= message.attempt()) {
+            resendGrant(current, message, effects);
             return;
         }
-        pool.removePermit(message.request()).ifPresent(earlier -> endSupersededAttempt(earlier, now, effects));
-        boolean waits = pool.queue()
+        pool.removePermit(message.request()).ifPresent(superseded -> endSupersededAttempt(superseded, now, effects));
+        boolean queued = pool.queue()
                 .find(message.request())
                 .filter(waiting -> waiting.message().attempt() >= message.attempt())
                 .isPresent();
-        if (waits) {
+        if (queued) {
             return;
         }
         admission.admit(sender, message, now, effects);
@@ -86,21 +86,21 @@
     }
 
     /** Repeats a grant under a new sequence, so that the holder does not take it for one from before an inventory. */
-    private void repeatGrant(Permit present, PeerMessage.PermitRequest message, Effects effects) {
-        if (present.attempt() == message.attempt()) {
+    private void resendGrant(Permit current, PeerMessage.PermitRequest message, Effects effects) {
+        if (current.attempt() == message.attempt()) {
             Permit renewed = new Permit(
-                    present.request(),
-                    present.attempt(),
-                    present.holder(),
-                    present.endpoint(),
-                    present.adapter(),
+                    current.request(),
+                    current.attempt(),
+                    current.holder(),
+                    current.endpoint(),
+                    current.adapter(),
                     Optional.of(message.caller()),
-                    present.fingerprint(),
+                    current.fingerprint(),
                     pool.sequence().next(),
-                    present.grantedAt(),
-                    present.loadStallMilliseconds());
+                    current.grantedAt(),
+                    current.loadStallMilliseconds());
             pool.addPermit(renewed);
-            pool.engine(present.endpoint())
+            pool.engine(current.endpoint())
                     .ifPresent(engine -> dispatcher.sendGrant(renewed, engine.endpoint(), effects));
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
@@ -41,10 +41,10 @@
      */
     boolean tryComplete(Membership membership, Instant now) {
         boolean lagPassed = !now.isBefore(startedAt.plus(settings.hostListLag()));
-        boolean completes =
+        boolean completedNow =
                 !complete && lagPassed && hostsWithoutReply(membership).isEmpty();
-        complete |= completes;
-        return completes;
+        complete |= completedNow;
+        return completedNow;
     }
 
     boolean isComplete() {
