--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Endpoint.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Endpoint.java
@@ -8,7 +8,6 @@
 /**
  * An endpoint as the host list shows it.
  *
- * @param id the endpoint
  * @param kind engine or plain service
  * @param presence live or leaving
  * @param dataCentre where it is
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/EntryHost.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/EntryHost.java
@@ -7,7 +7,6 @@
 /**
  * An entry host as the host list shows it.
  *
- * @param id the host
  * @param presence live or leaving
  * @param dataCentre where it is
  * @param peerAddress where other entry hosts connect
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
@@ -6,7 +6,6 @@
 /**
  * Where an entry host is reached.
  *
- * @param host the host
  * @param incarnation number that grows with each start of its daemon
  * @param callers address for callers
  * @param peers address for other hosts
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/HostListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/HostListing.java
@@ -27,7 +27,6 @@
     /**
      * Finds an entry host.
      *
-     * @param id the host
      * @return the entry, empty if the list does not show it
      */
     public Optional<EntryHost> host(HostId id) {
@@ -37,7 +36,6 @@
     /**
      * Finds an endpoint.
      *
-     * @param id the endpoint
      * @return the entry, empty if the list does not show it
      */
     public Optional<Endpoint> endpoint(EndpointId id) {
@@ -47,7 +45,6 @@
     /**
      * Returns the endpoints of a pool.
      *
-     * @param pool the pool
      * @return its endpoints, live and leaving
      */
     public List<Endpoint> endpointsOf(PoolId pool) {
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -27,30 +27,18 @@
     private final Map<HostId, Long> latestIncarnations = new HashMap<>();
     private final Set<HostIdentity> leavingHosts = new HashSet<>();
 
-    /**
-     * Creates the state of a host that has read no list yet.
-     *
-     * @param self this host
-     */
+    /** Creates the state of a host that has read no list yet. */
     public Membership(HostIdentity self) {
         this.self = self;
         latestIncarnations.put(self.host(), self.incarnation());
     }
 
-    /**
-     * Returns this host.
-     *
-     * @return its identity
-     */
+    /** Returns this host. */
     public HostIdentity self() {
         return self;
     }
 
-    /**
-     * Takes a new reading of the host list.
-     *
-     * @param newListing the list
-     */
+    /** Takes a new reading of the host list. */
     public void updateListing(HostListing newListing) {
         if (!newListing.equals(listing)) {
             listing = newListing;
@@ -87,11 +75,7 @@
         return listingRead;
     }
 
-    /**
-     * Notes that a peer can be reached.
-     *
-     * @param peer the peer
-     */
+    /** Notes that a peer can be reached. */
     public void markReachable(HostIdentity peer) {
         unreachableSince.remove(peer.host());
         latestIncarnations.merge(peer.host(), peer.incarnation(), Math::max);
@@ -100,18 +84,13 @@
     /**
      * Notes that a peer cannot be reached.
      *
-     * @param peer the peer
      * @param at when that was found
      */
     public void markUnreachable(HostId peer, Instant at) {
         unreachableSince.putIfAbsent(peer, at);
     }
 
-    /**
-     * Notes that a peer leaves.
-     *
-     * @param peer the peer
-     */
+    /** Notes that a peer leaves. */
     public void markLeaving(HostIdentity peer) {
         leavingHosts.add(peer);
     }
@@ -133,7 +112,6 @@
     /**
      * Tells whether a peer is known as unreachable.
      *
-     * @param peer the peer
      * @return true from a failed connection to the next success
      */
     public boolean isUnreachable(HostId peer) {
@@ -143,7 +121,6 @@
     /**
      * Tells whether a run of a daemon has certainly ended.
      *
-     * @param identity the run
      * @return true if the host list does not show its host, or a newer incarnation was seen
      */
     public boolean isTerminated(HostIdentity identity) {
@@ -156,7 +133,6 @@
     /**
      * Tells whether a newer run of a host's daemon was seen.
      *
-     * @param identity the run
      * @return true if a higher incarnation of the host is known
      */
     public boolean isSuperseded(HostIdentity identity) {
@@ -166,7 +142,6 @@
     /**
      * Returns the newest run of a host's daemon that was seen.
      *
-     * @param host the host
      * @return its identity, empty if no connection to the host was ever open
      */
     public Optional<HostIdentity> latestIncarnation(HostId host) {
@@ -186,7 +161,6 @@
     /**
      * Tells whether a host should take work.
      *
-     * @param host the host
      * @return whether it is live in the host list, reachable, and not leaving
      */
     public boolean isAvailable(HostId host) {
@@ -205,11 +179,7 @@
                 .isPresent();
     }
 
-    /**
-     * Lists the other hosts that the host list shows, live or leaving.
-     *
-     * @return their ids
-     */
+    /** Lists the other hosts that the host list shows, live or leaving. */
     public List<HostId> otherHosts() {
         return listing.hosts().stream()
                 .map(EntryHost::id)
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -49,33 +49,19 @@
     private boolean logUnavailable;
     private Instant nextRenewalAt = Instant.MIN;
 
-    /**
-     * Creates a coordinator that knows no claim.
-     *
-     * @param membership hosts and endpoints
-     * @param settings settings of the host
-     * @param sequence source of numbers for appends
-     */
+    /** Creates a coordinator that knows no claim. */
     public OwnershipCoordinator(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.settings = settings;
         this.sequence = sequence;
     }
 
-    /**
-     * Returns the fold of the stream.
-     *
-     * @return the history
-     */
+    /** Returns the fold of the stream. */
     public OwnershipState state() {
         return state;
     }
 
-    /**
-     * Begins to read the stream.
-     *
-     * @param effects collects what to do
-     */
+    /** Begins to read the stream. */
     public void start(Effects effects) {
         effects.add(new Effect.FollowStream(LogStreams.OWNERSHIP, 0));
     }
@@ -104,11 +90,7 @@
         return caughtUp;
     }
 
-    /**
-     * Lists the pools of engines that the host list shows.
-     *
-     * @return their ids
-     */
+    /** Lists the pools of engines that the host list shows. */
     public Set<PoolId> enginePools() {
         Set<PoolId> pools = new LinkedHashSet<>();
         membership.listing().endpoints().stream()
@@ -118,12 +100,7 @@
         return pools;
     }
 
-    /**
-     * Claims, renews and watches, when due.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Claims, renews and watches, when due. */
     public void tick(Instant now, Effects effects) {
         if (!caughtUp || !membership.hasListing()) {
             return;
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
@@ -25,8 +25,6 @@
     /**
      * Applies one record.
      *
-     * @param offset offset of the record
-     * @param record the record
      * @return true if an owner changed
      */
     public boolean apply(long offset, OwnershipRecord record) {
@@ -80,8 +78,6 @@
     /**
      * Learns an owner from a peer, for a host that cannot read the stream.
      *
-     * @param pool the pool
-     * @param ownership owner and term
      * @return true if the owner was not known or has a higher term than the known one
      */
     public boolean updateFromPeer(PoolId pool, Ownership ownership) {
@@ -91,7 +87,6 @@
     /**
      * Finds the owner of a pool.
      *
-     * @param pool the pool
      * @return owner and term, empty if there is no claim
      */
     public Optional<Ownership> owner(PoolId pool) {
@@ -110,18 +105,13 @@
     /**
      * Lists the unloads of a pool that were announced and whose end was not seen.
      *
-     * @param pool the pool
      * @return copy of the list
      */
     public List<PendingUnload> pendingUnloads(PoolId pool) {
         return new ArrayList<>(pendingUnloads.getOrDefault(pool, Collections.emptySet()));
     }
 
-    /**
-     * Returns the offset of the next record to apply.
-     *
-     * @return the offset
-     */
+    /** Returns the offset of the next record to apply. */
     public long nextOffset() {
         return nextOffset;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/PendingUnload.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/PendingUnload.java
@@ -8,7 +8,6 @@
  * An announced unload whose end was not seen.
  *
  * @param announcer host that announced it
- * @param endpoint the engine
  * @param incarnation incarnation of the engine
  * @param adapter what was to be unloaded
  */
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
@@ -31,8 +31,6 @@
     /**
      * Ranks hosts for a name.
      *
-     * @param name what to place
-     * @param hosts the hosts
      * @return all hosts, best first
      */
     public static List<HostId> rank(String name, Collection<HostId> hosts) {
@@ -47,8 +45,6 @@
     /**
      * Finds the first host for a name.
      *
-     * @param name what to place
-     * @param hosts the hosts
      * @return the host that ranks first, empty if there are none
      */
     public static Optional<HostId> first(String name, Collection<HostId> hosts) {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointReport.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointReport.java
@@ -10,7 +10,6 @@
 /**
  * State of one endpoint as its pool owner sees it.
  *
- * @param endpoint the endpoint
  * @param pool its pool
  * @param presence live or leaving
  * @param owner host that decides for the pool
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUsage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUsage.java
@@ -9,7 +9,6 @@
 /**
  * What the requests of one host use at one endpoint.
  *
- * @param endpoint the endpoint
  * @param running requests that were sent and have not ended
  * @param waitingTokens prompt tokens of those without a first output
  * @param cacheTokens tokens of memory that all of them need
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HeldPermit.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldPermit.java
@@ -8,11 +8,9 @@
 /**
  * A permit that an entry host holds, as reported to a new pool owner.
  *
- * @param request the request
  * @param attempt number of the attempt, from 1
  * @param endpoint endpoint that it runs on
  * @param adapter adapter that it uses
- * @param fingerprint fingerprint of the request
  */
 public record HeldPermit(
         RequestId request, int attempt, EndpointId endpoint, AdapterVersion adapter, Fingerprint fingerprint) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -43,9 +43,7 @@
     /**
      * Asks the pool owner for permission to run a request on an endpoint.
      *
-     * @param request the request
      * @param attempt number of the attempt, from 1
-     * @param pool the pool
      * @param adapter adapter to run on
      * @param caller the caller
      * @param callerLimit most requests of the caller that may run or wait
@@ -53,7 +51,6 @@
      * @param priority priority class
      * @param deadline instant after which nobody waits for the answer
      * @param prefix hash of the first part of the prompt, for affinity to cached prefixes
-     * @param fingerprint fingerprint of the request
      * @param tried endpoints that failed this request
      */
     record PermitRequest(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdapterPopularity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdapterPopularity.java
@@ -7,11 +7,11 @@
 
 import org.banyanstair.model.AdapterVersion;
 
-/** Counts requests for each adapter with exponential decay, so that the ranking follows shifts. Not thread-safe. */
+/** Exponentially decayed request count per adapter. Not thread-safe. */
 final class AdapterPopularity {
     private static final Duration HALF_LIFE = Duration.ofMinutes(2);
 
-    /** Scores below this are forgotten, which bounds the map to adapters that were asked for in the last half hour. */
+    /** Scores below this are removed, which limits the map to adapters requested within about the last half hour. */
     private static final double NEGLIGIBLE_SCORE = 0.00002;
 
     private final Map<AdapterVersion, Score> scores = new HashMap<>();
@@ -34,7 +34,7 @@
         return score == null ? 0 : score.at(now);
     }
 
-    /** Removes negligible scores from time to time; may be called often. */
+    /** Removes negligible scores, at most once per half-life. */
     void removeNegligibleScores(Instant now) {
         if (!now.isBefore(nextCleanupAt)) {
             nextCleanupAt = now.plus(HALF_LIFE);
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
@@ -16,7 +16,7 @@
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.routing.RetryBudget;
 
-/** Decides which requests may wait for a permit, and refuses the others as not run. */
+/** Queues permit requests that the limits and the deadline allow, and refuses the others as not run. */
 final class AdmissionControl {
     private final PoolState pool;
     private final LoadPlanner loads;
@@ -27,7 +27,7 @@
         this.loads = loads;
     }
 
-    /** Puts a request into the queue or refuses it. */
+    /** Queues a request or refuses it. */
     void admit(HostIdentity sender, PeerMessage.PermitRequest message, Instant now, Effects effects) {
         Optional<Failure> refusal = refusal(message, now);
         if (refusal.isPresent()) {
@@ -84,7 +84,7 @@
                 : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
     }
 
-    /** A request that has tried all engines may try them again, because some may have restarted since. */
+    /** Clears the tried engines once a request has tried all of them, because some may have restarted since. */
     private PeerMessage.PermitRequest clearTriedIfExhausted(PeerMessage.PermitRequest message) {
         if (!hasTriedAllEngines(message)) {
             return message;
@@ -138,7 +138,10 @@
                 new PeerMessage.PermitRefusal(message.request(), message.attempt(), pool.id(), pool.term(), failure));
     }
 
-    /** Refuses the waiting requests that have become hopeless. */
+    /**
+     * Removes the waiting requests that can no longer be served: holder terminated, deadline passed, crash limit reached,
+     * or adapter not loadable. All but the first are answered with a refusal.
+     */
     void refuseUnservable(Instant now, Effects effects) {
         pool.queue().removeIf(waiting -> pool.membership().isTerminated(waiting.holder()));
         pool.queue()
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/CrashSuspects.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/CrashSuspects.java
@@ -9,13 +9,13 @@
 import org.banyanstair.model.Fingerprint;
 
 /**
- * Counts, for the whole system, the endpoint crashes at which each request was running.
+ * Counts, across all pools, the endpoint crashes during which each request was running.
  *
- * <p>A request is refused only if it has crashed at least two endpoints and one of them ran nothing else, because only
- * then the crash cannot have been caused by another request. Not safe for use by several threads.
+ * <p>A request is refused only after at least two crashes, at least one of which happened while it ran alone: only
+ * that one cannot have been caused by another request. Not thread-safe.
  */
 public final class CrashSuspects {
-    /** Crashes from which on a request runs alone on its endpoint. */
+    /** Number of crashes after which a request is isolated, that is, runs alone on its endpoint. */
     public static final int CRASHES_BEFORE_ISOLATION = 2;
 
     private final Map<Fingerprint, Suspect> suspects = new HashMap<>();
@@ -26,9 +26,9 @@
     private record Suspect(int crashes, boolean crashedAlone) {}
 
     /**
-     * Applies a record, from the log or from a pool of this host.
+     * Applies a record that was read from the log or created by a pool of this host.
      *
-     * @param record the record; a crash that was applied before has no effect
+     * @param record the record; a crash that was already applied has no effect
      */
     public void apply(SuspectRecord record) {
         if (record instanceof SuspectRecord.Cleared cleared) {
@@ -46,23 +46,13 @@
         suspects.put(fingerprint, new Suspect(before.crashes() + 1, before.crashedAlone() || alone));
     }
 
-    /**
-     * Returns the crashes at which a request was running.
-     *
-     * @param fingerprint fingerprint of the request
-     * @return number of crashes since it last completed
-     */
+    /** Returns the number of crashes since the request last completed. */
     public int crashCount(Fingerprint fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
         return suspect == null ? 0 : suspect.crashes();
     }
 
-    /**
-     * Tells whether a request is refused.
-     *
-     * @param fingerprint fingerprint of the request
-     * @return true if it crashed two endpoints or more, one of them while it ran alone
-     */
+    /** Whether the request was involved in at least two crashes, at least one of them while it ran alone. */
     public boolean isRefused(Fingerprint fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
         return suspect != null && suspect.crashes() >= CRASHES_BEFORE_ISOLATION && suspect.crashedAlone();
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineBinding.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineBinding.java
@@ -7,16 +7,16 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.RequestId;
 
-/** Chooses the engine that a request has to use, when it arrives. */
+/** Binds a request to an engine when it arrives (early binding). */
 @FunctionalInterface
 public interface EngineBinding {
-    /** Leaves all engines open. */
+    /** Binds no request: the engine is chosen when the permit is granted (late binding). */
     EngineBinding NONE = (request, engines) -> Optional.empty();
 
-    /** The engine with the fewest requests. */
+    /** Binds to the engine with the fewest requests. */
     EngineBinding LEAST_LOADED = (request, engines) -> leastLoaded(engines);
 
-    /** The better of two engines that the hash of the request chooses (Mitzenmacher 2001). */
+    /** Binds to the less loaded of two engines selected by the hash of the request (Mitzenmacher 2001). */
     EngineBinding RANDOM_OF_TWO = (request, engines) -> {
         if (engines.isEmpty()) {
             return Optional.empty();
@@ -28,19 +28,17 @@
     };
 
     /**
-     * Chooses an engine.
+     * Binds a request.
      *
-     * @param request the request
-     * @param engines engines that take requests
-     * @return the engine, empty to leave all open
+     * @param engines load of the engines that accept permits
+     * @return the engine that the request has to use, or empty if any engine may serve it
      */
     Optional<EndpointId> bind(RequestId request, List<Load> engines);
 
     /**
      * Load of an engine.
      *
-     * @param endpoint the engine
-     * @param requests requests that run on it or are bound to it
+     * @param requests number of requests that run on the engine or wait for it
      */
     record Load(EndpointId endpoint, int requests) {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineMonitor.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineMonitor.java
@@ -17,7 +17,7 @@
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.Notice;
 
-/** Keeps the belief about each engine up to date and recognizes crashes and restarts. */
+/** Updates the {@link EngineState} of each engine and detects crashes and restarts. */
 final class EngineMonitor {
     private final PoolState pool;
     private final LoadPlanner loads;
@@ -58,7 +58,7 @@
         effects.add(new Effect.ReadEngineStatus(engine.endpoint()));
     }
 
-    /** A permit whose holder has ended stays in use until the engine shows that its request does not run. */
+    /** A permit whose holder has terminated stays in use until the engine reports that the request no longer runs. */
     private void markOrphans(EngineState engine, Instant now) {
         engine.permits().values().stream()
                 .filter(permit -> pool.membership().isTerminated(permit.holder()))
@@ -88,7 +88,7 @@
         engine.clearConfirmedEnds(status.loaded(), askedAt, pool.settings().statusLag());
     }
 
-    /** Permits stay in use until their holders give them back, because a grant may reach its holder late. */
+    /** Keeps the permits until their holders release them, because a delayed grant may still be used. */
     private void engineRestarted(EngineState engine, long incarnation, Instant now, Effects effects) {
         effects.report(new Notice.EngineRestarted(engine.endpoint().id(), incarnation));
         recordCrash(engine, effects);
@@ -138,7 +138,7 @@
                 .count();
     }
 
-    /** An engine that cannot be reached right after it broke off requests is taken for crashed. */
+    /** Treats an engine that is unreachable right after a broken attempt as crashed. */
     void statusReadFailed(EndpointId endpoint, Instant now, Effects effects) {
         EngineState engine = pool.engines().get(endpoint);
         if (engine == null) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -19,9 +19,9 @@
 import org.banyanstair.model.Fingerprint;
 import org.banyanstair.model.RequestId;
 
-/** What a pool owner believes about one engine. Not safe for use by several threads. */
+/** State of one engine as known to the pool owner. Not thread-safe. */
 final class EngineState {
-    /** Failed status reads in a row after which an engine gets no new permits. */
+    /** Consecutive failed status reads after which an engine gets no new permits. */
     private static final int FAILURES_BEFORE_UNREACHABLE = 2;
 
     private Endpoint endpoint;
@@ -69,7 +69,7 @@
         return incarnation;
     }
 
-    /** Forgets everything that a restart of the engine has ended. */
+    /** Discards the state that does not survive a restart of the engine. */
     void reset(long newIncarnation, Instant now) {
         incarnation = OptionalLong.of(newIncarnation);
         slots.clear();
@@ -118,7 +118,7 @@
         return verifyingSince.isPresent();
     }
 
-    /** Whether a status that was asked for at this instant shows if the engine survived the last broken request. */
+    /** Whether a status requested at this instant shows if the engine survived the last broken attempt. */
     boolean isVerifiedBy(Instant askedAt) {
         return verifyingSince.filter(since -> !askedAt.isBefore(since)).isPresent();
     }
@@ -182,17 +182,17 @@
         return brokenPermits;
     }
 
-    /** Whether the permit is from before the last restart. Its holder may still start an attempt with it. */
+    /** Whether the permit was granted before the last restart. Its holder may still start an attempt with it. */
     boolean predatesRestart(Permit permit) {
         return permit.grantedAt().isBefore(incarnationSeenAt);
     }
 
-    /** Notes that a request ended for its holder although the engine may still run it. */
+    /** Records that an attempt ended for its holder although the engine may still run it. */
     void addUnconfirmedEnd(AdapterVersion adapter, Instant now) {
         unconfirmedEnds.put(adapter, now);
     }
 
-    /** Notes that the holder gave a permit back although the engine may still run the request. */
+    /** Records that a permit was released although the engine may still run the request. */
     void addUnconfirmedEnd(Permit permit, Instant now) {
         addUnconfirmedEnd(permit.adapter(), now);
         if (!predatesRestart(permit)) {
@@ -200,7 +200,11 @@
         }
     }
 
-    /** Takes a report, which shows the state at some time in the {@code lag} before it was asked for. */
+    /**
+     * Clears the unconfirmed ends that a status confirms.
+     *
+     * @param lag maximum age of the state in a status at the time it was requested
+     */
     void clearConfirmedEnds(Map<AdapterVersion, Integer> running, Instant askedAt, Duration lag) {
         unconfirmedEnds
                 .entrySet()
@@ -209,7 +213,7 @@
         unconfirmedPermits.keySet().removeIf(permit -> !unconfirmedEnds.containsKey(permit.adapter()));
     }
 
-    /** Whether a request holds a permit for the adapter or may still run on it. */
+    /** Whether a permit for the adapter is in use or a request may still run with it. */
     boolean isInUse(AdapterVersion adapter) {
         return permitCount(adapter) > 0 || unconfirmedEnds.containsKey(adapter);
     }
@@ -232,12 +236,12 @@
                 .count();
     }
 
-    /** Permits in use, and those given back whose requests the engine may still run. */
+    /** Permits in use, and released permits whose requests the engine may still run. */
     Stream<Permit> possiblyRunningPermits() {
         return Stream.concat(permits.values().stream(), unconfirmedPermits.keySet().stream());
     }
 
-    /** The requests that may have been running when the engine crashed. */
+    /** Fingerprints of the requests that may have been running when the engine crashed. */
     Set<Fingerprint> runningFingerprints() {
         return Stream.concat(possiblyRunningPermits(), brokenPermits.stream())
                 .map(Permit::fingerprint)
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EvictionOrder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EvictionOrder.java
@@ -5,27 +5,22 @@
 
 import org.banyanstair.model.AdapterVersion;
 
-/** Orders the adapters that may be evicted, best victim first. */
+/** Order in which adapters are evicted. */
 @FunctionalInterface
 public interface EvictionOrder {
-    /** Lowest decayed popularity first. */
+    /** Evicts the adapter with the lowest decayed popularity first. */
     EvictionOrder LEAST_POPULAR = () -> Comparator.comparingDouble(Candidate::popularity);
 
-    /** Longest unused first. */
+    /** Evicts the least recently used adapter first. */
     EvictionOrder LEAST_RECENTLY_USED = () -> Comparator.comparing(Candidate::lastUsedAt);
 
-    /**
-     * Returns the order.
-     *
-     * @return comparator that puts the best victim first
-     */
+    /** Returns a comparator that sorts the adapter to evict first to the front. */
     Comparator<Candidate> order();
 
     /**
-     * An adapter that may be evicted.
+     * An adapter that may be evicted from an engine.
      *
-     * @param adapter the adapter
-     * @param popularity its decayed popularity
+     * @param popularity decayed request count
      * @param lastUsedAt when a request last used it on this engine
      */
     record Candidate(AdapterVersion adapter, double popularity, Instant lastUsedAt) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -26,9 +26,9 @@
 import org.banyanstair.reducer.Effects;
 import org.banyanstair.reducer.Notice;
 
-/** Decides which adapters are loaded and unloaded, within the pool's share of the weight store. */
+/** Plans adapter loads and unloads within the pool's share of the weight store. */
 final class LoadPlanner {
-    /** Failed loads of an adapter in a row after which its waiting requests are refused. */
+    /** Consecutive failed loads of an adapter after which its waiting requests are refused. */
     private static final int MAXIMUM_CONSECUTIVE_LOAD_FAILURES = 4;
 
     private static final Duration LOAD_RETRY_DELAY = Duration.ofSeconds(2);
@@ -49,7 +49,7 @@
         this.takeover = takeover;
     }
 
-    /** Orders the loads that are needed most urgently, and evictions where they need a slot. */
+    /** Starts the most urgent loads, and evicts adapters where a load needs a slot. */
     void plan(Instant now, Effects effects) {
         PoolDeclaration declaration = pool.configuration().pool(pool.id());
         long slotsBeingFreed = countSlots(SlotState.ANNOUNCED) + countSlots(SlotState.UNLOADING);
@@ -74,7 +74,7 @@
         return pool.settings().placement();
     }
 
-    /** The most urgent waiting request for each adapter that is needed in a further slot. */
+    /** The most urgent waiting request for each adapter that needs to be loaded, most urgent first. */
     private Collection<WaitingRequest> requiredLoads(Instant now) {
         record LoadKey(AdapterVersion adapter, Optional<EndpointId> boundEngine) {}
         Map<LoadKey, WaitingRequest> loads = new LinkedHashMap<>();
@@ -115,7 +115,7 @@
                 .min(loadTargetOrder());
     }
 
-    /** The preset decides whether adapters are spread over the engines or gathered where batches can be filled. */
+    /** Depending on the preset, spreads adapters over the engines or packs them to fill batches. */
     private Comparator<EngineState> loadTargetOrder() {
         double spreadWeight = pool.configuration().preset().spreadWeight();
         return Comparator.comparing((EngineState engine) -> !engine.hasBatchCapacity())
@@ -146,7 +146,7 @@
                 .count();
     }
 
-    /** Evicts the adapter that the policy prefers, of those that no request uses or could use there. */
+    /** Evicts one adapter by the eviction order of the policy, among those that no running or waiting request uses. */
     private void evictForLoad(WaitingRequest waiting, Instant now, Effects effects) {
         record Eviction(EngineState engine, EvictionOrder.Candidate candidate) {}
         eligibleEngines(waiting, now)
@@ -180,8 +180,8 @@
             effects.add(new Effect.UnloadAdapter(engine.endpoint(), adapter, pool.term()));
             return;
         }
-        // An engine that ignores fencing numbers would obey this order even after a takeover, so a new owner has to
-        // know of it beforehand.
+        // An engine that does not check fencing tokens executes the unload even after a takeover, so a new owner has
+        // to learn of it from the log before it is sent.
         engine.slots().put(adapter, slot.withState(SlotState.ANNOUNCED, now));
         long append = pool.sequence().next();
         pendingAnnouncements.put(append, new EngineAdapter(engine.endpoint().id(), adapter));
@@ -194,7 +194,7 @@
         effects.add(new Effect.AppendToLog(append, LogStreams.OWNERSHIP, List.of(announcement)));
     }
 
-    /** Orders an announced unload once the log shows it under the present term. */
+    /** Sends an announced unload once its record was read back from the log under the current term. */
     void unloadAnnouncementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
         if (announcement.term() != pool.term()) {
             return;
@@ -283,7 +283,7 @@
         }
     }
 
-    /** Takes what an engine reports; a report shows what was true at some time in the last {@code statusLag}. */
+    /** Reconciles the slots with a status, whose state may be up to {@code statusLag} old when it is requested. */
     void reconcile(EngineState engine, Set<AdapterVersion> reported, Instant askedAt, Instant now, Effects effects) {
         Duration lag = pool.settings().statusLag();
         for (AdapterVersion adapter : List.copyOf(engine.slots().keySet())) {
@@ -306,13 +306,16 @@
                 });
     }
 
-    /** Requests that ended for their hosts before these replied were released to the earlier owner only. */
+    /**
+     * Marks the inherited adapters as possibly in use. Attempts that ended before their host sent its inventory were
+     * released to the previous owner only.
+     */
     void takeoverCompleted(Instant now) {
         for (EngineState engine : pool.engines().values()) {
             engine.slots().entrySet().stream()
                     .filter(entry -> entry.getValue().inherited())
                     .forEach(entry -> engine.addUnconfirmedEnd(entry.getKey(), now));
-            // A report that is asked for any earlier cannot confirm that these ends have happened.
+            // An earlier status cannot confirm that these attempts have ended.
             engine.setNextStatusAt(now.plus(pool.settings().statusLag()));
         }
     }
@@ -347,7 +350,7 @@
         }
     }
 
-    /** Takes back announcements that the log does not show, and forgets old pauses. */
+    /** Cancels announced unloads whose record did not appear in the log in time, and removes expired retry delays. */
     void tick(Instant now) {
         for (EngineState engine : pool.engines().values()) {
             Set<AdapterVersion> overdue = engine.slots().entrySet().stream()
@@ -360,7 +363,7 @@
         retryAllowedAt.values().removeIf(until -> !now.isBefore(until));
     }
 
-    /** Whether so many loads of the adapter failed in a row that its requests should be refused. */
+    /** Whether the adapter reached {@link #MAXIMUM_CONSECUTIVE_LOAD_FAILURES}. */
     boolean hasExceededLoadFailures(AdapterVersion adapter) {
         return consecutiveFailures.getOrDefault(adapter, 0) >= MAXIMUM_CONSECUTIVE_LOAD_FAILURES;
     }
@@ -369,7 +372,7 @@
         consecutiveFailures.remove(adapter);
     }
 
-    /** Earliest instant by which the budget allows a load of the adapter, given the more urgent loads before it. */
+    /** Earliest instant at which the load rate allows a load of the adapter after all more urgent loads. */
     Instant earliestLoadTime(AdapterVersion adapter, Instant deadline, Instant now) {
         long loadsBefore = pool.queue().inOrder().stream()
                 .filter(waiting -> waiting.message().deadline().isBefore(deadline))
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadRateLimiter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadRateLimiter.java
@@ -5,9 +5,9 @@
 
 import org.banyanstair.configuration.PoolDeclaration;
 
-/** The pool's share of the weight store: loads a second and loads in transit. Not safe for use by several threads. */
+/** Token bucket that limits the loads of a pool to its share of the weight store. Not thread-safe. */
 final class LoadRateLimiter {
-    /** Loads that may start at once after an idle time; more would make the store queue them. */
+    /** Bucket capacity; the weight store would queue the loads of a larger burst. */
     private static final double BURST_LOADS = 2;
 
     private double tokens = BURST_LOADS;
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Permit.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Permit.java
@@ -11,18 +11,13 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * Permission for one attempt on an endpoint.
+ * Permission to run one attempt on an endpoint.
  *
- * @param request the request
- * @param attempt number of the attempt
- * @param holder daemon that may start the attempt
- * @param endpoint the endpoint
- * @param adapter adapter in use
- * @param caller the caller, empty for a permit learned from an inventory
- * @param fingerprint fingerprint of the request
- * @param sequence sequence of the grant
- * @param grantedAt when it was granted or learned
- * @param loadStallMilliseconds time that the request waited for a load
+ * @param holder host that may start the attempt
+ * @param caller empty if the permit was learned from an inventory
+ * @param sequence sequence number of the grant, or of the inventory that reported the permit
+ * @param grantedAt when the permit was granted or learned
+ * @param loadStallMilliseconds time that the request waited for an adapter load, 0 if none was needed
  */
 record Permit(
         RequestId request,
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
@@ -23,7 +23,7 @@
         this.pool = pool;
     }
 
-    /** Grants as many permits as there is room for, most urgent requests first. */
+    /** Grants as many permits as the engines have capacity for, most urgent requests first. */
     void grantPermits(Instant now, Effects effects) {
         removeStaleReservations();
         Set<AdapterVersion> adaptersWithoutEngine = new HashSet<>();
@@ -74,7 +74,7 @@
                         && unload.incarnation() == engine.incarnation().getAsLong());
     }
 
-    /** Suspects never share an engine with each other, and a request with two crashes shares it with nobody. */
+    /** Two suspects never share an engine, and a request with two or more crashes runs alone. */
     private boolean satisfiesIsolation(EngineState engine, Fingerprint fingerprint) {
         int crashCount = pool.suspects().crashCount(fingerprint);
         boolean reservedForOther = engine.reservation()
@@ -123,7 +123,7 @@
                 });
     }
 
-    /** A cached prefix first; then the preset decides between the emptiest and the fullest engine. */
+    /** Prefers an engine with a cached prefix, then the emptiest or the fullest engine, depending on the preset. */
     private Comparator<EngineState> engineOrder(WaitingRequest waiting) {
         double spreadWeight = pool.configuration().preset().spreadWeight();
         long prefix = waiting.message().prefix();
@@ -154,7 +154,7 @@
         sendGrant(permit, engine.endpoint(), effects);
     }
 
-    /** Sends a grant; also used to repeat one whose message may be lost. */
+    /** Sends a grant, or resends one whose message may have been lost. */
     void sendGrant(Permit permit, Endpoint endpoint, Effects effects) {
         effects.send(
                 permit.holder().host(),
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
@@ -12,11 +12,11 @@
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.reducer.Effects;
 
-/** Compares the permits of a pool with what their holders report: after a takeover, after restarts, and regularly. */
+/** Reconciles the permits of a pool with the inventories of their holders: after takeovers, restarts and regularly. */
 final class PermitReconciler {
     private static final Duration RECONCILIATION_INTERVAL = Duration.ofSeconds(10);
 
-    /** Time between two questions after a takeover, during which nothing is unloaded; a few round trips to a peer. */
+    /** A few round trips to a peer; short, because nothing inherited is unloaded until the takeover is complete. */
     private static final Duration TAKEOVER_REQUEST_INTERVAL = Duration.ofMillis(250);
 
     private final PoolState pool;
@@ -31,7 +31,7 @@
         this.nextReconciliationAt = now.plus(RECONCILIATION_INTERVAL);
     }
 
-    /** Takes the permits that a host reports. */
+    /** Applies the inventory of a host: removes permits that it no longer holds and adds unknown ones. */
     void inventoryReceived(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now) {
         if (reply.term() != pool.term()) {
             return;
@@ -62,7 +62,7 @@
         takeover.markReplied(sender.host());
     }
 
-    /** Asks the hosts whose permits have to be known, when due. */
+    /** Requests the inventories that are due. */
     void tick(Instant now, Effects effects) {
         checkInterruptedPermits(now, effects);
         if (!takeover.isComplete() && !now.isBefore(nextTakeoverRequestAt)) {
@@ -75,7 +75,7 @@
         }
     }
 
-    /** A host that runs an attempt elsewhere, under a grant of an earlier term, will refuse the present grant. */
+    /** A host that runs the attempt on another endpoint, by a grant of an earlier term, ignores the current grant. */
     private boolean isMissingOrStale(HeldPermit held) {
         Permit known = pool.permits().get(held.request());
         return known == null
@@ -87,7 +87,7 @@
         pool.addPermit(permit);
     }
 
-    /** A holder that was paused or whose grant is late could use a permit from before a restart of the engine. */
+    /** A paused holder, or one whose grant is delayed, may still use a permit granted before an engine restart. */
     private void checkInterruptedPermits(Instant now, Effects effects) {
         if (now.isBefore(nextInterruptedCheckAt)) {
             return;
@@ -107,7 +107,7 @@
                         pool.id(), pool.term(), pool.sequence().next()));
     }
 
-    /** Releases may be lost, so holders of old permits are asked which ones they still hold. */
+    /** Requests the inventories of holders of old permits, because release messages may be lost. */
     private void checkOldPermits(Instant now, Effects effects) {
         pool.permits().values().stream()
                 .filter(permit -> !now.isBefore(permit.grantedAt().plus(RECONCILIATION_INTERVAL)))
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolContext.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolContext.java
@@ -9,14 +9,12 @@
 import org.banyanstair.reducer.Sequence;
 
 /**
- * What a pool owner needs from its host.
+ * Services and shared state that the host gives to a pool owner.
  *
- * @param membership hosts and endpoints
- * @param settings settings of the host
- * @param sequence source of numbers
- * @param ownership claims and pending unloads
- * @param suspects crash suspects of the whole system
- * @param configuration gives the configuration in force
+ * @param sequence source of sequence numbers
+ * @param ownership pool owners and pending unloads
+ * @param suspects crash suspects of all pools
+ * @param configuration supplies the configuration in force
  */
 public record PoolContext(
         Membership membership,
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -19,9 +19,9 @@
 import org.banyanstair.reducer.Effects;
 
 /**
- * Decides for one pool of engines under one term: who runs where, and which adapters are loaded.
+ * Schedules the requests and adapter loads of one engine pool during one ownership term.
  *
- * <p>Not safe for use by several threads.
+ * <p>Not thread-safe.
  */
 public final class PoolOwner {
     private final PoolState pool;
@@ -33,12 +33,9 @@
     private final PermitReconciler reconciler;
 
     /**
-     * Creates the owner at the moment at which the log shows its claim.
+     * Creates the owner when its claim was read from the log.
      *
-     * @param id the pool
-     * @param term offset of the claim
-     * @param context what the owner needs from its host
-     * @param now present instant
+     * @param term log offset of the claim
      */
     public PoolOwner(PoolId id, long term, PoolContext context, Instant now) {
         this.pool = new PoolState(id, term, context);
@@ -50,23 +47,12 @@
         this.reconciler = new PermitReconciler(pool, takeover, now);
     }
 
-    /**
-     * Returns the term of this owner.
-     *
-     * @return offset of its claim
-     */
+    /** Returns the log offset of this owner's claim. */
     public long term() {
         return pool.term();
     }
 
-    /**
-     * Takes a request for a permit.
-     *
-     * @param sender daemon that asks
-     * @param message what it asks for
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles a permit request: queues it, refuses it, or resends the grant of an attempt that already has one. */
     public void permitRequested(HostIdentity sender, PeerMessage.PermitRequest message, Instant now, Effects effects) {
         Permit current = pool.permits().get(message.request());
         if (current != null && current.attempt() >= message.attempt()) {
@@ -85,7 +71,7 @@
         schedule(now, effects);
     }
 
-    /** Repeats a grant under a new sequence, so that the holder does not take it for one from before an inventory. */
+    /** Resends a grant with a new sequence number, because the holder rejects numbers older than its last inventory. */
     private void resendGrant(Permit current, PeerMessage.PermitRequest message, Effects effects) {
         if (current.attempt() == message.attempt()) {
             Permit renewed = new Permit(
@@ -105,13 +91,7 @@
         }
     }
 
-    /**
-     * Takes a permit back, or a request out of the queue.
-     *
-     * @param message the message
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Removes a released permit, or a withdrawn request from the queue. */
     public void permitReleased(PeerMessage.PermitRelease message, Instant now, Effects effects) {
         pool.queue()
                 .find(message.request())
@@ -125,7 +105,7 @@
         schedule(now, effects);
     }
 
-    /** The release of an earlier attempt may be lost, so the attempt counts as broken. */
+    /** Treats an earlier attempt as broken, because its release message may have been lost. */
     private void endSupersededAttempt(Permit permit, Instant now, Effects effects) {
         permitEnded(permit, new AttemptOutcome.Broken(new Failure.EndpointFailed(permit.endpoint()), 0), now, effects);
     }
@@ -143,87 +123,42 @@
         }
     }
 
-    /**
-     * Takes the permits that a host holds.
-     *
-     * @param sender the host
-     * @param reply its permits
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles the inventory of the permits that a host holds. */
     public void inventoryReceived(HostIdentity sender, PeerMessage.InventoryReply reply, Instant now, Effects effects) {
         reconciler.inventoryReceived(sender, reply, now);
         schedule(now, effects);
     }
 
-    /**
-     * Takes a record of the ownership stream that announces an unload.
-     *
-     * @param announcement the record
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles an unload announcement that was read from the ownership stream. */
     public void unloadAnnouncementRead(OwnershipRecord.UnloadAnnouncement announcement, Instant now, Effects effects) {
         loadPlanner.unloadAnnouncementRead(announcement, now, effects);
     }
 
-    /**
-     * Takes the news that the log did not take an append.
-     *
-     * @param append number of the append
-     * @param now present instant
-     */
+    /** Handles an append that the log rejected. */
     public void appendRejected(long append, Instant now) {
         loadPlanner.appendRejected(append, now);
     }
 
-    /**
-     * Takes the news that an append has ended otherwise.
-     *
-     * @param append number of the append
-     */
+    /** Handles the end of an append that was not rejected. */
     public void appendEnded(long append) {
         loadPlanner.appendEnded(append);
     }
 
-    /**
-     * Takes the end of a load.
-     *
-     * @param endpoint the engine
-     * @param adapter the adapter
-     * @param result how it ended
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles the end of an adapter load. */
     public void loadEnded(
             EndpointId endpoint, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
         pool.engine(endpoint).ifPresent(engine -> loadPlanner.loadEnded(engine, adapter, result, now, effects));
         schedule(now, effects);
     }
 
-    /**
-     * Takes the end of an unload.
-     *
-     * @param endpoint the engine
-     * @param adapter the adapter
-     * @param result how it ended
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles the end of an adapter unload. */
     public void unloadEnded(
             EndpointId endpoint, AdapterVersion adapter, EngineCommandResult result, Instant now, Effects effects) {
         pool.engine(endpoint).ifPresent(engine -> loadPlanner.unloadEnded(engine, adapter, result, now, effects));
         schedule(now, effects);
     }
 
-    /**
-     * Takes the end of an order to raise the fence.
-     *
-     * @param endpoint the engine
-     * @param result how it ended
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles the end of a command that raises the fencing token of an engine. */
     public void raiseFenceEnded(EndpointId endpoint, EngineCommandResult result, Instant now, Effects effects) {
         if (result instanceof EngineCommandResult.Done) {
             pool.engine(endpoint).ifPresent(EngineState::markFenceRaised);
@@ -232,37 +167,22 @@
     }
 
     /**
-     * Takes the status of an engine.
+     * Handles the status of an engine.
      *
-     * @param endpoint the engine
-     * @param askedAt when it was asked for
-     * @param status the status
-     * @param now present instant
-     * @param effects collects what to do
+     * @param askedAt when the status was requested
      */
     public void statusRead(EndpointId endpoint, Instant askedAt, EngineStatus status, Instant now, Effects effects) {
         engineMonitor.statusRead(endpoint, askedAt, status, now, effects);
         schedule(now, effects);
     }
 
-    /**
-     * Takes the news that the status of an engine could not be read.
-     *
-     * @param endpoint the engine
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Handles a failed read of an engine's status. */
     public void statusReadFailed(EndpointId endpoint, Instant now, Effects effects) {
         engineMonitor.statusReadFailed(endpoint, now, effects);
         schedule(now, effects);
     }
 
-    /**
-     * Does what is due.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Does the periodic work that is due. */
     public void tick(Instant now, Effects effects) {
         engineMonitor.tick(now, effects);
         loadPlanner.tick(now);
@@ -282,11 +202,7 @@
         loadPlanner.plan(now, effects);
     }
 
-    /**
-     * Describes the engines of the pool.
-     *
-     * @return one report for each engine
-     */
+    /** Returns a report for each engine of the pool. */
     public List<EndpointReport> endpointReports() {
         return pool.engines().values().stream()
                 .map(engine -> new EndpointReport(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolState.java
@@ -15,7 +15,7 @@
 import org.banyanstair.reducer.ReducerSettings;
 import org.banyanstair.reducer.Sequence;
 
-/** State that the parts of a pool owner share. Not safe for use by several threads. */
+/** State shared by the parts of a {@link PoolOwner}. Not thread-safe. */
 final class PoolState {
     private final PoolId id;
     private final long term;
@@ -100,12 +100,12 @@
         return Optional.of(permit);
     }
 
-    /** The engine may run the request until the cancellation or the loss of the connection has reached it. */
+    /** Records a released permit whose request may run until the engine notices the cancellation or connection loss. */
     void addUnconfirmedEnd(Permit permit, Instant now) {
         engine(permit.endpoint()).ifPresent(engine -> engine.addUnconfirmedEnd(permit, now));
     }
 
-    /** Whether the request ran on an engine that may have crashed and whose status is not known yet. */
+    /** Whether the request ran on an engine that may have crashed and whose status was not read since. */
     boolean isUnderVerification(Fingerprint fingerprint) {
         return engines.values().stream()
                 .filter(EngineState::isVerifying)
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/RecentPrefixes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/RecentPrefixes.java
@@ -5,7 +5,7 @@
 
 import org.banyanstair.model.AdapterVersion;
 
-/** Remembers the prompt prefixes that were recently sent to an engine, which it probably still has cached. */
+/** LRU set of the prompt prefixes recently sent to an engine, which probably still has them cached. */
 final class RecentPrefixes {
     private static final int MAXIMUM_PREFIXES = 1_024;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/Slot.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/Slot.java
@@ -5,9 +5,8 @@
 /**
  * An adapter in a slot.
  *
- * @param state what happens to it
- * @param since when the state began
- * @param inherited whether it was found loaded, so that permits of an earlier owner may use it
+ * @param since when it entered the state
+ * @param inherited whether it was found loaded on the engine, so that permits of an earlier owner may use it
  */
 record Slot(SlotState state, Instant since, boolean inherited) {
     Slot withState(SlotState next, Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/SlotState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/SlotState.java
@@ -1,13 +1,13 @@
 package org.banyanstair.placement;
 
-/** State of an adapter in a slot of an engine. */
+/** State of an adapter in an engine slot. */
 enum SlotState {
-    /** A load was ordered. */
+    /** The load command was sent. */
     LOADING,
-    /** The adapter can serve. */
+    /** The adapter can serve requests. */
     LOADED,
-    /** An unload is being announced in the log; no new permits. */
+    /** The unload is being announced in the log; no new permits are granted. */
     ANNOUNCED,
-    /** An unload was ordered; no new permits. */
+    /** The unload command was sent; no new permits are granted. */
     UNLOADING
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/SuspectRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/SuspectRecord.java
@@ -7,7 +7,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.Fingerprint;
 
-/** A record of the stream {@code suspects}. */
+/** A record in the {@code suspects} log stream. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "record")
 public sealed interface SuspectRecord extends LogEntry {
     /** An endpoint crashed while it ran the requests with these fingerprints. */
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
@@ -10,8 +10,8 @@
 import org.banyanstair.reducer.ReducerSettings;
 
 /**
- * Tracks which hosts have reported the permits that they hold from earlier owners. Until all have, adapters that were
- * loaded before the takeover must not be unloaded.
+ * Tracks which hosts have reported the permits that they hold from earlier owners. Adapters loaded before the takeover
+ * must not be unloaded until all hosts have reported.
  */
 final class TakeoverProgress {
     private final Instant startedAt;
@@ -36,8 +36,8 @@
     }
 
     /**
-     * A host may hold permits before the host list shows it, so the lag of the list has to pass as well. Returns true
-     * at the moment of completion.
+     * Completes the takeover once all hosts have replied and the host list lag has passed, because a host may hold
+     * permits before the host list shows it. Returns true only for the call that completes the takeover.
      */
     boolean tryComplete(Membership membership, Instant now) {
         boolean lagPassed = !now.isBefore(startedAt.plus(settings.hostListLag()));
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingQueue.java
@@ -14,7 +14,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.RequestId;
 
-/** Requests that wait for a permit, in the order in which they should get one. Not safe for use by several threads. */
+/** Priority queue of the requests that wait for a permit. Not thread-safe. */
 final class WaitingQueue {
     private final TreeSet<WaitingRequest> requests = new TreeSet<>(WaitingRequest.BY_URGENCY);
     private final Map<RequestId, WaitingRequest> byRequest = new HashMap<>();
@@ -57,7 +57,7 @@
         return removed;
     }
 
-    /** Promotes standard requests that have waited long enough, so that premium traffic cannot starve them. */
+    /** Promotes standard requests that have waited for the limit, so that premium traffic cannot starve them. */
     void promoteAged(Duration limit, Instant now) {
         requests.stream()
                 .filter(waiting -> !waiting.isHighPriority())
@@ -66,7 +66,7 @@
                 .forEach(waiting -> add(waiting.promote()));
     }
 
-    /** Whether a waiting request could run with the copy of the adapter that this engine holds. */
+    /** Whether a waiting request can use the adapter on this engine. */
     boolean isNeeded(AdapterVersion adapter, EndpointId engine) {
         return byAdapter.containsKey(adapter)
                 && requests.stream().anyMatch(waiting -> waiting.adapter().equals(adapter) && waiting.canUse(engine));
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/WaitingRequest.java
@@ -13,13 +13,12 @@
 /**
  * A request that waits for a permit.
  *
- * @param holder daemon that asked
- * @param message what it asked for
- * @param arrivedAt when it asked first
- * @param order order of arrival
- * @param aged whether it has waited for the ageing limit and counts as premium
- * @param bound engine that it has to use, empty if any will do
- * @param needsLoad whether no engine that it may use had its adapter when it arrived
+ * @param holder host that sent the request
+ * @param arrivedAt when it arrived at this owner
+ * @param arrivalOrder tie-breaker among requests with the same deadline
+ * @param promoted whether it has waited for the ageing limit and now has premium priority
+ * @param boundEngine engine that it has to use, or empty if any engine may serve it
+ * @param coldStart whether no engine that it may use had its adapter loaded on arrival
  */
 record WaitingRequest(
         HostIdentity holder,
@@ -29,7 +28,7 @@
         boolean promoted,
         Optional<EndpointId> boundEngine,
         boolean coldStart) {
-    /** Premium and aged requests first, then by deadline. */
+    /** Premium and promoted requests first, then earliest deadline first. */
     static final Comparator<WaitingRequest> BY_URGENCY = Comparator.comparing(WaitingRequest::isHighPriority)
             .reversed()
             .thenComparing(waiting -> waiting.message().deadline())
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/package-info.java
@@ -1,2 +1,2 @@
-/** Decisions of a pool owner: queueing, permits, adapter slots, loads, and crash suspects. */
+/** Scheduling within a pool: queueing, permits, adapter slots and loads, and crash suspects. */
 package org.banyanstair.placement;
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
@@ -24,11 +24,7 @@
     private final Membership membership;
     private final Map<Long, EndpointId> endpointsByDispatch = new HashMap<>();
 
-    /**
-     * Creates a picker without calls in flight.
-     *
-     * @param membership the endpoints
-     */
+    /** Creates a picker without calls in flight. */
     public EndpointPicker(Membership membership) {
         this.membership = membership;
     }
@@ -64,18 +60,13 @@
     /**
      * Counts a call in flight.
      *
-     * @param dispatch number of the dispatch
      * @param endpoint where it runs
      */
     public void recordStart(long dispatch, EndpointId endpoint) {
         endpointsByDispatch.put(dispatch, endpoint);
     }
 
-    /**
-     * Counts a call as ended.
-     *
-     * @param dispatch number of the dispatch
-     */
+    /** Counts a call as ended. */
     public void recordEnd(long dispatch) {
         endpointsByDispatch.remove(dispatch);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -77,8 +77,6 @@
      * Creates a tracker without requests.
      *
      * @param owners who owns which pool
-     * @param settings settings of the host
-     * @param membership hosts and endpoints
      * @param logReachable tells whether the log can be reached, without which no host can become the owner of a pool
      */
     public GenerationTracker(
@@ -89,23 +87,12 @@
         this.logReachable = logReachable;
     }
 
-    /**
-     * Returns the number of requests in flight.
-     *
-     * @return requests that wait or run
-     */
+    /** Returns the number of requests in flight. */
     public int inFlight() {
         return requests.size();
     }
 
-    /**
-     * Takes a request from a caller.
-     *
-     * @param request the request
-     * @param configuration configuration in force
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Takes a request from a caller. */
     public void requestArrived(GenerationRequest request, Configuration configuration, Instant now, Effects effects) {
         if (!configuration.preset().admitsRequests()) {
             effects.add(new Effect.FailGeneration(
@@ -149,13 +136,7 @@
                 tracked.tried);
     }
 
-    /**
-     * Takes a grant of a pool owner.
-     *
-     * @param sender the host that sent it
-     * @param grant the grant
-     * @param effects collects what to do
-     */
+    /** Takes a grant of a pool owner. */
     public void permitGranted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
         TrackedRequest tracked = requests.get(grant.request());
         boolean wanted = tracked != null && tracked.attempt == grant.attempt();
@@ -189,12 +170,7 @@
         return grant.term() < known || barrier != null && barrier.rejects(grant);
     }
 
-    /**
-     * Takes a refusal of a pool owner.
-     *
-     * @param refusal the refusal
-     * @param effects collects what to do
-     */
+    /** Takes a refusal of a pool owner. */
     public void permitRefused(PeerMessage.PermitRefusal refusal, Effects effects) {
         TrackedRequest tracked = requests.get(refusal.request());
         long known = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
@@ -219,12 +195,7 @@
         effects.add(new Effect.FailGeneration(tracked.request.id(), reported));
     }
 
-    /**
-     * Takes the news that a host does not own a pool; the request is sent again when the owner is known.
-     *
-     * @param message the message
-     * @param now present instant
-     */
+    /** Takes the news that a host does not own a pool; the request is sent again when the owner is known. */
     public void notOwnerReceived(PeerMessage.NotOwner message, Instant now) {
         TrackedRequest tracked = requests.get(message.request());
         if (tracked != null && tracked.runningOn.isEmpty()) {
@@ -232,15 +203,7 @@
         }
     }
 
-    /**
-     * Takes the end of an attempt.
-     *
-     * @param id the request
-     * @param attempt number of the attempt
-     * @param outcome how it ended
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Takes the end of an attempt. */
     public void attemptEnded(RequestId id, int attempt, AttemptOutcome outcome, Instant now, Effects effects) {
         TrackedRequest tracked = requests.get(id);
         if (tracked == null || tracked.attempt != attempt || tracked.runningOn.isEmpty()) {
@@ -281,12 +244,7 @@
                         new PeerMessage.PermitRelease(tracked.request.id(), tracked.attempt, tracked.pool(), outcome)));
     }
 
-    /**
-     * Withdraws a request whose caller has gone.
-     *
-     * @param id the request
-     * @param effects collects what to do
-     */
+    /** Withdraws a request whose caller has gone. */
     public void requestCancelled(RequestId id, Effects effects) {
         TrackedRequest tracked = requests.remove(id);
         if (tracked != null) {
@@ -301,13 +259,7 @@
         release(tracked, new AttemptOutcome.Cancelled(), effects);
     }
 
-    /**
-     * Answers an owner's question for the permits that this host holds.
-     *
-     * @param owner the owner
-     * @param request its question
-     * @param effects collects what to do
-     */
+    /** Answers an owner's question for the permits that this host holds. */
     public void inventoryRequested(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
         GrantFence barrier = grantFences.get(request.pool());
         long known = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
@@ -329,25 +281,14 @@
                 owner, new PeerMessage.InventoryReply(request.pool(), request.term(), request.sequence(), permits));
     }
 
-    /**
-     * Asks the new owner of a pool for the permits that are still wanted.
-     *
-     * @param pool the pool
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Asks the new owner of a pool for the permits that are still wanted. */
     public void ownerChanged(PoolId pool, Instant now, Effects effects) {
         requests.values().stream()
                 .filter(tracked -> tracked.runningOn.isEmpty() && tracked.pool().equals(pool))
                 .forEach(tracked -> requestPermit(tracked, now, effects));
     }
 
-    /**
-     * Repeats unanswered questions and ends late requests.
-     *
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Repeats unanswered questions and ends late requests. */
     public void tick(Instant now, Effects effects) {
         for (TrackedRequest tracked : List.copyOf(requests.values())) {
             if (!now.isBefore(tracked.request.deadline())) {
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
@@ -37,33 +37,18 @@
 
     private record PendingDispatch(CallRequest request, Endpoint endpoint, Set<EndpointId> tried) {}
 
-    /**
-     * Creates the state without calls.
-     *
-     * @param membership the endpoints
-     * @param sequence source of numbers for dispatches
-     */
+    /** Creates the state without calls. */
     public IdempotentCallDispatcher(Membership membership, Sequence sequence) {
         this.picker = new EndpointPicker(membership);
         this.sequence = sequence;
     }
 
-    /**
-     * Returns the number of calls in flight.
-     *
-     * @return calls without an answer
-     */
+    /** Returns the number of calls in flight. */
     public int inFlight() {
         return pending.size();
     }
 
-    /**
-     * Takes a call from a caller.
-     *
-     * @param request the call
-     * @param now present instant
-     * @param effects collects what to do
-     */
+    /** Takes a call from a caller. */
     public void callArrived(CallRequest request, Instant now, Effects effects) {
         retryBudget.recordFirstAttempt(now);
         dispatch(request, new HashSet<>(), now, effects);
@@ -90,11 +75,7 @@
     /**
      * Takes the end of a dispatch.
      *
-     * @param dispatch number of the dispatch
-     * @param result how it ended
      * @param retryShare retries as a share of calls
-     * @param now present instant
-     * @param effects collects what to do
      * @return false if the dispatch is not one of an idempotent call
      */
     public boolean dispatchEnded(
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -19,11 +19,7 @@
     private final Deque<Instant> firstAttempts = new ArrayDeque<>();
     private final Deque<Instant> retries = new ArrayDeque<>();
 
-    /**
-     * Counts a first try.
-     *
-     * @param now present instant
-     */
+    /** Counts a first try. */
     public void recordFirstAttempt(Instant now) {
         firstAttempts.addLast(now);
         removeExpired(firstAttempts, now);
@@ -33,7 +29,6 @@
      * Takes a retry from the budget.
      *
      * @param share retries as a share of first tries
-     * @param now present instant
      * @return false if the budget is used up
      */
     public boolean tryAcquire(double share, Instant now) {
@@ -45,7 +40,6 @@
      *
      * @param share retries as a share of first tries
      * @param minimum retries that are allowed in a window whatever the first tries
-     * @param now present instant
      * @return false if the budget is used up
      */
     public boolean tryAcquire(double share, double minimum, Instant now) {
