Reword the comments of the reducer package

"The shell" is the daemon, orders are commands to engines, effects and events are described as actions and observations, and the settings say what each interval or limit bounds. The log outage test says how each failure comes about; four of its assertion texts are reworded, the assertions are the same.

--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/CallRequest.java
@@ -7,9 +7,9 @@
 import org.banyanstair.model.PoolId;
 
 /**
- * A call of a plain service.
+ * A call of a plain service that a caller has sent to this host.
  *
- * @param key key of a call that may not be repeated, empty for an idempotent one
+ * @param key key of a non-idempotent call, empty for an idempotent one
  * @param bodyDigest digest of method, path and body
  */
 public record CallRequest(ServiceCall call, PoolId pool, Optional<CallKey> key, String bodyDigest) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effect.java
@@ -17,69 +17,69 @@
 import org.banyanstair.peer.HostStatus;
 import org.banyanstair.peer.PeerMessage;
 
-/** Something that the shell has to do. */
+/** An action that the reducer requests from the daemon. */
 public sealed interface Effect {
-    /** Send a message to a host, possibly this one. */
+    /** Sends a message to a host, possibly this one. */
     record SendToPeer(HostId peer, PeerMessage message) implements Effect {}
 
-    /** Keep a connection with heartbeats to a host. */
+    /** Maintains a connection with heartbeats to a host. */
     record WatchPeer(HostId peer) implements Effect {}
 
-    /** End {@link WatchPeer}. */
+    /** Stops {@link WatchPeer}. */
     record UnwatchPeer(HostId peer) implements Effect {}
 
-    /** Append entries to a stream in one operation. */
+    /** Appends entries to a stream in one operation. */
     record AppendToLog(long appendId, String stream, List<LogEntry> entries) implements Effect {}
 
-    /** Read a stream from an offset on and keep reading; the earliest offset if that one has expired. */
+    /** Reads a stream continuously, starting at an offset, or at the earliest one if that offset has expired. */
     record FollowStream(String stream, long fromOffset) implements Effect {}
 
-    /** Stop reading a stream. */
+    /** Stops reading a stream. */
     record UnfollowStream(String stream) implements Effect {}
 
-    /** Start an attempt of a generation on an engine. */
+    /** Starts an attempt of a generation on an engine. */
     record StartAttempt(RequestId request, int attempt, Endpoint endpoint, long loadStallMilliseconds)
             implements Effect {}
 
-    /** Cancel the running attempt of a generation. */
+    /** Cancels the running attempt of a generation. */
     record CancelAttempt(RequestId request, int attempt) implements Effect {}
 
-    /** The whole answer of a generation was delivered. */
+    /** Completes a generation whose whole answer was delivered. */
     record CompleteGeneration(RequestId request) implements Effect {}
 
-    /** Tell the caller of a generation that it failed. */
+    /** Answers the caller of a generation with a failure. */
     record FailGeneration(RequestId request, Failure failure) implements Effect {}
 
-    /** Send a call to a plain service, once. */
+    /** Sends a call to a plain service, without retries. */
     record DispatchCall(long dispatchId, Endpoint endpoint, ServiceCall call) implements Effect {}
 
-    /** Answer the caller of a plain call. */
+    /** Answers the caller of a plain service call. */
     record AnswerCall(RequestId request, CallAnswer answer) implements Effect {}
 
-    /** Order an engine to load an adapter. */
+    /** Commands an engine to load an adapter. */
     record LoadAdapter(Endpoint endpoint, AdapterVersion adapter, long term) implements Effect {}
 
-    /** Order an engine to unload an adapter. */
+    /** Commands an engine to unload an adapter. */
     record UnloadAdapter(Endpoint endpoint, AdapterVersion adapter, long term) implements Effect {}
 
-    /** Raise the fence of an engine. */
+    /** Raises the fencing token of an engine. */
     record RaiseFence(Endpoint endpoint, long term) implements Effect {}
 
-    /** Read the status of an engine. */
+    /** Reads the status of an engine. */
     record ReadEngineStatus(Endpoint endpoint) implements Effect {}
 
-    /** Answer an operator's change. */
+    /** Answers an operator's change with its verdict. */
     record AnswerChange(String changeId, ChangeVerdict verdict) implements Effect {}
 
-    /** Answer an operator's question about a change. */
+    /** Answers an operator's query for the verdict on a change, empty if it is not known. */
     record AnswerVerdict(long query, Optional<ChangeVerdict> verdict) implements Effect {}
 
-    /** Answer an operator's question for the state of all hosts. */
+    /** Answers an operator's query for the status of all hosts. */
     record AnswerStatus(long query, List<HostStatus> states, List<EndpointReport> endpoints) implements Effect {}
 
-    /** Begin to drain this host, because an operator asked for it through another host. */
+    /** Starts to drain this host, as requested by an operator through another host. */
     record BeginDrain(Instant orderedAt) implements Effect {}
 
-    /** Write a line to the log of the daemon. */
+    /** Writes a line to the log file of the daemon. */
     record Report(Notice notice) implements Effect {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Effects.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Effects.java
@@ -15,17 +15,17 @@
         effects.add(effect);
     }
 
-    /** Adds a message to a peer. */
+    /** Adds the sending of a message to a peer, which may be this host. */
     public void send(HostId peer, PeerMessage message) {
         effects.add(new Effect.SendToPeer(peer, message));
     }
 
-    /** Adds a line for the log of the daemon. */
+    /** Adds a line for the log file of the daemon. */
     public void report(Notice notice) {
         effects.add(new Effect.Report(notice));
     }
 
-    /** Returns and removes the collected effects. */
+    /** Returns the collected effects in order and removes them. */
     public List<Effect> drain() {
         List<Effect> drained = effects;
         effects = new ArrayList<>();
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Event.java
@@ -17,16 +17,16 @@
 import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.peer.PeerMessage;
 
-/** Something that happened, with the instant at which the shell saw it. */
+/** An input of the reducer, with the instant at which the daemon observed it. */
 public sealed interface Event {
     /**
-     * Returns when the event occurred.
+     * Returns when the daemon observed the event.
      *
      * @return the instant; events reach the reducer in this order
      */
     Instant at();
 
-    /** Time has passed. */
+    /** The periodic tick, which drives all timeouts. */
     record Tick(Instant at) implements Event {}
 
     /** The host list was read. */
@@ -35,51 +35,51 @@
     /** Records of a followed stream were read; {@code end} is the offset that the next append will get. */
     record StreamRead(Instant at, String stream, long next, long end, List<StreamEntry> entries) implements Event {}
 
-    /** A followed stream no longer has the wanted offset; reading goes on from the earliest one. */
+    /** The next offset of a followed stream has expired; reading continues at the earliest one. */
     record StreamExpired(Instant at, String stream, long earliest) implements Event {}
 
-    /** A followed stream could not be read; the shell goes on trying. */
+    /** A followed stream could not be read; the daemon keeps retrying. */
     record StreamUnavailable(Instant at, String stream) implements Event {}
 
-    /** The log certainly did not take an append. */
+    /** The log service did not store an append. */
     record AppendRejected(Instant at, long appendId, Failure failure) implements Event {}
 
-    /** The log took an append, or may have; reading the stream shows it. */
+    /** The log service stored an append, or may have; only reading the stream shows which. */
     record AppendEnded(Instant at, long appendId) implements Event {}
 
-    /** A peer can be reached. */
+    /** A connection to a peer was established. */
     record PeerConnected(Instant at, HostIdentity peer) implements Event {}
 
-    /** A peer cannot be reached. */
+    /** A peer could not be reached. */
     record PeerUnreachable(Instant at, HostId peer) implements Event {}
 
     /** A peer sent a message. */
     record PeerMessageReceived(Instant at, HostIdentity sender, PeerMessage message) implements Event {}
 
-    /** A caller of this host asks for a generation. */
+    /** A caller of this host requested a generation. */
     record GenerationArrived(Instant at, GenerationRequest request) implements Event {}
 
-    /** The caller of a generation has gone. */
+    /** The caller of a generation has disconnected. */
     record GenerationCancelled(Instant at, RequestId request) implements Event {}
 
     /** An attempt at an engine has ended. */
     record AttemptEnded(Instant at, RequestId request, int attempt, AttemptOutcome outcome) implements Event {}
 
-    /** A caller of this host calls a plain service. */
+    /** A caller of this host called a plain service. */
     record CallArrived(Instant at, CallRequest call) implements Event {}
 
     /** A dispatch to a plain service has ended. */
     record DispatchEnded(Instant at, long dispatchId, ServiceCallResult result) implements Event {}
 
-    /** An order to load an adapter has ended. */
+    /** A command to load an adapter has completed. */
     record LoadEnded(Instant at, EndpointId endpoint, AdapterVersion adapter, long term, EngineCommandResult result)
             implements Event {}
 
-    /** An order to unload an adapter has ended. */
+    /** A command to unload an adapter has completed. */
     record UnloadEnded(Instant at, EndpointId endpoint, AdapterVersion adapter, long term, EngineCommandResult result)
             implements Event {}
 
-    /** An order to raise the fence has ended. */
+    /** A command to raise the fencing token has completed. */
     record FenceEnded(Instant at, EndpointId endpoint, long term, EngineCommandResult result) implements Event {}
 
     /** The status of an engine was read; the request for it was sent at {@code askedAt}. */
@@ -88,18 +88,18 @@
     /** The status of an engine could not be read. */
     record EngineStatusFailed(Instant at, EndpointId endpoint) implements Event {}
 
-    /** An operator submits a change on this host. */
+    /** An operator submitted a change through this host. */
     record ChangeSubmitted(Instant at, ConfigurationChange change) implements Event {}
 
-    /** An operator asks what became of a change. */
+    /** An operator queried the verdict on a change. */
     record VerdictQueried(Instant at, long query, String changeId) implements Event {}
 
-    /** An operator asks for the state of all hosts. */
+    /** An operator queried the status of all hosts. */
     record StatusQueried(Instant at, long query) implements Event {}
 
-    /** An operator asks a host to drain. */
+    /** An operator requested through this host that a host drain. */
     record DrainRequested(Instant at, HostId host) implements Event {}
 
-    /** This host was told to drain and stop. */
+    /** This host has started to drain before it stops. */
     record DrainStarted(Instant at) implements Event {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/GenerationRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/GenerationRequest.java
@@ -10,12 +10,12 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * A generation request as the reducer sees it; the body stays in the shell.
+ * The part of a generation request that the reducer needs; the daemon keeps the body.
  *
- * @param service service as declared at arrival
- * @param deadline instant after which nobody waits for the answer
+ * @param service service as declared when the request arrived
+ * @param deadline instant after which the caller no longer waits for the answer
  * @param prefix hash of the first part of the prompt
- * @param fingerprint digest of what is asked for
+ * @param fingerprint digest of caller, model and body
  */
 public record GenerationRequest(
         RequestId id,
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -34,9 +34,9 @@
 import org.banyanstair.routing.IdempotentCallDispatcher;
 
 /**
- * The one reducer over all events of a host.
+ * The state machine of a host: applies its events one by one and returns the effects to execute.
  *
- * <p>It owns all state, reads no clock and does no I/O: the same events in the same order always give the same effects.
+ * <p>It reads no clock and does no I/O, so the same sequence of events always gives the same sequence of effects.
  * Not thread-safe.
  */
 public final class HostReducer {
@@ -55,7 +55,7 @@
     private final PoolContext poolContext;
     private final Instant startedAt;
 
-    /** Creates the reducer of a host that has seen nothing yet. */
+    /** Creates the reducer of a host that has just started. */
     public HostReducer(HostIdentity self, ReducerSettings settings, Instant startedAt) {
         this.membership = new Membership(self);
         this.startedAt = startedAt;
@@ -71,7 +71,7 @@
         this.statuses = new StatusCollector(membership, settings);
     }
 
-    /** Returns the first effects: the streams to follow. */
+    /** Returns the initial effects: the streams to follow. */
     public List<Effect> start() {
         configuration.start(effects);
         ownership.start(effects);
@@ -79,7 +79,7 @@
         return effects.drain();
     }
 
-    /** Applies an event. */
+    /** Applies an event and returns the resulting effects in order. */
     public List<Effect> apply(Event event) {
         if (event instanceof Event.Tick tick) {
             tick(tick.at());
@@ -253,7 +253,7 @@
         return record instanceof OwnershipRecord.Claim claim ? claim.pool() : ((OwnershipRecord.Renewal) record).pool();
     }
 
-    /** Begins or ends to decide for a pool, after its owner changed. */
+    /** Starts or stops acting as the owner of a pool after its ownership has changed. */
     private void takeOrDrop(PoolId pool, Instant now) {
         Optional<Ownership> current = ownership.state().owner(pool);
         if (current.isEmpty()) {
@@ -388,7 +388,7 @@
                 .toList();
     }
 
-    /** Describes this host. */
+    /** Returns the status of this host. */
     public HostStatus status() {
         return new HostStatus(
                 membership.self(),
@@ -403,7 +403,7 @@
     }
 
     /**
-     * Returns whether this host serves.
+     * Returns whether this host can serve requests.
      *
      * @return true once the configuration and the host list are known
      */
@@ -412,25 +412,25 @@
     }
 
     /**
-     * Counts what has to end before this host may stop.
+     * Returns the number of in-flight requests, which must end before this host may stop.
      *
-     * @return requests of callers and dispatches in flight
+     * @return requests of callers and dispatches; all non-idempotent calls that this host writes count as one
      */
     public int inFlight() {
         return generations.inFlight() + calls.size() + idempotentCalls.inFlight() + (writers.isBusy() ? 1 : 0);
     }
 
-    /** Returns whether other hosts decide for all pools, so that this host is not needed for new permits. */
+    /** Returns whether this host owns no pool, so that no host needs it for new permits. */
     public boolean ownsNoPool() {
         return owned.isEmpty();
     }
 
-    /** Returns the hosts and endpoints that this host knows. */
+    /** Returns the hosts and endpoints that this host knows; read-only. */
     public Membership membership() {
         return membership;
     }
 
-    /** Returns the configuration that this host keeps. */
+    /** Returns this host's replica of the configuration; read-only. */
     public ConfigurationReplica configuration() {
         return configuration;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Notice.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Notice.java
@@ -7,7 +7,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.PoolId;
 
-/** Something that an operator may want to find in the log of the daemon. */
+/** A notice for operators in the log file of the daemon. */
 public sealed interface Notice {
     /** A configuration version is in force on this host. */
     record ConfigurationInForce(long version) implements Notice {}
@@ -15,10 +15,10 @@
     /** A pool has a new owner. */
     record PoolOwned(PoolId pool, HostIdentity owner, long term) implements Notice {}
 
-    /** This host decides for a pool. */
+    /** This host has become the owner of a pool. */
     record PoolTaken(PoolId pool, long term) implements Notice {}
 
-    /** An engine has restarted and lost its adapters. */
+    /** An engine has restarted and so lost its adapters. */
     record EngineRestarted(EndpointId endpoint, long incarnation) implements Notice {}
 
     /** An adapter could not be loaded. */
@@ -30,6 +30,6 @@
     /** A record of a stream could not be decoded. */
     record UndecodableRecord(String stream, long offset) implements Notice {}
 
-    /** The configuration stream has lost records that this host has not applied. */
+    /** Configuration records expired before this host applied them. */
     record ConfigurationGap(long wanted, long earliest) implements Notice {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/ReducerSettings.java
@@ -5,20 +5,20 @@
 import org.banyanstair.placement.PlacementPolicy;
 
 /**
- * Intervals and limits of the decisions; turned into deadlines where they are used.
+ * Intervals, timeouts and limits of a host.
  *
- * @param callBatchDelay time for which intents are gathered before one append
- * @param keyRetention time that an idempotency key is kept after the deadline of its call
- * @param attemptRetention time that a writer keeps the answer of an attempt for repeated submissions
- * @param retryInterval time after which an unanswered message or append is repeated
- * @param answerGracePeriod time after a call's deadline in which its writer may still answer
- * @param maximumDispatches endpoints to which a call is offered while it is proved that none got it
- * @param changeTimeout time after which an operator is told that the outcome of a change is not known
- * @param ownerTimeout time that a pool owner may be unreachable before its pools get new owners
- * @param statusInterval time between two status reads of an engine
- * @param statusLag time by which an engine's status may lag behind
- * @param hostListLag time by which the host list may lag behind
- * @param logRetention time that the log service keeps records
+ * @param callBatchDelay how long intents of non-idempotent calls are batched before they are appended
+ * @param keyRetention how long an idempotency key is kept after the deadline of its call
+ * @param attemptRetention how long after its deadline a writer keeps an answered attempt for repeated submissions
+ * @param retryInterval time after which an unanswered message or unconfirmed append is sent again
+ * @param answerGracePeriod time after a call's deadline in which the answer of its writer is still accepted
+ * @param maximumDispatches most endpoints that a call is dispatched to as long as none has received it
+ * @param changeTimeout time after which a submitted change is answered with an unknown outcome
+ * @param ownerTimeout time that a pool owner may be unreachable before another host claims its pools
+ * @param statusInterval interval between two status reads of an engine
+ * @param statusLag maximum staleness of an engine's status
+ * @param hostListLag maximum staleness of the host list
+ * @param logRetention retention period of the log service
  */
 public record ReducerSettings(
         Duration callBatchDelay,
@@ -34,7 +34,7 @@
         Duration hostListLag,
         Duration logRetention,
         PlacementPolicy placement) {
-    /** Defaults for small clusters. */
+    /** Default settings, for small clusters. */
     public static final ReducerSettings DEFAULT = new ReducerSettings(
             Duration.ofMillis(25),
             Duration.ofMinutes(30),
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Sequence.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Sequence.java
@@ -1,6 +1,6 @@
 package org.banyanstair.reducer;
 
-/** Counts up from 1. Not thread-safe. */
+/** Generates ids in ascending order from 1, unique within one incarnation of the daemon. Not thread-safe. */
 public final class Sequence {
     private long last;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
@@ -12,13 +12,12 @@
 import org.banyanstair.peer.EndpointReport;
 import org.banyanstair.peer.PeerMessage;
 
-/** Collects the states of all hosts for operators' questions. Not thread-safe. */
+/** Collects the status of all hosts to answer operators' queries. Not thread-safe. */
 final class StatusCollector {
     private final Membership membership;
     private final ReducerSettings settings;
     private final Map<Long, Query> queries = new HashMap<>();
 
-    /** One question and the answers so far. */
     private static final class Query {
         private final Instant endAt;
         private final int expected;
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/StreamEntry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/StreamEntry.java
@@ -8,8 +8,8 @@
 /**
  * One decoded record of a log stream.
  *
- * @param offset place in the stream
- * @param appendedAt instant at which the log service took it
+ * @param offset offset in the stream
+ * @param appendedAt when the log service stored it, by its clock
  * @param entry the value, empty if the payload could not be decoded
  */
 public record StreamEntry(long offset, Instant appendedAt, Optional<LogEntry> entry) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/package-info.java
@@ -1,2 +1,2 @@
-/** The one reducer over all events of a host; effects are data that the shell carries out. */
+/** The deterministic reducer of a host: maps events to effects, which the daemon executes. */
 package org.banyanstair.reducer;
--- a/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -34,7 +34,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against state that is lost from the log because an outage or the retention outlasted its last copy. */
+/** Guards against state whose last record expires from the log during an outage or within a short retention period. */
 class LogOutageReducerTest {
     private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
     private static final DataCentre DATA_CENTRE = new DataCentre("ub-east");
@@ -116,7 +116,7 @@
                 .toList();
     }
 
-    /** A claim that expires during an outage lets a host that joins take the pool from its healthy owner. */
+    /** If a claim expires during an outage, a joining host could claim the pool from its healthy owner. */
     @Test
     void claimsAreWrittenAgainAtOnceAfterAnOutage() {
         HostReducer reducer = reducer(Duration.ofHours(1));
@@ -125,7 +125,7 @@
         effects.clear();
         effects.addAll(reducer.apply(new Event.StreamUnavailable(now, LogStreams.OWNERSHIP)));
         tickFor(reducer, Duration.ofSeconds(5));
-        assertEquals(List.of(), appends(LogStreams.OWNERSHIP), "nothing can be appended during the outage");
+        assertEquals(List.of(), appends(LogStreams.OWNERSHIP), "claim appended while the log was unavailable");
         read(reducer, LogStreams.OWNERSHIP, 1);
         tickFor(reducer, Duration.ofSeconds(1));
         assertEquals(1, appends(LogStreams.OWNERSHIP).size());
@@ -134,7 +134,7 @@
                 appends(LogStreams.OWNERSHIP).get(0).entries());
     }
 
-    /** With a check every 10 s, no checkpoint exists for most of a retention of a few seconds. */
+    /** With a check every 10 s and a retention of a few seconds, there would mostly be no checkpoint in the log. */
     @Test
     void checkpointsAreRenewedWithinAShortRetention() {
         Duration retention = Duration.ofSeconds(6);
@@ -160,10 +160,10 @@
                     Duration.between(last, now).compareTo(retention) < 0,
                     "no checkpoint for " + Duration.between(last, now));
         }
-        assertTrue(written <= 30 / 2 + 1, "more checkpoints than three for each retention: " + written);
+        assertTrue(written <= 30 / 2 + 1, "more than three checkpoints per retention period: " + written);
     }
 
-    /** Without help from its peers, a host that missed expired changes stays behind until the next checkpoint. */
+    /** Without a request to its peers, a host that missed expired changes would be stale until the next checkpoint. */
     @Test
     void aHostThatMissedExpiredChangesAsksItsPeers() {
         HostReducer reducer = reducer(Duration.ofHours(1), "entry-2", "entry-3");
@@ -179,7 +179,7 @@
                 effects.stream()
                         .anyMatch(effect -> effect instanceof Effect.SendToPeer send
                                 && send.message() instanceof PeerMessage.ConfigurationRequest),
-                "no peer was asked");
+                "no configuration request was sent to a peer");
         HostReducer ahead = reducer(Duration.ofHours(1));
         read(ahead, LogStreams.CHECKPOINTS, 0);
         read(ahead, LogStreams.CONFIGURATION, 4, change("a", -1), change("b", 0), change("c", 1), change("d", 2));
@@ -195,10 +195,10 @@
                 effects.stream()
                         .anyMatch(effect -> effect instanceof Effect.SendToPeer send
                                 && send.message() instanceof PeerMessage.ConfigurationRequest),
-                "the gap is closed, but peers are still asked");
+                "configuration requests are still sent after the gap was closed");
     }
 
-    /** A host that does not write the checkpoints. */
+    /** Creates the reducer of a host that is not the checkpoint writer. */
     private HostReducer follower() {
         String other = "entry-2";
         while (!RendezvousHash.first("configuration-checkpoint", List.of(SELF.host(), new HostId(other)))
@@ -211,7 +211,7 @@
         return reducer;
     }
 
-    /** Checkpoints of 96,000 adapters would cost every host more than its 3 KB a second. */
+    /** Reading the checkpoints of 96,000 adapters would exceed the budget of 3 KB/s per host. */
     @Test
     void hostThatDoesNotWriteCheckpointsEndsReadingThem() {
         HostReducer reducer = follower();
