Reword the comments of the configuration package

Folding, store shares, rushes and what is "known" are now applying the log, shares of the weight store, peak load and the state of a replica. The heads of the tests name the failure that they guard against.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterDeclaration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterDeclaration.java
@@ -10,7 +10,7 @@
  * An adapter as operators register it.
  *
  * @param versions registered versions, at least one
- * @param defaultVersion version that a request gets that names none; one of the registered ones
+ * @param defaultVersion version used for requests that name none; one of the registered versions
  */
 public record AdapterDeclaration(AdapterKey key, List<String> versions, String defaultVersion) {
     /** Checks the versions and copies the list. */
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ChangeVerdict.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ChangeVerdict.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.errors.Failure;
 
-/** What log order decided about a change. */
+/** Whether a configuration change was accepted, which the order of the log decides. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "verdict")
 public sealed interface ChangeVerdict {
     /** The change is in force. */
@@ -12,7 +12,7 @@
     /**
      * The change has no effect.
      *
-     * @param failure conflict or invalid change
+     * @param failure the reason, such as a conflict with another change or an invalid change
      */
     record Refused(Failure failure) implements ChangeVerdict {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/CheckpointPart.java
@@ -6,11 +6,11 @@
 import org.banyanstair.external.LogEntry;
 
 /**
- * One part of a configuration checkpoint; a checkpoint is split so that each part fits a log record and a frame.
+ * One part of a configuration checkpoint, which is split so that each part fits into a log record and a frame.
  *
- * @param nextOffset offset of the stream {@code configuration} from which changes are not contained
+ * @param nextOffset offset in the stream {@code configuration} of the first change that is not included
  * @param part number of the part, from 0
- * @param operations operations of this part; all parts in order build the configuration
+ * @param operations operations of this part; those of all parts in order build the configuration
  */
 public record CheckpointPart(long version, long nextOffset, int part, int parts, List<Operation> operations)
         implements LogEntry {
@@ -24,7 +24,7 @@
     /**
      * Splits a configuration into parts.
      *
-     * @param nextOffset offset from which changes are not contained
+     * @param nextOffset offset of the first change that is not included
      */
     public static List<CheckpointPart> of(Configuration configuration, long nextOffset) {
         List<Operation> operations = configuration.operations();
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Configuration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Configuration.java
@@ -17,9 +17,9 @@
 import org.banyanstair.model.ServiceId;
 
 /**
- * Everything that operators have declared, at one version. Immutable.
+ * One version of everything that operators have declared. Immutable.
  *
- * @param version offset of the change that made it, -1 before the first change
+ * @param version offset of the change that created this version, -1 before the first change
  * @param presetInForce id of the one preset in force; always among the presets
  */
 public record Configuration(
@@ -64,16 +64,16 @@
     }
 
     /**
-     * Returns the store share of a pool.
+     * Returns the share of the weight store that a pool may use.
      *
-     * @return its declaration, or the default
+     * @return its declaration, or the default one
      */
     public PoolDeclaration pool(PoolId id) {
         return Optional.ofNullable(pools.get(id)).orElseGet(() -> PoolDeclaration.defaultFor(id));
     }
 
     /**
-     * Finds the adapter version that a model name stands for.
+     * Resolves a model name to an adapter version.
      *
      * @return the version, the default one if the name has none; empty if it is not registered
      */
@@ -87,10 +87,9 @@
     private record Resolution(AdapterDeclaration adapter, String version) {}
 
     /**
-     * Applies the operations of a change, all or none.
+     * Applies all operations of a change, or none.
      *
-     * @param operations steps, in order
-     * @throws FailureException with {@link Failure.InvalidChange} if a step cannot be applied
+     * @throws FailureException with {@link Failure.InvalidChange} if an operation cannot be applied
      */
     public Configuration apply(long newVersion, List<Operation> operations) {
         Draft draft = new Draft(this);
@@ -98,7 +97,7 @@
         return draft.finish(newVersion);
     }
 
-    /** Lists the operations that build this configuration from {@link #INITIAL}. */
+    /** Lists operations that build this configuration from {@link #INITIAL} when they are applied in order. */
     public List<Operation> operations() {
         List<Operation> operations = new ArrayList<>();
         presets.values().forEach(preset -> operations.add(new Operation.PutPreset(preset)));
@@ -112,7 +111,7 @@
         return operations;
     }
 
-    /** Mutable copy in which one change is built up. Only the maps that change are copied. */
+    /** Mutable copy to which one change is applied. The large map of adapters is copied only when it changes. */
     private static final class Draft {
         private Map<ServiceId, ServiceDeclaration> services;
         private Map<AdapterKey, AdapterDeclaration> adapters;
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationDifference.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationDifference.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import java.util.function.Function;
 
-/** Computes the operations that lead from a configuration to declarations. */
+/** Computes the operations that change a configuration to match a declarations file. */
 public final class ConfigurationDifference {
     private final Configuration from;
     private final Declarations to;
@@ -21,7 +21,7 @@
     /**
      * Computes the operations.
      *
-     * @return operations in an order in which each can be applied; empty if nothing differs
+     * @return operations in an order in which each can be applied; empty if there is no difference
      */
     public static List<Operation> between(Configuration from, Declarations to) {
         ConfigurationDifference difference = new ConfigurationDifference(from, to);
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
@@ -23,15 +23,15 @@
 import org.banyanstair.reducer.Sequence;
 
 /**
- * Keeps the configuration of one host: follows the log, catches up from checkpoints and peers, writes checkpoints, and
- * carries operators' changes to their verdict.
+ * Replica of the configuration on one host: follows the log, catches up from checkpoints and peers, writes checkpoints,
+ * and submits operators' changes.
  *
  * <p>Not thread-safe.
  */
 public final class ConfigurationReplica {
     private static final String CHECKPOINT_WRITER = "configuration-checkpoint";
 
-    /** A checkpoint is renewed this many times within the retention of the log. */
+    /** Checkpoints are renewed often enough that one is always in the log. */
     private static final int CHECKPOINTS_PER_RETENTION = 3;
 
     private final Membership membership;
@@ -52,14 +52,14 @@
 
     private record PendingChange(long appendId, Instant giveUpAt) {}
 
-    /** Creates a keeper that knows no configuration. */
+    /** Creates a replica without a configuration. */
     public ConfigurationReplica(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.settings = settings;
         this.sequence = sequence;
     }
 
-    /** Returns the fold of the stream. */
+    /** Returns the state machine of the configuration stream; read-only. */
     public ConfigurationStateMachine history() {
         return history;
     }
@@ -74,7 +74,7 @@
         return logReachable;
     }
 
-    /** Begins to read the checkpoints. */
+    /** Starts to read the checkpoints. */
     public void start(Effects effects) {
         followCheckpoints(effects);
     }
@@ -85,7 +85,7 @@
         effects.add(new Effect.FollowStream(LogStreams.CHECKPOINTS, nextCheckpointOffset));
     }
 
-    /** Takes a record of the checkpoint stream. */
+    /** Handles a record of the checkpoint stream. */
     public void checkpointRead(Instant appendedAt, CheckpointPart part, Effects effects) {
         if (part.part() == part.parts() - 1) {
             lastCheckpoint = Optional.of(appendedAt);
@@ -101,7 +101,7 @@
     }
 
     /**
-     * Handles the event that the checkpoint stream was read to its end.
+     * Handles the event that the checkpoint stream was read up to its end.
      *
      * @param next offset of the next checkpoint part
      */
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Takes a change of the configuration stream.
+     * Handles a record of the configuration stream.
      *
      * @param change the change, empty if it could not be decoded
      */
@@ -148,7 +148,7 @@
     }
 
     /**
-     * Handles the event that the configuration stream was read to its end.
+     * Handles the event that the configuration stream was read up to its end.
      *
      * @param end offset that the next change will get
      */
@@ -160,7 +160,7 @@
     }
 
     /**
-     * Handles the event that changes have expired before this host read them.
+     * Handles the event that changes expired before this host read them.
      *
      * @param earliest lowest offset that can still be read
      */
@@ -183,7 +183,7 @@
         } else if (!history.isKnown()) {
             refuse(change, new Failure.NotReady(membership.self().host()), effects);
         } else if (change.baseVersion() < current().version()) {
-            // Versions only grow, so log order cannot decide otherwise.
+            // Versions only grow, so the log would decide the same.
             refuse(
                     change,
                     new Failure.ConfigurationConflict(
@@ -204,7 +204,7 @@
         effects.add(new Effect.AnswerChange(change.changeId(), new ChangeVerdict.Refused(failure)));
     }
 
-    /** Handles the event that the log did not take an append. */
+    /** Handles an append that the log rejected. */
     public void appendRejected(long append, Failure failure, Effects effects) {
         Iterator<Map.Entry<String, PendingChange>> iterator = pending.entrySet().iterator();
         while (iterator.hasNext()) {
@@ -236,7 +236,7 @@
     /** Asks peers, writes checkpoints and ends changes without a verdict, when due. */
     public void tick(Instant now, Effects effects) {
         giveUp(now, effects);
-        // Changes that expired unread are in no later record, only in checkpoints and in what peers know.
+        // Expired changes can only be recovered from checkpoints and from peers.
         boolean missesChanges = history.nextOffset() < earliestInLog;
         if (missesChanges && !followsCheckpoints) {
             followCheckpoints(effects);
@@ -260,7 +260,7 @@
         }
     }
 
-    /** A host without a configuration asks everyone; one that only lost the log asks one peer at a time. */
+    /** A host without a configuration asks all peers; one that only cannot read the log asks one peer at a time. */
     private void askPeers(Instant now, Effects effects) {
         List<HostId> others = membership.otherHosts();
         List<HostId> asked = others;
@@ -270,14 +270,14 @@
         asked.forEach(peer -> effects.send(peer, new PeerMessage.ConfigurationRequest(history.nextOffset())));
     }
 
-    /** Short enough for each renewal, and long enough for the previous append to be read back. */
+    /** Short enough to renew checkpoints in time, and long enough to read back the previous append. */
     private Duration checkpointCheckInterval() {
         Duration usual = settings.retryInterval().multipliedBy(10);
         Duration halfRenewal = settings.logRetention().dividedBy(2L * CHECKPOINTS_PER_RETENTION);
         return halfRenewal.compareTo(usual) < 0 ? halfRenewal : usual;
     }
 
-    /** Checkpoints are large, so only the host that writes them and hosts that miss changes go on reading them. */
+    /** Checkpoints are large, so only the host that writes them and hosts that miss changes keep reading them. */
     private void maintainCheckpoints(boolean missesChanges, Instant now, Effects effects) {
         boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.availableHosts())
                 .filter(membership.self().host()::equals)
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
@@ -10,11 +10,10 @@
 import org.banyanstair.errors.FailureException;
 
 /**
- * Folds the stream {@code configuration} into the configuration in force.
+ * Replicated state machine that applies the stream {@code configuration} to get the configuration in force.
  *
- * <p>Every host folds the same records in the same order and so reaches the same verdicts. The fold never goes back: a
- * record below the next offset and a checkpoint that contains less than what is known have no effect. Not safe for use
- * by several threads.
+ * <p>Every host applies the same records in the same order and so reaches the same verdicts. The state never reverts: a
+ * record below the next offset and a checkpoint that includes fewer changes have no effect. Not thread-safe.
  */
 public final class ConfigurationStateMachine {
     private static final int REMEMBERED_VERDICTS = 4_096;
@@ -34,7 +33,7 @@
     /**
      * Returns whether a configuration is known.
      *
-     * @return false until the start of the stream or a checkpoint was seen
+     * @return false until the start of the stream or a checkpoint has been read
      */
     public boolean isKnown() {
         return nextOffset >= 0;
@@ -58,7 +57,7 @@
         return nextOffset;
     }
 
-    /** Starts from the beginning of the stream, if nothing is known yet. */
+    /** Starts with the initial configuration at offset 0, if no configuration is known yet. */
     public void startEmpty() {
         if (!isKnown()) {
             nextOffset = 0;
@@ -68,14 +67,14 @@
     /**
      * Applies the next record of the stream.
      *
-     * @return the verdict; empty if the record was applied before or does not follow what is known
+     * @return the verdict; empty if the record does not have the next offset
      */
     public Optional<ChangeVerdict> apply(long offset, ConfigurationChange change) {
         if (!isKnown() || offset != nextOffset) {
             return Optional.empty();
         }
         nextOffset = offset + 1;
-        // The decision must not depend on remembered ids: a host that began at a checkpoint does not know the earlier
+        // The decision must not depend on cached verdicts: a host that started from a checkpoint lacks the earlier
         // ones.
         ChangeVerdict decided = decide(offset, change);
         ChangeVerdict verdict = verdicts.merge(
@@ -98,7 +97,7 @@
         }
     }
 
-    /** Passes over a record of the stream that is not a change. */
+    /** Skips a record of the stream that could not be decoded. */
     public void skip(long offset) {
         if (isKnown() && offset == nextOffset) {
             nextOffset = offset + 1;
@@ -106,9 +105,9 @@
     }
 
     /**
-     * Takes one part of a checkpoint; applies the checkpoint once all parts have come in order.
+     * Collects a part of a checkpoint and applies the checkpoint after its last part. Parts must come in order.
      *
-     * @return true if the configuration moved forward
+     * @return true if a checkpoint was applied that is newer than the current state
      */
     public boolean offer(CheckpointPart part) {
         if (part.part() == 0) {
@@ -142,7 +141,7 @@
     /**
      * Finds the verdict on a change.
      *
-     * @return the verdict, empty if the change was not seen or was seen too long ago
+     * @return the verdict, empty if the change has not been applied here or its verdict has been evicted
      */
     public Optional<ChangeVerdict> verdict(String changeId) {
         return Optional.ofNullable(verdicts.get(changeId));
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Declarations.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Declarations.java
@@ -6,11 +6,11 @@
 import org.banyanstair.model.PresetId;
 
 /**
- * The content of a declarations file: the whole configuration that an operator wants.
+ * The content of a declarations file: the complete configuration that an operator wants.
  *
  * @param pools store shares
- * @param presets presets; built-in presets that are not declared stay as they are
- * @param preset preset to put in force, empty to keep the present one
+ * @param presets presets; built-in presets that are not declared keep their values
+ * @param preset preset to put in force, empty to keep the current one
  */
 public record Declarations(
         List<ServiceDeclaration> services,
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Objective.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Objective.java
@@ -7,10 +7,10 @@
  * Service-level objective: the share of requests that succeed within a latency.
  *
  * @param latencyMilliseconds time to the first token, or to the answer of a plain call; 1 to 600,000 ms
- * @param share share of requests that must meet it, above 0 and below 1
+ * @param share share of requests that must succeed within the latency, above 0 and below 1
  */
 public record Objective(int latencyMilliseconds, double share) {
-    /** Used where a service declares none: first token within 0.42 s for 95 in 100. */
+    /** Used for a service that declares none: 95 % of the requests get their first token within 420 ms. */
     public static final Objective DEFAULT = new Objective(420, 0.95);
 
     /** Checks the ranges. */
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Operation.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Operation.java
@@ -5,13 +5,13 @@
 import org.banyanstair.model.PresetId;
 import org.banyanstair.model.ServiceId;
 
-/** One step of a configuration change. */
+/** One operation of a configuration change. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "operation")
 public sealed interface Operation {
     /** Creates or replaces a service. */
     record PutService(ServiceDeclaration service) implements Operation {}
 
-    /** Removes a service; its adapters must be removed before. */
+    /** Removes a service that has no adapters. */
     record RemoveService(ServiceId id) implements Operation {}
 
     /** Registers or replaces an adapter. */
@@ -20,10 +20,10 @@
     /** Removes an adapter with all its versions. */
     record RemoveAdapter(AdapterKey key) implements Operation {}
 
-    /** Creates or replaces the store share of a pool. */
+    /** Creates or replaces the weight store share of a pool. */
     record PutPool(PoolDeclaration pool) implements Operation {}
 
-    /** Removes the store share of a pool. */
+    /** Removes the weight store share of a pool, so that the default applies. */
     record RemovePool(PoolId id) implements Operation {}
 
     /** Creates or replaces a preset. */
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/PoolDeclaration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/PoolDeclaration.java
@@ -7,16 +7,16 @@
 /**
  * The share of the weight store that a pool of engines may use.
  *
- * <p>The shares of all pools together must stay within what the store takes.
+ * <p>The sum of all shares must not exceed the capacity of the store.
  *
- * @param loadsPerSecond adapter loads a second, above 0 and at most 1,000
- * @param loadsInTransit loads that run at a time, 1 to 1,000
+ * @param loadsPerSecond adapter loads per second, above 0 and at most 1,000
+ * @param loadsInTransit maximum concurrent loads, 1 to 1,000
  */
 public record PoolDeclaration(PoolId id, double loadsPerSecond, int loadsInTransit) {
-    /** Used for a pool without a declaration. */
+    /** Default for a pool without a declaration. */
     public static final double DEFAULT_LOADS_PER_SECOND = 1;
 
-    /** Used for a pool without a declaration. */
+    /** Default for a pool without a declaration. */
     public static final int DEFAULT_LOADS_IN_TRANSIT = 2;
 
     /** Checks the ranges. */
@@ -31,7 +31,7 @@
         }
     }
 
-    /** Returns the declaration that is used for a pool without one. */
+    /** Returns the default declaration of a pool. */
     public static PoolDeclaration defaultFor(PoolId id) {
         return new PoolDeclaration(id, DEFAULT_LOADS_PER_SECOND, DEFAULT_LOADS_IN_TRANSIT);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
@@ -7,13 +7,13 @@
 import org.banyanstair.model.PresetId;
 
 /**
- * Weights of the decisions under load.
+ * Parameters of request admission and placement, switched by operators to suit the load.
  *
- * @param fullness 0 spreads requests over the endpoints, which keeps load stalls short; 1 fills batches first
- * @param standardAgeingMilliseconds time after which a waiting standard request counts as premium
- * @param copyAfterMilliseconds time that a request waits for room beside a loaded adapter before another copy of the
+ * @param fullness 0 spreads requests over the endpoints, which keeps stalls by adapter loads short; 1 fills batches first
+ * @param standardAgeingMilliseconds time after which a waiting standard request is treated as premium
+ * @param copyAfterMilliseconds time that a request waits for an engine that has loaded its adapter before another copy of the
  *     adapter is loaded
- * @param retryShare retries as a share of granted requests, 0 to 1
+ * @param retryShare maximum ratio of retries to granted requests, 0 to 1
  * @param admitsRequests whether new requests are admitted
  */
 public record Preset(
@@ -23,13 +23,13 @@
         int copyAfterMilliseconds,
         double retryShare,
         boolean admitsRequests) {
-    /** Ordinary days. */
+    /** Preset for normal load. */
     public static final Preset ORDINARY = new Preset(new PresetId("ordinary"), 0.3, 2_000, 250, 0.1, true);
 
-    /** Rushes: batches are filled before further copies are loaded. */
+    /** Preset for peak load: fills batches before loading further copies of adapters. */
     public static final Preset PEAK = new Preset(new PresetId("peak"), 0.9, 4_000, 1_000, 0.05, true);
 
-    /** Running requests end, new ones are refused as not run. */
+    /** Preset for maintenance: running requests complete, new ones are refused as not run. */
     public static final Preset MAINTENANCE = new Preset(new PresetId("maintenance"), 0.3, 2_000, 250, 0, false);
 
     /** The presets that exist before operators declare any. */
@@ -46,9 +46,9 @@
     }
 
     /**
-     * Returns the weight of an engine's fullness when the emptiest is wanted.
+     * Returns the weight of an engine's utilization in a score whose lowest value is preferred.
      *
-     * @return 1 if requests are spread, -1 if batches are filled first
+     * @return from 1, which spreads requests, to -1, which fills batches first
      */
     public double spreadWeight() {
         return 1 - 2 * fullness;
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Route.java
@@ -6,7 +6,7 @@
 import org.banyanstair.errors.FailureException;
 
 /**
- * Says whether calls of a plain service that match a method and a path prefix may be repeated.
+ * Declares whether the calls of a plain service with a method and a path prefix are idempotent.
  *
  * @param method HTTP method in upper case
  * @param pathPrefix prefix of the path below the service, starting with a slash
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ServiceDeclaration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ServiceDeclaration.java
@@ -13,12 +13,12 @@
 /**
  * A service as operators declare it.
  *
- * @param kind what it runs on
- * @param pool endpoints that it runs on
- * @param callers callers that it answers
- * @param routes rules for calls of a plain service; a call without a matching route may not be repeated
- * @param queueLimit most requests that may wait, 1 to 100,000
- * @param callerLimit most requests of one caller that may run or wait, 1 to 100,000
+ * @param kind type of the endpoints that serve it
+ * @param pool pool of the endpoints that serve it
+ * @param callers callers that may use it
+ * @param routes idempotency rules of a plain service; a call without a matching route is non-idempotent
+ * @param queueLimit maximum waiting requests, 1 to 100,000
+ * @param callerLimit maximum running and waiting requests per caller, 1 to 100,000
  */
 public record ServiceDeclaration(
         ServiceId id,
@@ -46,9 +46,9 @@
     }
 
     /**
-     * Returns whether a call may be repeated.
+     * Returns whether a call may be retried.
      *
-     * @return the rule of the longest matching route; false if none matches
+     * @return the value of the matching route with the longest prefix; false if none matches
      */
     public boolean isRepeatable(String method, String path) {
         return routes.stream()
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ServiceKind.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ServiceKind.java
@@ -1,9 +1,9 @@
 package org.banyanstair.configuration;
 
-/** What a service runs on. */
+/** Type of the endpoints that serve a service. */
 public enum ServiceKind {
-    /** Text generation on engines, through LoRA adapters. */
+    /** Engines that generate text with LoRA adapters. */
     GENERATION,
-    /** Calls passed through to plain services. */
+    /** Plain services, to which calls are passed through. */
     PLAIN
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/package-info.java
@@ -1,2 +1,2 @@
-/** Versioned configuration: what operators declare, how changes are decided, and checkpoints. */
+/** The replicated configuration: the declarations of operators, optimistic concurrency control, and checkpoints. */
 package org.banyanstair.configuration;
--- a/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
@@ -11,11 +11,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards promise 8: hosts that begin at different checkpoints of the same log have the same configuration. */
+/** Guards against hosts that diverge because they started from different checkpoints of the same log. */
 class CheckpointConvergenceTest {
     private static final List<String> PRESETS = List.of("ordinary", "peak", "maintenance");
 
-    /** A log with repeated change ids and with base versions that no host had when the change was written. */
+    /** Creates a log with repeated change ids and with base versions that no host had when the change was appended. */
     private static List<ConfigurationChange> randomLog(Random random, int length) {
         List<ConfigurationChange> log = new ArrayList<>();
         for (int offset = 0; offset < length; offset++) {
--- a/banyanstair-core/src/test/java/org/banyanstair/configuration/ConfigurationStateMachineTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/ConfigurationStateMachineTest.java
@@ -16,7 +16,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards promise 8: an accepted configuration or preset never reverts and a race has exactly one winner. */
+/** Guards against an accepted configuration that reverts, and against concurrent changes that are both accepted. */
 class ConfigurationStateMachineTest {
     private static final List<String> PRESETS = List.of("ordinary", "peak", "maintenance");
 
@@ -24,7 +24,7 @@
         return new ConfigurationChange(id, base, "operator", List.of(new Operation.UsePreset(new PresetId(preset))));
     }
 
-    /** The log as operators wrote it: each change starts from a version that its author saw at some time. */
+    /** Creates a log in which each change is based on a version that its author may have seen. */
     private static List<ConfigurationChange> randomLog(long seed, int length) {
         Random random = new Random(seed);
         List<ConfigurationChange> log = new ArrayList<>();
