--- a/banyanstair-server/src/main/java/org/banyanstair/server/ExitCode.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/ExitCode.java
@@ -17,11 +17,7 @@
         this.value = value;
     }
 
-    /**
-     * Returns the number for the operating system.
-     *
-     * @return the exit code
-     */
+    /** Returns the number for the operating system. */
     public int value() {
         return value;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/Main.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/Main.java
@@ -23,11 +23,7 @@
 
     private Main() {}
 
-    /**
-     * Runs the daemon until it is told to stop.
-     *
-     * @param arguments the command line
-     */
+    /** Runs the daemon until it is told to stop. */
     public static void main(String[] arguments) {
         ExitCode code = run(arguments);
         // Halting skips the shutdown hook, which waits for this thread after a signal.
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
@@ -46,8 +46,6 @@
      *
      * <p>Compares with every key, each in constant time, so that the time does not tell how close a guess is.
      *
-     * @param exchange the request
-     * @return the holder
      * @throws FailureException with {@link Failure.Unauthenticated} if the key is missing or unknown
      */
     public P authenticate(Exchange exchange) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
@@ -21,12 +21,7 @@
     private static final String RETRY_AFTER_SECONDS = "1";
     private static final String MAINTENANCE_RETRY_AFTER_SECONDS = "30";
 
-    /**
-     * Returns the response to a failure, as its type determines it.
-     *
-     * @param failure the failure
-     * @return the response
-     */
+    /** Returns the response to a failure, as its type determines it. */
     public static ErrorResponse of(Failure failure) {
         return of(failure, FailureStatus.of(failure), failure.outcome());
     }
@@ -34,21 +29,14 @@
     /**
      * Returns the response to a failure.
      *
-     * @param failure the failure
      * @param status HTTP status
      * @param outcome what is known about the request
-     * @return the response
      */
     public static ErrorResponse of(Failure failure, int status, FailureOutcome outcome) {
         return create(failure, status, outcome, envelope(failure, status));
     }
 
-    /**
-     * Returns a response whose envelope also has the failure as a record in the field {@code details}.
-     *
-     * @param failure the failure
-     * @return the response
-     */
+    /** Returns a response whose envelope also has the failure as a record in the field {@code details}. */
     public static ErrorResponse withDetails(Failure failure) {
         int status = FailureStatus.of(failure);
         ObjectNode envelope = envelope(failure, status);
@@ -56,12 +44,7 @@
         return create(failure, status, failure.outcome(), envelope);
     }
 
-    /**
-     * Returns the envelope of a failure that came after the response had begun.
-     *
-     * @param failure the failure
-     * @return the envelope as JSON
-     */
+    /** Returns the envelope of a failure that came after the response had begun. */
     public static byte[] envelopeBytes(Failure failure) {
         return bytes(envelope(failure, FailureStatus.of(failure)));
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
@@ -108,7 +108,6 @@
      *
      * @param status HTTP status
      * @param contentType content type, empty for none
-     * @param body the body
      */
     public void respond(int status, Optional<String> contentType, byte[] body) {
         execute(() -> {
@@ -134,20 +133,12 @@
         }
     }
 
-    /**
-     * Sends the error envelope of a failure.
-     *
-     * @param failure the failure
-     */
+    /** Sends the error envelope of a failure. */
     public void fail(Failure failure) {
         respond(ErrorResponse.of(failure));
     }
 
-    /**
-     * Sends an error response.
-     *
-     * @param error the response
-     */
+    /** Sends an error response. */
     public void respond(ErrorResponse error) {
         execute(() -> {
             if (beginResponse(error.status())) {
@@ -158,11 +149,7 @@
         });
     }
 
-    /**
-     * Begins a response of status 200 that consists of server-sent events.
-     *
-     * @return the stream
-     */
+    /** Begins a response of status 200 that consists of server-sent events. */
     public EventStream startEventStream() {
         EventStream stream = new EventStream(this, streamBufferBytes);
         enqueue(() -> {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/FailureStatus.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/FailureStatus.java
@@ -52,7 +52,6 @@
     /**
      * Returns the status of a failure.
      *
-     * @param failure the failure
      * @return its status; 503 for causes on the side of the platform
      */
     public static int of(Failure failure) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListener.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListener.java
@@ -45,7 +45,6 @@
      * @param method HTTP method
      * @param pattern path pattern of Jooby
      * @param handler serves its requests
-     * @return this
      */
     public HttpListener route(String method, String pattern, ExchangeHandler handler) {
         application.route(
@@ -63,7 +62,6 @@
      *
      * @param pattern path pattern of Jooby
      * @param handler serves its requests
-     * @return this
      */
     public HttpListener routeAllMethods(String pattern, ExchangeHandler handler) {
         Exchange.methods().forEach(method -> route(method, pattern, handler));
@@ -74,7 +72,6 @@
      * Adds {@code /health} and {@code /ready}, which need no key.
      *
      * @param notReadyReason why the host does not serve yet, empty once it does
-     * @return this
      */
     public HttpListener addHealthRoutes(Supplier<Optional<Failure>> notReadyReason) {
         route("GET", "/health", exchange -> exchange.respondJson(200, new HealthStatus("ok")));
@@ -140,11 +137,7 @@
         }
     }
 
-    /**
-     * Returns the port.
-     *
-     * @return the bound port
-     */
+    /** Returns the port. */
     public int port() {
         return server.port();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListenerOptions.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListenerOptions.java
@@ -31,7 +31,6 @@
      *
      * @param ip address to bind
      * @param port port to bind, 0 for any free port
-     * @return the options
      */
     public static HttpListenerOptions withDefaults(String ip, int port) {
         int threads = Math.min(4, Runtime.getRuntime().availableProcessors());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/JsonBody.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/JsonBody.java
@@ -25,8 +25,6 @@
     /**
      * Parses a body.
      *
-     * @param body the body
-     * @return the object
      * @throws FailureException with {@link Failure.MalformedInput} if it is not JSON, and with
      *     {@link Failure.InvalidField} if it is not an object
      */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -41,7 +41,6 @@
     /**
      * Creates the server.
      *
-     * @param identity this host
      * @param options address and limits
      * @param callerKeys bearer keys of the callers
      * @param service serves the requests
@@ -140,11 +139,7 @@
         return drained;
     }
 
-    /**
-     * Returns the port.
-     *
-     * @return the bound port
-     */
+    /** Returns the port. */
     public int port() {
         return listener.port();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
@@ -15,11 +15,7 @@
  * @param maximumTimeout longest accepted time until a deadline; the retention of the log streams is chosen for it
  */
 public record DeadlinePolicy(Clock clock, Duration defaultTimeout, Duration maximumTimeout) {
-    /**
-     * Returns the deadline of a request that names none.
-     *
-     * @return the deadline
-     */
+    /** Returns the deadline of a request that names none. */
     Instant defaultDeadline() {
         return clock.instant().plus(defaultTimeout);
     }
@@ -28,7 +24,6 @@
      * Checks a deadline.
      *
      * @param deadline deadline that the caller named
-     * @return the deadline
      * @throws FailureException with {@link Failure.DeadlinePassed} or {@link Failure.DeadlineTooFar}
      */
     Instant check(Instant deadline) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
@@ -33,7 +33,6 @@
     /**
      * Creates the recorder.
      *
-     * @param host this host
      * @param clock tells the minute
      * @param configuration configuration in force, with the services to report and their objectives
      */
@@ -66,11 +65,7 @@
         return clock.millis() / Duration.ofMinutes(1).toMillis();
     }
 
-    /**
-     * Reports all declared services and all windows; a window includes the current minute.
-     *
-     * @return the samples
-     */
+    /** Reports all declared services and all windows; a window includes the current minute. */
     public BurnRateSnapshot snapshot() {
         Map<ServiceId, ServiceDeclaration> declared = configuration.get().services();
         services.keySet().retainAll(declared.keySet());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
@@ -12,7 +12,6 @@
     /**
      * Creates the recorder.
      *
-     * @param host this host
      * @param metrics metrics to update
      * @param burn burn samples to update
      */
@@ -31,11 +30,7 @@
         return metrics;
     }
 
-    /**
-     * Records a request.
-     *
-     * @param request the request
-     */
+    /** Records a request. */
     public void record(RequestSummary request) {
         metrics.record(request);
         burn.record(request);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -142,11 +142,7 @@
         return listener.stop(deadline);
     }
 
-    /**
-     * Returns the port.
-     *
-     * @return the bound port
-     */
+    /** Returns the port. */
     public int port() {
         return listener.port();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/OperatorService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/OperatorService.java
@@ -23,7 +23,6 @@
     /**
      * Submits a change and waits for the verdict of the log.
      *
-     * @param change the change
      * @return the verdict; refused with {@link Failure.LogUnavailable} if it certainly was not recorded, and with
      *     {@link Failure.ChangeOutcomeUnknown} if that is not known
      */
@@ -37,11 +36,7 @@
      */
     CompletableFuture<Optional<ChangeVerdict>> verdict(String changeId);
 
-    /**
-     * Asks all hosts for their state.
-     *
-     * @return the states
-     */
+    /** Asks all hosts for their state. */
     CompletableFuture<ClusterStatus> status();
 
     /**
@@ -54,7 +49,6 @@
     /**
      * Asks a host to drain and stop.
      *
-     * @param host the host
      * @return empty if the request was handed over, else why not
      */
     CompletableFuture<Optional<Failure>> drain(HostId host);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -51,7 +51,6 @@
     /**
      * Reads a settings file.
      *
-     * @param file the file
      * @return the settings, or all errors
      */
     public static TomlResult<DaemonSettings> read(Path file) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/codec/Mappers.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/codec/Mappers.java
@@ -7,12 +7,15 @@
 import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
-/** Creates the object mappers that all modules share. The mappers are safe for use by several threads. */
+/** Object mappers shared by all modules. The mappers are thread-safe. */
 public final class Mappers {
-    /** JSON with instants in RFC 3339 form; unknown properties are refused. */
+    /** JSON mapper: writes instants in RFC 3339 form and rejects unknown properties. */
     public static final ObjectMapper JSON = configure(new ObjectMapper());
 
-    /** MessagePack, used between hosts and for log records; unknown properties are ignored for rolling upgrades. */
+    /**
+     * MessagePack mapper for messages between hosts and for log records. Unknown properties are ignored, so that hosts
+     * of different releases can communicate during a rolling upgrade.
+     */
     public static final ObjectMapper MESSAGE_PACK = configure(new ObjectMapper(new MessagePackFactory()))
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/codec/SealedTypeIntrospector.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/codec/SealedTypeIntrospector.java
@@ -7,7 +7,7 @@
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 
-/** Lets Jackson find the subtypes of sealed interfaces, which version 2 does not do by itself. */
+/** Registers the permitted subclasses of sealed interfaces as Jackson subtypes, which Jackson 2 does not do itself. */
 final class SealedTypeIntrospector extends JacksonAnnotationIntrospector {
     private static final long serialVersionUID = 1L;
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
@@ -20,7 +20,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 
-/** OkHttp client with a deadline on every call and without repeats. Safe for use by several threads. */
+/** OkHttp client that applies a deadline to every call and never retries. Thread-safe. */
 final class DeadlineHttpClient {
     private static final Duration IDLE_CONNECTION_LIFETIME = Duration.ofSeconds(30);
 
@@ -29,7 +29,8 @@
     /**
      * Creates a client.
      *
-     * @param maximumCalls most calls in progress; further ones wait, and the wait counts against their deadline
+     * @param maximumCalls maximum number of concurrent calls; further calls are queued, and the time in the queue
+     *     counts against their deadline
      */
     DeadlineHttpClient(int maximumCalls) {
         Dispatcher dispatcher = new Dispatcher();
@@ -43,10 +44,10 @@
                 .addInterceptor(DeadlineHttpClient::requireTimeRemaining)
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .proxy(Proxy.NO_PROXY)
-                // A pooled connection that the server has closed would otherwise cause a silent repeat.
+                // OkHttp would otherwise retry silently if the server had closed the pooled connection.
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
-                // The deadline of the call covers these phases.
+                // These phases are covered by the deadline of the call.
                 .connectTimeout(Duration.ZERO)
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
@@ -57,7 +58,10 @@
         return call.request().tag(SendTracker.class);
     }
 
-    /** OkHttp enforces a deadline in the background, so a call that waited too long would still be sent. */
+    /**
+     * Rejects a call whose deadline passed in the queue. OkHttp enforces deadlines asynchronously and might still send
+     * it.
+     */
     private static Response requireTimeRemaining(Interceptor.Chain chain) throws IOException {
         if (chain.call().timeout().deadlineNanoTime() - System.nanoTime() <= 0) {
             throw new InterruptedIOException("the deadline passed before the call was sent");
@@ -68,8 +72,7 @@
     /**
      * Sends a request.
      *
-     * @param builder the request
-     * @param timeRemaining time until the deadline, counted from now and including the wait for a free place
+     * @param timeRemaining time until the deadline, including the time in the queue
      * @return the result; never completes exceptionally
      */
     CompletableFuture<HttpCallResult> call(Request.Builder builder, Duration timeRemaining) {
@@ -100,7 +103,7 @@
         }
     }
 
-    /** Cancels the calls in progress and releases threads and connections. */
+    /** Cancels calls in progress and releases threads and connections. */
     void stop() {
         client.dispatcher().cancelAll();
         client.dispatcher().executorService().shutdown();
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EndpointHttpClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EndpointHttpClient.java
@@ -17,12 +17,12 @@
 import okhttp3.Protocol;
 import okhttp3.Request;
 
-/** Sends HTTP calls to endpoints, each at most once, and knows which calls had a byte sent. */
+/** HTTP client for endpoints. It sends each call at most once and tracks whether any byte of a call was sent. */
 final class EndpointHttpClient {
-    /** One thread per running call; the limit is well above the 1,000 streams that a daemon serves. */
+    /** Each running call occupies a thread; this is well above the 1,000 streams that a daemon serves. */
     static final int MAX_CALLS = 8_192;
 
-    /** Enough for OkHttp and a listener; the default of 1 MiB would reserve 1 GiB for 1,000 streams. */
+    /** Sufficient for OkHttp and a listener; the JVM default of 1 MiB would reserve 1 GiB for 1,000 streams. */
     private static final long THREAD_STACK_BYTES = 128 * 1024;
 
     private static final int MAXIMUM_IDLE_CONNECTIONS = 256;
@@ -49,10 +49,10 @@
                 .followRedirects(false)
                 .followSslRedirects(false)
                 .connectTimeout(connectTimeout)
-                // The time of each call is limited as a whole, see newCall.
+                // newCall limits the total time of each call instead.
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
-                // OkHttp repeats a call that was answered with 503 and "Retry-After: 0".
+                // OkHttp retries a call that was answered with 503 and "Retry-After: 0", so that the header is removed.
                 .addNetworkInterceptor(chain -> chain.proceed(chain.request())
                         .newBuilder()
                         .removeHeader("Retry-After")
@@ -61,7 +61,10 @@
                 .build();
     }
 
-    /** Whether a byte of a call may have been sent. A call on a kept-alive connection counts as sent from its start. */
+    /**
+     * Records whether any byte of a call may have been sent. A call on a kept-alive connection counts as sent from its
+     * start.
+     */
     static final class SendState {
         private volatile boolean sent;
 
@@ -80,7 +83,7 @@
         }
     }
 
-    /** Creates a call that ends at the deadline, including the wait for its whole answer. */
+    /** Creates a call that times out at the deadline, which includes reading the whole response. */
     Call newCall(Request request, SendState sendState, Instant deadline) {
         Call call = client.newCall(request.newBuilder()
                 .tag(SendState.class, sendState)
@@ -91,7 +94,10 @@
         return call;
     }
 
-    /** Returns whether all threads are taken. A call would then wait in the dispatcher, which has no time limit. */
+    /**
+     * Returns whether the limit of concurrent calls is reached. A further call would be queued by the dispatcher
+     * without a time limit.
+     */
     boolean isFull() {
         return client.dispatcher().runningCallsCount() >= MAX_CALLS;
     }
@@ -110,7 +116,7 @@
         return millisecondsLeft(deadline) <= 0;
     }
 
-    /** A year stands for all longer waits, so that no distant instant overflows. */
+    /** Returns the time until the deadline, capped at one year so that a distant instant does not overflow. */
     private static long millisecondsLeft(Instant deadline) {
         Instant now = Instant.now();
         Instant latest = now.plus(Duration.ofDays(365));
@@ -118,11 +124,15 @@
                 .toMillis();
     }
 
-    /** Reads at most a number of bytes of an answer. */
+    /**
+     * Reads a response body of at most the given size.
+     *
+     * @throws IOException if the body is longer, or cannot be read
+     */
     static byte[] readBody(okhttp3.Response response, long limitBytes) throws IOException {
         okio.BufferedSource source = response.body().source();
         if (source.request(limitBytes + 1)) {
-            throw new IOException("the answer is longer than " + limitBytes + " bytes");
+            throw new IOException("response body exceeds " + limitBytes + " bytes");
         }
         return source.readByteArray();
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineClientTimeouts.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineClientTimeouts.java
@@ -3,18 +3,18 @@
 import java.time.Duration;
 
 /**
- * Limits on the waits of {@link HttpEngineClient}. The wait for a generation is limited by its deadline.
+ * Timeouts of {@link HttpEngineClient}. A generation is limited by its own deadline.
  *
- * @param connect longest wait for a connection
- * @param command longest wait for the answer to a load, an unload or a fence
- * @param status longest wait for a status report
- * @param token longest wait for the first token and longest pause between two tokens of a stream
+ * @param connect timeout for establishing a connection
+ * @param command timeout for the response to a load, unload or fence command
+ * @param status timeout for a status report
+ * @param token timeout for the first token and between two tokens of a stream
  */
 public record EngineClientTimeouts(Duration connect, Duration command, Duration status, Duration token) {
     /**
-     * Limits for a network of one region. The order limit is several times an undisturbed load, and a slower one goes
-     * on and is seen in the status; half of a usual deadline is left when an answer was lost. The silence limit is far
-     * above the target of 48 ms between tokens.
+     * Defaults for a network within one region. The command timeout is several times an undisturbed load; a slower load
+     * continues and becomes visible in the status, and if the response was lost, half of a usual deadline remains. The
+     * token timeout is far above the target of 48 ms between tokens.
      */
     public static final EngineClientTimeouts DEFAULT = new EngineClientTimeouts(
             Duration.ofSeconds(1), Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(3));
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineResponse.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/EngineResponse.java
@@ -7,7 +7,7 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * Status and error code of an answer of an engine.
+ * HTTP status and error code of an engine's response.
  *
  * @param status HTTP status
  * @param code code of the error envelope, empty if there is none
@@ -15,7 +15,9 @@
 record EngineResponse(int status, String code) {
     private static final long MAXIMUM_BODY_BYTES = 1 << 20;
 
-    /** Codes that the protocol defines; each of them means that the command or the request had no effect. */
+    /**
+     * Error responses defined by the engine protocol. Each of them means that the command or the request had no effect.
+     */
     private static final Set<EngineResponse> NO_EFFECT = Set.of(
             new EngineResponse(400, "invalid_field"),
             new EngineResponse(404, "adapter_not_loaded"),
@@ -37,7 +39,7 @@
         try {
             return Mappers.JSON.readTree(body).path("error").path("code").asText();
         } catch (IOException exception) {
-            // An answer without an envelope has no defined meaning.
+            // A response without an error envelope has no defined meaning.
             return "";
         }
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
@@ -14,7 +14,10 @@
 import org.banyanstair.membership.Endpoint;
 import org.tinylog.Logger;
 
-/** One running generation: reads its stream, checks the token indexes and reports exactly one end. */
+/**
+ * A running generation: reads its event stream, verifies the token indexes, and reports exactly one end to the
+ * listener.
+ */
 final class GenerationCall implements Callback {
     private static final String STREAM_END_MARKER = "[DONE]";
 
@@ -26,7 +29,7 @@
     private final Runnable onEnd;
     private volatile Call call;
 
-    /** Time of the last token or of the start; 0 before the start. */
+    /** System.nanoTime() of the last token or of the start; 0 before the start. */
     private volatile long lastTokenNanos;
 
     GenerationCall(
@@ -48,7 +51,7 @@
         started.enqueue(this);
     }
 
-    /** Cancels once; returns whether this was the first time. */
+    /** Cancels the call. Returns false if it had already been cancelled. */
     boolean cancel() {
         boolean first = cancelled.compareAndSet(false, true);
         if (first) {
@@ -57,7 +60,7 @@
         return first;
     }
 
-    /** Closes the connection if no token came for too long; returns whether it did. */
+    /** Cancels the call if no token arrived within the timeout. Returns whether it did. */
     boolean cancelIfStalled(long now, long timeoutNanos) {
         long last = lastTokenNanos;
         boolean stalled = last != 0 && now - last > timeoutNanos;
@@ -87,8 +90,8 @@
         } catch (IOException exception) {
             end = new GenerationResult.Broken(failureAfterSending());
         } catch (RuntimeException exception) {
-            // A listener that throws must not leave a stream without an end.
-            Logger.error(exception, "the listener of request {} failed", request.requestId());
+            // A listener that throws must still be notified of the end of its stream.
+            Logger.error(exception, "token listener of request {} threw an exception", request.requestId());
             end = new GenerationResult.Broken(new Failure.OutcomeUnknown());
         }
         end(end);
@@ -106,7 +109,7 @@
                 return new GenerationResult.Complete();
             }
             if (reader.id() != expected) {
-                throw new ProtocolException("token " + expected + " was expected, but " + reader.id() + " came");
+                throw new ProtocolException("expected token " + expected + ", got " + reader.id());
             }
             lastTokenNanos = nonZeroNanos();
             listener.token(expected, reader.data());
@@ -124,7 +127,10 @@
                         : new Failure.EndpointRefused(endpoint.id(), answer.status()));
     }
 
-    /** A passed deadline says nothing about the endpoint, so it is not reported as a failure of the endpoint. */
+    /**
+     * Returns the failure of a call that may have run. An expired deadline is not reported as a failure of the
+     * endpoint, because it does not indicate one.
+     */
     private Failure failureAfterSending() {
         if (cancelled.get()) {
             return new Failure.Cancelled();
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
@@ -37,10 +37,10 @@
 import org.banyanstair.model.AdapterVersion;
 
 /**
- * Engine client over HTTP with OkHttp. It sends each command and each request at most once.
+ * Engine client over HTTP, based on OkHttp. It sends each command and each request at most once.
  *
- * <p>Listeners run on threads with a stack of 128 KiB, one thread per stream. The threads end on their own when idle,
- * and {@link #stop} ends all calls.
+ * <p>Each stream occupies one thread with a stack of 128 KiB, on which its listener is called. Idle threads terminate
+ * by themselves; {@link #stop} ends all calls.
  */
 public final class HttpEngineClient implements EngineClient {
     private static final MediaType JSON = MediaType.get("application/json");
@@ -55,21 +55,17 @@
         return thread;
     });
 
-    /**
-     * Creates the client.
-     *
-     * @param timeouts limits on the waits
-     */
+    /** Creates a client with the given timeouts. */
     public HttpEngineClient(EngineClientTimeouts timeouts) {
         this.timeouts = timeouts;
         this.calls = new EndpointHttpClient("engine-call", timeouts.connect());
-        // A read timeout per stream, which okio enters into a sorted list for every token, took about twice the
-        // processor time of this scan with 1,000 streams of 32 tokens per second.
+        // One periodic scan replaces a read timeout per stream: okio enters such a timeout into a sorted list for each
+        // token, which took about twice the processor time with 1,000 streams of 32 tokens per second.
         long period = Math.max(10, Math.min(250, timeouts.token().toMillis() / 8));
         stallDetector.scheduleWithFixedDelay(this::cancelStalled, period, period, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends all calls and the threads of the client. */
+    /** Ends all calls and stops the threads of the client. */
     public void stop() {
         calls.stop();
         stallDetector.shutdownNow();
@@ -178,7 +174,10 @@
         return builder.build();
     }
 
-    /** Best effort: an engine that does not get the command cancels the stream some time after the connection ends. */
+    /**
+     * Asks the engine to cancel the request. Best effort: without the command, the engine cancels the stream some time
+     * after the connection has closed.
+     */
     private void sendCancel(Endpoint endpoint, EngineRequest request) {
         Request cancel = request(endpoint, "/v1/cancel")
                 .post(json(Map.of("request_id", request.requestId().value())))
@@ -186,7 +185,7 @@
         enqueue(cancel, new EndpointHttpClient.SendState(), timeouts.status(), new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
-                // Nothing depends on the answer.
+                // The result of the command is not needed.
             }
 
             @Override
@@ -257,7 +256,8 @@
             anyStalled |= generation.cancelIfStalled(now, timeout);
         }
         if (anyStalled) {
-            // What silenced one connection has probably silenced the idle ones as well, and each would cost a wait.
+            // A fault that stalled one connection has probably stalled the idle ones too, and reusing one would cost
+            // another timeout.
             calls.evictIdleConnections();
         }
     }
@@ -276,7 +276,7 @@
 
     private static EngineStatus parseStatus(JsonNode json) throws IOException {
         if (!json.path("incarnation").isIntegralNumber() || !json.path("loaded").isObject()) {
-            throw new IOException("the status report is malformed");
+            throw new IOException("engine status report is malformed");
         }
         Map<AdapterVersion, Integer> loaded = new HashMap<>();
         json.path("loaded")
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpHostListSource.java
@@ -14,9 +14,9 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Client of the host list over HTTP; {@code docs/protocols.md} describes the protocol.
+ * HTTP client of the host list; {@code docs/protocols.md} describes the protocol.
  *
- * <p>Safe for use by several threads. Futures complete on threads of the client, so dependent stages must not block.
+ * <p>Thread-safe. Futures complete on threads of the client, so that dependent stages must not block.
  */
 public final class HttpHostListSource implements HostListSource {
     private static final int MAXIMUM_CONCURRENT_READS = 4;
@@ -31,15 +31,15 @@
     /**
      * Creates a client.
      *
-     * @param address where the host list listens
-     * @param callTimeout time after which a read is given up
+     * @param address address of the host list
+     * @param callTimeout timeout of a read
      */
     public HttpHostListSource(NetworkAddress address, Duration callTimeout) {
         hostsUrl = HttpUrl.get("http://" + address + "/hosts");
         this.callTimeout = callTimeout;
     }
 
-    /** Cancels the reads in progress and releases threads and connections. Later reads fail. */
+    /** Cancels reads in progress and releases threads and connections. Later reads fail. */
     public void stop() {
         client.stop();
     }
@@ -67,7 +67,7 @@
             try {
                 byte[] body = ((HttpCallResult.Answered) result)
                         .body()
-                        .orElseThrow(() -> new IOException("the answer is cut off"));
+                        .orElseThrow(() -> new IOException("truncated response body"));
                 return ResponseParser.JSON.readValue(body, HostListing.class);
             } catch (IOException exception) {
                 throw unavailable(exception);
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
@@ -21,14 +21,14 @@
 import org.tinylog.Logger;
 
 /**
- * Client of the log service over HTTP; {@code docs/protocols.md} describes the protocol.
+ * HTTP client of the log service; {@code docs/protocols.md} describes the protocol.
  *
- * <p>Safe for use by several threads. Futures complete on threads of the client, so dependent stages must not block.
+ * <p>Thread-safe. Futures complete on threads of the client, so that dependent stages must not block.
  */
 public final class HttpLogService implements LogService {
     private static final int MAXIMUM_CONCURRENT_APPENDS = 32;
 
-    /** A host follows about a dozen streams with one long poll each; the rest is room for short reads. */
+    /** A host keeps one long poll open for each of about a dozen streams; the remaining slots are for short reads. */
     private static final int MAXIMUM_CONCURRENT_READS = 64;
 
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -38,26 +38,26 @@
     private final HttpUrl streamsUrl;
     private final Duration callTimeout;
     private final InstantSource clock;
-    // Long polls occupy their places for their whole wait, so appends have a client of their own.
+    // Separate client, because a long poll occupies its slot for its whole wait and would block appends.
     private final DeadlineHttpClient appends = new DeadlineHttpClient(MAXIMUM_CONCURRENT_APPENDS);
     private final DeadlineHttpClient reads = new DeadlineHttpClient(MAXIMUM_CONCURRENT_READS);
 
     /**
-     * Creates a client.
+     * Creates a client that uses the system clock.
      *
-     * @param address where the log service listens
-     * @param callTimeout time after which a call is given up; a read may also take the time that it waits for records
+     * @param address address of the log service
+     * @param callTimeout timeout of a call; the time that a read waits for records is added to it
      */
     public HttpLogService(NetworkAddress address, Duration callTimeout) {
         this(address, callTimeout, Clock.systemUTC());
     }
 
     /**
-     * Creates a client with a clock.
+     * Creates a client.
      *
-     * @param address where the log service listens
-     * @param callTimeout time after which a call is given up; a read may also take the time that it waits for records
-     * @param clock clock that the instants given to {@link #read} refer to
+     * @param address address of the log service
+     * @param callTimeout timeout of a call; the time that a read waits for records is added to it
+     * @param clock clock that the instants passed to {@link #read} refer to
      */
     public HttpLogService(NetworkAddress address, Duration callTimeout, InstantSource clock) {
         streamsUrl = HttpUrl.get("http://" + address + "/streams");
@@ -65,7 +65,7 @@
         this.clock = clock;
     }
 
-    /** Cancels the calls in progress and releases threads and connections. Later calls fail. */
+    /** Cancels calls in progress and releases threads and connections. Later calls fail. */
     public void stop() {
         appends.stop();
         reads.stop();
@@ -119,16 +119,16 @@
     private static AppendResult appendResult(String stream, HttpCallResult.Answered answer) {
         if (answer.status() == OK) {
             try {
-                byte[] body = answer.body().orElseThrow(() -> new IOException("the answer is cut off"));
+                byte[] body = answer.body().orElseThrow(() -> new IOException("truncated response body"));
                 return new AppendResult.Appended(ResponseParser.JSON
                         .readValue(body, AppendResponse.class)
                         .firstOffset());
             } catch (IOException exception) {
-                Logger.warn("append to stream {} has no usable answer: {}", stream, exception.getMessage());
+                Logger.warn("append to stream {} got an invalid response: {}", stream, exception.getMessage());
                 return new AppendResult.Unknown(new Failure.OutcomeUnknown());
             }
         }
-        Logger.debug("append to stream {} was answered with status {}", stream, answer.status());
+        Logger.debug("append to stream {} failed with status {}", stream, answer.status());
         boolean notApplied = answer.status() / 100 == 4 || answer.status() == SERVICE_UNAVAILABLE;
         return notApplied
                 ? new AppendResult.Rejected(new Failure.LogUnavailable(stream))
@@ -139,7 +139,7 @@
         try {
             if (result instanceof HttpCallResult.Answered) {
                 HttpCallResult.Answered answer = (HttpCallResult.Answered) result;
-                byte[] body = answer.body().orElseThrow(() -> new IOException("the answer is cut off"));
+                byte[] body = answer.body().orElseThrow(() -> new IOException("truncated response body"));
                 if (answer.status() == OK) {
                     return requireConsecutive(from, ResponseParser.JSON.readValue(body, ReadResult.Records.class));
                 }
@@ -149,22 +149,25 @@
             }
             Logger.debug("read of stream {} failed: {}", stream, result);
         } catch (IOException exception) {
-            Logger.warn("read of stream {} has no usable answer: {}", stream, exception.getMessage());
+            Logger.warn("read of stream {} got an invalid response: {}", stream, exception.getMessage());
         }
         return new ReadResult.Unavailable(new Failure.LogUnavailable(stream));
     }
 
-    /** Callers apply records in order of their offsets, so an answer with a gap must not reach them. */
+    /**
+     * Verifies that the offsets are consecutive. Callers apply records in offset order, so that a response with a gap
+     * must be rejected.
+     */
     private static ReadResult requireConsecutive(long from, ReadResult.Records read) throws IOException {
         long expected = from;
         for (LogRecord record : read.records()) {
             if (record.offset() != expected) {
-                throw new IOException("offset " + record.offset() + " instead of " + expected);
+                throw new IOException("expected offset " + expected + ", got " + record.offset());
             }
             expected++;
         }
         if (read.next() != expected) {
-            throw new IOException("next offset " + read.next() + " instead of " + expected);
+            throw new IOException("expected next offset " + expected + ", got " + read.next());
         }
         return read;
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
@@ -19,9 +19,9 @@
 import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.Endpoint;
 
-/** Plain service client over HTTP with OkHttp. It sends each call at most once and follows no redirects. */
+/** Plain service client over HTTP, based on OkHttp. It sends each call at most once and does not follow redirects. */
 public final class HttpPlainServiceClient implements PlainServiceClient {
-    /** Methods for which OkHttp wants a body, if only an empty one. */
+    /** Methods for which OkHttp requires a body, even if it is empty. */
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
@@ -30,17 +30,18 @@
     private final EndpointHttpClient calls;
 
     /**
-     * Creates the client.
+     * Creates a client.
      *
-     * @param connectTimeout longest wait for a connection; the wait for the answer is limited by the call's deadline
-     * @param responseLimitBytes longest body of an answer; the outcome of a call with a longer one is unknown
+     * @param connectTimeout timeout for establishing a connection; the wait for the response is limited by the deadline
+     *     of the call
+     * @param responseLimitBytes maximum length of a response body; the outcome of a call with a longer one is unknown
      */
     public HttpPlainServiceClient(Duration connectTimeout, long responseLimitBytes) {
         this.responseLimitBytes = responseLimitBytes;
         this.calls = new EndpointHttpClient("service-call", connectTimeout);
     }
 
-    /** Ends all calls and the threads of the client. */
+    /** Ends all calls and stops the threads of the client. */
     public void stop() {
         calls.stop();
     }
@@ -99,9 +100,9 @@
     }
 
     private static Request toHttp(Endpoint endpoint, ServiceCall request) {
-        // Without the slash, the path would become part of the address; OkHttp does not check the method.
+        // Without the leading slash, the path would become part of the authority; OkHttp does not check the method.
         if (!request.path().startsWith("/") || !METHOD.matcher(request.method()).matches()) {
-            throw new IllegalArgumentException("the method or the path is malformed");
+            throw new IllegalArgumentException("malformed HTTP method or path");
         }
         boolean withBody = request.body().length > 0 || METHODS_WITH_BODY.contains(request.method());
         Request.Builder builder = new Request.Builder()
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/OneShotBody.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/OneShotBody.java
@@ -7,10 +7,10 @@
 import okio.BufferedSink;
 
 /**
- * A JSON body that OkHttp may send only once.
+ * JSON request body that OkHttp may send only once.
  *
- * <p>Without this, OkHttp repeats a request by itself after an answer with status 503 and {@code Retry-After: 0}, even
- * if retries on connection failures are switched off.
+ * <p>Otherwise OkHttp retries a request that was answered with status 503 and {@code Retry-After: 0}, even if retries
+ * on connection failures are disabled.
  */
 final class OneShotBody extends RequestBody {
     private static final MediaType JSON = MediaType.get("application/json");
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/ResponseParser.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/ResponseParser.java
@@ -4,11 +4,11 @@
 import com.fasterxml.jackson.databind.ObjectReader;
 import org.banyanstair.codec.Mappers;
 
-/** Parses answers of the platform. */
+/** Parses responses of the log service and the host list. */
 final class ResponseParser {
     /**
-     * Reader for answers: unknown properties are ignored, because the platform may extend its answers. Missing ones are
-     * refused, because their default would pass for a value, such as offset 0.
+     * JSON reader for responses. Unknown properties are ignored, because later versions of the services may add some.
+     * Missing properties are rejected, because a primitive default such as offset 0 would be taken for a real value.
      */
     static final ObjectReader JSON = Mappers.JSON
             .reader()
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/SendTracker.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/SendTracker.java
@@ -4,9 +4,9 @@
 import okhttp3.EventListener;
 
 /**
- * Remembers whether a byte of a request may have been sent.
+ * Records whether any byte of a request may have been sent.
  *
- * <p>OkHttp reports the start of the headers before it writes the first byte, so a call that fails earlier has
+ * <p>OkHttp reports the start of the headers before it writes the first byte, so that a call that fails earlier has
  * certainly not reached the server.
  */
 final class SendTracker extends EventListener {
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/ServerSentEventReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/ServerSentEventReader.java
@@ -7,7 +7,7 @@
 import okio.BufferedSource;
 import okio.ByteString;
 
-/** Reads server-sent events; the text of an event is copied once, out of the buffer of the connection. */
+/** Reads server-sent events. The text of an event is copied only once, out of the connection's buffer. */
 final class ServerSentEventReader {
     private static final long MAX_LINE_BYTES = 1 << 20;
     private static final long MAX_ID = 1 << 30;
@@ -22,17 +22,22 @@
         this.source = source;
     }
 
-    /** Id of the last event, -1 if it had none. */
+    /** Returns the id of the last event, or -1 if it had none. */
     long id() {
         return id;
     }
 
-    /** Data of the last event. */
+    /** Returns the data of the last event. */
     String data() {
         return data;
     }
 
-    /** Reads the next event that has data. */
+    /**
+     * Reads the next event that has data.
+     *
+     * @throws ProtocolException if the stream is malformed
+     * @throws EOFException if the stream ended without an event
+     */
     void next() throws IOException {
         id = -1;
         data = null;
@@ -55,8 +60,8 @@
         long length = source.indexOf((byte) '\n', 0, MAX_LINE_BYTES);
         if (length < 0) {
             throw source.request(MAX_LINE_BYTES)
-                    ? new ProtocolException("a line of the event stream is too long")
-                    : new EOFException("the event stream ended early");
+                    ? new ProtocolException("event stream line is longer than 1 MiB")
+                    : new EOFException("event stream ended in the middle of an event or before its end marker");
         }
         return length;
     }
@@ -95,8 +100,8 @@
                 return parsed;
             }
         } catch (NumberFormatException exception) {
-            // Reported below like a number out of range.
+            // Reported below, like a number out of range.
         }
-        throw new ProtocolException("the id of an event is not a token index");
+        throw new ProtocolException("event id is not a valid token index");
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/package-info.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/package-info.java
@@ -1,2 +1,2 @@
-/** Clients of the systems outside over HTTP. */
+/** HTTP clients of external systems: engines, plain services, the log service and the host list. */
 package org.banyanstair.external.http;
--- a/banyanstair-transport/src/main/java/org/banyanstair/metrics/LabelledMetricName.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/LabelledMetricName.java
@@ -7,19 +7,18 @@
 import io.prometheus.client.dropwizard.samplebuilder.SampleBuilder;
 
 /**
- * Carries Prometheus labels in the names of Dropwizard metrics, which have none, as {@code name|label=value|...}.
+ * Encodes Prometheus labels in Dropwizard metric names as {@code name|label=value|...}, because Dropwizard metrics have
+ * no labels.
  *
- * <p>Label values must not contain {@code |} or {@code =}; names of services and failure codes do not.
+ * <p>Label values must not contain {@code |} or {@code =}; service names and failure codes do not.
  */
 public final class LabelledMetricName {
     private LabelledMetricName() {}
 
     /**
-     * Builds the name of a metric with labels.
+     * Returns the Dropwizard name of a labelled metric.
      *
-     * @param name the name
-     * @param labels names and values of labels by turns
-     * @return the name under which the metric is registered
+     * @param labels alternating label names and values
      */
     public static String of(String name, String... labels) {
         StringBuilder text = new StringBuilder(name);
@@ -29,7 +28,7 @@
         return text.toString();
     }
 
-    /** Returns the builder that turns the names back into samples with labels. */
+    /** Returns a sample builder that decodes such names into samples with labels. */
     static SampleBuilder sampleBuilder() {
         return (name, suffix, extraNames, extraValues, value) -> {
             String[] parts = name.split("\\|");
--- a/banyanstair-transport/src/main/java/org/banyanstair/metrics/PrometheusText.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/PrometheusText.java
@@ -10,27 +10,19 @@
 import io.prometheus.client.dropwizard.DropwizardExports;
 import io.prometheus.client.exporter.common.TextFormat;
 
-/** Writes the metrics of a registry in the Prometheus text format. */
+/** Exports the metrics of a registry in the Prometheus text format. */
 public final class PrometheusText {
-    /** Content type of the format. */
+    /** Content type of the Prometheus text format, version 0.0.4. */
     public static final String CONTENT_TYPE = TextFormat.CONTENT_TYPE_004;
 
     private final CollectorRegistry collectors = new CollectorRegistry();
 
-    /**
-     * Creates the writer.
-     *
-     * @param registry the metrics
-     */
+    /** Creates an exporter for a registry. */
     public PrometheusText(MetricRegistry registry) {
         collectors.register(new DropwizardExports(registry, LabelledMetricName.sampleBuilder()));
     }
 
-    /**
-     * Writes the current values.
-     *
-     * @return the text in UTF-8
-     */
+    /** Returns the current metric values as UTF-8 text. */
     public byte[] write() {
         StringWriter text = new StringWriter();
         try {
--- a/banyanstair-transport/src/main/java/org/banyanstair/metrics/package-info.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/metrics/package-info.java
@@ -1,2 +1,2 @@
-/** Writes metrics as text. */
+/** Export of metrics in the Prometheus text format. */
 package org.banyanstair.metrics;
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/Position.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/Position.java
@@ -1,10 +1,10 @@
 package org.banyanstair.toml;
 
 /**
- * Place in a text.
+ * Position in a text.
  *
- * @param line line, from 1
- * @param column column in characters, from 1
+ * @param line line number, starting at 1
+ * @param column column in characters, starting at 1
  */
 record Position(int line, int column) {
     static final Position START = new Position(1, 1);
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/StrictToml.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/StrictToml.java
@@ -14,20 +14,18 @@
 import com.fasterxml.jackson.dataformat.toml.TomlReadFeature;
 import org.banyanstair.errors.Failure;
 
-/** Reads TOML files and reports all errors of a file at once. Safe for use by several threads. */
+/** Parses TOML files against a typed description and reports all errors of a file at once. Thread-safe. */
 public final class StrictToml {
-    // Without this feature a date without quotation marks would be accepted where a string is expected.
+    // Without this feature, an unquoted date would be accepted where a string is expected.
     private static final ObjectMapper MAPPER =
             TomlMapper.builder().enable(TomlReadFeature.PARSE_JAVA_TIME).build();
 
     private StrictToml() {}
 
     /**
-     * Reads a file.
+     * Reads and parses a file.
      *
-     * @param file the file
-     * @param type what it must contain
-     * @param <T> type of the result
+     * @param type description of the expected content
      * @return the content, or all errors
      */
     public static <T> TomlResult<T> read(Path file, TomlType<T> type) {
@@ -40,12 +38,10 @@
     }
 
     /**
-     * Reads a text.
+     * Parses a text.
      *
-     * @param file name for error messages
-     * @param text the text
-     * @param type what it must contain
-     * @param <T> type of the result
+     * @param file file name for error messages
+     * @param type description of the expected content
      * @return the content, or all errors
      */
     public static <T> TomlResult<T> parse(String file, String text, TomlType<T> type) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlField.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlField.java
@@ -5,7 +5,7 @@
 import java.util.function.Supplier;
 
 /**
- * A key of a table that has been read.
+ * Result of reading a key of a table.
  *
  * @param <T> type of its value
  */
@@ -19,7 +19,6 @@
     /**
      * Returns the value. A table calls its builder only if all of its keys are valid.
      *
-     * @return the value
      * @throws java.util.NoSuchElementException if the value was rejected
      */
     @Override
@@ -27,11 +26,7 @@
         return value.orElseThrow();
     }
 
-    /**
-     * Passes the value on if it is valid, for checks across tables.
-     *
-     * @param consumer receives the value
-     */
+    /** Passes the value to the consumer if it is valid; used for checks across keys and tables. */
     public void ifValid(Consumer<T> consumer) {
         value.ifPresent(consumer);
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlPositionScanner.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlPositionScanner.java
@@ -8,11 +8,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
- * Finds the position of each key and element in a TOML text.
+ * Determines the source position of each key and element of a TOML text.
  *
- * <p>The parser of the TOML library reads the whole text into a tree and hands out tokens of that tree, which carry no
- * locations. This class only finds positions; the library has parsed the text before, so that it is known to be valid,
- * and all values come from the library.
+ * <p>The TOML library parses the text into a tree and returns tokens of that tree without locations. This class only
+ * computes positions: it relies on the library having validated the text, and all values come from the library.
  */
 final class TomlPositionScanner {
     private static final char END = '\0';
@@ -36,8 +35,8 @@
     }
 
     /**
-     * Finds the first key that the text gives twice; the library reports such a key at the token that follows its value.
-     * Unlike {@link #locate}, this accepts malformed text.
+     * Returns the position of the first duplicate key, because the library reports it at the token after its value.
+     * Unlike {@link #locate}, this method accepts malformed text.
      */
     static Optional<Position> duplicateKey(ObjectMapper mapper, String text) {
         TomlPositionScanner locator = new TomlPositionScanner(mapper, text);
@@ -150,7 +149,7 @@
             scanValue(node.addElement(position()));
             skipSeparators();
             if (offset == start) {
-                // Only malformed text has a character here that starts no value.
+                // Malformed text can contain a character here that starts no value; skip it to guarantee progress.
                 advance();
             }
         }
@@ -178,7 +177,7 @@
             skip(quote == '"' && peek() == '\\' ? 2 : 1);
         }
         skip(delimiter.length());
-        // A multi-line string may end with up to two quotation marks before its delimiter.
+        // A multi-line string may end with up to two quotation marks before its closing delimiter.
         while (delimiter.length() == 3 && peek() == quote) {
             advance();
         }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlResult.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlResult.java
@@ -5,22 +5,18 @@
 import org.banyanstair.errors.Failure;
 
 /**
- * Outcome of reading a TOML file.
+ * Result of parsing a TOML file.
  *
  * @param <T> type of the value that the file describes
  */
 public sealed interface TomlResult<T> {
-    /**
-     * Returns the errors.
-     *
-     * @return all errors in the order in which they stand in the file; empty for a valid file
-     */
+    /** Returns all errors in the order of the file; empty if the file is valid. */
     List<Failure> failures();
 
     /**
      * The file is valid.
      *
-     * @param value what it describes
+     * @param value the parsed value
      */
     record Valid<T>(T value) implements TomlResult<T> {
         @Override
@@ -30,9 +26,9 @@
     }
 
     /**
-     * The file cannot be used.
+     * The file is invalid.
      *
-     * @param failures all errors, in the order in which they stand in the file; at least one
+     * @param failures all errors in the order of the file; at least one
      */
     record Invalid<T>(List<Failure> failures) implements TomlResult<T> {
         /** Copies the list. */
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTable.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTable.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** A table of the file, whose keys are read one by one; a key that nobody reads is an error. */
+/** A table whose keys are read one by one. Keys that have not been read are reported as unknown. */
 public final class TomlTable {
     private final TomlValue value;
     private final Set<String> readKeys = new TreeSet<>();
@@ -19,12 +19,9 @@
     }
 
     /**
-     * Reads a key that must be present.
+     * Reads a required key.
      *
-     * @param key the key
      * @param type accepted values
-     * @param <T> type of the value
-     * @return the field
      */
     public <T> TomlField<T> required(String key, TomlType<T> type) {
         readKeys.add(key);
@@ -36,13 +33,10 @@
     }
 
     /**
-     * Reads a key that may be missing.
+     * Reads an optional key with a default.
      *
-     * @param key the key
      * @param type accepted values
-     * @param defaultValue value of a missing key
-     * @param <T> type of the value
-     * @return the field
+     * @param defaultValue value if the key is missing
      */
     public <T> TomlField<T> optional(String key, TomlType<T> type, T defaultValue) {
         readKeys.add(key);
@@ -50,12 +44,10 @@
     }
 
     /**
-     * Reads a key that may be missing and has no default.
+     * Reads an optional key without a default.
      *
-     * @param key the key
      * @param type accepted values
-     * @param <T> type of the value
-     * @return the field, with an empty value for a missing key
+     * @return the field, whose value is empty if the key is missing
      */
     public <T> TomlField<Optional<T>> optional(String key, TomlType<T> type) {
         readKeys.add(key);
@@ -64,12 +56,7 @@
     }
 
     /**
-     * Reads a table that may be missing, in which case the defaults of its keys hold.
-     *
-     * @param key the key
-     * @param type the table
-     * @param <T> type of the value
-     * @return the field
+     * Reads an optional table. If it is missing, it is read as an empty table, so that the defaults of its keys apply.
      */
     public <T> TomlField<T> optionalTable(String key, TomlType<T> type) {
         readKeys.add(key);
@@ -78,10 +65,9 @@
     }
 
     /**
-     * Reads all keys of a table whose keys are names that the operator chooses.
+     * Reads all keys of a table whose keys are names chosen by the operator.
      *
      * @param type accepted values
-     * @param <T> type of the values
      * @return valid values by key, in file order
      */
     public <T> Map<String, T> entries(TomlType<T> type) {
@@ -93,10 +79,9 @@
     }
 
     /**
-     * Records an error of a key, for checks across keys.
+     * Records an error for a key, for checks across keys.
      *
-     * @param key the key
-     * @param accepted words that complete "must be"
+     * @param accepted description of the accepted values, which completes "must be"
      */
     public void reject(String key, String accepted) {
         value.rejectMember(key, accepted);
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlType.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlType.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * Describes the values that a key accepts.
+ * Description of the values that a key accepts.
  *
  * @param <T> Java type of the value
  */
@@ -12,15 +12,14 @@
     /**
      * Reads a value.
      *
-     * @param value the value as it stands in the file
-     * @return the value, empty if it was rejected; a type that returns empty has recorded at least one error
+     * @return the value, empty if it was rejected; in that case at least one error was recorded
      */
     Optional<T> read(TomlValue value);
 
     /**
-     * Describes the accepted values for error messages about a missing key.
+     * Describes the accepted values, for the error message about a missing key.
      *
-     * @return words that complete "must be"
+     * @return a phrase that completes "must be"
      */
     default String accepted() {
         return "a value";
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlTypes.java
@@ -14,16 +14,11 @@
 import org.banyanstair.model.Names;
 import org.banyanstair.model.NetworkAddress;
 
-/** The types from which descriptions of files are put together. */
+/** Factory of the types that file descriptions are composed of. */
 public final class TomlTypes {
     private TomlTypes() {}
 
-    /**
-     * Accepts strings of a minimum length.
-     *
-     * @param minimumLength least number of characters
-     * @return the type
-     */
+    /** Accepts strings of a minimum length, in characters. */
     public static TomlType<String> string(int minimumLength) {
         return scalar(
                 "a string of at least " + minimumLength + " characters",
@@ -31,13 +26,7 @@
                 JsonNode::textValue);
     }
 
-    /**
-     * Accepts whole numbers in a range.
-     *
-     * @param minimum least accepted value
-     * @param maximum greatest accepted value
-     * @return the type
-     */
+    /** Accepts integers in a range; both bounds are inclusive. */
     public static TomlType<Long> integer(long minimum, long maximum) {
         return scalar(
                 "a whole number from " + minimum + " to " + maximum,
@@ -48,24 +37,12 @@
                 JsonNode::longValue);
     }
 
-    /**
-     * Accepts whole numbers in a range of the type {@code int}.
-     *
-     * @param minimum least accepted value
-     * @param maximum greatest accepted value
-     * @return the type
-     */
+    /** Accepts integers in a range within {@code int}; both bounds are inclusive. */
     public static TomlType<Integer> int32(int minimum, int maximum) {
         return map(integer(minimum, maximum), Math::toIntExact);
     }
 
-    /**
-     * Accepts numbers in a range, with or without a fraction.
-     *
-     * @param minimum least accepted value
-     * @param maximum greatest accepted value
-     * @return the type
-     */
+    /** Accepts integers and decimal numbers in a range; both bounds are inclusive. */
     public static TomlType<Double> decimal(double minimum, double maximum) {
         return scalar(
                 "a number from " + minimum + " to " + maximum,
@@ -73,11 +50,7 @@
                 JsonNode::doubleValue);
     }
 
-    /**
-     * Accepts {@code true} and {@code false}.
-     *
-     * @return the type
-     */
+    /** Accepts {@code true} and {@code false}. */
     public static TomlType<Boolean> bool() {
         return scalar("true or false", JsonNode::isBoolean, JsonNode::booleanValue);
     }
@@ -86,28 +59,20 @@
      * Accepts names of the form that {@link Names#check} describes.
      *
      * @param create creates the value from the name
-     * @param <T> type of the value
-     * @return the type
      */
     public static <T> TomlType<T> name(Function<String, T> create) {
         return parsed(Names.ACCEPTED_FORMAT, text -> create.apply(Names.check("name", text)));
     }
 
-    /**
-     * Accepts an IPv4 address with a port.
-     *
-     * @return the type
-     */
+    /** Accepts an IPv4 address with a port. */
     public static TomlType<NetworkAddress> address() {
         return parsed(NetworkAddress.ACCEPTED_FORMAT, NetworkAddress::parse);
     }
 
     /**
-     * Accepts a few words.
+     * Accepts one of a fixed set of words.
      *
      * @param values value by word
-     * @param <T> type of the value
-     * @return the type
      */
     public static <T> TomlType<T> oneOf(Map<String, T> values) {
         String accepted =
@@ -121,10 +86,8 @@
     /**
      * Accepts strings that a function can parse.
      *
-     * @param accepted words that complete "must be"
+     * @param accepted description of the accepted values, which completes "must be"
      * @param parse parses the string; throws {@link FailureException} for a string that is not accepted
-     * @param <T> type of the value
-     * @return the type
      */
     public static <T> TomlType<T> parsed(String accepted, Function<String, T> parse) {
         return described(accepted, value -> {
@@ -137,14 +100,7 @@
         });
     }
 
-    /**
-     * Accepts lists.
-     *
-     * @param type type of the elements
-     * @param minimumSize least number of elements
-     * @param <T> type of the elements
-     * @return the type
-     */
+    /** Accepts lists of a minimum size. */
     public static <T> TomlType<List<T>> list(TomlType<T> type, int minimumSize) {
         String accepted = "a list of at least " + minimumSize + " elements, each of them " + type.accepted();
         return described(accepted, value -> {
@@ -162,10 +118,8 @@
     /**
      * Accepts tables.
      *
-     * @param read reads the keys and returns a builder, which is called only if all keys are valid; a
-     *     {@link FailureException} of the builder is recorded as an error of the table
-     * @param <T> type of the value
-     * @return the type
+     * @param read reads the keys and returns a builder, which is called only if all keys are valid; a {@link
+     *     FailureException} of the builder is recorded as an error of the table
      */
     public static <T> TomlType<T> table(Function<TomlTable, Supplier<T>> read) {
         return described("a table", value -> {
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlValue.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlValue.java
@@ -9,7 +9,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.banyanstair.errors.Failure;
 
-/** A value of the file together with its path and position. For use by one thread. */
+/** A value with its path and source position. Not thread-safe. */
 public final class TomlValue {
     private final Errors errors;
     private final String path;
@@ -23,7 +23,7 @@
         this.location = location;
     }
 
-    /** Errors of one file. */
+    /** Collects the errors of one file. */
     static final class Errors {
         private final String file;
         private final List<Failure.InvalidSetting> failures = new ArrayList<>();
@@ -70,10 +70,9 @@
     }
 
     /**
-     * Records that this value is not accepted.
+     * Records that this value is invalid.
      *
-     * @param accepted words that complete "must be"
-     * @param <T> type of the missing result
+     * @param accepted description of the accepted values, which completes "must be"
      * @return empty
      */
     public <T> Optional<T> reject(String accepted) {
@@ -81,7 +80,7 @@
         return Optional.empty();
     }
 
-    /** Records an error of a member, at the member's position, or at the table's if there is no such member. */
+    /** Records an error for a member, at its position, or at the position of the table if the member is missing. */
     void rejectMember(String key, String accepted) {
         errors.add(location.member(key).position(), memberPath(key), accepted);
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/package-info.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/package-info.java
@@ -1,2 +1,2 @@
-/** Strict reading of TOML files against typed descriptions, with the location of every error. */
+/** Strict parsing of TOML files against typed descriptions; every error carries its position. */
 package org.banyanstair.toml;
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
@@ -40,21 +40,23 @@
 import org.tinylog.Logger;
 
 /**
- * Peer connections over TCP with Netty.
+ * Peer transport over TCP, based on Netty.
  *
- * <p>The listener hears all events of one peer in order and from one thread; events of different peers may come from
- * several threads of the group at the same time. A transport is started and stopped once.
+ * <p>The listener is notified of all events of one peer in order and from one thread; events of different peers may be
+ * reported concurrently by several threads of the group. A transport is started and stopped once.
  */
 public final class NettyPeerTransport implements PeerTransport {
-    /** Version of the protocol between hosts; hosts with another version are refused. */
+    /** Version of the protocol between hosts; connections from hosts with another version are rejected. */
     public static final int PROTOCOL_VERSION = 1;
 
     private static final int THREADS = 2;
 
-    /** All peers of a large cluster may connect at the same moment after a switch has recovered. */
+    /** Allows all peers of a large cluster to connect at the same moment, as they do after a switch recovers. */
     private static final int ACCEPT_BACKLOG = 512;
 
-    /** Above the high mark, messages wait in the bounded queue of the peer instead of in Netty's buffer. */
+    /**
+     * Above the high-water mark, messages wait in the bounded queue of the peer instead of Netty's unbounded buffer.
+     */
     private static final WriteBufferWaterMark WATER_MARKS = new WriteBufferWaterMark(64 << 10, 256 << 10);
 
     private static final int STOP_TIMEOUT_SECONDS = 5;
@@ -73,12 +75,11 @@
     private record EncodedMessage(PeerMessage message, byte[] frame) {}
 
     /**
-     * Creates a transport.
+     * Creates a transport with its own event loop threads.
      *
-     * @param settings the settings
-     * @param addresses finds the address of a peer; called on the transport's threads, must not block
-     * @param listener receives messages and events
-     * @param clock the clock for idle connections
+     * @param addresses looks up the address of a peer; called on the transport's threads, must not block
+     * @param listener receives messages and connection events
+     * @param clock clock for detecting idle connections
      */
     public NettyPeerTransport(
             PeerTransportSettings settings,
@@ -95,14 +96,12 @@
     }
 
     /**
-     * Creates a transport on threads of its user, which saves a change of thread for each message.
+     * Creates a transport on an existing event loop group, which avoids a thread switch per message.
      *
-     * @param settings the settings
-     * @param addresses finds the address of a peer; called on the transport's threads, must not block
-     * @param listener receives messages and events
-     * @param clock the clock for idle connections
-     * @param group the threads; they are not stopped with the transport, and {@link #start} must not be called on them
-     * @return the transport
+     * @param addresses looks up the address of a peer; called on the transport's threads, must not block
+     * @param listener receives messages and connection events
+     * @param clock clock for detecting idle connections
+     * @param group event loops; they are not stopped with the transport, and {@link #start} must not be called on them
      */
     public static NettyPeerTransport withEventLoopGroup(
             PeerTransportSettings settings,
@@ -129,7 +128,7 @@
     }
 
     /**
-     * Binds the peer address and accepts connections.
+     * Binds the peer address and starts to accept connections.
      *
      * @throws UncheckedIOException if the address cannot be bound
      */
@@ -176,7 +175,10 @@
         }
     }
 
-    /** Encodes a message that goes to several peers in a row only once. */
+    /**
+     * Encodes a message. The last result is cached, so that a message sent to several peers in a row is encoded only
+     * once.
+     */
     private byte[] encode(PeerMessage message) {
         EncodedMessage known = lastEncoded;
         if (known == null || known.message() != message) {
@@ -190,7 +192,7 @@
         try {
             transportEventLoop.execute(() -> listener.received(settings.identity(), message));
         } catch (RejectedExecutionException exception) {
-            Logger.debug("transport stopped; message to this host ignored");
+            Logger.debug("transport stopped; dropped a message to this host");
         }
     }
 
@@ -206,11 +208,7 @@
         Optional.ofNullable(links.get(peer)).ifPresent(link -> link.setWatched(false));
     }
 
-    /**
-     * Returns the totals since the creation of the transport.
-     *
-     * @return the totals
-     */
+    /** Returns the totals since the transport was created. */
     public TransportCounters counters() {
         return counters.snapshot();
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/PeerListener.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/PeerListener.java
@@ -4,26 +4,20 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
 
-/** Receives what happens on the connections to other hosts; called from the transport's threads, must not block. */
+/** Receives messages and connection events of peers. Called on the transport's threads, must not block. */
 public interface PeerListener {
-    /**
-     * A peer can be reached, or has a new incarnation.
-     *
-     * @param peer the peer
-     */
+    /** Called when a peer becomes reachable or has restarted with a new incarnation. */
     void connected(HostIdentity peer);
 
     /**
-     * A peer cannot be reached: its connection ended and a new one failed, or a message to it could not be sent.
-     *
-     * @param peer the peer
+     * Called when a peer is unreachable: its connection closed and reconnecting failed, or a message to it could not be
+     * sent.
      */
     void unreachable(HostId peer);
 
     /**
-     * A message came.
+     * Called when a message arrives.
      *
-     * @param sender who sent it
      * @param message the message; never a hello, ping or pong
      */
     void received(HostIdentity sender, PeerMessage message);
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/PeerTransportSettings.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/PeerTransportSettings.java
@@ -10,13 +10,13 @@
 /**
  * Settings of the connections to other entry hosts.
  *
- * @param identity this host
- * @param cluster name of the cluster; peers of other clusters are refused
- * @param bindAddress address on which peers connect
- * @param heartbeatInterval time between pings on an open connection without other messages
- * @param heartbeatTimeout a connection that receives nothing for this long is closed
- * @param connectTimeout limit for the TCP connection and then again for the peer's hello
- * @param maximumFrameBytes longest accepted frame, without its length field
+ * @param identity identity of this host
+ * @param cluster name of the cluster; connections from hosts of other clusters are rejected
+ * @param bindAddress address on which this host accepts peer connections
+ * @param heartbeatInterval interval of pings on an open connection without other messages
+ * @param heartbeatTimeout time without a received frame after which a connection is closed
+ * @param connectTimeout timeout of the TCP connection, and again of the peer's hello
+ * @param maximumFrameBytes maximum length of a frame, without its length field
  */
 public record PeerTransportSettings(
         HostIdentity identity,
@@ -26,10 +26,10 @@
         Duration heartbeatTimeout,
         Duration connectTimeout,
         int maximumFrameBytes) {
-    /** The frame limit of the protocol, 1 MiB. */
+    /** Maximum frame length that the protocol allows, 1 MiB. */
     public static final int DEFAULT_MAXIMUM_FRAME_BYTES = 1 << 20;
 
-    /** Checks the durations and the frame limit. */
+    /** Validates the durations and the frame limit. */
     public PeerTransportSettings {
         require(cluster != null && !cluster.isEmpty(), "cluster", "a name");
         require(heartbeatInterval.toMillis() > 0, "heartbeat-interval", "at least 1 ms");
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
@@ -20,9 +20,9 @@
 import org.banyanstair.transport.NettyPeerTransport;
 import org.tinylog.Logger;
 
-/** One TCP connection to a peer: handshake, heartbeats, decoding. Runs on the event loop of its channel. */
+/** TCP connection to a peer: handshake, heartbeats and decoding. Confined to the event loop of its channel. */
 public final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
-    /** Small frames are merged into writes of about this size, to save system calls. */
+    /** Queued frames are merged into writes of about this size, to save system calls. */
     private static final int WRITE_BATCH_BYTES = 64 << 10;
 
     private final TransportContext transport;
@@ -41,10 +41,10 @@
     private long lastWriteNanos = System.nanoTime();
 
     /**
-     * Creates the handler of a connection.
+     * Creates the channel handler of a connection.
      *
-     * @param transport what all connections share
-     * @param outboundPeer the peer that this host connects to, empty for an accepted connection
+     * @param transport shared state of the transport
+     * @param outboundPeer peer that this host connects to, empty for an accepted connection
      */
     public Connection(TransportContext transport, Optional<PeerLink> outboundPeer) {
         this.transport = transport;
@@ -66,7 +66,8 @@
                 transport.settings().cluster()));
         long timeout = transport.settings().connectTimeout().toMillis();
         long interval = transport.settings().heartbeatInterval().toMillis();
-        handshakeTimer = context.executor().schedule(() -> reject("no hello in time"), timeout, TimeUnit.MILLISECONDS);
+        handshakeTimer = context.executor()
+                .schedule(() -> reject("no hello within the connect timeout"), timeout, TimeUnit.MILLISECONDS);
         heartbeatTimer =
                 context.executor().scheduleWithFixedDelay(this::heartbeat, interval, interval, TimeUnit.MILLISECONDS);
     }
@@ -88,7 +89,8 @@
         } else if (peer == null) {
             reject("message before hello");
         } else if (message instanceof PeerMessage.Ping ping) {
-            // A peer that does not read must not make the write buffer grow without bound.
+            // No pong while the write buffer is full, so that a peer that does not read cannot make it grow without
+            // bound.
             if (isWritable()) {
                 write(new PeerMessage.Pong(ping.sequence()));
             }
@@ -102,9 +104,9 @@
         if (sender == null || sender.host() == null || peer != null) {
             reject("incomplete or repeated hello");
         } else if (hello.protocolVersion() != NettyPeerTransport.PROTOCOL_VERSION) {
-            reject("protocol version " + hello.protocolVersion());
+            reject("unsupported protocol version " + hello.protocolVersion());
         } else if (!transport.settings().cluster().equals(hello.cluster())) {
-            reject("another cluster");
+            reject("peer belongs to another cluster");
         } else if (sender.host().equals(transport.settings().identity().host())
                 || outboundPeer
                         .filter(expected -> !expected.host().equals(sender.host()))
@@ -140,7 +142,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent && !closing) {
             Logger.warn(
-                    "connection to {} closed: nothing received for {}",
+                    "connection to {} closed: no frame received for {}",
                     peerName(),
                     transport.settings().heartbeatTimeout());
             timedOut = true;
@@ -172,7 +174,7 @@
         if (link == null || closing) {
             return;
         }
-        // Only the host that opened a connection closes it when it is idle: the other one may watch it.
+        // Only the host that opened an idle connection closes it, because the other one may be watching the peer.
         if (outboundPeer.isPresent() && link.isIdle(this)) {
             close();
         } else if (isWritable() && !hasWrittenRecently()) {
@@ -180,7 +182,9 @@
         }
     }
 
-    /** Returns whether the peer hears from this host often enough without a ping: half an interval before the next. */
+    /**
+     * Returns whether a frame was written within half a heartbeat interval, so that a ping can wait for the next one.
+     */
     private boolean hasWrittenRecently() {
         return System.nanoTime() - lastWriteNanos
                 < transport.settings().heartbeatInterval().toNanos() / 2;
@@ -214,7 +218,7 @@
         channel.writeAndFlush(frames, channel.voidPromise());
     }
 
-    /** Writes queued frames until the queue is empty or the write buffer is full. Runs on the peer's event loop. */
+    /** Writes queued frames until the queue is empty or the write buffer is full. Called on the peer's event loop. */
     void writeFrom(OutboundQueue queue) {
         while (!queue.isEmpty() && isWritable()) {
             ByteBuf batch = channel.alloc().ioBuffer();
@@ -238,12 +242,12 @@
         lastUsed = transport.clock().instant();
     }
 
-    /** Returns whether a message went over this connection within the given time. */
+    /** Returns whether a message was sent or received within the given time. */
     boolean isUsedWithin(Duration time) {
         return lastUsed.plus(time).isAfter(transport.clock().instant());
     }
 
-    /** Returns whether the connection ended sooner after the handshake than one heartbeat interval. */
+    /** Returns whether less than one heartbeat interval has passed since the handshake. */
     boolean isShortLived() {
         return System.nanoTime() - handshakeCompletedNanos
                 < transport.settings().heartbeatInterval().toNanos();
@@ -257,7 +261,7 @@
         return peer;
     }
 
-    /** Closes the connection; what it still receives is ignored. May be called from any thread. */
+    /** Closes the connection; frames received afterwards are ignored. May be called from any thread. */
     void close() {
         closing = true;
         if (channel != null) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/CounterSet.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/CounterSet.java
@@ -4,7 +4,7 @@
 
 import org.banyanstair.transport.TransportCounters;
 
-/** The running totals behind {@link TransportCounters}. Safe for use by several threads. */
+/** Thread-safe counters behind {@link TransportCounters}. */
 public final class CounterSet {
     private final LongAdder framesIn = new LongAdder();
     private final LongAdder framesOut = new LongAdder();
@@ -16,11 +16,7 @@
     private final LongAdder connectionsClosed = new LongAdder();
     private final LongAdder droppedMessages = new LongAdder();
 
-    /**
-     * Reads all totals.
-     *
-     * @return the totals; not a consistent cut while frames are in flight
-     */
+    /** Returns the current totals, which are not an atomic snapshot while frames are in flight. */
     public TransportCounters snapshot() {
         return new TransportCounters(
                 framesIn.sum(),
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/FrameCodec.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/FrameCodec.java
@@ -12,9 +12,9 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** Converts messages to frame bodies and back. */
+/** Encodes messages as frame bodies and decodes them. */
 public final class FrameCodec {
-    /** Size of the big-endian length field before each frame body. */
+    /** Length of the big-endian length field before each frame body. */
     public static final int LENGTH_BYTES = 4;
 
     private static final ObjectWriter WRITER = Mappers.MESSAGE_PACK.writerFor(PeerMessage.class);
@@ -25,7 +25,6 @@
     /**
      * Encodes a message.
      *
-     * @param message the message
      * @return the frame body without its length field
      */
     public static byte[] encode(PeerMessage message) {
@@ -50,7 +49,10 @@
         }
     }
 
-    /** Checks all lengths first, because the Jackson parser allocates what a length field claims before it reads. */
+    /**
+     * Returns whether all lengths in the body are consistent. This is checked first, because the Jackson parser
+     * allocates the size that a length field claims before it reads the data.
+     */
     private static boolean isWellFormed(byte[] body) throws IOException {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
             unpacker.skipValue();
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/OutboundQueue.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/OutboundQueue.java
@@ -5,19 +5,21 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Bounded queue of encoded messages to one peer: many threads add, the peer's event loop removes. */
+/** Bounded queue of encoded messages to one peer. Several threads add; only the peer's event loop removes. */
 final class OutboundQueue {
-    /** More than the requests of the whole cluster in a second of its peak, 3,200; a peer further behind has failed. */
+    /**
+     * More than the whole cluster's requests in a peak second, 3,200; a peer that is further behind counts as failed.
+     */
     static final int MAXIMUM_MESSAGES = 4_096;
 
-    /** Bounds the memory for long messages, but admits the whole configuration of 96,000 adapters in parts. */
+    /** Bounds the memory of long messages, but admits a whole configuration of 96,000 adapters in parts. */
     static final long MAXIMUM_BYTES = 32L << 20;
 
     private final Queue<byte[]> frames = new ConcurrentLinkedQueue<>();
     private final AtomicInteger size = new AtomicInteger();
     private final AtomicLong bytes = new AtomicLong();
 
-    /** Adds a frame, or returns false if the queue is full. */
+    /** Adds a frame. Returns false if the queue is full. */
     boolean offer(byte[] frame) {
         long newBytes = bytes.addAndGet(frame.length);
         if (size.incrementAndGet() > MAXIMUM_MESSAGES || newBytes > MAXIMUM_BYTES) {
@@ -29,7 +31,7 @@
         return true;
     }
 
-    /** Removes the oldest frame, or returns null if there is none. */
+    /** Removes and returns the oldest frame, or returns null if the queue is empty. */
     byte[] poll() {
         byte[] frame = frames.poll();
         if (frame != null) {
@@ -43,7 +45,7 @@
         return frames.isEmpty();
     }
 
-    /** Removes all frames and returns their number. */
+    /** Removes all frames and returns how many there were. */
     int clear() {
         int removed = 0;
         while (poll() != null) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
@@ -15,15 +15,18 @@
 import org.tinylog.Logger;
 
 /**
- * State of one peer: its connections and the messages that wait for one.
+ * State of one peer: its connections and its queue of outbound messages.
  *
- * <p>Everything but {@link #send} and {@link #run} happens on one event loop, so the listener hears the events of one
- * peer in order and from one thread.
+ * <p>Everything except {@link #send} and {@link #run} is confined to one event loop, so that the listener is notified
+ * of the events of one peer in order and from one thread.
  */
 public final class PeerLink {
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
-    /** An end within this time of the last message is a fault; later, the peer probably closed an idle connection. */
+    /**
+     * A connection that closes within this time of its last message was lost; later, the peer probably closed it as
+     * idle.
+     */
     private static final Duration RECENT_USE = IDLE_TIMEOUT.dividedBy(2);
 
     private final TransportContext transport;
@@ -49,8 +52,7 @@
     /**
      * Creates the state of a peer.
      *
-     * @param transport what all connections share
-     * @param host the peer
+     * @param transport shared state of the transport
      * @param eventLoop event loop that serves the peer
      */
     public PeerLink(TransportContext transport, HostId host, EventLoop eventLoop) {
@@ -60,7 +62,7 @@
     }
 
     /**
-     * Queues an encoded message. Safe for use by several threads, never blocks.
+     * Queues an encoded message. Thread-safe, does not block.
      *
      * @param frame the frame body
      */
@@ -78,11 +80,7 @@
         }
     }
 
-    /**
-     * Keeps a connection open, or no longer.
-     *
-     * @param watch whether to keep it
-     */
+    /** Sets whether a connection to the peer is kept open. */
     public void setWatched(boolean watch) {
         run(() -> {
             watched = watch;
@@ -90,14 +88,14 @@
         });
     }
 
-    /** Connects to a watched peer that has no connection; called every heartbeat interval. */
+    /** Connects to a watched peer that has no connection. Called every heartbeat interval. */
     public void reconnectIfWatched() {
         if (watched) {
             run(this::connectIfNeeded);
         }
     }
 
-    /** Ends all connections without notice to the listener. */
+    /** Closes all connections without notifying the listener. */
     public void stop() {
         run(() -> {
             stopped = true;
@@ -122,7 +120,7 @@
         try {
             eventLoop.execute(task);
         } catch (RejectedExecutionException exception) {
-            Logger.debug("transport stopped; event of {} ignored", host);
+            Logger.debug("transport stopped; dropped an event of {}", host);
         }
     }
 
@@ -132,7 +130,7 @@
                 connectIfNeeded();
             }
         } else {
-            // The newest connection is the least likely to have gone silent.
+            // The newest connection is the least likely to be stalled.
             established.peekLast().writeFrom(queue);
         }
     }
@@ -159,7 +157,7 @@
         try {
             return transport.addresses().apply(host);
         } catch (RuntimeException exception) {
-            Logger.error(exception, "cannot find the address of {}", host);
+            Logger.error(exception, "address lookup of {} failed", host);
             return Optional.empty();
         }
     }
@@ -214,7 +212,7 @@
     private void reconnect(Connection lost) {
         consecutiveShortLived = lost.isShortLived() ? consecutiveShortLived + 1 : 0;
         if (consecutiveShortLived > 1) {
-            // The peer accepts connections but closes them at once; connecting again immediately would not end.
+            // The peer accepts connections but closes them at once; immediate reconnects would never end.
             reportUnreachable();
         } else if (lost.hasTimedOut() || watched || !queue.isEmpty() || lost.isUsedWithin(RECENT_USE)) {
             connectIfNeeded();
@@ -223,7 +221,7 @@
 
     private void handleOverflow() {
         overflowScheduled.set(false);
-        Logger.warn("connection to {} dropped: its queue is full or a message is too long", host);
+        Logger.warn("connections to {} closed: outbound queue is full or a message exceeds the frame limit", host);
         closeAll();
         reachability = Reachability.UNKNOWN;
         reportUnreachable();
@@ -250,11 +248,11 @@
         try {
             call.run();
         } catch (RuntimeException exception) {
-            Logger.error(exception, "listener failed on an event of {}", host);
+            Logger.error(exception, "listener threw an exception on an event of {}", host);
         }
     }
 
-    /** Returns whether a connection is neither watched nor used. */
+    /** Returns whether a connection is neither watched nor recently used. */
     boolean isIdle(Connection connection) {
         return !watched && queue.isEmpty() && !connection.isUsedWithin(IDLE_TIMEOUT);
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
@@ -12,15 +12,14 @@
 import org.banyanstair.transport.PeerTransportSettings;
 
 /**
- * What all connections of a transport share.
+ * State shared by all connections of a transport.
  *
- * @param settings the settings
- * @param addresses finds the address of a peer; must not block
- * @param listener receives messages and events
- * @param clock the clock for idle connections
+ * @param addresses looks up the address of a peer; must not block
+ * @param listener receives messages and connection events
+ * @param clock clock for detecting idle connections
  * @param counters totals
  * @param connector opens connections
- * @param peerLinks finds the state of a peer, and creates it on the given event loop if there is none
+ * @param peerLinks returns the state of a peer, and creates it on the given event loop if there is none
  */
 public record TransportContext(
         PeerTransportSettings settings,
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/package-info.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/package-info.java
@@ -1,2 +1,2 @@
-/** Connections, framing and per-peer state of the Netty transport; may change without notice. */
+/** Connections, framing and per-peer state of the Netty transport. Internal; may change without notice. */
 package org.banyanstair.transport.internal;
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/package-info.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/package-info.java
@@ -1,2 +1,2 @@
-/** Connections between entry hosts: length-prefixed TCP frames with MessagePack, heartbeats and reconnection. */
+/** Connections between entry hosts: length-prefixed MessagePack frames over TCP, heartbeats and reconnection. */
 package org.banyanstair.transport;
