Give local names of ownership and routing the usual terms

late, first, known, wanted and elsewhere are claimPending, ranksFirst, knownTerm, expected and hasOtherEndpoint.

--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -116,11 +116,11 @@
             return;
         }
         Instant since = unownedSince.computeIfAbsent(pool, id -> now);
-        boolean late = now.isBefore(nextClaimAt.getOrDefault(pool, Instant.MIN));
-        boolean first = RendezvousHash.first(pool.value(), membership.availableHosts())
+        boolean claimPending = now.isBefore(nextClaimAt.getOrDefault(pool, Instant.MIN));
+        boolean ranksFirst = RendezvousHash.first(pool.value(), membership.availableHosts())
                 .filter(membership.self().host()::equals)
                 .isPresent();
-        if (first && !late && isClaimDue(pool, since, now) && !isIsolated()) {
+        if (ranksFirst && !claimPending && isClaimDue(pool, since, now) && !isIsolated()) {
             nextClaimAt.put(pool, now.plus(settings.retryInterval().multipliedBy(2)));
             effects.add(new Effect.AppendToLog(
                     sequence.next(),
@@ -161,31 +161,32 @@
     }
 
     private void updateWatches(Effects effects) {
-        Set<HostId> wanted = new HashSet<>();
+        Set<HostId> peersToWatch = new HashSet<>();
         HostId self = membership.self().host();
-        List<HostId> live = membership.listing().liveHosts();
-        List<HostId> others = live.stream().filter(host -> !host.equals(self)).toList();
+        List<HostId> liveHosts = membership.listing().liveHosts();
+        List<HostId> others =
+                liveHosts.stream().filter(host -> !host.equals(self)).toList();
         RendezvousHash.rank("watched by " + self, others).stream()
                 .limit(WATCHED_PEERS)
-                .forEach(wanted::add);
+                .forEach(peersToWatch::add);
         for (PoolId pool : enginePools()) {
             state.owner(pool)
                     .map(ownership -> ownership.owner().host())
-                    .filter(owner -> !owner.equals(self) && isSuccessor(pool, owner, live))
-                    .ifPresent(wanted::add);
+                    .filter(owner -> !owner.equals(self) && isSuccessor(pool, owner, liveHosts))
+                    .ifPresent(peersToWatch::add);
         }
-        wanted.stream()
+        peersToWatch.stream()
                 .filter(host -> !watchedPeers.contains(host))
                 .forEach(host -> effects.add(new Effect.WatchPeer(host)));
         watchedPeers.stream()
-                .filter(host -> !wanted.contains(host))
+                .filter(host -> !peersToWatch.contains(host))
                 .forEach(host -> effects.add(new Effect.UnwatchPeer(host)));
-        watchedPeers = wanted;
+        watchedPeers = peersToWatch;
     }
 
-    private boolean isSuccessor(PoolId pool, HostId owner, List<HostId> live) {
+    private boolean isSuccessor(PoolId pool, HostId owner, List<HostId> liveHosts) {
         List<HostId> successors =
-                live.stream().filter(host -> !host.equals(owner)).toList();
+                liveHosts.stream().filter(host -> !host.equals(owner)).toList();
         return RendezvousHash.rank(pool.value(), successors).stream()
                 .limit(WATCHING_SUCCESSORS)
                 .anyMatch(membership.self().host()::equals);
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
@@ -47,8 +47,8 @@
     }
 
     private boolean setOwner(PoolId pool, Ownership ownership) {
-        Ownership present = owners.get(pool);
-        if (present != null && present.term() >= ownership.term()) {
+        Ownership current = owners.get(pool);
+        if (current != null && current.term() >= ownership.term()) {
             return false;
         }
         owners.put(pool, ownership);
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
@@ -34,11 +34,11 @@
      * @return all hosts, best first
      */
     public static List<HostId> rank(String name, Collection<HostId> hosts) {
-        List<WeightedHost> weighed = new ArrayList<>(hosts.size());
-        hosts.forEach(host -> weighed.add(weigh(name, host)));
-        weighed.sort(Comparator.naturalOrder());
-        List<HostId> ranked = new ArrayList<>(weighed.size());
-        weighed.forEach(each -> ranked.add(each.host));
+        List<WeightedHost> weighted = new ArrayList<>(hosts.size());
+        hosts.forEach(host -> weighted.add(weigh(name, host)));
+        weighted.sort(Comparator.naturalOrder());
+        List<HostId> ranked = new ArrayList<>(weighted.size());
+        weighted.forEach(entry -> ranked.add(entry.host));
         return Collections.unmodifiableList(ranked);
     }
 
@@ -48,12 +48,12 @@
      * @return the host that ranks first, empty if there are none
      */
     public static Optional<HostId> first(String name, Collection<HostId> hosts) {
-        WeightedHost first = null;
+        WeightedHost highest = null;
         for (HostId host : hosts) {
             WeightedHost next = weigh(name, host);
-            first = first == null || next.compareTo(first) < 0 ? next : first;
+            highest = highest == null || next.compareTo(highest) < 0 ? next : highest;
         }
-        return Optional.ofNullable(first).map(WeightedHost::host);
+        return Optional.ofNullable(highest).map(WeightedHost::host);
     }
 
     private static WeightedHost weigh(String name, HostId host) {
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -107,11 +107,11 @@
     private void requestPermit(TrackedRequest tracked, Instant now, Effects effects) {
         tracked.nextPermitRequestAt = now.plus(settings.retryInterval());
         if (!logReachable.getAsBoolean()) {
-            Optional<Endpoint> known = placements
+            Optional<Endpoint> lastKnown = placements
                     .findWithoutOwner(tracked.pool(), tracked.request.adapter())
                     .filter(endpoint -> !tracked.tried.contains(endpoint.id()));
-            if (known.isPresent()) {
-                startAttempt(tracked, known.get(), 0, effects);
+            if (lastKnown.isPresent()) {
+                startAttempt(tracked, lastKnown.get(), 0, effects);
                 return;
             }
         }
@@ -139,11 +139,11 @@
     /** Takes a grant of a pool owner. */
     public void permitGranted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
         TrackedRequest tracked = requests.get(grant.request());
-        boolean wanted = tracked != null && tracked.attempt == grant.attempt();
-        if (wanted && tracked.runningOn.filter(grant.endpoint()::equals).isPresent()) {
+        boolean expected = tracked != null && tracked.attempt == grant.attempt();
+        if (expected && tracked.runningOn.filter(grant.endpoint()::equals).isPresent()) {
             return;
         }
-        if (!wanted) {
+        if (!expected) {
             effects.send(
                     sender,
                     new PeerMessage.PermitRelease(
@@ -165,19 +165,19 @@
     }
 
     private boolean isStale(PeerMessage.PermitGrant grant) {
-        long known = owners.owner(grant.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
-        GrantFence barrier = grantFences.get(grant.pool());
-        return grant.term() < known || barrier != null && barrier.rejects(grant);
+        long knownTerm = owners.owner(grant.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
+        GrantFence fence = grantFences.get(grant.pool());
+        return grant.term() < knownTerm || fence != null && fence.rejects(grant);
     }
 
     /** Takes a refusal of a pool owner. */
     public void permitRefused(PeerMessage.PermitRefusal refusal, Effects effects) {
         TrackedRequest tracked = requests.get(refusal.request());
-        long known = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
+        long knownTerm = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
         boolean current = tracked != null
                 && tracked.attempt == refusal.attempt()
                 && tracked.runningOn.isEmpty()
-                && refusal.term() >= known;
+                && refusal.term() >= knownTerm;
         if (current) {
             requests.remove(refusal.request());
             fail(tracked, refusal.failure(), effects);
@@ -261,9 +261,9 @@
 
     /** Answers an owner's question for the permits that this host holds. */
     public void inventoryRequested(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
-        GrantFence barrier = grantFences.get(request.pool());
-        long known = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
-        if (request.term() < known || barrier != null && request.term() < barrier.term()) {
+        GrantFence fence = grantFences.get(request.pool());
+        long knownTerm = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
+        if (request.term() < knownTerm || fence != null && request.term() < fence.term()) {
             return;
         }
         grantFences.merge(request.pool(), new GrantFence(request.term(), request.sequence()), GrantFence::max);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
@@ -91,11 +91,11 @@
         }
         ended.tried().add(ended.endpoint().id());
         CallAnswer failed = failedAnswer(result);
-        boolean late = !now.isBefore(ended.request().call().deadline());
-        boolean elsewhere = picker.pick(
+        boolean deadlinePassed = !now.isBefore(ended.request().call().deadline());
+        boolean hasOtherEndpoint = picker.pick(
                         ended.request().pool(), ended.request().call().requestId(), ended.tried())
                 .isPresent();
-        if (late || !elsewhere || !retryBudget.tryAcquire(retryShare, now)) {
+        if (deadlinePassed || !hasOtherEndpoint || !retryBudget.tryAcquire(retryShare, now)) {
             answer(ended.request(), failed, effects);
         } else {
             dispatch(ended.request(), ended.tried(), now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
@@ -51,11 +51,11 @@
 
     /** Finds an engine for the adapter if the pool's owner has certainly ended. */
     Optional<Endpoint> findWithoutOwner(PoolId pool, AdapterVersion adapter) {
-        boolean ended = owners.owner(pool)
+        boolean ownerTerminated = owners.owner(pool)
                 .map(Ownership::owner)
                 .filter(membership::isTerminated)
                 .isPresent();
-        if (!ended) {
+        if (!ownerTerminated) {
             return Optional.empty();
         }
         return Optional.ofNullable(placements.get(adapter))
