Reword comments of membership, ownership, peer, routing

They spoke of news, readings of a list, runs of a daemon and hosts that are gone.

Ran: a comparison of the code without comments with the commit before: no difference.

--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Endpoint.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Endpoint.java
@@ -6,16 +6,11 @@
 import org.banyanstair.model.PoolId;
 
 /**
- * An endpoint as the host list shows it.
+ * An endpoint in the host list.
  *
- * @param kind engine or plain service
- * @param presence live or leaving
- * @param dataCentre where it is
- * @param pool pool that it belongs to
- * @param address where it listens
- * @param slots adapter slots of an engine, 0 for a plain service
- * @param batchLimit most requests that it runs at a time
- * @param checksFencing whether it refuses orders with an old fencing number
+ * @param slots number of adapter slots of an engine, 0 for a plain service
+ * @param batchLimit maximum number of concurrent requests
+ * @param checksFencing whether it rejects commands with an old fencing token
  */
 public record Endpoint(
         EndpointId id,
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/EndpointKind.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/EndpointKind.java
@@ -1,8 +1,8 @@
 package org.banyanstair.membership;
 
-/** What an endpoint runs. */
+/** Kind of an endpoint. */
 public enum EndpointKind {
-    /** A model engine. */
+    /** An engine that serves generations with LoRA adapters. */
     ENGINE,
     /** A plain service. */
     SERVICE
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/EntryHost.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/EntryHost.java
@@ -5,13 +5,11 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * An entry host as the host list shows it.
+ * An entry host in the host list.
  *
- * @param presence live or leaving
- * @param dataCentre where it is
- * @param peerAddress where other entry hosts connect
- * @param callerAddress where callers connect
- * @param operatorAddress where operators connect
+ * @param peerAddress address for other entry hosts
+ * @param callerAddress address for callers
+ * @param operatorAddress address for operators
  */
 public record EntryHost(
         HostId id,
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
@@ -4,13 +4,12 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Where an entry host is reached.
+ * Addresses and capacity that an entry host announces.
  *
- * @param incarnation number that grows with each start of its daemon
+ * @param incarnation number that increases with each start of the host's daemon
  * @param callers address for callers
- * @param peers address for other hosts
- * @param dataCentre where it stands
- * @param cores processor time that it has, in cores; less if its network cannot carry what these could do
+ * @param peers address for other entry hosts
+ * @param cores processor capacity in cores; lower if the network of the host limits it to less
  */
 public record HostAnnouncement(
         HostId host, long incarnation, NetworkAddress callers, NetworkAddress peers, String dataCentre, double cores) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/HostListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/HostListing.java
@@ -8,14 +8,14 @@
 import org.banyanstair.model.PoolId;
 
 /**
- * One reading of the platform's host list.
+ * Snapshot of the platform's host list.
  *
- * @param version number that grows with each change of the list
- * @param hosts entry hosts, live and leaving
- * @param endpoints endpoints, live and leaving
+ * @param version number that increases with each change of the list
+ * @param hosts live and leaving entry hosts
+ * @param endpoints live and leaving endpoints
  */
 public record HostListing(long version, List<EntryHost> hosts, List<Endpoint> endpoints) {
-    /** A list without entries. */
+    /** Snapshot without entries. */
     public static final HostListing EMPTY = new HostListing(0, List.of(), List.of());
 
     /** Copies the lists. */
@@ -24,40 +24,24 @@
         endpoints = List.copyOf(endpoints);
     }
 
-    /**
-     * Finds an entry host.
-     *
-     * @return the entry, empty if the list does not show it
-     */
+    /** Returns the entry of a host, or empty if it is not listed. */
     public Optional<EntryHost> host(HostId id) {
         return hosts.stream().filter(host -> host.id().equals(id)).findFirst();
     }
 
-    /**
-     * Finds an endpoint.
-     *
-     * @return the entry, empty if the list does not show it
-     */
+    /** Returns the entry of an endpoint, or empty if it is not listed. */
     public Optional<Endpoint> endpoint(EndpointId id) {
         return endpoints.stream().filter(endpoint -> endpoint.id().equals(id)).findFirst();
     }
 
-    /**
-     * Returns the endpoints of a pool.
-     *
-     * @return its endpoints, live and leaving
-     */
+    /** Returns the live and leaving endpoints of a pool. */
     public List<Endpoint> endpointsOf(PoolId pool) {
         return endpoints.stream()
                 .filter(endpoint -> endpoint.pool().equals(pool))
                 .toList();
     }
 
-    /**
-     * Returns the hosts that take work.
-     *
-     * @return ids of the live entry hosts
-     */
+    /** Returns the ids of the live entry hosts. */
     public List<HostId> liveHosts() {
         return hosts.stream()
                 .filter(host -> host.presence() == Presence.LIVE)
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -12,10 +12,10 @@
 import org.banyanstair.model.HostIdentity;
 
 /**
- * What one host knows about the other entry hosts: the host list, and who can be reached.
+ * State of the entry hosts as known to one host: the host list, and which peers are reachable.
  *
- * <p>Reachability only steers choices, such as who should own a pool. That a host is gone for good is believed only
- * from the host list or from a newer incarnation. Not safe for use by several threads.
+ * <p>Reachability is only a hint, for example for the choice of a pool owner. A daemon counts as terminated only if the
+ * host list no longer shows its host or a newer incarnation was seen. Not thread-safe.
  */
 public final class Membership {
     private final HostIdentity self;
@@ -27,18 +27,18 @@
     private final Map<HostId, Long> latestIncarnations = new HashMap<>();
     private final Set<HostIdentity> leavingHosts = new HashSet<>();
 
-    /** Creates the state of a host that has read no list yet. */
+    /** Creates the state of a host that has not read the host list yet. */
     public Membership(HostIdentity self) {
         this.self = self;
         latestIncarnations.put(self.host(), self.incarnation());
     }
 
-    /** Returns this host. */
+    /** Returns the identity of this host. */
     public HostIdentity self() {
         return self;
     }
 
-    /** Takes a new reading of the host list. */
+    /** Replaces the snapshot of the host list. */
     public void updateListing(HostListing newListing) {
         if (!newListing.equals(listing)) {
             listing = newListing;
@@ -48,81 +48,59 @@
     }
 
     /**
-     * Returns how often a reading differed from the one before. Decisions that depend on the list alone hold until this
-     * number changes.
-     *
-     * @return the number, 0 before the first reading
+     * Returns the number of changes of the host list, 0 before the first snapshot. Results that depend only on the host
+     * list stay valid until this number changes.
      */
     public long listingChangeCount() {
         return listingChangeCount;
     }
 
-    /**
-     * Returns the last reading of the host list.
-     *
-     * @return the list, empty before the first reading
-     */
+    /** Returns the latest snapshot of the host list, {@link HostListing#EMPTY} before the first one. */
     public HostListing listing() {
         return listing;
     }
 
-    /**
-     * Tells whether the host list was read.
-     *
-     * @return false before the first reading
-     */
+    /** Whether the host list was read at least once. */
     public boolean hasListing() {
         return listingRead;
     }
 
-    /** Notes that a peer can be reached. */
+    /** Records that a peer is reachable. */
     public void markReachable(HostIdentity peer) {
         unreachableSince.remove(peer.host());
         latestIncarnations.merge(peer.host(), peer.incarnation(), Math::max);
     }
 
     /**
-     * Notes that a peer cannot be reached.
+     * Records that a peer is unreachable.
      *
-     * @param at when that was found
+     * @param at when this was detected
      */
     public void markUnreachable(HostId peer, Instant at) {
         unreachableSince.putIfAbsent(peer, at);
     }
 
-    /** Notes that a peer leaves. */
+    /** Records that a peer is leaving. */
     public void markLeaving(HostIdentity peer) {
         leavingHosts.add(peer);
     }
 
-    /** Notes that this host leaves. */
+    /** Records that this host is draining. */
     public void startDraining() {
         draining = true;
     }
 
-    /**
-     * Tells whether this host leaves.
-     *
-     * @return true once {@link #startDraining} was called
-     */
+    /** Whether this host is draining. */
     public boolean isDraining() {
         return draining;
     }
 
-    /**
-     * Tells whether a peer is known as unreachable.
-     *
-     * @return true from a failed connection to the next success
-     */
+    /** Whether a connection to the peer failed and none has succeeded since. */
     public boolean isUnreachable(HostId peer) {
         return unreachableSince.containsKey(peer);
     }
 
-    /**
-     * Tells whether a run of a daemon has certainly ended.
-     *
-     * @return true if the host list does not show its host, or a newer incarnation was seen
-     */
+    /** Whether this incarnation has certainly ended: its host is not listed, or a newer incarnation was seen. */
     public boolean isTerminated(HostIdentity identity) {
         if (!listingRead) {
             return false;
@@ -130,39 +108,23 @@
         return isSuperseded(identity) || listing.host(identity.host()).isEmpty();
     }
 
-    /**
-     * Tells whether a newer run of a host's daemon was seen.
-     *
-     * @return true if a higher incarnation of the host is known
-     */
+    /** Whether a newer incarnation of the host was seen. */
     public boolean isSuperseded(HostIdentity identity) {
         return latestIncarnations.getOrDefault(identity.host(), Long.MIN_VALUE) > identity.incarnation();
     }
 
-    /**
-     * Returns the newest run of a host's daemon that was seen.
-     *
-     * @return its identity, empty if no connection to the host was ever open
-     */
+    /** Returns the newest incarnation of a host that was seen, or empty if the host was never connected. */
     public Optional<HostIdentity> latestIncarnation(HostId host) {
         return Optional.ofNullable(latestIncarnations.get(host))
                 .map(incarnation -> new HostIdentity(host, incarnation));
     }
 
-    /**
-     * Lists the hosts that should take work: live in the host list, reachable, and not leaving.
-     *
-     * @return their ids, with this one unless it is draining
-     */
+    /** Returns the hosts that may be assigned work, including this one unless it is draining. */
     public List<HostId> availableHosts() {
         return listing.liveHosts().stream().filter(this::isAvailable).toList();
     }
 
-    /**
-     * Tells whether a host should take work.
-     *
-     * @return whether it is live in the host list, reachable, and not leaving
-     */
+    /** Whether a host may be assigned work: it is live in the host list, reachable, and not leaving. */
     public boolean isAvailable(HostId host) {
         if (host.equals(self.host())) {
             return !draining;
@@ -179,7 +141,7 @@
                 .isPresent();
     }
 
-    /** Lists the other hosts that the host list shows, live or leaving. */
+    /** Returns all live and leaving hosts in the host list except this one. */
     public List<HostId> otherHosts() {
         return listing.hosts().stream()
                 .map(EntryHost::id)
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Presence.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Presence.java
@@ -2,8 +2,8 @@
 
 /** State of an entry in the host list. */
 public enum Presence {
-    /** Takes work. */
+    /** Accepts work. */
     LIVE,
-    /** Takes no new work and will go. */
+    /** Accepts no new work and will be removed. */
     LEAVING
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/membership/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/package-info.java
@@ -1,2 +1,2 @@
-/** Live and leaving hosts and endpoints, as the platform's host list and the connections between hosts show them. */
+/** Membership of hosts and endpoints, from the platform's host list and the connections between hosts. */
 package org.banyanstair.membership;
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/Ownership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/Ownership.java
@@ -3,9 +3,8 @@
 import org.banyanstair.model.HostIdentity;
 
 /**
- * Who decides for a pool.
+ * Owner of a pool: the host that schedules its requests and loads.
  *
- * @param owner the host
- * @param term offset of its claim; also the fencing number of its orders
+ * @param term log offset of the owner's claim; also the fencing token of its commands
  */
 public record Ownership(HostIdentity owner, long term) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -22,16 +22,16 @@
 import org.banyanstair.reducer.Sequence;
 
 /**
- * Decides when this host claims a pool: when the pool's owner is gone, leaving or unreachable and this host ranks first
- * among the others.
+ * Claims pools for this host: a pool is claimed when it has no owner, or its owner is terminated, leaving or
+ * unreachable, and this host ranks first among the available hosts. Also renews claims and watches other owners.
  *
- * <p>Two hosts may claim at the same moment; the later claim in the log wins. Not safe for use by several threads.
+ * <p>Two hosts may claim a pool concurrently; the later claim in the log wins. Not thread-safe.
  */
 public final class OwnershipCoordinator {
-    /** Hosts that keep a connection to the owner of a pool: the first two that would succeed it. */
+    /** Number of highest-ranked successors that watch the owner of a pool. */
     private static final int WATCHING_SUCCESSORS = 2;
 
-    /** Peers that every host watches, so that it can tell a failed owner from being cut off itself. */
+    /** Peers that every host watches, so that it can tell a failed owner from its own isolation. */
     private static final int WATCHED_PEERS = 2;
 
     private static final int RENEWALS_PER_RETENTION = 3;
@@ -49,48 +49,44 @@
     private boolean logUnavailable;
     private Instant nextRenewalAt = Instant.MIN;
 
-    /** Creates a coordinator that knows no claim. */
+    /** Creates a coordinator that knows no claims. */
     public OwnershipCoordinator(Membership membership, ReducerSettings settings, Sequence sequence) {
         this.membership = membership;
         this.settings = settings;
         this.sequence = sequence;
     }
 
-    /** Returns the fold of the stream. */
+    /** Returns the state read from the ownership stream. */
     public OwnershipState state() {
         return state;
     }
 
-    /** Begins to read the stream. */
+    /** Starts reading the ownership stream. */
     public void start(Effects effects) {
         effects.add(new Effect.FollowStream(LogStreams.OWNERSHIP, 0));
     }
 
-    /** Takes the news that the stream was read to its end. */
+    /** Records that the ownership stream was read to its end. */
     public void markCaughtUp() {
         caughtUp = true;
         if (logUnavailable) {
-            // A renewal may have been due during the outage, and the claims may have expired in it.
+            // Renewals may have been missed during the outage, and claims may have expired.
             logUnavailable = false;
             nextRenewalAt = Instant.MIN;
         }
     }
 
-    /** Takes the news that the stream cannot be read. */
+    /** Records that the ownership stream cannot be read. */
     public void markLogUnavailable() {
         logUnavailable = true;
     }
 
-    /**
-     * Tells whether the stream was read to its end once.
-     *
-     * @return whether claims are known
-     */
+    /** Whether the ownership stream was read to its end at least once. */
     public boolean isCaughtUp() {
         return caughtUp;
     }
 
-    /** Lists the pools of engines that the host list shows. */
+    /** Returns the pools of the engines in the host list. */
     public Set<PoolId> enginePools() {
         Set<PoolId> pools = new LinkedHashSet<>();
         membership.listing().endpoints().stream()
@@ -100,7 +96,7 @@
         return pools;
     }
 
-    /** Claims, renews and watches, when due. */
+    /** Appends claims and renewals that are due, and updates the watched peers. */
     public void tick(Instant now, Effects effects) {
         if (!caughtUp || !membership.hasListing()) {
             return;
@@ -129,7 +125,7 @@
         }
     }
 
-    /** An owner that is gone or leaving is replaced at once, an unreachable one after a limit. */
+    /** A terminated or leaving owner is replaced at once, an unreachable one only after a time limit. */
     private boolean isClaimDue(PoolId pool, Instant since, Instant now) {
         Optional<Ownership> ownership = state.owner(pool);
         boolean onlyUnreachable = ownership
@@ -146,12 +142,12 @@
                 .isPresent();
     }
 
-    /** A host that reaches none of the peers that it watches is probably cut off itself and must not claim. */
+    /** Whether all watched peers are unreachable, so that this host is probably isolated and must not claim pools. */
     private boolean isIsolated() {
         return !watchedPeers.isEmpty() && watchedPeers.stream().allMatch(membership::isUnreachable);
     }
 
-    /** Ranking all hosts for each pool at each tick would take more than a core with a few hundred hosts. */
+    /** Ranks the hosts only after a change: with a few hundred hosts, ranking on each tick takes more than a core. */
     private void updateWatchesIfChanged(Effects effects) {
         if (watchedListingChange != membership.listingChangeCount() || !watchedOwners.equals(state.owners())) {
             watchedListingChange = membership.listingChangeCount();
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipState.java
@@ -12,10 +12,8 @@
 import org.banyanstair.model.PoolId;
 
 /**
- * Folds the stream {@code ownership}: the highest claim owns a pool, and announced unloads stay pending until their
- * end.
- *
- * <p>Not safe for use by several threads.
+ * Pool owners and pending unloads, as read from the {@code ownership} log stream. The owner of a pool is the host
+ * whose claim has the highest term; an announced unload is pending until its end is recorded. Not thread-safe.
  */
 public final class OwnershipState {
     private final Map<PoolId, Ownership> owners = new HashMap<>();
@@ -23,9 +21,9 @@
     private long nextOffset;
 
     /**
-     * Applies one record.
+     * Applies a record; records already applied are ignored.
      *
-     * @return true if an owner changed
+     * @return whether an owner changed
      */
     public boolean apply(long offset, OwnershipRecord record) {
         if (offset < nextOffset) {
@@ -76,42 +74,30 @@
     }
 
     /**
-     * Learns an owner from a peer, for a host that cannot read the stream.
+     * Applies an owner received from a peer, for a host that cannot read the stream.
      *
-     * @return true if the owner was not known or has a higher term than the known one
+     * @return whether the owner changed
      */
     public boolean updateFromPeer(PoolId pool, Ownership ownership) {
         return setOwner(pool, ownership);
     }
 
-    /**
-     * Finds the owner of a pool.
-     *
-     * @return owner and term, empty if there is no claim
-     */
+    /** Returns the owner of a pool, or empty if there is no claim. */
     public Optional<Ownership> owner(PoolId pool) {
         return Optional.ofNullable(owners.get(pool));
     }
 
-    /**
-     * Returns all owners.
-     *
-     * @return unmodifiable view
-     */
+    /** Returns an unmodifiable view of all owners. */
     public Map<PoolId, Ownership> owners() {
         return Collections.unmodifiableMap(owners);
     }
 
-    /**
-     * Lists the unloads of a pool that were announced and whose end was not seen.
-     *
-     * @return copy of the list
-     */
+    /** Returns a copy of the announced unloads of a pool whose end was not recorded. */
     public List<PendingUnload> pendingUnloads(PoolId pool) {
         return new ArrayList<>(pendingUnloads.getOrDefault(pool, Collections.emptySet()));
     }
 
-    /** Returns the offset of the next record to apply. */
+    /** Returns the log offset of the next record to apply. */
     public long nextOffset() {
         return nextOffset;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/PendingUnload.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/PendingUnload.java
@@ -5,10 +5,9 @@
 import org.banyanstair.model.HostIdentity;
 
 /**
- * An announced unload whose end was not seen.
+ * An announced unload whose end was not recorded.
  *
- * @param announcer host that announced it
+ * @param announcer owner that announced the unload
  * @param incarnation incarnation of the engine
- * @param adapter what was to be unloaded
  */
 public record PendingUnload(HostIdentity announcer, EndpointId endpoint, long incarnation, AdapterVersion adapter) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/RendezvousHash.java
@@ -12,14 +12,14 @@
 import org.banyanstair.model.HostId;
 
 /**
- * Highest random weight hashing (Thaler and Ravishankar, 1998): ranks hosts for a name.
+ * Rendezvous (highest random weight) hashing (Thaler and Ravishankar, 1998): ranks hosts for a name.
  *
- * <p>When a host goes, only the names that it ranked first for move, and they spread evenly over the others.
+ * <p>When a host is removed, only the names for which it ranked first move, spread evenly over the other hosts.
  */
 public final class RendezvousHash {
     private RendezvousHash() {}
 
-    /** A host with its weight, which costs more to work out than to compare. */
+    /** A host with its weight, which is cached because computing it costs more than comparing it. */
     private record WeightedHost(HostId host, long weight) implements Comparable<WeightedHost> {
         @Override
         public int compareTo(WeightedHost other) {
@@ -28,11 +28,7 @@
         }
     }
 
-    /**
-     * Ranks hosts for a name.
-     *
-     * @return all hosts, best first
-     */
+    /** Returns all hosts, highest weight for the name first. */
     public static List<HostId> rank(String name, Collection<HostId> hosts) {
         List<WeightedHost> weighted = new ArrayList<>(hosts.size());
         hosts.forEach(host -> weighted.add(weigh(name, host)));
@@ -42,11 +38,7 @@
         return Collections.unmodifiableList(ranked);
     }
 
-    /**
-     * Finds the first host for a name.
-     *
-     * @return the host that ranks first, empty if there are none
-     */
+    /** Returns the host with the highest weight for the name, or empty if there are no hosts. */
     public static Optional<HostId> first(String name, Collection<HostId> hosts) {
         WeightedHost highest = null;
         for (HostId host : hosts) {
--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/package-info.java
@@ -1,2 +1,2 @@
-/** Which host decides for a pool: rendezvous hashing proposes, claims in the log decide. */
+/** Pool ownership: rendezvous hashing selects the candidate, and claims in the log elect the owner. */
 package org.banyanstair.ownership;
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/AttemptOutcome.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/AttemptOutcome.java
@@ -3,13 +3,13 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.errors.Failure;
 
-/** How an attempt at an endpoint ended, as told to the pool owner. */
+/** Outcome of an attempt on an endpoint, as reported to the pool owner. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "outcome")
 public sealed interface AttemptOutcome {
-    /** The whole answer came. */
+    /** The response was received completely. */
     record Completed() implements AttemptOutcome {}
 
-    /** The caller gave up or the deadline passed; the attempt was cancelled at the endpoint. */
+    /** The caller disconnected or the deadline passed; the attempt was cancelled on the endpoint. */
     record Cancelled() implements AttemptOutcome {}
 
     /** The endpoint did not start the request. */
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointReport.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointReport.java
@@ -8,17 +8,15 @@
 import org.banyanstair.model.PoolId;
 
 /**
- * State of one endpoint as its pool owner sees it.
+ * State of one endpoint as known to its pool owner.
  *
- * @param pool its pool
- * @param presence live or leaving
- * @param owner host that decides for the pool
- * @param term term of the owner
- * @param reachable whether its last status could be read
- * @param slots adapter slots
- * @param loaded engine names of the loaded adapters
- * @param running permits in use
- * @param batchLimit most requests that run at a time
+ * @param owner host that owns the pool
+ * @param term ownership term of the owner
+ * @param reachable false after repeated failures to read its status
+ * @param slots number of adapter slots
+ * @param loaded names of the loaded adapters on the engine
+ * @param running number of permits in use
+ * @param batchLimit maximum number of concurrent requests
  */
 public record EndpointReport(
         EndpointId endpoint,
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUsage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/EndpointUsage.java
@@ -7,13 +7,13 @@
 import org.banyanstair.model.EndpointId;
 
 /**
- * What the requests of one host use at one endpoint.
+ * Resources of an endpoint used by the requests of one host.
  *
- * @param running requests that were sent and have not ended
- * @param waitingTokens prompt tokens of those without a first output
- * @param cacheTokens tokens of memory that all of them need
- * @param adapters adapters of those requests, one entry a request
- * @param newPrefixes hashes of prompt prefixes that were sent there since the last message
+ * @param running number of requests that were sent and have not ended
+ * @param waitingTokens prompt tokens of the requests without output so far
+ * @param cacheTokens cache memory required by all of these requests, in tokens
+ * @param adapters adapter of each of these requests
+ * @param newPrefixes hashes of the prompt prefixes sent to the endpoint since the last report
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record EndpointUsage(
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldAdapter.java
@@ -4,11 +4,9 @@
 import org.banyanstair.model.AdapterName;
 
 /**
- * An adapter of a runner, as the host that commands the runner knows it.
+ * An adapter on a runner, as known to the host that controls the runner.
  *
- * @param name the adapter
- * @param version its version
- * @param readyInMilliseconds time until it can be used, 0 if it can
+ * @param readyInMilliseconds expected time until the adapter can be used, 0 if it is ready
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record HeldAdapter(AdapterName name, long version, long readyInMilliseconds) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HeldPermit.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldPermit.java
@@ -6,11 +6,10 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * A permit that an entry host holds, as reported to a new pool owner.
+ * A permit held by an entry host, as reported to the pool owner.
  *
- * @param attempt number of the attempt, from 1
- * @param endpoint endpoint that it runs on
- * @param adapter adapter that it uses
+ * @param attempt number of the attempt, starting at 1
+ * @param endpoint endpoint on which the attempt runs
  */
 public record HeldPermit(
         RequestId request, int attempt, EndpointId endpoint, AdapterVersion adapter, Fingerprint fingerprint) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HostStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HostStatus.java
@@ -8,15 +8,12 @@
 import org.banyanstair.model.PresetId;
 
 /**
- * State of one entry host as operators see it.
+ * Status of an entry host, as shown to operators.
  *
- * @param identity the host
- * @param ready whether it serves
- * @param draining whether it is leaving
- * @param configurationVersion version in force on it
- * @param preset preset in force on it
- * @param ownedPools pools that it decides for
- * @param running caller requests in flight on it
+ * @param ready whether it serves requests
+ * @param configurationVersion configuration version in force
+ * @param preset preset in force
+ * @param running number of caller requests in flight
  * @param logReachable whether its last read of the log succeeded
  * @param startedAt when the daemon started
  */
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/NewsOrder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/NewsOrder.java
@@ -5,11 +5,11 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 
 /**
- * Tells which of two messages on the same runner is the newer one, since they may overtake each other on their ways.
+ * Total order of the messages about a runner, which may be delivered out of order.
  *
- * @param fence number of the sender's claim on the runner
- * @param incarnation number of the sender's run
- * @param sequence number that grows with each message of that run on the runner
+ * @param fence fencing token of the sender's claim on the runner
+ * @param incarnation incarnation of the sender
+ * @param sequence number that increases with each message of this incarnation about the runner
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record NewsOrder(long fence, long incarnation, long sequence) implements Comparable<NewsOrder> {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerBroadcast.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerBroadcast.java
@@ -5,11 +5,11 @@
 import org.banyanstair.model.HostIdentity;
 
 /**
- * Messages of one host for all others, as relays pass them on.
+ * Messages of one host to all other hosts, forwarded by relays.
  *
- * @param origin the host that they are from
- * @param sequence number that grows with each news of a run of that host
- * @param messages the messages, in order
+ * @param origin host that sent the messages
+ * @param sequence number that increases with each broadcast of this incarnation of the host
+ * @param messages messages in sending order
  */
 public record PeerBroadcast(HostIdentity origin, long sequence, List<PeerMessage> messages) {
     /** Copies the list. */
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -34,24 +34,21 @@
     /** First message on each connection, in both directions. */
     record Hello(int protocolVersion, HostIdentity sender, String cluster) implements PeerMessage {}
 
-    /** Asks for a {@link Pong}; sent every second on each open connection on which nothing else was sent lately. */
+    /** Heartbeat, answered by a {@link Pong}; sent every second on an idle connection. */
     record Ping(long sequence) implements PeerMessage {}
 
     /** Answers a {@link Ping}. */
     record Pong(long sequence) implements PeerMessage {}
 
     /**
-     * Asks the pool owner for permission to run a request on an endpoint.
+     * Asks the pool owner for a permit to run a request on an endpoint.
      *
-     * @param attempt number of the attempt, from 1
-     * @param adapter adapter to run on
-     * @param caller the caller
-     * @param callerLimit most requests of the caller that may run or wait
-     * @param queueLimit most requests that may wait for the service
-     * @param priority priority class
-     * @param deadline instant after which nobody waits for the answer
-     * @param prefix hash of the first part of the prompt, for affinity to cached prefixes
-     * @param tried endpoints that failed this request
+     * @param attempt number of the attempt, starting at 1
+     * @param callerLimit maximum number of running and waiting requests of the caller
+     * @param queueLimit maximum number of requests that may wait, as declared for the service
+     * @param deadline instant after which the response is no longer needed
+     * @param prefix hash of the first part of the prompt, for prefix cache affinity
+     * @param tried endpoints on which earlier attempts of this request failed
      */
     record PermitRequest(
             RequestId request,
@@ -69,10 +66,10 @@
             implements PeerMessage {}
 
     /**
-     * Permits one attempt on an endpoint.
+     * Grants a permit for one attempt on an endpoint.
      *
-     * @param sequence number that grows with each grant and inventory of the owner
-     * @param loadStallMilliseconds time that the request waited because no engine had its adapter, 0 if one had it
+     * @param sequence number that increases with each grant and inventory request of the owner
+     * @param loadStallMilliseconds time that the request waited for an adapter load, 0 if an engine had the adapter
      */
     record PermitGrant(
             RequestId request,
@@ -84,19 +81,19 @@
             long loadStallMilliseconds)
             implements PeerMessage {}
 
-    /** Refuses an attempt; it did not run. */
+    /** Refuses a permit; the attempt did not run. */
     record PermitRefusal(RequestId request, int attempt, PoolId pool, long term, Failure failure)
             implements PeerMessage {}
 
     /** Tells the sender of a {@link PermitRequest} that this host does not own the pool. */
     record NotOwner(RequestId request, int attempt, PoolId pool, long knownTerm) implements PeerMessage {}
 
-    /** Gives a permit back, or withdraws a request that still waits. */
+    /** Releases a permit, or withdraws a waiting permit request. */
     record PermitRelease(RequestId request, int attempt, PoolId pool, AttemptOutcome outcome) implements PeerMessage {}
 
     /**
-     * The owner asks for the permits held in its pool. From then on the receiver refuses grants of older terms and
-     * grants with a lower sequence, so that a late grant cannot escape the inventory.
+     * Asks for the permits that the receiver holds in the sender's pool. From then on the receiver rejects grants of
+     * older terms and grants with a lower sequence number, so that the inventory does not miss a delayed grant.
      */
     record InventoryRequest(PoolId pool, long term, long sequence) implements PeerMessage {}
 
@@ -104,15 +101,13 @@
     record InventoryReply(PoolId pool, long term, long sequence, List<HeldPermit> permits) implements PeerMessage {}
 
     /**
-     * Submits a call that may not be repeated to the writer of its partition.
+     * Submits a call with an idempotency key to the writer of its partition.
      *
-     * @param attempt the attempt
      * @param key scope and idempotency key
      * @param bodyDigest digest of method, path and body
      * @param pool pool of the plain service
-     * @param call the call
      * @param voided earlier attempts of the same request that must never run
-     * @param writer the only run of a daemon that may take the attempt; empty if the submitter knows none yet
+     * @param writer the only incarnation of a host that may accept the attempt; empty if the sender knows none yet
      */
     record CallSubmit(
             AttemptId attempt,
@@ -127,35 +122,35 @@
     /**
      * Answers a {@link CallSubmit}.
      *
-     * @param voidsRecorded whether the log shows that none of the voided attempts can run
+     * @param voidsRecorded whether the log records that none of the voided attempts can run
      */
     record CallOutcome(AttemptId attempt, CallAnswer answer, boolean voidsRecorded) implements PeerMessage {}
 
-    /** Asks for the configuration, if the receiver has applied more than the sender. */
+    /** Asks for the configuration if the receiver has applied more log records than the sender. */
     record ConfigurationRequest(long nextOffset) implements PeerMessage {}
 
-    /** One part of the configuration that the sender has, and the pool owners that it knows. */
+    /** Answers a {@link ConfigurationRequest} with one part of the configuration and the known pool owners. */
     record ConfigurationReply(CheckpointPart part, Map<PoolId, Ownership> owners) implements PeerMessage {}
 
-    /** Asks for the state of the receiver. */
+    /** Asks for the status of the receiver. */
     record StatusRequest(long query) implements PeerMessage {}
 
-    /** Answers a {@link StatusRequest}; the endpoints are those of the pools that the sender owns. */
+    /** Answers a {@link StatusRequest}; lists the endpoints of the pools that the sender owns. */
     record StatusReply(long query, HostStatus status, List<EndpointReport> endpoints) implements PeerMessage {}
 
     /** Asks the receiver to drain and stop. */
     record DrainRequest() implements PeerMessage {}
 
-    /** The sender leaves; its pools and partitions need new owners. */
+    /** Announces that the sender is leaving, so that its pools and partitions need new owners. */
     record HostLeaving(HostIdentity host) implements PeerMessage {}
 
     /**
-     * Tells that the sender lives, where it is, and how far it has read the platform's topics.
+     * Heartbeat of the sender with its addresses and its read offsets in the platform's topics.
      *
-     * @param leaving whether it stops soon and takes no new callers
-     * @param reachesLog whether its last read of the log was answered
-     * @param configurationOffset end of what it has read of the configuration
-     * @param endpointsOffset end of what it has read of the endpoints' entries
+     * @param leaving whether the sender stops soon and accepts no new callers
+     * @param reachesLog whether its last read of the log succeeded
+     * @param configurationOffset next offset to read in the configuration topic
+     * @param endpointsOffset next offset to read in the endpoints topic
      */
     record HostState(
             HostAnnouncement announcement,
@@ -166,36 +161,35 @@
             implements PeerMessage {}
 
     /**
-     * News of several hosts, on their way through relays.
+     * Broadcasts of several hosts, forwarded by relays.
      *
-     * @param news the news
-     * @param passOn whether the receiver is to pass them on to its group
+     * @param passOn whether the receiver has to forward them to its group
      */
     record Bundle(List<PeerBroadcast> news, boolean passOn) implements PeerMessage {}
 
     /**
-     * A message for one host, on its way through relays.
+     * A message to one host, forwarded by relays.
      *
-     * @param origin where it is from
-     * @param target where it goes
-     * @param hops relays that it may still pass
+     * @param origin sender of the message
+     * @param target receiver of the message
+     * @param hops remaining number of connections that the message may cross
      */
     record Routed(HostIdentity origin, HostId target, int hops, PeerMessage message) implements PeerMessage {}
 
     /**
-     * What the sender's requests use.
+     * Reports which resources of endpoints the sender's requests use.
      *
-     * @param complete whether endpoints that are not listed are unused; else they are as in the last message
+     * @param complete whether endpoints that are not listed are unused; otherwise their usage is unchanged
      */
     record UseReport(List<EndpointUsage> uses, boolean complete) implements PeerMessage {}
 
     /**
-     * The adapters of a runner that the sender commands.
+     * Reports the adapters of a runner that the sender controls.
      *
-     * @param started start of the runner's process, as in its entry
-     * @param order place of the message among all on the runner; older ones are ignored
-     * @param baseModels base models that it holds
-     * @param waitingLoads adapters that are wanted there and not yet on their way
+     * @param started start time of the runner's process, as in its topic entry
+     * @param order position among all messages about the runner; older messages are ignored
+     * @param baseModels base models on the runner
+     * @param waitingLoads requested adapters whose load has not started
      */
     record HeldRunner(
             EndpointId endpoint,
@@ -207,29 +201,29 @@
             implements PeerMessage {}
 
     /**
-     * Asks the host that commands a runner to load an adapter there.
+     * Asks the host that controls a runner to load an adapter.
      *
-     * @param dueInMilliseconds time in which its first request has to start to be on time
-     * @param remainingMilliseconds time in which it is of use
+     * @param dueInMilliseconds time until the first request for the adapter has to start to meet its target
+     * @param remainingMilliseconds time after which the load is no longer needed
      */
     record AdapterWanted(EndpointId endpoint, AdapterName adapter, long dueInMilliseconds, long remainingMilliseconds)
             implements PeerMessage {}
 
     /**
-     * Asks for the records of a topic from an offset on.
+     * Asks for the records of a topic starting at an offset.
      *
-     * @param askedAtMilliseconds when it was sent, on the sender's own clock
+     * @param askedAtMilliseconds when the request was sent, by the sender's clock
      */
     record RecordsRequest(Topic topic, long offset, long askedAtMilliseconds) implements PeerMessage {}
 
     /**
-     * Records of a topic, as an answer to a {@link RecordsRequest} or as news.
+     * Records of a topic, either an answer to a {@link RecordsRequest} or an unsolicited update.
      *
-     * @param offset the records are all that the topic has from here on
-     * @param askedAtMilliseconds the time in the request; empty if this is news
-     * @param outageAgeMilliseconds time since the log was back at the end of an outage after which entries may still be
-     *     missing; 0 while it lasts; empty if there was none lately
-     * @param ageMilliseconds time since the start of the last read of the topic by the sender
+     * @param offset offset from which the records are complete
+     * @param outageAgeMilliseconds time since the end of the last log outage while entries may still be missing because of
+     *     it; 0 during the outage, otherwise empty
+     * @param askedAtMilliseconds time in the request; empty for an unsolicited update
+     * @param ageMilliseconds time since the sender started its last read of the topic
      */
     record RecordsReply(
             Topic topic,
@@ -241,6 +235,6 @@
             long ageMilliseconds)
             implements PeerMessage {}
 
-    /** A request has crashed an endpoint. */
+    /** Reports that a request crashed an endpoint. */
     record CrashReport(long fingerprint, EndpointId endpoint, long started) implements PeerMessage {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/RelayedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/RelayedRecord.java
@@ -1,11 +1,9 @@
 package org.banyanstair.peer;
 
 /**
- * A record of a topic that is passed on to a host that cannot read it.
+ * A topic record relayed to a host that cannot read the topic.
  *
- * @param key its key
- * @param value its value; empty if the key was removed
- * @param removed whether the key was removed
- * @param offset its offset
+ * @param value value of the key; empty if the key was removed
+ * @param offset offset in the topic
  */
 public record RelayedRecord(String key, byte[] value, boolean removed, long offset) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/package-info.java
@@ -1,2 +1,2 @@
-/** Messages between entry hosts. Each may be lost, late or repeated; each is safe to repeat. */
+/** Messages between entry hosts. A message may be lost, delayed or duplicated; all are idempotent. */
 package org.banyanstair.peer;
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/EndpointPicker.java
@@ -15,27 +15,21 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * Picks an endpoint of a plain service: of two chosen by the request's hash, the one with fewer own calls in flight
- * (power of two choices, Mitzenmacher 2001).
- *
- * <p>Not safe for use by several threads.
+ * Picks an endpoint of a plain service: of two endpoints selected by the hash of the request, the one with fewer calls
+ * in flight from this host (power of two choices, Mitzenmacher 2001). Not thread-safe.
  */
 public final class EndpointPicker {
     private final Membership membership;
     private final Map<Long, EndpointId> endpointsByDispatch = new HashMap<>();
 
-    /** Creates a picker without calls in flight. */
     public EndpointPicker(Membership membership) {
         this.membership = membership;
     }
 
     /**
-     * Picks a live endpoint.
+     * Picks a live endpoint that has not been tried, or empty if there is none.
      *
-     * @param pool pool of the service
-     * @param request the request, whose hash chooses the two candidates
-     * @param tried endpoints that are not to be picked
-     * @return the endpoint, empty if there is none
+     * @param request request whose hash selects the two candidates
      */
     public Optional<Endpoint> pick(PoolId pool, RequestId request, Collection<EndpointId> tried) {
         List<Endpoint> candidates = membership.listing().endpointsOf(pool).stream()
@@ -57,16 +51,12 @@
                 .count();
     }
 
-    /**
-     * Counts a call in flight.
-     *
-     * @param endpoint where it runs
-     */
+    /** Records the start of a dispatch. */
     public void recordStart(long dispatch, EndpointId endpoint) {
         endpointsByDispatch.put(dispatch, endpoint);
     }
 
-    /** Counts a call as ended. */
+    /** Records the end of a dispatch. */
     public void recordEnd(long dispatch) {
         endpointsByDispatch.remove(dispatch);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -28,10 +28,11 @@
 import org.banyanstair.reducer.ReducerSettings;
 
 /**
- * The entry host's side of generations: asks pool owners for permits, starts attempts, and gives permits back.
+ * Runs the generation requests of an entry host: requests permits from pool owners, starts attempts, retries them, and
+ * releases the permits.
  *
- * <p>A permit is used only if it is of the newest term and sequence that this host has heard of. Not safe for use by
- * several threads.
+ * <p>A grant is used only if its term and sequence number are not older than the newest known to this host. Not
+ * thread-safe.
  */
 public final class GenerationTracker {
     private final OwnershipState owners;
@@ -41,20 +42,20 @@
     private final Map<RequestId, TrackedRequest> requests = new LinkedHashMap<>();
     private final Map<PoolId, GrantFence> grantFences = new LinkedHashMap<>();
 
-    /** Grants below it are refused. */
+    /** Fencing token of a pool; older grants are rejected. */
     private record GrantFence(long term, long sequence) {
         boolean rejects(PeerMessage.PermitGrant grant) {
             return grant.term() < term || grant.term() == term && grant.sequence() < sequence;
         }
 
-        /** Requests may arrive out of order; an older one must not admit grants that a newer one has excluded. */
+        /** Inventory requests may arrive out of order, so an older one must not lower the fence. */
         private GrantFence max(GrantFence other) {
             boolean newer = other.term > term || other.term == term && other.sequence > sequence;
             return newer ? other : this;
         }
     }
 
-    /** One request of a caller of this host. */
+    /** A caller's request and the state of its current attempt. */
     private static final class TrackedRequest {
         private final GenerationRequest request;
         private final Set<EndpointId> tried = new HashSet<>();
@@ -76,8 +77,7 @@
     /**
      * Creates a tracker without requests.
      *
-     * @param owners who owns which pool
-     * @param logReachable tells whether the log can be reached, without which no host can become the owner of a pool
+     * @param logReachable whether the log is reachable, without which no host can become the owner of a pool
      */
     public GenerationTracker(
             OwnershipState owners, ReducerSettings settings, Membership membership, BooleanSupplier logReachable) {
@@ -92,7 +92,7 @@
         return requests.size();
     }
 
-    /** Takes a request from a caller. */
+    /** Handles a request from a caller. */
     public void requestArrived(GenerationRequest request, Configuration configuration, Instant now, Effects effects) {
         if (!configuration.preset().admitsRequests()) {
             effects.add(new Effect.FailGeneration(
@@ -136,7 +136,7 @@
                 tracked.tried);
     }
 
-    /** Takes a grant of a pool owner. */
+    /** Handles a permit grant: starts the attempt, or releases the permit if the request no longer needs it. */
     public void permitGranted(HostId sender, PeerMessage.PermitGrant grant, Effects effects) {
         TrackedRequest tracked = requests.get(grant.request());
         boolean expected = tracked != null && tracked.attempt == grant.attempt();
@@ -150,8 +150,8 @@
                             grant.request(), grant.attempt(), grant.pool(), new AttemptOutcome.Cancelled()));
             return;
         }
-        // A release for a refused grant could arrive after a later grant of the same attempt and end that one. The
-        // inventory and the repeated request correct what the owner knows.
+        // No release is sent for a stale grant, because it could arrive after a later grant of the same attempt and
+        // release that one. The inventory and the repeated permit request update the owner.
         if (isStale(grant) || tracked.runningOn.isPresent()) {
             return;
         }
@@ -170,7 +170,7 @@
         return grant.term() < knownTerm || fence != null && fence.rejects(grant);
     }
 
-    /** Takes a refusal of a pool owner. */
+    /** Handles a permit refusal. */
     public void permitRefused(PeerMessage.PermitRefusal refusal, Effects effects) {
         TrackedRequest tracked = requests.get(refusal.request());
         long knownTerm = owners.owner(refusal.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
@@ -184,7 +184,7 @@
         }
     }
 
-    /** Once an attempt has produced output, a failure must not be reported as "not run". */
+    /** Reports a failure; once an attempt may have run, it must not be reported as "not run". */
     private static void fail(TrackedRequest tracked, Failure failure, Effects effects) {
         Failure reported = failure;
         if (tracked.hasRun && failure instanceof Failure.RequestCrashesEndpoints crashes) {
@@ -195,7 +195,7 @@
         effects.add(new Effect.FailGeneration(tracked.request.id(), reported));
     }
 
-    /** Takes the news that a host does not own a pool; the request is sent again when the owner is known. */
+    /** Handles the answer of a host that does not own the pool: the permit request is repeated soon. */
     public void notOwnerReceived(PeerMessage.NotOwner message, Instant now) {
         TrackedRequest tracked = requests.get(message.request());
         if (tracked != null && tracked.runningOn.isEmpty()) {
@@ -203,7 +203,7 @@
         }
     }
 
-    /** Takes the end of an attempt. */
+    /** Handles the end of an attempt. */
     public void attemptEnded(RequestId id, int attempt, AttemptOutcome outcome, Instant now, Effects effects) {
         TrackedRequest tracked = requests.get(id);
         if (tracked == null || tracked.attempt != attempt || tracked.runningOn.isEmpty()) {
@@ -244,7 +244,7 @@
                         new PeerMessage.PermitRelease(tracked.request.id(), tracked.attempt, tracked.pool(), outcome)));
     }
 
-    /** Withdraws a request whose caller has gone. */
+    /** Cancels a request whose caller has disconnected. */
     public void requestCancelled(RequestId id, Effects effects) {
         TrackedRequest tracked = requests.remove(id);
         if (tracked != null) {
@@ -259,7 +259,7 @@
         release(tracked, new AttemptOutcome.Cancelled(), effects);
     }
 
-    /** Answers an owner's question for the permits that this host holds. */
+    /** Answers an inventory request with the permits that this host holds. */
     public void inventoryRequested(HostId owner, PeerMessage.InventoryRequest request, Effects effects) {
         GrantFence fence = grantFences.get(request.pool());
         long knownTerm = owners.owner(request.pool()).map(Ownership::term).orElse(Long.MIN_VALUE);
@@ -281,14 +281,14 @@
                 owner, new PeerMessage.InventoryReply(request.pool(), request.term(), request.sequence(), permits));
     }
 
-    /** Asks the new owner of a pool for the permits that are still wanted. */
+    /** Requests the missing permits of a pool from its new owner. */
     public void ownerChanged(PoolId pool, Instant now, Effects effects) {
         requests.values().stream()
                 .filter(tracked -> tracked.runningOn.isEmpty() && tracked.pool().equals(pool))
                 .forEach(tracked -> requestPermit(tracked, now, effects));
     }
 
-    /** Repeats unanswered questions and ends late requests. */
+    /** Repeats unanswered permit requests and fails requests whose deadline has passed. */
     public void tick(Instant now, Effects effects) {
         for (TrackedRequest tracked : List.copyOf(requests.values())) {
             if (!now.isBefore(tracked.request.deadline())) {
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/IdempotentCallDispatcher.java
@@ -21,13 +21,11 @@
 import org.banyanstair.reducer.Sequence;
 
 /**
- * Idempotent calls of plain services: each is sent to an endpoint and, if that fails, to others, within its deadline
- * and within the retry share.
- *
- * <p>Not safe for use by several threads.
+ * Dispatches idempotent calls to plain services and retries failed ones on other endpoints, within the deadline and the
+ * retry budget. Not thread-safe.
  */
 public final class IdempotentCallDispatcher {
-    /** A dispatch gets at most this part of the remaining time, so that a silent endpoint leaves time for another. */
+    /** Divides the remaining time, so that an endpoint that does not answer leaves time for retries on others. */
     private static final int DISPATCHES_IN_REMAINING_TIME = 3;
 
     private final EndpointPicker picker;
@@ -37,7 +35,7 @@
 
     private record PendingDispatch(CallRequest request, Endpoint endpoint, Set<EndpointId> tried) {}
 
-    /** Creates the state without calls. */
+    /** Creates a dispatcher without calls in flight. */
     public IdempotentCallDispatcher(Membership membership, Sequence sequence) {
         this.picker = new EndpointPicker(membership);
         this.sequence = sequence;
@@ -48,7 +46,7 @@
         return pending.size();
     }
 
-    /** Takes a call from a caller. */
+    /** Handles a call from a caller. */
     public void callArrived(CallRequest request, Instant now, Effects effects) {
         retryBudget.recordFirstAttempt(now);
         dispatch(request, new HashSet<>(), now, effects);
@@ -73,10 +71,10 @@
     }
 
     /**
-     * Takes the end of a dispatch.
+     * Handles the end of a dispatch.
      *
-     * @param retryShare retries as a share of calls
-     * @return false if the dispatch is not one of an idempotent call
+     * @param retryShare maximum retries as a share of calls
+     * @return false if the dispatch does not belong to an idempotent call
      */
     public boolean dispatchEnded(
             long dispatch, ServiceCallResult result, double retryShare, Instant now, Effects effects) {
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/LastKnownPlacements.java
@@ -15,14 +15,14 @@
 import org.banyanstair.ownership.OwnershipState;
 
 /**
- * Remembers where adapters last ran, so that requests can still be served while nobody can decide for a pool: its owner
- * has ended and the log that a new owner needs is down.
+ * Records on which engine each adapter last ran, so that requests can be served while a pool has no owner: after its
+ * owner has terminated and while the log that a new owner needs is unavailable.
  *
- * <p>Without an owner nobody unloads adapters. A later owner learns of such attempts from its inventory before it
- * unloads anything. Not safe for use by several threads.
+ * <p>This is safe because without an owner no adapter is unloaded, and a new owner learns of these attempts from the
+ * inventories before it unloads anything. Not thread-safe.
  */
 final class LastKnownPlacements {
-    /** More adapters than the engines of one pool have slots. */
+    /** More than the adapter slots of all engines of a pool. */
     private static final int MAXIMUM_ADAPTERS = 4_096;
 
     private final Membership membership;
@@ -49,7 +49,7 @@
         placements.remove(adapter, endpoint);
     }
 
-    /** Finds an engine for the adapter if the pool's owner has certainly ended. */
+    /** Returns an engine for the adapter if the pool's owner has certainly terminated. */
     Optional<Endpoint> findWithoutOwner(PoolId pool, AdapterVersion adapter) {
         boolean ownerTerminated = owners.owner(pool)
                 .map(Ownership::owner)
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -6,12 +6,11 @@
 import java.util.Deque;
 
 /**
- * Limits retries to a share of the first tries of the last seconds, so that retries cannot multiply an overload.
- *
- * <p>Not safe for use by several threads.
+ * Limits retries to a share of the first attempts in a sliding window, so that retries cannot amplify an overload. Not
+ * thread-safe.
  */
 public final class RetryBudget {
-    /** Retries that are allowed in a window even without traffic, so that a single failure can be retried. */
+    /** Retries allowed per window even without traffic, so that a single failure can be retried. */
     public static final int MINIMUM_RETRIES = 20;
 
     private static final Duration WINDOW = Duration.ofSeconds(10);
@@ -19,28 +18,28 @@
     private final Deque<Instant> firstAttempts = new ArrayDeque<>();
     private final Deque<Instant> retries = new ArrayDeque<>();
 
-    /** Counts a first try. */
+    /** Records the first attempt of a request. */
     public void recordFirstAttempt(Instant now) {
         firstAttempts.addLast(now);
         removeExpired(firstAttempts, now);
     }
 
     /**
-     * Takes a retry from the budget.
+     * Acquires a retry with the default minimum.
      *
-     * @param share retries as a share of first tries
-     * @return false if the budget is used up
+     * @param share maximum retries as a share of first attempts
+     * @return false if the budget is exhausted
      */
     public boolean tryAcquire(double share, Instant now) {
         return tryAcquire(share, MINIMUM_RETRIES, now);
     }
 
     /**
-     * Takes a retry from the budget.
+     * Acquires a retry.
      *
-     * @param share retries as a share of first tries
-     * @param minimum retries that are allowed in a window whatever the first tries
-     * @return false if the budget is used up
+     * @param share maximum retries as a share of first attempts
+     * @param minimum retries allowed per window regardless of the number of first attempts
+     * @return false if the budget is exhausted
      */
     public boolean tryAcquire(double share, double minimum, Instant now) {
         removeExpired(firstAttempts, now);
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/package-info.java
@@ -1,2 +1,2 @@
-/** Routing of calls to plain services and of generations to engines, seen from the entry host. */
+/** Routing of plain service calls and generation requests on the entry host. */
 package org.banyanstair.routing;
