Finish the names inside the forwarding package

"news", "mine", "heard" and "wanted" became newRecords, ownBroadcasts, lastContactAt and required; the retry budget's methods follow those of RetryBudget. Identifiers, comments and the wording of one assertion.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -157,10 +157,10 @@
         if (event instanceof ForwardingEvent.TopicRead read) {
             TopicConsumer consumer = view.consumer(read.topic());
             long previousEnd = Math.max(0, consumer.end());
-            List<TopicRecord> news = view.applyRead(read, new ChangeListener());
+            List<TopicRecord> newRecords = view.applyRead(read, new ChangeListener());
             boolean peersRelyOnRelay = read.topic() == Topic.ENDPOINTS || peers.isLargeDeployment();
-            if (peersRelyOnRelay && !news.isEmpty() && readsForPeers()) {
-                messenger.broadcast(recordsReply(consumer, previousEnd, news, Optional.empty(), 0));
+            if (peersRelyOnRelay && !newRecords.isEmpty() && readsForPeers()) {
+                messenger.broadcast(recordsReply(consumer, previousEnd, newRecords, Optional.empty(), 0));
             }
             if (read.topic() == Topic.CLAIMS) {
                 leases.confirm(read.startedAt());
@@ -233,8 +233,9 @@
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
         } else if (message instanceof PeerMessage.Bundle bundle) {
-            messenger.receive(sender, bundle).forEach(news -> news.messages()
-                    .forEach(each -> receive(news.origin().host(), each)));
+            messenger.receive(sender, bundle).forEach(broadcast -> broadcast
+                    .messages()
+                    .forEach(each -> receive(broadcast.origin().host(), each)));
         } else if (message instanceof PeerMessage.Routed routed) {
             if (routed.target().equals(settings.identity().host())) {
                 receive(routed.origin().host(), routed.message());
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -13,7 +13,7 @@
  * @param configurationVersion version in force, -1 before the first is known
  * @param endpoints number of endpoints of all services by condition
  * @param commandedRunners number of runners that this host commands
- * @param livePeers number of other hosts that were heard recently
+ * @param livePeers number of other hosts that are live
  */
 public record ForwardingStatus(
         int openRequests,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
@@ -155,7 +155,7 @@
                 assignsRunners = Optional.of(assignsRunners(peers, now));
             }
             if (settlesOwnClaim || unclaimed && runner.acceptsRequests(now) && assignsRunners.get()) {
-                if (!peers.hearsMajority(now)) {
+                if (!peers.reachesMajority(now)) {
                     return Optional.empty();
                 }
                 appendPendingUntil = now.plus(APPEND_TIMEOUT);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMessenger.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerMessenger.java
@@ -42,7 +42,7 @@
     private final HostIdentity self;
     private final PeerTable peers;
     private final RelayGroups groups;
-    private final Map<HostId, PeerBroadcast> newestNews = new HashMap<>();
+    private final Map<HostId, PeerBroadcast> newestBroadcasts = new HashMap<>();
     private final Set<HostId> connectedPeers = new HashSet<>();
     private List<PeerMessage> outgoing = new ArrayList<>();
     private List<PeerBroadcast> fromMembers = new ArrayList<>();
@@ -93,26 +93,28 @@
         context.emit(new ForwardingEffect.SendToPeer(next.orElse(target), message));
     }
 
-    /** Accepts a bundle and returns the messages in it that have not arrived another way. */
+    /** Accepts a bundle and returns the broadcasts in it that have not already arrived by another path. */
     List<PeerBroadcast> receive(HostId sender, PeerMessage.Bundle bundle) {
-        List<PeerBroadcast> fresh = new ArrayList<>();
-        for (PeerBroadcast news : bundle.news()) {
-            PeerBroadcast known = newestNews.get(news.origin().host());
-            if (!news.origin().host().equals(self.host()) && (known == null || isNewer(news, known))) {
-                newestNews.put(news.origin().host(), new PeerBroadcast(news.origin(), news.sequence(), List.of()));
-                fresh.add(news);
+        List<PeerBroadcast> newBroadcasts = new ArrayList<>();
+        for (PeerBroadcast broadcast : bundle.news()) {
+            PeerBroadcast known = newestBroadcasts.get(broadcast.origin().host());
+            if (!broadcast.origin().host().equals(self.host()) && (known == null || isNewer(broadcast, known))) {
+                newestBroadcasts.put(
+                        broadcast.origin().host(),
+                        new PeerBroadcast(broadcast.origin(), broadcast.sequence(), List.of()));
+                newBroadcasts.add(broadcast);
             }
         }
         if (bundle.passOn()) {
-            (groups.isOwnGroup(sender) ? fromMembers : fromRelays).addAll(fresh);
+            (groups.isOwnGroup(sender) ? fromMembers : fromRelays).addAll(newBroadcasts);
         }
-        return fresh;
+        return newBroadcasts;
     }
 
-    private static boolean isNewer(PeerBroadcast news, PeerBroadcast known) {
-        long incarnation = news.origin().incarnation();
+    private static boolean isNewer(PeerBroadcast broadcast, PeerBroadcast known) {
+        long incarnation = broadcast.origin().incarnation();
         return incarnation > known.origin().incarnation()
-                || incarnation == known.origin().incarnation() && news.sequence() > known.sequence();
+                || incarnation == known.origin().incarnation() && broadcast.sequence() > known.sequence();
     }
 
     /** Records that a message arrived directly from a peer. */
@@ -132,7 +134,7 @@
         }
         nextBundleAt = context.now().plus(BUNDLE_INTERVAL);
         groups.refresh(context.now());
-        List<PeerBroadcast> mine =
+        List<PeerBroadcast> ownBroadcasts =
                 outgoing.isEmpty() ? List.of() : List.of(new PeerBroadcast(self, ++sequence, outgoing));
         outgoing = new ArrayList<>();
         List<HostId> members = groups.otherMembers(context.now());
@@ -144,8 +146,8 @@
         fromRelays = new ArrayList<>();
         boolean heartbeatDue = false;
         if (groups.isRelay()) {
-            forRelays.addAll(mine);
-            forMembers.addAll(mine);
+            forRelays.addAll(ownBroadcasts);
+            forMembers.addAll(ownBroadcasts);
             heartbeatDue = !context.now().isBefore(nextHeartbeatAt);
             List<HostId> all = new ArrayList<>(members);
             all.addAll(relays);
@@ -153,9 +155,9 @@
         } else {
             Optional<HostId> relay = groups.relayOf(self.host());
             updateConnections(relay.stream().toList());
-            if (!mine.isEmpty()) {
-                relay.ifPresent(host ->
-                        context.emit(new ForwardingEffect.SendToPeer(host, new PeerMessage.Bundle(mine, true))));
+            if (!ownBroadcasts.isEmpty()) {
+                relay.ifPresent(host -> context.emit(
+                        new ForwardingEffect.SendToPeer(host, new PeerMessage.Bundle(ownBroadcasts, true))));
             }
         }
         if (heartbeatDue || !forRelays.isEmpty()) {
@@ -171,15 +173,15 @@
         }
     }
 
-    private void updateConnections(Collection<HostId> wanted) {
-        for (HostId host : wanted) {
+    private void updateConnections(Collection<HostId> required) {
+        for (HostId host : required) {
             if (connectedPeers.add(host)) {
                 context.emit(new ForwardingEffect.OpenPeerConnection(host));
             }
         }
-        List<HostId> unwanted =
-                connectedPeers.stream().filter(host -> !wanted.contains(host)).toList();
-        for (HostId host : unwanted) {
+        List<HostId> obsolete =
+                connectedPeers.stream().filter(host -> !required.contains(host)).toList();
+        for (HostId host : obsolete) {
             connectedPeers.remove(host);
             context.emit(new ForwardingEffect.ClosePeerConnection(host));
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -16,9 +16,9 @@
 import org.banyanstair.ownership.RendezvousHash;
 import org.banyanstair.peer.PeerMessage;
 
-/** The other hosts and when they were last heard. */
+/** The other hosts, with their last known state and the time of the last contact. */
 final class PeerTable {
-    /** Minimum time between two state messages of a host; each peer hears it about three times a second. */
+    /** Minimum time between two state messages of a host; each peer receives one about three times a second. */
     private static final Duration MINIMUM_STATE_INTERVAL = Duration.ofMillis(300);
 
     /** Added to that interval for each peer; limits a host to about forty state messages a second. */
@@ -61,7 +61,7 @@
     /** Last known state of a peer. */
     static final class Peer {
         private HostAnnouncement announcement;
-        private Instant heardAt = Instant.MIN;
+        private Instant lastContactAt = Instant.MIN;
         private Instant knownSince;
         private boolean leaving;
         private boolean reachesLog;
@@ -73,7 +73,7 @@
         }
 
         boolean isLiveSince(Instant earliest) {
-            return !leaving && heardAt.isAfter(earliest);
+            return !leaving && lastContactAt.isAfter(earliest);
         }
 
         long offset(Topic topic) {
@@ -126,7 +126,7 @@
     void recordContact(HostId host, Instant now) {
         Peer peer = peers.get(host);
         if (peer != null) {
-            peer.heardAt = now;
+            peer.lastContactAt = now;
         }
     }
 
@@ -134,7 +134,7 @@
         Peer peer = peers.get(state.announcement().host());
         if (peer != null
                 && peer.announcement.incarnation() == state.announcement().incarnation()) {
-            peer.heardAt = now;
+            peer.lastContactAt = now;
             peer.leaving = state.leaving();
             peer.reachesLog = state.reachesLog();
             peer.configurationOffset = state.configurationOffset();
@@ -150,15 +150,15 @@
         return peers.keySet();
     }
 
-    /** Returns the announcements of the peers that were heard recently. */
-    List<HostAnnouncement> recentlyHeard(Instant now) {
+    /** Returns the announcements of the peers with a recent contact. */
+    List<HostAnnouncement> recentPeers(Instant now) {
         return peers.entrySet().stream()
                 .filter(entry -> silence(entry.getKey(), now).compareTo(FORGET_AFTER) < 0)
                 .map(entry -> entry.getValue().announcement)
                 .toList();
     }
 
-    /** Returns whether a peer is live, or so new that it may not have been heard yet. */
+    /** Returns whether a peer is live, or so new that its first message may still be due. */
     boolean mayBeLive(HostId host, Instant now) {
         Peer peer = peers.get(host);
         return peer != null && !peer.leaving && silence(host, now).compareTo(liveLimit()) < 0;
@@ -212,30 +212,33 @@
         return result;
     }
 
-    /** Returns the time since a host was last heard, or since it became known if it never was. */
+    /** Returns the time since the last message of a host, or since it became known if there was none. */
     Duration silence(HostId host, Instant now) {
         if (startedAt.equals(Instant.MAX)) {
             startedAt = now;
         }
         Peer peer = peers.get(host);
-        Instant start = peer == null ? startedAt : peer.heardAt.equals(Instant.MIN) ? peer.knownSince : peer.heardAt;
+        Instant start = peer == null
+                ? startedAt
+                : peer.lastContactAt.equals(Instant.MIN) ? peer.knownSince : peer.lastContactAt;
         return Duration.between(start, now);
     }
 
     /**
-     * Returns whether this host hears at least half of the recently live peers; otherwise it may be partitioned itself.
+     * Returns whether this host has contact to at least half of the recently live peers; otherwise it may be
+     * partitioned itself.
      */
-    boolean hearsMajority(Instant now) {
+    boolean reachesMajority(Instant now) {
         Instant earliest = now.minus(liveLimit());
-        int heard = 0;
+        int reached = 0;
         int expected = 0;
         for (Map.Entry<HostId, Peer> entry : peers.entrySet()) {
             if (silence(entry.getKey(), now).compareTo(FORGET_AFTER) < 0) {
                 expected++;
-                heard += entry.getValue().heardAt.isAfter(earliest) ? 1 : 0;
+                reached += entry.getValue().lastContactAt.isAfter(earliest) ? 1 : 0;
             }
         }
-        return heard * 2 >= expected;
+        return reached * 2 >= expected;
     }
 
     /** Returns the addresses that callers may use, this host first unless it is shutting down. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -188,12 +188,12 @@
     List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Listener listener) {
         TopicConsumer consumer = consumers.get(event.topic());
         boolean wasAvailable = consumer.isAvailable();
-        List<TopicRecord> news = consumer.applyRead(event, context.now());
-        apply(event.topic(), news, listener);
+        List<TopicRecord> newRecords = consumer.applyRead(event, context.now());
+        apply(event.topic(), newRecords, listener);
         if (!wasAvailable) {
             context.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
         }
-        return news;
+        return newRecords;
     }
 
     void applyRelayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
@@ -205,11 +205,11 @@
                 .map(entry -> new TopicRecord(
                         entry.key(), entry.removed() ? Optional.empty() : Optional.of(entry.value()), entry.offset()))
                 .toList();
-        List<TopicRecord> news = consumer.applyRelayed(message.offset(), records, message.end(), context.now());
-        if (!news.isEmpty()) {
+        List<TopicRecord> newRecords = consumer.applyRelayed(message.offset(), records, message.end(), context.now());
+        if (!newRecords.isEmpty()) {
             context.log(DecisionRecord.of(
-                    "topic-relayed", "topic", topic, "from", from, "records", news.size(), "end", message.end()));
-            apply(topic, news, listener);
+                    "topic-relayed", "topic", topic, "from", from, "records", newRecords.size(), "end", message.end()));
+            apply(topic, newRecords, listener);
         }
     }
 
@@ -226,8 +226,8 @@
         consumer.unavailable(context.now());
     }
 
-    private void apply(Topic topic, List<TopicRecord> news, Listener listener) {
-        for (TopicRecord entry : news) {
+    private void apply(Topic topic, List<TopicRecord> newRecords, Listener listener) {
+        for (TopicRecord entry : newRecords) {
             if (entry.value().isEmpty()) {
                 if (topic == Topic.ENDPOINTS) {
                     remove(entry.key(), listener);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RelayGroups.java
@@ -32,7 +32,7 @@
     /** Silence after which a relay is replaced: three of its heartbeat intervals. */
     private static final Duration SILENCE_LIMIT = Duration.ofMillis(600);
 
-    /** Time for which a silent relay is excluded from election; by then it is heard again or counts as not live. */
+    /** Time for which a silent relay is excluded from election; by then it has sent a message or counts as not live. */
     private static final Duration SUSPICION_PERIOD = Duration.ofSeconds(3);
 
     private final HostAnnouncement self;
@@ -40,7 +40,7 @@
     private final Map<HostId, String> groupOf = new HashMap<>();
     private final Map<String, List<HostId>> members = new TreeMap<>();
     private final Map<String, Relay> relays = new HashMap<>();
-    private final Map<HostId, Instant> heardAt = new HashMap<>();
+    private final Map<HostId, Instant> lastContactAt = new HashMap<>();
     private final Map<HostId, Instant> suspectedUntil = new HashMap<>();
 
     private record Relay(HostId host, Instant since) {}
@@ -52,13 +52,13 @@
 
     /** Records that a message arrived directly from a host. */
     void recordContact(HostId host, Instant now) {
-        heardAt.put(host, now);
+        lastContactAt.put(host, now);
     }
 
     /** Divides the known hosts into groups and elects the relays. */
     void refresh(Instant now) {
         Map<String, List<HostId>> dataCentres = new TreeMap<>();
-        List<HostAnnouncement> hosts = new ArrayList<>(peers.recentlyHeard(now));
+        List<HostAnnouncement> hosts = new ArrayList<>(peers.recentPeers(now));
         hosts.add(self);
         hosts.forEach(host -> dataCentres
                 .computeIfAbsent(host.dataCentre(), name -> new ArrayList<>())
@@ -101,8 +101,8 @@
     private void electRelay(String group, boolean expectsRelayMessages, Instant now) {
         Relay relay = relays.get(group);
         if (relay != null && expectsRelayMessages && !relay.host().equals(self.host())) {
-            Instant heard = heardAt.getOrDefault(relay.host(), Instant.MIN);
-            Instant silentSince = heard.isAfter(relay.since()) ? heard : relay.since();
+            Instant lastContact = lastContactAt.getOrDefault(relay.host(), Instant.MIN);
+            Instant silentSince = lastContact.isAfter(relay.since()) ? lastContact : relay.since();
             if (now.isAfter(silentSince.plus(SILENCE_LIMIT))) {
                 suspectedUntil.put(relay.host(), now.plus(SUSPICION_PERIOD));
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -102,7 +102,7 @@
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
         InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, context.now());
         requests.put(request.exchange(), inFlight);
-        retryBudgets.countFirst(service.name(), context.now());
+        retryBudgets.recordFirstAttempt(service.name(), context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
             refuse(inFlight, RefusalReason.DEADLINE_PASSED, 0);
         } else if (crashDetector.isRefused(request.fingerprint())) {
@@ -359,7 +359,7 @@
                 && view.endpointsOf(inFlight.service.name()).stream()
                         .anyMatch(endpoint ->
                                 endpoint.acceptsRequests(context.now()) && !inFlight.tried.contains(endpoint.id()))
-                && retryBudgets.tryRetry(inFlight.service.name(), context.now());
+                && retryBudgets.tryAcquire(inFlight.service.name(), context.now());
     }
 
     private boolean retry(InFlightRequest inFlight) {
@@ -386,7 +386,7 @@
         inFlight.tried.remove(endpoint.id());
         boolean reachedEndpoint = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
         if (++inFlight.rejections > MAXIMUM_REJECTIONS
-                || reachedEndpoint && !retryBudgets.tryRetry(inFlight.service.name(), context.now())) {
+                || reachedEndpoint && !retryBudgets.tryAcquire(inFlight.service.name(), context.now())) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
         } else {
             selectEndpoint(inFlight);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryBudgets.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryBudgets.java
@@ -18,12 +18,12 @@
     }
 
     /** Counts a first attempt, which adds to the budget. */
-    void countFirst(String service, Instant now) {
+    void recordFirstAttempt(String service, Instant now) {
         budget(service).recordFirstAttempt(now);
     }
 
     /** Takes a retry from the budget; returns whether one was left. */
-    boolean tryRetry(String service, Instant now) {
+    boolean tryAcquire(String service, Instant now) {
         double slack = (double) settings.retrySlack() / (peers.size() + 1);
         return budget(service).tryAcquire(settings.retryShare(), slack, now);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
@@ -52,7 +52,7 @@
     private final int slots;
     private final Map<AdapterName, AdapterLoadRequest> pendingLoads = new HashMap<>();
     private final Map<AdapterName, Demand> demand = new HashMap<>();
-    private OptionalLong sequence = OptionalLong.empty();
+    private OptionalLong commandSequence = OptionalLong.empty();
     private Optional<AdapterCommand> pendingCommand = Optional.empty();
     private Instant commandTimeoutAt = Instant.MAX;
     private Instant nextInspectionAt = Instant.MIN;
@@ -88,7 +88,7 @@
 
     /** Discards what is known of the runner's state after a restart of its process. */
     void reset() {
-        sequence = OptionalLong.empty();
+        commandSequence = OptionalLong.empty();
         pendingCommand = Optional.empty();
         inspecting = false;
         stateUncertain = false;
@@ -104,7 +104,7 @@
         }
         stateUncertain = false;
         RunnerState state = answer.get();
-        sequence = state.busy() ? OptionalLong.empty() : OptionalLong.of(state.commandSequence());
+        commandSequence = state.busy() ? OptionalLong.empty() : OptionalLong.of(state.commandSequence());
         runner.setBaseModels(state.baseModels());
         Map<AdapterName, AdapterSlot> known = runner.adapters();
         Map<AdapterName, AdapterSlot> reported = new HashMap<>();
@@ -135,10 +135,10 @@
         Optional<AdapterName> adapter = command.adapterName();
         if (adapter.isEmpty()) {
             // The runner is busy for seconds now, or holds the model already; only its state tells which.
-            sequence = OptionalLong.empty();
+            commandSequence = OptionalLong.empty();
             nextInspectionAt = now.plus(INSPECTION_PAUSE);
         } else if (result == CommandResult.ACCEPTED && command.load()) {
-            sequence = OptionalLong.of(command.expectedSequence() + 1);
+            commandSequence = OptionalLong.of(command.expectedSequence() + 1);
             long version = command.version().orElseGet(() -> newestVersion.applyAsLong(adapter.get()));
             Duration time = runner.loadTime(adapter.get(), version);
             Instant readyAt = now.plusMillis((long) (time.toMillis() * Math.max(1, weightStoreUtilization)));
@@ -146,7 +146,7 @@
             pendingLoads.remove(adapter.get());
             changed = true;
         } else if (result == CommandResult.DONE && !command.load()) {
-            sequence = OptionalLong.of(command.expectedSequence() + 1);
+            commandSequence = OptionalLong.of(command.expectedSequence() + 1);
             runner.removeAdapter(adapter.get());
             changed = true;
         } else {
@@ -156,7 +156,7 @@
                 runner.adapters().put(adapter.get(), AdapterSlot.unloading(now.plus(UNLOAD_TIMEOUT)));
                 changed = true;
             }
-            sequence = OptionalLong.empty();
+            commandSequence = OptionalLong.empty();
             nextInspectionAt = now.plus(REPORT_LAG);
         }
     }
@@ -183,7 +183,7 @@
 
     /** Returns whether the command sequence of the runner is known, so that it can be commanded. */
     boolean isReady() {
-        return sequence.isPresent() || pendingCommand.isPresent();
+        return commandSequence.isPresent() || pendingCommand.isPresent();
     }
 
     /**
@@ -199,12 +199,12 @@
             Instant now) {
         if (pendingCommand.isPresent() && !now.isBefore(commandTimeoutAt)) {
             pendingCommand = Optional.empty();
-            sequence = OptionalLong.empty();
+            commandSequence = OptionalLong.empty();
         }
         if (pendingCommand.isPresent()) {
             return List.of();
         }
-        if (sequence.isEmpty() || stateUncertain) {
+        if (commandSequence.isEmpty() || stateUncertain) {
             if (inspecting || now.isBefore(nextInspectionAt)) {
                 return List.of();
             }
@@ -261,7 +261,7 @@
                 model.name(),
                 Optional.empty(),
                 OptionalLong.empty(),
-                sequence.getAsLong(),
+                commandSequence.getAsLong(),
                 fencingToken);
         pendingCommand = Optional.of(command);
         commandTimeoutAt = now.plus(COMMAND_TIMEOUT);
@@ -282,7 +282,7 @@
                 adapter.baseModel(),
                 Optional.of(adapter.adapter()),
                 load && version > 0 ? OptionalLong.of(version) : OptionalLong.empty(),
-                sequence.getAsLong(),
+                commandSequence.getAsLong(),
                 fencingToken);
         pendingCommand = Optional.of(command);
         commandTimeoutAt = now.plus(COMMAND_TIMEOUT);
@@ -300,7 +300,7 @@
                         demand.containsKey(adapter) ? demand.get(adapter).at(now) : 0));
     }
 
-    /** Returns whether the state that peers are told of has changed since the last call. */
+    /** Returns whether the state that is published to peers has changed since the last call. */
     boolean takeChanged() {
         boolean result = changed;
         changed = false;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerManager.java
@@ -124,12 +124,12 @@
      * Publishes the state of a runner to all hosts. In a large deployment the hosts that wait for a load there also
      * receive it directly.
      */
-    private void publish(EndpointId runner, PeerMessage news) {
-        messenger.broadcast(news);
+    private void publish(EndpointId runner, PeerMessage state) {
+        messenger.broadcast(state);
         Map<HostId, Instant> requesters = loadRequesters.get(runner);
         if (requesters != null) {
             requesters.values().removeIf(until -> !context.now().isBefore(until));
-            requesters.keySet().forEach(host -> messenger.send(host, news));
+            requesters.keySet().forEach(host -> messenger.send(host, state));
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -140,7 +140,7 @@
             recoveredAt = now;
             unavailableSince = Optional.empty();
         }
-        List<TopicRecord> news = new ArrayList<>();
+        List<TopicRecord> newRecords = new ArrayList<>();
         if (event.snapshot()) {
             needSnapshot = false;
             List<String> present =
@@ -154,12 +154,12 @@
                 TopicRecord removed =
                         new TopicRecord(key, Optional.empty(), newest.get(key).offset());
                 newest.put(key, removed);
-                news.add(removed);
+                newRecords.add(removed);
             }
         }
-        news.addAll(apply(event.records()));
+        newRecords.addAll(apply(event.records()));
         end = Math.max(end, event.end());
-        return news;
+        return newRecords;
     }
 
     /**
@@ -177,21 +177,21 @@
         if (!readsForPeers && peerEnd > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
             nextReadAt = ownReadAt;
         }
-        List<TopicRecord> news = apply(records);
+        List<TopicRecord> newRecords = apply(records);
         end = Math.max(end, peerEnd);
-        return news;
+        return newRecords;
     }
 
     private List<TopicRecord> apply(List<TopicRecord> records) {
-        List<TopicRecord> news = new ArrayList<>();
+        List<TopicRecord> newRecords = new ArrayList<>();
         for (TopicRecord entry : records) {
             TopicRecord known = newest.get(entry.key());
             if (known == null || known.offset() < entry.offset()) {
                 newest.put(entry.key(), entry);
-                news.add(entry);
+                newRecords.add(entry);
             }
         }
-        return news;
+        return newRecords;
     }
 
     /**
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -375,13 +375,13 @@
             effects.addAll(receiveHostState("behind", 82, 0));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(50)));
         }
-        List<HostId> asked = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+        List<HostId> requested = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
                 .filter(effect -> effect.message() instanceof PeerMessage.RecordsRequest request
                         && request.topic() == Topic.CONFIGURATION)
                 .map(ForwardingEffect.SendToPeer::peer)
                 .toList();
-        assertTrue(asked.contains(new HostId("ahead")), "no request to the host that is ahead within 1 s");
-        assertTrue(asked.size() <= 3, "asked " + asked.size() + " times");
+        assertTrue(requested.contains(new HostId("ahead")), "no request to the host that is ahead within 1 s");
+        assertTrue(requested.size() <= 3, "requested " + requested.size() + " times");
     }
 
     @Test
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -72,7 +72,7 @@
         private final TopicConsumer topic =
                 new TopicConsumer(Topic.CLAIMS, Duration.ofMillis(READ_MILLISECONDS), Duration.ZERO);
         private Optional<Instant> readStartedAt = Optional.empty();
-        private int seen;
+        private int appliedRecords;
         private Instant partitionedUntil = Instant.MIN;
         private Instant pausedUntil = Instant.MIN;
         private Instant withoutLogUntil = Instant.MIN;
@@ -95,8 +95,8 @@
                     && !now.isBefore(peer.pausedUntil)
                     && !peer.wasPaused;
             if (answers) {
-                for (; seen < peer.seen; seen++) {
-                    leases.applyClaim(log.get(seen), seen, now);
+                for (; appliedRecords < peer.appliedRecords; appliedRecords++) {
+                    leases.applyClaim(log.get(appliedRecords), appliedRecords, now);
                 }
                 peer.topic.age(now).ifPresent(age -> leases.confirm(now.minus(age)));
             }
@@ -141,14 +141,15 @@
                 return;
             }
             boolean readEnded = readStartedAt
-                    .filter(at -> log.size() > seen || Duration.between(at, now).toMillis() >= READ_MILLISECONDS)
+                    .filter(at -> log.size() > appliedRecords
+                            || Duration.between(at, now).toMillis() >= READ_MILLISECONDS)
                     .isPresent();
             if (readEnded) {
                 topic.applyRead(
                         new ForwardingEvent.TopicRead(Topic.CLAIMS, readStartedAt.get(), false, List.of(), log.size()),
                         now);
-                for (; seen < log.size(); seen++) {
-                    leases.applyClaim(log.get(seen), seen, now);
+                for (; appliedRecords < log.size(); appliedRecords++) {
+                    leases.applyClaim(log.get(appliedRecords), appliedRecords, now);
                 }
                 leases.confirm(readStartedAt.get());
                 leases.appendCompleted();
@@ -183,15 +184,15 @@
         for (int step = 0; step < 60_000 / STEP_MILLISECONDS; step++) {
             Instant now = start.plusMillis((long) step * STEP_MILLISECONDS);
             if (random.nextInt(150) == 0) {
-                SimulatedHost victim = hosts.get(random.nextInt(HOSTS));
+                SimulatedHost faultyHost = hosts.get(random.nextInt(HOSTS));
                 Instant until = now.plusMillis(random.nextInt(9000));
                 int fault = random.nextInt(3);
                 if (fault == 0) {
-                    victim.partitionedUntil = until;
+                    faultyHost.partitionedUntil = until;
                 } else if (fault == 1) {
-                    victim.pausedUntil = until;
+                    faultyHost.pausedUntil = until;
                 } else {
-                    victim.withoutLogUntil = until;
+                    faultyHost.withoutLogUntil = until;
                 }
             }
             for (SimulatedHost host : hosts) {
@@ -237,16 +238,16 @@
             hosts.forEach(host -> host.step(now));
         }
         Instant lostAt = start.plusSeconds(5);
-        SimulatedHost commander = hosts.stream()
+        SimulatedHost leaseHolder = hosts.stream()
                 .filter(host -> host.canCommand(lostAt))
                 .findFirst()
                 .orElseThrow();
-        commander.pausedUntil = Instant.MAX;
+        leaseHolder.pausedUntil = Instant.MAX;
         boolean taken = false;
         for (int millis = 5000; millis < 22_000; millis += STEP_MILLISECONDS) {
             Instant now = start.plusMillis(millis);
             hosts.forEach(host -> host.step(now));
-            taken |= hosts.stream().anyMatch(host -> host != commander && host.canCommand(now));
+            taken |= hosts.stream().anyMatch(host -> host != leaseHolder && host.canCommand(now));
         }
         assertTrue(taken);
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -142,8 +142,8 @@
             deliver();
             if (random.nextInt(50) < requestsPerSecond) {
                 // The cube favours low numbers, so that a few adapters receive most of the requests.
-                double place = random.nextDouble();
-                AdapterName adapter = new AdapterName("base", "a" + (int) (place * place * place * adapters));
+                double point = random.nextDouble();
+                AdapterName adapter = new AdapterName("base", "a" + (int) (point * point * point * adapters));
                 ForwardRequest request = fixture.request("/x/1", Optional.of(adapter), Duration.ofSeconds(6));
                 arrivedAt.put(request.exchange(), fixture.now());
                 run(fixture.apply(new ForwardingEvent.RequestArrived(request)));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -52,9 +52,9 @@
         return fixture;
     }
 
-    private static Stream<PeerMessage> newsIn(PeerMessage message) {
+    private static Stream<PeerMessage> messagesIn(PeerMessage message) {
         return message instanceof PeerMessage.Bundle bundle
-                ? bundle.news().stream().flatMap(news -> news.messages().stream())
+                ? bundle.news().stream().flatMap(broadcast -> broadcast.messages().stream())
                 : Stream.of(message);
     }
 
@@ -65,7 +65,7 @@
         for (int step = 0; step < 500; step++) {
             boolean sent =
                     ReducerFixture.only(fixture.pass(Duration.ofMillis(20)), ForwardingEffect.SendToPeer.class).stream()
-                            .flatMap(effect -> newsIn(effect.message()))
+                            .flatMap(effect -> messagesIn(effect.message()))
                             .anyMatch(PeerMessage.HostState.class::isInstance);
             if (sent) {
                 sentAt.add(fixture.now());
@@ -105,12 +105,12 @@
                 "runner-1",
                 new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true));
         fixture.pass(Duration.ofMillis(200));
-        HostIdentity asking = new HostIdentity(peer(7).host(), 1);
+        HostIdentity requester = new HostIdentity(peer(7).host(), 1);
         AdapterName wanted = new AdapterName("base", "a3");
         List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(peer(3).host(), 1),
                 new PeerMessage.Routed(
-                        asking,
+                        requester,
                         ReducerFixture.HOST,
                         2,
                         new PeerMessage.AdapterWanted(new EndpointId("runner-1"), wanted, 500, 600))));
@@ -118,7 +118,7 @@
                 .map(ForwardingEffect.SendToPeer::message)
                 .filter(PeerMessage.Routed.class::isInstance)
                 .map(PeerMessage.Routed.class::cast)
-                .anyMatch(answer -> answer.target().equals(asking.host())
+                .anyMatch(answer -> answer.target().equals(requester.host())
                         && answer.message() instanceof PeerMessage.HeldRunner held
                         && held.waitingLoads().contains(wanted)));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -205,16 +205,16 @@
     void requestAndReplyPassRelays() {
         begin(73);
         pass(Duration.ofSeconds(5));
-        HostId asking = new HostId("host-1");
-        HostId asked = new HostId("host-2");
+        HostId requester = new HostId("host-1");
+        HostId responder = new HostId("host-2");
         delivered.clear();
         apply(
-                asked,
+                responder,
                 new ForwardingEvent.PeerMessageReceived(
-                        new HostIdentity(asking, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 7)));
+                        new HostIdentity(requester, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 7)));
         pass(Duration.ofMillis(100));
         boolean answered = delivered.stream()
-                .filter(envelope -> envelope.to().equals(asking))
+                .filter(envelope -> envelope.to().equals(requester))
                 .anyMatch(envelope -> envelope.message() instanceof PeerMessage.Routed routed
                         && routed.message() instanceof PeerMessage.RecordsReply);
         assertTrue(answered);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -42,13 +42,13 @@
     }
 
     /** Sends a request for endpoint records from one host to another, and the reply back. */
-    private static void requestEndpoints(ReducerFixture asking, ReducerFixture asked) {
-        List<ForwardingEffect> effects = asked.apply(
+    private static void requestEndpoints(ReducerFixture requester, ReducerFixture responder) {
+        List<ForwardingEffect> effects = responder.apply(
                 new ForwardingEvent.PeerMessageReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
         PeerMessage answer = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class)
                 .get(0)
                 .message();
-        asking.apply(new ForwardingEvent.PeerMessageReceived(PEER, answer));
+        requester.apply(new ForwardingEvent.PeerMessageReceived(PEER, answer));
     }
 
     private static void interruptLog(ReducerFixture host) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
@@ -147,10 +147,10 @@
     /** Simulates a runner with slow loads, lost answers and delayed commands. */
     private final class SimulatedRunner {
         private final Map<AdapterName, Instant> slots = new HashMap<>();
-        private final List<AdapterCommand> late = new ArrayList<>();
+        private final List<AdapterCommand> delayedCommands = new ArrayList<>();
         private int sequence;
 
-        CommandResult take(AdapterCommand command) {
+        CommandResult execute(AdapterCommand command) {
             if (command.expectedSequence() != sequence) {
                 return CommandResult.CONFLICT;
             }
@@ -178,7 +178,7 @@
     @Property(tries = 400, seed = "5102")
     void runnerIsNeverOrderedToLoadMoreThanItHolds(@ForAll("seeds") long seed) {
         begin(Set.of("base"));
-        SimulatedRunner real = new SimulatedRunner();
+        SimulatedRunner simulated = new SimulatedRunner();
         Random random = new Random(seed);
         Optional<AdapterCommand> unanswered = Optional.empty();
         CommandResult result = CommandResult.UNKNOWN;
@@ -187,11 +187,11 @@
             if (random.nextInt(3) == 0) {
                 requestLoad(random.nextInt(12));
             }
-            if (!real.late.isEmpty() && random.nextInt(10) == 0) {
-                real.take(real.late.remove(0));
+            if (!simulated.delayedCommands.isEmpty() && random.nextInt(10) == 0) {
+                simulated.execute(simulated.delayedCommands.remove(0));
             }
             for (AdapterName name : List.copyOf(runner.adapters().keySet())) {
-                boolean ready = real.slots.containsKey(name) && !now.isBefore(real.slots.get(name));
+                boolean ready = simulated.slots.containsKey(name) && !now.isBefore(simulated.slots.get(name));
                 if (runner.adapters().get(name).isReady(now) && !ready && random.nextInt(3) == 0) {
                     controller.adapterMissing(name, now);
                 }
@@ -202,13 +202,13 @@
             }
             for (ForwardingEffect effect : reconcile()) {
                 if (effect instanceof ForwardingEffect.Inspect) {
-                    controller.inspected(Optional.of(real.state()), now);
+                    controller.inspected(Optional.of(simulated.state()), now);
                 } else if (effect instanceof ForwardingEffect.Command sent) {
                     if (random.nextInt(12) == 0) {
-                        real.late.add(sent.command());
+                        simulated.delayedCommands.add(sent.command());
                         result = CommandResult.UNKNOWN;
                     } else {
-                        result = real.take(sent.command());
+                        result = simulated.execute(sent.command());
                     }
                     unanswered = Optional.of(sent.command());
                 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -31,7 +31,7 @@
 
     private static final AdapterName EARLIER = new AdapterName("base", "earlier");
 
-    private static final AdapterName WANTED = new AdapterName("base", "wanted");
+    private static final AdapterName REQUESTED = new AdapterName("base", "wanted");
 
     private static final int OTHER_HOSTS = 30;
 
@@ -94,9 +94,9 @@
     }
 
     private List<ForwardingEffect> requestLoad() {
-        List<ForwardingEffect> asked = requester.apply(new ForwardingEvent.RequestArrived(
-                requester.request("/chat", Optional.of(WANTED), Duration.ofSeconds(6))));
-        PeerMessage loadRequest = ReducerFixture.only(asked, ForwardingEffect.SendToPeer.class).stream()
+        List<ForwardingEffect> effects = requester.apply(new ForwardingEvent.RequestArrived(
+                requester.request("/chat", Optional.of(REQUESTED), Duration.ofSeconds(6))));
+        PeerMessage loadRequest = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
                 .map(ForwardingEffect.SendToPeer::message)
                 .map(message -> message instanceof PeerMessage.Routed routed ? routed.message() : message)
                 .filter(PeerMessage.AdapterWanted.class::isInstance)
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
@@ -118,9 +118,9 @@
         consumer.tick(now);
         read(true, 5, entry("a", 3), entry("b", 4));
         consumer.expired(now);
-        List<TopicRecord> news = read(true, 9, entry("b", 4));
-        assertEquals(1, news.size());
-        assertEquals("a", news.get(0).key());
-        assertTrue(news.get(0).value().isEmpty());
+        List<TopicRecord> newRecords = read(true, 9, entry("b", 4));
+        assertEquals(1, newRecords.size());
+        assertEquals("a", newRecords.get(0).key());
+        assertTrue(newRecords.get(0).value().isEmpty());
     }
 }
