Rename reducer and configuration members by field terms

"offer", "settle", "give up", "take or drop", "learn" and "ask" did not say what they do. They are applyCheckpointPart, answerPending, expirePending, updateOwnedPool, updateOwnership and requestFromPeers; event handlers are named after their event. CallTracker.arrived and size are callArrived and inFlight, like those of the other trackers. Test methods follow.

Only identifiers change.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
@@ -29,7 +29,7 @@
  * <p>Not thread-safe.
  */
 public final class ConfigurationReplica {
-    private static final String CHECKPOINT_WRITER = "configuration-checkpoint";
+    private static final String CHECKPOINT_WRITER_KEY = "configuration-checkpoint";
 
     /** Checkpoints are renewed often enough that one is always in the log. */
     private static final int CHECKPOINTS_PER_RETENTION = 3;
@@ -37,20 +37,20 @@
     private final Membership membership;
     private final ReducerSettings settings;
     private final Sequence sequence;
-    private final ConfigurationStateMachine history = new ConfigurationStateMachine();
+    private final ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
     private final Map<String, PendingChange> pending = new HashMap<>();
-    private boolean checkpointsRead;
+    private boolean initialCheckpointsRead;
     private boolean followsCheckpoints;
     private boolean checkpointsAtEnd;
     private long nextCheckpointOffset;
-    private boolean following;
+    private boolean followsChanges;
     private boolean logReachable;
-    private Optional<Instant> lastCheckpoint = Optional.empty();
-    private Instant nextCheckpoint = Instant.MIN;
+    private Optional<Instant> lastCheckpointAt = Optional.empty();
+    private Instant nextCheckpointCheck = Instant.MIN;
     private Instant nextPeerRequest = Instant.MIN;
-    private long earliestInLog;
+    private long earliestLogOffset;
 
-    private record PendingChange(long appendId, Instant giveUpAt) {}
+    private record PendingChange(long appendId, Instant deadline) {}
 
     /** Creates a replica without a configuration. */
     public ConfigurationReplica(Membership membership, ReducerSettings settings, Sequence sequence) {
@@ -60,13 +60,13 @@
     }
 
     /** Returns the state machine of the configuration stream; read-only. */
-    public ConfigurationStateMachine history() {
-        return history;
+    public ConfigurationStateMachine stateMachine() {
+        return stateMachine;
     }
 
     /** Returns the configuration in force. */
     public Configuration current() {
-        return history.current();
+        return stateMachine.current();
     }
 
     /** Returns whether the last read of the configuration stream succeeded. */
@@ -88,15 +88,15 @@
     /** Handles a record of the checkpoint stream. */
     public void checkpointRead(Instant appendedAt, CheckpointPart part, Effects effects) {
         if (part.part() == part.parts() - 1) {
-            lastCheckpoint = Optional.of(appendedAt);
+            lastCheckpointAt = Optional.of(appendedAt);
         }
-        offer(part, effects);
+        applyCheckpointPart(part, effects);
     }
 
-    private void offer(CheckpointPart part, Effects effects) {
-        if (history.offer(part)) {
+    private void applyCheckpointPart(CheckpointPart part, Effects effects) {
+        if (stateMachine.applyCheckpointPart(part)) {
             effects.report(new Notice.ConfigurationInForce(current().version()));
-            follow(effects);
+            followChanges(effects);
         }
     }
 
@@ -105,19 +105,19 @@
      *
      * @param next offset of the next checkpoint part
      */
-    public void checkpointsEnded(long next, Effects effects) {
+    public void checkpointStreamEndReached(long next, Effects effects) {
         logReachable = true;
         checkpointsAtEnd = true;
         nextCheckpointOffset = next;
-        if (!checkpointsRead) {
-            checkpointsRead = true;
-            follow(effects);
+        if (!initialCheckpointsRead) {
+            initialCheckpointsRead = true;
+            followChanges(effects);
         }
     }
 
-    private void follow(Effects effects) {
-        following = true;
-        effects.add(new Effect.FollowStream(LogStreams.CONFIGURATION, Math.max(0, history.nextOffset())));
+    private void followChanges(Effects effects) {
+        followsChanges = true;
+        effects.add(new Effect.FollowStream(LogStreams.CONFIGURATION, Math.max(0, stateMachine.nextOffset())));
     }
 
     /**
@@ -126,22 +126,22 @@
      * @param change the change, empty if it could not be decoded
      */
     public void changeRead(long offset, Optional<ConfigurationChange> change, Effects effects) {
-        if (!history.isKnown() && offset == 0) {
-            history.startEmpty();
+        if (!stateMachine.isInitialized() && offset == 0) {
+            stateMachine.initializeEmpty();
         }
         if (change.isEmpty()) {
-            history.skip(offset);
+            stateMachine.skip(offset);
             return;
         }
         long before = current().version();
-        Optional<ChangeVerdict> verdict = history.apply(offset, change.get());
+        Optional<ChangeVerdict> verdict = stateMachine.apply(offset, change.get());
         if (current().version() != before) {
             effects.report(new Notice.ConfigurationInForce(current().version()));
         }
-        verdict.ifPresent(value -> settle(change.get().changeId(), value, effects));
+        verdict.ifPresent(value -> answerPending(change.get().changeId(), value, effects));
     }
 
-    private void settle(String changeId, ChangeVerdict verdict, Effects effects) {
+    private void answerPending(String changeId, ChangeVerdict verdict, Effects effects) {
         if (pending.remove(changeId) != null) {
             effects.add(new Effect.AnswerChange(changeId, verdict));
         }
@@ -152,10 +152,10 @@
      *
      * @param end offset that the next change will get
      */
-    public void changesEnded(long end) {
+    public void changeStreamEndReached(long end) {
         logReachable = true;
         if (end == 0) {
-            history.startEmpty();
+            stateMachine.initializeEmpty();
         }
     }
 
@@ -165,8 +165,8 @@
      * @param earliest lowest offset that can still be read
      */
     public void changesExpired(long earliest, Effects effects) {
-        effects.report(new Notice.ConfigurationGap(history.nextOffset(), earliest));
-        earliestInLog = earliest;
+        effects.report(new Notice.ConfigurationGap(stateMachine.nextOffset(), earliest));
+        earliestLogOffset = earliest;
         nextPeerRequest = Instant.MIN;
     }
 
@@ -177,10 +177,10 @@
 
     /** Submits a change of an operator. */
     public void submit(ConfigurationChange change, Instant now, Effects effects) {
-        Optional<ChangeVerdict> known = history.verdict(change.changeId());
+        Optional<ChangeVerdict> known = stateMachine.verdict(change.changeId());
         if (known.isPresent()) {
             effects.add(new Effect.AnswerChange(change.changeId(), known.get()));
-        } else if (!history.isKnown()) {
+        } else if (!stateMachine.isInitialized()) {
             refuse(change, new Failure.NotReady(membership.self().host()), effects);
         } else if (change.baseVersion() < current().version()) {
             // Versions only grow, so the log would decide the same.
@@ -195,9 +195,9 @@
     }
 
     private void append(ConfigurationChange change, Instant now, Effects effects) {
-        long append = sequence.next();
-        pending.put(change.changeId(), new PendingChange(append, now.plus(settings.changeTimeout())));
-        effects.add(new Effect.AppendToLog(append, LogStreams.CONFIGURATION, List.of(change)));
+        long appendId = sequence.next();
+        pending.put(change.changeId(), new PendingChange(appendId, now.plus(settings.changeTimeout())));
+        effects.add(new Effect.AppendToLog(appendId, LogStreams.CONFIGURATION, List.of(change)));
     }
 
     private static void refuse(ConfigurationChange change, Failure failure, Effects effects) {
@@ -205,11 +205,11 @@
     }
 
     /** Handles an append that the log rejected. */
-    public void appendRejected(long append, Failure failure, Effects effects) {
+    public void appendRejected(long appendId, Failure failure, Effects effects) {
         Iterator<Map.Entry<String, PendingChange>> iterator = pending.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<String, PendingChange> entry = iterator.next();
-            if (entry.getValue().appendId() == append) {
+            if (entry.getValue().appendId() == appendId) {
                 iterator.remove();
                 effects.add(new Effect.AnswerChange(entry.getKey(), new ChangeVerdict.Refused(failure)));
             }
@@ -217,89 +217,89 @@
     }
 
     /** Answers a peer that may have applied less. */
-    public void answer(
+    public void answerRequest(
             HostId peer,
             PeerMessage.ConfigurationRequest request,
             Map<org.banyanstair.model.PoolId, org.banyanstair.ownership.Ownership> owners,
             Effects effects) {
-        if (history.isKnown() && history.nextOffset() > request.nextOffset()) {
-            CheckpointPart.of(current(), history.nextOffset())
+        if (stateMachine.isInitialized() && stateMachine.nextOffset() > request.nextOffset()) {
+            CheckpointPart.of(current(), stateMachine.nextOffset())
                     .forEach(part -> effects.send(peer, new PeerMessage.ConfigurationReply(part, owners)));
         }
     }
 
     /** Takes a part of a peer's configuration. */
-    public void peerReplied(CheckpointPart part, Effects effects) {
-        offer(part, effects);
+    public void replyReceived(CheckpointPart part, Effects effects) {
+        applyCheckpointPart(part, effects);
     }
 
     /** Asks peers, writes checkpoints and ends changes without a verdict, when due. */
     public void tick(Instant now, Effects effects) {
-        giveUp(now, effects);
+        expirePending(now, effects);
         // Expired changes can only be recovered from checkpoints and from peers.
-        boolean missesChanges = history.nextOffset() < earliestInLog;
+        boolean missesChanges = stateMachine.nextOffset() < earliestLogOffset;
         if (missesChanges && !followsCheckpoints) {
             followCheckpoints(effects);
         }
-        boolean needsPeers = !logReachable || !history.isKnown() || !following || missesChanges;
+        boolean needsPeers = !logReachable || !stateMachine.isInitialized() || !followsChanges || missesChanges;
         if (needsPeers && !now.isBefore(nextPeerRequest)) {
             nextPeerRequest = now.plus(settings.retryInterval());
-            askPeers(now, effects);
+            requestFromPeers(now, effects);
         }
-        if (!now.isBefore(nextCheckpoint)) {
-            nextCheckpoint = now.plus(checkpointCheckInterval());
+        if (!now.isBefore(nextCheckpointCheck)) {
+            nextCheckpointCheck = now.plus(checkpointCheckInterval());
             maintainCheckpoints(missesChanges, now, effects);
         }
     }
 
-    private void giveUp(Instant now, Effects effects) {
+    private void expirePending(Instant now, Effects effects) {
         for (String changeId : new ArrayList<>(pending.keySet())) {
-            if (!now.isBefore(pending.get(changeId).giveUpAt())) {
-                settle(changeId, new ChangeVerdict.Refused(new Failure.ChangeOutcomeUnknown(changeId)), effects);
+            if (!now.isBefore(pending.get(changeId).deadline())) {
+                answerPending(changeId, new ChangeVerdict.Refused(new Failure.ChangeOutcomeUnknown(changeId)), effects);
             }
         }
     }
 
     /** A host without a configuration asks all peers; one that only cannot read the log asks one peer at a time. */
-    private void askPeers(Instant now, Effects effects) {
+    private void requestFromPeers(Instant now, Effects effects) {
         List<HostId> others = membership.otherHosts();
-        List<HostId> asked = others;
-        if (history.isKnown() && !others.isEmpty()) {
-            asked = List.of(others.get((int) Math.floorMod(now.getEpochSecond(), (long) others.size())));
+        List<HostId> peers = others;
+        if (stateMachine.isInitialized() && !others.isEmpty()) {
+            peers = List.of(others.get((int) Math.floorMod(now.getEpochSecond(), (long) others.size())));
         }
-        asked.forEach(peer -> effects.send(peer, new PeerMessage.ConfigurationRequest(history.nextOffset())));
+        peers.forEach(peer -> effects.send(peer, new PeerMessage.ConfigurationRequest(stateMachine.nextOffset())));
     }
 
     /** Short enough to renew checkpoints in time, and long enough to read back the previous append. */
     private Duration checkpointCheckInterval() {
-        Duration usual = settings.retryInterval().multipliedBy(10);
+        Duration defaultInterval = settings.retryInterval().multipliedBy(10);
         Duration halfRenewal = settings.logRetention().dividedBy(2L * CHECKPOINTS_PER_RETENTION);
-        return halfRenewal.compareTo(usual) < 0 ? halfRenewal : usual;
+        return halfRenewal.compareTo(defaultInterval) < 0 ? halfRenewal : defaultInterval;
     }
 
     /** Checkpoints are large, so only the host that writes them and hosts that miss changes keep reading them. */
     private void maintainCheckpoints(boolean missesChanges, Instant now, Effects effects) {
-        boolean responsible = RendezvousHash.first(CHECKPOINT_WRITER, membership.availableHosts())
+        boolean isWriter = RendezvousHash.first(CHECKPOINT_WRITER_KEY, membership.availableHosts())
                 .filter(membership.self().host()::equals)
                 .isPresent();
-        boolean needed = responsible || missesChanges || !history.isKnown();
+        boolean needed = isWriter || missesChanges || !stateMachine.isInitialized();
         if (needed && !followsCheckpoints) {
             followCheckpoints(effects);
         } else if (!needed && followsCheckpoints && checkpointsAtEnd) {
             followsCheckpoints = false;
             effects.add(new Effect.UnfollowStream(LogStreams.CHECKPOINTS));
-        } else if (responsible && checkpointsAtEnd) {
+        } else if (isWriter && checkpointsAtEnd) {
             writeCheckpointIfDue(now, effects);
         }
     }
 
     private void writeCheckpointIfDue(Instant now, Effects effects) {
-        boolean due = lastCheckpoint
+        boolean due = lastCheckpointAt
                 .map(at -> at.plus(settings.logRetention().dividedBy(CHECKPOINTS_PER_RETENTION)))
                 .map(at -> !now.isBefore(at))
                 .orElse(current().version() >= 0);
-        if (due && logReachable && history.isKnown()) {
-            CheckpointPart.of(current(), history.nextOffset())
+        if (due && logReachable && stateMachine.isInitialized()) {
+            CheckpointPart.of(current(), stateMachine.nextOffset())
                     .forEach(part -> effects.add(
                             new Effect.AppendToLog(sequence.next(), LogStreams.CHECKPOINTS, List.<LogEntry>of(part))));
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationStateMachine.java
@@ -16,17 +16,17 @@
  * record below the next offset and a checkpoint that includes fewer changes have no effect. Not thread-safe.
  */
 public final class ConfigurationStateMachine {
-    private static final int REMEMBERED_VERDICTS = 4_096;
+    private static final int MAXIMUM_VERDICTS = 4_096;
 
     private Configuration current = Configuration.INITIAL;
     private long nextOffset = -1;
-    private final List<CheckpointPart> parts = new ArrayList<>();
+    private final List<CheckpointPart> checkpointParts = new ArrayList<>();
     private final Map<String, ChangeVerdict> verdicts = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, ChangeVerdict> eldest) {
-            return size() > REMEMBERED_VERDICTS;
+            return size() > MAXIMUM_VERDICTS;
         }
     };
 
@@ -35,7 +35,7 @@
      *
      * @return false until the start of the stream or a checkpoint has been read
      */
-    public boolean isKnown() {
+    public boolean isInitialized() {
         return nextOffset >= 0;
     }
 
@@ -58,8 +58,8 @@
     }
 
     /** Starts with the initial configuration at offset 0, if no configuration is known yet. */
-    public void startEmpty() {
-        if (!isKnown()) {
+    public void initializeEmpty() {
+        if (!isInitialized()) {
             nextOffset = 0;
         }
     }
@@ -70,7 +70,7 @@
      * @return the verdict; empty if the record does not have the next offset
      */
     public Optional<ChangeVerdict> apply(long offset, ConfigurationChange change) {
-        if (!isKnown() || offset != nextOffset) {
+        if (!isInitialized() || offset != nextOffset) {
             return Optional.empty();
         }
         nextOffset = offset + 1;
@@ -99,7 +99,7 @@
 
     /** Skips a record of the stream that could not be decoded. */
     public void skip(long offset) {
-        if (isKnown() && offset == nextOffset) {
+        if (isInitialized() && offset == nextOffset) {
             nextOffset = offset + 1;
         }
     }
@@ -109,23 +109,24 @@
      *
      * @return true if a checkpoint was applied that is newer than the current state
      */
-    public boolean offer(CheckpointPart part) {
+    public boolean applyCheckpointPart(CheckpointPart part) {
         if (part.part() == 0) {
-            parts.clear();
+            checkpointParts.clear();
         }
-        boolean follows =
-                parts.size() == part.part() && (parts.isEmpty() || parts.get(0).nextOffset() == part.nextOffset());
+        boolean follows = checkpointParts.size() == part.part()
+                && (checkpointParts.isEmpty() || checkpointParts.get(0).nextOffset() == part.nextOffset());
         if (!follows) {
-            parts.clear();
+            checkpointParts.clear();
             return false;
         }
-        parts.add(part);
-        if (parts.size() < part.parts()) {
+        checkpointParts.add(part);
+        if (checkpointParts.size() < part.parts()) {
             return false;
         }
-        List<Operation> operations =
-                parts.stream().flatMap(each -> each.operations().stream()).toList();
-        parts.clear();
+        List<Operation> operations = checkpointParts.stream()
+                .flatMap(each -> each.operations().stream())
+                .toList();
+        checkpointParts.clear();
         return restore(part.version(), part.nextOffset(), operations);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -67,12 +67,12 @@
     }
 
     /** Returns the number of calls without an answer. */
-    public int size() {
+    public int inFlight() {
         return calls.size();
     }
 
     /** Submits a call that has arrived from a caller. */
-    public void arrived(CallRequest request, CallKey key, Instant now, Effects effects) {
+    public void callArrived(CallRequest request, CallKey key, Instant now, Effects effects) {
         TrackedCall call = new TrackedCall(request, key);
         calls.put(call.id(), call);
         submit(call, now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -46,7 +46,7 @@
     private final ConfigurationReplica configuration;
     private final OwnershipCoordinator ownership;
     private final CrashSuspects suspects = new CrashSuspects();
-    private final Map<PoolId, PoolOwner> owned = new HashMap<>();
+    private final Map<PoolId, PoolOwner> ownedPools = new HashMap<>();
     private final GenerationTracker generations;
     private final CallTracker calls;
     private final CallWriters writers;
@@ -84,7 +84,7 @@
         if (event instanceof Event.Tick tick) {
             tick(tick.at());
         } else if (event instanceof Event.PeerMessageReceived received) {
-            received(received.sender(), received.message(), received.at());
+            messageReceived(received.sender(), received.message(), received.at());
         } else if (!applyCallerEvent(event) && !applyEngineEvent(event) && !applyLogEvent(event)) {
             applyHostEvent(event);
         }
@@ -94,8 +94,8 @@
     private boolean applyCallerEvent(Event event) {
         if (event instanceof Event.GenerationArrived arrived) {
             generations.requestArrived(arrived.request(), configuration.current(), arrived.at(), effects);
-        } else if (event instanceof Event.GenerationCancelled withdrawn) {
-            generations.requestCancelled(withdrawn.request(), effects);
+        } else if (event instanceof Event.GenerationCancelled cancelled) {
+            generations.requestCancelled(cancelled.request(), effects);
         } else if (event instanceof Event.AttemptEnded ended) {
             generations.attemptEnded(ended.request(), ended.attempt(), ended.outcome(), ended.at(), effects);
         } else if (event instanceof Event.CallArrived arrived) {
@@ -110,7 +110,7 @@
 
     private void callArrived(CallRequest call, Instant now) {
         if (call.key().isPresent()) {
-            calls.arrived(call, call.key().get(), now, effects);
+            calls.callArrived(call, call.key().get(), now, effects);
         } else {
             idempotentCalls.callArrived(call, now, effects);
         }
@@ -125,17 +125,17 @@
 
     private boolean applyEngineEvent(Event event) {
         if (event instanceof Event.LoadEnded ended) {
-            withTerm(
+            withOwnerInTerm(
                     ended.endpoint(),
                     ended.term(),
                     owner -> owner.loadEnded(ended.endpoint(), ended.adapter(), ended.result(), ended.at(), effects));
         } else if (event instanceof Event.UnloadEnded ended) {
-            withTerm(
+            withOwnerInTerm(
                     ended.endpoint(),
                     ended.term(),
                     owner -> owner.unloadEnded(ended.endpoint(), ended.adapter(), ended.result(), ended.at(), effects));
         } else if (event instanceof Event.FenceEnded ended) {
-            withTerm(
+            withOwnerInTerm(
                     ended.endpoint(),
                     ended.term(),
                     owner -> owner.raiseFenceEnded(ended.endpoint(), ended.result(), ended.at(), effects));
@@ -151,7 +151,7 @@
         return true;
     }
 
-    private void withTerm(EndpointId endpoint, long term, Consumer<PoolOwner> action) {
+    private void withOwnerInTerm(EndpointId endpoint, long term, Consumer<PoolOwner> action) {
         withOwner(endpoint, owner -> {
             if (owner.term() == term) {
                 action.accept(owner);
@@ -163,7 +163,7 @@
         membership
                 .listing()
                 .endpoint(endpoint)
-                .map(entry -> owned.get(entry.pool()))
+                .map(entry -> ownedPools.get(entry.pool()))
                 .ifPresent(action);
     }
 
@@ -182,10 +182,10 @@
         } else if (event instanceof Event.AppendRejected rejected) {
             configuration.appendRejected(rejected.appendId(), rejected.failure(), effects);
             writers.appendRejected(rejected.appendId(), rejected.failure(), effects);
-            owned.values().forEach(owner -> owner.appendRejected(rejected.appendId(), rejected.at()));
+            ownedPools.values().forEach(owner -> owner.appendRejected(rejected.appendId(), rejected.at()));
         } else if (event instanceof Event.AppendEnded ended) {
             writers.appendEnded(ended.appendId());
-            owned.values().forEach(owner -> owner.appendEnded(ended.appendId()));
+            ownedPools.values().forEach(owner -> owner.appendEnded(ended.appendId()));
         } else {
             return false;
         }
@@ -200,7 +200,7 @@
             entryRead(read.stream(), entry, read.at());
         }
         if (read.next() >= read.end()) {
-            streamEnded(read);
+            streamEndReached(read);
         }
     }
 
@@ -219,16 +219,16 @@
         }
     }
 
-    private void streamEnded(Event.StreamRead read) {
+    private void streamEndReached(Event.StreamRead read) {
         if (read.stream().equals(LogStreams.CONFIGURATION)) {
-            configuration.changesEnded(read.end());
+            configuration.changeStreamEndReached(read.end());
         } else if (read.stream().equals(LogStreams.CHECKPOINTS)) {
-            configuration.checkpointsEnded(read.next(), effects);
+            configuration.checkpointStreamEndReached(read.next(), effects);
         } else if (read.stream().equals(LogStreams.OWNERSHIP)) {
-            boolean first = !ownership.isCaughtUp();
+            boolean wasBehind = !ownership.isCaughtUp();
             ownership.markCaughtUp();
-            if (first) {
-                ownership.state().owners().keySet().forEach(pool -> takeOrDrop(pool, read.at()));
+            if (wasBehind) {
+                ownership.state().owners().keySet().forEach(pool -> updateOwnedPool(pool, read.at()));
             }
         }
     }
@@ -242,10 +242,10 @@
     private void ownershipRead(long offset, OwnershipRecord record, Instant now) {
         boolean changed = ownership.state().apply(offset, record);
         if (record instanceof OwnershipRecord.UnloadAnnouncement announcement) {
-            Optional.ofNullable(owned.get(announcement.pool()))
+            Optional.ofNullable(ownedPools.get(announcement.pool()))
                     .ifPresent(owner -> owner.unloadAnnouncementRead(announcement, now, effects));
         } else if (changed && ownership.isCaughtUp()) {
-            takeOrDrop(poolOf(record), now);
+            updateOwnedPool(poolOf(record), now);
         }
     }
 
@@ -254,20 +254,20 @@
     }
 
     /** Starts or stops acting as the owner of a pool after its ownership has changed. */
-    private void takeOrDrop(PoolId pool, Instant now) {
+    private void updateOwnedPool(PoolId pool, Instant now) {
         Optional<Ownership> current = ownership.state().owner(pool);
         if (current.isEmpty()) {
             return;
         }
-        Ownership ownershipNow = current.get();
-        PoolOwner present = owned.get(pool);
-        if (!ownershipNow.owner().equals(membership.self())) {
-            owned.remove(pool);
-        } else if (present == null || present.term() != ownershipNow.term()) {
-            owned.put(pool, new PoolOwner(pool, ownershipNow.term(), poolContext, now));
-            effects.report(new Notice.PoolTaken(pool, ownershipNow.term()));
+        Ownership currentOwnership = current.get();
+        PoolOwner present = ownedPools.get(pool);
+        if (!currentOwnership.owner().equals(membership.self())) {
+            ownedPools.remove(pool);
+        } else if (present == null || present.term() != currentOwnership.term()) {
+            ownedPools.put(pool, new PoolOwner(pool, currentOwnership.term(), poolContext, now));
+            effects.report(new Notice.PoolTaken(pool, currentOwnership.term()));
         }
-        effects.report(new Notice.PoolOwned(pool, ownershipNow.owner(), ownershipNow.term()));
+        effects.report(new Notice.PoolOwned(pool, currentOwnership.owner(), currentOwnership.term()));
         generations.ownerChanged(pool, now, effects);
     }
 
@@ -282,46 +282,47 @@
             configuration.submit(submitted.change(), submitted.at(), effects);
         } else if (event instanceof Event.VerdictQueried queried) {
             effects.add(new Effect.AnswerVerdict(
-                    queried.query(), configuration.history().verdict(queried.changeId())));
+                    queried.query(), configuration.stateMachine().verdict(queried.changeId())));
         } else if (event instanceof Event.StatusQueried queried) {
             statuses.query(queried.query(), queried.at(), effects);
-        } else if (event instanceof Event.DrainRequested ordered) {
-            effects.send(ordered.host(), new PeerMessage.DrainRequest());
+        } else if (event instanceof Event.DrainRequested requested) {
+            effects.send(requested.host(), new PeerMessage.DrainRequest());
         } else if (event instanceof Event.DrainStarted) {
-            drain();
+            startDraining();
         }
     }
 
-    private void drain() {
+    private void startDraining() {
         membership.startDraining();
         membership.otherHosts().forEach(peer -> effects.send(peer, new PeerMessage.HostLeaving(membership.self())));
     }
 
-    private void received(HostIdentity sender, PeerMessage message, Instant now) {
+    private void messageReceived(HostIdentity sender, PeerMessage message, Instant now) {
         membership.markReachable(sender);
         HostId peer = sender.host();
         if (message instanceof PeerMessage.PermitRequest request) {
-            Optional<PoolOwner> owner = Optional.ofNullable(owned.get(request.pool()));
+            Optional<PoolOwner> owner = Optional.ofNullable(ownedPools.get(request.pool()));
             owner.ifPresentOrElse(
-                    present -> present.permitRequested(sender, request, now, effects), () -> notOwner(peer, request));
+                    present -> present.permitRequested(sender, request, now, effects),
+                    () -> replyNotOwner(peer, request));
         } else if (message instanceof PeerMessage.PermitRelease release) {
-            Optional.ofNullable(owned.get(release.pool()))
+            Optional.ofNullable(ownedPools.get(release.pool()))
                     .ifPresent(owner -> owner.permitReleased(release, now, effects));
         } else if (message instanceof PeerMessage.InventoryReply reply) {
-            Optional.ofNullable(owned.get(reply.pool()))
+            Optional.ofNullable(ownedPools.get(reply.pool()))
                     .ifPresent(owner -> owner.inventoryReceived(sender, reply, now, effects));
-        } else if (!receivedAsHolder(sender, message, now) && !receivedCall(sender, message, now)) {
-            receivedHostMessage(sender, message, now);
+        } else if (!permitMessageReceived(sender, message, now) && !callMessageReceived(sender, message, now)) {
+            hostMessageReceived(sender, message, now);
         }
     }
 
-    private void notOwner(HostId peer, PeerMessage.PermitRequest request) {
+    private void replyNotOwner(HostId peer, PeerMessage.PermitRequest request) {
         long knownTerm =
                 ownership.state().owner(request.pool()).map(Ownership::term).orElse(-1L);
         effects.send(peer, new PeerMessage.NotOwner(request.request(), request.attempt(), request.pool(), knownTerm));
     }
 
-    private boolean receivedAsHolder(HostIdentity sender, PeerMessage message, Instant now) {
+    private boolean permitMessageReceived(HostIdentity sender, PeerMessage message, Instant now) {
         if (message instanceof PeerMessage.PermitGrant grant) {
             generations.permitGranted(sender.host(), grant, effects);
         } else if (message instanceof PeerMessage.PermitRefusal refusal) {
@@ -329,7 +330,7 @@
         } else if (message instanceof PeerMessage.NotOwner notOwner) {
             generations.notOwnerReceived(notOwner, now);
         } else if (message instanceof PeerMessage.InventoryRequest request) {
-            learn(request.pool(), new Ownership(sender, request.term()), now);
+            updateOwnership(request.pool(), new Ownership(sender, request.term()), now);
             generations.inventoryRequested(sender.host(), request, effects);
         } else {
             return false;
@@ -337,7 +338,7 @@
         return true;
     }
 
-    private boolean receivedCall(HostIdentity sender, PeerMessage message, Instant now) {
+    private boolean callMessageReceived(HostIdentity sender, PeerMessage message, Instant now) {
         if (message instanceof PeerMessage.CallSubmit submit) {
             writers.submit(sender.host(), submit, now, effects);
         } else if (message instanceof PeerMessage.CallOutcome outcome) {
@@ -348,17 +349,17 @@
         return true;
     }
 
-    private void receivedHostMessage(HostIdentity sender, PeerMessage message, Instant now) {
+    private void hostMessageReceived(HostIdentity sender, PeerMessage message, Instant now) {
         HostId peer = sender.host();
         if (message instanceof PeerMessage.ConfigurationRequest request) {
-            configuration.answer(peer, request, ownership.state().owners(), effects);
+            configuration.answerRequest(peer, request, ownership.state().owners(), effects);
         } else if (message instanceof PeerMessage.ConfigurationReply reply) {
-            configuration.peerReplied(reply.part(), effects);
-            reply.owners().forEach((pool, owner) -> learn(pool, owner, now));
+            configuration.replyReceived(reply.part(), effects);
+            reply.owners().forEach((pool, owner) -> updateOwnership(pool, owner, now));
         } else if (message instanceof PeerMessage.StatusRequest request) {
-            effects.send(peer, new PeerMessage.StatusReply(request.query(), status(), reports()));
+            effects.send(peer, new PeerMessage.StatusReply(request.query(), status(), endpointReports()));
         } else if (message instanceof PeerMessage.StatusReply reply) {
-            statuses.replied(peer, reply, effects);
+            statuses.replyReceived(peer, reply, effects);
         } else if (message instanceof PeerMessage.HostLeaving leaving) {
             membership.markLeaving(leaving.host());
         } else if (message instanceof PeerMessage.DrainRequest) {
@@ -366,24 +367,24 @@
         }
     }
 
-    private void learn(PoolId pool, Ownership owner, Instant now) {
+    private void updateOwnership(PoolId pool, Ownership owner, Instant now) {
         if (ownership.state().updateFromPeer(pool, owner)) {
-            takeOrDrop(pool, now);
+            updateOwnedPool(pool, now);
         }
     }
 
     private void tick(Instant now) {
         configuration.tick(now, effects);
         ownership.tick(now, effects);
-        owned.values().forEach(owner -> owner.tick(now, effects));
+        ownedPools.values().forEach(owner -> owner.tick(now, effects));
         generations.tick(now, effects);
         calls.tick(now, effects);
         writers.tick(now, effects);
         statuses.tick(now, effects);
     }
 
-    private List<EndpointReport> reports() {
-        return owned.values().stream()
+    private List<EndpointReport> endpointReports() {
+        return ownedPools.values().stream()
                 .flatMap(owner -> owner.endpointReports().stream())
                 .toList();
     }
@@ -396,7 +397,7 @@
                 membership.isDraining(),
                 configuration.current().version(),
                 configuration.current().presetInForce(),
-                List.copyOf(owned.keySet()),
+                List.copyOf(ownedPools.keySet()),
                 inFlight(),
                 configuration.isLogReachable(),
                 startedAt);
@@ -408,7 +409,7 @@
      * @return true once the configuration and the host list are known
      */
     public boolean isReady() {
-        return configuration.history().isKnown() && membership.hasListing();
+        return configuration.stateMachine().isInitialized() && membership.hasListing();
     }
 
     /**
@@ -417,12 +418,12 @@
      * @return requests of callers and dispatches; all non-idempotent calls that this host writes count as one
      */
     public int inFlight() {
-        return generations.inFlight() + calls.size() + idempotentCalls.inFlight() + (writers.isBusy() ? 1 : 0);
+        return generations.inFlight() + calls.inFlight() + idempotentCalls.inFlight() + (writers.isBusy() ? 1 : 0);
     }
 
     /** Returns whether this host owns no pool, so that no host needs it for new permits. */
     public boolean ownsNoPool() {
-        return owned.isEmpty();
+        return ownedPools.isEmpty();
     }
 
     /** Returns the hosts and endpoints that this host knows; read-only. */
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/StatusCollector.java
@@ -19,13 +19,13 @@
     private final Map<Long, Query> queries = new HashMap<>();
 
     private static final class Query {
-        private final Instant endAt;
-        private final int expected;
+        private final Instant deadline;
+        private final int expectedReplies;
         private final Map<HostId, PeerMessage.StatusReply> replies = new LinkedHashMap<>();
 
-        Query(Instant endAt, int expected) {
-            this.endAt = endAt;
-            this.expected = expected;
+        Query(Instant deadline, int expectedReplies) {
+            this.deadline = deadline;
+            this.expectedReplies = expectedReplies;
         }
     }
 
@@ -34,31 +34,31 @@
         this.settings = settings;
     }
 
-    void query(long number, Instant now, Effects effects) {
-        List<HostId> asked = new ArrayList<>(membership.otherHosts());
-        asked.add(membership.self().host());
-        queries.put(number, new Query(now.plus(settings.retryInterval()), asked.size()));
-        asked.forEach(host -> effects.send(host, new PeerMessage.StatusRequest(number)));
+    void query(long queryId, Instant now, Effects effects) {
+        List<HostId> hosts = new ArrayList<>(membership.otherHosts());
+        hosts.add(membership.self().host());
+        queries.put(queryId, new Query(now.plus(settings.retryInterval()), hosts.size()));
+        hosts.forEach(host -> effects.send(host, new PeerMessage.StatusRequest(queryId)));
     }
 
-    void replied(HostId sender, PeerMessage.StatusReply reply, Effects effects) {
+    void replyReceived(HostId sender, PeerMessage.StatusReply reply, Effects effects) {
         Query query = queries.get(reply.query());
         if (query == null) {
             return;
         }
         query.replies.put(sender, reply);
-        if (query.replies.size() >= query.expected) {
+        if (query.replies.size() >= query.expectedReplies) {
             answer(reply.query(), effects);
         }
     }
 
-    private void answer(long number, Effects effects) {
-        Query query = queries.remove(number);
+    private void answer(long queryId, Effects effects) {
+        Query query = queries.remove(queryId);
         List<EndpointReport> endpoints = query.replies.values().stream()
                 .flatMap(reply -> reply.endpoints().stream())
                 .toList();
         effects.add(new Effect.AnswerStatus(
-                number,
+                queryId,
                 query.replies.values().stream()
                         .map(PeerMessage.StatusReply::status)
                         .toList(),
@@ -67,9 +67,9 @@
 
     void tick(Instant now, Effects effects) {
         queries.entrySet().stream()
-                .filter(entry -> !now.isBefore(entry.getValue().endAt))
+                .filter(entry -> !now.isBefore(entry.getValue().deadline))
                 .map(Map.Entry::getKey)
                 .toList()
-                .forEach(number -> answer(number, effects));
+                .forEach(queryId -> answer(queryId, effects));
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/CheckpointConvergenceTest.java
@@ -33,27 +33,27 @@
         return log;
     }
 
-    private static void apply(ConfigurationStateMachine history, List<ConfigurationChange> log, int from, int to) {
+    private static void apply(ConfigurationStateMachine stateMachine, List<ConfigurationChange> log, int from, int to) {
         for (int offset = from; offset < to; offset++) {
-            history.apply(offset, log.get(offset));
+            stateMachine.apply(offset, log.get(offset));
         }
     }
 
     @Property(seed = "8103", tries = 500)
-    void aHostThatBeganAtACheckpointAgreesWithOneThatReadEverything(
+    void hostThatStartedFromACheckpointAgreesWithOneThatReadTheWholeLog(
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int length) {
         Random random = new Random(seed);
         List<ConfigurationChange> log = randomLog(random, length);
         int checkpoint = random.nextInt(length + 1);
-        ConfigurationStateMachine whole = new ConfigurationStateMachine();
-        whole.startEmpty();
-        apply(whole, log, 0, checkpoint);
-        ConfigurationStateMachine late = new ConfigurationStateMachine();
-        CheckpointPart.of(whole.current(), checkpoint).forEach(late::offer);
-        apply(whole, log, checkpoint, length);
-        apply(late, log, checkpoint, length);
+        ConfigurationStateMachine complete = new ConfigurationStateMachine();
+        complete.initializeEmpty();
+        apply(complete, log, 0, checkpoint);
+        ConfigurationStateMachine fromCheckpoint = new ConfigurationStateMachine();
+        CheckpointPart.of(complete.current(), checkpoint).forEach(fromCheckpoint::applyCheckpointPart);
+        apply(complete, log, checkpoint, length);
+        apply(fromCheckpoint, log, checkpoint, length);
         if (checkpoint > 0) {
-            assertEquals(whole.current(), late.current());
+            assertEquals(complete.current(), fromCheckpoint.current());
         }
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/configuration/ConfigurationStateMachineTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/configuration/ConfigurationStateMachineTest.java
@@ -39,47 +39,51 @@
     }
 
     private static ConfigurationStateMachine replay(List<ConfigurationChange> log) {
-        ConfigurationStateMachine history = new ConfigurationStateMachine();
-        history.startEmpty();
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        stateMachine.initializeEmpty();
         for (int offset = 0; offset < log.size(); offset++) {
-            history.apply(offset, log.get(offset));
+            stateMachine.apply(offset, log.get(offset));
         }
-        return history;
+        return stateMachine;
     }
 
     @Property(seed = "8101", tries = 300)
-    void versionsNeverGoBackWhateverOrderRecordsAndCheckpointsCome(
+    void versionNeverRevertsInAnyOrderOfRecordsAndCheckpoints(
             @ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int length) {
         List<ConfigurationChange> log = randomLog(seed, length);
         Random random = new Random(seed + 1);
-        ConfigurationStateMachine history = new ConfigurationStateMachine();
-        history.startEmpty();
-        long version = history.current().version();
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        stateMachine.initializeEmpty();
+        long version = stateMachine.current().version();
         for (int step = 0; step < 6 * length; step++) {
             if (random.nextInt(5) == 0) {
                 int known = random.nextInt(length + 1);
                 Configuration earlier = replay(log.subList(0, known)).current();
-                CheckpointPart.of(earlier, known).forEach(history::offer);
+                CheckpointPart.of(earlier, known).forEach(stateMachine::applyCheckpointPart);
             } else {
                 int offset = random.nextInt(length);
-                history.apply(offset, log.get(offset));
+                stateMachine.apply(offset, log.get(offset));
             }
-            assertTrue(history.current().version() >= version);
-            version = history.current().version();
+            assertTrue(stateMachine.current().version() >= version);
+            version = stateMachine.current().version();
             Configuration expected =
-                    replay(log.subList(0, (int) history.nextOffset())).current();
-            assertEquals(expected, history.current());
-            assertTrue(history.current().presets().containsKey(history.current().presetInForce()));
+                    replay(log.subList(0, (int) stateMachine.nextOffset())).current();
+            assertEquals(expected, stateMachine.current());
+            assertTrue(stateMachine
+                    .current()
+                    .presets()
+                    .containsKey(stateMachine.current().presetInForce()));
         }
     }
 
     @Property(seed = "8102", tries = 300)
-    void exactlyOneOfTheChangesWithTheSameBaseWins(@ForAll @IntRange(min = 2, max = 9) int operators) {
-        ConfigurationStateMachine history = new ConfigurationStateMachine();
-        history.startEmpty();
+    void exactlyOneOfTheChangesWithTheSameBaseIsAccepted(@ForAll @IntRange(min = 2, max = 9) int operators) {
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        stateMachine.initializeEmpty();
         int accepted = 0;
         for (int offset = 0; offset < operators; offset++) {
-            ChangeVerdict verdict = history.apply(offset, usePreset("change-" + offset, -1, PRESETS.get(offset % 3)))
+            ChangeVerdict verdict = stateMachine
+                    .apply(offset, usePreset("change-" + offset, -1, PRESETS.get(offset % 3)))
                     .orElseThrow();
             if (verdict instanceof ChangeVerdict.Accepted) {
                 accepted++;
@@ -92,32 +96,32 @@
 
     @Test
     void changeThatWasAppendedTwiceKeepsItsFirstVerdict() {
-        ConfigurationStateMachine history = new ConfigurationStateMachine();
-        history.startEmpty();
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        stateMachine.initializeEmpty();
         ConfigurationChange change = usePreset("change", -1, "peak");
-        assertEquals(Optional.of(new ChangeVerdict.Accepted(0)), history.apply(0, change));
-        assertEquals(Optional.of(new ChangeVerdict.Accepted(0)), history.apply(1, change));
-        assertEquals(0, history.current().version());
+        assertEquals(Optional.of(new ChangeVerdict.Accepted(0)), stateMachine.apply(0, change));
+        assertEquals(Optional.of(new ChangeVerdict.Accepted(0)), stateMachine.apply(1, change));
+        assertEquals(0, stateMachine.current().version());
     }
 
     @Test
     void changeThatCannotBeAppliedLeavesTheVersion() {
-        ConfigurationStateMachine history = new ConfigurationStateMachine();
-        history.startEmpty();
-        history.apply(0, usePreset("change", -1, "no-such-preset"));
-        assertEquals(Configuration.INITIAL, history.current());
-        assertEquals(1, history.nextOffset());
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        stateMachine.initializeEmpty();
+        stateMachine.apply(0, usePreset("change", -1, "no-such-preset"));
+        assertEquals(Configuration.INITIAL, stateMachine.current());
+        assertEquals(1, stateMachine.nextOffset());
     }
 
     @Test
-    void nothingIsAppliedBeforeTheStartIsKnown() {
-        ConfigurationStateMachine history = new ConfigurationStateMachine();
-        assertEquals(Optional.empty(), history.apply(7, usePreset("change", -1, "peak")));
-        assertFalse(history.isKnown());
+    void nothingIsAppliedBeforeInitialization() {
+        ConfigurationStateMachine stateMachine = new ConfigurationStateMachine();
+        assertEquals(Optional.empty(), stateMachine.apply(7, usePreset("change", -1, "peak")));
+        assertFalse(stateMachine.isInitialized());
     }
 
     @Test
-    void differenceLeadsToTheDeclarations() {
+    void applyingTheDifferenceGivesTheDeclarations() {
         Declarations wanted =
                 new Declarations(List.of(), List.of(), List.of(), List.of(), Optional.of(new PresetId("peak")));
         List<Operation> operations = ConfigurationDifference.between(Configuration.INITIAL, wanted);
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -206,7 +206,7 @@
         orders.put(id, order);
         Instant deadline = now.plusMillis(500 + random.nextInt(3_000));
         ServiceCall call = new ServiceCall(id, "POST", "/orders", Optional.empty(), new byte[0], deadline);
-        host.tracker.arrived(
+        host.tracker.callArrived(
                 new CallRequest(call, POOL, Optional.of(order.key()), digest), order.key(), now, host.effects);
         execute(host);
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/reducer/LogOutageReducerTest.java
@@ -118,7 +118,7 @@
 
     /** If a claim expires during an outage, a joining host could claim the pool from its healthy owner. */
     @Test
-    void claimsAreWrittenAgainAtOnceAfterAnOutage() {
+    void claimsAreRenewedImmediatelyAfterAnOutage() {
         HostReducer reducer = reducer(Duration.ofHours(1));
         read(reducer, LogStreams.OWNERSHIP, 1, new OwnershipRecord.Claim(POOL, SELF));
         tickFor(reducer, Duration.ofSeconds(1));
@@ -165,7 +165,7 @@
 
     /** Without a request to its peers, a host that missed expired changes would be stale until the next checkpoint. */
     @Test
-    void aHostThatMissedExpiredChangesAsksItsPeers() {
+    void hostThatMissedExpiredChangesAsksItsPeers() {
         HostReducer reducer = reducer(Duration.ofHours(1), "entry-2", "entry-3");
         read(reducer, LogStreams.CHECKPOINTS, 0);
         read(reducer, LogStreams.CONFIGURATION, 1, change("first", -1));
@@ -199,7 +199,7 @@
     }
 
     /** Creates the reducer of a host that is not the checkpoint writer. */
-    private HostReducer follower() {
+    private HostReducer reducerOfNonWriter() {
         String other = "entry-2";
         while (!RendezvousHash.first("configuration-checkpoint", List.of(SELF.host(), new HostId(other)))
                 .equals(Optional.of(new HostId(other)))) {
@@ -213,15 +213,15 @@
 
     /** Reading the checkpoints of 96,000 adapters would exceed the budget of 3 KB/s per host. */
     @Test
-    void hostThatDoesNotWriteCheckpointsEndsReadingThem() {
-        HostReducer reducer = follower();
+    void hostThatDoesNotWriteCheckpointsStopsReadingThem() {
+        HostReducer reducer = reducerOfNonWriter();
         tickFor(reducer, Duration.ofSeconds(11));
         assertTrue(effects.contains(new Effect.UnfollowStream(LogStreams.CHECKPOINTS)));
     }
 
     @Test
     void hostThatMissedChangesReadsTheCheckpointsAgain() {
-        HostReducer reducer = follower();
+        HostReducer reducer = reducerOfNonWriter();
         tickFor(reducer, Duration.ofSeconds(11));
         effects.clear();
         effects.addAll(reducer.apply(new Event.StreamExpired(now, LogStreams.CONFIGURATION, 7)));
