--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -96,7 +96,7 @@
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final DaemonContext context = new DaemonContext();
-    private final LogClient topics;
+    private final LogClient logClient;
     private final PeerTransport peers;
     private long lastExchangeNumber;
     private volatile boolean stopping;
@@ -115,7 +115,7 @@
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
         this.connections = new EndpointConnectionPool(
                 loop, CONNECT_TIMEOUT, responseMemory, new RejectedResponses(metrics, decisions::write));
-        this.topics = new LogClient(context, loop);
+        this.logClient = new LogClient(context, loop);
         metrics.registerStatusGauges(() -> reducer.status(context.now()));
         metrics.registerGauge("endpoint_connections_total", connections::openedTotal);
         metrics.registerGauge("answer_memory_bytes", responseMemory::usedBytes);
@@ -236,13 +236,13 @@
         } else if (effect instanceof ForwardingEffect.Inspect inspect) {
             inspect(inspect);
         } else if (effect instanceof ForwardingEffect.ReadNewest read) {
-            topics.readNewest(read);
+            logClient.readNewest(read);
         } else if (effect instanceof ForwardingEffect.ReadFrom read) {
-            topics.readFrom(read);
+            logClient.readFrom(read);
         } else if (effect instanceof ForwardingEffect.AppendClaim append) {
-            topics.append(append);
+            logClient.append(append);
         } else if (effect instanceof ForwardingEffect.AppendAnnouncement append) {
-            topics.append(append);
+            logClient.append(append);
         } else {
             executeForCaller(effect);
         }
@@ -272,9 +272,9 @@
                 command.address(),
                 protocols.endpoints().commandRequest(command),
                 COMMAND_TIMEOUT,
-                answer -> context.submit(new ForwardingEvent.CommandAnswered(
+                response -> context.submit(new ForwardingEvent.CommandAnswered(
                         command,
-                        answer.map(protocols.endpoints()::parseCommandResult).orElse(CommandResult.UNKNOWN))));
+                        response.map(protocols.endpoints()::parseCommandResult).orElse(CommandResult.UNKNOWN))));
     }
 
     private void inspect(ForwardingEffect.Inspect inspect) {
@@ -283,22 +283,22 @@
                 inspect.address(),
                 protocols.endpoints().inspectionRequest(inspect),
                 INSPECTION_TIMEOUT,
-                answer -> context.submit(new ForwardingEvent.Inspected(
-                        inspect.endpoint(), answer.flatMap(protocols.endpoints()::parseRunnerState))));
+                response -> context.submit(new ForwardingEvent.Inspected(
+                        inspect.endpoint(), response.flatMap(protocols.endpoints()::parseRunnerState))));
     }
 
     private void callRunner(
             String operation,
             NetworkAddress address,
             FullHttpRequest request,
-            Duration limit,
+            Duration timeout,
             Consumer<Optional<FullHttpResponse>> callback) {
         ResponseAggregator.send(
                 connections,
                 loop,
                 address,
                 request,
-                limit,
+                timeout,
                 MAXIMUM_RUNNER_RESPONSE_BYTES,
                 metrics.timeRunnerCall(operation, clock, callback));
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -166,9 +166,9 @@
         String text = head.headers().get("Keep-Alive", "");
         Matcher matcher = KEEP_ALIVE_PATTERN.matcher(text);
         if (matcher.find() && !keepAliveTimeout.isZero()) {
-            Duration limit =
+            Duration timeout =
                     Duration.ofSeconds(Long.parseLong(matcher.group(1))).minus(KEEP_ALIVE_MARGIN);
-            keepAliveTimeout = limit.isNegative() ? Duration.ZERO : limit;
+            keepAliveTimeout = timeout.isNegative() ? Duration.ZERO : timeout;
         }
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -91,12 +91,12 @@
     private <T> Consumer<Optional<T>> timeCall(
             String name, String operation, InstantSource clock, Consumer<Optional<T>> callback) {
         Instant startedAt = clock.instant();
-        return answer -> {
-            String answered = Boolean.toString(answer.isPresent());
+        return response -> {
+            String answered = Boolean.toString(response.isPresent());
             record(
                     timer(name, "operation", operation, "answered", answered),
                     Duration.between(startedAt, clock.instant()));
-            callback.accept(answer);
+            callback.accept(response);
         };
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -45,12 +45,12 @@
 
     private void readPage(
             Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long lowestEnd) {
-        call("snapshot", protocol.snapshotRequest(topic, after), RESPONSE_TIMEOUT, answer -> {
-            Optional<TopicPage.Records> page = answer.map(protocol::parseSnapshot)
+        call("snapshot", protocol.snapshotRequest(topic, after), RESPONSE_TIMEOUT, result -> {
+            Optional<TopicPage.Records> page = result.map(protocol::parseSnapshot)
                     .filter(TopicPage.Records.class::isInstance)
                     .map(TopicPage.Records.class::cast);
             if (page.isEmpty()) {
-                reportUnavailable(topic, answer);
+                reportUnavailable(topic, result);
                 return;
             }
             records.addAll(page.get().records());
@@ -73,43 +73,46 @@
                 "read",
                 protocol.recordsRequest(read.topic(), read.offset(), wait),
                 wait.plus(RESPONSE_TIMEOUT),
-                answer -> {
-                    Optional<TopicPage> page = answer.map(response -> protocol.parseRecords(response, read.offset()));
+                result -> {
+                    Optional<TopicPage> page = result.map(response -> protocol.parseRecords(response, read.offset()));
                     if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
                         forwarder.submit(new ForwardingEvent.TopicRead(
                                 read.topic(), startedAt, false, found.records(), found.endOffset()));
                     } else if (page.isPresent() && page.get() instanceof TopicPage.Expired) {
                         forwarder.submit(new ForwardingEvent.TopicExpired(read.topic()));
                     } else {
-                        reportUnavailable(read.topic(), answer);
+                        reportUnavailable(read.topic(), result);
                     }
                 });
     }
 
     private void call(
-            String operation, FullHttpRequest request, Duration limit, Consumer<Optional<FullHttpResponse>> callback) {
+            String operation,
+            FullHttpRequest request,
+            Duration timeout,
+            Consumer<Optional<FullHttpResponse>> callback) {
         ResponseAggregator.send(
                 forwarder.connections(),
                 loop,
                 protocol.address(),
                 request,
-                limit,
+                timeout,
                 MAXIMUM_RESPONSE_BYTES,
                 forwarder.metrics().timeLogCall(operation, forwarder::now, callback));
     }
 
-    private void reportUnavailable(Topic topic, Optional<FullHttpResponse> answer) {
+    private void reportUnavailable(Topic topic, Optional<FullHttpResponse> result) {
         Logger.debug(
                 "read of {} failed: {}",
                 topic,
-                answer.map(response -> response.status().toString()).orElse("no response"));
+                result.map(response -> response.status().toString()).orElse("no response"));
         forwarder.submit(new ForwardingEvent.TopicUnavailable(topic));
     }
 
     /** Appends a claim of a runner. */
     public void append(ForwardingEffect.AppendClaim append) {
-        call("append", protocol.claimAppendRequest(append.claim(), append.expectedEnd()), RESPONSE_TIMEOUT, answer -> {
-            if (answer.isPresent()) {
+        call("append", protocol.claimAppendRequest(append.claim(), append.expectedEnd()), RESPONSE_TIMEOUT, result -> {
+            if (result.isPresent()) {
                 forwarder.submit(new ForwardingEvent.AppendCompleted(Topic.CLAIMS));
             }
         });
@@ -117,9 +120,9 @@
 
     /** Appends the announcement of this host; retried until it succeeds. */
     public void append(ForwardingEffect.AppendAnnouncement append) {
-        call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, answer -> {
+        call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, result -> {
             boolean appended =
-                    answer.filter(response -> response.status().code() == 200).isPresent();
+                    result.filter(response -> response.status().code() == 200).isPresent();
             if (!appended) {
                 loop.schedule(() -> append(append), 1, TimeUnit.SECONDS);
             }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/DecisionLogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/DecisionLogTest.java
@@ -20,8 +20,8 @@
 
 class DecisionLogTest {
     /** An output that nobody reads until the test opens it. */
-    private static final class StuckOutput extends OutputStream {
-        private final CountDownLatch opened = new CountDownLatch(1);
+    private static final class BlockedOutput extends OutputStream {
+        private final CountDownLatch unblocked = new CountDownLatch(1);
         private final ByteArrayOutputStream written = new ByteArrayOutputStream();
 
         @Override
@@ -32,7 +32,7 @@
         @Override
         public void write(byte[] bytes, int offset, int length) throws IOException {
             try {
-                opened.await();
+                unblocked.await();
             } catch (InterruptedException exception) {
                 throw new IOException(exception);
             }
@@ -50,8 +50,8 @@
 
     @Test
     @Timeout(30)
-    void outputThatNobodyReadsNeitherBlocksNorHidesFailures() throws Exception {
-        StuckOutput output = new StuckOutput();
+    void blockedOutputNeitherBlocksCallersNorDropsFailures() throws Exception {
+        BlockedOutput output = new BlockedOutput();
         DecisionLog log = new DecisionLog("host-1", output);
         log.start();
         long start = System.nanoTime();
@@ -63,7 +63,7 @@
         }
         assertTrue(Duration.ofNanos(System.nanoTime() - start).toSeconds() < 10, "writing blocks");
         assertTrue(log.droppedLines() > 40_000, "dropped: " + log.droppedLines());
-        output.opened.countDown();
+        output.unblocked.countDown();
         while (output.lines().stream().noneMatch(line -> line.contains("log-lines-dropped"))) {
             Thread.sleep(20);
         }
@@ -76,7 +76,7 @@
     }
 
     @Test
-    void eachLineIsOneObject() throws Exception {
+    void eachLineIsOneJsonObject() throws Exception {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         DecisionLog log = new DecisionLog("host-1", output);
         log.start();
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -32,12 +32,12 @@
             new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES),
             new RejectedResponses(new ForwarderMetrics(), decision -> {}));
     private ServerSocket server;
-    private volatile long answerAfterMilliseconds;
+    private volatile long responseDelayMilliseconds;
 
     @BeforeEach
     void start() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(this::answerEachRequest);
+        Thread thread = new Thread(this::respondToEachRequest);
         thread.setDaemon(true);
         thread.start();
     }
@@ -48,11 +48,11 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
     }
 
-    private void answerEachRequest() {
+    private void respondToEachRequest() {
         try (Socket socket = server.accept()) {
             byte[] request = new byte[4096];
             while (socket.getInputStream().read(request) > 0) {
-                Thread.sleep(answerAfterMilliseconds);
+                Thread.sleep(responseDelayMilliseconds);
                 socket.getOutputStream()
                         .write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole".getBytes(StandardCharsets.UTF_8));
             }
@@ -65,7 +65,7 @@
     }
 
     /** Stops reading at each part of the body, as for a caller that reads slowly. */
-    private static class SlowCaller implements ResponseListener {
+    private static class SlowListener implements ResponseListener {
         final CompletableFuture<String> outcome = new CompletableFuture<>();
         private EndpointCall call;
 
@@ -103,26 +103,26 @@
         }
     }
 
-    private void send(SlowCaller caller) {
+    private void send(SlowListener listener) {
         NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
-        caller.call = connections.send(
-                address, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), caller);
+        listener.call = connections.send(
+                address, new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), listener);
     }
 
     private String call() throws Exception {
-        SlowCaller caller = new SlowCaller();
-        loop.execute(() -> send(caller));
-        return caller.outcome.get(3, TimeUnit.SECONDS);
+        SlowListener listener = new SlowListener();
+        loop.execute(() -> send(listener));
+        return listener.outcome.get(3, TimeUnit.SECONDS);
     }
 
     /** The limit of time for a head must not run for a request of which no byte has been answered. */
     @Test
-    void requestThatFollowsAnAnswerAtOnceIsNotTakenForALateHead() throws Exception {
-        SlowCaller second = new SlowCaller();
-        SlowCaller first = new SlowCaller() {
+    void headTimeoutStartsWithFirstByteOfResponse() throws Exception {
+        SlowListener second = new SlowListener();
+        SlowListener first = new SlowListener() {
             @Override
             public void onComplete() {
-                answerAfterMilliseconds = 1500;
+                responseDelayMilliseconds = 1500;
                 send(second);
                 super.onComplete();
             }
@@ -135,7 +135,7 @@
 
     /** The next request on the kept connection got no answer until its deadline. */
     @Test
-    void connectionKeptForASlowCallerIsReadForTheNextOne() throws Exception {
+    void readingResumesOnConnectionReusedAfterSlowListener() throws Exception {
         assertEquals("whole", call());
         assertEquals("whole", call());
         assertEquals(1, connections.openedTotal());
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
@@ -31,7 +31,7 @@
     }
 
     @Property(tries = 300, seed = "881")
-    void piecesOfAnySizeGiveTheSameEvents(@ForAll long seed) {
+    void eventsDoNotDependOnFragmentation(@ForAll long seed) {
         Random random = new Random(seed);
         StringBuilder stream = new StringBuilder();
         List<Optional<Long>> ids = new ArrayList<>();
@@ -45,25 +45,25 @@
                     .append(end);
             ids.add(numbered ? Optional.of((long) index) : Optional.empty());
         }
-        byte[] all = stream.toString().getBytes(StandardCharsets.UTF_8);
+        byte[] streamBytes = stream.toString().getBytes(StandardCharsets.UTF_8);
         EventSplitter splitter = new EventSplitter();
-        StringBuilder passed = new StringBuilder();
-        List<Optional<Long>> seen = new ArrayList<>();
+        StringBuilder output = new StringBuilder();
+        List<Optional<Long>> parsedIds = new ArrayList<>();
         int from = 0;
-        while (from < all.length) {
-            int length = Math.min(all.length - from, 1 + random.nextInt(30));
-            for (EventSplitter.StreamEvent event : splitter.feed(Unpooled.wrappedBuffer(all, from, length))) {
-                seen.add(event.id());
-                passed.append(text(event.bytes()));
+        while (from < streamBytes.length) {
+            int length = Math.min(streamBytes.length - from, 1 + random.nextInt(30));
+            for (EventSplitter.StreamEvent event : splitter.feed(Unpooled.wrappedBuffer(streamBytes, from, length))) {
+                parsedIds.add(event.id());
+                output.append(text(event.bytes()));
             }
             from += length;
         }
-        assertEquals(stream.toString(), passed.toString());
-        assertEquals(ids, seen);
+        assertEquals(stream.toString(), output.toString());
+        assertEquals(ids, parsedIds);
     }
 
     @Test
-    void halfEventIsKeptBack() {
+    void partialEventIsHeldBack() {
         EventSplitter splitter = new EventSplitter();
         assertEquals(0, splitter.feed(bytes("id: 1\ndata: a\n")).size());
         assertTrue(splitter.hasPartialEvent());
@@ -71,7 +71,7 @@
     }
 
     @Test
-    void emptyLinesAreNoPartOfAnEvent() {
+    void emptyLinesAreNotPartOfAnEvent() {
         EventSplitter splitter = new EventSplitter();
         assertEquals(1, splitter.feed(bytes("id: 1\ndata: a\n\n\r\n")).size());
         assertFalse(splitter.hasPartialEvent());
@@ -80,7 +80,7 @@
 
     /** Each piece of an event without an end was scanned from the start of the event, at quadratic cost. */
     @Test
-    void bytesOfAnEventThatIsNotWholeAreScannedOnce() {
+    void partialEventIsScannedOnlyOnce() {
         AtomicLong scannedBytes = new AtomicLong();
         EventSplitter splitter =
                 new EventSplitter(new UnpooledHeapByteBuf(UnpooledByteBufAllocator.DEFAULT, 256, Integer.MAX_VALUE) {
@@ -90,11 +90,11 @@
                         return super.getByte(index);
                     }
                 });
-        int pieces = 1000;
-        for (int index = 0; index < pieces; index++) {
+        int fragments = 1000;
+        for (int index = 0; index < fragments; index++) {
             assertEquals(List.of(), splitter.feed(bytes("data: xxx\n")));
         }
-        int total = 10 * pieces;
+        int total = 10 * fragments;
         assertEquals(total, splitter.pendingBytes());
         assertTrue(scannedBytes.get() <= 3L * total, "bytes looked at: " + scannedBytes.get());
         assertEquals(1, splitter.feed(bytes("\nid: 7\n")).size());
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -61,18 +61,20 @@
     }
 
     /** Answers one connection and returns the bytes that were written until the other side closed it. */
-    private CompletableFuture<Long> serve(String start, String piece, long limit) {
+    private CompletableFuture<Long> serve(String prefix, String repeatedText, long limit) {
         CompletableFuture<Long> written = new CompletableFuture<>();
         Thread thread = new Thread(() -> {
             long count = 0;
-            byte[] pieces = piece.repeat(1 + (16 << 10) / (1 + piece.length())).getBytes(StandardCharsets.UTF_8);
+            byte[] block = repeatedText
+                    .repeat(1 + (16 << 10) / (1 + repeatedText.length()))
+                    .getBytes(StandardCharsets.UTF_8);
             try (Socket socket = server.accept()) {
                 socket.getInputStream().read(new byte[4096]);
                 OutputStream output = socket.getOutputStream();
-                output.write(start.getBytes(StandardCharsets.UTF_8));
+                output.write(prefix.getBytes(StandardCharsets.UTF_8));
                 while (count < limit) {
-                    output.write(pieces);
-                    count += pieces.length;
+                    output.write(block);
+                    count += block.length;
                 }
                 written.complete(count);
             } catch (IOException exception) {
@@ -86,7 +88,7 @@
     }
 
     private Optional<String> send() throws Exception {
-        CompletableFuture<Optional<String>> answer = new CompletableFuture<>();
+        CompletableFuture<Optional<String>> response = new CompletableFuture<>();
         NetworkAddress address = new NetworkAddress("127.0.0.1", server.getLocalPort());
         loop.execute(() -> {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/report");
@@ -97,10 +99,10 @@
                     request,
                     Duration.ofSeconds(10),
                     MAXIMUM_BODY_BYTES,
-                    response -> answer.complete(
-                            response.map(whole -> whole.content().toString(StandardCharsets.UTF_8))));
+                    received -> response.complete(
+                            received.map(fullResponse -> fullResponse.content().toString(StandardCharsets.UTF_8))));
         });
-        return answer.get(5, TimeUnit.SECONDS);
+        return response.get(5, TimeUnit.SECONDS);
     }
 
     @ParameterizedTest
@@ -111,8 +113,8 @@
                 "HTTP/1.1 200 ",
                 ""
             })
-    void endlessAnswerEndsAtItsBoundAndLongBeforeItsLimitOfTime(String start) throws Exception {
-        CompletableFuture<Long> written = serve(start, " ", GIVE_UP_BYTES);
+    void endlessResponseIsCutOffAtSizeLimitBeforeTimeout(String prefix) throws Exception {
+        CompletableFuture<Long> written = serve(prefix, " ", GIVE_UP_BYTES);
         assertEquals(Optional.empty(), send());
         assertTrue(written.get(5, TimeUnit.SECONDS) < MAXIMUM_ACCEPTED_BYTES, "bytes: " + written.get());
         assertEquals(1, log.size());
@@ -122,7 +124,7 @@
     }
 
     @Test
-    void answerOfTheLongestLengthIsWhole() throws Exception {
+    void responseOfMaximumLengthIsAccepted() throws Exception {
         serve(
                 "HTTP/1.1 200 OK\r\nContent-Length: " + MAXIMUM_BODY_BYTES + "\r\n\r\n"
                         + "x".repeat(MAXIMUM_BODY_BYTES),
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseMemoryBudgetTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseMemoryBudgetTest.java
@@ -20,7 +20,7 @@
     }
 
     @Test
-    void largestAnswersAreEvictedSoThatSmallOnesGoOn() {
+    void largestResponseIsEvictedFirst() {
         TestOwner small = new TestOwner();
         TestOwner large = new TestOwner();
         TestOwner middle = new TestOwner();
@@ -34,7 +34,7 @@
     }
 
     @Test
-    void answerThatAloneExceedsTheMemoryIsEvicted() {
+    void responseThatAloneExceedsBudgetIsEvicted() {
         TestOwner only = new TestOwner();
         budget.setUsage(only, 101);
         assertEquals(List.of(only), evicted);
@@ -42,7 +42,7 @@
     }
 
     @Test
-    void memoryOfAnswersThatEndedIsFree() {
+    void completedResponsesFreeTheirMemory() {
         for (int index = 0; index < 50; index++) {
             TestOwner owner = new TestOwner();
             budget.setUsage(owner, 90);
