Reword the comments of the forwarder's tests

Heads of tests told stories and assertion messages named the wished state. They now say which failure a test guards against and what was found instead. No condition, bound, seed or expected value changes.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -157,7 +157,7 @@
                 "started", "identity", settings.forwarding().identity(), "callers", settings.callerAddress()));
     }
 
-    /** Starts an orderly shutdown and returns at once: new callers are turned away, pending requests are completed. */
+    /** Starts an orderly shutdown and returns at once: no new callers, requests in flight complete. */
     public void stop() {
         loop.execute(() -> {
             if (!stopping) {
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/DecisionLogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/DecisionLogTest.java
@@ -19,7 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class DecisionLogTest {
-    /** An output that nobody reads until the test opens it. */
+    /** An output that blocks all writes until the test unblocks it. */
     private static final class BlockedOutput extends OutputStream {
         private final CountDownLatch unblocked = new CountDownLatch(1);
         private final ByteArrayOutputStream written = new ByteArrayOutputStream();
@@ -61,7 +61,7 @@
         for (int index = 0; index < 100; index++) {
             log.write(DecisionRecord.important("refused", "request", "refused-" + index));
         }
-        assertTrue(Duration.ofNanos(System.nanoTime() - start).toSeconds() < 10, "writing blocks");
+        assertTrue(Duration.ofNanos(System.nanoTime() - start).toSeconds() < 10, "write() blocked");
         assertTrue(log.droppedLines() > 40_000, "dropped: " + log.droppedLines());
         output.unblocked.countDown();
         while (output.lines().stream().noneMatch(line -> line.contains("log-lines-dropped"))) {
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -64,7 +64,7 @@
         }
     }
 
-    /** Stops reading at each part of the body, as for a caller that reads slowly. */
+    /** Pauses reading at each part of the body, as for a caller that reads slowly. */
     private static class SlowListener implements ResponseListener {
         final CompletableFuture<String> outcome = new CompletableFuture<>();
         private EndpointCall call;
@@ -115,7 +115,10 @@
         return listener.outcome.get(3, TimeUnit.SECONDS);
     }
 
-    /** The limit of time for a head must not run for a request of which no byte has been answered. */
+    /**
+     * Guards against rejecting a slow endpoint, by a head timer that runs before the first byte of the response
+     * arrives.
+     */
     @Test
     void headTimeoutStartsWithFirstByteOfResponse() throws Exception {
         SlowListener second = new SlowListener();
@@ -133,7 +136,7 @@
         assertEquals(1, connections.openedTotal());
     }
 
-    /** The next request on the kept connection got no answer until its deadline. */
+    /** Guards against a reused connection on which reading is still paused, so that the next request times out. */
     @Test
     void readingResumesOnConnectionReusedAfterSlowListener() throws Exception {
         assertEquals("whole", call());
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EventSplitterTest.java
@@ -78,7 +78,7 @@
         assertEquals("\r\n", text(splitter.takeRemainder()));
     }
 
-    /** Each piece of an event without an end was scanned from the start of the event, at quadratic cost. */
+    /** Guards against rescanning a partial event from its start for each fragment, at quadratic cost. */
     @Test
     void partialEventIsScannedOnlyOnce() {
         AtomicLong scannedBytes = new AtomicLong();
@@ -96,7 +96,7 @@
         }
         int total = 10 * fragments;
         assertEquals(total, splitter.pendingBytes());
-        assertTrue(scannedBytes.get() <= 3L * total, "bytes looked at: " + scannedBytes.get());
+        assertTrue(scannedBytes.get() <= 3L * total, "scanned bytes: " + scannedBytes.get());
         assertEquals(1, splitter.feed(bytes("\nid: 7\n")).size());
         assertEquals(Optional.of(7L), splitter.feed(bytes("\n")).get(0).id());
     }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -29,9 +29,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Answers of the log and of runners to reports and commands. */
+/** Responses of the log service, and of runners to state requests and commands. */
 class ResponseAggregatorTest {
-    /** Bytes after which the stand-in gives up; far above the bound and the buffers of sockets. */
+    /** Bytes after which the fake server stops writing; far above the accepted maximum and the socket buffers. */
     private static final long GIVE_UP_BYTES = 192L << 20;
 
     private static final long MAXIMUM_ACCEPTED_BYTES = 24L << 20;
@@ -60,7 +60,7 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
     }
 
-    /** Answers one connection and returns the bytes that were written until the other side closed it. */
+    /** Serves one connection and returns the bytes that were written until the client closed it. */
     private CompletableFuture<Long> serve(String prefix, String repeatedText, long limit) {
         CompletableFuture<Long> written = new CompletableFuture<>();
         Thread thread = new Thread(() -> {
@@ -78,7 +78,7 @@
                 }
                 written.complete(count);
             } catch (IOException exception) {
-                // The other side closed the connection, which the tests wait for.
+                // The client closed the connection, which the tests wait for.
                 written.complete(count);
             }
         });
