Make some comments of forwarding more exact

The comments on catching up with peers, on the age of relayed claims, on ticks and on reruns left out which case they guard against; they now say it. Comments only.

Ran: test-compile of all modules.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -34,7 +34,10 @@
     /** Time between ticks while a request waits for an adapter; a small part of the shortest objective. */
     private static final Duration WAITING_TICK = Duration.ofMillis(15);
 
-    /** Time between ticks while requests are in flight; like the one above, for a small deployment. */
+    /**
+     * Time between ticks while requests are in flight, not longer than the interval of usage reports; like the one
+     * above, for a small deployment.
+     */
     private static final Duration IN_FLIGHT_TICK = Duration.ofMillis(30);
 
     /** Time between ticks without requests; well below the gap that counts as a suspension of the process. */
@@ -263,7 +266,8 @@
         } else if (message instanceof PeerMessage.RecordsReply reply) {
             view.applyRelayed(reply, sender, new ChangeListener());
             if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
-                // The reported age of the peer's read is that at its answer, which came after this host's request.
+                // The age is that of the peer's read when it answered, after this host's request, so this is not later
+                // than the start of that read.
                 leases.confirm(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
             }
         } else if (message instanceof PeerMessage.CrashReport report) {
@@ -275,7 +279,7 @@
     private void catchUp(HostId peer, Topic topic) {
         TopicConsumer consumer = view.consumer(topic);
         long end = peers.find(peer).map(known -> known.offset(topic)).orElse(-1L);
-        // Another peer that is equally behind must not reset the wait.
+        // A peer that has not read further must not end the wait while another one has.
         if (consumer.end() >= furthestEnds.merge(topic, end, Math::max)) {
             behindSince.remove(topic);
             return;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -24,7 +24,7 @@
     /** Added to that interval for each peer; limits a host to about forty state messages a second. */
     private static final Duration STATE_INTERVAL_PER_PEER = Duration.ofMillis(7);
 
-    /** Interval of state messages over relays; a failed relay is replaced between two of them. */
+    /** Interval of state messages over relays; a replacement for a failed relay is elected within it. */
     private static final Duration RELAYED_STATE_INTERVAL = Duration.ofMillis(500);
 
     /** Maximum number of peers for direct messages; with more, messages go over relays. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -204,7 +204,10 @@
         }
     }
 
-    /** Sends or re-plans the requests that wait for an adapter. */
+    /**
+     * Sends the waiting requests whose adapter is ready, and repeats the selection of the endpoint where it is no
+     * longer suitable.
+     */
     void advanceWaiting() {
         waiting().forEach(this::advance);
     }
@@ -351,7 +354,10 @@
         context.emit(new ForwardingEffect.Deliver(inFlight.request.exchange()));
     }
 
-    /** Returns whether a request that has run may run again, and if so takes a retry from the budget. */
+    /**
+     * Returns whether a request may run again within its limits on another endpoint, and if so takes a retry from the
+     * budget.
+     */
     private boolean tryRerun(InFlightRequest inFlight, int runs) {
         return runs < inFlight.route.maximumAttempts()
                 && context.now().isBefore(inFlight.deadline)
