--- a/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
@@ -18,7 +18,7 @@
 
     /** Guards against decisions that are made again at each reading, or not made again after a change. */
     @Test
-    void onlyADifferentListIsAChange() {
+    void onlyADifferentListingCountsAsChange() {
         Membership membership = new Membership(new HostIdentity(new HostId("a"), 1));
         membership.updateListing(new HostListing(1, List.of(host("a", Presence.LIVE)), List.of()));
         assertEquals(1, membership.listingChangeCount());
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
@@ -108,7 +108,7 @@
     private static void arrive(SimulatedCluster cluster, String id, String fingerprint) {
         List<SimulatedHost> ready = cluster.hosts().stream()
                 .filter(host ->
-                        !host.isDead() && !host.isPaused() && host.reducer().isReady())
+                        !host.isKilled() && !host.isPaused() && host.reducer().isReady())
                 .toList();
         if (!ready.isEmpty()) {
             SimulatedHost host = ready.get(cluster.random(ready.size()));
@@ -121,7 +121,7 @@
         }
     }
 
-    private static void inject(SimulatedCluster cluster, SimulationFaults faults) {
+    private static void scheduleFaults(SimulatedCluster cluster, SimulationFaults faults) {
         List<SimulatedHost> hosts = cluster.hosts();
         if (faults.restarts()) {
             List<SimulatedEngine> engines = cluster.engines();
@@ -134,14 +134,14 @@
         }
         if (faults.outages() && cluster.chance(30)) {
             int start = 3_000 + cluster.random(5_000);
-            cluster.after(start, () -> cluster.log().down(true));
-            cluster.after(start + 2_000, () -> cluster.log().down(false));
+            cluster.after(start, () -> cluster.log().setDown(true));
+            cluster.after(start + 2_000, () -> cluster.log().setDown(false));
         }
     }
 
     private static void run(SimulatedCluster cluster) {
         cluster.runUntil(BUSY_MILLIS);
-        cluster.quiet();
+        cluster.stopFaults();
         cluster.runUntil(BUSY_MILLIS + DEADLINE_MILLIS + 1_000);
         cluster.hosts().forEach(SimulatedHost::checkAllEnded);
     }
@@ -149,7 +149,7 @@
     @Property(seed = "1123", tries = 1_000)
     void adaptersInUseStayLoadedAndEveryRequestEnds(@ForAll long seed) {
         SimulatedCluster cluster = cluster(seed, SimulationFaults.ALL);
-        inject(cluster, SimulationFaults.ALL);
+        scheduleFaults(cluster, SimulationFaults.ALL);
         for (int number = 0; number < 60; number++) {
             String id = "request-" + number;
             cluster.after(START_MILLIS + cluster.random(9_000), () -> arrive(cluster, id, id));
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -51,9 +51,9 @@
             ReducerSettings.DEFAULT.hostListLag().plusSeconds(3);
 
     private final Effects effects = new Effects();
-    private final List<Effect> seen = new ArrayList<>();
+    private final List<Effect> collected = new ArrayList<>();
     private Instant now = START;
-    private boolean paused;
+    private boolean inventoryPaused;
     private PoolOwner owner;
 
     @BeforeEach
@@ -126,36 +126,36 @@
     }
 
     private void collect() {
-        seen.addAll(effects.drain());
+        collected.addAll(effects.drain());
     }
 
     /** Carries out the commands of the owner and reports what the engines hold, as undisturbed engines do. */
-    private void run(Map<EndpointId, Set<AdapterVersion>> held, Duration time) {
+    private void runEngines(Map<EndpointId, Set<AdapterVersion>> loadedAdapters, Duration time) {
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
             tick();
-            List<Effect> commands = List.copyOf(seen);
-            seen.removeIf(effect -> !isGrant(effect));
-            commands.forEach(command -> carryOut(held, command));
+            List<Effect> effectsToExecute = List.copyOf(collected);
+            collected.removeIf(effect -> !isGrant(effect));
+            effectsToExecute.forEach(effect -> execute(loadedAdapters, effect));
             collect();
         }
     }
 
-    private void carryOut(Map<EndpointId, Set<AdapterVersion>> held, Effect command) {
-        if (command instanceof Effect.LoadAdapter load) {
-            held.get(load.endpoint().id()).add(load.adapter());
+    private void execute(Map<EndpointId, Set<AdapterVersion>> loadedAdapters, Effect effect) {
+        if (effect instanceof Effect.LoadAdapter load) {
+            loadedAdapters.get(load.endpoint().id()).add(load.adapter());
             owner.loadEnded(load.endpoint().id(), load.adapter(), new EngineCommandResult.Done(), now, effects);
-        } else if (command instanceof Effect.UnloadAdapter unload) {
-            held.get(unload.endpoint().id()).remove(unload.adapter());
+        } else if (effect instanceof Effect.UnloadAdapter unload) {
+            loadedAdapters.get(unload.endpoint().id()).remove(unload.adapter());
             owner.unloadEnded(unload.endpoint().id(), unload.adapter(), new EngineCommandResult.Done(), now, effects);
-        } else if (command instanceof Effect.ReadEngineStatus read) {
+        } else if (effect instanceof Effect.ReadEngineStatus read) {
             Map<AdapterVersion, Integer> loaded = new HashMap<>();
-            held.get(read.endpoint().id()).forEach(each -> loaded.put(each, 0));
+            loadedAdapters.get(read.endpoint().id()).forEach(adapter -> loaded.put(adapter, 0));
             owner.statusRead(read.endpoint().id(), now, new EngineStatus(3, 1, 8, loaded, 0, TERM), now, effects);
-        } else if (command instanceof Effect.RaiseFence raise) {
+        } else if (effect instanceof Effect.RaiseFence raise) {
             owner.raiseFenceEnded(raise.endpoint().id(), new EngineCommandResult.Done(), now, effects);
-        } else if (!paused
-                && command instanceof Effect.SendToPeer send
+        } else if (!inventoryPaused
+                && effect instanceof Effect.SendToPeer send
                 && send.message() instanceof PeerMessage.InventoryRequest request) {
             owner.inventoryReceived(
                     SELF,
@@ -170,7 +170,7 @@
     }
 
     private List<String> granted() {
-        return seen.stream()
+        return collected.stream()
                 .filter(PoolOwnerTest::isGrant)
                 .map(effect -> ((PeerMessage.PermitGrant) ((Effect.SendToPeer) effect).message()).request())
                 .map(RequestId::value)
@@ -184,47 +184,49 @@
      * when nothing is unloaded, so that both wait before the first decision.
      */
     @Test
-    void requestsThatHaveTriedTheHoldersOfTheirAdaptersDoNotKeepEachOtherWaiting() {
-        Map<EndpointId, Set<AdapterVersion>> held = new HashMap<>();
-        held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
-        held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
-        run(held, Duration.ofSeconds(2));
+    void requestsThatNeedEachOthersSlotsAreBothGranted() {
+        Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
+        loadedAdapters.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        loadedAdapters.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
+        runEngines(loadedAdapters, Duration.ofSeconds(2));
         owner.permitRequested(SELF, request("first", "a", 1), now, effects);
         owner.permitRequested(SELF, request("second", "b", 2), now, effects);
         collect();
-        run(held, TAKEOVER);
+        runEngines(loadedAdapters, TAKEOVER);
         assertEquals(List.of("first", "second"), granted());
     }
 
     /** A paused host holds up the takeover; requests wait for places until the first unload, some until too late. */
     @Test
-    void placesAreFreedSoonAfterTheLastHostHasReported() {
-        Map<EndpointId, Set<AdapterVersion>> held = new HashMap<>();
-        held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
-        held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
-        paused = true;
-        run(held, ReducerSettings.DEFAULT.hostListLag().plusMillis(1600));
+    void slotsAreFreedSoonAfterTheLastInventory() {
+        Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
+        loadedAdapters.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        loadedAdapters.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
+        inventoryPaused = true;
+        runEngines(loadedAdapters, ReducerSettings.DEFAULT.hostListLag().plusMillis(1600));
         owner.permitRequested(SELF, request("waits", "c"), now, effects);
         collect();
-        run(held, Duration.ofMillis(300));
-        paused = false;
-        Duration promptly = ReducerSettings.DEFAULT.statusLag().plusMillis(600);
-        run(held, promptly);
+        runEngines(loadedAdapters, Duration.ofMillis(300));
+        inventoryPaused = false;
+        Duration unloadTime = ReducerSettings.DEFAULT.statusLag().plusMillis(600);
+        runEngines(loadedAdapters, unloadTime);
         assertEquals(List.of("waits"), granted());
     }
 
     /** An adapter that a waiting request can still use where it is loaded stays loaded. */
     @Test
     void adapterThatAWaitingRequestCanUseIsNotUnloaded() {
-        Map<EndpointId, Set<AdapterVersion>> held = new HashMap<>();
-        held.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
-        held.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
-        run(held, TAKEOVER);
+        Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
+        loadedAdapters.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        loadedAdapters.put(engine(2).id(), new HashSet<>(Set.of(adapter("b"))));
+        runEngines(loadedAdapters, TAKEOVER);
         owner.permitRequested(SELF, request("runs", "a"), now, effects);
         owner.permitRequested(SELF, request("waits", "c"), now, effects);
         collect();
-        run(held, Duration.ofSeconds(2));
-        assertTrue(held.get(engine(1).id()).contains(adapter("a")), "the adapter of a running request was unloaded");
+        runEngines(loadedAdapters, Duration.ofSeconds(2));
+        assertTrue(
+                loadedAdapters.get(engine(1).id()).contains(adapter("a")),
+                "the adapter of a running request was unloaded");
         assertEquals(List.of("runs", "waits"), granted());
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedCluster.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedCluster.java
@@ -30,7 +30,7 @@
 
     private static final int TICK_MILLIS = 120;
     private static final int LOST_PERCENT = 4;
-    private static final int TWICE_PERCENT = 4;
+    private static final int DUPLICATED_PERCENT = 4;
 
     private final Random random;
     private final SimulationFaults faults;
@@ -39,13 +39,13 @@
     private final SimulatedLog log = new SimulatedLog(this);
     private final Map<EndpointId, SimulatedEngine> engines = new LinkedHashMap<>();
     private final Map<HostId, SimulatedHost> hosts = new LinkedHashMap<>();
-    private final Map<HostId, EntryHost> listed = new LinkedHashMap<>();
+    private final Map<HostId, EntryHost> listedHosts = new LinkedHashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final List<GenerationRequest> refusedForCrashes = new ArrayList<>();
-    private long millis;
+    private long nowMillis;
     private long order;
-    private long listVersion;
-    private boolean quiet;
+    private long hostListVersion;
+    private boolean faultsStopped;
     private Consumer<GenerationRequest> onFailure = request -> {};
 
     private record Step(long at, long order, Runnable action) {}
@@ -56,7 +56,7 @@
     }
 
     Instant now() {
-        return Instant.ofEpochMilli(millis);
+        return Instant.ofEpochMilli(nowMillis);
     }
 
     int random(int bound) {
@@ -64,7 +64,7 @@
     }
 
     boolean chance(int percent) {
-        return !quiet && random.nextInt(100) < percent;
+        return !faultsStopped && random.nextInt(100) < percent;
     }
 
     /** Mostly a few milliseconds, sometimes much longer, so that messages overtake each other. */
@@ -72,8 +72,8 @@
         return chance(5) ? random.nextInt(LONGEST_DELAY_MILLIS) : 1 + random.nextInt(5);
     }
 
-    int cutPercent() {
-        return faults.cutPercent();
+    int brokenStreamPercent() {
+        return faults.brokenStreamPercent();
     }
 
     boolean isPoison(Fingerprint fingerprint) {
@@ -81,26 +81,26 @@
     }
 
     void after(long delayMillis, Runnable action) {
-        steps.add(new Step(millis + delayMillis, order++, action));
+        steps.add(new Step(nowMillis + delayMillis, order++, action));
     }
 
     /** Ends all random faults, so that what remains can end. */
-    void quiet() {
-        quiet = true;
-        log.down(false);
+    void stopFaults() {
+        faultsStopped = true;
+        log.setDown(false);
         hosts.values().forEach(SimulatedHost::resume);
     }
 
     void runUntil(long untilMillis) {
         while (!steps.isEmpty() && steps.peek().at() <= untilMillis) {
             Step step = steps.poll();
-            millis = step.at();
+            nowMillis = step.at();
             step.action().run();
         }
-        millis = untilMillis;
+        nowMillis = untilMillis;
     }
 
-    void violated(String text) {
+    void addViolation(String text) {
         violations.add(now().toEpochMilli() + " ms: " + text);
     }
 
@@ -131,21 +131,21 @@
 
     void addEngine(Endpoint endpoint) {
         engines.put(endpoint.id(), new SimulatedEngine(this, endpoint));
-        listVersion++;
+        hostListVersion++;
     }
 
     void addHost(EntryHost entry) {
-        SimulatedHost host = new SimulatedHost(this, new HostIdentity(entry.id(), millis));
+        SimulatedHost host = new SimulatedHost(this, new HostIdentity(entry.id(), nowMillis));
         hosts.put(entry.id(), host);
-        listed.put(entry.id(), entry);
-        listVersion++;
+        listedHosts.put(entry.id(), entry);
+        hostListVersion++;
         host.start();
         after(0, () -> tick(host));
         after(0, () -> readHostList(host));
     }
 
     private void tick(SimulatedHost host) {
-        if (!host.isDead()) {
+        if (!host.isKilled()) {
             host.deliver(Event.Tick::new);
             after(TICK_MILLIS, () -> tick(host));
         }
@@ -154,13 +154,13 @@
     /** Each reading is at most one second old when it arrives, and readings arrive in order. */
     private void readHostList(SimulatedHost host) {
         HostListing listing = new HostListing(
-                listVersion,
-                List.copyOf(listed.values()),
+                hostListVersion,
+                List.copyOf(listedHosts.values()),
                 engines.values().stream().map(SimulatedEngine::endpoint).toList());
-        int lag = millis == 0 ? 0 : random.nextInt(1_000);
+        int lag = nowMillis == 0 ? 0 : random.nextInt(1_000);
         after(lag, () -> {
             host.deliver(at -> new Event.HostListRead(at, listing));
-            if (!host.isDead()) {
+            if (!host.isKilled()) {
                 after(200, () -> readHostList(host));
             }
         });
@@ -172,7 +172,7 @@
             return;
         }
         deliver(sender, receiver, message, local ? 0 : delay());
-        if (!local && chance(TWICE_PERCENT)) {
+        if (!local && chance(DUPLICATED_PERCENT)) {
             deliver(sender, receiver, message, delay() + random.nextInt(2_000));
         }
     }
@@ -183,11 +183,11 @@
     }
 
     boolean pausesBeforeEffects(SimulatedHost host) {
-        boolean pauses = !quiet && random.nextInt(10_000) < faults.pausesPerTenThousandEvents();
+        boolean pauses = !faultsStopped && random.nextInt(10_000) < faults.pausesPerTenThousandEvents();
         if (pauses) {
             int length = 200 + random.nextInt(6_000);
             after(length, host::resume);
-            after(Math.min(length, 1_000), () -> setReachable(host, !host.isPaused() && !host.isDead()));
+            after(Math.min(length, 1_000), () -> setReachable(host, !host.isPaused() && !host.isKilled()));
             after(length + 50, () -> setReachable(host, true));
         }
         return pauses;
@@ -195,7 +195,7 @@
 
     /** Tells the other hosts that a host cannot be reached, or can be again. */
     void setReachable(SimulatedHost target, boolean reachable) {
-        if (target.isDead() && reachable) {
+        if (target.isKilled() && reachable) {
             return;
         }
         hosts.values().stream().filter(host -> host != target).forEach(host -> {
@@ -213,9 +213,9 @@
         after(100, () -> engines.values().forEach(engine -> engine.cancelAllOf(host.identity())));
         after(500, () -> setReachable(host, false));
         after(random.nextInt(1_000), () -> {
-            listed.remove(host.identity().host());
+            listedHosts.remove(host.identity().host());
             hosts.remove(host.identity().host());
-            listVersion++;
+            hostListVersion++;
         });
     }
 
@@ -235,16 +235,16 @@
     }
 
     /** One term never has more permits on an engine than its batch takes; a restart may hide permits for a while. */
-    void checkBatches() {
+    void checkBatchLimits() {
         Map<String, Integer> held = new HashMap<>();
         hosts.values().stream()
-                .filter(host -> !host.isDead())
+                .filter(host -> !host.isKilled())
                 .flatMap(host -> host.attempts().values().stream())
                 .filter(attempt -> !engine(attempt.endpoint()).hasCrashed())
                 .forEach(attempt -> {
                     String key = attempt.endpoint().id() + " term " + attempt.term();
                     if (held.merge(key, 1, Integer::sum) > attempt.endpoint().batchLimit()) {
-                        violated("batch limit exceeded at " + key);
+                        addViolation("batch limit exceeded at " + key);
                     }
                 });
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
@@ -49,7 +49,7 @@
     SimulatedEngine(SimulatedCluster cluster, Endpoint endpoint) {
         this.cluster = cluster;
         this.endpoint = endpoint;
-        snapshot();
+        recordSnapshot();
     }
 
     Endpoint endpoint() {
@@ -64,7 +64,7 @@
         return crashes.getOrDefault(fingerprint, 0);
     }
 
-    private void snapshot() {
+    private void recordSnapshot() {
         Map<AdapterVersion, Integer> users = new HashMap<>();
         loaded.forEach(adapter -> users.put(
                 adapter, (int) running.values().stream().filter(adapter::equals).count()));
@@ -74,18 +74,18 @@
     }
 
     EngineStatus laggingStatus() {
-        Instant wanted = cluster.now().minusMillis(cluster.random(STATUS_LAG_MILLIS));
+        Instant requestedAt = cluster.now().minusMillis(cluster.random(STATUS_LAG_MILLIS));
         while (snapshots.size() > 1
                 && snapshots.peekFirst().at().isBefore(cluster.now().minusMillis(STATUS_LAG_MILLIS))) {
             Snapshot first = snapshots.removeFirst();
-            if (snapshots.peekFirst().at().isAfter(wanted)) {
+            if (snapshots.peekFirst().at().isAfter(requestedAt)) {
                 snapshots.addFirst(first);
                 break;
             }
         }
         EngineStatus status = snapshots.peekFirst().status();
         for (Snapshot each : snapshots) {
-            if (!each.at().isAfter(wanted)) {
+            if (!each.at().isAfter(requestedAt)) {
                 status = each.status();
             }
         }
@@ -97,47 +97,47 @@
     }
 
     void load(AdapterVersion adapter, long term, Consumer<EngineCommandResult> result) {
-        order(term, result, answer -> {
+        executeCommand(term, result, answer -> {
             if (loaded.contains(adapter)) {
                 answer.accept(new EngineCommandResult.Done());
             } else if (loaded.size() >= endpoint.slots() || cluster.chance(LOSS_PERCENT)) {
                 answer.accept(new EngineCommandResult.Refused(new Failure.EndpointRefused(endpoint.id(), 409)));
             } else {
-                long before = incarnation;
-                cluster.after(100 + cluster.random(300), () -> loadEnded(adapter, before, answer));
+                long incarnationAtStart = incarnation;
+                cluster.after(100 + cluster.random(300), () -> loadEnded(adapter, incarnationAtStart, answer));
             }
         });
     }
 
-    private void loadEnded(AdapterVersion adapter, long startedIn, Consumer<EngineCommandResult> answer) {
-        if (incarnation != startedIn || loaded.size() >= endpoint.slots()) {
+    private void loadEnded(AdapterVersion adapter, long incarnationAtStart, Consumer<EngineCommandResult> answer) {
+        if (incarnation != incarnationAtStart || loaded.size() >= endpoint.slots()) {
             answer.accept(new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id())));
             return;
         }
         loaded.add(adapter);
-        snapshot();
+        recordSnapshot();
         answer.accept(new EngineCommandResult.Done());
     }
 
     void unload(AdapterVersion adapter, long term, Consumer<EngineCommandResult> result) {
-        order(term, result, answer -> {
+        executeCommand(term, result, answer -> {
             List<RunId> users = running.keySet().stream()
                     .filter(run -> running.get(run).equals(adapter))
                     .toList();
             if (loaded.remove(adapter) && !users.isEmpty()) {
-                cluster.violated("unload of " + adapter + " in use by " + users + " at " + endpoint.id());
+                cluster.addViolation("unload of " + adapter + " in use by " + users + " at " + endpoint.id());
             }
-            snapshot();
+            recordSnapshot();
             answer.accept(new EngineCommandResult.Done());
         });
     }
 
     void raiseFence(long term, Consumer<EngineCommandResult> result) {
-        order(term, result, answer -> answer.accept(new EngineCommandResult.Done()));
+        executeCommand(term, result, answer -> answer.accept(new EngineCommandResult.Done()));
     }
 
     /** Delivers an order after a delay; its answer may be lost, and the order then often takes effect even later. */
-    private void order(
+    private void executeCommand(
             long term, Consumer<EngineCommandResult> result, Consumer<Consumer<EngineCommandResult>> action) {
         boolean lost = cluster.chance(LOSS_PERCENT);
         Consumer<EngineCommandResult> answer = end -> cluster.after(cluster.delay(), () -> result.accept(end));
@@ -146,65 +146,65 @@
             cluster.after(200, () -> result.accept(unknown));
         }
         cluster.after(lost ? cluster.random(1_000) : cluster.delay(), () -> {
-            Consumer<EngineCommandResult> given = lost ? end -> {} : answer;
+            Consumer<EngineCommandResult> answerUnlessLost = lost ? end -> {} : answer;
             if (down) {
-                given.accept(unknown);
+                answerUnlessLost.accept(unknown);
             } else if (endpoint.checksFencing() && term < fence) {
-                given.accept(new EngineCommandResult.Refused(new Failure.OrderFenced(endpoint.id(), term)));
+                answerUnlessLost.accept(new EngineCommandResult.Refused(new Failure.OrderFenced(endpoint.id(), term)));
             } else {
                 fence = endpoint.checksFencing() ? Math.max(fence, term) : 0;
-                action.accept(given);
+                action.accept(answerUnlessLost);
             }
         });
     }
 
     void start(SimulatedHost host, RunId run, AdapterVersion adapter, Fingerprint fingerprint) {
-        if (host.isDead()) {
+        if (host.isKilled()) {
             return;
         }
         if (down) {
-            end(host, run, new AttemptOutcome.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
+            reportEnd(host, run, new AttemptOutcome.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
         } else if (!loaded.contains(adapter)) {
-            end(host, run, new AttemptOutcome.NotStarted(new Failure.AdapterNotLoaded(endpoint.id(), adapter)));
+            reportEnd(host, run, new AttemptOutcome.NotStarted(new Failure.AdapterNotLoaded(endpoint.id(), adapter)));
         } else {
             running.put(run, adapter);
-            snapshot();
+            recordSnapshot();
             if (cluster.isPoison(fingerprint)) {
                 crashes.merge(fingerprint, 1, Integer::sum);
                 restart();
             } else {
                 cluster.after(100 + cluster.random(1_500), () -> complete(host, run));
-                if (cluster.chance(cluster.cutPercent())) {
+                if (cluster.chance(cluster.brokenStreamPercent())) {
                     // The connection breaks, and the engine keeps the stream for a while for a resumption.
-                    cluster.after(cluster.random(500), () -> end(host, run, broken()));
+                    cluster.after(cluster.random(500), () -> reportEnd(host, run, brokenOutcome()));
                 }
             }
         }
     }
 
-    private AttemptOutcome broken() {
+    private AttemptOutcome brokenOutcome() {
         return new AttemptOutcome.Broken(new Failure.EndpointFailed(endpoint.id()), 1);
     }
 
     private void complete(SimulatedHost host, RunId run) {
         if (running.remove(run) != null) {
-            snapshot();
-            end(host, run, new AttemptOutcome.Completed());
+            recordSnapshot();
+            reportEnd(host, run, new AttemptOutcome.Completed());
         }
     }
 
     void cancel(RunId run) {
         if (running.remove(run) != null) {
-            snapshot();
+            recordSnapshot();
         }
     }
 
     void cancelAllOf(HostIdentity holder) {
         running.keySet().removeIf(run -> run.holder().equals(holder));
-        snapshot();
+        recordSnapshot();
     }
 
-    private void end(SimulatedHost host, RunId run, AttemptOutcome outcome) {
+    private void reportEnd(SimulatedHost host, RunId run, AttemptOutcome outcome) {
         Function<Instant, Event> event = at -> new Event.AttemptEnded(at, run.request(), run.attempt(), outcome);
         cluster.after(cluster.delay(), () -> host.deliver(event));
     }
@@ -219,8 +219,8 @@
         loaded.clear();
         snapshots.clear();
         fence = 0;
-        snapshot();
-        ended.forEach(run -> cluster.host(run.holder()).ifPresent(host -> end(host, run, broken())));
+        recordSnapshot();
+        ended.forEach(run -> cluster.host(run.holder()).ifPresent(host -> reportEnd(host, run, brokenOutcome())));
         cluster.after(DOWN_MILLIS, () -> down = false);
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
@@ -43,15 +43,15 @@
     private final SimulatedCluster cluster;
     private final HostIdentity identity;
     private final HostReducer reducer;
-    private final Deque<Runnable> held = new ArrayDeque<>();
-    private final Map<String, Integer> positions = new HashMap<>();
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private final Map<String, Integer> readPositions = new HashMap<>();
     private final Map<RequestId, GenerationRequest> requests = new HashMap<>();
     private final Map<RequestId, Attempt> attempts = new HashMap<>();
     private final Map<String, Long> grantTerms = new HashMap<>();
-    private final Set<RequestId> ended = new TreeSet<>();
-    private final Set<RequestId> withdrawn = new TreeSet<>();
+    private final Set<RequestId> endedRequests = new TreeSet<>();
+    private final Set<RequestId> withdrawnRequests = new TreeSet<>();
     private boolean paused;
-    private boolean dead;
+    private boolean killed;
 
     /** An attempt as this host sees it; {@code term} is that of its grant. */
     record Attempt(int number, Endpoint endpoint, long term) {}
@@ -74,16 +74,16 @@
         return reducer;
     }
 
-    Map<String, Integer> positions() {
-        return positions;
+    Map<String, Integer> readPositions() {
+        return readPositions;
     }
 
     Map<RequestId, Attempt> attempts() {
         return attempts;
     }
 
-    boolean isDead() {
-        return dead;
+    boolean isKilled() {
+        return killed;
     }
 
     boolean isPaused() {
@@ -91,8 +91,8 @@
     }
 
     void kill() {
-        dead = true;
-        held.clear();
+        killed = true;
+        deferred.clear();
     }
 
     void pause() {
@@ -101,21 +101,21 @@
 
     void resume() {
         paused = false;
-        while (!paused && !held.isEmpty()) {
-            held.removeFirst().run();
+        while (!paused && !deferred.isEmpty()) {
+            deferred.removeFirst().run();
         }
     }
 
-    void whenRunning(Runnable action) {
+    void runUnlessPaused(Runnable action) {
         if (paused) {
-            held.addLast(action);
-        } else if (!dead) {
+            deferred.addLast(action);
+        } else if (!killed) {
             action.run();
         }
     }
 
     void deliver(Function<Instant, Event> event) {
-        whenRunning(() -> apply(event.apply(cluster.now())));
+        runUnlessPaused(() -> apply(event.apply(cluster.now())));
     }
 
     void arrive(GenerationRequest request) {
@@ -136,17 +136,17 @@
             pause();
         }
         if (paused) {
-            holdBeforeOtherEvents(effects);
+            deferBeforeOtherEvents(effects);
         } else {
-            effects.forEach(effect -> whenRunning(() -> execute(effect)));
+            effects.forEach(effect -> runUnlessPaused(() -> execute(effect)));
         }
     }
 
     /** A host that pauses again while it works off what it held carries out these effects before the next event. */
-    private void holdBeforeOtherEvents(List<Effect> effects) {
+    private void deferBeforeOtherEvents(List<Effect> effects) {
         for (int index = effects.size() - 1; index >= 0; index--) {
             Effect effect = effects.get(index);
-            held.addFirst(() -> execute(effect));
+            deferred.addFirst(() -> execute(effect));
         }
     }
 
@@ -156,10 +156,10 @@
         } else if (effect instanceof Effect.AppendToLog append) {
             cluster.log().append(this, append);
         } else if (effect instanceof Effect.FollowStream follow) {
-            positions.put(follow.stream(), (int) follow.fromOffset());
-            cluster.log().wake(this, follow.stream());
+            readPositions.put(follow.stream(), (int) follow.fromOffset());
+            cluster.log().scheduleRead(this, follow.stream());
         } else if (effect instanceof Effect.UnfollowStream unfollow) {
-            positions.remove(unfollow.stream());
+            readPositions.remove(unfollow.stream());
         } else if (effect instanceof Effect.StartAttempt start) {
             startAttempt(start);
         } else if (effect instanceof Effect.CancelAttempt cancel) {
@@ -170,37 +170,37 @@
             generationEnded(fail.request());
             cluster.failed(requests.get(fail.request()), fail.failure());
         } else {
-            executeOrder(effect);
+            executeEngineCommand(effect);
         }
     }
 
-    private void executeOrder(Effect effect) {
+    private void executeEngineCommand(Effect effect) {
         if (effect instanceof Effect.LoadAdapter load) {
             cluster.engine(load.endpoint())
                     .load(
                             load.adapter(),
                             load.term(),
-                            result -> ended(at -> new Event.LoadEnded(
+                            result -> deliverResult(at -> new Event.LoadEnded(
                                     at, load.endpoint().id(), load.adapter(), load.term(), result)));
         } else if (effect instanceof Effect.UnloadAdapter unload) {
             cluster.engine(unload.endpoint())
                     .unload(
                             unload.adapter(),
                             unload.term(),
-                            result -> ended(at -> new Event.UnloadEnded(
+                            result -> deliverResult(at -> new Event.UnloadEnded(
                                     at, unload.endpoint().id(), unload.adapter(), unload.term(), result)));
         } else if (effect instanceof Effect.RaiseFence fence) {
             cluster.engine(fence.endpoint())
                     .raiseFence(
                             fence.term(),
-                            (EngineCommandResult result) -> ended(at ->
+                            (EngineCommandResult result) -> deliverResult(at ->
                                     new Event.FenceEnded(at, fence.endpoint().id(), fence.term(), result)));
         } else if (effect instanceof Effect.ReadEngineStatus read) {
             readStatus(read.endpoint(), cluster.now());
         }
     }
 
-    private void ended(Function<Instant, Event> event) {
+    private void deliverResult(Function<Instant, Event> event) {
         deliver(event);
     }
 
@@ -220,19 +220,19 @@
 
     private void startAttempt(Effect.StartAttempt start) {
         GenerationRequest request = requests.get(start.request());
-        if (request == null || ended.contains(start.request())) {
-            cluster.violated("attempt of a request that is not open: " + start);
+        if (request == null || endedRequests.contains(start.request())) {
+            cluster.addViolation("attempt of a request that is not open: " + start);
             return;
         }
         long term = grantTerms.getOrDefault(start.request() + "/" + start.attempt(), -1L);
-        Attempt before = attempts.put(start.request(), new Attempt(start.attempt(), start.endpoint(), term));
-        if (before != null) {
-            cluster.violated("two attempts of " + start.request() + " at a time");
+        Attempt previous = attempts.put(start.request(), new Attempt(start.attempt(), start.endpoint(), term));
+        if (previous != null) {
+            cluster.addViolation("two attempts of " + start.request() + " at a time");
         }
         var run = new SimulatedEngine.RunId(identity, start.request(), start.attempt());
         cluster.after(cluster.delay(), () -> cluster.engine(start.endpoint())
                 .start(this, run, request.adapter(), request.fingerprint()));
-        cluster.checkBatches();
+        cluster.checkBatchLimits();
     }
 
     private void cancelAttempt(RequestId request) {
@@ -247,20 +247,20 @@
 
     private void generationEnded(RequestId request) {
         attempts.remove(request);
-        if (!ended.add(request)) {
-            cluster.violated("two ends of " + request);
+        if (!endedRequests.add(request)) {
+            cluster.addViolation("two ends of " + request);
         }
     }
 
     /** Reports the requests that have no end. */
     void checkAllEnded() {
         requests.keySet().stream()
-                .filter(request -> !ended.contains(request) && !withdrawn.contains(request))
-                .forEach(request -> cluster.violated("no end of " + request));
+                .filter(request -> !endedRequests.contains(request) && !withdrawnRequests.contains(request))
+                .forEach(request -> cluster.addViolation("no end of " + request));
     }
 
     void withdraw(RequestId request) {
-        if (requests.containsKey(request) && !ended.contains(request) && withdrawn.add(request)) {
+        if (requests.containsKey(request) && !endedRequests.contains(request) && withdrawnRequests.add(request)) {
             deliver(at -> new Event.GenerationCancelled(at, request));
         }
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
@@ -26,10 +26,10 @@
         this.cluster = cluster;
     }
 
-    void down(boolean value) {
+    void setDown(boolean value) {
         down = value;
         if (!value) {
-            streams.keySet().forEach(this::wakeReaders);
+            streams.keySet().forEach(this::scheduleReads);
         }
     }
 
@@ -54,7 +54,7 @@
         }
         if (!cluster.chance(REQUEST_LOST_PERCENT)) {
             append.entries().forEach(entry -> write(append.stream(), entry));
-            wakeReaders(append.stream());
+            scheduleReads(append.stream());
         }
         // A lost answer is reported like an answer of unknown outcome, after the time-out of the shell.
         long delay = cluster.chance(ANSWER_LOST_PERCENT) ? 1_000 : cluster.delay();
@@ -65,26 +65,26 @@
         host.deliver(event);
     }
 
-    private void wakeReaders(String stream) {
-        cluster.hosts().forEach(host -> wake(host, stream));
+    private void scheduleReads(String stream) {
+        cluster.hosts().forEach(host -> scheduleRead(host, stream));
     }
 
-    void wake(SimulatedHost host, String stream) {
-        cluster.after(cluster.delay(), () -> host.whenRunning(() -> read(host, stream)));
+    void scheduleRead(SimulatedHost host, String stream) {
+        cluster.after(cluster.delay(), () -> host.runUnlessPaused(() -> read(host, stream)));
     }
 
     private void read(SimulatedHost host, String stream) {
-        if (!host.positions().containsKey(stream)) {
+        if (!host.readPositions().containsKey(stream)) {
             return;
         }
         if (down) {
             host.deliver(at -> new Event.StreamUnavailable(at, stream));
             return;
         }
-        int from = host.positions().get(stream);
+        int from = host.readPositions().get(stream);
         List<StreamEntry> all = entries(stream);
         List<StreamEntry> unread = List.copyOf(all.subList(from, all.size()));
-        host.positions().put(stream, all.size());
+        host.readPositions().put(stream, all.size());
         long end = all.size();
         host.deliver(at -> new Event.StreamRead(at, stream, end, end, unread));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulationFaults.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulationFaults.java
@@ -10,7 +10,7 @@
  * @param outages whether the log is down for a while
  */
 record SimulationFaults(
-        int pausesPerTenThousandEvents, int cutPercent, boolean restarts, boolean kills, boolean outages) {
+        int pausesPerTenThousandEvents, int brokenStreamPercent, boolean restarts, boolean kills, boolean outages) {
     static final SimulationFaults ALL = new SimulationFaults(25, 3, true, true, true);
     static final SimulationFaults NONE = new SimulationFaults(0, 0, false, false, false);
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
@@ -109,7 +109,7 @@
         tracker.requestArrived(request, Configuration.INITIAL, NOW, effects);
     }
 
-    private List<Effect> startsOf(String id) {
+    private List<Effect> startsFor(String id) {
         arrive(id);
         return effects.drain().stream()
                 .filter(Effect.StartAttempt.class::isInstance)
@@ -120,20 +120,20 @@
     void adapterThatServedBeforeIsUsedWhenTheOwnerHasEndedAndTheLogIsDown() {
         listHosts(SELF);
         logReachable.set(false);
-        assertEquals(List.of(new Effect.StartAttempt(new RequestId("second"), 1, ENGINE, 0)), startsOf("second"));
+        assertEquals(List.of(new Effect.StartAttempt(new RequestId("second"), 1, ENGINE, 0)), startsFor("second"));
     }
 
     @Test
     void unreachableOwnerIsNotReplaced() {
         membership.markUnreachable(OWNER.host(), NOW);
         logReachable.set(false);
-        assertEquals(List.of(), startsOf("second"));
+        assertEquals(List.of(), startsFor("second"));
     }
 
     @Test
     void nothingStartsWithoutAnOwnerWhileTheLogIsUp() {
         listHosts(SELF);
-        assertEquals(List.of(), startsOf("second"));
+        assertEquals(List.of(), startsFor("second"));
     }
 
     @Test
@@ -142,14 +142,14 @@
         owners.apply(1, new OwnershipRecord.UnloadAnnouncement(POOL, 0, ENGINE.id(), 7, ADAPTER));
         listHosts(SELF);
         logReachable.set(false);
-        assertEquals(List.of(), startsOf("second"));
+        assertEquals(List.of(), startsFor("second"));
     }
 
     @Test
     void attemptStartedWithoutAnOwnerIsReportedToTheNextOne() {
         listHosts(SELF);
         logReachable.set(false);
-        startsOf("second");
+        startsFor("second");
         tracker.inventoryRequested(SELF.host(), new PeerMessage.InventoryRequest(POOL, 5, 9), effects);
         PeerMessage.InventoryReply reply = effects.drain().stream()
                 .filter(Effect.SendToPeer.class::isInstance)
