Reword comments and messages of the placement tests

Each test's comment names the failure that it guards against. Texts of violations and of two assertions are plainer (request did not end, in place of no end of); nothing else matches them, and what is asserted, seeds and bounds are the same.

--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -220,8 +220,8 @@
      * Records of a topic, either an answer to a {@link RecordsRequest} or an unsolicited update.
      *
      * @param offset offset from which the records are complete
-     * @param outageAgeMilliseconds time since the end of the last log outage while entries may still be missing because of
-     *     it; 0 during the outage, otherwise empty
+     * @param outageAgeMilliseconds time since the end of the last log outage while entries may still be missing
+     *     because of it; 0 during the outage, otherwise empty
      * @param askedAtMilliseconds time in the request; empty for an unsolicited update
      * @param ageMilliseconds time since the sender started its last read of the topic
      */
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
@@ -139,8 +139,8 @@
     }
 
     /**
-     * Removes the waiting requests that can no longer be served: holder terminated, deadline passed, crash limit reached,
-     * or adapter not loadable. All but the first are answered with a refusal.
+     * Removes the waiting requests that can no longer be served: holder terminated, deadline passed, crash limit
+     * reached, or adapter not loadable. All but the first are answered with a refusal.
      */
     void refuseUnservable(Instant now, Effects effects) {
         pool.queue().removeIf(waiting -> pool.membership().isTerminated(waiting.holder()));
--- a/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/membership/MembershipTest.java
@@ -16,7 +16,7 @@
         return new EntryHost(new HostId(id), presence, new DataCentre("ub-east"), address, address, address);
     }
 
-    /** Guards against decisions that are made again at each reading, or not made again after a change. */
+    /** Guards against results that are recomputed for each snapshot, or not recomputed after a change. */
     @Test
     void onlyADifferentListingCountsAsChange() {
         Membership membership = new Membership(new HostIdentity(new HostId("a"), 1));
--- a/banyanstair-core/src/test/java/org/banyanstair/ownership/OwnershipCoordinatorTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/ownership/OwnershipCoordinatorTest.java
@@ -27,7 +27,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a host that goes on watching the wrong peers after the host list or an owner has changed. */
+/** Guards against a host that keeps watching the wrong peers after the host list or an owner has changed. */
 class OwnershipCoordinatorTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final PoolId POOL = new PoolId("assistant");
@@ -89,7 +89,9 @@
             }
             assertEquals(expected, watched, "owner " + owner);
         }
-        assertTrue(membership.listing().liveHosts().stream().anyMatch(this::isSuccessor), "self succeeds no owner");
+        assertTrue(
+                membership.listing().liveHosts().stream().anyMatch(this::isSuccessor),
+                "this host is no owner's successor");
     }
 
     private boolean isSuccessor(HostId owner) {
--- a/banyanstair-core/src/test/java/org/banyanstair/ownership/RendezvousHashTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/ownership/RendezvousHashTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a hash that moves pools between hosts that stay, or that loads hosts unevenly. */
+/** Guards against a hash that moves pools between remaining hosts, or distributes them unevenly. */
 class RendezvousHashTest {
     private static List<HostId> hosts(int count) {
         return IntStream.range(0, count)
@@ -35,7 +35,7 @@
             }
         }
         double expected = names * leaving / (double) count;
-        // Six standard deviations of a binomial count.
+        // Six standard deviations of the binomial distribution.
         assertTrue(Math.abs(moved - expected) < 6 * Math.sqrt(expected), moved + " moved, expected " + expected);
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
@@ -35,8 +35,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards promises 1 to 3 on the reducers of three hosts: unloads of adapters in use, attempts without a permit, more
- * permits than a batch takes, requests without an end, and the bound on crashes by one request.
+ * Checks guarantees 1 to 3 on the reducers of three hosts: guards against unloads of adapters in use, attempts without
+ * a permit, more permits than the batch limit, requests that never end, and too many crashes by one request.
  */
 class GenerationPropertyTest {
     private static final PoolId POOL = new PoolId("assistant");
@@ -158,7 +158,7 @@
         assertEquals(List.of(), cluster.violations(), "seed " + seed);
     }
 
-    /** Without faults a request that crashes engines ends after three crashes, and no neighbour is refused for it. */
+    /** Without other faults, a request that crashes engines is refused after three crashes, and no other request is. */
     @Property(seed = "4505", tries = 200)
     void requestThatCrashesEnginesIsRefusedAfterThreeCrashes(@ForAll long seed) {
         SimulatedCluster cluster = cluster(seed, SimulationFaults.NONE);
@@ -184,6 +184,6 @@
         assertEquals(List.of(), cluster.violations(), "seed " + seed);
         assertTrue(
                 cluster.refusedForCrashes().stream().allMatch(each -> cluster.isPoison(each.fingerprint())),
-                "a neighbour was refused, seed " + seed);
+                "a request that crashes no engine was refused, seed " + seed);
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -41,7 +41,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards decisions of the owner of a pool that depend on several waiting requests. */
+/** Tests scheduling decisions of a pool owner that depend on several waiting requests. */
 class PoolOwnerTest {
     private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
     private static final PoolId POOL = new PoolId("assistant");
@@ -129,7 +129,7 @@
         collected.addAll(effects.drain());
     }
 
-    /** Carries out the commands of the owner and reports what the engines hold, as undisturbed engines do. */
+    /** Executes the effects of the owner on engines without faults, and reports their loaded adapters. */
     private void runEngines(Map<EndpointId, Set<AdapterVersion>> loadedAdapters, Duration time) {
         Instant end = now.plus(time);
         while (now.isBefore(end)) {
@@ -179,9 +179,9 @@
     }
 
     /**
-     * Two requests have each failed on the engine that holds their adapter, so each needs the place that the other's
-     * adapter takes. Both waited until their deadlines while the engines were idle. They arrive during the takeover,
-     * when nothing is unloaded, so that both wait before the first decision.
+     * Guards against a deadlock of two requests: each has failed on the engine that holds its adapter, so each needs the
+     * slot of the other's adapter, and both waited until their deadlines although the engines were idle. They arrive
+     * during the takeover, when nothing is unloaded, so that both wait before the first scheduling decision.
      */
     @Test
     void requestsThatNeedEachOthersSlotsAreBothGranted() {
@@ -196,7 +196,10 @@
         assertEquals(List.of("first", "second"), granted());
     }
 
-    /** A paused host holds up the takeover; requests wait for places until the first unload, some until too late. */
+    /**
+     * Guards against a late first unload after a paused host has delayed the takeover: requests wait for a slot until
+     * then, and some miss their deadline.
+     */
     @Test
     void slotsAreFreedSoonAfterTheLastInventory() {
         Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
@@ -213,7 +216,7 @@
         assertEquals(List.of("waits"), granted());
     }
 
-    /** An adapter that a waiting request can still use where it is loaded stays loaded. */
+    /** Guards against the eviction of an adapter that a waiting request can use where it is loaded. */
     @Test
     void adapterThatAWaitingRequestCanUseIsNotUnloaded() {
         Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedCluster.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedCluster.java
@@ -24,7 +24,7 @@
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.GenerationRequest;
 
-/** Event queue, network and host list that join hosts, engines and log; everything follows from the seed. */
+/** Discrete-event simulation of hosts, engines, log, network and host list; deterministic for a given seed. */
 final class SimulatedCluster {
     static final int LONGEST_DELAY_MILLIS = 400;
 
@@ -67,7 +67,7 @@
         return !faultsStopped && random.nextInt(100) < percent;
     }
 
-    /** Mostly a few milliseconds, sometimes much longer, so that messages overtake each other. */
+    /** Mostly a few milliseconds, sometimes much longer, so that messages are reordered. */
     int delay() {
         return chance(5) ? random.nextInt(LONGEST_DELAY_MILLIS) : 1 + random.nextInt(5);
     }
@@ -84,7 +84,7 @@
         steps.add(new Step(nowMillis + delayMillis, order++, action));
     }
 
-    /** Ends all random faults, so that what remains can end. */
+    /** Stops all random faults, so that the remaining requests can end. */
     void stopFaults() {
         faultsStopped = true;
         log.setDown(false);
@@ -151,7 +151,7 @@
         }
     }
 
-    /** Each reading is at most one second old when it arrives, and readings arrive in order. */
+    /** Each snapshot is at most one second old when it arrives, and snapshots arrive in order. */
     private void readHostList(SimulatedHost host) {
         HostListing listing = new HostListing(
                 hostListVersion,
@@ -193,7 +193,7 @@
         return pauses;
     }
 
-    /** Tells the other hosts that a host cannot be reached, or can be again. */
+    /** Reports to the other hosts that a host is unreachable, or reachable again. */
     void setReachable(SimulatedHost target, boolean reachable) {
         if (target.isKilled() && reachable) {
             return;
@@ -234,7 +234,7 @@
         return refusedForCrashes;
     }
 
-    /** One term never has more permits on an engine than its batch takes; a restart may hide permits for a while. */
+    /** Checks the batch limit per engine and term, except after a restart, which may hide permits for a while. */
     void checkBatchLimits() {
         Map<String, Integer> held = new HashMap<>();
         hosts.values().stream()
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedEngine.java
@@ -23,9 +23,12 @@
 import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.reducer.Event;
 
-/** An engine that loses answers, reports late, restarts empty, and reports unloads of adapters in use. */
+/**
+ * An engine that loses answers, reports stale status, and restarts without its adapters. Adds a violation when an
+ * adapter in use is unloaded.
+ */
 final class SimulatedEngine {
-    /** Below the {@code statusLag} of the settings, which is what the owner may rely on. */
+    /** Less than the {@code statusLag} of the settings, which is the staleness that the owner allows for. */
     private static final int STATUS_LAG_MILLIS = 700;
 
     private static final int LOSS_PERCENT = 5;
@@ -136,7 +139,7 @@
         executeCommand(term, result, answer -> answer.accept(new EngineCommandResult.Done()));
     }
 
-    /** Delivers an order after a delay; its answer may be lost, and the order then often takes effect even later. */
+    /** Delivers a command after a delay. Its answer may be lost; then the command often takes effect even later. */
     private void executeCommand(
             long term, Consumer<EngineCommandResult> result, Consumer<Consumer<EngineCommandResult>> action) {
         boolean lost = cluster.chance(LOSS_PERCENT);
@@ -175,7 +178,7 @@
             } else {
                 cluster.after(100 + cluster.random(1_500), () -> complete(host, run));
                 if (cluster.chance(cluster.brokenStreamPercent())) {
-                    // The connection breaks, and the engine keeps the stream for a while for a resumption.
+                    // The connection breaks while the engine continues the stream, so that it can be resumed.
                     cluster.after(cluster.random(500), () -> reportEnd(host, run, brokenOutcome()));
                 }
             }
@@ -209,7 +212,7 @@
         cluster.after(cluster.delay(), () -> host.deliver(event));
     }
 
-    /** Ends the incarnation: everything that it ran or had loaded is gone. */
+    /** Restarts the engine with a new incarnation; all requests and loaded adapters are lost. */
     void restart() {
         crashed = true;
         down = true;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedHost.java
@@ -22,9 +22,9 @@
 import org.banyanstair.reducer.HostReducer;
 import org.banyanstair.reducer.ReducerSettings;
 
-/** A host with its real reducer; while it is paused, its events and pending effects wait. */
+/** A host with a real {@link HostReducer}; while it is paused, its events and pending effects are deferred. */
 final class SimulatedHost {
-    /** The lags are shorter than by default, so that a short schedule has evictions after a takeover. */
+    /** Shorter lags than the default, so that evictions follow a takeover within the simulated time. */
     private static final ReducerSettings SETTINGS = new ReducerSettings(
             Duration.ofMillis(25),
             Duration.ofMinutes(30),
@@ -53,7 +53,7 @@
     private boolean paused;
     private boolean killed;
 
-    /** An attempt as this host sees it; {@code term} is that of its grant. */
+    /** A running attempt; {@code term} is the term of its grant. */
     record Attempt(int number, Endpoint endpoint, long term) {}
 
     SimulatedHost(SimulatedCluster cluster, HostIdentity identity) {
@@ -142,7 +142,7 @@
         }
     }
 
-    /** A host that pauses again while it works off what it held carries out these effects before the next event. */
+    /** A host that pauses again while it runs deferred actions has to execute these effects before the next event. */
     private void deferBeforeOtherEvents(List<Effect> effects) {
         for (int index = effects.size() - 1; index >= 0; index--) {
             Effect effect = effects.get(index);
@@ -221,13 +221,13 @@
     private void startAttempt(Effect.StartAttempt start) {
         GenerationRequest request = requests.get(start.request());
         if (request == null || endedRequests.contains(start.request())) {
-            cluster.addViolation("attempt of a request that is not open: " + start);
+            cluster.addViolation("attempt of a request that is not in flight: " + start);
             return;
         }
         long term = grantTerms.getOrDefault(start.request() + "/" + start.attempt(), -1L);
         Attempt previous = attempts.put(start.request(), new Attempt(start.attempt(), start.endpoint(), term));
         if (previous != null) {
-            cluster.addViolation("two attempts of " + start.request() + " at a time");
+            cluster.addViolation("two attempts of " + start.request() + " run concurrently");
         }
         var run = new SimulatedEngine.RunId(identity, start.request(), start.attempt());
         cluster.after(cluster.delay(), () -> cluster.engine(start.endpoint())
@@ -239,7 +239,7 @@
         Attempt attempt = attempts.remove(request);
         if (attempt != null) {
             var run = new SimulatedEngine.RunId(identity, request, attempt.number());
-            // Later than any delayed start of the same attempt: one connection carries both.
+            // Arrives after any delayed start of the same attempt, because one connection carries both.
             cluster.after(SimulatedCluster.LONGEST_DELAY_MILLIS, () -> cluster.engine(attempt.endpoint())
                     .cancel(run));
         }
@@ -248,15 +248,15 @@
     private void generationEnded(RequestId request) {
         attempts.remove(request);
         if (!endedRequests.add(request)) {
-            cluster.addViolation("two ends of " + request);
+            cluster.addViolation("request ended twice: " + request);
         }
     }
 
-    /** Reports the requests that have no end. */
+    /** Adds a violation for each request that has not ended. */
     void checkAllEnded() {
         requests.keySet().stream()
                 .filter(request -> !endedRequests.contains(request) && !withdrawnRequests.contains(request))
-                .forEach(request -> cluster.addViolation("no end of " + request));
+                .forEach(request -> cluster.addViolation("request did not end: " + request));
     }
 
     void withdraw(RequestId request) {
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulatedLog.java
@@ -13,7 +13,7 @@
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.StreamEntry;
 
-/** A log service with slow, lost and refused appends and outages; each host reads at its own pace. */
+/** A log service with slow, lost and rejected appends and outages; each host reads independently. */
 final class SimulatedLog {
     private static final int ANSWER_LOST_PERCENT = 4;
     private static final int REQUEST_LOST_PERCENT = 2;
@@ -56,7 +56,7 @@
             append.entries().forEach(entry -> write(append.stream(), entry));
             scheduleReads(append.stream());
         }
-        // A lost answer is reported like an answer of unknown outcome, after the time-out of the shell.
+        // A lost answer is reported as an append of unknown outcome, after the append time-out of the host.
         long delay = cluster.chance(ANSWER_LOST_PERCENT) ? 1_000 : cluster.delay();
         cluster.after(delay, () -> answer(host, at -> new Event.AppendEnded(at, append.appendId())));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/SimulationFaults.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/SimulationFaults.java
@@ -1,13 +1,13 @@
 package org.banyanstair.placement;
 
 /**
- * Which faults a simulation injects.
+ * Faults that a simulation injects.
  *
- * @param pausesPerTenThousandEvents how often a host is paused between a decision and its effects
- * @param cutPercent share of streams whose connection breaks while the engine goes on
- * @param restarts whether engines restart empty
+ * @param pausesPerTenThousandEvents how often a host is paused between an event and its effects
+ * @param cutPercent share of streams whose connection breaks while the engine continues to run them
+ * @param restarts whether engines restart without their adapters
  * @param kills whether hosts are killed
- * @param outages whether the log is down for a while
+ * @param outages whether the log is temporarily unavailable
  */
 record SimulationFaults(
         int pausesPerTenThousandEvents, int brokenStreamPercent, boolean restarts, boolean kills, boolean outages) {
--- a/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
@@ -42,7 +42,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against an outage of loaded adapters when the owner of a pool ends while the log is down. */
+/** Guards against an outage of loaded adapters when a pool owner terminates while the log is unavailable. */
 class WithoutOwnerTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final PoolId POOL = new PoolId("assistant");
