--- a/banyanstair-server/src/main/java/org/banyanstair/server/ExitCode.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/ExitCode.java
@@ -2,13 +2,13 @@
 
 /** Exit codes of the daemon. */
 public enum ExitCode {
-    /** Stopped as asked, with nothing cut off. */
+    /** Stopped on request; all requests in flight completed. */
     STOPPED(0),
-    /** Could not start, or failed while running. */
+    /** Failed to start, or failed while running. */
     FAILED(1),
-    /** The command line or the settings are invalid. */
+    /** The command line or the settings file is invalid. */
     INVALID(2),
-    /** Stopped as asked, but the drain limit came before all requests had ended. */
+    /** Stopped on request, but the drain limit passed before all requests in flight had completed. */
     CUT_OFF(3);
 
     private final int value;
@@ -17,7 +17,7 @@
         this.value = value;
     }
 
-    /** Returns the number for the operating system. */
+    /** Returns the exit code of the process. */
     public int value() {
         return value;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/Main.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/Main.java
@@ -23,10 +23,10 @@
 
     private Main() {}
 
-    /** Runs the daemon until it is told to stop. */
+    /** Runs the daemon until a stop is requested. */
     public static void main(String[] arguments) {
         ExitCode code = run(arguments);
-        // Halting skips the shutdown hook, which waits for this thread after a signal.
+        // Runtime.halt skips the shutdown hook, which waits for this thread after a signal.
         System.out.flush();
         Runtime.getRuntime().halt(code.value());
     }
@@ -114,7 +114,7 @@
             Thread.currentThread().interrupt();
             return ExitCode.FAILED;
         } catch (Exception exception) {
-            // Netty throws checked exceptions that it does not declare, such as that an address is in use.
+            // Netty throws undeclared checked exceptions, for example if an address is already in use.
             System.err.println(exception.getMessage());
             return ExitCode.FAILED;
         }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ComponentFactory.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/ComponentFactory.java
@@ -33,7 +33,7 @@
 import org.banyanstair.transport.PeerListener;
 import org.banyanstair.transport.PeerTransportSettings;
 
-/** Creates the parts of the daemon from its settings. */
+/** Creates the components of the daemon from its settings. */
 final class ComponentFactory {
     private final DaemonSettings settings;
     private final HostIdentity identity;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -29,7 +29,7 @@
 import org.banyanstair.transport.PeerListener;
 import org.tinylog.Logger;
 
-/** One entry host: all parts of the daemon, started and stopped in order. */
+/** Daemon of an entry host. It creates, starts and stops its components. */
 public final class Daemon {
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
@@ -51,9 +51,9 @@
     private final OperatorHttpServer operatorServer;
 
     /**
-     * Creates the daemon; nothing runs before {@link #start}.
+     * Creates the daemon, which does nothing before {@link #start}.
      *
-     * @param settings checked settings
+     * @param settings validated settings
      */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
@@ -125,7 +125,7 @@
         };
     }
 
-    /** Starts all parts; the HTTP interfaces answer at once and report readiness. */
+    /** Starts all components. The HTTP interfaces respond immediately and report whether the host is ready. */
     public void start() {
         peers.start();
         loop.start();
@@ -140,7 +140,7 @@
     }
 
     /**
-     * Waits until the host serves or a stop is requested.
+     * Waits until the host is ready or a stop is requested.
      *
      * @throws InterruptedException if the thread is interrupted
      */
@@ -150,7 +150,7 @@
         }
     }
 
-    /** Asks {@link #awaitStop} to return; used for SIGTERM. */
+    /** Makes {@link #awaitStop} return; used for SIGTERM. */
     public void requestStop() {
         stopRequested.countDown();
     }
@@ -165,17 +165,17 @@
     }
 
     /**
-     * Drains and stops: tells the other hosts, serves callers that still hold this host's address, hands pools over, and
-     * ends when nothing is in flight or the drain limit has come.
+     * Drains and stops the host: notifies the other hosts, serves callers that still use this host's address, hands
+     * over its pools, and returns when no request is in flight or the drain limit has passed.
      *
-     * @return true if nothing was cut off
+     * @return true if no request in flight was aborted
      * @throws InterruptedException if the thread is interrupted
      */
     public boolean drainAndStop() throws InterruptedException {
         Instant drainDeadline = clock.instant().plusMillis(settings.limits().drainLimitMilliseconds());
         Instant entryAddressesExpireAt =
                 clock.instant().plusMillis(settings.limits().entryAddressKeepMilliseconds());
-        Logger.info("host={} drains until {}", identity, drainDeadline);
+        Logger.info("host={} draining until {}", identity, drainDeadline);
         loop.submit(Event.DrainStarted::new);
         while (clock.instant().isBefore(drainDeadline) && !isDrained(entryAddressesExpireAt)) {
             Thread.sleep(POLL_INTERVAL.toMillis());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectDispatcher.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EffectDispatcher.java
@@ -19,17 +19,17 @@
 import org.banyanstair.reducer.Event;
 import org.banyanstair.transport.PeerTransport;
 
-/** Carries out the effects of the reducer; results come back as events. Called by the event loop only. */
+/** Executes the effects of the reducer and submits their results as events. Called only by the event loop. */
 final class EffectDispatcher implements Consumer<Effect> {
     private final Map<Class<? extends Effect>, Consumer<Effect>> handlers = new HashMap<>();
     private final Consumer<Function<Instant, Event>> events;
     private final InstantSource clock;
 
     /**
-     * Creates the runner.
+     * Creates a dispatcher without handlers.
      *
-     * @param clock gives the instants at which orders are sent
-     * @param events takes the results
+     * @param clock supplies the times at which status requests are sent
+     * @param events receives the results
      */
     EffectDispatcher(InstantSource clock, Consumer<Function<Instant, Event>> events) {
         this.clock = clock;
@@ -91,7 +91,7 @@
         register(Effect.ReadEngineStatus.class, effect -> readStatus(engines, effect.endpoint()));
     }
 
-    /** Turns the result of an order into an event. */
+    /** Creates the event for the result of an engine command. */
     @FunctionalInterface
     private interface CommandResultEvent {
         Event of(Instant at, EngineCommandResult result);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/EventLoop.java
@@ -18,12 +18,12 @@
 import org.tinylog.Logger;
 
 /**
- * The one thread that feeds events to the reducer and hands its effects to the shell.
+ * The single thread that applies events to the reducer and executes the resulting effects.
  *
- * <p>{@link #submit} and {@link #submitHostListUpdate} are safe for use by several threads.
+ * <p>{@link #submit} and {@link #submitHostListUpdate} are thread-safe.
  */
 final class EventLoop {
-    /** Time between two ticks; the finest grain of all deadlines in the reducer. */
+    /** Interval of ticks, which is the resolution of all deadlines in the reducer. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
 
     private final HostReducer reducer;
@@ -36,12 +36,12 @@
     private volatile boolean stopping;
 
     /**
-     * Creates the loop.
+     * Creates an event loop.
      *
-     * @param reducer the reducer; from {@link #start} on only the loop may use it
-     * @param clock gives the instant of each event
-     * @param effects carries out an effect; must not block
-     * @param publisher publishes a view of the reducer's state, before the effects of the event are carried out
+     * @param reducer the reducer; confined to the loop after {@link #start}
+     * @param clock supplies the time of each event
+     * @param effects executes an effect; must not block
+     * @param publisher publishes a snapshot of the reducer's state before the effects of an event are executed
      */
     EventLoop(HostReducer reducer, InstantSource clock, Consumer<Effect> effects, Consumer<HostReducer> publisher) {
         this.reducer = reducer;
@@ -60,14 +60,14 @@
         thread.interrupt();
     }
 
-    /** Queues an event; it gets its instant when the reducer takes it, so that instants never go back. */
+    /** Queues an event. Its time is taken when the reducer processes it, so that times never decrease. */
     void submit(Function<Instant, Event> event) {
         queue.add(event);
     }
 
     /**
-     * Queues a reading of the host list ahead of all other events, because permits that are granted meanwhile would
-     * follow an older list. Readings keep their order; an idle loop takes one with the next tick.
+     * Queues an update of the host list ahead of all other events; otherwise, permits granted in the meantime would be
+     * based on an older list. Updates keep their order; an idle loop processes them at the next tick.
      */
     void submitHostListUpdate(Function<Instant, Event> update) {
         hostListUpdates.add(update);
@@ -83,8 +83,8 @@
                 Thread.currentThread().interrupt();
                 return;
             } catch (RuntimeException exception) {
-                // The loop must outlive a fault in the handling of one event.
-                Logger.error(exception, "event failed");
+                // A failure to process one event must not terminate the loop.
+                Logger.error(exception, "failed to process an event");
             }
         }
     }
@@ -117,7 +117,10 @@
             try {
                 effects.accept(effect);
             } catch (RuntimeException exception) {
-                Logger.error(exception, "effect failed: {}", effect.getClass().getSimpleName());
+                Logger.error(
+                        exception,
+                        "failed to execute effect {}",
+                        effect.getClass().getSimpleName());
             }
         }
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
@@ -26,10 +26,10 @@
 import org.banyanstair.server.service.GenerationSink;
 
 /**
- * Runs the attempts of generations on engines and passes their tokens to the callers.
+ * Runs the attempts of generations on engines and forwards their tokens to the callers.
  *
- * <p>Tokens do not pass through the reducer. A stream that breaks is first resumed on the same engine, for which the
- * permit still holds; only then the attempt is reported as broken. Safe for use by several threads.
+ * <p>Tokens bypass the reducer. A broken stream is first resumed on the same engine, for which the permit is still
+ * valid, before the attempt is reported as broken. Thread-safe.
  */
 final class GenerationExecutor {
     private static final int MAXIMUM_RESUMES_PER_ATTEMPT = 2;
@@ -47,7 +47,7 @@
         generations.put(generation.id(), new RunningGeneration(generation, sink));
     }
 
-    /** Starts an attempt, from the first token that was not delivered by an earlier one. */
+    /** Starts an attempt at the first token that earlier attempts have not delivered. */
     void start(RequestId request, int attempt, Endpoint endpoint, long loadStallMilliseconds) {
         RunningGeneration running = generations.get(request);
         if (running == null) {
@@ -62,7 +62,7 @@
     }
 
     /**
-     * One attempt.
+     * Attempt of a generation.
      *
      * @param previouslyDelivered number of tokens that earlier attempts delivered
      */
@@ -101,7 +101,10 @@
         running.setCancellation(attempt.number(), engines.generate(attempt.endpoint(), request, listener));
     }
 
-    /** Attempts have ids of their own, because an engine may still know a broken earlier one. */
+    /**
+     * Returns the request id for the engine. Each attempt has its own, because an engine may still know an earlier
+     * broken attempt.
+     */
     private static RequestId engineRequestId(RequestId request, int attempt) {
         return attempt == 1 ? request : new RequestId(request.value() + "." + attempt);
     }
@@ -158,14 +161,14 @@
         return removed;
     }
 
-    /** Takes the caller's side away; the reducer cancels the attempt. */
+    /** Cancels a generation whose caller has disconnected; the reducer cancels its attempt. */
     void cancel(RequestId request) {
         Optional.ofNullable(generations.remove(request))
                 .ifPresent(running -> running.end().cancel());
         events.accept(at -> new Event.GenerationCancelled(at, request));
     }
 
-    /** Builds the body that lets another engine go on after the text that the caller has received. */
+    /** Returns a request body that makes another engine continue after the text that the caller has received. */
     private static byte[] continuationBody(RunningGeneration running) {
         try {
             ObjectNode body =
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
@@ -16,7 +16,7 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.reducer.Event;
 
-/** Reads the host list again and again; keeps the last reading while the list is down. Safe for use by several threads. */
+/** Polls the host list. If it is unavailable, the last listing stays in use. Thread-safe. */
 final class HostListPoller {
     private final HostListSource source;
     private final Duration interval;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -40,7 +40,7 @@
 import org.banyanstair.server.service.OperatorService;
 import org.banyanstair.server.service.PlainCall;
 
-/** Connects the HTTP interfaces to the event loop. Safe for use by several threads. */
+/** Connects the HTTP interfaces to the event loop. Thread-safe. */
 final class HostService implements CallerService, OperatorService {
     private final HostId host;
     private final Duration entryAddressLifetime;
@@ -72,7 +72,7 @@
                 Optional.of(new Failure.NotReady(host)), Configuration.INITIAL, List.of(), List.of(), false, 0, false));
     }
 
-    /** Registers the effects that answer callers and operators. */
+    /** Registers handlers for the effects that complete requests of callers and operators. */
     void registerReplyEffects(EffectDispatcher effects) {
         effects.register(Effect.AnswerCall.class, effect -> Optional.ofNullable(pendingCalls.remove(effect.request()))
                 .ifPresent(answer -> answer.complete(effect.answer())));
@@ -87,7 +87,10 @@
                         .ifPresent(answer -> answer.complete(effect)));
     }
 
-    /** Publishes the reducer's state; a new configuration at once, the rest at most every few milliseconds. */
+    /**
+     * Publishes a snapshot of the reducer's state: immediately if the configuration is new, otherwise at most every 20
+     * ms.
+     */
     void publish(HostReducer reducer) {
         Instant now = clock.instant();
         long version = reducer.configuration().current().version();
@@ -157,7 +160,7 @@
     @Override
     public EntryAddresses entryAddresses() {
         List<EntryHost> hosts = new ArrayList<>(snapshot().usableHosts());
-        // Each answer has another order, which spreads callers over the hosts without a balancer.
+        // Shuffled for each caller, which distributes callers over the hosts without a load balancer.
         Collections.shuffle(hosts, ThreadLocalRandom.current());
         return new EntryAddresses(
                 hosts.stream()
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostSnapshot.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostSnapshot.java
@@ -8,15 +8,15 @@
 import org.banyanstair.membership.EntryHost;
 
 /**
- * What the threads outside the event loop may know of the reducer's state.
+ * Immutable snapshot of the reducer's state for threads outside the event loop.
  *
- * @param notReadyReason why the host does not serve yet, empty once it does
+ * @param notReadyReason why the host is not ready, empty if it is ready
  * @param configuration configuration in force
  * @param listedHosts all entry hosts of the host list
  * @param usableHosts entry hosts that callers should use
- * @param draining whether this host leaves
- * @param inFlight what has to end before this host may stop
- * @param ownsPools whether this host decides for any pool
+ * @param draining whether this host is draining
+ * @param inFlight number of operations that must complete before this host may stop
+ * @param ownsPools whether this host owns any pool
  */
 record HostSnapshot(
         Optional<Failure> notReadyReason,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogEntryCodec.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogEntryCodec.java
@@ -17,7 +17,7 @@
 import org.banyanstair.placement.SuspectRecord;
 import org.banyanstair.reducer.StreamEntry;
 
-/** Encodes and decodes the values of the log streams. */
+/** Encodes and decodes the entries of log streams. */
 final class LogEntryCodec {
     private static final Map<String, Class<? extends LogEntry>> TYPES = Map.of(
             LogStreams.CONFIGURATION, ConfigurationChange.class,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogTailer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/LogTailer.java
@@ -17,17 +17,20 @@
 import org.banyanstair.reducer.Event;
 import org.banyanstair.reducer.StreamEntry;
 
-/** Reads log streams continuously and turns what comes into events. Safe for use by several threads. */
+/** Tails log streams by long polling and submits the records as events. Thread-safe. */
 final class LogTailer {
     private static final int MAXIMUM_RECORDS_PER_READ = 500;
 
     /**
-     * A connection that has gone silent is noticed only when a read ends. With the time-out of a call on top, this
-     * leaves a configuration change within its 9 s.
+     * Long-poll wait. A stalled connection is noticed only when a read ends; this wait plus the call timeout keeps the
+     * propagation of a configuration change within its limit of 9 s.
      */
     private static final Duration LONG_POLL_WAIT = Duration.ofSeconds(5);
 
-    /** Orders wait for the log, and only two hosts follow each partition of them. */
+    /**
+     * Shorter wait for call streams, because non-idempotent calls wait for the log and only two hosts tail each
+     * partition.
+     */
     private static final Duration CALL_LONG_POLL_WAIT = Duration.ofSeconds(2);
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
@@ -49,7 +52,7 @@
         this.events = events;
     }
 
-    /** Starts to read a stream; an earlier reading of the same stream ends. */
+    /** Starts to tail a stream; an earlier tail of the same stream ends. */
     void follow(String stream, long fromOffset) {
         Object subscription = new Object();
         followedStreams.put(stream, subscription);
@@ -64,7 +67,9 @@
         followedStreams.clear();
     }
 
-    /** Reads on; waits for new records only after the end was seen, so that a start is not delayed. */
+    /**
+     * Reads the next records. Long polling starts only at the end of the stream, so that catching up is not delayed.
+     */
     private void read(String stream, Object subscription, long offset, boolean atEnd) {
         if (followedStreams.get(stream) != subscription) {
             return;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/NoticeLogger.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/NoticeLogger.java
@@ -5,7 +5,7 @@
 import org.banyanstair.reducer.Notice;
 import org.tinylog.Logger;
 
-/** Writes what the reducer reports to the log of the daemon, one line an event. */
+/** Logs the notices of the reducer, one line each. */
 final class NoticeLogger {
     private final HostId host;
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
@@ -7,7 +7,7 @@
 import org.banyanstair.server.service.Generation;
 import org.banyanstair.server.service.GenerationSink;
 
-/** A generation of a caller of this host; guarded by its own lock. */
+/** State of a generation in progress. Thread-safe; guarded by its own lock. */
 final class RunningGeneration {
     private final Generation generation;
     private final GenerationSink sink;
@@ -25,7 +25,7 @@
         return generation;
     }
 
-    /** Makes an attempt the current one; events of earlier attempts are ignored from now on. */
+    /** Makes an attempt the current one; callbacks of earlier attempts are ignored from then on. */
     synchronized void startAttempt(int number) {
         attempt = number;
         cancellation = () -> {};
@@ -43,7 +43,7 @@
         }
     }
 
-    /** Delivers a chunk if it belongs to the current attempt and is the next one. */
+    /** Delivers a chunk if it belongs to the current attempt and has the next index. Returns whether it did. */
     synchronized boolean deliver(int number, long index, String json) {
         if (!isCurrent(number) || index != delivered.size()) {
             return false;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/TransportMetrics.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/TransportMetrics.java
@@ -7,7 +7,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.banyanstair.transport.TransportCounters;
 
-/** Adds the totals of the peer transport to the metrics of the host. */
+/** Registers gauges for the totals of the peer transport. */
 final class TransportMetrics {
     private static final String PREFIX = "banyanstair_peer_";
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/package-info.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/package-info.java
@@ -1,2 +1,2 @@
-/** The shell around the reducer: the event loop, and the I/O that carries out effects. */
+/** Event loop of the reducer, and the I/O that executes its effects. */
 package org.banyanstair.server.daemon;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerAuthenticator.java
@@ -12,7 +12,7 @@
 import org.banyanstair.errors.FailureException;
 
 /**
- * Finds the holder of a bearer key.
+ * Authenticates requests by bearer key.
  *
  * @param <P> type of the principals
  */
@@ -24,10 +24,10 @@
     private record Credential<P>(P principal, byte[] digest) {}
 
     /**
-     * Creates the ring.
+     * Creates an authenticator.
      *
-     * @param keys keys by holder
-     * @throws FailureException with {@link Failure.InvalidField} if two holders have the same key
+     * @param keys keys by principal
+     * @throws FailureException with {@link Failure.InvalidField} if two principals have the same key
      */
     public BearerAuthenticator(Map<P, List<BearerKey>> keys) {
         credentials = keys.entrySet().stream()
@@ -42,9 +42,10 @@
     }
 
     /**
-     * Finds the holder of the key that a request carries.
+     * Returns the principal of the key that a request carries.
      *
-     * <p>Compares with every key, each in constant time, so that the time does not tell how close a guess is.
+     * <p>The key is compared with all keys, each in constant time, so that the response time does not reveal how close
+     * a guess is.
      *
      * @throws FailureException with {@link Failure.Unauthenticated} if the key is missing or unknown
      */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerKey.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BearerKey.java
@@ -9,7 +9,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** The SHA-256 digest of a bearer key. The key itself is not kept, and neither is printed. */
+/** SHA-256 digest of a bearer key. The key itself is not retained, and neither is printed. */
 public final class BearerKey {
     private static final int DIGEST_BYTES = 32;
 
@@ -19,21 +19,15 @@
         this.digest = digest;
     }
 
-    /**
-     * Creates the digest of a key.
-     *
-     * @param key the key as callers send it
-     * @return its digest
-     */
+    /** Computes the digest of a plain-text key. */
     public static BearerKey ofPlain(String key) {
         return new BearerKey(DigestUtils.sha256(key.getBytes(StandardCharsets.UTF_8)));
     }
 
     /**
-     * Takes over a digest.
+     * Parses a digest.
      *
      * @param hexadecimal SHA-256 digest of a key, 64 hexadecimal digits
-     * @return the digest
      * @throws FailureException with {@link Failure.InvalidField} if it is malformed
      */
     public static BearerKey ofDigest(String hexadecimal) {
@@ -43,7 +37,7 @@
                 return new BearerKey(digest);
             }
         } catch (IllegalArgumentException exception) {
-            // Reported below; the message of the exception would show a part of the value.
+            // Reported below, because the message of this exception would reveal a part of the value.
         }
         throw new FailureException(new Failure.InvalidField("key", "a SHA-256 digest of 64 hexadecimal digits"));
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/BodyAggregator.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/BodyAggregator.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import org.banyanstair.errors.Failure;
 
-/** Collects request bodies and answers 413 with the error envelope once a body exceeds the limit. */
+/** Aggregates request bodies and responds with 413 and the error envelope if a body exceeds the limit. */
 final class BodyAggregator extends HttpObjectAggregator {
     private final int limitBytes;
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ConnectionHandler.java
@@ -18,13 +18,14 @@
 import org.banyanstair.errors.Failure;
 
 /**
- * Passes the requests of one connection to Jooby, one at a time, and notices when the connection closes before the
+ * Passes the requests of a connection to Jooby one at a time, and detects when the connection closes before the
  * response has ended.
  *
- * <p>Jooby gets the request without its body, because it would decode forms; the body is kept as it came.
+ * <p>Jooby receives the request without its body, because it would decode forms; the unmodified body is kept
+ * separately.
  */
 final class ConnectionHandler extends ChannelDuplexHandler {
-    /** A client that pipelines more requests than this is cut off, which bounds the memory of a connection. */
+    /** The connection of a client that pipelines more requests than this is closed, which bounds its memory. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 4;
 
     private static final ThreadLocal<IncomingRequest> DISPATCHED = new ThreadLocal<>();
@@ -38,7 +39,7 @@
         this.state = state;
     }
 
-    /** Returns the request that the calling event loop is dispatching. */
+    /** Returns the request that the calling event loop thread is currently dispatching. */
     static IncomingRequest dispatched() {
         return Optional.ofNullable(DISPATCHED.get()).orElseThrow();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/DirectErrorResponse.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/DirectErrorResponse.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyanstair.errors.Failure;
 
-/** Answers requests that are refused before they reach a route. */
+/** Sends the error response for requests that are rejected before they reach a route. */
 final class DirectErrorResponse {
     private DirectErrorResponse() {}
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ErrorResponse.java
@@ -11,32 +11,32 @@
 import org.banyanstair.errors.FailureText;
 
 /**
- * A failure as an HTTP response with the error envelope of the OpenAI protocol.
+ * HTTP response for a failure, with the error envelope of the OpenAI protocol.
  *
  * @param status HTTP status
  * @param headers headers besides content type and length
- * @param body the envelope as JSON; not to be changed
+ * @param body the envelope as JSON; must not be modified
  */
 public record ErrorResponse(int status, Map<String, String> headers, byte[] body) {
     private static final String RETRY_AFTER_SECONDS = "1";
     private static final String MAINTENANCE_RETRY_AFTER_SECONDS = "30";
 
-    /** Returns the response to a failure, as its type determines it. */
+    /** Returns the response for a failure, with the status and outcome of its type. */
     public static ErrorResponse of(Failure failure) {
         return of(failure, FailureStatus.of(failure), failure.outcome());
     }
 
     /**
-     * Returns the response to a failure.
+     * Returns the response for a failure with an explicit status and outcome.
      *
      * @param status HTTP status
-     * @param outcome what is known about the request
+     * @param outcome whether the request is known not to have run
      */
     public static ErrorResponse of(Failure failure, int status, FailureOutcome outcome) {
         return create(failure, status, outcome, envelope(failure, status));
     }
 
-    /** Returns a response whose envelope also has the failure as a record in the field {@code details}. */
+    /** Returns a response whose envelope includes the failure as a JSON object in the field {@code details}. */
     public static ErrorResponse withDetails(Failure failure) {
         int status = FailureStatus.of(failure);
         ObjectNode envelope = envelope(failure, status);
@@ -44,7 +44,7 @@
         return create(failure, status, failure.outcome(), envelope);
     }
 
-    /** Returns the envelope of a failure that came after the response had begun. */
+    /** Returns the JSON error envelope of a failure that occurred after the response had started. */
     public static byte[] envelopeBytes(Failure failure) {
         return bytes(envelope(failure, FailureStatus.of(failure)));
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/EventStream.java
@@ -11,11 +11,11 @@
 import io.netty.channel.ChannelOutboundBuffer;
 
 /**
- * Server-sent events of one response. Each event is flushed at once. Methods may be called from any thread and do not
- * block; a reader that falls behind by more than the limit is cut off.
+ * Response that consists of server-sent events. Each event is flushed immediately. Methods are thread-safe and do not
+ * block; the connection of a client whose buffered events exceed the limit is closed.
  *
- * <p>Jooby begins and ends the response; the events between are framed here as HTTP chunks and written below the HTTP
- * codec, which takes the event loop less time for each token than Jooby's sender does.
+ * <p>Jooby starts and ends the response. The events in between are encoded as HTTP chunks here and written below the
+ * HTTP codec, which takes less event loop time per token than Jooby's sender.
  */
 public final class EventStream {
     private static final byte[] CRLF = "\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -23,7 +23,7 @@
 
     private final Exchange exchange;
     private final int bufferLimitBytes;
-    /** Bytes that wait for the event loop; those that wait for the socket are counted by the channel. */
+    /** Bytes queued for the event loop; the channel counts those that wait for the socket. */
     private final AtomicLong queuedBytes = new AtomicLong();
 
     private Sender sender;
@@ -40,7 +40,7 @@
     /**
      * Sends one event.
      *
-     * @param event the event with its field name and the empty line behind it, not empty; not to be changed
+     * @param event the event with its field name and trailing blank line, not empty; must not be modified
      */
     public void send(byte[] event) {
         if (queuedBytes.addAndGet(event.length) > bufferLimitBytes) {
@@ -75,7 +75,7 @@
         }
     }
 
-    /** Ends the response; the connection stays open for further requests. */
+    /** Ends the response and keeps the connection open for further requests. */
     public void end() {
         exchange.enqueue(() -> {
             if (isOpen()) {
@@ -84,7 +84,7 @@
         });
     }
 
-    /** Ends the response and closes the connection once everything is sent. */
+    /** Ends the response and closes the connection after all data has been flushed. */
     public void endAndClose() {
         end();
         exchange.enqueue(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/Exchange.java
@@ -15,11 +15,11 @@
 import org.tinylog.Logger;
 
 /**
- * One request and its response.
+ * HTTP request and its response.
  *
- * <p>Exactly one response is sent, by {@link #respond}, {@link #fail} or {@link #stream}; these methods may be called
- * from any thread and do not block. Later ones have no effect. The other methods belong to the event loop on which the
- * request was handed over.
+ * <p>Exactly one response is sent, by {@link #respond}, {@link #fail} or {@link #startEventStream}; further calls have
+ * no effect. These methods are thread-safe and do not block. All other methods must be called on the event loop of the
+ * request.
  */
 public final class Exchange {
     /** Content type of JSON bodies. */
@@ -37,65 +37,42 @@
         this.streamBufferBytes = streamBufferBytes;
     }
 
-    /**
-     * Returns the method.
-     *
-     * @return method in upper case
-     */
+    /** Returns the HTTP method, in upper case. */
     public String method() {
         return request.method();
     }
 
-    /**
-     * Returns the request target.
-     *
-     * @return path and query as the client sent them
-     */
+    /** Returns the request target: path and query exactly as the client sent them. */
     public String uri() {
         return request.uri();
     }
 
     /**
-     * Returns a header of the request.
+     * Returns the first value of a request header, empty if it is missing.
      *
-     * @param name name in any case
-     * @return its first value, empty if it is missing
+     * @param name name of the header, case-insensitive
      */
     public Optional<String> header(String name) {
         return Optional.ofNullable(request.headers().get(name));
     }
 
-    /**
-     * Returns a variable of the route.
-     *
-     * @param name name of the variable
-     * @return its decoded value
-     */
+    /** Returns the decoded value of a path variable of the route. */
     public String pathVariable(String name) {
         return context.path(name).value("");
     }
 
-    /**
-     * Returns the body.
-     *
-     * @return the body, empty for none; not to be changed
-     */
+    /** Returns the request body, empty for none; it must not be modified. */
     public byte[] body() {
         return request.body();
     }
 
-    /**
-     * Sets a header of the response; has to be called before the response begins.
-     *
-     * @param name name of the header
-     * @param value its value
-     */
+    /** Sets a response header. Must be called before the response starts. */
     public void responseHeader(String name, String value) {
         headers.put(name, value);
     }
 
     /**
-     * Registers what to do if the connection closes before the response has ended.
+     * Registers a listener for the case that the connection closes before the response has ended.
      *
      * @param listener called on the event loop, at most once
      */
@@ -104,10 +81,11 @@
     }
 
     /**
-     * Sends a whole response.
+     * Sends a complete response.
      *
      * @param status HTTP status
      * @param contentType content type, empty for none
+     * @param body the body
      */
     public void respond(int status, Optional<String> contentType, byte[] body) {
         execute(() -> {
@@ -122,18 +100,18 @@
      * Sends a value as JSON.
      *
      * @param status HTTP status
-     * @param value anything that {@link Mappers#JSON} can write
+     * @param value any value that {@link Mappers#JSON} can serialize
      */
     public void respondJson(int status, Object value) {
         try {
             respond(status, Optional.of(JSON), Mappers.JSON.writeValueAsBytes(value));
         } catch (JsonProcessingException exception) {
-            Logger.error(exception, "response could not be written as JSON");
+            Logger.error(exception, "failed to serialize the response as JSON");
             fail(new Failure.InternalError());
         }
     }
 
-    /** Sends the error envelope of a failure. */
+    /** Sends the error response for a failure. */
     public void fail(Failure failure) {
         respond(ErrorResponse.of(failure));
     }
@@ -149,7 +127,7 @@
         });
     }
 
-    /** Begins a response of status 200 that consists of server-sent events. */
+    /** Starts a response with status 200 that consists of server-sent events. */
     public EventStream startEventStream() {
         EventStream stream = new EventStream(this, streamBufferBytes);
         enqueue(() -> {
@@ -162,12 +140,12 @@
         return stream;
     }
 
-    /** Closes the connection at once, which counts as a disconnect unless the response has ended. */
+    /** Closes the connection immediately, which counts as a disconnect unless the response has ended. */
     public void abort() {
         channel().close();
     }
 
-    /** Answers an exception that a handler has thrown. */
+    /** Sends the error response for an exception thrown by a handler. */
     void fail(Throwable cause) {
         if (cause instanceof FailureException exception) {
             fail(exception.failure());
@@ -177,13 +155,13 @@
         }
     }
 
-    /** Jooby leaves the flush to the end of the read when it is called on the event loop. */
+    /** Sends the body and flushes it, because on the event loop Jooby defers the flush to the end of the read. */
     private void send(byte[] body) {
         context.send(body);
         channel().flush();
     }
 
-    /** Runs a task on the event loop, at once if the caller is on it. */
+    /** Runs a task on the event loop, immediately if the caller is on it. */
     private void execute(Runnable task) {
         if (channel().eventLoop().inEventLoop()) {
             task.run();
@@ -193,14 +171,14 @@
     }
 
     /**
-     * Runs a task on the event loop after all earlier ones, also if the caller is on the event loop already. Drops it
-     * after a stop, when the connection is closed.
+     * Queues a task on the event loop behind all earlier tasks, even if the caller is on the event loop. After a stop,
+     * when the connection is closed, the task is dropped.
      */
     void enqueue(Runnable task) {
         try {
             channel().eventLoop().execute(task);
         } catch (RejectedExecutionException exception) {
-            Logger.debug("{} request ended by the stop of the listener", method());
+            Logger.debug("{} request aborted: listener is stopped", method());
         }
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/FailureStatus.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/FailureStatus.java
@@ -5,9 +5,9 @@
 
 import org.banyanstair.errors.Failure;
 
-/** The one table from failures to HTTP statuses. */
+/** Maps failures to HTTP statuses. */
 public final class FailureStatus {
-    /** Status in the log and the metrics of a request whose caller disconnected; no caller ever receives it. */
+    /** Status recorded in logs and metrics if the caller disconnected; it is never sent. */
     public static final int CLIENT_CLOSED_REQUEST = 499;
 
     private static final int BAD_REQUEST = 400;
@@ -28,7 +28,7 @@
         table.put(Failure.DeadlinePassed.class, BAD_REQUEST);
         table.put(Failure.DeadlineTooFar.class, BAD_REQUEST);
         table.put(Failure.InvalidChange.class, BAD_REQUEST);
-        // Clients repeat a 5xx by themselves; a request that crashes endpoints must not come again.
+        // Clients retry a 5xx automatically, but a request that crashes endpoints must not be sent again.
         table.put(Failure.RequestCrashesEndpoints.class, BAD_REQUEST);
         table.put(Failure.Unauthenticated.class, 401);
         table.put(Failure.CallerNotAllowed.class, 403);
@@ -49,11 +49,7 @@
         return Map.copyOf(table);
     }
 
-    /**
-     * Returns the status of a failure.
-     *
-     * @return its status; 503 for causes on the side of the platform
-     */
+    /** Returns the HTTP status of a failure; 503 for causes on the side of the platform. */
     public static int of(Failure failure) {
         if (failure instanceof Failure.EndpointRefused refused && isRequestError(refused.status())) {
             return BAD_REQUEST;
@@ -66,13 +62,13 @@
     }
 
     /**
-     * Returns the status of a failure that came after the request had been admitted and that did not run.
+     * Returns the HTTP status of a failure of an admitted request that did not run.
      *
-     * <p>A deadline that passes while the request waits is not an error of the caller, unlike one that had passed when
-     * the request came.
+     * <p>A deadline that passes while the request is queued is not an error of the caller, unlike one that had already
+     * passed on arrival.
      *
      * @param failure why it did not run
-     * @return its status, never 504, which stands for an unknown outcome
+     * @return the status; never 504, which means that the outcome is unknown
      */
     public static int ofNotRun(Failure failure) {
         int status = of(failure);
@@ -80,11 +76,7 @@
         return late || status >= 500 ? SERVICE_UNAVAILABLE : status;
     }
 
-    /**
-     * Returns the status of a failure after which the request may have run.
-     *
-     * @return 504
-     */
+    /** Returns the HTTP status of a failure after which the request may have run, 504. */
     public static int ofUnknown() {
         return GATEWAY_TIMEOUT;
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListener.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListener.java
@@ -13,7 +13,7 @@
 import io.jooby.StatusCode;
 import org.banyanstair.errors.Failure;
 
-/** One HTTP port with its routes. Routes are added before {@link #start}. */
+/** HTTP server on one port. Routes must be added before {@link #start}. */
 public final class HttpListener {
     private static final long DRAIN_POLL_MILLISECONDS = 10;
 
@@ -23,7 +23,7 @@
     private final Jooby application = new Jooby();
 
     /**
-     * Creates the listener.
+     * Creates a listener without routes.
      *
      * @param name name of the interface, for log lines
      * @param options address and limits
@@ -33,7 +33,8 @@
         server = new JoobyNettyServer(options, state);
         application.setName(name);
         application.setExecutionMode(ExecutionMode.EVENT_LOOP);
-        // By default Jooby creates a directory below the working directory; nothing is written to either.
+        // By default, Jooby creates a temporary directory in the working directory; nothing is written to either of
+        // them.
         application.setTmpdir(Path.of(System.getProperty("java.io.tmpdir")));
         application.setStartupSummary(List.of());
         application.error(this::fail);
@@ -43,8 +44,7 @@
      * Adds a route.
      *
      * @param method HTTP method
-     * @param pattern path pattern of Jooby
-     * @param handler serves its requests
+     * @param pattern Jooby path pattern
      */
     public HttpListener route(String method, String pattern, ExchangeHandler handler) {
         application.route(
@@ -60,8 +60,7 @@
     /**
      * Adds a route for all methods.
      *
-     * @param pattern path pattern of Jooby
-     * @param handler serves its requests
+     * @param pattern Jooby path pattern
      */
     public HttpListener routeAllMethods(String pattern, ExchangeHandler handler) {
         Exchange.methods().forEach(method -> route(method, pattern, handler));
@@ -69,9 +68,9 @@
     }
 
     /**
-     * Adds {@code /health} and {@code /ready}, which need no key.
+     * Adds {@code /health} and {@code /ready}, which require no key.
      *
-     * @param notReadyReason why the host does not serve yet, empty once it does
+     * @param notReadyReason why the host is not ready, empty if it is ready
      */
     public HttpListener addHealthRoutes(Supplier<Optional<Failure>> notReadyReason) {
         route("GET", "/health", exchange -> exchange.respondJson(200, new HealthStatus("ok")));
@@ -100,18 +99,18 @@
         }
     }
 
-    /** Binds the port and starts to serve. */
+    /** Binds the port and starts to accept requests. */
     public void start() {
         server.start(application);
     }
 
     /**
-     * Stops: accepts no further connections, waits for the requests in flight and closes all connections.
+     * Stops gracefully: accepts no further connections, waits for requests in flight, and closes all connections.
      *
-     * <p>Requests that arrive on open connections meanwhile are served, also those that have arrived in part; their
-     * responses ask the client to close.
+     * <p>Requests that arrive on open connections in the meantime are served, including those received in part; their
+     * responses ask the client to close the connection.
      *
-     * @param deadline instant at which requests still in flight are cut off
+     * @param deadline time at which requests still in flight are aborted
      * @return whether all requests ended before the deadline
      */
     public boolean stop(Instant deadline) {
@@ -137,16 +136,12 @@
         }
     }
 
-    /** Returns the port. */
+    /** Returns the bound port. */
     public int port() {
         return server.port();
     }
 
-    /**
-     * Returns the number of requests in flight.
-     *
-     * @return requests that have arrived and whose response has not been sent completely
-     */
+    /** Returns the number of requests that have arrived and whose response has not been sent completely. */
     public int inFlight() {
         return state.inFlight();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListenerOptions.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/HttpListenerOptions.java
@@ -3,14 +3,15 @@
 import java.time.Duration;
 
 /**
- * Address and limits of one HTTP listener.
+ * Address and limits of an HTTP listener.
  *
  * @param ip address to bind
  * @param port port to bind, 0 for any free port
  * @param eventLoopThreads threads that serve all connections, at least 1
- * @param bodyLimitBytes largest request body
- * @param streamBufferBytes most bytes of one event stream that may wait for a slow reader
- * @param requestTimeout longest time from the first byte of a request to its last one, and for a write to progress
+ * @param bodyLimitBytes maximum length of a request body
+ * @param streamBufferBytes maximum number of bytes buffered for a slow reader of an event stream
+ * @param requestTimeout maximum time from the first to the last byte of a request, and maximum time without progress of
+ *     a write
  * @param idleTimeout time after which a connection without a request is closed
  */
 public record HttpListenerOptions(
@@ -21,13 +22,14 @@
         int streamBufferBytes,
         Duration requestTimeout,
         Duration idleTimeout) {
-    /** Largest request line and largest header block that are accepted. */
+    /** Maximum length of the request line, and of the header block. */
     static final int MAXIMUM_HEADER_BYTES = 16 * 1024;
 
     private static final int MEBIBYTE = 1024 * 1024;
 
     /**
-     * Returns the default limits: bodies and stream buffers of 1 MiB, 30 s for a request, 75 s idle.
+     * Returns options with the default limits: bodies and stream buffers of 1 MiB, a request timeout of 30 s and an
+     * idle timeout of 75 s.
      *
      * @param ip address to bind
      * @param port port to bind, 0 for any free port
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/IncomingRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/IncomingRequest.java
@@ -8,7 +8,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** A whole request on its connection. Confined to the event loop, except for the immutable request data. */
+/**
+ * Complete request with the state of its connection. The request data is immutable; everything else is confined to the
+ * event loop.
+ */
 final class IncomingRequest {
     private final Channel channel;
     private final String method;
@@ -49,7 +52,7 @@
         return body;
     }
 
-    /** Returns whether the caller reads answers in chunks; for others, the end of the connection ends a stream. */
+    /** Returns whether the client supports chunked encoding; without it, a stream ends when the connection closes. */
     boolean supportsChunkedEncoding() {
         return supportsChunkedEncoding;
     }
@@ -58,7 +61,7 @@
         disconnectListeners.add(listener);
     }
 
-    /** Marks the request as ended; returns false if it had ended before. */
+    /** Marks the request as ended. Returns false if it had already ended. */
     boolean end() {
         boolean first = !ended;
         ended = true;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/JoobyNettyServer.java
@@ -21,13 +21,13 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
- * Jooby server whose Netty pipeline reports disconnects and enforces the limits of {@link HttpListenerOptions}.
+ * Jooby server with a Netty pipeline that reports disconnects and enforces the limits of {@link HttpListenerOptions}.
  *
- * <p>The server that Jooby brings has neither timeouts nor header limits, does not report a caller that disconnects
- * while nothing is written, and may choose io_uring.
+ * <p>Jooby's own server has neither timeouts nor header limits, does not report that a client disconnected while
+ * nothing is being written, and may choose io_uring.
  */
 final class JoobyNettyServer extends Server.Base {
-    /** Name of the handler below which bytes go to the socket as they are. */
+    /** Name of the HTTP codec handler; data written below it reaches the socket unmodified. */
     static final String HTTP_CODEC_HANDLER = "codec";
 
     private static final int MAXIMUM_CHUNK_BYTES = 8 * 1024;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/JsonBody.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/JsonBody.java
@@ -13,7 +13,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** Parses request bodies that have to be JSON objects. Numbers keep their exact digits. */
+/** Parses request bodies that must be JSON objects. Numbers keep their exact digits. */
 public final class JsonBody {
     private static final ObjectReader READER = Mappers.JSON
             .readerFor(JsonNode.class)
@@ -25,8 +25,8 @@
     /**
      * Parses a body.
      *
-     * @throws FailureException with {@link Failure.MalformedInput} if it is not JSON, and with
-     *     {@link Failure.InvalidField} if it is not an object
+     * @throws FailureException with {@link Failure.MalformedInput} if it is not JSON, and with {@link
+     *     Failure.InvalidField} if it is not an object
      */
     public static ObjectNode parse(byte[] body) {
         if (read(body) instanceof ObjectNode object) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/ListenerState.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/ListenerState.java
@@ -6,7 +6,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
 
-/** What the connections of one listener share. Safe for use by several threads. */
+/** State shared by the connections of a listener. Thread-safe. */
 final class ListenerState {
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -29,14 +29,14 @@
     }
 
     /**
-     * Asks each connection to close unless a request is on it. The decision is made on the event loop of the
-     * connection, so that no request is cut off that arrives at the same time.
+     * Asks each connection to close if it has no request. Each connection decides on its own event loop, so that a
+     * request that arrives at the same time is not aborted.
      */
     void closeIdleConnections() {
         connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(CloseIfIdle.EVENT));
     }
 
-    /** Event that passes through the handlers of a connection until one knows of a request. */
+    /** Event passed along the pipeline of a connection until a handler with a request in progress consumes it. */
     enum CloseIfIdle {
         EVENT
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/RequestTimeoutHandler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/RequestTimeoutHandler.java
@@ -13,9 +13,10 @@
 import io.netty.handler.timeout.IdleStateEvent;
 
 /**
- * Closes connections whose request does not arrive in time, idle ones, and those whose reader has stopped.
+ * Closes connections whose request does not arrive in time, idle connections, and connections whose client has stopped
+ * reading.
  *
- * <p>The limit covers the whole request, because a sender that trickles single bytes never looks idle.
+ * <p>The timeout covers the whole request, because a client that sends one byte at a time never appears idle.
  */
 final class RequestTimeoutHandler extends ChannelDuplexHandler {
     private final Duration requestTimeout;
@@ -66,7 +67,10 @@
         }
     }
 
-    /** Closes the connection if bytes wait for the socket; the event tells that it has accepted none for a while. */
+    /**
+     * Closes the connection if unsent data is pending. The idle event means that the socket has accepted no data for
+     * the duration of the timeout.
+     */
     private static void closeIfStalled(ChannelHandlerContext context) {
         ChannelOutboundBuffer outboundBuffer = context.channel().unsafe().outboundBuffer();
         if (outboundBuffer != null && outboundBuffer.totalPendingWriteBytes() > 0) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallPath.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallPath.java
@@ -7,20 +7,20 @@
 import org.banyanstair.model.ServiceId;
 
 /**
- * Target of a call of a plain service.
+ * Target of a plain service call.
  *
  * @param service the service
- * @param path path below the service, as the caller sent it, starting with a slash
- * @param query query with its question mark, empty for none
+ * @param path path below the service as the caller sent it, starting with a slash
+ * @param query query including its question mark, empty for none
  */
 record CallPath(ServiceId service, String path, String query) {
     private static final String PREFIX = "/services/";
 
     /**
-     * Splits a request target.
+     * Parses a request target.
      *
-     * <p>Paths with dot segments, also encoded ones, are refused: the service would resolve them after the routes have
-     * been matched, so a call could reach a path that must not be repeated under the rule of another.
+     * <p>Paths with dot segments, plain or encoded, are rejected: the service would resolve them after route matching,
+     * so that a call could reach a non-idempotent path under the rule of an idempotent one.
      */
     static CallPath parse(String uri) {
         int queryStart = uri.indexOf('?');
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerHttpServer.java
@@ -21,9 +21,9 @@
 import org.tinylog.Logger;
 
 /**
- * The HTTP interface for callers.
+ * HTTP interface for callers.
  *
- * <p>Methods of the {@link CallerService} are called on event loops and must not block.
+ * <p>Calls the methods of the {@link CallerService} on event loops, so that they must not block.
  */
 public final class CallerHttpServer {
     private final CallerService service;
@@ -31,7 +31,7 @@
     private final BearerAuthenticator<CallerId> keys;
     private final RequestIdGenerator requestIds;
     private final HttpListener listener;
-    /** Lists of models can be large, and writing one on an event loop would delay the streams on it. */
+    /** Writes model lists, which can be large; on an event loop, this would delay the streams of that loop. */
     private final ExecutorService modelListExecutor = Executors.newSingleThreadExecutor(task -> {
         Thread thread = new Thread(task, "model-list");
         thread.setDaemon(true);
@@ -41,11 +41,12 @@
     /**
      * Creates the server.
      *
+     * @param identity identity of this host
      * @param options address and limits
      * @param callerKeys bearer keys of the callers
-     * @param service serves the requests
+     * @param service handles the requests
      * @param recorder records ended requests
-     * @param deadlinePolicy which deadlines are accepted
+     * @param deadlinePolicy limits of request deadlines
      */
     public CallerHttpServer(
             HostIdentity identity,
@@ -91,7 +92,7 @@
         }
     }
 
-    /** Finds a service and checks that it answers the caller. */
+    /** Returns the declaration of a service, after checking that the caller is allowed to use it. */
     static ServiceDeclaration findAuthorizedService(
             CallerService service, ServiceId id, CallerRequest request, CallerId caller) {
         ServiceDeclaration declared = service.configuration()
@@ -122,15 +123,15 @@
         request.recordSuccess();
     }
 
-    /** Binds the port and starts to serve. */
+    /** Binds the port and starts to accept requests. */
     public void start() {
         listener.start();
     }
 
     /**
-     * Stops: accepts no further connections, waits for the requests in flight and closes all connections.
+     * Stops gracefully: accepts no further connections, waits for requests in flight, and closes all connections.
      *
-     * @param deadline instant at which requests still in flight are cut off
+     * @param deadline time at which requests still in flight are aborted
      * @return whether all requests ended before the deadline
      */
     public boolean stop(Instant deadline) {
@@ -139,16 +140,12 @@
         return drained;
     }
 
-    /** Returns the port. */
+    /** Returns the bound port. */
     public int port() {
         return listener.port();
     }
 
-    /**
-     * Returns the number of requests in flight.
-     *
-     * @return requests that have arrived and whose response has not been sent completely
-     */
+    /** Returns the number of requests that have arrived and whose response has not been sent completely. */
     public int inFlight() {
         return listener.inFlight();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerKeys.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerKeys.java
@@ -7,9 +7,9 @@
 import org.banyanstair.server.http.BearerKey;
 
 /**
- * The bearer keys of the callers.
+ * Bearer keys of the callers.
  *
- * @param keys keys by caller; a caller may have several, so that keys can be changed without an interruption
+ * @param keys keys by caller; a caller may have several, so that keys can be rotated without downtime
  */
 public record CallerKeys(Map<CallerId, List<BearerKey>> keys) {
     /** Copies the map. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CallerRequest.java
@@ -17,10 +17,10 @@
 import org.banyanstair.server.http.metrics.RequestSummary;
 
 /**
- * One request of a caller with what is known about it so far; records its end exactly once.
+ * Request of a caller with the attributes known so far. Its end is recorded exactly once.
  *
  * <p>Caller, service and model are set on the event loop before the request is handed over; the methods that end the
- * request may be called from any thread.
+ * request are thread-safe.
  */
 final class CallerRequest {
     private final Exchange exchange;
@@ -63,7 +63,7 @@
         adapter = Optional.of(newAdapter);
     }
 
-    /** Adds the version that ran to the response; called once tokens prove that it runs. */
+    /** Adds the header with the adapter version to the response. Called once tokens prove that the version runs. */
     void setAdapterVersionHeader() {
         adapter.ifPresent(version -> exchange.responseHeader("X-Adapter-Version", version.engineName()));
     }
@@ -72,12 +72,12 @@
         return ended.get();
     }
 
-    /** Notes the time that the request waited for its adapter to load, over all attempts. */
+    /** Adds to the time that the request waited for its adapter to load, over all attempts. */
     void addLoadStall(long milliseconds) {
         loadStallMilliseconds += milliseconds;
     }
 
-    /** Notes a token for the metrics. Called by one thread at a time. */
+    /** Records a token in the metrics. Not called concurrently. */
     void recordToken() {
         long now = System.nanoTime();
         if (untilFirstToken.isEmpty()) {
@@ -91,31 +91,31 @@
         previousTokenNanos = now;
     }
 
-    /** Answers with a whole response. */
+    /** Sends a complete response and records the end of the request. */
     void respond(int status, Optional<String> contentType, byte[] body) {
         exchange.respond(status, contentType, body);
         recordEnd(status, status >= 500 ? RequestSummary.SERVICE_ERROR : RequestSummary.OK);
     }
 
-    /** Records that the answer has been handed to the connection. */
+    /** Records a successful end: the response has been handed to the connection. */
     void recordSuccess() {
         recordEnd(200, RequestSummary.OK);
     }
 
-    /** Refuses a request that was not handed over. */
+    /** Rejects a request that has not been handed over to the service. */
     void refuse(Failure failure) {
         exchange.fail(failure);
         recordEnd(FailureStatus.of(failure), failure.code());
     }
 
-    /** Answers a failure after the request was handed over. */
+    /** Sends the error response for a failure that occurred after the request was handed over to the service. */
     void fail(Failure failure, FailureOutcome outcome) {
         int status = outcome == FailureOutcome.NOT_RUN ? FailureStatus.ofNotRun(failure) : FailureStatus.ofUnknown();
         exchange.respond(ErrorResponse.of(failure, status, outcome));
         recordEnd(status, failure.code());
     }
 
-    /** Records a failure that the event stream of the response has reported. */
+    /** Records a failure that has been reported within the event stream. */
     void recordStreamFailure(Failure failure) {
         recordEnd(FailureStatus.ofUnknown(), failure.code());
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkAssembler.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkAssembler.java
@@ -12,13 +12,13 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * Assembles the chunks of a stream into the object that a caller gets who did not ask for a stream.
+ * Merges the chunks of a stream into a single response for a caller that did not request streaming.
  *
- * <p>Texts are concatenated, lists whose elements have an {@code index} are merged by it, other lists are appended, and
- * everything else is replaced by the latest value.
+ * <p>Strings are concatenated, arrays whose elements have an {@code index} are merged by index, other arrays are
+ * appended, and any other value is replaced by the latest one.
  */
 final class ChunkAssembler {
-    /** Texts that engines send whole, possibly more than once. */
+    /** String fields that engines send unsplit, possibly more than once. */
     private static final Set<String> UNSPLIT_TEXT_FIELDS =
             Set.of("role", "id", "type", "name", "finish_reason", "stop_reason", "system_fingerprint", "service_tier");
 
@@ -41,7 +41,7 @@
     void add(String json) throws IOException {
         JsonNode chunk = Mappers.JSON.readTree(json);
         if (!chunk.isObject()) {
-            throw new IOException("the engine sent a chunk that is not a JSON object");
+            throw new IOException("engine chunk is not a JSON object");
         }
         mergeObject(merged, chunk);
     }
@@ -90,7 +90,7 @@
         return (T) value;
     }
 
-    /** Returns the whole answer as JSON. */
+    /** Returns the complete response as JSON. */
     byte[] toJson() throws IOException {
         Map<String, Object> answer = new LinkedHashMap<>();
         answer.put("id", id);
@@ -138,13 +138,13 @@
         }
         if (message.get("tool_calls") instanceof TreeMap) {
             TreeMap<Integer, Map<String, Object>> calls = cast(message.get("tool_calls"));
-            // The index only orders the parts of a stream; the whole answer has no such field.
+            // The index only identifies fragments within a stream; the complete response has no such field.
             calls.values().forEach(call -> call.remove("index"));
         }
         return message;
     }
 
-    /** Replaces the maps that collect list elements by lists. */
+    /** Replaces the maps that collect array elements by lists. */
     private static Object toPlainValue(Object value) {
         if (value instanceof TreeMap) {
             TreeMap<Integer, Object> elements = cast(value);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkRewriter.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ChunkRewriter.java
@@ -12,9 +12,9 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * Turns engine chunks into events for the caller, with the id of the request and the name of the version that ran.
+ * Rewrites engine chunks as events for the caller, with the id of the request and the name of the adapter version.
  *
- * <p>Works on tokens instead of trees, because it runs once for each generated token.
+ * <p>Processes JSON tokens instead of trees, because it runs once per generated token.
  */
 final class ChunkRewriter {
     private static final byte[] PREFIX = "data: ".getBytes(StandardCharsets.US_ASCII);
@@ -36,7 +36,7 @@
      * Rewrites one chunk.
      *
      * @param json chunk of the engine
-     * @return the event; empty for the usage chunk if the caller did not ask for it
+     * @return the event; empty for the usage chunk if the caller did not request it
      * @throws IOException if the chunk is not a JSON object
      */
     Optional<byte[]> rewrite(String json) throws IOException {
@@ -46,7 +46,7 @@
         try (JsonParser parser = factory.createParser(json);
                 JsonGenerator generator = factory.createGenerator(event)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new IOException("the engine sent a chunk that is not a JSON object");
+                throw new IOException("engine chunk is not a JSON object");
             }
             generator.writeStartObject();
             generator.writeStringField("id", id);
@@ -79,7 +79,7 @@
         return hasUsage && !hasChoices;
     }
 
-    /** Copies an array and tells whether it has elements. */
+    /** Copies an array and returns whether it has elements. */
     private static boolean copyArray(JsonParser parser, JsonGenerator generator) throws IOException {
         boolean hasElements = false;
         generator.writeStartArray();
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/CollectingSink.java
@@ -7,7 +7,7 @@
 import org.banyanstair.errors.FailureOutcome;
 import org.banyanstair.server.http.Exchange;
 
-/** Collects the tokens into one answer. */
+/** Collects all tokens into a single response. */
 final class CollectingSink extends ResponseSink {
     private final ChunkAssembler assembler;
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/DeadlinePolicy.java
@@ -8,22 +8,22 @@
 import org.banyanstair.errors.FailureException;
 
 /**
- * Which deadlines of callers are accepted.
+ * Default and limit of request deadlines.
  *
  * @param clock clock that deadlines are compared with
- * @param defaultTimeout time until the deadline of a request that names none
- * @param maximumTimeout longest accepted time until a deadline; the retention of the log streams is chosen for it
+ * @param defaultTimeout time until the deadline of a request without an explicit one
+ * @param maximumTimeout maximum time until a deadline; the retention of the log streams depends on it
  */
 public record DeadlinePolicy(Clock clock, Duration defaultTimeout, Duration maximumTimeout) {
-    /** Returns the deadline of a request that names none. */
+    /** Returns the deadline of a request without an explicit one. */
     Instant defaultDeadline() {
         return clock.instant().plus(defaultTimeout);
     }
 
     /**
-     * Checks a deadline.
+     * Validates and returns a deadline.
      *
-     * @param deadline deadline that the caller named
+     * @param deadline deadline requested by the caller
      * @throws FailureException with {@link Failure.DeadlinePassed} or {@link Failure.DeadlineTooFar}
      */
     Instant check(Instant deadline) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/FieldRule.java
@@ -9,12 +9,12 @@
 import org.banyanstair.errors.FailureException;
 
 /**
- * What a field of a generation request may contain. Fields without a rule are passed on to the engine untouched.
+ * Validation rule of a field of a generation request. Fields without a rule are forwarded to the engine unchanged.
  *
  * @param field name of the field
  * @param required whether it must be present and not null
- * @param accepted accepted values, for the error message
- * @param condition holds for accepted values
+ * @param accepted description of the accepted values, for the error message
+ * @param condition predicate for accepted values
  */
 record FieldRule(String field, boolean required, String accepted, Predicate<JsonNode> condition) {
     private static final int MAXIMUM_TOKENS = 4096;
@@ -50,7 +50,7 @@
             integer("best_of", 1, MAXIMUM_CHOICES),
             optional("echo", "true or false", JsonNode::isBoolean));
 
-    /** Checks all fields of a request. */
+    /** Validates all fields of a request. */
     static void check(ObjectNode body, boolean chat) {
         COMMON.forEach(rule -> rule.check(body));
         (chat ? CHAT : COMPLETION).forEach(rule -> rule.check(body));
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationBody.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationBody.java
@@ -11,9 +11,9 @@
 import org.banyanstair.model.ModelName;
 import org.banyanstair.server.http.JsonBody;
 
-/** The checked JSON body of a generation request. */
+/** Validated JSON body of a generation request. */
 final class GenerationBody {
-    /** A longer prefix would distinguish prompts that share the beginning that an engine has cached. */
+    /** A longer prefix would separate prompts that share the beginning that an engine has cached. */
     private static final int PREFIX_BYTES = 256;
 
     private final ObjectNode json;
@@ -25,9 +25,9 @@
     }
 
     /**
-     * Parses and checks a body.
+     * Parses and validates a body.
      *
-     * @throws org.banyanstair.errors.FailureException if it is malformed or a field has a wrong value
+     * @throws org.banyanstair.errors.FailureException if it is malformed or a field has an invalid value
      */
     static GenerationBody parse(byte[] body, boolean chat) {
         ObjectNode object = JsonBody.parse(body);
@@ -51,7 +51,7 @@
         return json.path("stream_options").path("include_usage").booleanValue();
     }
 
-    /** Returns the body for the engine, which always streams and always reports usage. */
+    /** Returns the body for the engine, which always streams and reports usage. */
     byte[] forEngine(AdapterVersion adapter) {
         ObjectNode engine = json.deepCopy();
         engine.put("model", adapter.engineName()).put("stream", true);
@@ -65,7 +65,7 @@
         }
     }
 
-    /** Returns a hash of the first part of the prompt, equal for requests that share a cached prefix. */
+    /** Returns a hash of the beginning of the prompt, equal for requests that share a cached prefix. */
     long prefix() {
         StringBuilder text = new StringBuilder();
         if (chat) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
@@ -17,7 +17,7 @@
 import org.banyanstair.server.service.CallerService;
 import org.banyanstair.server.service.Generation;
 
-/** Serves chat and text completions. */
+/** Handles chat and text completions. */
 final class GenerationRoute {
     static final String CHAT = "/v1/chat/completions";
     static final String COMPLETIONS = "/v1/completions";
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/PlainCallRoute.java
@@ -20,7 +20,7 @@
 import org.banyanstair.server.service.CallerService;
 import org.banyanstair.server.service.PlainCall;
 
-/** Passes calls through to plain services. */
+/** Forwards calls to plain services. */
 final class PlainCallRoute {
     private final CallerService service;
     private final DeadlinePolicy deadlinePolicy;
@@ -79,7 +79,7 @@
         } else if (answer instanceof CallAnswer.Unknown unknown) {
             request.fail(unknown.failure(), FailureOutcome.UNKNOWN);
         } else {
-            org.tinylog.Logger.error(error, "call of request {} ended without an answer", request.id());
+            org.tinylog.Logger.error(error, "call of request {} failed without a result", request.id());
             request.fail(new Failure.InternalError(), FailureOutcome.UNKNOWN);
         }
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestHeaders.java
@@ -9,7 +9,7 @@
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.server.http.Exchange;
 
-/** Reads the headers that callers control a request with. */
+/** Parses the request headers that control the handling of a request. */
 final class RequestHeaders {
     static final String DEADLINE = "X-Request-Deadline";
     static final String PRIORITY = "X-Priority";
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestIdGenerator.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/RequestIdGenerator.java
@@ -6,9 +6,9 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.RequestId;
 
-/** Assigns request ids from host, incarnation and a counter, which makes them unique over hosts and restarts. */
+/** Generates request ids from host, incarnation and a counter, which makes them unique across hosts and restarts. */
 final class RequestIdGenerator {
-    /** Leaves room for two numbers within the 80 characters of a request id. */
+    /** Maximum length of a host name in an id. The rest of the 80 characters of a request id is for two numbers. */
     private static final int HOST_CHARACTERS = 48;
 
     private final String prefix;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ResponseSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/ResponseSink.java
@@ -7,7 +7,10 @@
 import org.banyanstair.server.service.GenerationSink;
 import org.tinylog.Logger;
 
-/** Common part of the sinks: counts tokens, guards against unreadable chunks and ignores what comes after the end. */
+/**
+ * Base class of the sinks: records tokens for the metrics, handles unreadable chunks, and ignores callbacks after the
+ * end of the request.
+ */
 abstract class ResponseSink implements GenerationSink {
     private final CallerRequest request;
     private boolean receivedTokens;
@@ -54,13 +57,13 @@
     @Override
     public final void failed(Failure failure) {
         if (!request.isEnded()) {
-            // A request whose tokens have arrived did run, whatever ended it.
+            // A request that has produced tokens did run, regardless of why it ended.
             fail(failure, receivedTokens ? FailureOutcome.UNKNOWN : failure.outcome());
         }
     }
 
     private void failUnreadableChunk(IOException exception) {
-        Logger.warn(exception, "request {} got a chunk that cannot be read", request.id());
+        Logger.warn(exception, "request {} received an unreadable chunk", request.id());
         fail(new Failure.InternalError(), FailureOutcome.UNKNOWN);
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/StreamingSink.java
@@ -10,9 +10,9 @@
 import org.banyanstair.server.http.EventStream;
 
 /**
- * Passes the tokens on as server-sent events.
+ * Forwards tokens as server-sent events.
  *
- * <p>The response begins with the first event, so that a failure before it still gets its own status.
+ * <p>The response starts with the first event, so that a failure before it is still reported with its own status.
  */
 final class StreamingSink extends ResponseSink {
     private static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/package-info.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/package-info.java
@@ -1,2 +1,2 @@
-/** The interface for callers: OpenAI protocol, calls of plain services and entry addresses. */
+/** HTTP interface for callers: OpenAI protocol, plain service calls and entry addresses. */
 package org.banyanstair.server.http.caller;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
@@ -17,12 +17,15 @@
 import org.banyanstair.model.ServiceId;
 import org.banyanstair.server.http.FailureStatus;
 
-/** Counts good and failed requests per service and minute. Safe for use by several threads. */
+/**
+ * Counts good and failed requests per service and minute, for the burn rates of the service level objectives.
+ * Thread-safe.
+ */
 public final class BurnRateRecorder {
-    /** Lengths of the windows that are reported, in minutes. */
+    /** Reported window lengths, in minutes. */
     public static final List<Integer> WINDOWS_MINUTES = List.of(5, 60, 360);
 
-    /** Errors of the caller, which say nothing about the service. */
+    /** Statuses of caller errors, which do not count against the service. */
     private static final Set<Integer> EXCLUDED_STATUSES = Set.of(400, 401, 403, 404, 409, 413);
 
     private final HostId host;
@@ -31,9 +34,10 @@
     private final Map<ServiceId, MinuteBuckets> services = new ConcurrentHashMap<>();
 
     /**
-     * Creates the recorder.
+     * Creates a recorder.
      *
-     * @param clock tells the minute
+     * @param host this host
+     * @param clock supplies the current minute
      * @param configuration configuration in force, with the services to report and their objectives
      */
     public BurnRateRecorder(HostId host, Clock clock, Supplier<Configuration> configuration) {
@@ -48,7 +52,10 @@
                 .add(minute(), request.succeeded() && meetsLatencyObjective(request, service), request));
     }
 
-    /** A caller that gives up counts against the service only if it has waited longer than the objective allows. */
+    /**
+     * Returns whether a request counts. A caller that disconnects counts only if it waited longer than the objective
+     * allows.
+     */
     private static boolean isCounted(RequestSummary request, ServiceDeclaration service) {
         if (request.status() == FailureStatus.CLIENT_CLOSED_REQUEST) {
             return !meetsLatencyObjective(request, service);
@@ -65,7 +72,7 @@
         return clock.millis() / Duration.ofMinutes(1).toMillis();
     }
 
-    /** Reports all declared services and all windows; a window includes the current minute. */
+    /** Returns samples of all declared services and all windows; a window includes the current minute. */
     public BurnRateSnapshot snapshot() {
         Map<ServiceId, ServiceDeclaration> declared = configuration.get().services();
         services.keySet().retainAll(declared.keySet());
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/MinuteBuckets.java
@@ -8,7 +8,7 @@
 import org.banyanstair.burn.BurnRateSample;
 import org.banyanstair.configuration.ServiceDeclaration;
 
-/** Counts of one service by minute, for the longest window. */
+/** Request counts of one service per minute, retained for the longest window. */
 final class MinuteBuckets {
     private static final int RETAINED_MINUTES = BurnRateRecorder.WINDOWS_MINUTES.stream()
             .mapToInt(Integer::intValue)
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestMetrics.java
@@ -12,7 +12,7 @@
 import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.model.ServiceId;
 
-/** Counters and timers of caller requests, per service and outcome. Safe for use by several threads. */
+/** Counters and timers of caller requests by service and result code. Thread-safe. */
 public final class RequestMetrics {
     private static final String NO_SERVICE = "none";
 
@@ -20,26 +20,18 @@
     private final Map<ServiceId, Timer> firstTokens = new ConcurrentHashMap<>();
     private final Map<ServiceId, Timer> tokenGaps = new ConcurrentHashMap<>();
 
-    /**
-     * Creates the metrics.
-     *
-     * @param registry registry to add them to
-     */
+    /** Creates the metrics in a registry. */
     public RequestMetrics(MetricRegistry registry) {
         this.registry = registry;
     }
 
-    /**
-     * Adds the gauge of requests in flight.
-     *
-     * @param inFlight counts them
-     */
+    /** Registers the gauge of requests in flight. */
     public void registerInFlightGauge(IntSupplier inFlight) {
         registry.gauge("banyanstair_requests_in_flight", () -> (Gauge<Integer>) inFlight::getAsInt);
     }
 
     /**
-     * Records that the first token of a request came.
+     * Records the time to first token of a request.
      *
      * @param service service of the request
      * @param sinceArrival time since the request arrived
@@ -51,10 +43,10 @@
     }
 
     /**
-     * Records that a further token of a request came.
+     * Records the time between two tokens of a request.
      *
      * @param service service of the request
-     * @param sincePrevious time since its previous token
+     * @param sincePrevious time since the previous token of the request
      */
     public void recordTokenGap(ServiceId service, Duration sincePrevious) {
         tokenGaps
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/RequestRecorder.java
@@ -3,15 +3,16 @@
 import org.banyanstair.model.HostId;
 import org.tinylog.Logger;
 
-/** Records ended requests in the metrics, in the burn samples and in the log. Safe for use by several threads. */
+/** Records ended requests in the metrics, the burn samples and the log. Thread-safe. */
 public final class RequestRecorder {
     private final HostId host;
     private final RequestMetrics metrics;
     private final BurnRateRecorder burn;
 
     /**
-     * Creates the recorder.
+     * Creates a recorder.
      *
+     * @param host this host
      * @param metrics metrics to update
      * @param burn burn samples to update
      */
@@ -21,16 +22,12 @@
         this.burn = burn;
     }
 
-    /**
-     * Returns the metrics.
-     *
-     * @return metrics that are updated
-     */
+    /** Returns the metrics that this recorder updates. */
     public RequestMetrics metrics() {
         return metrics;
     }
 
-    /** Records a request. */
+    /** Records an ended request. */
     public void record(RequestSummary request) {
         metrics.record(request);
         burn.record(request);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/package-info.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/package-info.java
@@ -1,2 +1,2 @@
-/** Metrics, burn samples and log lines of requests. */
+/** Request metrics, burn-rate samples and request log lines. */
 package org.banyanstair.server.http.metrics;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/ConfigurationChangeParser.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/ConfigurationChangeParser.java
@@ -12,9 +12,9 @@
 import org.banyanstair.errors.FailureException;
 import org.banyanstair.server.http.JsonBody;
 
-/** Reads configuration changes. */
+/** Parses configuration changes. */
 final class ConfigurationChangeParser {
-    /** The id is also a path segment of the interface. */
+    /** Valid change ids; the id is also a path segment of the interface. */
     private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9._-]{1,80}");
 
     private ConfigurationChangeParser() {}
@@ -30,7 +30,7 @@
                 CHANGE_ID.matcher(object.path("changeId").asText("")).matches(),
                 "changeId",
                 "1 to 80 letters, digits, '.', '_' and '-'");
-        // A missing number would be read as 0, which is a version.
+        // A missing number would be deserialized as 0, which is a valid version.
         require(object.path("baseVersion").isIntegralNumber(), "baseVersion", "a whole number");
         require(object.path("operations").isArray(), "operations", "a list of operations");
         object.put("author", author);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorHttpServer.java
@@ -24,7 +24,7 @@
 import org.banyanstair.server.service.OperatorService;
 import org.tinylog.Logger;
 
-/** The HTTP interface for operators. All routes but health, readiness and metrics need an operator's key. */
+/** HTTP interface for operators. All routes except health, readiness and metrics require an operator key. */
 public final class OperatorHttpServer {
     private static final String API_PREFIX = "/operator/v1";
 
@@ -37,9 +37,9 @@
      *
      * @param options address and limits
      * @param operatorKeys bearer keys of the operators
-     * @param service serves the requests
-     * @param notReadyReason why the host does not serve yet, empty once it does
-     * @param burn takes the burn samples of this host
+     * @param service handles the requests
+     * @param notReadyReason why the host is not ready, empty if it is ready
+     * @param burn supplies the burn samples of this host
      * @param registry metrics of this host
      */
     public OperatorHttpServer(
@@ -117,7 +117,7 @@
             if (error == null) {
                 consumer.accept(value);
             } else {
-                Logger.error(error, "{} {} ended without an answer", exchange.method(), exchange.uri());
+                Logger.error(error, "{} {} failed without a result", exchange.method(), exchange.uri());
                 fail(exchange, new Failure.InternalError());
             }
         });
@@ -127,22 +127,22 @@
         exchange.respond(ErrorResponse.withDetails(failure));
     }
 
-    /** Binds the port and starts to serve. */
+    /** Binds the port and starts to accept requests. */
     public void start() {
         listener.start();
     }
 
     /**
-     * Stops: accepts no further connections, waits for the requests in flight and closes all connections.
+     * Stops gracefully: accepts no further connections, waits for requests in flight, and closes all connections.
      *
-     * @param deadline instant at which requests still in flight are cut off
+     * @param deadline time at which requests still in flight are aborted
      * @return whether all requests ended before the deadline
      */
     public boolean stop(Instant deadline) {
         return listener.stop(deadline);
     }
 
-    /** Returns the port. */
+    /** Returns the bound port. */
     public int port() {
         return listener.port();
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorKeys.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/OperatorKeys.java
@@ -6,9 +6,9 @@
 import org.banyanstair.server.http.BearerKey;
 
 /**
- * The bearer keys of the operators.
+ * Bearer keys of the operators.
  *
- * @param keys keys by name of the operator, which becomes the author of changes
+ * @param keys keys by operator name, which becomes the author of changes
  */
 public record OperatorKeys(Map<String, List<BearerKey>> keys) {
     /** Copies the map. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/package-info.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/operator/package-info.java
@@ -1,2 +1,2 @@
-/** The interface for operators: configuration, state of the cluster, burn samples and metrics. */
+/** HTTP interface for operators: configuration, cluster state, burn-rate samples and metrics. */
 package org.banyanstair.server.http.operator;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/CallerService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/CallerService.java
@@ -8,43 +8,31 @@
 import org.banyanstair.external.Cancellation;
 import org.banyanstair.idempotency.CallAnswer;
 
-/** Serves callers. Implementations are safe for use by several threads. */
+/** Operations for callers. Implementations are thread-safe. */
 public interface CallerService {
-    /**
-     * Tells why the host does not serve yet.
-     *
-     * @return empty once the host is ready
-     */
+    /** Returns why the host is not ready, empty if it is ready. */
     Optional<Failure> notReadyReason();
 
-    /**
-     * Returns the configuration in force on this host.
-     *
-     * @return the configuration, immutable
-     */
+    /** Returns the configuration in force on this host, immutable. */
     Configuration configuration();
 
     /**
      * Runs a generation.
      *
-     * @param generation what to generate; already checked against the configuration
-     * @param sink gets the tokens and then exactly one end; called from one thread at a time
-     * @return handle that withdraws the request, for a caller that has gone
+     * @param generation what to generate; already validated against the configuration
+     * @param sink receives the tokens and then exactly one end; not called concurrently
+     * @return handle that cancels the request if the caller disconnects
      */
     Cancellation generate(Generation generation, GenerationSink sink);
 
     /**
-     * Runs a call of a plain service.
+     * Runs a plain service call.
      *
-     * @param call the call; already checked against the configuration
+     * @param call the call; already validated against the configuration
      * @return the outcome; never completes exceptionally
      */
     CompletableFuture<CallAnswer> call(PlainCall call);
 
-    /**
-     * Returns the addresses that callers may use.
-     *
-     * @return addresses of live entry hosts
-     */
+    /** Returns the addresses of live entry hosts that callers may use. */
     EntryAddresses entryAddresses();
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/ClusterStatus.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/ClusterStatus.java
@@ -9,7 +9,7 @@
  * State of all entry hosts.
  *
  * @param hosts entries of the host list
- * @param states states of the hosts that answered
+ * @param states states of the hosts that responded
  */
 public record ClusterStatus(List<EntryHost> hosts, List<HostStatus> states) {
     /** Copies the lists. */
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/EntryAddresses.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/EntryAddresses.java
@@ -8,10 +8,10 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * The entry hosts that callers may use.
+ * Entry hosts that callers may use.
  *
  * @param addresses addresses in the order in which the caller should try them
- * @param keepUntil instant until which the caller may keep the answer
+ * @param keepUntil time until which the caller may cache this list
  */
 public record EntryAddresses(List<EntryAddress> addresses, Instant keepUntil) {
     /** Copies the list. */
@@ -23,8 +23,8 @@
      * Address of one entry host.
      *
      * @param host the host
-     * @param dataCentre where it is
-     * @param address where callers connect
+     * @param dataCentre data centre of the host
+     * @param address address for callers
      */
     public record EntryAddress(HostId host, DataCentre dataCentre, NetworkAddress address) {}
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/Generation.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/Generation.java
@@ -10,17 +10,17 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * A checked generation request of a caller.
+ * Validated generation request of a caller.
  *
- * @param id id that the entry host assigned
- * @param service service as declared at the moment of arrival
- * @param adapter adapter version to run on
+ * @param id id assigned by the entry host
+ * @param service service as declared when the request arrived
+ * @param adapter adapter version to use
  * @param caller the caller
  * @param priority priority class
- * @param deadline instant after which the caller does not wait
+ * @param deadline time after which the caller no longer waits
  * @param path {@code /v1/chat/completions} or {@code /v1/completions}
  * @param body JSON body for the engine: {@code model} is the engine name of the adapter, {@code stream} is on
- * @param prefix hash of the first part of the prompt
+ * @param prefix hash of the beginning of the prompt
  * @param fingerprint digest of caller, model and body
  */
 public record Generation(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/GenerationSink.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/GenerationSink.java
@@ -2,30 +2,30 @@
 
 import org.banyanstair.errors.Failure;
 
-/** Receives the answer of a generation. */
+/** Receives the response of a generation. */
 public interface GenerationSink {
     /**
-     * An attempt on an engine is about to start.
+     * Called when an attempt on an engine is about to start.
      *
-     * @param loadStallMilliseconds time that the request waited for a load of its adapter
+     * @param loadStallMilliseconds time that the request waited for its adapter to load
      */
     default void attemptStarting(long loadStallMilliseconds) {}
 
     /**
-     * A chunk came.
+     * Called for each chunk.
      *
      * @param index index of the token, from 0, without gaps
      * @param json OpenAI chunk object as the engine sent it
      */
     void token(long index, String json);
 
-    /** The whole answer was delivered. */
+    /** Called when the complete response has been delivered; no further calls follow. */
     void completed();
 
     /**
-     * The generation failed; nothing follows.
+     * Called when the generation has failed; no further calls follow.
      *
-     * @param failure why; {@link Failure#outcome} tells whether it ran
+     * @param failure the cause; {@link Failure#outcome} tells whether the request may have run
      */
     void failed(Failure failure);
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/OperatorService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/OperatorService.java
@@ -11,45 +11,40 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.EndpointReport;
 
-/** Serves operators. Implementations are safe for use by several threads; futures never complete exceptionally. */
+/** Operations for operators. Implementations are thread-safe; futures never complete exceptionally. */
 public interface OperatorService {
-    /**
-     * Returns the configuration in force on this host.
-     *
-     * @return the configuration, immutable
-     */
+    /** Returns the configuration in force on this host, immutable. */
     Configuration configuration();
 
     /**
-     * Submits a change and waits for the verdict of the log.
+     * Submits a change and waits until the log determines its verdict.
      *
-     * @return the verdict; refused with {@link Failure.LogUnavailable} if it certainly was not recorded, and with
-     *     {@link Failure.ChangeOutcomeUnknown} if that is not known
+     * @return the verdict; refused with {@link Failure.LogUnavailable} if the change was certainly not recorded, and
+     *     with {@link Failure.ChangeOutcomeUnknown} if that is not known
      */
     CompletableFuture<ChangeVerdict> submit(ConfigurationChange change);
 
     /**
-     * Finds the verdict on a change that was submitted earlier, through any host.
+     * Returns the verdict on a change that was submitted earlier through any host.
      *
-     * @param changeId id of the change
      * @return the verdict, empty if this host has not seen the change
      */
     CompletableFuture<Optional<ChangeVerdict>> verdict(String changeId);
 
-    /** Asks all hosts for their state. */
+    /** Queries the state of all hosts. */
     CompletableFuture<ClusterStatus> status();
 
     /**
-     * Asks the pool owners for the state of their endpoints.
+     * Queries the pool owners for the state of their endpoints.
      *
-     * @return one report for each endpoint
+     * @return one report per endpoint
      */
     CompletableFuture<List<EndpointReport>> endpoints();
 
     /**
      * Asks a host to drain and stop.
      *
-     * @return empty if the request was handed over, else why not
+     * @return empty if the request was handed over, otherwise the reason why not
      */
     CompletableFuture<Optional<Failure>> drain(HostId host);
 }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/PlainCall.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/PlainCall.java
@@ -9,13 +9,13 @@
 import org.banyanstair.model.PriorityClass;
 
 /**
- * A checked call of a plain service.
+ * Validated plain service call.
  *
- * @param service service as declared at the moment of arrival
+ * @param service service as declared when the call arrived
  * @param caller the caller
  * @param priority priority class
  * @param call the call
- * @param key key of a call that may not be repeated; empty for an idempotent call, which may be retried
+ * @param key idempotency key of a call that must not be repeated; empty for an idempotent call, which may be retried
  * @param bodyDigest digest of method, path and body
  */
 public record PlainCall(
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/package-info.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/package-info.java
@@ -1,2 +1,2 @@
-/** What the HTTP interfaces of the daemon need from the rest of it. */
+/** Services that the HTTP interfaces of the daemon depend on. */
 package org.banyanstair.server.service;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettings.java
@@ -14,14 +14,14 @@
 import org.banyanstair.server.http.BearerKey;
 
 /**
- * Settings of one daemon. {@code docs/settings.md} documents each key with its default and range.
+ * Settings of the daemon. {@code docs/settings.md} documents each key with its default and range.
  *
  * @param host identity of the host
- * @param listen addresses that the daemon listens on
- * @param platform addresses of the platform's services
+ * @param listen listen addresses
+ * @param platform addresses of the external services
  * @param callers key of each caller
  * @param operators key of each operator, by name
- * @param limits limits on requests
+ * @param limits request limits
  * @param timing intervals of periodic work
  * @param placement policy by which pool owners place adapters and requests
  * @param log log output
@@ -46,13 +46,13 @@
      * Identity of the host.
      *
      * @param id the host
-     * @param dataCentre where it is
-     * @param cluster name of the cluster; hosts of other clusters are refused
+     * @param dataCentre data centre of the host
+     * @param cluster name of the cluster; connections from hosts of other clusters are rejected
      */
     public record Host(HostId id, DataCentre dataCentre, String cluster) {}
 
     /**
-     * Addresses that the daemon listens on.
+     * Listen addresses of the daemon.
      *
      * @param caller for callers
      * @param operator for operators
@@ -61,25 +61,25 @@
     public record Listen(NetworkAddress caller, NetworkAddress operator, NetworkAddress peer) {}
 
     /**
-     * The platform's services.
+     * External services.
      *
      * @param log address of the log service
      * @param hostList address of the host list
-     * @param callTimeoutMilliseconds time after which a call to either counts as failed
-     * @param logRetentionSeconds time that the log service keeps records
+     * @param callTimeoutMilliseconds timeout of a call to either service
+     * @param logRetentionSeconds retention of records in the log service
      */
     public record Platform(
             NetworkAddress log, NetworkAddress hostList, int callTimeoutMilliseconds, int logRetentionSeconds) {}
 
     /**
-     * Limits on requests.
+     * Request limits.
      *
-     * @param maximumBodyBytes largest accepted body
-     * @param defaultDeadlineMilliseconds time to the deadline of a request that names none
-     * @param maximumDeadlineMilliseconds longest accepted time to a deadline
-     * @param entryAddressKeepMilliseconds time that callers may keep a list of entry addresses
-     * @param drainLimitMilliseconds time to the deadline of a planned stop
-     * @param tokenSilenceLimitMilliseconds time without a token after which a stream counts as silent
+     * @param maximumBodyBytes maximum length of a request body
+     * @param defaultDeadlineMilliseconds time to the deadline of a request without an explicit one
+     * @param maximumDeadlineMilliseconds maximum time to a deadline
+     * @param entryAddressKeepMilliseconds time that callers may cache a list of entry addresses
+     * @param drainLimitMilliseconds maximum duration of a graceful stop
+     * @param tokenSilenceLimitMilliseconds time without a token after which a stream counts as stalled
      */
     public record Limits(
             int maximumBodyBytes,
@@ -92,11 +92,11 @@
     /**
      * Intervals of periodic work.
      *
-     * @param heartbeatMilliseconds time between heartbeats on a connection between hosts
-     * @param heartbeatLimitMilliseconds time without a frame after which such a connection is closed
-     * @param hostListPollMilliseconds time between reads of the host list
-     * @param statusPollMilliseconds time between reads of an engine's status
-     * @param callBatchMilliseconds time over which records of calls are collected into one append
+     * @param heartbeatMilliseconds heartbeat interval on connections between hosts
+     * @param heartbeatLimitMilliseconds time without a received frame after which such a connection is closed
+     * @param hostListPollMilliseconds interval between reads of the host list
+     * @param statusPollMilliseconds interval between reads of an engine's status
+     * @param callBatchMilliseconds time over which call records are batched into one append
      */
     public record Timing(
             int heartbeatMilliseconds,
@@ -116,7 +116,7 @@
         public enum Level {
             /** Every step. */
             TRACE,
-            /** Details for the search of faults. */
+            /** Details for debugging. */
             DEBUG,
             /** Normal events. */
             INFO,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -26,20 +26,23 @@
 import org.banyanstair.toml.TomlType;
 import org.banyanstair.toml.TomlTypes;
 
-/** Reads {@link DaemonSettings} from a TOML file and reports all errors at once. */
+/** Parses {@link DaemonSettings} from a TOML file and reports all errors at once. */
 public final class DaemonSettingsReader {
-    /** Least length of a key, so that a key cannot be guessed by trying. */
+    /** Minimum length of a key, which protects against brute-force guessing. */
     private static final int MINIMUM_KEY_LENGTH = 16;
 
-    /** The body of a non-idempotent call crosses hosts in a frame of at most 1 MiB; 64 KiB are left for its header. */
+    /**
+     * The body of a non-idempotent call is forwarded between hosts in a frame of at most 1 MiB, of which 64 KiB are
+     * reserved for the other fields.
+     */
     private static final int MAXIMUM_BODY_BYTES = (1 << 20) - (1 << 16);
 
     private static final int DEFAULT_BODY_BYTES = 1 << 19;
 
-    /** Keys of non-idempotent calls are kept for a limited time, which is based on this longest deadline. */
+    /** The retention of idempotency keys is based on this longest deadline. */
     private static final int MAXIMUM_DEADLINE_MILLISECONDS = 600_000;
 
-    /** Checkpoints and claims are renewed three times within the retention, and an append may take a second. */
+    /** Checkpoints and claims are renewed three times within the retention, and an append may take one second. */
     private static final int MINIMUM_RETENTION_SECONDS = 5;
 
     private static final int DEFAULT_RETENTION_SECONDS = 3_600;
@@ -192,7 +195,7 @@
             TomlField<Integer> batch = milliseconds(table, "call-batch-milliseconds", 25, 1, 1_000);
             heartbeat.ifValid(value -> limit.ifValid(allowed -> {
                 if (allowed < 2 * value) {
-                    // With less, one delayed heartbeat closes a working connection.
+                    // Otherwise, a single delayed heartbeat would close a working connection.
                     table.reject("heartbeat-limit-milliseconds", "at least twice heartbeat-milliseconds");
                 }
             }));
