Reword the tests of server, transport and HTTP clients

The heads of the tests told stories ('messages that overtake each other', 'a stopped peer that nobody hears of'). Each now names the failure that it guards against in the terms of the field.

--- a/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
@@ -18,7 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against new work on a leaving endpoint because the reading of the host list waits behind requests. */
+/** Guards against new work on a leaving endpoint because a host list update is queued behind requests. */
 class EventLoopTest {
     private static final int BACKLOG = 100;
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/daemon/TransportMetricsTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/daemon/TransportMetricsTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class TransportMetricsTest {
-    /** Guards against totals that are frozen at registration or published under the name of another total. */
+    /** Guards against totals that are read only at registration, or exported under the name of another total. */
     @Test
     void eachTotalIsReadWhenTheMetricsAreWritten() {
         long[] base = {0};
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/HttpListenerTest.java
@@ -73,7 +73,7 @@
         return HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
-    /** Guards against bodies that Jooby decodes as forms instead of leaving them as they came. */
+    /** Guards against form bodies that Jooby decodes instead of passing them on unmodified. */
     @Test
     void formBodyArrivesUnchanged() throws Exception {
         HttpResponse<String> response =
@@ -85,7 +85,7 @@
                 response.headers().firstValue("Content-Type").orElse(""));
     }
 
-    /** Guards against error answers that clients cannot read because they are not the JSON envelope. */
+    /** Guards against error responses without the JSON envelope. */
     @Test
     void errorsHaveTheEnvelope() throws Exception {
         HttpResponse<String> unknown = send("GET", "/nowhere", "");
@@ -106,7 +106,7 @@
         assertEquals(400, head.statusCode());
     }
 
-    /** Guards against answers that overtake each other when a client sends requests without waiting. */
+    /** Guards against reordered responses to pipelined requests. */
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -116,7 +116,7 @@
         }
     }
 
-    /** Guards against work that goes on after the caller has gone while nothing is being written. */
+    /** Guards against work that continues after the caller has disconnected while nothing is being written. */
     @Test
     void disconnectIsNoticedBeforeTheResponseBegins() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -126,7 +126,7 @@
         assertTrue(disconnected.await(5, TimeUnit.SECONDS));
     }
 
-    /** Guards against events that wait in a buffer until the response ends. */
+    /** Guards against events that stay buffered until the response ends. */
     @Test
     void eventsAreFlushedAtOnce() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -141,7 +141,7 @@
         }
     }
 
-    /** Guards against chunk sizes that a caller without chunks takes for a part of the events. */
+    /** Guards against chunk framing that an HTTP/1.0 client would take for part of the events. */
     @Test
     void eventsForAnOlderVersionAreNotFramed() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -154,7 +154,7 @@
         }
     }
 
-    /** Guards against a reader that stops and makes the host buffer its stream without limit. */
+    /** Guards against unbounded buffering of a stream whose client stops reading. */
     @Test
     void slowReaderIsDisconnected() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -169,7 +169,7 @@
         }
     }
 
-    /** Guards against answers, smaller than the limit of a stream, that are kept for a reader that has stopped. */
+    /** Guards against responses below the stream limit that are kept for a client that has stopped reading. */
     @Test
     void stalledReaderIsDisconnected() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -178,7 +178,7 @@
         }
     }
 
-    /** Guards against connections held open by senders that never finish a request. */
+    /** Guards against connections kept open by clients that never complete a request. */
     @Test
     void slowSenderAndIdleConnectionAreClosed() throws Exception {
         try (RawHttpClient slow = new RawHttpClient(listener.port());
@@ -190,7 +190,7 @@
         }
     }
 
-    /** Guards against a stop that cuts off requests in flight before its deadline, or that waits for ever. */
+    /** Guards against a stop that aborts requests in flight before its deadline, or that waits indefinitely. */
     @Test
     void stopWaitsForRequestsInFlight() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port())) {
@@ -209,7 +209,7 @@
         }
     }
 
-    /** Guards against a stop that drops a request of which only a part has arrived, and that keeps idle connections. */
+    /** Guards against a stop that aborts a partially received request, or that keeps idle connections open. */
     @Test
     void stopServesRequestThatIsArriving() throws Exception {
         try (RawHttpClient client = new RawHttpClient(listener.port());
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/RawHttpClient.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/RawHttpClient.java
@@ -6,18 +6,18 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
-/** Client on a plain socket, for tests that need to misbehave. */
+/** HTTP client on a plain socket, for tests that violate the protocol. */
 public final class RawHttpClient implements AutoCloseable {
     private final Socket socket = new Socket();
 
-    /** Connects with a small receive buffer, so that a reader that stops is noticed soon. */
+    /** Connects with a small receive buffer, so that a client that stops reading is detected early. */
     public RawHttpClient(int port) throws IOException {
         socket.setReceiveBufferSize(4096);
         socket.setSoTimeout(10_000);
         socket.connect(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     }
 
-    /** Sends text as it is. */
+    /** Sends text unmodified. */
     public void send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
@@ -29,7 +29,7 @@
                 + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
     }
 
-    /** Reads until the text has come and returns everything read; fails at the end of the stream. */
+    /** Reads until the text has arrived, and returns everything read; fails at the end of the stream. */
     public String readUntil(String text) throws IOException {
         StringBuilder read = new StringBuilder();
         InputStream input = socket.getInputStream();
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
@@ -26,7 +26,7 @@
         assertTrue(service.generations.isEmpty() && service.calls.isEmpty());
     }
 
-    /** Guards against requests that run without a valid key or for a caller that the service does not answer. */
+    /** Guards against requests that run without a valid key or for a caller that may not use the service. */
     @Test
     void keysAndCallersAreChecked() throws Exception {
         String body = BODY.formatted("assistant/tender");
@@ -55,7 +55,9 @@
         assertRefused(send("POST", CHAT, " ".repeat(1024 * 1024 + 1)), 413, "body_too_large");
     }
 
-    /** Guards against deadlines beyond the retention of the call records and against headers read as their defaults. */
+    /**
+     * Guards against deadlines beyond the retention of call records, and against invalid headers treated as missing.
+     */
     @Test
     void headersAreChecked() throws Exception {
         String body = BODY.formatted("assistant/tender");
@@ -66,7 +68,7 @@
         assertRefused(send("POST", CHAT, body, "X-Priority", "urgent"), 400, "invalid_field");
     }
 
-    /** Guards against traffic to a host without a configuration. */
+    /** Guards against requests that are served before the host has a configuration. */
     @Test
     void unreadyHostServesNothing() throws Exception {
         assertEquals(200, send("GET", "/ready", "").statusCode());
@@ -76,7 +78,7 @@
         assertRefused(send("POST", CHAT, BODY.formatted("assistant/tender")), 503, "not_ready");
     }
 
-    /** Guards against lists that show models of services that do not answer the caller. */
+    /** Guards against model lists with models of services that the caller may not use. */
     @Test
     void modelsAndEntryAreListed() throws Exception {
         String models = send("GET", "/v1/models", "").body();
@@ -89,7 +91,10 @@
         assertTrue(entry.contains("\"address\":\"127.0.0.1:8080\""), entry);
     }
 
-    /** Guards against calls that change on their way, or that lose the key that keeps them from running twice. */
+    /**
+     * Guards against calls that are modified in transit, or that lose the idempotency key that keeps them from running
+     * twice.
+     */
     @Test
     void plainCallsPassThrough() throws Exception {
         HttpResponse<String> response = send(
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerServerFixture.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerServerFixture.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
-/** Runs a caller server in front of a fake service. */
+/** Test fixture with a caller server in front of a fake service. */
 abstract class CallerServerFixture {
     static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     static final String CLERK_KEY = "clerk-key";
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/DeadlinePolicyTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/DeadlinePolicyTest.java
@@ -12,7 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-/** Guards against a longest accepted deadline that ignores the settings. */
+/** Guards against a maximum deadline that ignores the settings. */
 class DeadlinePolicyTest {
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
 
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/FakeCallerService.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/FakeCallerService.java
@@ -35,7 +35,7 @@
 import org.banyanstair.server.service.GenerationSink;
 import org.banyanstair.server.service.PlainCall;
 
-/** Caller service whose answers the tests choose; generation answers run on a thread of their own, as in the daemon. */
+/** Caller service with configurable responses; generations run on a thread of their own, as in the daemon. */
 final class FakeCallerService implements CallerService {
     static final CallerId CLERK = new CallerId("clerk");
     static final CallerId MEMBER = new CallerId("member");
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
@@ -47,7 +47,7 @@
         };
     }
 
-    /** Guards against requests that reach the engine without what placement and the engine need. */
+    /** Guards against generations without the data that placement and the engine need. */
     @Test
     void generationCarriesTheWholeRequest() throws Exception {
         answerChat(LAST);
@@ -71,7 +71,7 @@
         assertTrue(json.path("stream_options").path("include_usage").asBoolean());
     }
 
-    /** Guards against chat answers that clients without streaming cannot use. */
+    /** Guards against malformed chat responses for clients without streaming. */
     @Test
     void chatChunksAreAssembled() throws Exception {
         String tool = "{\"choices\":[{\"index\":0,\"delta\":{\"tool_calls\":[{\"index\":0,%s\"function\":{%s}}]}}]}";
@@ -99,7 +99,7 @@
                 choice.get("message").toString());
     }
 
-    /** Guards against text completions that mix up their choices. */
+    /** Guards against text completions that mix up choices. */
     @Test
     void completionChunksAreAssembled() throws Exception {
         String chunk = "{\"choices\":[{\"index\":%d,\"text\":\"%s\",\"logprobs\":{\"tokens\":[\"%s\"]}}]}";
@@ -114,7 +114,9 @@
                 Mappers.JSON.readTree(response.body()).get("choices").toString());
     }
 
-    /** Guards against streams that clients cannot follow, or that carry usage nobody asked for. */
+    /**
+     * Guards against streams with varying ids or models, without an end marker, or with usage that was not requested.
+     */
     @Test
     void streamHasStableIdModelAndEnd() throws Exception {
         answerChat(CHUNK.formatted("a\\nb"), LAST, USAGE);
@@ -130,7 +132,7 @@
         assertTrue(send("POST", CHAT, wanted).body().contains("\"usage\":{\"total_tokens\":3}}"));
     }
 
-    /** Guards against callers that are told that a request did not run, or ended, when it broke off. */
+    /** Guards against broken streams that are reported as not run, or as complete. */
     @Test
     void failureWhileStreamingEndsWithoutDone() throws Exception {
         service.answer = (generation, sink) -> {
@@ -146,7 +148,7 @@
         assertEquals("unknown", header(whole, "X-Outcome"));
     }
 
-    /** Guards against failures before the first token that look like the start of a stream. */
+    /** Guards against failures before the first token that are reported as the start of a stream. */
     @Test
     void failureBeforeStreamingHasItsStatus() throws Exception {
         service.answer = (generation, sink) -> sink.failed(new Failure.QueueFull(new PoolId("p"), 3));
@@ -158,7 +160,7 @@
         assertEquals(503, send("POST", CHAT, CHAT_BODY.formatted(true)).statusCode());
     }
 
-    /** Guards against engines that go on generating for callers that have gone. */
+    /** Guards against engines that continue to generate for callers that have disconnected. */
     @Test
     void disconnectCancelsGeneration() throws Exception {
         service.answer = (generation, sink) -> sink.token(0, CHUNK.formatted("a"));
@@ -170,7 +172,7 @@
         assertTrue(service.cancelled.await(5, TimeUnit.SECONDS));
     }
 
-    /** Guards against a caller that does not read and makes the host buffer its tokens without limit. */
+    /** Guards against unbounded buffering of tokens for a caller that does not read. */
     @Test
     void slowReaderIsCancelled() throws Exception {
         service.answer = (generation, sink) -> {
@@ -185,7 +187,7 @@
         }
     }
 
-    /** Guards against bad fields that reach an engine, and against errors that do not say what is accepted. */
+    /** Guards against invalid fields that reach an engine, and against errors that do not name the accepted values. */
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -211,10 +213,10 @@
         assertTrue(service.generations.isEmpty());
     }
 
-    /** The first tokens measure the compiler of the virtual machine, not the HTTP layer. */
+    /** Tokens sent before the measurement, so that it excludes JIT compilation. */
     private static final int WARM_UP = 1_000;
 
-    /** Guards against latency that the HTTP layer adds to tokens, for instance by waiting for full buffers. */
+    /** Guards against token latency added by the HTTP layer, for instance by waiting for full buffers. */
     @Test
     void tokensPassWithoutDelay() throws Exception {
         BlockingQueue<Integer> next = new LinkedBlockingQueue<>();
@@ -242,7 +244,7 @@
             }
             client.readUntil("data: [DONE]\n\n");
             Arrays.sort(latencies);
-            // The bound is the added latency that the design allows at the median.
+            // Limit of the added median latency in the design.
             assertTrue(latencies[25] < Duration.ofMillis(2).toNanos(), "median of " + latencies[25] + " ns");
         }
     }
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/metrics/RequestRecorderTest.java
@@ -81,7 +81,7 @@
         return burn.snapshot().samples().get(index);
     }
 
-    /** Guards against errors of callers or long answers that use up the error budget of a service. */
+    /** Guards against caller errors or long responses that consume the error budget of a service. */
     @Test
     void burnCountsWhatTheObjectiveCovers() {
         end(200, RequestSummary.OK, 420, Optional.empty());
@@ -99,7 +99,7 @@
                 sample(0).failures());
     }
 
-    /** Guards against windows that keep old minutes or lose recent ones. */
+    /** Guards against windows that retain expired minutes or lose recent ones. */
     @Test
     void windowsForgetOldMinutes() {
         end(200, RequestSummary.OK, 1, Optional.empty());
@@ -113,7 +113,7 @@
         assertEquals(2, sample(2).requests());
     }
 
-    /** Guards against metrics that Prometheus cannot read or that lose the service or the code. */
+    /** Guards against metrics that Prometheus cannot parse, or that lose the service or the code. */
     @Test
     void metricsCarryLabels() {
         end(429, "queue_full", 10, Optional.empty());
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/operator/OperatorHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/operator/OperatorHttpServerTest.java
@@ -70,7 +70,7 @@
         return send("operator-key", method, "/operator/v1" + path, body);
     }
 
-    /** Guards against changes under the name of another operator or without a key. */
+    /** Guards against changes submitted under another operator's name or without a key. */
     @Test
     void authorComesFromTheKey() throws Exception {
         service.verdict = new ChangeVerdict.Accepted(4);
@@ -83,7 +83,7 @@
         assertEquals(null, service.submitted);
     }
 
-    /** Guards against operators that cannot tell a refused change from one whose outcome is unknown. */
+    /** Guards against responses that do not distinguish a refused change from one with an unknown outcome. */
     @Test
     void refusalsHaveTheirStatusAndDetails() throws Exception {
         Map<Failure, Integer> expected = Map.of(
@@ -122,7 +122,7 @@
         assertEquals(null, service.submitted);
     }
 
-    /** Guards against routes that answer something else than the command-line tool reads. */
+    /** Guards against routes whose responses the command-line tool cannot read. */
     @Test
     void stateIsReadable() throws Exception {
         String configuration = send("GET", "/configuration", "").body();
--- a/banyanstair-server/src/test/java/org/banyanstair/server/settings/DaemonSettingsReaderTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/settings/DaemonSettingsReaderTest.java
@@ -16,7 +16,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-/** Guards against a daemon that starts with settings that its operator did not mean, and against keys in the log. */
+/** Guards against a daemon that starts with settings its operator did not intend, and against keys in the log. */
 class DaemonSettingsReaderTest {
     private static final String MINIMAL = String.join(
             "\n",
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
@@ -24,7 +24,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against appends whose result contradicts the log while network and service fail in combination. */
+/** Guards against append results that contradict the log when network and service faults coincide. */
 class AppendClassificationTest {
     private static final int ROUNDS = 40;
     private static final int APPENDS_PER_ROUND = 10;
@@ -51,7 +51,7 @@
         proxy.acceptConnections();
         log.setFaults(Faults.NONE);
         log.server().applied();
-        // Appends that were delayed beyond their deadline take effect within the longest delay.
+        // Appends delayed beyond their deadline take effect within the longest injected delay.
         Thread.sleep(500);
         client.stop();
         proxy.stop();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/DeadlineHttpClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/DeadlineHttpClientTest.java
@@ -17,26 +17,26 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against calls that outlive their deadline or are sent after it. */
+/** Guards against calls that continue, or are sent, after their deadline. */
 class DeadlineHttpClientTest {
-    private static final int PLACES = 2;
+    private static final int MAXIMUM_CALLS = 2;
 
-    private final DeadlineHttpClient client = new DeadlineHttpClient(PLACES);
-    private ServerSocket silent;
+    private final DeadlineHttpClient client = new DeadlineHttpClient(MAXIMUM_CALLS);
+    private ServerSocket unresponsiveServer;
 
     @BeforeEach
     void start() throws Exception {
-        silent = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        unresponsiveServer = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     }
 
     @AfterEach
     void stop() throws Exception {
         client.stop();
-        silent.close();
+        unresponsiveServer.close();
     }
 
     @Test
-    void silentServerEndsCallsAtTheirDeadline() throws Exception {
+    void callsToUnresponsiveServerEndAtTheirDeadline() throws Exception {
         Instant start = Instant.now();
         assertInstanceOf(HttpCallResult.NoAnswer.class, call(500).get(2, TimeUnit.SECONDS));
         long taken = Duration.between(start, Instant.now()).toMillis();
@@ -47,7 +47,7 @@
     void callsWhoseDeadlinePassesInTheQueueAreNeverSent() throws Exception {
         List<CompletableFuture<HttpCallResult>> running = new ArrayList<>();
         List<CompletableFuture<HttpCallResult>> waiting = new ArrayList<>();
-        for (int i = 0; i < PLACES; i++) {
+        for (int i = 0; i < MAXIMUM_CALLS; i++) {
             running.add(call(800));
         }
         for (int i = 0; i < 10; i++) {
@@ -68,7 +68,8 @@
     }
 
     private CompletableFuture<HttpCallResult> call(long millis) {
-        Request.Builder request = new Request.Builder().url("http://127.0.0.1:" + silent.getLocalPort() + "/");
+        Request.Builder request =
+                new Request.Builder().url("http://127.0.0.1:" + unresponsiveServer.getLocalPort() + "/");
         return client.call(request, Duration.ofMillis(millis));
     }
 }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
@@ -22,7 +22,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a client that passes on a stream with gaps or trusts answers that the protocol does not define. */
+/** Guards against a client that forwards a stream with gaps or trusts responses that the protocol does not define. */
 class HttpEngineClientProtocolTest {
     private final HttpEngineClient client = new HttpEngineClient(EngineClientTimeouts.DEFAULT);
     private final AtomicInteger received = new AtomicInteger();
@@ -85,7 +85,7 @@
     }
 
     @Test
-    void headersTellTheEngineWhatItNeeds() throws Exception {
+    void requestCarriesHeadersForTheEngine() throws Exception {
         Map<String, String> headers = new ConcurrentHashMap<>();
         generate(exchange -> {
                     headers.putAll(exchange.context().headerMap());
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
@@ -38,7 +38,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a client that misjudges whether a command or a request ran, repeats it, or waits for ever. */
+/** Guards against a client that misjudges whether a command or request ran, repeats it, or waits indefinitely. */
 class HttpEngineClientTest {
     private static final Failure FAILED = new Failure.EndpointFailed(TestEndpoints.ID);
     private static final AdapterVersion OTHER = AdapterVersion.parse("a/b@v1");
@@ -165,7 +165,7 @@
         RecordingTokenListener waiting = generate("q", 1, 0, Instant.now().plusMillis(200));
         assertEquals(new GenerationResult.Broken(new Failure.OutcomeUnknown()), waiting.end());
         assertTrue(waiting.indexes().isEmpty());
-        // Either side may end the run first when its deadline passes.
+        // When the deadline passes, either side may end the run first.
         assertTrue(running.end() instanceof GenerationResult.Broken);
     }
 
@@ -277,13 +277,15 @@
     @Test
     void thousandStreamsRunAtATime() throws Exception {
         restart("{\"batchLimit\":1000,\"stepMicroseconds\":20000,\"stepMicrosecondsPerRequest\":0}");
-        // On a busy machine, a step can take longer than the short limits of the other tests.
+        // On a busy machine, a step can take longer than the short timeouts of the other tests.
         Duration limit = Duration.ofSeconds(5);
-        HttpEngineClient patient = new HttpEngineClient(new EngineClientTimeouts(limit, limit, limit, limit));
-        // Steps are slow until all streams run, because short streams could end before the last one has begun.
+        HttpEngineClient clientWithLongTimeouts =
+                new HttpEngineClient(new EngineClientTimeouts(limit, limit, limit, limit));
+        // Steps are slow until all streams run, because short streams could end before the last one has started.
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 200);
         List<RecordingTokenListener> recorders = IntStream.range(0, 1_000)
-                .mapToObj(i -> generate(patient, "r" + i, 100, 0, Instant.now().plusSeconds(20)))
+                .mapToObj(i -> generate(
+                        clientWithLongTimeouts, "r" + i, 100, 0, Instant.now().plusSeconds(20)))
                 .toList();
         await("all run", () -> engine.record().runs().size() == 1_000);
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 0);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpHostListSourceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpHostListSourceTest.java
@@ -29,7 +29,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against lists that lose fields, go back in time or hide that the source is down. */
+/** Guards against listings that lose fields, go back to an older version, or hide that the host list is unavailable. */
 class HttpHostListSourceTest {
     private static final NetworkAddress ADDRESS = new NetworkAddress("127.0.0.1", 9);
     private static final EntryHost HOST =
@@ -70,7 +70,10 @@
         assertEquals(new HostListing(3, List.of(), List.of(ENDPOINT)), read());
     }
 
-    /** A whole list of 970 entries each second would cost a host 57 times its budget for control. */
+    /**
+     * Guards against reading an unchanged list in full: 970 entries per second would cost a host 57 times its budget
+     * for control traffic.
+     */
     @Test
     void unchangedListIsNotSentAgain() throws Exception {
         hosts.put(HOST);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
@@ -28,7 +28,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against appends that are reported as not applied although they may be in the log, and against lost records. */
+/** Guards against appends reported as not applied although they may be in the log, and against lost records. */
 class HttpLogServiceTest {
     private static final Duration DEADLINE = Duration.ofSeconds(1);
 
@@ -47,7 +47,10 @@
         log.stop();
     }
 
-    /** A wake-up on the event loop of the waiting connection once stayed in the buffer until the next request. */
+    /**
+     * Guards against a long poll whose wake-up, on the event loop of its connection, stays buffered until the next
+     * request.
+     */
     @Test
     void appendWakesUpEveryWaitingRead() throws Exception {
         List<CompletableFuture<ReadResult>> waiting = new ArrayList<>();
@@ -83,7 +86,7 @@
         Thread.sleep(100);
         append("a");
         assertEquals(1, ((ReadResult.Records) waiting.get(2, TimeUnit.SECONDS)).next());
-        // Longer than the deadline of a call, which must not cut off a wait that was asked for.
+        // Longer than the call timeout, which must not abort a long poll.
         ReadResult.Records empty =
                 (ReadResult.Records) read("s", 1, Instant.now().plusMillis(1_200));
         assertEquals(List.of(), empty.records());
@@ -122,7 +125,7 @@
         assertInstanceOf(ReadResult.Unavailable.class, read("s", 0, Instant.EPOCH));
         log.setFaults(Faults.NONE.withOutage(Outage.REFUSED));
         log.server().applied();
-        // The pooled connection is dead, but whether the server has read from it cannot be known.
+        // The pooled connection is closed, but whether the server has read from it cannot be determined.
         assertInstanceOf(AppendResult.Unknown.class, append("a"));
         assertInstanceOf(AppendResult.Rejected.class, append("a"));
         log.setFaults(Faults.NONE);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
@@ -22,7 +22,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against an order that is sent twice, or reported as not sent although it ran. */
+/** Guards against a call that is sent twice, or reported as not sent although it ran. */
 class HttpPlainServiceClientTest {
     private final HttpPlainServiceClient client = new HttpPlainServiceClient(Duration.ofSeconds(1), 1 << 16);
     private final PlainServiceStandIn service = new PlainServiceStandIn(PlainServiceSettings.DEFAULT);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/RecordingTokenListener.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/RecordingTokenListener.java
@@ -11,7 +11,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Keeps the indexes that a generation delivered and counts its ends. */
+/** Records the token indexes of a generation and counts its ends. */
 final class RecordingTokenListener implements TokenListener {
     private final List<Long> indexes = new ArrayList<>();
     private final CompletableFuture<GenerationResult> end = new CompletableFuture<>();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/TestEndpoints.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/TestEndpoints.java
@@ -17,7 +17,7 @@
 import org.banyanstair.model.RequestId;
 import org.banyanstair.testsupport.engine.EngineProbe;
 
-/** TestEndpoints and requests for the tests of the clients. */
+/** Endpoints and requests for tests of the HTTP clients. */
 final class TestEndpoints {
     static final EndpointId ID = new EndpointId("runner-1");
     static final AdapterVersion ADAPTER = AdapterVersion.parse(EngineProbe.ADAPTER);
@@ -37,7 +37,7 @@
                 true);
     }
 
-    /** An address on which nothing listens. */
+    /** Returns an endpoint at a port on which nothing listens. */
     static Endpoint closed() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return at(new NetworkAddress("127.0.0.1", socket.getLocalPort()));
--- a/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
@@ -36,7 +36,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against records that cannot be read back after they crossed the wire. */
+/** Guards against records that cannot be deserialized after they were sent to another host or written to the log. */
 class MappersTest {
     static final List<ObjectMapper> MAPPERS = List.of(Mappers.JSON, Mappers.MESSAGE_PACK);
 
--- a/banyanstair-transport/src/test/java/org/banyanstair/toml/StrictTomlTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/toml/StrictTomlTest.java
@@ -8,7 +8,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against settings that are accepted although they are wrong, and against errors at the wrong place. */
+/** Guards against invalid settings that are accepted, and against errors with a wrong position. */
 class StrictTomlTest {
     record Item(String id, int size, List<String> tags) {}
 
--- a/banyanstair-transport/src/test/java/org/banyanstair/toml/TomlRobustnessTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/toml/TomlRobustnessTest.java
@@ -13,7 +13,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against files that hang the reader, fail with an exception, or get errors outside the text. */
+/** Guards against malformed files that hang the parser, make it throw, or yield errors positioned outside the text. */
 class TomlRobustnessTest {
     private static final List<String> PIECES = List.of(
             "a",
@@ -74,7 +74,10 @@
         assertFalse(result instanceof TomlResult.Invalid && result.failures().isEmpty(), "an error without a reason");
     }
 
-    /** The description accepts no key, so each error must stand at a key, quoted or not, or at a table header. */
+    /**
+     * The description accepts no key, so that each error must be positioned at a key, quoted or not, or at a table
+     * header.
+     */
     private static boolean isKeyOrHeader(String text, Failure.InvalidSetting setting) {
         String line = text.split("\n", -1)[setting.line() - 1];
         String rest = line.substring(setting.column() - 1);
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
@@ -9,9 +9,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ConnectionFaultTest {
-    /** Guards against waiting on a connection that went silent for good while a new one would work. */
+    /** Guards against waiting on a permanently stalled connection although a new one would work. */
     @Test
-    void replacesSilentConnectionWithoutReport() throws Exception {
+    void replacesStalledConnectionWithoutReport() throws Exception {
         try (TestHost first = TestHost.withShortTimeouts("entry-1");
                 TestHost second = TestHost.withShortTimeouts("entry-2");
                 TcpRelay relay = new TcpRelay(second.address.port())) {
@@ -19,10 +19,10 @@
             first.send(second.id(), 1);
             assertEquals(1, second.listener.awaitQuery());
             first.listener.awaitEvent("connected entry-2#1");
-            relay.silence(false);
+            relay.stall(false);
             first.send(second.id(), 2);
             Thread.sleep(50);
-            // After 45 s without use, only the silence can cause a new connection.
+            // After 45 s without use, only the heartbeat timeout can cause a new connection.
             first.now = first.now.plusSeconds(45);
             TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
             first.send(second.id(), 3);
@@ -33,9 +33,12 @@
         }
     }
 
-    /** Guards against a report before a new connection was tried, and against none when that is silent as well. */
+    /**
+     * Guards against reporting a peer before a new connection was tried, and against not reporting it if that stalls
+     * too.
+     */
     @Test
-    void reportsPeerWhoseNewConnectionIsSilentToo() throws Exception {
+    void reportsPeerWhoseNewConnectionStallsToo() throws Exception {
         try (TestHost first = TestHost.withShortTimeouts("entry-1");
                 TestHost second = TestHost.withShortTimeouts("entry-2");
                 TcpRelay relay = new TcpRelay(second.address.port())) {
@@ -43,18 +46,18 @@
             first.transport.watch(second.id());
             first.listener.awaitEvent("connected entry-2#1");
             first.now = first.now.plusSeconds(45);
-            relay.silence(true);
+            relay.stall(true);
             first.listener.awaitEvent("unreachable entry-2");
             assertTrue(first.transport.counters().connectionsOpened() >= 2, "no new connection was tried");
             assertNull(first.listener.events.poll(1, TimeUnit.SECONDS), "the same failure is reported once");
-            relay.silence(false);
+            relay.stall(false);
             first.listener.awaitEvent("connected entry-2#1");
         }
     }
 
-    /** Guards against a cut connection that stays down although its peer is alive. */
+    /** Guards against a lost connection that is not re-established although its peer is alive. */
     @Test
-    void reconnectsAfterCut() throws Exception {
+    void reconnectsAfterConnectionLoss() throws Exception {
         try (TestHost first = TestHost.withDefaultTimeouts("entry-1");
                 TestHost second = TestHost.withDefaultTimeouts("entry-2");
                 TcpRelay relay = new TcpRelay(second.address.port())) {
@@ -62,7 +65,7 @@
             first.send(second.id(), 1);
             assertEquals(1, second.listener.awaitQuery());
             first.listener.awaitEvent("connected entry-2#1");
-            relay.cut();
+            relay.closeConnections();
             TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
             first.send(second.id(), 2);
             assertEquals(2, second.listener.awaitQuery());
@@ -70,7 +73,7 @@
         }
     }
 
-    /** Guards against a stopped peer that nobody hears of, although nothing was being sent. */
+    /** Guards against a stopped peer that is not reported because no messages were being sent. */
     @Test
     void reportsStoppedPeer() throws Exception {
         try (TestHost first = TestHost.withShortTimeouts("entry-1")) {
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
@@ -36,14 +36,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** A raw socket plays the peer. */
+/** Tests in which a raw socket acts as a peer that violates the protocol. */
 class MisbehavingPeerTest {
     private static final HostIdentity PEER = new HostIdentity(new HostId("entry-2"), 1);
     private static final byte[] HELLO =
             frame(new PeerMessage.Hello(NettyPeerTransport.PROTOCOL_VERSION, PEER, TestHost.CLUSTER));
     private static final byte[] MESSAGE = frame(new PeerMessage.StatusRequest(1));
 
-    static final List<byte[]> BAD_GREETINGS = List.of(
+    static final List<byte[]> UNACCEPTABLE_HELLOS = List.of(
             frame(new PeerMessage.Hello(NettyPeerTransport.PROTOCOL_VERSION, PEER, "another")),
             frame(new PeerMessage.Hello(NettyPeerTransport.PROTOCOL_VERSION + 1, PEER, TestHost.CLUSTER)),
             frame(new PeerMessage.Hello(
@@ -51,7 +51,10 @@
             frame(new PeerMessage.Hello(NettyPeerTransport.PROTOCOL_VERSION, null, TestHost.CLUSTER)),
             MESSAGE);
 
-    /** Random bytes, an empty body, trailing bytes, an unknown type, 2 GiB claimed, length above limit and negative. */
+    /**
+     * Random bytes, an empty body, trailing bytes, an unknown type, a claimed length of 2 GiB, a frame length above the
+     * limit, and a negative one.
+     */
     static final List<byte[]> BAD_FRAMES = List.of(
             frame(randomBytes()),
             frame(new byte[0]),
@@ -61,20 +64,20 @@
             new byte[] {0x00, 0x01, 0x00, 0x01},
             new byte[] {-1, -1, -1, -1});
 
-    /** Guards against work done for hosts of another cluster or protocol, or before they said who they are. */
+    /** Guards against processing messages of hosts of another cluster or protocol version, or before the handshake. */
     @ParameterizedTest
-    @FieldSource("BAD_GREETINGS")
-    void closesConnectionWithUnacceptableHello(byte[] greeting) throws Exception {
+    @FieldSource("UNACCEPTABLE_HELLOS")
+    void closesConnectionWithUnacceptableHello(byte[] hello) throws Exception {
         try (TestHost host = TestHost.withDefaultTimeouts("entry-1");
                 Socket socket = connect(host)) {
-            socket.getOutputStream().write(concatenate(greeting, MESSAGE));
+            socket.getOutputStream().write(concatenate(hello, MESSAGE));
             awaitEnd(socket);
             assertEquals(1, host.transport.counters().rejectedHandshakes());
             assertTrue(host.listener.events.isEmpty() && host.listener.messages.isEmpty());
         }
     }
 
-    /** Guards against a malformed frame that stops the transport, goes uncounted or lets later frames through. */
+    /** Guards against a malformed frame that stops the transport, is not counted, or is followed by further frames. */
     @ParameterizedTest
     @FieldSource("BAD_FRAMES")
     void closesOnlyConnectionWithMalformedFrame(byte[] bad) throws Exception {
@@ -94,7 +97,7 @@
         }
     }
 
-    /** Guards against a peer that does not read: it must not block senders or fill the memory. */
+    /** Guards against a peer that does not read: it must not block senders or exhaust memory. */
     @Test
     void dropsConnectionWhoseQueueOverflows() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -131,7 +134,7 @@
         }
     }
 
-    private static Socket greet(ServerSocket server) {
+    private static Socket acceptAndSendHello(ServerSocket server) {
         try {
             Socket socket = server.accept();
             socket.getOutputStream().write(HELLO);
@@ -141,18 +144,18 @@
         }
     }
 
-    /** Guards against messages that stay queued, neither sent nor reported, after their connection has ended. */
+    /** Guards against messages that remain queued, neither sent nor reported, after their connection has closed. */
     @Test
     void sendsQueuedMessagesOverNewConnection() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
             server.setSoTimeout(5_000);
             host.addresses.put(PEER.host(), new NetworkAddress("127.0.0.1", server.getLocalPort()));
-            // The host waits half a second for the hello, which encoding the messages may take on a busy machine.
-            CompletableFuture<Socket> greeted = CompletableFuture.supplyAsync(() -> greet(server));
-            // 30 MB exceed the socket buffers, but not the queue.
+            // The host waits 500 ms for the hello, and encoding the messages may take longer on a busy machine.
+            CompletableFuture<Socket> accepted = CompletableFuture.supplyAsync(() -> acceptAndSendHello(server));
+            // 30 MB exceed the socket buffers, but not the outbound queue.
             IntStream.range(0, 500).forEach(number -> host.transport.send(PEER.host(), longMessage(60_000)));
-            try (Socket first = greeted.get(5, TimeUnit.SECONDS)) {
+            try (Socket first = accepted.get(5, TimeUnit.SECONDS)) {
                 host.listener.awaitEvent("connected " + PEER);
                 Thread.sleep(300);
                 host.now = host.now.plusSeconds(45);
@@ -196,7 +199,7 @@
         try {
             socket.getInputStream().readAllBytes();
         } catch (SocketException exception) {
-            // A reset ends the connection as well; a timeout of the read fails the test.
+            // A reset ends the connection as well; a read timeout fails the test.
         }
     }
 
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class NettyPeerTransportTest {
-    /** Guards against messages that overtake each other, get lost or are doubled on healthy connections. */
+    /** Guards against messages that are reordered, lost or duplicated on healthy connections. */
     @Test
     void deliversThousandsInOrderBothWays() throws Exception {
         try (TestHost first = TestHost.withDefaultTimeouts("entry-1");
@@ -38,7 +38,7 @@
         }
     }
 
-    /** Guards against a callback on the sender's own thread, and against a connection of a host to itself. */
+    /** Guards against callbacks on the sender's own thread, and against a connection of a host to itself. */
     @Test
     void messageToSelfNeedsNoConnection() throws Exception {
         try (TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Guards against a restarted peer that stays unnoticed, and against messages of the process that it replaced. */
+    /** Guards against a restart of a peer that is not reported, and against messages of its previous process. */
     @Test
     void reportsNewIncarnationAndIgnoresOldOne() throws Exception {
         try (TestHost first = TestHost.withShortTimeouts("entry-1")) {
@@ -84,9 +84,9 @@
         }
     }
 
-    /** Guards against hosts that refuse each other's connection when both connect at the same moment. */
+    /** Guards against hosts that reject each other's connection when both connect at the same time. */
     @Test
-    void hostsThatConnectAtTheSameMomentHearEachOther() throws Exception {
+    void hostsThatConnectSimultaneouslyExchangeMessages() throws Exception {
         try (TestHost first = TestHost.withDefaultTimeouts("entry-1");
                 TestHost second = TestHost.withDefaultTimeouts("entry-2")) {
             first.addAddressOf(second);
@@ -98,7 +98,7 @@
         }
     }
 
-    /** Guards against a sender that waits forever for a peer that the host list no longer shows. */
+    /** Guards against a sender that waits indefinitely for a peer that is no longer on the host list. */
     @Test
     void peerWithoutAddressIsUnreachable() throws Exception {
         try (TestHost host = TestHost.withDefaultTimeouts("entry-1")) {
@@ -108,7 +108,7 @@
         }
     }
 
-    /** Guards against connections that pile up, and against closing one that is watched. */
+    /** Guards against idle connections that accumulate, and against closing a watched one. */
     @Test
     void closesIdleConnectionUnlessWatched() throws Exception {
         try (TestHost first = TestHost.withShortTimeouts("entry-1");
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/RecordingListener.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/RecordingListener.java
@@ -11,7 +11,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
-/** Keeps what a transport reports, so that a test can wait for it. */
+/** Records the callbacks of a transport, so that a test can wait for them. */
 final class RecordingListener implements PeerListener {
     final BlockingQueue<String> events = new LinkedBlockingQueue<>();
     final BlockingQueue<PeerMessage> messages = new LinkedBlockingQueue<>();
@@ -35,7 +35,7 @@
         assertEquals(expected, events.poll(5, TimeUnit.SECONDS));
     }
 
-    /** Waits for a message and returns the number that it carries. */
+    /** Waits for a status request and returns its query number. */
     long awaitQuery() throws InterruptedException {
         PeerMessage message = messages.poll(5, TimeUnit.SECONDS);
         assertNotNull(message, "no message within 5 s");
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TcpRelay.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TcpRelay.java
@@ -13,13 +13,13 @@
 
 import org.banyanstair.model.NetworkAddress;
 
-/** Forwards TCP connections and can make them go silent or end. */
+/** Forwards TCP connections and can stall or close them. */
 final class TcpRelay implements AutoCloseable {
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final int target;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
-    private volatile AtomicBoolean silence = new AtomicBoolean();
+    private volatile AtomicBoolean stalled = new AtomicBoolean();
 
     TcpRelay(int target) throws IOException {
         this.target = target;
@@ -30,13 +30,13 @@
         return new NetworkAddress("127.0.0.1", server.getLocalPort());
     }
 
-    /** Discards everything on the open connections; new connections work, unless they are silenced too. */
-    void silence(boolean alsoNew) {
-        silence.set(true);
-        silence = new AtomicBoolean(alsoNew);
+    /** Discards all data on the open connections; new connections work unless they are stalled as well. */
+    void stall(boolean alsoNew) {
+        stalled.set(true);
+        stalled = new AtomicBoolean(alsoNew);
     }
 
-    void cut() throws IOException {
+    void closeConnections() throws IOException {
         for (Socket socket : sockets) {
             socket.close();
         }
@@ -47,20 +47,20 @@
             Socket inner = server.accept();
             Socket outer = new Socket(InetAddress.getLoopbackAddress(), target);
             sockets.addAll(List.of(inner, outer));
-            AtomicBoolean discards = silence;
-            threads.submit(() -> pump(inner, outer, discards));
-            threads.submit(() -> pump(outer, inner, discards));
+            AtomicBoolean discarding = stalled;
+            threads.submit(() -> pump(inner, outer, discarding));
+            threads.submit(() -> pump(outer, inner, discarding));
         }
         return null;
     }
 
-    private static Void pump(Socket from, Socket to, AtomicBoolean discards) throws IOException {
+    private static Void pump(Socket from, Socket to, AtomicBoolean discarding) throws IOException {
         try (from;
                 to) {
             byte[] buffer = new byte[8192];
             InputStream input = from.getInputStream();
             for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
-                if (!discards.get()) {
+                if (!discarding.get()) {
                     to.getOutputStream().write(buffer, 0, count);
                 }
             }
@@ -71,7 +71,7 @@
     @Override
     public void close() throws IOException {
         server.close();
-        cut();
+        closeConnections();
         threads.shutdown();
     }
 }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TestHost.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TestHost.java
@@ -18,7 +18,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** A started transport with its listener, on a free loopback port. */
+/** Started transport with its listener, on a free loopback port. */
 final class TestHost implements AutoCloseable {
     static final String CLUSTER = "test";
     static final int MAXIMUM_FRAME_BYTES = 64 << 10;
@@ -40,12 +40,12 @@
         transport.start();
     }
 
-    /** A host whose silence limit of 500 ms keeps tests of silent connections short. */
+    /** Creates a host with a heartbeat timeout of 500 ms, which keeps tests of stalled connections short. */
     static TestHost withShortTimeouts(String name) throws IOException {
         return new TestHost(name, 1, freePort(), Duration.ofMillis(100), Duration.ofMillis(500));
     }
 
-    /** A host with the limits of production, which pauses of a busy test machine do not exceed. */
+    /** Creates a host with the timeouts of production, which pauses of a busy test machine do not exceed. */
     static TestHost withDefaultTimeouts(String name) throws IOException {
         return new TestHost(name, 1, freePort(), Duration.ofSeconds(1), Duration.ofSeconds(3));
     }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/TransportBenchmark.java
@@ -6,7 +6,7 @@
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.transport.internal.FrameCodec;
 
-/** Measures messages a second over one loopback connection, from one sending thread; ends after a few seconds. */
+/** Measures messages per second over one loopback connection, from one sending thread; ends after a few seconds. */
 public final class TransportBenchmark {
     private static final int WINDOW = 2_000;
     private static final int ROUNDS = 3;
