Reword the comments of the external, errors, model and burn packages

Results of external systems are described as results, orders to engines as commands with fencing tokens, and failures by their cause.

--- a/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSample.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSample.java
@@ -6,9 +6,9 @@
 import org.banyanstair.model.ServiceId;
 
 /**
- * Requests of one service within a time window, as one host or several hosts together saw them.
+ * Request counts of one service within a time window, from one host or summed over several hosts.
  *
- * @param requests requests that ended in the window; requests with an error of the caller do not count
+ * @param requests requests that ended in the window, without those that failed by an error of the caller
  * @param good requests that succeeded within the latency of the objective
  * @param failures failed requests by failure code
  */
@@ -25,9 +25,9 @@
     }
 
     /**
-     * Returns the burn rate: the share of bad requests divided by the share that the objective allows.
+     * Returns the burn rate: the ratio of the share of bad requests to the share that the objective allows.
      *
-     * @return 1 if the error budget is used up exactly as fast as it is granted; 0 without requests
+     * @return 1 if the error budget is consumed exactly as fast as the objective allows; 0 without requests
      */
     @com.fasterxml.jackson.annotation.JsonIgnore
     public double burnRate() {
--- a/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSnapshot.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/BurnRateSnapshot.java
@@ -6,9 +6,9 @@
 import org.banyanstair.model.HostId;
 
 /**
- * The burn samples of one host.
+ * Burn rate samples of one host at one time.
  *
- * @param samples one for each service and window
+ * @param samples one for each service and time window
  */
 public record BurnRateSnapshot(HostId host, Instant takenAt, List<BurnRateSample> samples) {
     /** Copies the list. */
--- a/banyanstair-core/src/main/java/org/banyanstair/burn/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/burn/package-info.java
@@ -1,2 +1,2 @@
-/** Service-level burn: how fast a service uses up the failures that its objective allows. */
+/** Error budget burn rates: how fast the services consume the errors that their objectives allow. */
 package org.banyanstair.burn;
--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterKey.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/AdapterKey.java
@@ -9,7 +9,7 @@
 /** An adapter within its service. */
 public record AdapterKey(ServiceId service, AdapterId adapter) implements Comparable<AdapterKey> {
     /**
-     * Parses the written form.
+     * Parses an adapter key.
      *
      * @param text {@code service/adapter}
      */
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -12,9 +12,9 @@
 import org.banyanstair.model.ServiceId;
 
 /**
- * Why an operation failed; one record per cause, with the values that explain it.
+ * Cause of a failed operation; one record type for each cause, with its details as components.
  *
- * <p>Texts for people are in the bundle {@code messages.properties} of this package, keyed by {@link #code}.
+ * <p>The message texts are in the bundle {@code messages.properties} of this package, keyed by {@link #code}.
  */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "failure")
 public sealed interface Failure {
@@ -29,43 +29,43 @@
     }
 
     /**
-     * Returns what the failure says about the request.
+     * Returns whether the request may have been executed in spite of the failure.
      *
-     * @return {@link FailureOutcome#NOT_RUN} unless the case says otherwise
+     * @return {@link FailureOutcome#NOT_RUN} unless overridden
      */
     @JsonIgnore
     default FailureOutcome outcome() {
         return FailureOutcome.NOT_RUN;
     }
 
-    /** A field of an input has a wrong value. */
+    /** A field of an input has an invalid value. */
     record InvalidField(String field, String accepted) implements Failure {}
 
-    /** A field of a settings or declarations file has a wrong value. */
+    /** A field of a settings or declarations file has an invalid value. */
     record InvalidSetting(String file, int line, int column, String field, String accepted) implements Failure {}
 
     /** A body or file could not be parsed. */
     record MalformedInput(String input, int line, int column) implements Failure {}
 
-    /** A body is larger than accepted. */
+    /** A body exceeds the size limit. */
     record BodyTooLarge(long limitBytes) implements Failure {}
 
-    /** The request carries no known key. */
+    /** The request has no valid API key. */
     record Unauthenticated() implements Failure {}
 
-    /** The service does not answer this caller. */
+    /** The caller may not use the service. */
     record CallerNotAllowed(CallerId caller, ServiceId service) implements Failure {}
 
-    /** No such service. */
+    /** The service does not exist. */
     record UnknownService(ServiceId service) implements Failure {}
 
-    /** No such adapter, or no such version of it. */
+    /** The adapter or its version does not exist. */
     record UnknownModel(String model) implements Failure {}
 
-    /** A call that may not be repeated carries no idempotency key. */
+    /** A non-idempotent call has no idempotency key. */
     record MissingIdempotencyKey(ServiceId service) implements Failure {}
 
-    /** The idempotency key was used before with another body. */
+    /** The idempotency key was used before for another call. */
     record IdempotencyKeyReused(String key) implements Failure {}
 
     /** The deadline has passed. */
@@ -79,7 +79,7 @@
         }
     }
 
-    /** The deadline is further off than accepted. */
+    /** The deadline is too far in the future. */
     record DeadlineTooFar(Instant deadline, Instant latest) implements Failure {}
 
     /** The request cannot be answered before its deadline. */
@@ -88,16 +88,16 @@
     /** The queue of the pool is full. */
     record QueueFull(PoolId pool, int limit) implements Failure {}
 
-    /** The caller has as many requests running or waiting as it may have. */
+    /** The caller has reached its limit of running and waiting requests. */
     record CallerLimitReached(CallerId caller, int limit) implements Failure {}
 
     /** No endpoint of the pool can take the request. */
     record NoEndpoint(PoolId pool) implements Failure {}
 
-    /** The adapter could not be loaded anywhere. */
+    /** No engine could load the adapter. */
     record AdapterLoadFailed(AdapterVersion adapter) implements Failure {}
 
-    /** The request has crashed endpoints and is refused; {@code ran} tells whether this very request ran before. */
+    /** Requests like this one have crashed endpoints; {@code ran} is true if this request itself was executed before. */
     record RequestCrashesEndpoints(int crashes, boolean ran) implements Failure {
         @Override
         public FailureOutcome outcome() {
@@ -108,10 +108,10 @@
     /** The preset in force admits no new requests. */
     record InMaintenance(ServiceId service) implements Failure {}
 
-    /** Retries have used up their share of the traffic. */
+    /** The retry budget of the pool is exhausted. */
     record RetryBudgetSpent(PoolId pool) implements Failure {}
 
-    /** The endpoint failed while it ran the request. */
+    /** The endpoint failed while it was executing the request. */
     record EndpointFailed(EndpointId endpoint) implements Failure {
         @Override
         public FailureOutcome outcome() {
@@ -122,16 +122,16 @@
     /** The endpoint could not be reached; nothing was sent. */
     record EndpointUnreachable(EndpointId endpoint) implements Failure {}
 
-    /** The endpoint refused the request or order before it ran. */
+    /** The endpoint refused the request or command without executing it. */
     record EndpointRefused(EndpointId endpoint, int status) implements Failure {}
 
-    /** The endpoint does not have the adapter. */
+    /** The endpoint has not loaded the adapter. */
     record AdapterNotLoaded(EndpointId endpoint, AdapterVersion adapter) implements Failure {}
 
-    /** The endpoint has seen a higher fencing number. */
+    /** The endpoint has seen a higher fencing token. */
     record OrderFenced(EndpointId endpoint, long term) implements Failure {}
 
-    /** The call may have run; its outcome is not known. */
+    /** The call may have been executed; its outcome is unknown. */
     record OutcomeUnknown() implements Failure {
         @Override
         public FailureOutcome outcome() {
@@ -142,22 +142,22 @@
     /** The host has no configuration yet. */
     record NotReady(HostId host) implements Failure {}
 
-    /** The log service cannot be reached or refuses the operation. */
+    /** The log service cannot be reached or refused the operation. */
     record LogUnavailable(String stream) implements Failure {}
 
     /** The host list cannot be read. */
     record HostListUnavailable() implements Failure {}
 
-    /** No host decides for the pool at the moment. */
+    /** The pool currently has no owner. */
     record OwnerUnavailable(PoolId pool) implements Failure {}
 
-    /** No host could write the intent of the call. */
+    /** No writer could record the intent of the call. */
     record WriterUnavailable(int partition) implements Failure {}
 
-    /** Another change was accepted first. */
+    /** Another change has been accepted since the base version. */
     record ConfigurationConflict(long baseVersion, long winningVersion) implements Failure {}
 
-    /** It is not known whether the change was accepted; ask again with its id. */
+    /** It is unknown whether the change was accepted; query the verdict with its id. */
     record ChangeOutcomeUnknown(String changeId) implements Failure {
         @Override
         public FailureOutcome outcome() {
@@ -176,25 +176,25 @@
         }
     }
 
-    /** A host could not be reached. */
+    /** The host could not be reached. */
     record HostUnreachable(HostId host) implements Failure {}
 
     /** None of the operator addresses could be reached; nothing was sent, or the request may be repeated. */
     record OperatorUnreachable(String addresses) implements Failure {}
 
-    /** The operator API answered in a way that its protocol does not know. */
+    /** The operator API sent a response that does not follow its protocol. */
     record UnexpectedResponse(int status) implements Failure {}
 
     /** The peer sent a frame that could not be decoded. */
     record MalformedFrame(int lengthBytes) implements Failure {}
 
-    /** The interface has no such path, or the path does not take the method. */
+    /** The API has no such path, or the path does not support the method. */
     record UnknownPath(String method, String path) implements Failure {}
 
     /** This host has not seen a change with this id. */
     record UnknownChange(String changeId) implements Failure {}
 
-    /** A fault in this software; the request may have run. */
+    /** A bug in this software; the request may have been executed. */
     record InternalError() implements Failure {
         @Override
         public FailureOutcome outcome() {
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/FailureException.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/FailureException.java
@@ -1,6 +1,6 @@
 package org.banyanstair.errors;
 
-/** Carries a {@link Failure} through code that can only report by throwing, such as record constructors. */
+/** Wraps a {@link Failure} for code that can only report errors by throwing, such as record constructors. */
 public final class FailureException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/FailureOutcome.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/FailureOutcome.java
@@ -1,9 +1,9 @@
 package org.banyanstair.errors;
 
-/** What a failure says about whether the request ran. */
+/** Whether a failed request was executed. */
 public enum FailureOutcome {
-    /** The request did not run and never will. */
+    /** The request was not executed and never will be. */
     NOT_RUN,
-    /** The request may have run, or part of it ran. */
+    /** The request may have been executed, wholly or in part. */
     UNKNOWN
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/FailureText.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/FailureText.java
@@ -3,17 +3,17 @@
 import java.lang.reflect.RecordComponent;
 import java.util.ResourceBundle;
 
-/** Turns failures into sentences for people, from the message bundle of this package. */
+/** Formats the message texts of failures from the bundle of this package. */
 public final class FailureText {
     private static final ResourceBundle MESSAGES = ResourceBundle.getBundle("org.banyanstair.errors.messages");
 
     private FailureText() {}
 
     /**
-     * Returns the sentence for a failure.
+     * Returns the message text of a failure.
      *
      * @param failure the failure, not null
-     * @return the text of the bundle with {@code {component}} replaced by the values of the record
+     * @return the text of the bundle with each {@code {component}} replaced by the value of the record component
      */
     public static String of(Failure failure) {
         String text = MESSAGES.getString(failure.code());
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/package-info.java
@@ -1,2 +1,2 @@
-/** Failures as values: every way in which an operation can fail has a type that carries the values behind it. */
+/** Failures as values: each cause of a failure has a record type with its details. */
 package org.banyanstair.errors;
--- a/banyanstair-core/src/main/java/org/banyanstair/external/AppendResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/AppendResult.java
@@ -2,14 +2,14 @@
 
 import org.banyanstair.errors.Failure;
 
-/** What is known after an append to the log. */
+/** Result of an append to the log. */
 public sealed interface AppendResult {
-    /** The records are in the log. */
+    /** The records were stored; {@code firstOffset} is the offset of the first one. */
     record Appended(long firstOffset) implements AppendResult {}
 
-    /** The records are certainly not in the log. */
+    /** The records were definitely not stored. */
     record Rejected(Failure failure) implements AppendResult {}
 
-    /** The records may or may not be in the log; only reading it settles that. */
+    /** The records may or may not have been stored; only reading the stream shows which. */
     record Unknown(Failure failure) implements AppendResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/Cancellation.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/Cancellation.java
@@ -1,8 +1,8 @@
 package org.banyanstair.external;
 
-/** Ends a running operation. */
+/** Handle that cancels a running operation. */
 @FunctionalInterface
 public interface Cancellation {
-    /** Cancels the operation; no effect if it has ended. May be called from any thread. */
+    /** Cancels the operation; has no effect if it has ended. Thread-safe. */
     void cancel();
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineClient.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineClient.java
@@ -6,34 +6,34 @@
 import org.banyanstair.model.AdapterVersion;
 
 /**
- * Gives orders to engines and runs requests on them.
+ * Sends commands to engines and runs generations on them.
  *
- * <p>Implementations are thread-safe. Futures complete normally for every foreseen failure.
+ * <p>Implementations are thread-safe. Futures complete normally for every expected failure, unless stated otherwise.
  */
 public interface EngineClient {
     /**
-     * Orders an engine to load an adapter into a free slot; done when the adapter can serve.
+     * Commands an engine to load an adapter into a free slot; completes when the adapter can be used.
      *
-     * @param term fencing number of the order
+     * @param term fencing token of the command
      */
     CompletableFuture<EngineCommandResult> load(Endpoint endpoint, AdapterVersion adapter, long term);
 
     /**
-     * Orders an engine to unload an adapter.
+     * Commands an engine to unload an adapter.
      *
-     * @param term fencing number of the order
+     * @param term fencing token of the command
      */
     CompletableFuture<EngineCommandResult> unload(Endpoint endpoint, AdapterVersion adapter, long term);
 
     /**
-     * Makes an engine that checks fencing numbers refuse orders of lower terms from now on.
+     * Makes an engine that checks fencing tokens refuse commands with lower terms from now on.
      *
-     * @param term the new lowest fencing number
+     * @param term the new lowest fencing token
      */
     CompletableFuture<EngineCommandResult> raiseFence(Endpoint endpoint, long term);
 
     /**
-     * Reads what an engine has loaded and runs. The report may lag behind.
+     * Reads the loaded adapters and running requests of an engine. The status may be stale.
      *
      * @return the status; completes exceptionally with {@link org.banyanstair.errors.FailureException} if it cannot be
      *     read
@@ -43,7 +43,7 @@
     /**
      * Starts a generation and streams its tokens to the listener.
      *
-     * @param listener gets the tokens in order and then exactly one end
+     * @param listener receives the tokens in order and then exactly one result
      * @return handle that cancels the generation at the engine
      */
     Cancellation generate(Endpoint endpoint, EngineRequest request, TokenListener listener);
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineCommandResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineCommandResult.java
@@ -2,14 +2,14 @@
 
 import org.banyanstair.errors.Failure;
 
-/** What is known after an order to an engine. */
+/** Result of a command to an engine. */
 public sealed interface EngineCommandResult {
-    /** The order took effect. */
+    /** The command took effect. */
     record Done() implements EngineCommandResult {}
 
-    /** The order certainly had and will have no effect. */
+    /** The command had no effect and will have none. */
     record Refused(Failure failure) implements EngineCommandResult {}
 
-    /** The order may have taken effect or may still do so. */
+    /** The command may have taken effect or may still take effect. */
     record Unknown(Failure failure) implements EngineCommandResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
@@ -7,14 +7,14 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * One generation as sent to an engine.
+ * A generation request to an engine.
  *
- * @param requestId id under which the engine knows the generation, the same when it is resumed
+ * @param requestId id of the generation at the engine, the same when it is resumed
  * @param path {@code /v1/chat/completions} or {@code /v1/completions}
- * @param body JSON body of the caller with {@code model} set to the engine name of the adapter and {@code stream} on
- * @param deadline instant after which nobody waits for the answer
- * @param nextToken index of the first token wanted
- * @param resumes whether the engine still has the stream and only sends it again from the first token wanted
+ * @param body JSON body of the caller, with {@code model} set to the engine name of the adapter and {@code stream} to true
+ * @param deadline instant after which the caller no longer waits for the answer
+ * @param nextToken index of the first token to send
+ * @param resumes whether to resume a stream that the engine still buffers, instead of starting a generation
  */
 public record EngineRequest(
         RequestId requestId,
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineStatus.java
@@ -5,13 +5,13 @@
 import org.banyanstair.model.AdapterVersion;
 
 /**
- * What an engine reports about itself.
+ * Status reported by an engine.
  *
- * @param incarnation changes when the engine restarts, and with it everything that it had loaded is gone
- * @param batchLimit most requests that run at a time
- * @param loaded loaded adapters with the number of requests that run on each
- * @param running requests that run
- * @param fence highest fencing number seen, 0 if the engine checks none
+ * @param incarnation changes when the engine restarts, which unloads all its adapters
+ * @param batchLimit maximum concurrent requests
+ * @param loaded number of running requests of each loaded adapter
+ * @param running total number of running requests
+ * @param fence highest fencing token seen, 0 if the engine does not check them
  */
 public record EngineStatus(
         long incarnation, int slots, int batchLimit, Map<AdapterVersion, Integer> loaded, int running, long fence) {
--- a/banyanstair-core/src/main/java/org/banyanstair/external/GenerationResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/GenerationResult.java
@@ -2,14 +2,14 @@
 
 import org.banyanstair.errors.Failure;
 
-/** How a generation at an engine ended. */
+/** Result of a generation on an engine. */
 public sealed interface GenerationResult {
     /** All tokens were delivered. */
     record Complete() implements GenerationResult {}
 
-    /** The engine did not start the request. */
+    /** The engine did not start the generation. */
     record NotStarted(Failure failure) implements GenerationResult {}
 
-    /** The stream ended early; the engine may still run the request. */
+    /** The token stream ended prematurely; the engine may still be running the generation. */
     record Broken(Failure failure) implements GenerationResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/HostListSource.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/HostListSource.java
@@ -4,7 +4,7 @@
 
 import org.banyanstair.membership.HostListing;
 
-/** Reads the platform's host list. Implementations are thread-safe. */
+/** Reads the external host list. Implementations are thread-safe. */
 public interface HostListSource {
     /**
      * Reads the whole list.
--- a/banyanstair-core/src/main/java/org/banyanstair/external/LogRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/LogRecord.java
@@ -5,8 +5,8 @@
 /**
  * One record of a stream.
  *
- * @param offset place in the stream
- * @param appendedAt instant at which the log service took it, by the log service's clock
- * @param payload bytes as appended; not to be changed
+ * @param offset offset in the stream
+ * @param appendedAt when the log service stored it, by its clock
+ * @param payload bytes as appended; must not be modified
  */
 public record LogRecord(long offset, Instant appendedAt, byte[] payload) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/external/LogService.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/LogService.java
@@ -5,24 +5,24 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The platform's append-only log service.
+ * The external append-only log service.
  *
- * <p>Implementations are thread-safe. Futures complete normally for every foreseen failure.
+ * <p>Implementations are thread-safe. Futures complete normally for every expected failure.
  */
 public interface LogService {
     /**
-     * Appends records to a stream in one operation; they get consecutive offsets.
+     * Appends records to a stream in one operation, at consecutive offsets.
      *
      * @param records payloads, at least one
      */
     CompletableFuture<AppendResult> append(String stream, List<byte[]> records);
 
     /**
-     * Reads records from an offset on; waits for one if there is none yet.
+     * Reads records starting at an offset; waits for one if there is none yet.
      *
-     * @param fromOffset first offset wanted, 0 or more
-     * @param limit most records to return
-     * @param waitUntil instant at which an empty answer is given if no record has come
+     * @param fromOffset offset of the first record to read, at least 0
+     * @param limit maximum number of records
+     * @param waitUntil when to return no records if none has been appended
      */
     CompletableFuture<ReadResult> read(String stream, long fromOffset, int limit, Instant waitUntil);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/LogStreams.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/LogStreams.java
@@ -13,17 +13,17 @@
     /** Claims of pools and announced unloads. */
     public static final String OWNERSHIP = "ownership";
 
-    /** Crash suspects. */
+    /** Crashes with the requests that are suspected of having caused them. */
     public static final String SUSPECTS = "suspects";
 
-    /** Number of partitions of the non-idempotent calls. */
+    /** Number of partitions into which the non-idempotent calls are divided by their key. */
     public static final int CALL_PARTITIONS = 8;
 
     private static final String CALLS = "calls-";
 
     private LogStreams() {}
 
-    /** Returns the stream of a partition of the non-idempotent calls. */
+    /** Returns the stream of a call partition. */
     public static String callStream(int partition) {
         return CALLS + partition;
     }
@@ -38,7 +38,7 @@
         return Integer.parseInt(stream.substring(CALLS.length()));
     }
 
-    /** Lists the partitions. */
+    /** Returns the numbers of all call partitions. */
     public static IntStream callPartitions() {
         return IntStream.range(0, CALL_PARTITIONS);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/PlainServiceClient.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/PlainServiceClient.java
@@ -4,12 +4,8 @@
 
 import org.banyanstair.membership.Endpoint;
 
-/** Calls plain services. Implementations are thread-safe and never repeat a call. */
+/** Calls plain services. Implementations are thread-safe and never retry a call. */
 public interface PlainServiceClient {
-    /**
-     * Sends one call, once.
-     *
-     * @param endpoint where to send it
-     */
+    /** Sends a call, without retries. */
     CompletableFuture<ServiceCallResult> call(Endpoint endpoint, ServiceCall request);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ReadResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ReadResult.java
@@ -4,13 +4,13 @@
 
 import org.banyanstair.errors.Failure;
 
-/** What a read of the log gave. */
+/** Result of a read from the log. */
 public sealed interface ReadResult {
     /**
-     * Records that follow each other without a gap.
+     * Consecutive records of the stream.
      *
-     * @param next offset to read from next
-     * @param end offset that the next append to the stream will get
+     * @param next offset at which to continue reading
+     * @param end offset of the next record that will be appended
      * @param records the records, possibly none
      */
     record Records(long next, long end, List<LogRecord> records) implements ReadResult {
@@ -21,7 +21,7 @@
     }
 
     /**
-     * The offset asked for has expired.
+     * The requested offset has expired.
      *
      * @param earliest lowest offset that can still be read
      */
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ServiceAnswer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ServiceAnswer.java
@@ -5,6 +5,6 @@
 /**
  * The answer of a plain service.
  *
- * @param body body, empty for none; not to be changed
+ * @param body empty if there is none; must not be modified
  */
 public record ServiceAnswer(int status, Optional<String> contentType, byte[] body) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ServiceCall.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ServiceCall.java
@@ -8,9 +8,9 @@
 /**
  * One call of a plain service.
  *
- * @param path path and query below the service
- * @param body body, empty for none
- * @param deadline instant after which nobody waits for the answer
+ * @param path path and query, relative to the service
+ * @param body empty if there is none
+ * @param deadline instant after which the caller no longer waits for the answer
  */
 public record ServiceCall(
         RequestId requestId, String method, String path, Optional<String> contentType, byte[] body, Instant deadline) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/external/ServiceCallResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/ServiceCallResult.java
@@ -2,14 +2,14 @@
 
 import org.banyanstair.errors.Failure;
 
-/** What is known after a call of a plain service. */
+/** Result of a call of a plain service. */
 public sealed interface ServiceCallResult {
-    /** The service answered. */
+    /** The service sent a complete answer. */
     record Answered(ServiceAnswer answer) implements ServiceCallResult {}
 
-    /** Proved that no byte of the call reached the service. */
+    /** No byte of the call reached the service. */
     record NotSent(Failure failure) implements ServiceCallResult {}
 
-    /** The call may have run. */
+    /** The service may have executed the call. */
     record OutcomeUnknown(Failure failure) implements ServiceCallResult {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/TokenListener.java
@@ -1,15 +1,15 @@
 package org.banyanstair.external;
 
-/** Receives the events of one generation, one at a time, in order. */
+/** Receives the tokens and the result of one generation, in order and never concurrently. */
 public interface TokenListener {
     /**
-     * A chunk came.
+     * Handles the next token.
      *
-     * @param index index of the chunk's token in the answer, from 0, without gaps
-     * @param json the chunk, an OpenAI {@code *.chunk} object
+     * @param index index of the token in the answer, from 0, without gaps
+     * @param json the OpenAI {@code *.chunk} object that contains the token
      */
     void token(long index, String json);
 
-    /** The generation ended; nothing follows. */
+    /** Handles the end of the generation; no call follows. */
     void end(GenerationResult end);
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/Topic.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/Topic.java
@@ -1,13 +1,13 @@
 package org.banyanstair.external;
 
-/** A compacted topic of the platform's log that hosts follow. */
+/** A compacted topic of the external log that hosts follow. */
 public enum Topic {
-    /** The operators' configuration and adapter versions. */
+    /** The configuration and the adapter versions, written by operators. */
     CONFIGURATION,
-    /** The endpoints' entries. */
+    /** The list of endpoints. */
     ENDPOINTS,
-    /** Which host commands each runner; written by hosts. */
+    /** The host that commands each runner, written by hosts. */
     CLAIMS,
-    /** The entry hosts; written by hosts. */
+    /** The entry hosts, written by hosts. */
     HOSTS
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/external/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/package-info.java
@@ -1,2 +1,2 @@
-/** Interfaces of the systems outside: log service, host list, engines and plain services. */
+/** Interfaces to the external systems: log service, host list, engines and plain services. */
 package org.banyanstair.external;
--- a/banyanstair-core/src/main/java/org/banyanstair/model/AdapterVersion.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/AdapterVersion.java
@@ -4,7 +4,7 @@
  * One version of one adapter of a service.
  *
  * @param service service that the adapter belongs to
- * @param version version label, of the form that {@link Names#check} accepts
+ * @param version version label that satisfies {@link Names#check}
  */
 public record AdapterVersion(ServiceId service, AdapterId adapter, String version)
         implements Comparable<AdapterVersion> {
@@ -14,7 +14,7 @@
     }
 
     /**
-     * Returns the name under which engines know this adapter version.
+     * Returns the name of this adapter version at the engines.
      *
      * @return {@code service/adapter@version}
      */
@@ -23,7 +23,7 @@
     }
 
     /**
-     * Parses an engine name.
+     * Parses the name of an adapter version at the engines.
      *
      * @param name {@code service/adapter@version}
      * @throws org.banyanstair.errors.FailureException if the name is malformed
--- a/banyanstair-core/src/main/java/org/banyanstair/model/Fingerprint.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Fingerprint.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonValue;
 
 /**
- * Digest of what a request asks for (caller, model and body), equal when a caller sends the same request again.
+ * Digest of caller, model and body of a request, equal when a caller sends the same request again.
  *
  * @param value hexadecimal digest
  */
--- a/banyanstair-core/src/main/java/org/banyanstair/model/HostIdentity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/HostIdentity.java
@@ -1,11 +1,11 @@
 package org.banyanstair.model;
 
 /**
- * One run of the daemon on an entry host.
+ * One incarnation of the daemon on an entry host.
  *
- * <p>A host whose daemon restarts keeps its id and gets a higher incarnation.
+ * <p>When its daemon restarts, a host keeps its id and gets a higher incarnation.
  *
- * @param incarnation number that grows with each start of the daemon on this host
+ * @param incarnation increases with each start of the daemon on this host
  */
 public record HostIdentity(HostId host, long incarnation) {
     @Override
--- a/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/ModelName.java
@@ -8,14 +8,14 @@
 /**
  * The {@code model} field of a caller's request: service, adapter and, if given, version.
  *
- * @param version version label, empty if the caller leaves the choice to the configuration
+ * @param version version label, empty for the default version in the configuration
  */
 public record ModelName(ServiceId service, AdapterId adapter, Optional<String> version) {
     /** Accepted form, as shown in error messages. */
     public static final String ACCEPTED_FORMAT = "service/adapter or service/adapter@version";
 
     /**
-     * Parses the written form.
+     * Parses a model name.
      *
      * @param text {@code service/adapter} or {@code service/adapter@version}
      * @throws FailureException with {@link Failure.InvalidField} if the text is malformed
--- a/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
@@ -3,7 +3,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** Checks the names that operators give to services, adapters, callers and the like. */
+/** Validates the names that operators give to services, adapters, callers and other entities. */
 public final class Names {
     /** Accepted form of a name, as shown in error messages. */
     public static final String ACCEPTED_FORMAT =
@@ -25,7 +25,7 @@
         return value;
     }
 
-    /** Names are checked in each message that is decoded. */
+    /** Hand-written instead of a regular expression, since names are checked in each message that is decoded. */
     private static boolean isAccepted(String value) {
         if (value.isEmpty() || value.length() > LONGEST || !isLetterOrDigit(value.charAt(0))) {
             return false;
--- a/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
@@ -31,7 +31,7 @@
     }
 
     /**
-     * Parses the written form.
+     * Parses an address.
      *
      * @throws FailureException with {@link Failure.InvalidField} if the text is malformed
      */
--- a/banyanstair-core/src/main/java/org/banyanstair/model/PriorityClass.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/PriorityClass.java
@@ -1,9 +1,9 @@
 package org.banyanstair.model;
 
-/** Priority of a caller's request; premium requests go ahead of standard ones. */
+/** Priority of a request. */
 public enum PriorityClass {
-    /** Goes first. */
+    /** Scheduled before standard requests. */
     PREMIUM,
-    /** Goes after premium, but is promoted once it has waited for the ageing limit of the preset. */
+    /** Scheduled after premium requests, but treated like them after the ageing time of the preset. */
     STANDARD
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/model/RequestId.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/RequestId.java
@@ -4,9 +4,9 @@
 import com.fasterxml.jackson.annotation.JsonValue;
 
 /**
- * Identifies one caller request; unique over all hosts and restarts.
+ * Identifies a request of a caller; unique across all hosts and restarts.
  *
- * @param value text that the entry host assigns, of at most 80 characters
+ * @param value assigned by the entry host; at most 80 characters
  */
 public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
     /** Creates the id. */
--- a/banyanstair-core/src/main/java/org/banyanstair/model/package-info.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/package-info.java
@@ -1,2 +1,2 @@
-/** Identifiers and small values that all other packages share. */
+/** Identifiers and small value types that all other packages share. */
 package org.banyanstair.model;
