Rename constants of the name and address checks

LONGEST, NUMBERS, DECIMAL and FORM did not say what they bound or are; they are MAXIMUM_LENGTH, OCTETS, DECIMAL_RADIX and FORMAT. The test of the formats says what it guards against.

Only identifiers and a comment change.

--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallKey.java
@@ -16,11 +16,11 @@
  * @param key value of the header {@code Idempotency-Key}: 1 to 128 printable ASCII characters without blanks
  */
 public record CallKey(CallerId caller, ServiceId service, String key) {
-    private static final Pattern FORM = Pattern.compile("[!-~]{1,128}");
+    private static final Pattern FORMAT = Pattern.compile("[!-~]{1,128}");
 
     /** Checks the key. */
     public CallKey {
-        if (key == null || !FORM.matcher(key).matches()) {
+        if (key == null || !FORMAT.matcher(key).matches()) {
             throw new FailureException(
                     new Failure.InvalidField("Idempotency-Key", "1 to 128 printable ASCII characters without blanks"));
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/Names.java
@@ -9,7 +9,7 @@
     public static final String ACCEPTED_FORMAT =
             "1 to 63 characters of a-z, 0-9, '.', '_' and '-', starting with a-z or 0-9";
 
-    private static final int LONGEST = 63;
+    private static final int MAXIMUM_LENGTH = 63;
 
     private Names() {}
 
@@ -27,7 +27,7 @@
 
     /** Hand-written instead of a regular expression, since names are checked in each message that is decoded. */
     private static boolean isAccepted(String value) {
-        if (value.isEmpty() || value.length() > LONGEST || !isLetterOrDigit(value.charAt(0))) {
+        if (value.isEmpty() || value.length() > MAXIMUM_LENGTH || !isLetterOrDigit(value.charAt(0))) {
             return false;
         }
         for (int index = 1; index < value.length(); index++) {
--- a/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/NetworkAddress.java
@@ -15,13 +15,13 @@
     /** Accepted form, as shown in error messages. */
     public static final String ACCEPTED_FORMAT = "an IPv4 address and a port from 1 to 65535, such as 127.0.0.1:8080";
 
-    private static final int NUMBERS = 4;
+    private static final int OCTETS = 4;
 
-    private static final int DECIMAL = 10;
+    private static final int DECIMAL_RADIX = 10;
 
-    private static final int LONGEST_NUMBER = 3;
+    private static final int MAXIMUM_OCTET_DIGITS = 3;
 
-    private static final int LONGEST_PORT = 5;
+    private static final int MAXIMUM_PORT_DIGITS = 5;
 
     /** Checks the port. */
     public NetworkAddress {
@@ -38,26 +38,29 @@
     @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public static NetworkAddress parse(String text) {
         int colon = text == null ? -1 : text.indexOf(':');
-        if (colon < 0 || !isIp(text, colon) || !isNumber(text, colon + 1, text.length(), LONGEST_PORT)) {
+        if (colon < 0
+                || !isIpv4Address(text, colon)
+                || !isNumber(text, colon + 1, text.length(), MAXIMUM_PORT_DIGITS)) {
             throw new FailureException(new Failure.InvalidField("address", ACCEPTED_FORMAT));
         }
-        return new NetworkAddress(text.substring(0, colon), Integer.parseInt(text, colon + 1, text.length(), DECIMAL));
+        return new NetworkAddress(
+                text.substring(0, colon), Integer.parseInt(text, colon + 1, text.length(), DECIMAL_RADIX));
     }
 
-    private static boolean isIp(String text, int end) {
+    private static boolean isIpv4Address(String text, int end) {
         int start = 0;
-        for (int number = 1; number < NUMBERS; number++) {
+        for (int octet = 1; octet < OCTETS; octet++) {
             int dot = text.indexOf('.', start);
-            if (dot < 0 || dot > end || !isNumber(text, start, dot, LONGEST_NUMBER)) {
+            if (dot < 0 || dot > end || !isNumber(text, start, dot, MAXIMUM_OCTET_DIGITS)) {
                 return false;
             }
             start = dot + 1;
         }
-        return isNumber(text, start, end, LONGEST_NUMBER);
+        return isNumber(text, start, end, MAXIMUM_OCTET_DIGITS);
     }
 
-    private static boolean isNumber(String text, int start, int end, int longest) {
-        if (start >= end || end - start > longest) {
+    private static boolean isNumber(String text, int start, int end, int maximumDigits) {
+        if (start >= end || end - start > maximumDigits) {
             return false;
         }
         for (int index = start; index < end; index++) {
--- a/banyanstair-core/src/test/java/org/banyanstair/model/NameAndAddressFormatTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/model/NameAndAddressFormatTest.java
@@ -9,31 +9,32 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+/** Guards against hand-written format checks that accept other names or addresses than the documented formats. */
 class NameAndAddressFormatTest {
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
 
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})");
 
     @Test
-    void namesAreAcceptedAsTheirFormSays() {
+    void namesAreAcceptedIfTheyMatchTheFormat() {
         Random random = new Random(1);
         for (int number = 0; number < 20_000; number++) {
-            String text = draw(random, "az09._-AZ/ \u0663", random.nextInt(4) == 0 ? 70 : 5);
+            String text = randomText(random, "az09._-AZ/ \u0663", random.nextInt(4) == 0 ? 70 : 5);
             assertEquals(NAME.matcher(text).matches(), isAccepted(() -> Names.check("name", text)), text);
         }
     }
 
     @Test
-    void addressesAreAcceptedAsTheirFormSays() {
+    void addressesAreAcceptedIfTheyMatchTheFormat() {
         Random random = new Random(2);
         for (int number = 0; number < 20_000; number++) {
             StringBuilder text = new StringBuilder("10.20.30.40:8080");
             for (int change = random.nextInt(3); change > 0; change--) {
                 int at = random.nextInt(text.length());
-                text.replace(at, at + random.nextInt(2), draw(random, "0123.: \u0663", 2));
+                text.replace(at, at + random.nextInt(2), randomText(random, "0123.: \u0663", 2));
             }
-            boolean formed = ADDRESS.matcher(text).matches();
-            int port = formed ? Integer.parseInt(text.substring(text.indexOf(":") + 1)) : 0;
+            boolean matchesFormat = ADDRESS.matcher(text).matches();
+            int port = matchesFormat ? Integer.parseInt(text.substring(text.indexOf(":") + 1)) : 0;
             assertEquals(
                     port >= 1 && port <= 65_535,
                     isAccepted(() -> NetworkAddress.parse(text.toString())),
@@ -45,9 +46,9 @@
         assertEquals(new NetworkAddress("1.22.255.4", 65_535), NetworkAddress.parse("1.22.255.4:65535"));
     }
 
-    private static String draw(Random random, String characters, int longest) {
+    private static String randomText(Random random, String characters, int lengthBound) {
         StringBuilder text = new StringBuilder();
-        for (int length = random.nextInt(longest); length > 0; length--) {
+        for (int length = random.nextInt(lengthBound); length > 0; length--) {
             text.append(characters.charAt(random.nextInt(characters.length())));
         }
         return text.toString();
