Name append ids and the load failure limit in placement

append, takenAt and hasExceededLoadFailures are appendId, startedAt and hasReachedLoadFailureLimit (the limit itself counts as reached).

--- a/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/ownership/OwnershipCoordinator.java
@@ -43,7 +43,7 @@
     private final Map<PoolId, Instant> nextClaimAt = new HashMap<>();
     private final Map<PoolId, Instant> unownedSince = new HashMap<>();
     private Set<HostId> watchedPeers = Set.of();
-    private long watchedListingChange = -1;
+    private long watchedListingChangeCount = -1;
     private Map<PoolId, Ownership> watchedOwners = Map.of();
     private boolean caughtUp;
     private boolean logUnavailable;
@@ -149,8 +149,8 @@
 
     /** Ranks the hosts only after a change: with a few hundred hosts, ranking on each tick takes more than a core. */
     private void updateWatchesIfChanged(Effects effects) {
-        if (watchedListingChange != membership.listingChangeCount() || !watchedOwners.equals(state.owners())) {
-            watchedListingChange = membership.listingChangeCount();
+        if (watchedListingChangeCount != membership.listingChangeCount() || !watchedOwners.equals(state.owners())) {
+            watchedListingChangeCount = membership.listingChangeCount();
             watchedOwners = Map.copyOf(state.owners());
             updateWatches(effects);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
@@ -160,7 +160,7 @@
                                 pool.suspects().crashCount(waiting.message().fingerprint()), false),
                         effects));
         List<WaitingRequest> withoutLoadableAdapter =
-                pool.queue().removeIf(waiting -> loads.hasExceededLoadFailures(waiting.adapter()));
+                pool.queue().removeIf(waiting -> loads.hasReachedLoadFailureLimit(waiting.adapter()));
         withoutLoadableAdapter.forEach(waiting -> {
             loads.resetFailures(waiting.adapter());
             refuse(
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -183,15 +183,15 @@
         // An engine that does not check fencing tokens executes the unload even after a takeover, so a new owner has
         // to learn of it from the log before it is sent.
         engine.slots().put(adapter, slot.withState(SlotState.ANNOUNCED, now));
-        long append = pool.sequence().next();
-        pendingAnnouncements.put(append, new EngineAdapter(engine.endpoint().id(), adapter));
+        long appendId = pool.sequence().next();
+        pendingAnnouncements.put(appendId, new EngineAdapter(engine.endpoint().id(), adapter));
         LogEntry announcement = new OwnershipRecord.UnloadAnnouncement(
                 pool.id(),
                 pool.term(),
                 engine.endpoint().id(),
                 engine.incarnation().orElseThrow(),
                 adapter);
-        effects.add(new Effect.AppendToLog(append, LogStreams.OWNERSHIP, List.of(announcement)));
+        effects.add(new Effect.AppendToLog(appendId, LogStreams.OWNERSHIP, List.of(announcement)));
     }
 
     /** Sends an announced unload once its record was read back from the log under the current term. */
@@ -217,16 +217,16 @@
         effects.add(new Effect.AppendToLog(pool.sequence().next(), LogStreams.OWNERSHIP, List.of(end)));
     }
 
-    void appendRejected(long append, Instant now) {
-        EngineAdapter announced = pendingAnnouncements.remove(append);
+    void appendRejected(long appendId, Instant now) {
+        EngineAdapter announced = pendingAnnouncements.remove(appendId);
         if (announced != null) {
             pool.engine(announced.endpoint())
                     .ifPresent(engine -> cancelAnnouncedUnload(engine, announced.adapter(), now));
         }
     }
 
-    void appendEnded(long append) {
-        pendingAnnouncements.remove(append);
+    void appendEnded(long appendId) {
+        pendingAnnouncements.remove(appendId);
     }
 
     private static void cancelAnnouncedUnload(EngineState engine, AdapterVersion adapter, Instant now) {
@@ -360,11 +360,11 @@
                     .collect(Collectors.toSet());
             overdue.forEach(adapter -> cancelAnnouncedUnload(engine, adapter, now));
         }
-        retryAllowedAt.values().removeIf(until -> !now.isBefore(until));
+        retryAllowedAt.values().removeIf(at -> !now.isBefore(at));
     }
 
     /** Whether the adapter reached {@link #MAXIMUM_CONSECUTIVE_LOAD_FAILURES}. */
-    boolean hasExceededLoadFailures(AdapterVersion adapter) {
+    boolean hasReachedLoadFailureLimit(AdapterVersion adapter) {
         return consecutiveFailures.getOrDefault(adapter, 0) >= MAXIMUM_CONSECUTIVE_LOAD_FAILURES;
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -135,13 +135,13 @@
     }
 
     /** Handles an append that the log rejected. */
-    public void appendRejected(long append, Instant now) {
-        loadPlanner.appendRejected(append, now);
+    public void appendRejected(long appendId, Instant now) {
+        loadPlanner.appendRejected(appendId, now);
     }
 
     /** Handles the end of an append that was not rejected. */
-    public void appendEnded(long append) {
-        loadPlanner.appendEnded(append);
+    public void appendEnded(long appendId) {
+        loadPlanner.appendEnded(appendId);
     }
 
     /** Handles the end of an adapter load. */
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/TakeoverProgress.java
@@ -19,8 +19,8 @@
     private final Set<HostId> replied = new HashSet<>();
     private boolean complete;
 
-    TakeoverProgress(Instant takenAt, ReducerSettings settings) {
-        this.startedAt = takenAt;
+    TakeoverProgress(Instant startedAt, ReducerSettings settings) {
+        this.startedAt = startedAt;
         this.settings = settings;
     }
 
