Restore two reasons in comments of placement, membership

The decay of popularity lets the ranking follow demand; the cores of a host are lowered for a weak network. The comments had lost this.

Ran: a comparison of the code without comments with the commit before: no difference.

--- a/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/HostAnnouncement.java
@@ -9,7 +9,7 @@
  * @param incarnation number that increases with each start of the host's daemon
  * @param callers address for callers
  * @param peers address for other entry hosts
- * @param cores processor capacity in cores; lower if the network of the host limits it to less
+ * @param cores processor capacity in cores; lower if the network of the host carries less than these cores could handle
  */
 public record HostAnnouncement(
         HostId host, long incarnation, NetworkAddress callers, NetworkAddress peers, String dataCentre, double cores) {}
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdapterPopularity.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdapterPopularity.java
@@ -7,7 +7,7 @@
 
 import org.banyanstair.model.AdapterVersion;
 
-/** Exponentially decayed request count per adapter. Not thread-safe. */
+/** Request count per adapter with exponential decay, so that the ranking follows demand. Not thread-safe. */
 final class AdapterPopularity {
     private static final Duration HALF_LIFE = Duration.ofMinutes(2);
 
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -18,11 +18,7 @@
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.reducer.Effects;
 
-/**
- * Schedules the requests and adapter loads of one engine pool during one ownership term.
- *
- * <p>Not thread-safe.
- */
+/** Schedules the requests and adapter loads of one engine pool during one ownership term. Not thread-safe. */
 public final class PoolOwner {
     private final PoolState pool;
     private final TakeoverProgress takeover;
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -179,9 +179,9 @@
     }
 
     /**
-     * Guards against a deadlock of two requests: each has failed on the engine that holds its adapter, so each needs the
-     * slot of the other's adapter, and both waited until their deadlines although the engines were idle. They arrive
-     * during the takeover, when nothing is unloaded, so that both wait before the first scheduling decision.
+     * Guards against a deadlock of two requests: each has failed on the engine that holds its adapter, so each needs
+     * the slot of the other's adapter, and both waited until their deadlines although the engines were idle. They
+     * arrive during the takeover, when nothing is unloaded, so that both wait before the first scheduling decision.
      */
     @Test
     void requestsThatNeedEachOthersSlotsAreBothGranted() {
