--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
@@ -163,9 +163,9 @@
             try (ChatTraffic traffic = traffic(seed, 14, except(cluster, null))) {
                 for (int round = 0; round < 8; round++) {
                     Thread.sleep(1_000);
-                    cluster.engines().get(round % 3).proxy().cutConnections();
+                    cluster.engines().get(round % 3).proxy().resetConnections();
                 }
-                cluster.engines().forEach(engine -> engine.proxy().silenceOpenConnections());
+                cluster.engines().forEach(engine -> engine.proxy().stallOpenConnections());
                 check(cluster, traffic, seed, Set.of());
             }
             long resumed = cluster.engines().stream()
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
@@ -76,7 +76,7 @@
                 ClusterHost cutOff = hosts.get(3);
                 cutOffHost = cutOff.id();
                 cutOff.logProxy().refuseConnections();
-                cutOff.logProxy().cutConnections();
+                cutOff.logProxy().resetConnections();
                 version = rounds(cluster, hosts.subList(1, 4), version, 10);
                 long last = version;
                 assertTrue(
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
@@ -183,12 +183,12 @@
     }
 
     private static void silence(Cluster cluster) {
-        cluster.hosts().forEach(host -> host.logProxy().silenceOpenConnections());
-        cluster.hosts().forEach(host -> host.peerProxy().silenceOpenConnections());
+        cluster.hosts().forEach(host -> host.logProxy().stallOpenConnections());
+        cluster.hosts().forEach(host -> host.peerProxy().stallOpenConnections());
         cluster.desks().forEach(desk -> silence(desk.proxy()));
     }
 
     private static void silence(FaultProxy proxy) {
-        proxy.silenceOpenConnections();
+        proxy.stallOpenConnections();
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/StandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/EndpointStandInServer.java
@@ -22,7 +22,7 @@
  *
  * <p>Handlers run on the event loop and must not block.
  */
-public final class StandInServer {
+public final class EndpointStandInServer {
     private static final String HOST = "127.0.0.1";
     private static final int MAX_REQUEST_BYTES = 4 << 20;
     private static final int START_ATTEMPTS = 20;
@@ -47,7 +47,7 @@
      * @param port port to listen on, 0 for a free one
      * @param routes declares the routes
      */
-    public StandInServer(int port, Consumer<Routes> routes) {
+    public EndpointStandInServer(int port, Consumer<Routes> routes) {
         this.port = port;
         this.routes = routes;
     }
@@ -55,11 +55,11 @@
     /** Declares the routes of a stand-in. */
     public static final class Routes {
         private final Jooby application;
-        private final Consumer<Channel> whenUsed;
+        private final Consumer<Channel> onRequestChannel;
 
-        private Routes(Jooby application, Consumer<Channel> whenUsed) {
+        private Routes(Jooby application, Consumer<Channel> onRequestChannel) {
             this.application = application;
-            this.whenUsed = whenUsed;
+            this.onRequestChannel = onRequestChannel;
         }
 
         /**
@@ -72,11 +72,11 @@
         public void on(String method, String path, Consumer<Exchange> action) {
             Route.Handler handler = context -> {
                 Exchange exchange = new Exchange(context);
-                whenUsed.accept(exchange.channel());
+                onRequestChannel.accept(exchange.channel());
                 try {
                     action.accept(exchange);
                 } catch (IllegalArgumentException exception) {
-                    exchange.refuse(400, "invalid_field", String.valueOf(exception.getMessage()));
+                    exchange.respondError(400, "invalid_field", String.valueOf(exception.getMessage()));
                 }
                 return context;
             };
@@ -150,8 +150,8 @@
     private void listen() {
         Jooby application = new Jooby();
         application.setExecutionMode(ExecutionMode.EVENT_LOOP);
-        application.error(
-                (context, cause, code) -> new Exchange(context).refuse(code.value(), "not_served", code.reason()));
+        application.error((context, cause, code) ->
+                new Exchange(context).respondError(code.value(), "not_served", code.reason()));
         routes.accept(new Routes(application, this::watch));
         ServerOptions options = new ServerOptions();
         options.setHost(HOST);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/Exchange.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/Exchange.java
@@ -99,9 +99,9 @@
      * @param status HTTP status
      * @param value value that Jackson can write
      */
-    public void answer(int status, Object value) {
+    public void respond(int status, Object value) {
         try {
-            answer(status, "application/json", Mappers.JSON.writeValueAsBytes(value));
+            respond(status, "application/json", Mappers.JSON.writeValueAsBytes(value));
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
@@ -114,7 +114,7 @@
      * @param contentType content type of the body
      * @param body the body
      */
-    public void answer(int status, String contentType, byte[] body) {
+    public void respond(int status, String contentType, byte[] body) {
         context.setResponseCode(StatusCode.valueOf(status));
         context.setResponseType(MediaType.valueOf(contentType));
         context.send(body);
@@ -127,8 +127,8 @@
      * @param code stable code of the error
      * @param message sentence for people
      */
-    public void refuse(int status, String code, String message) {
-        answer(status, Map.of("error", Map.of("message", message, "type", "endpoint_error", "code", code)));
+    public void respondError(int status, String code, String message) {
+        respond(status, Map.of("error", Map.of("message", message, "type", "endpoint_error", "code", code)));
     }
 
     /**
@@ -136,7 +136,7 @@
      *
      * @return false if the connection has closed; nothing was started then
      */
-    public boolean startEvents() {
+    public boolean startEventStream() {
         context.setResponseType(MediaType.valueOf("text/event-stream"));
         try {
             sender = context.responseSender();
@@ -153,9 +153,9 @@
     /**
      * Returns whether an answer of server-sent events was started.
      *
-     * @return whether {@link #startEvents} was called
+     * @return whether {@link #startEventStream} was called
      */
-    public boolean hasStartedEvents() {
+    public boolean isEventStreamStarted() {
         return sender != null;
     }
 
@@ -164,17 +164,17 @@
      *
      * @param text whole events
      */
-    public void sendEvents(String text) {
+    public void writeEvents(String text) {
         sender.write(text.getBytes(StandardCharsets.UTF_8), (unused, failure) -> {});
     }
 
     /** Ends an answer of server-sent events. */
-    public void endEvents() {
+    public void endEventStream() {
         sender.close();
     }
 
     /** Closes the connection without an answer or in the middle of one. */
-    public void breakConnection() {
+    public void closeConnection() {
         channel.close();
     }
 
@@ -189,7 +189,7 @@
     }
 
     /** Ends the watch, so that a kept-alive connection does not collect the listeners of earlier requests. */
-    public void forgetClose() {
+    public void removeCloseListener() {
         if (closeListener != null) {
             channel.closeFuture().removeListener(closeListener);
             closeListener = null;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
@@ -76,7 +76,7 @@
         } else if (loading.containsKey(adapter)) {
             loading.get(adapter).add(exchange);
         } else if (loaded.size() + loading.size() >= settings.slots()) {
-            exchange.refuse(409, "no_free_slot", "all adapter slots are taken");
+            exchange.respondError(409, "no_free_slot", "all adapter slots are taken");
         } else {
             loading.put(adapter, new ArrayList<>(List.of(exchange)));
             fetch(adapter);
@@ -102,7 +102,7 @@
             throw new IllegalArgumentException("role must be serve");
         }
         if (!isFenced(exchange)) {
-            exchange.answer(200, Map.of("role", "serve", "fence", fence));
+            exchange.respond(200, Map.of("role", "serve", "fence", fence));
         }
     }
 
@@ -123,7 +123,7 @@
         long number = Long.parseLong(exchange.header("X-Fencing-Number").orElse("0"));
         if (number < fence) {
             counts.fenced++;
-            exchange.refuse(409, "fenced", "the engine has seen fencing number " + fence);
+            exchange.respondError(409, "fenced", "the engine has seen fencing number " + fence);
             return true;
         }
         fence = number;
@@ -152,7 +152,7 @@
             exchanges.forEach(each -> finishLoad(each, adapter));
         } else {
             counts.failedLoads++;
-            exchanges.forEach(each -> each.refuse(424, "load_failed", "the adapter could not be loaded"));
+            exchanges.forEach(each -> each.respondError(424, "load_failed", "the adapter could not be loaded"));
         }
     }
 
@@ -162,9 +162,9 @@
 
     private void answer(Exchange exchange, String adapter, EngineFault loss) {
         if (faults.take(loss)) {
-            exchange.breakConnection();
+            exchange.closeConnection();
         } else {
-            exchange.answer(200, Map.of("lora_name", adapter));
+            exchange.respond(200, Map.of("lora_name", adapter));
         }
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
@@ -213,7 +213,7 @@
         waiting.remove(generation);
         streams.remove(generation.requestId, generation);
         if (generation.reader != null) {
-            generation.reader.refuse(status, code, message);
+            generation.reader.respondError(status, code, message);
             generation.detach();
         }
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
@@ -16,10 +16,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.endpoint.EndpointStandInServer;
 import org.banyanstair.testsupport.endpoint.Exchange;
 import org.banyanstair.testsupport.endpoint.FaultSettings;
 import org.banyanstair.testsupport.endpoint.SettingsArguments;
-import org.banyanstair.testsupport.endpoint.StandInServer;
 
 /**
  * Model engine that produces a known text instead of running a model.
@@ -36,7 +36,7 @@
     });
     private final Counts counts = new Counts();
     private final RunLog runLog = new RunLog();
-    private final StandInServer server;
+    private final EndpointStandInServer server;
     private final AdapterSlots slots;
     private final Batch batch;
     private final PrefixCache cache;
@@ -56,7 +56,7 @@
         this.slots = new AdapterSlots(resources);
         this.batch = new Batch(resources, cache, slots::isLoaded, this::crash);
         this.status = new StatusReport(settings.statusLagMilliseconds(), this::currentStatus);
-        this.server = new StandInServer(settings.port(), this::declare);
+        this.server = new EndpointStandInServer(settings.port(), this::declare);
     }
 
     /**
@@ -144,7 +144,7 @@
     private void putFaults(Exchange exchange) {
         Map<EngineFault, Long> parsed = faults.parse(exchange.json());
         parsed.forEach((fault, value) -> applyFault(fault, isAction(fault) ? 0 : value));
-        exchange.answer(200, parsed);
+        exchange.respond(200, parsed);
         parsed.forEach(this::applyFault);
     }
 
@@ -157,26 +157,26 @@
         }
     }
 
-    private void declare(StandInServer.Routes routes) {
+    private void declare(EndpointStandInServer.Routes routes) {
         command(routes, "POST", "/v1/chat/completions", exchange -> generate(exchange, true));
         command(routes, "POST", "/v1/completions", exchange -> generate(exchange, false));
         command(routes, "POST", "/v1/cancel", this::cancel);
         command(routes, "POST", "/v1/load_lora_adapter", slots::load);
         command(routes, "POST", "/v1/unload_lora_adapter", exchange -> slots.unload(exchange, batch));
         command(routes, "POST", "/v1/role", slots::role);
-        command(routes, "GET", "/v1/status", exchange -> exchange.answer(200, status.read()));
+        command(routes, "GET", "/v1/status", exchange -> exchange.respond(200, status.read()));
         command(routes, "GET", "/v1/cache_events", this::cacheEvents);
-        command(routes, "GET", "/record", exchange -> exchange.answer(200, runLog.snapshot(batch.running())));
-        command(routes, "GET", "/counters", exchange -> exchange.answer(200, counts.snapshot()));
+        command(routes, "GET", "/record", exchange -> exchange.respond(200, runLog.snapshot(batch.running())));
+        command(routes, "GET", "/counters", exchange -> exchange.respond(200, counts.snapshot()));
         command(routes, "PUT", "/faults", this::putFaults);
     }
 
-    private void command(StandInServer.Routes routes, String method, String path, Consumer<Exchange> action) {
+    private void command(EndpointStandInServer.Routes routes, String method, String path, Consumer<Exchange> action) {
         routes.on(method, path, exchange -> {
             try {
                 scheduler.execute(() -> run(exchange, action));
             } catch (RejectedExecutionException exception) {
-                exchange.breakConnection();
+                exchange.closeConnection();
             }
         });
     }
@@ -184,13 +184,13 @@
     private void run(Exchange exchange, Consumer<Exchange> action) {
         if (down) {
             // A process that crashed takes the commands that it had received with it.
-            exchange.breakConnection();
+            exchange.closeConnection();
             return;
         }
         try {
             action.accept(exchange);
         } catch (IllegalArgumentException | DateTimeException exception) {
-            exchange.refuse(400, "invalid_field", String.valueOf(exception.getMessage()));
+            exchange.respondError(400, "invalid_field", String.valueOf(exception.getMessage()));
         }
     }
 
@@ -206,7 +206,7 @@
             return;
         }
         if (!slots.isLoaded(body.path("model").asText())) {
-            exchange.refuse(404, "adapter_not_loaded", "the adapter is not loaded");
+            exchange.respondError(404, "adapter_not_loaded", "the adapter is not loaded");
             return;
         }
         Generation generation = new Generation(
@@ -216,7 +216,7 @@
                 exchange.header("X-Priority").map("premium"::equals).orElse(false),
                 exchange.header("X-Request-Deadline").map(Instant::parse).orElse(Instant.MAX));
         if (lastEvent.isPresent() && lastEvent.get() != generation.firstToken - 1) {
-            exchange.refuse(404, "stream_not_found", "the engine does not have the stream");
+            exchange.respondError(404, "stream_not_found", "the engine does not have the stream");
             return;
         }
         attach(exchange, generation);
@@ -266,12 +266,12 @@
         Optional<Generation> found =
                 batch.stream(exchange.json().path("request_id").asText());
         found.ifPresent(generation -> batch.end(generation, RunOutcome.CANCELLED));
-        exchange.answer(200, Map.of("cancelled", found.isPresent()));
+        exchange.respond(200, Map.of("cancelled", found.isPresent()));
     }
 
     private void cacheEvents(Exchange exchange) {
         long from = Long.parseLong(exchange.context().query("from").value("0"));
-        exchange.answer(200, cache.published(from, System.nanoTime()));
+        exchange.respond(200, cache.published(from, System.nanoTime()));
     }
 
     private Map<String, Object> currentStatus() {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
@@ -76,7 +76,7 @@
         if (reader == null || produced == nextEvent && !isComplete()) {
             return;
         }
-        if (!reader.hasStartedEvents() && !reader.startEvents()) {
+        if (!reader.isEventStreamStarted() && !reader.startEventStream()) {
             return;
         }
         StringBuilder events = new StringBuilder();
@@ -87,9 +87,9 @@
         if (isComplete()) {
             chunks.end(events, nextEvent == maxTokens);
         }
-        reader.sendEvents(events.toString());
+        reader.writeEvents(events.toString());
         if (isComplete()) {
-            reader.endEvents();
+            reader.endEventStream();
             detach();
         }
     }
@@ -97,7 +97,7 @@
     /** Forgets the reader without touching its connection. */
     void detach() {
         if (reader != null) {
-            reader.forgetClose();
+            reader.removeCloseListener();
             reader = null;
         }
     }
@@ -107,7 +107,7 @@
         if (reader != null) {
             Exchange last = reader;
             detach();
-            last.breakConnection();
+            last.closeConnection();
         }
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/FaultInjector.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/FaultInjector.java
@@ -58,7 +58,7 @@
      * @param method HTTP method of the operation
      * @return whether the connection is to be closed without an answer
      */
-    public synchronized boolean takeLostAnswer(String method) {
+    public synchronized boolean consumeLostAnswer(String method) {
         if (faults.lostAnswerMethod().filter(limit -> !limit.equals(method)).isPresent()) {
             return false;
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OperationRunner.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OperationRunner.java
@@ -67,7 +67,7 @@
     }
 
     private void answer(Context context, Reply reply) {
-        if (injector.takeLostAnswer(context.getMethod())) {
+        if (injector.consumeLostAnswer(context.getMethod())) {
             counters.add("lostAnswers", 1);
             ConnectionCloser.close(context);
         } else {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/PlatformStandInServer.java
@@ -28,7 +28,7 @@
  * <p>Routes are added before {@link #start}. Control requests ({@code /faults}, {@code /counters}) are never hit by
  * delays, lost answers or {@link Outage#UNAVAILABLE}.
  */
-public final class StandInServer {
+public final class PlatformStandInServer {
     private static final String LOOPBACK = "127.0.0.1";
     private static final int IO_THREADS = 4;
 
@@ -54,7 +54,7 @@
      *
      * @param port TCP port on the loopback interface, 0 for a free one
      */
-    public StandInServer(int port) {
+    public PlatformStandInServer(int port) {
         requestedPort = port;
         timer = new ScheduledThreadPoolExecutor(1, task -> {
             Thread thread = new Thread(task, "stand-in-timer");
@@ -73,7 +73,7 @@
      * @param operation the operation
      * @return this server
      */
-    public StandInServer operation(String method, String pattern, Operation operation) {
+    public PlatformStandInServer operation(String method, String pattern, Operation operation) {
         routes.add(app -> app.route(method, pattern, context -> runner.withFaults(context, operation)));
         return this;
     }
@@ -86,7 +86,7 @@
      * @param operation the request
      * @return this server
      */
-    public StandInServer control(String method, String pattern, Operation operation) {
+    public PlatformStandInServer control(String method, String pattern, Operation operation) {
         routes.add(app -> app.route(method, pattern, context -> runner.withoutFaults(context, operation)));
         return this;
     }
@@ -98,7 +98,7 @@
      * @param registration adds the routes
      * @return this server
      */
-    public StandInServer routes(Consumer<Jooby> registration) {
+    public PlatformStandInServer routes(Consumer<Jooby> registration) {
         routes.add(registration);
         return this;
     }
@@ -113,12 +113,12 @@
      * @param <F> type of the faults
      * @return this server
      */
-    public <F> StandInServer controls(
+    public <F> PlatformStandInServer faultControls(
             Class<F> type, Function<F, Faults> shared, Supplier<F> reader, Consumer<F> writer) {
         control("GET", "/faults", request -> CompletableFuture.completedFuture(Reply.json(200, reader.get())));
         control("PUT", "/faults", request -> {
             F faults = request.json(type);
-            requireEnd(shared.apply(faults));
+            requireOutageEnd(shared.apply(faults));
             writer.accept(faults);
             return CompletableFuture.completedFuture(Reply.json(200, reader.get()));
         });
@@ -126,7 +126,7 @@
                 "GET", "/counters", request -> CompletableFuture.completedFuture(Reply.json(200, counters.snapshot())));
     }
 
-    private static void requireEnd(Faults faults) {
+    private static void requireOutageEnd(Faults faults) {
         if (faults.outage() == Outage.REFUSED && faults.outageUntil().isEmpty()) {
             throw new IllegalArgumentException("outageUntil is required, because PUT /faults is refused as well");
         }
@@ -160,7 +160,7 @@
     }
 
     /**
-     * Puts faults in force. Opening and closing the listening socket happens in the background; see {@link #applied}.
+     * Puts faults in force. Opening and closing the listening socket happens in the background; see {@link #awaitApplied}.
      *
      * @param faults the faults
      */
@@ -170,7 +170,7 @@
     }
 
     /** Waits until the listening socket is in the state that the faults ask for. Not to be called by an operation. */
-    public void applied() {
+    public void awaitApplied() {
         CompletableFuture.runAsync(this::reconcile, timer).join();
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
@@ -61,7 +61,7 @@
      * @return the value
      * @throws IllegalArgumentException if the body is malformed or incomplete
      */
-    public <T> T completeJson(Class<T> type) {
+    public <T> T strictJson(Class<T> type) {
         return parse(COMPLETE, type);
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -15,16 +15,16 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.testsupport.fault.Counters;
 import org.banyanstair.testsupport.fault.Faults;
+import org.banyanstair.testsupport.fault.PlatformStandInServer;
 import org.banyanstair.testsupport.fault.Reply;
 import org.banyanstair.testsupport.fault.Request;
-import org.banyanstair.testsupport.fault.StandInServer;
 
 /** Stand-in for the platform's host list. Safe for use by several threads. */
 public final class HostListStandIn {
     private final InstantSource clock = Clock.systemUTC();
     private final DelayedListing listing = new DelayedListing();
     private final Duration configuredLag;
-    private final StandInServer server;
+    private final PlatformStandInServer server;
     private volatile Duration lag;
 
     /**
@@ -36,7 +36,7 @@
     public HostListStandIn(int port, Duration lag) {
         configuredLag = lag;
         this.lag = lag;
-        server = new StandInServer(port)
+        server = new PlatformStandInServer(port)
                 .operation("GET", "/hosts", this::read)
                 .control("PUT", "/hosts/{id}", this::putHost)
                 .control(
@@ -48,7 +48,7 @@
                         "DELETE",
                         "/endpoints/{id}",
                         request -> removed(listing.removeEndpoint(request.path("id"), clock.instant())))
-                .controls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
+                .faultControls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
         counters().declare("reads", "changes", "unchangedReads");
     }
 
@@ -71,7 +71,7 @@
      *
      * @return the server
      */
-    public StandInServer server() {
+    public PlatformStandInServer server() {
         return server;
     }
 
@@ -174,14 +174,14 @@
     }
 
     private CompletableFuture<Reply> putHost(Request request) {
-        EntryHost host = request.completeJson(EntryHost.class);
+        EntryHost host = request.strictJson(EntryHost.class);
         requireName(request, host.id());
         put(host);
         return done();
     }
 
     private CompletableFuture<Reply> putEndpoint(Request request) {
-        Endpoint endpoint = request.completeJson(Endpoint.class);
+        Endpoint endpoint = request.strictJson(Endpoint.class);
         requireName(request, endpoint.id());
         put(endpoint);
         return done();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -17,9 +17,9 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.testsupport.fault.Counters;
 import org.banyanstair.testsupport.fault.Faults;
+import org.banyanstair.testsupport.fault.PlatformStandInServer;
 import org.banyanstair.testsupport.fault.Reply;
 import org.banyanstair.testsupport.fault.Request;
-import org.banyanstair.testsupport.fault.StandInServer;
 
 /**
  * Stand-in for the platform's log service: append-only streams in memory, read by long polls.
@@ -37,7 +37,7 @@
     private final Map<String, StreamLog> streams = new ConcurrentHashMap<>();
     private final Duration configuredRetention;
     private final AppendLimit appendLimit;
-    private final StandInServer server;
+    private final PlatformStandInServer server;
     private volatile Duration retention;
 
     /**
@@ -51,10 +51,10 @@
         configuredRetention = retention;
         this.retention = retention;
         appendLimit = new AppendLimit(appendsPerSecond);
-        server = new StandInServer(port)
+        server = new PlatformStandInServer(port)
                 .operation("POST", "/streams/{name}/records", this::append)
                 .operation("GET", "/streams/{name}/records", this::read)
-                .controls(LogFaults.class, LogFaults::shared, this::faults, this::setFaults);
+                .faultControls(LogFaults.class, LogFaults::shared, this::faults, this::setFaults);
         counters().declare("appends", "appendedRecords", "reads", "refused", "bytes");
     }
 
@@ -77,7 +77,7 @@
      *
      * @return the server
      */
-    public StandInServer server() {
+    public PlatformStandInServer server() {
         return server;
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
@@ -74,7 +74,7 @@
         if (listener != null) {
             listener.close().syncUninterruptibly();
         }
-        cutConnections();
+        resetConnections();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
@@ -88,7 +88,7 @@
     }
 
     /** Resets all open connections on both sides; new ones work. */
-    public void cutConnections() {
+    public void resetConnections() {
         onEventLoop(() -> {
             forEachConnection(ProxiedConnection::cut);
             return null;
@@ -113,7 +113,7 @@
     }
 
     /** Makes all open connections silent for good: nothing is forwarded and nothing is closed. New ones work. */
-    public void silenceOpenConnections() {
+    public void stallOpenConnections() {
         onEventLoop(() -> {
             forEachConnection(ProxiedConnection::silence);
             return null;
@@ -126,7 +126,7 @@
      * @param direction direction to change
      * @param silent whether nothing is forwarded
      */
-    public void setSilent(Direction direction, boolean silent) {
+    public void setStalled(Direction direction, boolean silent) {
         onEventLoop(() -> {
             if (silent) {
                 silentDirections.add(direction);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
@@ -11,10 +11,10 @@
 import java.util.concurrent.TimeUnit;
 
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.testsupport.endpoint.EndpointStandInServer;
 import org.banyanstair.testsupport.endpoint.Exchange;
 import org.banyanstair.testsupport.endpoint.FaultSettings;
 import org.banyanstair.testsupport.endpoint.SettingsArguments;
-import org.banyanstair.testsupport.endpoint.StandInServer;
 
 /**
  * Plain service with an order desk and a stock lookup; it never recognises a repeated order.
@@ -26,7 +26,7 @@
     private final PlainServiceSettings settings;
     private final FaultSettings<PlainServiceFault> faults = new FaultSettings<>(PlainServiceFault.class);
     private final List<ServiceRun> runs = new ArrayList<>();
-    private final StandInServer server;
+    private final EndpointStandInServer server;
     private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread created = new Thread(task, "plain-service");
         created.setDaemon(true);
@@ -41,7 +41,7 @@
      */
     public PlainServiceStandIn(PlainServiceSettings settings) {
         this.settings = settings;
-        this.server = new StandInServer(settings.port(), this::declare);
+        this.server = new EndpointStandInServer(settings.port(), this::declare);
     }
 
     /**
@@ -107,12 +107,12 @@
     private void putFaults(Exchange exchange, Map<PlainServiceFault, Long> parsed) {
         long refusal = parsed.getOrDefault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, 0L);
         parsed.forEach(faults::set);
-        exchange.answer(200, parsed);
+        exchange.respond(200, parsed);
         setFault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, refusal);
     }
 
-    private void declare(StandInServer.Routes routes) {
-        routes.on("GET", "/record", exchange -> exchange.answer(200, Map.of("runs", record())));
+    private void declare(EndpointStandInServer.Routes routes) {
+        routes.on("GET", "/record", exchange -> exchange.respond(200, Map.of("runs", record())));
         routes.on("PUT", "/faults", exchange -> {
             Map<PlainServiceFault, Long> parsed = faults.parse(exchange.json());
             thread.execute(() -> putFaults(exchange, parsed));
@@ -145,7 +145,7 @@
 
     private void run(Exchange exchange, int status, java.util.function.Supplier<Object> call) {
         if (faults.isSet(PlainServiceFault.OUTAGE)) {
-            exchange.refuse(503, "outage", "the service is down and did not run the call");
+            exchange.respondError(503, "outage", "the service is down and did not run the call");
             return;
         }
         Object answer = call.get();
@@ -163,7 +163,7 @@
         synchronized (runs) {
             runs.add(run);
         }
-        Runnable reply = lost ? exchange::breakConnection : () -> exchange.answer(status, answer);
+        Runnable reply = lost ? exchange::closeConnection : () -> exchange.respond(status, answer);
         if (delay > 0) {
             thread.schedule(reply, delay, TimeUnit.MILLISECONDS);
         } else {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
@@ -10,15 +10,15 @@
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.testsupport.fault.Counters;
+import org.banyanstair.testsupport.fault.PlatformStandInServer;
 import org.banyanstair.testsupport.fault.Reply;
 import org.banyanstair.testsupport.fault.Request;
-import org.banyanstair.testsupport.fault.StandInServer;
 
 /** Stand-in for the platform's rate-limited weight store. Safe for use by several threads. */
 public final class WeightStoreStandIn {
     private final WeightStoreSettings settings;
     private final LoadQueue queue;
-    private final StandInServer server;
+    private final PlatformStandInServer server;
     private WeightStoreFaults faults = WeightStoreFaults.NONE;
     private SplittableRandom random = new SplittableRandom(0);
 
@@ -31,9 +31,9 @@
     public WeightStoreStandIn(int port, WeightStoreSettings settings) {
         this.settings = settings;
         queue = new LoadQueue(settings, System.nanoTime());
-        server = new StandInServer(port)
+        server = new PlatformStandInServer(port)
                 .operation("GET", "/adapters/{service}/{adapter}/{version}", this::load)
-                .controls(WeightStoreFaults.class, WeightStoreFaults::shared, this::faults, this::setFaults);
+                .faultControls(WeightStoreFaults.class, WeightStoreFaults::shared, this::faults, this::setFaults);
         counters().declare("loads", "failedLoads", "bytes");
     }
 
@@ -56,7 +56,7 @@
      *
      * @return the server
      */
-    public StandInServer server() {
+    public PlatformStandInServer server() {
         return server;
     }
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
@@ -50,7 +50,7 @@
         }
         proxy.acceptConnections();
         log.setFaults(Faults.NONE);
-        log.server().applied();
+        log.server().awaitApplied();
         // Appends delayed beyond their deadline take effect within the longest injected delay.
         Thread.sleep(500);
         client.stop();
@@ -73,8 +73,8 @@
 
     private void injectFault(FaultProxy proxy, Random random) {
         switch (random.nextInt(8)) {
-            case 0 -> proxy.cutConnections();
-            case 1 -> proxy.silenceOpenConnections();
+            case 0 -> proxy.resetConnections();
+            case 1 -> proxy.stallOpenConnections();
             case 2 -> proxy.refuseConnections();
             case 3 -> log.setFaults(Faults.NONE.withRandomLostAnswers(0.3, random.nextLong()));
             case 4 -> log.setFaults(Faults.NONE.withOutage(Outage.UNAVAILABLE));
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientProtocolTest.java
@@ -10,8 +10,8 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.GenerationResult;
+import org.banyanstair.testsupport.endpoint.EndpointStandInServer;
 import org.banyanstair.testsupport.endpoint.Exchange;
-import org.banyanstair.testsupport.endpoint.StandInServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,7 +26,7 @@
 class HttpEngineClientProtocolTest {
     private final HttpEngineClient client = new HttpEngineClient(EngineClientTimeouts.DEFAULT);
     private final AtomicInteger received = new AtomicInteger();
-    private StandInServer server;
+    private EndpointStandInServer server;
 
     @AfterEach
     void stop() {
@@ -35,7 +35,7 @@
     }
 
     private RecordingTokenListener generate(Consumer<Exchange> answer) {
-        server = new StandInServer(
+        server = new EndpointStandInServer(
                 0,
                 routes -> routes.on("POST", "/*", exchange -> {
                     received.incrementAndGet();
@@ -52,9 +52,9 @@
 
     private RecordingTokenListener stream(String events) {
         return generate(exchange -> {
-            exchange.startEvents();
-            exchange.sendEvents(events);
-            exchange.endEvents();
+            exchange.startEventStream();
+            exchange.writeEvents(events);
+            exchange.endEventStream();
         });
     }
 
@@ -89,7 +89,7 @@
         Map<String, String> headers = new ConcurrentHashMap<>();
         generate(exchange -> {
                     headers.putAll(exchange.context().headerMap());
-                    exchange.refuse(404, "stream_not_found", "text");
+                    exchange.respondError(404, "stream_not_found", "text");
                 })
                 .end();
         assertEquals("r", headers.get("X-Request-Id"));
@@ -119,7 +119,7 @@
         RecordingTokenListener recorder = generate(exchange -> {
             exchange.context().setResponseHeader("Retry-After", "0");
             exchange.context().setResponseHeader("Location", "/elsewhere");
-            exchange.refuse(status, code, "text");
+            exchange.respondError(status, code, "text");
         });
         assertTrue(recorder.end() instanceof GenerationResult.Broken);
         assertEquals(1, received.get());
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpEngineClientTest.java
@@ -20,10 +20,10 @@
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.testsupport.engine.EngineFault;
-import org.banyanstair.testsupport.engine.EngineProbe;
 import org.banyanstair.testsupport.engine.EngineRun;
 import org.banyanstair.testsupport.engine.EngineSettings;
 import org.banyanstair.testsupport.engine.EngineStandIn;
+import org.banyanstair.testsupport.engine.EngineTestClient;
 import org.banyanstair.testsupport.engine.EngineText;
 import org.banyanstair.testsupport.engine.RunOutcome;
 import org.banyanstair.testsupport.service.PlainServiceFault;
@@ -33,7 +33,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import static org.banyanstair.testsupport.engine.EngineProbe.await;
+import static org.banyanstair.testsupport.engine.EngineTestClient.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -100,7 +100,7 @@
         RecordingTokenListener recorder = generate("r", 20, 0, soon());
         assertEquals(new GenerationResult.Complete(), recorder.end());
         assertEquals(range(0, 20), recorder.indexes());
-        EngineText.tokens(EngineProbe.ADAPTER, "p", 20)
+        EngineText.tokens(EngineTestClient.ADAPTER, "p", 20)
                 .forEach(token -> assertTrue(recorder.json().contains(token)));
     }
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpHostListSourceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpHostListSourceTest.java
@@ -105,7 +105,7 @@
         hosts.setFaults(Faults.NONE.withDelays(0, 1_500));
         assertUnavailable();
         hosts.setFaults(Faults.NONE.withOutage(Outage.REFUSED));
-        hosts.server().applied();
+        hosts.server().awaitApplied();
         assertUnavailable();
     }
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
@@ -13,7 +13,7 @@
 import org.banyanstair.external.ReadResult;
 import org.banyanstair.testsupport.fault.Faults;
 import org.banyanstair.testsupport.fault.Outage;
-import org.banyanstair.testsupport.fault.StandInServer;
+import org.banyanstair.testsupport.fault.PlatformStandInServer;
 import org.banyanstair.testsupport.log.LogFaults;
 import org.banyanstair.testsupport.log.LogServiceStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -124,12 +124,12 @@
         assertEquals(new AppendResult.Rejected(new Failure.LogUnavailable("s")), append("a"));
         assertInstanceOf(ReadResult.Unavailable.class, read("s", 0, Instant.EPOCH));
         log.setFaults(Faults.NONE.withOutage(Outage.REFUSED));
-        log.server().applied();
+        log.server().awaitApplied();
         // The pooled connection is closed, but whether the server has read from it cannot be determined.
         assertInstanceOf(AppendResult.Unknown.class, append("a"));
         assertInstanceOf(AppendResult.Rejected.class, append("a"));
         log.setFaults(Faults.NONE);
-        log.server().applied();
+        log.server().awaitApplied();
         assertEquals(new AppendResult.Appended(0), append("a"));
         assertEquals(1, log.counters().get("appendedRecords"));
     }
@@ -176,7 +176,7 @@
     @CsvSource({"400,true", "404,true", "429,true", "503,true", "500,false", "502,false", "504,false", "302,false"})
     void statusDecidesWhetherAnAppendWasApplied(int status, boolean rejected) throws Exception {
         AtomicInteger requests = new AtomicInteger();
-        StandInServer server = new StandInServer(0)
+        PlatformStandInServer server = new PlatformStandInServer(0)
                 .routes(app -> app.post("/streams/s/records", context -> {
                     requests.incrementAndGet();
                     return context.setResponseCode(status)
@@ -196,8 +196,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "{}", "{\"firstOffset\":null}", "{\"firstOffset\":3}x"})
     void malformedAnswerIsUnknown(String answer) throws Exception {
-        StandInServer server =
-                new StandInServer(0).routes(app -> app.post("/streams/s/records", context -> context.send(answer)));
+        PlatformStandInServer server = new PlatformStandInServer(0)
+                .routes(app -> app.post("/streams/s/records", context -> context.send(answer)));
         HttpLogService other = new HttpLogService(server.start(), DEADLINE);
         assertInstanceOf(
                 AppendResult.Unknown.class,
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpPlainServiceClientTest.java
@@ -11,7 +11,7 @@
 import org.banyanstair.external.ServiceCallResult;
 import org.banyanstair.membership.Endpoint;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.testsupport.endpoint.StandInServer;
+import org.banyanstair.testsupport.endpoint.EndpointStandInServer;
 import org.banyanstair.testsupport.service.PlainServiceFault;
 import org.banyanstair.testsupport.service.PlainServiceSettings;
 import org.banyanstair.testsupport.service.PlainServiceStandIn;
@@ -117,13 +117,13 @@
 
     @Test
     void redirectAndRetryAfterAreNotFollowed() throws Exception {
-        StandInServer server = new StandInServer(
+        EndpointStandInServer server = new EndpointStandInServer(
                 0,
                 routes -> routes.on("GET", "/*", exchange -> {
                     int status = exchange.context().getRequestPath().equals("/moved") ? 302 : 503;
                     exchange.context().setResponseHeader("Retry-After", "0");
                     exchange.context().setResponseHeader("Location", "/orders");
-                    exchange.refuse(status, "test", "text");
+                    exchange.respondError(status, "test", "text");
                 }));
         server.start();
         try {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/TestEndpoints.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/TestEndpoints.java
@@ -15,12 +15,12 @@
 import org.banyanstair.model.PoolId;
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.model.RequestId;
-import org.banyanstair.testsupport.engine.EngineProbe;
+import org.banyanstair.testsupport.engine.EngineTestClient;
 
 /** Endpoints and requests for tests of the HTTP clients. */
 final class TestEndpoints {
     static final EndpointId ID = new EndpointId("runner-1");
-    static final AdapterVersion ADAPTER = AdapterVersion.parse(EngineProbe.ADAPTER);
+    static final AdapterVersion ADAPTER = AdapterVersion.parse(EngineTestClient.ADAPTER);
 
     private TestEndpoints() {}
 
@@ -45,7 +45,7 @@
     }
 
     static EngineRequest request(String id, int maxTokens, long nextToken, Instant deadline) {
-        byte[] body = EngineProbe.body("p", maxTokens).getBytes();
+        byte[] body = EngineTestClient.body("p", maxTokens).getBytes();
         RequestId requestId = new RequestId(id);
         return new EngineRequest(
                 requestId,
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/endpoint/ExchangeTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/endpoint/ExchangeTest.java
@@ -15,7 +15,7 @@
     void eventsOfAClosedConnectionAreNotStarted() throws Exception {
         CompletableFuture<Exchange> arrived = new CompletableFuture<>();
         CompletableFuture<Void> closed = new CompletableFuture<>();
-        StandInServer server = new StandInServer(
+        EndpointStandInServer server = new EndpointStandInServer(
                 0,
                 routes -> routes.on("GET", "/events", exchange -> {
                     exchange.onClose(() -> closed.complete(null));
@@ -31,7 +31,7 @@
             closed.get(5, TimeUnit.SECONDS);
             // The pipeline is emptied in a later task of the event loop.
             TimeUnit.MILLISECONDS.sleep(100);
-            assertFalse(arrived.get().startEvents());
+            assertFalse(arrived.get().startEventStream());
         } finally {
             server.stop();
         }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/BatchTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/BatchTest.java
@@ -11,8 +11,8 @@
 import org.banyanstair.testsupport.endpoint.FaultSettings;
 import org.junit.jupiter.api.Test;
 
-import static org.banyanstair.testsupport.engine.EngineProbe.await;
-import static org.banyanstair.testsupport.engine.EngineProbe.body;
+import static org.banyanstair.testsupport.engine.EngineTestClient.await;
+import static org.banyanstair.testsupport.engine.EngineTestClient.body;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineFaultTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineFaultTest.java
@@ -13,11 +13,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import static org.banyanstair.testsupport.engine.EngineProbe.ADAPTER;
-import static org.banyanstair.testsupport.engine.EngineProbe.await;
-import static org.banyanstair.testsupport.engine.EngineProbe.body;
-import static org.banyanstair.testsupport.engine.EngineProbe.events;
-import static org.banyanstair.testsupport.engine.EngineProbe.expected;
+import static org.banyanstair.testsupport.engine.EngineTestClient.ADAPTER;
+import static org.banyanstair.testsupport.engine.EngineTestClient.await;
+import static org.banyanstair.testsupport.engine.EngineTestClient.body;
+import static org.banyanstair.testsupport.engine.EngineTestClient.events;
+import static org.banyanstair.testsupport.engine.EngineTestClient.expected;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -26,7 +26,7 @@
 /** Guards against faults that do not do what a test relies on, so that the test would pass without the fault. */
 class EngineFaultTest {
     private EngineStandIn engine;
-    private EngineProbe probe;
+    private EngineTestClient probe;
 
     @BeforeEach
     void start() throws Exception {
@@ -34,7 +34,7 @@
         settings.put("loadMilliseconds", 1).put("restartMilliseconds", 200).put("crashMarker", "boom");
         engine = new EngineStandIn(Mappers.JSON.treeToValue(settings, EngineSettings.class));
         engine.start();
-        probe = new EngineProbe(engine.address());
+        probe = new EngineTestClient(engine.address());
         assertEquals(200, probe.load(ADAPTER, 1).status());
     }
 
@@ -78,7 +78,7 @@
     @Test
     void markedRequestCrashesTheEngine() throws Exception {
         long before = probe.status().path("incarnation").asLong();
-        var other = probe.completeLater("other", body("p", 4_000));
+        var other = probe.completeAsync("other", body("p", 4_000));
         await("other runs", () -> engine.record().runs().size() == 1);
         assertThrows(IOException.class, () -> probe.complete("r", body("a boom b", 3)));
         assertThrows(ConnectException.class, () -> probe.status());
@@ -141,7 +141,7 @@
         try (BufferedReader output = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
             String line = output.readLine();
             assertTrue(line.startsWith("ready "), line);
-            EngineProbe other = new EngineProbe(NetworkAddress.parse(line.substring("ready ".length())));
+            EngineTestClient other = new EngineTestClient(NetworkAddress.parse(line.substring("ready ".length())));
             assertEquals(3, other.status().path("slots").asInt());
         } finally {
             process.destroy();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
@@ -10,18 +10,18 @@
 import okhttp3.Call;
 import okhttp3.Response;
 import org.banyanstair.codec.Mappers;
-import org.banyanstair.testsupport.engine.EngineProbe.Answer;
+import org.banyanstair.testsupport.engine.EngineTestClient.Answer;
 import org.banyanstair.testsupport.service.PlainServiceFault;
 import org.banyanstair.testsupport.service.PlainServiceSettings;
 import org.banyanstair.testsupport.service.PlainServiceStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import static org.banyanstair.testsupport.engine.EngineProbe.ADAPTER;
-import static org.banyanstair.testsupport.engine.EngineProbe.await;
-import static org.banyanstair.testsupport.engine.EngineProbe.body;
-import static org.banyanstair.testsupport.engine.EngineProbe.events;
-import static org.banyanstair.testsupport.engine.EngineProbe.expected;
+import static org.banyanstair.testsupport.engine.EngineTestClient.ADAPTER;
+import static org.banyanstair.testsupport.engine.EngineTestClient.await;
+import static org.banyanstair.testsupport.engine.EngineTestClient.body;
+import static org.banyanstair.testsupport.engine.EngineTestClient.events;
+import static org.banyanstair.testsupport.engine.EngineTestClient.expected;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -30,7 +30,7 @@
 /** Guards against a stand-in that deviates from the protocol, which would make every test that uses it worthless. */
 class EngineStandInTest {
     private EngineStandIn engine;
-    private EngineProbe probe;
+    private EngineTestClient probe;
 
     private void start(String changes) throws Exception {
         ObjectNode settings = Mappers.JSON.valueToTree(EngineSettings.DEFAULT);
@@ -38,7 +38,7 @@
         settings.setAll((ObjectNode) Mappers.JSON.readTree(changes));
         engine = new EngineStandIn(Mappers.JSON.treeToValue(settings, EngineSettings.class));
         engine.start();
-        probe = new EngineProbe(engine.address());
+        probe = new EngineTestClient(engine.address());
         assertEquals(200, probe.load(ADAPTER, 1).status());
     }
 
@@ -131,11 +131,11 @@
         start("{\"batchLimit\":1}");
         // The first request must still run when both others wait.
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 50);
-        CompletableFuture<Answer> first = probe.completeLater("first", body("p", 100));
+        CompletableFuture<Answer> first = probe.completeAsync("first", body("p", 100));
         await("first runs", () -> engine.record().runs().size() == 1);
-        CompletableFuture<Answer> standard = probe.completeLater("standard", body("p", 1), "X-Priority", "standard");
+        CompletableFuture<Answer> standard = probe.completeAsync("standard", body("p", 1), "X-Priority", "standard");
         await("one waits", () -> probe.status().path("waiting").asInt() == 1);
-        CompletableFuture<Answer> premium = probe.completeLater("premium", body("p", 1), "X-Priority", "premium");
+        CompletableFuture<Answer> premium = probe.completeAsync("premium", body("p", 1), "X-Priority", "premium");
         await("two wait", () -> probe.status().path("waiting").asInt() == 2);
         assertEquals(1, probe.status().path("running").asInt());
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 0);
@@ -148,10 +148,10 @@
     @Test
     void brokenStreamGoesOnIsResumedOrEnds() throws Exception {
         start("{\"keepBrokenStreamsSeconds\":1}");
-        openStream(probe.completeCall("r", body("p", 300))).close();
+        openStream(probe.newCompletionCall("r", body("p", 300))).close();
         List<String> rest = events(probe.complete("r", body("p", 300), "Last-Event-ID", "0"));
         assertEquals(expected("p", 300, 1), rest);
-        openStream(probe.completeCall("q", body("p", 4_000))).close();
+        openStream(probe.newCompletionCall("q", body("p", 4_000))).close();
         await("q ends", () -> outcomes().contains(RunOutcome.DISCONNECTED));
         assertTrue(engine.record().runs().get(1).tokens() > 100);
         Call resumed =
@@ -163,7 +163,7 @@
     @Test
     void resumedStreamLeavesAConnectionThatIsStillOpen() throws Exception {
         start("{}");
-        Response silent = openStream(probe.completeCall("r", body("p", 300)));
+        Response silent = openStream(probe.newCompletionCall("r", body("p", 300)));
         assertEquals(expected("p", 300, 1), events(probe.complete("r", body("p", 300), "Last-Event-ID", "0")));
         assertThrows(IOException.class, () -> silent.body().string());
         assertEquals(List.of(RunOutcome.COMPLETED), outcomes());
@@ -173,9 +173,9 @@
     @Test
     void streamsCanBeCancelled() throws Exception {
         start("{\"keepBrokenStreamsSeconds\":0}");
-        openStream(probe.completeCall("r", body("p", 4_000))).close();
+        openStream(probe.newCompletionCall("r", body("p", 4_000))).close();
         await("r ends", () -> outcomes().equals(List.of(RunOutcome.DISCONNECTED)));
-        Response open = openStream(probe.completeCall("q", body("p", 4_000)));
+        Response open = openStream(probe.newCompletionCall("q", body("p", 4_000)));
         assertTrue(probe.send("POST", "/v1/cancel", "{\"request_id\":\"q\"}")
                 .json()
                 .path("cancelled")
@@ -201,9 +201,9 @@
         // Two loads at the same time compete for the one free slot, so a load in transit must hold its slot.
         String[] number = {"X-Fencing-Number", "1"};
         CompletableFuture<Answer> b =
-                probe.sendLater("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/b@v1\"}", number);
+                probe.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/b@v1\"}", number);
         CompletableFuture<Answer> c =
-                probe.sendLater("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/c@v1\"}", number);
+                probe.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/c@v1\"}", number);
         boolean firstWon = b.join().status() == 200;
         assertEquals(200, (firstWon ? b : c).join().status());
         assertEquals("no_free_slot", (firstWon ? c : b).join().code());
@@ -261,8 +261,8 @@
     @Test
     void unloadInUseIsRecordedAndBreaksTheStream() throws Exception {
         start("{\"batchLimit\":1}");
-        Response open = openStream(probe.completeCall("r", body("p", 4_000)));
-        CompletableFuture<Answer> waiting = probe.completeLater("q", body("p", 1));
+        Response open = openStream(probe.newCompletionCall("r", body("p", 4_000)));
+        CompletableFuture<Answer> waiting = probe.completeAsync("q", body("p", 1));
         await("q waits", () -> probe.status().path("waiting").asInt() == 1);
         assertEquals(1, probe.status().path("loaded").path(ADAPTER).asInt());
         assertEquals(200, probe.unload(ADAPTER, 1).status());
@@ -321,7 +321,7 @@
         start("{\"batchLimit\":64,\"stepMicroseconds\":1000,\"stepMicrosecondsPerRequest\":0}");
         long start = System.nanoTime();
         List<CompletableFuture<Answer>> all = java.util.stream.IntStream.range(0, 8)
-                .mapToObj(i -> probe.completeLater("r" + i, body("p" + i, 1_000)))
+                .mapToObj(i -> probe.completeAsync("r" + i, body("p" + i, 1_000)))
                 .toList();
         for (int i = 0; i < all.size(); i++) {
             assertEquals(expected("p" + i, 1_000, 0), events(all.get(i).join()));
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineProbe.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineTestClient.java
@@ -22,7 +22,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Speaks the protocol of a stand-in without the client under test, one connection per call. */
-public final class EngineProbe {
+public final class EngineTestClient {
     public static final String ADAPTER = "assistant/tender@v1";
 
     // The common pool has fewer threads than the tests have calls at the same time, so the last call would wait.
@@ -38,7 +38,7 @@
             .callTimeout(Duration.ofSeconds(10))
             .build();
 
-    public EngineProbe(NetworkAddress address) {
+    public EngineTestClient(NetworkAddress address) {
         this.address = address;
     }
 
@@ -70,7 +70,7 @@
         }
     }
 
-    public CompletableFuture<Answer> sendLater(String method, String path, String body, String... headers) {
+    public CompletableFuture<Answer> sendAsync(String method, String path, String body, String... headers) {
         return CompletableFuture.supplyAsync(
                 () -> {
                     try {
@@ -94,11 +94,11 @@
         return send("POST", "/v1/completions", body, withId(requestId, headers));
     }
 
-    public CompletableFuture<Answer> completeLater(String requestId, String body, String... headers) {
-        return sendLater("POST", "/v1/completions", body, withId(requestId, headers));
+    public CompletableFuture<Answer> completeAsync(String requestId, String body, String... headers) {
+        return sendAsync("POST", "/v1/completions", body, withId(requestId, headers));
     }
 
-    public Call completeCall(String requestId, String body) {
+    public Call newCompletionCall(String requestId, String body) {
         return call("POST", "/v1/completions", body, "X-Request-Id", requestId);
     }
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/StandInServerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/PlatformStandInServerTest.java
@@ -19,19 +19,19 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against faults that act differently from what the tests that switch them on assume. */
-class StandInServerTest {
+class PlatformStandInServerTest {
     private final HttpClient client =
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
-    private StandInServer server;
+    private PlatformStandInServer server;
 
     @BeforeEach
     void start() {
-        server = new StandInServer(0);
+        server = new PlatformStandInServer(0);
         server.operation("POST", "/things/{name}", request -> {
             server.counters().add("things", 1);
             return CompletableFuture.completedFuture(Reply.json(200, request.path("name") + request.body().length));
         });
-        server.controls(Faults.class, faults -> faults, server.injector()::get, server::setFaults);
+        server.faultControls(Faults.class, faults -> faults, server.injector()::get, server::setFaults);
         server.start();
     }
 
@@ -80,10 +80,10 @@
     void refusedConnectionsComeBackOnTheSamePortAtTheirEnd() throws Exception {
         for (int i = 0; i < 3; i++) {
             server.setFaults(Faults.NONE.withOutage(Outage.REFUSED));
-            server.applied();
+            server.awaitApplied();
             assertThrows(ConnectException.class, () -> post("/things/a", ""));
             server.setFaults(Faults.NONE);
-            server.applied();
+            server.awaitApplied();
             assertEquals(200, post("/things/a", "").statusCode());
         }
         String until = Instant.now().plusMillis(300).toString();
@@ -91,10 +91,10 @@
                 200,
                 put("/faults", "{\"outage\":\"REFUSED\",\"outageUntil\":\"" + until + "\"}")
                         .statusCode());
-        server.applied();
+        server.awaitApplied();
         assertThrows(ConnectException.class, () -> post("/things/a", ""));
         Thread.sleep(500);
-        server.applied();
+        server.awaitApplied();
         assertEquals(200, post("/things/a", "").statusCode());
     }
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/network/FaultProxyTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/network/FaultProxyTest.java
@@ -62,7 +62,7 @@
     void cutConnectionsAreResetAndNewOnesWork() throws Exception {
         try (Socket socket = connect()) {
             assertEcho(socket, 1);
-            proxy.cutConnections();
+            proxy.resetConnections();
             assertThrows(SocketException.class, () -> assertEcho(socket, 2));
         }
         try (Socket socket = connect()) {
@@ -88,13 +88,13 @@
     void silentConnectionsStayOpenAndSilentWhileNewOnesWork() throws Exception {
         try (Socket silent = connect()) {
             assertEcho(silent, 1);
-            proxy.silenceOpenConnections();
+            proxy.stallOpenConnections();
             assertSilent(silent, 2);
             try (Socket fresh = connect()) {
                 assertEcho(fresh, 3);
             }
-            proxy.setSilent(Direction.TO_CLIENT, true);
-            proxy.setSilent(Direction.TO_CLIENT, false);
+            proxy.setStalled(Direction.TO_CLIENT, true);
+            proxy.setStalled(Direction.TO_CLIENT, false);
             assertSilent(silent, 4);
         }
     }
@@ -103,12 +103,12 @@
     void oneWaySilenceHoldsDataUntilItEnds() throws Exception {
         try (Socket socket = connect()) {
             assertEcho(socket, 1);
-            proxy.setSilent(Direction.TO_CLIENT, true);
+            proxy.setStalled(Direction.TO_CLIENT, true);
             assertSilent(socket, 2);
             try (Socket fresh = connect()) {
                 assertSilent(fresh, 3);
             }
-            proxy.setSilent(Direction.TO_CLIENT, false);
+            proxy.setStalled(Direction.TO_CLIENT, false);
             assertEquals(2, socket.getInputStream().read());
             assertEcho(socket, 4);
         }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/service/PlainServiceStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/service/PlainServiceStandInTest.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 
-import org.banyanstair.testsupport.engine.EngineProbe;
+import org.banyanstair.testsupport.engine.EngineTestClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,12 +16,12 @@
 /** Guards against a stand-in that hides repeated orders or does not fail as a test asks for. */
 class PlainServiceStandInTest {
     private final PlainServiceStandIn service = new PlainServiceStandIn(PlainServiceSettings.DEFAULT);
-    private EngineProbe probe;
+    private EngineTestClient probe;
 
     @BeforeEach
     void start() {
         service.start();
-        probe = new EngineProbe(service.address());
+        probe = new EngineTestClient(service.address());
     }
 
     @AfterEach
@@ -31,8 +31,8 @@
 
     @Test
     void everyOrderRunsEvenARepeatedOne() throws Exception {
-        EngineProbe.Answer first = probe.send("POST", "/orders", "{\"item\":\"blanket\"}", "X-Request-Id", "r1");
-        EngineProbe.Answer second = probe.send("POST", "/orders", "{\"item\":\"blanket\"}", "X-Request-Id", "r1");
+        EngineTestClient.Answer first = probe.send("POST", "/orders", "{\"item\":\"blanket\"}", "X-Request-Id", "r1");
+        EngineTestClient.Answer second = probe.send("POST", "/orders", "{\"item\":\"blanket\"}", "X-Request-Id", "r1");
         assertEquals(201, first.status());
         assertEquals("order-1", first.json().path("order").asText());
         assertEquals("order-2", second.json().path("order").asText());
@@ -46,7 +46,7 @@
         assertEquals(
                 40,
                 probe.send("GET", "/stock/blanket", "").json().path("quantity").asInt());
-        EngineProbe.Answer echo = probe.send("PUT", "/quotes/7?currency=lei", "text");
+        EngineTestClient.Answer echo = probe.send("PUT", "/quotes/7?currency=lei", "text");
         assertEquals(200, echo.status());
         assertEquals("/quotes/7?currency=lei", echo.json().path("path").asText());
         assertEquals("text", echo.json().path("body").asText());
@@ -81,7 +81,7 @@
     @Test
     void connectionsAreRefusedForAWhile() throws Exception {
         service.setFault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, 400);
-        EngineProbe.await("refused", () -> {
+        EngineTestClient.await("refused", () -> {
             try {
                 probe.send("GET", "/record", "");
                 return false;
@@ -91,7 +91,7 @@
                 return false;
             }
         });
-        EngineProbe.await("accepted again", () -> {
+        EngineTestClient.await("accepted again", () -> {
             try {
                 return probe.send("GET", "/record", "").status() == 200;
             } catch (IOException exception) {
