--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandDefinition.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandDefinition.java
@@ -10,7 +10,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.banyanstair.cli.command.ApplyCommand;
-import org.banyanstair.cli.command.BurnReportCommand;
+import org.banyanstair.cli.command.BurnRateReportCommand;
 import org.banyanstair.cli.command.Command;
 import org.banyanstair.cli.command.DiffCommand;
 import org.banyanstair.cli.command.DrainCommand;
@@ -20,7 +20,7 @@
 import org.banyanstair.cli.command.PresetUseCommand;
 import org.banyanstair.cli.command.StatusCommand;
 import org.banyanstair.cli.command.ValidateCommand;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 import org.banyanstair.model.HostId;
@@ -32,10 +32,10 @@
  * @param name its words, separated by a space
  * @param argument name of its only argument, empty if it takes none
  * @param options its options besides the global ones
- * @param creator creates the command
+ * @param factory creates the command
  */
 record CommandDefinition(
-        String name, Optional<String> argument, List<Option> options, Function<Invocation, Command> creator) {
+        String name, Optional<String> argument, List<Option> options, Function<Invocation, Command> factory) {
     private static final String FILE = "file";
     private static final String BASE = "base";
     private static final String DRY_RUN = "dry-run";
@@ -47,45 +47,47 @@
     private static final int MAXIMUM_WAIT_SECONDS = 3_600;
 
     private static final List<CommandDefinition> ALL = List.of(
-            new CommandDefinition("validate", Optional.empty(), List.of(file()), CommandDefinition::validate),
-            new CommandDefinition("diff", Optional.empty(), List.of(file()), CommandDefinition::diff),
+            new CommandDefinition(
+                    "validate", Optional.empty(), List.of(fileOption()), CommandDefinition::validateCommand),
+            new CommandDefinition("diff", Optional.empty(), List.of(fileOption()), CommandDefinition::diffCommand),
             new CommandDefinition(
                     "apply",
                     Optional.empty(),
                     List.of(
-                            file(),
-                            GlobalOptions.withValue(BASE, "VERSION"),
-                            GlobalOptions.flag(DRY_RUN),
-                            GlobalOptions.flag(NO_WAIT),
-                            GlobalOptions.withValue(WAIT_SECONDS, "SECONDS")),
-                    CommandDefinition::apply),
+                            fileOption(),
+                            GlobalOptions.valueOption(BASE, "VERSION"),
+                            GlobalOptions.flagOption(DRY_RUN),
+                            GlobalOptions.flagOption(NO_WAIT),
+                            GlobalOptions.valueOption(WAIT_SECONDS, "SECONDS")),
+                    CommandDefinition::applyCommand),
             new CommandDefinition(
                     "preset use",
                     Optional.of("NAME"),
-                    List.of(GlobalOptions.flag(NO_WAIT), GlobalOptions.withValue(WAIT_SECONDS, "SECONDS")),
-                    CommandDefinition::presetUse),
+                    List.of(GlobalOptions.flagOption(NO_WAIT), GlobalOptions.valueOption(WAIT_SECONDS, "SECONDS")),
+                    CommandDefinition::presetUseCommand),
             new CommandDefinition(
                     "preset list",
                     Optional.empty(),
                     List.of(),
-                    invocation -> new PresetListCommand(invocation.console(), invocation.client())),
+                    invocation -> new PresetListCommand(invocation.console(), invocation.createClient())),
             new CommandDefinition(
                     "status",
                     Optional.empty(),
                     List.of(),
-                    invocation -> new StatusCommand(invocation.console(), invocation.client())),
+                    invocation -> new StatusCommand(invocation.console(), invocation.createClient())),
             new CommandDefinition(
                     "endpoints",
                     Optional.empty(),
                     List.of(),
-                    invocation -> new EndpointsCommand(invocation.console(), invocation.client())),
-            new CommandDefinition("drain", Optional.of("HOST"), List.of(), CommandDefinition::drain),
+                    invocation -> new EndpointsCommand(invocation.console(), invocation.createClient())),
+            new CommandDefinition("drain", Optional.of("HOST"), List.of(), CommandDefinition::drainCommand),
             new CommandDefinition(
                     "report burn",
                     Optional.empty(),
-                    List.of(GlobalOptions.withValue(HTML, "FILE")),
-                    CommandDefinition::reportBurn),
-            new CommandDefinition("explain", Optional.of("REQUEST"), List.of(logs()), CommandDefinition::explain));
+                    List.of(GlobalOptions.valueOption(HTML, "FILE")),
+                    CommandDefinition::reportBurnCommand),
+            new CommandDefinition(
+                    "explain", Optional.of("REQUEST"), List.of(logsOption()), CommandDefinition::explainCommand));
 
     static List<CommandDefinition> all() {
         return ALL;
@@ -107,14 +109,14 @@
         return List.of(name.split(" "));
     }
 
-    Options ownOptions() {
+    Options commandOptions() {
         Options all = new Options();
         options.forEach(all::addOption);
         return all;
     }
 
     Options allOptions() {
-        Options all = ownOptions();
+        Options all = commandOptions();
         GlobalOptions.options().getOptions().forEach(all::addOption);
         return all;
     }
@@ -128,88 +130,88 @@
     }
 
     Command create(Invocation invocation) {
-        return creator.apply(invocation);
+        return factory.apply(invocation);
     }
 
-    private static Option file() {
+    private static Option fileOption() {
         return Option.builder("f")
                 .longOpt(FILE)
                 .hasArg()
                 .argName("FILE")
-                .desc(Texts.of("option.file"))
+                .desc(Messages.format("option.file"))
                 .build();
     }
 
-    private static Option logs() {
+    private static Option logsOption() {
         return Option.builder()
                 .longOpt(LOGS)
                 .hasArgs()
                 .argName("FILE")
-                .desc(Texts.of("option.logs"))
+                .desc(Messages.format("option.logs"))
                 .build();
     }
 
-    private static Command explain(Invocation invocation) {
+    private static Command explainCommand(Invocation invocation) {
         ExplainCommand command = new ExplainCommand(invocation.console());
-        command.setRequest(invocation.argument());
+        command.setRequestId(invocation.argument());
         List<Path> files = invocation.values(LOGS).stream().map(Path::of).toList();
         if (files.isEmpty()) {
             throw new FailureException(new Failure.InvalidField("--" + LOGS, "present"));
         }
-        command.setLogs(files);
+        command.setLogFiles(files);
         return command;
     }
 
-    private static Command validate(Invocation invocation) {
+    private static Command validateCommand(Invocation invocation) {
         ValidateCommand command = new ValidateCommand(invocation.console());
-        command.setFile(path(invocation, FILE));
+        command.setFile(requiredPath(invocation, FILE));
         return command;
     }
 
-    private static Command diff(Invocation invocation) {
-        DiffCommand command = new DiffCommand(invocation.console(), invocation.client());
-        command.setFile(path(invocation, FILE));
+    private static Command diffCommand(Invocation invocation) {
+        DiffCommand command = new DiffCommand(invocation.console(), invocation.createClient());
+        command.setFile(requiredPath(invocation, FILE));
         return command;
     }
 
-    private static Command apply(Invocation invocation) {
-        ApplyCommand command = new ApplyCommand(invocation.console(), invocation.client());
-        command.setFile(path(invocation, FILE));
+    private static Command applyCommand(Invocation invocation) {
+        ApplyCommand command = new ApplyCommand(invocation.console(), invocation.createClient());
+        command.setFile(requiredPath(invocation, FILE));
         command.setDryRun(invocation.has(DRY_RUN));
-        command.setWaiting(!invocation.has(NO_WAIT));
-        invocation.number(BASE, -1, Long.MAX_VALUE).ifPresent(command::setBase);
-        wait(invocation).ifPresent(command::setWait);
+        command.setWaitForHosts(!invocation.has(NO_WAIT));
+        invocation.numberInRange(BASE, -1, Long.MAX_VALUE).ifPresent(command::setBaseVersion);
+        waitTimeout(invocation).ifPresent(command::setWaitTimeout);
         return command;
     }
 
-    private static Command presetUse(Invocation invocation) {
-        PresetUseCommand command = new PresetUseCommand(invocation.console(), invocation.client());
+    private static Command presetUseCommand(Invocation invocation) {
+        PresetUseCommand command = new PresetUseCommand(invocation.console(), invocation.createClient());
         command.setPreset(new PresetId(invocation.argument()));
-        command.setWaiting(!invocation.has(NO_WAIT));
-        wait(invocation).ifPresent(command::setWait);
+        command.setWaitForHosts(!invocation.has(NO_WAIT));
+        waitTimeout(invocation).ifPresent(command::setWaitTimeout);
         return command;
     }
 
-    private static Command drain(Invocation invocation) {
-        DrainCommand command = new DrainCommand(invocation.console(), invocation.client());
+    private static Command drainCommand(Invocation invocation) {
+        DrainCommand command = new DrainCommand(invocation.console(), invocation.createClient());
         command.setHost(new HostId(invocation.argument()));
         return command;
     }
 
-    private static Command reportBurn(Invocation invocation) {
-        BurnReportCommand command = new BurnReportCommand(invocation.console(), invocation.client());
-        invocation.value(HTML).map(Path::of).ifPresent(command::setPage);
+    private static Command reportBurnCommand(Invocation invocation) {
+        BurnRateReportCommand command = new BurnRateReportCommand(invocation.console(), invocation.createClient());
+        invocation.value(HTML).map(Path::of).ifPresent(command::setHtmlFile);
         return command;
     }
 
-    private static Path path(Invocation invocation, String option) {
+    private static Path requiredPath(Invocation invocation, String option) {
         return invocation
                 .value(option)
                 .map(Path::of)
                 .orElseThrow(() -> new FailureException(new Failure.InvalidField("--" + option, "present")));
     }
 
-    private static Optional<Duration> wait(Invocation invocation) {
-        return invocation.number(WAIT_SECONDS, 1, MAXIMUM_WAIT_SECONDS).map(Duration::ofSeconds);
+    private static Optional<Duration> waitTimeout(Invocation invocation) {
+        return invocation.numberInRange(WAIT_SECONDS, 1, MAXIMUM_WAIT_SECONDS).map(Duration::ofSeconds);
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandLineTool.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandLineTool.java
@@ -20,7 +20,7 @@
     private final Function<String, Optional<String>> environment;
     private final PrintStream out;
     private final PrintStream err;
-    private final boolean terminal;
+    private final boolean interactive;
 
     /**
      * Creates the tool.
@@ -28,14 +28,14 @@
      * @param environment environment variables by name
      * @param out standard output
      * @param err standard error
-     * @param terminal whether a person watches the output
+     * @param interactive whether a person watches the output
      */
     public CommandLineTool(
-            Function<String, Optional<String>> environment, PrintStream out, PrintStream err, boolean terminal) {
+            Function<String, Optional<String>> environment, PrintStream out, PrintStream err, boolean interactive) {
         this.environment = environment;
         this.out = out;
         this.err = err;
-        this.terminal = terminal;
+        this.interactive = interactive;
     }
 
     /**
@@ -45,41 +45,42 @@
      * @return the exit code
      */
     public ExitCode run(String... arguments) {
-        Console console = new Console(out, err, requestedFormat(arguments), terminal);
+        Console console = new Console(out, err, requestedFormat(arguments), interactive);
         try {
             return execute(console, arguments);
         } catch (FailureException exception) {
-            console.failures(List.of(exception.failure()));
+            console.printFailures(List.of(exception.failure()));
             return ExitCode.of(exception.failure());
         }
     }
 
     private ExitCode execute(Console console, String... arguments) {
-        CommandLine global = parse(GlobalOptions.options(), arguments, true);
-        List<String> words = global.getArgList();
-        Optional<CommandDefinition> found = CommandDefinition.find(words);
-        if (global.hasOption(GlobalOptions.HELP) || global.hasOption(GlobalOptions.VERSION)) {
-            return help(global, found);
+        CommandLine globalArguments = parse(GlobalOptions.options(), arguments, true);
+        List<String> words = globalArguments.getArgList();
+        Optional<CommandDefinition> match = CommandDefinition.find(words);
+        if (globalArguments.hasOption(GlobalOptions.HELP) || globalArguments.hasOption(GlobalOptions.VERSION)) {
+            return printHelpOrVersion(globalArguments, match);
         }
-        CommandDefinition definition = found.orElseThrow(() -> new FailureException(
+        CommandDefinition definition = match.orElseThrow(() -> new FailureException(
                 new Failure.InvalidField("command", "one of " + String.join(", ", CommandDefinition.names()))));
-        String[] rest = words.subList(definition.words().size(), words.size()).toArray(String[]::new);
-        CommandLine own = parse(definition.allOptions(), rest, false);
-        if (own.hasOption(GlobalOptions.HELP) || own.hasOption(GlobalOptions.VERSION)) {
-            return help(own, found);
+        String[] remaining =
+                words.subList(definition.words().size(), words.size()).toArray(String[]::new);
+        CommandLine commandArguments = parse(definition.allOptions(), remaining, false);
+        if (commandArguments.hasOption(GlobalOptions.HELP) || commandArguments.hasOption(GlobalOptions.VERSION)) {
+            return printHelpOrVersion(commandArguments, match);
         }
-        definition.checkArguments(own.getArgList());
+        definition.checkArguments(commandArguments.getArgList());
         return definition
-                .create(new Invocation(console, global, own, environment))
+                .create(new Invocation(console, globalArguments, commandArguments, environment))
                 .call();
     }
 
-    private ExitCode help(CommandLine line, Optional<CommandDefinition> definition) {
-        Help help = new Help(out);
-        if (line.hasOption(GlobalOptions.HELP)) {
-            help.print(definition);
+    private ExitCode printHelpOrVersion(CommandLine arguments, Optional<CommandDefinition> definition) {
+        HelpPrinter printer = new HelpPrinter(out);
+        if (arguments.hasOption(GlobalOptions.HELP)) {
+            printer.printHelp(definition);
         } else {
-            help.printVersion();
+            printer.printVersion();
         }
         return ExitCode.DONE;
     }
@@ -92,7 +93,7 @@
                     .build()
                     .parse(options, arguments, stopAtCommand);
         } catch (ParseException exception) {
-            throw new FailureException(UsageFailure.of(exception, options));
+            throw new FailureException(UsageFailures.of(exception, options));
         }
     }
 
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/GlobalOptions.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/GlobalOptions.java
@@ -2,7 +2,7 @@
 
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 
 /** The options of all commands, accepted before and after the command. */
 final class GlobalOptions {
@@ -16,23 +16,26 @@
 
     static Options options() {
         return new Options()
-                .addOption(withValue(OPERATOR, "URL"))
-                .addOption(withValue(KEY_FILE, "FILE"))
-                .addOption(withValue(OUTPUT, "FORMAT"))
-                .addOption(flag(HELP))
-                .addOption(flag(VERSION));
+                .addOption(valueOption(OPERATOR, "URL"))
+                .addOption(valueOption(KEY_FILE, "FILE"))
+                .addOption(valueOption(OUTPUT, "FORMAT"))
+                .addOption(flagOption(HELP))
+                .addOption(flagOption(VERSION));
     }
 
-    static Option withValue(String name, String valueName) {
+    static Option valueOption(String name, String valueName) {
         return Option.builder()
                 .longOpt(name)
                 .hasArg()
                 .argName(valueName)
-                .desc(Texts.of("option." + name))
+                .desc(Messages.format("option." + name))
                 .build();
     }
 
-    static Option flag(String name) {
-        return Option.builder().longOpt(name).desc(Texts.of("option." + name)).build();
+    static Option flagOption(String name) {
+        return Option.builder()
+                .longOpt(name)
+                .desc(Messages.format("option." + name))
+                .build();
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/Help.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/HelpPrinter.java
@@ -9,62 +9,63 @@
 
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 
 /** Prints the help and the version of the tool. */
-final class Help {
-    private static final int WIDTH = 100;
+final class HelpPrinter {
+    private static final int LINE_WIDTH_CHARACTERS = 100;
     private static final String POM_PROPERTIES = "/META-INF/maven/org.banyanstair/banyanstair-cli/pom.properties";
 
     private final PrintStream out;
 
-    Help(PrintStream out) {
+    HelpPrinter(PrintStream out) {
         this.out = out;
     }
 
-    void print(Optional<CommandDefinition> definition) {
-        out.println(Texts.of("usage"));
-        out.println(Texts.of("usage.commands"));
+    void printHelp(Optional<CommandDefinition> definition) {
+        out.println(Messages.format("usage"));
+        out.println(Messages.format("usage.commands"));
         for (CommandDefinition command : CommandDefinition.all()) {
             String words = command.name()
                     + command.argument().map(argument -> " " + argument).orElse("");
             out.printf(
-                    "  %-18s %s%n", words, Texts.of("command." + command.name().replace(' ', '-')));
+                    "  %-18s %s%n",
+                    words, Messages.format("command." + command.name().replace(' ', '-')));
         }
-        definition.ifPresent(this::printOwnOptions);
-        out.println(Texts.of("usage.options"));
+        definition.ifPresent(this::printCommandOptions);
+        out.println(Messages.format("usage.options"));
         printOptions(GlobalOptions.options());
-        out.println(Texts.of("usage.exit-codes"));
+        out.println(Messages.format("usage.exit-codes"));
     }
 
-    private void printOwnOptions(CommandDefinition definition) {
+    private void printCommandOptions(CommandDefinition definition) {
         if (!definition.options().isEmpty()) {
-            out.println(Texts.of("usage.command-options", definition.name()));
-            printOptions(definition.ownOptions());
+            out.println(Messages.format("usage.command-options", definition.name()));
+            printOptions(definition.commandOptions());
         }
     }
 
     private void printOptions(Options options) {
         PrintWriter writer = new PrintWriter(out);
-        new HelpFormatter().printOptions(writer, WIDTH, options, 2, 2);
+        new HelpFormatter().printOptions(writer, LINE_WIDTH_CHARACTERS, options, 2, 2);
         writer.flush();
     }
 
     void printVersion() {
-        out.println(Texts.of("version", version()));
+        out.println(Messages.format("version", version()));
     }
 
     /** Reads the version that Maven wrote into the jar. */
     private static String version() {
-        try (InputStream stream = Help.class.getResourceAsStream(POM_PROPERTIES)) {
+        try (InputStream stream = HelpPrinter.class.getResourceAsStream(POM_PROPERTIES)) {
             if (stream == null) {
-                return Texts.of("version.unknown");
+                return Messages.format("version.unknown");
             }
             Properties properties = new Properties();
             properties.load(stream);
             return properties.getProperty("version");
         } catch (IOException exception) {
-            return Texts.of("version.unknown");
+            return Messages.format("version.unknown");
         }
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/Invocation.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/Invocation.java
@@ -22,19 +22,23 @@
     private static final String KEY_VARIABLE = "BANYANSTAIR_OPERATOR_KEY";
 
     private final Console console;
-    private final CommandLine global;
-    private final CommandLine own;
+    private final CommandLine globalArguments;
+    private final CommandLine commandArguments;
     private final Function<String, Optional<String>> environment;
 
-    Invocation(Console console, CommandLine global, CommandLine own, Function<String, Optional<String>> environment) {
+    Invocation(
+            Console console,
+            CommandLine globalArguments,
+            CommandLine commandArguments,
+            Function<String, Optional<String>> environment) {
         this.console = console;
-        this.global = global;
-        this.own = own;
+        this.globalArguments = globalArguments;
+        this.commandArguments = commandArguments;
         this.environment = environment;
         value(GlobalOptions.OUTPUT)
                 .filter(format -> !format.equals("text") && !format.equals("json"))
                 .ifPresent(format -> {
-                    throw reject("--output", "text or json");
+                    throw invalidField("--output", "text or json");
                 });
     }
 
@@ -43,25 +47,25 @@
     }
 
     String argument() {
-        return own.getArgList().get(0);
+        return commandArguments.getArgList().get(0);
     }
 
     boolean has(String option) {
-        return own.hasOption(option);
+        return commandArguments.hasOption(option);
     }
 
     /** Returns the value of an option; one after the command wins over one before it. */
     Optional<String> value(String option) {
-        return Optional.ofNullable(own.getOptionValue(option))
-                .or(() -> Optional.ofNullable(global.getOptionValue(option)));
+        return Optional.ofNullable(commandArguments.getOptionValue(option))
+                .or(() -> Optional.ofNullable(globalArguments.getOptionValue(option)));
     }
 
     /** Returns all values of an option of the command. */
     List<String> values(String option) {
-        return own.hasOption(option) ? List.of(own.getOptionValues(option)) : List.of();
+        return commandArguments.hasOption(option) ? List.of(commandArguments.getOptionValues(option)) : List.of();
     }
 
-    Optional<Long> number(String option, long minimum, long maximum) {
+    Optional<Long> numberInRange(String option, long minimum, long maximum) {
         return value(option).map(text -> {
             try {
                 long number = Long.parseLong(text);
@@ -69,17 +73,18 @@
                     return number;
                 }
             } catch (NumberFormatException exception) {
-                throw reject("--" + option, "a whole number from " + minimum + " to " + maximum);
+                throw invalidField("--" + option, "a whole number from " + minimum + " to " + maximum);
             }
-            throw reject("--" + option, "a whole number from " + minimum + " to " + maximum);
+            throw invalidField("--" + option, "a whole number from " + minimum + " to " + maximum);
         });
     }
 
-    OperatorClient client() {
+    OperatorClient createClient() {
         String addresses = value(GlobalOptions.OPERATOR)
                 .or(() -> environment.apply(OPERATOR_VARIABLE))
-                .orElseThrow(() -> reject("--operator", "present, or the variable " + OPERATOR_VARIABLE + " set"));
-        return new OperatorClient(addresses(addresses), key());
+                .orElseThrow(
+                        () -> invalidField("--operator", "present, or the variable " + OPERATOR_VARIABLE + " set"));
+        return new OperatorClient(addresses(addresses), operatorKey());
     }
 
     private static List<HttpUrl> addresses(String text) {
@@ -88,18 +93,19 @@
 
     private static HttpUrl address(String text) {
         return Optional.ofNullable(HttpUrl.parse(text.strip()))
-                .orElseThrow(() -> reject("--operator", "URLs such as http://127.0.0.1:8081, separated by commas"));
+                .orElseThrow(
+                        () -> invalidField("--operator", "URLs such as http://127.0.0.1:8081, separated by commas"));
     }
 
-    private String key() {
+    private String operatorKey() {
         String key = value(GlobalOptions.KEY_FILE)
                 .map(Invocation::readKey)
                 .or(() -> environment.apply(KEY_VARIABLE))
                 .map(String::strip)
-                .orElseThrow(() -> reject("--key-file", "present, or the variable " + KEY_VARIABLE + " set"));
+                .orElseThrow(() -> invalidField("--key-file", "present, or the variable " + KEY_VARIABLE + " set"));
         // Other characters cannot be sent in a header.
         if (!key.matches("[\\x21-\\x7e]+")) {
-            throw reject("the operator's key", "one line of visible ASCII characters");
+            throw invalidField("the operator's key", "one line of visible ASCII characters");
         }
         return key;
     }
@@ -108,11 +114,11 @@
         try {
             return Files.readString(Path.of(file));
         } catch (IOException | InvalidPathException exception) {
-            throw reject("--key-file", "a readable file");
+            throw invalidField("--key-file", "a readable file");
         }
     }
 
-    private static FailureException reject(String field, String accepted) {
+    private static FailureException invalidField(String field, String accepted) {
         return new FailureException(new Failure.InvalidField(field, accepted));
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/UsageFailure.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/UsageFailures.java
@@ -10,8 +10,8 @@
 import org.banyanstair.errors.Failure;
 
 /** Turns errors of the command-line parser into failures. */
-final class UsageFailure {
-    private UsageFailure() {}
+final class UsageFailures {
+    private UsageFailures() {}
 
     static Failure of(ParseException exception, Options options) {
         if (exception instanceof UnrecognizedOptionException unrecognized) {
@@ -24,7 +24,7 @@
     }
 
     private static String names(Options options) {
-        return options.getOptions().stream().map(UsageFailure::name).collect(Collectors.joining(", "));
+        return options.getOptions().stream().map(UsageFailures::name).collect(Collectors.joining(", "));
     }
 
     private static String name(Option option) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnPage.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateHtmlPage.java
@@ -7,25 +7,25 @@
 import java.util.stream.Collectors;
 
 import org.banyanstair.burn.BurnRateSample;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.model.ServiceId;
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.CategoryChart;
 import org.knowm.xchart.CategoryChartBuilder;
 
 /** Formats a burn report as one HTML page that needs no other file. */
-public final class BurnPage {
+public final class BurnRateHtmlPage {
     private static final int WIDTH_PIXELS = 900;
     private static final int HEIGHT_PIXELS = 450;
 
-    private final BurnReport report;
+    private final BurnRateReport report;
 
     /**
      * Creates a page.
      *
      * @param report the report
      */
-    public BurnPage(BurnReport report) {
+    public BurnRateHtmlPage(BurnRateReport report) {
         this.report = report;
     }
 
@@ -36,14 +36,16 @@
      * @throws IOException if the chart cannot be drawn
      */
     public String html() throws IOException {
-        String rows = report.samples().stream().map(BurnPage::row).collect(Collectors.joining("\n"));
+        String rows = report.samples().stream().map(BurnRateHtmlPage::row).collect(Collectors.joining("\n"));
         String missing = report.hostsWithoutAnswer().isEmpty()
                 ? ""
-                : "<p>" + Texts.of("burn.incomplete", report.hostsWithoutAnswer()) + "</p>\n";
-        return "<!DOCTYPE html>\n<html lang=\"en\">\n<head><meta charset=\"utf-8\"><title>" + Texts.of("burn.title")
+                : "<p>" + Messages.format("burn.incomplete", report.hostsWithoutAnswer()) + "</p>\n";
+        return "<!DOCTYPE html>\n<html lang=\"en\">\n<head><meta charset=\"utf-8\"><title>"
+                + Messages.format("burn.title")
                 + "</title>\n<style>body{font-family:sans-serif}td,th{padding:0.2em 0.8em;text-align:left}</style>"
-                + "</head>\n<body>\n<h1>" + Texts.of("burn.title") + "</h1>\n<p>"
-                + Texts.of("burn.taken-at", report.takenAt()) + "</p>\n" + missing + chart() + "<table>\n" + header()
+                + "</head>\n<body>\n<h1>" + Messages.format("burn.title") + "</h1>\n<p>"
+                + Messages.format("burn.taken-at", report.takenAt()) + "</p>\n" + missing + chart() + "<table>\n"
+                + header()
                 + rows + "\n</table>\n</body>\n</html>\n";
     }
 
@@ -57,12 +59,12 @@
                         "column.burn-rate",
                         "column.failures")
                 .stream()
-                .map(key -> "<th>" + Texts.of(key) + "</th>")
+                .map(key -> "<th>" + Messages.format(key) + "</th>")
                 .collect(Collectors.joining("", "<tr>", "</tr>\n"));
     }
 
     private static String row(BurnRateSample sample) {
-        return BurnRow.cells(sample).stream()
+        return BurnRateRow.cells(sample).stream()
                 .map(cell -> "<td>" + escape(cell) + "</td>")
                 .collect(Collectors.joining("", "<tr>", "</tr>"));
     }
@@ -82,9 +84,9 @@
         CategoryChart chart = new CategoryChartBuilder()
                 .width(WIDTH_PIXELS)
                 .height(HEIGHT_PIXELS)
-                .title(Texts.of("burn.title"))
-                .xAxisTitle(Texts.of("column.service"))
-                .yAxisTitle(Texts.of("column.burn-rate"))
+                .title(Messages.format("burn.title"))
+                .xAxisTitle(Messages.format("column.service"))
+                .yAxisTitle(Messages.format("column.burn-rate"))
                 .build();
         chart.getStyler().setLocale(Locale.ROOT);
         List<String> names = services.stream().map(ServiceId::value).toList();
@@ -93,14 +95,14 @@
                 .distinct()
                 .sorted()
                 .forEach(window -> chart.addSeries(
-                        Texts.of("burn.window", window),
+                        Messages.format("burn.window", window),
                         names,
                         services.stream()
                                 .map(service -> burnRate(service, window))
                                 .toList()));
         String image =
                 Base64.getEncoder().encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG));
-        return "<img alt=\"" + Texts.of("burn.title") + "\" src=\"data:image/png;base64," + image + "\">\n";
+        return "<img alt=\"" + Messages.format("burn.title") + "\" src=\"data:image/png;base64," + image + "\">\n";
     }
 
     private double burnRate(ServiceId service, int window) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnReport.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateReport.java
@@ -20,9 +20,9 @@
  * @param samples one for each service and window, by service and then by length of the window
  * @param hostsWithoutAnswer hosts whose samples are missing
  */
-public record BurnReport(Instant takenAt, List<BurnRateSample> samples, List<HostId> hostsWithoutAnswer) {
+public record BurnRateReport(Instant takenAt, List<BurnRateSample> samples, List<HostId> hostsWithoutAnswer) {
     /** Copies the lists. */
-    public BurnReport {
+    public BurnRateReport {
         samples = List.copyOf(samples);
         hostsWithoutAnswer = List.copyOf(hostsWithoutAnswer);
     }
@@ -36,7 +36,7 @@
      * @param hostsWithoutAnswer the other hosts
      * @return the report
      */
-    public static BurnReport merge(List<BurnRateSnapshot> snapshots, List<HostId> hostsWithoutAnswer) {
+    public static BurnRateReport merge(List<BurnRateSnapshot> snapshots, List<HostId> hostsWithoutAnswer) {
         Map<Key, BurnRateSample> merged =
                 new TreeMap<>(Comparator.comparing(Key::service).thenComparing(Key::windowMinutes));
         // The objective of the latest snapshot stays: an objective that was changed lately differs between hosts.
@@ -46,8 +46,8 @@
         sorted.stream()
                 .flatMap(snapshot -> snapshot.samples().stream())
                 .forEach(sample ->
-                        merged.merge(new Key(sample.service(), sample.windowMinutes()), sample, BurnReport::add));
-        return new BurnReport(
+                        merged.merge(new Key(sample.service(), sample.windowMinutes()), sample, BurnRateReport::add));
+        return new BurnRateReport(
                 sorted.get(sorted.size() - 1).takenAt(), List.copyOf(merged.values()), hostsWithoutAnswer);
     }
 
@@ -68,7 +68,7 @@
      *
      * @return the services; a service without requests misses nothing
      */
-    public List<ServiceId> missedObjectives() {
+    public List<ServiceId> servicesMissingObjective() {
         Map<ServiceId, BurnRateSample> longest = new TreeMap<>();
         // Samples of a service are in the order of their windows, so that the longest one comes last.
         samples.forEach(sample -> longest.put(sample.service(), sample));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRow.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateRow.java
@@ -6,11 +6,11 @@
 import java.util.stream.Collectors;
 
 import org.banyanstair.burn.BurnRateSample;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 
 /** Formats a sample as cells of a table. */
-public final class BurnRow {
-    private BurnRow() {}
+public final class BurnRateRow {
+    private BurnRateRow() {}
 
     /**
      * Formats a sample.
@@ -21,10 +21,10 @@
     public static List<String> cells(BurnRateSample sample) {
         return List.of(
                 sample.service().value(),
-                Texts.of("burn.window", sample.windowMinutes()),
+                Messages.format("burn.window", sample.windowMinutes()),
                 String.valueOf(sample.requests()),
                 sample.requests() == 0 ? "-" : share((double) sample.good() / sample.requests()),
-                Texts.of(
+                Messages.format(
                         "burn.objective",
                         share(sample.objective().share()),
                         sample.objective().latencyMilliseconds()),
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ApplyCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ApplyCommand.java
@@ -17,10 +17,10 @@
 
 /** Changes the configuration to that of a declarations file. */
 public final class ApplyCommand extends ChangeCommand {
-    private static final long POLL_MILLISECONDS = 200;
+    private static final long POLL_INTERVAL_MILLISECONDS = 200;
 
     private Path file;
-    private OptionalLong base = OptionalLong.empty();
+    private OptionalLong baseVersion = OptionalLong.empty();
     private boolean dryRun;
 
     /**
@@ -47,8 +47,8 @@
      *
      * @param version the version
      */
-    public void setBase(long version) {
-        this.base = OptionalLong.of(version);
+    public void setBaseVersion(long version) {
+        this.baseVersion = OptionalLong.of(version);
     }
 
     /**
@@ -66,35 +66,37 @@
     }
 
     private ExitCode apply(Declarations declarations) {
-        Configuration configuration = configuration();
+        Configuration configuration = readConfiguration();
         List<Operation> operations = ConfigurationDifference.between(configuration, declarations);
         if (dryRun || operations.isEmpty()) {
-            new DifferenceView(configuration).print(console(), operations);
+            new DifferencePrinter(configuration).print(console(), operations);
             return ExitCode.DONE;
         }
         return submit(configuration.version(), operations);
     }
 
-    private Configuration configuration() {
+    private Configuration readConfiguration() {
         Configuration configuration = client().configuration();
-        if (base.isEmpty()) {
+        if (baseVersion.isEmpty()) {
             return configuration;
         }
         Instant deadline = deadline();
         // A host may not have read the change yet that made the base version.
-        while (configuration.version() < base.getAsLong() && Instant.now().isBefore(deadline)) {
-            pause();
+        while (configuration.version() < baseVersion.getAsLong()
+                && Instant.now().isBefore(deadline)) {
+            sleepUntilNextPoll();
             configuration = client().configuration();
         }
-        if (configuration.version() != base.getAsLong()) {
-            throw new FailureException(new Failure.ConfigurationConflict(base.getAsLong(), configuration.version()));
+        if (configuration.version() != baseVersion.getAsLong()) {
+            throw new FailureException(
+                    new Failure.ConfigurationConflict(baseVersion.getAsLong(), configuration.version()));
         }
         return configuration;
     }
 
-    private static void pause() {
+    private static void sleepUntilNextPoll() {
         try {
-            Thread.sleep(POLL_MILLISECONDS);
+            Thread.sleep(POLL_INTERVAL_MILLISECONDS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new FailureException(new Failure.Cancelled());
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnReportCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnRateReportCommand.java
@@ -11,25 +11,25 @@
 import okhttp3.HttpUrl;
 import org.banyanstair.burn.BurnRateSnapshot;
 import org.banyanstair.cli.ExitCode;
-import org.banyanstair.cli.burn.BurnPage;
-import org.banyanstair.cli.burn.BurnReport;
-import org.banyanstair.cli.burn.BurnRow;
-import org.banyanstair.cli.operator.HostAddress;
+import org.banyanstair.cli.burn.BurnRateHtmlPage;
+import org.banyanstair.cli.burn.BurnRateReport;
+import org.banyanstair.cli.burn.BurnRateRow;
 import org.banyanstair.cli.operator.HostQueries;
 import org.banyanstair.cli.operator.OperatorClient;
+import org.banyanstair.cli.operator.OperatorUrl;
 import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.cli.output.TextTable;
-import org.banyanstair.cli.output.Texts;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.model.HostId;
 
 /** Collects the burn samples of all hosts. */
-public final class BurnReportCommand implements Command {
+public final class BurnRateReportCommand implements Command {
     private final Console console;
     private final OperatorClient client;
-    private Optional<Path> page = Optional.empty();
+    private Optional<Path> htmlFile = Optional.empty();
 
     /**
      * Creates the command.
@@ -37,7 +37,7 @@
      * @param console receives the result
      * @param client client of the operator API
      */
-    public BurnReportCommand(Console console, OperatorClient client) {
+    public BurnRateReportCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
     }
@@ -47,13 +47,13 @@
      *
      * @param file file to write
      */
-    public void setPage(Path file) {
-        this.page = Optional.of(file);
+    public void setHtmlFile(Path file) {
+        this.htmlFile = Optional.of(file);
     }
 
     @Override
     public ExitCode call() {
-        BurnReport report = collect();
+        BurnRateReport report = collectReport();
         TextTable table = new TextTable(
                 "column.service",
                 "column.window",
@@ -62,24 +62,25 @@
                 "column.objective",
                 "column.burn-rate",
                 "column.failures");
-        report.samples().forEach(sample -> table.row(BurnRow.cells(sample).toArray()));
-        page.ifPresent(file -> write(file, report));
+        report.samples()
+                .forEach(sample -> table.addRow(BurnRateRow.cells(sample).toArray()));
+        htmlFile.ifPresent(file -> writeHtml(file, report));
         if (!report.hostsWithoutAnswer().isEmpty()) {
-            console.note(Texts.of("burn.incomplete", report.hostsWithoutAnswer()));
+            console.printNote(Messages.format("burn.incomplete", report.hostsWithoutAnswer()));
         }
-        console.result(report, table.lines());
-        return report.missedObjectives().isEmpty() ? ExitCode.DONE : ExitCode.NOT_REACHED;
+        console.printResult(report, table.lines());
+        return report.servicesMissingObjective().isEmpty() ? ExitCode.DONE : ExitCode.NOT_REACHED;
     }
 
-    private BurnReport collect() {
+    private BurnRateReport collectReport() {
         List<EntryHost> hosts = client.status().hosts();
-        console.progress(Texts.of("burn.progress", hosts.size()));
+        console.showProgress(Messages.format("burn.progress", hosts.size()));
         Map<HttpUrl, Optional<BurnRateSnapshot>> answers =
-                HostQueries.ask(hosts.stream().map(HostAddress::of).toList(), client::burn);
+                HostQueries.queryAll(hosts.stream().map(OperatorUrl::forHost).toList(), client::burnRates);
         List<BurnRateSnapshot> snapshots =
                 answers.values().stream().flatMap(Optional::stream).toList();
-        List<HostId> missing = hosts.stream()
-                .filter(host -> answers.get(HostAddress.of(host)).isEmpty())
+        List<HostId> hostsWithoutAnswer = hosts.stream()
+                .filter(host -> answers.get(OperatorUrl.forHost(host)).isEmpty())
                 .map(EntryHost::id)
                 .toList();
         if (snapshots.isEmpty()) {
@@ -87,12 +88,12 @@
                     .map(host -> host.operatorAddress().toString())
                     .collect(Collectors.joining(", "))));
         }
-        return BurnReport.merge(snapshots, missing);
+        return BurnRateReport.merge(snapshots, hostsWithoutAnswer);
     }
 
-    private static void write(Path file, BurnReport report) {
+    private static void writeHtml(Path file, BurnRateReport report) {
         try {
-            Files.writeString(file, new BurnPage(report).html());
+            Files.writeString(file, new BurnRateHtmlPage(report).html());
         } catch (IOException exception) {
             throw new FailureException(new Failure.InvalidField(file.toString(), "a file that can be written"));
         }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ChangeCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ChangeCommand.java
@@ -10,19 +10,19 @@
 import org.banyanstair.cli.operator.ChangeSubmitter;
 import org.banyanstair.cli.operator.OperatorClient;
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.configuration.Operation;
 import org.banyanstair.model.HostId;
 
 /** Base of the commands that change the configuration. */
 abstract class ChangeCommand implements Command {
     /** An accepted change is in force everywhere within 9 s; the rest is for hosts that restart meanwhile. */
-    private static final Duration DEFAULT_WAIT = Duration.ofSeconds(60);
+    private static final Duration DEFAULT_WAIT_TIMEOUT = Duration.ofSeconds(60);
 
     private final Console console;
     private final OperatorClient client;
-    private Duration wait = DEFAULT_WAIT;
-    private boolean waiting = true;
+    private Duration waitTimeout = DEFAULT_WAIT_TIMEOUT;
+    private boolean waitForHosts = true;
 
     ChangeCommand(Console console, OperatorClient client) {
         this.console = console;
@@ -32,19 +32,19 @@
     /**
      * Sets how long outcomes and versions are waited for.
      *
-     * @param wait the time, 60 s by default
+     * @param waitTimeout the time, 60 s by default
      */
-    public void setWait(Duration wait) {
-        this.wait = wait;
+    public void setWaitTimeout(Duration waitTimeout) {
+        this.waitTimeout = waitTimeout;
     }
 
     /**
      * Sets whether the command waits until all live hosts have the new version.
      *
-     * @param waiting true by default
+     * @param waitForHosts true by default
      */
-    public void setWaiting(boolean waiting) {
-        this.waiting = waiting;
+    public void setWaitForHosts(boolean waitForHosts) {
+        this.waitForHosts = waitForHosts;
     }
 
     Console console() {
@@ -56,28 +56,28 @@
     }
 
     Instant deadline() {
-        return Instant.now().plus(wait);
+        return Instant.now().plus(waitTimeout);
     }
 
     ExitCode submit(long baseVersion, List<Operation> operations) {
-        ChangeSubmitter submitter = new ChangeSubmitter(client, console, wait);
+        ChangeSubmitter submitter = new ChangeSubmitter(client, console, waitTimeout);
         long version = submitter.submit(baseVersion, operations);
-        if (!waiting) {
-            print(version, operations, "change.accepted", List.of());
+        if (!waitForHosts) {
+            printResult(version, operations, "change.accepted", List.of());
             return ExitCode.DONE;
         }
-        console.note(Texts.of("change.accepted", version, operations.size(), ""));
-        List<HostId> missing = submitter.awaitEverywhere(version);
-        print(version, operations, missing.isEmpty() ? "change.everywhere" : "change.missing", missing);
+        console.printNote(Messages.format("change.accepted", version, operations.size(), ""));
+        List<HostId> missing = submitter.awaitVersionOnLiveHosts(version);
+        printResult(version, operations, missing.isEmpty() ? "change.everywhere" : "change.missing", missing);
         return missing.isEmpty() ? ExitCode.DONE : ExitCode.NOT_REACHED;
     }
 
-    private void print(long version, List<Operation> operations, String text, List<HostId> missing) {
+    private void printResult(long version, List<Operation> operations, String messageKey, List<HostId> missing) {
         Map<String, Object> document = new LinkedHashMap<>();
         document.put("version", version);
         document.put("operations", operations.size());
-        document.put("waited", waiting);
+        document.put("waited", waitForHosts);
         document.put("hostsWithoutVersion", missing);
-        console.result(document, List.of(Texts.of(text, version, operations.size(), missing)));
+        console.printResult(document, List.of(Messages.format(messageKey, version, operations.size(), missing)));
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DiffCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DiffCommand.java
@@ -45,7 +45,7 @@
     private ExitCode compare(Declarations declarations) {
         Configuration configuration = client.configuration();
         List<Operation> operations = ConfigurationDifference.between(configuration, declarations);
-        new DifferenceView(configuration).print(console, operations);
+        new DifferencePrinter(configuration).print(console, operations);
         return operations.isEmpty() ? ExitCode.DONE : ExitCode.NOT_REACHED;
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferenceView.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferencePrinter.java
@@ -4,25 +4,25 @@
 import java.util.Map;
 
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.configuration.Operation;
 
 /** Prints operations as additions, changes and removals compared with a configuration. */
-final class DifferenceView {
+final class DifferencePrinter {
     private record Document(long version, List<Operation> operations) {}
 
     private final Configuration from;
 
-    DifferenceView(Configuration from) {
+    DifferencePrinter(Configuration from) {
         this.from = from;
     }
 
     void print(Console console, List<Operation> operations) {
         List<String> lines = operations.isEmpty()
-                ? List.of(Texts.of("diff.none", from.version()))
+                ? List.of(Messages.format("diff.none", from.version()))
                 : operations.stream().map(this::line).toList();
-        console.result(new Document(from.version(), operations), lines);
+        console.printResult(new Document(from.version(), operations), lines);
     }
 
     private String line(Operation operation) {
@@ -35,18 +35,18 @@
         } else if (operation instanceof Operation.PutPreset put) {
             return put("preset-settings", put.preset().id(), from.presets());
         } else if (operation instanceof Operation.RemoveService remove) {
-            return Texts.of("diff.remove", "service", remove.id());
+            return Messages.format("diff.remove", "service", remove.id());
         } else if (operation instanceof Operation.RemoveAdapter remove) {
-            return Texts.of("diff.remove", "adapter", remove.key());
+            return Messages.format("diff.remove", "adapter", remove.key());
         } else if (operation instanceof Operation.RemovePool remove) {
-            return Texts.of("diff.remove", "pool", remove.id());
+            return Messages.format("diff.remove", "pool", remove.id());
         } else if (operation instanceof Operation.RemovePreset remove) {
-            return Texts.of("diff.remove", "preset-settings", remove.id());
+            return Messages.format("diff.remove", "preset-settings", remove.id());
         }
-        return Texts.of("diff.use", from.presetInForce(), ((Operation.UsePreset) operation).id());
+        return Messages.format("diff.use", from.presetInForce(), ((Operation.UsePreset) operation).id());
     }
 
     private static String put(String kind, Object id, Map<?, ?> present) {
-        return Texts.of(present.containsKey(id) ? "diff.change" : "diff.add", kind, id);
+        return Messages.format(present.containsKey(id) ? "diff.change" : "diff.add", kind, id);
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DrainCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DrainCommand.java
@@ -6,7 +6,7 @@
 import org.banyanstair.cli.ExitCode;
 import org.banyanstair.cli.operator.OperatorClient;
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.model.HostId;
 
 /** Asks a host to drain and stop. */
@@ -38,7 +38,7 @@
     @Override
     public ExitCode call() {
         client.drain(host);
-        console.result(Map.of("host", host, "draining", true), List.of(Texts.of("drain.requested", host)));
+        console.printResult(Map.of("host", host, "draining", true), List.of(Messages.format("drain.requested", host)));
         return ExitCode.DONE;
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/EndpointsCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/EndpointsCommand.java
@@ -6,8 +6,8 @@
 import org.banyanstair.cli.ExitCode;
 import org.banyanstair.cli.operator.OperatorClient;
 import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.cli.output.TextTable;
-import org.banyanstair.cli.output.Texts;
 import org.banyanstair.peer.EndpointReport;
 
 /** Shows the state of the endpoints. */
@@ -42,16 +42,16 @@
                 "column.running",
                 "column.slots",
                 "column.loaded");
-        reports.forEach(report -> table.row(
+        reports.forEach(report -> table.addRow(
                 report.pool(),
                 report.endpoint(),
-                Texts.of("presence." + report.presence()),
-                Texts.of(report.reachable() ? "status.reachable" : "status.unreachable"),
+                Messages.format("presence." + report.presence()),
+                Messages.format(report.reachable() ? "status.reachable" : "status.unreachable"),
                 report.owner(),
                 report.running() + "/" + report.batchLimit(),
                 report.loaded().size() + "/" + report.slots(),
                 String.join(" ", report.loaded())));
-        console.result(reports, table.lines());
+        console.printResult(reports, table.lines());
         return ExitCode.DONE;
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ExplainCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ExplainCommand.java
@@ -16,15 +16,15 @@
 import org.banyanstair.cli.explain.LogLine;
 import org.banyanstair.cli.explain.RequestHistory;
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
 /** Shows what the logs of the hosts say of one request. Needs no connection. */
 public final class ExplainCommand implements Command {
     private final Console console;
-    private String request = "";
-    private List<Path> logs = List.of();
+    private String requestId = "";
+    private List<Path> logFiles = List.of();
 
     /**
      * Creates the command.
@@ -40,8 +40,8 @@
      *
      * @param id its id
      */
-    public void setRequest(String id) {
-        this.request = id;
+    public void setRequestId(String id) {
+        this.requestId = id;
     }
 
     /**
@@ -49,28 +49,28 @@
      *
      * @param files standard output of the hosts, one or several hosts a file
      */
-    public void setLogs(List<Path> files) {
-        this.logs = List.copyOf(files);
+    public void setLogFiles(List<Path> files) {
+        this.logFiles = List.copyOf(files);
     }
 
     @Override
     public ExitCode call() {
-        List<LogLine> log = new ArrayList<>();
-        logs.forEach(file -> log.addAll(read(file)));
-        RequestHistory history = RequestHistory.of(request, log);
+        List<LogLine> entries = new ArrayList<>();
+        logFiles.forEach(file -> entries.addAll(readEntries(file)));
+        RequestHistory history = RequestHistory.of(requestId, entries);
         List<String> lines = new ArrayList<>();
         if (history.lines().isEmpty()) {
-            lines.add(Texts.of("explain.unknown", request, log.size()));
+            lines.add(Messages.format("explain.unknown", requestId, entries.size()));
         } else {
-            Instant from = history.lines().get(0).at();
-            history.lines().forEach(line -> lines.add(textOf(line, from)));
-            lines.add(Texts.of("explain.cause", Texts.of("explain." + history.cause())));
+            Instant start = history.lines().get(0).at();
+            history.lines().forEach(line -> lines.add(format(line, start)));
+            lines.add(Messages.format("explain.cause", Messages.format("explain." + history.cause())));
         }
-        console.result(history, lines);
+        console.printResult(history, lines);
         return history.lines().isEmpty() ? ExitCode.NOT_REACHED : ExitCode.DONE;
     }
 
-    private static List<LogLine> read(Path file) {
+    private static List<LogLine> readEntries(Path file) {
         try (Stream<String> lines = Files.lines(file)) {
             return lines.map(LogLine::parse).flatMap(line -> line.stream()).toList();
         } catch (IOException | UncheckedIOException exception) {
@@ -78,16 +78,16 @@
         }
     }
 
-    private static String textOf(LogLine line, Instant from) {
+    private static String format(LogLine line, Instant start) {
         String fields = line.fields().entrySet().stream()
                 .filter(field -> !field.getKey().equals("request"))
-                .map(ExplainCommand::textOf)
+                .map(ExplainCommand::format)
                 .collect(Collectors.joining(" "));
         return String.format(
-                "%8d ms  %s  %s  %s", Duration.between(from, line.at()).toMillis(), line.host(), line.kind(), fields);
+                "%8d ms  %s  %s  %s", Duration.between(start, line.at()).toMillis(), line.host(), line.kind(), fields);
     }
 
-    private static String textOf(Map.Entry<String, Object> field) {
+    private static String format(Map.Entry<String, Object> field) {
         return field.getKey() + "=" + field.getValue();
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetListCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetListCommand.java
@@ -39,7 +39,7 @@
                 "column.copy-after",
                 "column.retry-share",
                 "column.admits");
-        presets.forEach(preset -> table.row(
+        presets.forEach(preset -> table.addRow(
                 preset.id().equals(configuration.presetInForce()) ? "*" : "",
                 preset.id(),
                 preset.fullness(),
@@ -47,7 +47,7 @@
                 preset.copyAfterMilliseconds(),
                 preset.retryShare(),
                 preset.admitsRequests()));
-        console.result(Map.of("inForce", configuration.presetInForce(), "presets", presets), table.lines());
+        console.printResult(Map.of("inForce", configuration.presetInForce(), "presets", presets), table.lines());
         return ExitCode.DONE;
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetUseCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetUseCommand.java
@@ -7,7 +7,7 @@
 import org.banyanstair.cli.ExitCode;
 import org.banyanstair.cli.operator.OperatorClient;
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.configuration.Operation;
 import org.banyanstair.errors.Failure;
@@ -46,9 +46,9 @@
         }
         if (configuration.presetInForce().equals(preset)) {
             console()
-                    .result(
+                    .printResult(
                             Map.of("version", configuration.version(), "operations", 0),
-                            List.of(Texts.of("preset.already", preset, configuration.version())));
+                            List.of(Messages.format("preset.already", preset, configuration.version())));
             return ExitCode.DONE;
         }
         return submit(configuration.version(), List.of(new Operation.UsePreset(preset)));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/StatusCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/StatusCommand.java
@@ -8,8 +8,8 @@
 import org.banyanstair.cli.operator.ClusterStatus;
 import org.banyanstair.cli.operator.OperatorClient;
 import org.banyanstair.cli.output.Console;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.cli.output.TextTable;
-import org.banyanstair.cli.output.Texts;
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.peer.HostStatus;
 
@@ -43,9 +43,9 @@
                 "column.log",
                 "column.pools");
         for (EntryHost host : status.hosts()) {
-            table.row(cells(host, status.state(host.id())).toArray());
+            table.addRow(cells(host, status.state(host.id())).toArray());
         }
-        console.result(status, table.lines());
+        console.printResult(status, table.lines());
         return ExitCode.DONE;
     }
 
@@ -53,17 +53,18 @@
         List<Object> cells = new ArrayList<>();
         cells.add(host.id());
         cells.add(host.dataCentre());
-        cells.add(Texts.of("presence." + host.presence()));
+        cells.add(Messages.format("presence." + host.presence()));
         if (answer.isEmpty()) {
-            cells.addAll(List.of(Texts.of("status.no-answer"), "-", "-", "-", "-", "-"));
+            cells.addAll(List.of(Messages.format("status.no-answer"), "-", "-", "-", "-", "-"));
             return cells;
         }
         HostStatus state = answer.get();
-        cells.add(Texts.of(state.draining() ? "status.draining" : state.ready() ? "status.ready" : "status.not-ready"));
+        cells.add(Messages.format(
+                state.draining() ? "status.draining" : state.ready() ? "status.ready" : "status.not-ready"));
         cells.add(state.configurationVersion());
         cells.add(state.preset());
         cells.add(state.running());
-        cells.add(Texts.of(state.logReachable() ? "status.reachable" : "status.unreachable"));
+        cells.add(Messages.format(state.logReachable() ? "status.reachable" : "status.unreachable"));
         cells.add(state.ownedPools());
         return cells;
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ValidateCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ValidateCommand.java
@@ -8,7 +8,7 @@
 import org.banyanstair.cli.ExitCode;
 import org.banyanstair.cli.declarations.DeclarationsReader;
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.configuration.Declarations;
 import org.banyanstair.toml.TomlResult;
 
@@ -43,9 +43,9 @@
     private ExitCode print(Declarations declarations) {
         int services = declarations.services().size();
         int adapters = declarations.adapters().size();
-        console.result(
+        console.printResult(
                 Map.of("valid", true, "services", services, "adapters", adapters),
-                List.of(Texts.of("validate.valid", file, services, adapters)));
+                List.of(Messages.format("validate.valid", file, services, adapters)));
         return ExitCode.DONE;
     }
 
@@ -55,7 +55,7 @@
         if (result instanceof TomlResult.Valid<Declarations> valid) {
             return Optional.of(valid.value());
         }
-        console.failures(result.failures());
+        console.printFailures(result.failures());
         return Optional.empty();
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
@@ -48,34 +48,35 @@
      * @return the declarations, or all errors
      */
     public static TomlResult<Declarations> read(Path file) {
-        return StrictToml.read(file, TomlTypes.table(new DeclarationsReader()::declarations));
+        return StrictToml.read(file, TomlTypes.table(new DeclarationsReader()::readDeclarations));
     }
 
-    private Supplier<Declarations> declarations(TomlTable table) {
+    private Supplier<Declarations> readDeclarations(TomlTable table) {
         TomlField<Optional<PresetId>> preset = table.optional("preset", TomlTypes.name(PresetId::new));
-        TomlField<List<ServiceDeclaration>> serviceList = tables(table, "service", this::service);
-        TomlField<List<AdapterDeclaration>> adapterList = tables(table, "adapter", this::adapter);
-        TomlField<List<PoolDeclaration>> poolList = tables(table, "pool", this::pool);
-        TomlField<List<Preset>> presets = tables(table, "preset-settings", this::preset);
+        TomlField<List<ServiceDeclaration>> serviceList = optionalTables(table, "service", this::readService);
+        TomlField<List<AdapterDeclaration>> adapterList = optionalTables(table, "adapter", this::readAdapter);
+        TomlField<List<PoolDeclaration>> poolList = optionalTables(table, "pool", this::readPool);
+        TomlField<List<Preset>> presets = optionalTables(table, "preset-settings", this::readPreset);
         referenceChecks.forEach(Runnable::run);
         preset.ifValid(present -> present.ifPresent(id -> checkPreset(table, id)));
         return () ->
                 new Declarations(serviceList.get(), adapterList.get(), poolList.get(), presets.get(), preset.get());
     }
 
-    private static <T> TomlField<List<T>> tables(TomlTable table, String key, Function<TomlTable, Supplier<T>> read) {
-        return table.optional(key, TomlTypes.list(TomlTypes.table(read), 0), List.of());
+    private static <T> TomlField<List<T>> optionalTables(
+            TomlTable table, String key, Function<TomlTable, Supplier<T>> reader) {
+        return table.optional(key, TomlTypes.list(TomlTypes.table(reader), 0), List.of());
     }
 
     private void checkPreset(TomlTable table, PresetId id) {
-        Set<String> known = new TreeSet<>(declaredPresets);
-        Preset.BUILT_IN.forEach(builtIn -> known.add(builtIn.id().value()));
-        if (!known.contains(id.value())) {
-            table.reject("preset", "a declared preset, one of " + String.join(", ", known));
+        Set<String> presetNames = new TreeSet<>(declaredPresets);
+        Preset.BUILT_IN.forEach(builtIn -> presetNames.add(builtIn.id().value()));
+        if (!presetNames.contains(id.value())) {
+            table.reject("preset", "a declared preset, one of " + String.join(", ", presetNames));
         }
     }
 
-    private Supplier<ServiceDeclaration> service(TomlTable table) {
+    private Supplier<ServiceDeclaration> readService(TomlTable table) {
         ServiceFields fields = new ServiceFields(table);
         fields.id().ifValid(id -> {
             rejectIf(services.containsKey(id.value()), table, "id", "unique among services");
@@ -85,7 +86,7 @@
         return fields;
     }
 
-    private Supplier<AdapterDeclaration> adapter(TomlTable table) {
+    private Supplier<AdapterDeclaration> readAdapter(TomlTable table) {
         TomlField<ServiceId> service = table.required("service", TomlTypes.name(ServiceId::new));
         TomlField<AdapterId> id = table.required("id", TomlTypes.name(AdapterId::new));
         TomlType<String> version = TomlTypes.name(name -> name);
@@ -94,7 +95,7 @@
         service.ifValid(name -> id.ifValid(adapter -> rejectIf(
                 !adapters.add(name + "/" + adapter), table, "id", "unique among the adapters of service " + name)));
         service.ifValid(name -> referenceChecks.add(() -> checkService(table, name.value())));
-        versions.ifValid(list -> defaultVersion.ifValid(chosen -> checkVersions(table, list, chosen)));
+        versions.ifValid(list -> defaultVersion.ifValid(defaultName -> checkVersions(table, list, defaultName)));
         return () -> new AdapterDeclaration(
                 new AdapterKey(service.get(), id.get()),
                 versions.get(),
@@ -116,17 +117,17 @@
         }
     }
 
-    private Supplier<PoolDeclaration> pool(TomlTable table) {
+    private Supplier<PoolDeclaration> readPool(TomlTable table) {
         TomlField<PoolId> id = table.required("id", TomlTypes.name(PoolId::new));
-        TomlField<Double> rate = table.optional(
+        TomlField<Double> loadsPerSecond = table.optional(
                 "loads-per-second", TomlTypes.decimal(0.001, 1_000), PoolDeclaration.DEFAULT_LOADS_PER_SECOND);
-        TomlField<Integer> transit =
+        TomlField<Integer> loadsInTransit =
                 table.optional("loads-in-transit", TomlTypes.int32(1, 1_000), PoolDeclaration.DEFAULT_LOADS_IN_TRANSIT);
         id.ifValid(pool -> rejectIf(!pools.add(pool.value()), table, "id", "unique among pools"));
-        return () -> new PoolDeclaration(id.get(), rate.get(), transit.get());
+        return () -> new PoolDeclaration(id.get(), loadsPerSecond.get(), loadsInTransit.get());
     }
 
-    private Supplier<Preset> preset(TomlTable table) {
+    private Supplier<Preset> readPreset(TomlTable table) {
         TomlField<String> id =
                 table.required("id", TomlTypes.parsed(Names.ACCEPTED_FORMAT, text -> Names.check("id", text)));
         TomlField<Double> fullness = table.required("fullness", TomlTypes.decimal(0, 1));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/ServiceFields.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/ServiceFields.java
@@ -43,8 +43,8 @@
         kind = table.required("kind", KIND);
         pool = table.required("pool", TomlTypes.name(PoolId::new));
         callers = table.required("callers", TomlTypes.list(TomlTypes.name(CallerId::new), 0));
-        routes = table.optional("route", TomlTypes.list(TomlTypes.table(ServiceFields::route), 0), List.of());
-        objective = table.optional("objective", TomlTypes.table(ServiceFields::objective), Objective.DEFAULT);
+        routes = table.optional("route", TomlTypes.list(TomlTypes.table(ServiceFields::readRoute), 0), List.of());
+        objective = table.optional("objective", TomlTypes.table(ServiceFields::readObjective), Objective.DEFAULT);
         queueLimit = table.optional("queue-limit", TomlTypes.int32(1, 100_000), DEFAULT_QUEUE_LIMIT);
         callerLimit = table.optional("caller-limit", TomlTypes.int32(1, 100_000), DEFAULT_CALLER_LIMIT);
         callers.ifValid(list -> checkCallers(table, list));
@@ -78,22 +78,22 @@
         }
     }
 
-    private void checkRoutes(TomlTable table, List<Route> list) {
-        long distinct = list.stream()
+    private void checkRoutes(TomlTable table, List<Route> routeList) {
+        long distinct = routeList.stream()
                 .map(route -> route.method() + " " + route.pathPrefix())
                 .distinct()
                 .count();
-        if (distinct < list.size()) {
+        if (distinct < routeList.size()) {
             table.reject("route", "a list of routes that differ in method or path-prefix");
         }
         kind.ifValid(value -> {
-            if (value == ServiceKind.GENERATION && !list.isEmpty()) {
+            if (value == ServiceKind.GENERATION && !routeList.isEmpty()) {
                 table.reject("route", "missing for a service of kind generation");
             }
         });
     }
 
-    private static Supplier<Route> route(TomlTable table) {
+    private static Supplier<Route> readRoute(TomlTable table) {
         TomlField<String> method = table.required("method", METHOD);
         TomlField<String> prefix = table.required("path-prefix", TomlTypes.string(1));
         TomlField<Boolean> repeatable = table.required("repeatable", TomlTypes.bool());
@@ -105,7 +105,7 @@
         return () -> new Route(method.get(), prefix.get(), repeatable.get());
     }
 
-    private static Supplier<Objective> objective(TomlTable table) {
+    private static Supplier<Objective> readObjective(TomlTable table) {
         TomlField<Integer> latency = table.required("latency-milliseconds", TomlTypes.int32(1, 600_000));
         TomlField<Double> share = table.required("share", TomlTypes.decimal(0.001, 0.99999));
         return () -> new Objective(latency.get(), share.get());
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
@@ -18,18 +18,18 @@
  */
 public record RequestHistory(String request, List<LogLine> lines, RequestCause cause) {
     /** Lines on an endpoint that explain a failure there. */
-    private static final Set<String> ENDPOINT_KINDS =
+    private static final Set<String> ENDPOINT_FAILURE_KINDS =
             Set.of("endpoint-removed", "endpoint-restarted", "endpoint-leaving", "endpoint-crashed");
 
     /** Lines on a host that explain why a request has no end. */
-    private static final Set<String> HOST_KINDS = Set.of("started", "stopping", "stopped");
+    private static final Set<String> HOST_LIFECYCLE_KINDS = Set.of("started", "stopping", "stopped");
 
     /** Lines on what hosts depend on. */
     private static final Set<String> DEPENDENCY_KINDS =
             Set.of("topic-unavailable", "topic-available", "clock-gap", "command-suspended");
 
     /** Time after the failure in which the sign of an endpoint's crash comes; twice the time of a runner's lease. */
-    private static final Duration SIGN_LIMIT = Duration.ofSeconds(6);
+    private static final Duration ENDPOINT_ENTRY_WINDOW = Duration.ofSeconds(6);
 
     /** Copies the lines. */
     public RequestHistory {
@@ -44,40 +44,42 @@
      * @return the history; without lines if the logs do not have the request
      */
     public static RequestHistory of(String request, List<LogLine> log) {
-        List<LogLine> own = log.stream()
+        List<LogLine> requestLines = log.stream()
                 .filter(line -> line.text("request").equals(Optional.of(request)))
                 .sorted(Comparator.comparing(LogLine::at))
                 .toList();
-        if (own.isEmpty()) {
+        if (requestLines.isEmpty()) {
             return new RequestHistory(request, List.of(), RequestCause.NO_END);
         }
-        Instant from = own.get(0).at();
-        Instant end = own.get(own.size() - 1).at();
-        Instant until = end.plus(SIGN_LIMIT);
-        Set<String> hosts = own.stream().map(LogLine::host).collect(Collectors.toSet());
-        Set<String> endpoints =
-                own.stream().flatMap(line -> line.text("endpoint").stream()).collect(Collectors.toSet());
-        List<LogLine> lines = new ArrayList<>(own);
+        Instant start = requestLines.get(0).at();
+        Instant end = requestLines.get(requestLines.size() - 1).at();
+        Instant windowEnd = end.plus(ENDPOINT_ENTRY_WINDOW);
+        Set<String> hosts = requestLines.stream().map(LogLine::host).collect(Collectors.toSet());
+        Set<String> endpoints = requestLines.stream()
+                .flatMap(line -> line.text("endpoint").stream())
+                .collect(Collectors.toSet());
+        List<LogLine> lines = new ArrayList<>(requestLines);
         log.stream()
-                .filter(line -> !line.at().isBefore(from) && line.at().isBefore(until) && hosts.contains(line.host()))
-                .filter(line -> HOST_KINDS.contains(line.kind())
+                .filter(line ->
+                        !line.at().isBefore(start) && line.at().isBefore(windowEnd) && hosts.contains(line.host()))
+                .filter(line -> HOST_LIFECYCLE_KINDS.contains(line.kind())
                         || DEPENDENCY_KINDS.contains(line.kind()) && !line.at().isAfter(end)
-                        || ENDPOINT_KINDS.contains(line.kind())
+                        || ENDPOINT_FAILURE_KINDS.contains(line.kind())
                                 && line.text("endpoint")
                                         .filter(endpoints::contains)
                                         .isPresent())
                 .forEach(lines::add);
         lines.sort(Comparator.comparing(LogLine::at));
-        return new RequestHistory(request, lines, causeOf(own, lines));
+        return new RequestHistory(request, lines, determineCause(requestLines, lines));
     }
 
-    private static RequestCause causeOf(List<LogLine> own, List<LogLine> lines) {
-        Optional<LogLine> end = own.stream()
+    private static RequestCause determineCause(List<LogLine> requestLines, List<LogLine> lines) {
+        Optional<LogLine> end = requestLines.stream()
                 .filter(line ->
                         Set.of("answered", "refused", "failed", "caller-left").contains(line.kind()))
                 .reduce((first, last) -> last);
         if (end.isEmpty()) {
-            return has(lines, HOST_KINDS) ? RequestCause.HOST_LOST : RequestCause.NO_END;
+            return containsKind(lines, HOST_LIFECYCLE_KINDS) ? RequestCause.HOST_LOST : RequestCause.NO_END;
         }
         return switch (end.get().kind()) {
             case "answered" -> RequestCause.ANSWERED;
@@ -85,11 +87,13 @@
             case "caller-left" -> RequestCause.CALLER_LEFT;
             default -> end.get().text("reason").equals(Optional.of("TIMED_OUT"))
                     ? RequestCause.TIMED_OUT
-                    : has(lines, ENDPOINT_KINDS) ? RequestCause.ENDPOINT_LOST : RequestCause.ENDPOINT_FAILED;
+                    : containsKind(lines, ENDPOINT_FAILURE_KINDS)
+                            ? RequestCause.ENDPOINT_LOST
+                            : RequestCause.ENDPOINT_FAILED;
         };
     }
 
-    private static boolean has(List<LogLine> lines, Set<String> kinds) {
+    private static boolean containsKind(List<LogLine> lines, Set<String> kinds) {
         return lines.stream().anyMatch(line -> kinds.contains(line.kind()));
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeParts.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSplitter.java
@@ -8,28 +8,28 @@
 import org.banyanstair.configuration.Operation;
 
 /** Splits the operations of a large change, because a change must fit into one record of the log. */
-public final class ChangeParts {
+public final class ChangeSplitter {
     /** Most operations of one part of a change that has to be split. */
-    public static final int MAXIMUM_OPERATIONS = 4_000;
+    public static final int MAXIMUM_OPERATIONS_PER_PART = 4_000;
 
     /** A change may take 1 MiB; 4 KiB are left for its id, base version and author. */
-    private static final int MAXIMUM_BYTES = (1 << 20) - (1 << 12);
+    private static final int MAXIMUM_BYTES_PER_PART = (1 << 20) - (1 << 12);
 
-    private ChangeParts() {}
+    private ChangeSplitter() {}
 
     /**
      * Splits operations.
      *
      * @param operations operations in the order in which they are applied
-     * @return the operations as one part if they fit, else in parts of at most {@link #MAXIMUM_OPERATIONS}
+     * @return the operations as one part if they fit, else in parts of at most {@link #MAXIMUM_OPERATIONS_PER_PART}
      */
     public static List<List<Operation>> split(List<Operation> operations) {
-        int[] sizes = operations.stream().mapToInt(ChangeParts::size).toArray();
+        int[] sizes = operations.stream().mapToInt(ChangeSplitter::size).toArray();
         long total = 0;
         for (int size : sizes) {
             total += size;
         }
-        return total <= MAXIMUM_BYTES ? List.of(operations) : split(operations, sizes);
+        return total <= MAXIMUM_BYTES_PER_PART ? List.of(operations) : split(operations, sizes);
     }
 
     private static List<List<Operation>> split(List<Operation> operations, int[] sizes) {
@@ -37,7 +37,7 @@
         int from = 0;
         int bytes = 0;
         for (int index = 0; index < sizes.length; index++) {
-            boolean full = index - from == MAXIMUM_OPERATIONS || bytes + sizes[index] > MAXIMUM_BYTES;
+            boolean full = index - from == MAXIMUM_OPERATIONS_PER_PART || bytes + sizes[index] > MAXIMUM_BYTES_PER_PART;
             if (full && index > from) {
                 parts.add(operations.subList(from, index));
                 from = index;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
@@ -10,7 +10,7 @@
 
 import okhttp3.HttpUrl;
 import org.banyanstair.cli.output.Console;
-import org.banyanstair.cli.output.Texts;
+import org.banyanstair.cli.output.Messages;
 import org.banyanstair.configuration.ChangeVerdict;
 import org.banyanstair.configuration.ConfigurationChange;
 import org.banyanstair.configuration.Operation;
@@ -20,23 +20,23 @@
 
 /** Submits operations as changes, resolves unknown outcomes, and waits until a version is in force. */
 public final class ChangeSubmitter {
-    private static final long POLL_MILLISECONDS = 200;
+    private static final long POLL_INTERVAL_MILLISECONDS = 200;
 
     private final OperatorClient client;
     private final Console console;
-    private final Duration wait;
+    private final Duration waitTimeout;
 
     /**
      * Creates a submitter.
      *
      * @param client client of the operator API
      * @param console shows progress
-     * @param wait how long an unknown outcome and a version are each waited for
+     * @param waitTimeout how long an unknown outcome and a version are each waited for
      */
-    public ChangeSubmitter(OperatorClient client, Console console, Duration wait) {
+    public ChangeSubmitter(OperatorClient client, Console console, Duration waitTimeout) {
         this.client = client;
         this.console = console;
-        this.wait = wait;
+        this.waitTimeout = waitTimeout;
     }
 
     /**
@@ -48,9 +48,9 @@
      * @throws FailureException with the failure of the first change that was not accepted
      */
     public long submit(long baseVersion, List<Operation> operations) {
-        List<List<Operation>> parts = ChangeParts.split(operations);
+        List<List<Operation>> parts = ChangeSplitter.split(operations);
         if (parts.size() > 1) {
-            console.note(Texts.of("apply.parts", operations.size(), parts.size()));
+            console.printNote(Messages.format("apply.parts", operations.size(), parts.size()));
         }
         long version = baseVersion;
         for (int part = 0; part < parts.size(); part++) {
@@ -58,11 +58,11 @@
                 version = submitPart(version, parts.get(part));
             } catch (FailureException exception) {
                 if (part > 0) {
-                    console.note(Texts.of("apply.stopped", part, parts.size(), version));
+                    console.printNote(Messages.format("apply.stopped", part, parts.size(), version));
                 }
                 throw exception;
             }
-            console.progress(Texts.of("apply.progress", part + 1, parts.size(), version));
+            console.showProgress(Messages.format("apply.progress", part + 1, parts.size(), version));
         }
         return version;
     }
@@ -79,7 +79,7 @@
             }
             verdict = new ChangeVerdict.Refused(exception.failure());
         }
-        return accepted(isUnknown(verdict) ? resolve(changeId) : verdict);
+        return acceptedVersion(isUnknown(verdict) ? resolveOutcome(changeId) : verdict);
     }
 
     private static boolean isUnknown(ChangeVerdict verdict) {
@@ -87,7 +87,7 @@
                 && refused.failure() instanceof Failure.ChangeOutcomeUnknown;
     }
 
-    private static long accepted(ChangeVerdict verdict) {
+    private static long acceptedVersion(ChangeVerdict verdict) {
         if (verdict instanceof ChangeVerdict.Refused refused) {
             throw new FailureException(refused.failure());
         }
@@ -95,26 +95,28 @@
     }
 
     /** Asks all hosts for the verdict. A change is never submitted again: the first submission may still be accepted. */
-    private ChangeVerdict resolve(String changeId) {
-        console.note(Texts.of("apply.unknown", changeId));
-        Instant deadline = Instant.now().plus(wait);
+    private ChangeVerdict resolveOutcome(String changeId) {
+        console.printNote(Messages.format("apply.unknown", changeId));
+        Instant deadline = Instant.now().plus(waitTimeout);
         do {
             Optional<ChangeVerdict> verdict =
-                    HostQueries.ask(allAddresses(), address -> client.verdict(address, changeId)).values().stream()
+                    HostQueries.queryAll(hostAddresses(), address -> client.verdict(address, changeId))
+                            .values()
+                            .stream()
                             .flatMap(Optional::stream)
                             .filter(found -> !isUnknown(found))
                             .findFirst();
             if (verdict.isPresent()) {
                 return verdict.get();
             }
-        } while (pause(deadline));
+        } while (sleepUntilNextPoll(deadline));
         return new ChangeVerdict.Refused(new Failure.ChangeOutcomeUnknown(changeId));
     }
 
-    private Set<HttpUrl> allAddresses() {
+    private Set<HttpUrl> hostAddresses() {
         Set<HttpUrl> addresses = new LinkedHashSet<>(client.addresses());
         try {
-            client.status().hosts().forEach(host -> addresses.add(HostAddress.of(host)));
+            client.status().hosts().forEach(host -> addresses.add(OperatorUrl.forHost(host)));
         } catch (FailureException exception) {
             // The given addresses are asked in any case; the next round tries the host list again.
             return addresses;
@@ -129,23 +131,23 @@
      * @return live hosts that did not report it before the deadline; empty if all did
      * @throws FailureException if the state of the hosts could not be read before the deadline
      */
-    public List<HostId> awaitEverywhere(long version) {
-        Instant deadline = Instant.now().plus(wait);
+    public List<HostId> awaitVersionOnLiveHosts(long version) {
+        Instant deadline = Instant.now().plus(waitTimeout);
         Optional<FailureException> lastFailure;
         List<HostId> missing = List.of();
         do {
             try {
                 ClusterStatus status = client.status();
-                missing = status.hostsBelow(version);
+                missing = status.hostsBelowVersion(version);
                 lastFailure = Optional.empty();
                 if (missing.isEmpty()) {
                     return missing;
                 }
-                console.progress(Texts.of("apply.waiting", version, missing.size(), missing));
+                console.showProgress(Messages.format("apply.waiting", version, missing.size(), missing));
             } catch (FailureException exception) {
                 lastFailure = Optional.of(exception);
             }
-        } while (pause(deadline));
+        } while (sleepUntilNextPoll(deadline));
         if (lastFailure.isPresent()) {
             throw lastFailure.get();
         }
@@ -153,12 +155,12 @@
     }
 
     /** Waits for the next poll; returns false after the deadline. */
-    private boolean pause(Instant deadline) {
+    private boolean sleepUntilNextPoll(Instant deadline) {
         if (!Instant.now().isBefore(deadline)) {
             return false;
         }
         try {
-            Thread.sleep(POLL_MILLISECONDS);
+            Thread.sleep(POLL_INTERVAL_MILLISECONDS);
             return true;
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ClusterStatus.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ClusterStatus.java
@@ -39,7 +39,7 @@
      * @param version the version
      * @return live hosts that report a lower version or did not answer
      */
-    public List<HostId> hostsBelow(long version) {
+    public List<HostId> hostsBelowVersion(long version) {
         return hosts.stream()
                 .filter(host -> host.presence() == Presence.LIVE)
                 .map(EntryHost::id)
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ErrorBody.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ErrorEnvelopeParser.java
@@ -8,11 +8,11 @@
 import org.banyanstair.errors.Failure;
 
 /** Reads the error envelope of the operator API: {@code {"error":{..., "details":{...}}}}. */
-final class ErrorBody {
-    private ErrorBody() {}
+final class ErrorEnvelopeParser {
+    private ErrorEnvelopeParser() {}
 
     /** Returns the failure in the details, empty if the body has none that this release knows. */
-    static Optional<Failure> failure(ObjectMapper mapper, byte[] body) {
+    static Optional<Failure> parse(ObjectMapper mapper, byte[] body) {
         try {
             JsonNode details = mapper.readTree(body).path("error").path("details");
             return details.isObject() ? Optional.of(mapper.treeToValue(details, Failure.class)) : Optional.empty();
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/HostQueries.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/HostQueries.java
@@ -16,7 +16,7 @@
 
 /** Asks many hosts at a time, because each unreachable host costs a timeout. */
 public final class HostQueries {
-    private static final int HOSTS_AT_A_TIME = 16;
+    private static final int MAXIMUM_CONCURRENT_QUERIES = 16;
 
     private HostQueries() {}
 
@@ -28,9 +28,9 @@
      * @param <T> type of an answer
      * @return answers by address, in the given order; empty for a host that did not answer
      */
-    public static <T> Map<HttpUrl, Optional<T>> ask(
+    public static <T> Map<HttpUrl, Optional<T>> queryAll(
             Collection<HttpUrl> addresses, Function<HttpUrl, Optional<T>> query) {
-        ExecutorService executor = Executors.newFixedThreadPool(HOSTS_AT_A_TIME);
+        ExecutorService executor = Executors.newFixedThreadPool(MAXIMUM_CONCURRENT_QUERIES);
         try {
             Map<HttpUrl, Future<Optional<T>>> futures = new LinkedHashMap<>();
             addresses.forEach(address -> futures.put(address, executor.submit(() -> query.apply(address))));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
@@ -37,10 +37,10 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
     /** A host that sends nothing for this long counts as unreachable, and the next address is tried. */
-    private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
 
     /** Bounds the time that a silent host costs when all hosts are asked. */
-    private static final Duration ONE_HOST_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration SINGLE_HOST_TIMEOUT = Duration.ofSeconds(5);
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
 
@@ -50,8 +50,8 @@
 
     private final List<HttpUrl> addresses;
     private final String key;
-    private final OkHttpClient http;
-    private final OkHttpClient oneHostHttp;
+    private final OkHttpClient httpClient;
+    private final OkHttpClient singleHostHttpClient;
 
     /**
      * Creates a client.
@@ -62,17 +62,18 @@
     public OperatorClient(List<HttpUrl> addresses, String key) {
         this.addresses = List.copyOf(addresses);
         this.key = key;
-        this.http = new OkHttpClient.Builder()
+        this.httpClient = new OkHttpClient.Builder()
                 .connectTimeout(CONNECT_TIMEOUT)
-                .readTimeout(SILENCE_TIMEOUT)
-                .writeTimeout(SILENCE_TIMEOUT)
+                .readTimeout(IDLE_TIMEOUT)
+                .writeTimeout(IDLE_TIMEOUT)
                 .callTimeout(CALL_TIMEOUT)
                 // A change must not be sent twice by a layer that does not know its meaning.
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
-                .eventListenerFactory(SendWatch.FACTORY)
+                .eventListenerFactory(RequestSendTracker.FACTORY)
                 .build();
-        this.oneHostHttp = http.newBuilder().callTimeout(ONE_HOST_TIMEOUT).build();
+        this.singleHostHttpClient =
+                httpClient.newBuilder().callTimeout(SINGLE_HOST_TIMEOUT).build();
     }
 
     /**
@@ -118,7 +119,7 @@
      */
     public void drain(HostId host) {
         Request.Builder request = new Request.Builder().post(RequestBody.create(new byte[0], JSON_TYPE));
-        send(request, "operator/v1/hosts/" + host + "/drain");
+        sendRepeatable(request, "operator/v1/hosts/" + host + "/drain");
     }
 
     /**
@@ -131,33 +132,34 @@
     public ChangeVerdict submit(ConfigurationChange change) {
         Failure unknown = new Failure.ChangeOutcomeUnknown(change.changeId());
         for (HttpUrl address : addresses) {
-            SendWatch watch = new SendWatch();
+            RequestSendTracker sendTracker = new RequestSendTracker();
             try {
                 Request request = authorized(address, "operator/v1/changes")
-                        .tag(SendWatch.class, watch)
+                        .tag(RequestSendTracker.class, sendTracker)
                         .post(RequestBody.create(MAPPER.writeValueAsBytes(change), JSON_TYPE))
                         .build();
-                Reply reply = execute(http, request);
-                return verdict(reply, unknown);
+                BufferedResponse response = execute(httpClient, request);
+                return verdict(response, unknown);
             } catch (IOException exception) {
-                if (watch.isStarted()) {
+                if (sendTracker.isSendStarted()) {
                     throw new FailureException(unknown);
                 }
             }
         }
-        throw unreachable();
+        throw operatorUnreachable();
     }
 
-    private static ChangeVerdict verdict(Reply reply, Failure unknown) {
+    private static ChangeVerdict verdict(BufferedResponse response, Failure unknown) {
         try {
-            if (reply.isSuccess()) {
-                return MAPPER.readValue(reply.body(), ChangeVerdict.class);
+            if (response.isSuccess()) {
+                return MAPPER.readValue(response.body(), ChangeVerdict.class);
             }
         } catch (IOException exception) {
             throw new FailureException(unknown);
         }
-        Failure fallback = reply.status() >= 500 ? unknown : refusal(reply);
-        return new ChangeVerdict.Refused(ErrorBody.failure(MAPPER, reply.body()).orElse(fallback));
+        Failure fallback = response.status() >= 500 ? unknown : failureForStatus(response);
+        return new ChangeVerdict.Refused(
+                ErrorEnvelopeParser.parse(MAPPER, response.body()).orElse(fallback));
     }
 
     /**
@@ -168,7 +170,7 @@
      * @return the verdict; empty if the host has none or cannot be asked
      */
     public Optional<ChangeVerdict> verdict(HttpUrl address, String changeId) {
-        return askOne(address, "operator/v1/changes/" + changeId, ChangeVerdict.class);
+        return queryHost(address, "operator/v1/changes/" + changeId, ChangeVerdict.class);
     }
 
     /**
@@ -177,43 +179,47 @@
      * @param address address of the host
      * @return the samples, empty if the host cannot be asked
      */
-    public Optional<BurnRateSnapshot> burn(HttpUrl address) {
-        return askOne(address, "operator/v1/burn", BurnRateSnapshot.class);
+    public Optional<BurnRateSnapshot> burnRates(HttpUrl address) {
+        return queryHost(address, "operator/v1/burn", BurnRateSnapshot.class);
     }
 
-    private <T> Optional<T> askOne(HttpUrl address, String path, Class<T> type) {
+    private <T> Optional<T> queryHost(HttpUrl address, String path, Class<T> type) {
         try {
-            Reply reply = execute(oneHostHttp, authorized(address, path).build());
-            return reply.isSuccess() ? Optional.of(MAPPER.readValue(reply.body(), type)) : Optional.empty();
+            BufferedResponse response =
+                    execute(singleHostHttpClient, authorized(address, path).build());
+            return response.isSuccess() ? Optional.of(MAPPER.readValue(response.body(), type)) : Optional.empty();
         } catch (IOException exception) {
             return Optional.empty();
         }
     }
 
     /** Sends a request that may be repeated to the addresses in turn, until one answers. */
-    private byte[] send(Request.Builder request, String path) {
+    private byte[] sendRepeatable(Request.Builder request, String path) {
         for (HttpUrl address : addresses) {
             try {
-                Reply reply = execute(http, authorize(request, address, path).build());
-                if (!reply.isSuccess()) {
-                    throw new FailureException(
-                            ErrorBody.failure(MAPPER, reply.body()).orElseGet(() -> refusal(reply)));
+                BufferedResponse response =
+                        execute(httpClient, authorize(request, address, path).build());
+                if (!response.isSuccess()) {
+                    throw new FailureException(ErrorEnvelopeParser.parse(MAPPER, response.body())
+                            .orElseGet(() -> failureForStatus(response)));
                 }
-                return reply.body();
+                return response.body();
             } catch (IOException exception) {
                 continue;
             }
         }
-        throw unreachable();
+        throw operatorUnreachable();
     }
 
-    private FailureException unreachable() {
+    private FailureException operatorUnreachable() {
         return new FailureException(new Failure.OperatorUnreachable(
                 addresses.stream().map(HttpUrl::toString).collect(Collectors.joining(", "))));
     }
 
-    private static Failure refusal(Reply reply) {
-        return reply.status() == 401 ? new Failure.Unauthenticated() : new Failure.UnexpectedResponse(reply.status());
+    private static Failure failureForStatus(BufferedResponse response) {
+        return response.status() == 401
+                ? new Failure.Unauthenticated()
+                : new Failure.UnexpectedResponse(response.status());
     }
 
     private Request.Builder authorized(HttpUrl address, String path) {
@@ -225,21 +231,21 @@
         return request.url(url).header("Authorization", "Bearer " + key);
     }
 
-    private record Reply(int status, byte[] body) {
+    private record BufferedResponse(int status, byte[] body) {
         boolean isSuccess() {
             return status >= 200 && status < 300;
         }
     }
 
-    private static Reply execute(OkHttpClient client, Request request) throws IOException {
+    private static BufferedResponse execute(OkHttpClient client, Request request) throws IOException {
         try (Response response = client.newCall(request).execute()) {
-            return new Reply(response.code(), response.body().bytes());
+            return new BufferedResponse(response.code(), response.body().bytes());
         }
     }
 
     private <T> T read(String path, TypeReference<T> type) {
         try {
-            return MAPPER.readValue(send(new Request.Builder().get(), path), type);
+            return MAPPER.readValue(sendRepeatable(new Request.Builder().get(), path), type);
         } catch (IOException exception) {
             throw new FailureException(new Failure.UnexpectedResponse(200));
         }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/HostAddress.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorUrl.java
@@ -4,8 +4,8 @@
 import org.banyanstair.membership.EntryHost;
 
 /** Makes base addresses of the operator API. */
-public final class HostAddress {
-    private HostAddress() {}
+public final class OperatorUrl {
+    private OperatorUrl() {}
 
     /**
      * Returns the base address of a host's operator API.
@@ -13,7 +13,7 @@
      * @param host the host
      * @return the address
      */
-    public static HttpUrl of(EntryHost host) {
+    public static HttpUrl forHost(EntryHost host) {
         return new HttpUrl.Builder()
                 .scheme("http")
                 .host(host.operatorAddress().ip())
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/SendWatch.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/RequestSendTracker.java
@@ -4,23 +4,23 @@
 import okhttp3.EventListener;
 
 /** Notes whether a request began to be sent; until then it is certain that the host has not received it. */
-final class SendWatch {
+final class RequestSendTracker {
     static final EventListener.Factory FACTORY = call -> {
-        SendWatch watch = call.request().tag(SendWatch.class);
-        return watch == null ? EventListener.NONE : watch.listener();
+        RequestSendTracker tracker = call.request().tag(RequestSendTracker.class);
+        return tracker == null ? EventListener.NONE : tracker.listener();
     };
 
-    private volatile boolean started;
+    private volatile boolean sendStarted;
 
-    boolean isStarted() {
-        return started;
+    boolean isSendStarted() {
+        return sendStarted;
     }
 
     private EventListener listener() {
         return new EventListener() {
             @Override
             public void requestHeadersStart(Call call) {
-                started = true;
+                sendStarted = true;
             }
         };
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
@@ -29,7 +29,7 @@
     private final PrintStream out;
     private final PrintStream err;
     private final Format format;
-    private final boolean terminal;
+    private final boolean interactive;
     private boolean progressShown;
 
     /**
@@ -38,13 +38,13 @@
      * @param out standard output
      * @param err standard error
      * @param format form of the output
-     * @param terminal whether a person watches, so that progress is worth showing
+     * @param interactive whether a person watches, so that progress is worth showing
      */
-    public Console(PrintStream out, PrintStream err, Format format, boolean terminal) {
+    public Console(PrintStream out, PrintStream err, Format format, boolean interactive) {
         this.out = out;
         this.err = err;
         this.format = format;
-        this.terminal = terminal;
+        this.interactive = interactive;
     }
 
     /**
@@ -53,10 +53,10 @@
      * @param document value for JSON output
      * @param lines lines for text output
      */
-    public void result(Object document, List<String> lines) {
+    public void printResult(Object document, List<String> lines) {
         endProgress();
         if (format == Format.JSON) {
-            out.println(json(document));
+            out.println(toJson(document));
         } else {
             lines.forEach(out::println);
         }
@@ -67,9 +67,9 @@
      *
      * @param text the note
      */
-    public void note(String text) {
+    public void printNote(String text) {
         endProgress();
-        err.println(format == Format.JSON ? json(Map.of("note", text)) : text);
+        err.println(format == Format.JSON ? toJson(Map.of("note", text)) : text);
     }
 
     /**
@@ -77,8 +77,8 @@
      *
      * @param text the progress
      */
-    public void progress(String text) {
-        if (terminal && format == Format.TEXT) {
+    public void showProgress(String text) {
+        if (interactive && format == Format.TEXT) {
             err.print("\r" + text + "\u001b[K");
             err.flush();
             progressShown = true;
@@ -90,13 +90,13 @@
      *
      * @param failures the errors
      */
-    public void failures(List<Failure> failures) {
+    public void printFailures(List<Failure> failures) {
         endProgress();
         if (format == Format.JSON) {
-            err.println(json(
+            err.println(toJson(
                     Map.of("errors", failures.stream().map(ErrorDocument::of).toList())));
         } else {
-            failures.forEach(failure -> err.println(Texts.of("error", failure.code(), FailureText.of(failure))));
+            failures.forEach(failure -> err.println(Messages.format("error", failure.code(), FailureText.of(failure))));
         }
     }
 
@@ -107,7 +107,7 @@
         }
     }
 
-    private static String json(Object document) {
+    private static String toJson(Object document) {
         try {
             return Mappers.JSON.writeValueAsString(document);
         } catch (JsonProcessingException exception) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Texts.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Messages.java
@@ -4,10 +4,10 @@
 import java.util.ResourceBundle;
 
 /** The texts for people, from the message bundle of the tool. */
-public final class Texts {
+public final class Messages {
     private static final ResourceBundle MESSAGES = ResourceBundle.getBundle("org.banyanstair.cli.messages");
 
-    private Texts() {}
+    private Messages() {}
 
     /**
      * Returns a text.
@@ -16,7 +16,7 @@
      * @param values values for the places {0}, {1} and so on; printed with their toString
      * @return the text
      */
-    public static String of(String key, Object... values) {
+    public static String format(String key, Object... values) {
         Object[] texts = new Object[values.length];
         for (int index = 0; index < values.length; index++) {
             // MessageFormat would print the number 4000 as 4,000.
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/TextTable.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/TextTable.java
@@ -6,7 +6,7 @@
 
 /** A table in plain text with aligned columns. */
 public final class TextTable {
-    private static final String GAP = "  ";
+    private static final String COLUMN_SEPARATOR = "  ";
 
     private final List<List<String>> rows = new ArrayList<>();
 
@@ -16,7 +16,7 @@
      * @param headerKeys keys of the column headers in the message bundle
      */
     public TextTable(String... headerKeys) {
-        rows.add(Stream.of(headerKeys).map(Texts::of).toList());
+        rows.add(Stream.of(headerKeys).map(Messages::format).toList());
     }
 
     /**
@@ -25,7 +25,7 @@
      * @param cells one value for each column
      * @return this table
      */
-    public TextTable row(Object... cells) {
+    public TextTable addRow(Object... cells) {
         rows.add(Stream.of(cells).map(String::valueOf).toList());
         return this;
     }
@@ -43,7 +43,7 @@
         StringBuilder line = new StringBuilder();
         for (int column = 0; column < row.size(); column++) {
             String cell = row.get(column);
-            line.append(cell).append(" ".repeat(width(column) - cell.length())).append(GAP);
+            line.append(cell).append(" ".repeat(width(column) - cell.length())).append(COLUMN_SEPARATOR);
         }
         return line.toString().stripTrailing();
     }
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
@@ -68,7 +68,7 @@
                 .run(arguments);
     }
 
-    private String file(String text) throws IOException {
+    private String writeDeclarations(String text) throws IOException {
         return Files.writeString(directory.resolve("declarations.toml"), text).toString();
     }
 
@@ -80,8 +80,8 @@
 
     @Test
     void validateNeedsNoHostAndPrintsAllErrorsWithTheirPlaces() throws IOException {
-        assertEquals(ExitCode.DONE, runWith("", "", "validate", "-f", file(SERVICE + ADAPTER)));
-        String wrong = file(SERVICE + "colour = 1\n" + ADAPTER.replace("assistant", "desk"));
+        assertEquals(ExitCode.DONE, runWith("", "", "validate", "-f", writeDeclarations(SERVICE + ADAPTER)));
+        String wrong = writeDeclarations(SERVICE + "colour = 1\n" + ADAPTER.replace("assistant", "desk"));
         assertEquals(ExitCode.INVALID_INPUT, run("validate", "-f", wrong));
         assertTrue(err.toString().contains(wrong + ":6:1: service[0].colour"), err.toString());
         assertTrue(err.toString().contains(wrong + ":8:1: adapter[0].service"), err.toString());
@@ -89,12 +89,14 @@
 
     @Test
     void errorsAreJsonIfAsked() throws IOException {
-        assertEquals(ExitCode.INVALID_INPUT, run("--output", "json", "validate", "-f", file("preset = 'loud'")));
+        assertEquals(
+                ExitCode.INVALID_INPUT,
+                run("--output", "json", "validate", "-f", writeDeclarations("preset = 'loud'")));
         JsonNode error = Mappers.JSON.readTree(err.toString()).path("errors").path(0);
         assertEquals("invalid_setting", error.path("code").asText());
         assertEquals(1, error.path("details").path("line").asInt());
         assertEquals("InvalidSetting", error.path("details").path("failure").asText());
-        run("--output", "json", "diff", "-f", file(SERVICE));
+        run("--output", "json", "diff", "-f", writeDeclarations(SERVICE));
         JsonNode operation =
                 Mappers.JSON.readTree(out.toString()).path("operations").path(0);
         assertEquals("PutService", operation.path("operation").asText());
@@ -102,7 +104,7 @@
 
     @Test
     void diffAndApplyAgree() throws IOException {
-        String file = file(SERVICE + ADAPTER);
+        String file = writeDeclarations(SERVICE + ADAPTER);
         assertEquals(ExitCode.NOT_REACHED, run("diff", "-f", file));
         assertTrue(out.toString().contains("+ adapter assistant/tender"), out.toString());
         assertEquals(ExitCode.DONE, run("apply", "-f", file, "--dry-run"));
@@ -113,10 +115,10 @@
     }
 
     @ParameterizedTest
-    @EnumSource(names = {"RESPONSE_LOST", "VERDICT_LATE"})
+    @EnumSource(names = {"RESPONSE_LOST", "VERDICT_DELAYED"})
     void unknownOutcomeIsResolvedWithoutASecondSubmission(Fault fault) throws IOException {
         api.fault = fault;
-        assertEquals(ExitCode.DONE, run("apply", "-f", file(SERVICE)));
+        assertEquals(ExitCode.DONE, run("apply", "-f", writeDeclarations(SERVICE)));
         assertEquals(1, api.submissions.get());
         assertEquals(1, api.changes.size());
     }
@@ -127,7 +129,7 @@
         String both = api.url() + "," + api.url();
         assertEquals(
                 ExitCode.OUTCOME_UNKNOWN,
-                runWith(both, FakeOperatorApi.KEY, "apply", "-f", file(SERVICE), "--wait-seconds", "1"));
+                runWith(both, FakeOperatorApi.KEY, "apply", "-f", writeDeclarations(SERVICE), "--wait-seconds", "1"));
         assertEquals(1, api.submissions.get());
         assertTrue(err.toString().contains("change_outcome_unknown"), err.toString());
     }
@@ -135,18 +137,18 @@
     @Test
     void conflictNamesTheWinningVersion() throws IOException {
         api.fault = Fault.CONFLICT;
-        assertEquals(ExitCode.CONFLICT, run("apply", "-f", file(SERVICE)));
+        assertEquals(ExitCode.CONFLICT, run("apply", "-f", writeDeclarations(SERVICE)));
         assertTrue(err.toString().contains("version 99 is in force"), err.toString());
         api.fault = Fault.NONE;
         api.configuration = api.configuration.apply(5, List.of(new Operation.UsePreset(Preset.PEAK.id())));
-        assertEquals(ExitCode.CONFLICT, run("apply", "-f", file(SERVICE), "--base", "4"));
-        assertEquals(ExitCode.DONE, run("apply", "-f", file(SERVICE), "--base", "5"));
+        assertEquals(ExitCode.CONFLICT, run("apply", "-f", writeDeclarations(SERVICE), "--base", "4"));
+        assertEquals(ExitCode.DONE, run("apply", "-f", writeDeclarations(SERVICE), "--base", "5"));
     }
 
     @Test
     void refusalsAndUnreachableHostsHaveTheirOwnCodes() throws IOException {
         assertEquals(ExitCode.REFUSED, runWith(api.url(), "another-key", "status"));
-        api.fault = Fault.LOG_DOWN;
+        api.fault = Fault.LOG_UNAVAILABLE;
         assertEquals(ExitCode.REFUSED, run("preset", "use", "peak"));
         assertTrue(err.toString().contains("log_unavailable"), err.toString());
         assertEquals(ExitCode.UNREACHABLE, runWith(unusedUrl(), FakeOperatorApi.KEY, "status"));
@@ -155,14 +157,14 @@
     @Test
     void nextAddressIsTriedIfOneCannotBeReached() throws IOException {
         String addresses = unusedUrl() + "," + api.url();
-        assertEquals(ExitCode.DONE, runWith(addresses, FakeOperatorApi.KEY, "apply", "-f", file(SERVICE)));
+        assertEquals(ExitCode.DONE, runWith(addresses, FakeOperatorApi.KEY, "apply", "-f", writeDeclarations(SERVICE)));
         assertEquals(1, api.submissions.get());
     }
 
     @Test
     void applyReportsHostsThatDoNotGetTheVersion() throws IOException {
         api.versionLag = 1;
-        assertEquals(ExitCode.NOT_REACHED, run("apply", "-f", file(SERVICE), "--wait-seconds", "1"));
+        assertEquals(ExitCode.NOT_REACHED, run("apply", "-f", writeDeclarations(SERVICE), "--wait-seconds", "1"));
         assertTrue(out.toString().contains("entry-1"), out.toString());
         assertEquals(ExitCode.DONE, run("preset", "use", "peak", "--no-wait"));
     }
@@ -171,7 +173,7 @@
     void largeChangeIsSplitAndEachPartIsBasedOnTheOneBefore() throws IOException {
         List<String> tables = new ArrayList<>(List.of(SERVICE));
         IntStream.range(0, 12_000).forEach(index -> tables.add(ADAPTER.replace("tender", "tender-" + index)));
-        assertEquals(ExitCode.DONE, run("apply", "-f", file(String.join("\n", tables))));
+        assertEquals(ExitCode.DONE, run("apply", "-f", writeDeclarations(String.join("\n", tables))));
         assertEquals(12_000, api.configuration.adapters().size());
         assertEquals(
                 List.of(-1L, 0L, 1L, 2L),
@@ -198,7 +200,7 @@
                 "runner-1",
                 Mappers.JSON.readTree(out.toString()).path(0).path("endpoint").asText());
         assertEquals(ExitCode.DONE, run("drain", "entry-1"));
-        assertEquals(List.of("hosts/entry-1/drain"), api.drained);
+        assertEquals(List.of("hosts/entry-1/drain"), api.drainPaths);
     }
 
     @Test
@@ -217,7 +219,7 @@
         assertEquals(ExitCode.INVALID_INPUT, run("status", "--colour"));
         assertEquals(ExitCode.INVALID_INPUT, run("status", "now"));
         assertEquals(ExitCode.INVALID_INPUT, run("apply"));
-        assertEquals(ExitCode.INVALID_INPUT, run("apply", "-f", file(SERVICE), "--base", "x"));
+        assertEquals(ExitCode.INVALID_INPUT, run("apply", "-f", writeDeclarations(SERVICE), "--base", "x"));
         assertEquals(ExitCode.INVALID_INPUT, run("--output", "xml", "status"));
         assertEquals(ExitCode.INVALID_INPUT, run("drain", "Entry 1"));
         assertEquals(ExitCode.DONE, run("apply", "--help"));
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
@@ -45,17 +45,17 @@
         /** The change is accepted, and the response is lost. */
         RESPONSE_LOST,
         /** The change is accepted, and the host answers that it does not know this yet. */
-        VERDICT_LATE,
+        VERDICT_DELAYED,
         /** The connection closes before the change is read, and the change is never accepted. */
         REQUEST_LOST,
         /** Another operator's change is accepted first. */
         CONFLICT,
         /** The log is down. */
-        LOG_DOWN
+        LOG_UNAVAILABLE
     }
 
     final List<ConfigurationChange> changes = new CopyOnWriteArrayList<>();
-    final List<String> drained = new CopyOnWriteArrayList<>();
+    final List<String> drainPaths = new CopyOnWriteArrayList<>();
     final AtomicInteger submissions = new AtomicInteger();
     volatile Configuration configuration = Configuration.INITIAL;
     volatile Fault fault = Fault.NONE;
@@ -65,11 +65,11 @@
     private final Map<String, ChangeVerdict> verdicts = new HashMap<>();
     private final HttpServer server;
 
-    private record Envelope(Details error) {}
+    private record ErrorEnvelope(ErrorDetails error) {}
 
-    private record Details(String message, String type, String code, Failure details) {}
+    private record ErrorDetails(String message, String type, String code, Failure details) {}
 
-    private record Answer(int status, Object body) {}
+    private record Response(int status, Object body) {}
 
     FakeOperatorApi() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
@@ -87,28 +87,29 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
-        boolean known = ("Bearer " + KEY).equals(exchange.getRequestHeaders().getFirst("Authorization"));
-        Answer answer = known ? answer(exchange) : refusal(401, new Failure.Unauthenticated());
-        if (answer.status() > 0) {
-            byte[] body = Mappers.JSON.writeValueAsBytes(answer.body());
-            exchange.sendResponseHeaders(answer.status(), body.length);
+        boolean authenticated =
+                ("Bearer " + KEY).equals(exchange.getRequestHeaders().getFirst("Authorization"));
+        Response response = authenticated ? respond(exchange) : errorResponse(401, new Failure.Unauthenticated());
+        if (response.status() > 0) {
+            byte[] body = Mappers.JSON.writeValueAsBytes(response.body());
+            exchange.sendResponseHeaders(response.status(), body.length);
             exchange.getResponseBody().write(body);
         }
         exchange.close();
     }
 
-    private Answer answer(HttpExchange exchange) throws IOException {
+    private Response respond(HttpExchange exchange) throws IOException {
         String path = exchange.getRequestURI().getPath().substring("/operator/v1/".length());
         if (path.equals("changes")) {
             return submit(Mappers.JSON.readValue(exchange.getRequestBody(), ConfigurationChange.class));
         } else if (path.startsWith("changes/")) {
             ChangeVerdict verdict = verdicts.get(path.substring("changes/".length()));
-            return verdict == null ? new Answer(404, Map.of()) : new Answer(200, verdict);
+            return verdict == null ? new Response(404, Map.of()) : new Response(200, verdict);
         } else if (path.startsWith("hosts/")) {
-            drained.add(path);
-            return new Answer(202, Map.of());
+            drainPaths.add(path);
+            return new Response(202, Map.of());
         }
-        return new Answer(200, document(path));
+        return new Response(200, document(path));
     }
 
     private Object document(String path) {
@@ -153,33 +154,33 @@
                         Instant.EPOCH)));
     }
 
-    private Answer submit(ConfigurationChange change) {
+    private Response submit(ConfigurationChange change) {
         submissions.incrementAndGet();
         if (fault == Fault.REQUEST_LOST) {
-            return new Answer(0, null);
+            return new Response(0, null);
         }
-        if (fault == Fault.LOG_DOWN) {
-            return refusal(503, new Failure.LogUnavailable("configuration"));
+        if (fault == Fault.LOG_UNAVAILABLE) {
+            return errorResponse(503, new Failure.LogUnavailable("configuration"));
         }
         if (fault == Fault.CONFLICT || change.baseVersion() != configuration.version()) {
-            return refusal(409, new Failure.ConfigurationConflict(change.baseVersion(), 99));
+            return errorResponse(409, new Failure.ConfigurationConflict(change.baseVersion(), 99));
         }
         try {
             configuration = configuration.apply(configuration.version() + 1, change.operations());
         } catch (FailureException exception) {
-            return refusal(400, exception.failure());
+            return errorResponse(400, exception.failure());
         }
         changes.add(change);
         ChangeVerdict verdict = new ChangeVerdict.Accepted(configuration.version());
         verdicts.put(change.changeId(), verdict);
-        if (fault == Fault.VERDICT_LATE) {
-            return refusal(504, new Failure.ChangeOutcomeUnknown(change.changeId()));
+        if (fault == Fault.VERDICT_DELAYED) {
+            return errorResponse(504, new Failure.ChangeOutcomeUnknown(change.changeId()));
         }
-        return new Answer(fault == Fault.RESPONSE_LOST ? 0 : 200, verdict);
+        return new Response(fault == Fault.RESPONSE_LOST ? 0 : 200, verdict);
     }
 
-    private static Answer refusal(int status, Failure failure) {
-        Details details = new Details(FailureText.of(failure), "refused", failure.code(), failure);
-        return new Answer(status, new Envelope(details));
+    private static Response errorResponse(int status, Failure failure) {
+        ErrorDetails details = new ErrorDetails(FailureText.of(failure), "refused", failure.code(), failure);
+        return new Response(status, new ErrorEnvelope(details));
     }
 }
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnReportTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnRateReportTest.java
@@ -14,7 +14,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Guards against a report that averages rates of hosts instead of adding up their requests. */
-class BurnReportTest {
+class BurnRateReportTest {
     private static final ServiceId SERVICE = new ServiceId("assistant");
 
     private static BurnRateSnapshot snapshot(String host, long second, BurnRateSample... samples) {
@@ -31,16 +31,16 @@
         BurnRateSnapshot late = snapshot("entry-1", 20, sample(60, 500, 1_000, 1_000, Map.of("queue_full", 1L)));
         BurnRateSnapshot early = snapshot(
                 "entry-2", 10, sample(60, 420, 10, 0, Map.of("queue_full", 10L)), sample(5, 420, 10, 0, Map.of()));
-        BurnReport report = BurnReport.merge(List.of(late, early), List.of());
+        BurnRateReport report = BurnRateReport.merge(List.of(late, early), List.of());
         assertEquals(
                 List.of(sample(5, 420, 10, 0, Map.of()), sample(60, 500, 1_010, 1_000, Map.of("queue_full", 11L))),
                 report.samples());
-        assertEquals(List.of(), report.missedObjectives());
+        assertEquals(List.of(), report.servicesMissingObjective());
     }
 
     @Test
     void serviceWithoutRequestsMissesNothing() {
         BurnRateSnapshot idle = snapshot("entry-1", 1, sample(60, 420, 0, 0, Map.of()));
-        assertEquals(List.of(), BurnReport.merge(List.of(idle), List.of()).missedObjectives());
+        assertEquals(List.of(), BurnRateReport.merge(List.of(idle), List.of()).servicesMissingObjective());
     }
 }
