Tidy comments and names left in the core's value packages

Some doc lines exceeded the line length, and a few names of the call simulation were vague (ordinary step, sent keys, stored). The comments fit the line and the names say what they hold.

Only comments and identifiers change.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/Preset.java
@@ -9,9 +9,9 @@
 /**
  * Parameters of request admission and placement, switched by operators to suit the load.
  *
- * @param fullness 0 spreads requests over the endpoints, which keeps stalls by adapter loads short; 1 fills batches first
+ * @param fullness 0 spreads requests over the endpoints to keep adapter load stalls short; 1 fills batches first
  * @param standardAgeingMilliseconds time after which a waiting standard request is treated as premium
- * @param copyAfterMilliseconds time that a request waits for an engine that has loaded its adapter before another copy of the
+ * @param copyAfterMilliseconds time that a request waits for an engine with its adapter before another copy of the
  *     adapter is loaded
  * @param retryShare maximum ratio of retries to granted requests, 0 to 1
  * @param admitsRequests whether new requests are admitted
--- a/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/errors/Failure.java
@@ -97,7 +97,7 @@
     /** No engine could load the adapter. */
     record AdapterLoadFailed(AdapterVersion adapter) implements Failure {}
 
-    /** Requests like this one have crashed endpoints; {@code ran} is true if this request itself was executed before. */
+    /** Requests with the same content have crashed endpoints; {@code ran} is true if this one was executed before. */
     record RequestCrashesEndpoints(int crashes, boolean ran) implements Failure {
         @Override
         public FailureOutcome outcome() {
--- a/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/EngineRequest.java
@@ -11,7 +11,8 @@
  *
  * @param requestId id of the generation at the engine, the same when it is resumed
  * @param path {@code /v1/chat/completions} or {@code /v1/completions}
- * @param body JSON body of the caller, with {@code model} set to the engine name of the adapter and {@code stream} to true
+ * @param body JSON body of the caller, with {@code model} replaced by the engine name of the adapter and {@code stream}
+ *     set to true
  * @param deadline instant after which the caller no longer waits for the answer
  * @param nextToken index of the first token to send
  * @param resumes whether to resume a stream that the engine still buffers, instead of starting a generation
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -27,7 +27,8 @@
  * Tracks the non-idempotent calls of the callers of this host: submits each call to the writer of its partition and
  * answers the caller.
  *
- * <p>A call is answered as not run only when every attempt that was ever submitted for it is known to be dead. Not thread-safe.
+ * <p>A call is answered as not run only when every attempt that was ever submitted for it is known to be dead. Not
+ * thread-safe.
  */
 public final class CallTracker {
     private final Membership membership;
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -58,9 +58,9 @@
     }
 
     /**
-     * Takes a record of a partition.
+     * Handles a record of the stream of a partition.
      *
-     * @param entry place of the record
+     * @param entry offset and time of the record
      * @param record the record, empty if it could not be decoded
      */
     public void read(String stream, StreamEntry entry, Optional<CallRecord> record, Instant now, Effects effects) {
--- a/banyanstair-core/src/main/java/org/banyanstair/model/HostId.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/model/HostId.java
@@ -20,7 +20,7 @@
         return value.compareTo(other.value);
     }
 
-    /** Explicit, like {@link #hashCode}, because the generated methods of a record are slow until C2 has compiled them. */
+    /** Explicit, like {@link #hashCode}, because the methods of a record are slow until C2 has compiled them. */
     @Override
     public boolean equals(Object other) {
         return other instanceof HostId same && value.equals(same.value);
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallGuaranteesTest.java
@@ -19,8 +19,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards against a key that is dispatched twice, a call that is executed after it was answered as not run, and an answer
- * that belongs to another call.
+ * Guards against a key that is dispatched twice, a call that is executed after it was answered as not run, and an
+ * answer that belongs to another call.
  */
 class CallGuaranteesTest {
     private static final Map<CallSimulation.Kind, Integer> TOTALS = new EnumMap<>(CallSimulation.Kind.class);
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallSimulation.java
@@ -65,23 +65,23 @@
 
     private record Order(CallKey key, String digest, HostIdentity host) {}
 
-    private record Stored(Instant at, CallRecord record) {}
+    private record StoredRecord(Instant at, CallRecord record) {}
 
     private final Random random;
     private final Map<HostId, SimulatedHost> hosts = new LinkedHashMap<>();
     private final Set<HostId> listed = new HashSet<>();
     private final List<Runnable> pending = new ArrayList<>();
-    private final List<Stored> log = new ArrayList<>();
+    private final List<StoredRecord> log = new ArrayList<>();
     private final Map<RequestId, Order> orders = new HashMap<>();
     private final Set<RequestId> refused = new HashSet<>();
     private final Set<RequestId> mayHaveRun = new HashSet<>();
     private final Map<CallKey, String> runs = new HashMap<>();
-    private final Set<CallKey> sentKeys = new HashSet<>();
+    private final Set<CallKey> dispatchedKeys = new HashSet<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<Kind, Integer> answers = new EnumMap<>(Kind.class);
     private Instant now = Instant.parse("2026-12-04T10:00:00Z");
     private Instant nextTick = now;
-    private boolean logDown;
+    private boolean logUnavailable;
     private final int faultPercent;
 
     CallSimulation(long seed) {
@@ -106,7 +106,7 @@
             if (chance(faultPercent)) {
                 fault(pick(List.copyOf(hosts.values())));
             } else {
-                ordinaryStep();
+                regularStep();
             }
         }
         return violations;
@@ -130,7 +130,7 @@
         execute(host);
     }
 
-    private void ordinaryStep() {
+    private void regularStep() {
         SimulatedHost host = pick(List.copyOf(hosts.values()));
         int kind = random.nextInt(10);
         if (kind == 0 && host.isRunning()) {
@@ -156,7 +156,7 @@
     }
 
     private void toggleLog() {
-        logDown = !logDown && chance(40);
+        logUnavailable = !logUnavailable && chance(40);
     }
 
     private void terminate(SimulatedHost host) {
@@ -214,8 +214,8 @@
     /** Reads a few records at a time, so that the hosts lag behind the log by different amounts. */
     private void readLog(SimulatedHost host) {
         int count = 1 + random.nextInt(6);
-        while (host.isRunning() && !logDown && count-- > 0 && host.nextOffset < log.size()) {
-            Stored stored = log.get(host.nextOffset);
+        while (host.isRunning() && !logUnavailable && count-- > 0 && host.nextOffset < log.size()) {
+            StoredRecord stored = log.get(host.nextOffset);
             host.writer.read(host.nextOffset, stored.at(), stored.record(), now, host.effects);
             host.nextOffset++;
             execute(host);
@@ -262,7 +262,7 @@
 
     private void append(SimulatedHost host, Effect.AppendToLog append) {
         int outcome = random.nextInt(20);
-        if (logDown || outcome < 3) {
+        if (logUnavailable || outcome < 3) {
             deliver(host, running -> running.writer.appendRejected(append.appendId(), FAILURE, running.effects));
             return;
         }
@@ -275,7 +275,7 @@
     }
 
     private void store(List<LogEntry> entries) {
-        entries.forEach(entry -> log.add(new Stored(now, (CallRecord) entry)));
+        entries.forEach(entry -> log.add(new StoredRecord(now, (CallRecord) entry)));
     }
 
     private void dispatch(SimulatedHost host, Effect.DispatchCall dispatch) {
@@ -295,7 +295,7 @@
     private ServiceAnswer serve(RequestId request) {
         Order order = orders.get(request);
         mayHaveRun.add(request);
-        if (!sentKeys.add(order.key())) {
+        if (!dispatchedKeys.add(order.key())) {
             violations.add(order.key().key() + " was dispatched again for " + request);
         }
         if (refused.contains(request)) {
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/CallWriterTest.java
@@ -31,7 +31,7 @@
     private static final Instant NOW = Instant.parse("2026-12-04T10:00:00Z");
     private static final HostId HOST = new HostId("entry-1");
     private static final Failure FAILURE = new Failure.LogUnavailable("calls-0");
-    private static final int KEPT_CALLS = 10_000;
+    private static final int ANSWERED_CALLS = 10_000;
     private static final int TICKS = 1_000;
 
     private final Effects effects = new Effects();
@@ -110,7 +110,7 @@
 
     @Test
     void answeredCallsDoNotSlowDownTicks() {
-        for (int call = 0; call < KEPT_CALLS; call++) {
+        for (int call = 0; call < ANSWERED_CALLS; call++) {
             submit("attempt-" + call, "order-" + call, NOW.plusSeconds(60));
         }
         writer.tick(NOW.plusSeconds(1), effects);
@@ -121,7 +121,7 @@
             writer.tick(NOW.plusSeconds(1).plusMillis(tick), effects);
         }
         long micros = (System.nanoTime() - start) / 1_000 / TICKS;
-        System.out.println("tick with " + KEPT_CALLS + " answered calls: " + micros + " us");
+        System.out.println("tick with " + ANSWERED_CALLS + " answered calls: " + micros + " us");
         // 8 writers tick every 50 ms; all control work may use 1.8 % of a core, which is 900 us per tick.
         assertTrue(micros * LogStreams.CALL_PARTITIONS < 900, micros + " us");
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/idempotency/ReusedKeyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/idempotency/ReusedKeyTest.java
@@ -25,7 +25,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /**
- * Guards against a caller that is not told that its key was reused because the first writer of its call is gone: a final
+ * Guards against a call with a reused key that stays unanswered because an earlier writer of the call is gone: a final
  * state of the key must prove that the attempt of that writer cannot run.
  */
 class ReusedKeyTest {
