--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/GenerationExecutor.java
@@ -173,7 +173,7 @@
         try {
             ObjectNode body =
                     (ObjectNode) Mappers.JSON.readTree(running.generation().body());
-            List<String> delivered = running.delivered();
+            List<String> delivered = running.deliveredChunks();
             body.put("continue_from", concatenateText(delivered));
             return Mappers.JSON.writeValueAsBytes(body);
         } catch (IOException exception) {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -75,16 +75,16 @@
     /** Registers handlers for the effects that complete requests of callers and operators. */
     void registerReplyEffects(EffectDispatcher effects) {
         effects.register(Effect.AnswerCall.class, effect -> Optional.ofNullable(pendingCalls.remove(effect.request()))
-                .ifPresent(answer -> answer.complete(effect.answer())));
+                .ifPresent(future -> future.complete(effect.answer())));
         effects.register(
                 Effect.AnswerChange.class, effect -> Optional.ofNullable(pendingChanges.remove(effect.changeId()))
-                        .ifPresent(answer -> answer.complete(effect.verdict())));
+                        .ifPresent(future -> future.complete(effect.verdict())));
         effects.register(
                 Effect.AnswerVerdict.class, effect -> Optional.ofNullable(pendingVerdictQueries.remove(effect.query()))
-                        .ifPresent(answer -> answer.complete(effect.verdict())));
+                        .ifPresent(future -> future.complete(effect.verdict())));
         effects.register(
                 Effect.AnswerStatus.class, effect -> Optional.ofNullable(pendingStatusQueries.remove(effect.query()))
-                        .ifPresent(answer -> answer.complete(effect)));
+                        .ifPresent(future -> future.complete(effect)));
     }
 
     /**
@@ -150,11 +150,11 @@
 
     @Override
     public CompletableFuture<CallAnswer> call(PlainCall call) {
-        CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
-        pendingCalls.put(call.call().requestId(), answer);
+        CompletableFuture<CallAnswer> future = new CompletableFuture<>();
+        pendingCalls.put(call.call().requestId(), future);
         CallRequest request = new CallRequest(call.call(), call.service().pool(), call.key(), call.bodyDigest());
         events.accept(at -> new Event.CallArrived(at, request));
-        return answer;
+        return future;
     }
 
     @Override
@@ -181,23 +181,23 @@
     @Override
     public CompletableFuture<Optional<ChangeVerdict>> verdict(String changeId) {
         long query = queryIds.incrementAndGet();
-        CompletableFuture<Optional<ChangeVerdict>> answer = new CompletableFuture<>();
-        pendingVerdictQueries.put(query, answer);
+        CompletableFuture<Optional<ChangeVerdict>> future = new CompletableFuture<>();
+        pendingVerdictQueries.put(query, future);
         events.accept(at -> new Event.VerdictQueried(at, query, changeId));
-        return answer;
+        return future;
     }
 
     private CompletableFuture<Effect.AnswerStatus> queryStatus() {
         long query = queryIds.incrementAndGet();
-        CompletableFuture<Effect.AnswerStatus> answer = new CompletableFuture<>();
-        pendingStatusQueries.put(query, answer);
+        CompletableFuture<Effect.AnswerStatus> future = new CompletableFuture<>();
+        pendingStatusQueries.put(query, future);
         events.accept(at -> new Event.StatusQueried(at, query));
-        return answer;
+        return future;
     }
 
     @Override
     public CompletableFuture<ClusterStatus> status() {
-        return queryStatus().thenApply(answer -> new ClusterStatus(snapshot().listedHosts(), answer.states()));
+        return queryStatus().thenApply(reply -> new ClusterStatus(snapshot().listedHosts(), reply.states()));
     }
 
     @Override
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/RunningGeneration.java
@@ -11,7 +11,7 @@
 final class RunningGeneration {
     private final Generation generation;
     private final GenerationSink sink;
-    private final List<String> delivered = new ArrayList<>();
+    private final List<String> deliveredChunks = new ArrayList<>();
     private int attempt;
     private boolean ended;
     private Cancellation cancellation = () -> {};
@@ -45,20 +45,20 @@
 
     /** Delivers a chunk if it belongs to the current attempt and has the next index. Returns whether it did. */
     synchronized boolean deliver(int number, long index, String json) {
-        if (!isCurrent(number) || index != delivered.size()) {
+        if (!isCurrent(number) || index != deliveredChunks.size()) {
             return false;
         }
-        delivered.add(json);
+        deliveredChunks.add(json);
         sink.token(index, json);
         return true;
     }
 
     synchronized long nextToken() {
-        return delivered.size();
+        return deliveredChunks.size();
     }
 
-    synchronized List<String> delivered() {
-        return List.copyOf(delivered);
+    synchronized List<String> deliveredChunks() {
+        return List.copyOf(deliveredChunks);
     }
 
     synchronized Cancellation end() {
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/metrics/BurnRateRecorder.java
@@ -31,7 +31,7 @@
     private final HostId host;
     private final Clock clock;
     private final Supplier<Configuration> configuration;
-    private final Map<ServiceId, MinuteBuckets> services = new ConcurrentHashMap<>();
+    private final Map<ServiceId, MinuteBuckets> bucketsByService = new ConcurrentHashMap<>();
 
     /**
      * Creates a recorder.
@@ -47,8 +47,8 @@
     }
 
     void record(RequestSummary request) {
-        request.service().filter(service -> isCounted(request, service)).ifPresent(service -> services.computeIfAbsent(
-                        service.id(), id -> new MinuteBuckets())
+        request.service().filter(service -> isCounted(request, service)).ifPresent(service -> bucketsByService
+                .computeIfAbsent(service.id(), id -> new MinuteBuckets())
                 .add(minute(), request.succeeded() && meetsLatencyObjective(request, service), request));
     }
 
@@ -75,10 +75,10 @@
     /** Returns samples of all declared services and all windows; a window includes the current minute. */
     public BurnRateSnapshot snapshot() {
         Map<ServiceId, ServiceDeclaration> declared = configuration.get().services();
-        services.keySet().retainAll(declared.keySet());
+        bucketsByService.keySet().retainAll(declared.keySet());
         List<BurnRateSample> samples = new ArrayList<>();
         for (ServiceDeclaration service : declared.values()) {
-            MinuteBuckets buckets = services.getOrDefault(service.id(), new MinuteBuckets());
+            MinuteBuckets buckets = bucketsByService.getOrDefault(service.id(), new MinuteBuckets());
             WINDOWS_MINUTES.forEach(window -> samples.add(buckets.sample(service, minute(), window)));
         }
         return new BurnRateSnapshot(host, clock.instant(), samples);
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/CallerHttpServerTest.java
@@ -113,7 +113,7 @@
                 List.of("/stock/../orders", "/stock/%2e%2E/orders", "/stock%2f..%2forders", "/stock/..;/o")) {
             assertRefused(send("GET", "/services/desk" + path, ""), 400, "invalid_field");
         }
-        service.callAnswer = answered ->
+        service.callHandler = answered ->
                 new CallAnswer.Answered(new ServiceAnswer(409, Optional.of("text/plain"), "sold out".getBytes()), true);
         HttpResponse<String> repeated = send("DELETE", "/services/desk/orders", "", "Idempotency-Key", "k3");
         assertEquals(409, repeated.statusCode());
@@ -129,16 +129,16 @@
     @Test
     void outcomesOfCallsAreKeptApart() throws Exception {
         Failure failure = new Failure.EndpointFailed(new EndpointId("desk-1"));
-        service.callAnswer = call -> new CallAnswer.NotRun(failure);
+        service.callHandler = call -> new CallAnswer.NotRun(failure);
         HttpResponse<String> notRun = send("GET", "/services/desk/stock", "");
         assertEquals(503, notRun.statusCode());
         assertEquals("not-run", header(notRun, "X-Outcome"));
         assertEquals("1", header(notRun, "Retry-After"));
-        service.callAnswer = call -> new CallAnswer.Unknown(new Failure.LogUnavailable("calls-0"));
+        service.callHandler = call -> new CallAnswer.Unknown(new Failure.LogUnavailable("calls-0"));
         HttpResponse<String> unknown = send("GET", "/services/desk/stock", "");
         assertEquals(504, unknown.statusCode());
         assertEquals("unknown", header(unknown, "X-Outcome"));
-        service.callAnswer = call -> new CallAnswer.NotRun(new Failure.IdempotencyKeyReused("k"));
+        service.callHandler = call -> new CallAnswer.NotRun(new Failure.IdempotencyKeyReused("k"));
         assertEquals(
                 409,
                 send("POST", "/services/desk/o", "", "Idempotency-Key", "k").statusCode());
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/FakeCallerService.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/FakeCallerService.java
@@ -44,8 +44,8 @@
     final BlockingQueue<PlainCall> calls = new LinkedBlockingQueue<>();
     final CountDownLatch cancelled = new CountDownLatch(1);
     volatile Optional<Failure> notReadyReason = Optional.empty();
-    volatile BiConsumer<Generation, GenerationSink> answer = (generation, sink) -> {};
-    volatile Function<PlainCall, CallAnswer> callAnswer = call -> new CallAnswer.Answered(
+    volatile BiConsumer<Generation, GenerationSink> generationHandler = (generation, sink) -> {};
+    volatile Function<PlainCall, CallAnswer> callHandler = call -> new CallAnswer.Answered(
             new ServiceAnswer(200, call.call().contentType(), call.call().body()), false);
 
     private final Configuration configuration = Configuration.INITIAL.apply(
@@ -78,14 +78,14 @@
     @Override
     public Cancellation generate(Generation generation, GenerationSink sink) {
         generations.add(generation);
-        new Thread(() -> answer.accept(generation, sink)).start();
+        new Thread(() -> generationHandler.accept(generation, sink)).start();
         return cancelled::countDown;
     }
 
     @Override
     public CompletableFuture<CallAnswer> call(PlainCall call) {
         calls.add(call);
-        return CompletableFuture.supplyAsync(() -> callAnswer.apply(call));
+        return CompletableFuture.supplyAsync(() -> callHandler.apply(call));
     }
 
     @Override
--- a/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/http/caller/GenerationRouteTest.java
@@ -39,7 +39,7 @@
             + "\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}";
 
     private void answerChat(String... chunks) {
-        service.answer = (generation, sink) -> {
+        service.generationHandler = (generation, sink) -> {
             for (int i = 0; i < chunks.length; i++) {
                 sink.token(i, chunks[i]);
             }
@@ -135,7 +135,7 @@
     /** Guards against broken streams that are reported as not run, or as complete. */
     @Test
     void failureWhileStreamingEndsWithoutDone() throws Exception {
-        service.answer = (generation, sink) -> {
+        service.generationHandler = (generation, sink) -> {
             sink.token(0, CHUNK.formatted("a"));
             sink.failed(new Failure.EndpointFailed(new EndpointId("runner-1")));
         };
@@ -151,19 +151,19 @@
     /** Guards against failures before the first token that are reported as the start of a stream. */
     @Test
     void failureBeforeStreamingHasItsStatus() throws Exception {
-        service.answer = (generation, sink) -> sink.failed(new Failure.QueueFull(new PoolId("p"), 3));
+        service.generationHandler = (generation, sink) -> sink.failed(new Failure.QueueFull(new PoolId("p"), 3));
         HttpResponse<String> response = send("POST", CHAT, CHAT_BODY.formatted(true));
         assertEquals(429, response.statusCode());
         assertEquals("not-run", header(response, "X-Outcome"));
         assertEquals("", header(response, "X-Adapter-Version"));
-        service.answer = (generation, sink) -> sink.failed(new Failure.DeadlinePassed(NOW));
+        service.generationHandler = (generation, sink) -> sink.failed(new Failure.DeadlinePassed(NOW));
         assertEquals(503, send("POST", CHAT, CHAT_BODY.formatted(true)).statusCode());
     }
 
     /** Guards against engines that continue to generate for callers that have disconnected. */
     @Test
     void disconnectCancelsGeneration() throws Exception {
-        service.answer = (generation, sink) -> sink.token(0, CHUNK.formatted("a"));
+        service.generationHandler = (generation, sink) -> sink.token(0, CHUNK.formatted("a"));
         try (RawHttpClient client = new RawHttpClient(server.port())) {
             client.request("POST", CHAT, AUTHORIZATION, CHAT_BODY.formatted(true));
             client.readUntil("\"content\":\"a\"");
@@ -175,7 +175,7 @@
     /** Guards against unbounded buffering of tokens for a caller that does not read. */
     @Test
     void slowReaderIsCancelled() throws Exception {
-        service.answer = (generation, sink) -> {
+        service.generationHandler = (generation, sink) -> {
             String chunk = CHUNK.formatted("x".repeat(20_000));
             for (int i = 0; i < 5_000 && service.cancelled.getCount() > 0; i++) {
                 sink.token(i, chunk);
@@ -220,7 +220,7 @@
     @Test
     void tokensPassWithoutDelay() throws Exception {
         BlockingQueue<Integer> next = new LinkedBlockingQueue<>();
-        service.answer = (generation, sink) -> {
+        service.generationHandler = (generation, sink) -> {
             for (int i = 0; i < WARM_UP + 50; i++) {
                 try {
                     next.take();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/DeadlineHttpClientTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/DeadlineHttpClientTest.java
@@ -38,7 +38,7 @@
     @Test
     void callsToUnresponsiveServerEndAtTheirDeadline() throws Exception {
         Instant start = Instant.now();
-        assertInstanceOf(HttpCallResult.NoAnswer.class, call(500).get(2, TimeUnit.SECONDS));
+        assertInstanceOf(HttpCallResult.NoResponse.class, call(500).get(2, TimeUnit.SECONDS));
         long taken = Duration.between(start, Instant.now()).toMillis();
         assertTrue(taken >= 500 && taken < 1_500, "took " + taken + " ms");
     }
@@ -57,7 +57,7 @@
             assertInstanceOf(HttpCallResult.NotSent.class, call.get(3, TimeUnit.SECONDS));
         }
         for (CompletableFuture<HttpCallResult> call : running) {
-            assertInstanceOf(HttpCallResult.NoAnswer.class, call.get(3, TimeUnit.SECONDS));
+            assertInstanceOf(HttpCallResult.NoResponse.class, call.get(3, TimeUnit.SECONDS));
         }
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/DeadlineHttpClient.java
@@ -84,7 +84,9 @@
             @Override
             public void onFailure(Call failed, IOException cause) {
                 result.complete(
-                        tracker.mayHaveSent() ? new HttpCallResult.NoAnswer(cause) : new HttpCallResult.NotSent(cause));
+                        tracker.mayHaveSent()
+                                ? new HttpCallResult.NoResponse(cause)
+                                : new HttpCallResult.NotSent(cause));
             }
 
             @Override
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/GenerationCall.java
@@ -117,14 +117,14 @@
         }
     }
 
-    private GenerationResult refusal(EngineResponse answer) {
-        if (!answer.hadNoEffect()) {
+    private GenerationResult refusal(EngineResponse response) {
+        if (!response.hadNoEffect()) {
             return new GenerationResult.Broken(new Failure.EndpointFailed(endpoint.id()));
         }
         return new GenerationResult.NotStarted(
-                "adapter_not_loaded".equals(answer.code())
+                "adapter_not_loaded".equals(response.code())
                         ? new Failure.AdapterNotLoaded(endpoint.id(), request.adapter())
-                        : new Failure.EndpointRefused(endpoint.id(), answer.status()));
+                        : new Failure.EndpointRefused(endpoint.id(), response.status()));
     }
 
     /**
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpCallResult.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpCallResult.java
@@ -16,5 +16,5 @@
     record NotSent(IOException cause) implements HttpCallResult {}
 
     /** The request was sent at least in part, but no response status arrived. */
-    record NoAnswer(IOException cause) implements HttpCallResult {}
+    record NoResponse(IOException cause) implements HttpCallResult {}
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpEngineClient.java
@@ -47,7 +47,7 @@
     private static final long MAXIMUM_STATUS_BYTES = 4 << 20;
 
     private final EngineClientTimeouts timeouts;
-    private final EndpointHttpClient calls;
+    private final EndpointHttpClient httpClient;
     private final Set<GenerationCall> generations = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService stallDetector = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "engine-silence-watch");
@@ -58,7 +58,7 @@
     /** Creates a client with the given timeouts. */
     public HttpEngineClient(EngineClientTimeouts timeouts) {
         this.timeouts = timeouts;
-        this.calls = new EndpointHttpClient("engine-call", timeouts.connect());
+        this.httpClient = new EndpointHttpClient("engine-call", timeouts.connect());
         // One periodic scan replaces a read timeout per stream: okio enters such a timeout into a sorted list for each
         // token, which took about twice the processor time with 1,000 streams of 32 tokens per second.
         long period = Math.max(10, Math.min(250, timeouts.token().toMillis() / 8));
@@ -67,30 +67,31 @@
 
     /** Ends all calls and stops the threads of the client. */
     public void stop() {
-        calls.stop();
+        httpClient.stop();
         stallDetector.shutdownNow();
     }
 
     @Override
     public CompletableFuture<EngineCommandResult> load(Endpoint endpoint, AdapterVersion adapter, long term) {
         return sendCommand(
-                endpoint, "/v1/load_lora_adapter", Map.of("lora_name", adapter.engineName()), term, answer -> {
-                    return "load_failed".equals(answer.code())
+                endpoint, "/v1/load_lora_adapter", Map.of("lora_name", adapter.engineName()), term, response -> {
+                    return "load_failed".equals(response.code())
                             ? new Failure.AdapterLoadFailed(adapter)
-                            : refusal(endpoint, term, answer);
+                            : refusal(endpoint, term, response);
                 });
     }
 
     @Override
     public CompletableFuture<EngineCommandResult> unload(Endpoint endpoint, AdapterVersion adapter, long term) {
         Map<String, String> body = Map.of("lora_name", adapter.engineName());
-        return sendCommand(endpoint, "/v1/unload_lora_adapter", body, term, answer -> refusal(endpoint, term, answer));
+        return sendCommand(
+                endpoint, "/v1/unload_lora_adapter", body, term, response -> refusal(endpoint, term, response));
     }
 
     @Override
     public CompletableFuture<EngineCommandResult> raiseFence(Endpoint endpoint, long term) {
         return sendCommand(
-                endpoint, "/v1/role", Map.of("role", "serve"), term, answer -> refusal(endpoint, term, answer));
+                endpoint, "/v1/role", Map.of("role", "serve"), term, response -> refusal(endpoint, term, response));
     }
 
     @Override
@@ -131,7 +132,7 @@
             listener.end(new GenerationResult.NotStarted(new Failure.DeadlinePassed(request.deadline())));
             return () -> {};
         }
-        if (calls.isFull()) {
+        if (httpClient.isFull()) {
             listener.end(new GenerationResult.NotStarted(new Failure.EndpointUnreachable(endpoint.id())));
             return () -> {};
         }
@@ -153,7 +154,7 @@
                 new GenerationCall(endpoint, request, listener, sendState, () -> generations.remove(self[0]));
         self[0] = generation;
         generations.add(generation);
-        generation.start(calls.newCall(httpRequest, sendState, request.deadline()));
+        generation.start(httpClient.newCall(httpRequest, sendState, request.deadline()));
         return () -> {
             if (generations.contains(generation) && generation.cancel()) {
                 sendCancel(endpoint, request);
@@ -229,23 +230,23 @@
     }
 
     private static EngineCommandResult result(
-            Endpoint endpoint, EngineResponse answer, Function<EngineResponse, Failure> refusal) {
-        if (answer.isSuccess()) {
+            Endpoint endpoint, EngineResponse response, Function<EngineResponse, Failure> refusal) {
+        if (response.isSuccess()) {
             return new EngineCommandResult.Done();
         }
-        return answer.hadNoEffect()
-                ? new EngineCommandResult.Refused(refusal.apply(answer))
+        return response.hadNoEffect()
+                ? new EngineCommandResult.Refused(refusal.apply(response))
                 : new EngineCommandResult.Unknown(new Failure.EndpointFailed(endpoint.id()));
     }
 
-    private static Failure refusal(Endpoint endpoint, long term, EngineResponse answer) {
-        return "fenced".equals(answer.code())
+    private static Failure refusal(Endpoint endpoint, long term, EngineResponse response) {
+        return "fenced".equals(response.code())
                 ? new Failure.OrderFenced(endpoint.id(), term)
-                : new Failure.EndpointRefused(endpoint.id(), answer.status());
+                : new Failure.EndpointRefused(endpoint.id(), response.status());
     }
 
     private void enqueue(Request request, EndpointHttpClient.SendState sendState, Duration timeout, Callback callback) {
-        calls.newCall(request, sendState, Instant.now().plus(timeout)).enqueue(callback);
+        httpClient.newCall(request, sendState, Instant.now().plus(timeout)).enqueue(callback);
     }
 
     private void cancelStalled() {
@@ -258,7 +259,7 @@
         if (anyStalled) {
             // A fault that stalled one connection has probably stalled the idle ones too, and reusing one would cost
             // another timeout.
-            calls.evictIdleConnections();
+            httpClient.evictIdleConnections();
         }
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpLogService.java
@@ -116,10 +116,10 @@
                 : new AppendResult.Unknown(new Failure.OutcomeUnknown());
     }
 
-    private static AppendResult appendResult(String stream, HttpCallResult.Answered answer) {
-        if (answer.status() == OK) {
+    private static AppendResult appendResult(String stream, HttpCallResult.Answered response) {
+        if (response.status() == OK) {
             try {
-                byte[] body = answer.body().orElseThrow(() -> new IOException("truncated response body"));
+                byte[] body = response.body().orElseThrow(() -> new IOException("truncated response body"));
                 return new AppendResult.Appended(ResponseParser.JSON
                         .readValue(body, AppendResponse.class)
                         .firstOffset());
@@ -128,8 +128,8 @@
                 return new AppendResult.Unknown(new Failure.OutcomeUnknown());
             }
         }
-        Logger.debug("append to stream {} failed with status {}", stream, answer.status());
-        boolean notApplied = answer.status() / 100 == 4 || answer.status() == SERVICE_UNAVAILABLE;
+        Logger.debug("append to stream {} failed with status {}", stream, response.status());
+        boolean notApplied = response.status() / 100 == 4 || response.status() == SERVICE_UNAVAILABLE;
         return notApplied
                 ? new AppendResult.Rejected(new Failure.LogUnavailable(stream))
                 : new AppendResult.Unknown(new Failure.OutcomeUnknown());
@@ -138,12 +138,12 @@
     private static ReadResult readResult(String stream, long from, HttpCallResult result) {
         try {
             if (result instanceof HttpCallResult.Answered) {
-                HttpCallResult.Answered answer = (HttpCallResult.Answered) result;
-                byte[] body = answer.body().orElseThrow(() -> new IOException("truncated response body"));
-                if (answer.status() == OK) {
+                HttpCallResult.Answered response = (HttpCallResult.Answered) result;
+                byte[] body = response.body().orElseThrow(() -> new IOException("truncated response body"));
+                if (response.status() == OK) {
                     return requireConsecutive(from, ResponseParser.JSON.readValue(body, ReadResult.Records.class));
                 }
-                if (answer.status() == GONE) {
+                if (response.status() == GONE) {
                     return ResponseParser.JSON.readValue(body, ReadResult.Expired.class);
                 }
             }
--- a/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/external/http/HttpPlainServiceClient.java
@@ -27,7 +27,7 @@
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
 
     private final long responseLimitBytes;
-    private final EndpointHttpClient calls;
+    private final EndpointHttpClient httpClient;
 
     /**
      * Creates a client.
@@ -38,12 +38,12 @@
      */
     public HttpPlainServiceClient(Duration connectTimeout, long responseLimitBytes) {
         this.responseLimitBytes = responseLimitBytes;
-        this.calls = new EndpointHttpClient("service-call", connectTimeout);
+        this.httpClient = new EndpointHttpClient("service-call", connectTimeout);
     }
 
     /** Ends all calls and stops the threads of the client. */
     public void stop() {
-        calls.stop();
+        httpClient.stop();
     }
 
     @Override
@@ -51,18 +51,18 @@
         if (EndpointHttpClient.hasPassed(request.deadline())) {
             return notSent(new Failure.DeadlinePassed(request.deadline()));
         }
-        if (calls.isFull()) {
+        if (httpClient.isFull()) {
             return notSent(new Failure.EndpointUnreachable(endpoint.id()));
         }
-        Request http;
+        Request httpRequest;
         try {
-            http = toHttp(endpoint, request);
+            httpRequest = toHttpRequest(endpoint, request);
         } catch (IllegalArgumentException exception) {
             return notSent(new Failure.InvalidField("call", "an HTTP method, path and content type"));
         }
         EndpointHttpClient.SendState sendState = new EndpointHttpClient.SendState();
         CompletableFuture<ServiceCallResult> future = new CompletableFuture<>();
-        calls.newCall(http, sendState, request.deadline()).enqueue(new Callback() {
+        httpClient.newCall(httpRequest, sendState, request.deadline()).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
                 future.complete(failureResult(endpoint, request, sendState));
@@ -99,7 +99,7 @@
                         : new Failure.EndpointUnreachable(endpoint.id()));
     }
 
-    private static Request toHttp(Endpoint endpoint, ServiceCall request) {
+    private static Request toHttpRequest(Endpoint endpoint, ServiceCall request) {
         // Without the leading slash, the path would become part of the authority; OkHttp does not check the method.
         if (!request.path().startsWith("/") || !METHOD.matcher(request.method()).matches()) {
             throw new IllegalArgumentException("malformed HTTP method or path");
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/StrictToml.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/StrictToml.java
@@ -45,7 +45,7 @@
      * @return the content, or all errors
      */
     public static <T> TomlResult<T> parse(String file, String text, TomlType<T> type) {
-        TomlValue.Errors errors = new TomlValue.Errors(file);
+        TomlValue.ErrorCollector errors = new TomlValue.ErrorCollector(file);
         Optional<T> value;
         try {
             JsonNode tree = MAPPER.readTree(text);
--- a/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlValue.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/toml/TomlValue.java
@@ -11,12 +11,12 @@
 
 /** A value with its path and source position. Not thread-safe. */
 public final class TomlValue {
-    private final Errors errors;
+    private final ErrorCollector errors;
     private final String path;
     private final JsonNode node;
     private final PositionNode location;
 
-    TomlValue(Errors errors, String path, JsonNode node, PositionNode location) {
+    TomlValue(ErrorCollector errors, String path, JsonNode node, PositionNode location) {
         this.errors = errors;
         this.path = path;
         this.node = node;
@@ -24,11 +24,11 @@
     }
 
     /** Collects the errors of one file. */
-    static final class Errors {
+    static final class ErrorCollector {
         private final String file;
         private final List<Failure.InvalidSetting> failures = new ArrayList<>();
 
-        Errors(String file) {
+        ErrorCollector(String file) {
             this.file = file;
         }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/NettyPeerTransport.java
@@ -77,18 +77,18 @@
     /**
      * Creates a transport with its own event loop threads.
      *
-     * @param addresses looks up the address of a peer; called on the transport's threads, must not block
+     * @param addressLookup looks up the address of a peer; called on the transport's threads, must not block
      * @param listener receives messages and connection events
      * @param clock clock for detecting idle connections
      */
     public NettyPeerTransport(
             PeerTransportSettings settings,
-            Function<HostId, Optional<NetworkAddress>> addresses,
+            Function<HostId, Optional<NetworkAddress>> addressLookup,
             PeerListener listener,
             InstantSource clock) {
         this(
                 settings,
-                addresses,
+                addressLookup,
                 listener,
                 clock,
                 new NioEventLoopGroup(THREADS, new DefaultThreadFactory("banyanstair-peer", true)),
@@ -98,23 +98,23 @@
     /**
      * Creates a transport on an existing event loop group, which avoids a thread switch per message.
      *
-     * @param addresses looks up the address of a peer; called on the transport's threads, must not block
+     * @param addressLookup looks up the address of a peer; called on the transport's threads, must not block
      * @param listener receives messages and connection events
      * @param clock clock for detecting idle connections
      * @param group event loops; they are not stopped with the transport, and {@link #start} must not be called on them
      */
     public static NettyPeerTransport withEventLoopGroup(
             PeerTransportSettings settings,
-            Function<HostId, Optional<NetworkAddress>> addresses,
+            Function<HostId, Optional<NetworkAddress>> addressLookup,
             PeerListener listener,
             InstantSource clock,
             EventLoopGroup group) {
-        return new NettyPeerTransport(settings, addresses, listener, clock, group, false);
+        return new NettyPeerTransport(settings, addressLookup, listener, clock, group, false);
     }
 
     private NettyPeerTransport(
             PeerTransportSettings settings,
-            Function<HostId, Optional<NetworkAddress>> addresses,
+            Function<HostId, Optional<NetworkAddress>> addressLookup,
             PeerListener listener,
             InstantSource clock,
             EventLoopGroup group,
@@ -124,7 +124,8 @@
         this.transportEventLoop = group.next();
         this.settings = settings;
         this.listener = listener;
-        this.context = new TransportContext(settings, addresses, listener, clock, counters, this::connect, this::link);
+        this.context =
+                new TransportContext(settings, addressLookup, listener, clock, counters, this::connect, this::link);
     }
 
     /**
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/Connection.java
@@ -59,7 +59,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        transport.counters().opened();
+        transport.counters().countOpenedConnection();
         write(new PeerMessage.Hello(
                 NettyPeerTransport.PROTOCOL_VERSION,
                 transport.settings().identity(),
@@ -67,7 +67,7 @@
         long timeout = transport.settings().connectTimeout().toMillis();
         long interval = transport.settings().heartbeatInterval().toMillis();
         handshakeTimer = context.executor()
-                .schedule(() -> reject("no hello within the connect timeout"), timeout, TimeUnit.MILLISECONDS);
+                .schedule(() -> rejectHandshake("no hello within the connect timeout"), timeout, TimeUnit.MILLISECONDS);
         heartbeatTimer =
                 context.executor().scheduleWithFixedDelay(this::heartbeat, interval, interval, TimeUnit.MILLISECONDS);
     }
@@ -79,15 +79,15 @@
         }
         byte[] body = new byte[frame.readableBytes()];
         frame.readBytes(body);
-        transport.counters().frameIn(body.length + FrameCodec.LENGTH_BYTES);
-        FrameCodec.decode(body).ifPresentOrElse(this::accept, () -> closeMalformed(body.length));
+        transport.counters().countReceivedFrame(body.length + FrameCodec.LENGTH_BYTES);
+        FrameCodec.decode(body).ifPresentOrElse(this::handleMessage, () -> closeMalformed(body.length));
     }
 
-    private void accept(PeerMessage message) {
+    private void handleMessage(PeerMessage message) {
         if (message instanceof PeerMessage.Hello hello) {
             handleHello(hello);
         } else if (peer == null) {
-            reject("message before hello");
+            rejectHandshake("message before hello");
         } else if (message instanceof PeerMessage.Ping ping) {
             // No pong while the write buffer is full, so that a peer that does not read cannot make it grow without
             // bound.
@@ -102,23 +102,23 @@
     private void handleHello(PeerMessage.Hello hello) {
         HostIdentity sender = hello.sender();
         if (sender == null || sender.host() == null || peer != null) {
-            reject("incomplete or repeated hello");
+            rejectHandshake("incomplete or repeated hello");
         } else if (hello.protocolVersion() != NettyPeerTransport.PROTOCOL_VERSION) {
-            reject("unsupported protocol version " + hello.protocolVersion());
+            rejectHandshake("unsupported protocol version " + hello.protocolVersion());
         } else if (!transport.settings().cluster().equals(hello.cluster())) {
-            reject("peer belongs to another cluster");
+            rejectHandshake("peer belongs to another cluster");
         } else if (sender.host().equals(transport.settings().identity().host())
                 || outboundPeer
                         .filter(expected -> !expected.host().equals(sender.host()))
                         .isPresent()) {
-            reject("unexpected host " + sender);
+            rejectHandshake("unexpected host " + sender);
         } else {
             handshakeTimer.cancel(false);
             handshakeCompletedNanos = System.nanoTime();
             peer = sender;
             link = outboundPeer.orElseGet(() ->
                     transport.peerLinks().apply(sender.host(), channel.channel().eventLoop()));
-            link.run(() -> link.handshakeCompleted(this));
+            link.runOnEventLoop(() -> link.handshakeCompleted(this));
         }
     }
 
@@ -127,14 +127,14 @@
         if (!receivedMessages.isEmpty()) {
             List<PeerMessage> messages = receivedMessages;
             receivedMessages = new ArrayList<>();
-            link.run(() -> link.messagesReceived(this, messages));
+            link.runOnEventLoop(() -> link.messagesReceived(this, messages));
         }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (link != null && isWritable()) {
-            link.run(link::flushQueue);
+            link.runOnEventLoop(link::flushQueue);
         }
     }
 
@@ -154,7 +154,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof DecoderException && !closing) {
             Logger.warn("connection to {} closed: {}", peerName(), cause.getMessage());
-            transport.counters().malformed();
+            transport.counters().countMalformedFrame();
         } else {
             Logger.debug("connection to {} failed: {}", peerName(), cause.getMessage());
         }
@@ -163,11 +163,11 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        transport.counters().closed();
+        transport.counters().countClosedConnection();
         handshakeTimer.cancel(false);
         heartbeatTimer.cancel(false);
-        Optional<PeerLink> owner = Optional.ofNullable(link).or(() -> outboundPeer);
-        owner.ifPresent(peerLink -> peerLink.run(() -> peerLink.connectionClosed(this)));
+        Optional<PeerLink> affectedLink = Optional.ofNullable(link).or(() -> outboundPeer);
+        affectedLink.ifPresent(peerLink -> peerLink.runOnEventLoop(() -> peerLink.connectionClosed(this)));
     }
 
     private void heartbeat() {
@@ -192,13 +192,13 @@
 
     private void closeMalformed(int lengthBytes) {
         Logger.warn("connection to {} closed: {}", peerName(), FailureText.of(new Failure.MalformedFrame(lengthBytes)));
-        transport.counters().malformed();
+        transport.counters().countMalformedFrame();
         close();
     }
 
-    private void reject(String reason) {
+    private void rejectHandshake(String reason) {
         Logger.warn("connection to {} closed: {}", peerName(), reason);
-        transport.counters().rejected();
+        transport.counters().countRejectedHandshake();
         close();
     }
 
@@ -213,7 +213,7 @@
     }
 
     private void write(ByteBuf frames, int count) {
-        transport.counters().framesOut(count, frames.readableBytes());
+        transport.counters().countWrittenFrames(count, frames.readableBytes());
         lastWriteNanos = System.nanoTime();
         channel.writeAndFlush(frames, channel.voidPromise());
     }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/CounterSet.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/CounterSet.java
@@ -30,33 +30,33 @@
                 droppedMessages.sum());
     }
 
-    void frameIn(int bytes) {
+    void countReceivedFrame(int bytes) {
         framesIn.increment();
         bytesIn.add(bytes);
     }
 
-    void framesOut(int frames, int bytes) {
+    void countWrittenFrames(int frames, int bytes) {
         framesOut.add(frames);
         bytesOut.add(bytes);
     }
 
-    void malformed() {
+    void countMalformedFrame() {
         malformedFrames.increment();
     }
 
-    void rejected() {
+    void countRejectedHandshake() {
         rejectedHandshakes.increment();
     }
 
-    void opened() {
+    void countOpenedConnection() {
         connectionsOpened.increment();
     }
 
-    void closed() {
+    void countClosedConnection() {
         connectionsClosed.increment();
     }
 
-    void dropped(long messages) {
+    void countDroppedMessages(long messages) {
         droppedMessages.add(messages);
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerLink.java
@@ -17,7 +17,7 @@
 /**
  * State of one peer: its connections and its queue of outbound messages.
  *
- * <p>Everything except {@link #send} and {@link #run} is confined to one event loop, so that the listener is notified
+ * <p>Everything except {@link #send} and {@link #runOnEventLoop} is confined to one event loop, so that the listener is notified
  * of the events of one peer in order and from one thread.
  */
 public final class PeerLink {
@@ -32,7 +32,7 @@
     private final TransportContext transport;
     private final HostId host;
     private final EventLoop eventLoop;
-    private final OutboundQueue queue = new OutboundQueue();
+    private final OutboundQueue outboundQueue = new OutboundQueue();
     private final AtomicBoolean flushScheduled = new AtomicBoolean();
     private final AtomicBoolean overflowScheduled = new AtomicBoolean();
     private final Deque<Connection> established = new ArrayDeque<>();
@@ -67,10 +67,10 @@
      * @param frame the frame body
      */
     public void send(byte[] frame) {
-        if (frame.length > transport.settings().maximumFrameBytes() || !queue.offer(frame)) {
-            transport.counters().dropped(1);
+        if (frame.length > transport.settings().maximumFrameBytes() || !outboundQueue.offer(frame)) {
+            transport.counters().countDroppedMessages(1);
             if (overflowScheduled.compareAndSet(false, true)) {
-                run(this::handleOverflow);
+                runOnEventLoop(this::handleOverflow);
             }
         } else if (flushScheduled.compareAndSet(false, true)) {
             execute(() -> {
@@ -82,7 +82,7 @@
 
     /** Sets whether a connection to the peer is kept open. */
     public void setWatched(boolean watch) {
-        run(() -> {
+        runOnEventLoop(() -> {
             watched = watch;
             reconnectIfWatched();
         });
@@ -91,16 +91,16 @@
     /** Connects to a watched peer that has no connection. Called every heartbeat interval. */
     public void reconnectIfWatched() {
         if (watched) {
-            run(this::connectIfNeeded);
+            runOnEventLoop(this::connectIfNeeded);
         }
     }
 
     /** Closes all connections without notifying the listener. */
     public void stop() {
-        run(() -> {
+        runOnEventLoop(() -> {
             stopped = true;
             closeAll();
-            transport.counters().dropped(queue.clear());
+            transport.counters().countDroppedMessages(outboundQueue.clear());
         });
     }
 
@@ -108,7 +108,7 @@
         return host;
     }
 
-    void run(Runnable task) {
+    void runOnEventLoop(Runnable task) {
         if (eventLoop.inEventLoop()) {
             task.run();
         } else {
@@ -126,12 +126,12 @@
 
     void flushQueue() {
         if (established.isEmpty()) {
-            if (!queue.isEmpty()) {
+            if (!outboundQueue.isEmpty()) {
                 connectIfNeeded();
             }
         } else {
             // The newest connection is the least likely to be stalled.
-            established.peekLast().writeFrom(queue);
+            established.peekLast().writeFrom(outboundQueue);
         }
     }
 
@@ -155,7 +155,7 @@
 
     private Optional<NetworkAddress> findAddress() {
         try {
-            return transport.addresses().apply(host);
+            return transport.addressLookup().apply(host);
         } catch (RuntimeException exception) {
             Logger.error(exception, "address lookup of {} failed", host);
             return Optional.empty();
@@ -165,7 +165,7 @@
     void handshakeCompleted(Connection connection) {
         long peerIncarnation = connection.peer().incarnation();
         if (stopped || peerIncarnation < incarnation) {
-            transport.counters().rejected();
+            transport.counters().countRejectedHandshake();
             connection.close();
             return;
         }
@@ -186,7 +186,7 @@
 
     void messagesReceived(Connection connection, List<PeerMessage> messages) {
         if (connection.peer().incarnation() < incarnation) {
-            transport.counters().dropped(messages.size());
+            transport.counters().countDroppedMessages(messages.size());
             return;
         }
         connection.markUsed();
@@ -214,7 +214,7 @@
         if (consecutiveShortLived > 1) {
             // The peer accepts connections but closes them at once; immediate reconnects would never end.
             reportUnreachable();
-        } else if (lost.hasTimedOut() || watched || !queue.isEmpty() || lost.isUsedWithin(RECENT_USE)) {
+        } else if (lost.hasTimedOut() || watched || !outboundQueue.isEmpty() || lost.isUsedWithin(RECENT_USE)) {
             connectIfNeeded();
         }
     }
@@ -235,8 +235,8 @@
     }
 
     private void reportUnreachable() {
-        int dropped = queue.clear();
-        transport.counters().dropped(dropped);
+        int dropped = outboundQueue.clear();
+        transport.counters().countDroppedMessages(dropped);
         boolean news = dropped > 0 || reachability != Reachability.UNREACHABLE;
         reachability = Reachability.UNREACHABLE;
         if (news) {
@@ -254,6 +254,6 @@
 
     /** Returns whether a connection is neither watched nor recently used. */
     boolean isIdle(Connection connection) {
-        return !watched && queue.isEmpty() && !connection.isUsedWithin(IDLE_TIMEOUT);
+        return !watched && outboundQueue.isEmpty() && !connection.isUsedWithin(IDLE_TIMEOUT);
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/TransportContext.java
@@ -14,7 +14,7 @@
 /**
  * State shared by all connections of a transport.
  *
- * @param addresses looks up the address of a peer; must not block
+ * @param addressLookup looks up the address of a peer; must not block
  * @param listener receives messages and connection events
  * @param clock clock for detecting idle connections
  * @param counters totals
@@ -23,7 +23,7 @@
  */
 public record TransportContext(
         PeerTransportSettings settings,
-        Function<HostId, Optional<NetworkAddress>> addresses,
+        Function<HostId, Optional<NetworkAddress>> addressLookup,
         PeerListener listener,
         InstantSource clock,
         CounterSet counters,
