--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/EndpointStandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/EndpointStandInServer.java
@@ -25,8 +25,8 @@
 public final class EndpointStandInServer {
     private static final String HOST = "127.0.0.1";
     private static final int MAX_REQUEST_BYTES = 4 << 20;
-    private static final int START_ATTEMPTS = 20;
-    private static final long CLOSE_LIMIT_MILLISECONDS = 1_000;
+    private static final int BIND_ATTEMPTS = 20;
+    private static final long CLOSE_TIMEOUT_MILLISECONDS = 1_000;
 
     private final Consumer<Routes> routes;
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
@@ -36,7 +36,7 @@
     private volatile int port;
 
     /** The listening channel, known once a request has come. */
-    private volatile Channel listener;
+    private volatile Channel listeningChannel;
 
     private NettyServer server;
     private boolean stopped;
@@ -87,8 +87,8 @@
     /** Starts to listen; returns when the server accepts connections. */
     public synchronized void start() {
         timer.execute(() -> {});
-        RuntimeException last = null;
-        for (int attempt = 0; attempt < START_ATTEMPTS && !stopped && server == null; attempt++) {
+        RuntimeException lastFailure = null;
+        for (int attempt = 0; attempt < BIND_ATTEMPTS && !stopped && server == null; attempt++) {
             try {
                 listen();
                 return;
@@ -97,12 +97,12 @@
                     throw exception;
                 }
                 // A free port that was picked can be taken, and a port that was just closed needs a moment.
-                last = exception;
-                sleep();
+                lastFailure = exception;
+                sleepBeforeRetry();
             }
         }
-        if (last != null) {
-            throw last;
+        if (lastFailure != null) {
+            throw lastFailure;
         }
     }
 
@@ -120,18 +120,18 @@
      * threads of the server, because it waits for the listener.
      *
      * @param pause how long connections are refused
-     * @param beforeReturn runs just before the server listens again
+     * @param beforeResume runs just before the server listens again
      */
-    public void suspend(Duration pause, Runnable beforeReturn) {
-        Channel listening = listener;
-        if (listening != null) {
-            listening.close().awaitUninterruptibly(CLOSE_LIMIT_MILLISECONDS);
+    public void suspend(Duration pause, Runnable beforeResume) {
+        Channel current = listeningChannel;
+        if (current != null) {
+            current.close().awaitUninterruptibly(CLOSE_TIMEOUT_MILLISECONDS);
         }
         channels.forEach(Channel::close);
         timer.execute(this::closeUnlessStopped);
         timer.schedule(
                 () -> {
-                    beforeReturn.run();
+                    beforeResume.run();
                     start();
                 },
                 pause.toMillis(),
@@ -152,7 +152,7 @@
         application.setExecutionMode(ExecutionMode.EVENT_LOOP);
         application.error((context, cause, code) ->
                 new Exchange(context).respondError(code.value(), "not_served", code.reason()));
-        routes.accept(new Routes(application, this::watch));
+        routes.accept(new Routes(application, this::trackChannel));
         ServerOptions options = new ServerOptions();
         options.setHost(HOST);
         options.setPort(port);
@@ -167,8 +167,8 @@
         port = options.getPort();
     }
 
-    private void watch(Channel channel) {
-        listener = channel.parent();
+    private void trackChannel(Channel channel) {
+        listeningChannel = channel.parent();
         if (channels.add(channel)) {
             channel.closeFuture().addListener(future -> channels.remove(channel));
         }
@@ -196,7 +196,7 @@
         return false;
     }
 
-    private static void sleep() {
+    private static void sleepBeforeRetry() {
         try {
             Thread.sleep(20);
         } catch (InterruptedException exception) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/FaultSettings.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/FaultSettings.java
@@ -63,12 +63,12 @@
      * @param fault the fault
      * @return whether the fault applies this time
      */
-    public synchronized boolean take(E fault) {
-        long left = value(fault);
-        if (left > 0) {
-            values.put(fault, left - 1);
+    public synchronized boolean consume(E fault) {
+        long remaining = value(fault);
+        if (remaining > 0) {
+            values.put(fault, remaining - 1);
         }
-        return left > 0;
+        return remaining > 0;
     }
 
     /**
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
@@ -25,8 +25,8 @@
     private final EngineSettings settings;
     private final FaultSettings<EngineFault> faults;
     private final ScheduledExecutorService scheduler;
-    private final WeightStoreFetch weights;
-    private final Counts counts;
+    private final WeightStoreClient weights;
+    private final MutableEngineCounters counts;
     private final RunLog runLog;
     private final Set<String> loaded = new LinkedHashSet<>();
     private final Map<String, List<Exchange>> loading = new LinkedHashMap<>();
@@ -39,7 +39,7 @@
         this.scheduler = resources.scheduler();
         this.counts = resources.counts();
         this.runLog = resources.runLog();
-        this.weights = new WeightStoreFetch(settings.weightStore());
+        this.weights = new WeightStoreClient(settings.weightStore());
     }
 
     boolean isLoaded(String adapter) {
@@ -67,37 +67,37 @@
     }
 
     void load(Exchange exchange) {
-        String adapter = adapterOf(exchange);
+        String adapter = parseAdapter(exchange);
         if (isFenced(exchange)) {
             return;
         }
         if (loaded.contains(adapter)) {
-            finishLoad(exchange, adapter);
+            respondLoaded(exchange, adapter);
         } else if (loading.containsKey(adapter)) {
             loading.get(adapter).add(exchange);
         } else if (loaded.size() + loading.size() >= settings.slots()) {
             exchange.respondError(409, "no_free_slot", "all adapter slots are taken");
         } else {
             loading.put(adapter, new ArrayList<>(List.of(exchange)));
-            fetch(adapter);
+            startLoad(adapter);
         }
     }
 
     void unload(Exchange exchange, Batch batch) {
-        String adapter = adapterOf(exchange);
+        String adapter = parseAdapter(exchange);
         if (isFenced(exchange)) {
             return;
         }
         if (loaded.remove(adapter)) {
             counts.unloads++;
-            recordUsers("unloaded_in_use", adapter, batch.usersOf(adapter, true));
-            recordUsers("unloaded_while_waiting", adapter, batch.usersOf(adapter, false));
-            batch.usersOf(adapter, true).forEach(each -> batch.end(each, RunOutcome.UNLOADED));
+            recordViolation("unloaded_in_use", adapter, batch.generationsUsing(adapter, true));
+            recordViolation("unloaded_while_waiting", adapter, batch.generationsUsing(adapter, false));
+            batch.generationsUsing(adapter, true).forEach(each -> batch.end(each, RunOutcome.UNLOADED));
         }
-        answer(exchange, adapter, EngineFault.LOSE_UNLOAD_ANSWERS);
+        respondUnlessLost(exchange, adapter, EngineFault.LOSE_UNLOAD_ANSWERS);
     }
 
-    void role(Exchange exchange) {
+    void acceptRole(Exchange exchange) {
         if (!"serve".equals(exchange.json().path("role").asText())) {
             throw new IllegalArgumentException("role must be serve");
         }
@@ -106,7 +106,7 @@
         }
     }
 
-    private static String adapterOf(Exchange exchange) {
+    private static String parseAdapter(Exchange exchange) {
         JsonNode name = exchange.json().path("lora_name");
         try {
             return AdapterVersion.parse(name.asText()).engineName();
@@ -130,47 +130,49 @@
         return false;
     }
 
-    private void fetch(String adapter) {
-        int startedIn = incarnation;
-        boolean fails = faults.take(EngineFault.FAIL_LOADS);
-        if (settings.weightStore().isEmpty() || fails) {
+    private void startLoad(String adapter) {
+        int startIncarnation = incarnation;
+        boolean failureInjected = faults.consume(EngineFault.FAIL_LOADS);
+        if (settings.weightStore().isEmpty() || failureInjected) {
             scheduler.schedule(
-                    () -> fetched(adapter, startedIn, !fails), settings.loadMilliseconds(), TimeUnit.MILLISECONDS);
+                    () -> onFetched(adapter, startIncarnation, !failureInjected),
+                    settings.loadMilliseconds(),
+                    TimeUnit.MILLISECONDS);
         } else {
-            weights.fetch(adapter, success -> scheduler.execute(() -> fetched(adapter, startedIn, success)));
+            weights.fetch(adapter, success -> scheduler.execute(() -> onFetched(adapter, startIncarnation, success)));
         }
     }
 
-    private void fetched(String adapter, int startedIn, boolean success) {
-        if (startedIn != incarnation) {
+    private void onFetched(String adapter, int startIncarnation, boolean success) {
+        if (startIncarnation != incarnation) {
             return;
         }
         List<Exchange> exchanges = loading.remove(adapter);
         if (success) {
             counts.loads++;
             loaded.add(adapter);
-            exchanges.forEach(each -> finishLoad(each, adapter));
+            exchanges.forEach(each -> respondLoaded(each, adapter));
         } else {
             counts.failedLoads++;
             exchanges.forEach(each -> each.respondError(424, "load_failed", "the adapter could not be loaded"));
         }
     }
 
-    private void finishLoad(Exchange exchange, String adapter) {
-        answer(exchange, adapter, EngineFault.LOSE_LOAD_ANSWERS);
+    private void respondLoaded(Exchange exchange, String adapter) {
+        respondUnlessLost(exchange, adapter, EngineFault.LOSE_LOAD_ANSWERS);
     }
 
-    private void answer(Exchange exchange, String adapter, EngineFault loss) {
-        if (faults.take(loss)) {
+    private void respondUnlessLost(Exchange exchange, String adapter, EngineFault loss) {
+        if (faults.consume(loss)) {
             exchange.closeConnection();
         } else {
             exchange.respond(200, Map.of("lora_name", adapter));
         }
     }
 
-    private void recordUsers(String kind, String adapter, List<Generation> users) {
-        if (!users.isEmpty()) {
-            List<String> ids = users.stream().map(each -> each.requestId).toList();
+    private void recordViolation(String kind, String adapter, List<Generation> generations) {
+        if (!generations.isEmpty()) {
+            List<String> ids = generations.stream().map(each -> each.requestId).toList();
             runLog.add(new EngineViolation(kind, adapter, ids, Instant.now()));
         }
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
@@ -16,31 +16,31 @@
 import org.tinylog.Logger;
 
 /**
- * The continuous batch: waiting and running generations and the streams that can be resumed.
+ * The continuous batch: waiting and running generations and the generationsById that can be resumed.
  *
  * <p>Everything runs on the scheduler thread of the engine.
  */
 final class Batch {
-    private static final long KEEP_ENDED_NANOS = TimeUnit.SECONDS.toNanos(30);
-    private static final long HOUSEKEEPING_MILLISECONDS = 20;
+    private static final long ENDED_STREAM_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long HOUSEKEEPING_INTERVAL_MILLISECONDS = 20;
 
     /** Late timers are made up for up to this; a process that was stopped for longer does not send a burst. */
-    private static final long LARGEST_CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long MAX_CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final EngineSettings settings;
     private final FaultSettings<EngineFault> faults;
     private final ScheduledExecutorService scheduler;
     private final Predicate<String> isLoaded;
     private final Runnable crash;
-    private final Counts counts;
+    private final MutableEngineCounters counts;
     private final PrefixCache cache;
     private final TreeSet<Generation> waiting = new TreeSet<>(
             Comparator.comparing((Generation each) -> !each.premium).thenComparing(each -> each.arrival));
     private final List<Generation> running = new ArrayList<>();
-    private final Map<String, Generation> streams = new HashMap<>();
+    private final Map<String, Generation> generationsById = new HashMap<>();
     private final RunLog runLog;
     private long arrivals;
-    private boolean stepping;
+    private boolean stepScheduled;
     private long nextStepNanos;
 
     Batch(EngineResources resources, PrefixCache cache, Predicate<String> isLoaded, Runnable crash) {
@@ -56,7 +56,10 @@
 
     void startHousekeeping() {
         scheduler.scheduleWithFixedDelay(
-                this::housekeep, HOUSEKEEPING_MILLISECONDS, HOUSEKEEPING_MILLISECONDS, TimeUnit.MILLISECONDS);
+                this::expireGenerations,
+                HOUSEKEEPING_INTERVAL_MILLISECONDS,
+                HOUSEKEEPING_INTERVAL_MILLISECONDS,
+                TimeUnit.MILLISECONDS);
     }
 
     List<Generation> running() {
@@ -67,12 +70,12 @@
         return waiting.size();
     }
 
-    Optional<Generation> stream(String requestId) {
-        return Optional.ofNullable(streams.get(requestId));
+    Optional<Generation> findGeneration(String requestId) {
+        return Optional.ofNullable(generationsById.get(requestId));
     }
 
     void submit(Generation generation) {
-        streams.put(generation.requestId, generation);
+        generationsById.put(generation.requestId, generation);
         enqueue(generation);
     }
 
@@ -83,9 +86,9 @@
         enqueue(generation);
     }
 
-    void disconnected(Generation generation) {
+    void onDisconnect(Generation generation) {
         generation.detach();
-        generation.brokenAtNanos = System.nanoTime();
+        generation.disconnectedAtNanos = System.nanoTime();
         if (settings.keepBrokenStreamsSeconds() == 0) {
             end(generation, RunOutcome.DISCONNECTED);
         }
@@ -104,10 +107,10 @@
             runLog.update(generation);
         }
         if (outcome != RunOutcome.COMPLETED) {
-            generation.breakReader();
+            generation.closeConnection();
         }
         if (outcome == RunOutcome.CANCELLED || outcome == RunOutcome.UNLOADED) {
-            streams.remove(generation.requestId, generation);
+            generationsById.remove(generation.requestId, generation);
         }
     }
 
@@ -115,10 +118,10 @@
     void clear() {
         List.copyOf(waiting).forEach(each -> end(each, RunOutcome.CRASHED));
         List.copyOf(running).forEach(each -> end(each, RunOutcome.CRASHED));
-        streams.clear();
+        generationsById.clear();
     }
 
-    List<Generation> usersOf(String adapter, boolean inBatch) {
+    List<Generation> generationsUsing(String adapter, boolean inBatch) {
         return (inBatch ? running.stream() : waiting.stream())
                 .filter(each -> each.adapter.equals(adapter))
                 .toList();
@@ -127,8 +130,8 @@
     private void enqueue(Generation generation) {
         generation.arrival = arrivals++;
         waiting.add(generation);
-        if (!stepping) {
-            stepping = true;
+        if (!stepScheduled) {
+            stepScheduled = true;
             nextStepNanos = System.nanoTime();
             scheduler.execute(this::step);
         }
@@ -137,10 +140,10 @@
     private void step() {
         admit();
         if (running.isEmpty()) {
-            stepping = false;
+            stepScheduled = false;
             return;
         }
-        nextStepNanos = Math.max(System.nanoTime() - LARGEST_CATCH_UP_NANOS, nextStepNanos + stepNanos());
+        nextStepNanos = Math.max(System.nanoTime() - MAX_CATCH_UP_NANOS, nextStepNanos + stepNanos());
         counts.steps++;
         for (Generation generation : List.copyOf(running)) {
             try {
@@ -168,7 +171,7 @@
 
     private void advance(Generation generation) {
         if (!generation.isComplete()) {
-            generation.produced++;
+            generation.producedTokens++;
             counts.tokens++;
         }
         generation.deliver();
@@ -181,17 +184,17 @@
         while (running.size() < settings.batchLimit() && !waiting.isEmpty()) {
             Generation next = waiting.first();
             if (!isLoaded.test(next.adapter)) {
-                refuse(next, 404, "adapter_not_loaded", "the adapter is not loaded");
+                rejectWaiting(next, 404, "adapter_not_loaded", "the adapter is not loaded");
             } else if (next.deadline.isBefore(Instant.now())) {
-                refuse(next, 408, "deadline_passed", "the deadline passed before the request ran");
+                rejectWaiting(next, 408, "deadline_passed", "the deadline passed before the request ran");
             } else {
                 waiting.remove(next);
-                begin(next);
+                startGeneration(next);
             }
         }
     }
 
-    private void begin(Generation generation) {
+    private void startGeneration(Generation generation) {
         running.add(generation);
         boolean first = generation.started == null;
         if (first) {
@@ -199,38 +202,41 @@
             counts.generations++;
             runLog.add(generation);
         }
-        cache.use(EngineText.prefixHash(generation.adapter, generation.prompt), System.nanoTime());
+        cache.recordUse(EngineText.prefixHash(generation.adapter, generation.prompt), System.nanoTime());
         if (!settings.crashMarker().isEmpty() && generation.prompt.contains(settings.crashMarker())) {
             crash.run();
-        } else if (first && faults.take(EngineFault.LOSE_GENERATION_ANSWERS)) {
-            generation.breakReader();
-            disconnected(generation);
+        } else if (first && faults.consume(EngineFault.LOSE_GENERATION_ANSWERS)) {
+            generation.closeConnection();
+            onDisconnect(generation);
         }
     }
 
     /** Answers a waiting request that did not run. A stream that had started before is broken off instead. */
-    private void refuse(Generation generation, int status, String code, String message) {
+    private void rejectWaiting(Generation generation, int status, String code, String message) {
         waiting.remove(generation);
-        streams.remove(generation.requestId, generation);
-        if (generation.reader != null) {
-            generation.reader.respondError(status, code, message);
+        generationsById.remove(generation.requestId, generation);
+        if (generation.exchange != null) {
+            generation.exchange.respondError(status, code, message);
             generation.detach();
         }
     }
 
-    private void housekeep() {
+    private void expireGenerations() {
         long now = System.nanoTime();
         Instant time = Instant.now();
         List<Generation> active = new ArrayList<>(running);
         active.addAll(waiting);
         for (Generation each : active) {
-            long broken = now - each.brokenAtNanos;
-            if (each.reader == null && broken >= TimeUnit.SECONDS.toNanos(settings.keepBrokenStreamsSeconds())) {
+            long disconnectedNanos = now - each.disconnectedAtNanos;
+            if (each.exchange == null
+                    && disconnectedNanos >= TimeUnit.SECONDS.toNanos(settings.keepBrokenStreamsSeconds())) {
                 end(each, RunOutcome.DISCONNECTED);
             } else if (each.started != null && each.deadline.isBefore(time)) {
                 end(each, RunOutcome.DEADLINE_PASSED);
             }
         }
-        streams.values().removeIf(each -> each.ended.isPresent() && now - each.endedAtNanos >= KEEP_ENDED_NANOS);
+        generationsById
+                .values()
+                .removeIf(each -> each.ended.isPresent() && now - each.endedAtNanos >= ENDED_STREAM_RETENTION_NANOS);
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/ChunkWriter.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/ChunkWriter.java
@@ -26,7 +26,7 @@
         this.promptTokens = promptTokens;
     }
 
-    void token(StringBuilder events, int index, String text) {
+    void appendToken(StringBuilder events, int index, String text) {
         ObjectNode chunk = chunk();
         ObjectNode choice = chunk.putArray("choices").addObject().put("index", 0);
         if (chat) {
@@ -39,11 +39,11 @@
             choice.put("text", text);
         }
         choice.put("finish_reason", index == maxTokens - 1 ? "length" : null);
-        event(events, index, chunk);
+        appendEvent(events, index, chunk);
     }
 
     /** Writes the usage chunk, if it is wanted and the reader does not have it yet, and the end mark. */
-    void end(StringBuilder events, boolean withUsage) {
+    void appendEnd(StringBuilder events, boolean withUsage) {
         if (usage && withUsage) {
             ObjectNode chunk = chunk();
             chunk.putArray("choices");
@@ -56,7 +56,7 @@
                             maxTokens,
                             "total_tokens",
                             promptTokens + maxTokens)));
-            event(events, maxTokens, chunk);
+            appendEvent(events, maxTokens, chunk);
         }
         events.append("data: [DONE]\n\n");
     }
@@ -70,7 +70,7 @@
                 .put("model", adapter);
     }
 
-    private static void event(StringBuilder events, int index, ObjectNode chunk) {
+    private static void appendEvent(StringBuilder events, int index, ObjectNode chunk) {
         for (String part : List.of("id: ", Integer.toString(index), "\ndata: ", chunk.toString(), "\n\n")) {
             events.append(part);
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/StatusReport.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/DelayedStatusReport.java
@@ -8,14 +8,14 @@
 import java.util.function.Supplier;
 
 /** Status reports with a lag. Used by the scheduler thread alone. */
-final class StatusReport {
-    private static final int REPORTS_PER_LAG = 10;
+final class DelayedStatusReport {
+    private static final int SAMPLES_PER_LAG = 10;
 
     private final long lagNanos;
     private final Supplier<Map<String, Object>> source;
     private final Deque<Entry> entries = new ArrayDeque<>();
 
-    StatusReport(long lagMilliseconds, Supplier<Map<String, Object>> source) {
+    DelayedStatusReport(long lagMilliseconds, Supplier<Map<String, Object>> source) {
         this.lagNanos = TimeUnit.MILLISECONDS.toNanos(lagMilliseconds);
         this.source = source;
     }
@@ -24,7 +24,7 @@
 
     void start(ScheduledExecutorService scheduler) {
         if (lagNanos > 0) {
-            scheduler.scheduleAtFixedRate(this::take, 0, lagNanos / REPORTS_PER_LAG, TimeUnit.NANOSECONDS);
+            scheduler.scheduleAtFixedRate(this::capture, 0, lagNanos / SAMPLES_PER_LAG, TimeUnit.NANOSECONDS);
         }
     }
 
@@ -33,17 +33,17 @@
         entries.clear();
     }
 
-    Map<String, Object> read() {
+    Map<String, Object> current() {
         if (lagNanos == 0) {
             return source.get();
         }
         if (entries.isEmpty()) {
-            take();
+            capture();
         }
         return entries.getFirst().status();
     }
 
-    private void take() {
+    private void capture() {
         long now = System.nanoTime();
         entries.addLast(new Entry(now, source.get()));
         Entry last = entries.getFirst();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineResources.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineResources.java
@@ -9,5 +9,5 @@
         EngineSettings settings,
         FaultSettings<EngineFault> faults,
         ScheduledExecutorService scheduler,
-        Counts counts,
+        MutableEngineCounters counts,
         RunLog runLog) {}
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
@@ -34,15 +34,15 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final Counts counts = new Counts();
+    private final MutableEngineCounters counts = new MutableEngineCounters();
     private final RunLog runLog = new RunLog();
     private final EndpointStandInServer server;
     private final AdapterSlots slots;
     private final Batch batch;
     private final PrefixCache cache;
-    private final StatusReport status;
+    private final DelayedStatusReport status;
     private long incarnation = System.currentTimeMillis();
-    private boolean down;
+    private boolean restarting;
 
     /**
      * Creates an engine.
@@ -55,8 +55,8 @@
         EngineResources resources = new EngineResources(settings, faults, scheduler, counts, runLog);
         this.slots = new AdapterSlots(resources);
         this.batch = new Batch(resources, cache, slots::isLoaded, this::crash);
-        this.status = new StatusReport(settings.statusLagMilliseconds(), this::currentStatus);
-        this.server = new EndpointStandInServer(settings.port(), this::declare);
+        this.status = new DelayedStatusReport(settings.statusLagMilliseconds(), this::currentStatus);
+        this.server = new EndpointStandInServer(settings.port(), this::registerRoutes);
     }
 
     /**
@@ -101,7 +101,7 @@
      * @return the record
      */
     public EngineRecord record() {
-        return onScheduler(() -> runLog.snapshot(batch.running()));
+        return callOnScheduler(() -> runLog.snapshot(batch.running()));
     }
 
     /**
@@ -110,7 +110,7 @@
      * @return the counters
      */
     public EngineCounters counters() {
-        return onScheduler(counts::snapshot);
+        return callOnScheduler(counts::snapshot);
     }
 
     /**
@@ -120,14 +120,14 @@
      * @param value its number, 0 to end the fault
      */
     public void setFault(EngineFault fault, long value) {
-        onScheduler(() -> {
+        callOnScheduler(() -> {
             applyFault(fault, value);
             return true;
         });
     }
 
     private void applyFault(EngineFault fault, long value) {
-        if (!isAction(fault)) {
+        if (!isOneTimeAction(fault)) {
             faults.set(fault, value);
         } else if (value > 0 && fault == EngineFault.RESTART) {
             crash();
@@ -136,19 +136,19 @@
         }
     }
 
-    private static boolean isAction(EngineFault fault) {
+    private static boolean isOneTimeAction(EngineFault fault) {
         return fault == EngineFault.RESTART || fault == EngineFault.REFUSE_CONNECTIONS_MILLISECONDS;
     }
 
     /** Settings are in force when the answer is sent; actions follow it, because they close its connection. */
     private void putFaults(Exchange exchange) {
         Map<EngineFault, Long> parsed = faults.parse(exchange.json());
-        parsed.forEach((fault, value) -> applyFault(fault, isAction(fault) ? 0 : value));
+        parsed.forEach((fault, value) -> applyFault(fault, isOneTimeAction(fault) ? 0 : value));
         exchange.respond(200, parsed);
         parsed.forEach(this::applyFault);
     }
 
-    private <T> T onScheduler(Callable<T> action) {
+    private <T> T callOnScheduler(Callable<T> action) {
         Future<T> result = scheduler.submit(action);
         try {
             return result.get();
@@ -157,32 +157,33 @@
         }
     }
 
-    private void declare(EndpointStandInServer.Routes routes) {
-        command(routes, "POST", "/v1/chat/completions", exchange -> generate(exchange, true));
-        command(routes, "POST", "/v1/completions", exchange -> generate(exchange, false));
-        command(routes, "POST", "/v1/cancel", this::cancel);
-        command(routes, "POST", "/v1/load_lora_adapter", slots::load);
-        command(routes, "POST", "/v1/unload_lora_adapter", exchange -> slots.unload(exchange, batch));
-        command(routes, "POST", "/v1/role", slots::role);
-        command(routes, "GET", "/v1/status", exchange -> exchange.respond(200, status.read()));
-        command(routes, "GET", "/v1/cache_events", this::cacheEvents);
-        command(routes, "GET", "/record", exchange -> exchange.respond(200, runLog.snapshot(batch.running())));
-        command(routes, "GET", "/counters", exchange -> exchange.respond(200, counts.snapshot()));
-        command(routes, "PUT", "/faults", this::putFaults);
+    private void registerRoutes(EndpointStandInServer.Routes routes) {
+        registerCommand(routes, "POST", "/v1/chat/completions", exchange -> generate(exchange, true));
+        registerCommand(routes, "POST", "/v1/completions", exchange -> generate(exchange, false));
+        registerCommand(routes, "POST", "/v1/cancel", this::cancel);
+        registerCommand(routes, "POST", "/v1/load_lora_adapter", slots::load);
+        registerCommand(routes, "POST", "/v1/unload_lora_adapter", exchange -> slots.unload(exchange, batch));
+        registerCommand(routes, "POST", "/v1/role", slots::acceptRole);
+        registerCommand(routes, "GET", "/v1/status", exchange -> exchange.respond(200, status.current()));
+        registerCommand(routes, "GET", "/v1/cache_events", this::cacheEvents);
+        registerCommand(routes, "GET", "/record", exchange -> exchange.respond(200, runLog.snapshot(batch.running())));
+        registerCommand(routes, "GET", "/counters", exchange -> exchange.respond(200, counts.snapshot()));
+        registerCommand(routes, "PUT", "/faults", this::putFaults);
     }
 
-    private void command(EndpointStandInServer.Routes routes, String method, String path, Consumer<Exchange> action) {
+    private void registerCommand(
+            EndpointStandInServer.Routes routes, String method, String path, Consumer<Exchange> action) {
         routes.on(method, path, exchange -> {
             try {
-                scheduler.execute(() -> run(exchange, action));
+                scheduler.execute(() -> runCommand(exchange, action));
             } catch (RejectedExecutionException exception) {
                 exchange.closeConnection();
             }
         });
     }
 
-    private void run(Exchange exchange, Consumer<Exchange> action) {
-        if (down) {
+    private void runCommand(Exchange exchange, Consumer<Exchange> action) {
+        if (restarting) {
             // A process that crashed takes the commands that it had received with it.
             exchange.closeConnection();
             return;
@@ -225,20 +226,20 @@
 
     /** Goes on with a stream that the engine still has; false if it has none that reached the event. */
     private boolean resume(Exchange exchange, String requestId, int lastEvent) {
-        Optional<Generation> found = batch.stream(requestId).filter(each -> each.hasEvent(lastEvent));
+        Optional<Generation> found = batch.findGeneration(requestId).filter(each -> each.hasEvent(lastEvent));
         if (found.isEmpty()) {
             return false;
         }
         Generation generation = found.get();
-        boolean brokenOff = generation.outcome == RunOutcome.DISCONNECTED;
-        if (brokenOff && !slots.isLoaded(generation.adapter)) {
+        boolean wasDisconnected = generation.outcome == RunOutcome.DISCONNECTED;
+        if (wasDisconnected && !slots.isLoaded(generation.adapter)) {
             return false;
         }
         counts.resumed++;
-        generation.breakReader();
-        generation.nextEvent = lastEvent + 1;
+        generation.closeConnection();
+        generation.nextEventIndex = lastEvent + 1;
         attach(exchange, generation);
-        if (brokenOff) {
+        if (wasDisconnected) {
             batch.requeue(generation);
         } else {
             generation.deliver();
@@ -247,38 +248,38 @@
     }
 
     private void attach(Exchange exchange, Generation generation) {
-        generation.reader = exchange;
-        generation.brokenAtNanos = Long.MAX_VALUE;
+        generation.exchange = exchange;
+        generation.disconnectedAtNanos = Long.MAX_VALUE;
         exchange.onClose(() -> {
             if (!scheduler.isShutdown()) {
-                scheduler.execute(() -> disconnected(exchange, generation));
+                scheduler.execute(() -> onDisconnect(exchange, generation));
             }
         });
     }
 
-    private void disconnected(Exchange exchange, Generation generation) {
-        if (generation.reader == exchange) {
-            batch.disconnected(generation);
+    private void onDisconnect(Exchange exchange, Generation generation) {
+        if (generation.exchange == exchange) {
+            batch.onDisconnect(generation);
         }
     }
 
     private void cancel(Exchange exchange) {
         Optional<Generation> found =
-                batch.stream(exchange.json().path("request_id").asText());
+                batch.findGeneration(exchange.json().path("request_id").asText());
         found.ifPresent(generation -> batch.end(generation, RunOutcome.CANCELLED));
         exchange.respond(200, Map.of("cancelled", found.isPresent()));
     }
 
     private void cacheEvents(Exchange exchange) {
         long from = Long.parseLong(exchange.context().query("from").value("0"));
-        exchange.respond(200, cache.published(from, System.nanoTime()));
+        exchange.respond(200, cache.publishedEvents(from, System.nanoTime()));
     }
 
     private Map<String, Object> currentStatus() {
         Map<String, Integer> loaded = new LinkedHashMap<>();
         slots.loaded()
-                .forEach(adapter ->
-                        loaded.put(adapter, batch.usersOf(adapter, true).size()));
+                .forEach(adapter -> loaded.put(
+                        adapter, batch.generationsUsing(adapter, true).size()));
         return Map.of(
                 "incarnation", incarnation,
                 "slots", settings.slots(),
@@ -291,9 +292,10 @@
 
     private void crash() {
         counts.crashes++;
-        down = true;
+        restarting = true;
         incarnation++;
-        server.suspend(Duration.ofMillis(settings.restartMilliseconds()), () -> scheduler.execute(() -> down = false));
+        server.suspend(
+                Duration.ofMillis(settings.restartMilliseconds()), () -> scheduler.execute(() -> restarting = false));
         batch.clear();
         slots.clear();
         cache.clear();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineText.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineText.java
@@ -21,10 +21,10 @@
     public static final int DEFAULT_MAX_TOKENS = 16;
 
     /** Largest token limit that is accepted. */
-    public static final int LARGEST_MAX_TOKENS = 4_096;
+    public static final int MAX_TOKENS_LIMIT = 4_096;
 
     /** Characters of the prompt that the prefix hash covers. */
-    public static final int PREFIX_CHARACTERS = 256;
+    public static final int PREFIX_LENGTH_CHARACTERS = 256;
 
     private static final String[] SYLLABLES = {
         "ba", "de", "fi", "go", "hu", "ka", "le", "mi", "no", "pu", "ra", "se", "ti", "vo", "wu", "za"
@@ -85,7 +85,7 @@
      * @return first 8 bytes of SHA-256 over the name, a line feed and the first characters of the prompt
      */
     public static long prefixHash(String adapterName, String prompt) {
-        return hash(adapterName + "\n" + prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARACTERS)));
+        return hash(adapterName + "\n" + prompt.substring(0, Math.min(prompt.length(), PREFIX_LENGTH_CHARACTERS)));
     }
 
     /**
@@ -109,7 +109,7 @@
      * @param text start of the answer
      * @return the count of tokens, -1 if the answer does not start with this text or it ends within a token
      */
-    int covered(String text) {
+    int countTokens(String text) {
         int position = 0;
         int index = 0;
         while (position < text.length() && index < maxTokens) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
@@ -15,23 +15,23 @@
     final Instant deadline;
     final EngineText text;
     final int maxTokens;
-    final ChunkWriter chunks;
+    final ChunkWriter chunkWriter;
     final int firstToken;
 
     /** Tokens of the answer that exist, counted from the start of the answer. */
-    int produced;
+    int producedTokens;
 
     /** Index of the next event to send; the usage chunk follows the last token. */
-    int nextEvent;
+    int nextEventIndex;
 
     /** Where the events go, null while nobody reads them. */
-    Exchange reader;
+    Exchange exchange;
 
     /** Position in the order of arrival. */
     long arrival;
 
     /** When the connection broke, {@link Long#MAX_VALUE} while there is a reader. */
-    long brokenAtNanos = Long.MAX_VALUE;
+    long disconnectedAtNanos = Long.MAX_VALUE;
 
     long endedAtNanos;
     Instant started;
@@ -39,7 +39,7 @@
     RunOutcome outcome = RunOutcome.RUNNING;
 
     /** Position in the record of the engine. */
-    int recordPosition;
+    int runLogIndex;
 
     Generation(String requestId, JsonNode body, boolean chat, boolean premium, Instant deadline) {
         this.requestId = requestId;
@@ -48,64 +48,64 @@
         this.premium = premium;
         this.deadline = deadline;
         this.maxTokens = body.path("max_tokens").asInt(EngineText.DEFAULT_MAX_TOKENS);
-        if (maxTokens < 1 || maxTokens > EngineText.LARGEST_MAX_TOKENS) {
-            throw new IllegalArgumentException("max_tokens must be 1 to " + EngineText.LARGEST_MAX_TOKENS);
+        if (maxTokens < 1 || maxTokens > EngineText.MAX_TOKENS_LIMIT) {
+            throw new IllegalArgumentException("max_tokens must be 1 to " + EngineText.MAX_TOKENS_LIMIT);
         }
         this.text = new EngineText(adapter, prompt, maxTokens);
-        this.firstToken = text.covered(body.path("continue_from").asText(""));
+        this.firstToken = text.countTokens(body.path("continue_from").asText(""));
         if (firstToken < 0) {
             throw new IllegalArgumentException("continue_from must be the start of the answer, up to a whole token");
         }
-        this.produced = firstToken;
-        this.nextEvent = firstToken;
+        this.producedTokens = firstToken;
+        this.nextEventIndex = firstToken;
         boolean usage = body.path("stream_options").path("include_usage").asBoolean();
-        this.chunks = new ChunkWriter(requestId, adapter, chat, usage, maxTokens, prompt.split("\\s+").length);
+        this.chunkWriter = new ChunkWriter(requestId, adapter, chat, usage, maxTokens, prompt.split("\\s+").length);
     }
 
     boolean isComplete() {
-        return produced >= maxTokens;
+        return producedTokens >= maxTokens;
     }
 
     /** Whether the events up to this index were produced by this run or were given to it as text. */
     boolean hasEvent(int index) {
-        return index >= firstToken - 1 && (index < produced || isComplete() && index == maxTokens);
+        return index >= firstToken - 1 && (index < producedTokens || isComplete() && index == maxTokens);
     }
 
     /** Sends what the reader does not have yet. */
     void deliver() {
-        if (reader == null || produced == nextEvent && !isComplete()) {
+        if (exchange == null || producedTokens == nextEventIndex && !isComplete()) {
             return;
         }
-        if (!reader.isEventStreamStarted() && !reader.startEventStream()) {
+        if (!exchange.isEventStreamStarted() && !exchange.startEventStream()) {
             return;
         }
         StringBuilder events = new StringBuilder();
-        while (nextEvent < produced) {
-            chunks.token(events, nextEvent, text.token(nextEvent));
-            nextEvent++;
+        while (nextEventIndex < producedTokens) {
+            chunkWriter.appendToken(events, nextEventIndex, text.token(nextEventIndex));
+            nextEventIndex++;
         }
         if (isComplete()) {
-            chunks.end(events, nextEvent == maxTokens);
+            chunkWriter.appendEnd(events, nextEventIndex == maxTokens);
         }
-        reader.writeEvents(events.toString());
+        exchange.writeEvents(events.toString());
         if (isComplete()) {
-            reader.endEventStream();
+            exchange.endEventStream();
             detach();
         }
     }
 
     /** Forgets the reader without touching its connection. */
     void detach() {
-        if (reader != null) {
-            reader.removeCloseListener();
-            reader = null;
+        if (exchange != null) {
+            exchange.removeCloseListener();
+            exchange = null;
         }
     }
 
     /** Closes the connection of the reader. */
-    void breakReader() {
-        if (reader != null) {
-            Exchange last = reader;
+    void closeConnection() {
+        if (exchange != null) {
+            Exchange last = exchange;
             detach();
             last.closeConnection();
         }
@@ -117,7 +117,7 @@
                 adapter,
                 EngineText.digest(prompt),
                 firstToken,
-                produced - firstToken,
+                producedTokens - firstToken,
                 started,
                 ended,
                 outcome);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Counts.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/MutableEngineCounters.java
@@ -1,7 +1,7 @@
 package org.banyanstair.testsupport.engine;
 
-/** Counts of one engine; used by the scheduler thread alone. */
-final class Counts {
+/** MutableEngineCounters of one engine; used by the scheduler thread alone. */
+final class MutableEngineCounters {
     long tokens;
     long steps;
     long generations;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/PrefixCache.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/PrefixCache.java
@@ -7,7 +7,7 @@
 
 /** Prompt prefixes that the engine holds, least recently used first out, and the events that it publishes of them. */
 final class PrefixCache {
-    private static final int EVENTS_KEPT = 10_000;
+    private static final int MAX_EVENTS = 10_000;
 
     private final EngineSettings settings;
     private final LinkedHashMap<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
@@ -27,24 +27,24 @@
         nextNumber = 0;
     }
 
-    void use(long prefix, long now) {
+    void recordUse(long prefix, long now) {
         if (prefixes.put(prefix, true) == null) {
-            add(prefix, "stored", now);
+            appendEvent(prefix, "stored", now);
         }
         if (prefixes.size() > settings.cachedPrefixes()) {
             long oldest = prefixes.keySet().iterator().next();
             prefixes.remove(oldest);
-            add(oldest, "evicted", now);
+            appendEvent(oldest, "evicted", now);
         }
     }
 
     /** The published events from a number on. The hash is text because not every JSON reader keeps 64 bits. */
-    Map<String, Object> published(long from, long now) {
+    Map<String, Object> publishedEvents(long from, long now) {
         List<Map<String, Object>> list = new ArrayList<>();
         long next = from;
         for (Event event : events) {
-            boolean old = now - event.atNanos >= settings.cacheEventLagMilliseconds() * 1_000_000L;
-            if (event.number >= from && old) {
+            boolean isDue = now - event.atNanos >= settings.cacheEventLagMilliseconds() * 1_000_000L;
+            if (event.number >= from && isDue) {
                 next = event.number + 1;
                 if (!isGap(event.number)) {
                     list.add(Map.of("number", event.number, "prefix", Long.toString(event.prefix), "kind", event.kind));
@@ -59,9 +59,9 @@
         return every > 0 && number % every == every - 1;
     }
 
-    private void add(long prefix, String kind, long now) {
+    private void appendEvent(long prefix, String kind, long now) {
         events.add(new Event(nextNumber++, prefix, kind, now));
-        if (events.size() > EVENTS_KEPT) {
+        if (events.size() > MAX_EVENTS) {
             events.remove(0);
         }
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunLog.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunLog.java
@@ -9,12 +9,12 @@
     private final List<EngineViolation> violations = new ArrayList<>();
 
     void add(Generation generation) {
-        generation.recordPosition = runs.size();
+        generation.runLogIndex = runs.size();
         runs.add(generation.toRun());
     }
 
     void update(Generation generation) {
-        runs.set(generation.recordPosition, generation.toRun());
+        runs.set(generation.runLogIndex, generation.toRun());
     }
 
     void add(EngineViolation violation) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/WeightStoreFetch.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/WeightStoreClient.java
@@ -13,36 +13,36 @@
 import okio.Okio;
 
 /** Fetches adapters from the weight store. */
-final class WeightStoreFetch {
+final class WeightStoreClient {
     /** Longer than a load takes when the store is overloaded, so that a silent store ends the load. */
-    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(30);
 
     private final String address;
     private final OkHttpClient client = new OkHttpClient.Builder()
             .proxy(Proxy.NO_PROXY)
-            .callTimeout(LIMIT)
-            .readTimeout(LIMIT)
+            .callTimeout(FETCH_TIMEOUT)
+            .readTimeout(FETCH_TIMEOUT)
             .retryOnConnectionFailure(false)
             .build();
 
-    WeightStoreFetch(String address) {
+    WeightStoreClient(String address) {
         this.address = address;
         // The engine limits its loads by its slots; OkHttp alone would allow 5 calls to one host.
         client.dispatcher().setMaxRequestsPerHost(client.dispatcher().getMaxRequests());
     }
 
     /** Fetches {@code service/adapter@version}; the result comes on another thread. */
-    void fetch(String adapter, Consumer<Boolean> whenDone) {
+    void fetch(String adapter, Consumer<Boolean> onComplete) {
         String url = "http://" + address + "/adapters/" + adapter.replace('@', '/');
         client.newCall(new Request.Builder().url(url).build()).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
-                whenDone.accept(false);
+                onComplete.accept(false);
             }
 
             @Override
             public void onResponse(Call call, Response response) {
-                whenDone.accept(isWhole(response));
+                onComplete.accept(isCompleteResponse(response));
             }
         });
     }
@@ -53,7 +53,7 @@
         client.connectionPool().evictAll();
     }
 
-    private static boolean isWhole(Response response) {
+    private static boolean isCompleteResponse(Response response) {
         try (response) {
             response.body().source().readAll(Okio.blackhole());
             return response.isSuccessful();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ConnectionCloser.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ConnectionCloser.java
@@ -36,13 +36,13 @@
     static Channel channel(Context context) {
         Object inner = context;
         while (inner instanceof Context) {
-            inner = ctxField(inner);
+            inner = wrappedContext(inner);
         }
         return ((ChannelHandlerContext) inner).channel();
     }
 
     /** Wrapping contexts and the context of the Netty server both name the field {@code ctx}. */
-    private static Object ctxField(Object context) {
+    private static Object wrappedContext(Object context) {
         for (Class<?> type = context.getClass(); type != null; type = type.getSuperclass()) {
             try {
                 Field field = type.getDeclaredField("ctx");
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OpenConnections.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OpenConnections.java
@@ -16,7 +16,7 @@
  * server was stopped. Closing them here makes the moment definite.
  */
 final class OpenConnections {
-    private static final long CLOSE_LIMIT_MILLIS = 1_000;
+    private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
 
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
 
@@ -37,6 +37,7 @@
     void closeAll() {
         List<Channel> open = List.copyOf(channels);
         open.forEach(Channel::close);
-        open.forEach(channel -> channel.closeFuture().awaitUninterruptibly(CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS));
+        open.forEach(
+                channel -> channel.closeFuture().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OperationRunner.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OperationRunner.java
@@ -23,7 +23,7 @@
     Context withFaults(Context context, Operation operation) throws Exception {
         Request request = new Request(context, context.body().bytes());
         return context.detach(ignored -> {
-            afterDelay(injector.get().delayMillis(), () -> runOrRefuse(request, operation));
+            afterDelay(injector.get().delayMillis(), () -> runUnlessUnavailable(request, operation));
             return context;
         });
     }
@@ -36,7 +36,7 @@
         });
     }
 
-    private void runOrRefuse(Request request, Operation operation) {
+    private void runUnlessUnavailable(Request request, Operation operation) {
         if (injector.isUnavailable()) {
             counters.add("unavailable", 1);
             send(request.context(), Reply.error(503, "unavailable"));
@@ -44,7 +44,7 @@
         }
         run(request, operation)
                 .thenAccept(reply ->
-                        afterDelay(injector.get().answerDelayMillis(), () -> answer(request.context(), reply)));
+                        afterDelay(injector.get().answerDelayMillis(), () -> sendUnlessLost(request.context(), reply)));
     }
 
     private static CompletableFuture<Reply> run(Request request, Operation operation) {
@@ -54,10 +54,10 @@
         } catch (RuntimeException exception) {
             result = CompletableFuture.failedFuture(exception);
         }
-        return result.exceptionally(OperationRunner::failure);
+        return result.exceptionally(OperationRunner::toErrorReply);
     }
 
-    private static Reply failure(Throwable thrown) {
+    private static Reply toErrorReply(Throwable thrown) {
         Throwable cause = thrown instanceof CompletionException ? thrown.getCause() : thrown;
         if (cause instanceof IllegalArgumentException) {
             return Reply.error(400, "malformed_request");
@@ -66,7 +66,7 @@
         return Reply.error(500, "internal_error");
     }
 
-    private void answer(Context context, Reply reply) {
+    private void sendUnlessLost(Context context, Reply reply) {
         if (injector.consumeLostAnswer(context.getMethod())) {
             counters.add("lostAnswers", 1);
             ConnectionCloser.close(context);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/PlatformStandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/PlatformStandInServer.java
@@ -35,7 +35,7 @@
     /** The previous server closes its socket asynchronously, so a restart on the same port may have to wait. */
     private static final int BIND_ATTEMPTS = 100;
 
-    private static final long BIND_PAUSE_MILLIS = 20;
+    private static final long BIND_RETRY_PAUSE_MILLIS = 20;
 
     private final FaultInjector injector = new FaultInjector(Clock.systemUTC());
     private final Counters counters = new Counters();
@@ -46,7 +46,7 @@
     private final int requestedPort;
     private int port;
     private NettyServer server;
-    private HeldPort heldPort;
+    private ReservedPort reservedPort;
     private ScheduledFuture<?> outageEnd;
 
     /**
@@ -211,8 +211,8 @@
         boolean refuses = injector.get().outage() == Outage.REFUSED;
         if (refuses && server != null) {
             close();
-            heldPort = HeldPort.hold(port);
-        } else if (!refuses && heldPort != null) {
+            reservedPort = ReservedPort.reserve(port);
+        } else if (!refuses && reservedPort != null) {
             releasePort();
             listen();
         }
@@ -233,18 +233,18 @@
     private synchronized void listen() {
         for (int attempt = 1; ; attempt++) {
             try {
-                tryToListen();
+                bind();
                 return;
             } catch (RuntimeException exception) {
                 if (attempt == BIND_ATTEMPTS || !isAddressInUse(exception)) {
                     throw exception;
                 }
-                pause();
+                sleepBeforeRetry();
             }
         }
     }
 
-    private void tryToListen() {
+    private void bind() {
         ServerOptions options = new ServerOptions()
                 .setPort(port == 0 ? requestedPort : port)
                 .setIoThreads(IO_THREADS)
@@ -276,9 +276,9 @@
         return false;
     }
 
-    private static void pause() {
+    private static void sleepBeforeRetry() {
         try {
-            Thread.sleep(BIND_PAUSE_MILLIS);
+            Thread.sleep(BIND_RETRY_PAUSE_MILLIS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(exception);
@@ -295,9 +295,9 @@
     }
 
     private void releasePort() {
-        if (heldPort != null) {
-            heldPort.close();
-            heldPort = null;
+        if (reservedPort != null) {
+            reservedPort.close();
+            reservedPort = null;
         }
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
@@ -15,7 +15,7 @@
  * @param body the body, not to be changed
  */
 public record Request(Context context, byte[] body) {
-    private static final ObjectReader COMPLETE = Mappers.JSON
+    private static final ObjectReader STRICT_READER = Mappers.JSON
             .reader()
             .with(
                     DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES,
@@ -62,7 +62,7 @@
      * @throws IllegalArgumentException if the body is malformed or incomplete
      */
     public <T> T strictJson(Class<T> type) {
-        return parse(COMPLETE, type);
+        return parse(STRICT_READER, type);
     }
 
     private <T> T parse(ObjectReader reader, Class<T> type) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/HeldPort.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ReservedPort.java
@@ -10,15 +10,15 @@
  *
  * <p>Connections to it are refused, and no other process gets it as its free port in the meantime.
  */
-public final class HeldPort implements AutoCloseable {
+public final class ReservedPort implements AutoCloseable {
     /** Listening sockets may be closed in the background, so the port is not free at once. */
-    private static final int ATTEMPTS = 100;
+    private static final int BIND_ATTEMPTS = 100;
 
-    private static final long PAUSE_MILLIS = 20;
+    private static final long BIND_RETRY_PAUSE_MILLIS = 20;
 
     private final Socket socket;
 
-    private HeldPort(Socket socket) {
+    private ReservedPort(Socket socket) {
         this.socket = socket;
     }
 
@@ -29,15 +29,15 @@
      * @return the held port
      * @throws UncheckedIOException if the port stays in use
      */
-    public static HeldPort hold(int port) {
+    public static ReservedPort reserve(int port) {
         for (int attempt = 1; ; attempt++) {
             try {
-                return new HeldPort(bind(port));
+                return new ReservedPort(bind(port));
             } catch (IOException exception) {
-                if (attempt == ATTEMPTS) {
+                if (attempt == BIND_ATTEMPTS) {
                     throw new UncheckedIOException(exception);
                 }
-                pause();
+                sleepBeforeRetry();
             }
         }
     }
@@ -54,9 +54,9 @@
         }
     }
 
-    private static void pause() {
+    private static void sleepBeforeRetry() {
         try {
-            Thread.sleep(PAUSE_MILLIS);
+            Thread.sleep(BIND_RETRY_PAUSE_MILLIS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(exception);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
@@ -18,8 +18,8 @@
 
 /** Shared part of the main methods of the stand-ins. */
 public final class StandInMain {
-    private static final int USAGE_ERROR = 2;
-    private static final int WARM_UP_LIMIT_MILLIS = 5_000;
+    private static final int USAGE_ERROR_EXIT_STATUS = 2;
+    private static final int WARM_UP_TIMEOUT_MILLIS = 5_000;
 
     private StandInMain() {}
 
@@ -37,12 +37,12 @@
         Configuration.set("writer", "console");
         Configuration.set("writer.stream", "err");
         try {
-            NetworkAddress address = starter.apply(new DefaultParser().parse(declare(options), arguments));
+            NetworkAddress address = starter.apply(new DefaultParser().parse(buildOptions(options), arguments));
             warmUp(address);
             System.out.println("ready " + address);
         } catch (ParseException | IllegalArgumentException exception) {
             System.err.println(exception.getMessage());
-            System.exit(USAGE_ERROR);
+            System.exit(USAGE_ERROR_EXIT_STATUS);
         }
     }
 
@@ -51,15 +51,15 @@
         try {
             URLConnection connection =
                     URI.create("http://" + address + "/faults").toURL().openConnection(Proxy.NO_PROXY);
-            connection.setConnectTimeout(WARM_UP_LIMIT_MILLIS);
-            connection.setReadTimeout(WARM_UP_LIMIT_MILLIS);
+            connection.setConnectTimeout(WARM_UP_TIMEOUT_MILLIS);
+            connection.setReadTimeout(WARM_UP_TIMEOUT_MILLIS);
             connection.getInputStream().readAllBytes();
         } catch (IOException exception) {
             Logger.warn(exception, "warm-up request failed");
         }
     }
 
-    private static Options declare(Map<String, String> descriptions) {
+    private static Options buildOptions(Map<String, String> descriptions) {
         Options options = new Options();
         options.addOption(option("port", "TCP port, 0 for a free one"));
         descriptions.forEach((name, description) -> options.addOption(option(name, description)));
@@ -78,7 +78,7 @@
      * @param absent value if the option is absent
      * @return the number
      */
-    public static int number(CommandLine line, String name, int absent) {
+    public static int intOption(CommandLine line, String name, int absent) {
         return Integer.parseInt(line.getOptionValue(name, Integer.toString(absent)));
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryChecker.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryChecker.java
@@ -43,9 +43,9 @@
         this.oracle = oracle;
         this.runsByKey = index(this.runs, EndpointRun::key);
         this.runsByRequest = index(this.runs, EndpointRun::requestId);
-        this.sentByKey = index(
-                only(HistoryEvent.Sent.class).toList(), sent -> sent.context().key());
-        only(HistoryEvent.NotRun.class).forEach(event -> notRun.put(event.sent(), event));
+        this.sentByKey = index(eventsOf(HistoryEvent.Sent.class).toList(), sent -> sent.context()
+                .key());
+        eventsOf(HistoryEvent.NotRun.class).forEach(event -> notRun.put(event.sent(), event));
     }
 
     /**
@@ -54,7 +54,13 @@
      * @return the violations, empty if there are none
      */
     public List<Violation> check() {
-        return Stream.of(versions(), texts(), notRunThatRan(), runsOfOneKey(), lostOrders(), unloadsInUse())
+        return Stream.of(
+                        checkVersions(),
+                        checkTexts(),
+                        checkNotRunRequests(),
+                        checkAtMostOnce(),
+                        checkAcknowledgedRequestsRan(),
+                        checkUnloadsInUse())
                 .flatMap(List::stream)
                 .toList();
     }
@@ -64,11 +70,11 @@
      *
      * @return the violations
      */
-    public List<Violation> versions() {
+    public List<Violation> checkVersions() {
         List<Violation> violations = new ArrayList<>();
-        only(HistoryEvent.Answered.class).filter(this::isGenerated).forEach(answered -> {
+        eventsOf(HistoryEvent.Answered.class).filter(this::isGenerated).forEach(answered -> {
             if (!answered.adapter()
-                    .filter(adapter -> names(answered.sent(), adapter))
+                    .filter(adapter -> matchesModel(answered.sent(), adapter))
                     .isPresent()) {
                 violations.add(new Violation.AnsweredByAnotherVersion(answered));
             }
@@ -84,7 +90,7 @@
         return answered.isAcknowledged() && answered.sent().model().isPresent();
     }
 
-    private static boolean names(HistoryEvent.Sent sent, AdapterVersion adapter) {
+    private static boolean matchesModel(HistoryEvent.Sent sent, AdapterVersion adapter) {
         ModelName model = sent.model().orElseThrow();
         return model.service().equals(adapter.service())
                 && model.adapter().equals(adapter.adapter())
@@ -103,9 +109,9 @@
      *
      * @return the violations
      */
-    public List<Violation> texts() {
+    public List<Violation> checkTexts() {
         List<Violation> violations = new ArrayList<>();
-        only(HistoryEvent.Answered.class)
+        eventsOf(HistoryEvent.Answered.class)
                 .filter(HistoryEvent.Answered::isAcknowledged)
                 .forEach(answered -> oracle.expected(answered)
                         .filter(right -> right.tokens() != answered.tokens()
@@ -122,21 +128,21 @@
      *
      * @return the violations, one for each run
      */
-    public List<Violation> notRunThatRan() {
+    public List<Violation> checkNotRunRequests() {
         List<Violation> violations = new ArrayList<>();
         for (EndpointRun run : runs) {
-            refusalOf(run).ifPresent(refusal -> violations.add(new Violation.RanAlthoughNotRun(refusal, run)));
+            rejectionOf(run).ifPresent(rejection -> violations.add(new Violation.RanAlthoughNotRun(rejection, run)));
         }
         return violations;
     }
 
-    private Optional<HistoryEvent.NotRun> refusalOf(EndpointRun run) {
+    private Optional<HistoryEvent.NotRun> rejectionOf(EndpointRun run) {
         List<HistoryEvent.Sent> sent = sentByKey.getOrDefault(run.key(), List.of()).stream()
                 .filter(event -> !event.context().start().isAfter(run.start()))
                 .toList();
         Optional<HistoryEvent.NotRun> sameRequest = sent.stream()
                 .flatMap(event -> Stream.ofNullable(notRun.get(event)))
-                .filter(refusal -> refusal.requestId().equals(Optional.of(run.requestId())))
+                .filter(rejection -> rejection.requestId().equals(Optional.of(run.requestId())))
                 .findFirst();
         if (sameRequest.isPresent() || sent.isEmpty() || !sent.stream().allMatch(notRun::containsKey)) {
             return sameRequest;
@@ -149,7 +155,7 @@
      *
      * @return the violations, one for each key
      */
-    public List<Violation> runsOfOneKey() {
+    public List<Violation> checkAtMostOnce() {
         return sentByKey.entrySet().stream()
                 .filter(entry -> entry.getValue().stream().anyMatch(sent -> !sent.repeatable()))
                 .filter(entry ->
@@ -163,8 +169,8 @@
      *
      * @return the violations
      */
-    public List<Violation> lostOrders() {
-        return only(HistoryEvent.Answered.class)
+    public List<Violation> checkAcknowledgedRequestsRan() {
+        return eventsOf(HistoryEvent.Answered.class)
                 .filter(answered ->
                         answered.isAcknowledged() && !answered.sent().repeatable())
                 .filter(answered -> !runsByKey.containsKey(answered.context().key()))
@@ -177,7 +183,7 @@
      *
      * @return the violations
      */
-    public List<Violation> unloadsInUse() {
+    public List<Violation> checkUnloadsInUse() {
         List<Violation> violations = new ArrayList<>();
         for (EndpointUnload unload : unloads) {
             runs.stream()
@@ -190,7 +196,7 @@
         return violations;
     }
 
-    private <T extends HistoryEvent> Stream<T> only(Class<T> type) {
+    private <T extends HistoryEvent> Stream<T> eventsOf(Class<T> type) {
         return events.stream().filter(type::isInstance).map(type::cast);
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/DelayedListing.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/DelayedHostList.java
@@ -17,49 +17,50 @@
  *
  * <p>What readers see never goes back, even when the lag is raised. Safe for use by several threads.
  */
-final class DelayedListing {
+final class DelayedHostList {
     private final Map<String, EntryHost> hosts = new TreeMap<>();
     private final Map<String, Endpoint> endpoints = new TreeMap<>();
-    private final Deque<Change> waiting = new ArrayDeque<>();
+    private final Deque<Change> pendingChanges = new ArrayDeque<>();
     private HostListing visible = HostListing.EMPTY;
     private long version;
 
     synchronized void putHost(EntryHost host, Instant now) {
         hosts.put(host.id().toString(), host);
-        changed(now);
+        recordChange(now);
     }
 
     synchronized void putEndpoint(Endpoint endpoint, Instant now) {
         endpoints.put(endpoint.id().toString(), endpoint);
-        changed(now);
+        recordChange(now);
     }
 
     synchronized boolean removeHost(String id, Instant now) {
-        return removed(hosts.remove(id), now);
+        return recordRemoval(hosts.remove(id), now);
     }
 
     synchronized boolean removeEndpoint(String id, Instant now) {
-        return removed(endpoints.remove(id), now);
+        return recordRemoval(endpoints.remove(id), now);
     }
 
-    private boolean removed(Object entry, Instant now) {
+    private boolean recordRemoval(Object entry, Instant now) {
         if (entry == null) {
             return false;
         }
-        changed(now);
+        recordChange(now);
         return true;
     }
 
-    private void changed(Instant now) {
+    private void recordChange(Instant now) {
         version++;
-        waiting.addLast(new Change(
+        pendingChanges.addLast(new Change(
                 now, new HostListing(version, List.copyOf(hosts.values()), List.copyOf(endpoints.values()))));
     }
 
     /** Returns the state that readers see. */
     synchronized HostListing visible(Instant now, Duration lag) {
-        while (!waiting.isEmpty() && !waiting.peekFirst().at().plus(lag).isAfter(now)) {
-            visible = waiting.removeFirst().listing();
+        while (!pendingChanges.isEmpty()
+                && !pendingChanges.peekFirst().at().plus(lag).isAfter(now)) {
+            visible = pendingChanges.removeFirst().listing();
         }
         return visible;
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -22,7 +22,7 @@
 /** Stand-in for the platform's host list. Safe for use by several threads. */
 public final class HostListStandIn {
     private final InstantSource clock = Clock.systemUTC();
-    private final DelayedListing listing = new DelayedListing();
+    private final DelayedHostList listing = new DelayedHostList();
     private final Duration configuredLag;
     private final PlatformStandInServer server;
     private volatile Duration lag;
@@ -42,12 +42,12 @@
                 .control(
                         "DELETE",
                         "/hosts/{id}",
-                        request -> removed(listing.removeHost(request.path("id"), clock.instant())))
+                        request -> removalReply(listing.removeHost(request.path("id"), clock.instant())))
                 .control("PUT", "/endpoints/{id}", this::putEndpoint)
                 .control(
                         "DELETE",
                         "/endpoints/{id}",
-                        request -> removed(listing.removeEndpoint(request.path("id"), clock.instant())))
+                        request -> removalReply(listing.removeEndpoint(request.path("id"), clock.instant())))
                 .faultControls(HostListFaults.class, HostListFaults::shared, this::faults, this::setFaults);
         counters().declare("reads", "changes", "unchangedReads");
     }
@@ -175,30 +175,30 @@
 
     private CompletableFuture<Reply> putHost(Request request) {
         EntryHost host = request.strictJson(EntryHost.class);
-        requireName(request, host.id());
+        requireMatchingId(request, host.id());
         put(host);
-        return done();
+        return emptyReply();
     }
 
     private CompletableFuture<Reply> putEndpoint(Request request) {
         Endpoint endpoint = request.strictJson(Endpoint.class);
-        requireName(request, endpoint.id());
+        requireMatchingId(request, endpoint.id());
         put(endpoint);
-        return done();
+        return emptyReply();
     }
 
-    private static void requireName(Request request, Object id) {
+    private static void requireMatchingId(Request request, Object id) {
         if (id == null || !request.path("id").equals(id.toString())) {
             throw new IllegalArgumentException("the id in the body must be that of the path");
         }
     }
 
-    private CompletableFuture<Reply> removed(boolean found) {
+    private CompletableFuture<Reply> removalReply(boolean found) {
         counters().add("changes", found ? 1 : 0);
-        return found ? done() : CompletableFuture.completedFuture(Reply.error(404, "unknown_entry"));
+        return found ? emptyReply() : CompletableFuture.completedFuture(Reply.error(404, "unknown_entry"));
     }
 
-    private static CompletableFuture<Reply> done() {
+    private static CompletableFuture<Reply> emptyReply() {
         return CompletableFuture.completedFuture(Reply.json(200, Map.of()));
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandInMain.java
@@ -17,8 +17,8 @@
     public static void main(String[] arguments) {
         Map<String, String> options = Map.of("lag-millis", "time after which readers see a change");
         StandInMain.run(arguments, options, line -> {
-            Duration lag = Duration.ofMillis(StandInMain.number(line, "lag-millis", 0));
-            return new HostListStandIn(StandInMain.number(line, "port", 0), lag).start();
+            Duration lag = Duration.ofMillis(StandInMain.intOption(line, "lag-millis", 0));
+            return new HostListStandIn(StandInMain.intOption(line, "port", 0), lag).start();
         });
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadStatistics.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadStatistics.java
@@ -13,14 +13,14 @@
 /** Collects the results of a running load. Safe for use by several threads. */
 final class LoadStatistics {
     private static final int SIGNIFICANT_DIGITS = 3;
-    private static final long HIGHEST_MICROS = Duration.ofHours(1).toNanos() / 1_000;
+    private static final long MAX_RECORDED_MICROS = Duration.ofHours(1).toNanos() / 1_000;
 
     private final Map<LoadOutcome, Long> outcomes = new EnumMap<>(LoadOutcome.class);
     private final Map<String, Long> codes = new TreeMap<>();
-    private final Histogram latency = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
-    private final Histogram firstToken = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
-    private final Histogram tokenGap = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
-    private final Histogram startDelay = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
+    private final Histogram latency = new Histogram(MAX_RECORDED_MICROS, SIGNIFICANT_DIGITS);
+    private final Histogram firstToken = new Histogram(MAX_RECORDED_MICROS, SIGNIFICANT_DIGITS);
+    private final Histogram tokenGap = new Histogram(MAX_RECORDED_MICROS, SIGNIFICANT_DIGITS);
+    private final Histogram startDelay = new Histogram(MAX_RECORDED_MICROS, SIGNIFICANT_DIGITS);
     private long started;
     private long finished;
 
@@ -71,6 +71,6 @@
 
     private static void record(Histogram histogram, Instant from, Instant to) {
         long micros = Duration.between(from, to).toNanos() / 1_000;
-        histogram.recordValue(Math.max(0, Math.min(HIGHEST_MICROS, micros)));
+        histogram.recordValue(Math.max(0, Math.min(MAX_RECORDED_MICROS, micros)));
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/OpenLoopLoad.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/OpenLoopLoad.java
@@ -66,7 +66,7 @@
 
     private void start(long sequence, Random random, Instant intended) {
         statistics.started(intended, instants.instant());
-        startSafely(sequence, random, intended).whenComplete((result, failure) -> {
+        startOrFail(sequence, random, intended).whenComplete((result, failure) -> {
             LoadResult known = failure == null
                     ? result
                     : new LoadResult(LoadOutcome.FAILED, failure.getClass().getSimpleName(), List.of());
@@ -74,7 +74,7 @@
         });
     }
 
-    private CompletableFuture<LoadResult> startSafely(long sequence, Random random, Instant intended) {
+    private CompletableFuture<LoadResult> startOrFail(long sequence, Random random, Instant intended) {
         try {
             return operation.start(sequence, random, intended);
         } catch (RuntimeException exception) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
@@ -40,29 +40,29 @@
     CallerResult readService() {
         try {
             byte[] body = response.body().bytes();
-            return isRefusal()
-                    ? refusal(new String(body, StandardCharsets.UTF_8))
+            return isRejection()
+                    ? rejection(new String(body, StandardCharsets.UTF_8))
                     : new CallerResult.ServiceAnswered(requestId(), response.code(), body);
         } catch (IOException exception) {
-            return broken(CONNECTION_LOST);
+            return unknown(CONNECTION_LOST);
         }
     }
 
     CallerResult readChat() {
         try {
-            if (isRefusal() || response.code() != OK) {
-                return refusal(response.body().string());
+            if (isRejection() || response.code() != OK) {
+                return rejection(response.body().string());
             }
             String type = response.header("Content-Type", "");
             return type.startsWith("text/event-stream")
                     ? readEvents(response.body().source())
-                    : readWhole(response.body().string());
+                    : readJson(response.body().string());
         } catch (IOException exception) {
-            return broken(CONNECTION_LOST);
+            return unknown(CONNECTION_LOST);
         }
     }
 
-    private CallerResult readWhole(String body) throws JsonProcessingException {
+    private CallerResult readJson(String body) throws JsonProcessingException {
         JsonNode json = Mappers.JSON.readTree(body);
         String content = content(json, "/choices/0/message/content");
         int tokens = json.at("/usage/completion_tokens").asInt();
@@ -82,11 +82,11 @@
             }
             JsonNode chunk = Mappers.JSON.readTree(data);
             if (chunk.has("error")) {
-                return broken(code(chunk));
+                return unknown(code(chunk));
             }
             append(chunk);
         }
-        return broken(CONNECTION_LOST);
+        return unknown(CONNECTION_LOST);
     }
 
     private void append(JsonNode chunk) {
@@ -103,18 +103,18 @@
         return json.at(chatPath).asText(json.at("/choices/0/text").asText(""));
     }
 
-    private boolean isRefusal() {
+    private boolean isRejection() {
         return response.header("X-Outcome") != null;
     }
 
-    private CallerResult refusal(String body) {
+    private CallerResult rejection(String body) {
         String code = code(body);
         return "not-run".equals(response.header("X-Outcome"))
                 ? new CallerResult.NotRun(requestId(), response.code(), code)
-                : broken(code);
+                : unknown(code);
     }
 
-    private CallerResult broken(String code) {
+    private CallerResult unknown(String code) {
         return new CallerResult.Unknown(requestId(), response.code(), code, tokenTimes);
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/AppendLimit.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/AppendRateLimiter.java
@@ -10,17 +10,17 @@
  *
  * <p>A sliding window is used because a fixed window would admit twice the limit around its boundary.
  */
-final class AppendLimit {
+final class AppendRateLimiter {
     private static final Duration WINDOW = Duration.ofSeconds(1);
 
     private final int limit;
     private final Deque<Instant> admitted = new ArrayDeque<>();
 
-    AppendLimit(int limit) {
+    AppendRateLimiter(int limit) {
         this.limit = limit;
     }
 
-    synchronized boolean admit(Instant now) {
+    synchronized boolean tryAcquire(Instant now) {
         while (!admitted.isEmpty() && !admitted.peekFirst().plus(WINDOW).isAfter(now)) {
             admitted.removeFirst();
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -31,12 +31,12 @@
     public static final int DEFAULT_APPENDS_PER_SECOND = 400;
 
     /** Most records in one answer, so that a read from offset 0 of a long stream stays small. */
-    private static final int MAX_RECORDS = 1_000;
+    private static final int MAX_RECORDS_PER_READ = 1_000;
 
     private final InstantSource clock = Clock.systemUTC();
     private final Map<String, StreamLog> streams = new ConcurrentHashMap<>();
     private final Duration configuredRetention;
-    private final AppendLimit appendLimit;
+    private final AppendRateLimiter appendRateLimiter;
     private final PlatformStandInServer server;
     private volatile Duration retention;
 
@@ -50,7 +50,7 @@
     public LogServiceStandIn(int port, Duration retention, int appendsPerSecond) {
         configuredRetention = retention;
         this.retention = retention;
-        appendLimit = new AppendLimit(appendsPerSecond);
+        appendRateLimiter = new AppendRateLimiter(appendsPerSecond);
         server = new PlatformStandInServer(port)
                 .operation("POST", "/streams/{name}/records", this::append)
                 .operation("GET", "/streams/{name}/records", this::read)
@@ -112,8 +112,8 @@
         retention = faults.retentionSeconds().map(Duration::ofSeconds).orElse(configuredRetention);
         server.setFaults(faults.shared());
         if (server.injector().isUnavailable()) {
-            streams.values().forEach(stream -> stream.takePending()
-                    .forEach(read -> server.timer().execute(read::answer)));
+            streams.values().forEach(stream -> stream.removeAllPending()
+                    .forEach(read -> server.timer().execute(read::complete)));
         }
     }
 
@@ -129,7 +129,7 @@
     private CompletableFuture<Reply> append(Request request) {
         List<byte[]> records = request.json(AppendRequest.class).records();
         Instant now = clock.instant();
-        if (!appendLimit.admit(now)) {
+        if (!appendRateLimiter.tryAcquire(now)) {
             counters().add("refused", 1);
             return CompletableFuture.completedFuture(Reply.error(429, "append_limit_reached"));
         }
@@ -147,17 +147,17 @@
 
     private CompletableFuture<Reply> read(Request request) {
         StreamLog stream = stream(request);
-        long from = number(request, "from", 0);
-        int limit = (int) Math.min(MAX_RECORDS, number(request, "limit", 1));
+        long from = requiredNumber(request, "from", 0);
+        int limit = (int) Math.min(MAX_RECORDS_PER_READ, requiredNumber(request, "limit", 1));
         Instant waitUntil =
-                request.query("waitUntil").map(LogServiceStandIn::instant).orElse(Instant.EPOCH);
+                request.query("waitUntil").map(LogServiceStandIn::parseInstant).orElse(Instant.EPOCH);
         counters().add("reads", 1);
-        PendingRead pending = new PendingRead(from, () -> answer(stream, from, limit));
-        if (!clock.instant().isBefore(waitUntil) || hasExpired(stream, from) || !stream.await(pending)) {
-            pending.answer();
+        PendingRead pending = new PendingRead(from, () -> readNow(stream, from, limit));
+        if (!clock.instant().isBefore(waitUntil) || hasExpired(stream, from) || !stream.addPending(pending)) {
+            pending.complete();
             return pending.reply();
         }
-        answerAt(waitUntil, stream, pending);
+        completeAt(waitUntil, stream, pending);
         return pending.reply();
     }
 
@@ -166,13 +166,13 @@
         return stream.read(from, 1) instanceof ReadResult.Expired;
     }
 
-    private void answerAt(Instant waitUntil, StreamLog stream, PendingRead pending) {
+    private void completeAt(Instant waitUntil, StreamLog stream, PendingRead pending) {
         long delay = Math.max(1, Duration.between(clock.instant(), waitUntil).toMillis() + 1);
         ScheduledFuture<?> timeout = server.timer()
                 .schedule(
                         () -> {
-                            if (stream.cancel(pending)) {
-                                pending.answer();
+                            if (stream.removePending(pending)) {
+                                pending.complete();
                             }
                         },
                         delay,
@@ -180,7 +180,7 @@
         pending.reply().thenRun(() -> timeout.cancel(false));
     }
 
-    private Reply answer(StreamLog stream, long from, int limit) {
+    private Reply readNow(StreamLog stream, long from, int limit) {
         if (server.injector().isUnavailable()) {
             return Reply.error(503, "unavailable");
         }
@@ -196,17 +196,17 @@
         return streams.computeIfAbsent(request.path("name"), name -> new StreamLog());
     }
 
-    private static long number(Request request, String name, long least) {
+    private static long requiredNumber(Request request, String name, long minimum) {
         long value = request.query(name)
                 .map(Long::parseLong)
                 .orElseThrow(() -> new IllegalArgumentException(name + " is required"));
-        if (value < least) {
-            throw new IllegalArgumentException(name + " must be at least " + least);
+        if (value < minimum) {
+            throw new IllegalArgumentException(name + " must be at least " + minimum);
         }
         return value;
     }
 
-    private static Instant instant(String text) {
+    private static Instant parseInstant(String text) {
         try {
             return Instant.parse(text);
         } catch (DateTimeParseException exception) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandInMain.java
@@ -21,9 +21,9 @@
                 "retention-seconds", "time for which records are kept",
                 "appends-per-second", "most appends in any second");
         StandInMain.run(arguments, options, line -> {
-            int retention = StandInMain.number(line, "retention-seconds", DEFAULT_RETENTION_SECONDS);
-            int limit = StandInMain.number(line, "appends-per-second", LogServiceStandIn.DEFAULT_APPENDS_PER_SECOND);
-            return new LogServiceStandIn(StandInMain.number(line, "port", 0), Duration.ofSeconds(retention), limit)
+            int retention = StandInMain.intOption(line, "retention-seconds", DEFAULT_RETENTION_SECONDS);
+            int limit = StandInMain.intOption(line, "appends-per-second", LogServiceStandIn.DEFAULT_APPENDS_PER_SECOND);
+            return new LogServiceStandIn(StandInMain.intOption(line, "port", 0), Duration.ofSeconds(retention), limit)
                     .start();
         });
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/PendingRead.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/PendingRead.java
@@ -16,7 +16,7 @@
         this.reader = reader;
     }
 
-    long from() {
+    long fromOffset() {
         return from;
     }
 
@@ -25,7 +25,7 @@
     }
 
     /** Completes the reply with the state of the stream at this moment. */
-    void answer() {
+    void complete() {
         reply.complete(reader.get());
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
@@ -23,22 +23,22 @@
         List<PendingRead> ready;
         long first;
         synchronized (this) {
-            first = end();
-            payloads.forEach(payload -> records.add(new LogRecord(end(), now, payload)));
-            ready = takeReady();
+            first = endOffset();
+            payloads.forEach(payload -> records.add(new LogRecord(endOffset(), now, payload)));
+            ready = removeReady();
         }
-        ready.forEach(PendingRead::answer);
+        ready.forEach(PendingRead::complete);
         return first;
     }
 
-    private List<PendingRead> takeReady() {
+    private List<PendingRead> removeReady() {
         List<PendingRead> ready =
-                pending.stream().filter(read -> read.from() < end()).toList();
+                pending.stream().filter(read -> read.fromOffset() < endOffset()).toList();
         pending.removeAll(ready);
         return ready;
     }
 
-    private long end() {
+    private long endOffset() {
         return firstOffset + records.size();
     }
 
@@ -64,21 +64,21 @@
         int start = (int) Math.min(records.size(), from - firstOffset);
         int stop = (int) Math.min(records.size(), (long) start + limit);
         List<LogRecord> found = List.copyOf(records.subList(start, stop));
-        return new ReadResult.Records(from + found.size(), end(), found);
+        return new ReadResult.Records(from + found.size(), endOffset(), found);
     }
 
     /** Remembers a read until its offset exists; false if the offset exists already. */
-    synchronized boolean await(PendingRead read) {
-        return read.from() >= end() && pending.add(read);
+    synchronized boolean addPending(PendingRead read) {
+        return read.fromOffset() >= endOffset() && pending.add(read);
     }
 
     /** Removes a read that waits; false if it does not wait any more. */
-    synchronized boolean cancel(PendingRead read) {
+    synchronized boolean removePending(PendingRead read) {
         return pending.remove(read);
     }
 
     /** Removes and returns all reads that wait. */
-    synchronized List<PendingRead> takePending() {
+    synchronized List<PendingRead> removeAllPending() {
         List<PendingRead> all = List.copyOf(pending);
         pending.clear();
         return all;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
@@ -23,7 +23,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.banyanstair.model.NetworkAddress;
-import org.banyanstair.testsupport.fault.HeldPort;
+import org.banyanstair.testsupport.fault.ReservedPort;
 
 /**
  * TCP proxy on the loopback interface whose connections can be cut, refused, silenced and delayed.
@@ -33,17 +33,17 @@
  */
 public final class FaultProxy {
     private static final String LOOPBACK = "127.0.0.1";
-    private static final int CONNECT_LIMIT_MILLIS = 2_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
     private final NetworkAddress target;
     private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("fault-proxy", true));
     // The following three are used only on the event loop.
-    private final Set<Direction> silentDirections = EnumSet.noneOf(Direction.class);
+    private final Set<Direction> stalledDirections = EnumSet.noneOf(Direction.class);
     private final List<ProxiedConnection> connections = new ArrayList<>();
     private long latencyNanos;
     private int port;
     private Channel listener;
-    private HeldPort heldPort;
+    private ReservedPort reservedPort;
 
     /**
      * Creates a proxy that is not started.
@@ -68,8 +68,8 @@
 
     /** Closes the listening socket and resets all connections. The proxy cannot be started again. */
     public synchronized void stop() {
-        if (heldPort != null) {
-            heldPort.close();
+        if (reservedPort != null) {
+            reservedPort.close();
         }
         if (listener != null) {
             listener.close().syncUninterruptibly();
@@ -90,24 +90,24 @@
     /** Resets all open connections on both sides; new ones work. */
     public void resetConnections() {
         onEventLoop(() -> {
-            forEachConnection(ProxiedConnection::cut);
+            forEachConnection(ProxiedConnection::resetBothSides);
             return null;
         });
     }
 
     /** Refuses new connections; open ones go on. */
     public synchronized void refuseConnections() {
-        if (heldPort == null) {
+        if (reservedPort == null) {
             listener.close().syncUninterruptibly();
-            heldPort = HeldPort.hold(port);
+            reservedPort = ReservedPort.reserve(port);
         }
     }
 
     /** Accepts new connections again. */
     public synchronized void acceptConnections() {
-        if (heldPort != null) {
-            heldPort.close();
-            heldPort = null;
+        if (reservedPort != null) {
+            reservedPort.close();
+            reservedPort = null;
             listen();
         }
     }
@@ -115,7 +115,7 @@
     /** Makes all open connections silent for good: nothing is forwarded and nothing is closed. New ones work. */
     public void stallOpenConnections() {
         onEventLoop(() -> {
-            forEachConnection(ProxiedConnection::silence);
+            forEachConnection(ProxiedConnection::stall);
             return null;
         });
     }
@@ -126,14 +126,14 @@
      * @param direction direction to change
      * @param silent whether nothing is forwarded
      */
-    public void setStalled(Direction direction, boolean silent) {
+    public void setStalled(Direction direction, boolean stalled) {
         onEventLoop(() -> {
-            if (silent) {
-                silentDirections.add(direction);
+            if (stalled) {
+                stalledDirections.add(direction);
             } else {
-                silentDirections.remove(direction);
+                stalledDirections.remove(direction);
             }
-            applyToAll();
+            applyFaultsToAll();
             return null;
         });
     }
@@ -146,7 +146,7 @@
     public void setLatency(Duration oneWay) {
         onEventLoop(() -> {
             latencyNanos = oneWay.toNanos();
-            applyToAll();
+            applyFaultsToAll();
             return null;
         });
     }
@@ -160,8 +160,8 @@
         return onEventLoop(connections::size);
     }
 
-    private void applyToAll() {
-        forEachConnection(connection -> connection.apply(latencyNanos, silentDirections));
+    private void applyFaultsToAll() {
+        forEachConnection(connection -> connection.applyFaults(latencyNanos, stalledDirections));
     }
 
     /** Works on a copy, because a connection that is closed by the action is removed at once. */
@@ -180,37 +180,37 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.AUTO_READ, false)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(initializer(this::accepted))
+                .childHandler(initializer(this::onAccepted))
                 .bind(LOOPBACK, port)
                 .syncUninterruptibly()
                 .channel();
         port = ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
-    private void accepted(SocketChannel client) {
+    private void onAccepted(SocketChannel client) {
         ChannelFuture connecting = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.AUTO_READ, false)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(initializer(channel -> {}))
                 .connect(target.ip(), target.port());
         connecting.addListener(done -> {
             if (done.isSuccess()) {
-                connected(client, connecting.channel());
+                onConnected(client, connecting.channel());
             } else {
                 ProxiedConnection.reset(client);
             }
         });
     }
 
-    private void connected(Channel client, Channel targetChannel) {
+    private void onConnected(Channel client, Channel targetChannel) {
         ProxiedConnection connection = new ProxiedConnection(client, targetChannel);
         connections.add(connection);
         client.closeFuture().addListener(closed -> removeIfClosed(connection));
         targetChannel.closeFuture().addListener(closed -> removeIfClosed(connection));
-        connection.apply(latencyNanos, silentDirections);
+        connection.applyFaults(latencyNanos, stalledDirections);
     }
 
     private void removeIfClosed(ProxiedConnection connection) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FreePorts.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FreePorts.java
@@ -16,12 +16,12 @@
     /** The address of the ports. */
     public static final String LOOPBACK = "127.0.0.1";
 
-    private static final int FIRST = 10_000;
+    private static final int FIRST_PORT = 10_000;
 
-    private static final int COUNT = 20_000;
+    private static final int PORT_COUNT = 20_000;
 
     /** Processes that run at the same time begin at different places. */
-    private int offset = (int) (ProcessHandle.current().pid() * 61 % COUNT);
+    private int offset = (int) (ProcessHandle.current().pid() * 61 % PORT_COUNT);
 
     /**
      * Finds a port.
@@ -30,8 +30,8 @@
      */
     public synchronized NetworkAddress next() {
         while (true) {
-            offset = (offset + 1) % COUNT;
-            int port = FIRST + offset;
+            offset = (offset + 1) % PORT_COUNT;
+            int port = FIRST_PORT + offset;
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
                 return new NetworkAddress(LOOPBACK, socket.getLocalPort());
             } catch (IOException exception) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/Pipe.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/Pipe.java
@@ -17,7 +17,7 @@
  */
 final class Pipe {
     /** Bytes held back by latency or a slow sink above which the source is not read. */
-    private static final int PENDING_LIMIT_BYTES = 1 << 20;
+    private static final int MAX_PENDING_BYTES = 1 << 20;
 
     private final Channel source;
     private final Channel sink;
@@ -42,20 +42,20 @@
         drain();
     }
 
-    void data(ByteBuf data) {
+    void enqueueData(ByteBuf data) {
         pendingBytes += data.readableBytes();
         enqueue(new Chunk(data, false, releaseTime()));
     }
 
     /** The source was closed; the sink is closed once everything before that was forwarded. */
-    void end() {
+    void sourceClosed() {
         enqueue(new Chunk(Unpooled.EMPTY_BUFFER, true, releaseTime()));
     }
 
     /** Chunks keep their order when the latency is lowered. */
     private long releaseTime() {
-        long wanted = System.nanoTime() + latencyNanos;
-        lastReleaseNanos = wanted - lastReleaseNanos > 0 ? wanted : lastReleaseNanos;
+        long earliest = System.nanoTime() + latencyNanos;
+        lastReleaseNanos = earliest - lastReleaseNanos > 0 ? earliest : lastReleaseNanos;
         return lastReleaseNanos;
     }
 
@@ -73,7 +73,7 @@
         if (!blocked && !pending.isEmpty() && !isDue()) {
             scheduleDrain();
         }
-        source.config().setAutoRead(!blocked && pendingBytes < PENDING_LIMIT_BYTES);
+        source.config().setAutoRead(!blocked && pendingBytes < MAX_PENDING_BYTES);
     }
 
     private boolean isDue() {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/ProxiedConnection.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/ProxiedConnection.java
@@ -14,35 +14,35 @@
     private final Channel target;
     private final Pipe toTarget;
     private final Pipe toClient;
-    private boolean silent;
+    private boolean stalled;
 
     ProxiedConnection(Channel client, Channel target) {
         this.client = client;
         this.target = target;
         toTarget = new Pipe(client, target);
         toClient = new Pipe(target, client);
-        client.pipeline().addLast(new Side(toTarget, toClient));
-        target.pipeline().addLast(new Side(toClient, toTarget));
-        client.closeFuture().addListener(closed -> toTarget.end());
-        target.closeFuture().addListener(closed -> toClient.end());
+        client.pipeline().addLast(new PipeHandler(toTarget, toClient));
+        target.pipeline().addLast(new PipeHandler(toClient, toTarget));
+        client.closeFuture().addListener(closed -> toTarget.sourceClosed());
+        target.closeFuture().addListener(closed -> toClient.sourceClosed());
     }
 
     /** Applies the state of the proxy; a silent connection stays silent. */
-    void apply(long latencyNanos, Set<Direction> blocked) {
+    void applyFaults(long latencyNanos, Set<Direction> blocked) {
         toTarget.setLatencyNanos(latencyNanos);
         toClient.setLatencyNanos(latencyNanos);
-        toTarget.setBlocked(silent || blocked.contains(Direction.TO_TARGET));
-        toClient.setBlocked(silent || blocked.contains(Direction.TO_CLIENT));
+        toTarget.setBlocked(stalled || blocked.contains(Direction.TO_TARGET));
+        toClient.setBlocked(stalled || blocked.contains(Direction.TO_CLIENT));
     }
 
-    void silence() {
-        silent = true;
+    void stall() {
+        stalled = true;
         toTarget.setBlocked(true);
         toClient.setBlocked(true);
     }
 
     /** Resets both channels. */
-    void cut() {
+    void resetBothSides() {
         reset(client);
         reset(target);
     }
@@ -65,18 +65,18 @@
         return !client.isOpen() && !target.isOpen();
     }
 
-    private static final class Side extends ChannelInboundHandlerAdapter {
+    private static final class PipeHandler extends ChannelInboundHandlerAdapter {
         private final Pipe outgoing;
         private final Pipe incoming;
 
-        Side(Pipe outgoing, Pipe incoming) {
+        PipeHandler(Pipe outgoing, Pipe incoming) {
             this.outgoing = outgoing;
             this.incoming = incoming;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            outgoing.data((ByteBuf) message);
+            outgoing.enqueueData((ByteBuf) message);
         }
 
         @Override
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/JavaCommand.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/JavaCommand.java
@@ -33,15 +33,15 @@
     }
 
     List<String> commandLine() {
-        List<String> line = new ArrayList<>();
-        line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        line.add("-Xmx" + heapMegabytes + "m");
-        line.addAll(options);
-        line.add("-cp");
-        line.add(classPath());
-        line.add(mainClass);
-        line.addAll(arguments);
-        return line;
+        List<String> commandLine = new ArrayList<>();
+        commandLine.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        commandLine.add("-Xmx" + heapMegabytes + "m");
+        commandLine.addAll(options);
+        commandLine.add("-cp");
+        commandLine.add(classPath());
+        commandLine.add(mainClass);
+        commandLine.addAll(arguments);
+        return commandLine;
     }
 
     /** Entries may be relative to the directory of this process. */
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ManagedProcess.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ManagedProcess.java
@@ -12,14 +12,14 @@
 
 /** A child process that a {@link ProcessLauncher} has started and that has reported to be ready. */
 public final class ManagedProcess {
-    private static final long SIGNAL_LIMIT_SECONDS = 5;
+    private static final long SIGNAL_TIMEOUT_SECONDS = 5;
 
     private final String name;
     private final Process process;
-    private final OutputFile output;
+    private final ProcessOutput output;
     private final String ready;
 
-    ManagedProcess(String name, Process process, OutputFile output, String ready) {
+    ManagedProcess(String name, Process process, ProcessOutput output, String ready) {
         this.name = name;
         this.process = process;
         this.output = output;
@@ -128,7 +128,7 @@
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .start();
-            if (!kill.waitFor(SIGNAL_LIMIT_SECONDS, TimeUnit.SECONDS) || kill.exitValue() != 0 && process.isAlive()) {
+            if (!kill.waitFor(SIGNAL_TIMEOUT_SECONDS, TimeUnit.SECONDS) || kill.exitValue() != 0 && process.isAlive()) {
                 throw new IllegalStateException("signal " + signal + " could not be sent to process " + name);
             }
         } catch (IOException exception) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessLauncher.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessLauncher.java
@@ -18,8 +18,8 @@
  * <p>Processes that are left when this process ends are killed. Safe for use by several threads.
  */
 public final class ProcessLauncher {
-    private static final long POLL_MILLIS = 5;
-    private static final long KILL_LIMIT_SECONDS = 5;
+    private static final long READY_POLL_MILLIS = 5;
+    private static final long KILL_TIMEOUT_SECONDS = 5;
 
     private final Path directory;
     private final Set<Process> started = ConcurrentHashMap.newKeySet();
@@ -65,10 +65,10 @@
      * @throws ProcessStartException if it ends or is not ready in time; it is killed then
      */
     public ManagedProcess startScript(String name, Path script, List<String> arguments, Instant deadline) {
-        List<String> line = new ArrayList<>();
-        line.add(script.toAbsolutePath().toString());
-        line.addAll(arguments);
-        return start(name, line, deadline);
+        List<String> commandLine = new ArrayList<>();
+        commandLine.add(script.toAbsolutePath().toString());
+        commandLine.addAll(arguments);
+        return start(name, commandLine, deadline);
     }
 
     /** Kills the processes that are left and waits for their end. The launcher can be used again. */
@@ -76,7 +76,7 @@
         killAll();
         for (Process process : started) {
             try {
-                process.waitFor(KILL_LIMIT_SECONDS, TimeUnit.SECONDS);
+                process.waitFor(KILL_TIMEOUT_SECONDS, TimeUnit.SECONDS);
             } catch (InterruptedException exception) {
                 Thread.currentThread().interrupt();
                 throw new IllegalStateException(exception);
@@ -89,9 +89,9 @@
         started.forEach(Process::destroyForcibly);
     }
 
-    private ManagedProcess start(String name, List<String> line, Instant deadline) {
-        OutputFile output = new OutputFile(directory.resolve(name + ".log"));
-        Process process = launch(line, output.path());
+    private ManagedProcess start(String name, List<String> commandLine, Instant deadline) {
+        ProcessOutput output = new ProcessOutput(directory.resolve(name + ".log"));
+        Process process = launch(commandLine, output.path());
         started.add(process);
         process.onExit().thenAccept(started::remove);
         try {
@@ -102,9 +102,9 @@
         }
     }
 
-    private static Process launch(List<String> line, Path output) {
+    private static Process launch(List<String> commandLine, Path output) {
         try {
-            return new ProcessBuilder(line)
+            return new ProcessBuilder(commandLine)
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                     .start();
@@ -113,10 +113,10 @@
         }
     }
 
-    private static String awaitReady(String name, Process process, OutputFile output, Instant deadline) {
+    private static String awaitReady(String name, Process process, ProcessOutput output, Instant deadline) {
         while (true) {
             boolean ended = !process.isAlive();
-            Optional<String> ready = output.ready();
+            Optional<String> ready = output.readyMessage();
             if (ready.isPresent()) {
                 return ready.get();
             }
@@ -133,7 +133,7 @@
 
     private static void pause() {
         try {
-            Thread.sleep(POLL_MILLIS);
+            Thread.sleep(READY_POLL_MILLIS);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(exception);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/OutputFile.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessOutput.java
@@ -9,15 +9,15 @@
 import java.util.Optional;
 
 /** The part of an output file that one run of a process has written. */
-final class OutputFile {
-    private static final String READY = "ready ";
+final class ProcessOutput {
+    private static final String READY_PREFIX = "ready ";
     private static final int TAIL_CHARACTERS = 4_000;
 
     private final Path path;
     private final long start;
 
     /** Remembers the present length, because a file may hold the output of an earlier run of the same name. */
-    OutputFile(Path path) {
+    ProcessOutput(Path path) {
         this.path = path;
         try {
             start = Files.exists(path) ? Files.size(path) : 0;
@@ -31,13 +31,13 @@
     }
 
     /** Returns what follows {@code ready } in the first complete line that starts with it. */
-    Optional<String> ready() {
+    Optional<String> readyMessage() {
         String text = text();
         int complete = text.lastIndexOf('\n') + 1;
         return text.substring(0, complete)
                 .lines()
-                .filter(line -> line.startsWith(READY))
-                .map(line -> line.substring(READY.length()))
+                .filter(line -> line.startsWith(READY_PREFIX))
+                .map(line -> line.substring(READY_PREFIX.length()))
                 .findFirst();
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
@@ -27,7 +27,7 @@
     private final FaultSettings<PlainServiceFault> faults = new FaultSettings<>(PlainServiceFault.class);
     private final List<ServiceRun> runs = new ArrayList<>();
     private final EndpointStandInServer server;
-    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(task -> {
+    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread created = new Thread(task, "plain-service");
         created.setDaemon(true);
         return created;
@@ -41,7 +41,7 @@
      */
     public PlainServiceStandIn(PlainServiceSettings settings) {
         this.settings = settings;
-        this.server = new EndpointStandInServer(settings.port(), this::declare);
+        this.server = new EndpointStandInServer(settings.port(), this::registerRoutes);
     }
 
     /**
@@ -66,7 +66,7 @@
     /** Closes all connections and stops. */
     public void stop() {
         server.stop();
-        thread.shutdownNow();
+        executor.shutdownNow();
     }
 
     /**
@@ -111,45 +111,45 @@
         setFault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, refusal);
     }
 
-    private void declare(EndpointStandInServer.Routes routes) {
+    private void registerRoutes(EndpointStandInServer.Routes routes) {
         routes.on("GET", "/record", exchange -> exchange.respond(200, Map.of("runs", record())));
         routes.on("PUT", "/faults", exchange -> {
             Map<PlainServiceFault, Long> parsed = faults.parse(exchange.json());
-            thread.execute(() -> putFaults(exchange, parsed));
+            executor.execute(() -> putFaults(exchange, parsed));
         });
-        routes.on("POST", "/orders", exchange -> thread.execute(() -> order(exchange)));
-        routes.on("GET", "/stock/{item}", exchange -> thread.execute(() -> stock(exchange)));
+        routes.on("POST", "/orders", exchange -> executor.execute(() -> order(exchange)));
+        routes.on("GET", "/stock/{item}", exchange -> executor.execute(() -> stock(exchange)));
         for (String method : List.of("GET", "POST", "PUT", "DELETE", "PATCH")) {
-            routes.on(method, "/*", exchange -> thread.execute(() -> echo(exchange)));
+            routes.on(method, "/*", exchange -> executor.execute(() -> echo(exchange)));
         }
     }
 
     private void order(Exchange exchange) {
-        run(exchange, 201, () -> Map.of("order", "order-" + ++orders));
+        runCall(exchange, 201, () -> Map.of("order", "order-" + ++orders));
     }
 
     private void stock(Exchange exchange) {
         String item = exchange.context().path("item").value();
-        run(exchange, 200, () -> Map.of("item", item, "quantity", settings.stock()));
+        runCall(exchange, 200, () -> Map.of("item", item, "quantity", settings.stock()));
     }
 
     private void echo(Exchange exchange) {
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         String method = exchange.context().getMethod();
-        run(exchange, 200, () -> Map.of("method", method, "path", path(exchange), "body", body));
+        runCall(exchange, 200, () -> Map.of("method", method, "path", path(exchange), "body", body));
     }
 
     private static String path(Exchange exchange) {
         return exchange.context().getRequestPath() + exchange.context().queryString();
     }
 
-    private void run(Exchange exchange, int status, java.util.function.Supplier<Object> call) {
+    private void runCall(Exchange exchange, int status, java.util.function.Supplier<Object> call) {
         if (faults.isSet(PlainServiceFault.OUTAGE)) {
             exchange.respondError(503, "outage", "the service is down and did not run the call");
             return;
         }
         Object answer = call.get();
-        boolean lost = faults.take(PlainServiceFault.LOSE_ANSWERS);
+        boolean responseLost = faults.consume(PlainServiceFault.LOSE_ANSWERS);
         long delay = faults.value(PlainServiceFault.DELAY_MILLISECONDS);
         Instant now = Instant.now();
         ServiceRun run = new ServiceRun(
@@ -159,15 +159,15 @@
                 new String(exchange.body(), StandardCharsets.UTF_8),
                 now,
                 now.plusMillis(delay),
-                !lost);
+                !responseLost);
         synchronized (runs) {
             runs.add(run);
         }
-        Runnable reply = lost ? exchange::closeConnection : () -> exchange.respond(status, answer);
+        Runnable response = responseLost ? exchange::closeConnection : () -> exchange.respond(status, answer);
         if (delay > 0) {
-            thread.schedule(reply, delay, TimeUnit.MILLISECONDS);
+            executor.schedule(response, delay, TimeUnit.MILLISECONDS);
         } else {
-            reply.run();
+            response.run();
         }
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
@@ -17,7 +17,7 @@
 /** Stand-in for the platform's rate-limited weight store. Safe for use by several threads. */
 public final class WeightStoreStandIn {
     private final WeightStoreSettings settings;
-    private final LoadQueue queue;
+    private final LoadThrottle throttle;
     private final PlatformStandInServer server;
     private WeightStoreFaults faults = WeightStoreFaults.NONE;
     private SplittableRandom random = new SplittableRandom(0);
@@ -30,7 +30,7 @@
      */
     public WeightStoreStandIn(int port, WeightStoreSettings settings) {
         this.settings = settings;
-        queue = new LoadQueue(settings, System.nanoTime());
+        throttle = new LoadThrottle(settings, System.nanoTime());
         server = new PlatformStandInServer(port)
                 .operation("GET", "/adapters/{service}/{adapter}/{version}", this::load)
                 .faultControls(WeightStoreFaults.class, WeightStoreFaults::shared, this::faults, this::setFaults);
@@ -90,22 +90,22 @@
     }
 
     private CompletableFuture<Reply> load(Request request) {
-        String name = name(request);
+        String name = adapterName(request);
         CompletableFuture<Reply> reply = new CompletableFuture<>();
-        schedule(queue.enqueue(System.nanoTime()), () -> transfer(name, reply));
+        schedule(throttle.reserveStart(System.nanoTime()), () -> transfer(name, reply));
         return reply;
     }
 
     private void transfer(String name, CompletableFuture<Reply> reply) {
-        schedule(queue.begin(), () -> {
-            queue.end();
+        schedule(throttle.beginTransfer(), () -> {
+            throttle.endTransfer();
             reply.complete(finish(name));
         });
     }
 
     private Reply finish(String name) {
         counters().add("loads", 1);
-        if (takeFailure(name)) {
+        if (consumeFailure(name)) {
             counters().add("failedLoads", 1);
             return Reply.error(500, "load_failed");
         }
@@ -114,7 +114,7 @@
         return new Reply(200, "application/octet-stream", body);
     }
 
-    private synchronized boolean takeFailure(String name) {
+    private synchronized boolean consumeFailure(String name) {
         if (faults.failingAdapters().contains(name)) {
             return true;
         }
@@ -129,7 +129,7 @@
         server.timer().schedule(task, nanos, TimeUnit.NANOSECONDS);
     }
 
-    private static String name(Request request) {
+    private static String adapterName(Request request) {
         try {
             return AdapterVersion.parse(
                             request.path("service") + "/" + request.path("adapter") + "@" + request.path("version"))
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandInMain.java
@@ -18,7 +18,8 @@
         StandInMain.run(arguments, options, line -> {
             double rate = Double.parseDouble(line.getOptionValue("loads-per-second", "3"));
             return new WeightStoreStandIn(
-                            StandInMain.number(line, "port", 0), WeightStoreSettings.DEFAULT.withLoadsPerSecond(rate))
+                            StandInMain.intOption(line, "port", 0),
+                            WeightStoreSettings.DEFAULT.withLoadsPerSecond(rate))
                     .start();
         });
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/endpoint/ExchangeTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/endpoint/ExchangeTest.java
@@ -12,7 +12,7 @@
 /** Guards against an answer that throws because its reader has gone before the first event. */
 class ExchangeTest {
     @Test
-    void eventsOfAClosedConnectionAreNotStarted() throws Exception {
+    void eventStreamIsNotStartedOnClosedConnection() throws Exception {
         CompletableFuture<Exchange> arrived = new CompletableFuture<>();
         CompletableFuture<Void> closed = new CompletableFuture<>();
         EndpointStandInServer server = new EndpointStandInServer(
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/BatchTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/BatchTest.java
@@ -20,13 +20,13 @@
 class BatchTest {
     private static final int TOKENS = 300;
 
-    private static final long LATE_MILLISECONDS = 5;
+    private static final long TIMER_DELAY_MILLISECONDS = 5;
 
     /** Timers fire late, as they do on a machine with more work than cores. */
-    private static final class LateScheduler extends ScheduledThreadPoolExecutor {
+    private static final class DelayedScheduler extends ScheduledThreadPoolExecutor {
         private final AtomicInteger waits = new AtomicInteger();
 
-        LateScheduler() {
+        DelayedScheduler() {
             super(1);
         }
 
@@ -38,19 +38,19 @@
         @Override
         public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
             waits.incrementAndGet();
-            long late = TimeUnit.MILLISECONDS.toNanos(LATE_MILLISECONDS);
+            long late = TimeUnit.MILLISECONDS.toNanos(TIMER_DELAY_MILLISECONDS);
             return super.schedule(task, unit.toNanos(delay) + late, TimeUnit.NANOSECONDS);
         }
     }
 
     @Test
-    void lateTimersDoNotSlowTheSteps() throws Exception {
+    void lateTimersDoNotReduceStepRate() throws Exception {
         ObjectNode settings = Mappers.JSON.valueToTree(EngineSettings.DEFAULT);
         settings.put("stepMicroseconds", 1_000).put("stepMicrosecondsPerRequest", 0);
         EngineSettings paced = Mappers.JSON.treeToValue(settings, EngineSettings.class);
-        LateScheduler scheduler = new LateScheduler();
+        DelayedScheduler scheduler = new DelayedScheduler();
         try {
-            Counts counts = new Counts();
+            MutableEngineCounters counts = new MutableEngineCounters();
             EngineResources resources =
                     new EngineResources(paced, new FaultSettings<>(EngineFault.class), scheduler, counts, new RunLog());
             Batch batch = new Batch(resources, new PrefixCache(paced), adapter -> true, () -> {});
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineFaultTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineFaultTest.java
@@ -26,7 +26,7 @@
 /** Guards against faults that do not do what a test relies on, so that the test would pass without the fault. */
 class EngineFaultTest {
     private EngineStandIn engine;
-    private EngineTestClient probe;
+    private EngineTestClient client;
 
     @BeforeEach
     void start() throws Exception {
@@ -34,8 +34,8 @@
         settings.put("loadMilliseconds", 1).put("restartMilliseconds", 200).put("crashMarker", "boom");
         engine = new EngineStandIn(Mappers.JSON.treeToValue(settings, EngineSettings.class));
         engine.start();
-        probe = new EngineTestClient(engine.address());
-        assertEquals(200, probe.load(ADAPTER, 1).status());
+        client = new EngineTestClient(engine.address());
+        assertEquals(200, client.load(ADAPTER, 1).status());
     }
 
     @AfterEach
@@ -45,7 +45,7 @@
 
     private boolean answersStatus() {
         try {
-            return probe.status().has("incarnation");
+            return client.status().has("incarnation");
         } catch (IOException exception) {
             return false;
         }
@@ -53,76 +53,77 @@
 
     @Test
     void faultsAreSetOverHttp() throws Exception {
-        assertEquals(200, probe.send("PUT", "/faults", "{\"fail_loads\":1}").status());
-        assertEquals("load_failed", probe.load("a/b@v1", 1).code());
-        assertEquals(200, probe.load("a/b@v1", 1).status());
-        assertEquals(400, probe.send("PUT", "/faults", "{\"unheard_of\":1}").status());
-        assertEquals(400, probe.send("PUT", "/faults", "{\"fail_loads\":\"x\"}").status());
+        assertEquals(200, client.send("PUT", "/faults", "{\"fail_loads\":1}").status());
+        assertEquals("load_failed", client.load("a/b@v1", 1).code());
+        assertEquals(200, client.load("a/b@v1", 1).status());
+        assertEquals(400, client.send("PUT", "/faults", "{\"unheard_of\":1}").status());
+        assertEquals(
+                400, client.send("PUT", "/faults", "{\"fail_loads\":\"x\"}").status());
         assertEquals(1, engine.counters().failedLoads());
     }
 
     @Test
-    void lostAnswersTakeEffect() throws Exception {
+    void commandsWithLostResponsesTakeEffect() throws Exception {
         engine.setFault(EngineFault.LOSE_LOAD_ANSWERS, 1);
-        assertThrows(IOException.class, () -> probe.load("a/b@v1", 1));
-        assertTrue(probe.status().path("loaded").has("a/b@v1"));
+        assertThrows(IOException.class, () -> client.load("a/b@v1", 1));
+        assertTrue(client.status().path("loaded").has("a/b@v1"));
         engine.setFault(EngineFault.LOSE_UNLOAD_ANSWERS, 1);
-        assertThrows(IOException.class, () -> probe.unload("a/b@v1", 1));
-        assertEquals(1, probe.status().path("loaded").size());
+        assertThrows(IOException.class, () -> client.unload("a/b@v1", 1));
+        assertEquals(1, client.status().path("loaded").size());
         engine.setFault(EngineFault.LOSE_GENERATION_ANSWERS, 1);
-        assertThrows(IOException.class, () -> probe.complete("r", body("p", 3)));
+        assertThrows(IOException.class, () -> client.complete("r", body("p", 3)));
         await("r completes", () -> engine.record().runs().get(0).outcome() == RunOutcome.COMPLETED);
-        assertEquals(expected("p", 3, 0), events(probe.complete("q", body("p", 3))));
+        assertEquals(expected("p", 3, 0), events(client.complete("q", body("p", 3))));
     }
 
     @Test
-    void markedRequestCrashesTheEngine() throws Exception {
-        long before = probe.status().path("incarnation").asLong();
-        var other = probe.completeAsync("other", body("p", 4_000));
+    void requestWithCrashMarkerCrashesEngine() throws Exception {
+        long before = client.status().path("incarnation").asLong();
+        var other = client.completeAsync("other", body("p", 4_000));
         await("other runs", () -> engine.record().runs().size() == 1);
-        assertThrows(IOException.class, () -> probe.complete("r", body("a boom b", 3)));
-        assertThrows(ConnectException.class, () -> probe.status());
+        assertThrows(IOException.class, () -> client.complete("r", body("a boom b", 3)));
+        assertThrows(ConnectException.class, () -> client.status());
         assertThrows(Exception.class, other::join);
         await("new incarnation", this::answersStatus);
-        assertNotEquals(before, probe.status().path("incarnation").asLong());
-        assertEquals(0, probe.status().path("loaded").size());
-        assertEquals(0, probe.status().path("fence").asLong());
-        assertEquals("adapter_not_loaded", probe.complete("q", body("p", 1)).code());
+        assertNotEquals(before, client.status().path("incarnation").asLong());
+        assertEquals(0, client.status().path("loaded").size());
+        assertEquals(0, client.status().path("fence").asLong());
+        assertEquals("adapter_not_loaded", client.complete("q", body("p", 1)).code());
         assertTrue(engine.record().runs().stream().allMatch(run -> run.outcome() == RunOutcome.CRASHED));
         assertEquals(1, engine.counters().crashes());
     }
 
     @Test
-    void restartComesBackEmpty() throws Exception {
-        probe.send("PUT", "/faults", "{\"restart\":1}");
-        await("restart", () -> answersStatus() && probe.status().path("loaded").isEmpty());
-        assertEquals(200, probe.load(ADAPTER, 1).status());
-        assertEquals(expected("p", 2, 0), events(probe.complete("r", body("p", 2))));
+    void restartedEngineHasNoAdapters() throws Exception {
+        client.send("PUT", "/faults", "{\"restart\":1}");
+        await("restart", () -> answersStatus() && client.status().path("loaded").isEmpty());
+        assertEquals(200, client.load(ADAPTER, 1).status());
+        assertEquals(expected("p", 2, 0), events(client.complete("r", body("p", 2))));
     }
 
     @Test
-    void fencingNumbersCanBeIgnored() throws Exception {
-        probe.load("a/b@v1", 5);
+    void ignoreFencingFaultAcceptsStaleNumbers() throws Exception {
+        client.load("a/b@v1", 5);
         engine.setFault(EngineFault.IGNORE_FENCING, 1);
-        assertEquals(200, probe.unload("a/b@v1", 4).status());
+        assertEquals(200, client.unload("a/b@v1", 4).status());
         engine.setFault(EngineFault.IGNORE_FENCING, 0);
-        assertEquals("fenced", probe.unload(ADAPTER, 4).code());
+        assertEquals("fenced", client.unload(ADAPTER, 4).code());
     }
 
     @Test
-    void refusedConnectionsKeepTheStateOfTheEngine() throws Exception {
+    void refusingConnectionsKeepsEngineState() throws Exception {
         engine.setFault(EngineFault.REFUSE_CONNECTIONS_MILLISECONDS, 300);
         await("refused", () -> !answersStatus());
-        assertThrows(ConnectException.class, () -> probe.status());
+        assertThrows(ConnectException.class, () -> client.status());
         await("accepted again", this::answersStatus);
-        assertTrue(probe.status().path("loaded").has(ADAPTER));
+        assertTrue(client.status().path("loaded").has(ADAPTER));
     }
 
     @Test
-    void stepsCanBeSlowed() throws Exception {
+    void slowStepFaultDelaysSteps() throws Exception {
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 50);
         long start = System.nanoTime();
-        probe.complete("r", body("p", 5));
+        client.complete("r", body("p", 5));
         assertTrue(System.nanoTime() - start >= 200_000_000L);
     }
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
@@ -30,7 +30,7 @@
 /** Guards against a stand-in that deviates from the protocol, which would make every test that uses it worthless. */
 class EngineStandInTest {
     private EngineStandIn engine;
-    private EngineTestClient probe;
+    private EngineTestClient client;
 
     private void start(String changes) throws Exception {
         ObjectNode settings = Mappers.JSON.valueToTree(EngineSettings.DEFAULT);
@@ -38,8 +38,8 @@
         settings.setAll((ObjectNode) Mappers.JSON.readTree(changes));
         engine = new EngineStandIn(Mappers.JSON.treeToValue(settings, EngineSettings.class));
         engine.start();
-        probe = new EngineTestClient(engine.address());
-        assertEquals(200, probe.load(ADAPTER, 1).status());
+        client = new EngineTestClient(engine.address());
+        assertEquals(200, client.load(ADAPTER, 1).status());
     }
 
     @AfterEach
@@ -59,12 +59,12 @@
     }
 
     @Test
-    void answerIsTheExpectedTextInBothForms() throws Exception {
+    void chatAndTextCompletionReturnExpectedText() throws Exception {
         start("{}");
-        assertEquals(expected("p", 5, 0), events(probe.complete("r1", body("p", 5))));
+        assertEquals(expected("p", 5, 0), events(client.complete("r1", body("p", 5))));
         String chat = "{\"model\":\"" + ADAPTER + "\",\"stream\":true,\"stream_options\":{\"include_usage\":true},"
                 + "\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
-        Answer answer = probe.send("POST", "/v1/chat/completions", chat, "X-Request-Id", "r2");
+        Answer answer = client.send("POST", "/v1/chat/completions", chat, "X-Request-Id", "r2");
         List<String> expected = expected("user: hi\n", 16, 0);
         assertEquals(expected, events(answer).subList(0, 16));
         assertEquals(List.of("16=16"), events(answer).subList(16, 17));
@@ -75,69 +75,69 @@
     }
 
     @Test
-    void requestsThatCannotRunAreRefusedWithACode() throws Exception {
+    void invalidRequestsAreRejectedWithErrorCode() throws Exception {
         start("{}");
         assertEquals(
                 "adapter_not_loaded",
-                probe.complete("r", body("p", 1).replace("@v1", "@v2")).code());
-        assertEquals("invalid_field", probe.complete("r", body("p", 4_097)).code());
+                client.complete("r", body("p", 1).replace("@v1", "@v2")).code());
+        assertEquals("invalid_field", client.complete("r", body("p", 4_097)).code());
         assertEquals(
-                400, probe.complete("r", body("p", 1).replace("true", "false")).status());
-        assertEquals(400, probe.complete("r", "{").status());
-        Answer late = probe.complete("r", body("p", 1), "X-Request-Deadline", "2020-01-01T00:00:00Z");
+                400, client.complete("r", body("p", 1).replace("true", "false")).status());
+        assertEquals(400, client.complete("r", "{").status());
+        Answer late = client.complete("r", body("p", 1), "X-Request-Deadline", "2020-01-01T00:00:00Z");
         assertEquals(408, late.status());
         assertEquals(
                 400,
-                probe.complete("r", body("p", 1), "X-Request-Deadline", "soon").status());
+                client.complete("r", body("p", 1), "X-Request-Deadline", "soon").status());
         assertTrue(engine.record().runs().isEmpty());
     }
 
     @Test
-    void endedStreamIsResumedAndUnknownOneIsNot() throws Exception {
+    void endedStreamCanBeResumedAndUnknownOneCannot() throws Exception {
         start("{}");
         String usage = body("p", 5, ",\"stream_options\":{\"include_usage\":true}");
-        probe.complete("r", usage);
-        List<String> rest = events(probe.complete("r", usage, "Last-Event-ID", "2"));
+        client.complete("r", usage);
+        List<String> rest = events(client.complete("r", usage, "Last-Event-ID", "2"));
         assertEquals(expected("p", 5, 3), rest.subList(0, 2));
         assertEquals(List.of("5=5"), rest.subList(2, 3));
-        assertEquals(List.of(), events(probe.complete("r", usage, "Last-Event-ID", "5")));
+        assertEquals(List.of(), events(client.complete("r", usage, "Last-Event-ID", "5")));
         assertEquals(
                 "stream_not_found",
-                probe.complete("r", usage, "Last-Event-ID", "6").code());
+                client.complete("r", usage, "Last-Event-ID", "6").code());
         assertEquals(
                 "stream_not_found",
-                probe.complete("q", usage, "Last-Event-ID", "0").code());
+                client.complete("q", usage, "Last-Event-ID", "0").code());
         assertEquals(1, engine.record().runs().size());
     }
 
     @Test
-    void textOfAnotherEngineIsContinued() throws Exception {
+    void continuesTextOfAnotherEngine() throws Exception {
         start("{}");
         String text = String.join("", EngineText.tokens(ADAPTER, "p", 5).subList(0, 2));
         String more = body("p", 5, ",\"continue_from\":\"" + text + "\"");
-        assertEquals(expected("p", 5, 2), events(probe.complete("r1", more)));
-        assertEquals(expected("p", 5, 2), events(probe.complete("r2", more, "Last-Event-ID", "1")));
+        assertEquals(expected("p", 5, 2), events(client.complete("r1", more)));
+        assertEquals(expected("p", 5, 2), events(client.complete("r2", more, "Last-Event-ID", "1")));
         assertEquals(
                 "stream_not_found",
-                probe.complete("r3", more, "Last-Event-ID", "2").code());
+                client.complete("r3", more, "Last-Event-ID", "2").code());
         assertEquals(
                 400,
-                probe.complete("r4", body("p", 5, ",\"continue_from\":\"x\"")).status());
+                client.complete("r4", body("p", 5, ",\"continue_from\":\"x\"")).status());
         assertEquals(3, engine.record().runs().get(0).tokens());
     }
 
     @Test
-    void premiumRequestsGoFirstWithinTheBatchLimit() throws Exception {
+    void premiumRequestsEnterBatchBeforeStandardOnes() throws Exception {
         start("{\"batchLimit\":1}");
         // The first request must still run when both others wait.
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 50);
-        CompletableFuture<Answer> first = probe.completeAsync("first", body("p", 100));
+        CompletableFuture<Answer> first = client.completeAsync("first", body("p", 100));
         await("first runs", () -> engine.record().runs().size() == 1);
-        CompletableFuture<Answer> standard = probe.completeAsync("standard", body("p", 1), "X-Priority", "standard");
-        await("one waits", () -> probe.status().path("waiting").asInt() == 1);
-        CompletableFuture<Answer> premium = probe.completeAsync("premium", body("p", 1), "X-Priority", "premium");
-        await("two wait", () -> probe.status().path("waiting").asInt() == 2);
-        assertEquals(1, probe.status().path("running").asInt());
+        CompletableFuture<Answer> standard = client.completeAsync("standard", body("p", 1), "X-Priority", "standard");
+        await("one waits", () -> client.status().path("waiting").asInt() == 1);
+        CompletableFuture<Answer> premium = client.completeAsync("premium", body("p", 1), "X-Priority", "premium");
+        await("two wait", () -> client.status().path("waiting").asInt() == 2);
+        assertEquals(1, client.status().path("running").asInt());
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 0);
         CompletableFuture.allOf(first, standard, premium).join();
         assertEquals(
@@ -146,25 +146,25 @@
     }
 
     @Test
-    void brokenStreamGoesOnIsResumedOrEnds() throws Exception {
+    void disconnectedStreamContinuesIsResumedOrExpires() throws Exception {
         start("{\"keepBrokenStreamsSeconds\":1}");
-        openStream(probe.newCompletionCall("r", body("p", 300))).close();
-        List<String> rest = events(probe.complete("r", body("p", 300), "Last-Event-ID", "0"));
+        openStream(client.newCompletionCall("r", body("p", 300))).close();
+        List<String> rest = events(client.complete("r", body("p", 300), "Last-Event-ID", "0"));
         assertEquals(expected("p", 300, 1), rest);
-        openStream(probe.newCompletionCall("q", body("p", 4_000))).close();
+        openStream(client.newCompletionCall("q", body("p", 4_000))).close();
         await("q ends", () -> outcomes().contains(RunOutcome.DISCONNECTED));
         assertTrue(engine.record().runs().get(1).tokens() > 100);
         Call resumed =
-                probe.call("POST", "/v1/completions", body("p", 4_000), "X-Request-Id", "q", "Last-Event-ID", "10");
+                client.call("POST", "/v1/completions", body("p", 4_000), "X-Request-Id", "q", "Last-Event-ID", "10");
         openStream(resumed).close();
         assertEquals(List.of(RunOutcome.COMPLETED, RunOutcome.RUNNING), outcomes());
     }
 
     @Test
-    void resumedStreamLeavesAConnectionThatIsStillOpen() throws Exception {
+    void resumeClosesThePreviousConnection() throws Exception {
         start("{}");
-        Response silent = openStream(probe.newCompletionCall("r", body("p", 300)));
-        assertEquals(expected("p", 300, 1), events(probe.complete("r", body("p", 300), "Last-Event-ID", "0")));
+        Response silent = openStream(client.newCompletionCall("r", body("p", 300)));
+        assertEquals(expected("p", 300, 1), events(client.complete("r", body("p", 300), "Last-Event-ID", "0")));
         assertThrows(IOException.class, () -> silent.body().string());
         assertEquals(List.of(RunOutcome.COMPLETED), outcomes());
         assertEquals(1, engine.counters().resumed());
@@ -173,10 +173,10 @@
     @Test
     void streamsCanBeCancelled() throws Exception {
         start("{\"keepBrokenStreamsSeconds\":0}");
-        openStream(probe.newCompletionCall("r", body("p", 4_000))).close();
+        openStream(client.newCompletionCall("r", body("p", 4_000))).close();
         await("r ends", () -> outcomes().equals(List.of(RunOutcome.DISCONNECTED)));
-        Response open = openStream(probe.newCompletionCall("q", body("p", 4_000)));
-        assertTrue(probe.send("POST", "/v1/cancel", "{\"request_id\":\"q\"}")
+        Response open = openStream(client.newCompletionCall("q", body("p", 4_000)));
+        assertTrue(client.send("POST", "/v1/cancel", "{\"request_id\":\"q\"}")
                 .json()
                 .path("cancelled")
                 .asBoolean());
@@ -184,36 +184,36 @@
         assertEquals(RunOutcome.CANCELLED, outcomes().get(1));
         assertEquals(
                 "stream_not_found",
-                probe.complete("q", body("p", 4_000), "Last-Event-ID", "0").code());
+                client.complete("q", body("p", 4_000), "Last-Event-ID", "0").code());
     }
 
     @Test
     void runEndsAtItsDeadline() throws Exception {
         start("{}");
         String deadline = Instant.now().plusMillis(300).toString();
-        assertThrows(IOException.class, () -> probe.complete("r", body("p", 4_000), "X-Request-Deadline", deadline));
+        assertThrows(IOException.class, () -> client.complete("r", body("p", 4_000), "X-Request-Deadline", deadline));
         assertEquals(List.of(RunOutcome.DEADLINE_PASSED), outcomes());
     }
 
     @Test
-    void loadsTakeSlots() throws Exception {
+    void loadsOccupySlots() throws Exception {
         start("{\"slots\":2,\"loadMilliseconds\":100}");
         // Two loads at the same time compete for the one free slot, so a load in transit must hold its slot.
         String[] number = {"X-Fencing-Number", "1"};
         CompletableFuture<Answer> b =
-                probe.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/b@v1\"}", number);
+                client.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/b@v1\"}", number);
         CompletableFuture<Answer> c =
-                probe.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/c@v1\"}", number);
+                client.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/c@v1\"}", number);
         boolean firstWon = b.join().status() == 200;
         assertEquals(200, (firstWon ? b : c).join().status());
         assertEquals("no_free_slot", (firstWon ? c : b).join().code());
-        assertEquals(200, probe.load(ADAPTER, 1).status());
+        assertEquals(200, client.load(ADAPTER, 1).status());
         String winner = firstWon ? "a/b@v1" : "a/c@v1";
-        assertEquals("no_free_slot", probe.load("a/d@v1", 1).code());
-        assertEquals(200, probe.unload(winner, 1).status());
-        assertEquals(200, probe.unload("a/never-loaded@v1", 1).status());
-        assertEquals(200, probe.load("a/c@v1", 1).status());
-        assertEquals(400, probe.load("a-c", 1).status());
+        assertEquals("no_free_slot", client.load("a/d@v1", 1).code());
+        assertEquals(200, client.unload(winner, 1).status());
+        assertEquals(200, client.unload("a/never-loaded@v1", 1).status());
+        assertEquals(200, client.load("a/c@v1", 1).status());
+        assertEquals(400, client.load("a-c", 1).status());
     }
 
     @Test
@@ -224,84 +224,85 @@
             start("{\"weightStore\":\"" + store.address() + "\"}");
             assertEquals("/adapters/assistant/tender/v1", store.record().get(0).path());
             store.setFault(PlainServiceFault.OUTAGE, 1);
-            Answer failed = probe.load("a/b@v1", 1);
+            Answer failed = client.load("a/b@v1", 1);
             assertEquals(424, failed.status());
             assertEquals("load_failed", failed.code());
-            assertFalse(probe.status().path("loaded").has("a/b@v1"));
+            assertFalse(client.status().path("loaded").has("a/b@v1"));
         } finally {
             store.stop();
         }
     }
 
     @Test
-    void oldFencingNumberIsRefusedIfNumbersAreChecked() throws Exception {
+    void staleFencingNumberIsRejected() throws Exception {
         start("{}");
         assertEquals(
                 200,
-                probe.send("POST", "/v1/role", "{\"role\":\"serve\"}", "X-Fencing-Number", "7")
+                client.send("POST", "/v1/role", "{\"role\":\"serve\"}", "X-Fencing-Number", "7")
                         .status());
-        assertEquals(7, probe.status().path("fence").asLong());
-        assertEquals("fenced", probe.load("a/b@v1", 6).code());
-        assertEquals("fenced", probe.unload(ADAPTER, 6).code());
+        assertEquals(7, client.status().path("fence").asLong());
+        assertEquals("fenced", client.load("a/b@v1", 6).code());
+        assertEquals("fenced", client.unload(ADAPTER, 6).code());
         assertEquals(
-                "fenced", probe.send("POST", "/v1/role", "{\"role\":\"serve\"}").code());
-        assertEquals(409, probe.unload(ADAPTER, 6).status());
-        assertEquals(200, probe.unload(ADAPTER, 7).status());
+                "fenced",
+                client.send("POST", "/v1/role", "{\"role\":\"serve\"}").code());
+        assertEquals(409, client.unload(ADAPTER, 6).status());
+        assertEquals(200, client.unload(ADAPTER, 7).status());
         assertEquals(4, engine.counters().fenced());
     }
 
     @Test
-    void oldFencingNumberIsIgnoredOtherwise() throws Exception {
+    void staleFencingNumberIsAcceptedWithoutChecks() throws Exception {
         start("{\"checksFencing\":false}");
-        assertEquals(200, probe.load("a/b@v1", 9).status());
-        assertEquals(200, probe.unload("a/b@v1", 2).status());
-        assertEquals(0, probe.status().path("fence").asLong());
+        assertEquals(200, client.load("a/b@v1", 9).status());
+        assertEquals(200, client.unload("a/b@v1", 2).status());
+        assertEquals(0, client.status().path("fence").asLong());
     }
 
     @Test
-    void unloadInUseIsRecordedAndBreaksTheStream() throws Exception {
+    void unloadInUseIsRecordedAndClosesStream() throws Exception {
         start("{\"batchLimit\":1}");
-        Response open = openStream(probe.newCompletionCall("r", body("p", 4_000)));
-        CompletableFuture<Answer> waiting = probe.completeAsync("q", body("p", 1));
-        await("q waits", () -> probe.status().path("waiting").asInt() == 1);
-        assertEquals(1, probe.status().path("loaded").path(ADAPTER).asInt());
-        assertEquals(200, probe.unload(ADAPTER, 1).status());
+        Response open = openStream(client.newCompletionCall("r", body("p", 4_000)));
+        CompletableFuture<Answer> waiting = client.completeAsync("q", body("p", 1));
+        await("q waits", () -> client.status().path("waiting").asInt() == 1);
+        assertEquals(1, client.status().path("loaded").path(ADAPTER).asInt());
+        assertEquals(200, client.unload(ADAPTER, 1).status());
         assertThrows(IOException.class, () -> open.body().string());
         assertEquals("adapter_not_loaded", waiting.join().code());
-        JsonNode violations = probe.send("GET", "/record", "").json().path("violations");
+        JsonNode violations = client.send("GET", "/record", "").json().path("violations");
         assertEquals("unloaded_in_use", violations.path(0).path("kind").asText());
         assertEquals("r", violations.path(0).path("request_ids").path(0).asText());
         assertEquals("unloaded_while_waiting", violations.path(1).path("kind").asText());
     }
 
     @Test
-    void statusIsAsOldAsItsLag() throws Exception {
+    void statusReportIsDelayedByLag() throws Exception {
         start("{\"statusLagMilliseconds\":600}");
-        assertFalse(probe.status().path("loaded").has(ADAPTER));
-        await("report shows the load", () -> probe.status().path("loaded").has(ADAPTER));
+        assertFalse(client.status().path("loaded").has(ADAPTER));
+        await("report shows the load", () -> client.status().path("loaded").has(ADAPTER));
     }
 
     @Test
-    void cacheEventsComeLateAndWithGaps() throws Exception {
+    void cacheEventsAreDelayedAndHaveGaps() throws Exception {
         start("{\"cacheEventLagMilliseconds\":300,\"cacheEventGapEvery\":2,\"cachedPrefixes\":1}");
         for (String prompt : List.of("a", "b", "a")) {
-            probe.complete("r", body(prompt, 1));
+            client.complete("r", body(prompt, 1));
         }
         assertEquals(
                 0,
-                probe.send("GET", "/v1/cache_events?from=0", "")
+                client.send("GET", "/v1/cache_events?from=0", "")
                         .json()
                         .path("events")
                         .size());
         await(
                 "events",
-                () -> probe.send("GET", "/v1/cache_events?from=0", "")
+                () -> client.send("GET", "/v1/cache_events?from=0", "")
                                 .json()
                                 .path("next")
                                 .asInt()
                         == 5);
         JsonNode events =
-                probe.send("GET", "/v1/cache_events?from=0", "").json().path("events");
+                client.send("GET", "/v1/cache_events?from=0", "").json().path("events");
         assertEquals(3, events.size());
         assertEquals(
                 Long.toString(EngineText.prefixHash(ADAPTER, "a")),
@@ -310,29 +311,29 @@
         assertEquals(2, events.path(1).path("number").asInt());
         assertEquals(
                 1,
-                probe.send("GET", "/v1/cache_events?from=3", "")
+                client.send("GET", "/v1/cache_events?from=3", "")
                         .json()
                         .path("events")
                         .size());
     }
 
     @Test
-    void engineManagesTwoThousandTokensInASecond() throws Exception {
+    void engineProducesTwoThousandTokensPerSecond() throws Exception {
         start("{\"batchLimit\":64,\"stepMicroseconds\":1000,\"stepMicrosecondsPerRequest\":0}");
         long start = System.nanoTime();
         List<CompletableFuture<Answer>> all = java.util.stream.IntStream.range(0, 8)
-                .mapToObj(i -> probe.completeAsync("r" + i, body("p" + i, 1_000)))
+                .mapToObj(i -> client.completeAsync("r" + i, body("p" + i, 1_000)))
                 .toList();
         for (int i = 0; i < all.size(); i++) {
             assertEquals(expected("p" + i, 1_000, 0), events(all.get(i).join()));
         }
         double perSecond = 8_000 / ((System.nanoTime() - start) / 1e9);
-        assertTrue(ranAtTheSameTime(engine.record().runs()), "the requests did not share the batch");
+        assertTrue(ranConcurrently(engine.record().runs()), "the requests did not share the batch");
         System.out.printf("engine stand-in: %.0f tokens per second%n", perSecond);
         assertTrue(perSecond > 2_000, "tokens per second: " + perSecond);
     }
 
-    private static boolean ranAtTheSameTime(List<EngineRun> runs) {
+    private static boolean ranConcurrently(List<EngineRun> runs) {
         Instant lastStart =
                 runs.stream().map(EngineRun::started).max(Instant::compareTo).orElseThrow();
         return runs.stream().allMatch(run -> run.ended().orElseThrow().isAfter(lastStart));
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineTestClient.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineTestClient.java
@@ -26,7 +26,7 @@
     public static final String ADAPTER = "assistant/tender@v1";
 
     // The common pool has fewer threads than the tests have calls at the same time, so the last call would wait.
-    private static final Executor CALLS = Executors.newCachedThreadPool(task -> {
+    private static final Executor CALL_EXECUTOR = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "engine-probe");
         thread.setDaemon(true);
         return thread;
@@ -79,23 +79,23 @@
                         throw new IllegalStateException(exception);
                     }
                 },
-                CALLS);
+                CALL_EXECUTOR);
     }
 
     public Answer load(String adapter, long number) throws IOException {
-        return send("POST", "/v1/load_lora_adapter", loraName(adapter), "X-Fencing-Number", "" + number);
+        return send("POST", "/v1/load_lora_adapter", loraNameBody(adapter), "X-Fencing-Number", "" + number);
     }
 
     public Answer unload(String adapter, long number) throws IOException {
-        return send("POST", "/v1/unload_lora_adapter", loraName(adapter), "X-Fencing-Number", "" + number);
+        return send("POST", "/v1/unload_lora_adapter", loraNameBody(adapter), "X-Fencing-Number", "" + number);
     }
 
     public Answer complete(String requestId, String body, String... headers) throws IOException {
-        return send("POST", "/v1/completions", body, withId(requestId, headers));
+        return send("POST", "/v1/completions", body, withRequestId(requestId, headers));
     }
 
     public CompletableFuture<Answer> completeAsync(String requestId, String body, String... headers) {
-        return sendAsync("POST", "/v1/completions", body, withId(requestId, headers));
+        return sendAsync("POST", "/v1/completions", body, withRequestId(requestId, headers));
     }
 
     public Call newCompletionCall(String requestId, String body) {
@@ -106,11 +106,11 @@
         return send("GET", "/v1/status", "").json();
     }
 
-    private static String loraName(String adapter) {
+    private static String loraNameBody(String adapter) {
         return "{\"lora_name\":\"" + adapter + "\"}";
     }
 
-    private static String[] withId(String requestId, String... headers) {
+    private static String[] withRequestId(String requestId, String... headers) {
         List<String> all = new ArrayList<>(List.of("X-Request-Id", requestId));
         all.addAll(List.of(headers));
         return all.toArray(new String[0]);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/PlatformStandInServerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/PlatformStandInServerTest.java
@@ -49,7 +49,7 @@
     }
 
     @Test
-    void unavailableOperationsHaveNoEffectAndControlsStillAnswer() throws Exception {
+    void unavailableOperationsHaveNoEffectButControlsRespond() throws Exception {
         assertEquals(200, put("/faults", "{\"outage\":\"UNAVAILABLE\"}").statusCode());
         assertEquals(503, post("/things/a", "").statusCode());
         assertEquals(0, server.counters().get("things"));
@@ -59,7 +59,7 @@
     }
 
     @Test
-    void lostAnswersTakeEffectAndEndAfterTheirCount() throws Exception {
+    void operationsWithLostResponsesTakeEffect() throws Exception {
         put("/faults", "{\"lostAnswers\":1}");
         assertThrows(IOException.class, () -> post("/things/a", ""));
         assertEquals(1, server.counters().get("things"));
@@ -69,7 +69,7 @@
     }
 
     @Test
-    void delaysApplyBeforeTheEffectAndBeforeTheAnswer() throws Exception {
+    void delaysApplyBeforeEffectAndBeforeResponse() throws Exception {
         server.setFaults(Faults.NONE.withDelays(100, 100));
         Instant start = Instant.now();
         assertEquals(200, post("/things/a", "").statusCode());
@@ -77,7 +77,7 @@
     }
 
     @Test
-    void refusedConnectionsComeBackOnTheSamePortAtTheirEnd() throws Exception {
+    void listensOnSamePortAfterRefusingConnections() throws Exception {
         for (int i = 0; i < 3; i++) {
             server.setFaults(Faults.NONE.withOutage(Outage.REFUSED));
             server.awaitApplied();
@@ -99,7 +99,7 @@
     }
 
     @Test
-    void malformedFaultsAreRefused() throws Exception {
+    void malformedFaultsAreRejected() throws Exception {
         assertEquals(400, put("/faults", "{\"lostAnswerProbability\":2}").statusCode());
         assertEquals(400, put("/faults", "{\"outage\":\"REFUSED\"}").statusCode());
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/history/HistoryCheckerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/history/HistoryCheckerTest.java
@@ -31,72 +31,72 @@
         run("r1", "k1", Optional.of(V1));
         answer(generation("k2", "assistant/tender"), "r2", V2, "text");
         run("r2", "k2", Optional.of(V2));
-        passes();
+        assertNoViolation();
     }
 
     @Test
     void answerByAnotherVersionFails() {
         answer(generation("k1", "assistant/tender@v1"), "r1", V2, "text");
-        failsWith(Violation.AnsweredByAnotherVersion.class);
+        assertViolation(Violation.AnsweredByAnotherVersion.class);
     }
 
     @Test
     void answerByAnotherAdapterFails() {
         answer(generation("k1", "assistant/safety"), "r1", V2, "text");
-        failsWith(Violation.AnsweredByAnotherVersion.class);
+        assertViolation(Violation.AnsweredByAnotherVersion.class);
     }
 
     @Test
     void runOnAnotherVersionThanAnsweredFails() {
         answer(generation("k1", "assistant/tender@v1"), "r1", V1, "text");
         run("r1", "k1", Optional.of(V2));
-        failsWith(Violation.RanOnAnotherVersion.class);
+        assertViolation(Violation.RanOnAnotherVersion.class);
     }
 
     @Test
     void wrongTextFails() {
         answer(generation("k1", "assistant/tender@v1"), "r1", V1, "answer of someone else");
-        failsWith(Violation.WrongText.class);
+        assertViolation(Violation.WrongText.class);
     }
 
     @Test
     void missingTokenFails() {
         recorder.answered(generation("k1", "assistant/tender@v1"), Optional.of("r1"), 200, Optional.of(V1), 3, "text");
-        failsWith(Violation.WrongText.class);
+        assertViolation(Violation.WrongText.class);
     }
 
     @Test
-    void refusedRequestThatRanLaterFails() {
+    void rejectedRequestThatRanLaterFails() {
         recorder.notRun(order("k1"), Optional.of("r1"), "queue_full");
         run("r9", "k1", Optional.empty());
-        failsWith(Violation.RanAlthoughNotRun.class);
+        assertViolation(Violation.RanAlthoughNotRun.class);
     }
 
     @Test
-    void refusedRequestThatRanAfterItWasSentAgainFails() {
+    void rejectedRequestThatRanAfterItWasSentAgainFails() {
         recorder.notRun(order("k1"), Optional.of("r1"), "queue_full");
         acknowledge(order("k1"));
         run("r1", "k1", Optional.empty());
-        failsWith(Violation.RanAlthoughNotRun.class);
+        assertViolation(Violation.RanAlthoughNotRun.class);
     }
 
     @Test
-    void refusedRequestThatWasSentAgainPasses() {
+    void rejectedRequestThatWasSentAgainPasses() {
         recorder.notRun(order("k1"), Optional.of("r1"), "queue_full");
         HistoryEvent.Sent again = order("k1");
         run("r2", "k1", Optional.empty());
         acknowledge(again);
-        passes();
+        assertNoViolation();
     }
 
     @Test
-    void refusalOfDuplicateWhileFirstRunsPasses() {
+    void rejectionOfDuplicateWhileFirstRunsPasses() {
         HistoryEvent.Sent first = order("k1");
         HistoryEvent.Sent duplicate = order("k1");
         run("r1", "k1", Optional.empty());
         recorder.notRun(duplicate, Optional.of("r2"), "caller_limit_reached");
         recorder.unknown(first);
-        passes();
+        assertNoViolation();
     }
 
     @Test
@@ -104,7 +104,7 @@
         recorder.unknown(order("k1"));
         run("r1", "k1", Optional.empty());
         run("r1", "k1", Optional.empty());
-        failsWith(Violation.RanMoreThanOnce.class);
+        assertViolation(Violation.RanMoreThanOnce.class);
     }
 
     @Test
@@ -113,27 +113,27 @@
         run("r1", "k1", Optional.empty());
         run("r1", "k1", Optional.empty());
         acknowledge(check);
-        passes();
+        assertNoViolation();
     }
 
     @Test
     void acknowledgedOrderThatNeverRanFails() {
         acknowledge(order("k1"));
-        failsWith(Violation.AcknowledgedButNeverRan.class);
+        assertViolation(Violation.AcknowledgedButNeverRan.class);
     }
 
     @Test
-    void declinedOrderAndUnansweredOrderPass() {
+    void orderWithErrorStatusAndOrderWithoutResponsePass() {
         recorder.answered(order("k1"), Optional.of("r1"), 409, Optional.empty(), 0, "text");
         order("k2");
-        passes();
+        assertNoViolation();
     }
 
     @Test
     void unloadInUseFails() {
         EndpointRun run = run("r1", "k1", Optional.of(V1));
         unloads.add(new EndpointUnload(run.endpoint(), V1, run.start().plusMillis(500)));
-        failsWith(Violation.UnloadedInUse.class);
+        assertViolation(Violation.UnloadedInUse.class);
     }
 
     @Test
@@ -144,7 +144,7 @@
         unloads.add(new EndpointUnload(run.endpoint(), V2, run.start().plusMillis(500)));
         unloads.add(
                 new EndpointUnload(new EndpointId("runner-2"), V1, run.start().plusMillis(500)));
-        passes();
+        assertNoViolation();
     }
 
     private static HostId host() {
@@ -180,11 +180,11 @@
         return new HistoryChecker(recorder.events(), runs, unloads, oracle).check();
     }
 
-    private void passes() {
+    private void assertNoViolation() {
         assertEquals(List.of(), check());
     }
 
-    private void failsWith(Class<? extends Violation> type) {
+    private void assertViolation(Class<? extends Violation> type) {
         List<Violation> violations = check();
         assertEquals(1, violations.size(), violations::toString);
         assertInstanceOf(type, violations.get(0));
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
@@ -34,7 +34,7 @@
     private static final String ERROR = "{\"error\":{\"code\":\"queue_full\"}}";
 
     private final HttpCaller caller = new HttpCaller(10, Duration.ofSeconds(5), InstantSource.system());
-    private final AtomicReference<Map<String, List<String>>> seen = new AtomicReference<>();
+    private final AtomicReference<Map<String, List<String>>> receivedHeaders = new AtomicReference<>();
     private HttpServer server;
     private volatile HttpHandler handler;
     private NetworkAddress address;
@@ -64,9 +64,9 @@
         assertEquals("assistant/tender@v1", result.model());
         assertTrue(result.tokenGaps().get(0).toMillis() >= 15, "the server waits 20 ms between chunks");
         assertTrue(result.firstToken().orElseThrow().toNanos() > 0);
-        assertEquals(List.of("Bearer key"), seen.get().get("Authorization"));
-        assertEquals(List.of("premium"), seen.get().get("X-priority"));
-        assertEquals(List.of("1970-01-01T00:00:00Z"), seen.get().get("X-request-deadline"));
+        assertEquals(List.of("Bearer key"), receivedHeaders.get().get("Authorization"));
+        assertEquals(List.of("premium"), receivedHeaders.get().get("X-priority"));
+        assertEquals(List.of("1970-01-01T00:00:00Z"), receivedHeaders.get().get("X-request-deadline"));
     }
 
     @Test
@@ -84,7 +84,7 @@
     }
 
     @Test
-    void readsWholeAnswer() throws Exception {
+    void readsJsonResponse() throws Exception {
         serve(
                 200,
                 Map.of("Content-Type", "application/json"),
@@ -115,7 +115,7 @@
     }
 
     @Test
-    void headerTellsNotRunFromUnknown() throws Exception {
+    void outcomeHeaderDistinguishesNotRunFromUnknown() throws Exception {
         serve(503, Map.of("X-Outcome", "not-run"), ERROR);
         assertEquals(new CallerResult.NotRun(Optional.of("r1"), 503, "queue_full"), chat(true));
         assertEquals(new CallerResult.NotRun(Optional.of("r1"), 503, "queue_full"), order());
@@ -124,12 +124,12 @@
     }
 
     @Test
-    void errorOfPlainServiceIsAnswer() throws Exception {
+    void errorStatusOfPlainServiceIsAnswered() throws Exception {
         serve(409, Map.of(), "sold out");
         CallerResult.ServiceAnswered result = (CallerResult.ServiceAnswered) order();
         assertEquals(409, result.status());
         assertEquals("sold out", new String(result.body(), StandardCharsets.UTF_8));
-        assertEquals(List.of("order-1"), seen.get().get("Idempotency-key"));
+        assertEquals(List.of("order-1"), receivedHeaders.get().get("Idempotency-key"));
     }
 
     @Test
@@ -149,7 +149,7 @@
         assertEquals(expected, caller.entryAddresses(address).get(5, TimeUnit.SECONDS));
         // An entry host answers 401 without a key.
         assertEquals(expected, caller.entryAddresses(address, HEADERS).get(5, TimeUnit.SECONDS));
-        assertTrue(seen.get().get("Authorization").get(0).startsWith("Bearer "));
+        assertTrue(receivedHeaders.get().get("Authorization").get(0).startsWith("Bearer "));
     }
 
     private CallerResult chat(boolean stream) throws Exception {
@@ -176,7 +176,7 @@
     private void answer(HttpExchange exchange, int status, Map<String, String> headers, String... parts)
             throws IOException {
         try (exchange) {
-            seen.set(Map.copyOf(exchange.getRequestHeaders()));
+            receivedHeaders.set(Map.copyOf(exchange.getRequestHeaders()));
             exchange.getRequestBody().readAllBytes();
             headers.forEach(exchange.getResponseHeaders()::set);
             exchange.getResponseHeaders().set("X-Request-Id", "r1");
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/log/StreamLogTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/log/StreamLogTest.java
@@ -46,14 +46,14 @@
     }
 
     @Test
-    void limitAdmitsNoMoreThanItsNumberInAnySecond() {
-        AppendLimit limit = new AppendLimit(2);
-        assertTrue(limit.admit(START));
-        assertTrue(limit.admit(START.plusMillis(900)));
-        assertFalse(limit.admit(START.plusMillis(999)));
-        assertTrue(limit.admit(START.plusMillis(1_000)));
-        assertFalse(limit.admit(START.plusMillis(1_899)));
-        assertTrue(limit.admit(START.plusMillis(1_900)));
+    void rateLimiterAdmitsNoMoreThanItsLimitInAnySecond() {
+        AppendRateLimiter limiter = new AppendRateLimiter(2);
+        assertTrue(limiter.tryAcquire(START));
+        assertTrue(limiter.tryAcquire(START.plusMillis(900)));
+        assertFalse(limiter.tryAcquire(START.plusMillis(999)));
+        assertTrue(limiter.tryAcquire(START.plusMillis(1_000)));
+        assertFalse(limiter.tryAcquire(START.plusMillis(1_899)));
+        assertTrue(limiter.tryAcquire(START.plusMillis(1_900)));
     }
 
     private static void assertOffsets(StreamLog stream, long from) {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/network/FaultProxyTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/network/FaultProxyTest.java
@@ -24,7 +24,7 @@
 
 /** Guards against a proxy that loses data without a fault or lets data through a fault. */
 class FaultProxyTest {
-    private static final int READ_LIMIT_MILLIS = 300;
+    private static final int READ_TIMEOUT_MILLIS = 300;
 
     private ServerSocket echo;
     private FaultProxy proxy;
@@ -59,7 +59,7 @@
     }
 
     @Test
-    void cutConnectionsAreResetAndNewOnesWork() throws Exception {
+    void resetConnectionsFailAndNewOnesWork() throws Exception {
         try (Socket socket = connect()) {
             assertEcho(socket, 1);
             proxy.resetConnections();
@@ -71,7 +71,7 @@
     }
 
     @Test
-    void refusalSparesOpenConnectionsAndEnds() throws Exception {
+    void refusingConnectionsKeepsOpenOnes() throws Exception {
         try (Socket socket = connect()) {
             assertEcho(socket, 1);
             proxy.refuseConnections();
@@ -85,28 +85,28 @@
     }
 
     @Test
-    void silentConnectionsStayOpenAndSilentWhileNewOnesWork() throws Exception {
-        try (Socket silent = connect()) {
-            assertEcho(silent, 1);
+    void stalledConnectionsStayStalledWhileNewOnesWork() throws Exception {
+        try (Socket stalled = connect()) {
+            assertEcho(stalled, 1);
             proxy.stallOpenConnections();
-            assertSilent(silent, 2);
-            try (Socket fresh = connect()) {
-                assertEcho(fresh, 3);
+            assertStalled(stalled, 2);
+            try (Socket newSocket = connect()) {
+                assertEcho(newSocket, 3);
             }
             proxy.setStalled(Direction.TO_CLIENT, true);
             proxy.setStalled(Direction.TO_CLIENT, false);
-            assertSilent(silent, 4);
+            assertStalled(stalled, 4);
         }
     }
 
     @Test
-    void oneWaySilenceHoldsDataUntilItEnds() throws Exception {
+    void oneWayStallHoldsDataUntilItEnds() throws Exception {
         try (Socket socket = connect()) {
             assertEcho(socket, 1);
             proxy.setStalled(Direction.TO_CLIENT, true);
-            assertSilent(socket, 2);
-            try (Socket fresh = connect()) {
-                assertSilent(fresh, 3);
+            assertStalled(socket, 2);
+            try (Socket newSocket = connect()) {
+                assertStalled(newSocket, 3);
             }
             proxy.setStalled(Direction.TO_CLIENT, false);
             assertEquals(2, socket.getInputStream().read());
@@ -141,7 +141,7 @@
 
     private Socket connect() throws IOException {
         Socket socket = new Socket("127.0.0.1", proxy.address().port());
-        socket.setSoTimeout(READ_LIMIT_MILLIS);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         return socket;
     }
 
@@ -154,7 +154,7 @@
         assertEquals(value, read);
     }
 
-    private static void assertSilent(Socket socket, int value) throws IOException {
+    private static void assertStalled(Socket socket, int value) throws IOException {
         socket.getOutputStream().write(value);
         assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/process/ProcessLauncherTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/process/ProcessLauncherTest.java
@@ -66,22 +66,22 @@
     }
 
     @Test
-    void pausedProcessAnswersOnlyAfterItIsResumed() throws Exception {
+    void pausedProcessRespondsOnlyAfterItIsResumed() throws Exception {
         ManagedProcess log = launcher.startJava("log", JavaCommand.of(LogServiceStandInMain.class, 64), in(10));
         // The first answer of a new process can take longer than the deadline that shows the pause.
         HttpLogService client = new HttpLogService(log.address(), Duration.ofSeconds(5));
-        HttpLogService impatient = new HttpLogService(log.address(), Duration.ofMillis(500));
+        HttpLogService shortTimeoutClient = new HttpLogService(log.address(), Duration.ofMillis(500));
         assertInstanceOf(
                 ReadResult.Records.class, client.read("s", 0, 1, Instant.EPOCH).get(6, TimeUnit.SECONDS));
         log.pause();
         assertInstanceOf(
                 ReadResult.Unavailable.class,
-                impatient.read("s", 0, 1, Instant.EPOCH).get(3, TimeUnit.SECONDS));
+                shortTimeoutClient.read("s", 0, 1, Instant.EPOCH).get(3, TimeUnit.SECONDS));
         assertTrue(log.isAlive());
         log.resume();
         assertInstanceOf(
                 ReadResult.Records.class, client.read("s", 0, 1, Instant.EPOCH).get(6, TimeUnit.SECONDS));
-        impatient.stop();
+        shortTimeoutClient.stop();
         client.stop();
         log.pause();
         log.kill();
@@ -90,7 +90,7 @@
     }
 
     @Test
-    void processThatEndsOrHangsBeforeItIsReadyIsReported() throws Exception {
+    void startFailsIfProcessEndsOrHangsBeforeReady() throws Exception {
         ProcessStartException ended = assertThrows(
                 ProcessStartException.class,
                 () -> launcher.startScript("end", script("echo broken; exit 3"), List.of(), in(5)));
@@ -101,7 +101,7 @@
     }
 
     @Test
-    void readyLineOfAnEarlierProcessOfTheSameNameDoesNotCount() throws Exception {
+    void ignoresReadyLineOfEarlierProcessOfSameName() throws Exception {
         ManagedProcess first =
                 launcher.startScript("p", script("echo ready $1; exec sleep 60"), List.of("127.0.0.1:1"), in(5));
         first.kill();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/weights/WeightStoreStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/weights/WeightStoreStandInTest.java
@@ -42,7 +42,7 @@
     }
 
     @Test
-    void failuresHitTheLoadsThatTheyName() throws Exception {
+    void failuresApplyToConfiguredAdaptersAndCount() throws Exception {
         store.setFaults(new WeightStoreFaults(Faults.NONE, 1, 0, 0, Set.of("assistant/bad@v1")));
         assertEquals(500, get("/adapters/assistant/bad/v1").statusCode());
         assertEquals(500, get("/adapters/assistant/tender/v1").statusCode());
