--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandDefinition.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandDefinition.java
@@ -27,12 +27,12 @@
 import org.banyanstair.model.PresetId;
 
 /**
- * A command as it is written on the command line.
+ * Syntax of a command and the factory that creates it.
  *
- * @param name its words, separated by a space
- * @param argument name of its only argument, empty if it takes none
- * @param options its options besides the global ones
- * @param factory creates the command
+ * @param name words of the command, separated by a space
+ * @param argument name of its only positional argument, empty if it takes none
+ * @param options options besides the global ones
+ * @param factory creates the command from the parsed command line
  */
 record CommandDefinition(
         String name, Optional<String> argument, List<Option> options, Function<Invocation, Command> factory) {
@@ -97,7 +97,7 @@
         return ALL.stream().map(CommandDefinition::name).toList();
     }
 
-    /** Finds the command that a list of arguments starts with. */
+    /** Finds the command whose words a list of arguments starts with; the longest name wins. */
     static Optional<CommandDefinition> find(List<String> arguments) {
         return ALL.stream()
                 .filter(definition -> arguments.size() >= definition.words().size()
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandLineTool.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/CommandLineTool.java
@@ -26,9 +26,7 @@
      * Creates the tool.
      *
      * @param environment environment variables by name
-     * @param out standard output
-     * @param err standard error
-     * @param interactive whether a person watches the output
+     * @param interactive whether the tool runs in a terminal, so that progress is shown
      */
     public CommandLineTool(
             Function<String, Optional<String>> environment, PrintStream out, PrintStream err, boolean interactive) {
@@ -38,12 +36,7 @@
         this.interactive = interactive;
     }
 
-    /**
-     * Runs one command.
-     *
-     * @param arguments the command line
-     * @return the exit code
-     */
+    /** Runs one command and prints its failure, if any. */
     public ExitCode run(String... arguments) {
         Console console = new Console(out, err, requestedFormat(arguments), interactive);
         try {
@@ -97,7 +90,7 @@
         }
     }
 
-    /** Finds the output format before the command line is parsed, so that errors in it are printed in this format. */
+    /** Detects the output format before the command line is parsed, so that parse errors are printed in this format. */
     private static Console.Format requestedFormat(String... arguments) {
         String joined = String.join(" ", Arrays.asList(arguments)).toLowerCase(Locale.ROOT);
         return joined.matches(".*--output[ =]json( .*|$)") ? Console.Format.JSON : Console.Format.TEXT;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/ExitCode.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/ExitCode.java
@@ -5,19 +5,22 @@
 
 /** Exit codes of the tool. */
 public enum ExitCode {
-    /** The command did what it was asked to do. */
+    /** The command succeeded. */
     DONE(0),
-    /** There are differences, an objective is missed, or a version is not in force everywhere in time. */
+    /**
+     * Differences were found, an objective is missed, the logs do not contain the request, or a version is not in
+     * force on all live hosts in time.
+     */
     NOT_REACHED(1),
-    /** The command line or an input file is wrong. */
+    /** The command line or an input file is invalid. */
     INVALID_INPUT(2),
-    /** Another change was accepted first. */
+    /** Another change was accepted first, or another version than the base version is in force. */
     CONFLICT(3),
     /** The operator API refused the request. */
     REFUSED(4),
     /** No operator address could be reached. */
     UNREACHABLE(5),
-    /** It is not known whether a change was accepted. */
+    /** The change may or may not have been accepted. */
     OUTCOME_UNKNOWN(6);
 
     private final int value;
@@ -26,21 +29,12 @@
         this.value = value;
     }
 
-    /**
-     * Returns the code of the process.
-     *
-     * @return 0 to 6
-     */
+    /** Returns the exit code of the process, 0 to 6. */
     public int value() {
         return value;
     }
 
-    /**
-     * Returns the exit code for a command that ended with a failure.
-     *
-     * @param failure the failure
-     * @return its exit code
-     */
+    /** Returns the exit code of a command that ended with a failure. */
     public static ExitCode of(Failure failure) {
         if (failure instanceof Failure.InvalidSetting
                 || failure instanceof Failure.InvalidField
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/GlobalOptions.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/GlobalOptions.java
@@ -4,7 +4,7 @@
 import org.apache.commons.cli.Options;
 import org.banyanstair.cli.output.Messages;
 
-/** The options of all commands, accepted before and after the command. */
+/** Options of all commands, accepted before and after the command. */
 final class GlobalOptions {
     static final String OPERATOR = "operator";
     static final String KEY_FILE = "key-file";
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/HelpPrinter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/HelpPrinter.java
@@ -55,7 +55,7 @@
         out.println(Messages.format("version", version()));
     }
 
-    /** Reads the version that Maven wrote into the jar. */
+    /** Reads the version from the properties file that Maven adds to the jar. */
     private static String version() {
         try (InputStream stream = HelpPrinter.class.getResourceAsStream(POM_PROPERTIES)) {
             if (stream == null) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/Invocation.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/Invocation.java
@@ -16,7 +16,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** The values of a parsed command line. */
+/** Typed access to the options and arguments of a parsed command line. */
 final class Invocation {
     private static final String OPERATOR_VARIABLE = "BANYANSTAIR_OPERATOR";
     private static final String KEY_VARIABLE = "BANYANSTAIR_OPERATOR_KEY";
@@ -54,13 +54,13 @@
         return commandArguments.hasOption(option);
     }
 
-    /** Returns the value of an option; one after the command wins over one before it. */
+    /** Returns the value of an option; a value after the command takes precedence over one before it. */
     Optional<String> value(String option) {
         return Optional.ofNullable(commandArguments.getOptionValue(option))
                 .or(() -> Optional.ofNullable(globalArguments.getOptionValue(option)));
     }
 
-    /** Returns all values of an option of the command. */
+    /** Returns all values of a multi-value option of the command. */
     List<String> values(String option) {
         return commandArguments.hasOption(option) ? List.of(commandArguments.getOptionValues(option)) : List.of();
     }
@@ -103,7 +103,7 @@
                 .or(() -> environment.apply(KEY_VARIABLE))
                 .map(String::strip)
                 .orElseThrow(() -> invalidField("--key-file", "present, or the variable " + KEY_VARIABLE + " set"));
-        // Other characters cannot be sent in a header.
+        // Only visible ASCII is valid in the Authorization header.
         if (!key.matches("[\\x21-\\x7e]+")) {
             throw invalidField("the operator's key", "one line of visible ASCII characters");
         }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/Main.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/Main.java
@@ -6,13 +6,9 @@
 public final class Main {
     private Main() {}
 
-    /**
-     * Runs one command and exits with its code.
-     *
-     * @param arguments the command line
-     */
+    /** Runs one command and exits with its code. */
     public static void main(String[] arguments) {
-        // Charts are drawn into files; without this setting AWT looks for a display.
+        // Charts are rendered to files; AWT would otherwise require a display.
         System.setProperty("java.awt.headless", "true");
         CommandLineTool tool = new CommandLineTool(
                 name -> Optional.ofNullable(System.getenv(name)), System.out, System.err, System.console() != null);
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/UsageFailures.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/UsageFailures.java
@@ -9,7 +9,7 @@
 import org.apache.commons.cli.UnrecognizedOptionException;
 import org.banyanstair.errors.Failure;
 
-/** Turns errors of the command-line parser into failures. */
+/** Converts exceptions of the command-line parser to failures. */
 final class UsageFailures {
     private UsageFailures() {}
 
@@ -20,7 +20,7 @@
         if (exception instanceof MissingArgumentException missing) {
             return new Failure.InvalidField(name(missing.getOption()), "followed by a value");
         }
-        return new Failure.InvalidField("the command line", "one that the help describes");
+        return new Failure.InvalidField("the command line", "in the format that --help describes");
     }
 
     private static String names(Options options) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateHtmlPage.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateHtmlPage.java
@@ -13,27 +13,22 @@
 import org.knowm.xchart.CategoryChart;
 import org.knowm.xchart.CategoryChartBuilder;
 
-/** Formats a burn report as one HTML page that needs no other file. */
+/** Renders a burn rate report as a self-contained HTML page. */
 public final class BurnRateHtmlPage {
     private static final int WIDTH_PIXELS = 900;
     private static final int HEIGHT_PIXELS = 450;
 
     private final BurnRateReport report;
 
-    /**
-     * Creates a page.
-     *
-     * @param report the report
-     */
+    /** Creates the page of a report. */
     public BurnRateHtmlPage(BurnRateReport report) {
         this.report = report;
     }
 
     /**
-     * Formats the page.
+     * Renders the page.
      *
-     * @return the HTML text
-     * @throws IOException if the chart cannot be drawn
+     * @throws IOException if the chart cannot be rendered
      */
     public String html() throws IOException {
         String rows = report.samples().stream().map(BurnRateHtmlPage::row).collect(Collectors.joining("\n"));
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateReport.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateReport.java
@@ -14,10 +14,10 @@
 import org.banyanstair.model.ServiceId;
 
 /**
- * Burn samples of all hosts, added up.
+ * Burn rate samples, summed over all hosts.
  *
- * @param takenAt when the latest snapshot was taken
- * @param samples one for each service and window, by service and then by length of the window
+ * @param takenAt time of the latest snapshot
+ * @param samples one for each service and window, ordered by service and then by window length
  * @param hostsWithoutAnswer hosts whose samples are missing
  */
 public record BurnRateReport(Instant takenAt, List<BurnRateSample> samples, List<HostId> hostsWithoutAnswer) {
@@ -30,16 +30,14 @@
     private record Key(ServiceId service, int windowMinutes) {}
 
     /**
-     * Adds up snapshots.
+     * Sums up the snapshots of hosts.
      *
      * @param snapshots one for each host that answered; at least one
-     * @param hostsWithoutAnswer the other hosts
-     * @return the report
      */
     public static BurnRateReport merge(List<BurnRateSnapshot> snapshots, List<HostId> hostsWithoutAnswer) {
         Map<Key, BurnRateSample> merged =
                 new TreeMap<>(Comparator.comparing(Key::service).thenComparing(Key::windowMinutes));
-        // The objective of the latest snapshot stays: an objective that was changed lately differs between hosts.
+        // The objective of the latest snapshot is kept, because hosts may differ after a recent change of an objective.
         List<BurnRateSnapshot> sorted = snapshots.stream()
                 .sorted(Comparator.comparing(BurnRateSnapshot::takenAt))
                 .toList();
@@ -63,14 +61,10 @@
                 failures);
     }
 
-    /**
-     * Lists the services that miss their objective in their longest window.
-     *
-     * @return the services; a service without requests misses nothing
-     */
+    /** Lists the services that miss their objective in their longest window; a service without requests does not. */
     public List<ServiceId> servicesMissingObjective() {
         Map<ServiceId, BurnRateSample> longest = new TreeMap<>();
-        // Samples of a service are in the order of their windows, so that the longest one comes last.
+        // The samples of a service are ordered by window length, so the last one put is the longest.
         samples.forEach(sample -> longest.put(sample.service(), sample));
         return missed(longest.values());
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateRow.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/BurnRateRow.java
@@ -8,15 +8,14 @@
 import org.banyanstair.burn.BurnRateSample;
 import org.banyanstair.cli.output.Messages;
 
-/** Formats a sample as cells of a table. */
+/** Formats a burn rate sample as table cells. */
 public final class BurnRateRow {
     private BurnRateRow() {}
 
     /**
      * Formats a sample.
      *
-     * @param sample the sample
-     * @return service, window, requests, good share, objective, burn rate and failures
+     * @return service, window, requests, share of good requests, objective, burn rate and failures
      */
     public static List<String> cells(BurnRateSample sample) {
         return List.of(
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/package-info.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/burn/package-info.java
@@ -1,2 +1,2 @@
-/** The service-level burn report. */
+/** Report of the error budget burn rates of services. */
 package org.banyanstair.cli.burn;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ApplyCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ApplyCommand.java
@@ -15,7 +15,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** Changes the configuration to that of a declarations file. */
+/** Changes the configuration to match a declarations file. */
 public final class ApplyCommand extends ChangeCommand {
     private static final long POLL_INTERVAL_MILLISECONDS = 200;
 
@@ -23,39 +23,22 @@
     private OptionalLong baseVersion = OptionalLong.empty();
     private boolean dryRun;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public ApplyCommand(Console console, OperatorClient client) {
         super(console, client);
     }
 
-    /**
-     * Sets the file.
-     *
-     * @param file declarations file
-     */
+    /** Sets the declarations file. */
     public void setFile(Path file) {
         this.file = file;
     }
 
-    /**
-     * Sets the version that must be in force.
-     *
-     * @param version the version
-     */
+    /** Sets the version that must be in force; by default any version is accepted. */
     public void setBaseVersion(long version) {
         this.baseVersion = OptionalLong.of(version);
     }
 
-    /**
-     * Sets whether the change is only shown.
-     *
-     * @param dryRun false by default
-     */
+    /** Sets whether the change is only printed, not submitted; false by default. */
     public void setDryRun(boolean dryRun) {
         this.dryRun = dryRun;
     }
@@ -81,7 +64,7 @@
             return configuration;
         }
         Instant deadline = deadline();
-        // A host may not have read the change yet that made the base version.
+        // A host may not have read the change that created the base version yet.
         while (configuration.version() < baseVersion.getAsLong()
                 && Instant.now().isBefore(deadline)) {
             sleepUntilNextPoll();
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnRateReportCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/BurnRateReportCommand.java
@@ -25,28 +25,19 @@
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.model.HostId;
 
-/** Collects the burn samples of all hosts. */
+/** Collects and prints the burn rate samples of all hosts. */
 public final class BurnRateReportCommand implements Command {
     private final Console console;
     private final OperatorClient client;
     private Optional<Path> htmlFile = Optional.empty();
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public BurnRateReportCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
     }
 
-    /**
-     * Sets the file for an HTML page.
-     *
-     * @param file file to write
-     */
+    /** Sets the file that the report is also written to as an HTML page. */
     public void setHtmlFile(Path file) {
         this.htmlFile = Optional.of(file);
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ChangeCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ChangeCommand.java
@@ -14,9 +14,9 @@
 import org.banyanstair.configuration.Operation;
 import org.banyanstair.model.HostId;
 
-/** Base of the commands that change the configuration. */
+/** Base class of the commands that change the configuration. */
 abstract class ChangeCommand implements Command {
-    /** An accepted change is in force everywhere within 9 s; the rest is for hosts that restart meanwhile. */
+    /** An accepted change is in force on all hosts within 9 s; the margin covers hosts that restart meanwhile. */
     private static final Duration DEFAULT_WAIT_TIMEOUT = Duration.ofSeconds(60);
 
     private final Console console;
@@ -29,20 +29,12 @@
         this.client = client;
     }
 
-    /**
-     * Sets how long outcomes and versions are waited for.
-     *
-     * @param waitTimeout the time, 60 s by default
-     */
+    /** Sets the timeout of waiting for an outcome, and for a version on the hosts; 60 s by default. */
     public void setWaitTimeout(Duration waitTimeout) {
         this.waitTimeout = waitTimeout;
     }
 
-    /**
-     * Sets whether the command waits until all live hosts have the new version.
-     *
-     * @param waitForHosts true by default
-     */
+    /** Sets whether the command waits until all live hosts report the new version; true by default. */
     public void setWaitForHosts(boolean waitForHosts) {
         this.waitForHosts = waitForHosts;
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/Command.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/Command.java
@@ -2,13 +2,12 @@
 
 import org.banyanstair.cli.ExitCode;
 
-/** One command of the tool, with its arguments set. */
+/** A command of the tool whose arguments are set. */
 @FunctionalInterface
 public interface Command {
     /**
      * Executes the command.
      *
-     * @return the exit code
      * @throws org.banyanstair.errors.FailureException if the command failed; the tool prints the failure
      */
     ExitCode call();
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DiffCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DiffCommand.java
@@ -17,22 +17,13 @@
     private final OperatorClient client;
     private Path file;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public DiffCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
     }
 
-    /**
-     * Sets the file.
-     *
-     * @param file declarations file
-     */
+    /** Sets the declarations file. */
     public void setFile(Path file) {
         this.file = file;
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferencePrinter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DifferencePrinter.java
@@ -8,7 +8,7 @@
 import org.banyanstair.configuration.Configuration;
 import org.banyanstair.configuration.Operation;
 
-/** Prints operations as additions, changes and removals compared with a configuration. */
+/** Prints operations as additions, changes and removals relative to a configuration. */
 final class DifferencePrinter {
     private record Document(long version, List<Operation> operations) {}
 
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DrainCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/DrainCommand.java
@@ -9,28 +9,19 @@
 import org.banyanstair.cli.output.Messages;
 import org.banyanstair.model.HostId;
 
-/** Asks a host to drain and stop. */
+/** Requests that a host drains and stops. */
 public final class DrainCommand implements Command {
     private final Console console;
     private final OperatorClient client;
     private HostId host;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public DrainCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
     }
 
-    /**
-     * Sets the host.
-     *
-     * @param host host to drain
-     */
+    /** Sets the host to drain. */
     public void setHost(HostId host) {
         this.host = host;
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/EndpointsCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/EndpointsCommand.java
@@ -10,17 +10,12 @@
 import org.banyanstair.cli.output.TextTable;
 import org.banyanstair.peer.EndpointReport;
 
-/** Shows the state of the endpoints. */
+/** Prints the state of the endpoints. */
 public final class EndpointsCommand implements Command {
     private final Console console;
     private final OperatorClient client;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public EndpointsCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ExplainCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ExplainCommand.java
@@ -20,34 +20,26 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** Shows what the logs of the hosts say of one request. Needs no connection. */
+/** Prints the history of a request from log files of the hosts, without a connection to them. */
 public final class ExplainCommand implements Command {
     private final Console console;
     private String requestId = "";
     private List<Path> logFiles = List.of();
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     */
+    /** Creates the command. */
     public ExplainCommand(Console console) {
         this.console = console;
     }
 
-    /**
-     * Sets the request.
-     *
-     * @param id its id
-     */
+    /** Sets the id of the request to explain. */
     public void setRequestId(String id) {
         this.requestId = id;
     }
 
     /**
-     * Sets the logs.
+     * Sets the log files.
      *
-     * @param files standard output of the hosts, one or several hosts a file
+     * @param files standard output of the hosts; a file may hold the output of several hosts
      */
     public void setLogFiles(List<Path> files) {
         this.logFiles = List.copyOf(files);
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetListCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetListCommand.java
@@ -16,12 +16,7 @@
     private final Console console;
     private final OperatorClient client;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public PresetListCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetUseCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/PresetUseCommand.java
@@ -18,21 +18,12 @@
 public final class PresetUseCommand extends ChangeCommand {
     private PresetId preset;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public PresetUseCommand(Console console, OperatorClient client) {
         super(console, client);
     }
 
-    /**
-     * Sets the preset.
-     *
-     * @param preset preset to put in force
-     */
+    /** Sets the preset to put in force. */
     public void setPreset(PresetId preset) {
         this.preset = preset;
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/StatusCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/StatusCommand.java
@@ -13,17 +13,12 @@
 import org.banyanstair.membership.EntryHost;
 import org.banyanstair.peer.HostStatus;
 
-/** Shows the state of the entry hosts. */
+/** Prints the state of the entry hosts. */
 public final class StatusCommand implements Command {
     private final Console console;
     private final OperatorClient client;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     * @param client client of the operator API
-     */
+    /** Creates the command. */
     public StatusCommand(Console console, OperatorClient client) {
         this.console = console;
         this.client = client;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ValidateCommand.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/ValidateCommand.java
@@ -12,25 +12,17 @@
 import org.banyanstair.configuration.Declarations;
 import org.banyanstair.toml.TomlResult;
 
-/** Checks a declarations file without a connection to the hosts. */
+/** Validates a declarations file without a connection to the hosts. */
 public final class ValidateCommand implements Command {
     private final Console console;
     private Path file;
 
-    /**
-     * Creates the command.
-     *
-     * @param console receives the result
-     */
+    /** Creates the command. */
     public ValidateCommand(Console console) {
         this.console = console;
     }
 
-    /**
-     * Sets the file.
-     *
-     * @param file declarations file
-     */
+    /** Sets the declarations file. */
     public void setFile(Path file) {
         this.file = file;
     }
@@ -49,7 +41,7 @@
         return ExitCode.DONE;
     }
 
-    /** Reads a declarations file and prints its errors; empty if it has any. */
+    /** Reads a declarations file; prints the errors and returns empty if it is invalid. */
     static Optional<Declarations> read(Console console, Path file) {
         TomlResult<Declarations> result = DeclarationsReader.read(file);
         if (result instanceof TomlResult.Valid<Declarations> valid) {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/command/package-info.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/command/package-info.java
@@ -1,2 +1,2 @@
-/** The commands of the tool. */
+/** Commands of the tool. */
 package org.banyanstair.cli.command;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/DeclarationsReader.java
@@ -31,7 +31,7 @@
 import org.banyanstair.toml.TomlType;
 import org.banyanstair.toml.TomlTypes;
 
-/** Reads a declarations file and reports all errors at once, duplicates and dangling references included. */
+/** Reads a declarations file and reports all errors at once, including duplicates and dangling references. */
 public final class DeclarationsReader {
     private final Map<String, Optional<ServiceKind>> services = new HashMap<>();
     private final Set<String> adapters = new HashSet<>();
@@ -41,12 +41,7 @@
 
     private DeclarationsReader() {}
 
-    /**
-     * Reads a file.
-     *
-     * @param file the file
-     * @return the declarations, or all errors
-     */
+    /** Reads a declarations file; returns the declarations or all errors. */
     public static TomlResult<Declarations> read(Path file) {
         return StrictToml.read(file, TomlTypes.table(new DeclarationsReader()::readDeclarations));
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/ServiceFields.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/declarations/ServiceFields.java
@@ -18,7 +18,7 @@
 import org.banyanstair.toml.TomlType;
 import org.banyanstair.toml.TomlTypes;
 
-/** The keys of one {@code [[service]]} table. */
+/** Reads the keys of one {@code [[service]]} table. */
 final class ServiceFields implements Supplier<ServiceDeclaration> {
     private static final int DEFAULT_QUEUE_LIMIT = 1_000;
     private static final int DEFAULT_CALLER_LIMIT = 200;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/LogLine.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/LogLine.java
@@ -11,12 +11,11 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * One decision of a host, as its log has it.
+ * An entry of the decision log of a host.
  *
- * @param at when it was made, on the clock of the host
- * @param host the host
- * @param kind what was decided
- * @param fields the inputs and the outcome, in the order of the log
+ * @param at time of the decision, by the clock of the host
+ * @param kind kind of decision
+ * @param fields inputs and outcome, in the order of the log
  */
 public record LogLine(Instant at, String host, String kind, Map<String, Object> fields) {
     private static final TypeReference<LinkedHashMap<String, Object>> FIELDS = new TypeReference<>() {};
@@ -27,10 +26,10 @@
     }
 
     /**
-     * Reads a line.
+     * Parses a log line.
      *
-     * @param text the line; what comes before the first brace, such as a time, is skipped
-     * @return the decision; empty if the line is none
+     * @param text the line; a prefix before the first brace, such as a timestamp, is skipped
+     * @return the entry; empty if the line is not a decision
      */
     public static Optional<LogLine> parse(String text) {
         int start = text.indexOf('{');
@@ -50,12 +49,7 @@
         }
     }
 
-    /**
-     * Returns a field as text.
-     *
-     * @param name its name
-     * @return its value; empty if there is none
-     */
+    /** Returns a field as text, empty if the entry does not have it. */
     public Optional<String> text(String name) {
         return Optional.ofNullable(fields.get(name)).map(Object::toString);
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestCause.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestCause.java
@@ -1,21 +1,21 @@
 package org.banyanstair.cli.explain;
 
-/** How a request ended, or why it cannot be told. */
+/** How a request ended, or why this is unknown. */
 public enum RequestCause {
-    /** An endpoint's answer was passed on. */
+    /** The response of an endpoint was forwarded to the caller. */
     ANSWERED,
-    /** It was refused and has not run. */
+    /** The request was refused and has not run. */
     REFUSED,
-    /** Its endpoint crashed, restarted, left or lost the connection while it ran. */
+    /** The endpoint crashed, restarted, left or lost its connection while the request ran. */
     ENDPOINT_LOST,
-    /** Its endpoint failed, and nothing else is logged of the endpoint at that time. */
+    /** The endpoint failed the request, and the logs have no entry that explains the failure. */
     ENDPOINT_FAILED,
-    /** No answer came before its deadline. */
+    /** No response arrived before the deadline. */
     TIMED_OUT,
-    /** Its caller left. */
+    /** The caller disconnected. */
     CALLER_LEFT,
-    /** The host that had it stopped or was lost before the end. */
+    /** The host that handled the request stopped or restarted before the request ended. */
     HOST_LOST,
-    /** The logs have no line with its end. */
+    /** The logs have no entry for the end of the request. */
     NO_END
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
@@ -10,25 +10,24 @@
 import java.util.stream.Collectors;
 
 /**
- * What the logs of the hosts say of one request, and what else was decided on its endpoints meanwhile.
+ * Log entries of one request, and the events of its endpoints and hosts in the same period.
  *
- * @param request the request's id
- * @param lines the lines in the order of their time
- * @param cause how it ended
+ * @param request the request id
+ * @param lines entries ordered by time
  */
 public record RequestHistory(String request, List<LogLine> lines, RequestCause cause) {
-    /** Lines on an endpoint that explain a failure there. */
+    /** Entries of an endpoint that explain its failure. */
     private static final Set<String> ENDPOINT_FAILURE_KINDS =
             Set.of("endpoint-removed", "endpoint-restarted", "endpoint-leaving", "endpoint-crashed");
 
-    /** Lines on a host that explain why a request has no end. */
+    /** Entries of a host that explain why a request has no end. */
     private static final Set<String> HOST_LIFECYCLE_KINDS = Set.of("started", "stopping", "stopped");
 
-    /** Lines on what hosts depend on. */
+    /** Entries about the platform services and the clock that a host depends on. */
     private static final Set<String> DEPENDENCY_KINDS =
             Set.of("topic-unavailable", "topic-available", "clock-gap", "command-suspended");
 
-    /** Time after the failure in which the sign of an endpoint's crash comes; twice the time of a runner's lease. */
+    /** An endpoint crash may be logged this long after the failure it caused: twice the lease duration of a runner. */
     private static final Duration ENDPOINT_ENTRY_WINDOW = Duration.ofSeconds(6);
 
     /** Copies the lines. */
@@ -39,9 +38,9 @@
     /**
      * Collects the history of a request.
      *
-     * @param request its id
-     * @param log lines of any number of hosts, in any order
-     * @return the history; without lines if the logs do not have the request
+     * @param request the request id
+     * @param log entries of any number of hosts, in any order
+     * @return the history; without entries if the logs do not contain the request
      */
     public static RequestHistory of(String request, List<LogLine> log) {
         List<LogLine> requestLines = log.stream()
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/package-info.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/package-info.java
@@ -1,2 +1,2 @@
-/** Puts the decision logs of hosts together into the history of one request. */
+/** Reconstruction of the history of a request from the decision logs of the hosts. */
 package org.banyanstair.cli.explain;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSplitter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSplitter.java
@@ -9,19 +9,19 @@
 
 /** Splits the operations of a large change, because a change must fit into one record of the log. */
 public final class ChangeSplitter {
-    /** Most operations of one part of a change that has to be split. */
+    /** Maximum number of operations per part of a change that has to be split. */
     public static final int MAXIMUM_OPERATIONS_PER_PART = 4_000;
 
-    /** A change may take 1 MiB; 4 KiB are left for its id, base version and author. */
+    /** A change is limited to 1 MiB; 4 KiB are reserved for its id, base version and author. */
     private static final int MAXIMUM_BYTES_PER_PART = (1 << 20) - (1 << 12);
 
     private ChangeSplitter() {}
 
     /**
-     * Splits operations.
+     * Splits operations into parts that are submitted as separate changes.
      *
      * @param operations operations in the order in which they are applied
-     * @return the operations as one part if they fit, else in parts of at most {@link #MAXIMUM_OPERATIONS_PER_PART}
+     * @return one part if the operations fit, else parts of at most {@link #MAXIMUM_OPERATIONS_PER_PART} operations
      */
     public static List<List<Operation>> split(List<Operation> operations) {
         int[] sizes = operations.stream().mapToInt(ChangeSplitter::size).toArray();
@@ -53,7 +53,7 @@
         try {
             return Mappers.JSON.writeValueAsBytes(operation).length + 1;
         } catch (JsonProcessingException exception) {
-            throw new IllegalStateException("an operation cannot be written as JSON", exception);
+            throw new IllegalStateException("failed to serialize an operation to JSON", exception);
         }
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ChangeSubmitter.java
@@ -29,9 +29,8 @@
     /**
      * Creates a submitter.
      *
-     * @param client client of the operator API
-     * @param console shows progress
-     * @param waitTimeout how long an unknown outcome and a version are each waited for
+     * @param console receives notes and progress
+     * @param waitTimeout timeout of resolving an unknown outcome, and of waiting for a version
      */
     public ChangeSubmitter(OperatorClient client, Console console, Duration waitTimeout) {
         this.client = client;
@@ -42,9 +41,8 @@
     /**
      * Submits operations, in several changes if they do not fit into one.
      *
-     * @param baseVersion version that the operations start from
-     * @param operations the operations
-     * @return the version that the last change made
+     * @param baseVersion version that the operations are based on
+     * @return the version that the last change created
      * @throws FailureException with the failure of the first change that was not accepted
      */
     public long submit(long baseVersion, List<Operation> operations) {
@@ -94,7 +92,10 @@
         return ((ChangeVerdict.Accepted) verdict).version();
     }
 
-    /** Asks all hosts for the verdict. A change is never submitted again: the first submission may still be accepted. */
+    /**
+     * Polls all hosts for the verdict on a change whose outcome is unknown. The change is not submitted again, because the
+     * first submission may still be accepted.
+     */
     private ChangeVerdict resolveOutcome(String changeId) {
         console.printNote(Messages.format("apply.unknown", changeId));
         Instant deadline = Instant.now().plus(waitTimeout);
@@ -118,7 +119,7 @@
         try {
             client.status().hosts().forEach(host -> addresses.add(OperatorUrl.forHost(host)));
         } catch (FailureException exception) {
-            // The given addresses are asked in any case; the next round tries the host list again.
+            // The configured addresses are still queried; the next poll reads the host list again.
             return addresses;
         }
         return addresses;
@@ -127,9 +128,8 @@
     /**
      * Waits until all live hosts report a version.
      *
-     * @param version the version
-     * @return live hosts that did not report it before the deadline; empty if all did
-     * @throws FailureException if the state of the hosts could not be read before the deadline
+     * @return live hosts that did not report the version before the timeout; empty if all did
+     * @throws FailureException if the last read of the host states before the timeout failed
      */
     public List<HostId> awaitVersionOnLiveHosts(long version) {
         Instant deadline = Instant.now().plus(waitTimeout);
@@ -154,7 +154,7 @@
         return missing;
     }
 
-    /** Waits for the next poll; returns false after the deadline. */
+    /** Sleeps until the next poll; returns false if the deadline has passed or the thread is interrupted. */
     private boolean sleepUntilNextPoll(Instant deadline) {
         if (!Instant.now().isBefore(deadline)) {
             return false;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ClusterStatus.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ClusterStatus.java
@@ -21,24 +21,14 @@
         states = List.copyOf(states);
     }
 
-    /**
-     * Finds the state of a host.
-     *
-     * @param host the host
-     * @return its state, empty if it did not answer
-     */
+    /** Returns the state of a host, empty if it did not answer. */
     public Optional<HostStatus> state(HostId host) {
         return states.stream()
                 .filter(state -> state.identity().host().equals(host))
                 .findFirst();
     }
 
-    /**
-     * Lists the live hosts that do not have a version yet.
-     *
-     * @param version the version
-     * @return live hosts that report a lower version or did not answer
-     */
+    /** Lists the live hosts that report a lower version than the given one or did not answer. */
     public List<HostId> hostsBelowVersion(long version) {
         return hosts.stream()
                 .filter(host -> host.presence() == Presence.LIVE)
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ErrorEnvelopeParser.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/ErrorEnvelopeParser.java
@@ -7,11 +7,14 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.banyanstair.errors.Failure;
 
-/** Reads the error envelope of the operator API: {@code {"error":{..., "details":{...}}}}. */
+/** Parses the error envelope of the operator API: {@code {"error":{..., "details":{...}}}}. */
 final class ErrorEnvelopeParser {
     private ErrorEnvelopeParser() {}
 
-    /** Returns the failure in the details, empty if the body has none that this release knows. */
+    /**
+     * Returns the failure in the details of an error response; empty if there is none or its type is unknown to this
+     * release.
+     */
     static Optional<Failure> parse(ObjectMapper mapper, byte[] body) {
         try {
             JsonNode details = mapper.readTree(body).path("error").path("details");
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/HostQueries.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/HostQueries.java
@@ -14,19 +14,18 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureException;
 
-/** Asks many hosts at a time, because each unreachable host costs a timeout. */
+/** Queries hosts concurrently, because each unreachable host costs a timeout. */
 public final class HostQueries {
     private static final int MAXIMUM_CONCURRENT_QUERIES = 16;
 
     private HostQueries() {}
 
     /**
-     * Asks all hosts.
+     * Queries all hosts and waits for their answers.
      *
-     * @param addresses addresses of the hosts
-     * @param query asks one host; safe for use by several threads
-     * @param <T> type of an answer
+     * @param query queries one host; must be safe for concurrent use
      * @return answers by address, in the given order; empty for a host that did not answer
+     * @throws FailureException with {@link Failure.Cancelled} if the thread is interrupted
      */
     public static <T> Map<HttpUrl, Optional<T>> queryAll(
             Collection<HttpUrl> addresses, Function<HttpUrl, Optional<T>> query) {
@@ -43,7 +42,7 @@
             Thread.currentThread().interrupt();
             throw new FailureException(new Failure.Cancelled());
         } catch (ExecutionException exception) {
-            throw new IllegalStateException("a query of a host failed", exception);
+            throw new IllegalStateException("host query threw an exception", exception);
         } finally {
             executor.shutdownNow();
         }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
@@ -26,25 +26,25 @@
 import org.banyanstair.peer.EndpointReport;
 
 /**
- * Client of the operator protocol.
+ * Client of the operator API.
  *
- * <p>Methods throw {@link FailureException}; with {@link Failure.OperatorUnreachable} if no address can be reached.
+ * <p>Methods throw {@link FailureException}, with {@link Failure.OperatorUnreachable} if no address can be reached.
  */
 public final class OperatorClient {
     private static final MediaType JSON_TYPE = MediaType.get("application/json");
 
-    /** The configuration of 96,000 adapters is read with one call, which takes seconds on a slow connection. */
+    /** A configuration with 96,000 adapters is read in one call, which takes seconds on a slow connection. */
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
-    /** A host that sends nothing for this long counts as unreachable, and the next address is tried. */
+    /** Limit for one read or write, after which a host counts as unreachable and the next address is tried. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
 
-    /** Bounds the time that a silent host costs when all hosts are asked. */
+    /** Limits how long an unresponsive host delays a query of all hosts. */
     private static final Duration SINGLE_HOST_TIMEOUT = Duration.ofSeconds(5);
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
 
-    /** A host of a newer release may send fields that this release does not know. */
+    /** Ignores unknown fields, which a host of a newer release may send. */
     private static final ObjectMapper MAPPER =
             Mappers.JSON.copy().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
@@ -56,8 +56,8 @@
     /**
      * Creates a client.
      *
-     * @param addresses base addresses of the operator API, tried in this order; at least one
-     * @param key bearer key of the operator
+     * @param addresses base URLs of the operator API, tried in this order; at least one
+     * @param key bearer token of the operator
      */
     public OperatorClient(List<HttpUrl> addresses, String key) {
         this.addresses = List.copyOf(addresses);
@@ -67,7 +67,7 @@
                 .readTimeout(IDLE_TIMEOUT)
                 .writeTimeout(IDLE_TIMEOUT)
                 .callTimeout(CALL_TIMEOUT)
-                // A change must not be sent twice by a layer that does not know its meaning.
+                // Submitting a change is not idempotent, so the HTTP client must not retry it.
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .eventListenerFactory(RequestSendTracker.FACTORY)
@@ -76,57 +76,35 @@
                 httpClient.newBuilder().callTimeout(SINGLE_HOST_TIMEOUT).build();
     }
 
-    /**
-     * Returns the addresses of this client.
-     *
-     * @return the addresses in the order in which they are tried
-     */
+    /** Returns the base URLs in the order in which they are tried. */
     public List<HttpUrl> addresses() {
         return addresses;
     }
 
-    /**
-     * Reads the configuration in force.
-     *
-     * @return the configuration
-     */
+    /** Reads the configuration in force. */
     public Configuration configuration() {
         return read("operator/v1/configuration", new TypeReference<>() {});
     }
 
-    /**
-     * Reads the state of the hosts.
-     *
-     * @return the state
-     */
+    /** Reads the state of the hosts. */
     public ClusterStatus status() {
         return read("operator/v1/status", new TypeReference<>() {});
     }
 
-    /**
-     * Reads the state of the endpoints.
-     *
-     * @return one report for each endpoint
-     */
+    /** Reads the state of the endpoints, one report for each endpoint. */
     public List<EndpointReport> endpoints() {
         return read("operator/v1/endpoints", new TypeReference<>() {});
     }
 
-    /**
-     * Asks a host to drain and stop.
-     *
-     * @param host the host
-     */
+    /** Requests that a host drains and stops. */
     public void drain(HostId host) {
         Request.Builder request = new Request.Builder().post(RequestBody.create(new byte[0], JSON_TYPE));
         sendRepeatable(request, "operator/v1/hosts/" + host + "/drain");
     }
 
     /**
-     * Submits a change.
+     * Submits a change. The next address is tried only as long as no request has begun to be sent.
      *
-     * @param change the change
-     * @return the verdict
      * @throws FailureException with {@link Failure.ChangeOutcomeUnknown} if the change may have been accepted
      */
     public ChangeVerdict submit(ConfigurationChange change) {
@@ -163,21 +141,20 @@
     }
 
     /**
-     * Asks one host for the verdict on a change.
+     * Queries one host for the verdict on a change.
      *
-     * @param address address of the host
-     * @param changeId id of the change
-     * @return the verdict; empty if the host has none or cannot be asked
+     * @param address base URL of the host's operator API
+     * @return the verdict; empty if the host has none or cannot be reached
      */
     public Optional<ChangeVerdict> verdict(HttpUrl address, String changeId) {
         return queryHost(address, "operator/v1/changes/" + changeId, ChangeVerdict.class);
     }
 
     /**
-     * Reads the burn samples of one host.
+     * Reads the burn rate samples of one host.
      *
-     * @param address address of the host
-     * @return the samples, empty if the host cannot be asked
+     * @param address base URL of the host's operator API
+     * @return the samples; empty if the host cannot be reached
      */
     public Optional<BurnRateSnapshot> burnRates(HttpUrl address) {
         return queryHost(address, "operator/v1/burn", BurnRateSnapshot.class);
@@ -193,7 +170,7 @@
         }
     }
 
-    /** Sends a request that may be repeated to the addresses in turn, until one answers. */
+    /** Sends an idempotent request to the addresses in turn until one answers. */
     private byte[] sendRepeatable(Request.Builder request, String path) {
         for (HttpUrl address : addresses) {
             try {
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorUrl.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorUrl.java
@@ -3,16 +3,11 @@
 import okhttp3.HttpUrl;
 import org.banyanstair.membership.EntryHost;
 
-/** Makes base addresses of the operator API. */
+/** Builds base URLs of the operator API. */
 public final class OperatorUrl {
     private OperatorUrl() {}
 
-    /**
-     * Returns the base address of a host's operator API.
-     *
-     * @param host the host
-     * @return the address
-     */
+    /** Returns the base URL of the operator API of a host. */
     public static HttpUrl forHost(EntryHost host) {
         return new HttpUrl.Builder()
                 .scheme("http")
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/RequestSendTracker.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/RequestSendTracker.java
@@ -3,7 +3,10 @@
 import okhttp3.Call;
 import okhttp3.EventListener;
 
-/** Notes whether a request began to be sent; until then it is certain that the host has not received it. */
+/**
+ * Tracks whether sending a request has begun. Before that, the host cannot have received the request, and it is safe
+ * to send it to another address.
+ */
 final class RequestSendTracker {
     static final EventListener.Factory FACTORY = call -> {
         RequestSendTracker tracker = call.request().tag(RequestSendTracker.class);
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/package-info.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/package-info.java
@@ -1,2 +1,2 @@
-/** Client of the operator protocol, and how changes are submitted through it. */
+/** Client of the operator API, and submission of configuration changes. */
 package org.banyanstair.cli.operator;
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/Console.java
@@ -9,17 +9,20 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.errors.FailureText;
 
-/** Prints results to standard output, and errors, warnings and progress to standard error. For use by one thread. */
+/** Prints results to standard output, and errors, notes and progress to standard error. Not thread-safe. */
 public final class Console {
-    /** Form of the output. */
+    /** Output format. */
     public enum Format {
-        /** For people. */
+        /** Human-readable text. */
         TEXT,
         /** One JSON document per result. */
         JSON
     }
 
-    /** The declared type of the details makes Jackson write the name of the failure; a value in a map has none. */
+    /**
+     * JSON form of a failure. The details have the declared type {@link Failure}, because Jackson writes the type id of
+     * the failure only for a declared type, not for a value in a map.
+     */
     private record ErrorDocument(String code, String text, Failure details) {
         static ErrorDocument of(Failure failure) {
             return new ErrorDocument(failure.code(), FailureText.of(failure), failure);
@@ -35,10 +38,7 @@
     /**
      * Creates a console.
      *
-     * @param out standard output
-     * @param err standard error
-     * @param format form of the output
-     * @param interactive whether a person watches, so that progress is worth showing
+     * @param interactive whether the output goes to a terminal, so that progress is shown
      */
     public Console(PrintStream out, PrintStream err, Format format, boolean interactive) {
         this.out = out;
@@ -50,8 +50,8 @@
     /**
      * Prints a result.
      *
-     * @param document value for JSON output
-     * @param lines lines for text output
+     * @param document printed in JSON format
+     * @param lines printed in text format
      */
     public void printResult(Object document, List<String> lines) {
         endProgress();
@@ -62,21 +62,13 @@
         }
     }
 
-    /**
-     * Prints a note that is not part of the result.
-     *
-     * @param text the note
-     */
+    /** Prints a note that is not part of the result to standard error. */
     public void printNote(String text) {
         endProgress();
         err.println(format == Format.JSON ? toJson(Map.of("note", text)) : text);
     }
 
-    /**
-     * Shows progress on a terminal, in place of the progress shown before.
-     *
-     * @param text the progress
-     */
+    /** Shows progress on a terminal, replacing the previous progress line; does nothing otherwise. */
     public void showProgress(String text) {
         if (interactive && format == Format.TEXT) {
             err.print("\r" + text + "\u001b[K");
@@ -85,11 +77,7 @@
         }
     }
 
-    /**
-     * Prints errors with their codes.
-     *
-     * @param failures the errors
-     */
+    /** Prints failures with their codes to standard error. */
     public void printFailures(List<Failure> failures) {
         endProgress();
         if (format == Format.JSON) {
@@ -111,7 +99,7 @@
         try {
             return Mappers.JSON.writeValueAsString(document);
         } catch (JsonProcessingException exception) {
-            throw new IllegalStateException("a result cannot be written as JSON", exception);
+            throw new IllegalStateException("failed to serialize a result to JSON", exception);
         }
     }
 }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/TextTable.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/TextTable.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 
-/** A table in plain text with aligned columns. */
+/** A plain-text table with aligned columns. */
 public final class TextTable {
     private static final String COLUMN_SEPARATOR = "  ";
 
@@ -13,7 +13,7 @@
     /**
      * Creates a table.
      *
-     * @param headerKeys keys of the column headers in the message bundle
+     * @param headerKeys message keys of the column headers
      */
     public TextTable(String... headerKeys) {
         rows.add(Stream.of(headerKeys).map(Messages::format).toList());
@@ -23,18 +23,13 @@
      * Adds a row.
      *
      * @param cells one value for each column
-     * @return this table
      */
     public TextTable addRow(Object... cells) {
         rows.add(Stream.of(cells).map(String::valueOf).toList());
         return this;
     }
 
-    /**
-     * Formats the table.
-     *
-     * @return one line for the header and one for each row
-     */
+    /** Formats the table, with one line for the header and one for each row. */
     public List<String> lines() {
         return rows.stream().map(this::line).toList();
     }
--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/output/package-info.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/output/package-info.java
@@ -1,2 +1,2 @@
-/** Output for people and as JSON. */
+/** Output as text and JSON. */
 package org.banyanstair.cli.output;
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
@@ -29,7 +29,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against commands that report another outcome than the one that the hosts decided. */
+/** Guards against commands that report an outcome other than the one the hosts decided. */
 class CommandLineToolTest {
     private static final String SERVICE =
             "[[service]]\nid = 'assistant'\nkind = 'generation'\npool = 'p'\n" + "callers = ['clerk']\n";
@@ -210,7 +210,7 @@
         assertTrue(out.toString().contains("queue_full=10"), out.toString());
         String html = Files.readString(page);
         assertTrue(html.contains("data:image/png;base64,"), html);
-        assertFalse(html.contains("http://"), "the page must not refer to other places");
+        assertFalse(html.contains("http://"), "the page must not refer to external resources");
     }
 
     @Test
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/FakeOperatorApi.java
@@ -35,22 +35,22 @@
 import org.banyanstair.peer.EndpointReport;
 import org.banyanstair.peer.HostStatus;
 
-/** A small operator API of one host, with faults that a test can switch on. */
+/** Operator API of a single fake host, with faults that a test can inject. */
 final class FakeOperatorApi implements AutoCloseable {
     static final String KEY = "operator-key-0123456";
 
-    /** What happens to a submitted change. */
+    /** Fault injected into the submission of a change. */
     enum Fault {
         NONE,
-        /** The change is accepted, and the response is lost. */
+        /** The change is accepted, and the connection closes without a response. */
         RESPONSE_LOST,
-        /** The change is accepted, and the host answers that it does not know this yet. */
+        /** The change is accepted, but the host answers that its outcome is unknown. */
         VERDICT_DELAYED,
         /** The connection closes before the change is read, and the change is never accepted. */
         REQUEST_LOST,
         /** Another operator's change is accepted first. */
         CONFLICT,
-        /** The log is down. */
+        /** The log is unavailable. */
         LOG_UNAVAILABLE
     }
 
@@ -59,7 +59,7 @@
     final AtomicInteger submissions = new AtomicInteger();
     volatile Configuration configuration = Configuration.INITIAL;
     volatile Fault fault = Fault.NONE;
-    /** How far the host's reported version is behind the version in force. */
+    /** How many versions the version reported by the host is behind the one in force. */
     volatile long versionLag;
 
     private final Map<String, ChangeVerdict> verdicts = new HashMap<>();
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnRateReportTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnRateReportTest.java
@@ -13,7 +13,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against a report that averages rates of hosts instead of adding up their requests. */
+/** Guards against averaging the rates of hosts instead of summing their requests. */
 class BurnRateReportTest {
     private static final ServiceId SERVICE = new ServiceId("assistant");
 
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/declarations/DeclarationsReaderTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/declarations/DeclarationsReaderTest.java
@@ -18,7 +18,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-/** Guards against declarations that hosts would refuse, or that mean something else than the file says. */
+/**
+ * Guards against accepting declarations that hosts would refuse, or reading them with another meaning than the file
+ * states.
+ */
 class DeclarationsReaderTest {
     @TempDir
     Path directory;
