Reword assertion and settings messages of server, transport

Messages such as 'old one not refused' or 'the faults hit nothing' now say what went wrong. Conditions are unchanged.

--- a/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/settings/DaemonSettingsReader.java
@@ -107,7 +107,7 @@
             TomlTable table, String key, NetworkAddress address, TomlField<NetworkAddress> other) {
         other.ifValid(otherAddress -> {
             if (address.equals(otherAddress)) {
-                table.reject(key, "an address that no other key of this table names");
+                table.reject(key, "different from the other addresses of this table");
             }
         });
     }
@@ -132,7 +132,7 @@
             table.entries(TomlTypes.string(MINIMUM_KEY_LENGTH)).forEach((name, value) -> {
                 checkName(table, name);
                 if (!values.add(value)) {
-                    table.reject(name, "a key that no other name of this table has");
+                    table.reject(name, "different from all other keys of this table");
                 }
                 keys.put(name, BearerKey.ofPlain(value));
             });
--- a/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
+++ b/banyanstair-server/src/test/java/org/banyanstair/server/daemon/EventLoopTest.java
@@ -57,7 +57,7 @@
             loop.submitHostListUpdate(event("first reading"));
             loop.submitHostListUpdate(event("second reading"));
             gate.countDown();
-            assertTrue(last.await(20, TimeUnit.SECONDS), "the backlog was not taken");
+            assertTrue(last.await(20, TimeUnit.SECONDS), "the backlog was not processed");
             assertEquals(List.of("first reading", "second reading", "request"), handled.subList(0, 3));
             assertEquals(BACKLOG + 3, handled.size());
         } finally {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/AppendClassificationTest.java
@@ -102,7 +102,7 @@
             }
         }
         System.out.println(results.size() + " appends, rejected " + rejected + ", unknown " + unknown);
-        assertTrue(rejected > 0 && unknown > 0, "the faults hit nothing");
+        assertTrue(rejected > 0 && unknown > 0, "the faults affected no append");
     }
 
     private Map<String, Long> readAll() throws Exception {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/external/http/HttpLogServiceTest.java
@@ -169,7 +169,7 @@
         }
         assertEquals(60 - rejected, records(0, 100).end());
         assertEquals(rejected, log.counters().get("refused"));
-        assertTrue(rejected > 0, "no append was refused");
+        assertTrue(rejected > 0, "no append was rejected");
     }
 
     @ParameterizedTest
--- a/banyanstair-transport/src/test/java/org/banyanstair/toml/TomlRobustnessTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/toml/TomlRobustnessTest.java
@@ -71,7 +71,8 @@
                 assertTrue(line >= 1 && line <= lines, () -> failure + " in " + lines + " lines");
             }
         }
-        assertFalse(result instanceof TomlResult.Invalid && result.failures().isEmpty(), "an error without a reason");
+        assertFalse(
+                result instanceof TomlResult.Invalid && result.failures().isEmpty(), "invalid result without errors");
     }
 
     /**
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/ConnectionFaultTest.java
@@ -24,12 +24,12 @@
             Thread.sleep(50);
             // After 45 s without use, only the heartbeat timeout can cause a new connection.
             first.now = first.now.plusSeconds(45);
-            TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
+            TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection was opened");
             first.send(second.id(), 3);
             assertEquals(3, second.listener.awaitQuery());
             second.send(first.id(), 4);
             assertEquals(4, first.listener.awaitQuery());
-            assertTrue(first.listener.events.isEmpty(), "a replaced connection is no failure of the peer");
+            assertTrue(first.listener.events.isEmpty(), "replacing a connection must not be reported");
         }
     }
 
@@ -66,7 +66,7 @@
             assertEquals(1, second.listener.awaitQuery());
             first.listener.awaitEvent("connected entry-2#1");
             relay.closeConnections();
-            TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection");
+            TestHost.await(() -> first.transport.counters().connectionsOpened() == 2, "no new connection was opened");
             first.send(second.id(), 2);
             assertEquals(2, second.listener.awaitQuery());
             assertTrue(first.listener.events.isEmpty());
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
@@ -118,7 +118,8 @@
                 }
                 host.listener.awaitEvent("unreachable " + PEER.host());
                 assertTrue(longestNanos < 1_000_000_000L, "sender blocked for " + longestNanos + " ns");
-                TestHost.await(() -> host.transport.counters().connectionsClosed() >= 1, "connection kept");
+                TestHost.await(
+                        () -> host.transport.counters().connectionsClosed() >= 1, "the connection was not closed");
                 assertTrue(host.transport.counters().droppedMessages() >= 4_096);
             }
         }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/NettyPeerTransportTest.java
@@ -76,7 +76,9 @@
                     old.send(first.id(), 4);
                     restarted.send(first.id(), 5);
                     assertEquals(5, first.listener.awaitQuery());
-                    TestHost.await(() -> first.transport.counters().rejectedHandshakes() > 0, "old one not refused");
+                    TestHost.await(
+                            () -> first.transport.counters().rejectedHandshakes() > 0,
+                            "connection of the old incarnation was not rejected");
                     assertTrue(first.listener.messages.isEmpty(), "message of the old incarnation delivered");
                     assertTrue(first.listener.events.contains("connected entry-2#2"));
                 }
@@ -120,14 +122,15 @@
             first.now = first.now.plusSeconds(61);
             second.now = second.now.plusSeconds(61);
             Thread.sleep(400);
-            assertEquals(0, first.transport.counters().connectionsClosed(), "watched connection closed");
+            assertEquals(0, first.transport.counters().connectionsClosed(), "a watched connection was closed");
             first.transport.unwatch(second.id());
-            TestHost.await(() -> first.transport.counters().connectionsClosed() == 1, "idle connection not closed");
+            TestHost.await(
+                    () -> first.transport.counters().connectionsClosed() == 1, "the idle connection was not closed");
             Thread.sleep(300);
-            assertEquals(1, second.transport.counters().connectionsOpened(), "the peer opened it again");
+            assertEquals(1, second.transport.counters().connectionsOpened(), "the peer reopened the idle connection");
             first.send(second.id(), 7);
             assertEquals(7, second.listener.awaitQuery());
-            assertTrue(first.listener.events.isEmpty(), "an idle connection is no fault");
+            assertTrue(first.listener.events.isEmpty(), "closing an idle connection must not be reported");
         }
     }
 }
