--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/AddedLatencyBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/AddedLatencyBenchmark.java
@@ -44,18 +44,18 @@
                 BenchmarkCluster.engine(ADAPTERS, 64, STEP_MICROSECONDS))) {
             cluster.cluster().start();
             cluster.apply(BenchmarkDeclarations.of(1, ADAPTERS));
-            load(cluster, run.seed() + 1, run.time(10, 4), new Halves(cluster, List.of(), 0));
+            generateLoad(cluster, run.seed() + 1, run.time(10, 4), new RequestPaths(cluster, List.of(), 0));
             List<List<ClusterEngine>> loaded = enginesByAdapter(cluster);
-            Halves halves = new Halves(cluster, loaded, 0.5);
-            LoadReport report = load(cluster, run.seed(), run.time(20, 5), halves);
-            return figures(halves, report);
+            RequestPaths paths = new RequestPaths(cluster, loaded, 0.5);
+            LoadReport report = generateLoad(cluster, run.seed(), run.time(20, 5), paths);
+            return figures(paths, report);
         }
     }
 
-    private static LoadReport load(BenchmarkCluster cluster, long seed, Duration time, Halves halves)
+    private static LoadReport generateLoad(BenchmarkCluster cluster, long seed, Duration time, RequestPaths paths)
             throws InterruptedException {
         LoadPlan plan = new LoadPlan(REQUESTS_PER_SECOND, MAXIMUM_REQUESTS, time, Duration.ofSeconds(10), seed);
-        return new OpenLoopLoad(plan, (sequence, random, intended) -> halves.start(sequence, random, seed)
+        return new OpenLoopLoad(plan, (sequence, random, intended) -> paths.start(sequence, random, seed)
                         .thenApply(sent -> {
                             sent.path().add(intended, sent.result().toLoadResult());
                             return sent.result().toLoadResult();
@@ -65,13 +65,13 @@
 
     /** Returns for each adapter the engines that have it loaded, at least one. */
     private static List<List<ClusterEngine>> enginesByAdapter(BenchmarkCluster cluster) throws Exception {
-        OperatorProbe probe = new OperatorProbe();
+        MeasurementClient client = new MeasurementClient();
         List<List<ClusterEngine>> result = new ArrayList<>();
         for (int adapter = 0; adapter < ADAPTERS; adapter++) {
             List<ClusterEngine> engines = new ArrayList<>();
             for (ClusterEngine engine : cluster.cluster().engines()) {
                 JsonNode loaded =
-                        probe.json(engine.endpoint().address(), "/v1/status").path("loaded");
+                        client.json(engine.endpoint().address(), "/v1/status").path("loaded");
                 if (loaded.has(engineName(adapter))) {
                     engines.add(engine);
                 }
@@ -88,10 +88,10 @@
         return BenchmarkDeclarations.pool(0) + "/" + BenchmarkDeclarations.adapter(adapter) + "@v1";
     }
 
-    private record Sent(StreamLatency path, CallerResult result) {}
+    private record PathResult(StreamLatency path, CallerResult result) {}
 
     /** The two paths and the choice between them. */
-    private static final class Halves {
+    private static final class RequestPaths {
         private final BenchmarkCluster cluster;
         private final List<List<ClusterEngine>> loaded;
         private final double directShare;
@@ -99,13 +99,13 @@
         private final StreamLatency throughHosts = new StreamLatency();
         private final StreamLatency direct = new StreamLatency();
 
-        Halves(BenchmarkCluster cluster, List<List<ClusterEngine>> loaded, double directShare) {
+        RequestPaths(BenchmarkCluster cluster, List<List<ClusterEngine>> loaded, double directShare) {
             this.cluster = cluster;
             this.loaded = loaded;
             this.directShare = directShare;
         }
 
-        CompletableFuture<Sent> start(long sequence, Random random, long seed) {
+        CompletableFuture<PathResult> start(long sequence, Random random, long seed) {
             int adapter = random.nextInt(ADAPTERS);
             // Each request has another prompt, so that no half gains from the prefix cache of the other.
             String prompt = "request " + sequence + " of load " + seed;
@@ -115,18 +115,18 @@
                 ChatCall call = new ChatCall(BenchmarkCluster.headers(), engineName(adapter), prompt, TOKENS, true);
                 return cluster.caller()
                         .chatWithEngine(engine.endpoint().address(), "direct-" + requestIds.incrementAndGet(), call)
-                        .thenApply(result -> new Sent(direct, result));
+                        .thenApply(result -> new PathResult(direct, result));
             }
             List<ClusterHost> hosts = cluster.cluster().hosts();
             ClusterHost host = hosts.get(random.nextInt(hosts.size()));
             return cluster.generate(host.caller(), 0, adapter, prompt, TOKENS)
-                    .thenApply(result -> new Sent(throughHosts, result));
+                    .thenApply(result -> new PathResult(throughHosts, result));
         }
     }
 
-    private static ObjectNode figures(Halves halves, LoadReport report) {
-        ObjectNode through = halves.throughHosts.json();
-        ObjectNode direct = halves.direct.json();
+    private static ObjectNode figures(RequestPaths paths, LoadReport report) {
+        ObjectNode through = paths.throughHosts.json();
+        ObjectNode direct = paths.direct.json();
         ObjectNode json = Mappers.JSON.createObjectNode();
         json.put("hosts", HOSTS)
                 .put("engines", ENGINES)
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkCluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkCluster.java
@@ -21,13 +21,13 @@
 
 /** A cluster with one pool {@code assistant-N} for each number of engines, and a caller of it. */
 final class BenchmarkCluster implements AutoCloseable {
-    private static final int MAXIMUM_CALLS = 4_096;
-    private static final Duration CALL_LIMIT = Duration.ofSeconds(30);
-    private static final int CHANGE_ATTEMPTS = 40;
-    private static final long CHANGE_PAUSE_MILLISECONDS = 250;
+    private static final int MAXIMUM_CONCURRENT_CALLS = 4_096;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
+    private static final int MAXIMUM_APPLY_ATTEMPTS = 40;
+    private static final long APPLY_RETRY_MILLISECONDS = 250;
 
     private final Cluster cluster;
-    private final HttpCaller caller = new HttpCaller(MAXIMUM_CALLS, CALL_LIMIT, Clock.systemUTC());
+    private final HttpCaller caller = new HttpCaller(MAXIMUM_CONCURRENT_CALLS, CALL_TIMEOUT, Clock.systemUTC());
 
     /** Creates a cluster that is not started. */
     BenchmarkCluster(BenchmarkRun run, String name, int hosts, List<Integer> enginesOfPools, EngineSettings engine) {
@@ -56,8 +56,8 @@
     /** Applies declarations. Pools without an owner may delay the first change, so a refusal is tried again. */
     void apply(String declarations) throws InterruptedException {
         ToolResult result = cluster.apply(declarations);
-        for (int attempt = 1; result.code() != 0 && attempt < CHANGE_ATTEMPTS; attempt++) {
-            Thread.sleep(CHANGE_PAUSE_MILLISECONDS);
+        for (int attempt = 1; result.code() != 0 && attempt < MAXIMUM_APPLY_ATTEMPTS; attempt++) {
+            Thread.sleep(APPLY_RETRY_MILLISECONDS);
             result = cluster.apply(declarations);
         }
         if (result.code() != 0) {
@@ -74,7 +74,7 @@
     static CallerHeaders headers() {
         return new CallerHeaders(
                 Cluster.key(Cluster.CALLER),
-                Optional.of(Instant.now().plus(CALL_LIMIT)),
+                Optional.of(Instant.now().plus(CALL_TIMEOUT)),
                 Optional.empty(),
                 Optional.empty());
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlBenchmark.java
@@ -37,9 +37,9 @@
     private static final int CHANGES = 6;
 
     /** Hosts close a connection that carried no message for 60 s; before that, heartbeats of the warm-up go on. */
-    private static final long SETTLE_MILLISECONDS = 64_000;
+    private static final long IDLE_WAIT_MILLISECONDS = 64_000;
 
-    private final OperatorProbe probe = new OperatorProbe();
+    private final MeasurementClient client = new MeasurementClient();
 
     @Override
     public ObjectNode run(BenchmarkRun run) throws Exception {
@@ -47,7 +47,7 @@
         json.put("requestsPerSecondAndHost", REQUESTS_PER_SECOND_AND_HOST);
         ArrayNode steps = json.putArray("steps");
         for (int hosts : run.brief() ? BRIEF_SIZES : SIZES) {
-            ObjectNode step = size(run, hosts);
+            ObjectNode step = measureCluster(run, hosts);
             steps.add(step);
             System.err.println(step);
         }
@@ -60,15 +60,15 @@
                 "hostListBytes",
                 "loadedPeerBytesPerSecondAndHost",
                 "changeMedianMilliseconds")) {
-            double[] x = Series.of(steps, "hosts");
-            double[] y = Series.of(steps, figure);
+            double[] x = StepFigures.values(steps, "hosts");
+            double[] y = StepFigures.values(steps, figure);
             fits.set(figure, LinearFit.of(x, y).json());
             Plot.write(run.file("control-" + figure, "png"), "Control by entry hosts", "hosts", figure, x, y);
         }
         return json;
     }
 
-    private static List<Integer> pools(int engines) {
+    private static List<Integer> poolSizes(int engines) {
         int pools = Math.max(1, engines / ENGINES_PER_POOL);
         List<Integer> sizes = new ArrayList<>();
         for (int pool = 0; pool < pools; pool++) {
@@ -77,9 +77,9 @@
         return sizes;
     }
 
-    private ObjectNode size(BenchmarkRun run, int hosts) throws Exception {
+    private ObjectNode measureCluster(BenchmarkRun run, int hosts) throws Exception {
         int engines = (int) Math.ceil(hosts * ENGINES_PER_HOST);
-        List<Integer> pools = pools(engines);
+        List<Integer> pools = poolSizes(engines);
         ObjectNode json = Mappers.JSON.createObjectNode();
         json.put("hosts", hosts).put("engines", engines).put("pools", pools.size());
         try (BenchmarkCluster cluster = new BenchmarkCluster(
@@ -87,27 +87,27 @@
             cluster.cluster().start();
             cluster.apply(BenchmarkDeclarations.of(pools.size(), ADAPTERS));
             // Loads every adapter and compiles the frequent paths before anything is measured.
-            load(cluster, pools.size(), hosts * 10.0, run.time(8, 3), run.seed() + 1);
-            Thread.sleep(SETTLE_MILLISECONDS);
-            sizes(cluster.cluster(), json);
+            generateLoad(cluster, pools.size(), hosts * 10.0, run.time(8, 3), run.seed() + 1);
+            Thread.sleep(IDLE_WAIT_MILLISECONDS);
+            recordResponseSizes(cluster.cluster(), json);
             ProcessUsage usage =
                     new ProcessUsage(cluster.cluster().hosts().get(0).process().pid());
             Map<String, Double> threads = usage.processorSecondsByThread();
-            ControlSample before = ControlSample.of(cluster.cluster(), probe);
+            ControlSample before = ControlSample.of(cluster.cluster(), client);
             Thread.sleep(run.time(20, 10).toMillis());
-            ControlSample idle = ControlSample.of(cluster.cluster(), probe);
+            ControlSample idle = ControlSample.of(cluster.cluster(), client);
             json.set("idleProcessorSecondsByThread", usage.topThreads(threads));
-            rates(cluster.cluster(), json, "idle", before, idle);
+            recordRates(cluster.cluster(), json, "idle", before, idle);
             double rate = hosts * REQUESTS_PER_SECOND_AND_HOST;
-            LoadReport report = load(cluster, pools.size(), rate, run.time(20, 5), run.seed());
-            rates(cluster.cluster(), json, "loaded", idle, ControlSample.of(cluster.cluster(), probe));
+            LoadReport report = generateLoad(cluster, pools.size(), rate, run.time(20, 5), run.seed());
+            recordRates(cluster.cluster(), json, "loaded", idle, ControlSample.of(cluster.cluster(), client));
             json.put("loadedStarted", report.started()).put("loadedAnswered", report.count(LoadOutcome.ANSWERED));
-            changes(cluster.cluster(), json, run.brief() ? 2 : CHANGES);
+            measureChanges(cluster.cluster(), json, run.brief() ? 2 : CHANGES);
         }
         return json;
     }
 
-    private static LoadReport load(BenchmarkCluster cluster, int pools, double rate, Duration time, long seed)
+    private static LoadReport generateLoad(BenchmarkCluster cluster, int pools, double rate, Duration time, long seed)
             throws InterruptedException {
         LoadPlan plan = new LoadPlan(rate, (long) (rate * time.toSeconds() * 2) + 1, time, Duration.ofSeconds(5), seed);
         return new OpenLoopLoad(plan, (sequence, random, intended) -> {
@@ -122,16 +122,16 @@
     }
 
     /** Records the sizes of what hosts poll. */
-    private void sizes(Cluster cluster, ObjectNode json) throws IOException {
-        json.put("hostListBytes", probe.get(cluster.hostList().server().address(), "/hosts").length);
+    private void recordResponseSizes(Cluster cluster, ObjectNode json) throws IOException {
+        json.put("hostListBytes", client.get(cluster.hostList().server().address(), "/hosts").length);
         json.put(
                 "engineStatusBytes",
-                probe.get(cluster.engines().get(0).endpoint().address(), "/v1/status").length);
+                client.get(cluster.engines().get(0).endpoint().address(), "/v1/status").length);
     }
 
     private Set<String> owners(Cluster cluster) throws IOException {
         Set<String> owners = new TreeSet<>();
-        JsonNode status = probe.json(cluster.hosts().get(0).operator(), "/operator/v1/status");
+        JsonNode status = client.json(cluster.hosts().get(0).operator(), "/operator/v1/status");
         status.path("states").forEach(state -> {
             if (!state.path("ownedPools").isEmpty()) {
                 owners.add(state.at("/identity/host").asText());
@@ -140,7 +140,7 @@
         return owners;
     }
 
-    private void rates(Cluster cluster, ObjectNode json, String prefix, ControlSample from, ControlSample to)
+    private void recordRates(Cluster cluster, ObjectNode json, String prefix, ControlSample from, ControlSample to)
             throws IOException {
         double seconds = (to.nanos() - from.nanos()) / 1e9;
         int hosts = cluster.hosts().size();
@@ -176,11 +176,11 @@
                 (to.hostListReads() - from.hostListReads()) / seconds / hosts);
     }
 
-    private void changes(Cluster cluster, ObjectNode json, int count) throws Exception {
+    private void measureChanges(Cluster cluster, ObjectNode json, int count) throws Exception {
         double[] milliseconds = new double[count];
         long bytes = cluster.log().counters().get("bytes");
         for (int change = 0; change < count; change++) {
-            milliseconds[change] = change(cluster, change % 2 == 0 ? "peak" : "ordinary");
+            milliseconds[change] = measureChange(cluster, change % 2 == 0 ? "peak" : "ordinary");
         }
         Arrays.sort(milliseconds);
         json.put("changeMedianMilliseconds", milliseconds[count / 2]);
@@ -189,13 +189,13 @@
     }
 
     /** Returns the time until a change of the preset is in force on all hosts. */
-    private double change(Cluster cluster, String preset) throws Exception {
-        long version = probe.configurationVersion(cluster.hosts().get(0));
+    private double measureChange(Cluster cluster, String preset) throws Exception {
+        long version = client.configurationVersion(cluster.hosts().get(0));
         long begin = System.nanoTime();
-        Thread operator = new Thread(() -> cluster.tool("preset", "use", preset), "operator");
+        Thread operator = new Thread(() -> cluster.runTool("preset", "use", preset), "operator");
         operator.start();
         for (ClusterHost host : cluster.hosts()) {
-            while (probe.configurationVersion(host) <= version) {
+            while (client.configurationVersion(host) <= version) {
                 if (System.nanoTime() - begin > Duration.ofSeconds(30).toNanos()) {
                     throw new IllegalStateException("the change is not in force on " + host.id() + " after 30 s");
                 }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlSample.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlSample.java
@@ -35,10 +35,10 @@
         }
     }
 
-    static ControlSample of(Cluster cluster, OperatorProbe probe) throws IOException {
+    static ControlSample of(Cluster cluster, MeasurementClient client) throws IOException {
         List<HostTotals> hosts = new ArrayList<>();
         for (ClusterHost host : cluster.hosts()) {
-            MetricsText metrics = probe.metrics(host);
+            MetricsText metrics = client.metrics(host);
             hosts.add(new HostTotals(
                     metrics.value("banyanstair_peer_bytes_in") + metrics.value("banyanstair_peer_bytes_out"),
                     metrics.value("banyanstair_peer_frames_in") + metrics.value("banyanstair_peer_frames_out"),
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/OperatorProbe.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MeasurementClient.java
@@ -13,7 +13,7 @@
 import org.banyanstair.model.NetworkAddress;
 
 /** Reads figures of hosts and stand-ins over HTTP. */
-final class OperatorProbe {
+final class MeasurementClient {
     private final OkHttpClient client =
             new OkHttpClient.Builder().callTimeout(Duration.ofSeconds(10)).build();
 
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MemoryBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MemoryBenchmark.java
@@ -17,15 +17,15 @@
     /** The body of one change must stay below the limit of 512 KiB; 3,000 adapters take about 300 KB. */
     private static final int ADAPTERS_PER_CHANGE = 3_000;
 
-    private static final int STARTS = 3;
+    private static final int MEASURED_STARTS = 3;
     private static final long SETTLE_MILLISECONDS = 2_000;
-    private static final long AIM_BYTES = 256L * 1024 * 1024;
-    private static final int AIM_READY_MILLISECONDS = 2_000;
+    private static final long TARGET_HEAP_BYTES = 256L * 1024 * 1024;
+    private static final int TARGET_READY_MILLISECONDS = 2_000;
 
     @Override
     public ObjectNode run(BenchmarkRun run) throws Exception {
         ObjectNode json = Mappers.JSON.createObjectNode();
-        json.put("aimBytes", AIM_BYTES).put("aimReadyMilliseconds", AIM_READY_MILLISECONDS);
+        json.put("aimBytes", TARGET_HEAP_BYTES).put("aimReadyMilliseconds", TARGET_READY_MILLISECONDS);
         ArrayNode steps = json.putArray("steps");
         try (BenchmarkCluster cluster =
                 new BenchmarkCluster(run, "memory", 1, List.of(2), BenchmarkCluster.engine(4, 8, 5_000))) {
@@ -34,19 +34,19 @@
             for (int adapters : run.brief() ? BRIEF_ADAPTERS : ADAPTERS) {
                 ObjectNode step = steps.addObject().put("adapters", adapters);
                 long begin = System.nanoTime();
-                applied = grow(cluster, applied, adapters);
+                applied = addAdapters(cluster, applied, adapters);
                 step.put("applySeconds", (System.nanoTime() - begin) / 1e9);
                 measure(cluster.cluster(), step);
                 System.err.println(step);
             }
         }
-        fit(run, json, steps, "heapBytes");
-        fit(run, json, steps, "startedResidentBytes");
-        fit(run, json, steps, "readyMilliseconds");
+        recordFit(run, json, steps, "heapBytes");
+        recordFit(run, json, steps, "startedResidentBytes");
+        recordFit(run, json, steps, "readyMilliseconds");
         return json;
     }
 
-    private static int grow(BenchmarkCluster cluster, int from, int to) throws InterruptedException {
+    private static int addAdapters(BenchmarkCluster cluster, int from, int to) throws InterruptedException {
         int adapters = from;
         do {
             adapters = Math.min(to, adapters + ADAPTERS_PER_CHANGE);
@@ -62,9 +62,9 @@
         // The resident set is read before the collection that the histogram forces, as an operator would see it.
         step.put("residentBytes", usage.residentBytes());
         step.put("heapBytes", JavaDiagnostics.liveHeapBytes(first.process().pid()));
-        double[] ready = new double[STARTS];
-        double[] resident = new double[STARTS];
-        for (int start = 0; start < STARTS; start++) {
+        double[] ready = new double[MEASURED_STARTS];
+        double[] resident = new double[MEASURED_STARTS];
+        for (int start = 0; start < MEASURED_STARTS; start++) {
             long begin = System.nanoTime();
             ClusterHost host = cluster.startHost();
             ready[start] = (System.nanoTime() - begin) / 1e6;
@@ -74,13 +74,14 @@
         }
         Arrays.sort(ready);
         Arrays.sort(resident);
-        step.put("readyMilliseconds", ready[STARTS / 2]).put("slowestReadyMilliseconds", ready[STARTS - 1]);
-        step.put("startedResidentBytes", resident[STARTS / 2]);
+        step.put("readyMilliseconds", ready[MEASURED_STARTS / 2])
+                .put("slowestReadyMilliseconds", ready[MEASURED_STARTS - 1]);
+        step.put("startedResidentBytes", resident[MEASURED_STARTS / 2]);
     }
 
-    private static void fit(BenchmarkRun run, ObjectNode json, ArrayNode steps, String figure) throws Exception {
-        double[] x = Series.of(steps, "adapters");
-        double[] y = Series.of(steps, figure);
+    private static void recordFit(BenchmarkRun run, ObjectNode json, ArrayNode steps, String figure) throws Exception {
+        double[] x = StepFigures.values(steps, "adapters");
+        double[] y = StepFigures.values(steps, figure);
         json.set(figure + "PerAdapter", LinearFit.of(x, y).json());
         Plot.write(run.file("memory-" + figure, "png"), "Daemon by registered adapters", "adapters", figure, x, y);
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/Series.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StepFigures.java
@@ -5,10 +5,10 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 
 /** One figure of all steps of a benchmark. */
-final class Series {
-    private Series() {}
+final class StepFigures {
+    private StepFigures() {}
 
-    static double[] of(ArrayNode steps, String figure) {
+    static double[] values(ArrayNode steps, String figure) {
         return StreamSupport.stream(steps.spliterator(), false)
                 .mapToDouble(step -> step.required(figure).asDouble())
                 .toArray();
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamLatency.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamLatency.java
@@ -14,11 +14,11 @@
 
 /** Times of the streams of one path in microseconds. Safe for use by several threads. */
 final class StreamLatency {
-    private static final long HIGHEST_MICROS = Duration.ofMinutes(10).toNanos() / 1_000;
+    private static final long MAXIMUM_MICROS = Duration.ofMinutes(10).toNanos() / 1_000;
     private static final int SIGNIFICANT_DIGITS = 3;
 
-    private final Histogram firstToken = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
-    private final Histogram tokenGap = new Histogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
+    private final Histogram firstToken = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
+    private final Histogram tokenGap = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
     private final Map<String, Integer> codes = new TreeMap<>();
 
     /** Records a result; times count from the intended start, so a slow generator cannot hide a delay. */
@@ -39,7 +39,7 @@
 
     private static void record(Histogram histogram, Instant from, Instant to) {
         long micros = Duration.between(from, to).toNanos() / 1_000;
-        histogram.recordValue(Math.max(0, Math.min(HIGHEST_MICROS, micros)));
+        histogram.recordValue(Math.max(0, Math.min(MAXIMUM_MICROS, micros)));
     }
 
     synchronized long answered() {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
@@ -21,11 +21,11 @@
     private static final int ADAPTERS = 4;
     private static final int TOKENS = 32;
     private static final long STEP_MICROSECONDS = 1_000;
-    private static final int CORE = 0;
+    private static final int PINNED_CORE = 0;
     private static final int WARM_UP_RATE = 300;
     private static final List<Integer> RATES = List.of(50, 100, 200, 400, 600, 800, 1_000, 1_200, 1_500, 2_000);
-    private static final double KEEPS_UP_SHARE = 0.98;
-    private static final int AIM = 1_000;
+    private static final double MINIMUM_ANSWERED_SHARE = 0.98;
+    private static final int TARGET_STREAMS_PER_SECOND = 1_000;
 
     @Override
     public ObjectNode run(BenchmarkRun run) throws Exception {
@@ -41,38 +41,38 @@
             ClusterHost host = cluster.cluster().hosts().get(0);
             cluster.apply(BenchmarkDeclarations.of(1, ADAPTERS));
             // Compilation would take most of a single core for the first half minute, so the warm-up is not pinned.
-            step(cluster, host, WARM_UP_RATE, run.time(20, 10), run.seed() - 1);
-            boolean pinned = pin(host.process().pid());
-            step(cluster, host, WARM_UP_RATE, run.time(5, 3), run.seed() - 2);
+            measureStep(cluster, host, WARM_UP_RATE, run.time(20, 10), run.seed() - 1);
+            boolean pinned = pinToCore(host.process().pid());
+            measureStep(cluster, host, WARM_UP_RATE, run.time(5, 3), run.seed() - 2);
             ObjectNode json = Mappers.JSON.createObjectNode();
             json.put("pinned", pinned).put("engines", ENGINES).put("tokens", TOKENS);
-            json.put("stepMicros", STEP_MICROSECONDS).put("aimStreamsPerSecond", AIM);
-            ramp(cluster, host, run, json);
+            json.put("stepMicros", STEP_MICROSECONDS).put("aimStreamsPerSecond", TARGET_STREAMS_PER_SECOND);
+            raiseRate(cluster, host, run, json);
             return json;
         }
     }
 
-    private static void ramp(BenchmarkCluster cluster, ClusterHost host, BenchmarkRun run, ObjectNode json)
+    private static void raiseRate(BenchmarkCluster cluster, ClusterHost host, BenchmarkRun run, ObjectNode json)
             throws Exception {
         ArrayNode steps = json.putArray("steps");
-        int sustained = 0;
+        int sustainedRate = 0;
         for (int rate : RATES) {
-            ObjectNode step = step(cluster, host, rate, run.time(8, 3), run.seed() + rate);
+            ObjectNode step = measureStep(cluster, host, rate, run.time(8, 3), run.seed() + rate);
             steps.add(step);
             System.err.println(step);
             if (!step.path("keepsUp").asBoolean()) {
                 break;
             }
-            sustained = rate;
+            sustainedRate = rate;
         }
-        json.put("sustainedStreamsPerSecond", sustained);
+        json.put("sustainedStreamsPerSecond", sustainedRate);
     }
 
     /** Pins all threads; false if the machine has no taskset. */
-    private static boolean pin(long pid) throws InterruptedException {
+    private static boolean pinToCore(long pid) throws InterruptedException {
         try {
             Process process = new ProcessBuilder(
-                            "taskset", "-a", "-p", "-c", Integer.toString(CORE), Long.toString(pid))
+                            "taskset", "-a", "-p", "-c", Integer.toString(PINNED_CORE), Long.toString(pid))
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .start();
@@ -82,8 +82,8 @@
         }
     }
 
-    private static ObjectNode step(BenchmarkCluster cluster, ClusterHost host, int rate, Duration time, long seed)
-            throws Exception {
+    private static ObjectNode measureStep(
+            BenchmarkCluster cluster, ClusterHost host, int rate, Duration time, long seed) throws Exception {
         ProcessUsage usage = new ProcessUsage(host.process().pid());
         double before = usage.processorSeconds();
         Map<String, Double> threadsBefore = usage.processorSecondsByThread();
@@ -107,7 +107,7 @@
         json.put("coreShare", processor / wall);
         json.put("processorMicrosPerStream", answered == 0 ? 0 : processor * 1e6 / answered);
         // A daemon that falls behind leaves streams unfinished or delays them without bound.
-        boolean keepsUp = answered >= KEEPS_UP_SHARE * report.started()
+        boolean keepsUp = answered >= MINIMUM_ANSWERED_SHARE * report.started()
                 && report.latency().getValueAtPercentile(99)
                         < Duration.ofSeconds(1).toNanos() / 1_000;
         json.put("keepsUp", keepsUp);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -38,7 +38,7 @@
 import org.banyanstair.testsupport.service.PlainServiceStandIn;
 
 /**
- * A system on loopback. Callers are {@link #CALLER}, {@link #OTHER_CALLER} and {@link #STRANGER}.
+ * A system on loopback. Callers are {@link #CALLER}, {@link #OTHER_CALLER} and {@link #UNAUTHORIZED_CALLER}.
  *
  * <p>Not safe for use by several threads, except for the stand-ins and proxies themselves.
  */
@@ -50,7 +50,7 @@
     public static final String OTHER_CALLER = "member";
 
     /** Caller with a key that no service answers. */
-    public static final String STRANGER = "stranger";
+    public static final String UNAUTHORIZED_CALLER = "stranger";
 
     /** Bearer key of the operator. */
     public static final String OPERATOR_KEY = "operator-key-of-the-test";
@@ -60,9 +60,9 @@
     private static final int HEAP_MEGABYTES = 160;
 
     /** Lowest accepted value of the daemon's setting. */
-    private static final int SHORTEST_RETENTION = 5;
+    private static final int MINIMUM_LOG_RETENTION_SECONDS = 5;
 
-    private static final int START_SECONDS = 30;
+    private static final int START_TIMEOUT_SECONDS = 30;
 
     private final ClusterPlan plan;
     private final Path directory;
@@ -74,7 +74,7 @@
     private NetworkAddress hostListAddress;
     private final List<ClusterHost> hosts = new ArrayList<>();
     private final List<ClusterEngine> engines = new ArrayList<>();
-    private final List<ClusterDesk> desks = new ArrayList<>();
+    private final List<ClusterServiceEndpoint> serviceEndpoints = new ArrayList<>();
     private int hostsStarted;
     private List<String> javaOptions = List.of();
 
@@ -127,7 +127,7 @@
         hostListAddress = hostList.start();
         plan.pools().forEach(this::startPool);
         for (int number = 0; number < plan.deskEndpoints(); number++) {
-            startDesk(number);
+            startServiceEndpoint(number);
         }
     }
 
@@ -164,7 +164,7 @@
         return started;
     }
 
-    private void startDesk(int number) {
+    private void startServiceEndpoint(int number) {
         PlainServiceStandIn service = new PlainServiceStandIn(PlainServiceSettings.DEFAULT);
         service.start();
         FaultProxy proxy = new FaultProxy(0, service.address());
@@ -178,7 +178,7 @@
                 0,
                 100,
                 false);
-        desks.add(new ClusterDesk(endpoint, service, proxy));
+        serviceEndpoints.add(new ClusterServiceEndpoint(endpoint, service, proxy));
         hostList.put(endpoint);
     }
 
@@ -206,8 +206,8 @@
         return new PendingHost(entry, settings, logProxy, peerProxy);
     }
 
-    private String settingsOf(EntryHost entry, NetworkAddress peer, NetworkAddress logThroughProxy) {
-        String callers = List.of(CALLER, OTHER_CALLER, STRANGER).stream()
+    private String settingsOf(EntryHost entry, NetworkAddress peer, NetworkAddress logProxyAddress) {
+        String callers = List.of(CALLER, OTHER_CALLER, UNAUTHORIZED_CALLER).stream()
                 .map(caller -> caller + " = \"" + key(caller) + "\"")
                 .collect(Collectors.joining("\n"));
         return String.join(
@@ -221,10 +221,12 @@
                 "operator = \"" + entry.operatorAddress() + "\"",
                 "peer = \"" + peer + "\"",
                 "[platform]",
-                "log = \"" + logThroughProxy + "\"",
+                "log = \"" + logProxyAddress + "\"",
                 "host-list = \"" + hostListAddress + "\"",
                 "log-retention-seconds = "
-                        + Math.max(SHORTEST_RETENTION, plan.logRetention().toSeconds()),
+                        + Math.max(
+                                MINIMUM_LOG_RETENTION_SECONDS,
+                                plan.logRetention().toSeconds()),
                 "[callers]",
                 callers,
                 "[operators]",
@@ -241,7 +243,7 @@
                         HEAP_MEGABYTES,
                         javaOptions,
                         List.of("--settings", pending.settings().toString())),
-                Instant.now().plusSeconds(START_SECONDS));
+                Instant.now().plusSeconds(START_TIMEOUT_SECONDS));
         return new ClusterHost(pending.entry(), process, pending.settings(), pending.logProxy(), pending.peerProxy());
     }
 
@@ -263,7 +265,7 @@
      */
     public void kill(ClusterHost host) {
         host.process().kill();
-        forget(host);
+        remove(host);
     }
 
     /**
@@ -271,7 +273,7 @@
      *
      * @param host the host
      */
-    public void forget(ClusterHost host) {
+    public void remove(ClusterHost host) {
         hostList.remove(host.id());
         hosts.remove(host);
         host.logProxy().stop();
@@ -301,8 +303,8 @@
      *
      * @return copy of the list
      */
-    public List<ClusterDesk> desks() {
-        return List.copyOf(desks);
+    public List<ClusterServiceEndpoint> serviceEndpoints() {
+        return List.copyOf(serviceEndpoints);
     }
 
     /**
@@ -329,8 +331,8 @@
      * @param arguments the command
      * @return exit code and output
      */
-    public ToolResult tool(String... arguments) {
-        return tool(hosts, arguments);
+    public ToolResult runTool(String... arguments) {
+        return runTool(hosts, arguments);
     }
 
     /**
@@ -340,7 +342,7 @@
      * @param arguments the command
      * @return exit code and output
      */
-    public ToolResult tool(List<ClusterHost> targets, String... arguments) {
+    public ToolResult runTool(List<ClusterHost> targets, String... arguments) {
         String addresses =
                 targets.stream().map(host -> "http://" + host.operator()).collect(Collectors.joining(","));
         Map<String, String> environment =
@@ -348,12 +350,12 @@
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
         CommandLineTool tool = new CommandLineTool(
-                name -> Optional.ofNullable(environment.get(name)), print(output), print(errors), false);
+                name -> Optional.ofNullable(environment.get(name)), printStream(output), printStream(errors), false);
         int code = tool.run(arguments).value();
         return new ToolResult(code, output.toString(StandardCharsets.UTF_8), errors.toString(StandardCharsets.UTF_8));
     }
 
-    private static PrintStream print(ByteArrayOutputStream stream) {
+    private static PrintStream printStream(ByteArrayOutputStream stream) {
         return new PrintStream(stream, true, StandardCharsets.UTF_8);
     }
 
@@ -366,7 +368,7 @@
     public ToolResult apply(String declarations) {
         Path file = directory.resolve("declarations.toml");
         write(file, declarations);
-        return tool("apply", "-f", file.toString());
+        return runTool("apply", "-f", file.toString());
     }
 
     /**
@@ -411,9 +413,9 @@
             engine.proxy().stop();
             engine.engine().stop();
         });
-        desks.forEach(desk -> {
-            desk.proxy().stop();
-            desk.service().stop();
+        serviceEndpoints.forEach(serviceEndpoint -> {
+            serviceEndpoint.proxy().stop();
+            serviceEndpoint.service().stop();
         });
         hostList.stop();
         log.stop();
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterDesk.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterServiceEndpoint.java
@@ -11,4 +11,4 @@
  * @param service the stand-in
  * @param proxy proxy through which hosts reach it
  */
-public record ClusterDesk(Endpoint endpoint, PlainServiceStandIn service, FaultProxy proxy) {}
+public record ClusterServiceEndpoint(Endpoint endpoint, PlainServiceStandIn service, FaultProxy proxy) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTraffic.java
@@ -25,9 +25,9 @@
 
 /** Sends chats whose answers are known and compares each answer with its expected text. */
 public final class ChatTraffic implements AutoCloseable {
-    private static final int LONGEST_ANSWER = 60;
+    private static final int MAXIMUM_ANSWER_TOKENS = 60;
 
-    private final TrafficPlan plan;
+    private final ChatTrafficPlan plan;
     private final Supplier<List<NetworkAddress>> entries;
     private final HttpCaller caller;
     private final List<Thread> threads = new ArrayList<>();
@@ -43,21 +43,21 @@
      * @param plan the traffic
      * @param entries gives the entry hosts to use, at least one
      */
-    public ChatTraffic(TrafficPlan plan, Supplier<List<NetworkAddress>> entries) {
+    public ChatTraffic(ChatTrafficPlan plan, Supplier<List<NetworkAddress>> entries) {
         this.plan = plan;
         this.entries = entries;
         this.caller = new HttpCaller(plan.workers(), plan.deadline().plusSeconds(5), Clock.systemUTC());
-        this.end = Instant.now().plus(plan.length());
+        this.end = Instant.now().plus(plan.duration());
         for (int worker = 0; worker < plan.workers(); worker++) {
             int number = worker;
-            Thread thread = new Thread(() -> work(number), "caller-" + worker);
+            Thread thread = new Thread(() -> sendChats(number), "caller-" + worker);
             thread.setDaemon(true);
             threads.add(thread);
         }
         threads.forEach(Thread::start);
     }
 
-    private void work(int worker) {
+    private void sendChats(int worker) {
         Random random = new Random(plan.seed() * 1_000 + worker);
         for (int number = 0; Instant.now().isBefore(end); number++) {
             String adapter = "assistant/adapter-" + random.nextInt(plan.adapters());
@@ -66,8 +66,12 @@
             List<NetworkAddress> hosts = entries.get();
             NetworkAddress host = hosts.get(random.nextInt(hosts.size()));
             ChatCall call = new ChatCall(
-                    headers(), adapter + version, prompt, 1 + random.nextInt(LONGEST_ANSWER), random.nextInt(3) > 0);
-            check(call, caller.chat(host, call).join());
+                    headers(),
+                    adapter + version,
+                    prompt,
+                    1 + random.nextInt(MAXIMUM_ANSWER_TOKENS),
+                    random.nextInt(3) > 0);
+            checkResult(call, caller.chat(host, call).join());
         }
     }
 
@@ -79,27 +83,28 @@
                 Optional.empty());
     }
 
-    private void check(ChatCall call, CallerResult result) {
+    private void checkResult(ChatCall call, CallerResult result) {
         if (result instanceof CallerResult.Generated generated) {
             answered.incrementAndGet();
             checkAnswer(call, generated);
         } else if (result instanceof CallerResult.NotRun notRun) {
-            count("not run: " + notRun.code());
+            countFailure("not run: " + notRun.code());
         } else if (result instanceof CallerResult.Unknown unknown) {
-            count("unknown: " + unknown.code());
+            countFailure("unknown: " + unknown.code());
         }
     }
 
-    private void count(String code) {
+    private void countFailure(String code) {
         failures.computeIfAbsent(code, key -> new AtomicInteger()).incrementAndGet();
     }
 
     private void checkAnswer(ChatCall call, CallerResult.Generated generated) {
         String model = generated.model();
-        boolean named = call.model().contains("@") ? model.equals(call.model()) : model.startsWith(call.model() + "@v");
+        boolean modelMatches =
+                call.model().contains("@") ? model.equals(call.model()) : model.startsWith(call.model() + "@v");
         String expected =
                 String.join("", EngineText.tokens(model, "user: " + call.prompt() + "\n", call.maximumTokens()));
-        if (!named) {
+        if (!modelMatches) {
             wrong.add(call.model() + " was answered by " + model);
         } else if (!expected.equals(generated.text())) {
             wrong.add(generated.requestId() + " expected <" + expected + "> but got <" + generated.text() + ">");
@@ -115,7 +120,7 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public TrafficReport finish(Supplier<List<EngineRun>> runs) throws InterruptedException {
-        Duration limit = plan.length().plus(plan.deadline()).plusSeconds(10);
+        Duration limit = plan.duration().plus(plan.deadline()).plusSeconds(10);
         for (Thread thread : threads) {
             thread.join(limit.toMillis());
             if (thread.isAlive()) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/TrafficPlan.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTrafficPlan.java
@@ -8,7 +8,7 @@
  * @param seed seed of all choices
  * @param workers callers at a time
  * @param adapters adapters {@code adapter-0} and so on
- * @param length time in which requests are sent
+ * @param duration time in which requests are sent
  * @param deadline time from a request to its deadline
  */
-public record TrafficPlan(long seed, int workers, int adapters, Duration length, Duration deadline) {}
+public record ChatTrafficPlan(long seed, int workers, int adapters, Duration duration, Duration deadline) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Observation.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationObservation.java
@@ -14,4 +14,5 @@
  * @param version version in force
  * @param preset preset in force
  */
-public record Observation(HostId host, Instant askedAt, Instant answeredAt, long version, PresetId preset) {}
+public record ConfigurationObservation(
+        HostId host, Instant askedAt, Instant answeredAt, long version, PresetId preset) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationPoller.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationPoller.java
@@ -16,7 +16,7 @@
     private static final Duration INTERVAL = Duration.ofMillis(20);
 
     private final List<Thread> threads = new ArrayList<>();
-    private final List<Observation> observations = new ArrayList<>();
+    private final List<ConfigurationObservation> observations = new ArrayList<>();
     private volatile boolean stopped;
 
     /**
@@ -34,27 +34,27 @@
      * @param host the host
      */
     public synchronized void add(ClusterHost host) {
-        Thread thread = new Thread(() -> poll(host.id(), new HostOperator(host)), "poll " + host.id());
+        Thread thread = new Thread(() -> poll(host.id(), new HostOperatorClient(host)), "poll " + host.id());
         thread.setDaemon(true);
         threads.add(thread);
         thread.start();
     }
 
-    private void poll(HostId host, HostOperator operator) {
+    private void poll(HostId host, HostOperatorClient operator) {
         while (!stopped) {
             Instant askedAt = Instant.now();
             try {
                 Configuration configuration = operator.configuration();
-                record(new Observation(
+                record(new ConfigurationObservation(
                         host, askedAt, Instant.now(), configuration.version(), configuration.presetInForce()));
             } catch (FailureException exception) {
                 // A host that has stopped answers nothing, which is not an observation.
             }
-            Sleep.until(askedAt.plus(INTERVAL));
+            Wait.sleepUntil(askedAt.plus(INTERVAL));
         }
     }
 
-    private void record(Observation observation) {
+    private void record(ConfigurationObservation observation) {
         synchronized (observations) {
             observations.add(observation);
         }
@@ -65,7 +65,7 @@
      *
      * @return copy of the list, in order for each host
      */
-    public List<Observation> observations() {
+    public List<ConfigurationObservation> observations() {
         synchronized (observations) {
             return List.copyOf(observations);
         }
@@ -81,7 +81,7 @@
     public Optional<Instant> firstSeen(HostId host, long version) {
         return observations().stream()
                 .filter(seen -> seen.host().equals(host) && seen.version() >= version)
-                .map(Observation::answeredAt)
+                .map(ConfigurationObservation::answeredAt)
                 .findFirst();
     }
 
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryDirectory.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryAddressCache.java
@@ -15,56 +15,56 @@
 import org.banyanstair.testsupport.load.HttpCaller;
 
 /**
- * Addresses as a caller keeps them: asked from any known host, kept until the answer says, then asked again.
+ * Addresses as a caller keeps them: asked from any knownAddresses host, cached until the answer says, then asked again.
  *
  * <p>Safe for use by several threads.
  */
-public final class EntryDirectory {
+public final class EntryAddressCache {
     private static final CallerHeaders HEADERS =
             new CallerHeaders(Cluster.key(Cluster.CALLER), Optional.empty(), Optional.empty(), Optional.empty());
 
     private final HttpCaller caller;
-    private final Set<NetworkAddress> known = new LinkedHashSet<>();
-    private EntryList kept = new EntryList(List.of(), Instant.MIN);
-    private int next;
+    private final Set<NetworkAddress> knownAddresses = new LinkedHashSet<>();
+    private EntryList cached = new EntryList(List.of(), Instant.MIN);
+    private int lookups;
 
     /**
      * Creates a directory.
      *
      * @param caller client that asks
-     * @param first addresses to begin with
+     * @param initialAddresses addresses to begin with
      */
-    public EntryDirectory(HttpCaller caller, List<NetworkAddress> first) {
+    public EntryAddressCache(HttpCaller caller, List<NetworkAddress> initialAddresses) {
         this.caller = caller;
-        known.addAll(first);
+        knownAddresses.addAll(initialAddresses);
     }
 
     /**
-     * Chooses the host for the next request.
+     * Chooses the host for the lookups request.
      *
      * @return its caller address
      */
-    public synchronized NetworkAddress choose() {
-        if (!Instant.now().isBefore(kept.keepUntil()) || kept.addresses().isEmpty()) {
+    public synchronized NetworkAddress nextAddress() {
+        if (!Instant.now().isBefore(cached.keepUntil()) || cached.addresses().isEmpty()) {
             refresh();
         }
-        next++;
-        return kept.addresses().get(Math.floorMod(next, kept.addresses().size()));
+        lookups++;
+        return cached.addresses().get(Math.floorMod(lookups, cached.addresses().size()));
     }
 
     private void refresh() {
-        List<NetworkAddress> candidates = new ArrayList<>(kept.addresses());
-        known.stream().filter(address -> !candidates.contains(address)).forEach(candidates::add);
+        List<NetworkAddress> candidates = new ArrayList<>(cached.addresses());
+        knownAddresses.stream().filter(address -> !candidates.contains(address)).forEach(candidates::add);
         for (NetworkAddress candidate : candidates) {
             try {
                 EntryList answer = caller.entryAddresses(candidate, HEADERS).join();
                 if (!answer.addresses().isEmpty()) {
-                    kept = answer;
-                    known.addAll(answer.addresses());
+                    cached = answer;
+                    knownAddresses.addAll(answer.addresses());
                     return;
                 }
             } catch (CompletionException exception) {
-                // The host is gone; the next one is asked.
+                // The host is gone; the lookups one is asked.
                 continue;
             }
         }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/HostOperator.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/HostOperatorClient.java
@@ -17,7 +17,7 @@
 import org.banyanstair.integration.cluster.ClusterHost;
 
 /** An operator who uses one host only. Safe for use by several threads. */
-public final class HostOperator {
+public final class HostOperatorClient {
     private final OperatorClient client;
 
     /**
@@ -25,7 +25,7 @@
      *
      * @param host the host
      */
-    public HostOperator(ClusterHost host) {
+    public HostOperatorClient(ClusterHost host) {
         client = new OperatorClient(List.of(url(host)), Cluster.OPERATOR_KEY);
     }
 
@@ -73,7 +73,7 @@
      * @param limit longest time to ask
      * @return the verdict, empty if no host knew it in time
      */
-    public Optional<ChangeVerdict> resolve(List<ClusterHost> hosts, String changeId, Duration limit) {
+    public Optional<ChangeVerdict> awaitVerdict(List<ClusterHost> hosts, String changeId, Duration limit) {
         Instant deadline = Instant.now().plus(limit);
         while (Instant.now().isBefore(deadline)) {
             Optional<ChangeVerdict> verdict = hosts.stream()
@@ -83,7 +83,7 @@
             if (verdict.isPresent()) {
                 return verdict;
             }
-            Sleep.of(Duration.ofMillis(100));
+            Wait.sleep(Duration.ofMillis(100));
         }
         return Optional.empty();
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Traffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/IdempotentTraffic.java
@@ -24,18 +24,18 @@
 import org.banyanstair.testsupport.load.ServiceRequest;
 
 /** Idempotent requests, half of them chats and half stock lookups, at random times. */
-public final class Traffic implements AutoCloseable {
+public final class IdempotentTraffic implements AutoCloseable {
     /** Adapters that the chats use; as many as an engine of the test has slots, less one. */
     public static final int ADAPTERS = 3;
 
     /** Tokens of a chat. */
     public static final int TOKENS = 8;
 
-    private static final int LONGEST_LOAD_SECONDS = 90;
+    private static final int MAXIMUM_LOAD_SECONDS = 90;
 
-    private static final int LARGEST_PART = 1_000;
+    private static final int MAXIMUM_REQUESTS_PER_SECOND = 1_000;
 
-    private static final Duration DEADLINE = Duration.ofSeconds(10);
+    private static final Duration DEADLINE_AFTER = Duration.ofSeconds(10);
 
     private final HttpCaller caller = new HttpCaller(200, Duration.ofSeconds(20), Clock.systemUTC());
     private final List<FailedRequest> failures = new ArrayList<>();
@@ -62,11 +62,11 @@
      * @param entry caller address of a host
      * @return the result
      */
-    public CompletableFuture<CallerResult> stock(NetworkAddress entry) {
+    public CompletableFuture<CallerResult> lookUpStock(NetworkAddress entry) {
         return caller.call(
                 entry,
                 new ServiceRequest(
-                        headers(DEADLINE),
+                        headers(DEADLINE_AFTER),
                         new ServiceId("order-desk"),
                         "GET",
                         "/stock/blanket",
@@ -92,7 +92,7 @@
     }
 
     /**
-     * Starts load in the background, which ends with {@link #finish}.
+     * Starts load in the background, which ends with {@link #stopAndAwait}.
      *
      * @param requestsPerSecond mean rate of arrivals
      * @param seed seed of arrivals and requests
@@ -106,11 +106,15 @@
 
     private void run(double requestsPerSecond, long seed, Supplier<NetworkAddress> entries) {
         try {
-            for (int second = 0; second < LONGEST_LOAD_SECONDS && !stopped; second++) {
+            for (int second = 0; second < MAXIMUM_LOAD_SECONDS && !stopped; second++) {
                 // No part of the load waits for the end of an earlier one, so the rate does not drop in between.
                 LoadPlan plan = new LoadPlan(
-                        requestsPerSecond, LARGEST_PART, Duration.ofSeconds(1), Duration.ZERO, seed + second);
-                new OpenLoopLoad(plan, (sequence, random, intended) -> one(random, entries)).run();
+                        requestsPerSecond,
+                        MAXIMUM_REQUESTS_PER_SECOND,
+                        Duration.ofSeconds(1),
+                        Duration.ZERO,
+                        seed + second);
+                new OpenLoopLoad(plan, (sequence, random, intended) -> sendRecorded(random, entries)).run();
             }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
@@ -123,7 +127,7 @@
      * @return number of requests, all of which have ended
      * @throws Exception if a request has no result after 20 s, or one could not be sent for lack of an address
      */
-    public int finish() throws Exception {
+    public int stopAndAwait() throws Exception {
         stopped = true;
         thread.join(Duration.ofSeconds(5).toMillis());
         List<CompletableFuture<LoadResult>> all;
@@ -134,7 +138,7 @@
         return all.size();
     }
 
-    private CompletableFuture<LoadResult> one(Random random, Supplier<NetworkAddress> entries) {
+    private CompletableFuture<LoadResult> sendRecorded(Random random, Supplier<NetworkAddress> entries) {
         CompletableFuture<LoadResult> result;
         try {
             result = send(random, entries.get());
@@ -151,14 +155,15 @@
         boolean chat = random.nextBoolean();
         int adapter = random.nextInt(ADAPTERS);
         Instant sentAt = Instant.now();
-        CompletableFuture<CallerResult> result = chat ? chat(entry, adapter, TOKENS, DEADLINE) : stock(entry);
+        CompletableFuture<CallerResult> result =
+                chat ? chat(entry, adapter, TOKENS, DEADLINE_AFTER) : lookUpStock(entry);
         return result.thenApply(ended -> {
-            note(entry, sentAt, ended);
+            recordFailure(entry, sentAt, ended);
             return ended.toLoadResult();
         });
     }
 
-    private synchronized void note(NetworkAddress entry, Instant sentAt, CallerResult result) {
+    private synchronized void recordFailure(NetworkAddress entry, Instant sentAt, CallerResult result) {
         boolean wrongLength = result instanceof CallerResult.Generated generated && generated.tokens() != TOKENS;
         boolean wrongStatus = result instanceof CallerResult.ServiceAnswered answered && answered.status() != 200;
         if (wrongLength
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Sleep.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Wait.java
@@ -5,17 +5,17 @@
 import java.util.function.BooleanSupplier;
 
 /** Waits that end with a deadline. */
-public final class Sleep {
-    private static final Duration POLL = Duration.ofMillis(20);
+public final class Wait {
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
-    private Sleep() {}
+    private Wait() {}
 
     /**
      * Sleeps until an instant; returns early if the thread is interrupted.
      *
      * @param instant the instant
      */
-    public static void until(Instant instant) {
+    public static void sleepUntil(Instant instant) {
         try {
             Thread.sleep(Math.max(0, Duration.between(Instant.now(), instant).toMillis()));
         } catch (InterruptedException exception) {
@@ -28,8 +28,8 @@
      *
      * @param time the time
      */
-    public static void of(Duration time) {
-        until(Instant.now().plus(time));
+    public static void sleep(Duration time) {
+        sleepUntil(Instant.now().plus(time));
     }
 
     /**
@@ -45,7 +45,7 @@
             if (!Instant.now().isBefore(deadline)) {
                 return false;
             }
-            of(POLL);
+            sleep(POLL_INTERVAL);
         }
         return true;
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
@@ -35,8 +35,8 @@
     public static final Customer ASSOCIATION = new Customer("association", 6, 2, 3_000, 1.5, 60, 0.3, 0.01, 32, "peak");
 
     /** Time to the deadline of an urgent request. */
-    static final Duration URGENT = Duration.ofSeconds(3);
+    static final Duration URGENT_TIME_TO_DEADLINE = Duration.ofSeconds(3);
 
     /** Time to the deadline of any other request. */
-    static final Duration ORDINARY = Duration.ofSeconds(10);
+    static final Duration ORDINARY_TIME_TO_DEADLINE = Duration.ofSeconds(10);
 }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/OfflineBound.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/OfflineBound.java
@@ -29,7 +29,7 @@
             if (!loaded.contains(adapter)) {
                 loads++;
                 if (loaded.size() == slots) {
-                    loaded.remove(furthest(loaded, uses));
+                    loaded.remove(furthestNextUse(loaded, uses));
                 }
                 loaded.add(adapter);
             }
@@ -37,7 +37,7 @@
         return loads;
     }
 
-    private static Integer furthest(Set<Integer> loaded, Map<Integer, Deque<Integer>> uses) {
+    private static Integer furthestNextUse(Set<Integer> loaded, Map<Integer, Deque<Integer>> uses) {
         return loaded.stream()
                 .max((first, second) -> Integer.compare(nextUse(uses.get(first)), nextUse(uses.get(second))))
                 .orElseThrow();
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyRun.java
@@ -47,16 +47,16 @@
 
     private static final long STEP_MICROSECONDS = 20_000;
 
-    private static final Duration SHIFT_INTERVAL = Duration.ofSeconds(15);
+    private static final Duration POPULARITY_SHIFT_INTERVAL = Duration.ofSeconds(15);
 
-    private static final int SHIFT_BY = 40;
+    private static final int POPULARITY_SHIFT_RANKS = 40;
 
-    private static final Pattern STALL = Pattern.compile("status=200 .*load-stall=(\\d+)");
+    private static final Pattern LOAD_STALL = Pattern.compile("status=200 .*load-stall=(\\d+)");
 
     private final Customer customer;
     private final String policy;
     private final long seed;
-    private final Duration time;
+    private final Duration duration;
     private final List<Integer> trace = Collections.synchronizedList(new ArrayList<>());
     private final Histogram firstTokens = new Histogram(3);
     private final Histogram premiumFirstTokens = new Histogram(3);
@@ -65,11 +65,11 @@
     private long missed;
     private long refused;
 
-    PolicyRun(Customer customer, String policy, long seed, Duration time) {
+    PolicyRun(Customer customer, String policy, long seed, Duration duration) {
         this.customer = customer;
         this.policy = policy;
         this.seed = seed;
-        this.time = time;
+        this.duration = duration;
     }
 
     PolicyFigures run(Path directory) throws InterruptedException {
@@ -83,7 +83,7 @@
             if (applied.code() != 0) {
                 throw new IllegalStateException(applied.errors());
             }
-            load(cluster, caller);
+            generateLoad(cluster, caller);
             return figures(cluster);
         } finally {
             store.stop();
@@ -136,18 +136,20 @@
                                 "loads-per-second = " + customer.loadsPerSecond() + "\nloads-in-transit = 8");
     }
 
-    private void load(Cluster cluster, HttpCaller caller) throws InterruptedException {
+    private void generateLoad(Cluster cluster, HttpCaller caller) throws InterruptedException {
         Instant begin = Instant.now();
         List<Instant> shifts = new ArrayList<>();
-        for (Instant at = begin.plus(SHIFT_INTERVAL); at.isBefore(begin.plus(time)); at = at.plus(SHIFT_INTERVAL)) {
+        for (Instant at = begin.plus(POPULARITY_SHIFT_INTERVAL);
+                at.isBefore(begin.plus(duration));
+                at = at.plus(POPULARITY_SHIFT_INTERVAL)) {
             shifts.add(at);
         }
         ZipfPopularity popularity =
-                new ZipfPopularity(customer.adapters(), customer.zipfExponent(), seed, shifts, SHIFT_BY);
+                new ZipfPopularity(customer.adapters(), customer.zipfExponent(), seed, shifts, POPULARITY_SHIFT_RANKS);
         LoadPlan plan = new LoadPlan(
                 customer.requestsPerSecond(),
-                (long) (customer.requestsPerSecond() * time.toSeconds() * 2),
-                time,
+                (long) (customer.requestsPerSecond() * duration.toSeconds() * 2),
+                duration,
                 Duration.ofSeconds(20),
                 seed);
         List<ClusterHost> hosts = cluster.hosts();
@@ -164,7 +166,8 @@
         boolean premium = random.nextDouble() < customer.premiumShare();
         int adapter = urgent ? random.nextInt(customer.adapters()) : popularity.choose(random, intended);
         trace.add(adapter);
-        Instant deadline = intended.plus(urgent ? Customer.URGENT : Customer.ORDINARY);
+        Instant deadline =
+                intended.plus(urgent ? Customer.URGENT_TIME_TO_DEADLINE : Customer.ORDINARY_TIME_TO_DEADLINE);
         CallerHeaders headers = new CallerHeaders(
                 Cluster.key(Cluster.CALLER),
                 Optional.of(deadline),
@@ -203,7 +206,7 @@
     }
 
     private PolicyFigures figures(Cluster cluster) {
-        Histogram stalls = stalls(cluster);
+        Histogram stalls = readLoadStalls(cluster);
         long tokens = 0;
         long steps = 0;
         long loads = 0;
@@ -229,12 +232,12 @@
     }
 
     /** The load stalls of the answered requests, from the request lines in the logs of the daemons. */
-    private static Histogram stalls(Cluster cluster) {
+    private static Histogram readLoadStalls(Cluster cluster) {
         Histogram stalls = new Histogram(3);
         for (ClusterHost host : cluster.hosts()) {
             try {
                 for (String line : Files.readAllLines(host.process().output())) {
-                    Matcher matcher = STALL.matcher(line);
+                    Matcher matcher = LOAD_STALL.matcher(line);
                     if (matcher.find()) {
                         stalls.recordValue(Long.parseLong(matcher.group(1)));
                     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/EndpointRecords.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/EndpointRecords.java
@@ -11,8 +11,8 @@
 
 import org.banyanstair.codec.Mappers;
 import org.banyanstair.integration.cluster.Cluster;
-import org.banyanstair.integration.cluster.ClusterDesk;
 import org.banyanstair.integration.cluster.ClusterEngine;
+import org.banyanstair.integration.cluster.ClusterServiceEndpoint;
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.testsupport.engine.EngineRun;
 import org.banyanstair.testsupport.engine.EngineViolation;
@@ -26,9 +26,9 @@
     private EndpointRecords() {}
 
     /** Returns the body of an order, with a mark by which the record of the endpoint shows it. */
-    static byte[] orderBody(String mark) {
+    static byte[] orderBody(String reference) {
         try {
-            return Mappers.JSON.writeValueAsBytes(Map.of("item", "fire-blanket", "quantity", 1, REFERENCE, mark));
+            return Mappers.JSON.writeValueAsBytes(Map.of("item", "fire-blanket", "quantity", 1, REFERENCE, reference));
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
@@ -39,8 +39,8 @@
         for (ClusterEngine engine : cluster.engines()) {
             engine.engine().record().runs().forEach(run -> runs.add(run(engine, run)));
         }
-        for (ClusterDesk desk : cluster.desks()) {
-            desk.service().record().forEach(run -> runs.add(run(desk, run)));
+        for (ClusterServiceEndpoint serviceEndpoint : cluster.serviceEndpoints()) {
+            serviceEndpoint.service().record().forEach(run -> runs.add(run(serviceEndpoint, run)));
         }
         return runs;
     }
@@ -63,9 +63,16 @@
                 run.ended().orElseGet(Instant::now));
     }
 
-    private static EndpointRun run(ClusterDesk desk, ServiceRun run) {
+    private static EndpointRun run(ClusterServiceEndpoint serviceEndpoint, ServiceRun run) {
         return new EndpointRun(
-                desk.endpoint().id(), run.requestId(), key(run), Optional.empty(), 0, "", run.started(), run.ended());
+                serviceEndpoint.endpoint().id(),
+                run.requestId(),
+                key(run),
+                Optional.empty(),
+                0,
+                "",
+                run.started(),
+                run.ended());
     }
 
     private static String key(ServiceRun run) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/PromiseCheck.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/PromiseCheck.java
@@ -43,15 +43,15 @@
     List<BrokenPromise> check(List<HistoryEvent> events, List<EndpointRun> runs, List<EngineViolation> violations) {
         new HistoryChecker(events, runs, List.of(), this::expected)
                 .check()
-                .forEach(violation -> report(promise(violation), violation.toString()));
-        violations.forEach(violation -> report(Promise.NO_UNLOAD_IN_USE, violation.toString()));
+                .forEach(violation -> addBroken(promise(violation), violation.toString()));
+        violations.forEach(violation -> addBroken(Promise.NO_UNLOAD_IN_USE, violation.toString()));
         checkAnswered();
         checkRefused();
         checkSameAnswers();
         return List.copyOf(broken);
     }
 
-    private void report(Promise promise, String detail) {
+    private void addBroken(Promise promise, String detail) {
         broken.add(new BrokenPromise(promise, detail));
     }
 
@@ -88,7 +88,7 @@
                 .filter(result ->
                         result.request().kind().isRepeatable() || !(result.last() instanceof CallerResult.Unknown))
                 .forEach(result ->
-                        report(Promise.NOTHING_LOST, result.request().key() + " ended with " + result.attempts()));
+                        addBroken(Promise.NOTHING_LOST, result.request().key() + " ended with " + result.attempts()));
     }
 
     private void checkRefused() {
@@ -97,8 +97,8 @@
                     .refusal()
                     .filter(code -> !(result.last() instanceof CallerResult.NotRun notRun
                             && notRun.code().equals(code)))
-                    .ifPresent(code ->
-                            report(Promise.BAD_REFUSED, "expected " + code + ", but the outcome was " + result.last()));
+                    .ifPresent(code -> addBroken(
+                            Promise.BAD_REFUSED, "expected " + code + ", but the outcome was " + result.last()));
         }
     }
 
@@ -113,7 +113,7 @@
         }
         answers.forEach((key, different) -> {
             if (different.size() > 1) {
-                report(Promise.SAME_ANSWER, key + " was answered by " + different);
+                addBroken(Promise.SAME_ANSWER, key + " was answered by " + different);
             }
         });
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStart.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStart.java
@@ -19,9 +19,9 @@
 
 /** Entry point of {@code bin/quickstart}. */
 public final class QuickStart {
-    private static final int DONE = 0;
+    private static final int SUCCESS = 0;
     private static final int PROMISE_BROKEN = 1;
-    private static final int INVALID = 2;
+    private static final int INVALID_ARGUMENTS = 2;
     private static final int FAILED = 3;
 
     private QuickStart() {}
@@ -53,16 +53,18 @@
             CommandLine line = new DefaultParser().parse(options, arguments);
             if (line.hasOption("help")) {
                 new HelpFormatter().printHelp("quickstart [--serve]", options);
-                return DONE;
+                return SUCCESS;
             }
             if (!line.hasOption("declarations") || !line.getArgList().isEmpty()) {
                 throw new ParseException("--declarations is required, and there are no arguments");
             }
             Path declarations = Path.of(line.getOptionValue("declarations"));
-            return line.hasOption("serve") ? serve(declarations, System.out) : demonstrate(declarations, System.out);
+            return line.hasOption("serve")
+                    ? serve(declarations, System.out)
+                    : runSampleTraffic(declarations, System.out);
         } catch (ParseException exception) {
             System.err.println(exception.getMessage());
-            return INVALID;
+            return INVALID_ARGUMENTS;
         } catch (IOException | TimeoutException | RuntimeException exception) {
             System.err.println("quick start failed: " + exception);
             return FAILED;
@@ -81,16 +83,16 @@
      *
      * @return exit code
      */
-    static int demonstrate(Path declarations, PrintStream out)
+    static int runSampleTraffic(Path declarations, PrintStream out)
             throws IOException, InterruptedException, TimeoutException {
-        try (SampleSystem system = new SampleSystem()) {
+        try (SampleCluster system = new SampleCluster()) {
             system.start(declarations);
             Cluster cluster = system.cluster();
             out.printf(
                     "Started %d entry hosts, %d engines and %d order desks on loopback%n%n",
                     cluster.hosts().size(),
                     cluster.engines().size(),
-                    cluster.desks().size());
+                    cluster.serviceEndpoints().size());
             QuickStartResult result = new SampleRun(cluster).run();
             QuickStartReport.lines(result).forEach(out::println);
             String names = result.broken().stream()
@@ -99,7 +101,7 @@
                     .collect(Collectors.joining("; "));
             out.println();
             out.println(names.isEmpty() ? "All promises held." : "Broken: " + names);
-            return names.isEmpty() ? DONE : PROMISE_BROKEN;
+            return names.isEmpty() ? SUCCESS : PROMISE_BROKEN;
         }
     }
 
@@ -107,13 +109,13 @@
         CountDownLatch stop = new CountDownLatch(1);
         Thread main = Thread.currentThread();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(stop, main), "quickstart-stop"));
-        try (SampleSystem system = new SampleSystem()) {
+        try (SampleCluster system = new SampleCluster()) {
             system.start(declarations);
             addressLines(system.cluster().hosts()).forEach(out::println);
             out.flush();
             stop.await();
         }
-        return DONE;
+        return SUCCESS;
     }
 
     private static void stop(CountDownLatch stop, Thread main) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartReport.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartReport.java
@@ -110,14 +110,20 @@
     }
 
     private void writeKilledHost() {
-        List<SampleResult> cut = result.results().stream()
+        List<SampleResult> disconnected = result.results().stream()
                 .filter(each -> each.attempts().stream().anyMatch(SampleResult.Attempt::isConnectionLost))
                 .toList();
         add("Host %s was killed with SIGKILL while requests ran", result.killed());
-        add(COUNT, "lost their connection: outcome unknown", cut.size());
-        add(COUNT, "answered when sent again with the same key", count(cut, SampleResult::isAnswered));
-        add(COUNT, "still unknown, ran once by the record", count(cut, each -> isUnknown(each) && ran(each)));
-        add(COUNT, "still unknown, never ran by the record", count(cut, each -> isUnknown(each) && !ran(each)));
+        add(COUNT, "lost their connection: outcome unknown", disconnected.size());
+        add(COUNT, "answered when sent again with the same key", count(disconnected, SampleResult::isAnswered));
+        add(
+                COUNT,
+                "still unknown, ran once by the record",
+                count(disconnected, each -> isUnknown(each) && wasRun(each)));
+        add(
+                COUNT,
+                "still unknown, never ran by the record",
+                count(disconnected, each -> isUnknown(each) && !wasRun(each)));
         add("");
     }
 
@@ -125,7 +131,7 @@
         return each.last() instanceof CallerResult.Unknown;
     }
 
-    private boolean ran(SampleResult each) {
+    private boolean wasRun(SampleResult each) {
         return result.runs().stream()
                 .anyMatch(run -> run.key().equals(each.request().key()));
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCaller.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCaller.java
@@ -26,14 +26,15 @@
 final class SampleCaller implements AutoCloseable {
     static final Duration DEADLINE = Duration.ofSeconds(20);
 
-    private static final int MAXIMUM_CALLS = 400;
+    private static final int MAXIMUM_CONCURRENT_CALLS = 400;
     private static final int MAXIMUM_ATTEMPTS = 8;
     private static final int SERVICE_UNAVAILABLE = 503;
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
     private final List<ClusterHost> hosts;
     private final HistoryRecorder history = new HistoryRecorder(Clock.systemUTC());
-    private final HttpCaller client = new HttpCaller(MAXIMUM_CALLS, DEADLINE.plusSeconds(2), Clock.systemUTC());
+    private final HttpCaller client =
+            new HttpCaller(MAXIMUM_CONCURRENT_CALLS, DEADLINE.plusSeconds(2), Clock.systemUTC());
 
     SampleCaller(List<ClusterHost> hosts) {
         this.hosts = List.copyOf(hosts);
@@ -51,16 +52,16 @@
      * @return how it ended
      */
     CompletableFuture<SampleResult> send(SampleRequest request, int host) {
-        return new Sending(request).attempt(host);
+        return new PendingRequest(request).attempt(host);
     }
 
-    private final class Sending {
+    private final class PendingRequest {
         private final SampleRequest request;
         private final Instant start = Instant.now();
         private final long startNanos = System.nanoTime();
         private final List<SampleResult.Attempt> attempts = new ArrayList<>();
 
-        Sending(SampleRequest request) {
+        PendingRequest(SampleRequest request) {
             this.request = request;
         }
 
@@ -77,12 +78,12 @@
                     .thenCompose(result -> {
                         record(sent, result);
                         attempts.add(new SampleResult.Attempt(host.id(), result));
-                        return next(index, result);
+                        return completeOrRetry(index, result);
                     });
         }
 
-        private CompletableFuture<SampleResult> next(int index, CallerResult result) {
-            Optional<Duration> delay = delayOfRepeat(result);
+        private CompletableFuture<SampleResult> completeOrRetry(int index, CallerResult result) {
+            Optional<Duration> delay = retryDelay(result);
             if (delay.isEmpty() || attempts.size() == MAXIMUM_ATTEMPTS) {
                 Duration latency = Duration.ofNanos(System.nanoTime() - startNanos);
                 return CompletableFuture.completedFuture(new SampleResult(request, attempts, latency));
@@ -93,12 +94,12 @@
                     .thenCompose(this::attempt);
         }
 
-        private Optional<Duration> delayOfRepeat(CallerResult result) {
+        private Optional<Duration> retryDelay(CallerResult result) {
             if (result instanceof CallerResult.NotRun notRun) {
                 boolean unavailable = notRun.status() == SERVICE_UNAVAILABLE;
                 return notRun.status() == 0
                         ? Optional.of(Duration.ZERO)
-                        : Optional.of(RETRY_AFTER).filter(after -> unavailable);
+                        : Optional.of(RETRY_DELAY).filter(after -> unavailable);
             }
             boolean lost = attempts.get(attempts.size() - 1).isConnectionLost();
             boolean unknown = result instanceof CallerResult.Unknown;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleSystem.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCluster.java
@@ -15,27 +15,27 @@
 import org.banyanstair.testsupport.engine.EngineSettings;
 
 /** The system of the quick start, with a temporary directory that is deleted when it stops. */
-final class SampleSystem implements AutoCloseable {
+final class SampleCluster implements AutoCloseable {
     private static final int HOSTS = 3;
-    private static final int ENGINES_OF_POOL = 2;
-    private static final int DESKS = 2;
+    private static final int ENGINES_PER_POOL = 2;
+    private static final int SERVICE_ENDPOINTS = 2;
 
     private final Path directory;
     private final Cluster cluster;
 
-    SampleSystem() throws IOException {
+    SampleCluster() throws IOException {
         directory = Files.createTempDirectory("banyanstair-quickstart");
         cluster = new Cluster(plan(), directory);
     }
 
     private static ClusterPlan plan() {
-        List<EngineSettings> engines = Collections.nCopies(ENGINES_OF_POOL, EngineSettings.DEFAULT);
+        List<EngineSettings> engines = Collections.nCopies(ENGINES_PER_POOL, EngineSettings.DEFAULT);
         return new ClusterPlan(
                 HOSTS,
                 List.of(
                         new ClusterPlan.PoolPlan("assistant", engines),
                         new ClusterPlan.PoolPlan("proof-review", engines)),
-                DESKS,
+                SERVICE_ENDPOINTS,
                 Duration.ofHours(1),
                 Duration.ofMillis(200),
                 List.of());
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRun.java
@@ -14,15 +14,15 @@
 
 /** Sends the sample traffic through a running system, kills a host meanwhile, and checks the promises. */
 final class SampleRun {
-    private static final int STEADY_REQUESTS = 140;
+    private static final int REQUESTS_BEFORE_KILL = 140;
     private static final int SHARED_ORDERS = 5;
     private static final int BURST_REQUESTS = 42;
-    private static final int LATER_REQUESTS = 70;
-    private static final Duration PAUSE = Duration.ofMillis(20);
+    private static final int REQUESTS_AFTER_KILL = 70;
+    private static final Duration REQUEST_INTERVAL = Duration.ofMillis(20);
     /** The requests of the burst have reached the hosts by then, but few have been answered. */
     private static final Duration KILL_DELAY = Duration.ofMillis(40);
 
-    private static final Duration LIMIT = SampleCaller.DEADLINE.plusSeconds(5);
+    private static final Duration RESULT_TIMEOUT = SampleCaller.DEADLINE.plusSeconds(5);
 
     private final Cluster cluster;
     private final SampleTraffic traffic = new SampleTraffic();
@@ -44,7 +44,7 @@
         List<ClusterHost> hosts = cluster.hosts();
         ClusterHost killed = hosts.get(0);
         try (SampleCaller caller = new SampleCaller(hosts)) {
-            sendPaced(caller, STEADY_REQUESTS);
+            sendPaced(caller, REQUESTS_BEFORE_KILL);
             sendBadRequests(caller);
             sendSharedOrders(caller, hosts.size());
             for (int request = 0; request < BURST_REQUESTS; request++) {
@@ -52,8 +52,8 @@
             }
             Thread.sleep(KILL_DELAY.toMillis());
             cluster.kill(killed);
-            sendPaced(caller, LATER_REQUESTS);
-            List<SampleResult> results = results();
+            sendPaced(caller, REQUESTS_AFTER_KILL);
+            List<SampleResult> results = awaitResults();
             List<EndpointRun> runs = EndpointRecords.runs(cluster);
             List<BrokenPromise> broken =
                     new PromiseCheck(results).check(caller.events(), runs, EndpointRecords.violations(cluster));
@@ -68,26 +68,27 @@
     private void sendPaced(SampleCaller caller, int count) throws InterruptedException {
         for (int request = 0; request < count; request++) {
             send(caller, traffic.next());
-            Thread.sleep(PAUSE.toMillis());
+            Thread.sleep(REQUEST_INTERVAL.toMillis());
         }
     }
 
     private void sendBadRequests(SampleCaller caller) throws InterruptedException, TimeoutException {
         SampleRequest order = traffic.order();
         send(caller, order);
-        results();
+        awaitResults();
         traffic.badRequests(order).forEach(request -> send(caller, request));
     }
 
     private void sendSharedOrders(SampleCaller caller, int hosts) {
         for (int order = 0; order < SHARED_ORDERS; order++) {
-            traffic.sameOrder(hosts).forEach(request -> send(caller, request));
+            traffic.copiesOfOrder(hosts).forEach(request -> send(caller, request));
         }
     }
 
-    private List<SampleResult> results() throws InterruptedException, TimeoutException {
+    private List<SampleResult> awaitResults() throws InterruptedException, TimeoutException {
         try {
-            CompletableFuture.allOf(sent.toArray(CompletableFuture[]::new)).get(LIMIT.toSeconds(), TimeUnit.SECONDS);
+            CompletableFuture.allOf(sent.toArray(CompletableFuture[]::new))
+                    .get(RESULT_TIMEOUT.toSeconds(), TimeUnit.SECONDS);
         } catch (ExecutionException exception) {
             throw new IllegalStateException(exception.getCause());
         }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleTraffic.java
@@ -35,18 +35,18 @@
             RequestKind.COMPLETION_STREAMED,
             RequestKind.COMPLETION,
             RequestKind.STOCK);
-    private static final int FEWEST_TOKENS = 20;
-    private static final int TOKEN_LIMITS = 40;
-    /** Coprime with the sizes of the lists and the number of hosts, so that each host gets premium requests. */
-    private static final int PREMIUM_EVERY = 5;
+    private static final int MINIMUM_TOKENS = 20;
+    private static final int TOKEN_LIMIT_COUNT = 40;
+    /** Coprime with the sizes of the lists and the sequence of hosts, so that each host gets premium requests. */
+    private static final int PREMIUM_INTERVAL = 5;
 
-    private static final String ORDER_DESK = "order-desk";
+    private static final String ORDER_SERVICE = "order-desk";
 
-    private int number;
+    private int sequence;
 
     /** Returns the next request of the mix. */
     SampleRequest next() {
-        RequestKind kind = MIX.get(number % MIX.size());
+        RequestKind kind = MIX.get(sequence % MIX.size());
         return switch (kind) {
             case STOCK -> stock();
             case ORDER -> order();
@@ -56,46 +56,46 @@
 
     /** Returns an order with a key of its own. */
     SampleRequest order() {
-        return order(RequestKind.ORDER, "order-" + ++number);
+        return order(RequestKind.ORDER, "order-" + ++sequence);
     }
 
     /** Returns the same order several times. */
-    List<SampleRequest> sameOrder(int copies) {
-        String key = "shared-order-" + ++number;
+    List<SampleRequest> copiesOfOrder(int copies) {
+        String key = "shared-order-" + ++sequence;
         return Collections.nCopies(copies, order(RequestKind.SAME_KEY_ORDER, key));
     }
 
     private SampleRequest order(RequestKind kind, String key) {
         byte[] body = EndpointRecords.orderBody(key);
-        return plain(
+        return plainServiceRequest(
                 kind,
                 key,
                 Optional.empty(),
                 (client, host, deadline) -> client.call(
-                        host, service("POST", "/orders", headers(clerk(), deadline, Optional.of(key)), body)));
+                        host, service("POST", "/orders", headers(defaultCaller(), deadline, Optional.of(key)), body)));
     }
 
     private SampleRequest stock() {
-        String path = "/stock/fire-blanket?request=" + ++number;
-        return plain(
+        String path = "/stock/fire-blanket?request=" + ++sequence;
+        return plainServiceRequest(
                 RequestKind.STOCK,
                 path,
                 Optional.empty(),
                 (client, host, deadline) -> client.call(
-                        host, service("GET", path, headers(clerk(), deadline, Optional.empty()), new byte[0])));
+                        host, service("GET", path, headers(defaultCaller(), deadline, Optional.empty()), new byte[0])));
     }
 
     private SampleRequest generation(RequestKind kind) {
-        number++;
-        return generation(kind, MODELS.get(number % MODELS.size()), FEWEST_TOKENS + number % TOKEN_LIMITS);
+        sequence++;
+        return generation(kind, MODELS.get(sequence % MODELS.size()), MINIMUM_TOKENS + sequence % TOKEN_LIMIT_COUNT);
     }
 
     private SampleRequest generation(RequestKind kind, String model, int tokens) {
         boolean chat = kind == RequestKind.CHAT || kind == RequestKind.CHAT_STREAMED;
         boolean stream = kind == RequestKind.CHAT_STREAMED || kind == RequestKind.COMPLETION_STREAMED;
-        CallerId caller = new CallerId(number % 2 == 0 ? Cluster.CALLER : Cluster.OTHER_CALLER);
-        PriorityClass priority = number % PREMIUM_EVERY == 0 ? PriorityClass.PREMIUM : PriorityClass.STANDARD;
-        String text = "Answer enquiry " + number + ".";
+        CallerId caller = new CallerId(sequence % 2 == 0 ? Cluster.CALLER : Cluster.OTHER_CALLER);
+        PriorityClass priority = sequence % PREMIUM_INTERVAL == 0 ? PriorityClass.PREMIUM : PriorityClass.STANDARD;
+        String text = "Answer enquiry " + sequence + ".";
         String prompt = chat ? "user: " + text + "\n" : text;
         SampleRequest.Call call = (client, host, deadline) -> {
             CallerHeaders headers = new CallerHeaders(
@@ -117,22 +117,23 @@
     /**
      * Returns one request for each error of a caller that the report shows.
      *
-     * @param used an order that was answered, whose key is used again with another body
+     * @param answeredOrder an order that was answered, whose key is used again with another body
      */
-    List<SampleRequest> badRequests(SampleRequest used) {
+    List<SampleRequest> badRequests(SampleRequest answeredOrder) {
         List<SampleRequest> requests = new ArrayList<>();
-        requests.add(badChat("unknown_model", clerk(), "assistant/no-such-adapter", 8));
-        requests.add(badChat("invalid_field", clerk(), "assistant/tender-schools", 0));
-        requests.add(badChat("caller_not_allowed", new CallerId(Cluster.STRANGER), "assistant/tender-schools", 8));
+        requests.add(badChat("unknown_model", defaultCaller(), "assistant/no-such-adapter", 8));
+        requests.add(badChat("invalid_field", defaultCaller(), "assistant/tender-schools", 0));
+        requests.add(badChat(
+                "caller_not_allowed", new CallerId(Cluster.UNAUTHORIZED_CALLER), "assistant/tender-schools", 8));
         requests.add(badChat("unauthenticated", new CallerId("nobody"), "assistant/tender-schools", 8));
         requests.add(badOrder("missing_idempotency_key", Optional.empty()));
-        requests.add(badOrder("idempotency_key_reused", Optional.of(used.key())));
-        requests.add(late());
+        requests.add(badOrder("idempotency_key_reused", Optional.of(answeredOrder.key())));
+        requests.add(expiredOrder());
         return requests;
     }
 
     private SampleRequest badChat(String code, CallerId caller, String model, int tokens) {
-        String text = "Bad request " + ++number + ".";
+        String text = "Bad request " + ++sequence + ".";
         return new SampleRequest(
                 RequestKind.BAD,
                 EngineText.digest("user: " + text + "\n"),
@@ -146,34 +147,39 @@
     }
 
     private SampleRequest badOrder(String code, Optional<String> idempotencyKey) {
-        String mark = "bad-order-" + ++number;
-        byte[] body = EndpointRecords.orderBody(mark);
-        return plain(
+        String reference = "bad-order-" + ++sequence;
+        byte[] body = EndpointRecords.orderBody(reference);
+        return plainServiceRequest(
                 RequestKind.BAD,
-                mark,
+                reference,
                 Optional.of(code),
                 (client, host, deadline) -> client.call(
-                        host, service("POST", "/orders", headers(clerk(), deadline, idempotencyKey), body)));
+                        host, service("POST", "/orders", headers(defaultCaller(), deadline, idempotencyKey), body)));
     }
 
-    private SampleRequest late() {
-        String mark = "late-order-" + ++number;
-        byte[] body = EndpointRecords.orderBody(mark);
-        return plain(
+    private SampleRequest expiredOrder() {
+        String reference = "late-order-" + ++sequence;
+        byte[] body = EndpointRecords.orderBody(reference);
+        return plainServiceRequest(
                 RequestKind.BAD,
-                mark,
+                reference,
                 Optional.of("deadline_passed"),
                 (client, host, deadline) -> client.call(
-                        host, service("POST", "/orders", headers(clerk(), Instant.EPOCH, Optional.of(mark)), body)));
+                        host,
+                        service(
+                                "POST",
+                                "/orders",
+                                headers(defaultCaller(), Instant.EPOCH, Optional.of(reference)),
+                                body)));
     }
 
-    private static SampleRequest plain(
+    private static SampleRequest plainServiceRequest(
             RequestKind kind, String key, Optional<String> refusal, SampleRequest.Call call) {
         return new SampleRequest(
-                kind, key, clerk(), PriorityClass.STANDARD, Optional.empty(), Optional.empty(), refusal, call);
+                kind, key, defaultCaller(), PriorityClass.STANDARD, Optional.empty(), Optional.empty(), refusal, call);
     }
 
-    private static CallerId clerk() {
+    private static CallerId defaultCaller() {
         return new CallerId(Cluster.CALLER);
     }
 
@@ -183,6 +189,6 @@
 
     private static ServiceRequest service(String method, String path, CallerHeaders headers, byte[] body) {
         Optional<String> type = body.length == 0 ? Optional.empty() : Optional.of("application/json");
-        return new ServiceRequest(headers, new ServiceId(ORDER_DESK), method, path, type, body);
+        return new ServiceRequest(headers, new ServiceId(ORDER_SERVICE), method, path, type, body);
     }
 }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/WholePathTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/EndToEndChatTest.java
@@ -21,7 +21,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against a system whose parts work alone but do not serve a request together. */
-class WholePathTest {
+class EndToEndChatTest {
     @Test
     void chatIsAnsweredByTheDefaultVersion(@TempDir Path directory) throws Exception {
         try (Cluster cluster = new Cluster(ClusterPlan.of(3, 2, EngineSettings.DEFAULT), directory);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/ReadingsTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/MeasurementParsingTest.java
@@ -12,7 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /** Guards against figures that are read from the wrong field. */
-class ReadingsTest {
+class MeasurementParsingTest {
     private static final String TIMES = " 0 0 0 0 0 0 0 0 0 0 ";
 
     private static String stat(String name, int user, int system) {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
@@ -53,10 +53,10 @@
 
     private static ChatTraffic traffic(long seed, int seconds, Supplier<List<NetworkAddress>> entries) {
         return new ChatTraffic(
-                new TrafficPlan(seed, 8, ADAPTERS, Duration.ofSeconds(seconds), Duration.ofSeconds(14)), entries);
+                new ChatTrafficPlan(seed, 8, ADAPTERS, Duration.ofSeconds(seconds), Duration.ofSeconds(14)), entries);
     }
 
-    private static Supplier<List<NetworkAddress>> except(Cluster cluster, ClusterHost excluded) {
+    private static Supplier<List<NetworkAddress>> entriesExcept(Cluster cluster, ClusterHost excluded) {
         List<NetworkAddress> entries = cluster.hosts().stream()
                 .filter(host -> host != excluded)
                 .map(ClusterHost::caller)
@@ -66,7 +66,7 @@
 
     private static ClusterHost owner(Cluster cluster) throws InterruptedException {
         for (int attempt = 0; attempt < 50; attempt++) {
-            String status = cluster.tool("status").output();
+            String status = cluster.runTool("status").output();
             Optional<ClusterHost> owner = cluster.hosts().stream()
                     .filter(host -> status.lines()
                             .anyMatch(line -> line.contains("[assistant]")
@@ -87,7 +87,7 @@
     }
 
     /** Requests may fail only with the codes that the injected fault explains. */
-    private static void check(Cluster cluster, ChatTraffic traffic, long seed, Set<String> allowed)
+    private static void checkReport(Cluster cluster, ChatTraffic traffic, long seed, Set<String> allowed)
             throws InterruptedException {
         TrafficReport report = traffic.finish(() -> runs(cluster));
         List<EngineViolation> violations = cluster.engines().stream()
@@ -112,10 +112,10 @@
         long seed = 3101;
         try (Cluster cluster = start(true)) {
             ClusterHost owner = owner(cluster);
-            try (ChatTraffic traffic = traffic(seed, 16, except(cluster, owner))) {
+            try (ChatTraffic traffic = traffic(seed, 16, entriesExcept(cluster, owner))) {
                 Thread.sleep(4_000);
                 cluster.kill(owner);
-                check(cluster, traffic, seed, Set.of());
+                checkReport(cluster, traffic, seed, Set.of());
             }
         }
     }
@@ -126,12 +126,12 @@
         long seed = 3102;
         try (Cluster cluster = start(false)) {
             ClusterHost owner = owner(cluster);
-            try (ChatTraffic traffic = traffic(seed, 20, except(cluster, owner))) {
+            try (ChatTraffic traffic = traffic(seed, 20, entriesExcept(cluster, owner))) {
                 Thread.sleep(3_000);
                 owner.process().pause();
                 Thread.sleep(9_000);
                 owner.process().resume();
-                check(cluster, traffic, seed, Set.of());
+                checkReport(cluster, traffic, seed, Set.of());
             }
         }
     }
@@ -140,7 +140,7 @@
     void enginesRestartEmptyAndLoadsFailOrLoseTheirAnswers() throws Exception {
         long seed = 3103;
         try (Cluster cluster = start(true)) {
-            try (ChatTraffic traffic = traffic(seed, 16, except(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 16, entriesExcept(cluster, null))) {
                 Thread.sleep(2_000);
                 cluster.engines().forEach(engine -> {
                     engine.engine().setFault(EngineFault.FAIL_LOADS, 2);
@@ -151,7 +151,7 @@
                 cluster.engines().forEach(engine -> engine.engine().setFault(EngineFault.RESTART, 1));
                 Thread.sleep(5_000);
                 cluster.engines().get(0).engine().setFault(EngineFault.RESTART, 1);
-                check(cluster, traffic, seed, Set.of());
+                checkReport(cluster, traffic, seed, Set.of());
             }
         }
     }
@@ -160,13 +160,13 @@
     void connectionsToEnginesAreCutOrGoSilent() throws Exception {
         long seed = 3104;
         try (Cluster cluster = start(true)) {
-            try (ChatTraffic traffic = traffic(seed, 14, except(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 14, entriesExcept(cluster, null))) {
                 for (int round = 0; round < 8; round++) {
                     Thread.sleep(1_000);
                     cluster.engines().get(round % 3).proxy().resetConnections();
                 }
                 cluster.engines().forEach(engine -> engine.proxy().stallOpenConnections());
-                check(cluster, traffic, seed, Set.of());
+                checkReport(cluster, traffic, seed, Set.of());
             }
             long resumed = cluster.engines().stream()
                     .mapToLong(engine -> engine.engine().counters().resumed())
@@ -181,14 +181,14 @@
         long seed = 3105;
         try (Cluster cluster = start(true);
                 HttpCaller caller = new HttpCaller(1, Duration.ofSeconds(20), Clock.systemUTC())) {
-            try (ChatTraffic traffic = traffic(seed, 16, except(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 16, entriesExcept(cluster, null))) {
                 Thread.sleep(2_000);
                 String last = "";
                 for (int sent = 0; sent < 6; sent++) {
                     NetworkAddress host = cluster.hosts().get(sent % 4).caller();
-                    last = code(caller.chat(host, crashingCall()).get());
+                    last = outcomeCode(caller.chat(host, crashingCall()).get());
                 }
-                check(cluster, traffic, seed, Set.of());
+                checkReport(cluster, traffic, seed, Set.of());
                 assertEquals("request_crashes_endpoints", last, "seed " + seed);
             }
             long crashes = cluster.engines().stream()
@@ -208,7 +208,7 @@
         return new ChatCall(headers, "assistant/adapter-0@v1", CRASH_MARKER, 8, true);
     }
 
-    private static String code(CallerResult result) {
+    private static String outcomeCode(CallerResult result) {
         if (result instanceof CallerResult.NotRun notRun) {
             return notRun.code();
         }
@@ -219,7 +219,7 @@
     void defaultVersionsChangeWhileRequestsRun() throws Exception {
         long seed = 3106;
         try (Cluster cluster = start(true)) {
-            try (ChatTraffic traffic = traffic(seed, 12, except(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 12, entriesExcept(cluster, null))) {
                 for (int change = 0; change < 4; change++) {
                     Thread.sleep(2_000);
                     String version = change % 2 == 0 ? "v1" : "v2";
@@ -227,7 +227,7 @@
                             .replace("default = \"v2\"", "default = \"" + version + "\""));
                     assertEquals(0, applied.code(), applied.errors());
                 }
-                check(cluster, traffic, seed, Set.of());
+                checkReport(cluster, traffic, seed, Set.of());
             }
         }
     }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
@@ -43,16 +43,16 @@
     /** An accepted change is in force on all live hosts within this time (section 1.7). */
     private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(9);
 
-    private static final Duration RESOLVE_LIMIT = Duration.ofSeconds(2);
+    private static final Duration VERDICT_LIMIT = Duration.ofSeconds(2);
 
     private static final List<String> PRESETS = List.of("ordinary", "peak", "maintenance");
 
     private final Map<Long, PresetId> presetOfVersion = new TreeMap<>();
     private final Map<Long, Instant> acceptedAt = new TreeMap<>();
-    private final Random random = new Random(Seeds.of("ConcurrentChangeTest", SEED));
+    private final Random random = new Random(Seeds.print("ConcurrentChangeTest", SEED));
     private int conflicts;
     private int resolved;
-    private int withoutLog;
+    private int refusedWithoutLog;
     private final List<String> unknown = new ArrayList<>();
     private HostId cutOffHost = new HostId("none");
 
@@ -64,47 +64,48 @@
             cluster.start();
             assertEquals(0, cluster.apply(Cluster.declarations(3)).code());
             List<ClusterHost> hosts = cluster.hosts();
-            long version = new HostOperator(hosts.get(0)).configuration().version();
-            PresetId preset = new HostOperator(hosts.get(0)).configuration().presetInForce();
+            long version = new HostOperatorClient(hosts.get(0)).configuration().version();
+            PresetId preset =
+                    new HostOperatorClient(hosts.get(0)).configuration().presetInForce();
             presetOfVersion.put(version, preset);
             try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
-                version = rounds(cluster, hosts.subList(0, 3), version, 25);
+                version = runRounds(cluster, hosts.subList(0, 3), version, 25);
                 cluster.log()
                         .setFaults(Faults.NONE.withRandomLostAnswers(0.3, SEED).withLostAnswerMethod("POST"));
-                version = rounds(cluster, hosts.subList(0, 3), version, 15);
+                version = runRounds(cluster, hosts.subList(0, 3), version, 15);
                 cluster.log().setFaults(Faults.NONE);
                 ClusterHost cutOff = hosts.get(3);
                 cutOffHost = cutOff.id();
                 cutOff.logProxy().refuseConnections();
                 cutOff.logProxy().resetConnections();
-                version = rounds(cluster, hosts.subList(1, 4), version, 10);
+                version = runRounds(cluster, hosts.subList(1, 4), version, 10);
                 long last = version;
                 assertTrue(
-                        Sleep.untilTrue(IN_FORCE_LIMIT, () -> poller.firstSeen(cutOff.id(), last)
+                        Wait.untilTrue(IN_FORCE_LIMIT, () -> poller.firstSeen(cutOff.id(), last)
                                 .isPresent()),
                         "the host without the log does not have version " + last);
                 cutOff.logProxy().acceptConnections();
-                assertTrue(Sleep.untilTrue(IN_FORCE_LIMIT, () -> logReachable(cutOff)));
+                assertTrue(Wait.untilTrue(IN_FORCE_LIMIT, () -> logReachable(cutOff)));
                 cutOffHost = new HostId("none");
-                version = rounds(cluster, hosts.subList(1, 4), version, 5);
+                version = runRounds(cluster, hosts.subList(1, 4), version, 5);
                 long end = version;
-                assertTrue(Sleep.untilTrue(IN_FORCE_LIMIT, () -> hosts.stream()
+                assertTrue(Wait.untilTrue(IN_FORCE_LIMIT, () -> hosts.stream()
                         .allMatch(host -> poller.firstSeen(host.id(), end).isPresent())));
                 checkUnknown(hosts);
-                check(poller, hosts);
+                checkObservations(poller, hosts);
             }
         }
     }
 
-    private long rounds(Cluster cluster, List<ClusterHost> hosts, long version, int count) throws Exception {
+    private long runRounds(Cluster cluster, List<ClusterHost> hosts, long version, int count) throws Exception {
         long base = version;
         for (int round = 0; round < count; round++) {
-            base = round(cluster, hosts, base);
+            base = runRound(cluster, hosts, base);
         }
         return base;
     }
 
-    private long round(Cluster cluster, List<ClusterHost> hosts, long base) throws Exception {
+    private long runRound(Cluster cluster, List<ClusterHost> hosts, long base) throws Exception {
         int operators = 2 + random.nextInt(2);
         CyclicBarrier barrier = new CyclicBarrier(operators);
         List<CompletableFuture<Submission>> submissions = new ArrayList<>();
@@ -117,7 +118,7 @@
         for (CompletableFuture<Submission> submission : submissions) {
             ended.add(submission.get());
         }
-        return judge(base, ended);
+        return checkSubmissions(base, ended);
     }
 
     private ConfigurationChange change(long base, int operator) {
@@ -135,25 +136,25 @@
         } catch (Exception exception) {
             throw new IllegalStateException(exception);
         }
-        HostOperator operator = new HostOperator(host);
+        HostOperatorClient operator = new HostOperatorClient(host);
         ChangeVerdict verdict = operator.submit(change);
-        if (HostOperator.isUnknown(verdict)) {
-            verdict = operator.resolve(cluster.hosts(), change.changeId(), RESOLVE_LIMIT)
+        if (HostOperatorClient.isUnknown(verdict)) {
+            verdict = operator.awaitVerdict(cluster.hosts(), change.changeId(), VERDICT_LIMIT)
                     .orElse(verdict);
-            note(change, verdict);
+            countResolution(change, verdict);
         }
         return new Submission(change, host, verdict);
     }
 
-    private synchronized void note(ConfigurationChange change, ChangeVerdict verdict) {
-        if (HostOperator.isUnknown(verdict)) {
+    private synchronized void countResolution(ConfigurationChange change, ChangeVerdict verdict) {
+        if (HostOperatorClient.isUnknown(verdict)) {
             unknown.add(change.changeId());
         } else {
             resolved++;
         }
     }
 
-    private long judge(long base, List<Submission> submissions) {
+    private long checkSubmissions(long base, List<Submission> submissions) {
         List<Submission> accepted = submissions.stream()
                 .filter(submission -> submission.verdict() instanceof ChangeVerdict.Accepted)
                 .toList();
@@ -168,13 +169,13 @@
         for (Submission submission : submissions) {
             if (submission != winner) {
                 boolean cutOff = submission.host().id().equals(cutOffHost);
-                judgeLoser(base, version, ((ChangeVerdict.Refused) submission.verdict()).failure(), cutOff);
+                checkRefusal(base, version, ((ChangeVerdict.Refused) submission.verdict()).failure(), cutOff);
             }
         }
         return version;
     }
 
-    private void judgeLoser(long base, long winning, Failure failure, boolean cutOff) {
+    private void checkRefusal(long base, long winning, Failure failure, boolean cutOff) {
         if (failure instanceof Failure.ConfigurationConflict) {
             conflicts++;
             assertEquals(new Failure.ConfigurationConflict(base, winning), failure);
@@ -184,27 +185,31 @@
             assertTrue(
                     failure instanceof Failure.LogUnavailable || failure instanceof Failure.ChangeOutcomeUnknown,
                     failure.toString());
-            withoutLog++;
+            refusedWithoutLog++;
         }
     }
 
     private static boolean logReachable(ClusterHost host) {
-        return new HostOperator(host).status().state(host.id()).orElseThrow().logReachable();
+        return new HostOperatorClient(host)
+                .status()
+                .state(host.id())
+                .orElseThrow()
+                .logReachable();
     }
 
     /** A change with an unknown outcome was lost, because another one won for its base version. */
     private void checkUnknown(List<ClusterHost> hosts) {
         for (String changeId : unknown) {
             Optional<ChangeVerdict> verdict =
-                    new HostOperator(hosts.get(0)).resolve(hosts, changeId, Duration.ofMillis(200));
+                    new HostOperatorClient(hosts.get(0)).awaitVerdict(hosts, changeId, Duration.ofMillis(200));
             assertFalse(verdict.orElse(null) instanceof ChangeVerdict.Accepted, changeId);
         }
     }
 
-    private void check(ConfigurationPoller poller, List<ClusterHost> hosts) {
+    private void checkObservations(ConfigurationPoller poller, List<ClusterHost> hosts) {
         Map<HostId, Long> last = new HashMap<>();
-        List<Observation> observations = poller.observations();
-        for (Observation seen : observations) {
+        List<ConfigurationObservation> observations = poller.observations();
+        for (ConfigurationObservation seen : observations) {
             long before = last.getOrDefault(seen.host(), Long.MIN_VALUE);
             assertTrue(seen.version() >= before, seen.host() + " went from version " + before + " to " + seen);
             last.put(seen.host(), seen.version());
@@ -222,7 +227,7 @@
                 acceptedAt.size(),
                 conflicts,
                 resolved,
-                withoutLog,
+                refusedWithoutLog,
                 unknown.size(),
                 observations.size(),
                 delays.getValueAtPercentile(50),
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -42,7 +42,7 @@
 
     private static final Duration OUTAGE = RETENTION.plusSeconds(2);
 
-    private static final Faults DOWN = Faults.NONE.withOutage(Outage.UNAVAILABLE);
+    private static final Faults UNAVAILABLE = Faults.NONE.withOutage(Outage.UNAVAILABLE);
 
     private static ClusterPlan plan(int hosts) {
         ClusterPlan plan = ClusterPlan.of(hosts, 2, EngineSettings.DEFAULT);
@@ -57,81 +57,85 @@
 
     @Test
     void hostsKeepTheirStateAndServeThroughAnOutageLongerThanTheRetention(@TempDir Path directory) throws Exception {
-        long seed = Seeds.of("LogOutageTest", SEED);
+        long seed = Seeds.print("LogOutageTest", SEED);
         try (Cluster cluster = new Cluster(plan(3), directory);
-                Traffic traffic = new Traffic()) {
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
             cluster.start();
             assertEquals(
-                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
-            assertEquals(0, cluster.tool("preset", "use", "peak").code());
+                    0,
+                    cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
+                            .code());
+            assertEquals(0, cluster.runTool("preset", "use", "peak").code());
             List<ClusterHost> hosts = cluster.hosts();
-            long version = new HostOperator(hosts.get(0)).configuration().version();
+            long version = new HostOperatorClient(hosts.get(0)).configuration().version();
             loadAdapters(traffic, hosts.get(0).caller());
             try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
                 // Fixed hosts, so that requests to hosts that are starting do not count against the outage.
                 AtomicInteger turn = new AtomicInteger();
                 traffic.start(60, seed, () -> hosts.get(turn.getAndIncrement() % hosts.size())
                         .caller());
-                Sleep.of(Duration.ofSeconds(1));
-                cluster.log().setFaults(DOWN);
-                Instant downUntil = Instant.now().plus(OUTAGE);
-                Sleep.of(Duration.ofSeconds(2));
-                ClusterHost learner = cluster.startHost();
-                servesVersion(traffic, learner, version, "a host that started while the log was down");
-                Sleep.until(downUntil);
+                Wait.sleep(Duration.ofSeconds(1));
+                cluster.log().setFaults(UNAVAILABLE);
+                Instant outageEnd = Instant.now().plus(OUTAGE);
+                Wait.sleep(Duration.ofSeconds(2));
+                ClusterHost startedDuringOutage = cluster.startHost();
+                checkServesVersion(traffic, startedDuringOutage, version, "a host that started while the log was down");
+                Wait.sleepUntil(outageEnd);
                 cluster.log().setFaults(Faults.NONE);
-                Instant upAt = Instant.now();
-                checkWrittenAgain(cluster.log().server().address(), upAt, version);
-                int requests = traffic.finish();
+                Instant availableAt = Instant.now();
+                checkRecordsWrittenAfterOutage(cluster.log().server().address(), availableAt, version);
+                int requests = traffic.stopAndAwait();
                 System.out.printf(
                         "LogOutageTest: %d of %d idempotent requests answered%n",
                         requests - traffic.failures().size(), requests);
                 assertEquals(List.of(), traffic.failures());
                 assertTrue(requests > 60 * OUTAGE.toSeconds() / 2, "too little load: " + requests);
                 checkExpired(cluster.log().server().address());
-                ClusterHost fresh = cluster.startHost();
-                servesVersion(traffic, fresh, version, "a host that started after the changes expired");
-                checkNeverBack(poller, version);
+                ClusterHost startedAfterExpiry = cluster.startHost();
+                checkServesVersion(
+                        traffic, startedAfterExpiry, version, "a host that started after the changes expired");
+                checkVersionsNeverDecrease(poller, version);
             }
-            assertEquals(0, cluster.tool("preset", "use", "ordinary").code());
+            assertEquals(0, cluster.runTool("preset", "use", "ordinary").code());
         }
     }
 
-    private static void loadAdapters(Traffic traffic, NetworkAddress entry) throws Exception {
-        for (int adapter = 0; adapter < Traffic.ADAPTERS; adapter++) {
+    private static void loadAdapters(IdempotentTraffic traffic, NetworkAddress entry) throws Exception {
+        for (int adapter = 0; adapter < IdempotentTraffic.ADAPTERS; adapter++) {
             CallerResult result =
                     traffic.chat(entry, adapter, 4, Duration.ofSeconds(10)).get();
             assertTrue(result instanceof CallerResult.Generated, result.toString());
         }
     }
 
-    private static void servesVersion(Traffic traffic, ClusterHost host, long version, String which) throws Exception {
-        assertEquals(version, new HostOperator(host).configuration().version(), which);
+    private static void checkServesVersion(IdempotentTraffic traffic, ClusterHost host, long version, String which)
+            throws Exception {
+        assertEquals(version, new HostOperatorClient(host).configuration().version(), which);
         CallerResult chat =
                 traffic.chat(host.caller(), 1, 8, Duration.ofSeconds(10)).get();
         assertTrue(chat instanceof CallerResult.Generated, which + ": " + chat);
     }
 
-    private static void checkWrittenAgain(NetworkAddress address, Instant upAt, long version) {
+    private static void checkRecordsWrittenAfterOutage(NetworkAddress address, Instant availableAt, long version) {
         HttpLogService log = new HttpLogService(address, Duration.ofSeconds(2));
         try {
             // The renewal is written at once, the checkpoint with the next of two checks per renewal.
             Duration limit = RETENTION.dividedBy(6).plusSeconds(2);
             assertTrue(
-                    Sleep.untilTrue(limit, () -> records(log, LogStreams.CHECKPOINTS).stream()
-                            .filter(record -> !record.appendedAt().isBefore(upAt))
+                    Wait.untilTrue(limit, () -> records(log, LogStreams.CHECKPOINTS).stream()
+                            .filter(record -> !record.appendedAt().isBefore(availableAt))
                             .map(record -> decode(record, CheckpointPart.class))
                             .anyMatch(part -> part.version() == version)),
                     "no checkpoint after the outage");
             assertTrue(
-                    Sleep.untilTrue(limit, () -> records(log, LogStreams.OWNERSHIP).stream()
-                            .filter(record -> !record.appendedAt().isBefore(upAt))
+                    Wait.untilTrue(limit, () -> records(log, LogStreams.OWNERSHIP).stream()
+                            .filter(record -> !record.appendedAt().isBefore(availableAt))
                             .map(record -> decode(record, OwnershipRecord.class))
                             .anyMatch(OwnershipRecord.Renewal.class::isInstance)),
                     "no claim after the outage");
             System.out.printf(
                     "LogOutageTest: checkpoint and claim written %d ms after the outage at the latest%n",
-                    Duration.between(upAt, Instant.now()).toMillis());
+                    Duration.between(availableAt, Instant.now()).toMillis());
         } finally {
             log.stop();
         }
@@ -164,9 +168,9 @@
         }
     }
 
-    private static void checkNeverBack(ConfigurationPoller poller, long version) {
+    private static void checkVersionsNeverDecrease(ConfigurationPoller poller, long version) {
         Map<HostId, Long> last = new HashMap<>();
-        for (Observation seen : poller.observations()) {
+        for (ConfigurationObservation seen : poller.observations()) {
             assertTrue(seen.version() >= last.getOrDefault(seen.host(), version), seen.toString());
             assertEquals("peak", seen.preset().value(), seen.toString());
             last.put(seen.host(), seen.version());
@@ -176,26 +180,26 @@
     @Test
     void hostsThatAllStartWithoutTheLogAreReadyWhenItReturns(@TempDir Path directory) throws Exception {
         try (Cluster cluster = new Cluster(plan(2), directory);
-                Traffic traffic = new Traffic()) {
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
             cluster.startStandIns();
-            cluster.log().setFaults(DOWN);
+            cluster.log().setFaults(UNAVAILABLE);
             CompletableFuture<ClusterHost> first = CompletableFuture.supplyAsync(cluster::startHost);
-            assertTrue(Sleep.untilTrue(
+            assertTrue(Wait.untilTrue(
                     Duration.ofSeconds(5),
                     () -> !cluster.hostList().visible().hosts().isEmpty()));
             NetworkAddress entry = cluster.hostList().visible().hosts().get(0).callerAddress();
             assertTrue(
-                    Sleep.untilTrue(Duration.ofSeconds(10), () -> isNotReady(traffic, entry)),
+                    Wait.untilTrue(Duration.ofSeconds(10), () -> isNotReady(traffic, entry)),
                     "no answer not_ready while the log is down");
-            Sleep.of(Duration.ofSeconds(3));
+            Wait.sleep(Duration.ofSeconds(3));
             assertTrue(isNotReady(traffic, entry), "the host serves without a configuration");
             assertTrue(!first.isDone(), "the host reported that it is ready");
             cluster.log().setFaults(Faults.NONE);
-            Instant upAt = Instant.now();
+            Instant availableAt = Instant.now();
             first.get(10, TimeUnit.SECONDS);
             System.out.printf(
                     "LogOutageTest: ready %d ms after the log returned%n",
-                    Duration.between(upAt, Instant.now()).toMillis());
+                    Duration.between(availableAt, Instant.now()).toMillis());
             assertEquals(0, cluster.apply(Cluster.declarations(1)).code());
             CallerResult chat =
                     traffic.chat(entry, 0, 4, Duration.ofSeconds(10)).get();
@@ -203,7 +207,7 @@
         }
     }
 
-    private static boolean isNotReady(Traffic traffic, NetworkAddress entry) {
+    private static boolean isNotReady(IdempotentTraffic traffic, NetworkAddress entry) {
         CallerResult result = traffic.chat(entry, 0, 4, Duration.ofSeconds(5)).join();
         return result instanceof CallerResult.NotRun notRun
                 && notRun.status() == 503
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/OwnerLossTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/OwnerLossTest.java
@@ -30,7 +30,7 @@
      * (1 s), the owner limit (1 s), the status of the engines (1 s), a repeated permit request (1 s), and 1 s for the
      * claim, the adapters' status and the answer.
      */
-    private static final Duration BOUND = Duration.ofSeconds(3 + 1 + 1 + 1 + 1 + 1);
+    private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(3 + 1 + 1 + 1 + 1 + 1);
 
     @Test
     void requestsAreServedAgainWhileTheHostListIsDown(@TempDir Path directory) throws Exception {
@@ -44,23 +44,25 @@
 
     private static void killOwner(String state, HostListFaults faults, Path directory) throws Exception {
         try (Cluster cluster = new Cluster(ClusterPlan.of(3, 2, EngineSettings.DEFAULT), directory);
-                Traffic traffic = new Traffic()) {
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
             cluster.start();
             assertEquals(
-                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+                    0,
+                    cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
+                            .code());
             assertTrue(
-                    Sleep.untilTrue(Duration.ofSeconds(10), () -> owner(cluster).isPresent()), "no host owns the pool");
+                    Wait.untilTrue(Duration.ofSeconds(10), () -> owner(cluster).isPresent()), "no host owns the pool");
             for (ClusterHost host : cluster.hosts()) {
-                answered(traffic, host);
+                awaitAnswer(traffic, host);
             }
             cluster.hostList().setFaults(faults);
-            Sleep.of(Duration.ofSeconds(2));
+            Wait.sleep(Duration.ofSeconds(2));
             cluster.kill(owner(cluster).orElseThrow());
             Instant killedAt = Instant.now();
             List<CompletableFuture<Duration>> times = new ArrayList<>();
             for (ClusterHost host : cluster.hosts()) {
                 times.add(CompletableFuture.supplyAsync(() -> {
-                    answered(traffic, host);
+                    awaitAnswer(traffic, host);
                     return Duration.between(killedAt, Instant.now());
                 }));
             }
@@ -68,15 +70,15 @@
                 Duration taken = time.get(60, TimeUnit.SECONDS);
                 System.out.printf(
                         "OwnerLossTest: host list %s, a chat was answered %d ms after the owner was killed, bound %s%n",
-                        state, taken.toMillis(), BOUND);
-                assertTrue(taken.compareTo(BOUND) < 0, taken.toString());
+                        state, taken.toMillis(), RECOVERY_LIMIT);
+                assertTrue(taken.compareTo(RECOVERY_LIMIT) < 0, taken.toString());
             }
         }
     }
 
     private static Optional<ClusterHost> owner(Cluster cluster) {
         return cluster.hosts().stream()
-                .filter(host -> new HostOperator(host)
+                .filter(host -> new HostOperatorClient(host)
                         .status()
                         .state(host.id())
                         .filter(status -> !status.ownedPools().isEmpty())
@@ -85,7 +87,7 @@
     }
 
     /** Asks until a chat is answered; a caller may repeat what certainly did not run. */
-    private static void answered(Traffic traffic, ClusterHost host) {
+    private static void awaitAnswer(IdempotentTraffic traffic, ClusterHost host) {
         Instant deadline = Instant.now().plusSeconds(30);
         CallerResult result;
         do {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -27,7 +27,7 @@
 class ReplacementTest {
     private static final long SEED = 8203;
 
-    private static final Duration KEEP = Duration.ofSeconds(1);
+    private static final Duration ENTRY_ADDRESS_LIFETIME = Duration.ofSeconds(1);
 
     private static final int LONG_STREAM_TOKENS = 600;
 
@@ -41,32 +41,35 @@
                 plan.hostListLag(),
                 List.of(
                         "[limits]",
-                        "entry-address-keep-milliseconds = " + KEEP.toMillis(),
+                        "entry-address-keep-milliseconds = " + ENTRY_ADDRESS_LIFETIME.toMillis(),
                         "drain-limit-milliseconds = " + drainLimitMilliseconds));
     }
 
     @Test
     void allHostsAreReplacedUnderLoadWithoutCuttingOffARequest(@TempDir Path directory) throws Exception {
-        long seed = Seeds.of("ReplacementTest", SEED);
+        long seed = Seeds.print("ReplacementTest", SEED);
         try (Cluster cluster = new Cluster(plan(3, 20_000), directory);
-                Traffic traffic = new Traffic()) {
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
             cluster.start();
             assertEquals(
-                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
-            List<ClusterHost> old = cluster.hosts();
-            EntryDirectory entries = new EntryDirectory(
-                    traffic.caller(), old.stream().map(ClusterHost::caller).toList());
-            traffic.start(60, seed, entries::choose);
-            Sleep.of(Duration.ofSeconds(1));
+                    0,
+                    cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
+                            .code());
+            List<ClusterHost> initialHosts = cluster.hosts();
+            EntryAddressCache entries = new EntryAddressCache(
+                    traffic.caller(),
+                    initialHosts.stream().map(ClusterHost::caller).toList());
+            traffic.start(60, seed, entries::nextAddress);
+            Wait.sleep(Duration.ofSeconds(1));
             Map<NetworkAddress, Instant> readyAt = new HashMap<>();
-            for (int index = 0; index < old.size(); index++) {
+            for (int index = 0; index < initialHosts.size(); index++) {
                 ClusterHost started = cluster.startHost();
                 readyAt.put(started.caller(), Instant.now());
-                replace(cluster, old.get(index), index == old.size() - 1);
+                stopHost(cluster, initialHosts.get(index), index == initialHosts.size() - 1);
             }
-            int requests = traffic.finish();
+            int requests = traffic.stopAndAwait();
             // The host list of the test shows a host before its daemon listens; such requests certainly did not run.
-            List<FailedRequest> others = traffic.failures().stream()
+            List<FailedRequest> unexpectedFailures = traffic.failures().stream()
                     .filter(failed -> !(failed.result() instanceof CallerResult.NotRun)
                             || !readyAt.containsKey(failed.entry())
                             || failed.sentAt().isAfter(readyAt.get(failed.entry())))
@@ -75,16 +78,16 @@
                     "ReplacementTest: %d of %d requests answered, %d not run on hosts that were starting%n",
                     requests - traffic.failures().size(),
                     requests,
-                    traffic.failures().size() - others.size());
-            assertEquals(List.of(), others);
+                    traffic.failures().size() - unexpectedFailures.size());
+            assertEquals(List.of(), unexpectedFailures);
             assertTrue(requests > 300, "too little load: " + requests);
         }
     }
 
-    private static void replace(Cluster cluster, ClusterHost host, boolean byOperator) {
+    private static void stopHost(Cluster cluster, ClusterHost host, boolean byOperator) {
         Instant stoppedAt = Instant.now();
         if (byOperator) {
-            assertEquals(0, cluster.tool("drain", host.id().value()).code());
+            assertEquals(0, cluster.runTool("drain", host.id().value()).code());
         } else {
             host.process().terminate();
         }
@@ -96,16 +99,18 @@
                 Duration.between(stoppedAt, Instant.now()).toMillis(),
                 code);
         assertEquals(OptionalInt.of(ExitCode.STOPPED.value()), code);
-        cluster.forget(host);
+        cluster.remove(host);
     }
 
     @Test
-    void aLongStreamEndsWholeBeforeItsHostStops(@TempDir Path directory) throws Exception {
+    void longStreamCompletesBeforeItsHostStops(@TempDir Path directory) throws Exception {
         try (Cluster cluster = new Cluster(plan(2, 20_000), directory);
-                Traffic traffic = new Traffic()) {
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
             cluster.start();
             assertEquals(
-                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+                    0,
+                    cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
+                            .code());
             for (ClusterHost host : cluster.hosts()) {
                 ClusterHost successor = cluster.startHost();
                 CompletableFuture<CallerResult> stream = startLongStream(traffic, host);
@@ -117,30 +122,33 @@
                 assertEquals(
                         OptionalInt.of(ExitCode.STOPPED.value()),
                         host.process().waitFor(Instant.now().plusSeconds(10)));
-                cluster.forget(host);
+                cluster.remove(host);
                 assertTrue(successor.process().isAlive());
             }
         }
     }
 
-    private static CompletableFuture<CallerResult> startLongStream(Traffic traffic, ClusterHost host) throws Exception {
+    private static CompletableFuture<CallerResult> startLongStream(IdempotentTraffic traffic, ClusterHost host)
+            throws Exception {
         CallerResult loaded =
                 traffic.chat(host.caller(), 0, 2, Duration.ofSeconds(10)).get();
         assertTrue(loaded instanceof CallerResult.Generated, loaded.toString());
         CompletableFuture<CallerResult> stream =
                 traffic.chat(host.caller(), 0, LONG_STREAM_TOKENS, Duration.ofSeconds(20));
-        Sleep.of(Duration.ofMillis(300));
+        Wait.sleep(Duration.ofMillis(300));
         assertTrue(!stream.isDone(), "the stream is too short for the test");
         return stream;
     }
 
     @Test
-    void theDrainLimitEndsAStopWithItsOwnExitCode(@TempDir Path directory) throws Exception {
+    void drainLimitEndsTheStopWithItsOwnExitCode(@TempDir Path directory) throws Exception {
         try (Cluster cluster = new Cluster(plan(2, 1_000), directory);
-                Traffic traffic = new Traffic()) {
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
             cluster.start();
             assertEquals(
-                    0, cluster.apply(Cluster.declarations(Traffic.ADAPTERS)).code());
+                    0,
+                    cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
+                            .code());
             ClusterHost host = cluster.hosts().get(0);
             CompletableFuture<CallerResult> stream = startLongStream(traffic, host);
             Instant stoppedAt = Instant.now();
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/Seeds.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/Seeds.java
@@ -4,7 +4,7 @@
 final class Seeds {
     private Seeds() {}
 
-    static long of(String test, long seed) {
+    static long print(String test, long seed) {
         System.out.println(test + ": seed " + seed);
         return seed;
     }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
@@ -34,14 +34,14 @@
 @Timeout(45)
 class OrderHistoryTest {
     private static final int HOSTS = 4;
-    private static final Duration TRAFFIC = Duration.ofSeconds(6);
-    private static final long FAULT_AFTER_MILLIS = 1_500;
+    private static final Duration TRAFFIC_DURATION = Duration.ofSeconds(6);
+    private static final long FAULT_DELAY_MILLIS = 1_500;
 
     /** Longer than the heartbeat limit of 3 s. */
     private static final long PAUSE_MILLIS = 4_500;
 
     /** A batch is appended after 25 ms; the rest is room for a busy machine. */
-    private static final Duration PROMPT = Duration.ofSeconds(2);
+    private static final Duration NOT_RUN_ANSWER_LIMIT = Duration.ofSeconds(2);
 
     @TempDir
     Path directory;
@@ -68,7 +68,7 @@
 
     @Test
     void openConnectionsGoSilent() {
-        check(65, OrderHistoryTest::silence);
+        check(65, OrderHistoryTest::stallConnections);
     }
 
     @Test
@@ -91,9 +91,9 @@
     @Test
     void openConnectionsGoSilentAndTheLogFails() {
         check(68, cluster -> {
-            silence(cluster);
+            stallConnections(cluster);
             OrderTraffic.sleep(500);
-            failLog(cluster);
+            interruptLog(cluster);
         });
     }
 
@@ -105,31 +105,31 @@
             cluster.log().setFaults(Faults.NONE.withOutage(Outage.UNAVAILABLE));
             OrderTraffic.sleep(200);
             traffic.placeUntil(Instant.now().plusSeconds(3));
-            List<OrderTraffic.Placed> during =
+            List<OrderTraffic.OrderAttempt> during =
                     traffic.await().stream().skip(before).toList();
             cluster.log().setFaults(Faults.NONE);
             traffic.placeUntil(Instant.now().plusSeconds(1));
             assertTrue(during.size() > 100, "orders while the log is down: " + during.size());
             during.forEach(each -> {
                 assertTrue(each.result() instanceof CallerResult.NotRun, each.toString());
-                assertTrue(each.took().compareTo(PROMPT) < 0, each.toString());
+                assertTrue(each.duration().compareTo(NOT_RUN_ANSWER_LIMIT) < 0, each.toString());
             });
         });
     }
 
     private interface Scenario {
-        void play(Cluster cluster, OrderTraffic traffic);
+        void run(Cluster cluster, OrderTraffic traffic);
     }
 
     /** Places orders, injects the fault meanwhile, and checks the history. */
     private void check(long seed, Consumer<Cluster> fault) {
         run(seed, (cluster, traffic) -> {
-            CompletableFuture<Void> faulty = CompletableFuture.runAsync(() -> {
-                OrderTraffic.sleep(FAULT_AFTER_MILLIS);
+            CompletableFuture<Void> faultInjection = CompletableFuture.runAsync(() -> {
+                OrderTraffic.sleep(FAULT_DELAY_MILLIS);
                 fault.accept(cluster);
             });
-            traffic.placeUntil(Instant.now().plus(TRAFFIC));
-            faulty.join();
+            traffic.placeUntil(Instant.now().plus(TRAFFIC_DURATION));
+            faultInjection.join();
             cluster.log().setFaults(Faults.NONE);
         });
     }
@@ -141,7 +141,7 @@
             ToolResult applied = cluster.apply(Cluster.declarations(1));
             assertEquals(0, applied.code(), applied.errors());
             try {
-                scenario.play(cluster, traffic);
+                scenario.run(cluster, traffic);
                 traffic.await();
             } finally {
                 System.out.println("seed " + seed + ": " + traffic.summary());
@@ -172,23 +172,24 @@
         cluster.log().setFaults(Faults.NONE.withRandomLostAnswers(0.4, seed).withLostAnswerMethod("POST"));
     }
 
-    private static void failLog(Cluster cluster) {
+    private static void interruptLog(Cluster cluster) {
         cluster.log().setFaults(Faults.NONE.withOutage(Outage.UNAVAILABLE));
         OrderTraffic.sleep(2_500);
         cluster.log().setFaults(Faults.NONE);
     }
 
     private static void loseServiceAnswers(Cluster cluster) {
-        cluster.desks().forEach(desk -> desk.service().setFault(PlainServiceFault.LOSE_ANSWERS, 10));
+        cluster.serviceEndpoints()
+                .forEach(serviceEndpoint -> serviceEndpoint.service().setFault(PlainServiceFault.LOSE_ANSWERS, 10));
     }
 
-    private static void silence(Cluster cluster) {
+    private static void stallConnections(Cluster cluster) {
         cluster.hosts().forEach(host -> host.logProxy().stallOpenConnections());
         cluster.hosts().forEach(host -> host.peerProxy().stallOpenConnections());
-        cluster.desks().forEach(desk -> silence(desk.proxy()));
+        cluster.serviceEndpoints().forEach(serviceEndpoint -> stallConnections(serviceEndpoint.proxy()));
     }
 
-    private static void silence(FaultProxy proxy) {
+    private static void stallConnections(FaultProxy proxy) {
         proxy.stallOpenConnections();
     }
 }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderTraffic.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderTraffic.java
@@ -17,8 +17,8 @@
 import java.util.stream.Collectors;
 
 import org.banyanstair.integration.cluster.Cluster;
-import org.banyanstair.integration.cluster.ClusterDesk;
 import org.banyanstair.integration.cluster.ClusterHost;
+import org.banyanstair.integration.cluster.ClusterServiceEndpoint;
 import org.banyanstair.model.CallerId;
 import org.banyanstair.model.ServiceId;
 import org.banyanstair.testsupport.history.EndpointRun;
@@ -33,20 +33,20 @@
 
 /** Places orders with keys at all hosts of a cluster at the same moment, and again after each loss. */
 final class OrderTraffic implements AutoCloseable {
-    private static final Duration WAIT = Duration.ofSeconds(4);
-    private static final int REPEATS = 2;
-    private static final long REPEAT_AFTER_MILLIS = 300;
+    private static final Duration DEADLINE_AFTER = Duration.ofSeconds(4);
+    private static final int MAXIMUM_REPEATS = 2;
+    private static final long REPEAT_DELAY_MILLIS = 300;
 
     private final Cluster cluster;
     private final HttpCaller caller = new HttpCaller(500, Duration.ofSeconds(8), Clock.systemUTC());
     private final HistoryRecorder recorder = new HistoryRecorder(Clock.systemUTC());
     private final Random random;
-    private final Queue<Placed> placed = new ConcurrentLinkedQueue<>();
+    private final Queue<OrderAttempt> attempts = new ConcurrentLinkedQueue<>();
     private final List<CompletableFuture<Void>> inFlight = new ArrayList<>();
     private int keys;
 
     /** One request and what its caller saw. */
-    record Placed(String key, CallerResult result, Duration took) {}
+    record OrderAttempt(String key, CallerResult result, Duration duration) {}
 
     OrderTraffic(Cluster cluster, long seed) {
         this.cluster = cluster;
@@ -56,18 +56,18 @@
     /** Places one new order every 20 to 80 ms until an instant. */
     void placeUntil(Instant end) {
         while (Instant.now().isBefore(end)) {
-            placeEverywhere();
+            placeAtAllHosts();
             sleep(20 + random.nextInt(60));
         }
     }
 
     /** Places one new order at all hosts at the same moment. */
-    void placeEverywhere() {
+    void placeAtAllHosts() {
         String key = "order-" + keys++;
         List<ClusterHost> hosts = cluster.hosts();
         int first = random.nextInt(hosts.size());
         for (int index = 0; index < hosts.size(); index++) {
-            inFlight.add(place(key, hosts, first + index, REPEATS));
+            inFlight.add(place(key, hosts, first + index, MAXIMUM_REPEATS));
         }
     }
 
@@ -76,7 +76,10 @@
         HistoryEvent.Sent sent = recorder.sent(key, new CallerId(Cluster.CALLER), host.id(), Optional.empty(), false);
         Instant start = Instant.now();
         CallerHeaders headers = new CallerHeaders(
-                Cluster.key(Cluster.CALLER), Optional.of(start.plus(WAIT)), Optional.empty(), Optional.of(key));
+                Cluster.key(Cluster.CALLER),
+                Optional.of(start.plus(DEADLINE_AFTER)),
+                Optional.empty(),
+                Optional.of(key));
         ServiceRequest request = new ServiceRequest(
                 headers,
                 new ServiceId("order-desk"),
@@ -86,13 +89,13 @@
                 key.getBytes(StandardCharsets.UTF_8));
         return caller.call(host.caller(), request).thenCompose(result -> {
             record(sent, result);
-            placed.add(new Placed(key, result, Duration.between(start, Instant.now())));
+            attempts.add(new OrderAttempt(key, result, Duration.between(start, Instant.now())));
             if (repeats == 0 || result instanceof CallerResult.ServiceAnswered) {
                 return CompletableFuture.completedFuture(null);
             }
             return CompletableFuture.supplyAsync(
                             () -> place(key, hosts, index + 1, repeats - 1),
-                            CompletableFuture.delayedExecutor(REPEAT_AFTER_MILLIS, TimeUnit.MILLISECONDS))
+                            CompletableFuture.delayedExecutor(REPEAT_DELAY_MILLIS, TimeUnit.MILLISECONDS))
                     .thenCompose(repeated -> repeated);
         });
     }
@@ -109,11 +112,11 @@
     }
 
     /** Waits until all requests and their repetitions have ended, and returns them. */
-    List<Placed> await() {
+    List<OrderAttempt> await() {
         CompletableFuture.allOf(inFlight.toArray(CompletableFuture[]::new))
                 .orTimeout(30, TimeUnit.SECONDS)
                 .join();
-        return List.copyOf(placed);
+        return List.copyOf(attempts);
     }
 
     /** Checks the history against what the endpoints ran. */
@@ -122,13 +125,13 @@
     }
 
     private List<EndpointRun> runs() {
-        return cluster.desks().stream().flatMap(OrderTraffic::runs).toList();
+        return cluster.serviceEndpoints().stream().flatMap(OrderTraffic::runs).toList();
     }
 
-    private static java.util.stream.Stream<EndpointRun> runs(ClusterDesk desk) {
-        return desk.service().record().stream()
+    private static java.util.stream.Stream<EndpointRun> runs(ClusterServiceEndpoint serviceEndpoint) {
+        return serviceEndpoint.service().record().stream()
                 .map(run -> new EndpointRun(
-                        desk.endpoint().id(),
+                        serviceEndpoint.endpoint().id(),
                         run.requestId(),
                         run.body(),
                         Optional.empty(),
@@ -157,9 +160,11 @@
     String summary() {
         long answered = count(CallerResult.ServiceAnswered.class);
         long notRun = count(CallerResult.NotRun.class);
-        long total = placed.size();
-        Duration longest =
-                placed.stream().map(Placed::took).max(Comparator.naturalOrder()).orElse(Duration.ZERO);
+        long total = attempts.size();
+        Duration longest = attempts.stream()
+                .map(OrderAttempt::duration)
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
         return String.format(
                 "keys %d, requests %d, answered %.1f %%, not run %.1f %%, unknown %.1f %%, runs %d, longest %d ms",
                 keys,
@@ -172,7 +177,7 @@
     }
 
     long count(Class<? extends CallerResult> type) {
-        return placed.stream().filter(each -> type.isInstance(each.result())).count();
+        return attempts.stream().filter(each -> type.isInstance(each.result())).count();
     }
 
     static void sleep(long millis) {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/quickstart/QuickStartTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/quickstart/QuickStartTest.java
@@ -17,7 +17,7 @@
     @Test
     void allPromisesHoldWhenAHostIsKilled() throws Exception {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
-        int code = QuickStart.demonstrate(DECLARATIONS, new PrintStream(output, true, StandardCharsets.UTF_8));
+        int code = QuickStart.runSampleTraffic(DECLARATIONS, new PrintStream(output, true, StandardCharsets.UTF_8));
         String report = output.toString(StandardCharsets.UTF_8);
         System.out.println(report);
         assertEquals(0, code, report);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
@@ -21,14 +21,14 @@
 
 /** Guards against scripts that answer wrong use, or a checkout that was not built, with a stack trace. */
 class ScriptsTest {
-    private static final int WRONG_USE = 2;
+    private static final int USAGE_ERROR_STATUS = 2;
 
-    private static final long LONGEST_SCRIPT_SECONDS = 60;
+    private static final long SCRIPT_TIMEOUT_SECONDS = 60;
 
     @TempDir
     private Path checkout;
 
-    private record Ended(int status, String output) {}
+    private record ScriptResult(int status, String output) {}
 
     @BeforeEach
     void copyScriptsWithoutBuildOutput() throws IOException {
@@ -46,7 +46,7 @@
         }
     }
 
-    private Ended run(String script, String... arguments) throws Exception {
+    private ScriptResult run(String script, String... arguments) throws Exception {
         List<String> command = new ArrayList<>(
                 List.of("sh", checkout.resolve("bin").resolve(script).toString()));
         command.addAll(List.of(arguments));
@@ -56,13 +56,13 @@
                 .redirectOutput(output.toFile())
                 .start();
         try {
-            assertTrue(process.waitFor(LONGEST_SCRIPT_SECONDS, TimeUnit.SECONDS), script + " did not end");
+            assertTrue(process.waitFor(SCRIPT_TIMEOUT_SECONDS, TimeUnit.SECONDS), script + " did not end");
         } finally {
             process.destroyForcibly();
         }
         String text = Files.readString(output);
         assertFalse(text.contains("Exception") || text.contains("Could not find or load"), text);
-        return new Ended(process.exitValue(), text);
+        return new ScriptResult(process.exitValue(), text);
     }
 
     @ParameterizedTest
@@ -77,17 +77,17 @@
                 "soak"
             })
     void helpIsGivenWithoutABuild(String script) throws Exception {
-        Ended ended = run(script, "--help");
-        assertEquals(0, ended.status(), ended.output());
-        assertTrue(ended.output().startsWith("usage: " + script), ended.output());
+        ScriptResult result = run(script, "--help");
+        assertEquals(0, result.status(), result.output());
+        assertTrue(result.output().startsWith("usage: " + script), result.output());
     }
 
     @ParameterizedTest
     @CsvSource({"banyanstairctl,status", "banyanstaird,--settings", "benchmark,memory"})
     void checkoutThatWasNotBuiltIsNamed(String script, String argument) throws Exception {
-        Ended ended = run(script, argument);
-        assertEquals(WRONG_USE, ended.status(), ended.output());
-        assertTrue(ended.output().contains("mvn -q -B -DskipTests package"), ended.output());
+        ScriptResult result = run(script, argument);
+        assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
+        assertTrue(result.output().contains("mvn -q -B -DskipTests package"), result.output());
     }
 
     @ParameterizedTest
@@ -101,25 +101,25 @@
         "SECONDS,1 to 3600,1 50 12s"
     })
     void wrongArgumentOfTheSoakIsNamedWithItsRange(String name, String range, String arguments) throws Exception {
-        Ended ended = run("soak", arguments.split(" "));
-        assertEquals(WRONG_USE, ended.status(), ended.output());
-        assertTrue(ended.output().startsWith(name + " must be a whole number from " + range), ended.output());
+        ScriptResult result = run("soak", arguments.split(" "));
+        assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
+        assertTrue(result.output().startsWith(name + " must be a whole number from " + range), result.output());
     }
 
     @ParameterizedTest
     @CsvSource({"HOSTS,1 to 200,0", "REQUESTS_PER_SECOND,0 to 1000,9 63 many"})
     void wrongArgumentOfTheProcessorTimeIsNamedWithItsRange(String name, String range, String arguments)
             throws Exception {
-        Ended ended = run("processor-time", arguments.split(" "));
-        assertEquals(WRONG_USE, ended.status(), ended.output());
-        assertTrue(ended.output().startsWith(name + " must be a whole number from " + range), ended.output());
+        ScriptResult result = run("processor-time", arguments.split(" "));
+        assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
+        assertTrue(result.output().startsWith(name + " must be a whole number from " + range), result.output());
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"", "cooperative 60 1", "other 60 1 file", "cooperative soon 1 file"})
     void wrongUseOfThePolicyComparisonIsNamed(String arguments) throws Exception {
-        Ended ended = run("compare-policies", arguments.isEmpty() ? new String[0] : arguments.split(" "));
-        assertEquals(WRONG_USE, ended.status(), ended.output());
-        assertTrue(ended.output().contains("usage: compare-policies"), ended.output());
+        ScriptResult result = run("compare-policies", arguments.isEmpty() ? new String[0] : arguments.split(" "));
+        assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
+        assertTrue(result.output().contains("usage: compare-policies"), result.output());
     }
 }
