--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/CommandLineToolTest.java
@@ -79,7 +79,7 @@
     }
 
     @Test
-    void validateNeedsNoHostAndPrintsAllErrorsWithTheirPlaces() throws IOException {
+    void validateNeedsNoHostAndPrintsAllErrorsWithTheirPositions() throws IOException {
         assertEquals(ExitCode.DONE, runWith("", "", "validate", "-f", writeDeclarations(SERVICE + ADAPTER)));
         String wrong = writeDeclarations(SERVICE + "colour = 1\n" + ADAPTER.replace("assistant", "desk"));
         assertEquals(ExitCode.INVALID_INPUT, run("validate", "-f", wrong));
@@ -88,7 +88,7 @@
     }
 
     @Test
-    void errorsAreJsonIfAsked() throws IOException {
+    void errorsArePrintedAsJsonOnRequest() throws IOException {
         assertEquals(
                 ExitCode.INVALID_INPUT,
                 run("--output", "json", "validate", "-f", writeDeclarations("preset = 'loud'")));
@@ -146,7 +146,7 @@
     }
 
     @Test
-    void refusalsAndUnreachableHostsHaveTheirOwnCodes() throws IOException {
+    void refusalsAndUnreachableHostsHaveDistinctExitCodes() throws IOException {
         assertEquals(ExitCode.REFUSED, runWith(api.url(), "another-key", "status"));
         api.fault = Fault.LOG_UNAVAILABLE;
         assertEquals(ExitCode.REFUSED, run("preset", "use", "peak"));
@@ -162,7 +162,7 @@
     }
 
     @Test
-    void applyReportsHostsThatDoNotGetTheVersion() throws IOException {
+    void applyReportsHostsWithoutTheVersion() throws IOException {
         api.versionLag = 1;
         assertEquals(ExitCode.NOT_REACHED, run("apply", "-f", writeDeclarations(SERVICE), "--wait-seconds", "1"));
         assertTrue(out.toString().contains("entry-1"), out.toString());
@@ -204,7 +204,7 @@
     }
 
     @Test
-    void burnReportTellsThatAnObjectiveIsMissedAndWritesThePage() throws IOException {
+    void burnRateReportReportsMissedObjectiveAndWritesHtmlPage() throws IOException {
         Path page = directory.resolve("burn.html");
         assertEquals(ExitCode.NOT_REACHED, run("report", "burn", "--html", page.toString()));
         assertTrue(out.toString().contains("queue_full=10"), out.toString());
--- a/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnRateReportTest.java
+++ b/banyanstair-cli/src/test/java/org/banyanstair/cli/burn/BurnRateReportTest.java
@@ -27,7 +27,7 @@
     }
 
     @Test
-    void addsUpRequestsAndKeepsTheLatestObjective() {
+    void sumsRequestsAndKeepsTheLatestObjective() {
         BurnRateSnapshot late = snapshot("entry-1", 20, sample(60, 500, 1_000, 1_000, Map.of("queue_full", 1L)));
         BurnRateSnapshot early = snapshot(
                 "entry-2", 10, sample(60, 420, 10, 0, Map.of("queue_full", 10L)), sample(5, 420, 10, 0, Map.of()));
@@ -39,7 +39,7 @@
     }
 
     @Test
-    void serviceWithoutRequestsMissesNothing() {
+    void serviceWithoutRequestsMeetsItsObjective() {
         BurnRateSnapshot idle = snapshot("entry-1", 1, sample(60, 420, 0, 0, Map.of()));
         assertEquals(List.of(), BurnRateReport.merge(List.of(idle), List.of()).servicesMissingObjective());
     }
