Name the last unclear members of call tracking

wantedPartitions holds the partitions for which the host ranks first or second, and CallTracker.notRun handles that answer. isLogReachable said that it tracks only the configuration stream; reads of the checkpoint stream set it too.

Only identifiers and a comment change. Ran the tests of the idempotency, configuration and reducer packages: passed.

--- a/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/configuration/ConfigurationReplica.java
@@ -69,7 +69,7 @@
         return stateMachine.current();
     }
 
-    /** Returns whether the last read of the configuration stream succeeded. */
+    /** Returns whether the last read of the configuration or the checkpoint stream succeeded. */
     public boolean isLogReachable() {
         return logReachable;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallTracker.java
@@ -122,7 +122,7 @@
             return;
         }
         if (outcome.answer() instanceof CallAnswer.NotRun notRun) {
-            notRun(call, sender, outcome, notRun, now, effects);
+            notRunReceived(call, sender, outcome, notRun, now, effects);
         } else if (outcome.answer() instanceof CallAnswer.Answered) {
             answer(call, outcome.answer(), effects);
         } else if (isCurrent(call, outcome.attempt())) {
@@ -134,7 +134,7 @@
         return call.currentAttempt.filter(attempt::equals).isPresent();
     }
 
-    private void notRun(
+    private void notRunReceived(
             TrackedCall call,
             HostIdentity sender,
             PeerMessage.CallOutcome outcome,
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriter.java
@@ -77,7 +77,7 @@
 
     /** Accepts an attempt submitted by an entry host. */
     public void submit(HostId submitter, PeerMessage.CallSubmit submit, Instant now, Effects effects) {
-        if (submit.writer().filter(run -> !run.equals(membership.self())).isPresent()) {
+        if (submit.writer().filter(writer -> !writer.equals(membership.self())).isPresent()) {
             return;
         }
         SubmittedCall known = calls.get(submit.attempt());
--- a/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/idempotency/CallWriters.java
@@ -32,7 +32,7 @@
     private final Membership membership;
     private final List<CallWriter> writers;
     private final Set<Integer> followedPartitions = new HashSet<>();
-    private Set<Integer> wantedPartitions = Set.of();
+    private Set<Integer> rankedPartitions = Set.of();
     private long rankedListingChanges = -1;
 
     /** Creates the writers. */
@@ -116,7 +116,7 @@
         }
         rankedListingChanges = membership.listingChangeCount();
         List<HostId> live = membership.listing().liveHosts();
-        wantedPartitions = LogStreams.callPartitions()
+        rankedPartitions = LogStreams.callPartitions()
                 .filter(partition -> isRanked(partition, live))
                 .boxed()
                 .collect(Collectors.toUnmodifiableSet());
@@ -129,7 +129,7 @@
     }
 
     private void followOrUnfollow(int partition, Effects effects) {
-        if (wantedPartitions.contains(partition)) {
+        if (rankedPartitions.contains(partition)) {
             follow(partition, effects);
         } else if (followedPartitions.contains(partition)
                 && !writers.get(partition).isBusy()) {
