--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/EndpointStandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/EndpointStandInServer.java
@@ -18,9 +18,9 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * HTTP server of a stand-in. It can close all its connections and refuse new ones for a while.
+ * HTTP server of the engine and plain service stand-ins; can close its connections and refuse new ones for a time.
  *
- * <p>Handlers run on the event loop and must not block.
+ * <p>Handlers run on an event loop and must not block.
  */
 public final class EndpointStandInServer {
     private static final String HOST = "127.0.0.1";
@@ -31,28 +31,27 @@
     private final Consumer<Routes> routes;
     private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
 
-    // Not a daemon thread: the threads of the server are, so this one keeps a stand-in process alive.
+    // Not a daemon thread: keeps a stand-in process alive, because all threads of the server are daemons.
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private volatile int port;
 
-    /** The listening channel, known once a request has come. */
+    /** The listening channel, null until the first request has arrived. */
     private volatile Channel listeningChannel;
 
     private NettyServer server;
     private boolean stopped;
 
     /**
-     * Creates the server.
+     * Creates a server that is not started.
      *
-     * @param port port to listen on, 0 for a free one
-     * @param routes declares the routes
+     * @param port TCP port, 0 for a free one
      */
     public EndpointStandInServer(int port, Consumer<Routes> routes) {
         this.port = port;
         this.routes = routes;
     }
 
-    /** Declares the routes of a stand-in. */
+    /** Registers the routes of a stand-in. */
     public static final class Routes {
         private final Jooby application;
         private final Consumer<Channel> onRequestChannel;
@@ -63,11 +62,10 @@
         }
 
         /**
-         * Declares a route.
+         * Registers a route.
          *
-         * @param method HTTP method
-         * @param path path pattern of Jooby
-         * @param action answers the request, at once or later; an {@link IllegalArgumentException} becomes 400
+         * @param path Jooby path pattern
+         * @param action sends the response, at once or later; an {@link IllegalArgumentException} becomes status 400
          */
         public void on(String method, String path, Consumer<Exchange> action) {
             Route.Handler handler = context -> {
@@ -84,7 +82,7 @@
         }
     }
 
-    /** Starts to listen; returns when the server accepts connections. */
+    /** Starts listening; returns when the server accepts connections. */
     public synchronized void start() {
         timer.execute(() -> {});
         RuntimeException lastFailure = null;
@@ -96,7 +94,7 @@
                 if (!isAddressInUse(exception)) {
                     throw exception;
                 }
-                // A free port that was picked can be taken, and a port that was just closed needs a moment.
+                // The port may have been taken since it was chosen, or may not be released yet after a close.
                 lastFailure = exception;
                 sleepBeforeRetry();
             }
@@ -106,7 +104,7 @@
         }
     }
 
-    /** Closes all connections and stops to listen. */
+    /** Closes all connections and stops listening. */
     public synchronized void stop() {
         stopped = true;
         timer.shutdownNow();
@@ -114,13 +112,13 @@
     }
 
     /**
-     * Closes all connections and refuses new ones for a while, on the same port.
+     * Closes all connections and refuses new ones for a time; listens on the same port afterwards.
      *
-     * <p>The listener closes first, so that a peer that sees its connection end cannot connect again at once. Not for
-     * threads of the server, because it waits for the listener.
+     * <p>Closes the listening channel first, so that a client whose connection was closed cannot reconnect at once.
+     * Must not be called on a server thread, because it waits for that channel to close.
      *
      * @param pause how long connections are refused
-     * @param beforeResume runs just before the server listens again
+     * @param beforeResume runs before the server listens again
      */
     public void suspend(Duration pause, Runnable beforeResume) {
         Channel current = listeningChannel;
@@ -139,9 +137,9 @@
     }
 
     /**
-     * Returns the address on which the server listens.
+     * Returns the address that the server listens on.
      *
-     * @return the address, known once {@link #start} has returned
+     * @return valid once {@link #start} has returned
      */
     public NetworkAddress address() {
         return new NetworkAddress(HOST, port);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/Exchange.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/Exchange.java
@@ -19,9 +19,9 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * One HTTP request of a stand-in with its answer and its connection.
+ * An HTTP request to a stand-in, its response and its connection.
  *
- * <p>An answer may be given from any thread, but by one thread at a time.
+ * <p>A response may be sent from any thread, but by one thread at a time.
  */
 public final class Exchange {
     private final Context context;
@@ -34,7 +34,7 @@
         this.channel = channelOf(context);
     }
 
-    /** Jooby has no way to close a connection without an answer; a lost answer needs one, hence the reflection. */
+    /** Gets the channel by reflection, because Jooby has no API to close a connection without a response. */
     private static Channel channelOf(Context context) {
         try {
             Field field = context.getClass().getDeclaredField("ctx");
@@ -49,11 +49,7 @@
         return channel;
     }
 
-    /**
-     * Returns the Jooby context, for the path, the query and the method of the request.
-     *
-     * @return the context
-     */
+    /** Returns the Jooby context, which gives access to the path, the query and the method of the request. */
     public Context context() {
         return context;
     }
@@ -61,7 +57,6 @@
     /**
      * Returns a header of the request.
      *
-     * @param name header name
      * @return its value, empty if it is missing
      */
     public Optional<String> header(String name) {
@@ -94,10 +89,9 @@
     }
 
     /**
-     * Answers with JSON.
+     * Sends a JSON response.
      *
-     * @param status HTTP status
-     * @param value value that Jackson can write
+     * @param value serializable by Jackson
      */
     public void respond(int status, Object value) {
         try {
@@ -108,11 +102,9 @@
     }
 
     /**
-     * Answers with bytes.
+     * Sends a response.
      *
-     * @param status HTTP status
-     * @param contentType content type of the body
-     * @param body the body
+     * @param contentType media type of the body
      */
     public void respond(int status, String contentType, byte[] body) {
         context.setResponseCode(StatusCode.valueOf(status));
@@ -121,20 +113,19 @@
     }
 
     /**
-     * Answers with the OpenAI error envelope.
+     * Sends an error response in the OpenAI error envelope.
      *
-     * @param status HTTP status
      * @param code stable code of the error
-     * @param message sentence for people
+     * @param message human-readable description
      */
     public void respondError(int status, String code, String message) {
         respond(status, Map.of("error", Map.of("message", message, "type", "endpoint_error", "code", code)));
     }
 
     /**
-     * Starts an answer of server-sent events.
+     * Starts a response of server-sent events.
      *
-     * @return false if the connection has closed; nothing was started then
+     * @return false if the connection is closed and no response was started
      */
     public boolean startEventStream() {
         context.setResponseType(MediaType.valueOf("text/event-stream"));
@@ -142,7 +133,7 @@
             sender = context.responseSender();
             return true;
         } catch (IllegalStateException exception) {
-            // Jooby finds no handler once Netty has emptied the pipeline of a closed connection.
+            // Netty removes the handlers of a closed connection, so Jooby does not find its own.
             if (channel.isActive()) {
                 throw exception;
             }
@@ -150,45 +141,41 @@
         }
     }
 
-    /**
-     * Returns whether an answer of server-sent events was started.
-     *
-     * @return whether {@link #startEventStream} was called
-     */
+    /** Returns whether {@link #startEventStream} has started a response. */
     public boolean isEventStreamStarted() {
         return sender != null;
     }
 
     /**
-     * Sends a part of an answer of server-sent events.
+     * Writes server-sent events to the response.
      *
-     * @param text whole events
+     * @param text complete events
      */
     public void writeEvents(String text) {
         sender.write(text.getBytes(StandardCharsets.UTF_8), (unused, failure) -> {});
     }
 
-    /** Ends an answer of server-sent events. */
+    /** Ends a response of server-sent events. */
     public void endEventStream() {
         sender.close();
     }
 
-    /** Closes the connection without an answer or in the middle of one. */
+    /** Closes the connection, before or during the response. */
     public void closeConnection() {
         channel.close();
     }
 
     /**
-     * Watches for the end of the connection.
+     * Registers an action for the close of the connection.
      *
-     * @param action runs on a thread of the server when the connection closes
+     * @param action runs on an event loop thread
      */
     public void onClose(Runnable action) {
         closeListener = future -> action.run();
         channel.closeFuture().addListener(closeListener);
     }
 
-    /** Ends the watch, so that a kept-alive connection does not collect the listeners of earlier requests. */
+    /** Removes the action of {@link #onClose}, so that a keep-alive connection does not accumulate listeners. */
     public void removeCloseListener() {
         if (closeListener != null) {
             channel.closeFuture().removeListener(closeListener);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/FaultSettings.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/FaultSettings.java
@@ -7,21 +7,17 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * The faults that are set on a stand-in, each with a number: a count that is used up, a duration or 0 and 1.
+ * Holds the injected faults of a stand-in; the value of a fault is a remaining count, a duration or a flag (0 or 1).
  *
- * <p>Safe for use by several threads.
+ * <p>Thread-safe.
  *
- * @param <E> the faults of the stand-in
+ * @param <E> enum of the stand-in's faults
  */
 public final class FaultSettings<E extends Enum<E>> {
     private final Class<E> type;
     private final Map<E, Long> values;
 
-    /**
-     * Creates settings without faults.
-     *
-     * @param type the faults of the stand-in
-     */
+    /** Creates settings without active faults. */
     public FaultSettings(Class<E> type) {
         this.type = type;
         this.values = new EnumMap<>(type);
@@ -30,39 +26,27 @@
     /**
      * Sets one fault.
      *
-     * @param fault the fault
-     * @param value its number, 0 to end the fault
+     * @param value count, duration or flag; 0 to clear the fault
      */
     public synchronized void set(E fault, long value) {
         values.put(fault, value);
     }
 
     /**
-     * Returns the number of a fault.
+     * Returns the value of a fault.
      *
-     * @param fault the fault
-     * @return the number, 0 if the fault is not set
+     * @return 0 if the fault is not set
      */
     public synchronized long value(E fault) {
         return values.getOrDefault(fault, 0L);
     }
 
-    /**
-     * Returns whether a fault is set.
-     *
-     * @param fault the fault
-     * @return whether its number is above 0
-     */
+    /** Returns whether the value of a fault is above 0. */
     public boolean isSet(E fault) {
         return value(fault) > 0;
     }
 
-    /**
-     * Uses up one occurrence of a counted fault.
-     *
-     * @param fault the fault
-     * @return whether the fault applies this time
-     */
+    /** Decrements the value of a counted fault if it is above 0 and returns whether it was. */
     public synchronized boolean consume(E fault) {
         long remaining = value(fault);
         if (remaining > 0) {
@@ -72,11 +56,9 @@
     }
 
     /**
-     * Reads the JSON form, an object of fault names in lower case with numbers.
+     * Parses a JSON object that maps lower-case fault names to values.
      *
-     * @param json the object
-     * @return the numbers by fault
-     * @throws IllegalArgumentException if a name or a number is not accepted
+     * @throws IllegalArgumentException if a name is unknown or a value is not an integer
      */
     public Map<E, Long> parse(JsonNode json) {
         Map<E, Long> parsed = new EnumMap<>(type);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/SettingsArguments.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/SettingsArguments.java
@@ -11,18 +11,16 @@
 import org.apache.commons.cli.ParseException;
 import org.banyanstair.codec.Mappers;
 
-/** Reads the settings record of a stand-in from the command line, as {@code --set name=value}. */
+/** Parses the settings record of a stand-in from command line arguments {@code --set name=value}. */
 public final class SettingsArguments {
     private SettingsArguments() {}
 
     /**
-     * Overrides fields of a settings record.
+     * Returns a settings record with the values from the command line.
      *
-     * @param <T> type of the record
-     * @param arguments the command line
-     * @param defaults settings to start from
-     * @return the settings
-     * @throws IllegalArgumentException if the command line, a name or a value is not accepted
+     * @param arguments command line arguments
+     * @param defaults values of the settings that are not given
+     * @throws IllegalArgumentException if an option or a value is invalid
      */
     public static <T> T parse(String[] arguments, T defaults) {
         Options options = new Options();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/endpoint/package-info.java
@@ -1,2 +1,2 @@
-/** What the stand-ins of engines and plain services share: the HTTP server, its connections and fault settings. */
+/** HTTP server and fault settings shared by the engine and plain service stand-ins. */
 package org.banyanstair.testsupport.endpoint;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/AdapterSlots.java
@@ -17,9 +17,9 @@
 import org.banyanstair.testsupport.endpoint.FaultSettings;
 
 /**
- * Adapter slots of one incarnation and the commands that change them.
+ * Manages the adapter slots of one engine incarnation and handles load and unload commands.
  *
- * <p>Everything runs on the scheduler thread of the engine.
+ * <p>Not thread-safe; used only on the engine's scheduler thread.
  */
 final class AdapterSlots {
     private final EngineSettings settings;
@@ -54,7 +54,7 @@
         return fence;
     }
 
-    /** Forgets everything, as the loss of the process does; loads in transit have no effect any more. */
+    /** Clears all state, as a process crash does; loads that are still in progress have no effect when they end. */
     void clear() {
         incarnation++;
         loaded.clear();
@@ -115,7 +115,10 @@
         }
     }
 
-    /** Answers a command with an old fencing number; a command without a number counts as number 0. */
+    /**
+     * Rejects a command whose fencing number is lower than the highest one seen and returns whether it did so. A
+     * command without a fencing number counts as number 0.
+     */
     private boolean isFenced(Exchange exchange) {
         if (!settings.checksFencing() || faults.isSet(EngineFault.IGNORE_FENCING)) {
             return false;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Batch.java
@@ -16,15 +16,15 @@
 import org.tinylog.Logger;
 
 /**
- * The continuous batch: waiting and running generations and the generationsById that can be resumed.
+ * Implements continuous batching: queues, runs and resumes generations.
  *
- * <p>Everything runs on the scheduler thread of the engine.
+ * <p>Not thread-safe; used only on the engine's scheduler thread.
  */
 final class Batch {
     private static final long ENDED_STREAM_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final long HOUSEKEEPING_INTERVAL_MILLISECONDS = 20;
 
-    /** Late timers are made up for up to this; a process that was stopped for longer does not send a burst. */
+    /** Limits how much late timers are compensated, so that a process that was suspended does not emit a burst. */
     private static final long MAX_CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final EngineSettings settings;
@@ -79,7 +79,7 @@
         enqueue(generation);
     }
 
-    /** Puts a stream that was broken off back into the queue. */
+    /** Queues a generation that ended because its client disconnected. */
     void requeue(Generation generation) {
         generation.outcome = RunOutcome.RUNNING;
         generation.ended = Optional.empty();
@@ -94,7 +94,7 @@
         }
     }
 
-    /** Takes a generation out of the batch or the queue; no effect if it has ended. */
+    /** Removes a generation from the batch or the queue and sets its outcome; no effect if it has ended. */
     void end(Generation generation, RunOutcome outcome) {
         boolean wasWaiting = waiting.remove(generation);
         if (!wasWaiting && !running.remove(generation)) {
@@ -114,7 +114,7 @@
         }
     }
 
-    /** Ends everything without an answer, as the loss of the process does. */
+    /** Ends all generations without completing their responses, as a process crash does. */
     void clear() {
         List.copyOf(waiting).forEach(each -> end(each, RunOutcome.CRASHED));
         List.copyOf(running).forEach(each -> end(each, RunOutcome.CRASHED));
@@ -149,8 +149,11 @@
             try {
                 advance(generation);
             } catch (RuntimeException exception) {
-                // One stream that cannot be written must not stop the batch.
-                Logger.error(exception, "request {} could not be served", generation.requestId);
+                // A stream that cannot be written must not stop the others.
+                Logger.error(
+                        exception,
+                        "request {}: cannot write token events; ending the generation",
+                        generation.requestId);
                 end(generation, RunOutcome.DISCONNECTED);
             }
         }
@@ -211,7 +214,7 @@
         }
     }
 
-    /** Answers a waiting request that did not run. A stream that had started before is broken off instead. */
+    /** Removes a waiting generation and responds with an error if a client is connected. */
     private void rejectWaiting(Generation generation, int status, String code, String message) {
         waiting.remove(generation);
         generationsById.remove(generation.requestId, generation);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/ChunkWriter.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/ChunkWriter.java
@@ -7,7 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.banyanstair.codec.Mappers;
 
-/** Writes the server-sent events of one generation in the chunk form of OpenAI. */
+/** Writes the server-sent events of one generation as OpenAI completion chunks. */
 final class ChunkWriter {
     private final String requestId;
     private final String adapter;
@@ -42,7 +42,11 @@
         appendEvent(events, index, chunk);
     }
 
-    /** Writes the usage chunk, if it is wanted and the reader does not have it yet, and the end mark. */
+    /**
+     * Appends the usage chunk, if the request asked for it, and the {@code [DONE]} event.
+     *
+     * @param withUsage false if the client has received the usage chunk before it resumed the stream
+     */
     void appendEnd(StringBuilder events, boolean withUsage) {
         if (usage && withUsage) {
             ObjectNode chunk = chunk();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/DelayedStatusReport.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/DelayedStatusReport.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** Status reports with a lag. Used by the scheduler thread alone. */
+/** Reports the engine status as it was a fixed lag ago. Not thread-safe; used only on the engine's scheduler thread. */
 final class DelayedStatusReport {
     private static final int SAMPLES_PER_LAG = 10;
 
@@ -28,7 +28,7 @@
         }
     }
 
-    /** Forgets the reports of an earlier incarnation. */
+    /** Discards the samples of an earlier incarnation. */
     void clear() {
         entries.clear();
     }
@@ -50,7 +50,7 @@
         while (now - entries.getFirst().atNanos() >= lagNanos) {
             last = entries.removeFirst();
         }
-        // The newest report that is older than the lag stays the one that is read.
+        // Keep the newest sample that is older than the lag; current() returns it.
         if (now - last.atNanos() >= lagNanos) {
             entries.addFirst(last);
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineCounters.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineCounters.java
@@ -4,16 +4,13 @@
 import com.fasterxml.jackson.databind.annotation.JsonNaming;
 
 /**
- * Totals over all incarnations of an engine.
+ * Counts events of an engine over all its incarnations.
  *
- * @param tokens tokens produced
- * @param steps steps of the batch
  * @param generations generations that entered the batch
- * @param resumed streams that were resumed
- * @param loads loads that took effect
- * @param failedLoads loads that ended without effect
- * @param unloads unloads that took effect
- * @param fenced commands refused for an old fencing number
+ * @param loads adapter loads that succeeded
+ * @param failedLoads adapter loads that failed
+ * @param unloads adapter unloads that were carried out
+ * @param fenced commands rejected for a stale fencing number
  * @param crashes crashes and restarts
  */
 @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineFault.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineFault.java
@@ -1,21 +1,21 @@
 package org.banyanstair.testsupport.engine;
 
-/** Faults of the engine, with the meaning of the number that is set for each. */
+/** Faults that can be injected into the engine; each constant documents the meaning of its value. */
 public enum EngineFault {
-    /** Count of loads that end without effect. */
+    /** Number of loads that fail. */
     FAIL_LOADS,
-    /** Count of loads that take effect and whose connection is closed without an answer. */
+    /** Number of loads that succeed but whose connection is closed without a response. */
     LOSE_LOAD_ANSWERS,
-    /** Count of unloads that take effect and whose connection is closed without an answer. */
+    /** Number of unloads that are carried out but whose connection is closed without a response. */
     LOSE_UNLOAD_ANSWERS,
-    /** Count of generations that run and whose connection is closed before the first token. */
+    /** Number of generations that run but whose connection is closed before the first token. */
     LOSE_GENERATION_ANSWERS,
-    /** 1 to restart empty at once, used up by the restart. */
+    /** 1 to restart at once without loaded adapters; reset by the restart. */
     RESTART,
-    /** 1 to ignore fencing numbers although the settings say that they are checked. */
+    /** 1 to ignore fencing numbers even if the settings enable the check. */
     IGNORE_FENCING,
-    /** Milliseconds for which the engine closes its connections and refuses new ones, once; streams go on. */
+    /** Milliseconds for which the engine closes connections and refuses new ones, once; generations keep running. */
     REFUSE_CONNECTIONS_MILLISECONDS,
-    /** Milliseconds that are added to each step. */
+    /** Milliseconds added to each batch step. */
     SLOW_STEP_MILLISECONDS
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineResources.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineResources.java
@@ -4,7 +4,7 @@
 
 import org.banyanstair.testsupport.endpoint.FaultSettings;
 
-/** What the parts of one engine share. */
+/** Groups the objects that the components of one engine share. */
 record EngineResources(
         EngineSettings settings,
         FaultSettings<EngineFault> faults,
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineRun.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineRun.java
@@ -7,15 +7,14 @@
 import com.fasterxml.jackson.databind.annotation.JsonNaming;
 
 /**
- * One generation that the engine started.
+ * Describes one generation that the engine started.
  *
- * @param requestId id of the request
- * @param adapter engine name of the adapter
+ * @param adapter name of the adapter at the engine, {@code service/adapter@version}
  * @param promptDigest SHA-256 of the prompt in hexadecimal
  * @param firstToken index of the first token that this run produced
  * @param tokens tokens that this run produced
- * @param started when it entered the batch
- * @param ended when it left the batch, empty while it runs
+ * @param started when the generation entered the batch
+ * @param ended when the generation left the batch, empty while it runs
  * @param outcome how it ended
  */
 @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineSettings.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineSettings.java
@@ -1,21 +1,20 @@
 package org.banyanstair.testsupport.engine;
 
 /**
- * Settings of the engine.
+ * Settings of the engine stand-in.
  *
  * @param port port to listen on, 0 for a free one
- * @param slots adapter slots
- * @param batchLimit most requests that run at a time
- * @param stepMicroseconds time of a step with one request; 0 for steps without a pause
- * @param stepMicrosecondsPerRequest time that each further request adds to a step
- * @param loadMilliseconds time of a load when there is no weight store
+ * @param batchLimit maximum number of requests in the batch
+ * @param stepMicroseconds duration of a batch step with one request, 0 for no pause between steps
+ * @param stepMicrosecondsPerRequest duration that each further request adds to a step
+ * @param loadMilliseconds duration of an adapter load without a weight store
  * @param weightStore address of the weight store, empty for none
- * @param checksFencing whether commands with an old fencing number are refused
- * @param keepBrokenStreamsSeconds how long a stream goes on after its connection broke
- * @param statusLagMilliseconds age of the status report
- * @param cacheEventLagMilliseconds delay after which a cache event is published
- * @param cacheEventGapEvery every so many cache events one is never published, 0 for none
- * @param cachedPrefixes prompt prefixes that the cache holds
+ * @param checksFencing whether commands with a stale fencing number are rejected
+ * @param keepBrokenStreamsSeconds how long a generation keeps running after its client disconnected
+ * @param statusLagMilliseconds age of the reported status
+ * @param cacheEventLagMilliseconds delay until a cache event is published
+ * @param cacheEventGapEvery omits every n-th cache event, 0 to omit none
+ * @param cachedPrefixes capacity of the prefix cache
  * @param restartMilliseconds time from a crash to the new incarnation
  * @param crashMarker a request whose prompt contains this text crashes the engine, empty for none
  */
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineStandIn.java
@@ -22,9 +22,9 @@
 import org.banyanstair.testsupport.endpoint.SettingsArguments;
 
 /**
- * Model engine that produces a known text instead of running a model.
+ * Simulates a model engine; generates deterministic text instead of running a model.
  *
- * <p>One scheduler thread owns all state; HTTP handlers and the methods of this class pass their work to it.
+ * <p>Thread-safe. One scheduler thread owns all state; HTTP handlers and public methods submit their work to it.
  */
 public final class EngineStandIn {
     private final EngineSettings settings;
@@ -44,11 +44,7 @@
     private long incarnation = System.currentTimeMillis();
     private boolean restarting;
 
-    /**
-     * Creates an engine.
-     *
-     * @param settings its settings
-     */
+    /** Creates an engine that is not started. */
     public EngineStandIn(EngineSettings settings) {
         this.settings = settings;
         this.cache = new PrefixCache(settings);
@@ -60,19 +56,19 @@
     }
 
     /**
-     * Runs the engine as a process until it is killed.
+     * Runs the engine as a process until it is terminated.
      *
      * @param arguments {@code --set name=value} for each setting that differs from the default
      */
     public static void main(String[] arguments) {
-        // The only line on standard output is the address, so that a launcher can wait for it.
+        // Standard output must hold only the address line, which the process launcher waits for.
         System.setProperty("tinylog.level", "warn");
         EngineStandIn engine = new EngineStandIn(SettingsArguments.parse(arguments, EngineSettings.DEFAULT));
         engine.start();
         System.out.println("ready " + engine.address());
     }
 
-    /** Starts to listen. */
+    /** Starts listening. */
     public void start() {
         server.start();
         batch.startHousekeeping();
@@ -86,29 +82,17 @@
         slots.close();
     }
 
-    /**
-     * Returns the address on which the engine listens.
-     *
-     * @return the address
-     */
+    /** Returns the address that the engine listens on. */
     public NetworkAddress address() {
         return server.address();
     }
 
-    /**
-     * Returns what ran so far.
-     *
-     * @return the record
-     */
+    /** Returns the generations and violations so far. */
     public EngineRecord record() {
         return callOnScheduler(() -> runLog.snapshot(batch.running()));
     }
 
-    /**
-     * Returns the totals so far.
-     *
-     * @return the counters
-     */
+    /** Returns the counters over all incarnations. */
     public EngineCounters counters() {
         return callOnScheduler(counts::snapshot);
     }
@@ -116,8 +100,7 @@
     /**
      * Sets a fault.
      *
-     * @param fault the fault
-     * @param value its number, 0 to end the fault
+     * @param value count, milliseconds or flag, see {@link EngineFault}; 0 to clear the fault
      */
     public void setFault(EngineFault fault, long value) {
         callOnScheduler(() -> {
@@ -140,7 +123,7 @@
         return fault == EngineFault.RESTART || fault == EngineFault.REFUSE_CONNECTIONS_MILLISECONDS;
     }
 
-    /** Settings are in force when the answer is sent; actions follow it, because they close its connection. */
+    /** Applies faults before the response, but one-time actions after it, because these close its connection. */
     private void putFaults(Exchange exchange) {
         Map<EngineFault, Long> parsed = faults.parse(exchange.json());
         parsed.forEach((fault, value) -> applyFault(fault, isOneTimeAction(fault) ? 0 : value));
@@ -184,7 +167,7 @@
 
     private void runCommand(Exchange exchange, Consumer<Exchange> action) {
         if (restarting) {
-            // A process that crashed takes the commands that it had received with it.
+            // A crashed process never responds to the commands that it has received.
             exchange.closeConnection();
             return;
         }
@@ -224,7 +207,7 @@
         batch.submit(generation);
     }
 
-    /** Goes on with a stream that the engine still has; false if it has none that reached the event. */
+    /** Resumes a retained stream after the given event; returns false if no retained stream has reached that event. */
     private boolean resume(Exchange exchange, String requestId, int lastEvent) {
         Optional<Generation> found = batch.findGeneration(requestId).filter(each -> each.hasEvent(lastEvent));
         if (found.isEmpty()) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineText.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/EngineText.java
@@ -12,18 +12,18 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /**
- * The text that the engine generates, a function of the adapter, the prompt and the token limit.
+ * Generates the deterministic text of an engine from the adapter, the prompt and the token limit.
  *
- * <p>An answer has exactly as many tokens as its limit. Each token is a word and a space.
+ * <p>A text has exactly as many tokens as its limit. Each token is a word and a space.
  */
 public final class EngineText {
-    /** Token limit of a request that has none. */
+    /** Token limit of a request that sets none. */
     public static final int DEFAULT_MAX_TOKENS = 16;
 
-    /** Largest token limit that is accepted. */
+    /** Maximum token limit that a request may set. */
     public static final int MAX_TOKENS_LIMIT = 4_096;
 
-    /** Characters of the prompt that the prefix hash covers. */
+    /** Length of the prompt prefix that the prefix hash covers. */
     public static final int PREFIX_LENGTH_CHARACTERS = 256;
 
     private static final String[] SYLLABLES = {
@@ -34,7 +34,7 @@
     private final int maxTokens;
 
     /**
-     * Creates the text of one answer.
+     * Creates the text of one request.
      *
      * @param adapterName engine name of the adapter
      * @param prompt prompt in the form of {@link #prompt}
@@ -46,12 +46,11 @@
     }
 
     /**
-     * Returns all tokens of an answer.
+     * Returns all tokens of the text of one request, in order.
      *
      * @param adapterName engine name of the adapter
      * @param prompt prompt in the form of {@link #prompt}
      * @param maxTokens token limit
-     * @return the tokens in order
      */
     public static List<String> tokens(String adapterName, String prompt, int maxTokens) {
         EngineText text = new EngineText(adapterName, prompt, maxTokens);
@@ -78,7 +77,7 @@
     }
 
     /**
-     * Returns the hash under which the prefix cache knows a prompt.
+     * Returns the key of a prompt in the prefix cache.
      *
      * @param adapterName engine name of the adapter
      * @param prompt prompt in the form of {@link #prompt}
@@ -89,7 +88,7 @@
     }
 
     /**
-     * Returns the digest that the record shows for a prompt.
+     * Returns the digest of a prompt as {@link EngineRun} records it.
      *
      * @param prompt prompt in the form of {@link #prompt}
      * @return SHA-256 in hexadecimal
@@ -104,10 +103,10 @@
     }
 
     /**
-     * Returns how many tokens a text covers.
+     * Counts the tokens in a prefix of this text.
      *
-     * @param text start of the answer
-     * @return the count of tokens, -1 if the answer does not start with this text or it ends within a token
+     * @param text prefix of this text
+     * @return number of tokens, -1 if this text does not start with the prefix or the prefix ends within a token
      */
     int countTokens(String text) {
         int position = 0;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/Generation.java
@@ -6,7 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.banyanstair.testsupport.endpoint.Exchange;
 
-/** One generation: its request, how far it got and who reads it. Used by the scheduler thread alone. */
+/** State of one generation. Not thread-safe; used only on the engine's scheduler thread. */
 final class Generation {
     final String requestId;
     final String adapter;
@@ -18,19 +18,19 @@
     final ChunkWriter chunkWriter;
     final int firstToken;
 
-    /** Tokens of the answer that exist, counted from the start of the answer. */
+    /** Number of tokens that exist, including those that the request passed in {@code continue_from}. */
     int producedTokens;
 
-    /** Index of the next event to send; the usage chunk follows the last token. */
+    /** Index of the next event to send; the usage chunk follows the last token event. */
     int nextEventIndex;
 
-    /** Where the events go, null while nobody reads them. */
+    /** Request that receives the events, null while no client is connected. */
     Exchange exchange;
 
-    /** Position in the order of arrival. */
+    /** Sequence number by arrival at the queue. */
     long arrival;
 
-    /** When the connection broke, {@link Long#MAX_VALUE} while there is a reader. */
+    /** When the client disconnected, {@link Long#MAX_VALUE} while one is connected. */
     long disconnectedAtNanos = Long.MAX_VALUE;
 
     long endedAtNanos;
@@ -38,7 +38,7 @@
     Optional<Instant> ended = Optional.empty();
     RunOutcome outcome = RunOutcome.RUNNING;
 
-    /** Position in the record of the engine. */
+    /** Index in the {@link RunLog}. */
     int runLogIndex;
 
     Generation(String requestId, JsonNode body, boolean chat, boolean premium, Instant deadline) {
@@ -66,12 +66,12 @@
         return producedTokens >= maxTokens;
     }
 
-    /** Whether the events up to this index were produced by this run or were given to it as text. */
+    /** Returns whether the events up to this index were produced here or passed in {@code continue_from}. */
     boolean hasEvent(int index) {
         return index >= firstToken - 1 && (index < producedTokens || isComplete() && index == maxTokens);
     }
 
-    /** Sends what the reader does not have yet. */
+    /** Sends the events that the client has not been sent yet. */
     void deliver() {
         if (exchange == null || producedTokens == nextEventIndex && !isComplete()) {
             return;
@@ -94,7 +94,7 @@
         }
     }
 
-    /** Forgets the reader without touching its connection. */
+    /** Detaches the client's request without closing its connection. */
     void detach() {
         if (exchange != null) {
             exchange.removeCloseListener();
@@ -102,7 +102,7 @@
         }
     }
 
-    /** Closes the connection of the reader. */
+    /** Detaches the client's request and closes its connection. */
     void closeConnection() {
         if (exchange != null) {
             Exchange last = exchange;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/MutableEngineCounters.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/MutableEngineCounters.java
@@ -1,6 +1,6 @@
 package org.banyanstair.testsupport.engine;
 
-/** MutableEngineCounters of one engine; used by the scheduler thread alone. */
+/** Mutable form of {@link EngineCounters}. Not thread-safe; used only on the engine's scheduler thread. */
 final class MutableEngineCounters {
     long tokens;
     long steps;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/PrefixCache.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/PrefixCache.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Prompt prefixes that the engine holds, least recently used first out, and the events that it publishes of them. */
+/** Simulates the engine's prefix cache with LRU eviction and publishes its cache events. */
 final class PrefixCache {
     private static final int MAX_EVENTS = 10_000;
 
@@ -20,7 +20,7 @@
 
     private record Event(long number, long prefix, String kind, long atNanos) {}
 
-    /** Forgets everything, as the loss of the process does; event numbers start again at 0. */
+    /** Clears the cache, as a process crash does; event numbers restart at 0. */
     void clear() {
         prefixes.clear();
         events.clear();
@@ -38,7 +38,10 @@
         }
     }
 
-    /** The published events from a number on. The hash is text because not every JSON reader keeps 64 bits. */
+    /**
+     * Returns the published events from a number on. Prefix hashes are strings because not every JSON parser preserves
+     * 64-bit integers.
+     */
     Map<String, Object> publishedEvents(long from, long now) {
         List<Map<String, Object>> list = new ArrayList<>();
         long next = from;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunLog.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunLog.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The record of an engine, which outlives its incarnations. Used by the scheduler thread alone. */
+/**
+ * Records the runs and violations of an engine over all its incarnations. Not thread-safe; used only on the engine's
+ * scheduler thread.
+ */
 final class RunLog {
     private final List<EngineRun> runs = new ArrayList<>();
     private final List<EngineViolation> violations = new ArrayList<>();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunOutcome.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/RunOutcome.java
@@ -1,14 +1,14 @@
 package org.banyanstair.testsupport.engine;
 
-/** How a generation left the batch. */
+/** State of a generation, or the reason for which it ended. */
 public enum RunOutcome {
-    /** It is still in the batch. */
+    /** It is waiting or in the batch. */
     RUNNING,
     /** All tokens were produced. */
     COMPLETED,
     /** It was cancelled by a command. */
     CANCELLED,
-    /** Its connection broke and it was not resumed in time. */
+    /** Its client disconnected and did not resume the stream in time. */
     DISCONNECTED,
     /** Its deadline passed. */
     DEADLINE_PASSED,
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/WeightStoreClient.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/WeightStoreClient.java
@@ -14,7 +14,7 @@
 
 /** Fetches adapters from the weight store. */
 final class WeightStoreClient {
-    /** Longer than a load takes when the store is overloaded, so that a silent store ends the load. */
+    /** Exceeds the duration of a load from an overloaded store; ends loads from a store that does not respond. */
     private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(30);
 
     private final String address;
@@ -27,11 +27,15 @@
 
     WeightStoreClient(String address) {
         this.address = address;
-        // The engine limits its loads by its slots; OkHttp alone would allow 5 calls to one host.
+        // The adapter slots limit concurrent loads; OkHttp's default of 5 calls per host would be lower.
         client.dispatcher().setMaxRequestsPerHost(client.dispatcher().getMaxRequests());
     }
 
-    /** Fetches {@code service/adapter@version}; the result comes on another thread. */
+    /**
+     * Fetches {@code service/adapter@version} asynchronously.
+     *
+     * @param onComplete receives on an HTTP client thread whether the whole adapter was received
+     */
     void fetch(String adapter, Consumer<Boolean> onComplete) {
         String url = "http://" + address + "/adapters/" + adapter.replace('@', '/');
         client.newCall(new Request.Builder().url(url).build()).enqueue(new Callback() {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/engine/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in of a model engine with continuous batching, adapter slots and faults that can be set at run time. */
+/** Stand-in for a model engine with continuous batching, adapter slots and fault injection at run time. */
 package org.banyanstair.testsupport.engine;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ConnectionCloser.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ConnectionCloser.java
@@ -7,32 +7,24 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 
-/** Closes the connection of a request without an answer. */
+/** Closes or resets the connection of a request. */
 public final class ConnectionCloser {
     private ConnectionCloser() {}
 
-    /**
-     * Closes the connection that a request came in on.
-     *
-     * @param context the request, possibly partly answered
-     */
+    /** Closes the connection of a request, whose response may have begun. */
     public static void close(Context context) {
         channel(context).close();
     }
 
-    /**
-     * Resets the connection that a request came in on, as the operating system does when a process is killed.
-     *
-     * @param context the request, possibly partly answered
-     */
+    /** Resets the connection of a request, as the operating system does when a process is killed. */
     public static void reset(Context context) {
         Channel channel = channel(context);
-        // A linger time of 0 makes the operating system send RST instead of FIN.
+        // With a linger time of 0 the operating system sends RST instead of FIN.
         channel.config().setOption(ChannelOption.SO_LINGER, 0);
         channel.close();
     }
 
-    /** Jooby has no public way to close a connection without an answer, so its field is read by reflection. */
+    /** Gets the channel by reflection, because Jooby has no API to close a connection without a response. */
     static Channel channel(Context context) {
         Object inner = context;
         while (inner instanceof Context) {
@@ -41,7 +33,7 @@
         return ((ChannelHandlerContext) inner).channel();
     }
 
-    /** Wrapping contexts and the context of the Netty server both name the field {@code ctx}. */
+    /** Reads the field {@code ctx}, which wrapping contexts and the context of the Netty server both have. */
     private static Object wrappedContext(Object context) {
         for (Class<?> type = context.getClass(); type != null; type = type.getSuperclass()) {
             try {
@@ -54,6 +46,6 @@
                 throw new IllegalStateException(exception);
             }
         }
-        throw new IllegalStateException("this version of Jooby keeps its channel elsewhere");
+        throw new IllegalStateException("this version of Jooby has no field ctx to get the channel from");
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Counters.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Counters.java
@@ -5,25 +5,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 
-/** Named operation counts of a stand-in. Safe for use by several threads. */
+/** Named operation counts of a stand-in. Thread-safe. */
 public final class Counters {
     private final Map<String, LongAdder> values = new ConcurrentHashMap<>();
 
-    /**
-     * Adds to a count.
-     *
-     * @param name name of the count
-     * @param amount number to add
-     */
+    /** Adds to a count. */
     public void add(String name, long amount) {
         values.computeIfAbsent(name, key -> new LongAdder()).add(amount);
     }
 
-    /**
-     * Creates counts with the value 0, so that they are listed before the first operation.
-     *
-     * @param names names of the counts
-     */
+    /** Creates counts with the value 0, so that snapshots list them before the first operation. */
     public void declare(String... names) {
         for (String name : names) {
             add(name, 0);
@@ -33,7 +24,6 @@
     /**
      * Returns one count.
      *
-     * @param name name of the count
      * @return its value, 0 if nothing was added
      */
     public long get(String name) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/FaultInjector.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/FaultInjector.java
@@ -3,7 +3,7 @@
 import java.time.InstantSource;
 import java.util.SplittableRandom;
 
-/** Holds the faults in force and decides for each operation whether it is hit. Safe for use by several threads. */
+/** Holds the faults in force and decides which operations they affect. Thread-safe. */
 public final class FaultInjector {
     private final InstantSource clock;
     private Faults faults = Faults.NONE;
@@ -18,11 +18,7 @@
         this.clock = clock;
     }
 
-    /**
-     * Replaces the faults in force. Starts the random numbers anew from the seed.
-     *
-     * @param value the faults
-     */
+    /** Replaces the faults in force and reseeds the random lost responses. */
     public synchronized void set(Faults value) {
         faults = value;
         random = new SplittableRandom(value.seed());
@@ -31,7 +27,7 @@
     /**
      * Returns the faults in force.
      *
-     * @return the faults, with the number of lost answers that are still to come and without an outage that has ended
+     * @return the faults, with the remaining number of lost responses and without an outage that has ended
      */
     public synchronized Faults get() {
         if (faults.outageUntil()
@@ -42,21 +38,17 @@
         return faults;
     }
 
-    /**
-     * Tells whether operations are to be refused with status 503.
-     *
-     * @return whether an outage is in force
-     */
+    /** Returns whether operations are to be rejected with status 503. */
     public boolean isUnavailable() {
         return get().outage() != Outage.NONE;
     }
 
     /**
-     * Decides whether the operation that has just taken effect loses its answer. Each call consumes one of the lost
-     * answers or one random number, so call it once per operation.
+     * Decides whether the response of an operation is lost. Consumes one of the lost responses or one random number, so
+     * it must be called once for each operation, after its effect.
      *
      * @param method HTTP method of the operation
-     * @return whether the connection is to be closed without an answer
+     * @return whether to close the connection without a response
      */
     public synchronized boolean consumeLostAnswer(String method) {
         if (faults.lostAnswerMethod().filter(limit -> !limit.equals(method)).isPresent()) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Faults.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Faults.java
@@ -4,18 +4,17 @@
 import java.util.Optional;
 
 /**
- * Faults that every stand-in can show.
+ * Faults common to all platform stand-ins.
  *
- * @param outage whether requests are served
- * @param outageUntil instant at which the outage ends by itself; required for {@link Outage#REFUSED} over HTTP, because
- *     the control requests are refused too
+ * @param outage whether and how requests are rejected
+ * @param outageUntil when the outage ends by itself; required for {@link Outage#REFUSED} over HTTP, because control
+ *     requests cannot connect either
  * @param delayMillis time between the arrival of a request and its effect
- * @param answerDelayMillis time between the effect of a request and its answer
- * @param lostAnswers number of operations from now on that take effect and whose connection is then closed without an
- *     answer
- * @param lostAnswerMethod HTTP method of the operations that can lose their answer, all methods if empty
- * @param lostAnswerProbability probability that an operation beyond those loses its answer, 0 to 1
- * @param seed seed of the random numbers behind the probability
+ * @param answerDelayMillis time between the effect of a request and its response
+ * @param lostAnswers number of next operations that take effect but whose connection is closed without a response
+ * @param lostAnswerMethod restricts lost responses to an HTTP method, all methods if empty
+ * @param lostAnswerProbability probability that any further operation loses its response, 0 to 1
+ * @param seed seed of the random lost responses
  */
 public record Faults(
         Outage outage,
@@ -29,25 +28,20 @@
     /** No faults. */
     public static final Faults NONE = new Faults(Outage.NONE, Optional.empty(), 0, 0, 0, Optional.empty(), 0, 0);
 
-    /** Replaces absent values by their defaults and checks the ranges. */
+    /** Replaces null by defaults and checks the ranges. */
     public Faults {
         outage = outage == null ? Outage.NONE : outage;
         outageUntil = outageUntil == null ? Optional.empty() : outageUntil;
         lostAnswerMethod = lostAnswerMethod == null ? Optional.empty() : lostAnswerMethod;
         if (delayMillis < 0 || answerDelayMillis < 0 || lostAnswers < 0) {
-            throw new IllegalArgumentException("delays and counts must not be negative");
+            throw new IllegalArgumentException("delayMillis, answerDelayMillis and lostAnswers must not be negative");
         }
         if (!(lostAnswerProbability >= 0 && lostAnswerProbability <= 1)) {
             throw new IllegalArgumentException("lostAnswerProbability must be from 0 to 1");
         }
     }
 
-    /**
-     * Returns these faults with another outage that lasts until it is changed.
-     *
-     * @param value the outage
-     * @return the faults
-     */
+    /** Returns a copy with an outage that lasts until it is changed. */
     public Faults withOutage(Outage value) {
         return new Faults(
                 value,
@@ -61,11 +55,9 @@
     }
 
     /**
-     * Returns these faults with an outage that ends by itself.
+     * Returns a copy with an outage that ends by itself.
      *
-     * @param value the outage
-     * @param until instant at which it ends
-     * @return the faults
+     * @param until when the outage ends
      */
     public Faults withOutage(Outage value, Instant until) {
         return new Faults(
@@ -80,11 +72,10 @@
     }
 
     /**
-     * Returns these faults with other delays.
+     * Returns a copy with other delays.
      *
      * @param beforeMillis time between the arrival of a request and its effect
-     * @param afterMillis time between the effect of a request and its answer
-     * @return the faults
+     * @param afterMillis time between the effect of a request and its response
      */
     public Faults withDelays(long beforeMillis, long afterMillis) {
         return new Faults(
@@ -98,12 +89,7 @@
                 seed);
     }
 
-    /**
-     * Returns these faults with a fixed number of lost answers.
-     *
-     * @param count number of operations from now on that lose their answer
-     * @return the faults
-     */
+    /** Returns a copy in which the next {@code count} operations lose their response. */
     public Faults withLostAnswers(int count) {
         return new Faults(
                 outage,
@@ -117,11 +103,10 @@
     }
 
     /**
-     * Returns these faults with random lost answers.
+     * Returns a copy with random lost responses.
      *
-     * @param probability probability that an operation loses its answer, 0 to 1
+     * @param probability probability that an operation loses its response, 0 to 1
      * @param randomSeed seed of the random numbers
-     * @return the faults
      */
     public Faults withRandomLostAnswers(double probability, long randomSeed) {
         return new Faults(
@@ -136,11 +121,8 @@
     }
 
     /**
-     * Returns these faults with lost answers limited to one HTTP method, so that they hit appends and not the long polls
-     * that run at the same time.
-     *
-     * @param method HTTP method
-     * @return the faults
+     * Returns a copy with lost responses restricted to one HTTP method, so that they affect appends but not concurrent
+     * long polls.
      */
     public Faults withLostAnswerMethod(String method) {
         return new Faults(
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OpenConnections.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OpenConnections.java
@@ -10,10 +10,10 @@
 import io.netty.channel.Channel;
 
 /**
- * The connections that requests came in on.
+ * Tracks the connections of requests in order to close them.
  *
- * <p>The Netty server of Jooby closes its connections in the background, so a client could still send on one after the
- * server was stopped. Closing them here makes the moment definite.
+ * <p>Jooby's Netty server closes its connections asynchronously, so a client could still use one after the server was
+ * stopped. {@link #closeAll} waits until they are closed.
  */
 final class OpenConnections {
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Operation.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Operation.java
@@ -2,15 +2,13 @@
 
 import java.util.concurrent.CompletableFuture;
 
-/** One operation of a stand-in. */
+/** An HTTP operation of a platform stand-in. */
 @FunctionalInterface
 public interface Operation {
     /**
-     * Runs the operation. Called on an event loop or a timer thread, so it must not block.
+     * Runs the operation on an event loop or the timer thread; must not block.
      *
-     * @param request the request
-     * @return the answer
-     * @throws IllegalArgumentException if the request is malformed; answered with status 400
+     * @throws IllegalArgumentException if the request is malformed; results in status 400
      */
     CompletableFuture<Reply> run(Request request);
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OperationRunner.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/OperationRunner.java
@@ -8,7 +8,7 @@
 import io.jooby.Context;
 import org.tinylog.Logger;
 
-/** Runs operations with delays, outages and lost answers around them. */
+/** Runs operations and applies delays, outages and lost responses to them. */
 final class OperationRunner {
     private final FaultInjector injector;
     private final Counters counters;
@@ -62,7 +62,7 @@
         if (cause instanceof IllegalArgumentException) {
             return Reply.error(400, "malformed_request");
         }
-        Logger.error(cause, "operation of a stand-in failed");
+        Logger.error(cause, "stand-in operation failed; responding with status 500");
         return Reply.error(500, "internal_error");
     }
 
@@ -87,8 +87,7 @@
         context.setResponseCode(reply.status());
         context.setResponseType(reply.contentType());
         context.send(reply.body());
-        // Jooby leaves the flush to the end of a read on the connection, which may have passed when an answer comes
-        // late.
+        // Jooby flushes at the end of a read on the connection, which is too early for a delayed response.
         ConnectionCloser.channel(context).flush();
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Outage.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Outage.java
@@ -1,11 +1,11 @@
 package org.banyanstair.testsupport.fault;
 
-/** Whether a stand-in serves requests. */
+/** Kind of outage of a platform stand-in. */
 public enum Outage {
-    /** Requests are served. */
+    /** No outage. */
     NONE,
-    /** Every operation is answered with status 503 and has no effect. */
+    /** Operations are rejected with status 503 and have no effect. */
     UNAVAILABLE,
-    /** The listening socket is closed, so new connections are refused, and open connections are closed. */
+    /** New connections are refused and open ones are closed. */
     REFUSED
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/PlatformStandInServer.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/PlatformStandInServer.java
@@ -23,16 +23,16 @@
 import org.tinylog.Logger;
 
 /**
- * HTTP server of a stand-in; applies the faults to its operations.
+ * HTTP server of the platform stand-ins; applies injected faults to their operations.
  *
- * <p>Routes are added before {@link #start}. Control requests ({@code /faults}, {@code /counters}) are never hit by
- * delays, lost answers or {@link Outage#UNAVAILABLE}.
+ * <p>Routes must be added before {@link #start}. Control requests ({@code /faults}, {@code /counters}) are not affected
+ * by delays, lost responses or {@link Outage#UNAVAILABLE}.
  */
 public final class PlatformStandInServer {
     private static final String LOOPBACK = "127.0.0.1";
     private static final int IO_THREADS = 4;
 
-    /** The previous server closes its socket asynchronously, so a restart on the same port may have to wait. */
+    /** The previous server closes its socket asynchronously, so binding its port again may take several attempts. */
     private static final int BIND_ATTEMPTS = 100;
 
     private static final long BIND_RETRY_PAUSE_MILLIS = 20;
@@ -66,12 +66,9 @@
     }
 
     /**
-     * Adds an operation that the faults apply to.
+     * Adds an operation that is subject to faults.
      *
-     * @param method HTTP method
      * @param pattern path with variables in braces
-     * @param operation the operation
-     * @return this server
      */
     public PlatformStandInServer operation(String method, String pattern, Operation operation) {
         routes.add(app -> app.route(method, pattern, context -> runner.withFaults(context, operation)));
@@ -79,12 +76,9 @@
     }
 
     /**
-     * Adds a control request, which the faults do not apply to.
+     * Adds a control request, which is not subject to faults.
      *
-     * @param method HTTP method
      * @param pattern path with variables in braces
-     * @param operation the request
-     * @return this server
      */
     public PlatformStandInServer control(String method, String pattern, Operation operation) {
         routes.add(app -> app.route(method, pattern, context -> runner.withoutFaults(context, operation)));
@@ -92,11 +86,8 @@
     }
 
     /**
-     * Adds routes of any kind, for streamed answers. Their handlers consult {@link #injector} themselves and run on an
-     * event loop.
-     *
-     * @param registration adds the routes
-     * @return this server
+     * Adds routes directly to Jooby, for streaming responses. Handlers run on an event loop and must consult
+     * {@link #injector} themselves.
      */
     public PlatformStandInServer routes(Consumer<Jooby> registration) {
         routes.add(registration);
@@ -106,12 +97,10 @@
     /**
      * Adds {@code GET /faults}, {@code PUT /faults} and {@code GET /counters}.
      *
-     * @param type record of the stand-in's faults
-     * @param shared returns the part of the record that is common to all stand-ins
+     * @param type fault record of the stand-in
+     * @param shared gets the common faults from the record
      * @param reader returns the faults in force
-     * @param writer puts faults in force; an {@link IllegalArgumentException} is answered with status 400
-     * @param <F> type of the faults
-     * @return this server
+     * @param writer applies faults; an {@link IllegalArgumentException} results in status 400
      */
     public <F> PlatformStandInServer faultControls(
             Class<F> type, Function<F, Faults> shared, Supplier<F> reader, Consumer<F> writer) {
@@ -128,57 +117,39 @@
 
     private static void requireOutageEnd(Faults faults) {
         if (faults.outage() == Outage.REFUSED && faults.outageUntil().isEmpty()) {
-            throw new IllegalArgumentException("outageUntil is required, because PUT /faults is refused as well");
+            throw new IllegalArgumentException("outageUntil is required for REFUSED, which also refuses PUT /faults");
         }
     }
 
-    /**
-     * Returns the decisions about faults.
-     *
-     * @return the injector
-     */
+    /** Returns the injector that holds the faults in force. */
     public FaultInjector injector() {
         return injector;
     }
 
-    /**
-     * Returns the operation counts.
-     *
-     * @return the counters
-     */
+    /** Returns the operation counts. */
     public Counters counters() {
         return counters;
     }
 
-    /**
-     * Returns the thread that delays operations; tasks on it must be short.
-     *
-     * @return the timer
-     */
+    /** Returns the single-threaded timer that delays operations; tasks on it must be short. */
     public ScheduledExecutorService timer() {
         return timer;
     }
 
     /**
-     * Puts faults in force. Opening and closing the listening socket happens in the background; see {@link #awaitApplied}.
-     *
-     * @param faults the faults
+     * Applies faults. The listening socket is opened or closed asynchronously; see {@link #awaitApplied}.
      */
     public void setFaults(Faults faults) {
         injector.set(faults);
         timer.execute(this::reconcileInBackground);
     }
 
-    /** Waits until the listening socket is in the state that the faults ask for. Not to be called by an operation. */
+    /** Waits until the listening socket reflects the faults in force. Must not be called by an operation. */
     public void awaitApplied() {
         CompletableFuture.runAsync(this::reconcile, timer).join();
     }
 
-    /**
-     * Starts to listen.
-     *
-     * @return address that it listens on
-     */
+    /** Starts listening and returns the address. */
     public NetworkAddress start() {
         CompletableFuture.runAsync(this::listen, timer).join();
         return address();
@@ -190,11 +161,7 @@
         timer.shutdownNow();
     }
 
-    /**
-     * Returns the address, which stays the same through outages.
-     *
-     * @return address that it listens on
-     */
+    /** Returns the address, which does not change during outages. */
     public synchronized NetworkAddress address() {
         return new NetworkAddress(LOOPBACK, port);
     }
@@ -203,7 +170,8 @@
         try {
             reconcile();
         } catch (RuntimeException exception) {
-            Logger.error(exception, "stand-in on port {} could not apply its outage", port);
+            Logger.error(
+                    exception, "stand-in on port {}: cannot open or close the listening socket for an outage", port);
         }
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Reply.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Reply.java
@@ -6,19 +6,16 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * A whole HTTP answer of a stand-in.
+ * A complete HTTP response of a stand-in.
  *
- * @param status HTTP status
  * @param contentType media type of the body
- * @param body the body, not to be changed
+ * @param body not copied; must not be modified
  */
 public record Reply(int status, String contentType, byte[] body) {
     /**
-     * Creates an answer with a JSON body.
+     * Creates a response with a JSON body.
      *
-     * @param status HTTP status
-     * @param value value that is written as the body
-     * @return the answer
+     * @param value serializable by Jackson
      */
     public static Reply json(int status, Object value) {
         try {
@@ -29,11 +26,9 @@
     }
 
     /**
-     * Creates an error answer.
+     * Creates an error response with the body {@code {"error":code}}.
      *
-     * @param status HTTP status
      * @param code stable code of the error
-     * @return an answer of the form {@code {"error":code}}
      */
     public static Reply error(int status, String code) {
         return json(status, Map.of("error", code));
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/Request.java
@@ -9,10 +9,10 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * A whole HTTP request to a stand-in.
+ * A complete HTTP request to a stand-in.
  *
- * @param context the request at the HTTP server; its body may be gone
- * @param body the body, not to be changed
+ * @param context Jooby context, whose body may have been released
+ * @param body not copied; must not be modified
  */
 public record Request(Context context, byte[] body) {
     private static final ObjectReader STRICT_READER = Mappers.JSON
@@ -21,32 +21,23 @@
                     DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES,
                     DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
 
-    /**
-     * Returns a variable of the path.
-     *
-     * @param name name of the variable
-     * @return its value
-     */
+    /** Returns a path variable. */
     public String path(String name) {
         return context.path(name).value();
     }
 
     /**
-     * Returns a parameter of the query.
+     * Returns a query parameter.
      *
-     * @param name name of the parameter
-     * @return its value, empty if it is absent
+     * @return empty if the parameter is absent
      */
     public Optional<String> query(String name) {
         return context.query(name).toOptional();
     }
 
     /**
-     * Parses the body; absent properties get the defaults of the type.
+     * Parses the JSON body; absent properties get the defaults of the type.
      *
-     * @param type type to parse it as
-     * @param <T> the type
-     * @return the value
      * @throws IllegalArgumentException if the body is malformed
      */
     public <T> T json(Class<T> type) {
@@ -54,12 +45,9 @@
     }
 
     /**
-     * Parses the body; absent properties are refused.
+     * Parses the JSON body; rejects absent and null properties.
      *
-     * @param type type to parse it as
-     * @param <T> the type
-     * @return the value
-     * @throws IllegalArgumentException if the body is malformed or incomplete
+     * @throws IllegalArgumentException if the body is malformed or a property is absent or null
      */
     public <T> T strictJson(Class<T> type) {
         return parse(STRICT_READER, type);
@@ -73,7 +61,7 @@
             }
             return value;
         } catch (IOException exception) {
-            throw new IllegalArgumentException("malformed body", exception);
+            throw new IllegalArgumentException("the body is not valid JSON of the expected type", exception);
         }
     }
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ReservedPort.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/ReservedPort.java
@@ -6,12 +6,12 @@
 import java.net.Socket;
 
 /**
- * A loopback port that is bound but not listened on.
+ * A loopback port that is bound without listening.
  *
- * <p>Connections to it are refused, and no other process gets it as its free port in the meantime.
+ * <p>The operating system refuses connections to it and does not assign it to other processes.
  */
 public final class ReservedPort implements AutoCloseable {
-    /** Listening sockets may be closed in the background, so the port is not free at once. */
+    /** A listening socket may be closed asynchronously, so the port may still be in use at first. */
     private static final int BIND_ATTEMPTS = 100;
 
     private static final long BIND_RETRY_PAUSE_MILLIS = 20;
@@ -23,10 +23,8 @@
     }
 
     /**
-     * Binds a port, waiting up to 2 s until it is free.
+     * Binds a port; waits up to 2 s for it to become free.
      *
-     * @param port the port
-     * @return the held port
      * @throws UncheckedIOException if the port stays in use
      */
     public static ReservedPort reserve(int port) {
@@ -63,7 +61,7 @@
         }
     }
 
-    /** Frees the port. */
+    /** Releases the port. */
     @Override
     public void close() {
         try {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/StandInMain.java
@@ -16,7 +16,7 @@
 import org.tinylog.Logger;
 import org.tinylog.configuration.Configuration;
 
-/** Shared part of the main methods of the stand-ins. */
+/** Common main method of the platform stand-ins. */
 public final class StandInMain {
     private static final int USAGE_ERROR_EXIT_STATUS = 2;
     private static final int WARM_UP_TIMEOUT_MILLIS = 5_000;
@@ -24,11 +24,10 @@
     private StandInMain() {}
 
     /**
-     * Parses the arguments, starts the stand-in and prints {@code ready ADDRESS} on standard output. Log lines go to
-     * standard error, so that standard output holds nothing else.
+     * Parses the arguments, starts the stand-in and prints {@code ready ADDRESS} on standard output, which holds
+     * nothing else. Log lines go to standard error.
      *
-     * @param arguments arguments of the main method
-     * @param options long options of the stand-in by name, with their descriptions; {@code --port} is added
+     * @param options descriptions of the long options by name; {@code --port} is added
      * @param starter starts the stand-in and returns its address
      */
     public static void run(
@@ -46,7 +45,10 @@
         }
     }
 
-    /** The first answer of a new process takes several hundred milliseconds, longer than some deadlines under test. */
+    /**
+     * Sends a first request, which takes several hundred milliseconds in a new process and would exceed some deadlines
+     * under test.
+     */
     private static void warmUp(NetworkAddress address) {
         try {
             URLConnection connection =
@@ -55,7 +57,7 @@
             connection.setReadTimeout(WARM_UP_TIMEOUT_MILLIS);
             connection.getInputStream().readAllBytes();
         } catch (IOException exception) {
-            Logger.warn(exception, "warm-up request failed");
+            Logger.warn(exception, "warm-up request to the stand-in failed; its first response may be slow");
         }
     }
 
@@ -71,12 +73,9 @@
     }
 
     /**
-     * Returns a whole number from the command line.
+     * Returns an integer option of the command line.
      *
-     * @param line the command line
-     * @param name name of the option
-     * @param absent value if the option is absent
-     * @return the number
+     * @param absent value returned if the option is absent
      */
     public static int intOption(CommandLine line, String name, int absent) {
         return Integer.parseInt(line.getOptionValue(name, Integer.toString(absent)));
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/fault/package-info.java
@@ -1,2 +1,2 @@
-/** Faults that all stand-ins share: outages, delays and lost answers, and the HTTP server that applies them. */
+/** Faults common to the platform stand-ins (outages, delays, lost responses) and the HTTP server that applies them. */
 package org.banyanstair.testsupport.fault;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/AnswerOracle.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/AnswerOracle.java
@@ -2,14 +2,14 @@
 
 import java.util.Optional;
 
-/** Computes the right answer of a request, which the stand-ins derive from the request alone. */
+/** Test oracle for the answers of the stand-ins, which depend on the request only. */
 @FunctionalInterface
 public interface AnswerOracle {
     /**
-     * Computes the right answer.
+     * Computes the expected answer to a request.
      *
-     * @param answered the answer that the caller received
-     * @return what it should contain, empty if that is not known
+     * @param answered answer that the caller received
+     * @return empty if the expected answer is unknown
      */
     Optional<ExpectedAnswer> expected(HistoryEvent.Answered answered);
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/EndpointRun.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/EndpointRun.java
@@ -7,16 +7,14 @@
 import org.banyanstair.model.EndpointId;
 
 /**
- * One run of a request, as its endpoint recorded it. Runs that were cut off count too.
+ * Describes one run of a request as its endpoint recorded it, including runs that were aborted.
  *
- * @param endpoint the endpoint
- * @param requestId request id that the endpoint was given
- * @param key idempotency key or body mark, as in {@link EventContext}
+ * @param requestId request id that the endpoint received
+ * @param key idempotency key or marker in the body, as in {@link EventContext}
  * @param adapter adapter version that it ran on, empty for a plain service
- * @param tokens tokens generated
  * @param textDigest digest of the text or body
- * @param start when it started
- * @param end when it ended
+ * @param start when the run started
+ * @param end when the run ended
  */
 public record EndpointRun(
         EndpointId endpoint,
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/EndpointUnload.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/EndpointUnload.java
@@ -6,10 +6,10 @@
 import org.banyanstair.model.EndpointId;
 
 /**
- * One unload that took effect, as its engine recorded it.
+ * Describes one adapter unload as the engine recorded it.
  *
  * @param endpoint the engine
- * @param adapter what was unloaded
- * @param at when
+ * @param adapter adapter version that was unloaded
+ * @param at when the unload took effect
  */
 public record EndpointUnload(EndpointId endpoint, AdapterVersion adapter, Instant at) {}
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/EventContext.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/EventContext.java
@@ -6,12 +6,11 @@
 import org.banyanstair.model.HostId;
 
 /**
- * What all events of a history have in common.
+ * Fields common to all events of a history.
  *
- * @param request number of the request in the history, which tells requests with the same key apart
- * @param key idempotency key or body mark, under which endpoints record the request too; unique in a run, except that a
- *     caller sends the same request again under the same key
- * @param caller the caller
+ * @param request number of the request in the history; distinguishes requests with the same key
+ * @param key idempotency key or marker in the body, which endpoints record too; unique to a request and its
+ *     repetitions
  * @param host entry host that the caller used
  * @param start when the request was sent
  * @param end when the event happened
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryChecker.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryChecker.java
@@ -13,9 +13,9 @@
 import org.banyanstair.model.ModelName;
 
 /**
- * Checks the promises of the system on a recorded history.
+ * Checks a recorded history for violations of the system's guarantees.
  *
- * <p>The history and the endpoints' records must be complete and use clocks of one machine.
+ * <p>The history and the endpoints' records must be complete and their times must come from the same machine.
  */
 public final class HistoryChecker {
     private final List<HistoryEvent> events;
@@ -30,10 +30,9 @@
     /**
      * Creates a checker.
      *
-     * @param events what the callers saw
-     * @param runs what the endpoints ran
-     * @param unloads what the engines unloaded
-     * @param oracle computes the right answers
+     * @param events events that the callers recorded
+     * @param runs runs that the endpoints recorded
+     * @param unloads unloads that the engines recorded
      */
     public HistoryChecker(
             List<HistoryEvent> events, List<EndpointRun> runs, List<EndpointUnload> unloads, AnswerOracle oracle) {
@@ -51,7 +50,7 @@
     /**
      * Runs all checks.
      *
-     * @return the violations, empty if there are none
+     * @return empty if there are no violations
      */
     public List<Violation> check() {
         return Stream.of(
@@ -65,11 +64,7 @@
                 .toList();
     }
 
-    /**
-     * Checks that requests are answered by the adapter version that they name.
-     *
-     * @return the violations
-     */
+    /** Checks that requests run on the adapter version that they name. */
     public List<Violation> checkVersions() {
         List<Violation> violations = new ArrayList<>();
         eventsOf(HistoryEvent.Answered.class).filter(this::isGenerated).forEach(answered -> {
@@ -97,18 +92,14 @@
                 && model.version().map(adapter.version()::equals).orElse(true);
     }
 
-    /** Returns the runs of exactly this request; none if only its key is known, which other requests may share. */
+    /** Returns the runs of this request by its id; none without an id, because other requests may share the key. */
     private List<EndpointRun> runsOf(HistoryEvent.Answered answered) {
         return answered.requestId()
                 .map(id -> runsByRequest.getOrDefault(id, List.of()))
                 .orElse(List.of());
     }
 
-    /**
-     * Checks the texts of successful answers against the oracle.
-     *
-     * @return the violations
-     */
+    /** Checks successful answers against the oracle. */
     public List<Violation> checkTexts() {
         List<Violation> violations = new ArrayList<>();
         eventsOf(HistoryEvent.Answered.class)
@@ -121,10 +112,10 @@
     }
 
     /**
-     * Checks that no request ran whose caller was told "not run".
+     * Checks that requests reported as not run did not run.
      *
-     * <p>A run belongs to a refused request if it carries its request id, or if all requests with its key that had been
-     * sent when it started were refused.
+     * <p>A run belongs to a rejected request if it has its request id, or if all requests with its key that were sent
+     * before the run started were rejected.
      *
      * @return the violations, one for each run
      */
@@ -151,7 +142,7 @@
     }
 
     /**
-     * Checks that non-idempotent requests ran at most once for each key.
+     * Checks that non-idempotent requests ran at most once per key.
      *
      * @return the violations, one for each key
      */
@@ -164,11 +155,7 @@
                 .toList();
     }
 
-    /**
-     * Checks that acknowledged non-idempotent requests ran.
-     *
-     * @return the violations
-     */
+    /** Checks that acknowledged non-idempotent requests ran. */
     public List<Violation> checkAcknowledgedRequestsRan() {
         return eventsOf(HistoryEvent.Answered.class)
                 .filter(answered ->
@@ -178,11 +165,7 @@
                 .toList();
     }
 
-    /**
-     * Checks that no adapter was unloaded while a request ran on it.
-     *
-     * @return the violations
-     */
+    /** Checks that no adapter was unloaded while a request ran on it. */
     public List<Violation> checkUnloadsInUse() {
         List<Violation> violations = new ArrayList<>();
         for (EndpointUnload unload : unloads) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryEvent.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryEvent.java
@@ -5,31 +5,25 @@
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.ModelName;
 
-/** One thing that a caller did or saw. */
+/** Event that a caller recorded. */
 public sealed interface HistoryEvent {
-    /**
-     * Returns what all events have in common.
-     *
-     * @return key, caller, host and times
-     */
+    /** Returns the key, the caller, the host and the times. */
     EventContext context();
 
     /**
-     * A request was sent. Without a later outcome it counts as unknown.
+     * A request was sent. Its outcome is unknown unless a later event records one.
      *
      * @param context key, caller, host and times
      * @param model model that the request names, empty for a plain service
-     * @param repeatable whether the request is idempotent
+     * @param repeatable true for an idempotent request
      */
     record Sent(EventContext context, Optional<ModelName> model, boolean repeatable) implements HistoryEvent {}
 
     /**
-     * The whole answer came.
+     * The complete response was received.
      *
      * @param context key, caller, host and times
-     * @param sent the request
      * @param requestId id that the entry host returned
-     * @param status HTTP status
      * @param adapter adapter version that the answer names, empty for a plain service
      * @param tokens number of tokens, 0 for a plain service
      * @param textDigest digest of the text or body
@@ -44,7 +38,7 @@
             String textDigest)
             implements HistoryEvent {
         /**
-         * Returns whether the caller may rely on the effect of the request.
+         * Returns whether the response acknowledges the effect of the request.
          *
          * @return true for a status of 200 to 299
          */
@@ -54,12 +48,10 @@
     }
 
     /**
-     * The caller was told that the request did not run.
+     * The system reported that the request did not run.
      *
      * @param context key, caller, host and times
-     * @param sent the request
      * @param requestId id that the entry host returned
-     * @param code failure code
      */
     record NotRun(EventContext context, Sent sent, Optional<String> requestId, String code) implements HistoryEvent {}
 
@@ -67,7 +59,6 @@
      * The caller does not know whether the request ran.
      *
      * @param context key, caller, host and times
-     * @param sent the request
      */
     record Unknown(EventContext context, Sent sent) implements HistoryEvent {}
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryRecorder.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/HistoryRecorder.java
@@ -13,7 +13,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.ModelName;
 
-/** Collects the history of a run. Safe for use by several threads. */
+/** Records the history of a test run. Thread-safe. */
 public final class HistoryRecorder {
     private final Queue<HistoryEvent> events = new ConcurrentLinkedQueue<>();
     private final AtomicLong requests = new AtomicLong();
@@ -22,7 +22,7 @@
     /**
      * Creates an empty history.
      *
-     * @param instants clock, the same as that of the endpoints' records
+     * @param instants clock; must agree with that of the endpoints' records
      */
     public HistoryRecorder(InstantSource instants) {
         this.instants = instants;
@@ -31,12 +31,10 @@
     /**
      * Records that a request is about to be sent; must be called before its first byte is sent.
      *
-     * @param key idempotency key or body mark
-     * @param caller the caller
-     * @param host entry host
+     * @param key idempotency key or marker in the body
      * @param model model that the request names, empty for a plain service
-     * @param repeatable whether the request is idempotent
-     * @return the event, to be passed with the outcome
+     * @param repeatable true for an idempotent request
+     * @return the event to pass when the outcome is recorded
      */
     public HistoryEvent.Sent sent(
             String key, CallerId caller, HostId host, Optional<ModelName> model, boolean repeatable) {
@@ -46,15 +44,11 @@
     }
 
     /**
-     * Records a whole answer.
+     * Records a complete response.
      *
-     * @param sent the request
      * @param requestId id that the entry host returned
-     * @param status HTTP status
      * @param adapter adapter version that the answer names, empty for a plain service
-     * @param tokens number of tokens
      * @param textDigest digest of the text or body
-     * @return the event
      */
     public HistoryEvent.Answered answered(
             HistoryEvent.Sent sent,
@@ -67,29 +61,21 @@
     }
 
     /**
-     * Records the answer that the request did not run.
+     * Records a response that says that the request did not run.
      *
-     * @param sent the request
      * @param requestId id that the entry host returned
-     * @param code failure code
-     * @return the event
      */
     public HistoryEvent.NotRun notRun(HistoryEvent.Sent sent, Optional<String> requestId, String code) {
         return append(new HistoryEvent.NotRun(ended(sent), sent, requestId, code));
     }
 
-    /**
-     * Records that the outcome is not known.
-     *
-     * @param sent the request
-     * @return the event
-     */
+    /** Records that the outcome of a request is unknown. */
     public HistoryEvent.Unknown unknown(HistoryEvent.Sent sent) {
         return append(new HistoryEvent.Unknown(ended(sent), sent));
     }
 
     /**
-     * Returns what was recorded so far.
+     * Returns the events recorded so far.
      *
      * @return a copy, in the order of recording
      */
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/Violation.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/Violation.java
@@ -4,45 +4,33 @@
 
 import org.banyanstair.model.AdapterVersion;
 
-/** A broken promise that a history shows. */
+/** Violation of a guarantee of the system, found in a history. */
 public sealed interface Violation {
-    /**
-     * The answer names another adapter or version than the request.
-     *
-     * @param answered the answer
-     */
+    /** The answer names another adapter or version than the request. */
     record AnsweredByAnotherVersion(HistoryEvent.Answered answered) implements Violation {}
 
     /**
      * An endpoint ran the request on another version than the answer names.
      *
-     * @param answered the answer
-     * @param ran what it ran on
+     * @param ran adapter version that the request ran on
      */
     record RanOnAnotherVersion(HistoryEvent.Answered answered, AdapterVersion ran) implements Violation {}
 
     /**
      * The text or the number of tokens is wrong.
      *
-     * @param answered the answer
-     * @param expected what it should contain
+     * @param expected answer that the oracle computed
      */
     record WrongText(HistoryEvent.Answered answered, ExpectedAnswer expected) implements Violation {}
 
     /**
-     * A request ran although its caller was told that it did not.
+     * A request ran although it was reported as not run.
      *
-     * @param notRun what the caller was told
-     * @param run the run
+     * @param notRun event of the report
      */
     record RanAlthoughNotRun(HistoryEvent.NotRun notRun, EndpointRun run) implements Violation {}
 
-    /**
-     * A non-idempotent request ran more than once.
-     *
-     * @param key its key
-     * @param runs the runs
-     */
+    /** A non-idempotent request ran more than once. */
     record RanMoreThanOnce(String key, List<EndpointRun> runs) implements Violation {}
 
     /**
@@ -55,7 +43,6 @@
     /**
      * An adapter was unloaded while a request ran on it.
      *
-     * @param unload the unload
      * @param run the request
      */
     record UnloadedInUse(EndpointUnload unload, EndpointRun run) implements Violation {}
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/history/package-info.java
@@ -1,2 +1,2 @@
-/** Records what callers saw and checks it against what endpoints ran. */
+/** Records the events of callers and checks them against the runs of endpoints. */
 package org.banyanstair.testsupport.history;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/DelayedHostList.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/DelayedHostList.java
@@ -13,9 +13,9 @@
 import org.banyanstair.membership.HostListing;
 
 /**
- * The host list with its history, so that readers can be shown an earlier state.
+ * Host list whose changes become visible to readers after a lag.
  *
- * <p>What readers see never goes back, even when the lag is raised. Safe for use by several threads.
+ * <p>Thread-safe. The visible version never decreases, even if the lag is increased.
  */
 final class DelayedHostList {
     private final Map<String, EntryHost> hosts = new TreeMap<>();
@@ -56,7 +56,7 @@
                 now, new HostListing(version, List.copyOf(hosts.values()), List.copyOf(endpoints.values()))));
     }
 
-    /** Returns the state that readers see. */
+    /** Returns the newest listing that is at least as old as the lag. */
     synchronized HostListing visible(Instant now, Duration lag) {
         while (!pendingChanges.isEmpty()
                 && !pendingChanges.peekFirst().at().plus(lag).isAfter(now)) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListFaults.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListFaults.java
@@ -5,16 +5,16 @@
 import org.banyanstair.testsupport.fault.Faults;
 
 /**
- * Faults of the host list.
+ * Faults that can be injected into the host list.
  *
- * @param shared faults that every stand-in has
- * @param lagMillis lag in force instead of the configured one
+ * @param shared faults common to all platform stand-ins
+ * @param lagMillis overrides the configured lag
  */
 public record HostListFaults(Faults shared, Optional<Long> lagMillis) {
     /** No faults. */
     public static final HostListFaults NONE = new HostListFaults(Faults.NONE, Optional.empty());
 
-    /** Replaces absent values by their defaults and checks the lag. */
+    /** Replaces null by defaults and checks the lag. */
     public HostListFaults {
         shared = shared == null ? Faults.NONE : shared;
         lagMillis = lagMillis == null ? Optional.empty() : lagMillis;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandIn.java
@@ -19,7 +19,7 @@
 import org.banyanstair.testsupport.fault.Reply;
 import org.banyanstair.testsupport.fault.Request;
 
-/** Stand-in for the platform's host list. Safe for use by several threads. */
+/** Simulates the platform's host list. Thread-safe. */
 public final class HostListStandIn {
     private final InstantSource clock = Clock.systemUTC();
     private final DelayedHostList listing = new DelayedHostList();
@@ -31,7 +31,7 @@
      * Creates a host list that is empty and not started.
      *
      * @param port TCP port on the loopback interface, 0 for a free one
-     * @param lag time after which readers see a change
+     * @param lag time until readers see a change
      */
     public HostListStandIn(int port, Duration lag) {
         configuredLag = lag;
@@ -52,11 +52,7 @@
         counters().declare("reads", "changes", "unchangedReads");
     }
 
-    /**
-     * Starts to listen.
-     *
-     * @return address that it listens on
-     */
+    /** Starts listening and returns the address. */
     public NetworkAddress start() {
         return server.start();
     }
@@ -66,96 +62,60 @@
         server.stop();
     }
 
-    /**
-     * Returns the server, for its address and for waiting until faults are applied.
-     *
-     * @return the server
-     */
+    /** Returns the server, which has the address and {@link PlatformStandInServer#awaitApplied}. */
     public PlatformStandInServer server() {
         return server;
     }
 
-    /**
-     * Returns the operation counts: {@code reads}, {@code changes}.
-     *
-     * @return the counters
-     */
+    /** Returns the operation counts: {@code reads}, {@code changes}, {@code unchangedReads}. */
     public Counters counters() {
         return server.counters();
     }
 
-    /**
-     * Adds or replaces an entry host.
-     *
-     * @param host the host
-     */
+    /** Adds or replaces an entry host. */
     public void put(EntryHost host) {
         counters().add("changes", 1);
         listing.putHost(host, clock.instant());
     }
 
-    /**
-     * Adds or replaces an endpoint.
-     *
-     * @param endpoint the endpoint
-     */
+    /** Adds or replaces an endpoint. */
     public void put(Endpoint endpoint) {
         counters().add("changes", 1);
         listing.putEndpoint(endpoint, clock.instant());
     }
 
-    /**
-     * Removes an entry host; does nothing if there is none of this name.
-     *
-     * @param id the host
-     */
+    /** Removes an entry host if it exists. */
     public void remove(HostId id) {
         listing.removeHost(id.toString(), clock.instant());
     }
 
-    /**
-     * Removes an endpoint; does nothing if there is none of this name.
-     *
-     * @param id the endpoint
-     */
+    /** Removes an endpoint if it exists. */
     public void remove(EndpointId id) {
         listing.removeEndpoint(id.toString(), clock.instant());
     }
 
     /**
-     * Returns what readers see.
+     * Returns the listing that readers see.
      *
-     * @return the list, behind the changes by the lag
+     * @return the listing as it was a lag ago
      */
     public HostListing visible() {
         return listing.visible(clock.instant(), lag);
     }
 
-    /**
-     * Returns the faults in force.
-     *
-     * @return the faults
-     */
+    /** Returns the faults in force. */
     public HostListFaults faults() {
         Optional<Long> changed = lag.equals(configuredLag) ? Optional.empty() : Optional.of(lag.toMillis());
         return new HostListFaults(server.injector().get(), changed);
     }
 
-    /**
-     * Replaces the faults in force.
-     *
-     * @param faults the faults
-     */
+    /** Replaces the faults in force. */
     public void setFaults(HostListFaults faults) {
         lag = faults.lagMillis().map(Duration::ofMillis).orElse(configuredLag);
         server.setFaults(faults.shared());
     }
 
-    /**
-     * Replaces the faults that all stand-ins share and keeps the lag.
-     *
-     * @param faults the faults
-     */
+    /** Replaces the shared faults and keeps the lag. */
     public void setFaults(Faults faults) {
         setFaults(new HostListFaults(faults, faults().lagMillis()));
     }
@@ -189,7 +149,7 @@
 
     private static void requireMatchingId(Request request, Object id) {
         if (id == null || !request.path("id").equals(id.toString())) {
-            throw new IllegalArgumentException("the id in the body must be that of the path");
+            throw new IllegalArgumentException("the id in the body must match the id in the path");
         }
     }
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/hosts/HostListStandInMain.java
@@ -5,7 +5,7 @@
 
 import org.banyanstair.testsupport.fault.StandInMain;
 
-/** Runs the host list as a process. */
+/** Runs the host list stand-in as a process. */
 public final class HostListStandInMain {
     private HostListStandInMain() {}
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/CallerResult.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/CallerResult.java
@@ -8,25 +8,23 @@
 
 import org.banyanstair.model.AdapterVersion;
 
-/** What a caller saw of one request. */
+/** Outcome of one request as its caller sees it. */
 public sealed interface CallerResult {
     /**
-     * Returns the id that the entry host assigned.
+     * Returns the request id that the entry host assigned.
      *
-     * @return the header {@code X-Request-Id}, empty if no response came
+     * @return header {@code X-Request-Id}, empty without a response
      */
     Optional<String> requestId();
 
     /**
-     * A whole generated answer.
+     * A complete generated answer.
      *
      * @param requestId header {@code X-Request-Id}
      * @param adapter header {@code X-Adapter-Version}
      * @param model field {@code model} of the answer
-     * @param text the text
-     * @param tokens number of tokens
      * @param sentAt when the request was sent
-     * @param tokenTimes when each token came; empty if the answer was not streamed
+     * @param tokenTimes arrival times of the tokens, empty if the answer was not streamed
      */
     record Generated(
             Optional<String> requestId,
@@ -37,7 +35,7 @@
             Instant sentAt,
             List<Instant> tokenTimes)
             implements CallerResult {
-        /** Copies the list. */
+        /** Makes an unmodifiable copy of the list. */
         public Generated {
             tokenTimes = List.copyOf(tokenTimes);
         }
@@ -45,16 +43,16 @@
         /**
          * Returns the time to the first token.
          *
-         * @return time since the request was sent, empty if the answer was not streamed or has no tokens
+         * @return time from sending the request, empty if the answer was not streamed or has no tokens
          */
         public Optional<Duration> firstToken() {
             return tokenTimes.stream().findFirst().map(first -> Duration.between(sentAt, first));
         }
 
         /**
-         * Returns the times between tokens.
+         * Returns the times between consecutive tokens.
          *
-         * @return one less than the number of streamed tokens
+         * @return one element less than there are streamed tokens
          */
         public List<Duration> tokenGaps() {
             return IntStream.range(1, tokenTimes.size())
@@ -64,11 +62,9 @@
     }
 
     /**
-     * The whole answer of a plain service.
+     * The complete response of a plain service.
      *
      * @param requestId header {@code X-Request-Id}
-     * @param status HTTP status
-     * @param body the body
      */
     record ServiceAnswered(Optional<String> requestId, int status, byte[] body) implements CallerResult {}
 
@@ -76,8 +72,8 @@
      * The request did not run.
      *
      * @param requestId header {@code X-Request-Id}
-     * @param status HTTP status, 0 if no connection could be opened
-     * @param code code of the error envelope, {@code connect_failed} without a connection
+     * @param status HTTP status, 0 if the connection failed
+     * @param code code of the error envelope, {@code connect_failed} if the connection failed
      */
     record NotRun(Optional<String> requestId, int status, String code) implements CallerResult {}
 
@@ -85,23 +81,19 @@
      * The request may have run.
      *
      * @param requestId header {@code X-Request-Id}
-     * @param status HTTP status, 0 if no response came
-     * @param code code of the error envelope, {@code connection_lost} if the response did not come or not to its end
-     * @param tokenTimes when each token came before the failure
+     * @param status HTTP status, 0 without a response
+     * @param code code of the error envelope, {@code connection_lost} if the response is missing or incomplete
+     * @param tokenTimes arrival times of the tokens before the failure
      */
     record Unknown(Optional<String> requestId, int status, String code, List<Instant> tokenTimes)
             implements CallerResult {
-        /** Copies the list. */
+        /** Makes an unmodifiable copy of the list. */
         public Unknown {
             tokenTimes = List.copyOf(tokenTimes);
         }
     }
 
-    /**
-     * Converts the result for a load report.
-     *
-     * @return outcome, code and token times
-     */
+    /** Converts the result to the form that load reports count. */
     default LoadResult toLoadResult() {
         if (this instanceof NotRun notRun) {
             return new LoadResult(LoadOutcome.NOT_RUN, notRun.code(), List.of());
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/EntryList.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/EntryList.java
@@ -6,13 +6,13 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Answer of {@code GET /v1/entry}.
+ * Response of {@code GET /v1/entry}.
  *
  * @param addresses caller addresses in the order in which to try them
- * @param keepUntil how long the answer may be kept
+ * @param keepUntil when a cached list expires
  */
 public record EntryList(List<NetworkAddress> addresses, Instant keepUntil) {
-    /** Copies the list. */
+    /** Makes an unmodifiable copy of the list. */
     public EntryList {
         addresses = List.copyOf(addresses);
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/HttpCaller.java
@@ -27,9 +27,9 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Client of the caller protocol. Never repeats a request. Safe for use by several threads.
+ * HTTP client of the caller protocol. Thread-safe; never retries a request.
  *
- * <p>Futures complete normally whatever the system answers; each call in flight takes one thread.
+ * <p>Futures of requests complete normally whatever the response is. Each call in flight occupies one thread.
  */
 public final class HttpCaller implements AutoCloseable {
     private static final MediaType JSON = MediaType.get("application/json");
@@ -40,9 +40,9 @@
     /**
      * Creates a client.
      *
-     * @param maximumCalls most calls in flight; further ones wait
-     * @param callTimeout limit for one call, including its stream
-     * @param instants clock for token times
+     * @param maximumCalls maximum number of calls in flight; further ones are queued
+     * @param callTimeout timeout of a call, including its stream
+     * @param instants clock for send and token times
      */
     public HttpCaller(int maximumCalls, Duration callTimeout, InstantSource instants) {
         Dispatcher dispatcher = new Dispatcher();
@@ -59,10 +59,9 @@
     }
 
     /**
-     * Generates a chat answer.
+     * Requests a chat completion.
      *
      * @param entry caller address of an entry host
-     * @param call the call
      * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
      */
     public CompletableFuture<CallerResult> chat(NetworkAddress entry, ChatCall call) {
@@ -73,10 +72,9 @@
     }
 
     /**
-     * Generates a text completion; the prompt of the call is the field {@code prompt}.
+     * Requests a text completion.
      *
      * @param entry caller address of an entry host
-     * @param call the call
      * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
      */
     public CompletableFuture<CallerResult> complete(NetworkAddress entry, ChatCall call) {
@@ -89,11 +87,11 @@
     }
 
     /**
-     * Generates a chat answer at an engine, without an entry host.
+     * Requests a chat completion directly from an engine.
      *
      * @param engine address of the engine
-     * @param requestId id of the request, not used before at this engine
-     * @param call the call; its model is the engine's name of a loaded adapter
+     * @param requestId must not have been used at this engine
+     * @param call its model is a loaded adapter, {@code service/adapter@version}
      * @return {@link CallerResult.Generated}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
      */
     public CompletableFuture<CallerResult> chatWithEngine(NetworkAddress engine, String requestId, ChatCall call) {
@@ -108,7 +106,6 @@
      * Calls a plain service.
      *
      * @param entry caller address of an entry host
-     * @param call the call
      * @return {@link CallerResult.ServiceAnswered}, {@link CallerResult.NotRun} or {@link CallerResult.Unknown}
      */
     public CompletableFuture<CallerResult> call(NetworkAddress entry, ServiceRequest call) {
@@ -121,10 +118,10 @@
     }
 
     /**
-     * Reads the addresses of the entry hosts.
+     * Reads the addresses of the entry hosts without a bearer key.
      *
      * @param entry caller address of an entry host
-     * @return the addresses; completes exceptionally if they cannot be read
+     * @return completes exceptionally if the addresses cannot be read
      */
     public CompletableFuture<EntryList> entryAddresses(NetworkAddress entry) {
         return entryAddresses(
@@ -132,11 +129,11 @@
     }
 
     /**
-     * Reads the addresses of the entry hosts, as a caller with a key.
+     * Reads the addresses of the entry hosts with a bearer key.
      *
      * @param entry caller address of an entry host
      * @param headers the headers; entry hosts require a bearer key
-     * @return the addresses; completes exceptionally if they cannot be read
+     * @return completes exceptionally if the addresses cannot be read
      */
     public CompletableFuture<EntryList> entryAddresses(NetworkAddress entry, CallerHeaders headers) {
         return entryAddresses(request(entry, "/v1/entry", headers).build());
@@ -210,7 +207,7 @@
         client.newCall(request).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException exception) {
-                // Without a connection no byte was sent, so the request certainly did not run.
+                // The connection failed before any byte was sent, so the request did not run.
                 result.complete(
                         exception instanceof ConnectException
                                 ? new CallerResult.NotRun(Optional.empty(), 0, "connect_failed")
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadOutcome.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadOutcome.java
@@ -1,13 +1,13 @@
 package org.banyanstair.testsupport.load;
 
-/** How a request of a load ended. */
+/** Outcome of a request of a load. */
 public enum LoadOutcome {
-    /** The whole answer came. */
+    /** The complete response was received. */
     ANSWERED,
-    /** The caller was told that the request did not run. */
+    /** The system reported that the request did not run. */
     NOT_RUN,
     /** The caller does not know whether the request ran. */
     UNKNOWN,
-    /** The operation itself threw an exception, which is a fault of the test. */
+    /** The operation threw an exception, which is an error of the test. */
     FAILED
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadReport.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadReport.java
@@ -5,16 +5,14 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * Results of a load. All histograms are in microseconds and contain answered requests only.
+ * Results of a load. Histograms are in microseconds and, except for {@code startDelay}, cover answered requests only.
  *
- * @param started requests started
  * @param unfinished requests without a result at the end of the drain time
- * @param outcomes finished requests by outcome
- * @param codes finished requests without an answer by failure code
- * @param latency time from the intended start to the end of the answer
+ * @param codes finished requests that were not answered, by failure code
+ * @param latency time from the intended start to the end of the response
  * @param firstToken time from the intended start to the first token
  * @param tokenGap time between tokens
- * @param startDelay time from the intended to the actual start of all requests; large if the load generator is too slow
+ * @param startDelay time from the intended to the actual start of all requests; large if the generator is overloaded
  */
 public record LoadReport(
         long started,
@@ -25,18 +23,13 @@
         Histogram firstToken,
         Histogram tokenGap,
         Histogram startDelay) {
-    /** Copies the maps. */
+    /** Makes unmodifiable copies of the maps. */
     public LoadReport {
         outcomes = Map.copyOf(outcomes);
         codes = Map.copyOf(codes);
     }
 
-    /**
-     * Returns the number of requests with an outcome.
-     *
-     * @param outcome the outcome
-     * @return 0 or more
-     */
+    /** Returns the number of requests with an outcome. */
     public long count(LoadOutcome outcome) {
         return outcomes.getOrDefault(outcome, 0L);
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadStatistics.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/LoadStatistics.java
@@ -10,7 +10,7 @@
 
 import org.HdrHistogram.Histogram;
 
-/** Collects the results of a running load. Safe for use by several threads. */
+/** Collects the results of a running load. Thread-safe. */
 final class LoadStatistics {
     private static final int SIGNIFICANT_DIGITS = 3;
     private static final long MAX_RECORDED_MICROS = Duration.ofHours(1).toNanos() / 1_000;
@@ -47,7 +47,7 @@
         }
     }
 
-    /** Waits until all started requests have finished, but not longer than the limit. */
+    /** Waits until all started requests have finished or the limit has passed. */
     synchronized void awaitFinished(Duration limit) throws InterruptedException {
         long end = System.nanoTime() + limit.toNanos();
         long left = limit.toNanos();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/OpenLoopLoad.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/OpenLoopLoad.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Starts requests at random times that do not depend on how fast earlier ones are answered.
+ * Open-loop load generator: starts requests as a Poisson process that does not depend on earlier responses.
  *
- * <p>Latency counts from the intended start, so a request that the generator or a slow system delays is not flattered.
+ * <p>Latency is measured from the intended start, which avoids coordinated omission when a request starts late.
  */
 public final class OpenLoopLoad {
     private final LoadPlan plan;
@@ -20,23 +20,13 @@
     private final InstantSource instants = InstantSource.system();
     private final LoadStatistics statistics = new LoadStatistics();
 
-    /**
-     * Creates a load.
-     *
-     * @param plan how much load
-     * @param operation starts one request
-     */
+    /** Creates a load generator. */
     public OpenLoopLoad(LoadPlan plan, LoadOperation operation) {
         this.plan = plan;
         this.operation = operation;
     }
 
-    /**
-     * Generates the load on the calling thread. May be called once.
-     *
-     * @return the results
-     * @throws InterruptedException if the thread is interrupted
-     */
+    /** Generates the load on the calling thread. Must be called only once. */
     public LoadReport run() throws InterruptedException {
         SplittableRandom arrivals = new SplittableRandom(plan.seed());
         SplittableRandom seeds = arrivals.split();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ResponseReader.java
@@ -36,7 +36,7 @@
         this.instants = instants;
     }
 
-    /** Reads an answer of a plain service; only the header tells a refusal from an error status of the service. */
+    /** Reads a plain service's response; only the header distinguishes a rejection from an error of the service. */
     CallerResult readService() {
         try {
             byte[] body = response.body().bytes();
@@ -98,7 +98,7 @@
         }
     }
 
-    /** Text completions have the text directly in the choice. */
+    /** Returns the text at the path of chat completions or, for text completions, the text of the choice. */
     private static String content(JsonNode json, String chatPath) {
         return json.at(chatPath).asText(json.at("/choices/0/text").asText(""));
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ServiceRequest.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ServiceRequest.java
@@ -5,14 +5,12 @@
 import org.banyanstair.model.ServiceId;
 
 /**
- * A call of a plain service.
+ * A request to a plain service.
  *
- * @param headers the headers
- * @param service the service
  * @param method HTTP method in upper case
  * @param path path and query below the service, starting with a slash
  * @param contentType content type of the body
- * @param body body, empty for none; not to be changed
+ * @param body empty for none; not copied, must not be modified
  */
 public record ServiceRequest(
         CallerHeaders headers,
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ZipfPopularity.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/load/ZipfPopularity.java
@@ -9,9 +9,9 @@
 import java.util.stream.IntStream;
 
 /**
- * Zipf-distributed choice among items whose ranking shifts at given instants.
+ * Zipf distribution over items whose popularity ranking changes at given times.
  *
- * <p>Immutable, so safe for use by several threads.
+ * <p>Immutable.
  */
 public final class ZipfPopularity {
     private final double[] cumulative;
@@ -22,15 +22,14 @@
     /**
      * Creates a distribution.
      *
-     * @param items number of items
-     * @param exponent exponent of the distribution; 0 makes all items equally popular
+     * @param exponent exponent of the distribution, 0 for a uniform one
      * @param seed seed of the ranking
-     * @param shifts instants at which the ranking changes
+     * @param shifts times at which the ranking changes
      * @param shiftBy number of most popular items that become the least popular ones at each shift
      */
     public ZipfPopularity(int items, double exponent, long seed, List<Instant> shifts, int shiftBy) {
         if (items < 1 || exponent < 0 || shiftBy < 0) {
-            throw new IllegalArgumentException("items must be positive, exponent and shift not negative");
+            throw new IllegalArgumentException("items must be positive, exponent and shiftBy not negative");
         }
         this.cumulative = new double[items];
         double sum = 0;
@@ -49,8 +48,7 @@
     /**
      * Chooses an item.
      *
-     * @param random source of randomness
-     * @param at when the item is used
+     * @param at time whose ranking applies
      * @return number of the item, from 0
      */
     public int choose(Random random, Instant at) {
@@ -64,7 +62,7 @@
      * Returns the item at a rank.
      *
      * @param rank the rank, 0 for the most popular item
-     * @param at when
+     * @param at time whose ranking applies
      * @return number of the item, from 0
      */
     public int itemAt(int rank, Instant at) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/AppendRateLimiter.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/AppendRateLimiter.java
@@ -6,9 +6,9 @@
 import java.util.Deque;
 
 /**
- * Admits at most a number of appends in any second.
+ * Limits the number of appends in any period of one second.
  *
- * <p>A sliding window is used because a fixed window would admit twice the limit around its boundary.
+ * <p>Thread-safe. Uses a sliding window, because a fixed window would admit twice the limit around its boundary.
  */
 final class AppendRateLimiter {
     private static final Duration WINDOW = Duration.ofSeconds(1);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogFaults.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogFaults.java
@@ -5,16 +5,16 @@
 import org.banyanstair.testsupport.fault.Faults;
 
 /**
- * Faults of the log service.
+ * Faults that can be injected into the log service.
  *
- * @param shared faults that every stand-in has
- * @param retentionSeconds retention in force instead of the configured one
+ * @param shared faults common to all platform stand-ins
+ * @param retentionSeconds overrides the configured retention
  */
 public record LogFaults(Faults shared, Optional<Integer> retentionSeconds) {
     /** No faults. */
     public static final LogFaults NONE = new LogFaults(Faults.NONE, Optional.empty());
 
-    /** Replaces absent values by their defaults and checks the retention. */
+    /** Replaces null by defaults and checks the retention. */
     public LogFaults {
         shared = shared == null ? Faults.NONE : shared;
         retentionSeconds = retentionSeconds == null ? Optional.empty() : retentionSeconds;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandIn.java
@@ -22,15 +22,15 @@
 import org.banyanstair.testsupport.fault.Request;
 
 /**
- * Stand-in for the platform's log service: append-only streams in memory, read by long polls.
+ * Simulates the platform's log service with append-only streams in memory and long-polling reads.
  *
- * <p>A read that waits does not count against the append limit. Safe for use by several threads.
+ * <p>Thread-safe. Reads do not count against the append rate limit.
  */
 public final class LogServiceStandIn {
-    /** Appends a second that are admitted unless another limit is given. */
+    /** Default limit of appends per second. */
     public static final int DEFAULT_APPENDS_PER_SECOND = 400;
 
-    /** Most records in one answer, so that a read from offset 0 of a long stream stays small. */
+    /** Bounds the response to a read from offset 0 of a long stream. */
     private static final int MAX_RECORDS_PER_READ = 1_000;
 
     private final InstantSource clock = Clock.systemUTC();
@@ -45,7 +45,7 @@
      *
      * @param port TCP port on the loopback interface, 0 for a free one
      * @param retention time for which records are kept, at least 1 s
-     * @param appendsPerSecond most appends in any second
+     * @param appendsPerSecond maximum number of appends in any period of one second
      */
     public LogServiceStandIn(int port, Duration retention, int appendsPerSecond) {
         configuredRetention = retention;
@@ -58,11 +58,7 @@
         counters().declare("appends", "appendedRecords", "reads", "refused", "bytes");
     }
 
-    /**
-     * Starts to listen.
-     *
-     * @return address that it listens on
-     */
+    /** Starts listening and returns the address. */
     public NetworkAddress start() {
         return server.start();
     }
@@ -72,11 +68,7 @@
         server.stop();
     }
 
-    /**
-     * Returns the server, for its address and for waiting until faults are applied.
-     *
-     * @return the server
-     */
+    /** Returns the server, which has the address and {@link PlatformStandInServer#awaitApplied}. */
     public PlatformStandInServer server() {
         return server;
     }
@@ -84,18 +76,12 @@
     /**
      * Returns the operation counts: {@code appends}, {@code appendedRecords}, {@code reads}, {@code refused},
      * {@code bytes}.
-     *
-     * @return the counters
      */
     public Counters counters() {
         return server.counters();
     }
 
-    /**
-     * Returns the faults in force.
-     *
-     * @return the faults
-     */
+    /** Returns the faults in force. */
     public LogFaults faults() {
         Optional<Integer> changed = retention.equals(configuredRetention)
                 ? Optional.empty()
@@ -103,11 +89,7 @@
         return new LogFaults(server.injector().get(), changed);
     }
 
-    /**
-     * Replaces the faults in force. An outage also ends the reads that wait.
-     *
-     * @param faults the faults
-     */
+    /** Replaces the faults in force. An outage also completes pending reads. */
     public void setFaults(LogFaults faults) {
         retention = faults.retentionSeconds().map(Duration::ofSeconds).orElse(configuredRetention);
         server.setFaults(faults.shared());
@@ -117,11 +99,7 @@
         }
     }
 
-    /**
-     * Replaces the faults that all stand-ins share and keeps the retention.
-     *
-     * @param faults the faults
-     */
+    /** Replaces the faults that all stand-ins share and keeps the retention. */
     public void setFaults(Faults faults) {
         setFaults(new LogFaults(faults, faults().retentionSeconds()));
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/LogServiceStandInMain.java
@@ -5,7 +5,7 @@
 
 import org.banyanstair.testsupport.fault.StandInMain;
 
-/** Runs the log service as a process. */
+/** Runs the log service stand-in as a process. */
 public final class LogServiceStandInMain {
     private static final int DEFAULT_RETENTION_SECONDS = 24 * 3600;
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/PendingRead.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/PendingRead.java
@@ -5,7 +5,7 @@
 
 import org.banyanstair.testsupport.fault.Reply;
 
-/** A read that waits for its first record. */
+/** A long-polling read that waits for its first record. */
 final class PendingRead {
     private final long from;
     private final Supplier<Reply> reader;
@@ -24,7 +24,7 @@
         return reply;
     }
 
-    /** Completes the reply with the state of the stream at this moment. */
+    /** Completes the reply with the records that the stream has now. */
     void complete() {
         reply.complete(reader.get());
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/log/StreamLog.java
@@ -8,9 +8,9 @@
 import org.banyanstair.external.LogRecord;
 import org.banyanstair.external.ReadResult;
 
-/** Records of one stream and the reads that wait for more. */
+/** Holds the records and the pending reads of one stream. Thread-safe. */
 final class StreamLog {
-    /** Expired records are removed in runs of at least this length, because removal copies the rest of the list. */
+    /** Minimum number of expired records to remove at once, because removal copies the rest of the list. */
     private static final int COMPACTION_LENGTH = 1_000;
 
     private final List<LogRecord> records = new ArrayList<>();
@@ -18,7 +18,7 @@
     private long firstOffset;
     private int expired;
 
-    /** Appends records at consecutive offsets and returns the first of them. */
+    /** Appends records at consecutive offsets and returns the first offset. */
     long append(List<byte[]> payloads, Instant now) {
         List<PendingRead> ready;
         long first;
@@ -42,7 +42,7 @@
         return firstOffset + records.size();
     }
 
-    /** Hides the records whose retention has ended. */
+    /** Makes records older than the retention unreadable. */
     synchronized void expire(Instant now, Duration retention) {
         while (expired < records.size()
                 && !records.get(expired).appendedAt().plus(retention).isAfter(now)) {
@@ -55,7 +55,7 @@
         }
     }
 
-    /** Returns the answer to a read, which has no records if it would have to wait. */
+    /** Returns up to {@code limit} records from an offset on, none if the offset does not exist yet. */
     synchronized ReadResult read(long from, int limit) {
         long earliest = firstOffset + expired;
         if (from < earliest) {
@@ -67,17 +67,17 @@
         return new ReadResult.Records(from + found.size(), endOffset(), found);
     }
 
-    /** Remembers a read until its offset exists; false if the offset exists already. */
+    /** Adds a read that waits for its offset; returns false if the offset exists already. */
     synchronized boolean addPending(PendingRead read) {
         return read.fromOffset() >= endOffset() && pending.add(read);
     }
 
-    /** Removes a read that waits; false if it does not wait any more. */
+    /** Removes a pending read; returns false if it is no longer pending. */
     synchronized boolean removePending(PendingRead read) {
         return pending.remove(read);
     }
 
-    /** Removes and returns all reads that wait. */
+    /** Removes and returns all pending reads. */
     synchronized List<PendingRead> removeAllPending() {
         List<PendingRead> all = List.copyOf(pending);
         pending.clear();
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/Direction.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/Direction.java
@@ -1,9 +1,9 @@
 package org.banyanstair.testsupport.network;
 
-/** Direction of data through a proxy. */
+/** Direction of data through a {@link FaultProxy}. */
 public enum Direction {
-    /** From the side that opened the connection to the target. */
+    /** From the client to the target. */
     TO_TARGET,
-    /** From the target to the side that opened the connection. */
+    /** From the target to the client. */
     TO_CLIENT
 }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FaultProxy.java
@@ -26,10 +26,10 @@
 import org.banyanstair.testsupport.fault.ReservedPort;
 
 /**
- * TCP proxy on the loopback interface whose connections can be cut, refused, silenced and delayed.
+ * TCP proxy on the loopback interface that can reset, refuse, stall and delay connections.
  *
- * <p>If the target refuses a connection, the proxy has accepted it already and resets it. Methods return when the change
- * is in force; they are safe for use by several threads, but not from an event loop.
+ * <p>Thread-safe, but must not be called on an event loop. Methods return when the change is in force. A connection
+ * that the target refuses is accepted and then reset.
  */
 public final class FaultProxy {
     private static final String LOOPBACK = "127.0.0.1";
@@ -37,7 +37,7 @@
 
     private final NetworkAddress target;
     private final EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("fault-proxy", true));
-    // The following three are used only on the event loop.
+    // The next three fields are used only on the event loop.
     private final Set<Direction> stalledDirections = EnumSet.noneOf(Direction.class);
     private final List<ProxiedConnection> connections = new ArrayList<>();
     private long latencyNanos;
@@ -49,18 +49,13 @@
      * Creates a proxy that is not started.
      *
      * @param port TCP port to listen on, 0 for a free one
-     * @param target address that connections are forwarded to
      */
     public FaultProxy(int port, NetworkAddress target) {
         this.port = port;
         this.target = target;
     }
 
-    /**
-     * Starts to listen.
-     *
-     * @return address that it listens on
-     */
+    /** Starts listening and returns the address. */
     public synchronized NetworkAddress start() {
         listen();
         return address();
@@ -78,16 +73,12 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    /**
-     * Returns the address, which stays the same while connections are refused.
-     *
-     * @return address that it listens on
-     */
+    /** Returns the address, which does not change while connections are refused. */
     public synchronized NetworkAddress address() {
         return new NetworkAddress(LOOPBACK, port);
     }
 
-    /** Resets all open connections on both sides; new ones work. */
+    /** Resets all open connections on both sides; does not affect new ones. */
     public void resetConnections() {
         onEventLoop(() -> {
             forEachConnection(ProxiedConnection::resetBothSides);
@@ -95,7 +86,7 @@
         });
     }
 
-    /** Refuses new connections; open ones go on. */
+    /** Refuses new connections; does not affect open ones. */
     public synchronized void refuseConnections() {
         if (reservedPort == null) {
             listener.close().syncUninterruptibly();
@@ -112,7 +103,7 @@
         }
     }
 
-    /** Makes all open connections silent for good: nothing is forwarded and nothing is closed. New ones work. */
+    /** Permanently stops forwarding on all open connections without closing them; does not affect new ones. */
     public void stallOpenConnections() {
         onEventLoop(() -> {
             forEachConnection(ProxiedConnection::stall);
@@ -121,10 +112,9 @@
     }
 
     /**
-     * Stops or resumes one direction of all open and future connections. Data sent in between arrives when it is resumed.
+     * Stops or resumes forwarding in one direction of all open and future connections, without losing data.
      *
-     * @param direction direction to change
-     * @param silent whether nothing is forwarded
+     * @param stalled true to stop forwarding
      */
     public void setStalled(Direction direction, boolean stalled) {
         onEventLoop(() -> {
@@ -139,9 +129,9 @@
     }
 
     /**
-     * Changes the latency.
+     * Sets the latency of all open and future connections.
      *
-     * @param oneWay time by which data is delayed in each direction
+     * @param oneWay delay of the data in each direction
      */
     public void setLatency(Duration oneWay) {
         onEventLoop(() -> {
@@ -151,11 +141,7 @@
         });
     }
 
-    /**
-     * Counts the open connections, including silent ones.
-     *
-     * @return number of connections
-     */
+    /** Returns the number of open connections, including stalled ones. */
     public int openConnections() {
         return onEventLoop(connections::size);
     }
@@ -164,7 +150,7 @@
         forEachConnection(connection -> connection.applyFaults(latencyNanos, stalledDirections));
     }
 
-    /** Works on a copy, because a connection that is closed by the action is removed at once. */
+    /** Iterates over a copy, because a connection that the action closes is removed from the list. */
     private void forEachConnection(Consumer<ProxiedConnection> action) {
         List.copyOf(connections).forEach(action);
     }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FreePorts.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/FreePorts.java
@@ -7,26 +7,26 @@
 import org.banyanstair.model.NetworkAddress;
 
 /**
- * Finds free ports on loopback and never gives the same one twice. Safe for use by several threads.
+ * Allocates free loopback ports, each at most once per cycle of its port range. Thread-safe.
  *
- * <p>The ports lie below the range from which the operating system takes ports for outgoing connections; a port of that
- * range was once taken by such a connection before its daemon could bind it.
+ * <p>The range lies below the ephemeral ports of the operating system, because outgoing connections have taken such
+ * ports before the daemon bound them.
  */
 public final class FreePorts {
-    /** The address of the ports. */
+    /** Loopback address that the ports belong to. */
     public static final String LOOPBACK = "127.0.0.1";
 
     private static final int FIRST_PORT = 10_000;
 
     private static final int PORT_COUNT = 20_000;
 
-    /** Processes that run at the same time begin at different places. */
+    /** Starts at a different port for each process, so that concurrent processes do not choose the same ports. */
     private int offset = (int) (ProcessHandle.current().pid() * 61 % PORT_COUNT);
 
     /**
-     * Finds a port.
+     * Allocates a port.
      *
-     * @return an address whose port was free a moment ago
+     * @return address whose port was free when it was checked
      */
     public synchronized NetworkAddress next() {
         while (true) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/Pipe.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/Pipe.java
@@ -10,13 +10,13 @@
 import io.netty.channel.ChannelFutureListener;
 
 /**
- * One direction of a proxied connection. Used only on the event loop of the proxy.
+ * Forwards one direction of a proxied connection. Not thread-safe; used only on the proxy's event loop.
  *
- * <p>While the pipe is blocked it stops reading, as a partitioned network does: the sender's buffers fill, nothing is
- * lost, and data flows again afterwards.
+ * <p>While the pipe is blocked it does not read, as in a network partition: the sender's buffers fill up, and no data
+ * is lost.
  */
 final class Pipe {
-    /** Bytes held back by latency or a slow sink above which the source is not read. */
+    /** Stops reading from the source while this many bytes wait because of latency or a slow sink. */
     private static final int MAX_PENDING_BYTES = 1 << 20;
 
     private final Channel source;
@@ -47,12 +47,12 @@
         enqueue(new Chunk(data, false, releaseTime()));
     }
 
-    /** The source was closed; the sink is closed once everything before that was forwarded. */
+    /** Closes the sink after all data that was received before the source closed has been forwarded. */
     void sourceClosed() {
         enqueue(new Chunk(Unpooled.EMPTY_BUFFER, true, releaseTime()));
     }
 
-    /** Chunks keep their order when the latency is lowered. */
+    /** Returns when to forward a chunk received now; not before earlier chunks, even if the latency was lowered. */
     private long releaseTime() {
         long earliest = System.nanoTime() + latencyNanos;
         lastReleaseNanos = earliest - lastReleaseNanos > 0 ? earliest : lastReleaseNanos;
@@ -64,7 +64,7 @@
         drain();
     }
 
-    /** Forwards what is due and sets whether the source is read. */
+    /** Forwards the chunks that are due and enables or disables reading from the source. */
     void drain() {
         while (!blocked && sink.isWritable() && isDue()) {
             forward(pending.removeFirst());
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/ProxiedConnection.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/ProxiedConnection.java
@@ -8,7 +8,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 
-/** A connection through the proxy: two channels and a pipe for each direction. Used only on the proxy's event loop. */
+/**
+ * A connection through the proxy, with a channel on each side and a pipe for each direction. Not thread-safe; used only
+ * on the proxy's event loop.
+ */
 final class ProxiedConnection {
     private final Channel client;
     private final Channel target;
@@ -27,7 +30,7 @@
         target.closeFuture().addListener(closed -> toClient.sourceClosed());
     }
 
-    /** Applies the state of the proxy; a silent connection stays silent. */
+    /** Applies the latency and the blocked directions; a stalled connection stays stalled. */
     void applyFaults(long latencyNanos, Set<Direction> blocked) {
         toTarget.setLatencyNanos(latencyNanos);
         toClient.setLatencyNanos(latencyNanos);
@@ -47,7 +50,7 @@
         reset(target);
     }
 
-    /** Drops the data that was held back; called when both channels are closed. */
+    /** Releases the pending data; called when both channels are closed. */
     void release() {
         toTarget.release();
         toClient.release();
@@ -55,7 +58,7 @@
 
     static void reset(Channel channel) {
         if (channel.isOpen()) {
-            // A linger time of 0 makes the operating system send RST instead of FIN.
+            // With a linger time of 0 the operating system sends RST instead of FIN.
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/network/package-info.java
@@ -1,2 +1,2 @@
-/** Faults of the network between processes. */
+/** Network fault injection between processes. */
 package org.banyanstair.testsupport.network;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/JavaCommand.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/JavaCommand.java
@@ -6,27 +6,23 @@
 import java.util.List;
 
 /**
- * A Java main class to run with the class path of this process.
+ * Command that runs a Java main class with the class path of this process.
  *
  * @param mainClass name of the main class
- * @param heapMegabytes maximum heap, given as {@code -Xmx}
- * @param options further options of the virtual machine
- * @param arguments arguments of the main method
+ * @param heapMegabytes maximum heap size ({@code -Xmx})
+ * @param options other JVM options
  */
 public record JavaCommand(String mainClass, int heapMegabytes, List<String> options, List<String> arguments) {
-    /** Copies the lists. */
+    /** Makes unmodifiable copies of the lists. */
     public JavaCommand {
         options = List.copyOf(options);
         arguments = List.copyOf(arguments);
     }
 
     /**
-     * Creates a command without further options of the virtual machine.
+     * Creates a command without other JVM options.
      *
-     * @param mainClass the main class
-     * @param heapMegabytes maximum heap
-     * @param arguments arguments of the main method
-     * @return the command
+     * @param heapMegabytes maximum heap size ({@code -Xmx})
      */
     public static JavaCommand of(Class<?> mainClass, int heapMegabytes, String... arguments) {
         return new JavaCommand(mainClass.getName(), heapMegabytes, List.of(), List.of(arguments));
@@ -44,7 +40,7 @@
         return commandLine;
     }
 
-    /** Entries may be relative to the directory of this process. */
+    /** Makes the entries absolute, because they may be relative to the working directory of this process. */
     private static String classPath() {
         List<String> entries = new ArrayList<>();
         for (String entry : System.getProperty("java.class.path").split(File.pathSeparator)) {
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ManagedProcess.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ManagedProcess.java
@@ -10,7 +10,7 @@
 
 import org.banyanstair.model.NetworkAddress;
 
-/** A child process that a {@link ProcessLauncher} has started and that has reported to be ready. */
+/** A child process that a {@link ProcessLauncher} has started and that has printed its ready line. */
 public final class ManagedProcess {
     private static final long SIGNAL_TIMEOUT_SECONDS = 5;
 
@@ -26,61 +26,37 @@
         this.ready = ready;
     }
 
-    /**
-     * Returns the name that it was started under.
-     *
-     * @return the name
-     */
+    /** Returns the name given to the launcher. */
     public String name() {
         return name;
     }
 
-    /**
-     * Returns what the process printed after {@code ready }.
-     *
-     * @return the rest of the line
-     */
+    /** Returns the rest of the line that starts with {@code ready }. */
     public String ready() {
         return ready;
     }
 
-    /**
-     * Returns the address that the process printed as its first word after {@code ready }.
-     *
-     * @return the address
-     */
+    /** Returns the address that follows {@code ready } in the ready line. */
     public NetworkAddress address() {
         return NetworkAddress.parse(ready.split(" ", 2)[0]);
     }
 
-    /**
-     * Returns the process id.
-     *
-     * @return the id
-     */
+    /** Returns the process id. */
     public long pid() {
         return process.pid();
     }
 
-    /**
-     * Returns the file with standard output and standard error.
-     *
-     * @return path of the file
-     */
+    /** Returns the path of the file with standard output and standard error. */
     public Path output() {
         return output.path();
     }
 
-    /**
-     * Tells whether the process runs or is paused.
-     *
-     * @return whether it has not ended
-     */
+    /** Returns whether the process has not ended; true for a paused process. */
     public boolean isAlive() {
         return process.isAlive();
     }
 
-    /** Sends SIGTERM; does nothing if the process has ended. A paused process gets it when it is resumed. */
+    /** Sends SIGTERM; does nothing if the process has ended. A paused process handles it when it is resumed. */
     public void terminate() {
         process.destroy();
     }
@@ -101,9 +77,9 @@
     }
 
     /**
-     * Waits for the end of the process.
+     * Waits for the process to end.
      *
-     * @param deadline instant at which the wait ends
+     * @param deadline when to stop waiting
      * @return exit status, empty if the process has not ended by then
      */
     public OptionalInt waitFor(Instant deadline) {
@@ -118,7 +94,7 @@
         }
     }
 
-    /** The id of an ended process may belong to another one, so it is not signalled. */
+    /** Sends a signal unless the process has ended, because its id may have been reused then. */
     private void signal(String signal) {
         if (!process.isAlive()) {
             return;
@@ -129,7 +105,7 @@
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .start();
             if (!kill.waitFor(SIGNAL_TIMEOUT_SECONDS, TimeUnit.SECONDS) || kill.exitValue() != 0 && process.isAlive()) {
-                throw new IllegalStateException("signal " + signal + " could not be sent to process " + name);
+                throw new IllegalStateException("cannot send signal " + signal + " to process " + name);
             }
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessLauncher.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessLauncher.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Starts child processes of a test and ends those that are left.
+ * Starts child processes of a test and kills those that are still running at its end.
  *
- * <p>Processes that are left when this process ends are killed. Safe for use by several threads.
+ * <p>Thread-safe. A shutdown hook kills the remaining processes when this process ends.
  */
 public final class ProcessLauncher {
     private static final long READY_POLL_MILLIS = 5;
@@ -41,28 +41,23 @@
     }
 
     /**
-     * Starts a Java main class and waits until it is ready.
+     * Starts a Java main class and waits for its ready line.
      *
-     * @param name name of the process and of its output file; output of a later process of this name is added
-     * @param command the main class and its arguments
-     * @param deadline instant by which the process must have printed a line that starts with {@code ready }
-     * @return the process
-     * @throws ProcessStartException if it ends or is not ready in time; it is killed then
+     * @param name name of the process and of its output file, to which later processes of the same name append
+     * @param deadline when the process must have printed a line that starts with {@code ready }
+     * @throws ProcessStartException if the process ends or is not ready in time; it is killed then
      */
     public ManagedProcess startJava(String name, JavaCommand command, Instant deadline) {
         return start(name, command.commandLine(), deadline);
     }
 
     /**
-     * Starts a program or script and waits until it is ready. A script must end with {@code exec}, because signals go to
-     * the process of the script only.
+     * Starts a program or script and waits for its ready line. A script must end with {@code exec}, because signals are
+     * sent to the process of the script only.
      *
-     * @param name name of the process and of its output file; output of a later process of this name is added
-     * @param script path of the program
-     * @param arguments its arguments
-     * @param deadline instant by which the process must have printed a line that starts with {@code ready }
-     * @return the process
-     * @throws ProcessStartException if it ends or is not ready in time; it is killed then
+     * @param name name of the process and of its output file, to which later processes of the same name append
+     * @param deadline when the process must have printed a line that starts with {@code ready }
+     * @throws ProcessStartException if the process ends or is not ready in time; it is killed then
      */
     public ManagedProcess startScript(String name, Path script, List<String> arguments, Instant deadline) {
         List<String> commandLine = new ArrayList<>();
@@ -71,7 +66,7 @@
         return start(name, commandLine, deadline);
     }
 
-    /** Kills the processes that are left and waits for their end. The launcher can be used again. */
+    /** Kills the remaining processes and waits for them to end. The launcher can be used again. */
     public void stop() {
         killAll();
         for (Process process : started) {
@@ -122,10 +117,13 @@
             }
             if (ended) {
                 throw new ProcessStartException(
-                        name, "ended with status " + process.exitValue() + " before it was ready", output.tail());
+                        name,
+                        "ended with status " + process.exitValue() + " before it printed its ready line",
+                        output.tail());
             }
             if (!Instant.now().isBefore(deadline)) {
-                throw new ProcessStartException(name, "was not ready in time", output.tail());
+                throw new ProcessStartException(
+                        name, "did not print its ready line before the deadline", output.tail());
             }
             pause();
         }
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessOutput.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessOutput.java
@@ -8,7 +8,7 @@
 import java.nio.file.Path;
 import java.util.Optional;
 
-/** The part of an output file that one run of a process has written. */
+/** Reads the part of an output file that one process has written. */
 final class ProcessOutput {
     private static final String READY_PREFIX = "ready ";
     private static final int TAIL_CHARACTERS = 4_000;
@@ -16,7 +16,7 @@
     private final Path path;
     private final long start;
 
-    /** Remembers the present length, because a file may hold the output of an earlier run of the same name. */
+    /** Starts at the current end of the file, which may hold the output of an earlier process of the same name. */
     ProcessOutput(Path path) {
         this.path = path;
         try {
@@ -30,7 +30,7 @@
         return path;
     }
 
-    /** Returns what follows {@code ready } in the first complete line that starts with it. */
+    /** Returns the rest of the first complete line that starts with {@code ready }. */
     Optional<String> readyMessage() {
         String text = text();
         int complete = text.lastIndexOf('\n') + 1;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessStartException.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/ProcessStartException.java
@@ -1,6 +1,6 @@
 package org.banyanstair.testsupport.process;
 
-/** A child process ended or was too slow before it was ready. */
+/** A child process ended or missed its deadline before it was ready. */
 public final class ProcessStartException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/process/package-info.java
@@ -1,2 +1,2 @@
-/** Child processes of a test. */
+/** Starts and controls child processes of tests. */
 package org.banyanstair.testsupport.process;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceFault.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceFault.java
@@ -1,12 +1,12 @@
 package org.banyanstair.testsupport.service;
 
-/** Faults of the plain service, with the meaning of the number that is set for each. */
+/** Faults that can be injected into the plain service; each constant documents the meaning of its value. */
 public enum PlainServiceFault {
-    /** Count of calls that run and whose connection is closed without an answer. */
+    /** Number of calls that run but whose connection is closed without a response. */
     LOSE_ANSWERS,
-    /** Milliseconds by which each answer is late; the call runs at once. */
+    /** Milliseconds by which each response is delayed; the call itself runs at once. */
     DELAY_MILLISECONDS,
-    /** 1 for an outage: every call is answered with 503 and does not run. */
+    /** 1 to reject every call with status 503 without running it. */
     OUTAGE,
     /** Milliseconds for which the service closes its connections and refuses new ones, once. */
     REFUSE_CONNECTIONS_MILLISECONDS
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/PlainServiceStandIn.java
@@ -17,10 +17,9 @@
 import org.banyanstair.testsupport.endpoint.SettingsArguments;
 
 /**
- * Plain service with an order desk and a stock lookup; it never recognises a repeated order.
+ * Simulates a plain service that accepts orders and stock lookups; it does not deduplicate orders.
  *
- * <p>All calls run on one thread, in the order in which they arrive. The body of a form is not recorded, because Jooby
- * parses it.
+ * <p>Calls run on one thread in the order of arrival. Form bodies are not recorded, because Jooby consumes them.
  */
 public final class PlainServiceStandIn {
     private final PlainServiceSettings settings;
@@ -34,23 +33,19 @@
     });
     private int orders;
 
-    /**
-     * Creates the service.
-     *
-     * @param settings its settings
-     */
+    /** Creates a service that is not started. */
     public PlainServiceStandIn(PlainServiceSettings settings) {
         this.settings = settings;
         this.server = new EndpointStandInServer(settings.port(), this::registerRoutes);
     }
 
     /**
-     * Runs the service as a process until it is killed.
+     * Runs the service as a process until it is terminated.
      *
      * @param arguments {@code --set name=value} for each setting that differs from the default
      */
     public static void main(String[] arguments) {
-        // The only line on standard output is the address, so that a launcher can wait for it.
+        // Standard output must hold only the address line, which the process launcher waits for.
         System.setProperty("tinylog.level", "warn");
         PlainServiceStandIn service =
                 new PlainServiceStandIn(SettingsArguments.parse(arguments, PlainServiceSettings.DEFAULT));
@@ -58,7 +53,7 @@
         System.out.println("ready " + service.address());
     }
 
-    /** Starts to listen. */
+    /** Starts listening. */
     public void start() {
         server.start();
     }
@@ -69,20 +64,12 @@
         executor.shutdownNow();
     }
 
-    /**
-     * Returns the address on which the service listens.
-     *
-     * @return the address
-     */
+    /** Returns the address that the service listens on. */
     public NetworkAddress address() {
         return server.address();
     }
 
-    /**
-     * Returns what ran so far.
-     *
-     * @return the runs in order
-     */
+    /** Returns the calls that have run, in order. */
     public List<ServiceRun> record() {
         synchronized (runs) {
             return List.copyOf(runs);
@@ -92,8 +79,7 @@
     /**
      * Sets a fault.
      *
-     * @param fault the fault
-     * @param value its number, 0 to end the fault
+     * @param value count, milliseconds or flag, see {@link PlainServiceFault}; 0 to clear the fault
      */
     public void setFault(PlainServiceFault fault, long value) {
         if (fault != PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS) {
@@ -103,7 +89,7 @@
         }
     }
 
-    /** Settings are in force when the answer is sent; a refusal of connections follows it. */
+    /** Applies faults before the response, except that connections are refused only after it. */
     private void putFaults(Exchange exchange, Map<PlainServiceFault, Long> parsed) {
         long refusal = parsed.getOrDefault(PlainServiceFault.REFUSE_CONNECTIONS_MILLISECONDS, 0L);
         parsed.forEach(faults::set);
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/ServiceRun.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/ServiceRun.java
@@ -6,15 +6,14 @@
 import com.fasterxml.jackson.databind.annotation.JsonNaming;
 
 /**
- * One call that the plain service ran.
+ * Describes one call that the plain service ran.
  *
  * @param requestId header {@code X-Request-Id} of the call, empty if it was missing
- * @param method HTTP method
  * @param path path and query
  * @param body body as text
  * @param started when the call ran
- * @param ended when the answer was due
- * @param answered whether the answer was sent
+ * @param ended when the response was due
+ * @param answered whether the response was sent
  */
 @JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
 public record ServiceRun(
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/package-info.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/service/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-in of a plain service with an order desk and a stock lookup. */
+/** Stand-in for a plain service that accepts orders and stock lookups. */
 package org.banyanstair.testsupport.service;
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/LoadThrottle.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/LoadThrottle.java
@@ -1,10 +1,10 @@
 package org.banyanstair.testsupport.weights;
 
 /**
- * Decides when loads start and how long they take.
+ * Limits the rate of loads and lengthens transfers under load.
  *
- * <p>The rate is a token bucket whose debt is the waiting line: a load that finds no token starts when its token comes.
- * Safe for use by several threads.
+ * <p>Thread-safe. The rate limit is a token bucket that may go negative: a load without a token starts when its token
+ * would be available.
  */
 final class LoadThrottle {
     private static final double NANOS_PER_SECOND = 1e9;
@@ -20,7 +20,7 @@
         refilledAtNanos = nowNanos;
     }
 
-    /** Takes a place in the line and returns the nanoseconds until the load may start. */
+    /** Takes a token and returns the nanoseconds until the load may start. */
     synchronized long reserveStart(long nowNanos) {
         double added = (nowNanos - refilledAtNanos) / NANOS_PER_SECOND * settings.loadsPerSecond();
         tokens = Math.min(settings.burst(), tokens + added) - 1;
@@ -28,7 +28,7 @@
         return tokens >= 0 ? 0 : (long) (-tokens / settings.loadsPerSecond() * NANOS_PER_SECOND);
     }
 
-    /** Counts a transfer as in transit and returns its length in nanoseconds, fixed at its start. */
+    /** Counts a transfer as in transit and returns its duration in nanoseconds, which later transfers do not change. */
     synchronized long beginTransfer() {
         inTransit++;
         double factor = Math.max(1, (double) inTransit / settings.transitLimit());
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandIn.java
@@ -14,7 +14,7 @@
 import org.banyanstair.testsupport.fault.Reply;
 import org.banyanstair.testsupport.fault.Request;
 
-/** Stand-in for the platform's rate-limited weight store. Safe for use by several threads. */
+/** Simulates the platform's rate-limited weight store. Thread-safe. */
 public final class WeightStoreStandIn {
     private final WeightStoreSettings settings;
     private final LoadThrottle throttle;
@@ -26,7 +26,6 @@
      * Creates a weight store that is not started.
      *
      * @param port TCP port on the loopback interface, 0 for a free one
-     * @param settings its capacity
      */
     public WeightStoreStandIn(int port, WeightStoreSettings settings) {
         this.settings = settings;
@@ -37,11 +36,7 @@
         counters().declare("loads", "failedLoads", "bytes");
     }
 
-    /**
-     * Starts to listen.
-     *
-     * @return address that it listens on
-     */
+    /** Starts listening and returns the address. */
     public NetworkAddress start() {
         return server.start();
     }
@@ -51,20 +46,12 @@
         server.stop();
     }
 
-    /**
-     * Returns the server, for its address and for waiting until faults are applied.
-     *
-     * @return the server
-     */
+    /** Returns the server, which has the address and {@link PlatformStandInServer#awaitApplied}. */
     public PlatformStandInServer server() {
         return server;
     }
 
-    /**
-     * Returns the operation counts: {@code loads}, {@code failedLoads}, {@code bytes}.
-     *
-     * @return the counters
-     */
+    /** Returns the operation counts: {@code loads}, {@code failedLoads}, {@code bytes}. */
     public Counters counters() {
         return server.counters();
     }
@@ -72,17 +59,13 @@
     /**
      * Returns the faults in force.
      *
-     * @return the faults, with the number of failing loads that are still to come
+     * @return the faults, with the remaining number of failing loads
      */
     public synchronized WeightStoreFaults faults() {
         return faults.withShared(server.injector().get());
     }
 
-    /**
-     * Replaces the faults in force. Starts the random numbers anew from their seeds.
-     *
-     * @param value the faults
-     */
+    /** Replaces the faults in force and reseeds the random failures. */
     public synchronized void setFaults(WeightStoreFaults value) {
         faults = value;
         random = new SplittableRandom(value.seed());
--- a/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandInMain.java
+++ b/banyanstair-test-support/src/main/java/org/banyanstair/testsupport/weights/WeightStoreStandInMain.java
@@ -4,7 +4,7 @@
 
 import org.banyanstair.testsupport.fault.StandInMain;
 
-/** Runs the weight store as a process. */
+/** Runs the weight store stand-in as a process. */
 public final class WeightStoreStandInMain {
     private WeightStoreStandInMain() {}
 
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/MalformedRequestTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/MalformedRequestTest.java
@@ -15,7 +15,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against stand-ins that accept what the protocols refuse, or that change their state by a refused request. */
+/** Guards against stand-ins that accept malformed requests or change their state on a rejected one. */
 class MalformedRequestTest {
     private static final String HOST = "{\"id\":\"e1\",\"presence\":\"LIVE\",\"dataCentre\":\"ub-east\","
             + "\"peerAddress\":\"127.0.0.1:1\",\"callerAddress\":\"127.0.0.1:2\","
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/endpoint/ExchangeTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/endpoint/ExchangeTest.java
@@ -9,7 +9,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
-/** Guards against an answer that throws because its reader has gone before the first event. */
+/** Guards against an exception when the client disconnects before the first event is sent. */
 class ExchangeTest {
     @Test
     void eventStreamIsNotStartedOnClosedConnection() throws Exception {
@@ -29,7 +29,7 @@
                 arrived.get(5, TimeUnit.SECONDS);
             }
             closed.get(5, TimeUnit.SECONDS);
-            // The pipeline is emptied in a later task of the event loop.
+            // Netty removes the channel handlers in a later task of the event loop.
             TimeUnit.MILLISECONDS.sleep(100);
             assertFalse(arrived.get().startEventStream());
         } finally {
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/BatchTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/BatchTest.java
@@ -16,13 +16,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a batch whose pace is not the one of its settings. */
+/** Guards against a step rate that falls below the configured one when timers fire late. */
 class BatchTest {
     private static final int TOKENS = 300;
 
     private static final long TIMER_DELAY_MILLISECONDS = 5;
 
-    /** Timers fire late, as they do on a machine with more work than cores. */
+    /** Fires timers late, as on an overloaded machine. */
     private static final class DelayedScheduler extends ScheduledThreadPoolExecutor {
         private final AtomicInteger waits = new AtomicInteger();
 
@@ -66,7 +66,7 @@
                     "the generation ends",
                     () -> scheduler.submit(() -> generation.isComplete()).get());
             assertEquals(TOKENS, counts.tokens);
-            // A wait of 6 ms is due every sixth step; a pace that does not catch up waits every second one.
+            // Each wait takes 6 ms, so with catch-up one step in six waits; without it, every second step would.
             assertTrue(scheduler.waits.get() < TOKENS / 3, "waits: " + scheduler.waits.get());
         } finally {
             scheduler.shutdownNow();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineFaultTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineFaultTest.java
@@ -23,7 +23,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against faults that do not do what a test relies on, so that the test would pass without the fault. */
+/** Guards against injected faults without effect, with which tests would pass without exercising the fault. */
 class EngineFaultTest {
     private EngineStandIn engine;
     private EngineTestClient client;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineStandInTest.java
@@ -27,7 +27,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a stand-in that deviates from the protocol, which would make every test that uses it worthless. */
+/** Guards against an engine stand-in that deviates from the engine protocol and so invalidates the tests using it. */
 class EngineStandInTest {
     private EngineStandIn engine;
     private EngineTestClient client;
@@ -51,7 +51,7 @@
         return engine.record().runs().stream().map(EngineRun::outcome).toList();
     }
 
-    /** Reads until the first token has come. */
+    /** Reads until the first token event has arrived. */
     private static Response openStream(Call call) throws IOException {
         Response response = call.execute();
         response.body().source().request(20);
@@ -129,7 +129,7 @@
     @Test
     void premiumRequestsEnterBatchBeforeStandardOnes() throws Exception {
         start("{\"batchLimit\":1}");
-        // The first request must still run when both others wait.
+        // Slow steps keep the first request running until both others are queued.
         engine.setFault(EngineFault.SLOW_STEP_MILLISECONDS, 50);
         CompletableFuture<Answer> first = client.completeAsync("first", body("p", 100));
         await("first runs", () -> engine.record().runs().size() == 1);
@@ -198,7 +198,7 @@
     @Test
     void loadsOccupySlots() throws Exception {
         start("{\"slots\":2,\"loadMilliseconds\":100}");
-        // Two loads at the same time compete for the one free slot, so a load in transit must hold its slot.
+        // Two concurrent loads compete for the one free slot: a load in progress must occupy its slot.
         String[] number = {"X-Fencing-Number", "1"};
         CompletableFuture<Answer> b =
                 client.sendAsync("POST", "/v1/load_lora_adapter", "{\"lora_name\":\"a/b@v1\"}", number);
@@ -328,7 +328,7 @@
             assertEquals(expected("p" + i, 1_000, 0), events(all.get(i).join()));
         }
         double perSecond = 8_000 / ((System.nanoTime() - start) / 1e9);
-        assertTrue(ranConcurrently(engine.record().runs()), "the requests did not share the batch");
+        assertTrue(ranConcurrently(engine.record().runs()), "the requests did not run in the batch at the same time");
         System.out.printf("engine stand-in: %.0f tokens per second%n", perSecond);
         assertTrue(perSecond > 2_000, "tokens per second: " + perSecond);
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineTestClient.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/engine/EngineTestClient.java
@@ -21,11 +21,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Speaks the protocol of a stand-in without the client under test, one connection per call. */
+/** Calls a stand-in over HTTP without the production clients, with one connection per call. */
 public final class EngineTestClient {
     public static final String ADAPTER = "assistant/tender@v1";
 
-    // The common pool has fewer threads than the tests have calls at the same time, so the last call would wait.
+    // The common pool has fewer threads than the tests have concurrent calls.
     private static final Executor CALL_EXECUTOR = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "engine-probe");
         thread.setDaemon(true);
@@ -125,7 +125,7 @@
                 + maxTokens + more + "}";
     }
 
-    /** Texts of the events with their ids; the text of a usage chunk is its completion_tokens. */
+    /** Returns the events as {@code id=text}; the text of a usage chunk is its completion_tokens. */
     public static List<String> events(Answer answer) throws IOException {
         assertEquals(200, answer.status(), answer.body());
         assertTrue(answer.body().endsWith("data: [DONE]\n\n"), answer.body());
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/PlatformStandInServerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/fault/PlatformStandInServerTest.java
@@ -18,7 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against faults that act differently from what the tests that switch them on assume. */
+/** Guards against injected faults that behave differently from what other tests assume. */
 class PlatformStandInServerTest {
     private final HttpClient client =
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/history/HistoryCheckerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/history/HistoryCheckerTest.java
@@ -15,7 +15,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-/** Guards against checks that miss a broken promise or report a kept one. */
+/** Guards against checks that miss a violation or report a false one. */
 class HistoryCheckerTest {
     private static final AdapterVersion V1 = AdapterVersion.parse("assistant/tender@v1");
     private static final AdapterVersion V2 = AdapterVersion.parse("assistant/tender@v2");
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/HttpCallerTest.java
@@ -27,7 +27,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against outcomes that are confused with each other; a plain HTTP server plays the entry host. */
+/** Guards against confusing answered, not-run and unknown outcomes; a plain HTTP server acts as entry host. */
 class HttpCallerTest {
     private static final CallerHeaders HEADERS = new CallerHeaders(
             "key", Optional.of(Instant.EPOCH), Optional.of(PriorityClass.PREMIUM), Optional.of("order-1"));
@@ -147,7 +147,7 @@
                         + "\"keep_until\":\"1970-01-01T00:00:00Z\"}");
         EntryList expected = new EntryList(List.of(new NetworkAddress("127.0.0.1", 80)), Instant.EPOCH);
         assertEquals(expected, caller.entryAddresses(address).get(5, TimeUnit.SECONDS));
-        // An entry host answers 401 without a key.
+        // An entry host responds with 401 without a key.
         assertEquals(expected, caller.entryAddresses(address, HEADERS).get(5, TimeUnit.SECONDS));
         assertTrue(receivedHeaders.get().get("Authorization").get(0).startsWith("Bearer "));
     }
@@ -168,7 +168,7 @@
                 + "\"}}]}\n\n";
     }
 
-    /** Answers all requests with a status, headers and the given parts of a body, 20 ms apart. */
+    /** Responds to all requests with a status, headers and the given parts of a body, 20 ms apart. */
     private void serve(int status, Map<String, String> headers, String... parts) {
         handler = exchange -> answer(exchange, status, headers, parts);
     }
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/OpenLoopLoadTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/OpenLoopLoadTest.java
@@ -15,7 +15,7 @@
 class OpenLoopLoadTest {
     private static final LoadResult ANSWERED = new LoadResult(LoadOutcome.ANSWERED, "", List.of());
 
-    /** Guards against coordinated omission: a stall of the system must show in the requests that it delayed. */
+    /** Guards against coordinated omission: a stall must count in the latency of all requests that it delayed. */
     @Test
     void countsLatencyFromIntendedStart() throws Exception {
         LoadReport report = new OpenLoopLoad(plan(200, 100, 2_000), (sequence, random, intended) -> {
@@ -33,7 +33,7 @@
         assertTrue(delayed > 20, "only " + delayed + " requests show the stall");
     }
 
-    /** Guards against a closed loop: arrivals must not wait for answers, and what never ends must be reported. */
+    /** Guards against arrivals that wait for responses, and against unfinished requests that are not reported. */
     @Test
     void startsRequestsWhileOthersAreOutstanding() throws Exception {
         LoadReport report = new OpenLoopLoad(
@@ -44,7 +44,7 @@
         assertEquals(0, report.latency().getTotalCount());
     }
 
-    /** Guards against loads that run on after their time, and against a wrong rate. */
+    /** Guards against loads that exceed their maximum time or have a wrong rate. */
     @Test
     void endsAfterItsTime() throws Exception {
         LoadReport report = new OpenLoopLoad(
@@ -55,7 +55,7 @@
         assertTrue(report.started() > 400 && report.started() < 600, "started " + report.started());
     }
 
-    /** Guards against runs that cannot be repeated, and against a failing operation that ends the load. */
+    /** Guards against loads that differ with the same seed or are ended by a failing operation. */
     @Test
     void repeatsWithSameSeedAndSurvivesExceptions() throws Exception {
         assertEquals(numbers(), numbers());
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/ZipfPopularityTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/load/ZipfPopularityTest.java
@@ -27,7 +27,7 @@
         }
     }
 
-    /** Guards against a popularity that never changes, changes too early or loses items. */
+    /** Guards against a ranking that never changes, changes too early or loses items. */
     @Test
     void rankingShiftsAtInstant() {
         assertEquals(POPULARITY.itemAt(0, Instant.EPOCH), POPULARITY.itemAt(0, SHIFT.minusNanos(1)));
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/log/StreamLogTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/log/StreamLogTest.java
@@ -13,7 +13,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against offsets that shift or records that reappear when old records expire. */
+/** Guards against offsets that change or expired records that become readable again when records expire. */
 class StreamLogTest {
     private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
     private static final Duration RETENTION = Duration.ofSeconds(10);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/network/FaultProxyTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/network/FaultProxyTest.java
@@ -22,7 +22,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a proxy that loses data without a fault or lets data through a fault. */
+/** Guards against a proxy that loses data without a fault or forwards data despite one. */
 class FaultProxyTest {
     private static final int READ_TIMEOUT_MILLIS = 300;
 
@@ -185,7 +185,7 @@
         }
     }
 
-    /** Echoes everything but a zero byte, on which it closes the connection. */
+    /** Echoes all data; closes the connection on a single zero byte. */
     private void echoAll(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/process/ProcessLauncherTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/process/ProcessLauncherTest.java
@@ -25,7 +25,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against child processes that outlive a test, are used before they are ready or cannot be paused. */
+/** Guards against child processes that outlive a test, are used before they are ready or do not pause. */
 class ProcessLauncherTest {
     @TempDir
     Path directory;
@@ -68,7 +68,7 @@
     @Test
     void pausedProcessRespondsOnlyAfterItIsResumed() throws Exception {
         ManagedProcess log = launcher.startJava("log", JavaCommand.of(LogServiceStandInMain.class, 64), in(10));
-        // The first answer of a new process can take longer than the deadline that shows the pause.
+        // The first response of a new process can take longer than the short timeout that detects the pause.
         HttpLogService client = new HttpLogService(log.address(), Duration.ofSeconds(5));
         HttpLogService shortTimeoutClient = new HttpLogService(log.address(), Duration.ofMillis(500));
         assertInstanceOf(
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/service/PlainServiceStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/service/PlainServiceStandInTest.java
@@ -13,7 +13,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a stand-in that hides repeated orders or does not fail as a test asks for. */
+/** Guards against a stand-in that hides repeated orders or does not apply its injected faults. */
 class PlainServiceStandInTest {
     private final PlainServiceStandIn service = new PlainServiceStandIn(PlainServiceSettings.DEFAULT);
     private EngineTestClient client;
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/weights/LoadThrottleTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/weights/LoadThrottleTest.java
@@ -6,7 +6,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against a store that is faster or slower than the platform's. */
+/** Guards against a throttle that starts loads at another rate, or transfers at another speed, than configured. */
 class LoadThrottleTest {
     private static final long SECOND = 1_000_000_000L;
     private static final WeightStoreSettings SETTINGS = new WeightStoreSettings(4, 2, Duration.ofMillis(250), 8, 10);
--- a/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/weights/WeightStoreStandInTest.java
+++ b/banyanstair-test-support/src/test/java/org/banyanstair/testsupport/weights/WeightStoreStandInTest.java
@@ -16,7 +16,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against loads that ignore the transfer time or the failures that a test asks for. */
+/** Guards against loads that ignore the transfer time or the injected failures. */
 class WeightStoreStandInTest {
     private final HttpClient client = HttpClient.newHttpClient();
     private WeightStoreStandIn store;
