Keep the reason against resending a change

The comment called the submission not idempotent, which nothing in the code states. It now gives the reason that the code gives elsewhere: the first submission may still be accepted. Comment only.

Ran: the tests of org.banyanstair.cli, 26 run, no failure, and test-compile of all modules.

--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/operator/OperatorClient.java
@@ -67,7 +67,7 @@
                 .readTimeout(IDLE_TIMEOUT)
                 .writeTimeout(IDLE_TIMEOUT)
                 .callTimeout(CALL_TIMEOUT)
-                // Submitting a change is not idempotent, so the HTTP client must not retry it.
+                // The HTTP client must not resend a change, because the first submission may still be accepted.
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .eventListenerFactory(RequestSendTracker.FACTORY)
