--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/Benchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/Benchmark.java
@@ -8,8 +8,6 @@
     /**
      * Runs the benchmark; it ends within the limits that it sets itself.
      *
-     * @param run options and directories
-     * @return the figures
      * @throws Exception if the system could not be started or a figure could not be read
      */
     ObjectNode run(BenchmarkRun run) throws Exception;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkMain.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkMain.java
@@ -31,7 +31,6 @@
     /**
      * Runs a benchmark.
      *
-     * @param arguments the command line
      * @throws Exception if the benchmark fails
      */
     public static void main(String[] arguments) throws Exception {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkRun.java
@@ -7,8 +7,6 @@
  * Options of one run.
  *
  * @param brief whether to run only long enough to check the benchmark itself
- * @param seed seed of all random numbers
- * @param results directory for results
  * @param work directory for settings files and output of the daemons
  */
 record BenchmarkRun(boolean brief, long seed, Path results, Path work) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlSample.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlSample.java
@@ -12,10 +12,7 @@
  *
  * @param nanos when they were read
  * @param hosts totals of each host, in the order of the cluster
- * @param logReads reads of the log service
- * @param logAppends appends to the log service
  * @param logBytes bytes appended to the log service
- * @param hostListReads reads of the host list
  */
 record ControlSample(
         long nanos, List<HostTotals> hosts, long logReads, long logAppends, long logBytes, long hostListReads) {
@@ -24,7 +21,6 @@
      *
      * @param peerBytes bytes on connections to other hosts, in both directions
      * @param peerFrames frames on connections to other hosts, in both directions
-     * @param processorSeconds processor time
      */
     record HostTotals(double peerBytes, double peerFrames, double processorSeconds) {
         HostTotals minus(HostTotals earlier) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -38,28 +38,29 @@
 import org.banyanstair.testsupport.service.PlainServiceStandIn;
 
 /**
- * A system on loopback. Callers are {@link #CALLER}, {@link #OTHER_CALLER} and {@link #UNAUTHORIZED_CALLER}.
+ * Runs a cluster on loopback: stand-ins in this process, one daemon process per entry host, and fault proxies between
+ * them.
  *
- * <p>Not safe for use by several threads, except for the stand-ins and proxies themselves.
+ * <p>Not thread-safe, except for the stand-ins and proxies.
  */
 public final class Cluster implements AutoCloseable {
-    /** Caller that all services of the test declarations answer. */
+    /** Name of a caller that may use all services of {@link #declarations}. */
     public static final String CALLER = "clerk";
 
-    /** A second such caller. */
+    /** Name of a second caller that may use all services of {@link #declarations}. */
     public static final String OTHER_CALLER = "member";
 
-    /** Caller with a key that no service answers. */
+    /** Name of a caller with a valid key that may use no service. */
     public static final String UNAUTHORIZED_CALLER = "stranger";
 
-    /** Bearer key of the operator. */
+    /** Bearer key that the hosts accept from operators. */
     public static final String OPERATOR_KEY = "operator-key-of-the-test";
 
     private static final List<String> DATA_CENTRES = List.of("ub-east", "ub-west", "darkhan");
 
     private static final int HEAP_MEGABYTES = 160;
 
-    /** Lowest accepted value of the daemon's setting. */
+    /** Lowest value that the daemon accepts for log-retention-seconds. */
     private static final int MINIMUM_LOG_RETENTION_SECONDS = 5;
 
     private static final int START_TIMEOUT_SECONDS = 30;
@@ -79,9 +80,8 @@
     private List<String> javaOptions = List.of();
 
     /**
-     * Creates a cluster; nothing runs before {@link #start}.
+     * Creates a cluster without starting any stand-in or host.
      *
-     * @param plan what it consists of
      * @param directory directory for settings files and the output of the daemons
      */
     public Cluster(ClusterPlan plan, Path directory) {
@@ -92,26 +92,17 @@
         this.hostList = new HostListStandIn(0, plan.hostListLag());
     }
 
-    /**
-     * Returns the bearer key of a caller.
-     *
-     * @param caller name of the caller
-     * @return its key
-     */
+    /** Returns the bearer key of the caller with the given name. */
     public static String key(String caller) {
         return caller + "-key-of-the-test";
     }
 
-    /**
-     * Sets options of the Java virtual machine for hosts that are started from now on.
-     *
-     * @param options the options
-     */
+    /** Sets the options of the Java virtual machine for hosts started after this call. */
     public void javaOptions(List<String> options) {
         javaOptions = List.copyOf(options);
     }
 
-    /** Starts the stand-ins and the hosts; returns when all hosts are ready. */
+    /** Starts the stand-ins and the hosts, and waits until all hosts are ready. */
     public void start() {
         startStandIns();
         List<PendingHost> pending = new ArrayList<>();
@@ -121,7 +112,7 @@
         pending.parallelStream().map(this::launch).toList().forEach(hosts::add);
     }
 
-    /** Starts the platform and the endpoints, but no host. */
+    /** Starts the log service, the host list and the endpoints, but no host. */
     public void startStandIns() {
         logAddress = log.start();
         hostListAddress = hostList.start();
@@ -137,13 +128,7 @@
         }
     }
 
-    /**
-     * Starts a further engine.
-     *
-     * @param pool its pool
-     * @param settings its settings
-     * @return the engine
-     */
+    /** Starts an engine in a pool and adds it to the host list. */
     public ClusterEngine startEngine(String pool, EngineSettings settings) {
         EngineStandIn engine = new EngineStandIn(settings);
         engine.start();
@@ -247,32 +232,20 @@
         return new ClusterHost(pending.entry(), process, pending.settings(), pending.logProxy(), pending.peerProxy());
     }
 
-    /**
-     * Starts a further host, with a new id, and waits until it is ready.
-     *
-     * @return the host
-     */
+    /** Starts a host with a new id and waits until it is ready. */
     public ClusterHost startHost() {
         ClusterHost host = launch(prepareHost());
         hosts.add(host);
         return host;
     }
 
-    /**
-     * Kills a host; the host list shows that after its lag.
-     *
-     * @param host the host
-     */
+    /** Kills a host with SIGKILL; the host list shows the loss after its lag. */
     public void kill(ClusterHost host) {
         host.process().kill();
         remove(host);
     }
 
-    /**
-     * Takes a host that has ended out of the cluster and the host list.
-     *
-     * @param host the host
-     */
+    /** Removes a stopped host from the cluster and the host list. */
     public void remove(ClusterHost host) {
         hostList.remove(host.id());
         hosts.remove(host);
@@ -281,7 +254,7 @@
     }
 
     /**
-     * Returns the hosts that were started and not killed.
+     * Returns the hosts that have been started and neither killed nor removed.
      *
      * @return copy of the list
      */
@@ -307,40 +280,25 @@
         return List.copyOf(serviceEndpoints);
     }
 
-    /**
-     * Returns the log service.
-     *
-     * @return the stand-in
-     */
+    /** Returns the log service. */
     public LogServiceStandIn log() {
         return log;
     }
 
-    /**
-     * Returns the host list.
-     *
-     * @return the stand-in
-     */
+    /** Returns the host list. */
     public HostListStandIn hostList() {
         return hostList;
     }
 
-    /**
-     * Runs the command-line tool against all hosts.
-     *
-     * @param arguments the command
-     * @return exit code and output
-     */
+    /** Runs the command-line tool against all hosts. */
     public ToolResult runTool(String... arguments) {
         return runTool(hosts, arguments);
     }
 
     /**
-     * Runs the command-line tool against some hosts.
+     * Runs the command-line tool against the given hosts.
      *
      * @param targets hosts to try in turn
-     * @param arguments the command
-     * @return exit code and output
      */
     public ToolResult runTool(List<ClusterHost> targets, String... arguments) {
         String addresses =
@@ -359,12 +317,7 @@
         return new PrintStream(stream, true, StandardCharsets.UTF_8);
     }
 
-    /**
-     * Applies declarations and waits until all hosts report them.
-     *
-     * @param declarations declarations in TOML
-     * @return exit code and output
-     */
+    /** Applies TOML declarations and waits until they are in force on all hosts. */
     public ToolResult apply(String declarations) {
         Path file = directory.resolve("declarations.toml");
         write(file, declarations);
@@ -372,10 +325,9 @@
     }
 
     /**
-     * Writes declarations with the services {@code assistant} and {@code order-desk} and a number of adapters.
+     * Returns TOML declarations of the services {@code assistant} and {@code order-desk} and of a number of adapters.
      *
      * @param adapters number of adapters, named {@code adapter-0} and so on, each with versions v1 and v2, default v2
-     * @return declarations in TOML
      */
     public static String declarations(int adapters) {
         StringBuilder text = new StringBuilder();
@@ -401,7 +353,7 @@
         }
     }
 
-    /** Stops the daemons and the stand-ins. */
+    /** Stops the daemons, the proxies and the stand-ins. */
     @Override
     public void close() {
         launcher.stop();
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterEngine.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterEngine.java
@@ -5,10 +5,9 @@
 import org.banyanstair.testsupport.network.FaultProxy;
 
 /**
- * One engine of a cluster.
+ * An engine of a cluster.
  *
  * @param endpoint its entry in the host list; the address is that of the proxy
- * @param engine the stand-in
  * @param proxy proxy through which hosts reach it
  */
 public record ClusterEngine(Endpoint endpoint, EngineStandIn engine, FaultProxy proxy) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterHost.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterHost.java
@@ -9,39 +9,25 @@
 import org.banyanstair.testsupport.process.ManagedProcess;
 
 /**
- * One entry host of a cluster.
+ * An entry host of a cluster.
  *
  * @param entry its entry in the host list; the peer address is that of the proxy
- * @param process the daemon
- * @param settings its settings file
  * @param logProxy proxy between this host and the log service
  * @param peerProxy proxy through which other hosts reach this one
  */
 public record ClusterHost(
         EntryHost entry, ManagedProcess process, Path settings, FaultProxy logProxy, FaultProxy peerProxy) {
-    /**
-     * Returns the id of the host.
-     *
-     * @return the id
-     */
+    /** Returns the id of the host. */
     public HostId id() {
         return entry.id();
     }
 
-    /**
-     * Returns where callers connect.
-     *
-     * @return the address
-     */
+    /** Returns the address for callers. */
     public NetworkAddress caller() {
         return entry.callerAddress();
     }
 
-    /**
-     * Returns where operators connect.
-     *
-     * @return the address
-     */
+    /** Returns the address for operators. */
     public NetworkAddress operator() {
         return entry.operatorAddress();
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterPlan.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterPlan.java
@@ -6,14 +6,13 @@
 import org.banyanstair.testsupport.engine.EngineSettings;
 
 /**
- * What a cluster consists of.
+ * The composition of a test cluster.
  *
  * @param hosts entry hosts at the start
- * @param pools pools of engines
  * @param deskEndpoints endpoints of the plain service
  * @param logRetention time that the log keeps records
  * @param hostListLag lag of the host list
- * @param settingsLines further lines of the daemons' settings files, in TOML
+ * @param settingsLines TOML lines to append to the settings file of each daemon
  */
 public record ClusterPlan(
         int hosts,
@@ -28,12 +27,7 @@
         settingsLines = List.copyOf(settingsLines);
     }
 
-    /**
-     * One pool of engines.
-     *
-     * @param name name of the pool
-     * @param engines settings of each engine
-     */
+    /** A pool of engines with its name and the settings of each engine. */
     public record PoolPlan(String name, List<EngineSettings> engines) {
         /** Copies the list. */
         public PoolPlan {
@@ -41,14 +35,7 @@
         }
     }
 
-    /**
-     * A small cluster: one pool {@code assistant} of engines with the same settings and two desk endpoints.
-     *
-     * @param hosts entry hosts
-     * @param engines number of engines
-     * @param settings settings of each engine
-     * @return the plan
-     */
+    /** Returns the plan of a small cluster: one pool {@code assistant} of equal engines and two order-desk endpoints. */
     public static ClusterPlan of(int hosts, int engines, EngineSettings settings) {
         List<EngineSettings> all = java.util.Collections.nCopies(engines, settings);
         return new ClusterPlan(
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterServiceEndpoint.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterServiceEndpoint.java
@@ -5,10 +5,9 @@
 import org.banyanstair.testsupport.service.PlainServiceStandIn;
 
 /**
- * One endpoint of the plain service {@code order-desk}.
+ * An endpoint of the plain service {@code order-desk}.
  *
  * @param endpoint its entry in the host list; the address is that of the proxy
- * @param service the stand-in
  * @param proxy proxy through which hosts reach it
  */
 public record ClusterServiceEndpoint(Endpoint endpoint, PlainServiceStandIn service, FaultProxy proxy) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ToolResult.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ToolResult.java
@@ -1,10 +1,4 @@
 package org.banyanstair.integration.cluster;
 
-/**
- * What a run of the command-line tool gave.
- *
- * @param code exit code
- * @param output standard output
- * @param errors standard error
- */
+/** Exit code, standard output and standard error of a run of the command-line tool. */
 public record ToolResult(int code, String output, String errors) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/package-info.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/package-info.java
@@ -1,2 +1,2 @@
-/** A whole system on loopback: stand-ins in this process, daemons as processes, fault proxies between them. */
+/** Test clusters on loopback: stand-ins in this process, daemons as processes, and fault proxies between them. */
 package org.banyanstair.integration.cluster;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTraffic.java
@@ -23,7 +23,7 @@
 import org.banyanstair.testsupport.load.ChatCall;
 import org.banyanstair.testsupport.load.HttpCaller;
 
-/** Sends chats whose answers are known and compares each answer with its expected text. */
+/** Sends chat requests from several threads and compares each answer with the text computed for its adapter. */
 public final class ChatTraffic implements AutoCloseable {
     private static final int MAXIMUM_ANSWER_TOKENS = 60;
 
@@ -38,10 +38,9 @@
     private final Instant end;
 
     /**
-     * Starts the callers.
+     * Starts one thread per worker.
      *
-     * @param plan the traffic
-     * @param entries gives the entry hosts to use, at least one
+     * @param entries returns the caller addresses of the entry hosts to use, at least one
      */
     public ChatTraffic(ChatTrafficPlan plan, Supplier<List<NetworkAddress>> entries) {
         this.plan = plan;
@@ -113,10 +112,8 @@
     }
 
     /**
-     * Waits for the last answers and compares the engines' records with them.
+     * Waits for the outstanding answers and compares them with the runs that the engines recorded.
      *
-     * @param runs what the engines ran
-     * @return what the callers saw
      * @throws InterruptedException if the thread is interrupted
      */
     public TrafficReport finish(Supplier<List<EngineRun>> runs) throws InterruptedException {
@@ -124,7 +121,7 @@
         for (Thread thread : threads) {
             thread.join(limit.toMillis());
             if (thread.isAlive()) {
-                wrong.add(thread.getName() + " still waits for an answer");
+                wrong.add(thread.getName() + " has not ended: no answer to its last request");
             }
         }
         runs.get().forEach(this::checkRun);
@@ -134,7 +131,7 @@
     }
 
     private void checkRun(EngineRun run) {
-        // Further attempts have the request id with a number as suffix.
+        // A host appends a numeric suffix to the request id for each attempt after the first.
         String request = run.requestId().replaceFirst("\\.\\d+$", "");
         String adapter = adapterByRequest.get(request);
         if (adapter != null && !adapter.equals(run.adapter())) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/TrafficReport.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/TrafficReport.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /**
- * What the callers of a run saw.
+ * The outcomes that callers saw during a run of chat traffic.
  *
- * @param answered requests with a whole answer
- * @param wrong answers of another version or with another text, and attempts on another adapter
+ * @param answered number of requests with a complete answer
+ * @param wrong descriptions of answers by another version or with another text, and of attempts on another adapter
  * @param failures number of requests without an answer by code
  */
 public record TrafficReport(int answered, List<String> wrong, Map<String, Integer> failures) {
@@ -17,11 +17,7 @@
         failures = Map.copyOf(failures);
     }
 
-    /**
-     * Counts the requests without an answer.
-     *
-     * @return their number
-     */
+    /** Returns the number of requests without an answer. */
     public int failed() {
         return failures.values().stream().mapToInt(Integer::intValue).sum();
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/package-info.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/package-info.java
@@ -1,2 +1,2 @@
-/** Chat traffic with known answers, for the history checks of generations. */
+/** Chat traffic with computable answers, for the history tests of generation requests. */
 package org.banyanstair.integration.generations;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationObservation.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationObservation.java
@@ -6,13 +6,10 @@
 import org.banyanstair.model.PresetId;
 
 /**
- * What a host answered when it was asked for its configuration.
+ * The configuration version and preset that a host reported to one poll.
  *
- * @param host the host
  * @param askedAt when the request was sent
  * @param answeredAt when the answer was complete
- * @param version version in force
- * @param preset preset in force
  */
 public record ConfigurationObservation(
         HostId host, Instant askedAt, Instant answeredAt, long version, PresetId preset) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationPoller.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationPoller.java
@@ -11,7 +11,7 @@
 import org.banyanstair.integration.cluster.ClusterHost;
 import org.banyanstair.model.HostId;
 
-/** Asks hosts for their configuration every 20 ms, each on a thread of its own. Safe for use by several threads. */
+/** Polls the configuration of each host every 20 ms, on one thread per host. Thread-safe. */
 public final class ConfigurationPoller implements AutoCloseable {
     private static final Duration INTERVAL = Duration.ofMillis(20);
 
@@ -19,20 +19,12 @@
     private final List<ConfigurationObservation> observations = new ArrayList<>();
     private volatile boolean stopped;
 
-    /**
-     * Starts to poll hosts.
-     *
-     * @param hosts the hosts
-     */
+    /** Starts polling the given hosts. */
     public ConfigurationPoller(List<ClusterHost> hosts) {
         hosts.forEach(this::add);
     }
 
-    /**
-     * Starts to poll a further host.
-     *
-     * @param host the host
-     */
+    /** Starts polling one more host. */
     public synchronized void add(ClusterHost host) {
         Thread thread = new Thread(() -> poll(host.id(), new HostOperatorClient(host)), "poll " + host.id());
         thread.setDaemon(true);
@@ -48,7 +40,7 @@
                 record(new ConfigurationObservation(
                         host, askedAt, Instant.now(), configuration.version(), configuration.presetInForce()));
             } catch (FailureException exception) {
-                // A host that has stopped answers nothing, which is not an observation.
+                // A stopped host does not answer; there is nothing to record.
             }
             Wait.sleepUntil(askedAt.plus(INTERVAL));
         }
@@ -61,9 +53,9 @@
     }
 
     /**
-     * Returns what was seen.
+     * Returns the configurations observed so far.
      *
-     * @return copy of the list, in order for each host
+     * @return copy of the list, in the order of the answers for each host
      */
     public List<ConfigurationObservation> observations() {
         synchronized (observations) {
@@ -72,11 +64,9 @@
     }
 
     /**
-     * Finds out when a host was first seen with a version or a later one.
+     * Returns when a host first reported a version or a later one.
      *
-     * @param host the host
-     * @param version the version
-     * @return end of the first such answer, empty if there is none yet
+     * @return time at which the first such answer was complete, empty if there is none yet
      */
     public Optional<Instant> firstSeen(HostId host, long version) {
         return observations().stream()
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryAddressCache.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryAddressCache.java
@@ -17,7 +17,7 @@
 /**
  * Addresses as a caller keeps them: asked from any knownAddresses host, cached until the answer says, then asked again.
  *
- * <p>Safe for use by several threads.
+ * <p>Thread-safe.
  */
 public final class EntryAddressCache {
     private static final CallerHeaders HEADERS =
@@ -29,21 +29,16 @@
     private int lookups;
 
     /**
-     * Creates a directory.
+     * Creates an empty cache.
      *
-     * @param caller client that asks
-     * @param initialAddresses addresses to begin with
+     * @param initialAddresses caller addresses of the hosts to ask first
      */
     public EntryAddressCache(HttpCaller caller, List<NetworkAddress> initialAddresses) {
         this.caller = caller;
         knownAddresses.addAll(initialAddresses);
     }
 
-    /**
-     * Chooses the host for the lookups request.
-     *
-     * @return its caller address
-     */
+    /** Returns the caller address of the host for the next request, in round-robin order. */
     public synchronized NetworkAddress nextAddress() {
         if (!Instant.now().isBefore(cached.keepUntil()) || cached.addresses().isEmpty()) {
             refresh();
@@ -64,10 +59,10 @@
                     return;
                 }
             } catch (CompletionException exception) {
-                // The host is gone; the lookups one is asked.
+                // This host is unreachable; try the next one.
                 continue;
             }
         }
-        throw new IllegalStateException("none of " + candidates + " answers with addresses");
+        throw new IllegalStateException("no entry addresses: none of the hosts " + candidates + " returned any");
     }
 }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/HostOperatorClient.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/HostOperatorClient.java
@@ -16,15 +16,11 @@
 import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.integration.cluster.ClusterHost;
 
-/** An operator who uses one host only. Safe for use by several threads. */
+/** Operator client for a single host. Thread-safe. */
 public final class HostOperatorClient {
     private final OperatorClient client;
 
-    /**
-     * Creates an operator.
-     *
-     * @param host the host
-     */
+    /** Creates a client for the operator address of a host. */
     public HostOperatorClient(ClusterHost host) {
         client = new OperatorClient(List.of(url(host)), Cluster.OPERATOR_KEY);
     }
@@ -33,28 +29,19 @@
         return HttpUrl.get("http://" + host.operator());
     }
 
-    /**
-     * Reads the configuration in force on the host.
-     *
-     * @return the configuration
-     */
+    /** Returns the configuration in force on the host. */
     public Configuration configuration() {
         return client.configuration();
     }
 
-    /**
-     * Reads the state of the hosts as this host knows it.
-     *
-     * @return the state
-     */
+    /** Returns the cluster status as this host reports it. */
     public ClusterStatus status() {
         return client.status();
     }
 
     /**
-     * Submits a change once.
+     * Submits a change without retries.
      *
-     * @param change the change
      * @return the verdict, with {@link Failure.ChangeOutcomeUnknown} if it is not known
      */
     public ChangeVerdict submit(ConfigurationChange change) {
@@ -66,12 +53,10 @@
     }
 
     /**
-     * Asks hosts for the verdict on a change until one knows it.
+     * Polls hosts for the verdict on a change until one of them knows it.
      *
-     * @param hosts the hosts
-     * @param changeId id of the change
-     * @param limit longest time to ask
-     * @return the verdict, empty if no host knew it in time
+     * @param limit longest time to poll
+     * @return the verdict, empty if no host returned one within the limit
      */
     public Optional<ChangeVerdict> awaitVerdict(List<ClusterHost> hosts, String changeId, Duration limit) {
         Instant deadline = Instant.now().plus(limit);
@@ -88,12 +73,7 @@
         return Optional.empty();
     }
 
-    /**
-     * Tells whether a verdict leaves open what became of the change.
-     *
-     * @param verdict the verdict
-     * @return whether it is {@link Failure.ChangeOutcomeUnknown}
-     */
+    /** Returns whether a verdict is {@link Failure.ChangeOutcomeUnknown}. */
     public static boolean isUnknown(ChangeVerdict verdict) {
         return verdict instanceof ChangeVerdict.Refused refused
                 && refused.failure() instanceof Failure.ChangeOutcomeUnknown;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/IdempotentTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/IdempotentTraffic.java
@@ -23,12 +23,12 @@
 import org.banyanstair.testsupport.load.OpenLoopLoad;
 import org.banyanstair.testsupport.load.ServiceRequest;
 
-/** Idempotent requests, half of them chats and half stock lookups, at random times. */
+/** Sends idempotent requests, half of them chats and half stock lookups, with open-loop arrivals. */
 public final class IdempotentTraffic implements AutoCloseable {
-    /** Adapters that the chats use; as many as an engine of the test has slots, less one. */
+    /** Number of adapters that the chats use: one less than the adapter slots of an engine. */
     public static final int ADAPTERS = 3;
 
-    /** Tokens of a chat. */
+    /** Number of tokens per chat answer of the background load. */
     public static final int TOKENS = 8;
 
     private static final int MAXIMUM_LOAD_SECONDS = 90;
@@ -44,24 +44,15 @@
     private volatile boolean stopped;
 
     /**
-     * A chat that ends within a few hundred milliseconds.
+     * Sends a streamed chat.
      *
-     * @param entry caller address of a host
-     * @param adapter number of the adapter
-     * @param tokens number of tokens
      * @param limit time to the deadline
-     * @return the result
      */
     public CompletableFuture<CallerResult> chat(NetworkAddress entry, int adapter, int tokens, Duration limit) {
         return caller.chat(entry, new ChatCall(headers(limit), "assistant/adapter-" + adapter, "prompt", tokens, true));
     }
 
-    /**
-     * Looks stock up.
-     *
-     * @param entry caller address of a host
-     * @return the result
-     */
+    /** Sends a stock lookup to the plain service. */
     public CompletableFuture<CallerResult> lookUpStock(NetworkAddress entry) {
         return caller.call(
                 entry,
@@ -82,17 +73,13 @@
                 Optional.empty());
     }
 
-    /**
-     * Returns the client, to ask for addresses.
-     *
-     * @return the client
-     */
+    /** Returns the HTTP client of this traffic. */
     public HttpCaller caller() {
         return caller;
     }
 
     /**
-     * Starts load in the background, which ends with {@link #stopAndAwait}.
+     * Starts background load that runs until {@link #stopAndAwait}.
      *
      * @param requestsPerSecond mean rate of arrivals
      * @param seed seed of arrivals and requests
@@ -107,7 +94,7 @@
     private void run(double requestsPerSecond, long seed, Supplier<NetworkAddress> entries) {
         try {
             for (int second = 0; second < MAXIMUM_LOAD_SECONDS && !stopped; second++) {
-                // No part of the load waits for the end of an earlier one, so the rate does not drop in between.
+                // The load of a second does not wait for answers of earlier ones, so the rate stays constant.
                 LoadPlan plan = new LoadPlan(
                         requestsPerSecond,
                         MAXIMUM_REQUESTS_PER_SECOND,
@@ -122,10 +109,10 @@
     }
 
     /**
-     * Ends the load and waits for the requests in flight.
+     * Stops the load and waits for the requests in flight.
      *
-     * @return number of requests, all of which have ended
-     * @throws Exception if a request has no result after 20 s, or one could not be sent for lack of an address
+     * @return number of completed requests
+     * @throws Exception if a request has no result after 20 s, or could not be sent because no host address was known
      */
     public int stopAndAwait() throws Exception {
         stopped = true;
@@ -175,7 +162,7 @@
     }
 
     /**
-     * Lists requests that were not answered whole.
+     * Returns the requests without a complete and correct answer.
      *
      * @return copy of the list
      */
@@ -183,7 +170,7 @@
         return List.copyOf(failures);
     }
 
-    /** Cancels what is in flight. */
+    /** Cancels the requests in flight. */
     @Override
     public void close() {
         caller.close();
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Wait.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/Wait.java
@@ -4,17 +4,13 @@
 import java.time.Instant;
 import java.util.function.BooleanSupplier;
 
-/** Waits that end with a deadline. */
+/** Sleeps and waits for conditions with a time limit. */
 public final class Wait {
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
     private Wait() {}
 
-    /**
-     * Sleeps until an instant; returns early if the thread is interrupted.
-     *
-     * @param instant the instant
-     */
+    /** Sleeps until an instant; returns early if the thread is interrupted. */
     public static void sleepUntil(Instant instant) {
         try {
             Thread.sleep(Math.max(0, Duration.between(Instant.now(), instant).toMillis()));
@@ -23,21 +19,16 @@
         }
     }
 
-    /**
-     * Sleeps for a time.
-     *
-     * @param time the time
-     */
+    /** Sleeps for a duration; returns early if the thread is interrupted. */
     public static void sleep(Duration time) {
         sleepUntil(Instant.now().plus(time));
     }
 
     /**
-     * Waits for a condition.
+     * Polls a condition every 20 ms until it holds.
      *
      * @param limit longest time to wait
-     * @param condition the condition
-     * @return whether it came true in time
+     * @return whether the condition held within the limit
      */
     public static boolean untilTrue(Duration limit, BooleanSupplier condition) {
         Instant deadline = Instant.now().plus(limit);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/package-info.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/package-info.java
@@ -1,2 +1,2 @@
-/** Load, operators and observers for the checks of configuration, leaving and stopping. */
+/** Load generators, operator clients and pollers for tests of configuration changes and of leaving and stopping hosts. */
 package org.banyanstair.integration.hosts;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
@@ -5,8 +5,6 @@
 /**
  * The load of one customer.
  *
- * @param name name in reports
- * @param engines number of engines
  * @param loadsPerSecond loads a second that the weight store takes
  * @param adapters registered adapters
  * @param zipfExponent exponent of the popularity
@@ -14,7 +12,6 @@
  * @param premiumShare share of premium requests
  * @param urgentShare share of requests for any adapter, popular or not, with a tight deadline
  * @param tokens tokens of an answer
- * @param preset preset in force
  */
 public record Customer(
         String name,
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyComparison.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyComparison.java
@@ -19,11 +19,8 @@
     /**
      * The figures of all policies for a customer.
      *
-     * @param customer the load
-     * @param seed seed of the load
      * @param seconds length of each run
      * @param fewestLoads fewest loads with perfect knowledge of the requests of the first run
-     * @param policies figures of each policy
      */
     public record Comparison(
             Customer customer, long seed, long seconds, long fewestLoads, List<PolicyFigures> policies) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyFigures.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyFigures.java
@@ -3,8 +3,6 @@
 /**
  * What one policy reached.
  *
- * @param policy name of the policy
- * @param requests requests sent
  * @param answered requests answered within their deadline
  * @param missed requests that were admitted, or not refused at once, and missed their deadline
  * @param refused requests refused at once as not run
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/BrokenPromise.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/BrokenPromise.java
@@ -1,9 +1,4 @@
 package org.banyanstair.integration.quickstart;
 
-/**
- * A promise that did not hold.
- *
- * @param promise the promise
- * @param detail what was seen
- */
+/** A promise that did not hold. */
 record BrokenPromise(Promise promise, String detail) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/PromiseCheck.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/PromiseCheck.java
@@ -35,9 +35,6 @@
     /**
      * Runs all checks.
      *
-     * @param events what callers saw
-     * @param runs what the endpoints ran
-     * @param violations what the engines recorded as violations
      * @return the broken promises, empty if there are none
      */
     List<BrokenPromise> check(List<HistoryEvent> events, List<EndpointRun> runs, List<EngineViolation> violations) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStart.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStart.java
@@ -26,11 +26,7 @@
 
     private QuickStart() {}
 
-    /**
-     * Runs the sample traffic, or leaves the system running with {@code --serve}.
-     *
-     * @param arguments the command line
-     */
+    /** Runs the sample traffic, or leaves the system running with {@code --serve}. */
     public static void main(String[] arguments) {
         int code = run(arguments);
         System.out.flush();
@@ -78,11 +74,7 @@
         return Option.builder().longOpt(name);
     }
 
-    /**
-     * Runs the sample traffic once and prints the report.
-     *
-     * @return exit code
-     */
+    /** Runs the sample traffic once and prints the report. */
     static int runSampleTraffic(Path declarations, PrintStream out)
             throws IOException, InterruptedException, TimeoutException {
         try (SampleCluster system = new SampleCluster()) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartResult.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartResult.java
@@ -5,14 +5,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.testsupport.history.EndpointRun;
 
-/**
- * What a run of the sample traffic gave.
- *
- * @param results how each request ended
- * @param killed the host that was killed
- * @param runs what the endpoints ran
- * @param broken promises that did not hold
- */
+/** What a run of the sample traffic gave. */
 record QuickStartResult(List<SampleResult> results, HostId killed, List<EndpointRun> runs, List<BrokenPromise> broken) {
     /** Copies the lists. */
     QuickStartResult {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCaller.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCaller.java
@@ -47,9 +47,7 @@
     /**
      * Sends a request until its outcome is final.
      *
-     * @param request the request
      * @param host index of the host to begin with
-     * @return how it ended
      */
     CompletableFuture<SampleResult> send(SampleRequest request, int host) {
         return new PendingRequest(request).attempt(host);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCluster.java
@@ -48,7 +48,6 @@
     /**
      * Starts everything and applies the declarations.
      *
-     * @param declarations declarations file
      * @throws IOException if the file cannot be read
      * @throws IllegalStateException if the declarations are refused
      */
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRequest.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRequest.java
@@ -15,9 +15,7 @@
 /**
  * One request of the sample traffic, which may be sent several times.
  *
- * @param kind its kind
  * @param key idempotency key or body mark, by which the endpoints' records show it
- * @param caller the caller
  * @param priority its priority class, which is also part of its group in the report
  * @param model model that it names, empty for a plain service
  * @param prompt prompt as engines see it and token limit, empty for a plain service
@@ -37,21 +35,13 @@
      * What an engine derives its answer from.
      *
      * @param text prompt in the form of the engine
-     * @param maximumTokens token limit
      */
     record Prompt(String text, int maximumTokens) {}
 
     /** Sends a request once. */
     @FunctionalInterface
     interface Call {
-        /**
-         * Sends the request.
-         *
-         * @param client client to send it with
-         * @param host caller address of the entry host
-         * @param deadline deadline of the request
-         * @return what the caller sees
-         */
+        /** Sends the request. */
         CompletableFuture<CallerResult> send(HttpCaller client, NetworkAddress host, Instant deadline);
     }
 
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleResult.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleResult.java
@@ -9,7 +9,6 @@
 /**
  * How a sample request ended.
  *
- * @param request the request
  * @param attempts each time that it was sent, in order
  * @param latency time from the first send to the last outcome
  */
@@ -19,12 +18,7 @@
         attempts = List.copyOf(attempts);
     }
 
-    /**
-     * One time that a request was sent.
-     *
-     * @param host the entry host
-     * @param result what the caller saw
-     */
+    /** One time that a request was sent. */
     record Attempt(HostId host, CallerResult result) {
         /** Returns whether the connection broke before the whole response had come. */
         boolean isConnectionLost() {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRun.java
@@ -36,7 +36,6 @@
     /**
      * Runs the traffic once.
      *
-     * @return what was seen
      * @throws InterruptedException if the thread is interrupted
      * @throws TimeoutException if requests have no outcome long after their deadline
      */
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/EndToEndChatTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/EndToEndChatTest.java
@@ -20,7 +20,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a system whose parts work alone but do not serve a request together. */
+/** Guards against components that pass their own tests but cannot serve a chat request together. */
 class EndToEndChatTest {
     @Test
     void chatIsAnsweredByTheDefaultVersion(@TempDir Path directory) throws Exception {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
@@ -29,8 +29,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards promises 1 to 3 over real processes: answers of another version, texts with lost or repeated tokens, and
- * unloads of adapters in use, while hosts and engines fail.
+ * Guards against answers by another adapter version, texts with lost or repeated tokens, and unloads of adapters in use
+ * (promises 1 to 3) while hosts and engines fail. Hosts run as real processes.
  */
 class GenerationHistoryTest {
     private static final int ADAPTERS = 5;
@@ -86,7 +86,7 @@
                 .toList();
     }
 
-    /** Requests may fail only with the codes that the injected fault explains. */
+    /** Checks answers, engine violations and unloads; requests may fail only with the allowed codes. */
     private static void checkReport(Cluster cluster, ChatTraffic traffic, long seed, Set<String> allowed)
             throws InterruptedException {
         TrafficReport report = traffic.finish(() -> runs(cluster));
@@ -103,7 +103,9 @@
         assertTrue(
                 allowed.containsAll(report.failures().keySet()),
                 "unexpected failures " + report.failures() + ", seed " + seed);
-        assertTrue(report.answered() >= 9 * report.failed(), "few answers, " + report + ", seed " + seed);
+        assertTrue(
+                report.answered() >= 9 * report.failed(),
+                "fewer than nine answers per failed request, " + report + ", seed " + seed);
         assertTrue(unloads > 0, "no adapter was evicted, seed " + seed);
     }
 
@@ -120,7 +122,10 @@
         }
     }
 
-    /** The paused owner believes in its claim when it resumes, and its engines obey orders of any term. */
+    /**
+     * Guards against a resumed owner that acts on its expired claim. The engines accept orders of any term, so fencing
+     * cannot reject its orders.
+     */
     @Test
     void ownerIsPausedPastTakeoverAndEnginesIgnoreFencing() throws Exception {
         long seed = 3102;
@@ -175,7 +180,7 @@
         }
     }
 
-    /** Guards the bound on crashes and the neighbours of the request that causes them. */
+    /** Guards against unbounded retries of a request that crashes engines, and against failures of requests beside it. */
     @Test
     void requestThatCrashesEnginesIsRefusedAndItsNeighboursAreAnswered() throws Exception {
         long seed = 3105;
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
@@ -36,11 +36,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards promise 8 against operators who change configuration and preset on several hosts at the same moment. */
+/**
+ * Guards against two accepted changes for one base version, and against versions that differ between hosts (promise 8),
+ * when operators submit changes to several hosts at the same moment.
+ */
 class ConcurrentChangeTest {
     private static final long SEED = 8201;
 
-    /** An accepted change is in force on all live hosts within this time (section 1.7). */
+    /** Time within which an accepted change must be in force on all live hosts (section 1.7). */
     private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(9);
 
     private static final Duration VERDICT_LIMIT = Duration.ofSeconds(2);
@@ -158,7 +161,7 @@
         List<Submission> accepted = submissions.stream()
                 .filter(submission -> submission.verdict() instanceof ChangeVerdict.Accepted)
                 .toList();
-        assertEquals(1, accepted.size(), "winners for base version " + base + ": " + submissions);
+        assertEquals(1, accepted.size(), "number of accepted changes for base version " + base + ": " + submissions);
         Submission winner = accepted.get(0);
         long version = ((ChangeVerdict.Accepted) winner.verdict()).version();
         assertTrue(version > base);
@@ -180,7 +183,8 @@
             conflicts++;
             assertEquals(new Failure.ConfigurationConflict(base, winning), failure);
         } else {
-            // Only a host without the log may refuse a change unread, or lose it on a connection that was cut.
+            // Only a host without a connection to the log may refuse a change for another reason than a conflict, or
+            // lose its outcome when the connection is reset.
             assertTrue(cutOff, failure.toString());
             assertTrue(
                     failure instanceof Failure.LogUnavailable || failure instanceof Failure.ChangeOutcomeUnknown,
@@ -197,7 +201,7 @@
                 .logReachable();
     }
 
-    /** A change with an unknown outcome was lost, because another one won for its base version. */
+    /** Checks that no change with an unknown outcome was accepted, as another one won for its base version. */
     private void checkUnknown(List<ClusterHost> hosts) {
         for (String changeId : unknown) {
             Optional<ChangeVerdict> verdict =
@@ -235,6 +239,6 @@
                 delays.getValueAtPercentile(99),
                 delays.getMaxValue());
         assertTrue(delays.getMaxValue() < IN_FORCE_LIMIT.toMillis());
-        assertFalse(conflicts == 0, "no changes met");
+        assertFalse(conflicts == 0, "no change conflicted with another");
     }
 }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
@@ -28,13 +28,16 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards promise 6: a leaving endpoint or host receives no new work soon after the host list shows it. */
+/**
+ * Guards against new requests on an endpoint or host that the host list has shown as leaving for more than two seconds,
+ * and against leaving endpoints that break off running requests (promise 6).
+ */
 class LeavingTest {
     private static final long SEED = 8204;
 
     private static final Duration HOST_LIST_LAG = Duration.ofSeconds(1);
 
-    /** Section 6, endpoint or host leaving. */
+    /** Time within which a leaving endpoint or host must receive no more new requests (section 6). */
     private static final Duration LEAVING_LIMIT = Duration.ofSeconds(2);
 
     private static final int LONG_STREAM_TOKENS = 500;
@@ -78,7 +81,7 @@
                     Wait.untilTrue(
                             Duration.ofSeconds(5), () -> runsLongStream(cluster, 0) || runsLongStream(cluster, 1)),
                     "no long stream has started");
-            // Which engine runs them is up to placement.
+            // Placement decides which engine runs the long streams.
             int leavingEngine = runsLongStream(cluster, 0) ? 0 : 1;
             Endpoint engine = asLeaving(cluster.engines().get(leavingEngine).endpoint());
             Endpoint serviceEndpoint =
@@ -109,7 +112,7 @@
         }
     }
 
-    /** A stream is known as a long one once it has more tokens than a chat of the traffic. */
+    /** Returns whether an engine runs a stream with more tokens than a chat of the background load. */
     private static boolean runsLongStream(Cluster cluster, int engine) {
         return cluster.engines().get(engine).engine().record().runs().stream()
                 .anyMatch(run -> run.outcome() == RunOutcome.RUNNING && run.tokens() > IdempotentTraffic.TOKENS);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -34,7 +34,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards promise 8 and the idempotent requests against outages of the log that outlast its retention. */
+/**
+ * Guards against lost or older configurations (promise 8) and failed idempotent requests when the log is unavailable for
+ * longer than its retention, so that all its records expire.
+ */
 class LogOutageTest {
     private static final long SEED = 8202;
 
@@ -70,7 +73,7 @@
             long version = new HostOperatorClient(hosts.get(0)).configuration().version();
             loadAdapters(traffic, hosts.get(0).caller());
             try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
-                // Fixed hosts, so that requests to hosts that are starting do not count against the outage.
+                // Only hosts that are ready before the outage: requests to a starting host may fail for other reasons.
                 AtomicInteger turn = new AtomicInteger();
                 traffic.start(60, seed, () -> hosts.get(turn.getAndIncrement() % hosts.size())
                         .caller());
@@ -119,7 +122,7 @@
     private static void checkRecordsWrittenAfterOutage(NetworkAddress address, Instant availableAt, long version) {
         HttpLogService log = new HttpLogService(address, Duration.ofSeconds(2));
         try {
-            // The renewal is written at once, the checkpoint with the next of two checks per renewal.
+            // A host writes the renewal at once and the checkpoint at its next check, two of which run per renewal.
             Duration limit = RETENTION.dividedBy(6).plusSeconds(2);
             assertTrue(
                     Wait.untilTrue(limit, () -> records(log, LogStreams.CHECKPOINTS).stream()
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/OwnerLossTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/OwnerLossTest.java
@@ -23,12 +23,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against requests that wait for the host list when the owner of their pool was killed. */
+/** Guards against requests that wait for an update of the host list after the owner of their pool was killed. */
 class OwnerLossTest {
     /**
-     * Sum of the default settings: a silent connection is closed (heartbeat-limit 3 s), one attempt to connect again
-     * (1 s), the owner limit (1 s), the status of the engines (1 s), a repeated permit request (1 s), and 1 s for the
-     * claim, the adapters' status and the answer.
+     * Sum of the default limits: 3 s until a silent connection is closed (heartbeat-limit), 1 s for a reconnection
+     * attempt, 1 s for the owner limit, 1 s for the status of the engines, 1 s for a repeated permit request, and 1 s
+     * for the claim, the status of the adapters and the answer.
      */
     private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(3 + 1 + 1 + 1 + 1 + 1);
 
@@ -86,7 +86,7 @@
                 .findFirst();
     }
 
-    /** Asks until a chat is answered; a caller may repeat what certainly did not run. */
+    /** Sends a chat until it is answered. Only requests that certainly did not run are sent again. */
     private static void awaitAnswer(IdempotentTraffic traffic, ClusterHost host) {
         Instant deadline = Instant.now().plusSeconds(30);
         CallerResult result;
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -23,7 +23,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards promise 7: a planned stop cuts off no request. */
+/** Guards against requests that fail because their host is stopped as planned (promise 7). */
 class ReplacementTest {
     private static final long SEED = 8203;
 
@@ -68,7 +68,7 @@
                 stopHost(cluster, initialHosts.get(index), index == initialHosts.size() - 1);
             }
             int requests = traffic.stopAndAwait();
-            // The host list of the test shows a host before its daemon listens; such requests certainly did not run.
+            // The cluster lists a host before its daemon listens; requests sent to it until then did not run.
             List<FailedRequest> unexpectedFailures = traffic.failures().stream()
                     .filter(failed -> !(failed.result() instanceof CallerResult.NotRun)
                             || !readyAt.containsKey(failed.entry())
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/Seeds.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/Seeds.java
@@ -1,6 +1,6 @@
 package org.banyanstair.integration.hosts;
 
-/** Prints the seed of a test, so that its output names everything that a repetition needs. */
+/** Prints the seed of a test, so that a failed run can be repeated. */
 final class Seeds {
     private Seeds() {}
 
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
@@ -28,8 +28,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards promises 4 and 5 over real processes: an order runs twice, runs after its caller was told "not run", or is
- * acknowledged without a run, while hosts, the log, the plain service and connections fail.
+ * Guards against orders that run twice, run after their caller was told "not run", or are acknowledged without a run
+ * (promises 4 and 5) while hosts, the log, the plain service or connections fail. Hosts run as real processes.
  */
 @Timeout(45)
 class OrderHistoryTest {
@@ -37,10 +37,10 @@
     private static final Duration TRAFFIC_DURATION = Duration.ofSeconds(6);
     private static final long FAULT_DELAY_MILLIS = 1_500;
 
-    /** Longer than the heartbeat limit of 3 s. */
+    /** Longer than the heartbeat limit of 3 s, so that the other hosts close their connections to the paused host. */
     private static final long PAUSE_MILLIS = 4_500;
 
-    /** A batch is appended after 25 ms; the rest is room for a busy machine. */
+    /** A batch is appended after 25 ms; the rest allows for a busy machine. */
     private static final Duration NOT_RUN_ANSWER_LIMIT = Duration.ofSeconds(2);
 
     @TempDir
@@ -121,7 +121,7 @@
         void run(Cluster cluster, OrderTraffic traffic);
     }
 
-    /** Places orders, injects the fault meanwhile, and checks the history. */
+    /** Places orders, injects a fault while they run, and checks the history. */
     private void check(long seed, Consumer<Cluster> fault) {
         run(seed, (cluster, traffic) -> {
             CompletableFuture<Void> faultInjection = CompletableFuture.runAsync(() -> {
@@ -152,7 +152,7 @@
         }
     }
 
-    /** Returns the host that writes the first partition. */
+    /** Returns the host that writes the first partition of the call log. */
     private static ClusterHost writer(Cluster cluster) {
         List<HostId> ids = cluster.hosts().stream().map(ClusterHost::id).toList();
         HostId first = RendezvousHash.first(LogStreams.callStream(0), ids).orElseThrow();
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderTraffic.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderTraffic.java
@@ -31,7 +31,7 @@
 import org.banyanstair.testsupport.load.HttpCaller;
 import org.banyanstair.testsupport.load.ServiceRequest;
 
-/** Places orders with keys at all hosts of a cluster at the same moment, and again after each loss. */
+/** Places each order at all hosts at the same moment with one idempotency key, and again after each failed attempt. */
 final class OrderTraffic implements AutoCloseable {
     private static final Duration DEADLINE_AFTER = Duration.ofSeconds(4);
     private static final int MAXIMUM_REPEATS = 2;
@@ -45,7 +45,7 @@
     private final List<CompletableFuture<Void>> inFlight = new ArrayList<>();
     private int keys;
 
-    /** One request and what its caller saw. */
+    /** One request for an order with the result that its caller saw. */
     record OrderAttempt(String key, CallerResult result, Duration duration) {}
 
     OrderTraffic(Cluster cluster, long seed) {
@@ -119,7 +119,7 @@
         return List.copyOf(attempts);
     }
 
-    /** Checks the history against what the endpoints ran. */
+    /** Returns the violations found in the history of requests and the runs that the endpoints recorded. */
     List<Violation> violations() {
         return new HistoryChecker(recorder.events(), runs(), List.of(), answered -> Optional.empty()).check();
     }
@@ -141,7 +141,7 @@
                         run.ended()));
     }
 
-    /** Returns the keys whose callers got different answers. */
+    /** Returns the idempotency keys for which callers received different answers. */
     List<String> differingAnswers() {
         Map<String, Long> answers = recorder.events().stream()
                 .filter(HistoryEvent.Answered.class::isInstance)
@@ -156,7 +156,7 @@
                 .toList();
     }
 
-    /** Describes the shares of the outcomes. */
+    /** Returns a line with the number of requests, the share of each outcome and the longest time to a result. */
     String summary() {
         long answered = count(CallerResult.ServiceAnswered.class);
         long notRun = count(CallerResult.NotRun.class);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/package-info.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/package-info.java
@@ -1,2 +1,2 @@
-/** History checks of orders that may not be repeated, over real processes. */
+/** History tests of non-idempotent orders, with hosts as real processes. */
 package org.banyanstair.integration.orders;
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
@@ -19,7 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against scripts that answer wrong use, or a checkout that was not built, with a stack trace. */
+/** Guards against scripts that print a stack trace for wrong arguments or in a checkout without build output. */
 class ScriptsTest {
     private static final int USAGE_ERROR_STATUS = 2;
 
