Reword comments of the quick start, policies and benchmarks

Comments such as "What one policy reached", "sends it" or "Totals at one instant" named neither the unit nor the purpose, and the retry rules of the sample caller and the count of missed requests did not match the code. They now state these in usual terms. Messages of exceptions and of two assertions in ServeTest, which nothing matches, are reworded; output lines, keys, arguments and seeds are unchanged.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/AddedLatencyBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/AddedLatencyBenchmark.java
@@ -20,9 +20,9 @@
 import org.banyanstair.testsupport.load.OpenLoopLoad;
 
 /**
- * Compares streams through entry hosts with streams directly from the engines, in one run.
+ * Measures the latency that hosts add, by comparing streams through hosts with streams directly from the engines.
  *
- * <p>Both halves reach the engines through the same proxies, so the difference is the work of the hosts.
+ * <p>Both paths run in the same load and use the same proxies to the engines, so they differ only in the hosts.
  */
 final class AddedLatencyBenchmark implements Benchmark {
     private static final int HOSTS = 6;
@@ -35,7 +35,7 @@
 
     @Override
     public ObjectNode run(BenchmarkRun run) throws Exception {
-        // A slot for every adapter on every engine: no adapter is evicted, so direct calls always find theirs.
+        // Every engine has a slot for every adapter, so no adapter that a direct call needs is evicted.
         try (BenchmarkCluster cluster = new BenchmarkCluster(
                 run,
                 "added-latency",
@@ -90,7 +90,7 @@
 
     private record PathResult(StreamLatency path, CallerResult result) {}
 
-    /** The two paths and the choice between them. */
+    /** The paths through hosts and directly to engines, and the random choice between them. */
     private static final class RequestPaths {
         private final BenchmarkCluster cluster;
         private final List<List<ClusterEngine>> loaded;
@@ -107,7 +107,7 @@
 
         CompletableFuture<PathResult> start(long sequence, Random random, long seed) {
             int adapter = random.nextInt(ADAPTERS);
-            // Each request has another prompt, so that no half gains from the prefix cache of the other.
+            // Prompts are unique, so that neither path benefits from prefixes that the other has cached.
             String prompt = "request " + sequence + " of load " + seed;
             if (random.nextDouble() < directShare) {
                 List<ClusterEngine> engines = loaded.get(adapter);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkCluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkCluster.java
@@ -19,7 +19,7 @@
 import org.banyanstair.testsupport.load.ChatCall;
 import org.banyanstair.testsupport.load.HttpCaller;
 
-/** A cluster with one pool {@code assistant-N} for each number of engines, and a caller of it. */
+/** A cluster with pools {@code assistant-0}, {@code assistant-1} and so on, and an HTTP client for its callers. */
 final class BenchmarkCluster implements AutoCloseable {
     private static final int MAXIMUM_CONCURRENT_CALLS = 4_096;
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(30);
@@ -40,7 +40,7 @@
         cluster = new Cluster(plan, run.work().resolve(name));
     }
 
-    /** Returns the settings of an engine with a fixed step, whatever the size of its batch. */
+    /** Returns the settings of an engine whose step time does not depend on the batch size. */
     static EngineSettings engine(int slots, int batchLimit, long stepMicroseconds) {
         return new EngineSettings(0, slots, batchLimit, stepMicroseconds, 0, 250, "", true, 5, 0, 500, 10, 64, 500, "");
     }
@@ -53,7 +53,7 @@
         return caller;
     }
 
-    /** Applies declarations. Pools without an owner may delay the first change, so a refusal is tried again. */
+    /** Applies declarations, with retries because the first change may be refused until all pools have an owner. */
     void apply(String declarations) throws InterruptedException {
         ToolResult result = cluster.apply(declarations);
         for (int attempt = 1; result.code() != 0 && attempt < MAXIMUM_APPLY_ATTEMPTS; attempt++) {
@@ -65,7 +65,7 @@
         }
     }
 
-    /** Streams an answer through an entry host. */
+    /** Sends a streamed chat through an entry host. */
     CompletableFuture<CallerResult> generate(NetworkAddress entry, int pool, int adapter, String prompt, int tokens) {
         String model = BenchmarkDeclarations.pool(pool) + "/" + BenchmarkDeclarations.adapter(adapter);
         return caller.chat(entry, new ChatCall(headers(), model, prompt, tokens, true));
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkDeclarations.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkDeclarations.java
@@ -18,7 +18,7 @@
         for (int pool = 0; pool < pools; pool++) {
             text.append("[[service]]\nid = \"").append(pool(pool));
             text.append("\"\nkind = \"generation\"\npool = \"").append(pool(pool));
-            // The limits must not refuse the single caller of a benchmark.
+            // High limits, as all requests come from a single caller.
             text.append("\"\ncallers = [\"clerk\"]\nqueue-limit = 100000\ncaller-limit = 100000\n");
             text.append("[[pool]]\nid = \"").append(pool(pool));
             text.append("\"\nloads-per-second = 100\nloads-in-transit = 8\n");
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkMain.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkMain.java
@@ -16,7 +16,7 @@
 import org.apache.commons.cli.ParseException;
 import org.banyanstair.codec.Mappers;
 
-/** Runs one benchmark and writes its figures as JSON. */
+/** Main class of {@code bin/benchmark}: runs one benchmark and writes its figures as JSON. */
 public final class BenchmarkMain {
     private static final long DEFAULT_SEED = 20_261_204;
 
@@ -45,7 +45,7 @@
             System.exit(help ? 0 : 2);
         }
         run(line.getArgList().get(0), line);
-        // Idle threads of the HTTP clients would delay the end of the process.
+        // Idle threads of the HTTP clients would delay the exit of the process.
         System.exit(0);
     }
 
@@ -74,7 +74,7 @@
     private static CommandLine parse(Options options, String[] arguments) {
         try {
             CommandLine line = new DefaultParser().parse(options, arguments);
-            // A seed that is no number is wrong use, which must be known before the benchmark starts.
+            // Rejects an invalid seed before the benchmark starts.
             seed(line);
             return line;
         } catch (ParseException exception) {
@@ -88,7 +88,7 @@
         try {
             return Long.parseLong(seed);
         } catch (NumberFormatException exception) {
-            throw new ParseException("--seed must be a whole number of 64 bits, not '" + seed + "'");
+            throw new ParseException("--seed must be a 64-bit integer, not '" + seed + "'");
         }
     }
 
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/BenchmarkRun.java
@@ -4,18 +4,18 @@
 import java.time.Duration;
 
 /**
- * Options of one run.
+ * Options and directories of a benchmark run.
  *
  * @param brief whether to run only long enough to check the benchmark itself
  * @param work directory for settings files and output of the daemons
  */
 record BenchmarkRun(boolean brief, long seed, Path results, Path work) {
-    /** Returns the time for a measurement. */
+    /** Returns the duration of a measurement, which is shorter in a brief run. */
     Duration time(int seconds, int briefSeconds) {
         return Duration.ofSeconds(brief ? briefSeconds : seconds);
     }
 
-    /** Returns where to write a file that belongs to the results of a benchmark. */
+    /** Returns the path of a result file of a benchmark. */
     Path file(String name, String extension) {
         return results.resolve(name + (brief ? "-brief." : ".") + extension);
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlBenchmark.java
@@ -20,15 +20,15 @@
 import org.banyanstair.testsupport.load.LoadReport;
 import org.banyanstair.testsupport.load.OpenLoopLoad;
 
-/** Measures what control costs per host in idle and lightly loaded clusters of growing size. */
+/** Measures the control traffic and processor time per host in idle and lightly loaded clusters of growing size. */
 final class ControlBenchmark implements Benchmark {
     private static final List<Integer> SIZES = List.of(2, 4, 6, 9, 16);
     private static final List<Integer> BRIEF_SIZES = List.of(2, 4, 6, 9);
 
-    /** The target has 600 runners in front of 370 hosts. */
+    /** Ratio of the target size: 600 runners for 370 hosts. */
     private static final double ENGINES_PER_HOST = 600.0 / 370;
 
-    /** Small pools, so that even the small clusters have hosts with and without one. */
+    /** Small pools, so that small clusters too have hosts that own a pool and hosts that do not. */
     private static final int ENGINES_PER_POOL = 4;
 
     private static final int ADAPTERS = 8;
@@ -36,7 +36,7 @@
     private static final int TOKENS = 16;
     private static final int CHANGES = 6;
 
-    /** Hosts close a connection that carried no message for 60 s; before that, heartbeats of the warm-up go on. */
+    /** Hosts close connections that carried no message for 60 s; until then, those of the warm-up carry heartbeats. */
     private static final long IDLE_WAIT_MILLISECONDS = 64_000;
 
     private final MeasurementClient client = new MeasurementClient();
@@ -86,7 +86,7 @@
                 run, "control-" + hosts, hosts, pools, BenchmarkCluster.engine(ADAPTERS, 32, 5_000))) {
             cluster.cluster().start();
             cluster.apply(BenchmarkDeclarations.of(pools.size(), ADAPTERS));
-            // Loads every adapter and compiles the frequent paths before anything is measured.
+            // Warm-up: loads every adapter and lets the JIT compile the hot paths.
             generateLoad(cluster, pools.size(), hosts * 10.0, run.time(8, 3), run.seed() + 1);
             Thread.sleep(IDLE_WAIT_MILLISECONDS);
             recordResponseSizes(cluster.cluster(), json);
@@ -121,7 +121,7 @@
                 .run();
     }
 
-    /** Records the sizes of what hosts poll. */
+    /** Records the sizes of the documents that hosts poll. */
     private void recordResponseSizes(Cluster cluster, ObjectNode json) throws IOException {
         json.put("hostListBytes", client.get(cluster.hostList().server().address(), "/hosts").length);
         json.put(
@@ -188,7 +188,7 @@
         json.put("changeLogBytes", (cluster.log().counters().get("bytes") - bytes) / count);
     }
 
-    /** Returns the time until a change of the preset is in force on all hosts. */
+    /** Returns the milliseconds until a change of the preset is in force on all hosts. */
     private double measureChange(Cluster cluster, String preset) throws Exception {
         long version = client.configurationVersion(cluster.hosts().get(0));
         long begin = System.nanoTime();
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlSample.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ControlSample.java
@@ -8,16 +8,16 @@
 import org.banyanstair.integration.cluster.ClusterHost;
 
 /**
- * Totals of a cluster at one instant.
+ * Counters of a cluster at one instant.
  *
- * @param nanos when they were read
+ * @param nanos time of the reading by {@link System#nanoTime}
  * @param hosts totals of each host, in the order of the cluster
  * @param logBytes bytes appended to the log service
  */
 record ControlSample(
         long nanos, List<HostTotals> hosts, long logReads, long logAppends, long logBytes, long hostListReads) {
     /**
-     * Totals of a host.
+     * Counters of a host since its start.
      *
      * @param peerBytes bytes on connections to other hosts, in both directions
      * @param peerFrames frames on connections to other hosts, in both directions
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/JavaDiagnostics.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/JavaDiagnostics.java
@@ -12,16 +12,16 @@
 
     private JavaDiagnostics() {}
 
-    /** Returns the bytes of live objects. The histogram collects all garbage first. */
+    /** Returns the size of the live objects in bytes; the class histogram forces a full garbage collection. */
     static long liveHeapBytes(long pid) throws IOException, InterruptedException {
         return totalBytes(command(pid, "GC.class_histogram"));
     }
 
-    /** Returns the total in a class histogram. */
+    /** Returns the total size in bytes from a class histogram. */
     static long totalBytes(String histogram) throws IOException {
         Matcher total = TOTAL.matcher(histogram);
         if (!total.find()) {
-            throw new IOException("the class histogram has no total");
+            throw new IOException("no total line in the class histogram of jcmd");
         }
         return Long.parseLong(total.group(1));
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/LinearFit.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/LinearFit.java
@@ -4,16 +4,16 @@
 import org.banyanstair.codec.Mappers;
 
 /**
- * Least-squares line through points.
+ * A line fitted to points by least squares.
  *
- * @param intercept value at 0
- * @param slope change of the value for 1 more
- * @param determination share of the variance that the line explains, 1 if the values do not vary
+ * @param intercept value of the line at 0
+ * @param slope change of the value per unit
+ * @param determination coefficient of determination, 1 if all values are equal
  */
 record LinearFit(double intercept, double slope, double determination) {
     static LinearFit of(double[] x, double[] y) {
         if (x.length != y.length || x.length < 2) {
-            throw new IllegalArgumentException("a line needs at least two points with both coordinates");
+            throw new IllegalArgumentException("a fit needs two arrays of equal length with at least two values");
         }
         double meanX = mean(x);
         double meanY = mean(y);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MeasurementClient.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MeasurementClient.java
@@ -12,12 +12,12 @@
 import org.banyanstair.integration.cluster.ClusterHost;
 import org.banyanstair.model.NetworkAddress;
 
-/** Reads figures of hosts and stand-ins over HTTP. */
+/** HTTP client that reads metrics and status documents of hosts and stand-ins. */
 final class MeasurementClient {
     private final OkHttpClient client =
             new OkHttpClient.Builder().callTimeout(Duration.ofSeconds(10)).build();
 
-    /** Returns the body of an answer. */
+    /** Returns the body of a successful response. */
     byte[] get(NetworkAddress address, String path) throws IOException {
         Request request = new Request.Builder()
                 .url("http://" + address + path)
@@ -25,13 +25,13 @@
                 .build();
         try (Response response = client.newCall(request).execute()) {
             if (!response.isSuccessful()) {
-                throw new IOException(path + " was answered with status " + response.code());
+                throw new IOException("GET " + path + " returned status " + response.code());
             }
             return response.body().bytes();
         }
     }
 
-    /** Returns the body of an answer as JSON. */
+    /** Returns the body of a successful response as JSON. */
     JsonNode json(NetworkAddress address, String path) throws IOException {
         return Mappers.JSON.readTree(get(address, path));
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MemoryBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MemoryBenchmark.java
@@ -9,12 +9,12 @@
 import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.integration.cluster.ClusterHost;
 
-/** Measures the memory of a daemon and its time from start to ready for growing numbers of adapters. */
+/** Measures the memory and the start-up time of a daemon for growing numbers of registered adapters. */
 final class MemoryBenchmark implements Benchmark {
     private static final List<Integer> ADAPTERS = List.of(0, 3_000, 24_000, 48_000, 96_000);
     private static final List<Integer> BRIEF_ADAPTERS = List.of(0, 1_000, 3_000, 6_000);
 
-    /** The body of one change must stay below the limit of 512 KiB; 3,000 adapters take about 300 KB. */
+    /** Keeps the body of a change below the limit of 512 KiB: 3,000 adapters take about 300 KB. */
     private static final int ADAPTERS_PER_CHANGE = 3_000;
 
     private static final int MEASURED_STARTS = 3;
@@ -59,7 +59,7 @@
         Thread.sleep(SETTLE_MILLISECONDS);
         ClusterHost first = cluster.hosts().get(0);
         ProcessUsage usage = new ProcessUsage(first.process().pid());
-        // The resident set is read before the collection that the histogram forces, as an operator would see it.
+        // Read before the class histogram forces a garbage collection, to get the size that an operator sees.
         step.put("residentBytes", usage.residentBytes());
         step.put("heapBytes", JavaDiagnostics.liveHeapBytes(first.process().pid()));
         double[] ready = new double[MEASURED_STARTS];
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MetricsText.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/MetricsText.java
@@ -14,6 +14,6 @@
                 .filter(line -> line.startsWith(name + " "))
                 .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
                 .findFirst()
-                .orElseThrow(() -> new IllegalArgumentException("no sample " + name));
+                .orElseThrow(() -> new IllegalArgumentException("no metric sample without labels is named " + name));
     }
 }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/Plot.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/Plot.java
@@ -8,7 +8,7 @@
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
 
-/** Draws measured points and the line fitted to them. */
+/** Writes a plot of measured points and the line fitted to them as a PNG file. */
 final class Plot {
     private static final int WIDTH = 800;
     private static final int HEIGHT = 500;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ProcessUsage.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/ProcessUsage.java
@@ -14,7 +14,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.banyanstair.codec.Mappers;
 
-/** Processor time and memory of a process, from {@code /proc}. */
+/** Reads the processor time and memory of a process from {@code /proc}. */
 final class ProcessUsage {
     /** The unit of times in {@code /proc/PID/stat}; USER_HZ is 100 on all supported Linux architectures. */
     private static final double TICKS_PER_SECOND = 100;
@@ -33,7 +33,7 @@
         this.directory = directory;
     }
 
-    /** Returns user and system time since the start of the process. */
+    /** Returns the user and system time since the start of the process, in seconds. */
     double processorSeconds() throws IOException {
         return seconds(Files.readString(directory.resolve("stat")));
     }
@@ -45,10 +45,10 @@
                 return Long.parseLong(line.replaceAll("\\D", "")) * 1024;
             }
         }
-        throw new IOException("the status of the process has no VmRSS");
+        throw new IOException("no VmRSS line in the status file of the process");
     }
 
-    /** Returns the processor time of the live threads, added up over threads whose names differ only in digits. */
+    /** Returns the processor seconds of the live threads, summed over threads whose names differ only in digits. */
     Map<String, Double> processorSecondsByThread() throws IOException {
         Map<String, Double> result = new TreeMap<>();
         try (DirectoryStream<Path> threads = Files.newDirectoryStream(directory.resolve("task"))) {
@@ -59,7 +59,7 @@
         return result;
     }
 
-    /** Returns the processor time since an earlier reading of the threads that used most. */
+    /** Returns the processor seconds since an earlier reading, for the threads that used most. */
     ObjectNode topThreads(Map<String, Double> before) throws IOException {
         List<Map.Entry<String, Double>> used = new ArrayList<>();
         processorSecondsByThread()
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StepFigures.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StepFigures.java
@@ -4,7 +4,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 
-/** One figure of all steps of a benchmark. */
+/** Extracts one figure from all steps of a benchmark. */
 final class StepFigures {
     private StepFigures() {}
 
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamLatency.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamLatency.java
@@ -12,7 +12,7 @@
 import org.banyanstair.testsupport.load.LoadOutcome;
 import org.banyanstair.testsupport.load.LoadResult;
 
-/** Times of the streams of one path in microseconds. Safe for use by several threads. */
+/** Latencies in microseconds of the streams on one request path. Thread-safe. */
 final class StreamLatency {
     private static final long MAXIMUM_MICROS = Duration.ofMinutes(10).toNanos() / 1_000;
     private static final int SIGNIFICANT_DIGITS = 3;
@@ -21,7 +21,7 @@
     private final Histogram tokenGap = new Histogram(MAXIMUM_MICROS, SIGNIFICANT_DIGITS);
     private final Map<String, Integer> codes = new TreeMap<>();
 
-    /** Records a result; times count from the intended start, so a slow generator cannot hide a delay. */
+    /** Records a result, measured from the intended start so that a slow load generator cannot hide a delay. */
     synchronized void add(Instant intended, LoadResult result) {
         if (result.outcome() != LoadOutcome.ANSWERED) {
             codes.merge(result.code(), 1, Integer::sum);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/StreamsPerCoreBenchmark.java
@@ -15,7 +15,7 @@
 import org.banyanstair.testsupport.load.LoadReport;
 import org.banyanstair.testsupport.load.OpenLoopLoad;
 
-/** Raises the rate of streams through one daemon on one core until it cannot keep up. */
+/** Measures the highest rate of streams that one daemon sustains on one core. */
 final class StreamsPerCoreBenchmark implements Benchmark {
     private static final int ENGINES = 8;
     private static final int ADAPTERS = 4;
@@ -35,12 +35,12 @@
                 1,
                 List.of(ENGINES),
                 BenchmarkCluster.engine(ADAPTERS, 512, STEP_MICROSECONDS))) {
-            // The virtual machine sizes its thread pools and collector when it starts, before it can be pinned.
+            // The JVM sizes its thread pools and chooses its collector at start, before the process is pinned.
             cluster.cluster().javaOptions(List.of("-XX:ActiveProcessorCount=1"));
             cluster.cluster().start();
             ClusterHost host = cluster.cluster().hosts().get(0);
             cluster.apply(BenchmarkDeclarations.of(1, ADAPTERS));
-            // Compilation would take most of a single core for the first half minute, so the warm-up is not pinned.
+            // The warm-up is not pinned, as JIT compilation would take most of one core for the first 30 s.
             measureStep(cluster, host, WARM_UP_RATE, run.time(20, 10), run.seed() - 1);
             boolean pinned = pinToCore(host.process().pid());
             measureStep(cluster, host, WARM_UP_RATE, run.time(5, 3), run.seed() - 2);
@@ -68,7 +68,7 @@
         json.put("sustainedStreamsPerSecond", sustainedRate);
     }
 
-    /** Pins all threads; false if the machine has no taskset. */
+    /** Pins all threads of a process to one core; returns false if {@code taskset} is missing or fails. */
     private static boolean pinToCore(long pid) throws InterruptedException {
         try {
             Process process = new ProcessBuilder(
@@ -103,10 +103,10 @@
         long answered = report.count(LoadOutcome.ANSWERED);
         json.put("streamsPerSecond", rate).put("started", report.started()).put("unfinished", report.unfinished());
         json.put("wallSeconds", wall).put("processorSeconds", processor);
-        // Below 1 in a step that does not keep up, other processes had a share of the core.
+        // A share below 1 in a step that does not keep up means that other processes used the core.
         json.put("coreShare", processor / wall);
         json.put("processorMicrosPerStream", answered == 0 ? 0 : processor * 1e6 / answered);
-        // A daemon that falls behind leaves streams unfinished or delays them without bound.
+        // An overloaded daemon leaves streams unfinished or delays them without bound.
         boolean keepsUp = answered >= MINIMUM_ANSWERED_SHARE * report.started()
                 && report.latency().getValueAtPercentile(99)
                         < Duration.ofSeconds(1).toNanos() / 1_000;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryAddressCache.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/EntryAddressCache.java
@@ -15,7 +15,8 @@
 import org.banyanstair.testsupport.load.HttpCaller;
 
 /**
- * Addresses as a caller keeps them: asked from any knownAddresses host, cached until the answer says, then asked again.
+ * Caches the addresses of entry hosts as a caller does: fetches them from any known host and keeps them until the time
+ * given in the response.
  *
  * <p>Thread-safe.
  */
@@ -26,7 +27,7 @@
     private final HttpCaller caller;
     private final Set<NetworkAddress> knownAddresses = new LinkedHashSet<>();
     private EntryList cached = new EntryList(List.of(), Instant.MIN);
-    private int lookups;
+    private int requestCount;
 
     /**
      * Creates an empty cache.
@@ -43,8 +44,9 @@
         if (!Instant.now().isBefore(cached.keepUntil()) || cached.addresses().isEmpty()) {
             refresh();
         }
-        lookups++;
-        return cached.addresses().get(Math.floorMod(lookups, cached.addresses().size()));
+        requestCount++;
+        return cached.addresses()
+                .get(Math.floorMod(requestCount, cached.addresses().size()));
     }
 
     private void refresh() {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/Customer.java
@@ -3,15 +3,15 @@
 import java.time.Duration;
 
 /**
- * The load of one customer.
+ * The load profile of a customer.
  *
- * @param loadsPerSecond loads a second that the weight store takes
- * @param adapters registered adapters
- * @param zipfExponent exponent of the popularity
- * @param requestsPerSecond arrivals
+ * @param loadsPerSecond adapter loads per second that the weight store serves
+ * @param adapters number of registered adapters
+ * @param zipfExponent exponent of the Zipf distribution of adapter popularity
+ * @param requestsPerSecond mean arrival rate
  * @param premiumShare share of premium requests
- * @param urgentShare share of requests for any adapter, popular or not, with a tight deadline
- * @param tokens tokens of an answer
+ * @param urgentShare share of requests with a tight deadline, for adapters chosen uniformly
+ * @param tokens tokens per answer
  */
 public record Customer(
         String name,
@@ -24,11 +24,11 @@
         double urgentShare,
         int tokens,
         String preset) {
-    /** Tender replies and safety-code answers: rare adapters with tight deadlines. */
+    /** Tender replies and safety-code answers: rarely used adapters with tight deadlines. */
     public static final Customer COOPERATIVE =
             new Customer("cooperative", 8, 3, 3_000, 1.2, 12, 0.2, 0.1, 32, "ordinary");
 
-    /** Proof reviews in a rush: many requests on fewer adapters, premium ones first. */
+    /** Proof reviews at peak load: many requests on fewer adapters, with a larger premium share. */
     public static final Customer ASSOCIATION = new Customer("association", 6, 2, 3_000, 1.5, 60, 0.3, 0.01, 32, "peak");
 
     /** Time to the deadline of an urgent request. */
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/OfflineBound.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/OfflineBound.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 
 /**
- * The fewest loads that any policy needs for a sequence of adapters, with perfect knowledge of the future: evict the
- * adapter whose next use is furthest off (Belady 1966). Batches, deadlines and the rate of the store are left out, so
- * the bound is below what can be reached.
+ * Computes a lower bound on the adapter loads of any policy for a sequence of requests with Belady's algorithm (1966),
+ * which evicts the adapter whose next use is furthest in the future. The bound ignores batches, deadlines and the load
+ * rate of the weight store, so no policy can reach it in practice.
  */
 final class OfflineBound {
     private OfflineBound() {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyComparison.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyComparison.java
@@ -12,15 +12,14 @@
 import org.banyanstair.placement.PlacementPolicy;
 
 /**
- * Compares the placement policies under the load of one customer, one after another with the same seed, and writes the
- * figures to a file.
+ * Runs each placement policy under the load of one customer with the same seed and writes the figures to a JSON file.
  */
 public final class PolicyComparison {
     /**
-     * The figures of all policies for a customer.
+     * The figures of all policies under the load of a customer.
      *
      * @param seconds length of each run
-     * @param fewestLoads fewest loads with perfect knowledge of the requests of the first run
+     * @param fewestLoads lower bound on the adapter loads for the requests of the first run
      */
     public record Comparison(
             Customer customer, long seed, long seconds, long fewestLoads, List<PolicyFigures> policies) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyFigures.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyFigures.java
@@ -1,18 +1,18 @@
 package org.banyanstair.integration.policies;
 
 /**
- * What one policy reached.
+ * The figures measured for a placement policy.
  *
  * @param answered requests answered within their deadline
- * @param missed requests that were admitted, or not refused at once, and missed their deadline
- * @param refused requests refused at once as not run
- * @param stallMeanMilliseconds mean load stall of the answered requests
+ * @param missed requests answered after their deadline, refused less than 200 ms before it, or with an unknown outcome
+ * @param refused requests refused as not run more than 200 ms before their deadline
+ * @param stallMeanMilliseconds mean time that answered requests waited for adapter loads
  * @param stallP99Milliseconds 99th percentile of the load stall
  * @param firstTokenP50Milliseconds median time to the first token
  * @param firstTokenP95Milliseconds 95th percentile of the time to the first token
  * @param premiumFirstTokenP95Milliseconds the same for premium requests
  * @param tokenGapP95Milliseconds 95th percentile of the time between tokens
- * @param batchEfficiency mean fill of the batches while an engine ran, 0 to 1
+ * @param batchEfficiency mean share of the batch limit in use per engine step, 0 to 1
  * @param loads adapter loads at all engines
  */
 public record PolicyFigures(
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/PolicyRun.java
@@ -37,7 +37,7 @@
 import org.banyanstair.testsupport.weights.WeightStoreSettings;
 import org.banyanstair.testsupport.weights.WeightStoreStandIn;
 
-/** Runs the load of one customer against a cluster with one placement policy. */
+/** Measures one placement policy under the load of one customer. */
 final class PolicyRun {
     private static final int HOSTS = 3;
 
@@ -90,7 +90,7 @@
         }
     }
 
-    /** The sequence of adapters that were asked for. */
+    /** Returns the numbers of the requested adapters, in the order of the requests. */
     List<Integer> trace() {
         return List.copyOf(trace);
     }
@@ -231,7 +231,7 @@
                 loads);
     }
 
-    /** The load stalls of the answered requests, from the request lines in the logs of the daemons. */
+    /** Reads the load stalls of the answered requests, in milliseconds, from the request lines in the daemon logs. */
     private static Histogram readLoadStalls(Cluster cluster) {
         Histogram stalls = new Histogram(3);
         for (ClusterHost host : cluster.hosts()) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/package-info.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/policies/package-info.java
@@ -1,2 +1,2 @@
-/** Comparison of placement policies under the load of the two customers. */
+/** Comparison of placement policies under the load profiles of two customers. */
 package org.banyanstair.integration.policies;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/BrokenPromise.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/BrokenPromise.java
@@ -1,4 +1,4 @@
 package org.banyanstair.integration.quickstart;
 
-/** A promise that did not hold. */
+/** A violation of a promise, with a description of the evidence. */
 record BrokenPromise(Promise promise, String detail) {}
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/EndpointRecords.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/EndpointRecords.java
@@ -19,13 +19,13 @@
 import org.banyanstair.testsupport.history.EndpointRun;
 import org.banyanstair.testsupport.service.ServiceRun;
 
-/** Reads what the endpoints of a cluster ran, in the form that the history check takes. */
+/** Converts the runs that the endpoints of a cluster recorded to the input of the history checker. */
 final class EndpointRecords {
     private static final String REFERENCE = "reference";
 
     private EndpointRecords() {}
 
-    /** Returns the body of an order, with a mark by which the record of the endpoint shows it. */
+    /** Returns the JSON body of an order with a reference that identifies it in the record of the endpoint. */
     static byte[] orderBody(String reference) {
         try {
             return Mappers.JSON.writeValueAsBytes(Map.of("item", "fire-blanket", "quantity", 1, REFERENCE, reference));
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/Promise.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/Promise.java
@@ -1,6 +1,6 @@
 package org.banyanstair.integration.quickstart;
 
-/** Promises that the quick start checks, in the order of the report. */
+/** The promises that the quick start checks, in the order of the report. */
 enum Promise {
     NAMED_VERSION("every request ran on the adapter and version that it named"),
     NO_UNLOAD_IN_USE("no adapter in use was unloaded"),
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/PromiseCheck.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/PromiseCheck.java
@@ -19,7 +19,7 @@
 import org.banyanstair.testsupport.history.Violation;
 import org.banyanstair.testsupport.load.CallerResult;
 
-/** Compares what callers saw with what the endpoints recorded. */
+/** Checks the promises by comparing the results of callers with the records of the endpoints. */
 final class PromiseCheck {
     private final List<SampleResult> results;
     private final Map<String, SampleRequest.Prompt> prompts = new HashMap<>();
@@ -33,9 +33,9 @@
     }
 
     /**
-     * Runs all checks.
+     * Checks all promises.
      *
-     * @return the broken promises, empty if there are none
+     * @return the violations found, empty if all promises hold
      */
     List<BrokenPromise> check(List<HistoryEvent> events, List<EndpointRun> runs, List<EngineViolation> violations) {
         new HistoryChecker(events, runs, List.of(), this::expected)
@@ -78,7 +78,10 @@
         return violation instanceof Violation.UnloadedInUse ? Promise.NO_UNLOAD_IN_USE : Promise.NAMED_VERSION;
     }
 
-    /** An order may end with an unknown outcome, because its writer may have been killed while it ran. */
+    /**
+     * Checks that requests were answered. An order may end with an unknown outcome, because its writer may have been
+     * killed while it ran.
+     */
     private void checkAnswered() {
         results.stream()
                 .filter(result -> result.request().refusal().isEmpty() && !result.isAnswered())
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStart.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStart.java
@@ -17,7 +17,7 @@
 import org.banyanstair.integration.cluster.Cluster;
 import org.banyanstair.integration.cluster.ClusterHost;
 
-/** Entry point of {@code bin/quickstart}. */
+/** Main class of {@code bin/quickstart}. */
 public final class QuickStart {
     private static final int SUCCESS = 0;
     private static final int PROMISE_BROKEN = 1;
@@ -26,11 +26,11 @@
 
     private QuickStart() {}
 
-    /** Runs the sample traffic, or leaves the system running with {@code --serve}. */
+    /** Runs the sample traffic, or with {@code --serve} keeps the cluster running until SIGTERM. */
     public static void main(String[] arguments) {
         int code = run(arguments);
         System.out.flush();
-        // Halting skips the shutdown hook, which waits for this thread after a signal.
+        // The shutdown hook of serve() waits for this thread, so exit() would deadlock; halt() skips the hook.
         Runtime.getRuntime().halt(code);
     }
 
@@ -74,7 +74,7 @@
         return Option.builder().longOpt(name);
     }
 
-    /** Runs the sample traffic once and prints the report. */
+    /** Starts a cluster, runs the sample traffic once, prints the report and returns the exit code. */
     static int runSampleTraffic(Path declarations, PrintStream out)
             throws IOException, InterruptedException, TimeoutException {
         try (SampleCluster system = new SampleCluster()) {
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartReport.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartReport.java
@@ -10,7 +10,7 @@
 import org.HdrHistogram.Histogram;
 import org.banyanstair.testsupport.load.CallerResult;
 
-/** Writes the report of a run as lines of text. */
+/** Formats the result of a run as the lines of the report. */
 final class QuickStartReport {
     private static final int SIGNIFICANT_DIGITS = 3;
     private static final double MICROSECONDS_PER_MILLISECOND = 1_000;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/RequestKind.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/RequestKind.java
@@ -1,6 +1,6 @@
 package org.banyanstair.integration.quickstart;
 
-/** Kinds of sample requests, in the order of the report. */
+/** The kinds of sample requests, in the order of the report. */
 enum RequestKind {
     CHAT_STREAMED("chat, streamed", true),
     CHAT("chat", true),
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCaller.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCaller.java
@@ -17,11 +17,10 @@
 import org.banyanstair.testsupport.load.HttpCaller;
 
 /**
- * Sends sample requests and records what it sees. Safe for use by several threads.
+ * Sends sample requests and records their results in a history. Thread-safe.
  *
- * <p>A request whose connection broke is sent again with the same key through the next host. So are an idempotent
- * request with an unknown outcome and, after the time that the response asks for, a request that the platform could not
- * run.
+ * <p>Retries a request through the next host with the same key: at once if the connection failed or was lost or an
+ * idempotent request has an unknown outcome, and after {@link #RETRY_DELAY} if the response was 503.
  */
 final class SampleCaller implements AutoCloseable {
     static final Duration DEADLINE = Duration.ofSeconds(20);
@@ -45,9 +44,9 @@
     }
 
     /**
-     * Sends a request until its outcome is final.
+     * Sends a request and retries it until its outcome is final.
      *
-     * @param host index of the host to begin with
+     * @param host index of the host for the first attempt
      */
     CompletableFuture<SampleResult> send(SampleRequest request, int host) {
         return new PendingRequest(request).attempt(host);
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleCluster.java
@@ -14,7 +14,7 @@
 import org.banyanstair.integration.cluster.ToolResult;
 import org.banyanstair.testsupport.engine.EngineSettings;
 
-/** The system of the quick start, with a temporary directory that is deleted when it stops. */
+/** The cluster of the quick start, with a temporary directory that is deleted on close. */
 final class SampleCluster implements AutoCloseable {
     private static final int HOSTS = 3;
     private static final int ENGINES_PER_POOL = 2;
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Starts everything and applies the declarations.
+     * Starts the cluster and applies the declarations in a file.
      *
      * @throws IOException if the file cannot be read
      * @throws IllegalStateException if the declarations are refused
@@ -68,7 +68,7 @@
                 Files.deleteIfExists(file);
             }
         } catch (IOException exception) {
-            System.err.println("directory " + directory + " could not be deleted: " + exception.getMessage());
+            System.err.println("cannot delete temporary directory " + directory + ": " + exception.getMessage());
         }
     }
 }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRequest.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRequest.java
@@ -13,14 +13,15 @@
 import org.banyanstair.testsupport.load.HttpCaller;
 
 /**
- * One request of the sample traffic, which may be sent several times.
+ * A request of the sample traffic, which may be sent several times.
  *
- * @param key idempotency key or body mark, by which the endpoints' records show it
- * @param priority its priority class, which is also part of its group in the report
- * @param model model that it names, empty for a plain service
- * @param prompt prompt as engines see it and token limit, empty for a plain service
- * @param refusal code with which it must be refused, empty for a request that must be answered
- * @param call sends it
+ * @param key value that identifies it in the records of the endpoints: idempotency key, order reference, path or digest
+ *     of the prompt
+ * @param priority priority class, which is part of the row label in the report
+ * @param model requested model, empty for a plain service
+ * @param prompt prompt as the engine receives it and token limit, empty if no generated text is checked
+ * @param refusal error code with which it must be refused, empty for a request that must be answered
+ * @param call sends the request once
  */
 record SampleRequest(
         RequestKind kind,
@@ -32,9 +33,9 @@
         Optional<String> refusal,
         Call call) {
     /**
-     * What an engine derives its answer from.
+     * The input from which the engine stand-in computes its answer.
      *
-     * @param text prompt in the form of the engine
+     * @param text prompt as the engine receives it
      */
     record Prompt(String text, int maximumTokens) {}
 
@@ -45,7 +46,7 @@
         CompletableFuture<CallerResult> send(HttpCaller client, NetworkAddress host, Instant deadline);
     }
 
-    /** Returns the row of the report in which the request is counted. */
+    /** Returns the label of the row of the report that counts the request. */
     String group() {
         return kind.isGeneration() ? kind.label() + ", " + priority.name().toLowerCase(Locale.ROOT) : kind.label();
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleResult.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleResult.java
@@ -7,10 +7,10 @@
 import org.banyanstair.testsupport.load.CallerResult;
 
 /**
- * How a sample request ended.
+ * The attempts of a sample request and its latency.
  *
- * @param attempts each time that it was sent, in order
- * @param latency time from the first send to the last outcome
+ * @param attempts attempts in the order in which they were sent, at least one
+ * @param latency time from the first attempt to the final result
  */
 record SampleResult(SampleRequest request, List<Attempt> attempts, Duration latency) {
     /** Copies the list. */
@@ -20,7 +20,7 @@
 
     /** One time that a request was sent. */
     record Attempt(HostId host, CallerResult result) {
-        /** Returns whether the connection broke before the whole response had come. */
+        /** Returns whether the connection was lost before the response was complete. */
         boolean isConnectionLost() {
             return result instanceof CallerResult.Unknown unknown
                     && unknown.code().equals("connection_lost");
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRun.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleRun.java
@@ -12,14 +12,14 @@
 import org.banyanstair.integration.cluster.ClusterHost;
 import org.banyanstair.testsupport.history.EndpointRun;
 
-/** Sends the sample traffic through a running system, kills a host meanwhile, and checks the promises. */
+/** Sends the sample traffic through a running cluster, kills a host while requests run, and checks the promises. */
 final class SampleRun {
     private static final int REQUESTS_BEFORE_KILL = 140;
     private static final int SHARED_ORDERS = 5;
     private static final int BURST_REQUESTS = 42;
     private static final int REQUESTS_AFTER_KILL = 70;
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(20);
-    /** The requests of the burst have reached the hosts by then, but few have been answered. */
+    /** Long enough for the requests of the burst to reach the hosts, too short for most of them to be answered. */
     private static final Duration KILL_DELAY = Duration.ofMillis(40);
 
     private static final Duration RESULT_TIMEOUT = SampleCaller.DEADLINE.plusSeconds(5);
@@ -34,7 +34,7 @@
     }
 
     /**
-     * Runs the traffic once.
+     * Sends the traffic once and waits for all results.
      *
      * @throws InterruptedException if the thread is interrupted
      * @throws TimeoutException if requests have no outcome long after their deadline
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/SampleTraffic.java
@@ -16,7 +16,7 @@
 import org.banyanstair.testsupport.load.ChatCall;
 import org.banyanstair.testsupport.load.ServiceRequest;
 
-/** Creates the sample requests; the same sequence in each run. Not safe for use by several threads. */
+/** Creates the sample requests, in the same sequence in each run. Not thread-safe. */
 final class SampleTraffic {
     private static final List<String> MODELS = List.of(
             "assistant/tender-schools",
@@ -37,14 +37,14 @@
             RequestKind.STOCK);
     private static final int MINIMUM_TOKENS = 20;
     private static final int TOKEN_LIMIT_COUNT = 40;
-    /** Coprime with the sizes of the lists and the sequence of hosts, so that each host gets premium requests. */
+    /** Coprime with the sizes of the lists and the number of hosts, so that each host gets premium requests. */
     private static final int PREMIUM_INTERVAL = 5;
 
     private static final String ORDER_SERVICE = "order-desk";
 
     private int sequence;
 
-    /** Returns the next request of the mix. */
+    /** Returns the next request of the repeating mix. */
     SampleRequest next() {
         RequestKind kind = MIX.get(sequence % MIX.size());
         return switch (kind) {
@@ -54,12 +54,12 @@
         };
     }
 
-    /** Returns an order with a key of its own. */
+    /** Returns an order with a new idempotency key. */
     SampleRequest order() {
         return order(RequestKind.ORDER, "order-" + ++sequence);
     }
 
-    /** Returns the same order several times. */
+    /** Returns several copies of a new order, all with the same idempotency key. */
     List<SampleRequest> copiesOfOrder(int copies) {
         String key = "shared-order-" + ++sequence;
         return Collections.nCopies(copies, order(RequestKind.SAME_KEY_ORDER, key));
@@ -115,9 +115,9 @@
     }
 
     /**
-     * Returns one request for each error of a caller that the report shows.
+     * Returns one request for each caller error in the report.
      *
-     * @param answeredOrder an order that was answered, whose key is used again with another body
+     * @param answeredOrder an answered order, whose key is reused with another body
      */
     List<SampleRequest> badRequests(SampleRequest answeredOrder) {
         List<SampleRequest> requests = new ArrayList<>();
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/LinearFitTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/LinearFitTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-/** Guards against wrong slopes, on which all derived figures of the capacity page rest. */
+/** Guards against wrong slopes and intercepts, from which the figures of the capacity page are extrapolated. */
 class LinearFitTest {
     @Test
     void pointsOnALineGiveTheLine() {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/MeasurementParsingTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/MeasurementParsingTest.java
@@ -11,7 +11,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-/** Guards against figures that are read from the wrong field. */
+/** Guards against measurements that are read from the wrong field of their source. */
 class MeasurementParsingTest {
     private static final String TIMES = " 0 0 0 0 0 0 0 0 0 0 ";
 
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/quickstart/QuickStartTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/quickstart/QuickStartTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a quick start that fails for a newcomer, and against a promise that breaks when a host is killed. */
+/** Guards against a quick start that fails on a fresh checkout, and against a promise that breaks when a host is killed. */
 class QuickStartTest {
     static final Path DECLARATIONS = Path.of("..", "examples", "quickstart.toml");
 
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/quickstart/ServeTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/quickstart/ServeTest.java
@@ -26,7 +26,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a served system that prints other lines than its addresses, or that outlives SIGTERM. */
+/** Guards against {@code quickstart --serve} printing other lines than its addresses, or surviving SIGTERM. */
 class ServeTest {
     private static final int HOSTS = 3;
     private static final Duration START_LIMIT = Duration.ofSeconds(40);
@@ -44,10 +44,14 @@
             assertEquals(HOSTS, children.size());
             assertAnswers(lines.get(0));
             process.destroy();
-            assertTrue(process.waitFor(STOP_LIMIT.toSeconds(), TimeUnit.SECONDS), "runs after SIGTERM");
+            assertTrue(
+                    process.waitFor(STOP_LIMIT.toSeconds(), TimeUnit.SECONDS),
+                    "quick start is still running after SIGTERM");
             assertEquals(0, process.exitValue());
             assertEquals(lines, Files.readAllLines(output));
-            assertTrue(children.stream().noneMatch(ProcessHandle::isAlive), "a daemon runs after the end");
+            assertTrue(
+                    children.stream().noneMatch(ProcessHandle::isAlive),
+                    "a daemon is still running after the quick start ended");
             assertStopped(lines);
         } finally {
             process.descendants().forEach(ProcessHandle::destroyForcibly);
