Rename variables and tests to the terms of the field

Entries stood for addresses, "seen" for observations, and test names spoke of connections that go silent, of neighbours of a request and of wrong use. They now say addresses, observation, stalled connections, other requests and wrong arguments. Only identifiers change; literals are the same as before.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/AddedLatencyBenchmark.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/AddedLatencyBenchmark.java
@@ -55,7 +55,7 @@
     private static LoadReport generateLoad(BenchmarkCluster cluster, long seed, Duration time, RequestPaths paths)
             throws InterruptedException {
         LoadPlan plan = new LoadPlan(REQUESTS_PER_SECOND, MAXIMUM_REQUESTS, time, Duration.ofSeconds(10), seed);
-        return new OpenLoopLoad(plan, (sequence, random, intended) -> paths.start(sequence, random, seed)
+        return new OpenLoopLoad(plan, (sequence, random, intended) -> paths.send(sequence, random, seed)
                         .thenApply(sent -> {
                             sent.path().add(intended, sent.result().toLoadResult());
                             return sent.result().toLoadResult();
@@ -105,7 +105,7 @@
             this.directShare = directShare;
         }
 
-        CompletableFuture<PathResult> start(long sequence, Random random, long seed) {
+        CompletableFuture<PathResult> send(long sequence, Random random, long seed) {
             int adapter = random.nextInt(ADAPTERS);
             // Prompts are unique, so that neither path benefits from prefixes that the other has cached.
             String prompt = "request " + sequence + " of load " + seed;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -105,11 +105,11 @@
     /** Starts the stand-ins and the hosts, and waits until all hosts are ready. */
     public void start() {
         startStandIns();
-        List<PendingHost> pending = new ArrayList<>();
+        List<PreparedHost> prepared = new ArrayList<>();
         for (int number = 0; number < plan.hosts(); number++) {
-            pending.add(prepareHost());
+            prepared.add(prepareHost());
         }
-        pending.parallelStream().map(this::launch).toList().forEach(hosts::add);
+        prepared.parallelStream().map(this::launch).toList().forEach(hosts::add);
     }
 
     /** Starts the log service, the host list and the endpoints, but no host. */
@@ -171,9 +171,9 @@
         return new DataCentre(DATA_CENTRES.get(number % DATA_CENTRES.size()));
     }
 
-    private record PendingHost(EntryHost entry, Path settings, FaultProxy logProxy, FaultProxy peerProxy) {}
+    private record PreparedHost(EntryHost entry, Path settings, FaultProxy logProxy, FaultProxy peerProxy) {}
 
-    private PendingHost prepareHost() {
+    private PreparedHost prepareHost() {
         hostsStarted++;
         NetworkAddress peer = ports.next();
         FaultProxy logProxy = new FaultProxy(0, logAddress);
@@ -188,7 +188,7 @@
         Path settings = directory.resolve(entry.id() + ".toml");
         write(settings, settingsOf(entry, peer, logProxy.start()));
         hostList.put(entry);
-        return new PendingHost(entry, settings, logProxy, peerProxy);
+        return new PreparedHost(entry, settings, logProxy, peerProxy);
     }
 
     private String settingsOf(EntryHost entry, NetworkAddress peer, NetworkAddress logProxyAddress) {
@@ -220,16 +220,17 @@
                 "");
     }
 
-    private ClusterHost launch(PendingHost pending) {
+    private ClusterHost launch(PreparedHost prepared) {
         ManagedProcess process = launcher.startJava(
-                pending.entry().id().value(),
+                prepared.entry().id().value(),
                 new JavaCommand(
                         Main.class.getName(),
                         HEAP_MEGABYTES,
                         javaOptions,
-                        List.of("--settings", pending.settings().toString())),
+                        List.of("--settings", prepared.settings().toString())),
                 Instant.now().plusSeconds(START_TIMEOUT_SECONDS));
-        return new ClusterHost(pending.entry(), process, pending.settings(), pending.logProxy(), pending.peerProxy());
+        return new ClusterHost(
+                prepared.entry(), process, prepared.settings(), prepared.logProxy(), prepared.peerProxy());
     }
 
     /** Starts a host with a new id and waits until it is ready. */
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterPlan.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/ClusterPlan.java
@@ -37,10 +37,10 @@
 
     /** Returns the plan of a small cluster: one pool {@code assistant} of equal engines and two order-desk endpoints. */
     public static ClusterPlan of(int hosts, int engines, EngineSettings settings) {
-        List<EngineSettings> all = java.util.Collections.nCopies(engines, settings);
+        List<EngineSettings> engineSettings = java.util.Collections.nCopies(engines, settings);
         return new ClusterPlan(
                 hosts,
-                List.of(new PoolPlan("assistant", all)),
+                List.of(new PoolPlan("assistant", engineSettings)),
                 2,
                 Duration.ofHours(1),
                 Duration.ofMillis(200),
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/generations/ChatTraffic.java
@@ -28,7 +28,7 @@
     private static final int MAXIMUM_ANSWER_TOKENS = 60;
 
     private final ChatTrafficPlan plan;
-    private final Supplier<List<NetworkAddress>> entries;
+    private final Supplier<List<NetworkAddress>> entryAddresses;
     private final HttpCaller caller;
     private final List<Thread> threads = new ArrayList<>();
     private final AtomicInteger answered = new AtomicInteger();
@@ -40,11 +40,11 @@
     /**
      * Starts one thread per worker.
      *
-     * @param entries returns the caller addresses of the entry hosts to use, at least one
+     * @param entryAddresses returns the caller addresses of the entry hosts to use, at least one
      */
-    public ChatTraffic(ChatTrafficPlan plan, Supplier<List<NetworkAddress>> entries) {
+    public ChatTraffic(ChatTrafficPlan plan, Supplier<List<NetworkAddress>> entryAddresses) {
         this.plan = plan;
-        this.entries = entries;
+        this.entryAddresses = entryAddresses;
         this.caller = new HttpCaller(plan.workers(), plan.deadline().plusSeconds(5), Clock.systemUTC());
         this.end = Instant.now().plus(plan.duration());
         for (int worker = 0; worker < plan.workers(); worker++) {
@@ -62,7 +62,7 @@
             String adapter = "assistant/adapter-" + random.nextInt(plan.adapters());
             String version = List.of("", "@v1", "@v2").get(random.nextInt(3));
             String prompt = "question " + plan.seed() + "-" + worker + "-" + number;
-            List<NetworkAddress> hosts = entries.get();
+            List<NetworkAddress> hosts = entryAddresses.get();
             NetworkAddress host = hosts.get(random.nextInt(hosts.size()));
             ChatCall call = new ChatCall(
                     headers(),
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationPoller.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/ConfigurationPoller.java
@@ -70,7 +70,7 @@
      */
     public Optional<Instant> firstSeen(HostId host, long version) {
         return observations().stream()
-                .filter(seen -> seen.host().equals(host) && seen.version() >= version)
+                .filter(observation -> observation.host().equals(host) && observation.version() >= version)
                 .map(ConfigurationObservation::answeredAt)
                 .findFirst();
     }
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/IdempotentTraffic.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/hosts/IdempotentTraffic.java
@@ -83,15 +83,15 @@
      *
      * @param requestsPerSecond mean rate of arrivals
      * @param seed seed of arrivals and requests
-     * @param entries chooses the host for each request
+     * @param entryAddresses chooses the host for each request
      */
-    public void start(double requestsPerSecond, long seed, Supplier<NetworkAddress> entries) {
-        thread = new Thread(() -> run(requestsPerSecond, seed, entries), "traffic");
+    public void start(double requestsPerSecond, long seed, Supplier<NetworkAddress> entryAddresses) {
+        thread = new Thread(() -> run(requestsPerSecond, seed, entryAddresses), "traffic");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private void run(double requestsPerSecond, long seed, Supplier<NetworkAddress> entries) {
+    private void run(double requestsPerSecond, long seed, Supplier<NetworkAddress> entryAddresses) {
         try {
             for (int second = 0; second < MAXIMUM_LOAD_SECONDS && !stopped; second++) {
                 // The load of a second does not wait for answers of earlier ones, so the rate stays constant.
@@ -101,7 +101,7 @@
                         Duration.ofSeconds(1),
                         Duration.ZERO,
                         seed + second);
-                new OpenLoopLoad(plan, (sequence, random, intended) -> sendRecorded(random, entries)).run();
+                new OpenLoopLoad(plan, (sequence, random, intended) -> sendRecorded(random, entryAddresses)).run();
             }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
@@ -125,10 +125,10 @@
         return all.size();
     }
 
-    private CompletableFuture<LoadResult> sendRecorded(Random random, Supplier<NetworkAddress> entries) {
+    private CompletableFuture<LoadResult> sendRecorded(Random random, Supplier<NetworkAddress> entryAddresses) {
         CompletableFuture<LoadResult> result;
         try {
-            result = send(random, entries.get());
+            result = send(random, entryAddresses.get());
         } catch (RuntimeException exception) {
             result = CompletableFuture.failedFuture(exception);
         }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/LinearFitTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/LinearFitTest.java
@@ -25,7 +25,7 @@
     }
 
     @Test
-    void onePointIsRefused() {
+    void onePointIsRejected() {
         assertThrows(IllegalArgumentException.class, () -> LinearFit.of(new double[] {1}, new double[] {1}));
     }
 }
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/MeasurementParsingTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/bench/MeasurementParsingTest.java
@@ -21,13 +21,13 @@
     }
 
     @Test
-    void processorTimeIsReadBehindANameWithSpaces(@TempDir Path directory) throws IOException {
+    void processorTimeIsReadAfterANameWithSpaces(@TempDir Path directory) throws IOException {
         Files.writeString(directory.resolve("stat"), stat("a b) c", 150, 50));
         assertEquals(2.0, new ProcessUsage(directory).processorSeconds());
     }
 
     @Test
-    void threadsOfOnePoolAreAddedUp(@TempDir Path directory) throws IOException {
+    void threadsOfOnePoolAreSummed(@TempDir Path directory) throws IOException {
         writeThread(directory, 1, "http-1-1", 100);
         writeThread(directory, 2, "http-1-2", 200);
         writeThread(directory, 3, "reducer", 50);
@@ -46,7 +46,7 @@
     }
 
     @Test
-    void sampleWithALongerNameIsNotTaken() {
+    void sampleWithALongerNameIsNotMatched() {
         MetricsText metrics = new MetricsText("bytes_in_total 5.0\nbytes_in 7.0\n");
         assertEquals(7.0, metrics.value("bytes_in"));
         assertThrows(IllegalArgumentException.class, () -> metrics.value("bytes"));
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/generations/GenerationHistoryTest.java
@@ -51,17 +51,17 @@
         return cluster;
     }
 
-    private static ChatTraffic traffic(long seed, int seconds, Supplier<List<NetworkAddress>> entries) {
+    private static ChatTraffic traffic(long seed, int seconds, Supplier<List<NetworkAddress>> addresses) {
         return new ChatTraffic(
-                new ChatTrafficPlan(seed, 8, ADAPTERS, Duration.ofSeconds(seconds), Duration.ofSeconds(14)), entries);
+                new ChatTrafficPlan(seed, 8, ADAPTERS, Duration.ofSeconds(seconds), Duration.ofSeconds(14)), addresses);
     }
 
-    private static Supplier<List<NetworkAddress>> entriesExcept(Cluster cluster, ClusterHost excluded) {
-        List<NetworkAddress> entries = cluster.hosts().stream()
+    private static Supplier<List<NetworkAddress>> callerAddressesExcept(Cluster cluster, ClusterHost excluded) {
+        List<NetworkAddress> addresses = cluster.hosts().stream()
                 .filter(host -> host != excluded)
                 .map(ClusterHost::caller)
                 .toList();
-        return () -> entries;
+        return () -> addresses;
     }
 
     private static ClusterHost owner(Cluster cluster) throws InterruptedException {
@@ -114,7 +114,7 @@
         long seed = 3101;
         try (Cluster cluster = start(true)) {
             ClusterHost owner = owner(cluster);
-            try (ChatTraffic traffic = traffic(seed, 16, entriesExcept(cluster, owner))) {
+            try (ChatTraffic traffic = traffic(seed, 16, callerAddressesExcept(cluster, owner))) {
                 Thread.sleep(4_000);
                 cluster.kill(owner);
                 checkReport(cluster, traffic, seed, Set.of());
@@ -131,7 +131,7 @@
         long seed = 3102;
         try (Cluster cluster = start(false)) {
             ClusterHost owner = owner(cluster);
-            try (ChatTraffic traffic = traffic(seed, 20, entriesExcept(cluster, owner))) {
+            try (ChatTraffic traffic = traffic(seed, 20, callerAddressesExcept(cluster, owner))) {
                 Thread.sleep(3_000);
                 owner.process().pause();
                 Thread.sleep(9_000);
@@ -145,7 +145,7 @@
     void enginesRestartEmptyAndLoadsFailOrLoseTheirAnswers() throws Exception {
         long seed = 3103;
         try (Cluster cluster = start(true)) {
-            try (ChatTraffic traffic = traffic(seed, 16, entriesExcept(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 16, callerAddressesExcept(cluster, null))) {
                 Thread.sleep(2_000);
                 cluster.engines().forEach(engine -> {
                     engine.engine().setFault(EngineFault.FAIL_LOADS, 2);
@@ -162,10 +162,10 @@
     }
 
     @Test
-    void connectionsToEnginesAreCutOrGoSilent() throws Exception {
+    void connectionsToEnginesAreResetOrStalled() throws Exception {
         long seed = 3104;
         try (Cluster cluster = start(true)) {
-            try (ChatTraffic traffic = traffic(seed, 14, entriesExcept(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 14, callerAddressesExcept(cluster, null))) {
                 for (int round = 0; round < 8; round++) {
                     Thread.sleep(1_000);
                     cluster.engines().get(round % 3).proxy().resetConnections();
@@ -182,11 +182,11 @@
 
     /** Guards against unbounded retries of a request that crashes engines, and against failures of requests beside it. */
     @Test
-    void requestThatCrashesEnginesIsRefusedAndItsNeighboursAreAnswered() throws Exception {
+    void requestThatCrashesEnginesIsRefusedAndOtherRequestsAreAnswered() throws Exception {
         long seed = 3105;
         try (Cluster cluster = start(true);
                 HttpCaller caller = new HttpCaller(1, Duration.ofSeconds(20), Clock.systemUTC())) {
-            try (ChatTraffic traffic = traffic(seed, 16, entriesExcept(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 16, callerAddressesExcept(cluster, null))) {
                 Thread.sleep(2_000);
                 String last = "";
                 for (int sent = 0; sent < 6; sent++) {
@@ -224,7 +224,7 @@
     void defaultVersionsChangeWhileRequestsRun() throws Exception {
         long seed = 3106;
         try (Cluster cluster = start(true)) {
-            try (ChatTraffic traffic = traffic(seed, 12, entriesExcept(cluster, null))) {
+            try (ChatTraffic traffic = traffic(seed, 12, callerAddressesExcept(cluster, null))) {
                 for (int change = 0; change < 4; change++) {
                     Thread.sleep(2_000);
                     String version = change % 2 == 0 ? "v1" : "v2";
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
@@ -211,13 +211,15 @@
     }
 
     private void checkObservations(ConfigurationPoller poller, List<ClusterHost> hosts) {
-        Map<HostId, Long> last = new HashMap<>();
+        Map<HostId, Long> lastVersions = new HashMap<>();
         List<ConfigurationObservation> observations = poller.observations();
-        for (ConfigurationObservation seen : observations) {
-            long before = last.getOrDefault(seen.host(), Long.MIN_VALUE);
-            assertTrue(seen.version() >= before, seen.host() + " went from version " + before + " to " + seen);
-            last.put(seen.host(), seen.version());
-            assertEquals(presetOfVersion.get(seen.version()), seen.preset(), seen.toString());
+        for (ConfigurationObservation observation : observations) {
+            long before = lastVersions.getOrDefault(observation.host(), Long.MIN_VALUE);
+            assertTrue(
+                    observation.version() >= before,
+                    observation.host() + " went from version " + before + " to " + observation);
+            lastVersions.put(observation.host(), observation.version());
+            assertEquals(presetOfVersion.get(observation.version()), observation.preset(), observation.toString());
         }
         Histogram delays = new Histogram(3);
         acceptedAt.forEach((version, at) -> hosts.forEach(host -> delays.recordValue(Math.max(
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
@@ -64,9 +64,9 @@
                     cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
                             .code());
             List<ClusterHost> hosts = cluster.hosts();
-            EntryAddressCache entries = new EntryAddressCache(
+            EntryAddressCache entryAddresses = new EntryAddressCache(
                     traffic.caller(), hosts.stream().map(ClusterHost::caller).toList());
-            traffic.start(60, seed, entries::nextAddress);
+            traffic.start(60, seed, entryAddresses::nextAddress);
             Wait.sleep(Duration.ofSeconds(3));
             List<CompletableFuture<CallerResult>> streams = new ArrayList<>();
             for (int stream = 0; stream < 6; stream++) {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -74,8 +74,8 @@
             loadAdapters(traffic, hosts.get(0).caller());
             try (ConfigurationPoller poller = new ConfigurationPoller(hosts)) {
                 // Only hosts that are ready before the outage: requests to a starting host may fail for other reasons.
-                AtomicInteger turn = new AtomicInteger();
-                traffic.start(60, seed, () -> hosts.get(turn.getAndIncrement() % hosts.size())
+                AtomicInteger nextHost = new AtomicInteger();
+                traffic.start(60, seed, () -> hosts.get(nextHost.getAndIncrement() % hosts.size())
                         .caller());
                 Wait.sleep(Duration.ofSeconds(1));
                 cluster.log().setFaults(UNAVAILABLE);
@@ -172,11 +172,13 @@
     }
 
     private static void checkVersionsNeverDecrease(ConfigurationPoller poller, long version) {
-        Map<HostId, Long> last = new HashMap<>();
-        for (ConfigurationObservation seen : poller.observations()) {
-            assertTrue(seen.version() >= last.getOrDefault(seen.host(), version), seen.toString());
-            assertEquals("peak", seen.preset().value(), seen.toString());
-            last.put(seen.host(), seen.version());
+        Map<HostId, Long> lastVersions = new HashMap<>();
+        for (ConfigurationObservation observation : poller.observations()) {
+            assertTrue(
+                    observation.version() >= lastVersions.getOrDefault(observation.host(), version),
+                    observation.toString());
+            assertEquals("peak", observation.preset().value(), observation.toString());
+            lastVersions.put(observation.host(), observation.version());
         }
     }
 
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -56,10 +56,10 @@
                     cluster.apply(Cluster.declarations(IdempotentTraffic.ADAPTERS))
                             .code());
             List<ClusterHost> initialHosts = cluster.hosts();
-            EntryAddressCache entries = new EntryAddressCache(
+            EntryAddressCache entryAddresses = new EntryAddressCache(
                     traffic.caller(),
                     initialHosts.stream().map(ClusterHost::caller).toList());
-            traffic.start(60, seed, entries::nextAddress);
+            traffic.start(60, seed, entryAddresses::nextAddress);
             Wait.sleep(Duration.ofSeconds(1));
             Map<NetworkAddress, Instant> readyAt = new HashMap<>();
             for (int index = 0; index < initialHosts.size(); index++) {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/orders/OrderHistoryTest.java
@@ -67,7 +67,7 @@
     }
 
     @Test
-    void openConnectionsGoSilent() {
+    void openConnectionsStall() {
         check(65, OrderHistoryTest::stallConnections);
     }
 
@@ -89,7 +89,7 @@
     }
 
     @Test
-    void openConnectionsGoSilentAndTheLogFails() {
+    void openConnectionsStallAndTheLogFails() {
         check(68, cluster -> {
             stallConnections(cluster);
             OrderTraffic.sleep(500);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/scripts/ScriptsTest.java
@@ -76,7 +76,7 @@
                 "quickstart",
                 "soak"
             })
-    void helpIsGivenWithoutABuild(String script) throws Exception {
+    void helpIsPrintedWithoutABuild(String script) throws Exception {
         ScriptResult result = run(script, "--help");
         assertEquals(0, result.status(), result.output());
         assertTrue(result.output().startsWith("usage: " + script), result.output());
@@ -84,7 +84,7 @@
 
     @ParameterizedTest
     @CsvSource({"banyanstairctl,status", "banyanstaird,--settings", "benchmark,memory"})
-    void checkoutThatWasNotBuiltIsNamed(String script, String argument) throws Exception {
+    void checkoutWithoutBuildOutputIsReported(String script, String argument) throws Exception {
         ScriptResult result = run(script, argument);
         assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
         assertTrue(result.output().contains("mvn -q -B -DskipTests package"), result.output());
@@ -100,7 +100,7 @@
         "SECONDS,1 to 3600,1 50 3601",
         "SECONDS,1 to 3600,1 50 12s"
     })
-    void wrongArgumentOfTheSoakIsNamedWithItsRange(String name, String range, String arguments) throws Exception {
+    void wrongArgumentOfTheSoakIsReportedWithItsRange(String name, String range, String arguments) throws Exception {
         ScriptResult result = run("soak", arguments.split(" "));
         assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
         assertTrue(result.output().startsWith(name + " must be a whole number from " + range), result.output());
@@ -108,7 +108,7 @@
 
     @ParameterizedTest
     @CsvSource({"HOSTS,1 to 200,0", "REQUESTS_PER_SECOND,0 to 1000,9 63 many"})
-    void wrongArgumentOfTheProcessorTimeIsNamedWithItsRange(String name, String range, String arguments)
+    void wrongArgumentOfTheProcessorTimeIsReportedWithItsRange(String name, String range, String arguments)
             throws Exception {
         ScriptResult result = run("processor-time", arguments.split(" "));
         assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
@@ -117,7 +117,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"", "cooperative 60 1", "other 60 1 file", "cooperative soon 1 file"})
-    void wrongUseOfThePolicyComparisonIsNamed(String arguments) throws Exception {
+    void wrongArgumentsOfThePolicyComparisonPrintTheUsage(String arguments) throws Exception {
         ScriptResult result = run("compare-policies", arguments.isEmpty() ? new String[0] : arguments.split(" "));
         assertEquals(USAGE_ERROR_STATUS, result.status(), result.output());
         assertTrue(result.output().contains("usage: compare-policies"), result.output());
