Reword assertion messages of the host and leaving tests

Messages such as "is still shown" and "a cut stream must not look whole" left open what was listed or complete. They now name it. Nothing matches these messages; the assertions are unchanged.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/package-info.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Benchmarks over a whole system on loopback; {@code bin/benchmark} starts them. */
+/** Benchmarks of a complete cluster on loopback, run by {@code bin/benchmark}. */
 package org.banyanstair.integration.bench;
--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartResult.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/quickstart/QuickStartResult.java
@@ -5,7 +5,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.testsupport.history.EndpointRun;
 
-/** What a run of the sample traffic gave. */
+/** The result of a run of the sample traffic. */
 record QuickStartResult(List<SampleResult> results, HostId killed, List<EndpointRun> runs, List<BrokenPromise> broken) {
     /** Copies the lists. */
     QuickStartResult {
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ConcurrentChangeTest.java
@@ -86,7 +86,7 @@
                 assertTrue(
                         Wait.untilTrue(IN_FORCE_LIMIT, () -> poller.firstSeen(cutOff.id(), last)
                                 .isPresent()),
-                        "the host without the log does not have version " + last);
+                        "the host without a connection to the log does not have version " + last);
                 cutOff.logProxy().acceptConnections();
                 assertTrue(Wait.untilTrue(IN_FORCE_LIMIT, () -> logReachable(cutOff)));
                 cutOffHost = new HostId("none");
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LeavingTest.java
@@ -151,8 +151,9 @@
                 kind,
                 Duration.between(limit.minus(LEAVING_LIMIT), last).toMillis());
         assertTrue(leaving.size() > 10, "the leaving " + kind + " was not used before");
-        assertEquals(List.of(), leaving.stream().filter(limit::isBefore).toList(), "new work on the leaving " + kind);
-        assertFalse(staying.stream().noneMatch(limit::isBefore), "no work on the other " + kind);
+        assertEquals(
+                List.of(), leaving.stream().filter(limit::isBefore).toList(), "new requests on the leaving " + kind);
+        assertFalse(staying.stream().noneMatch(limit::isBefore), "no new requests on the other " + kind);
     }
 
     @Test
@@ -162,7 +163,9 @@
             cluster.start();
             assertEquals(0, cluster.apply(Cluster.declarations(1)).code());
             List<ClusterHost> hosts = cluster.hosts();
-            assertTrue(listsAddress(traffic, hosts.get(0), hosts.get(2)), "the host is not shown before it leaves");
+            assertTrue(
+                    listsAddress(traffic, hosts.get(0), hosts.get(2)),
+                    "the entry addresses do not list the host before it leaves");
             EntryHost listed = hosts.get(2).entry();
             EntryHost leaving = new EntryHost(
                     listed.id(),
@@ -191,7 +194,7 @@
         assertTrue(
                 Wait.untilTrue(
                         LEAVING_LIMIT, () -> asked.stream().noneMatch(host -> listsAddress(traffic, host, leaving))),
-                leaving.id() + " is still shown " + LEAVING_LIMIT + " after it left " + how);
+                leaving.id() + " is still listed " + LEAVING_LIMIT + " after it left " + how);
         System.out.printf(
                 "LeavingTest: a host that leaves %s vanished from /v1/entry after %d ms%n",
                 how, Duration.between(from, Instant.now()).toMillis());
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/LogOutageTest.java
@@ -195,10 +195,10 @@
             NetworkAddress entry = cluster.hostList().visible().hosts().get(0).callerAddress();
             assertTrue(
                     Wait.untilTrue(Duration.ofSeconds(10), () -> isNotReady(traffic, entry)),
-                    "no answer not_ready while the log is down");
+                    "the host does not answer not_ready while the log is unavailable");
             Wait.sleep(Duration.ofSeconds(3));
             assertTrue(isNotReady(traffic, entry), "the host serves without a configuration");
-            assertTrue(!first.isDone(), "the host reported that it is ready");
+            assertTrue(!first.isDone(), "the host reported ready before the log was available");
             cluster.log().setFaults(Faults.NONE);
             Instant availableAt = Instant.now();
             first.get(10, TimeUnit.SECONDS);
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -159,7 +159,9 @@
                     Duration.between(stoppedAt, Instant.now()).toMillis());
             assertEquals(OptionalInt.of(ExitCode.CUT_OFF.value()), code);
             CallerResult result = stream.get(20, TimeUnit.SECONDS);
-            assertTrue(result instanceof CallerResult.Unknown, "a cut stream must not look whole: " + result);
+            assertTrue(
+                    result instanceof CallerResult.Unknown,
+                    "a stream that was cut off must not look complete: " + result);
         }
     }
 }
