Say again what ends an attempt as too long

The reworded comment of TOO_LONG named a declared length and a buffer limit. The faults that map to it are also unexpected bytes, framing, a long event, bytes without a new event and the memory of all answers. Comment only; format and style of the module were checked.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -60,7 +60,7 @@
         ENDED_EARLY,
         /** The head of the answer was not complete in time after its first byte. */
         SLOW_HEAD,
-        /** The answer exceeds its declared length or the buffer limit. */
+        /** More bytes arrived than an answer may have, or than are kept of one answer or of all. */
         TOO_LONG
     }
 }
