Log which prompt parts were on a crashed endpoint

The line now has request, parts, sent-ms-before, output-ms-before and confirmed-after-ms; crash-reported names what peers sent. No decision changes.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -5,8 +5,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.Optional;
 
 import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
 import org.banyanstair.peer.PeerMessage;
 
 /** Distinguishes crashes of endpoints from lost connections and records the requests that were running there. */
@@ -19,7 +21,19 @@
     private final CrashHistory history = new CrashHistory();
     private final Deque<Suspicion> suspicions = new ArrayDeque<>();
 
-    private record Suspicion(long fingerprint, EndpointId endpoint, long started, Instant expiresAt) {}
+    /**
+     * A broken attempt whose endpoint may have crashed.
+     *
+     * @param outputAt when the caller's first output arrived; empty if there was none
+     */
+    private record Suspicion(
+            ForwardRequest request,
+            EndpointId endpoint,
+            long started,
+            Instant sentAt,
+            Optional<Instant> outputAt,
+            Instant brokenAt,
+            Instant expiresAt) {}
 
     CrashDetector(EventContext context, PeerMessenger messenger) {
         this.context = context;
@@ -34,15 +48,18 @@
         history.completed(fingerprint);
     }
 
-    void attemptBroken(long fingerprint, EndpointState endpoint) {
+    void attemptBroken(InFlightRequest inFlight, EndpointState endpoint) {
         while (!suspicions.isEmpty()
                 && context.now().isAfter(suspicions.peekFirst().expiresAt())) {
             suspicions.removeFirst();
         }
         suspicions.addLast(new Suspicion(
-                fingerprint,
+                inFlight.request,
                 endpoint.id(),
                 endpoint.listing().started(),
+                inFlight.sentAt,
+                inFlight.firstOutput ? Optional.of(inFlight.firstOutputAt) : Optional.empty(),
+                context.now(),
                 context.now().plus(CONFIRMATION_LIMIT)));
     }
 
@@ -58,16 +75,51 @@
                 iterator.remove();
             } else if (suspicion.endpoint().equals(endpoint.id())) {
                 iterator.remove();
-                history.add(suspicion.fingerprint(), suspicion.endpoint(), suspicion.started(), context.now());
-                context.log(DecisionRecord.important(
-                        "endpoint-crashed", "endpoint", suspicion.endpoint(), "fingerprint", suspicion.fingerprint()));
-                messenger.broadcast(new PeerMessage.CrashReport(
-                        suspicion.fingerprint(), suspicion.endpoint(), suspicion.started()));
+                long fingerprint = suspicion.request().fingerprint();
+                history.add(fingerprint, suspicion.endpoint(), suspicion.started(), context.now());
+                context.log(crashRecord(suspicion));
+                messenger.broadcast(
+                        new PeerMessage.CrashReport(fingerprint, suspicion.endpoint(), suspicion.started()));
             }
         }
     }
 
-    void crashReported(PeerMessage.CrashReport message) {
+    private DecisionRecord crashRecord(Suspicion suspicion) {
+        Instant brokenAt = suspicion.brokenAt();
+        return DecisionRecord.important(
+                "endpoint-crashed",
+                "endpoint",
+                suspicion.endpoint(),
+                "started",
+                suspicion.started(),
+                "request",
+                suspicion.request().id(),
+                "fingerprint",
+                suspicion.request().fingerprint(),
+                "parts",
+                PromptPart.format(suspicion.request().prompt()),
+                "sent-ms-before",
+                Duration.between(suspicion.sentAt(), brokenAt).toMillis(),
+                "output-ms-before",
+                suspicion
+                        .outputAt()
+                        .map(outputAt -> Duration.between(outputAt, brokenAt).toMillis())
+                        .orElse(-1L),
+                "confirmed-after-ms",
+                context.millisecondsSince(brokenAt));
+    }
+
+    void crashReported(HostId sender, PeerMessage.CrashReport message) {
+        context.log(DecisionRecord.of(
+                "crash-reported",
+                "peer",
+                sender,
+                "endpoint",
+                message.endpoint(),
+                "started",
+                message.started(),
+                "fingerprint",
+                message.fingerprint()));
         history.add(message.fingerprint(), message.endpoint(), message.started(), context.now());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -277,7 +277,7 @@
                 leases.confirm(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
             }
         } else if (message instanceof PeerMessage.CrashReport report) {
-            crashDetector.crashReported(report);
+            crashDetector.crashReported(sender, report);
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -21,6 +21,7 @@
     Optional<EndpointState> endpoint = Optional.empty();
     boolean sent;
     boolean firstOutput;
+    Instant firstOutputAt = Instant.MIN;
     long firstOutputMilliseconds = -1;
     boolean mayHaveRun;
     int attempts;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -306,6 +306,7 @@
             return;
         }
         inFlight.firstOutput = true;
+        inFlight.firstOutputAt = context.now();
         if (inFlight.firstOutputMilliseconds < 0) {
             inFlight.firstOutputMilliseconds = context.millisecondsSince(inFlight.arrivedAt);
         }
@@ -417,7 +418,7 @@
         inFlight.runs++;
         inFlight.mayHaveRun = true;
         endpoint.recordOutcome(false, context.now());
-        crashDetector.attemptBroken(inFlight.request.fingerprint(), endpoint);
+        crashDetector.attemptBroken(inFlight, endpoint);
         if (result.lastEvent().isPresent()) {
             inFlight.lastEvent = result.lastEvent();
         }
