--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -30,8 +30,9 @@
 
     private final Map<String, DecodedRecord> records = new HashMap<>();
     private final HostId host;
+    private final long incarnation;
     private final ForwardingReducer reducer;
-    private Instant now = Instant.ofEpochSecond(100);
+    private Instant now;
     private long offset;
     private long exchanges;
 
@@ -40,9 +41,16 @@
     }
 
     ReducerFixture(HostId host) {
+        this(host, 1, Instant.ofEpochSecond(100));
+    }
+
+    /** Creates the reducer of one run of a host that starts at an instant. */
+    ReducerFixture(HostId host, long incarnation, Instant start) {
         this.host = host;
+        this.incarnation = incarnation;
+        this.now = start;
         HostAnnouncement announcement = new HostAnnouncement(
-                host, 1, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
+                host, incarnation, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
         ForwardingSettings settings =
                 new ForwardingSettings(identity(), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
         reducer = new ForwardingReducer(
@@ -52,7 +60,7 @@
     }
 
     HostIdentity identity() {
-        return new HostIdentity(host, 1);
+        return new HostIdentity(host, incarnation);
     }
 
     Instant now() {
