Refuse requests whose prompt part crashes runners

Callers saw streams cut and refusals of all kinds of requests for as long as requests with one prompt part kept arriving: each of them crashed one runner, and its second attempt another.

Cause: crashes were counted by the fingerprint of the whole request. No two of these requests are alike, so no count ever reached three.

CrashAttribution now counts crashes by the prompt parts of the requests that were on the endpoint without output, over all hosts. Output for a part on any endpoint clears it of the crashes before, which tells the shared first parts from the part in question; the most specific of nested parts is refused, and its crashes no longer count against others. Nothing is refused while nothing produces output, or while two parts explain the crashes equally well. Hosts report with their heartbeats which parts they refuse and for which they have seen output, so a lost message is made good and a host that restarts learns it; reports of crashes are sent three times while undecided. Requests with the part that are waiting or have no output yet end before their endpoints crash. The refusal has no Retry-After: it is final.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -14,6 +14,10 @@
     record Answered(int status, Duration longestPause) implements AttemptResult {
         private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
+        boolean isSuccess() {
+            return status / 100 == 2;
+        }
+
         /** Returns whether the status tells callers that the request has not run. */
         boolean claimsNotExecuted() {
             return NOT_RUN_STATUSES.contains(status);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -3,23 +3,60 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.peer.ObservedPart;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.RefusedPart;
 
-/** Distinguishes crashes of endpoints from lost connections and records the requests that were running there. */
+/**
+ * Distinguishes crashes of endpoints from lost connections, and refuses requests that crash endpoints: the same request
+ * sent again, or any with a prompt part that does.
+ */
 final class CrashDetector {
-    /** Longest time between a broken attempt and the evidence that its endpoint crashed. */
-    private static final Duration CONFIRMATION_LIMIT = Duration.ofSeconds(4);
+    /**
+     * Longest time between a broken attempt and the evidence that its endpoint crashed; the entry of a crashed endpoint
+     * lapses after more than four seconds.
+     */
+    private static final Duration CONFIRMATION_LIMIT = Duration.ofSeconds(6);
+
+    /** Time between two attempts on one endpoint that broke in the same crash, on different hosts. */
+    private static final Duration SAME_CRASH = Duration.ofSeconds(1);
+
+    /** Output shortly before a crash does not clear a request, since a runner may send its first output as it fails. */
+    private static final Duration FIRST_OUTPUT_DOUBT = Duration.ofMillis(300);
+
+    /** Time after a crash in which the reports of peers about it arrive: a heartbeat that crosses relays. */
+    private static final Duration SETTLE_TIME = Duration.ofMillis(1200);
+
+    /** Minimum time between two checks of an endpoint. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
+
+    /** Interval of the search for the cause of crashes. */
+    private static final Duration ATTRIBUTION_INTERVAL = Duration.ofMillis(100);
+
+    /** Times after a crash at which its report is sent again, since messages may be lost. */
+    private static final List<Duration> RESEND_TIMES = List.of(Duration.ofMillis(1000), Duration.ofMillis(3000));
 
     private final EventContext context;
     private final PeerMessenger messenger;
     private final CrashHistory history = new CrashHistory();
+    private final CrashAttribution attribution = new CrashAttribution(SETTLE_TIME);
     private final Deque<Suspicion> suspicions = new ArrayDeque<>();
+    private final List<Resend> resends = new ArrayList<>();
+    private final Map<EndpointId, Instant> nextChecks = new HashMap<>();
+    private Instant nextAttributionAt = Instant.MIN;
+    private boolean refusalsChanged;
 
     /**
      * A broken attempt whose endpoint may have crashed.
@@ -33,19 +70,56 @@
             Instant sentAt,
             Optional<Instant> outputAt,
             Instant brokenAt,
-            Instant expiresAt) {}
+            Instant expiresAt) {
+        /** Returns the prompt parts that may have caused the crash. */
+        private List<Long> suspectedParts() {
+            boolean hadOutput = outputAt.filter(at -> brokenAt.isAfter(at.plus(FIRST_OUTPUT_DOUBT)))
+                    .isPresent();
+            return hadOutput ? List.of() : CrashAttribution.sharedParts(request);
+        }
+    }
+
+    /** A report that is sent again. */
+    private record Resend(Suspicion suspicion, Instant dueAt) {}
 
     CrashDetector(EventContext context, PeerMessenger messenger) {
         this.context = context;
         this.messenger = messenger;
     }
 
-    boolean isRefused(long fingerprint) {
-        return history.isRefused(fingerprint);
+    /** Returns whether the request, or a part of its prompt, has crashed too many endpoints. */
+    boolean isRefused(ForwardRequest request) {
+        return history.isRefused(request.fingerprint()) || refusedPart(request).isPresent();
     }
 
-    void requestCompleted(long fingerprint) {
-        history.completed(fingerprint);
+    /** Returns the part of a request's prompt that crashes endpoints, if any is known. */
+    Optional<Long> refusedPart(ForwardRequest request) {
+        return attribution.refusedPart(request, context.now());
+    }
+
+    int refusedParts() {
+        return attribution.refusedParts();
+    }
+
+    void requestCompleted(ForwardRequest request) {
+        history.completed(request.fingerprint());
+        outputProduced(request);
+    }
+
+    /** Records that an endpoint has produced output for a request and has survived it. */
+    void outputProduced(ForwardRequest request) {
+        attribution
+                .addOutput(CrashAttribution.sharedParts(request), context.now())
+                .forEach(this::logCleared);
+    }
+
+    private void logCleared(CrashAttribution.Refusal refusal) {
+        context.log(DecisionRecord.important(
+                "part-cleared",
+                "part",
+                Long.toHexString(refusal.part()),
+                "first-crash-ms-ago",
+                context.millisecondsSince(refusal.firstCrashAt())));
     }
 
     void attemptBroken(InFlightRequest inFlight, EndpointState endpoint) {
@@ -61,6 +135,23 @@
                 inFlight.firstOutput ? Optional.of(inFlight.firstOutputAt) : Optional.empty(),
                 context.now(),
                 context.now().plus(CONFIRMATION_LIMIT)));
+        check(endpoint);
+    }
+
+    /** Checks at once whether the endpoint is gone, since without further requests that would be known late. */
+    private void check(EndpointState endpoint) {
+        Instant now = context.now();
+        nextChecks.values().removeIf(next -> !now.isBefore(next));
+        if (nextChecks.putIfAbsent(endpoint.id(), now.plus(CHECK_INTERVAL)) == null) {
+            context.emit(new ForwardingEffect.CheckConnection(
+                    endpoint.id(),
+                    endpoint.listing().address(),
+                    endpoint.listing().started()));
+        }
+    }
+
+    void connectionRefused(ForwardingEvent.ConnectionRefused event) {
+        confirm(suspicion -> suspicion.endpoint().equals(event.endpoint()) && suspicion.started() == event.started());
     }
 
     /**
@@ -68,22 +159,42 @@
      * no longer listed.
      */
     void endpointLost(EndpointState endpoint) {
+        confirm(suspicion -> suspicion.endpoint().equals(endpoint.id()));
+    }
+
+    private void confirm(Predicate<Suspicion> selected) {
         Iterator<Suspicion> iterator = suspicions.iterator();
         while (iterator.hasNext()) {
             Suspicion suspicion = iterator.next();
             if (context.now().isAfter(suspicion.expiresAt())) {
                 iterator.remove();
-            } else if (suspicion.endpoint().equals(endpoint.id())) {
+            } else if (selected.test(suspicion)) {
                 iterator.remove();
-                long fingerprint = suspicion.request().fingerprint();
-                history.add(fingerprint, suspicion.endpoint(), suspicion.started(), context.now());
+                history.add(
+                        suspicion.request().fingerprint(), suspicion.endpoint(), suspicion.started(), context.now());
+                attribution.addCrash(
+                        suspicion.endpoint(),
+                        suspicion.started(),
+                        suspicion.brokenAt(),
+                        suspicion.suspectedParts(),
+                        context.now());
                 context.log(crashRecord(suspicion));
-                messenger.broadcast(
-                        new PeerMessage.CrashReport(fingerprint, suspicion.endpoint(), suspicion.started()));
+                report(suspicion);
+                RESEND_TIMES.forEach(
+                        delay -> resends.add(new Resend(suspicion, context.now().plus(delay))));
             }
         }
     }
 
+    private void report(Suspicion suspicion) {
+        messenger.broadcast(new PeerMessage.CrashReport(
+                suspicion.request().fingerprint(),
+                suspicion.endpoint(),
+                suspicion.started(),
+                suspicion.suspectedParts(),
+                context.millisecondsSince(suspicion.brokenAt())));
+    }
+
     private DecisionRecord crashRecord(Suspicion suspicion) {
         Instant brokenAt = suspicion.brokenAt();
         return DecisionRecord.important(
@@ -120,6 +231,77 @@
                 message.started(),
                 "fingerprint",
                 message.fingerprint()));
+        Instant crashedAt = context.now().minusMillis(message.ageMilliseconds());
         history.add(message.fingerprint(), message.endpoint(), message.started(), context.now());
+        attribution.addCrash(message.endpoint(), message.started(), crashedAt, message.parts(), context.now());
+        confirm(suspicion -> suspicion.endpoint().equals(message.endpoint())
+                && suspicion.started() == message.started()
+                && Duration.between(suspicion.brokenAt(), crashedAt).abs().compareTo(SAME_CRASH) <= 0);
+    }
+
+    /** Returns what peers need to know of prompt parts. */
+    PartEvidence evidence() {
+        return attribution.evidence(context.now());
+    }
+
+    void evidenceReceived(HostId sender, PartEvidence evidence) {
+        Instant now = context.now();
+        for (ObservedPart observed : evidence.observed()) {
+            attribution
+                    .addPeerOutput(observed.part(), now.minusMillis(observed.ageMilliseconds()))
+                    .ifPresent(this::logCleared);
+        }
+        for (RefusedPart refused : evidence.refused()) {
+            boolean adopted = attribution.adopt(
+                    new CrashAttribution.Refusal(
+                            refused.part(),
+                            0,
+                            now.minusMillis(refused.firstCrashAgeMilliseconds()),
+                            now.plusMillis(refused.remainingMilliseconds())),
+                    now);
+            if (adopted) {
+                refusalsChanged = true;
+                context.log(DecisionRecord.important(
+                        "part-refused",
+                        "part",
+                        Long.toHexString(refused.part()),
+                        "peer",
+                        sender,
+                        "first-crash-ms-ago",
+                        refused.firstCrashAgeMilliseconds()));
+            }
+        }
+    }
+
+    /** Looks for the cause of crashes; returns whether requests with another part are refused since the last call. */
+    boolean tick() {
+        Instant now = context.now();
+        for (Iterator<Resend> iterator = resends.iterator(); iterator.hasNext(); ) {
+            Resend resend = iterator.next();
+            if (!now.isBefore(resend.dueAt())) {
+                iterator.remove();
+                Suspicion suspicion = resend.suspicion();
+                if (attribution.isUndecided(suspicion.suspectedParts(), suspicion.brokenAt())) {
+                    report(suspicion);
+                }
+            }
+        }
+        if (!now.isBefore(nextAttributionAt)) {
+            nextAttributionAt = now.plus(ATTRIBUTION_INTERVAL);
+            attribution.attribute(now).ifPresent(refusal -> {
+                refusalsChanged = true;
+                context.log(DecisionRecord.important(
+                        "part-refused",
+                        "part",
+                        Long.toHexString(refusal.part()),
+                        "crashes",
+                        refusal.crashes(),
+                        "first-crash-ms-ago",
+                        context.millisecondsSince(refusal.firstCrashAt())));
+            });
+        }
+        boolean changed = refusalsChanged;
+        refusalsChanged = false;
+        return changed;
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/FailureReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/FailureReason.java
@@ -7,5 +7,7 @@
     /** This host has to stop before the answer is complete. */
     STOPPING,
     /** The endpoint closed the connection early or sent an invalid answer. */
-    ENDPOINT_FAILED
+    ENDPOINT_FAILED,
+    /** Requests with a part of its prompt crash endpoints, so it was stopped on its endpoint. */
+    CRASHES_ENDPOINTS
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -50,6 +50,9 @@
     /** Sends a command to a runner. */
     record Command(AdapterCommand command) implements ForwardingEffect {}
 
+    /** Opens and closes a connection to an endpoint, to learn whether its process is gone. */
+    record CheckConnection(EndpointId endpoint, NetworkAddress address, long started) implements ForwardingEffect {}
+
     /** Queries the state of a runner. */
     record Inspect(EndpointId endpoint, NetworkAddress address) implements ForwardingEffect {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -30,6 +30,9 @@
     /** The caller closed its connection. */
     record CallerDisconnected(long exchange) implements ForwardingEvent {}
 
+    /** An endpoint refused a connection that was opened to check it, so no process listens there. */
+    record ConnectionRefused(EndpointId endpoint, long started) implements ForwardingEvent {}
+
     /** A command to a runner was answered, or timed out. */
     record CommandAnswered(AdapterCommand command, CommandResult result) implements ForwardingEvent {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -142,6 +142,8 @@
             forwarder.attemptEnded(ended.exchange(), ended.attempt(), ended.result());
         } else if (event instanceof ForwardingEvent.CallerDisconnected left) {
             forwarder.callerDisconnected(left.exchange());
+        } else if (event instanceof ForwardingEvent.ConnectionRefused refused) {
+            crashDetector.connectionRefused(refused);
         } else if (event instanceof ForwardingEvent.CommandAnswered answered) {
             runnerManager.commandAnswered(answered.command(), answered.result());
             forwarder.advanceWaiting();
@@ -239,6 +241,7 @@
             peers.recordState(state, context.now());
             runnerManager.applyObservedLoads(
                     new HostIdentity(sender, state.announcement().incarnation()), state.loads());
+            crashDetector.evidenceReceived(sender, state.parts());
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
         } else if (message instanceof PeerMessage.Bundle bundle) {
@@ -346,7 +349,8 @@
                 view.reachesLog(),
                 view.consumer(Topic.CONFIGURATION).end(),
                 view.consumer(Topic.ENDPOINTS).end(),
-                runnerManager.observedLoads());
+                runnerManager.observedLoads(),
+                crashDetector.evidence());
     }
 
     private void tick() {
@@ -358,6 +362,9 @@
         }
         confirmClaims();
         runnerManager.tick(stopping);
+        if (crashDetector.tick()) {
+            forwarder.stopRefusedRequests();
+        }
         forwarder.tick();
         Instant now = context.now();
         if (!now.isBefore(nextUseReportAt)) {
@@ -426,6 +433,7 @@
                 endpoints,
                 runnerManager.commandedRunners(),
                 peers.live(now).size() - 1,
+                crashDetector.refusedParts(),
                 topics);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -14,6 +14,7 @@
  * @param endpoints number of endpoints of all services by condition
  * @param commandedRunners number of runners that this host commands
  * @param livePeers number of other hosts that are live
+ * @param refusedParts number of prompt parts whose requests are refused because they crash endpoints
  */
 public record ForwardingStatus(
         int openRequests,
@@ -22,6 +23,7 @@
         Map<EndpointCondition, Long> endpoints,
         int commandedRunners,
         int livePeers,
+        int refusedParts,
         Map<Topic, TopicStatus> topics) {
     /** Copies the maps. */
     public ForwardingStatus {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -21,6 +21,7 @@
     Optional<EndpointState> endpoint = Optional.empty();
     boolean sent;
     boolean firstOutput;
+    boolean outputReported;
     Instant firstOutputAt = Instant.MIN;
     long firstOutputMilliseconds = -1;
     boolean mayHaveRun;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -36,6 +36,9 @@
     /** Multiple of the expected time until the first event after which a silent stream is sent to another endpoint. */
     private static final double SILENCE_PREDICTION_MULTIPLE = 4;
 
+    /** Time after the first output of a stream after which its endpoint has survived the request. */
+    private static final Duration SURVIVED_OUTPUT_TIME = Duration.ofSeconds(1);
+
     /** Minimum silence before a stream is sent to another endpoint. */
     private static final Duration MINIMUM_STREAM_SILENCE = Duration.ofMillis(700);
 
@@ -110,7 +113,7 @@
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
             refuse(inFlight, RefusalReason.DEADLINE_PASSED, 0);
-        } else if (crashDetector.isRefused(request.fingerprint())) {
+        } else if (crashDetector.isRefused(request)) {
             refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
         } else {
             selectEndpoint(inFlight);
@@ -261,6 +264,7 @@
         ForwardRequest request = inFlight.request;
         inFlight.sent = true;
         inFlight.firstOutput = false;
+        inFlight.outputReported = false;
         inFlight.attempts++;
         inFlight.sentAt = context.now();
         inFlight.predictedMilliseconds = inFlight.service.engine().isPresent()
@@ -353,7 +357,9 @@
         boolean failed = result.status() >= 500 || result.claimsNotExecuted();
         endpoint.recordOutcome(!failed, context.now());
         if (!failed) {
-            crashDetector.requestCompleted(inFlight.request.fingerprint());
+            if (result.isSuccess()) {
+                crashDetector.requestCompleted(inFlight.request);
+            }
             if (inFlight.request.adapter().isPresent()) {
                 endpoint.recordRunTime(Duration.between(inFlight.sentAt, context.now()));
             }
@@ -376,7 +382,7 @@
     private boolean tryRerun(InFlightRequest inFlight, int runs) {
         return runs < inFlight.route.maximumAttempts()
                 && context.now().isBefore(inFlight.deadline)
-                && !crashDetector.isRefused(inFlight.request.fingerprint())
+                && !crashDetector.isRefused(inFlight.request)
                 && view.endpointsOf(inFlight.service.name()).stream()
                         .anyMatch(endpoint ->
                                 endpoint.acceptsRequests(context.now()) && !inFlight.tried.contains(endpoint.id()))
@@ -464,7 +470,12 @@
                 "waited-ms",
                 context.millisecondsSince(inFlight.arrivedAt),
                 "attempts",
-                inFlight.attempts));
+                inFlight.attempts,
+                "part",
+                crashDetector
+                        .refusedPart(inFlight.request)
+                        .map(Long::toHexString)
+                        .orElse("")));
         context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
 
@@ -506,6 +517,24 @@
         }
     }
 
+    /**
+     * Ends the requests that have come to be refused: those that have not been sent as not run, and those without output
+     * as failed, before their endpoints crash.
+     */
+    void stopRefusedRequests() {
+        for (InFlightRequest inFlight : List.copyOf(requests.values())) {
+            if (crashDetector.refusedPart(inFlight.request).isEmpty()) {
+                continue;
+            }
+            if (!inFlight.sent) {
+                refuseOrFail(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
+            } else if (!inFlight.firstOutput) {
+                cancel(inFlight);
+                fail(inFlight, FailureReason.CRASHES_ENDPOINTS);
+            }
+        }
+    }
+
     void tick() {
         advanceWaiting();
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
@@ -515,12 +544,21 @@
             if (!context.now().isBefore(inFlight.deadline)) {
                 cancel(inFlight);
                 fail(inFlight, FailureReason.TIMED_OUT);
-            } else if (!inFlight.firstOutput && isSilent(inFlight) && inFlight.route.allowsRerun()) {
+            } else if (inFlight.firstOutput) {
+                reportOutput(inFlight);
+            } else if (isSilent(inFlight) && inFlight.route.allowsRerun()) {
                 retryElsewhere(inFlight);
             }
         }
     }
 
+    private void reportOutput(InFlightRequest inFlight) {
+        if (!inFlight.outputReported && !context.now().isBefore(inFlight.firstOutputAt.plus(SURVIVED_OUTPUT_TIME))) {
+            inFlight.outputReported = true;
+            crashDetector.outputProduced(inFlight.request);
+        }
+    }
+
     private boolean isSilent(InFlightRequest inFlight) {
         long waited = context.millisecondsSince(inFlight.sentAt);
         return inFlight.route.streaming()
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -152,6 +152,7 @@
      * @param configurationOffset next offset to read in the configuration topic
      * @param endpointsOffset next offset to read in the endpoints topic
      * @param loads adapter loads that the sender has observed; null stands for none
+     * @param parts what the sender knows of prompt parts that may crash endpoints; null stands for nothing
      */
     record HostState(
             HostAnnouncement announcement,
@@ -159,11 +160,13 @@
             boolean reachesLog,
             long configurationOffset,
             long endpointsOffset,
-            LoadCounts loads)
+            LoadCounts loads,
+            PartEvidence parts)
             implements PeerMessage {
-        /** Replaces the counts that a host of an earlier release does not send. */
+        /** Replaces what a host of an earlier release does not send. */
         public HostState {
             loads = loads == null ? LoadCounts.NONE : loads;
+            parts = parts == null ? PartEvidence.NONE : parts;
         }
     }
 
@@ -242,6 +245,19 @@
             long ageMilliseconds)
             implements PeerMessage {}
 
-    /** Reports that a request crashed an endpoint. */
-    record CrashReport(long fingerprint, EndpointId endpoint, long started) implements PeerMessage {}
+    /**
+     * Reports a request that was on an endpoint when it crashed.
+     *
+     * @param started start time of the endpoint's process, as in its topic entry
+     * @param parts shared parts of the request's prompt, in order; empty if the endpoint had produced output for it;
+     *     null stands for empty
+     * @param ageMilliseconds time since the crash
+     */
+    record CrashReport(long fingerprint, EndpointId endpoint, long started, List<Long> parts, long ageMilliseconds)
+            implements PeerMessage {
+        /** Replaces what a host of an earlier release does not send. */
+        public CrashReport {
+            parts = parts == null ? List.of() : List.copyOf(parts);
+        }
+    }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -3,9 +3,18 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.RefusedPart;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -108,4 +117,100 @@
         assertDeadlyRequestsStopped();
         assertEquals(0, refusals(false), "sound requests refused for their parts");
     }
+
+    /** Guards against refusing the first part, which all requests share, while its requests crash beside others. */
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16})
+    void soundRequestsAreNotRefusedWhenRunnersCrashByThemselves(long seed) {
+        begin(6, 6, seed);
+        for (int round = 0; round < 20; round++) {
+            runTraffic(Duration.ofMillis(500 + random.nextInt(1500)), 20, 0);
+            List<EndpointId> runners = simulation.runners();
+            simulation.crash(runners.get(random.nextInt(runners.size())));
+        }
+        simulation.runners().forEach(simulation::crash);
+        runTraffic(Duration.ofSeconds(8), 20, 0);
+        assertEquals(0, refusals(false), "sound requests refused for their parts");
+    }
+
+    @Test
+    void hostsThatRestartLearnWhichPartIsRefused() {
+        begin(6, 6, 21);
+        simulation.addDeadlyPart(DEADLY_PART);
+        runTraffic(Duration.ofSeconds(15), 10, 0.06);
+        int crashesBefore = simulation.crashes().size();
+        simulation.hosts().stream().limit(5).forEach(host -> {
+            simulation.restart(host);
+            simulation.pass(Duration.ofSeconds(1));
+        });
+        runTraffic(Duration.ofSeconds(15), 10, 0.06);
+        assertEquals(crashesBefore, simulation.crashes().size(), "crashes after the restarts");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34})
+    void partIsRefusedAlthoughMessagesAreLost(long seed) {
+        begin(6, 6, seed);
+        Random losses = new Random(seed);
+        simulation.setDelivery((from, to) -> losses.nextInt(10) >= 3);
+        simulation.addDeadlyPart(DEADLY_PART);
+        runTraffic(DAY, 10, 0.06);
+        assertDeadlyRequestsStopped();
+        assertEquals(0, refusals(false), "sound requests refused for their parts");
+    }
+
+    @Test
+    void hostThatIsCutOffRefusesNothingAndLearnsThePartAfterwards() {
+        begin(6, 6, 41);
+        HostId cut = simulation.hosts().get(0);
+        simulation.setDelivery((from, to) -> !from.equals(cut) && !to.equals(cut));
+        simulation.addDeadlyPart(DEADLY_PART);
+        runTraffic(Duration.ofSeconds(15), 10, 0.06);
+        simulation.setDelivery((from, to) -> true);
+        simulation.pass(Duration.ofSeconds(2));
+        int crashesBefore = simulation.crashes().size();
+        runTraffic(Duration.ofSeconds(15), 10, 0.06);
+        assertEquals(crashesBefore, simulation.crashes().size(), "crashes after the cut");
+        assertEquals(0, refusals(false), "sound requests refused for their parts");
+    }
+
+    @Test
+    void refusalOfAPeerStopsTheRequestsWithoutOutput() {
+        HostId peer = new HostId("host-2");
+        ReducerFixture fixture = new ReducerFixture();
+        fixture.configureEngine(8, ReducerFixture.route("/x/", ReducerFixture.SERVICE, true, false, true));
+        fixture.endpoint("runner-1", ReducerFixture.SERVICE, false, 1, "a1");
+        ForwardRequest running = fixture.request("/x/1", Optional.of(ReducerFixture.ADAPTER), Duration.ofSeconds(4));
+        fixture.apply(new ForwardingEvent.RequestArrived(running));
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
+                new HostIdentity(peer, 1),
+                new PeerMessage.HostState(
+                        new HostAnnouncement(
+                                peer,
+                                1,
+                                NetworkAddress.parse("10.0.0.2:80"),
+                                NetworkAddress.parse("10.0.0.2:81"),
+                                "east",
+                                1),
+                        false,
+                        true,
+                        0,
+                        0,
+                        LoadCounts.NONE,
+                        new PartEvidence(List.of(), List.of(new RefusedPart(FIRST_PART, 5_000, 60_000))))));
+        List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(100));
+        assertEquals(
+                List.of(new ForwardingEffect.Fail(running.exchange(), FailureReason.CRASHES_ENDPOINTS)),
+                ReducerFixture.only(effects, ForwardingEffect.Fail.class));
+        assertEquals(
+                1,
+                ReducerFixture.only(effects, ForwardingEffect.CancelAttempt.class)
+                        .size());
+        ForwardRequest later = fixture.request("/x/1", Optional.of(ReducerFixture.ADAPTER), Duration.ofSeconds(4));
+        assertEquals(
+                List.of(new ForwardingEffect.Refuse(
+                        later.exchange(), RefusalReason.CRASHES_ENDPOINTS, Optional.empty())),
+                ReducerFixture.only(
+                        fixture.apply(new ForwardingEvent.RequestArrived(later)), ForwardingEffect.Refuse.class));
+    }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -251,6 +251,8 @@
             } else if (effect instanceof ForwardingEffect.CancelAttempt cancel) {
                 running.keySet()
                         .removeIf(attempt -> attempt.host().equals(host) && attempt.exchange() == cancel.exchange());
+            } else if (effect instanceof ForwardingEffect.CheckConnection check) {
+                checkConnection(host, check);
             } else if (effect instanceof ForwardingEffect.SendToPeer message) {
                 sendToPeer(host, message);
             } else if (effect instanceof ForwardingEffect.Deliver deliver) {
@@ -263,6 +265,17 @@
         }
     }
 
+    private void checkConnection(HostId host, ForwardingEffect.CheckConnection check) {
+        if (runners.get(check.endpoint()).down) {
+            schedule(
+                    Duration.ZERO,
+                    () -> run(
+                            host,
+                            hosts.get(host)
+                                    .apply(new ForwardingEvent.ConnectionRefused(check.endpoint(), check.started()))));
+        }
+    }
+
     private void ended(HostId host, long exchange, boolean answered, Optional<RefusalReason> refusal) {
         outcomes.add(new Outcome(now, requests.remove(new ExchangeKey(host, exchange)), answered, refusal));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -12,6 +12,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -335,7 +336,8 @@
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
             fixture.apply(new ForwardingEvent.PeerMessageReceived(
-                    sender, new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE)));
+                    sender,
+                    new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE)));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(100)));
         }
         List<PeerMessage.RecordsRequest> requests =
@@ -377,7 +379,13 @@
         return fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(new HostId(host), 1),
                 new PeerMessage.HostState(
-                        announcement(host, port), false, true, configurationEnd, 0, LoadCounts.NONE)));
+                        announcement(host, port),
+                        false,
+                        true,
+                        configurationEnd,
+                        0,
+                        LoadCounts.NONE,
+                        PartEvidence.NONE)));
     }
 
     /**
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -19,6 +19,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -133,7 +134,8 @@
                                     !now.isBefore(other.withoutLogUntil),
                                     0,
                                     0,
-                                    LoadCounts.NONE),
+                                    LoadCounts.NONE,
+                                    PartEvidence.NONE),
                             now));
             if (partitioned) {
                 readStartedAt = Optional.empty();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -15,6 +15,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -39,7 +40,7 @@
     }
 
     private static PeerMessage state(int number, boolean leaving) {
-        return new PeerMessage.HostState(peer(number), leaving, true, 0, 0, LoadCounts.NONE);
+        return new PeerMessage.HostState(peer(number), leaving, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE);
     }
 
     private static void send(ReducerFixture fixture, int number) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -8,6 +8,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
@@ -36,7 +37,10 @@
     private void begin(int count) {
         for (int number = 1; number < count; number++) {
             peers.update(announcement(number), now);
-            peers.recordState(new PeerMessage.HostState(announcement(number), false, true, 0, 0, LoadCounts.NONE), now);
+            peers.recordState(
+                    new PeerMessage.HostState(
+                            announcement(number), false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE),
+                    now);
         }
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -12,6 +12,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
 import org.junit.jupiter.api.BeforeEach;
@@ -120,7 +121,7 @@
                     host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.1.0.1:81"), "east", 1);
             second.apply(new ForwardingEvent.PeerMessageReceived(
                     new HostIdentity(host, 1),
-                    new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE)));
+                    new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE)));
         }
         pass(Duration.ofMillis(200));
         interruptLog(partitioned);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -16,6 +16,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -69,7 +70,7 @@
                 host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.2.0.1:81"), "east", 1);
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(host, 1),
-                new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE)));
+                new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE)));
     }
 
     /** Advances time for both hosts; returns the effects of the lease holder. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -251,6 +251,10 @@
             peers.unwatch(close.peer());
         } else if (effect instanceof ForwardingEffect.Command command) {
             sendCommand(command.command());
+        } else if (effect instanceof ForwardingEffect.CheckConnection check) {
+            runnerCallConnections.check(
+                    check.address(),
+                    () -> context.submit(new ForwardingEvent.ConnectionRefused(check.endpoint(), check.started())));
         } else if (effect instanceof ForwardingEffect.Inspect inspect) {
             inspect(inspect);
         } else if (effect instanceof ForwardingEffect.ReadNewest read) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarder.internal;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,8 +10,10 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -104,6 +107,29 @@
         return call;
     }
 
+    /**
+     * Opens a connection and closes it again.
+     *
+     * @param refused called if the address refuses it, as when no process listens there
+     */
+    public void check(NetworkAddress address, Runnable refused) {
+        openedTotal++;
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address.ip(), address.port())
+                .addListener((ChannelFuture connecting) -> {
+                    if (connecting.isSuccess()) {
+                        connecting.channel().close();
+                    } else if (connecting.cause() instanceof ConnectException
+                            && !(connecting.cause() instanceof ConnectTimeoutException)) {
+                        refused.run();
+                    }
+                });
+    }
+
     private EndpointConnection takeIdle(NetworkAddress address) {
         Deque<EndpointConnection> candidates = idle.get(address);
         while (candidates != null && !candidates.isEmpty()) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -16,6 +16,7 @@
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
 import org.banyanstair.peer.NewsOrder;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerBroadcast;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
@@ -126,6 +127,7 @@
         long configurationOffset = 0;
         long endpointsOffset = 0;
         LoadCounts loads = LoadCounts.NONE;
+        PartEvidence parts = PartEvidence.NONE;
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "announcement" -> {
@@ -146,6 +148,9 @@
                 case "loads" -> {
                     loads = values.readLoadCounts();
                 }
+                case "parts" -> {
+                    parts = values.readPartEvidence();
+                }
                 default -> in.skipValue();
             }
         }
@@ -155,7 +160,8 @@
                 reachesLog,
                 configurationOffset,
                 endpointsOffset,
-                loads);
+                loads,
+                parts);
     }
 
     private Optional<PeerMessage> readBundle(int fields) throws IOException {
@@ -398,6 +404,8 @@
         long fingerprint = 0;
         String endpoint = null;
         long started = 0;
+        List<Long> parts = List.of();
+        long ageMilliseconds = 0;
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "fingerprint" -> {
@@ -409,9 +417,16 @@
                 case "started" -> {
                     started = in.unpackLong();
                 }
+                case "parts" -> {
+                    parts = values.readList(in::unpackLong);
+                }
+                case "ageMilliseconds" -> {
+                    ageMilliseconds = in.unpackLong();
+                }
                 default -> in.skipValue();
             }
         }
-        return new PeerMessage.CrashReport(fingerprint, new EndpointId(PeerValueReader.required(endpoint)), started);
+        return new PeerMessage.CrashReport(
+                fingerprint, new EndpointId(PeerValueReader.required(endpoint)), started, parts, ageMilliseconds);
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -11,8 +11,11 @@
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
 import org.banyanstair.peer.NewsOrder;
+import org.banyanstair.peer.ObservedPart;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerBroadcast;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
 import org.msgpack.core.MessagePacker;
 
@@ -75,7 +78,7 @@
             begin("Pong", 1);
             field("sequence", pong.sequence());
         } else if (message instanceof PeerMessage.HostState state) {
-            begin("HostState", 6);
+            begin("HostState", 7);
             out.packString("announcement");
             write(state.announcement());
             field("leaving", state.leaving());
@@ -84,6 +87,8 @@
             field("endpointsOffset", state.endpointsOffset());
             out.packString("loads");
             write(state.loads());
+            out.packString("parts");
+            write(state.parts());
         } else if (message instanceof PeerMessage.Bundle bundle) {
             begin("Bundle", 2);
             field("news", bundle.news(), this::write);
@@ -123,10 +128,12 @@
             field("dueInMilliseconds", wanted.dueInMilliseconds());
             field("remainingMilliseconds", wanted.remainingMilliseconds());
         } else if (message instanceof PeerMessage.CrashReport report) {
-            begin("CrashReport", 3);
+            begin("CrashReport", 5);
             field("fingerprint", report.fingerprint());
             field("endpoint", report.endpoint().value());
             field("started", report.started());
+            field("parts", report.parts(), out::packLong);
+            field("ageMilliseconds", report.ageMilliseconds());
         } else {
             writeRecordsMessage(message);
         }
@@ -245,6 +252,25 @@
         out.packLong(counts.late());
     }
 
+    private void write(PartEvidence evidence) throws IOException {
+        out.packArrayHeader(2);
+        elements(evidence.observed(), this::write);
+        elements(evidence.refused(), this::write);
+    }
+
+    private void write(ObservedPart observed) throws IOException {
+        out.packArrayHeader(2);
+        out.packLong(observed.part());
+        out.packLong(observed.ageMilliseconds());
+    }
+
+    private void write(RefusedPart refused) throws IOException {
+        out.packArrayHeader(3);
+        out.packLong(refused.part());
+        out.packLong(refused.firstCrashAgeMilliseconds());
+        out.packLong(refused.remainingMilliseconds());
+    }
+
     private void write(EndpointUsage usage) throws IOException {
         out.packArrayHeader(6);
         out.packString(usage.endpoint().value());
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -16,6 +16,9 @@
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
 import org.banyanstair.peer.NewsOrder;
+import org.banyanstair.peer.ObservedPart;
+import org.banyanstair.peer.PartEvidence;
+import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
 import org.msgpack.core.MessageUnpacker;
 
@@ -163,6 +166,27 @@
         return counts;
     }
 
+    PartEvidence readPartEvidence() throws IOException {
+        int surplus = readArrayHeader(2);
+        PartEvidence evidence = new PartEvidence(readList(this::readObservedPart), readList(this::readRefusedPart));
+        in.skipValue(surplus);
+        return evidence;
+    }
+
+    private ObservedPart readObservedPart() throws IOException {
+        int surplus = readArrayHeader(2);
+        ObservedPart observed = new ObservedPart(in.unpackLong(), in.unpackLong());
+        in.skipValue(surplus);
+        return observed;
+    }
+
+    private RefusedPart readRefusedPart() throws IOException {
+        int surplus = readArrayHeader(3);
+        RefusedPart refused = new RefusedPart(in.unpackLong(), in.unpackLong(), in.unpackLong());
+        in.skipValue(surplus);
+        return refused;
+    }
+
     /** Reads the header of an array with at least the given elements; returns the number of further ones. */
     private int readArrayHeader(int elements) throws IOException {
         int length = in.unpackArrayHeader();
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -20,8 +20,11 @@
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
 import org.banyanstair.peer.NewsOrder;
+import org.banyanstair.peer.ObservedPart;
+import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerBroadcast;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -52,7 +55,8 @@
             false,
             -1,
             70_000,
-            new LoadCounts(300, 2));
+            new LoadCounts(300, 2),
+            new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))));
 
     private static final PeerMessage.UseReport USE = new PeerMessage.UseReport(
             List.of(
@@ -77,7 +81,8 @@
             HELD,
             new PeerMessage.AdapterWanted(ENDPOINT, ADAPTER, -3, 300),
             new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 1_796_404_054_672L),
-            new PeerMessage.CrashReport(-1L, ENDPOINT, 5),
+            new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(1L, -2L), 17),
+            new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(), 0),
             new PeerMessage.Bundle(
                     List.of(new PeerBroadcast(HOST, 4, List.of(STATE, USE)), new PeerBroadcast(HOST, 5, List.of())),
                     true),
