Refuse prompt parts that crash engines in pools too

The product's own path had the same fault as the users' platform: suspects were known by the fingerprint of the whole request, so requests that share a deadly message, no two alike, would each crash an engine and its retry another.

Permit requests, held permits and crash records now carry hashes of the prompt parts that others may share, the messages of a conversation before the last. CrashSuspects gives them to CrashAttribution, which moves to a package of its own and decides for both paths; the pool owner sees all completions of its pool, and records a refusal in the log stream, so it survives the owner. Fields that an earlier release does not send are empty.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashAttribution.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.crashes;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -33,7 +33,7 @@
  *
  * <p>Instants are those of this host's clock; what peers report is converted by its age. Not thread-safe.
  */
-final class CrashAttribution {
+public final class CrashAttribution {
     /** Crashes that a part needs to be refused, if it was on a good share of all. */
     private static final int MINIMUM_CRASHES = 3;
 
@@ -76,14 +76,11 @@
         }
     };
     private final Deque<Instant> recentOutputs = new ArrayDeque<>();
-    private final Map<Long, Refusal> refusals = new TreeMap<>();
+    private final Map<Long, PartRefusal> refusals = new TreeMap<>();
     private final Set<Long> contested = new HashSet<>();
 
     private record CrashId(EndpointId endpoint, long started) {}
 
-    /** A part whose requests are refused. */
-    record Refusal(long part, int crashes, Instant firstCrashAt, Instant expiresAt) {}
-
     private static final class Crash {
         private Instant at = Instant.MAX;
         private Instant learnedAt = Instant.MIN;
@@ -126,21 +123,12 @@
      *
      * @param settleTime time after a crash in which reports of peers about it arrive
      */
-    CrashAttribution(Duration settleTime) {
+    public CrashAttribution(Duration settleTime) {
         this.settleTime = settleTime;
     }
 
-    /** Returns the parts of a request's prompt that other requests may share. */
-    static List<Long> sharedParts(ForwardRequest request) {
-        List<PromptPart> prompt = request.prompt();
-        return prompt.stream()
-                .limit(Math.max(0, prompt.size() - 1))
-                .map(PromptPart::id)
-                .toList();
-    }
-
     /** Records that a request without output was on an endpoint that crashed. */
-    void addCrash(EndpointId endpoint, long started, Instant at, List<Long> parts, Instant now) {
+    public void addCrash(EndpointId endpoint, long started, Instant at, List<Long> parts, Instant now) {
         if (parts.isEmpty()) {
             return;
         }
@@ -154,22 +142,23 @@
             crash.learnedAt = now;
         }
         for (long part : parts) {
-            Refusal refusal = refusals.get(part);
+            PartRefusal refusal = refusals.get(part);
             if (refusal != null) {
                 refusals.put(
                         part,
-                        new Refusal(part, refusal.crashes() + 1, refusal.firstCrashAt(), now.plus(REFUSAL_RETENTION)));
+                        new PartRefusal(
+                                part, refusal.crashes() + 1, refusal.firstCrashAt(), now.plus(REFUSAL_RETENTION)));
             }
         }
     }
 
     /** Records output for the parts of a request of this host; returns the refusals that it proves wrong. */
-    List<Refusal> addOutput(Collection<Long> parts, Instant at) {
+    public List<PartRefusal> addOutput(Collection<Long> parts, Instant at) {
         recentOutputs.addLast(at);
         if (recentOutputs.size() > REQUIRED_OUTPUTS) {
             recentOutputs.removeFirst();
         }
-        List<Refusal> cleared = new ArrayList<>();
+        List<PartRefusal> cleared = new ArrayList<>();
         for (long part : parts) {
             Output output = renew(part);
             output.ownAt = at.isAfter(output.ownAt) ? at : output.ownAt;
@@ -179,7 +168,7 @@
     }
 
     /** Records output that a peer has seen; returns the refusal that it proves wrong. */
-    Optional<Refusal> addPeerOutput(long part, Instant at) {
+    public Optional<PartRefusal> addPeerOutput(long part, Instant at) {
         Output output = renew(part);
         output.peersAt = at.isAfter(output.peersAt) ? at : output.peersAt;
         return removeIfCleared(part);
@@ -192,8 +181,8 @@
         return renewed;
     }
 
-    private Optional<Refusal> removeIfCleared(long part) {
-        Refusal refusal = refusals.get(part);
+    private Optional<PartRefusal> removeIfCleared(long part) {
+        PartRefusal refusal = refusals.get(part);
         if (refusal == null || !hasOutputSince(part, refusal.firstCrashAt())) {
             return Optional.empty();
         }
@@ -207,7 +196,7 @@
     }
 
     /** Applies the refusal of a peer; returns whether it is new. A part with output since the crashes is not refused. */
-    boolean adopt(Refusal refusal, Instant now) {
+    public boolean adopt(PartRefusal refusal, Instant now) {
         if (hasOutputSince(refusal.part(), refusal.firstCrashAt())) {
             contested.add(refusal.part());
             return false;
@@ -221,13 +210,13 @@
         return true;
     }
 
-    /** Returns the refused part of a request, if any. */
-    Optional<Long> refusedPart(ForwardRequest request, Instant now) {
+    /** Returns the first part of a prompt that is refused; empty if none is. */
+    public Optional<Long> refusedPart(List<Long> parts, Instant now) {
         if (refusals.isEmpty()) {
             return Optional.empty();
         }
-        for (long part : sharedParts(request)) {
-            Refusal refusal = refusals.get(part);
+        for (long part : parts) {
+            PartRefusal refusal = refusals.get(part);
             if (refusal != null) {
                 if (now.isBefore(refusal.expiresAt())) {
                     return Optional.of(part);
@@ -238,18 +227,19 @@
         return Optional.empty();
     }
 
-    int refusedParts() {
+    /** Returns the number of parts that are refused. */
+    public int refusedParts() {
         return refusals.size();
     }
 
     /** Returns whether a part of a prompt has neither been cleared of a crash nor explains it by a refusal. */
-    boolean isUndecided(List<Long> parts, Instant crashAt) {
+    public boolean isUndecided(List<Long> parts, Instant crashAt) {
         return parts.stream().noneMatch(refusals::containsKey)
                 && parts.stream().anyMatch(part -> !hasOutputSince(part, crashAt));
     }
 
     /** Returns what peers need to know. */
-    PartEvidence evidence(Instant now) {
+    public PartEvidence evidence(Instant now) {
         Map<Long, ObservedPart> observed = new LinkedHashMap<>();
         for (Crash crash : crashes.values()) {
             if (isExplained(crash)) {
@@ -293,7 +283,7 @@
     }
 
     /** Refuses the part to which the crashes point, if there is one; returns it. */
-    Optional<Refusal> attribute(Instant now) {
+    public Optional<PartRefusal> attribute(Instant now) {
         List<Crash> open = crashes.values().stream()
                 .filter(crash -> !isExplained(crash))
                 .sorted(Comparator.comparing(crash -> crash.at))
@@ -316,8 +306,8 @@
         if (isAmbiguous(selected, eligible, candidates)) {
             return Optional.empty();
         }
-        Refusal refusal =
-                new Refusal(selected.part, selected.count(), selected.times.get(0), now.plus(REFUSAL_RETENTION));
+        PartRefusal refusal =
+                new PartRefusal(selected.part, selected.count(), selected.times.get(0), now.plus(REFUSAL_RETENTION));
         refusals.put(refusal.part(), refusal);
         return Optional.of(refusal);
     }
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/package-info.java
@@ -0,0 +1,2 @@
+/** Finds out which part of the requests on crashed endpoints has crashed them. */
+package org.banyanstair.crashes;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.banyanstair.crashes.CrashAttribution;
+import org.banyanstair.crashes.PartRefusal;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.ObservedPart;
@@ -75,7 +77,7 @@
         private List<Long> suspectedParts() {
             boolean hadOutput = outputAt.filter(at -> brokenAt.isAfter(at.plus(FIRST_OUTPUT_DOUBT)))
                     .isPresent();
-            return hadOutput ? List.of() : CrashAttribution.sharedParts(request);
+            return hadOutput ? List.of() : request.sharedParts();
         }
     }
 
@@ -94,7 +96,7 @@
 
     /** Returns the part of a request's prompt that crashes endpoints, if any is known. */
     Optional<Long> refusedPart(ForwardRequest request) {
-        return attribution.refusedPart(request, context.now());
+        return attribution.refusedPart(request.sharedParts(), context.now());
     }
 
     int refusedParts() {
@@ -108,12 +110,10 @@
 
     /** Records that an endpoint has produced output for a request and has survived it. */
     void outputProduced(ForwardRequest request) {
-        attribution
-                .addOutput(CrashAttribution.sharedParts(request), context.now())
-                .forEach(this::logCleared);
+        attribution.addOutput(request.sharedParts(), context.now()).forEach(this::logCleared);
     }
 
-    private void logCleared(CrashAttribution.Refusal refusal) {
+    private void logCleared(PartRefusal refusal) {
         context.log(DecisionRecord.important(
                 "part-cleared",
                 "part",
@@ -253,7 +253,7 @@
         }
         for (RefusedPart refused : evidence.refused()) {
             boolean adopted = attribution.adopt(
-                    new CrashAttribution.Refusal(
+                    new PartRefusal(
                             refused.part(),
                             0,
                             now.minusMillis(refused.firstCrashAgeMilliseconds()),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -40,4 +40,12 @@
     public ForwardRequest {
         prompt = List.copyOf(prompt);
     }
+
+    /** Returns the ids of the parts of the prompt that other requests may share, in order. */
+    List<Long> sharedParts() {
+        return prompt.stream()
+                .limit(Math.max(0, prompt.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/HeldPermit.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/HeldPermit.java
@@ -1,5 +1,7 @@
 package org.banyanstair.peer;
 
+import java.util.List;
+
 import org.banyanstair.model.AdapterVersion;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.Fingerprint;
@@ -10,6 +12,17 @@
  *
  * @param attempt number of the attempt, starting at 1
  * @param endpoint endpoint on which the attempt runs
+ * @param parts hashes of the shared parts of its prompt; null stands for none
  */
 public record HeldPermit(
-        RequestId request, int attempt, EndpointId endpoint, AdapterVersion adapter, Fingerprint fingerprint) {}
+        RequestId request,
+        int attempt,
+        EndpointId endpoint,
+        AdapterVersion adapter,
+        Fingerprint fingerprint,
+        List<Long> parts) {
+    /** Replaces what a host of an earlier release does not send. */
+    public HeldPermit {
+        parts = parts == null ? List.of() : List.copyOf(parts);
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -48,6 +48,7 @@
      * @param queueLimit maximum number of requests that may wait, as declared for the service
      * @param deadline instant after which the response is no longer needed
      * @param prefix hash of the first part of the prompt, for prefix cache affinity
+     * @param parts hashes of the parts of the prompt that other requests may share; null stands for none
      * @param tried endpoints on which earlier attempts of this request failed
      */
     record PermitRequest(
@@ -62,8 +63,14 @@
             Instant deadline,
             long prefix,
             Fingerprint fingerprint,
+            List<Long> parts,
             Set<EndpointId> tried)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /** Replaces what a host of an earlier release does not send. */
+        public PermitRequest {
+            parts = parts == null ? List.of() : List.copyOf(parts);
+        }
+    }
 
     /**
      * Grants a permit for one attempt on an endpoint.
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/AdmissionControl.java
@@ -69,7 +69,7 @@
         if (!now.isBefore(message.deadline())) {
             return Optional.of(new Failure.DeadlinePassed(message.deadline()));
         }
-        if (pool.suspects().isRefused(message.fingerprint())) {
+        if (crashesEndpoints(message, now)) {
             return Optional.of(
                     new Failure.RequestCrashesEndpoints(pool.suspects().crashCount(message.fingerprint()), false));
         }
@@ -84,6 +84,11 @@
                 : Optional.of(new Failure.RetryBudgetSpent(pool.id()));
     }
 
+    private boolean crashesEndpoints(PeerMessage.PermitRequest message, Instant now) {
+        return pool.suspects().isRefused(message.fingerprint())
+                || pool.suspects().isPartRefused(message.parts(), now);
+    }
+
     /** Clears the tried engines once a request has tried all of them, because some may have restarted since. */
     private PeerMessage.PermitRequest clearTriedIfExhausted(PeerMessage.PermitRequest message) {
         if (!hasTriedAllEngines(message)) {
@@ -101,6 +106,7 @@
                 message.deadline(),
                 message.prefix(),
                 message.fingerprint(),
+                message.parts(),
                 Set.of());
     }
 
@@ -152,7 +158,7 @@
                         new Failure.DeadlinePassed(waiting.message().deadline()),
                         effects));
         pool.queue()
-                .removeIf(waiting -> pool.suspects().isRefused(waiting.message().fingerprint()))
+                .removeIf(waiting -> crashesEndpoints(waiting.message(), now))
                 .forEach(waiting -> refuse(
                         waiting.holder().host(),
                         waiting.message(),
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineMonitor.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineMonitor.java
@@ -91,7 +91,7 @@
     /** Keeps the permits until their holders release them, because a delayed grant may still be used. */
     private void engineRestarted(EngineState engine, long incarnation, Instant now, Effects effects) {
         effects.report(new Notice.EngineRestarted(engine.endpoint().id(), incarnation));
-        recordCrash(engine, effects);
+        recordCrash(engine, now, effects);
         engine.reset(incarnation, now);
         raiseFence(engine, effects);
     }
@@ -102,14 +102,17 @@
         }
     }
 
-    private void recordCrash(EngineState engine, Effects effects) {
+    private void recordCrash(EngineState engine, Instant now, Effects effects) {
         Set<Fingerprint> running = engine.runningFingerprints();
         if (running.isEmpty()) {
             return;
         }
         SuspectRecord.Crash crash = new SuspectRecord.Crash(
-                engine.endpoint().id(), engine.incarnation().orElseThrow(), List.copyOf(running));
-        pool.suspects().apply(crash);
+                engine.endpoint().id(),
+                engine.incarnation().orElseThrow(),
+                List.copyOf(running),
+                engine.promptsWithoutOutput());
+        pool.suspects().apply(crash, now);
         running.forEach(fingerprint -> effects.report(new Notice.CrashSuspected(
                 fingerprint, engine.endpoint().id(), pool.suspects().crashCount(fingerprint))));
         appendRecord(crash, effects);
@@ -146,7 +149,7 @@
         }
         engine.recordStatusFailure();
         if (engine.isVerifying() && engine.incarnation().isPresent() && !engine.isReachable()) {
-            recordCrash(engine, effects);
+            recordCrash(engine, now, effects);
             engine.brokenPermits().clear();
             engine.endVerification();
         } else if (engine.isVerifying()) {
@@ -154,18 +157,33 @@
         }
     }
 
-    void attemptCompleted(Permit permit, Effects effects) {
+    /** Refuses requests with the prompt part that has crashed engines, if there is one. */
+    void attributeCrashes(Instant now, Effects effects) {
+        pool.suspects().attribute(now).ifPresent(refusal -> {
+            effects.report(new Notice.PartRefused(refusal.part(), refusal.crashes()));
+            appendRecord(new SuspectRecord.PartRefused(refusal.part(), refusal.crashes()), effects);
+        });
+    }
+
+    void attemptCompleted(Permit permit, Instant now, Effects effects) {
+        pool.suspects()
+                .completed(permit.parts(), now)
+                .forEach(part -> appendRecord(new SuspectRecord.PartCleared(part), effects));
         if (pool.suspects().crashCount(permit.fingerprint()) > 0) {
             SuspectRecord.Cleared cleared = new SuspectRecord.Cleared(permit.fingerprint());
-            pool.suspects().apply(cleared);
+            pool.suspects().apply(cleared, now);
             appendRecord(cleared, effects);
         }
     }
 
-    void attemptBroken(Permit permit, Instant now, Effects effects) {
+    /** Handles an attempt that broke after some output, or before any. */
+    void attemptBroken(Permit permit, boolean hadOutput, Instant now, Effects effects) {
         pool.engine(permit.endpoint())
                 .filter(engine -> !engine.predatesRestart(permit))
                 .ifPresent(engine -> {
+                    if (hadOutput) {
+                        engine.requestsWithOutput().add(permit.request());
+                    }
                     engine.brokenPermits().add(permit);
                     engine.beginVerification(now);
                     requestStatus(engine, now, effects);
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/EngineState.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,7 @@
     private final Map<RequestId, Permit> permits = new LinkedHashMap<>();
     private final Map<RequestId, Instant> orphanedSince = new HashMap<>();
     private final List<Permit> brokenPermits = new ArrayList<>();
+    private final Set<RequestId> requestsWithOutput = new HashSet<>();
     private final Map<AdapterVersion, Instant> lastUsedAt = new HashMap<>();
     private final Map<AdapterVersion, Instant> unconfirmedEnds = new HashMap<>();
     private final Map<Permit, Instant> unconfirmedPermits = new LinkedHashMap<>();
@@ -77,6 +79,7 @@
         lastUsedAt.clear();
         orphanedSince.clear();
         brokenPermits.clear();
+        requestsWithOutput.clear();
         unconfirmedEnds.clear();
         unconfirmedPermits.clear();
         incarnationSeenAt = now;
@@ -248,6 +251,20 @@
                 .collect(Collectors.toCollection(java.util.TreeSet::new));
     }
 
+    /** Requests that broke after output, which have not crashed the engine. */
+    Set<RequestId> requestsWithOutput() {
+        return requestsWithOutput;
+    }
+
+    /** Shared prompt parts of the requests that may have been running without output when the engine crashed. */
+    List<List<Long>> promptsWithoutOutput() {
+        return Stream.concat(possiblyRunningPermits(), brokenPermits.stream())
+                .filter(permit -> !permit.parts().isEmpty() && !requestsWithOutput.contains(permit.request()))
+                .map(Permit::parts)
+                .distinct()
+                .toList();
+    }
+
     Optional<Fingerprint> reservation() {
         return reservation;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitDispatcher.java
@@ -144,6 +144,7 @@
                 message.adapter(),
                 Optional.of(message.caller()),
                 message.fingerprint(),
+                message.parts(),
                 pool.sequence().next(),
                 now,
                 waiting.coldStart() ? Duration.between(waiting.arrivedAt(), now).toMillis() : 0);
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PermitReconciler.java
@@ -56,6 +56,7 @@
                         permit.adapter(),
                         Optional.empty(),
                         permit.fingerprint(),
+                        permit.parts(),
                         reply.sequence(),
                         now,
                         0)));
--- a/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/PoolOwner.java
@@ -78,6 +78,7 @@
                     current.adapter(),
                     Optional.of(message.caller()),
                     current.fingerprint(),
+                    current.parts(),
                     pool.sequence().next(),
                     current.grantedAt(),
                     current.loadStallMilliseconds());
@@ -108,10 +109,10 @@
 
     private void permitEnded(Permit permit, AttemptOutcome outcome, Instant now, Effects effects) {
         if (outcome instanceof AttemptOutcome.Completed) {
-            engineMonitor.attemptCompleted(permit, effects);
-        } else if (outcome instanceof AttemptOutcome.Broken) {
+            engineMonitor.attemptCompleted(permit, now, effects);
+        } else if (outcome instanceof AttemptOutcome.Broken broken) {
             pool.addUnconfirmedEnd(permit, now);
-            engineMonitor.attemptBroken(permit, now, effects);
+            engineMonitor.attemptBroken(permit, broken.tokensDelivered() > 0, now, effects);
         } else if (outcome instanceof AttemptOutcome.Cancelled) {
             pool.addUnconfirmedEnd(permit, now);
         } else if (outcome instanceof AttemptOutcome.NotStarted notStarted) {
@@ -181,6 +182,7 @@
     /** Does the periodic work that is due. */
     public void tick(Instant now, Effects effects) {
         engineMonitor.tick(now, effects);
+        engineMonitor.attributeCrashes(now, effects);
         loadPlanner.tick(now);
         if (takeover.tryComplete(pool.membership(), now)) {
             loadPlanner.takeoverCompleted(now);
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/GenerationRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/GenerationRequest.java
@@ -1,6 +1,7 @@
 package org.banyanstair.reducer;
 
 import java.time.Instant;
+import java.util.List;
 
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.model.AdapterVersion;
@@ -16,6 +17,7 @@
  * @param deadline instant after which the caller no longer waits for the answer
  * @param prefix hash of the first part of the prompt
  * @param fingerprint digest of caller, model and body
+ * @param parts hashes of the parts of the prompt that other requests may share, in order
  */
 public record GenerationRequest(
         RequestId id,
@@ -25,4 +27,10 @@
         PriorityClass priority,
         Instant deadline,
         long prefix,
-        Fingerprint fingerprint) {}
+        Fingerprint fingerprint,
+        List<Long> parts) {
+    /** Copies the parts. */
+    public GenerationRequest {
+        parts = List.copyOf(parts);
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -213,7 +213,7 @@
         } else if (value.isPresent() && value.get() instanceof OwnershipRecord record) {
             ownershipRead(entry.offset(), record, now);
         } else if (value.isPresent() && value.get() instanceof SuspectRecord record) {
-            suspects.apply(record);
+            suspects.apply(record, now);
         } else if (LogStreams.isCallStream(stream)) {
             writers.read(stream, entry, value.map(CallRecord.class::cast), now, effects);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/Notice.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/Notice.java
@@ -27,6 +27,9 @@
     /** A request is suspected of having crashed an endpoint. */
     record CrashSuspected(Fingerprint fingerprint, EndpointId endpoint, int crashes) implements Notice {}
 
+    /** Requests with a prompt part are refused, because they crash endpoints. */
+    record PartRefused(long part, int crashes) implements Notice {}
+
     /** A record of a stream could not be decoded. */
     record UndecodableRecord(String stream, long offset) implements Notice {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/GenerationTracker.java
@@ -133,6 +133,7 @@
                 request.deadline(),
                 request.prefix(),
                 request.fingerprint(),
+                request.parts(),
                 tracked.tried);
     }
 
@@ -275,7 +276,8 @@
                         tracked.attempt,
                         tracked.runningOn.get().id(),
                         tracked.request.adapter(),
-                        tracked.request.fingerprint()))
+                        tracked.request.fingerprint(),
+                        tracked.request.parts()))
                 .toList();
         effects.send(
                 owner, new PeerMessage.InventoryReply(request.pool(), request.term(), request.sequence(), permits));
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/GenerationPropertyTest.java
@@ -102,7 +102,8 @@
                 PriorityClass.STANDARD,
                 cluster.now().plusMillis(DEADLINE_MILLIS),
                 0,
-                new Fingerprint(fingerprint));
+                new Fingerprint(fingerprint),
+                List.of());
     }
 
     private static void arrive(SimulatedCluster cluster, String id, String fingerprint) {
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.banyanstair.configuration.Configuration;
+import org.banyanstair.errors.Failure;
 import org.banyanstair.external.EngineCommandResult;
 import org.banyanstair.external.EngineStatus;
 import org.banyanstair.membership.Endpoint;
@@ -30,6 +31,7 @@
 import org.banyanstair.model.PriorityClass;
 import org.banyanstair.model.RequestId;
 import org.banyanstair.ownership.OwnershipState;
+import org.banyanstair.peer.AttemptOutcome;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.reducer.Effect;
 import org.banyanstair.reducer.Effects;
@@ -53,6 +55,7 @@
     private final Effects effects = new Effects();
     private final List<Effect> collected = new ArrayList<>();
     private Instant now = START;
+    private final Map<EndpointId, Long> incarnations = new HashMap<>();
     private boolean inventoryPaused;
     private PoolOwner owner;
 
@@ -100,6 +103,10 @@
     }
 
     private static PeerMessage.PermitRequest request(String id, String adapter, int... tried) {
+        return request(id, adapter, List.of(), tried);
+    }
+
+    private static PeerMessage.PermitRequest request(String id, String adapter, List<Long> parts, int... tried) {
         Set<EndpointId> engines = new HashSet<>();
         for (int number : tried) {
             engines.add(new EndpointId("engine-" + number));
@@ -116,6 +123,7 @@
                 START.plus(TAKEOVER).plusSeconds(14),
                 0,
                 new Fingerprint(id),
+                parts,
                 engines);
     }
 
@@ -151,7 +159,12 @@
         } else if (effect instanceof Effect.ReadEngineStatus read) {
             Map<AdapterVersion, Integer> loaded = new HashMap<>();
             loadedAdapters.get(read.endpoint().id()).forEach(adapter -> loaded.put(adapter, 0));
-            owner.statusRead(read.endpoint().id(), now, new EngineStatus(3, 1, 8, loaded, 0, TERM), now, effects);
+            owner.statusRead(
+                    read.endpoint().id(),
+                    now,
+                    new EngineStatus(incarnations.getOrDefault(read.endpoint().id(), 3L), 1, 8, loaded, 0, TERM),
+                    now,
+                    effects);
         } else if (effect instanceof Effect.RaiseFence raise) {
             owner.raiseFenceEnded(raise.endpoint().id(), new EngineCommandResult.Done(), now, effects);
         } else if (!inventoryPaused
@@ -165,6 +178,60 @@
         }
     }
 
+    private Endpoint grantedEngine(String id) {
+        return collected.stream()
+                .filter(PoolOwnerTest::isGrant)
+                .map(effect -> (PeerMessage.PermitGrant) ((Effect.SendToPeer) effect).message())
+                .filter(grant -> grant.request().value().equals(id))
+                .map(PeerMessage.PermitGrant::endpoint)
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("no grant for " + id + " in " + collected));
+    }
+
+    private void release(String id, AttemptOutcome outcome) {
+        owner.permitReleased(new PeerMessage.PermitRelease(new RequestId(id), 1, POOL, outcome), now, effects);
+        collect();
+    }
+
+    /** Requests with the part, no two alike, each of which would otherwise crash several engines. */
+    @Test
+    void requestsWithPartThatCrashesEnginesAreRefused() {
+        Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
+        loadedAdapters.put(engine(1).id(), new HashSet<>(Set.of(adapter("a"))));
+        loadedAdapters.put(engine(2).id(), new HashSet<>(Set.of(adapter("a"))));
+        runEngines(loadedAdapters, TAKEOVER);
+        for (int crash = 1; crash <= 3; crash++) {
+            owner.permitRequested(SELF, request("deadly-" + crash, "a", List.of(1L, 666L)), now, effects);
+            owner.permitRequested(SELF, request("sound-" + crash, "a", List.of(1L)), now, effects);
+            collect();
+            EndpointId crashed = grantedEngine("deadly-" + crash).id();
+            incarnations.merge(crashed, 4L, (before, first) -> before + 1);
+            for (String id : List.of("deadly-" + crash, "sound-" + crash)) {
+                boolean broken = grantedEngine(id).id().equals(crashed);
+                release(
+                        id,
+                        broken
+                                ? new AttemptOutcome.Broken(new Failure.EndpointFailed(crashed), 0)
+                                : new AttemptOutcome.Completed());
+            }
+            runEngines(loadedAdapters, Duration.ofSeconds(2));
+            owner.permitRequested(SELF, request("later-" + crash, "a", List.of(1L)), now, effects);
+            runEngines(loadedAdapters, Duration.ofMillis(500));
+            release("later-" + crash, new AttemptOutcome.Completed());
+        }
+        runEngines(loadedAdapters, Duration.ofSeconds(2));
+        owner.permitRequested(SELF, request("refused", "a", List.of(1L, 666L)), now, effects);
+        owner.permitRequested(SELF, request("served", "a", List.of(1L)), now, effects);
+        collect();
+        assertTrue(granted().contains("served"), "a sound request with the same first part waits");
+        List<Failure> failures = collected.stream()
+                .filter(effect ->
+                        effect instanceof Effect.SendToPeer send && send.message() instanceof PeerMessage.PermitRefusal)
+                .map(effect -> ((PeerMessage.PermitRefusal) ((Effect.SendToPeer) effect).message()).failure())
+                .toList();
+        assertEquals(List.of(new Failure.RequestCrashesEndpoints(0, false)), failures);
+    }
+
     private static boolean isGrant(Effect effect) {
         return effect instanceof Effect.SendToPeer send && send.message() instanceof PeerMessage.PermitGrant;
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/routing/WithoutOwnerTest.java
@@ -105,7 +105,8 @@
                 PriorityClass.STANDARD,
                 NOW.plusSeconds(10),
                 0,
-                new Fingerprint("f"));
+                new Fingerprint("f"),
+                List.of());
         tracker.requestArrived(request, Configuration.INITIAL, NOW, effects);
     }
 
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostService.java
@@ -143,7 +143,8 @@
                 generation.priority(),
                 generation.deadline(),
                 generation.prefix(),
-                generation.fingerprint());
+                generation.fingerprint(),
+                generation.parts());
         events.accept(at -> new Event.GenerationArrived(at, request));
         return () -> generations.cancel(generation.id());
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationBody.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationBody.java
@@ -1,6 +1,8 @@
 package org.banyanstair.server.http.caller;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -81,6 +83,19 @@
         return MurmurHash3.hash128x64(bytes, 0, Math.min(PREFIX_BYTES, bytes.length), 0)[0];
     }
 
+    /** Returns a hash of each message of a conversation before the last one; none for a prompt without messages. */
+    List<Long> sharedParts() {
+        List<Long> parts = new ArrayList<>();
+        if (chat) {
+            for (JsonNode message : json.get("messages")) {
+                byte[] bytes = message.toString().getBytes(StandardCharsets.UTF_8);
+                parts.add(MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0]);
+            }
+            parts.remove(parts.size() - 1);
+        }
+        return parts;
+    }
+
     private static void appendText(StringBuilder text, JsonNode content) {
         if (text.length() >= PREFIX_BYTES) {
             return;
--- a/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/http/caller/GenerationRoute.java
@@ -58,7 +58,8 @@
                 path,
                 body.forEngine(adapter),
                 body.prefix(),
-                fingerprint(caller, adapter, bodyBytes));
+                fingerprint(caller, adapter, bodyBytes),
+                body.sharedParts());
         Cancellation cancellation = service.generate(generation, createSink(request, adapter, body));
         request.exchange().onDisconnect(cancellation::cancel);
     }
--- a/banyanstair-server/src/main/java/org/banyanstair/server/service/Generation.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/service/Generation.java
@@ -1,6 +1,7 @@
 package org.banyanstair.server.service;
 
 import java.time.Instant;
+import java.util.List;
 
 import org.banyanstair.configuration.ServiceDeclaration;
 import org.banyanstair.model.AdapterVersion;
@@ -22,6 +23,7 @@
  * @param body JSON body for the engine: {@code model} is the engine name of the adapter, {@code stream} is on
  * @param prefix hash of the beginning of the prompt
  * @param fingerprint digest of caller, model and body
+ * @param parts hashes of the parts of the prompt that other requests may share, in order
  */
 public record Generation(
         RequestId id,
@@ -33,4 +35,10 @@
         String path,
         byte[] body,
         long prefix,
-        Fingerprint fingerprint) {}
+        Fingerprint fingerprint,
+        List<Long> parts) {
+    /** Copies the parts. */
+    public Generation {
+        parts = List.copyOf(parts);
+    }
+}
--- a/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/codec/MappersTest.java
@@ -55,6 +55,7 @@
                 Instant.parse("2026-12-04T10:00:00.123456789Z"),
                 42,
                 new Fingerprint("ab"),
+                List.of(1L, -2L),
                 Set.of(new EndpointId("runner-1")));
         assertEquals(message, mapper.readValue(mapper.writeValueAsBytes(message), PeerMessage.class));
     }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/MisbehavingPeerTest.java
@@ -189,6 +189,7 @@
                 Instant.EPOCH,
                 42,
                 new Fingerprint("0123456789abcdef"),
+                List.of(),
                 Set.of());
     }
 
