Keep refused prompt parts over a restart of all hosts

When all hosts lost power while a prompt part was refused, they began from nothing: five more runners crashed until the part was refused again. Heartbeats bring it back to a host only while another one lives.

The record holds an instant of the wall clock, since monotonic clocks mean nothing to other hosts. A part for which a host knows any output is not refused from the log.

CrashingPartTest#refusalSurvivesARestartOfAllHosts covers the sequence.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
@@ -227,9 +227,11 @@
         return Optional.empty();
     }
 
-    /** Returns the number of parts that are refused. */
-    public int refusedParts() {
-        return refusals.size();
+    /** Returns the refusals in force. */
+    public List<PartRefusal> refusals(Instant now) {
+        return refusals.values().stream()
+                .filter(refusal -> now.isBefore(refusal.expiresAt()))
+                .toList();
     }
 
     /** Returns whether a part of a prompt has neither been cleared of a crash nor explains it by a refusal. */
@@ -263,8 +265,7 @@
             }
             iterator.remove();
         }
-        List<RefusedPart> refused = refusals.values().stream()
-                .filter(refusal -> now.isBefore(refusal.expiresAt()))
+        List<RefusedPart> refused = refusals(now).stream()
                 .map(refusal -> new RefusedPart(
                         refusal.part(),
                         Duration.between(refusal.firstCrashAt(), now).toMillis(),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 import org.banyanstair.crashes.CrashAttribution;
@@ -50,6 +51,12 @@
     /** Times after a crash at which its report is sent again, since messages may be lost. */
     private static final List<Duration> RESEND_TIMES = List.of(Duration.ofMillis(1000), Duration.ofMillis(3000));
 
+    /** Minimum time between two appends of a refusal; longer than a read takes to return the record. */
+    private static final Duration RECORD_INTERVAL = Duration.ofSeconds(2);
+
+    /** Part of the time of a refusal by which its record in the log may lag behind. */
+    private static final Duration EXPIRY_TOLERANCE = Duration.ofMinutes(5);
+
     private final EventContext context;
     private final PeerMessenger messenger;
     private final CrashHistory history = new CrashHistory();
@@ -57,6 +64,8 @@
     private final Deque<Suspicion> suspicions = new ArrayDeque<>();
     private final List<Resend> resends = new ArrayList<>();
     private final Map<EndpointId, Instant> nextChecks = new HashMap<>();
+    private final Map<Long, Instant> recorded = new TreeMap<>();
+    private Instant nextRecordAt = Instant.MIN;
     private Instant nextAttributionAt = Instant.MIN;
     private boolean refusalsChanged;
 
@@ -100,7 +109,7 @@
     }
 
     int refusedParts() {
-        return attribution.refusedParts();
+        return attribution.refusals(context.now()).size();
     }
 
     void requestCompleted(ForwardRequest request) {
@@ -273,8 +282,55 @@
         }
     }
 
-    /** Looks for the cause of crashes; returns whether requests with another part are refused since the last call. */
-    boolean tick() {
+    /** Applies a refusal that was read from the log. A part with any known output is not refused. */
+    void refusalRead(DecodedRecord.PartRefused refused) {
+        recorded.put(refused.part(), refused.expiresAt());
+        if (attribution.adopt(new PartRefusal(refused.part(), 0, Instant.EPOCH, refused.expiresAt()), context.now())) {
+            refusalsChanged = true;
+            context.log(DecisionRecord.important(
+                    "part-refused",
+                    "part",
+                    Long.toHexString(refused.part()),
+                    "remaining-ms",
+                    Duration.between(context.now(), refused.expiresAt()).toMillis()));
+        }
+    }
+
+    /** Records changes of the refusals in the log, so that they survive a restart of all hosts. */
+    private void recordRefusals() {
+        Instant now = context.now();
+        if (now.isBefore(nextRecordAt)) {
+            return;
+        }
+        nextRecordAt = now.plus(RECORD_INTERVAL);
+        Map<Long, Instant> refused = new TreeMap<>();
+        attribution.refusals(now).forEach(refusal -> refused.put(refusal.part(), refusal.expiresAt()));
+        refused.forEach((part, expiresAt) -> {
+            Instant known = recorded.getOrDefault(part, Instant.MIN);
+            if (known.isBefore(expiresAt.minus(EXPIRY_TOLERANCE))) {
+                appendRefusal(part, expiresAt);
+            }
+        });
+        recorded.forEach((part, expiresAt) -> {
+            if (now.isBefore(expiresAt) && !refused.containsKey(part)) {
+                appendRefusal(part, now);
+            }
+        });
+    }
+
+    private void appendRefusal(long part, Instant expiresAt) {
+        context.emit(new ForwardingEffect.AppendPartRefusal(new DecodedRecord.PartRefused(part, expiresAt)));
+    }
+
+    /**
+     * Looks for the cause of crashes; returns whether requests with another part are refused since the last call.
+     *
+     * @param writesLog whether this host records refusals in the log for its peers
+     */
+    boolean tick(boolean writesLog) {
+        if (writesLog) {
+            recordRefusals();
+        }
         Instant now = context.now();
         for (Iterator<Resend> iterator = resends.iterator(); iterator.hasNext(); ) {
             Resend resend = iterator.next();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -1,5 +1,7 @@
 package org.banyanstair.forwarding;
 
+import java.time.Instant;
+
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -23,6 +25,9 @@
      */
     record RunnerClaimed(EndpointId endpoint, HostId host, boolean settled) implements DecodedRecord {}
 
+    /** Requests with a prompt part are refused until an instant; one in the past stands for no longer. */
+    record PartRefused(long part, Instant expiresAt) implements DecodedRecord {}
+
     /** A host announced its addresses. */
     record HostAnnounced(HostAnnouncement announcement) implements DecodedRecord {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -72,6 +72,9 @@
     /** Appends this host's announcement, for hosts that start later. */
     record AppendAnnouncement(HostAnnouncement announcement) implements ForwardingEffect {}
 
+    /** Appends that requests with a prompt part are refused, for hosts that start later. */
+    record AppendPartRefusal(DecodedRecord.PartRefused refusal) implements ForwardingEffect {}
+
     /** Opens a connection to a peer and keeps it open. */
     record OpenPeerConnection(HostId peer) implements ForwardingEffect {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -362,7 +362,7 @@
         }
         confirmClaims();
         runnerManager.tick(stopping);
-        if (crashDetector.tick()) {
+        if (crashDetector.tick(readsForPeers())) {
             forwarder.stopRefusedRequests();
         }
         forwarder.tick();
@@ -479,6 +479,11 @@
                     offset));
         }
 
+        @Override
+        public void partRefused(DecodedRecord.PartRefused refused) {
+            crashDetector.refusalRead(refused);
+        }
+
         @Override
         public void hostAnnounced(HostAnnouncement announcement) {
             ForwardingReducer.this.applyAnnouncement(announcement);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -80,6 +80,8 @@
 
         void runnerClaimed(DecodedRecord.RunnerClaimed claim, long offset);
 
+        void partRefused(DecodedRecord.PartRefused refused);
+
         void hostAnnounced(HostAnnouncement announcement);
 
         void versionPublished(AdapterName adapter, long version);
@@ -292,6 +294,8 @@
             applyListing(listed.listing(), listener);
         } else if (decoded instanceof DecodedRecord.RunnerClaimed claimed) {
             listener.runnerClaimed(claimed, offset);
+        } else if (decoded instanceof DecodedRecord.PartRefused refused) {
+            listener.partRefused(refused);
         } else if (decoded instanceof DecodedRecord.HostAnnounced announced) {
             listener.hostAnnounced(announced.announcement());
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -147,6 +147,17 @@
         assertEquals(crashesBefore, simulation.crashes().size(), "crashes after the restarts");
     }
 
+    @Test
+    void refusalSurvivesARestartOfAllHosts() {
+        begin(6, 6, 61);
+        simulation.addDeadlyPart(DEADLY_PART);
+        runTraffic(Duration.ofSeconds(15), 10, 0.06);
+        int crashesBefore = simulation.crashes().size();
+        simulation.hosts().forEach(simulation::restart);
+        runTraffic(Duration.ofSeconds(15), 10, 0.06);
+        assertEquals(crashesBefore, simulation.crashes().size(), "crashes after the restart");
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {31, 32, 33, 34})
     void partIsRefusedAlthoughMessagesAreLost(long seed) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -46,6 +46,7 @@
             new PriorityQueue<>(Comparator.comparing(Scheduled::at).thenComparing(Scheduled::order));
     private final Map<Attempt, Running> running = new HashMap<>();
     private final Map<ExchangeKey, ForwardRequest> requests = new HashMap<>();
+    private final Map<String, DecodedRecord.PartRefused> refusals = new LinkedHashMap<>();
     private final Set<Long> deadlyParts = new TreeSet<>();
     private final List<Instant> crashes = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
@@ -99,6 +100,7 @@
     private void prepare(HostId host, ReducerFixture fixture) {
         fixture.configureEngine(8, ReducerFixture.route(PATH, ReducerFixture.SERVICE, true, false, true));
         runners.forEach((id, runner) -> fixture.endpoint(id.value(), ReducerFixture.SERVICE, false, runner.started));
+        refusals.forEach((key, refusal) -> fixture.publish(Topic.HOSTS, key, refusal));
         for (HostId other : hosts.keySet()) {
             HostAnnouncement announcement = new HostAnnouncement(
                     other,
@@ -253,6 +255,8 @@
                         .removeIf(attempt -> attempt.host().equals(host) && attempt.exchange() == cancel.exchange());
             } else if (effect instanceof ForwardingEffect.CheckConnection check) {
                 checkConnection(host, check);
+            } else if (effect instanceof ForwardingEffect.AppendPartRefusal append) {
+                schedule(MESSAGE_DELAY, () -> appendRefusal(append.refusal()));
             } else if (effect instanceof ForwardingEffect.SendToPeer message) {
                 sendToPeer(host, message);
             } else if (effect instanceof ForwardingEffect.Deliver deliver) {
@@ -276,6 +280,12 @@
         }
     }
 
+    private void appendRefusal(DecodedRecord.PartRefused refusal) {
+        String key = "part-" + refusal.part();
+        refusals.put(key, refusal);
+        hosts.values().forEach(fixture -> fixture.publish(Topic.HOSTS, key, refusal));
+    }
+
     private void ended(HostId host, long exchange, boolean answered, Optional<RefusalReason> refusal) {
         outcomes.add(new Outcome(now, requests.remove(new ExchangeKey(host, exchange)), answered, refusal));
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -263,6 +263,8 @@
             logClient.readFrom(read);
         } else if (effect instanceof ForwardingEffect.AppendClaim append) {
             logClient.append(append);
+        } else if (effect instanceof ForwardingEffect.AppendPartRefusal append) {
+            logClient.append(append);
         } else if (effect instanceof ForwardingEffect.AppendAnnouncement append) {
             logClient.append(append);
         } else {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -1,6 +1,7 @@
 package org.banyanstair.forwarder;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -46,6 +47,13 @@
      */
     FullHttpRequest claimAppendRequest(DecodedRecord.RunnerClaimed claim, long expectedEnd);
 
+    /**
+     * Builds a request that appends the refusal of a prompt part.
+     *
+     * @param now the present on this host's monotonic clock; the record holds an instant of the wall clock
+     */
+    FullHttpRequest refusalAppendRequest(DecodedRecord.PartRefused refusal, Instant now);
+
     /** Builds a request that appends the announcement of a host. */
     FullHttpRequest announcementAppendRequest(HostAnnouncement announcement);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -118,6 +118,15 @@
         });
     }
 
+    /** Appends a refusal; the reducer appends it again if it does not read it back. */
+    public void append(ForwardingEffect.AppendPartRefusal append) {
+        call(
+                "append",
+                protocol.refusalAppendRequest(append.refusal(), forwarder.now()),
+                RESPONSE_TIMEOUT,
+                result -> {});
+    }
+
     /** Appends the announcement of this host; retried until it succeeds. */
     public void append(ForwardingEffect.AppendAnnouncement append) {
         call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, result -> {
