Refuse an adapter only when every engine fails to load it

Requests waiting for an adapter were refused as adapter_load_failed after four failed loads in a row, wherever: two failures on each of two engines ended requests that the next load, or a third engine, would have served.

An engine now counts as unable after three failed loads of the adapter in a row, and waiting requests are refused once all engines that accept requests are, or four in a large pool. A request for an adapter that cannot be loaded is still refused, after 4 s instead of 2 in a small pool.

PoolOwnerTest#requestOutlastsTwoFailedLoadsOnEachEngine failed before (no grant) and passes now; #requestIsRefusedAfterLoadsFailedRepeatedlyOnEveryEngine holds the other side.

--- a/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/placement/LoadPlanner.java
@@ -28,8 +28,11 @@
 
 /** Plans adapter loads and unloads within the pool's share of the weight store. */
 final class LoadPlanner {
-    /** Consecutive failed loads of an adapter after which its waiting requests are refused. */
-    private static final int MAXIMUM_CONSECUTIVE_LOAD_FAILURES = 4;
+    /** Consecutive failed loads of an adapter after which an engine counts as unable to load it. */
+    private static final int MAXIMUM_CONSECUTIVE_LOAD_FAILURES = 3;
+
+    /** Engines that have to be unable to load an adapter before its waiting requests are refused; all of a small pool. */
+    private static final int MAXIMUM_UNABLE_ENGINES = 4;
 
     private static final Duration LOAD_RETRY_DELAY = Duration.ofSeconds(2);
 
@@ -38,7 +41,7 @@
     private final PoolState pool;
     private final TakeoverProgress takeover;
     private final LoadRateLimiter rateLimiter = new LoadRateLimiter();
-    private final Map<AdapterVersion, Integer> consecutiveFailures = new HashMap<>();
+    private final Map<AdapterVersion, Map<EndpointId, Integer>> consecutiveFailures = new HashMap<>();
     private final Map<EngineAdapter, Instant> retryAllowedAt = new HashMap<>();
     private final Map<Long, EngineAdapter> pendingAnnouncements = new HashMap<>();
 
@@ -256,7 +259,9 @@
     private void loadFailed(EngineState engine, AdapterVersion adapter, Failure failure, Instant now, Effects effects) {
         effects.report(new Notice.LoadFailed(engine.endpoint().id(), adapter, failure));
         retryAllowedAt.put(new EngineAdapter(engine.endpoint().id(), adapter), now.plus(LOAD_RETRY_DELAY));
-        consecutiveFailures.merge(adapter, 1, Integer::sum);
+        consecutiveFailures
+                .computeIfAbsent(adapter, key -> new HashMap<>())
+                .merge(engine.endpoint().id(), 1, Integer::sum);
     }
 
     void unloadEnded(
@@ -363,9 +368,20 @@
         retryAllowedAt.values().removeIf(at -> !now.isBefore(at));
     }
 
-    /** Whether the adapter reached {@link #MAXIMUM_CONSECUTIVE_LOAD_FAILURES}. */
+    /** Whether every engine that accepts requests, or a number of them in a large pool, is unable to load the adapter. */
     boolean hasReachedLoadFailureLimit(AdapterVersion adapter) {
-        return consecutiveFailures.getOrDefault(adapter, 0) >= MAXIMUM_CONSECUTIVE_LOAD_FAILURES;
+        Map<EndpointId, Integer> failures = consecutiveFailures.getOrDefault(adapter, Map.of());
+        if (failures.isEmpty()) {
+            return false;
+        }
+        List<EndpointId> accepting = pool.engines().values().stream()
+                .filter(EngineState::acceptsPermits)
+                .map(engine -> engine.endpoint().id())
+                .toList();
+        long unable = accepting.stream()
+                .filter(id -> failures.getOrDefault(id, 0) >= MAXIMUM_CONSECUTIVE_LOAD_FAILURES)
+                .count();
+        return unable > 0 && unable >= Math.min(MAXIMUM_UNABLE_ENGINES, accepting.size());
     }
 
     void resetFailures(AdapterVersion adapter) {
--- a/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/placement/PoolOwnerTest.java
@@ -56,6 +56,9 @@
     private final List<Effect> collected = new ArrayList<>();
     private Instant now = START;
     private final Map<EndpointId, Long> incarnations = new HashMap<>();
+    private final Map<EndpointId, Integer> failedLoads = new HashMap<>();
+    private int failingLoads;
+    private boolean refusalsKept;
     private boolean inventoryPaused;
     private PoolOwner owner;
 
@@ -143,14 +146,23 @@
         while (now.isBefore(end)) {
             tick();
             List<Effect> effectsToExecute = List.copyOf(collected);
-            collected.removeIf(effect -> !isGrant(effect));
+            collected.removeIf(effect -> !isGrant(effect) && !(refusalsKept && isRefusal(effect)));
             effectsToExecute.forEach(effect -> execute(loadedAdapters, effect));
             collect();
         }
     }
 
     private void execute(Map<EndpointId, Set<AdapterVersion>> loadedAdapters, Effect effect) {
-        if (effect instanceof Effect.LoadAdapter load) {
+        if (effect instanceof Effect.LoadAdapter load && failingLoads > 0) {
+            failingLoads--;
+            failedLoads.merge(load.endpoint().id(), 1, Integer::sum);
+            owner.loadEnded(
+                    load.endpoint().id(),
+                    load.adapter(),
+                    new EngineCommandResult.Refused(new Failure.AdapterLoadFailed(load.adapter())),
+                    now,
+                    effects);
+        } else if (effect instanceof Effect.LoadAdapter load) {
             loadedAdapters.get(load.endpoint().id()).add(load.adapter());
             owner.loadEnded(load.endpoint().id(), load.adapter(), new EngineCommandResult.Done(), now, effects);
         } else if (effect instanceof Effect.UnloadAdapter unload) {
@@ -224,12 +236,49 @@
         owner.permitRequested(SELF, request("served", "a", List.of(1L)), now, effects);
         collect();
         assertTrue(granted().contains("served"), "a sound request with the same first part waits");
-        List<Failure> failures = collected.stream()
-                .filter(effect ->
-                        effect instanceof Effect.SendToPeer send && send.message() instanceof PeerMessage.PermitRefusal)
+        assertEquals(List.of(new Failure.RequestCrashesEndpoints(0, false)), refusals());
+    }
+
+    private static boolean isRefusal(Effect effect) {
+        return effect instanceof Effect.SendToPeer send && send.message() instanceof PeerMessage.PermitRefusal;
+    }
+
+    private List<Failure> refusals() {
+        return collected.stream()
+                .filter(PoolOwnerTest::isRefusal)
                 .map(effect -> ((PeerMessage.PermitRefusal) ((Effect.SendToPeer) effect).message()).failure())
                 .toList();
-        assertEquals(List.of(new Failure.RequestCrashesEndpoints(0, false)), failures);
+    }
+
+    /** Guards against a refusal after four failed loads, two on each engine, although the fifth would have succeeded. */
+    @Test
+    void requestOutlastsTwoFailedLoadsOnEachEngine() {
+        Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
+        loadedAdapters.put(engine(1).id(), new HashSet<>());
+        loadedAdapters.put(engine(2).id(), new HashSet<>());
+        runEngines(loadedAdapters, TAKEOVER);
+        failingLoads = 4;
+        owner.permitRequested(SELF, request("waits", "a"), now, effects);
+        collect();
+        runEngines(loadedAdapters, Duration.ofSeconds(8));
+        assertEquals(Map.of(engine(1).id(), 2, engine(2).id(), 2), failedLoads);
+        assertEquals(List.of("waits"), granted());
+    }
+
+    /** Guards against a wait until the deadline for an adapter that no engine can load. */
+    @Test
+    void requestIsRefusedAfterLoadsFailedRepeatedlyOnEveryEngine() {
+        Map<EndpointId, Set<AdapterVersion>> loadedAdapters = new HashMap<>();
+        loadedAdapters.put(engine(1).id(), new HashSet<>());
+        loadedAdapters.put(engine(2).id(), new HashSet<>());
+        runEngines(loadedAdapters, TAKEOVER);
+        failingLoads = 100;
+        refusalsKept = true;
+        owner.permitRequested(SELF, request("waits", "a"), now, effects);
+        collect();
+        runEngines(loadedAdapters, Duration.ofSeconds(8));
+        assertEquals(List.of(new Failure.AdapterLoadFailed(adapter("a"))), refusals());
+        assertEquals(Map.of(engine(1).id(), 3, engine(2).id(), 3), failedLoads);
     }
 
     private static boolean isGrant(Effect effect) {
