--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
@@ -9,7 +9,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -75,8 +74,11 @@
             return size() > OUTPUT_CAPACITY;
         }
     };
+    /** Instants of the last outputs of this host's requests. */
     private final Deque<Instant> recentOutputs = new ArrayDeque<>();
+
     private final Map<Long, PartRefusal> refusals = new TreeMap<>();
+    /** Parts that a peer refuses although there was output for them, until the next report to peers. */
     private final Set<Long> contested = new HashSet<>();
 
     private record CrashId(EndpointId endpoint, long started) {}
@@ -102,7 +104,9 @@
         private final long part;
         private final List<Instant> times = new ArrayList<>();
         private Instant decidableAt = Instant.MAX;
+        /** Parts that come before this one in each prompt that contains it. */
         private Set<Long> ancestors;
+
         private final Set<Long> firstParts = new HashSet<>();
 
         Candidate(long part) {
@@ -257,14 +261,13 @@
                 }
             }
         }
-        for (Iterator<Long> iterator = contested.iterator(); iterator.hasNext(); ) {
-            long part = iterator.next();
+        for (long part : contested) {
             Output output = outputs.get(part);
             if (output != null) {
                 observed.put(part, observed(part, output, now));
             }
-            iterator.remove();
         }
+        contested.clear();
         List<RefusedPart> refused = refusals(now).stream()
                 .map(refusal -> new RefusedPart(
                         refusal.part(),
