Count crashes again once a refusal has expired

Found in review: an expired refusal stayed in the table on hosts that got no request with the part, explained new crashes there and kept the place of a new refusal, so after ten minutes the part would not have been refused again by those hosts. Expired refusals are removed before the search for a cause, and only one in force is prolonged by a crash.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
@@ -147,11 +147,10 @@
         }
         for (long part : parts) {
             PartRefusal refusal = refusals.get(part);
-            if (refusal != null) {
+            if (refusal != null && now.isBefore(refusal.expiresAt())) {
                 refusals.put(
                         part,
-                        new PartRefusal(
-                                part, refusal.crashes() + 1, refusal.firstCrashAt(), now.plus(REFUSAL_RETENTION)));
+                        new PartRefusal(part, refusal.crashes(), refusal.firstCrashAt(), now.plus(REFUSAL_RETENTION)));
             }
         }
     }
@@ -221,11 +220,8 @@
         }
         for (long part : parts) {
             PartRefusal refusal = refusals.get(part);
-            if (refusal != null) {
-                if (now.isBefore(refusal.expiresAt())) {
-                    return Optional.of(part);
-                }
-                refusals.remove(part);
+            if (refusal != null && now.isBefore(refusal.expiresAt())) {
+                return Optional.of(part);
             }
         }
         return Optional.empty();
@@ -286,8 +282,9 @@
         return crash.prompts.stream().anyMatch(prompt -> prompt.stream().anyMatch(refusals::containsKey));
     }
 
-    /** Refuses the part to which the crashes point, if there is one; returns it. */
+    /** Removes expired refusals and refuses the part to which the crashes point, if there is one; returns it. */
     public Optional<PartRefusal> attribute(Instant now) {
+        refusals.values().removeIf(refusal -> !now.isBefore(refusal.expiresAt()));
         List<Crash> open = crashes.values().stream()
                 .filter(crash -> !isExplained(crash))
                 .sorted(Comparator.comparing(crash -> crash.at))
--- a/banyanstair-core/src/test/java/org/banyanstair/crashes/CrashAttributionTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/crashes/CrashAttributionTest.java
@@ -143,6 +143,29 @@
         assertEquals(Optional.of(DEADLY), attribute());
     }
 
+    /** An expired refusal must not explain new crashes, or the part would never be refused again. */
+    @Test
+    void partIsRefusedAgainAfterItsRefusalHasExpired() {
+        for (int round = 0; round < 2; round++) {
+            for (int index = 0; index < 3; index++) {
+                crash(List.of(FIRST, DEADLY));
+            }
+            output(FIRST);
+            assertEquals(Optional.of(DEADLY), attribute());
+            pass(CrashAttribution.REFUSAL_RETENTION.toMillis());
+        }
+    }
+
+    @Test
+    void crashUnderARefusedPartProlongsItsRefusal() {
+        PartRefusal refusal = new PartRefusal(DEADLY, 3, now.minusSeconds(2), now.plusSeconds(60));
+        assertTrue(attribution.adopt(refusal, now));
+        pass(50_000);
+        crash(List.of(FIRST, DEADLY));
+        pass(50_000);
+        assertTrue(attribution.refusedPart(List.of(FIRST, DEADLY), now).isPresent());
+    }
+
     @Test
     void outputEndsARefusal() {
         for (int index = 0; index < 3; index++) {
