--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,98 +1,106 @@
-"""Open channels to the store go silent, and hosts go on with the old configuration for seconds."""
+"""Two hosts are stopped in turn; a request that one of them takes 4 s after its SIGTERM is cut in its answer."""
 import asyncio
+import json
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand_ins"))
 sys.dont_write_bytecode = True
-from fixture import RULE_BROKEN, RULE_HELD, TROUBLE, Channel, Runner, run_case  # noqa: E402
+from fixture import LOOPBACK, RULE_BROKEN, RULE_HELD, TROUBLE, Channel, Runner, run_case  # noqa: E402
 
-CONTACT_SECONDS = 3.0
-CONFIG_APPLY_SECONDS = 2.0
-HOSTS = 3
-
-
-def configuration(version, service, timeout_ms=1000):
-    return {
-        "version": version,
-        "routes": [{"name": "r-1", "host": "desk.example", "path_prefix": "/stock/", "route_type": "safe",
-                    "timeout_ms": timeout_ms, "target_latency_ms": 193, "priority": 2, "upstream": service,
-                    "max_attempts": 2}],
-        "upstreams": [{"name": name, "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": False}
-                      for name in ("desk-old", "desk-new")],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": 15000}}
+EVENTS = 73  # as quote-note has on average
+EVENT_SECONDS = 0.07
+TIME_BUDGET_MS = 15000
+GAP_SECONDS = 1.0  # between the two stops
+GRACE_SECONDS = 8.0
 
 
 async def case(record, store, hosts):
-    ran_by = {}
 
     async def run(runner, method, target, headers, body, writer):
         request_id = headers["request-id"]
         runner.has_run(request_id)
-        ran_by.setdefault(request_id, []).append(runner.service)
-        await asyncio.sleep(0.03)
-        await runner.send(writer, 200, b"x" * 800,
-                          [f"Request-Id: {request_id}", "Response-Signature: signed"])
+        head = ["HTTP/1.1 200 OK", f"Request-Id: {request_id}", "Response-Signature: signed",
+                "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "", ""]
+        writer.write("\r\n".join(head).encode())
+        for number in range(1, EVENTS + 1):
+            event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_SECONDS)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        record.write(f"runner {runner.identity} has sent all of {request_id}")
         return True
 
-    await store.put("keyed.op", "config", configuration(7, "desk-old"))
-    for service in ("desk-old", "desk-new"):
-        for number in range(2):
-            runner = Runner(record, store, f"i-{service}-{number}", service, slots=6, run=run)
-            await runner.start()
-            asyncio.get_running_loop().create_task(runner.heartbeat())
-    for number in range(HOSTS):
-        hosts.start(f"host-{number}")
+    await store.put("keyed.op", "config", {
+        "version": 7,
+        "routes": [{"name": "r-1", "host": "desk.example", "path_prefix": "/note/", "route_type": "streaming",
+                    "timeout_ms": TIME_BUDGET_MS, "target_latency_ms": 800, "priority": 0, "upstream": "notes",
+                    "max_attempts": 1, "can_resume": False, "gap_aim_ms": 600}],
+        "upstreams": [{"name": "notes", "health_path": "/healthz", "max_connections": 370, "protocol": "h1",
+                       "tls": False}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000}})
+    for number in range(2):
+        runner = Runner(record, store, f"i-{number}", "notes", run=run)
+        await runner.start()
+        asyncio.get_running_loop().create_task(runner.heartbeat())
+    first, second = hosts.start("host-0"), hosts.start("host-1")
     await hosts.await_ready()
-    await asyncio.sleep(4)
+    await asyncio.sleep(2)
 
-    sent_at = {}
+    async def addresses():
+        answer = await Channel(first.directory).exchange(
+            "GET", "/v1/resolve?name=desk.example&region=region-a&zone=zone-a", {}, b"", 1)
+        found = json.loads(answer.body)["addresses"] if answer.complete else []
+        names = [host.name for host in (first, second) if f"{LOOPBACK}:{host.callers}" in found]
+        record.write(f"the directory of host-0 names {names}")
+        return names
 
-    async def consumer(host):
-        channel = Channel(host.callers)
-        number = 0
-        while True:
-            number += 1
-            request_id = f"{host.name}-{number}"
-            sent_at[request_id] = record.now()
-            answer = await channel.exchange(
-                "GET", "/stock/1", {"Host": "desk.example", "Request-Id": request_id, "Timeout-Ms": "1000"}, b"", 2)
-            record.write(f"consumer gets for {request_id}: {answer}, run by {ran_by.get(request_id)}")
-            if not answer.complete or answer.headers.get("connection") == "close":
-                channel.close()
-            await asyncio.sleep(0.1)
+    async def request(channel, request_id):
+        headers = {"Host": "desk.example", "Request-Id": request_id, "Timeout-Ms": str(TIME_BUDGET_MS)}
+        answer = await channel.exchange("POST", "/note/1", headers, b"prompt", TIME_BUDGET_MS / 1000)
+        record.write(f"consumer gets for {request_id}: {answer}")
+        return answer
 
-    consumers = [asyncio.create_task(consumer(host)) for host in hosts.processes]
-    await asyncio.sleep(2)
-    await store.put("keyed.op", "config", configuration(9, "desk-old", 1100))
-    record.write("the store acknowledges version 9, which changes a time-out")
-    await asyncio.sleep(0.7)
-    silent_at = record.now()
+    channels = [Channel(first.callers) for _ in range(4)]
+    for channel in channels:
+        await channel.open()
+    await addresses()
+    stopped_at = record.now()
+    if TROUBLE:
+        first.send_signal(signal.SIGTERM)
+        record.write("host-0 gets SIGTERM")
+    await asyncio.sleep(GAP_SECONDS)
     if TROUBLE:
-        count = store.silence_open_channels()
-        record.write(f"the {count} open channels of the hosts to the store go silent; new ones work")
-    await asyncio.sleep(1)
-    await store.put("keyed.op", "config", configuration(12, "desk-new", 1100))
-    acknowledged_at = record.now()
-    record.write("the store acknowledges version 12, which moves the route to desk-new")
-    await asyncio.sleep(9)
-    for each in consumers:
-        each.cancel()
-    due = acknowledged_at + CONFIG_APPLY_SECONDS
-    in_touch = silent_at + CONTACT_SECONDS if TROUBLE else silent_at
-    late = {host.name: [] for host in hosts.processes}
-    for request_id, services in ran_by.items():
-        if "desk-old" in services and sent_at[request_id] > max(due, in_touch):
-            late[request_id.rpartition("-")[0]].append(sent_at[request_id])
-    record.write(f"hosts are in touch from {in_touch:.3f}, version 12 is due from {due:.3f}")
-    for name, moments in late.items():
-        last = f", the last {max(moments) - acknowledged_at:.3f} s after the acknowledgement" if moments else ""
-        after = sum(moment > max(due, in_touch + CONFIG_APPLY_SECONDS) for moment in moments)
-        record.write(f"{name}: {len(moments)} requests sent later were run by desk-old{last}; "
-                     f"{after} of them also {CONFIG_APPLY_SECONDS} s after it came into touch")
-    return RULE_BROKEN if any(late.values()) else RULE_HELD
+        second.send_signal(signal.SIGTERM)
+        record.write("host-1 gets SIGTERM")
+    answers = {}
+    tasks = []
+    for number, channel in enumerate(channels):
+        await asyncio.sleep(max(0, stopped_at + 3.2 + 0.4 * number - record.now()))
+        if "host-0" in await addresses():
+            request_id = f"note-{number}"
+            record.write(f"consumer sends {request_id} on a kept channel, {record.now() - stopped_at:.3f} s after "
+                         + ("the SIGTERM of host-0" if TROUBLE else "the moment of the first SIGTERM"))
+
+            async def collect(channel=channel, request_id=request_id):
+                answers[request_id] = await request(channel, request_id)
+                answers[request_id].at = record.now()
+
+            tasks.append(asyncio.create_task(collect()))
+    await asyncio.gather(*tasks)
+    lost = [request_id for request_id, answer in answers.items()
+            if not answer.complete and answer.at - stopped_at < GRACE_SECONDS + 1]
+    for request_id in lost:
+        record.write(f"{request_id}: the channel ended {answers[request_id].at - stopped_at:.3f} s after the SIGTERM "
+                     f"with {len(answers[request_id].body)} bytes of an incomplete answer")
+    if not answers:
+        raise RuntimeError("no request was sent")
+    return RULE_BROKEN if lost else RULE_HELD
 
 
 run_case(case, FOLDER)
