--- a/review/stand_ins/fixture.py
+++ b/review/stand_ins/fixture.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import struct
 import subprocess
@@ -37,12 +38,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns free ports below those that the system gives to outgoing channels, so that none takes them meanwhile."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
