Check a repeated rejection before it is believed

Cause: responses are matched by Request-Id, which all attempts of a request share. On a connection that has carried an earlier attempt, a copy of its rejection cannot be told from a second rejection.

Change: such a rejection is skipped, and a report request is sent after it on the same connection. Responses come in order, so what comes next tells: the answer of the run, or the report, which shows that nothing ran.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
@@ -10,6 +10,7 @@
 import org.banyanstair.forwarding.CommandResult;
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.RunnerState;
+import org.banyanstair.model.NetworkAddress;
 
 /** HTTP protocol of endpoints. Implementations are stateless. */
 public interface EndpointProtocol {
@@ -31,6 +32,15 @@
     /** Returns whether a response names the request to which it belongs. */
     boolean identifiesRequest(HttpResponse response);
 
+    /**
+     * Builds a request that an endpoint answers at once and in the order of arrival, so that its response shows that no
+     * response to an earlier request on the connection is due.
+     */
+    FullHttpRequest orderingProbe(NetworkAddress address);
+
+    /** Returns whether a response is that to an ordering probe. */
+    boolean isProbeResponse(HttpResponse response);
+
     /** Builds the request for a load or unload command to a runner. */
     FullHttpRequest commandRequest(AdapterCommand command);
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -46,6 +48,7 @@
     private final FullHttpRequest request;
     private final CallerConnection connection;
     private final ForwarderContext forwarder;
+    private final Set<EndpointConnection> usedConnections = new HashSet<>();
     private Optional<Attempt> current = Optional.empty();
     private boolean headWritten;
     private boolean finished;
@@ -82,7 +85,7 @@
         Attempt attempt = new Attempt(send);
         current = Optional.of(attempt);
         FullHttpRequest outgoing = endpoints().createRequest(request, send, forwarder.now());
-        attempt.call = forwarder.connections().send(send.address(), outgoing, attempt);
+        attempt.call = forwarder.connections().send(send.address(), outgoing, attempt, usedConnections);
         attempt.call.setAutoRead(connection.isWritable());
     }
 
@@ -191,6 +194,7 @@
         private EndpointCall call;
         private HttpResponse head;
         private ResponseKind kind;
+        private Optional<ResponseKind> ambiguousRejection = Optional.empty();
         private Optional<EventSplitter> splitter = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         private long bytesSinceNewEvent;
@@ -205,8 +209,8 @@
 
         @Override
         public void onHead(HttpResponse response) {
-            kind = endpoints().classify(response, requestId);
             identified = endpoints().identifiesRequest(response);
+            kind = resolve(response);
             if (kind == ResponseKind.INVALID) {
                 abort(ResponseFault.INVALID_HEAD);
                 return;
@@ -229,6 +233,28 @@
             }
         }
 
+        /**
+         * Classifies a response, and skips a rejection that may not be the response to this attempt. The response to a
+         * request that is sent after this one on the same connection then shows whether the rejection was: if so, no
+         * other response to this attempt comes before it.
+         */
+        private ResponseKind resolve(HttpResponse response) {
+            if (ambiguousRejection.isPresent() && endpoints().isProbeResponse(response)) {
+                return ambiguousRejection.get();
+            }
+            ResponseKind received = endpoints().classify(response, requestId);
+            boolean rejection = received == ResponseKind.FULL || received == ResponseKind.NOT_HERE;
+            if (rejection && call.isRepeated()) {
+                if (ambiguousRejection.isEmpty()) {
+                    ambiguousRejection = Optional.of(received);
+                    forwarder.connections().reportRejected(send.address(), ResponseFault.AMBIGUOUS);
+                    call.pipeline(endpoints().orderingProbe(send.address()));
+                }
+                return ResponseKind.FOREIGN;
+            }
+            return received;
+        }
+
         @Override
         public void onContent(ByteBuf bytes) {
             if (kind != ResponseKind.ANSWER) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -3,16 +3,28 @@
 import java.util.Optional;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpRequest;
 
 /** An HTTP call in flight. Used on the event loop thread of its connection only. */
 public final class EndpointCall {
     private final ResponseListener listener;
+    private final boolean repeated;
     private Optional<Channel> channel = Optional.empty();
     private boolean autoRead = true;
     private boolean finished;
 
-    EndpointCall(ResponseListener listener) {
+    /**
+     * Creates a call.
+     *
+     * @param repeated whether the connection has carried an earlier attempt of the same request
+     */
+    EndpointCall(ResponseListener listener, boolean repeated) {
         this.listener = listener;
+        this.repeated = repeated;
+    }
+
+    boolean isRepeated() {
+        return repeated;
     }
 
     ResponseListener listener() {
@@ -56,6 +68,11 @@
         finished = true;
     }
 
+    /** Sends a further request on the connection, whose response the listener receives as well. */
+    void pipeline(FullHttpRequest request) {
+        channel.orElseThrow().writeAndFlush(request);
+    }
+
     /** Closes the connection, which tells the endpoint to stop. The listener is not called any more. */
     public void cancel() {
         if (!finished) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -5,7 +5,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -68,14 +70,28 @@
      * @param listener receives the response
      */
     public EndpointCall send(NetworkAddress address, FullHttpRequest request, ResponseListener listener) {
-        EndpointCall call = new EndpointCall(listener);
+        return send(address, request, listener, new HashSet<>());
+    }
+
+    /**
+     * Sends one of several attempts of a request on an idle connection, or on a new one.
+     *
+     * @param request released after it has been written
+     * @param listener receives the response
+     * @param used connections of earlier attempts; the connection of this one is added
+     */
+    EndpointCall send(
+            NetworkAddress address, FullHttpRequest request, ResponseListener listener, Set<EndpointConnection> used) {
         EndpointConnection idleConnection = takeIdle(address);
         if (idleConnection != null) {
+            EndpointCall call = new EndpointCall(listener, !used.add(idleConnection));
             idleConnection.start(call, request);
             return call;
         }
         openedTotal++;
         EndpointConnection connection = new EndpointConnection(this, address);
+        used.add(connection);
+        EndpointCall call = new EndpointCall(listener, false);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseFault.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseFault.java
@@ -10,6 +10,8 @@
     MALFORMED(AttemptResult.BrokenCause.CONNECTION_LOST),
     /** The head is not that of a response to the request. */
     INVALID_HEAD(AttemptResult.BrokenCause.INVALID_HEAD),
+    /** The response may be a copy of an earlier one, or belong to an earlier request. */
+    AMBIGUOUS(AttemptResult.BrokenCause.INVALID_HEAD),
     /** Too many bytes that are not part of the response body, such as chunk framing. */
     EXCESS_BYTES(AttemptResult.BrokenCause.TOO_LONG),
     /** The head was not complete in time after its first byte. */
