Refuse requests that cannot end before the host stops

Cause: a stopping host accepted every request until the end of its grace period and never compared it with the time left. Excluded: an early exit (it waits for open requests) and lost ready answers (PlannedStopTest).

Change: the stop event carries a schedule. This works because a caller that is refused has seconds left and other hosts, and one whose stream is cut has neither.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -73,7 +73,7 @@
     record PeerMessageReceived(HostIdentity sender, PeerMessage message) implements ForwardingEvent {}
 
     /** The process was asked to shut down. */
-    record StopRequested() implements ForwardingEvent {}
+    record StopRequested(StopSchedule schedule) implements ForwardingEvent {}
 
     /** The time for the requests in flight at a shutdown is over. */
     record StopDeadlineReached() implements ForwardingEvent {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -152,8 +152,9 @@
             forwarder.advanceWaiting();
         } else if (event instanceof ForwardingEvent.Tick) {
             tick();
-        } else if (event instanceof ForwardingEvent.StopRequested) {
+        } else if (event instanceof ForwardingEvent.StopRequested stop) {
             stopping = true;
+            forwarder.startStop(stop.schedule());
             nextStateAt = context.now();
             context.log(DecisionRecord.important("stopping", "open-requests", forwarder.size()));
             tick();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -52,6 +52,8 @@
     private final Map<Long, InFlightRequest> requests = new TreeMap<>();
     private final RetryBudgets retryBudgets;
     private final UsageTracker usage;
+    private final RunTimeEstimator runTimes = new RunTimeEstimator();
+    private StopSchedule stopSchedule = StopSchedule.NEVER;
     private boolean ended;
 
     RequestForwarder(
@@ -120,6 +122,22 @@
         }
     }
 
+    /** Accepts only requests that can be complete before the host stops. */
+    void startStop(StopSchedule schedule) {
+        stopSchedule = schedule;
+        waiting().forEach(this::advance);
+    }
+
+    private boolean canCompleteBeforeStop(InFlightRequest inFlight) {
+        if (!inFlight.deadline.isAfter(stopSchedule.deadline())) {
+            return true;
+        }
+        return context.now().isBefore(stopSchedule.estimatesUntil())
+                && runTimes.expectedEnd(inFlight.route, inFlight.request, context.now())
+                        .filter(end -> !end.isAfter(stopSchedule.deadline()))
+                        .isPresent();
+    }
+
     private void refuseUnrouted(ForwardRequest request, RefusalReason reason) {
         context.log(DecisionRecord.important(
                 "refused",
@@ -138,6 +156,10 @@
     }
 
     private void selectEndpoint(InFlightRequest inFlight) {
+        if (!inFlight.mayHaveRun && !canCompleteBeforeStop(inFlight)) {
+            refuse(inFlight, RefusalReason.STOPPING, 0);
+            return;
+        }
         ForwardRequest request = inFlight.request;
         Instant now = context.now();
         long needed = neededVersion(request);
@@ -238,7 +260,7 @@
             return;
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
-        if (!endpoint.acceptsRequests(now)) {
+        if (!endpoint.acceptsRequests(now) || !inFlight.mayHaveRun && !canCompleteBeforeStop(inFlight)) {
             selectEndpoint(inFlight);
             return;
         }
@@ -371,10 +393,24 @@
             return;
         }
         close(inFlight);
+        if (result.isSuccess()) {
+            recordRunTime(inFlight);
+        }
         context.log(inFlight.answerRecord(result, context.now()));
         context.emit(new ForwardingEffect.Deliver(inFlight.request.exchange()));
     }
 
+    private void recordRunTime(InFlightRequest inFlight) {
+        Instant now = context.now();
+        Instant firstOutputAt = inFlight.firstOutput ? inFlight.firstOutputAt : now;
+        runTimes.record(
+                inFlight.route,
+                inFlight.request,
+                Duration.between(inFlight.arrivedAt, firstOutputAt),
+                Duration.between(firstOutputAt, now),
+                now);
+    }
+
     /**
      * Returns whether a request may run again within its limits on another endpoint, and if so takes a retry from the
      * budget.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -39,6 +39,7 @@
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.ForwardingReducer;
 import org.banyanstair.forwarding.RequestLimits;
+import org.banyanstair.forwarding.StopSchedule;
 import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
@@ -178,7 +179,8 @@
                 stopping = true;
                 stopDeadline = context.now().plus(settings.shutdownTimeout());
                 drainUntil = context.now().plus(settings.drainGracePeriod());
-                context.submit(new ForwardingEvent.StopRequested());
+                context.submit(new ForwardingEvent.StopRequested(
+                        new StopSchedule(context.now().plus(settings.estimatePeriod()), stopDeadline)));
             }
         });
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderSettings.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderSettings.java
@@ -14,6 +14,8 @@
  * @param readinessAddress address of the readiness probe; empty if there is none
  * @param directoryAddress address of the directory; empty if this host does not serve it
  * @param metricsAddress address on which metrics are served
+ * @param estimatePeriod time after the shutdown signal in which requests are accepted that are expected, but not sure,
+ *     to end before the process; at most {@code shutdownTimeout}
  * @param drainGracePeriod time after the shutdown signal in which callers with stale directory entries are still
  *     served
  * @param shutdownTimeout time after the shutdown signal at which the process ends even with requests in flight
@@ -24,5 +26,6 @@
         Optional<NetworkAddress> readinessAddress,
         Optional<NetworkAddress> directoryAddress,
         NetworkAddress metricsAddress,
+        Duration estimatePeriod,
         Duration drainGracePeriod,
         Duration shutdownTimeout) {}
