Repeat waiting reads after a silent call to the log

Cause: the open connections to the log had gone silent. A read waits 6 s for a configuration, so its own time-out shows that only after 6.9 s, and nothing was concluded from other calls on connections of the same age, which timed out after 1.9 s. The next call could also take another idle connection that was as dead.

Change: a call without a response in time is an event; each read that waits is repeated at once without a wait, on a new connection, and the old one is cancelled. Idle connections to an address are closed when a call there times out. A repeated read does not wait, so an outage causes one repetition and no series.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -60,6 +60,9 @@
     /** A read of a topic failed. */
     record TopicUnavailable(Topic topic) implements ForwardingEvent {}
 
+    /** A call to the log got no response in time. */
+    record LogCallTimedOut() implements ForwardingEvent {}
+
     /** An append to a topic ended; a read of the topic shows whether it succeeded. */
     record AppendCompleted(Topic topic) implements ForwardingEvent {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -181,6 +181,10 @@
             view.tick();
         } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
             view.unavailable(unavailable.topic());
+        } else if (event instanceof ForwardingEvent.LogCallTimedOut) {
+            context.log(DecisionRecord.important("log-call-timed-out"));
+            view.restartWaitingReads();
+            view.tick();
         } else if (event instanceof ForwardingEvent.AppendCompleted appended && appended.topic() == Topic.CLAIMS) {
             leases.appendCompleted();
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -253,6 +253,14 @@
         consumer.unavailable(context.now());
     }
 
+    /**
+     * Repeats the reads that wait for records, after another call got no response in time: connections that were open
+     * then may have gone silent together, and a waiting read would show it only after its wait.
+     */
+    void restartWaitingReads() {
+        consumers.values().forEach(consumer -> consumer.restartWaitingRead(context.now()));
+    }
+
     /**
      * Applies new records.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -39,6 +39,7 @@
     private long end = -1;
     private Instant readStartedAt = Instant.MIN;
     private boolean reading;
+    private boolean waitingForRecords;
     private boolean needSnapshot = true;
     private boolean readImmediately;
     private Instant nextReadAt = Instant.MIN;
@@ -94,6 +95,18 @@
         nextReadAt = now;
     }
 
+    /**
+     * Repeats a read that waits for records without the wait, because its connection may have gone silent. A read that
+     * does not wait ends by its own time-out.
+     */
+    void restartWaitingRead(Instant now) {
+        if (reading && waitingForRecords) {
+            reading = false;
+            readImmediately = true;
+            nextReadAt = now;
+        }
+    }
+
     boolean isAvailable() {
         return unavailableSince.isEmpty() && hasBeenRead();
     }
@@ -129,6 +142,7 @@
             return List.of();
         }
         reading = true;
+        waitingForRecords = !needSnapshot && !readImmediately;
         return List.of(
                 needSnapshot
                         ? new ForwardingEffect.ReadNewest(topic)
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
@@ -53,6 +53,20 @@
         assertEquals(now.plusMillis(200).plus(WAIT), nextRead().waitUntil());
     }
 
+    /** A read that waits on a silent connection must not delay records; its repetition must not be repeated again. */
+    @Test
+    void waitingReadIsRepeatedWithoutWaitOnce() {
+        consumer.tick(now);
+        consumer.restartWaitingRead(now);
+        assertTrue(consumer.tick(now).isEmpty(), "a snapshot does not wait");
+        read(true, 5);
+        nextRead();
+        consumer.restartWaitingRead(now);
+        assertEquals(now.plusMillis(200), nextRead().waitUntil());
+        consumer.restartWaitingRead(now);
+        assertTrue(consumer.tick(now).isEmpty(), "the repeated read does not wait");
+    }
+
     @Test
     void outdatedRecordsAreIgnored() {
         consumer.tick(now);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -326,6 +326,7 @@
                 request,
                 timeout,
                 MAXIMUM_RUNNER_RESPONSE_BYTES,
+                () -> {},
                 metrics.timeRunnerCall(operation, clock, callback));
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.bootstrap.Bootstrap;
@@ -158,6 +159,12 @@
         return null;
     }
 
+    /** Closes the idle connections to an address, which may have gone silent together with one in use. */
+    void closeIdle(NetworkAddress address) {
+        Optional.ofNullable(idle.remove(address))
+                .ifPresent(connections -> connections.forEach(EndpointConnection::close));
+    }
+
     ResponseMemoryBudget memoryBudget() {
         return memoryBudget;
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -30,6 +32,7 @@
     private final ForwarderContext forwarder;
     private final EventLoop loop;
     private final LogProtocol protocol;
+    private final Map<Topic, ResponseAggregator> reads = new EnumMap<>(Topic.class);
 
     /** Creates a client. */
     public LogClient(ForwarderContext forwarder, EventLoop loop) {
@@ -45,7 +48,7 @@
 
     private void readPage(
             Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long lowestEnd) {
-        call("snapshot", protocol.snapshotRequest(topic, after), RESPONSE_TIMEOUT, result -> {
+        read("snapshot", topic, protocol.snapshotRequest(topic, after), RESPONSE_TIMEOUT, result -> {
             Optional<TopicPage.Records> page = result.map(protocol::parseSnapshot)
                     .filter(TopicPage.Records.class::isInstance)
                     .map(TopicPage.Records.class::cast);
@@ -69,8 +72,9 @@
     public void readFrom(ForwardingEffect.ReadFrom read) {
         Instant startedAt = forwarder.now();
         Duration wait = Duration.between(startedAt, read.waitUntil());
-        call(
+        read(
                 "read",
+                read.topic(),
                 protocol.recordsRequest(read.topic(), read.offset(), wait),
                 wait.plus(RESPONSE_TIMEOUT),
                 result -> {
@@ -86,18 +90,30 @@
                 });
     }
 
-    private void call(
+    /** Starts a read of a topic; an earlier one that has not ended is cancelled. */
+    private void read(
+            String operation,
+            Topic topic,
+            FullHttpRequest request,
+            Duration timeout,
+            Consumer<Optional<FullHttpResponse>> callback) {
+        Optional.ofNullable(reads.remove(topic)).ifPresent(ResponseAggregator::cancel);
+        reads.put(topic, call(operation, request, timeout, callback));
+    }
+
+    private ResponseAggregator call(
             String operation,
             FullHttpRequest request,
             Duration timeout,
             Consumer<Optional<FullHttpResponse>> callback) {
-        ResponseAggregator.send(
+        return ResponseAggregator.send(
                 forwarder.connections(),
                 loop,
                 protocol.address(),
                 request,
                 timeout,
                 MAXIMUM_RESPONSE_BYTES,
+                () -> forwarder.submit(new ForwardingEvent.LogCallTimedOut()),
                 forwarder.metrics().timeLogCall(operation, forwarder::now, callback));
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
@@ -43,20 +43,42 @@
      * Sends a request and aggregates its response.
      *
      * @param timeout time after which the call is cancelled
+     * @param timeoutListener called after the callback if no response arrived in time
      * @param maximumBodyBytes a longer body counts as no response
      * @param callback receives the response, empty if none arrived in time
      */
-    public static void send(
+    public static ResponseAggregator send(
             EndpointConnectionPool connections,
             EventLoop loop,
             NetworkAddress address,
             FullHttpRequest request,
             Duration timeout,
             int maximumBodyBytes,
+            Runnable timeoutListener,
             Consumer<Optional<FullHttpResponse>> callback) {
         ResponseAggregator aggregator = new ResponseAggregator(connections, address, maximumBodyBytes, callback);
-        aggregator.timer = Optional.of(loop.schedule(aggregator::abort, timeout.toMillis(), TimeUnit.MILLISECONDS));
+        aggregator.timer = Optional.of(
+                loop.schedule(() -> aggregator.onTimeout(timeoutListener), timeout.toMillis(), TimeUnit.MILLISECONDS));
         aggregator.call = Optional.of(connections.send(address, request, aggregator));
+        return aggregator;
+    }
+
+    /** Cancels the call without a callback. */
+    public void cancel() {
+        if (!finished) {
+            finished = true;
+            call.ifPresent(EndpointCall::cancel);
+            release();
+        }
+    }
+
+    private void onTimeout(Runnable timeoutListener) {
+        boolean silent = !finished && head.isEmpty();
+        abort();
+        if (silent) {
+            connections.closeIdle(address);
+            timeoutListener.run();
+        }
     }
 
     private void abort() {
@@ -70,15 +92,19 @@
             return;
         }
         finished = true;
-        timer.ifPresent(future -> future.cancel(false));
         try {
             callback.accept(response);
         } finally {
-            body.release();
-            connections.memoryBudget().setUsage(this, 0);
+            release();
         }
     }
 
+    private void release() {
+        timer.ifPresent(future -> future.cancel(false));
+        body.release();
+        connections.memoryBudget().setUsage(this, 0);
+    }
+
     private void reject(ResponseFault fault) {
         connections.reportRejected(address, fault);
         abort();
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -99,6 +99,7 @@
                     request,
                     Duration.ofSeconds(10),
                     MAXIMUM_BODY_BYTES,
+                    () -> {},
                     received -> response.complete(
                             received.map(fullResponse -> fullResponse.content().toString(StandardCharsets.UTF_8))));
         });
