Do not take a crash before the first event for an empty stream

Cause: an end of the connection counts as the end of such a stream unless an event is missing, and without events none is. Only resumed runs were checked for it.

Change: a stream that ends with its connection has at least one event with data. One whose framing marks its end may be empty, as before.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/StreamPosition.java
@@ -46,7 +46,10 @@
 
         private long lastRunEvent = NONE;
 
+        private boolean hasData;
+
         EventOrder advance(EventSplitter.StreamEvent event) {
+            hasData = hasData || event.hasData();
             EventOrder order = event.id().map(this::placeNumbered).orElseGet(() -> placeUnnumbered(event));
             event.id().filter(id -> id > lastRunEvent).ifPresent(id -> lastRunEvent = id);
             return order;
@@ -92,8 +95,9 @@
                 return Optional.of(AttemptResult.BrokenCause.PARTIAL_EVENT);
             }
             // A resumed run without any event had only its end left to send. A closed connection may also be a
-            // crash.
-            boolean caughtUp = lastRunEvent == NONE && selfDelimited || lastRunEvent >= lastEvent;
+            // crash, and a run that has begun has at least one event.
+            boolean caughtUp =
+                    (lastRunEvent == NONE && selfDelimited || lastRunEvent >= lastEvent) && (selfDelimited || hasData);
             return placeable && caughtUp ? Optional.empty() : Optional.of(AttemptResult.BrokenCause.ENDED_EARLY);
         }
     }
