Check rejections that name no request on a used connection

Cause: a response without an id was believed on any connection.

Change: on a connection that has carried a call before, a rejection without an id is ambiguous and checked like a repeated one. A failure without an id is not passed on there; the request may have run. On a new connection both are believed as before.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -234,9 +234,10 @@
         }
 
         /**
-         * Classifies a response, and skips a rejection that may not be the response to this attempt. The response to a
-         * request that is sent after this one on the same connection then shows whether the rejection was: if so, no
-         * other response to this attempt comes before it.
+         * Classifies a response, and skips a rejection that may not be the response to this attempt: one that does not
+         * name its request, or that repeats one of an earlier attempt. The response to a request that is sent after this
+         * one on the same connection then shows whether the rejection was: if so, no other response to this attempt comes
+         * before it.
          */
         private ResponseKind resolve(HttpResponse response) {
             if (ambiguousRejection.isPresent() && endpoints().isProbeResponse(response)) {
@@ -244,7 +245,8 @@
             }
             ResponseKind received = endpoints().classify(response, requestId);
             boolean rejection = received == ResponseKind.FULL || received == ResponseKind.NOT_HERE;
-            if (rejection && call.isRepeated()) {
+            boolean unattributed = !identified && call.isConnectionReused();
+            if (rejection && (unattributed || call.isRepeated())) {
                 if (ambiguousRejection.isEmpty()) {
                     ambiguousRejection = Optional.of(received);
                     forwarder.connections().reportRejected(send.address(), ResponseFault.AMBIGUOUS);
@@ -252,7 +254,7 @@
                 }
                 return ResponseKind.FOREIGN;
             }
-            return received;
+            return unattributed ? ResponseKind.INVALID : received;
         }
 
         @Override
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -8,6 +8,7 @@
 /** An HTTP call in flight. Used on the event loop thread of its connection only. */
 public final class EndpointCall {
     private final ResponseListener listener;
+    private final boolean connectionReused;
     private final boolean repeated;
     private Optional<Channel> channel = Optional.empty();
     private boolean autoRead = true;
@@ -16,13 +17,19 @@
     /**
      * Creates a call.
      *
+     * @param connectionReused whether the connection has carried an earlier call
      * @param repeated whether the connection has carried an earlier attempt of the same request
      */
-    EndpointCall(ResponseListener listener, boolean repeated) {
+    EndpointCall(ResponseListener listener, boolean connectionReused, boolean repeated) {
         this.listener = listener;
+        this.connectionReused = connectionReused;
         this.repeated = repeated;
     }
 
+    boolean isConnectionReused() {
+        return connectionReused;
+    }
+
     boolean isRepeated() {
         return repeated;
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -85,14 +85,14 @@
             NetworkAddress address, FullHttpRequest request, ResponseListener listener, Set<EndpointConnection> used) {
         EndpointConnection idleConnection = takeIdle(address);
         if (idleConnection != null) {
-            EndpointCall call = new EndpointCall(listener, !used.add(idleConnection));
+            EndpointCall call = new EndpointCall(listener, true, !used.add(idleConnection));
             idleConnection.start(call, request);
             return call;
         }
         openedTotal++;
         EndpointConnection connection = new EndpointConnection(this, address);
         used.add(connection);
-        EndpointCall call = new EndpointCall(listener, false);
+        EndpointCall call = new EndpointCall(listener, false, false);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
