--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -321,7 +321,6 @@
             Consumer<Optional<FullHttpResponse>> callback) {
         ResponseAggregator.send(
                 runnerCallConnections,
-                loop,
                 address,
                 request,
                 timeout,
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -165,6 +165,10 @@
                 .ifPresent(connections -> connections.forEach(EndpointConnection::close));
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     ResponseMemoryBudget memoryBudget() {
         return memoryBudget;
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -108,7 +108,6 @@
             Consumer<Optional<FullHttpResponse>> callback) {
         return ResponseAggregator.send(
                 forwarder.connections(),
-                loop,
                 protocol.address(),
                 request,
                 timeout,
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
@@ -8,7 +8,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -49,7 +48,6 @@
      */
     public static ResponseAggregator send(
             EndpointConnectionPool connections,
-            EventLoop loop,
             NetworkAddress address,
             FullHttpRequest request,
             Duration timeout,
@@ -57,8 +55,9 @@
             Runnable timeoutListener,
             Consumer<Optional<FullHttpResponse>> callback) {
         ResponseAggregator aggregator = new ResponseAggregator(connections, address, maximumBodyBytes, callback);
-        aggregator.timer = Optional.of(
-                loop.schedule(() -> aggregator.onTimeout(timeoutListener), timeout.toMillis(), TimeUnit.MILLISECONDS));
+        aggregator.timer = Optional.of(connections
+                .loop()
+                .schedule(() -> aggregator.onTimeout(timeoutListener), timeout.toMillis(), TimeUnit.MILLISECONDS));
         aggregator.call = Optional.of(connections.send(address, request, aggregator));
         return aggregator;
     }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -94,7 +94,6 @@
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/report");
             ResponseAggregator.send(
                     connections,
-                    loop,
                     address,
                     request,
                     Duration.ofSeconds(10),
