Read what endpoints say of themselves in responses

Change: a notice in a believed response marks the endpoint as leaving for this start of it, or pauses it until a stored instant; the return after a pause begins with two requests. Requests are refused at once, with the soonest end as Retry-After, while all endpoints of a service are paused.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -43,6 +43,9 @@
     private Instant removeAt = Instant.MAX;
     private Instant pausedUntil = Instant.MIN;
     private Duration pause = FIRST_PAUSE;
+    private final RequestedPause requestedPause = new RequestedPause();
+    private boolean announcedLeaving;
+    private Instant restartNoticedAt = Instant.MIN;
     private double failureRate;
     private Instant lastFailureAt = Instant.MIN;
     private double slowdown = 1;
@@ -76,13 +79,14 @@
     }
 
     /** Applies a newer registry entry; returns whether the process has restarted. */
-    boolean update(EndpointListing newer) {
+    boolean update(EndpointListing newer, Instant now) {
         boolean restarted = newer.started() != listing.started();
         boolean commandsChanged = newer.commandSequence() != listing.commandSequence();
         listing = newer;
         removeAt = Instant.MAX;
         if (restarted) {
             reset();
+            restartNoticedAt = now;
         }
         if (restarted || commandsChanged && leaseHolder.isEmpty()) {
             applyListedAdapters();
@@ -99,6 +103,8 @@
         slowdown = 1;
         pausedUntil = Instant.MIN;
         pause = FIRST_PAUSE;
+        requestedPause.clear();
+        announcedLeaving = false;
         leaseHolder = Optional.empty();
         pendingLoads.clear();
     }
@@ -194,10 +200,28 @@
         if (!now.isBefore(removeAt)) {
             return EndpointCondition.GONE;
         }
-        if (listing.draining()) {
+        if (listing.draining() || announcedLeaving) {
             return EndpointCondition.LEAVING;
         }
-        return now.isBefore(pausedUntil) ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
+        boolean paused = now.isBefore(pausedUntil) || !requestedPause.allowsRequest(now);
+        return paused ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
+    }
+
+    /** Returns whether a response to a request that was sent at an instant may be of an earlier process. */
+    boolean mayPrecedeRestart(Instant sentAt) {
+        return sentAt.isBefore(restartNoticedAt);
+    }
+
+    /** Marks the endpoint as leaving, whatever its registry entry says; returns whether that is new. */
+    boolean announceLeaving() {
+        boolean isNew = !announcedLeaving;
+        announcedLeaving = true;
+        return isNew;
+    }
+
+    /** Returns the pause that the endpoint has asked this host for. */
+    RequestedPause requestedPause() {
+        return requestedPause;
     }
 
     void connectionFailed(Instant now) {
@@ -212,6 +236,7 @@
     void recordOutcome(boolean success, Instant now) {
         failureRate += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureRate);
         if (success) {
+            requestedPause.recordSuccess(now);
             pause = FIRST_PAUSE;
         } else {
             lastFailureAt = now;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -27,6 +27,14 @@
     /** An attempt ended. */
     record AttemptEnded(long exchange, int attempt, AttemptResult result) implements ForwardingEvent {}
 
+    /**
+     * An endpoint said something about itself in a response.
+     *
+     * @param sentAt when the request was sent that it responded to
+     */
+    record EndpointNoticeReceived(EndpointId endpoint, Instant sentAt, EndpointNotice notice)
+            implements ForwardingEvent {}
+
     /** The caller closed its connection. */
     record CallerDisconnected(long exchange) implements ForwardingEvent {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -140,6 +140,8 @@
             forwarder.firstOutput(output.exchange(), output.attempt());
         } else if (event instanceof ForwardingEvent.AttemptEnded ended) {
             forwarder.attemptEnded(ended.exchange(), ended.attempt(), ended.result());
+        } else if (event instanceof ForwardingEvent.EndpointNoticeReceived received) {
+            forwarder.noticeReceived(received.endpoint(), received.sentAt(), received.notice());
         } else if (event instanceof ForwardingEvent.CallerDisconnected left) {
             forwarder.callerDisconnected(left.exchange());
         } else if (event instanceof ForwardingEvent.ConnectionRefused refused) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -337,7 +337,7 @@
         }
         boolean startsDraining = listing.draining() && !known.listing().draining();
         boolean serviceChanged = !known.listing().service().equals(listing.service());
-        if (known.update(listing)) {
+        if (known.update(listing, context.now())) {
             context.log(DecisionRecord.important(
                     "endpoint-restarted", "endpoint", listing.id(), "started", listing.started()));
             listener.endpointRestarted(known);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -10,6 +10,8 @@
     NO_ROUTE,
     /** The service has no endpoint that accepts requests. */
     NO_ENDPOINT,
+    /** All endpoints of the service have asked this host for a pause. */
+    ENDPOINTS_PAUSED,
     /** No endpoint can start the request before the caller stops waiting. */
     OVERLOADED,
     /** No runner can load the adapter now. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 
 import org.banyanstair.model.AdapterName;
+import org.banyanstair.model.EndpointId;
 
 /** Forwards the requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
@@ -30,6 +31,12 @@
     /** Pause of an endpoint that reported that it is full. */
     private static final Duration FULL_ENDPOINT_PAUSE = Duration.ofMillis(40);
 
+    /** Limit of a requested pause, so that a wrong value does not put an endpoint out of use for good. */
+    private static final Duration MAXIMUM_REQUESTED_PAUSE = Duration.ofMinutes(10);
+
+    /** Largest share by which a host extends a requested pause. */
+    private static final double PAUSE_SPREAD = 0.1;
+
     /** Share of the objective without an answer after which a non-streaming request is sent to another endpoint. */
     private static final double SILENCE_OBJECTIVE_SHARE = 0.6;
 
@@ -177,6 +184,14 @@
                 runnerManager.weightStoreUtilization());
         Optional<EndpointSelection> selection = selector.select(query, view.endpointsOf(inFlight.service.name()), now);
         if (selection.isEmpty()) {
+            Optional<Instant> pauseEnd = soonestPauseEnd(inFlight.service.name());
+            if (pauseEnd.isPresent()) {
+                refuseOrFail(
+                        inFlight,
+                        RefusalReason.ENDPOINTS_PAUSED,
+                        Duration.between(now, pauseEnd.get()).toMillis());
+                return;
+            }
             boolean anyAvailable = view.endpointsOf(inFlight.service.name()).stream()
                     .anyMatch(endpoint -> endpoint.acceptsRequests(now));
             refuseOrFail(inFlight, anyAvailable ? RefusalReason.ADAPTER_UNAVAILABLE : RefusalReason.NO_ENDPOINT, 0);
@@ -211,6 +226,20 @@
         }
     }
 
+    /** Returns the earliest end of a requested pause; empty if an endpoint of the service is in use, or none paused. */
+    private Optional<Instant> soonestPauseEnd(String service) {
+        Instant now = context.now();
+        List<EndpointState> endpoints = view.endpointsOf(service);
+        if (endpoints.stream().anyMatch(endpoint -> endpoint.acceptsRequests(now))) {
+            return Optional.empty();
+        }
+        return endpoints.stream()
+                .filter(endpoint -> endpoint.condition(now) == EndpointCondition.PAUSED
+                        && endpoint.requestedPause().isInForce(now))
+                .map(endpoint -> endpoint.requestedPause().end())
+                .min(Instant::compareTo);
+    }
+
     private long neededVersion(ForwardRequest request) {
         return request.adapter()
                 .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), context.now()))
@@ -293,6 +322,7 @@
                 ? EndpointSelector.promptMilliseconds(endpoint, request, inFlight.prefixes)
                 : 0;
         inFlight.tried.add(endpoint.id());
+        endpoint.requestedPause().recordRequest();
         inFlight.cachedTokens = endpoint.prefixes().cachedTokens(request, inFlight.prefixes);
         usage.addPrefixes(endpoint, inFlight.prefixes);
         request.adapter().ifPresent(adapter -> runnerManager.recordUse(endpoint, adapter));
@@ -472,6 +502,53 @@
         }
     }
 
+    /** Applies what an endpoint said about itself, unless an earlier process at its address may have said it. */
+    void noticeReceived(EndpointId id, Instant sentAt, EndpointNotice notice) {
+        Optional<EndpointState> known = view.endpoint(id).filter(endpoint -> !endpoint.mayPrecedeRestart(sentAt));
+        if (known.isEmpty()) {
+            return;
+        }
+        EndpointState endpoint = known.get();
+        notice.unreadablePause()
+                .ifPresent(text ->
+                        context.log(DecisionRecord.important("endpoint-pause-ignored", "endpoint", id, "text", text)));
+        boolean leavingIsNew = notice.leaving() && endpoint.announceLeaving();
+        if (leavingIsNew) {
+            context.log(DecisionRecord.important(
+                    "endpoint-leaving",
+                    "endpoint",
+                    id,
+                    "started",
+                    endpoint.listing().started(),
+                    "source",
+                    "answer"));
+        }
+        Optional<Instant> pauseEnd = notice.pauseUntil().map(until -> spreadPauseEnd(id, until));
+        if (pauseEnd.filter(endpoint.requestedPause()::extend).isPresent()) {
+            context.log(DecisionRecord.important(
+                    "endpoint-pause",
+                    "endpoint",
+                    id,
+                    "started",
+                    endpoint.listing().started(),
+                    "for-ms",
+                    Duration.between(context.now(), pauseEnd.get()).toMillis()));
+        }
+        if (leavingIsNew || pauseEnd.isPresent()) {
+            advanceWaiting();
+        }
+    }
+
+    /** Limits a pause, and spreads its end, so that not all hosts return at the same moment. */
+    private Instant spreadPauseEnd(EndpointId endpoint, Instant requested) {
+        long milliseconds = Math.min(
+                MAXIMUM_REQUESTED_PAUSE.toMillis(),
+                Duration.between(context.now(), requested).toMillis());
+        int hash = settings.identity().host().hashCode() * 31 + endpoint.hashCode();
+        double spread = PAUSE_SPREAD * Math.floorMod(hash, 256) / 256;
+        return context.now().plusMillis((long) (milliseconds * (1 + spread)));
+    }
+
     void callerDisconnected(long exchange) {
         InFlightRequest inFlight = requests.get(exchange);
         if (inFlight != null) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -39,6 +39,8 @@
             case NOT_READY, STOPPING -> Optional.of(NOT_READY_DELAY);
             case NO_ROUTE, CRASHES_ENDPOINTS, DEADLINE_PASSED -> Optional.empty();
             case NO_ENDPOINT, ADAPTER_UNAVAILABLE -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
+            case ENDPOINTS_PAUSED -> Optional.of(
+                    scale(Duration.ofMillis((long) Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds)), jitter));
             case OVERLOADED -> {
                 double wait = Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds - objective.toMillis());
                 yield Optional.of(scale(Duration.ofMillis((long) Math.min(MAXIMUM_DELAY.toMillis(), wait)), jitter));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RunnerController.java
@@ -204,6 +204,9 @@
         if (pendingCommand.isPresent()) {
             return List.of();
         }
+        if (runner.requestedPause().isInForce(now)) {
+            return List.of();
+        }
         if (commandSequence.isEmpty() || stateUncertain) {
             if (inspecting || now.isBefore(nextInspectionAt)) {
                 return List.of();
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.banyanstair.forwarding.AdapterCommand;
 import org.banyanstair.forwarding.CommandResult;
+import org.banyanstair.forwarding.EndpointNotice;
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.RunnerState;
+import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.NetworkAddress;
 
 /** HTTP protocol of endpoints. Implementations are stateless. */
@@ -41,6 +43,13 @@
     /** Returns whether a response is that to an ordering probe. */
     boolean isProbeResponse(HttpResponse response);
 
+    /**
+     * Reads what an endpoint says about itself in a response; empty if it says nothing, or another endpoint responded.
+     *
+     * @param endpoint the endpoint to which the request was sent
+     */
+    Optional<EndpointNotice> parseNotice(HttpResponse response, EndpointId endpoint, Instant now);
+
     /** Builds the request for a load or unload command to a runner. */
     FullHttpRequest commandRequest(AdapterCommand command);
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -41,6 +41,7 @@
 import org.banyanstair.forwarding.RequestLimits;
 import org.banyanstair.forwarding.StopSchedule;
 import org.banyanstair.metrics.PrometheusText;
+import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
@@ -295,6 +296,7 @@
     private void sendCommand(AdapterCommand command) {
         callRunner(
                 command.load() ? "load" : "unload",
+                command.endpoint(),
                 command.address(),
                 protocols.endpoints().commandRequest(command),
                 COMMAND_TIMEOUT,
@@ -306,6 +308,7 @@
     private void inspect(ForwardingEffect.Inspect inspect) {
         callRunner(
                 "inspect",
+                inspect.endpoint(),
                 inspect.address(),
                 protocols.endpoints().inspectionRequest(inspect),
                 INSPECTION_TIMEOUT,
@@ -315,10 +318,12 @@
 
     private void callRunner(
             String operation,
+            EndpointId endpoint,
             NetworkAddress address,
             FullHttpRequest request,
             Duration timeout,
             Consumer<Optional<FullHttpResponse>> callback) {
+        Instant sentAt = context.now();
         ResponseAggregator.send(
                 runnerCallConnections,
                 address,
@@ -326,7 +331,12 @@
                 timeout,
                 MAXIMUM_RUNNER_RESPONSE_BYTES,
                 () -> {},
-                metrics.timeRunnerCall(operation, clock, callback));
+                metrics.timeRunnerCall(operation, clock, response -> {
+                    response.flatMap(received -> protocols.endpoints().parseNotice(received, endpoint, context.now()))
+                            .ifPresent(notice -> context.submit(
+                                    new ForwardingEvent.EndpointNoticeReceived(endpoint, sentAt, notice)));
+                    callback.accept(response);
+                }));
     }
 
     private final class DaemonContext implements ForwarderContext {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -191,6 +191,7 @@
     private final class Attempt implements ResponseListener, ResponseMemoryBudget.BufferOwner {
         private final ForwardingEffect.Send send;
         private final StreamPosition.Run run;
+        private final Instant sentAt = forwarder.now();
         private EndpointCall call;
         private HttpResponse head;
         private ResponseKind kind;
@@ -215,6 +216,12 @@
                 abort(ResponseFault.INVALID_HEAD);
                 return;
             }
+            if (kind != ResponseKind.FOREIGN) {
+                endpoints()
+                        .parseNotice(response, send.endpoint(), forwarder.now())
+                        .ifPresent(notice -> forwarder.submit(
+                                new ForwardingEvent.EndpointNoticeReceived(send.endpoint(), sentAt, notice)));
+            }
             if (kind != ResponseKind.ANSWER) {
                 return;
             }
