Split the notices of endpoints and the stop from the forwarder

EndpointNotices applies what endpoints say of themselves, StopAdmission decides what a stopping host still sends. No change of behavior; the tests of the forwarding package and those of notices and stops passed.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -31,12 +31,6 @@
     /** Pause of an endpoint that reported that it is full. */
     private static final Duration FULL_ENDPOINT_PAUSE = Duration.ofMillis(40);
 
-    /** Limit of a requested pause, so that a wrong value does not put an endpoint out of use for good. */
-    private static final Duration MAXIMUM_REQUESTED_PAUSE = Duration.ofMinutes(10);
-
-    /** Largest share by which a host extends a requested pause. */
-    private static final double PAUSE_SPREAD = 0.1;
-
     /** Share of the objective without an answer after which a non-streaming request is sent to another endpoint. */
     private static final double SILENCE_OBJECTIVE_SHARE = 0.6;
 
@@ -59,8 +53,8 @@
     private final Map<Long, InFlightRequest> requests = new TreeMap<>();
     private final RetryBudgets retryBudgets;
     private final UsageTracker usage;
-    private final RunTimeEstimator runTimes = new RunTimeEstimator();
-    private StopSchedule stopSchedule = StopSchedule.NEVER;
+    private final EndpointNotices notices;
+    private final StopAdmission stopAdmission = new StopAdmission();
     private boolean ended;
 
     RequestForwarder(
@@ -79,6 +73,7 @@
         this.crashDetector = crashDetector;
         this.usage = new UsageTracker(
                 context, settings.identity().host(), view, messenger, runnerManager, requests.values());
+        this.notices = new EndpointNotices(context, settings.identity().host(), view);
         this.retryBudgets = new RetryBudgets(settings, peers);
         this.selector = new EndpointSelector(settings.announcement().dataCentre());
     }
@@ -129,22 +124,12 @@
         }
     }
 
-    /** Accepts only requests that can be complete before the host stops. */
+    /** Sends only requests that can be complete before the host stops from now on. */
     void startStop(StopSchedule schedule) {
-        stopSchedule = schedule;
+        stopAdmission.start(schedule);
         waiting().forEach(this::advance);
     }
 
-    private boolean canCompleteBeforeStop(InFlightRequest inFlight) {
-        if (!inFlight.deadline.isAfter(stopSchedule.deadline())) {
-            return true;
-        }
-        return context.now().isBefore(stopSchedule.estimatesUntil())
-                && runTimes.expectedEnd(inFlight.route, inFlight.request, context.now())
-                        .filter(end -> !end.isAfter(stopSchedule.deadline()))
-                        .isPresent();
-    }
-
     private void refuseUnrouted(ForwardRequest request, RefusalReason reason) {
         context.log(DecisionRecord.important(
                 "refused",
@@ -163,7 +148,7 @@
     }
 
     private void selectEndpoint(InFlightRequest inFlight) {
-        if (!inFlight.mayHaveRun && !canCompleteBeforeStop(inFlight)) {
+        if (!stopAdmission.allows(inFlight, context.now())) {
             refuse(inFlight, RefusalReason.STOPPING, 0);
             return;
         }
@@ -184,7 +169,7 @@
                 runnerManager.weightStoreUtilization());
         Optional<EndpointSelection> selection = selector.select(query, view.endpointsOf(inFlight.service.name()), now);
         if (selection.isEmpty()) {
-            Optional<Instant> pauseEnd = soonestPauseEnd(inFlight.service.name());
+            Optional<Instant> pauseEnd = notices.soonestPauseEnd(inFlight.service.name());
             if (pauseEnd.isPresent()) {
                 refuseOrFail(
                         inFlight,
@@ -226,20 +211,6 @@
         }
     }
 
-    /** Returns the earliest end of a requested pause; empty if an endpoint of the service is in use, or none paused. */
-    private Optional<Instant> soonestPauseEnd(String service) {
-        Instant now = context.now();
-        List<EndpointState> endpoints = view.endpointsOf(service);
-        if (endpoints.stream().anyMatch(endpoint -> endpoint.acceptsRequests(now))) {
-            return Optional.empty();
-        }
-        return endpoints.stream()
-                .filter(endpoint -> endpoint.condition(now) == EndpointCondition.PAUSED
-                        && endpoint.requestedPause().isInForce(now))
-                .map(endpoint -> endpoint.requestedPause().end())
-                .min(Instant::compareTo);
-    }
-
     private long neededVersion(ForwardRequest request) {
         return request.adapter()
                 .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), context.now()))
@@ -289,7 +260,7 @@
             return;
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
-        if (!endpoint.acceptsRequests(now) || !inFlight.mayHaveRun && !canCompleteBeforeStop(inFlight)) {
+        if (!endpoint.acceptsRequests(now) || !stopAdmission.allows(inFlight, now)) {
             selectEndpoint(inFlight);
             return;
         }
@@ -424,23 +395,12 @@
         }
         close(inFlight);
         if (result.isSuccess()) {
-            recordRunTime(inFlight);
+            stopAdmission.recordAnswered(inFlight, context.now());
         }
         context.log(inFlight.answerRecord(result, context.now()));
         context.emit(new ForwardingEffect.Deliver(inFlight.request.exchange()));
     }
 
-    private void recordRunTime(InFlightRequest inFlight) {
-        Instant now = context.now();
-        Instant firstOutputAt = inFlight.firstOutput ? inFlight.firstOutputAt : now;
-        runTimes.record(
-                inFlight.route,
-                inFlight.request,
-                Duration.between(inFlight.arrivedAt, firstOutputAt),
-                Duration.between(firstOutputAt, now),
-                now);
-    }
-
     /**
      * Returns whether a request may run again within its limits on another endpoint, and if so takes a retry from the
      * budget.
@@ -502,53 +462,12 @@
         }
     }
 
-    /** Applies what an endpoint said about itself, unless an earlier process at its address may have said it. */
-    void noticeReceived(EndpointId id, Instant sentAt, EndpointNotice notice) {
-        Optional<EndpointState> known = view.endpoint(id).filter(endpoint -> !endpoint.mayPrecedeRestart(sentAt));
-        if (known.isEmpty()) {
-            return;
-        }
-        EndpointState endpoint = known.get();
-        notice.unreadablePause()
-                .ifPresent(text ->
-                        context.log(DecisionRecord.important("endpoint-pause-ignored", "endpoint", id, "text", text)));
-        boolean leavingIsNew = notice.leaving() && endpoint.announceLeaving();
-        if (leavingIsNew) {
-            context.log(DecisionRecord.important(
-                    "endpoint-leaving",
-                    "endpoint",
-                    id,
-                    "started",
-                    endpoint.listing().started(),
-                    "source",
-                    "answer"));
-        }
-        Optional<Instant> pauseEnd = notice.pauseUntil().map(until -> spreadPauseEnd(id, until));
-        if (pauseEnd.filter(endpoint.requestedPause()::extend).isPresent()) {
-            context.log(DecisionRecord.important(
-                    "endpoint-pause",
-                    "endpoint",
-                    id,
-                    "started",
-                    endpoint.listing().started(),
-                    "for-ms",
-                    Duration.between(context.now(), pauseEnd.get()).toMillis()));
-        }
-        if (leavingIsNew || pauseEnd.isPresent()) {
+    void noticeReceived(EndpointId endpoint, Instant sentAt, EndpointNotice notice) {
+        if (notices.apply(endpoint, sentAt, notice)) {
             advanceWaiting();
         }
     }
 
-    /** Limits a pause, and spreads its end, so that not all hosts return at the same moment. */
-    private Instant spreadPauseEnd(EndpointId endpoint, Instant requested) {
-        long milliseconds = Math.min(
-                MAXIMUM_REQUESTED_PAUSE.toMillis(),
-                Duration.between(context.now(), requested).toMillis());
-        int hash = settings.identity().host().hashCode() * 31 + endpoint.hashCode();
-        double spread = PAUSE_SPREAD * Math.floorMod(hash, 256) / 256;
-        return context.now().plusMillis((long) (milliseconds * (1 + spread)));
-    }
-
     void callerDisconnected(long exchange) {
         InFlightRequest inFlight = requests.get(exchange);
         if (inFlight != null) {
