Add failing tests of requests that crash endpoints

CrashingRequestTest sends one request again every 0.7 s at any of six simulated hosts; each endpoint that runs it goes down for 3 s. Counted are its runs later than 3 s after the third crash, of which the platform allows three.

--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -0,0 +1,185 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A request that crashes each endpoint that runs it, and that is sent again and again at any host. */
+class CrashingRequestTest {
+    private static final long DEADLY_REQUEST = 666;
+
+    private static final int HOSTS = 6;
+
+    private static final int ENDPOINTS = 8;
+
+    /** Crashes after which the platform expects that the request is no longer run. */
+    private static final int MAXIMUM_CRASHES = 3;
+
+    /** Time within which all hosts have to act on the last of these crashes. */
+    private static final Duration CONTACT_LIMIT = Duration.ofSeconds(3);
+
+    /** Runs that are tolerated after that. */
+    private static final int MAXIMUM_LATE_ARRIVALS = 3;
+
+    private static final Duration REPETITION_INTERVAL = Duration.ofMillis(700);
+
+    private static final Duration DAY = Duration.ofSeconds(28);
+
+    private FleetSimulation simulation;
+    private Random random;
+    private String path;
+    private long fingerprints;
+
+    private void begin(String requestPath, long seed) {
+        simulation = new FleetSimulation(HOSTS, ENDPOINTS, seed);
+        random = new Random(seed * 31);
+        path = requestPath;
+        fingerprints = 1000;
+        simulation.addDeadlyRequest(DEADLY_REQUEST);
+        simulation.pass(Duration.ofSeconds(1));
+    }
+
+    private HostId anyHost() {
+        List<HostId> hosts = simulation.hosts();
+        return hosts.get(random.nextInt(hosts.size()));
+    }
+
+    /** Sends the deadly request repeatedly, and sound ones on the same path beside it. */
+    private void runTraffic(Duration time) {
+        Instant end = simulation.now().plus(time);
+        Instant next = simulation.now();
+        while (simulation.now().isBefore(end)) {
+            simulation.step();
+            if (!simulation.now().isBefore(next)) {
+                next = next.plus(REPETITION_INTERVAL);
+                simulation.send(anyHost(), path, DEADLY_REQUEST);
+            }
+            if (random.nextInt(5) == 0) {
+                simulation.send(anyHost(), path, ++fingerprints);
+            }
+        }
+    }
+
+    private void assertDeadlyRequestStopped() {
+        List<Instant> crashes = simulation.crashes();
+        assertTrue(crashes.size() >= MAXIMUM_CRASHES, "the request crashes endpoints");
+        Instant limit = crashes.get(MAXIMUM_CRASHES - 1).plus(CONTACT_LIMIT);
+        long late = simulation.arrivals().stream()
+                .filter(arrival -> arrival.request().fingerprint() == DEADLY_REQUEST
+                        && arrival.at().isAfter(limit))
+                .count();
+        assertTrue(late <= MAXIMUM_LATE_ARRIVALS, late + " late runs, " + crashes.size() + " crashes");
+        assertEquals(0, refusals(false), "sound requests refused");
+    }
+
+    private long refusals(boolean deadly) {
+        return simulation.outcomes().stream()
+                .filter(outcome -> (outcome.request().fingerprint() == DEADLY_REQUEST) == deadly
+                        && outcome.refusal()
+                                .filter(RefusalReason.CRASHES_ENDPOINTS::equals)
+                                .isPresent())
+                .count();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void repeatedRequestThatCrashesEndpointsIsRefused(String requestPath) {
+        begin(requestPath, 1);
+        runTraffic(DAY);
+        assertDeadlyRequestStopped();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void refusalOfARequestSurvivesARestartOfAllHosts(String requestPath) {
+        begin(requestPath, 2);
+        for (int round = 0; round < 3; round++) {
+            runTraffic(DAY.dividedBy(4));
+            simulation.hosts().forEach(simulation::restart);
+        }
+        runTraffic(DAY.dividedBy(4));
+        assertDeadlyRequestStopped();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void hostsThatRestartInTurnLearnWhichRequestIsRefused(String requestPath) {
+        begin(requestPath, 3);
+        for (int round = 0; round < 10; round++) {
+            runTraffic(Duration.ofSeconds(3));
+            simulation.restart(simulation.hosts().get(round % HOSTS));
+        }
+        assertDeadlyRequestStopped();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {4, 5, 6, 7})
+    void reportOfACrashThatIsLostIsSentAgain(long seed) {
+        begin(FleetSimulation.SAFE_PATH, seed);
+        Random losses = new Random(seed);
+        simulation.setDelivery((from, to) -> losses.nextInt(10) >= 8);
+        runTraffic(DAY);
+        assertDeadlyRequestStopped();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {14, 15, 16, 17})
+    void hostsWithoutAPathBetweenThemLearnOfCrashesThroughOthers(long seed) {
+        begin(FleetSimulation.SAFE_PATH, seed);
+        List<HostId> hosts = simulation.hosts();
+        simulation.setDelivery((from, to) -> Math.floorMod(hosts.indexOf(from) - hosts.indexOf(to), HOSTS) % 5 <= 1);
+        runTraffic(DAY);
+        assertDeadlyRequestStopped();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {8, 9})
+    void hostThatWasCutOffLearnsWhichRequestIsRefused(long seed) {
+        begin(FleetSimulation.SAFE_PATH, seed);
+        HostId cut = simulation.hosts().get(0);
+        simulation.setDelivery((from, to) -> !from.equals(cut) && !to.equals(cut));
+        runTraffic(Duration.ofSeconds(10));
+        simulation.setDelivery((from, to) -> true);
+        simulation.pass(Duration.ofSeconds(2));
+        int crashesBefore = simulation.crashes().size();
+        runTraffic(Duration.ofSeconds(10));
+        assertEquals(crashesBefore, simulation.crashes().size(), "crashes after the cut");
+        assertEquals(0, refusals(false), "sound requests refused");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {10, 11, 12})
+    void requestThatIsAnsweredBeforeItsEndpointCrashesIsRefused(long seed) {
+        begin(FleetSimulation.SAFE_PATH, seed);
+        simulation.setAnswersBeforeCrash();
+        runTraffic(DAY);
+        assertDeadlyRequestStopped();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void requestThatIsSentAgainUnchangedIsNotRefusedWhenEndpointsCrashByThemselves(String requestPath) {
+        begin(requestPath, 13);
+        List<EndpointId> endpoints = simulation.runners();
+        for (int round = 0; round < 20; round++) {
+            for (int step = 0; step < 30; step++) {
+                simulation.send(anyHost(), path, 42 + step % 2);
+                simulation.pass(Duration.ofMillis(40));
+            }
+            simulation.crash(endpoints.get(random.nextInt(endpoints.size())));
+            simulation.crash(endpoints.get(random.nextInt(endpoints.size())));
+        }
+        endpoints.forEach(simulation::crash);
+        runTraffic(Duration.ofSeconds(8));
+        assertEquals(0, refusals(false), "sound requests refused");
+    }
+}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -24,8 +24,8 @@
 import org.banyanstair.model.RequestId;
 
 /**
- * Simulates hosts that exchange messages and the runners behind them, which crash when they produce output for certain
- * prompt parts. Time advances in steps of 20 ms.
+ * Simulates hosts that exchange messages and the endpoints behind them, runners and a plain service, which crash when
+ * they produce output for certain prompt parts or run certain requests. Time advances in steps of 20 ms.
  */
 final class FleetSimulation {
     static final Duration STEP = Duration.ofMillis(20);
@@ -36,7 +36,16 @@
 
     private static final Duration PATIENCE = Duration.ofSeconds(6);
 
-    private static final String PATH = "/x/";
+    /** Path of streams that runners serve. */
+    static final String STREAM_PATH = "/x/";
+
+    /** Path of idempotent requests that the plain service serves. */
+    static final String SAFE_PATH = "/safe/";
+
+    private static final Duration SAFE_RUN_TIME = Duration.ofMillis(60);
+
+    /** Time between the failure that an endpoint answers and its crash. */
+    private static final Duration CRASH_DELAY = Duration.ofMillis(30);
 
     private final Random random;
     private final Map<HostId, ReducerFixture> hosts = new LinkedHashMap<>();
@@ -48,10 +57,12 @@
     private final Map<ExchangeKey, ForwardRequest> requests = new HashMap<>();
     private final Map<String, DecodedRecord.PartRefused> refusals = new LinkedHashMap<>();
     private final Set<Long> deadlyParts = new TreeSet<>();
+    private final Set<Long> deadlyRequests = new TreeSet<>();
     private final List<Instant> crashes = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Outcome> outcomes = new ArrayList<>();
     private BiPredicate<HostId, HostId> delivers = (from, to) -> true;
+    private boolean answersBeforeCrash;
     private Instant now;
     private long exchanges;
     private long orders;
@@ -78,15 +89,21 @@
     }
 
     private static final class Runner {
+        private final String service;
         private long started = 1;
         private boolean down;
         private Instant freeAt = Instant.MIN;
+
+        Runner(String service) {
+            this.service = service;
+        }
     }
 
     FleetSimulation(int hostCount, int runnerCount, long seed) {
         random = new Random(seed);
         for (int index = 1; index <= runnerCount; index++) {
-            runners.put(new EndpointId("runner-" + index), new Runner());
+            runners.put(new EndpointId("runner-" + index), new Runner(ReducerFixture.SERVICE));
+            runners.put(new EndpointId("plain-" + index), new Runner(ReducerFixture.PLAIN_SERVICE));
         }
         for (int index = 1; index <= hostCount; index++) {
             HostId host = new HostId("host-" + index);
@@ -98,8 +115,11 @@
     }
 
     private void prepare(HostId host, ReducerFixture fixture) {
-        fixture.configureEngine(8, ReducerFixture.route(PATH, ReducerFixture.SERVICE, true, false, true));
-        runners.forEach((id, runner) -> fixture.endpoint(id.value(), ReducerFixture.SERVICE, false, runner.started));
+        fixture.configureEngine(
+                8,
+                ReducerFixture.route(STREAM_PATH, ReducerFixture.SERVICE, true, false, true),
+                ReducerFixture.route(SAFE_PATH, ReducerFixture.PLAIN_SERVICE, false, true, false));
+        runners.forEach((id, runner) -> fixture.endpoint(id.value(), runner.service, false, runner.started));
         refusals.forEach((key, refusal) -> fixture.publish(Topic.HOSTS, key, refusal));
         for (HostId other : hosts.keySet()) {
             HostAnnouncement announcement = new HostAnnouncement(
@@ -119,6 +139,15 @@
         deadlyParts.add(part);
     }
 
+    void addDeadlyRequest(long fingerprint) {
+        deadlyRequests.add(fingerprint);
+    }
+
+    /** Lets endpoints answer deadly requests with a failure before they crash. */
+    void setAnswersBeforeCrash() {
+        answersBeforeCrash = true;
+    }
+
     /** Sets which messages arrive, by sender and receiver. */
     void setDelivery(BiPredicate<HostId, HostId> predicate) {
         delivers = predicate;
@@ -156,25 +185,40 @@
 
     /** Sends a request whose prompt consists of the parts and one of its own. */
     void send(HostId host, long... sharedParts) {
-        exchanges++;
         List<PromptPart> prompt = new ArrayList<>();
         for (long part : sharedParts) {
             prompt.add(new PromptPart(part, 1000));
         }
         prompt.add(new PromptPart(1_000_000 + exchanges, 1000));
+        send(host, STREAM_PATH, prompt, exchanges + 1);
+    }
+
+    /** Sends a request, which has a prompt of its own if it is a stream. */
+    void send(HostId host, String path, long fingerprint) {
+        send(
+                host,
+                path,
+                path.equals(STREAM_PATH)
+                        ? List.of(new PromptPart(1, 1000), new PromptPart(1_000_000 + fingerprint, 1000))
+                        : List.of(),
+                fingerprint);
+    }
+
+    private void send(HostId host, String path, List<PromptPart> prompt, long fingerprint) {
+        exchanges++;
         ForwardRequest request = new ForwardRequest(
                 exchanges,
                 new RequestId("request-" + exchanges),
                 "shop",
-                PATH,
-                Optional.of("base"),
+                path,
+                prompt.isEmpty() ? Optional.empty() : Optional.of("base"),
                 Optional.empty(),
                 prompt,
                 1000 * prompt.size(),
                 50,
                 Optional.of(now.plus(PATIENCE)),
                 Optional.empty(),
-                exchanges);
+                fingerprint);
         requests.put(new ExchangeKey(host, exchanges), request);
         run(host, hosts.get(host).apply(new ForwardingEvent.RequestArrived(request)));
     }
@@ -204,8 +248,7 @@
             runner.down = false;
             runner.started++;
             runner.freeAt = Instant.MIN;
-            hosts.forEach(
-                    (host, fixture) -> fixture.endpoint(id.value(), ReducerFixture.SERVICE, false, runner.started));
+            hosts.forEach((host, fixture) -> fixture.endpoint(id.value(), runner.service, false, runner.started));
         });
     }
 
@@ -310,6 +353,10 @@
         ForwardRequest request = requests.get(new ExchangeKey(host, send.exchange()));
         arrivals.add(new Arrival(now, request, send.attempt()));
         running.put(attempt, new Running(send.endpoint()));
+        if (request.prompt().isEmpty()) {
+            schedule(SAFE_RUN_TIME, () -> output(attempt, request));
+            return;
+        }
         Instant from = runner.freeAt.isAfter(now) ? runner.freeAt : now;
         runner.freeAt = from.plusMillis((long) (1500 / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND));
         schedule(Duration.between(now, runner.freeAt), () -> output(attempt, request));
@@ -325,6 +372,22 @@
             crash(state.runner);
             return;
         }
+        if (deadlyRequests.contains(request.fingerprint())) {
+            crashes.add(now);
+            if (answersBeforeCrash) {
+                running.remove(attempt);
+                end(attempt, new AttemptResult.Answered(500, Duration.ZERO));
+                schedule(CRASH_DELAY, () -> crash(state.runner));
+            } else {
+                crash(state.runner);
+            }
+            return;
+        }
+        if (request.prompt().isEmpty()) {
+            running.remove(attempt);
+            end(attempt, new AttemptResult.Answered(200, Duration.ZERO));
+            return;
+        }
         state.output = true;
         run(
                 attempt.host(),
