Log how many crashes of a request a host knows and from whom

A host's lines could not tell whether it lacks a crash that its peers know, or was never told of one: endpoint-crashed, crash-reported and refused named no count, and a refusal for the fingerprint looked like any other. They now carry the known crashes and the fingerprint; request-refused and request-cleared tell when a refusal begins, by whose report, and when a completed request ends it. The gauge banyanstair_refused_requests counts them.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -112,8 +112,27 @@
         return attribution.refusals(context.now()).size();
     }
 
+    int refusedRequests() {
+        return history.refusals();
+    }
+
+    /** Returns the number of crashes of endpoints under a request, as far as this host knows. */
+    int crashes(ForwardRequest request) {
+        return history.count(request.fingerprint());
+    }
+
     void requestCompleted(ForwardRequest request) {
-        history.completed(request.fingerprint());
+        int crashes = history.completed(request.fingerprint());
+        if (crashes > 0) {
+            context.log(DecisionRecord.important(
+                    "request-cleared",
+                    "request",
+                    request.id(),
+                    "fingerprint",
+                    request.fingerprint(),
+                    "known-crashes",
+                    crashes));
+        }
         outputProduced(request);
     }
 
@@ -179,8 +198,7 @@
                 iterator.remove();
             } else if (selected.test(suspicion)) {
                 iterator.remove();
-                history.add(
-                        suspicion.request().fingerprint(), suspicion.endpoint(), suspicion.started(), context.now());
+                addCrash(suspicion.request().fingerprint(), suspicion.endpoint(), suspicion.started(), "");
                 attribution.addCrash(
                         suspicion.endpoint(),
                         suspicion.started(),
@@ -195,6 +213,26 @@
         }
     }
 
+    /**
+     * Counts a crash under a request.
+     *
+     * @param peer host that reported it; empty if this host noticed it
+     */
+    private void addCrash(long fingerprint, EndpointId endpoint, long started, String peer) {
+        if (history.add(fingerprint, endpoint, started, context.now())) {
+            context.log(DecisionRecord.important(
+                    "request-refused",
+                    "fingerprint",
+                    fingerprint,
+                    "known-crashes",
+                    history.count(fingerprint),
+                    "endpoint",
+                    endpoint,
+                    "peer",
+                    peer));
+        }
+    }
+
     private void report(Suspicion suspicion) {
         messenger.broadcast(new PeerMessage.CrashReport(
                 suspicion.request().fingerprint(),
@@ -216,6 +254,8 @@
                 suspicion.request().id(),
                 "fingerprint",
                 suspicion.request().fingerprint(),
+                "known-crashes",
+                crashes(suspicion.request()),
                 "parts",
                 PromptPart.format(suspicion.request().prompt()),
                 "sent-ms-before",
@@ -230,6 +270,7 @@
     }
 
     void crashReported(HostId sender, PeerMessage.CrashReport message) {
+        addCrash(message.fingerprint(), message.endpoint(), message.started(), sender.value());
         context.log(DecisionRecord.of(
                 "crash-reported",
                 "peer",
@@ -239,9 +280,10 @@
                 "started",
                 message.started(),
                 "fingerprint",
-                message.fingerprint()));
+                message.fingerprint(),
+                "known-crashes",
+                history.count(message.fingerprint())));
         Instant crashedAt = context.now().minusMillis(message.ageMilliseconds());
-        history.add(message.fingerprint(), message.endpoint(), message.started(), context.now());
         attribution.addCrash(message.endpoint(), message.started(), crashedAt, message.parts(), context.now());
         confirm(suspicion -> suspicion.endpoint().equals(message.endpoint())
                 && suspicion.started() == message.started()
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashHistory.java
@@ -32,18 +32,32 @@
 
     private record Crash(EndpointId endpoint, long started) {}
 
-    void add(long fingerprint, EndpointId endpoint, long started, Instant now) {
+    /** Adds a crash; returns whether the request is refused from now on. */
+    boolean add(long fingerprint, EndpointId endpoint, long started, Instant now) {
         entries.values().removeIf(entry -> now.isAfter(entry.expiresAt));
         if (entries.size() >= CAPACITY) {
             entries.remove(entries.keySet().iterator().next());
         }
         Entry entry = entries.computeIfAbsent(fingerprint, key -> new Entry());
-        entry.crashes.add(new Crash(endpoint, started));
         entry.expiresAt = now.plus(RETENTION);
+        return entry.crashes.add(new Crash(endpoint, started)) && entry.crashes.size() == MAXIMUM_CRASHES;
     }
 
-    void completed(long fingerprint) {
-        entries.remove(fingerprint);
+    /** Clears a request that an endpoint has completed; returns the number of its crashes. */
+    int completed(long fingerprint) {
+        Entry entry = entries.remove(fingerprint);
+        return entry == null ? 0 : entry.crashes.size();
+    }
+
+    /** Returns the number of crashes under a request. */
+    int count(long fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        return entry == null ? 0 : entry.crashes.size();
+    }
+
+    /** Returns the number of requests that are refused. */
+    int refusals() {
+        return (int) entries.keySet().stream().filter(this::isRefused).count();
     }
 
     boolean isRefused(long fingerprint) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -440,6 +440,7 @@
                 endpoints,
                 runnerManager.commandedRunners(),
                 peers.live(now).size() - 1,
+                crashDetector.refusedRequests(),
                 crashDetector.refusedParts(),
                 topics);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -14,6 +14,7 @@
  * @param endpoints number of endpoints of all services by condition
  * @param commandedRunners number of runners that this host commands
  * @param livePeers number of other hosts that are live
+ * @param refusedRequests number of requests that are refused because they crash endpoints
  * @param refusedParts number of prompt parts whose requests are refused because they crash endpoints
  */
 public record ForwardingStatus(
@@ -23,6 +24,7 @@
         Map<EndpointCondition, Long> endpoints,
         int commandedRunners,
         int livePeers,
+        int refusedRequests,
         int refusedParts,
         Map<Topic, TopicStatus> topics) {
     /** Copies the maps. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -507,7 +507,11 @@
                 crashDetector
                         .refusedPart(inFlight.request)
                         .map(Long::toHexString)
-                        .orElse("")));
+                        .orElse(""),
+                "fingerprint",
+                inFlight.request.fingerprint(),
+                "known-crashes",
+                crashDetector.crashes(inFlight.request)));
         context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -112,6 +112,7 @@
         registerGauge("configuration_version", () -> snapshot.configurationVersion());
         registerGauge("commanded_runners", () -> snapshot.commandedRunners());
         registerGauge("live_peers", () -> snapshot.livePeers());
+        registerGauge("refused_requests", () -> snapshot.refusedRequests());
         registerGauge("refused_prompt_parts", () -> snapshot.refusedParts());
         for (EndpointCondition condition : EndpointCondition.values()) {
             registerGauge(
