Tell all hosts which requests crash endpoints

Cause: what is refused by fingerprint was known to one process only. A crash was reported once and never again for a request without prompt parts, so a host that restarted, was cut off or lost the message began at zero, and each host counted to three by itself. Refused prompt parts are in heartbeats and in the log; requests were in neither.

Change: RefusalRegistry owns what is refused, by request and by part, and spreads, records and clears both. Heartbeats carry the crashes of requests from the second one on, so a lost report is made up for by the next heartbeat, also through a third host; the log holds them for hosts that start when no other is left. Crashes are only added and marked as cleared, so the order of messages does not matter. A completed request clears the crashes before it on all hosts, and a crash reported later that was before it; the crashes after it stay. Crashes within 30 ms count once, so that a lost rack does not refuse a popular request. A refused request is no longer evicted for the sake of others.

Conclusion: knowledge that binds all hosts is state that is repeated, not a message that is sent once.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/CrashAttribution.java
@@ -390,16 +390,7 @@
                                         < MINIMUM_CRASHES);
     }
 
-    /** Counts instants in ascending order, those close together once. */
     private static int distinct(List<Instant> ascending) {
-        int count = 0;
-        Instant last = Instant.MIN;
-        for (Instant instant : ascending) {
-            if (count == 0 || Duration.between(last, instant).compareTo(SIMULTANEOUS) >= 0) {
-                count++;
-                last = instant;
-            }
-        }
-        return count;
+        return CrashTimes.countDistinct(ascending, SIMULTANEOUS);
     }
 }
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -0,0 +1,229 @@
+package org.banyanstair.crashes;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.banyanstair.model.EndpointId;
+
+/**
+ * Counts the endpoints that crashed while they ran a request, to refuse requests that crash endpoints.
+ *
+ * <p>A request is refused after several crashes since an endpoint last completed it; other requests on the same
+ * endpoints are practically never on all of them. Crashes are only added and marked as cleared, so hosts that exchange
+ * what they know, in any order and repeatedly, agree in the end.
+ *
+ * <p>Instants are those of this host's clock. Not thread-safe.
+ */
+public final class RequestCrashes {
+    /** Crashes after which a request is refused. */
+    static final int MAXIMUM_CRASHES = 3;
+
+    /** Crashes from which on a request is reported to peers and recorded; one may be due to any request beside it. */
+    private static final int REPORTED_CRASHES = 2;
+
+    /** Crashes closer together than this count as one, since one event such as a lost rack probably caused them. */
+    private static final Duration SIMULTANEOUS = Duration.ofMillis(30);
+
+    /** Time for which a crash counts. */
+    private static final Duration RETENTION = Duration.ofMinutes(10);
+
+    /** Time for which peers are told that the crashes of a request have been cleared. */
+    private static final Duration CLEARANCE_REPORT_TIME = Duration.ofSeconds(30);
+
+    private static final int REQUEST_CAPACITY = 4096;
+
+    private static final int CRASHES_PER_REQUEST = 8;
+
+    private static final int COMPLETION_CAPACITY = 8192;
+
+    /** Requests reported to peers at a time. */
+    private static final int REPORT_CAPACITY = 32;
+
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
+    private final Map<Long, Map<CrashId, Boolean>> recorded = new HashMap<>();
+
+    /** When an endpoint last completed a request of this host. */
+    private final Map<Long, Instant> completions = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Instant> eldest) {
+            return size() > COMPLETION_CAPACITY;
+        }
+    };
+
+    private record CrashId(EndpointId endpoint, long started) {
+        static CrashId of(EndpointCrash crash) {
+            return new CrashId(crash.endpoint(), crash.started());
+        }
+    }
+
+    private static final class Entry {
+        private final Map<CrashId, EndpointCrash> crashes = new LinkedHashMap<>();
+        private Instant changedAt = Instant.MIN;
+
+        private List<Instant> times(boolean withCleared) {
+            return crashes.values().stream()
+                    .filter(crash -> withCleared || !crash.cleared())
+                    .map(EndpointCrash::at)
+                    .sorted()
+                    .toList();
+        }
+
+        private int count(boolean withCleared) {
+            return CrashTimes.countDistinct(times(withCleared), SIMULTANEOUS);
+        }
+
+        private Instant lastAt() {
+            return crashes.values().stream()
+                    .map(EndpointCrash::at)
+                    .max(Comparator.naturalOrder())
+                    .orElse(Instant.MIN);
+        }
+
+        private CrashedRequest toRequest(long fingerprint) {
+            return new CrashedRequest(fingerprint, List.copyOf(crashes.values()));
+        }
+    }
+
+    /**
+     * Adds a crash under a request, or what else is known of it.
+     *
+     * @return whether anything was unknown before
+     */
+    public boolean add(long fingerprint, EndpointCrash crash, Instant now) {
+        if (!now.isBefore(crash.at().plus(RETENTION))) {
+            return false;
+        }
+        Entry entry = entries.get(fingerprint);
+        if (entry == null) {
+            if (entries.size() >= REQUEST_CAPACITY) {
+                removeOldest();
+            }
+            entry = new Entry();
+            entries.put(fingerprint, entry);
+        }
+        CrashId id = CrashId.of(crash);
+        EndpointCrash known = entry.crashes.get(id);
+        Instant at = crash.at().isAfter(now) ? now : crash.at();
+        if (known != null && known.at().isBefore(at)) {
+            at = known.at();
+        }
+        boolean cleared = crash.cleared()
+                || known != null && known.cleared()
+                || completions.getOrDefault(fingerprint, Instant.MIN).isAfter(at);
+        boolean changed = known == null || known.cleared() != cleared;
+        entry.crashes.put(id, new EndpointCrash(crash.endpoint(), crash.started(), at, cleared));
+        if (entry.crashes.size() > CRASHES_PER_REQUEST) {
+            removeLeastRelevant(entry);
+        }
+        if (changed) {
+            entry.changedAt = now;
+        }
+        return changed;
+    }
+
+    /** Removes a request, if possible one with a single crash, which is the least likely to have caused it. */
+    private void removeOldest() {
+        long oldest = entries.entrySet().stream()
+                .filter(entry -> entry.getValue().crashes.size() < REPORTED_CRASHES)
+                .findFirst()
+                .map(Map.Entry::getKey)
+                .orElseGet(() -> entries.keySet().iterator().next());
+        entries.remove(oldest);
+    }
+
+    private static void removeLeastRelevant(Entry entry) {
+        entry.crashes.values().stream()
+                .min(Comparator.comparing(EndpointCrash::cleared).reversed().thenComparing(EndpointCrash::at))
+                .ifPresent(crash -> entry.crashes.remove(CrashId.of(crash)));
+    }
+
+    /** Records that an endpoint has completed a request; returns the number of crashes that this clears. */
+    public int completed(long fingerprint, Instant now) {
+        completions.remove(fingerprint);
+        completions.put(fingerprint, now);
+        Entry entry = entries.get(fingerprint);
+        if (entry == null) {
+            return 0;
+        }
+        List<EndpointCrash> cleared = entry.crashes.values().stream()
+                .filter(crash -> !crash.cleared() && crash.at().isBefore(now))
+                .toList();
+        cleared.forEach(crash -> entry.crashes.put(
+                CrashId.of(crash), new EndpointCrash(crash.endpoint(), crash.started(), crash.at(), true)));
+        if (!cleared.isEmpty()) {
+            entry.changedAt = now;
+        }
+        return cleared.size();
+    }
+
+    /** Returns the number of crashes under a request since an endpoint last completed it. */
+    public int count(long fingerprint, Instant now) {
+        Entry entry = entries.get(fingerprint);
+        return entry == null || isExpired(entry, now) ? 0 : entry.count(false);
+    }
+
+    /** Returns whether a request has crashed too many endpoints. */
+    public boolean isRefused(long fingerprint, Instant now) {
+        return count(fingerprint, now) >= MAXIMUM_CRASHES;
+    }
+
+    /** Returns the number of requests that are refused. */
+    public int refusals(Instant now) {
+        return (int) entries.keySet().stream()
+                .filter(fingerprint -> isRefused(fingerprint, now))
+                .count();
+    }
+
+    private static boolean isExpired(Entry entry, Instant now) {
+        return !now.isBefore(entry.lastAt().plus(RETENTION));
+    }
+
+    /** Returns what peers need to know, the latest crashes first. */
+    public List<CrashedRequest> report(Instant now) {
+        entries.values().removeIf(entry -> isExpired(entry, now));
+        recorded.keySet().retainAll(entries.keySet());
+        return entries.entrySet().stream()
+                .filter(entry -> isReported(entry.getValue(), now))
+                .sorted(Comparator.comparing(
+                        (Map.Entry<Long, Entry> entry) -> entry.getValue().lastAt(), Comparator.reverseOrder()))
+                .limit(REPORT_CAPACITY)
+                .map(entry -> entry.getValue().toRequest(entry.getKey()))
+                .toList();
+    }
+
+    private static boolean isReported(Entry entry, Instant now) {
+        return entry.count(false) >= REPORTED_CRASHES
+                || entry.count(true) >= REPORTED_CRASHES && now.isBefore(entry.changedAt.plus(CLEARANCE_REPORT_TIME));
+    }
+
+    /** Notes what the log holds of a request. */
+    public void recordRead(CrashedRequest request) {
+        Map<CrashId, Boolean> known = new HashMap<>();
+        request.crashes().forEach(crash -> known.put(CrashId.of(crash), crash.cleared()));
+        recorded.put(request.fingerprint(), known);
+    }
+
+    /** Returns the requests of which the log does not hold all that hosts need after a restart. */
+    public List<CrashedRequest> unrecorded(Instant now) {
+        List<CrashedRequest> result = new ArrayList<>();
+        entries.forEach((fingerprint, entry) -> {
+            Map<CrashId, Boolean> known = recorded.getOrDefault(fingerprint, Map.of());
+            boolean needed = entry.count(false) >= REPORTED_CRASHES || known.containsValue(false);
+            Stream<EndpointCrash> missing = entry.crashes.values().stream()
+                    .filter(crash -> !Boolean.valueOf(crash.cleared()).equals(known.get(CrashId.of(crash))));
+            if (needed && !isExpired(entry, now) && missing.findAny().isPresent()) {
+                result.add(entry.toRequest(fingerprint));
+            }
+        });
+        return result;
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 
+import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -28,6 +29,9 @@
     /** Requests with a prompt part are refused until an instant; one in the past stands for no longer. */
     record PartRefused(long part, Instant expiresAt) implements DecodedRecord {}
 
+    /** Endpoints crashed while they ran a request. */
+    record RequestCrashed(CrashedRequest request) implements DecodedRecord {}
+
     /** A host announced its addresses. */
     record HostAnnounced(HostAnnouncement announcement) implements DecodedRecord {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
@@ -75,6 +76,9 @@
     /** Appends that requests with a prompt part are refused, for hosts that start later. */
     record AppendPartRefusal(DecodedRecord.PartRefused refusal) implements ForwardingEffect {}
 
+    /** Appends which endpoints crashed while they ran a request, for hosts that start later. */
+    record AppendCrashedRequest(CrashedRequest request) implements ForwardingEffect {}
+
     /** Opens a connection to a peer and keeps it open. */
     record OpenPeerConnection(HostId peer) implements ForwardingEffect {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
@@ -78,6 +79,7 @@
     private final PeerMessenger messenger;
     private final LeaseManager leases;
     private final RunnerManager runnerManager;
+    private final RefusalRegistry refusals;
     private final CrashDetector crashDetector;
     private final RequestForwarder forwarder;
     private final Map<Topic, Instant> behindSince = new EnumMap<>(Topic.class);
@@ -101,7 +103,8 @@
         this.messenger = new PeerMessenger(context, settings, peers);
         this.leases = new LeaseManager(self, settings.leaseTerm());
         this.runnerManager = new RunnerManager(context, settings.identity(), view, peers, messenger, leases);
-        this.crashDetector = new CrashDetector(context, messenger);
+        this.refusals = new RefusalRegistry(context);
+        this.crashDetector = new CrashDetector(context, messenger, refusals);
         this.forwarder = new RequestForwarder(context, settings, view, peers, messenger, runnerManager, crashDetector);
     }
 
@@ -248,7 +251,8 @@
             peers.recordState(state, context.now());
             runnerManager.applyObservedLoads(
                     new HostIdentity(sender, state.announcement().incarnation()), state.loads());
-            crashDetector.evidenceReceived(sender, state.parts());
+            refusals.partsReported(sender, state.parts());
+            refusals.requestsReported(sender, state.requests());
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
         } else if (message instanceof PeerMessage.Bundle bundle) {
@@ -357,7 +361,8 @@
                 view.consumer(Topic.CONFIGURATION).end(),
                 view.consumer(Topic.ENDPOINTS).end(),
                 runnerManager.observedLoads(),
-                crashDetector.evidence());
+                refusals.partEvidence(),
+                refusals.requestReport());
     }
 
     private void tick() {
@@ -369,7 +374,8 @@
         }
         confirmClaims();
         runnerManager.tick(stopping);
-        if (crashDetector.tick(readsForPeers())) {
+        crashDetector.tick();
+        if (refusals.tick(readsForPeers())) {
             forwarder.stopRefusedRequests();
         }
         forwarder.tick();
@@ -440,8 +446,8 @@
                 endpoints,
                 runnerManager.commandedRunners(),
                 peers.live(now).size() - 1,
-                crashDetector.refusedRequests(),
-                crashDetector.refusedParts(),
+                refusals.refusedRequests(),
+                refusals.refusedParts(),
                 topics);
     }
 
@@ -489,7 +495,12 @@
 
         @Override
         public void partRefused(DecodedRecord.PartRefused refused) {
-            crashDetector.refusalRead(refused);
+            refusals.partRefusalRead(refused);
+        }
+
+        @Override
+        public void requestCrashed(CrashedRequest request) {
+            refusals.requestRead(request);
         }
 
         @Override
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
@@ -82,6 +83,8 @@
 
         void partRefused(DecodedRecord.PartRefused refused);
 
+        void requestCrashed(CrashedRequest request);
+
         void hostAnnounced(HostAnnouncement announcement);
 
         void versionPublished(AdapterName adapter, long version);
@@ -304,6 +307,8 @@
             listener.runnerClaimed(claimed, offset);
         } else if (decoded instanceof DecodedRecord.PartRefused refused) {
             listener.partRefused(refused);
+        } else if (decoded instanceof DecodedRecord.RequestCrashed crashed) {
+            listener.requestCrashed(crashed.request());
         } else if (decoded instanceof DecodedRecord.HostAnnounced announced) {
             listener.hostAnnounced(announced.announcement());
         }
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
@@ -0,0 +1,298 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.banyanstair.crashes.CrashAttribution;
+import org.banyanstair.crashes.CrashedRequest;
+import org.banyanstair.crashes.EndpointCrash;
+import org.banyanstair.crashes.PartRefusal;
+import org.banyanstair.crashes.RequestCrashes;
+import org.banyanstair.model.EndpointId;
+import org.banyanstair.model.HostId;
+import org.banyanstair.peer.ObservedPart;
+import org.banyanstair.peer.PartEvidence;
+import org.banyanstair.peer.RefusedPart;
+import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedRequest;
+
+/**
+ * Knows which requests and which prompt parts crash endpoints, and keeps this knowledge the same on all hosts:
+ * heartbeats carry it as state, and the log holds it for hosts that start later.
+ */
+final class RefusalRegistry {
+    /** Time after a crash in which the reports of peers about it arrive: a heartbeat that crosses relays. */
+    private static final Duration SETTLE_TIME = Duration.ofMillis(1200);
+
+    /** Interval of the search for the cause of crashes. */
+    private static final Duration ATTRIBUTION_INTERVAL = Duration.ofMillis(250);
+
+    /** Minimum time between two appends to the log; longer than a read takes to return the record. */
+    private static final Duration RECORD_INTERVAL = Duration.ofSeconds(2);
+
+    /** Part of the time of a refusal by which its record in the log may lag behind. */
+    private static final Duration EXPIRY_TOLERANCE = Duration.ofMinutes(5);
+
+    private final EventContext context;
+    private final RequestCrashes requests = new RequestCrashes();
+    private final CrashAttribution parts = new CrashAttribution(SETTLE_TIME);
+    private final Map<Long, Instant> recordedParts = new TreeMap<>();
+    private Instant nextRecordAt = Instant.MIN;
+    private Instant nextAttributionAt = Instant.MIN;
+    private boolean recordAtOnce;
+    private boolean refusalsChanged;
+
+    RefusalRegistry(EventContext context) {
+        this.context = context;
+    }
+
+    /** Returns whether the request, or a part of its prompt, has crashed too many endpoints. */
+    boolean isRefused(ForwardRequest request) {
+        return requests.isRefused(request.fingerprint(), context.now())
+                || refusedPart(request).isPresent();
+    }
+
+    /** Returns the part of a request's prompt that crashes endpoints, if any is known. */
+    Optional<Long> refusedPart(ForwardRequest request) {
+        return parts.refusedPart(request.sharedParts(), context.now());
+    }
+
+    int refusedRequests() {
+        return requests.refusals(context.now());
+    }
+
+    int refusedParts() {
+        return parts.refusals(context.now()).size();
+    }
+
+    /** Returns the number of crashes under a request since an endpoint last completed it. */
+    int crashes(long fingerprint) {
+        return requests.count(fingerprint, context.now());
+    }
+
+    /** Returns whether a crash under a request with these suspected parts is still to be explained. */
+    boolean isUndecided(List<Long> suspectedParts, Instant crashedAt) {
+        return parts.isUndecided(suspectedParts, crashedAt);
+    }
+
+    void requestCompleted(ForwardRequest request) {
+        int cleared = requests.completed(request.fingerprint(), context.now());
+        if (cleared > 0) {
+            context.log(DecisionRecord.important(
+                    "request-cleared",
+                    "request",
+                    request.id(),
+                    "fingerprint",
+                    request.fingerprint(),
+                    "known-crashes",
+                    cleared));
+        }
+        outputProduced(request);
+    }
+
+    /** Records that an endpoint has produced output for a request and has survived it. */
+    void outputProduced(ForwardRequest request) {
+        parts.addOutput(request.sharedParts(), context.now()).forEach(this::logCleared);
+    }
+
+    private void logCleared(PartRefusal refusal) {
+        context.log(DecisionRecord.important(
+                "part-cleared",
+                "part",
+                Long.toHexString(refusal.part()),
+                "first-crash-ms-ago",
+                context.millisecondsSince(refusal.firstCrashAt())));
+    }
+
+    /**
+     * Records that an endpoint crashed while it ran a request.
+     *
+     * @param suspectedParts parts of the prompt that may have caused the crash
+     * @param peer host that reported it; empty if this host noticed it
+     */
+    void addCrash(
+            long fingerprint,
+            EndpointId endpoint,
+            long started,
+            Instant crashedAt,
+            List<Long> suspectedParts,
+            Optional<HostId> peer) {
+        boolean added = addCrash(
+                fingerprint,
+                new EndpointCrash(endpoint, started, crashedAt, false),
+                peer.map(HostId::value).orElse(""));
+        recordAtOnce |= added && peer.isEmpty();
+        parts.addCrash(endpoint, started, crashedAt, suspectedParts, context.now());
+    }
+
+    /**
+     * Adds what is known of a crash under a request; returns whether it was unknown.
+     *
+     * @param source where it is known from; empty if this host noticed it
+     */
+    private boolean addCrash(long fingerprint, EndpointCrash crash, String source) {
+        Instant now = context.now();
+        boolean refusedBefore = requests.isRefused(fingerprint, now);
+        boolean added = requests.add(fingerprint, crash, now);
+        boolean refused = requests.isRefused(fingerprint, now);
+        if (refused != refusedBefore) {
+            refusalsChanged |= refused;
+            context.log(DecisionRecord.important(
+                    refused ? "request-refused" : "request-cleared",
+                    "fingerprint",
+                    fingerprint,
+                    "known-crashes",
+                    crashes(fingerprint),
+                    "endpoint",
+                    crash.endpoint(),
+                    "peer",
+                    source));
+        }
+        return added;
+    }
+
+    /** Returns what peers need to know of requests that crash endpoints. */
+    List<ReportedRequest> requestReport() {
+        return requests.report(context.now()).stream()
+                .map(request -> new ReportedRequest(
+                        request.fingerprint(),
+                        request.crashes().stream()
+                                .map(crash -> new ReportedCrash(
+                                        crash.endpoint(),
+                                        crash.started(),
+                                        context.millisecondsSince(crash.at()),
+                                        crash.cleared()))
+                                .toList()))
+                .toList();
+    }
+
+    /** Adds what a peer knows of requests that crash endpoints. */
+    void requestsReported(HostId sender, List<ReportedRequest> reported) {
+        for (ReportedRequest request : reported) {
+            for (ReportedCrash crash : request.crashes()) {
+                Instant at = context.now().minusMillis(crash.ageMilliseconds());
+                addCrash(
+                        request.fingerprint(),
+                        new EndpointCrash(crash.endpoint(), crash.started(), at, crash.cleared()),
+                        sender.value());
+            }
+        }
+    }
+
+    /** Adds what the log holds of a request that crashes endpoints. */
+    void requestRead(CrashedRequest request) {
+        requests.recordRead(request);
+        request.crashes().forEach(crash -> addCrash(request.fingerprint(), crash, "log"));
+    }
+
+    /** Returns what peers need to know of prompt parts. */
+    PartEvidence partEvidence() {
+        return parts.evidence(context.now());
+    }
+
+    void partsReported(HostId sender, PartEvidence evidence) {
+        Instant now = context.now();
+        for (ObservedPart observed : evidence.observed()) {
+            parts.addPeerOutput(observed.part(), now.minusMillis(observed.ageMilliseconds()))
+                    .ifPresent(this::logCleared);
+        }
+        for (RefusedPart refused : evidence.refused()) {
+            boolean adopted = parts.adopt(
+                    new PartRefusal(
+                            refused.part(),
+                            0,
+                            now.minusMillis(refused.firstCrashAgeMilliseconds()),
+                            now.plusMillis(refused.remainingMilliseconds())),
+                    now);
+            if (adopted) {
+                refusalsChanged = true;
+                context.log(DecisionRecord.important(
+                        "part-refused",
+                        "part",
+                        Long.toHexString(refused.part()),
+                        "peer",
+                        sender,
+                        "first-crash-ms-ago",
+                        refused.firstCrashAgeMilliseconds()));
+            }
+        }
+    }
+
+    /** Applies a refusal that was read from the log. A part with any known output is not refused. */
+    void partRefusalRead(DecodedRecord.PartRefused refused) {
+        recordedParts.put(refused.part(), refused.expiresAt());
+        if (parts.adopt(new PartRefusal(refused.part(), 0, Instant.EPOCH, refused.expiresAt()), context.now())) {
+            refusalsChanged = true;
+            context.log(DecisionRecord.important(
+                    "part-refused",
+                    "part",
+                    Long.toHexString(refused.part()),
+                    "remaining-ms",
+                    Duration.between(context.now(), refused.expiresAt()).toMillis()));
+        }
+    }
+
+    /** Records changes of the refused parts in the log, so that they survive a restart of all hosts. */
+    private void recordPartRefusals(Instant now) {
+        Map<Long, Instant> refused = new TreeMap<>();
+        parts.refusals(now).forEach(refusal -> refused.put(refusal.part(), refusal.expiresAt()));
+        refused.forEach((part, expiresAt) -> {
+            Instant known = recordedParts.getOrDefault(part, Instant.MIN);
+            if (known.isBefore(expiresAt.minus(EXPIRY_TOLERANCE))) {
+                appendRefusal(part, expiresAt);
+            }
+        });
+        recordedParts.forEach((part, expiresAt) -> {
+            if (now.isBefore(expiresAt) && !refused.containsKey(part)) {
+                appendRefusal(part, now);
+            }
+        });
+    }
+
+    private void appendRefusal(long part, Instant expiresAt) {
+        context.emit(new ForwardingEffect.AppendPartRefusal(new DecodedRecord.PartRefused(part, expiresAt)));
+    }
+
+    private void recordRequests(Instant now) {
+        requests.unrecorded(now).forEach(request -> context.emit(new ForwardingEffect.AppendCrashedRequest(request)));
+    }
+
+    /**
+     * Looks for the cause of crashes and records refusals; returns whether further requests are refused since the last
+     * call.
+     *
+     * @param writesLog whether this host records in the log for its peers what they know
+     */
+    boolean tick(boolean writesLog) {
+        Instant now = context.now();
+        if (writesLog && !now.isBefore(nextRecordAt)) {
+            nextRecordAt = now.plus(RECORD_INTERVAL);
+            recordPartRefusals(now);
+            recordRequests(now);
+        } else if (recordAtOnce) {
+            recordRequests(now);
+        }
+        recordAtOnce = false;
+        if (!now.isBefore(nextAttributionAt)) {
+            nextAttributionAt = now.plus(ATTRIBUTION_INTERVAL);
+            parts.attribute(now).ifPresent(refusal -> {
+                refusalsChanged = true;
+                context.log(DecisionRecord.important(
+                        "part-refused",
+                        "part",
+                        Long.toHexString(refusal.part()),
+                        "crashes",
+                        refusal.crashes(),
+                        "first-crash-ms-ago",
+                        context.millisecondsSince(refusal.firstCrashAt())));
+            });
+        }
+        boolean changed = refusalsChanged;
+        refusalsChanged = false;
+        return changed;
+    }
+}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -49,6 +49,7 @@
     private final PeerTable peers;
     private final RunnerManager runnerManager;
     private final CrashDetector crashDetector;
+    private final RefusalRegistry refusals;
     private final EndpointSelector selector;
     private final Map<Long, InFlightRequest> requests = new TreeMap<>();
     private final RetryBudgets retryBudgets;
@@ -71,6 +72,7 @@
         this.peers = peers;
         this.runnerManager = runnerManager;
         this.crashDetector = crashDetector;
+        this.refusals = crashDetector.refusals();
         this.usage = new UsageTracker(
                 context, settings.identity().host(), view, messenger, runnerManager, requests.values());
         this.notices = new EndpointNotices(context, settings.identity().host(), view);
@@ -117,7 +119,7 @@
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
             refuse(inFlight, RefusalReason.DEADLINE_PASSED, 0);
-        } else if (crashDetector.isRefused(request)) {
+        } else if (refusals.isRefused(request)) {
             refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
         } else {
             selectEndpoint(inFlight);
@@ -381,7 +383,7 @@
         endpoint.recordOutcome(!failed, context.now());
         if (!failed) {
             if (result.isSuccess()) {
-                crashDetector.requestCompleted(inFlight.request);
+                refusals.requestCompleted(inFlight.request);
             }
             if (inFlight.request.adapter().isPresent()) {
                 endpoint.recordRunTime(Duration.between(inFlight.sentAt, context.now()));
@@ -408,7 +410,7 @@
     private boolean tryRerun(InFlightRequest inFlight, int runs) {
         return runs < inFlight.route.maximumAttempts()
                 && context.now().isBefore(inFlight.deadline)
-                && !crashDetector.isRefused(inFlight.request)
+                && !refusals.isRefused(inFlight.request)
                 && view.endpointsOf(inFlight.service.name()).stream()
                         .anyMatch(endpoint ->
                                 endpoint.acceptsRequests(context.now()) && !inFlight.tried.contains(endpoint.id()))
@@ -504,14 +506,11 @@
                 "attempts",
                 inFlight.attempts,
                 "part",
-                crashDetector
-                        .refusedPart(inFlight.request)
-                        .map(Long::toHexString)
-                        .orElse(""),
+                refusals.refusedPart(inFlight.request).map(Long::toHexString).orElse(""),
                 "fingerprint",
                 inFlight.request.fingerprint(),
                 "known-crashes",
-                crashDetector.crashes(inFlight.request)));
+                refusals.crashes(inFlight.request.fingerprint())));
         context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
 
@@ -559,7 +558,7 @@
      */
     void stopRefusedRequests() {
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
-            if (crashDetector.refusedPart(inFlight.request).isEmpty()) {
+            if (refusals.refusedPart(inFlight.request).isEmpty()) {
                 continue;
             }
             if (!inFlight.sent) {
@@ -591,7 +590,7 @@
     private void reportOutput(InFlightRequest inFlight) {
         if (!inFlight.outputReported && !context.now().isBefore(inFlight.firstOutputAt.plus(SURVIVED_OUTPUT_TIME))) {
             inFlight.outputReported = true;
-            crashDetector.outputProduced(inFlight.request);
+            refusals.outputProduced(inFlight.request);
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -160,6 +160,7 @@
      * @param endpointsOffset next offset to read in the endpoints topic
      * @param loads adapter loads that the sender has observed; null stands for none
      * @param parts what the sender knows of prompt parts that may crash endpoints; null stands for nothing
+     * @param requests requests that several endpoints crashed under, as far as the sender knows; null stands for none
      */
     record HostState(
             HostAnnouncement announcement,
@@ -168,12 +169,14 @@
             long configurationOffset,
             long endpointsOffset,
             LoadCounts loads,
-            PartEvidence parts)
+            PartEvidence parts,
+            List<ReportedRequest> requests)
             implements PeerMessage {
         /** Replaces what a host of an earlier release does not send. */
         public HostState {
             loads = loads == null ? LoadCounts.NONE : loads;
             parts = parts == null ? PartEvidence.NONE : parts;
+            requests = requests == null ? List.of() : List.copyOf(requests);
         }
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -208,7 +208,8 @@
                         0,
                         0,
                         LoadCounts.NONE,
-                        new PartEvidence(List.of(), List.of(new RefusedPart(FIRST_PART, 5_000, 60_000))))));
+                        new PartEvidence(List.of(), List.of(new RefusedPart(FIRST_PART, 5_000, 60_000))),
+                        List.of())));
         List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(100));
         assertEquals(
                 List.of(new ForwardingEffect.Fail(running.exchange(), FailureReason.CRASHES_ENDPOINTS)),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -55,7 +55,7 @@
             new PriorityQueue<>(Comparator.comparing(Scheduled::at).thenComparing(Scheduled::order));
     private final Map<Attempt, Running> running = new HashMap<>();
     private final Map<ExchangeKey, ForwardRequest> requests = new HashMap<>();
-    private final Map<String, DecodedRecord.PartRefused> refusals = new LinkedHashMap<>();
+    private final Map<String, DecodedRecord> refusals = new LinkedHashMap<>();
     private final Set<Long> deadlyParts = new TreeSet<>();
     private final Set<Long> deadlyRequests = new TreeSet<>();
     private final List<Instant> crashes = new ArrayList<>();
@@ -295,7 +295,13 @@
             } else if (effect instanceof ForwardingEffect.CheckConnection check) {
                 checkConnection(host, check);
             } else if (effect instanceof ForwardingEffect.AppendPartRefusal append) {
-                schedule(MESSAGE_DELAY, () -> appendRefusal(append.refusal()));
+                schedule(MESSAGE_DELAY, () -> append("part-" + append.refusal().part(), append.refusal()));
+            } else if (effect instanceof ForwardingEffect.AppendCrashedRequest append) {
+                schedule(
+                        MESSAGE_DELAY,
+                        () -> append(
+                                "request-" + append.request().fingerprint(),
+                                new DecodedRecord.RequestCrashed(append.request())));
             } else if (effect instanceof ForwardingEffect.SendToPeer message) {
                 sendToPeer(host, message);
             } else if (effect instanceof ForwardingEffect.Deliver deliver) {
@@ -319,8 +325,7 @@
         }
     }
 
-    private void appendRefusal(DecodedRecord.PartRefused refusal) {
-        String key = "part-" + refusal.part();
+    private void append(String key, DecodedRecord refusal) {
         refusals.put(key, refusal);
         hosts.values().forEach(fixture -> fixture.publish(Topic.HOSTS, key, refusal));
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -357,7 +357,8 @@
         for (int step = 0; step < 20; step++) {
             fixture.apply(new ForwardingEvent.PeerMessageReceived(
                     sender,
-                    new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE)));
+                    new PeerMessage.HostState(
+                            announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of())));
             effects.addAll(fixture.passWithoutReads(Duration.ofMillis(100)));
         }
         List<PeerMessage.RecordsRequest> requests =
@@ -405,7 +406,8 @@
                         configurationEnd,
                         0,
                         LoadCounts.NONE,
-                        PartEvidence.NONE)));
+                        PartEvidence.NONE,
+                        List.of())));
     }
 
     /**
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -135,7 +135,8 @@
                                     0,
                                     0,
                                     LoadCounts.NONE,
-                                    PartEvidence.NONE),
+                                    PartEvidence.NONE,
+                                    List.of()),
                             now));
             if (partitioned) {
                 readStartedAt = Optional.empty();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -39,7 +39,7 @@
             peers.update(announcement(number), now);
             peers.recordState(
                     new PeerMessage.HostState(
-                            announcement(number), false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE),
+                            announcement(number), false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of()),
                     now);
         }
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -121,7 +121,8 @@
                     host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.1.0.1:81"), "east", 1);
             second.apply(new ForwardingEvent.PeerMessageReceived(
                     new HostIdentity(host, 1),
-                    new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE)));
+                    new PeerMessage.HostState(
+                            announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of())));
         }
         pass(Duration.ofMillis(200));
         interruptLog(partitioned);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -70,7 +70,8 @@
                 host, 1, NetworkAddress.parse("10.1.0.1:80"), NetworkAddress.parse("10.2.0.1:81"), "east", 1);
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(host, 1),
-                new PeerMessage.HostState(announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE)));
+                new PeerMessage.HostState(
+                        announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of())));
     }
 
     /** Advances time for both hosts; returns the effects of the lease holder. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -318,6 +318,8 @@
             logClient.append(append);
         } else if (effect instanceof ForwardingEffect.AppendPartRefusal append) {
             logClient.append(append);
+        } else if (effect instanceof ForwardingEffect.AppendCrashedRequest append) {
+            logClient.append(append);
         } else if (effect instanceof ForwardingEffect.AppendAnnouncement append) {
             logClient.append(append);
         } else {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -6,6 +6,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.DecodedRecord;
 import org.banyanstair.forwarding.RecordDecoder;
@@ -54,6 +55,13 @@
      */
     FullHttpRequest refusalAppendRequest(DecodedRecord.PartRefused refusal, Instant now);
 
+    /**
+     * Builds a request that appends which endpoints crashed while they ran a request.
+     *
+     * @param now the present on this host's monotonic clock; the record holds instants of the wall clock
+     */
+    FullHttpRequest crashedRequestAppendRequest(CrashedRequest request, Instant now);
+
     /** Builds a request that appends the announcement of a host. */
     FullHttpRequest announcementAppendRequest(HostAnnouncement announcement);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -142,6 +142,15 @@
                 result -> {});
     }
 
+    /** Appends a request that crashes endpoints; the reducer appends it again if it does not read it back. */
+    public void append(ForwardingEffect.AppendCrashedRequest append) {
+        call(
+                "append",
+                protocol.crashedRequestAppendRequest(append.request(), forwarder.now()),
+                RESPONSE_TIMEOUT,
+                result -> {});
+    }
+
     /** Appends the announcement of this host; retried until it succeeds. */
     public void append(ForwardingEffect.AppendAnnouncement append) {
         call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, result -> {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -20,6 +20,7 @@
 import org.banyanstair.peer.PeerBroadcast;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.peer.ReportedRequest;
 import org.msgpack.core.MessageUnpacker;
 
 /**
@@ -128,6 +129,7 @@
         long endpointsOffset = 0;
         LoadCounts loads = LoadCounts.NONE;
         PartEvidence parts = PartEvidence.NONE;
+        List<ReportedRequest> requests = List.of();
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "announcement" -> {
@@ -151,6 +153,9 @@
                 case "parts" -> {
                     parts = values.readPartEvidence();
                 }
+                case "requests" -> {
+                    requests = values.readList(values::readReportedRequest);
+                }
                 default -> in.skipValue();
             }
         }
@@ -161,7 +166,8 @@
                 configurationOffset,
                 endpointsOffset,
                 loads,
-                parts);
+                parts,
+                requests);
     }
 
     private Optional<PeerMessage> readBundle(int fields) throws IOException {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -17,6 +17,8 @@
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedRequest;
 import org.msgpack.core.MessagePacker;
 
 /**
@@ -78,7 +80,7 @@
             begin("Pong", 1);
             field("sequence", pong.sequence());
         } else if (message instanceof PeerMessage.HostState state) {
-            begin("HostState", 7);
+            begin("HostState", 8);
             out.packString("announcement");
             write(state.announcement());
             field("leaving", state.leaving());
@@ -89,6 +91,7 @@
             write(state.loads());
             out.packString("parts");
             write(state.parts());
+            field("requests", state.requests(), this::write);
         } else if (message instanceof PeerMessage.Bundle bundle) {
             begin("Bundle", 2);
             field("news", bundle.news(), this::write);
@@ -271,6 +274,20 @@
         out.packLong(refused.remainingMilliseconds());
     }
 
+    private void write(ReportedRequest request) throws IOException {
+        out.packArrayHeader(2);
+        out.packLong(request.fingerprint());
+        elements(request.crashes(), this::write);
+    }
+
+    private void write(ReportedCrash crash) throws IOException {
+        out.packArrayHeader(4);
+        out.packString(crash.endpoint().value());
+        out.packLong(crash.started());
+        out.packLong(crash.ageMilliseconds());
+        out.packBoolean(crash.cleared());
+    }
+
     private void write(EndpointUsage usage) throws IOException {
         out.packArrayHeader(6);
         out.packString(usage.endpoint().value());
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -20,6 +20,8 @@
 import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedRequest;
 import org.msgpack.core.MessageUnpacker;
 
 /**
@@ -187,6 +189,21 @@
         return refused;
     }
 
+    ReportedRequest readReportedRequest() throws IOException {
+        int surplus = readArrayHeader(2);
+        ReportedRequest request = new ReportedRequest(in.unpackLong(), readList(this::readReportedCrash));
+        in.skipValue(surplus);
+        return request;
+    }
+
+    private ReportedCrash readReportedCrash() throws IOException {
+        int surplus = readArrayHeader(4);
+        ReportedCrash crash =
+                new ReportedCrash(new EndpointId(readString()), in.unpackLong(), in.unpackLong(), in.unpackBoolean());
+        in.skipValue(surplus);
+        return crash;
+    }
+
     /** Reads the header of an array with at least the given elements; returns the number of further ones. */
     private int readArrayHeader(int elements) throws IOException {
         int length = in.unpackArrayHeader();
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -26,6 +26,8 @@
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.FieldSource;
@@ -56,7 +58,8 @@
             -1,
             70_000,
             new LoadCounts(300, 2),
-            new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))));
+            new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))),
+            List.of(new ReportedRequest(-3L, List.of(new ReportedCrash(ENDPOINT, 5, 1_200, true)))));
 
     private static final PeerMessage.UseReport USE = new PeerMessage.UseReport(
             List.of(
