Send the report of a crash again for requests without prompt parts

A crash report is sent again after 1 and 3 s only while prompt parts are undecided; a request to a plain service has none, so its report was sent once. Heartbeats carry a request from its second crash on, and a request that may run once crashes one endpoint at each host: 12 hosts that lose messages for 0.9 s after each crash had 13 crashes and 8 late runs (3 allowed).

It is now sent again while the crash counts against the request. The new test CrashingRequestTest#reportOfASingleCrashThatIsLostIsSentAgain failed before with those figures and passes; the other cases are as before.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -213,7 +213,8 @@
             if (!now.isBefore(resend.dueAt())) {
                 iterator.remove();
                 Suspicion suspicion = resend.suspicion();
-                if (refusals.isUndecided(suspicion.suspectedParts(), suspicion.brokenAt())) {
+                if (refusals.isOpen(
+                        suspicion.request().fingerprint(), suspicion.suspectedParts(), suspicion.brokenAt())) {
                     report(suspicion);
                 }
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
@@ -74,9 +74,9 @@
         return requests.count(fingerprint, context.now());
     }
 
-    /** Returns whether a crash under a request with these suspected parts is still to be explained. */
-    boolean isUndecided(List<Long> suspectedParts, Instant crashedAt) {
-        return parts.isUndecided(suspectedParts, crashedAt);
+    /** Returns whether a crash still counts against the request or one of the suspected parts of its prompt. */
+    boolean isOpen(long fingerprint, List<Long> suspectedParts, Instant crashedAt) {
+        return crashes(fingerprint) > 0 || parts.isUndecided(suspectedParts, crashedAt);
     }
 
     void requestCompleted(ForwardRequest request) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -7,6 +7,7 @@
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -40,7 +41,11 @@
     private long fingerprints;
 
     private void begin(String requestPath, long seed) {
-        simulation = new FleetSimulation(HOSTS, ENDPOINTS, seed);
+        begin(HOSTS, requestPath, seed);
+    }
+
+    private void begin(int hosts, String requestPath, long seed) {
+        simulation = new FleetSimulation(hosts, ENDPOINTS, seed);
         random = new Random(seed * 31);
         path = requestPath;
         fingerprints = 1000;
@@ -131,6 +136,20 @@
         assertDeadlyRequestStopped();
     }
 
+    /** Guards against hosts that know of one crash each, which heartbeats do not carry. */
+    @Test
+    void reportOfASingleCrashThatIsLostIsSentAgain() {
+        begin(12, FleetSimulation.ONCE_PATH, 18);
+        Duration outage = Duration.ofMillis(900);
+        simulation.setDelivery((from, to) ->
+                simulation.crashes().stream().noneMatch(at -> simulation.now().isBefore(at.plus(outage))));
+        for (int count = 0; count < 24; count++) {
+            simulation.send(simulation.hosts().get(count % 12), path, DEADLY_REQUEST);
+            simulation.pass(Duration.ofMillis(1200));
+        }
+        assertDeadlyRequestStopped();
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {14, 15, 16, 17})
     void hostsWithoutAPathBetweenThemLearnOfCrashesThroughOthers(long seed) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -42,7 +42,10 @@
     /** Path of idempotent requests that the plain service serves. */
     static final String SAFE_PATH = "/safe/";
 
-    private static final Duration SAFE_RUN_TIME = Duration.ofMillis(60);
+    /** Path of requests to the plain service that may run once. */
+    static final String ONCE_PATH = "/once/";
+
+    private static final Duration PLAIN_RUN_TIME = Duration.ofMillis(60);
 
     /** Time between the failure that an endpoint answers and its crash. */
     private static final Duration CRASH_DELAY = Duration.ofMillis(30);
@@ -118,7 +121,8 @@
         fixture.configureEngine(
                 8,
                 ReducerFixture.route(STREAM_PATH, ReducerFixture.SERVICE, true, false, true),
-                ReducerFixture.route(SAFE_PATH, ReducerFixture.PLAIN_SERVICE, false, true, false));
+                ReducerFixture.route(SAFE_PATH, ReducerFixture.PLAIN_SERVICE, false, true, false),
+                ReducerFixture.route(ONCE_PATH, ReducerFixture.PLAIN_SERVICE, false, false, false));
         runners.forEach((id, runner) -> fixture.endpoint(id.value(), runner.service, false, runner.started));
         refusals.forEach((key, refusal) -> fixture.publish(Topic.HOSTS, key, refusal));
         for (HostId other : hosts.keySet()) {
@@ -359,7 +363,7 @@
         arrivals.add(new Arrival(now, request, send.attempt()));
         running.put(attempt, new Running(send.endpoint()));
         if (request.prompt().isEmpty()) {
-            schedule(SAFE_RUN_TIME, () -> output(attempt, request));
+            schedule(PLAIN_RUN_TIME, () -> output(attempt, request));
             return;
         }
         Instant from = runner.freeAt.isAfter(now) ? runner.freeAt : now;
