Take attempts for evidence that end before their endpoint crashes

Only attempts that broke off were suspected when their endpoint turned out to be gone. A request that was answered 500 as the endpoint went down, or whose caller left just before, left no trace: its crashes were never counted, and it was sent on without end.

Endpoints that fail are checked by a connection only if the same request has failed or crashed elsewhere, since failures alone are common.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -30,45 +31,28 @@
     /** Time between two attempts on one endpoint that broke in the same crash, on different hosts. */
     private static final Duration SAME_CRASH = Duration.ofSeconds(1);
 
-    /** Output shortly before a crash does not clear a request, since a runner may send its first output as it fails. */
-    private static final Duration FIRST_OUTPUT_DOUBT = Duration.ofMillis(300);
-
     /** Minimum time between two checks of an endpoint. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
+    /** Time in which an endpoint that answers with a failure as it crashes has closed its port. */
+    private static final Duration FAILURE_CHECK_DELAY = Duration.ofMillis(250);
+
     /** Times after a crash at which its report is sent again, since messages may be lost. */
     private static final List<Duration> RESEND_TIMES = List.of(Duration.ofMillis(1000), Duration.ofMillis(3000));
 
     private final EventContext context;
     private final PeerMessenger messenger;
     private final RefusalRegistry refusals;
-    private final Deque<Suspicion> suspicions = new ArrayDeque<>();
+    private final Deque<CrashSuspicion> suspicions = new ArrayDeque<>();
     private final List<Resend> resends = new ArrayList<>();
+    private final List<DelayedCheck> delayedChecks = new ArrayList<>();
     private final Map<EndpointId, Instant> nextChecks = new HashMap<>();
 
-    /**
-     * A broken attempt whose endpoint may have crashed.
-     *
-     * @param outputAt when the caller's first output arrived; empty if there was none
-     */
-    private record Suspicion(
-            ForwardRequest request,
-            EndpointId endpoint,
-            long started,
-            Instant sentAt,
-            Optional<Instant> outputAt,
-            Instant brokenAt,
-            Instant expiresAt) {
-        /** Returns the prompt parts that may have caused the crash. */
-        private List<Long> suspectedParts() {
-            boolean hadOutput = outputAt.filter(at -> brokenAt.isAfter(at.plus(FIRST_OUTPUT_DOUBT)))
-                    .isPresent();
-            return hadOutput ? List.of() : request.sharedParts();
-        }
-    }
-
     /** A report that is sent again. */
-    private record Resend(Suspicion suspicion, Instant dueAt) {}
+    private record Resend(CrashSuspicion suspicion, Instant dueAt) {}
+
+    /** A check of an endpoint that has answered with a failure. */
+    private record DelayedCheck(EndpointState endpoint, Instant dueAt) {}
 
     CrashDetector(EventContext context, PeerMessenger messenger, RefusalRegistry refusals) {
         this.context = context;
@@ -80,20 +64,45 @@
         return refusals;
     }
 
+    /** Records an attempt that broke off, and checks its endpoint. */
     void attemptBroken(InFlightRequest inFlight, EndpointState endpoint) {
-        while (!suspicions.isEmpty()
-                && context.now().isAfter(suspicions.peekFirst().expiresAt())) {
+        suspect(inFlight, endpoint, CrashSuspicion.Ending.BROKEN);
+        check(endpoint);
+    }
+
+    /**
+     * Records an attempt that its endpoint answered with a failure, perhaps as it went down. Endpoints may answer so
+     * for other reasons; they are checked only if the same request has failed elsewhere too.
+     */
+    void attemptFailed(InFlightRequest inFlight, EndpointState endpoint) {
+        suspect(inFlight, endpoint, CrashSuspicion.Ending.FAILED);
+        ForwardRequest request = inFlight.request;
+        boolean failedElsewhere = suspicions.stream()
+                .anyMatch(other -> other.isFor(request) && !other.endpoint().equals(endpoint.id()));
+        if (failedElsewhere || refusals.crashes(request.fingerprint()) > 0) {
+            delayedChecks.add(new DelayedCheck(endpoint, context.now().plus(FAILURE_CHECK_DELAY)));
+        }
+    }
+
+    /** Records an attempt whose answer the host does not wait for any longer. */
+    void attemptAbandoned(InFlightRequest inFlight, EndpointState endpoint) {
+        suspect(inFlight, endpoint, CrashSuspicion.Ending.ABANDONED);
+    }
+
+    private void suspect(InFlightRequest inFlight, EndpointState endpoint, CrashSuspicion.Ending ending) {
+        Instant now = context.now();
+        while (!suspicions.isEmpty() && now.isAfter(suspicions.peekFirst().expiresAt())) {
             suspicions.removeFirst();
         }
-        suspicions.addLast(new Suspicion(
+        suspicions.addLast(new CrashSuspicion(
                 inFlight.request,
                 endpoint.id(),
                 endpoint.listing().started(),
                 inFlight.sentAt,
                 inFlight.firstOutput ? Optional.of(inFlight.firstOutputAt) : Optional.empty(),
-                context.now(),
-                context.now().plus(CONFIRMATION_LIMIT)));
-        check(endpoint);
+                now,
+                ending,
+                now.plus(CONFIRMATION_LIMIT)));
     }
 
     /** Checks at once whether the endpoint is gone, since without further requests that would be known late. */
@@ -113,47 +122,57 @@
     }
 
     /**
-     * Records a crash for the attempts that broke lately on an endpoint that refuses connections, has restarted or is
-     * no longer listed.
+     * Records a crash for the attempts that ended lately on an endpoint that refuses connections, has restarted or is
+     * no longer listed. An endpoint that was leaving has crashed only for those that broke off.
      */
     void endpointLost(EndpointState endpoint) {
-        confirm(suspicion -> suspicion.endpoint().equals(endpoint.id()));
+        boolean leaving = endpoint.listing().draining();
+        confirm(suspicion -> suspicion.endpoint().equals(endpoint.id())
+                && (!leaving || suspicion.ending() == CrashSuspicion.Ending.BROKEN));
     }
 
-    private void confirm(Predicate<Suspicion> selected) {
-        Iterator<Suspicion> iterator = suspicions.iterator();
-        while (iterator.hasNext()) {
-            Suspicion suspicion = iterator.next();
-            if (context.now().isAfter(suspicion.expiresAt())) {
-                iterator.remove();
-            } else if (selected.test(suspicion)) {
-                iterator.remove();
-                refusals.addCrash(
-                        suspicion.request().fingerprint(),
-                        suspicion.endpoint(),
-                        suspicion.started(),
-                        suspicion.brokenAt(),
-                        suspicion.suspectedParts(),
-                        Optional.empty());
-                context.log(crashRecord(suspicion));
-                report(suspicion);
-                RESEND_TIMES.forEach(
-                        delay -> resends.add(new Resend(suspicion, context.now().plus(delay))));
-            }
-        }
+    private void confirm(Predicate<CrashSuspicion> selected) {
+        Instant now = context.now();
+        suspicions.removeIf(suspicion -> now.isAfter(suspicion.expiresAt()));
+        // An attempt that had ended well before the first one broke off was not on the endpoint any longer.
+        Instant earliestEnd = suspicions.stream()
+                .filter(suspicion -> suspicion.ending() == CrashSuspicion.Ending.BROKEN)
+                .filter(selected)
+                .map(suspicion -> suspicion.endedAt().minus(SAME_CRASH))
+                .min(Comparator.naturalOrder())
+                .orElse(Instant.MIN);
+        List<CrashSuspicion> confirmed = suspicions.stream().filter(selected).toList();
+        suspicions.removeAll(confirmed);
+        confirmed.stream()
+                .filter(suspicion -> !suspicion.endedAt().isBefore(earliestEnd))
+                .forEach(this::addCrash);
+    }
+
+    private void addCrash(CrashSuspicion suspicion) {
+        refusals.addCrash(
+                suspicion.request().fingerprint(),
+                suspicion.endpoint(),
+                suspicion.started(),
+                suspicion.endedAt(),
+                suspicion.suspectedParts(),
+                Optional.empty());
+        context.log(crashRecord(suspicion));
+        report(suspicion);
+        RESEND_TIMES.forEach(
+                delay -> resends.add(new Resend(suspicion, context.now().plus(delay))));
     }
 
-    private void report(Suspicion suspicion) {
+    private void report(CrashSuspicion suspicion) {
         messenger.broadcast(new PeerMessage.CrashReport(
                 suspicion.request().fingerprint(),
                 suspicion.endpoint(),
                 suspicion.started(),
                 suspicion.suspectedParts(),
-                context.millisecondsSince(suspicion.brokenAt())));
+                context.millisecondsSince(suspicion.endedAt())));
     }
 
-    private DecisionRecord crashRecord(Suspicion suspicion) {
-        Instant brokenAt = suspicion.brokenAt();
+    private DecisionRecord crashRecord(CrashSuspicion suspicion) {
+        Instant endedAt = suspicion.endedAt();
         return DecisionRecord.important(
                 "endpoint-crashed",
                 "endpoint",
@@ -168,15 +187,17 @@
                 refusals.crashes(suspicion.request().fingerprint()),
                 "parts",
                 PromptPart.format(suspicion.request().prompt()),
+                "ending",
+                suspicion.ending(),
                 "sent-ms-before",
-                Duration.between(suspicion.sentAt(), brokenAt).toMillis(),
+                Duration.between(suspicion.sentAt(), endedAt).toMillis(),
                 "output-ms-before",
                 suspicion
                         .outputAt()
-                        .map(outputAt -> Duration.between(outputAt, brokenAt).toMillis())
+                        .map(outputAt -> Duration.between(outputAt, endedAt).toMillis())
                         .orElse(-1L),
                 "confirmed-after-ms",
-                context.millisecondsSince(brokenAt));
+                context.millisecondsSince(endedAt));
     }
 
     void crashReported(HostId sender, PeerMessage.CrashReport message) {
@@ -202,19 +223,24 @@
                 refusals.crashes(message.fingerprint())));
         confirm(suspicion -> suspicion.endpoint().equals(message.endpoint())
                 && suspicion.started() == message.started()
-                && Duration.between(suspicion.brokenAt(), crashedAt).abs().compareTo(SAME_CRASH) <= 0);
+                && Duration.between(suspicion.endedAt(), crashedAt).abs().compareTo(SAME_CRASH) <= 0);
     }
 
-    /** Sends reports again that may have been lost. */
+    /** Sends reports again that may have been lost, and checks endpoints that may have crashed since they failed. */
     void tick() {
         Instant now = context.now();
+        List<DelayedCheck> dueChecks = delayedChecks.stream()
+                .filter(delayed -> !now.isBefore(delayed.dueAt()))
+                .toList();
+        delayedChecks.removeAll(dueChecks);
+        dueChecks.forEach(delayed -> check(delayed.endpoint()));
         for (Iterator<Resend> iterator = resends.iterator(); iterator.hasNext(); ) {
             Resend resend = iterator.next();
             if (!now.isBefore(resend.dueAt())) {
                 iterator.remove();
-                Suspicion suspicion = resend.suspicion();
+                CrashSuspicion suspicion = resend.suspicion();
                 if (refusals.isOpen(
-                        suspicion.request().fingerprint(), suspicion.suspectedParts(), suspicion.brokenAt())) {
+                        suspicion.request().fingerprint(), suspicion.suspectedParts(), suspicion.endedAt())) {
                     report(suspicion);
                 }
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -388,8 +388,11 @@
             if (inFlight.request.adapter().isPresent()) {
                 endpoint.recordRunTime(Duration.between(inFlight.sentAt, context.now()));
             }
-        } else if (inFlight.route.allowsRerun() && retry(inFlight)) {
-            return;
+        } else {
+            crashDetector.attemptFailed(inFlight, endpoint);
+            if (inFlight.route.allowsRerun() && retry(inFlight)) {
+                return;
+            }
         }
         if (result.claimsNotExecuted()) {
             fail(inFlight, FailureReason.ENDPOINT_FAILED);
@@ -482,7 +485,10 @@
     private void cancel(InFlightRequest inFlight) {
         if (inFlight.sent) {
             inFlight.sent = false;
-            inFlight.endpoint.ifPresent(usage::update);
+            inFlight.endpoint.ifPresent(endpoint -> {
+                usage.update(endpoint);
+                crashDetector.attemptAbandoned(inFlight, endpoint);
+            });
             context.emit(new ForwardingEffect.CancelAttempt(inFlight.request.exchange()));
         }
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -184,6 +184,15 @@
         assertDeadlyRequestStopped();
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void requestWhoseCallerLeavesBeforeTheCrashIsRefused(String requestPath) {
+        begin(requestPath, 19);
+        simulation.setCallersOfDeadlyRequestsLeave(Duration.ofMillis(200));
+        runTraffic(DAY);
+        assertDeadlyRequestStopped();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
     void requestThatIsSentAgainUnchangedIsNotRefusedWhenEndpointsCrashByThemselves(String requestPath) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -66,6 +66,7 @@
     private final List<Outcome> outcomes = new ArrayList<>();
     private BiPredicate<HostId, HostId> delivers = (from, to) -> true;
     private boolean answersBeforeCrash;
+    private Optional<Duration> patienceOfDeadlyCallers = Optional.empty();
     private Instant now;
     private long exchanges;
     private long orders;
@@ -152,6 +153,11 @@
         answersBeforeCrash = true;
     }
 
+    /** Lets callers of deadly requests leave after a time, which is shorter than it takes until the crash. */
+    void setCallersOfDeadlyRequestsLeave(Duration patience) {
+        patienceOfDeadlyCallers = Optional.of(patience);
+    }
+
     /** Sets which messages arrive, by sender and receiver. */
     void setDelivery(BiPredicate<HostId, HostId> predicate) {
         delivers = predicate;
@@ -362,6 +368,17 @@
         ForwardRequest request = requests.get(new ExchangeKey(host, send.exchange()));
         arrivals.add(new Arrival(now, request, send.attempt()));
         running.put(attempt, new Running(send.endpoint()));
+        if (deadlyRequests.contains(request.fingerprint()) && patienceOfDeadlyCallers.isPresent()) {
+            Duration patience = patienceOfDeadlyCallers.get();
+            schedule(
+                    patience,
+                    () -> run(host, hosts.get(host).apply(new ForwardingEvent.CallerDisconnected(send.exchange()))));
+            schedule(patience.plus(CRASH_DELAY), () -> {
+                crashes.add(now);
+                crash(send.endpoint());
+            });
+            return;
+        }
         if (request.prompt().isEmpty()) {
             schedule(PLAIN_RUN_TIME, () -> output(attempt, request));
             return;
