Recognize requests that come again from another address

The fingerprint by which crashes are counted contains the source address of the connection, so a copy from another one (an address translator, a caller that moved) counted anew. And for a request without a body it contained neither model nor prompt, so that the success of one prompt cleared another and one would have been refused for the other.

A request now has an exact fingerprint (caller, method, path, body; without a body also model and prompt) and wider ones: without the caller, and for a request without a body without the prompt. Each is counted and cleared by itself. A wider one is refused too, unless the crashes are due to a fingerprint that is refused already, so that similar requests are served.

Considered and not taken: leaving the caller out of the only fingerprint, since sound requests of others would then clear it.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -8,6 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.banyanstair.model.EndpointId;
@@ -23,7 +26,7 @@
  */
 public final class RequestCrashes {
     /** Crashes after which a request is refused. */
-    static final int MAXIMUM_CRASHES = 3;
+    private static final int MAXIMUM_CRASHES = 3;
 
     /** Crashes from which on a request is reported to peers and recorded; one may be due to any request beside it. */
     private static final int REPORTED_CRASHES = 2;
@@ -66,19 +69,25 @@
     }
 
     private static final class Entry {
+        private final boolean exact;
         private final Map<CrashId, EndpointCrash> crashes = new LinkedHashMap<>();
         private Instant changedAt = Instant.MIN;
 
-        private List<Instant> times(boolean withCleared) {
-            return crashes.values().stream()
-                    .filter(crash -> withCleared || !crash.cleared())
+        Entry(boolean exact) {
+            this.exact = exact;
+        }
+
+        private int count(Predicate<EndpointCrash> counted) {
+            List<Instant> times = crashes.values().stream()
+                    .filter(counted)
                     .map(EndpointCrash::at)
                     .sorted()
                     .toList();
+            return CrashTimes.countDistinct(times, SIMULTANEOUS);
         }
 
         private int count(boolean withCleared) {
-            return CrashTimes.countDistinct(times(withCleared), SIMULTANEOUS);
+            return count(crash -> withCleared || !crash.cleared());
         }
 
         private Instant lastAt() {
@@ -89,16 +98,17 @@
         }
 
         private CrashedRequest toRequest(long fingerprint) {
-            return new CrashedRequest(fingerprint, List.copyOf(crashes.values()));
+            return new CrashedRequest(fingerprint, exact, List.copyOf(crashes.values()));
         }
     }
 
     /**
      * Adds a crash under a request, or what else is known of it.
      *
+     * @param exact whether only copies of the request have this fingerprint, and no similar ones
      * @return whether anything was unknown before
      */
-    public boolean add(long fingerprint, EndpointCrash crash, Instant now) {
+    public boolean add(long fingerprint, boolean exact, EndpointCrash crash, Instant now) {
         if (!now.isBefore(crash.at().plus(RETENTION))) {
             return false;
         }
@@ -107,7 +117,7 @@
             if (entries.size() >= REQUEST_CAPACITY) {
                 removeOldest();
             }
-            entry = new Entry();
+            entry = new Entry(exact);
             entries.put(fingerprint, entry);
         }
         CrashId id = CrashId.of(crash);
@@ -173,14 +183,29 @@
 
     /** Returns whether a request has crashed too many endpoints. */
     public boolean isRefused(long fingerprint, Instant now) {
-        return count(fingerprint, now) >= MAXIMUM_CRASHES;
+        Entry entry = entries.get(fingerprint);
+        return entry != null && isRefused(entry, now);
+    }
+
+    /** Crashes under a request that is refused do not count against similar ones. */
+    private boolean isRefused(Entry entry, Instant now) {
+        if (entry.crashes.size() < MAXIMUM_CRASHES || isExpired(entry, now)) {
+            return false;
+        }
+        if (entry.exact) {
+            return entry.count(false) >= MAXIMUM_CRASHES;
+        }
+        Set<CrashId> explained = entries.values().stream()
+                .filter(other -> other.exact && isRefused(other, now))
+                .flatMap(other -> other.crashes.keySet().stream())
+                .collect(Collectors.toSet());
+        return entry.count(crash -> !crash.cleared() && !explained.contains(CrashId.of(crash))) >= MAXIMUM_CRASHES;
     }
 
-    /** Returns the number of requests that are refused. */
+    /** Returns the number of fingerprints that are refused. */
     public int refusals(Instant now) {
-        return (int) entries.keySet().stream()
-                .filter(fingerprint -> isRefused(fingerprint, now))
-                .count();
+        return (int)
+                entries.values().stream().filter(entry -> isRefused(entry, now)).count();
     }
 
     private static boolean isExpired(Entry entry, Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -79,7 +79,7 @@
         ForwardRequest request = inFlight.request;
         boolean failedElsewhere = suspicions.stream()
                 .anyMatch(other -> other.isFor(request) && !other.endpoint().equals(endpoint.id()));
-        if (failedElsewhere || refusals.crashes(request.fingerprint()) > 0) {
+        if (failedElsewhere || refusals.crashes(request) > 0) {
             delayedChecks.add(new DelayedCheck(endpoint, context.now().plus(FAILURE_CHECK_DELAY)));
         }
     }
@@ -149,26 +149,22 @@
     }
 
     private void addCrash(CrashSuspicion suspicion) {
-        refusals.addCrash(
-                suspicion.request().fingerprint(),
-                suspicion.endpoint(),
-                suspicion.started(),
-                suspicion.endedAt(),
-                suspicion.suspectedParts(),
-                Optional.empty());
+        refusals.addCrash(report(suspicion), Optional.empty());
         context.log(crashRecord(suspicion));
-        report(suspicion);
+        messenger.broadcast(report(suspicion));
         RESEND_TIMES.forEach(
                 delay -> resends.add(new Resend(suspicion, context.now().plus(delay))));
     }
 
-    private void report(CrashSuspicion suspicion) {
-        messenger.broadcast(new PeerMessage.CrashReport(
-                suspicion.request().fingerprint(),
+    private PeerMessage.CrashReport report(CrashSuspicion suspicion) {
+        ForwardRequest request = suspicion.request();
+        return new PeerMessage.CrashReport(
+                request.fingerprint(),
                 suspicion.endpoint(),
                 suspicion.started(),
                 suspicion.suspectedParts(),
-                context.millisecondsSince(suspicion.endedAt())));
+                context.millisecondsSince(suspicion.endedAt()),
+                request.widerFingerprints());
     }
 
     private DecisionRecord crashRecord(CrashSuspicion suspicion) {
@@ -184,7 +180,7 @@
                 "fingerprint",
                 suspicion.request().fingerprint(),
                 "known-crashes",
-                refusals.crashes(suspicion.request().fingerprint()),
+                refusals.crashes(suspicion.request()),
                 "parts",
                 PromptPart.format(suspicion.request().prompt()),
                 "ending",
@@ -202,13 +198,7 @@
 
     void crashReported(HostId sender, PeerMessage.CrashReport message) {
         Instant crashedAt = context.now().minusMillis(message.ageMilliseconds());
-        refusals.addCrash(
-                message.fingerprint(),
-                message.endpoint(),
-                message.started(),
-                crashedAt,
-                message.parts(),
-                Optional.of(sender));
+        refusals.addCrash(message, Optional.of(sender));
         context.log(DecisionRecord.of(
                 "crash-reported",
                 "peer",
@@ -239,9 +229,8 @@
             if (!now.isBefore(resend.dueAt())) {
                 iterator.remove();
                 CrashSuspicion suspicion = resend.suspicion();
-                if (refusals.isOpen(
-                        suspicion.request().fingerprint(), suspicion.suspectedParts(), suspicion.endedAt())) {
-                    report(suspicion);
+                if (refusals.isOpen(suspicion.request(), suspicion.suspectedParts(), suspicion.endedAt())) {
+                    messenger.broadcast(report(suspicion));
                 }
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashSuspicion.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashSuspicion.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 
@@ -43,7 +44,9 @@
         return hadOutput || ending == Ending.ABANDONED ? List.of() : request.sharedParts();
     }
 
+    /** Returns whether a request is the same or shares a wider fingerprint. */
     boolean isFor(ForwardRequest other) {
-        return request.fingerprint() == other.fingerprint();
+        return request.fingerprint() == other.fingerprint()
+                || !Collections.disjoint(request.widerFingerprints(), other.widerFingerprints());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -22,6 +22,8 @@
  * @param callerDeadline when the caller stops waiting; empty if unspecified
  * @param resumeAfter id of the last event that the caller has received; empty for a stream from its start
  * @param fingerprint digest of method, path, caller and body, the same when the request is sent again
+ * @param widerFingerprints digests of less than that, which other requests may share: a request that is sent again may
+ *     come from another address, for example
  */
 public record ForwardRequest(
         long exchange,
@@ -35,10 +37,12 @@
         int outputTokens,
         Optional<Instant> callerDeadline,
         Optional<Long> resumeAfter,
-        long fingerprint) {
-    /** Copies the prompt parts. */
+        long fingerprint,
+        List<Long> widerFingerprints) {
+    /** Copies the lists. */
     public ForwardRequest {
         prompt = List.copyOf(prompt);
+        widerFingerprints = List.copyOf(widerFingerprints);
     }
 
     /** Returns the ids of the parts of the prompt that other requests may share, in order. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
@@ -6,16 +6,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import org.banyanstair.crashes.CrashAttribution;
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.crashes.EndpointCrash;
 import org.banyanstair.crashes.PartRefusal;
 import org.banyanstair.crashes.RequestCrashes;
-import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.ObservedPart;
 import org.banyanstair.peer.PartEvidence;
+import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.ReportedCrash;
 import org.banyanstair.peer.ReportedRequest;
@@ -52,10 +53,14 @@
 
     /** Returns whether the request, or a part of its prompt, has crashed too many endpoints. */
     boolean isRefused(ForwardRequest request) {
-        return requests.isRefused(request.fingerprint(), context.now())
+        return fingerprints(request).anyMatch(fingerprint -> requests.isRefused(fingerprint, context.now()))
                 || refusedPart(request).isPresent();
     }
 
+    private static Stream<Long> fingerprints(ForwardRequest request) {
+        return Stream.concat(Stream.of(request.fingerprint()), request.widerFingerprints().stream());
+    }
+
     /** Returns the part of a request's prompt that crashes endpoints, if any is known. */
     Optional<Long> refusedPart(ForwardRequest request) {
         return parts.refusedPart(request.sharedParts(), context.now());
@@ -69,28 +74,34 @@
         return parts.refusals(context.now()).size();
     }
 
-    /** Returns the number of crashes under a request since an endpoint last completed it. */
+    /** Returns the number of crashes under a request, or similar ones, since an endpoint last completed it. */
+    int crashes(ForwardRequest request) {
+        return fingerprints(request).mapToInt(this::crashes).max().orElse(0);
+    }
+
     int crashes(long fingerprint) {
         return requests.count(fingerprint, context.now());
     }
 
     /** Returns whether a crash still counts against the request or one of the suspected parts of its prompt. */
-    boolean isOpen(long fingerprint, List<Long> suspectedParts, Instant crashedAt) {
-        return crashes(fingerprint) > 0 || parts.isUndecided(suspectedParts, crashedAt);
+    boolean isOpen(ForwardRequest request, List<Long> suspectedParts, Instant crashedAt) {
+        return crashes(request) > 0 || parts.isUndecided(suspectedParts, crashedAt);
     }
 
     void requestCompleted(ForwardRequest request) {
-        int cleared = requests.completed(request.fingerprint(), context.now());
-        if (cleared > 0) {
-            context.log(DecisionRecord.important(
-                    "request-cleared",
-                    "request",
-                    request.id(),
-                    "fingerprint",
-                    request.fingerprint(),
-                    "known-crashes",
-                    cleared));
-        }
+        fingerprints(request).forEach(fingerprint -> {
+            int cleared = requests.completed(fingerprint, context.now());
+            if (cleared > 0) {
+                context.log(DecisionRecord.important(
+                        "request-cleared",
+                        "request",
+                        request.id(),
+                        "fingerprint",
+                        fingerprint,
+                        "known-crashes",
+                        cleared));
+            }
+        });
         outputProduced(request);
     }
 
@@ -111,33 +122,31 @@
     /**
      * Records that an endpoint crashed while it ran a request.
      *
-     * @param suspectedParts parts of the prompt that may have caused the crash
+     * @param report the crash as peers are told of it
      * @param peer host that reported it; empty if this host noticed it
      */
-    void addCrash(
-            long fingerprint,
-            EndpointId endpoint,
-            long started,
-            Instant crashedAt,
-            List<Long> suspectedParts,
-            Optional<HostId> peer) {
-        boolean added = addCrash(
-                fingerprint,
-                new EndpointCrash(endpoint, started, crashedAt, false),
-                peer.map(HostId::value).orElse(""));
+    void addCrash(PeerMessage.CrashReport report, Optional<HostId> peer) {
+        Instant crashedAt = context.now().minusMillis(report.ageMilliseconds());
+        EndpointCrash crash = new EndpointCrash(report.endpoint(), report.started(), crashedAt, false);
+        String source = peer.map(HostId::value).orElse("");
+        boolean added = addCrash(report.fingerprint(), true, crash, source);
+        for (long fingerprint : report.widerFingerprints()) {
+            added |= addCrash(fingerprint, false, crash, source);
+        }
         recordAtOnce |= added && peer.isEmpty();
-        parts.addCrash(endpoint, started, crashedAt, suspectedParts, context.now());
+        parts.addCrash(report.endpoint(), report.started(), crashedAt, report.parts(), context.now());
     }
 
     /**
      * Adds what is known of a crash under a request; returns whether it was unknown.
      *
+     * @param exact whether only copies of the request have this fingerprint, and no similar ones
      * @param source where it is known from; empty if this host noticed it
      */
-    private boolean addCrash(long fingerprint, EndpointCrash crash, String source) {
+    private boolean addCrash(long fingerprint, boolean exact, EndpointCrash crash, String source) {
         Instant now = context.now();
         boolean refusedBefore = requests.isRefused(fingerprint, now);
-        boolean added = requests.add(fingerprint, crash, now);
+        boolean added = requests.add(fingerprint, exact, crash, now);
         boolean refused = requests.isRefused(fingerprint, now);
         if (refused != refusedBefore) {
             refusalsChanged |= refused;
@@ -145,6 +154,8 @@
                     refused ? "request-refused" : "request-cleared",
                     "fingerprint",
                     fingerprint,
+                    "exact",
+                    exact,
                     "known-crashes",
                     crashes(fingerprint),
                     "endpoint",
@@ -160,6 +171,7 @@
         return requests.report(context.now()).stream()
                 .map(request -> new ReportedRequest(
                         request.fingerprint(),
+                        request.exact(),
                         request.crashes().stream()
                                 .map(crash -> new ReportedCrash(
                                         crash.endpoint(),
@@ -177,6 +189,7 @@
                 Instant at = context.now().minusMillis(crash.ageMilliseconds());
                 addCrash(
                         request.fingerprint(),
+                        request.exact(),
                         new EndpointCrash(crash.endpoint(), crash.started(), at, crash.cleared()),
                         sender.value());
             }
@@ -186,7 +199,7 @@
     /** Adds what the log holds of a request that crashes endpoints. */
     void requestRead(CrashedRequest request) {
         requests.recordRead(request);
-        request.crashes().forEach(crash -> addCrash(request.fingerprint(), crash, "log"));
+        request.crashes().forEach(crash -> addCrash(request.fingerprint(), request.exact(), crash, "log"));
     }
 
     /** Returns what peers need to know of prompt parts. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -516,7 +516,7 @@
                 "fingerprint",
                 inFlight.request.fingerprint(),
                 "known-crashes",
-                refusals.crashes(inFlight.request.fingerprint())));
+                refusals.crashes(inFlight.request)));
         context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -262,12 +262,20 @@
      * @param parts shared parts of the request's prompt, in order; empty if the endpoint had produced output for it;
      *     null stands for empty
      * @param ageMilliseconds time since the crash
+     * @param widerFingerprints digests of the request that other requests may share; null stands for none
      */
-    record CrashReport(long fingerprint, EndpointId endpoint, long started, List<Long> parts, long ageMilliseconds)
+    record CrashReport(
+            long fingerprint,
+            EndpointId endpoint,
+            long started,
+            List<Long> parts,
+            long ageMilliseconds,
+            List<Long> widerFingerprints)
             implements PeerMessage {
         /** Replaces what a host of an earlier release does not send. */
         public CrashReport {
             parts = parts == null ? List.of() : List.copyOf(parts);
+            widerFingerprints = widerFingerprints == null ? List.of() : List.copyOf(widerFingerprints);
         }
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/crashes/RequestCrashesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/crashes/RequestCrashesTest.java
@@ -33,7 +33,7 @@
     private static RequestCrashes withCrashes(int count) {
         RequestCrashes crashes = new RequestCrashes();
         for (int number = 0; number < count; number++) {
-            crashes.add(REQUEST, crash(number, 700 * number), at(700 * number));
+            crashes.add(REQUEST, true, crash(number, 700 * number), at(700 * number));
         }
         return crashes;
     }
@@ -47,11 +47,27 @@
         assertFalse(crashes.isRefused(REQUEST, at(2000).plus(Duration.ofMinutes(11))));
     }
 
+    @Test
+    void similarRequestsAreRefusedUnlessTheCrashesAreDueToOneOfThem() {
+        RequestCrashes crashes = new RequestCrashes();
+        long shared = REQUEST + 1;
+        for (int number = 0; number < 3; number++) {
+            crashes.add(shared, false, crash(number, 700 * number), at(700 * number));
+        }
+        assertTrue(crashes.isRefused(shared, at(2000)));
+        for (int number = 0; number < 3; number++) {
+            crashes.add(REQUEST, true, crash(number, 700 * number), at(2000));
+        }
+        assertTrue(crashes.isRefused(REQUEST, at(2000)));
+        assertFalse(crashes.isRefused(shared, at(2000)));
+        assertEquals(1, crashes.refusals(at(2000)));
+    }
+
     @Test
     void oneCrashReportedBySeveralHostsCountsOnce() {
         RequestCrashes crashes = withCrashes(1);
-        crashes.add(REQUEST, crash(0, 300), at(400));
-        crashes.add(REQUEST, crash(0, 900), at(1000));
+        crashes.add(REQUEST, true, crash(0, 300), at(400));
+        crashes.add(REQUEST, true, crash(0, 900), at(1000));
         assertEquals(1, crashes.count(REQUEST, at(1000)));
     }
 
@@ -60,7 +76,7 @@
     void simultaneousCrashesCountOnce() {
         RequestCrashes crashes = new RequestCrashes();
         for (int number = 0; number < 5; number++) {
-            crashes.add(REQUEST, crash(number, number * 5), at(100));
+            crashes.add(REQUEST, true, crash(number, number * 5), at(100));
         }
         assertFalse(crashes.isRefused(REQUEST, at(200)));
     }
@@ -76,9 +92,9 @@
     void completionClearsAnEarlierCrashThatIsReportedLater() {
         RequestCrashes crashes = new RequestCrashes();
         crashes.completed(REQUEST, at(1000));
-        crashes.add(REQUEST, crash(0, 500), at(1500));
+        crashes.add(REQUEST, true, crash(0, 500), at(1500));
         assertEquals(0, crashes.count(REQUEST, at(1500)));
-        crashes.add(REQUEST, crash(1, 1100), at(1600));
+        crashes.add(REQUEST, true, crash(1, 1100), at(1600));
         assertEquals(1, crashes.count(REQUEST, at(1600)));
     }
 
@@ -86,7 +102,7 @@
     void refusedRequestIsNotForgottenForTheSakeOfOthers() {
         RequestCrashes crashes = withCrashes(3);
         for (int other = 100; other < 10_000; other++) {
-            crashes.add(other, crash(9, 3000), at(3000));
+            crashes.add(other, true, crash(9, 3000), at(3000));
         }
         assertTrue(crashes.isRefused(REQUEST, at(3000)));
     }
@@ -116,8 +132,8 @@
         for (int host = 0; host < 3; host++) {
             Collections.shuffle(known, random);
             RequestCrashes crashes = new RequestCrashes();
-            known.forEach(crash -> crashes.add(REQUEST, crash, at(4000)));
-            known.forEach(crash -> crashes.add(REQUEST, crash, at(4000)));
+            known.forEach(crash -> crashes.add(REQUEST, true, crash, at(4000)));
+            known.forEach(crash -> crashes.add(REQUEST, true, crash, at(4000)));
             counts.add(crashes.count(REQUEST, at(4000)));
         }
         assertEquals(1, counts.stream().distinct().count(), counts.toString());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** A request that crashes each endpoint that runs it, and that is sent again and again at any host. */
@@ -193,6 +194,54 @@
         assertDeadlyRequestStopped();
     }
 
+    /** Copies that come from another address each share a wider fingerprint only. */
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void requestWhoseCallerChangesItsAddressIsRefused(String requestPath) {
+        begin(requestPath, 20);
+        long shared = 5;
+        simulation.addDeadlyRequest(shared);
+        for (int count = 0; count < 40; count++) {
+            simulation.send(anyHost(), path, ++fingerprints, shared);
+            simulation.pass(REPETITION_INTERVAL.dividedBy(2));
+            simulation.send(anyHost(), path, ++fingerprints, 6L);
+            simulation.pass(REPETITION_INTERVAL.dividedBy(2));
+        }
+        Instant limit = simulation.crashes().get(MAXIMUM_CRASHES - 1).plus(CONTACT_LIMIT);
+        long late = simulation.arrivals().stream()
+                .filter(arrival -> arrival.request().widerFingerprints().contains(shared)
+                        && arrival.at().isAfter(limit))
+                .count();
+        assertTrue(late <= MAXIMUM_LATE_ARRIVALS, late + " late runs");
+        boolean soundRefused = simulation.outcomes().stream()
+                .filter(outcome -> outcome.request().widerFingerprints().contains(6L))
+                .anyMatch(outcome -> outcome.refusal()
+                        .filter(RefusalReason.CRASHES_ENDPOINTS::equals)
+                        .isPresent());
+        assertFalse(soundRefused, "sound requests refused");
+    }
+
+    /** Requests without a body that differ in their prompts share a wider fingerprint with the deadly one. */
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23})
+    void soundRequestsThatShareAWiderFingerprintAreServed(long seed) {
+        begin(FleetSimulation.SAFE_PATH, seed);
+        long shared = 5;
+        Instant next = simulation.now();
+        Instant end = simulation.now().plus(DAY);
+        while (simulation.now().isBefore(end)) {
+            simulation.step();
+            if (!simulation.now().isBefore(next)) {
+                next = next.plus(REPETITION_INTERVAL);
+                simulation.send(anyHost(), path, DEADLY_REQUEST, shared);
+            }
+            if (random.nextInt(20) == 0) {
+                simulation.send(anyHost(), path, ++fingerprints, shared);
+            }
+        }
+        assertDeadlyRequestStopped();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
     void requestThatIsSentAgainUnchangedIsNotRefusedWhenEndpointsCrashByThemselves(String requestPath) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -144,6 +144,13 @@
         deadlyParts.add(part);
     }
 
+    private boolean isDeadly(ForwardRequest request) {
+        return deadlyRequests.contains(request.fingerprint())
+                || request.widerFingerprints().stream().anyMatch(deadlyRequests::contains)
+                || request.prompt().stream().anyMatch(part -> deadlyParts.contains(part.id()));
+    }
+
+    /** Lets requests with a fingerprint crash endpoints. */
     void addDeadlyRequest(long fingerprint) {
         deadlyRequests.add(fingerprint);
     }
@@ -200,21 +207,23 @@
             prompt.add(new PromptPart(part, 1000));
         }
         prompt.add(new PromptPart(1_000_000 + exchanges, 1000));
-        send(host, STREAM_PATH, prompt, exchanges + 1);
+        send(host, STREAM_PATH, prompt, exchanges + 1, List.of());
     }
 
     /** Sends a request, which has a prompt of its own if it is a stream. */
-    void send(HostId host, String path, long fingerprint) {
+    void send(HostId host, String path, long fingerprint, Long... widerFingerprints) {
         send(
                 host,
                 path,
                 path.equals(STREAM_PATH)
                         ? List.of(new PromptPart(1, 1000), new PromptPart(1_000_000 + fingerprint, 1000))
                         : List.of(),
-                fingerprint);
+                fingerprint,
+                List.of(widerFingerprints));
     }
 
-    private void send(HostId host, String path, List<PromptPart> prompt, long fingerprint) {
+    private void send(
+            HostId host, String path, List<PromptPart> prompt, long fingerprint, List<Long> widerFingerprints) {
         exchanges++;
         ForwardRequest request = new ForwardRequest(
                 exchanges,
@@ -228,7 +237,8 @@
                 50,
                 Optional.of(now.plus(PATIENCE)),
                 Optional.empty(),
-                fingerprint);
+                fingerprint,
+                widerFingerprints);
         requests.put(new ExchangeKey(host, exchanges), request);
         run(host, hosts.get(host).apply(new ForwardingEvent.RequestArrived(request)));
     }
@@ -368,7 +378,7 @@
         ForwardRequest request = requests.get(new ExchangeKey(host, send.exchange()));
         arrivals.add(new Arrival(now, request, send.attempt()));
         running.put(attempt, new Running(send.endpoint()));
-        if (deadlyRequests.contains(request.fingerprint()) && patienceOfDeadlyCallers.isPresent()) {
+        if (isDeadly(request) && patienceOfDeadlyCallers.isPresent()) {
             Duration patience = patienceOfDeadlyCallers.get();
             schedule(
                     patience,
@@ -393,12 +403,7 @@
         if (state == null) {
             return;
         }
-        if (request.prompt().stream().anyMatch(part -> deadlyParts.contains(part.id()))) {
-            crashes.add(now);
-            crash(state.runner);
-            return;
-        }
-        if (deadlyRequests.contains(request.fingerprint())) {
+        if (isDeadly(request)) {
             crashes.add(now);
             if (answersBeforeCrash) {
                 running.remove(attempt);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -198,7 +198,8 @@
                 adapter.isPresent() ? 50 : 0,
                 Optional.of(now.plus(patience)),
                 Optional.empty(),
-                77);
+                77,
+                List.of());
     }
 
     static <T> List<T> only(List<ForwardingEffect> effects, Class<T> type) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
@@ -176,7 +176,8 @@
                 14,
                 Optional.of(fixture.now().plusSeconds(6)),
                 Optional.empty(),
-                exchanges);
+                exchanges,
+                List.of());
         requests.put(request.exchange(), request);
         arrivedAt.put(request.exchange(), fixture.now());
         run(fixture.apply(new ForwardingEvent.RequestArrived(request)));
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
@@ -39,7 +39,8 @@
                         0,
                         Optional.empty(),
                         Optional.empty(),
-                        0))
+                        0,
+                        List.of()))
                 : "";
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -412,6 +412,7 @@
         long started = 0;
         List<Long> parts = List.of();
         long ageMilliseconds = 0;
+        List<Long> widerFingerprints = List.of();
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "fingerprint" -> {
@@ -429,10 +430,18 @@
                 case "ageMilliseconds" -> {
                     ageMilliseconds = in.unpackLong();
                 }
+                case "widerFingerprints" -> {
+                    widerFingerprints = values.readList(in::unpackLong);
+                }
                 default -> in.skipValue();
             }
         }
         return new PeerMessage.CrashReport(
-                fingerprint, new EndpointId(PeerValueReader.required(endpoint)), started, parts, ageMilliseconds);
+                fingerprint,
+                new EndpointId(PeerValueReader.required(endpoint)),
+                started,
+                parts,
+                ageMilliseconds,
+                widerFingerprints);
     }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -131,12 +131,13 @@
             field("dueInMilliseconds", wanted.dueInMilliseconds());
             field("remainingMilliseconds", wanted.remainingMilliseconds());
         } else if (message instanceof PeerMessage.CrashReport report) {
-            begin("CrashReport", 5);
+            begin("CrashReport", 6);
             field("fingerprint", report.fingerprint());
             field("endpoint", report.endpoint().value());
             field("started", report.started());
             field("parts", report.parts(), out::packLong);
             field("ageMilliseconds", report.ageMilliseconds());
+            field("widerFingerprints", report.widerFingerprints(), out::packLong);
         } else {
             writeRecordsMessage(message);
         }
@@ -275,8 +276,9 @@
     }
 
     private void write(ReportedRequest request) throws IOException {
-        out.packArrayHeader(2);
+        out.packArrayHeader(3);
         out.packLong(request.fingerprint());
+        out.packBoolean(request.exact());
         elements(request.crashes(), this::write);
     }
 
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -190,8 +190,9 @@
     }
 
     ReportedRequest readReportedRequest() throws IOException {
-        int surplus = readArrayHeader(2);
-        ReportedRequest request = new ReportedRequest(in.unpackLong(), readList(this::readReportedCrash));
+        int surplus = readArrayHeader(3);
+        ReportedRequest request =
+                new ReportedRequest(in.unpackLong(), in.unpackBoolean(), readList(this::readReportedCrash));
         in.skipValue(surplus);
         return request;
     }
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -59,7 +59,7 @@
             70_000,
             new LoadCounts(300, 2),
             new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))),
-            List.of(new ReportedRequest(-3L, List.of(new ReportedCrash(ENDPOINT, 5, 1_200, true)))));
+            List.of(new ReportedRequest(-3L, true, List.of(new ReportedCrash(ENDPOINT, 5, 1_200, true)))));
 
     private static final PeerMessage.UseReport USE = new PeerMessage.UseReport(
             List.of(
@@ -84,8 +84,8 @@
             HELD,
             new PeerMessage.AdapterWanted(ENDPOINT, ADAPTER, -3, 300),
             new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 1_796_404_054_672L),
-            new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(1L, -2L), 17),
-            new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(), 0),
+            new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(1L, -2L), 17, List.of(-4L)),
+            new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(), 0, List.of()),
             new PeerMessage.Bundle(
                     List.of(new PeerBroadcast(HOST, 4, List.of(STATE, USE)), new PeerBroadcast(HOST, 5, List.of())),
                     true),
