End waiting copies of a refused request, send no doubtful one again

Two ways by which a request reached an endpoint although its host knew enough:

Copies that wait for an adapter, or were sent and have no output yet, were looked at again only when a prompt part came to be refused, not when their request was. They now end the same way.

A request with confirmed crashes is no longer sent again if those and its attempts that may have caused another come to the number that is refused. Requests without a confirmed crash are sent again as before.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -26,7 +26,7 @@
  */
 public final class RequestCrashes {
     /** Crashes after which a request is refused. */
-    private static final int MAXIMUM_CRASHES = 3;
+    public static final int MAXIMUM_CRASHES = 3;
 
     /** Crashes from which on a request is reported to peers and recorded; one may be due to any request beside it. */
     private static final int REPORTED_CRASHES = 2;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.banyanstair.crashes.RequestCrashes;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.PeerMessage;
@@ -89,6 +90,17 @@
         suspect(inFlight, endpoint, CrashSuspicion.Ending.ABANDONED);
     }
 
+    /** Returns whether a request may be sent once more after attempts of which some may have crashed endpoints. */
+    boolean mayRunAgain(ForwardRequest request) {
+        int crashes = refusals.crashes(request);
+        long unconfirmed = suspicions.stream()
+                .filter(suspicion -> suspicion.isFor(request) && suspicion.ending() != CrashSuspicion.Ending.ABANDONED)
+                .map(CrashSuspicion::endpoint)
+                .distinct()
+                .count();
+        return !refusals.isRefused(request) && (crashes == 0 || crashes + unconfirmed < RequestCrashes.MAXIMUM_CRASHES);
+    }
+
     private void suspect(InFlightRequest inFlight, EndpointState endpoint, CrashSuspicion.Ending ending) {
         Instant now = context.now();
         while (!suspicions.isEmpty() && now.isAfter(suspicions.peekFirst().expiresAt())) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -413,7 +413,7 @@
     private boolean tryRerun(InFlightRequest inFlight, int runs) {
         return runs < inFlight.route.maximumAttempts()
                 && context.now().isBefore(inFlight.deadline)
-                && !refusals.isRefused(inFlight.request)
+                && crashDetector.mayRunAgain(inFlight.request)
                 && view.endpointsOf(inFlight.service.name()).stream()
                         .anyMatch(endpoint ->
                                 endpoint.acceptsRequests(context.now()) && !inFlight.tried.contains(endpoint.id()))
@@ -564,7 +564,7 @@
      */
     void stopRefusedRequests() {
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
-            if (refusals.refusedPart(inFlight.request).isEmpty()) {
+            if (!refusals.isRefused(inFlight.request)) {
                 continue;
             }
             if (!inFlight.sent) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -3,10 +3,23 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
 
+import org.banyanstair.external.Topic;
+import org.banyanstair.membership.HostAnnouncement;
+import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.model.HostIdentity;
+import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.PartEvidence;
+import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedRequest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -194,6 +207,63 @@
         assertDeadlyRequestStopped();
     }
 
+    /** Guards against a second attempt while the crash of the first is not confirmed yet. */
+    @ParameterizedTest
+    @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
+    void requestIsNotSentAgainIfItsAttemptMayHaveCausedTheLastToleratedCrash(String requestPath) {
+        begin(requestPath, 24);
+        runTraffic(DAY);
+        assertEquals(MAXIMUM_CRASHES, simulation.crashes().size());
+    }
+
+    @Test
+    void copiesThatWaitOrHaveNoOutputEndWhenTheRequestIsRefused() {
+        ReducerFixture fixture = new ReducerFixture();
+        fixture.configureEngine(8, ReducerFixture.route("/x/", ReducerFixture.SERVICE, true, false, true));
+        EndpointId runner = new EndpointId("runner-1");
+        fixture.endpoint(runner.value(), ReducerFixture.SERVICE, false, 1, "a1");
+        fixture.publish(
+                Topic.CLAIMS, runner.value(), new DecodedRecord.RunnerClaimed(runner, ReducerFixture.HOST, true));
+        fixture.pass(Duration.ofMillis(200));
+        List<LoadedAdapter> loaded = List.of(new LoadedAdapter(ReducerFixture.ADAPTER, 1));
+        fixture.apply(new ForwardingEvent.Inspected(
+                runner, Optional.of(new RunnerState(0, false, Set.of("base"), loaded, List.of()))));
+        AdapterName notLoaded = new AdapterName("base", "a2");
+        ForwardRequest running = fixture.request("/x/1", Optional.of(ReducerFixture.ADAPTER), Duration.ofSeconds(4));
+        ForwardRequest waiting = fixture.request("/x/1", Optional.of(notLoaded), Duration.ofSeconds(4));
+        fixture.apply(new ForwardingEvent.RequestArrived(running));
+        fixture.apply(new ForwardingEvent.RequestArrived(waiting));
+        List<ReportedCrash> crashes = IntStream.range(0, MAXIMUM_CRASHES)
+                .mapToObj(number -> new ReportedCrash(new EndpointId("gone-" + number), 1, 1000 + 500 * number, false))
+                .toList();
+        HostId peer = new HostId("host-2");
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
+                new HostIdentity(peer, 1),
+                new PeerMessage.HostState(
+                        new HostAnnouncement(
+                                peer,
+                                1,
+                                NetworkAddress.parse("10.0.0.2:80"),
+                                NetworkAddress.parse("10.0.0.2:81"),
+                                "east",
+                                1),
+                        false,
+                        true,
+                        0,
+                        0,
+                        LoadCounts.NONE,
+                        PartEvidence.NONE,
+                        List.of(new ReportedRequest(running.fingerprint(), true, crashes)))));
+        List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(100));
+        assertEquals(
+                List.of(new ForwardingEffect.Fail(running.exchange(), FailureReason.CRASHES_ENDPOINTS)),
+                ReducerFixture.only(effects, ForwardingEffect.Fail.class));
+        assertEquals(
+                List.of(new ForwardingEffect.Refuse(
+                        waiting.exchange(), RefusalReason.CRASHES_ENDPOINTS, Optional.empty())),
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class));
+    }
+
     /** Copies that come from another address each share a wider fingerprint only. */
     @ParameterizedTest
     @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
