Do not refuse sound requests for endpoints that are down

Each endpoint that refuses the connection counted as a rejection, of which a request may have three, although nothing was sent and no retry budget used; and a host that learned of a crash by its own check or by a peer's report went on sending there until it was refused itself.

Refused connections no longer count (an endpoint that refused one is paused anyway, so the loop ends when none is left), and an endpoint whose crash is known pauses for all hosts that hear of it, unless it has restarted.

The other tests of the package pass.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -38,10 +38,14 @@
     /** Time in which an endpoint that answers with a failure as it crashes has closed its port. */
     private static final Duration FAILURE_CHECK_DELAY = Duration.ofMillis(250);
 
+    /** Time after a crash in which its endpoint is probably still down, even if it starts again at once. */
+    private static final Duration DOWN_TIME = Duration.ofSeconds(1);
+
     /** Times after a crash at which its report is sent again, since messages may be lost. */
     private static final List<Duration> RESEND_TIMES = List.of(Duration.ofMillis(1000), Duration.ofMillis(3000));
 
     private final EventContext context;
+    private final PlatformView view;
     private final PeerMessenger messenger;
     private final RefusalRegistry refusals;
     private final Deque<CrashSuspicion> suspicions = new ArrayDeque<>();
@@ -55,8 +59,9 @@
     /** A check of an endpoint that has answered with a failure. */
     private record DelayedCheck(EndpointState endpoint, Instant dueAt) {}
 
-    CrashDetector(EventContext context, PeerMessenger messenger, RefusalRegistry refusals) {
+    CrashDetector(EventContext context, PlatformView view, PeerMessenger messenger, RefusalRegistry refusals) {
         this.context = context;
+        this.view = view;
         this.messenger = messenger;
         this.refusals = refusals;
     }
@@ -130,6 +135,7 @@
     }
 
     void connectionRefused(ForwardingEvent.ConnectionRefused event) {
+        pause(event.endpoint(), event.started());
         confirm(suspicion -> suspicion.endpoint().equals(event.endpoint()) && suspicion.started() == event.started());
     }
 
@@ -143,6 +149,13 @@
                 && (!leaving || suspicion.ending() == CrashSuspicion.Ending.BROKEN));
     }
 
+    /** Sends nothing to an endpoint that is known to be gone, unless it has restarted since. */
+    private void pause(EndpointId id, long started) {
+        view.endpoint(id)
+                .filter(endpoint -> endpoint.listing().started() == started && endpoint.acceptsRequests(context.now()))
+                .ifPresent(endpoint -> endpoint.connectionFailed(context.now()));
+    }
+
     private void confirm(Predicate<CrashSuspicion> selected) {
         Instant now = context.now();
         suspicions.removeIf(suspicion -> now.isAfter(suspicion.expiresAt()));
@@ -211,6 +224,9 @@
     void crashReported(HostId sender, PeerMessage.CrashReport message) {
         Instant crashedAt = context.now().minusMillis(message.ageMilliseconds());
         refusals.addCrash(message, Optional.of(sender));
+        if (message.ageMilliseconds() < DOWN_TIME.toMillis()) {
+            pause(message.endpoint(), message.started());
+        }
         context.log(DecisionRecord.of(
                 "crash-reported",
                 "peer",
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -104,7 +104,7 @@
         this.leases = new LeaseManager(self, settings.leaseTerm());
         this.runnerManager = new RunnerManager(context, settings.identity(), view, peers, messenger, leases);
         this.refusals = new RefusalRegistry(context);
-        this.crashDetector = new CrashDetector(context, messenger, refusals);
+        this.crashDetector = new CrashDetector(context, view, messenger, refusals);
         this.forwarder = new RequestForwarder(context, settings, view, peers, messenger, runnerManager, crashDetector);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -443,8 +443,9 @@
         }
         inFlight.tried.remove(endpoint.id());
         boolean reachedEndpoint = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
-        if (++inFlight.rejections > MAXIMUM_REJECTIONS
-                || reachedEndpoint && !retryBudgets.tryAcquire(inFlight.service.name(), context.now())) {
+        if (reachedEndpoint
+                && (++inFlight.rejections > MAXIMUM_REJECTIONS
+                        || !retryBudgets.tryAcquire(inFlight.service.name(), context.now()))) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
         } else {
             selectEndpoint(inFlight);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -264,6 +265,45 @@
                 ReducerFixture.only(effects, ForwardingEffect.Refuse.class));
     }
 
+    /** Guards against requests that are refused after they were sent to one endpoint after the other that is down. */
+    @ParameterizedTest
+    @ValueSource(longs = {25, 26, 27})
+    void soundRequestsAreServedByTheEndpointsThatAreLeft(long seed) {
+        begin(FleetSimulation.SAFE_PATH, seed);
+        for (int round = 0; round < 8; round++) {
+            simulation.runners().stream().limit(ENDPOINTS).forEach(simulation::crash);
+            for (int count = 0; count < 30; count++) {
+                simulation.send(anyHost(), path, ++fingerprints);
+                simulation.pass(Duration.ofMillis(40));
+            }
+            simulation.pass(Duration.ofSeconds(3));
+        }
+        assertEquals(
+                List.of(),
+                simulation.outcomes().stream()
+                        .filter(outcome -> !outcome.answered())
+                        .toList());
+    }
+
+    @Test
+    void requestsAreNotSentToAnEndpointWhoseCrashAPeerHasReported() {
+        ReducerFixture fixture = new ReducerFixture();
+        fixture.configure(1, ReducerFixture.route("/safe/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+        fixture.endpoint("plain-1", ReducerFixture.PLAIN_SERVICE, false, 1);
+        fixture.endpoint("plain-2", ReducerFixture.PLAIN_SERVICE, false, 1);
+        EndpointId crashed = new EndpointId("plain-1");
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
+                new HostIdentity(new HostId("host-2"), 1),
+                new PeerMessage.CrashReport(9, crashed, 1, List.of(), 20, List.of())));
+        Set<EndpointId> used = new HashSet<>();
+        for (int count = 0; count < 6; count++) {
+            ForwardRequest request = fixture.request("/safe/1", Optional.empty(), Duration.ofSeconds(4));
+            ReducerFixture.only(fixture.apply(new ForwardingEvent.RequestArrived(request)), ForwardingEffect.Send.class)
+                    .forEach(send -> used.add(send.endpoint()));
+        }
+        assertEquals(Set.of(new EndpointId("plain-2")), used);
+    }
+
     /** Copies that come from another address each share a wider fingerprint only. */
     @ParameterizedTest
     @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
