Do not refuse a popular request for the crashes of another

Cause: three crashes were taken as proof although another request explains them as well. A request is now refused if it is the only one with three crashes on its latest crash; while several are, a further crash or a completion decides, and after five crashes it is refused in any case. The decision waits 0.3 s for the reports of the other requests on the endpoint. What is refused is found at each tick, since it also changes when another request is cleared: lines request-refused and request-admitted; each thing learned from a peer or the log is a line crash-reported.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -18,8 +20,8 @@
 /**
  * Counts the endpoints that crashed while they ran a request, to refuse requests that crash endpoints.
  *
- * <p>A request is refused after several crashes since an endpoint last completed it; other requests on the same
- * endpoints are practically never on all of them. Crashes are only added and marked as cleared, so hosts that exchange
+ * <p>A request is refused after several crashes since an endpoint last completed it, unless another request was on the
+ * same endpoints, as copies of a popular one may be. Crashes are only added and marked as cleared, so hosts that exchange
  * what they know, in any order and repeatedly, agree in the end.
  *
  * <p>Instants are those of this host's clock. Not thread-safe.
@@ -28,12 +30,18 @@
     /** Crashes after which a request is refused. */
     public static final int MAXIMUM_CRASHES = 3;
 
+    /** Crashes after which a request is refused even if another one was on the same endpoints. */
+    private static final int SUFFICIENT_CRASHES = 5;
+
     /** Crashes from which on a request is reported to peers and recorded; one may be due to any request beside it. */
     private static final int REPORTED_CRASHES = 2;
 
     /** Crashes closer together than this count as one, since one event such as a lost rack probably caused them. */
     private static final Duration SIMULTANEOUS = Duration.ofMillis(30);
 
+    /** Time in which reports of the other requests on a crashed endpoint arrive, also over relays. */
+    private static final Duration SETTLE_TIME = Duration.ofMillis(300);
+
     /** Time for which a crash counts. */
     private static final Duration RETENTION = Duration.ofMinutes(10);
 
@@ -90,6 +98,12 @@
             return count(crash -> withCleared || !crash.cleared());
         }
 
+        private Optional<EndpointCrash> latest() {
+            return crashes.values().stream()
+                    .filter(crash -> !crash.cleared())
+                    .max(Comparator.comparing(EndpointCrash::at));
+        }
+
         private Instant lastAt() {
             return crashes.values().stream()
                     .map(EndpointCrash::at)
@@ -187,25 +201,38 @@
         return entry != null && isRefused(entry, now);
     }
 
-    /** Crashes under a request that is refused do not count against similar ones. */
+    /**
+     * Returns whether the crashes point to a request. Several requests may have been on the same endpoints; while two
+     * of them explain the crashes equally well, a further crash or a completion decides.
+     */
     private boolean isRefused(Entry entry, Instant now) {
-        if (entry.crashes.size() < MAXIMUM_CRASHES || isExpired(entry, now)) {
+        if (!isSuspect(entry, now) || now.isBefore(entry.changedAt.plus(SETTLE_TIME))) {
             return false;
         }
-        if (entry.exact) {
-            return entry.count(false) >= MAXIMUM_CRASHES;
+        if (entry.exact && entry.count(false) >= SUFFICIENT_CRASHES) {
+            return true;
         }
-        Set<CrashId> explained = entries.values().stream()
-                .filter(other -> other.exact && isRefused(other, now))
-                .flatMap(other -> other.crashes.keySet().stream())
-                .collect(Collectors.toSet());
-        return entry.count(crash -> !crash.cleared() && !explained.contains(CrashId.of(crash))) >= MAXIMUM_CRASHES;
+        Optional<CrashId> latest = entry.latest().map(CrashId::of);
+        return entries.values().stream()
+                .filter(other -> other != entry && other.exact)
+                .filter(other -> latest.map(other.crashes::get)
+                        .filter(crash -> !crash.cleared())
+                        .isPresent())
+                .noneMatch(other -> isSuspect(other, now));
+    }
+
+    private static boolean isSuspect(Entry entry, Instant now) {
+        return entry.crashes.size() >= MAXIMUM_CRASHES
+                && !isExpired(entry, now)
+                && entry.count(false) >= MAXIMUM_CRASHES;
     }
 
-    /** Returns the number of fingerprints that are refused. */
-    public int refusals(Instant now) {
-        return (int)
-                entries.values().stream().filter(entry -> isRefused(entry, now)).count();
+    /** Returns the fingerprints that are refused. */
+    public Set<Long> refused(Instant now) {
+        return entries.entrySet().stream()
+                .filter(entry -> isRefused(entry.getValue(), now))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toCollection(TreeSet::new));
     }
 
     private static boolean isExpired(Entry entry, Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -227,18 +227,6 @@
         if (message.ageMilliseconds() < DOWN_TIME.toMillis()) {
             pause(message.endpoint(), message.started());
         }
-        context.log(DecisionRecord.of(
-                "crash-reported",
-                "peer",
-                sender,
-                "endpoint",
-                message.endpoint(),
-                "started",
-                message.started(),
-                "fingerprint",
-                message.fingerprint(),
-                "known-crashes",
-                refusals.crashes(message.fingerprint())));
         confirm(suspicion -> suspicion.endpoint().equals(message.endpoint())
                 && suspicion.started() == message.started()
                 && Duration.between(suspicion.endedAt(), crashedAt).abs().compareTo(SAME_CRASH) <= 0);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 import org.banyanstair.crashes.CrashAttribution;
@@ -44,6 +46,7 @@
     private final Map<Long, Instant> recordedParts = new TreeMap<>();
     private Instant nextRecordAt = Instant.MIN;
     private Instant nextAttributionAt = Instant.MIN;
+    private Set<Long> refusedRequests = new TreeSet<>();
     private boolean recordAtOnce;
     private boolean refusalsChanged;
 
@@ -67,7 +70,7 @@
     }
 
     int refusedRequests() {
-        return requests.refusals(context.now());
+        return refusedRequests.size();
     }
 
     int refusedParts() {
@@ -144,28 +147,43 @@
      * @param source where it is known from; empty if this host noticed it
      */
     private boolean addCrash(long fingerprint, boolean exact, EndpointCrash crash, String source) {
-        Instant now = context.now();
-        boolean refusedBefore = requests.isRefused(fingerprint, now);
-        boolean added = requests.add(fingerprint, exact, crash, now);
-        boolean refused = requests.isRefused(fingerprint, now);
-        if (refused != refusedBefore) {
-            refusalsChanged |= refused;
-            context.log(DecisionRecord.important(
-                    refused ? "request-refused" : "request-cleared",
+        boolean added = requests.add(fingerprint, exact, crash, context.now());
+        if (added && !source.isEmpty()) {
+            context.log(DecisionRecord.of(
+                    "crash-reported",
+                    "peer",
+                    source,
+                    "endpoint",
+                    crash.endpoint(),
+                    "started",
+                    crash.started(),
                     "fingerprint",
                     fingerprint,
                     "exact",
                     exact,
+                    "cleared",
+                    crash.cleared(),
                     "known-crashes",
-                    crashes(fingerprint),
-                    "endpoint",
-                    crash.endpoint(),
-                    "peer",
-                    source));
+                    crashes(fingerprint)));
         }
         return added;
     }
 
+    private void updateRefusedRequests(Instant now) {
+        Set<Long> refused = requests.refused(now);
+        Set<Long> added = new TreeSet<>(refused);
+        added.removeAll(refusedRequests);
+        refusedRequests.removeAll(refused);
+        refusedRequests.forEach(fingerprint -> logRefusal("request-admitted", fingerprint));
+        added.forEach(fingerprint -> logRefusal("request-refused", fingerprint));
+        refusalsChanged |= !added.isEmpty();
+        refusedRequests = refused;
+    }
+
+    private void logRefusal(String kind, long fingerprint) {
+        context.log(DecisionRecord.important(kind, "fingerprint", fingerprint, "known-crashes", crashes(fingerprint)));
+    }
+
     /** Returns what peers need to know of requests that crash endpoints. */
     List<ReportedRequest> requestReport() {
         return requests.report(context.now()).stream()
@@ -290,6 +308,7 @@
             recordRequests(now);
         }
         recordAtOnce = false;
+        updateRefusedRequests(now);
         if (!now.isBefore(nextAttributionAt)) {
             nextAttributionAt = now.plus(ATTRIBUTION_INTERVAL);
             parts.attribute(now).ifPresent(refusal -> {
