Bound what heartbeats carry of requests that crash endpoints

A request is in each heartbeat for 10 s after a change and every 5 s afterwards; a new connection still starts with all of it, and the log has it. At most 16 requests, suspects first, with 6 crashes each.

A host that learns of old crashes at its start refuses at once: the wait of 0.3 s for reports of other requests applies to crashes of the last 2 s. An endpoint that cannot be reached is no evidence against attempts that were answered or abandoned, only against those that broke off, as before.

All tests of the package pass, also a new one with 40 hosts and 30 endpoints. Bytes per heartbeat were not measured under load.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -42,20 +42,26 @@
     /** Time in which reports of the other requests on a crashed endpoint arrive, also over relays. */
     private static final Duration SETTLE_TIME = Duration.ofMillis(300);
 
+    /** Time after a crash in which hosts notice it and report it, unless they notice nothing of it by themselves. */
+    private static final Duration REPORT_DELAY = Duration.ofSeconds(2);
+
     /** Time for which a crash counts. */
     private static final Duration RETENTION = Duration.ofMinutes(10);
 
-    /** Time for which peers are told that the crashes of a request have been cleared. */
-    private static final Duration CLEARANCE_REPORT_TIME = Duration.ofSeconds(30);
+    /** Time for which each heartbeat tells peers of a change. */
+    private static final Duration CHANGE_REPORT_TIME = Duration.ofSeconds(10);
+
+    /** Time between two heartbeats that tell of a request without a change, which the log holds as well. */
+    private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
 
     private static final int REQUEST_CAPACITY = 4096;
 
-    private static final int CRASHES_PER_REQUEST = 8;
+    private static final int CRASHES_PER_REQUEST = 6;
 
     private static final int COMPLETION_CAPACITY = 8192;
 
     /** Requests reported to peers at a time. */
-    private static final int REPORT_CAPACITY = 32;
+    private static final int REPORT_CAPACITY = 16;
 
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     private final Map<Long, Map<CrashId, Boolean>> recorded = new HashMap<>();
@@ -80,6 +86,7 @@
         private final boolean exact;
         private final Map<CrashId, EndpointCrash> crashes = new LinkedHashMap<>();
         private Instant changedAt = Instant.MIN;
+        private Instant nextReportAt = Instant.MIN;
 
         Entry(boolean exact) {
             this.exact = exact;
@@ -206,7 +213,7 @@
      * of them explain the crashes equally well, a further crash or a completion decides.
      */
     private boolean isRefused(Entry entry, Instant now) {
-        if (!isSuspect(entry, now) || now.isBefore(entry.changedAt.plus(SETTLE_TIME))) {
+        if (!isSuspect(entry, now) || isSettling(entry, now)) {
             return false;
         }
         if (entry.exact && entry.count(false) >= SUFFICIENT_CRASHES) {
@@ -221,6 +228,14 @@
                 .noneMatch(other -> isSuspect(other, now));
     }
 
+    /** Returns whether reports of the other requests on the last endpoint may still be on their way. */
+    private static boolean isSettling(Entry entry, Instant now) {
+        boolean recent = entry.latest()
+                .filter(crash -> now.isBefore(crash.at().plus(REPORT_DELAY)))
+                .isPresent();
+        return recent && now.isBefore(entry.changedAt.plus(SETTLE_TIME));
+    }
+
     private static boolean isSuspect(Entry entry, Instant now) {
         return entry.crashes.size() >= MAXIMUM_CRASHES
                 && !isExpired(entry, now)
@@ -239,22 +254,33 @@
         return !now.isBefore(entry.lastAt().plus(RETENTION));
     }
 
-    /** Returns what peers need to know, the latest crashes first. */
-    public List<CrashedRequest> report(Instant now) {
+    /**
+     * Returns what peers need to know; suspects first, then those with the latest crashes.
+     *
+     * @param complete whether to include what the last reports told and has not changed since
+     */
+    public List<CrashedRequest> report(boolean complete, Instant now) {
         entries.values().removeIf(entry -> isExpired(entry, now));
         recorded.keySet().retainAll(entries.keySet());
-        return entries.entrySet().stream()
-                .filter(entry -> isReported(entry.getValue(), now))
-                .sorted(Comparator.comparing(
-                        (Map.Entry<Long, Entry> entry) -> entry.getValue().lastAt(), Comparator.reverseOrder()))
+        List<Map.Entry<Long, Entry>> reported = entries.entrySet().stream()
+                .filter(entry -> isReported(entry.getValue(), complete, now))
+                .sorted(Comparator.comparing((Map.Entry<Long, Entry> entry) -> !isSuspect(entry.getValue(), now))
+                        .thenComparing(entry -> entry.getValue().lastAt(), Comparator.reverseOrder()))
                 .limit(REPORT_CAPACITY)
+                .toList();
+        if (!complete) {
+            reported.forEach(entry -> entry.getValue().nextReportAt = now.plus(REPORT_INTERVAL));
+        }
+        return reported.stream()
                 .map(entry -> entry.getValue().toRequest(entry.getKey()))
                 .toList();
     }
 
-    private static boolean isReported(Entry entry, Instant now) {
-        return entry.count(false) >= REPORTED_CRASHES
-                || entry.count(true) >= REPORTED_CRASHES && now.isBefore(entry.changedAt.plus(CLEARANCE_REPORT_TIME));
+    private static boolean isReported(Entry entry, boolean complete, Instant now) {
+        if (now.isBefore(entry.changedAt.plus(CHANGE_REPORT_TIME))) {
+            return entry.count(true) >= REPORTED_CRASHES;
+        }
+        return (complete || !now.isBefore(entry.nextReportAt)) && entry.count(false) >= REPORTED_CRASHES;
     }
 
     /** Notes what the log holds of a request. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -139,9 +139,15 @@
         confirm(suspicion -> suspicion.endpoint().equals(event.endpoint()) && suspicion.started() == event.started());
     }
 
+    /** Records a crash for the attempts that broke off lately on an endpoint to which no connection can be opened. */
+    void endpointUnreachable(EndpointState endpoint) {
+        confirm(suspicion ->
+                suspicion.endpoint().equals(endpoint.id()) && suspicion.ending() == CrashSuspicion.Ending.BROKEN);
+    }
+
     /**
-     * Records a crash for the attempts that ended lately on an endpoint that refuses connections, has restarted or is
-     * no longer listed. An endpoint that was leaving has crashed only for those that broke off.
+     * Records a crash for the attempts that ended lately on an endpoint that has restarted or is no longer listed. An
+     * endpoint that was leaving has crashed only for those that broke off.
      */
     void endpointLost(EndpointState endpoint) {
         boolean leaving = endpoint.listing().draining();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -232,7 +232,7 @@
         if (event instanceof ForwardingEvent.PeerConnected connected) {
             HostId host = connected.peer().host();
             context.log(DecisionRecord.important("peer-connected", "peer", connected.peer()));
-            context.emit(new ForwardingEffect.SendToPeer(host, hostState()));
+            context.emit(new ForwardingEffect.SendToPeer(host, hostState(true)));
             if (!peers.isLargeDeployment()) {
                 runnerManager.sendRunnerStates(host);
             }
@@ -349,11 +349,11 @@
 
     private void applyAnnouncement(HostAnnouncement announcement) {
         if (peers.update(announcement, context.now()) && !peers.isLargeDeployment()) {
-            context.emit(new ForwardingEffect.SendToPeer(announcement.host(), hostState()));
+            context.emit(new ForwardingEffect.SendToPeer(announcement.host(), hostState(true)));
         }
     }
 
-    private PeerMessage hostState() {
+    private PeerMessage hostState(boolean complete) {
         return new PeerMessage.HostState(
                 settings.announcement(),
                 stopping,
@@ -362,7 +362,7 @@
                 view.consumer(Topic.ENDPOINTS).end(),
                 runnerManager.observedLoads(),
                 refusals.partEvidence(),
-                refusals.requestReport());
+                refusals.requestReport(complete));
     }
 
     private void tick() {
@@ -389,7 +389,7 @@
         }
         if (!now.isBefore(nextStateAt)) {
             nextStateAt = now.plus(peers.stateInterval());
-            messenger.broadcast(hostState());
+            messenger.broadcast(hostState(false));
             removeUseOfSilentPeers();
         }
         messenger.tick();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
@@ -184,9 +184,13 @@
         context.log(DecisionRecord.important(kind, "fingerprint", fingerprint, "known-crashes", crashes(fingerprint)));
     }
 
-    /** Returns what peers need to know of requests that crash endpoints. */
-    List<ReportedRequest> requestReport() {
-        return requests.report(context.now()).stream()
+    /**
+     * Returns what peers need to know of requests that crash endpoints.
+     *
+     * @param complete whether the receiver may know nothing of what was reported before
+     */
+    List<ReportedRequest> requestReport(boolean complete) {
+        return requests.report(complete, context.now()).stream()
                 .map(request -> new ReportedRequest(
                         request.fingerprint(),
                         request.exact(),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -431,7 +431,7 @@
     private void notRun(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.NotRunCause cause) {
         if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
-            crashDetector.endpointLost(endpoint);
+            crashDetector.endpointUnreachable(endpoint);
         } else if (cause == AttemptResult.NotRunCause.FULL) {
             endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -122,6 +122,13 @@
         assertDeadlyRequestStopped();
     }
 
+    @Test
+    void repeatedRequestThatCrashesEndpointsIsRefusedInLargeDeployment() {
+        begin(new FleetSimulation(40, 30, 34), FleetSimulation.SAFE_PATH, 34);
+        runTraffic(DAY);
+        assertDeadlyRequestStopped();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {FleetSimulation.SAFE_PATH, FleetSimulation.STREAM_PATH})
     void refusalOfARequestSurvivesARestartOfAllHosts(String requestPath) {
