Check endpoints under a request that is abandoned again and again

Its endpoints are now checked by a connection 0.25 s later once the request was abandoned on three or is known to have crashed one, and so is an endpoint that could not be reached.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.banyanstair.crashes.RequestCrashes;
 import org.banyanstair.model.EndpointId;
@@ -38,6 +40,12 @@
     /** Time in which an endpoint that answers with a failure as it crashes has closed its port. */
     private static final Duration FAILURE_CHECK_DELAY = Duration.ofMillis(250);
 
+    /** Endpoints that have failed a request, after which they are checked. */
+    private static final int FAILED_ENDPOINTS_TO_CHECK = 2;
+
+    /** The same for attempts that were abandoned; callers that leave often send their request again. */
+    private static final int ABANDONED_ENDPOINTS_TO_CHECK = 3;
+
     /** Time after a crash in which its endpoint is probably still down, even if it starts again at once. */
     private static final Duration DOWN_TIME = Duration.ofSeconds(1);
 
@@ -76,23 +84,32 @@
         check(endpoint);
     }
 
-    /**
-     * Records an attempt that its endpoint answered with a failure, perhaps as it went down. Endpoints may answer so
-     * for other reasons; they are checked only if the same request has failed elsewhere too.
-     */
+    /** Records an attempt that its endpoint answered with a failure, perhaps as it went down. */
     void attemptFailed(InFlightRequest inFlight, EndpointState endpoint) {
         suspect(inFlight, endpoint, CrashSuspicion.Ending.FAILED);
-        ForwardRequest request = inFlight.request;
-        boolean failedElsewhere = suspicions.stream()
-                .anyMatch(other -> other.isFor(request) && !other.endpoint().equals(endpoint.id()));
-        if (failedElsewhere || refusals.crashes(request) > 0) {
-            delayedChecks.add(new DelayedCheck(endpoint, context.now().plus(FAILURE_CHECK_DELAY)));
-        }
+        checkIfRepeated(inFlight.request, FAILED_ENDPOINTS_TO_CHECK);
     }
 
     /** Records an attempt whose answer the host does not wait for any longer. */
     void attemptAbandoned(InFlightRequest inFlight, EndpointState endpoint) {
         suspect(inFlight, endpoint, CrashSuspicion.Ending.ABANDONED);
+        checkIfRepeated(inFlight.request, ABANDONED_ENDPOINTS_TO_CHECK);
+    }
+
+    /**
+     * Checks the endpoints of attempts that may have ended for other reasons, which are common, only if the same
+     * request has ended so on several or is known to have crashed one.
+     */
+    private void checkIfRepeated(ForwardRequest request, int minimumEndpoints) {
+        Set<EndpointId> endpoints = suspicions.stream()
+                .filter(suspicion -> suspicion.isFor(request))
+                .map(CrashSuspicion::endpoint)
+                .collect(Collectors.toSet());
+        if (endpoints.size() >= minimumEndpoints || refusals.crashes(request) > 0) {
+            Instant dueAt = context.now().plus(FAILURE_CHECK_DELAY);
+            endpoints.forEach(id ->
+                    view.endpoint(id).ifPresent(endpoint -> delayedChecks.add(new DelayedCheck(endpoint, dueAt))));
+        }
     }
 
     /** Returns whether a request may be sent once more after attempts of which some may have crashed endpoints. */
