Check endpoints that cannot be reached, keep forgotten crashes out

A request keeps six crashes; an older one that a peer still reported was dropped again and counted as news with each of its heartbeats, which repeated log lines and reports until the peer had dropped it too. RequestCrashesTest#crashOlderThanThoseThatAreKeptIsNoNews failed before.

All tests of the package pass.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -155,10 +155,11 @@
         if (entry.crashes.size() > CRASHES_PER_REQUEST) {
             removeLeastRelevant(entry);
         }
-        if (changed) {
-            entry.changedAt = now;
+        if (!changed || !entry.crashes.containsKey(id)) {
+            return false;
         }
-        return changed;
+        entry.changedAt = now;
+        return true;
     }
 
     /** Removes a request, if possible one with a single crash, which is the least likely to have caused it. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -64,7 +64,7 @@
     /** A report that is sent again. */
     private record Resend(CrashSuspicion suspicion, Instant dueAt) {}
 
-    /** A check of an endpoint that has answered with a failure. */
+    /** A check of an endpoint that may be about to go down. */
     private record DelayedCheck(EndpointState endpoint, Instant dueAt) {}
 
     CrashDetector(EventContext context, PlatformView view, PeerMessenger messenger, RefusalRegistry refusals) {
@@ -156,10 +156,16 @@
         confirm(suspicion -> suspicion.endpoint().equals(event.endpoint()) && suspicion.started() == event.started());
     }
 
-    /** Records a crash for the attempts that broke off lately on an endpoint to which no connection can be opened. */
+    /**
+     * Records a crash for the attempts that broke off lately on an endpoint to which no connection can be opened. For
+     * others a check tells whether it refuses connections, since the path to it may be cut.
+     */
     void endpointUnreachable(EndpointState endpoint) {
         confirm(suspicion ->
                 suspicion.endpoint().equals(endpoint.id()) && suspicion.ending() == CrashSuspicion.Ending.BROKEN);
+        if (suspicions.stream().anyMatch(suspicion -> suspicion.endpoint().equals(endpoint.id()))) {
+            check(endpoint);
+        }
     }
 
     /**
--- a/banyanstair-core/src/test/java/org/banyanstair/crashes/RequestCrashesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/crashes/RequestCrashesTest.java
@@ -142,6 +142,17 @@
         assertTrue(crashes.isRefused(REQUEST, at(3500)));
     }
 
+    /** Guards against a crash that is forgotten for later ones and taken for news with each heartbeat of a peer. */
+    @Test
+    void crashOlderThanThoseThatAreKeptIsNoNews() {
+        RequestCrashes crashes = new RequestCrashes();
+        for (int number = 1; number <= 6; number++) {
+            crashes.add(REQUEST, true, crash(number, 700 * number), at(700 * number));
+        }
+        assertFalse(crashes.add(REQUEST, true, crash(0, 0), at(5000)));
+        assertEquals(6, crashes.count(REQUEST, at(5000)));
+    }
+
     @Test
     void requestIsRecordedAgainOnlyWhileTheLogLacksSomething() {
         RequestCrashes crashes = withCrashes(1);
