Tell how late a host reads what arrives

Nothing told how long a request lay unread: refused, failed and answered count from the moment at which it was read. TickMonitor derives the delay from the ticks of the event loop: what is read now and was not read before the last tick has arrived after the last but one. No decision changes. The records of refused and failed requests move to InFlightRequest, where that of answered ones is.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
@@ -5,8 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Context of the handling of one event: its instant and the effects so far. */
+/** Context of the handling of one event: its instant, how late the host noticed it, and the effects so far. */
 final class EventContext {
+    private final TickMonitor ticks = new TickMonitor();
     private Instant now = Instant.MIN;
     private List<ForwardingEffect> effects = new ArrayList<>();
 
@@ -19,6 +20,15 @@
         return now;
     }
 
+    TickMonitor ticks() {
+        return ticks;
+    }
+
+    /** Returns the earliest instant at which what is read now may have arrived; now if the host keeps up. */
+    Instant earliestArrival() {
+        return ticks.earliestArrival(now);
+    }
+
     long millisecondsSince(Instant instant) {
         return Duration.between(instant, now).toMillis();
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -366,6 +366,8 @@
     }
 
     private void tick() {
+        context.ticks().recordTick(context.now());
+        context.ticks().report(context.now()).ifPresent(context::log);
         view.setReadSchedule(peers.isLargeDeployment(), readsForPeers());
         view.tick();
         if (!hasAnnouncedSelf && view.consumer(Topic.HOSTS).hasBeenRead()) {
@@ -448,6 +450,7 @@
                 peers.live(now).size() - 1,
                 refusals.refusedRequests(),
                 refusals.refusedParts(),
+                context.ticks().reportedDelay(),
                 topics);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -16,6 +16,8 @@
  * @param livePeers number of other hosts that are live
  * @param refusedRequests number of requests that are refused because they crash endpoints
  * @param refusedParts number of prompt parts whose requests are refused because they crash endpoints
+ * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
+ *     if the host keeps up
  */
 public record ForwardingStatus(
         int openRequests,
@@ -26,6 +28,7 @@
         int livePeers,
         int refusedRequests,
         int refusedParts,
+        Duration readDelay,
         Map<Topic, TopicStatus> topics) {
     /** Copies the maps. */
     public ForwardingStatus {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -19,6 +19,7 @@
     final Set<EndpointId> tried = new HashSet<>();
     final Set<EndpointId> loadUnavailable = new HashSet<>();
     Optional<EndpointState> endpoint = Optional.empty();
+    long readDelayMilliseconds;
     boolean sent;
     boolean firstOutput;
     boolean outputReported;
@@ -82,6 +83,51 @@
                 Duration.between(sentAt, now).toMillis());
     }
 
+    /** Returns the log record of a refusal. */
+    DecisionRecord refusalRecord(
+            RefusalReason reason, double startMilliseconds, RefusalRegistry refusals, Instant now) {
+        return DecisionRecord.important(
+                "refused",
+                "request",
+                request.id(),
+                "reason",
+                reason,
+                "service",
+                service.name(),
+                "expected-start-ms",
+                (long) startMilliseconds,
+                "waited-ms",
+                Duration.between(arrivedAt, now).toMillis(),
+                "read-delay-ms",
+                readDelayMilliseconds,
+                "attempts",
+                attempts,
+                "part",
+                refusals.refusedPart(request).map(Long::toHexString).orElse(""),
+                "fingerprint",
+                request.fingerprint(),
+                "known-crashes",
+                refusals.crashes(request));
+    }
+
+    /** Returns the log record of a failure. */
+    DecisionRecord failureRecord(FailureReason reason, Instant now) {
+        return DecisionRecord.important(
+                "failed",
+                "request",
+                request.id(),
+                "reason",
+                reason,
+                "endpoint",
+                endpoint.map(state -> state.id().value()).orElse(""),
+                "attempts",
+                attempts,
+                "after-ms",
+                Duration.between(arrivedAt, now).toMillis(),
+                "read-delay-ms",
+                readDelayMilliseconds);
+    }
+
     /** Returns the log record of a complete answer. */
     DecisionRecord answerRecord(AttemptResult.Answered result, Instant now) {
         return DecisionRecord.of(
@@ -96,6 +142,8 @@
                 firstOutputMilliseconds,
                 "longest-pause-ms",
                 result.longestPause().toMillis(),
+                "read-delay-ms",
+                readDelayMilliseconds,
                 "after-ms",
                 Duration.between(arrivedAt, now).toMillis());
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -115,6 +115,7 @@
                 .service(serviceName)
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
         InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, context.now());
+        inFlight.readDelayMilliseconds = context.millisecondsSince(context.earliestArrival());
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
@@ -498,43 +499,13 @@
         close(inFlight);
         Optional<Duration> retryAfter = RetryAfterPolicy.retryAfter(
                 reason, startMilliseconds, inFlight.route.objective(), inFlight.request.fingerprint());
-        context.log(DecisionRecord.important(
-                "refused",
-                "request",
-                inFlight.request.id(),
-                "reason",
-                reason,
-                "service",
-                inFlight.service.name(),
-                "expected-start-ms",
-                (long) startMilliseconds,
-                "waited-ms",
-                context.millisecondsSince(inFlight.arrivedAt),
-                "attempts",
-                inFlight.attempts,
-                "part",
-                refusals.refusedPart(inFlight.request).map(Long::toHexString).orElse(""),
-                "fingerprint",
-                inFlight.request.fingerprint(),
-                "known-crashes",
-                refusals.crashes(inFlight.request)));
+        context.log(inFlight.refusalRecord(reason, startMilliseconds, refusals, context.now()));
         context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
 
     private void fail(InFlightRequest inFlight, FailureReason reason) {
         close(inFlight);
-        context.log(DecisionRecord.important(
-                "failed",
-                "request",
-                inFlight.request.id(),
-                "reason",
-                reason,
-                "endpoint",
-                inFlight.endpoint.map(endpoint -> endpoint.id().value()).orElse(""),
-                "attempts",
-                inFlight.attempts,
-                "after-ms",
-                context.millisecondsSince(inFlight.arrivedAt)));
+        context.log(inFlight.failureRecord(reason, context.now()));
         context.emit(new ForwardingEffect.Fail(inFlight.request.exchange(), reason));
     }
 
