Count the time before a request is read against its deadline

Callers of a host short of processor time had their requests sent to endpoints seconds after they had stopped waiting, and got no answer at the time-out of the route. The arrival of a request was the moment at which the event loop read it, so a request that had lain in its socket had its whole time again.

The time of a request now counts from the earliest instant at which it may have arrived, as TickMonitor derives it; for the first request on a connection that includes the time before the accept, and the backlog is emptied in each round of the loop so that this time is known. Pipelined requests count from when they were read, not from their turn. A host that keeps up counts as before.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EventContext.java
@@ -24,11 +24,6 @@
         return ticks;
     }
 
-    /** Returns the earliest instant at which what is read now may have arrived; now if the host keeps up. */
-    Instant earliestArrival() {
-        return ticks.earliestArrival(now);
-    }
-
     long millisecondsSince(Instant instant) {
         return Duration.between(instant, now).toMillis();
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -18,8 +18,17 @@
     /** The process was suspended or a clock jumped, so earlier time measurements are invalid. */
     record ClockGap() implements ForwardingEvent {}
 
-    /** A caller's request has been received completely. */
-    record RequestArrived(ForwardRequest request) implements ForwardingEvent {}
+    /**
+     * A caller's request has been received completely.
+     *
+     * @param arrivedAt earliest instant at which it may have arrived; empty if it was read at once
+     */
+    record RequestArrived(ForwardRequest request, Optional<Instant> arrivedAt) implements ForwardingEvent {
+        /** Creates the event of a request that was read at once. */
+        public RequestArrived(ForwardRequest request) {
+            this(request, Optional.empty());
+        }
+    }
 
     /** The first output of an attempt arrived. */
     record FirstOutput(long exchange, int attempt) implements ForwardingEvent {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -138,7 +138,7 @@
 
     private void applyToRequests(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.RequestArrived arrived) {
-            forwarder.requestArrived(arrived.request());
+            forwarder.requestArrived(arrived.request(), arrived.arrivedAt().orElse(context.now()));
         } else if (event instanceof ForwardingEvent.FirstOutput output) {
             forwarder.firstOutput(output.exchange(), output.attempt());
         } else if (event instanceof ForwardingEvent.AttemptEnded ended) {
@@ -459,6 +459,11 @@
         return view.configuration();
     }
 
+    /** Returns the earliest instant at which what is read now may have arrived; now if this host keeps up. */
+    public Instant earliestArrival(Instant now) {
+        return context.ticks().earliestArrival(now);
+    }
+
     /** Returns the addresses that callers may use, at least one. */
     public List<NetworkAddress> callerAddresses(Instant now) {
         return peers.callerAddresses(stopping, now);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -36,12 +36,12 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
-    InFlightRequest(ForwardRequest request, Route route, ServiceDefinition service, Instant now) {
+    InFlightRequest(ForwardRequest request, Route route, ServiceDefinition service, Instant arrivedAt) {
         this.request = request;
         this.route = route;
         this.service = service;
-        this.arrivedAt = now;
-        Instant limit = now.plus(route.timeout());
+        this.arrivedAt = arrivedAt;
+        Instant limit = arrivedAt.plus(route.timeout());
         this.deadline = request.callerDeadline().filter(limit::isAfter).orElse(limit);
         this.prefixes = PrefixIndex.hashes(request);
         this.lastEvent = request.resumeAfter();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -93,7 +93,7 @@
         return requests.values().stream().filter(inFlight -> !inFlight.sent).toList();
     }
 
-    void requestArrived(ForwardRequest request) {
+    void requestArrived(ForwardRequest request, Instant arrivedAt) {
         Optional<ForwardingConfiguration> configuration = view.configuration();
         if (ended) {
             refuseUnrouted(request, RefusalReason.STOPPING);
@@ -114,8 +114,8 @@
                 .get()
                 .service(serviceName)
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
-        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, context.now());
-        inFlight.readDelayMilliseconds = context.millisecondsSince(context.earliestArrival());
+        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, arrivedAt);
+        inFlight.readDelayMilliseconds = context.millisecondsSince(arrivedAt);
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/CallerProtocol.java
@@ -18,8 +18,9 @@
      * @param exchange number of the exchange on this host
      * @param caller IP address of the caller
      * @param request the request with its complete body
+     * @param arrivedAt when it arrived; the deadline that its caller states counts from then
      */
-    ParsedRequest parseRequest(long exchange, String caller, FullHttpRequest request, Instant now);
+    ParsedRequest parseRequest(long exchange, String caller, FullHttpRequest request, Instant arrivedAt);
 
     /** Returns the id of a request as its caller sent it, empty if it has none. */
     String findRequestId(HttpHeaders headers);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -405,6 +405,11 @@
             return clock.instant();
         }
 
+        @Override
+        public Instant earliestArrival() {
+            return reducer.earliestArrival(clock.instant());
+        }
+
         @Override
         public Protocols protocols() {
             return protocols;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -59,6 +59,8 @@
     private final Deque<Delivery> deliveries = new ArrayDeque<>();
     private final SentBytesCounter bytes = new SentBytesCounter();
     private Channel channel;
+    private Instant acceptedAt = Instant.MAX;
+    private Instant openedAt = Instant.MAX;
     private Optional<CallerExchange> current = Optional.empty();
     private boolean keepAlive = true;
     private boolean continueExpected;
@@ -83,7 +85,7 @@
     CallerConnection(ForwarderContext forwarder, StrictRequestDecoder decoder) {
         this.forwarder = forwarder;
         this.decoder = decoder;
-        this.reader = new RequestReader(forwarder::limits);
+        this.reader = new RequestReader(forwarder::limits, this::earliestArrival);
     }
 
     /** Returns the handler that counts the bytes of responses after they are encoded. */
@@ -127,6 +129,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        acceptedAt = forwarder.now();
+        openedAt = forwarder.earliestArrival();
         forwarder.opened(this);
         startTimer(forwarder.limits().idleTimeout());
     }
@@ -160,6 +164,12 @@
         }
     }
 
+    /** Returns the earliest instant at which what is read now may have arrived, which may be before the accept. */
+    private Instant earliestArrival() {
+        Instant arrival = forwarder.earliestArrival();
+        return acceptedAt.isAfter(arrival) && openedAt.isBefore(arrival) ? openedAt : arrival;
+    }
+
     private void updateAutoRead() {
         channel.config().setAutoRead(reader.isEnded() || reader.pendingCount() < MAXIMUM_PIPELINED_REQUESTS);
     }
@@ -191,7 +201,7 @@
         }
         updateAutoRead();
         if (next.get() instanceof PendingRequest.Complete complete) {
-            process(complete.request());
+            process(complete.request(), complete.arrivedAt());
         } else if (next.get() instanceof PendingRequest.Rejected rejected) {
             Logger.info("rejecting request of caller {}: {}", channel.remoteAddress(), rejected.message());
             finish(
@@ -203,7 +213,7 @@
         }
     }
 
-    private void process(FullHttpRequest request) {
+    private void process(FullHttpRequest request, Instant arrivedAt) {
         keepAlive = HttpUtil.isKeepAlive(request);
         supportsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         headOnly = request.method().equals(HttpMethod.HEAD);
@@ -213,13 +223,13 @@
         long number = forwarder.nextExchangeNumber();
         deliveries.addLast(
                 new Delivery(forwarder.protocols().callers().findRequestId(request.headers()), bytes.queued()));
-        ParsedRequest parsed = forwarder.protocols().callers().parseRequest(number, caller, request, forwarder.now());
+        ParsedRequest parsed = forwarder.protocols().callers().parseRequest(number, caller, request, arrivedAt);
         if (parsed instanceof ParsedRequest.Valid valid) {
             CallerExchange exchange =
-                    new CallerExchange(number, valid.request().id().value(), request, this, forwarder);
+                    new CallerExchange(number, valid.request().id().value(), request, arrivedAt, this, forwarder);
             current = Optional.of(exchange);
             forwarder.register(exchange);
-            forwarder.submit(new ForwardingEvent.RequestArrived(valid.request()));
+            forwarder.submit(new ForwardingEvent.RequestArrived(valid.request(), Optional.of(arrivedAt)));
         } else if (parsed instanceof ParsedRequest.Malformed malformed) {
             request.release();
             Logger.info("rejecting request of caller {}: malformed {}", caller, malformed.field());
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -61,6 +61,7 @@
             long number,
             String requestId,
             FullHttpRequest request,
+            Instant arrivedAt,
             CallerConnection connection,
             ForwarderContext forwarder) {
         this.number = number;
@@ -68,7 +69,7 @@
         this.request = request;
         this.connection = connection;
         this.forwarder = forwarder;
-        this.arrivedAt = forwarder.now();
+        this.arrivedAt = arrivedAt;
     }
 
     /** Returns the number that this host assigned to the exchange. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -14,6 +14,9 @@
     /** Returns the current instant of the monotonic clock. */
     Instant now();
 
+    /** Returns the earliest instant at which what is read now may have arrived; now if the host keeps up. */
+    Instant earliestArrival();
+
     Protocols protocols();
 
     EndpointConnectionPool connections();
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RequestReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RequestReader.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarder.internal;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -30,6 +31,7 @@
  */
 final class RequestReader {
     private final Supplier<RequestLimits> limits;
+    private final Supplier<Instant> arrivals;
     private final Deque<PendingRequest> pending = new ArrayDeque<>();
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -39,9 +41,11 @@
      * Creates a reader without requests.
      *
      * @param limits returns the limits in force
+     * @param arrivals returns the earliest instant at which what is read may have arrived
      */
-    RequestReader(Supplier<RequestLimits> limits) {
+    RequestReader(Supplier<RequestLimits> limits, Supplier<Instant> arrivals) {
         this.limits = limits;
+        this.arrivals = arrivals;
     }
 
     /** Reads a part of a request; ignores it after {@link #end}. Does not release it. */
@@ -110,7 +114,7 @@
             }
             head = null;
             body = Unpooled.EMPTY_BUFFER;
-            pending.addLast(new PendingRequest.Complete(request));
+            pending.addLast(new PendingRequest.Complete(request, arrivals.get()));
         }
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
@@ -82,6 +82,8 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                // Otherwise connections stay in the backlog over several rounds of a loop that is behind.
+                .option(ChannelOption.MAX_MESSAGES_PER_READ, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer)
                 .bind(address.ip(), address.port())
