Read once more before an idle connection is closed

A caller whose request lay unread on a kept connection while its host stood still got no answer: the idle time-out of the connection ran before the event loop had read, and closed it. The connection is closed one round of the loop later, which reads first, as at the exit of the process.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -399,6 +399,11 @@
     }
 
     private void onTimeout() {
+        // A request may have arrived while this thread did not run; the event loop reads it before its next task.
+        timer = Optional.of(channel.eventLoop().schedule(this::endIdle, 1, TimeUnit.MILLISECONDS));
+    }
+
+    private void endIdle() {
         if (current.isPresent() || reader.pendingCount() > 0 || !channel.isActive()) {
             // Restarted when the requests before have been answered.
             return;
