Send no request whose deadline passed while its connection was opened

A request of a host short of processor time reached its endpoint after its caller's deadline: it was sent in time, but on a new connection, and what waits for a connection was written whenever that was open. The deadline is looked at again then. Such a request has not been sent, so it is refused as not run, and its endpoint is not taken for one that refuses connections.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -40,6 +40,8 @@
     enum NotRunCause {
         /** No connection could be opened, so no byte was sent. */
         NOT_CONNECTED,
+        /** The deadline passed before a connection was open, so no byte was sent. */
+        EXPIRED,
         /** The endpoint answered that it is at capacity. */
         FULL,
         /** Another process has the address, or the runner lacks the adapter version. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -430,6 +430,10 @@
     }
 
     private void notRun(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.NotRunCause cause) {
+        if (cause == AttemptResult.NotRunCause.EXPIRED) {
+            refuseOrFail(inFlight, RefusalReason.DEADLINE_PASSED, 0);
+            return;
+        }
         if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
             crashDetector.endpointUnreachable(endpoint);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -209,6 +209,16 @@
             this.run = position.startRun(send.resumeAfter());
         }
 
+        @Override
+        public boolean awaitsResponse() {
+            return forwarder.now().isBefore(send.deadline());
+        }
+
+        @Override
+        public void onExpired() {
+            finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.EXPIRED));
+        }
+
         @Override
         public void onHead(HttpResponse response) {
             identified = endpoints().identifiesRequest(response);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -53,6 +53,12 @@
         }
     }
 
+    /** Ends the call without sending its request. */
+    void expire() {
+        finished = true;
+        listener.onExpired();
+    }
+
     void connectionLost() {
         if (!finished) {
             finished = true;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -122,6 +122,10 @@
             } else if (call.isFinished()) {
                 request.release();
                 connecting.channel().close();
+            } else if (!listener.awaitsResponse()) {
+                request.release();
+                connecting.channel().close();
+                call.expire();
             } else {
                 connection.start(call, request);
             }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
@@ -5,6 +5,14 @@
 
 /** Receives the response to a call, on the event loop thread. */
 public interface ResponseListener {
+    /** Returns whether the request is still to be sent once a connection is open. */
+    default boolean awaitsResponse() {
+        return true;
+    }
+
+    /** Called instead of sending a request that is no longer to be sent; its connection is closed. */
+    default void onExpired() {}
+
     /** Called with the head of a response. */
     void onHead(HttpResponse head);
 
