Do not take what a host has not read for the silence of an endpoint

In the users' record a host sent a request to a second endpoint 0.3 s after the first had answered: the answer lay unread, and the tick that came first counted the host's own lag as silence. The work ran twice, in a host that was short of processor time already. Silence now counts up to the instant until which the host has read what arrived; while it keeps up nothing changes.

HostLagTest#unreadAnswerIsNotTakenForSilenceAfterAStandstill failed before (a second attempt at the first tick after 2 s).

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -577,7 +577,9 @@
     }
 
     private boolean isSilent(InFlightRequest inFlight) {
-        long waited = context.millisecondsSince(inFlight.sentAt);
+        // What has arrived and is still unread is no silence.
+        Instant readUntil = context.ticks().earliestArrival(context.now());
+        long waited = Duration.between(inFlight.sentAt, readUntil).toMillis();
         return inFlight.route.streaming()
                 ? waited
                         > Math.max(
--- /dev/null
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
@@ -0,0 +1,55 @@
+package org.banyanstair.forwarding;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against decisions of a host that is behind which take its own lag for that of others. */
+class HostLagTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(3);
+
+    private static final Duration STANDSTILL = Duration.ofSeconds(2);
+
+    private final ReducerFixture fixture = new ReducerFixture();
+
+    @BeforeEach
+    void configure() {
+        fixture.configure(1, ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+        fixture.endpoint("desk-1", ReducerFixture.PLAIN_SERVICE, false, 1);
+        fixture.endpoint("desk-2", ReducerFixture.PLAIN_SERVICE, false, 1);
+        fixture.pass(Duration.ofMillis(500));
+    }
+
+    private List<ForwardingEffect> arrive(Duration readDelay) {
+        ForwardRequest request = fixture.request("/x/1", Optional.empty(), PATIENCE.minus(readDelay));
+        return fixture.apply(new ForwardingEvent.RequestArrived(
+                request, Optional.of(fixture.now().minus(readDelay))));
+    }
+
+    private static int sends(List<ForwardingEffect> effects) {
+        return ReducerFixture.only(effects, ForwardingEffect.Send.class).size();
+    }
+
+    @Test
+    void unreadAnswerIsNotTakenForSilenceAfterAStandstill() {
+        ForwardingEffect.Send send = ReducerFixture.only(arrive(Duration.ZERO), ForwardingEffect.Send.class)
+                .get(0);
+        fixture.standStill(STANDSTILL);
+        assertEquals(0, sends(fixture.apply(new ForwardingEvent.Tick())));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.AttemptEnded(
+                send.exchange(), send.attempt(), new AttemptResult.Answered(200, Duration.ZERO)));
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Deliver.class).size());
+    }
+
+    @Test
+    void requestIsSentAfterASingleStandstill() {
+        fixture.standStill(STANDSTILL);
+        assertEquals(1, sends(arrive(STANDSTILL)));
+    }
+}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -87,6 +87,11 @@
         return effects;
     }
 
+    /** Advances time without any event, as while the process does not run. */
+    void standStill(Duration time) {
+        now = now.plus(time);
+    }
+
     /** Advances time while the log does not answer. */
     List<ForwardingEffect> passWithoutReads(Duration time) {
         List<ForwardingEffect> effects = new ArrayList<>();
