Refuse at once what a host that is behind cannot answer in time

A host that does not keep up sent whatever could still begin before its deadline, although it reads the answer a whole round of its event loop later: the work was done for callers who had left, and 504 came after the time-out. A request whose deadline is within the time that the last round took is refused as overloaded, with a time to come back, when it is read. One standstill does not count as a slow loop.

HostLagTest's new case failed before.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -118,10 +118,14 @@
         inFlight.readDelayMilliseconds = context.millisecondsSince(arrivedAt);
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
+        // The answer of an endpoint is read in the next round of the event loop.
+        Duration roundTime = context.ticks().roundTime();
         if (!context.now().isBefore(inFlight.deadline)) {
             refuse(inFlight, RefusalReason.DEADLINE_PASSED, 0);
         } else if (refusals.isRefused(request)) {
             refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
+        } else if (!context.now().plus(roundTime).isBefore(inFlight.firstOutputDeadline())) {
+            refuse(inFlight, RefusalReason.OVERLOADED, roundTime.toMillis());
         } else {
             selectEndpoint(inFlight);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TickMonitor.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TickMonitor.java
@@ -37,7 +37,12 @@
 
     /** Returns whether the last tick was late, so that the next one may still belong to the same delay. */
     boolean isBehind() {
-        return !delay(last).isZero();
+        return !roundTime().isZero();
+    }
+
+    /** Returns the time that the last round of the event loop took; zero if the host keeps up. */
+    Duration roundTime() {
+        return delay(last);
     }
 
     /** Returns the time for which something that is read now may have waited; zero if the host keeps up. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
@@ -47,6 +47,21 @@
                 1, ReducerFixture.only(effects, ForwardingEffect.Deliver.class).size());
     }
 
+    @Test
+    void requestThatCannotBeAnsweredWithinARoundOfTheLoopIsRefusedAtOnce() {
+        for (int round = 0; round < 3; round++) {
+            fixture.standStill(Duration.ofMillis(1200));
+            fixture.apply(new ForwardingEvent.Tick());
+        }
+        List<ForwardingEffect> effects = arrive(Duration.ofMillis(2000));
+        assertEquals(
+                RefusalReason.OVERLOADED,
+                ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
+                        .get(0)
+                        .reason());
+        assertEquals(1, sends(arrive(Duration.ofMillis(1200))));
+    }
+
     @Test
     void requestIsSentAfterASingleStandstill() {
         fixture.standStill(STANDSTILL);
