Log the limits of requests that endpoints name

The header Server-Limit was not read, so no line told that an endpoint had named a limit. It is decoded with the other notices of an endpoint; a change is logged as endpoint-limit and endpoint-limit-ended, a text that is no decimal number as endpoint-limit-ignored, and the gauge limited_endpoints counts them. A limit ends with the first response to a request that names none; a 421 may be of another process, and a response without an id is of the endpoint's own interface. No decision changes.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointNotices.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointNotices.java
@@ -19,11 +19,13 @@
     private final EventContext context;
     private final HostId self;
     private final PlatformView view;
+    private final EndpointLimits limits;
 
-    EndpointNotices(EventContext context, HostId self, PlatformView view) {
+    EndpointNotices(EventContext context, HostId self, PlatformView view, EndpointLimits limits) {
         this.context = context;
         this.self = self;
         this.view = view;
+        this.limits = limits;
     }
 
     /**
@@ -40,6 +42,7 @@
         notice.unreadablePause()
                 .ifPresent(text ->
                         context.log(DecisionRecord.important("endpoint-pause-ignored", "endpoint", id, "text", text)));
+        limits.observe(endpoint.get(), notice.limit());
         boolean leaves = notice.leaving() && startLeaving(endpoint.get());
         boolean pauses = notice.pauseUntil()
                 .filter(until -> extendPause(endpoint.get(), until))
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -12,6 +12,7 @@
 import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
+import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
@@ -456,6 +457,7 @@
                 peers.live(now).size() - 1,
                 refusals.refusedRequests(),
                 refusals.refusedParts(),
+                forwarder.limits().count(),
                 context.ticks().reportedDelay(),
                 topics);
     }
@@ -470,6 +472,11 @@
         return context.ticks().earliestArrival(now);
     }
 
+    /** Returns whether an endpoint has named a limit of the requests of all hosts. */
+    public boolean isLimited(EndpointId endpoint) {
+        return forwarder.limits().isLimited(endpoint);
+    }
+
     /** Returns the addresses that callers may use, at least one. */
     public List<NetworkAddress> callerAddresses(Instant now) {
         return peers.callerAddresses(stopping, now);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -16,6 +16,7 @@
  * @param livePeers number of other hosts that are live
  * @param refusedRequests number of requests that are refused because they crash endpoints
  * @param refusedParts number of prompt parts whose requests are refused because they crash endpoints
+ * @param limitedEndpoints number of endpoints that have named a limit of the requests of all hosts
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
  */
@@ -28,6 +29,7 @@
         int livePeers,
         int refusedRequests,
         int refusedParts,
+        int limitedEndpoints,
         Duration readDelay,
         Map<Topic, TopicStatus> topics) {
     /** Copies the maps. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -54,6 +54,7 @@
     private final Map<Long, InFlightRequest> requests = new TreeMap<>();
     private final RetryBudgets retryBudgets;
     private final UsageTracker usage;
+    private final EndpointLimits limits;
     private final EndpointNotices notices;
     private final StopAdmission stopAdmission = new StopAdmission();
     private boolean ended;
@@ -75,7 +76,8 @@
         this.refusals = crashDetector.refusals();
         this.usage = new UsageTracker(
                 context, settings.identity().host(), view, messenger, runnerManager, requests.values());
-        this.notices = new EndpointNotices(context, settings.identity().host(), view);
+        this.limits = new EndpointLimits(context);
+        this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
         this.retryBudgets = new RetryBudgets(settings, peers);
         this.selector = new EndpointSelector(settings.announcement().dataCentre());
     }
@@ -84,6 +86,10 @@
         return usage;
     }
 
+    EndpointLimits limits() {
+        return limits;
+    }
+
     int size() {
         return requests.size();
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -385,6 +385,7 @@
                 () -> {},
                 metrics.timeRunnerCall(operation, clock, response -> {
                     response.flatMap(received -> protocols.endpoints().parseNotice(received, endpoint, context.now()))
+                            .filter(notice -> !notice.isEmpty())
                             .ifPresent(notice -> context.submit(
                                     new ForwardingEvent.EndpointNoticeReceived(endpoint, sentAt, notice)));
                     callback.accept(response);
@@ -430,6 +431,11 @@
             return reducer.configuration().map(ForwardingConfiguration::limits).orElse(RequestLimits.DEFAULT);
         }
 
+        @Override
+        public boolean isLimited(EndpointId endpoint) {
+            return reducer.isLimited(endpoint);
+        }
+
         @Override
         public boolean isStopping() {
             return stopping;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -230,6 +230,7 @@
             if (kind != ResponseKind.FOREIGN) {
                 endpoints()
                         .parseNotice(response, send.endpoint(), forwarder.now())
+                        .filter(notice -> !notice.isEmpty() || forwarder.isLimited(send.endpoint()))
                         .ifPresent(notice -> forwarder.submit(
                                 new ForwardingEvent.EndpointNoticeReceived(send.endpoint(), sentAt, notice)));
             }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -5,6 +5,7 @@
 import org.banyanstair.forwarder.Protocols;
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.RequestLimits;
+import org.banyanstair.model.EndpointId;
 
 /** The daemon as seen by its connections. Used on the event loop thread only. */
 public interface ForwarderContext {
@@ -26,6 +27,9 @@
     /** Returns the request limits of the configuration in force. */
     RequestLimits limits();
 
+    /** Returns whether an endpoint has named a limit of its requests, so that a response without one matters. */
+    boolean isLimited(EndpointId endpoint);
+
     /** Returns whether the host is stopping, so that connections are closed after their response. */
     boolean isStopping();
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -114,6 +114,7 @@
         registerGauge("live_peers", () -> snapshot.livePeers());
         registerGauge("refused_requests", () -> snapshot.refusedRequests());
         registerGauge("refused_prompt_parts", () -> snapshot.refusedParts());
+        registerGauge("limited_endpoints", () -> snapshot.limitedEndpoints());
         registerGauge("read_delay_seconds", () -> snapshot.readDelay().toMillis() / 1000.0);
         for (EndpointCondition condition : EndpointCondition.values()) {
             registerGauge(
