--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -65,6 +66,7 @@
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Outcome> outcomes = new ArrayList<>();
     private BiPredicate<HostId, HostId> delivers = (from, to) -> true;
+    private final Map<EndpointId, Double> limits = new HashMap<>();
     private boolean answersBeforeCrash;
     private Optional<Duration> patienceOfDeadlyCallers = Optional.empty();
     private Instant now;
@@ -72,7 +74,7 @@
     private long orders;
 
     /** An attempt that reached a runner. */
-    record Arrival(Instant at, ForwardRequest request, int attempt) {}
+    record Arrival(Instant at, ForwardRequest request, int attempt, EndpointId endpoint) {}
 
     /** End of a request; the reason is present if it was refused. */
     record Outcome(Instant at, ForwardRequest request, boolean answered, Optional<RefusalReason> refusal) {}
@@ -160,6 +162,15 @@
         answersBeforeCrash = true;
     }
 
+    /** Lets an endpoint name a limit of requests a second in its responses; an empty limit ends that. */
+    void setLimit(EndpointId endpoint, OptionalDouble perSecond) {
+        if (perSecond.isPresent()) {
+            limits.put(endpoint, perSecond.getAsDouble());
+        } else {
+            limits.remove(endpoint);
+        }
+    }
+
     /** Lets callers of deadly requests leave after a time, which is shorter than it takes until the crash. */
     void setCallersOfDeadlyRequestsLeave(Duration patience) {
         patienceOfDeadlyCallers = Optional.of(patience);
@@ -376,7 +387,7 @@
             return;
         }
         ForwardRequest request = requests.get(new ExchangeKey(host, send.exchange()));
-        arrivals.add(new Arrival(now, request, send.attempt()));
+        arrivals.add(new Arrival(now, request, send.attempt(), send.endpoint()));
         running.put(attempt, new Running(send.endpoint()));
         if (isDeadly(request) && patienceOfDeadlyCallers.isPresent()) {
             Duration patience = patienceOfDeadlyCallers.get();
@@ -398,11 +409,27 @@
         schedule(Duration.between(now, runner.freeAt), () -> output(attempt, request));
     }
 
+    private void sendNotice(Attempt attempt, EndpointId endpoint) {
+        ReducerFixture host = hosts.get(attempt.host());
+        Double limit = limits.get(endpoint);
+        OptionalDouble perSecond = limit == null ? OptionalDouble.empty() : OptionalDouble.of(limit);
+        if (limit != null || host.reducer().isLimited(endpoint)) {
+            run(
+                    attempt.host(),
+                    host.apply(new ForwardingEvent.EndpointNoticeReceived(
+                            endpoint,
+                            now,
+                            new EndpointNotice(
+                                    false, Optional.empty(), Optional.empty(), RequestLimitNotice.of(perSecond)))));
+        }
+    }
+
     private void output(Attempt attempt, ForwardRequest request) {
         Running state = running.get(attempt);
         if (state == null) {
             return;
         }
+        sendNotice(attempt, state.runner);
         if (isDeadly(request)) {
             crashes.add(now);
             if (answersBeforeCrash) {
