Keep the limits that endpoints name, all hosts together

Each host reports in its heartbeats the newest response of each limited endpoint, with its age, and its own demand for the service; all derive the same parts from that, in proportion to demand, for a few hosts only at a low limit. First attempts, repeats and resumed streams count alike. What exceeds all limits of a service is refused at once with ENDPOINTS_LIMITED and a time to come back. The limit ends for all with the newest response that names none.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -257,6 +257,7 @@
                     new HostIdentity(sender, state.announcement().incarnation()), state.loads());
             refusals.partsReported(sender, state.parts());
             refusals.requestsReported(sender, state.requests());
+            forwarder.limits().limitsReported(sender, state.limits());
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
         } else if (message instanceof PeerMessage.Bundle bundle) {
@@ -366,7 +367,8 @@
                 view.consumer(Topic.ENDPOINTS).end(),
                 runnerManager.observedLoads(),
                 refusals.partEvidence(),
-                refusals.requestReport(complete));
+                refusals.requestReport(complete),
+                forwarder.limits().report());
     }
 
     private void tick() {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -12,6 +12,8 @@
     NO_ENDPOINT,
     /** All endpoints of the service have asked this host for a pause. */
     ENDPOINTS_PAUSED,
+    /** The requests of all hosts are up to the limits that the endpoints of the service have named. */
+    ENDPOINTS_LIMITED,
     /** No endpoint can start the request before the caller stops waiting. */
     OVERLOADED,
     /** No runner can load the adapter now. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -76,7 +76,7 @@
         this.refusals = crashDetector.refusals();
         this.usage = new UsageTracker(
                 context, settings.identity().host(), view, messenger, runnerManager, requests.values());
-        this.limits = new EndpointLimits(context);
+        this.limits = new EndpointLimits(context, settings.identity().host(), view, peers);
         this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
         this.retryBudgets = new RetryBudgets(settings, peers);
         this.selector = new EndpointSelector(settings.announcement().dataCentre());
@@ -124,6 +124,7 @@
         inFlight.readDelayMilliseconds = context.millisecondsSince(arrivedAt);
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
+        limits.recordDemand(service.name());
         // The answer of an endpoint is read in the next round of the event loop.
         Duration roundTime = context.ticks().roundTime();
         if (!context.now().isBefore(inFlight.deadline)) {
@@ -180,19 +181,14 @@
                 needed,
                 request.adapter().map(view::newestVersion).orElse(0L),
                 runnerManager.weightStoreUtilization());
-        Optional<EndpointSelection> selection = selector.select(query, view.endpointsOf(inFlight.service.name()), now);
+        Optional<EndpointSelection> selection = selector.select(
+                query,
+                view.endpointsOf(inFlight.service.name()).stream()
+                        .filter(limits::allowsRequest)
+                        .toList(),
+                now);
         if (selection.isEmpty()) {
-            Optional<Instant> pauseEnd = notices.soonestPauseEnd(inFlight.service.name());
-            if (pauseEnd.isPresent()) {
-                refuseOrFail(
-                        inFlight,
-                        RefusalReason.ENDPOINTS_PAUSED,
-                        Duration.between(now, pauseEnd.get()).toMillis());
-                return;
-            }
-            boolean anyAvailable = view.endpointsOf(inFlight.service.name()).stream()
-                    .anyMatch(endpoint -> endpoint.acceptsRequests(now));
-            refuseOrFail(inFlight, anyAvailable ? RefusalReason.ADAPTER_UNAVAILABLE : RefusalReason.NO_ENDPOINT, 0);
+            refuseWithoutEndpoint(inFlight);
             return;
         }
         EndpointState endpoint = selection.get().endpoint();
@@ -224,6 +220,36 @@
         }
     }
 
+    private void refuseWithoutEndpoint(InFlightRequest inFlight) {
+        Optional<Instant> pauseEnd = notices.soonestPauseEnd(inFlight.service.name());
+        if (pauseEnd.isPresent()) {
+            refuseOrFail(inFlight, RefusalReason.ENDPOINTS_PAUSED, -context.millisecondsSince(pauseEnd.get()));
+            return;
+        }
+        List<EndpointState> endpoints = view.endpointsOf(inFlight.service.name());
+        if (endpoints.stream().anyMatch(this::mayReceiveRequest)) {
+            refuseOrFail(inFlight, RefusalReason.ADAPTER_UNAVAILABLE, 0);
+            return;
+        }
+        Optional<Instant> soonest = limits.soonestRequest(endpoints);
+        if (soonest.isPresent()) {
+            boolean hasShare = soonest.get().isBefore(inFlight.deadline);
+            refuseOrFail(
+                    inFlight,
+                    RefusalReason.ENDPOINTS_LIMITED,
+                    hasShare
+                            ? -context.millisecondsSince(soonest.get())
+                            : inFlight.route.timeout().toMillis());
+            return;
+        }
+        refuseOrFail(inFlight, RefusalReason.NO_ENDPOINT, 0);
+    }
+
+    /** Returns whether a request may be sent to an endpoint now. */
+    private boolean mayReceiveRequest(EndpointState endpoint) {
+        return endpoint.acceptsRequests(context.now()) && limits.allowsRequest(endpoint);
+    }
+
     private long neededVersion(ForwardRequest request) {
         return request.adapter()
                 .map(adapter -> view.neededVersion(adapter, settings.versionTerm(), context.now()))
@@ -273,7 +299,7 @@
             return;
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
-        if (!endpoint.acceptsRequests(now) || !stopAdmission.allows(inFlight, now)) {
+        if (!mayReceiveRequest(endpoint) || !stopAdmission.allows(inFlight, now)) {
             selectEndpoint(inFlight);
             return;
         }
@@ -307,6 +333,7 @@
                 : 0;
         inFlight.tried.add(endpoint.id());
         endpoint.requestedPause().recordRequest();
+        limits.recordRequest(endpoint);
         inFlight.cachedTokens = endpoint.prefixes().cachedTokens(request, inFlight.prefixes);
         usage.addPrefixes(endpoint, inFlight.prefixes);
         request.adapter().ifPresent(adapter -> runnerManager.recordUse(endpoint, adapter));
@@ -426,8 +453,7 @@
                 && context.now().isBefore(inFlight.deadline)
                 && crashDetector.mayRunAgain(inFlight.request)
                 && view.endpointsOf(inFlight.service.name()).stream()
-                        .anyMatch(endpoint ->
-                                endpoint.acceptsRequests(context.now()) && !inFlight.tried.contains(endpoint.id()))
+                        .anyMatch(endpoint -> mayReceiveRequest(endpoint) && !inFlight.tried.contains(endpoint.id()))
                 && retryBudgets.tryAcquire(inFlight.service.name(), context.now());
     }
 
@@ -563,6 +589,7 @@
     }
 
     void tick() {
+        limits.tick();
         advanceWaiting();
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
             if (!inFlight.sent) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -41,13 +41,19 @@
             case NO_ENDPOINT, ADAPTER_UNAVAILABLE -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
             case ENDPOINTS_PAUSED -> Optional.of(
                     scale(Duration.ofMillis((long) Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds)), jitter));
+            case ENDPOINTS_LIMITED -> Optional.of(scale(limit(startMilliseconds), jitter));
             case OVERLOADED -> {
-                double wait = Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds - objective.toMillis());
-                yield Optional.of(scale(Duration.ofMillis((long) Math.min(MAXIMUM_DELAY.toMillis(), wait)), jitter));
+                double wait = startMilliseconds - objective.toMillis();
+                yield Optional.of(scale(limit(wait), jitter));
             }
         };
     }
 
+    private static Duration limit(double milliseconds) {
+        return Duration.ofMillis(
+                (long) Math.max(MINIMUM_DELAY.toMillis(), Math.min(MAXIMUM_DELAY.toMillis(), milliseconds)));
+    }
+
     private static Duration scale(Duration duration, double factor) {
         return Duration.ofMillis((long) (duration.toMillis() * factor));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -161,6 +161,7 @@
      * @param loads adapter loads that the sender has observed; null stands for none
      * @param parts what the sender knows of prompt parts that may crash endpoints; null stands for nothing
      * @param requests requests that several endpoints crashed under, as far as the sender knows; null stands for none
+     * @param limits limits that endpoints have named, as far as the sender knows; null stands for none
      */
     record HostState(
             HostAnnouncement announcement,
@@ -170,13 +171,15 @@
             long endpointsOffset,
             LoadCounts loads,
             PartEvidence parts,
-            List<ReportedRequest> requests)
+            List<ReportedRequest> requests,
+            List<ReportedLimit> limits)
             implements PeerMessage {
         /** Replaces what a host of an earlier release does not send. */
         public HostState {
             loads = loads == null ? LoadCounts.NONE : loads;
             parts = parts == null ? PartEvidence.NONE : parts;
             requests = requests == null ? List.of() : List.copyOf(requests);
+            limits = limits == null ? List.of() : List.copyOf(limits);
         }
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -209,6 +209,7 @@
                         0,
                         LoadCounts.NONE,
                         new PartEvidence(List.of(), List.of(new RefusedPart(FIRST_PART, 5_000, 60_000))),
+                        List.of(),
                         List.of())));
         List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(100));
         assertEquals(
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -136,6 +136,7 @@
                                     0,
                                     LoadCounts.NONE,
                                     PartEvidence.NONE,
+                                    List.of(),
                                     List.of()),
                             now));
             if (partitioned) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -20,6 +20,7 @@
 import org.banyanstair.peer.PeerBroadcast;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
 import org.msgpack.core.MessageUnpacker;
 
@@ -130,6 +131,7 @@
         LoadCounts loads = LoadCounts.NONE;
         PartEvidence parts = PartEvidence.NONE;
         List<ReportedRequest> requests = List.of();
+        List<ReportedLimit> limits = List.of();
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "announcement" -> {
@@ -156,6 +158,9 @@
                 case "requests" -> {
                     requests = values.readList(values::readReportedRequest);
                 }
+                case "limits" -> {
+                    limits = values.readList(values::readReportedLimit);
+                }
                 default -> in.skipValue();
             }
         }
@@ -167,7 +172,8 @@
                 endpointsOffset,
                 loads,
                 parts,
-                requests);
+                requests,
+                limits);
     }
 
     private Optional<PeerMessage> readBundle(int fields) throws IOException {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -18,6 +18,7 @@
 import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
 import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
 import org.msgpack.core.MessagePacker;
 
@@ -80,7 +81,7 @@
             begin("Pong", 1);
             field("sequence", pong.sequence());
         } else if (message instanceof PeerMessage.HostState state) {
-            begin("HostState", 8);
+            begin("HostState", 9);
             out.packString("announcement");
             write(state.announcement());
             field("leaving", state.leaving());
@@ -92,6 +93,7 @@
             out.packString("parts");
             write(state.parts());
             field("requests", state.requests(), this::write);
+            field("limits", state.limits(), this::write);
         } else if (message instanceof PeerMessage.Bundle bundle) {
             begin("Bundle", 2);
             field("news", bundle.news(), this::write);
@@ -290,6 +292,19 @@
         out.packBoolean(crash.cleared());
     }
 
+    private void write(ReportedLimit limit) throws IOException {
+        out.packArrayHeader(5);
+        out.packString(limit.endpoint().value());
+        out.packLong(limit.started());
+        if (limit.perSecond().isPresent()) {
+            out.packDouble(limit.perSecond().getAsDouble());
+        } else {
+            out.packNil();
+        }
+        out.packLong(limit.ageMilliseconds());
+        out.packDouble(limit.demandPerSecond());
+    }
+
     private void write(EndpointUsage usage) throws IOException {
         out.packArrayHeader(6);
         out.packString(usage.endpoint().value());
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
@@ -21,6 +22,7 @@
 import org.banyanstair.peer.RefusedPart;
 import org.banyanstair.peer.RelayedRecord;
 import org.banyanstair.peer.ReportedCrash;
+import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
 import org.msgpack.core.MessageUnpacker;
 
@@ -197,6 +199,18 @@
         return request;
     }
 
+    ReportedLimit readReportedLimit() throws IOException {
+        int surplus = readArrayHeader(5);
+        ReportedLimit limit = new ReportedLimit(
+                new EndpointId(readString()),
+                in.unpackLong(),
+                in.tryUnpackNil() ? OptionalDouble.empty() : OptionalDouble.of(in.unpackDouble()),
+                in.unpackLong(),
+                in.unpackDouble());
+        in.skipValue(surplus);
+        return limit;
+    }
+
     private ReportedCrash readReportedCrash() throws IOException {
         int surplus = readArrayHeader(4);
         ReportedCrash crash =
