--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
@@ -47,7 +47,7 @@
     private static Object contextResult(String method, Protocols protocols) {
         return switch (method) {
             case "limits" -> RequestLimits.DEFAULT;
-            case "now" -> Instant.EPOCH;
+            case "now", "earliestArrival" -> Instant.EPOCH;
             case "protocols" -> protocols;
             case "isStopping" -> false;
             case "nextExchangeNumber" -> 1L;
