Leave time to read the answer when a connection opens late

A request for which a connection was opened in a host that is behind was sent up to its deadline, although the answer is read a round of the event loop later. It is looked at in the same way as a request that has just been read.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -474,6 +474,11 @@
         return context.ticks().earliestArrival(now);
     }
 
+    /** Returns when the answer to what is sent now is read at the earliest; now if this host keeps up. */
+    public Instant nextRead(Instant now) {
+        return context.ticks().nextRead(now);
+    }
+
     /** Returns whether an endpoint has named a limit of the requests of all hosts. */
     public boolean isLimited(EndpointId endpoint) {
         return forwarder.limits().isLimited(endpoint);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -125,14 +125,13 @@
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         limits.recordDemand(service.name());
-        // The answer of an endpoint is read in the next round of the event loop.
-        Duration roundTime = context.ticks().roundTime();
+        Instant nextRead = context.ticks().nextRead(context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
             refuse(inFlight, RefusalReason.DEADLINE_PASSED, 0);
         } else if (refusals.isRefused(request)) {
             refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
-        } else if (!context.now().plus(roundTime).isBefore(inFlight.firstOutputDeadline())) {
-            refuse(inFlight, RefusalReason.OVERLOADED, roundTime.toMillis());
+        } else if (!nextRead.isBefore(inFlight.firstOutputDeadline())) {
+            refuse(inFlight, RefusalReason.OVERLOADED, -context.millisecondsSince(nextRead));
         } else {
             selectEndpoint(inFlight);
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TickMonitor.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TickMonitor.java
@@ -40,8 +40,13 @@
         return !roundTime().isZero();
     }
 
+    /** Returns when the answer to what is sent now is read at the earliest: after another round of the event loop. */
+    Instant nextRead(Instant now) {
+        return now.plus(roundTime());
+    }
+
     /** Returns the time that the last round of the event loop took; zero if the host keeps up. */
-    Duration roundTime() {
+    private Duration roundTime() {
         return delay(last);
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -411,6 +411,11 @@
             return reducer.earliestArrival(clock.instant());
         }
 
+        @Override
+        public Instant nextRead() {
+            return reducer.nextRead(clock.instant());
+        }
+
         @Override
         public Protocols protocols() {
             return protocols;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -211,7 +211,7 @@
 
         @Override
         public boolean awaitsResponse() {
-            return forwarder.now().isBefore(send.deadline());
+            return forwarder.nextRead().isBefore(send.deadline());
         }
 
         @Override
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -18,6 +18,9 @@
     /** Returns the earliest instant at which what is read now may have arrived; now if the host keeps up. */
     Instant earliestArrival();
 
+    /** Returns when the answer to what is sent now is read at the earliest; now if the host keeps up. */
+    Instant nextRead();
+
     Protocols protocols();
 
     EndpointConnectionPool connections();
