Do not cut off a stream that may have arrived later than assumed

A host that does not keep up counts the time of a request from the earliest instant at which it may have arrived.

The earliest arrival decides what is still sent, and when a request without any output fails.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -20,6 +20,7 @@
      *
      * @param attempt number of the attempt, from 1
      * @param endpoint the endpoint; another process at the address must not run the request
+     * @param sendBefore when the request must have been sent
      * @param deadline when the endpoint must stop
      * @param rank urgency; 0 is the most urgent
      * @param adapterVersion version that the runner must have; empty without an adapter
@@ -30,6 +31,7 @@
             int attempt,
             EndpointId endpoint,
             NetworkAddress address,
+            Instant sendBefore,
             Instant deadline,
             int rank,
             OptionalLong adapterVersion,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -15,11 +15,12 @@
     final ServiceDefinition service;
     final Instant arrivedAt;
     final Instant deadline;
+    final Instant latestDeadline;
     final long[] prefixes;
     final Set<EndpointId> tried = new HashSet<>();
     final Set<EndpointId> loadUnavailable = new HashSet<>();
     Optional<EndpointState> endpoint = Optional.empty();
-    long readDelayMilliseconds;
+    final long readDelayMilliseconds;
     boolean sent;
     boolean firstOutput;
     boolean outputReported;
@@ -36,17 +37,32 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
-    InFlightRequest(ForwardRequest request, Route route, ServiceDefinition service, Instant arrivedAt) {
+    InFlightRequest(ForwardRequest request, Route route, ServiceDefinition service, Instant arrivedAt, Instant readAt) {
         this.request = request;
         this.route = route;
         this.service = service;
         this.arrivedAt = arrivedAt;
         Instant limit = arrivedAt.plus(route.timeout());
         this.deadline = request.callerDeadline().filter(limit::isAfter).orElse(limit);
+        this.readDelayMilliseconds = Duration.between(arrivedAt, readAt).toMillis();
+        this.latestDeadline = deadline.plus(Duration.between(arrivedAt, readAt));
         this.prefixes = PrefixIndex.hashes(request);
         this.lastEvent = request.resumeAfter();
     }
 
+    /**
+     * Returns when the request fails if its answer is not complete. One that may have arrived later than assumed is not
+     * cut off in the middle of its answer.
+     */
+    Instant failureDeadline() {
+        return firstOutput ? latestDeadline : deadline;
+    }
+
+    /** Returns when its endpoint must stop. */
+    Instant endpointDeadline() {
+        return route.streaming() ? latestDeadline : deadline;
+    }
+
     /** Returns the prompt tokens that were not cached on the runner. */
     int uncachedTokens() {
         return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -120,8 +120,7 @@
                 .get()
                 .service(serviceName)
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
-        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, arrivedAt);
-        inFlight.readDelayMilliseconds = context.millisecondsSince(arrivedAt);
+        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, arrivedAt, context.now());
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         limits.recordDemand(service.name());
@@ -361,6 +360,7 @@
                 endpoint.id(),
                 endpoint.listing().address(),
                 inFlight.deadline,
+                inFlight.endpointDeadline(),
                 inFlight.route.rank(),
                 slot == null || slot.version() == 0 ? OptionalLong.empty() : OptionalLong.of(slot.version()),
                 inFlight.lastEvent));
@@ -594,7 +594,7 @@
             if (!inFlight.sent) {
                 continue;
             }
-            if (!context.now().isBefore(inFlight.deadline)) {
+            if (!context.now().isBefore(inFlight.failureDeadline())) {
                 cancel(inFlight);
                 fail(inFlight, FailureReason.TIMED_OUT);
             } else if (inFlight.firstOutput) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/StopAdmission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/StopAdmission.java
@@ -32,7 +32,7 @@
      * it has not run.
      */
     boolean allows(InFlightRequest inFlight, Instant now) {
-        if (inFlight.mayHaveRun || !inFlight.deadline.isAfter(schedule.deadline())) {
+        if (inFlight.mayHaveRun || !inFlight.latestDeadline.isAfter(schedule.deadline())) {
             return true;
         }
         return now.isBefore(schedule.estimatesUntil())
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
@@ -62,6 +62,24 @@
         assertEquals(1, sends(arrive(Duration.ofMillis(1200))));
     }
 
+    @Test
+    void streamThatMayHaveArrivedLaterIsNotCutOffInItsAnswer() {
+        fixture.configure(2, ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, true, true, false));
+        fixture.standStill(STANDSTILL);
+        ForwardingEffect.Send send = ReducerFixture.only(arrive(STANDSTILL), ForwardingEffect.Send.class)
+                .get(0);
+        assertEquals(fixture.now().plus(PATIENCE), send.deadline());
+        assertEquals(fixture.now().plus(PATIENCE).minus(STANDSTILL), send.sendBefore());
+        fixture.apply(new ForwardingEvent.FirstOutput(send.exchange(), send.attempt()));
+        List<ForwardingEffect> effects = fixture.pass(PATIENCE.minusMillis(100));
+        assertEquals(
+                0, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
+        assertEquals(
+                1,
+                ReducerFixture.only(fixture.pass(Duration.ofMillis(200)), ForwardingEffect.Fail.class)
+                        .size());
+    }
+
     @Test
     void requestIsSentAfterASingleStandstill() {
         fixture.standStill(STANDSTILL);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -211,7 +211,7 @@
 
         @Override
         public boolean awaitsResponse() {
-            return forwarder.nextRead().isBefore(send.deadline());
+            return forwarder.nextRead().isBefore(send.sendBefore());
         }
 
         @Override
