Do not cut off a resumed stream that may have arrived later than assumed

A stream of which the caller had a part, and which went on at another endpoint in a host that was behind, was still cut off at the earliest deadline while the second endpoint had not begun. Now the first output of the request decides.

HostLagTest#streamThatIsResumedIsNotCutOffBeforeItsLatestDeadline failed before. Found by reading the change.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -55,7 +55,7 @@
      * cut off in the middle of its answer.
      */
     Instant failureDeadline() {
-        return firstOutput ? latestDeadline : deadline;
+        return firstOutputMilliseconds >= 0 ? latestDeadline : deadline;
     }
 
     /** Returns when its endpoint must stop. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/HostLagTest.java
@@ -80,6 +80,24 @@
                         .size());
     }
 
+    @Test
+    void streamThatIsResumedIsNotCutOffBeforeItsLatestDeadline() {
+        fixture.configure(2, ReducerFixture.route("/x/", ReducerFixture.PLAIN_SERVICE, true, true, true));
+        fixture.standStill(STANDSTILL);
+        ForwardingEffect.Send first = ReducerFixture.only(arrive(STANDSTILL), ForwardingEffect.Send.class)
+                .get(0);
+        fixture.apply(new ForwardingEvent.FirstOutput(first.exchange(), first.attempt()));
+        fixture.pass(Duration.ofMillis(800));
+        List<ForwardingEffect> resumed = fixture.apply(new ForwardingEvent.AttemptEnded(
+                first.exchange(),
+                first.attempt(),
+                new AttemptResult.Broken(AttemptResult.BrokenCause.CONNECTION_LOST, true, Optional.of(1L))));
+        assertEquals(1, sends(resumed));
+        List<ForwardingEffect> effects = fixture.pass(Duration.ofMillis(400));
+        assertEquals(
+                0, ReducerFixture.only(effects, ForwardingEffect.Fail.class).size());
+    }
+
     @Test
     void requestIsSentAfterASingleStandstill() {
         fixture.standStill(STANDSTILL);
