Read teams, their keys and allotments from the configuration

The daemon knew nothing of tenants: a request with an unknown key was served, and the key and the caller's own tenant header reached endpoints.

Not measured yet.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -6,6 +6,7 @@
 
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.RequestId;
+import org.banyanstair.teams.KeyDigest;
 
 /**
  * A caller's request, without its body.
@@ -21,6 +22,7 @@
  * @param outputTokens maximum number of generated tokens
  * @param callerDeadline when the caller stops waiting; empty if unspecified
  * @param resumeAfter id of the last event that the caller has received; empty for a stream from its start
+ * @param key digest of the caller's API key; empty if it sent none
  * @param fingerprint digest of method, path, caller and body, the same when the request is sent again
  * @param widerFingerprints digests of less than that, which other requests may share: a request that is sent again may
  *     come from another address, for example
@@ -37,6 +39,7 @@
         int outputTokens,
         Optional<Instant> callerDeadline,
         Optional<Long> resumeAfter,
+        Optional<KeyDigest> key,
         long fingerprint,
         List<Long> widerFingerprints) {
     /** Copies the lists. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
@@ -6,20 +6,24 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.banyanstair.teams.TeamTable;
+
 /** One version of the routes and services; immutable. */
 public final class ForwardingConfiguration {
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceDefinition> services;
     private final RequestLimits limits;
+    private final TeamTable teams;
 
     /**
      * Creates a configuration.
      *
      * @param limits limits for the requests of callers
+     * @param teams who may send requests; {@link TeamTable#NONE} if requests need no key
      */
     public ForwardingConfiguration(
-            long version, List<Route> routes, List<ServiceDefinition> services, RequestLimits limits) {
+            long version, List<Route> routes, List<ServiceDefinition> services, RequestLimits limits, TeamTable teams) {
         this.version = version;
         this.routesByHost = routes.stream()
                 .sorted(Comparator.comparingInt(
@@ -28,6 +32,7 @@
                 .collect(Collectors.groupingBy(Route::host));
         this.services = services.stream().collect(Collectors.toMap(ServiceDefinition::name, service -> service));
         this.limits = limits;
+        this.teams = teams;
     }
 
     /** Returns the version, which grows with each change. */
@@ -40,6 +45,11 @@
         return limits;
     }
 
+    /** Returns who may send requests; empty if requests need no key. */
+    public TeamTable teams() {
+        return teams;
+    }
+
     /**
      * Returns the route with the longest matching path prefix; empty if none matches.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -12,6 +12,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.teams.TeamName;
 
 /** An action for the host; actions are executed in order. */
 public sealed interface ForwardingEffect {
@@ -23,6 +24,7 @@
      * @param sendBefore when the request must have been sent
      * @param deadline when the endpoint must stop
      * @param rank urgency; 0 is the most urgent
+     * @param team team of the request; empty in a deployment without teams or on an open route
      * @param adapterVersion version that the runner must have; empty without an adapter
      * @param resumeAfter id of the event after which a stream is resumed
      */
@@ -34,6 +36,7 @@
             Instant sendBefore,
             Instant deadline,
             int rank,
+            Optional<TeamName> team,
             OptionalLong adapterVersion,
             Optional<Long> resumeAfter)
             implements ForwardingEffect {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
@@ -5,6 +5,7 @@
 
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostIdentity;
+import org.banyanstair.teams.TeamSettings;
 
 /**
  * Settings of the forwarding decisions; the times are those that the platform's operator specifies.
@@ -14,6 +15,7 @@
  * @param retrySlack retries of all hosts per window that are allowed in excess of that share
  * @param leaseTerm minimum time between commands of two hosts to the same runner
  * @param versionTerm time within which a newly published adapter version must be in use
+ * @param teams terms for teams
  */
 public record ForwardingSettings(
         HostIdentity identity,
@@ -21,11 +23,13 @@
         double retryShare,
         int retrySlack,
         Duration leaseTerm,
-        Duration versionTerm) {
+        Duration versionTerm,
+        TeamSettings teams) {
     public ForwardingSettings {
         Objects.requireNonNull(identity, "identity");
         Objects.requireNonNull(announcement, "announcement");
         Objects.requireNonNull(leaseTerm, "leaseTerm");
         Objects.requireNonNull(versionTerm, "versionTerm");
+        Objects.requireNonNull(teams, "teams");
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -4,15 +4,18 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 import org.banyanstair.model.EndpointId;
+import org.banyanstair.teams.Team;
 
 /** State of a request that this host forwards. Not thread-safe. */
 final class InFlightRequest {
     final ForwardRequest request;
     final Route route;
     final ServiceDefinition service;
+    final Optional<Team> team;
     final Instant arrivedAt;
     final Instant deadline;
     final Instant latestDeadline;
@@ -37,10 +40,17 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
-    InFlightRequest(ForwardRequest request, Route route, ServiceDefinition service, Instant arrivedAt, Instant readAt) {
+    InFlightRequest(
+            ForwardRequest request,
+            Route route,
+            ServiceDefinition service,
+            Optional<Team> team,
+            Instant arrivedAt,
+            Instant readAt) {
         this.request = request;
         this.route = route;
         this.service = service;
+        this.team = team;
         this.arrivedAt = arrivedAt;
         Instant limit = arrivedAt.plus(route.timeout());
         this.deadline = request.callerDeadline().filter(limit::isAfter).orElse(limit);
@@ -63,6 +73,11 @@
         return route.streaming() ? latestDeadline : deadline;
     }
 
+    /** Returns the urgency; 0 is the most urgent. */
+    int rank() {
+        return team.map(Team::rank).orElse(OptionalInt.empty()).orElse(route.rank());
+    }
+
     /** Returns the prompt tokens that were not cached on the runner. */
     int uncachedTokens() {
         return request.inputTokens() - Math.min(request.inputTokens(), cachedTokens);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -8,6 +8,14 @@
     STOPPING,
     /** No route matches the request. */
     NO_ROUTE,
+    /** The route needs a key, and the request has none or one that no team holds. */
+    UNKNOWN_KEY,
+    /** This host cannot tell whether the key of the request has been taken away. */
+    KEYS_UNCONFIRMED,
+    /** The team of the request has used its allotment on all hosts together. */
+    ALLOTMENT_EXHAUSTED,
+    /** The service is full, and the team of the request has had its share of it. */
+    SHARE_EXCEEDED,
     /** The service has no endpoint that accepts requests. */
     NO_ENDPOINT,
     /** All endpoints of the service have asked this host for a pause. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -11,6 +11,8 @@
 
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
+import org.banyanstair.teams.Team;
+import org.banyanstair.teams.TeamTable;
 
 /** Forwards the requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
@@ -114,13 +116,20 @@
             refuseUnrouted(request, RefusalReason.NO_ROUTE);
             return;
         }
+        TeamTable teams = configuration.get().teams();
+        boolean needsKey = !teams.isEmpty() && !route.get().open();
+        Optional<Team> team = needsKey ? request.key().flatMap(teams::findByKey) : Optional.empty();
+        if (needsKey && team.isEmpty()) {
+            refuseUnrouted(request, RefusalReason.UNKNOWN_KEY);
+            return;
+        }
         double trafficPoint = (request.fingerprint() * 31 + request.exchange() >>> 11 & 0xFFFF) / 65536.0;
         String serviceName = route.get().serviceFor(trafficPoint);
         ServiceDefinition service = configuration
                 .get()
                 .service(serviceName)
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
-        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, arrivedAt, context.now());
+        InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, team, arrivedAt, context.now());
         requests.put(request.exchange(), inFlight);
         retryBudgets.recordFirstAttempt(service.name(), context.now());
         limits.recordDemand(service.name());
@@ -156,7 +165,9 @@
         context.emit(new ForwardingEffect.Refuse(
                 request.exchange(),
                 reason,
-                reason == RefusalReason.NO_ROUTE ? Optional.empty() : Optional.of(RetryAfterPolicy.NOT_READY_DELAY)));
+                reason == RefusalReason.NO_ROUTE || reason == RefusalReason.UNKNOWN_KEY
+                        ? Optional.empty()
+                        : Optional.of(RetryAfterPolicy.NOT_READY_DELAY)));
     }
 
     private void selectEndpoint(InFlightRequest inFlight) {
@@ -361,7 +372,8 @@
                 endpoint.listing().address(),
                 inFlight.deadline,
                 inFlight.endpointDeadline(),
-                inFlight.route.rank(),
+                inFlight.rank(),
+                inFlight.team.map(Team::name),
                 slot == null || slot.version() == 0 ? OptionalLong.empty() : OptionalLong.of(slot.version()),
                 inFlight.lastEvent));
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -37,11 +37,13 @@
         double jitter = 1 + JITTER_SHARE * ((seed >>> 7 & 0xFF) / 255.0);
         return switch (reason) {
             case NOT_READY, STOPPING -> Optional.of(NOT_READY_DELAY);
-            case NO_ROUTE, CRASHES_ENDPOINTS, DEADLINE_PASSED -> Optional.empty();
+            case NO_ROUTE, UNKNOWN_KEY, CRASHES_ENDPOINTS, DEADLINE_PASSED -> Optional.empty();
             case NO_ENDPOINT, ADAPTER_UNAVAILABLE -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
             case ENDPOINTS_PAUSED -> Optional.of(
                     scale(Duration.ofMillis((long) Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds)), jitter));
-            case ENDPOINTS_LIMITED -> Optional.of(scale(limit(startMilliseconds), jitter));
+            case KEYS_UNCONFIRMED -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
+            case ENDPOINTS_LIMITED, ALLOTMENT_EXHAUSTED, SHARE_EXCEEDED -> Optional.of(
+                    scale(limit(startMilliseconds), jitter));
             case OVERLOADED -> {
                 double wait = startMilliseconds - objective.toMillis();
                 yield Optional.of(scale(limit(wait), jitter));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
@@ -16,6 +16,7 @@
  * @param patience maximum time that a caller waits for the first output
  * @param maximumAttempts maximum number of endpoints that may run one request
  * @param rank urgency; 0 is the most urgent
+ * @param open whether requests need no key
  * @param targets services that share the requests
  */
 public record Route(
@@ -30,6 +31,7 @@
         Duration patience,
         int maximumAttempts,
         int rank,
+        boolean open,
         List<RouteTarget> targets) {
     /** Copies the targets. */
     public Route {
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/teams/AllotmentUnit.java
@@ -0,0 +1,7 @@
+package org.banyanstair.teams;
+
+/** What an allotment counts. */
+public enum AllotmentUnit {
+    REQUESTS,
+    TOKENS
+}
--- /dev/null
+++ b/banyanstair-core/src/main/java/org/banyanstair/teams/package-info.java
@@ -0,0 +1,2 @@
+/** Who may use the system, by which keys, and how much. */
+package org.banyanstair.teams;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -248,6 +248,7 @@
                 50,
                 Optional.of(now.plus(PATIENCE)),
                 Optional.empty(),
+                Optional.empty(),
                 fingerprint,
                 widerFingerprints);
         requests.put(new ExchangeKey(host, exchanges), request);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -19,6 +19,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.teams.TeamSettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -72,7 +73,13 @@
         for (int number = 0; number < count; number++) {
             HostAnnouncement own = announcement(number);
             ForwardingSettings settings = new ForwardingSettings(
-                    new HostIdentity(own.host(), 1), own, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
+                    new HostIdentity(own.host(), 1),
+                    own,
+                    0.2,
+                    50,
+                    Duration.ofSeconds(3),
+                    Duration.ofSeconds(5),
+                    TeamSettings.DEFAULT);
             hosts.put(
                     own.host(),
                     new ForwardingReducer(
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -17,6 +17,8 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.model.RequestId;
+import org.banyanstair.teams.TeamSettings;
+import org.banyanstair.teams.TeamTable;
 
 /** A reducer whose platform topics are written by the test. */
 final class ReducerFixture {
@@ -51,8 +53,8 @@
         this.now = start;
         HostAnnouncement announcement = new HostAnnouncement(
                 host, incarnation, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
-        ForwardingSettings settings =
-                new ForwardingSettings(identity(), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5));
+        ForwardingSettings settings = new ForwardingSettings(
+                identity(), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5), TeamSettings.DEFAULT);
         reducer = new ForwardingReducer(
                 settings, (topic, entry, at) -> Optional.ofNullable(records.get(entry.key() + entry.offset())));
         read(Topic.HOSTS, List.of());
@@ -148,7 +150,7 @@
                 Topic.CONFIGURATION,
                 "config",
                 new DecodedRecord.ConfigurationPublished(new ForwardingConfiguration(
-                        version, List.of(routes), List.of(engine, plain), RequestLimits.DEFAULT)));
+                        version, List.of(routes), List.of(engine, plain), RequestLimits.DEFAULT, TeamTable.NONE)));
     }
 
     static Route route(String path, String service, boolean streaming, boolean idempotent, boolean resumable) {
@@ -164,6 +166,7 @@
                 Duration.ofSeconds(4),
                 2,
                 1,
+                false,
                 List.of(new RouteTarget(service, 1)));
     }
 
@@ -203,6 +206,7 @@
                 adapter.isPresent() ? 50 : 0,
                 Optional.of(now.plus(patience)),
                 Optional.empty(),
+                Optional.empty(),
                 77,
                 List.of());
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StoppingHostTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StoppingHostTest.java
@@ -35,6 +35,7 @@
                 Duration.ofSeconds(4),
                 1,
                 1,
+                false,
                 List.of(new RouteTarget(ReducerFixture.PLAIN_SERVICE, 1)));
         Route call = ReducerFixture.route("/order/", ReducerFixture.PLAIN_SERVICE, false, false, false);
         fixture.configure(1, stream, call);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
@@ -176,6 +176,7 @@
                 14,
                 Optional.of(fixture.now().plusSeconds(6)),
                 Optional.empty(),
+                Optional.empty(),
                 exchanges,
                 List.of());
         requests.put(request.exchange(), request);
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
@@ -39,6 +39,7 @@
                         0,
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         0,
                         List.of()))
                 : "";
