Refuse keys that the host cannot confirm in time

A host that was cut off from the log or frozen went on serving a key that had been taken away, for as long as it did not read the new configuration.

An attempt carries the team that holds the key at that time. New log lines tell when keys change and when a host stops and resumes serving them.

--- a/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
+++ b/banyanstair-cli/src/main/java/org/banyanstair/cli/explain/RequestHistory.java
@@ -25,7 +25,7 @@
 
     /** Entries about the platform services and the clock that a host depends on. */
     private static final Set<String> DEPENDENCY_KINDS =
-            Set.of("topic-unavailable", "topic-available", "clock-gap", "command-suspended");
+            Set.of("topic-unavailable", "topic-available", "clock-gap", "command-suspended", "keys-unconfirmed");
 
     /** An endpoint crash may be logged this long after the failure it caused: twice the lease duration of a runner. */
     private static final Duration ENDPOINT_ENTRY_WINDOW = Duration.ofSeconds(6);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecisionRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecisionRecord.java
@@ -3,6 +3,7 @@
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -41,6 +42,16 @@
         return new DecisionRecord(kind, true, map(fields));
     }
 
+    /** Returns the record with a further field; the same record if the value is empty. */
+    public DecisionRecord with(String name, Optional<?> value) {
+        if (value.isEmpty()) {
+            return this;
+        }
+        Map<String, Object> extended = new LinkedHashMap<>(fields);
+        extended.put(name, value.get());
+        return new DecisionRecord(kind, important, extended);
+    }
+
     private static Map<String, Object> map(Object... fields) {
         Map<String, Object> result = new LinkedHashMap<>();
         for (int index = 0; index + 1 < fields.length; index += 2) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -13,6 +13,14 @@
     /** A new version of the configuration. */
     record ConfigurationPublished(ForwardingConfiguration configuration) implements DecodedRecord {}
 
+    /**
+     * A record that is malformed and refused as a whole.
+     *
+     * @param field path of the invalid field
+     * @param accepted what is accepted there; contains nothing of the record
+     */
+    record Malformed(String field, String accepted) implements DecodedRecord {}
+
     /** A new version of an adapter was published. */
     record AdapterVersionPublished(AdapterName adapter, long version) implements DecodedRecord {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -82,6 +82,7 @@
     private final PeerTable peers;
     private final PeerMessenger messenger;
     private final LeaseManager leases;
+    private final KeyConfirmation keys;
     private final RunnerManager runnerManager;
     private final RefusalRegistry refusals;
     private final CrashDetector crashDetector;
@@ -110,6 +111,7 @@
         this.refusals = new RefusalRegistry(context);
         this.crashDetector = new CrashDetector(context, view, messenger, refusals);
         this.forwarder = new RequestForwarder(context, settings, view, peers, messenger, runnerManager, crashDetector);
+        this.keys = forwarder.keys();
     }
 
     /**
@@ -125,6 +127,7 @@
             leases.invalidate(now);
             view.consumer(Topic.CLAIMS).restartRead(now);
             view.resumed();
+            keys.invalidate();
             context.log(DecisionRecord.important("clock-gap", "since-last-event-ms", millisecondsSinceLastEvent(now)));
         }
         lastEventAt = now;
@@ -184,6 +187,7 @@
             if (read.topic() == Topic.CLAIMS) {
                 leases.confirm(read.startedAt());
             }
+            keys.readCompleted(read);
             view.tick();
         } else if (event instanceof ForwardingEvent.TopicExpired expired) {
             view.expired(expired.topic());
@@ -279,7 +283,10 @@
             runnerManager.loadRequested(sender, wanted);
         } else if (message instanceof PeerMessage.RecordsRequest request) {
             TopicConsumer consumer = view.consumer(request.topic());
-            long age = consumer.age(context.now()).orElse(LeaseManager.VALIDITY).toMillis() + 1;
+            long age = keys.reportedAge(request.topic())
+                            .orElseGet(() -> consumer.age(context.now()).orElse(LeaseManager.VALIDITY))
+                            .toMillis()
+                    + 1;
             messenger.send(
                     sender,
                     recordsReply(
@@ -290,6 +297,7 @@
                             age));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
             view.applyRelayed(reply, sender, new ChangeListener());
+            keys.replyReceived(sender, reply);
             if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
                 // The age is that of the peer's read when it answered, after this host's request, so this is not later
                 // than the start of that read.
@@ -374,7 +382,8 @@
     private void tick() {
         context.ticks().recordTick(context.now());
         context.ticks().report(context.now()).ifPresent(context::log);
-        view.setReadSchedule(peers.isLargeDeployment(), readsForPeers());
+        view.setReadSchedule(peers.isLargeDeployment(), readsForPeers(), keys.readWait());
+        keys.tick(!peers.isLargeDeployment() || readsForPeers());
         view.tick();
         if (!hasAnnouncedSelf && view.consumer(Topic.HOSTS).hasBeenRead()) {
             hasAnnouncedSelf = true;
@@ -461,6 +470,7 @@
                 refusals.refusedParts(),
                 forwarder.limits().count(),
                 context.ticks().reportedDelay(),
+                keys.status(now),
                 topics);
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.teams.KnowledgeSource;
 
 /**
  * Summary of a host's state, for metrics.
@@ -19,6 +21,7 @@
  * @param limitedEndpoints number of endpoints that have named a limit of the requests of all hosts
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
+ * @param keys state of the knowledge of keys
  */
 public record ForwardingStatus(
         int openRequests,
@@ -31,6 +34,7 @@
         int refusedParts,
         int limitedEndpoints,
         Duration readDelay,
+        KeyStatus keys,
         Map<Topic, TopicStatus> topics) {
     /** Copies the maps. */
     public ForwardingStatus {
@@ -38,6 +42,15 @@
         topics = Map.copyOf(topics);
     }
 
+    /**
+     * State of the knowledge of keys.
+     *
+     * @param accepted whether this host accepts keys
+     * @param age age of the knowledge; empty without strict revocation or if nothing has confirmed it
+     * @param source what confirmed it; empty if nothing has
+     */
+    public record KeyStatus(boolean accepted, Optional<Duration> age, Optional<KnowledgeSource> source) {}
+
     /**
      * Read state of a topic.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -9,13 +9,15 @@
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.teams.Team;
+import org.banyanstair.teams.TeamName;
+import org.banyanstair.teams.TeamTable;
 
 /** State of a request that this host forwards. Not thread-safe. */
 final class InFlightRequest {
     final ForwardRequest request;
     final Route route;
     final ServiceDefinition service;
-    final Optional<Team> team;
+    Optional<Team> team;
     final Instant arrivedAt;
     final Instant deadline;
     final Instant latestDeadline;
@@ -73,6 +75,20 @@
         return route.streaming() ? latestDeadline : deadline;
     }
 
+    /**
+     * Finds the team that holds the key of the request now, since a key may move to another team. A request whose key
+     * was taken away after it had begun keeps the team that it had.
+     */
+    void updateTeam(TeamTable teams) {
+        if (team.isPresent()) {
+            team = request.key().flatMap(teams::findByKey).or(() -> team);
+        }
+    }
+
+    private Optional<TeamName> teamName() {
+        return team.map(Team::name);
+    }
+
     /** Returns the urgency; 0 is the most urgent. */
     int rank() {
         return team.map(Team::rank).orElse(OptionalInt.empty()).orElse(route.rank());
@@ -117,7 +133,7 @@
     /** Returns the log record of a refusal. */
     DecisionRecord refusalRecord(
             RefusalReason reason, double startMilliseconds, RefusalRegistry refusals, Instant now) {
-        return DecisionRecord.important(
+        DecisionRecord refusal = DecisionRecord.important(
                 "refused",
                 "request",
                 request.id(),
@@ -139,11 +155,12 @@
                 request.fingerprint(),
                 "known-crashes",
                 refusals.crashes(request));
+        return refusal.with("team", teamName());
     }
 
     /** Returns the log record of a failure. */
     DecisionRecord failureRecord(FailureReason reason, Instant now) {
-        return DecisionRecord.important(
+        DecisionRecord failure = DecisionRecord.important(
                 "failed",
                 "request",
                 request.id(),
@@ -157,11 +174,12 @@
                 Duration.between(arrivedAt, now).toMillis(),
                 "read-delay-ms",
                 readDelayMilliseconds);
+        return failure.with("team", teamName());
     }
 
     /** Returns the log record of a complete answer. */
     DecisionRecord answerRecord(AttemptResult.Answered result, Instant now) {
-        return DecisionRecord.of(
+        DecisionRecord answer = DecisionRecord.of(
                 "answered",
                 "request",
                 request.id(),
@@ -177,5 +195,6 @@
                 readDelayMilliseconds,
                 "after-ms",
                 Duration.between(arrivedAt, now).toMillis());
+        return answer.with("team", teamName());
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -18,6 +18,8 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.teams.KeyChanges;
+import org.banyanstair.teams.TeamTable;
 
 /**
  * A host's view of the configuration, the adapter versions and the endpoints, from the topics of the platform's log
@@ -69,6 +71,7 @@
     private Optional<ForwardingConfiguration> configuration = Optional.empty();
     private List<EndpointState> runners = List.of();
     private Instant resumedAt = Instant.MIN;
+    private boolean boundsConfigurationWait;
 
     /** A version of an adapter; {@code publishedAt} is {@link Instant#MIN} if it was not read as it was published. */
     private record PublishedVersion(long version, long previous, Instant publishedAt) {}
@@ -117,11 +120,21 @@
      *
      * @param large whether this is a large deployment
      * @param readsForPeers whether this host reads for its peers
+     * @param configurationWait wait of a read of the configuration if its reads confirm keys; otherwise empty
      */
-    void setReadSchedule(boolean large, boolean readsForPeers) {
+    void setReadSchedule(boolean large, boolean readsForPeers, Optional<Duration> configurationWait) {
+        if (configurationWait.isPresent() && !boundsConfigurationWait) {
+            // The read in flight may wait for longer than the new wait, and confirms only its start.
+            consumer(Topic.CONFIGURATION).restartWaitingRead(context.now());
+        }
+        boundsConfigurationWait = configurationWait.isPresent();
         boolean polls = large && !readsForPeers;
         consumers.forEach((topic, consumer) -> consumer.setReadSchedule(
-                polls ? Duration.ZERO : readWait(topic, readsForPeers),
+                polls
+                        ? Duration.ZERO
+                        : configurationWait
+                                .filter(wait -> topic == Topic.CONFIGURATION)
+                                .orElse(readWait(topic, readsForPeers)),
                 polls ? POLLING_INTERVAL : readInterval(topic),
                 readsForPeers,
                 context.now()));
@@ -278,9 +291,13 @@
                 continue;
             }
             Optional<DecodedRecord> decoded = decoder.decode(topic, entry, context.now());
-            if (decoded.isEmpty()) {
+            Optional<DecodedRecord.Malformed> malformed =
+                    decoded.filter(DecodedRecord.Malformed.class::isInstance).map(DecodedRecord.Malformed.class::cast);
+            if (decoded.isEmpty() || malformed.isPresent()) {
                 context.log(DecisionRecord.important(
-                        "record-ignored", "topic", topic, "key", entry.key(), "offset", entry.offset()));
+                                "record-ignored", "topic", topic, "key", entry.key(), "offset", entry.offset())
+                        .with("field", malformed.map(DecodedRecord.Malformed::field))
+                        .with("accepted", malformed.map(DecodedRecord.Malformed::accepted)));
                 if (topic == Topic.ENDPOINTS) {
                     remove(entry.key(), listener);
                 }
@@ -318,9 +335,25 @@
         if (configuration.isPresent() && configuration.get().version() >= newer.version()) {
             return;
         }
+        TeamTable older = configuration.map(ForwardingConfiguration::teams).orElse(TeamTable.NONE);
         configuration = Optional.of(newer);
         rebuildIndexes();
         context.log(DecisionRecord.important("configuration", "version", newer.version(), "offset", offset));
+        KeyChanges changes = newer.teams().changesSince(older);
+        if (!changes.isEmpty()) {
+            context.log(DecisionRecord.important(
+                    "keys-changed",
+                    "version",
+                    newer.version(),
+                    "added",
+                    changes.added(),
+                    "removed",
+                    changes.removed(),
+                    "moved",
+                    changes.moved(),
+                    "teams",
+                    newer.teams().all().size()));
+        }
     }
 
     private void applyListing(EndpointListing listing, Listener listener) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -49,6 +49,7 @@
     private final ForwardingSettings settings;
     private final PlatformView view;
     private final PeerTable peers;
+    private final KeyConfirmation keys;
     private final RunnerManager runnerManager;
     private final CrashDetector crashDetector;
     private final RefusalRegistry refusals;
@@ -73,6 +74,7 @@
         this.settings = settings;
         this.view = view;
         this.peers = peers;
+        this.keys = new KeyConfirmation(context, settings, view, peers, messenger);
         this.runnerManager = runnerManager;
         this.crashDetector = crashDetector;
         this.refusals = crashDetector.refusals();
@@ -88,6 +90,10 @@
         return usage;
     }
 
+    KeyConfirmation keys() {
+        return keys;
+    }
+
     EndpointLimits limits() {
         return limits;
     }
@@ -119,6 +125,10 @@
         TeamTable teams = configuration.get().teams();
         boolean needsKey = !teams.isEmpty() && !route.get().open();
         Optional<Team> team = needsKey ? request.key().flatMap(teams::findByKey) : Optional.empty();
+        if (needsKey && request.key().isPresent() && !keys.mayAcceptKeys()) {
+            refuseUnrouted(request, RefusalReason.KEYS_UNCONFIRMED);
+            return;
+        }
         if (needsKey && team.isEmpty()) {
             refuseUnrouted(request, RefusalReason.UNKNOWN_KEY);
             return;
@@ -152,22 +162,23 @@
     }
 
     private void refuseUnrouted(ForwardRequest request, RefusalReason reason) {
+        Optional<Team> team =
+                view.configuration().flatMap(configuration -> request.key().flatMap(configuration.teams()::findByKey));
         context.log(DecisionRecord.important(
-                "refused",
-                "request",
-                request.id(),
-                "reason",
-                reason,
-                "request-host",
-                request.host(),
-                "path",
-                request.path()));
+                        "refused",
+                        "request",
+                        request.id(),
+                        "reason",
+                        reason,
+                        "request-host",
+                        request.host(),
+                        "path",
+                        request.path())
+                .with("team", team.map(Team::name)));
         context.emit(new ForwardingEffect.Refuse(
                 request.exchange(),
                 reason,
-                reason == RefusalReason.NO_ROUTE || reason == RefusalReason.UNKNOWN_KEY
-                        ? Optional.empty()
-                        : Optional.of(RetryAfterPolicy.NOT_READY_DELAY)));
+                RetryAfterPolicy.retryAfter(reason, 0, Duration.ZERO, request.fingerprint())));
     }
 
     private void selectEndpoint(InFlightRequest inFlight) {
@@ -333,6 +344,7 @@
     private void send(InFlightRequest inFlight, EndpointState endpoint, AdapterSlot slot) {
         ForwardRequest request = inFlight.request;
         inFlight.sent = true;
+        view.configuration().ifPresent(configuration -> inFlight.updateTeam(configuration.teams()));
         inFlight.firstOutput = false;
         inFlight.outputReported = false;
         inFlight.attempts++;
@@ -347,7 +359,7 @@
         usage.addPrefixes(endpoint, inFlight.prefixes);
         request.adapter().ifPresent(adapter -> runnerManager.recordUse(endpoint, adapter));
         usage.update(endpoint);
-        context.log(DecisionRecord.of(
+        DecisionRecord sent = DecisionRecord.of(
                 "sent",
                 "request",
                 request.id(),
@@ -364,7 +376,8 @@
                 "running",
                 endpoint.running(),
                 "waiting-tokens",
-                endpoint.waitingTokens()));
+                endpoint.waitingTokens());
+        context.log(sent.with("team", inFlight.team.map(Team::name)));
         context.emit(new ForwardingEffect.Send(
                 request.exchange(),
                 inFlight.attempts,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -95,6 +95,14 @@
         nextReadAt = now;
     }
 
+    /** Starts the next read without delay and without waiting for records, unless one is in flight. */
+    void readImmediately(Instant now) {
+        if (!reading) {
+            readImmediately = true;
+            nextReadAt = now;
+        }
+    }
+
     /**
      * Repeats a read that waits for records without the wait, because its connection may have gone silent. A read that
      * does not wait ends by its own time-out.
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -246,7 +246,8 @@
      * @param outageAgeMilliseconds time since the end of the last log outage while entries may still be missing
      *     because of it; 0 during the outage, otherwise empty
      * @param askedAtMilliseconds time in the request; empty for an unsolicited update
-     * @param ageMilliseconds time since the sender started its last read of the topic
+     * @param ageMilliseconds time since the sender started its last read of the topic; for the configuration under
+     *     strict revocation, age of the sender's knowledge, which a peer may have confirmed
      */
     record RecordsReply(
             Topic topic,
--- a/banyanstair-core/src/main/java/org/banyanstair/teams/TeamTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/teams/TeamTable.java
@@ -57,6 +57,22 @@
         return Optional.ofNullable(byKey.get(key));
     }
 
+    /** Returns how the keys differ from those of an older version. */
+    public KeyChanges changesSince(TeamTable older) {
+        int added = 0;
+        int moved = 0;
+        for (Map.Entry<KeyDigest, Team> entry : byKey.entrySet()) {
+            Team before = older.byKey.get(entry.getKey());
+            if (before == null) {
+                added++;
+            } else if (!before.name().equals(entry.getValue().name())) {
+                moved++;
+            }
+        }
+        int kept = byKey.size() - added;
+        return new KeyChanges(added, older.byKey.size() - kept, moved);
+    }
+
     /** Returns the number of keys of all teams. */
     public int keyCount() {
         return byKey.size();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -141,16 +141,25 @@
         configure(1, adapterSlots, routes);
     }
 
+    /** Publishes a configuration whose requests need the key of a team. */
+    List<ForwardingEffect> configureTeams(long version, TeamTable teams, Route... routes) {
+        return configure(version, 2, teams, routes);
+    }
+
     private void configure(long version, int adapterSlots, Route... routes) {
+        configure(version, adapterSlots, TeamTable.NONE, routes);
+    }
+
+    private List<ForwardingEffect> configure(long version, int adapterSlots, TeamTable teams, Route... routes) {
         ServiceDefinition engine = new ServiceDefinition(
                 SERVICE,
                 Optional.of(new EngineCapacity(adapterSlots, 100_000, 80_000, List.of(new BaseModel("base", 70_000)))));
         ServiceDefinition plain = new ServiceDefinition(PLAIN_SERVICE, Optional.empty());
-        publish(
+        return publish(
                 Topic.CONFIGURATION,
                 "config",
                 new DecodedRecord.ConfigurationPublished(new ForwardingConfiguration(
-                        version, List.of(routes), List.of(engine, plain), RequestLimits.DEFAULT, TeamTable.NONE)));
+                        version, List.of(routes), List.of(engine, plain), RequestLimits.DEFAULT, teams)));
     }
 
     static Route route(String path, String service, boolean streaming, boolean idempotent, boolean resumable) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -18,6 +18,7 @@
 import org.banyanstair.forwarding.ForwardingStatus;
 import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.metrics.PrometheusText;
+import org.banyanstair.teams.KnowledgeSource;
 
 /** Metrics of the forwarding daemon. Latencies are in seconds. Not thread-safe. */
 public final class ForwarderMetrics {
@@ -116,6 +117,15 @@
         registerGauge("refused_prompt_parts", () -> snapshot.refusedParts());
         registerGauge("limited_endpoints", () -> snapshot.limitedEndpoints());
         registerGauge("read_delay_seconds", () -> snapshot.readDelay().toMillis() / 1000.0);
+        registerGauge("keys_accepted", () -> snapshot.keys().accepted() ? 1 : 0);
+        registerGauge(
+                "key_knowledge_age_seconds",
+                () -> snapshot.keys().age().map(age -> age.toMillis() / 1000.0).orElse(-1.0));
+        for (KnowledgeSource source : KnowledgeSource.values()) {
+            registerGauge(
+                    LabelledMetricName.of("key_knowledge_source", "source", lowerCase(source)),
+                    () -> snapshot.keys().source().filter(source::equals).isPresent() ? 1 : 0);
+        }
         for (EndpointCondition condition : EndpointCondition.values()) {
             registerGauge(
                     LabelledMetricName.of("endpoints", "condition", lowerCase(condition)),
