Charge each request to its team and report what was charged

Hosts did not apply the allotments of teams. Usage reports carry the counters of teams; deployments without limited teams send what they sent before, byte for byte.

FrameCodecTest, ForwardingReducerTest, AdapterDemandTest and PeerTableTest passed.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -123,6 +123,7 @@
                 || now.isAfter(lastEventAt)
                         && Duration.between(lastEventAt, now).compareTo(MAXIMUM_EVENT_GAP) > 0) {
             leases.invalidate(now);
+            forwarder.teamAdmission().suspended();
             view.consumer(Topic.CLAIMS).restartRead(now);
             view.resumed();
             context.log(DecisionRecord.important("clock-gap", "since-last-event-ms", millisecondsSinceLastEvent(now)));
@@ -250,6 +251,7 @@
 
     private void receive(HostId sender, PeerMessage message) {
         peers.recordContact(sender, context.now());
+        forwarder.teamAdmission().heardFrom(sender);
         if (message instanceof PeerMessage.HostState state) {
             applyAnnouncement(state.announcement());
             peers.recordState(state, context.now());
@@ -461,7 +463,8 @@
                 refusals.refusedParts(),
                 forwarder.limits().count(),
                 context.ticks().reportedDelay(),
-                topics);
+                topics,
+                forwarder.teamAdmission().uses(now));
     }
 
     /** Returns the configuration in force; empty before the first one is known. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -1,8 +1,10 @@
 package org.banyanstair.forwarding;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 
+import org.banyanstair.allotments.TeamUse;
 import org.banyanstair.external.Topic;
 
 /**
@@ -19,6 +21,7 @@
  * @param limitedEndpoints number of endpoints that have named a limit of the requests of all hosts
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
+ * @param teams use of the allotments by the teams that have one
  */
 public record ForwardingStatus(
         int openRequests,
@@ -31,11 +34,13 @@
         int refusedParts,
         int limitedEndpoints,
         Duration readDelay,
-        Map<Topic, TopicStatus> topics) {
+        Map<Topic, TopicStatus> topics,
+        List<TeamUse> teams) {
     /** Copies the maps. */
     public ForwardingStatus {
         endpoints = Map.copyOf(endpoints);
         topics = Map.copyOf(topics);
+        teams = List.copyOf(teams);
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -40,6 +40,9 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
+    /** Units that were charged to the team, 0 for none. */
+    double charged;
+
     InFlightRequest(
             ForwardRequest request,
             Route route,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import org.banyanstair.allotments.Reach;
 import org.banyanstair.external.Topic;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
@@ -36,6 +37,12 @@
     /** Allowance for delayed state messages. */
     private static final Duration STATE_DELAY = Duration.ofMillis(200);
 
+    /** State messages that a host which is reached sends at least. */
+    private static final int REACH_STATES = 2;
+
+    /** Allowance for delayed state messages of hosts that are reached. */
+    private static final Duration REACH_DELAY = Duration.ofMillis(100);
+
     /** Silence after which a host no longer counts in the majority check and the relay groups. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(30);
 
@@ -222,6 +229,33 @@
         return peer != null && peer.isLiveSince(now.minus(liveLimit()));
     }
 
+    /**
+     * Returns how many hosts this one receives messages from. Only a majority of silent hosts has an effect, so a shorter
+     * silence counts than for a single host.
+     */
+    Reach reach(Instant now) {
+        Duration limit = stateInterval().multipliedBy(REACH_STATES).plus(REACH_DELAY);
+        int known = 1;
+        int reached = 1;
+        HostId lowestKnown = self.host();
+        HostId lowestReached = self.host();
+        for (Map.Entry<HostId, Peer> entry : peers.entrySet()) {
+            HostId host = entry.getKey();
+            Duration silence = silence(host, now);
+            boolean isReached = silence.compareTo(limit) < 0;
+            if (!isReached && (entry.getValue().leaving || silence.compareTo(FORGET_AFTER) >= 0)) {
+                continue;
+            }
+            known++;
+            lowestKnown = host.compareTo(lowestKnown) < 0 ? host : lowestKnown;
+            if (isReached) {
+                reached++;
+                lowestReached = host.compareTo(lowestReached) < 0 ? host : lowestReached;
+            }
+        }
+        return new Reach(reached, known, lowestKnown.equals(lowestReached));
+    }
+
     /** Returns this host and the live peers. */
     List<HostId> live(Instant now) {
         Instant earliest = now.minus(liveLimit());
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -58,6 +58,7 @@
     private final UsageTracker usage;
     private final EndpointLimits limits;
     private final EndpointNotices notices;
+    private final TeamAdmission teamAdmission;
     private final StopAdmission stopAdmission = new StopAdmission();
     private boolean ended;
 
@@ -76,8 +77,9 @@
         this.runnerManager = runnerManager;
         this.crashDetector = crashDetector;
         this.refusals = crashDetector.refusals();
+        this.teamAdmission = new TeamAdmission(context, settings, view, peers);
         this.usage = new UsageTracker(
-                context, settings.identity().host(), view, messenger, runnerManager, requests.values());
+                context, settings.identity().host(), view, messenger, runnerManager, requests.values(), teamAdmission);
         this.limits = new EndpointLimits(context, settings.identity().host(), view, peers);
         this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
         this.retryBudgets = new RetryBudgets(settings, peers);
@@ -88,6 +90,10 @@
         return usage;
     }
 
+    TeamAdmission teamAdmission() {
+        return teamAdmission;
+    }
+
     EndpointLimits limits() {
         return limits;
     }
@@ -140,6 +146,15 @@
             refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
         } else if (!nextRead.isBefore(inFlight.firstOutputDeadline())) {
             refuse(inFlight, RefusalReason.OVERLOADED, -context.millisecondsSince(nextRead));
+        } else {
+            charge(inFlight);
+        }
+    }
+
+    private void charge(InFlightRequest inFlight) {
+        OptionalDouble returnAfter = teamAdmission.charge(inFlight);
+        if (returnAfter.isPresent()) {
+            refuse(inFlight, RefusalReason.ALLOTMENT_EXHAUSTED, returnAfter.getAsDouble());
         } else {
             selectEndpoint(inFlight);
         }
@@ -530,6 +545,9 @@
         InFlightRequest inFlight = requests.get(exchange);
         if (inFlight != null) {
             context.log(DecisionRecord.of("caller-left", "request", inFlight.request.id(), "sent", inFlight.sent));
+            if (!inFlight.sent && !inFlight.mayHaveRun) {
+                teamAdmission.refund(inFlight);
+            }
             cancel(inFlight);
             close(inFlight);
         }
@@ -548,6 +566,7 @@
 
     private void refuse(InFlightRequest inFlight, RefusalReason reason, double startMilliseconds) {
         close(inFlight);
+        teamAdmission.refund(inFlight);
         Optional<Duration> retryAfter = RetryAfterPolicy.retryAfter(
                 reason, startMilliseconds, inFlight.route.objective(), inFlight.request.fingerprint());
         context.log(inFlight.refusalRecord(reason, startMilliseconds, refusals, context.now()));
@@ -601,6 +620,7 @@
 
     void tick() {
         limits.tick();
+        teamAdmission.tick();
         advanceWaiting();
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
             if (!inFlight.sent) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -20,6 +20,12 @@
     /** Maximum delay; the state of the service cannot be predicted further ahead. */
     private static final Duration MAXIMUM_DELAY = Duration.ofSeconds(3);
 
+    /**
+     * Maximum delay for a team over its allotment; the time in which the units for refused requests come back is known,
+     * and the delay is different for each request already.
+     */
+    private static final Duration MAXIMUM_ALLOTMENT_DELAY = Duration.ofSeconds(20);
+
     /** Maximum jitter as a share of the delay, so that callers refused together do not retry together. */
     private static final double JITTER_SHARE = 0.5;
 
@@ -42,8 +48,9 @@
             case ENDPOINTS_PAUSED -> Optional.of(
                     scale(Duration.ofMillis((long) Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds)), jitter));
             case KEYS_UNCONFIRMED -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
-            case ENDPOINTS_LIMITED, ALLOTMENT_EXHAUSTED, SHARE_EXCEEDED -> Optional.of(
-                    scale(limit(startMilliseconds), jitter));
+            case ENDPOINTS_LIMITED, SHARE_EXCEEDED -> Optional.of(scale(limit(startMilliseconds), jitter));
+            case ALLOTMENT_EXHAUSTED -> Optional.of(Duration.ofMillis((long) Math.max(
+                    MINIMUM_DELAY.toMillis(), Math.min(MAXIMUM_ALLOTMENT_DELAY.toMillis(), startMilliseconds))));
             case OVERLOADED -> {
                 double wait = startMilliseconds - objective.toMillis();
                 yield Optional.of(scale(limit(wait), jitter));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
@@ -16,6 +16,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.TeamUsage;
 
 /**
  * Tracks the resources that the requests of all hosts use on the endpoints, and reports those of this host to its
@@ -31,6 +32,7 @@
     private final PeerMessenger messenger;
     private final RunnerManager runnerManager;
     private final Collection<InFlightRequest> requests;
+    private final TeamAdmission teams;
     private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
     private final Map<EndpointId, EndpointUsage> unreported = new TreeMap<>();
     private Instant nextCompleteAt = Instant.MIN;
@@ -46,13 +48,15 @@
             PlatformView view,
             PeerMessenger messenger,
             RunnerManager runnerManager,
-            Collection<InFlightRequest> requests) {
+            Collection<InFlightRequest> requests,
+            TeamAdmission teams) {
         this.context = context;
         this.self = self;
         this.view = view;
         this.messenger = messenger;
         this.runnerManager = runnerManager;
         this.requests = requests;
+        this.teams = teams;
     }
 
     /** Updates the usage of an endpoint after a change of one of this host's requests there. */
@@ -103,7 +107,8 @@
                 }
             });
         }
-        if (unreported.isEmpty() && !complete) {
+        List<TeamUsage> teamUsages = teams.report(complete);
+        if (unreported.isEmpty() && teamUsages.isEmpty() && !complete) {
             return;
         }
         List<EndpointUsage> uses = unreported.values().stream()
@@ -117,11 +122,12 @@
                 .toList();
         unreported.clear();
         newPrefixes.clear();
-        messenger.broadcast(new PeerMessage.UseReport(uses, complete));
+        messenger.broadcast(new PeerMessage.UseReport(uses, complete, teamUsages));
     }
 
     /** Applies the usage report of a peer. */
     void applyReport(HostId sender, PeerMessage.UseReport message) {
+        teams.applyReport(sender, message.teams());
         if (message.complete()) {
             Set<EndpointId> used =
                     message.uses().stream().map(EndpointUsage::endpoint).collect(Collectors.toSet());
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.banyanstair.configuration.CheckpointPart;
 import org.banyanstair.errors.Failure;
@@ -203,8 +204,19 @@
      * Reports which resources of endpoints the sender's requests use.
      *
      * @param complete whether endpoints that are not listed are unused; otherwise their usage is unchanged
+     * @param teams counters of the teams with an allotment that changed, of all of them if complete; null stands for
+     *     empty
      */
-    record UseReport(List<EndpointUsage> uses, boolean complete) implements PeerMessage {}
+    record UseReport(
+            List<EndpointUsage> uses,
+            boolean complete,
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) List<TeamUsage> teams)
+            implements PeerMessage {
+        /** Replaces what a host of an earlier release does not send. */
+        public UseReport {
+            teams = teams == null ? List.of() : List.copyOf(teams);
+        }
+    }
 
     /**
      * Reports the adapters of a runner that the sender controls.
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterDemandTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterDemandTest.java
@@ -34,7 +34,8 @@
                 new EndpointUsage(RUNNER, adapters.length, 0, adapters.length * 100, List.of(adapters), List.of());
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 PEER,
-                new PeerMessage.UseReport(complete && adapters.length == 0 ? List.of() : List.of(usage), complete)));
+                new PeerMessage.UseReport(
+                        complete && adapters.length == 0 ? List.of() : List.of(usage), complete, List.of())));
     }
 
     @Test
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -3,26 +3,35 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import org.banyanstair.allotments.TeamUse;
 import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.EndpointCondition;
 import org.banyanstair.forwarding.ForwardingStatus;
 import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.metrics.PrometheusText;
+import org.banyanstair.teams.TeamName;
 
 /** Metrics of the forwarding daemon. Latencies are in seconds. Not thread-safe. */
 public final class ForwarderMetrics {
     private static final String PREFIX = "banyanstair_";
 
+    /** Teams that have metrics, so that their number is bounded however often the configuration changes. */
+    private static final int MAXIMUM_TEAMS = 64;
+
+    private final Set<TeamName> teams = new HashSet<>();
     private final MetricRegistry registry = new MetricRegistry();
     private final PrometheusText text = new PrometheusText(registry);
     private Optional<Supplier<ForwardingStatus>> status = Optional.empty();
@@ -154,7 +163,35 @@
      * @return the text in UTF-8
      */
     public byte[] render() {
-        status.ifPresent(supplier -> snapshot = supplier.get());
+        status.ifPresent(supplier -> {
+            snapshot = supplier.get();
+            snapshot.teams().forEach(use -> registerTeam(use.team()));
+        });
         return text.write();
     }
+
+    private void registerTeam(TeamName team) {
+        if (teams.size() >= MAXIMUM_TEAMS || !teams.add(team)) {
+            return;
+        }
+        String label = team.value().replace('|', '_').replace('=', '_');
+        registerTeamGauge("team_requests_total", label, team, TeamUse::requestedRequests);
+        registerTeamGauge("team_admitted_total", label, team, TeamUse::admittedRequests);
+        registerTeamGauge("team_refused_total", label, team, TeamUse::refusedRequests);
+        registerTeamGauge("team_used_units_total", label, team, TeamUse::used);
+        registerTeamGauge("team_share", label, team, TeamUse::share);
+        registerTeamGauge("team_units_left", label, team, TeamUse::level);
+        registerTeamGauge(
+                "team_allotment_per_second", label, team, use -> use.allotment().perSecond());
+    }
+
+    private void registerTeamGauge(String name, String label, TeamName team, Function<TeamUse, Number> value) {
+        registry.gauge(
+                PREFIX + LabelledMetricName.of(name, "team", label),
+                () -> (Gauge<Number>) () -> snapshot.teams().stream()
+                        .filter(use -> use.team().equals(team))
+                        .findFirst()
+                        .map(value)
+                        .orElse(0));
+    }
 }
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -22,6 +22,7 @@
 import org.banyanstair.peer.RelayedRecord;
 import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
+import org.banyanstair.peer.TeamUsage;
 import org.msgpack.core.MessageUnpacker;
 
 /**
@@ -265,6 +266,7 @@
     private PeerMessage readUseReport(int fields) throws IOException {
         List<EndpointUsage> uses = List.of();
         boolean complete = false;
+        List<TeamUsage> teams = List.of();
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "uses" -> {
@@ -273,10 +275,13 @@
                 case "complete" -> {
                     complete = in.unpackBoolean();
                 }
+                case "teams" -> {
+                    teams = values.readList(values::readTeamUsage);
+                }
                 default -> in.skipValue();
             }
         }
-        return new PeerMessage.UseReport(uses, complete);
+        return new PeerMessage.UseReport(uses, complete, teams);
     }
 
     private PeerMessage readHeldRunner(int fields) throws IOException {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -20,6 +20,7 @@
 import org.banyanstair.peer.ReportedCrash;
 import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
+import org.banyanstair.peer.TeamUsage;
 import org.msgpack.core.MessagePacker;
 
 /**
@@ -113,9 +114,12 @@
 
     private void writeEndpointMessage(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.UseReport report) {
-            begin("UseReport", 2);
+            begin("UseReport", report.teams().isEmpty() ? 2 : 3);
             field("uses", report.uses(), this::write);
             field("complete", report.complete());
+            if (!report.teams().isEmpty()) {
+                field("teams", report.teams(), this::write);
+            }
         } else if (message instanceof PeerMessage.HeldRunner held) {
             begin("HeldRunner", 6);
             field("endpoint", held.endpoint().value());
@@ -305,6 +309,20 @@
         out.packDouble(limit.demandPerSecond());
     }
 
+    private void write(TeamUsage usage) throws IOException {
+        out.packArrayHeader(6);
+        out.packString(usage.team().value());
+        out.packLong(usage.admitted());
+        out.packLong(usage.refunded());
+        out.packLong(usage.requested());
+        out.packLong(usage.largest());
+        if (usage.level().isPresent()) {
+            out.packDouble(usage.level().getAsDouble());
+        } else {
+            out.packNil();
+        }
+    }
+
     private void write(EndpointUsage usage) throws IOException {
         out.packArrayHeader(6);
         out.packString(usage.endpoint().value());
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -24,6 +24,8 @@
 import org.banyanstair.peer.ReportedCrash;
 import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
+import org.banyanstair.peer.TeamUsage;
+import org.banyanstair.teams.TeamName;
 import org.msgpack.core.MessageUnpacker;
 
 /**
@@ -211,6 +213,19 @@
         return limit;
     }
 
+    TeamUsage readTeamUsage() throws IOException {
+        int surplus = readArrayHeader(6);
+        TeamUsage usage = new TeamUsage(
+                new TeamName(readString()),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.tryUnpackNil() ? OptionalDouble.empty() : OptionalDouble.of(in.unpackDouble()));
+        in.skipValue(surplus);
+        return usage;
+    }
+
     private ReportedCrash readReportedCrash() throws IOException {
         int surplus = readArrayHeader(4);
         ReportedCrash crash =
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -30,6 +30,8 @@
 import org.banyanstair.peer.ReportedCrash;
 import org.banyanstair.peer.ReportedLimit;
 import org.banyanstair.peer.ReportedRequest;
+import org.banyanstair.peer.TeamUsage;
+import org.banyanstair.teams.TeamName;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.FieldSource;
@@ -70,7 +72,15 @@
             List.of(
                     new EndpointUsage(ENDPOINT, 2, 9_190, 18_000, List.of(ADAPTER, ADAPTER), List.of(-5L, 1L << 40)),
                     new EndpointUsage(new EndpointId("i-0"), 0, 0, 0, List.of(), List.of())),
-            true);
+            true,
+            List.of());
+
+    private static final PeerMessage.UseReport TEAM_USE = new PeerMessage.UseReport(
+            List.of(),
+            false,
+            List.of(
+                    new TeamUsage(new TeamName("a\u00e9"), 1L << 40, 9_300, 1L << 41, 9_300, OptionalDouble.of(-3)),
+                    new TeamUsage(new TeamName("b"), 0, 0, 0, 0, OptionalDouble.empty())));
 
     private static final PeerMessage.HeldRunner HELD = new PeerMessage.HeldRunner(
             ENDPOINT,
@@ -86,6 +96,7 @@
             new PeerMessage.Pong(Long.MIN_VALUE),
             STATE,
             USE,
+            TEAM_USE,
             HELD,
             new PeerMessage.AdapterWanted(ENDPOINT, ADAPTER, -3, 300),
             new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 1_796_404_054_672L),
