--- a/banyanstair-core/src/main/java/org/banyanstair/allotments/AllotmentRegistry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/allotments/AllotmentRegistry.java
@@ -118,6 +118,7 @@
             resyncing = false;
             heardSinceResync.clear();
         }
+        teams.values().forEach(team -> team.assumeUse(standing(), now));
         formerSince.values().removeIf(since -> now.isAfter(since.plus(RETENTION)));
         former.keySet().retainAll(formerSince.keySet());
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/allotments/TeamAllotment.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/allotments/TeamAllotment.java
@@ -41,7 +41,7 @@
 
     private final TeamName team;
     private final TeamSettings settings;
-    private final Map<HostId, TeamUsage> reports = new HashMap<>();
+    private final Map<HostId, PeerUse> peers = new HashMap<>();
     private final RateEstimator demand = new RateEstimator();
     private final RateEstimator shownDemand = new RateEstimator();
     private final RateEstimator shownOwnDemand = new RateEstimator();
@@ -64,6 +64,7 @@
     private long admittedRequests;
     private long refusedRequests;
     private boolean changed;
+    private boolean reportsAgain;
 
     /**
      * Creates the allotment of a team.
@@ -124,6 +125,18 @@
         }
     }
 
+    /** Counts the use by peers whose reports are overdue. */
+    void assumeUse(Standing standing, Instant now) {
+        refill(standing, now);
+        for (PeerUse peer : peers.values()) {
+            double assumed = peer.assume(demandSeconds(), now);
+            if (assumed > 0) {
+                debit(assumed);
+                recordDemand(assumed, now);
+            }
+        }
+    }
+
     /** Charges a request, or says when its caller should return. */
     ChargeResult charge(double cost, Standing standing, Instant now) {
         refill(standing, now);
@@ -165,7 +178,7 @@
             return false;
         }
         double shared = SHARED_RATE * allotment.perSecond();
-        if (level > tolerance.sharingLevel() || demanded <= shared) {
+        if (level > tolerance.sharingLevel(largest, standing.complete()) || demanded <= shared) {
             return true;
         }
         // Admitting this part of its own requests gives each host its share by demand, however few and large they are.
@@ -224,22 +237,20 @@
             Instant now) {
         refill(standing, now);
         recordSize(report.largest(), now);
-        TeamUsage previous = reports.put(sender, report);
-        boolean restarted = previous != null
-                && (report.admitted() < previous.admitted()
-                        || report.requested() < previous.requested()
-                        || report.refunded() < previous.refunded());
-        if (previous != null || startsAtZero) {
-            long net = report.net();
-            long asked = report.requested();
-            if (previous != null && !restarted) {
-                net -= previous.net();
-                asked -= previous.requested();
+        PeerUse peer = peers.get(sender);
+        if (peer == null && !startsAtZero) {
+            peers.put(sender, new PeerUse(report, now));
+        } else {
+            if (peer == null) {
+                TeamUsage none = new TeamUsage(team, 0, 0, 0, 0, OptionalDouble.empty());
+                peer = new PeerUse(none, now);
+                peers.put(sender, peer);
             }
-            debit(net);
-            if (asked > 0) {
-                recordDemand(asked, now);
-                recordRefused(Math.max(0, asked - net));
+            PeerUse.Change change = peer.apply(report, demandSeconds(), now);
+            debit(change.net());
+            if (change.requested() > 0) {
+                recordDemand(change.requested(), now);
+                recordRefused(Math.max(0, change.requested() - change.net()));
             }
         }
         if (adoptsLevel && report.level().isPresent()) {
@@ -249,7 +260,7 @@
     }
 
     boolean hasChanged() {
-        return changed;
+        return changed || reportsAgain;
     }
 
     /**
@@ -259,6 +270,7 @@
      */
     TeamUsage report(Standing standing, boolean settled, Instant now) {
         refill(standing, now);
+        reportsAgain = changed;
         changed = false;
         OptionalDouble known =
                 standing.connected() && settled ? OptionalDouble.of(Math.rint(level)) : OptionalDouble.empty();
--- a/banyanstair-core/src/main/java/org/banyanstair/allotments/Tolerance.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/allotments/Tolerance.java
@@ -16,9 +16,9 @@
 
     /**
      * Part for hosts that do not reach a majority. They are less than half of the hosts, so that they use less
-     * than a quarter of the excess.
+     * than a fifth of the excess.
      */
-    private static final double ISOLATED_PART = 0.5;
+    private static final double ISOLATED_PART = 0.35;
 
     /** Part of the rate that isolated hosts have at least, where the operator has specified no excess. */
     private static final double MINIMUM_ISOLATED_RATE = 0.05;
@@ -29,6 +29,9 @@
      */
     private static final double LUMPS = 16;
 
+    /** Large requests that hosts may admit before each other's reports arrive. */
+    private static final double LUMPS_IN_TRANSIT = 2;
+
     /** Delay of reports over relays, in seconds. */
     private static final double REPORT_DELAY = 0.3;
 
@@ -73,16 +76,21 @@
      * @param demand requested units a second of all hosts
      */
     double admissionLevel(double largest, double demand, boolean complete) {
-        double part = complete ? LUMP_PART : LUMP_PART_WHEN_DIVIDED;
-        double lumps = Math.max(0, Math.min(LUMPS * largest - allotment.burst(), part * excess()));
         double unreported = Math.max(0, demand - allotment.perSecond()) * REPORT_DELAY;
-        return Math.min(0, unreported - lumps);
+        return Math.min(0, unreported - lumps(largest, complete));
+    }
+
+    private double lumps(double largest, boolean complete) {
+        double part = complete ? LUMP_PART : LUMP_PART_WHEN_DIVIDED;
+        return Math.max(0, Math.min(LUMPS * largest - allotment.burst(), part * excess()));
     }
 
     /** Returns the level below which hosts keep to their shares, so that the reports of a burst arrive in time. */
-    double sharingLevel() {
+    double sharingLevel(double largest, boolean complete) {
         double overshoot = (LARGEST_DEMAND - 1) * REPORT_DELAY + (TeamAllotment.SHARED_RATE - 1) * REPORT_DELAY;
-        return Math.min(allotment.burst() / 2, overshoot * allotment.perSecond() - UNSHARED_PART * excess());
+        double level = Math.min(allotment.burst() / 2, overshoot * allotment.perSecond() - UNSHARED_PART * excess());
+        double lumps = lumps(largest, complete);
+        return lumps > 0 ? Math.min(level, LUMPS_IN_TRANSIT * largest - lumps) : level;
     }
 
     /** Returns the units a second of a host without a majority, which is the given part of all hosts. */
