Merge the allotments of teams

A refund goes to the team that was charged, also when the key of the request has moved to another team since.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -125,6 +125,7 @@
                 || now.isAfter(lastEventAt)
                         && Duration.between(lastEventAt, now).compareTo(MAXIMUM_EVENT_GAP) > 0) {
             leases.invalidate(now);
+            forwarder.teamAdmission().suspended();
             view.consumer(Topic.CLAIMS).restartRead(now);
             view.resumed();
             keys.invalidate();
@@ -254,6 +255,7 @@
 
     private void receive(HostId sender, PeerMessage message) {
         peers.recordContact(sender, context.now());
+        forwarder.teamAdmission().heardFrom(sender);
         if (message instanceof PeerMessage.HostState state) {
             applyAnnouncement(state.announcement());
             peers.recordState(state, context.now());
@@ -471,7 +473,8 @@
                 forwarder.limits().count(),
                 context.ticks().reportedDelay(),
                 keys.status(now),
-                topics);
+                topics,
+                forwarder.teamAdmission().uses(now));
     }
 
     /** Returns the configuration in force; empty before the first one is known. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -1,9 +1,11 @@
 package org.banyanstair.forwarding;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import org.banyanstair.allotments.TeamUse;
 import org.banyanstair.external.Topic;
 import org.banyanstair.teams.KnowledgeSource;
 
@@ -22,6 +24,7 @@
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
  * @param keys state of the knowledge of keys
+ * @param teams use of the allotments by the teams that have one
  */
 public record ForwardingStatus(
         int openRequests,
@@ -35,11 +38,13 @@
         int limitedEndpoints,
         Duration readDelay,
         KeyStatus keys,
-        Map<Topic, TopicStatus> topics) {
+        Map<Topic, TopicStatus> topics,
+        List<TeamUse> teams) {
     /** Copies the maps. */
     public ForwardingStatus {
         endpoints = Map.copyOf(endpoints);
         topics = Map.copyOf(topics);
+        teams = List.copyOf(teams);
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -42,6 +42,12 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
+    /** Units that were charged to {@link #chargedTeam}, 0 for none. */
+    double charged;
+
+    /** The team that was charged; the key may have moved to another one since. */
+    Optional<TeamName> chargedTeam = Optional.empty();
+
     InFlightRequest(
             ForwardRequest request,
             Route route,
