Test that a refund goes to the team that was charged

A key may move to another team while its request waits. With the refund to the team that holds the key by then, the test reports units that were not given back; with the team that was charged it passes. The tests of teams share one way to send a request with a key.

--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -17,6 +17,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.model.RequestId;
+import org.banyanstair.teams.KeyDigest;
 import org.banyanstair.teams.TeamSettings;
 import org.banyanstair.teams.TeamTable;
 
@@ -220,6 +221,26 @@
                 List.of());
     }
 
+    /** Returns a request of a caller that sends a key. */
+    ForwardRequest keyedRequest(String path, KeyDigest key, Duration patience) {
+        ForwardRequest plain = request(path, Optional.empty(), patience);
+        return new ForwardRequest(
+                plain.exchange(),
+                plain.id(),
+                plain.host(),
+                plain.path(),
+                plain.baseModel(),
+                plain.adapter(),
+                plain.prompt(),
+                plain.inputTokens(),
+                plain.outputTokens(),
+                plain.callerDeadline(),
+                plain.resumeAfter(),
+                Optional.of(key),
+                plain.fingerprint(),
+                plain.widerFingerprints());
+    }
+
     static <T> List<T> only(List<ForwardingEffect> effects, Class<T> type) {
         return effects.stream().filter(type::isInstance).map(type::cast).toList();
     }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TeamAdmissionTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TeamAdmissionTest.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import org.banyanstair.allotments.TeamUse;
-import org.banyanstair.external.Topic;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.teams.Allotment;
 import org.banyanstair.teams.AllotmentUnit;
@@ -34,45 +33,29 @@
 
     @BeforeEach
     void configure() {
-        Team team = new Team(
-                new TeamName("blue"),
-                Set.of(KEY),
-                OptionalInt.empty(),
-                Optional.of(new Allotment(2, BURST, AllotmentUnit.REQUESTS, 0)));
-        fixture.publish(
-                Topic.CONFIGURATION,
-                "config",
-                new DecodedRecord.ConfigurationPublished(new ForwardingConfiguration(
-                        1,
-                        List.of(ReducerFixture.route("/look/", ReducerFixture.PLAIN_SERVICE, false, true, false)),
-                        List.of(new ServiceDefinition(ReducerFixture.PLAIN_SERVICE, Optional.empty())),
-                        RequestLimits.DEFAULT,
-                        new TeamTable(List.of(team)))));
+        configure(1, team("blue", KEY), team("green"));
         fixture.pass(Duration.ofSeconds(5));
     }
 
+    private static Team team(String name, KeyDigest... keys) {
+        Allotment allotment = new Allotment(2, BURST, AllotmentUnit.REQUESTS, 0);
+        return new Team(new TeamName(name), Set.of(keys), OptionalInt.empty(), Optional.of(allotment));
+    }
+
+    private void configure(long version, Team... teams) {
+        fixture.configureTeams(
+                version,
+                new TeamTable(List.of(teams)),
+                ReducerFixture.route("/look/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+    }
+
     private void listEndpoints() {
         fixture.endpoint("i-1", ReducerFixture.PLAIN_SERVICE, false, 1);
         fixture.endpoint("i-2", ReducerFixture.PLAIN_SERVICE, false, 1);
     }
 
     private List<ForwardingEffect> arrive() {
-        ForwardRequest plain = fixture.request("/look/1", Optional.empty(), PATIENCE);
-        return fixture.apply(new ForwardingEvent.RequestArrived(new ForwardRequest(
-                plain.exchange(),
-                plain.id(),
-                plain.host(),
-                plain.path(),
-                plain.baseModel(),
-                plain.adapter(),
-                plain.prompt(),
-                plain.inputTokens(),
-                plain.outputTokens(),
-                plain.callerDeadline(),
-                plain.resumeAfter(),
-                Optional.of(KEY),
-                plain.fingerprint(),
-                plain.widerFingerprints())));
+        return fixture.apply(new ForwardingEvent.RequestArrived(fixture.keyedRequest("/look/1", KEY, PATIENCE)));
     }
 
     private TeamUse use() {
@@ -105,6 +88,30 @@
         assertEquals(1, use().used());
     }
 
+    /** Guards against a refund that goes to the team that holds the key by then, and was not charged. */
+    @Test
+    void refundGoesToTheTeamThatWasCharged() {
+        listEndpoints();
+        List<ForwardingEffect> effects = arrive();
+        configure(2, team("blue"), team("green", KEY));
+        List<ForwardingEffect.Send> sends = ReducerFixture.only(effects, ForwardingEffect.Send.class);
+        while (!sends.isEmpty()) {
+            ForwardingEffect.Send send = sends.get(0);
+            effects = fixture.apply(new ForwardingEvent.AttemptEnded(
+                    send.exchange(),
+                    send.attempt(),
+                    new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED)));
+            sends = ReducerFixture.only(effects, ForwardingEffect.Send.class);
+        }
+        assertEquals(
+                1, ReducerFixture.only(effects, ForwardingEffect.Refuse.class).size());
+        assertEquals(
+                List.of(0L, 0L),
+                fixture.reducer().status(fixture.now()).teams().stream()
+                        .map(TeamUse::used)
+                        .toList());
+    }
+
     /** Guards against refused callers that all return at once, and against a log line for each of them. */
     @Test
     void refusedRequestsReturnAtDifferentTimesAndTheChangeIsLoggedOnce() {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TeamOfRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TeamOfRequestTest.java
@@ -43,22 +43,7 @@
     }
 
     private ForwardRequest keyed(KeyDigest key) {
-        ForwardRequest plain = fixture.request("/stream/1", Optional.empty(), Duration.ofSeconds(5));
-        return new ForwardRequest(
-                plain.exchange(),
-                plain.id(),
-                plain.host(),
-                plain.path(),
-                plain.baseModel(),
-                plain.adapter(),
-                plain.prompt(),
-                plain.inputTokens(),
-                plain.outputTokens(),
-                plain.callerDeadline(),
-                plain.resumeAfter(),
-                Optional.of(key),
-                plain.fingerprint(),
-                plain.widerFingerprints());
+        return fixture.keyedRequest("/stream/1", key, Duration.ofSeconds(5));
     }
 
     private static Optional<String> teamSent(List<ForwardingEffect> effects) {
