--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -42,6 +42,8 @@
         NOT_CONNECTED,
         /** The deadline passed before a connection was open, so no byte was sent. */
         EXPIRED,
+        /** The endpoint has not read what this host has sent it before, so no byte was sent. */
+        BACKLOG,
         /** The endpoint answered that it is at capacity. */
         FULL,
         /** Another process has the address, or the runner lacks the adapter version. */
@@ -52,6 +54,8 @@
     enum BrokenCause {
         /** The connection ended before the answer was complete, or what arrived was not HTTP. */
         CONNECTION_LOST,
+        /** The connection ended after this host had not read the answer for a while, because its caller did not. */
+        CALLER_STALLED,
         /** The head is not that of an answer to this request, such as a success without a signature. */
         INVALID_HEAD,
         /** The answer to a resume request is not an event stream. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -28,6 +28,8 @@
     ADAPTER_UNAVAILABLE,
     /** The request has crashed too many endpoints. */
     CRASHES_ENDPOINTS,
+    /** This host has no memory for the body of the request. */
+    HOST_MEMORY,
     /** The caller's deadline passed before the request was sent. */
     DEADLINE_PASSED
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -484,7 +484,7 @@
         if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
             crashDetector.endpointUnreachable(endpoint);
-        } else if (cause == AttemptResult.NotRunCause.FULL) {
+        } else if (cause == AttemptResult.NotRunCause.FULL || cause == AttemptResult.NotRunCause.BACKLOG) {
             endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
             inFlight.request
@@ -494,7 +494,8 @@
                             () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
         }
         inFlight.tried.remove(endpoint.id());
-        boolean reachedEndpoint = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
+        boolean reachedEndpoint =
+                cause != AttemptResult.NotRunCause.NOT_CONNECTED && cause != AttemptResult.NotRunCause.BACKLOG;
         if (reachedEndpoint
                 && (++inFlight.rejections > MAXIMUM_REJECTIONS
                         || !retryBudgets.tryAcquire(inFlight.service.name(), context.now()))) {
@@ -507,6 +508,12 @@
     private void broken(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Broken result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
+        if (result.cause() == AttemptResult.BrokenCause.CALLER_STALLED) {
+            // Another run would not be read either, and would use retries of other callers.
+            crashDetector.attemptAbandoned(inFlight, endpoint);
+            fail(inFlight, FailureReason.ENDPOINT_FAILED);
+            return;
+        }
         endpoint.recordOutcome(false, context.now());
         crashDetector.attemptBroken(inFlight, endpoint);
         if (result.lastEvent().isPresent()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -38,7 +38,7 @@
         return switch (reason) {
             case NOT_READY, STOPPING -> Optional.of(NOT_READY_DELAY);
             case NO_ROUTE, UNKNOWN_KEY, CRASHES_ENDPOINTS, DEADLINE_PASSED -> Optional.empty();
-            case NO_ENDPOINT, ADAPTER_UNAVAILABLE -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
+            case NO_ENDPOINT, ADAPTER_UNAVAILABLE, HOST_MEMORY -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
             case ENDPOINTS_PAUSED -> Optional.of(
                     scale(Duration.ofMillis((long) Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds)), jitter));
             case KEYS_UNCONFIRMED -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,14 +25,15 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.banyanstair.forwarder.internal.CallerConnection;
 import org.banyanstair.forwarder.internal.CallerExchange;
+import org.banyanstair.forwarder.internal.ConnectionMemoryBudget;
 import org.banyanstair.forwarder.internal.EndpointConnectionPool;
 import org.banyanstair.forwarder.internal.ForwarderContext;
 import org.banyanstair.forwarder.internal.ForwarderMetrics;
 import org.banyanstair.forwarder.internal.LogClient;
+import org.banyanstair.forwarder.internal.MemoryLimits;
 import org.banyanstair.forwarder.internal.QueryConnection;
 import org.banyanstair.forwarder.internal.RejectedResponses;
 import org.banyanstair.forwarder.internal.ResponseAggregator;
-import org.banyanstair.forwarder.internal.ResponseMemoryBudget;
 import org.banyanstair.forwarder.internal.ServerSockets;
 import org.banyanstair.forwarder.internal.UndeliveredResponse;
 import org.banyanstair.forwarding.AdapterCommand;
@@ -43,6 +45,7 @@
 import org.banyanstair.forwarding.ForwardingReducer;
 import org.banyanstair.forwarding.RequestLimits;
 import org.banyanstair.forwarding.StopSchedule;
+import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.metrics.PrometheusText;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -97,8 +100,7 @@
     private final NioEventLoopGroup group =
             new NioEventLoopGroup(1, new DefaultThreadFactory("banyanstair-forwarder", false));
     private final EventLoop loop = group.next();
-    private final ResponseMemoryBudget responseMemory =
-            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES);
+    private final ConnectionMemoryBudget memory;
     private final EndpointConnectionPool connections;
 
     /**
@@ -132,15 +134,26 @@
         this.protocols = protocols;
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
+        this.memory = new ConnectionMemoryBudget(
+                MemoryLimits.of(Runtime.getRuntime().maxMemory(), settings.memoryBytes()), clock);
         RejectedResponses rejectedResponses = new RejectedResponses(metrics, decisions::write);
-        this.connections = new EndpointConnectionPool(loop, CONNECT_TIMEOUT, responseMemory, rejectedResponses);
-        this.runnerCallConnections =
-                new EndpointConnectionPool(loop, CONNECT_TIMEOUT, responseMemory, rejectedResponses);
+        this.connections = new EndpointConnectionPool(loop, CONNECT_TIMEOUT, memory, rejectedResponses);
+        this.runnerCallConnections = new EndpointConnectionPool(loop, CONNECT_TIMEOUT, memory, rejectedResponses);
         this.logClient = new LogClient(context, loop);
         metrics.registerStatusGauges(() -> reducer.status(context.now()));
         metrics.registerGauge(
                 "endpoint_connections_total", () -> connections.openedTotal() + runnerCallConnections.openedTotal());
-        metrics.registerGauge("answer_memory_bytes", responseMemory::usedBytes);
+        metrics.registerGauge("answer_memory_bytes", () -> memory.heldBytes(ConnectionMemoryBudget.Kind.RESPONSE));
+        for (ConnectionMemoryBudget.Kind kind : ConnectionMemoryBudget.Kind.values()) {
+            String label = kind.name().toLowerCase(Locale.ROOT);
+            metrics.registerGauge(
+                    LabelledMetricName.of("connection_memory_bytes", "kind", label), () -> memory.heldBytes(kind));
+            metrics.registerGauge(
+                    LabelledMetricName.of("connection_memory_evictions_total", "kind", label),
+                    () -> memory.evictions(kind));
+        }
+        metrics.registerGauge(
+                "endpoint_backlog_bytes", () -> connections.unwrittenBytes() + runnerCallConnections.unwrittenBytes());
         metrics.registerGauge("log_lines_dropped_total", decisions::droppedLines);
         this.peers = NettyPeerTransport.withEventLoopGroup(
                 new PeerTransportSettings(
@@ -426,6 +439,17 @@
             return metrics;
         }
 
+        @Override
+        public ConnectionMemoryBudget memory() {
+            return memory;
+        }
+
+        @Override
+        public void log(DecisionRecord decision) {
+            metrics.countDecision(decision.kind());
+            decisions.write(decision);
+        }
+
         @Override
         public EndpointConnectionPool connections() {
             return connections;
@@ -492,8 +516,7 @@
             DecisionRecord decision = expected
                     ? DecisionRecord.of("answer-undelivered", fields)
                     : DecisionRecord.important("answer-undelivered", fields);
-            metrics.countDecision(decision.kind());
-            decisions.write(decision);
+            log(decision);
         }
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderSettings.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.banyanstair.forwarding.ForwardingSettings;
 import org.banyanstair.model.NetworkAddress;
@@ -19,6 +20,8 @@
  * @param drainGracePeriod time after the shutdown signal in which callers with stale directory entries are still
  *     served
  * @param shutdownTimeout time after the shutdown signal at which the process ends even with requests in flight
+ * @param memoryBytes limit of the memory of the process, which also counts direct buffers and the buffers of sockets;
+ *     empty if it is unknown
  */
 public record ForwarderSettings(
         ForwardingSettings forwarding,
@@ -28,4 +31,5 @@
         NetworkAddress metricsAddress,
         Duration estimatePeriod,
         Duration drainGracePeriod,
-        Duration shutdownTimeout) {}
+        Duration shutdownTimeout,
+        OptionalLong memoryBytes) {}
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -10,13 +10,19 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -29,10 +35,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import org.banyanstair.forwarder.ParsedRequest;
+import org.banyanstair.forwarding.DecisionRecord;
 import org.banyanstair.forwarding.ForwardingEvent;
+import org.banyanstair.forwarding.RefusalReason;
 import org.tinylog.Logger;
 
 /**
@@ -44,15 +53,30 @@
     /** Requests buffered while an earlier one is in flight; reading resumes when there is room again. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 8;
 
+    /** Bytes of requests that wait behind an earlier one from which on no more is read. */
+    private static final int MAXIMUM_PIPELINED_BYTES = 256 << 10;
+
+    /**
+     * Part of a response body that is written at once. The socket copies what is written into direct buffers, so a body
+     * of 16 MB that its caller does not read would take as much memory beside the heap.
+     */
+    private static final int BODY_PART_BYTES = 32 << 10;
+
+    /** Interval at which a caller that has not taken its response is checked for progress. */
+    private static final Duration PROGRESS_CHECK_INTERVAL = Duration.ofSeconds(1);
+
+    /** Shortest time to come back of a request that was refused for want of memory. */
+    private static final Duration REFUSAL_DELAY = Duration.ofSeconds(1);
+
+    /** Spread of that time, so that callers refused together do not come back together. */
+    private static final long REFUSAL_SPREAD_MILLISECONDS = 1000;
+
     /** Time in which the input of a closed connection is discarded; long enough for a few round trips. */
     private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
 
     /** Delay between the accept and the next read of the clock that is no sign of a host that is behind. */
     private static final Duration ACCEPT_TOLERANCE = Duration.ofMillis(50);
 
-    /** Time without progress after which a caller that does not read its response is disconnected. */
-    private static final Duration STALL_TIMEOUT = Duration.ofSeconds(30);
-
     /** Lets the kernel send pending data after a close. */
     private static final int LINGER_DISABLED = -1;
 
@@ -60,7 +84,10 @@
     private final RequestReader reader;
     private final StrictRequestDecoder decoder;
     private final Deque<Delivery> deliveries = new ArrayDeque<>();
-    private final SentBytesCounter bytes = new SentBytesCounter();
+    private final SentBytesCounter bytes = new SentBytesCounter(this::updateOutput);
+    private final ConnectionMemoryBudget.Account output;
+    private final ConnectionMemoryBudget.Account unwritten;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private Channel channel;
     private Instant openedAt = Instant.MAX;
     private Optional<CallerExchange> current = Optional.empty();
@@ -71,11 +98,21 @@
     private boolean closeDelimited;
     private boolean closing;
     private boolean closedByHost;
+    private boolean disconnected;
     private boolean lingering;
-    private long sentAtLastCheck;
-    private Instant stallDeadline = Instant.MIN;
+    private long takenAtLastProgress;
+    private Instant progressAt = Instant.MIN;
+    private Optional<ScheduledFuture<?>> progressCheck = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
 
+    /** Why a caller that does not read its response is disconnected. */
+    private enum DisconnectCause {
+        /** It has taken nothing for too long. */
+        STALLED,
+        /** The memory for all callers is used up, and it holds the most for the longest time. */
+        MEMORY
+    }
+
     /** A response that has not been sent as a whole, with the bytes of the connection before it. */
     private record Delivery(String requestId, long startOffset) {}
 
@@ -87,7 +124,15 @@
     CallerConnection(ForwarderContext forwarder, StrictRequestDecoder decoder) {
         this.forwarder = forwarder;
         this.decoder = decoder;
-        this.reader = new RequestReader(forwarder::limits, this::earliestArrival);
+        this.output = forwarder
+                .memory()
+                .open(ConnectionMemoryBudget.Kind.OUTPUT, () -> disconnectUnread(DisconnectCause.MEMORY));
+        this.unwritten = forwarder
+                .memory()
+                .open(ConnectionMemoryBudget.Kind.RESPONSE, () -> disconnectUnread(DisconnectCause.MEMORY));
+        this.reader = new RequestReader(
+                forwarder::limits, this::earliestArrival, forwarder.memory(), () -> channel.eventLoop()
+                        .execute(this::processNext));
     }
 
     /** Returns the handler that counts the bytes of responses after they are encoded. */
@@ -97,7 +142,7 @@
 
     /** Returns the bytes of responses that the operating system has not taken yet. */
     public long unsentBytes() {
-        return bytes.queued() - bytes.sent();
+        return bytes.queued() - bytes.sent() + body.readableBytes();
     }
 
     /** Returns whether a request is being read or waits, or a response has not been sent as a whole. */
@@ -186,7 +231,10 @@
     }
 
     private void updateAutoRead() {
-        channel.config().setAutoRead(reader.isEnded() || reader.pendingCount() < MAXIMUM_PIPELINED_REQUESTS);
+        channel.config()
+                .setAutoRead(reader.isEnded()
+                        || reader.pendingCount() < MAXIMUM_PIPELINED_REQUESTS
+                                && reader.waitingBytes() < MAXIMUM_PIPELINED_BYTES);
     }
 
     private void sendExpectedContinue() {
@@ -201,7 +249,9 @@
     }
 
     private void processNext() {
-        if (closing || current.isPresent()) {
+        boolean sending = body.isReadable() || reader.pendingCount() > 0 && !channel.isWritable();
+        if (closing || current.isPresent() || sending) {
+            // Goes on when the response is complete, and the caller has read most of those before.
             return;
         }
         Optional<PendingRequest> next = reader.poll();
@@ -217,6 +267,8 @@
         updateAutoRead();
         if (next.get() instanceof PendingRequest.Complete complete) {
             process(complete.request(), complete.arrivedAt());
+        } else if (next.get() instanceof PendingRequest.Refused) {
+            refuseForMemory();
         } else if (next.get() instanceof PendingRequest.Rejected rejected) {
             Logger.info("rejecting request of caller {}: {}", channel.remoteAddress(), rejected.message());
             finish(
@@ -228,6 +280,22 @@
         }
     }
 
+    private void refuseForMemory() {
+        long spread = forwarder.nextExchangeNumber() * 7919 % REFUSAL_SPREAD_MILLISECONDS;
+        Duration retryAfter = REFUSAL_DELAY.plusMillis(spread);
+        forwarder.log(DecisionRecord.of(
+                "refused-for-memory",
+                "caller",
+                String.valueOf(channel.remoteAddress()),
+                "held-bytes",
+                forwarder.memory().heldBytes(ConnectionMemoryBudget.Kind.REQUEST),
+                "retry-after-ms",
+                retryAfter.toMillis()));
+        finish(
+                forwarder.protocols().callers().refusalResponse(RefusalReason.HOST_MEMORY, Optional.of(retryAfter)),
+                true);
+    }
+
     private void process(FullHttpRequest request, Instant arrivedAt) {
         keepAlive = HttpUtil.isKeepAlive(request);
         supportsChunks = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
@@ -280,18 +348,54 @@
 
     void flush() {
         channel.flush();
+        checkProgress();
     }
 
     /** Writes the last part of a response and proceeds with the next request. */
     void finish(HttpObject last, boolean close) {
         current = Optional.empty();
+        reader.requestEnded();
         if (last instanceof FullHttpResponse response) {
             keepAlive = keepAlive && !close;
             if (headOnly) {
                 response.content().clear();
             }
             setConnectionHeader(response);
+            if (response.content().readableBytes() > BODY_PART_BYTES && channel.isActive()) {
+                channel.write(
+                        new DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers()));
+                body = response.content();
+                unwritten.set(body.readableBytes());
+                writeBody();
+                return;
+            }
+        }
+        writeLast(last);
+    }
+
+    /** Writes the body of a response as far as the caller takes it. */
+    private void writeBody() {
+        while (body.isReadable() && channel.isWritable()) {
+            channel.write(
+                    new DefaultHttpContent(body.readRetainedSlice(Math.min(BODY_PART_BYTES, body.readableBytes()))));
+            unwritten.progressed();
+            unwritten.set(body.readableBytes());
+        }
+        if (body.isReadable()) {
+            flush();
+        } else {
+            releaseBody();
+            writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
         }
+    }
+
+    private void releaseBody() {
+        body.release();
+        body = Unpooled.EMPTY_BUFFER;
+        unwritten.set(0);
+    }
+
+    private void writeLast(HttpObject last) {
         ChannelFuture written = channel.writeAndFlush(last).addListener(this::responseSent);
         if (!keepAlive) {
             closing = true;
@@ -310,6 +414,7 @@
             // Scheduled rather than called, so that a long pipeline of requests does not recurse.
             channel.eventLoop().execute(this::processNext);
         }
+        checkProgress();
     }
 
     private void responseSent(Future<? super Void> written) {
@@ -349,7 +454,10 @@
         for (Delivery delivery : deliveries) {
             long start = delivery.startOffset();
             forwarder.logUndelivered(new UndeliveredResponse(
-                    delivery.requestId(), endedBy, bytes.queued() - start, Math.max(0, bytes.sent() - start)));
+                    delivery.requestId(),
+                    endedBy,
+                    bytes.queued() - start + body.readableBytes(),
+                    Math.max(0, bytes.sent() - start)));
         }
         reader.completeRequests().forEach(request -> {
             String id = forwarder.protocols().callers().findRequestId(request.headers());
@@ -375,17 +483,89 @@
     /** Closes the connection in such a way that the response is seen to be incomplete. */
     void abort() {
         current = Optional.empty();
+        reader.requestEnded();
         closing = true;
         close();
     }
 
-    /** Returns whether a response is still being sent to a caller that has not stopped reading for too long. */
-    private boolean isReceivingResponse() {
-        if (bytes.sent() != sentAtLastCheck) {
-            sentAtLastCheck = bytes.sent();
-            stallDeadline = forwarder.now().plus(STALL_TIMEOUT);
+    /** Counts what is queued at the socket, whose own buffer is full then. */
+    private void updateOutput() {
+        long queued = channel != null && channel.isActive() ? bytes.queued() - bytes.sent() : 0;
+        output.set(queued > 0 ? queued + ServerSockets.SEND_BUFFER_BYTES : 0);
+    }
+
+    /** Starts to watch whether the caller takes its response, unless it has taken all of it. */
+    private void checkProgress() {
+        if (progressCheck.isEmpty() && unsentBytes() > 0 && channel.isActive()) {
+            recordProgress();
+            progressAt = forwarder.now();
+            scheduleProgressCheck();
         }
-        return unsentBytes() > 0 && forwarder.now().isBefore(stallDeadline);
+    }
+
+    private void scheduleProgressCheck() {
+        progressCheck = Optional.of(channel.eventLoop()
+                .schedule(this::disconnectIfStalled, PROGRESS_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    private void recordProgress() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        // Includes the part of a large buffer that the socket has taken.
+        long taken = bytes.sent() + (buffer == null ? 0 : buffer.currentProgress());
+        if (taken != takenAtLastProgress) {
+            takenAtLastProgress = taken;
+            progressAt = forwarder.now();
+            output.progressed();
+        }
+    }
+
+    private void disconnectIfStalled() {
+        progressCheck = Optional.empty();
+        if (!channel.isActive()) {
+            return;
+        }
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            // The kernel reports a socket as writable only when a third of its buffer is free, which takes a caller
+            // that reads slowly too long.
+            unsafe.forceFlush();
+        }
+        if (unsentBytes() == 0) {
+            return;
+        }
+        recordProgress();
+        boolean scarce = forwarder.memory().isScarce(ConnectionMemoryBudget.Kind.OUTPUT)
+                || body.isReadable() && forwarder.memory().isScarce(ConnectionMemoryBudget.Kind.RESPONSE);
+        Duration limit = StalledCallerPolicy.limit(current.isPresent() && !channel.isWritable(), scarce);
+        if (progressAt.plus(limit).isAfter(forwarder.now())) {
+            scheduleProgressCheck();
+        } else {
+            disconnectUnread(DisconnectCause.STALLED);
+        }
+    }
+
+    private void disconnectUnread(DisconnectCause cause) {
+        if (disconnected || !channel.isActive()) {
+            return;
+        }
+        disconnected = true;
+        closing = true;
+        closedByHost = true;
+        forwarder.log(DecisionRecord.of(
+                "caller-disconnected",
+                "caller",
+                String.valueOf(channel.remoteAddress()),
+                "cause",
+                cause,
+                "unsent-bytes",
+                unsentBytes(),
+                "no-progress-ms",
+                progressAt.equals(Instant.MIN)
+                        ? 0
+                        : Duration.between(progressAt, forwarder.now()).toMillis()));
+        // Otherwise the kernel keeps what it has taken until the caller acknowledges it.
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        // Scheduled, because the connection may be in the middle of a write.
+        channel.eventLoop().execute(channel::close);
     }
 
     private void startTimer(Duration limit) {
@@ -408,7 +588,8 @@
             // Restarted when the requests before have been answered.
             return;
         }
-        if (isReceivingResponse()) {
+        if (unsentBytes() > 0) {
+            // Ended by the check of its progress if the caller has stopped reading.
             startTimer(forwarder.limits().idleTimeout());
             return;
         }
@@ -424,6 +605,14 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         current.ifPresent(exchange -> exchange.setWritable(channel.isWritable()));
+        if (!channel.isWritable()) {
+            return;
+        }
+        if (body.isReadable()) {
+            writeBody();
+        } else if (reader.pendingCount() > 0) {
+            channel.eventLoop().execute(this::processNext);
+        }
     }
 
     @Override
@@ -434,6 +623,9 @@
         deliveries.clear();
         closing = true;
         reader.close();
+        releaseBody();
+        output.set(0);
+        progressCheck.ifPresent(check -> check.cancel(false));
         current.ifPresent(CallerExchange::onCallerDisconnect);
         current = Optional.empty();
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -85,9 +85,17 @@
         current.ifPresent(Attempt::cancel);
         Attempt attempt = new Attempt(send);
         current = Optional.of(attempt);
+        if (forwarder.connections().backlog().isFull(send.address())) {
+            // Scheduled, because the reducer does not expect the result of an effect before the effects after it.
+            forwarder
+                    .connections()
+                    .loop()
+                    .execute(() -> attempt.finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.BACKLOG)));
+            return;
+        }
         FullHttpRequest outgoing = endpoints().createRequest(request, send, forwarder.now());
         attempt.call = forwarder.connections().send(send.address(), outgoing, attempt, usedConnections);
-        attempt.call.setAutoRead(connection.isWritable());
+        attempt.setReading(connection.isWritable());
     }
 
     /** Sends the response of the completed attempt to the caller. */
@@ -147,7 +155,7 @@
 
     /** Applies backpressure: reads from the endpoint only while the caller keeps up. */
     void setWritable(boolean writable) {
-        current.ifPresent(attempt -> attempt.call.setAutoRead(writable));
+        current.ifPresent(attempt -> attempt.setReading(writable));
     }
 
     private void finish() {
@@ -189,10 +197,13 @@
     }
 
     /** One attempt at an endpoint. */
-    private final class Attempt implements ResponseListener, ResponseMemoryBudget.BufferOwner {
+    private final class Attempt implements ResponseListener {
         private final ForwardingEffect.Send send;
         private final StreamPosition.Run run;
         private final Instant sentAt = forwarder.now();
+        private final ReadPauses readPauses = new ReadPauses();
+        private final ConnectionMemoryBudget.Account memory =
+                forwarder.memory().open(ConnectionMemoryBudget.Kind.RESPONSE, () -> abort(ResponseFault.MEMORY));
         private EndpointCall call;
         private HttpResponse head;
         private ResponseKind kind;
@@ -209,6 +220,13 @@
             this.run = position.startRun(send.resumeAfter());
         }
 
+        private void setReading(boolean reading) {
+            if (call != null) {
+                readPauses.update(reading, forwarder.now());
+                call.setAutoRead(reading);
+            }
+        }
+
         @Override
         public boolean awaitsResponse() {
             return forwarder.nextRead().isBefore(send.sendBefore());
@@ -353,18 +371,14 @@
             finishAttempt(brokenResult(fault.cause()));
         }
 
-        @Override
-        public void evict() {
-            abort(ResponseFault.MEMORY);
-        }
-
         private static boolean isSelfDelimited(HttpResponse response) {
             return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
         }
 
         private void updateMemoryUsage() {
             int pending = splitter.map(EventSplitter::pendingBytes).orElse(0);
-            forwarder.connections().memoryBudget().setUsage(this, body.readableBytes() + pending);
+            memory.progressed();
+            memory.set(body.readableBytes() + pending);
         }
 
         @Override
@@ -389,7 +403,10 @@
             if (rejected) {
                 onComplete();
             } else if (mayHaveRun) {
-                finishAttempt(brokenResult(AttemptResult.BrokenCause.CONNECTION_LOST));
+                finishAttempt(brokenResult(
+                        readPauses.excuseEndpoint(forwarder.now())
+                                ? AttemptResult.BrokenCause.CALLER_STALLED
+                                : AttemptResult.BrokenCause.CONNECTION_LOST));
             } else {
                 finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED));
             }
--- /dev/null
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
@@ -0,0 +1,155 @@
+package org.banyanstair.forwarder.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Bounds the memory that a host holds for callers and endpoints, by kind.
+ *
+ * <p>When a limit is exceeded, the account that holds the most for the longest time without progress is evicted, so
+ * that the many small and moving ones can complete. Has no I/O. Used on the event loop thread only.
+ */
+public final class ConnectionMemoryBudget {
+    /**
+     * Time without progress up to which accounts are compared by size alone. Otherwise a small response that just
+     * pauses would be evicted instead of an endless one.
+     */
+    private static final Duration MINIMUM_STALL = Duration.ofSeconds(1);
+
+    private final InstantSource clock;
+    private final Map<Kind, Pool> pools = new EnumMap<>(Kind.class);
+
+    /** What memory is held for. */
+    public enum Kind {
+        /** Bodies of callers' requests. */
+        REQUEST,
+        /** Responses that are being buffered or that their callers have not read. */
+        RESPONSE,
+        /** Bytes that are queued at the sockets of callers. */
+        OUTPUT
+    }
+
+    /** The accounts of a kind that hold something. */
+    private static final class Pool {
+        private final long limitBytes;
+        private final Set<Account> accounts = new LinkedHashSet<>();
+        private long heldBytes;
+        private long evictions;
+
+        Pool(long limitBytes) {
+            this.limitBytes = limitBytes;
+        }
+    }
+
+    /** Creates an empty budget. */
+    public ConnectionMemoryBudget(MemoryLimits limits, InstantSource clock) {
+        this.clock = clock;
+        pools.put(Kind.REQUEST, new Pool(limits.requestBytes()));
+        pools.put(Kind.RESPONSE, new Pool(limits.responseBytes()));
+        pools.put(Kind.OUTPUT, new Pool(limits.outputBytes()));
+    }
+
+    /**
+     * Opens an account that holds nothing.
+     *
+     * @param eviction drops what the account holds; runs at most once, and the account counts nothing afterwards
+     */
+    Account open(Kind kind, Runnable eviction) {
+        return new Account(pools.get(kind), Optional.of(eviction));
+    }
+
+    /** Opens an account that is never evicted. Its bytes were admitted through another account before. */
+    Account openProtected(Kind kind) {
+        return new Account(pools.get(kind), Optional.empty());
+    }
+
+    /** Returns the bytes that all accounts of a kind hold. */
+    public long heldBytes(Kind kind) {
+        return pools.get(kind).heldBytes;
+    }
+
+    /** Returns the number of accounts of a kind that were evicted since the start. */
+    public long evictions(Kind kind) {
+        return pools.get(kind).evictions;
+    }
+
+    /** Returns whether more bytes of a kind can be held. */
+    boolean fits(Kind kind, long bytes) {
+        return pools.get(kind).heldBytes + bytes <= pools.get(kind).limitBytes;
+    }
+
+    /** Returns whether three quarters of a limit are in use. */
+    boolean isScarce(Kind kind) {
+        return pools.get(kind).heldBytes > pools.get(kind).limitBytes / 4 * 3;
+    }
+
+    private void evictUntilWithinLimit(Pool pool) {
+        while (pool.heldBytes > pool.limitBytes) {
+            Optional<Account> victim = pool.accounts.stream()
+                    .filter(account -> account.eviction.isPresent())
+                    .max(Comparator.comparingDouble(this::weight));
+            if (victim.isEmpty()) {
+                return;
+            }
+            pool.evictions++;
+            victim.get().evict();
+        }
+    }
+
+    private double weight(Account account) {
+        Duration stalled = Duration.between(account.progressAt, clock.instant());
+        return (double) account.bytes * Math.max(MINIMUM_STALL.toMillis(), stalled.toMillis());
+    }
+
+    /** What one owner holds of a kind. */
+    final class Account {
+        private final Pool pool;
+        private final Optional<Runnable> eviction;
+        private long bytes;
+        private Instant progressAt = Instant.MIN;
+        private boolean evicted;
+
+        private Account(Pool pool, Optional<Runnable> eviction) {
+            this.pool = pool;
+            this.eviction = eviction;
+        }
+
+        /** Sets the bytes that the owner holds. May evict any account, including this one. */
+        void set(long newBytes) {
+            if (evicted || newBytes == bytes) {
+                return;
+            }
+            if (bytes == 0) {
+                progressAt = clock.instant();
+                pool.accounts.add(this);
+            }
+            pool.heldBytes += newBytes - bytes;
+            boolean grown = newBytes > bytes;
+            bytes = newBytes;
+            if (bytes == 0) {
+                pool.accounts.remove(this);
+            }
+            if (grown) {
+                evictUntilWithinLimit(pool);
+            }
+        }
+
+        /** Records that the other side has taken or sent some bytes. */
+        void progressed() {
+            progressAt = clock.instant();
+        }
+
+        private void evict() {
+            set(0);
+            evicted = true;
+            eviction.orElseThrow().run();
+        }
+    }
+}
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -94,7 +94,10 @@
         newCall.attach(used);
         // Reading may still be paused from the previous call, whose caller was slow.
         used.config().setAutoRead(newCall.isAutoRead());
+        int bodyBytes = request.content().readableBytes();
+        pool.backlog().add(address, bodyBytes);
         used.writeAndFlush(request).addListener(future -> {
+            pool.backlog().remove(address, bodyBytes);
             if (!future.isSuccess()) {
                 onConnectionLost();
             }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -35,23 +35,33 @@
 
     private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
 
+    /**
+     * Buffer of a socket for responses, which holds bytes while a caller reads slowly. The kernel would let it grow to
+     * several megabytes. Enough for 45 MB a second at the longest round trips between data centres.
+     */
+    private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
+    /** Buffer of a socket for requests; fits a long prompt, and shows soon that an endpoint does not read. */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
+
     private final EventLoop loop;
-    private final ResponseMemoryBudget memoryBudget;
+    private final ConnectionMemoryBudget memoryBudget;
     private final RejectedResponses rejectedResponses;
     private final Duration connectTimeout;
     private final Map<NetworkAddress, Deque<EndpointConnection>> idle = new HashMap<>();
+    private final EndpointBacklog backlog = new EndpointBacklog();
     private long openedTotal;
 
     /**
      * Creates an empty pool.
      *
-     * @param memoryBudget shared by all responses that are being buffered
+     * @param memoryBudget shared by all connections of the host
      * @param rejectedResponses records invalid responses
      */
     public EndpointConnectionPool(
             EventLoop loop,
             Duration connectTimeout,
-            ResponseMemoryBudget memoryBudget,
+            ConnectionMemoryBudget memoryBudget,
             RejectedResponses rejectedResponses) {
         this.loop = loop;
         this.memoryBudget = memoryBudget;
@@ -104,6 +114,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -178,10 +190,19 @@
         return loop;
     }
 
-    ResponseMemoryBudget memoryBudget() {
+    ConnectionMemoryBudget memoryBudget() {
         return memoryBudget;
     }
 
+    EndpointBacklog backlog() {
+        return backlog;
+    }
+
+    /** Returns the bytes of requests that endpoints have not taken yet. */
+    public long unwrittenBytes() {
+        return backlog.totalBytes();
+    }
+
     void reportRejected(NetworkAddress address, ResponseFault fault) {
         rejectedResponses.record(address, fault);
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderContext.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 
 import org.banyanstair.forwarder.Protocols;
+import org.banyanstair.forwarding.DecisionRecord;
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.RequestLimits;
 import org.banyanstair.model.EndpointId;
@@ -27,6 +28,12 @@
 
     ForwarderMetrics metrics();
 
+    /** Returns the bounds of what is held for callers and endpoints. */
+    ConnectionMemoryBudget memory();
+
+    /** Writes a line to the decision log and counts it. */
+    void log(DecisionRecord decision);
+
     /** Returns the request limits of the configuration in force. */
     RequestLimits limits();
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/PendingRequest.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/PendingRequest.java
@@ -16,4 +16,7 @@
 
     /** A request that cannot be read; the connection is closed after the response. */
     record Rejected(HttpResponseStatus status, String message) implements PendingRequest {}
+
+    /** A request for whose body the host has no memory; the connection is closed after the response. */
+    record Refused() implements PendingRequest {}
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RequestReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RequestReader.java
@@ -33,6 +33,11 @@
     private final Supplier<RequestLimits> limits;
     private final Supplier<Instant> arrivals;
     private final Deque<PendingRequest> pending = new ArrayDeque<>();
+    private final ConnectionMemoryBudget budget;
+    private final ConnectionMemoryBudget.Account upload;
+    private final ConnectionMemoryBudget.Account complete;
+    private long waitingBytes;
+    private long servedBytes;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private boolean ended;
@@ -42,10 +47,22 @@
      *
      * @param limits returns the limits in force
      * @param arrivals returns the earliest instant at which what is read may have arrived
+     * @param budget bounds the bodies of all connections
+     * @param uploadRefused called when the body that is being read is dropped in favour of others
      */
-    RequestReader(Supplier<RequestLimits> limits, Supplier<Instant> arrivals) {
+    RequestReader(
+            Supplier<RequestLimits> limits,
+            Supplier<Instant> arrivals,
+            ConnectionMemoryBudget budget,
+            Runnable uploadRefused) {
         this.limits = limits;
         this.arrivals = arrivals;
+        this.budget = budget;
+        this.upload = budget.open(ConnectionMemoryBudget.Kind.REQUEST, () -> {
+            refuse();
+            uploadRefused.run();
+        });
+        this.complete = budget.openProtected(ConnectionMemoryBudget.Kind.REQUEST);
     }
 
     /** Reads a part of a request; ignores it after {@link #end}. Does not release it. */
@@ -93,6 +110,10 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
             return;
         }
+        if (!budget.fits(ConnectionMemoryBudget.Kind.REQUEST, HttpUtil.getContentLength(request, 0L))) {
+            refuse();
+            return;
+        }
         head = request;
         body = Unpooled.buffer();
     }
@@ -103,6 +124,12 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
             return;
         }
+        upload.progressed();
+        upload.set(body.readableBytes() + bytes.readableBytes());
+        if (head == null) {
+            // Refused, because no other connection holds more.
+            return;
+        }
         body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
         if (content instanceof LastHttpContent) {
             FullHttpRequest request =
@@ -112,8 +139,11 @@
                 request.headers().add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 ended = true;
             }
+            waitingBytes += body.readableBytes();
             head = null;
             body = Unpooled.EMPTY_BUFFER;
+            upload.set(0);
+            updateCompleteBytes();
             pending.addLast(new PendingRequest.Complete(request, arrivals.get()));
         }
     }
@@ -124,12 +154,34 @@
         pending.addLast(new PendingRequest.Rejected(status, message));
     }
 
+    /** Refuses the request that is being read for want of memory, after the requests before it; it has not run. */
+    private void refuse() {
+        end();
+        pending.addLast(new PendingRequest.Refused());
+    }
+
+    private void updateCompleteBytes() {
+        complete.set(waitingBytes + servedBytes);
+    }
+
+    /** Returns the bytes of the requests whose turn has not come. */
+    long waitingBytes() {
+        return waitingBytes;
+    }
+
+    /** Records that the body of the request that was removed last is no longer held. */
+    void requestEnded() {
+        servedBytes = 0;
+        updateCompleteBytes();
+    }
+
     /** Reads nothing more and drops a request that was read in part. */
     void end() {
         ended = true;
         head = null;
         body.release();
         body = Unpooled.EMPTY_BUFFER;
+        upload.set(0);
     }
 
     /** Returns whether nothing more is read. */
@@ -149,7 +201,12 @@
 
     /** Removes and returns the next request. */
     Optional<PendingRequest> poll() {
-        return Optional.ofNullable(pending.pollFirst());
+        Optional<PendingRequest> next = Optional.ofNullable(pending.pollFirst());
+        if (next.orElse(null) instanceof PendingRequest.Complete request) {
+            servedBytes = request.request().content().readableBytes();
+            waitingBytes -= servedBytes;
+        }
+        return next;
     }
 
     /** Returns the requests that were read as a whole and whose turn has not come. */
@@ -164,5 +221,8 @@
         end();
         completeRequests().forEach(FullHttpRequest::release);
         pending.clear();
+        waitingBytes = 0;
+        servedBytes = 0;
+        updateCompleteBytes();
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseAggregator.java
@@ -16,7 +16,7 @@
 import org.banyanstair.model.NetworkAddress;
 
 /** Buffers a response until it is complete, with limits on time and size. Used on the event loop thread only. */
-public final class ResponseAggregator implements ResponseListener, ResponseMemoryBudget.BufferOwner {
+public final class ResponseAggregator implements ResponseListener {
     private final EndpointConnectionPool connections;
     private final NetworkAddress address;
     private final int maximumBodyBytes;
@@ -25,6 +25,7 @@
     private Optional<HttpResponse> head = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
+    private final ConnectionMemoryBudget.Account memory;
     private boolean finished;
 
     private ResponseAggregator(
@@ -36,6 +37,9 @@
         this.address = address;
         this.maximumBodyBytes = maximumBodyBytes;
         this.callback = callback;
+        this.memory = connections
+                .memoryBudget()
+                .open(ConnectionMemoryBudget.Kind.RESPONSE, () -> reject(ResponseFault.MEMORY));
     }
 
     /**
@@ -101,7 +105,7 @@
     private void release() {
         timer.ifPresent(future -> future.cancel(false));
         body.release();
-        connections.memoryBudget().setUsage(this, 0);
+        memory.set(0);
     }
 
     private void reject(ResponseFault fault) {
@@ -123,15 +127,11 @@
             reject(ResponseFault.LONG_BODY);
         } else {
             body.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
-            connections.memoryBudget().setUsage(this, body.readableBytes());
+            memory.progressed();
+            memory.set(body.readableBytes());
         }
     }
 
-    @Override
-    public void evict() {
-        reject(ResponseFault.MEMORY);
-    }
-
     @Override
     public boolean expectsBody() {
         return true;
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/SentBytesCounter.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/SentBytesCounter.java
@@ -7,9 +7,19 @@
 
 /** Counts the bytes of responses on a connection. Used on the event loop thread only. */
 final class SentBytesCounter extends ChannelOutboundHandlerAdapter {
+    private final Runnable listener;
     private long queued;
     private long sent;
 
+    /**
+     * Creates a counter at zero.
+     *
+     * @param listener called after each change
+     */
+    SentBytesCounter(Runnable listener) {
+        this.listener = listener;
+    }
+
     /** Returns the bytes that were written to the connection, whether the operating system has taken them or not. */
     long queued() {
         return queued;
@@ -27,8 +37,10 @@
         promise.addListener(future -> {
             if (future.isSuccess()) {
                 sent += length;
+                listener.run();
             }
         });
         context.write(message, promise);
+        listener.run();
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ServerSockets.java
@@ -28,6 +28,15 @@
 
     private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
 
+    /**
+     * Buffer of a socket for responses. The kernel would let it grow to several megabytes for each caller that does not
+     * read, which count as memory of the process. Enough for 10 Mbit/s at a round trip of 50 ms.
+     */
+    static final int SEND_BUFFER_BYTES = 64 << 10;
+
+    /** Buffer of a socket for requests, which holds bytes while earlier requests of the connection wait. */
+    private static final int RECEIVE_BUFFER_BYTES = 128 << 10;
+
     private static final int QUERY_HEADER_LIMIT_BYTES = 8 << 10;
 
     /** Idle time after which a connection for short requests is closed. */
@@ -84,7 +93,9 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 // Otherwise connections stay in the backlog over several rounds of a loop that is behind.
                 .option(ChannelOption.MAX_MESSAGES_PER_READ, ACCEPT_BACKLOG)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .childHandler(initializer)
                 .bind(address.ip(), address.port())
                 .awaitUninterruptibly();
--- /dev/null
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
@@ -0,0 +1,120 @@
+package org.banyanstair.forwarder.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against memory for connections that grows without bound, and against ending the wrong connection. */
+class ConnectionMemoryBudgetTest {
+    private static final ConnectionMemoryBudget.Kind KIND = ConnectionMemoryBudget.Kind.RESPONSE;
+
+    private Instant now = Instant.EPOCH;
+    private final ConnectionMemoryBudget budget =
+            new ConnectionMemoryBudget(new MemoryLimits(100, 100, 100), () -> now);
+    private final List<String> evicted = new ArrayList<>();
+
+    private ConnectionMemoryBudget.Account open(String name) {
+        return budget.open(KIND, () -> evicted.add(name));
+    }
+
+    @Test
+    void largestResponseIsEvictedFirst() {
+        ConnectionMemoryBudget.Account small = open("small");
+        small.set(10);
+        open("middle").set(30);
+        open("large").set(60);
+        assertEquals(List.of(), evicted);
+        small.set(11);
+        assertEquals(List.of("large"), evicted);
+        assertEquals(41, budget.heldBytes(KIND));
+    }
+
+    @Test
+    void responseThatAloneExceedsBudgetIsEvicted() {
+        open("only").set(101);
+        assertEquals(List.of("only"), evicted);
+        assertEquals(0, budget.heldBytes(KIND));
+    }
+
+    @Test
+    void completedResponsesFreeTheirMemory() {
+        for (int index = 0; index < 50; index++) {
+            ConnectionMemoryBudget.Account account = open("any");
+            account.set(90);
+            account.set(0);
+        }
+        assertEquals(List.of(), evicted);
+        assertEquals(0, budget.heldBytes(KIND));
+    }
+
+    @Test
+    void callerWithoutProgressIsEvictedBeforeALargerOneThatReads() {
+        ConnectionMemoryBudget.Account reading = open("reading");
+        reading.set(60);
+        open("stalled").set(30);
+        now = now.plus(Duration.ofSeconds(4));
+        reading.progressed();
+        open("next").set(11);
+        assertEquals(List.of("stalled"), evicted);
+    }
+
+    @Test
+    void smallResponseThatPausesIsKeptRatherThanALargeOneThatGrows() {
+        open("small").set(1);
+        now = now.plus(Duration.ofSeconds(9));
+        open("large").set(100);
+        assertEquals(List.of("large"), evicted);
+    }
+
+    @Test
+    void evictedAccountCountsNothingAnyMore() {
+        ConnectionMemoryBudget.Account account = open("large");
+        account.set(200);
+        account.set(50);
+        assertEquals(0, budget.heldBytes(KIND));
+        assertEquals(1, budget.evictions(KIND));
+    }
+
+    @Test
+    void requestsThatWereReadAsAWholeAreNeverEvicted() {
+        ConnectionMemoryBudget.Kind kind = ConnectionMemoryBudget.Kind.REQUEST;
+        budget.openProtected(kind).set(95);
+        assertTrue(budget.fits(kind, 5));
+        assertFalse(budget.fits(kind, 6));
+        assertTrue(budget.isScarce(kind));
+        budget.open(kind, () -> evicted.add("upload")).set(6);
+        assertEquals(List.of("upload"), evicted);
+        assertEquals(95, budget.heldBytes(kind));
+    }
+
+    @Test
+    void limitIsKeptWhateverTheOrderOfChanges() {
+        Random random = new Random(350);
+        List<ConnectionMemoryBudget.Account> accounts = new ArrayList<>();
+        for (int step = 0; step < 20_000; step++) {
+            now = now.plusMillis(random.nextInt(200));
+            if (accounts.size() < 40) {
+                accounts.add(open("any"));
+            }
+            int index = random.nextInt(accounts.size());
+            if (random.nextInt(20) == 0) {
+                accounts.remove(index).set(0);
+            } else if (random.nextInt(4) == 0) {
+                accounts.get(index).progressed();
+            } else {
+                accounts.get(index).set(random.nextInt(60));
+            }
+            assertTrue(budget.heldBytes(KIND) <= 100, "step " + step);
+        }
+        accounts.forEach(account -> account.set(0));
+        assertEquals(0, budget.heldBytes(KIND));
+    }
+}
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -32,7 +33,7 @@
     private final EndpointConnectionPool connections = new EndpointConnectionPool(
             loop,
             Duration.ofSeconds(1),
-            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES),
+            new ConnectionMemoryBudget(new MemoryLimits(32 << 20, 32 << 20, 32 << 20), InstantSource.system()),
             new RejectedResponses(new ForwarderMetrics(), decision -> {}));
     private ServerSocket server;
     private volatile long responseDelayMilliseconds;
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 
@@ -49,6 +50,8 @@
         return switch (method) {
             case "limits" -> RequestLimits.DEFAULT;
             case "now", "earliestArrival" -> Instant.EPOCH;
+            case "memory" -> new ConnectionMemoryBudget(
+                    new MemoryLimits(32 << 20, 32 << 20, 32 << 20), InstantSource.system());
             case "protocols" -> protocols;
             case "isStopping" -> false;
             case "nextExchangeNumber" -> 1L;
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ResponseAggregatorTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -45,7 +46,7 @@
     private final EndpointConnectionPool connections = new EndpointConnectionPool(
             loop,
             Duration.ofSeconds(1),
-            new ResponseMemoryBudget(ResponseMemoryBudget.DEFAULT_LIMIT_BYTES),
+            new ConnectionMemoryBudget(new MemoryLimits(32 << 20, 32 << 20, 32 << 20), InstantSource.system()),
             new RejectedResponses(metrics, log::add));
     private ServerSocket server;
 
