Test slow callers, uploads and endpoints

An answer that found no memory because callers did not read theirs was run again, which used up the retry budget, and counted against its endpoint. Such attempts now end without a retry and without a penalty (HOST_MEMORY), and whole answers that their callers do not read are evicted first.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -56,6 +56,8 @@
         CONNECTION_LOST,
         /** The connection ended after this host had not read the answer for a while, because its caller did not. */
         CALLER_STALLED,
+        /** This host has no memory for the answer, because callers do not read theirs. */
+        HOST_MEMORY,
         /** The head is not that of an answer to this request, such as a success without a signature. */
         INVALID_HEAD,
         /** The answer to a resume request is not an event stream. */
@@ -71,6 +73,11 @@
         /** The head of the answer was not complete in time after its first byte. */
         SLOW_HEAD,
         /** More bytes arrived than an answer may have, or than are kept of one answer or of all. */
-        TOO_LONG
+        TOO_LONG;
+
+        /** Returns whether the endpoint did what it had to, so that it counts neither as failed nor as crashed. */
+        boolean excusesEndpoint() {
+            return this == CALLER_STALLED || this == HOST_MEMORY;
+        }
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -508,20 +508,20 @@
     private void broken(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Broken result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
-        if (result.cause() == AttemptResult.BrokenCause.CALLER_STALLED) {
-            // Another run would not be read either, and would use retries of other callers.
+        if (result.cause().excusesEndpoint()) {
             crashDetector.attemptAbandoned(inFlight, endpoint);
-            fail(inFlight, FailureReason.ENDPOINT_FAILED);
-            return;
+        } else {
+            endpoint.recordOutcome(false, context.now());
+            crashDetector.attemptBroken(inFlight, endpoint);
         }
-        endpoint.recordOutcome(false, context.now());
-        crashDetector.attemptBroken(inFlight, endpoint);
         if (result.lastEvent().isPresent()) {
             inFlight.lastEvent = result.lastEvent();
         }
         // Without a resume position, another run would repeat output that the caller already has.
         boolean resumable = inFlight.route.streaming() && result.lastEvent().isPresent();
-        boolean mayContinue = inFlight.route.allowsRerun() && (resumable || !result.outputPassedOn());
+        // The answer to another run would not fit either, and the run would use retries of other callers.
+        boolean fits = result.cause() != AttemptResult.BrokenCause.HOST_MEMORY;
+        boolean mayContinue = fits && inFlight.route.allowsRerun() && (resumable || !result.outputPassedOn());
         if (!mayContinue || !retry(inFlight)) {
             fail(inFlight, FailureReason.ENDPOINT_FAILED);
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -129,7 +129,7 @@
                 .open(ConnectionMemoryBudget.Kind.OUTPUT, () -> disconnectUnread(DisconnectCause.MEMORY));
         this.unwritten = forwarder
                 .memory()
-                .open(ConnectionMemoryBudget.Kind.RESPONSE, () -> disconnectUnread(DisconnectCause.MEMORY));
+                .openUnread(ConnectionMemoryBudget.Kind.RESPONSE, () -> disconnectUnread(DisconnectCause.MEMORY));
         this.reader = new RequestReader(
                 forwarder::limits, this::earliestArrival, forwarder.memory(), () -> channel.eventLoop()
                         .execute(this::processNext));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -203,7 +203,7 @@
         private final Instant sentAt = forwarder.now();
         private final ReadPauses readPauses = new ReadPauses();
         private final ConnectionMemoryBudget.Account memory =
-                forwarder.memory().open(ConnectionMemoryBudget.Kind.RESPONSE, () -> abort(ResponseFault.MEMORY));
+                forwarder.memory().open(ConnectionMemoryBudget.Kind.RESPONSE, this::evict);
         private EndpointCall call;
         private HttpResponse head;
         private ResponseKind kind;
@@ -371,6 +371,15 @@
             finishAttempt(brokenResult(fault.cause()));
         }
 
+        private void evict() {
+            if (forwarder.memory().holdsUnread(ConnectionMemoryBudget.Kind.RESPONSE)) {
+                // The endpoint is not to blame for memory that other callers use up by not reading.
+                abort(AttemptResult.BrokenCause.HOST_MEMORY);
+            } else {
+                abort(ResponseFault.MEMORY);
+            }
+        }
+
         private static boolean isSelfDelimited(HttpResponse response) {
             return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
@@ -23,6 +23,12 @@
      */
     private static final Duration MINIMUM_STALL = Duration.ofSeconds(1);
 
+    /**
+     * Time without progress after which a whole response that its caller does not read is evicted before any other. A
+     * caller on a link of 7 Mbit/s takes some tens of kilobytes in this time.
+     */
+    private static final Duration UNREAD_PERIOD = Duration.ofMillis(200);
+
     private final InstantSource clock;
     private final Map<Kind, Pool> pools = new EnumMap<>(Kind.class);
 
@@ -62,12 +68,21 @@
      * @param eviction drops what the account holds; runs at most once, and the account counts nothing afterwards
      */
     Account open(Kind kind, Runnable eviction) {
-        return new Account(pools.get(kind), Optional.of(eviction));
+        return new Account(pools.get(kind), Optional.of(eviction), false);
+    }
+
+    /**
+     * Opens an account for what only its caller has to read, so that its eviction harms nobody else.
+     *
+     * @param eviction as for {@link #open}
+     */
+    Account openUnread(Kind kind, Runnable eviction) {
+        return new Account(pools.get(kind), Optional.of(eviction), true);
     }
 
     /** Opens an account that is never evicted. Its bytes were admitted through another account before. */
     Account openProtected(Kind kind) {
-        return new Account(pools.get(kind), Optional.empty());
+        return new Account(pools.get(kind), Optional.empty(), false);
     }
 
     /** Returns the bytes that all accounts of a kind hold. */
@@ -90,11 +105,16 @@
         return pools.get(kind).heldBytes > pools.get(kind).limitBytes / 4 * 3;
     }
 
+    /** Returns whether any account holds what only its caller has to read. */
+    boolean holdsUnread(Kind kind) {
+        return pools.get(kind).accounts.stream().anyMatch(account -> account.waitsForCaller);
+    }
+
     private void evictUntilWithinLimit(Pool pool) {
         while (pool.heldBytes > pool.limitBytes) {
             Optional<Account> victim = pool.accounts.stream()
                     .filter(account -> account.eviction.isPresent())
-                    .max(Comparator.comparingDouble(this::weight));
+                    .max(Comparator.comparing(this::isUnread).thenComparingDouble(this::weight));
             if (victim.isEmpty()) {
                 return;
             }
@@ -103,6 +123,10 @@
         }
     }
 
+    private boolean isUnread(Account account) {
+        return account.waitsForCaller && account.progressAt.plus(UNREAD_PERIOD).isBefore(clock.instant());
+    }
+
     private double weight(Account account) {
         Duration stalled = Duration.between(account.progressAt, clock.instant());
         return (double) account.bytes * Math.max(MINIMUM_STALL.toMillis(), stalled.toMillis());
@@ -112,13 +136,15 @@
     final class Account {
         private final Pool pool;
         private final Optional<Runnable> eviction;
+        private final boolean waitsForCaller;
         private long bytes;
         private Instant progressAt = Instant.MIN;
         private boolean evicted;
 
-        private Account(Pool pool, Optional<Runnable> eviction) {
+        private Account(Pool pool, Optional<Runnable> eviction, boolean waitsForCaller) {
             this.pool = pool;
             this.eviction = eviction;
+            this.waitsForCaller = waitsForCaller;
         }
 
         /** Sets the bytes that the owner holds. May evict any account, including this one. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/MemoryLimits.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/MemoryLimits.java
@@ -10,8 +10,8 @@
  * @param outputBytes limit for bytes that are queued at the sockets of callers, including the buffers of the sockets
  */
 public record MemoryLimits(long requestBytes, long responseBytes, long outputBytes) {
-    /** Memory of a daemon without heap and connections, that is, classes, code and stacks; 66 to 78 MB in all were seen. */
-    private static final long BASE_BYTES = 64L << 20;
+    /** Classes, code and stacks of a daemon, which takes 66 to 78 MB together with the used part of its heap. */
+    private static final long BASE_BYTES = 48L << 20;
 
     /** Memory beyond the heap if the process has no known limit: that of the smallest hosts, 290 MB with a 194 MB heap. */
     private static final long DEFAULT_BYTES_BEYOND_HEAP = 96L << 20;
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
@@ -74,6 +74,24 @@
         assertEquals(List.of("large"), evicted);
     }
 
+    @Test
+    void unreadResponseIsEvictedBeforeALargerOneThatIsBeingReceived() {
+        budget.openUnread(KIND, () -> evicted.add("unread")).set(20);
+        now = now.plus(Duration.ofMillis(600));
+        open("received").set(81);
+        assertEquals(List.of("unread"), evicted);
+    }
+
+    @Test
+    void responseThatIsBeingReadIsNotPreferred() {
+        ConnectionMemoryBudget.Account reading = budget.openUnread(KIND, () -> evicted.add("reading"));
+        reading.set(20);
+        now = now.plus(Duration.ofMillis(600));
+        reading.progressed();
+        open("endless").set(81);
+        assertEquals(List.of("endless"), evicted);
+    }
+
     @Test
     void evictedAccountCountsNothingAnyMore() {
         ConnectionMemoryBudget.Account account = open("large");
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -23,11 +24,16 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class EndpointConnectionPoolTest {
     /** Shorter than the time for which an idle connection is kept. */
     private static final long CLOSE_NOTICE_MILLISECONDS = 500;
 
+    /** More than fits into the buffers of the sockets. */
+    private static final int BODY_BYTES = 8 << 20;
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final EndpointConnectionPool connections = new EndpointConnectionPool(
@@ -169,4 +175,46 @@
         assertEquals("whole", call());
         assertEquals(2, connections.openedTotal());
     }
+
+    /** Guards against an endpoint that does not read and is sent one request after another. */
+    @Test
+    void endpointThatDoesNotReadIsBackloggedUntilItHasRead() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            NetworkAddress address = new NetworkAddress("127.0.0.1", silent.getLocalPort());
+            for (int number = 0; number < 8; number++) {
+                loop.submit(() -> connections.send(
+                                address,
+                                new DefaultFullHttpRequest(
+                                        HttpVersion.HTTP_1_1,
+                                        HttpMethod.POST,
+                                        "/",
+                                        Unpooled.wrappedBuffer(new byte[BODY_BYTES])),
+                                new SlowListener()))
+                        .get();
+            }
+            Socket[] sockets = new Socket[8];
+            for (int number = 0; number < sockets.length; number++) {
+                sockets[number] = silent.accept();
+            }
+            awaitBacklog(address, true);
+            NetworkAddress other = new NetworkAddress("127.0.0.1", server.getLocalPort());
+            assertFalse(loop.submit(() -> connections.backlog().isFull(other)).get());
+            for (Socket socket : sockets) {
+                socket.setSoTimeout(5000);
+                socket.getInputStream().readNBytes(BODY_BYTES);
+            }
+            awaitBacklog(address, false);
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    private void awaitBacklog(NetworkAddress address, boolean expected) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (loop.submit(() -> connections.backlog().isFull(address)).get() != expected) {
+            assertTrue(System.nanoTime() < end, "backlog " + connections.unwrittenBytes());
+            Thread.sleep(10);
+        }
+    }
 }
