--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -267,8 +268,8 @@
         updateAutoRead();
         if (next.get() instanceof PendingRequest.Complete complete) {
             process(complete.request(), complete.arrivedAt());
-        } else if (next.get() instanceof PendingRequest.Refused) {
-            refuseForMemory();
+        } else if (next.get() instanceof PendingRequest.Refused refused) {
+            refuseForMemory(refused.headers());
         } else if (next.get() instanceof PendingRequest.Rejected rejected) {
             Logger.info("rejecting request of caller {}: {}", channel.remoteAddress(), rejected.message());
             finish(
@@ -280,11 +281,13 @@
         }
     }
 
-    private void refuseForMemory() {
+    private void refuseForMemory(HttpHeaders headers) {
         long spread = forwarder.nextExchangeNumber() * 7919 % REFUSAL_SPREAD_MILLISECONDS;
         Duration retryAfter = REFUSAL_DELAY.plusMillis(spread);
         forwarder.log(DecisionRecord.of(
                 "refused-for-memory",
+                "request",
+                forwarder.protocols().callers().findRequestId(headers),
                 "caller",
                 String.valueOf(channel.remoteAddress()),
                 "held-bytes",
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RequestReader.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/RequestReader.java
@@ -59,7 +59,7 @@
         this.arrivals = arrivals;
         this.budget = budget;
         this.upload = budget.open(ConnectionMemoryBudget.Kind.REQUEST, () -> {
-            refuse();
+            refuse(head);
             uploadRefused.run();
         });
         this.complete = budget.openProtected(ConnectionMemoryBudget.Kind.REQUEST);
@@ -111,7 +111,7 @@
             return;
         }
         if (!budget.fits(ConnectionMemoryBudget.Kind.REQUEST, HttpUtil.getContentLength(request, 0L))) {
-            refuse();
+            refuse(request);
             return;
         }
         head = request;
@@ -155,9 +155,9 @@
     }
 
     /** Refuses the request that is being read for want of memory, after the requests before it; it has not run. */
-    private void refuse() {
+    private void refuse(HttpRequest request) {
         end();
-        pending.addLast(new PendingRequest.Refused());
+        pending.addLast(new PendingRequest.Refused(request.headers()));
     }
 
     private void updateCompleteBytes() {
