--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -512,7 +512,7 @@
         if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
             crashDetector.endpointUnreachable(endpoint);
-        } else if (cause == AttemptResult.NotRunCause.FULL) {
+        } else if (cause == AttemptResult.NotRunCause.FULL || cause == AttemptResult.NotRunCause.BACKLOG) {
             endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
             inFlight.request
@@ -522,7 +522,8 @@
                             () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
         }
         inFlight.tried.remove(endpoint.id());
-        boolean reachedEndpoint = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
+        boolean reachedEndpoint =
+                cause != AttemptResult.NotRunCause.NOT_CONNECTED && cause != AttemptResult.NotRunCause.BACKLOG;
         if (reachedEndpoint
                 && (++inFlight.rejections > MAXIMUM_REJECTIONS
                         || !retryBudgets.tryAcquire(inFlight.service.name(), context.now()))) {
@@ -535,14 +536,20 @@
     private void broken(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Broken result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
-        endpoint.recordOutcome(false, context.now());
-        crashDetector.attemptBroken(inFlight, endpoint);
+        if (result.cause().excusesEndpoint()) {
+            crashDetector.attemptAbandoned(inFlight, endpoint);
+        } else {
+            endpoint.recordOutcome(false, context.now());
+            crashDetector.attemptBroken(inFlight, endpoint);
+        }
         if (result.lastEvent().isPresent()) {
             inFlight.lastEvent = result.lastEvent();
         }
         // Without a resume position, another run would repeat output that the caller already has.
         boolean resumable = inFlight.route.streaming() && result.lastEvent().isPresent();
-        boolean mayContinue = inFlight.route.allowsRerun() && (resumable || !result.outputPassedOn());
+        // The answer to another run would not fit either, and the run would use retries of other callers.
+        boolean fits = result.cause() != AttemptResult.BrokenCause.HOST_MEMORY;
+        boolean mayContinue = fits && inFlight.route.allowsRerun() && (resumable || !result.outputPassedOn());
         if (!mayContinue || !retry(inFlight)) {
             fail(inFlight, FailureReason.ENDPOINT_FAILED);
         }
