Share a full service among teams

With teams in the configuration, ServiceAdmission limits teams above their share of a full service, lets requests for plain services wait on the host until a slot is its turn, orders what waits, spreads retry times, and the retry budget is divided among teams. Without teams all decisions are as before.

--- a/banyanstair-core/src/main/java/org/banyanstair/fairness/LocalTeamDemand.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/fairness/LocalTeamDemand.java
@@ -37,10 +37,18 @@
      * @param hosts number of live hosts, this one included
      */
     public TeamDemand scaledBy(IntSupplier hosts) {
-        return (service, now) -> {
-            Map<TeamName, Double> result = new TreeMap<>();
-            tokensPerSecond(service, now).forEach((team, rate) -> result.put(team, rate * hosts.getAsInt()));
-            return result;
+        return new TeamDemand() {
+            @Override
+            public Map<TeamName, Double> tokensPerSecond(String service, Instant now) {
+                Map<TeamName, Double> result = LocalTeamDemand.this.tokensPerSecond(service, now);
+                result.replaceAll((team, rate) -> rate * hosts.getAsInt());
+                return result;
+            }
+
+            @Override
+            public double countedPart() {
+                return 1.0 / hosts.getAsInt();
+            }
         };
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/fairness/RetryShares.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/fairness/RetryShares.java
@@ -10,42 +10,37 @@
 
 import org.banyanstair.teams.TeamName;
 
-/** Divides the retries of a service among the teams with recent requests. Not thread-safe. */
+/** Divides the retries of a service among the teams that need some. Not thread-safe. */
 public final class RetryShares {
     /** Window of the retry budget. */
     private static final Duration WINDOW = Duration.ofSeconds(10);
 
-    /** Part of the budget that teams above their share may use while the others do not need it. */
-    private static final double COMMON_PART = 0.5;
+    /** Part of the budget that teams may use beyond their share; the rest is kept for those within theirs. */
+    private static final double COMMON_PART = 0.75;
 
-    private final Map<TeamName, Instant> lastRequests = new HashMap<>();
+    private final Map<TeamName, Instant> lastAsked = new HashMap<>();
     private final Deque<Retry> retries = new ArrayDeque<>();
 
     private record Retry(TeamName team, Instant at) {}
 
-    /** Counts a request of a team. */
-    public void recordRequest(TeamName team, Instant now) {
-        lastRequests.put(team, now);
-    }
-
     /** Counts a retry of a team. */
     public void recordRetry(TeamName team, Instant now) {
         retries.addLast(new Retry(team, now));
     }
 
     /**
-     * Returns whether a team may retry: it is within its share, or what all use leaves enough for the others.
+     * Returns whether a team may retry: it is within its share, or all together leave enough for the others.
      *
      * @param budget retries of all teams in the window
      */
     public boolean allows(TeamName team, double budget, ToDoubleFunction<TeamName> weights, Instant now) {
         Instant start = now.minus(WINDOW);
-        lastRequests.values().removeIf(at -> at.isBefore(start));
+        lastAsked.values().removeIf(at -> at.isBefore(start));
         while (!retries.isEmpty() && retries.peekFirst().at().isBefore(start)) {
             retries.removeFirst();
         }
-        lastRequests.put(team, now);
-        double total = lastRequests.keySet().stream().mapToDouble(weights).sum();
+        lastAsked.put(team, now);
+        double total = lastAsked.keySet().stream().mapToDouble(weights).sum();
         long used = retries.stream().filter(retry -> retry.team().equals(team)).count();
         return used + 1 <= Math.max(1, budget * weights.applyAsDouble(team) / total)
                 || retries.size() + 1 <= COMMON_PART * budget;
--- a/banyanstair-core/src/main/java/org/banyanstair/fairness/RetrySpread.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/fairness/RetrySpread.java
@@ -1,6 +1,7 @@
 package org.banyanstair.fairness;
 
 import java.time.Duration;
+import java.util.SplittableRandom;
 
 /**
  * Spreads the retries of refused requests over the time that a service needs to clear its backlog.
@@ -28,7 +29,8 @@
      * @param seed different on each host, so that hosts do not give the same delays at the same time
      */
     public RetrySpread(long seed) {
-        position = (seed * 0x9E3779B97F4A7C15L >>> 11) * 0x1.0p-53;
+        // Seeds that differ by a fixed amount must not lead to positions on the same sequence.
+        position = new SplittableRandom(seed).nextDouble();
     }
 
     /**
@@ -38,9 +40,15 @@
      * @param drainPerSecond tokens that are served a second for all hosts
      */
     public Duration next(double backlog, double drainPerSecond) {
-        position = (position + GOLDEN_RATIO) % 1;
+        nextPosition();
         double seconds = drainPerSecond > 0 ? backlog / drainPerSecond : Double.POSITIVE_INFINITY;
         double spread = Math.max(MINIMUM_SPREAD.toMillis(), Math.min(MAXIMUM_SPREAD.toMillis(), seconds * 1000));
         return MINIMUM_DELAY.plusNanos((long) (spread * position * 1e6));
     }
+
+    /** Returns the next position in the sequence, from 0 to 1. */
+    public double nextPosition() {
+        position = (position + GOLDEN_RATIO) % 1;
+        return position;
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecisionRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecisionRecord.java
@@ -41,6 +41,13 @@
         return new DecisionRecord(kind, true, map(fields));
     }
 
+    /** Returns a copy with one more field. */
+    DecisionRecord with(String name, Object value) {
+        Map<String, Object> more = new LinkedHashMap<>(fields);
+        more.put(name, value);
+        return new DecisionRecord(kind, important, more);
+    }
+
     private static Map<String, Object> map(Object... fields) {
         Map<String, Object> result = new LinkedHashMap<>();
         for (int index = 0; index + 1 < fields.length; index += 2) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -229,6 +229,14 @@
         pause = pause.multipliedBy(2).compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : pause.multipliedBy(2);
     }
 
+    /** Returns whether the endpoint is paused after a failure or rejection, and only for a short time from now on. */
+    boolean isPausedBriefly(Instant now, Duration limit) {
+        return condition(now) == EndpointCondition.PAUSED
+                && now.isBefore(pausedUntil)
+                && !pausedUntil.isAfter(now.plus(limit))
+                && requestedPause.allowsRequest(now);
+    }
+
     void pauseUntil(Instant instant) {
         pausedUntil = instant;
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -272,6 +272,7 @@
             }
         } else if (message instanceof PeerMessage.UseReport report) {
             forwarder.usage().applyReport(sender, report);
+            forwarder.usageReported();
         } else if (message instanceof PeerMessage.HeldRunner held) {
             runnerManager.runnerStateReceived(sender, held);
             forwarder.advanceWaiting();
@@ -460,6 +461,7 @@
                 refusals.refusedRequests(),
                 refusals.refusedParts(),
                 forwarder.limits().count(),
+                forwarder.admissionStatus(),
                 context.ticks().reportedDelay(),
                 topics);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -17,6 +17,7 @@
  * @param refusedRequests number of requests that are refused because they crash endpoints
  * @param refusedParts number of prompt parts whose requests are refused because they crash endpoints
  * @param limitedEndpoints number of endpoints that have named a limit of the requests of all hosts
+ * @param admission how the requests of teams are admitted
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
  */
@@ -30,6 +31,7 @@
         int refusedRequests,
         int refusedParts,
         int limitedEndpoints,
+        AdmissionStatus admission,
         Duration readDelay,
         Map<Topic, TopicStatus> topics) {
     /** Copies the maps. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -25,6 +25,7 @@
     Optional<EndpointState> endpoint = Optional.empty();
     final long readDelayMilliseconds;
     boolean sent;
+    boolean waitsForSlot;
     boolean firstOutput;
     boolean outputReported;
     Instant firstOutputAt = Instant.MIN;
@@ -117,7 +118,7 @@
     /** Returns the log record of a refusal. */
     DecisionRecord refusalRecord(
             RefusalReason reason, double startMilliseconds, RefusalRegistry refusals, Instant now) {
-        return DecisionRecord.important(
+        DecisionRecord decision = DecisionRecord.important(
                 "refused",
                 "request",
                 request.id(),
@@ -139,6 +140,7 @@
                 request.fingerprint(),
                 "known-crashes",
                 refusals.crashes(request));
+        return team.isEmpty() ? decision : decision.with("team", team.get().name());
     }
 
     /** Returns the log record of a failure. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -54,6 +54,7 @@
     private final RefusalRegistry refusals;
     private final EndpointSelector selector;
     private final Map<Long, InFlightRequest> requests = new TreeMap<>();
+    private final ServiceAdmission admission;
     private final RetryBudgets retryBudgets;
     private final UsageTracker usage;
     private final EndpointLimits limits;
@@ -80,7 +81,8 @@
                 context, settings.identity().host(), view, messenger, runnerManager, requests.values());
         this.limits = new EndpointLimits(context, settings.identity().host(), view, peers);
         this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
-        this.retryBudgets = new RetryBudgets(settings, peers);
+        this.admission = new ServiceAdmission(context, settings.identity().host(), view, peers);
+        this.retryBudgets = new RetryBudgets(settings, peers, admission);
         this.selector = new EndpointSelector(settings.announcement().dataCentre());
     }
 
@@ -92,6 +94,10 @@
         return limits;
     }
 
+    AdmissionStatus admissionStatus() {
+        return admission.status();
+    }
+
     int size() {
         return requests.size();
     }
@@ -131,7 +137,7 @@
                 .orElseGet(() -> new ServiceDefinition(serviceName, Optional.empty()));
         InFlightRequest inFlight = new InFlightRequest(request, route.get(), service, team, arrivedAt, context.now());
         requests.put(request.exchange(), inFlight);
-        retryBudgets.recordFirstAttempt(service.name(), context.now());
+        retryBudgets.recordFirstAttempt(inFlight, context.now());
         limits.recordDemand(service.name());
         Instant nextRead = context.ticks().nextRead(context.now());
         if (!context.now().isBefore(inFlight.deadline)) {
@@ -140,6 +146,8 @@
             refuse(inFlight, RefusalReason.CRASHES_ENDPOINTS, 0);
         } else if (!nextRead.isBefore(inFlight.firstOutputDeadline())) {
             refuse(inFlight, RefusalReason.OVERLOADED, -context.millisecondsSince(nextRead));
+        } else if (admission.exceedsShare(inFlight)) {
+            refuse(inFlight, RefusalReason.SHARE_EXCEEDED, 0);
         } else {
             selectEndpoint(inFlight);
         }
@@ -175,6 +183,10 @@
             refuse(inFlight, RefusalReason.STOPPING, 0);
             return;
         }
+        if (admission.mustWait(inFlight)) {
+            waitForSlot(inFlight);
+            return;
+        }
         ForwardRequest request = inFlight.request;
         Instant now = context.now();
         long needed = neededVersion(request);
@@ -202,10 +214,12 @@
         }
         EndpointState endpoint = selection.get().endpoint();
         double start = selection.get().startMilliseconds();
+        admission.startExpected(inFlight, start);
         if (start > Duration.between(now, inFlight.firstOutputDeadline()).toMillis()) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, start);
             return;
         }
+        admission.takeSlot(inFlight);
         inFlight.endpoint = Optional.of(endpoint);
         inFlight.predictedMilliseconds = start;
         if (selection.get().load()) {
@@ -295,7 +309,27 @@
      * longer suitable.
      */
     void advanceWaiting() {
-        waiting().forEach(this::advance);
+        admission.inOrder(waiting()).forEach(this::advance);
+    }
+
+    /** Sends requests that waited for a slot, after a peer has reported what it uses. */
+    void usageReported() {
+        if (admission.isActive()) {
+            advanceWaiting();
+        }
+    }
+
+    private void waitForSlot(InFlightRequest inFlight) {
+        Optional<Double> tooLong = admission.hold(inFlight);
+        if (tooLong.isPresent()) {
+            refuseOrFail(inFlight, RefusalReason.OVERLOADED, tooLong.get());
+        } else {
+            advanceHeld(inFlight.service);
+        }
+    }
+
+    private void advanceHeld(ServiceDefinition service) {
+        admission.inOrder(admission.held(service)).forEach(this::advance);
     }
 
     private void advance(InFlightRequest inFlight) {
@@ -307,6 +341,14 @@
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
             return;
         }
+        if (inFlight.waitsForSlot) {
+            if (!admission.mustWait(inFlight) || !stopAdmission.allows(inFlight, now)) {
+                selectEndpoint(inFlight);
+            } else if (now.isAfter(admission.latestStart(inFlight))) {
+                refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
+            }
+            return;
+        }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
         if (!mayReceiveRequest(endpoint) || !stopAdmission.allows(inFlight, now)) {
             selectEndpoint(inFlight);
@@ -347,6 +389,7 @@
         usage.addPrefixes(endpoint, inFlight.prefixes);
         request.adapter().ifPresent(adapter -> runnerManager.recordUse(endpoint, adapter));
         usage.update(endpoint);
+        admission.sent(inFlight);
         context.log(DecisionRecord.of(
                 "sent",
                 "request",
@@ -423,11 +466,13 @@
         } else if (result instanceof AttemptResult.Broken broken) {
             broken(inFlight, endpoint, broken);
         }
+        advanceHeld(inFlight.service);
     }
 
     private void answered(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Answered result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
+        admission.answered(inFlight);
         boolean failed = result.status() >= 500 || result.claimsNotExecuted();
         endpoint.recordOutcome(!failed, context.now());
         if (!failed) {
@@ -465,7 +510,7 @@
                 && crashDetector.mayRunAgain(inFlight.request)
                 && view.endpointsOf(inFlight.service.name()).stream()
                         .anyMatch(endpoint -> mayReceiveRequest(endpoint) && !inFlight.tried.contains(endpoint.id()))
-                && retryBudgets.tryAcquire(inFlight.service.name(), context.now());
+                && retryBudgets.tryAcquire(inFlight, context.now());
     }
 
     private boolean retry(InFlightRequest inFlight) {
@@ -496,8 +541,7 @@
         inFlight.tried.remove(endpoint.id());
         boolean reachedEndpoint = cause != AttemptResult.NotRunCause.NOT_CONNECTED;
         if (reachedEndpoint
-                && (++inFlight.rejections > MAXIMUM_REJECTIONS
-                        || !retryBudgets.tryAcquire(inFlight.service.name(), context.now()))) {
+                && (++inFlight.rejections > MAXIMUM_REJECTIONS || !retryBudgets.tryAcquire(inFlight, context.now()))) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
         } else {
             selectEndpoint(inFlight);
@@ -548,8 +592,10 @@
 
     private void refuse(InFlightRequest inFlight, RefusalReason reason, double startMilliseconds) {
         close(inFlight);
-        Optional<Duration> retryAfter = RetryAfterPolicy.retryAfter(
-                reason, startMilliseconds, inFlight.route.objective(), inFlight.request.fingerprint());
+        Optional<Duration> retryAfter = admission
+                .refused(inFlight, reason)
+                .or(() -> RetryAfterPolicy.retryAfter(
+                        reason, startMilliseconds, inFlight.route.objective(), inFlight.request.fingerprint()));
         context.log(inFlight.refusalRecord(reason, startMilliseconds, refusals, context.now()));
         context.emit(new ForwardingEffect.Refuse(inFlight.request.exchange(), reason, retryAfter));
     }
@@ -562,6 +608,7 @@
 
     private void close(InFlightRequest inFlight) {
         requests.remove(inFlight.request.exchange());
+        admission.release(inFlight);
         inFlight.endpoint.ifPresent(usage::update);
     }
 
@@ -601,6 +648,7 @@
 
     void tick() {
         limits.tick();
+        admission.tick();
         advanceWaiting();
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
             if (!inFlight.sent) {
--- a/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/routing/RetryBudget.java
@@ -42,15 +42,25 @@
      * @return false if the budget is exhausted
      */
     public boolean tryAcquire(double share, double minimum, Instant now) {
-        removeExpired(firstAttempts, now);
         removeExpired(retries, now);
-        if (retries.size() + 1 > Math.max(minimum, share * firstAttempts.size())) {
+        if (retries.size() + 1 > limit(share, minimum, now)) {
             return false;
         }
         retries.addLast(now);
         return true;
     }
 
+    /**
+     * Returns the retries that are allowed per window now.
+     *
+     * @param share maximum retries as a share of first attempts
+     * @param minimum retries allowed per window regardless of the number of first attempts
+     */
+    public double limit(double share, double minimum, Instant now) {
+        removeExpired(firstAttempts, now);
+        return Math.max(minimum, share * firstAttempts.size());
+    }
+
     private static void removeExpired(Deque<Instant> instants, Instant now) {
         Instant start = now.minus(WINDOW);
         while (!instants.isEmpty() && instants.peekFirst().isBefore(start)) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Gauge;
@@ -14,10 +17,12 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import org.banyanstair.external.Topic;
+import org.banyanstair.forwarding.AdmissionStatus;
 import org.banyanstair.forwarding.EndpointCondition;
 import org.banyanstair.forwarding.ForwardingStatus;
 import org.banyanstair.metrics.LabelledMetricName;
 import org.banyanstair.metrics.PrometheusText;
+import org.banyanstair.teams.TeamName;
 
 /** Metrics of the forwarding daemon. Latencies are in seconds. Not thread-safe. */
 public final class ForwarderMetrics {
@@ -27,6 +32,7 @@
     private final PrometheusText text = new PrometheusText(registry);
     private Optional<Supplier<ForwardingStatus>> status = Optional.empty();
     private ForwardingStatus snapshot;
+    private final Set<TeamName> registeredTeams = new HashSet<>();
     private final Timer queueTime = timer("queue_seconds");
     private final Timer firstOutput = timer("first_output_seconds");
     private final Timer outputGap = timer("output_gap_seconds");
@@ -115,6 +121,7 @@
         registerGauge("refused_requests", () -> snapshot.refusedRequests());
         registerGauge("refused_prompt_parts", () -> snapshot.refusedParts());
         registerGauge("limited_endpoints", () -> snapshot.limitedEndpoints());
+        registerGauge("full_services", () -> snapshot.admission().fullServices());
         registerGauge("read_delay_seconds", () -> snapshot.readDelay().toMillis() / 1000.0);
         for (EndpointCondition condition : EndpointCondition.values()) {
             registerGauge(
@@ -135,6 +142,34 @@
         }
     }
 
+    /** Registers the gauges of teams that have sent their first request. */
+    private void registerTeamGauges() {
+        for (TeamName team : snapshot.admission().teams().keySet()) {
+            if (registeredTeams.add(team)) {
+                // The encoding of labels reserves these characters.
+                String label = team.value().replace('|', '_').replace('=', '_');
+                registerTeamGauge("team_requests", team, label, AdmissionStatus.TeamStatus::requests);
+                registerTeamGauge("team_refused_by_share", team, label, AdmissionStatus.TeamStatus::refusedByShare);
+                registerTeamGauge(
+                        "team_refused_overloaded", team, label, AdmissionStatus.TeamStatus::refusedOverloaded);
+                registerTeamGauge(
+                        "team_waiting_seconds_total",
+                        team,
+                        label,
+                        status -> status.waited().toMillis() / 1000.0);
+            }
+        }
+    }
+
+    private void registerTeamGauge(
+            String name, TeamName team, String label, Function<AdmissionStatus.TeamStatus, Number> value) {
+        String labelled = LabelledMetricName.of(name, "team", label);
+        if (!registry.getNames().contains(PREFIX + labelled)) {
+            registerGauge(
+                    labelled, () -> value.apply(snapshot.admission().teams().get(team)));
+        }
+    }
+
     private static String lowerCase(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
@@ -154,7 +189,10 @@
      * @return the text in UTF-8
      */
     public byte[] render() {
-        status.ifPresent(supplier -> snapshot = supplier.get());
+        status.ifPresent(supplier -> {
+            snapshot = supplier.get();
+            registerTeamGauges();
+        });
         return text.write();
     }
 }
