--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -21,6 +21,7 @@
  * @param refusedRequests number of requests that are refused because they crash endpoints
  * @param refusedParts number of prompt parts whose requests are refused because they crash endpoints
  * @param limitedEndpoints number of endpoints that have named a limit of the requests of all hosts
+ * @param admission how the requests of teams are admitted
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
  * @param keys state of the knowledge of keys
@@ -36,6 +37,7 @@
         int refusedRequests,
         int refusedParts,
         int limitedEndpoints,
+        AdmissionStatus admission,
         Duration readDelay,
         KeyStatus keys,
         Map<Topic, TopicStatus> topics,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -27,6 +27,7 @@
     Optional<EndpointState> endpoint = Optional.empty();
     final long readDelayMilliseconds;
     boolean sent;
+    boolean waitsForSlot;
     boolean firstOutput;
     boolean outputReported;
     Instant firstOutputAt = Instant.MIN;
