--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyRevocationTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyRevocationTest.java
@@ -160,6 +160,42 @@
         fleet.hosts().forEach(host -> assertEquals(RefusalReason.KEYS_UNCONFIRMED, host.refusal(KeyFleet.KEYED_PATH)));
     }
 
+    /** Keys must be refused when the last tenth of the term begins, and not before. */
+    @Test
+    void keysAreAcceptedForNineTenthsOfTheTermAfterTheLastConfirmation() {
+        KeyFleet fleet = settledFleet(1);
+        KeyFleet.Host host = fleet.hosts().get(0);
+        host.setReachesLog(false);
+        for (Instant end = fleet.now().plus(KeyFleet.TERM.multipliedBy(2));
+                fleet.now().isBefore(end);
+                fleet.step()) {
+            boolean usable = host.keys().age().orElseThrow().compareTo(USABLE) < 0;
+            assertEquals(usable, host.accepts());
+        }
+        assertFalse(host.accepts());
+    }
+
+    /** Hosts of a large deployment must not depend on the hosts that read for them. */
+    @Test
+    void hostsReadTheLogThemselvesWhileNoPeerResponds() {
+        KeyFleet fleet = settledFleet(MANY_HOSTS);
+        fleet.setMessageDelay(message -> isQuery(message) ? -1 : 5);
+        for (int step = 0; step < 1000; step++) {
+            fleet.step();
+            for (KeyFleet.Host host : fleet.hosts()) {
+                assertTrue(host.keys().accepted(), "after " + step + " steps");
+            }
+        }
+        fleet.hosts()
+                .forEach(host -> assertEquals(
+                        Optional.of(KnowledgeSource.LOG), host.keys().source()));
+    }
+
+    private static boolean isQuery(PeerMessage message) {
+        return message instanceof PeerMessage.RecordsRequest
+                || message instanceof PeerMessage.Routed routed && isQuery(routed.message());
+    }
+
     /** A host that lacks records of its peer does not know what the peer knows. */
     @Test
     void responseThatLeavesAGapConfirmsNothing() {
