Count only answers without failure as run times

An endpoint that fails at once would have made the service look faster than it is, and its teams' shares too large.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -472,10 +472,10 @@
     private void answered(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Answered result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
-        admission.answered(inFlight);
         boolean failed = result.status() >= 500 || result.claimsNotExecuted();
         endpoint.recordOutcome(!failed, context.now());
         if (!failed) {
+            admission.answered(inFlight);
             if (result.isSuccess()) {
                 refusals.requestCompleted(inFlight.request);
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceAdmission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceAdmission.java
@@ -434,7 +434,7 @@
         }
     }
 
-    /** Records that an endpoint has run a request. */
+    /** Records that an endpoint has run a request without a failure. */
     void answered(InFlightRequest inFlight) {
         if (isActive()) {
             load(inFlight).recordRun(Duration.between(inFlight.sentAt, context.now()), tokens(inFlight));
