Leave the data centre only when it pays

Cause: with the fixed penalty, nothing bounded how many requests left, and hosts with the same reports chose the same endpoint. The time of a plain request was assumed, and failures were not compared.

DataCentreChooser applies LocalityPolicy to what EndpointSelector has estimated, spreads what leaves by room with the better of two draws, and leaves out endpoints that fail more often than others, except for one request in twenty. It is enabled only by settings with several data centres and the contract "pool" or "health"; others are served as before. Metrics: sent_requests, leaving_share; log line leaving-share.

HostTest and LocalitySettingsTest pass.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -23,7 +24,7 @@
     /** Penalty for a load from the weight store, which is billed and slows down other loads. */
     private static final double FETCH_PENALTY_MILLISECONDS = 200;
 
-    /** Penalty for an endpoint in another data centre; traffic between data centres is billed. */
+    /** Penalty for an endpoint in another data centre, unless the locality policy decides; that traffic is billed. */
     private static final double REMOTE_PENALTY_MILLISECONDS = 8;
 
     /** Penalty for an endpoint that fails all of its requests; proportionally less for fewer. */
@@ -43,8 +44,11 @@
 
     private final String dataCentre;
 
-    EndpointSelector(String dataCentre) {
+    private final DataCentreChooser dataCentres;
+
+    EndpointSelector(String dataCentre, DataCentreChooser dataCentres) {
         this.dataCentre = dataCentre;
+        this.dataCentres = dataCentres;
     }
 
     /**
@@ -62,16 +66,23 @@
                 .toList();
         if (query.engine().isEmpty()
                 || request.prompt().isEmpty() && request.adapter().isEmpty()) {
-            return candidates.stream()
-                    .map(endpoint -> new EndpointSelection(endpoint, false, plainCost(endpoint, query.route(), now)))
-                    .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
+            return choose(
+                    query,
+                    candidates.stream()
+                            .map(endpoint -> new EndpointSelection(
+                                    endpoint,
+                                    false,
+                                    plainCost(endpoint, query.route().objective(), now) + remotePenalty(endpoint),
+                                    0))
+                            .toList(),
+                    now);
         }
         boolean loadedSomewhere = request.adapter().isPresent()
                 && candidates.stream().anyMatch(endpoint -> isUsable(endpoint, request, neededVersion));
         long[] weights = candidates.stream()
                 .mapToLong(endpoint -> weight(endpoint, request))
                 .toArray();
-        EndpointSelection best = null;
+        List<EndpointSelection> selections = new ArrayList<>();
         for (int index = 0; index < candidates.size(); index++) {
             EndpointState endpoint = candidates.get(index);
             boolean load = request.adapter().isPresent() && !isUsable(endpoint, request, neededVersion);
@@ -79,9 +90,7 @@
             if (delay.isEmpty()) {
                 continue;
             }
-            double cost = delay.getAsDouble()
-                    + runnerCost(
-                            endpoint, request, query.prefixes(), query.engine().get(), now);
+            double cost = delay.getAsDouble();
             if (load) {
                 boolean loadPending = endpoint.isLoadPending(request.adapter().get());
                 boolean recentlyHeld = endpoint.recentlyHeld(request.adapter().get(), query.newestVersion());
@@ -96,11 +105,22 @@
                     cost += Duration.between(now, adapter.readyAt()).toMillis();
                 }
             }
-            if (best == null || cost < best.startMilliseconds()) {
-                best = new EndpointSelection(endpoint, load, cost);
-            }
+            double total = runnerCost(
+                            endpoint, request, query.prefixes(), query.engine().get(), now)
+                    + cost;
+            double own = ownTokens(endpoint, request, query.prefixes())
+                    / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND
+                    * endpoint.slowdown();
+            selections.add(new EndpointSelection(endpoint, load, total, own + cost));
         }
-        return Optional.ofNullable(best);
+        return choose(query, selections, now);
+    }
+
+    private Optional<EndpointSelection> choose(SelectionQuery query, List<EndpointSelection> selections, Instant now) {
+        return dataCentres.isEnabled()
+                ? dataCentres.choose(query, selections, now)
+                : selections.stream()
+                        .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
     }
 
     static boolean isUsable(EndpointState endpoint, ForwardRequest request, long neededVersion) {
@@ -112,14 +132,30 @@
      * Estimates the milliseconds that a runner needs for the prompt of a request and for the prompts queued before it.
      */
     static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes) {
-        int own = Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
-        return (endpoint.waitingTokens() + own) / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowdown()
+        return (endpoint.waitingTokens() + ownTokens(endpoint, request, hashes))
+                        / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND
+                        * endpoint.slowdown()
                 + 2 * RunnerTimings.STEP_MILLISECONDS;
     }
 
+    private static int ownTokens(EndpointState endpoint, ForwardRequest request, long[] hashes) {
+        return Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
+    }
+
+    /** Estimates the milliseconds until an endpoint starts any request, without what depends on the request. */
+    double generalMilliseconds(EndpointState endpoint, boolean isRunner, Duration objective, Instant now) {
+        if (!isRunner) {
+            return plainCost(endpoint, objective, now);
+        }
+        return endpoint.waitingTokens() / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowdown()
+                + (endpoint.running() >= endpoint.listing().slots() ? FULL_PENALTY_MILLISECONDS : 0)
+                + failurePenalty(endpoint, now);
+    }
+
     private double runnerCost(
             EndpointState endpoint, ForwardRequest request, long[] hashes, EngineCapacity engine, Instant now) {
-        double cost = promptMilliseconds(endpoint, request, hashes) + commonCost(endpoint, now);
+        double cost =
+                promptMilliseconds(endpoint, request, hashes) + remotePenalty(endpoint) + failurePenalty(endpoint, now);
         long needed = endpoint.cacheTokens() + request.inputTokens() + request.outputTokens();
         if (needed > engine.cacheTokens() * FULL_CACHE_SHARE
                 || endpoint.running() >= endpoint.listing().slots()) {
@@ -128,18 +164,26 @@
         return cost;
     }
 
-    private double plainCost(EndpointState endpoint, Route route, Instant now) {
-        double each = route.objective().toMillis() * PLAIN_OBJECTIVE_SHARE;
+    private double plainCost(EndpointState endpoint, Duration objective, Instant now) {
+        double assumed = objective.toMillis() * PLAIN_OBJECTIVE_SHARE;
+        double each = dataCentres.isEnabled() ? dataCentres.runMilliseconds(endpoint, assumed, now) : assumed;
         int slots = Math.max(1, endpoint.listing().slots());
         int running = endpoint.running();
         // Some endpoints slow down when nearly full, so utilization counts even below the slot limit.
         double load = each * running / slots + (running >= slots ? each * (running - slots + 1) / slots + each : 0);
-        return load + commonCost(endpoint, now);
+        return load + failurePenalty(endpoint, now) + (dataCentres.isEnabled() ? each : 0);
     }
 
-    private double commonCost(EndpointState endpoint, Instant now) {
-        return (dataCentre.equals(endpoint.listing().dataCentre()) ? 0 : REMOTE_PENALTY_MILLISECONDS)
-                + FAILURE_PENALTY_MILLISECONDS * endpoint.failureRate(now);
+    private double remotePenalty(EndpointState endpoint) {
+        boolean isRemote = !dataCentre.equals(endpoint.listing().dataCentre());
+        return isRemote && !dataCentres.isEnabled() ? REMOTE_PENALTY_MILLISECONDS : 0;
+    }
+
+    private double failurePenalty(EndpointState endpoint, Instant now) {
+        if (dataCentres.isEnabled()) {
+            return FAILURE_PENALTY_MILLISECONDS * dataCentres.excessFailures(endpoint, now);
+        }
+        return FAILURE_PENALTY_MILLISECONDS * endpoint.failureRate(now);
     }
 
     /** Returns the rank of an endpoint in descending order of weight. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -11,7 +11,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
+import org.banyanstair.locality.ResponseEstimate;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -46,6 +48,7 @@
     private final RequestedPause requestedPause = new RequestedPause();
     private boolean announcedLeaving;
     private Instant restartNoticedAt = Instant.MIN;
+    private final ResponseEstimate responses = new ResponseEstimate();
     private double failureRate;
     private Instant lastFailureAt = Instant.MIN;
     private double slowdown = 1;
@@ -99,6 +102,7 @@
         adapters.clear();
         prefixes.clear();
         use.clear();
+        responses.clear();
         failureRate = 0;
         slowdown = 1;
         pausedUntil = Instant.MIN;
@@ -233,6 +237,17 @@
         pausedUntil = instant;
     }
 
+    /** Records the end of an attempt that began with a number of requests at this endpoint, itself included. */
+    void recordResponse(boolean success, int runningAtStart, Duration time, Instant now) {
+        double rounds = Math.max(1, (double) runningAtStart / Math.max(1, listing.slots()));
+        responses.record(success, time.toMillis() / rounds, now);
+    }
+
+    /** Returns the response time and failures by this host's own attempts. */
+    ResponseEstimate responses() {
+        return responses;
+    }
+
     void recordOutcome(boolean success, Instant now) {
         failureRate += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureRate);
         if (success) {
@@ -289,6 +304,11 @@
         use.remove(host);
     }
 
+    /** Passes on what the requests of each host use. */
+    void forEachUse(BiConsumer<HostId, EndpointUsage> consumer) {
+        use.forEach(consumer);
+    }
+
     int running() {
         int sum = 0;
         for (EndpointUsage hostUse : use.values()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarding;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceDefinition> services;
+    private final Map<String, Duration> objectives;
     private final RequestLimits limits;
     private final TeamTable teams;
 
@@ -31,6 +33,13 @@
                         .reversed())
                 .collect(Collectors.groupingBy(Route::host));
         this.services = services.stream().collect(Collectors.toMap(ServiceDefinition::name, service -> service));
+        this.objectives = routes.stream()
+                .flatMap(
+                        route -> route.targets().stream().map(target -> Map.entry(target.service(), route.objective())))
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey,
+                        Map.Entry::getValue,
+                        (left, right) -> left.compareTo(right) < 0 ? left : right));
         this.limits = limits;
         this.teams = teams;
     }
@@ -40,6 +49,11 @@
         return version;
     }
 
+    /** Returns the shortest objective of the routes to each service that has any. */
+    public Map<String, Duration> objectives() {
+        return objectives;
+    }
+
     /** Returns the limits for the requests of callers. */
     public RequestLimits limits() {
         return limits;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -461,7 +461,9 @@
                 refusals.refusedParts(),
                 forwarder.limits().count(),
                 context.ticks().reportedDelay(),
-                topics);
+                topics,
+                forwarder.dataCentres().sentByDataCentre(),
+                forwarder.dataCentres().leavingShares());
     }
 
     /** Returns the configuration in force; empty before the first one is known. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 
+import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.teams.TeamSettings;
@@ -16,6 +17,7 @@
  * @param leaseTerm minimum time between commands of two hosts to the same runner
  * @param versionTerm time within which a newly published adapter version must be in use
  * @param teams terms for teams
+ * @param locality terms on which requests may leave the data centre
  */
 public record ForwardingSettings(
         HostIdentity identity,
@@ -24,12 +26,14 @@
         int retrySlack,
         Duration leaseTerm,
         Duration versionTerm,
-        TeamSettings teams) {
+        TeamSettings teams,
+        LocalitySettings locality) {
     public ForwardingSettings {
         Objects.requireNonNull(identity, "identity");
         Objects.requireNonNull(announcement, "announcement");
         Objects.requireNonNull(leaseTerm, "leaseTerm");
         Objects.requireNonNull(versionTerm, "versionTerm");
         Objects.requireNonNull(teams, "teams");
+        Objects.requireNonNull(locality, "locality");
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -19,6 +19,8 @@
  * @param limitedEndpoints number of endpoints that have named a limit of the requests of all hosts
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
+ * @param sentByDataCentre attempts of this host by the data centre of their endpoint
+ * @param leavingShares share of requests that may leave the data centre, by service
  */
 public record ForwardingStatus(
         int openRequests,
@@ -31,11 +33,15 @@
         int refusedParts,
         int limitedEndpoints,
         Duration readDelay,
-        Map<Topic, TopicStatus> topics) {
+        Map<Topic, TopicStatus> topics,
+        Map<String, Long> sentByDataCentre,
+        Map<String, Double> leavingShares) {
     /** Copies the maps. */
     public ForwardingStatus {
         endpoints = Map.copyOf(endpoints);
         topics = Map.copyOf(topics);
+        sentByDataCentre = Map.copyOf(sentByDataCentre);
+        leavingShares = Map.copyOf(leavingShares);
     }
 
     /**
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -36,6 +36,7 @@
     int reminders;
     int cachedTokens;
     Instant sentAt = Instant.MIN;
+    int runningAtStart;
     double predictedMilliseconds;
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -213,6 +213,31 @@
         return strong.subList(0, Math.min(strong.size(), isLargeDeployment() ? MAXIMUM_LOG_READERS : 1));
     }
 
+    /** Returns the data centre of a host; empty text if the host is unknown. */
+    String dataCentre(HostId host) {
+        Peer peer = peers.get(host);
+        HostAnnouncement announcement = peer == null ? self : peer.announcement;
+        return announcement.host().equals(host) ? announcement.dataCentre() : "";
+    }
+
+    /**
+     * Returns whether the load of a data centre is known: one of its hosts is live, or no host is known there, so that
+     * only hosts elsewhere use its endpoints.
+     */
+    boolean isReported(String dataCentre, Instant now) {
+        Instant earliest = now.minus(liveLimit());
+        boolean hasHosts = false;
+        for (Peer peer : peers.values()) {
+            if (peer.announcement.dataCentre().equals(dataCentre)) {
+                hasHosts = true;
+                if (peer.isLiveSince(earliest)) {
+                    return true;
+                }
+            }
+        }
+        return !hasHosts;
+    }
+
     int size() {
         return peers.size();
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -52,6 +52,7 @@
     private final RunnerManager runnerManager;
     private final CrashDetector crashDetector;
     private final RefusalRegistry refusals;
+    private final DataCentreChooser dataCentres;
     private final EndpointSelector selector;
     private final Map<Long, InFlightRequest> requests = new TreeMap<>();
     private final RetryBudgets retryBudgets;
@@ -81,7 +82,8 @@
         this.limits = new EndpointLimits(context, settings.identity().host(), view, peers);
         this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
         this.retryBudgets = new RetryBudgets(settings, peers);
-        this.selector = new EndpointSelector(settings.announcement().dataCentre());
+        this.dataCentres = new DataCentreChooser(context, settings, view, peers);
+        this.selector = new EndpointSelector(settings.announcement().dataCentre(), dataCentres);
     }
 
     UsageTracker usage() {
@@ -92,6 +94,10 @@
         return limits;
     }
 
+    DataCentreChooser dataCentres() {
+        return dataCentres;
+    }
+
     int size() {
         return requests.size();
     }
@@ -189,7 +195,8 @@
                         : runnerManager.loadDelay(endpoint),
                 needed,
                 request.adapter().map(view::newestVersion).orElse(0L),
-                runnerManager.weightStoreUtilization());
+                runnerManager.weightStoreUtilization(),
+                Duration.between(now, inFlight.firstOutputDeadline()).toMillis());
         Optional<EndpointSelection> selection = selector.select(
                 query,
                 view.endpointsOf(inFlight.service.name()).stream()
@@ -343,10 +350,12 @@
         inFlight.tried.add(endpoint.id());
         endpoint.requestedPause().recordRequest();
         limits.recordRequest(endpoint);
+        dataCentres.recordSent(endpoint);
         inFlight.cachedTokens = endpoint.prefixes().cachedTokens(request, inFlight.prefixes);
         usage.addPrefixes(endpoint, inFlight.prefixes);
         request.adapter().ifPresent(adapter -> runnerManager.recordUse(endpoint, adapter));
         usage.update(endpoint);
+        inFlight.runningAtStart = endpoint.running();
         context.log(DecisionRecord.of(
                 "sent",
                 "request",
@@ -430,6 +439,7 @@
         inFlight.mayHaveRun = true;
         boolean failed = result.status() >= 500 || result.claimsNotExecuted();
         endpoint.recordOutcome(!failed, context.now());
+        recordResponse(inFlight, endpoint, !failed);
         if (!failed) {
             if (result.isSuccess()) {
                 refusals.requestCompleted(inFlight.request);
@@ -455,6 +465,11 @@
         context.emit(new ForwardingEffect.Deliver(inFlight.request.exchange()));
     }
 
+    private void recordResponse(InFlightRequest inFlight, EndpointState endpoint, boolean success) {
+        Duration time = Duration.between(inFlight.sentAt, context.now());
+        endpoint.recordResponse(success, inFlight.runningAtStart, time, context.now());
+    }
+
     /**
      * Returns whether a request may run again within its limits on another endpoint, and if so takes a retry from the
      * budget.
@@ -508,6 +523,7 @@
         inFlight.runs++;
         inFlight.mayHaveRun = true;
         endpoint.recordOutcome(false, context.now());
+        recordResponse(inFlight, endpoint, false);
         crashDetector.attemptBroken(inFlight, endpoint);
         if (result.lastEvent().isPresent()) {
             inFlight.lastEvent = result.lastEvent();
@@ -601,6 +617,7 @@
 
     void tick() {
         limits.tick();
+        dataCentres.tick();
         advanceWaiting();
         for (InFlightRequest inFlight : List.copyOf(requests.values())) {
             if (!inFlight.sent) {
@@ -639,7 +656,11 @@
     private void retryElsewhere(InFlightRequest inFlight) {
         if (tryRerun(inFlight, inFlight.runs + 1)) {
             context.log(inFlight.silenceRecord(context.now()));
-            inFlight.endpoint.ifPresent(endpoint -> endpoint.recordOutcome(false, context.now()));
+            inFlight.endpoint.ifPresent(endpoint -> {
+                // Silence may be the wait of an overloaded endpoint; it counts as a slow answer.
+                recordResponse(inFlight, endpoint, true);
+                endpoint.recordOutcome(false, context.now());
+            });
             cancel(inFlight);
             inFlight.runs++;
             inFlight.mayHaveRun = true;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/SelectionQuery.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/SelectionQuery.java
@@ -18,6 +18,7 @@
  * @param newestVersion version of the adapter that would be loaded
  * @param weightStoreUtilization loads in transit over all runners, as a multiple of what the weight store serves
  *     without slowing down
+ * @param latestStartMilliseconds time after which the caller no longer waits for the first output
  */
 record SelectionQuery(
         ForwardRequest request,
@@ -28,4 +29,5 @@
         Function<EndpointState, OptionalDouble> loadDelay,
         long neededVersion,
         long newestVersion,
-        double weightStoreUtilization) {}
+        double weightStoreUtilization,
+        double latestStartMilliseconds) {}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -14,6 +14,7 @@
 import java.util.function.IntToDoubleFunction;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
@@ -79,7 +80,8 @@
                     50,
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(5),
-                    TeamSettings.DEFAULT);
+                    TeamSettings.DEFAULT,
+                    LocalitySettings.DISABLED);
             hosts.put(
                     own.host(),
                     new ForwardingReducer(
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -48,13 +49,29 @@
 
     /** Creates the reducer of one run of a host that starts at an instant. */
     ReducerFixture(HostId host, long incarnation, Instant start) {
+        this(host, incarnation, start, "east", LocalitySettings.DISABLED);
+    }
+
+    ReducerFixture(HostId host, long incarnation, Instant start, String dataCentre, LocalitySettings locality) {
         this.host = host;
         this.incarnation = incarnation;
         this.now = start;
         HostAnnouncement announcement = new HostAnnouncement(
-                host, incarnation, NetworkAddress.parse("10.0.0.1:80"), NetworkAddress.parse("10.0.0.1:81"), "east", 1);
+                host,
+                incarnation,
+                NetworkAddress.parse("10.0.0.1:80"),
+                NetworkAddress.parse("10.0.0.1:81"),
+                dataCentre,
+                1);
         ForwardingSettings settings = new ForwardingSettings(
-                identity(), announcement, 0.2, 50, Duration.ofSeconds(3), Duration.ofSeconds(5), TeamSettings.DEFAULT);
+                identity(),
+                announcement,
+                0.2,
+                50,
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(5),
+                TeamSettings.DEFAULT,
+                locality);
         reducer = new ForwardingReducer(
                 settings, (topic, entry, at) -> Optional.ofNullable(records.get(entry.key() + entry.offset())));
         read(Topic.HOSTS, List.of());
@@ -171,6 +188,10 @@
     }
 
     void endpoint(String id, String service, boolean draining, long started, String... adapters) {
+        endpointIn("east", id, service, draining, started, adapters);
+    }
+
+    void endpointIn(String dataCentre, String id, String service, boolean draining, long started, String... adapters) {
         List<LoadedAdapter> loaded = new ArrayList<>();
         for (String adapter : adapters) {
             loaded.add(new LoadedAdapter(new AdapterName("base", adapter), 1));
@@ -179,7 +200,7 @@
                 new EndpointId(id),
                 service,
                 NetworkAddress.parse("10.0.1.1:" + (1000 + Math.abs(id.hashCode()) % 1000)),
-                "east",
+                dataCentre,
                 6,
                 draining,
                 Optional.empty(),
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -154,7 +154,19 @@
      * @return the text in UTF-8
      */
     public byte[] render() {
-        status.ifPresent(supplier -> snapshot = supplier.get());
+        status.ifPresent(supplier -> {
+            snapshot = supplier.get();
+            snapshot.sentByDataCentre()
+                    .keySet()
+                    .forEach(dataCentre -> registry.gauge(
+                            LabelledMetricName.of(PREFIX + "sent_requests", "data_centre", dataCentre),
+                            () -> () -> snapshot.sentByDataCentre().getOrDefault(dataCentre, 0L)));
+            snapshot.leavingShares()
+                    .keySet()
+                    .forEach(service -> registry.gauge(
+                            LabelledMetricName.of(PREFIX + "leaving_share", "service", service),
+                            () -> () -> snapshot.leavingShares().getOrDefault(service, 0.0)));
+        });
         return text.write();
     }
 }
