Draw one endpoint by its estimate if reports are old

In a large deployment one endpoint is drawn, in inverse proportion to its estimated time, so slower ones still get less.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DataCentreChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DataCentreChooser.java
@@ -184,9 +184,17 @@
         return betterOfTwo(() -> draw(service, candidates));
     }
 
-    /** Returns the better one of two draws, so that hosts with the same reports do not all choose the same endpoint. */
-    private static EndpointSelection betterOfTwo(Supplier<EndpointSelection> drawing) {
+    /**
+     * Returns the better one of two draws, so that hosts with the same reports do not all choose the same endpoint.
+     *
+     * <p>In a large deployment it is the only draw: over relays, reports are older than many requests take, and the
+     * better one of two by old reports is often the worse one by now.
+     */
+    private EndpointSelection betterOfTwo(Supplier<EndpointSelection> drawing) {
         EndpointSelection first = drawing.get();
+        if (peers.isLargeDeployment()) {
+            return first;
+        }
         EndpointSelection second = drawing.get();
         return BY_START.compare(second, first) < 0 ? second : first;
     }
@@ -203,11 +211,32 @@
         return drawWithin(there.isEmpty() ? candidates : there);
     }
 
-    /** Draws any endpoint, or the best one for a request that is worth more on some than on others. */
+    /**
+     * Draws an endpoint, in a large deployment in inverse proportion to its start, or takes the best one for a request
+     * that is worth more on some than on others.
+     */
     private EndpointSelection drawWithin(List<EndpointSelection> candidates) {
-        return candidates.get(0).ownMilliseconds() > 0
-                ? candidates.stream().min(BY_START).orElseThrow()
-                : candidates.get(random.nextInt(candidates.size()));
+        if (candidates.get(0).ownMilliseconds() > 0) {
+            return candidates.stream().min(BY_START).orElseThrow();
+        }
+        if (!peers.isLargeDeployment()) {
+            return candidates.get(random.nextInt(candidates.size()));
+        }
+        double remaining = random.nextDouble()
+                * candidates.stream().mapToDouble(DataCentreChooser::weight).sum();
+        int index = 0;
+        while (index < candidates.size() - 1) {
+            remaining -= weight(candidates.get(index));
+            if (remaining < 0) {
+                break;
+            }
+            index++;
+        }
+        return candidates.get(index);
+    }
+
+    private static double weight(EndpointSelection selection) {
+        return 1 / Math.max(1, selection.startMilliseconds());
     }
 
     void recordSent(EndpointState endpoint) {
