--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -476,7 +476,9 @@
                 context.ticks().reportedDelay(),
                 keys.status(now),
                 topics,
-                forwarder.teamAdmission().uses(now));
+                forwarder.teamAdmission().uses(now),
+                forwarder.dataCentres().sentByDataCentre(),
+                forwarder.dataCentres().leavingShares());
     }
 
     /** Returns the configuration in force; empty before the first one is known. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -26,6 +26,8 @@
  *     if the host keeps up
  * @param keys state of the knowledge of keys
  * @param teams use of the allotments by the teams that have one
+ * @param sentByDataCentre attempts of this host by the data centre of their endpoint
+ * @param leavingShares share of requests that may leave the data centre, by service
  */
 public record ForwardingStatus(
         int openRequests,
@@ -41,12 +43,16 @@
         Duration readDelay,
         KeyStatus keys,
         Map<Topic, TopicStatus> topics,
-        List<TeamUse> teams) {
+        List<TeamUse> teams,
+        Map<String, Long> sentByDataCentre,
+        Map<String, Double> leavingShares) {
     /** Copies the maps. */
     public ForwardingStatus {
         endpoints = Map.copyOf(endpoints);
         topics = Map.copyOf(topics);
         teams = List.copyOf(teams);
+        sentByDataCentre = Map.copyOf(sentByDataCentre);
+        leavingShares = Map.copyOf(leavingShares);
     }
 
     /**
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
@@ -17,6 +17,7 @@
 import java.util.function.UnaryOperator;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
@@ -92,7 +93,14 @@
             frozenUntil = Instant.MIN;
             hasGap = false;
             ForwardingSettings settings = new ForwardingSettings(
-                    identity(), announcement(id, incarnation), 0.2, 50, Duration.ofSeconds(3), TERM, terms);
+                    identity(),
+                    announcement(id, incarnation),
+                    0.2,
+                    50,
+                    Duration.ofSeconds(3),
+                    TERM,
+                    terms,
+                    LocalitySettings.DISABLED);
             reducer = new ForwardingReducer(settings, KeyFleet.this::decode);
         }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -208,6 +208,16 @@
             snapshot = supplier.get();
             snapshot.teams().forEach(use -> registerTeam(use.team()));
             registerTeamGauges();
+            snapshot.sentByDataCentre()
+                    .keySet()
+                    .forEach(dataCentre -> registry.gauge(
+                            LabelledMetricName.of(PREFIX + "sent_requests", "data_centre", dataCentre),
+                            () -> () -> snapshot.sentByDataCentre().getOrDefault(dataCentre, 0L)));
+            snapshot.leavingShares()
+                    .keySet()
+                    .forEach(service -> registry.gauge(
+                            LabelledMetricName.of(PREFIX + "leaving_share", "service", service),
+                            () -> () -> snapshot.leavingShares().getOrDefault(service, 0.0)));
         });
         return text.write();
     }
