Let requests to runners leave when it pays for each of them

A share of requests that may leave kept requests to runners at home. A request with a prompt now takes the runner with the lowest estimate, where one in another data centre has to be sooner by the price of its way and bytes; plain services keep the share. Not measured yet.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DataCentreChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DataCentreChooser.java
@@ -86,7 +86,29 @@
         return settings.enabled();
     }
 
-    /** Chooses one of the endpoints that can take a request; empty if there are none. */
+    /**
+     * Chooses the runner with the lowest estimate for a request, where one in another data centre has to gain its toll;
+     * empty if there are none.
+     *
+     * <p>A share of requests that may leave, as for plain services, would take from runners the spreading of load that
+     * keeps prompts short: cached prompts and loaded adapters are on few runners, in any data centre.
+     */
+    Optional<EndpointSelection> chooseRunner(SelectionQuery query, List<EndpointSelection> all, Instant now) {
+        double toll = settings.tollMilliseconds(kilobytes(query.request()));
+        Map<String, Boolean> reported = new HashMap<>();
+        List<EndpointSelection> known = filter(
+                all,
+                selection -> isHome(selection.endpoint())
+                        || reported.computeIfAbsent(
+                                selection.endpoint().listing().dataCentre(),
+                                dataCentre -> peers.isReported(dataCentre, now)));
+        return (known.isEmpty() ? all : known)
+                .stream()
+                        .min(Comparator.comparingDouble(selection ->
+                                selection.startMilliseconds() + (isHome(selection.endpoint()) ? 0 : toll)));
+    }
+
+    /** Chooses one of the plain endpoints that can take a request; empty if there are none. */
     Optional<EndpointSelection> choose(SelectionQuery query, List<EndpointSelection> all, Instant now) {
         if (all.isEmpty()) {
             return Optional.empty();
@@ -125,11 +147,6 @@
                 return Optional.of(spread(service, inTime));
             }
         }
-        EndpointSelection soonest = better.stream().min(BY_START).orElseThrow();
-        double ownGain = best.ownMilliseconds() - soonest.ownMilliseconds() - toll;
-        if (ownGain > LocalityPolicy.upperThreshold(query.route().objective())) {
-            return Optional.of(soonest);
-        }
         ServiceState state = services.get(service);
         return Optional.of(
                 state != null && state.policy.mayLeave(random.nextDouble()) ? spread(service, better) : best);
@@ -211,14 +228,8 @@
         return drawWithin(there.isEmpty() ? candidates : there);
     }
 
-    /**
-     * Draws an endpoint, in a large deployment in inverse proportion to its start, or takes the best one for a request
-     * that is worth more on some than on others.
-     */
+    /** Draws an endpoint, in a large deployment in inverse proportion to its start. */
     private EndpointSelection drawWithin(List<EndpointSelection> candidates) {
-        if (candidates.get(0).ownMilliseconds() > 0) {
-            return candidates.stream().min(BY_START).orElseThrow();
-        }
         if (!peers.isLargeDeployment()) {
             return candidates.get(random.nextInt(candidates.size()));
         }
@@ -262,7 +273,12 @@
             return;
         }
         nextUpdateAt = now.plus(UPDATE_INTERVAL);
-        Map<String, Duration> objectives = view.configuration().get().objectives();
+        ForwardingConfiguration configuration = view.configuration().get();
+        Map<String, Duration> objectives = new TreeMap<>(configuration.objectives());
+        objectives.keySet().removeIf(service -> configuration
+                .service(service)
+                .flatMap(ServiceDefinition::engine)
+                .isPresent());
         services.keySet().retainAll(objectives.keySet());
         objectives.forEach((service, objective) -> update(service, objective, now));
     }
@@ -315,8 +331,7 @@
             if (endpoint.acceptsRequests(now) && !isFailing(endpoint, now)) {
                 String dataCentre = endpoint.listing().dataCentre();
                 starts.computeIfAbsent(dataCentre, name -> new ArrayList<>())
-                        .add(estimator.generalMilliseconds(
-                                endpoint, view.capacityOf(endpoint).isPresent(), objective, now));
+                        .add(estimator.plainCost(endpoint, objective, now));
                 capacities.merge(dataCentre, (double) endpoint.listing().slots(), Double::sum);
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
@@ -66,16 +66,13 @@
                 .toList();
         if (query.engine().isEmpty()
                 || request.prompt().isEmpty() && request.adapter().isEmpty()) {
-            return choose(
-                    query,
-                    candidates.stream()
-                            .map(endpoint -> new EndpointSelection(
-                                    endpoint,
-                                    false,
-                                    plainCost(endpoint, query.route().objective(), now) + remotePenalty(endpoint),
-                                    0))
-                            .toList(),
-                    now);
+            List<EndpointSelection> selections = candidates.stream()
+                    .map(endpoint -> new EndpointSelection(
+                            endpoint,
+                            false,
+                            plainCost(endpoint, query.route().objective(), now) + remotePenalty(endpoint)))
+                    .toList();
+            return dataCentres.isEnabled() ? dataCentres.choose(query, selections, now) : soonest(selections);
         }
         boolean loadedSomewhere = request.adapter().isPresent()
                 && candidates.stream().anyMatch(endpoint -> isUsable(endpoint, request, neededVersion));
@@ -105,22 +102,16 @@
                     cost += Duration.between(now, adapter.readyAt()).toMillis();
                 }
             }
-            double total = runnerCost(
-                            endpoint, request, query.prefixes(), query.engine().get(), now)
-                    + cost;
-            double own = ownTokens(endpoint, request, query.prefixes())
-                    / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND
-                    * endpoint.slowdown();
-            selections.add(new EndpointSelection(endpoint, load, total, own + cost));
+            cost += runnerCost(
+                    endpoint, request, query.prefixes(), query.engine().get(), now);
+            selections.add(new EndpointSelection(endpoint, load, cost));
         }
-        return choose(query, selections, now);
+        return dataCentres.isEnabled() ? dataCentres.chooseRunner(query, selections, now) : soonest(selections);
     }
 
-    private Optional<EndpointSelection> choose(SelectionQuery query, List<EndpointSelection> selections, Instant now) {
-        return dataCentres.isEnabled()
-                ? dataCentres.choose(query, selections, now)
-                : selections.stream()
-                        .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
+    private static Optional<EndpointSelection> soonest(List<EndpointSelection> selections) {
+        return selections.stream()
+                .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
     }
 
     static boolean isUsable(EndpointState endpoint, ForwardRequest request, long neededVersion) {
@@ -132,30 +123,16 @@
      * Estimates the milliseconds that a runner needs for the prompt of a request and for the prompts queued before it.
      */
     static double promptMilliseconds(EndpointState endpoint, ForwardRequest request, long[] hashes) {
-        return (endpoint.waitingTokens() + ownTokens(endpoint, request, hashes))
-                        / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND
-                        * endpoint.slowdown()
+        int own = Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
+        return (endpoint.waitingTokens() + own) / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowdown()
                 + 2 * RunnerTimings.STEP_MILLISECONDS;
     }
 
-    private static int ownTokens(EndpointState endpoint, ForwardRequest request, long[] hashes) {
-        return Math.max(1, request.inputTokens() - endpoint.prefixes().cachedTokens(request, hashes));
-    }
-
-    /** Estimates the milliseconds until an endpoint starts any request, without what depends on the request. */
-    double generalMilliseconds(EndpointState endpoint, boolean isRunner, Duration objective, Instant now) {
-        if (!isRunner) {
-            return plainCost(endpoint, objective, now);
-        }
-        return endpoint.waitingTokens() / RunnerTimings.PROMPT_TOKENS_PER_MILLISECOND * endpoint.slowdown()
-                + (endpoint.running() >= endpoint.listing().slots() ? FULL_PENALTY_MILLISECONDS : 0)
-                + failurePenalty(endpoint, now);
-    }
-
     private double runnerCost(
             EndpointState endpoint, ForwardRequest request, long[] hashes, EngineCapacity engine, Instant now) {
-        double cost =
-                promptMilliseconds(endpoint, request, hashes) + remotePenalty(endpoint) + failurePenalty(endpoint, now);
+        double cost = promptMilliseconds(endpoint, request, hashes)
+                + remotePenalty(endpoint)
+                + FAILURE_PENALTY_MILLISECONDS * endpoint.failureRate(now);
         long needed = endpoint.cacheTokens() + request.inputTokens() + request.outputTokens();
         if (needed > engine.cacheTokens() * FULL_CACHE_SHARE
                 || endpoint.running() >= endpoint.listing().slots()) {
@@ -164,7 +141,8 @@
         return cost;
     }
 
-    private double plainCost(EndpointState endpoint, Duration objective, Instant now) {
+    /** Estimates the milliseconds until a plain endpoint has answered a request, but for the way there. */
+    double plainCost(EndpointState endpoint, Duration objective, Instant now) {
         double assumed = objective.toMillis() * PLAIN_OBJECTIVE_SHARE;
         double each = dataCentres.isEnabled() ? dataCentres.runMilliseconds(endpoint, assumed, now) : assumed;
         int slots = Math.max(1, endpoint.listing().slots());
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -161,8 +161,7 @@
     private void registerTeamGauges() {
         for (TeamName team : snapshot.admission().teams().keySet()) {
             if (registeredTeams.add(team)) {
-                // The encoding of labels reserves these characters.
-                String label = team.value().replace('|', '_').replace('=', '_');
+                String label = teamLabel(team);
                 registerTeamGauge("team_requests", team, label, AdmissionStatus.TeamStatus::requests);
                 registerTeamGauge("team_refused_by_share", team, label, AdmissionStatus.TeamStatus::refusedByShare);
                 registerTeamGauge(
@@ -222,11 +221,16 @@
         return text.write();
     }
 
+    /** Returns the value of a label, whose encoding reserves some characters. */
+    private static String teamLabel(TeamName team) {
+        return team.value().replace('|', '_').replace('=', '_');
+    }
+
     private void registerTeam(TeamName team) {
         if (teams.size() >= MAXIMUM_TEAMS || !teams.add(team)) {
             return;
         }
-        String label = team.value().replace('|', '_').replace('=', '_');
+        String label = teamLabel(team);
         registerTeamGauge("team_requests_total", label, team, TeamUse::requestedRequests);
         registerTeamGauge("team_admitted_total", label, team, TeamUse::admittedRequests);
         registerTeamGauge("team_refused_total", label, team, TeamUse::refusedRequests);
