--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -247,7 +247,6 @@
         }
         EndpointState endpoint = selection.get().endpoint();
         double start = selection.get().startMilliseconds();
-        admission.startExpected(inFlight, start);
         if (start > Duration.between(now, inFlight.firstOutputDeadline()).toMillis()) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, start);
             return;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceAdmission.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ServiceAdmission.java
@@ -146,6 +146,11 @@
         load.recordRank(inFlight.route.rank());
         ownDemand.record(inFlight.service.name(), team, tokens(inFlight), now);
         count(inFlight, 1, 0, 0, Duration.ZERO);
+        if (inFlight.service.engine().isPresent()) {
+            // What runners could serve is known only from what they run, so a share of it keeps teams from what is
+            // free.
+            return false;
+        }
         checkReportedLoad(inFlight, load);
         if (!load.isFull()) {
             return false;
@@ -188,8 +193,7 @@
         load.divide(admitted, claims);
         double requested =
                 claims.values().stream().mapToDouble(FairShares.Claim::demand).sum();
-        // What runners serve is known only from what runs, so a limit would keep itself up there.
-        if (service.engine().isEmpty() && requested > admitted) {
+        if (requested > admitted) {
             load.stayFull(now);
         }
     }
@@ -217,16 +221,7 @@
      * time in the queue of the endpoint, so queued requests count too.
      */
     private int concurrency(ServiceDefinition service) {
-        return service.engine().isPresent() ? running(service) : Math.max(slots(service), running(service));
-    }
-
-    /** Records when a request could start on the best endpoint. */
-    void startExpected(InFlightRequest inFlight, double milliseconds) {
-        if (isActive()
-                && inFlight.service.engine().isPresent()
-                && milliseconds > inFlight.route.objective().toMillis()) {
-            markFull(inFlight, load(inFlight), milliseconds);
-        }
+        return Math.max(slots(service), running(service));
     }
 
     private void markFull(InFlightRequest inFlight, ServiceLoad load, double milliseconds) {
@@ -267,7 +262,7 @@
 
     /** Records that a plain service is full according to the reports of all hosts, where requests do not wait. */
     private void checkReportedLoad(InFlightRequest inFlight, ServiceLoad load) {
-        if (inFlight.service.engine().isPresent() || !load.hasRun()) {
+        if (!load.hasRun()) {
             return;
         }
         int slots = slots(inFlight.service);
--- a/banyanstair-core/src/main/java/org/banyanstair/locality/LocalitySettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/locality/LocalitySettings.java
@@ -12,9 +12,12 @@
  */
 public record LocalitySettings(boolean enabled, Duration longerWay, double kilobytePriceMilliseconds) {
     /** For a deployment that does not call for the policy. */
-    public static final LocalitySettings DISABLED = new LocalitySettings(false, Duration.ofMillis(3), 1);
+    public static final LocalitySettings DISABLED = new LocalitySettings(false, Duration.ofMillis(3), 0.2);
 
-    /** One-way delays are 0.5 to 1.4 ms; a request of 3,500 tokens, about 14 kB, must gain 17 ms to leave. */
+    /**
+     * One-way delays are 0.5 to 1.4 ms; a request of 9,200 tokens, about 38 kB, must gain 11 ms to leave, one of 200
+     * tokens 3 ms: a hundredth of the shortest objectives at most.
+     */
     public static final LocalitySettings ENABLED =
             new LocalitySettings(true, DISABLED.longerWay(), DISABLED.kilobytePriceMilliseconds());
 
