--- a/banyanstair-core/src/main/java/org/banyanstair/teams/TeamTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/teams/TeamTable.java
@@ -72,9 +72,4 @@
         int kept = byKey.size() - added;
         return new KeyChanges(added, older.byKey.size() - kept, moved);
     }
-
-    /** Returns the number of keys of all teams. */
-    public int keyCount() {
-        return byKey.size();
-    }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -72,6 +72,9 @@
     /** Spread of that time, so that callers refused together do not come back together. */
     private static final long REFUSAL_SPREAD_MILLISECONDS = 1000;
 
+    /** Step that spreads consecutive refusals over that time; coprime to it. */
+    private static final long REFUSAL_SPREAD_STEP = 7919;
+
     /** Time in which the input of a closed connection is discarded; long enough for a few round trips. */
     private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
 
@@ -282,7 +285,7 @@
     }
 
     private void refuseForMemory(HttpHeaders headers) {
-        long spread = forwarder.nextExchangeNumber() * 7919 % REFUSAL_SPREAD_MILLISECONDS;
+        long spread = forwarder.nextExchangeNumber() * REFUSAL_SPREAD_STEP % REFUSAL_SPREAD_MILLISECONDS;
         Duration retryAfter = REFUSAL_DELAY.plusMillis(spread);
         forwarder.log(DecisionRecord.of(
                 "refused-for-memory",
