--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -71,6 +71,9 @@
     record TopicRead(Topic topic, Instant startedAt, boolean snapshot, List<TopicRecord> records, long end)
             implements ForwardingEvent {}
 
+    /** A response of the log named an era other than the last one. */
+    record LogEraObserved(long era) implements ForwardingEvent {}
+
     /** The records from the requested offset on have been dropped; only the newest of each key remain. */
     record TopicExpired(Topic topic) implements ForwardingEvent {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -195,6 +195,8 @@
             view.tick();
         } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
             view.unavailable(unavailable.topic());
+        } else if (event instanceof ForwardingEvent.LogEraObserved observed) {
+            view.eraObserved(observed.era());
         } else if (event instanceof ForwardingEvent.LogCallTimedOut) {
             context.log(DecisionRecord.important("log-call-timed-out"));
             view.restartWaitingReads();
@@ -475,6 +477,7 @@
                 forwarder.admissionStatus(),
                 context.ticks().reportedDelay(),
                 keys.status(now),
+                new ForwardingStatus.EraStatus(view.eras().newest(), view.eras().changes()),
                 topics,
                 forwarder.teamAdmission().uses(now),
                 forwarder.dataCentres().sentByDataCentre(),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingStatus.java
@@ -25,6 +25,7 @@
  * @param readDelay longest time in the last second for which something that arrived may have waited to be read; zero
  *     if the host keeps up
  * @param keys state of the knowledge of keys
+ * @param logEra era of the log
  * @param teams use of the allotments by the teams that have one
  * @param sentByDataCentre attempts of this host by the data centre of their endpoint
  * @param leavingShares share of requests that may leave the data centre, by service
@@ -42,6 +43,7 @@
         AdmissionStatus admission,
         Duration readDelay,
         KeyStatus keys,
+        EraStatus logEra,
         Map<Topic, TopicStatus> topics,
         List<TeamUse> teams,
         Map<String, Long> sentByDataCentre,
@@ -64,6 +66,14 @@
      */
     public record KeyStatus(boolean accepted, Optional<Duration> age, Optional<KnowledgeSource> source) {}
 
+    /**
+     * Era of the log.
+     *
+     * @param newest newest known era; 0 if the log names none
+     * @param changes number of times that the log was restored since the start, as far as this host has noticed
+     */
+    public record EraStatus(long newest, long changes) {}
+
     /**
      * Read state of a topic.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -13,6 +14,7 @@
 
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogEras;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -62,6 +64,12 @@
     /** Time for which a removed endpoint is kept to account for its last requests. */
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(10);
 
+    /** Refused reads of a topic in a row that are logged; a read that is not refused starts again. */
+    private static final int MAXIMUM_LOGGED_EXPIRATIONS = 3;
+
+    /** Keys of ignored records that are logged for each read. */
+    private static final int MAXIMUM_LOGGED_KEYS = 5;
+
     private final EventContext context;
     private final RecordDecoder decoder;
     private final Map<Topic, TopicConsumer> consumers = new TreeMap<>();
@@ -70,6 +78,8 @@
     private final Map<AdapterName, PublishedVersion> versions = new HashMap<>();
     private Optional<ForwardingConfiguration> configuration = Optional.empty();
     private List<EndpointState> runners = List.of();
+    private final LogEras eras = new LogEras();
+    private final Map<Topic, Integer> expiredReads = new EnumMap<>(Topic.class);
     private Instant resumedAt = Instant.MIN;
     private boolean boundsConfigurationWait;
 
@@ -149,6 +159,10 @@
         return consumers.get(topic);
     }
 
+    LogEras eras() {
+        return eras;
+    }
+
     Optional<ForwardingConfiguration> configuration() {
         return configuration;
     }
@@ -216,7 +230,13 @@
                 && !event.snapshot()
                 && !consumer.reliesOnPeers()
                 && event.startedAt().isAfter(resumedAt);
+        long knownEnd = consumer.end();
         List<TopicRecord> newRecords = consumer.applyRead(event, context.now());
+        if (event.snapshot()) {
+            logSnapshot(event, knownEnd, newRecords);
+        } else {
+            logDropped(event, newRecords);
+        }
         apply(event.topic(), newRecords, justWritten ? context.now() : Instant.MIN, listener);
         if (!wasAvailable) {
             context.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
@@ -256,9 +276,74 @@
         resumedAt = context.now();
     }
 
+    private void logSnapshot(ForwardingEvent.TopicRead event, long knownEnd, List<TopicRecord> newRecords) {
+        int expired = Optional.ofNullable(expiredReads.remove(event.topic())).orElse(0);
+        boolean goesBack = event.end() < knownEnd;
+        if (knownEnd >= 0 && expired <= MAXIMUM_LOGGED_EXPIRATIONS) {
+            context.log(DecisionRecord.important(
+                    "topic-snapshot",
+                    "topic",
+                    event.topic(),
+                    "era",
+                    eras.newest(),
+                    "end",
+                    event.end(),
+                    "known-end",
+                    knownEnd,
+                    "records",
+                    event.records().size(),
+                    "new-records",
+                    newRecords.size()));
+        }
+        if (goesBack) {
+            expiredReads.put(event.topic(), expired);
+        }
+    }
+
+    /** Records that some of what was read is not newer than what is known. */
+    private void logDropped(ForwardingEvent.TopicRead event, List<TopicRecord> newRecords) {
+        List<String> dropped = event.records().stream()
+                .filter(entry -> !newRecords.contains(entry))
+                .map(TopicRecord::key)
+                .limit(MAXIMUM_LOGGED_KEYS)
+                .toList();
+        if (!dropped.isEmpty()) {
+            context.log(DecisionRecord.of(
+                    "records-dropped",
+                    "topic",
+                    event.topic(),
+                    "era",
+                    eras.newest(),
+                    "end",
+                    event.end(),
+                    "keys",
+                    dropped));
+        }
+    }
+
+    /** Applies the era that a response of the log names. */
+    void eraObserved(long era) {
+        long known = eras.newest();
+        LogEras.Observation observation = eras.observe(era, context.now());
+        if (observation == LogEras.Observation.NEWER) {
+            context.log(DecisionRecord.important("log-era", "era", era, "known-era", known));
+        } else if (observation == LogEras.Observation.FIRST_ENDED) {
+            context.log(DecisionRecord.important("log-era-ended", "era", era, "known-era", known));
+        }
+    }
+
     void expired(Topic topic) {
         consumers.get(topic).expired(context.now());
-        context.log(DecisionRecord.important("topic-expired", "topic", topic));
+        if (expiredReads.merge(topic, 1, Integer::sum) <= MAXIMUM_LOGGED_EXPIRATIONS) {
+            context.log(DecisionRecord.important(
+                    "topic-expired",
+                    "topic",
+                    topic,
+                    "era",
+                    eras.newest(),
+                    "from",
+                    consumers.get(topic).end()));
+        }
     }
 
     void unavailable(Topic topic) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -31,6 +32,12 @@
      */
     FullHttpRequest recordsRequest(Topic topic, long offset, Duration wait);
 
+    /**
+     * Returns the era of the log that a response names, of any status; empty if it names none, or none that can be
+     * read.
+     */
+    OptionalLong era(FullHttpResponse response);
+
     /** Parses a page of the newest records. */
     TopicPage parseSnapshot(FullHttpResponse response);
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ForwarderMetrics.java
@@ -128,6 +128,8 @@
         registerGauge("refused_prompt_parts", () -> snapshot.refusedParts());
         registerGauge("limited_endpoints", () -> snapshot.limitedEndpoints());
         registerGauge("full_services", () -> snapshot.admission().fullServices());
+        registerGauge("log_era", () -> snapshot.logEra().newest());
+        registerGauge("log_restores_total", () -> snapshot.logEra().changes());
         registerGauge("read_delay_seconds", () -> snapshot.readDelay().toMillis() / 1000.0);
         registerGauge("keys_accepted", () -> snapshot.keys().accepted() ? 1 : 0);
         registerGauge(
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -16,6 +17,7 @@
 import org.banyanstair.external.Topic;
 import org.banyanstair.forwarder.LogProtocol;
 import org.banyanstair.forwarder.TopicPage;
+import org.banyanstair.forwarding.DecisionRecord;
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.TopicRecord;
@@ -33,6 +35,8 @@
     private final EventLoop loop;
     private final LogProtocol protocol;
     private final Map<Topic, ResponseAggregator> reads = new EnumMap<>(Topic.class);
+    private OptionalLong lastEra = OptionalLong.empty();
+    private boolean missingEraReported;
 
     /** Creates a client. */
     public LogClient(ForwarderContext forwarder, EventLoop loop) {
@@ -113,7 +117,22 @@
                 timeout,
                 MAXIMUM_RESPONSE_BYTES,
                 () -> forwarder.submit(new ForwardingEvent.LogCallTimedOut()),
-                forwarder.metrics().timeLogCall(operation, forwarder::now, callback));
+                forwarder.metrics().timeLogCall(operation, forwarder::now, response -> {
+                    response.ifPresent(this::observeEra);
+                    callback.accept(response);
+                }));
+    }
+
+    private void observeEra(FullHttpResponse response) {
+        OptionalLong era = protocol.era(response);
+        if (era.isPresent() && !era.equals(lastEra)) {
+            lastEra = era;
+            forwarder.submit(new ForwardingEvent.LogEraObserved(era.getAsLong()));
+        } else if (era.isEmpty() && !missingEraReported) {
+            missingEraReported = true;
+            forwarder.log(DecisionRecord.important(
+                    "log-era-missing", "status", response.status().code()));
+        }
     }
 
     private void reportUnavailable(Topic topic, Optional<FullHttpResponse> result) {
