--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -31,8 +31,10 @@
      * A runner was claimed for a host.
      *
      * @param settled whether no other host can have commanded the runner within the lease term
+     * @param era era of the log in which it was claimed; an earlier one than that of its position if the log was
+     *     restored since
      */
-    record RunnerClaimed(EndpointId endpoint, HostId host, boolean settled) implements DecodedRecord {}
+    record RunnerClaimed(EndpointId endpoint, HostId host, boolean settled, long era) implements DecodedRecord {}
 
     /** Requests with a prompt part are refused until an instant; one in the past stands for no longer. */
     record PartRefused(long part, Instant expiresAt) implements DecodedRecord {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -7,6 +7,7 @@
 
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -66,14 +67,14 @@
     record ReadNewest(Topic topic) implements ForwardingEffect {}
 
     /**
-     * Reads the records from an offset on.
+     * Reads the records from a position on.
      *
      * @param waitUntil when to return if no record arrives
      */
-    record ReadFrom(Topic topic, long offset, Instant waitUntil) implements ForwardingEffect {}
+    record ReadFrom(Topic topic, LogPosition from, Instant waitUntil) implements ForwardingEffect {}
 
-    /** Appends a claim if the claims topic still ends at the expected offset. */
-    record AppendClaim(DecodedRecord.RunnerClaimed claim, long expectedEnd) implements ForwardingEffect {}
+    /** Appends a claim if the claims topic still ends at the expected position. */
+    record AppendClaim(DecodedRecord.RunnerClaimed claim, LogPosition expectedEnd) implements ForwardingEffect {}
 
     /** Appends this host's announcement, for hosts that start later. */
     record AppendAnnouncement(HostAnnouncement announcement) implements ForwardingEffect {}
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEvent.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
@@ -66,9 +67,9 @@
      * @param startedAt when the read was sent
      * @param snapshot whether the records are a snapshot, so that keys missing from it have been removed
      * @param records records in the order of their offsets
-     * @param end offset after the last record of the topic
+     * @param end position after the last record of the topic, in the era of the response
      */
-    record TopicRead(Topic topic, Instant startedAt, boolean snapshot, List<TopicRecord> records, long end)
+    record TopicRead(Topic topic, Instant startedAt, boolean snapshot, List<TopicRecord> records, LogPosition end)
             implements ForwardingEvent {}
 
     /** A response of the log named an era other than the last one. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -10,6 +10,7 @@
 
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -88,7 +89,7 @@
     private final CrashDetector crashDetector;
     private final RequestForwarder forwarder;
     private final Map<Topic, Instant> behindSince = new EnumMap<>(Topic.class);
-    private final Map<Topic, Long> furthestEnds = new EnumMap<>(Topic.class);
+    private final Map<Topic, LogPosition> furthestEnds = new EnumMap<>(Topic.class);
     private Instant lastEventAt = Instant.MAX;
     private Instant nextStateAt = Instant.MIN;
     private Instant nextUseReportAt = Instant.MIN;
@@ -103,7 +104,7 @@
     public ForwardingReducer(ForwardingSettings settings, RecordDecoder decoder) {
         this.settings = settings;
         HostId self = settings.identity().host();
-        this.view = new PlatformView(context, decoder);
+        this.view = new PlatformView(context, decoder, self);
         this.peers = new PeerTable(settings.announcement());
         this.messenger = new PeerMessenger(context, settings, peers);
         this.leases = new LeaseManager(self, settings.leaseTerm());
@@ -179,16 +180,19 @@
     private void applyToPlatform(ForwardingEvent event) {
         if (event instanceof ForwardingEvent.TopicRead read) {
             TopicConsumer consumer = view.consumer(read.topic());
-            long previousEnd = Math.max(0, consumer.end());
+            LogPosition previousEnd = consumer.end();
             List<TopicRecord> newRecords = view.applyRead(read, new ChangeListener());
             boolean peersRelyOnRelay = read.topic() == Topic.ENDPOINTS || peers.isLargeDeployment();
             if (peersRelyOnRelay && !newRecords.isEmpty() && readsForPeers()) {
-                messenger.broadcast(recordsReply(consumer, previousEnd, newRecords, Optional.empty(), 0));
+                LogPosition from = consumer.completeFrom(previousEnd).orFirst();
+                messenger.broadcast(recordsReply(consumer, from, newRecords, Optional.empty(), 0));
             }
-            if (read.topic() == Topic.CLAIMS) {
-                leases.confirm(read.startedAt());
+            if (read.end().era() == view.eras().newest() && consumer.isCurrent()) {
+                if (read.topic() == Topic.CLAIMS) {
+                    leases.confirm(read.startedAt());
+                }
+                keys.readCompleted(read);
             }
-            keys.readCompleted(read);
             view.tick();
         } else if (event instanceof ForwardingEvent.TopicExpired expired) {
             view.expired(expired.topic());
@@ -196,7 +200,8 @@
         } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
             view.unavailable(unavailable.topic());
         } else if (event instanceof ForwardingEvent.LogEraObserved observed) {
-            view.eraObserved(observed.era());
+            view.observeEra(observed.era(), Optional.empty(), new ChangeListener());
+            view.tick();
         } else if (event instanceof ForwardingEvent.LogCallTimedOut) {
             context.log(DecisionRecord.important("log-call-timed-out"));
             view.restartWaitingReads();
@@ -218,7 +223,7 @@
 
     private PeerMessage recordsReply(
             TopicConsumer consumer,
-            long offset,
+            LogPosition from,
             List<TopicRecord> records,
             Optional<Long> askedAtMilliseconds,
             long ageMilliseconds) {
@@ -227,13 +232,14 @@
                         entry.key(),
                         entry.value().orElse(new byte[0]),
                         entry.value().isEmpty(),
-                        entry.offset()))
+                        entry.position().offset()))
                 .toList();
         return new PeerMessage.RecordsReply(
                 consumer.topic(),
-                offset,
+                from.offset(),
+                consumer.end().era(),
                 relayed,
-                consumer.end(),
+                consumer.end().offset(),
                 consumer.outageAge(context.now()).map(Duration::toMillis),
                 askedAtMilliseconds,
                 ageMilliseconds);
@@ -261,6 +267,7 @@
         if (message instanceof PeerMessage.HostState state) {
             applyAnnouncement(state.announcement());
             peers.recordState(state, context.now());
+            view.observePeerEra(state.logEra(), sender, new ChangeListener());
             runnerManager.applyObservedLoads(
                     new HostIdentity(sender, state.announcement().incarnation()), state.loads());
             refusals.partsReported(sender, state.parts());
@@ -287,6 +294,7 @@
         } else if (message instanceof PeerMessage.AdapterWanted wanted) {
             runnerManager.loadRequested(sender, wanted);
         } else if (message instanceof PeerMessage.RecordsRequest request) {
+            view.observePeerEra(request.era(), sender, new ChangeListener());
             TopicConsumer consumer = view.consumer(request.topic());
             long age = keys.reportedAge(request.topic())
                             .orElseGet(() -> consumer.age(context.now()).orElse(LeaseManager.VALIDITY))
@@ -296,14 +304,18 @@
                     sender,
                     recordsReply(
                             consumer,
-                            request.offset(),
-                            consumer.recordsFrom(request.offset()),
+                            consumer.completeFrom(request.from()),
+                            consumer.recordsFrom(request.from()),
                             Optional.of(request.askedAtMilliseconds()),
                             age));
         } else if (message instanceof PeerMessage.RecordsReply reply) {
             view.applyRelayed(reply, sender, new ChangeListener());
             keys.replyReceived(sender, reply);
-            if (reply.topic() == Topic.CLAIMS && reply.askedAtMilliseconds().isPresent()) {
+            boolean isCurrent = reply.era() == view.eras().newest()
+                    && view.consumer(reply.topic()).isCurrent();
+            if (isCurrent
+                    && reply.topic() == Topic.CLAIMS
+                    && reply.askedAtMilliseconds().isPresent()) {
                 // The age is that of the peer's read when it answered, after this host's request, so this is not later
                 // than the start of that read.
                 leases.confirm(Instant.ofEpochMilli(reply.askedAtMilliseconds().get() - reply.ageMilliseconds()));
@@ -316,14 +328,15 @@
     /** Requests records from a peer that has read further, if this host's own read does not catch up. */
     private void catchUp(HostId peer, Topic topic) {
         TopicConsumer consumer = view.consumer(topic);
-        long end = peers.find(peer).map(known -> known.offset(topic)).orElse(-1L);
+        LogPosition end = peers.find(peer).map(known -> known.end(topic)).orElse(LogPosition.UNREAD);
+        LogPosition furthest = furthestEnds.merge(topic, end, (left, right) -> left.isAfter(right) ? left : right);
         // A peer that has not read further must not end the wait while another one has.
-        if (consumer.end() >= furthestEnds.merge(topic, end, Math::max)) {
+        if (!consumer.end().isBefore(furthest)) {
             behindSince.remove(topic);
             return;
         }
         Instant since = behindSince.computeIfAbsent(topic, key -> context.now());
-        boolean peerIsAhead = end > consumer.end();
+        boolean peerIsAhead = end.isAfter(consumer.end());
         if (peerIsAhead && (!consumer.isAvailable() || context.now().isAfter(since.plus(RELAY_DELAY)))) {
             requestRecords(peer, consumer);
             behindSince.put(topic, context.now());
@@ -361,7 +374,7 @@
                 peer,
                 new PeerMessage.RecordsRequest(
                         consumer.topic(),
-                        Math.max(0, consumer.end()),
+                        consumer.end().orFirst(),
                         context.now().toEpochMilli()));
     }
 
@@ -372,12 +385,17 @@
     }
 
     private PeerMessage hostState(boolean complete) {
+        LogPosition configurationEnd = view.consumer(Topic.CONFIGURATION).end();
+        LogPosition endpointsEnd = view.consumer(Topic.ENDPOINTS).end();
         return new PeerMessage.HostState(
                 settings.announcement(),
                 stopping,
                 view.reachesLog(),
-                view.consumer(Topic.CONFIGURATION).end(),
-                view.consumer(Topic.ENDPOINTS).end(),
+                view.eras().newest(),
+                configurationEnd.offset(),
+                configurationEnd.era(),
+                endpointsEnd.offset(),
+                endpointsEnd.era(),
                 runnerManager.observedLoads(),
                 refusals.partEvidence(),
                 refusals.requestReport(complete),
@@ -461,7 +479,7 @@
                     topic,
                     new ForwardingStatus.TopicStatus(
                             consumer.isAvailable(),
-                            consumer.end(),
+                            consumer.end().offset(),
                             consumer.age(now).orElse(Duration.ZERO)));
         }
         return new ForwardingStatus(
@@ -527,8 +545,13 @@
         }
 
         @Override
-        public void runnerClaimed(DecodedRecord.RunnerClaimed claim, long offset) {
-            leases.applyClaim(claim, offset, context.now());
+        public void logRestored(long era) {
+            leases.beginEra(era, context.now());
+        }
+
+        @Override
+        public void runnerClaimed(DecodedRecord.RunnerClaimed claim, LogPosition position) {
+            leases.applyClaim(claim, position, context.now());
             context.log(DecisionRecord.important(
                     "claim",
                     "endpoint",
@@ -538,7 +561,9 @@
                     "settled",
                     claim.settled(),
                     "offset",
-                    offset));
+                    position.offset(),
+                    "era",
+                    position.era()));
         }
 
         @Override
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/KeyConfirmation.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/KeyConfirmation.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
@@ -117,7 +118,7 @@
             return;
         }
         Query query = queries.get(reply.askedAtMilliseconds().get());
-        boolean isUpToDate = view.consumer(Topic.CONFIGURATION).end() >= reply.end();
+        boolean isUpToDate = !view.consumer(Topic.CONFIGURATION).end().isBefore(reply.endPosition());
         if (query != null && query.peer().equals(sender) && isUpToDate) {
             queries.remove(reply.askedAtMilliseconds().get());
             knowledge.confirmByPeer(query.sentAt(), Duration.ofMillis(reply.ageMilliseconds()));
@@ -217,8 +218,8 @@
         // With the incarnation, a response to an earlier process of this host matches no query of this one.
         long number = self.incarnation() + context.now().toEpochMilli();
         queries.put(number, new Query(peer, context.now()));
-        long offset = Math.max(0, view.consumer(Topic.CONFIGURATION).end());
-        messenger.send(peer, new PeerMessage.RecordsRequest(Topic.CONFIGURATION, offset, number));
+        LogPosition from = view.consumer(Topic.CONFIGURATION).end().orFirst();
+        messenger.send(peer, new PeerMessage.RecordsRequest(Topic.CONFIGURATION, from, number));
     }
 
     private void updateAccepting() {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.ownership.RendezvousHash;
@@ -16,7 +17,7 @@
 /**
  * Assigns the lease of each runner to one host, with claims in the platform's log.
  *
- * <p>The offset of a claim is its fencing token. A lease is valid only while this host has read the claims topic
+ * <p>The position of a claim is its fencing token. A lease is valid only while this host has read the claims topic
  * recently. A host that takes a runner over waits until the previous holder cannot have sent a command for the lease
  * term, and then settles its claim with a second record. Claims name hosts, not processes, so a restarted daemon
  * continues at once under a settled claim of its earlier run.
@@ -44,26 +45,33 @@
     private final Duration leaseTerm;
     private final Map<EndpointId, Claim> claims = new HashMap<>();
     private Instant validUntil = Instant.MIN;
+    private long era;
     private Instant startedAt = Instant.MAX;
     private Instant appendPendingUntil = Instant.MIN;
     private Instant invalidatedAt = Instant.MIN;
 
-    private record Claim(HostId host, boolean settled, long offset, Instant usableAt) {}
+    private record Claim(HostId host, boolean settled, LogPosition position, Instant usableAt) {}
 
     LeaseManager(HostId self, Duration leaseTerm) {
         this.self = self;
         this.leaseTerm = leaseTerm;
     }
 
+    /** Starts a new era: a lease is valid only under a claim that the restored log holds. */
+    void beginEra(long newEra, Instant now) {
+        era = newEra;
+    }
+
     /** Applies a claim; older claims of the same runner are ignored. */
-    void applyClaim(DecodedRecord.RunnerClaimed claimed, long offset, Instant now) {
+    void applyClaim(DecodedRecord.RunnerClaimed claimed, LogPosition position, Instant now) {
         Claim before = claims.get(claimed.endpoint());
-        if (before != null && before.offset() >= offset) {
+        if (before != null && !before.position().isBefore(position)) {
             return;
         }
+        era = Math.max(era, position.era());
         Instant usableAt =
                 claimed.settled() ? now : now.plus(VALIDITY).plus(leaseTerm).plus(TAKEOVER_MARGIN);
-        claims.put(claimed.endpoint(), new Claim(claimed.host(), claimed.settled(), offset, usableAt));
+        claims.put(claimed.endpoint(), new Claim(claimed.host(), claimed.settled(), position, usableAt));
     }
 
     /**
@@ -94,8 +102,12 @@
     /** Returns the fencing token under which this host may command a runner now; empty without a valid lease. */
     Optional<Long> fencingToken(EndpointId endpoint, Instant now) {
         Claim claim = claims.get(endpoint);
-        return claim != null && claim.host().equals(self) && now.isBefore(validUntil) && !now.isBefore(claim.usableAt())
-                ? Optional.of(claim.offset())
+        return claim != null
+                        && claim.host().equals(self)
+                        && claim.position().era() == era
+                        && now.isBefore(validUntil)
+                        && !now.isBefore(claim.usableAt())
+                ? Optional.of(claim.position().toNumber())
                 : Optional.empty();
     }
 
@@ -138,6 +150,7 @@
         }
         if (stopping
                 || !claimsTopic.isAvailable()
+                || claimsTopic.end().era() != era
                 || now.isBefore(appendPendingUntil)
                 || now.isBefore(startedAt.plus(STARTUP_DELAY))
                 || now.isAfter(validUntil)) {
@@ -164,7 +177,7 @@
                         : RendezvousHash.first(runner.id().value(), peers.strongHosts(peers.live(now)))
                                 .orElse(self);
                 DecodedRecord.RunnerClaimed claimed =
-                        new DecodedRecord.RunnerClaimed(runner.id(), host, settlesOwnClaim || claim == null);
+                        new DecodedRecord.RunnerClaimed(runner.id(), host, settlesOwnClaim || claim == null, era);
                 return Optional.of(new ForwardingEffect.AppendClaim(claimed, claimsTopic.end()));
             }
         }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -11,6 +11,7 @@
 
 import org.banyanstair.allotments.Reach;
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
@@ -74,8 +75,8 @@
         private Instant knownSince;
         private boolean leaving;
         private boolean reachesLog;
-        private long configurationOffset = -1;
-        private long endpointsOffset = -1;
+        private LogPosition configurationEnd = LogPosition.UNREAD;
+        private LogPosition endpointsEnd = LogPosition.UNREAD;
 
         HostAnnouncement announcement() {
             return announcement;
@@ -85,8 +86,8 @@
             return !leaving && lastContactAt.isAfter(earliest);
         }
 
-        long offset(Topic topic) {
-            return topic == Topic.CONFIGURATION ? configurationOffset : endpointsOffset;
+        LogPosition end(Topic topic) {
+            return topic == Topic.CONFIGURATION ? configurationEnd : endpointsEnd;
         }
     }
 
@@ -156,8 +157,8 @@
             peer.lastContactAt = now;
             peer.leaving = state.leaving();
             peer.reachesLog = state.reachesLog();
-            peer.configurationOffset = state.configurationOffset();
-            peer.endpointsOffset = state.endpointsOffset();
+            peer.configurationEnd = state.configurationEnd();
+            peer.endpointsEnd = state.endpointsEnd();
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -15,6 +15,7 @@
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.history.LogEras;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -64,6 +65,9 @@
     /** Time for which a removed endpoint is kept to account for its last requests. */
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(10);
 
+    /** Time over which hosts that only poll spread their snapshots after the log was restored. */
+    private static final Duration MAXIMUM_RESTORE_SPREAD = Duration.ofMillis(500);
+
     /** Refused reads of a topic in a row that are logged; a read that is not refused starts again. */
     private static final int MAXIMUM_LOGGED_EXPIRATIONS = 3;
 
@@ -72,6 +76,7 @@
 
     private final EventContext context;
     private final RecordDecoder decoder;
+    private final Duration restoreSpread;
     private final Map<Topic, TopicConsumer> consumers = new TreeMap<>();
     private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
     private final Map<String, List<EndpointState>> byService = new HashMap<>();
@@ -79,6 +84,7 @@
     private Optional<ForwardingConfiguration> configuration = Optional.empty();
     private List<EndpointState> runners = List.of();
     private final LogEras eras = new LogEras();
+    private boolean catchingUp;
     private final Map<Topic, Integer> expiredReads = new EnumMap<>(Topic.class);
     private Instant resumedAt = Instant.MIN;
     private boolean boundsConfigurationWait;
@@ -92,7 +98,9 @@
 
         void endpointRemoved(EndpointState endpoint);
 
-        void runnerClaimed(DecodedRecord.RunnerClaimed claim, long offset);
+        void runnerClaimed(DecodedRecord.RunnerClaimed claim, LogPosition position);
+
+        void logRestored(long era);
 
         void partRefused(DecodedRecord.PartRefused refused);
 
@@ -103,8 +111,14 @@
         void versionPublished(AdapterName adapter, long version);
     }
 
-    PlatformView(EventContext context, RecordDecoder decoder) {
+    /**
+     * Creates a view of which nothing is known.
+     *
+     * @param self spreads reads that all hosts have to make at once
+     */
+    PlatformView(EventContext context, RecordDecoder decoder, HostId self) {
         this.context = context;
+        this.restoreSpread = Duration.ofMillis(Math.floorMod(self.hashCode(), (int) MAXIMUM_RESTORE_SPREAD.toMillis()));
         this.decoder = decoder;
         for (Topic topic : Topic.values()) {
             consumers.put(topic, new TopicConsumer(topic, readWait(topic, false), readInterval(topic)));
@@ -224,13 +238,14 @@
 
     /** Applies the result of a read; returns the new records. */
     List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Listener listener) {
+        observeEra(event.end().era(), Optional.empty(), listener);
         TopicConsumer consumer = consumers.get(event.topic());
         boolean wasAvailable = consumer.isAvailable();
         boolean justWritten = wasAvailable
                 && !event.snapshot()
                 && !consumer.reliesOnPeers()
                 && event.startedAt().isAfter(resumedAt);
-        long knownEnd = consumer.end();
+        LogPosition knownEnd = consumer.end();
         List<TopicRecord> newRecords = consumer.applyRead(event, context.now());
         if (event.snapshot()) {
             logSnapshot(event, knownEnd, newRecords);
@@ -241,10 +256,12 @@
         if (!wasAvailable) {
             context.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
         }
+        logCaughtUp();
         return newRecords;
     }
 
     void applyRelayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
+        observePeerEra(message.era(), from, listener);
         Topic topic = message.topic();
         TopicConsumer consumer = consumers.get(topic);
         message.outageAgeMilliseconds()
@@ -261,14 +278,25 @@
         }
         List<TopicRecord> records = message.records().stream()
                 .map(entry -> new TopicRecord(
-                        entry.key(), entry.removed() ? Optional.empty() : Optional.of(entry.value()), entry.offset()))
+                        entry.key(),
+                        entry.removed() ? Optional.empty() : Optional.of(entry.value()),
+                        new LogPosition(message.era(), entry.offset())))
                 .toList();
-        List<TopicRecord> newRecords = consumer.applyRelayed(message.offset(), records, message.end(), context.now());
+        List<TopicRecord> newRecords =
+                consumer.applyRelayed(message.from(), records, message.endPosition(), context.now());
         if (!newRecords.isEmpty()) {
             context.log(DecisionRecord.of(
                     "topic-relayed", "topic", topic, "from", from, "records", newRecords.size(), "end", message.end()));
             apply(topic, newRecords, justWritten ? context.now() : Instant.MIN, listener);
         }
+        logCaughtUp();
+    }
+
+    /** Applies the era that a peer knows; one of an earlier release, or one that has read nothing, names none. */
+    void observePeerEra(long era, HostId peer, Listener listener) {
+        if (era > eras.newest()) {
+            observeEra(era, Optional.of(peer), listener);
+        }
     }
 
     /** Records that the process was suspended: what it reads next may have been written during the suspension. */
@@ -276,16 +304,14 @@
         resumedAt = context.now();
     }
 
-    private void logSnapshot(ForwardingEvent.TopicRead event, long knownEnd, List<TopicRecord> newRecords) {
+    private void logSnapshot(ForwardingEvent.TopicRead event, LogPosition knownEnd, List<TopicRecord> newRecords) {
         int expired = Optional.ofNullable(expiredReads.remove(event.topic())).orElse(0);
-        boolean goesBack = event.end() < knownEnd;
-        if (knownEnd >= 0 && expired <= MAXIMUM_LOGGED_EXPIRATIONS) {
+        boolean goesBack = event.end().isBefore(knownEnd);
+        if (knownEnd.isRead() && expired <= MAXIMUM_LOGGED_EXPIRATIONS) {
             context.log(DecisionRecord.important(
                     "topic-snapshot",
                     "topic",
                     event.topic(),
-                    "era",
-                    eras.newest(),
                     "end",
                     event.end(),
                     "known-end",
@@ -312,23 +338,51 @@
                     "records-dropped",
                     "topic",
                     event.topic(),
-                    "era",
-                    eras.newest(),
                     "end",
                     event.end(),
+                    "known-end",
+                    consumers.get(event.topic()).end(),
                     "keys",
                     dropped));
         }
     }
 
-    /** Applies the era that a response of the log names. */
-    void eraObserved(long era) {
+    /**
+     * Applies the era that a response of the log names, or that a peer knows: if it is new, all topics are read anew.
+     *
+     * @param peer the peer that knows it; empty for a response of the log
+     */
+    void observeEra(long era, Optional<HostId> peer, Listener listener) {
         long known = eras.newest();
         LogEras.Observation observation = eras.observe(era, context.now());
         if (observation == LogEras.Observation.NEWER) {
-            context.log(DecisionRecord.important("log-era", "era", era, "known-era", known));
+            context.log(DecisionRecord.important("log-era", "era", era, "known-era", known)
+                    .with("peer", peer));
+            catchingUp = true;
+            listener.logRestored(era);
+            consumers.values().forEach(consumer -> consumer.beginEra(era, snapshotTime(consumer), context.now()));
         } else if (observation == LogEras.Observation.FIRST_ENDED) {
-            context.log(DecisionRecord.important("log-era-ended", "era", era, "known-era", known));
+            context.log(DecisionRecord.important("log-era-ended", "era", era, "known-era", known)
+                    .with("peer", peer));
+        }
+    }
+
+    /** Returns when to read a snapshot after the log was restored; hosts that only poll spread these reads. */
+    private Instant snapshotTime(TopicConsumer consumer) {
+        return consumer.reliesOnPeers() ? context.now().plus(restoreSpread) : context.now();
+    }
+
+    private void logCaughtUp() {
+        if (catchingUp && consumers.values().stream().allMatch(TopicConsumer::isCurrent)) {
+            catchingUp = false;
+            context.log(DecisionRecord.important(
+                    "log-era-read",
+                    "era",
+                    eras.newest(),
+                    "after-ms",
+                    context.millisecondsSince(eras.newestKnownSince()),
+                    "configuration",
+                    configuration.map(ForwardingConfiguration::version).orElse(-1L)));
         }
     }
 
@@ -339,10 +393,10 @@
                     "topic-expired",
                     "topic",
                     topic,
-                    "era",
-                    eras.newest(),
                     "from",
-                    consumers.get(topic).end()));
+                    consumers.get(topic).end(),
+                    "log-era",
+                    eras.newest()));
         }
     }
 
@@ -380,21 +434,27 @@
                     decoded.filter(DecodedRecord.Malformed.class::isInstance).map(DecodedRecord.Malformed.class::cast);
             if (decoded.isEmpty() || malformed.isPresent()) {
                 context.log(DecisionRecord.important(
-                                "record-ignored", "topic", topic, "key", entry.key(), "offset", entry.offset())
+                                "record-ignored",
+                                "topic",
+                                topic,
+                                "key",
+                                entry.key(),
+                                "offset",
+                                entry.position().offset())
                         .with("field", malformed.map(DecodedRecord.Malformed::field))
                         .with("accepted", malformed.map(DecodedRecord.Malformed::accepted)));
                 if (topic == Topic.ENDPOINTS) {
                     remove(entry.key(), listener);
                 }
             } else {
-                apply(decoded.get(), entry.offset(), writtenAt, listener);
+                apply(decoded.get(), entry.position(), writtenAt, listener);
             }
         }
     }
 
-    private void apply(DecodedRecord decoded, long offset, Instant writtenAt, Listener listener) {
+    private void apply(DecodedRecord decoded, LogPosition position, Instant writtenAt, Listener listener) {
         if (decoded instanceof DecodedRecord.ConfigurationPublished configured) {
-            applyConfiguration(configured.configuration(), offset);
+            applyConfiguration(configured.configuration(), position);
         } else if (decoded instanceof DecodedRecord.AdapterVersionPublished published) {
             long previous = newestVersion(published.adapter());
             if (published.version() > previous) {
@@ -406,7 +466,7 @@
         } else if (decoded instanceof DecodedRecord.EndpointListed listed) {
             applyListing(listed.listing(), listener);
         } else if (decoded instanceof DecodedRecord.RunnerClaimed claimed) {
-            listener.runnerClaimed(claimed, offset);
+            listener.runnerClaimed(claimed, position);
         } else if (decoded instanceof DecodedRecord.PartRefused refused) {
             listener.partRefused(refused);
         } else if (decoded instanceof DecodedRecord.RequestCrashed crashed) {
@@ -416,14 +476,27 @@
         }
     }
 
-    private void applyConfiguration(ForwardingConfiguration newer, long offset) {
+    private void applyConfiguration(ForwardingConfiguration newer, LogPosition position) {
         if (configuration.isPresent() && configuration.get().version() >= newer.version()) {
+            if (configuration.get().version() > newer.version()) {
+                context.log(DecisionRecord.important(
+                        "configuration-outdated",
+                        "version",
+                        newer.version(),
+                        "in-force",
+                        configuration.get().version(),
+                        "offset",
+                        position.offset(),
+                        "era",
+                        position.era()));
+            }
             return;
         }
         TeamTable older = configuration.map(ForwardingConfiguration::teams).orElse(TeamTable.NONE);
         configuration = Optional.of(newer);
         rebuildIndexes();
-        context.log(DecisionRecord.important("configuration", "version", newer.version(), "offset", offset));
+        context.log(DecisionRecord.important(
+                "configuration", "version", newer.version(), "offset", position.offset(), "era", position.era()));
         KeyChanges changes = newer.teams().changesSince(older);
         if (!changes.isEmpty()) {
             context.log(DecisionRecord.important(
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -6,19 +6,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 
 /**
  * Reads a compacted topic: first a snapshot with the newest record of each key, then the records as they are appended.
  *
- * <p>Records with a lower offset than the known one of their key are ignored, so state never goes backwards.
+ * <p>Records with a lower position than the known one of their key are ignored. When the log was restored from a copy, a
+ * new era begins: what was known is replaced by a snapshot of that era, and what is read of an earlier one is ignored.
  */
 final class TopicConsumer {
     /** Pause after a failed read. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
 
+    /** Pause after the second refused read in a row. */
+    private static final Duration EXPIRED_PAUSE = Duration.ofSeconds(1);
+
     /** Read interval above which a host counts as polling, relying on another host that reads for it. */
     private static final Duration POLLING_INTERVAL_THRESHOLD = Duration.ofSeconds(2);
 
@@ -36,7 +43,10 @@
     private Duration readInterval;
     private boolean readsForPeers;
     private final Map<String, TopicRecord> newest = new TreeMap<>();
-    private long end = -1;
+    private LogPosition end = LogPosition.UNREAD;
+    private long era;
+    private Optional<LogPosition> readFrom = Optional.empty();
+    private int expiredReads;
     private Instant readStartedAt = Instant.MIN;
     private boolean reading;
     private boolean waitingForRecords;
@@ -74,12 +84,38 @@
         return topic;
     }
 
-    long end() {
+    LogPosition end() {
         return end;
     }
 
     boolean hasBeenRead() {
-        return end >= 0;
+        return end.isRead();
+    }
+
+    /** Returns whether the topic has been read in the newest known era of the log. */
+    boolean isCurrent() {
+        return hasBeenRead() && end.era() == era;
+    }
+
+    /** Returns whether the newest record of a key says that it was removed. */
+    boolean isRemoved(String key) {
+        TopicRecord known = newest.get(key);
+        return known != null && known.value().isEmpty();
+    }
+
+    /**
+     * Replaces what is known by a snapshot, because the log was restored from a copy.
+     *
+     * @param newEra the era that has begun
+     * @param snapshotAt when to read the snapshot
+     */
+    void beginEra(long newEra, Instant snapshotAt, Instant now) {
+        era = newEra;
+        needSnapshot = true;
+        reading = false;
+        nextReadAt = snapshotAt;
+        // Entries of endpoints may be missing from the copy until their writers write them again.
+        recoveredAt = now;
     }
 
     /** Returns the time since the start of the last answered read; empty if there was none. */
@@ -139,18 +175,25 @@
         return unavailableSince.isPresent() && !outageConfinedToSelf;
     }
 
-    List<TopicRecord> recordsFrom(long offset) {
+    /** Returns the records from a position on; all of them if it is one of an earlier era. */
+    List<TopicRecord> recordsFrom(LogPosition position) {
         return newest.values().stream()
-                .filter(entry -> entry.offset() >= offset)
+                .filter(entry -> !entry.position().isBefore(completeFrom(position)))
                 .toList();
     }
 
+    /** Returns the position from which {@link #recordsFrom} is complete. */
+    LogPosition completeFrom(LogPosition position) {
+        return position.era() < end.era() ? LogPosition.startOf(end.era()) : position;
+    }
+
     List<ForwardingEffect> tick(Instant now) {
         if (reading || now.isBefore(nextReadAt)) {
             return List.of();
         }
         reading = true;
         waitingForRecords = !needSnapshot && !readImmediately;
+        readFrom = needSnapshot ? Optional.empty() : Optional.of(end);
         return List.of(
                 needSnapshot
                         ? new ForwardingEffect.ReadNewest(topic)
@@ -161,6 +204,16 @@
     List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Instant now) {
         reading = false;
         readImmediately = false;
+        if (event.end().era() < era) {
+            nextReadAt = now.plus(RETRY_PAUSE);
+            return List.of();
+        }
+        if (!event.snapshot() && !followsKnownRecords(event.end().era())) {
+            needSnapshot = true;
+            nextReadAt = now;
+            return List.of();
+        }
+        era = event.end().era();
         nextReadAt = now.plus(readInterval);
         readStartedAt = event.startedAt().isAfter(readStartedAt) ? event.startedAt() : readStartedAt;
         if (isInOutage()) {
@@ -170,42 +223,65 @@
         List<TopicRecord> newRecords = new ArrayList<>();
         if (event.snapshot()) {
             needSnapshot = false;
-            List<String> present =
-                    event.records().stream().map(TopicRecord::key).toList();
-            List<String> missing = newest.values().stream()
-                    .filter(known -> known.value().isPresent() && known.offset() < event.end())
-                    .map(TopicRecord::key)
-                    .filter(key -> !present.contains(key))
-                    .toList();
-            for (String key : missing) {
-                TopicRecord removed =
-                        new TopicRecord(key, Optional.empty(), newest.get(key).offset());
-                newest.put(key, removed);
-                newRecords.add(removed);
-            }
+            newRecords.addAll(removeMissing(event.records(), event.end()));
+        } else {
+            expiredReads = 0;
         }
         newRecords.addAll(apply(event.records()));
-        end = Math.max(end, event.end());
+        advanceTo(event.end());
         return newRecords;
     }
 
+    /** Returns whether a read that was not a snapshot continues what is known, which is of the same era. */
+    private boolean followsKnownRecords(long readEra) {
+        boolean sameEra = !hasBeenRead() || end.era() == readEra;
+        return sameEra && readFrom.filter(from -> from.era() != readEra).isEmpty();
+    }
+
+    private void advanceTo(LogPosition newEnd) {
+        end = newEnd.isAfter(end) ? newEnd : end;
+    }
+
+    /** Removes the keys that a complete list of records up to an end does not contain; returns their removals. */
+    private List<TopicRecord> removeMissing(List<TopicRecord> records, LogPosition listEnd) {
+        Set<String> present = records.stream().map(TopicRecord::key).collect(Collectors.toSet());
+        List<TopicRecord> removals = newest.values().stream()
+                .filter(known -> known.value().isPresent()
+                        && known.position().isBefore(listEnd)
+                        && !present.contains(known.key()))
+                .map(known -> new TopicRecord(known.key(), Optional.empty(), removalPosition(known, listEnd.era())))
+                .toList();
+        removals.forEach(removal -> newest.put(removal.key(), removal));
+        return removals;
+    }
+
+    private static LogPosition removalPosition(TopicRecord known, long listEra) {
+        return known.position().era() == listEra ? known.position() : LogPosition.beforeFirst(listEra);
+    }
+
     /**
      * Applies records that a peer has read; returns the new ones. Postpones this host's own read while relayed records
      * arrive, unless peers rely on it.
      *
-     * @param offset offset from which the records are complete; if earlier ones are unknown here, none are applied
-     * @param peerEnd end offset of the peer's read
+     * @param from position from which the records are complete; if earlier ones are unknown here, none are applied
+     * @param peerEnd end of the peer's read
      */
-    List<TopicRecord> applyRelayed(long offset, List<TopicRecord> records, long peerEnd, Instant now) {
-        if (offset > Math.max(0, end)) {
+    List<TopicRecord> applyRelayed(LogPosition from, List<TopicRecord> records, LogPosition peerEnd, Instant now) {
+        boolean startsEra = peerEnd.era() > end.era();
+        boolean hasGap = startsEra ? from.offset() > 0 : from.isAfter(end.orFirst());
+        if (peerEnd.era() < era || hasGap) {
             return List.of();
         }
         Instant ownReadAt = now.plus(readInterval.compareTo(RELAY_TIMEOUT) > 0 ? readInterval : RELAY_TIMEOUT);
-        if (!readsForPeers && peerEnd > end && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
+        if (!startsEra && !readsForPeers && peerEnd.isAfter(end) && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
             nextReadAt = ownReadAt;
         }
-        List<TopicRecord> newRecords = apply(records);
-        end = Math.max(end, peerEnd);
+        List<TopicRecord> newRecords = new ArrayList<>();
+        if (startsEra) {
+            newRecords.addAll(removeMissing(records, peerEnd));
+        }
+        newRecords.addAll(apply(records));
+        advanceTo(peerEnd);
         return newRecords;
     }
 
@@ -213,7 +289,7 @@
         List<TopicRecord> newRecords = new ArrayList<>();
         for (TopicRecord entry : records) {
             TopicRecord known = newest.get(entry.key());
-            if (known == null || known.offset() < entry.offset()) {
+            if (known == null || known.position().isBefore(entry.position())) {
                 newest.put(entry.key(), entry);
                 newRecords.add(entry);
             }
@@ -249,10 +325,12 @@
         return readInterval.compareTo(POLLING_INTERVAL_THRESHOLD) > 0;
     }
 
+    /** Reads a snapshot instead of what has expired; pauses if the read after the last snapshot was refused as well. */
     void expired(Instant now) {
         reading = false;
         needSnapshot = true;
-        nextReadAt = now;
+        expiredReads++;
+        nextReadAt = expiredReads == 1 ? now : now.plus(EXPIRED_PAUSE);
     }
 
     void unavailable(Instant now) {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -12,6 +12,7 @@
 import org.banyanstair.errors.Failure;
 import org.banyanstair.external.ServiceCall;
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.idempotency.AttemptId;
 import org.banyanstair.idempotency.CallAnswer;
 import org.banyanstair.idempotency.CallKey;
@@ -153,12 +154,15 @@
     record HostLeaving(HostIdentity host) implements PeerMessage {}
 
     /**
-     * Heartbeat of the sender with its addresses and its read offsets in the platform's topics.
+     * Heartbeat of the sender with its addresses and its read positions in the platform's topics.
      *
      * @param leaving whether the sender stops soon and accepts no new callers
      * @param reachesLog whether its last read of the log succeeded
+     * @param logEra newest era of the log that the sender knows; 0 stands for none
      * @param configurationOffset next offset to read in the configuration topic
+     * @param configurationEra era of that offset
      * @param endpointsOffset next offset to read in the endpoints topic
+     * @param endpointsEra era of that offset
      * @param loads adapter loads that the sender has observed; null stands for none
      * @param parts what the sender knows of prompt parts that may crash endpoints; null stands for nothing
      * @param requests requests that several endpoints crashed under, as far as the sender knows; null stands for none
@@ -168,8 +172,11 @@
             HostAnnouncement announcement,
             boolean leaving,
             boolean reachesLog,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long logEra,
             long configurationOffset,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long configurationEra,
             long endpointsOffset,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long endpointsEra,
             LoadCounts loads,
             PartEvidence parts,
             List<ReportedRequest> requests,
@@ -182,6 +189,16 @@
             requests = requests == null ? List.of() : List.copyOf(requests);
             limits = limits == null ? List.of() : List.copyOf(limits);
         }
+
+        /** Returns the next position to read in the configuration topic. */
+        public LogPosition configurationEnd() {
+            return new LogPosition(configurationEra, configurationOffset);
+        }
+
+        /** Returns the next position to read in the endpoints topic. */
+        public LogPosition endpointsEnd() {
+            return new LogPosition(endpointsEra, endpointsOffset);
+        }
     }
 
     /**
@@ -245,16 +262,32 @@
             implements PeerMessage {}
 
     /**
-     * Asks for the records of a topic starting at an offset.
+     * Asks for the records of a topic from a position on; for all of them if the log was restored since.
      *
+     * @param offset offset of the first record
+     * @param era era of the offset
      * @param askedAtMilliseconds when the request was sent, by the sender's clock
      */
-    record RecordsRequest(Topic topic, long offset, long askedAtMilliseconds) implements PeerMessage {}
+    record RecordsRequest(
+            Topic topic, long offset, @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era, long askedAtMilliseconds)
+            implements PeerMessage {
+        /** Asks for the records from a position on. */
+        public RecordsRequest(Topic topic, LogPosition from, long askedAtMilliseconds) {
+            this(topic, from.offset(), from.era(), askedAtMilliseconds);
+        }
+
+        /** Returns the position of the first record. */
+        public LogPosition from() {
+            return new LogPosition(era, offset);
+        }
+    }
 
     /**
      * Records of a topic, either an answer to a {@link RecordsRequest} or an unsolicited update.
      *
      * @param offset offset from which the records are complete
+     * @param era era of all offsets
+     * @param end offset up to which the sender knows the topic
      * @param outageAgeMilliseconds time since the end of the last log outage while entries may still be missing
      *     because of it; 0 during the outage, otherwise empty
      * @param askedAtMilliseconds time in the request; empty for an unsolicited update
@@ -264,12 +297,23 @@
     record RecordsReply(
             Topic topic,
             long offset,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era,
             List<RelayedRecord> records,
             long end,
             Optional<Long> outageAgeMilliseconds,
             Optional<Long> askedAtMilliseconds,
             long ageMilliseconds)
-            implements PeerMessage {}
+            implements PeerMessage {
+        /** Returns the position from which the records are complete. */
+        public LogPosition from() {
+            return new LogPosition(era, offset);
+        }
+
+        /** Returns the position up to which the sender knows the topic. */
+        public LogPosition endPosition() {
+            return new LogPosition(era, end);
+        }
+    }
 
     /**
      * Reports a request that was on an endpoint when it crashed.
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterDemandTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterDemandTest.java
@@ -43,7 +43,7 @@
         fixture.configure(1, ReducerFixture.route("/chat", ReducerFixture.SERVICE, true, true, true));
         fixture.endpoint(RUNNER.value(), ReducerFixture.SERVICE, false, 1);
         fixture.publish(
-                Topic.CLAIMS, RUNNER.value(), new DecodedRecord.RunnerClaimed(RUNNER, ReducerFixture.HOST, true));
+                Topic.CLAIMS, RUNNER.value(), new DecodedRecord.RunnerClaimed(RUNNER, ReducerFixture.HOST, true, 0));
         fixture.pass(Duration.ofMillis(200));
         List<LoadedAdapter> loaded = List.of(new LoadedAdapter(OFTEN, 1), new LoadedAdapter(LONG, 1));
         fixture.apply(new ForwardingEvent.Inspected(
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -256,7 +256,7 @@
         EndpointId runner = new EndpointId("runner-1");
         fixture.endpoint(runner.value(), ReducerFixture.SERVICE, false, 1, "a1");
         fixture.publish(
-                Topic.CLAIMS, runner.value(), new DecodedRecord.RunnerClaimed(runner, ReducerFixture.HOST, true));
+                Topic.CLAIMS, runner.value(), new DecodedRecord.RunnerClaimed(runner, ReducerFixture.HOST, true, 0));
         fixture.pass(Duration.ofMillis(200));
         List<LoadedAdapter> loaded = List.of(new LoadedAdapter(ReducerFixture.ADAPTER, 1));
         fixture.apply(new ForwardingEvent.Inspected(
@@ -284,6 +284,9 @@
                         true,
                         0,
                         0,
+                        0,
+                        0,
+                        0,
                         LoadCounts.NONE,
                         PartEvidence.NONE,
                         List.of(new ReportedRequest(running.fingerprint(), true, crashes)),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -351,7 +351,7 @@
         fixture.publish(
                 Topic.CLAIMS,
                 "runner-1",
-                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true));
+                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true, 0));
         HostIdentity sender = new HostIdentity(peer, 1);
         List<ForwardingEffect> effects = new ArrayList<>();
         for (int step = 0; step < 20; step++) {
@@ -363,6 +363,9 @@
                             true,
                             0,
                             0,
+                            0,
+                            0,
+                            0,
                             LoadCounts.NONE,
                             PartEvidence.NONE,
                             List.of(),
@@ -382,6 +385,7 @@
                 new PeerMessage.RecordsReply(
                         Topic.CLAIMS,
                         1,
+                        0,
                         List.of(),
                         1,
                         Optional.empty(),
@@ -411,8 +415,11 @@
                         announcement(host, port),
                         false,
                         true,
+                        0,
                         configurationEnd,
                         0,
+                        0,
+                        0,
                         LoadCounts.NONE,
                         PartEvidence.NONE,
                         List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
@@ -17,6 +17,7 @@
 import java.util.function.UnaryOperator;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
@@ -173,7 +174,9 @@
             } else if (effect instanceof ForwardingEffect.ReadNewest read) {
                 long end = records(read.topic()).size();
                 List<TopicRecord> newest = List.copyOf(records(read.topic()));
-                readEnds(LOG_RESPONSE_TIME, new ForwardingEvent.TopicRead(read.topic(), clock(), true, newest, end));
+                readEnds(
+                        LOG_RESPONSE_TIME,
+                        new ForwardingEvent.TopicRead(read.topic(), clock(), true, newest, new LogPosition(0, end)));
             } else if (effect instanceof ForwardingEffect.ReadFrom read) {
                 readFrom(read, clock(), now.plus(Duration.between(clock(), read.waitUntil())));
             }
@@ -181,7 +184,7 @@
 
         private void readFrom(ForwardingEffect.ReadFrom read, Instant startedAtClock, Instant until) {
             List<TopicRecord> all = records(read.topic());
-            boolean ends = all.size() > read.offset() || !now.isBefore(until) || !canRead();
+            boolean ends = all.size() > read.from().offset() || !now.isBefore(until) || !canRead();
             if (!ends) {
                 long process = incarnation;
                 schedule(STEP, () -> {
@@ -191,10 +194,11 @@
                 });
                 return;
             }
-            List<TopicRecord> found = List.copyOf(all.subList((int) read.offset(), all.size()));
+            List<TopicRecord> found = List.copyOf(all.subList((int) read.from().offset(), all.size()));
             readEnds(
                     LOG_RESPONSE_TIME,
-                    new ForwardingEvent.TopicRead(read.topic(), startedAtClock, false, found, all.size()));
+                    new ForwardingEvent.TopicRead(
+                            read.topic(), startedAtClock, false, found, new LogPosition(0, all.size())));
         }
 
         private boolean canRead() {
@@ -312,13 +316,13 @@
 
     private void append(Topic topic, String key) {
         List<TopicRecord> records = records(topic);
-        records.add(new TopicRecord(key, Optional.of(new byte[] {1}), records.size()));
+        records.add(new TopicRecord(key, Optional.of(new byte[] {1}), new LogPosition(0, records.size())));
     }
 
     private Optional<DecodedRecord> decode(Topic topic, TopicRecord entry, Instant at) {
         return switch (topic) {
-            case CONFIGURATION -> Optional.of(
-                    new DecodedRecord.ConfigurationPublished(configurations.get((int) entry.offset())));
+            case CONFIGURATION -> Optional.of(new DecodedRecord.ConfigurationPublished(
+                    configurations.get((int) entry.position().offset())));
             case HOSTS -> Optional.of(new DecodedRecord.HostAnnounced(
                     announcement(new HostId(entry.key()), Instant.EPOCH.toEpochMilli())));
             default -> Optional.empty();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyRevocationTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyRevocationTest.java
@@ -205,6 +205,7 @@
                 ? new PeerMessage.RecordsReply(
                         reply.topic(),
                         reply.end() + 1,
+                        reply.era(),
                         reply.records(),
                         reply.end() + 1,
                         reply.outageAgeMilliseconds(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -98,7 +99,7 @@
                     && !peer.wasPaused;
             if (answers) {
                 for (; appliedRecords < peer.appliedRecords; appliedRecords++) {
-                    leases.applyClaim(log.get(appliedRecords), appliedRecords, now);
+                    leases.applyClaim(log.get(appliedRecords), new LogPosition(0, appliedRecords), now);
                 }
                 peer.topic.age(now).ifPresent(age -> leases.confirm(now.minus(age)));
             }
@@ -134,6 +135,9 @@
                                     !now.isBefore(other.withoutLogUntil),
                                     0,
                                     0,
+                                    0,
+                                    0,
+                                    0,
                                     LoadCounts.NONE,
                                     PartEvidence.NONE,
                                     List.of(),
@@ -156,10 +160,11 @@
                     .isPresent();
             if (readEnded) {
                 topic.applyRead(
-                        new ForwardingEvent.TopicRead(Topic.CLAIMS, readStartedAt.get(), false, List.of(), log.size()),
+                        new ForwardingEvent.TopicRead(
+                                Topic.CLAIMS, readStartedAt.get(), false, List.of(), new LogPosition(0, log.size())),
                         now);
                 for (; appliedRecords < log.size(); appliedRecords++) {
-                    leases.applyClaim(log.get(appliedRecords), appliedRecords, now);
+                    leases.applyClaim(log.get(appliedRecords), new LogPosition(0, appliedRecords), now);
                 }
                 leases.confirm(readStartedAt.get());
                 leases.appendCompleted();
@@ -170,7 +175,7 @@
             }
             leases.tick(List.of(runner()), peers, topic, false, now).ifPresent(effect -> {
                 ForwardingEffect.AppendClaim append = (ForwardingEffect.AppendClaim) effect;
-                if (append.expectedEnd() == log.size()) {
+                if (append.expectedEnd().offset() == log.size()) {
                     log.add(append.claim());
                 }
             });
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LoadTest.java
@@ -55,7 +55,9 @@
             String id = "runner-" + index;
             fixture.endpoint(id, ReducerFixture.SERVICE, false, 1);
             fixture.publish(
-                    Topic.CLAIMS, id, new DecodedRecord.RunnerClaimed(new EndpointId(id), ReducerFixture.HOST, true));
+                    Topic.CLAIMS,
+                    id,
+                    new DecodedRecord.RunnerClaimed(new EndpointId(id), ReducerFixture.HOST, true, 0));
             runners.put(new EndpointId(id), new SimulatedRunner());
         }
         run(fixture.pass(Duration.ofMillis(200)));
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -41,7 +41,7 @@
 
     private static PeerMessage state(int number, boolean leaving) {
         return new PeerMessage.HostState(
-                peer(number), leaving, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of(), List.of());
+                peer(number), leaving, true, 0, 0, 0, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of(), List.of());
     }
 
     private static void send(ReducerFixture fixture, int number) {
@@ -106,7 +106,7 @@
         fixture.publish(
                 Topic.CLAIMS,
                 "runner-1",
-                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true));
+                new DecodedRecord.RunnerClaimed(new EndpointId("runner-1"), ReducerFixture.HOST, true, 0));
         fixture.pass(Duration.ofMillis(200));
         HostIdentity requester = new HostIdentity(peer(7).host(), 1);
         AdapterName wanted = new AdapterName("base", "a3");
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -14,6 +14,7 @@
 import java.util.function.IntToDoubleFunction;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.HostId;
@@ -91,12 +92,12 @@
         }
         List<TopicRecord> records = new ArrayList<>();
         for (int number = 0; number < count; number++) {
-            records.add(new TopicRecord("" + number, Optional.of(new byte[1]), number));
+            records.add(new TopicRecord("" + number, Optional.of(new byte[1]), new LogPosition(0, number)));
         }
         for (HostId host : hosts.keySet()) {
-            apply(host, new ForwardingEvent.TopicRead(Topic.HOSTS, now, true, records, count));
-            apply(host, new ForwardingEvent.TopicRead(Topic.CLAIMS, now, true, List.of(), 0));
-            apply(host, new ForwardingEvent.TopicRead(Topic.ENDPOINTS, now, true, List.of(), 0));
+            apply(host, new ForwardingEvent.TopicRead(Topic.HOSTS, now, true, records, new LogPosition(0, count)));
+            apply(host, new ForwardingEvent.TopicRead(Topic.CLAIMS, now, true, List.of(), new LogPosition(0, 0)));
+            apply(host, new ForwardingEvent.TopicRead(Topic.ENDPOINTS, now, true, List.of(), new LogPosition(0, 0)));
         }
     }
 
@@ -220,7 +221,7 @@
         apply(
                 responder,
                 new ForwardingEvent.PeerMessageReceived(
-                        new HostIdentity(requester, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 7)));
+                        new HostIdentity(requester, 1), new PeerMessage.RecordsRequest(Topic.CLAIMS, 0, 0, 7)));
         pass(Duration.ofMillis(100));
         boolean answered = delivered.stream()
                 .filter(envelope -> envelope.to().equals(requester))
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.locality.LocalitySettings;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
@@ -74,7 +75,9 @@
                 TeamSettings.DEFAULT,
                 locality);
         reducer = new ForwardingReducer(
-                settings, (topic, entry, at) -> Optional.ofNullable(records.get(entry.key() + entry.offset())));
+                settings,
+                (topic, entry, at) -> Optional.ofNullable(
+                        records.get(entry.key() + entry.position().offset())));
         read(Topic.HOSTS, List.of());
         read(Topic.CLAIMS, List.of());
     }
@@ -102,7 +105,8 @@
         while (now.isBefore(end)) {
             now = now.plusMillis(20);
             effects.addAll(apply(new ForwardingEvent.Tick()));
-            effects.addAll(apply(new ForwardingEvent.TopicRead(Topic.CLAIMS, now, false, List.of(), offset)));
+            effects.addAll(apply(
+                    new ForwardingEvent.TopicRead(Topic.CLAIMS, now, false, List.of(), new LogPosition(0, offset))));
         }
         return effects;
     }
@@ -124,14 +128,14 @@
     }
 
     private void read(Topic topic, List<TopicRecord> records) {
-        apply(new ForwardingEvent.TopicRead(topic, now, false, records, offset));
+        apply(new ForwardingEvent.TopicRead(topic, now, false, records, new LogPosition(0, offset)));
     }
 
     List<ForwardingEffect> publish(Topic topic, String key, DecodedRecord decoded) {
         records.put(key + offset, decoded);
-        TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), offset);
+        TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), new LogPosition(0, offset));
         offset++;
-        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), offset));
+        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(0, offset)));
     }
 
     /** Sets the content of the record at the next offset without reading it. */
@@ -145,9 +149,9 @@
     }
 
     List<ForwardingEffect> removed(Topic topic, String key) {
-        TopicRecord entry = new TopicRecord(key, Optional.empty(), offset);
+        TopicRecord entry = new TopicRecord(key, Optional.empty(), new LogPosition(0, offset));
         offset++;
-        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), offset));
+        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(0, offset)));
     }
 
     void configure(long version, Route... routes) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
@@ -47,8 +48,8 @@
 
     /** Sends a request for endpoint records from one host to another, and the reply back. */
     private static void requestEndpoints(ReducerFixture requester, ReducerFixture responder) {
-        List<ForwardingEffect> effects = responder.apply(
-                new ForwardingEvent.PeerMessageReceived(PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0)));
+        List<ForwardingEffect> effects = responder.apply(new ForwardingEvent.PeerMessageReceived(
+                PEER, new PeerMessage.RecordsRequest(Topic.ENDPOINTS, 0, 0, 0)));
         PeerMessage answer = ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class)
                 .get(0)
                 .message();
@@ -57,7 +58,7 @@
 
     private static void interruptLog(ReducerFixture host) {
         host.apply(new ForwardingEvent.TopicUnavailable(Topic.ENDPOINTS));
-        host.apply(new ForwardingEvent.TopicRead(Topic.ENDPOINTS, host.now(), false, List.of(), 0));
+        host.apply(new ForwardingEvent.TopicRead(Topic.ENDPOINTS, host.now(), false, List.of(), new LogPosition(0, 0)));
     }
 
     private Optional<EndpointId> selectedEndpoint(ReducerFixture host) {
@@ -90,7 +91,14 @@
         host.apply(new ForwardingEvent.PeerMessageReceived(
                 PEER,
                 new PeerMessage.RecordsReply(
-                        Topic.ENDPOINTS, offset, List.of(changed), offset + 1, Optional.empty(), Optional.empty(), 0)));
+                        Topic.ENDPOINTS,
+                        offset,
+                        0,
+                        List.of(changed),
+                        offset + 1,
+                        Optional.empty(),
+                        Optional.empty(),
+                        0)));
     }
 
     /**
@@ -103,7 +111,8 @@
         partitioned.apply(new ForwardingEvent.TopicUnavailable(Topic.ENDPOINTS));
         partitioned.pass(Duration.ofSeconds(9));
         relayUpdate(partitioned, end, "other", true);
-        partitioned.apply(new ForwardingEvent.TopicRead(Topic.ENDPOINTS, partitioned.now(), false, List.of(), end + 1));
+        partitioned.apply(new ForwardingEvent.TopicRead(
+                Topic.ENDPOINTS, partitioned.now(), false, List.of(), new LogPosition(0, end + 1)));
         partitioned.pass(Duration.ofSeconds(2));
         relayUpdate(partitioned, end + 1, "desk-1", true);
         relayUpdate(partitioned, end + 2, "desk-2", true);
@@ -127,6 +136,9 @@
                             true,
                             0,
                             0,
+                            0,
+                            0,
+                            0,
                             LoadCounts.NONE,
                             PartEvidence.NONE,
                             List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -56,7 +56,9 @@
             fixture.configure(1, ReducerFixture.route("/chat", ReducerFixture.SERVICE, true, true, true));
             fixture.endpoint(RUNNER.value(), ReducerFixture.SERVICE, false, 1);
             fixture.publish(
-                    Topic.CLAIMS, RUNNER.value(), new DecodedRecord.RunnerClaimed(RUNNER, ReducerFixture.HOST, true));
+                    Topic.CLAIMS,
+                    RUNNER.value(),
+                    new DecodedRecord.RunnerClaimed(RUNNER, ReducerFixture.HOST, true, 0));
         }
         List<ForwardingEffect> effects = new ArrayList<>(pass(Duration.ofMillis(200)));
         RunnerState empty = new RunnerState(0, false, Set.of("base"), List.of(), List.of());
@@ -71,7 +73,18 @@
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 new HostIdentity(host, 1),
                 new PeerMessage.HostState(
-                        announcement, false, true, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of(), List.of())));
+                        announcement,
+                        false,
+                        true,
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        LoadCounts.NONE,
+                        PartEvidence.NONE,
+                        List.of(),
+                        List.of())));
     }
 
     /** Advances time for both hosts; returns the effects of the lease holder. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/TopicConsumerTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import org.banyanstair.external.Topic;
+import org.banyanstair.history.LogPosition;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -19,12 +20,13 @@
     private Instant now = Instant.ofEpochSecond(50);
 
     private static TopicRecord entry(String key, long offset) {
-        return new TopicRecord(key, Optional.of(new byte[] {1}), offset);
+        return new TopicRecord(key, Optional.of(new byte[] {1}), new LogPosition(0, offset));
     }
 
     private List<TopicRecord> read(boolean snapshot, long end, TopicRecord... records) {
         return consumer.applyRead(
-                new ForwardingEvent.TopicRead(Topic.CLAIMS, now, snapshot, List.of(records), end), now);
+                new ForwardingEvent.TopicRead(Topic.CLAIMS, now, snapshot, List.of(records), new LogPosition(0, end)),
+                now);
     }
 
     private ForwardingEffect.ReadFrom nextRead() {
@@ -37,7 +39,7 @@
         assertEquals(List.of(new ForwardingEffect.ReadNewest(Topic.CLAIMS)), consumer.tick(now));
         read(true, 5, entry("a", 3), entry("b", 4));
         ForwardingEffect.ReadFrom next = nextRead();
-        assertEquals(5, next.offset());
+        assertEquals(5, next.from().offset());
         assertEquals(now.plus(WAIT), next.waitUntil());
     }
 
@@ -72,9 +74,13 @@
         consumer.tick(now);
         read(true, 5, entry("a", 4));
         assertTrue(read(false, 5, entry("a", 2)).isEmpty());
-        assertTrue(consumer.applyRelayed(4, List.of(entry("a", 4)), 5, now).isEmpty());
-        assertEquals(1, consumer.applyRelayed(5, List.of(entry("a", 6)), 7, now).size());
-        assertEquals(7, consumer.end());
+        assertTrue(consumer.applyRelayed(new LogPosition(0, 4), List.of(entry("a", 4)), new LogPosition(0, 5), now)
+                .isEmpty());
+        assertEquals(
+                1,
+                consumer.applyRelayed(new LogPosition(0, 5), List.of(entry("a", 6)), new LogPosition(0, 7), now)
+                        .size());
+        assertEquals(7, consumer.end().offset());
     }
 
     /** A lost relayed message must not hide its records. */
@@ -82,8 +88,9 @@
     void relayedRecordsAfterAGapAreNotApplied() {
         consumer.tick(now);
         read(true, 5, entry("a", 4));
-        assertTrue(consumer.applyRelayed(6, List.of(entry("b", 6)), 7, now).isEmpty());
-        assertEquals(5, consumer.end());
+        assertTrue(consumer.applyRelayed(new LogPosition(0, 6), List.of(entry("b", 6)), new LogPosition(0, 7), now)
+                .isEmpty());
+        assertEquals(5, consumer.end().offset());
         assertEquals(2, read(false, 7, entry("c", 5), entry("b", 6)).size());
     }
 
@@ -96,12 +103,12 @@
         read(true, 5);
         nextRead();
         read(false, 5);
-        consumer.applyRelayed(5, List.of(entry("a", 5)), 6, now);
+        consumer.applyRelayed(new LogPosition(0, 5), List.of(entry("a", 5)), new LogPosition(0, 6), now);
         now = now.plusMillis(200);
         assertTrue(consumer.tick(now).isEmpty(), "a host that relies on peers postpones its read");
         consumer.setReadSchedule(WAIT, Duration.ZERO, true, now);
-        consumer.applyRelayed(6, List.of(entry("b", 6)), 7, now);
-        assertEquals(7, nextRead().offset());
+        consumer.applyRelayed(new LogPosition(0, 6), List.of(entry("b", 6)), new LogPosition(0, 7), now);
+        assertEquals(7, nextRead().from().offset());
     }
 
     /**
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
@@ -66,7 +66,8 @@
         for (int index = 1; index <= RUNNERS; index++) {
             EndpointId id = new EndpointId("runner-" + index);
             fixture.endpoint(id.value(), ReducerFixture.SERVICE, false, 1);
-            fixture.publish(Topic.CLAIMS, id.value(), new DecodedRecord.RunnerClaimed(id, ReducerFixture.HOST, true));
+            fixture.publish(
+                    Topic.CLAIMS, id.value(), new DecodedRecord.RunnerClaimed(id, ReducerFixture.HOST, true, 0));
             runners.put(id, new Runner());
         }
         run(fixture.pass(Duration.ofMillis(200)));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -11,6 +11,7 @@
 import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.DecodedRecord;
 import org.banyanstair.forwarding.RecordDecoder;
+import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.NetworkAddress;
 
@@ -38,22 +39,27 @@
      */
     OptionalLong era(FullHttpResponse response);
 
-    /** Parses a page of the newest records. */
-    TopicPage parseSnapshot(FullHttpResponse response);
+    /**
+     * Parses a page of the newest records.
+     *
+     * @param era era of the response
+     */
+    TopicPage parseSnapshot(FullHttpResponse response, long era);
 
     /**
      * Parses a sequence of records.
      *
-     * @param offset offset from which records were requested
+     * @param from position from which records were requested, in the era of the response
      */
-    TopicPage parseRecords(FullHttpResponse response, long offset);
+    TopicPage parseRecords(FullHttpResponse response, LogPosition from);
 
     /**
      * Builds a request that appends a claim of a runner.
      *
-     * @param expectedEnd end offset that the topic must have, otherwise the service rejects the append
+     * @param expectedEnd end that the topic must have, otherwise the service rejects the append; it compares offsets
+     *     only, so the claim names its era
      */
-    FullHttpRequest claimAppendRequest(DecodedRecord.RunnerClaimed claim, long expectedEnd);
+    FullHttpRequest claimAppendRequest(DecodedRecord.RunnerClaimed claim, LogPosition expectedEnd);
 
     /**
      * Builds a request that appends the refusal of a prompt part.
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -21,6 +21,7 @@
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.ForwardingEvent;
 import org.banyanstair.forwarding.TopicRecord;
+import org.banyanstair.history.LogPosition;
 import org.tinylog.Logger;
 
 /** Reads topics of the log service and appends to them. Used on the event loop thread only. */
@@ -47,45 +48,57 @@
 
     /** Reads the newest record of each key, page by page. */
     public void readNewest(ForwardingEffect.ReadNewest read) {
-        readPage(read.topic(), forwarder.now(), Optional.empty(), new ArrayList<>(), Long.MAX_VALUE);
+        readPage(read.topic(), forwarder.now(), Optional.empty(), new ArrayList<>(), Optional.empty());
     }
 
     private void readPage(
-            Topic topic, Instant startedAt, Optional<String> after, List<TopicRecord> records, long lowestEnd) {
+            Topic topic,
+            Instant startedAt,
+            Optional<String> after,
+            List<TopicRecord> records,
+            Optional<LogPosition> lowestEnd) {
         read("snapshot", topic, protocol.snapshotRequest(topic, after), RESPONSE_TIMEOUT, result -> {
-            Optional<TopicPage.Records> page = result.map(protocol::parseSnapshot)
+            Optional<TopicPage.Records> page = result.map(response -> protocol.parseSnapshot(response, eraOf(response)))
                     .filter(TopicPage.Records.class::isInstance)
                     .map(TopicPage.Records.class::cast);
-            if (page.isEmpty()) {
+            boolean restored = page.isPresent()
+                    && lowestEnd
+                            .filter(end -> end.era() != page.get().end().era())
+                            .isPresent();
+            if (page.isEmpty() || restored) {
                 reportUnavailable(topic, result);
                 return;
             }
             records.addAll(page.get().records());
-            // Pages are not a consistent snapshot. Reading goes on from the end offset of the first page, so that
-            // records appended meanwhile are not missed.
-            long end = Math.min(lowestEnd, page.get().endOffset());
+            // Pages are not a consistent snapshot. Reading goes on from the end of the first page, so that records
+            // appended meanwhile are not missed.
+            LogPosition end = lowestEnd
+                    .filter(page.get().end()::isAfter)
+                    .orElse(page.get().end());
             if (page.get().nextPageAfter().isPresent()) {
-                readPage(topic, startedAt, page.get().nextPageAfter(), records, end);
+                readPage(topic, startedAt, page.get().nextPageAfter(), records, Optional.of(end));
             } else {
                 forwarder.submit(new ForwardingEvent.TopicRead(topic, startedAt, true, records, end));
             }
         });
     }
 
-    /** Reads the records from an offset on. */
+    /** Reads the records from a position on. */
     public void readFrom(ForwardingEffect.ReadFrom read) {
         Instant startedAt = forwarder.now();
         Duration wait = Duration.between(startedAt, read.waitUntil());
         read(
                 "read",
                 read.topic(),
-                protocol.recordsRequest(read.topic(), read.offset(), wait),
+                protocol.recordsRequest(read.topic(), read.from().offset(), wait),
                 wait.plus(RESPONSE_TIMEOUT),
                 result -> {
-                    Optional<TopicPage> page = result.map(response -> protocol.parseRecords(response, read.offset()));
+                    Optional<TopicPage> page = result.map(response -> protocol.parseRecords(
+                            response,
+                            new LogPosition(eraOf(response), read.from().offset())));
                     if (page.isPresent() && page.get() instanceof TopicPage.Records found) {
                         forwarder.submit(new ForwardingEvent.TopicRead(
-                                read.topic(), startedAt, false, found.records(), found.endOffset()));
+                                read.topic(), startedAt, false, found.records(), found.end()));
                     } else if (page.isPresent() && page.get() instanceof TopicPage.Expired) {
                         forwarder.submit(new ForwardingEvent.TopicExpired(read.topic()));
                     } else {
@@ -123,6 +136,11 @@
                 }));
     }
 
+    /** Returns the era of a response; the last one known if it names none. */
+    private long eraOf(FullHttpResponse response) {
+        return protocol.era(response).orElse(lastEra.orElse(0));
+    }
+
     private void observeEra(FullHttpResponse response) {
         OptionalLong era = protocol.era(response);
         if (era.isPresent() && !era.equals(lastEra)) {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -127,8 +127,11 @@
         HostAnnouncement announcement = null;
         boolean leaving = false;
         boolean reachesLog = false;
+        long logEra = 0;
         long configurationOffset = 0;
+        long configurationEra = 0;
         long endpointsOffset = 0;
+        long endpointsEra = 0;
         LoadCounts loads = LoadCounts.NONE;
         PartEvidence parts = PartEvidence.NONE;
         List<ReportedRequest> requests = List.of();
@@ -144,12 +147,21 @@
                 case "reachesLog" -> {
                     reachesLog = in.unpackBoolean();
                 }
+                case "logEra" -> {
+                    logEra = in.unpackLong();
+                }
                 case "configurationOffset" -> {
                     configurationOffset = in.unpackLong();
                 }
+                case "configurationEra" -> {
+                    configurationEra = in.unpackLong();
+                }
                 case "endpointsOffset" -> {
                     endpointsOffset = in.unpackLong();
                 }
+                case "endpointsEra" -> {
+                    endpointsEra = in.unpackLong();
+                }
                 case "loads" -> {
                     loads = values.readLoadCounts();
                 }
@@ -169,8 +181,11 @@
                 PeerValueReader.required(announcement),
                 leaving,
                 reachesLog,
+                logEra,
                 configurationOffset,
+                configurationEra,
                 endpointsOffset,
+                endpointsEra,
                 loads,
                 parts,
                 requests,
@@ -355,6 +370,7 @@
     private PeerMessage readRecordsRequest(int fields) throws IOException {
         Topic topic = null;
         long offset = 0;
+        long era = 0;
         long askedAtMilliseconds = 0;
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
@@ -364,18 +380,22 @@
                 case "offset" -> {
                     offset = in.unpackLong();
                 }
+                case "era" -> {
+                    era = in.unpackLong();
+                }
                 case "askedAtMilliseconds" -> {
                     askedAtMilliseconds = in.unpackLong();
                 }
                 default -> in.skipValue();
             }
         }
-        return new PeerMessage.RecordsRequest(PeerValueReader.required(topic), offset, askedAtMilliseconds);
+        return new PeerMessage.RecordsRequest(PeerValueReader.required(topic), offset, era, askedAtMilliseconds);
     }
 
     private PeerMessage readRecordsReply(int fields) throws IOException {
         Topic topic = null;
         long offset = 0;
+        long era = 0;
         List<RelayedRecord> records = List.of();
         long end = 0;
         Optional<Long> outageAgeMilliseconds = Optional.empty();
@@ -389,6 +409,9 @@
                 case "offset" -> {
                     offset = in.unpackLong();
                 }
+                case "era" -> {
+                    era = in.unpackLong();
+                }
                 case "records" -> {
                     records = values.readList(values::readRelayedRecord);
                 }
@@ -410,6 +433,7 @@
         return new PeerMessage.RecordsReply(
                 PeerValueReader.required(topic),
                 offset,
+                era,
                 records,
                 end,
                 outageAgeMilliseconds,
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -82,13 +82,21 @@
             begin("Pong", 1);
             field("sequence", pong.sequence());
         } else if (message instanceof PeerMessage.HostState state) {
-            begin("HostState", 9);
+            begin(
+                    "HostState",
+                    9
+                            + eraFields(state.logEra())
+                            + eraFields(state.configurationEra())
+                            + eraFields(state.endpointsEra()));
             out.packString("announcement");
             write(state.announcement());
             field("leaving", state.leaving());
             field("reachesLog", state.reachesLog());
+            eraField("logEra", state.logEra());
             field("configurationOffset", state.configurationOffset());
+            eraField("configurationEra", state.configurationEra());
             field("endpointsOffset", state.endpointsOffset());
+            eraField("endpointsEra", state.endpointsEra());
             out.packString("loads");
             write(state.loads());
             out.packString("parts");
@@ -151,14 +159,16 @@
 
     private void writeRecordsMessage(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.RecordsRequest request) {
-            begin("RecordsRequest", 3);
+            begin("RecordsRequest", 3 + eraFields(request.era()));
             field("topic", request.topic().name());
             field("offset", request.offset());
+            eraField("era", request.era());
             field("askedAtMilliseconds", request.askedAtMilliseconds());
         } else if (message instanceof PeerMessage.RecordsReply reply) {
-            begin("RecordsReply", 7);
+            begin("RecordsReply", 7 + eraFields(reply.era()));
             field("topic", reply.topic().name());
             field("offset", reply.offset());
+            eraField("era", reply.era());
             field("records", reply.records(), this::write);
             field("end", reply.end());
             field("outageAgeMilliseconds", reply.outageAgeMilliseconds());
@@ -175,6 +185,17 @@
         field("type", type);
     }
 
+    /** Returns the number of fields for an era; a log that names none has none. */
+    private static int eraFields(long era) {
+        return era == 0 ? 0 : 1;
+    }
+
+    private void eraField(String name, long era) throws IOException {
+        if (era != 0) {
+            field(name, era);
+        }
+    }
+
     private void field(String name, long value) throws IOException {
         out.packString(name);
         out.packLong(value);
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -59,8 +59,11 @@
                     0.75),
             true,
             false,
+            3,
             -1,
+            0,
             70_000,
+            3,
             new LoadCounts(300, 2),
             new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))),
             List.of(new ReportedRequest(-3L, true, List.of(new ReportedCrash(ENDPOINT, 5, 1_200, true)))),
@@ -99,7 +102,8 @@
             TEAM_USE,
             HELD,
             new PeerMessage.AdapterWanted(ENDPOINT, ADAPTER, -3, 300),
-            new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 1_796_404_054_672L),
+            new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 0, 1_796_404_054_672L),
+            new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 2, 1_796_404_054_672L),
             new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(1L, -2L), 17, List.of(-4L)),
             new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(), 0, List.of()),
             new PeerMessage.Bundle(
@@ -127,6 +131,7 @@
             PeerMessage message = new PeerMessage.RecordsReply(
                     Topic.ENDPOINTS,
                     3,
+                    age.isPresent() ? 4 : 0,
                     List.of(
                             new RelayedRecord("a", new byte[300], false, 3),
                             new RelayedRecord("b", new byte[0], true, 4)),
