Let no lease begin under a claim that a restore has lost

A claim names the era in which it was made and settles nothing in a later one. The host that held the lease all the while goes on under what the copy has of its claim (with a number of the new era), writes a lost claim again at once and the others one a second when the era is settled. Any other host waits as for a takeover, and so does one that finds no claim, until 12 s after it learned of the era, a peer has known the era for so long, or the whole system starts for the first time. Without eras nothing changes.

LeaseManagerTest plays restores (up to two in a row, up to three claims lost), restarts and appends that are executed late beside partitions, pauses and a lost log. A holder is without its lease for at most 1 s after a restore.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -107,7 +107,7 @@
         this.view = new PlatformView(context, decoder, self);
         this.peers = new PeerTable(settings.announcement());
         this.messenger = new PeerMessenger(context, settings, peers);
-        this.leases = new LeaseManager(self, settings.leaseTerm());
+        this.leases = new LeaseManager(self, settings.leaseTerm(), settings.systemStarts());
         this.runnerManager = new RunnerManager(context, settings.identity(), view, peers, messenger, leases);
         this.refusals = new RefusalRegistry(context);
         this.crashDetector = new CrashDetector(context, view, messenger, refusals);
@@ -268,6 +268,9 @@
             applyAnnouncement(state.announcement());
             peers.recordState(state, context.now());
             view.observePeerEra(state.logEra(), sender, new ChangeListener());
+            if (state.logEraSettled()) {
+                leases.eraSettled(state.logEra());
+            }
             runnerManager.applyObservedLoads(
                     new HostIdentity(sender, state.announcement().incarnation()), state.loads());
             refusals.partsReported(sender, state.parts());
@@ -392,6 +395,7 @@
                 stopping,
                 view.reachesLog(),
                 view.eras().newest(),
+                leases.knowsEraSettled(context.now()),
                 configurationEnd.offset(),
                 configurationEnd.era(),
                 endpointsEnd.offset(),
@@ -545,8 +549,8 @@
         }
 
         @Override
-        public void logRestored(long era) {
-            leases.beginEra(era, context.now());
+        public void eraBegan(long era, boolean restored) {
+            leases.beginEra(era, restored, context.now());
         }
 
         @Override
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingSettings.java
@@ -12,6 +12,7 @@
  * Settings of the forwarding decisions; the times are those that the platform's operator specifies.
  *
  * @param announcement addresses and capacity that this host announces
+ * @param systemStarts whether the whole system starts for the first time, so that nothing has been written to the log
  * @param retryShare maximum share of retries among the requests of all hosts
  * @param retrySlack retries of all hosts per window that are allowed in excess of that share
  * @param leaseTerm minimum time between commands of two hosts to the same runner
@@ -22,6 +23,7 @@
 public record ForwardingSettings(
         HostIdentity identity,
         HostAnnouncement announcement,
+        boolean systemStarts,
         double retryShare,
         int retrySlack,
         Duration leaseTerm,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.banyanstair.history.LogPosition;
 import org.banyanstair.model.EndpointId;
@@ -21,6 +23,11 @@
  * recently. A host that takes a runner over waits until the previous holder cannot have sent a command for the lease
  * term, and then settles its claim with a second record. Claims name hosts, not processes, so a restarted daemon
  * continues at once under a settled claim of its earlier run.
+ *
+ * <p>When the log was restored from a copy, claims may be missing and earlier ones may be back. A claim names the era in
+ * which it was made, and settles nothing in a later one: only the host that held the lease all the while goes on under
+ * what the copy has of its claim, or renews it. Any other host waits as for a takeover, and so does one that finds no
+ * claim, until the wait has passed since it learned of the era.
  */
 final class LeaseManager {
     /**
@@ -38,6 +45,12 @@
     /** Time after the start in which hosts discover each other before they claim unassigned runners. */
     private static final Duration STARTUP_DELAY = Duration.ofMillis(1500);
 
+    /** Time between two attempts to write a lost claim again; other hosts append as well, and one succeeds each time. */
+    private static final Duration LOST_RENEWAL_INTERVAL = Duration.ofMillis(200);
+
+    /** Time between two renewals of claims that the copy has, since nothing waits for them. */
+    private static final Duration RENEWAL_INTERVAL = Duration.ofSeconds(1);
+
     /** Time after which an unanswered append may be followed by another. */
     private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(2);
 
@@ -46,32 +59,87 @@
     private final Map<EndpointId, Claim> claims = new HashMap<>();
     private Instant validUntil = Instant.MIN;
     private long era;
+    private final boolean systemStarts;
+    private Instant eraSettledAt = Instant.MIN;
+    private final Set<EndpointId> heldAcrossRestore = new HashSet<>();
+    private Instant nextRenewalAt = Instant.MIN;
     private Instant startedAt = Instant.MAX;
     private Instant appendPendingUntil = Instant.MIN;
     private Instant invalidatedAt = Instant.MIN;
 
-    private record Claim(HostId host, boolean settled, LogPosition position, Instant usableAt) {}
+    /**
+     * A claim as this host knows it.
+     *
+     * @param carriedOver whether it was made in an earlier era than that of its position
+     */
+    private record Claim(HostId host, boolean settled, boolean carriedOver, LogPosition position, Instant usableAt) {}
 
-    LeaseManager(HostId self, Duration leaseTerm) {
+    /**
+     * Creates a manager that knows no claims.
+     *
+     * @param systemStarts whether the whole system starts for the first time, so that no host holds a lease
+     */
+    LeaseManager(HostId self, Duration leaseTerm, boolean systemStarts) {
         this.self = self;
         this.leaseTerm = leaseTerm;
+        this.systemStarts = systemStarts;
     }
 
-    /** Starts a new era: a lease is valid only under a claim that the restored log holds. */
-    void beginEra(long newEra, Instant now) {
+    /**
+     * Starts an era of the log.
+     *
+     * @param restored whether this host knew an earlier one; what it holds then, it may go on holding
+     */
+    void beginEra(long newEra, boolean restored, Instant now) {
+        if (restored) {
+            heldAcrossRestore.removeIf(endpoint -> !now.isBefore(validUntil));
+            claims.keySet().stream()
+                    .filter(endpoint -> fencingToken(endpoint, now).isPresent())
+                    .forEach(heldAcrossRestore::add);
+            nextRenewalAt = now;
+        }
         era = newEra;
+        // A log without eras is never restored.
+        boolean isSettled = era == 0 || systemStarts && !restored;
+        eraSettledAt = isSettled ? Instant.MIN : now.plus(takeoverWait());
+    }
+
+    /** Records that a peer has known an era for so long that no host can hold a lease of an earlier one. */
+    void eraSettled(long settledEra) {
+        if (settledEra == era) {
+            eraSettledAt = Instant.MIN;
+        }
+    }
+
+    private Duration takeoverWait() {
+        return VALIDITY.plus(leaseTerm).plus(TAKEOVER_MARGIN);
+    }
+
+    /** Returns whether peers may rely on this host's knowledge that its era is settled. */
+    boolean knowsEraSettled(Instant now) {
+        return era != 0 && isEraSettled(now);
+    }
+
+    /** Returns whether no other host can hold a lease under a claim that a restore of the log has lost. */
+    private boolean isEraSettled(Instant now) {
+        return !now.isBefore(eraSettledAt);
     }
 
     /** Applies a claim; older claims of the same runner are ignored. */
     void applyClaim(DecodedRecord.RunnerClaimed claimed, LogPosition position, Instant now) {
-        Claim before = claims.get(claimed.endpoint());
+        EndpointId endpoint = claimed.endpoint();
+        Claim before = claims.get(endpoint);
         if (before != null && !before.position().isBefore(position)) {
             return;
         }
-        era = Math.max(era, position.era());
-        Instant usableAt =
-                claimed.settled() ? now : now.plus(VALIDITY).plus(leaseTerm).plus(TAKEOVER_MARGIN);
-        claims.put(claimed.endpoint(), new Claim(claimed.host(), claimed.settled(), position, usableAt));
+        boolean own = claimed.host().equals(self);
+        boolean carriedOver = claimed.era() < position.era();
+        boolean settled = carriedOver ? own && heldAcrossRestore.contains(endpoint) : claimed.settled();
+        if (!own || !carriedOver) {
+            heldAcrossRestore.remove(endpoint);
+        }
+        Instant usableAt = settled ? now : now.plus(takeoverWait());
+        claims.put(endpoint, new Claim(claimed.host(), settled, carriedOver, position, usableAt));
     }
 
     /**
@@ -156,13 +224,22 @@
                 || now.isAfter(validUntil)) {
             return Optional.empty();
         }
+        if (isEraSettled(now)) {
+            heldAcrossRestore.removeIf(this::isLost);
+            claims.keySet().removeIf(this::isLost);
+        }
         Duration silenceLimit = takeoverSilence(peers);
         Optional<Boolean> assignsRunners = Optional.empty();
         for (EndpointState runner : runners) {
             Claim claim = claims.get(runner.id());
             boolean ownClaim = claim != null && claim.host().equals(self);
-            boolean settlesOwnClaim = ownClaim && !claim.settled() && !now.isBefore(claim.usableAt());
+            boolean lost = isLost(runner.id());
+            boolean settlesOwnClaim = ownClaim
+                    && (lost || claim.carriedOver() && claim.settled()
+                            ? renews(runner.id(), lost, now)
+                            : !claim.settled() && !now.isBefore(claim.usableAt()));
             boolean unclaimed = claim == null
+                    || lost && ownClaim && !heldAcrossRestore.contains(runner.id())
                     || !ownClaim && peers.silence(claim.host(), now).compareTo(silenceLimit) > 0;
             if (unclaimed && assignsRunners.isEmpty()) {
                 assignsRunners = Optional.of(assignsRunners(peers, now));
@@ -176,11 +253,32 @@
                         ? self
                         : RendezvousHash.first(runner.id().value(), peers.strongHosts(peers.live(now)))
                                 .orElse(self);
-                DecodedRecord.RunnerClaimed claimed =
-                        new DecodedRecord.RunnerClaimed(runner.id(), host, settlesOwnClaim || claim == null, era);
+                boolean settled = settlesOwnClaim || claim == null && isEraSettled(now);
+                DecodedRecord.RunnerClaimed claimed = new DecodedRecord.RunnerClaimed(runner.id(), host, settled, era);
                 return Optional.of(new ForwardingEffect.AppendClaim(claimed, claimsTopic.end()));
             }
         }
         return Optional.empty();
     }
+
+    /** Returns whether the newest known claim of a runner is of an earlier era, and missing from the restored log. */
+    private boolean isLost(EndpointId endpoint) {
+        Claim claim = claims.get(endpoint);
+        return claim != null && claim.position().era() < era;
+    }
+
+    /**
+     * Returns whether this host writes the claim of a runner again that it has held since before the log was restored:
+     * soon if the claim was lost, and otherwise one after the other once the era is settled.
+     */
+    private boolean renews(EndpointId endpoint, boolean lost, Instant now) {
+        boolean due = heldAcrossRestore.contains(endpoint)
+                && now.isBefore(validUntil)
+                && !now.isBefore(nextRenewalAt)
+                && (lost || isEraSettled(now));
+        if (due) {
+            nextRenewalAt = now.plus(lost ? LOST_RENEWAL_INTERVAL : RENEWAL_INTERVAL);
+        }
+        return due;
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -100,7 +100,12 @@
 
         void runnerClaimed(DecodedRecord.RunnerClaimed claim, LogPosition position);
 
-        void logRestored(long era);
+        /**
+         * An era of the log has begun, as far as this host knows.
+         *
+         * @param restored whether an earlier one was known
+         */
+        void eraBegan(long era, boolean restored);
 
         void partRefused(DecodedRecord.PartRefused refused);
 
@@ -359,8 +364,10 @@
             context.log(DecisionRecord.important("log-era", "era", era, "known-era", known)
                     .with("peer", peer));
             catchingUp = true;
-            listener.logRestored(era);
+            listener.eraBegan(era, true);
             consumers.values().forEach(consumer -> consumer.beginEra(era, snapshotTime(consumer), context.now()));
+        } else if (observation == LogEras.Observation.FIRST) {
+            listener.eraBegan(era, false);
         } else if (observation == LogEras.Observation.FIRST_ENDED) {
             context.log(DecisionRecord.important("log-era-ended", "era", era, "known-era", known)
                     .with("peer", peer));
--- a/banyanstair-core/src/main/java/org/banyanstair/history/LogEras.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/history/LogEras.java
@@ -16,7 +16,9 @@
 
     /** What an observed era means. */
     public enum Observation {
-        /** The first era that the host knows, or the one that it knows. */
+        /** The first era that the host learns of. */
+        FIRST,
+        /** The era that the host knows. */
         KNOWN,
         /** The log has been restored since. */
         NEWER,
@@ -44,7 +46,7 @@
         newest = OptionalLong.of(era);
         newestKnownSince = now;
         changes += restored ? 1 : 0;
-        return restored ? Observation.NEWER : Observation.KNOWN;
+        return restored ? Observation.NEWER : Observation.FIRST;
     }
 
     /** Returns the newest known era; 0 if none is known, as of a log that names none. */
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -159,6 +159,7 @@
      * @param leaving whether the sender stops soon and accepts no new callers
      * @param reachesLog whether its last read of the log succeeded
      * @param logEra newest era of the log that the sender knows; 0 stands for none
+     * @param logEraSettled whether no host can hold a lease of an earlier era
      * @param configurationOffset next offset to read in the configuration topic
      * @param configurationEra era of that offset
      * @param endpointsOffset next offset to read in the endpoints topic
@@ -173,6 +174,7 @@
             boolean leaving,
             boolean reachesLog,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) long logEra,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean logEraSettled,
             long configurationOffset,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) long configurationEra,
             long endpointsOffset,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -206,6 +206,7 @@
                         false,
                         true,
                         0,
+                        false,
                         0,
                         0,
                         0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -283,6 +283,7 @@
                         false,
                         true,
                         0,
+                        false,
                         0,
                         0,
                         0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
@@ -96,6 +96,7 @@
             ForwardingSettings settings = new ForwardingSettings(
                     identity(),
                     announcement(id, incarnation),
+                    true,
                     0.2,
                     50,
                     Duration.ofSeconds(3),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.IntConsumer;
+import java.util.function.Predicate;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -39,8 +41,11 @@
     private static final int READ_MILLISECONDS = (int) PlatformView.CLAIMS_WAIT.toMillis() + 50;
 
     private final List<DecodedRecord.RunnerClaimed> log = new ArrayList<>();
+    private final List<DelayedAppend> delayedAppends = new ArrayList<>();
+    private long logEra;
     private final List<SimulatedHost> hosts = new ArrayList<>();
     private final Instant start = Instant.ofEpochSecond(1000);
+    private Predicate<Instant> appendDelays = now -> false;
 
     private static HostAnnouncement announcement(int index) {
         return new HostAnnouncement(
@@ -67,13 +72,29 @@
                 0));
     }
 
+    /** An append that gets no response and is executed later, if its condition still holds. */
+    private record DelayedAppend(Instant at, ForwardingEffect.AppendClaim append) {}
+
+    private void append(ForwardingEffect.AppendClaim append) {
+        // The log compares offsets only.
+        if (append.expectedEnd().offset() == log.size()) {
+            log.add(append.claim());
+        }
+    }
+
+    /** Restores the log from a copy without its last records. */
+    private void restoreLog(int lostRecords) {
+        logEra++;
+        log.subList(Math.max(0, log.size() - lostRecords), log.size()).clear();
+    }
+
     /** Simulates a host that can be partitioned, paused or cut off from the log. */
     private final class SimulatedHost {
         private final int index;
-        private final LeaseManager leases;
-        private final PeerTable peers;
-        private final TopicConsumer topic =
-                new TopicConsumer(Topic.CLAIMS, Duration.ofMillis(READ_MILLISECONDS), Duration.ZERO);
+        private LeaseManager leases;
+        private PeerTable peers;
+        private TopicConsumer topic;
+        private long knownEra;
         private Optional<Instant> readStartedAt = Optional.empty();
         private int appliedRecords;
         private Instant partitionedUntil = Instant.MIN;
@@ -84,11 +105,41 @@
 
         SimulatedHost(int index) {
             this.index = index;
-            this.leases = new LeaseManager(announcement(index).host(), LEASE_TERM);
-            this.peers = new PeerTable(announcement(index));
+            restart(true);
+        }
+
+        /** Starts a new process, which knows nothing. */
+        private void restart(boolean systemStarts) {
+            leases = new LeaseManager(announcement(index).host(), LEASE_TERM, systemStarts);
+            peers = new PeerTable(announcement(index));
+            topic = new TopicConsumer(Topic.CLAIMS, Duration.ofMillis(READ_MILLISECONDS), Duration.ZERO);
             for (int other = 1; other <= HOSTS; other++) {
                 peers.update(announcement(other), start);
             }
+            knownEra = -1;
+            appliedRecords = 0;
+            readStartedAt = Optional.empty();
+        }
+
+        /** Learns of an era; the claims of the restored log are read afterwards. */
+        private void observeEra(long era, Instant now) {
+            if (era <= knownEra) {
+                return;
+            }
+            boolean restored = knownEra >= 0;
+            knownEra = era;
+            appliedRecords = 0;
+            readStartedAt = Optional.empty();
+            leases.beginEra(era, restored, now);
+            if (restored) {
+                topic.beginEra(era, now, now);
+            }
+        }
+
+        private void applyClaims(int count, Instant now) {
+            for (; appliedRecords < count; appliedRecords++) {
+                leases.applyClaim(log.get(appliedRecords), new LogPosition(knownEra, appliedRecords), now);
+            }
         }
 
         /** Applies what a peer has read, confirmed as of the start of the peer's last read. */
@@ -97,10 +148,9 @@
                     && !now.isBefore(peer.partitionedUntil)
                     && !now.isBefore(peer.pausedUntil)
                     && !peer.wasPaused;
-            if (answers) {
-                for (; appliedRecords < peer.appliedRecords; appliedRecords++) {
-                    leases.applyClaim(log.get(appliedRecords), new LogPosition(0, appliedRecords), now);
-                }
+            // A peer with an older era confirms nothing; the records of one that has not read its era are unknown.
+            if (answers && peer.knownEra == logEra && peer.topic.isCurrent() && knownEra == logEra) {
+                applyClaims(peer.appliedRecords, now);
                 peer.topic.age(now).ifPresent(age -> leases.confirm(now.minus(age)));
             }
         }
@@ -128,12 +178,19 @@
                             && !partitioned
                             && !now.isBefore(other.partitionedUntil)
                             && !now.isBefore(other.pausedUntil))
+                    .peek(other -> observeEra(other.knownEra, now))
+                    .peek(other -> {
+                        if (other.leases.knowsEraSettled(now)) {
+                            leases.eraSettled(other.knownEra);
+                        }
+                    })
                     .forEach(other -> peers.recordState(
                             new PeerMessage.HostState(
                                     announcement(other.index),
                                     false,
                                     !now.isBefore(other.withoutLogUntil),
                                     0,
+                                    false,
                                     0,
                                     0,
                                     0,
@@ -156,17 +213,25 @@
             }
             boolean readEnded = readStartedAt
                     .filter(at -> log.size() > appliedRecords
+                            || !topic.isCurrent()
+                            || logEra > knownEra
                             || Duration.between(at, now).toMillis() >= READ_MILLISECONDS)
                     .isPresent();
-            if (readEnded) {
+            if (readEnded && logEra > knownEra && knownEra >= 0) {
+                observeEra(logEra, now);
+            } else if (readEnded) {
+                Instant readAt = readStartedAt.get();
+                observeEra(logEra, now);
                 topic.applyRead(
                         new ForwardingEvent.TopicRead(
-                                Topic.CLAIMS, readStartedAt.get(), false, List.of(), new LogPosition(0, log.size())),
+                                Topic.CLAIMS,
+                                readAt,
+                                !topic.isCurrent(),
+                                List.of(),
+                                new LogPosition(logEra, log.size())),
                         now);
-                for (; appliedRecords < log.size(); appliedRecords++) {
-                    leases.applyClaim(log.get(appliedRecords), new LogPosition(0, appliedRecords), now);
-                }
-                leases.confirm(readStartedAt.get());
+                applyClaims(log.size(), now);
+                leases.confirm(readAt);
                 leases.appendCompleted();
                 readStartedAt = Optional.empty();
             }
@@ -175,8 +240,10 @@
             }
             leases.tick(List.of(runner()), peers, topic, false, now).ifPresent(effect -> {
                 ForwardingEffect.AppendClaim append = (ForwardingEffect.AppendClaim) effect;
-                if (append.expectedEnd().offset() == log.size()) {
-                    log.add(append.claim());
+                if (appendDelays.test(now)) {
+                    delayedAppends.add(new DelayedAppend(now.plusMillis(1500), append));
+                } else {
+                    append(append);
                 }
             });
         }
@@ -190,12 +257,37 @@
 
     @Property(tries = 300, seed = "7301")
     void hostsThatTakeTurnsAreALeaseTermApart(@ForAll("seeds") long seed) {
+        playFaults(seed, 0, step -> {});
+    }
+
+    /** The copy may lack any claim, and hosts may not know that the log was restored. */
+    @Property(tries = 600, seed = "7302")
+    void hostsThatTakeTurnsAreALeaseTermApartOverRestoredLogs(@ForAll("seeds") long seed) {
+        Random random = new Random(seed * 31);
+        appendDelays = now -> random.nextInt(4) == 0;
+        playFaults(seed, 1 + random.nextInt(5), step -> {
+            if (random.nextInt(250) == 0) {
+                int drills = random.nextInt(3) == 0 ? 2 : 1;
+                for (int drill = 0; drill < drills; drill++) {
+                    restoreLog(random.nextInt(4));
+                }
+            }
+            if (random.nextInt(300) == 0) {
+                hosts.get(random.nextInt(HOSTS)).restart(false);
+            }
+        });
+    }
+
+    private void playFaults(long seed, long firstEra, IntConsumer furtherFaults) {
         log.clear();
         hosts.clear();
+        delayedAppends.clear();
+        logEra = firstEra;
         begin();
         Random random = new Random(seed);
         Optional<Integer> lastCommander = Optional.empty();
         Instant lastCommandAt = Instant.MIN;
+        long lastFence = -1;
         for (int step = 0; step < 60_000 / STEP_MILLISECONDS; step++) {
             Instant now = start.plusMillis((long) step * STEP_MILLISECONDS);
             if (random.nextInt(150) == 0) {
@@ -210,6 +302,14 @@
                     faultyHost.withoutLogUntil = until;
                 }
             }
+            furtherFaults.accept(step);
+            delayedAppends.stream()
+                    .filter(delayed -> !now.isBefore(delayed.at()))
+                    .toList()
+                    .forEach(delayed -> {
+                        delayedAppends.remove(delayed);
+                        append(delayed.append());
+                    });
             for (SimulatedHost host : hosts) {
                 host.step(now);
                 if (host.canCommand(now)) {
@@ -219,6 +319,13 @@
                                 "host " + host.index + " after " + lastCommander.get() + " by "
                                         + Duration.between(lastCommandAt, now));
                     }
+                    long fence = host.leases.fencingToken(RUNNER, now).orElseThrow();
+                    boolean sameHost =
+                            lastCommander.filter(last -> last == host.index).isPresent();
+                    assertTrue(
+                            fence > lastFence || fence == lastFence && sameHost,
+                            "host " + host.index + " commands with " + fence + " after " + lastFence);
+                    lastFence = fence;
                     lastCommander = Optional.of(host.index);
                     lastCommandAt = now;
                 }
@@ -266,4 +373,58 @@
         }
         assertTrue(taken);
     }
+
+    /** The holder of a lease must not stop for the wait of a takeover because the log was restored. */
+    @org.junit.jupiter.api.Test
+    void holderKeepsItsLeaseOverARestoredLog() {
+        logEra = 1;
+        for (int lostRecords = 0; lostRecords < 2; lostRecords++) {
+            log.clear();
+            hosts.clear();
+            begin();
+            int without = 0;
+            for (int millis = 0; millis < 10_000; millis += STEP_MILLISECONDS) {
+                Instant now = start.plusMillis(millis);
+                if (millis == 6000) {
+                    restoreLog(lostRecords);
+                }
+                hosts.forEach(host -> host.step(now));
+                boolean commanded = hosts.stream().anyMatch(host -> host.canCommand(now));
+                without += millis > 5000 && !commanded ? 1 : 0;
+            }
+            assertTrue(without <= 1000 / STEP_MILLISECONDS, without + " steps without a holder");
+        }
+    }
+
+    /** A host that starts after a drill knows neither the lost claims nor who holds them. */
+    @org.junit.jupiter.api.Test
+    void claimOfALostClaimsRunnerIsNotSettledByAHostThatHasJustStarted() {
+        logEra = 1;
+        begin();
+        Instant end = start.plusSeconds(5);
+        for (Instant now = start; now.isBefore(end); now = now.plusMillis(STEP_MILLISECONDS)) {
+            for (SimulatedHost host : hosts) {
+                host.step(now);
+            }
+        }
+        SimulatedHost holder =
+                hosts.stream().filter(host -> host.canCommand(end)).findFirst().orElseThrow();
+        // The holder is cut off and goes on; the others start again and find no claim.
+        holder.partitionedUntil = Instant.MAX;
+        restoreLog(log.size());
+        hosts.stream().filter(host -> host != holder).forEach(host -> host.restart(false));
+        Instant lastCommandAt = end;
+        for (Instant now = end; now.isBefore(end.plusSeconds(40)); now = now.plusMillis(STEP_MILLISECONDS)) {
+            for (SimulatedHost host : hosts) {
+                host.step(now);
+                if (host.canCommand(now)) {
+                    if (host == holder) {
+                        lastCommandAt = now;
+                    } else {
+                        assertTrue(Duration.between(lastCommandAt, now).compareTo(LEASE_TERM) >= 0);
+                    }
+                }
+            }
+        }
+    }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -41,7 +41,19 @@
 
     private static PeerMessage state(int number, boolean leaving) {
         return new PeerMessage.HostState(
-                peer(number), leaving, true, 0, 0, 0, 0, 0, LoadCounts.NONE, PartEvidence.NONE, List.of(), List.of());
+                peer(number),
+                leaving,
+                true,
+                0,
+                false,
+                0,
+                0,
+                0,
+                0,
+                LoadCounts.NONE,
+                PartEvidence.NONE,
+                List.of(),
+                List.of());
     }
 
     private static void send(ReducerFixture fixture, int number) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerMessengerTest.java
@@ -77,6 +77,7 @@
             ForwardingSettings settings = new ForwardingSettings(
                     new HostIdentity(own.host(), 1),
                     own,
+                    true,
                     0.2,
                     50,
                     Duration.ofSeconds(3),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -43,6 +43,7 @@
                             false,
                             true,
                             0,
+                            false,
                             0,
                             0,
                             0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -68,6 +68,7 @@
         ForwardingSettings settings = new ForwardingSettings(
                 identity(),
                 announcement,
+                true,
                 0.2,
                 50,
                 Duration.ofSeconds(3),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -135,6 +135,7 @@
                             false,
                             true,
                             0,
+                            false,
                             0,
                             0,
                             0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -77,6 +77,7 @@
                         false,
                         true,
                         0,
+                        false,
                         0,
                         0,
                         0,
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -128,6 +128,7 @@
         boolean leaving = false;
         boolean reachesLog = false;
         long logEra = 0;
+        boolean logEraSettled = false;
         long configurationOffset = 0;
         long configurationEra = 0;
         long endpointsOffset = 0;
@@ -150,6 +151,9 @@
                 case "logEra" -> {
                     logEra = in.unpackLong();
                 }
+                case "logEraSettled" -> {
+                    logEraSettled = in.unpackBoolean();
+                }
                 case "configurationOffset" -> {
                     configurationOffset = in.unpackLong();
                 }
@@ -182,6 +186,7 @@
                 leaving,
                 reachesLog,
                 logEra,
+                logEraSettled,
                 configurationOffset,
                 configurationEra,
                 endpointsOffset,
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -86,6 +86,7 @@
                     "HostState",
                     9
                             + eraFields(state.logEra())
+                            + (state.logEraSettled() ? 1 : 0)
                             + eraFields(state.configurationEra())
                             + eraFields(state.endpointsEra()));
             out.packString("announcement");
@@ -93,6 +94,9 @@
             field("leaving", state.leaving());
             field("reachesLog", state.reachesLog());
             eraField("logEra", state.logEra());
+            if (state.logEraSettled()) {
+                field("logEraSettled", true);
+            }
             field("configurationOffset", state.configurationOffset());
             eraField("configurationEra", state.configurationEra());
             field("endpointsOffset", state.endpointsOffset());
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -60,6 +60,7 @@
             true,
             false,
             3,
+            true,
             -1,
             0,
             70_000,
