Keep endpoints that left out of use after a restore

Requests then reach an endpoint later than drain_ms after this host knew.

An entry read from a restored log is merged with what is known: the later process counts, and leaving stays. An endpoint that was removed is held back until its writer writes it again, or its entry would have lapsed (5 s).

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
@@ -38,4 +38,27 @@
         baseModels = Set.copyOf(baseModels);
         adapters = List.copyOf(adapters);
     }
+
+    /**
+     * Returns what is known after the entry was read from a restored log, where it may be older than this one: that of
+     * the later process, and a process that leaves goes on leaving.
+     */
+    EndpointListing mergeRestored(EndpointListing restored) {
+        if (restored.started != started) {
+            return restored.started > started ? restored : this;
+        }
+        EndpointListing newer = restored.commandSequence >= commandSequence ? restored : this;
+        return new EndpointListing(
+                id,
+                newer.service,
+                newer.address,
+                newer.dataCentre,
+                newer.slots,
+                draining || restored.draining,
+                restored.terminatesAt.or(() -> terminatesAt),
+                started,
+                newer.baseModels,
+                newer.adapters,
+                newer.commandSequence);
+    }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -193,19 +193,19 @@
                 }
                 keys.readCompleted(read);
             }
-            view.tick();
+            view.tick(new ChangeListener());
         } else if (event instanceof ForwardingEvent.TopicExpired expired) {
             view.expired(expired.topic());
-            view.tick();
+            view.tick(new ChangeListener());
         } else if (event instanceof ForwardingEvent.TopicUnavailable unavailable) {
             view.unavailable(unavailable.topic());
         } else if (event instanceof ForwardingEvent.LogEraObserved observed) {
             view.observeEra(observed.era(), Optional.empty(), new ChangeListener());
-            view.tick();
+            view.tick(new ChangeListener());
         } else if (event instanceof ForwardingEvent.LogCallTimedOut) {
             context.log(DecisionRecord.important("log-call-timed-out"));
             view.restartWaitingReads();
-            view.tick();
+            view.tick(new ChangeListener());
         } else if (event instanceof ForwardingEvent.AppendCompleted appended && appended.topic() == Topic.CLAIMS) {
             leases.appendCompleted();
         }
@@ -411,7 +411,7 @@
         context.ticks().report(context.now()).ifPresent(context::log);
         view.setReadSchedule(peers.isLargeDeployment(), readsForPeers(), keys.readWait());
         keys.tick(!peers.isLargeDeployment() || readsForPeers());
-        view.tick();
+        view.tick(new ChangeListener());
         if (!hasAnnouncedSelf && view.consumer(Topic.HOSTS).hasBeenRead()) {
             hasAnnouncedSelf = true;
             context.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -10,12 +10,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.history.LogEras;
 import org.banyanstair.history.LogPosition;
+import org.banyanstair.history.ReappearedEntries;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -65,6 +68,9 @@
     /** Time for which a removed endpoint is kept to account for its last requests. */
     private static final Duration REMOVED_RETENTION = Duration.ofSeconds(10);
 
+    /** Time after which the entry of an endpoint that sends nothing has lapsed, by the platform protocol. */
+    private static final Duration ENTRY_LIFETIME = Duration.ofSeconds(5);
+
     /** Time over which hosts that only poll spread their snapshots after the log was restored. */
     private static final Duration MAXIMUM_RESTORE_SPREAD = Duration.ofMillis(500);
 
@@ -84,11 +90,20 @@
     private Optional<ForwardingConfiguration> configuration = Optional.empty();
     private List<EndpointState> runners = List.of();
     private final LogEras eras = new LogEras();
+    private final ReappearedEntries<TopicRecord> reappeared = new ReappearedEntries<>();
     private boolean catchingUp;
     private final Map<Topic, Integer> expiredReads = new EnumMap<>(Topic.class);
     private Instant resumedAt = Instant.MIN;
     private boolean boundsConfigurationWait;
 
+    /**
+     * Where records come from.
+     *
+     * @param writtenAt earliest time at which they were written; {@link Instant#MIN} if unknown
+     * @param restored whether they may be older than what is known, as those of a copy from which the log was restored
+     */
+    private record Provenance(Instant writtenAt, boolean restored) {}
+
     /** A version of an adapter; {@code publishedAt} is {@link Instant#MIN} if it was not read as it was published. */
     private record PublishedVersion(long version, long previous, Instant publishedAt) {}
 
@@ -228,7 +243,9 @@
                 : published.version();
     }
 
-    void tick() {
+    void tick(Listener listener) {
+        Provenance unknown = new Provenance(Instant.MIN, false);
+        reappeared.takeDue(context.now()).forEach(entry -> apply(Topic.ENDPOINTS, List.of(entry), unknown, listener));
         consumers.values().forEach(consumer -> context.emit(consumer.tick(context.now())));
         Iterator<EndpointState> iterator = endpoints.values().iterator();
         while (iterator.hasNext()) {
@@ -251,13 +268,17 @@
                 && !consumer.reliesOnPeers()
                 && event.startedAt().isAfter(resumedAt);
         LogPosition knownEnd = consumer.end();
+        Set<String> reappearedKeys = reappearedKeys(consumer, event.records(), event.end());
         List<TopicRecord> newRecords = consumer.applyRead(event, context.now());
         if (event.snapshot()) {
             logSnapshot(event, knownEnd, newRecords);
         } else {
             logDropped(event, newRecords);
         }
-        apply(event.topic(), newRecords, justWritten ? context.now() : Instant.MIN, listener);
+        Provenance provenance = new Provenance(
+                justWritten ? context.now() : Instant.MIN,
+                knownEnd.isRead() && event.end().era() > knownEnd.era());
+        apply(event.topic(), holdBack(event.topic(), newRecords, reappearedKeys), provenance, listener);
         if (!wasAvailable) {
             context.log(DecisionRecord.important("topic-available", "topic", event.topic(), "end", event.end()));
         }
@@ -287,16 +308,54 @@
                         entry.removed() ? Optional.empty() : Optional.of(entry.value()),
                         new LogPosition(message.era(), entry.offset())))
                 .toList();
+        LogPosition knownEnd = consumer.end();
+        Set<String> reappearedKeys = reappearedKeys(consumer, records, message.endPosition());
         List<TopicRecord> newRecords =
                 consumer.applyRelayed(message.from(), records, message.endPosition(), context.now());
         if (!newRecords.isEmpty()) {
             context.log(DecisionRecord.of(
                     "topic-relayed", "topic", topic, "from", from, "records", newRecords.size(), "end", message.end()));
-            apply(topic, newRecords, justWritten ? context.now() : Instant.MIN, listener);
+            Provenance provenance = new Provenance(
+                    justWritten ? context.now() : Instant.MIN, knownEnd.isRead() && message.era() > knownEnd.era());
+            apply(topic, holdBack(topic, newRecords, reappearedKeys), provenance, listener);
         }
         logCaughtUp();
     }
 
+    /** Returns the keys of endpoints that were removed and that the records of a later era list again. */
+    private static Set<String> reappearedKeys(TopicConsumer consumer, List<TopicRecord> records, LogPosition end) {
+        if (consumer.topic() != Topic.ENDPOINTS || end.era() <= consumer.end().era()) {
+            return Set.of();
+        }
+        return records.stream()
+                .map(TopicRecord::key)
+                .filter(consumer::isRemoved)
+                .collect(Collectors.toSet());
+    }
+
+    /** Holds the records of keys back that have reappeared; returns the others. */
+    private List<TopicRecord> holdBack(Topic topic, List<TopicRecord> newRecords, Set<String> reappearedKeys) {
+        if (topic != Topic.ENDPOINTS) {
+            return newRecords;
+        }
+        List<TopicRecord> others = new ArrayList<>();
+        for (TopicRecord entry : newRecords) {
+            if (reappearedKeys.contains(entry.key())) {
+                reappeared.hold(entry.key(), entry, context.now().plus(ENTRY_LIFETIME));
+                context.log(DecisionRecord.important(
+                        "endpoint-reappeared",
+                        "endpoint",
+                        entry.key(),
+                        "offset",
+                        entry.position().offset()));
+            } else {
+                reappeared.drop(entry.key());
+                others.add(entry);
+            }
+        }
+        return others;
+    }
+
     /** Applies the era that a peer knows; one of an earlier release, or one that has read nothing, names none. */
     void observePeerEra(long era, HostId peer, Listener listener) {
         if (era > eras.newest()) {
@@ -425,10 +484,8 @@
 
     /**
      * Applies new records.
-     *
-     * @param writtenAt earliest time at which they were written; {@link Instant#MIN} if unknown
      */
-    private void apply(Topic topic, List<TopicRecord> newRecords, Instant writtenAt, Listener listener) {
+    private void apply(Topic topic, List<TopicRecord> newRecords, Provenance provenance, Listener listener) {
         for (TopicRecord entry : newRecords) {
             if (entry.value().isEmpty()) {
                 if (topic == Topic.ENDPOINTS) {
@@ -454,24 +511,26 @@
                     remove(entry.key(), listener);
                 }
             } else {
-                apply(decoded.get(), entry.position(), writtenAt, listener);
+                apply(decoded.get(), entry.position(), provenance, listener);
             }
         }
     }
 
-    private void apply(DecodedRecord decoded, LogPosition position, Instant writtenAt, Listener listener) {
+    private void apply(DecodedRecord decoded, LogPosition position, Provenance provenance, Listener listener) {
         if (decoded instanceof DecodedRecord.ConfigurationPublished configured) {
             applyConfiguration(configured.configuration(), position);
         } else if (decoded instanceof DecodedRecord.AdapterVersionPublished published) {
             long previous = newestVersion(published.adapter());
             if (published.version() > previous) {
-                versions.put(published.adapter(), new PublishedVersion(published.version(), previous, writtenAt));
+                versions.put(
+                        published.adapter(),
+                        new PublishedVersion(published.version(), previous, provenance.writtenAt()));
                 context.log(DecisionRecord.important(
                         "adapter-version", "adapter", published.adapter(), "version", published.version()));
                 listener.versionPublished(published.adapter(), published.version());
             }
         } else if (decoded instanceof DecodedRecord.EndpointListed listed) {
-            applyListing(listed.listing(), listener);
+            applyListing(listed.listing(), provenance.restored(), listener);
         } else if (decoded instanceof DecodedRecord.RunnerClaimed claimed) {
             listener.runnerClaimed(claimed, position);
         } else if (decoded instanceof DecodedRecord.PartRefused refused) {
@@ -521,8 +580,9 @@
         }
     }
 
-    private void applyListing(EndpointListing listing, Listener listener) {
-        EndpointState known = endpoints.get(listing.id());
+    private void applyListing(EndpointListing listed, boolean restored, Listener listener) {
+        EndpointState known = endpoints.get(listed.id());
+        EndpointListing listing = restored && known != null ? known.listing().mergeRestored(listed) : listed;
         if (known == null) {
             endpoints.put(listing.id(), new EndpointState(listing));
             rebuildIndexes();
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -38,6 +38,7 @@
     private final long incarnation;
     private final ForwardingReducer reducer;
     private Instant now;
+    private long era;
     private long offset;
     private long exchanges;
 
@@ -76,9 +77,7 @@
                 TeamSettings.DEFAULT,
                 locality);
         reducer = new ForwardingReducer(
-                settings,
-                (topic, entry, at) -> Optional.ofNullable(
-                        records.get(entry.key() + entry.position().offset())));
+                settings, (topic, entry, at) -> Optional.ofNullable(records.get(entry.key() + entry.position())));
         read(Topic.HOSTS, List.of());
         read(Topic.CLAIMS, List.of());
     }
@@ -107,7 +106,7 @@
             now = now.plusMillis(20);
             effects.addAll(apply(new ForwardingEvent.Tick()));
             effects.addAll(apply(
-                    new ForwardingEvent.TopicRead(Topic.CLAIMS, now, false, List.of(), new LogPosition(0, offset))));
+                    new ForwardingEvent.TopicRead(Topic.CLAIMS, now, false, List.of(), new LogPosition(era, offset))));
         }
         return effects;
     }
@@ -129,19 +128,36 @@
     }
 
     private void read(Topic topic, List<TopicRecord> records) {
-        apply(new ForwardingEvent.TopicRead(topic, now, false, records, new LogPosition(0, offset)));
+        apply(new ForwardingEvent.TopicRead(topic, now, false, records, new LogPosition(era, offset)));
     }
 
     List<ForwardingEffect> publish(Topic topic, String key, DecodedRecord decoded) {
-        records.put(key + offset, decoded);
-        TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), new LogPosition(0, offset));
+        records.put(key + position(), decoded);
+        TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), new LogPosition(era, offset));
         offset++;
-        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(0, offset)));
+        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(era, offset)));
+    }
+
+    private LogPosition position() {
+        return new LogPosition(era, offset);
+    }
+
+    /** Restores the log from a copy in which a topic holds the given records, and reads it. */
+    List<ForwardingEffect> restore(Topic topic, Map<String, DecodedRecord> copy) {
+        era++;
+        offset = 0;
+        List<TopicRecord> entries = new ArrayList<>();
+        copy.forEach((key, decoded) -> {
+            define(key, decoded);
+            entries.add(new TopicRecord(key, Optional.of(new byte[] {1}), position()));
+            offset++;
+        });
+        return apply(new ForwardingEvent.TopicRead(topic, now, true, entries, position()));
     }
 
     /** Sets the content of the record at the next offset without reading it. */
     void define(String key, DecodedRecord decoded) {
-        records.put(key + offset, decoded);
+        records.put(key + position(), decoded);
     }
 
     /** Returns the offset that the next record will have. */
@@ -150,9 +166,9 @@
     }
 
     List<ForwardingEffect> removed(Topic topic, String key) {
-        TopicRecord entry = new TopicRecord(key, Optional.empty(), new LogPosition(0, offset));
+        TopicRecord entry = new TopicRecord(key, Optional.empty(), new LogPosition(era, offset));
         offset++;
-        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(0, offset)));
+        return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(era, offset)));
     }
 
     void configure(long version, Route... routes) {
@@ -211,7 +227,15 @@
         for (String adapter : adapters) {
             loaded.add(new LoadedAdapter(new AdapterName("base", adapter), 1));
         }
-        EndpointListing listing = new EndpointListing(
+        publish(
+                Topic.ENDPOINTS,
+                id,
+                new DecodedRecord.EndpointListed(listing(dataCentre, id, service, draining, started, loaded)));
+    }
+
+    static EndpointListing listing(
+            String dataCentre, String id, String service, boolean draining, long started, List<LoadedAdapter> loaded) {
+        return new EndpointListing(
                 new EndpointId(id),
                 service,
                 NetworkAddress.parse("10.0.1.1:" + (1000 + Math.abs(id.hashCode()) % 1000)),
@@ -223,7 +247,6 @@
                 Set.of("base"),
                 loaded,
                 0);
-        publish(Topic.ENDPOINTS, id, new DecodedRecord.EndpointListed(listing));
     }
 
     ForwardRequest request(String path, Optional<AdapterName> adapter, Duration patience) {
