Write again what a restored log lacks of a host

A host announces itself once more, 0.5 to 1.5 s after it learned of the era and spread by its name, unless it reads its announcement there; the host that records refusals for the others compares them with the restored topic. At 70 hosts that is 70 appends within a second, of 400 that the platform allows.

--- a/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/crashes/RequestCrashes.java
@@ -291,6 +291,11 @@
         recorded.put(request.fingerprint(), known);
     }
 
+    /** Forgets what the log holds, because it was restored from a copy. */
+    public void forgetRecorded() {
+        recorded.clear();
+    }
+
     /** Returns the requests of which the log does not hold all that hosts need after a restart. */
     public List<CrashedRequest> unrecorded(Instant now) {
         List<CrashedRequest> result = new ArrayList<>();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -11,6 +11,7 @@
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.history.LogPosition;
+import org.banyanstair.history.OwedRecord;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -74,6 +75,12 @@
      */
     private static final Duration READER_CHECK_INTERVAL = Duration.ofMillis(100);
 
+    /** Time after a restore of the log before a host writes again what it lacks, so that it has read the log. */
+    private static final Duration REWRITE_DELAY = Duration.ofMillis(500);
+
+    /** Time over which hosts spread what they write again. */
+    private static final Duration MAXIMUM_REWRITE_SPREAD = Duration.ofSeconds(1);
+
     /** Gap between two events above which the process counts as having been suspended. */
     private static final Duration MAXIMUM_EVENT_GAP = Duration.ofMillis(600);
 
@@ -97,7 +104,7 @@
     private Instant nextReaderCheckAt = Instant.MIN;
     private boolean readsForPeers;
     private long confirmationRequests;
-    private boolean hasAnnouncedSelf;
+    private final OwedRecord ownAnnouncement = new OwedRecord();
     private boolean stopping;
 
     /** Creates the reducer of one run of a host. */
@@ -381,6 +388,11 @@
                         context.now().toEpochMilli()));
     }
 
+    private Duration rewriteSpread() {
+        int spread = Math.floorMod(settings.identity().host().hashCode(), (int) MAXIMUM_REWRITE_SPREAD.toMillis());
+        return Duration.ofMillis(spread);
+    }
+
     private void applyAnnouncement(HostAnnouncement announcement) {
         if (peers.update(announcement, context.now()) && !peers.isLargeDeployment()) {
             context.emit(new ForwardingEffect.SendToPeer(announcement.host(), hostState(true)));
@@ -412,14 +424,14 @@
         view.setReadSchedule(peers.isLargeDeployment(), readsForPeers(), keys.readWait());
         keys.tick(!peers.isLargeDeployment() || readsForPeers());
         view.tick(new ChangeListener());
-        if (!hasAnnouncedSelf && view.consumer(Topic.HOSTS).hasBeenRead()) {
-            hasAnnouncedSelf = true;
+        boolean hostsAreKnown = view.consumer(Topic.HOSTS).isCurrent();
+        if (hostsAreKnown && ownAnnouncement.takeDue(context.now())) {
             context.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
         }
         confirmClaims();
         runnerManager.tick(stopping);
         crashDetector.tick();
-        if (refusals.tick(readsForPeers())) {
+        if (refusals.tick(hostsAreKnown && readsForPeers())) {
             forwarder.stopRefusedRequests();
         }
         forwarder.tick();
@@ -551,6 +563,10 @@
         @Override
         public void eraBegan(long era, boolean restored) {
             leases.beginEra(era, restored, context.now());
+            if (restored) {
+                refusals.logRestored();
+                ownAnnouncement.mayBeLost(context.now().plus(REWRITE_DELAY).plus(rewriteSpread()));
+            }
         }
 
         @Override
@@ -582,6 +598,9 @@
 
         @Override
         public void hostAnnounced(HostAnnouncement announcement) {
+            if (announcement.equals(settings.announcement())) {
+                ownAnnouncement.found();
+            }
             ForwardingReducer.this.applyAnnouncement(announcement);
         }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalRegistry.java
@@ -271,6 +271,12 @@
         }
     }
 
+    /** Records that the log was restored from a copy; what it holds is read again. */
+    void logRestored() {
+        recordedParts.clear();
+        requests.forgetRecorded();
+    }
+
     /** Records changes of the refused parts in the log, so that they survive a restart of all hosts. */
     private void recordPartRefusals(Instant now) {
         Map<Long, Instant> refused = new TreeMap<>();
