--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -563,6 +563,9 @@
         @Override
         public void eraBegan(long era, boolean restored) {
             leases.beginEra(era, restored, context.now());
+            if (era != 0) {
+                peers.setLogNamesEra();
+            }
             if (restored) {
                 refusals.logRestored();
                 ownAnnouncement.mayBeLost(context.now().plus(REWRITE_DELAY).plus(rewriteSpread()));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -67,6 +67,7 @@
     private Duration liveLimit;
     private Instant startedAt = Instant.MAX;
     private long addressQueries;
+    private boolean logNamesEra;
 
     /** Last known state of a peer. */
     static final class Peer {
@@ -75,6 +76,7 @@
         private Instant knownSince;
         private boolean leaving;
         private boolean reachesLog;
+        private boolean namesLogEra;
         private LogPosition configurationEnd = LogPosition.UNREAD;
         private LogPosition endpointsEnd = LogPosition.UNREAD;
 
@@ -157,6 +159,7 @@
             peer.lastContactAt = now;
             peer.leaving = state.leaving();
             peer.reachesLog = state.reachesLog();
+            peer.namesLogEra = state.logEra() != 0;
             peer.configurationEnd = state.configurationEnd();
             peer.endpointsEnd = state.endpointsEnd();
         }
@@ -213,7 +216,7 @@
         List<HostId> hosts = new ArrayList<>();
         for (HostId host : logRanking) {
             Peer peer = peers.get(host);
-            if (peer == null ? selfReachesLog : peer.reachesLog && peer.isLiveSince(earliest)) {
+            if (peer == null ? selfReachesLog : isUsableReader(peer) && peer.isLiveSince(earliest)) {
                 hosts.add(host);
             }
         }
@@ -221,6 +224,16 @@
         return strong.subList(0, Math.min(strong.size(), isLargeDeployment() ? MAXIMUM_LOG_READERS : 1));
     }
 
+    /** Returns whether a peer relays records with their era if the log names one; an earlier release does not. */
+    private boolean isUsableReader(Peer peer) {
+        return peer.reachesLog && (!logNamesEra || peer.namesLogEra);
+    }
+
+    /** Records that the log names its era. */
+    void setLogNamesEra() {
+        logNamesEra = true;
+    }
+
     /** Returns the data centre of a host; empty text if the host is unknown. */
     String dataCentre(HostId host) {
         Peer peer = peers.get(host);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -72,6 +72,14 @@
         }
     }
 
+    /** Guards against reliance on relayed records whose era is unknown, in a deployment with two releases. */
+    @Test
+    void hostOfAReleaseWithoutErasReadsForNobodyElse() {
+        begin(24);
+        peers.setLogNamesEra();
+        assertEquals(List.of(announcement(0).host()), peers.logReaders(true, now));
+    }
+
     @Test
     void logReadersAreStrongHosts() {
         begin(24);
