Log the software version of an endpoint and what a request resumes

The version in an endpoint's entry and the attempt that a caller resumes are decoded; the line `sent` names both. No decision uses them yet.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
@@ -7,6 +7,7 @@
 
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.versions.SoftwareVersion;
 
 /**
  * An endpoint's entry in the platform's registry.
@@ -20,6 +21,7 @@
  * @param baseModels base models that it held when the entry was written
  * @param adapters adapters that it held when the entry was written
  * @param commandSequence number of commands that it had accepted when the entry was written
+ * @param softwareVersion version of its software
  */
 public record EndpointListing(
         EndpointId id,
@@ -32,7 +34,8 @@
         long started,
         Set<String> baseModels,
         List<LoadedAdapter> adapters,
-        long commandSequence) {
+        long commandSequence,
+        SoftwareVersion softwareVersion) {
     /** Copies the collections. */
     public EndpointListing {
         baseModels = Set.copyOf(baseModels);
@@ -59,6 +62,7 @@
                 started,
                 newer.baseModels,
                 newer.adapters,
-                newer.commandSequence);
+                newer.commandSequence,
+                newer.softwareVersion);
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardRequest.java
@@ -22,6 +22,8 @@
  * @param outputTokens maximum number of generated tokens
  * @param callerDeadline when the caller stops waiting; empty if unspecified
  * @param resumeAfter id of the last event that the caller has received; empty for a stream from its start
+ * @param resumes the caller's attempt that brought the first event of the stream; empty for a stream from its start, or
+ *     if the caller does not name it
  * @param key digest of the caller's API key; empty if it sent none
  * @param fingerprint digest of method, path, caller and body, the same when the request is sent again
  * @param widerFingerprints digests of less than that, which other requests may share: a request that is sent again may
@@ -39,6 +41,7 @@
         int outputTokens,
         Optional<Instant> callerDeadline,
         Optional<Long> resumeAfter,
+        Optional<RequestId> resumes,
         Optional<KeyDigest> key,
         long fingerprint,
         List<Long> widerFingerprints) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -442,8 +442,10 @@
                 "running",
                 endpoint.running(),
                 "waiting-tokens",
-                endpoint.waitingTokens());
-        context.log(sent.with("team", inFlight.team.map(Team::name)));
+                endpoint.waitingTokens(),
+                "version",
+                endpoint.listing().softwareVersion());
+        context.log(sent.with("team", inFlight.team.map(Team::name)).with("resumes", request.resumes()));
         context.emit(new ForwardingEffect.Send(
                 request.exchange(),
                 inFlight.attempts,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -249,6 +249,7 @@
                 Optional.of(now.plus(PATIENCE)),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 fingerprint,
                 widerFingerprints);
         requests.put(new ExchangeKey(host, exchanges), request);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FullServiceSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FullServiceSimulation.java
@@ -179,6 +179,7 @@
                 0,
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.of(KeyDigest.of(team.value())),
                 exchange,
                 List.of());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyFleet.java
@@ -263,6 +263,7 @@
                     0,
                     Optional.empty(),
                     Optional.empty(),
+                    Optional.empty(),
                     Optional.of(KEY),
                     exchanges,
                     List.of());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -24,6 +24,7 @@
 import org.banyanstair.peer.LoadCounts;
 import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.versions.SoftwareVersion;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -69,7 +70,8 @@
                 1,
                 Set.of(),
                 List.of(),
-                0));
+                0,
+                new SoftwareVersion("v1")));
     }
 
     /** An append that gets no response and is executed later, if its condition still holds. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -22,6 +22,7 @@
 import org.banyanstair.teams.KeyDigest;
 import org.banyanstair.teams.TeamSettings;
 import org.banyanstair.teams.TeamTable;
+import org.banyanstair.versions.SoftwareVersion;
 
 /** A reducer whose platform topics are written by the test. */
 final class ReducerFixture {
@@ -246,7 +247,8 @@
                 started,
                 Set.of("base"),
                 loaded,
-                0);
+                0,
+                new SoftwareVersion("v1"));
     }
 
     ForwardRequest request(String path, Optional<AdapterName> adapter, Duration patience) {
@@ -266,6 +268,7 @@
                 Optional.of(now.plus(patience)),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 77,
                 List.of());
     }
@@ -285,6 +288,7 @@
                 plain.outputTokens(),
                 plain.callerDeadline(),
                 plain.resumeAfter(),
+                plain.resumes(),
                 Optional.of(key),
                 plain.fingerprint(),
                 plain.widerFingerprints());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerControllerTest.java
@@ -20,6 +20,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.EndpointUsage;
+import org.banyanstair.versions.SoftwareVersion;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -50,7 +51,8 @@
                 1,
                 models,
                 List.of(adapters),
-                0));
+                0,
+                new SoftwareVersion("v1")));
         controller = new RunnerController(runner, SLOTS);
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/WeightStoreLoadTest.java
@@ -178,6 +178,7 @@
                 Optional.of(fixture.now().plusSeconds(6)),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 exchanges,
                 List.of());
         requests.put(request.exchange(), request);
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/PipelineBacklogTest.java
@@ -41,6 +41,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
                         0,
                         List.of()))
                 : "";
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/UploadMemoryTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/UploadMemoryTest.java
@@ -55,6 +55,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 0,
                 List.of()));
         case "refusalResponse" -> refusal(arguments);
