--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -202,13 +202,18 @@
 
     /** Applies the result of a read; returns the new records. */
     List<TopicRecord> applyRead(ForwardingEvent.TopicRead event, Instant now) {
+        boolean continues = event.snapshot() || followsKnownRecords(event.end().era());
+        if (!continues && needSnapshot) {
+            // The snapshot that replaces this read has been requested already, or is due.
+            return List.of();
+        }
         reading = false;
         readImmediately = false;
         if (event.end().era() < era) {
             nextReadAt = now.plus(RETRY_PAUSE);
             return List.of();
         }
-        if (!event.snapshot() && !followsKnownRecords(event.end().era())) {
+        if (!continues) {
             needSnapshot = true;
             nextReadAt = now;
             return List.of();
@@ -327,6 +332,9 @@
 
     /** Reads a snapshot instead of what has expired; pauses if the read after the last snapshot was refused as well. */
     void expired(Instant now) {
+        if (needSnapshot && hasBeenRead()) {
+            return;
+        }
         reading = false;
         needSnapshot = true;
         expiredReads++;
