Settle an era once for claims that were carried over or are new

A runner that registers before the era is settled was claimed unsettled and waited for a takeover after that (12.1 s where 1 s would do); it is now claimed when the era is settled. A settled claim that was carried over, or that an earlier release made without an era, waits until then as well and not for a takeover of its own; with a peer's word that the era is settled it is usable at once. A host of the first start told its peers that any era is settled that it saw first, also the one after a restore that it missed; it no longer does, and a peer that saw the restore ends its own belief.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -275,9 +275,7 @@
             applyAnnouncement(state.announcement());
             peers.recordState(state, context.now());
             view.observePeerEra(state.logEra(), sender, new ChangeListener());
-            if (state.logEraSettled()) {
-                leases.eraSettled(state.logEra());
-            }
+            leases.eraKnownByPeer(state.logEra(), state.logEraSettled(), state.logEraRestored());
             runnerManager.applyObservedLoads(
                     new HostIdentity(sender, state.announcement().incarnation()), state.loads());
             refusals.partsReported(sender, state.parts());
@@ -408,6 +406,7 @@
                 view.reachesLog(),
                 view.eras().newest(),
                 leases.knowsEraSettled(context.now()),
+                leases.hasSeenRestore(),
                 configurationEnd.offset(),
                 configurationEnd.era(),
                 endpointsEnd.offset(),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/LeaseManager.java
@@ -61,6 +61,8 @@
     private long era;
     private final boolean systemStarts;
     private Instant eraSettledAt = Instant.MIN;
+    private boolean restoreSeen;
+    private boolean startsWithEra;
     private final Set<EndpointId> heldAcrossRestore = new HashSet<>();
     private Instant nextRenewalAt = Instant.MIN;
     private Instant startedAt = Instant.MAX;
@@ -99,15 +101,22 @@
             nextRenewalAt = now;
         }
         era = newEra;
+        restoreSeen = restored;
+        startsWithEra = systemStarts && !restored;
         // A log without eras is never restored.
-        boolean isSettled = era == 0 || systemStarts && !restored;
-        eraSettledAt = isSettled ? Instant.MIN : now.plus(takeoverWait());
+        eraSettledAt = era == 0 ? Instant.MIN : now.plus(takeoverWait());
     }
 
-    /** Records that a peer has known an era for so long that no host can hold a lease of an earlier one. */
-    void eraSettled(long settledEra) {
-        if (settledEra == era) {
-            eraSettledAt = Instant.MIN;
+    /**
+     * Applies what a peer knows of an era.
+     *
+     * @param settled whether it has known the era for so long that no host can hold a lease of an earlier one
+     * @param restored whether it knows that an earlier era came before
+     */
+    void eraKnownByPeer(long peerEra, boolean settled, boolean restored) {
+        if (peerEra == era) {
+            eraSettledAt = settled ? Instant.MIN : eraSettledAt;
+            restoreSeen |= restored;
         }
     }
 
@@ -115,14 +124,19 @@
         return VALIDITY.plus(leaseTerm).plus(TAKEOVER_MARGIN);
     }
 
-    /** Returns whether peers may rely on this host's knowledge that its era is settled. */
+    /** Returns whether this host has known the era for so long that no host can hold a lease of an earlier one. */
     boolean knowsEraSettled(Instant now) {
-        return era != 0 && isEraSettled(now);
+        return era != 0 && !now.isBefore(eraSettledAt);
+    }
+
+    /** Returns whether this host knows that an earlier era came before. */
+    boolean hasSeenRestore() {
+        return restoreSeen;
     }
 
     /** Returns whether no other host can hold a lease under a claim that a restore of the log has lost. */
     private boolean isEraSettled(Instant now) {
-        return !now.isBefore(eraSettledAt);
+        return !now.isBefore(eraSettledAt) || startsWithEra && !restoreSeen;
     }
 
     /** Applies a claim; older claims of the same runner are ignored. */
@@ -134,12 +148,17 @@
         }
         boolean own = claimed.host().equals(self);
         boolean carriedOver = claimed.era() < position.era();
-        boolean settled = carriedOver ? own && heldAcrossRestore.contains(endpoint) : claimed.settled();
-        if (!own || !carriedOver) {
+        boolean held = own && carriedOver && heldAcrossRestore.contains(endpoint);
+        if (!held) {
             heldAcrossRestore.remove(endpoint);
         }
-        Instant usableAt = settled ? now : now.plus(takeoverWait());
-        claims.put(endpoint, new Claim(claimed.host(), settled, carriedOver, position, usableAt));
+        boolean usableInEra = held || claimed.settled() && !carriedOver;
+        Instant usableAt = usableInEra ? now : now.plus(takeoverWait());
+        if (claimed.settled() && carriedOver && !held) {
+            // Whoever held the lease last in an earlier era has written its claim again by then.
+            usableAt = isEraSettled(now) ? now : eraSettledAt;
+        }
+        claims.put(endpoint, new Claim(claimed.host(), usableInEra, carriedOver, position, usableAt));
     }
 
     /**
@@ -238,9 +257,10 @@
                     && (lost || claim.carriedOver() && claim.settled()
                             ? renews(runner.id(), lost, now)
                             : !claim.settled() && !now.isBefore(claim.usableAt()));
+            // What holds a lease of an earlier era writes its claim again before the era is settled.
             boolean unclaimed = claim == null
-                    || lost && ownClaim && !heldAcrossRestore.contains(runner.id())
-                    || !ownClaim && peers.silence(claim.host(), now).compareTo(silenceLimit) > 0;
+                    ? isEraSettled(now)
+                    : !lost && !ownClaim && peers.silence(claim.host(), now).compareTo(silenceLimit) > 0;
             if (unclaimed && assignsRunners.isEmpty()) {
                 assignsRunners = Optional.of(assignsRunners(peers, now));
             }
@@ -253,7 +273,7 @@
                         ? self
                         : RendezvousHash.first(runner.id().value(), peers.strongHosts(peers.live(now)))
                                 .orElse(self);
-                boolean settled = settlesOwnClaim || claim == null && isEraSettled(now);
+                boolean settled = settlesOwnClaim || claim == null;
                 DecodedRecord.RunnerClaimed claimed = new DecodedRecord.RunnerClaimed(runner.id(), host, settled, era);
                 return Optional.of(new ForwardingEffect.AppendClaim(claimed, claimsTopic.end()));
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -160,6 +160,7 @@
      * @param reachesLog whether its last read of the log succeeded
      * @param logEra newest era of the log that the sender knows; 0 stands for none
      * @param logEraSettled whether no host can hold a lease of an earlier era
+     * @param logEraRestored whether the sender knows that an earlier era came before
      * @param configurationOffset next offset to read in the configuration topic
      * @param configurationEra era of that offset
      * @param endpointsOffset next offset to read in the endpoints topic
@@ -175,6 +176,7 @@
             boolean reachesLog,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) long logEra,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean logEraSettled,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean logEraRestored,
             long configurationOffset,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) long configurationEra,
             long endpointsOffset,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -207,6 +207,7 @@
                         true,
                         0,
                         false,
+                        false,
                         0,
                         0,
                         0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -284,6 +284,7 @@
                         true,
                         0,
                         false,
+                        false,
                         0,
                         0,
                         0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -181,11 +181,8 @@
                             && !now.isBefore(other.partitionedUntil)
                             && !now.isBefore(other.pausedUntil))
                     .peek(other -> observeEra(other.knownEra, now))
-                    .peek(other -> {
-                        if (other.leases.knowsEraSettled(now)) {
-                            leases.eraSettled(other.knownEra);
-                        }
-                    })
+                    .peek(other -> leases.eraKnownByPeer(
+                            other.knownEra, other.leases.knowsEraSettled(now), other.leases.hasSeenRestore()))
                     .forEach(other -> peers.recordState(
                             new PeerMessage.HostState(
                                     announcement(other.index),
@@ -193,6 +190,7 @@
                                     !now.isBefore(other.withoutLogUntil),
                                     0,
                                     false,
+                                    false,
                                     0,
                                     0,
                                     0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -46,6 +46,7 @@
                 true,
                 0,
                 false,
+                false,
                 0,
                 0,
                 0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -44,6 +44,7 @@
                             true,
                             0,
                             false,
+                            false,
                             0,
                             0,
                             0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -136,6 +136,7 @@
                             true,
                             0,
                             false,
+                            false,
                             0,
                             0,
                             0,
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -78,6 +78,7 @@
                         true,
                         0,
                         false,
+                        false,
                         0,
                         0,
                         0,
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -129,6 +129,7 @@
         boolean reachesLog = false;
         long logEra = 0;
         boolean logEraSettled = false;
+        boolean logEraRestored = false;
         long configurationOffset = 0;
         long configurationEra = 0;
         long endpointsOffset = 0;
@@ -154,6 +155,9 @@
                 case "logEraSettled" -> {
                     logEraSettled = in.unpackBoolean();
                 }
+                case "logEraRestored" -> {
+                    logEraRestored = in.unpackBoolean();
+                }
                 case "configurationOffset" -> {
                     configurationOffset = in.unpackLong();
                 }
@@ -187,6 +191,7 @@
                 reachesLog,
                 logEra,
                 logEraSettled,
+                logEraRestored,
                 configurationOffset,
                 configurationEra,
                 endpointsOffset,
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -87,6 +87,7 @@
                     9
                             + eraFields(state.logEra())
                             + (state.logEraSettled() ? 1 : 0)
+                            + (state.logEraRestored() ? 1 : 0)
                             + eraFields(state.configurationEra())
                             + eraFields(state.endpointsEra()));
             out.packString("announcement");
@@ -97,6 +98,9 @@
             if (state.logEraSettled()) {
                 field("logEraSettled", true);
             }
+            if (state.logEraRestored()) {
+                field("logEraRestored", true);
+            }
             field("configurationOffset", state.configurationOffset());
             eraField("configurationEra", state.configurationEra());
             field("endpointsOffset", state.endpointsOffset());
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -61,6 +61,7 @@
             false,
             3,
             true,
+            true,
             -1,
             0,
             70_000,
