--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/KeyConfirmation.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/KeyConfirmation.java
@@ -117,6 +117,11 @@
         if (reply.topic() != Topic.CONFIGURATION || reply.askedAtMilliseconds().isEmpty()) {
             return;
         }
+        if (reply.era() != view.eras().newest()
+                || !view.consumer(Topic.CONFIGURATION).isCurrent()) {
+            // The records of another era have not been applied.
+            return;
+        }
         Query query = queries.get(reply.askedAtMilliseconds().get());
         boolean isUpToDate = !view.consumer(Topic.CONFIGURATION).end().isBefore(reply.endPosition());
         if (query != null && query.peer().equals(sender) && isUpToDate) {
