Let no relay or second restore bring removed endpoints back

A relay of an ended era was dropped, but still ended the time in which endpoints that the copy lacks register again, so they went out of use at once. A second restore within 5 s listed a removed endpoint at once that the first one had held back, and the hold ended although the topic was not read meanwhile.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -245,7 +245,8 @@
 
     void tick(Listener listener) {
         Provenance unknown = new Provenance(Instant.MIN, false);
-        reappeared.takeDue(context.now()).forEach(entry -> apply(Topic.ENDPOINTS, List.of(entry), unknown, listener));
+        List<TopicRecord> due = consumer(Topic.ENDPOINTS).isAvailable() ? reappeared.takeDue(context.now()) : List.of();
+        due.forEach(entry -> apply(Topic.ENDPOINTS, List.of(entry), unknown, listener));
         consumers.values().forEach(consumer -> context.emit(consumer.tick(context.now())));
         Iterator<EndpointState> iterator = endpoints.values().iterator();
         while (iterator.hasNext()) {
@@ -288,6 +289,9 @@
 
     void applyRelayed(PeerMessage.RecordsReply message, HostId from, Listener listener) {
         observePeerEra(message.era(), from, listener);
+        if (message.era() < eras.newest()) {
+            return;
+        }
         Topic topic = message.topic();
         TopicConsumer consumer = consumers.get(topic);
         message.outageAgeMilliseconds()
@@ -323,13 +327,13 @@
     }
 
     /** Returns the keys of endpoints that were removed and that the records of a later era list again. */
-    private static Set<String> reappearedKeys(TopicConsumer consumer, List<TopicRecord> records, LogPosition end) {
+    private Set<String> reappearedKeys(TopicConsumer consumer, List<TopicRecord> records, LogPosition end) {
         if (consumer.topic() != Topic.ENDPOINTS || end.era() <= consumer.end().era()) {
             return Set.of();
         }
         return records.stream()
                 .map(TopicRecord::key)
-                .filter(consumer::isRemoved)
+                .filter(key -> consumer.isRemoved(key) || reappeared.isHeld(key))
                 .collect(Collectors.toSet());
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/history/ReappearedEntries.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/history/ReappearedEntries.java
@@ -30,6 +30,10 @@
         entries.remove(key);
     }
 
+    public boolean isHeld(String key) {
+        return entries.containsKey(key);
+    }
+
     /** Removes and returns the entries whose lifetime has passed, so that the log would not hold them if they lapsed. */
     public List<T> takeDue(Instant now) {
         List<T> due = new ArrayList<>();
