Tell evictions of arriving and unread answers apart

Cause: the counter of evictions and the log did not tell whether an evicted answer was still coming in or was whole and unread, so answers that starve each other looked like callers that do not read.

Change: MemoryEvictions counts by kind and state (connection_memory_evicted_total) and logs memory-evicted, at most one line a second for each. The existing metric keeps its name and value.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -30,6 +30,7 @@
 import org.banyanstair.forwarder.internal.ForwarderContext;
 import org.banyanstair.forwarder.internal.ForwarderMetrics;
 import org.banyanstair.forwarder.internal.LogClient;
+import org.banyanstair.forwarder.internal.MemoryEvictions;
 import org.banyanstair.forwarder.internal.MemoryLimits;
 import org.banyanstair.forwarder.internal.QueryConnection;
 import org.banyanstair.forwarder.internal.RejectedResponses;
@@ -135,7 +136,7 @@
         this.decisions = decisions;
         this.reducer = new ForwardingReducer(settings.forwarding(), protocols.log());
         this.memory = new ConnectionMemoryBudget(
-                MemoryLimits.of(Runtime.getRuntime().maxMemory(), settings.memoryBytes()), clock);
+                MemoryLimits.of(Runtime.getRuntime().maxMemory(), settings.memoryBytes()), clock, decisions::write);
         RejectedResponses rejectedResponses = new RejectedResponses(metrics, decisions::write);
         this.connections = new EndpointConnectionPool(loop, CONNECT_TIMEOUT, memory, rejectedResponses);
         this.runnerCallConnections = new EndpointConnectionPool(loop, CONNECT_TIMEOUT, memory, rejectedResponses);
@@ -151,6 +152,11 @@
             metrics.registerGauge(
                     LabelledMetricName.of("connection_memory_evictions_total", "kind", label),
                     () -> memory.evictions(kind));
+            for (MemoryEvictions.State state : MemoryEvictions.State.values()) {
+                metrics.registerGauge(
+                        LabelledMetricName.of("connection_memory_evicted_total", "kind", label, "state", state.label()),
+                        () -> memory.evictions().total(kind, state));
+            }
         }
         metrics.registerGauge(
                 "endpoint_backlog_bytes", () -> connections.unwrittenBytes() + runnerCallConnections.unwrittenBytes());
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
@@ -9,6 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+
+import org.banyanstair.forwarding.DecisionRecord;
 
 /**
  * Bounds the memory that a host holds for callers and endpoints, by kind.
@@ -31,6 +34,7 @@
 
     private final InstantSource clock;
     private final Map<Kind, Pool> pools = new EnumMap<>(Kind.class);
+    private final MemoryEvictions evictions;
 
     /** What memory is held for. */
     public enum Kind {
@@ -44,22 +48,33 @@
 
     /** The accounts of a kind that hold something. */
     private static final class Pool {
+        private final Kind kind;
         private final long limitBytes;
         private final Set<Account> accounts = new LinkedHashSet<>();
         private long heldBytes;
-        private long evictions;
 
-        Pool(long limitBytes) {
+        Pool(Kind kind, long limitBytes) {
+            this.kind = kind;
             this.limitBytes = limitBytes;
         }
     }
 
-    /** Creates an empty budget. */
+    /** Creates an empty budget that logs nothing. */
     public ConnectionMemoryBudget(MemoryLimits limits, InstantSource clock) {
+        this(limits, clock, record -> {});
+    }
+
+    /**
+     * Creates an empty budget.
+     *
+     * @param log receives a bounded number of decisions about evictions
+     */
+    public ConnectionMemoryBudget(MemoryLimits limits, InstantSource clock, Consumer<DecisionRecord> log) {
         this.clock = clock;
-        pools.put(Kind.REQUEST, new Pool(limits.requestBytes()));
-        pools.put(Kind.RESPONSE, new Pool(limits.responseBytes()));
-        pools.put(Kind.OUTPUT, new Pool(limits.outputBytes()));
+        this.evictions = new MemoryEvictions(clock, log);
+        pools.put(Kind.REQUEST, new Pool(Kind.REQUEST, limits.requestBytes()));
+        pools.put(Kind.RESPONSE, new Pool(Kind.RESPONSE, limits.responseBytes()));
+        pools.put(Kind.OUTPUT, new Pool(Kind.OUTPUT, limits.outputBytes()));
     }
 
     /**
@@ -92,7 +107,13 @@
 
     /** Returns the number of accounts of a kind that were evicted since the start. */
     public long evictions(Kind kind) {
-        return pools.get(kind).evictions;
+        return evictions.total(kind, MemoryEvictions.State.ARRIVING)
+                + evictions.total(kind, MemoryEvictions.State.UNREAD);
+    }
+
+    /** Returns what was evicted since the start, by its state. */
+    public MemoryEvictions evictions() {
+        return evictions;
     }
 
     /** Returns whether more bytes of a kind can be held. */
@@ -118,11 +139,20 @@
             if (victim.isEmpty()) {
                 return;
             }
-            pool.evictions++;
-            victim.get().evict();
+            evict(victim.get());
         }
     }
 
+    private void evict(Account account) {
+        boolean unread = account.waitsForCaller || account.pool.kind == Kind.OUTPUT;
+        evictions.record(
+                account.pool.kind,
+                unread ? MemoryEvictions.State.UNREAD : MemoryEvictions.State.ARRIVING,
+                account.bytes,
+                Duration.between(account.progressAt, clock.instant()));
+        account.evict();
+    }
+
     private boolean isUnread(Account account) {
         return account.waitsForCaller && account.progressAt.plus(UNREAD_PERIOD).isBefore(clock.instant());
     }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 
+import org.banyanstair.forwarding.DecisionRecord;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -101,6 +102,30 @@
         assertEquals(1, budget.evictions(KIND));
     }
 
+    /** An engineer could not tell answers that starve each other from callers that do not read. */
+    @Test
+    void evictionsAreCountedByStateAndLoggedOnceASecond() {
+        List<DecisionRecord> log = new ArrayList<>();
+        ConnectionMemoryBudget logged =
+                new ConnectionMemoryBudget(new MemoryLimits(100, 100, 100), () -> now, log::add);
+        now = now.plusSeconds(10);
+        for (int round = 0; round < 30; round++) {
+            logged.open(KIND, () -> {}).set(101);
+            logged.openUnread(KIND, () -> {}).set(101);
+            now = now.plusMillis(100);
+        }
+        assertEquals(30, logged.evictions().total(KIND, MemoryEvictions.State.ARRIVING));
+        assertEquals(30, logged.evictions().total(KIND, MemoryEvictions.State.UNREAD));
+        assertEquals(60, logged.evictions(KIND));
+        assertEquals(
+                List.of(1L, 10L, 10L),
+                log.stream()
+                        .filter(line -> "arriving".equals(line.fields().get("state")))
+                        .map(line -> line.fields().get("evictions"))
+                        .toList());
+        assertEquals(6, log.size());
+    }
+
     @Test
     void requestsThatWereReadAsAWholeAreNeverEvicted() {
         ConnectionMemoryBudget.Kind kind = ConnectionMemoryBudget.Kind.REQUEST;
