Reserve memory for answers, pass on those without

Cause: answers that arrived together shared responseBytes, and the largest, so the nearest to whole, was evicted first.

Change: an answer above 64 KiB with status 200 and a stated length reserves it when its head arrives. Without room, whole answers unread for 200 ms go; if that is not enough, the answer is passed through with the back pressure of a stream. It cannot be retried then, where it was given up before.

Open: chunked answers reserve nothing and still evict each other.

--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerConnection.java
@@ -100,6 +100,8 @@
     private boolean supportsChunks = true;
     private boolean headOnly;
     private boolean closeDelimited;
+    private boolean passingThrough;
+    private long sentAtLastPassing;
     private boolean closing;
     private boolean closedByHost;
     private boolean disconnected;
@@ -344,6 +346,18 @@
         channel.write(response);
     }
 
+    /** Returns whether the body of the response is left out, because the request has the method HEAD. */
+    boolean isHeadOnly() {
+        return headOnly;
+    }
+
+    /** Writes the head of a response of known length whose body follows as the endpoint sends it. */
+    void writeSizedHead(HttpResponse response) {
+        passingThrough = true;
+        setConnectionHeader(response);
+        channel.write(response);
+    }
+
     void write(HttpContent content) {
         channel.write(content);
     }
@@ -361,6 +375,7 @@
     void finish(HttpObject last, boolean close) {
         current = Optional.empty();
         reader.requestEnded();
+        endPassing();
         if (last instanceof FullHttpResponse response) {
             keepAlive = keepAlive && !close;
             if (headOnly) {
@@ -395,6 +410,13 @@
         }
     }
 
+    private void endPassing() {
+        if (passingThrough) {
+            passingThrough = false;
+            unwritten.set(0);
+        }
+    }
+
     private void releaseBody() {
         body.release();
         body = Unpooled.EMPTY_BUFFER;
@@ -498,6 +520,15 @@
     private void updateOutput() {
         long queued = channel != null && channel.isActive() ? bytes.queued() - bytes.sent() : 0;
         output.set(queued > 0 ? queued + ServerSockets.SEND_BUFFER_BYTES : 0);
+        if (passingThrough) {
+            if (bytes.sent() > sentAtLastPassing) {
+                sentAtLastPassing = bytes.sent();
+                unwritten.progressed();
+            }
+            // A caller that leaves its part unread also keeps its endpoint busy, so it goes with whole unread
+            // responses.
+            unwritten.set(queued);
+        }
     }
 
     /** Starts to watch whether the caller takes its response, unless it has taken all of it. */
@@ -629,6 +660,7 @@
         deliveries.clear();
         closing = true;
         reader.close();
+        passingThrough = false;
         releaseBody();
         output.set(0);
         progressCheck.ifPresent(check -> check.cancel(false));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -22,6 +22,7 @@
 import org.banyanstair.forwarder.EndpointProtocol;
 import org.banyanstair.forwarder.ResponseKind;
 import org.banyanstair.forwarding.AttemptResult;
+import org.banyanstair.forwarding.DecisionRecord;
 import org.banyanstair.forwarding.FailureReason;
 import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.ForwardingEvent;
@@ -35,6 +36,9 @@
     /** Maximum body of a buffered response, that is, one that is no event stream. */
     private static final int MAXIMUM_RESPONSE_BYTES = 16 << 20;
 
+    /** Body up to which a response is always buffered, since passing it through takes as much at the socket. */
+    private static final int SMALL_RESPONSE_BYTES = 64 << 10;
+
     /**
      * Maximum bytes of a stream without a new event; an event holds a few tokens, and a thousand times as much fits.
      */
@@ -101,7 +105,10 @@
     /** Sends the response of the completed attempt to the caller. */
     public void deliver() {
         Attempt attempt = current.orElseThrow();
-        if (attempt.splitter.isPresent()) {
+        if (attempt.passingThrough) {
+            finish();
+            connection.finish(LastHttpContent.EMPTY_LAST_CONTENT, false);
+        } else if (attempt.splitter.isPresent()) {
             writeHead(attempt);
             connection.write(new DefaultHttpContent(attempt.splitter.get().takeRemainder()));
             finish();
@@ -113,7 +120,7 @@
             callers().copyResponseHeaders(attempt.head.headers(), response.headers());
             HttpUtil.setContentLength(response, attempt.body.readableBytes());
             attempt.body = Unpooled.EMPTY_BUFFER;
-            attempt.updateMemoryUsage();
+            attempt.memory.release();
             finish();
             connection.finish(response, false);
         }
@@ -213,6 +220,7 @@
         private long bytesSinceNewEvent;
         private boolean identified;
         private boolean hasOutput;
+        private boolean passingThrough;
         private boolean ended;
 
         Attempt(ForwardingEffect.Send send) {
@@ -265,11 +273,42 @@
             head = response;
             if (stream) {
                 splitter = Optional.of(new EventSplitter());
+            } else if (mayPassThrough(response) && !memory.reserve(HttpUtil.getContentLength(response, 0L))) {
+                passThrough();
             } else {
                 body = Unpooled.buffer();
             }
         }
 
+        /** Only an answer that would not be retried, whose length tells the caller whether it is whole. */
+        private boolean mayPassThrough(HttpResponse response) {
+            long length = HttpUtil.isTransferEncodingChunked(response) ? -1 : HttpUtil.getContentLength(response, -1L);
+            return response.status().code() == 200
+                    && !connection.isHeadOnly()
+                    && length > SMALL_RESPONSE_BYTES
+                    && length <= MAXIMUM_RESPONSE_BYTES;
+        }
+
+        /** Sends the response on as it arrives, because there is no memory to buffer it. */
+        private void passThrough() {
+            passingThrough = true;
+            headWritten = true;
+            recordOutput();
+            long length = HttpUtil.getContentLength(head, 0L);
+            forwarder.log(DecisionRecord.of(
+                    "answer-passed-through",
+                    "request",
+                    requestId,
+                    "body-bytes",
+                    length,
+                    "held-bytes",
+                    forwarder.memory().heldBytes(ConnectionMemoryBudget.Kind.RESPONSE)));
+            HttpResponse passed = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+            callers().copyResponseHeaders(head.headers(), passed.headers());
+            HttpUtil.setContentLength(passed, length);
+            connection.writeSizedHead(passed);
+        }
+
         /**
          * Classifies a response, and skips a rejection that may not be the response to this attempt: one that does not
          * name its request, or that repeats one of an earlier attempt. The response to a request that is sent after this
@@ -303,6 +342,11 @@
                 hasOutput = true;
                 forwarder.submit(new ForwardingEvent.FirstOutput(number, send.attempt()));
             }
+            if (passingThrough) {
+                connection.write(new DefaultHttpContent(Unpooled.copiedBuffer(bytes)));
+                connection.flush();
+                return;
+            }
             if (splitter.isEmpty()) {
                 if (body.readableBytes() + bytes.readableBytes() > MAXIMUM_RESPONSE_BYTES) {
                     abort(ResponseFault.LONG_BODY);
@@ -452,7 +496,7 @@
             body.release();
             body = Unpooled.EMPTY_BUFFER;
             splitter.ifPresent(EventSplitter::discardPartialEvent);
-            updateMemoryUsage();
+            memory.release();
         }
     }
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudget.java
@@ -52,6 +52,7 @@
         private final long limitBytes;
         private final Set<Account> accounts = new LinkedHashSet<>();
         private long heldBytes;
+        private long promisedBytes;
 
         Pool(Kind kind, long limitBytes) {
             this.kind = kind;
@@ -131,6 +132,23 @@
         return pools.get(kind).accounts.stream().anyMatch(account -> account.waitsForCaller);
     }
 
+    /** Leaves a quarter for what states no length, unless nothing else is held. */
+    private static boolean hasRoom(Pool pool, long bytes) {
+        return pool.promisedBytes + bytes <= pool.limitBytes / 4 * 3
+                || pool.promisedBytes == 0 && bytes <= pool.limitBytes;
+    }
+
+    private void evictUnreadUntilRoom(Pool pool, long bytes) {
+        while (!hasRoom(pool, bytes)) {
+            Optional<Account> victim =
+                    pool.accounts.stream().filter(this::isUnread).min(Comparator.comparing(one -> one.progressAt));
+            if (victim.isEmpty()) {
+                return;
+            }
+            evict(victim.get());
+        }
+    }
+
     private void evictUntilWithinLimit(Pool pool) {
         while (pool.heldBytes > pool.limitBytes) {
             Optional<Account> victim = pool.accounts.stream()
@@ -168,6 +186,7 @@
         private final Optional<Runnable> eviction;
         private final boolean waitsForCaller;
         private long bytes;
+        private long reservedBytes;
         private Instant progressAt = Instant.MIN;
         private boolean evicted;
 
@@ -177,6 +196,38 @@
             this.waitsForCaller = waitsForCaller;
         }
 
+        /**
+         * Reserves memory for what is going to arrive, until {@link #release}, so that the owner does not compete with
+         * others while it does. Evicts whole responses that their callers do not read if there is no room.
+         *
+         * @return false if there is no room even so; nothing is reserved then
+         */
+        boolean reserve(long newBytes) {
+            if (evicted) {
+                return false;
+            }
+            long promised = promised();
+            evictUnreadUntilRoom(pool, newBytes - promised);
+            if (!hasRoom(pool, newBytes - promised)) {
+                return false;
+            }
+            reservedBytes = newBytes;
+            pool.promisedBytes += promised() - promised;
+            return true;
+        }
+
+        private long promised() {
+            return Math.max(reservedBytes, bytes);
+        }
+
+        /** Gives back all that is held and reserved. */
+        void release() {
+            long promised = promised();
+            reservedBytes = 0;
+            pool.promisedBytes += promised() - promised;
+            set(0);
+        }
+
         /** Sets the bytes that the owner holds. May evict any account, including this one. */
         void set(long newBytes) {
             if (evicted || newBytes == bytes) {
@@ -188,7 +239,9 @@
             }
             pool.heldBytes += newBytes - bytes;
             boolean grown = newBytes > bytes;
+            long promised = promised();
             bytes = newBytes;
+            pool.promisedBytes += promised() - promised;
             if (bytes == 0) {
                 pool.accounts.remove(this);
             }
@@ -203,7 +256,7 @@
         }
 
         private void evict() {
-            set(0);
+            release();
             evicted = true;
             eviction.orElseThrow().run();
         }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/ConnectionMemoryBudgetTest.java
@@ -102,6 +102,50 @@
         assertEquals(1, budget.evictions(KIND));
     }
 
+    @Test
+    void reservedResponsesDoNotEvictEachOther() {
+        ConnectionMemoryBudget.Account first = open("first");
+        ConnectionMemoryBudget.Account second = open("second");
+        ConnectionMemoryBudget.Account third = open("third");
+        assertTrue(first.reserve(40));
+        assertTrue(second.reserve(35));
+        assertFalse(third.reserve(40));
+        first.set(40);
+        second.set(35);
+        assertEquals(List.of(), evicted);
+        first.release();
+        assertTrue(third.reserve(40));
+        assertEquals(35, budget.heldBytes(KIND));
+    }
+
+    @Test
+    void onlyUnreadResponsesMakeRoomForANewOne() {
+        budget.openUnread(KIND, () -> evicted.add("unread")).set(60);
+        assertFalse(open("early").reserve(40));
+        now = now.plus(Duration.ofMillis(600));
+        ConnectionMemoryBudget.Account reading = budget.openUnread(KIND, () -> evicted.add("reading"));
+        reading.set(30);
+        assertTrue(open("next").reserve(40));
+        assertEquals(List.of("unread"), evicted);
+        assertFalse(open("last").reserve(40));
+        assertEquals(List.of("unread"), evicted);
+    }
+
+    @Test
+    void evictedAndReleasedReservationsLeaveTheWholeLimit() {
+        ConnectionMemoryBudget.Account account = open("long");
+        assertTrue(account.reserve(50));
+        account.set(101);
+        assertEquals(List.of("long"), evicted);
+        assertFalse(account.reserve(10));
+        account.release();
+        ConnectionMemoryBudget.Account whole = open("whole");
+        assertTrue(whole.reserve(100));
+        whole.release();
+        whole.release();
+        assertTrue(open("again").reserve(100));
+    }
+
     /** An engineer could not tell answers that starve each other from callers that do not read. */
     @Test
     void evictionsAreCountedByStateAndLoggedOnceASecond() {
