Continue a stream only at the version that began it

Consumers got answers 200 whose first part came from one software version of a service and whose rest from another, in one answer (a host resumed anywhere) and over their own tries (the host that took the stream up could not know which version began it, least of all after all hosts had been killed). Versions were read nowhere.

A host knows the version of a stream that it passes on, and resumes it there only. Every stream that may be resumed is remembered by the caller's attempt that brought its first event; while several versions of a service serve, or did within a minute, usage reports name these attempts to all peers, and one host records them in the log four times a second, with the versions that serve, for hosts that start later. No first event waits for that. A request that resumes a stream goes to the service and version that began it. Where the version is unknown it counts as the only one if no other can have served, by knowledge that is no older than 3 s or shared with a majority; otherwise the host reads the log once more (0.3 s at most) and refuses. If no endpoint of the version serves, it refuses at once. A stream that has brought no event yet may begin at another version.

Weighed and not taken: the version as a function of the request's id (it would tie placement to a hash and every change of the versions would leave streams undecided), peers alone (nothing is left after all hosts were killed), asking runners (their caches are dropped, and a version that has left cannot answer).

--- a/banyanstair-core/src/main/java/org/banyanstair/external/Topic.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/external/Topic.java
@@ -9,5 +9,7 @@
     /** The host that commands each runner, written by hosts. */
     CLAIMS,
     /** The entry hosts, written by hosts. */
-    HOSTS
+    HOSTS,
+    /** Which software version began which stream, and which versions serve, written by hosts. */
+    STREAMS
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DecodedRecord.java
@@ -1,12 +1,16 @@
 package org.banyanstair.forwarding;
 
 import java.time.Instant;
+import java.util.List;
+import java.util.Map;
 
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.versions.SoftwareVersion;
+import org.banyanstair.versions.StreamBatch;
 
 /** Decoded content of a record of a platform topic. */
 public sealed interface DecodedRecord {
@@ -42,6 +46,17 @@
     /** Endpoints crashed while they ran a request. */
     record RequestCrashed(CrashedRequest request) implements DecodedRecord {}
 
+    /** Software versions began streams. */
+    record StreamsBegun(List<StreamBatch> batches) implements DecodedRecord {}
+
+    /**
+     * Software versions serve a service, or did lately.
+     *
+     * @param served when each served last, on the local steady clock; {@link Instant#MAX} if it served when the record
+     *     was written
+     */
+    record VersionsServed(String service, Map<SoftwareVersion, Instant> served) implements DecodedRecord {}
+
     /** A host announced its addresses. */
     record HostAnnounced(HostAnnouncement announcement) implements DecodedRecord {}
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingConfiguration.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.banyanstair.teams.TeamTable;
@@ -15,6 +16,7 @@
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceDefinition> services;
     private final Map<String, Duration> objectives;
+    private final Set<String> resumableServices;
     private final RequestLimits limits;
     private final TeamTable teams;
 
@@ -40,6 +42,10 @@
                         Map.Entry::getKey,
                         Map.Entry::getValue,
                         (left, right) -> left.compareTo(right) < 0 ? left : right));
+        this.resumableServices = routes.stream()
+                .filter(route -> route.streaming() && route.resumable())
+                .flatMap(route -> route.targets().stream().map(RouteTarget::service))
+                .collect(Collectors.toUnmodifiableSet());
         this.limits = limits;
         this.teams = teams;
     }
@@ -54,6 +60,11 @@
         return objectives;
     }
 
+    /** Returns the services whose streams may be resumed. */
+    public Set<String> resumableServices() {
+        return resumableServices;
+    }
+
     /** Returns the limits for the requests of callers. */
     public RequestLimits limits() {
         return limits;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -14,6 +16,8 @@
 import org.banyanstair.model.NetworkAddress;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.teams.TeamName;
+import org.banyanstair.versions.SoftwareVersion;
+import org.banyanstair.versions.StreamBatch;
 
 /** An action for the host; actions are executed in order. */
 public sealed interface ForwardingEffect {
@@ -85,6 +89,16 @@
     /** Appends which endpoints crashed while they ran a request, for hosts that start later. */
     record AppendCrashedRequest(CrashedRequest request) implements ForwardingEffect {}
 
+    /** Appends which versions began streams, for hosts that start later; the record replaces an old one of this host. */
+    record AppendStreams(HostId host, List<StreamBatch> batches) implements ForwardingEffect {}
+
+    /**
+     * Appends which software versions serve a service, for hosts that start later.
+     *
+     * @param served when each served last; {@link Instant#MAX} if it serves now
+     */
+    record AppendVersions(String service, Map<SoftwareVersion, Instant> served) implements ForwardingEffect {}
+
     /** Opens a connection to a peer and keeps it open. */
     record OpenPeerConnection(HostId peer) implements ForwardingEffect {}
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -134,6 +134,7 @@
                         && Duration.between(lastEventAt, now).compareTo(MAXIMUM_EVENT_GAP) > 0) {
             leases.invalidate(now);
             forwarder.teamAdmission().suspended();
+            forwarder.streamVersions().suspended();
             view.consumer(Topic.CLAIMS).restartRead(now);
             view.resumed();
             keys.invalidate();
@@ -213,8 +214,12 @@
             context.log(DecisionRecord.important("log-call-timed-out"));
             view.restartWaitingReads();
             view.tick(new ChangeListener());
-        } else if (event instanceof ForwardingEvent.AppendCompleted appended && appended.topic() == Topic.CLAIMS) {
-            leases.appendCompleted();
+        } else if (event instanceof ForwardingEvent.AppendCompleted appended) {
+            if (appended.topic() == Topic.CLAIMS) {
+                leases.appendCompleted();
+            } else if (appended.topic() == Topic.STREAMS) {
+                forwarder.streamVersions().appendCompleted();
+            }
         }
     }
 
@@ -228,6 +233,14 @@
         return readsForPeers;
     }
 
+    /** Returns whether this host is the one that records in the log what all hosts know. */
+    private boolean recordsForPeers() {
+        Optional<HostId> recorder = readsForPeers()
+                ? peers.logReaders(view.reachesLog(), context.now()).stream().findFirst()
+                : Optional.empty();
+        return recorder.filter(settings.identity().host()::equals).isPresent();
+    }
+
     private PeerMessage recordsReply(
             TopicConsumer consumer,
             LogPosition from,
@@ -428,6 +441,7 @@
             context.emit(new ForwardingEffect.AppendAnnouncement(settings.announcement()));
         }
         confirmClaims();
+        forwarder.streamVersions().tick(recordsForPeers());
         runnerManager.tick(stopping);
         crashDetector.tick();
         if (refusals.tick(hostsAreKnown && readsForPeers())) {
@@ -567,6 +581,7 @@
             }
             if (restored) {
                 refusals.logRestored();
+                forwarder.streamVersions().logRestored();
                 ownAnnouncement.mayBeLost(context.now().plus(REWRITE_DELAY).plus(rewriteSpread()));
             }
         }
@@ -606,6 +621,16 @@
             ForwardingReducer.this.applyAnnouncement(announcement);
         }
 
+        @Override
+        public void streamsRead(DecodedRecord.StreamsBegun streams) {
+            forwarder.streamVersions().streamsRead(streams.batches());
+        }
+
+        @Override
+        public void versionsRead(DecodedRecord.VersionsServed served) {
+            forwarder.streamVersions().versionsRead(served.service(), served.served());
+        }
+
         @Override
         public void versionPublished(AdapterName adapter, long version) {
             runnerManager.versionPublished(adapter, settings.versionTerm());
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -11,6 +11,7 @@
 import org.banyanstair.teams.Team;
 import org.banyanstair.teams.TeamName;
 import org.banyanstair.teams.TeamTable;
+import org.banyanstair.versions.SoftwareVersion;
 
 /** State of a request that this host forwards. Not thread-safe. */
 final class InFlightRequest {
@@ -25,6 +26,7 @@
     final Set<EndpointId> tried = new HashSet<>();
     final Set<EndpointId> loadUnavailable = new HashSet<>();
     Optional<EndpointState> endpoint = Optional.empty();
+    final Instant readAt;
     final long readDelayMilliseconds;
     boolean sent;
     boolean waitsForSlot;
@@ -44,6 +46,17 @@
     Instant recheckAt = Instant.MIN;
     Optional<Long> lastEvent;
 
+    /** The only version that may run the request, because it began the stream. */
+    Optional<SoftwareVersion> version = Optional.empty();
+
+    /** Whether the version is that of an attempt of this request, and not of an earlier request of the caller. */
+    boolean versionOfOwnAttempt;
+
+    boolean awaitsVersion;
+
+    /** Version of the current endpoint when the request was sent to it. */
+    SoftwareVersion sentVersion = new SoftwareVersion("");
+
     /** Units that were charged to {@link #chargedTeam}, 0 for none. */
     double charged;
 
@@ -64,6 +77,7 @@
         this.arrivedAt = arrivedAt;
         Instant limit = arrivedAt.plus(route.timeout());
         this.deadline = request.callerDeadline().filter(limit::isAfter).orElse(limit);
+        this.readAt = readAt;
         this.readDelayMilliseconds = Duration.between(arrivedAt, readAt).toMillis();
         this.latestDeadline = deadline.plus(Duration.between(arrivedAt, readAt));
         this.prefixes = PrefixIndex.hashes(request);
@@ -78,6 +92,19 @@
         return firstOutputMilliseconds >= 0 ? latestDeadline : deadline;
     }
 
+    /** Returns whether an endpoint may run the request by its software version. */
+    boolean allowsVersionOf(EndpointState endpoint) {
+        return version.isEmpty() || version.get().equals(endpoint.listing().softwareVersion());
+    }
+
+    /** Records that an attempt ended before the caller received an event, so that any version may begin the stream. */
+    void releaseOwnVersion() {
+        if (versionOfOwnAttempt) {
+            version = Optional.empty();
+            versionOfOwnAttempt = false;
+        }
+    }
+
     /** Returns when its endpoint must stop. */
     Instant endpointDeadline() {
         return route.streaming() ? latestDeadline : deadline;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -56,6 +56,9 @@
     /** Interval between reads of a topic that another host reads for this one; reads are billed. */
     private static final Duration POLLING_INTERVAL = Duration.ofSeconds(15);
 
+    /** Interval between reads of which version began which stream; hosts tell each other, and read when they need it. */
+    private static final Duration STREAMS_READ_INTERVAL = Duration.ofMinutes(10);
+
     /** Wait of a read of the host announcements. */
     private static final Duration HOSTS_WAIT = Duration.ofSeconds(10);
 
@@ -128,6 +131,10 @@
 
         void hostAnnounced(HostAnnouncement announcement);
 
+        void streamsRead(DecodedRecord.StreamsBegun streams);
+
+        void versionsRead(DecodedRecord.VersionsServed served);
+
         void versionPublished(AdapterName adapter, long version);
     }
 
@@ -151,11 +158,16 @@
             case ENDPOINTS -> ENDPOINTS_WAIT;
             case CLAIMS -> readsForPeers ? CLAIMS_WAIT_FOR_PEERS : CLAIMS_WAIT;
             case HOSTS -> HOSTS_WAIT;
+            case STREAMS -> Duration.ZERO;
         };
     }
 
     private static Duration readInterval(Topic topic) {
-        return topic == Topic.ENDPOINTS ? ENDPOINTS_READ_INTERVAL : Duration.ZERO;
+        return switch (topic) {
+            case ENDPOINTS -> ENDPOINTS_READ_INTERVAL;
+            case STREAMS -> STREAMS_READ_INTERVAL;
+            default -> Duration.ZERO;
+        };
     }
 
     /**
@@ -173,7 +185,15 @@
         }
         boundsConfigurationWait = configurationWait.isPresent();
         boolean polls = large && !readsForPeers;
-        consumers.forEach((topic, consumer) -> consumer.setReadSchedule(
+        consumers.values().stream()
+                .filter(consumer -> consumer.topic() != Topic.STREAMS)
+                .forEach(consumer -> setReadSchedule(consumer, polls, readsForPeers, configurationWait));
+    }
+
+    private void setReadSchedule(
+            TopicConsumer consumer, boolean polls, boolean readsForPeers, Optional<Duration> configurationWait) {
+        Topic topic = consumer.topic();
+        consumer.setReadSchedule(
                 polls
                         ? Duration.ZERO
                         : configurationWait
@@ -181,7 +201,7 @@
                                 .orElse(readWait(topic, readsForPeers)),
                 polls ? POLLING_INTERVAL : readInterval(topic),
                 readsForPeers,
-                context.now()));
+                context.now());
     }
 
     /** Returns whether the last reads of all topics were answered. */
@@ -543,6 +563,10 @@
             listener.requestCrashed(crashed.request());
         } else if (decoded instanceof DecodedRecord.HostAnnounced announced) {
             listener.hostAnnounced(announced.announcement());
+        } else if (decoded instanceof DecodedRecord.StreamsBegun streams) {
+            listener.streamsRead(streams);
+        } else if (decoded instanceof DecodedRecord.VersionsServed served) {
+            listener.versionsRead(served);
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -26,6 +26,10 @@
     OVERLOADED,
     /** No runner can load the adapter now. */
     ADAPTER_UNAVAILABLE,
+    /** Several software versions may have begun the stream to resume, and it cannot be known which. */
+    STREAM_VERSION_UNKNOWN,
+    /** No endpoint of the software version that began the stream to resume serves any more. */
+    STREAM_VERSION_GONE,
     /** The request has crashed too many endpoints. */
     CRASHES_ENDPOINTS,
     /** This host has no memory for the body of the request. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -62,6 +62,7 @@
     private final EndpointLimits limits;
     private final EndpointNotices notices;
     private final TeamAdmission teamAdmission;
+    private final StreamVersions streamVersions;
     private final StopAdmission stopAdmission = new StopAdmission();
     private boolean ended;
 
@@ -82,8 +83,16 @@
         this.crashDetector = crashDetector;
         this.refusals = crashDetector.refusals();
         this.teamAdmission = new TeamAdmission(context, settings, view, peers);
+        this.streamVersions =
+                new StreamVersions(context, view, peers, settings.identity().host());
         this.usage = new UsageTracker(
-                context, settings.identity().host(), view, messenger, runnerManager, requests.values(), teamAdmission);
+                context,
+                settings.identity().host(),
+                view,
+                messenger,
+                runnerManager,
+                requests.values(),
+                new ReportedState(teamAdmission, streamVersions));
         this.limits = new EndpointLimits(context, settings.identity().host(), view, peers);
         this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
         this.admission = new ServiceAdmission(context, settings.identity().host(), view, peers);
@@ -104,6 +113,10 @@
         return teamAdmission;
     }
 
+    StreamVersions streamVersions() {
+        return streamVersions;
+    }
+
     EndpointLimits limits() {
         return limits;
     }
@@ -152,7 +165,10 @@
             return;
         }
         double trafficPoint = (request.fingerprint() * 31 + request.exchange() >>> 11 & 0xFFFF) / 65536.0;
-        String serviceName = route.get().serviceFor(trafficPoint);
+        String serviceName = streamVersions
+                .serviceOf(request)
+                .filter(route.get()::hasTarget)
+                .orElseGet(() -> route.get().serviceFor(trafficPoint));
         ServiceDefinition service = configuration
                 .get()
                 .service(serviceName)
@@ -215,6 +231,9 @@
             refuse(inFlight, RefusalReason.STOPPING, 0);
             return;
         }
+        if (!decideVersion(inFlight)) {
+            return;
+        }
         if (admission.mustWait(inFlight)) {
             waitForSlot(inFlight);
             return;
@@ -237,9 +256,7 @@
                 Duration.between(now, inFlight.firstOutputDeadline()).toMillis());
         Optional<EndpointSelection> selection = selector.select(
                 query,
-                view.endpointsOf(inFlight.service.name()).stream()
-                        .filter(limits::allowsRequest)
-                        .toList(),
+                endpointsFor(inFlight).stream().filter(limits::allowsRequest).toList(),
                 now);
         if (selection.isEmpty()) {
             refuseWithoutEndpoint(inFlight);
@@ -275,13 +292,43 @@
         }
     }
 
+    /** Returns the endpoints of the service of a request whose version may run it. */
+    private List<EndpointState> endpointsFor(InFlightRequest inFlight) {
+        return view.endpointsOf(inFlight.service.name()).stream()
+                .filter(inFlight::allowsVersionOf)
+                .toList();
+    }
+
+    /** Finds out which version may run a request; returns whether the request can be sent now. */
+    private boolean decideVersion(InFlightRequest inFlight) {
+        if (inFlight.version.isPresent()) {
+            return true;
+        }
+        StreamVersions.Decision decision = streamVersions.decide(inFlight);
+        inFlight.awaitsVersion = decision instanceof StreamVersions.Decision.Wait;
+        if (decision instanceof StreamVersions.Decision.Only only) {
+            inFlight.version = Optional.of(only.version());
+        } else if (decision instanceof StreamVersions.Decision.Unknown) {
+            refuseOrFail(inFlight, RefusalReason.STREAM_VERSION_UNKNOWN, 0);
+            return false;
+        }
+        return !inFlight.awaitsVersion;
+    }
+
     private void refuseWithoutEndpoint(InFlightRequest inFlight) {
+        boolean versionServes = endpointsFor(inFlight).stream()
+                .map(endpoint -> endpoint.condition(context.now()))
+                .anyMatch(condition -> condition == EndpointCondition.IN_USE || condition == EndpointCondition.PAUSED);
+        if (inFlight.version.isPresent() && !versionServes) {
+            refuseOrFail(inFlight, RefusalReason.STREAM_VERSION_GONE, 0);
+            return;
+        }
         Optional<Instant> pauseEnd = notices.soonestPauseEnd(inFlight.service.name());
         if (pauseEnd.isPresent()) {
             refuseOrFail(inFlight, RefusalReason.ENDPOINTS_PAUSED, -context.millisecondsSince(pauseEnd.get()));
             return;
         }
-        List<EndpointState> endpoints = view.endpointsOf(inFlight.service.name());
+        List<EndpointState> endpoints = endpointsFor(inFlight);
         if (endpoints.stream().anyMatch(this::mayReceiveRequest)) {
             refuseOrFail(inFlight, RefusalReason.ADAPTER_UNAVAILABLE, 0);
             return;
@@ -373,6 +420,10 @@
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
             return;
         }
+        if (inFlight.awaitsVersion) {
+            selectEndpoint(inFlight);
+            return;
+        }
         if (inFlight.waitsForSlot) {
             if (!admission.mustWait(inFlight) || !stopAdmission.allows(inFlight, now)) {
                 selectEndpoint(inFlight);
@@ -382,7 +433,9 @@
             return;
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
-        if (!mayReceiveRequest(endpoint) || !stopAdmission.allows(inFlight, now)) {
+        if (!mayReceiveRequest(endpoint)
+                || !inFlight.allowsVersionOf(endpoint)
+                || !stopAdmission.allows(inFlight, now)) {
             selectEndpoint(inFlight);
             return;
         }
@@ -412,6 +465,7 @@
         inFlight.outputReported = false;
         inFlight.attempts++;
         inFlight.sentAt = context.now();
+        inFlight.sentVersion = endpoint.listing().softwareVersion();
         inFlight.predictedMilliseconds = inFlight.service.engine().isPresent()
                 ? EndpointSelector.promptMilliseconds(endpoint, request, inFlight.prefixes)
                 : 0;
@@ -469,6 +523,11 @@
         if (inFlight.firstOutputMilliseconds < 0) {
             inFlight.firstOutputMilliseconds = context.millisecondsSince(inFlight.arrivedAt);
         }
+        if (inFlight.route.streaming() && inFlight.route.resumable()) {
+            inFlight.versionOfOwnAttempt |= inFlight.version.isEmpty();
+            inFlight.version = Optional.of(inFlight.sentVersion);
+            streamVersions.began(inFlight, inFlight.sentVersion);
+        }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
         if (inFlight.predictedMilliseconds > 0) {
             endpoint.recordSpeed(context.millisecondsSince(inFlight.sentAt) / inFlight.predictedMilliseconds);
@@ -552,7 +611,7 @@
         return runs < inFlight.route.maximumAttempts()
                 && context.now().isBefore(inFlight.deadline)
                 && crashDetector.mayRunAgain(inFlight.request)
-                && view.endpointsOf(inFlight.service.name()).stream()
+                && endpointsFor(inFlight).stream()
                         .anyMatch(endpoint -> mayReceiveRequest(endpoint) && !inFlight.tried.contains(endpoint.id()))
                 && retryBudgets.tryAcquire(inFlight, context.now());
     }
@@ -605,6 +664,8 @@
         }
         if (result.lastEvent().isPresent()) {
             inFlight.lastEvent = result.lastEvent();
+        } else if (!result.outputPassedOn()) {
+            inFlight.releaseOwnVersion();
         }
         // Without a resume position, another run would repeat output that the caller already has.
         boolean resumable = inFlight.route.streaming() && result.lastEvent().isPresent();
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RetryAfterPolicy.java
@@ -43,7 +43,12 @@
         double jitter = 1 + JITTER_SHARE * ((seed >>> 7 & 0xFF) / 255.0);
         return switch (reason) {
             case NOT_READY, STOPPING -> Optional.of(NOT_READY_DELAY);
-            case NO_ROUTE, UNKNOWN_KEY, CRASHES_ENDPOINTS, DEADLINE_PASSED -> Optional.empty();
+            case NO_ROUTE,
+                    UNKNOWN_KEY,
+                    CRASHES_ENDPOINTS,
+                    DEADLINE_PASSED,
+                    STREAM_VERSION_UNKNOWN,
+                    STREAM_VERSION_GONE -> Optional.empty();
             case NO_ENDPOINT, ADAPTER_UNAVAILABLE, HOST_MEMORY -> Optional.of(scale(NO_ENDPOINT_DELAY, jitter));
             case ENDPOINTS_PAUSED -> Optional.of(
                     scale(Duration.ofMillis((long) Math.max(MINIMUM_DELAY.toMillis(), startMilliseconds)), jitter));
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/Route.java
@@ -58,6 +58,11 @@
         return targets.get(targets.size() - 1).service();
     }
 
+    /** Returns whether requests may go to a service. */
+    boolean hasTarget(String service) {
+        return targets.stream().anyMatch(target -> target.service().equals(service));
+    }
+
     /** Returns whether a request that may have run may be sent again. */
     boolean allowsRerun() {
         return idempotent && !streaming || streaming && resumable;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/UsageTracker.java
@@ -14,6 +14,7 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.peer.BegunStreams;
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.TeamUsage;
@@ -32,7 +33,7 @@
     private final PeerMessenger messenger;
     private final RunnerManager runnerManager;
     private final Collection<InFlightRequest> requests;
-    private final TeamAdmission teams;
+    private final ReportedState further;
     private final Map<EndpointId, List<Long>> newPrefixes = new HashMap<>();
     private final Map<EndpointId, EndpointUsage> unreported = new TreeMap<>();
     private Instant nextCompleteAt = Instant.MIN;
@@ -41,6 +42,7 @@
      * Creates a tracker.
      *
      * @param requests live view of this host's requests
+     * @param further what the reports carry besides usage
      */
     UsageTracker(
             EventContext context,
@@ -49,14 +51,14 @@
             PeerMessenger messenger,
             RunnerManager runnerManager,
             Collection<InFlightRequest> requests,
-            TeamAdmission teams) {
+            ReportedState further) {
         this.context = context;
         this.self = self;
         this.view = view;
         this.messenger = messenger;
         this.runnerManager = runnerManager;
         this.requests = requests;
-        this.teams = teams;
+        this.further = further;
     }
 
     /** Updates the usage of an endpoint after a change of one of this host's requests there. */
@@ -107,8 +109,9 @@
                 }
             });
         }
-        List<TeamUsage> teamUsages = teams.report(complete);
-        if (unreported.isEmpty() && teamUsages.isEmpty() && !complete) {
+        List<TeamUsage> teamUsages = further.teams().report(complete);
+        List<BegunStreams> streams = further.streams().report(complete);
+        if (unreported.isEmpty() && teamUsages.isEmpty() && streams.isEmpty() && !complete) {
             return;
         }
         List<EndpointUsage> uses = unreported.values().stream()
@@ -122,12 +125,13 @@
                 .toList();
         unreported.clear();
         newPrefixes.clear();
-        messenger.broadcast(new PeerMessage.UseReport(uses, complete, teamUsages));
+        messenger.broadcast(new PeerMessage.UseReport(uses, complete, teamUsages, streams));
     }
 
     /** Applies the usage report of a peer. */
     void applyReport(HostId sender, PeerMessage.UseReport message) {
-        teams.applyReport(sender, message.teams());
+        further.teams().applyReport(sender, message.teams());
+        further.streams().reported(message.streams());
         if (message.complete()) {
             Set<EndpointId> used =
                     message.uses().stream().map(EndpointUsage::endpoint).collect(Collectors.toSet());
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -227,15 +227,19 @@
      * @param complete whether endpoints that are not listed are unused; otherwise their usage is unchanged
      * @param teams counters of the teams with an allotment that changed, of all of them if complete; null stands for
      *     empty
+     * @param streams streams that the sender has passed on since, where several software versions serve; null stands
+     *     for none
      */
     record UseReport(
             List<EndpointUsage> uses,
             boolean complete,
-            @JsonInclude(JsonInclude.Include.NON_EMPTY) List<TeamUsage> teams)
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) List<TeamUsage> teams,
+            @JsonInclude(JsonInclude.Include.NON_EMPTY) List<BegunStreams> streams)
             implements PeerMessage {
         /** Replaces what a host of an earlier release does not send. */
         public UseReport {
             teams = teams == null ? List.of() : List.copyOf(teams);
+            streams = streams == null ? List.of() : List.copyOf(streams);
         }
     }
 
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterDemandTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterDemandTest.java
@@ -35,7 +35,10 @@
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 PEER,
                 new PeerMessage.UseReport(
-                        complete && adapters.length == 0 ? List.of() : List.of(usage), complete, List.of())));
+                        complete && adapters.length == 0 ? List.of() : List.of(usage),
+                        complete,
+                        List.of(),
+                        List.of())));
     }
 
     @Test
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -81,6 +81,7 @@
                 settings, (topic, entry, at) -> Optional.ofNullable(records.get(entry.key() + entry.position())));
         read(Topic.HOSTS, List.of());
         read(Topic.CLAIMS, List.of());
+        read(Topic.STREAMS, List.of());
     }
 
     HostIdentity identity() {
@@ -251,6 +252,48 @@
                 new SoftwareVersion("v1"));
     }
 
+    /** Publishes the entry of an endpoint of the plain service with a software version. */
+    void endpointOf(SoftwareVersion version, String id, boolean draining, long started) {
+        EndpointListing plain = listing("east", id, PLAIN_SERVICE, draining, started, List.of());
+        publish(
+                Topic.ENDPOINTS,
+                id,
+                new DecodedRecord.EndpointListed(new EndpointListing(
+                        plain.id(),
+                        plain.service(),
+                        plain.address(),
+                        plain.dataCentre(),
+                        plain.slots(),
+                        plain.draining(),
+                        plain.terminatesAt(),
+                        plain.started(),
+                        plain.baseModels(),
+                        plain.adapters(),
+                        plain.commandSequence(),
+                        version)));
+    }
+
+    /** Returns a request that resumes a stream that another request began. */
+    ForwardRequest resuming(RequestId first, String path, Duration patience) {
+        ForwardRequest plain = request(path, Optional.empty(), patience);
+        return new ForwardRequest(
+                plain.exchange(),
+                plain.id(),
+                plain.host(),
+                plain.path(),
+                plain.baseModel(),
+                plain.adapter(),
+                plain.prompt(),
+                plain.inputTokens(),
+                plain.outputTokens(),
+                plain.callerDeadline(),
+                Optional.of(4L),
+                Optional.of(first),
+                plain.key(),
+                plain.fingerprint(),
+                plain.widerFingerprints());
+    }
+
     ForwardRequest request(String path, Optional<AdapterName> adapter, Duration patience) {
         exchanges++;
         List<PromptPart> prompt =
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/ForwarderDaemon.java
@@ -341,6 +341,10 @@
             logClient.append(append);
         } else if (effect instanceof ForwardingEffect.AppendAnnouncement append) {
             logClient.append(append);
+        } else if (effect instanceof ForwardingEffect.AppendStreams append) {
+            logClient.append(append);
+        } else if (effect instanceof ForwardingEffect.AppendVersions append) {
+            logClient.append(append);
         } else {
             executeForCaller(effect);
         }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/LogProtocol.java
@@ -10,6 +10,7 @@
 import org.banyanstair.crashes.CrashedRequest;
 import org.banyanstair.external.Topic;
 import org.banyanstair.forwarding.DecodedRecord;
+import org.banyanstair.forwarding.ForwardingEffect;
 import org.banyanstair.forwarding.RecordDecoder;
 import org.banyanstair.history.LogPosition;
 import org.banyanstair.membership.HostAnnouncement;
@@ -75,6 +76,20 @@
      */
     FullHttpRequest crashedRequestAppendRequest(CrashedRequest request, Instant now);
 
+    /**
+     * Builds a request that appends which software versions began streams.
+     *
+     * @param now the present on this host's monotonic clock; the record holds instants of the wall clock
+     */
+    FullHttpRequest streamsAppendRequest(ForwardingEffect.AppendStreams streams, Instant now);
+
+    /**
+     * Builds a request that appends which software versions serve a service.
+     *
+     * @param now the present on this host's monotonic clock; the record holds instants of the wall clock
+     */
+    FullHttpRequest versionsAppendRequest(ForwardingEffect.AppendVersions versions, Instant now);
+
     /** Builds a request that appends the announcement of a host. */
     FullHttpRequest announcementAppendRequest(HostAnnouncement announcement);
 }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/LogClient.java
@@ -188,12 +188,32 @@
                 result -> {});
     }
 
+    /** Appends which versions began streams; the reducer appends them again if this does not complete. */
+    public void append(ForwardingEffect.AppendStreams append) {
+        call("append", protocol.streamsAppendRequest(append, forwarder.now()), RESPONSE_TIMEOUT, result -> {
+            if (isAppended(result)) {
+                forwarder.submit(new ForwardingEvent.AppendCompleted(Topic.STREAMS));
+            }
+        });
+    }
+
+    /** Appends which versions serve; retried until it succeeds. */
+    public void append(ForwardingEffect.AppendVersions append) {
+        call("append", protocol.versionsAppendRequest(append, forwarder.now()), RESPONSE_TIMEOUT, result -> {
+            if (!isAppended(result)) {
+                loop.schedule(() -> append(append), 1, TimeUnit.SECONDS);
+            }
+        });
+    }
+
+    private static boolean isAppended(Optional<FullHttpResponse> result) {
+        return result.filter(response -> response.status().code() == 200).isPresent();
+    }
+
     /** Appends the announcement of this host; retried until it succeeds. */
     public void append(ForwardingEffect.AppendAnnouncement append) {
         call("append", protocol.announcementAppendRequest(append.announcement()), RESPONSE_TIMEOUT, result -> {
-            boolean appended =
-                    result.filter(response -> response.status().code() == 200).isPresent();
-            if (!appended) {
+            if (!isAppended(result)) {
                 loop.schedule(() -> append(append), 1, TimeUnit.SECONDS);
             }
         });
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -12,6 +12,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.BegunStreams;
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
@@ -292,6 +293,7 @@
         List<EndpointUsage> uses = List.of();
         boolean complete = false;
         List<TeamUsage> teams = List.of();
+        List<BegunStreams> streams = List.of();
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "uses" -> {
@@ -303,10 +305,13 @@
                 case "teams" -> {
                     teams = values.readList(values::readTeamUsage);
                 }
+                case "streams" -> {
+                    streams = values.readList(values::readBegunStreams);
+                }
                 default -> in.skipValue();
             }
         }
-        return new PeerMessage.UseReport(uses, complete, teams);
+        return new PeerMessage.UseReport(uses, complete, teams, streams);
     }
 
     private PeerMessage readHeldRunner(int fields) throws IOException {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -7,6 +7,7 @@
 import org.banyanstair.membership.HostAnnouncement;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.HostIdentity;
+import org.banyanstair.peer.BegunStreams;
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
@@ -130,12 +131,17 @@
 
     private void writeEndpointMessage(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.UseReport report) {
-            begin("UseReport", report.teams().isEmpty() ? 2 : 3);
+            begin(
+                    "UseReport",
+                    2 + (report.teams().isEmpty() ? 0 : 1) + (report.streams().isEmpty() ? 0 : 1));
             field("uses", report.uses(), this::write);
             field("complete", report.complete());
             if (!report.teams().isEmpty()) {
                 field("teams", report.teams(), this::write);
             }
+            if (!report.streams().isEmpty()) {
+                field("streams", report.streams(), this::write);
+            }
         } else if (message instanceof PeerMessage.HeldRunner held) {
             begin("HeldRunner", 6);
             field("endpoint", held.endpoint().value());
@@ -362,6 +368,14 @@
         elements(usage.newPrefixes(), out::packLong);
     }
 
+    private void write(BegunStreams streams) throws IOException {
+        out.packArrayHeader(4);
+        out.packString(streams.service());
+        out.packString(streams.version());
+        elements(streams.requests(), out::packString);
+        out.packLong(streams.remainingMilliseconds());
+    }
+
     private void write(RelayedRecord entry) throws IOException {
         out.packMapHeader(4);
         field("key", entry.key());
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -13,6 +13,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.BegunStreams;
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
@@ -226,6 +227,14 @@
         return usage;
     }
 
+    BegunStreams readBegunStreams() throws IOException {
+        int surplus = readArrayHeader(4);
+        BegunStreams streams =
+                new BegunStreams(readString(), readString(), readList(this::readString), in.unpackLong());
+        in.skipValue(surplus);
+        return streams;
+    }
+
     private ReportedCrash readReportedCrash() throws IOException {
         int surplus = readArrayHeader(4);
         ReportedCrash crash =
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -17,6 +17,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.BegunStreams;
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
@@ -78,14 +79,16 @@
                     new EndpointUsage(ENDPOINT, 2, 9_190, 18_000, List.of(ADAPTER, ADAPTER), List.of(-5L, 1L << 40)),
                     new EndpointUsage(new EndpointId("i-0"), 0, 0, 0, List.of(), List.of())),
             true,
-            List.of());
+            List.of(),
+            List.of(new BegunStreams("llm", "v1.1", List.of("9c41d07be2a35f68", "a"), 31_000)));
 
     private static final PeerMessage.UseReport TEAM_USE = new PeerMessage.UseReport(
             List.of(),
             false,
             List.of(
                     new TeamUsage(new TeamName("a\u00e9"), 1L << 40, 9_300, 1L << 41, 9_300, OptionalDouble.of(-3)),
-                    new TeamUsage(new TeamName("b"), 0, 0, 0, 0, OptionalDouble.empty())));
+                    new TeamUsage(new TeamName("b"), 0, 0, 0, 0, OptionalDouble.empty())),
+            List.of(new BegunStreams("llm", "v1.1", List.of("9c41d07be2a35f68", "a"), 31_000)));
 
     private static final PeerMessage.HeldRunner HELD = new PeerMessage.HeldRunner(
             ENDPOINT,
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/TeamUsageCostMain.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/TeamUsageCostMain.java
@@ -59,9 +59,9 @@
                 "%.1f microseconds a second for each team on a host of %d with %d teams, all of them active%n",
                 nanos / 1000.0 / SECONDS / TEAMS, HOSTS, TEAMS);
         List<TeamUsage> all = registry.report(true, start.plusSeconds(WARM_UP_SECONDS + SECONDS));
-        int without = FrameCodec.encode(new PeerMessage.UseReport(List.of(), false, List.of())).length;
-        int one = FrameCodec.encode(new PeerMessage.UseReport(List.of(), false, all.subList(0, 1))).length;
-        int many = FrameCodec.encode(new PeerMessage.UseReport(List.of(), false, all)).length;
+        int without = FrameCodec.encode(new PeerMessage.UseReport(List.of(), false, List.of(), List.of())).length;
+        int one = FrameCodec.encode(new PeerMessage.UseReport(List.of(), false, all.subList(0, 1), List.of())).length;
+        int many = FrameCodec.encode(new PeerMessage.UseReport(List.of(), false, all, List.of())).length;
         System.out.printf("%d bytes without teams, %d with one, %d with %d%n", without, one, many, TEAMS);
     }
 
