Do not trust the version of an endpoint whose process was gone

For 3 s after a refused connection, or until the entry of a new process is read, no stream is resumed at the endpoint, and a stream that it begins counts as one of an uncertain version, which is not resumed.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -18,6 +18,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.EndpointUsage;
+import org.banyanstair.versions.SoftwareVersion;
 
 /** A host's view of one endpoint. Not thread-safe. */
 final class EndpointState {
@@ -32,6 +33,9 @@
      */
     private static final int MAXIMUM_RECENTLY_UNLOADED = 36;
 
+    /** Time after the last refused connection within which the entry of a new process is read. */
+    private static final Duration VERSION_UNCERTAIN_TIME = Duration.ofSeconds(3);
+
     /** Time by which the expected end of a late load is postponed. */
     private static final Duration LATE_LOAD_EXTENSION = Duration.ofMillis(150);
 
@@ -44,6 +48,7 @@
     private EndpointListing listing;
     private Instant removeAt = Instant.MAX;
     private Instant pausedUntil = Instant.MIN;
+    private Instant versionUncertainUntil = Instant.MIN;
     private Duration pause = FIRST_PAUSE;
     private final RequestedPause requestedPause = new RequestedPause();
     private boolean announcedLeaving;
@@ -98,6 +103,7 @@
     }
 
     private void reset() {
+        versionUncertainUntil = Instant.MIN;
         baseModels = Set.of();
         adapters.clear();
         prefixes.clear();
@@ -228,7 +234,21 @@
         return requestedPause;
     }
 
+    /**
+     * Records that no process listened at the address: the next one there may be of another version, before its registry
+     * entry is read.
+     */
+    void processGone(Instant now) {
+        versionUncertainUntil = now.plus(VERSION_UNCERTAIN_TIME);
+    }
+
+    /** Returns the version of the process that is reached now, as far as it is known. */
+    SoftwareVersion softwareVersion(Instant now) {
+        return now.isBefore(versionUncertainUntil) ? SoftwareVersion.UNCERTAIN : listing.softwareVersion();
+    }
+
     void connectionFailed(Instant now) {
+        processGone(now);
         pausedUntil = now.plus(pause);
         pause = pause.multipliedBy(2).compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : pause.multipliedBy(2);
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -93,8 +93,10 @@
     }
 
     /** Returns whether an endpoint may run the request by its software version. */
-    boolean allowsVersionOf(EndpointState endpoint) {
-        return version.isEmpty() || version.get().equals(endpoint.listing().softwareVersion());
+    boolean allowsVersionOf(EndpointState endpoint, Instant now) {
+        return version.isEmpty()
+                || !version.get().equals(SoftwareVersion.UNCERTAIN)
+                        && version.get().equals(endpoint.softwareVersion(now));
     }
 
     /** Records that an attempt ended before the caller received an event, so that any version may begin the stream. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -295,7 +295,7 @@
     /** Returns the endpoints of the service of a request whose version may run it. */
     private List<EndpointState> endpointsFor(InFlightRequest inFlight) {
         return view.endpointsOf(inFlight.service.name()).stream()
-                .filter(inFlight::allowsVersionOf)
+                .filter(endpoint -> inFlight.allowsVersionOf(endpoint, context.now()))
                 .toList();
     }
 
@@ -434,7 +434,7 @@
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
         if (!mayReceiveRequest(endpoint)
-                || !inFlight.allowsVersionOf(endpoint)
+                || !inFlight.allowsVersionOf(endpoint, now)
                 || !stopAdmission.allows(inFlight, now)) {
             selectEndpoint(inFlight);
             return;
@@ -465,7 +465,7 @@
         inFlight.outputReported = false;
         inFlight.attempts++;
         inFlight.sentAt = context.now();
-        inFlight.sentVersion = endpoint.listing().softwareVersion();
+        inFlight.sentVersion = endpoint.softwareVersion(context.now());
         inFlight.predictedMilliseconds = inFlight.service.engine().isPresent()
                 ? EndpointSelector.promptMilliseconds(endpoint, request, inFlight.prefixes)
                 : 0;
--- a/banyanstair-core/src/main/java/org/banyanstair/versions/SoftwareVersion.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/versions/SoftwareVersion.java
@@ -9,6 +9,9 @@
  * @param value as the endpoint names it; empty if it names none
  */
 public record SoftwareVersion(String value) implements Comparable<SoftwareVersion> {
+    /** Stands for a version that cannot be known; no endpoint has it. */
+    public static final SoftwareVersion UNCERTAIN = new SoftwareVersion("\0");
+
     /** Checks that there is a value. */
     public SoftwareVersion {
         Objects.requireNonNull(value, "value");
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
@@ -242,6 +242,18 @@
                 .startsWith("old-"));
     }
 
+    /** The entry of a process that has started again is read later than its first connection opens. */
+    @Test
+    void streamIsNotResumedWhereAnotherProcessMayHaveStarted() {
+        ForwardRequest request = begin();
+        addNewVersion();
+        fixture.apply(new ForwardingEvent.ConnectionRefused(new EndpointId("old-1"), 1));
+        fixture.passWithoutReads(Duration.ofSeconds(1));
+        for (int number = 0; number < 8; number++) {
+            assertEquals(Optional.of("old-2"), sentTo(arrive(fixture.resuming(request.id(), PATH, PATIENCE))));
+        }
+    }
+
     @Test
     void streamsAreReportedAndRecordedOnceAnotherVersionServes() {
         ForwardRequest request = begin();
