--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/StreamVersions.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/StreamVersions.java
@@ -273,7 +273,7 @@
     void logRestored() {
         recordedVersions.clear();
         Instant now = context.now();
-        ownStreams.forEach((request, stream) -> unrecorded.add(new KnownStream(request, stream.origin(), now)));
+        origins.unexpired(now).forEach((request, origin) -> unrecorded.add(new KnownStream(request, origin, now)));
     }
 
     /** Discards the knowledge that no other version serves, after a suspension of the process. */
--- a/banyanstair-core/src/main/java/org/banyanstair/versions/StreamOrigins.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/versions/StreamOrigins.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import org.banyanstair.model.RequestId;
 
@@ -44,7 +45,10 @@
         return Optional.ofNullable(origins.get(request));
     }
 
-    public int size() {
-        return origins.size();
+    /** Returns what began each stream that a caller may still resume. */
+    public Map<RequestId, StreamOrigin> unexpired(Instant now) {
+        return origins.entrySet().stream()
+                .filter(entry -> now.isBefore(entry.getValue().expiresAt()))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
@@ -275,4 +275,20 @@
                 ReducerFixture.only(after, ForwardingEffect.AppendVersions.class)
                         .size());
     }
+
+    @Test
+    void streamsAreRecordedAgainAfterTheLogWasRestored() {
+        ForwardRequest request = begin();
+        addNewVersion();
+        fixture.pass(Duration.ofSeconds(5));
+        fixture.restore(Topic.STREAMS, Map.of());
+        List<RequestId> recorded =
+                ReducerFixture.only(
+                                fixture.passWithoutReads(Duration.ofSeconds(1)), ForwardingEffect.AppendStreams.class)
+                        .stream()
+                        .flatMap(append -> append.batches().stream())
+                        .flatMap(batch -> batch.requests().stream())
+                        .toList();
+        assertTrue(recorded.contains(request.id()), recorded.toString());
+    }
 }
