Tell callers to come back while a version is only uncertain

A stream whose version had one endpoint left was refused as gone for good, without a time to come back, while that endpoint was only unreachable for a moment. The version of an endpoint is uncertain for 2 s after a refused connection, not 3.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -34,7 +34,7 @@
     private static final int MAXIMUM_RECENTLY_UNLOADED = 36;
 
     /** Time after the last refused connection within which the entry of a new process is read. */
-    private static final Duration VERSION_UNCERTAIN_TIME = Duration.ofSeconds(3);
+    private static final Duration VERSION_UNCERTAIN_TIME = Duration.ofSeconds(2);
 
     /** Time by which the expected end of a late load is postponed. */
     private static final Duration LATE_LOAD_EXTENSION = Duration.ofMillis(150);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -13,6 +13,7 @@
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.teams.Team;
 import org.banyanstair.teams.TeamTable;
+import org.banyanstair.versions.SoftwareVersion;
 
 /** Forwards the requests of this host's callers, from their arrival to their end. */
 final class RequestForwarder {
@@ -315,11 +316,15 @@
         return !inFlight.awaitsVersion;
     }
 
-    private void refuseWithoutEndpoint(InFlightRequest inFlight) {
-        boolean versionServes = endpointsFor(inFlight).stream()
+    private boolean isServing(ServiceDefinition service, SoftwareVersion version) {
+        return view.endpointsOf(service.name()).stream()
+                .filter(endpoint -> endpoint.listing().softwareVersion().equals(version))
                 .map(endpoint -> endpoint.condition(context.now()))
                 .anyMatch(condition -> condition == EndpointCondition.IN_USE || condition == EndpointCondition.PAUSED);
-        if (inFlight.version.isPresent() && !versionServes) {
+    }
+
+    private void refuseWithoutEndpoint(InFlightRequest inFlight) {
+        if (inFlight.version.isPresent() && !isServing(inFlight.service, inFlight.version.get())) {
             refuseOrFail(inFlight, RefusalReason.STREAM_VERSION_GONE, 0);
             return;
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
@@ -254,6 +254,22 @@
         }
     }
 
+    @Test
+    void callerComesBackWhileTheVersionOfTheOnlyEndpointIsUncertain() {
+        ForwardRequest request = begin();
+        addNewVersion();
+        removeOldExcept("old-1");
+        fixture.apply(new ForwardingEvent.ConnectionRefused(new EndpointId("old-1"), 1));
+        fixture.passWithoutReads(Duration.ofSeconds(1));
+        List<ForwardingEffect> effects = arrive(fixture.resuming(request.id(), PATH, PATIENCE));
+        assertTrue(ReducerFixture.only(effects, ForwardingEffect.Refuse.class)
+                .get(0)
+                .retryAfter()
+                .isPresent());
+        fixture.passWithoutReads(Duration.ofMillis(1200));
+        assertEquals(Optional.of("old-1"), sentTo(arrive(fixture.resuming(request.id(), PATH, PATIENCE))));
+    }
+
     @Test
     void streamsAreReportedAndRecordedOnceAnotherVersionServes() {
         ForwardRequest request = begin();
