--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RefusalReason.java
@@ -26,7 +26,10 @@
     OVERLOADED,
     /** No runner can load the adapter now. */
     ADAPTER_UNAVAILABLE,
-    /** Several software versions may have begun the stream to resume, and it cannot be known which. */
+    /**
+     * Several software versions may have begun the stream to resume, and it cannot be known which, or a service to which
+     * its route does not lead any more began it.
+     */
     STREAM_VERSION_UNKNOWN,
     /** No endpoint of the software version that began the stream to resume serves any more. */
     STREAM_VERSION_GONE,
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/StreamVersions.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/StreamVersions.java
@@ -88,7 +88,7 @@
         /** A read of the log may tell the version. */
         record Wait() implements Decision {}
 
-        /** Several versions may have begun the stream, and it is unknown which. */
+        /** Several versions may have begun the stream, and it is unknown which, or another service began it. */
         record Unknown() implements Decision {}
     }
 
@@ -112,12 +112,11 @@
             return new Decision.Any();
         }
         String service = inFlight.service.name();
-        Optional<StreamOrigin> origin = inFlight.request
-                .resumes()
-                .flatMap(origins::find)
-                .filter(known -> known.service().equals(service));
+        Optional<StreamOrigin> origin = inFlight.request.resumes().flatMap(origins::find);
         if (origin.isPresent()) {
-            return new Decision.Only(origin.get().version());
+            return origin.get().service().equals(service)
+                    ? new Decision.Only(origin.get().version())
+                    : new Decision.Unknown();
         }
         Set<SoftwareVersion> possible = possibleVersions(service);
         if (possible.size() <= 1 && knowsAllVersions()) {
@@ -188,11 +187,17 @@
      */
     List<BegunStreams> report(boolean complete) {
         Instant now = context.now();
-        ownStreams.values().removeIf(stream -> now.isAfter(stream.origin().expiresAt()));
+        if (complete) {
+            ownStreams.values().removeIf(stream -> now.isAfter(stream.origin().expiresAt()));
+        }
+        Set<String> mixedServices = versions.mixedServices(now);
+        if (mixedServices.isEmpty()) {
+            return List.of();
+        }
         Map<RequestId, StreamOrigin> reported = new HashMap<>();
         ownStreams.replaceAll((request, stream) -> {
             boolean due = stream.announcements() == 0 || complete && stream.announcements() < ANNOUNCEMENTS;
-            if (!due || !versions.isMixed(stream.origin().service(), now)) {
+            if (!due || !mixedServices.contains(stream.origin().service())) {
                 return stream;
             }
             reported.put(request, stream.origin());
@@ -341,8 +346,9 @@
             return;
         }
         Map<RequestId, StreamOrigin> streams = new HashMap<>();
+        Set<String> mixedServices = versions.mixedServices(now);
         unrecorded.removeIf(stream -> {
-            boolean mixed = versions.isMixed(stream.origin().service(), now);
+            boolean mixed = mixedServices.contains(stream.origin().service());
             if (mixed) {
                 streams.put(stream.request(), stream.origin());
             }
--- a/banyanstair-core/src/main/java/org/banyanstair/versions/ServiceVersions.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/versions/ServiceVersions.java
@@ -39,6 +39,13 @@
         return possible(service, now).size() > 1;
     }
 
+    /** Returns the services whose streams may be of several versions. */
+    public Set<String> mixedServices(Instant now) {
+        return lastServed.keySet().stream()
+                .filter(service -> isMixed(service, now))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns when each version that may still matter served a service last. */
     public Map<SoftwareVersion, Instant> lastServed(String service, Instant now) {
         Set<SoftwareVersion> possible = possible(service, now);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
@@ -164,6 +164,22 @@
                 .startsWith("new-"));
     }
 
+    /** A configuration may have moved the route meanwhile. */
+    @Test
+    void streamOfAnotherServiceIsNotResumed() {
+        fixture.publish(
+                Topic.STREAMS,
+                "streams/host-2/1",
+                new DecodedRecord.StreamsBegun(List.of(new StreamBatch(
+                        ReducerFixture.SERVICE,
+                        OLD,
+                        List.of(FIRST),
+                        fixture.now().plusSeconds(10)))));
+        assertEquals(
+                Optional.of(RefusalReason.STREAM_VERSION_UNKNOWN),
+                refusal(arrive(fixture.resuming(FIRST, PATH, PATIENCE))));
+    }
+
     @Test
     void unknownStreamGoesOnIfOneVersionServesAndDidLately() {
         assertTrue(sentTo(arrive(fixture.resuming(FIRST, PATH, PATIENCE)))
