--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -77,14 +76,9 @@
     /** Time over which hosts that only poll spread their snapshots after the log was restored. */
     private static final Duration MAXIMUM_RESTORE_SPREAD = Duration.ofMillis(500);
 
-    /** Refused reads of a topic in a row that are logged; a read that is not refused starts again. */
-    private static final int MAXIMUM_LOGGED_EXPIRATIONS = 3;
-
-    /** Keys of ignored records that are logged for each read. */
-    private static final int MAXIMUM_LOGGED_KEYS = 5;
-
     private final EventContext context;
     private final RecordDecoder decoder;
+    private final TopicReadLog readLog;
     private final Duration restoreSpread;
     private final Map<Topic, TopicConsumer> consumers = new TreeMap<>();
     private final Map<EndpointId, EndpointState> endpoints = new TreeMap<>();
@@ -95,7 +89,6 @@
     private final LogEras eras = new LogEras();
     private final ReappearedEntries<TopicRecord> reappeared = new ReappearedEntries<>();
     private boolean catchingUp;
-    private final Map<Topic, Integer> expiredReads = new EnumMap<>(Topic.class);
     private Instant resumedAt = Instant.MIN;
     private boolean boundsConfigurationWait;
 
@@ -147,6 +140,7 @@
         this.context = context;
         this.restoreSpread = Duration.ofMillis(Math.floorMod(self.hashCode(), (int) MAXIMUM_RESTORE_SPREAD.toMillis()));
         this.decoder = decoder;
+        this.readLog = new TopicReadLog(context);
         for (Topic topic : Topic.values()) {
             consumers.put(topic, new TopicConsumer(topic, readWait(topic, false), readInterval(topic)));
         }
@@ -292,9 +286,9 @@
         Set<String> reappearedKeys = reappearedKeys(consumer, event.records(), event.end());
         List<TopicRecord> newRecords = consumer.applyRead(event, context.now());
         if (event.snapshot()) {
-            logSnapshot(event, knownEnd, newRecords);
+            readLog.snapshotRead(event, knownEnd, newRecords);
         } else {
-            logDropped(event, newRecords);
+            readLog.recordsRead(event, consumer.end(), newRecords);
         }
         Provenance provenance = new Provenance(
                 justWritten ? context.now() : Instant.MIN,
@@ -392,49 +386,6 @@
         resumedAt = context.now();
     }
 
-    private void logSnapshot(ForwardingEvent.TopicRead event, LogPosition knownEnd, List<TopicRecord> newRecords) {
-        int expired = Optional.ofNullable(expiredReads.remove(event.topic())).orElse(0);
-        boolean goesBack = event.end().isBefore(knownEnd);
-        if (knownEnd.isRead() && expired <= MAXIMUM_LOGGED_EXPIRATIONS) {
-            context.log(DecisionRecord.important(
-                    "topic-snapshot",
-                    "topic",
-                    event.topic(),
-                    "end",
-                    event.end(),
-                    "known-end",
-                    knownEnd,
-                    "records",
-                    event.records().size(),
-                    "new-records",
-                    newRecords.size()));
-        }
-        if (goesBack) {
-            expiredReads.put(event.topic(), expired);
-        }
-    }
-
-    /** Records that some of what was read is not newer than what is known. */
-    private void logDropped(ForwardingEvent.TopicRead event, List<TopicRecord> newRecords) {
-        List<String> dropped = event.records().stream()
-                .filter(entry -> !newRecords.contains(entry))
-                .map(TopicRecord::key)
-                .limit(MAXIMUM_LOGGED_KEYS)
-                .toList();
-        if (!dropped.isEmpty()) {
-            context.log(DecisionRecord.of(
-                    "records-dropped",
-                    "topic",
-                    event.topic(),
-                    "end",
-                    event.end(),
-                    "known-end",
-                    consumers.get(event.topic()).end(),
-                    "keys",
-                    dropped));
-        }
-    }
-
     /**
      * Applies the era that a response of the log names, or that a peer knows: if it is new, all topics are read anew.
      *
@@ -477,17 +428,9 @@
     }
 
     void expired(Topic topic) {
-        consumers.get(topic).expired(context.now());
-        if (expiredReads.merge(topic, 1, Integer::sum) <= MAXIMUM_LOGGED_EXPIRATIONS) {
-            context.log(DecisionRecord.important(
-                    "topic-expired",
-                    "topic",
-                    topic,
-                    "from",
-                    consumers.get(topic).end(),
-                    "log-era",
-                    eras.newest()));
-        }
+        TopicConsumer consumer = consumers.get(topic);
+        consumer.expired(context.now());
+        readLog.readExpired(topic, consumer.end(), eras.newest());
     }
 
     void unavailable(Topic topic) {
