Count no uncertain version among those that serve

A peer's report of a stream of an uncertain version counted as a further version of the service, for a minute and again with each such stream, so hosts refused to resume streams that they do not know although one version serves.

--- a/banyanstair-core/src/main/java/org/banyanstair/versions/ServiceVersions.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/versions/ServiceVersions.java
@@ -20,8 +20,11 @@
 
     private final Map<String, Map<SoftwareVersion, Instant>> lastServed = new HashMap<>();
 
-    /** Records that a version served a service at an instant. */
+    /** Records that a version served a service at an instant; an uncertain version is one of those that serve anyway. */
     public void served(String service, SoftwareVersion version, Instant at) {
+        if (version.equals(SoftwareVersion.UNCERTAIN)) {
+            return;
+        }
         lastServed
                 .computeIfAbsent(service, name -> new TreeMap<>())
                 .merge(version, at, (known, newer) -> newer.isAfter(known) ? newer : known);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
@@ -286,6 +286,25 @@
         assertEquals(Optional.of("old-1"), sentTo(arrive(fixture.resuming(request.id(), PATH, PATIENCE))));
     }
 
+    /** A stream of an uncertain version is none of a further version that serves. */
+    @Test
+    void uncertainVersionOfAPeerDoesNotMixTheVersionsOfAService() {
+        fixture.apply(new ForwardingEvent.PeerMessageReceived(
+                PEER,
+                new PeerMessage.UseReport(
+                        List.of(),
+                        false,
+                        List.of(),
+                        List.of(new BegunStreams(
+                                ReducerFixture.PLAIN_SERVICE,
+                                SoftwareVersion.UNCERTAIN.value(),
+                                List.of("another"),
+                                10_000)))));
+        assertTrue(sentTo(arrive(fixture.resuming(FIRST, PATH, PATIENCE)))
+                .orElseThrow()
+                .startsWith("old-"));
+    }
+
     @Test
     void streamsAreReportedAndRecordedOnceAnotherVersionServes() {
         ForwardRequest request = begin();
