Give each test process its own ports

Cause: each process chose its ports by counting on from a start that depends on its process id. The starts of two forks are a few hundred ports apart, so one fork soon gets ports that the other has given to a host that is not listening yet, or no longer.

--- a/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
+++ b/banyanstair-integration-tests/src/main/java/org/banyanstair/integration/cluster/Cluster.java
@@ -68,7 +68,7 @@
     private final ClusterPlan plan;
     private final Path directory;
     private final ProcessLauncher launcher;
-    private final FreePorts ports = new FreePorts();
+
     private final LogServiceStandIn log;
     private final HostListStandIn hostList;
     private NetworkAddress logAddress;
@@ -175,7 +175,7 @@
 
     private PreparedHost prepareHost() {
         hostsStarted++;
-        NetworkAddress peer = ports.next();
+        NetworkAddress peer = FreePorts.next();
         FaultProxy logProxy = new FaultProxy(0, logAddress);
         FaultProxy peerProxy = new FaultProxy(0, peer);
         EntryHost entry = new EntryHost(
@@ -183,8 +183,8 @@
                 Presence.LIVE,
                 dataCentre(hostsStarted - 1),
                 peerProxy.start(),
-                ports.next(),
-                ports.next());
+                FreePorts.next(),
+                FreePorts.next());
         Path settings = directory.resolve(entry.id() + ".toml");
         write(settings, settingsOf(entry, peer, logProxy.start()));
         hostList.put(entry);
