Tell other hosts what a restore has lost

Change: a consumer of the configuration topic keeps the records of an ended era that the restored log does not hold until versions as new are written (LostRecords). Heartbeats name the position up to which a host knows such records, only while there are some; a host that knows less requests the topic, and each reply carries them. Fields are left out otherwise, and hosts of earlier releases skip them.

Of the other tests those of restores, frames, earlier releases, versions and keys ran.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import org.banyanstair.model.HostId;
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.model.NetworkAddress;
+import org.banyanstair.peer.LostReport;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
 
@@ -69,6 +71,9 @@
     /** Time between two requests for claims. */
     private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(500);
 
+    /** Interval between requests for records that the restored log lacks; a lost request is repeated after it. */
+    private static final Duration LOST_REQUEST_INTERVAL = Duration.ofMillis(500);
+
     /**
      * Time between two checks of which hosts read for their peers; short compared to the time after which a host counts
      * as not live.
@@ -101,6 +106,7 @@
     private Instant nextStateAt = Instant.MIN;
     private Instant nextUseReportAt = Instant.MIN;
     private Instant nextConfirmationAt = Instant.MIN;
+    private Instant nextLostRequestAt = Instant.MIN;
     private Instant nextReaderCheckAt = Instant.MIN;
     private boolean readsForPeers;
     private long confirmationRequests;
@@ -247,22 +253,33 @@
             List<TopicRecord> records,
             Optional<Long> askedAtMilliseconds,
             long ageMilliseconds) {
-        List<RelayedRecord> relayed = records.stream()
-                .map(entry -> new RelayedRecord(
-                        entry.key(),
-                        entry.value().orElse(new byte[0]),
-                        entry.value().isEmpty(),
-                        entry.position().offset()))
-                .toList();
         return new PeerMessage.RecordsReply(
                 consumer.topic(),
                 from.offset(),
                 consumer.end().era(),
-                relayed,
+                relayed(records),
                 consumer.end().offset(),
                 consumer.outageAge(context.now()).map(Duration::toMillis),
                 askedAtMilliseconds,
-                ageMilliseconds);
+                ageMilliseconds,
+                askedAtMilliseconds.flatMap(asked -> lostReport(consumer)));
+    }
+
+    private static List<RelayedRecord> relayed(Collection<TopicRecord> records) {
+        return records.stream()
+                .map(entry -> new RelayedRecord(
+                        entry.key(),
+                        entry.value().orElse(new byte[0]),
+                        entry.value().isEmpty(),
+                        entry.position().offset()))
+                .toList();
+    }
+
+    /** Returns the records of a topic that the restored log lacks; empty if there are none. */
+    private static Optional<LostReport> lostReport(TopicConsumer consumer) {
+        LogPosition end = consumer.lost().end();
+        List<RelayedRecord> records = relayed(consumer.lost().all());
+        return records.isEmpty() ? Optional.empty() : Optional.of(new LostReport(end.era(), end.offset(), records));
     }
 
     private void applyToPeers(ForwardingEvent event) {
@@ -296,6 +313,7 @@
             forwarder.limits().limitsReported(sender, state.limits());
             catchUp(sender, Topic.CONFIGURATION);
             catchUp(sender, Topic.ENDPOINTS);
+            learnLostRecords(sender, state);
         } else if (message instanceof PeerMessage.Bundle bundle) {
             messenger.receive(sender, bundle).forEach(broadcast -> broadcast
                     .messages()
@@ -364,6 +382,17 @@
         }
     }
 
+    /** Requests what the restored log lacks from a peer that had read further before than this host, or an earlier one. */
+    private void learnLostRecords(HostId peer, PeerMessage.HostState state) {
+        TopicConsumer consumer = view.consumer(Topic.CONFIGURATION);
+        boolean knowsMore = state.lostEnd() > 0
+                && state.lostEndPosition().isAfter(consumer.lost().end());
+        if (knowsMore && consumer.isCurrent() && !context.now().isBefore(nextLostRequestAt)) {
+            nextLostRequestAt = context.now().plus(LOST_REQUEST_INTERVAL);
+            requestRecords(peer, consumer);
+        }
+    }
+
     /**
      * Requests the claims from a peer when this host cannot read them itself, to confirm that no other host has taken a
      * runner over.
@@ -413,6 +442,9 @@
     private PeerMessage hostState(boolean complete) {
         LogPosition configurationEnd = view.consumer(Topic.CONFIGURATION).end();
         LogPosition endpointsEnd = view.consumer(Topic.ENDPOINTS).end();
+        LogPosition lostEnd = lostReport(view.consumer(Topic.CONFIGURATION))
+                .map(LostReport::endPosition)
+                .orElse(LogPosition.startOf(0));
         return new PeerMessage.HostState(
                 settings.announcement(),
                 stopping,
@@ -424,6 +456,8 @@
                 configurationEnd.era(),
                 endpointsEnd.offset(),
                 endpointsEnd.era(),
+                lostEnd.offset(),
+                lostEnd.era(),
                 runnerManager.observedLoads(),
                 refusals.partEvidence(),
                 refusals.requestReport(complete),
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -22,7 +22,9 @@
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
+import org.banyanstair.peer.LostReport;
 import org.banyanstair.peer.PeerMessage;
+import org.banyanstair.peer.RelayedRecord;
 import org.banyanstair.teams.KeyChanges;
 import org.banyanstair.teams.TeamTable;
 
@@ -337,9 +339,51 @@
                     justWritten ? context.now() : Instant.MIN, knownEnd.isRead() && message.era() > knownEnd.era());
             apply(topic, holdBack(topic, newRecords, reappearedKeys), provenance, listener);
         }
+        message.lost()
+                .filter(report -> topic == Topic.CONFIGURATION)
+                .ifPresent(report -> applyLost(report, from, listener));
         logCaughtUp();
     }
 
+    /** Applies what a peer had read of an ended era and the restored log lacks. */
+    private void applyLost(LostReport report, HostId from, Listener listener) {
+        Map<String, TopicRecord> newer = new HashMap<>();
+        for (RelayedRecord relayed : report.records()) {
+            TopicRecord entry = new TopicRecord(
+                    relayed.key(), Optional.of(relayed.value()), new LogPosition(report.era(), relayed.offset()));
+            Optional<DecodedRecord> decoded = decoder.decode(Topic.CONFIGURATION, entry, context.now());
+            if (decoded.filter(this::isNewer).isPresent()) {
+                newer.put(entry.key(), entry);
+                apply(decoded.get(), entry.position(), new Provenance(Instant.MIN, true), listener);
+            }
+        }
+        consumer(Topic.CONFIGURATION).lost().keep(newer, report.endPosition());
+        context.log(DecisionRecord.important(
+                "records-lost", "records", newer.size(), "end", report.endPosition(), "from", from));
+    }
+
+    private boolean isNewer(DecodedRecord decoded) {
+        if (decoded instanceof DecodedRecord.ConfigurationPublished published) {
+            return configuration
+                    .filter(known ->
+                            known.version() >= published.configuration().version())
+                    .isEmpty();
+        }
+        return decoded instanceof DecodedRecord.AdapterVersionPublished published
+                && published.version() > newestVersion(published.adapter());
+    }
+
+    private boolean isInForce(DecodedRecord decoded) {
+        if (decoded instanceof DecodedRecord.ConfigurationPublished published) {
+            return configuration
+                    .filter(known ->
+                            known.version() == published.configuration().version())
+                    .isPresent();
+        }
+        return decoded instanceof DecodedRecord.AdapterVersionPublished published
+                && published.version() == newestVersion(published.adapter());
+    }
+
     /** Returns the keys of endpoints that were removed and that the records of a later era list again. */
     private Set<String> reappearedKeys(TopicConsumer consumer, List<TopicRecord> records, LogPosition end) {
         if (consumer.topic() != Topic.ENDPOINTS || end.era() <= consumer.end().era()) {
@@ -479,6 +523,9 @@
                 }
             } else {
                 apply(decoded.get(), entry.position(), provenance, listener);
+                if (isInForce(decoded.get())) {
+                    consumers.get(topic).lost().written(entry.key());
+                }
             }
         }
     }
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/TopicConsumer.java
@@ -3,15 +3,18 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import org.banyanstair.external.Topic;
 import org.banyanstair.history.LogPosition;
+import org.banyanstair.history.LostRecords;
 
 /**
  * Reads a compacted topic: first a snapshot with the newest record of each key, then the records as they are appended.
@@ -43,6 +46,7 @@
     private Duration readInterval;
     private boolean readsForPeers;
     private final Map<String, TopicRecord> newest = new TreeMap<>();
+    private final LostRecords<TopicRecord> lost = new LostRecords<>();
     private LogPosition end = LogPosition.UNREAD;
     private long era;
     private Optional<LogPosition> readFrom = Optional.empty();
@@ -175,6 +179,11 @@
         return unavailableSince.isPresent() && !outageConfinedToSelf;
     }
 
+    /** Returns the records that the restored log lacks; always empty for topics whose writers write them again soon. */
+    LostRecords<TopicRecord> lost() {
+        return lost;
+    }
+
     /** Returns the records from a position on; all of them if it is one of an earlier era. */
     List<TopicRecord> recordsFrom(LogPosition position) {
         return newest.values().stream()
@@ -225,6 +234,7 @@
             recoveredAt = now;
         }
         unavailableSince = Optional.empty();
+        List<TopicRecord> ended = recordsOfEndedEra(event.end());
         List<TopicRecord> newRecords = new ArrayList<>();
         if (event.snapshot()) {
             needSnapshot = false;
@@ -233,6 +243,7 @@
             expiredReads = 0;
         }
         newRecords.addAll(apply(event.records()));
+        keepLost(ended);
         advanceTo(event.end());
         return newRecords;
     }
@@ -281,15 +292,38 @@
         if (!startsEra && !readsForPeers && peerEnd.isAfter(end) && isAvailable() && nextReadAt.isBefore(ownReadAt)) {
             nextReadAt = ownReadAt;
         }
+        List<TopicRecord> ended = recordsOfEndedEra(peerEnd);
         List<TopicRecord> newRecords = new ArrayList<>();
         if (startsEra) {
             newRecords.addAll(removeMissing(records, peerEnd));
         }
         newRecords.addAll(apply(records));
+        keepLost(ended);
         advanceTo(peerEnd);
         return newRecords;
     }
 
+    /** Returns what is known of an era that ends with a read up to a position of a later one. */
+    private List<TopicRecord> recordsOfEndedEra(LogPosition readTo) {
+        return topic == Topic.CONFIGURATION && end.era() < readTo.era() ? List.copyOf(newest.values()) : List.of();
+    }
+
+    /** Keeps the records of an ended era that the log does not hold any more; those lost earlier are newer. */
+    private void keepLost(List<TopicRecord> ended) {
+        if (!ended.isEmpty()) {
+            lost.keep(
+                    ended.stream()
+                            .filter(entry -> isLost(entry) && !lost.contains(entry.key()))
+                            .collect(Collectors.toMap(TopicRecord::key, Function.identity())),
+                    end);
+        }
+    }
+
+    private boolean isLost(TopicRecord ended) {
+        Optional<byte[]> held = Optional.ofNullable(newest.get(ended.key())).flatMap(TopicRecord::value);
+        return ended.value().isPresent() && !Arrays.equals(ended.value().get(), held.orElse(null));
+    }
+
     private List<TopicRecord> apply(List<TopicRecord> records) {
         List<TopicRecord> newRecords = new ArrayList<>();
         for (TopicRecord entry : records) {
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -165,6 +165,9 @@
      * @param configurationEra era of that offset
      * @param endpointsOffset next offset to read in the endpoints topic
      * @param endpointsEra era of that offset
+     * @param lostEnd offset up to which the sender knows configuration records that the restored log lacks; 0 stands
+     *     for none
+     * @param lostEra era of that offset
      * @param loads adapter loads that the sender has observed; null stands for none
      * @param parts what the sender knows of prompt parts that may crash endpoints; null stands for nothing
      * @param requests requests that several endpoints crashed under, as far as the sender knows; null stands for none
@@ -181,6 +184,8 @@
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) long configurationEra,
             long endpointsOffset,
             @JsonInclude(JsonInclude.Include.NON_DEFAULT) long endpointsEra,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long lostEnd,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long lostEra,
             LoadCounts loads,
             PartEvidence parts,
             List<ReportedRequest> requests,
@@ -203,6 +208,11 @@
         public LogPosition endpointsEnd() {
             return new LogPosition(endpointsEra, endpointsOffset);
         }
+
+        /** Returns the position up to which the sender knows records that the restored log lacks. */
+        public LogPosition lostEndPosition() {
+            return new LogPosition(lostEra, lostEnd);
+        }
     }
 
     /**
@@ -301,6 +311,7 @@
      * @param askedAtMilliseconds time in the request; empty for an unsolicited update
      * @param ageMilliseconds time since the sender started its last read of the topic; for the configuration under
      *     strict revocation, age of the sender's knowledge, which a peer may have confirmed
+     * @param lost records of the topic that the restored log lacks; null stands for none
      */
     record RecordsReply(
             Topic topic,
@@ -310,8 +321,14 @@
             long end,
             Optional<Long> outageAgeMilliseconds,
             Optional<Long> askedAtMilliseconds,
-            long ageMilliseconds)
+            long ageMilliseconds,
+            @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<LostReport> lost)
             implements PeerMessage {
+        /** Replaces what a host of an earlier release does not send. */
+        public RecordsReply {
+            lost = lost == null ? Optional.empty() : lost;
+        }
+
         /** Returns the position from which the records are complete. */
         public LogPosition from() {
             return new LogPosition(era, offset);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterVersionTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/AdapterVersionTest.java
@@ -98,6 +98,14 @@
         fixture.apply(new ForwardingEvent.PeerMessageReceived(
                 PEER,
                 new PeerMessage.RecordsReply(
-                        Topic.CONFIGURATION, 1, 0, List.of(entry), offset + 1, Optional.empty(), askedAt, 1)));
+                        Topic.CONFIGURATION,
+                        1,
+                        0,
+                        List.of(entry),
+                        offset + 1,
+                        Optional.empty(),
+                        askedAt,
+                        1,
+                        Optional.empty())));
     }
 }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingPartTest.java
@@ -212,6 +212,8 @@
                         0,
                         0,
                         0,
+                        0,
+                        0,
                         LoadCounts.NONE,
                         new PartEvidence(List.of(), List.of(new RefusedPart(FIRST_PART, 5_000, 60_000))),
                         List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/CrashingRequestTest.java
@@ -289,6 +289,8 @@
                         0,
                         0,
                         0,
+                        0,
+                        0,
                         LoadCounts.NONE,
                         PartEvidence.NONE,
                         List.of(new ReportedRequest(running.fingerprint(), true, crashes)),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/EarlierReleasePeerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/EarlierReleasePeerTest.java
@@ -95,6 +95,8 @@
                 0,
                 0,
                 0,
+                0,
+                0,
                 LoadCounts.NONE,
                 PartEvidence.NONE,
                 List.of(),
@@ -173,7 +175,8 @@
                             6,
                             Optional.empty(),
                             Optional.of(request.askedAtMilliseconds()),
-                            10));
+                            10,
+                            Optional.empty()));
                 }
             }
         }
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ForwardingReducerTest.java
@@ -368,6 +368,8 @@
                             0,
                             0,
                             0,
+                            0,
+                            0,
                             LoadCounts.NONE,
                             PartEvidence.NONE,
                             List.of(),
@@ -392,7 +394,8 @@
                         1,
                         Optional.empty(),
                         Optional.of(requests.get(requests.size() - 1).askedAtMilliseconds()),
-                        10)));
+                        10,
+                        Optional.empty())));
         List<ForwardingEffect> after = fixture.passWithoutReads(Duration.ofMillis(900));
         assertTrue(
                 ReducerFixture.only(after, ForwardingEffect.SendToPeer.class).stream()
@@ -424,6 +427,8 @@
                         0,
                         0,
                         0,
+                        0,
+                        0,
                         LoadCounts.NONE,
                         PartEvidence.NONE,
                         List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyRevocationTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/KeyRevocationTest.java
@@ -210,7 +210,8 @@
                         reply.end() + 1,
                         reply.outageAgeMilliseconds(),
                         reply.askedAtMilliseconds(),
-                        reply.ageMilliseconds())
+                        reply.ageMilliseconds(),
+                        Optional.empty())
                 : message);
         host.setReachesLog(false);
         fleet.pass(KeyFleet.TERM);
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/LeaseManagerTest.java
@@ -195,6 +195,8 @@
                                     0,
                                     0,
                                     0,
+                                    0,
+                                    0,
                                     LoadCounts.NONE,
                                     PartEvidence.NONE,
                                     List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerLivenessTest.java
@@ -51,6 +51,8 @@
                 0,
                 0,
                 0,
+                0,
+                0,
                 LoadCounts.NONE,
                 PartEvidence.NONE,
                 List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/PeerTableTest.java
@@ -49,6 +49,8 @@
                             0,
                             0,
                             0,
+                            0,
+                            0,
                             LoadCounts.NONE,
                             PartEvidence.NONE,
                             List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/ReducerFixture.java
@@ -1,5 +1,6 @@
 package org.banyanstair.forwarding;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -135,11 +136,15 @@
 
     List<ForwardingEffect> publish(Topic topic, String key, DecodedRecord decoded) {
         records.put(key + position(), decoded);
-        TopicRecord entry = new TopicRecord(key, Optional.of(new byte[] {1}), new LogPosition(era, offset));
+        TopicRecord entry = new TopicRecord(key, Optional.of(value(decoded)), new LogPosition(era, offset));
         offset++;
         return apply(new ForwardingEvent.TopicRead(topic, now, false, List.of(entry), new LogPosition(era, offset)));
     }
 
+    private static byte[] value(DecodedRecord decoded) {
+        return decoded.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     private LogPosition position() {
         return new LogPosition(era, offset);
     }
@@ -151,7 +156,7 @@
         List<TopicRecord> entries = new ArrayList<>();
         copy.forEach((key, decoded) -> {
             define(key, decoded);
-            entries.add(new TopicRecord(key, Optional.of(new byte[] {1}), position()));
+            entries.add(new TopicRecord(key, Optional.of(value(decoded)), position()));
             offset++;
         });
         return apply(new ForwardingEvent.TopicRead(topic, now, true, entries, position()));
@@ -162,6 +167,11 @@
         records.put(key + position(), decoded);
     }
 
+    /** Sets the content of the record at a position of another era. */
+    void define(String key, LogPosition at, DecodedRecord decoded) {
+        records.put(key + at, decoded);
+    }
+
     /** Returns the offset that the next record will have. */
     long nextOffset() {
         return offset;
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -98,7 +98,8 @@
                         offset + 1,
                         Optional.empty(),
                         Optional.empty(),
-                        0)));
+                        0,
+                        Optional.empty())));
     }
 
     /**
@@ -141,6 +142,8 @@
                             0,
                             0,
                             0,
+                            0,
+                            0,
                             LoadCounts.NONE,
                             PartEvidence.NONE,
                             List.of(),
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RestoredLogKnowledgeTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RestoredLogKnowledgeTest.java
@@ -1,6 +1,7 @@
 package org.banyanstair.forwarding;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import org.banyanstair.model.HostIdentity;
 import org.banyanstair.peer.PeerMessage;
 import org.banyanstair.peer.RelayedRecord;
+import org.banyanstair.teams.TeamTable;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -59,7 +61,8 @@
                         offset + 1,
                         Optional.empty(),
                         Optional.empty(),
-                        0)));
+                        0,
+                        Optional.empty())));
     }
 
     /** An earlier release, or a host that has not noticed the restore, relays what it read in the ended era. */
@@ -96,38 +99,117 @@
         assertFalse(leases.fencingToken(runner, fixture.now()).isEmpty());
     }
 
-    /** A host that restarts, or was cut off, can learn the version in force from no one until it is written again. */
+    /** A host that restarts, or was cut off, can learn the version in force from its peers only. */
     @Test
     void versionThatARestoreHasLostIsToldToHostsThatHaveNotReadIt() {
-        byte[] older = {1};
-        byte[] newer = {2};
-        TopicConsumer informed = consumer(entry(newer, 0, 8), 9);
-        informed.beginEra(1, fixture.now(), fixture.now());
-        informed.tick(fixture.now());
-        informed.applyRead(read(entry(older, 1, 5), 6), fixture.now());
-        TopicConsumer restarted = consumer(entry(older, 1, 5), 6);
-        List<TopicRecord> told = informed.recordsFrom(restarted.end().orFirst());
-        assertEquals(1, told.size());
-    }
-
-    private TopicConsumer consumer(TopicRecord entry, long end) {
-        TopicConsumer consumer = new TopicConsumer(Topic.CONFIGURATION, Duration.ofSeconds(3), Duration.ZERO);
-        consumer.tick(fixture.now());
-        consumer.applyRead(read(entry, end), fixture.now());
-        return consumer;
-    }
-
-    private ForwardingEvent.TopicRead read(TopicRecord entry, long end) {
-        return new ForwardingEvent.TopicRead(
-                Topic.CONFIGURATION,
-                fixture.now(),
-                true,
-                List.of(entry),
-                new LogPosition(entry.position().era(), end));
-    }
-
-    private static TopicRecord entry(byte[] value, long era, long offset) {
-        return new TopicRecord("config", Optional.of(value), new LogPosition(era, offset));
+        ReducerFixture restarted = new ReducerFixture(PEER.host());
+        fixture.configure(2, ReducerFixture.route("/new/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+        Map<String, DecodedRecord> copy = Map.of("config", configuration(1, "/look/"));
+        fixture.restore(Topic.CONFIGURATION, copy);
+        restarted.restore(Topic.CONFIGURATION, copy);
+        restarted.define("config", new LogPosition(0, 2), configuration(2, "/new/"));
+        assertEquals(1, version(restarted));
+
+        exchangeStates(restarted);
+        assertEquals(2, version(restarted));
+        assertTrue(requestsAfterStates(restarted).isEmpty(), "what is known is asked for again");
+
+        ReducerFixture later = new ReducerFixture(new HostId("host-3"));
+        later.restore(Topic.CONFIGURATION, copy);
+        later.define("config", new LogPosition(0, 2), configuration(2, "/new/"));
+        exchangeStates(restarted, later);
+        assertEquals(2, version(later));
+
+        fixture.publish(Topic.CONFIGURATION, "config", configuration(2, "/new/"));
+        assertEquals(LogPosition.startOf(0), state(fixture).lostEndPosition());
+    }
+
+    @Test
+    void versionThatTheFirstOfTwoRestoresHasLostIsToldToHostsThatHaveNotReadIt() {
+        ReducerFixture restarted = new ReducerFixture(PEER.host());
+        fixture.configure(2, ReducerFixture.route("/new/", ReducerFixture.PLAIN_SERVICE, false, true, false));
+        fixture.restore(Topic.CONFIGURATION, Map.of("config", configuration(1, "/look/")));
+        fixture.restore(Topic.CONFIGURATION, Map.of());
+        restarted.restore(Topic.CONFIGURATION, Map.of());
+        restarted.restore(Topic.CONFIGURATION, Map.of("config", configuration(1, "/look/")));
+        restarted.define("config", new LogPosition(1, 2), configuration(2, "/new/"));
+        exchangeStates(restarted);
+        assertEquals(2, version(restarted));
+    }
+
+    /** An adapter's version is lost like that of the configuration. */
+    @Test
+    void adapterVersionThatARestoreHasLostIsToldToHostsThatHaveNotReadIt() {
+        DecodedRecord second = new DecodedRecord.AdapterVersionPublished(ReducerFixture.ADAPTER, 2);
+        ReducerFixture restarted = new ReducerFixture(PEER.host());
+        fixture.publish(Topic.CONFIGURATION, "version/a1", second);
+        Map<String, DecodedRecord> copy = Map.of("config", configuration(1, "/look/"));
+        fixture.restore(Topic.CONFIGURATION, copy);
+        restarted.restore(Topic.CONFIGURATION, copy);
+        restarted.define("version/a1", new LogPosition(0, 2), second);
+        List<ForwardingEffect> effects = exchangeStates(restarted);
+        assertTrue(
+                ReducerFixture.only(effects, ForwardingEffect.Log.class).stream()
+                        .anyMatch(log -> log.decision().kind().equals("adapter-version")),
+                effects.toString());
+    }
+
+    private static DecodedRecord configuration(long version, String path) {
+        return new DecodedRecord.ConfigurationPublished(new ForwardingConfiguration(
+                version,
+                List.of(ReducerFixture.route(path, ReducerFixture.PLAIN_SERVICE, false, true, false)),
+                List.of(new ServiceDefinition(ReducerFixture.PLAIN_SERVICE, Optional.empty())),
+                RequestLimits.DEFAULT,
+                TeamTable.NONE));
+    }
+
+    private static long version(ReducerFixture host) {
+        return host.reducer().status(host.now()).configurationVersion();
+    }
+
+    private static PeerMessage.HostState state(ReducerFixture host) {
+        HostIdentity peer = new HostIdentity(new HostId("host-9"), 1);
+        return ReducerFixture.only(
+                        host.apply(new ForwardingEvent.PeerConnected(peer)), ForwardingEffect.SendToPeer.class)
+                .stream()
+                .map(ForwardingEffect.SendToPeer::message)
+                .filter(PeerMessage.HostState.class::isInstance)
+                .map(PeerMessage.HostState.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private List<ForwardingEffect> exchangeStates(ReducerFixture uninformed) {
+        return exchangeStates(fixture, uninformed);
+    }
+
+    /** Tells a host the state of another and delivers what it asks for; returns what that causes. */
+    private static List<ForwardingEffect> exchangeStates(ReducerFixture informed, ReducerFixture uninformed) {
+        List<ForwardingEffect> effects = new ArrayList<>();
+        for (PeerMessage.RecordsRequest request : requests(informed, uninformed)) {
+            List<ForwardingEffect> replies =
+                    informed.apply(new ForwardingEvent.PeerMessageReceived(uninformed.identity(), request));
+            ReducerFixture.only(replies, ForwardingEffect.SendToPeer.class)
+                    .forEach(reply -> effects.addAll(uninformed.apply(
+                            new ForwardingEvent.PeerMessageReceived(informed.identity(), reply.message()))));
+        }
+        return effects;
+    }
+
+    private List<PeerMessage.RecordsRequest> requestsAfterStates(ReducerFixture host) {
+        host.pass(Duration.ofSeconds(1));
+        return requests(fixture, host);
+    }
+
+    private static List<PeerMessage.RecordsRequest> requests(ReducerFixture informed, ReducerFixture uninformed) {
+        List<ForwardingEffect> effects =
+                uninformed.apply(new ForwardingEvent.PeerMessageReceived(informed.identity(), state(informed)));
+        return ReducerFixture.only(effects, ForwardingEffect.SendToPeer.class).stream()
+                .map(ForwardingEffect.SendToPeer::message)
+                .filter(PeerMessage.RecordsRequest.class::isInstance)
+                .map(PeerMessage.RecordsRequest.class::cast)
+                .filter(request -> request.topic() == Topic.CONFIGURATION)
+                .toList();
     }
 
     /** The claim of a runner that has just started waits as long as one that takes a runner over. */
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RunnerStateUpdateTest.java
@@ -83,6 +83,8 @@
                         0,
                         0,
                         0,
+                        0,
+                        0,
                         LoadCounts.NONE,
                         PartEvidence.NONE,
                         List.of(),
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -16,6 +16,7 @@
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.LostReport;
 import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.PartEvidence;
 import org.banyanstair.peer.PeerBroadcast;
@@ -135,6 +136,8 @@
         long configurationEra = 0;
         long endpointsOffset = 0;
         long endpointsEra = 0;
+        long lostEnd = 0;
+        long lostEra = 0;
         LoadCounts loads = LoadCounts.NONE;
         PartEvidence parts = PartEvidence.NONE;
         List<ReportedRequest> requests = List.of();
@@ -171,6 +174,12 @@
                 case "endpointsEra" -> {
                     endpointsEra = in.unpackLong();
                 }
+                case "lostEnd" -> {
+                    lostEnd = in.unpackLong();
+                }
+                case "lostEra" -> {
+                    lostEra = in.unpackLong();
+                }
                 case "loads" -> {
                     loads = values.readLoadCounts();
                 }
@@ -197,6 +206,8 @@
                 configurationEra,
                 endpointsOffset,
                 endpointsEra,
+                lostEnd,
+                lostEra,
                 loads,
                 parts,
                 requests,
@@ -416,6 +427,7 @@
         Optional<Long> outageAgeMilliseconds = Optional.empty();
         Optional<Long> askedAtMilliseconds = Optional.empty();
         long ageMilliseconds = 0;
+        Optional<LostReport> lost = Optional.empty();
         for (int field = 0; field < fields; field++) {
             switch (values.readString()) {
                 case "topic" -> {
@@ -442,6 +454,9 @@
                 case "ageMilliseconds" -> {
                     ageMilliseconds = in.unpackLong();
                 }
+                case "lost" -> {
+                    lost = in.tryUnpackNil() ? Optional.empty() : Optional.of(values.readLostReport());
+                }
                 default -> in.skipValue();
             }
         }
@@ -453,7 +468,8 @@
                 end,
                 outageAgeMilliseconds,
                 askedAtMilliseconds,
-                ageMilliseconds);
+                ageMilliseconds,
+                lost);
     }
 
     private PeerMessage readCrashReport(int fields) throws IOException {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -11,6 +11,7 @@
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.LostReport;
 import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.ObservedPart;
 import org.banyanstair.peer.PartEvidence;
@@ -86,16 +87,18 @@
             begin(
                     "HostState",
                     9
-                            + eraFields(state.logEra())
+                            + fieldsUnlessZero(state.logEra())
                             + (state.logEraSettled() ? 1 : 0)
                             + (state.logEraRestored() ? 1 : 0)
-                            + eraFields(state.configurationEra())
-                            + eraFields(state.endpointsEra()));
+                            + fieldsUnlessZero(state.configurationEra())
+                            + fieldsUnlessZero(state.endpointsEra())
+                            + fieldsUnlessZero(state.lostEnd())
+                            + fieldsUnlessZero(state.lostEra()));
             out.packString("announcement");
             write(state.announcement());
             field("leaving", state.leaving());
             field("reachesLog", state.reachesLog());
-            eraField("logEra", state.logEra());
+            fieldUnlessZero("logEra", state.logEra());
             if (state.logEraSettled()) {
                 field("logEraSettled", true);
             }
@@ -103,9 +106,11 @@
                 field("logEraRestored", true);
             }
             field("configurationOffset", state.configurationOffset());
-            eraField("configurationEra", state.configurationEra());
+            fieldUnlessZero("configurationEra", state.configurationEra());
             field("endpointsOffset", state.endpointsOffset());
-            eraField("endpointsEra", state.endpointsEra());
+            fieldUnlessZero("endpointsEra", state.endpointsEra());
+            fieldUnlessZero("lostEnd", state.lostEnd());
+            fieldUnlessZero("lostEra", state.lostEra());
             out.packString("loads");
             write(state.loads());
             out.packString("parts");
@@ -173,21 +178,27 @@
 
     private void writeRecordsMessage(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.RecordsRequest request) {
-            begin("RecordsRequest", 3 + eraFields(request.era()));
+            begin("RecordsRequest", 3 + fieldsUnlessZero(request.era()));
             field("topic", request.topic().name());
             field("offset", request.offset());
-            eraField("era", request.era());
+            fieldUnlessZero("era", request.era());
             field("askedAtMilliseconds", request.askedAtMilliseconds());
         } else if (message instanceof PeerMessage.RecordsReply reply) {
-            begin("RecordsReply", 7 + eraFields(reply.era()));
+            begin(
+                    "RecordsReply",
+                    7 + fieldsUnlessZero(reply.era()) + (reply.lost().isPresent() ? 1 : 0));
             field("topic", reply.topic().name());
             field("offset", reply.offset());
-            eraField("era", reply.era());
+            fieldUnlessZero("era", reply.era());
             field("records", reply.records(), this::write);
             field("end", reply.end());
             field("outageAgeMilliseconds", reply.outageAgeMilliseconds());
             field("askedAtMilliseconds", reply.askedAtMilliseconds());
             field("ageMilliseconds", reply.ageMilliseconds());
+            if (reply.lost().isPresent()) {
+                out.packString("lost");
+                write(reply.lost().get());
+            }
         } else {
             throw new IllegalArgumentException(message.getClass().getSimpleName());
         }
@@ -199,14 +210,14 @@
         field("type", type);
     }
 
-    /** Returns the number of fields for an era; a log that names none has none. */
-    private static int eraFields(long era) {
-        return era == 0 ? 0 : 1;
+    /** Returns the number of fields for a value that is left out if it is 0. */
+    private static int fieldsUnlessZero(long value) {
+        return value == 0 ? 0 : 1;
     }
 
-    private void eraField(String name, long era) throws IOException {
-        if (era != 0) {
-            field(name, era);
+    private void fieldUnlessZero(String name, long value) throws IOException {
+        if (value != 0) {
+            field(name, value);
         }
     }
 
@@ -246,6 +257,13 @@
         }
     }
 
+    private void write(LostReport report) throws IOException {
+        out.packMapHeader(3);
+        field("era", report.era());
+        field("end", report.end());
+        field("records", report.records(), this::write);
+    }
+
     private void write(PeerBroadcast broadcast) throws IOException {
         out.packMapHeader(3);
         out.packString("origin");
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -17,6 +17,7 @@
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.LostReport;
 import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.ObservedPart;
 import org.banyanstair.peer.PartEvidence;
@@ -106,6 +107,28 @@
         return new HostIdentity(new HostId(required(host)), incarnation);
     }
 
+    LostReport readLostReport() throws IOException {
+        long era = 0;
+        long end = 0;
+        List<RelayedRecord> records = List.of();
+        int fields = in.unpackMapHeader();
+        for (int field = 0; field < fields; field++) {
+            switch (readString()) {
+                case "era" -> {
+                    era = in.unpackLong();
+                }
+                case "end" -> {
+                    end = in.unpackLong();
+                }
+                case "records" -> {
+                    records = readList(this::readRelayedRecord);
+                }
+                default -> in.skipValue();
+            }
+        }
+        return new LostReport(era, end, records);
+    }
+
     RelayedRecord readRelayedRecord() throws IOException {
         String key = null;
         byte[] value = null;
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -21,6 +21,7 @@
 import org.banyanstair.peer.EndpointUsage;
 import org.banyanstair.peer.HeldAdapter;
 import org.banyanstair.peer.LoadCounts;
+import org.banyanstair.peer.LostReport;
 import org.banyanstair.peer.NewsOrder;
 import org.banyanstair.peer.ObservedPart;
 import org.banyanstair.peer.PartEvidence;
@@ -67,6 +68,8 @@
             0,
             70_000,
             3,
+            80,
+            2,
             new LoadCounts(300, 2),
             new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))),
             List.of(new ReportedRequest(-3L, true, List.of(new ReportedCrash(ENDPOINT, 5, 1_200, true)))),
@@ -143,7 +146,8 @@
                     5,
                     age,
                     age,
-                    17);
+                    17,
+                    age.map(value -> new LostReport(3, 9, List.of(new RelayedRecord("c", new byte[2], false, 8)))));
             assertArrayEquals(mapped(message), FrameCodec.encode(message));
             assertArrayEquals(
                     mapped(message), mapped(FrameCodec.decode(mapped(message)).orElseThrow()));
