Count the time to register again from the end of an outage

Cause: an entry that is missed within 3 s after an outage may have lapsed in it, and its endpoint stays in use for the 2 s in which it would register again; these were counted from when the host read the removal instead of from the end of the outage, so up to 5 s after it.

Change: the endpoint stays in use until 2 s after the outage, and not at all if the removal is read later.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -634,15 +634,23 @@
     private void remove(String key, Listener listener) {
         for (EndpointState endpoint : endpoints.values()) {
             if (endpoint.id().value().equals(key) && endpoint.removeAt().equals(Instant.MAX)) {
-                boolean mayHaveLapsed = consumers.get(Topic.ENDPOINTS).isRecovering(context.now());
-                endpoint.setRemoveAt(mayHaveLapsed ? context.now().plus(REREGISTRATION_PERIOD) : context.now());
-                context.log(
-                        DecisionRecord.important("endpoint-removed", "endpoint", key, "after-outage", mayHaveLapsed));
+                Optional<Duration> outageAge = consumers.get(Topic.ENDPOINTS).outageAge(context.now());
+                endpoint.setRemoveAt(context.now().plus(remainingReregistrationTime(outageAge)));
+                context.log(DecisionRecord.important(
+                        "endpoint-removed", "endpoint", key, "after-outage", outageAge.isPresent()));
                 listener.endpointRemoved(endpoint);
             }
         }
     }
 
+    /** Returns the time in which an endpoint whose entry lapsed in an outage may still register again. */
+    private static Duration remainingReregistrationTime(Optional<Duration> outageAge) {
+        return outageAge
+                .filter(age -> age.compareTo(REREGISTRATION_PERIOD) < 0)
+                .map(REREGISTRATION_PERIOD::minus)
+                .orElse(Duration.ZERO);
+    }
+
     private void rebuildIndexes() {
         byService.clear();
         endpoints.values().forEach(endpoint -> byService
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/RelayedOutageTest.java
@@ -120,6 +120,18 @@
         assertEquals(Optional.empty(), selectedEndpoint(partitioned), "the entries cannot have lapsed");
     }
 
+    /** Endpoints register again within two seconds of the outage, not of the time at which their entry is missed. */
+    @Test
+    void endpointRemovedSomeTimeAfterAnOutageIsNotUsedLongerThanItMayTakeToRegisterAgain() {
+        interruptLog(first);
+        first.pass(Duration.ofMillis(1500));
+        first.removed(Topic.ENDPOINTS, "desk-1");
+        first.removed(Topic.ENDPOINTS, "desk-2");
+        assertTrue(selectedEndpoint(first).isPresent(), "the entries may have lapsed in the outage");
+        first.pass(Duration.ofMillis(520));
+        assertEquals(Optional.empty(), selectedEndpoint(first), "the endpoints have not registered again in time");
+    }
+
     /**
      * Endpoints register again within two seconds of an outage, which a polling host does not notice by its own reads.
      */
