Take no reset connection for the crash of an endpoint

Cause: a connection that is accepted and reset before the event loop has noticed that it is open fails as a connection attempt (shown by the pool test). The pool reported that like a refused one, and CrashDetector took either, and a time-out too, as proof that the attempts which had broken off there met a crash.

Change: the pool tells a refused connection from others; NotRun has the cause REFUSED for it, and only that confirms a crash at once. After any other failure the endpoint is checked if attempts ended there lately, and once the interval of checks is over if it was checked just before; until now that check was left out. Restarts, lapsed entries and reports of peers confirm as before. The simulated fleet's runners that are down refuse connections, as their checks did already.

A confirmed crash is not withdrawn when the endpoint's entry contradicts it: a restored log may bring back an older entry of the same start, so that is not simple.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -38,7 +38,9 @@
 
     /** Why a request is known not to have run. */
     enum NotRunCause {
-        /** No connection could be opened, so no byte was sent. */
+        /** No process listens at the address, so no byte was sent. */
+        REFUSED,
+        /** A connection was reset or timed out before it was open, so no byte was sent; a process may be listening. */
         NOT_CONNECTED,
         /** The deadline passed before a connection was open, so no byte was sent. */
         EXPIRED,
@@ -47,7 +49,12 @@
         /** The endpoint answered that it is at capacity. */
         FULL,
         /** Another process has the address, or the runner lacks the adapter version. */
-        NOT_HERE
+        NOT_HERE;
+
+        /** Returns whether the endpoint has received the request. */
+        boolean reachedEndpoint() {
+            return this == FULL || this == NOT_HERE;
+        }
     }
 
     /** Cause of the end of an attempt whose request may have run. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/CrashDetector.java
@@ -139,16 +139,21 @@
                 now.plus(CONFIRMATION_LIMIT)));
     }
 
-    /** Checks at once whether the endpoint is gone, since without further requests that would be known late. */
-    private void check(EndpointState endpoint) {
+    /**
+     * Checks whether the endpoint is gone, since without further requests that would be known late. Returns whether the
+     * check begins at once; it does not shortly after another.
+     */
+    private boolean check(EndpointState endpoint) {
         Instant now = context.now();
         nextChecks.values().removeIf(next -> !now.isBefore(next));
-        if (nextChecks.putIfAbsent(endpoint.id(), now.plus(CHECK_INTERVAL)) == null) {
+        boolean isDue = nextChecks.putIfAbsent(endpoint.id(), now.plus(CHECK_INTERVAL)) == null;
+        if (isDue) {
             context.emit(new ForwardingEffect.CheckConnection(
                     endpoint.id(),
                     endpoint.listing().address(),
                     endpoint.listing().started()));
         }
+        return isDue;
     }
 
     void connectionRefused(ForwardingEvent.ConnectionRefused event) {
@@ -157,14 +162,22 @@
     }
 
     /**
-     * Records a crash for the attempts that broke off lately on an endpoint to which no connection can be opened. For
-     * others a check tells whether it refuses connections, since the path to it may be cut.
+     * Records a crash for the attempts that broke off lately on an endpoint that refused a connection for another one,
+     * and checks it for those that ended otherwise.
      */
-    void endpointUnreachable(EndpointState endpoint) {
+    void attemptRefused(EndpointState endpoint) {
         confirm(suspicion ->
                 suspicion.endpoint().equals(endpoint.id()) && suspicion.ending() == CrashSuspicion.Ending.BROKEN);
-        if (suspicions.stream().anyMatch(suspicion -> suspicion.endpoint().equals(endpoint.id()))) {
-            check(endpoint);
+        endpointUnreachable(endpoint);
+    }
+
+    /**
+     * Checks an endpoint to which a connection failed, if attempts ended there lately. A process that runs may reset
+     * connections, and the path to it may be cut.
+     */
+    void endpointUnreachable(EndpointState endpoint) {
+        if (suspicions.stream().anyMatch(suspicion -> suspicion.endpoint().equals(endpoint.id())) && !check(endpoint)) {
+            delayedChecks.add(new DelayedCheck(endpoint, nextChecks.get(endpoint.id())));
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -634,7 +634,10 @@
             refuseOrFail(inFlight, RefusalReason.DEADLINE_PASSED, 0);
             return;
         }
-        if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
+        if (cause == AttemptResult.NotRunCause.REFUSED) {
+            endpoint.connectionFailed(context.now());
+            crashDetector.attemptRefused(endpoint);
+        } else if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
             crashDetector.endpointUnreachable(endpoint);
         } else if (cause == AttemptResult.NotRunCause.FULL || cause == AttemptResult.NotRunCause.BACKLOG) {
@@ -647,9 +650,7 @@
                             () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
         }
         inFlight.tried.remove(endpoint.id());
-        boolean reachedEndpoint =
-                cause != AttemptResult.NotRunCause.NOT_CONNECTED && cause != AttemptResult.NotRunCause.BACKLOG;
-        if (reachedEndpoint
+        if (cause.reachedEndpoint()
                 && (++inFlight.rejections > MAXIMUM_REJECTIONS || !retryBudgets.tryAcquire(inFlight, context.now()))) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
         } else {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FleetSimulation.java
@@ -383,9 +383,7 @@
         Attempt attempt = new Attempt(host, send.exchange(), send.attempt());
         Runner runner = runners.get(send.endpoint());
         if (runner.down) {
-            schedule(
-                    Duration.ZERO,
-                    () -> end(attempt, new AttemptResult.NotRun(AttemptResult.NotRunCause.NOT_CONNECTED)));
+            schedule(Duration.ZERO, () -> end(attempt, new AttemptResult.NotRun(AttemptResult.NotRunCause.REFUSED)));
             return;
         }
         ForwardRequest request = requests.get(new ExchangeKey(host, send.exchange()));
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -465,6 +465,11 @@
             }
         }
 
+        @Override
+        public void onConnectionRefused() {
+            finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.REFUSED));
+        }
+
         private void abort(ResponseFault fault) {
             forwarder.connections().reportRejected(send.address(), fault);
             abort(fault.cause());
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -46,10 +46,15 @@
         return finished;
     }
 
-    void connectFailed() {
+    /** Ends the call without a connection. */
+    void connectFailed(boolean refused) {
         if (!finished) {
             finished = true;
-            listener.onFailure(false);
+            if (refused) {
+                listener.onConnectionRefused();
+            } else {
+                listener.onFailure(false);
+            }
         }
     }
 
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -130,7 +130,7 @@
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
                 request.release();
-                call.connectFailed();
+                call.connectFailed(isRefusal(future.cause()));
             } else if (call.isFinished()) {
                 request.release();
                 connecting.channel().close();
@@ -161,13 +161,17 @@
                 .addListener((ChannelFuture connecting) -> {
                     if (connecting.isSuccess()) {
                         connecting.channel().close();
-                    } else if (connecting.cause() instanceof ConnectException
-                            && !(connecting.cause() instanceof ConnectTimeoutException)) {
+                    } else if (isRefusal(connecting.cause())) {
                         refused.run();
                     }
                 });
     }
 
+    /** A connection that was accepted and reset before its opening was noticed fails with another exception. */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     private EndpointConnection takeIdle(NetworkAddress address) {
         Deque<EndpointConnection> candidates = idle.get(address);
         while (candidates != null && !candidates.isEmpty()) {
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
@@ -50,6 +50,11 @@
      */
     void onFailure(boolean mayHaveRun);
 
+    /** Called instead of {@link #onFailure} if the address refused the connection, as when no process listens there. */
+    default void onConnectionRefused() {
+        onFailure(false);
+    }
+
     /** Called when the endpoint sent an invalid response. The request may have run. */
     void onRejected(ResponseFault fault);
 }
--- a/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
+++ b/banyanstair-forwarder/src/test/java/org/banyanstair/forwarder/internal/EndpointConnectionPoolTest.java
@@ -31,6 +31,8 @@
     /** Shorter than the time for which an idle connection is kept. */
     private static final long CLOSE_NOTICE_MILLISECONDS = 500;
 
+    private static final int ACCEPT_TIMEOUT_MILLISECONDS = 2_000;
+
     /** More than fits into the buffers of the sockets. */
     private static final int BODY_BYTES = 8 << 20;
 
@@ -176,6 +178,50 @@
         assertEquals(2, connections.openedTotal());
     }
 
+    /** Tells why no connection was opened. */
+    private static final class OpeningListener extends SlowListener {
+        @Override
+        public void onFailure(boolean mayHaveRun) {
+            outcome.complete(mayHaveRun ? "sent" : "reset");
+        }
+
+        @Override
+        public void onConnectionRefused() {
+            outcome.complete("refused");
+        }
+    }
+
+    /** Guards against an endpoint that is taken for gone because it reset a connection that it had accepted. */
+    @Test
+    void connectionThatIsResetBeforeItIsUsedIsNotRefused() throws Exception {
+        try (ServerSocket resetting = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))) {
+            OpeningListener listener = new OpeningListener();
+            resetting.setSoTimeout(ACCEPT_TIMEOUT_MILLISECONDS);
+            loop.execute(() -> {
+                connections.send(
+                        new NetworkAddress("127.0.0.1", resetting.getLocalPort()),
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                        listener);
+                // Runs after the connection was requested and before its opening is noticed.
+                loop.submit(() -> {
+                    Socket accepted = resetting.accept();
+                    accepted.setSoLinger(true, 0);
+                    accepted.close();
+                    return null;
+                });
+            });
+            assertEquals("reset", listener.outcome.get(3, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void connectionToClosedPortIsRefused() throws Exception {
+        server.close();
+        OpeningListener listener = new OpeningListener();
+        loop.execute(() -> send(listener));
+        assertEquals("refused", listener.outcome.get(3, TimeUnit.SECONDS));
+    }
+
     /** Guards against an endpoint that does not read and is sent one request after another. */
     @Test
     void endpointThatDoesNotReadIsBackloggedUntilItHasRead() throws Exception {
