Resume streams only at the process of the endpoint's entry

Cause: without a refused connection nothing told the host that the process was another one; the version was taken from the entry.

Change: a connection leads to one process for as long as it lives. A request that is bound to a version (a caller's resumption or the host's own within one answer) names the start of the only process that may run it (Send.started), and is sent only on a connection that leads to it. One that has not been asked yet is asked for the start of its process first (ProcessCheckedCall); the result stays with the connection. Another process: the request has not been sent (OTHER_PROCESS), the version is uncertain for 10 s or until the new entry is read, log kind endpoint-replaced. No answer in 0.5 s, a 5xx or a lost new connection counts as a failed connection; a reused one that ends is replaced by another. Endpoints whose answer or entry has no start are used as before. Requests that begin streams ask nothing.

The answer to the question names no request, so a late copy of it is skipped on such a connection, and could be taken for the answer to an ordering probe: on such a connection no probe is sent, rejections that name no request break the attempt, and no second attempt of a request uses it.

If the new entry is read between a request and its first event, either process may have written it: the version of the stream is now uncertain.

Excluded: comparing the start with the time of sending, since the host's clock starts anywhere; a question beside each first request (a probe for each connection).

StreamVersionsTest #streamIsNotResumedIfItsEndpointRestartedBeforeTheFirstEvent failed before at line 317 ("old-3" instead of none).

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/AttemptResult.java
@@ -44,10 +44,17 @@
         EXPIRED,
         /** The endpoint has not read what this host has sent it before, so no byte was sent. */
         BACKLOG,
+        /** The connection leads to another process than the one that may run it, so the request was not sent. */
+        OTHER_PROCESS,
         /** The endpoint answered that it is at capacity. */
         FULL,
         /** Another process has the address, or the runner lacks the adapter version. */
-        NOT_HERE
+        NOT_HERE;
+
+        /** Returns whether the endpoint received the request. */
+        boolean reachesEndpoint() {
+            return this == FULL || this == NOT_HERE;
+        }
     }
 
     /** Cause of the end of an attempt whose request may have run. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointListing.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.banyanstair.model.EndpointId;
@@ -17,7 +18,8 @@
  * @param draining whether the endpoint is shutting down
  * @param terminatesAt when the process ends even if requests are running, on the local steady clock; empty if not
  *     announced
- * @param started start time of the process in milliseconds since 1970; a different value means that its state was lost
+ * @param started start time of the process in milliseconds since 1970, 0 if unknown; a different value means that its
+ *     state was lost
  * @param baseModels base models that it held when the entry was written
  * @param adapters adapters that it held when the entry was written
  * @param commandSequence number of commands that it had accepted when the entry was written
@@ -42,6 +44,11 @@
         adapters = List.copyOf(adapters);
     }
 
+    /** Returns the start of the process, by which a connection to it is told from one to another process. */
+    OptionalLong knownStart() {
+        return started == 0 ? OptionalLong.empty() : OptionalLong.of(started);
+    }
+
     /**
      * Returns what is known after the entry was read from a restored log, where it may be older than this one: that of
      * the later process, and a process that leaves goes on leaving.
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -36,6 +36,9 @@
     /** Time after the last refused connection within which the entry of a new process is read. */
     private static final Duration VERSION_UNCERTAIN_TIME = Duration.ofSeconds(2);
 
+    /** Time for which the version stays uncertain after another process was found, if no new entry is read. */
+    private static final Duration REPLACED_TIME = Duration.ofSeconds(10);
+
     /** Time by which the expected end of a late load is postponed. */
     private static final Duration LATE_LOAD_EXTENSION = Duration.ofMillis(150);
 
@@ -239,7 +242,13 @@
      * entry is read.
      */
     void processGone(Instant now) {
-        versionUncertainUntil = now.plus(VERSION_UNCERTAIN_TIME);
+        Instant end = now.plus(VERSION_UNCERTAIN_TIME);
+        versionUncertainUntil = end.isAfter(versionUncertainUntil) ? end : versionUncertainUntil;
+    }
+
+    /** Records that a connection led to another process than that of the registry entry. */
+    void processReplaced(Instant now) {
+        versionUncertainUntil = now.plus(REPLACED_TIME);
     }
 
     /** Returns the version of the process that is reached now, as far as it is known. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingEffect.java
@@ -32,6 +32,8 @@
      * @param team team of the request; empty in a deployment without teams or on an open route
      * @param adapterVersion version that the runner must have; empty without an adapter
      * @param resumeAfter id of the event after which a stream is resumed
+     * @param started start of the only process of the endpoint that may run the request, in milliseconds since 1970;
+     *     empty if any process of the endpoint may
      */
     record Send(
             long exchange,
@@ -43,7 +45,8 @@
             int rank,
             Optional<TeamName> team,
             OptionalLong adapterVersion,
-            Optional<Long> resumeAfter)
+            Optional<Long> resumeAfter,
+            OptionalLong started)
             implements ForwardingEffect {}
 
     /** Delivers the answer of the current attempt to the caller. */
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -99,6 +99,13 @@
                         && version.get().equals(endpoint.softwareVersion(now));
     }
 
+    /** Returns the version of the process that writes the first output of the current attempt. */
+    SoftwareVersion versionOfOutput() {
+        boolean sameVersion = endpoint.orElseThrow().listing().softwareVersion().equals(sentVersion);
+        boolean knownProcess = version.isPresent() || !endpoint.get().mayPrecedeRestart(sentAt);
+        return sameVersion || knownProcess ? sentVersion : SoftwareVersion.UNCERTAIN;
+    }
+
     /** Records that an attempt ended before the caller received an event, so that any version may begin the stream. */
     void releaseOwnVersion() {
         if (versionOfOwnAttempt) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -515,7 +515,8 @@
                 inFlight.rank(),
                 inFlight.team.map(Team::name),
                 slot == null || slot.version() == 0 ? OptionalLong.empty() : OptionalLong.of(slot.version()),
-                inFlight.lastEvent));
+                inFlight.lastEvent,
+                inFlight.version.isPresent() ? endpoint.listing().knownStart() : OptionalLong.empty()));
     }
 
     void firstOutput(long exchange, int attempt) {
@@ -530,8 +531,9 @@
         }
         if (inFlight.route.streaming() && inFlight.route.resumable()) {
             inFlight.versionOfOwnAttempt |= inFlight.version.isEmpty();
-            inFlight.version = Optional.of(inFlight.sentVersion);
-            streamVersions.began(inFlight, inFlight.sentVersion);
+            SoftwareVersion version = inFlight.versionOfOutput();
+            inFlight.version = Optional.of(version);
+            streamVersions.began(inFlight, version);
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
         if (inFlight.predictedMilliseconds > 0) {
@@ -637,6 +639,8 @@
         if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
             crashDetector.endpointUnreachable(endpoint);
+        } else if (cause == AttemptResult.NotRunCause.OTHER_PROCESS) {
+            processReplaced(inFlight, endpoint);
         } else if (cause == AttemptResult.NotRunCause.FULL || cause == AttemptResult.NotRunCause.BACKLOG) {
             endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
@@ -647,8 +651,7 @@
                             () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
         }
         inFlight.tried.remove(endpoint.id());
-        boolean reachedEndpoint =
-                cause != AttemptResult.NotRunCause.NOT_CONNECTED && cause != AttemptResult.NotRunCause.BACKLOG;
+        boolean reachedEndpoint = cause.reachesEndpoint();
         if (reachedEndpoint
                 && (++inFlight.rejections > MAXIMUM_REJECTIONS || !retryBudgets.tryAcquire(inFlight, context.now()))) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
@@ -657,6 +660,23 @@
         }
     }
 
+    private void processReplaced(InFlightRequest inFlight, EndpointState endpoint) {
+        if (endpoint.mayPrecedeRestart(inFlight.sentAt)) {
+            return;
+        }
+        endpoint.processReplaced(context.now());
+        context.log(DecisionRecord.important(
+                "endpoint-replaced",
+                "endpoint",
+                endpoint.id(),
+                "started",
+                endpoint.listing().started(),
+                "version",
+                endpoint.listing().softwareVersion(),
+                "request",
+                inFlight.request.id()));
+    }
+
     private void broken(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Broken result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/StreamVersions.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/StreamVersions.java
@@ -170,7 +170,7 @@
     /**
      * Records that an endpoint has begun to write a stream, or goes on with it.
      *
-     * @param version version of the endpoint when the request was sent to it
+     * @param version version of the process that writes it
      */
     void began(InFlightRequest inFlight, SoftwareVersion version) {
         RequestId first = inFlight.request.resumes().orElse(inFlight.request.id());
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/StreamVersionsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.banyanstair.external.Topic;
 import org.banyanstair.history.LogPosition;
@@ -270,6 +271,52 @@
         }
     }
 
+    private static ForwardingEffect.Send send(List<ForwardingEffect> effects) {
+        return ReducerFixture.only(effects, ForwardingEffect.Send.class).get(0);
+    }
+
+    @Test
+    void onlyRequestsThatResumeNameTheProcess() {
+        ForwardRequest request = fixture.request(PATH, Optional.empty(), PATIENCE);
+        assertEquals(OptionalLong.empty(), send(arrive(request)).started());
+        fixture.apply(new ForwardingEvent.FirstOutput(request.exchange(), 1));
+        assertEquals(OptionalLong.of(1), send(breakOff(request, true)).started());
+        assertEquals(
+                OptionalLong.of(1),
+                send(arrive(fixture.resuming(request.id(), PATH, PATIENCE))).started());
+    }
+
+    @Test
+    void streamGoesElsewhereIfAConnectionLeadsToAnotherProcess() {
+        ForwardRequest request = begin();
+        addNewVersion();
+        ForwardRequest resuming = fixture.resuming(request.id(), PATH, PATIENCE);
+        ForwardingEffect.Send first = send(arrive(resuming));
+        List<ForwardingEffect> effects = fixture.apply(new ForwardingEvent.AttemptEnded(
+                resuming.exchange(), 1, new AttemptResult.NotRun(AttemptResult.NotRunCause.OTHER_PROCESS)));
+        String other = first.endpoint().value().equals("old-1") ? "old-2" : "old-1";
+        assertEquals(Optional.of(other), sentTo(effects));
+        fixture.passWithoutReads(Duration.ofSeconds(4));
+        for (int number = 0; number < 8; number++) {
+            assertEquals(Optional.of(other), sentTo(arrive(fixture.resuming(request.id(), PATH, PATIENCE))));
+        }
+    }
+
+    /** Either process may have written the first event. */
+    @Test
+    void streamIsNotResumedIfItsEndpointRestartedBeforeTheFirstEvent() {
+        fixture.removed(Topic.ENDPOINTS, "old-2");
+        ForwardRequest request = fixture.request(PATH, Optional.empty(), PATIENCE);
+        assertEquals(Optional.of("old-1"), sentTo(arrive(request)));
+        fixture.passWithoutReads(Duration.ofMillis(20));
+        fixture.endpointOf(NEW, "old-1", false, 2);
+        fixture.endpointOf(OLD, "old-3", false, 1);
+        fixture.apply(new ForwardingEvent.FirstOutput(request.exchange(), 1));
+        List<ForwardingEffect> effects = new ArrayList<>(breakOff(request, true));
+        effects.addAll(arrive(fixture.resuming(request.id(), PATH, PATIENCE)));
+        assertEquals(Optional.empty(), sentTo(effects));
+    }
+
     @Test
     void callerComesBackWhileTheVersionOfTheOnlyEndpointIsUncertain() {
         ForwardRequest request = begin();
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/EndpointProtocol.java
@@ -43,6 +43,16 @@
     /** Returns whether a response is that to an ordering probe. */
     boolean isProbeResponse(HttpResponse response);
 
+    /** Builds a request that asks an endpoint which of its processes has the connection. */
+    FullHttpRequest identityRequest(EndpointId endpoint, NetworkAddress address);
+
+    /**
+     * Reads which process answered an identity request.
+     *
+     * @param started start of the expected process, in milliseconds since 1970
+     */
+    ProcessIdentity identifyProcess(FullHttpResponse response, long started);
+
     /**
      * Reads what an endpoint says about itself in a response; empty if it says nothing, or another endpoint responded.
      *
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/CallerExchange.java
@@ -97,11 +97,30 @@
                     .execute(() -> attempt.finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.BACKLOG)));
             return;
         }
-        FullHttpRequest outgoing = endpoints().createRequest(request, send, forwarder.now());
-        attempt.call = forwarder.connections().send(send.address(), outgoing, attempt, usedConnections);
+        attempt.call = send.started().isPresent()
+                ? sendToProcess(send, send.started().getAsLong(), attempt)
+                : forwarder
+                        .connections()
+                        .send(
+                                send.address(),
+                                endpoints().createRequest(request, send, forwarder.now()),
+                                attempt,
+                                usedConnections);
         attempt.setReading(connection.isWritable());
     }
 
+    private EndpointCall sendToProcess(ForwardingEffect.Send send, long started, Attempt attempt) {
+        return new ProcessCheckedCall(
+                        forwarder.connections(),
+                        endpoints(),
+                        new ProcessCheckedCall.Target(send.endpoint(), send.address(), started),
+                        () -> endpoints().createRequest(request, send, forwarder.now()),
+                        attempt,
+                        usedConnections,
+                        () -> forwarder.metrics().timeRunnerCall("identify", forwarder::now, response -> {}))
+                .send();
+    }
+
     /** Sends the response of the completed attempt to the caller. */
     public void deliver() {
         Attempt attempt = current.orElseThrow();
@@ -245,6 +264,11 @@
             finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.EXPIRED));
         }
 
+        @Override
+        public void onOtherProcess() {
+            finishAttempt(new AttemptResult.NotRun(AttemptResult.NotRunCause.OTHER_PROCESS));
+        }
+
         @Override
         public void onHead(HttpResponse response) {
             identified = endpoints().identifiesRequest(response);
@@ -313,16 +337,19 @@
          * Classifies a response, and skips a rejection that may not be the response to this attempt: one that does not
          * name its request, or that repeats one of an earlier attempt. The response to a request that is sent after this
          * one on the same connection then shows whether the rejection was: if so, no other response to this attempt comes
-         * before it.
+         * before it. On a connection that was asked for its process, a late copy of that answer could be taken for it.
          */
         private ResponseKind resolve(HttpResponse response) {
+            if (call.isProcessChecked() && endpoints().isProbeResponse(response)) {
+                return ResponseKind.FOREIGN;
+            }
             if (ambiguousRejection.isPresent() && endpoints().isProbeResponse(response)) {
                 return ambiguousRejection.get();
             }
             ResponseKind received = endpoints().classify(response, requestId);
             boolean rejection = received == ResponseKind.FULL || received == ResponseKind.NOT_HERE;
             boolean unattributed = !identified && call.isConnectionReused();
-            if (rejection && (unattributed || call.isRepeated())) {
+            if (rejection && (unattributed || call.isRepeated()) && !call.isProcessChecked()) {
                 if (ambiguousRejection.isEmpty()) {
                     ambiguousRejection = Optional.of(received);
                     forwarder.connections().reportRejected(send.address(), ResponseFault.AMBIGUOUS);
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointCall.java
@@ -8,8 +8,10 @@
 /** An HTTP call in flight. Used on the event loop thread of its connection only. */
 public final class EndpointCall {
     private final ResponseListener listener;
-    private final boolean connectionReused;
+    private boolean connectionReused;
     private final boolean repeated;
+    private boolean processChecked;
+    private Optional<EndpointCall> check = Optional.empty();
     private Optional<Channel> channel = Optional.empty();
     private boolean autoRead = true;
     private boolean finished;
@@ -26,6 +28,31 @@
         this.repeated = repeated;
     }
 
+    /** Creates a call whose connection is not chosen yet. */
+    EndpointCall(ResponseListener listener) {
+        this(listener, false, false);
+    }
+
+    /** Records that the call is sent on a connection that has carried the question for its process. */
+    void useCheckedConnection() {
+        check = Optional.empty();
+        connectionReused = true;
+    }
+
+    /** Records the call that must succeed before this one is sent. */
+    void await(EndpointCall preceding) {
+        check = Optional.of(preceding);
+    }
+
+    /** Returns whether the connection has carried a question for its process, of which a late copy may arrive. */
+    boolean isProcessChecked() {
+        return processChecked;
+    }
+
+    void setProcessChecked(boolean checked) {
+        processChecked = checked;
+    }
+
     boolean isConnectionReused() {
         return connectionReused;
     }
@@ -59,6 +86,12 @@
         listener.onExpired();
     }
 
+    /** Ends the call without sending its request, because another process would run it. */
+    void refuseProcess() {
+        finished = true;
+        listener.onOtherProcess();
+    }
+
     void connectionLost() {
         if (!finished) {
             finished = true;
@@ -90,6 +123,7 @@
     public void cancel() {
         if (!finished) {
             finished = true;
+            check.ifPresent(EndpointCall::cancel);
             channel.ifPresent(Channel::close);
         }
     }
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnection.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -54,6 +55,8 @@
     private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE_TIMEOUT;
     private long idleSinceNanos;
     private boolean foreignResponseEnded;
+    private boolean processChecked;
+    private OptionalLong process = OptionalLong.empty();
     private ResponseOverhead overhead = new ResponseOverhead();
     private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
 
@@ -86,8 +89,32 @@
         return codec;
     }
 
+    /** Returns the start of the process at the other end, which never changes; empty if it has not been confirmed. */
+    OptionalLong process() {
+        return process;
+    }
+
+    boolean leadsTo(long started) {
+        return process.isPresent() && process.getAsLong() == started;
+    }
+
+    /** Records that the process at the other end is the one that started then. */
+    void confirmProcess(long started) {
+        process = OptionalLong.of(started);
+    }
+
+    boolean isProcessChecked() {
+        return processChecked;
+    }
+
+    /** Records that a request is sent whose response does not name its request. */
+    void markProcessChecked() {
+        processChecked = true;
+    }
+
     void start(EndpointCall newCall, FullHttpRequest request) {
         call = newCall;
+        newCall.setProcessChecked(processChecked);
         responseStarted = false;
         overhead = new ResponseOverhead();
         Channel used = channel.orElseThrow();
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/EndpointConnectionPool.java
@@ -6,9 +6,13 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -93,12 +97,32 @@
      */
     EndpointCall send(
             NetworkAddress address, FullHttpRequest request, ResponseListener listener, Set<EndpointConnection> used) {
-        EndpointConnection idleConnection = takeIdle(address);
-        if (idleConnection != null) {
-            EndpointCall call = new EndpointCall(listener, true, !used.add(idleConnection));
-            idleConnection.start(call, request);
+        Optional<EndpointConnection> idleConnection =
+                takeIdle(address, connection -> !connection.isProcessChecked() || !used.contains(connection));
+        if (idleConnection.isPresent()) {
+            EndpointCall call = new EndpointCall(listener, true, !used.add(idleConnection.get()));
+            idleConnection.get().start(call, request);
             return call;
         }
+        EndpointCall call = new EndpointCall(listener);
+        open(
+                address,
+                call,
+                connection -> {
+                    used.add(connection);
+                    connection.start(call, request);
+                },
+                request::release);
+        return call;
+    }
+
+    /**
+     * Opens a connection for a call.
+     *
+     * @param opened called with the connection, unless the call has ended meanwhile
+     * @param failed called before the call ends without being sent
+     */
+    void open(NetworkAddress address, EndpointCall call, Consumer<EndpointConnection> opened, Runnable failed) {
         openedTotal++;
         EndpointConnection connection = new EndpointConnection(
                 this,
@@ -107,8 +131,6 @@
                         .setMaxInitialLineLength(STATUS_LINE_LIMIT_BYTES)
                         .setMaxHeaderSize(HEADER_LIMIT_BYTES)
                         .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)));
-        used.add(connection);
-        EndpointCall call = new EndpointCall(listener, false, false);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -129,20 +151,19 @@
         call.attach(connecting.channel());
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
-                request.release();
+                failed.run();
                 call.connectFailed();
             } else if (call.isFinished()) {
-                request.release();
+                failed.run();
                 connecting.channel().close();
-            } else if (!listener.awaitsResponse()) {
-                request.release();
+            } else if (!call.listener().awaitsResponse()) {
+                failed.run();
                 connecting.channel().close();
                 call.expire();
             } else {
-                connection.start(call, request);
+                opened.accept(connection);
             }
         });
-        return call;
     }
 
     /**
@@ -168,16 +189,47 @@
                 });
     }
 
-    private EndpointConnection takeIdle(NetworkAddress address) {
-        Deque<EndpointConnection> candidates = idle.get(address);
-        while (candidates != null && !candidates.isEmpty()) {
-            EndpointConnection connection = candidates.pollLast();
-            if (connection.isUsable()) {
-                return connection;
+    private Optional<EndpointConnection> takeIdle(NetworkAddress address, Predicate<EndpointConnection> suitable) {
+        Iterator<EndpointConnection> candidates =
+                idle.getOrDefault(address, new ArrayDeque<>()).descendingIterator();
+        while (candidates.hasNext()) {
+            EndpointConnection connection = candidates.next();
+            if (!connection.isUsable()) {
+                candidates.remove();
+                connection.close();
+            } else if (suitable.test(connection)) {
+                candidates.remove();
+                return Optional.of(connection);
             }
-            connection.close();
         }
-        return null;
+        return Optional.empty();
+    }
+
+    /**
+     * Takes an idle connection, preferably one that is known to lead to a process. Closes those that lead to another
+     * one.
+     *
+     * @param process start of the process, in milliseconds since 1970
+     * @param used connections that are left idle
+     */
+    Optional<EndpointConnection> takeIdle(NetworkAddress address, long process, Set<EndpointConnection> used) {
+        List.copyOf(idle.getOrDefault(address, new ArrayDeque<>())).stream()
+                .filter(connection -> connection.process().isPresent() && !connection.leadsTo(process))
+                .forEach(connection -> {
+                    remove(connection);
+                    connection.close();
+                });
+        return takeIdle(address, connection -> connection.leadsTo(process) && !used.contains(connection))
+                .or(() -> takeIdle(address, connection -> !connection.isProcessChecked()));
+    }
+
+    /** Takes a certain connection out of the idle ones; returns whether it can be used. */
+    boolean take(EndpointConnection connection) {
+        boolean isIdle = Optional.ofNullable(idle.get(connection.address()))
+                .filter(connections -> connections.contains(connection))
+                .isPresent();
+        remove(connection);
+        return isIdle && connection.isUsable();
     }
 
     /** Closes the idle connections to an address, which may have gone silent together with one in use. */
--- a/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
+++ b/banyanstair-forwarder/src/main/java/org/banyanstair/forwarder/internal/ResponseListener.java
@@ -13,6 +13,9 @@
     /** Called instead of sending a request that is no longer to be sent; its connection is closed. */
     default void onExpired() {}
 
+    /** Called instead of sending a request that another process than the expected one would run. */
+    default void onOtherProcess() {}
+
     /** Called with the head of a response. */
     void onHead(HttpResponse head);
 
