Avoid an endpoint at whose address another one answers

Cause: a 421 was handled as a full endpoint where no adapter is named. A plain request names neither a model nor an adapter, so its 421 can only mean that another endpoint has the address.

Change: such an endpoint gets no requests until its entry is written again, or for 0.04 s, four times as long with each further such answer up to 16 s, in case the conclusion is wrong (StaleEntryPause); a success ends it. The first pause is that of before, since a single 421 may be a copy of another: with 0.25 s RepeatedRejectionTest failed in two of eight cases (line 92, no endpoint was left for the next attempt). An entry that a restored log brings back is not written again. A 421 of a runner may be for want of a model or an adapter (adapter-missing) and is handled as before. Log kind endpoint-entry-stale.

Evidence: StaleEntryTest with the former handling: 100 of 100 requests were rejected there (line 69, wanted: at most 8), and 10 of 10 after a restore (line 90, wanted: none).

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 
+import org.banyanstair.endpoints.StaleEntryPause;
 import org.banyanstair.locality.ResponseEstimate;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -54,6 +55,7 @@
     private Instant versionUncertainUntil = Instant.MIN;
     private Duration pause = FIRST_PAUSE;
     private final RequestedPause requestedPause = new RequestedPause();
+    private final StaleEntryPause staleEntry = new StaleEntryPause();
     private boolean announcedLeaving;
     private Instant restartNoticedAt = Instant.MIN;
     private final ResponseEstimate responses = new ResponseEstimate();
@@ -117,6 +119,7 @@
         pausedUntil = Instant.MIN;
         pause = FIRST_PAUSE;
         requestedPause.clear();
+        staleEntry.endpointAnswered();
         announcedLeaving = false;
         leaseHolder = Optional.empty();
         pendingLoads.clear();
@@ -216,7 +219,7 @@
         if (listing.draining() || announcedLeaving) {
             return EndpointCondition.LEAVING;
         }
-        boolean paused = now.isBefore(pausedUntil) || !requestedPause.allowsRequest(now);
+        boolean paused = now.isBefore(pausedUntil) || !requestedPause.allowsRequest(now) || staleEntry.isInForce(now);
         return paused ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
     }
 
@@ -267,7 +270,13 @@
         return condition(now) == EndpointCondition.PAUSED
                 && now.isBefore(pausedUntil)
                 && !pausedUntil.isAfter(now.plus(limit))
-                && requestedPause.allowsRequest(now);
+                && requestedPause.allowsRequest(now)
+                && !staleEntry.isInForce(now);
+    }
+
+    /** Returns the pause while its entry names a process that another one has replaced. */
+    StaleEntryPause staleEntry() {
+        return staleEntry;
     }
 
     void pauseUntil(Instant instant) {
@@ -289,6 +298,7 @@
         failureRate += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureRate);
         if (success) {
             requestedPause.recordSuccess(now);
+            staleEntry.endpointAnswered();
             pause = FIRST_PAUSE;
         } else {
             lastFailureAt = now;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PlatformView.java
@@ -617,6 +617,9 @@
             return;
         }
         boolean startsDraining = listing.draining() && !known.listing().draining();
+        if (!restored) {
+            known.staleEntry().entryWritten();
+        }
         boolean serviceChanged = !known.listing().service().equals(listing.service());
         if (known.update(listing, context.now())) {
             context.log(DecisionRecord.important(
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -643,12 +643,12 @@
             processReplaced(inFlight, endpoint);
         } else if (cause == AttemptResult.NotRunCause.FULL || cause == AttemptResult.NotRunCause.BACKLOG) {
             endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
+        } else if (inFlight.request.adapter().isPresent()) {
+            runnerManager.adapterMissing(endpoint, inFlight.request.adapter().get());
+        } else if (inFlight.request.baseModel().isPresent()) {
+            endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
-            inFlight.request
-                    .adapter()
-                    .ifPresentOrElse(
-                            adapter -> runnerManager.adapterMissing(endpoint, adapter),
-                            () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
+            otherProcessAnswered(inFlight, endpoint);
         }
         inFlight.tried.remove(endpoint.id());
         boolean reachedEndpoint = cause.reachesEndpoint();
@@ -660,6 +660,24 @@
         }
     }
 
+    /** Handles a rejection that cannot be for want of a model or an adapter, so another endpoint has the address. */
+    private void otherProcessAnswered(InFlightRequest inFlight, EndpointState endpoint) {
+        Instant now = context.now();
+        if (!endpoint.mayPrecedeRestart(inFlight.sentAt)
+                && endpoint.staleEntry().otherProcessAnswered(inFlight.sentAt, now)) {
+            context.log(DecisionRecord.important(
+                    "endpoint-entry-stale",
+                    "endpoint",
+                    endpoint.id(),
+                    "started",
+                    endpoint.listing().started(),
+                    "for-ms",
+                    Duration.between(now, endpoint.staleEntry().end()).toMillis(),
+                    "request",
+                    inFlight.request.id()));
+        }
+    }
+
     private void processReplaced(InFlightRequest inFlight, EndpointState endpoint) {
         if (endpoint.mayPrecedeRestart(inFlight.sentAt)) {
             return;
