--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 
+import org.banyanstair.endpoints.StaleEntryPause;
 import org.banyanstair.locality.ResponseEstimate;
 import org.banyanstair.model.AdapterName;
 import org.banyanstair.model.EndpointId;
@@ -36,6 +37,9 @@
     /** Time after the last refused connection within which the entry of a new process is read. */
     private static final Duration VERSION_UNCERTAIN_TIME = Duration.ofSeconds(2);
 
+    /** Time for which the version stays uncertain after another process was found, if no new entry is read. */
+    private static final Duration REPLACED_TIME = Duration.ofSeconds(10);
+
     /** Time by which the expected end of a late load is postponed. */
     private static final Duration LATE_LOAD_EXTENSION = Duration.ofMillis(150);
 
@@ -51,6 +55,7 @@
     private Instant versionUncertainUntil = Instant.MIN;
     private Duration pause = FIRST_PAUSE;
     private final RequestedPause requestedPause = new RequestedPause();
+    private final StaleEntryPause staleEntry = new StaleEntryPause();
     private boolean announcedLeaving;
     private Instant restartNoticedAt = Instant.MIN;
     private final ResponseEstimate responses = new ResponseEstimate();
@@ -114,6 +119,7 @@
         pausedUntil = Instant.MIN;
         pause = FIRST_PAUSE;
         requestedPause.clear();
+        staleEntry.endpointAnswered();
         announcedLeaving = false;
         leaseHolder = Optional.empty();
         pendingLoads.clear();
@@ -213,7 +219,7 @@
         if (listing.draining() || announcedLeaving) {
             return EndpointCondition.LEAVING;
         }
-        boolean paused = now.isBefore(pausedUntil) || !requestedPause.allowsRequest(now);
+        boolean paused = now.isBefore(pausedUntil) || !requestedPause.allowsRequest(now) || staleEntry.isInForce(now);
         return paused ? EndpointCondition.PAUSED : EndpointCondition.IN_USE;
     }
 
@@ -239,7 +245,13 @@
      * entry is read.
      */
     void processGone(Instant now) {
-        versionUncertainUntil = now.plus(VERSION_UNCERTAIN_TIME);
+        Instant end = now.plus(VERSION_UNCERTAIN_TIME);
+        versionUncertainUntil = end.isAfter(versionUncertainUntil) ? end : versionUncertainUntil;
+    }
+
+    /** Records that a connection led to another process than that of the registry entry. */
+    void processReplaced(Instant now) {
+        versionUncertainUntil = now.plus(REPLACED_TIME);
     }
 
     /** Returns the version of the process that is reached now, as far as it is known. */
@@ -258,7 +270,13 @@
         return condition(now) == EndpointCondition.PAUSED
                 && now.isBefore(pausedUntil)
                 && !pausedUntil.isAfter(now.plus(limit))
-                && requestedPause.allowsRequest(now);
+                && requestedPause.allowsRequest(now)
+                && !staleEntry.isInForce(now);
+    }
+
+    /** Returns the pause while its entry names a process that another one has replaced. */
+    StaleEntryPause staleEntry() {
+        return staleEntry;
     }
 
     void pauseUntil(Instant instant) {
@@ -280,6 +298,7 @@
         failureRate += OUTCOME_WEIGHT * ((success ? 0 : 1) - failureRate);
         if (success) {
             requestedPause.recordSuccess(now);
+            staleEntry.endpointAnswered();
             pause = FIRST_PAUSE;
         } else {
             lastFailureAt = now;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -515,7 +515,8 @@
                 inFlight.rank(),
                 inFlight.team.map(Team::name),
                 slot == null || slot.version() == 0 ? OptionalLong.empty() : OptionalLong.of(slot.version()),
-                inFlight.lastEvent));
+                inFlight.lastEvent,
+                inFlight.version.isPresent() ? endpoint.listing().knownStart() : OptionalLong.empty()));
     }
 
     void firstOutput(long exchange, int attempt) {
@@ -530,8 +531,9 @@
         }
         if (inFlight.route.streaming() && inFlight.route.resumable()) {
             inFlight.versionOfOwnAttempt |= inFlight.version.isEmpty();
-            inFlight.version = Optional.of(inFlight.sentVersion);
-            streamVersions.began(inFlight, inFlight.sentVersion);
+            SoftwareVersion version = inFlight.versionOfOutput();
+            inFlight.version = Optional.of(version);
+            streamVersions.began(inFlight, version);
         }
         EndpointState endpoint = inFlight.endpoint.orElseThrow();
         if (inFlight.predictedMilliseconds > 0) {
@@ -640,17 +642,19 @@
         } else if (cause == AttemptResult.NotRunCause.NOT_CONNECTED) {
             endpoint.connectionFailed(context.now());
             crashDetector.endpointUnreachable(endpoint);
+        } else if (cause == AttemptResult.NotRunCause.OTHER_PROCESS) {
+            processReplaced(inFlight, endpoint);
         } else if (cause == AttemptResult.NotRunCause.FULL || cause == AttemptResult.NotRunCause.BACKLOG) {
             endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
+        } else if (inFlight.request.adapter().isPresent()) {
+            runnerManager.adapterMissing(endpoint, inFlight.request.adapter().get());
+        } else if (inFlight.request.baseModel().isPresent()) {
+            endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE));
         } else {
-            inFlight.request
-                    .adapter()
-                    .ifPresentOrElse(
-                            adapter -> runnerManager.adapterMissing(endpoint, adapter),
-                            () -> endpoint.pauseUntil(context.now().plus(FULL_ENDPOINT_PAUSE)));
+            otherProcessAnswered(inFlight, endpoint);
         }
         inFlight.tried.remove(endpoint.id());
-        if (cause.reachedEndpoint()
+        if (cause.reachesEndpoint()
                 && (++inFlight.rejections > MAXIMUM_REJECTIONS || !retryBudgets.tryAcquire(inFlight, context.now()))) {
             refuseOrFail(inFlight, RefusalReason.OVERLOADED, 0);
         } else {
@@ -658,6 +662,41 @@
         }
     }
 
+    /** Handles a rejection that cannot be for want of a model or an adapter, so another endpoint has the address. */
+    private void otherProcessAnswered(InFlightRequest inFlight, EndpointState endpoint) {
+        Instant now = context.now();
+        if (!endpoint.mayPrecedeRestart(inFlight.sentAt)
+                && endpoint.staleEntry().otherProcessAnswered(inFlight.sentAt, now)) {
+            context.log(DecisionRecord.important(
+                    "endpoint-entry-stale",
+                    "endpoint",
+                    endpoint.id(),
+                    "started",
+                    endpoint.listing().started(),
+                    "for-ms",
+                    Duration.between(now, endpoint.staleEntry().end()).toMillis(),
+                    "request",
+                    inFlight.request.id()));
+        }
+    }
+
+    private void processReplaced(InFlightRequest inFlight, EndpointState endpoint) {
+        if (endpoint.mayPrecedeRestart(inFlight.sentAt)) {
+            return;
+        }
+        endpoint.processReplaced(context.now());
+        context.log(DecisionRecord.important(
+                "endpoint-replaced",
+                "endpoint",
+                endpoint.id(),
+                "started",
+                endpoint.listing().started(),
+                "version",
+                endpoint.listing().softwareVersion(),
+                "request",
+                inFlight.request.id()));
+    }
+
     private void broken(InFlightRequest inFlight, EndpointState endpoint, AttemptResult.Broken result) {
         inFlight.runs++;
         inFlight.mayHaveRun = true;
