Make a host ready only once the host list shows it

What callers saw: a host that has just started answered /v1/entry with an empty list, or without hosts that serve, and requests with no_endpoint. LeavingTest reported it as "the entry addresses do not list the host before it leaves", and probably as "none of the hosts returned any".

Cause: a host was ready as soon as it had read any host list, also one that did not show it yet. The list lags (1 s in LeavingTest) and is read once a second; a host that starts faster serves for up to a second with an empty list.

Change: ready means that the configuration is known and that a list has shown this host; it stays ready when a later list does not. Until then the list is read every 200 ms.

--- a/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/membership/Membership.java
@@ -22,6 +22,7 @@
     private HostListing listing = HostListing.EMPTY;
     private long listingChangeCount;
     private boolean listingRead;
+    private boolean listed;
     private boolean draining;
     private final Map<HostId, Instant> unreachableSince = new HashMap<>();
     private final Map<HostId, Long> latestIncarnations = new HashMap<>();
@@ -45,6 +46,7 @@
             listingChangeCount++;
         }
         listingRead = true;
+        listed = listed || newListing.host(self.host()).isPresent();
     }
 
     /**
@@ -65,6 +67,11 @@
         return listingRead;
     }
 
+    /** Whether a snapshot of the host list has shown this host; stays true when a later one does not. */
+    public boolean wasListed() {
+        return listed;
+    }
+
     /** Records that a peer is reachable. */
     public void markReachable(HostIdentity peer) {
         unreachableSince.remove(peer.host());
--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -406,10 +406,10 @@
     /**
      * Returns whether this host can serve requests.
      *
-     * @return true once the configuration and the host list are known
+     * @return true once the configuration is known and the host list has shown this host
      */
     public boolean isReady() {
-        return configuration.stateMachine().isInitialized() && membership.hasListing();
+        return configuration.stateMachine().isInitialized() && membership.wasListed();
     }
 
     /**
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -76,6 +76,7 @@
         this.loop = new EventLoop(reducer, clock, effects, service::publish);
         this.logTailer = new LogTailer(log, clock, timer, loop::submit);
         this.hostListPoller = new HostListPoller(
+                identity.host(),
                 hostList,
                 Duration.ofMillis(settings.timing().hostListPollMilliseconds()),
                 timer,
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/HostListPoller.java
@@ -18,6 +18,10 @@
 
 /** Polls the host list. If it is unavailable, the last listing stays in use. Thread-safe. */
 final class HostListPoller {
+    /** Interval until the list shows this host, which is not ready before. */
+    private static final Duration UNLISTED_INTERVAL = Duration.ofMillis(200);
+
+    private final HostId self;
     private final HostListSource source;
     private final Duration interval;
     private final ScheduledExecutorService timer;
@@ -25,10 +29,12 @@
     private final AtomicReference<HostListing> lastListing = new AtomicReference<>(HostListing.EMPTY);
 
     HostListPoller(
+            HostId self,
             HostListSource source,
             Duration interval,
             ScheduledExecutorService timer,
             Consumer<Function<Instant, Event>> events) {
+        this.self = self;
         this.source = source;
         this.interval = interval;
         this.timer = timer;
@@ -50,8 +56,13 @@
                 events.accept(at -> new Event.HostListRead(at, listing));
             }
             if (!timer.isShutdown()) {
-                timer.schedule(this::poll, interval.toMillis(), TimeUnit.MILLISECONDS);
+                timer.schedule(this::poll, intervalToNextPoll().toMillis(), TimeUnit.MILLISECONDS);
             }
         });
     }
+
+    private Duration intervalToNextPoll() {
+        boolean listed = lastListing.get().host(self).isPresent();
+        return listed || interval.compareTo(UNLISTED_INTERVAL) < 0 ? interval : UNLISTED_INTERVAL;
+    }
 }
