Serve addresses that other hosts still give during a stop

Cause: a host that stops counted the time for which callers keep its address from the start of the stop. Other hosts give it until they have read HostLeaving, so what they gave in between expired after the host had exited. HostLeaving also went only to the hosts in the last reading of the host list, up to a second old; a host that had just been listed never got it, and gave the address until the list changed.

Change: HostLeaving is sent again with each reading of the list while the host stops, and the addresses count as expired one interval between readings and 1 s later. With the defaults a stop takes 2 s longer (7 s).

Open: a host that becomes ready in the last second of the stop of another one (guarantees-hosts.md). Not run: all tests together.

--- a/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/reducer/HostReducer.java
@@ -274,6 +274,9 @@
     private void applyHostEvent(Event event) {
         if (event instanceof Event.HostListRead read) {
             membership.updateListing(read.listing());
+            if (membership.isDraining()) {
+                tellOthersOfLeaving();
+            }
         } else if (event instanceof Event.PeerConnected connected) {
             membership.markReachable(connected.peer());
         } else if (event instanceof Event.PeerUnreachable unreachable) {
@@ -288,12 +291,13 @@
         } else if (event instanceof Event.DrainRequested requested) {
             effects.send(requested.host(), new PeerMessage.DrainRequest());
         } else if (event instanceof Event.DrainStarted) {
-            startDraining();
+            membership.startDraining();
+            tellOthersOfLeaving();
         }
     }
 
-    private void startDraining() {
-        membership.startDraining();
+    /** Repeated with each reading of the host list, for hosts that are new in it and for lost messages. */
+    private void tellOthersOfLeaving() {
         membership.otherHosts().forEach(peer -> effects.send(peer, new PeerMessage.HostLeaving(membership.self())));
     }
 
--- a/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
+++ b/banyanstair-integration-tests/src/test/java/org/banyanstair/integration/hosts/ReplacementTest.java
@@ -17,6 +17,7 @@
 import org.banyanstair.server.ExitCode;
 import org.banyanstair.testsupport.engine.EngineSettings;
 import org.banyanstair.testsupport.load.CallerResult;
+import org.banyanstair.testsupport.load.EntryList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -29,6 +30,8 @@
 
     private static final Duration ENTRY_ADDRESS_LIFETIME = Duration.ofSeconds(1);
 
+    private static final Duration PEER_LATENCY = Duration.ofMillis(300);
+
     private static final int LONG_STREAM_TOKENS = 600;
 
     private static ClusterPlan plan(int hosts, int drainLimitMilliseconds) {
@@ -102,6 +105,41 @@
         cluster.remove(host);
     }
 
+    /** A host that has not heard of the stop yet still gives the address of the host that stops. */
+    @Test
+    void addressesThatOthersGiveDuringAStopAreServedUntilTheyExpire(@TempDir Path directory) throws Exception {
+        try (Cluster cluster = new Cluster(plan(2, 20_000), directory);
+                IdempotentTraffic traffic = new IdempotentTraffic()) {
+            cluster.start();
+            assertEquals(0, cluster.apply(Cluster.declarations(1)).code());
+            ClusterHost stopping = cluster.hosts().get(0);
+            ClusterHost asked = cluster.hosts().get(1);
+            assertTrue(Wait.untilTrue(
+                    Duration.ofSeconds(5),
+                    () -> entryList(traffic, asked).addresses().contains(stopping.caller())));
+            cluster.hosts().forEach(host -> host.peerProxy().setLatency(PEER_LATENCY));
+            stopping.process().terminate();
+            EntryList given = entryList(traffic, asked);
+            Instant keepUntil = given.keepUntil();
+            while (given.addresses().contains(stopping.caller())) {
+                keepUntil = given.keepUntil();
+                Wait.sleep(Duration.ofMillis(20));
+                given = entryList(traffic, asked);
+            }
+            while (Instant.now().isBefore(keepUntil)) {
+                CallerResult stock = traffic.lookUpStock(stopping.caller()).get(10, TimeUnit.SECONDS);
+                assertTrue(stock instanceof CallerResult.ServiceAnswered, stock + " before " + keepUntil);
+                Wait.sleep(Duration.ofMillis(20));
+            }
+        }
+    }
+
+    private static EntryList entryList(IdempotentTraffic traffic, ClusterHost asked) {
+        return traffic.caller()
+                .entryAddresses(asked.caller(), IdempotentTraffic.headers(Duration.ofSeconds(10)))
+                .join();
+    }
+
     @Test
     void longStreamCompletesBeforeItsHostStops(@TempDir Path directory) throws Exception {
         try (Cluster cluster = new Cluster(plan(2, 20_000), directory);
--- a/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
+++ b/banyanstair-server/src/main/java/org/banyanstair/server/daemon/Daemon.java
@@ -33,6 +33,9 @@
 public final class Daemon {
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
+    /** Time within which the other hosts no longer give this host's address after they were told that it leaves. */
+    private static final Duration LEAVING_MESSAGE_TIME = Duration.ofSeconds(1);
+
     private final DaemonSettings settings;
     private final Clock clock = Clock.systemUTC();
     private final HostIdentity identity;
@@ -174,8 +177,10 @@
      */
     public boolean drainAndStop() throws InterruptedException {
         Instant drainDeadline = clock.instant().plusMillis(settings.limits().drainLimitMilliseconds());
-        Instant entryAddressesExpireAt =
-                clock.instant().plusMillis(settings.limits().entryAddressKeepMilliseconds());
+        Instant entryAddressesExpireAt = clock.instant()
+                .plusMillis(settings.timing().hostListPollMilliseconds())
+                .plus(LEAVING_MESSAGE_TIME)
+                .plusMillis(settings.limits().entryAddressKeepMilliseconds());
         Logger.info("host={} draining until {}", identity, drainDeadline);
         loop.submit(Event.DrainStarted::new);
         while (clock.instant().isBefore(drainDeadline) && !isDrained(entryAddressesExpireAt)) {
