Spread requests of plain services by the age of reports

What a host knows of the others is 20 ms old with 4 hosts, 40 ms with 9 and 185 ms with 70 (lag of least squared error between known and actual loads), while requests run for 100 ms: all hosts chose the endpoint that had been the least loaded one before its requests ended.

Change: package org.banyanstair.selection. Part of the reported requests of other hosts, by their age and the run time, has been replaced by others, which are assumed to have filled the least loaded endpoints up to a common level; each endpoint is drawn in proportion to what it got (Dahlin 2000). Own requests count in full. Runners and the locality policy are unchanged. The intervals of usage reports move from ForwardingReducer to PeerTable, which derives the age from them.

FullServiceTest#usualLoadIsServedInTime failed before for 70 hosts (line 101, 0.607) and passes now.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DataCentreChooser.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/DataCentreChooser.java
@@ -78,7 +78,7 @@
         this.home = settings.announcement().dataCentre();
         this.view = view;
         this.peers = peers;
-        this.estimator = new EndpointSelector(home, this);
+        this.estimator = new EndpointSelector(settings.identity().host(), home, this, peers);
         this.random = new SplittableRandom(settings.identity().host().value().hashCode());
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointSelector.java
@@ -8,12 +8,16 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 
+import org.banyanstair.model.HostId;
+import org.banyanstair.selection.ReportedLoad;
+import org.banyanstair.selection.StaleLoadBalancer;
+
 /**
  * Selects the endpoint with the lowest estimated time until the first output of a request.
  *
  * <p>On runners, prompt processing is the bottleneck under peak load, so the estimate counts the prompt tokens queued
  * there by all hosts, less the cached prefixes, and the load of the adapter. On plain services it counts the requests
- * in excess of the slots.
+ * in excess of the slots, and hosts that know the same old loads choose differently ({@link StaleLoadBalancer}).
  */
 final class EndpointSelector {
     /**
@@ -44,11 +48,20 @@
 
     private final String dataCentre;
 
+    private final HostId self;
+
     private final DataCentreChooser dataCentres;
 
-    EndpointSelector(String dataCentre, DataCentreChooser dataCentres) {
+    private final PeerTable peers;
+
+    private final StaleLoadBalancer balancer;
+
+    EndpointSelector(HostId self, String dataCentre, DataCentreChooser dataCentres, PeerTable peers) {
+        this.self = self;
         this.dataCentre = dataCentre;
         this.dataCentres = dataCentres;
+        this.peers = peers;
+        this.balancer = new StaleLoadBalancer(self.value().hashCode());
     }
 
     /**
@@ -72,7 +85,9 @@
                             false,
                             plainCost(endpoint, query.route().objective(), now) + remotePenalty(endpoint)))
                     .toList();
-            return dataCentres.isEnabled() ? dataCentres.choose(query, selections, now) : soonest(selections);
+            return dataCentres.isEnabled()
+                    ? dataCentres.choose(query, selections, now)
+                    : choosePlain(selections, query.route().objective(), now);
         }
         boolean loadedSomewhere = request.adapter().isPresent()
                 && candidates.stream().anyMatch(endpoint -> isUsable(endpoint, request, neededVersion));
@@ -114,6 +129,34 @@
                 .min((left, right) -> Double.compare(left.startMilliseconds(), right.startMilliseconds()));
     }
 
+    private Optional<EndpointSelection> choosePlain(
+            List<EndpointSelection> selections, Duration objective, Instant now) {
+        if (selections.size() < 2 || peers.size() == 0) {
+            return soonest(selections);
+        }
+        double assumed = objective.toMillis() * PLAIN_OBJECTIVE_SHARE;
+        double[] known = selections.stream()
+                .flatMapToDouble(selection -> selection.endpoint().responses().medianMilliseconds(now).stream())
+                .sorted()
+                .toArray();
+        double others = known.length == 0 ? assumed : known[known.length / 2];
+        List<ReportedLoad> loads = selections.stream()
+                .map(selection -> load(selection.endpoint(), assumed, others, now))
+                .toList();
+        return Optional.of(selections.get(balancer.choose(loads, peers.usageAge())));
+    }
+
+    private ReportedLoad load(EndpointState endpoint, double assumed, double runOfOthers, Instant now) {
+        int own = endpoint.runningOf(self);
+        double run = endpoint.responses().medianMilliseconds(now).orElse(runOfOthers);
+        return new ReportedLoad(
+                own,
+                endpoint.running() - own,
+                Math.max(1, endpoint.listing().slots()),
+                Math.max(1, run),
+                (remotePenalty(endpoint) + failurePenalty(endpoint, now)) / Math.max(1, assumed));
+    }
+
     static boolean isUsable(EndpointState endpoint, ForwardRequest request, long neededVersion) {
         AdapterSlot slot = endpoint.adapters().get(request.adapter().orElseThrow());
         return slot != null && slot.version() >= neededVersion;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointState.java
@@ -345,6 +345,12 @@
         return sum;
     }
 
+    /** Returns how many requests of one host run here. */
+    int runningOf(HostId host) {
+        EndpointUsage hostUse = use.get(host);
+        return hostUse == null ? 0 : hostUse.running();
+    }
+
     int waitingTokens() {
         int sum = 0;
         for (EndpointUsage hostUse : use.values()) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -29,12 +29,6 @@
  * <p>Reads no clock and does no I/O. Not thread-safe.
  */
 public final class ForwardingReducer {
-    /** Time between two usage reports in a small deployment. */
-    private static final Duration USE_REPORT_INTERVAL = Duration.ofMillis(30);
-
-    /** Added to the interval of usage reports for each peer. */
-    private static final Duration USE_REPORT_INTERVAL_PER_PEER = Duration.ofMillis(4);
-
     /** Silence after which the requests of a peer are assumed to have ended. */
     private static final Duration USE_RETENTION = Duration.ofSeconds(3);
 
@@ -484,10 +478,7 @@
         forwarder.tick();
         Instant now = context.now();
         if (!now.isBefore(nextUseReportAt)) {
-            nextUseReportAt = now.plus(
-                    peers.isLargeDeployment()
-                            ? PeerMessenger.BUNDLE_INTERVAL
-                            : USE_REPORT_INTERVAL.plus(USE_REPORT_INTERVAL_PER_PEER.multipliedBy(peers.size())));
+            nextUseReportAt = now.plus(peers.usageInterval());
             forwarder.usage().report();
         }
         if (!now.isBefore(nextStateAt)) {
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/PeerTable.java
@@ -44,6 +44,18 @@
     /** Allowance for delayed state messages of hosts that are reached. */
     private static final Duration REACH_DELAY = Duration.ofMillis(100);
 
+    /** Time between two usage reports in a small deployment. */
+    private static final Duration USAGE_INTERVAL = Duration.ofMillis(30);
+
+    /** Added to the interval of usage reports for each peer. */
+    private static final Duration USAGE_INTERVAL_PER_PEER = Duration.ofMillis(4);
+
+    /** Time from a usage report to its effect on a peer. */
+    private static final Duration USAGE_DELAY = Duration.ofMillis(10);
+
+    /** Mean age of usage reports that pass two relays, each of which bundles messages. */
+    private static final Duration RELAYED_USAGE_AGE = PeerMessenger.BUNDLE_INTERVAL.multipliedBy(2);
+
     /** Silence after which a host no longer counts in the majority check and the relay groups. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(30);
 
@@ -104,6 +116,20 @@
         return peers.size() > MAXIMUM_DIRECT_PEERS;
     }
 
+    /** Returns the time between two usage reports of a host. */
+    Duration usageInterval() {
+        return isLargeDeployment()
+                ? PeerMessenger.BUNDLE_INTERVAL
+                : USAGE_INTERVAL.plus(USAGE_INTERVAL_PER_PEER.multipliedBy(peers.size()));
+    }
+
+    /** Returns the mean age of what usage reports say of the other hosts. */
+    Duration usageAge() {
+        return isLargeDeployment()
+                ? RELAYED_USAGE_AGE
+                : usageInterval().dividedBy(2).plus(USAGE_DELAY);
+    }
+
     /** Returns the interval of this host's state messages, which grows with the number of peers. */
     Duration stateInterval() {
         return isLargeDeployment()
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -99,7 +99,8 @@
         this.admission = new ServiceAdmission(context, settings.identity().host(), view, peers);
         this.retryBudgets = new RetryBudgets(settings, peers, admission);
         this.dataCentres = new DataCentreChooser(context, settings, view, peers);
-        this.selector = new EndpointSelector(settings.announcement().dataCentre(), dataCentres);
+        this.selector = new EndpointSelector(
+                settings.identity().host(), settings.announcement().dataCentre(), dataCentres, peers);
     }
 
     UsageTracker usage() {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FullServiceSimulation.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FullServiceSimulation.java
@@ -58,6 +58,8 @@
     private Instant now;
     private long orders;
     private long exchanges;
+    private double sumOfBusiest;
+    private double sumOfMeans;
     int rejections;
 
     private record Scheduled(Instant at, long order, Runnable action) {}
@@ -65,6 +67,10 @@
     private static final class Endpoint {
         private int running;
         private final Deque<Runnable> queue = new ArrayDeque<>();
+
+        int requests() {
+            return running + queue.size();
+        }
     }
 
     /** A request of a caller, and how it ended. */
@@ -154,6 +160,17 @@
         while (!scheduled.isEmpty() && !scheduled.peek().at().isAfter(now)) {
             scheduled.poll().action().run();
         }
+        sumOfBusiest +=
+                endpoints.values().stream().mapToInt(Endpoint::requests).max().orElse(0);
+        sumOfMeans += endpoints.values().stream()
+                .mapToInt(Endpoint::requests)
+                .average()
+                .orElse(0);
+    }
+
+    /** Returns the mean over time of the requests at the busiest endpoint, as a multiple of those at the mean one. */
+    double busiestOverMean() {
+        return sumOfBusiest / sumOfMeans;
     }
 
     private void schedule(Duration delay, Runnable action) {
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/FullServiceTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/FullServiceTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -37,6 +38,9 @@
     /** From the requirements: the others are served as without the hot team, within 5%. */
     private static final double UNAFFECTED = 0.95;
 
+    /** From the requirements: 95 in 100 requests are answered in time. */
+    private static final double SERVED = 0.95;
+
     /** From the requirements: no team is served less than a quarter as often as all together. */
     private static final double LEAST_PART = 0.25;
 
@@ -83,7 +87,18 @@
                     : call.refusal.map(Enum::name).orElse("failed");
             figures.merge(team + " " + end, 1L, Long::sum);
         }
-        return figures + ", rejections by endpoints " + simulation.rejections;
+        return figures + ", rejections by endpoints " + simulation.rejections
+                + String.format(Locale.ROOT, ", busiest over mean %.2f", simulation.busiestOverMean());
+    }
+
+    /** Retries of refused requests count too, so that a refusal is not made up for by a success a second later. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 9, 70})
+    void usualLoadIsServedInTime(int hosts) {
+        FullServiceSimulation simulation = playHotTeam(hosts, 0.85, 1);
+        double inTime = (double) count(simulation, FullServiceSimulation.Call::isInTime)
+                / simulation.calls().size();
+        assertTrue(inTime >= SERVED, inTime + ", " + figures(simulation));
     }
 
     @ParameterizedTest
