Move the parts of limits to a package of their own

Callers see nothing of this. The package forwarding is full; LimitShares, RequestPacer and DemandEstimator depend on nothing in it.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointLimits.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/EndpointLimits.java
@@ -10,6 +10,9 @@
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 
+import org.banyanstair.limits.DemandEstimator;
+import org.banyanstair.limits.LimitShares;
+import org.banyanstair.limits.RequestPacer;
 import org.banyanstair.model.EndpointId;
 import org.banyanstair.model.HostId;
 import org.banyanstair.peer.ReportedLimit;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/DemandEstimator.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/limits/DemandEstimator.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.limits;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** Estimates the requests a second that this host gets for each service. Not thread-safe. */
-final class DemandEstimator {
+public final class DemandEstimator {
     /** Time constant of the exponentially decaying average. */
     private static final Duration DECAY_TIME = Duration.ofSeconds(10);
 
@@ -28,14 +28,14 @@
     }
 
     /** Counts a request. */
-    void record(String service, Instant now) {
+    public void record(String service, Instant now) {
         Average average = averages.computeIfAbsent(service, name -> new Average());
         average.decay(now);
         average.perSecond += 1.0 / DECAY_TIME.toSeconds();
     }
 
     /** Returns the requests a second for a service. */
-    double perSecond(String service, Instant now) {
+    public double perSecond(String service, Instant now) {
         Average average = averages.get(service);
         if (average == null) {
             return 0;
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/LimitShares.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/limits/LimitShares.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.limits;
 
 import java.util.List;
 import java.util.Map;
@@ -14,7 +14,7 @@
  * <p>Each host that may send can add a request to a time window whatever its part is, so a low limit is divided among a
  * few hosts only, by a hash that all hosts compute alike.
  */
-final class LimitShares {
+public final class LimitShares {
     /** Requests a second below which a host does not count. */
     private static final double MINIMUM_DEMAND = 0.02;
 
@@ -38,7 +38,7 @@
      * @param burst requests at once after a time without any, at least 1
      * @param turn time until the first request, as a part of the time between two, so that hosts begin in turn
      */
-    record Share(double perSecond, double burst, double turn) {}
+    public record Share(double perSecond, double burst, double turn) {}
 
     /**
      * Returns the part of the limit that a host may use; empty if it may not send any request.
@@ -46,7 +46,8 @@
      * @param perSecond the limit
      * @param demands requests a second of each host
      */
-    static Optional<Share> shareOf(HostId host, EndpointId endpoint, double perSecond, Map<HostId, Double> demands) {
+    public static Optional<Share> shareOf(
+            HostId host, EndpointId endpoint, double perSecond, Map<HostId, Double> demands) {
         double largest =
                 demands.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
         double minimum = Math.max(MINIMUM_DEMAND, largest * MINIMUM_DEMAND_SHARE);
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestPacer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/limits/RequestPacer.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.limits;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -8,7 +8,7 @@
  * Keeps the requests of this host to an endpoint within its part of a limit, by the generic cell rate algorithm (ITU-T
  * I.371). Not thread-safe.
  */
-final class RequestPacer {
+public final class RequestPacer {
     private Optional<LimitShares.Share> share = Optional.empty();
     private Instant theoreticalArrival = Instant.MIN;
 
@@ -19,7 +19,7 @@
      * @param usedUntil when the endpoint last responded to any host; a host that begins to use the limit counts from
      *     then, so that it adds no burst
      */
-    void setShare(Optional<LimitShares.Share> newer, Instant usedUntil) {
+    public void setShare(Optional<LimitShares.Share> newer, Instant usedUntil) {
         if (share.isEmpty() && newer.isPresent()) {
             Instant start = usedUntil.plus(
                     interval(newer.get(), newer.get().turn() + newer.get().burst() - 1));
@@ -28,7 +28,8 @@
         share = newer;
     }
 
-    void recordRequest(Instant now) {
+    /** Counts a request that is sent. */
+    public void recordRequest(Instant now) {
         share.ifPresent(current -> {
             Instant base = now.isAfter(theoreticalArrival) ? now : theoreticalArrival;
             theoreticalArrival = base.plus(interval(current, 1));
@@ -36,7 +37,7 @@
     }
 
     /** Returns when the next request may be sent; {@link Instant#MAX} if none may. */
-    Instant nextRequestAt() {
+    public Instant nextRequestAt() {
         return share.map(current -> theoreticalArrival.equals(Instant.MIN)
                         ? Instant.MIN
                         : theoreticalArrival.minus(interval(current, current.burst() - 1)))
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/LimitSharesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/limits/LimitSharesTest.java
@@ -1,4 +1,4 @@
-package org.banyanstair.forwarding;
+package org.banyanstair.limits;
 
 import java.time.Duration;
 import java.time.Instant;
