Lend parts of limits where more hosts have demand than may have parts

What callers saw: with many hosts and endpoints that name limits near the demand, half of the limit stayed unused and requests were refused with ENDPOINTS_LIMITED (KNOWN-RED: EndpointLimitTest# manyHostsUseALimitNearTheirDemand, 70 hosts, five endpoints, 3 a second).

Cause: half of the hosts have no part, and a part of 0.3 a second lies idle until the next request of its host, 2.3 s on average.

Change: where more hosts have demand than may have parts, four hosts have equal parts, the same for all endpoints of a service, and a host without room asks one of them for a single request. Parts stay as they were where all hosts with demand have one, or one of them does not lend (ReportedLimit.lends; an earlier release would close the connection at an unknown message).

New cases: restarts with 9 and 70 hosts, lost messages, hosts that differ about parts, one busy host of 12. No bound was changed. LimitSharesTest holds parts with loans to the same bound over 4.5 s.

Not played: loans over real relays, loans with adapters to load.

--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/ForwardingReducer.java
@@ -361,6 +361,14 @@
             }
         } else if (message instanceof PeerMessage.CrashReport report) {
             crashDetector.crashReported(sender, report);
+        } else if (message instanceof PeerMessage.LoanRequest request) {
+            forwarder.limits().lend(sender, request);
+        } else if (message instanceof PeerMessage.LoanGranted granted) {
+            forwarder.limits().loanGranted(sender, granted);
+            forwarder.loanAnswered(granted.id());
+        } else if (message instanceof PeerMessage.LoanRefused refused) {
+            forwarder.limits().loanRefused(sender, refused);
+            forwarder.loanAnswered(refused.id());
         }
     }
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/InFlightRequest.java
@@ -54,6 +54,11 @@
 
     boolean awaitsVersion;
 
+    /** Whether the request waits for another host that may lend it a part of a limit. */
+    boolean awaitsLoan;
+
+    int loanRequests;
+
     /** Version of the current endpoint when the request was sent to it. */
     SoftwareVersion sentVersion = new SoftwareVersion("");
 
--- a/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/forwarding/RequestForwarder.java
@@ -94,7 +94,7 @@
                 runnerManager,
                 requests.values(),
                 new ReportedState(teamAdmission, streamVersions));
-        this.limits = new EndpointLimits(context, settings.identity().host(), view, peers);
+        this.limits = new EndpointLimits(context, settings.identity().host(), view, peers, messenger);
         this.notices = new EndpointNotices(context, settings.identity().host(), view, limits);
         this.admission = new ServiceAdmission(context, settings.identity().host(), view, peers);
         this.retryBudgets = new RetryBudgets(settings, peers, admission);
@@ -260,7 +260,10 @@
                 endpointsFor(inFlight).stream().filter(limits::allowsRequest).toList(),
                 now);
         if (selection.isEmpty()) {
-            refuseWithoutEndpoint(inFlight);
+            inFlight.awaitsLoan = limits.borrow(inFlight, endpointsFor(inFlight));
+            if (!inFlight.awaitsLoan) {
+                refuseWithoutEndpoint(inFlight);
+            }
             return;
         }
         EndpointState endpoint = selection.get().endpoint();
@@ -403,6 +406,11 @@
         }
     }
 
+    /** Sends or refuses a request whose lender has answered. */
+    void loanAnswered(long exchange) {
+        Optional.ofNullable(requests.get(exchange)).ifPresent(this::advance);
+    }
+
     private void waitForSlot(InFlightRequest inFlight) {
         Optional<Double> tooLong = admission.hold(inFlight);
         if (tooLong.isPresent()) {
@@ -429,6 +437,13 @@
             selectEndpoint(inFlight);
             return;
         }
+        if (inFlight.awaitsLoan) {
+            if (!limits.awaitsLoan(inFlight) || endpointsFor(inFlight).stream().anyMatch(this::mayReceiveRequest)) {
+                inFlight.awaitsLoan = false;
+                selectEndpoint(inFlight);
+            }
+            return;
+        }
         if (inFlight.waitsForSlot) {
             if (!admission.mustWait(inFlight) || !stopAdmission.allows(inFlight, now)) {
                 selectEndpoint(inFlight);
--- a/banyanstair-core/src/main/java/org/banyanstair/limits/LimitShares.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/limits/LimitShares.java
@@ -12,7 +12,8 @@
  * Divides the limit of an endpoint among hosts by their demand.
  *
  * <p>Each host that may send can add a request to a time window whatever its part is, so a low limit is divided among a
- * few hosts only, by a hash that all hosts compute alike.
+ * few hosts only, by a hash that all hosts compute alike. Where others have demand too, fewer hosts have larger parts and
+ * lend from them.
  */
 public final class LimitShares {
     /** Requests a second below which a host does not count. */
@@ -26,6 +27,9 @@
 
     private static final double HOSTS_PER_REQUEST_PER_SECOND = 2;
 
+    /** Hosts that have a part if others borrow from them; several, so that the limit is used while one fails. */
+    private static final int LENDERS = 4;
+
     /** Requests that all hosts together may send at once, besides those of one second. */
     private static final double BASE_BURST = 3;
 
@@ -41,30 +45,62 @@
     public record Share(double perSecond, double burst, double turn) {}
 
     /**
-     * Returns the part of the limit that a host may use; empty if it may not send any request.
+     * Hosts among which a limit is divided.
+     *
+     * @param hosts those with a part, in the order in which they begin to use it
+     * @param candidates number of hosts with demand
+     * @param lend whether hosts borrow from those with a part
+     */
+    public record Division(List<HostId> hosts, int candidates, boolean lend) {
+        /** Copies the list. */
+        public Division {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
+    /**
+     * Returns the hosts among which the limit of an endpoint is divided.
      *
+     * @param service service of the endpoint; all its endpoints have the same lenders
      * @param perSecond the limit
      * @param demands requests a second of each host
+     * @param lending whether all hosts can lend and borrow
      */
-    public static Optional<Share> shareOf(
-            HostId host, EndpointId endpoint, double perSecond, Map<HostId, Double> demands) {
+    public static Division divide(
+            EndpointId endpoint, String service, double perSecond, Map<HostId, Double> demands, boolean lending) {
         double largest =
                 demands.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
         double minimum = Math.max(MINIMUM_DEMAND, largest * MINIMUM_DEMAND_SHARE);
-        List<HostId> ranked = RendezvousHash.rank(
-                endpoint.value(),
-                demands.keySet().stream()
-                        .filter(each -> demands.get(each) >= minimum)
-                        .toList());
-        int count = Math.min(ranked.size(), (int) (BASE_HOSTS + HOSTS_PER_REQUEST_PER_SECOND * perSecond));
-        List<HostId> users = ranked.subList(0, count);
-        if (!users.contains(host)) {
+        List<HostId> candidates = demands.keySet().stream()
+                .filter(each -> demands.get(each) >= minimum)
+                .toList();
+        int maximum = (int) (BASE_HOSTS + HOSTS_PER_REQUEST_PER_SECOND * perSecond);
+        boolean lend = lending && candidates.size() > maximum;
+        List<HostId> ranked = RendezvousHash.rank(lend ? service : endpoint.value(), candidates);
+        int users = Math.min(ranked.size(), lend ? LENDERS : maximum);
+        return new Division(ranked.subList(0, users), candidates.size(), lend);
+    }
+
+    /**
+     * Returns the part of the limit that a host may use; empty if it may not send any request of its own.
+     *
+     * @param perSecond the limit
+     * @param demands requests a second of each host
+     * @param division the hosts among which it is divided
+     */
+    public static Optional<Share> shareOf(
+            HostId host, double perSecond, Map<HostId, Double> demands, Division division) {
+        int position = division.hosts().indexOf(host);
+        if (position < 0) {
             return Optional.empty();
         }
-        double total = users.stream().mapToDouble(demands::get).sum();
-        return Optional.of(new Share(
-                perSecond * demands.get(host) / total,
-                Math.max(1, (BASE_BURST + perSecond) / count),
-                (users.indexOf(host) + 1.0) / count));
+        int count = division.hosts().size();
+        // What is borrowed from lenders does not depend on their own demand.
+        double share = division.lend()
+                ? 1.0 / count
+                : demands.get(host)
+                        / division.hosts().stream().mapToDouble(demands::get).sum();
+        return Optional.of(
+                new Share(perSecond * share, Math.max(1, (BASE_BURST + perSecond) / count), (position + 1.0) / count));
     }
 }
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/PeerMessage.java
@@ -279,6 +279,33 @@
     record AdapterWanted(EndpointId endpoint, AdapterName adapter, long dueInMilliseconds, long remainingMilliseconds)
             implements PeerMessage {}
 
+    /**
+     * Asks for one request from the receiver's part of a limit.
+     *
+     * @param id returned in the answer
+     * @param endpoints limited endpoints that the sender can use
+     */
+    record LoanRequest(long id, List<EndpointId> endpoints) implements PeerMessage {
+        /** Copies the list. */
+        public LoanRequest {
+            endpoints = List.copyOf(endpoints);
+        }
+    }
+
+    /**
+     * Allows the receiver to send one request to an endpoint; the sender has counted it.
+     *
+     * @param started start time of the endpoint's process, as in its topic entry
+     */
+    record LoanGranted(long id, EndpointId endpoint, long started) implements PeerMessage {}
+
+    /**
+     * Tells that the sender has no room in its parts of the limits.
+     *
+     * @param waitMilliseconds time until it has room
+     */
+    record LoanRefused(long id, long waitMilliseconds) implements PeerMessage {}
+
     /**
      * Asks for the records of a topic from a position on; for all of them if the log was restored since.
      *
--- a/banyanstair-core/src/main/java/org/banyanstair/peer/ReportedLimit.java
+++ b/banyanstair-core/src/main/java/org/banyanstair/peer/ReportedLimit.java
@@ -12,7 +12,13 @@
  * @param perSecond the limit in requests a second; empty if the endpoint no longer names one
  * @param ageMilliseconds time since the response
  * @param demandPerSecond requests a second that the sender would send to the endpoint's service
+ * @param lends whether the sender answers a {@link PeerMessage.LoanRequest}; a host of an earlier release does not
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record ReportedLimit(
-        EndpointId endpoint, long started, OptionalDouble perSecond, long ageMilliseconds, double demandPerSecond) {}
+        EndpointId endpoint,
+        long started,
+        OptionalDouble perSecond,
+        long ageMilliseconds,
+        double demandPerSecond,
+        boolean lends) {}
--- a/banyanstair-core/src/test/java/org/banyanstair/forwarding/EndpointLimitTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/forwarding/EndpointLimitTest.java
@@ -146,6 +146,48 @@
         assertLimitUsed(endpoints(FleetSimulation.SAFE_PATH), 3);
     }
 
+    @ParameterizedTest
+    @CsvSource({"9, 1.3", "70, 3"})
+    void hostsWhoseMessagesAreLostKeepALimitAndUseIt(int hosts, double limit) {
+        begin(hosts, 47);
+        fleet.setDelivery((from, to) -> random.nextInt(10) > 0);
+        limit(endpoints(FleetSimulation.SAFE_PATH), OptionalDouble.of(limit));
+        send(FleetSimulation.SAFE_PATH, LIMITED_TIME, () -> {});
+        assertLimitKept(endpoints(FleetSimulation.SAFE_PATH), limit, hosts + " hosts, one message of ten is lost");
+        assertLimitUsed(endpoints(FleetSimulation.SAFE_PATH), limit);
+    }
+
+    /** Hosts with little demand hold the parts that the only busy one borrows. */
+    @Test
+    void busyHostAmongOthersBorrowsTheirParts() {
+        begin(12, 48);
+        limit(endpoints(FleetSimulation.SAFE_PATH), OptionalDouble.of(1.3));
+        Instant end = fleet.now().plus(LIMITED_TIME);
+        for (long number = 1; fleet.now().isBefore(end); number++) {
+            fleet.step();
+            int host = number % 2 == 0 ? 0 : 1 + random.nextInt(fleet.hosts().size() - 1);
+            fleet.send(fleet.hosts().get(host), FleetSimulation.SAFE_PATH, number);
+        }
+        assertLimitKept(endpoints(FleetSimulation.SAFE_PATH), 1.3, "one of 12 hosts has half of the requests");
+        assertLimitUsed(endpoints(FleetSimulation.SAFE_PATH), 1.3);
+    }
+
+    /** The demand of one host is about the least that counts, so that hosts differ about who has a part. */
+    @Test
+    void hostsThatDisagreeAboutPartsKeepTheLimit() {
+        begin(11, 49);
+        limit(endpoints(FleetSimulation.SAFE_PATH), OptionalDouble.of(3));
+        fleet.setDelivery((from, to) -> random.nextInt(5) > 0);
+        Instant end = fleet.now().plus(LIMITED_TIME);
+        for (long number = 1; fleet.now().isBefore(end); number++) {
+            fleet.step();
+            int host = random.nextInt(161) / 16;
+            fleet.send(fleet.hosts().get(host), FleetSimulation.SAFE_PATH, number);
+        }
+        assertLimitKept(endpoints(FleetSimulation.SAFE_PATH), 3, "the last of 11 hosts has hardly any requests");
+        assertLimitUsed(endpoints(FleetSimulation.SAFE_PATH), 3);
+    }
+
     private void playManyHosts() {
         begin(70, 42);
         limit(endpoints(FleetSimulation.SAFE_PATH), OptionalDouble.of(3));
@@ -166,7 +208,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"4, 1.3", "6, 0.4", "6, 4"})
+    @CsvSource({"4, 1.3", "6, 0.4", "6, 4", "9, 1.3", "70, 3"})
     void hostsThatRestartKeepTheLimit(int hosts, double limit) {
         begin(hosts, 43);
         String path = FleetSimulation.SAFE_PATH;
--- a/banyanstair-core/src/test/java/org/banyanstair/limits/LimitSharesTest.java
+++ b/banyanstair-core/src/test/java/org/banyanstair/limits/LimitSharesTest.java
@@ -26,34 +26,41 @@
 
     private static final double WINDOW_SECONDS = 4;
 
+    /** Longest time from the count of a loan until its use. */
+    private static final double LOAN_SECONDS = 0.5;
+
     private static final double ROUNDING = 1e-6;
 
     @Property(tries = 500)
     void allPartsTogetherStayWithinTheBoundInAnyWindow(
             @ForAll @Size(min = 1, max = 80) List<@DoubleRange(min = 0, max = 50) Double> demands,
-            @ForAll @DoubleRange(min = 0.25, max = 100) double limit) {
+            @ForAll @DoubleRange(min = 0.25, max = 100) double limit,
+            @ForAll boolean lending) {
         Map<HostId, Double> byHost = new HashMap<>();
         demands.forEach(demand -> byHost.put(new HostId("host-" + byHost.size()), demand));
+        LimitShares.Division division = LimitShares.divide(ENDPOINT, "shop", limit, byHost, lending);
         double rate = 0;
         double burst = 0;
         for (HostId host : byHost.keySet()) {
-            Optional<LimitShares.Share> share = LimitShares.shareOf(host, ENDPOINT, limit, byHost);
+            Optional<LimitShares.Share> share = LimitShares.shareOf(host, limit, byHost, division);
             rate += share.map(LimitShares.Share::perSecond).orElse(0.0);
             burst += share.map(LimitShares.Share::burst).orElse(0.0);
         }
         assertTrue(rate <= limit + ROUNDING, rate + " of " + limit);
-        assertTrue(WINDOW_SECONDS * rate + burst <= 1.5 * WINDOW_SECONDS * limit + 5 + ROUNDING);
+        double window = WINDOW_SECONDS + (division.lend() ? LOAN_SECONDS : 0);
+        assertTrue(window * rate + burst <= 1.5 * WINDOW_SECONDS * limit + 5 + ROUNDING);
     }
 
     @Test
     void onlyHostWithDemandHasTheWholeLimit() {
         Map<HostId, Double> demands = Map.of(new HostId("a"), 3.0, new HostId("b"), 0.0);
+        LimitShares.Division division = LimitShares.divide(ENDPOINT, "shop", 2, demands, true);
         assertEquals(
                 2.0,
-                LimitShares.shareOf(new HostId("a"), ENDPOINT, 2, demands)
+                LimitShares.shareOf(new HostId("a"), 2, demands, division)
                         .orElseThrow()
                         .perSecond());
-        assertTrue(LimitShares.shareOf(new HostId("b"), ENDPOINT, 2, demands).isEmpty());
+        assertTrue(LimitShares.shareOf(new HostId("b"), 2, demands, division).isEmpty());
     }
 
     /** A host that sends whenever it may, and whose part changes. */
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageReader.java
@@ -84,6 +84,9 @@
             case "UseReport" -> Optional.of(readUseReport(fields));
             case "HeldRunner" -> Optional.of(readHeldRunner(fields));
             case "AdapterWanted" -> Optional.of(readAdapterWanted(fields));
+            case "LoanRequest" -> Optional.of(readLoanRequest(fields));
+            case "LoanGranted" -> Optional.of(readLoanGranted(fields));
+            case "LoanRefused" -> Optional.of(readLoanRefused(fields));
             case "RecordsRequest" -> Optional.of(readRecordsRequest(fields));
             case "RecordsReply" -> Optional.of(readRecordsReply(fields));
             case "CrashReport" -> Optional.of(readCrashReport(fields));
@@ -393,6 +396,62 @@
                 remainingMilliseconds);
     }
 
+    private PeerMessage readLoanRequest(int fields) throws IOException {
+        long id = 0;
+        List<String> endpoints = List.of();
+        for (int field = 0; field < fields; field++) {
+            switch (values.readString()) {
+                case "id" -> {
+                    id = in.unpackLong();
+                }
+                case "endpoints" -> {
+                    endpoints = values.readList(values::readString);
+                }
+                default -> in.skipValue();
+            }
+        }
+        return new PeerMessage.LoanRequest(
+                id, endpoints.stream().map(EndpointId::new).toList());
+    }
+
+    private PeerMessage readLoanGranted(int fields) throws IOException {
+        long id = 0;
+        String endpoint = null;
+        long started = 0;
+        for (int field = 0; field < fields; field++) {
+            switch (values.readString()) {
+                case "id" -> {
+                    id = in.unpackLong();
+                }
+                case "endpoint" -> {
+                    endpoint = values.readString();
+                }
+                case "started" -> {
+                    started = in.unpackLong();
+                }
+                default -> in.skipValue();
+            }
+        }
+        return new PeerMessage.LoanGranted(id, new EndpointId(PeerValueReader.required(endpoint)), started);
+    }
+
+    private PeerMessage readLoanRefused(int fields) throws IOException {
+        long id = 0;
+        long waitMilliseconds = 0;
+        for (int field = 0; field < fields; field++) {
+            switch (values.readString()) {
+                case "id" -> {
+                    id = in.unpackLong();
+                }
+                case "waitMilliseconds" -> {
+                    waitMilliseconds = in.unpackLong();
+                }
+                default -> in.skipValue();
+            }
+        }
+        return new PeerMessage.LoanRefused(id, waitMilliseconds);
+    }
+
     private PeerMessage readRecordsRequest(int fields) throws IOException {
         Topic topic = null;
         long offset = 0;
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerMessageWriter.java
@@ -60,6 +60,9 @@
                 || message instanceof PeerMessage.UseReport
                 || message instanceof PeerMessage.HeldRunner
                 || message instanceof PeerMessage.AdapterWanted
+                || message instanceof PeerMessage.LoanRequest
+                || message instanceof PeerMessage.LoanGranted
+                || message instanceof PeerMessage.LoanRefused
                 || message instanceof PeerMessage.RecordsRequest
                 || message instanceof PeerMessage.RecordsReply
                 || message instanceof PeerMessage.CrashReport;
@@ -171,6 +174,19 @@
             field("parts", report.parts(), out::packLong);
             field("ageMilliseconds", report.ageMilliseconds());
             field("widerFingerprints", report.widerFingerprints(), out::packLong);
+        } else if (message instanceof PeerMessage.LoanRequest request) {
+            begin("LoanRequest", 2);
+            field("id", request.id());
+            field("endpoints", request.endpoints(), endpoint -> out.packString(endpoint.value()));
+        } else if (message instanceof PeerMessage.LoanGranted granted) {
+            begin("LoanGranted", 3);
+            field("id", granted.id());
+            field("endpoint", granted.endpoint().value());
+            field("started", granted.started());
+        } else if (message instanceof PeerMessage.LoanRefused refused) {
+            begin("LoanRefused", 2);
+            field("id", refused.id());
+            field("waitMilliseconds", refused.waitMilliseconds());
         } else {
             writeRecordsMessage(message);
         }
@@ -350,7 +366,7 @@
     }
 
     private void write(ReportedLimit limit) throws IOException {
-        out.packArrayHeader(5);
+        out.packArrayHeader(6);
         out.packString(limit.endpoint().value());
         out.packLong(limit.started());
         if (limit.perSecond().isPresent()) {
@@ -360,6 +376,7 @@
         }
         out.packLong(limit.ageMilliseconds());
         out.packDouble(limit.demandPerSecond());
+        out.packBoolean(limit.lends());
     }
 
     private void write(TeamUsage usage) throws IOException {
--- a/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
+++ b/banyanstair-transport/src/main/java/org/banyanstair/transport/internal/PeerValueReader.java
@@ -232,8 +232,9 @@
                 in.unpackLong(),
                 in.tryUnpackNil() ? OptionalDouble.empty() : OptionalDouble.of(in.unpackDouble()),
                 in.unpackLong(),
-                in.unpackDouble());
-        in.skipValue(surplus);
+                in.unpackDouble(),
+                surplus > 0 && in.unpackBoolean());
+        in.skipValue(Math.max(0, surplus - 1));
         return limit;
     }
 
--- a/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
+++ b/banyanstair-transport/src/test/java/org/banyanstair/transport/internal/FrameCodecTest.java
@@ -74,8 +74,8 @@
             new PartEvidence(List.of(new ObservedPart(1L << 44, 250)), List.of(new RefusedPart(-7L, 4_000, 600_000))),
             List.of(new ReportedRequest(-3L, true, List.of(new ReportedCrash(ENDPOINT, 5, 1_200, true)))),
             List.of(
-                    new ReportedLimit(ENDPOINT, 5, OptionalDouble.of(1.3), 400, 0.25),
-                    new ReportedLimit(ENDPOINT, 6, OptionalDouble.empty(), 0, 0)));
+                    new ReportedLimit(ENDPOINT, 5, OptionalDouble.of(1.3), 400, 0.25, true),
+                    new ReportedLimit(ENDPOINT, 6, OptionalDouble.empty(), 0, 0, false)));
 
     private static final PeerMessage.UseReport USE = new PeerMessage.UseReport(
             List.of(
@@ -110,6 +110,9 @@
             TEAM_USE,
             HELD,
             new PeerMessage.AdapterWanted(ENDPOINT, ADAPTER, -3, 300),
+            new PeerMessage.LoanRequest(7, List.of(ENDPOINT, ENDPOINT)),
+            new PeerMessage.LoanGranted(7, ENDPOINT, 5),
+            new PeerMessage.LoanRefused(7, 400),
             new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 0, 1_796_404_054_672L),
             new PeerMessage.RecordsRequest(Topic.CLAIMS, 12, 2, 1_796_404_054_672L),
             new PeerMessage.CrashReport(-1L, ENDPOINT, 5, List.of(1L, -2L), 17, List.of(-4L)),
@@ -177,6 +180,22 @@
         assertEquals(Optional.of(STATE), FrameCodec.decode(body));
     }
 
+    /** Hosts of an earlier release neither lend nor borrow. */
+    @Test
+    @SuppressWarnings("unchecked")
+    void limitOfAnEarlierReleaseIsNotLent() throws Exception {
+        Map<String, Object> fields = Mappers.MESSAGE_PACK.readValue(mapped(STATE), new TypeReference<>() {});
+        List<Object> limits = (List<Object>) fields.get("limits");
+        limits.forEach(limit -> ((List<Object>) limit).remove(5));
+        PeerMessage.HostState state =
+                (PeerMessage.HostState) FrameCodec.decode(Mappers.MESSAGE_PACK.writeValueAsBytes(fields))
+                        .orElseThrow();
+        assertEquals(
+                STATE.limits().stream().map(ReportedLimit::endpoint).toList(),
+                state.limits().stream().map(ReportedLimit::endpoint).toList());
+        assertEquals(0, state.limits().stream().filter(ReportedLimit::lends).count());
+    }
+
     /** The mapper accepts the type at any position. */
     @Test
     void readsTheTypeBehindOtherFields() throws Exception {
