--- a/review/stand_ins_2/Host.java
+++ b/review/stand_ins_2/Host.java
@@ -1,16 +1,23 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** A host of the system: one process, started with the command of the deploy file. */
 final class Host {
+    private static final Random RANDOM = new Random();
+
+    private static final Set<Integer> GIVEN = new HashSet<>();
+
     private final Path repository;
     private final Path folder;
     private final String name;
@@ -160,17 +167,26 @@
         process.waitFor(5, TimeUnit.SECONDS);
     }
 
-    static int[] freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    /** Returns free ports below those that the system gives to outgoing channels. */
+    static synchronized int[] freePorts(int count) throws IOException {
         int[] found = new int[count];
         for (int index = 0; index < count; index++) {
-            ServerSocket socket = new ServerSocket(0);
-            sockets.add(socket);
-            found[index] = socket.getLocalPort();
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+            while (found[index] == 0) {
+                int port = 15_000 + RANDOM.nextInt(15_000);
+                if (GIVEN.add(port) && isFree(port)) {
+                    found[index] = port;
+                }
+            }
         }
         return found;
     }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress("127.0.0.1", port));
+            return true;
+        } catch (IOException exception) {
+            return false;
+        }
+    }
 }
--- a/review/stand_ins_2/Http.java
+++ b/review/stand_ins_2/Http.java
@@ -75,7 +75,7 @@
 
         Server(int port, Handler handler) throws IOException {
             this.handler = handler;
-            this.socket = listen(port);
+            this.socket = listen(port == 0 ? Host.freePorts(1)[0] : port);
             this.port = socket.getLocalPort();
         }
 
--- a/review/stand_ins_2/StreamServer.java
+++ b/review/stand_ins_2/StreamServer.java
@@ -16,6 +16,7 @@
     private final Recorder recorder;
     private final int events;
     private final int gapMs;
+    private final int idStep;
     private final Http.Server server;
     private volatile String version;
     private volatile String state = "ready";
@@ -29,6 +30,21 @@
     StreamServer(
             Store store, String id, String service, String zone, String version, int events, int gapMs, Recorder recorder)
             throws IOException {
+        this(store, id, service, zone, version, events, gapMs, 1, recorder);
+    }
+
+    /** The ids of events grow by a step, as they do where an event counts the tokens so far. */
+    StreamServer(
+            Store store,
+            String id,
+            String service,
+            String zone,
+            String version,
+            int events,
+            int gapMs,
+            int idStep,
+            Recorder recorder)
+            throws IOException {
         this.store = store;
         this.id = id;
         this.service = service;
@@ -36,6 +52,7 @@
         this.version = version;
         this.events = events;
         this.gapMs = gapMs;
+        this.idStep = idStep;
         this.recorder = recorder;
         this.born = System.currentTimeMillis();
         server = new Http.Server(0, this::handle);
@@ -127,12 +144,12 @@
                     200, Map.of("Content-Type", "application/json"), report.getBytes(StandardCharsets.UTF_8));
             return true;
         }
-        int first = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0")) + 1;
+        int first = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0")) / idStep + 1;
         recorder.line("server " + id + " (" + runVersion + ") runs " + requestId + " from event " + first);
         channel.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " + requestId
                 + "\r\nResponse-Signature: s." + id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int number = first; number <= events; number++) {
-            String event = "id: " + number + "\ndata: " + runVersion + " " + id + "\n\n";
+            String event = "id: " + number * idStep + "\ndata: " + runVersion + " " + id + "\n\n";
             channel.write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
             try {
                 Thread.sleep(gapMs);
