--- a/review/stand_ins_2/CutServer.java
+++ b/review/stand_ins_2/CutServer.java
@@ -85,9 +85,9 @@
             changing.kill();
             sleepUntil(start + 4700);
             changing.restart("v2");
-            sleepUntil(start + 8700);
+            sleepUntil(start + 8500);
             changing.kill();
-            sleepUntil(start + 9200);
+            sleepUntil(start + 9000);
             changing.setCutFromStore(false);
             recorder.line("server i-1 reaches the store again");
             changing.restart("v2");
--- a/review/stand_ins_2/FrozenHost.java
+++ b/review/stand_ins_2/FrozenHost.java
@@ -23,8 +23,8 @@
     private FrozenHost() {}
 
     /**
-     * Arguments: the repository, a temporary folder, the file of the record, and all, freeze (without the new version)
-     * or none.
+     * Arguments: the repository, a temporary folder, the file of the record, and all, freeze (without the new version),
+     * kill (the frozen host is killed after 2 s, so that its channels break) or none.
      */
     public static void main(String[] arguments) {
         int code = 2;
@@ -91,6 +91,10 @@
                             store, "i-4", "notes", zones[0], "v2", EVENTS, GAP_MS, recorder);
                     keepBeating(other);
                 }
+            } else if (phase == 2 && elapsed > 10_000 && disruptions.equals("kill")) {
+                phase = 3;
+                hosts.get(0).kill();
+                recorder.line("entry-0 is killed");
             } else if (phase == 2 && elapsed > 8000 + FREEZE_MS) {
                 phase = 3;
                 if (!disruptions.equals("none")) {
