--- a/review/stand_ins_2/CutServer.java
+++ b/review/stand_ins_2/CutServer.java
@@ -51,9 +51,9 @@
                         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
         List<StreamServer> servers = new ArrayList<>();
         String[] zones = {"ub-east", "ub-west", "darkhan"};
-        for (int number = 1; number <= 4; number++) {
+        for (int number = 1; number <= 5; number++) {
             servers.add(new StreamServer(
-                    store, "i-" + number, "notes", zones[number % 3], number < 4 ? "v1" : "v2", EVENTS, GAP_MS, recorder));
+                    store, "i-" + number, "notes", zones[number % 3], number < 5 ? "v1" : "v2", EVENTS, GAP_MS, recorder));
         }
         servers.forEach(StreamServer::beat);
         StreamServer changing = servers.get(0);
--- a/review/stand_ins_2/OldEntry.java
+++ b/review/stand_ins_2/OldEntry.java
@@ -89,6 +89,8 @@
         changing.beat();
         sleepUntil(start + 7000);
         changing.kill();
+        store.put("keyed.servers", changing.id(), "");
+        recorder.line("store: removes the entry of " + changing.id() + ", which has left");
         sleepUntil(start + 7200);
         changing.restart("v2");
         beatUntil(changing, start + 20_000);
